--- /dev/null
+++ b/crates/hawthornmill/src/board.rs
@@ -0,0 +1,216 @@
+//! The blackboard that controllers read and write.
+//!
+//! Adapters feed events in through the controllers' functions, call [`crate::pools::turn()`], and drain
+//! what the turn left: messages for peers, dispatches of waiting requests, refusals. Nothing on the
+//! board blocks, and nothing in it reads a clock.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use slotmap::SlotMap;
+use smallvec::SmallVec;
+
+use crate::codes::Code;
+use crate::config::{FleetConfig, Manifest, accept::Values};
+use crate::fairness::Ledger;
+use crate::ident::{AccountId, Incarnation, InstanceId, PoolId, ServerId, ServiceId};
+use crate::membership::{Members, reports::Reports};
+use crate::pools::entry::Link;
+use crate::pools::owner::Owned;
+use crate::wire::message::{Contact, GrantId, Message};
+
+slotmap::new_key_type! {
+    /// A request that waits at this entry.
+    pub struct RequestKey;
+}
+
+/// Who schedules.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Policy {
+    /// An owner for each pool grants slots to entries.
+    Pooled,
+    /// Each instance schedules alone on its part of every server's slots; a measured baseline.
+    Static,
+}
+
+/// Durations and bounds of the controllers.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Tuning {
+    /// Who schedules.
+    pub policy: Policy,
+    /// Time for which a new owner only collects what entries hold.
+    pub rebuild: Duration,
+    /// Time between reports.
+    pub report: Duration,
+    /// Time for which an unreachable server gets no grants.
+    pub penalty: Duration,
+    /// Gap between two ticks after which the process counts as paused.
+    pub pause: Duration,
+    /// Longest time without dispatch after a pause when no peer answers.
+    pub confirm: Duration,
+    /// Requests that may wait at this instance, over all accounts.
+    pub max_waiting: usize,
+    /// Bytes of waiting bodies at this instance, over all accounts.
+    pub max_bytes: usize,
+    /// Lag behind the most served account that is remembered, in slots × estimated cost.
+    pub lag_cap: f64,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            policy: Policy::Pooled,
+            rebuild: Duration::from_millis(400),
+            report: Duration::from_millis(250),
+            penalty: Duration::from_millis(500),
+            pause: Duration::from_millis(700),
+            confirm: Duration::from_secs(1),
+            max_waiting: 20_000,
+            max_bytes: 256 << 20,
+            lag_cap: 8.0,
+        }
+    }
+}
+
+/// A request that waits.
+#[derive(Debug, Clone)]
+pub struct Waiting {
+    /// Service that it calls.
+    pub service: ServiceId,
+    /// Account that pays.
+    pub account: AccountId,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// When the caller gives up.
+    pub deadline: Instant,
+    /// Bytes of its body.
+    pub bytes: usize,
+    /// Servers that failed it already.
+    pub avoid: SmallVec<[ServerId; 2]>,
+}
+
+/// A request that may go to a server now.
+#[derive(Debug, Clone)]
+pub struct Dispatch {
+    /// The request; it waits no longer.
+    pub request: RequestKey,
+    /// Pool of the slot.
+    pub pool: PoolId,
+    /// Grant of the slot.
+    pub grant: GrantId,
+    /// Server of the slot.
+    pub server: ServerId,
+    /// Instance that granted it.
+    pub owner: InstanceId,
+    /// Share of the account on that server.
+    pub share: f64,
+    /// When it arrived.
+    pub arrived: Instant,
+}
+
+/// The blackboard.
+#[derive(Debug)]
+pub struct Board {
+    /// This process run.
+    pub incarnation: Incarnation,
+    /// Durations and bounds.
+    pub tuning: Tuning,
+    /// Configuration in force; revision 0 until one is accepted.
+    pub config: Arc<FleetConfig>,
+    /// Manifest of the configuration in force.
+    pub manifest: Manifest,
+    /// Texts of the configuration in force, for peers that ask.
+    pub values: Arc<Values>,
+    /// Instances.
+    pub members: Members,
+    /// Reports of all instances.
+    pub reports: Reports,
+    /// Fairness counters.
+    pub ledger: Ledger,
+    /// Requests that wait at this entry.
+    pub waiting: SlotMap<RequestKey, Waiting>,
+    /// Bytes of all waiting bodies.
+    pub waiting_bytes: usize,
+    /// Order of waiting requests.
+    pub queues: BTreeMap<(ServiceId, AccountId), VecDeque<RequestKey>>,
+    /// Queues that changed since their demand was last told.
+    pub dirty: BTreeSet<(ServiceId, AccountId)>,
+    /// Dealings of this entry with the owner of each pool.
+    pub links: BTreeMap<PoolId, Link>,
+    /// Pools for which other entries or this one have sent demand here.
+    pub owned: BTreeMap<PoolId, Owned>,
+    /// Connections to these instances broke and have not been renewed.
+    pub broken: BTreeSet<InstanceId>,
+    /// A pause made this instance's view old; nothing is dispatched until it is confirmed.
+    pub stale: Option<Instant>,
+    /// Numbers of the pause, to tell confirmations apart.
+    pub pauses: u64,
+    /// Messages that wait to be sent.
+    pub outbox: Vec<(InstanceId, Message)>,
+    /// Requests that may go to a server.
+    pub dispatches: Vec<Dispatch>,
+    /// Requests that are given up.
+    pub refusals: Vec<(RequestKey, Code)>,
+    /// Last tick.
+    pub ticked: Instant,
+    /// When owners were last worked out with the passing of time.
+    pub placed: Instant,
+}
+
+impl Board {
+    /// An empty board for one process run.
+    pub fn new(contact: Contact, incarnation: Incarnation, tuning: Tuning, now: Instant) -> Self {
+        let me = InstanceId::of(&contact.name);
+        Self {
+            incarnation,
+            tuning,
+            config: Arc::new(FleetConfig::default()),
+            manifest: Manifest::default(),
+            values: Arc::new(Values::new()),
+            members: Members::new(me, contact, incarnation, now),
+            reports: Reports::default(),
+            ledger: Ledger::default(),
+            waiting: SlotMap::with_key(),
+            waiting_bytes: 0,
+            queues: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+            links: BTreeMap::new(),
+            owned: BTreeMap::new(),
+            broken: BTreeSet::new(),
+            stale: None,
+            pauses: 0,
+            outbox: Vec::new(),
+            dispatches: Vec::new(),
+            refusals: Vec::new(),
+            ticked: now,
+            placed: now,
+        }
+    }
+
+    /// This instance.
+    pub fn me(&self) -> InstanceId {
+        self.members.me
+    }
+
+    /// Puts a checked configuration in force; false when it is not newer.
+    pub fn install(&mut self, config: FleetConfig, manifest: Manifest, values: Values) -> bool {
+        if config.revision <= self.config.revision {
+            return false;
+        }
+        self.config = Arc::new(config);
+        self.manifest = manifest;
+        self.values = Arc::new(values);
+        self.members.changed = true;
+        let keys: Vec<_> = self.queues.keys().copied().collect();
+        self.dirty.extend(keys);
+        true
+    }
+
+    /// Tells whether nothing may be expected of `owner` now, so that held slots are kept.
+    pub fn silent(&self, owner: InstanceId) -> bool {
+        owner != self.me()
+            && (self.broken.contains(&owner)
+                || !self.members.map.get(&owner).is_some_and(|m| m.live))
+    }
+}
--- /dev/null
+++ b/crates/hawthornmill/src/ini.rs
@@ -0,0 +1,301 @@
+//! INI text with the line of each section and key.
+//!
+//! `rust-ini` reads the text; it keeps no positions, so a second pass over the lines finds where
+//! each section and key stands. Settings files and configuration values share this reader, and
+//! both refuse what they do not know instead of passing over it.
+
+use std::fmt;
+
+use ini::{Ini, ParseOption};
+
+use crate::codes::Code;
+
+/// One fault in an INI text: where it stands and what it is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    /// Numbered result.
+    pub code: Code,
+    /// File or value name.
+    pub file: Box<str>,
+    /// Line from 1; 0 where the fault belongs to the whole text.
+    pub line: usize,
+    /// Column from 1; 0 where the fault belongs to the whole line.
+    pub column: usize,
+    /// What is wrong, in words.
+    pub what: Box<str>,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.file)?;
+        if self.line > 0 {
+            write!(f, ":{}", self.line)?;
+        }
+        if self.column > 0 {
+            write!(f, ":{}", self.column)?;
+        }
+        write!(f, ": error {}: {}", self.code.number(), self.what)
+    }
+}
+
+/// A key with its value.
+#[derive(Debug, Clone)]
+pub struct Entry {
+    /// Key as written.
+    pub key: Box<str>,
+    /// Value without surrounding blanks.
+    pub value: Box<str>,
+    /// Line from 1.
+    pub line: usize,
+    /// Column from 1 at which the value starts.
+    pub column: usize,
+}
+
+/// A section `[kind name]` with its keys.
+#[derive(Debug, Clone)]
+pub struct Section {
+    /// First word of the header.
+    pub kind: Box<str>,
+    /// The rest of the header; empty where there is none.
+    pub name: Box<str>,
+    /// Line of the header, from 1.
+    pub line: usize,
+    /// Keys in the order of the text.
+    pub entries: Vec<Entry>,
+}
+
+impl Section {
+    /// The entry of `key`.
+    pub fn get(&self, key: &str) -> Option<&Entry> {
+        self.entries.iter().find(|e| &*e.key == key)
+    }
+}
+
+/// Reads `text` into sections.
+///
+/// # Errors
+/// Every fault of the text: syntax, keys outside a section, sections or keys that stand twice.
+pub fn read(file: &str, text: &str) -> Result<Vec<Section>, Vec<Fault>> {
+    let option = ParseOption {
+        enabled_quote: false,
+        enabled_escape: false,
+        ..ParseOption::default()
+    };
+    if let Err(error) = Ini::load_from_str_opt(text, option) {
+        return Err(vec![Fault {
+            code: Code::IniSyntax,
+            file: file.into(),
+            line: error.line,
+            column: error.col,
+            what: error.msg.to_string().into(),
+        }]);
+    }
+    let (sections, mut faults) = locate(file, text);
+    faults.extend(duplicates(file, &sections));
+    if faults.is_empty() {
+        Ok(sections)
+    } else {
+        Err(faults)
+    }
+}
+
+fn locate(file: &str, text: &str) -> (Vec<Section>, Vec<Fault>) {
+    let mut sections: Vec<Section> = Vec::new();
+    let mut faults = Vec::new();
+    for (index, raw) in text.lines().enumerate() {
+        let line = raw.trim();
+        if line.is_empty() || line.starts_with(['#', ';']) {
+            continue;
+        }
+        if let Some(header) = line.strip_prefix('[').and_then(|l| l.strip_suffix(']')) {
+            sections.push(new_section(header, index + 1));
+            continue;
+        }
+        let Some((key, value)) = line.split_once('=') else {
+            faults.push(syntax(
+                file,
+                index + 1,
+                "line is neither a section nor a key",
+            ));
+            continue;
+        };
+        let Some(section) = sections.last_mut() else {
+            faults.push(syntax(file, index + 1, "key stands before any section"));
+            continue;
+        };
+        let start = raw.find('=').unwrap_or(0) + 1;
+        let blank = raw[start..].len() - raw[start..].trim_start().len();
+        section.entries.push(Entry {
+            key: key.trim().into(),
+            value: value.trim().into(),
+            line: index + 1,
+            column: start + blank + 1,
+        });
+    }
+    (sections, faults)
+}
+
+fn new_section(header: &str, line: usize) -> Section {
+    let (kind, name) = header.trim().split_once(' ').unwrap_or((header.trim(), ""));
+    Section {
+        kind: kind.into(),
+        name: name.trim().into(),
+        line,
+        entries: Vec::new(),
+    }
+}
+
+fn syntax(file: &str, line: usize, what: &str) -> Fault {
+    Fault {
+        code: Code::IniSyntax,
+        file: file.into(),
+        line,
+        column: 0,
+        what: what.into(),
+    }
+}
+
+fn duplicates(file: &str, sections: &[Section]) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let mut headers = std::collections::BTreeMap::new();
+    for section in sections {
+        if let Some(first) = headers.insert((&section.kind, &section.name), section.line) {
+            let what = format!(
+                "section [{} {}] stands already at line {first}",
+                section.kind, section.name
+            );
+            faults.push(duplicate(file, section.line, what));
+        }
+        let mut keys = std::collections::BTreeMap::new();
+        for entry in &section.entries {
+            if let Some(first) = keys.insert(&entry.key, entry.line) {
+                let what = format!("key `{}` stands already at line {first}", entry.key);
+                faults.push(duplicate(file, entry.line, what));
+            }
+        }
+    }
+    faults
+}
+
+fn duplicate(file: &str, line: usize, what: String) -> Fault {
+    Fault {
+        code: Code::Duplicate,
+        file: file.into(),
+        line,
+        column: 0,
+        what: what.into(),
+    }
+}
+
+/// Reads typed values out of sections and collects every fault on the way.
+#[derive(Debug)]
+pub struct Reader<'a> {
+    file: &'a str,
+    /// Faults found so far.
+    pub faults: Vec<Fault>,
+}
+
+impl<'a> Reader<'a> {
+    /// A reader for the text called `file`.
+    pub fn new(file: &'a str) -> Self {
+        Self {
+            file,
+            faults: Vec::new(),
+        }
+    }
+
+    /// Notes a fault.
+    pub fn fault(&mut self, code: Code, line: usize, column: usize, what: impl Into<Box<str>>) {
+        self.faults.push(Fault {
+            code,
+            file: self.file.into(),
+            line,
+            column,
+            what: what.into(),
+        });
+    }
+
+    /// Refuses keys of `section` that are not in `known`, each with the nearest known key.
+    pub fn known_keys(&mut self, section: &Section, known: &[&str]) {
+        for entry in &section.entries {
+            if !known.contains(&&*entry.key) {
+                let what = format!("unknown key `{}`{}", entry.key, nearest(&entry.key, known));
+                self.fault(Code::UnknownKey, entry.line, 0, what);
+            }
+        }
+    }
+
+    /// Refuses a section of a kind that is not in `known`.
+    pub fn unknown_section(&mut self, section: &Section, known: &[&str]) {
+        let what = format!(
+            "unknown section [{}]{}",
+            section.kind,
+            nearest(&section.kind, known)
+        );
+        self.fault(Code::UnknownSection, section.line, 0, what);
+    }
+
+    /// The value of `key`, or a fault where it is missing.
+    pub fn need(&mut self, section: &Section, key: &str) -> Option<Box<str>> {
+        let found = section.get(key).map(|e| e.value.clone());
+        if found.is_none() {
+            let what = format!("section [{} {}] needs `{key}`", section.kind, section.name);
+            self.fault(Code::MissingKey, section.line, 0, what);
+        }
+        found
+    }
+
+    /// The value of `key` as a `T`, or `default` where the key is missing.
+    pub fn value<T: std::str::FromStr>(&mut self, section: &Section, key: &str, default: T) -> T {
+        let Some(entry) = section.get(key) else {
+            return default;
+        };
+        if let Ok(value) = entry.value.parse() {
+            return value;
+        }
+        let what = format!("`{key}` can't be `{}`", entry.value);
+        self.fault(Code::BadValue, entry.line, entry.column, what);
+        default
+    }
+
+    /// The value of `key` if it lies in `[least, most]`, else a fault and `default`.
+    pub fn bounded(
+        &mut self,
+        section: &Section,
+        key: &str,
+        default: f64,
+        bounds: std::ops::RangeInclusive<f64>,
+    ) -> f64 {
+        let value: f64 = self.value(section, key, default);
+        if bounds.contains(&value) {
+            return value;
+        }
+        let (line, column) = section.get(key).map_or((0, 0), |e| (e.line, e.column));
+        let what = format!("`{key}` must lie in {} to {}", bounds.start(), bounds.end());
+        self.fault(Code::BadValue, line, column, what);
+        default
+    }
+
+    /// The value of `key` as one of `words`, or the first word where the key is missing.
+    pub fn word<T: Copy>(&mut self, section: &Section, key: &str, words: &[(&str, T)]) -> T {
+        let Some(entry) = section.get(key) else {
+            return words[0].1;
+        };
+        if let Some((_, value)) = words.iter().find(|(w, _)| *w == &*entry.value) {
+            return *value;
+        }
+        let names: Vec<&str> = words.iter().map(|(w, _)| *w).collect();
+        let what = format!("`{key}` must be one of: {}", names.join(", "));
+        self.fault(Code::BadValue, entry.line, entry.column, what);
+        words[0].1
+    }
+}
+
+fn nearest(word: &str, known: &[&str]) -> String {
+    known
+        .iter()
+        .map(|k| (strsim::damerau_levenshtein(word, k), k))
+        .min()
+        .filter(|(distance, _)| *distance <= 3)
+        .map_or_else(String::new, |(_, k)| format!("; did you mean `{k}`?"))
+}
--- /dev/null
+++ b/crates/hawthornmill/src/membership/place.rs
@@ -0,0 +1,96 @@
+//! Owners, relays and readers by rendezvous hashing over the view of members.
+//!
+//! Each instance works these out alone. Two views that differ may name two owners for a moment; the
+//! slots that an owner may grant are bounded by what servers report, so that costs accuracy only.
+
+use std::time::{Duration, Instant};
+
+use super::{Member, Members};
+use crate::config::model::Pool;
+use crate::ident::{DomainId, InstanceId, PoolId, RegionId, mix};
+
+/// Time for which an instance must have been live before it is preferred as an owner.
+pub const SEASONING: Duration = Duration::from_secs(2);
+/// Instances of a failure domain that watch the platform's configuration.
+pub const READERS: usize = 2;
+
+/// The owner of `id`: in the pool's failure domain, else in its region, else anywhere.
+pub fn owner(members: &Members, id: PoolId, pool: &Pool, now: Instant) -> Option<InstanceId> {
+    let tiers: [&dyn Fn(&Member) -> bool; 3] = [
+        &|m| m.domain == pool.domain,
+        &|m| m.region == pool.region,
+        &|_| true,
+    ];
+    tiers.iter().find_map(|tier| best(members, id.0, tier, now))
+}
+
+fn best(
+    members: &Members,
+    salt: u64,
+    tier: &dyn Fn(&Member) -> bool,
+    now: Instant,
+) -> Option<InstanceId> {
+    members
+        .live()
+        .filter(|(_, m)| !m.leaving && tier(m))
+        .max_by_key(|(id, m)| {
+            // A newcomer, or one that keeps coming and going, does not take pools from others.
+            let seasoned = now.duration_since(m.since) >= SEASONING;
+            (seasoned, mix(salt ^ id.0))
+        })
+        .map(|(id, _)| id)
+}
+
+/// The relay of a failure domain.
+pub fn domain_relay(members: &Members, domain: DomainId) -> Option<InstanceId> {
+    ranked(members, domain.0, &|m| m.domain == domain)
+        .first()
+        .copied()
+}
+
+/// The relay of a region: one of its domains' relays.
+pub fn region_relay(members: &Members, region: RegionId) -> Option<InstanceId> {
+    let mut domains: Vec<DomainId> = members
+        .live()
+        .filter(|(_, m)| m.region == region)
+        .map(|(_, m)| m.domain)
+        .collect();
+    domains.sort_unstable();
+    domains.dedup();
+    domains
+        .into_iter()
+        .filter_map(|d| domain_relay(members, d))
+        .max_by_key(|id| mix(region.0 ^ id.0))
+}
+
+/// A member of a failure domain in which nobody is heard: one after another with each `round`.
+///
+/// At a start, and after a cut has healed, nobody there has been heard yet; somebody must speak
+/// first, and any live member passes a report on to its own relay.
+pub fn guess(members: &Members, domain: DomainId, round: u32) -> Option<InstanceId> {
+    let silent: Vec<InstanceId> = members
+        .map
+        .iter()
+        .filter(|(_, m)| m.domain == domain)
+        .map(|(id, _)| *id)
+        .collect();
+    let turn = round as usize % silent.len().max(1);
+    silent.get(turn).copied()
+}
+
+/// The instances of `domain` that watch the platform.
+pub fn readers(members: &Members, domain: DomainId) -> Vec<InstanceId> {
+    let mut list = ranked(members, domain.0.rotate_left(7), &|m| m.domain == domain);
+    list.truncate(READERS);
+    list
+}
+
+fn ranked(members: &Members, salt: u64, keep: &dyn Fn(&Member) -> bool) -> Vec<InstanceId> {
+    let mut list: Vec<InstanceId> = members
+        .live()
+        .filter(|(_, m)| !m.leaving && keep(m))
+        .map(|(id, _)| id)
+        .collect();
+    list.sort_by_key(|id| std::cmp::Reverse(mix(salt ^ id.0)));
+    list
+}
--- /dev/null
+++ b/crates/hawthornmill/src/membership/reports.rs
@@ -0,0 +1,228 @@
+//! Reports: what each instance tells of itself, passed on along a tree of relays.
+//!
+//! An instance sends its report to the relay of its failure domain; domain relays exchange with
+//! the relay of their region, and region relays with each other. Each hop passes on what is newer
+//! than it last sent to that neighbour. Counters are cumulative and states whole, so a lost datagram
+//! costs one interval; every [`REFRESH`]th round repeats everything.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+use super::place::{domain_relay, guess, region_relay};
+use super::{Members, Sign};
+use crate::fairness::{CostKey, Ledger};
+use crate::ident::{DomainId, Incarnation, InstanceId, PoolId, RegionId};
+use crate::wire::message::{Message, PoolState, Report};
+
+/// Rounds after which a neighbour is told everything again.
+pub const REFRESH: u32 = 16;
+/// Counters that one report in a datagram may carry.
+const COSTS_EACH: usize = 40;
+
+#[derive(Debug, Clone, Default)]
+struct Origin {
+    incarnation: Incarnation,
+    version: u32,
+    leaving: bool,
+    revision: u64,
+    pools: Vec<PoolState>,
+    costs: BTreeMap<CostKey, (f32, u32)>,
+    from: Option<InstanceId>,
+}
+
+/// Latest report of every instance, and what each neighbour was last sent.
+#[derive(Debug, Clone, Default)]
+pub struct Reports {
+    origins: BTreeMap<InstanceId, Origin>,
+    sent: BTreeMap<InstanceId, BTreeMap<InstanceId, (Incarnation, u32)>>,
+    round: u32,
+}
+
+impl Reports {
+    /// Writes this instance's own report.
+    pub fn write_own(
+        &mut self,
+        members: &Members,
+        revision: u64,
+        pools: Vec<PoolState>,
+        costs: Vec<(CostKey, f64)>,
+    ) {
+        let own = members.own();
+        let origin = self.origins.entry(members.me).or_default();
+        origin.incarnation = own.incarnation;
+        origin.version += 1;
+        origin.leaving = own.leaving;
+        origin.revision = revision;
+        origin.pools = pools;
+        for (key, value) in costs {
+            origin.costs.insert(key, (value as f32, origin.version));
+        }
+    }
+
+    /// Takes a report that `from` sent; false when nothing in it is new.
+    pub fn take(
+        &mut self,
+        from: InstanceId,
+        report: Report,
+        members: &mut Members,
+        ledger: &mut Ledger,
+        now: Instant,
+        interval: std::time::Duration,
+    ) -> bool {
+        if report.origin == members.me {
+            return false;
+        }
+        let origin = self.origins.entry(report.origin).or_default();
+        let newer = (report.incarnation, report.version) > (origin.incarnation, origin.version);
+        let same = (report.incarnation, report.version) == (origin.incarnation, origin.version);
+        if !newer && !same {
+            return false;
+        }
+        if report.incarnation != origin.incarnation {
+            origin.costs.clear();
+        }
+        for (key, value) in &report.costs {
+            ledger.merge(report.origin, report.incarnation, *key, f64::from(*value));
+            origin.costs.insert(*key, (*value, report.version));
+        }
+        if !newer {
+            return false;
+        }
+        origin.incarnation = report.incarnation;
+        origin.version = report.version;
+        origin.leaving = report.leaving;
+        origin.revision = report.revision;
+        origin.pools = report.pools;
+        origin.from = Some(from);
+        members.hear(
+            Sign {
+                from: report.origin,
+                incarnation: report.incarnation,
+                leaving: report.leaving,
+                revision: report.revision,
+                interval,
+            },
+            now,
+        );
+        true
+    }
+
+    /// The last state told of `pool`, by whichever live instance owns it.
+    pub fn pool(&self, pool: PoolId, owner: InstanceId) -> Option<PoolState> {
+        self.origins
+            .get(&owner)?
+            .pools
+            .iter()
+            .find(|p| p.pool == pool)
+            .copied()
+    }
+
+    /// Highest revision that any report named.
+    pub fn revision(&self) -> u64 {
+        self.origins.values().map(|o| o.revision).max().unwrap_or(0)
+    }
+
+    /// Messages of one round to this instance's neighbours in the tree.
+    pub fn round(&mut self, members: &Members) -> Vec<(InstanceId, Message)> {
+        self.round = self.round.wrapping_add(1);
+        if self.round.is_multiple_of(REFRESH) {
+            self.sent.clear();
+        }
+        let mut out = Vec::new();
+        for target in neighbours(members, self.round) {
+            let reports = self.news_for(target, members);
+            out.extend(
+                reports
+                    .into_iter()
+                    .map(|r| (target, Message::Reports(vec![r]))),
+            );
+        }
+        out
+    }
+
+    fn news_for(&mut self, target: InstanceId, members: &Members) -> Vec<Report> {
+        let sent = self.sent.entry(target).or_default();
+        let mut reports = Vec::new();
+        for (id, origin) in &self.origins {
+            let dead = *id != members.me && !members.map.get(id).is_some_and(|m| m.live);
+            if *id == target || origin.from == Some(target) || dead {
+                continue;
+            }
+            let (incarnation, mut version) = sent.get(id).copied().unwrap_or_default();
+            if incarnation != origin.incarnation {
+                version = 0;
+            }
+            if origin.version <= version {
+                continue;
+            }
+            sent.insert(*id, (origin.incarnation, origin.version));
+            reports.extend(split(*id, origin, version));
+        }
+        reports
+    }
+}
+
+fn split(id: InstanceId, origin: &Origin, after: u32) -> Vec<Report> {
+    let costs: Vec<(CostKey, f32)> = origin
+        .costs
+        .iter()
+        .filter(|(_, (_, version))| *version > after)
+        .map(|(key, (value, _))| (*key, *value))
+        .collect();
+    let mut chunks: Vec<Vec<(CostKey, f32)>> =
+        costs.chunks(COSTS_EACH).map(<[_]>::to_vec).collect();
+    if chunks.is_empty() {
+        chunks.push(Vec::new());
+    }
+    chunks
+        .into_iter()
+        .map(|costs| Report {
+            origin: id,
+            incarnation: origin.incarnation,
+            version: origin.version,
+            leaving: origin.leaving,
+            revision: origin.revision,
+            pools: origin.pools.clone(),
+            costs,
+        })
+        .collect()
+}
+
+/// The instances to which this one sends reports in `round`.
+pub fn neighbours(members: &Members, round: u32) -> BTreeSet<InstanceId> {
+    let own = members.own();
+    let mut set = BTreeSet::new();
+    let relay = domain_relay(members, own.domain);
+    set.extend(relay);
+    if relay == Some(members.me) {
+        set.extend(
+            members
+                .live()
+                .filter(|(_, m)| m.domain == own.domain)
+                .map(|(id, _)| id),
+        );
+        set.extend(region_relay(members, own.region));
+    }
+    if region_relay(members, own.region) == Some(members.me) {
+        set.extend(far_neighbours(members, round));
+    }
+    set.remove(&members.me);
+    set
+}
+
+/// Domain relays of the own region and region relays of the others, for a region's relay.
+fn far_neighbours(members: &Members, round: u32) -> BTreeSet<InstanceId> {
+    let home = members.own().region;
+    let places: BTreeSet<(RegionId, DomainId)> =
+        members.map.values().map(|m| (m.region, m.domain)).collect();
+    let mut set = BTreeSet::new();
+    for (region, domain) in places {
+        let known = if region == home {
+            domain_relay(members, domain)
+        } else {
+            region_relay(members, region)
+        };
+        set.extend(known.or_else(|| guess(members, domain, round)));
+    }
+    set
+}
--- /dev/null
+++ b/crates/hawthornmill/src/pools/mod.rs
@@ -0,0 +1,65 @@
+//! Pools, owners and slots.
+//!
+//! Requests wait at the entry that received them ([`entry`]). The owner of a pool ([`owner`])
+//! learns only how many wait for each account, and grants slots one by one to the account that has
+//! received the least normalised service; the entry then sends its oldest request of that account
+//! straight to the server. [`ownership`] follows the members and the configuration; [`turn()`] runs
+//! whatever is due after an event.
+
+pub mod entry;
+pub mod owner;
+pub mod ownership;
+pub mod schedule;
+pub mod tick;
+
+use std::time::Instant;
+
+use crate::board::Board;
+use crate::ident::{Incarnation, InstanceId};
+use crate::wire::message::Message;
+
+/// Rounds of messages to itself that one turn may take.
+const SELF_ROUNDS: usize = 64;
+
+/// Runs everything that recent events have made due, messages to itself included.
+pub fn turn(board: &mut Board, now: Instant) {
+    for _ in 0..SELF_ROUNDS {
+        ownership::refresh(board, now);
+        schedule::run(board, now);
+        entry::tell(board, now);
+        if !deliver_own(board, now) {
+            return;
+        }
+    }
+}
+
+fn deliver_own(board: &mut Board, now: Instant) -> bool {
+    let me = board.me();
+    let (own, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut board.outbox)
+        .into_iter()
+        .partition(|(to, _)| *to == me);
+    board.outbox = rest;
+    let any = !own.is_empty();
+    let incarnation = board.incarnation;
+    for (_, message) in own {
+        receive(board, me, incarnation, message, now);
+    }
+    any
+}
+
+/// Takes a pool message from an instance, this one included.
+pub fn receive(
+    board: &mut Board,
+    from: InstanceId,
+    incarnation: Incarnation,
+    message: Message,
+    now: Instant,
+) {
+    match message {
+        Message::Demand(demand) => owner::on_demand(board, from, incarnation, &demand, now),
+        Message::Grants(grants) => entry::on_grants(board, from, incarnation, &grants, now),
+        Message::Holding(holding) => owner::on_holding(board, from, incarnation, &holding, now),
+        Message::Sync { pool, last } => entry::on_sync(board, from, incarnation, pool, last),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/hawthornmill/src/pools/owner.rs
@@ -0,0 +1,398 @@
+//! The owner's side of a pool: what each entry wants and holds.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use crate::board::Board;
+use crate::fairness::CostKey;
+use crate::ident::{AccountId, Incarnation, InstanceId, PoolId, ServerId, ServiceId};
+use crate::wire::message::{Demand, Done, GrantId, Held, Holding, Want};
+
+/// Part of a new load reading in the owner's trust: readings over this are foreign work.
+const FOREIGN_READINGS: u8 = 2;
+
+/// Slots of one server.
+#[derive(Debug, Clone, Default)]
+pub struct ServerSlots {
+    /// Slots by configuration.
+    pub total: u16,
+    /// Slots that may be granted: fewer while the server reports work of others.
+    pub limit: u16,
+    /// Slots granted and not given back.
+    pub used: u16,
+    /// Class in the configuration.
+    pub class: u16,
+    /// It gets no new work.
+    pub leaving: bool,
+    /// It could not be reached; no grants until then.
+    pub avoid: Option<Instant>,
+    /// Most slots granted at once since the last load reading, and before it.
+    pub peak: [u16; 2],
+    /// Load readings in a row that showed work of others.
+    pub foreign: u8,
+}
+
+impl ServerSlots {
+    /// Takes slots, class and state from the configuration.
+    pub fn resize(&mut self, total: u16, class: u16, leaving: bool) {
+        if self.total != total {
+            self.total = total;
+            self.limit = total;
+        }
+        self.class = class;
+        self.leaving = leaving;
+    }
+
+    /// Slots that may be granted now.
+    pub fn free(&self, now: Instant) -> u16 {
+        if self.leaving || self.avoid.is_some_and(|until| now < until) {
+            return 0;
+        }
+        self.limit.saturating_sub(self.used)
+    }
+
+    /// Takes a slot.
+    pub fn take(&mut self) {
+        self.used += 1;
+        self.peak[0] = self.peak[0].max(self.used);
+    }
+
+    /// Takes a load reading.
+    ///
+    /// Readings lag, so one is compared with the most that was granted since the reading before the
+    /// last. What is above that is work of another owner, or of an entry that died; the slots are
+    /// then shared in proportion.
+    pub fn read_load(&mut self, running: u16) {
+        let mine = self.peak[0].max(self.peak[1]).max(self.used);
+        self.peak = [self.used, self.peak[0]];
+        if running <= mine {
+            self.foreign = 0;
+            self.limit = self.total;
+            return;
+        }
+        self.foreign = self.foreign.saturating_add(1);
+        if self.foreign >= FOREIGN_READINGS {
+            let part = u32::from(self.total) * u32::from(mine) / u32::from(running);
+            self.limit = (part as u16).max(1);
+        }
+    }
+}
+
+/// What one entry wants for one account.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct EntryWant {
+    /// Cumulative want, as the entry told it.
+    pub wanted: u32,
+    /// Grants made for it.
+    pub granted: u32,
+    /// Number of the last of them.
+    pub last: u32,
+}
+
+impl EntryWant {
+    /// Requests that wait for a grant.
+    pub fn open(&self) -> u32 {
+        // Counters wrap after four billion grants; the difference stays right.
+        let open = self.wanted.wrapping_sub(self.granted);
+        if open > u32::MAX / 2 { 0 } else { open }
+    }
+}
+
+/// One account in one pool.
+#[derive(Debug, Clone, Default)]
+pub struct Queue {
+    /// What is added to the account's fleet-wide service here, so that idling earns no credit.
+    pub lift: f64,
+    /// Requests that wait over all entries.
+    pub open: u32,
+    /// Slots held.
+    pub held: u32,
+    /// Wants by entry.
+    pub entries: BTreeMap<InstanceId, EntryWant>,
+}
+
+/// A slot that an entry holds.
+#[derive(Debug, Clone, Copy)]
+pub struct HeldSlot {
+    /// Account that it serves.
+    pub account: AccountId,
+    /// Server on which it is.
+    pub server: ServerId,
+    /// Normalised service charged when it was granted.
+    pub charged: f64,
+}
+
+/// A pool as its owner keeps it.
+#[derive(Debug, Clone, Default)]
+pub struct Owned {
+    /// This instance takes itself for the owner.
+    pub active: bool,
+    /// From when on it grants.
+    pub ready: Option<Instant>,
+    /// Servers.
+    pub servers: BTreeMap<ServerId, ServerSlots>,
+    /// Slots held, by entry and grant.
+    pub held: BTreeMap<(InstanceId, GrantId), HeldSlot>,
+    /// Accounts with wants or slots.
+    pub accounts: BTreeMap<AccountId, Queue>,
+    /// Process run of each entry that spoke.
+    pub entries: BTreeMap<InstanceId, Incarnation>,
+    /// Number of the last grant.
+    pub seq: u32,
+    /// Number of the last grant to each entry.
+    pub last: BTreeMap<InstanceId, u32>,
+    /// Normalised service of the account served last; it never falls.
+    pub level: f64,
+    /// Something changed that a grant may follow from.
+    pub dirty: bool,
+}
+
+impl Owned {
+    /// Starts to own the pool; grants are made from `ready` on.
+    pub fn activate(&mut self, ready: Instant) {
+        self.active = true;
+        self.ready = Some(ready);
+        self.dirty = true;
+    }
+
+    /// Drops everything that `entry` wants and holds.
+    pub fn forget(&mut self, entry: InstanceId) {
+        if self.entries.remove(&entry).is_none() {
+            return;
+        }
+        let held: Vec<GrantId> = self.held_by(entry).collect();
+        for grant in held {
+            self.free(entry, grant);
+        }
+        for queue in self.accounts.values_mut() {
+            if let Some(want) = queue.entries.remove(&entry) {
+                queue.open -= want.open();
+            }
+        }
+        self.last.remove(&entry);
+        self.dirty = true;
+    }
+
+    fn held_by(&self, entry: InstanceId) -> impl Iterator<Item = GrantId> {
+        let low = GrantId { maker: 0, seq: 0 };
+        self.held
+            .range((entry, low)..)
+            .take_while(move |((e, _), _)| *e == entry)
+            .map(|((_, grant), _)| *grant)
+    }
+
+    /// Frees a slot and returns what was known of it.
+    pub fn free(&mut self, entry: InstanceId, grant: GrantId) -> Option<HeldSlot> {
+        let slot = self.held.remove(&(entry, grant))?;
+        if let Some(server) = self.servers.get_mut(&slot.server) {
+            server.used = server.used.saturating_sub(1);
+        }
+        if let Some(queue) = self.accounts.get_mut(&slot.account) {
+            queue.held = queue.held.saturating_sub(1);
+        }
+        self.dirty = true;
+        Some(slot)
+    }
+
+    fn set_want(&mut self, entry: InstanceId, account: AccountId, change: impl Fn(&mut EntryWant)) {
+        let queue = self.accounts.entry(account).or_default();
+        let want = queue.entries.entry(entry).or_default();
+        queue.open -= want.open();
+        change(want);
+        queue.open += want.open();
+        self.dirty = true;
+    }
+
+    fn add_held(&mut self, entry: InstanceId, held: &Held) {
+        let slot = HeldSlot {
+            account: held.account,
+            server: held.server,
+            charged: 0.0,
+        };
+        if self.held.insert((entry, held.grant), slot).is_some() {
+            return;
+        }
+        self.servers.entry(held.server).or_default().take();
+        self.accounts.entry(held.account).or_default().held += 1;
+    }
+
+    /// Slots that may be granted and that nothing waits for.
+    pub fn idle(&self, now: Instant) -> u16 {
+        if self.accounts.values().any(|q| q.open > 0) {
+            return 0;
+        }
+        self.servers.values().map(|s| s.free(now)).sum()
+    }
+}
+
+/// Low half of an incarnation, as grants carry it.
+pub const fn maker(incarnation: Incarnation) -> u32 {
+    incarnation.0 as u32
+}
+
+fn meet(owned: &mut Owned, entry: InstanceId, incarnation: Incarnation) -> bool {
+    match owned.entries.get(&entry) {
+        Some(known) if *known > incarnation => return false,
+        Some(known) if *known < incarnation => owned.forget(entry),
+        _ => {}
+    }
+    owned.entries.insert(entry, incarnation);
+    true
+}
+
+/// Takes what changed at an entry.
+pub fn on_demand(
+    board: &mut Board,
+    from: InstanceId,
+    incarnation: Incarnation,
+    demand: &Demand,
+    now: Instant,
+) {
+    let Some(service) = board.config.pools.get(&demand.pool).map(|p| p.service) else {
+        return;
+    };
+    let owned = board.owned.entry(demand.pool).or_default();
+    if !meet(owned, from, incarnation) {
+        return;
+    }
+    for want in &demand.wants {
+        open_account(board, demand.pool, service, want.account);
+        let owned = board.owned.entry(demand.pool).or_default();
+        owned.set_want(from, want.account, |w| w.wanted = want.wanted);
+    }
+    for done in &demand.done {
+        settle(board, demand.pool, service, from, done, now);
+    }
+}
+
+/// Lifts an account that was idle here to the level of those that are served.
+fn open_account(board: &mut Board, pool: PoolId, service: ServiceId, account: AccountId) {
+    let total = board.ledger.total(CostKey { service, account });
+    let owned = board.owned.entry(pool).or_default();
+    let level = owned.level;
+    let queue = owned.accounts.entry(account).or_default();
+    if queue.open == 0 && queue.held == 0 {
+        queue.lift = queue.lift.max(level - total);
+    }
+}
+
+/// Takes a slot back and corrects the charge to what the call cost.
+fn settle(
+    board: &mut Board,
+    pool: PoolId,
+    service: ServiceId,
+    from: InstanceId,
+    done: &Done,
+    now: Instant,
+) {
+    let penalty = now + board.tuning.penalty;
+    let Some(owned) = board.owned.get_mut(&pool) else {
+        return;
+    };
+    let Some(slot) = owned.free(from, done.grant) else {
+        return;
+    };
+    if done.failed
+        && let Some(server) = owned.servers.get_mut(&slot.server)
+    {
+        server.avoid = Some(penalty);
+    }
+    let key = CostKey {
+        service,
+        account: slot.account,
+    };
+    let cost = f64::from(done.cost);
+    let share = board.config.share(slot.account, slot.server);
+    board
+        .ledger
+        .charge(key, cost / share.unwrap_or(1.0) - slot.charged);
+    if cost > 0.0 {
+        board.ledger.observe(key, cost);
+    }
+}
+
+/// Takes everything that an entry holds and wants.
+pub fn on_holding(
+    board: &mut Board,
+    from: InstanceId,
+    incarnation: Incarnation,
+    holding: &Holding,
+    _now: Instant,
+) {
+    if holding.owner != board.incarnation {
+        return;
+    }
+    let Some(service) = board.config.pools.get(&holding.pool).map(|p| p.service) else {
+        return;
+    };
+    let made = maker(board.incarnation);
+    let owned = board.owned.entry(holding.pool).or_default();
+    if !meet(owned, from, incarnation) {
+        return;
+    }
+    let gone: Vec<GrantId> = owned
+        .held_by(from)
+        .filter(|g| g.maker != made || g.seq <= holding.ack)
+        .filter(|g| !holding.held.iter().any(|h| h.grant == *g))
+        .collect();
+    let mut refunds = Vec::new();
+    for grant in gone {
+        refunds.extend(owned.free(from, grant));
+    }
+    for held in &holding.held {
+        owned.add_held(from, held);
+    }
+    // Every grant up to `ack` has arrived or is lost, so what is granted counts from there.
+    let flying: Vec<AccountId> = owned
+        .held
+        .iter()
+        .filter(|((e, g), _)| *e == from && g.maker == made && g.seq > holding.ack)
+        .map(|(_, slot)| slot.account)
+        .collect();
+    reset_wants(owned, from, &holding.received, &flying);
+    for slot in refunds {
+        let account = slot.account;
+        board
+            .ledger
+            .charge(CostKey { service, account }, -slot.charged);
+    }
+    for want in &holding.wants {
+        open_account(board, holding.pool, service, want.account);
+        let owned = board.owned.entry(holding.pool).or_default();
+        owned.set_want(from, want.account, |w| w.wanted = want.wanted);
+    }
+}
+
+fn reset_wants(owned: &mut Owned, from: InstanceId, received: &[Want], flying: &[AccountId]) {
+    let known: Vec<AccountId> = owned
+        .accounts
+        .iter()
+        .filter(|(_, q)| q.entries.contains_key(&from))
+        .map(|(a, _)| *a)
+        .collect();
+    let told = received.iter().map(|w| w.account);
+    let mut accounts: Vec<AccountId> = known.into_iter().chain(told).collect();
+    accounts.sort_unstable();
+    accounts.dedup();
+    for account in accounts {
+        let base = received
+            .iter()
+            .find(|w| w.account == account)
+            .map_or(0, |w| w.wanted);
+        let flying = flying.iter().filter(|a| **a == account).count() as u32;
+        owned.set_want(from, account, |w| {
+            w.granted = base.wrapping_add(flying);
+            w.wanted = w.granted;
+        });
+    }
+}
+
+/// Takes a server's load reading.
+pub fn on_load(board: &mut Board, pool: PoolId, server: ServerId, running: u16) {
+    if let Some(owned) = board.owned.get_mut(&pool)
+        && let Some(slots) = owned.servers.get_mut(&server)
+    {
+        slots.read_load(running);
+        owned.dirty = true;
+    }
+}
--- /dev/null
+++ b/crates/hawthornmill/src/pools/schedule.rs
@@ -0,0 +1,212 @@
+//! The grant decision: which account gets the next free slot, on which server, through which entry.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use smallvec::SmallVec;
+
+use super::owner::{HeldSlot, Owned, maker};
+use crate::board::Board;
+use crate::config::FleetConfig;
+use crate::fairness::{CostKey, Ledger};
+use crate::ident::{AccountId, InstanceId, PoolId, ServerId, ServiceId};
+use crate::wire::message::{Grant, GrantId, Grants, Message};
+
+/// Classes of servers in one pool that fit on the stack.
+type FreeClasses = SmallVec<[(u16, usize); 8]>;
+
+/// Makes every grant that is due.
+pub fn run(board: &mut Board, now: Instant) {
+    if board.stale.is_some() {
+        return;
+    }
+    let config = Arc::clone(&board.config);
+    let mut due = Vec::new();
+    for (id, owned) in &board.owned {
+        let ready = owned.ready.is_some_and(|r| r <= now);
+        if owned.active && owned.dirty && ready && config.pools.contains_key(id) {
+            due.push(*id);
+        }
+    }
+    for id in due {
+        run_pool(board, &config, id, now);
+    }
+}
+
+fn run_pool(board: &mut Board, config: &FleetConfig, id: PoolId, now: Instant) {
+    let service = config.pools[&id].service;
+    let default = config.services[&service].estimate;
+    let made = maker(board.incarnation);
+    let Some(owned) = board.owned.get_mut(&id) else {
+        return;
+    };
+    owned.dirty = false;
+    let cap = board.tuning.lag_cap * default * f64::from(slots(owned));
+    let mut out: Vec<(InstanceId, Grants)> = Vec::new();
+    let mut free = free_classes(owned, config, now);
+    while !free.is_empty() {
+        let Some(pick) = pick_account(owned, config, &board.ledger, service, &free, cap) else {
+            break;
+        };
+        let Some(server) = pick_server(owned, pick.class, now) else {
+            break;
+        };
+        let key = CostKey {
+            service,
+            account: pick.account,
+        };
+        let charge = board.ledger.estimate(key, default) / pick.share;
+        board.ledger.charge(key, charge);
+        let entry = grant(owned, pick.account, server, charge, made);
+        push(&mut out, id, entry, owned.seq, pick.account, server);
+        free = free_classes(owned, config, now);
+    }
+    board
+        .outbox
+        .extend(out.into_iter().map(|(to, g)| (to, Message::Grants(g))));
+}
+
+fn slots(owned: &Owned) -> u32 {
+    owned.servers.values().map(|s| u32::from(s.total)).sum()
+}
+
+/// Classes with a free slot, the ones open to the fewest accounts first.
+///
+/// An account that may use several classes thus leaves the more open ones to those that have no
+/// other.
+fn free_classes(owned: &Owned, config: &FleetConfig, now: Instant) -> FreeClasses {
+    let mut classes = FreeClasses::new();
+    for server in owned.servers.values() {
+        if server.free(now) > 0 && !classes.iter().any(|(c, _)| *c == server.class) {
+            let open = config
+                .classes
+                .get(usize::from(server.class))
+                .map_or(0, |c| c.shares.len());
+            classes.push((server.class, open));
+        }
+    }
+    classes.sort_by_key(|(class, open)| (*open, *class));
+    classes
+}
+
+struct Pick {
+    account: AccountId,
+    class: u16,
+    share: f64,
+}
+
+/// The waiting account with the least normalised service that a free server is open to.
+fn pick_account(
+    owned: &mut Owned,
+    config: &FleetConfig,
+    ledger: &Ledger,
+    service: ServiceId,
+    free: &FreeClasses,
+    cap: f64,
+) -> Option<Pick> {
+    let total = |account: AccountId| ledger.total(CostKey { service, account });
+    let mut least = f64::INFINITY;
+    let mut most = f64::NEG_INFINITY;
+    let waiting = owned.accounts.iter().filter(|(_, q)| q.open > 0);
+    for (account, queue) in waiting {
+        let service = total(*account) + queue.lift;
+        least = least.min(service);
+        most = most.max(service);
+    }
+    let mut best: Option<(f64, Pick)> = None;
+    for (account, queue) in owned.accounts.iter_mut().filter(|(_, q)| q.open > 0) {
+        // A lag beyond the cap is forgotten: an account that was confined to a few servers could
+        // otherwise keep the others waiting for as long as it lagged.
+        queue.lift = queue.lift.max(most - cap - total(*account));
+        let service = total(*account) + queue.lift;
+        if best.as_ref().is_some_and(|(s, _)| *s <= service) {
+            continue;
+        }
+        let open = free
+            .iter()
+            .find_map(|(class, _)| Some((*class, config.class_share(*account, *class)?)));
+        if let Some((class, share)) = open {
+            let account = *account;
+            best = Some((
+                service,
+                Pick {
+                    account,
+                    class,
+                    share,
+                },
+            ));
+        }
+    }
+    if least.is_finite() {
+        owned.level = owned.level.max(least);
+    }
+    best.map(|(_, pick)| pick)
+}
+
+/// The server of `class` with the most free slots.
+fn pick_server(owned: &Owned, class: u16, now: Instant) -> Option<ServerId> {
+    owned
+        .servers
+        .iter()
+        .filter(|(_, s)| s.class == class && s.free(now) > 0)
+        .max_by_key(|(_, s)| s.free(now))
+        .map(|(id, _)| *id)
+}
+
+/// Books the grant and returns the entry that gets it: of those that wait, the one served longest ago.
+fn grant(
+    owned: &mut Owned,
+    account: AccountId,
+    server: ServerId,
+    charged: f64,
+    made: u32,
+) -> InstanceId {
+    owned.seq += 1;
+    let seq = owned.seq;
+    let queue = owned.accounts.entry(account).or_default();
+    let (entry, want) = queue
+        .entries
+        .iter_mut()
+        .filter(|(_, w)| w.open() > 0)
+        .min_by_key(|(_, w)| w.last)
+        .expect("an account with open wants has an entry that waits");
+    want.granted = want.granted.wrapping_add(1);
+    want.last = seq;
+    let entry = *entry;
+    queue.open -= 1;
+    queue.held += 1;
+    let slot = HeldSlot {
+        account,
+        server,
+        charged,
+    };
+    owned
+        .held
+        .insert((entry, GrantId { maker: made, seq }), slot);
+    owned.last.insert(entry, seq);
+    if let Some(slots) = owned.servers.get_mut(&server) {
+        slots.take();
+    }
+    entry
+}
+
+fn push(
+    out: &mut Vec<(InstanceId, Grants)>,
+    pool: PoolId,
+    entry: InstanceId,
+    seq: u32,
+    account: AccountId,
+    server: ServerId,
+) {
+    let grant = Grant {
+        seq,
+        account,
+        server,
+    };
+    if let Some((_, grants)) = out.iter_mut().find(|(to, _)| *to == entry) {
+        grants.grants.push(grant);
+        return;
+    }
+    let grants = SmallVec::from_iter([grant]);
+    out.push((entry, Grants { pool, grants }));
+}
--- /dev/null
+++ b/crates/hawthornmill/src/wire/message.rs
@@ -0,0 +1,205 @@
+//! Message types.
+
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::config::Manifest;
+use crate::fairness::CostKey;
+use crate::ident::{AccountId, Incarnation, InstanceId, PoolId, ServerId};
+
+/// Names one grant: the owner that made it and its number there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct GrantId {
+    /// Low half of the owner's incarnation.
+    pub maker: u32,
+    /// Number of the grant at that owner.
+    pub seq: u32,
+}
+
+/// How much work of one account waits at an entry for one pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Want {
+    /// The account.
+    pub account: AccountId,
+    /// Grants received from this owner so far plus requests that wait now (bounded).
+    pub wanted: u32,
+}
+
+/// A slot that an entry gives back.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Done {
+    /// The grant that gave it.
+    pub grant: GrantId,
+    /// Cost of the call in the service's unit; 0 for a grant that was not used.
+    pub cost: f32,
+    /// The server could not be reached.
+    pub failed: bool,
+}
+
+/// Entry to owner: what changed at the entry.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Demand {
+    /// Pool that this is about.
+    pub pool: PoolId,
+    /// Accounts whose want changed.
+    pub wants: SmallVec<[Want; 2]>,
+    /// Slots given back.
+    pub done: SmallVec<[Done; 2]>,
+}
+
+/// The right to have one request on one server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Number of the grant at its owner.
+    pub seq: u32,
+    /// Account for which the slot was chosen.
+    pub account: AccountId,
+    /// Server on which the slot is.
+    pub server: ServerId,
+}
+
+/// Owner to entry: new grants.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grants {
+    /// Pool that this is about.
+    pub pool: PoolId,
+    /// Grants in ascending order of their numbers.
+    pub grants: SmallVec<[Grant; 2]>,
+}
+
+/// A slot that an entry holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// The grant that gave it, maybe of an earlier owner.
+    pub grant: GrantId,
+    /// Account that it serves.
+    pub account: AccountId,
+    /// Server on which it is.
+    pub server: ServerId,
+}
+
+/// Entry to owner: everything that the entry holds and wants of a pool.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Holding {
+    /// Pool that this is about.
+    pub pool: PoolId,
+    /// Owner incarnation from whose grants `ack` and `received` count.
+    pub owner: Incarnation,
+    /// Grants up to this number have arrived or never will.
+    pub ack: u32,
+    /// Slots held.
+    pub held: Vec<Held>,
+    /// Grants received per account.
+    pub received: Vec<Want>,
+    /// Wants of every account that waits.
+    pub wants: Vec<Want>,
+}
+
+/// What an owner tells of a pool.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct PoolState {
+    /// The pool.
+    pub pool: PoolId,
+    /// Slots that nothing waits for.
+    pub idle: u16,
+    /// Least normalised service among the accounts that wait there.
+    pub level: f32,
+}
+
+/// What an instance tells of itself, passed on by relays; newest version wins.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Who reports.
+    pub origin: InstanceId,
+    /// Its process run.
+    pub incarnation: Incarnation,
+    /// Rises with each report.
+    pub version: u32,
+    /// It takes no new work.
+    pub leaving: bool,
+    /// Configuration revision in force there.
+    pub revision: u64,
+    /// Pools that it owns.
+    pub pools: Vec<PoolState>,
+    /// Own cumulative counters that changed.
+    pub costs: Vec<(CostKey, f32)>,
+}
+
+/// Totals for an instance that starts.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Default)]
+pub struct Standing {
+    /// Totals by key.
+    pub totals: Vec<(CostKey, f64)>,
+}
+
+/// Asks a peer for a newer configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigPull {
+    /// Manifest in force at the asker; values with equal digests need not be sent.
+    pub have: Manifest,
+}
+
+/// Answers a [`ConfigPull`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigValues {
+    /// Manifest of the revision.
+    pub manifest: Manifest,
+    /// Values that the asker did not have.
+    pub values: Vec<(Box<str>, Box<str>)>,
+}
+
+/// How to reach an instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Contact {
+    /// Name in its settings.
+    pub name: Box<str>,
+    /// Failure domain by name.
+    pub domain: Box<str>,
+    /// Region by name.
+    pub region: Box<str>,
+    /// `IP:port` for callers.
+    pub http: Box<str>,
+    /// `IP:port` for peers, UDP and TCP alike.
+    pub peer: Box<str>,
+}
+
+/// A message between instances.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// Sign of life inside a failure domain, over UDP.
+    Heartbeat {
+        /// The sender takes no new work.
+        leaving: bool,
+        /// Configuration revision in force there.
+        revision: u64,
+        /// How to reach the sender; sent now and then.
+        contact: Option<Box<Contact>>,
+    },
+    /// Asks for an immediate [`Message::ProbeAck`], over UDP.
+    Probe(u64),
+    /// Answers a probe with its number.
+    ProbeAck(u64),
+    /// Reports, own and passed on, over UDP.
+    Reports(Vec<Report>),
+    /// Entry to owner.
+    Demand(Demand),
+    /// Owner to entry.
+    Grants(Grants),
+    /// Entry to owner.
+    Holding(Holding),
+    /// Owner to entry after a new link: grants up to this number arrived or never will.
+    Sync {
+        /// Pool that this is about.
+        pool: PoolId,
+        /// Last grant number made for the entry.
+        last: u32,
+    },
+    /// Asks for a [`Message::Standing`].
+    StandingPull,
+    /// Totals for an instance that starts.
+    Standing(Standing),
+    /// Asks for a newer configuration.
+    ConfigPull(ConfigPull),
+    /// Answers with a newer configuration.
+    ConfigValues(ConfigValues),
+}
