--- /dev/null
+++ b/crates/hawthornmill-net/src/daemon.rs
@@ -0,0 +1,224 @@
+//! Joins the parts of a router into one process.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use hawthornmill::clock::Clock;
+use hawthornmill::codes::Code;
+use hawthornmill::ident::{Incarnation, PoolId, ServerId};
+use hawthornmill::ini::Fault;
+use hawthornmill::pools::{owner, tick};
+use poem::Server;
+use poem::listener::TcpAcceptor;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Notify;
+
+use crate::entry::routes::routes;
+use crate::fleet::Fleet;
+use crate::peers::{Outgoing, tcp, udp};
+use crate::platform;
+use crate::settings::Settings;
+use crate::sockets::bind_http;
+use crate::telemetry::{Telemetry, logs};
+
+const TICK: Duration = Duration::from_millis(20);
+const SWEEP_KEYS: Duration = Duration::from_secs(1);
+
+/// Runs a router until it is told to leave; the result is the process's exit code.
+pub fn main(config: &Path) -> u8 {
+    let settings = match Settings::load(config) {
+        Ok(settings) => settings,
+        Err(faults) => return report(&faults),
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .worker_threads(2)
+        .build();
+    match runtime {
+        Ok(runtime) => runtime.block_on(run(settings)),
+        Err(error) => {
+            eprintln!("the runtime can't start: {error}");
+            1
+        }
+    }
+}
+
+fn report(faults: &[Fault]) -> u8 {
+    for fault in faults {
+        eprintln!("{fault}");
+    }
+    2
+}
+
+struct Sockets {
+    http: TcpListener,
+    tcp: TcpListener,
+    udp: UdpSocket,
+}
+
+async fn bind(settings: &Settings) -> Result<Sockets, Vec<Fault>> {
+    let fault = |address: &str, error: std::io::Error| {
+        vec![Fault {
+            code: Code::BindFailed,
+            file: address.into(),
+            line: 0,
+            column: 0,
+            what: error.to_string().into(),
+        }]
+    };
+    let (http, peer) = (&*settings.contact.http, &*settings.contact.peer);
+    Ok(Sockets {
+        http: bind_http(http).map_err(|e| fault(http, e))?,
+        tcp: TcpListener::bind(peer).await.map_err(|e| fault(peer, e))?,
+        udp: UdpSocket::bind(peer).await.map_err(|e| fault(peer, e))?,
+    })
+}
+
+/// A number that is greater for each later run of the same instance.
+fn incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since.map_or(0, |d| d.as_millis() as u64);
+    Incarnation((millis << 12) | u64::from(rand::random::<u16>() >> 4))
+}
+
+async fn run(settings: Settings) -> u8 {
+    let sockets = match bind(&settings).await {
+        Ok(sockets) => sockets,
+        Err(faults) => return report(&faults),
+    };
+    if logs::start(settings.telemetry.level).is_err() {
+        eprintln!("logging can't start");
+        return 1;
+    }
+    let telemetry = Telemetry::new(&settings.telemetry, &settings.contact.name);
+    let drain = settings.discovery.drain;
+    let fleet = Fleet::new(
+        settings,
+        Clock::system(),
+        incarnation(),
+        Outgoing::default(),
+        telemetry,
+    );
+    log::info!(target: "daemon", "instance {} starts", fleet.settings.contact.name);
+    udp::start(&fleet, sockets.udp);
+    tcp::start(&fleet, sockets.tcp);
+    platform::start(&fleet);
+    tokio::spawn(ticks(Arc::clone(&fleet)));
+    tokio::spawn(loads(Arc::clone(&fleet)));
+    tokio::spawn(sweep_keys(Arc::clone(&fleet)));
+    let stop = Arc::new(Notify::new());
+    let leave = tokio::spawn(leave(Arc::clone(&fleet), Arc::clone(&stop), drain));
+    let server = Server::new_with_acceptor(acceptor(sockets.http));
+    let stopped = async move { stop.notified().await };
+    let result = server
+        .run_with_graceful_shutdown(routes(&fleet), stopped, Some(Duration::from_secs(1)))
+        .await;
+    if let Err(error) = result {
+        log::error!(target: "daemon", "HTTP server ended: {error}");
+    }
+    let code = leave.await.unwrap_or(1);
+    fleet.telemetry.flush();
+    code
+}
+
+fn acceptor(listener: TcpListener) -> TcpAcceptor {
+    TcpAcceptor::from_tokio(listener).expect("a bound listener has an address")
+}
+
+async fn ticks(fleet: Arc<Fleet>) {
+    let mut timer = tokio::time::interval(TICK);
+    timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        timer.tick().await;
+        fleet.feed(tick::tick);
+        fleet.find_ready();
+    }
+}
+
+async fn sweep_keys(fleet: Arc<Fleet>) {
+    let mut timer = tokio::time::interval(SWEEP_KEYS);
+    loop {
+        timer.tick().await;
+        let now = fleet.clock.now();
+        fleet.home.lock().table.sweep(now);
+    }
+}
+
+/// Reads the load of every server of the pools owned here.
+async fn loads(fleet: Arc<Fleet>) {
+    let mut timer = tokio::time::interval(fleet.settings.load);
+    timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        timer.tick().await;
+        let targets: Vec<(PoolId, ServerId, Box<str>)> = fleet.view(|board| {
+            let config = &board.config;
+            board
+                .owned
+                .iter()
+                .filter(|(_, o)| o.active)
+                .flat_map(|(pool, o)| o.servers.keys().map(move |s| (*pool, *s)))
+                .filter_map(|(p, s)| Some((p, s, config.servers.get(&s)?.address.clone())))
+                .collect()
+        });
+        for (pool, server, address) in targets {
+            let fleet = Arc::clone(&fleet);
+            tokio::spawn(async move {
+                if let Some(running) = fleet.upstream.load(&address).await {
+                    fleet.feed(|board, _| owner::on_load(board, pool, server, running));
+                }
+            });
+        }
+    }
+}
+
+/// Waits for the signal to leave, then for the calls in flight.
+async fn leave(fleet: Arc<Fleet>, stop: Arc<Notify>, bound: Duration) -> u8 {
+    let Ok(mut term) = signal(SignalKind::terminate()) else {
+        return 1;
+    };
+    let Ok(mut int) = signal(SignalKind::interrupt()) else {
+        return 1;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    announce(&fleet);
+    let cut = tokio::select! {
+        () = drained(&fleet) => false,
+        _ = term.recv() => true,
+        _ = int.recv() => true,
+        () = tokio::time::sleep(bound) => true,
+    };
+    let left = fleet.flying.load(Ordering::SeqCst);
+    if cut {
+        log::warn!(target: "daemon", "{left} calls cut");
+    }
+    log::info!(target: "daemon", "instance {} ends", fleet.settings.contact.name);
+    stop.notify_one();
+    u8::from(cut && left > 0)
+}
+
+fn announce(fleet: &Fleet) {
+    log::info!(target: "daemon", "instance {} leaves", fleet.settings.contact.name);
+    fleet.feed(|board, _| {
+        let me = board.me();
+        board.members.set_leaving(me);
+    });
+    fleet.hurry.notify_one();
+}
+
+/// Serves callers that hold old addresses for as long as discovery allowed, then refuses new calls
+/// and waits for the last one in flight.
+async fn drained(fleet: &Fleet) {
+    tokio::time::sleep(fleet.settings.discovery.ttl).await;
+    fleet.closed.store(true, Ordering::SeqCst);
+    while fleet.flying.load(Ordering::SeqCst) > 0 {
+        tokio::time::sleep(TICK).await;
+    }
+    // Refusals with other addresses for callers that come in the last moment.
+    tokio::time::sleep(TICK * 5).await;
+}
--- /dev/null
+++ b/crates/hawthornmill-net/src/entry/call.rs
@@ -0,0 +1,243 @@
+//! One call from its arrival to the head of its answer.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hawthornmill::codes::{Code, Outcome};
+use hawthornmill::config::{CostKind, Repeat};
+use hawthornmill::pools::entry;
+use opentelemetry::Context;
+use poem::error::ReadBodyError;
+use poem::{Body, Request, Response};
+
+use super::admit::{Admitted, admit};
+use super::problem::Problem;
+use super::relay::{self, Finished};
+use super::{addresses, keyed};
+use crate::fleet::{Fleet, SlotGuard};
+use crate::upstream::{Outbound, SendError, passed_on};
+
+/// Attempts that one call may make, the first included.
+const ATTEMPTS: usize = 3;
+
+/// Counts a call as in flight until it is dropped.
+#[derive(Debug)]
+pub struct Flying(Arc<Fleet>);
+
+impl Flying {
+    /// Counts one more call.
+    pub fn new(fleet: &Arc<Fleet>) -> Self {
+        fleet.flying.fetch_add(1, Ordering::SeqCst);
+        Self(Arc::clone(fleet))
+    }
+}
+
+impl Drop for Flying {
+    fn drop(&mut self) {
+        self.0.flying.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// A call that was let in, with what it sends.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// What was let in.
+    pub admitted: Admitted,
+    /// What goes to the server.
+    pub out: Outbound,
+    /// Span of the call.
+    pub span: Context,
+    /// The caller's `Authorization`, for the home of a key; no server sees it.
+    pub bearer: Box<str>,
+}
+
+/// Answers one call.
+pub async fn run(fleet: &Arc<Fleet>, request: &Request, body: Body) -> Response {
+    let flying = Flying::new(fleet);
+    let id = fleet.request_id();
+    let admitted = match admit(fleet, request) {
+        Ok(admitted) => admitted,
+        Err((code, words)) => return refuse(fleet, &refusal(fleet, code, words, &id)),
+    };
+    let body = match body.into_bytes_limit(fleet.settings.limits.body).await {
+        Ok(body) => body,
+        Err(ReadBodyError::PayloadTooLarge) => {
+            return refuse(fleet, &Problem::not_run(Code::BodyTooLarge, &id));
+        }
+        Err(_) => return refuse(fleet, &Problem::not_run(Code::BadHeader, &id)),
+    };
+    let call = prepare(fleet, request, admitted, body, id);
+    if call.admitted.repeat == Repeat::Never {
+        return keyed::run(fleet, request, call, flying).await;
+    }
+    match repeatable(fleet, &call).await {
+        Ok((slot, answer)) => relay::stream(fleet, call, slot, answer, flying),
+        Err(problem) => refuse(fleet, &problem),
+    }
+}
+
+fn prepare(
+    fleet: &Arc<Fleet>,
+    request: &Request,
+    admitted: Admitted,
+    body: Bytes,
+    id: Box<str>,
+) -> Call {
+    let span = fleet.telemetry.spans.call(request.headers(), &id);
+    let out = Outbound {
+        method: request.method().clone(),
+        path: admitted.path.clone(),
+        headers: passed_on(request.headers()),
+        body,
+        id,
+    };
+    let bearer = request.header("authorization").unwrap_or_default().into();
+    Call {
+        admitted,
+        out,
+        span,
+        bearer,
+    }
+}
+
+/// Writes a refusal and counts it.
+pub fn refuse(fleet: &Fleet, problem: &Problem) -> Response {
+    count(fleet, problem.code.number());
+    problem.answer()
+}
+
+/// Counts a call by its result.
+pub fn count(fleet: &Fleet, code: u16) {
+    let attribute = opentelemetry::KeyValue::new("code", i64::from(code));
+    fleet.telemetry.meters.calls.add(1, &[attribute]);
+}
+
+fn refusal(fleet: &Fleet, code: Code, words: Option<Box<str>>, id: &str) -> Problem {
+    let mut problem = Problem::not_run(code, id);
+    problem.detail = words;
+    if code == Code::NotReady {
+        problem.addresses = addresses::others(fleet);
+        problem.retry = Some(Duration::from_millis(200));
+    }
+    problem
+}
+
+/// Waits for a slot.
+///
+/// # Errors
+/// The refusal, with when to come back; the request was not run.
+pub async fn slot(fleet: &Arc<Fleet>, call: &Call) -> Result<SlotGuard, Problem> {
+    let admitted = &call.admitted;
+    let span = fleet.telemetry.spans.child(&call.span, "wait");
+    let arrival = entry::Arrival {
+        service: admitted.service,
+        account: admitted.account,
+        bytes: call.out.body.len(),
+        deadline: admitted.deadline,
+    };
+    let result = match fleet.enqueue(arrival) {
+        Ok(ticket) => ticket.wait().await,
+        Err(code) => Err(code),
+    };
+    drop(span);
+    result.map_err(|code| {
+        let after =
+            fleet.view(|board| entry::retry_after(board, admitted.service, admitted.account));
+        let problem = Problem::not_run(code, &call.out.id).retry(after);
+        relay::record_refusal(fleet, call, &problem);
+        problem
+    })
+}
+
+/// Runs a call that may be repeated until an answer begins.
+async fn repeatable(
+    fleet: &Arc<Fleet>,
+    call: &Call,
+) -> Result<(SlotGuard, reqwest::Response), Problem> {
+    let mut last = Problem::not_run(Code::UpstreamUnreachable, &call.out.id);
+    for _ in 0..ATTEMPTS {
+        let mut slot = slot(fleet, call).await?;
+        match attempt(fleet, call, &mut slot, false).await {
+            Ok(answer) => return Ok((slot, answer)),
+            Err(problem) => last = problem,
+        }
+        finish_failed(fleet, call, slot, &last);
+        if last.code == Code::DeadlineWhileRunning {
+            break;
+        }
+    }
+    Err(last.retry(Duration::from_millis(500)))
+}
+
+fn finish_failed(fleet: &Arc<Fleet>, call: &Call, slot: SlotGuard, problem: &Problem) {
+    let finished = Finished {
+        code: problem.code.number(),
+        outcome: problem.outcome,
+    };
+    relay::finish(fleet, call, slot, None, finished);
+}
+
+/// Sends the call once and waits for the head of the answer.
+///
+/// # Errors
+/// The refusal. It says `not_run` only where no connection was made, so that no byte has left.
+pub async fn attempt(
+    fleet: &Arc<Fleet>,
+    call: &Call,
+    slot: &mut SlotGuard,
+    once: bool,
+) -> Result<reqwest::Response, Problem> {
+    let address = fleet.view(|board| {
+        let server = board.config.servers.get(&slot.dispatch.server)?;
+        Some(server.address.clone())
+    });
+    let Some(address) = address else {
+        slot.set_failed();
+        return Err(Problem::not_run(Code::UpstreamUnreachable, &call.out.id));
+    };
+    let span = fleet.telemetry.spans.child(&call.span, "server");
+    let mut out = call.out.clone();
+    fleet.telemetry.spans.carry(&span, &mut out.headers);
+    let left = call
+        .admitted
+        .deadline
+        .saturating_duration_since(fleet.clock.now());
+    let sent = tokio::time::timeout(left, fleet.upstream.send(&address, &out, once)).await;
+    match sent {
+        Ok(Ok(answer)) => Ok(answer),
+        Ok(Err(SendError::Unreachable)) => {
+            slot.set_failed();
+            Err(Problem::not_run(Code::UpstreamUnreachable, &call.out.id))
+        }
+        Ok(Err(SendError::Broken(code))) => Err(Problem::new(code, Outcome::Unknown, &call.out.id)),
+        Err(_elapsed) => Err(Problem::new(
+            Code::DeadlineWhileRunning,
+            Outcome::Unknown,
+            &call.out.id,
+        )),
+    }
+}
+
+/// What a call that held `slot` until now costs.
+pub fn cost_of(fleet: &Fleet, call: &Call, slot: &SlotGuard, reported: Option<f64>) -> f64 {
+    let held = fleet.clock.now().duration_since(slot.taken);
+    match (call.admitted.cost, reported) {
+        (CostKind::Reported, Some(cost)) => cost,
+        (CostKind::Time, _) => held.as_secs_f64() * 1000.0,
+        // A server that broke off reported nothing; the account's average stands in.
+        (CostKind::Reported, None) => fleet.view(|board| {
+            let key = hawthornmill::fairness::CostKey {
+                service: call.admitted.service,
+                account: call.admitted.account,
+            };
+            let default = board
+                .config
+                .services
+                .get(&key.service)
+                .map_or(0.0, |s| s.estimate);
+            board.ledger.estimate(key, default)
+        }),
+    }
+}
--- /dev/null
+++ b/crates/hawthornmill-net/src/entry/keyed.rs
@@ -0,0 +1,330 @@
+//! Calls that must not repeat.
+//!
+//! Only the home of a key runs its call, once; every other instance passes the call on to it. The
+//! home records the key before the first byte can leave, and runs the call in a task of its own, so
+//! that a caller who breaks off does not change what happens.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hawthornmill::codes::{Code, Outcome};
+use hawthornmill::ident::InstanceId;
+use hawthornmill::keys::table::{OwnKey, forget_after};
+use hawthornmill::keys::{Claim, KeptAnswer, Prefix, PrefixError};
+use poem::http::StatusCode;
+use poem::{Request, Response};
+use tokio::sync::watch;
+
+use super::admit::TIMEOUT;
+use super::call::{Call, Flying, attempt, refuse, slot};
+use super::home::fresh_prefix;
+use super::problem::Problem;
+use super::relay::{self, Finished};
+use crate::fleet::{Fleet, SlotGuard};
+use crate::upstream::REQUEST_ID;
+
+/// Header with the caller's key.
+pub const KEY: &str = "idempotency-key";
+/// Header that marks a call passed on to its home; it is not passed on again.
+const PASSED: &str = "hawthornmill-passed";
+/// Time that a home is given beyond the deadline to say what became of a call.
+const GRACE: Duration = Duration::from_millis(250);
+/// Longest answer of a call that must not repeat.
+const ANSWER_LIMIT: usize = 16 << 20;
+
+/// Answers one call of a service that must not repeat.
+pub async fn run(fleet: &Arc<Fleet>, request: &Request, call: Call, flying: Flying) -> Response {
+    match dispatch(fleet, request, call, flying).await {
+        Ok(response) => response,
+        Err(problem) => refuse(fleet, &problem.prefix(fresh_prefix(fleet))),
+    }
+}
+
+async fn dispatch(
+    fleet: &Arc<Fleet>,
+    request: &Request,
+    call: Call,
+    flying: Flying,
+) -> Result<Response, Problem> {
+    let id = call.out.id.clone();
+    let text = request
+        .headers()
+        .get(KEY)
+        .ok_or_else(|| Problem::not_run(Code::KeyRequired, &id))?;
+    let text = text.to_str().unwrap_or_default();
+    let (prefix, _) = Prefix::read(&fleet.settings.key, text).map_err(|error| {
+        // A key that can't be read names no home, so this copy went nowhere.
+        let words = match error {
+            PrefixError::Malformed => "malformed",
+            PrefixError::Foreign => "not made by this fleet",
+        };
+        Problem::not_run(Code::BadKey, &id).detail(words)
+    })?;
+    let me = InstanceId::of(&fleet.settings.contact.name);
+    if prefix.home == me && prefix.incarnation == fleet.incarnation {
+        return at_home(fleet, call, text, prefix, flying).await;
+    }
+    let passed = request.headers().contains_key(PASSED);
+    if prefix.home == me || passed {
+        // The home's earlier run took what it knew of the key with it.
+        return Err(lost(&id));
+    }
+    pass(fleet, &call, text, prefix).await
+}
+
+/// Nothing is known of the key; this copy was passed to nobody.
+fn lost(id: &str) -> Problem {
+    Problem::new(Code::HomeUnreachable, Outcome::Unknown, id).attempt(Outcome::NotRun)
+}
+
+async fn at_home(
+    fleet: &Arc<Fleet>,
+    call: Call,
+    text: &str,
+    prefix: Prefix,
+    flying: Flying,
+) -> Result<Response, Problem> {
+    let now = fleet.clock.now();
+    let id = call.out.id.clone();
+    let ttl = fleet.settings.discovery.keys;
+    if prefix.expired(now.duration_since(fleet.started), ttl) {
+        return Err(Problem::new(Code::KeyExpired, Outcome::Unknown, &id).attempt(Outcome::NotRun));
+    }
+    if fleet.view(|board| board.stale.is_some()) {
+        // The process was stopped: how long this copy has waited can't be told.
+        return Err(Problem::new(Code::NotReady, Outcome::Unknown, &id).attempt(Outcome::NotRun));
+    }
+    let own: OwnKey = (call.admitted.account, text.into());
+    let deadline = call.admitted.deadline;
+    let forget = now + forget_after(ttl, deadline.duration_since(now));
+    let digest = digest(&call);
+    let ended = {
+        let mut home = fleet.home.lock();
+        match home.table.claim(&own, digest, forget) {
+            Claim::Run => {
+                let (sender, receiver) = watch::channel(());
+                home.running.insert(own.clone(), receiver.clone());
+                tokio::spawn(run_once(
+                    Arc::clone(fleet),
+                    call,
+                    own.clone(),
+                    sender,
+                    flying,
+                ));
+                receiver
+            }
+            Claim::Join => home.running[&own].clone(),
+            other => return settled(other, &id),
+        }
+    };
+    wait_end(fleet, ended, &own, digest, deadline, &id).await
+}
+
+/// The same key must mean the same request.
+fn digest(call: &Call) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(call.out.method.as_str().as_bytes());
+    hasher.update(&[0]);
+    hasher.update(call.admitted.service_name.as_bytes());
+    hasher.update(call.out.path.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(&call.out.body);
+    *hasher.finalize().as_bytes()
+}
+
+async fn wait_end(
+    fleet: &Arc<Fleet>,
+    mut ended: watch::Receiver<()>,
+    own: &OwnKey,
+    digest: [u8; 32],
+    deadline: std::time::Instant,
+    id: &str,
+) -> Result<Response, Problem> {
+    let until = tokio::time::Instant::from_std(deadline + GRACE);
+    // The sender says nothing and is dropped at the end, so an error is the awaited event.
+    let _end = tokio::time::timeout_at(until, ended.changed()).await;
+    let mut home = fleet.home.lock();
+    let claim = home.table.claim(own, digest, fleet.clock.now());
+    match claim {
+        // The call was given up before a byte left, and its key released; this claim took it again.
+        Claim::Run => {
+            home.table.release(own);
+            Err(Problem::not_run(Code::DeadlinePassed, id).retry(Duration::from_millis(500)))
+        }
+        other => settled(other, id),
+    }
+}
+
+fn settled(claim: Claim, id: &str) -> Result<Response, Problem> {
+    match claim {
+        Claim::Kept(answer) => Ok(kept(&answer)),
+        Claim::Gone => Err(Problem::new(Code::AnswerGone, Outcome::Ran, id)),
+        Claim::Mismatch => {
+            let problem = Problem::new(Code::BadKey, Outcome::Unknown, id);
+            Err(problem
+                .attempt(Outcome::NotRun)
+                .detail("the key was used for a different request"))
+        }
+        // No room to mark the key, so nothing was started.
+        Claim::Full => Err(Problem::not_run(Code::KeysFull, id).retry(Duration::from_secs(1))),
+        Claim::Run | Claim::Join => Err(Problem::new(
+            Code::DeadlineWhileRunning,
+            Outcome::Unknown,
+            id,
+        )),
+        Claim::Unknown => Err(Problem::new(Code::UpstreamFailed, Outcome::Unknown, id)),
+    }
+}
+
+fn kept(answer: &KeptAnswer) -> Response {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    let mut response = Response::builder()
+        .status(status)
+        .header(REQUEST_ID, &*answer.request);
+    if let Some(kind) = &answer.kind {
+        response = response.content_type(kind);
+    }
+    response.body(Bytes::copy_from_slice(&answer.body))
+}
+
+/// Runs a claimed call; the caller may go away meanwhile.
+async fn run_once(
+    fleet: Arc<Fleet>,
+    call: Call,
+    own: OwnKey,
+    ended: watch::Sender<()>,
+    flying: Flying,
+) {
+    let result = run_claimed(&fleet, &call).await;
+    let mut home = fleet.home.lock();
+    match result {
+        Ok(answer) => home.table.ran(&own, Some(answer)),
+        // Nothing was sent, so the same key may try again.
+        Err(problem) if problem.outcome == Outcome::NotRun => home.table.release(&own),
+        Err(_) => home.table.unknown(&own),
+    }
+    home.running.remove(&own);
+    drop(home);
+    drop(ended);
+    drop(flying);
+}
+
+async fn run_claimed(fleet: &Arc<Fleet>, call: &Call) -> Result<KeptAnswer, Problem> {
+    let mut slot = slot(fleet, call).await?;
+    match attempt(fleet, call, &mut slot, true).await {
+        Ok(answer) => collect(fleet, call, slot, answer).await,
+        Err(problem) => {
+            let finished = Finished {
+                code: problem.code.number(),
+                outcome: problem.outcome,
+            };
+            relay::finish(fleet, call, slot, None, finished);
+            Err(problem)
+        }
+    }
+}
+
+async fn collect(
+    fleet: &Arc<Fleet>,
+    call: &Call,
+    slot: SlotGuard,
+    mut answer: reqwest::Response,
+) -> Result<KeptAnswer, Problem> {
+    let reported = relay::reported(&answer);
+    let mut body = Vec::new();
+    let whole = loop {
+        match answer.chunk().await {
+            Ok(Some(chunk)) => body.extend_from_slice(&chunk),
+            Ok(None) => break true,
+            Err(_) => break false,
+        }
+        if body.len() > ANSWER_LIMIT {
+            break false;
+        }
+    };
+    let code = if whole {
+        0
+    } else {
+        Code::UpstreamFailed.number()
+    };
+    let outcome = if whole {
+        Outcome::Ran
+    } else {
+        Outcome::Unknown
+    };
+    relay::finish(fleet, call, slot, reported, Finished { code, outcome });
+    if !whole {
+        return Err(Problem::new(
+            Code::UpstreamFailed,
+            Outcome::Unknown,
+            &call.out.id,
+        ));
+    }
+    let kind = answer.headers().get("content-type");
+    Ok(KeptAnswer {
+        status: answer.status().as_u16(),
+        kind: kind.and_then(|k| k.to_str().ok()).map(Into::into),
+        body: body.into(),
+        request: call.out.id.clone(),
+    })
+}
+
+/// Passes the call on to the home of its key.
+async fn pass(
+    fleet: &Arc<Fleet>,
+    call: &Call,
+    text: &str,
+    prefix: Prefix,
+) -> Result<Response, Problem> {
+    let id = &call.out.id;
+    let address = fleet.view(|board| {
+        let member = board.members.map.get(&prefix.home)?;
+        (member.incarnation <= prefix.incarnation).then(|| member.contact.http.clone())
+    });
+    let Some(address) = address else {
+        return Err(lost(id));
+    };
+    let left = call
+        .admitted
+        .deadline
+        .saturating_duration_since(fleet.clock.now());
+    let url = format!(
+        "http://{address}/v1/call/{}{}",
+        call.admitted.service_name, call.out.path
+    );
+    let sent = fleet
+        .upstream
+        .client()
+        .request(call.out.method.clone(), url)
+        .headers(call.out.headers.clone())
+        .header(KEY, text)
+        .header(PASSED, "1")
+        .header(TIMEOUT, (left.as_millis() as u64).max(1))
+        .header("authorization", &*call.bearer)
+        .body(call.out.body.clone())
+        .timeout(left + GRACE)
+        .send()
+        .await;
+    let answer = sent.map_err(|error| {
+        if error.is_connect() {
+            // No connection, so this copy reached nobody; an earlier copy may have run.
+            lost(id)
+        } else {
+            Problem::new(Code::HomeUnreachable, Outcome::Unknown, id)
+        }
+    })?;
+    let status = answer.status();
+    let headers = crate::upstream::passed_on(answer.headers());
+    let named = answer.headers().get(REQUEST_ID).cloned();
+    let body = answer
+        .bytes()
+        .await
+        .map_err(|_cut| Problem::new(Code::HomeUnreachable, Outcome::Unknown, id))?;
+    let mut response = Response::builder().status(status).body(body);
+    response.headers_mut().extend(headers);
+    if let Some(named) = named {
+        response.headers_mut().insert(REQUEST_ID, named);
+    }
+    Ok(response)
+}
--- /dev/null
+++ b/crates/hawthornmill-net/src/entry/status.rs
@@ -0,0 +1,101 @@
+//! This instance's view, for operators.
+
+use std::sync::atomic::Ordering;
+
+use hawthornmill::board::Board;
+use hawthornmill::fairness::CostKey;
+
+use crate::fleet::Fleet;
+
+/// The answer of `GET /v1/status`; it holds no tokens.
+pub fn answer(fleet: &Fleet) -> serde_json::Value {
+    let mut status = fleet.view(|board| {
+        serde_json::json!({
+            "instance": fleet.settings.contact.name,
+            "incarnation": fleet.incarnation.0,
+            "revision": board.config.revision,
+            "stale": board.stale.is_some(),
+            "leaving": board.members.own().leaving,
+            "waiting": board.waiting.len(),
+            "members": members(board),
+            "pools": pools(fleet, board),
+            "accounts": accounts(board),
+        })
+    });
+    let out = &fleet.outgoing;
+    status["ready"] = super::routes::is_ready(fleet).into();
+    status["flying"] = fleet.flying.load(Ordering::Relaxed).into();
+    status["peer_bytes"] = out.sent.load(Ordering::Relaxed).into();
+    status["peer_bytes_far"] = out.sent_far.load(Ordering::Relaxed).into();
+    status["peer_dropped"] = out.dropped.load(Ordering::Relaxed).into();
+    status["peer_refused"] = out.refused.load(Ordering::Relaxed).into();
+    status["keys"] = fleet.home.lock().table.len().into();
+    status
+}
+
+fn members(board: &Board) -> serde_json::Value {
+    board
+        .members
+        .map
+        .values()
+        .map(|m| {
+            serde_json::json!({
+                "name": m.contact.name,
+                "domain": m.contact.domain,
+                "region": m.contact.region,
+                "http": m.contact.http,
+                "live": m.live,
+                "leaving": m.leaving,
+                "revision": m.revision,
+                "incarnation": m.incarnation.0,
+            })
+        })
+        .collect()
+}
+
+fn pools(fleet: &Fleet, board: &Board) -> serde_json::Value {
+    let now = fleet.clock.now();
+    board
+        .config
+        .pools
+        .iter()
+        .map(|(id, pool)| {
+            let owner = board.links.get(id).and_then(|l| l.owner);
+            let mine = board.owned.get(id).filter(|o| o.active);
+            serde_json::json!({
+                "service": board.config.services[&pool.service].name,
+                "domain": board.config.domain_names.get(&pool.domain),
+                "owner": owner.and_then(|(o, _)| board.members.map.get(&o)).map(|m| m.contact.name.clone()),
+                "mine": mine.is_some(),
+                "granted": mine.map(|o| o.held.len()),
+                "idle": mine.map(|o| o.idle(now)),
+            })
+        })
+        .collect()
+}
+
+fn accounts(board: &Board) -> serde_json::Value {
+    let mut list = Vec::new();
+    for service in board.config.services.keys() {
+        for (id, account) in &board.config.accounts {
+            let key = CostKey {
+                service: *service,
+                account: *id,
+            };
+            let total = board.ledger.total(key);
+            let waiting = board
+                .queues
+                .get(&(*service, *id))
+                .map_or(0, std::collections::VecDeque::len);
+            if total != 0.0 || waiting > 0 {
+                list.push(serde_json::json!({
+                    "account": account.name,
+                    "service": board.config.services[service].name,
+                    "service_received": total,
+                    "waiting": waiting,
+                }));
+            }
+        }
+    }
+    list.into()
+}
--- /dev/null
+++ b/crates/hawthornmill-net/src/settings.rs
@@ -0,0 +1,270 @@
+//! Settings of one router process, read from an INI file and checked whole.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use hawthornmill::board::{Policy, Tuning};
+use hawthornmill::codes::Code;
+use hawthornmill::ini::{Fault, Reader, Section, read};
+use hawthornmill::wire::message::Contact;
+
+const SECTIONS: &[&str] = &[
+    "instance",
+    "platform",
+    "peers",
+    "scheduling",
+    "limits",
+    "discovery",
+    "telemetry",
+];
+const MOST_MS: f64 = 3_600_000.0;
+const MOST_COUNT: f64 = 1e9;
+
+/// Bounds on what callers may send and what is kept for them.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Limits {
+    /// Bytes of a request body.
+    pub body: usize,
+    /// Bytes of all request headers.
+    pub headers: usize,
+    /// Keys of calls that must not repeat.
+    pub keys: usize,
+    /// Bytes of answers kept for repeated keys.
+    pub kept: usize,
+}
+
+/// What discovery promises.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Discovery {
+    /// Time for which callers may use an answer.
+    pub ttl: Duration,
+    /// Time for which callers may use a key prefix.
+    pub keys: Duration,
+    /// Longest time that a leaving process waits for calls in flight.
+    pub drain: Duration,
+}
+
+/// Logs, spans and metrics.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TelemetrySettings {
+    /// Least severe level that is logged.
+    pub level: log::LevelFilter,
+    /// Part of the traces that begin here which is recorded.
+    pub spans: f64,
+    /// Time between two lines of the same metric.
+    pub metrics: Duration,
+}
+
+/// Settings of one router process.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// How this instance is reached.
+    pub contact: Contact,
+    /// `IP:port` of the platform.
+    pub platform: Box<str>,
+    /// Key of the peers' frames and of key prefixes.
+    pub key: [u8; 32],
+    /// Time between heartbeats.
+    pub heartbeat: Duration,
+    /// Time between load readings of a server.
+    pub load: Duration,
+    /// Durations and bounds of the decisions.
+    pub tuning: Tuning,
+    /// Bounds for callers.
+    pub limits: Limits,
+    /// What discovery promises.
+    pub discovery: Discovery,
+    /// Logs, spans and metrics.
+    pub telemetry: TelemetrySettings,
+}
+
+impl Settings {
+    /// Reads and checks the file at `path`.
+    ///
+    /// # Errors
+    /// Every fault of the file.
+    pub fn load(path: &Path) -> Result<Self, Vec<Fault>> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|error| {
+            vec![Fault {
+                code: Code::FileUnreadable,
+                file: file.as_str().into(),
+                line: 0,
+                column: 0,
+                what: error.to_string().into(),
+            }]
+        })?;
+        Self::parse(&file, &text)
+    }
+
+    /// Checks the text of a settings file.
+    ///
+    /// # Errors
+    /// Every fault of the text.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Vec<Fault>> {
+        let sections = read(file, text)?;
+        let mut reader = Reader::new(file);
+        for section in sections.iter().filter(|s| !SECTIONS.contains(&&*s.kind)) {
+            reader.unknown_section(section, SECTIONS);
+        }
+        let pick = |kind: &str| {
+            sections
+                .iter()
+                .find(|s| &*s.kind == kind)
+                .cloned()
+                .unwrap_or_else(|| empty(kind))
+        };
+        let settings = Self {
+            contact: contact(&mut reader, &pick("instance")),
+            platform: platform(&mut reader, &pick("platform")),
+            key: key(&mut reader, &pick("peers")),
+            heartbeat: heartbeat(&mut reader, &pick("peers")),
+            load: millis(&mut reader, &pick("scheduling"), "load_ms", 250.0),
+            tuning: tuning(&mut reader, &pick("scheduling"), &pick("limits")),
+            limits: limits(&mut reader, &pick("limits")),
+            discovery: discovery(&mut reader, &pick("discovery")),
+            telemetry: telemetry(&mut reader, &pick("telemetry")),
+        };
+        if reader.faults.is_empty() {
+            Ok(settings)
+        } else {
+            Err(reader.faults)
+        }
+    }
+}
+
+fn empty(kind: &str) -> Section {
+    Section {
+        kind: kind.into(),
+        name: "".into(),
+        line: 0,
+        entries: Vec::new(),
+    }
+}
+
+fn millis(reader: &mut Reader<'_>, section: &Section, key: &str, default: f64) -> Duration {
+    let value = reader.bounded(section, key, default, 1.0..=MOST_MS);
+    Duration::from_secs_f64(value / 1000.0)
+}
+
+fn count(reader: &mut Reader<'_>, section: &Section, key: &str, default: f64) -> usize {
+    reader.bounded(section, key, default, 1.0..=MOST_COUNT) as usize
+}
+
+fn address(reader: &mut Reader<'_>, section: &Section, key: &str) -> Box<str> {
+    let Some(value) = reader.need(section, key) else {
+        return "".into();
+    };
+    if value.parse::<SocketAddr>().is_err() {
+        let line = section.get(key).map_or(0, |e| e.line);
+        let what = format!("`{key}` is IP:port, not `{value}`");
+        reader.fault(Code::BadValue, line, 0, what);
+    }
+    value
+}
+
+fn contact(reader: &mut Reader<'_>, section: &Section) -> Contact {
+    reader.known_keys(section, &["name", "domain", "region", "http", "peer"]);
+    let mut word = |key| reader.need(section, key).unwrap_or_default();
+    let (name, domain, region) = (word("name"), word("domain"), word("region"));
+    Contact {
+        name,
+        domain,
+        region,
+        http: address(reader, section, "http"),
+        peer: address(reader, section, "peer"),
+    }
+}
+
+fn platform(reader: &mut Reader<'_>, section: &Section) -> Box<str> {
+    reader.known_keys(section, &["address"]);
+    address(reader, section, "address")
+}
+
+fn key(reader: &mut Reader<'_>, section: &Section) -> [u8; 32] {
+    reader.known_keys(section, &["key", "heartbeat_ms"]);
+    let Some(text) = reader.need(section, "key") else {
+        return [0; 32];
+    };
+    if let Ok(hash) = blake3::Hash::from_hex(text.as_bytes()) {
+        return *hash.as_bytes();
+    }
+    let line = section.get("key").map_or(0, |e| e.line);
+    reader.fault(Code::BadValue, line, 0, "`key` is 64 hexadecimal digits");
+    [0; 32]
+}
+
+fn heartbeat(reader: &mut Reader<'_>, section: &Section) -> Duration {
+    millis(reader, section, "heartbeat_ms", 100.0)
+}
+
+fn tuning(reader: &mut Reader<'_>, section: &Section, limits: &Section) -> Tuning {
+    let known = [
+        "policy",
+        "rebuild_ms",
+        "report_ms",
+        "penalty_ms",
+        "pause_ms",
+        "confirm_ms",
+        "load_ms",
+        "lag_cap",
+    ];
+    reader.known_keys(section, &known);
+    let base = Tuning::default();
+    Tuning {
+        policy: reader.word(
+            section,
+            "policy",
+            &[("pooled", Policy::Pooled), ("static", Policy::Static)],
+        ),
+        rebuild: millis(reader, section, "rebuild_ms", ms(base.rebuild)),
+        report: millis(reader, section, "report_ms", ms(base.report)),
+        penalty: millis(reader, section, "penalty_ms", ms(base.penalty)),
+        pause: millis(reader, section, "pause_ms", ms(base.pause)),
+        confirm: millis(reader, section, "confirm_ms", ms(base.confirm)),
+        max_waiting: count(reader, limits, "max_waiting", base.max_waiting as f64),
+        max_bytes: count(reader, limits, "max_bytes", base.max_bytes as f64),
+        lag_cap: reader.bounded(section, "lag_cap", base.lag_cap, 0.1..=1e6),
+    }
+}
+
+fn ms(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1000.0
+}
+
+fn limits(reader: &mut Reader<'_>, section: &Section) -> Limits {
+    let known = [
+        "max_waiting",
+        "max_bytes",
+        "body_bytes",
+        "header_bytes",
+        "keys",
+        "kept_bytes",
+    ];
+    reader.known_keys(section, &known);
+    Limits {
+        body: count(reader, section, "body_bytes", 4_194_304.0),
+        headers: count(reader, section, "header_bytes", 16_384.0),
+        keys: count(reader, section, "keys", 200_000.0),
+        kept: count(reader, section, "kept_bytes", 67_108_864.0),
+    }
+}
+
+fn discovery(reader: &mut Reader<'_>, section: &Section) -> Discovery {
+    reader.known_keys(section, &["ttl_ms", "key_ttl_ms", "drain_ms"]);
+    Discovery {
+        ttl: millis(reader, section, "ttl_ms", 3000.0),
+        keys: millis(reader, section, "key_ttl_ms", 120_000.0),
+        drain: millis(reader, section, "drain_ms", 60_000.0),
+    }
+}
+
+fn telemetry(reader: &mut Reader<'_>, section: &Section) -> TelemetrySettings {
+    reader.known_keys(section, &["level", "spans", "metrics_ms"]);
+    TelemetrySettings {
+        level: reader.value(section, "level", log::LevelFilter::Info),
+        spans: reader.bounded(section, "spans", 0.0, 0.0..=1.0),
+        metrics: millis(reader, section, "metrics_ms", 10_000.0),
+    }
+}
--- /dev/null
+++ b/crates/hawthornmill-net/src/telemetry/logs.rs
@@ -0,0 +1,38 @@
+//! Log lines through `log4rs`, one JSON object a line.
+
+use hawthornmill::codes::Code;
+use log::LevelFilter;
+use log4rs::append::console::ConsoleAppender;
+use log4rs::config::{Appender, Config, Logger, Root};
+use log4rs::encode::json::JsonEncoder;
+use log4rs::encode::pattern::PatternEncoder;
+
+/// Target of lines that are JSON objects already: usage records, spans and metrics.
+pub const RAW: &str = "raw";
+
+/// Starts logging to standard output.
+///
+/// # Errors
+/// [`Code::BadValue`] when the library refuses the configuration or logging runs already.
+pub fn start(level: LevelFilter) -> Result<(), Code> {
+    let lines = ConsoleAppender::builder()
+        .encoder(Box::new(JsonEncoder::new()))
+        .build();
+    let raw = ConsoleAppender::builder()
+        .encoder(Box::new(PatternEncoder::new("{m}{n}")))
+        .build();
+    let config = Config::builder()
+        .appender(Appender::builder().build("lines", Box::new(lines)))
+        .appender(Appender::builder().build("raw", Box::new(raw)))
+        .logger(
+            Logger::builder()
+                .additive(false)
+                .appender("raw")
+                .build(RAW, LevelFilter::Info),
+        )
+        .build(Root::builder().appender("lines").build(level))
+        .map_err(|_faults| Code::BadValue)?;
+    log4rs::init_config(config)
+        .map(drop)
+        .map_err(|_running| Code::BadValue)
+}
