--- /dev/null
+++ b/crates/hawthornmill-test-support/src/lib.rs
@@ -0,0 +1,8 @@
+//! Fixtures for the tests of hawthornmill.
+//!
+//! [`fleet`] builds configuration texts, [`steps`] drives the decisions of several instances in a
+//! fixed order with a clock of its own, and [`procs`] starts real router processes around stand-ins.
+
+pub mod fleet;
+pub mod procs;
+pub mod steps;
--- /dev/null
+++ b/crates/hawthornmill-tools/src/lib.rs
@@ -0,0 +1,3 @@
+//! Operators' tools: one module for each operation.
+
+pub mod check;
--- /dev/null
+++ b/src/bin/hawthornmill-standin.rs
@@ -0,0 +1,11 @@
+//! Stand-ins for the systems that hawthornmill meets.
+
+use std::process::ExitCode;
+
+use hawthornmill_lab::standin::tool;
+
+fn main() -> ExitCode {
+    let args = argh::from_env();
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime can start");
+    runtime.block_on(tool::main(args)).into()
+}
--- /dev/null
+++ b/tests/testsuite/bad_input.rs
@@ -0,0 +1,126 @@
+//! Bad input gets a clear numbered error, and nothing is lost by it.
+
+use std::process::Command;
+
+use hawthornmill::config::accept::{Values, manifest};
+use hawthornmill_test_support::procs::{Answer, send, small_fleet, small_site};
+use reqwest::{Client, RequestBuilder};
+
+use crate::{ROUTER, block_on};
+
+fn call(client: &Client, http: &str, path: &str, token: &str) -> RequestBuilder {
+    client
+        .post(format!("http://{http}/v1/call/{path}"))
+        .bearer_auth(token)
+        .body("{\"tag\":\"big/1\",\"tokens\":3}")
+}
+
+fn line(answer: Option<&Answer>) -> String {
+    let Some(answer) = answer else {
+        return "no answer".into();
+    };
+    let body = answer.json();
+    format!(
+        "{} code {} outcome {}: {}",
+        answer.status, body["code"], body["outcome"], body["title"]
+    )
+}
+
+#[test]
+fn every_bad_call_gets_its_own_code() {
+    block_on(async {
+        let site = small_site(ROUTER, 1).await;
+        let http = site.routers[0].listed.http.clone();
+        let client = Client::new();
+        let good = || call(&client, &http, "drafting/generate", "token-big");
+        let calls = [
+            good().header("hawthornmill-timeout-ms", "-5"),
+            good().header("hawthornmill-timeout-ms", "soon"),
+            good().header("hawthornmill-cost-hint", "NaN"),
+            good().header("x-long", "x".repeat(20_000)),
+            good().body("x".repeat(5_000_000)),
+            call(&client, &http, "drafting/generate", "wrong"),
+            call(&client, &http, "nothing/generate", "token-big"),
+            call(&client, &http, "drafting/generate", "token-stranger"),
+            call(&client, &http, "booking/run", "token-big"),
+            call(&client, &http, "booking/run", "token-big").header("idempotency-key", "mine"),
+            client.get(format!("http://{http}/v1/nothing")),
+        ];
+        let mut lines = Vec::new();
+
+        for call in calls {
+            lines.push(line(send(call).await.as_ref()));
+        }
+
+        insta::assert_snapshot!(lines.join("\n"), @r#"
+        400 code 3006 outcome "not_run": "bad header value"
+        400 code 3006 outcome "not_run": "bad header value"
+        400 code 3006 outcome "not_run": "bad header value"
+        431 code 3005 outcome "not_run": "headers over the bound"
+        413 code 3004 outcome "not_run": "body over the bound"
+        401 code 3001 outcome "not_run": "unknown or missing bearer token"
+        404 code 3002 outcome "not_run": "unknown service"
+        403 code 3003 outcome "not_run": "no grant for this service"
+        428 code 3010 outcome "not_run": "idempotency key required"
+        400 code 3011 outcome "not_run": "malformed or foreign idempotency key"
+        404 code 3021 outcome "not_run": "no such call"
+        "#);
+        let after = send(good()).await.expect("good calls are still answered");
+        assert_eq!(after.status, 200);
+        site.stop().await;
+    });
+}
+
+#[test]
+fn a_port_in_use_is_named() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = taken.local_addr().expect("it is bound");
+    let path = std::env::temp_dir().join(format!("hawthornmill-port-{}.ini", std::process::id()));
+    let text = format!(
+        "[instance]\nname = r1\ndomain = a\nregion = north\nhttp = {address}\n\
+         peer = 127.0.0.1:0\n[platform]\naddress = 127.0.0.1:2\n[peers]\nkey = {}\n",
+        "0".repeat(64)
+    );
+    std::fs::write(&path, text).expect("the directory is writable");
+
+    let output = Command::new(ROUTER).arg("--config").arg(&path).output();
+
+    let output = output.expect("the program starts");
+    let words = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(words.contains("error 1008"), "{words}");
+    std::fs::remove_file(&path).expect("the file is there");
+}
+
+/// An operator publishes a revision with a fault. The last good one must stay in force, and the next
+/// good one must be taken.
+#[test]
+fn a_refused_revision_leaves_the_last_one_in_force() {
+    block_on(async {
+        let site = small_site(ROUTER, 2).await;
+        let bad = Values::from([("fleet".into(), "[account x]\n".into())]);
+        site.platform.publish(bad);
+        tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+        let during: Vec<_> = site
+            .statuses()
+            .await
+            .iter()
+            .map(|s| s["revision"].clone())
+            .collect();
+
+        let mut good = small_fleet().values();
+        good.insert("fleet".into(), site.text.clone());
+        site.platform.publish_raw(manifest(7, &good), good);
+        tokio::time::sleep(std::time::Duration::from_secs(2)).await;
+
+        let after: Vec<_> = site
+            .statuses()
+            .await
+            .iter()
+            .map(|s| s["revision"].clone())
+            .collect();
+        assert_eq!(during, [1, 1]);
+        assert_eq!(after, [7, 7]);
+        site.stop().await;
+    });
+}
--- /dev/null
+++ b/tests/testsuite/path.rs
@@ -0,0 +1,45 @@
+//! The whole path through real processes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hawthornmill_lab::load::plan::parse;
+use hawthornmill_lab::load::{Plan, Watcher, run, summary::summarize};
+use hawthornmill_test_support::procs::small_site;
+
+use crate::{ROUTER, block_on};
+
+const CALLERS: &str = "[caller big]\nservice = drafting\nrate = 40\ntokens = 20\n\
+                       [caller small-1]\nservice = drafting\nrate = 20\ntokens = 20\n\
+                       [caller small-2]\nservice = booking\nrate = 10\npath = /run\nkeyed = yes\n";
+
+/// Several accounts call through three routers, some of them a service that must not repeat. Every
+/// caller must get its own whole answer, and every booking must be made once.
+#[test]
+fn calls_are_answered_through_several_routers() {
+    block_on(async {
+        let site = small_site(ROUTER, 3).await;
+        let plan = Plan {
+            callers: parse("callers", CALLERS).expect("the plan is good"),
+            time: Duration::from_secs(3),
+            seed: 1,
+        };
+
+        let stories = run(&plan, &site.seeds(), &Arc::new(Watcher::default())).await;
+
+        let summary = summarize(&stories);
+        let unfinished: Vec<_> = stories.iter().filter(|s| !s.whole()).collect();
+        assert!(summary.calls > 100, "{summary:?}");
+        assert!(unfinished.is_empty(), "{unfinished:?}");
+        let books = site
+            .servers
+            .iter()
+            .map(|s| s.standin.ledger().lock().clone());
+        assert!(
+            books
+                .flat_map(|b| b.runs)
+                .all(|(_, runs)| runs.started == 1)
+        );
+        site.stop().await;
+    });
+}
