--- a/crates/hawthornmill-lab/src/standin/engine.rs
+++ b/crates/hawthornmill-lab/src/standin/engine.rs
@@ -24,6 +24,8 @@
 
 /// Header that names the request on every hop.
 pub const REQUEST_ID: &str = "hawthornmill-request-id";
+/// Header with which a server says that it is about to go.
+pub const LEAVING: &str = "hawthornmill-leaving";
 
 /// Speed of an engine.
 #[derive(Debug, Clone, Copy)]
@@ -108,9 +110,10 @@
 #[handler]
 fn load(Data(engine): Data<&Arc<Engine>>) -> Response {
     let running = engine.reported.load(Ordering::Relaxed);
+    let leaving = engine.ledger.load().1;
     Response::builder()
         .content_type("application/json")
-        .body(format!("{{\"running\":{running}}}"))
+        .body(format!("{{\"running\":{running},\"leaving\":{leaving}}}"))
 }
 
 #[handler]
@@ -139,6 +142,9 @@
     if let Some(id) = request.header(REQUEST_ID) {
         answer = answer.header(REQUEST_ID, id);
     }
+    if engine.ledger.load().1 {
+        answer = answer.header(LEAVING, "yes");
+    }
     answer.body(Body::from_bytes_stream(stream))
 }
 
--- a/crates/hawthornmill-lab/src/standin/ledger.rs
+++ b/crates/hawthornmill-lab/src/standin/ledger.rs
@@ -20,6 +20,8 @@
 pub struct Book {
     /// Requests that run now.
     pub running: u32,
+    /// The server says that it is about to go.
+    pub leaving: bool,
     /// Most requests that ran at once.
     pub peak: u32,
     /// Request-seconds run so far.
@@ -43,6 +45,7 @@
         Self {
             book: Mutex::new(Book {
                 running: 0,
+                leaving: false,
                 peak: 0,
                 busy: 0.0,
                 cost: BTreeMap::new(),
@@ -69,6 +72,17 @@
         book
     }
 
+    /// Requests that run now, and whether the server says that it is about to go.
+    pub fn load(&self) -> (u32, bool) {
+        let book = self.lock();
+        (book.running, book.leaving)
+    }
+
+    /// Lets the server say that it is about to go.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.lock().leaving = leaving;
+    }
+
     /// A call begins.
     pub fn start(&self, tag: &str) {
         let mut book = self.lock();
--- a/crates/hawthornmill-lab/src/standin/plain.rs
+++ b/crates/hawthornmill-lab/src/standin/plain.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
-use super::engine::REQUEST_ID;
+use super::engine::{LEAVING, REQUEST_ID};
 use super::ledger::Ledger;
 
 /// What a call asks for.
@@ -54,10 +54,10 @@
 
 #[handler]
 fn load(Data(plain): Data<&Arc<Plain>>) -> Response {
-    let running = plain.ledger.lock().running;
+    let (running, leaving) = plain.ledger.load();
     Response::builder()
         .content_type("application/json")
-        .body(format!("{{\"running\":{running}}}"))
+        .body(format!("{{\"running\":{running},\"leaving\":{leaving}}}"))
 }
 
 #[handler]
@@ -75,14 +75,14 @@
     };
     let id: Option<Box<str>> = request.header(REQUEST_ID).map(Into::into);
     // The work goes on when the caller breaks off, as a booking does.
-    let plain = Arc::clone(plain);
+    let worker = Arc::clone(plain);
     let work = tokio::spawn(async move {
-        plain.ledger.start(&asked.tag);
-        sleep(plain.work).await;
-        let serial = plain.serial.fetch_add(1, Ordering::Relaxed) + 1;
-        let cost = plain.work.as_secs_f64() * 1000.0;
-        plain.ledger.add_cost(&asked.tag, cost);
-        plain.ledger.end(&asked.tag, true);
+        worker.ledger.start(&asked.tag);
+        sleep(worker.work).await;
+        let serial = worker.serial.fetch_add(1, Ordering::Relaxed) + 1;
+        let cost = worker.work.as_secs_f64() * 1000.0;
+        worker.ledger.add_cost(&asked.tag, cost);
+        worker.ledger.end(&asked.tag, true);
         format!(
             "{{\"tag\":\"{}\",\"serial\":{serial},\"done\":true}}\n",
             asked.tag
@@ -97,5 +97,8 @@
     if let Some(id) = id {
         answer = answer.header(REQUEST_ID, &*id);
     }
+    if plain.ledger.load().1 {
+        answer = answer.header(LEAVING, "yes");
+    }
     answer.body(text)
 }
--- a/crates/hawthornmill-net/src/daemon.rs
+++ b/crates/hawthornmill-net/src/daemon.rs
@@ -166,8 +166,11 @@
         for (pool, server, address) in targets {
             let fleet = Arc::clone(&fleet);
             tokio::spawn(async move {
-                if let Some(running) = fleet.upstream.load(&address).await {
-                    fleet.feed(|board, _| owner::on_load(board, pool, server, running));
+                if let Some(load) = fleet.upstream.load(&address).await {
+                    fleet.feed(|board, _| {
+                        owner::on_load(board, pool, server, load.running);
+                        owner::on_leaving(board, pool, server, load.leaving);
+                    });
                 }
             });
         }
--- a/crates/hawthornmill-net/src/entry/call.rs
+++ b/crates/hawthornmill-net/src/entry/call.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use hawthornmill::codes::{Code, Outcome};
 use hawthornmill::config::{CostKind, Repeat};
+use hawthornmill::ident::ServerId;
 use hawthornmill::pools::entry;
 use opentelemetry::Context;
 use poem::error::ReadBodyError;
@@ -21,6 +22,8 @@
 
 /// Attempts that one call may make, the first included.
 const ATTEMPTS: usize = 3;
+/// Answer header with which a server says that it is about to go.
+const LEAVING: &str = "hawthornmill-leaving";
 
 /// Counts a call as in flight until it is dropped.
 #[derive(Debug)]
@@ -206,7 +209,10 @@
         .saturating_duration_since(fleet.clock.now());
     let sent = tokio::time::timeout(left, fleet.upstream.send(&address, &out, once)).await;
     match sent {
-        Ok(Ok(answer)) => Ok(answer),
+        Ok(Ok(answer)) => {
+            note_leaving(fleet, slot.dispatch.server, &answer);
+            Ok(answer)
+        }
         Ok(Err(SendError::Unreachable)) => {
             slot.set_failed();
             Err(Problem::not_run(Code::UpstreamUnreachable, &call.out.id))
@@ -220,6 +226,16 @@
     }
 }
 
+/// Takes a server's own word, with an answer, that it is leaving.
+///
+/// A pool's owner learns it from the load report as well, but one that can't reach the server, or
+/// is itself silent, would keep sending work there.
+fn note_leaving(fleet: &Fleet, server: ServerId, answer: &reqwest::Response) {
+    if answer.headers().get(LEAVING).is_some_and(|v| v == "yes") {
+        fleet.feed(|board, now| entry::on_server_leaving(board, server, now));
+    }
+}
+
 /// What a call that held `slot` until now costs.
 pub fn cost_of(fleet: &Fleet, call: &Call, slot: &SlotGuard, reported: Option<f64>) -> f64 {
     let held = fleet.clock.now().duration_since(slot.taken);
--- a/crates/hawthornmill-net/src/entry/status.rs
+++ b/crates/hawthornmill-net/src/entry/status.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::Ordering;
 
 use hawthornmill::board::Board;
+use hawthornmill::config::accept::{self, Manifest};
 use hawthornmill::fairness::CostKey;
 
 use crate::fleet::Fleet;
@@ -14,6 +15,7 @@
             "instance": fleet.settings.contact.name,
             "incarnation": fleet.incarnation.0,
             "revision": board.config.revision,
+            "digest": digest(&board.manifest),
             "stale": board.stale.is_some(),
             "leaving": board.members.own().leaving,
             "waiting": board.waiting.len(),
@@ -33,6 +35,12 @@
     status
 }
 
+/// One digest over those of all values in force, to compare instances by.
+fn digest(manifest: &Manifest) -> Box<str> {
+    let all: String = manifest.values.iter().map(|v| &*v.digest).collect();
+    accept::digest(&all)
+}
+
 fn members(board: &Board) -> serde_json::Value {
     board
         .members
--- a/crates/hawthornmill-net/src/fleet.rs
+++ b/crates/hawthornmill-net/src/fleet.rs
@@ -1,7 +1,7 @@
 //! The board behind its lock, and what adapters need around it.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -9,18 +9,20 @@
 use hawthornmill::clock::Clock;
 use hawthornmill::codes::Code;
 use hawthornmill::ident::{Incarnation, InstanceId, PoolId};
+use hawthornmill::membership::start;
 use hawthornmill::pools::{self, entry, tick};
 use hawthornmill::wire::message::{GrantId, Message};
 use tokio::sync::{Notify, oneshot};
 
 use crate::entry::home::Home;
 use crate::peers::Outgoing;
+use crate::platform;
 use crate::settings::Settings;
 use crate::telemetry::Telemetry;
 use crate::upstream::Upstream;
 
-/// Time for which a starting process waits for both the platform and a peer.
-const START_WAIT: Duration = Duration::from_secs(2);
+/// Time between two rounds of questions of a starting process.
+const ASK_EVERY: Duration = Duration::from_millis(200);
 
 /// What a waiting request is told.
 pub type Verdict = Result<Dispatch, Code>;
@@ -53,8 +55,8 @@
     pub home: Home,
     /// Logs, spans and metrics.
     pub telemetry: Telemetry,
-    /// The platform's configuration service has answered this process.
-    pub platform_spoke: AtomicBool,
+    /// What is known of the platform's answers.
+    pub platform: platform::Answers,
     /// Enough is known to serve.
     pub ready: AtomicBool,
     /// New calls are refused; set some time after the process began to leave.
@@ -64,6 +66,7 @@
     /// Something about this instance changed that peers should hear at once.
     pub hurry: Notify,
     requests: AtomicU64,
+    asked: AtomicU32,
 }
 
 impl Fleet {
@@ -96,12 +99,13 @@
             upstream: Upstream::new(),
             home,
             telemetry,
-            platform_spoke: AtomicBool::new(false),
+            platform: platform::Answers::default(),
             ready: AtomicBool::new(false),
             closed: AtomicBool::new(false),
             flying: AtomicUsize::new(0),
             hurry: Notify::new(),
             requests: AtomicU64::new(0),
+            asked: AtomicU32::new(0),
         })
     }
 
@@ -164,29 +168,27 @@
 
     /// Finds out whether enough is known to serve; once that is so, it stays so.
     ///
-    /// A starting process must hold the highest revision that it heard of. A platform that shows an
-    /// old revision can't take a restarted instance back while peers know a newer one; and when no
-    /// peer or no platform answers for a while, the word of the other is enough.
+    /// Until then it asks peers for their revision; [`start::is_ready`] has the rule.
     pub fn find_ready(&self) {
         if self.ready.load(Ordering::Relaxed) {
             return;
         }
-        let age = self.clock.now().duration_since(self.started);
-        let (revision, highest, peers) = self.view(|board| {
-            let others = board
-                .members
-                .map
-                .iter()
-                .filter(|(id, _)| **id != board.me());
-            let heard = others.clone().any(|(_, m)| m.live);
-            let highest = others.map(|(_, m)| m.revision).max().unwrap_or(0);
-            (board.config.revision, highest, heard)
+        let now = self.clock.now();
+        let (ready, revision) = self.view(|board| {
+            let ready = start::is_ready(board, self.started, now);
+            (ready, board.config.revision)
         });
-        let both = peers && self.platform_spoke.load(Ordering::Relaxed);
-        let enough = both || age > START_WAIT;
-        if revision > 0 && revision >= highest && enough {
+        if ready {
             self.ready.store(true, Ordering::Relaxed);
             log::info!(target: "daemon", "ready at revision {revision}");
+            return;
+        }
+        let round = now.duration_since(self.started).as_millis() / ASK_EVERY.as_millis();
+        let round = round as u32 + 1;
+        if self.asked.fetch_max(round, Ordering::Relaxed) < round {
+            for peer in self.view(|board| start::to_ask(board, round)) {
+                self.outgoing.send(peer, Message::Probe(0));
+            }
         }
     }
 
--- a/crates/hawthornmill-net/src/peers/inbox.rs
+++ b/crates/hawthornmill-net/src/peers/inbox.rs
@@ -4,10 +4,14 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use hawthornmill::board::Board;
 use hawthornmill::config::accept;
-use hawthornmill::membership::Sign;
+use hawthornmill::ident::{Incarnation, InstanceId};
+use hawthornmill::membership::{Sign, place};
 use hawthornmill::pools::tick;
-use hawthornmill::wire::message::{ConfigPull, ConfigValues, Message, Standing};
+use hawthornmill::wire::message::{
+    ConfigPull, ConfigValues, Heartbeat, Message, ProbeAck, RosterDelta, RosterPull, Standing,
+};
 use hawthornmill::wire::{Frame, FrameError};
 
 use crate::fleet::Fleet;
@@ -22,24 +26,18 @@
 pub fn take(fleet: &Arc<Fleet>, frame: Frame) {
     let (from, incarnation) = (frame.sender, frame.incarnation);
     match frame.message {
-        Message::Heartbeat {
-            leaving,
-            revision,
-            contact,
-        } => {
-            let interval = fleet.settings.heartbeat;
-            let sign = Sign {
-                from,
-                incarnation,
-                leaving,
-                revision,
-                interval,
+        Message::Heartbeat(heartbeat) => hear(fleet, from, incarnation, heartbeat),
+        Message::Probe(number) => {
+            let ack = ProbeAck {
+                number,
+                revision: fleet.view(|board| board.config.revision),
+                serving: fleet.ready.load(Ordering::Relaxed),
             };
-            hear(fleet, sign, contact.map(|c| *c));
+            fleet.outgoing.send(from, Message::ProbeAck(ack));
         }
-        Message::Probe(number) => fleet.outgoing.send(from, Message::ProbeAck(number)),
-        Message::ProbeAck(number) => {
-            fleet.feed(|board, now| tick::on_probe_ack(board, number, now));
+        Message::ProbeAck(ack) => {
+            fleet.feed(|board, now| tick::on_probe_ack(board, ack, now));
+            pull(fleet, from, ack.revision);
         }
         Message::Reports(reports) => take_reports(fleet, from, reports),
         Message::StandingPull => {
@@ -53,50 +51,90 @@
         }
         Message::ConfigPull(pull) => answer_pull(fleet, from, &pull),
         Message::ConfigValues(values) => take_values(fleet, values),
+        Message::RosterPull(pull) => {
+            if let Some(delta) = fleet.view(|board| board.roster.delta(pull.have)) {
+                fleet.outgoing.send(from, Message::RosterDelta(delta));
+            }
+        }
+        Message::RosterDelta(delta) => take_roster(fleet, from, delta),
         message => fleet.receive(from, incarnation, message),
     }
 }
 
-fn hear(fleet: &Arc<Fleet>, sign: Sign, contact: Option<hawthornmill::wire::message::Contact>) {
-    let behind = fleet.feed(|board, now| {
-        if let Some(contact) = contact {
-            board.members.learn(contact, now);
+fn hear(fleet: &Arc<Fleet>, from: InstanceId, incarnation: Incarnation, heartbeat: Heartbeat) {
+    let sign = Sign {
+        from,
+        incarnation,
+        leaving: heartbeat.leaving,
+        revision: heartbeat.revision,
+        interval: Duration::from_millis(heartbeat.interval.into()),
+        steady: heartbeat.steady,
+    };
+    let list = fleet.feed(|board, now| {
+        if let Some(contact) = heartbeat.contact {
+            board.members.learn(*contact, now);
         }
         board.members.hear(sign, now);
-        sign.revision > board.config.revision
+        follows(board, from) && heartbeat.platform
     });
-    if behind {
-        pull(fleet, sign.from);
+    if list {
+        let have = fleet.view(|board| board.roster.digest());
+        fleet.platform.set_mate_read(fleet.clock.now());
+        if have != heartbeat.roster {
+            let pull = Message::RosterPull(RosterPull { have });
+            fleet.outgoing.send(from, pull);
+        }
     }
+    pull(fleet, from, heartbeat.revision);
+}
+
+/// Tells whether this instance takes the instance list from `from`: the first reader of the domain.
+///
+/// Lists of two readers may differ for a moment; following one of them keeps an instance from
+/// asking each in turn.
+fn follows(board: &Board, from: InstanceId) -> bool {
+    let readers = place::readers(&board.members, board.members.own().domain);
+    readers.first() == Some(&from) && !readers.contains(&board.me())
+}
+
+fn take_roster(fleet: &Arc<Fleet>, from: InstanceId, delta: RosterDelta) {
+    fleet.feed(|board, now| {
+        if follows(board, from) && board.roster.apply(delta) {
+            board.members.follow_roster(&board.roster, now);
+        }
+    });
 }
 
 fn take_reports(
     fleet: &Arc<Fleet>,
-    from: hawthornmill::ident::InstanceId,
+    from: InstanceId,
     reports: Vec<hawthornmill::wire::message::Report>,
 ) {
-    let behind = fleet.feed(|board, now| {
+    let revision = fleet.feed(|board, now| {
         let interval: Duration = board.tuning.report;
         for report in reports {
             let (reports, members, ledger) =
                 (&mut board.reports, &mut board.members, &mut board.ledger);
             reports.take(from, report, members, ledger, now, interval);
         }
-        board.reports.revision() > board.config.revision
+        board.reports.revision()
     });
-    if behind {
-        pull(fleet, from);
-    }
+    pull(fleet, from, revision);
 }
 
-fn pull(fleet: &Arc<Fleet>, from: hawthornmill::ident::InstanceId) {
-    let have = fleet.view(|board| board.manifest.clone());
-    fleet
-        .outgoing
-        .send(from, Message::ConfigPull(ConfigPull { have }));
+/// Asks `from`, which named `revision`, for the configuration if that is newer.
+fn pull(fleet: &Arc<Fleet>, from: InstanceId, revision: u64) {
+    let have = fleet.feed(|board, now| {
+        let ask = board.intake.ask(revision, board.config.revision, now);
+        ask.then(|| board.manifest.clone())
+    });
+    if let Some(have) = have {
+        let pull = Message::ConfigPull(ConfigPull { have });
+        fleet.outgoing.send(from, pull);
+    }
 }
 
-fn answer_pull(fleet: &Arc<Fleet>, from: hawthornmill::ident::InstanceId, pull: &ConfigPull) {
+fn answer_pull(fleet: &Arc<Fleet>, from: InstanceId, pull: &ConfigPull) {
     let answer = fleet.view(|board| {
         if board.manifest.revision <= pull.have.revision {
             return None;
@@ -141,6 +179,7 @@
             taken
         }
         Err(faults) => {
+            fleet.feed(|board, _| board.intake.refuse(manifest, &faults));
             for fault in &faults {
                 log::error!(target: "config", "revision {} refused: {fault}", manifest.revision);
             }
--- a/crates/hawthornmill-net/src/peers/mod.rs
+++ b/crates/hawthornmill-net/src/peers/mod.rs
@@ -78,9 +78,9 @@
         *lock(&self.datagrams) = Some(sender);
     }
 
-    /// Instances to which a connection was opened.
-    pub fn linked(&self) -> Vec<InstanceId> {
-        lock(&self.links).keys().copied().collect()
+    /// Forgets the connection to an instance that is gone for good.
+    pub fn close(&self, to: InstanceId) {
+        lock(&self.links).remove(&to);
     }
 
     /// Counts bytes that left.
@@ -95,7 +95,7 @@
 fn by_datagram(message: &Message) -> bool {
     matches!(
         message,
-        Message::Heartbeat { .. } | Message::Probe(_) | Message::ProbeAck(_) | Message::Reports(_)
+        Message::Heartbeat(_) | Message::Probe(_) | Message::ProbeAck(_) | Message::Reports(_)
     )
 }
 
--- a/crates/hawthornmill-net/src/peers/tcp.rs
+++ b/crates/hawthornmill-net/src/peers/tcp.rs
@@ -20,6 +20,8 @@
 
 const FIRST_WAIT: Duration = Duration::from_millis(20);
 const MOST_WAIT: Duration = Duration::from_millis(500);
+/// Longest time between two attempts to reach an instance that nobody hears.
+const DEAD_WAIT: Duration = Duration::from_secs(5);
 const CONNECT: Duration = Duration::from_millis(500);
 const DOUBT: Duration = Duration::from_millis(200);
 
@@ -96,7 +98,7 @@
     }
 }
 
-/// Keeps one connection to `to` for as long as the process runs.
+/// Keeps one connection to `to` until that instance is gone for good.
 async fn keep(fleet: Arc<Fleet>, to: InstanceId, mut queue: mpsc::Receiver<Message>) {
     let mut wait = FIRST_WAIT;
     loop {
@@ -110,9 +112,23 @@
             board.members.doubt(to, now, DOUBT);
         });
         while queue.try_recv().is_ok() {}
+        if !fleet.view(|board| board.members.map.contains_key(&to)) {
+            fleet.outgoing.close(to);
+            fleet.feed(|board, _| board.broken.remove(&to));
+            return;
+        }
         let jitter = wait.mul_f64(rand::random_range(0.5..1.0));
         tokio::time::sleep(jitter).await;
         wait = (wait * 2).min(MOST_WAIT);
+        wait_for_life(&fleet, to).await;
+    }
+}
+
+/// Waits until somebody hears `to`, but no longer than [`DEAD_WAIT`].
+async fn wait_for_life(fleet: &Fleet, to: InstanceId) {
+    let until = tokio::time::Instant::now() + DEAD_WAIT.mul_f64(rand::random_range(0.5..1.0));
+    while tokio::time::Instant::now() < until && !fleet.view(|board| board.members.is_live(to)) {
+        tokio::time::sleep(FIRST_WAIT).await;
     }
 }
 
--- a/crates/hawthornmill-net/src/peers/udp.rs
+++ b/crates/hawthornmill-net/src/peers/udp.rs
@@ -2,18 +2,22 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
+use hawthornmill::board::Board;
 use hawthornmill::ident::InstanceId;
+use hawthornmill::membership::beat_interval;
+use hawthornmill::pools::beat_targets;
 use hawthornmill::wire::frame::DATAGRAM_LIMIT;
-use hawthornmill::wire::{Message, Opener, Sealer};
+use hawthornmill::wire::{Heartbeat, Message, Opener, Sealer};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
 use super::inbox;
 use crate::fleet::Fleet;
 
-/// Heartbeats between two that carry the sender's contact.
-const CONTACT_EVERY: u64 = 10;
+/// Heartbeats between two that carry the sender's contact to everybody.
+const CONTACT_EVERY: u64 = 50;
 const QUEUE: usize = 1024;
 
 /// Starts the tasks that send and receive datagrams.
@@ -74,42 +78,57 @@
     }
 }
 
+/// Sends heartbeats, the more seldom the more instances need them, and at once when something about
+/// this instance changed.
 async fn beat(fleet: Arc<Fleet>) {
-    let mut timer = tokio::time::interval(fleet.settings.heartbeat);
-    let mut count = 0;
+    let mut count = 0_u64;
+    let mut due = tokio::time::Instant::now();
     loop {
         tokio::select! {
-            _ = timer.tick() => {}
+            () = tokio::time::sleep_until(due) => {}
             () = fleet.hurry.notified() => {}
         }
-        let contact =
-            (count % CONTACT_EVERY == 0).then(|| Box::new(fleet.settings.contact.clone()));
-        count += 1;
-        let linked = fleet.outgoing.linked();
-        let (leaving, revision, targets) = fleet.view(|board| {
-            let own = board.members.own();
-            let targets: Vec<InstanceId> = board
-                .members
-                .map
-                .iter()
-                .filter(|(id, m)| {
-                    **id != board.me() && (m.domain == own.domain || linked.contains(id))
+        let now = fleet.clock.now();
+        let platform = fleet.platform.is_answered(now);
+        let (interval, beats) = fleet.view(|board| {
+            let targets = beat_targets(board);
+            let interval = beat_interval(fleet.settings.heartbeat, targets.len());
+            let beat = heartbeat(board, interval, platform, now);
+            let silent = |id: &InstanceId| !board.members.is_live(*id);
+            let beats: Vec<_> = targets
+                .into_iter()
+                .map(|id| {
+                    (
+                        id,
+                        beat.clone(),
+                        count.is_multiple_of(CONTACT_EVERY) || silent(&id),
+                    )
                 })
-                .map(|(id, _)| *id)
                 .collect();
-            (own.leaving, board.config.revision, targets)
+            (interval, beats)
         });
-        for target in targets {
-            let beat = Message::Heartbeat {
-                leaving,
-                revision,
-                contact: contact.clone(),
-            };
-            fleet.outgoing.send(target, beat);
+        count += 1;
+        due = tokio::time::Instant::now() + interval;
+        for (to, mut beat, tell) in beats {
+            beat.contact = tell.then(|| Box::new(fleet.settings.contact.clone()));
+            fleet.outgoing.send(to, Message::Heartbeat(beat));
         }
     }
 }
 
+fn heartbeat(board: &Board, interval: Duration, platform: bool, now: Instant) -> Heartbeat {
+    let sign = board.members.own_sign(board.config.revision, interval, now);
+    Heartbeat {
+        leaving: sign.leaving,
+        revision: sign.revision,
+        interval: interval.as_millis() as u16,
+        steady: sign.steady,
+        platform,
+        roster: board.roster.digest(),
+        contact: None,
+    }
+}
+
 async fn report(fleet: Arc<Fleet>) {
     let mut timer = tokio::time::interval(fleet.settings.tuning.report);
     loop {
--- a/crates/hawthornmill-net/src/platform.rs
+++ b/crates/hawthornmill-net/src/platform.rs
@@ -1,14 +1,14 @@
 //! The platform: configuration watch and instance list, read only.
 
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
+use hawthornmill::board::Board;
 use hawthornmill::codes::Code;
 use hawthornmill::config::accept::{Manifest, VALUE_LIMIT, Values};
-use hawthornmill::ident::InstanceId;
 use hawthornmill::membership::place;
-use hawthornmill::wire::message::Contact;
+use hawthornmill::wire::message::{Contact, Listed};
 use serde::Deserialize;
 
 use crate::fleet::Fleet;
@@ -16,40 +16,68 @@
 
 /// Time for which a watch may wait at the platform.
 const WATCH: Duration = Duration::from_secs(10);
+/// The same while the newest revision is a refused one, which may be put right under its number.
+const WATCH_REFUSED: Duration = Duration::from_secs(3);
 /// Time allowed for any other call.
 const CALL: Duration = Duration::from_secs(2);
 /// Time between two readings of the instance list.
 const LIST: Duration = Duration::from_secs(1);
-/// Time between two looks of an instance that is not a reader.
-const FALLBACK: Duration = Duration::from_secs(5);
-const AGAIN: Duration = Duration::from_millis(300);
+/// Time without word of a reader after which another instance asks the platform itself.
+const FALLBACK: Duration = Duration::from_secs(4);
+/// Time between two looks at whether this instance should ask the platform.
+const CHECK: Duration = Duration::from_millis(500);
+/// Time after which the platform's last answer says nothing about its state.
+const ANSWERED: Duration = Duration::from_secs(3);
+/// Shortest and longest wait after a call that failed or brought nothing.
+const AGAIN: [Duration; 2] = [Duration::from_millis(300), Duration::from_secs(2)];
+
+/// What is known of the platform's answers.
+#[derive(Debug, Default)]
+pub struct Answers(Mutex<Known>);
+
+#[derive(Debug, Default)]
+struct Known {
+    own: Option<Instant>,
+    mate: Option<Instant>,
+    newest: u64,
+}
+
+impl Answers {
+    fn lock(&self) -> MutexGuard<'_, Known> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The reader that this instance follows was answered by the platform.
+    pub fn set_mate_read(&self, now: Instant) {
+        self.lock().mate = Some(now);
+    }
+
+    /// Tells whether the platform answered this instance in the last seconds.
+    pub fn is_answered(&self, now: Instant) -> bool {
+        let own = self.lock().own;
+        own.is_some_and(|at| now.duration_since(at) < ANSWERED)
+    }
+
+    fn is_mate_silent(&self, now: Instant) -> bool {
+        let mate = self.lock().mate;
+        mate.is_none_or(|at| now.duration_since(at) > FALLBACK)
+    }
+}
 
 /// An instance in the platform's list.
 #[derive(Debug, Clone, Deserialize)]
-struct Listed {
+struct ListedJson {
     #[serde(flatten)]
-    contact: ListedContact,
+    contact: Contact,
     #[serde(default)]
     leaving: bool,
 }
 
-#[derive(Debug, Clone, Deserialize)]
-struct ListedContact {
-    name: Box<str>,
-    domain: Box<str>,
-    region: Box<str>,
-    http: Box<str>,
-    peer: Box<str>,
-}
-
-impl From<ListedContact> for Contact {
-    fn from(c: ListedContact) -> Self {
+impl From<ListedJson> for Listed {
+    fn from(json: ListedJson) -> Self {
         Self {
-            name: c.name,
-            domain: c.domain,
-            region: c.region,
-            http: c.http,
-            peer: c.peer,
+            contact: json.contact,
+            leaving: json.leaving,
         }
     }
 }
@@ -79,37 +107,120 @@
     Some(bytes)
 }
 
-/// Readers hold a watch; others look now and then, in case no reader reaches them.
+/// How a look at the manifest ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Look {
+    /// A newer revision is in force.
+    News,
+    /// There is nothing newer that could be in force.
+    Nothing,
+    /// The platform gave no usable answer, or not the whole revision.
+    Failed,
+}
+
+/// What this instance has to do with the platform now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Role {
+    /// It reads for its failure domain.
+    Reader,
+    /// It knows nothing yet, or no reader passes anything on.
+    Alone,
+    /// Others read and pass on what they read.
+    Follower,
+}
+
+fn role(fleet: &Fleet, knows: impl Fn(&Board) -> bool) -> Role {
+    let silent = fleet.platform.is_mate_silent(fleet.clock.now());
+    fleet.view(|board| {
+        let readers = place::readers(&board.members, board.members.own().domain);
+        if readers.contains(&board.me()) {
+            Role::Reader
+        } else if silent || !knows(board) {
+            Role::Alone
+        } else {
+            Role::Follower
+        }
+    })
+}
+
+/// Waits between half and all of `time`, so that instances don't ask in step.
+async fn pause(time: Duration) {
+    tokio::time::sleep(time.mul_f64(rand::random_range(0.5..1.0))).await;
+}
+
+fn backoff(failures: u32) -> Duration {
+    let [first, most] = AGAIN;
+    (first * 2_u32.saturating_pow(failures)).min(most)
+}
+
+/// Readers hold a watch; others look only while no reader passes anything on.
 async fn watch(fleet: Arc<Fleet>) {
+    let mut failures = 0;
     loop {
-        let reader = fleet.view(|board| {
-            let own = board.members.own().domain;
-            board.config.revision == 0 || place::readers(&board.members, own).contains(&board.me())
-        });
-        if !reader {
-            let jitter = rand::random_range(0.5..1.0);
-            tokio::time::sleep(FALLBACK.mul_f64(jitter)).await;
+        let role = role(&fleet, |board| board.config.revision > 0);
+        if role == Role::Follower {
+            pause(CHECK).await;
+            continue;
         }
-        let wait = if reader { WATCH } else { Duration::ZERO };
-        if look(&fleet, wait).await.is_none() {
-            tokio::time::sleep(AGAIN.mul_f64(rand::random_range(0.5..1.5))).await;
+        // Before it has heard its mates, every instance takes itself for a reader.
+        let reader = role == Role::Reader && fleet.ready.load(Ordering::Relaxed);
+        let (look, quick) = look(&fleet, reader).await;
+        failures = if look == Look::Failed {
+            failures + 1
+        } else {
+            0
+        };
+        match look {
+            Look::Failed => pause(backoff(failures)).await,
+            // A platform that names an older revision at once must not be asked without a break.
+            Look::Nothing if !fleet.ready.load(Ordering::Relaxed) => pause(AGAIN[0]).await,
+            Look::Nothing if role == Role::Alone => pause(FALLBACK).await,
+            Look::Nothing if quick => pause(AGAIN[1]).await,
+            Look::News | Look::Nothing => {}
         }
     }
 }
 
-/// Asks for a newer manifest and puts it in force; none when the platform gave no usable answer.
-async fn look(fleet: &Arc<Fleet>, wait: Duration) -> Option<()> {
-    let have = fleet.view(|board| board.config.revision);
-    let path = format!("/v1/manifest?after={have}&wait_ms={}", wait.as_millis());
-    let bytes = get(fleet, &path, VALUE_LIMIT, wait + CALL).await?;
-    let manifest: Manifest = serde_json::from_slice(&bytes).ok()?;
-    fleet.platform_spoke.store(true, Ordering::Relaxed);
-    if manifest.revision <= have {
-        return Some(());
+/// Asks for a newer manifest and puts it in force; also tells whether the answer came before its
+/// time without being news.
+async fn look(fleet: &Arc<Fleet>, reader: bool) -> (Look, bool) {
+    let newest = fleet.platform.lock().newest;
+    let (have, after) = fleet.view(|board| {
+        let have = board.config.revision;
+        (have, board.intake.watch_after(have, newest))
+    });
+    let wait = match reader {
+        false => Duration::ZERO,
+        true if after > have => WATCH_REFUSED,
+        true => WATCH,
+    };
+    let began = Instant::now();
+    let path = format!("/v1/manifest?after={after}&wait_ms={}", wait.as_millis());
+    let Some(bytes) = get(fleet, &path, VALUE_LIMIT, wait + CALL).await else {
+        return (Look::Failed, false);
+    };
+    let Ok(manifest) = serde_json::from_slice::<Manifest>(&bytes) else {
+        return (Look::Failed, false);
+    };
+    fleet.platform.lock().newest = manifest.revision;
+    fleet.feed(|board, _| board.start.platform = true);
+    let quick = began.elapsed() < wait / 2;
+    let refused = fleet.view(|board| board.intake.is_refused(&manifest));
+    if manifest.revision <= have || refused {
+        return (Look::Nothing, quick);
     }
-    let values = fetch(fleet, &manifest).await?;
-    let taken = install(fleet, &manifest, values);
-    taken.then_some(())
+    let Some(values) = fetch(fleet, &manifest).await else {
+        return (Look::Failed, false);
+    };
+    if install(fleet, &manifest, values) {
+        return (Look::News, false);
+    }
+    // A peer may have been faster, and a verdict is final; anything else is tried again.
+    let settled = fleet.view(|board| {
+        board.config.revision >= manifest.revision || board.intake.is_refused(&manifest)
+    });
+    let look = if settled { Look::Nothing } else { Look::Failed };
+    (look, false)
 }
 
 async fn fetch(fleet: &Fleet, manifest: &Manifest) -> Option<Values> {
@@ -124,21 +235,39 @@
     Some(values)
 }
 
+/// Readers read the instance list and tell its digest in their heartbeats.
 async fn list(fleet: Arc<Fleet>) {
     loop {
-        if let Some(bytes) = get(&fleet, "/v1/instances", VALUE_LIMIT, CALL).await
-            && let Ok(list) = serde_json::from_slice::<Vec<Listed>>(&bytes)
-        {
-            fleet.feed(|board, now| {
-                for entry in list {
-                    let id = InstanceId::of(&entry.contact.name);
-                    board.members.learn(entry.contact.into(), now);
-                    if entry.leaving {
-                        board.members.set_leaving(id);
-                    }
-                }
-            });
+        let role = role(&fleet, |board| board.roster.is_known());
+        if role == Role::Follower {
+            pause(CHECK).await;
+            continue;
         }
-        tokio::time::sleep(LIST.mul_f64(rand::random_range(0.75..1.25))).await;
+        read_list(&fleet).await;
+        let starting = !fleet.ready.load(Ordering::Relaxed);
+        let next = if role == Role::Reader || starting {
+            LIST
+        } else {
+            FALLBACK
+        };
+        tokio::time::sleep(next.mul_f64(rand::random_range(0.75..1.25))).await;
     }
 }
+
+async fn read_list(fleet: &Fleet) {
+    let Some(bytes) = get(fleet, "/v1/instances", VALUE_LIMIT, CALL).await else {
+        return;
+    };
+    let Ok(list) = serde_json::from_slice::<Vec<ListedJson>>(&bytes) else {
+        return;
+    };
+    fleet.platform.lock().own = Some(fleet.clock.now());
+    fleet.feed(|board, now| {
+        if board
+            .roster
+            .replace(list.into_iter().map(Listed::from).collect())
+        {
+            board.members.follow_roster(&board.roster, now);
+        }
+    });
+}
--- a/crates/hawthornmill-net/src/upstream.rs
+++ b/crates/hawthornmill-net/src/upstream.rs
@@ -55,6 +55,16 @@
     Broken(Code),
 }
 
+/// What a server reports of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Deserialize)]
+pub struct Load {
+    /// Requests that it runs.
+    pub running: u16,
+    /// It is about to go and wants no new work.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
 /// Connections to backend servers.
 #[derive(Debug, Clone)]
 pub struct Upstream {
@@ -118,18 +128,12 @@
         Ok(answer)
     }
 
-    /// Reads the number of requests that a server says it runs.
-    pub async fn load(&self, address: &str) -> Option<u16> {
-        #[derive(serde::Deserialize)]
-        struct Load {
-            running: u16,
-        }
+    /// Reads what a server reports of itself.
+    pub async fn load(&self, address: &str) -> Option<Load> {
         let url = format!("http://{address}/load");
         let request = self.pooled.get(url).timeout(Duration::from_millis(500));
         let bytes = request.send().await.ok()?.bytes().await.ok()?;
-        serde_json::from_slice::<Load>(&bytes)
-            .ok()
-            .map(|l| l.running)
+        serde_json::from_slice(&bytes).ok()
     }
 
     /// Client for other instances.
--- a/crates/hawthornmill-test-support/src/steps.rs
+++ b/crates/hawthornmill-test-support/src/steps.rs
@@ -11,9 +11,8 @@
 use hawthornmill::board::{Board, Dispatch, RequestKey, Tuning};
 use hawthornmill::codes::Code;
 use hawthornmill::ident::{AccountId, Incarnation, InstanceId, ServerId, ServiceId};
-use hawthornmill::membership::Sign;
 use hawthornmill::pools::{self, entry, owner, tick};
-use hawthornmill::wire::message::{Contact, Message};
+use hawthornmill::wire::message::{Contact, Message, ProbeAck};
 
 use crate::fleet::FleetText;
 
@@ -295,10 +294,15 @@
                 }
             }
             Message::Probe(number) => {
+                let ack = ProbeAck {
+                    number,
+                    revision: board.config.revision,
+                    serving: true,
+                };
                 self.wire
-                    .push_back((target, sender, Message::ProbeAck(number)));
+                    .push_back((target, sender, Message::ProbeAck(ack)));
             }
-            Message::ProbeAck(number) => tick::on_probe_ack(board, number, now),
+            Message::ProbeAck(ack) => tick::on_probe_ack(board, ack, now),
             message => {
                 if board.broken.contains(&sender) {
                     entry::on_link(board, sender);
@@ -379,13 +383,8 @@
     fn beat(&mut self, index: usize) {
         let now = self.instant();
         let own = &self.boards[index];
-        let sign = Sign {
-            from: own.me(),
-            incarnation: own.incarnation,
-            leaving: own.members.own().leaving,
-            revision: own.config.revision,
-            interval: Duration::from_millis(HEARTBEAT),
-        };
+        let interval = Duration::from_millis(HEARTBEAT);
+        let sign = own.members.own_sign(own.config.revision, interval, now);
         for other in 0..self.boards.len() {
             if other != index && self.runs_now(other) && !self.cut.contains(&(index, other)) {
                 let board = &mut self.boards[other];
@@ -440,6 +439,7 @@
         Message::Holding(_) => "holding",
         Message::Sync { .. } => "sync",
         Message::Reports(_) => "reports",
+        Message::Handover(_) => "handover",
         _ => "other",
     }
 }
--- a/crates/hawthornmill/src/board.rs
+++ b/crates/hawthornmill/src/board.rs
@@ -12,10 +12,10 @@
 use smallvec::SmallVec;
 
 use crate::codes::Code;
-use crate::config::{FleetConfig, Manifest, accept::Values};
+use crate::config::{FleetConfig, Manifest, accept::Values, intake::Intake};
 use crate::fairness::Ledger;
 use crate::ident::{AccountId, Incarnation, InstanceId, PoolId, ServerId, ServiceId};
-use crate::membership::{Members, reports::Reports};
+use crate::membership::{Members, reports::Reports, roster::Roster, start::Start};
 use crate::pools::entry::Link;
 use crate::pools::owner::Owned;
 use crate::wire::message::{Contact, GrantId, Message};
@@ -122,6 +122,12 @@
     pub manifest: Manifest,
     /// Texts of the configuration in force, for peers that ask.
     pub values: Arc<Values>,
+    /// Revisions that are not held.
+    pub intake: Intake,
+    /// What this instance was told at its start.
+    pub start: Start,
+    /// The platform's instance list.
+    pub roster: Roster,
     /// Instances.
     pub members: Members,
     /// Reports of all instances.
@@ -140,12 +146,16 @@
     pub links: BTreeMap<PoolId, Link>,
     /// Pools for which other entries or this one have sent demand here.
     pub owned: BTreeMap<PoolId, Owned>,
+    /// Servers whose answers said that they are leaving, and when.
+    pub said_leaving: BTreeMap<ServerId, Instant>,
     /// Connections to these instances broke and have not been renewed.
     pub broken: BTreeSet<InstanceId>,
     /// A pause made this instance's view old; nothing is dispatched until it is confirmed.
     pub stale: Option<Instant>,
     /// Numbers of the pause, to tell confirmations apart.
     pub pauses: u64,
+    /// Revision that a peer named after the pause; the view is old until it is in force.
+    pub awaited: Option<u64>,
     /// Messages that wait to be sent.
     pub outbox: Vec<(InstanceId, Message)>,
     /// Requests that may go to a server.
@@ -154,8 +164,10 @@
     pub refusals: Vec<(RequestKey, Code)>,
     /// Last tick.
     pub ticked: Instant,
-    /// When owners were last worked out with the passing of time.
-    pub placed: Instant,
+    /// When owners must be worked out anew although nothing changed.
+    pub replace: Option<Instant>,
+    /// Revision whose servers and slots the owned pools have.
+    pub sized: u64,
 }
 
 impl Board {
@@ -168,6 +180,9 @@
             config: Arc::new(FleetConfig::default()),
             manifest: Manifest::default(),
             values: Arc::new(Values::new()),
+            intake: Intake::default(),
+            start: Start::default(),
+            roster: Roster::default(),
             members: Members::new(me, contact, incarnation, now),
             reports: Reports::default(),
             ledger: Ledger::default(),
@@ -177,14 +192,17 @@
             dirty: BTreeSet::new(),
             links: BTreeMap::new(),
             owned: BTreeMap::new(),
+            said_leaving: BTreeMap::new(),
             broken: BTreeSet::new(),
             stale: None,
             pauses: 0,
+            awaited: None,
             outbox: Vec::new(),
             dispatches: Vec::new(),
             refusals: Vec::new(),
             ticked: now,
-            placed: now,
+            replace: None,
+            sized: 0,
         }
     }
 
--- a/crates/hawthornmill/src/config/mod.rs
+++ b/crates/hawthornmill/src/config/mod.rs
@@ -6,6 +6,7 @@
 //! the revision in force, so it is the same on every instance.
 
 pub mod accept;
+pub mod intake;
 pub mod model;
 pub mod parse;
 
--- a/crates/hawthornmill/src/membership/mod.rs
+++ b/crates/hawthornmill/src/membership/mod.rs
@@ -7,15 +7,48 @@
 
 pub mod place;
 pub mod reports;
+pub mod roster;
+pub mod start;
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use crate::ident::{DomainId, Incarnation, InstanceId, RegionId};
 use crate::wire::message::Contact;
+use place::SEASONING;
+use roster::Roster;
 
-/// Heartbeat intervals that may pass in silence before an instance counts as dead.
-const MISSED_BEATS: u32 = 5;
+/// Intervals that may pass in silence before an instance counts as dead.
+const MISSED_BEATS: u32 = 3;
+/// Least silence after which an instance counts as dead.
+const LEAST_PATIENCE: Duration = Duration::from_millis(500);
+/// Silence after which an instance that the platform does not list is forgotten.
+const FORGET_AFTER: Duration = Duration::from_mins(1);
+/// Longest steadiness that is told, in tenths of a second.
+const MOST_STEADY: u128 = 255;
+/// Difference between the told and the known steadiness that is taken for rounding and delay.
+const STEADY_SLACK: Duration = Duration::from_millis(500);
+
+/// Time for one heartbeat to one instance, so that all of them stay within about 1.5 KB/s.
+const BEAT_EACH: Duration = Duration::from_millis(40);
+/// Longest time between heartbeats.
+const MOST_BEAT: Duration = Duration::from_secs(5);
+
+/// Time between heartbeats to `targets` instances: `base`, or longer when they are many.
+///
+/// The receiver's patience follows from the interval, which each heartbeat tells.
+pub fn beat_interval(base: Duration, targets: usize) -> Duration {
+    (BEAT_EACH * targets as u32).min(MOST_BEAT).max(base)
+}
+
+/// Who says that an instance leaves.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LeavingWords {
+    /// It said so itself; never taken back within one run.
+    pub own: bool,
+    /// The platform's list says so.
+    pub listed: bool,
+}
 
 /// One instance as this one sees it.
 #[derive(Debug, Clone)]
@@ -28,13 +61,15 @@
     pub region: RegionId,
     /// Its latest process run that was heard of.
     pub incarnation: Incarnation,
-    /// It takes no new work.
+    /// It takes no new work, by any of `words`.
     pub leaving: bool,
+    /// Who says that it leaves.
+    pub words: LeavingWords,
     /// Configuration revision in force there.
     pub revision: u64,
     /// It was heard recently enough.
     pub live: bool,
-    /// Since when it is live without a break.
+    /// Since when it is steady: it started, woke, or was heard again after a silence.
     pub since: Instant,
     /// Last sign of life.
     pub heard: Option<Instant>,
@@ -48,6 +83,16 @@
         self.heard
             .is_some_and(|h| now.duration_since(h) <= self.patience)
     }
+
+    /// Tells whether it has been steady for long enough to be preferred as an owner.
+    pub fn is_seasoned(&self, now: Instant) -> bool {
+        now.duration_since(self.since) >= SEASONING
+    }
+
+    fn weigh_words(&mut self) -> bool {
+        let leaving = self.words.own || self.words.listed;
+        std::mem::replace(&mut self.leaving, leaving) != leaving
+    }
 }
 
 /// A sign of life.
@@ -63,6 +108,8 @@
     pub revision: u64,
     /// Time until the next sign of this kind is due.
     pub interval: Duration,
+    /// Tenths of a second for which the giver has been steady.
+    pub steady: u8,
 }
 
 /// Every instance that this one knows of, itself included.
@@ -78,6 +125,8 @@
     pub died: Vec<InstanceId>,
     /// Members that were heard again, or for the first time, since then.
     pub revived: Vec<InstanceId>,
+    /// When most of the own failure domain was last silent.
+    cut: Option<Instant>,
 }
 
 impl Members {
@@ -92,6 +141,7 @@
             changed: true,
             died: Vec::new(),
             revived: Vec::new(),
+            cut: None,
         }
     }
 
@@ -122,18 +172,67 @@
         self.changed = true;
     }
 
-    /// Takes the platform's word that an instance is leaving.
+    /// Takes an instance's own word that it is leaving.
     pub fn set_leaving(&mut self, id: InstanceId) {
-        if let Some(member) = self.map.get_mut(&id)
-            && !member.leaving
-        {
-            member.leaving = true;
-            self.changed = true;
+        if let Some(member) = self.map.get_mut(&id) {
+            member.words.own = true;
+            self.changed |= member.weigh_words();
         }
     }
 
+    /// Takes contacts and the word on leaving from the platform's list.
+    pub fn follow_roster(&mut self, roster: &Roster, now: Instant) {
+        for (_, listed) in roster.entries() {
+            self.learn(listed.contact.clone(), now);
+        }
+        for (id, member) in &mut self.map {
+            member.words.listed = roster.get(*id).is_some_and(|l| l.leaving);
+            self.changed |= member.weigh_words();
+        }
+    }
+
+    /// Forgets instances that are gone for good, not listed and long silent, and returns them.
+    pub fn forget_gone(&mut self, roster: &Roster, now: Instant) -> Vec<InstanceId> {
+        let me = self.me;
+        let gone = |id: &InstanceId, member: &Member| {
+            let last = member.heard.unwrap_or(member.since);
+            let silent = !member.live && now.duration_since(last) > FORGET_AFTER;
+            *id != me && silent && roster.get(*id).is_none()
+        };
+        let ids: Vec<InstanceId> = self
+            .map
+            .iter()
+            .filter(|(id, member)| gone(id, member))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in &ids {
+            self.map.remove(id);
+        }
+        ids
+    }
+
+    /// What this instance says of itself.
+    pub fn own_sign(&self, revision: u64, interval: Duration, now: Instant) -> Sign {
+        let own = self.own();
+        Sign {
+            from: self.me,
+            incarnation: own.incarnation,
+            leaving: own.words.own,
+            revision,
+            interval,
+            steady: self.steady(now),
+        }
+    }
+
+    /// Tenths of a second for which this instance has been steady.
+    pub fn steady(&self, now: Instant) -> u8 {
+        let tenths = now.duration_since(self.own().since).as_millis() / 100;
+        tenths.min(MOST_STEADY) as u8
+    }
+
     /// Takes a sign of life; false when the giver is unknown or the sign is of an earlier run.
     pub fn hear(&mut self, sign: Sign, now: Instant) -> bool {
+        let cut = self.was_cut(now);
         let Some(member) = self.map.get_mut(&sign.from) else {
             return false;
         };
@@ -141,20 +240,34 @@
             return false;
         }
         let restarted = sign.incarnation > member.incarnation;
-        if restarted || !member.live {
-            member.since = now;
-            member.leaving = false;
-            self.changed = true;
-            self.revived.push(sign.from);
+        let again = !restarted && !member.live;
+        if restarted {
+            member.words.own = false;
         }
-        if sign.leaving != member.leaving {
-            // Within one run leaving is never taken back, so a late frame can't revive it.
-            member.leaving |= sign.leaving;
+        // All views take how long an instance has been steady from itself, so they agree on who is
+        // preferred as an owner. One that comes and goes without noticing starts anew in each view.
+        let told = steady_since(sign.steady, now);
+        let since = if restarted || (again && cut) {
+            told
+        } else if again {
+            now
+        } else if told > member.since + STEADY_SLACK {
+            told
+        } else {
+            member.since
+        };
+        self.changed |= since != member.since;
+        member.since = since;
+        if restarted || again {
             self.changed = true;
+            self.revived.push(sign.from);
         }
+        // Within one run leaving is never taken back, so a late frame can't revive it.
+        member.words.own |= sign.leaving;
+        self.changed |= member.weigh_words();
         member.incarnation = sign.incarnation;
         member.revision = member.revision.max(sign.revision);
-        let patience = sign.interval * MISSED_BEATS;
+        let patience = (sign.interval * MISSED_BEATS).max(LEAST_PATIENCE);
         let slower = member.live && patience > member.patience;
         // A relayed report must not cover the silence of the more frequent direct heartbeats.
         if slower && !restarted && member.within_patience(now) {
@@ -163,9 +276,41 @@
         member.live = true;
         member.heard = Some(now);
         member.patience = patience;
+        if again && cut {
+            self.set_unsteady(now);
+        }
         true
     }
 
+    /// This instance was stopped or cut off: others took over meanwhile and should keep it.
+    pub fn set_unsteady(&mut self, now: Instant) {
+        if let Some(own) = self.map.get_mut(&self.me) {
+            own.since = now;
+        }
+        self.changed = true;
+    }
+
+    /// Tells whether most of the own failure domain was silent a moment ago.
+    ///
+    /// Whoever is cut off from the others sees all of them go silent, and all of them come back
+    /// when the cut heals. It is the one that went, and must not take their pools.
+    fn was_cut(&self, now: Instant) -> bool {
+        self.cut
+            .is_some_and(|at| now.duration_since(at) < SEASONING)
+    }
+
+    fn notice_cut(&mut self, now: Instant) {
+        let home = self.own().domain;
+        let mates = self
+            .map
+            .iter()
+            .filter(|(id, m)| **id != self.me && m.domain == home && m.heard.is_some());
+        let (live, silent): (Vec<_>, Vec<_>) = mates.partition(|(_, m)| m.live);
+        if silent.len() > live.len() {
+            self.cut = Some(now);
+        }
+    }
+
     /// Marks members that have been silent for too long.
     pub fn sweep(&mut self, now: Instant) {
         for (id, member) in &mut self.map {
@@ -178,6 +323,7 @@
                 self.died.push(*id);
             }
         }
+        self.notice_cut(now);
     }
 
     /// Takes a broken connection as a first doubt: the member must be heard again soon.
@@ -197,6 +343,11 @@
         self.map.get(&id).is_some_and(|m| m.live && !m.leaving)
     }
 
+    /// Tells whether `id` is live.
+    pub fn is_live(&self, id: InstanceId) -> bool {
+        self.map.get(&id).is_some_and(|m| m.live)
+    }
+
     /// Live instances, this one included.
     pub fn live(&self) -> impl Iterator<Item = (InstanceId, &Member)> {
         self.map
@@ -206,6 +357,11 @@
     }
 }
 
+fn steady_since(tenths: u8, now: Instant) -> Instant {
+    let steady = Duration::from_millis(u64::from(tenths) * 100);
+    now.checked_sub(steady).unwrap_or(now)
+}
+
 fn new_member(contact: Contact, now: Instant) -> Member {
     Member {
         domain: DomainId::of(&contact.domain),
@@ -213,6 +369,7 @@
         contact,
         incarnation: Incarnation::default(),
         leaving: false,
+        words: LeavingWords::default(),
         revision: 0,
         live: false,
         since: now,
--- a/crates/hawthornmill/src/membership/place.rs
+++ b/crates/hawthornmill/src/membership/place.rs
@@ -10,7 +10,7 @@
 use crate::ident::{DomainId, InstanceId, PoolId, RegionId, mix};
 
 /// Time for which an instance must have been live before it is preferred as an owner.
-pub const SEASONING: Duration = Duration::from_secs(2);
+pub const SEASONING: Duration = Duration::from_secs(3);
 /// Instances of a failure domain that watch the platform's configuration.
 pub const READERS: usize = 2;
 
@@ -33,14 +33,20 @@
     members
         .live()
         .filter(|(_, m)| !m.leaving && tier(m))
-        .max_by_key(|(id, m)| {
-            // A newcomer, or one that keeps coming and going, does not take pools from others.
-            let seasoned = now.duration_since(m.since) >= SEASONING;
-            (seasoned, mix(salt ^ id.0))
-        })
+        // A newcomer, or one that keeps coming and going, does not take pools from others.
+        .max_by_key(|(id, m)| (m.is_seasoned(now), mix(salt ^ id.0)))
         .map(|(id, _)| id)
 }
 
+/// When the next live instance will have been steady for long enough to be preferred.
+pub fn next_seasoned(members: &Members, now: Instant) -> Option<Instant> {
+    members
+        .live()
+        .filter(|(_, m)| !m.leaving && !m.is_seasoned(now))
+        .map(|(_, m)| m.since + SEASONING)
+        .min()
+}
+
 /// The relay of a failure domain.
 pub fn domain_relay(members: &Members, domain: DomainId) -> Option<InstanceId> {
     ranked(members, domain.0, &|m| m.domain == domain)
--- a/crates/hawthornmill/src/membership/reports.rs
+++ b/crates/hawthornmill/src/membership/reports.rs
@@ -18,6 +18,10 @@
 pub const REFRESH: u32 = 16;
 /// Counters that one report in a datagram may carry.
 const COSTS_EACH: usize = 40;
+/// Rounds after which an instance reports although nothing changed.
+pub const KEEPALIVE: u32 = 4;
+/// Bytes of reports in one datagram; the frame's header fits under the datagram limit besides.
+const BATCH: usize = 1200;
 
 #[derive(Debug, Clone, Default)]
 struct Origin {
@@ -25,6 +29,7 @@
     version: u32,
     leaving: bool,
     revision: u64,
+    steady: u8,
     pools: Vec<PoolState>,
     costs: BTreeMap<CostKey, (f32, u32)>,
     from: Option<InstanceId>,
@@ -36,22 +41,34 @@
     origins: BTreeMap<InstanceId, Origin>,
     sent: BTreeMap<InstanceId, BTreeMap<InstanceId, (Incarnation, u32)>>,
     round: u32,
+    written: u32,
 }
 
 impl Reports {
-    /// Writes this instance's own report.
+    /// Writes this instance's own report, if anything in it changed or a sign of life is due.
     pub fn write_own(
         &mut self,
         members: &Members,
         revision: u64,
         pools: Vec<PoolState>,
         costs: Vec<(CostKey, f64)>,
+        now: Instant,
     ) {
         let own = members.own();
         let origin = self.origins.entry(members.me).or_default();
+        let same = origin.leaving == own.words.own
+            && origin.revision == revision
+            && origin.pools == pools
+            && costs.is_empty();
+        let recent = self.round.wrapping_sub(self.written) < KEEPALIVE;
+        if same && recent && origin.version > 0 {
+            return;
+        }
+        self.written = self.round;
+        origin.steady = members.steady(now);
         origin.incarnation = own.incarnation;
         origin.version += 1;
-        origin.leaving = own.leaving;
+        origin.leaving = own.words.own;
         origin.revision = revision;
         origin.pools = pools;
         for (key, value) in costs {
@@ -92,6 +109,7 @@
         origin.version = report.version;
         origin.leaving = report.leaving;
         origin.revision = report.revision;
+        origin.steady = report.steady;
         origin.pools = report.pools;
         origin.from = Some(from);
         members.hear(
@@ -100,13 +118,20 @@
                 incarnation: report.incarnation,
                 leaving: report.leaving,
                 revision: report.revision,
-                interval,
+                interval: interval * KEEPALIVE,
+                steady: report.steady,
             },
             now,
         );
         true
     }
 
+    /// Forgets what an instance told that is gone for good.
+    pub fn forget(&mut self, id: InstanceId) {
+        self.origins.remove(&id);
+        self.sent.remove(&id);
+    }
+
     /// The last state told of `pool`, by whichever live instance owns it.
     pub fn pool(&self, pool: PoolId, owner: InstanceId) -> Option<PoolState> {
         self.origins
@@ -131,11 +156,8 @@
         let mut out = Vec::new();
         for target in neighbours(members, self.round) {
             let reports = self.news_for(target, members);
-            out.extend(
-                reports
-                    .into_iter()
-                    .map(|r| (target, Message::Reports(vec![r]))),
-            );
+            let batches = batch(reports);
+            out.extend(batches.into_iter().map(|b| (target, Message::Reports(b))));
         }
         out
     }
@@ -162,6 +184,23 @@
     }
 }
 
+/// Puts reports together as long as they fit into one datagram; a frame's header is paid once each.
+fn batch(reports: Vec<Report>) -> Vec<Vec<Report>> {
+    let mut batches: Vec<Vec<Report>> = Vec::new();
+    let mut room = 0;
+    for report in reports {
+        let size = postcard::to_allocvec(&report).map_or(BATCH, |bytes| bytes.len());
+        if let Some(last) = batches.last_mut().filter(|_| size <= room) {
+            room -= size;
+            last.push(report);
+        } else {
+            room = BATCH.saturating_sub(size);
+            batches.push(vec![report]);
+        }
+    }
+    batches
+}
+
 fn split(id: InstanceId, origin: &Origin, after: u32) -> Vec<Report> {
     let costs: Vec<(CostKey, f32)> = origin
         .costs
@@ -182,6 +221,7 @@
             version: origin.version,
             leaving: origin.leaving,
             revision: origin.revision,
+            steady: origin.steady,
             pools: origin.pools.clone(),
             costs,
         })
--- a/crates/hawthornmill/src/pools/entry.rs
+++ b/crates/hawthornmill/src/pools/entry.rs
@@ -18,6 +18,8 @@
 /// More would only cost messages: a grant raises the want again, and an owner seldom frees more
 /// slots at once.
 pub const WANT_CAP: usize = 16;
+/// Time for which a server's word that it leaves holds at an entry; the owner reads its load anew.
+const SAID_LEAVING: Duration = Duration::from_secs(5);
 
 /// A slot that this entry holds.
 #[derive(Debug, Clone, Copy)]
@@ -167,7 +169,9 @@
         // An old view must not start anything: a process that was paused may hold grants that
         // the owner has long given to others.
         if board.stale.is_some() || !assign(board, grants.pool, id, now) {
-            give_back(board, grants.pool, id, 0.0, false);
+            // An owner that has not heard yet that the server leaves would grant it over and over.
+            let leaving = takes_no_work(board, grant.server, now);
+            give_back(board, grants.pool, id, 0.0, leaving);
         }
     }
 }
@@ -214,7 +218,7 @@
     let Some(share) = config.share(account, server) else {
         return false;
     };
-    if known.leaving {
+    if takes_no_work(board, server, now) {
         return false;
     }
     let Some(request) = next_request(board, known.service, account, server, now) else {
@@ -242,6 +246,21 @@
     true
 }
 
+/// Tells whether the configuration or the server itself says that it is leaving.
+fn takes_no_work(board: &Board, server: ServerId, now: Instant) -> bool {
+    let listed = board.config.servers.get(&server).is_some_and(|s| s.leaving);
+    let said = board.said_leaving.get(&server);
+    listed || said.is_some_and(|at| now.duration_since(*at) < SAID_LEAVING)
+}
+
+/// An answer of `server` said that it is leaving.
+pub fn on_server_leaving(board: &mut Board, server: ServerId, now: Instant) {
+    board.said_leaving.insert(server, now);
+    board
+        .said_leaving
+        .retain(|_, at| now.duration_since(*at) < SAID_LEAVING);
+}
+
 fn next_request(
     board: &Board,
     service: ServiceId,
--- a/crates/hawthornmill/src/pools/mod.rs
+++ b/crates/hawthornmill/src/pools/mod.rs
@@ -12,6 +12,7 @@
 pub mod schedule;
 pub mod tick;
 
+use std::collections::BTreeSet;
 use std::time::Instant;
 
 use crate::board::Board;
@@ -21,6 +22,24 @@
 /// Rounds of messages to itself that one turn may take.
 const SELF_ROUNDS: usize = 64;
 
+/// Instances that need this one's heartbeats: its failure domain, and those it works with.
+pub fn beat_targets(board: &Board) -> BTreeSet<InstanceId> {
+    let home = board.members.own().domain;
+    let mates = board.members.map.iter().filter(|(_, m)| m.domain == home);
+    let owners = board
+        .links
+        .values()
+        .filter(|link| !link.told.is_empty() || !link.held.is_empty())
+        .filter_map(|link| link.owner);
+    let owned = board.owned.values().filter(|owned| owned.active);
+    let entries = owned.flat_map(|owned| owned.entries.keys());
+    let mut targets: BTreeSet<InstanceId> = mates.map(|(id, _)| *id).collect();
+    targets.extend(owners.map(|(id, _)| id));
+    targets.extend(entries);
+    targets.remove(&board.me());
+    targets
+}
+
 /// Runs everything that recent events have made due, messages to itself included.
 pub fn turn(board: &mut Board, now: Instant) {
     for _ in 0..SELF_ROUNDS {
@@ -59,6 +78,7 @@
         Message::Demand(demand) => owner::on_demand(board, from, incarnation, &demand, now),
         Message::Grants(grants) => entry::on_grants(board, from, incarnation, &grants, now),
         Message::Holding(holding) => owner::on_holding(board, from, incarnation, &holding, now),
+        Message::Handover(handover) => ownership::on_handover(board, &handover, now),
         Message::Sync { pool, last } => entry::on_sync(board, from, incarnation, pool, last),
         _ => {}
     }
--- a/crates/hawthornmill/src/pools/owner.rs
+++ b/crates/hawthornmill/src/pools/owner.rs
@@ -22,8 +22,10 @@
     pub used: u16,
     /// Class in the configuration.
     pub class: u16,
-    /// It gets no new work.
+    /// The configuration says that it gets no new work.
     pub leaving: bool,
+    /// Its own load report says so.
+    pub says_leaving: bool,
     /// It could not be reached; no grants until then.
     pub avoid: Option<Instant>,
     /// Most slots granted at once since the last load reading, and before it.
@@ -33,19 +35,21 @@
 }
 
 impl ServerSlots {
-    /// Takes slots, class and state from the configuration.
-    pub fn resize(&mut self, total: u16, class: u16, leaving: bool) {
+    /// Takes slots, class and state from the configuration; true when that changed anything.
+    pub fn resize(&mut self, total: u16, class: u16, leaving: bool) -> bool {
+        let old = (self.total, self.class, self.leaving);
         if self.total != total {
             self.total = total;
             self.limit = total;
         }
         self.class = class;
         self.leaving = leaving;
+        old != (total, class, leaving)
     }
 
     /// Slots that may be granted now.
     pub fn free(&self, now: Instant) -> u16 {
-        if self.leaving || self.avoid.is_some_and(|until| now < until) {
+        if self.leaving || self.says_leaving || self.avoid.is_some_and(|until| now < until) {
             return 0;
         }
         self.limit.saturating_sub(self.used)
@@ -129,6 +133,8 @@
     pub active: bool,
     /// From when on it grants.
     pub ready: Option<Instant>,
+    /// When the old owner handed the pool over, before this instance took itself for the owner.
+    pub handed: Option<Instant>,
     /// Servers.
     pub servers: BTreeMap<ServerId, ServerSlots>,
     /// Slots held, by entry and grant.
@@ -203,15 +209,17 @@
         self.dirty = true;
     }
 
-    fn add_held(&mut self, entry: InstanceId, held: &Held) {
+    /// Books a slot that an entry holds.
+    pub fn add_held(&mut self, entry: InstanceId, held: &Held, charged: f64) {
+        if self.held.contains_key(&(entry, held.grant)) {
+            return;
+        }
         let slot = HeldSlot {
             account: held.account,
             server: held.server,
-            charged: 0.0,
+            charged,
         };
-        if self.held.insert((entry, held.grant), slot).is_some() {
-            return;
-        }
+        self.held.insert((entry, held.grant), slot);
         self.servers.entry(held.server).or_default().take();
         self.accounts.entry(held.account).or_default().held += 1;
     }
@@ -340,7 +348,7 @@
         refunds.extend(owned.free(from, grant));
     }
     for held in &holding.held {
-        owned.add_held(from, held);
+        owned.add_held(from, held, 0.0);
     }
     // Every grant up to `ack` has arrived or is lost, so what is granted counts from there.
     let flying: Vec<AccountId> = owned
@@ -387,6 +395,17 @@
     }
 }
 
+/// Takes a server's own word, in its load report, on whether it is leaving.
+pub fn on_leaving(board: &mut Board, pool: PoolId, server: ServerId, leaving: bool) {
+    if let Some(owned) = board.owned.get_mut(&pool)
+        && let Some(slots) = owned.servers.get_mut(&server)
+        && slots.says_leaving != leaving
+    {
+        slots.says_leaving = leaving;
+        owned.dirty = true;
+    }
+}
+
 /// Takes a server's load reading.
 pub fn on_load(board: &mut Board, pool: PoolId, server: ServerId, running: u16) {
     if let Some(owned) = board.owned.get_mut(&pool)
--- a/crates/hawthornmill/src/pools/ownership.rs
+++ b/crates/hawthornmill/src/pools/ownership.rs
@@ -1,7 +1,7 @@
 //! Follows who owns which pool.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::board::{Board, Policy};
 use crate::config::FleetConfig;
@@ -9,7 +9,10 @@
 use crate::membership::place;
 use crate::pools::entry;
 use crate::pools::owner::Owned;
-use crate::wire::message::Message;
+use crate::wire::message::{Handover, Held, HeldBy, Message};
+
+/// Time for which a handover is good that came before this instance took itself for the owner.
+const HANDED: Duration = Duration::from_secs(1);
 
 /// Works out owners anew after the members or the configuration changed.
 pub fn refresh(board: &mut Board, now: Instant) {
@@ -17,6 +20,7 @@
         return;
     }
     board.members.changed = false;
+    board.replace = place::next_seasoned(&board.members, now);
     let config = Arc::clone(&board.config);
     for (id, pool) in &config.pools {
         let owner = match board.tuning.policy {
@@ -27,7 +31,11 @@
     }
     board.owned.retain(|id, _| config.pools.contains_key(id));
     follow_lives(board);
-    resize(board, &config);
+    // Static parts also depend on how many instances are live.
+    if board.sized != config.revision || board.tuning.policy == Policy::Static {
+        board.sized = config.revision;
+        resize(board, &config);
+    }
 }
 
 fn follow(board: &mut Board, pool: PoolId, owner: Option<InstanceId>, now: Instant) {
@@ -49,14 +57,50 @@
     let me = board.me();
     let book = board.owned.entry(pool).or_default();
     if mine && !book.active {
-        book.activate(ready);
+        if book
+            .handed
+            .is_some_and(|at| now.duration_since(at) > HANDED)
+        {
+            *book = Owned::default();
+        }
+        let handed = book.handed.take().is_some();
+        book.activate(if handed { now } else { ready });
+        // The book of a pool that was not owned here has no slots yet.
+        board.sized = 0;
         let peers: Vec<InstanceId> = board.members.live().map(|(id, _)| id).collect();
         for peer in peers.into_iter().filter(|p| *p != me) {
             board.outbox.push((peer, Message::Sync { pool, last: 0 }));
         }
     }
     if !mine && book.active {
-        *book = Owned::default();
+        let book = std::mem::take(book);
+        if let Some(to) = owner.filter(|_| board.stale.is_none()) {
+            let handover = Message::Handover(handover(pool, &book));
+            board.outbox.push((to, handover));
+        }
+    }
+}
+
+/// What the next owner of a pool must know to grant at once.
+fn handover(pool: PoolId, book: &Owned) -> Handover {
+    let held = book.held.iter().filter_map(|((entry, grant), slot)| {
+        let held = Held {
+            grant: *grant,
+            account: slot.account,
+            server: slot.server,
+        };
+        Some(HeldBy {
+            entry: *entry,
+            incarnation: *book.entries.get(entry)?,
+            held,
+            charged: slot.charged,
+        })
+    });
+    Handover {
+        pool,
+        level: book.level,
+        lifts: book.accounts.iter().map(|(a, q)| (*a, q.lift)).collect(),
+        held: held.collect(),
     }
 }
 
@@ -85,6 +129,40 @@
     }
 }
 
+/// Takes over from the old owner of a pool.
+///
+/// Without its word, a new owner knows nothing of the slots that are held and must first wait for
+/// every entry to say so, while free slots idle. An entry that has spoken already knows better than
+/// the old owner; and an owner that grants already has heard all of them, so a word that comes late,
+/// from one that was cut off or paused, changes nothing.
+pub fn on_handover(board: &mut Board, handover: &Handover, now: Instant) {
+    if !board.config.pools.contains_key(&handover.pool) {
+        return;
+    }
+    let book = board.owned.entry(handover.pool).or_default();
+    if book.active && book.ready.is_some_and(|ready| ready <= now) {
+        return;
+    }
+    let spoken: Vec<InstanceId> = book.entries.keys().copied().collect();
+    for by in &handover.held {
+        if spoken.contains(&by.entry) || !board.members.is_live(by.entry) {
+            continue;
+        }
+        book.entries.insert(by.entry, by.incarnation);
+        book.add_held(by.entry, &by.held, by.charged);
+    }
+    book.level = book.level.max(handover.level);
+    for (account, lift) in &handover.lifts {
+        let queue = book.accounts.entry(*account).or_default();
+        queue.lift = queue.lift.max(*lift);
+    }
+    if book.active {
+        book.activate(now);
+    } else {
+        book.handed = Some(now);
+    }
+}
+
 /// Takes servers and their slots from the configuration.
 fn resize(board: &mut Board, config: &FleetConfig) {
     let live: Vec<InstanceId> = board.members.live().map(|(id, _)| id).collect();
@@ -102,9 +180,8 @@
                 Policy::Static => part(known.slots, rank, live.len(), server.0),
             };
             let entry = owned.servers.entry(*server).or_default();
-            entry.resize(slots, known.class, known.leaving);
+            owned.dirty |= entry.resize(slots, known.class, known.leaving);
         }
-        owned.dirty = true;
     }
 }
 
--- a/crates/hawthornmill/src/pools/tick.rs
+++ b/crates/hawthornmill/src/pools/tick.rs
@@ -1,14 +1,11 @@
 //! What is due with the passing of time alone.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use super::entry;
 use crate::board::Board;
 use crate::ident::InstanceId;
-use crate::wire::message::{Message, PoolState};
-
-/// Time between two workings-out of owners when nothing changed.
-const PLACE_EVERY: Duration = Duration::from_millis(500);
+use crate::wire::message::{Message, PoolState, ProbeAck};
 
 /// Notices that the process was stopped for a while; called with every tick and arrival.
 pub fn notice_pause(board: &mut Board, now: Instant) {
@@ -28,10 +25,14 @@
     {
         confirm(board, now);
     }
+    follow_awaited(board, now);
     entry::expire(board, now);
     follow_time(board, now);
     if board.stale.is_none() {
         board.members.sweep(now);
+        for id in board.members.forget_gone(&board.roster, now) {
+            board.reports.forget(id);
+        }
     }
     let due: Vec<_> = board
         .owned
@@ -46,11 +47,11 @@
     }
 }
 
-/// Works owners out anew now and then: an instance that has been live for long enough is preferred
-/// from then on, and no event says when that is.
+/// Works owners out anew when an instance has been steady for long enough: it is preferred from
+/// then on, and no event says when that is.
 fn follow_time(board: &mut Board, now: Instant) {
-    if now.duration_since(board.placed) >= PLACE_EVERY {
-        board.placed = now;
+    if board.replace.is_some_and(|due| due <= now) {
+        board.replace = None;
         board.members.changed = true;
     }
 }
@@ -63,11 +64,9 @@
     board.stale = Some(now);
     board.pauses += 1;
     let number = board.pauses;
+    board.awaited = None;
     let me = board.me();
-    if let Some(own) = board.members.map.get_mut(&me) {
-        own.since = now;
-    }
-    board.members.changed = true;
+    board.members.set_unsteady(now);
     let peers: Vec<InstanceId> = board
         .members
         .map
@@ -80,15 +79,30 @@
     }
 }
 
-/// A peer answered a question asked after the last pause.
-pub fn on_probe_ack(board: &mut Board, number: u64, now: Instant) {
-    if board.stale.is_some() && number == board.pauses {
+/// A peer answered a question.
+///
+/// An answer to a question asked before the last pause may have lain in the socket during it and
+/// says nothing; the number tells. If the peer has a later configuration in force, servers may have
+/// been taken out of use during the pause, so the view is old until that revision is in force here.
+pub fn on_probe_ack(board: &mut Board, ack: ProbeAck, now: Instant) {
+    board.start.highest = board.start.highest.max(ack.revision);
+    board.start.serving |= ack.serving;
+    if board.stale.is_some() && ack.number == board.pauses && board.pauses > 0 {
+        board.awaited = board.awaited.max(Some(ack.revision));
+        follow_awaited(board, now);
+    }
+}
+
+fn follow_awaited(board: &mut Board, now: Instant) {
+    let awaited = board.awaited;
+    if board.stale.is_some() && awaited.is_some_and(|r| r <= board.config.revision) {
         confirm(board, now);
     }
 }
 
 fn confirm(board: &mut Board, now: Instant) {
     board.stale = None;
+    board.awaited = None;
     board.members.sweep(now);
     let keys: Vec<_> = board.queues.keys().copied().collect();
     board.dirty.extend(keys);
@@ -116,7 +130,7 @@
     let revision = board.config.revision;
     board
         .reports
-        .write_own(&board.members, revision, pools, costs);
+        .write_own(&board.members, revision, pools, costs, now);
     let keys: Vec<_> = board.queues.keys().copied().collect();
     board.dirty.extend(keys);
     board.reports.round(&board.members)
--- a/crates/hawthornmill/src/wire/message.rs
+++ b/crates/hawthornmill/src/wire/message.rs
@@ -119,6 +119,8 @@
     pub leaving: bool,
     /// Configuration revision in force there.
     pub revision: u64,
+    /// Tenths of a second for which it has been steady, as in a [`Heartbeat`].
+    pub steady: u8,
     /// Pools that it owns.
     pub pools: Vec<PoolState>,
     /// Own cumulative counters that changed.
@@ -163,22 +165,100 @@
     pub peer: Box<str>,
 }
 
+/// A sign of life.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The sender takes no new work.
+    pub leaving: bool,
+    /// Configuration revision in force there.
+    pub revision: u64,
+    /// Milliseconds until the next heartbeat is due.
+    pub interval: u16,
+    /// Tenths of a second since the sender started, woke from a pause or was cut off; 255 at most.
+    pub steady: u8,
+    /// The platform answered the sender in the last seconds.
+    pub platform: bool,
+    /// Digest of the instance list that the sender holds.
+    pub roster: u32,
+    /// How to reach the sender; sent now and then.
+    pub contact: Option<Box<Contact>>,
+}
+
+/// Answers a probe.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProbeAck {
+    /// Number of the probe.
+    pub number: u64,
+    /// Configuration revision in force at the giver.
+    pub revision: u64,
+    /// The giver serves callers, so it has itself made sure of its revision.
+    pub serving: bool,
+}
+
+/// An instance in the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// How to reach it.
+    pub contact: Contact,
+    /// It is about to go.
+    pub leaving: bool,
+}
+
+/// Asks for the instance list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterPull {
+    /// Digest of the list that the asker holds.
+    pub have: u32,
+}
+
+/// What changed in the instance list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterDelta {
+    /// Digest of the list that this leads to.
+    pub digest: u32,
+    /// Digest of the list that this starts from; 0 for the empty one.
+    pub base: u32,
+    /// Entries that are new or different.
+    pub changed: Vec<Listed>,
+    /// Instances that are listed no longer.
+    pub gone: Vec<InstanceId>,
+}
+
+/// A slot that an entry holds, as the old owner knows it.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct HeldBy {
+    /// The entry.
+    pub entry: InstanceId,
+    /// Its process run.
+    pub incarnation: Incarnation,
+    /// The slot.
+    pub held: Held,
+    /// Normalised service that was charged for it.
+    pub charged: f64,
+}
+
+/// Old owner to new owner: what the new one would otherwise have to wait for.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Handover {
+    /// Pool that this is about.
+    pub pool: PoolId,
+    /// Normalised service of the account served last.
+    pub level: f64,
+    /// Lifts of the accounts.
+    pub lifts: Vec<(AccountId, f64)>,
+    /// Slots held.
+    pub held: Vec<HeldBy>,
+}
+
 /// A message between instances.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
     /// Sign of life inside a failure domain, over UDP.
-    Heartbeat {
-        /// The sender takes no new work.
-        leaving: bool,
-        /// Configuration revision in force there.
-        revision: u64,
-        /// How to reach the sender; sent now and then.
-        contact: Option<Box<Contact>>,
-    },
+    Heartbeat(Heartbeat),
     /// Asks for an immediate [`Message::ProbeAck`], over UDP.
     Probe(u64),
-    /// Answers a probe with its number.
-    ProbeAck(u64),
+    /// Answers a probe.
+    ProbeAck(ProbeAck),
     /// Reports, own and passed on, over UDP.
     Reports(Vec<Report>),
     /// Entry to owner.
@@ -202,4 +282,10 @@
     ConfigPull(ConfigPull),
     /// Answers with a newer configuration.
     ConfigValues(ConfigValues),
+    /// Asks for the instance list.
+    RosterPull(RosterPull),
+    /// Answers with what changed in the instance list.
+    RosterDelta(RosterDelta),
+    /// Old owner to new owner.
+    Handover(Handover),
 }
--- a/crates/hawthornmill/src/wire/mod.rs
+++ b/crates/hawthornmill/src/wire/mod.rs
@@ -9,6 +9,7 @@
 
 pub use frame::{Frame, FrameError, Opener, Sealer};
 pub use message::{
-    ConfigPull, ConfigValues, Demand, Done, Grant, GrantId, Grants, Held, Holding, Message,
-    PoolState, Report, Standing, Want,
+    ConfigPull, ConfigValues, Demand, Done, Grant, GrantId, Grants, Handover, Heartbeat, Held,
+    HeldBy, Holding, Listed, Message, PoolState, ProbeAck, Report, RosterDelta, RosterPull,
+    Standing, Want,
 };
