Prove ownership through leaves, restarts, flaps, cuts and pauses

Faults found on the way and mended: an event was taken before the pause was noticed, up to 20 ms after a wake (Fleet::feed now looks first); a handover left out the slots of entries that had spoken to the new owner long ago, so a server ran 6 calls on 4 slots (they are booked, and the entry asked anew).

Steps: instances got different incarnations, because equal ones made grants of two owners look alike; a pause is noticed on every event, as in a daemon.

--- a/crates/hawthornmill-net/src/fleet.rs
+++ b/crates/hawthornmill-net/src/fleet.rs
@@ -124,6 +124,8 @@
     pub fn feed<T>(&self, event: impl FnOnce(&mut Board, Instant) -> T) -> T {
         let now = self.clock.now();
         let mut core = self.lock();
+        // After a pause, a message may be taken before the next tick.
+        tick::notice_pause(&mut core.board, now);
         let result = event(&mut core.board, now);
         self.run(&mut core, now);
         result
--- a/crates/hawthornmill-test-support/src/steps.rs
+++ b/crates/hawthornmill-test-support/src/steps.rs
@@ -119,8 +119,10 @@
             asked: BTreeMap::new(),
             history: VecDeque::new(),
         };
-        for own in &contacts {
-            let mut board = Board::new(own.clone(), Incarnation(1), tuning.clone(), start);
+        for (n, own) in contacts.iter().enumerate() {
+            // Incarnations differ, as they do with real processes: grants are named by them.
+            let run = Incarnation(1000 * (n as u64 + 1));
+            let mut board = Board::new(own.clone(), run, tuning.clone(), start);
             for other in &contacts {
                 board.members.learn(other.clone(), start);
             }
@@ -177,6 +179,7 @@
             bytes: 100,
             deadline: now + Duration::from_millis(deadline),
         };
+        tick::notice_pause(&mut self.boards[entry], now);
         let key = entry::enqueue(&mut self.boards[entry], arrival, now)?;
         let asked = Asked {
             account,
@@ -284,6 +287,7 @@
     fn take(&mut self, from: usize, target: usize, message: Message, now: Instant) {
         let (sender, run) = (self.boards[from].me(), self.boards[from].incarnation);
         let board = &mut self.boards[target];
+        tick::notice_pause(board, now);
         match message {
             Message::Reports(reports) => {
                 for report in reports {
@@ -322,6 +326,7 @@
             *self.received.entry(run.account).or_default() += run.cost as f64;
             let (pool, grant) = (run.dispatch.pool, run.dispatch.grant);
             let board = &mut self.boards[run.entry];
+            tick::notice_pause(board, now);
             entry::finish(board, pool, grant, run.cost as f64, false, now);
         }
     }
@@ -332,6 +337,7 @@
             self.beat(index);
         }
         let board = &mut self.boards[index];
+        tick::notice_pause(board, now);
         if self.now.is_multiple_of(TICK) {
             tick::tick(board, now);
         }
--- a/crates/hawthornmill/src/pools/owner.rs
+++ b/crates/hawthornmill/src/pools/owner.rs
@@ -161,6 +161,17 @@
         self.dirty = true;
     }
 
+    /// Notes the process run of an entry that speaks; false when that run is over.
+    pub fn meet(&mut self, entry: InstanceId, incarnation: Incarnation) -> bool {
+        match self.entries.get(&entry) {
+            Some(known) if *known > incarnation => return false,
+            Some(known) if *known < incarnation => self.forget(entry),
+            _ => {}
+        }
+        self.entries.insert(entry, incarnation);
+        true
+    }
+
     /// Drops everything that `entry` wants and holds.
     pub fn forget(&mut self, entry: InstanceId) {
         if self.entries.remove(&entry).is_none() {
@@ -238,16 +249,6 @@
     incarnation.0 as u32
 }
 
-fn meet(owned: &mut Owned, entry: InstanceId, incarnation: Incarnation) -> bool {
-    match owned.entries.get(&entry) {
-        Some(known) if *known > incarnation => return false,
-        Some(known) if *known < incarnation => owned.forget(entry),
-        _ => {}
-    }
-    owned.entries.insert(entry, incarnation);
-    true
-}
-
 /// Takes what changed at an entry.
 pub fn on_demand(
     board: &mut Board,
@@ -260,7 +261,7 @@
         return;
     };
     let owned = board.owned.entry(demand.pool).or_default();
-    if !meet(owned, from, incarnation) {
+    if !owned.meet(from, incarnation) {
         return;
     }
     for want in &demand.wants {
@@ -335,7 +336,7 @@
     };
     let made = maker(board.incarnation);
     let owned = board.owned.entry(holding.pool).or_default();
-    if !meet(owned, from, incarnation) {
+    if !owned.meet(from, incarnation) {
         return;
     }
     let gone: Vec<GrantId> = owned
--- a/crates/hawthornmill/src/pools/ownership.rs
+++ b/crates/hawthornmill/src/pools/ownership.rs
@@ -132,9 +132,10 @@
 /// Takes over from the old owner of a pool.
 ///
 /// Without its word, a new owner knows nothing of the slots that are held and must first wait for
-/// every entry to say so, while free slots idle. An entry that has spoken already knows better than
-/// the old owner; and an owner that grants already has heard all of them, so a word that comes late,
-/// from one that was cut off or paused, changes nothing.
+/// every entry to say so, while free slots idle. An entry that has spoken here may know better than
+/// the old owner, or may have turned back to it since; its slots are taken as held, and it is asked
+/// again. An owner that grants already has heard all entries, so a word that comes late, from one
+/// that was cut off or paused, changes nothing.
 pub fn on_handover(board: &mut Board, handover: &Handover, now: Instant) {
     if !board.config.pools.contains_key(&handover.pool) {
         return;
@@ -143,13 +144,16 @@
     if book.active && book.ready.is_some_and(|ready| ready <= now) {
         return;
     }
-    let spoken: Vec<InstanceId> = book.entries.keys().copied().collect();
-    for by in &handover.held {
-        if spoken.contains(&by.entry) || !board.members.is_live(by.entry) {
-            continue;
+    for entry in book.entries.keys() {
+        let last = book.last.get(entry).copied().unwrap_or(0);
+        let pool = handover.pool;
+        board.outbox.push((*entry, Message::Sync { pool, last }));
+    }
+    let members = &board.members;
+    for by in handover.held.iter().filter(|h| members.is_live(h.entry)) {
+        if book.meet(by.entry, by.incarnation) {
+            book.add_held(by.entry, &by.held, by.charged);
         }
-        book.entries.insert(by.entry, by.incarnation);
-        book.add_held(by.entry, &by.held, by.charged);
     }
     book.level = book.level.max(handover.level);
     for (account, lift) in &handover.lifts {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod errors;
 mod frames;
 mod labels;
+mod membership;
 mod one_fleet;
 mod path;
 mod settings;
