--- a/crates/hawthornmill-net/src/peers/inbox.rs
+++ b/crates/hawthornmill-net/src/peers/inbox.rs
@@ -70,16 +70,19 @@
         interval: Duration::from_millis(heartbeat.interval.into()),
         steady: heartbeat.steady,
     };
-    let list = fleet.feed(|board, now| {
+    let (follows, list) = fleet.feed(|board, now| {
         if let Some(contact) = heartbeat.contact {
             board.members.learn(*contact, now);
         }
         board.members.hear(sign, now);
-        follows(board, from) && heartbeat.platform
+        let follows = follows(board, from) && heartbeat.platform;
+        (follows, follows || !board.roster.is_known())
     });
+    if follows {
+        fleet.platform.set_mate_read(fleet.clock.now());
+    }
     if list {
         let have = fleet.view(|board| board.roster.digest());
-        fleet.platform.set_mate_read(fleet.clock.now());
         if have != heartbeat.roster {
             let pull = Message::RosterPull(RosterPull { have });
             fleet.outgoing.send(from, pull);
@@ -99,7 +102,9 @@
 
 fn take_roster(fleet: &Arc<Fleet>, from: InstanceId, delta: RosterDelta) {
     fleet.feed(|board, now| {
-        if follows(board, from) && board.roster.apply(delta) {
+        // One that started while the platform is down takes the list from anybody.
+        let takes = follows(board, from) || !board.roster.is_known();
+        if takes && board.roster.apply(delta) {
             board.members.follow_roster(&board.roster, now);
         }
     });
--- a/crates/hawthornmill-net/src/peers/udp.rs
+++ b/crates/hawthornmill-net/src/peers/udp.rs
@@ -91,7 +91,7 @@
         let now = fleet.clock.now();
         let platform = fleet.platform.is_answered(now);
         let (interval, beats) = fleet.view(|board| {
-            let targets = beat_targets(board);
+            let targets = beat_targets(board, count as u32);
             let interval = beat_interval(fleet.settings.heartbeat, targets.len());
             let beat = heartbeat(board, interval, platform, now);
             let silent = |id: &InstanceId| !board.members.is_live(*id);
--- a/crates/hawthornmill/src/membership/place.rs
+++ b/crates/hawthornmill/src/membership/place.rs
@@ -3,6 +3,7 @@
 //! Each instance works these out alone. Two views that differ may name two owners for a moment; the
 //! slots that an owner may grant are bounded by what servers report, so that costs accuracy only.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use super::{Member, Members};
@@ -84,6 +85,18 @@
     silent.get(turn).copied()
 }
 
+/// One member of each failure domain in which nobody is heard, for the relay of this region.
+pub fn silent_guesses(members: &Members, round: u32) -> Vec<InstanceId> {
+    if region_relay(members, members.own().region) != Some(members.me) {
+        return Vec::new();
+    }
+    let heard: BTreeSet<DomainId> = members.live().map(|(_, m)| m.domain).collect();
+    let all: BTreeSet<DomainId> = members.map.values().map(|m| m.domain).collect();
+    all.difference(&heard)
+        .filter_map(|domain| guess(members, *domain, round))
+        .collect()
+}
+
 /// The instances of `domain` that watch the platform.
 pub fn readers(members: &Members, domain: DomainId) -> Vec<InstanceId> {
     let mut list = ranked(members, domain.0.rotate_left(7), &|m| m.domain == domain);
--- a/crates/hawthornmill/src/pools/mod.rs
+++ b/crates/hawthornmill/src/pools/mod.rs
@@ -17,13 +17,18 @@
 
 use crate::board::Board;
 use crate::ident::{Incarnation, InstanceId};
+use crate::membership::place;
 use crate::wire::message::Message;
 
 /// Rounds of messages to itself that one turn may take.
 const SELF_ROUNDS: usize = 64;
 
 /// Instances that need this one's heartbeats: its failure domain, and those it works with.
-pub fn beat_targets(board: &Board) -> BTreeSet<InstanceId> {
+///
+/// A region's relay also tries the failure domains in which nobody is heard, one instance after
+/// another with each `round`: one that starts while the platform is down knows nobody, and a
+/// heartbeat brings it a first contact.
+pub fn beat_targets(board: &Board, round: u32) -> BTreeSet<InstanceId> {
     let home = board.members.own().domain;
     let mates = board.members.map.iter().filter(|(_, m)| m.domain == home);
     let owners = board
@@ -36,6 +41,7 @@
     let mut targets: BTreeSet<InstanceId> = mates.map(|(id, _)| *id).collect();
     targets.extend(owners.map(|(id, _)| id));
     targets.extend(entries);
+    targets.extend(place::silent_guesses(&board.members, round));
     targets.remove(&board.me());
     targets
 }
--- a/tests/testsuite/configuration.rs
+++ b/tests/testsuite/configuration.rs
@@ -3,10 +3,17 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use hawthornmill::board::{Board, Tuning};
 use hawthornmill::config::accept::{Values, manifest};
+use hawthornmill::ident::{Incarnation, InstanceId};
+use hawthornmill::membership::{Sign, start};
+use hawthornmill::pools::tick;
+use hawthornmill::wire::message::ProbeAck;
 use hawthornmill_lab::demo::site::Site;
 use hawthornmill_lab::standin::platform::Mode;
-use hawthornmill_test_support::procs::small_site;
+use hawthornmill_test_support::fleet::FleetText;
+use hawthornmill_test_support::procs::{small_fleet, small_site};
+use hawthornmill_test_support::steps::{Steps, contact};
 
 use crate::{ROUTER, block_on};
 
@@ -169,6 +176,158 @@
     });
 }
 
+/// A change is published, and in that moment a reader of each failure domain is killed. The change
+/// must still be in force on all that live within the promised 7 s.
+#[test]
+fn a_change_is_in_force_everywhere_when_readers_die() {
+    block_on(async {
+        let mut site = small_site(ROUTER, 8).await;
+        let first = site.platform.publish(shards(&site, 1));
+        let calm = in_force(&site, first, Duration::from_secs(7)).await;
+        assert!(calm.is_some(), "{:?}", revisions(&site).await);
+
+        let second = site.platform.publish(shards(&site, 2));
+        for index in [0, 1, 2] {
+            site.routers[index].kill();
+        }
+        let hard = in_force(&site, second, Duration::from_secs(7)).await;
+
+        assert!(hard.is_some(), "{:?}", revisions(&site).await);
+        site.stop().await;
+    });
+}
+
+/// A platform is down for longer than readers' patience and comes back with a change. Nothing in
+/// force may be lost meanwhile, a router that restarts then takes the configuration from its peers,
+/// and the change arrives.
+#[test]
+fn a_long_outage_of_the_platform_loses_nothing() {
+    block_on(async {
+        let mut site = small_site(ROUTER, 4).await;
+        let first = site.platform.publish(shards(&site, 1));
+        let taken = in_force(&site, first, Duration::from_secs(7)).await;
+        assert!(taken.is_some());
+        site.platform.set_mode(Mode::Down);
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        site.routers[1].kill();
+        site.launch(1).expect("the router starts");
+        let restarted = in_force(&site, first, Duration::from_secs(7)).await;
+
+        let second = site.platform.publish(shards(&site, 2));
+        site.platform.set_mode(Mode::Up);
+        let after = in_force(&site, second, Duration::from_secs(7)).await;
+
+        assert!(restarted.is_some() && after.is_some());
+        site.stop().await;
+    });
+}
+
+/// A thousand changes arrive one after another, each at the instances in another order, with old
+/// ones repeated in between, while calls run. No instance may go back, all must end alike, and the
+/// changes must cost no slot time: what a change does not touch goes on.
+#[test]
+fn a_thousand_changes_in_a_row_cost_no_slot_time() {
+    let places = [
+        ("a", "north"),
+        ("a", "north"),
+        ("b", "north"),
+        ("c", "south"),
+    ];
+    let load = |steps: &mut Steps| {
+        for entry in 0..places.len() {
+            while steps.waiting(entry, "big", "drafting") < 8 {
+                let accepted = steps.arrive(entry, "big", "drafting", 50, 60_000);
+                assert_eq!(accepted, Ok(()));
+            }
+        }
+    };
+    let mut steps = Steps::new(&small_fleet(), &places, &Tuning::default());
+    steps.run(6000, load);
+    let before = steps.busy;
+    steps.run(5000, load);
+    let usual = steps.busy - before;
+    let before = steps.busy;
+
+    for change in 0..1000_u64 {
+        let fleet = changed(change);
+        for turn in 0..places.len() {
+            let index = (turn + change as usize) % places.len();
+            let board = &mut steps.boards[index];
+            let had = board.config.revision;
+            let (config, manifest, values) = fleet.accept(change + 2);
+            assert!(board.install(config, manifest, values));
+            let (config, manifest, values) = small_fleet().accept(change.max(1));
+            assert!(!board.install(config, manifest, values));
+            assert!(board.config.revision > had);
+        }
+        steps.run(5, load);
+    }
+
+    let used = (steps.busy - before) as f64 / usual as f64;
+    let digests: Vec<_> = steps.boards.iter().map(|b| b.manifest.clone()).collect();
+    assert!(digests.windows(2).all(|d| d[0] == d[1]));
+    assert!(used > 0.98, "used {used}");
+}
+
+/// The small fleet with one account that differs from change to change.
+fn changed(number: u64) -> FleetText {
+    small_fleet().account(&format!("guest-{}", number % 7), "none")
+}
+
+/// What a starting instance has heard, and whether it may serve. It holds revision 3.
+#[test]
+fn a_starting_instance_serves_once_it_knows_enough() {
+    let heard = |peers: &[(u64, bool)], answer: Option<ProbeAck>, age: u64| {
+        let now = Instant::now();
+        let own = contact("i0", "a", "north");
+        let mut board = Board::new(own, Incarnation(1), Tuning::default(), now);
+        let (config, manifest, values) = small_fleet().accept(3);
+        board.install(config, manifest, values);
+        board.start.platform = true;
+        board.roster.replace(Vec::new());
+        for (number, (revision, live)) in peers.iter().enumerate() {
+            let contact = contact(&format!("i{}", number + 1), "b", "north");
+            let sign = Sign {
+                from: InstanceId::of(&contact.name),
+                incarnation: Incarnation(1),
+                leaving: false,
+                revision: *revision,
+                interval: Duration::from_millis(100),
+                steady: 0,
+            };
+            board.members.learn(contact, now);
+            if *live {
+                board.members.hear(sign, now);
+            }
+        }
+        if let Some(ack) = answer {
+            tick::on_probe_ack(&mut board, ack, now);
+        }
+        start::is_ready(&board, now, now + Duration::from_millis(age))
+    };
+    let serves = |revision| ProbeAck {
+        number: 0,
+        revision,
+        serving: true,
+    };
+    let starts = |revision| ProbeAck {
+        serving: false,
+        ..serves(revision)
+    };
+
+    assert!(heard(&[], None, 0), "it is alone");
+    assert!(heard(&[(3, true), (3, true)], None, 0), "all were heard");
+    assert!(
+        !heard(&[(3, true), (3, false)], None, 0),
+        "one may know more"
+    );
+    assert!(heard(&[(3, true), (3, false)], Some(serves(3)), 0));
+    assert!(!heard(&[(3, true), (3, false)], Some(starts(3)), 0));
+    assert!(heard(&[(3, true), (3, false)], Some(starts(3)), 2100));
+    assert!(!heard(&[(4, true)], None, 2100), "a peer has a newer one");
+    assert!(!heard(&[(3, false)], Some(serves(4)), 2100));
+}
+
 /// The number of instances doubles while the number of failure domains stays. Calls to the platform
 /// must not double with it, since its budget does not.
 #[test]
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod errors;
 mod frames;
 mod labels;
+mod leaving;
 mod membership;
 mod one_fleet;
 mod path;
