Test a value of another revision as well as a missing one

The missing value never reached the verdict, so the test passed with the guard in Intake::refuse off; with a value of another revision it fails.

--- a/tests/testsuite/configuration.rs
+++ b/tests/testsuite/configuration.rs
@@ -121,23 +121,31 @@
 }
 
 /// A manifest is published a moment before one of its values, as a copy to the platform in parts
-/// would do. The fetch fails midway. The revision must neither be taken in part nor be given up.
+/// would do: first the value is missing, then it is that of another revision. The revision must
+/// neither be taken in part nor be given up.
 #[test]
 fn a_fetch_that_fails_midway_is_tried_again() {
     block_on(async {
         let site = small_site(ROUTER, 3).await;
-        let whole = shards(&site, 1);
-        let mut part = whole.clone();
-        part.remove("servers");
-        site.platform.publish_raw(manifest(2, &whole), part);
-        tokio::time::sleep(Duration::from_secs(1)).await;
-        let during = revisions(&site).await;
+        for revision in [2, 3] {
+            let whole = shards(&site, revision);
+            let mut part = whole.clone();
+            part.remove("servers");
+            if revision == 3 {
+                let other = shards(&site, 99).remove("servers");
+                part.extend(other.map(|text| ("servers".into(), text)));
+            }
+            let manifest = manifest(revision, &whole);
+            site.platform.publish_raw(manifest.clone(), part);
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            let during = revisions(&site).await;
 
-        site.platform.publish_raw(manifest(2, &whole), whole);
-        let taken = in_force(&site, 2, Duration::from_secs(5)).await;
+            site.platform.publish_raw(manifest, whole);
+            let taken = in_force(&site, revision, Duration::from_secs(7)).await;
 
-        assert_eq!(during, [Some(1); 3]);
-        assert!(taken.is_some(), "{:?}", revisions(&site).await);
+            assert_eq!(during, [Some(revision - 1); 3]);
+            assert!(taken.is_some(), "{:?}", revisions(&site).await);
+        }
         site.stop().await;
     });
 }
