--- a/crates/hawthornmill-lab/src/demo/mod.rs
+++ b/crates/hawthornmill-lab/src/demo/mod.rs
@@ -70,6 +70,8 @@
     let callers = load::plan::parse("load.ini", example.load).map_err(|f| words(&f))?;
     let mut plan = SitePlan::new(example.fleet, example.domains, args.instances);
     plan.scheduling = format!("policy = {}\n", args.policy).into();
+    // A fleet that is stopped for good need not serve callers with old addresses for long.
+    plan.extra = "[discovery]\nttl_ms = 500\n".into();
     plan.keep.clone_from(&args.keep);
     let site = Site::start(plan, router).await?;
     progress(args, "fleet is up");
--- /dev/null
+++ b/tests/testsuite/demo.rs
@@ -0,0 +1,58 @@
+//! The first command of the README.
+
+use std::process::Command;
+
+const DEMO: &str = env!("CARGO_BIN_EXE_hawthornmill-demo");
+
+#[test]
+fn the_demo_prints_one_object_with_every_figure() {
+    let output = Command::new(DEMO)
+        .args(["--instances", "3", "--seconds", "3", "--json"])
+        .output()
+        .expect("the program starts");
+
+    let result: serde_json::Value =
+        serde_json::from_slice(&output.stdout).expect("standard output is one JSON object");
+    for key in [
+        "policy",
+        "accounts",
+        "gap",
+        "gap_bound",
+        "utilization",
+        "idle_while_waiting",
+        "control_bytes_per_s",
+        "cross_region_bytes",
+        "calls",
+        "lost",
+        "crossed",
+        "truncated",
+        "repeated",
+    ] {
+        assert!(!result[key].is_null(), "{key} is missing");
+    }
+    for key in ["lost", "crossed", "truncated", "repeated"] {
+        assert_eq!(result[key], 0, "{key}");
+    }
+    let first = &result["accounts"][0];
+    for key in [
+        "name",
+        "share",
+        "owed",
+        "received",
+        "backlogged_s",
+        "refused",
+    ] {
+        assert!(!first[key].is_null(), "{key} is missing");
+    }
+}
+
+#[test]
+fn the_demo_refuses_words_that_it_does_not_know() {
+    let output = Command::new(DEMO)
+        .args(["--example", "nowhere"])
+        .output()
+        .expect("the program starts");
+
+    assert_eq!(output.status.code(), Some(2));
+    assert!(output.stdout.is_empty());
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,12 +1,15 @@
 //! Every test of hawthornmill, in one binary.
 
 mod bad_input;
+mod demo;
 mod errors;
 mod frames;
 mod labels;
 mod one_fleet;
 mod path;
 mod settings;
+mod spans;
+mod standins;
 
 /// The router program under test.
 const ROUTER: &str = env!("CARGO_BIN_EXE_hawthornmill-router");
