Make the test of turning away and back fail without its guard

Cause: all instances of the fixed-order steps had the same incarnation, so grants of two owners had the same ids and the lost slots were found again by chance; and the calls were too short to end under the other owner.

--- a/crates/hawthornmill-test-support/src/steps.rs
+++ b/crates/hawthornmill-test-support/src/steps.rs
@@ -120,8 +120,10 @@
             asked: BTreeMap::new(),
             history: VecDeque::new(),
         };
-        for own in &contacts {
-            let mut board = Board::new(own.clone(), Incarnation(1), tuning.clone(), start);
+        for (number, own) in contacts.iter().enumerate() {
+            // Grants carry half of an incarnation, so no two instances may start with the same.
+            let run = Incarnation(1 + 1000 * number as u64);
+            let mut board = Board::new(own.clone(), run, tuning.clone(), start);
             for other in &contacts {
                 board.members.learn(other.clone(), start);
             }
--- a/tests/testsuite/one_fleet.rs
+++ b/tests/testsuite/one_fleet.rs
@@ -83,20 +83,24 @@
 /// One entry does not hear the owner for a moment, takes another instance for the owner, and comes
 /// back to the first, which never noticed. The entry gave the slots of its finished calls back to
 /// the other one, so the first would count them as taken for good: in the demo a third of all slots
-/// idled while calls waited.
+/// idled while calls waited. The calls are long, so that they end while the other one is the owner.
 #[test]
 fn no_slot_is_lost_when_an_entry_turns_away_and_back() {
     let places: Vec<_> = PLACES.iter().chain(PLACES).copied().collect();
     let mut steps = Steps::new(&small_fleet(), &places, &Tuning::default());
-    steps.run(4000, |s| keep_waiting(s, 0, "big", 20));
+    steps.run(4000, |_| {});
+    for _ in 0..16 {
+        let accepted = steps.arrive(0, "big", "drafting", 900, 60_000);
+        assert_eq!(accepted, Ok(()));
+    }
+    steps.run(100, |_| {});
 
     for other in 1..6 {
         steps.cut.insert((other, 0));
     }
-    steps.run(1000, |s| keep_waiting(s, 0, "big", 20));
+    steps.run(1000, |_| {});
     steps.cut.clear();
-    steps.run(4000, |s| keep_waiting(s, 0, "big", 20));
-    steps.run(3000, |_| {});
+    steps.run(6000, |_| {});
 
     assert_eq!(taken(&steps), 0);
 }
