Bound queues by account and take retries from a budget

Cause: an arrival added up its account's whole queue; the instance's bound was first come, first served, so one account with a long queue shut the others out; a failed call was tried three times at once, with no pause, no budget, at the same servers, from the end of the queue; the time to come back was a guess; and an overloaded queue in order of arrival gave each slot to a call that was about to be given up.

--- a/crates/hawthornmill-net/src/daemon.rs
+++ b/crates/hawthornmill-net/src/daemon.rs
@@ -25,7 +25,7 @@
 use crate::telemetry::{Telemetry, logs};
 
 const TICK: Duration = Duration::from_millis(20);
-const SWEEP_KEYS: Duration = Duration::from_secs(1);
+const SWEEP: Duration = Duration::from_secs(1);
 
 /// Runs a router until it is told to leave; the result is the process's exit code.
 pub fn main(config: &Path) -> u8 {
@@ -108,7 +108,7 @@
     platform::start(&fleet);
     tokio::spawn(ticks(Arc::clone(&fleet)));
     tokio::spawn(loads(Arc::clone(&fleet)));
-    tokio::spawn(sweep_keys(Arc::clone(&fleet)));
+    tokio::spawn(sweep(Arc::clone(&fleet)));
     let stop = Arc::new(Notify::new());
     let leave = tokio::spawn(leave(Arc::clone(&fleet), Arc::clone(&stop), drain));
     let server = Server::new_with_acceptor(acceptor(sockets.http));
@@ -138,12 +138,18 @@
     }
 }
 
-async fn sweep_keys(fleet: Arc<Fleet>) {
-    let mut timer = tokio::time::interval(SWEEP_KEYS);
+/// Forgets what nobody can ask for any more.
+async fn sweep(fleet: Arc<Fleet>) {
+    let mut timer = tokio::time::interval(SWEEP);
     loop {
         timer.tick().await;
         let now = fleet.clock.now();
         fleet.home.lock().table.sweep(now);
+        let config = fleet.view(|board| Arc::clone(&board.config));
+        fleet.retries().retain(
+            |service| config.services.contains_key(&service),
+            |server| config.servers.contains_key(&server),
+        );
     }
 }
 
--- a/crates/hawthornmill-net/src/entry/call.rs
+++ b/crates/hawthornmill-net/src/entry/call.rs
@@ -14,14 +14,10 @@
 
 use super::admit::{Admitted, admit};
 use super::problem::Problem;
-use super::relay::{self, Finished};
-use super::{addresses, keyed};
-use crate::fleet::{Fleet, SlotGuard};
+use super::{addresses, keyed, relay, retries};
+use crate::fleet::{Fleet, SlotGuard, Ticket};
 use crate::upstream::{Outbound, SendError, passed_on};
 
-/// Attempts that one call may make, the first included.
-const ATTEMPTS: usize = 3;
-
 /// Counts a call as in flight until it is dropped.
 #[derive(Debug)]
 pub struct Flying(Arc<Fleet>);
@@ -61,6 +57,10 @@
         Ok(admitted) => admitted,
         Err((code, words)) => return refuse(fleet, &refusal(fleet, code, words, &id)),
     };
+    if let Err(code) = room(fleet, request, &admitted) {
+        let problem = Problem::not_run(code, &id).retry(come_back(fleet, &admitted));
+        return refuse(fleet, &problem);
+    }
     let body = match body.into_bytes_limit(fleet.settings.limits.body).await {
         Ok(body) => body,
         Err(ReadBodyError::PayloadTooLarge) => {
@@ -72,12 +72,25 @@
     if call.admitted.repeat == Repeat::Never {
         return keyed::run(fleet, request, call, flying).await;
     }
-    match repeatable(fleet, &call).await {
+    match retries::run(fleet, &call).await {
         Ok((slot, answer)) => relay::stream(fleet, call, slot, answer, flying),
         Err(problem) => refuse(fleet, &problem),
     }
 }
 
+/// Looks for room in the account's queue before the body is read, so that what is refused for want
+/// of room takes no memory for its body.
+fn room(fleet: &Fleet, request: &Request, admitted: &Admitted) -> Result<(), Code> {
+    let length = request.header("content-length");
+    let arrival = entry::Arrival {
+        service: admitted.service,
+        account: admitted.account,
+        bytes: length.and_then(|l| l.parse().ok()).unwrap_or(0),
+        deadline: admitted.deadline,
+    };
+    fleet.view(|board| entry::check_account(board, &arrival))
+}
+
 fn prepare(
     fleet: &Arc<Fleet>,
     request: &Request,
@@ -129,54 +142,40 @@
 /// # Errors
 /// The refusal, with when to come back; the request was not run.
 pub async fn slot(fleet: &Arc<Fleet>, call: &Call) -> Result<SlotGuard, Problem> {
-    let admitted = &call.admitted;
-    let span = fleet.telemetry.spans.child(&call.span, "wait");
-    let arrival = entry::Arrival {
-        service: admitted.service,
-        account: admitted.account,
+    wait(fleet, call, fleet.enqueue(arrival(call))).await
+}
+
+pub(super) fn arrival(call: &Call) -> entry::Arrival {
+    entry::Arrival {
+        service: call.admitted.service,
+        account: call.admitted.account,
         bytes: call.out.body.len(),
-        deadline: admitted.deadline,
-    };
-    let result = match fleet.enqueue(arrival) {
+        deadline: call.admitted.deadline,
+    }
+}
+
+pub(super) async fn wait(
+    fleet: &Arc<Fleet>,
+    call: &Call,
+    ticket: Result<Ticket, Code>,
+) -> Result<SlotGuard, Problem> {
+    let span = fleet.telemetry.spans.child(&call.span, "wait");
+    let result = match ticket {
         Ok(ticket) => ticket.wait().await,
         Err(code) => Err(code),
     };
     drop(span);
     result.map_err(|code| {
-        let after =
-            fleet.view(|board| entry::retry_after(board, admitted.service, admitted.account));
-        let problem = Problem::not_run(code, &call.out.id).retry(after);
+        let problem = Problem::not_run(code, &call.out.id).retry(come_back(fleet, &call.admitted));
         relay::record_refusal(fleet, call, &problem);
         problem
     })
 }
 
-/// Runs a call that may be repeated until an answer begins.
-async fn repeatable(
-    fleet: &Arc<Fleet>,
-    call: &Call,
-) -> Result<(SlotGuard, reqwest::Response), Problem> {
-    let mut last = Problem::not_run(Code::UpstreamUnreachable, &call.out.id);
-    for _ in 0..ATTEMPTS {
-        let mut slot = slot(fleet, call).await?;
-        match attempt(fleet, call, &mut slot, false).await {
-            Ok(answer) => return Ok((slot, answer)),
-            Err(problem) => last = problem,
-        }
-        finish_failed(fleet, call, slot, &last);
-        if last.code == Code::DeadlineWhileRunning {
-            break;
-        }
-    }
-    Err(last.retry(Duration::from_millis(500)))
-}
-
-fn finish_failed(fleet: &Arc<Fleet>, call: &Call, slot: SlotGuard, problem: &Problem) {
-    let finished = Finished {
-        code: problem.code.number(),
-        outcome: problem.outcome,
-    };
-    relay::finish(fleet, call, slot, None, finished);
+/// When a caller that was refused may come back.
+pub(super) fn come_back(fleet: &Fleet, admitted: &Admitted) -> Duration {
+    let (draw, now) = (rand::random::<f64>(), fleet.clock.now());
+    fleet.view(|board| entry::retry_after(board, admitted.service, admitted.account, draw, now))
 }
 
 /// Sends the call once and waits for the head of the answer.
--- a/crates/hawthornmill-net/src/entry/mod.rs
+++ b/crates/hawthornmill-net/src/entry/mod.rs
@@ -11,5 +11,6 @@
 pub mod keyed;
 pub mod problem;
 pub mod relay;
+mod retries;
 pub mod routes;
 pub mod status;
--- /dev/null
+++ b/crates/hawthornmill-net/src/entry/retries.rs
@@ -0,0 +1,139 @@
+//! Tries of a call that may be repeated, until an answer begins.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hawthornmill::codes::{Code, Outcome};
+use hawthornmill::ident::ServerId;
+use hawthornmill::limits::retry::{Failed, Failure};
+use poem::http::StatusCode;
+use smallvec::SmallVec;
+
+use super::call::{Call, arrival, attempt, come_back, slot, wait};
+use super::problem::Problem;
+use super::relay::{self, Finished};
+use crate::fleet::{Fleet, SlotGuard};
+
+/// What one try came to.
+type Tried = Result<reqwest::Response, Problem>;
+
+/// Runs `call` until an answer begins that is passed on.
+///
+/// # Errors
+/// The refusal, when no try is left or the deadline has passed.
+pub async fn run(
+    fleet: &Arc<Fleet>,
+    call: &Call,
+) -> Result<(SlotGuard, reqwest::Response), Problem> {
+    let mut slot = slot(fleet, call).await?;
+    let mut avoid: SmallVec<[ServerId; 2]> = SmallVec::new();
+    for number in 1.. {
+        let tried = attempt(fleet, call, &mut slot, false).await;
+        let server = slot.dispatch.server;
+        let Some(failure) = failure(&tried) else {
+            if tried.is_ok() {
+                let mut retries = fleet.retries();
+                retries.succeed(call.admitted.service, server);
+            }
+            return give(fleet, call, slot, tried);
+        };
+        let Some(pause) = decide(fleet, call, &mut slot, failure, number) else {
+            return give(fleet, call, slot, tried);
+        };
+        settle(fleet, call, slot, &tried);
+        drop(tried);
+        if !avoid.contains(&server) {
+            avoid.push(server);
+        }
+        tokio::time::sleep(pause).await;
+        let ticket = fleet.requeue(arrival(call), call.admitted.arrived, avoid.clone());
+        slot = wait(fleet, call, ticket).await?;
+    }
+    unreachable!("the number of tries is bounded by the decision")
+}
+
+/// How a try failed; none when its result goes to the caller.
+///
+/// A server that answers 502, 503 or 504 says that it, or what stands behind it, can't serve the
+/// call now, and another may. Any other answer, 500 and 429 among them, is the service's own word
+/// to its caller: the call itself may be at fault, so it is passed on.
+fn failure(tried: &Tried) -> Option<Failure> {
+    match tried {
+        Ok(answer) => matches!(
+            answer.status(),
+            StatusCode::BAD_GATEWAY | StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT
+        )
+        .then_some(Failure::Unavailable),
+        Err(problem) => match problem.code {
+            Code::UpstreamUnreachable => Some(Failure::Unreachable),
+            Code::UpstreamFailed | Code::CrossedAnswer => Some(Failure::Broken),
+            _ => None,
+        },
+    }
+}
+
+fn decide(
+    fleet: &Fleet,
+    call: &Call,
+    slot: &mut SlotGuard,
+    failure: Failure,
+    number: u32,
+) -> Option<Duration> {
+    let failed = Failed {
+        service: call.admitted.service,
+        account: call.admitted.account,
+        server: slot.dispatch.server,
+        failure,
+        attempt: number,
+        deadline: call.admitted.deadline,
+    };
+    let draw = rand::random();
+    let now = fleet.clock.now();
+    let mut retries = fleet.retries();
+    if retries.suspect(&failed) {
+        slot.set_failed();
+    }
+    retries.decide(&failed, draw, now)
+}
+
+/// Hands the last result to the caller; a server's own answer as it is.
+fn give(
+    fleet: &Arc<Fleet>,
+    call: &Call,
+    slot: SlotGuard,
+    tried: Tried,
+) -> Result<(SlotGuard, reqwest::Response), Problem> {
+    match tried {
+        Ok(answer) => Ok((slot, answer)),
+        Err(problem) => {
+            let finished = Finished {
+                code: problem.code.number(),
+                outcome: problem.outcome,
+            };
+            relay::finish(fleet, call, slot, None, finished);
+            Err(problem.retry(come_back(fleet, &call.admitted)))
+        }
+    }
+}
+
+/// Gives the slot of a try back that will be repeated.
+fn settle(fleet: &Arc<Fleet>, call: &Call, slot: SlotGuard, tried: &Tried) {
+    let (reported, finished) = match tried {
+        // A server that could not serve the call is believed to have done nothing for it.
+        Ok(answer) => (
+            Some(relay::reported(answer).unwrap_or(0.0)),
+            Finished {
+                code: Code::UpstreamFailed.number(),
+                outcome: Outcome::Unknown,
+            },
+        ),
+        Err(problem) => (
+            None,
+            Finished {
+                code: problem.code.number(),
+                outcome: problem.outcome,
+            },
+        ),
+    };
+    relay::finish(fleet, call, slot, reported, finished);
+}
--- a/crates/hawthornmill-net/src/fleet.rs
+++ b/crates/hawthornmill-net/src/fleet.rs
@@ -8,9 +8,11 @@
 use hawthornmill::board::{Board, Dispatch, RequestKey};
 use hawthornmill::clock::Clock;
 use hawthornmill::codes::Code;
-use hawthornmill::ident::{Incarnation, InstanceId, PoolId};
+use hawthornmill::ident::{Incarnation, InstanceId, PoolId, ServerId};
+use hawthornmill::limits::retry::Retries;
 use hawthornmill::pools::{self, entry, tick};
 use hawthornmill::wire::message::{GrantId, Message};
+use smallvec::SmallVec;
 use tokio::sync::{Notify, oneshot};
 
 use crate::entry::home::Home;
@@ -45,6 +47,7 @@
     /// This process run.
     pub incarnation: Incarnation,
     core: Mutex<Core>,
+    retries: Mutex<Retries>,
     /// Messages to peers.
     pub outgoing: Outgoing,
     /// Connections to backend servers.
@@ -92,6 +95,7 @@
                 board,
                 waiters: BTreeMap::new(),
             }),
+            retries: Mutex::default(),
             outgoing,
             upstream: Upstream::new(),
             home,
@@ -137,15 +141,41 @@
         }
     }
 
+    /// Retry budgets of this instance.
+    pub fn retries(&self) -> MutexGuard<'_, Retries> {
+        // Counters that a panic left halfway make a budget a little wrong, which does no harm.
+        self.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Puts a request into its queue.
     ///
     /// # Errors
     /// A code when there is no room; the request was not run.
     pub fn enqueue(self: &Arc<Self>, arrival: entry::Arrival) -> Result<Ticket, Code> {
+        self.queue(|board, now| entry::enqueue(board, arrival, now))
+    }
+
+    /// Puts a request that failed at the servers `avoid` back to its place in the queue.
+    ///
+    /// # Errors
+    /// Never; the type is that of [`Self::enqueue`].
+    pub fn requeue(
+        self: &Arc<Self>,
+        arrival: entry::Arrival,
+        arrived: Instant,
+        avoid: SmallVec<[ServerId; 2]>,
+    ) -> Result<Ticket, Code> {
+        self.queue(|board, _| Ok(entry::requeue(board, arrival, arrived, avoid)))
+    }
+
+    fn queue(
+        self: &Arc<Self>,
+        put: impl FnOnce(&mut Board, Instant) -> Result<RequestKey, Code>,
+    ) -> Result<Ticket, Code> {
         let now = self.clock.now();
         let mut core = self.lock();
         tick::notice_pause(&mut core.board, now);
-        let key = entry::enqueue(&mut core.board, arrival, now)?;
+        let key = put(&mut core.board, now)?;
         let (sender, receiver) = oneshot::channel();
         core.waiters.insert(key, sender);
         self.run(&mut core, now);
--- a/crates/hawthornmill-test-support/src/fleet.rs
+++ b/crates/hawthornmill-test-support/src/fleet.rs
@@ -53,6 +53,15 @@
         ))
     }
 
+    /// Adds an account as [`Self::account`] does, with further lines in its section.
+    #[must_use]
+    pub fn account_with(self, name: &str, size: &str, lines: &str) -> Self {
+        let mut fleet = self.account(name, size);
+        // A section ends with an empty line; what follows its last key still belongs to it.
+        fleet.text.truncate(fleet.text.trim_end().len());
+        fleet.line(&format!("\n{lines}"))
+    }
+
     /// Adds a grant.
     #[must_use]
     pub fn grant(self, name: &str, accounts: &str, servers: &str, share: f64) -> Self {
--- a/crates/hawthornmill/src/board.rs
+++ b/crates/hawthornmill/src/board.rs
@@ -15,6 +15,8 @@
 use crate::config::{FleetConfig, Manifest, accept::Values};
 use crate::fairness::Ledger;
 use crate::ident::{AccountId, Incarnation, InstanceId, PoolId, ServerId, ServiceId};
+use crate::limits::backlog::Backlogs;
+use crate::limits::pace::Pace;
 use crate::membership::{Members, reports::Reports};
 use crate::pools::entry::Link;
 use crate::pools::owner::Owned;
@@ -88,6 +90,8 @@
     pub bytes: usize,
     /// Servers that failed it already.
     pub avoid: SmallVec<[ServerId; 2]>,
+    /// Grants of servers to avoid that it let go by.
+    pub declined: u8,
 }
 
 /// A request that may go to a server now.
@@ -130,8 +134,10 @@
     pub ledger: Ledger,
     /// Requests that wait at this entry.
     pub waiting: SlotMap<RequestKey, Waiting>,
-    /// Bytes of all waiting bodies.
-    pub waiting_bytes: usize,
+    /// How much waits, by account.
+    pub backlogs: Backlogs,
+    /// How fast each queue is served.
+    pub paces: BTreeMap<(ServiceId, AccountId), Pace>,
     /// Order of waiting requests.
     pub queues: BTreeMap<(ServiceId, AccountId), VecDeque<RequestKey>>,
     /// Queues that changed since their demand was last told.
@@ -172,7 +178,8 @@
             reports: Reports::default(),
             ledger: Ledger::default(),
             waiting: SlotMap::with_key(),
-            waiting_bytes: 0,
+            backlogs: Backlogs::default(),
+            paces: BTreeMap::new(),
             queues: BTreeMap::new(),
             dirty: BTreeSet::new(),
             links: BTreeMap::new(),
@@ -198,6 +205,10 @@
         if config.revision <= self.config.revision {
             return false;
         }
+        let known = |(service, account): &(ServiceId, AccountId)| {
+            config.services.contains_key(service) && config.accounts.contains_key(account)
+        };
+        self.paces.retain(|key, _| known(key));
         self.config = Arc::new(config);
         self.manifest = manifest;
         self.values = Arc::new(values);
--- a/crates/hawthornmill/src/codes.rs
+++ b/crates/hawthornmill/src/codes.rs
@@ -131,6 +131,8 @@
     InstanceFull = 3020, 503, "instance holds as many requests as it may";
     /// The call's path or method is not served.
     NoSuchCall = 3021, 404, "no such call";
+    /// The account's queue is so long that the deadline would pass in it.
+    QueueLate = 3030, 429, "account's queue is too long for the deadline";
     /// A peer's frame that can't be decoded.
     FrameMalformed = 4001, 0, "malformed peer frame";
     /// A peer's frame with a wrong authentication code.
--- a/crates/hawthornmill/src/lib.rs
+++ b/crates/hawthornmill/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`config`] | fleet configuration: parsing, acceptance, who may use which backend server |
 //! | [`fairness`] | normalised service per client account, charged and exchanged |
 //! | [`pools`] | owners of pools, slots, grants, and the queues at the entry |
+//! | [`limits`] | bounds on what waits, retry budgets, when to come back |
 //! | [`membership`] | who is live, leaving or dead, and who owns or relays what |
 //! | [`keys`] | at-most-once calls: key prefixes and the table of a home |
 //! | [`usage`] | one record for each finished request |
@@ -25,6 +26,7 @@
 pub mod ini;
 pub mod keys;
 pub mod labels;
+pub mod limits;
 pub mod membership;
 pub mod pools;
 pub mod usage;
--- /dev/null
+++ b/crates/hawthornmill/src/limits/mod.rs
@@ -0,0 +1,11 @@
+//! Bounds on what waits, and retries of calls that failed.
+//!
+//! | module | decides |
+//! |---|---|
+//! | [`backlog`] | how much of each account waits here, and who makes room |
+//! | [`pace`] | how fast a queue is served here, so when a caller may come back |
+//! | [`retry`] | whether a call that failed is tried again, and after which pause |
+
+pub mod backlog;
+pub mod pace;
+pub mod retry;
--- a/crates/hawthornmill/src/pools/entry.rs
+++ b/crates/hawthornmill/src/pools/entry.rs
@@ -2,13 +2,14 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use smallvec::SmallVec;
 
 use super::owner::maker;
-use crate::board::{Board, Dispatch, Policy, RequestKey, Waiting};
-use crate::codes::Code;
+use super::queue;
+pub use super::queue::{Arrival, cancel, check_account, enqueue, expire, requeue, retry_after};
+use crate::board::{Board, Dispatch, Policy};
 use crate::fairness::CostKey;
 use crate::ident::{AccountId, Incarnation, InstanceId, PoolId, ServerId, ServiceId};
 use crate::wire::message::{Demand, Done, Grant, GrantId, Grants, Held, Holding, Message, Want};
@@ -30,6 +31,8 @@
     pub busy: bool,
     /// It was reused without a grant, so nobody has charged it yet.
     pub reused: bool,
+    /// Since when its present request has it.
+    pub since: Instant,
 }
 
 /// Dealings with the owner of one pool.
@@ -67,86 +70,6 @@
     }
 }
 
-/// A new request.
-#[derive(Debug, Clone, Copy)]
-pub struct Arrival {
-    /// Service that it calls.
-    pub service: ServiceId,
-    /// Account that pays.
-    pub account: AccountId,
-    /// Bytes of its body.
-    pub bytes: usize,
-    /// When the caller gives up.
-    pub deadline: Instant,
-}
-
-/// Puts a request into its account's queue.
-///
-/// # Errors
-/// [`Code::QueueFull`] or [`Code::InstanceFull`]; the request was not run.
-pub fn enqueue(board: &mut Board, arrival: Arrival, now: Instant) -> Result<RequestKey, Code> {
-    let full = board.waiting.len() >= board.tuning.max_waiting
-        || board.waiting_bytes + arrival.bytes > board.tuning.max_bytes;
-    if full {
-        return Err(Code::InstanceFull);
-    }
-    let key = (arrival.service, arrival.account);
-    let queue = board.queues.entry(key).or_default();
-    let account = board.config.accounts.get(&arrival.account);
-    let queued: usize = queue
-        .iter()
-        .filter_map(|r| board.waiting.get(*r))
-        .map(|w| w.bytes)
-        .sum();
-    let over =
-        account.is_none_or(|a| queue.len() >= a.max_queue || queued + arrival.bytes > a.max_bytes);
-    if over {
-        return Err(Code::QueueFull);
-    }
-    let request = board.waiting.insert(Waiting {
-        service: arrival.service,
-        account: arrival.account,
-        arrived: now,
-        deadline: arrival.deadline,
-        bytes: arrival.bytes,
-        avoid: SmallVec::new(),
-    });
-    queue.push_back(request);
-    board.waiting_bytes += arrival.bytes;
-    board.dirty.insert(key);
-    use_kept(board, arrival.service, arrival.account);
-    Ok(request)
-}
-
-/// Takes a waiting request out; none when it waits no longer.
-pub fn cancel(board: &mut Board, request: RequestKey) -> Option<Waiting> {
-    let waiting = board.waiting.remove(request)?;
-    board.waiting_bytes -= waiting.bytes;
-    let key = (waiting.service, waiting.account);
-    if let Some(queue) = board.queues.get_mut(&key) {
-        queue.retain(|r| *r != request);
-        if queue.is_empty() {
-            board.queues.remove(&key);
-        }
-    }
-    board.dirty.insert(key);
-    Some(waiting)
-}
-
-/// Gives up waiting requests whose deadline has passed.
-pub fn expire(board: &mut Board, now: Instant) {
-    let late: Vec<RequestKey> = board
-        .waiting
-        .iter()
-        .filter(|(_, w)| w.deadline <= now)
-        .map(|(key, _)| key)
-        .collect();
-    for request in late {
-        cancel(board, request);
-        board.refusals.push((request, Code::DeadlinePassed));
-    }
-}
-
 /// Takes grants: each goes to the oldest waiting request of its account, or back.
 pub fn on_grants(
     board: &mut Board,
@@ -160,7 +83,7 @@
             maker: maker(incarnation),
             seq: grant.seq,
         };
-        if !accept(board, from, incarnation, grants.pool, grant) {
+        if !accept(board, from, incarnation, grants.pool, grant, now) {
             give_back_to(board, from, grants.pool, id);
             continue;
         }
@@ -178,6 +101,7 @@
     incarnation: Incarnation,
     pool: PoolId,
     grant: &Grant,
+    now: Instant,
 ) -> bool {
     let Some(link) = board.links.get_mut(&pool) else {
         return false;
@@ -196,6 +120,7 @@
         server: grant.server,
         busy: false,
         reused: false,
+        since: now,
     };
     link.held.insert(id, slot);
     true
@@ -217,7 +142,7 @@
     if known.leaving {
         return false;
     }
-    let Some(request) = next_request(board, known.service, account, server, now) else {
+    let Some(request) = queue::next(board, known.service, account, server, now) else {
         return false;
     };
     let Some(waiting) = cancel(board, request) else {
@@ -228,8 +153,10 @@
     };
     if let Some(slot) = link.held.get_mut(&grant) {
         slot.busy = true;
+        slot.since = now;
     }
     let owner = link.owner.map_or(board.members.me, |(id, _)| id);
+    queue::note_served(board, known.service, account, now);
     board.dispatches.push(Dispatch {
         request,
         pool,
@@ -242,22 +169,6 @@
     true
 }
 
-fn next_request(
-    board: &Board,
-    service: ServiceId,
-    account: AccountId,
-    server: ServerId,
-    now: Instant,
-) -> Option<RequestKey> {
-    let queue = board.queues.get(&(service, account))?;
-    queue.iter().copied().find(|r| {
-        board
-            .waiting
-            .get(*r)
-            .is_some_and(|w| w.deadline > now && !w.avoid.contains(&server))
-    })
-}
-
 /// A request has left its slot: the slot goes back, or is kept while the owner is silent.
 pub fn finish(
     board: &mut Board,
@@ -276,6 +187,13 @@
     let Some(slot) = link.held.get(&grant).copied() else {
         return;
     };
+    if let Some(server) = board.config.servers.get(&slot.server)
+        && cost > 0.0
+        && !failed
+    {
+        let time = now.duration_since(slot.since);
+        queue::note_held(board, server.service, slot.account, time);
+    }
     let silent = board.silent(owner);
     if silent || slot.reused {
         charge_own(board, slot, cost);
@@ -342,7 +260,7 @@
 }
 
 /// Gives a kept slot to a request that has just arrived.
-fn use_kept(board: &mut Board, service: ServiceId, account: AccountId) {
+pub(super) fn use_kept(board: &mut Board, service: ServiceId, account: AccountId) {
     let Some(arrived) = board
         .queues
         .get(&(service, account))
@@ -580,12 +498,3 @@
     let (owner, _) = board.links.get(&pool)?.owner?;
     board.reports.pool(pool, owner)
 }
-
-/// When a caller that was refused may come back: the queue's length over the rate of its account.
-pub fn retry_after(board: &Board, service: ServiceId, account: AccountId) -> Duration {
-    let queue = board
-        .queues
-        .get(&(service, account))
-        .map_or(0, std::collections::VecDeque::len);
-    Duration::from_millis(100 + 20 * queue as u64)
-}
--- a/crates/hawthornmill/src/pools/mod.rs
+++ b/crates/hawthornmill/src/pools/mod.rs
@@ -1,6 +1,6 @@
 //! Pools, owners and slots.
 //!
-//! Requests wait at the entry that received them ([`entry`]). The owner of a pool ([`owner`])
+//! Requests wait at the entry that received them ([`queue`], [`entry`]). The owner of a pool ([`owner`])
 //! learns only how many wait for each account, and grants slots one by one to the account that has
 //! received the least normalised service; the entry then sends its oldest request of that account
 //! straight to the server. [`ownership`] follows the members and the configuration; [`turn()`] runs
@@ -9,6 +9,7 @@
 pub mod entry;
 pub mod owner;
 pub mod ownership;
+pub mod queue;
 pub mod schedule;
 pub mod tick;
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,7 +5,9 @@
 mod frames;
 mod labels;
 mod one_fleet;
+mod overload;
 mod path;
+mod retries;
 mod settings;
 
 /// The router program under test.
--- /dev/null
+++ b/tests/testsuite/retries.rs
@@ -0,0 +1,214 @@
+//! Calls that fail at a server and are tried again.
+
+use std::time::{Duration, Instant};
+
+use hawthornmill::board::Tuning;
+use hawthornmill::ident::{AccountId, ServerId, ServiceId};
+use hawthornmill::limits::retry::{ATTEMPTS, Failed, Failure, Retries};
+use hawthornmill::pools::entry;
+use hawthornmill_test_support::procs::small_fleet;
+use hawthornmill_test_support::steps::Steps;
+
+const DRAW: f64 = 0.5;
+
+fn failed(server: &str, account: &str, failure: Failure, now: Instant) -> Failed {
+    Failed {
+        service: ServiceId::of("drafting"),
+        account: AccountId::of(account),
+        server: ServerId::of(server),
+        failure,
+        attempt: 1,
+        deadline: now + Duration::from_secs(10),
+    }
+}
+
+fn granted(retries: &mut Retries, failed: &Failed, count: usize, now: Instant) -> usize {
+    let decided = (0..count).map(|_| retries.decide(failed, DRAW, now));
+    decided.flatten().count()
+}
+
+/// Every server breaks off every call. If each call were tried again, the servers would get several
+/// times their load just when they can't bear it; the retries must end with the budget.
+#[test]
+fn retries_end_with_the_budget_when_every_server_fails() {
+    let now = Instant::now();
+    let mut retries = Retries::default();
+    let mut count = 0;
+
+    for server in 0..20 {
+        let server = format!("server-{server}");
+        let bad = failed(&server, "x", Failure::Broken, now);
+        count += granted(&mut retries, &bad, 50, now);
+    }
+
+    assert!(count <= 10, "{count} retries of 1000 calls");
+    for _ in 0..1000 {
+        retries.succeed(ServiceId::of("drafting"), ServerId::of("good"));
+    }
+    let after = granted(
+        &mut retries,
+        &failed("one-more", "x", Failure::Broken, now),
+        100,
+        now,
+    );
+    assert!(after > 0, "successful calls fill the budget again");
+}
+
+/// One server fails everything that it gets and calls of it are retried as long as there is budget.
+/// A call that another server fails once must still find a retry.
+#[test]
+fn a_failing_server_leaves_budget_for_the_others() {
+    let now = Instant::now();
+    let mut retries = Retries::default();
+    let bad = failed("bad", "x", Failure::Broken, now);
+    for _ in 0..200 {
+        let _given_or_not = retries.decide(&bad, DRAW, now);
+        retries.succeed(ServiceId::of("drafting"), ServerId::of("good"));
+    }
+
+    let other = granted(
+        &mut retries,
+        &failed("other", "x", Failure::Broken, now),
+        3,
+        now,
+    );
+
+    assert_eq!(other, 3);
+}
+
+/// A try that reached no server costs the servers nothing, so the budget is not touched; the number
+/// of tries and the deadline bound it.
+#[test]
+fn tries_that_reached_nobody_are_bounded_by_their_number_and_the_deadline() {
+    let now = Instant::now();
+    let mut retries = Retries::default();
+    let mut gone = failed("gone", "x", Failure::Unreachable, now);
+    assert_eq!(granted(&mut retries, &gone, 1000, now), 1000);
+    let before = retries.left(gone.service);
+
+    gone.attempt = ATTEMPTS;
+    let over = retries.decide(&gone, DRAW, now);
+    gone.attempt = 1;
+    gone.deadline = now + Duration::from_millis(5);
+    let late = retries.decide(&gone, DRAW, now);
+
+    assert_eq!((over, late), (None, None));
+    assert_eq!(retries.left(gone.service).to_bits(), before.to_bits());
+}
+
+/// Calls that failed together must not come back together: the pause grows with each try, and two
+/// draws give two pauses.
+#[test]
+fn pauses_grow_and_differ() {
+    let now = Instant::now();
+    let mut retries = Retries::default();
+    let mut at = |attempt, draw| {
+        let mut one = failed("gone", "x", Failure::Unreachable, now);
+        one.attempt = attempt;
+        retries.decide(&one, draw, now).expect("a try is left")
+    };
+
+    let (first, second, spread) = (at(1, 0.0), at(2, 0.0), at(1, 1.0));
+
+    assert_eq!(second, first * 2);
+    assert_eq!(spread, first * 2);
+}
+
+/// One account sends calls that make a server close the connection. The other accounts must keep
+/// the server; but when a second account meets the same, the server is at fault and must rest.
+#[test]
+fn one_account_can_t_take_a_server_from_the_others() {
+    let now = Instant::now();
+    let mut retries = Retries::default();
+    let poison = failed("s", "poisoner", Failure::Broken, now);
+
+    let own = (0..50).any(|_| retries.suspect(&poison));
+    let second = retries.suspect(&failed("s", "other", Failure::Broken, now));
+
+    assert!(!own);
+    assert!(second);
+}
+
+/// A call waited longest, got a slot, and its server failed. Put back at the end of the queue it would
+/// wait for all who came after it a second time; it must go first, and to another server.
+#[test]
+fn a_retried_call_keeps_its_place_and_avoids_the_server() {
+    for name in ["draft-a", "draft-b"] {
+        retry_away_from(name);
+    }
+}
+
+fn retry_away_from(name: &str) {
+    let mut steps = Steps::new(&small_fleet(), &[("a", "north")], &Tuning::default());
+    let (service, account) = (ServiceId::of("drafting"), AccountId::of("big"));
+    steps.run(1000, |_| {});
+    while steps.waiting(0, "big", "drafting") < 3 {
+        steps
+            .arrive(0, "big", "drafting", 500, 60_000)
+            .expect("there is room");
+    }
+    let arrived = steps.instant() - Duration::from_millis(500);
+    let arrival = entry::Arrival {
+        service,
+        account,
+        bytes: 100,
+        deadline: steps.instant() + Duration::from_secs(60),
+    };
+    let avoid = ServerId::of(name);
+
+    let retried = entry::requeue(
+        &mut steps.boards[0],
+        arrival,
+        arrived,
+        [avoid].into_iter().collect(),
+    );
+
+    let queue = &steps.boards[0].queues[&(service, account)];
+    assert_eq!(queue.front(), Some(&retried));
+    let mut servers = Vec::new();
+    for _ in 0..100 {
+        let now = steps.instant();
+        hawthornmill::pools::turn(&mut steps.boards[0], now);
+        let of = steps.boards[0]
+            .dispatches
+            .iter()
+            .filter(|d| d.request == retried);
+        servers.extend(of.map(|d| d.server));
+        steps.step();
+    }
+    assert_eq!(servers.len(), 1, "it is dispatched once");
+    assert_ne!(servers[0], avoid);
+}
+
+/// The only server of a pool failed a call once. Nothing but that server can run the retry, so after
+/// a few refused grants the call must take it; refusing for ever would leave both idle.
+#[test]
+fn a_retried_call_takes_the_only_server_in_the_end() {
+    let fleet = hawthornmill_test_support::fleet::FleetText::new()
+        .domain("a", "north")
+        .service("drafting")
+        .server("only", "drafting", "a", 2, "std")
+        .account("big", "large")
+        .grant("all", "size=large", "pool=std", 1.0);
+    let mut steps = Steps::new(&fleet, &[("a", "north")], &Tuning::default());
+    steps.run(1000, |_| {});
+    let now = steps.instant();
+    let arrival = entry::Arrival {
+        service: ServiceId::of("drafting"),
+        account: AccountId::of("big"),
+        bytes: 100,
+        deadline: now + Duration::from_secs(60),
+    };
+
+    entry::requeue(
+        &mut steps.boards[0],
+        arrival,
+        now,
+        [ServerId::of("only")].into_iter().collect(),
+    );
+    steps.run(600, |_| {});
+
+    assert_eq!(steps.waiting(0, "big", "drafting"), 0);
+    let grants: u32 = steps.boards[0].owned.values().map(|o| o.seq).sum();
+    assert!(grants <= 5, "{grants} grants for one call");
+}
