Rest servers that fail and probe them with one call

Cause: a server that fails at once has the most free slots and draws the calls to itself. Equal servers were offered in one fixed order, so a retried call was offered its failed server again.

Ruled out: resting a server after the first break, since one account's calls may break it; two accounts in a row as the only proof, since most calls may be one account's. A call answered elsewhere is proof as well.

--- a/crates/hawthornmill-net/src/entry/retries.rs
+++ b/crates/hawthornmill-net/src/entry/retries.rs
@@ -33,7 +33,7 @@
         let Some(failure) = failure(&tried) else {
             if tried.is_ok() {
                 let mut retries = fleet.retries();
-                retries.succeed(call.admitted.service, server);
+                retries.succeed(call.admitted.service, server, &avoid);
             }
             return give(fleet, call, slot, tried);
         };
--- a/crates/hawthornmill/src/limits/retry.rs
+++ b/crates/hawthornmill/src/limits/retry.rs
@@ -17,7 +17,7 @@
 /// Retries that a budget holds at most.
 const MOST: f64 = 20.0;
 /// Retries that a budget holds at first.
-const FIRST: f64 = 10.0;
+const FIRST: f64 = 20.0;
 /// Part of the budget, and of what fills it, that the failures of one server may use.
 const PART: f64 = 0.5;
 /// Pause before the first retry; each further one doubles it.
@@ -94,7 +94,7 @@
         used.at = successes;
         // A server that fails everything would use up the whole budget, and a call that another
         // server failed for once would find none; so each has only a part of it.
-        if self.left < 1.0 || used.retries + 1.0 > FIRST * PART {
+        if self.left < 1.0 || used.retries + 1.0 > MOST * PART {
             return false;
         }
         used.retries += 1.0;
@@ -105,18 +105,33 @@
     }
 }
 
-/// Retry budgets of one instance, and servers that broke off.
+/// Failures of a server since its last answer.
+#[derive(Debug, Clone, Copy)]
+struct Failing {
+    /// Account that met the first of them.
+    first: AccountId,
+    /// It is the server's fault: another account met one too, or a call that failed here was
+    /// answered elsewhere.
+    proved: bool,
+}
+
+/// Retry budgets of one instance, and servers that fail.
 #[derive(Debug, Clone, Default)]
 pub struct Retries {
     budgets: BTreeMap<ServiceId, Budget>,
-    broken: BTreeMap<ServerId, AccountId>,
+    failing: BTreeMap<ServerId, Failing>,
 }
 
 impl Retries {
-    /// A server has begun to answer a call.
-    pub fn succeed(&mut self, service: ServiceId, server: ServerId) {
+    /// A server has begun to answer a call that had failed at the servers `before`.
+    pub fn succeed(&mut self, service: ServiceId, server: ServerId, before: &[ServerId]) {
         self.budgets.entry(service).or_default().succeed();
-        self.broken.remove(&server);
+        self.failing.remove(&server);
+        for failed in before {
+            if let Some(failing) = self.failing.get_mut(failed) {
+                failing.proved = true;
+            }
+        }
     }
 
     /// The pause before the next try, or none when the call is given up.
@@ -138,25 +153,23 @@
 
     /// Tells whether the owner should keep work from the server for a while.
     ///
-    /// A server that can't be reached frees its slots faster than any other and would draw all work
-    /// to itself, and so would one that breaks off every call. But one account's calls may be what
-    /// breaks it: the others must not lose the server for that, so breaks count once two accounts
-    /// in a row, without an answer between, have met them.
+    /// A server that fails at once frees its slots faster than any other and would draw all work to
+    /// itself. But one account's calls may be what makes it fail: the others must not lose the server
+    /// for that. So a server that takes connections is suspect only once two accounts have met its
+    /// failures without an answer between, or a call that failed there was answered elsewhere.
     pub fn suspect(&mut self, failed: &Failed) -> bool {
-        match failed.failure {
-            Failure::Unreachable => true,
-            Failure::Unavailable => false,
-            Failure::Broken => self
-                .broken
-                .insert(failed.server, failed.account)
-                .is_some_and(|earlier| earlier != failed.account),
-        }
+        let failing = self.failing.entry(failed.server).or_insert(Failing {
+            first: failed.account,
+            proved: false,
+        });
+        failing.proved |= failing.first != failed.account;
+        failing.proved || failed.failure == Failure::Unreachable
     }
 
     /// Forgets services and servers that `keep` and `known` do not know.
     pub fn retain(&mut self, known: impl Fn(ServiceId) -> bool, keep: impl Fn(ServerId) -> bool) {
         self.budgets.retain(|service, _| known(*service));
-        self.broken.retain(|server, _| keep(*server));
+        self.failing.retain(|server, _| keep(*server));
     }
 
     /// Retries that `service` may still make.
--- a/crates/hawthornmill/src/pools/owner.rs
+++ b/crates/hawthornmill/src/pools/owner.rs
@@ -1,7 +1,7 @@
 //! The owner's side of a pool: what each entry wants and holds.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::board::Board;
 use crate::fairness::CostKey;
@@ -11,6 +11,9 @@
 /// Part of a new load reading in the owner's trust: readings over this are foreign work.
 const FOREIGN_READINGS: u8 = 2;
 
+/// Time after a penalty in which a server gets one request at a time, until one succeeds.
+const PROBING: Duration = Duration::from_secs(2);
+
 /// Slots of one server.
 #[derive(Debug, Clone, Default)]
 pub struct ServerSlots {
@@ -24,8 +27,10 @@
     pub class: u16,
     /// It gets no new work.
     pub leaving: bool,
-    /// It could not be reached; no grants until then.
+    /// It failed; no grants until then, and one at a time for [`PROBING`] after.
     pub avoid: Option<Instant>,
+    /// Number of the last grant of a slot here.
+    pub last: u32,
     /// Most slots granted at once since the last load reading, and before it.
     pub peak: [u16; 2],
     /// Load readings in a row that showed work of others.
@@ -45,10 +50,14 @@
 
     /// Slots that may be granted now.
     pub fn free(&self, now: Instant) -> u16 {
-        if self.leaving || self.avoid.is_some_and(|until| now < until) {
-            return 0;
+        let free = self.limit.saturating_sub(self.used);
+        match self.avoid {
+            _ if self.leaving => 0,
+            Some(until) if now < until => 0,
+            // A server that still fails would otherwise cost as many calls as it has slots.
+            Some(until) if now < until + PROBING => free.min(u16::from(self.used == 0)),
+            _ => free,
         }
-        self.limit.saturating_sub(self.used)
     }
 
     /// Takes a slot.
@@ -292,10 +301,12 @@
     let Some(slot) = owned.free(from, done.grant) else {
         return;
     };
-    if done.failed
-        && let Some(server) = owned.servers.get_mut(&slot.server)
-    {
-        server.avoid = Some(penalty);
+    if let Some(server) = owned.servers.get_mut(&slot.server) {
+        if done.failed {
+            server.avoid = Some(penalty);
+        } else if done.cost > 0.0 {
+            server.avoid = server.avoid.filter(|until| now < *until);
+        }
     }
     let key = CostKey {
         service,
--- a/crates/hawthornmill/src/pools/schedule.rs
+++ b/crates/hawthornmill/src/pools/schedule.rs
@@ -143,13 +143,16 @@
     best.map(|(_, pick)| pick)
 }
 
-/// The server of `class` with the most free slots.
+/// The server of `class` with the most free slots; of several, the one granted longest ago.
+///
+/// Without the second rule an idle pool would offer the same server to each call in turn, and a call
+/// that failed there would be offered it again.
 fn pick_server(owned: &Owned, class: u16, now: Instant) -> Option<ServerId> {
     owned
         .servers
         .iter()
         .filter(|(_, s)| s.class == class && s.free(now) > 0)
-        .max_by_key(|(_, s)| s.free(now))
+        .max_by_key(|(_, s)| (s.free(now), std::cmp::Reverse(s.last)))
         .map(|(id, _)| *id)
 }
 
@@ -186,6 +189,7 @@
     owned.last.insert(entry, seq);
     if let Some(slots) = owned.servers.get_mut(&server) {
         slots.take();
+        slots.last = seq;
     }
     entry
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Every test of hawthornmill, in one binary.
 
 mod bad_input;
+mod bad_servers;
 mod errors;
 mod frames;
 mod labels;
