--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod bad_servers;
+mod demo;
 mod errors;
 mod frames;
 mod labels;
@@ -10,6 +11,8 @@
 mod path;
 mod retries;
 mod settings;
+mod spans;
+mod standins;
 
 /// The router program under test.
 const ROUTER: &str = env!("CARGO_BIN_EXE_hawthornmill-router");
