--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,12 +1,15 @@
 //! Every test of hawthornmill, in one binary.
 
 mod bad_input;
+mod bad_servers;
 mod demo;
 mod errors;
 mod frames;
 mod labels;
 mod one_fleet;
+mod overload;
 mod path;
+mod retries;
 mod settings;
 mod spans;
 mod standins;
