Explain shares from usage records

Cause: a record said only that a call waited, refusals of keys and bodies left none, and nothing read the records back. A killed router's last calls were missing without a trace.

Change: records carry the estimate and a reason (slots, confined, owner change, region cut, view, queue full, ...) worked out from what the entry saw while the call waited; a mark every 500 ms tells the last number and the calls in flight; hawthornmill-explain reads logs, drops duplicates, reports gaps and killed runs, and divides each second max-min by shares.

Seen to fail first: a call cut by a second SIGTERM left no record (the cut test found the call only in the end mark); it is charged and recorded now. A caller that hangs up before the answer's head does not end the attempt: a 2 s call ran on for 2.0 s of cost. That is left as it was.

--- a/crates/hawthornmill-net/src/daemon.rs
+++ b/crates/hawthornmill-net/src/daemon.rs
@@ -22,6 +22,7 @@
 use crate::platform;
 use crate::settings::Settings;
 use crate::sockets::bind_http;
+use crate::telemetry::usage::MARK;
 use crate::telemetry::{Telemetry, logs};
 
 const TICK: Duration = Duration::from_millis(20);
@@ -109,6 +110,7 @@
     tokio::spawn(ticks(Arc::clone(&fleet)));
     tokio::spawn(loads(Arc::clone(&fleet)));
     tokio::spawn(sweep_keys(Arc::clone(&fleet)));
+    tokio::spawn(marks(Arc::clone(&fleet)));
     let stop = Arc::new(Notify::new());
     let leave = tokio::spawn(leave(Arc::clone(&fleet), Arc::clone(&stop), drain));
     let server = Server::new_with_acceptor(acceptor(sockets.http));
@@ -120,6 +122,7 @@
         log::error!(target: "daemon", "HTTP server ended: {error}");
     }
     let code = leave.await.unwrap_or(1);
+    mark(&fleet, true);
     fleet.telemetry.flush();
     code
 }
@@ -133,11 +136,28 @@
     timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         timer.tick().await;
-        fleet.feed(tick::tick);
+        fleet.feed(|board, now| {
+            // Before the tick, which forgets what it settles.
+            fleet.telemetry.usage.causes().look(board, now);
+            tick::tick(board, now);
+        });
         fleet.find_ready();
     }
 }
 
+async fn marks(fleet: Arc<Fleet>) {
+    let mut timer = tokio::time::interval(MARK);
+    loop {
+        timer.tick().await;
+        mark(&fleet, false);
+    }
+}
+
+fn mark(fleet: &Fleet, end: bool) {
+    let name = &fleet.settings.contact.name;
+    fleet.telemetry.usage.mark(name, fleet.incarnation.0, end);
+}
+
 async fn sweep_keys(fleet: Arc<Fleet>) {
     let mut timer = tokio::time::interval(SWEEP_KEYS);
     loop {
--- a/crates/hawthornmill-net/src/entry/call.rs
+++ b/crates/hawthornmill-net/src/entry/call.rs
@@ -14,6 +14,7 @@
 
 use super::admit::{Admitted, admit};
 use super::problem::Problem;
+use super::record::{self, Tried};
 use super::relay::{self, Finished};
 use super::{addresses, keyed};
 use crate::fleet::{Fleet, SlotGuard};
@@ -63,10 +64,16 @@
     };
     let body = match body.into_bytes_limit(fleet.settings.limits.body).await {
         Ok(body) => body,
-        Err(ReadBodyError::PayloadTooLarge) => {
-            return refuse(fleet, &Problem::not_run(Code::BodyTooLarge, &id));
+        Err(error) => {
+            let code = match error {
+                ReadBodyError::PayloadTooLarge => Code::BodyTooLarge,
+                _ => Code::BadHeader,
+            };
+            let problem = Problem::not_run(code, &id);
+            let call = prepare(fleet, request, admitted, Bytes::new(), id);
+            record::record_refusal(fleet, &call, &problem, call.admitted.arrived);
+            return refuse(fleet, &problem);
         }
-        Err(_) => return refuse(fleet, &Problem::not_run(Code::BadHeader, &id)),
     };
     let call = prepare(fleet, request, admitted, body, id);
     if call.admitted.repeat == Repeat::Never {
@@ -137,16 +144,20 @@
         bytes: call.out.body.len(),
         deadline: admitted.deadline,
     };
+    let since = fleet.clock.now();
     let result = match fleet.enqueue(arrival) {
         Ok(ticket) => ticket.wait().await,
         Err(code) => Err(code),
     };
     drop(span);
+    if result.is_ok() {
+        record::begin(fleet, call);
+    }
     result.map_err(|code| {
         let after =
             fleet.view(|board| entry::retry_after(board, admitted.service, admitted.account));
         let problem = Problem::not_run(code, &call.out.id).retry(after);
-        relay::record_refusal(fleet, call, &problem);
+        record::record_refusal(fleet, call, &problem, since);
         problem
     })
 }
@@ -158,12 +169,12 @@
 ) -> Result<(SlotGuard, reqwest::Response), Problem> {
     let mut last = Problem::not_run(Code::UpstreamUnreachable, &call.out.id);
     for _ in 0..ATTEMPTS {
-        let mut slot = slot(fleet, call).await?;
-        match attempt(fleet, call, &mut slot, false).await {
-            Ok(answer) => return Ok((slot, answer)),
+        let mut tried = Tried::new(fleet, call, slot(fleet, call).await?);
+        match attempt(fleet, call, tried.slot(), false).await {
+            Ok(answer) => return Ok((tried.into_slot(), answer)),
             Err(problem) => last = problem,
         }
-        finish_failed(fleet, call, slot, &last);
+        finish_failed(fleet, call, tried.into_slot(), &last);
         if last.code == Code::DeadlineWhileRunning {
             break;
         }
--- a/crates/hawthornmill-net/src/entry/keyed.rs
+++ b/crates/hawthornmill-net/src/entry/keyed.rs
@@ -20,6 +20,7 @@
 use super::call::{Call, Flying, attempt, refuse, slot};
 use super::home::fresh_prefix;
 use super::problem::Problem;
+use super::record;
 use super::relay::{self, Finished};
 use crate::fleet::{Fleet, SlotGuard};
 use crate::upstream::REQUEST_ID;
@@ -35,12 +36,30 @@
 
 /// Answers one call of a service that must not repeat.
 pub async fn run(fleet: &Arc<Fleet>, request: &Request, call: Call, flying: Flying) -> Response {
+    let copy = call.clone();
     match dispatch(fleet, request, call, flying).await {
         Ok(response) => response,
-        Err(problem) => refuse(fleet, &problem.prefix(fresh_prefix(fleet))),
+        Err(problem) => {
+            if refused_early(&problem) {
+                record::record_refusal(fleet, &copy, &problem, copy.admitted.arrived);
+            }
+            refuse(fleet, &problem.prefix(fresh_prefix(fleet)))
+        }
     }
 }
 
+/// Tells whether the key itself was refused; any later refusal has left its record already.
+fn refused_early(problem: &Problem) -> bool {
+    let early = [
+        Code::KeyRequired,
+        Code::BadKey,
+        Code::KeyExpired,
+        Code::KeysFull,
+        Code::HomeUnreachable,
+    ];
+    problem.attempt == Outcome::NotRun && early.contains(&problem.code)
+}
+
 async fn dispatch(
     fleet: &Arc<Fleet>,
     request: &Request,
--- a/crates/hawthornmill-net/src/entry/mod.rs
+++ b/crates/hawthornmill-net/src/entry/mod.rs
@@ -1,8 +1,9 @@
 //! What callers see.
 //!
 //! [`routes`] lists the calls. [`admit`] checks a request before it costs anything, [`call`] takes
-//! it through queue, slot and server, [`relay`] passes the answer on as it comes, [`home`] keeps
-//! calls that must not repeat, and [`problem`] writes every refusal.
+//! it through queue, slot and server, [`relay`] passes the answer on as it comes, [`record`]
+//! charges it and writes its usage record, [`home`] keeps calls that must not repeat, and
+//! [`problem`] writes every refusal.
 
 pub mod addresses;
 pub mod admit;
@@ -10,6 +11,7 @@
 pub mod home;
 pub mod keyed;
 pub mod problem;
+pub mod record;
 pub mod relay;
 pub mod routes;
 pub mod status;
--- a/crates/hawthornmill-net/src/telemetry/mod.rs
+++ b/crates/hawthornmill-net/src/telemetry/mod.rs
@@ -3,14 +3,12 @@
 pub mod logs;
 pub mod metrics;
 pub mod spans;
-
-use std::sync::atomic::{AtomicU64, Ordering};
-
-use hawthornmill::usage::UsageRecord;
+pub mod usage;
 
 use crate::settings::TelemetrySettings;
 use metrics::Meters;
 use spans::Spans;
+use usage::Usage;
 
 /// Logs, spans and metrics of one process.
 #[derive(Debug)]
@@ -19,7 +17,8 @@
     pub spans: Spans,
     /// Instruments.
     pub meters: Meters,
-    usage: AtomicU64,
+    /// Usage records.
+    pub usage: Usage,
 }
 
 impl Telemetry {
@@ -28,16 +27,7 @@
         Self {
             spans: Spans::new(settings.spans, instance),
             meters: Meters::new(settings.metrics, instance),
-            usage: AtomicU64::new(0),
-        }
-    }
-
-    /// Writes a usage record; its number follows the one before without a gap.
-    pub fn usage(&self, mut record: UsageRecord) {
-        record.seq = self.usage.fetch_add(1, Ordering::Relaxed) + 1;
-        match serde_json::to_string(&record) {
-            Ok(line) => log::info!(target: logs::RAW, "{{\"kind\":\"usage\",\"usage\":{line}}}"),
-            Err(error) => log::error!(target: "usage", "record can't be written: {error}"),
+            usage: Usage::default(),
         }
     }
 
--- /dev/null
+++ b/crates/hawthornmill-tools/src/explain/mod.rs
@@ -0,0 +1,108 @@
+//! Explains from routers' logs who was owed and who received what.
+//!
+//! [`read`] finds usage lines among others, [`text`] and [`plot`] show the result.
+
+pub mod plot;
+pub mod read;
+pub mod text;
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use hawthornmill::codes::Code;
+use hawthornmill::ini::Fault;
+use hawthornmill::usage::explain::{Interval, Log, Missing, divide};
+use serde::Serialize;
+
+/// Explain from routers' logs what each account was owed and received. Exit codes: 0 nothing is
+/// missing, 1 records are missing or unreadable, 2 a file can't be read or written.
+#[derive(Debug, FromArgs)]
+pub struct ExplainArgs {
+    /// logs of routers
+    #[argh(positional)]
+    files: Vec<PathBuf>,
+    /// seconds of one interval; default 60
+    #[argh(option, default = "60")]
+    interval: u64,
+    /// print one JSON object
+    #[argh(switch)]
+    json: bool,
+    /// write a plot of owed against received to this SVG file
+    #[argh(option)]
+    plot: Option<PathBuf>,
+}
+
+/// Everything that the tool tells.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Explained {
+    /// Intervals in the order of time.
+    pub intervals: Vec<Interval>,
+    /// What each process run left out.
+    pub missing: Vec<Missing>,
+    /// Process runs from which any line came.
+    pub runs: usize,
+    /// Records that came more than once and were counted once.
+    pub duplicates: u64,
+    /// Usage lines that could not be read.
+    pub unreadable: u64,
+}
+
+impl Explained {
+    /// Works out everything from `log`, in intervals of `seconds`.
+    pub fn new(log: &Log, seconds: u64) -> Self {
+        Self {
+            intervals: divide(log, seconds.saturating_mul(1000)),
+            missing: log.missing(),
+            runs: log.run_count(),
+            duplicates: log.duplicates,
+            unreadable: log.unreadable,
+        }
+    }
+
+    /// Tells whether every record is there.
+    pub fn is_whole(&self) -> bool {
+        self.missing.is_empty() && self.unreadable == 0
+    }
+}
+
+/// Runs the tool; the result is the process's exit code.
+pub fn main(args: &ExplainArgs) -> u8 {
+    match run(args) {
+        Ok(explained) if explained.is_whole() => 0,
+        Ok(_) => 1,
+        Err(fault) => {
+            eprintln!("{fault}");
+            2
+        }
+    }
+}
+
+fn run(args: &ExplainArgs) -> Result<Explained, Fault> {
+    let mut log = Log::default();
+    for file in &args.files {
+        read::read_file(file, &mut log).map_err(|e| unreadable(file, &e.to_string()))?;
+    }
+    let explained = Explained::new(&log, args.interval);
+    if let Some(file) = &args.plot {
+        // Steps of a second show what an interval's sum hides.
+        let steps = divide(&log, 1000);
+        std::fs::write(file, plot::svg(&steps).map_err(|e| unreadable(file, &e))?)
+            .map_err(|e| unreadable(file, &e.to_string()))?;
+    }
+    if args.json {
+        println!("{}", serde_json::to_string(&explained).unwrap_or_default());
+    } else {
+        print!("{}", text::table(&explained));
+    }
+    Ok(explained)
+}
+
+fn unreadable(file: &std::path::Path, what: &str) -> Fault {
+    Fault {
+        code: Code::FileUnreadable,
+        file: file.display().to_string().into(),
+        line: 0,
+        column: 0,
+        what: what.into(),
+    }
+}
--- a/crates/hawthornmill-tools/src/lib.rs
+++ b/crates/hawthornmill-tools/src/lib.rs
@@ -1,3 +1,4 @@
 //! Operators' tools: one module for each operation.
 
 pub mod check;
+pub mod explain;
--- /dev/null
+++ b/crates/hawthornmill/src/usage/explain/shares.rs
@@ -0,0 +1,259 @@
+//! Divides what was served in each step of time by the accounts' shares.
+//!
+//! In a step, an account that had calls waiting for half of it or more, or was refused for a full
+//! queue, would have taken any more; any other account wanted what it received. What the servers of
+//! a service ran in that step is divided max-min fairly by shares under those wants. The steps of
+//! an interval are then added up, so an account that waited for a part of an interval is owed for
+//! that part only.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use super::log::Log;
+use crate::usage::{Reason, UsageRecord};
+
+/// Milliseconds of one step.
+pub const STEP_MS: u64 = 1000;
+/// Part of a step for which an account must wait to count as backlogged in it.
+const BACKLOGGED: f64 = 0.5;
+
+/// Cost and waiting of one account on one service in one interval.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct Part {
+    /// Largest share that its records name.
+    pub share: f64,
+    /// Cost that a fair division gives it.
+    pub owed: f64,
+    /// Cost that was run for it.
+    pub received: f64,
+    /// Part of `received` for which the estimate stands.
+    pub estimated: f64,
+    /// Milliseconds during which it had calls waiting.
+    pub backlogged_ms: f64,
+    /// Calls that ended, refused ones left out.
+    pub calls: u64,
+    /// Calls refused, by reason.
+    pub refused: BTreeMap<Reason, u64>,
+    /// Call-milliseconds waited, by reason.
+    pub waited_ms: BTreeMap<Reason, f64>,
+}
+
+/// One account's part with its names.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Line {
+    /// Service by name.
+    pub service: Box<str>,
+    /// Account by name.
+    pub account: Box<str>,
+    /// Its part.
+    #[serde(flatten)]
+    pub part: Part,
+}
+
+/// All parts of one interval.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Interval {
+    /// Wall-clock milliseconds since the Unix epoch at its start.
+    pub start_ms: u64,
+    /// Its length in milliseconds.
+    pub length_ms: u64,
+    /// Parts by service and account.
+    pub lines: Vec<Line>,
+}
+
+type Key = (Box<str>, Box<str>);
+
+#[derive(Debug, Clone, Default)]
+struct Step {
+    received: f64,
+    waits: Vec<(f64, f64)>,
+    flooded: bool,
+}
+
+#[derive(Debug, Default)]
+struct Account {
+    share: f64,
+    steps: BTreeMap<u64, Step>,
+}
+
+/// Divides the records of `log` into intervals of `length_ms`, which is rounded up to whole steps.
+pub fn divide(log: &Log, length_ms: u64) -> Vec<Interval> {
+    let length_ms = length_ms.max(1).div_ceil(STEP_MS) * STEP_MS;
+    let mut accounts: BTreeMap<Key, Account> = BTreeMap::new();
+    let mut parts: BTreeMap<u64, BTreeMap<Key, Part>> = BTreeMap::new();
+    for record in log.records() {
+        let key = (record.service.clone(), record.account.clone());
+        let account = accounts.entry(key.clone()).or_default();
+        account.share = account.share.max(record.share);
+        add_record(account, record);
+        let part = parts.entry(record.at_ms / length_ms).or_default();
+        count(part.entry(key).or_default(), record);
+    }
+    for (key, account) in &accounts {
+        for (index, step) in &account.steps {
+            let part = parts.entry(index * STEP_MS / length_ms).or_default();
+            let part = part.entry(key.clone()).or_default();
+            part.received += step.received;
+            part.backlogged_ms += union(&step.waits);
+            part.share = account.share;
+        }
+    }
+    for (index, key, owed) in owed(&accounts) {
+        let part = parts.entry(index * STEP_MS / length_ms).or_default();
+        part.entry(key).or_default().owed += owed;
+    }
+    let interval = |(index, lines): (u64, BTreeMap<Key, Part>)| Interval {
+        start_ms: index * length_ms,
+        length_ms,
+        lines: lines
+            .into_iter()
+            .map(|((service, account), part)| Line {
+                service,
+                account,
+                part,
+            })
+            .collect(),
+    };
+    parts.into_iter().map(interval).collect()
+}
+
+/// Spreads the cost of a record over the time that it held its slot, and notes when it waited.
+fn add_record(account: &mut Account, record: &UsageRecord) {
+    let end = record.at_ms as f64;
+    let start = end - record.held_ms;
+    for (index, from, to) in steps_of(start, end) {
+        let whole = record.held_ms;
+        let part = if whole > 0.0 {
+            (to - from) / whole
+        } else {
+            1.0
+        };
+        account.steps.entry(index).or_default().received += record.cost * part;
+    }
+    if record.reason != Reason::None && record.waited_ms > 0.0 {
+        for (index, from, to) in steps_of(start - record.waited_ms, start) {
+            let step = account.steps.entry(index).or_default();
+            step.waits.push((from, to));
+        }
+    }
+    if matches!(record.reason, Reason::QueueFull | Reason::InstanceFull) {
+        let step = account.steps.entry(record.at_ms / STEP_MS).or_default();
+        step.flooded = true;
+    }
+}
+
+/// The steps that a stretch of time touches, with the part of it in each.
+fn steps_of(start: f64, end: f64) -> impl Iterator<Item = (u64, f64, f64)> {
+    let width = STEP_MS as f64;
+    let start = start.max(0.0);
+    let (first, last) = ((start / width) as u64, (end / width) as u64);
+    (first..=last).filter_map(move |index| {
+        let from = start.max(index as f64 * width);
+        let to = end.min((index + 1) as f64 * width);
+        (to > from || first == last).then_some((index, from, to))
+    })
+}
+
+fn count(part: &mut Part, record: &UsageRecord) {
+    part.share = part.share.max(record.share);
+    if record.estimated {
+        part.estimated += record.cost;
+    }
+    if record.code != 0 && &*record.outcome == "not_run" {
+        *part.refused.entry(record.reason).or_default() += 1;
+    } else {
+        part.calls += 1;
+    }
+    if record.reason != Reason::None {
+        *part.waited_ms.entry(record.reason).or_default() += record.waited_ms;
+    }
+}
+
+/// Length of the union of stretches.
+fn union(stretches: &[(f64, f64)]) -> f64 {
+    let mut sorted = stretches.to_vec();
+    sorted.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut length = 0.0;
+    let mut reached = f64::NEG_INFINITY;
+    for (from, to) in sorted {
+        length += (to - from.max(reached)).max(0.0);
+        reached = reached.max(to);
+    }
+    length
+}
+
+/// What each account is owed in each step.
+fn owed(accounts: &BTreeMap<Key, Account>) -> Vec<(u64, Key, f64)> {
+    let mut steps: BTreeMap<(u64, &str), Vec<(&Key, Claim)>> = BTreeMap::new();
+    for (key, account) in accounts {
+        for (index, step) in &account.steps {
+            let backlogged = step.flooded || union(&step.waits) >= BACKLOGGED * STEP_MS as f64;
+            let claim = Claim {
+                share: account.share,
+                want: if backlogged {
+                    f64::INFINITY
+                } else {
+                    step.received
+                },
+                received: step.received,
+            };
+            steps
+                .entry((*index, &*key.0))
+                .or_default()
+                .push((key, claim));
+        }
+    }
+    let mut list = Vec::new();
+    for ((index, _), claims) in steps {
+        let served = claims.iter().map(|(_, c)| c.received).sum();
+        let only: Vec<Claim> = claims.iter().map(|(_, c)| *c).collect();
+        let parts = max_min(&only, served);
+        list.extend(
+            claims
+                .iter()
+                .zip(parts)
+                .map(|((key, _), part)| (index, (*key).clone(), part)),
+        );
+    }
+    list
+}
+
+/// What one account would take of what was served.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Claim {
+    /// Weight against the others.
+    pub share: f64,
+    /// Most that it would take.
+    pub want: f64,
+    /// What it took.
+    pub received: f64,
+}
+
+/// Divides `served` by shares, nobody getting more than it wants.
+pub fn max_min(claims: &[Claim], served: f64) -> Vec<f64> {
+    let mut parts = vec![0.0; claims.len()];
+    let mut left = served;
+    let mut open: Vec<usize> = (0..claims.len())
+        .filter(|i| claims[*i].share > 0.0)
+        .collect();
+    while !open.is_empty() {
+        let shares: f64 = open.iter().map(|i| claims[*i].share).sum();
+        let level = left / shares;
+        let (full, rest): (Vec<usize>, Vec<usize>) = open
+            .iter()
+            .partition(|i| claims[**i].want <= level * claims[**i].share);
+        if full.is_empty() {
+            for i in rest {
+                parts[i] = level * claims[i].share;
+            }
+            return parts;
+        }
+        for i in full {
+            parts[i] = claims[i].want;
+            left -= claims[i].want;
+        }
+        open = rest;
+    }
+    parts
+}
--- /dev/null
+++ b/crates/hawthornmill/src/usage/explain/words.rs
@@ -0,0 +1,130 @@
+//! Says in plain words why an account received more or less than it was owed.
+
+use super::log::Missing;
+use super::shares::{Interval, Line, Part};
+use crate::usage::Reason;
+
+/// Differences up to this part of what was owed are the calls in flight at a step's edges.
+const CLOSE: f64 = 0.02;
+/// Reasons that account for less than this part of the waiting are left out.
+const MINOR: f64 = 0.1;
+
+/// What a reason means to a reader who knows nothing of routers.
+pub fn meaning(reason: Reason) -> &'static str {
+    match reason {
+        Reason::None => "no wait",
+        Reason::Slots => "every server open to it was busy",
+        Reason::Confined => "a selector confined it to busy servers while others idled",
+        Reason::OwnerChange => "a pool of servers changed its owner",
+        Reason::RegionCut => "another region was out of reach",
+        Reason::View => "its router was paused and had to confirm its view",
+        Reason::QueueFull => "its queue was full: it asked for more than was served",
+        Reason::InstanceFull => "a router held as much as it may",
+        Reason::Server => "a server failed",
+        Reason::Rejected => "the call itself was not acceptable",
+    }
+}
+
+/// Why the line's account received what it did.
+pub fn why(line: &Line, interval: &Interval, missing: &[Missing]) -> String {
+    let part = &line.part;
+    let mut words = vec![difference(part)];
+    words.extend(waiting(part));
+    words.extend(refusals(part));
+    let end = interval.start_ms + interval.length_ms;
+    for gap in missing
+        .iter()
+        .filter(|m| m.between_ms.0 < end && m.between_ms.1 >= interval.start_ms)
+    {
+        words.push(format!("records missing from {}", gap.entry));
+    }
+    words.join("; ")
+}
+
+fn difference(part: &Part) -> String {
+    let difference = part.received - part.owed;
+    if part.received == 0.0 && part.owed == 0.0 {
+        return "received nothing".into();
+    }
+    if difference.abs() <= CLOSE * part.owed {
+        if part.backlogged_ms > 0.0 {
+            return "received its share".into();
+        }
+        return "received all that it asked for".into();
+    }
+    let percent = 100.0 * difference.abs() / part.owed.max(f64::MIN_POSITIVE);
+    if part.owed <= 0.0 {
+        return "received more than owed: calls begun before its time of waiting".into();
+    }
+    if difference > 0.0 {
+        format!("received {percent:.0} % more than owed: others could not use it at that moment")
+    } else {
+        format!("received {percent:.0} % less than owed")
+    }
+}
+
+fn waiting(part: &Part) -> Option<String> {
+    let total: f64 = part.waited_ms.values().sum();
+    if total <= 0.0 {
+        return None;
+    }
+    let mut list: Vec<(&Reason, &f64)> = part
+        .waited_ms
+        .iter()
+        .filter(|(_, ms)| **ms >= MINOR * total)
+        .collect();
+    list.sort_by(|a, b| b.1.total_cmp(a.1));
+    let words: Vec<String> = list
+        .iter()
+        .map(|(reason, ms)| format!("{} ({:.0} %)", meaning(**reason), 100.0 * **ms / total))
+        .collect();
+    Some(format!("calls waited because {}", words.join(", ")))
+}
+
+fn refusals(part: &Part) -> Option<String> {
+    let words: Vec<String> = part
+        .refused
+        .iter()
+        .map(|(reason, count)| format!("{count} refused: {}", meaning(*reason)))
+        .collect();
+    (!words.is_empty()).then(|| words.join(", "))
+}
+
+/// What can't be explained for want of records, one sentence for each process run.
+pub fn gaps(missing: &[Missing]) -> Vec<String> {
+    missing.iter().map(gap).collect()
+}
+
+fn gap(missing: &Missing) -> String {
+    let mut words = Vec::new();
+    if missing.records > 0 {
+        let ranges: Vec<String> = missing
+            .gaps
+            .iter()
+            .map(|(first, last)| format!("{first}-{last}"))
+            .collect();
+        let (count, ranges) = (missing.records, ranges.join(", "));
+        words.push(format!("{count} records missing (numbers {ranges})"));
+    }
+    if missing.killed {
+        let least: u64 = missing.open.iter().map(|o| o.calls).sum();
+        let most: u64 = missing.peak.values().sum();
+        words.push(format!(
+            "ended without a word; its last mark names {least} calls in flight that have no record, \
+             and it had up to {most} at one time"
+        ));
+    }
+    let costs: Vec<String> = missing
+        .cost
+        .iter()
+        .map(|(service, cost)| format!("{cost:.0} of {service}"))
+        .collect();
+    if !costs.is_empty() {
+        words.push(format!(
+            "up to about {} can't be explained",
+            costs.join(", ")
+        ));
+    }
+    let run = format!("{} (run {:x})", missing.entry, missing.incarnation);
+    format!("{run}: {}", words.join("; "))
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,7 +1,9 @@
 //! Every test of hawthornmill, in one binary.
 
 mod bad_input;
+mod causes;
 mod errors;
+mod explain;
 mod frames;
 mod labels;
 mod one_fleet;
