Owe shares as a perfect scheduler would divide

Cause: each second was divided by itself, and an account that waited for half a second was owed a whole second's share.

Tried in between: wants bounded by waiting calls' costs, second by second. Small accounts were still shown 9 to 22 % short, since a call that waits over two seconds was owed in both.

Change: a reference queue for each account over the whole log; calls bring their cost when they arrive, refused ones their estimate until they are refused.

Also: parts of a record's cost now add up; 4541.9986 of 4542 before.

--- a/crates/hawthornmill/src/usage/explain/shares.rs
+++ b/crates/hawthornmill/src/usage/explain/shares.rs
@@ -1,12 +1,12 @@
-//! Divides what was served in each step of time by the accounts' shares.
+//! Divides what was served as a perfect scheduler would have.
 //!
-//! In a step, an account that had calls waiting for half of it or more, or was refused for a full
-//! queue, would have taken any more; any other account wanted what it received. What the servers of
-//! a service ran in that step is divided max-min fairly by shares under those wants. The steps of
-//! an interval are then added up, so an account that waited for a part of an interval is owed for
-//! that part only.
+//! The reference has the same calls and, in each step of time, serves as much as the servers of the
+//! service ran in it. It divides that max-min fairly by shares among the accounts that have calls
+//! left, where a call brings its cost when it arrives. A refused call brings its estimate and takes
+//! what is left of it away when it is refused. So all of what was served is owed to somebody, an
+//! account is owed no more than it asked for, and a call that was served late is not counted as lost.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::Serialize;
 
@@ -15,8 +15,6 @@
 
 /// Milliseconds of one step.
 pub const STEP_MS: u64 = 1000;
-/// Part of a step for which an account must wait to count as backlogged in it.
-const BACKLOGGED: f64 = 0.5;
 
 /// Cost and waiting of one account on one service in one interval.
 #[derive(Debug, Clone, Default, PartialEq, Serialize)]
@@ -68,7 +66,8 @@
 struct Step {
     received: f64,
     waits: Vec<(f64, f64)>,
-    flooded: bool,
+    offered: f64,
+    expired: f64,
 }
 
 #[derive(Debug, Default)]
@@ -122,25 +121,40 @@
 fn add_record(account: &mut Account, record: &UsageRecord) {
     let end = record.at_ms as f64;
     let start = end - record.held_ms;
-    for (index, from, to) in steps_of(start, end) {
-        let whole = record.held_ms;
-        let part = if whole > 0.0 {
-            (to - from) / whole
-        } else {
-            1.0
-        };
-        account.steps.entry(index).or_default().received += record.cost * part;
+    let held: Vec<_> = steps_of(start, end).collect();
+    // Not `held_ms`: milliseconds since the epoch leave rounding errors, and the parts must add up.
+    let whole: f64 = held.iter().map(|(_, from, to)| to - from).sum();
+    let part_of = |length: f64| if whole > 0.0 { length / whole } else { 1.0 };
+    for (index, from, to) in &held {
+        let step = account.steps.entry(*index).or_default();
+        step.received += record.cost * part_of(to - from);
+    }
+    let arrived = start - record.waited_ms;
+    let refused = is_refused(record);
+    let first = account
+        .steps
+        .entry(arrived.max(0.0) as u64 / STEP_MS)
+        .or_default();
+    first.offered += if refused {
+        record.estimate
+    } else {
+        record.cost
+    };
+    if refused {
+        let last = account.steps.entry(record.at_ms / STEP_MS).or_default();
+        last.expired += record.estimate;
     }
     if record.reason != Reason::None && record.waited_ms > 0.0 {
-        for (index, from, to) in steps_of(start - record.waited_ms, start) {
+        for (index, from, to) in steps_of(arrived, start) {
             let step = account.steps.entry(index).or_default();
             step.waits.push((from, to));
         }
     }
-    if matches!(record.reason, Reason::QueueFull | Reason::InstanceFull) {
-        let step = account.steps.entry(record.at_ms / STEP_MS).or_default();
-        step.flooded = true;
-    }
+}
+
+/// A call that would have been run, had there been room.
+fn is_refused(record: &UsageRecord) -> bool {
+    record.code != 0 && &*record.outcome == "not_run" && record.reason != Reason::Rejected
 }
 
 /// The steps that a stretch of time touches, with the part of it in each.
@@ -185,40 +199,48 @@
 
 /// What each account is owed in each step.
 fn owed(accounts: &BTreeMap<Key, Account>) -> Vec<(u64, Key, f64)> {
-    let mut steps: BTreeMap<(u64, &str), Vec<(&Key, Claim)>> = BTreeMap::new();
+    let mut services: BTreeMap<&str, Vec<(&Key, &Account)>> = BTreeMap::new();
     for (key, account) in accounts {
-        for (index, step) in &account.steps {
-            let backlogged = step.flooded || union(&step.waits) >= BACKLOGGED * STEP_MS as f64;
-            let claim = Claim {
-                share: account.share,
-                want: if backlogged {
-                    f64::INFINITY
-                } else {
-                    step.received
-                },
-                received: step.received,
-            };
-            steps
-                .entry((*index, &*key.0))
-                .or_default()
-                .push((key, claim));
-        }
+        services.entry(&key.0).or_default().push((key, account));
     }
     let mut list = Vec::new();
-    for ((index, _), claims) in steps {
-        let served = claims.iter().map(|(_, c)| c.received).sum();
-        let only: Vec<Claim> = claims.iter().map(|(_, c)| *c).collect();
-        let parts = max_min(&only, served);
-        list.extend(
-            claims
-                .iter()
-                .zip(parts)
-                .map(|((key, _), part)| (index, (*key).clone(), part)),
-        );
+    for members in services.values() {
+        let mut left = vec![0.0; members.len()];
+        let steps: BTreeSet<u64> = members
+            .iter()
+            .flat_map(|(_, account)| account.steps.keys().copied())
+            .collect();
+        for index in steps {
+            let parts = owed_in(index, members, &mut left);
+            let parts = members.iter().zip(parts).filter(|(_, part)| *part > 0.0);
+            list.extend(parts.map(|((key, _), part)| (index, (*key).clone(), part)));
+        }
     }
     list
 }
 
+/// What the accounts of one service are owed in one step; `left` is what each has left to want.
+fn owed_in(index: u64, members: &[(&Key, &Account)], left: &mut [f64]) -> Vec<f64> {
+    let mut served = 0.0;
+    let mut claims = Vec::new();
+    for ((_, account), left) in members.iter().zip(left.iter_mut()) {
+        if let Some(step) = account.steps.get(&index) {
+            served += step.received;
+            *left += step.offered;
+        }
+        claims.push(Claim {
+            share: account.share,
+            want: *left,
+        });
+    }
+    let parts = max_min(&claims, served);
+    for (((_, account), left), part) in members.iter().zip(left).zip(&parts) {
+        let expired = account.steps.get(&index).map_or(0.0, |s| s.expired);
+        *left = (*left - part - expired).max(0.0);
+    }
+    parts
+}
+
 /// What one account would take of what was served.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Claim {
@@ -226,8 +248,6 @@
     pub share: f64,
     /// Most that it would take.
     pub want: f64,
-    /// What it took.
-    pub received: f64,
 }
 
 /// Divides `served` by shares, nobody getting more than it wants.
--- a/crates/hawthornmill/src/usage/explain/words.rs
+++ b/crates/hawthornmill/src/usage/explain/words.rs
@@ -54,10 +54,10 @@
     }
     let percent = 100.0 * difference.abs() / part.owed.max(f64::MIN_POSITIVE);
     if part.owed <= 0.0 {
-        return "received more than owed: calls begun before its time of waiting".into();
+        return "received more than owed, which others went without".into();
     }
     if difference > 0.0 {
-        format!("received {percent:.0} % more than owed: others could not use it at that moment")
+        format!("received {percent:.0} % more than owed, which others went without")
     } else {
         format!("received {percent:.0} % less than owed")
     }
