--- a/crates/hawthornmill-net/src/entry/call.rs
+++ b/crates/hawthornmill-net/src/entry/call.rs
@@ -14,7 +14,7 @@
 
 use super::admit::{Admitted, admit};
 use super::problem::Problem;
-use super::{addresses, keyed, relay, retries};
+use super::{addresses, keyed, record, relay, retries};
 use crate::fleet::{Fleet, SlotGuard, Ticket};
 use crate::upstream::{Outbound, SendError, passed_on};
 
@@ -63,10 +63,16 @@
     }
     let body = match body.into_bytes_limit(fleet.settings.limits.body).await {
         Ok(body) => body,
-        Err(ReadBodyError::PayloadTooLarge) => {
-            return refuse(fleet, &Problem::not_run(Code::BodyTooLarge, &id));
+        Err(error) => {
+            let code = match error {
+                ReadBodyError::PayloadTooLarge => Code::BodyTooLarge,
+                _ => Code::BadHeader,
+            };
+            let problem = Problem::not_run(code, &id);
+            let call = prepare(fleet, request, admitted, Bytes::new(), id);
+            record::record_refusal(fleet, &call, &problem, call.admitted.arrived);
+            return refuse(fleet, &problem);
         }
-        Err(_) => return refuse(fleet, &Problem::not_run(Code::BadHeader, &id)),
     };
     let call = prepare(fleet, request, admitted, body, id);
     if call.admitted.repeat == Repeat::Never {
@@ -160,14 +166,18 @@
     ticket: Result<Ticket, Code>,
 ) -> Result<SlotGuard, Problem> {
     let span = fleet.telemetry.spans.child(&call.span, "wait");
+    let since = fleet.clock.now();
     let result = match ticket {
         Ok(ticket) => ticket.wait().await,
         Err(code) => Err(code),
     };
     drop(span);
+    if result.is_ok() {
+        record::begin(fleet, call);
+    }
     result.map_err(|code| {
         let problem = Problem::not_run(code, &call.out.id).retry(come_back(fleet, &call.admitted));
-        relay::record_refusal(fleet, call, &problem);
+        record::record_refusal(fleet, call, &problem, since);
         problem
     })
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,8 +2,10 @@
 
 mod bad_input;
 mod bad_servers;
+mod causes;
 mod demo;
 mod errors;
+mod explain;
 mod frames;
 mod labels;
 mod one_fleet;
--- a/tests/testsuite/retries.rs
+++ b/tests/testsuite/retries.rs
@@ -162,12 +162,15 @@
             .arrive(0, "big", "drafting", 500, 60_000)
             .expect("there is room");
     }
-    let arrived = steps.instant() - Duration::from_millis(500);
+    let arrived = steps
+        .instant()
+        .checked_sub(Duration::from_millis(500))
+        .expect("the machine has been up for longer");
     let arrival = entry::Arrival {
         service,
         account,
         bytes: 100,
-        deadline: steps.instant() + Duration::from_secs(60),
+        deadline: steps.instant() + Duration::from_mins(1),
     };
     let avoid = ServerId::of(name);
 
@@ -212,7 +215,7 @@
         service: ServiceId::of("drafting"),
         account: AccountId::of("big"),
         bytes: 100,
-        deadline: now + Duration::from_secs(60),
+        deadline: now + Duration::from_mins(1),
     };
 
     entry::requeue(
