--- a/crates/hawthornmill/src/pools/ownership.rs
+++ b/crates/hawthornmill/src/pools/ownership.rs
@@ -5,8 +5,10 @@
 
 use crate::board::{Board, Policy};
 use crate::config::FleetConfig;
-use crate::ident::{Incarnation, InstanceId, PoolId};
+use crate::fairness::{CostKey, Ledger};
+use crate::ident::{AccountId, Incarnation, InstanceId, PoolId};
 use crate::membership::place;
+use crate::notes::Note;
 use crate::pools::entry;
 use crate::pools::owner::Owned;
 use crate::wire::message::{Handover, Held, HeldBy, Message};
@@ -46,6 +48,7 @@
         && link.owner != Some((id, run))
     {
         link.turn_to(id, run);
+        board.notes.push(Note::Owner(pool, id));
         let queues = board.queues.keys().copied();
         board.dirty.extend(queues);
     }
@@ -61,7 +64,7 @@
             .handed
             .is_some_and(|at| now.duration_since(at) > HANDED)
         {
-            *book = Owned::default();
+            book.deactivate();
         }
         let handed = book.handed.take().is_some();
         book.activate(if handed { now } else { ready });
@@ -73,16 +76,16 @@
         }
     }
     if !mine && book.active {
-        let book = std::mem::take(book);
+        let handover = handover(pool, book, &board.ledger, &board.config);
+        book.deactivate();
         if let Some(to) = owner.filter(|_| board.stale.is_none()) {
-            let handover = Message::Handover(handover(pool, &book));
-            board.outbox.push((to, handover));
+            board.outbox.push((to, Message::Handover(handover)));
         }
     }
 }
 
 /// What the next owner of a pool must know to grant at once.
-fn handover(pool: PoolId, book: &Owned) -> Handover {
+fn handover(pool: PoolId, book: &Owned, ledger: &Ledger, config: &FleetConfig) -> Handover {
     let held = book.held.iter().filter_map(|((entry, grant), slot)| {
         let held = Held {
             grant: *grant,
@@ -96,10 +99,19 @@
             charged: slot.charged,
         })
     });
+    let service = config.pools.get(&pool).map(|p| p.service);
+    let lags = book.accounts.iter().filter_map(|(account, queue)| {
+        let account = *account;
+        let total = ledger.total(CostKey {
+            service: service?,
+            account,
+        });
+        let active = queue.open > 0 || queue.held > 0;
+        active.then_some((account, book.level - total - queue.lift))
+    });
     Handover {
         pool,
-        level: book.level,
-        lifts: book.accounts.iter().map(|(a, q)| (*a, q.lift)).collect(),
+        lags: lags.collect(),
         held: held.collect(),
     }
 }
@@ -124,7 +136,9 @@
             owned.forget(*id);
         }
     }
+    board.notes.extend(died.into_iter().map(Note::Died));
     for id in std::mem::take(&mut board.members.revived) {
+        board.notes.push(Note::Revived(id));
         entry::resync(board, id);
     }
 }
@@ -137,9 +151,9 @@
 /// again. An owner that grants already has heard all entries, so a word that comes late, from one
 /// that was cut off or paused, changes nothing.
 pub fn on_handover(board: &mut Board, handover: &Handover, now: Instant) {
-    if !board.config.pools.contains_key(&handover.pool) {
+    let Some(service) = board.config.pools.get(&handover.pool).map(|p| p.service) else {
         return;
-    }
+    };
     let book = board.owned.entry(handover.pool).or_default();
     if book.active && book.ready.is_some_and(|ready| ready <= now) {
         return;
@@ -155,10 +169,14 @@
             book.add_held(by.entry, &by.held, by.charged);
         }
     }
-    book.level = book.level.max(handover.level);
-    for (account, lift) in &handover.lifts {
-        let queue = book.accounts.entry(*account).or_default();
-        queue.lift = queue.lift.max(*lift);
+    let ledger = &board.ledger;
+    let total = |account: AccountId| ledger.total(CostKey { service, account });
+    for (account, lag) in &handover.lags {
+        book.level = book.level.max(total(*account) + lag);
+    }
+    for (account, lag) in &handover.lags {
+        let lift = book.level - lag - total(*account);
+        book.accounts.entry(*account).or_default().lift = lift;
     }
     if book.active {
         book.activate(now);
--- a/crates/hawthornmill/src/pools/tick.rs
+++ b/crates/hawthornmill/src/pools/tick.rs
@@ -5,6 +5,7 @@
 use super::entry;
 use crate::board::Board;
 use crate::ident::InstanceId;
+use crate::notes::Note;
 use crate::wire::message::{Message, PoolState, ProbeAck};
 
 /// Notices that the process was stopped for a while; called with every tick and arrival.
@@ -12,6 +13,7 @@
     let gap = now.duration_since(board.ticked);
     board.ticked = now;
     if gap > board.tuning.pause {
+        board.notes.push(Note::Paused(gap));
         wake(board, now);
     }
 }
@@ -103,6 +105,7 @@
 fn confirm(board: &mut Board, now: Instant) {
     board.stale = None;
     board.awaited = None;
+    board.notes.push(Note::Confirmed);
     board.members.sweep(now);
     let keys: Vec<_> = board.queues.keys().copied().collect();
     board.dirty.extend(keys);
--- a/crates/hawthornmill/src/wire/message.rs
+++ b/crates/hawthornmill/src/wire/message.rs
@@ -242,10 +242,10 @@
 pub struct Handover {
     /// Pool that this is about.
     pub pool: PoolId,
-    /// Normalised service of the account served last.
-    pub level: f64,
-    /// Lifts of the accounts.
-    pub lifts: Vec<(AccountId, f64)>,
+    /// Normalised service by which each account that waits or runs is behind the one served last.
+    ///
+    /// Totals of two instances can't be compared, since each counts from what it heard first.
+    pub lags: Vec<(AccountId, f64)>,
     /// Slots held.
     pub held: Vec<HeldBy>,
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,15 +1,23 @@
 //! Every test of hawthornmill, in one binary.
 
 mod bad_input;
+mod bad_servers;
+mod causes;
 mod configuration;
+mod demo;
 mod errors;
+mod explain;
 mod frames;
 mod labels;
 mod leaving;
 mod membership;
 mod one_fleet;
+mod overload;
 mod path;
+mod retries;
 mod settings;
+mod spans;
+mod standins;
 
 /// The router program under test.
 const ROUTER: &str = env!("CARGO_BIN_EXE_hawthornmill-router");
