Send signs of life together and heartbeats to partners only

Heartbeats went to every instance with a connection, and each relay passed each report on as it came, one datagram each. Now heartbeats go to the own failure domain and to instances that hold or want slots, their interval grows with the number of targets and is told, and mere signs of life are passed on every fourth round, several in one datagram.

Only a direct sign corrects what is known.

--- a/crates/hawthornmill-net/src/peers/inbox.rs
+++ b/crates/hawthornmill-net/src/peers/inbox.rs
@@ -69,6 +69,7 @@
         revision: heartbeat.revision,
         interval: Duration::from_millis(heartbeat.interval.into()),
         steady: heartbeat.steady,
+        direct: true,
     };
     let (follows, list) = fleet.feed(|board, now| {
         if let Some(contact) = heartbeat.contact {
--- a/crates/hawthornmill/src/membership/mod.rs
+++ b/crates/hawthornmill/src/membership/mod.rs
@@ -27,10 +27,10 @@
 /// Longest steadiness that is told, in tenths of a second.
 const MOST_STEADY: u128 = 255;
 /// Difference between the told and the known steadiness that is taken for rounding and delay.
-const STEADY_SLACK: Duration = Duration::from_millis(500);
+const STEADY_SLACK: Duration = Duration::from_millis(200);
 
-/// Time for one heartbeat to one instance, so that all of them stay within about 1.5 KB/s.
-const BEAT_EACH: Duration = Duration::from_millis(40);
+/// Time for one heartbeat to one instance, so that all of them stay within about 1.2 KB/s.
+const BEAT_EACH: Duration = Duration::from_millis(50);
 /// Longest time between heartbeats.
 const MOST_BEAT: Duration = Duration::from_secs(5);
 
@@ -71,6 +71,8 @@
     pub live: bool,
     /// Since when it is steady: it started, woke, or was heard again after a silence.
     pub since: Instant,
+    /// When it was heard again after a silence that was not this instance's own.
+    pub returned: Option<Instant>,
     /// Last sign of life.
     pub heard: Option<Instant>,
     /// Silence after which it counts as dead.
@@ -110,6 +112,8 @@
     pub interval: Duration,
     /// Tenths of a second for which the giver has been steady.
     pub steady: u8,
+    /// It came from the giver itself; a relayed one is older by an unknown time.
+    pub direct: bool,
 }
 
 /// Every instance that this one knows of, itself included.
@@ -221,6 +225,7 @@
             revision,
             interval,
             steady: self.steady(now),
+            direct: true,
         }
     }
 
@@ -246,20 +251,18 @@
         }
         // All views take how long an instance has been steady from itself, so they agree on who is
         // preferred as an owner. One that comes and goes without noticing starts anew in each view.
-        let told = steady_since(sign.steady, now);
-        let since = if restarted || (again && cut) {
-            told
-        } else if again {
-            now
-        } else if told > member.since + STEADY_SLACK {
-            told
-        } else {
-            member.since
-        };
-        self.changed |= since != member.since;
-        member.since = since;
+        // All views take how long an instance has been steady from itself, so they agree on who is
+        // preferred as an owner. One that comes and goes without noticing starts anew in each view.
         if restarted || again {
+            member.returned = (again && !cut).then_some(now);
+        }
+        let told = steady_since(sign.steady, now);
+        let since = member.returned.map_or(told, |returned| told.max(returned));
+        if restarted || again || (sign.direct && differs(member.since, since, sign.steady)) {
+            member.since = since;
             self.changed = true;
+        }
+        if restarted || again {
             self.revived.push(sign.from);
         }
         // Within one run leaving is never taken back, so a late frame can't revive it.
@@ -357,6 +360,13 @@
     }
 }
 
+/// Tells whether a told start of steadiness is other than the known one, rounding apart.
+fn differs(known: Instant, told: Instant, tenths: u8) -> bool {
+    // The longest time that can be told means: at least that long.
+    let longer = u128::from(tenths) == MOST_STEADY && known <= told;
+    !longer && known.max(told) - known.min(told) > STEADY_SLACK
+}
+
 fn steady_since(tenths: u8, now: Instant) -> Instant {
     let steady = Duration::from_millis(u64::from(tenths) * 100);
     now.checked_sub(steady).unwrap_or(now)
@@ -373,6 +383,7 @@
         revision: 0,
         live: false,
         since: now,
+        returned: None,
         heard: None,
         patience: Duration::from_secs(2),
     }
--- a/crates/hawthornmill/src/membership/reports.rs
+++ b/crates/hawthornmill/src/membership/reports.rs
@@ -27,6 +27,8 @@
 struct Origin {
     incarnation: Incarnation,
     version: u32,
+    /// Version in which anything but the sign of life was last new.
+    news: u32,
     leaving: bool,
     revision: u64,
     steady: u8,
@@ -68,6 +70,9 @@
         origin.steady = members.steady(now);
         origin.incarnation = own.incarnation;
         origin.version += 1;
+        if !same {
+            origin.news = origin.version;
+        }
         origin.leaving = own.words.own;
         origin.revision = revision;
         origin.pools = pools;
@@ -102,6 +107,13 @@
             ledger.merge(report.origin, report.incarnation, *key, f64::from(*value));
             origin.costs.insert(*key, (*value, report.version));
         }
+        let news = !report.costs.is_empty()
+            || report.incarnation != origin.incarnation
+            || (report.leaving, report.revision) != (origin.leaving, origin.revision)
+            || report.pools != origin.pools;
+        if news {
+            origin.news = report.version;
+        }
         if !newer {
             return false;
         }
@@ -120,6 +132,7 @@
                 revision: report.revision,
                 interval: interval * KEEPALIVE,
                 steady: report.steady,
+                direct: false,
             },
             now,
         );
@@ -174,7 +187,13 @@
             if incarnation != origin.incarnation {
                 version = 0;
             }
-            if origin.version <= version {
+            // Mere signs of life go on together: a datagram for each would be mostly headers.
+            let due = if self.round.is_multiple_of(KEEPALIVE) {
+                origin.version
+            } else {
+                origin.news
+            };
+            if due <= version {
                 continue;
             }
             sent.insert(*id, (origin.incarnation, origin.version));
--- a/crates/hawthornmill/src/pools/mod.rs
+++ b/crates/hawthornmill/src/pools/mod.rs
@@ -38,7 +38,10 @@
         .filter(|link| !link.told.is_empty() || !link.held.is_empty())
         .filter_map(|link| link.owner);
     let owned = board.owned.values().filter(|owned| owned.active);
-    let entries = owned.flat_map(|owned| owned.entries.keys());
+    let entries = owned.flat_map(|owned| {
+        let wants = owned.accounts.values().flat_map(|q| q.entries.keys());
+        wants.chain(owned.held.keys().map(|(entry, _)| entry))
+    });
     let mut targets: BTreeSet<InstanceId> = mates.map(|(id, _)| *id).collect();
     targets.extend(owners.map(|(id, _)| id));
     targets.extend(entries);
--- a/tests/testsuite/configuration.rs
+++ b/tests/testsuite/configuration.rs
@@ -302,6 +302,7 @@
                 revision: *revision,
                 interval: Duration::from_millis(100),
                 steady: 0,
+                direct: true,
             };
             board.members.learn(contact, now);
             if *live {
--- a/tests/testsuite/leaving.rs
+++ b/tests/testsuite/leaving.rs
@@ -134,6 +134,7 @@
         revision: 1,
         interval: Duration::from_millis(100),
         steady: (millis / 100) as u8,
+        direct: true,
     };
     let at = |millis| now + Duration::from_millis(millis);
 
