Make refusals of keyed calls final, and check histories

Cause: the home forgot a key whose call was refused, so a copy that was still on its way ran after its caller had been told `not_run` and gone on with a new key. A router other than the home said `not_run` of a key that it knew nothing of. A call that waited in a stopped home's socket was run when the home went on, since its time left began to run anew. The check of a prefix's age and the claim stood apart, and a look at a result claimed the key for an instant.

Refused keys keep their mark; where no room is left for a mark, a floor for the account refuses unknown keys of prefixes up to then. An account may fill a quarter of the table. Refusals on arrival say `unknown` of a key. A leaving router keeps refusing for the time in which others still list it, counts a keyed call until its answer is written, and gives connections the whole bound to end.

Seen to fail without each guard (the guard reversed, one at a time): once::a_refusal_on_arrival…, once::a_call_that_waited…, keys::a_refusal_is_final…, keys::a_key_refused_for_want_of_room…. leave::a_rolling_restart… passes with the earlier drain too: 8 restarts under load, no call unfinished. So it is a regression test, not a proof of the change.

--- a/crates/hawthornmill-lab/src/lib.rs
+++ b/crates/hawthornmill-lab/src/lib.rs
@@ -7,5 +7,6 @@
 //! never from what a router says of itself.
 
 pub mod demo;
+pub mod history;
 pub mod load;
 pub mod standin;
--- a/crates/hawthornmill-lab/src/load/caller.rs
+++ b/crates/hawthornmill-lab/src/load/caller.rs
@@ -8,7 +8,7 @@
 use tokio::sync::Mutex;
 
 use super::plan::Caller;
-use super::story::Story;
+use super::story::{Copy, Story};
 use crate::standin::engine::{Generate, REQUEST_ID, last_line, line};
 
 /// Times that one call is sent at most.
@@ -143,11 +143,14 @@
             story.key = Some(format!("{prefix}.{}-{}", job.number, story.tries).into());
         }
         story.tries += 1;
-        let before = story.tries;
+        let sent = micros(job.start);
+        story.fresh = None;
         let reply = send(client, job, &mut story, deadline, &first).await;
+        let copy = copy(&story, &reply, sent, micros(job.start));
+        story.copies.push(copy);
         match reply {
             Reply::Whole => break,
-            Reply::Refused if !again(&mut story, &mut prefix, before) => break,
+            Reply::Refused if !again(&mut story, &mut prefix) => break,
             Reply::Broken if story.first_us > 0 && !caller.keyed => break,
             Reply::Broken if !caller.keyed => break,
             Reply::Refused | Reply::Unreachable | Reply::Broken => {
@@ -162,17 +165,50 @@
 }
 
 /// Tells whether a refused call should be sent again.
-fn again(story: &mut Story, prefix: &mut Option<Box<str>>, tries: u32) -> bool {
-    match story.code {
-        // Leaving, or the instance is full: another address may do.
-        3009 | 3020 => true,
-        // The key's home is gone. A key that was sent only this once, and went nowhere, can be
-        // given up for a new one; otherwise nobody can say, and it stays unknown.
-        3014 if &*story.attempt == "not_run" && tries == 1 => {
-            story.key = None;
-            prefix.is_some() || story.key.is_none()
-        }
-        _ => false,
+fn again(story: &mut Story, prefix: &mut Option<Box<str>>) -> bool {
+    // The key can't be used any more: refused, expired, no room for it, or its home is gone.
+    let spent = matches!(story.code, 3012 | 3014 | 3015 | 3024);
+    // The instance is leaving or full: another address may do.
+    let elsewhere = matches!(story.code, 3009 | 3020);
+    if !spent && !elsewhere {
+        return false;
+    }
+    // A call of which no copy went anywhere may go on with a new key; otherwise nobody but the
+    // server's own books can say what became of it.
+    if story.key.is_some() && story.harmless() {
+        story.key = None;
+        *prefix = story.fresh.take();
+        return true;
+    }
+    elsewhere
+}
+
+fn copy(story: &Story, reply: &Reply, sent: u64, end: u64) -> Copy {
+    let (outcome, attempt) = match reply {
+        Reply::Whole => ("whole", "ran"),
+        Reply::Refused => (&*story.outcome, &*story.attempt),
+        Reply::Unreachable => ("none", "not_run"),
+        Reply::Broken => ("none", "unknown"),
+    };
+    Copy {
+        tag: story.tag.clone(),
+        key: story.key.clone(),
+        entry: story.entry.clone(),
+        sent_us: sent,
+        end_us: end,
+        code: if matches!(reply, Reply::Refused) {
+            story.code
+        } else {
+            0
+        },
+        outcome: outcome.into(),
+        attempt: attempt.into(),
+        serial: if matches!(reply, Reply::Whole) {
+            story.serial
+        } else {
+            0
+        },
+        crossed: matches!(reply, Reply::Whole) && story.crossed,
     }
 }
 
@@ -263,12 +299,14 @@
         outcome: Box<str>,
         attempt: Box<str>,
         retry_after_ms: u64,
+        key_prefix: Option<Box<str>>,
     }
     let problem: Problem = serde_json::from_slice(bytes).unwrap_or_default();
     story.code = problem.code;
     story.outcome = problem.outcome;
     story.attempt = problem.attempt;
     story.retry_ms = problem.retry_after_ms;
+    story.fresh = problem.key_prefix;
 }
 
 /// Compares an answer with the one that the server makes for this call.
--- a/crates/hawthornmill-lab/src/standin/plain.rs
+++ b/crates/hawthornmill-lab/src/standin/plain.rs
@@ -38,7 +38,8 @@
         Arc::new(Self {
             ledger: Ledger::default(),
             work,
-            serial: AtomicU64::new(0),
+            // Numbers of different servers must not meet.
+            serial: AtomicU64::new(u64::from(rand::random::<u32>()) << 20),
         })
     }
 
--- a/crates/hawthornmill-net/src/daemon.rs
+++ b/crates/hawthornmill-net/src/daemon.rs
@@ -25,6 +25,8 @@
 use crate::telemetry::{Telemetry, logs};
 
 const TICK: Duration = Duration::from_millis(20);
+/// Time in which every instance hears that this one leaves.
+const SPREAD: Duration = Duration::from_millis(500);
 const SWEEP_KEYS: Duration = Duration::from_secs(1);
 
 /// Runs a router until it is told to leave; the result is the process's exit code.
@@ -110,18 +112,31 @@
     tokio::spawn(loads(Arc::clone(&fleet)));
     tokio::spawn(sweep_keys(Arc::clone(&fleet)));
     let stop = Arc::new(Notify::new());
-    let leave = tokio::spawn(leave(Arc::clone(&fleet), Arc::clone(&stop), drain));
+    let leave = leave(Arc::clone(&fleet), Arc::clone(&stop), drain);
     let server = Server::new_with_acceptor(acceptor(sockets.http));
     let stopped = async move { stop.notified().await };
-    let result = server
-        .run_with_graceful_shutdown(routes(&fleet), stopped, Some(Duration::from_secs(1)))
-        .await;
+    // The last bytes of an answer may still be in the process when its call is settled, and a slow
+    // reader takes them in its own time. So connections get the whole bound to end, not a moment.
+    let served = server.run_with_graceful_shutdown(routes(&fleet), stopped, Some(drain));
+    let code = tokio::select! {
+        code = leave => code,
+        result = served => ended(&fleet, result),
+    };
+    log::info!(target: "daemon", "instance {} ends", fleet.settings.contact.name);
+    fleet.telemetry.flush();
+    code
+}
+
+fn ended(fleet: &Fleet, result: std::io::Result<()>) -> u8 {
+    let cut = fleet.flying.load(Ordering::SeqCst);
+    if cut > 0 {
+        log::warn!(target: "daemon", "{cut} calls cut");
+    }
     if let Err(error) = result {
         log::error!(target: "daemon", "HTTP server ended: {error}");
+        return 1;
     }
-    let code = leave.await.unwrap_or(1);
-    fleet.telemetry.flush();
-    code
+    u8::from(cut > 0)
 }
 
 fn acceptor(listener: TcpListener) -> TcpAcceptor {
@@ -174,7 +189,9 @@
     }
 }
 
-/// Waits for the signal to leave, then for the calls in flight.
+/// Waits for the signal to leave, then for the calls in flight; ends only when it cuts something.
+///
+/// Once nothing is in flight it tells the server to close its connections, which ends the process.
 async fn leave(fleet: Arc<Fleet>, stop: Arc<Notify>, bound: Duration) -> u8 {
     let Ok(mut term) = signal(SignalKind::terminate()) else {
         return 1;
@@ -187,23 +204,26 @@
         _ = int.recv() => {}
     }
     announce(&fleet);
-    let cut = tokio::select! {
-        () = drained(&fleet) => false,
-        _ = term.recv() => true,
-        _ = int.recv() => true,
-        () = tokio::time::sleep(bound) => true,
+    let closing = async {
+        drained(&fleet).await;
+        stop.notify_one();
+        std::future::pending::<()>().await;
     };
-    let left = fleet.flying.load(Ordering::SeqCst);
-    if cut {
-        log::warn!(target: "daemon", "{left} calls cut");
-    }
-    log::info!(target: "daemon", "instance {} ends", fleet.settings.contact.name);
-    stop.notify_one();
-    u8::from(cut && left > 0)
+    let why = tokio::select! {
+        () = closing => "",
+        _ = term.recv() => "a second signal",
+        _ = int.recv() => "a second signal",
+        () = tokio::time::sleep(bound) => "the longest wait is over",
+    };
+    let cut = fleet.flying.load(Ordering::SeqCst);
+    log::warn!(target: "daemon", "{cut} calls cut: {why}");
+    u8::from(cut > 0)
 }
 
 fn announce(fleet: &Fleet) {
     log::info!(target: "daemon", "instance {} leaves", fleet.settings.contact.name);
+    let until = fleet.clock.now() + fleet.settings.discovery.ttl + SPREAD;
+    let _first = fleet.closing.set(until);
     fleet.feed(|board, _| {
         let me = board.me();
         board.members.set_leaving(me);
@@ -214,11 +234,14 @@
 /// Serves callers that hold old addresses for as long as discovery allowed, then refuses new calls
 /// and waits for the last one in flight.
 async fn drained(fleet: &Fleet) {
-    tokio::time::sleep(fleet.settings.discovery.ttl).await;
+    // Other instances list this one until they hear that it leaves, so the last old list may be
+    // that much younger.
+    tokio::time::sleep(fleet.settings.discovery.ttl + SPREAD).await;
     fleet.closed.store(true, Ordering::SeqCst);
+    // Refusals with other addresses for callers that come in the last moment: a connection that
+    // waits unaccepted when the listener closes is reset, and its caller can't tell what was run.
+    tokio::time::sleep(SPREAD).await;
     while fleet.flying.load(Ordering::SeqCst) > 0 {
         tokio::time::sleep(TICK).await;
     }
-    // Refusals with other addresses for callers that come in the last moment.
-    tokio::time::sleep(TICK * 5).await;
 }
--- a/crates/hawthornmill-net/src/entry/addresses.rs
+++ b/crates/hawthornmill-net/src/entry/addresses.rs
@@ -1,5 +1,7 @@
 //! Discovery: which instances a caller may use.
 
+use std::time::Duration;
+
 use hawthornmill::board::Board;
 use hawthornmill::ident::mix;
 
@@ -13,12 +15,23 @@
     let discovery = &fleet.settings.discovery;
     serde_json::json!({
         "addresses": addresses,
-        "ttl_ms": discovery.ttl.as_millis() as u64,
+        "ttl_ms": lasting(fleet, discovery.ttl),
         "key_prefix": fresh_prefix(fleet),
-        "key_ttl_ms": discovery.keys.as_millis() as u64,
+        "key_ttl_ms": lasting(fleet, discovery.keys),
     })
 }
 
+/// Milliseconds of `ttl`, or what is left until this instance takes no more calls.
+///
+/// A leaving instance is the home of the prefix that it hands out, so the answer lasts no longer.
+fn lasting(fleet: &Fleet, ttl: Duration) -> u64 {
+    let left = fleet
+        .closing
+        .get()
+        .map(|at| at.saturating_duration_since(fleet.clock.now()));
+    left.unwrap_or(ttl).min(ttl).as_millis() as u64
+}
+
 /// Addresses of other instances that take new calls.
 pub fn others(fleet: &Fleet) -> Vec<Box<str>> {
     let salt = rand::random();
--- a/crates/hawthornmill-net/src/entry/call.rs
+++ b/crates/hawthornmill-net/src/entry/call.rs
@@ -13,6 +13,7 @@
 use poem::{Body, Request, Response};
 
 use super::admit::{Admitted, admit};
+use super::home::fresh_prefix;
 use super::problem::Problem;
 use super::relay::{self, Finished};
 use super::{addresses, keyed};
@@ -57,16 +58,18 @@
 pub async fn run(fleet: &Arc<Fleet>, request: &Request, body: Body) -> Response {
     let flying = Flying::new(fleet);
     let id = fleet.request_id();
+    let turn_away = |code, words| {
+        let problem = refusal(fleet, code, words, &id);
+        refuse(fleet, &of_key(fleet, request, problem))
+    };
     let admitted = match admit(fleet, request) {
         Ok(admitted) => admitted,
-        Err((code, words)) => return refuse(fleet, &refusal(fleet, code, words, &id)),
+        Err((code, words)) => return turn_away(code, words),
     };
     let body = match body.into_bytes_limit(fleet.settings.limits.body).await {
         Ok(body) => body,
-        Err(ReadBodyError::PayloadTooLarge) => {
-            return refuse(fleet, &Problem::not_run(Code::BodyTooLarge, &id));
-        }
-        Err(_) => return refuse(fleet, &Problem::not_run(Code::BadHeader, &id)),
+        Err(ReadBodyError::PayloadTooLarge) => return turn_away(Code::BodyTooLarge, None),
+        Err(_) => return turn_away(Code::BadHeader, None),
     };
     let call = prepare(fleet, request, admitted, body, id);
     if call.admitted.repeat == Repeat::Never {
@@ -124,6 +127,18 @@
     problem
 }
 
+/// A refusal on arrival, before anything was sent or passed on.
+///
+/// A call with a key may be the second copy of one that ran: only the key's home knows, and it was
+/// not asked. So no more than this copy is said not to have run.
+fn of_key(fleet: &Fleet, request: &Request, mut problem: Problem) -> Problem {
+    if request.headers().contains_key(keyed::KEY) {
+        problem.outcome = Outcome::Unknown;
+        problem.prefix = Some(fresh_prefix(fleet));
+    }
+    problem
+}
+
 /// Waits for a slot.
 ///
 /// # Errors
@@ -194,16 +209,22 @@
         Some(server.address.clone())
     });
     let Some(address) = address else {
+        // The server left the configuration between grant and send; there is nothing to connect to.
         slot.set_failed();
         return Err(Problem::not_run(Code::UpstreamUnreachable, &call.out.id));
     };
-    let span = fleet.telemetry.spans.child(&call.span, "server");
-    let mut out = call.out.clone();
-    fleet.telemetry.spans.carry(&span, &mut out.headers);
     let left = call
         .admitted
         .deadline
         .saturating_duration_since(fleet.clock.now());
+    if left.is_zero() {
+        // The process was stopped between the grant and here, and the caller has given up. The
+        // connection is made below, so no byte has left.
+        return Err(Problem::not_run(Code::DeadlinePassed, &call.out.id));
+    }
+    let span = fleet.telemetry.spans.child(&call.span, "server");
+    let mut out = call.out.clone();
+    fleet.telemetry.spans.carry(&span, &mut out.headers);
     let sent = tokio::time::timeout(left, fleet.upstream.send(&address, &out, once)).await;
     match sent {
         Ok(Ok(answer)) => Ok(answer),
--- a/crates/hawthornmill-net/src/entry/keyed.rs
+++ b/crates/hawthornmill-net/src/entry/keyed.rs
@@ -8,12 +8,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::{StreamExt, stream};
 use hawthornmill::codes::{Code, Outcome};
 use hawthornmill::ident::InstanceId;
 use hawthornmill::keys::table::{OwnKey, forget_after};
-use hawthornmill::keys::{Claim, KeptAnswer, Prefix, PrefixError};
+use hawthornmill::keys::{Claim, KeptAnswer, Prefix, PrefixError, Use};
+use hawthornmill::pools::tick;
 use poem::http::StatusCode;
-use poem::{Request, Response};
+use poem::{Body, Request, Response};
 use tokio::sync::watch;
 
 use super::admit::TIMEOUT;
@@ -30,22 +32,40 @@
 const PASSED: &str = "hawthornmill-passed";
 /// Time that a home is given beyond the deadline to say what became of a call.
 const GRACE: Duration = Duration::from_millis(250);
+/// Time after a pause within which every call that waited in a socket has been read.
+const SETTLE: Duration = Duration::from_millis(250);
 /// Longest answer of a call that must not repeat.
 const ANSWER_LIMIT: usize = 16 << 20;
 
 /// Answers one call of a service that must not repeat.
 pub async fn run(fleet: &Arc<Fleet>, request: &Request, call: Call, flying: Flying) -> Response {
-    match dispatch(fleet, request, call, flying).await {
-        Ok(response) => response,
+    // The run may end before its answer is written; this caller's call lasts until that is done.
+    let flying = Arc::new(flying);
+    match dispatch(fleet, request, call, Arc::clone(&flying)).await {
+        Ok(response) => until_written(response, flying).await,
         Err(problem) => refuse(fleet, &problem.prefix(fresh_prefix(fleet))),
     }
 }
 
+/// Counts the call as in flight until its whole body was handed to the connection.
+async fn until_written(mut response: Response, flying: Arc<Flying>) -> Response {
+    let body = response.take_body().into_bytes().await.unwrap_or_default();
+    response
+        .headers_mut()
+        .insert("content-length", body.len().into());
+    let chunks = stream::iter([Ok::<_, std::io::Error>(body)]).inspect(move |_| {
+        // Owned by the stream, which is dropped when the connection has taken all of it.
+        let _held = &flying;
+    });
+    response.set_body(Body::from_bytes_stream(chunks));
+    response
+}
+
 async fn dispatch(
     fleet: &Arc<Fleet>,
     request: &Request,
     call: Call,
-    flying: Flying,
+    flying: Arc<Flying>,
 ) -> Result<Response, Problem> {
     let id = call.out.id.clone();
     let text = request
@@ -83,25 +103,33 @@
     call: Call,
     text: &str,
     prefix: Prefix,
-    flying: Flying,
+    flying: Arc<Flying>,
 ) -> Result<Response, Problem> {
-    let now = fleet.clock.now();
     let id = call.out.id.clone();
-    let ttl = fleet.settings.discovery.keys;
-    if prefix.expired(now.duration_since(fleet.started), ttl) {
-        return Err(Problem::new(Code::KeyExpired, Outcome::Unknown, &id).attempt(Outcome::NotRun));
-    }
-    if fleet.view(|board| board.stale.is_some()) {
-        // The process was stopped: how long this copy has waited can't be told.
+    if undatable(fleet) {
+        // Nothing of this copy has left; an earlier one may have run.
         return Err(Problem::new(Code::NotReady, Outcome::Unknown, &id).attempt(Outcome::NotRun));
     }
+    let ttl = fleet.settings.discovery.keys;
     let own: OwnKey = (call.admitted.account, text.into());
     let deadline = call.admitted.deadline;
-    let forget = now + forget_after(ttl, deadline.duration_since(now));
     let digest = digest(&call);
     let ended = {
         let mut home = fleet.home.lock();
-        match home.table.claim(&own, digest, forget) {
+        // Read under the lock. Were the process stopped between this check and the claim, the sweep
+        // could forget the key of an earlier copy in between, and this copy would run it again.
+        let now = fleet.clock.now();
+        if prefix.expired(now.duration_since(fleet.started), ttl) {
+            // The mark may be forgotten, so nothing is known of the key; this copy goes nowhere.
+            let problem = Problem::new(Code::KeyExpired, Outcome::Unknown, &id);
+            return Err(problem.attempt(Outcome::NotRun));
+        }
+        let usage = Use {
+            made: prefix.made,
+            digest,
+            forget: now + forget_after(ttl, deadline.saturating_duration_since(now)),
+        };
+        match home.table.claim(&own, usage) {
             Claim::Run => {
                 let (sender, receiver) = watch::channel(());
                 home.running.insert(own.clone(), receiver.clone());
@@ -115,12 +143,28 @@
                 receiver
             }
             Claim::Join => home.running[&own].clone(),
+            // The refusal of another copy is final; the caller needs a new key.
+            Claim::Refused(_) => return Err(Problem::not_run(Code::KeyRefused, &id)),
             other => return settled(other, &id),
         }
     };
     wait_end(fleet, ended, &own, digest, deadline, &id).await
 }
 
+/// Tells whether it can't be known how long this copy has waited to be read.
+///
+/// A stopped process finds calls in its sockets when it goes on; the time left that such a call
+/// names began to run before the stop, so it would be run after its caller has given up. Until the
+/// sockets have been read empty after a pause, no such call is taken.
+fn undatable(fleet: &Fleet) -> bool {
+    fleet.feed(|board, now| {
+        // The first handler after a pause may run before the next tick.
+        tick::notice_pause(board, now);
+        let woke = board.woke.is_some_and(|at| now.duration_since(at) < SETTLE);
+        woke || board.stale.is_some()
+    })
+}
+
 /// The same key must mean the same request.
 fn digest(call: &Call) -> [u8; 32] {
     let mut hasher = blake3::Hasher::new();
@@ -144,15 +188,15 @@
     let until = tokio::time::Instant::from_std(deadline + GRACE);
     // The sender says nothing and is dropped at the end, so an error is the awaited event.
     let _end = tokio::time::timeout_at(until, ended.changed()).await;
-    let mut home = fleet.home.lock();
-    let claim = home.table.claim(own, digest, fleet.clock.now());
-    match claim {
-        // The call was given up before a byte left, and its key released; this claim took it again.
-        Claim::Run => {
-            home.table.release(own);
-            Err(Problem::not_run(Code::DeadlinePassed, id).retry(Duration::from_millis(500)))
+    let found = fleet.home.lock().table.look(own, digest);
+    match found {
+        // The run was given up before a byte left, and its key never runs.
+        Some(Claim::Refused(code)) => {
+            Err(Problem::not_run(code, id).retry(Duration::from_millis(500)))
         }
-        other => settled(other, id),
+        Some(other) => settled(other, id),
+        // The mark was forgotten while this copy waited, which only a stopped process can meet.
+        None => Err(Problem::new(Code::KeyExpired, Outcome::Unknown, id)),
     }
 }
 
@@ -166,9 +210,9 @@
                 .attempt(Outcome::NotRun)
                 .detail("the key was used for a different request"))
         }
-        // No room to mark the key, so nothing was started.
+        // No room to mark the key, so nothing was started, nor will be: the table refuses it on.
         Claim::Full => Err(Problem::not_run(Code::KeysFull, id).retry(Duration::from_secs(1))),
-        Claim::Run | Claim::Join => Err(Problem::new(
+        Claim::Run | Claim::Join | Claim::Refused(_) => Err(Problem::new(
             Code::DeadlineWhileRunning,
             Outcome::Unknown,
             id,
@@ -194,14 +238,17 @@
     call: Call,
     own: OwnKey,
     ended: watch::Sender<()>,
-    flying: Flying,
+    flying: Arc<Flying>,
 ) {
     let result = run_claimed(&fleet, &call).await;
     let mut home = fleet.home.lock();
     match result {
         Ok(answer) => home.table.ran(&own, Some(answer)),
-        // Nothing was sent, so the same key may try again.
-        Err(problem) if problem.outcome == Outcome::NotRun => home.table.release(&own),
+        // Nothing was sent. The key stays refused, so that a copy which is still on its way can't
+        // run after its caller was told `not_run` and went on with a new key.
+        Err(problem) if problem.outcome == Outcome::NotRun => {
+            home.table.refuse(&own, problem.code);
+        }
         Err(_) => home.table.unknown(&own),
     }
     home.running.remove(&own);
@@ -307,6 +354,7 @@
         .send()
         .await;
     let answer = sent.map_err(|error| {
+        // Only the making of a connection fails as `is_connect`, and a call is written after that.
         if error.is_connect() {
             // No connection, so this copy reached nobody; an earlier copy may have run.
             lost(id)
--- a/crates/hawthornmill-net/src/fleet.rs
+++ b/crates/hawthornmill-net/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use hawthornmill::board::{Board, Dispatch, RequestKey};
@@ -59,6 +59,8 @@
     pub ready: AtomicBool,
     /// New calls are refused; set some time after the process began to leave.
     pub closed: AtomicBool,
+    /// When new calls will be refused; set when the process begins to leave.
+    pub closing: OnceLock<Instant>,
     /// Calls that are in flight.
     pub flying: AtomicUsize,
     /// Something about this instance changed that peers should hear at once.
@@ -99,6 +101,7 @@
             platform_spoke: AtomicBool::new(false),
             ready: AtomicBool::new(false),
             closed: AtomicBool::new(false),
+            closing: OnceLock::new(),
             flying: AtomicUsize::new(0),
             hurry: Notify::new(),
             requests: AtomicU64::new(0),
--- a/crates/hawthornmill/src/board.rs
+++ b/crates/hawthornmill/src/board.rs
@@ -144,6 +144,8 @@
     pub broken: BTreeSet<InstanceId>,
     /// A pause made this instance's view old; nothing is dispatched until it is confirmed.
     pub stale: Option<Instant>,
+    /// When the last pause was noticed.
+    pub woke: Option<Instant>,
     /// Numbers of the pause, to tell confirmations apart.
     pub pauses: u64,
     /// Messages that wait to be sent.
@@ -179,6 +181,7 @@
             owned: BTreeMap::new(),
             broken: BTreeSet::new(),
             stale: None,
+            woke: None,
             pauses: 0,
             outbox: Vec::new(),
             dispatches: Vec::new(),
--- a/crates/hawthornmill/src/codes.rs
+++ b/crates/hawthornmill/src/codes.rs
@@ -131,6 +131,8 @@
     InstanceFull = 3020, 503, "instance holds as many requests as it may";
     /// The call's path or method is not served.
     NoSuchCall = 3021, 404, "no such call";
+    /// The key's call was refused before, and a refusal is final.
+    KeyRefused = 3024, 409, "idempotency key was refused and stays so";
     /// A peer's frame that can't be decoded.
     FrameMalformed = 4001, 0, "malformed peer frame";
     /// A peer's frame with a wrong authentication code.
--- a/crates/hawthornmill/src/keys/mod.rs
+++ b/crates/hawthornmill/src/keys/mod.rs
@@ -9,4 +9,4 @@
 pub mod table;
 
 pub use prefix::{Prefix, PrefixError};
-pub use table::{Claim, KeptAnswer, KeyTable};
+pub use table::{Claim, KeptAnswer, KeyTable, Use};
--- a/crates/hawthornmill/src/keys/table.rs
+++ b/crates/hawthornmill/src/keys/table.rs
@@ -3,8 +3,12 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use crate::codes::Code;
 use crate::ident::AccountId;
 
+/// Part of the table that one account may fill: one in so many rows.
+const ACCOUNT_PART: usize = 4;
+
 /// An answer that is kept for a repeated key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KeptAnswer {
@@ -24,6 +28,7 @@
     Running,
     Ran(Option<KeptAnswer>),
     Unknown,
+    Refused(Code),
 }
 
 #[derive(Debug, Clone)]
@@ -48,10 +53,23 @@
     Unknown,
     /// The key was used for a different request.
     Mismatch,
-    /// No room to remember a new key.
+    /// It was refused with this code before a byte left; it never runs under this key.
+    Refused(Code),
+    /// No room to remember a new key; this one never runs.
     Full,
 }
 
+/// A use of a key.
+#[derive(Debug, Clone, Copy)]
+pub struct Use {
+    /// Seconds of the home's run at which the key's prefix was made.
+    pub made: u32,
+    /// Digest of the request's content.
+    pub digest: [u8; 32],
+    /// Until when the key's mark must stay.
+    pub forget: Instant,
+}
+
 /// A key as one account uses it; accounts never see each other's.
 pub type OwnKey = (AccountId, Box<str>);
 
@@ -59,9 +77,17 @@
 ///
 /// A key's mark stays until its prefix may no longer be used; only answers are dropped early, the
 /// oldest first, to stay within a bound of bytes.
+///
+/// A refusal is final. A caller who is told `not_run` of a key may go on with a new one, while an
+/// older copy of the call is still on its way; were the key free again, that copy would run beside
+/// the new one. So a refused key keeps its mark, and where there is no room for a mark, every key
+/// of that account that the table doesn't know is refused from then on, unless its prefix is newer.
 #[derive(Debug)]
 pub struct KeyTable {
     rows: BTreeMap<OwnKey, Row>,
+    counts: BTreeMap<AccountId, usize>,
+    /// Newest prefix of which a key was refused for want of room.
+    floors: BTreeMap<AccountId, u32>,
     answers: VecDeque<OwnKey>,
     bytes: usize,
     max_rows: usize,
@@ -73,6 +99,8 @@
     pub fn new(max_rows: usize, max_bytes: usize) -> Self {
         Self {
             rows: BTreeMap::new(),
+            counts: BTreeMap::new(),
+            floors: BTreeMap::new(),
             answers: VecDeque::new(),
             bytes: 0,
             max_rows,
@@ -80,34 +108,52 @@
         }
     }
 
-    /// Claims `key` for a request whose content has `digest`; the mark stays until `forget`.
-    pub fn claim(&mut self, key: &OwnKey, digest: [u8; 32], forget: Instant) -> Claim {
-        if let Some(row) = self.rows.get(key) {
-            if row.digest != digest {
-                return Claim::Mismatch;
-            }
-            return match &row.mark {
-                Mark::Running => Claim::Join,
-                Mark::Ran(Some(answer)) => Claim::Kept(answer.clone()),
-                Mark::Ran(None) => Claim::Gone,
-                Mark::Unknown => Claim::Unknown,
-            };
+    /// Claims `key`; [`Claim::Run`] is said once for each key.
+    pub fn claim(&mut self, key: &OwnKey, usage: Use) -> Claim {
+        if let Some(claim) = self.look(key, usage.digest) {
+            return claim;
+        }
+        let floor = self.floors.get(&key.0);
+        if floor.is_some_and(|floor| usage.made <= *floor) {
+            return Claim::Full;
         }
-        if self.rows.len() >= self.max_rows {
+        let count = self.counts.entry(key.0).or_default();
+        // A flood of keys by one account must leave room for the others' keys.
+        let part = self.max_rows.div_ceil(ACCOUNT_PART);
+        if *count >= part || self.rows.len() >= self.max_rows {
+            self.floors.insert(key.0, usage.made);
             return Claim::Full;
         }
+        *count += 1;
         let row = Row {
             mark: Mark::Running,
-            forget,
-            digest,
+            forget: usage.forget,
+            digest: usage.digest,
         };
         self.rows.insert(key.clone(), row);
         Claim::Run
     }
 
-    /// The call did not run: the key may be used again.
-    pub fn release(&mut self, key: &OwnKey) {
-        self.rows.remove(key);
+    /// What is known of `key`, without a claim to it; none for an unknown key.
+    pub fn look(&self, key: &OwnKey, digest: [u8; 32]) -> Option<Claim> {
+        let row = self.rows.get(key)?;
+        if row.digest != digest {
+            return Some(Claim::Mismatch);
+        }
+        Some(match &row.mark {
+            Mark::Running => Claim::Join,
+            Mark::Ran(Some(answer)) => Claim::Kept(answer.clone()),
+            Mark::Ran(None) => Claim::Gone,
+            Mark::Unknown => Claim::Unknown,
+            Mark::Refused(code) => Claim::Refused(*code),
+        })
+    }
+
+    /// The call was given up before a byte left: the key never runs.
+    pub fn refuse(&mut self, key: &OwnKey, code: Code) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.mark = Mark::Refused(code);
+        }
     }
 
     /// The call ran; its answer is kept within the bound of bytes.
@@ -144,11 +190,12 @@
 
     /// Forgets keys whose prefix can't be used any more.
     pub fn sweep(&mut self, now: Instant) {
-        let bytes = &mut self.bytes;
-        self.rows.retain(|_, row| {
+        let (bytes, counts) = (&mut self.bytes, &mut self.counts);
+        self.rows.retain(|key, row| {
             let keep = row.forget > now || row.mark == Mark::Running;
             if !keep {
                 drop_answer(row, bytes);
+                drop_count(counts, key.0);
             }
             keep
         });
@@ -180,6 +227,15 @@
     }
 }
 
+fn drop_count(counts: &mut BTreeMap<AccountId, usize>, account: AccountId) {
+    if let Some(count) = counts.get_mut(&account) {
+        *count -= 1;
+        if *count == 0 {
+            counts.remove(&account);
+        }
+    }
+}
+
 /// Time for which a mark must stay: the rest of the prefix's life and the longest deadline.
 pub fn forget_after(ttl: Duration, deadline: Duration) -> Duration {
     ttl + deadline
--- a/crates/hawthornmill/src/pools/tick.rs
+++ b/crates/hawthornmill/src/pools/tick.rs
@@ -61,6 +61,7 @@
 /// asked after the pause, or none has for a while, nothing is dispatched or granted.
 fn wake(board: &mut Board, now: Instant) {
     board.stale = Some(now);
+    board.woke = Some(now);
     board.pauses += 1;
     let number = board.pauses;
     let me = board.me();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,7 +3,11 @@
 mod bad_input;
 mod errors;
 mod frames;
+mod histories;
+mod keys;
 mod labels;
+mod leave;
+mod once;
 mod one_fleet;
 mod path;
 mod settings;
