--- a/crates/hawthornmill/src/pools/owner.rs
+++ b/crates/hawthornmill/src/pools/owner.rs
@@ -27,7 +27,7 @@
     pub class: u16,
     /// It gets no new work.
     pub leaving: bool,
-    /// It failed; no grants until then, and one at a time for [`PROBING`] after.
+    /// It failed; no grants until then, and one at a time for `PROBING` after.
     pub avoid: Option<Instant>,
     /// Number of the last grant of a slot here.
     pub last: u32,
