--- a/crates/hawthornmill-test-support/src/steps.rs
+++ b/crates/hawthornmill-test-support/src/steps.rs
@@ -11,9 +11,8 @@
 use hawthornmill::board::{Board, Dispatch, RequestKey, Tuning};
 use hawthornmill::codes::Code;
 use hawthornmill::ident::{AccountId, Incarnation, InstanceId, ServerId, ServiceId};
-use hawthornmill::membership::Sign;
 use hawthornmill::pools::{self, entry, owner, tick};
-use hawthornmill::wire::message::{Contact, Message};
+use hawthornmill::wire::message::{Contact, Message, ProbeAck};
 
 use crate::fleet::FleetText;
 
@@ -180,6 +179,7 @@
             bytes: 100,
             deadline: now + Duration::from_millis(deadline),
         };
+        tick::notice_pause(&mut self.boards[entry], now);
         let key = entry::enqueue(&mut self.boards[entry], arrival, now)?;
         let asked = Asked {
             account,
@@ -289,6 +289,7 @@
     fn take(&mut self, from: usize, target: usize, message: Message, now: Instant) {
         let (sender, run) = (self.boards[from].me(), self.boards[from].incarnation);
         let board = &mut self.boards[target];
+        tick::notice_pause(board, now);
         match message {
             Message::Reports(reports) => {
                 for report in reports {
@@ -299,10 +300,15 @@
                 }
             }
             Message::Probe(number) => {
+                let ack = ProbeAck {
+                    number,
+                    revision: board.config.revision,
+                    serving: true,
+                };
                 self.wire
-                    .push_back((target, sender, Message::ProbeAck(number)));
+                    .push_back((target, sender, Message::ProbeAck(ack)));
             }
-            Message::ProbeAck(number) => tick::on_probe_ack(board, number, now),
+            Message::ProbeAck(ack) => tick::on_probe_ack(board, ack, now),
             message => {
                 if board.broken.contains(&sender) {
                     entry::on_link(board, sender);
@@ -322,6 +328,7 @@
             *self.received.entry(run.account).or_default() += run.cost as f64;
             let (pool, grant) = (run.dispatch.pool, run.dispatch.grant);
             let board = &mut self.boards[run.entry];
+            tick::notice_pause(board, now);
             entry::finish(board, pool, grant, run.cost as f64, false, now);
         }
     }
@@ -332,6 +339,7 @@
             self.beat(index);
         }
         let board = &mut self.boards[index];
+        tick::notice_pause(board, now);
         if self.now.is_multiple_of(TICK) {
             tick::tick(board, now);
         }
@@ -383,13 +391,8 @@
     fn beat(&mut self, index: usize) {
         let now = self.instant();
         let own = &self.boards[index];
-        let sign = Sign {
-            from: own.me(),
-            incarnation: own.incarnation,
-            leaving: own.members.own().leaving,
-            revision: own.config.revision,
-            interval: Duration::from_millis(HEARTBEAT),
-        };
+        let interval = Duration::from_millis(HEARTBEAT);
+        let sign = own.members.own_sign(own.config.revision, interval, now);
         for other in 0..self.boards.len() {
             if other != index && self.runs_now(other) && !self.cut.contains(&(index, other)) {
                 let board = &mut self.boards[other];
@@ -451,6 +454,7 @@
         Message::Holding(_) => "holding",
         Message::Sync { .. } => "sync",
         Message::Reports(_) => "reports",
+        Message::Handover(_) => "handover",
         _ => "other",
     }
 }
--- a/crates/hawthornmill/src/pools/owner.rs
+++ b/crates/hawthornmill/src/pools/owner.rs
@@ -25,8 +25,10 @@
     pub used: u16,
     /// Class in the configuration.
     pub class: u16,
-    /// It gets no new work.
+    /// The configuration says that it gets no new work.
     pub leaving: bool,
+    /// Its own load report says so.
+    pub says_leaving: bool,
     /// It failed; no grants until then, and one at a time for `PROBING` after.
     pub avoid: Option<Instant>,
     /// Number of the last grant of a slot here.
@@ -38,21 +40,23 @@
 }
 
 impl ServerSlots {
-    /// Takes slots, class and state from the configuration.
-    pub fn resize(&mut self, total: u16, class: u16, leaving: bool) {
+    /// Takes slots, class and state from the configuration; true when that changed anything.
+    pub fn resize(&mut self, total: u16, class: u16, leaving: bool) -> bool {
+        let old = (self.total, self.class, self.leaving);
         if self.total != total {
             self.total = total;
             self.limit = total;
         }
         self.class = class;
         self.leaving = leaving;
+        old != (total, class, leaving)
     }
 
     /// Slots that may be granted now.
     pub fn free(&self, now: Instant) -> u16 {
         let free = self.limit.saturating_sub(self.used);
         match self.avoid {
-            _ if self.leaving => 0,
+            _ if self.leaving || self.says_leaving => 0,
             Some(until) if now < until => 0,
             // A server that still fails would otherwise cost as many calls as it has slots.
             Some(until) if now < until + PROBING => free.min(u16::from(self.used == 0)),
@@ -138,6 +142,8 @@
     pub active: bool,
     /// From when on it grants.
     pub ready: Option<Instant>,
+    /// When the old owner handed the pool over, before this instance took itself for the owner.
+    pub handed: Option<Instant>,
     /// Servers.
     pub servers: BTreeMap<ServerId, ServerSlots>,
     /// Slots held, by entry and grant.
@@ -164,15 +170,28 @@
         self.dirty = true;
     }
 
-    /// Stops to own the pool and drops what was known of it.
+    /// Stops to own the pool and returns what was known of it.
     ///
     /// The numbers of grants go on: entries remember the last one of this run, and would take a
     /// number that is used again for a grant that has long arrived.
-    pub fn deactivate(&mut self) {
-        *self = Self {
+    #[must_use = "the next owner wants to be told"]
+    pub fn deactivate(&mut self) -> Self {
+        let next = Self {
             seq: self.seq,
             ..Self::default()
         };
+        std::mem::replace(self, next)
+    }
+
+    /// Notes the process run of an entry that speaks; false when that run is over.
+    pub fn meet(&mut self, entry: InstanceId, incarnation: Incarnation) -> bool {
+        match self.entries.get(&entry) {
+            Some(known) if *known > incarnation => return false,
+            Some(known) if *known < incarnation => self.forget(entry),
+            _ => {}
+        }
+        self.entries.insert(entry, incarnation);
+        true
     }
 
     /// Drops everything that `entry` wants and holds.
@@ -223,15 +242,17 @@
         self.dirty = true;
     }
 
-    fn add_held(&mut self, entry: InstanceId, held: &Held) {
+    /// Books a slot that an entry holds.
+    pub fn add_held(&mut self, entry: InstanceId, held: &Held, charged: f64) {
+        if self.held.contains_key(&(entry, held.grant)) {
+            return;
+        }
         let slot = HeldSlot {
             account: held.account,
             server: held.server,
-            charged: 0.0,
+            charged,
         };
-        if self.held.insert((entry, held.grant), slot).is_some() {
-            return;
-        }
+        self.held.insert((entry, held.grant), slot);
         self.servers.entry(held.server).or_default().take();
         self.accounts.entry(held.account).or_default().held += 1;
     }
@@ -250,16 +271,6 @@
     incarnation.0 as u32
 }
 
-fn meet(owned: &mut Owned, entry: InstanceId, incarnation: Incarnation) -> bool {
-    match owned.entries.get(&entry) {
-        Some(known) if *known > incarnation => return false,
-        Some(known) if *known < incarnation => owned.forget(entry),
-        _ => {}
-    }
-    owned.entries.insert(entry, incarnation);
-    true
-}
-
 /// Takes what changed at an entry.
 pub fn on_demand(
     board: &mut Board,
@@ -272,7 +283,7 @@
         return;
     };
     let owned = board.owned.entry(demand.pool).or_default();
-    if !meet(owned, from, incarnation) {
+    if !owned.meet(from, incarnation) {
         return;
     }
     for want in &demand.wants {
@@ -349,7 +360,7 @@
     };
     let made = maker(board.incarnation);
     let owned = board.owned.entry(holding.pool).or_default();
-    if !meet(owned, from, incarnation) {
+    if !owned.meet(from, incarnation) {
         return;
     }
     let gone: Vec<GrantId> = owned
@@ -362,7 +373,7 @@
         refunds.extend(owned.free(from, grant));
     }
     for held in &holding.held {
-        owned.add_held(from, held);
+        owned.add_held(from, held, 0.0);
     }
     // Every grant up to `ack` has arrived or is lost, so what is granted counts from there.
     let flying: Vec<AccountId> = owned
@@ -409,6 +420,17 @@
     }
 }
 
+/// Takes a server's own word, in its load report, on whether it is leaving.
+pub fn on_leaving(board: &mut Board, pool: PoolId, server: ServerId, leaving: bool) {
+    if let Some(owned) = board.owned.get_mut(&pool)
+        && let Some(slots) = owned.servers.get_mut(&server)
+        && slots.says_leaving != leaving
+    {
+        slots.says_leaving = leaving;
+        owned.dirty = true;
+    }
+}
+
 /// Takes a server's load reading.
 pub fn on_load(board: &mut Board, pool: PoolId, server: ServerId, running: u16) {
     if let Some(owned) = board.owned.get_mut(&pool)
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod bad_input;
 mod bad_servers;
 mod causes;
+mod configuration;
 mod demo;
 mod errors;
 mod explain;
@@ -11,6 +12,8 @@
 mod keys;
 mod labels;
 mod leave;
+mod leaving;
+mod membership;
 mod once;
 mod one_fleet;
 mod overload;
