--- a/crates/hawthornmill/src/pools/owner.rs
+++ b/crates/hawthornmill/src/pools/owner.rs
@@ -170,19 +170,6 @@
         self.dirty = true;
     }
 
-    /// Stops to own the pool and returns what was known of it.
-    ///
-    /// The numbers of grants go on: entries remember the last one of this run, and would take a
-    /// number that is used again for a grant that has long arrived.
-    #[must_use = "the next owner wants to be told"]
-    pub fn deactivate(&mut self) -> Self {
-        let next = Self {
-            seq: self.seq,
-            ..Self::default()
-        };
-        std::mem::replace(self, next)
-    }
-
     /// Notes the process run of an entry that speaks; false when that run is over.
     pub fn meet(&mut self, entry: InstanceId, incarnation: Incarnation) -> bool {
         match self.entries.get(&entry) {
@@ -194,6 +181,17 @@
         true
     }
 
+    /// Stops to own the pool and drops what was known of it.
+    ///
+    /// The numbers of grants go on: entries remember the last one of this run, and would take a
+    /// number that is used again for a grant that has long arrived.
+    pub fn deactivate(&mut self) {
+        *self = Self {
+            seq: self.seq,
+            ..Self::default()
+        };
+    }
+
     /// Drops everything that `entry` wants and holds.
     pub fn forget(&mut self, entry: InstanceId) {
         if self.entries.remove(&entry).is_none() {
