--- a/tests/testsuite/retries.rs
+++ b/tests/testsuite/retries.rs
@@ -156,18 +156,19 @@
 fn retry_away_from(name: &str) {
     let mut steps = Steps::new(&small_fleet(), &[("a", "north")], &Tuning::default());
     let (service, account) = (ServiceId::of("drafting"), AccountId::of("big"));
+    let start = steps.instant();
     steps.run(1000, |_| {});
     while steps.waiting(0, "big", "drafting") < 3 {
         steps
             .arrive(0, "big", "drafting", 500, 60_000)
             .expect("there is room");
     }
-    let arrived = steps.instant() - Duration::from_millis(500);
+    let arrived = start;
     let arrival = entry::Arrival {
         service,
         account,
         bytes: 100,
-        deadline: steps.instant() + Duration::from_secs(60),
+        deadline: steps.instant() + Duration::from_mins(1),
     };
     let avoid = ServerId::of(name);
 
@@ -212,7 +213,7 @@
         service: ServiceId::of("drafting"),
         account: AccountId::of("big"),
         bytes: 100,
-        deadline: now + Duration::from_secs(60),
+        deadline: now + Duration::from_mins(1),
     };
 
     entry::requeue(
