--- /dev/null
+++ b/crates/hawthornmill-lab/src/slopes/mod.rs
@@ -0,0 +1,3 @@
+//! What the decisions cost as a fleet grows.
+
+pub mod fixture;
