--- a/crates/hawthornmill-lab/src/lib.rs
+++ b/crates/hawthornmill-lab/src/lib.rs
@@ -9,6 +9,7 @@
 //! never from what a router says of itself.
 
 pub mod demo;
+pub mod history;
 pub mod load;
 pub mod overhead;
 pub mod slopes;
--- a/crates/hawthornmill-net/src/entry/retries.rs
+++ b/crates/hawthornmill-net/src/entry/retries.rs
@@ -11,11 +11,12 @@
 
 use super::call::{Call, arrival, attempt, come_back, slot, wait};
 use super::problem::Problem;
+use super::record::Tried;
 use super::relay::{self, Finished};
 use crate::fleet::{Fleet, SlotGuard};
 
 /// What one try came to.
-type Tried = Result<reqwest::Response, Problem>;
+type TryResult = Result<reqwest::Response, Problem>;
 
 /// Runs `call` until an answer begins that is passed on.
 ///
@@ -25,29 +26,29 @@
     fleet: &Arc<Fleet>,
     call: &Call,
 ) -> Result<(SlotGuard, reqwest::Response), Problem> {
-    let mut slot = slot(fleet, call).await?;
+    let mut held = Tried::new(fleet, call, slot(fleet, call).await?);
     let mut avoid: SmallVec<[ServerId; 2]> = SmallVec::new();
     for number in 1.. {
-        let tried = attempt(fleet, call, &mut slot, false).await;
-        let server = slot.dispatch.server;
+        let tried = attempt(fleet, call, held.slot(), false).await;
+        let server = held.slot().dispatch.server;
         let Some(failure) = failure(&tried) else {
             if tried.is_ok() {
                 let mut retries = fleet.retries();
                 retries.succeed(call.admitted.service, server, &avoid);
             }
-            return give(fleet, call, slot, tried);
+            return give(fleet, call, held.into_slot(), tried);
         };
-        let Some(pause) = decide(fleet, call, &mut slot, failure, number) else {
-            return give(fleet, call, slot, tried);
+        let Some(pause) = decide(fleet, call, held.slot(), failure, number) else {
+            return give(fleet, call, held.into_slot(), tried);
         };
-        settle(fleet, call, slot, &tried);
+        settle(fleet, call, held.into_slot(), &tried);
         drop(tried);
         if !avoid.contains(&server) {
             avoid.push(server);
         }
         tokio::time::sleep(pause).await;
         let ticket = fleet.requeue(arrival(call), call.admitted.arrived, avoid.clone());
-        slot = wait(fleet, call, ticket).await?;
+        held = Tried::new(fleet, call, wait(fleet, call, ticket).await?);
     }
     unreachable!("the number of tries is bounded by the decision")
 }
@@ -57,7 +58,7 @@
 /// A server that answers 502, 503 or 504 says that it, or what stands behind it, can't serve the
 /// call now, and another may. Any other answer, 500 and 429 among them, is the service's own word
 /// to its caller: the call itself may be at fault, so it is passed on.
-fn failure(tried: &Tried) -> Option<Failure> {
+fn failure(tried: &TryResult) -> Option<Failure> {
     match tried {
         Ok(answer) => matches!(
             answer.status(),
@@ -101,7 +102,7 @@
     fleet: &Arc<Fleet>,
     call: &Call,
     slot: SlotGuard,
-    tried: Tried,
+    tried: TryResult,
 ) -> Result<(SlotGuard, reqwest::Response), Problem> {
     match tried {
         Ok(answer) => Ok((slot, answer)),
@@ -117,7 +118,7 @@
 }
 
 /// Gives the slot of a try back that will be repeated.
-fn settle(fleet: &Arc<Fleet>, call: &Call, slot: SlotGuard, tried: &Tried) {
+fn settle(fleet: &Arc<Fleet>, call: &Call, slot: SlotGuard, tried: &TryResult) {
     let (reported, finished) = match tried {
         // A server that could not serve the call is believed to have done nothing for it.
         Ok(answer) => (
--- a/crates/hawthornmill/src/board.rs
+++ b/crates/hawthornmill/src/board.rs
@@ -18,6 +18,7 @@
 use crate::limits::backlog::Backlogs;
 use crate::limits::pace::Pace;
 use crate::membership::{Members, reports::Reports};
+use crate::notes::Note;
 use crate::pools::entry::Link;
 use crate::pools::owner::Owned;
 use crate::wire::message::{Contact, GrantId, Message};
@@ -150,12 +151,16 @@
     pub broken: BTreeSet<InstanceId>,
     /// A pause made this instance's view old; nothing is dispatched until it is confirmed.
     pub stale: Option<Instant>,
+    /// When the last pause was noticed.
+    pub woke: Option<Instant>,
     /// Numbers of the pause, to tell confirmations apart.
     pub pauses: u64,
     /// Messages that wait to be sent.
     pub outbox: Vec<(InstanceId, Message)>,
     /// Requests that may go to a server.
     pub dispatches: Vec<Dispatch>,
+    /// Events that operators should read in the log.
+    pub notes: Vec<Note>,
     /// Requests that are given up.
     pub refusals: Vec<(RequestKey, Code)>,
     /// Last tick.
@@ -186,9 +191,11 @@
             owned: BTreeMap::new(),
             broken: BTreeSet::new(),
             stale: None,
+            woke: None,
             pauses: 0,
             outbox: Vec::new(),
             dispatches: Vec::new(),
+            notes: Vec::new(),
             refusals: Vec::new(),
             ticked: now,
             placed: now,
--- a/crates/hawthornmill/src/lib.rs
+++ b/crates/hawthornmill/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`limits`] | bounds on what waits, retry budgets, when to come back |
 //! | [`membership`] | who is live, leaving or dead, and who owns or relays what |
 //! | [`keys`] | at-most-once calls: key prefixes and the table of a home |
+//! | [`notes`] | events that operators should read in the log |
 //! | [`usage`] | one record for each finished request |
 //! | [`wire`] | typed messages between instances and their authenticated frames |
 
@@ -28,6 +29,7 @@
 pub mod labels;
 pub mod limits;
 pub mod membership;
+pub mod notes;
 pub mod pools;
 pub mod usage;
 pub mod wire;
--- a/crates/hawthornmill/src/pools/owner.rs
+++ b/crates/hawthornmill/src/pools/owner.rs
@@ -27,7 +27,7 @@
     pub class: u16,
     /// It gets no new work.
     pub leaving: bool,
-    /// It failed; no grants until then, and one at a time for [`PROBING`] after.
+    /// It failed; no grants until then, and one at a time for `PROBING` after.
     pub avoid: Option<Instant>,
     /// Number of the last grant of a slot here.
     pub last: u32,
@@ -164,6 +164,17 @@
         self.dirty = true;
     }
 
+    /// Stops to own the pool and drops what was known of it.
+    ///
+    /// The numbers of grants go on: entries remember the last one of this run, and would take a
+    /// number that is used again for a grant that has long arrived.
+    pub fn deactivate(&mut self) {
+        *self = Self {
+            seq: self.seq,
+            ..Self::default()
+        };
+    }
+
     /// Drops everything that `entry` wants and holds.
     pub fn forget(&mut self, entry: InstanceId) {
         if self.entries.remove(&entry).is_none() {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,10 +2,16 @@
 
 mod bad_input;
 mod bad_servers;
+mod causes;
 mod demo;
 mod errors;
+mod explain;
 mod frames;
+mod histories;
+mod keys;
 mod labels;
+mod leave;
+mod once;
 mod one_fleet;
 mod overload;
 mod path;
