--- a/crates/hawthornmill-lab/src/lib.rs
+++ b/crates/hawthornmill-lab/src/lib.rs
@@ -4,7 +4,7 @@
 //! plain services, and a relay that breaks links. [`load`] calls a fleet as many client accounts do
 //! and writes down what became of every call. [`demo`] puts both around real router processes and
 //! measures what the accounts received. [`overhead`] measures the time that a router adds to a call,
-//! [`slopes`] what the decisions cost as a fleet grows.
+//! [`overload`] goodput and memory under overload, [`slopes`] what the decisions cost as a fleet grows.
 //! Every figure comes from the load tool or the stand-ins,
 //! never from what a router says of itself.
 
@@ -12,5 +12,6 @@
 pub mod history;
 pub mod load;
 pub mod overhead;
+pub mod overload;
 pub mod slopes;
 pub mod standin;
