Compare a candidate with the configuration in force

Cause: hawthornmill-check said only that a configuration parses; who gains or loses which servers, what the shares become, and likely mistakes were left to the reader. Two names with one key were not refused (code 2007).

Names are claimed by key while a configuration is parsed; a collision of real 64-bit keys can't be made in a test, so the claim itself is tested with equal keys.

--- a/crates/hawthornmill-tools/src/check.rs
+++ b/crates/hawthornmill-tools/src/check/mod.rs
@@ -1,4 +1,8 @@
 //! Checks settings and fleet configurations before they are used.
+//!
+//! Exit codes: 0 good, 1 good with warnings where `--strict` was given, 2 faults.
+
+mod show;
 
 use std::path::PathBuf;
 
@@ -6,10 +10,12 @@
 use hawthornmill::codes::Code;
 use hawthornmill::config::FleetConfig;
 use hawthornmill::config::accept::{Values, accept, manifest};
+use hawthornmill::config::compare::{compare, warnings};
 use hawthornmill::ini::Fault;
 use hawthornmill_net::settings::Settings;
 
-/// Check settings and fleet configurations.
+/// Check settings and fleet configurations. Exit codes: 0 good, 1 good with warnings and --strict,
+/// 2 faults.
 #[derive(Debug, FromArgs)]
 pub struct CheckArgs {
     #[argh(subcommand)]
@@ -40,6 +46,12 @@
     /// files, one for each value
     #[argh(positional)]
     files: Vec<PathBuf>,
+    /// file of the configuration in force, to compare with; once for each value
+    #[argh(option)]
+    present: Vec<PathBuf>,
+    /// end with 1 when there are warnings
+    #[argh(switch)]
+    strict: bool,
 }
 
 /// Print the hash of a bearer token, as the configuration holds it.
@@ -51,17 +63,26 @@
     token: String,
 }
 
-/// Runs the tool; the result is the process's exit code: 0 for no faults, 2 for faults.
+/// Runs the tool; the result is the process's exit code.
 pub fn main(args: &CheckArgs) -> u8 {
     let result = match &args.what {
-        What::Settings(args) => Settings::load(&args.file).map(|_| "settings are good".to_owned()),
-        What::Fleet(args) => read_fleet(&args.files).map(|config| describe(&config)),
-        What::Token(args) => Ok(blake3::hash(args.token.as_bytes()).to_hex().to_string()),
+        What::Settings(args) => Settings::load(&args.file).map(|_| Verdict {
+            text: "settings are good\n".into(),
+            ..Verdict::default()
+        }),
+        What::Fleet(args) => check_fleet(args),
+        What::Token(args) => Ok(Verdict {
+            text: format!("{}\n", blake3::hash(args.token.as_bytes()).to_hex()),
+            ..Verdict::default()
+        }),
     };
     match result {
-        Ok(words) => {
-            println!("{words}");
-            0
+        Ok(verdict) => {
+            print!("{}", verdict.text);
+            for warning in &verdict.warnings {
+                eprintln!("warning: {warning}");
+            }
+            u8::from(verdict.strict && !verdict.warnings.is_empty())
         }
         Err(faults) => {
             for fault in faults {
@@ -72,6 +93,27 @@
     }
 }
 
+#[derive(Debug, Default)]
+struct Verdict {
+    text: String,
+    warnings: Vec<String>,
+    strict: bool,
+}
+
+fn check_fleet(args: &FleetArgs) -> Result<Verdict, Vec<Fault>> {
+    let candidate = read_fleet(&args.files)?;
+    let mut text = show::describe(&candidate);
+    if !args.present.is_empty() {
+        let present = read_fleet(&args.present)?;
+        text += &show::changes(&compare(&present, &candidate));
+    }
+    Ok(Verdict {
+        text,
+        warnings: warnings(&candidate),
+        strict: args.strict,
+    })
+}
+
 /// Reads and checks the values of a fleet configuration.
 ///
 /// # Errors
@@ -99,14 +141,3 @@
     }
     accept(&manifest(1, &values), &values)
 }
-
-fn describe(config: &FleetConfig) -> String {
-    format!(
-        "configuration is good: {} accounts, {} services, {} servers, {} grants, {} pools",
-        config.accounts.len(),
-        config.services.len(),
-        config.servers.len(),
-        config.grants.len(),
-        config.pools.len()
-    )
-}
--- /dev/null
+++ b/crates/hawthornmill-tools/src/check/show.rs
@@ -0,0 +1,78 @@
+//! The text that the tool prints.
+
+use std::fmt::Write;
+
+use hawthornmill::config::FleetConfig;
+use hawthornmill::config::compare::{Access, Comparison};
+
+/// Names that a line lists; the rest is counted.
+const LISTED: usize = 8;
+
+/// How much a good configuration holds.
+pub fn describe(config: &FleetConfig) -> String {
+    format!(
+        "configuration is good: {} accounts, {} services, {} servers, {} grants, {} pools\n",
+        config.accounts.len(),
+        config.services.len(),
+        config.servers.len(),
+        config.grants.len(),
+        config.pools.len()
+    )
+}
+
+/// What a candidate would change.
+pub fn changes(comparison: &Comparison) -> String {
+    let mut out = String::new();
+    let _infallible = write_changes(&mut out, comparison);
+    out
+}
+
+fn write_changes(out: &mut String, comparison: &Comparison) -> std::fmt::Result {
+    if comparison.access.is_empty() {
+        writeln!(out, "no account gains or loses a server")?;
+    }
+    for (Access { gained, lost }, accounts) in &comparison.access {
+        writeln!(out, "{}:", list("account", accounts))?;
+        if !gained.is_empty() {
+            writeln!(out, "  gained: {}", list("server", gained))?;
+        }
+        if !lost.is_empty() {
+            writeln!(out, "  lost: {}", list("server", lost))?;
+        }
+    }
+    if comparison.owed.is_empty() {
+        return writeln!(out, "no owed share changes");
+    }
+    writeln!(
+        out,
+        "owed if every account waits all the time, % of the service's slots:"
+    )?;
+    writeln!(
+        out,
+        "  {:<18} {:<18} {:>8} {:>8}",
+        "service", "account", "before", "after"
+    )?;
+    for change in &comparison.owed {
+        writeln!(
+            out,
+            "  {:<18} {:<18} {:>8.1} {:>8.1}",
+            change.service,
+            change.account,
+            100.0 * change.before,
+            100.0 * change.after
+        )?;
+    }
+    writeln!(out, "  {} others stay as they are", comparison.same)
+}
+
+fn list(what: &str, names: &[Box<str>]) -> String {
+    let more = names.len().saturating_sub(LISTED);
+    let listed: Vec<&str> = names.iter().take(LISTED).map(|n| &**n).collect();
+    let plural = if names.len() == 1 { "" } else { "s" };
+    let mut text = format!("{} {what}{plural} ({}", names.len(), listed.join(", "));
+    if more > 0 {
+        let _infallible = write!(text, " and {more} more");
+    }
+    text.push(')');
+    text
+}
--- a/crates/hawthornmill/src/config/mod.rs
+++ b/crates/hawthornmill/src/config/mod.rs
@@ -6,7 +6,10 @@
 //! the revision in force, so it is the same on every instance.
 
 pub mod accept;
+pub mod compare;
 pub mod model;
+pub mod names;
+pub mod owed;
 pub mod parse;
 
 pub use accept::{Manifest, ValueRef, accept};
--- a/crates/hawthornmill/src/config/parse.rs
+++ b/crates/hawthornmill/src/config/parse.rs
@@ -3,9 +3,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use smallvec::SmallVec;
+
 use super::model::{
     Account, BackendServer, Class, CostKind, FleetConfig, Grant, Pool, Repeat, Service,
 };
+use super::names::Names;
 use crate::codes::Code;
 use crate::ident::{AccountId, DomainId, PoolId, RegionId, ServerId, ServiceId};
 use crate::ini::{Fault, Reader, Section, read};
@@ -38,9 +41,11 @@
         }
     }
     // Servers refer to domains and services, so those come first whatever file they stand in.
+    let mut names = Names::default();
     for kinds in [&["domain", "account", "service"][..], &["server", "grant"]] {
         for (file, section) in parts.iter().filter(|(_, s)| kinds.contains(&&*s.kind)) {
             let mut reader = Reader::new(file);
+            claim_keys(&mut names, &mut reader, section);
             add_section(&mut config, &mut reader, section);
             faults.extend(reader.faults);
         }
@@ -59,6 +64,35 @@
     Ok(config)
 }
 
+/// Refuses a section with a name whose key is another's.
+fn claim_keys(names: &mut Names, reader: &mut Reader<'_>, section: &Section) {
+    let name = &*section.name;
+    let value = |key: &str| section.get(key).map(|e| e.value.clone());
+    let mut keys: SmallVec<[(&'static str, u64, Box<str>); 2]> = SmallVec::new();
+    match &*section.kind {
+        "account" => keys.push(("account", AccountId::of(name).0, name.into())),
+        "service" => keys.push(("service", ServiceId::of(name).0, name.into())),
+        "domain" => {
+            keys.push(("domain", DomainId::of(name).0, name.into()));
+            keys.extend(value("region").map(|r| ("region", RegionId::of(&r).0, r)));
+        }
+        "server" => {
+            keys.push(("server", ServerId::of(name).0, name.into()));
+            if let (Some(service), Some(domain)) = (value("service"), value("domain")) {
+                let pool = PoolId::of(ServiceId::of(&service), DomainId::of(&domain));
+                keys.push(("pool", pool.0, format!("{service} in {domain}").into()));
+            }
+        }
+        _ => {}
+    }
+    for (kind, key, name) in keys {
+        if let Some(other) = names.claim(kind, key, &name) {
+            let what = format!("{kind}s `{other}` and `{name}` have one key; rename either");
+            reader.fault(Code::KeyCollision, section.line, 0, what);
+        }
+    }
+}
+
 fn add_section(config: &mut FleetConfig, reader: &mut Reader<'_>, section: &Section) {
     if section.name.is_empty() {
         let what = format!("section [{}] needs a name", section.kind);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod causes;
+mod check;
 mod errors;
 mod explain;
 mod frames;
