Bind datagrams to receivers and close the status page

Cause, found while writing the tests of who may do what: - a datagram's number was checked by each receiver, but the frame did not say for whom it was, so one recorded on its way to one instance passed at another (read from the code: one sealer, channel 0 for all); - each refused frame wrote a log line, so garbage could fill the logs; - /v1/status showed every account's use and queue to any caller.

Change: on UDP the channel of a frame is the receiver's id; refused frames are logged at the 1st, 2nd, 4th, ... of them; the status page shows accounts only with the operators' token (settings [status] token, a hash).

Tests with processes: 50 datagrams of garbage, a forged one, a repeat and one for another router are counted (52 and 1) and dropped; the same over TCP (4); calls go on. Another account's key opens nothing, and no token, key or hash stands in logs at level trace or in the status page: these two held before. The datagram and the status test failed before the change.

--- a/crates/hawthornmill-net/src/entry/admit.rs
+++ b/crates/hawthornmill-net/src/entry/admit.rs
@@ -112,7 +112,8 @@
     }
 }
 
-fn bearer(headers: &HeaderMap) -> Option<&str> {
+/// The bearer token of a request.
+pub fn bearer(headers: &HeaderMap) -> Option<&str> {
     let value = headers.get("authorization")?.to_str().ok()?;
     value.strip_prefix("Bearer ").map(str::trim)
 }
--- a/crates/hawthornmill-net/src/entry/routes.rs
+++ b/crates/hawthornmill-net/src/entry/routes.rs
@@ -35,8 +35,8 @@
 }
 
 #[handler]
-fn show_status(Data(fleet): Data<&Arc<Fleet>>) -> Response {
-    json(&status::answer(fleet))
+fn show_status(request: &Request, Data(fleet): Data<&Arc<Fleet>>) -> Response {
+    json(&status::answer(fleet, request.headers()))
 }
 
 #[handler]
--- a/crates/hawthornmill-net/src/entry/status.rs
+++ b/crates/hawthornmill-net/src/entry/status.rs
@@ -4,11 +4,22 @@
 
 use hawthornmill::board::Board;
 use hawthornmill::fairness::CostKey;
+use poem::http::HeaderMap;
 
 use crate::fleet::Fleet;
 
-/// The answer of `GET /v1/status`; it holds no tokens.
-pub fn answer(fleet: &Fleet) -> serde_json::Value {
+/// Tells whether the request carries the operators' token.
+///
+/// Any caller reaches this page, and an account must not learn what others use. Hashes are compared,
+/// by the library in constant time, so the time that it takes tells nothing of the token.
+fn is_operator(fleet: &Fleet, headers: &HeaderMap) -> bool {
+    let token = super::admit::bearer(headers).map(|t| blake3::hash(t.as_bytes()));
+    let known = fleet.settings.operators.map(blake3::Hash::from_bytes);
+    token.is_some() && token == known
+}
+
+/// The answer of `GET /v1/status`; it holds no tokens, and accounts only for operators.
+pub fn answer(fleet: &Fleet, headers: &HeaderMap) -> serde_json::Value {
     let mut status = fleet.view(|board| {
         serde_json::json!({
             "instance": fleet.settings.contact.name,
@@ -19,9 +30,11 @@
             "waiting": board.waiting.len(),
             "members": members(board),
             "pools": pools(fleet, board),
-            "accounts": accounts(board),
         })
     });
+    if is_operator(fleet, headers) {
+        status["accounts"] = fleet.view(accounts);
+    }
     let out = &fleet.outgoing;
     status["ready"] = super::routes::is_ready(fleet).into();
     status["flying"] = fleet.flying.load(Ordering::Relaxed).into();
--- a/crates/hawthornmill-net/src/peers/inbox.rs
+++ b/crates/hawthornmill-net/src/peers/inbox.rs
@@ -12,10 +12,15 @@
 
 use crate::fleet::Fleet;
 
-/// Counts and logs a refused frame.
+/// Counts a refused frame and logs it, the more seldom the more there are.
+///
+/// Anybody who reaches the port can send garbage; a line for each frame would fill the logs.
 pub fn refuse(fleet: &Fleet, error: FrameError) {
-    fleet.outgoing.refused.fetch_add(1, Ordering::Relaxed);
-    log::warn!(target: "peers", "frame dropped: code {} {error}", error.code().number());
+    let count = fleet.outgoing.refused.fetch_add(1, Ordering::Relaxed) + 1;
+    if count.is_power_of_two() {
+        let code = error.code().number();
+        log::warn!(target: "peers", "frame dropped, {count} so far: code {code} {error}");
+    }
 }
 
 /// Takes one authenticated frame.
--- a/crates/hawthornmill-net/src/peers/udp.rs
+++ b/crates/hawthornmill-net/src/peers/udp.rs
@@ -38,7 +38,7 @@
         let Some((address, far)) = address(&fleet, to) else {
             continue;
         };
-        let Ok(frame) = sealer.seal(&message) else {
+        let Ok(frame) = sealer.seal_on(to.0, &message) else {
             continue;
         };
         if frame.len() > DATAGRAM_LIMIT {
@@ -59,7 +59,8 @@
 }
 
 async fn receive(fleet: Arc<Fleet>, socket: Arc<UdpSocket>) {
-    let mut opener = Opener::new(fleet.settings.key, 0);
+    let me = fleet.view(hawthornmill::board::Board::me);
+    let mut opener = Opener::new(fleet.settings.key, me.0);
     let mut buffer = vec![0; 65_536];
     loop {
         let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
--- a/crates/hawthornmill-net/src/settings.rs
+++ b/crates/hawthornmill-net/src/settings.rs
@@ -17,6 +17,7 @@
     "limits",
     "discovery",
     "telemetry",
+    "status",
 ];
 const MOST_MS: f64 = 3_600_000.0;
 const MOST_COUNT: f64 = 1e9;
@@ -77,6 +78,8 @@
     pub discovery: Discovery,
     /// Logs, spans and metrics.
     pub telemetry: TelemetrySettings,
+    /// BLAKE3 hash of the operators' token; without one the status page shows no accounts.
+    pub operators: Option<[u8; 32]>,
 }
 
 impl Settings {
@@ -125,6 +128,7 @@
             limits: limits(&mut reader, &pick("limits")),
             discovery: discovery(&mut reader, &pick("discovery")),
             telemetry: telemetry(&mut reader, &pick("telemetry")),
+            operators: operators(&mut reader, &pick("status")),
         };
         if reader.faults.is_empty() {
             Ok(settings)
@@ -184,15 +188,26 @@
 
 fn key(reader: &mut Reader<'_>, section: &Section) -> [u8; 32] {
     reader.known_keys(section, &["key", "heartbeat_ms"]);
-    let Some(text) = reader.need(section, "key") else {
+    if reader.need(section, "key").is_none() {
         return [0; 32];
-    };
-    if let Ok(hash) = blake3::Hash::from_hex(text.as_bytes()) {
-        return *hash.as_bytes();
     }
-    let line = section.get("key").map_or(0, |e| e.line);
-    reader.fault(Code::BadValue, line, 0, "`key` is 64 hexadecimal digits");
-    [0; 32]
+    digits(reader, section, "key").unwrap_or_default()
+}
+
+fn operators(reader: &mut Reader<'_>, section: &Section) -> Option<[u8; 32]> {
+    reader.known_keys(section, &["token"]);
+    digits(reader, section, "token")
+}
+
+/// 32 bytes as hexadecimal digits; a fault doesn't repeat them, since they may be secret.
+fn digits(reader: &mut Reader<'_>, section: &Section, key: &str) -> Option<[u8; 32]> {
+    let entry = section.get(key)?;
+    if let Ok(hash) = blake3::Hash::from_hex(entry.value.as_bytes()) {
+        return Some(*hash.as_bytes());
+    }
+    let what = format!("`{key}` is 64 hexadecimal digits");
+    reader.fault(Code::BadValue, entry.line, 0, what);
+    None
 }
 
 fn heartbeat(reader: &mut Reader<'_>, section: &Section) -> Duration {
--- a/crates/hawthornmill/src/wire/frame.rs
+++ b/crates/hawthornmill/src/wire/frame.rs
@@ -8,12 +8,13 @@
 //! | 8 | sender's [`InstanceId`] |
 //! | 8 | sender's [`Incarnation`] |
 //! | 8 | sequence number, rising within the sender's channel |
-//! | 8 | channel: the acceptor's nonce on TCP, 0 on UDP |
+//! | 8 | channel: the acceptor's nonce on TCP, the receiver's [`InstanceId`] on UDP |
 //! | 16 | first half of the keyed BLAKE3 hash of all the rest |
 //! | … | payload |
 //!
 //! The key comes from the settings. A repeated or reordered frame is refused by its sequence
-//! number; on TCP the acceptor's nonce keeps frames of an earlier connection out of this one.
+//! number. On TCP the acceptor's nonce keeps frames of an earlier connection out of this one; on UDP
+//! the receiver's id keeps frames for one instance out of another, which has not seen their number.
 
 use std::collections::BTreeMap;
 
@@ -105,13 +106,21 @@
     /// [`FrameError::TooLarge`] when the frame would be over [`FRAME_LIMIT`],
     /// [`FrameError::Malformed`] when the message can't be encoded.
     pub fn seal(&mut self, message: &Message) -> Result<Vec<u8>, FrameError> {
+        self.seal_on(self.channel, message)
+    }
+
+    /// Does the same for another channel than the sealer's own.
+    ///
+    /// # Errors
+    /// As [`Self::seal`].
+    pub fn seal_on(&mut self, channel: u64, message: &Message) -> Result<Vec<u8>, FrameError> {
         self.seq += 1;
         let mut frame = Vec::with_capacity(128);
         frame.push(VERSION);
         frame.extend(self.sender.0.to_le_bytes());
         frame.extend(self.incarnation.0.to_le_bytes());
         frame.extend(self.seq.to_le_bytes());
-        frame.extend(self.channel.to_le_bytes());
+        frame.extend(channel.to_le_bytes());
         frame.extend([0_u8; MAC]);
         let mut frame =
             postcard::to_extend(message, frame).map_err(|_error| FrameError::Malformed)?;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Every test of hawthornmill, in one binary.
 
+mod access;
 mod bad_input;
 mod causes;
 mod check;
