Write queues, slots, peers and revision as metrics

Cause: only calls, waits and costs were written; an operator had to read each router's status page to see queues, idle slots or refused frames. Change: observable gauges and counters, read when metrics are written.

--- a/crates/hawthornmill-net/src/daemon.rs
+++ b/crates/hawthornmill-net/src/daemon.rs
@@ -23,7 +23,7 @@
 use crate::settings::Settings;
 use crate::sockets::bind_http;
 use crate::telemetry::usage::MARK;
-use crate::telemetry::{Telemetry, logs};
+use crate::telemetry::{Telemetry, gauges, logs};
 
 const TICK: Duration = Duration::from_millis(20);
 const SWEEP_KEYS: Duration = Duration::from_secs(1);
@@ -104,6 +104,7 @@
         telemetry,
     );
     log::info!(target: "daemon", "instance {} starts", fleet.settings.contact.name);
+    gauges::start(&fleet);
     udp::start(&fleet, sockets.udp);
     tcp::start(&fleet, sockets.tcp);
     platform::start(&fleet);
--- a/crates/hawthornmill-net/src/telemetry/metrics.rs
+++ b/crates/hawthornmill-net/src/telemetry/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::error::OTelSdkResult;
 use opentelemetry_sdk::metrics::data::{AggregatedMetrics, Metric, MetricData, ResourceMetrics};
 use opentelemetry_sdk::metrics::exporter::PushMetricExporter;
@@ -62,6 +62,10 @@
             .data_points()
             .map(|p| (attributes(p.attributes()), p.value().into()))
             .collect(),
+        AggregatedMetrics::U64(MetricData::Gauge(gauge)) => gauge
+            .data_points()
+            .map(|p| (attributes(p.attributes()), p.value().into()))
+            .collect(),
         AggregatedMetrics::F64(MetricData::Histogram(histogram)) => histogram
             .data_points()
             .map(|p| {
@@ -77,6 +81,8 @@
 #[derive(Debug)]
 pub struct Meters {
     provider: SdkMeterProvider,
+    /// Makes further instruments.
+    pub meter: Meter,
     /// Calls by result code; 0 for a whole answer.
     pub calls: Counter<u64>,
     /// Milliseconds that calls waited for a slot.
@@ -100,6 +106,7 @@
             calls: meter.u64_counter("calls").build(),
             waited: meter.f64_histogram("waited").with_unit("ms").build(),
             cost: meter.f64_histogram("cost").build(),
+            meter,
             provider,
         }
     }
--- a/crates/hawthornmill-net/src/telemetry/mod.rs
+++ b/crates/hawthornmill-net/src/telemetry/mod.rs
@@ -1,5 +1,6 @@
 //! Logs, spans, metrics and usage records, all as JSON lines on standard output.
 
+pub mod gauges;
 pub mod logs;
 pub mod metrics;
 pub mod spans;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod explain;
 mod frames;
 mod labels;
+mod metrics;
 mod one_fleet;
 mod path;
 mod settings;
