--- a/crates/hawthornmill-net/src/entry/mod.rs
+++ b/crates/hawthornmill-net/src/entry/mod.rs
@@ -13,5 +13,6 @@
 pub mod problem;
 pub mod record;
 pub mod relay;
+mod retries;
 pub mod routes;
 pub mod status;
--- a/crates/hawthornmill/src/board.rs
+++ b/crates/hawthornmill/src/board.rs
@@ -15,7 +15,10 @@
 use crate::config::{FleetConfig, Manifest, accept::Values};
 use crate::fairness::Ledger;
 use crate::ident::{AccountId, Incarnation, InstanceId, PoolId, ServerId, ServiceId};
+use crate::limits::backlog::Backlogs;
+use crate::limits::pace::Pace;
 use crate::membership::{Members, reports::Reports};
+use crate::notes::Note;
 use crate::pools::entry::Link;
 use crate::pools::owner::Owned;
 use crate::wire::message::{Contact, GrantId, Message};
@@ -88,6 +91,8 @@
     pub bytes: usize,
     /// Servers that failed it already.
     pub avoid: SmallVec<[ServerId; 2]>,
+    /// Grants of servers to avoid that it let go by.
+    pub declined: u8,
 }
 
 /// A request that may go to a server now.
@@ -130,8 +135,10 @@
     pub ledger: Ledger,
     /// Requests that wait at this entry.
     pub waiting: SlotMap<RequestKey, Waiting>,
-    /// Bytes of all waiting bodies.
-    pub waiting_bytes: usize,
+    /// How much waits, by account.
+    pub backlogs: Backlogs,
+    /// How fast each queue is served.
+    pub paces: BTreeMap<(ServiceId, AccountId), Pace>,
     /// Order of waiting requests.
     pub queues: BTreeMap<(ServiceId, AccountId), VecDeque<RequestKey>>,
     /// Queues that changed since their demand was last told.
@@ -144,12 +151,16 @@
     pub broken: BTreeSet<InstanceId>,
     /// A pause made this instance's view old; nothing is dispatched until it is confirmed.
     pub stale: Option<Instant>,
+    /// When the last pause was noticed.
+    pub woke: Option<Instant>,
     /// Numbers of the pause, to tell confirmations apart.
     pub pauses: u64,
     /// Messages that wait to be sent.
     pub outbox: Vec<(InstanceId, Message)>,
     /// Requests that may go to a server.
     pub dispatches: Vec<Dispatch>,
+    /// Events that operators should read in the log.
+    pub notes: Vec<Note>,
     /// Requests that are given up.
     pub refusals: Vec<(RequestKey, Code)>,
     /// Last tick.
@@ -172,16 +183,19 @@
             reports: Reports::default(),
             ledger: Ledger::default(),
             waiting: SlotMap::with_key(),
-            waiting_bytes: 0,
+            backlogs: Backlogs::default(),
+            paces: BTreeMap::new(),
             queues: BTreeMap::new(),
             dirty: BTreeSet::new(),
             links: BTreeMap::new(),
             owned: BTreeMap::new(),
             broken: BTreeSet::new(),
             stale: None,
+            woke: None,
             pauses: 0,
             outbox: Vec::new(),
             dispatches: Vec::new(),
+            notes: Vec::new(),
             refusals: Vec::new(),
             ticked: now,
             placed: now,
@@ -198,6 +212,10 @@
         if config.revision <= self.config.revision {
             return false;
         }
+        let known = |(service, account): &(ServiceId, AccountId)| {
+            config.services.contains_key(service) && config.accounts.contains_key(account)
+        };
+        self.paces.retain(|key, _| known(key));
         self.config = Arc::new(config);
         self.manifest = manifest;
         self.values = Arc::new(values);
--- a/crates/hawthornmill/src/pools/entry.rs
+++ b/crates/hawthornmill/src/pools/entry.rs
@@ -2,13 +2,14 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use smallvec::SmallVec;
 
 use super::owner::maker;
-use crate::board::{Board, Dispatch, Policy, RequestKey, Waiting};
-use crate::codes::Code;
+use super::queue;
+pub use super::queue::{Arrival, cancel, check_account, enqueue, expire, requeue, retry_after};
+use crate::board::{Board, Dispatch, Policy};
 use crate::fairness::CostKey;
 use crate::ident::{AccountId, Incarnation, InstanceId, PoolId, ServerId, ServiceId};
 use crate::wire::message::{Demand, Done, Grant, GrantId, Grants, Held, Holding, Message, Want};
@@ -30,15 +31,34 @@
     pub busy: bool,
     /// It was reused without a grant, so nobody has charged it yet.
     pub reused: bool,
+    /// Since when its present request has it.
+    pub since: Instant,
 }
 
+/// Up to which number the grants of one owner run have arrived or never will.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ack {
+    /// Owner.
+    pub owner: InstanceId,
+    /// Its process run.
+    pub run: Incarnation,
+    /// Number of a grant.
+    pub seq: u32,
+}
+
+/// Owners whose last grant number is remembered for one pool.
+const RECENT_OWNERS: usize = 4;
+
 /// Dealings with the owner of one pool.
 #[derive(Debug, Clone, Default)]
 pub struct Link {
     /// Owner and its process run.
     pub owner: Option<(InstanceId, Incarnation)>,
-    /// Number of the last grant that arrived or is known to be lost.
-    pub ack: u32,
+    /// Number of the last grant of each recent owner run that arrived or is known to be lost.
+    ///
+    /// It outlives a turn to another owner and back: the first owner may not have noticed, and would
+    /// take every grant above a forgotten number for one in flight, whose slot stays taken for good.
+    pub acks: SmallVec<[Ack; RECENT_OWNERS]>,
     /// Grants received per account from this owner.
     pub received: BTreeMap<AccountId, u32>,
     /// Wants as last told.
@@ -57,7 +77,6 @@
     /// Turns to a new owner, or a new run of the same one.
     pub fn turn_to(&mut self, owner: InstanceId, run: Incarnation) {
         self.owner = Some((owner, run));
-        self.ack = 0;
         self.received.clear();
         self.told.clear();
         self.wants.clear();
@@ -65,85 +84,30 @@
         self.held.retain(|_, slot| slot.busy);
         self.resync = true;
     }
-}
-
-/// A new request.
-#[derive(Debug, Clone, Copy)]
-pub struct Arrival {
-    /// Service that it calls.
-    pub service: ServiceId,
-    /// Account that pays.
-    pub account: AccountId,
-    /// Bytes of its body.
-    pub bytes: usize,
-    /// When the caller gives up.
-    pub deadline: Instant,
-}
-
-/// Puts a request into its account's queue.
-///
-/// # Errors
-/// [`Code::QueueFull`] or [`Code::InstanceFull`]; the request was not run.
-pub fn enqueue(board: &mut Board, arrival: Arrival, now: Instant) -> Result<RequestKey, Code> {
-    let full = board.waiting.len() >= board.tuning.max_waiting
-        || board.waiting_bytes + arrival.bytes > board.tuning.max_bytes;
-    if full {
-        return Err(Code::InstanceFull);
-    }
-    let key = (arrival.service, arrival.account);
-    let queue = board.queues.entry(key).or_default();
-    let account = board.config.accounts.get(&arrival.account);
-    let queued: usize = queue
-        .iter()
-        .filter_map(|r| board.waiting.get(*r))
-        .map(|w| w.bytes)
-        .sum();
-    let over =
-        account.is_none_or(|a| queue.len() >= a.max_queue || queued + arrival.bytes > a.max_bytes);
-    if over {
-        return Err(Code::QueueFull);
-    }
-    let request = board.waiting.insert(Waiting {
-        service: arrival.service,
-        account: arrival.account,
-        arrived: now,
-        deadline: arrival.deadline,
-        bytes: arrival.bytes,
-        avoid: SmallVec::new(),
-    });
-    queue.push_back(request);
-    board.waiting_bytes += arrival.bytes;
-    board.dirty.insert(key);
-    use_kept(board, arrival.service, arrival.account);
-    Ok(request)
-}
 
-/// Takes a waiting request out; none when it waits no longer.
-pub fn cancel(board: &mut Board, request: RequestKey) -> Option<Waiting> {
-    let waiting = board.waiting.remove(request)?;
-    board.waiting_bytes -= waiting.bytes;
-    let key = (waiting.service, waiting.account);
-    if let Some(queue) = board.queues.get_mut(&key) {
-        queue.retain(|r| *r != request);
-        if queue.is_empty() {
-            board.queues.remove(&key);
+    /// Notes that grants of `owner` up to `seq` have arrived or never will.
+    pub fn acknowledge(&mut self, owner: InstanceId, run: Incarnation, seq: u32) {
+        let known = self.acks.iter().position(|a| a.owner == owner);
+        let mut ack = known.map_or(Ack { owner, run, seq }, |at| self.acks.remove(at));
+        ack = match ack.run.cmp(&run) {
+            std::cmp::Ordering::Less => Ack { owner, run, seq },
+            std::cmp::Ordering::Equal => Ack {
+                seq: ack.seq.max(seq),
+                ..ack
+            },
+            std::cmp::Ordering::Greater => ack,
+        };
+        if self.acks.len() == RECENT_OWNERS {
+            self.acks.remove(0);
         }
+        self.acks.push(ack);
     }
-    board.dirty.insert(key);
-    Some(waiting)
-}
 
-/// Gives up waiting requests whose deadline has passed.
-pub fn expire(board: &mut Board, now: Instant) {
-    let late: Vec<RequestKey> = board
-        .waiting
-        .iter()
-        .filter(|(_, w)| w.deadline <= now)
-        .map(|(key, _)| key)
-        .collect();
-    for request in late {
-        cancel(board, request);
-        board.refusals.push((request, Code::DeadlinePassed));
+    /// Number of the last grant of the present owner that arrived or never will.
+    pub fn ack(&self) -> u32 {
+        let acks = self.acks.iter();
+        let known = acks.filter(|a| self.owner == Some((a.owner, a.run)));
+        known.map(|a| a.seq).max().unwrap_or(0)
     }
 }
 
@@ -160,7 +124,7 @@
             maker: maker(incarnation),
             seq: grant.seq,
         };
-        if !accept(board, from, incarnation, grants.pool, grant) {
+        if !accept(board, from, incarnation, grants.pool, grant, now) {
             give_back_to(board, from, grants.pool, id);
             continue;
         }
@@ -178,14 +142,15 @@
     incarnation: Incarnation,
     pool: PoolId,
     grant: &Grant,
+    now: Instant,
 ) -> bool {
     let Some(link) = board.links.get_mut(&pool) else {
         return false;
     };
+    link.acknowledge(from, incarnation, grant.seq);
     if link.owner != Some((from, incarnation)) {
         return false;
     }
-    link.ack = link.ack.max(grant.seq);
     *link.received.entry(grant.account).or_default() += 1;
     let id = GrantId {
         maker: maker(incarnation),
@@ -196,6 +161,7 @@
         server: grant.server,
         busy: false,
         reused: false,
+        since: now,
     };
     link.held.insert(id, slot);
     true
@@ -217,7 +183,7 @@
     if known.leaving {
         return false;
     }
-    let Some(request) = next_request(board, known.service, account, server, now) else {
+    let Some(request) = queue::next(board, known.service, account, server, now) else {
         return false;
     };
     let Some(waiting) = cancel(board, request) else {
@@ -228,8 +194,10 @@
     };
     if let Some(slot) = link.held.get_mut(&grant) {
         slot.busy = true;
+        slot.since = now;
     }
     let owner = link.owner.map_or(board.members.me, |(id, _)| id);
+    queue::note_served(board, known.service, account, now);
     board.dispatches.push(Dispatch {
         request,
         pool,
@@ -242,22 +210,6 @@
     true
 }
 
-fn next_request(
-    board: &Board,
-    service: ServiceId,
-    account: AccountId,
-    server: ServerId,
-    now: Instant,
-) -> Option<RequestKey> {
-    let queue = board.queues.get(&(service, account))?;
-    queue.iter().copied().find(|r| {
-        board
-            .waiting
-            .get(*r)
-            .is_some_and(|w| w.deadline > now && !w.avoid.contains(&server))
-    })
-}
-
 /// A request has left its slot: the slot goes back, or is kept while the owner is silent.
 pub fn finish(
     board: &mut Board,
@@ -276,6 +228,13 @@
     let Some(slot) = link.held.get(&grant).copied() else {
         return;
     };
+    if let Some(server) = board.config.servers.get(&slot.server)
+        && cost > 0.0
+        && !failed
+    {
+        let time = now.duration_since(slot.since);
+        queue::note_held(board, server.service, slot.account, time);
+    }
     let silent = board.silent(owner);
     if silent || slot.reused {
         charge_own(board, slot, cost);
@@ -342,7 +301,7 @@
 }
 
 /// Gives a kept slot to a request that has just arrived.
-fn use_kept(board: &mut Board, service: ServiceId, account: AccountId) {
+pub(super) fn use_kept(board: &mut Board, service: ServiceId, account: AccountId) {
     let Some(arrived) = board
         .queues
         .get(&(service, account))
@@ -408,7 +367,7 @@
     if let Some(link) = board.links.get_mut(&pool)
         && link.owner == Some((from, incarnation))
     {
-        link.ack = link.ack.max(last);
+        link.acknowledge(from, incarnation, last);
         link.resync = true;
     }
 }
@@ -509,7 +468,7 @@
     let message = Holding {
         pool,
         owner: run,
-        ack: link.ack,
+        ack: link.ack(),
         held,
         received: list(&link.received),
         wants: list(&link.told),
@@ -580,12 +539,3 @@
     let (owner, _) = board.links.get(&pool)?.owner?;
     board.reports.pool(pool, owner)
 }
-
-/// When a caller that was refused may come back: the queue's length over the rate of its account.
-pub fn retry_after(board: &Board, service: ServiceId, account: AccountId) -> Duration {
-    let queue = board
-        .queues
-        .get(&(service, account))
-        .map_or(0, std::collections::VecDeque::len);
-    Duration::from_millis(100 + 20 * queue as u64)
-}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,16 +2,26 @@
 
 mod access;
 mod bad_input;
+mod bad_servers;
 mod causes;
 mod check;
+mod demo;
 mod errors;
 mod explain;
 mod frames;
+mod histories;
+mod keys;
 mod labels;
 mod metrics;
+mod leave;
+mod once;
 mod one_fleet;
+mod overload;
 mod path;
+mod retries;
 mod settings;
+mod spans;
+mod standins;
 
 /// The router program under test.
 const ROUTER: &str = env!("CARGO_BIN_EXE_hawthornmill-router");
