--- a/crates/hawthornmill-net/src/entry/keyed.rs
+++ b/crates/hawthornmill-net/src/entry/keyed.rs
@@ -75,6 +75,7 @@
         Code::BadKey,
         Code::KeyExpired,
         Code::KeyRefused,
+        Code::KeyRefused,
         Code::KeysFull,
         Code::HomeUnreachable,
     ];
--- a/crates/hawthornmill/src/usage/causes.rs
+++ b/crates/hawthornmill/src/usage/causes.rs
@@ -32,7 +32,7 @@
     RegionCut,
     /// The entry was paused and dispatched nothing until its view was confirmed.
     View,
-    /// The account's queue at the entry was full.
+    /// The account's queue at the entry was full, or too long for the deadline.
     QueueFull,
     /// The entry held as much as it may.
     InstanceFull,
@@ -46,13 +46,14 @@
     /// The reason of a refusal that has nothing to do with waiting.
     pub fn of_code(code: Code) -> Option<Self> {
         match code {
-            Code::QueueFull => Some(Self::QueueFull),
+            Code::QueueFull | Code::QueueLate => Some(Self::QueueFull),
             Code::InstanceFull | Code::KeysFull => Some(Self::InstanceFull),
             Code::BodyTooLarge
             | Code::BadHeader
             | Code::KeyRequired
             | Code::BadKey
             | Code::KeyExpired
+            | Code::KeyRefused
             | Code::HomeUnreachable => Some(Self::Rejected),
             Code::UpstreamFailed | Code::UpstreamUnreachable | Code::CrossedAnswer => {
                 Some(Self::Server)
