--- a/crates/hawthornmill/src/usage/explain/words.rs
+++ b/crates/hawthornmill/src/usage/explain/words.rs
@@ -101,17 +101,18 @@
         let ranges: Vec<String> = missing
             .gaps
             .iter()
-            .map(|(first, last)| format!("{first}-{last}"))
+            .map(|(first, last)| format!("{first} to {last}"))
             .collect();
-        let (count, ranges) = (missing.records, ranges.join(", "));
-        words.push(format!("{count} records missing (numbers {ranges})"));
+        let (records, ranges) = (count(missing.records, "record"), ranges.join(", "));
+        words.push(format!("{records} missing (numbers {ranges})"));
     }
     if missing.killed {
         let least: u64 = missing.open.iter().map(|o| o.calls).sum();
         let most: u64 = missing.peak.values().sum();
         words.push(format!(
-            "ended without a word; its last mark names {least} calls in flight that have no record, \
-             and it had up to {most} at one time"
+            "ended without a word; its last mark names {} in flight without a record, and it \
+             had up to {most} at one time",
+            count(least, "call")
         ));
     }
     let costs: Vec<String> = missing
@@ -128,3 +129,8 @@
     let run = format!("{} (run {:x})", missing.entry, missing.incarnation);
     format!("{run}: {}", words.join("; "))
 }
+
+fn count(number: u64, what: &str) -> String {
+    let plural = if number == 1 { "" } else { "s" };
+    format!("{number} {what}{plural}")
+}
