--- a/crates/hawthornmill-lab/src/slopes/measure.rs
+++ b/crates/hawthornmill-lab/src/slopes/measure.rs
@@ -12,7 +12,7 @@
 use hawthornmill::pools::entry::{self, Arrival};
 use hawthornmill::pools::{self, tick};
 use hawthornmill::wire::frame::{HEADER, payload_len};
-use hawthornmill::wire::message::{ConfigValues, Message, PoolState, Report};
+use hawthornmill::wire::message::{ConfigValues, Heartbeat, Message, PoolState, Report};
 
 use super::fixture::{BusyOwner, Size, board, contact, hear_all, values};
 use super::line::Line;
@@ -202,6 +202,7 @@
         version,
         leaving: false,
         revision: 1,
+        steady: 255,
         pools: vec![PoolState {
             pool: PoolId(origin as u64),
             idle: 0,
@@ -279,17 +280,19 @@
         servers,
         ..Size::DESIGN
     };
-    let beat = Message::Heartbeat {
-        leaving: false,
-        revision: 9700,
-        contact: None,
-    };
-    let named = Message::Heartbeat {
-        leaving: false,
-        revision: 9700,
-        contact: Some(Box::new(contact(Size::DESIGN, 0))),
+    let beat = |contact| {
+        Message::Heartbeat(Heartbeat {
+            leaving: false,
+            revision: 9700,
+            interval: 600,
+            steady: 255,
+            platform: true,
+            roster: u32::MAX,
+            contact,
+        })
     };
-    let bytes = [&beat, &named].map(|m| (payload_len(m) + HEADER) as f64);
+    let named = beat(Some(Box::new(contact(Size::DESIGN, 0))));
+    let bytes = [&beat(None), &named].map(|m| (payload_len(m) + HEADER) as f64);
     vec![
         Line::through(
             "every instance: µs for working owners out anew",
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,8 +1,10 @@
 //! Every test of hawthornmill, in one binary.
 
+mod access;
 mod bad_input;
 mod bad_servers;
 mod causes;
+mod check;
 mod configuration;
 mod demo;
 mod errors;
@@ -14,6 +16,7 @@
 mod leave;
 mod leaving;
 mod membership;
+mod metrics;
 mod once;
 mod one_fleet;
 mod overload;
