Sum fairness counters by owner and let lagging accounts cross

Cause: an account whose callers all connect in one region got the share of that region; totals were kept as one sum, so an instance that started could not tell what of a counter it had already; costs of calls that ended while an owner was silent were charged twice or, with a renewed link, not at all.

Now each owner's counter is kept, a starting instance takes all of them from a peer (StandingPull), a neighbour that comes back is told everything, a new owner starts at the level that the last one told, and an entry asks another region for accounts that lag its level by two rounds, within cross_bytes. policy = static counts its own grants only.

Ruled out: totals alone in the standing (a counter heard later would be added twice), a smaller margin (noise of one round would cross the link).

--- a/crates/hawthornmill-net/src/entry/relay.rs
+++ b/crates/hawthornmill-net/src/entry/relay.rs
@@ -55,6 +55,9 @@
             Poll::Pending => Poll::Pending,
             Poll::Ready(Some(Ok(chunk))) => {
                 self.tail.push(&chunk);
+                if let Some(slot) = &mut self.slot {
+                    slot.add_bytes(chunk.len());
+                }
                 Poll::Ready(Some(Ok(chunk)))
             }
             Poll::Ready(Some(Err(error))) => {
--- a/crates/hawthornmill-net/src/entry/status.rs
+++ b/crates/hawthornmill-net/src/entry/status.rs
@@ -17,6 +17,7 @@
             "stale": board.stale.is_some(),
             "leaving": board.members.own().leaving,
             "waiting": board.waiting.len(),
+            "call_bytes_far": board.crossing.bytes,
             "members": members(board),
             "pools": pools(fleet, board),
             "accounts": accounts(board),
--- a/crates/hawthornmill-net/src/fleet.rs
+++ b/crates/hawthornmill-net/src/fleet.rs
@@ -9,7 +9,7 @@
 use hawthornmill::clock::Clock;
 use hawthornmill::codes::Code;
 use hawthornmill::ident::{Incarnation, InstanceId, PoolId};
-use hawthornmill::pools::{self, entry, tick};
+use hawthornmill::pools::{self, entry, regions, tick};
 use hawthornmill::wire::message::{GrantId, Message};
 use tokio::sync::{Notify, oneshot};
 
@@ -275,6 +275,7 @@
     pub taken: Instant,
     cost: f64,
     failed: bool,
+    bytes: usize,
 }
 
 impl SlotGuard {
@@ -285,9 +286,15 @@
             dispatch,
             cost: 0.0,
             failed: false,
+            bytes: 0,
         }
     }
 
+    /// Counts bytes of the answer, which are paid for where they cross to another region.
+    pub fn add_bytes(&mut self, bytes: usize) {
+        self.bytes += bytes;
+    }
+
     /// Sets what is charged when the slot goes back.
     pub fn set_cost(&mut self, cost: f64) {
         self.cost = cost;
@@ -313,8 +320,10 @@
 impl Drop for SlotGuard {
     fn drop(&mut self) {
         let (pool, grant) = self.place();
-        let (cost, failed) = (self.cost, self.failed);
-        self.fleet
-            .feed(|board, now| entry::finish(board, pool, grant, cost, failed, now));
+        let (cost, failed, bytes) = (self.cost, self.failed, self.bytes);
+        self.fleet.feed(|board, now| {
+            regions::spend(board, pool, bytes);
+            entry::finish(board, pool, grant, cost, failed, now);
+        });
     }
 }
--- a/crates/hawthornmill-net/src/peers/inbox.rs
+++ b/crates/hawthornmill-net/src/peers/inbox.rs
@@ -7,7 +7,7 @@
 use hawthornmill::config::accept;
 use hawthornmill::membership::Sign;
 use hawthornmill::pools::tick;
-use hawthornmill::wire::message::{ConfigPull, ConfigValues, Message, Standing};
+use hawthornmill::wire::message::{ConfigPull, ConfigValues, Message};
 use hawthornmill::wire::{Frame, FrameError};
 
 use crate::fleet::Fleet;
@@ -42,15 +42,6 @@
             fleet.feed(|board, now| tick::on_probe_ack(board, number, now));
         }
         Message::Reports(reports) => take_reports(fleet, from, reports),
-        Message::StandingPull => {
-            let totals = fleet.view(|board| board.ledger.standing());
-            fleet
-                .outgoing
-                .send(from, Message::Standing(Standing { totals }));
-        }
-        Message::Standing(standing) => {
-            fleet.feed(|board, _| board.ledger.adopt(&standing.totals));
-        }
         Message::ConfigPull(pull) => answer_pull(fleet, from, &pull),
         Message::ConfigValues(values) => take_values(fleet, values),
         message => fleet.receive(from, incarnation, message),
--- a/crates/hawthornmill-net/src/settings.rs
+++ b/crates/hawthornmill-net/src/settings.rs
@@ -209,6 +209,7 @@
         "confirm_ms",
         "load_ms",
         "lag_cap",
+        "cross_bytes",
     ];
     reader.known_keys(section, &known);
     let base = Tuning::default();
@@ -226,6 +227,7 @@
         max_waiting: count(reader, limits, "max_waiting", base.max_waiting as f64),
         max_bytes: count(reader, limits, "max_bytes", base.max_bytes as f64),
         lag_cap: reader.bounded(section, "lag_cap", base.lag_cap, 0.1..=1e6),
+        cross_bytes: reader.bounded(section, "cross_bytes", base.cross_bytes, 0.0..=1e12),
     }
 }
 
--- a/crates/hawthornmill-test-support/src/lib.rs
+++ b/crates/hawthornmill-test-support/src/lib.rs
@@ -4,5 +4,6 @@
 //! fixed order with a clock of its own, and [`procs`] starts real router processes around stand-ins.
 
 pub mod fleet;
+pub mod loads;
 pub mod procs;
 pub mod steps;
--- a/crates/hawthornmill/src/board.rs
+++ b/crates/hawthornmill/src/board.rs
@@ -18,6 +18,7 @@
 use crate::membership::{Members, reports::Reports};
 use crate::pools::entry::Link;
 use crate::pools::owner::Owned;
+use crate::pools::regions::Crossing;
 use crate::wire::message::{Contact, GrantId, Message};
 
 slotmap::new_key_type! {
@@ -55,6 +56,8 @@
     pub max_bytes: usize,
     /// Lag behind the most served account that is remembered, in slots × estimated cost.
     pub lag_cap: f64,
+    /// Bytes of calls a second that this entry may exchange with servers in other regions.
+    pub cross_bytes: f64,
 }
 
 impl Default for Tuning {
@@ -69,6 +72,7 @@
             max_waiting: 20_000,
             max_bytes: 256 << 20,
             lag_cap: 8.0,
+            cross_bytes: 262_144.0,
         }
     }
 }
@@ -128,6 +132,8 @@
     pub reports: Reports,
     /// Fairness counters.
     pub ledger: Ledger,
+    /// Peers that were asked for their counters since the start.
+    pub asked: u32,
     /// Requests that wait at this entry.
     pub waiting: SlotMap<RequestKey, Waiting>,
     /// Bytes of all waiting bodies.
@@ -152,6 +158,8 @@
     pub dispatches: Vec<Dispatch>,
     /// Requests that are given up.
     pub refusals: Vec<(RequestKey, Code)>,
+    /// Bytes of calls that may still cross to other regions.
+    pub crossing: Crossing,
     /// Last tick.
     pub ticked: Instant,
     /// When owners were last worked out with the passing of time.
@@ -162,6 +170,11 @@
     /// An empty board for one process run.
     pub fn new(contact: Contact, incarnation: Incarnation, tuning: Tuning, now: Instant) -> Self {
         let me = InstanceId::of(&contact.name);
+        let crossing = Crossing::new(tuning.cross_bytes, now);
+        let ledger = match tuning.policy {
+            Policy::Pooled => Ledger::default(),
+            Policy::Static => Ledger::alone(),
+        };
         Self {
             incarnation,
             tuning,
@@ -170,7 +183,8 @@
             values: Arc::new(Values::new()),
             members: Members::new(me, contact, incarnation, now),
             reports: Reports::default(),
-            ledger: Ledger::default(),
+            ledger,
+            asked: 0,
             waiting: SlotMap::with_key(),
             waiting_bytes: 0,
             queues: BTreeMap::new(),
@@ -183,6 +197,7 @@
             outbox: Vec::new(),
             dispatches: Vec::new(),
             refusals: Vec::new(),
+            crossing,
             ticked: now,
             placed: now,
         }
--- a/crates/hawthornmill/src/fairness/ledger.rs
+++ b/crates/hawthornmill/src/fairness/ledger.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ident::{AccountId, Incarnation, InstanceId, ServiceId};
+use crate::wire::message::{Counters, Standing};
 
 /// Weight of the newest call in an account's average cost.
 const AVERAGE_WEIGHT: f64 = 0.1;
@@ -25,16 +26,32 @@
 }
 
 /// Normalised service of every account, as this instance knows it.
+///
+/// A total is the sum of this instance's own counter, the latest counter of every other owner, and
+/// what earlier runs of owners counted. A lost, repeated or late message therefore costs accuracy
+/// for one interval only.
 #[derive(Debug, Clone, Default)]
 pub struct Ledger {
+    alone: bool,
+    settled: bool,
     own: BTreeMap<CostKey, f64>,
     total: BTreeMap<CostKey, f64>,
+    retired: BTreeMap<CostKey, f64>,
     heard: BTreeMap<InstanceId, Heard>,
     average: BTreeMap<CostKey, f64>,
     changed: BTreeSet<CostKey>,
 }
 
 impl Ledger {
+    /// A ledger that counts what this instance grants and nothing else.
+    pub fn alone() -> Self {
+        Self {
+            alone: true,
+            settled: true,
+            ..Self::default()
+        }
+    }
+
     /// Charges `amount` of normalised service that this instance granted; negative to correct.
     pub fn charge(&mut self, key: CostKey, amount: f64) {
         *self.own.entry(key).or_default() += amount;
@@ -52,44 +69,105 @@
         self.own.get(&key).copied().unwrap_or_default()
     }
 
-    /// Merges a counter of another owner.
-    ///
-    /// Counters are cumulative over an incarnation, so a lost or repeated message does no harm.
-    /// The first value heard of an incarnation is only a base: what was served before this
-    /// instance listened is part of the standing that it started from.
+    /// Takes a counter of another owner; counters are cumulative over an incarnation.
     pub fn merge(&mut self, from: InstanceId, incarnation: Incarnation, key: CostKey, value: f64) {
+        if self.alone {
+            return;
+        }
         let heard = self.heard.entry(from).or_default();
         if heard.incarnation > incarnation {
             return;
         }
         if heard.incarnation < incarnation {
-            let first = heard.incarnation == Incarnation::default();
-            *heard = Heard {
-                incarnation,
-                counters: BTreeMap::new(),
-            };
-            // A known owner that restarted counts from zero, so its first value is no base.
-            if !first {
-                *self.total.entry(key).or_default() += value;
+            // A new run counts from zero; what the earlier one granted stays granted.
+            for (key, value) in std::mem::take(&mut heard.counters) {
+                *self.retired.entry(key).or_default() += value;
             }
-            heard.counters.insert(key, value);
+            heard.incarnation = incarnation;
+        }
+        let before = heard.counters.insert(key, value).unwrap_or_default();
+        *self.total.entry(key).or_default() += value - before;
+    }
+
+    /// Tells whether this ledger holds the fleet's past, or nobody was there to tell it.
+    pub fn settled(&self) -> bool {
+        self.settled
+    }
+
+    /// Stops asking for the fleet's past.
+    pub fn settle(&mut self) {
+        self.settled = true;
+    }
+
+    /// Everything that this instance knows, for one that starts.
+    pub fn standing(&self, me: InstanceId, incarnation: Incarnation) -> Standing {
+        let list = |map: &BTreeMap<CostKey, f64>| map.iter().map(|(k, v)| (*k, *v)).collect();
+        let others = self.heard.iter().map(|(id, heard)| Counters {
+            origin: *id,
+            incarnation: heard.incarnation,
+            values: list(&heard.counters),
+        });
+        let own = Counters {
+            origin: me,
+            incarnation,
+            values: list(&self.own),
+        };
+        Standing {
+            retired: list(&self.retired),
+            counters: others.chain([own]).collect(),
+        }
+    }
+
+    /// Takes what a peer knows, once; `me` and `incarnation` are this instance's.
+    ///
+    /// Totals alone would not do: a counter that is heard for the first time afterwards would be
+    /// added to a total that has it already. With each owner's counter the sum stays exact.
+    pub fn adopt(&mut self, me: InstanceId, incarnation: Incarnation, standing: &Standing) {
+        if self.settled {
             return;
         }
-        let base = heard.counters.insert(key, value);
-        *self.total.entry(key).or_default() += value - base.unwrap_or_default();
+        self.settled = true;
+        for (key, value) in &standing.retired {
+            *self.retired.entry(*key).or_default() += value;
+        }
+        for counters in &standing.counters {
+            self.adopt_counters(me, incarnation, counters);
+        }
+        self.sum_up();
     }
 
-    /// Takes a standing from a peer: totals by key, used once by an instance that starts.
-    pub fn adopt(&mut self, standing: &[(CostKey, f64)]) {
-        for (key, value) in standing {
-            let own = self.own(*key);
-            self.total.insert(*key, value + own);
+    fn adopt_counters(&mut self, me: InstanceId, incarnation: Incarnation, told: &Counters) {
+        let known = if told.origin == me {
+            incarnation
+        } else {
+            self.heard.entry(told.origin).or_default().incarnation
+        };
+        if told.incarnation < known {
+            for (key, value) in &told.values {
+                *self.retired.entry(*key).or_default() += value;
+            }
+            return;
+        }
+        if told.origin == me {
+            return;
+        }
+        let heard = self.heard.entry(told.origin).or_default();
+        if told.incarnation > known {
+            // The teller has what the earlier run counted among its retired counters.
+            heard.counters.clear();
+            heard.incarnation = told.incarnation;
+        }
+        for (key, value) in &told.values {
+            heard.counters.entry(*key).or_insert(*value);
         }
     }
 
-    /// Every total, for a peer that starts.
-    pub fn standing(&self) -> Vec<(CostKey, f64)> {
-        self.total.iter().map(|(k, v)| (*k, *v)).collect()
+    fn sum_up(&mut self) {
+        self.total = self.retired.clone();
+        let heard = self.heard.values().flat_map(|h| &h.counters);
+        for (key, value) in heard.chain(&self.own) {
+            *self.total.entry(*key).or_default() += value;
+        }
     }
 
     /// Own counters that changed since the last call.
--- a/crates/hawthornmill/src/membership/reports.rs
+++ b/crates/hawthornmill/src/membership/reports.rs
@@ -117,6 +117,11 @@
             .copied()
     }
 
+    /// Forgets what `neighbour` was sent: it was gone and may have lost it.
+    pub fn resend(&mut self, neighbour: InstanceId) {
+        self.sent.remove(&neighbour);
+    }
+
     /// Highest revision that any report named.
     pub fn revision(&self) -> u64 {
         self.origins.values().map(|o| o.revision).max().unwrap_or(0)
--- a/crates/hawthornmill/src/pools/entry.rs
+++ b/crates/hawthornmill/src/pools/entry.rs
@@ -6,10 +6,11 @@
 
 use smallvec::SmallVec;
 
+use super::kept::{charge_own, keep, note_late, reuse, use_kept};
 use super::owner::maker;
-use crate::board::{Board, Dispatch, Policy, RequestKey, Waiting};
+use super::regions;
+use crate::board::{Board, Dispatch, RequestKey, Waiting};
 use crate::codes::Code;
-use crate::fairness::CostKey;
 use crate::ident::{AccountId, Incarnation, InstanceId, PoolId, ServerId, ServiceId};
 use crate::wire::message::{Demand, Done, Grant, GrantId, Grants, Held, Holding, Message, Want};
 
@@ -45,6 +46,8 @@
     pub told: BTreeMap<AccountId, u32>,
     /// Slots to give back.
     pub done: SmallVec<[Done; 2]>,
+    /// Costs of calls that ended in kept slots while the owner was silent.
+    pub late: Vec<Done>,
     /// Wants to tell.
     pub wants: SmallVec<[Want; 2]>,
     /// Slots held.
@@ -62,6 +65,8 @@
         self.told.clear();
         self.wants.clear();
         self.done.clear();
+        // The estimates that the earlier owner charged for these stand in its counters.
+        self.late.clear();
         self.held.retain(|_, slot| slot.busy);
         self.resync = true;
     }
@@ -135,6 +140,7 @@
 
 /// Gives up waiting requests whose deadline has passed.
 pub fn expire(board: &mut Board, now: Instant) {
+    board.crossing.refill(board.tuning.cross_bytes, now);
     let late: Vec<RequestKey> = board
         .waiting
         .iter()
@@ -202,7 +208,7 @@
 }
 
 /// Gives an idle held slot to the oldest fitting request of its account.
-fn assign(board: &mut Board, pool: PoolId, grant: GrantId, now: Instant) -> bool {
+pub(super) fn assign(board: &mut Board, pool: PoolId, grant: GrantId, now: Instant) -> bool {
     let config = Arc::clone(&board.config);
     let Some(slot) = board.links.get(&pool).and_then(|l| l.held.get(&grant)) else {
         return false;
@@ -230,6 +236,7 @@
         slot.busy = true;
     }
     let owner = link.owner.map_or(board.members.me, |(id, _)| id);
+    regions::spend(board, pool, waiting.bytes);
     board.dispatches.push(Dispatch {
         request,
         pool,
@@ -277,100 +284,18 @@
         return;
     };
     let silent = board.silent(owner);
-    if silent || slot.reused {
+    if slot.reused {
         charge_own(board, slot, cost);
     }
+    let told = if slot.reused { 0.0 } else { cost };
     if silent && !failed {
+        note_late(board, pool, grant, told);
         keep(board, pool, grant, now);
         return;
     }
-    let told = if slot.reused { 0.0 } else { cost };
     give_back(board, pool, grant, told, failed);
 }
 
-/// Charges a call that no owner will hear of.
-fn charge_own(board: &mut Board, slot: Slot, cost: f64) {
-    let Some(server) = board.config.servers.get(&slot.server) else {
-        return;
-    };
-    let key = CostKey {
-        service: server.service,
-        account: slot.account,
-    };
-    let share = board.config.share(slot.account, slot.server).unwrap_or(1.0);
-    board.ledger.charge(key, cost / share);
-}
-
-/// Keeps a slot while its owner is silent and gives it to the local request that is served least.
-///
-/// The owner can't grant it to anybody until a successor has heard who holds what, so a slot that
-/// was handed back would idle; reusing it adds none.
-fn keep(board: &mut Board, pool: PoolId, grant: GrantId, now: Instant) {
-    if let Some(slot) = held_mut(board, pool, grant) {
-        slot.busy = false;
-        slot.reused = true;
-    }
-    reuse(board, pool, grant, now);
-}
-
-fn reuse(board: &mut Board, pool: PoolId, grant: GrantId, now: Instant) -> bool {
-    let config = Arc::clone(&board.config);
-    let Some(slot) = held_mut(board, pool, grant).map(|s| *s) else {
-        return false;
-    };
-    let Some(server) = config.servers.get(&slot.server) else {
-        return false;
-    };
-    let service = server.service;
-    let next = board
-        .queues
-        .keys()
-        .filter(|(s, _)| *s == service)
-        .map(|(_, account)| *account)
-        .filter(|account| config.share(*account, slot.server).is_some())
-        .min_by(|a, b| {
-            let of = |account: AccountId| board.ledger.total(CostKey { service, account });
-            of(*a).total_cmp(&of(*b))
-        });
-    let Some(account) = next else {
-        return false;
-    };
-    if let Some(slot) = held_mut(board, pool, grant) {
-        slot.account = account;
-    }
-    board.stale.is_none() && assign(board, pool, grant, now)
-}
-
-/// Gives a kept slot to a request that has just arrived.
-fn use_kept(board: &mut Board, service: ServiceId, account: AccountId) {
-    let Some(arrived) = board
-        .queues
-        .get(&(service, account))
-        .and_then(|q| q.back())
-        .and_then(|r| board.waiting.get(*r))
-        .map(|w| w.arrived)
-    else {
-        return;
-    };
-    let kept: Option<(PoolId, GrantId)> = board
-        .links
-        .iter()
-        .filter(|(_, link)| link.owner.is_some_and(|(o, _)| board.silent(o)))
-        .find_map(|(pool, link)| {
-            link.held
-                .iter()
-                .find(|(_, s)| !s.busy && board.config.share(account, s.server).is_some())
-                .map(|(grant, _)| (*pool, *grant))
-        });
-    if let Some((pool, grant)) = kept {
-        reuse(board, pool, grant, arrived);
-    }
-}
-
-fn held_mut(board: &mut Board, pool: PoolId, grant: GrantId) -> Option<&mut Slot> {
-    board.links.get_mut(&pool)?.held.get_mut(&grant)
-}
-
 fn give_back(board: &mut Board, pool: PoolId, grant: GrantId, cost: f64, failed: bool) {
     if let Some(link) = board.links.get_mut(&pool)
         && link.held.remove(&grant).is_some()
@@ -513,9 +438,9 @@
         held,
         received: list(&link.received),
         wants: list(&link.told),
+        done: link.late.drain(..).chain(link.done.drain(..)).collect(),
     };
     link.wants.clear();
-    link.done.clear();
     Message::Holding(message)
 }
 
@@ -529,7 +454,7 @@
     let Some(pools) = config.by_service.get(&service) else {
         return;
     };
-    let chosen = choose_pools(board, account, pools);
+    let chosen = regions::choose(board, service, account, pools);
     for pool in pools {
         let Some(link) = board.links.get_mut(pool) else {
             continue;
@@ -547,40 +472,6 @@
     }
 }
 
-/// The pools to ask: those at home, and others when home has nothing or lags behind them.
-fn choose_pools(board: &Board, account: AccountId, pools: &[PoolId]) -> SmallVec<[PoolId; 4]> {
-    let config = &board.config;
-    let region = board.members.own().region;
-    let open = pools
-        .iter()
-        .copied()
-        .filter(|p| config.pool_open(account, *p));
-    let (home, away): (SmallVec<[PoolId; 4]>, SmallVec<[PoolId; 4]>) =
-        open.partition(|p| config.pools[p].region == region);
-    if board.tuning.policy == Policy::Static {
-        return home.into_iter().chain(away).collect();
-    }
-    if home.is_empty() {
-        return away;
-    }
-    let idle_home = home
-        .iter()
-        .any(|p| state(board, *p).is_some_and(|s| s.idle > 0));
-    let mut chosen = home;
-    if !idle_home {
-        let idle = away
-            .into_iter()
-            .filter(|p| state(board, *p).is_some_and(|s| s.idle > 0));
-        chosen.extend(idle);
-    }
-    chosen
-}
-
-fn state(board: &Board, pool: PoolId) -> Option<crate::wire::message::PoolState> {
-    let (owner, _) = board.links.get(&pool)?.owner?;
-    board.reports.pool(pool, owner)
-}
-
 /// When a caller that was refused may come back: the queue's length over the rate of its account.
 pub fn retry_after(board: &Board, service: ServiceId, account: AccountId) -> Duration {
     let queue = board
--- a/crates/hawthornmill/src/pools/mod.rs
+++ b/crates/hawthornmill/src/pools/mod.rs
@@ -3,18 +3,22 @@
 //! Requests wait at the entry that received them ([`entry`]). The owner of a pool ([`owner`])
 //! learns only how many wait for each account, and grants slots one by one to the account that has
 //! received the least normalised service; the entry then sends its oldest request of that account
-//! straight to the server. [`ownership`] follows the members and the configuration; [`turn()`] runs
+//! straight to the server. [`regions`] says which pools an entry asks, and [`kept`] what becomes of
+//! its slots while an owner is silent. [`ownership`] follows the members and the configuration; [`turn()`] runs
 //! whatever is due after an event.
 
 pub mod entry;
+pub mod kept;
 pub mod owner;
 pub mod ownership;
+pub mod regions;
 pub mod schedule;
 pub mod tick;
 
 use std::time::Instant;
 
 use crate::board::Board;
+use crate::fairness::standing;
 use crate::ident::{Incarnation, InstanceId};
 use crate::wire::message::Message;
 
@@ -60,6 +64,8 @@
         Message::Grants(grants) => entry::on_grants(board, from, incarnation, &grants, now),
         Message::Holding(holding) => owner::on_holding(board, from, incarnation, &holding, now),
         Message::Sync { pool, last } => entry::on_sync(board, from, incarnation, pool, last),
+        Message::StandingPull => standing::answer(board, from),
+        Message::Standing(told) => standing::take(board, &told),
         _ => {}
     }
 }
--- a/crates/hawthornmill/src/pools/owner.rs
+++ b/crates/hawthornmill/src/pools/owner.rs
@@ -317,7 +317,7 @@
     from: InstanceId,
     incarnation: Incarnation,
     holding: &Holding,
-    _now: Instant,
+    now: Instant,
 ) {
     if holding.owner != board.incarnation {
         return;
@@ -330,6 +330,11 @@
     if !meet(owned, from, incarnation) {
         return;
     }
+    // Costs come first: what is not held and not listed here was never run, and is refunded.
+    for done in &holding.done {
+        settle(board, holding.pool, service, from, done, now);
+    }
+    let owned = board.owned.entry(holding.pool).or_default();
     let gone: Vec<GrantId> = owned
         .held_by(from)
         .filter(|g| g.maker != made || g.seq <= holding.ack)
--- a/crates/hawthornmill/src/pools/ownership.rs
+++ b/crates/hawthornmill/src/pools/ownership.rs
@@ -32,6 +32,7 @@
 
 fn follow(board: &mut Board, pool: PoolId, owner: Option<InstanceId>, now: Instant) {
     let incarnation = owner.map(|o| incarnation_of(board, o));
+    let level = level_of(board, pool);
     let link = board.links.entry(pool).or_default();
     let found = owner.zip(incarnation);
     if let Some((id, run)) = found
@@ -50,6 +51,9 @@
     let book = board.owned.entry(pool).or_default();
     if mine && !book.active {
         book.activate(ready);
+        // Without the level that the pool had reached, every account that had idled would come
+        // back with credit for that time.
+        book.level = book.level.max(level);
         let peers: Vec<InstanceId> = board.members.live().map(|(id, _)| id).collect();
         for peer in peers.into_iter().filter(|p| *p != me) {
             board.outbox.push((peer, Message::Sync { pool, last: 0 }));
@@ -60,6 +64,14 @@
     }
 }
 
+/// The level that the last owner told of `pool`; 0 when it told none.
+fn level_of(board: &Board, pool: PoolId) -> f64 {
+    let owner = board.links.get(&pool).and_then(|l| l.owner);
+    owner
+        .and_then(|(id, _)| board.reports.pool(pool, id))
+        .map_or(0.0, |state| f64::from(state.level))
+}
+
 fn incarnation_of(board: &Board, id: InstanceId) -> Incarnation {
     board
         .members
@@ -81,6 +93,7 @@
         }
     }
     for id in std::mem::take(&mut board.members.revived) {
+        board.reports.resend(id);
         entry::resync(board, id);
     }
 }
--- a/crates/hawthornmill/src/pools/tick.rs
+++ b/crates/hawthornmill/src/pools/tick.rs
@@ -4,6 +4,7 @@
 
 use super::entry;
 use crate::board::Board;
+use crate::fairness::standing;
 use crate::ident::InstanceId;
 use crate::wire::message::{Message, PoolState};
 
@@ -119,5 +120,7 @@
         .write_own(&board.members, revision, pools, costs);
     let keys: Vec<_> = board.queues.keys().copied().collect();
     board.dirty.extend(keys);
-    board.reports.round(&board.members)
+    let mut messages = board.reports.round(&board.members);
+    messages.extend(standing::ask(board));
+    messages
 }
--- a/crates/hawthornmill/src/wire/message.rs
+++ b/crates/hawthornmill/src/wire/message.rs
@@ -93,6 +93,8 @@
     pub received: Vec<Want>,
     /// Wants of every account that waits.
     pub wants: Vec<Want>,
+    /// Costs of calls that ended since the owner was last told.
+    pub done: Vec<Done>,
 }
 
 /// What an owner tells of a pool.
@@ -125,11 +127,24 @@
     pub costs: Vec<(CostKey, f32)>,
 }
 
-/// Totals for an instance that starts.
+/// Cumulative counters of one owner.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Counters {
+    /// The owner.
+    pub origin: InstanceId,
+    /// Its process run.
+    pub incarnation: Incarnation,
+    /// Normalised service that it charged, by key.
+    pub values: Vec<(CostKey, f64)>,
+}
+
+/// What a peer knows of normalised service, for an instance that starts.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Default)]
 pub struct Standing {
-    /// Totals by key.
-    pub totals: Vec<(CostKey, f64)>,
+    /// Sums over earlier runs of owners.
+    pub retired: Vec<(CostKey, f64)>,
+    /// Counters of each owner's latest run, the teller's among them.
+    pub counters: Vec<Counters>,
 }
 
 /// Asks a peer for a newer configuration.
@@ -196,7 +211,7 @@
     },
     /// Asks for a [`Message::Standing`].
     StandingPull,
-    /// Totals for an instance that starts.
+    /// What a peer knows, for an instance that starts.
     Standing(Standing),
     /// Asks for a newer configuration.
     ConfigPull(ConfigPull),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod one_fleet;
 mod path;
 mod settings;
+mod shares;
 mod spans;
 mod standins;
 
