Settle grants in flight of an entry that came back, spread the demo

An entry that took another instance for the owner and turned back had lost count of the owner's grants; those that it had dropped counted as on their way for good. The owner now asks such an entry once more after its grants; messages keep their order.

An account that has a call running and none waiting is lifted like one that is idle; before, it saved up credit with every slot that it did not need.

The demo's callers use one or two entries of their regions (`entries = N` in load.ini, and callers keep to their regions, which they did not), and `owed` comes from what was really sent within the window. Calls that cross regions are counted in bytes.

--- a/crates/hawthornmill-lab/src/demo/measure.rs
+++ b/crates/hawthornmill-lab/src/demo/measure.rs
@@ -31,6 +31,8 @@
     pub busy: BTreeMap<Box<str>, f64>,
     /// Cost so far.
     pub cost: BTreeMap<Pair, f64>,
+    /// Cost of all calls sent so far.
+    pub offered: BTreeMap<Pair, f64>,
     /// Calls without a first byte.
     pub waiting: BTreeMap<Pair, i64>,
 }
@@ -104,6 +106,7 @@
         free: BTreeMap::new(),
         busy: BTreeMap::new(),
         cost: BTreeMap::new(),
+        offered: watcher.offered(),
         waiting: watcher.waiting(),
     };
     for server in servers {
--- a/crates/hawthornmill-lab/src/demo/result.rs
+++ b/crates/hawthornmill-lab/src/demo/result.rs
@@ -64,6 +64,8 @@
     pub control_bytes_per_s: ControlBytes,
     /// Bytes that routers sent to peers in other regions.
     pub cross_region_bytes: u64,
+    /// Bytes of calls, requests and answers, between entries and servers in other regions.
+    pub cross_region_call_bytes: u64,
     /// Calls made.
     pub calls: u64,
     /// Calls with neither answer nor refusal.
@@ -118,6 +120,7 @@
             max: each.iter().copied().fold(0.0, f64::max),
         },
         cross_region_bytes: bytes.far,
+        cross_region_call_bytes: bytes.far_calls,
         calls: summary.calls,
         lost: summary.lost,
         crossed: summary.crossed,
@@ -186,12 +189,11 @@
             }
         })
         .collect();
-    let seconds = span(window);
     let demands: Vec<f64> = plan
         .callers
         .iter()
         .filter(|c| *c.service == *service)
-        .map(|c| demand(c, seconds))
+        .map(|c| demand(c, service, window))
         .collect();
     divide(&mut list, &demands);
     list.sort_by(|a, b| a.name.cmp(&b.name));
@@ -205,12 +207,18 @@
     }
 }
 
-fn demand(caller: &crate::load::Caller, seconds: f64) -> f64 {
+/// The cost that could have been run for `caller` within the window: what it had sent by the end,
+/// less what was run before.
+fn demand(caller: &crate::load::Caller, service: &str, window: &[Sample]) -> f64 {
     if caller.workers > 0 {
         return f64::INFINITY;
     }
-    // Sizes are drawn from an exponential distribution cut at both ends, whose mean is 0.969.
-    caller.rate * caller.tokens * 0.969 * seconds
+    let pair = pair(service, &caller.account);
+    let of = |map: &BTreeMap<Pair, f64>| map.get(&pair).copied().unwrap_or(0.0);
+    match (window.first(), window.last()) {
+        (Some(first), Some(last)) => of(&last.offered) - of(&first.cost),
+        _ => 0.0,
+    }
 }
 
 fn share(site: &Site, service: &str, account: &str) -> f64 {
--- a/crates/hawthornmill-lab/src/demo/show.rs
+++ b/crates/hawthornmill-lab/src/demo/show.rs
@@ -47,7 +47,11 @@
         "control bytes/s      {:.0} mean, {:.0} most, per router",
         r.control_bytes_per_s.mean, r.control_bytes_per_s.max
     )?;
-    writeln!(out, "cross-region bytes   {}", r.cross_region_bytes)?;
+    writeln!(
+        out,
+        "cross-region bytes   {} control, {} calls",
+        r.cross_region_bytes, r.cross_region_call_bytes
+    )?;
     writeln!(
         out,
         "calls                {} (lost {}, crossed {}, truncated {}, repeated {})",
--- a/crates/hawthornmill-lab/src/demo/site.rs
+++ b/crates/hawthornmill-lab/src/demo/site.rs
@@ -168,6 +168,8 @@
     pub each: Vec<u64>,
     /// To peers in other regions, over all routers.
     pub far: u64,
+    /// Of calls that ran in another region than their entry's, over all routers.
+    pub far_calls: u64,
 }
 
 /// A running site.
@@ -314,6 +316,7 @@
         ControlCount {
             each: of("peer_bytes"),
             far: of("peer_bytes_far").iter().sum(),
+            far_calls: of("call_bytes_far").iter().sum(),
         }
     }
 
--- a/crates/hawthornmill-lab/src/load/caller.rs
+++ b/crates/hawthornmill-lab/src/load/caller.rs
@@ -52,6 +52,10 @@
         }
         let mut addresses = known.0.clone();
         drop(known);
+        // Callers keep to their own entries while one of them is listed.
+        if addresses.addresses.iter().any(|a| self.seeds.contains(a)) {
+            addresses.addresses.retain(|a| self.seeds.contains(a));
+        }
         let turn = self.next.fetch_add(1, Ordering::Relaxed) as usize + salt;
         if !addresses.addresses.is_empty() {
             let by = turn % addresses.addresses.len();
--- a/crates/hawthornmill-lab/src/load/plan.rs
+++ b/crates/hawthornmill-lab/src/load/plan.rs
@@ -27,6 +27,8 @@
     pub keyed: bool,
     /// Regions whose entries it uses; empty for all.
     pub regions: Vec<Box<str>>,
+    /// Number of entries of those regions that it uses; 0 for all.
+    pub entries: usize,
 }
 
 /// What a run of the load tool does.
@@ -51,6 +53,7 @@
     "deadline_ms",
     "keyed",
     "regions",
+    "entries",
 ];
 
 /// Reads `[caller NAME]` sections.
@@ -100,5 +103,6 @@
             .filter(|r| !r.is_empty())
             .map(Into::into)
             .collect(),
+        entries: reader.bounded(section, "entries", 0.0, 0.0..=1e4) as usize,
     }
 }
--- a/crates/hawthornmill-lab/src/load/run.rs
+++ b/crates/hawthornmill-lab/src/load/run.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use hawthornmill::ident::{AccountId, mix};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use tokio::task::JoinSet;
@@ -104,12 +105,19 @@
     stories
 }
 
+/// The entries that `caller` uses; which ones when it uses only some is drawn from its account.
 fn own_seeds(seeds: &Seeds, caller: &Caller) -> Vec<Box<str>> {
-    seeds
+    let mut own: Vec<Box<str>> = seeds
         .iter()
         .filter(|(region, _)| caller.regions.is_empty() || caller.regions.contains(region))
         .flat_map(|(_, entries)| entries.iter().cloned())
-        .collect()
+        .collect();
+    if caller.entries > 0 && !own.is_empty() {
+        let first = mix(AccountId::of(&caller.account).0) as usize % own.len();
+        own.rotate_left(first);
+        own.truncate(caller.entries);
+    }
+    own
 }
 
 #[derive(Debug, Clone)]
--- a/crates/hawthornmill/src/pools/owner.rs
+++ b/crates/hawthornmill/src/pools/owner.rs
@@ -6,7 +6,7 @@
 use crate::board::Board;
 use crate::fairness::CostKey;
 use crate::ident::{AccountId, Incarnation, InstanceId, PoolId, ServerId, ServiceId};
-use crate::wire::message::{Demand, Done, GrantId, Held, Holding, Want};
+use crate::wire::message::{Demand, Done, GrantId, Held, Holding, Message, Want};
 
 /// Part of a new load reading in the owner's trust: readings over this are foreign work.
 const FOREIGN_READINGS: u8 = 2;
@@ -271,7 +271,7 @@
     let owned = board.owned.entry(pool).or_default();
     let level = owned.level;
     let queue = owned.accounts.entry(account).or_default();
-    if queue.open == 0 && queue.held == 0 {
+    if queue.open == 0 {
         queue.lift = queue.lift.max(level - total);
     }
 }
@@ -366,6 +366,25 @@
         let owned = board.owned.entry(holding.pool).or_default();
         owned.set_want(from, want.account, |w| w.wanted = want.wanted);
     }
+    settle_flight(board, from, holding);
+}
+
+/// Asks an entry that comes back to this owner once more, after the grants that are on their way.
+///
+/// An entry that turned to another owner and back has forgotten up to which number grants arrived,
+/// so those that it dropped meanwhile would count as on their way for good and their slots idle.
+/// Messages keep their order: what it says after this number has arrived is the whole truth.
+fn settle_flight(board: &mut Board, from: InstanceId, holding: &Holding) {
+    let pool = holding.pool;
+    let last = board
+        .owned
+        .get(&pool)
+        .and_then(|o| o.last.get(&from).copied());
+    if let Some(last) = last
+        && holding.ack == 0
+    {
+        board.outbox.push((from, Message::Sync { pool, last }));
+    }
 }
 
 fn reset_wants(owned: &mut Owned, from: InstanceId, received: &[Want], flying: &[AccountId]) {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Every test of hawthornmill, in one binary.
 
 mod bad_input;
+mod conservation;
 mod demo;
 mod errors;
 mod frames;
