--- a/crates/hawthornmill-net/src/entry/call.rs
+++ b/crates/hawthornmill-net/src/entry/call.rs
@@ -13,15 +13,12 @@
 use poem::{Body, Request, Response};
 
 use super::admit::{Admitted, admit};
+use super::home::fresh_prefix;
 use super::problem::Problem;
-use super::relay::{self, Finished};
-use super::{addresses, keyed};
-use crate::fleet::{Fleet, SlotGuard};
+use super::{addresses, keyed, record, relay, retries};
+use crate::fleet::{Fleet, SlotGuard, Ticket};
 use crate::upstream::{Outbound, SendError, passed_on};
 
-/// Attempts that one call may make, the first included.
-const ATTEMPTS: usize = 3;
-
 /// Counts a call as in flight until it is dropped.
 #[derive(Debug)]
 pub struct Flying(Arc<Fleet>);
@@ -57,27 +54,54 @@
 pub async fn run(fleet: &Arc<Fleet>, request: &Request, body: Body) -> Response {
     let flying = Flying::new(fleet);
     let id = fleet.request_id();
+    let turn_away = |code, words| {
+        let problem = refusal(fleet, code, words, &id);
+        refuse(fleet, &of_key(fleet, request, problem))
+    };
     let admitted = match admit(fleet, request) {
         Ok(admitted) => admitted,
-        Err((code, words)) => return refuse(fleet, &refusal(fleet, code, words, &id)),
+        Err((code, words)) => return turn_away(code, words),
     };
+    if let Err(code) = room(fleet, request, &admitted) {
+        let problem = Problem::not_run(code, &id).retry(come_back(fleet, &admitted));
+        return refuse(fleet, &of_key(fleet, request, problem));
+    }
     let body = match body.into_bytes_limit(fleet.settings.limits.body).await {
         Ok(body) => body,
-        Err(ReadBodyError::PayloadTooLarge) => {
-            return refuse(fleet, &Problem::not_run(Code::BodyTooLarge, &id));
+        Err(error) => {
+            let code = match error {
+                ReadBodyError::PayloadTooLarge => Code::BodyTooLarge,
+                _ => Code::BadHeader,
+            };
+            let problem = of_key(fleet, request, Problem::not_run(code, &id));
+            let call = prepare(fleet, request, admitted, Bytes::new(), id);
+            record::record_refusal(fleet, &call, &problem, call.admitted.arrived);
+            return refuse(fleet, &problem);
         }
-        Err(_) => return refuse(fleet, &Problem::not_run(Code::BadHeader, &id)),
     };
     let call = prepare(fleet, request, admitted, body, id);
     if call.admitted.repeat == Repeat::Never {
         return keyed::run(fleet, request, call, flying).await;
     }
-    match repeatable(fleet, &call).await {
+    match retries::run(fleet, &call).await {
         Ok((slot, answer)) => relay::stream(fleet, call, slot, answer, flying),
         Err(problem) => refuse(fleet, &problem),
     }
 }
 
+/// Looks for room in the account's queue before the body is read, so that what is refused for want
+/// of room takes no memory for its body.
+fn room(fleet: &Fleet, request: &Request, admitted: &Admitted) -> Result<(), Code> {
+    let length = request.header("content-length");
+    let arrival = entry::Arrival {
+        service: admitted.service,
+        account: admitted.account,
+        bytes: length.and_then(|l| l.parse().ok()).unwrap_or(0),
+        deadline: admitted.deadline,
+    };
+    fleet.view(|board| entry::check_account(board, &arrival))
+}
+
 fn prepare(
     fleet: &Arc<Fleet>,
     request: &Request,
@@ -124,59 +148,61 @@
     problem
 }
 
+/// A refusal on arrival, before anything was sent or passed on.
+///
+/// A call with a key may be the second copy of one that ran: only the key's home knows, and it was
+/// not asked. So no more than this copy is said not to have run.
+fn of_key(fleet: &Fleet, request: &Request, mut problem: Problem) -> Problem {
+    if request.headers().contains_key(keyed::KEY) {
+        problem.outcome = Outcome::Unknown;
+        problem.prefix = Some(fresh_prefix(fleet));
+    }
+    problem
+}
+
 /// Waits for a slot.
 ///
 /// # Errors
 /// The refusal, with when to come back; the request was not run.
 pub async fn slot(fleet: &Arc<Fleet>, call: &Call) -> Result<SlotGuard, Problem> {
-    let admitted = &call.admitted;
-    let span = fleet.telemetry.spans.child(&call.span, "wait");
-    let arrival = entry::Arrival {
-        service: admitted.service,
-        account: admitted.account,
+    wait(fleet, call, fleet.enqueue(arrival(call))).await
+}
+
+pub(super) fn arrival(call: &Call) -> entry::Arrival {
+    entry::Arrival {
+        service: call.admitted.service,
+        account: call.admitted.account,
         bytes: call.out.body.len(),
-        deadline: admitted.deadline,
-    };
-    let result = match fleet.enqueue(arrival) {
+        deadline: call.admitted.deadline,
+    }
+}
+
+pub(super) async fn wait(
+    fleet: &Arc<Fleet>,
+    call: &Call,
+    ticket: Result<Ticket, Code>,
+) -> Result<SlotGuard, Problem> {
+    let span = fleet.telemetry.spans.child(&call.span, "wait");
+    let since = fleet.clock.now();
+    let result = match ticket {
         Ok(ticket) => ticket.wait().await,
         Err(code) => Err(code),
     };
     drop(span);
+    if result.is_ok() {
+        record::begin(fleet, call);
+    }
     result.map_err(|code| {
-        let after =
-            fleet.view(|board| entry::retry_after(board, admitted.service, admitted.account));
-        let problem = Problem::not_run(code, &call.out.id).retry(after);
-        relay::record_refusal(fleet, call, &problem);
+        let problem = Problem::not_run(code, &call.out.id).retry(come_back(fleet, &call.admitted));
+        record::record_refusal(fleet, call, &problem, since);
         problem
     })
 }
 
-/// Runs a call that may be repeated until an answer begins.
-async fn repeatable(
-    fleet: &Arc<Fleet>,
-    call: &Call,
-) -> Result<(SlotGuard, reqwest::Response), Problem> {
-    let mut last = Problem::not_run(Code::UpstreamUnreachable, &call.out.id);
-    for _ in 0..ATTEMPTS {
-        let mut slot = slot(fleet, call).await?;
-        match attempt(fleet, call, &mut slot, false).await {
-            Ok(answer) => return Ok((slot, answer)),
-            Err(problem) => last = problem,
-        }
-        finish_failed(fleet, call, slot, &last);
-        if last.code == Code::DeadlineWhileRunning {
-            break;
-        }
-    }
-    Err(last.retry(Duration::from_millis(500)))
-}
-
-fn finish_failed(fleet: &Arc<Fleet>, call: &Call, slot: SlotGuard, problem: &Problem) {
-    let finished = Finished {
-        code: problem.code.number(),
-        outcome: problem.outcome,
-    };
-    relay::finish(fleet, call, slot, None, finished);
+/// When a caller that was refused may come back.
+pub(super) fn come_back(fleet: &Fleet, admitted: &Admitted) -> Duration {
+    let (draw, now) = (rand::random::<f64>(), fleet.clock.now());
+    fleet.view(|board| entry::retry_after(board, admitted.service, admitted.account, draw, now))
 }
 
 /// Sends the call once and waits for the head of the answer.
@@ -194,16 +220,22 @@
         Some(server.address.clone())
     });
     let Some(address) = address else {
+        // The server left the configuration between grant and send; there is nothing to connect to.
         slot.set_failed();
         return Err(Problem::not_run(Code::UpstreamUnreachable, &call.out.id));
     };
-    let span = fleet.telemetry.spans.child(&call.span, "server");
-    let mut out = call.out.clone();
-    fleet.telemetry.spans.carry(&span, &mut out.headers);
     let left = call
         .admitted
         .deadline
         .saturating_duration_since(fleet.clock.now());
+    if left.is_zero() {
+        // The process was stopped between the grant and here, and the caller has given up. The
+        // connection is made below, so no byte has left.
+        return Err(Problem::not_run(Code::DeadlinePassed, &call.out.id));
+    }
+    let span = fleet.telemetry.spans.child(&call.span, "server");
+    let mut out = call.out.clone();
+    fleet.telemetry.spans.carry(&span, &mut out.headers);
     let sent = tokio::time::timeout(left, fleet.upstream.send(&address, &out, once)).await;
     match sent {
         Ok(Ok(answer)) => Ok(answer),
--- a/crates/hawthornmill/src/pools/tick.rs
+++ b/crates/hawthornmill/src/pools/tick.rs
@@ -6,6 +6,7 @@
 use crate::board::Board;
 use crate::fairness::standing;
 use crate::ident::InstanceId;
+use crate::notes::Note;
 use crate::wire::message::{Message, PoolState};
 
 /// Time between two workings-out of owners when nothing changed.
@@ -16,6 +17,7 @@
     let gap = now.duration_since(board.ticked);
     board.ticked = now;
     if gap > board.tuning.pause {
+        board.notes.push(Note::Paused(gap));
         wake(board, now);
     }
 }
@@ -29,6 +31,7 @@
     {
         confirm(board, now);
     }
+    board.crossing.refill(board.tuning.cross_bytes, now);
     entry::expire(board, now);
     follow_time(board, now);
     if board.stale.is_none() {
@@ -62,6 +65,7 @@
 /// asked after the pause, or none has for a while, nothing is dispatched or granted.
 fn wake(board: &mut Board, now: Instant) {
     board.stale = Some(now);
+    board.woke = Some(now);
     board.pauses += 1;
     let number = board.pauses;
     let me = board.me();
@@ -90,6 +94,7 @@
 
 fn confirm(board: &mut Board, now: Instant) {
     board.stale = None;
+    board.notes.push(Note::Confirmed);
     board.members.sweep(now);
     let keys: Vec<_> = board.queues.keys().copied().collect();
     board.dirty.extend(keys);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,13 +1,22 @@
 //! Every test of hawthornmill, in one binary.
 
 mod bad_input;
+mod bad_servers;
+mod causes;
 mod conservation;
 mod demo;
 mod errors;
+mod explain;
 mod frames;
+mod histories;
+mod keys;
 mod labels;
+mod leave;
+mod once;
 mod one_fleet;
+mod overload;
 mod path;
+mod retries;
 mod settings;
 mod shares;
 mod spans;
