--- a/crates/hawthornmill-net/src/entry/call.rs
+++ b/crates/hawthornmill-net/src/entry/call.rs
@@ -7,18 +7,21 @@
 use bytes::Bytes;
 use hawthornmill::codes::{Code, Outcome};
 use hawthornmill::config::{CostKind, Repeat};
+use hawthornmill::ident::ServerId;
 use hawthornmill::pools::entry;
 use opentelemetry::Context;
-use poem::error::ReadBodyError;
 use poem::{Body, Request, Response};
 
 use super::admit::{Admitted, admit};
 use super::home::fresh_prefix;
 use super::problem::Problem;
-use super::{addresses, keyed, record, relay, retries};
+use super::{addresses, body, keyed, record, relay, retries};
 use crate::fleet::{Fleet, SlotGuard, Ticket};
 use crate::upstream::{Outbound, SendError, passed_on};
 
+/// Answer header with which a server says that it is about to go.
+const LEAVING: &str = "hawthornmill-leaving";
+
 /// Counts a call as in flight until it is dropped.
 #[derive(Debug)]
 pub struct Flying(Arc<Fleet>);
@@ -66,13 +69,9 @@
         let problem = Problem::not_run(code, &id).retry(come_back(fleet, &admitted));
         return refuse(fleet, &of_key(fleet, request, problem));
     }
-    let body = match body.into_bytes_limit(fleet.settings.limits.body).await {
+    let body = match body::read(body, fleet.settings.limits.body).await {
         Ok(body) => body,
-        Err(error) => {
-            let code = match error {
-                ReadBodyError::PayloadTooLarge => Code::BodyTooLarge,
-                _ => Code::BadHeader,
-            };
+        Err(code) => {
             let problem = of_key(fleet, request, Problem::not_run(code, &id));
             let call = prepare(fleet, request, admitted, Bytes::new(), id);
             record::record_refusal(fleet, &call, &problem, call.admitted.arrived);
@@ -238,7 +237,10 @@
     fleet.telemetry.spans.carry(&span, &mut out.headers);
     let sent = tokio::time::timeout(left, fleet.upstream.send(&address, &out, once)).await;
     match sent {
-        Ok(Ok(answer)) => Ok(answer),
+        Ok(Ok(answer)) => {
+            note_leaving(fleet, slot.dispatch.server, &answer);
+            Ok(answer)
+        }
         Ok(Err(SendError::Unreachable)) => {
             slot.set_failed();
             Err(Problem::not_run(Code::UpstreamUnreachable, &call.out.id))
@@ -252,6 +254,16 @@
     }
 }
 
+/// Takes a server's own word, with an answer, that it is leaving.
+///
+/// A pool's owner learns it from the load report as well, but one that can't reach the server, or
+/// is itself silent, would keep sending work there.
+fn note_leaving(fleet: &Fleet, server: ServerId, answer: &reqwest::Response) {
+    if answer.headers().get(LEAVING).is_some_and(|v| v == "yes") {
+        fleet.feed(|board, now| entry::on_server_leaving(board, server, now));
+    }
+}
+
 /// What a call that held `slot` until now costs.
 pub fn cost_of(fleet: &Fleet, call: &Call, slot: &SlotGuard, reported: Option<f64>) -> f64 {
     let held = fleet.clock.now().duration_since(slot.taken);
--- a/crates/hawthornmill/src/pools/mod.rs
+++ b/crates/hawthornmill/src/pools/mod.rs
@@ -16,16 +16,45 @@
 pub mod schedule;
 pub mod tick;
 
+use std::collections::BTreeSet;
 use std::time::Instant;
 
 use crate::board::Board;
 use crate::fairness::standing;
 use crate::ident::{Incarnation, InstanceId};
+use crate::membership::place;
 use crate::wire::message::Message;
 
 /// Rounds of messages to itself that one turn may take.
 const SELF_ROUNDS: usize = 64;
 
+/// Instances that need this one's heartbeats: its failure domain, and those it works with.
+///
+/// A region's relay also tries the failure domains in which nobody is heard, one instance after
+/// another with each `round`: one that starts while the platform is down knows nobody, and a
+/// heartbeat brings it a first contact. One that leaves tells everybody: callers in any region may be
+/// given its address until the instance that they ask has heard of it.
+pub fn beat_targets(board: &Board, round: u32) -> BTreeSet<InstanceId> {
+    let home = board.members.own().domain;
+    let mates = board.members.map.iter().filter(|(_, m)| m.domain == home);
+    let owners = board
+        .links
+        .values()
+        .filter(|link| !link.told.is_empty() || !link.held.is_empty())
+        .filter_map(|link| link.owner);
+    let owned = board.owned.values().filter(|owned| owned.active);
+    let entries = owned.flat_map(|owned| owned.entries.keys());
+    let mut targets: BTreeSet<InstanceId> = mates.map(|(id, _)| *id).collect();
+    targets.extend(owners.map(|(id, _)| id));
+    targets.extend(entries);
+    targets.extend(place::silent_guesses(&board.members, round));
+    if board.members.own().leaving {
+        targets.extend(board.members.live().map(|(id, _)| id));
+    }
+    targets.remove(&board.me());
+    targets
+}
+
 /// Runs everything that recent events have made due, messages to itself included.
 pub fn turn(board: &mut Board, now: Instant) {
     for _ in 0..SELF_ROUNDS {
@@ -64,6 +93,7 @@
         Message::Demand(demand) => owner::on_demand(board, from, incarnation, &demand, now),
         Message::Grants(grants) => entry::on_grants(board, from, incarnation, &grants, now),
         Message::Holding(holding) => owner::on_holding(board, from, incarnation, &holding, now),
+        Message::Handover(handover) => ownership::on_handover(board, &handover, now),
         Message::Sync { pool, last, ready } => {
             entry::on_sync(board, from, incarnation, pool, last, ready);
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod bad_input;
 mod bad_servers;
 mod causes;
+mod configuration;
 mod conservation;
 mod demo;
 mod errors;
@@ -12,6 +13,8 @@
 mod keys;
 mod labels;
 mod leave;
+mod leaving;
+mod membership;
 mod once;
 mod one_fleet;
 mod overload;
