--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -122,7 +122,7 @@
         version: 1,
         leaving: false,
         revision: 1,
-        steady: 255,
+        steady: u8::MAX,
         pools: vec![PoolState {
             pool: PoolId(1),
             idle: 0,
--- a/crates/hawthornmill-lab/src/slopes/fixture.rs
+++ b/crates/hawthornmill-lab/src/slopes/fixture.rs
@@ -154,7 +154,7 @@
             leaving: false,
             revision: 1,
             interval: Duration::from_mins(1),
-            steady: 255,
+            steady: u8::MAX,
         };
         board.members.hear(sign, now);
     }
--- a/crates/hawthornmill-net/src/entry/status.rs
+++ b/crates/hawthornmill-net/src/entry/status.rs
@@ -30,6 +30,7 @@
             "stale": board.stale.is_some(),
             "leaving": board.members.own().leaving,
             "waiting": board.waiting.len(),
+            "call_bytes_far": board.crossing.bytes,
             "members": members(board),
             "pools": pools(fleet, board),
         })
--- a/crates/hawthornmill/src/pools/tick.rs
+++ b/crates/hawthornmill/src/pools/tick.rs
@@ -4,6 +4,7 @@
 
 use super::entry;
 use crate::board::Board;
+use crate::fairness::standing;
 use crate::ident::InstanceId;
 use crate::notes::Note;
 use crate::wire::message::{Message, PoolState, ProbeAck};
@@ -27,6 +28,7 @@
     {
         confirm(board, now);
     }
+    board.crossing.refill(board.tuning.cross_bytes, now);
     follow_awaited(board, now);
     entry::expire(board, now);
     follow_time(board, now);
@@ -137,5 +139,7 @@
         .write_own(&board.members, revision, pools, costs, now);
     let keys: Vec<_> = board.queues.keys().copied().collect();
     board.dirty.extend(keys);
-    board.reports.round(&board.members)
+    let mut messages = board.reports.round(&board.members);
+    messages.extend(standing::ask(board));
+    messages
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod causes;
 mod check;
 mod configuration;
+mod conservation;
 mod demo;
 mod errors;
 mod explain;
@@ -23,6 +24,7 @@
 mod path;
 mod retries;
 mod settings;
+mod shares;
 mod spans;
 mod standins;
 
