--- a/crates/hawthornmill-net/src/entry/call.rs
+++ b/crates/hawthornmill-net/src/entry/call.rs
@@ -10,12 +10,12 @@
 use hawthornmill::ident::ServerId;
 use hawthornmill::pools::entry;
 use opentelemetry::Context;
-use poem::error::ReadBodyError;
 use poem::{Body, Request, Response};
 
 use super::admit::{Admitted, admit};
+use super::home::fresh_prefix;
 use super::problem::Problem;
-use super::{addresses, keyed, record, relay, retries};
+use super::{addresses, body, keyed, record, relay, retries};
 use crate::fleet::{Fleet, SlotGuard, Ticket};
 use crate::upstream::{Outbound, SendError, passed_on};
 
@@ -57,22 +57,22 @@
 pub async fn run(fleet: &Arc<Fleet>, request: &Request, body: Body) -> Response {
     let flying = Flying::new(fleet);
     let id = fleet.request_id();
+    let turn_away = |code, words| {
+        let problem = refusal(fleet, code, words, &id);
+        refuse(fleet, &of_key(fleet, request, problem))
+    };
     let admitted = match admit(fleet, request) {
         Ok(admitted) => admitted,
-        Err((code, words)) => return refuse(fleet, &refusal(fleet, code, words, &id)),
+        Err((code, words)) => return turn_away(code, words),
     };
     if let Err(code) = room(fleet, request, &admitted) {
         let problem = Problem::not_run(code, &id).retry(come_back(fleet, &admitted));
-        return refuse(fleet, &problem);
+        return refuse(fleet, &of_key(fleet, request, problem));
     }
-    let body = match body.into_bytes_limit(fleet.settings.limits.body).await {
+    let body = match body::read(body, fleet.settings.limits.body).await {
         Ok(body) => body,
-        Err(error) => {
-            let code = match error {
-                ReadBodyError::PayloadTooLarge => Code::BodyTooLarge,
-                _ => Code::BadHeader,
-            };
-            let problem = Problem::not_run(code, &id);
+        Err(code) => {
+            let problem = of_key(fleet, request, Problem::not_run(code, &id));
             let call = prepare(fleet, request, admitted, Bytes::new(), id);
             record::record_refusal(fleet, &call, &problem, call.admitted.arrived);
             return refuse(fleet, &problem);
@@ -147,6 +147,18 @@
     problem
 }
 
+/// A refusal on arrival, before anything was sent or passed on.
+///
+/// A call with a key may be the second copy of one that ran: only the key's home knows, and it was
+/// not asked. So no more than this copy is said not to have run.
+fn of_key(fleet: &Fleet, request: &Request, mut problem: Problem) -> Problem {
+    if request.headers().contains_key(keyed::KEY) {
+        problem.outcome = Outcome::Unknown;
+        problem.prefix = Some(fresh_prefix(fleet));
+    }
+    problem
+}
+
 /// Waits for a slot.
 ///
 /// # Errors
@@ -207,16 +219,22 @@
         Some(server.address.clone())
     });
     let Some(address) = address else {
+        // The server left the configuration between grant and send; there is nothing to connect to.
         slot.set_failed();
         return Err(Problem::not_run(Code::UpstreamUnreachable, &call.out.id));
     };
-    let span = fleet.telemetry.spans.child(&call.span, "server");
-    let mut out = call.out.clone();
-    fleet.telemetry.spans.carry(&span, &mut out.headers);
     let left = call
         .admitted
         .deadline
         .saturating_duration_since(fleet.clock.now());
+    if left.is_zero() {
+        // The process was stopped between the grant and here, and the caller has given up. The
+        // connection is made below, so no byte has left.
+        return Err(Problem::not_run(Code::DeadlinePassed, &call.out.id));
+    }
+    let span = fleet.telemetry.spans.child(&call.span, "server");
+    let mut out = call.out.clone();
+    fleet.telemetry.spans.carry(&span, &mut out.headers);
     let sent = tokio::time::timeout(left, fleet.upstream.send(&address, &out, once)).await;
     match sent {
         Ok(Ok(answer)) => {
--- a/crates/hawthornmill-net/src/peers/inbox.rs
+++ b/crates/hawthornmill-net/src/peers/inbox.rs
@@ -10,16 +10,21 @@
 use hawthornmill::membership::{Sign, place};
 use hawthornmill::pools::tick;
 use hawthornmill::wire::message::{
-    ConfigPull, ConfigValues, Heartbeat, Message, ProbeAck, RosterDelta, RosterPull, Standing,
+    ConfigPull, ConfigValues, Heartbeat, Message, ProbeAck, RosterDelta, RosterPull,
 };
 use hawthornmill::wire::{Frame, FrameError};
 
 use crate::fleet::Fleet;
 
-/// Counts and logs a refused frame.
+/// Counts a refused frame and logs it, the more seldom the more there are.
+///
+/// Anybody who reaches the port can send garbage; a line for each frame would fill the logs.
 pub fn refuse(fleet: &Fleet, error: FrameError) {
-    fleet.outgoing.refused.fetch_add(1, Ordering::Relaxed);
-    log::warn!(target: "peers", "frame dropped: code {} {error}", error.code().number());
+    let count = fleet.outgoing.refused.fetch_add(1, Ordering::Relaxed) + 1;
+    if count.is_power_of_two() {
+        let code = error.code().number();
+        log::warn!(target: "peers", "frame dropped, {count} so far: code {code} {error}");
+    }
 }
 
 /// Takes one authenticated frame.
@@ -40,15 +45,6 @@
             pull(fleet, from, ack.revision);
         }
         Message::Reports(reports) => take_reports(fleet, from, reports),
-        Message::StandingPull => {
-            let totals = fleet.view(|board| board.ledger.standing());
-            fleet
-                .outgoing
-                .send(from, Message::Standing(Standing { totals }));
-        }
-        Message::Standing(standing) => {
-            fleet.feed(|board, _| board.ledger.adopt(&standing.totals));
-        }
         Message::ConfigPull(pull) => answer_pull(fleet, from, &pull),
         Message::ConfigValues(values) => take_values(fleet, values),
         Message::RosterPull(pull) => {
--- a/crates/hawthornmill/src/config/mod.rs
+++ b/crates/hawthornmill/src/config/mod.rs
@@ -6,8 +6,11 @@
 //! the revision in force, so it is the same on every instance.
 
 pub mod accept;
+pub mod compare;
 pub mod intake;
 pub mod model;
+pub mod names;
+pub mod owed;
 pub mod parse;
 
 pub use accept::{Manifest, ValueRef, accept};
--- a/crates/hawthornmill/src/limits/retry.rs
+++ b/crates/hawthornmill/src/limits/retry.rs
@@ -2,7 +2,7 @@
 //!
 //! Only calls that may repeat come here, and only before any byte of an answer was passed on. A try
 //! that reached no server puts no load on any, so it is bounded by [`ATTEMPTS`] and the deadline
-//! alone. A try that a server may have run is paid from the service's [`Budget`], which successful
+//! alone. A try that a server may have run is paid from the service's `Budget`, which successful
 //! calls fill: when everything fails, retries stop adding to the load.
 
 use std::collections::BTreeMap;
--- a/crates/hawthornmill/src/pools/mod.rs
+++ b/crates/hawthornmill/src/pools/mod.rs
@@ -3,13 +3,16 @@
 //! Requests wait at the entry that received them ([`queue`], [`entry`]). The owner of a pool ([`owner`])
 //! learns only how many wait for each account, and grants slots one by one to the account that has
 //! received the least normalised service; the entry then sends its oldest request of that account
-//! straight to the server. [`ownership`] follows the members and the configuration; [`turn()`] runs
+//! straight to the server. [`regions`] says which pools an entry asks, and [`kept`] what becomes of
+//! its slots while an owner is silent. [`ownership`] follows the members and the configuration; [`turn()`] runs
 //! whatever is due after an event.
 
 pub mod entry;
+pub mod kept;
 pub mod owner;
 pub mod ownership;
 pub mod queue;
+pub mod regions;
 pub mod schedule;
 pub mod tick;
 
@@ -17,6 +20,7 @@
 use std::time::Instant;
 
 use crate::board::Board;
+use crate::fairness::standing;
 use crate::ident::{Incarnation, InstanceId};
 use crate::membership::place;
 use crate::wire::message::Message;
@@ -28,7 +32,8 @@
 ///
 /// A region's relay also tries the failure domains in which nobody is heard, one instance after
 /// another with each `round`: one that starts while the platform is down knows nobody, and a
-/// heartbeat brings it a first contact.
+/// heartbeat brings it a first contact. One that leaves tells everybody: callers in any region may be
+/// given its address until the instance that they ask has heard of it.
 pub fn beat_targets(board: &Board, round: u32) -> BTreeSet<InstanceId> {
     let home = board.members.own().domain;
     let mates = board.members.map.iter().filter(|(_, m)| m.domain == home);
@@ -46,6 +51,9 @@
     targets.extend(owners.map(|(id, _)| id));
     targets.extend(entries);
     targets.extend(place::silent_guesses(&board.members, round));
+    if board.members.own().leaving {
+        targets.extend(board.members.live().map(|(id, _)| id));
+    }
     targets.remove(&board.me());
     targets
 }
@@ -89,7 +97,11 @@
         Message::Grants(grants) => entry::on_grants(board, from, incarnation, &grants, now),
         Message::Holding(holding) => owner::on_holding(board, from, incarnation, &holding, now),
         Message::Handover(handover) => ownership::on_handover(board, &handover, now),
-        Message::Sync { pool, last } => entry::on_sync(board, from, incarnation, pool, last),
+        Message::Sync { pool, last, ready } => {
+            entry::on_sync(board, from, incarnation, pool, last, ready);
+        }
+        Message::StandingPull => standing::answer(board, from),
+        Message::Standing(told) => standing::take(board, &told),
         _ => {}
     }
 }
--- a/crates/hawthornmill/src/pools/queue.rs
+++ b/crates/hawthornmill/src/pools/queue.rs
@@ -4,7 +4,8 @@
 
 use smallvec::SmallVec;
 
-use super::entry::{WANT_CAP, use_kept};
+use super::entry::WANT_CAP;
+use super::kept::use_kept;
 use crate::board::{Board, RequestKey, Waiting};
 use crate::codes::Code;
 use crate::ident::{AccountId, ServerId, ServiceId};
--- a/crates/hawthornmill/src/pools/tick.rs
+++ b/crates/hawthornmill/src/pools/tick.rs
@@ -4,6 +4,7 @@
 
 use super::entry;
 use crate::board::Board;
+use crate::fairness::standing;
 use crate::ident::InstanceId;
 use crate::notes::Note;
 use crate::wire::message::{Message, PoolState, ProbeAck};
@@ -27,6 +28,7 @@
     {
         confirm(board, now);
     }
+    board.crossing.refill(board.tuning.cross_bytes, now);
     follow_awaited(board, now);
     entry::expire(board, now);
     follow_time(board, now);
@@ -64,6 +66,7 @@
 /// asked after the pause, or none has for a while, nothing is dispatched or granted.
 fn wake(board: &mut Board, now: Instant) {
     board.stale = Some(now);
+    board.woke = Some(now);
     board.pauses += 1;
     let number = board.pauses;
     board.awaited = None;
@@ -104,8 +107,8 @@
 
 fn confirm(board: &mut Board, now: Instant) {
     board.stale = None;
-    board.awaited = None;
     board.notes.push(Note::Confirmed);
+    board.awaited = None;
     board.members.sweep(now);
     let keys: Vec<_> = board.queues.keys().copied().collect();
     board.dirty.extend(keys);
@@ -136,5 +139,7 @@
         .write_own(&board.members, revision, pools, costs, now);
     let keys: Vec<_> = board.queues.keys().copied().collect();
     board.dirty.extend(keys);
-    board.reports.round(&board.members)
+    let mut messages = board.reports.round(&board.members);
+    messages.extend(standing::ask(board));
+    messages
 }
--- a/tests/testsuite/retries.rs
+++ b/tests/testsuite/retries.rs
@@ -156,16 +156,14 @@
 fn retry_away_from(name: &str) {
     let mut steps = Steps::new(&small_fleet(), &[("a", "north")], &Tuning::default());
     let (service, account) = (ServiceId::of("drafting"), AccountId::of("big"));
+    let start = steps.instant();
     steps.run(1000, |_| {});
     while steps.waiting(0, "big", "drafting") < 3 {
         steps
             .arrive(0, "big", "drafting", 500, 60_000)
             .expect("there is room");
     }
-    let arrived = steps
-        .instant()
-        .checked_sub(Duration::from_millis(500))
-        .expect("the machine has been up for longer");
+    let arrived = start;
     let arrival = entry::Arrival {
         service,
         account,
