Take slower and ended heartbeats for what they are

Cause: a heartbeat with a longer interval than the last did not count as a sign (the rule was meant for relayed reports only), and an instance that needs no more heartbeats was never told. Both looked like deaths; under load partners and intervals change all the time.

Ruled out: scheduling delays alone (deaths began 1.5 s after the start, before there was load).

--- a/crates/hawthornmill-net/src/peers/udp.rs
+++ b/crates/hawthornmill-net/src/peers/udp.rs
@@ -1,5 +1,6 @@
 //! Heartbeats, probes and reports.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -18,6 +19,8 @@
 
 /// Heartbeats between two that carry the sender's contact to everybody.
 const CONTACT_EVERY: u64 = 50;
+/// Heartbeats that say that no more will come; one may be lost.
+const LAST_BEATS: u8 = 3;
 const QUEUE: usize = 1024;
 
 /// Starts the tasks that send and receive datagrams.
@@ -79,44 +82,65 @@
     }
 }
 
+/// Instances that are sent heartbeats, and how many last ones each is due.
+///
+/// One that needs no more heartbeats must hear so: otherwise it takes the silence for a death, works
+/// out owners anew, and takes it back with the next relayed report.
+type Partners = BTreeMap<InstanceId, u8>;
+
 /// Sends heartbeats, the more seldom the more instances need them, and at once when something about
 /// this instance changed.
 async fn beat(fleet: Arc<Fleet>) {
     let mut count = 0_u64;
+    let mut partners = Partners::new();
     let mut due = tokio::time::Instant::now();
     loop {
         tokio::select! {
             () = tokio::time::sleep_until(due) => {}
             () = fleet.hurry.notified() => {}
         }
-        let now = fleet.clock.now();
-        let platform = fleet.platform.is_answered(now);
-        let (interval, beats) = fleet.view(|board| {
-            let targets = beat_targets(board, count as u32);
-            let interval = beat_interval(fleet.settings.heartbeat, targets.len());
-            let beat = heartbeat(board, interval, platform, now);
-            let silent = |id: &InstanceId| !board.members.is_live(*id);
-            let beats: Vec<_> = targets
-                .into_iter()
-                .map(|id| {
-                    (
-                        id,
-                        beat.clone(),
-                        count.is_multiple_of(CONTACT_EVERY) || silent(&id),
-                    )
-                })
-                .collect();
-            (interval, beats)
-        });
+        due = tokio::time::Instant::now() + beat_all(&fleet, &mut partners, count);
         count += 1;
-        due = tokio::time::Instant::now() + interval;
-        for (to, mut beat, tell) in beats {
-            beat.contact = tell.then(|| Box::new(fleet.settings.contact.clone()));
-            fleet.outgoing.send(to, Message::Heartbeat(beat));
-        }
     }
 }
 
+/// Sends one heartbeat to everybody who needs one and returns the time until the next.
+fn beat_all(fleet: &Fleet, partners: &mut Partners, count: u64) -> Duration {
+    let now = fleet.clock.now();
+    let platform = fleet.platform.is_answered(now);
+    let (interval, beat, targets, silent) = fleet.view(|board| {
+        let targets = beat_targets(board, count as u32);
+        let interval = beat_interval(fleet.settings.heartbeat, targets.len());
+        let beat = heartbeat(board, interval, platform, now);
+        let silent = |id: &&InstanceId| !board.members.is_live(**id);
+        let silent: BTreeSet<InstanceId> = targets.iter().filter(silent).copied().collect();
+        (interval, beat, targets, silent)
+    });
+    for to in &targets {
+        partners.insert(*to, LAST_BEATS);
+        let tell = count.is_multiple_of(CONTACT_EVERY) || silent.contains(to);
+        let contact = tell.then(|| Box::new(fleet.settings.contact.clone()));
+        let beat = Heartbeat {
+            contact,
+            ..beat.clone()
+        };
+        fleet.outgoing.send(*to, Message::Heartbeat(beat));
+    }
+    partners.retain(|to, left| {
+        if targets.contains(to) {
+            return true;
+        }
+        let last = Heartbeat {
+            interval: 0,
+            ..beat.clone()
+        };
+        fleet.outgoing.send(*to, Message::Heartbeat(last));
+        *left -= 1;
+        *left > 0
+    });
+    interval
+}
+
 fn heartbeat(board: &Board, interval: Duration, platform: bool, now: Instant) -> Heartbeat {
     let sign = board.members.own_sign(board.config.revision, interval, now);
     Heartbeat {
--- a/crates/hawthornmill/src/membership/mod.rs
+++ b/crates/hawthornmill/src/membership/mod.rs
@@ -22,6 +22,8 @@
 const MISSED_BEATS: u32 = 3;
 /// Least silence after which an instance counts as dead.
 const LEAST_PATIENCE: Duration = Duration::from_millis(500);
+/// Silence after which an instance counts as dead whose heartbeats have ended for want of need.
+const RELAYED_PATIENCE: Duration = Duration::from_secs(3);
 /// Silence after which an instance that the platform does not list is forgotten.
 const FORGET_AFTER: Duration = Duration::from_mins(1);
 /// Longest steadiness that is told, in tenths of a second.
@@ -77,6 +79,8 @@
     pub heard: Option<Instant>,
     /// Silence after which it counts as dead.
     pub patience: Duration,
+    /// The last sign came from itself, and more are to come.
+    pub direct: bool,
 }
 
 impl Member {
@@ -108,7 +112,8 @@
     pub leaving: bool,
     /// Configuration revision in force there.
     pub revision: u64,
-    /// Time until the next sign of this kind is due.
+    /// Time until the next sign of this kind is due; zero when there will be none, and reports that
+    /// relays pass on must do.
     pub interval: Duration,
     /// Tenths of a second for which the giver has been steady.
     pub steady: u8,
@@ -251,8 +256,6 @@
         }
         // All views take how long an instance has been steady from itself, so they agree on who is
         // preferred as an owner. One that comes and goes without noticing starts anew in each view.
-        // All views take how long an instance has been steady from itself, so they agree on who is
-        // preferred as an owner. One that comes and goes without noticing starts anew in each view.
         if restarted || again {
             member.returned = (again && !cut).then_some(now);
         }
@@ -270,15 +273,20 @@
         self.changed |= member.weigh_words();
         member.incarnation = sign.incarnation;
         member.revision = member.revision.max(sign.revision);
-        let patience = (sign.interval * MISSED_BEATS).max(LEAST_PATIENCE);
-        let slower = member.live && patience > member.patience;
         // A relayed report must not cover the silence of the more frequent direct heartbeats.
-        if slower && !restarted && member.within_patience(now) {
+        let covered = !sign.direct && member.direct && member.live && !restarted;
+        if covered && member.within_patience(now) {
             return true;
         }
+        let last = sign.interval.is_zero();
         member.live = true;
         member.heard = Some(now);
-        member.patience = patience;
+        member.direct = sign.direct && !last;
+        member.patience = if last {
+            RELAYED_PATIENCE
+        } else {
+            (sign.interval * MISSED_BEATS).max(LEAST_PATIENCE)
+        };
         if again && cut {
             self.set_unsteady(now);
         }
@@ -386,5 +394,6 @@
         returned: None,
         heard: None,
         patience: Duration::from_secs(2),
+        direct: false,
     }
 }
--- a/crates/hawthornmill/src/wire/message.rs
+++ b/crates/hawthornmill/src/wire/message.rs
@@ -189,7 +189,7 @@
     pub leaving: bool,
     /// Configuration revision in force there.
     pub revision: u64,
-    /// Milliseconds until the next heartbeat is due.
+    /// Milliseconds until the next heartbeat is due; 0 when the receiver needs none any more.
     pub interval: u16,
     /// Tenths of a second since the sender started, woke from a pause or was cut off; 255 at most.
     pub steady: u8,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
 mod retries;
 mod settings;
 mod shares;
+mod signs;
 mod spans;
 mod standins;
 
--- /dev/null
+++ b/tests/testsuite/signs.rs
@@ -0,0 +1,72 @@
+//! Signs of life, direct and relayed.
+
+use std::time::{Duration, Instant};
+
+use hawthornmill::ident::{Incarnation, InstanceId};
+use hawthornmill::membership::{Members, Sign};
+use hawthornmill_test_support::steps::contact;
+
+/// A view of one other instance, `i1`, and the start of its time.
+fn view() -> (Members, Instant) {
+    let now = Instant::now();
+    let own = contact("i0", "a", "north");
+    let mut members = Members::new(InstanceId::of("i0"), own, Incarnation(1), now);
+    members.learn(contact("i1", "b", "north"), now);
+    (members, now)
+}
+
+fn other() -> InstanceId {
+    InstanceId::of("i1")
+}
+
+/// A sign of the other instance that tells the time until the next one.
+fn sign(interval: u64, direct: bool) -> Sign {
+    Sign {
+        from: other(),
+        incarnation: Incarnation(1),
+        leaving: false,
+        revision: 1,
+        interval: Duration::from_millis(interval),
+        steady: 255,
+        direct,
+    }
+}
+
+/// An instance sends heartbeats more seldom when more instances need them, and none where nobody
+/// needs them any more. Its partners took either change for its death, worked out owners anew and
+/// took it back at once: under load, owners changed several times a second and servers were given
+/// more calls than they had slots.
+#[test]
+fn fewer_heartbeats_are_no_death() {
+    let (mut members, now) = view();
+    let at = |millis: u64| now + Duration::from_millis(millis);
+
+    members.hear(sign(100, true), at(0));
+    members.hear(sign(450, true), at(100));
+    members.sweep(at(540));
+    let slower = members.is_live(other());
+    members.hear(sign(0, true), at(550));
+    members.sweep(at(2500));
+    let none = members.is_live(other());
+    members.hear(sign(1000, false), at(2600));
+    members.sweep(at(5500));
+    let relayed = members.is_live(other());
+    members.sweep(at(6000));
+
+    assert_eq!((slower, none, relayed), (true, true, true));
+    assert!(!members.is_live(other()), "silence is noticed");
+}
+
+/// An instance hangs, and relays still pass on its last reports for a moment. That must not hide
+/// that its own heartbeats have stopped.
+#[test]
+fn relayed_reports_do_not_cover_the_silence_of_heartbeats() {
+    let (mut members, now) = view();
+    let at = |millis: u64| now + Duration::from_millis(millis);
+
+    members.hear(sign(100, true), at(0));
+    members.hear(sign(1000, false), at(400));
+    members.sweep(at(600));
+
+    assert!(!members.is_live(other()));
+}
