--- a/crates/hawthornmill-lab/src/slopes/fixture.rs
+++ b/crates/hawthornmill-lab/src/slopes/fixture.rs
@@ -155,6 +155,7 @@
             revision: 1,
             interval: Duration::from_mins(1),
             steady: u8::MAX,
+            direct: true,
         };
         board.members.hear(sign, now);
     }
--- a/crates/hawthornmill/src/membership/mod.rs
+++ b/crates/hawthornmill/src/membership/mod.rs
@@ -273,7 +273,7 @@
         let patience = (sign.interval * MISSED_BEATS).max(LEAST_PATIENCE);
         let slower = member.live && patience > member.patience;
         // A relayed report must not cover the silence of the more frequent direct heartbeats.
-        if slower && !restarted && member.within_patience(now) {
+        if slower && !restarted && !sign.direct && member.within_patience(now) {
             return true;
         }
         member.live = true;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod errors;
 mod explain;
 mod frames;
+mod heartbeats;
 mod histories;
 mod keys;
 mod labels;
