--- a/crates/hawthornmill-lab/src/demo/result.rs
+++ b/crates/hawthornmill-lab/src/demo/result.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use hawthornmill::ident::{AccountId, ServiceId};
+use hawthornmill::usage::explain::shares::{Claim, max_min};
 use serde::Serialize;
 
 use super::measure::Sample;
@@ -233,27 +234,17 @@
 
 /// Divides what was served by shares, nobody getting more than it asked for.
 fn divide(accounts: &mut [AccountResult], demands: &[f64]) {
-    let mut left: f64 = accounts.iter().map(|a| a.received).sum();
-    let mut open: Vec<usize> = (0..accounts.len())
-        .filter(|i| accounts[*i].share > 0.0)
+    let served = accounts.iter().map(|a| a.received).sum();
+    let claims: Vec<Claim> = accounts
+        .iter()
+        .zip(demands)
+        .map(|(account, demand)| Claim {
+            share: account.share,
+            want: *demand,
+        })
         .collect();
-    while !open.is_empty() {
-        let shares: f64 = open.iter().map(|i| accounts[*i].share).sum();
-        let level = left / shares;
-        let (full, rest): (Vec<usize>, Vec<usize>) = open
-            .iter()
-            .partition(|i| demands[**i] <= level * accounts[**i].share);
-        if full.is_empty() {
-            for i in rest {
-                accounts[i].owed = level * accounts[i].share;
-            }
-            return;
-        }
-        for i in full {
-            accounts[i].owed = demands[i];
-            left -= demands[i];
-        }
-        open = rest;
+    for (account, owed) in accounts.iter_mut().zip(max_min(&claims, served)) {
+        account.owed = owed;
     }
 }
 
