--- a/crates/hawthornmill-net/src/entry/mod.rs
+++ b/crates/hawthornmill-net/src/entry/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod addresses;
 pub mod admit;
+pub mod body;
 pub mod call;
 pub mod home;
 pub mod keyed;
--- a/crates/hawthornmill/src/config/mod.rs
+++ b/crates/hawthornmill/src/config/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod accept;
 pub mod compare;
+pub mod intake;
 pub mod model;
 pub mod names;
 pub mod owed;
--- a/crates/hawthornmill/src/membership/place.rs
+++ b/crates/hawthornmill/src/membership/place.rs
@@ -3,6 +3,7 @@
 //! Each instance works these out alone. Two views that differ may name two owners for a moment; the
 //! slots that an owner may grant are bounded by what servers report, so that costs accuracy only.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use super::{Member, Members};
@@ -10,7 +11,7 @@
 use crate::ident::{DomainId, InstanceId, PoolId, RegionId, mix};
 
 /// Time for which an instance must have been live before it is preferred as an owner.
-pub const SEASONING: Duration = Duration::from_secs(2);
+pub const SEASONING: Duration = Duration::from_secs(3);
 /// Instances of a failure domain that watch the platform's configuration.
 pub const READERS: usize = 2;
 
@@ -33,14 +34,20 @@
     members
         .live()
         .filter(|(_, m)| !m.leaving && tier(m))
-        .max_by_key(|(id, m)| {
-            // A newcomer, or one that keeps coming and going, does not take pools from others.
-            let seasoned = now.duration_since(m.since) >= SEASONING;
-            (seasoned, mix(salt ^ id.0))
-        })
+        // A newcomer, or one that keeps coming and going, does not take pools from others.
+        .max_by_key(|(id, m)| (m.is_seasoned(now), mix(salt ^ id.0)))
         .map(|(id, _)| id)
 }
 
+/// When the next live instance will have been steady for long enough to be preferred.
+pub fn next_seasoned(members: &Members, now: Instant) -> Option<Instant> {
+    members
+        .live()
+        .filter(|(_, m)| !m.leaving && !m.is_seasoned(now))
+        .map(|(_, m)| m.since + SEASONING)
+        .min()
+}
+
 /// The relay of a failure domain.
 pub fn domain_relay(members: &Members, domain: DomainId) -> Option<InstanceId> {
     ranked(members, domain.0, &|m| m.domain == domain)
@@ -78,6 +85,18 @@
     silent.get(turn).copied()
 }
 
+/// One member of each failure domain in which nobody is heard, for the relay of this region.
+pub fn silent_guesses(members: &Members, round: u32) -> Vec<InstanceId> {
+    if region_relay(members, members.own().region) != Some(members.me) {
+        return Vec::new();
+    }
+    let heard: BTreeSet<DomainId> = members.live().map(|(_, m)| m.domain).collect();
+    let all: BTreeSet<DomainId> = members.map.values().map(|m| m.domain).collect();
+    all.difference(&heard)
+        .filter_map(|domain| guess(members, *domain, round))
+        .collect()
+}
+
 /// The instances of `domain` that watch the platform.
 pub fn readers(members: &Members, domain: DomainId) -> Vec<InstanceId> {
     let mut list = ranked(members, domain.0.rotate_left(7), &|m| m.domain == domain);
--- a/crates/hawthornmill/src/pools/ownership.rs
+++ b/crates/hawthornmill/src/pools/ownership.rs
@@ -1,15 +1,20 @@
 //! Follows who owns which pool.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::board::{Board, Policy};
 use crate::config::FleetConfig;
-use crate::ident::{Incarnation, InstanceId, PoolId};
+use crate::fairness::{CostKey, Ledger};
+use crate::ident::{AccountId, Incarnation, InstanceId, PoolId};
 use crate::membership::place;
 use crate::notes::Note;
 use crate::pools::entry;
-use crate::wire::message::Message;
+use crate::pools::owner::Owned;
+use crate::wire::message::{Handover, Held, HeldBy, Message};
+
+/// Time for which a handover is good that came before this instance took itself for the owner.
+const HANDED: Duration = Duration::from_secs(1);
 
 /// Works out owners anew after the members or the configuration changed.
 pub fn refresh(board: &mut Board, now: Instant) {
@@ -17,6 +22,7 @@
         return;
     }
     board.members.changed = false;
+    board.replace = place::next_seasoned(&board.members, now);
     let config = Arc::clone(&board.config);
     for (id, pool) in &config.pools {
         let owner = match board.tuning.policy {
@@ -27,7 +33,11 @@
     }
     board.owned.retain(|id, _| config.pools.contains_key(id));
     follow_lives(board);
-    resize(board, &config);
+    // Static parts also depend on how many instances are live.
+    if board.sized != config.revision || board.tuning.policy == Policy::Static {
+        board.sized = config.revision;
+        resize(board, &config);
+    }
 }
 
 fn follow(board: &mut Board, pool: PoolId, owner: Option<InstanceId>, now: Instant) {
@@ -50,14 +60,59 @@
     let me = board.me();
     let book = board.owned.entry(pool).or_default();
     if mine && !book.active {
-        book.activate(ready);
+        if book
+            .handed
+            .is_some_and(|at| now.duration_since(at) > HANDED)
+        {
+            book.deactivate();
+        }
+        let handed = book.handed.take().is_some();
+        book.activate(if handed { now } else { ready });
+        // The book of a pool that was not owned here has no slots yet.
+        board.sized = 0;
         let peers: Vec<InstanceId> = board.members.live().map(|(id, _)| id).collect();
         for peer in peers.into_iter().filter(|p| *p != me) {
             board.outbox.push((peer, Message::Sync { pool, last: 0 }));
         }
     }
     if !mine && book.active {
+        let handover = handover(pool, book, &board.ledger, &board.config);
         book.deactivate();
+        if let Some(to) = owner.filter(|_| board.stale.is_none()) {
+            board.outbox.push((to, Message::Handover(handover)));
+        }
+    }
+}
+
+/// What the next owner of a pool must know to grant at once.
+fn handover(pool: PoolId, book: &Owned, ledger: &Ledger, config: &FleetConfig) -> Handover {
+    let held = book.held.iter().filter_map(|((entry, grant), slot)| {
+        let held = Held {
+            grant: *grant,
+            account: slot.account,
+            server: slot.server,
+        };
+        Some(HeldBy {
+            entry: *entry,
+            incarnation: *book.entries.get(entry)?,
+            held,
+            charged: slot.charged,
+        })
+    });
+    let service = config.pools.get(&pool).map(|p| p.service);
+    let lags = book.accounts.iter().filter_map(|(account, queue)| {
+        let account = *account;
+        let total = ledger.total(CostKey {
+            service: service?,
+            account,
+        });
+        let active = queue.open > 0 || queue.held > 0;
+        active.then_some((account, book.level - total - queue.lift))
+    });
+    Handover {
+        pool,
+        lags: lags.collect(),
+        held: held.collect(),
     }
 }
 
@@ -88,6 +143,48 @@
     }
 }
 
+/// Takes over from the old owner of a pool.
+///
+/// Without its word, a new owner knows nothing of the slots that are held and must first wait for
+/// every entry to say so, while free slots idle. An entry that has spoken here may know better than
+/// the old owner, or may have turned back to it since; its slots are taken as held, and it is asked
+/// again. An owner that grants already has heard all entries, so a word that comes late, from one
+/// that was cut off or paused, changes nothing.
+pub fn on_handover(board: &mut Board, handover: &Handover, now: Instant) {
+    let Some(service) = board.config.pools.get(&handover.pool).map(|p| p.service) else {
+        return;
+    };
+    let book = board.owned.entry(handover.pool).or_default();
+    if book.active && book.ready.is_some_and(|ready| ready <= now) {
+        return;
+    }
+    for entry in book.entries.keys() {
+        let last = book.last.get(entry).copied().unwrap_or(0);
+        let pool = handover.pool;
+        board.outbox.push((*entry, Message::Sync { pool, last }));
+    }
+    let members = &board.members;
+    for by in handover.held.iter().filter(|h| members.is_live(h.entry)) {
+        if book.meet(by.entry, by.incarnation) {
+            book.add_held(by.entry, &by.held, by.charged);
+        }
+    }
+    let ledger = &board.ledger;
+    let total = |account: AccountId| ledger.total(CostKey { service, account });
+    for (account, lag) in &handover.lags {
+        book.level = book.level.max(total(*account) + lag);
+    }
+    for (account, lag) in &handover.lags {
+        let lift = book.level - lag - total(*account);
+        book.accounts.entry(*account).or_default().lift = lift;
+    }
+    if book.active {
+        book.activate(now);
+    } else {
+        book.handed = Some(now);
+    }
+}
+
 /// Takes servers and their slots from the configuration.
 fn resize(board: &mut Board, config: &FleetConfig) {
     let live: Vec<InstanceId> = board.members.live().map(|(id, _)| id).collect();
@@ -105,9 +202,8 @@
                 Policy::Static => part(known.slots, rank, live.len(), server.0),
             };
             let entry = owned.servers.entry(*server).or_default();
-            entry.resize(slots, known.class, known.leaving);
+            owned.dirty |= entry.resize(slots, known.class, known.leaving);
         }
-        owned.dirty = true;
     }
 }
 
--- a/tests/testsuite/explain.rs
+++ b/tests/testsuite/explain.rs
@@ -294,6 +294,14 @@
             .body("{\"tag\":\"big/1\"}");
         let call = tokio::spawn(call.send());
 
+        // From here on the call runs, whatever it waited for before.
+        while site
+            .servers
+            .iter()
+            .all(|s| s.standin.ledger().lock().running == 0)
+        {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
         tokio::time::sleep(Duration::from_millis(500)).await;
         site.routers[0].signal(Signal::SIGTERM);
         tokio::time::sleep(Duration::from_millis(200)).await;
