--- a/crates/hawthornmill-lab/src/overload.rs
+++ b/crates/hawthornmill-lab/src/overload.rs
@@ -110,6 +110,7 @@
         deadline,
         keyed: false,
         regions: Vec::new(),
+        entries: 0,
     };
     (0..ACCOUNTS).map(caller).collect()
 }
--- a/crates/hawthornmill-lab/src/slopes/measure.rs
+++ b/crates/hawthornmill-lab/src/slopes/measure.rs
@@ -202,7 +202,7 @@
         version,
         leaving: false,
         revision: 1,
-        steady: 255,
+        steady: u8::MAX,
         pools: vec![PoolState {
             pool: PoolId(origin as u64),
             idle: 0,
@@ -280,19 +280,20 @@
         servers,
         ..Size::DESIGN
     };
-    let beat = |contact| {
+    let heartbeat = |contact| {
         Message::Heartbeat(Heartbeat {
             leaving: false,
             revision: 9700,
-            interval: 600,
-            steady: 255,
+            interval: 100,
+            steady: u8::MAX,
             platform: true,
             roster: u32::MAX,
             contact,
         })
     };
-    let named = beat(Some(Box::new(contact(Size::DESIGN, 0))));
-    let bytes = [&beat(None), &named].map(|m| (payload_len(m) + HEADER) as f64);
+    let beat = heartbeat(None);
+    let named = heartbeat(Some(Box::new(contact(Size::DESIGN, 0))));
+    let bytes = [&beat, &named].map(|m| (payload_len(m) + HEADER) as f64);
     vec![
         Line::through(
             "every instance: µs for working owners out anew",
--- a/crates/hawthornmill/src/board.rs
+++ b/crates/hawthornmill/src/board.rs
@@ -21,6 +21,7 @@
 use crate::notes::Note;
 use crate::pools::entry::Link;
 use crate::pools::owner::Owned;
+use crate::pools::regions::Crossing;
 use crate::wire::message::{Contact, GrantId, Message};
 
 slotmap::new_key_type! {
@@ -58,6 +59,8 @@
     pub max_bytes: usize,
     /// Lag behind the most served account that is remembered, in slots × estimated cost.
     pub lag_cap: f64,
+    /// Bytes of calls a second that this entry may exchange with servers in other regions.
+    pub cross_bytes: f64,
 }
 
 impl Default for Tuning {
@@ -72,6 +75,7 @@
             max_waiting: 20_000,
             max_bytes: 256 << 20,
             lag_cap: 8.0,
+            cross_bytes: 262_144.0,
         }
     }
 }
@@ -139,6 +143,8 @@
     pub reports: Reports,
     /// Fairness counters.
     pub ledger: Ledger,
+    /// Peers that were asked for their counters since the start.
+    pub asked: u32,
     /// Requests that wait at this entry.
     pub waiting: SlotMap<RequestKey, Waiting>,
     /// How much waits, by account.
@@ -173,6 +179,8 @@
     pub notes: Vec<Note>,
     /// Requests that are given up.
     pub refusals: Vec<(RequestKey, Code)>,
+    /// Bytes of calls that may still cross to other regions.
+    pub crossing: Crossing,
     /// Last tick.
     pub ticked: Instant,
     /// When owners must be worked out anew although nothing changed.
@@ -185,6 +193,11 @@
     /// An empty board for one process run.
     pub fn new(contact: Contact, incarnation: Incarnation, tuning: Tuning, now: Instant) -> Self {
         let me = InstanceId::of(&contact.name);
+        let crossing = Crossing::new(tuning.cross_bytes, now);
+        let ledger = match tuning.policy {
+            Policy::Pooled => Ledger::default(),
+            Policy::Static => Ledger::alone(),
+        };
         Self {
             incarnation,
             tuning,
@@ -196,7 +209,8 @@
             roster: Roster::default(),
             members: Members::new(me, contact, incarnation, now),
             reports: Reports::default(),
-            ledger: Ledger::default(),
+            ledger,
+            asked: 0,
             waiting: SlotMap::with_key(),
             backlogs: Backlogs::default(),
             paces: BTreeMap::new(),
@@ -214,6 +228,7 @@
             dispatches: Vec::new(),
             notes: Vec::new(),
             refusals: Vec::new(),
+            crossing,
             ticked: now,
             replace: None,
             sized: 0,
--- a/crates/hawthornmill/src/pools/ownership.rs
+++ b/crates/hawthornmill/src/pools/ownership.rs
@@ -42,6 +42,7 @@
 
 fn follow(board: &mut Board, pool: PoolId, owner: Option<InstanceId>, now: Instant) {
     let incarnation = owner.map(|o| incarnation_of(board, o));
+    let level = level_of(board, pool);
     let link = board.links.entry(pool).or_default();
     let found = owner.zip(incarnation);
     if let Some((id, run)) = found
@@ -68,11 +69,19 @@
         }
         let handed = book.handed.take().is_some();
         book.activate(if handed { now } else { ready });
+        // Without the level that the pool had reached, every account that had idled would come
+        // back with credit for that time.
+        book.level = book.level.max(level);
         // The book of a pool that was not owned here has no slots yet.
         board.sized = 0;
         let peers: Vec<InstanceId> = board.members.live().map(|(id, _)| id).collect();
         for peer in peers.into_iter().filter(|p| *p != me) {
-            board.outbox.push((peer, Message::Sync { pool, last: 0 }));
+            let sync = Message::Sync {
+                pool,
+                last: 0,
+                ready: false,
+            };
+            board.outbox.push((peer, sync));
         }
     }
     if !mine && book.active {
@@ -116,6 +125,14 @@
     }
 }
 
+/// The level that the last owner told of `pool`; 0 when it told none.
+fn level_of(board: &Board, pool: PoolId) -> f64 {
+    let owner = board.links.get(&pool).and_then(|l| l.owner);
+    owner
+        .and_then(|(id, _)| board.reports.pool(pool, id))
+        .map_or(0.0, |state| f64::from(state.level))
+}
+
 fn incarnation_of(board: &Board, id: InstanceId) -> Incarnation {
     board
         .members
@@ -138,6 +155,7 @@
     }
     board.notes.extend(died.into_iter().map(Note::Died));
     for id in std::mem::take(&mut board.members.revived) {
+        board.reports.resend(id);
         board.notes.push(Note::Revived(id));
         entry::resync(board, id);
     }
@@ -160,8 +178,12 @@
     }
     for entry in book.entries.keys() {
         let last = book.last.get(entry).copied().unwrap_or(0);
-        let pool = handover.pool;
-        board.outbox.push((*entry, Message::Sync { pool, last }));
+        let sync = Message::Sync {
+            pool: handover.pool,
+            last,
+            ready: false,
+        };
+        board.outbox.push((*entry, sync));
     }
     let members = &board.members;
     for by in handover.held.iter().filter(|h| members.is_live(h.entry)) {
