--- a/crates/hawthornmill-lab/src/slopes/measure.rs
+++ b/crates/hawthornmill-lab/src/slopes/measure.rs
@@ -1,5 +1,6 @@
 //! The measurements.
 
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 use hawthornmill::board::Board;
@@ -219,7 +220,12 @@
 /// Relays: bytes and time of a round of reports.
 pub fn reports() -> Vec<Line> {
     let sizes = [48, 96, 192, 350];
-    let relay = |b: &Board| domain_relay(&b.members, DomainId::of("d0"));
+    // A relay of a domain that is not the region's relay as well.
+    let relay = |b: &Board| {
+        let top = region_relay(&b.members, RegionId::of("r0"));
+        let both = ["d0", "d1"].map(|d| domain_relay(&b.members, DomainId::of(d)));
+        both.into_iter().flatten().find(|id| Some(*id) != top)
+    };
     let region = |b: &Board| region_relay(&b.members, RegionId::of("r0"));
     let mut lines = Vec::new();
     for (name, choose) in [
@@ -312,30 +318,40 @@
             [1.0, 8.0, 15.0, 30.0].map(|n| (n, n * bytes[1])).into(),
         ),
         Line::through(
-            "every instance: KB of resident memory of the board",
+            "every instance: KB resident of a process that holds the board",
             "servers",
-            over([3000, 6000, 9000, 12_000], &|n| board_memory(serving(n))),
+            over([3000, 6000, 9000, 12_000], &process_memory),
         ),
     ]
 }
 
-/// Boards that are held at once, so that a page more or less does not show.
-const BOARDS: usize = 4;
+/// Kilobytes of a process of its own that holds the board of an instance before `servers` servers.
+///
+/// What building the board took and gave back is in it, as it is in a router.
+fn process_memory(servers: usize) -> f64 {
+    let child = std::env::current_exe().and_then(|program| {
+        let size = servers.to_string();
+        Command::new(program).args(["--memory", &size]).output()
+    });
+    let text = child.map(|c| String::from_utf8_lossy(&c.stdout).into_owned());
+    text.ok()
+        .and_then(|t| t.trim().parse().ok())
+        .unwrap_or(f64::NAN)
+}
 
-fn board_memory(size: Size) -> f64 {
+/// Builds a board before `servers` servers and returns this process's resident kilobytes.
+pub fn board_memory(servers: usize) -> f64 {
     let now = Instant::now();
-    let before = resident();
-    let boards: Vec<Board> = (0..BOARDS)
-        .map(|n| {
-            let mut board = board(size, n, now);
-            hear_all(&mut board, size, now);
-            pools::turn(&mut board, now);
-            board
-        })
-        .collect();
-    let after = resident();
-    drop(boards);
-    (after - before) / BOARDS as f64
+    let size = Size {
+        servers,
+        ..Size::DESIGN
+    };
+    let mut board = board(size, 0, now);
+    hear_all(&mut board, size, now);
+    pools::turn(&mut board, now);
+    let held = resident();
+    drop(board);
+    held
 }
 
 /// Kilobytes of memory of this process that are resident; 0 where the system doesn't say.
--- a/crates/hawthornmill-lab/src/slopes/mod.rs
+++ b/crates/hawthornmill-lab/src/slopes/mod.rs
@@ -1,7 +1,7 @@
 //! What the decisions cost as a fleet grows.
 //!
 //! Each measurement varies one size over at least four values, with the real decision code and
-//! codec on boards in this process, and fits a line: a value at size 0 and a slope. [`fixture`]
+//! codec on boards in this process (memory: in a process for each), and fits a line: a value at size 0 and a slope. [`fixture`]
 //! builds the boards, [`measure`] has the measurements, [`line`](mod@line) fits and prints.
 //! docs/CAPACITY.md is worked out from these lines.
 
@@ -19,10 +19,17 @@
     /// print one JSON object
     #[argh(switch)]
     json: bool,
+    /// only build a board before so many servers and print the process's kilobytes
+    #[argh(option)]
+    memory: Option<usize>,
 }
 
 /// Runs the tool; the result is the process's exit code.
 pub fn main(args: &SlopesArgs) -> u8 {
+    if let Some(servers) = args.memory {
+        println!("{}", measure::board_memory(servers));
+        return 0;
+    }
     let lines = all();
     if args.json {
         println!(
--- a/crates/hawthornmill/src/limits/pace.rs
+++ b/crates/hawthornmill/src/limits/pace.rs
@@ -12,6 +12,8 @@
 const FIRST_GAP: f64 = 0.02;
 /// Part by which a predicted wait may be too short.
 const MARGIN: f64 = 1.25;
+/// Times the mean that a request may hold its slot: a longer one than most must be done in time too.
+const LONG: f64 = 2.0;
 /// Bounds of the time after which a caller is told to come back.
 const COME_BACK: (f64, f64) = (0.05, 30.0);
 /// Part of the time to come back that is added at most at random.
@@ -94,7 +96,7 @@
         }
         let wait = ahead as f64 * self.gap(now) * MARGIN;
         let hold = self.hold().unwrap_or_default().as_secs_f64();
-        wait + hold > left.as_secs_f64()
+        wait + LONG * hold > left.as_secs_f64()
     }
 
     /// When a caller that was refused may come back to a queue of `ahead` requests.
--- a/crates/hawthornmill/src/pools/ownership.rs
+++ b/crates/hawthornmill/src/pools/ownership.rs
@@ -93,7 +93,8 @@
     let live: Vec<InstanceId> = board.members.live().map(|(id, _)| id).collect();
     let rank = live.iter().position(|id| *id == board.me()).unwrap_or(0);
     let policy = board.tuning.policy;
-    for (id, owned) in &mut board.owned {
+    // Only pools owned here: the time and memory for all others would grow with the whole fleet.
+    for (id, owned) in board.owned.iter_mut().filter(|(_, o)| o.active) {
         let Some(pool) = config.pools.get(id) else {
             continue;
         };
--- a/crates/hawthornmill/src/pools/queue.rs
+++ b/crates/hawthornmill/src/pools/queue.rs
@@ -4,7 +4,7 @@
 
 use smallvec::SmallVec;
 
-use super::entry::{WANT_CAP, use_kept};
+use super::entry::use_kept;
 use crate::board::{Board, RequestKey, Waiting};
 use crate::codes::Code;
 use crate::ident::{AccountId, ServerId, ServiceId};
@@ -14,6 +14,9 @@
 /// Grants of servers to be avoided that a request lets go by before it takes one.
 const DECLINES: u8 = 4;
 
+/// Requests of a queue behind which one may be refused for its deadline.
+const KEPT: usize = 4;
+
 /// A new request.
 #[derive(Debug, Clone, Copy)]
 pub struct Arrival {
@@ -35,10 +38,9 @@
     check_account(board, &arrival)?;
     let ahead = waiting(board, arrival.service, arrival.account);
     let left = arrival.deadline.saturating_duration_since(now);
-    // The owner is told of the first few requests only, so refusing one behind them takes no work
-    // from any server.
-    if ahead >= WANT_CAP && pace(board, arrival.service, arrival.account).hopeless(ahead, left, now)
-    {
+    // Some wait in any case: a wrong estimate then takes no work from a server, and is put right by
+    // how they are served.
+    if ahead >= KEPT && pace(board, arrival.service, arrival.account).hopeless(ahead, left, now) {
         return Err(Code::QueueLate);
     }
     make_room(board, &arrival)?;
