--- a/crates/hawthornmill-net/src/fleet.rs
+++ b/crates/hawthornmill-net/src/fleet.rs
@@ -1,7 +1,7 @@
 //! The board behind its lock, and what adapters need around it.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -10,20 +10,22 @@
 use hawthornmill::codes::Code;
 use hawthornmill::ident::{Incarnation, InstanceId, PoolId, ServerId};
 use hawthornmill::limits::retry::Retries;
+use hawthornmill::membership::start;
 use hawthornmill::notes::Note;
-use hawthornmill::pools::{self, entry, tick};
+use hawthornmill::pools::{self, entry, regions, tick};
 use hawthornmill::wire::message::{GrantId, Message};
 use smallvec::SmallVec;
 use tokio::sync::{Notify, oneshot};
 
 use crate::entry::home::Home;
 use crate::peers::Outgoing;
+use crate::platform;
 use crate::settings::Settings;
 use crate::telemetry::Telemetry;
 use crate::upstream::Upstream;
 
-/// Time for which a starting process waits for both the platform and a peer.
-const START_WAIT: Duration = Duration::from_secs(2);
+/// Time between two rounds of questions of a starting process.
+const ASK_EVERY: Duration = Duration::from_millis(200);
 
 /// What a waiting request is told.
 pub type Verdict = Result<Dispatch, Code>;
@@ -57,8 +59,8 @@
     pub home: Home,
     /// Logs, spans and metrics.
     pub telemetry: Telemetry,
-    /// The platform's configuration service has answered this process.
-    pub platform_spoke: AtomicBool,
+    /// What is known of the platform's answers.
+    pub platform: platform::Answers,
     /// Enough is known to serve.
     pub ready: AtomicBool,
     /// New calls are refused; set some time after the process began to leave.
@@ -70,6 +72,7 @@
     /// Something about this instance changed that peers should hear at once.
     pub hurry: Notify,
     requests: AtomicU64,
+    asked: AtomicU32,
 }
 
 impl Fleet {
@@ -103,13 +106,14 @@
             upstream: Upstream::new(),
             home,
             telemetry,
-            platform_spoke: AtomicBool::new(false),
+            platform: platform::Answers::default(),
             ready: AtomicBool::new(false),
             closed: AtomicBool::new(false),
             closing: OnceLock::new(),
             flying: AtomicUsize::new(0),
             hurry: Notify::new(),
             requests: AtomicU64::new(0),
+            asked: AtomicU32::new(0),
         })
     }
 
@@ -128,6 +132,8 @@
     pub fn feed<T>(&self, event: impl FnOnce(&mut Board, Instant) -> T) -> T {
         let now = self.clock.now();
         let mut core = self.lock();
+        // After a pause, a message may be taken before the next tick.
+        tick::notice_pause(&mut core.board, now);
         let result = event(&mut core.board, now);
         self.run(&mut core, now);
         result
@@ -201,29 +207,27 @@
 
     /// Finds out whether enough is known to serve; once that is so, it stays so.
     ///
-    /// A starting process must hold the highest revision that it heard of. A platform that shows an
-    /// old revision can't take a restarted instance back while peers know a newer one; and when no
-    /// peer or no platform answers for a while, the word of the other is enough.
+    /// Until then it asks peers for their revision; [`start::is_ready`] has the rule.
     pub fn find_ready(&self) {
         if self.ready.load(Ordering::Relaxed) {
             return;
         }
-        let age = self.clock.now().duration_since(self.started);
-        let (revision, highest, peers) = self.view(|board| {
-            let others = board
-                .members
-                .map
-                .iter()
-                .filter(|(id, _)| **id != board.me());
-            let heard = others.clone().any(|(_, m)| m.live);
-            let highest = others.map(|(_, m)| m.revision).max().unwrap_or(0);
-            (board.config.revision, highest, heard)
+        let now = self.clock.now();
+        let (ready, revision) = self.view(|board| {
+            let ready = start::is_ready(board, self.started, now);
+            (ready, board.config.revision)
         });
-        let both = peers && self.platform_spoke.load(Ordering::Relaxed);
-        let enough = both || age > START_WAIT;
-        if revision > 0 && revision >= highest && enough {
+        if ready {
             self.ready.store(true, Ordering::Relaxed);
             log::info!(target: "daemon", "ready at revision {revision}");
+            return;
+        }
+        let round = now.duration_since(self.started).as_millis() / ASK_EVERY.as_millis();
+        let round = round as u32 + 1;
+        if self.asked.fetch_max(round, Ordering::Relaxed) < round {
+            for peer in self.view(|board| start::to_ask(board, round)) {
+                self.outgoing.send(peer, Message::Probe(0));
+            }
         }
     }
 
@@ -340,6 +344,7 @@
     pub taken: Instant,
     cost: f64,
     failed: bool,
+    bytes: usize,
 }
 
 impl SlotGuard {
@@ -350,9 +355,15 @@
             dispatch,
             cost: 0.0,
             failed: false,
+            bytes: 0,
         }
     }
 
+    /// Counts bytes of the answer, which are paid for where they cross to another region.
+    pub fn add_bytes(&mut self, bytes: usize) {
+        self.bytes += bytes;
+    }
+
     /// Sets what is charged when the slot goes back.
     pub fn set_cost(&mut self, cost: f64) {
         self.cost = cost;
@@ -378,8 +389,10 @@
 impl Drop for SlotGuard {
     fn drop(&mut self) {
         let (pool, grant) = self.place();
-        let (cost, failed) = (self.cost, self.failed);
-        self.fleet
-            .feed(|board, now| entry::finish(board, pool, grant, cost, failed, now));
+        let (cost, failed, bytes) = (self.cost, self.failed, self.bytes);
+        self.fleet.feed(|board, now| {
+            regions::spend(board, pool, bytes);
+            entry::finish(board, pool, grant, cost, failed, now);
+        });
     }
 }
--- a/crates/hawthornmill/src/board.rs
+++ b/crates/hawthornmill/src/board.rs
@@ -12,15 +12,16 @@
 use smallvec::SmallVec;
 
 use crate::codes::Code;
-use crate::config::{FleetConfig, Manifest, accept::Values};
+use crate::config::{FleetConfig, Manifest, accept::Values, intake::Intake};
 use crate::fairness::Ledger;
 use crate::ident::{AccountId, Incarnation, InstanceId, PoolId, ServerId, ServiceId};
 use crate::limits::backlog::Backlogs;
 use crate::limits::pace::Pace;
-use crate::membership::{Members, reports::Reports};
+use crate::membership::{Members, reports::Reports, roster::Roster, start::Start};
 use crate::notes::Note;
 use crate::pools::entry::Link;
 use crate::pools::owner::Owned;
+use crate::pools::regions::Crossing;
 use crate::wire::message::{Contact, GrantId, Message};
 
 slotmap::new_key_type! {
@@ -58,6 +59,8 @@
     pub max_bytes: usize,
     /// Lag behind the most served account that is remembered, in slots × estimated cost.
     pub lag_cap: f64,
+    /// Bytes of calls a second that this entry may exchange with servers in other regions.
+    pub cross_bytes: f64,
 }
 
 impl Default for Tuning {
@@ -72,6 +75,7 @@
             max_waiting: 20_000,
             max_bytes: 256 << 20,
             lag_cap: 8.0,
+            cross_bytes: 262_144.0,
         }
     }
 }
@@ -127,12 +131,20 @@
     pub manifest: Manifest,
     /// Texts of the configuration in force, for peers that ask.
     pub values: Arc<Values>,
+    /// Revisions that are not held.
+    pub intake: Intake,
+    /// What this instance was told at its start.
+    pub start: Start,
+    /// The platform's instance list.
+    pub roster: Roster,
     /// Instances.
     pub members: Members,
     /// Reports of all instances.
     pub reports: Reports,
     /// Fairness counters.
     pub ledger: Ledger,
+    /// Peers that were asked for their counters since the start.
+    pub asked: u32,
     /// Requests that wait at this entry.
     pub waiting: SlotMap<RequestKey, Waiting>,
     /// How much waits, by account.
@@ -147,6 +159,8 @@
     pub links: BTreeMap<PoolId, Link>,
     /// Pools for which other entries or this one have sent demand here.
     pub owned: BTreeMap<PoolId, Owned>,
+    /// Servers whose answers said that they are leaving, and when.
+    pub said_leaving: BTreeMap<ServerId, Instant>,
     /// Connections to these instances broke and have not been renewed.
     pub broken: BTreeSet<InstanceId>,
     /// A pause made this instance's view old; nothing is dispatched until it is confirmed.
@@ -155,6 +169,8 @@
     pub woke: Option<Instant>,
     /// Numbers of the pause, to tell confirmations apart.
     pub pauses: u64,
+    /// Revision that a peer named after the pause; the view is old until it is in force.
+    pub awaited: Option<u64>,
     /// Messages that wait to be sent.
     pub outbox: Vec<(InstanceId, Message)>,
     /// Requests that may go to a server.
@@ -163,25 +179,38 @@
     pub notes: Vec<Note>,
     /// Requests that are given up.
     pub refusals: Vec<(RequestKey, Code)>,
+    /// Bytes of calls that may still cross to other regions.
+    pub crossing: Crossing,
     /// Last tick.
     pub ticked: Instant,
-    /// When owners were last worked out with the passing of time.
-    pub placed: Instant,
+    /// When owners must be worked out anew although nothing changed.
+    pub replace: Option<Instant>,
+    /// Revision whose servers and slots the owned pools have.
+    pub sized: u64,
 }
 
 impl Board {
     /// An empty board for one process run.
     pub fn new(contact: Contact, incarnation: Incarnation, tuning: Tuning, now: Instant) -> Self {
         let me = InstanceId::of(&contact.name);
+        let crossing = Crossing::new(tuning.cross_bytes, now);
+        let ledger = match tuning.policy {
+            Policy::Pooled => Ledger::default(),
+            Policy::Static => Ledger::alone(),
+        };
         Self {
             incarnation,
             tuning,
             config: Arc::new(FleetConfig::default()),
             manifest: Manifest::default(),
             values: Arc::new(Values::new()),
+            intake: Intake::default(),
+            start: Start::default(),
+            roster: Roster::default(),
             members: Members::new(me, contact, incarnation, now),
             reports: Reports::default(),
-            ledger: Ledger::default(),
+            ledger,
+            asked: 0,
             waiting: SlotMap::with_key(),
             backlogs: Backlogs::default(),
             paces: BTreeMap::new(),
@@ -189,16 +218,20 @@
             dirty: BTreeSet::new(),
             links: BTreeMap::new(),
             owned: BTreeMap::new(),
+            said_leaving: BTreeMap::new(),
             broken: BTreeSet::new(),
             stale: None,
             woke: None,
             pauses: 0,
+            awaited: None,
             outbox: Vec::new(),
             dispatches: Vec::new(),
             notes: Vec::new(),
             refusals: Vec::new(),
+            crossing,
             ticked: now,
-            placed: now,
+            replace: None,
+            sized: 0,
         }
     }
 
--- a/crates/hawthornmill/src/limits/pace.rs
+++ b/crates/hawthornmill/src/limits/pace.rs
@@ -3,7 +3,9 @@
 use std::time::{Duration, Instant};
 
 /// Weight of the newest sample once an average is settled.
-const WEIGHT: f64 = 1.0 / 16.0;
+///
+/// Grants come in bursts of up to [`BURST`], so an average over as few samples would swing with them.
+const WEIGHT: f64 = 1.0 / 64.0;
 /// Samples after which an average is settled.
 const SETTLED: u32 = 16;
 /// Samples that one message of an owner may bring at once, so that a gap may be this much longer.
--- a/crates/hawthornmill/src/pools/owner.rs
+++ b/crates/hawthornmill/src/pools/owner.rs
@@ -6,10 +6,12 @@
 use crate::board::Board;
 use crate::fairness::CostKey;
 use crate::ident::{AccountId, Incarnation, InstanceId, PoolId, ServerId, ServiceId};
-use crate::wire::message::{Demand, Done, GrantId, Held, Holding, Want};
+use crate::wire::message::{Demand, Done, GrantId, Held, Holding, Message, Want};
 
 /// Part of a new load reading in the owner's trust: readings over this are foreign work.
 const FOREIGN_READINGS: u8 = 2;
+/// Readings without work of others after which all slots are granted again.
+const RETURN_STEPS: u16 = 8;
 
 /// Time after a penalty in which a server gets one request at a time, until one succeeds.
 const PROBING: Duration = Duration::from_secs(2);
@@ -25,8 +27,10 @@
     pub used: u16,
     /// Class in the configuration.
     pub class: u16,
-    /// It gets no new work.
+    /// The configuration says that it gets no new work.
     pub leaving: bool,
+    /// Its own load report says so.
+    pub says_leaving: bool,
     /// It failed; no grants until then, and one at a time for `PROBING` after.
     pub avoid: Option<Instant>,
     /// Number of the last grant of a slot here.
@@ -38,21 +42,23 @@
 }
 
 impl ServerSlots {
-    /// Takes slots, class and state from the configuration.
-    pub fn resize(&mut self, total: u16, class: u16, leaving: bool) {
+    /// Takes slots, class and state from the configuration; true when that changed anything.
+    pub fn resize(&mut self, total: u16, class: u16, leaving: bool) -> bool {
+        let old = (self.total, self.class, self.leaving);
         if self.total != total {
             self.total = total;
             self.limit = total;
         }
         self.class = class;
         self.leaving = leaving;
+        old != (total, class, leaving)
     }
 
     /// Slots that may be granted now.
     pub fn free(&self, now: Instant) -> u16 {
         let free = self.limit.saturating_sub(self.used);
         match self.avoid {
-            _ if self.leaving => 0,
+            _ if self.leaving || self.says_leaving => 0,
             Some(until) if now < until => 0,
             // A server that still fails would otherwise cost as many calls as it has slots.
             Some(until) if now < until + PROBING => free.min(u16::from(self.used == 0)),
@@ -68,22 +74,44 @@
 
     /// Takes a load reading.
     ///
-    /// Readings lag, so one is compared with the most that was granted since the reading before the
-    /// last. What is above that is work of another owner, or of an entry that died; the slots are
-    /// then shared in proportion.
+    /// Readings lag, so the first is compared with the most that was granted since the reading before
+    /// the last. What is above that is work of another owner, or of an entry that died. While the
+    /// server is overfull the slots are shared in proportion; otherwise the other's are left to it.
+    /// Two owners that took all slots back as soon as the server was no longer overfull would overfill
+    /// it again with every other reading, so the limit then moves by small steps.
     pub fn read_load(&mut self, running: u16) {
-        let mine = self.peak[0].max(self.peak[1]).max(self.used);
+        let shared = self.limit < self.total;
+        let peak = self.peak[0].max(self.peak[1]).max(self.used);
+        let mine = if shared { self.used } else { peak };
         self.peak = [self.used, self.peak[0]];
+        let step = (self.total / RETURN_STEPS).max(1);
+        let most = self.total.min(self.limit + step);
         if running <= mine {
             self.foreign = 0;
-            self.limit = self.total;
+            self.limit = most;
             return;
         }
         self.foreign = self.foreign.saturating_add(1);
-        if self.foreign >= FOREIGN_READINGS {
-            let part = u32::from(self.total) * u32::from(mine) / u32::from(running);
-            self.limit = (part as u16).max(1);
+        if self.foreign < FOREIGN_READINGS {
+            return;
         }
+        let target = if running > self.total {
+            (u32::from(self.total) * u32::from(mine) / u32::from(running)) as u16
+        } else {
+            self.total - (running - mine)
+        };
+        let least = if shared {
+            self.limit.saturating_sub(step)
+        } else {
+            0
+        };
+        self.limit = target.clamp(least, most).max(1);
+    }
+
+    /// Trusts the configured slots again.
+    fn reset_limit(&mut self) {
+        self.limit = self.total;
+        self.foreign = 0;
     }
 }
 
@@ -127,8 +155,8 @@
     pub account: AccountId,
     /// Server on which it is.
     pub server: ServerId,
-    /// Normalised service charged when it was granted.
-    pub charged: f64,
+    /// Normalised service charged when it was granted; none where another owner charged it.
+    pub charged: Option<f64>,
 }
 
 /// A pool as its owner keeps it.
@@ -138,6 +166,8 @@
     pub active: bool,
     /// From when on it grants.
     pub ready: Option<Instant>,
+    /// When the old owner handed the pool over, before this instance took itself for the owner.
+    pub handed: Option<Instant>,
     /// Servers.
     pub servers: BTreeMap<ServerId, ServerSlots>,
     /// Slots held, by entry and grant.
@@ -154,6 +184,8 @@
     pub level: f64,
     /// Something changed that a grant may follow from.
     pub dirty: bool,
+    /// Entries were told that grants are made from now on.
+    pub announced: bool,
 }
 
 impl Owned {
@@ -162,6 +194,24 @@
         self.active = true;
         self.ready = Some(ready);
         self.dirty = true;
+        self.announced = false;
+        self.servers.values_mut().for_each(ServerSlots::reset_limit);
+    }
+
+    /// Tells whether grants are made.
+    pub fn is_ready(&self, now: Instant) -> bool {
+        self.ready.is_some_and(|ready| ready <= now)
+    }
+
+    /// Notes the process run of an entry that speaks; false when that run is over.
+    pub fn meet(&mut self, entry: InstanceId, incarnation: Incarnation) -> bool {
+        match self.entries.get(&entry) {
+            Some(known) if *known > incarnation => return false,
+            Some(known) if *known < incarnation => self.forget(entry),
+            _ => {}
+        }
+        self.entries.insert(entry, incarnation);
+        true
     }
 
     /// Stops to own the pool and drops what was known of it.
@@ -223,15 +273,17 @@
         self.dirty = true;
     }
 
-    fn add_held(&mut self, entry: InstanceId, held: &Held) {
+    /// Books a slot that an entry holds.
+    pub fn add_held(&mut self, entry: InstanceId, held: &Held, charged: Option<f64>) {
+        if self.held.contains_key(&(entry, held.grant)) {
+            return;
+        }
         let slot = HeldSlot {
             account: held.account,
             server: held.server,
-            charged: 0.0,
+            charged,
         };
-        if self.held.insert((entry, held.grant), slot).is_some() {
-            return;
-        }
+        self.held.insert((entry, held.grant), slot);
         self.servers.entry(held.server).or_default().take();
         self.accounts.entry(held.account).or_default().held += 1;
     }
@@ -250,16 +302,6 @@
     incarnation.0 as u32
 }
 
-fn meet(owned: &mut Owned, entry: InstanceId, incarnation: Incarnation) -> bool {
-    match owned.entries.get(&entry) {
-        Some(known) if *known > incarnation => return false,
-        Some(known) if *known < incarnation => owned.forget(entry),
-        _ => {}
-    }
-    owned.entries.insert(entry, incarnation);
-    true
-}
-
 /// Takes what changed at an entry.
 pub fn on_demand(
     board: &mut Board,
@@ -272,7 +314,7 @@
         return;
     };
     let owned = board.owned.entry(demand.pool).or_default();
-    if !meet(owned, from, incarnation) {
+    if !owned.meet(from, incarnation) {
         return;
     }
     for want in &demand.wants {
@@ -291,7 +333,7 @@
     let owned = board.owned.entry(pool).or_default();
     let level = owned.level;
     let queue = owned.accounts.entry(account).or_default();
-    if queue.open == 0 && queue.held == 0 {
+    if queue.open == 0 {
         queue.lift = queue.lift.max(level - total);
     }
 }
@@ -325,9 +367,12 @@
     };
     let cost = f64::from(done.cost);
     let share = board.config.share(slot.account, slot.server);
-    board
-        .ledger
-        .charge(key, cost / share.unwrap_or(1.0) - slot.charged);
+    // The estimate of an owner that is gone stays in its counters; the cost on top of it would
+    // count the call twice.
+    if let Some(charged) = slot.charged {
+        let corrected = cost / share.unwrap_or(1.0) - charged;
+        board.ledger.charge(key, corrected);
+    }
     if cost > 0.0 {
         board.ledger.observe(key, cost);
     }
@@ -339,7 +384,7 @@
     from: InstanceId,
     incarnation: Incarnation,
     holding: &Holding,
-    _now: Instant,
+    now: Instant,
 ) {
     if holding.owner != board.incarnation {
         return;
@@ -349,9 +394,14 @@
     };
     let made = maker(board.incarnation);
     let owned = board.owned.entry(holding.pool).or_default();
-    if !meet(owned, from, incarnation) {
+    if !owned.meet(from, incarnation) {
         return;
     }
+    // Costs come first: what is not held and not listed here was never run, and is refunded.
+    for done in &holding.done {
+        settle(board, holding.pool, service, from, done, now);
+    }
+    let owned = board.owned.entry(holding.pool).or_default();
     let gone: Vec<GrantId> = owned
         .held_by(from)
         .filter(|g| g.maker != made || g.seq <= holding.ack)
@@ -362,7 +412,7 @@
         refunds.extend(owned.free(from, grant));
     }
     for held in &holding.held {
-        owned.add_held(from, held);
+        owned.add_held(from, held, None);
     }
     // Every grant up to `ack` has arrived or is lost, so what is granted counts from there.
     let flying: Vec<AccountId> = owned
@@ -374,15 +424,58 @@
     reset_wants(owned, from, &holding.received, &flying);
     for slot in refunds {
         let account = slot.account;
-        board
-            .ledger
-            .charge(CostKey { service, account }, -slot.charged);
+        let charged = slot.charged.unwrap_or(0.0);
+        board.ledger.charge(CostKey { service, account }, -charged);
     }
     for want in &holding.wants {
         open_account(board, holding.pool, service, want.account);
         let owned = board.owned.entry(holding.pool).or_default();
         owned.set_want(from, want.account, |w| w.wanted = want.wanted);
     }
+    settle_flight(board, from, holding, now);
+}
+
+/// Asks an entry that comes back to this owner once more, after the grants that are on their way.
+///
+/// An entry that turned to another owner and back has forgotten up to which number grants arrived,
+/// so those that it dropped meanwhile would count as on their way for good and their slots idle.
+/// Messages keep their order: what it says after this number has arrived is the whole truth. One
+/// that turns here late must also learn that grants are made already.
+fn settle_flight(board: &mut Board, from: InstanceId, holding: &Holding, now: Instant) {
+    let pool = holding.pool;
+    let Some(owned) = board.owned.get(&pool).filter(|o| o.active) else {
+        return;
+    };
+    let last = owned.last.get(&from).copied().unwrap_or(0);
+    let ready = owned.is_ready(now);
+    if (holding.ack == 0 && last > 0) || (ready && !holding.settled) {
+        let sync = Message::Sync { pool, last, ready };
+        board.outbox.push((from, sync));
+    }
+}
+
+/// Tells every entry that the owned pools which have just become ready grant from now on.
+pub fn announce(board: &mut Board, now: Instant) {
+    let due: Vec<PoolId> = board
+        .owned
+        .iter()
+        .filter(|(_, o)| o.active && !o.announced && o.is_ready(now))
+        .map(|(id, _)| *id)
+        .collect();
+    let live: Vec<InstanceId> = board.members.live().map(|(id, _)| id).collect();
+    for pool in due {
+        let Some(owned) = board.owned.get_mut(&pool) else {
+            continue;
+        };
+        owned.announced = true;
+        for entry in &live {
+            let last = owned.last.get(entry).copied().unwrap_or(0);
+            let ready = true;
+            board
+                .outbox
+                .push((*entry, Message::Sync { pool, last, ready }));
+        }
+    }
 }
 
 fn reset_wants(owned: &mut Owned, from: InstanceId, received: &[Want], flying: &[AccountId]) {
@@ -409,9 +502,22 @@
     }
 }
 
+/// Takes a server's own word, in its load report, on whether it is leaving.
+pub fn on_leaving(board: &mut Board, pool: PoolId, server: ServerId, leaving: bool) {
+    if let Some(owned) = board.owned.get_mut(&pool)
+        && let Some(slots) = owned.servers.get_mut(&server)
+        && slots.says_leaving != leaving
+    {
+        slots.says_leaving = leaving;
+        owned.dirty = true;
+    }
+}
+
 /// Takes a server's load reading.
+///
+/// An owner that still collects what entries hold would take their work for another owner's.
 pub fn on_load(board: &mut Board, pool: PoolId, server: ServerId, running: u16) {
-    if let Some(owned) = board.owned.get_mut(&pool)
+    if let Some(owned) = board.owned.get_mut(&pool).filter(|o| o.announced)
         && let Some(slots) = owned.servers.get_mut(&server)
     {
         slots.read_load(running);
--- a/crates/hawthornmill/src/pools/queue.rs
+++ b/crates/hawthornmill/src/pools/queue.rs
@@ -4,7 +4,7 @@
 
 use smallvec::SmallVec;
 
-use super::entry::use_kept;
+use super::kept::use_kept;
 use crate::board::{Board, RequestKey, Waiting};
 use crate::codes::Code;
 use crate::ident::{AccountId, ServerId, ServiceId};
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,8 +1,12 @@
 //! Every test of hawthornmill, in one binary.
 
+mod access;
 mod bad_input;
 mod bad_servers;
 mod causes;
+mod check;
+mod configuration;
+mod conservation;
 mod demo;
 mod errors;
 mod explain;
@@ -11,12 +15,16 @@
 mod keys;
 mod labels;
 mod leave;
+mod leaving;
+mod membership;
+mod metrics;
 mod once;
 mod one_fleet;
 mod overload;
 mod path;
 mod retries;
 mod settings;
+mod shares;
 mod spans;
 mod standins;
 
