--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -52,8 +52,8 @@
     };
     let goodput =
         (steps.ended.iter().filter(good).count() as u64 * COST) as f64 / (6000 * SLOTS) as f64;
-    assert!(goodput > 0.95, "goodput {goodput}");
-    assert!(most.0 < 80, "most that waited at one instance: {most:?}");
+    assert!(goodput > 0.97, "goodput {goodput}");
+    assert!(most.0 < 60, "most that waited at one instance: {most:?}");
 }
 
 /// One account that may queue more than the instance holds floods it. The calls of another account
