Show every cut answer, resume streams, cancel what nobody reads

Cause: a chunked answer that broke off ended in order at the caller. The HTTP library polls a failed connection once more to shut it down, and that poll writes the last chunk; so a caller of a 2739-byte answer that was cut at 700 took the 700 for the whole. For the same reason a call whose caller left while the server was silent was never dropped and kept its slot (engine's book after 2 s: still 1 running). Ruled out: the relay itself (its stream ended with an error) and reqwest.

The listener's connections now carry a mark; a broken answer sets it and a closed connection sets it, and a marked one refuses reads and writes.

A service says what a whole answer is (`complete = done-line`), whether a broken one can be resumed (`resume = from`), and how long it may fall silent (`stall_ms`). A resumed answer waits for a slot of its own, may come from another server, and must repeat the bytes of the line in which it broke.

--- a/crates/hawthornmill-lab/src/standin/engine.rs
+++ b/crates/hawthornmill-lab/src/standin/engine.rs
@@ -6,14 +6,16 @@
 //! line for each token and a last line with the usage; `from` skips lines that the caller has
 //! already, so that a broken stream can be resumed.
 
+use std::collections::VecDeque;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::Stream;
+use futures_util::{Stream, StreamExt};
+use hawthornmill_net::connections::{Connections, Cutter};
 use poem::http::StatusCode;
 use poem::web::{Data, Json};
 use poem::{Body, Endpoint, EndpointExt, Request, Response, Route, get, handler, post};
@@ -61,11 +63,25 @@
     pub from: u32,
 }
 
+/// How an engine misbehaves in one call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EngineFault {
+    /// It breaks the connection after so many bytes.
+    Cut(usize),
+    /// It ends its answer in order after so many bytes.
+    End(usize),
+    /// It falls silent after so many bytes.
+    Stall(usize),
+    /// It names another request.
+    WrongId,
+}
+
 /// A model engine.
 #[derive(Debug)]
 pub struct Engine {
     /// What it ran.
     pub ledger: Ledger,
+    faults: Mutex<VecDeque<EngineFault>>,
     model: EngineModel,
     reported: AtomicU16,
 }
@@ -75,6 +91,7 @@
     pub fn new(model: EngineModel) -> Arc<Self> {
         Arc::new(Self {
             ledger: Ledger::default(),
+            faults: Mutex::default(),
             model,
             reported: AtomicU16::new(0),
         })
@@ -85,11 +102,21 @@
         tokio::spawn(report_load(Arc::clone(self)));
         Route::new()
             .at("/generate", post(generate))
+            .at("/bytes", post(send_bytes))
             .at("/load", get(load))
             .at("/admin/book", get(book))
             .data(Arc::clone(self))
     }
 
+    /// Misbehaves in the calls that come next, one fault for each; earlier faults are forgotten.
+    pub fn misbehave(&self, faults: &[EngineFault]) {
+        *self.faults() = faults.iter().copied().collect();
+    }
+
+    fn faults(&self) -> MutexGuard<'_, VecDeque<EngineFault>> {
+        self.faults.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn step(&self) -> Duration {
         let running = self.ledger.lock().running;
         let others = f64::from(running.saturating_sub(1));
@@ -119,7 +146,12 @@
 }
 
 #[handler]
-async fn generate(request: &Request, body: Body, Data(engine): Data<&Arc<Engine>>) -> Response {
+async fn generate(
+    request: &Request,
+    body: Body,
+    Data(engine): Data<&Arc<Engine>>,
+    Data(connections): Data<&Connections>,
+) -> Response {
     let asked = body.into_bytes().await.unwrap_or_default();
     let Ok(asked) = serde_json::from_slice::<Generate>(&asked) else {
         return Response::builder()
@@ -127,7 +159,14 @@
             .body("not a generate call\n");
     };
     engine.ledger.start(&asked.tag);
+    let fault = engine.faults().pop_front();
     let stream = Tokens {
+        fault,
+        cutter: connections.cutter(request),
+        left: match fault {
+            Some(EngineFault::Cut(n) | EngineFault::End(n) | EngineFault::Stall(n)) => n,
+            _ => usize::MAX,
+        },
         engine: Arc::clone(engine),
         next: asked.from,
         asked,
@@ -136,7 +175,9 @@
         whole: false,
     };
     let mut answer = Response::builder().content_type("application/x-ndjson");
-    if let Some(id) = request.header(REQUEST_ID) {
+    if fault == Some(EngineFault::WrongId) {
+        answer = answer.header(REQUEST_ID, "another");
+    } else if let Some(id) = request.header(REQUEST_ID) {
         answer = answer.header(REQUEST_ID, id);
     }
     answer.body(Body::from_bytes_stream(stream))
@@ -144,6 +185,9 @@
 
 struct Tokens {
     engine: Arc<Engine>,
+    fault: Option<EngineFault>,
+    cutter: Cutter,
+    left: usize,
     asked: Generate,
     next: u32,
     timer: Pin<Box<Sleep>>,
@@ -155,6 +199,17 @@
     type Item = Result<Bytes, std::io::Error>;
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        if self.left == 0 {
+            return match self.fault {
+                Some(EngineFault::Cut(_)) => {
+                    self.cutter.cut();
+                    Poll::Ready(Some(Err(std::io::Error::other("cut on demand"))))
+                }
+                Some(EngineFault::End(_)) => Poll::Ready(None),
+                // Nobody wakes it: it ends when its connection does.
+                _ => Poll::Pending,
+            };
+        }
         if self.last {
             self.whole = true;
             return Poll::Ready(None);
@@ -182,6 +237,8 @@
             let wait = self.engine.step() * self.engine.model.burst;
             self.timer = Box::pin(sleep(wait));
         }
+        text.truncate(self.left);
+        self.left -= text.len().min(self.left);
         Poll::Ready(Some(Ok(text.into())))
     }
 }
@@ -192,6 +249,49 @@
     }
 }
 
+/// Asks for an answer of bytes.
+#[derive(Debug, Clone, Deserialize, Serialize)]
+pub struct BytesCall {
+    /// `account/call`.
+    pub tag: Box<str>,
+    /// Length of the answer.
+    pub bytes: usize,
+    /// Length of the parts in which it is sent, above 0.
+    pub chunk: usize,
+}
+
+/// Byte number `index` of an answer of bytes.
+pub fn byte(index: usize) -> u8 {
+    (index % 251) as u8
+}
+
+#[handler]
+async fn send_bytes(request: &Request, body: Body, Data(engine): Data<&Arc<Engine>>) -> Response {
+    let asked = body.into_bytes().await.unwrap_or_default();
+    let Ok(asked) = serde_json::from_slice::<BytesCall>(&asked) else {
+        return Response::builder()
+            .status(StatusCode::BAD_REQUEST)
+            .body("not a bytes call\n");
+    };
+    engine.ledger.start(&asked.tag);
+    let engine = Arc::clone(engine);
+    let parts = (0..asked.bytes).step_by(asked.chunk.max(1)).map(move |at| {
+        let end = (at + asked.chunk).min(asked.bytes);
+        Ok::<_, std::io::Error>((at..end).map(byte).collect::<Bytes>())
+    });
+    let tag = asked.tag;
+    let end = futures_util::stream::once(async move {
+        engine.ledger.end(&tag, true);
+        Ok(Bytes::new())
+    });
+    let id = request.header(REQUEST_ID).unwrap_or_default().to_owned();
+    Response::builder()
+        .header(REQUEST_ID, id)
+        .body(Body::from_bytes_stream(
+            futures_util::stream::iter(parts).chain(end),
+        ))
+}
+
 /// Line number `index` of the answer to `tag`.
 pub fn line(tag: &str, index: u32) -> String {
     format!("{{\"tag\":\"{tag}\",\"token\":{index}}}\n")
--- a/crates/hawthornmill-lab/src/standin/serve.rs
+++ b/crates/hawthornmill-lab/src/standin/serve.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
+use hawthornmill_net::connections::Connections;
 use hawthornmill_net::sockets::bind_http;
-use poem::listener::TcpAcceptor;
-use poem::{Endpoint, IntoEndpoint, Server};
+use poem::{Endpoint, EndpointExt, IntoEndpoint, Server};
 use tokio::task::JoinHandle;
 
 /// A running stand-in; it stops when this is dropped.
@@ -40,7 +40,9 @@
 {
     let listener = bind_http(address)?;
     let address = listener.local_addr()?;
-    let acceptor = TcpAcceptor::from_tokio(listener)?;
+    let connections = Connections::default();
+    let acceptor = connections.acceptor(listener);
+    let endpoint = endpoint.into_endpoint().data(connections);
     let task = tokio::spawn(async move {
         let server = Server::new_with_acceptor(acceptor);
         if let Err(error) = server.run(endpoint).await {
--- a/crates/hawthornmill-net/src/daemon.rs
+++ b/crates/hawthornmill-net/src/daemon.rs
@@ -11,7 +11,6 @@
 use hawthornmill::ini::Fault;
 use hawthornmill::pools::{owner, tick};
 use poem::Server;
-use poem::listener::TcpAcceptor;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
@@ -113,7 +112,7 @@
     tokio::spawn(sweep_keys(Arc::clone(&fleet)));
     let stop = Arc::new(Notify::new());
     let leave = leave(Arc::clone(&fleet), Arc::clone(&stop), drain);
-    let server = Server::new_with_acceptor(acceptor(sockets.http));
+    let server = Server::new_with_acceptor(fleet.connections.acceptor(sockets.http));
     let stopped = async move { stop.notified().await };
     // The last bytes of an answer may still be in the process when its call is settled, and a slow
     // reader takes them in its own time. So connections get the whole bound to end, not a moment.
@@ -139,10 +138,6 @@
     u8::from(cut > 0)
 }
 
-fn acceptor(listener: TcpListener) -> TcpAcceptor {
-    TcpAcceptor::from_tokio(listener).expect("a bound listener has an address")
-}
-
 async fn ticks(fleet: Arc<Fleet>) {
     let mut timer = tokio::time::interval(TICK);
     timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
--- a/crates/hawthornmill-net/src/entry/admit.rs
+++ b/crates/hawthornmill-net/src/entry/admit.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use hawthornmill::codes::Code;
-use hawthornmill::config::{CostKind, Repeat};
+use hawthornmill::config::{AnswerRule, CostKind, Repeat};
 use hawthornmill::ident::{AccountId, ServiceId};
 use poem::Request;
 use poem::http::HeaderMap;
@@ -33,6 +33,8 @@
     pub repeat: Repeat,
     /// How it is charged.
     pub cost: CostKind,
+    /// What its answer must be like.
+    pub answer: AnswerRule,
     /// Path and query at the backend server.
     pub path: Box<str>,
     /// When it arrived.
@@ -83,6 +85,7 @@
             service_name: known.name.clone(),
             repeat: known.repeat,
             cost: known.cost,
+            answer: known.answer,
             path,
             arrived: now,
             deadline: now + asked.unwrap_or(known.timeout),
--- a/crates/hawthornmill-net/src/entry/call.rs
+++ b/crates/hawthornmill-net/src/entry/call.rs
@@ -16,6 +16,7 @@
 use super::home::fresh_prefix;
 use super::problem::Problem;
 use super::relay::{self, Finished};
+use super::stream::{self, Delivery};
 use super::{addresses, keyed};
 use crate::fleet::{Fleet, SlotGuard};
 use crate::upstream::{Outbound, SendError, passed_on};
@@ -33,6 +34,11 @@
         fleet.flying.fetch_add(1, Ordering::SeqCst);
         Self(Arc::clone(fleet))
     }
+
+    /// The process in which the call is in flight.
+    pub fn fleet(&self) -> &Arc<Fleet> {
+        &self.0
+    }
 }
 
 impl Drop for Flying {
@@ -76,7 +82,10 @@
         return keyed::run(fleet, request, call, flying).await;
     }
     match repeatable(fleet, &call).await {
-        Ok((slot, answer)) => relay::stream(fleet, call, slot, answer, flying),
+        Ok((slot, answer)) => {
+            let cutter = fleet.connections.cutter(request);
+            stream::answer(call, slot, answer, Delivery { flying, cutter })
+        }
         Err(problem) => refuse(fleet, &problem),
     }
 }
--- a/crates/hawthornmill-net/src/entry/keyed.rs
+++ b/crates/hawthornmill-net/src/entry/keyed.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
+use hawthornmill::answer::Lines;
 use hawthornmill::codes::{Code, Outcome};
 use hawthornmill::ident::InstanceId;
 use hawthornmill::keys::table::{OwnKey, forget_after};
@@ -23,6 +24,7 @@
 use super::home::fresh_prefix;
 use super::problem::Problem;
 use super::relay::{self, Finished};
+use super::stream as answer_stream;
 use crate::fleet::{Fleet, SlotGuard};
 use crate::upstream::REQUEST_ID;
 
@@ -279,17 +281,20 @@
     mut answer: reqwest::Response,
 ) -> Result<KeptAnswer, Problem> {
     let reported = relay::reported(&answer);
+    let rule = call.admitted.answer;
     let mut body = Vec::new();
-    let whole = loop {
-        match answer.chunk().await {
-            Ok(Some(chunk)) => body.extend_from_slice(&chunk),
-            Ok(None) => break true,
-            Err(_) => break false,
+    let ended = loop {
+        // A server that falls silent must not hold its slot for ever.
+        match tokio::time::timeout(rule.stall, answer.chunk()).await {
+            Ok(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
+            Ok(Ok(None)) => break true,
+            Ok(Err(_)) | Err(_) => break false,
         }
         if body.len() > ANSWER_LIMIT {
             break false;
         }
     };
+    let whole = ended && (!answer_stream::needs_done(call, answer.status()) || says_done(&body));
     let code = if whole {
         0
     } else {
@@ -317,6 +322,12 @@
     })
 }
 
+fn says_done(body: &[u8]) -> bool {
+    let mut lines = Lines::default();
+    lines.push(body);
+    lines.whole()
+}
+
 /// Passes the call on to the home of its key.
 async fn pass(
     fleet: &Arc<Fleet>,
--- a/crates/hawthornmill-net/src/entry/mod.rs
+++ b/crates/hawthornmill-net/src/entry/mod.rs
@@ -1,7 +1,8 @@
 //! What callers see.
 //!
 //! [`routes`] lists the calls. [`admit`] checks a request before it costs anything, [`call`] takes
-//! it through queue, slot and server, [`relay`] passes the answer on as it comes, [`home`] keeps
+//! it through queue, slot and server, [`stream`] passes the answer on as it
+//! comes, [`relay`] settles it at its end, [`home`] keeps
 //! calls that must not repeat, and [`problem`] writes every refusal.
 
 pub mod addresses;
@@ -13,3 +14,4 @@
 pub mod relay;
 pub mod routes;
 pub mod status;
+pub mod stream;
--- a/crates/hawthornmill-net/src/entry/relay.rs
+++ b/crates/hawthornmill-net/src/entry/relay.rs
@@ -1,21 +1,15 @@
-//! Passes an answer on as it comes and settles the call at its end.
+//! Settles a call at its end: slot, charge, usage record.
 
-use std::io;
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use bytes::Bytes;
-use futures_util::Stream;
-use hawthornmill::codes::{Code, Outcome};
+use hawthornmill::codes::Outcome;
 use hawthornmill::usage::UsageRecord;
-use poem::{Body, Response};
 
-use super::call::{Call, Flying, cost_of, count};
+use super::call::{Call, cost_of, count};
 use super::problem::Problem;
 use crate::fleet::{Fleet, SlotGuard};
-use crate::upstream::{COST, REQUEST_ID, Tail, passed_on};
+use crate::upstream::COST;
 
 /// How a call ended.
 #[derive(Debug, Clone, Copy)]
@@ -26,66 +20,6 @@
     pub outcome: Outcome,
 }
 
-type Chunks = Pin<Box<dyn Stream<Item = reqwest::Result<Bytes>> + Send>>;
-
-struct Relayed {
-    fleet: Arc<Fleet>,
-    call: Call,
-    slot: Option<SlotGuard>,
-    chunks: Chunks,
-    tail: Tail,
-    reported: Option<f64>,
-    _flying: Flying,
-}
-
-impl Relayed {
-    fn settle(&mut self, finished: Finished) {
-        if let Some(slot) = self.slot.take() {
-            let reported = self.reported.or_else(|| self.tail.cost());
-            finish(&self.fleet, &self.call, slot, reported, finished);
-        }
-    }
-}
-
-impl Stream for Relayed {
-    type Item = Result<Bytes, io::Error>;
-
-    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        match self.chunks.as_mut().poll_next(cx) {
-            Poll::Pending => Poll::Pending,
-            Poll::Ready(Some(Ok(chunk))) => {
-                self.tail.push(&chunk);
-                Poll::Ready(Some(Ok(chunk)))
-            }
-            Poll::Ready(Some(Err(error))) => {
-                // The caller must see that the answer is cut, so its stream is broken off too.
-                self.settle(Finished {
-                    code: Code::UpstreamFailed.number(),
-                    outcome: Outcome::Unknown,
-                });
-                Poll::Ready(Some(Err(io::Error::other(error))))
-            }
-            Poll::Ready(None) => {
-                self.settle(Finished {
-                    code: 0,
-                    outcome: Outcome::Ran,
-                });
-                Poll::Ready(None)
-            }
-        }
-    }
-}
-
-impl Drop for Relayed {
-    fn drop(&mut self) {
-        // The caller went away; dropping the chunks closes the connection, which cancels the call.
-        self.settle(Finished {
-            code: Code::UpstreamFailed.number(),
-            outcome: Outcome::Unknown,
-        });
-    }
-}
-
 /// The cost that the head of an answer reports.
 pub fn reported(answer: &reqwest::Response) -> Option<f64> {
     let value = answer.headers().get(COST)?.to_str().ok()?;
@@ -95,37 +29,6 @@
         .filter(|c: &f64| c.is_finite() && *c >= 0.0)
 }
 
-/// The caller's answer: the server's, streamed.
-pub fn stream(
-    fleet: &Arc<Fleet>,
-    call: Call,
-    slot: SlotGuard,
-    answer: reqwest::Response,
-    flying: Flying,
-) -> Response {
-    let mut response = Response::builder()
-        .status(answer.status())
-        .header(REQUEST_ID, &*call.out.id)
-        .finish();
-    response.headers_mut().extend(passed_on(answer.headers()));
-    let length = answer.headers().get("content-length").cloned();
-    if let Some(length) = length {
-        response.headers_mut().insert("content-length", length);
-    }
-    let reported = reported(&answer);
-    let relayed = Relayed {
-        fleet: Arc::clone(fleet),
-        call,
-        slot: Some(slot),
-        chunks: Box::pin(answer.bytes_stream()),
-        tail: Tail::default(),
-        reported,
-        _flying: flying,
-    };
-    response.set_body(Body::from_bytes_stream(relayed));
-    response
-}
-
 /// Gives the slot back, charges the call and writes its usage record.
 pub fn finish(
     fleet: &Arc<Fleet>,
--- a/crates/hawthornmill-net/src/fleet.rs
+++ b/crates/hawthornmill-net/src/fleet.rs
@@ -13,6 +13,7 @@
 use hawthornmill::wire::message::{GrantId, Message};
 use tokio::sync::{Notify, oneshot};
 
+use crate::connections::Connections;
 use crate::entry::home::Home;
 use crate::peers::Outgoing;
 use crate::settings::Settings;
@@ -49,6 +50,8 @@
     pub outgoing: Outgoing,
     /// Connections to backend servers.
     pub upstream: Upstream,
+    /// Connections of callers.
+    pub connections: Connections,
     /// Keys of calls that must not repeat.
     pub home: Home,
     /// Logs, spans and metrics.
@@ -96,6 +99,7 @@
             }),
             outgoing,
             upstream: Upstream::new(),
+            connections: Connections::default(),
             home,
             telemetry,
             platform_spoke: AtomicBool::new(false),
--- a/crates/hawthornmill-net/src/lib.rs
+++ b/crates/hawthornmill-net/src/lib.rs
@@ -11,9 +11,10 @@
 //! | [`peers`] | other instances, over UDP and TCP |
 //! | [`platform`] | the platform's configuration service and instance list |
 //! | [`telemetry`] | operators: logs, spans, metrics, usage records |
-//! | [`settings`], [`sockets`] | the process's own files and ports |
+//! | [`settings`], [`sockets`], [`connections`] | the process's own files and ports |
 //! | [`daemon`] | nobody: it joins the others into one process |
 
+pub mod connections;
 pub mod daemon;
 pub mod entry;
 pub mod fleet;
--- a/crates/hawthornmill/src/config/mod.rs
+++ b/crates/hawthornmill/src/config/mod.rs
@@ -10,4 +10,6 @@
 pub mod parse;
 
 pub use accept::{Manifest, ValueRef, accept};
-pub use model::{Account, BackendServer, CostKind, FleetConfig, Repeat, Service};
+pub use model::{
+    Account, AnswerRule, BackendServer, Complete, CostKind, FleetConfig, Repeat, Service,
+};
--- a/crates/hawthornmill/src/config/model.rs
+++ b/crates/hawthornmill/src/config/model.rs
@@ -24,6 +24,26 @@
     Time,
 }
 
+/// What makes an answer whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Complete {
+    /// The length or end that HTTP names.
+    Length,
+    /// A last line with `"done":true` besides.
+    DoneLine,
+}
+
+/// Rules for the answers of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerRule {
+    /// What makes an answer whole.
+    pub complete: Complete,
+    /// A broken answer can be resumed: the field `from` of the request counts lines to leave out.
+    pub resume: bool,
+    /// Longest silence within an answer.
+    pub stall: Duration,
+}
+
 /// A client account.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Account {
@@ -52,6 +72,8 @@
     pub estimate: f64,
     /// Deadline of a call that names none.
     pub timeout: Duration,
+    /// Rules for its answers.
+    pub answer: AnswerRule,
 }
 
 /// A backend server.
--- a/crates/hawthornmill/src/config/parse.rs
+++ b/crates/hawthornmill/src/config/parse.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use super::model::{
-    Account, BackendServer, Class, CostKind, FleetConfig, Grant, Pool, Repeat, Service,
+    Account, AnswerRule, BackendServer, Class, Complete, CostKind, FleetConfig, Grant, Pool,
+    Repeat, Service,
 };
 use crate::codes::Code;
 use crate::ident::{AccountId, DomainId, PoolId, RegionId, ServerId, ServiceId};
@@ -16,6 +17,7 @@
 const DEFAULT_QUEUE_BYTES: usize = 16 << 20;
 const DEFAULT_ESTIMATE: f64 = 100.0;
 const DEFAULT_TIMEOUT_MS: f64 = 30_000.0;
+const DEFAULT_STALL_MS: f64 = 30_000.0;
 const DEFAULT_SLOTS: f64 = 8.0;
 const MOST_SLOTS: f64 = 4096.0;
 const MOST_SHARE: f64 = 1e6;
@@ -114,7 +116,16 @@
 }
 
 fn add_service(config: &mut FleetConfig, reader: &mut Reader<'_>, section: &Section) {
-    reader.known_keys(section, &["repeat", "cost", "estimate", "timeout_ms"]);
+    let known = [
+        "repeat",
+        "cost",
+        "estimate",
+        "timeout_ms",
+        "complete",
+        "resume",
+        "stall_ms",
+    ];
+    reader.known_keys(section, &known);
     let timeout = reader.bounded(section, "timeout_ms", DEFAULT_TIMEOUT_MS, 1.0..=3_600_000.0);
     let service = Service {
         name: section.name.clone(),
@@ -130,6 +141,7 @@
         ),
         estimate: reader.bounded(section, "estimate", DEFAULT_ESTIMATE, 0.001..=1e9),
         timeout: Duration::from_secs_f64(timeout / 1000.0),
+        answer: answer_rule(reader, section),
     };
     let earlier = config
         .services
@@ -137,6 +149,22 @@
     once(reader, section, earlier.is_some());
 }
 
+fn answer_rule(reader: &mut Reader<'_>, section: &Section) -> AnswerRule {
+    let stall = reader.bounded(section, "stall_ms", DEFAULT_STALL_MS, 1.0..=3_600_000.0);
+    AnswerRule {
+        complete: reader.word(
+            section,
+            "complete",
+            &[
+                ("length", Complete::Length),
+                ("done-line", Complete::DoneLine),
+            ],
+        ),
+        resume: reader.word(section, "resume", &[("no", false), ("from", true)]),
+        stall: Duration::from_secs_f64(stall / 1000.0),
+    }
+}
+
 fn add_server(config: &mut FleetConfig, reader: &mut Reader<'_>, section: &Section) {
     let known = ["service", "domain", "address", "slots", "labels", "leaving"];
     reader.known_keys(section, &known);
--- a/crates/hawthornmill/src/lib.rs
+++ b/crates/hawthornmill/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`usage`] | one record for each finished request |
 //! | [`wire`] | typed messages between instances and their authenticated frames |
 
+pub mod answer;
 pub mod board;
 pub mod clock;
 pub mod codes;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod one_fleet;
 mod path;
 mod settings;
+mod whole;
 
 /// The router program under test.
 const ROUTER: &str = env!("CARGO_BIN_EXE_hawthornmill-router");
