--- a/crates/hawthornmill-net/src/daemon.rs
+++ b/crates/hawthornmill-net/src/daemon.rs
@@ -21,12 +21,13 @@
 use crate::platform;
 use crate::settings::Settings;
 use crate::sockets::bind_http;
-use crate::telemetry::{Telemetry, logs};
+use crate::telemetry::usage::MARK;
+use crate::telemetry::{Telemetry, gauges, logs};
 
 const TICK: Duration = Duration::from_millis(20);
 /// Time in which every instance hears that this one leaves.
 const SPREAD: Duration = Duration::from_millis(500);
-const SWEEP_KEYS: Duration = Duration::from_secs(1);
+const SWEEP: Duration = Duration::from_secs(1);
 
 /// Runs a router until it is told to leave; the result is the process's exit code.
 pub fn main(config: &Path) -> u8 {
@@ -104,12 +105,14 @@
         telemetry,
     );
     log::info!(target: "daemon", "instance {} starts", fleet.settings.contact.name);
+    gauges::start(&fleet);
     udp::start(&fleet, sockets.udp);
     tcp::start(&fleet, sockets.tcp);
     platform::start(&fleet);
     tokio::spawn(ticks(Arc::clone(&fleet)));
     tokio::spawn(loads(Arc::clone(&fleet)));
-    tokio::spawn(sweep_keys(Arc::clone(&fleet)));
+    tokio::spawn(sweep(Arc::clone(&fleet)));
+    tokio::spawn(marks(Arc::clone(&fleet)));
     let stop = Arc::new(Notify::new());
     let leave = leave(Arc::clone(&fleet), Arc::clone(&stop), drain);
     let server = Server::new_with_acceptor(fleet.connections.acceptor(sockets.http));
@@ -122,6 +125,7 @@
         result = served => ended(&fleet, result),
     };
     log::info!(target: "daemon", "instance {} ends", fleet.settings.contact.name);
+    mark(&fleet, true);
     fleet.telemetry.flush();
     code
 }
@@ -143,17 +147,40 @@
     timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         timer.tick().await;
-        fleet.feed(tick::tick);
+        fleet.feed(|board, now| {
+            // Before the tick, which forgets what it settles.
+            fleet.telemetry.usage.causes().look(board, now);
+            tick::tick(board, now);
+        });
         fleet.find_ready();
     }
 }
 
-async fn sweep_keys(fleet: Arc<Fleet>) {
-    let mut timer = tokio::time::interval(SWEEP_KEYS);
+async fn marks(fleet: Arc<Fleet>) {
+    let mut timer = tokio::time::interval(MARK);
+    loop {
+        timer.tick().await;
+        mark(&fleet, false);
+    }
+}
+
+fn mark(fleet: &Fleet, end: bool) {
+    let name = &fleet.settings.contact.name;
+    fleet.telemetry.usage.mark(name, fleet.incarnation.0, end);
+}
+
+/// Forgets what nobody can ask for any more.
+async fn sweep(fleet: Arc<Fleet>) {
+    let mut timer = tokio::time::interval(SWEEP);
     loop {
         timer.tick().await;
         let now = fleet.clock.now();
         fleet.home.lock().table.sweep(now);
+        let config = fleet.view(|board| Arc::clone(&board.config));
+        fleet.retries().retain(
+            |service| config.services.contains_key(&service),
+            |server| config.servers.contains_key(&server),
+        );
     }
 }
 
@@ -176,8 +203,11 @@
         for (pool, server, address) in targets {
             let fleet = Arc::clone(&fleet);
             tokio::spawn(async move {
-                if let Some(running) = fleet.upstream.load(&address).await {
-                    fleet.feed(|board, _| owner::on_load(board, pool, server, running));
+                if let Some(load) = fleet.upstream.load(&address).await {
+                    fleet.feed(|board, _| {
+                        owner::on_load(board, pool, server, load.running);
+                        owner::on_leaving(board, pool, server, load.leaving);
+                    });
                 }
             });
         }
--- a/crates/hawthornmill-net/src/entry/call.rs
+++ b/crates/hawthornmill-net/src/entry/call.rs
@@ -7,22 +7,21 @@
 use bytes::Bytes;
 use hawthornmill::codes::{Code, Outcome};
 use hawthornmill::config::{CostKind, Repeat};
+use hawthornmill::ident::ServerId;
 use hawthornmill::pools::entry;
 use opentelemetry::Context;
-use poem::error::ReadBodyError;
 use poem::{Body, Request, Response};
 
 use super::admit::{Admitted, admit};
 use super::home::fresh_prefix;
 use super::problem::Problem;
-use super::relay::{self, Finished};
 use super::stream::{self, Delivery};
-use super::{addresses, keyed};
-use crate::fleet::{Fleet, SlotGuard};
+use super::{addresses, body, keyed, record, retries};
+use crate::fleet::{Fleet, SlotGuard, Ticket};
 use crate::upstream::{Outbound, SendError, passed_on};
 
-/// Attempts that one call may make, the first included.
-const ATTEMPTS: usize = 3;
+/// Answer header with which a server says that it is about to go.
+const LEAVING: &str = "hawthornmill-leaving";
 
 /// Counts a call as in flight until it is dropped.
 #[derive(Debug)]
@@ -72,16 +71,24 @@
         Ok(admitted) => admitted,
         Err((code, words)) => return turn_away(code, words),
     };
-    let body = match body.into_bytes_limit(fleet.settings.limits.body).await {
+    if let Err(code) = room(fleet, request, &admitted) {
+        let problem = Problem::not_run(code, &id).retry(come_back(fleet, &admitted));
+        return refuse(fleet, &of_key(fleet, request, problem));
+    }
+    let body = match body::read(body, fleet.settings.limits.body).await {
         Ok(body) => body,
-        Err(ReadBodyError::PayloadTooLarge) => return turn_away(Code::BodyTooLarge, None),
-        Err(_) => return turn_away(Code::BadHeader, None),
+        Err(code) => {
+            let problem = of_key(fleet, request, Problem::not_run(code, &id));
+            let call = prepare(fleet, request, admitted, Bytes::new(), id);
+            record::record_refusal(fleet, &call, &problem, call.admitted.arrived);
+            return refuse(fleet, &problem);
+        }
     };
     let call = prepare(fleet, request, admitted, body, id);
     if call.admitted.repeat == Repeat::Never {
         return keyed::run(fleet, request, call, flying).await;
     }
-    match repeatable(fleet, &call).await {
+    match retries::run(fleet, &call).await {
         Ok((slot, answer)) => {
             let cutter = fleet.connections.cutter(request);
             stream::answer(call, slot, answer, Delivery { flying, cutter })
@@ -90,6 +97,19 @@
     }
 }
 
+/// Looks for room in the account's queue before the body is read, so that what is refused for want
+/// of room takes no memory for its body.
+fn room(fleet: &Fleet, request: &Request, admitted: &Admitted) -> Result<(), Code> {
+    let length = request.header("content-length");
+    let arrival = entry::Arrival {
+        service: admitted.service,
+        account: admitted.account,
+        bytes: length.and_then(|l| l.parse().ok()).unwrap_or(0),
+        deadline: admitted.deadline,
+    };
+    fleet.view(|board| entry::check_account(board, &arrival))
+}
+
 fn prepare(
     fleet: &Arc<Fleet>,
     request: &Request,
@@ -153,54 +173,44 @@
 /// # Errors
 /// The refusal, with when to come back; the request was not run.
 pub async fn slot(fleet: &Arc<Fleet>, call: &Call) -> Result<SlotGuard, Problem> {
-    let admitted = &call.admitted;
-    let span = fleet.telemetry.spans.child(&call.span, "wait");
-    let arrival = entry::Arrival {
-        service: admitted.service,
-        account: admitted.account,
+    wait(fleet, call, fleet.enqueue(arrival(call))).await
+}
+
+pub(super) fn arrival(call: &Call) -> entry::Arrival {
+    entry::Arrival {
+        service: call.admitted.service,
+        account: call.admitted.account,
         bytes: call.out.body.len(),
-        deadline: admitted.deadline,
-    };
-    let result = match fleet.enqueue(arrival) {
+        deadline: call.admitted.deadline,
+    }
+}
+
+pub(super) async fn wait(
+    fleet: &Arc<Fleet>,
+    call: &Call,
+    ticket: Result<Ticket, Code>,
+) -> Result<SlotGuard, Problem> {
+    let span = fleet.telemetry.spans.child(&call.span, "wait");
+    let since = fleet.clock.now();
+    let result = match ticket {
         Ok(ticket) => ticket.wait().await,
         Err(code) => Err(code),
     };
     drop(span);
+    if result.is_ok() {
+        record::begin(fleet, call);
+    }
     result.map_err(|code| {
-        let after =
-            fleet.view(|board| entry::retry_after(board, admitted.service, admitted.account));
-        let problem = Problem::not_run(code, &call.out.id).retry(after);
-        relay::record_refusal(fleet, call, &problem);
+        let problem = Problem::not_run(code, &call.out.id).retry(come_back(fleet, &call.admitted));
+        record::record_refusal(fleet, call, &problem, since);
         problem
     })
 }
 
-/// Runs a call that may be repeated until an answer begins.
-async fn repeatable(
-    fleet: &Arc<Fleet>,
-    call: &Call,
-) -> Result<(SlotGuard, reqwest::Response), Problem> {
-    let mut last = Problem::not_run(Code::UpstreamUnreachable, &call.out.id);
-    for _ in 0..ATTEMPTS {
-        let mut slot = slot(fleet, call).await?;
-        match attempt(fleet, call, &mut slot, false).await {
-            Ok(answer) => return Ok((slot, answer)),
-            Err(problem) => last = problem,
-        }
-        finish_failed(fleet, call, slot, &last);
-        if last.code == Code::DeadlineWhileRunning {
-            break;
-        }
-    }
-    Err(last.retry(Duration::from_millis(500)))
-}
-
-fn finish_failed(fleet: &Arc<Fleet>, call: &Call, slot: SlotGuard, problem: &Problem) {
-    let finished = Finished {
-        code: problem.code.number(),
-        outcome: problem.outcome,
-    };
-    relay::finish(fleet, call, slot, None, finished);
+/// When a caller that was refused may come back.
+pub(super) fn come_back(fleet: &Fleet, admitted: &Admitted) -> Duration {
+    let (draw, now) = (rand::random::<f64>(), fleet.clock.now());
+    fleet.view(|board| entry::retry_after(board, admitted.service, admitted.account, draw, now))
 }
 
 /// Sends the call once and waits for the head of the answer.
@@ -236,7 +246,10 @@
     fleet.telemetry.spans.carry(&span, &mut out.headers);
     let sent = tokio::time::timeout(left, fleet.upstream.send(&address, &out, once)).await;
     match sent {
-        Ok(Ok(answer)) => Ok(answer),
+        Ok(Ok(answer)) => {
+            note_leaving(fleet, slot.dispatch.server, &answer);
+            Ok(answer)
+        }
         Ok(Err(SendError::Unreachable)) => {
             slot.set_failed();
             Err(Problem::not_run(Code::UpstreamUnreachable, &call.out.id))
@@ -250,6 +263,16 @@
     }
 }
 
+/// Takes a server's own word, with an answer, that it is leaving.
+///
+/// A pool's owner learns it from the load report as well, but one that can't reach the server, or
+/// is itself silent, would keep sending work there.
+fn note_leaving(fleet: &Fleet, server: ServerId, answer: &reqwest::Response) {
+    if answer.headers().get(LEAVING).is_some_and(|v| v == "yes") {
+        fleet.feed(|board, now| entry::on_server_leaving(board, server, now));
+    }
+}
+
 /// What a call that held `slot` until now costs.
 pub fn cost_of(fleet: &Fleet, call: &Call, slot: &SlotGuard, reported: Option<f64>) -> f64 {
     let held = fleet.clock.now().duration_since(slot.taken);
--- a/crates/hawthornmill-net/src/entry/keyed.rs
+++ b/crates/hawthornmill-net/src/entry/keyed.rs
@@ -23,6 +23,7 @@
 use super::call::{Call, Flying, attempt, refuse, slot};
 use super::home::fresh_prefix;
 use super::problem::Problem;
+use super::record;
 use super::relay::{self, Finished};
 use super::stream as answer_stream;
 use crate::fleet::{Fleet, SlotGuard};
@@ -43,9 +44,15 @@
 pub async fn run(fleet: &Arc<Fleet>, request: &Request, call: Call, flying: Flying) -> Response {
     // The run may end before its answer is written; this caller's call lasts until that is done.
     let flying = Arc::new(flying);
+    let copy = call.clone();
     match dispatch(fleet, request, call, Arc::clone(&flying)).await {
         Ok(response) => until_written(response, flying).await,
-        Err(problem) => refuse(fleet, &problem.prefix(fresh_prefix(fleet))),
+        Err(problem) => {
+            if refused_early(&problem) {
+                record::record_refusal(fleet, &copy, &problem, copy.admitted.arrived);
+            }
+            refuse(fleet, &problem.prefix(fresh_prefix(fleet)))
+        }
     }
 }
 
@@ -63,6 +70,20 @@
     response
 }
 
+/// Tells whether the key itself was refused; any later refusal has left its record already.
+fn refused_early(problem: &Problem) -> bool {
+    let early = [
+        Code::KeyRequired,
+        Code::BadKey,
+        Code::KeyExpired,
+        Code::KeyRefused,
+        Code::KeyRefused,
+        Code::KeysFull,
+        Code::HomeUnreachable,
+    ];
+    problem.attempt == Outcome::NotRun && early.contains(&problem.code)
+}
+
 async fn dispatch(
     fleet: &Arc<Fleet>,
     request: &Request,
--- a/crates/hawthornmill-net/src/entry/status.rs
+++ b/crates/hawthornmill-net/src/entry/status.rs
@@ -3,25 +3,40 @@
 use std::sync::atomic::Ordering;
 
 use hawthornmill::board::Board;
+use hawthornmill::config::accept::{self, Manifest};
 use hawthornmill::fairness::CostKey;
+use poem::http::HeaderMap;
 
 use crate::fleet::Fleet;
 
-/// The answer of `GET /v1/status`; it holds no tokens.
-pub fn answer(fleet: &Fleet) -> serde_json::Value {
+/// Tells whether the request carries the operators' token.
+///
+/// Any caller reaches this page, and an account must not learn what others use. Hashes are compared,
+/// by the library in constant time, so the time that it takes tells nothing of the token.
+fn is_operator(fleet: &Fleet, headers: &HeaderMap) -> bool {
+    let token = super::admit::bearer(headers).map(|t| blake3::hash(t.as_bytes()));
+    let known = fleet.settings.operators.map(blake3::Hash::from_bytes);
+    token.is_some() && token == known
+}
+
+/// The answer of `GET /v1/status`; it holds no tokens, and accounts only for operators.
+pub fn answer(fleet: &Fleet, headers: &HeaderMap) -> serde_json::Value {
     let mut status = fleet.view(|board| {
         serde_json::json!({
             "instance": fleet.settings.contact.name,
             "incarnation": fleet.incarnation.0,
             "revision": board.config.revision,
+            "digest": digest(&board.manifest),
             "stale": board.stale.is_some(),
             "leaving": board.members.own().leaving,
             "waiting": board.waiting.len(),
             "members": members(board),
             "pools": pools(fleet, board),
-            "accounts": accounts(board),
         })
     });
+    if is_operator(fleet, headers) {
+        status["accounts"] = fleet.view(accounts);
+    }
     let out = &fleet.outgoing;
     status["ready"] = super::routes::is_ready(fleet).into();
     status["flying"] = fleet.flying.load(Ordering::Relaxed).into();
@@ -33,6 +48,12 @@
     status
 }
 
+/// One digest over those of all values in force, to compare instances by.
+fn digest(manifest: &Manifest) -> Box<str> {
+    let all: String = manifest.values.iter().map(|v| &*v.digest).collect();
+    accept::digest(&all)
+}
+
 fn members(board: &Board) -> serde_json::Value {
     board
         .members
@@ -67,6 +88,7 @@
                 "domain": board.config.domain_names.get(&pool.domain),
                 "owner": owner.and_then(|(o, _)| board.members.map.get(&o)).map(|m| m.contact.name.clone()),
                 "mine": mine.is_some(),
+                "held_here": board.links.get(id).map(|l| l.held.len()),
                 "granted": mine.map(|o| o.held.len()),
                 "idle": mine.map(|o| o.idle(now)),
             })
--- a/crates/hawthornmill-net/src/entry/stream.rs
+++ b/crates/hawthornmill-net/src/entry/stream.rs
@@ -21,6 +21,7 @@
 
 use super::call::{Call, Flying, attempt, slot};
 use super::problem::Problem;
+use super::record::Tried;
 use super::relay::{Finished, finish, reported};
 use crate::connections::Cutter;
 use crate::fleet::{Fleet, SlotGuard};
@@ -231,9 +232,9 @@
 
 /// Asks for the rest of an answer, in a slot of its own.
 async fn resume(fleet: Arc<Fleet>, call: Call) -> Resumed {
-    let mut slot = slot(&fleet, &call).await?;
-    let problem = match attempt(&fleet, &call, &mut slot, false).await {
-        Ok(answer) if answer.status().is_success() => return Ok((slot, answer)),
+    let mut tried = Tried::new(&fleet, &call, slot(&fleet, &call).await?);
+    let problem = match attempt(&fleet, &call, tried.slot(), false).await {
+        Ok(answer) if answer.status().is_success() => return Ok((tried.into_slot(), answer)),
         Ok(_) => Problem::new(Code::UpstreamFailed, Outcome::Unknown, &call.out.id),
         Err(problem) => problem,
     };
@@ -241,7 +242,7 @@
         code: problem.code.number(),
         outcome: problem.outcome,
     };
-    finish(&fleet, &call, slot, None, finished);
+    finish(&fleet, &call, tried.into_slot(), None, finished);
     Err(problem)
 }
 
--- a/crates/hawthornmill-net/src/fleet.rs
+++ b/crates/hawthornmill-net/src/fleet.rs
@@ -1,27 +1,32 @@
 //! The board behind its lock, and what adapters need around it.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use hawthornmill::board::{Board, Dispatch, RequestKey};
 use hawthornmill::clock::Clock;
 use hawthornmill::codes::Code;
-use hawthornmill::ident::{Incarnation, InstanceId, PoolId};
+use hawthornmill::ident::{Incarnation, InstanceId, PoolId, ServerId};
+use hawthornmill::limits::retry::Retries;
+use hawthornmill::membership::start;
+use hawthornmill::notes::Note;
 use hawthornmill::pools::{self, entry, tick};
 use hawthornmill::wire::message::{GrantId, Message};
+use smallvec::SmallVec;
 use tokio::sync::{Notify, oneshot};
 
 use crate::connections::Connections;
 use crate::entry::home::Home;
 use crate::peers::Outgoing;
+use crate::platform;
 use crate::settings::Settings;
 use crate::telemetry::Telemetry;
 use crate::upstream::Upstream;
 
-/// Time for which a starting process waits for both the platform and a peer.
-const START_WAIT: Duration = Duration::from_secs(2);
+/// Time between two rounds of questions of a starting process.
+const ASK_EVERY: Duration = Duration::from_millis(200);
 
 /// What a waiting request is told.
 pub type Verdict = Result<Dispatch, Code>;
@@ -46,6 +51,7 @@
     /// This process run.
     pub incarnation: Incarnation,
     core: Mutex<Core>,
+    retries: Mutex<Retries>,
     /// Messages to peers.
     pub outgoing: Outgoing,
     /// Connections to backend servers.
@@ -56,8 +62,8 @@
     pub home: Home,
     /// Logs, spans and metrics.
     pub telemetry: Telemetry,
-    /// The platform's configuration service has answered this process.
-    pub platform_spoke: AtomicBool,
+    /// What is known of the platform's answers.
+    pub platform: platform::Answers,
     /// Enough is known to serve.
     pub ready: AtomicBool,
     /// New calls are refused; set some time after the process began to leave.
@@ -69,6 +75,7 @@
     /// Something about this instance changed that peers should hear at once.
     pub hurry: Notify,
     requests: AtomicU64,
+    asked: AtomicU32,
 }
 
 impl Fleet {
@@ -97,18 +104,20 @@
                 board,
                 waiters: BTreeMap::new(),
             }),
+            retries: Mutex::default(),
             outgoing,
             upstream: Upstream::new(),
             connections: Connections::default(),
             home,
             telemetry,
-            platform_spoke: AtomicBool::new(false),
+            platform: platform::Answers::default(),
             ready: AtomicBool::new(false),
             closed: AtomicBool::new(false),
             closing: OnceLock::new(),
             flying: AtomicUsize::new(0),
             hurry: Notify::new(),
             requests: AtomicU64::new(0),
+            asked: AtomicU32::new(0),
         })
     }
 
@@ -127,6 +136,8 @@
     pub fn feed<T>(&self, event: impl FnOnce(&mut Board, Instant) -> T) -> T {
         let now = self.clock.now();
         let mut core = self.lock();
+        // After a pause, a message may be taken before the next tick.
+        tick::notice_pause(&mut core.board, now);
         let result = event(&mut core.board, now);
         self.run(&mut core, now);
         result
@@ -139,20 +150,49 @@
             hand_out(core, now);
             pools::turn(&mut core.board, now);
         }
+        for note in std::mem::take(&mut core.board.notes) {
+            log_note(&core.board, note);
+        }
         for (to, message) in core.board.outbox.drain(..) {
             self.outgoing.send(to, message);
         }
     }
 
+    /// Retry budgets of this instance.
+    pub fn retries(&self) -> MutexGuard<'_, Retries> {
+        // Counters that a panic left halfway make a budget a little wrong, which does no harm.
+        self.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Puts a request into its queue.
     ///
     /// # Errors
     /// A code when there is no room; the request was not run.
     pub fn enqueue(self: &Arc<Self>, arrival: entry::Arrival) -> Result<Ticket, Code> {
+        self.queue(|board, now| entry::enqueue(board, arrival, now))
+    }
+
+    /// Puts a request that failed at the servers `avoid` back to its place in the queue.
+    ///
+    /// # Errors
+    /// Never; the type is that of [`Self::enqueue`].
+    pub fn requeue(
+        self: &Arc<Self>,
+        arrival: entry::Arrival,
+        arrived: Instant,
+        avoid: SmallVec<[ServerId; 2]>,
+    ) -> Result<Ticket, Code> {
+        self.queue(|board, _| Ok(entry::requeue(board, arrival, arrived, avoid)))
+    }
+
+    fn queue(
+        self: &Arc<Self>,
+        put: impl FnOnce(&mut Board, Instant) -> Result<RequestKey, Code>,
+    ) -> Result<Ticket, Code> {
         let now = self.clock.now();
         let mut core = self.lock();
         tick::notice_pause(&mut core.board, now);
-        let key = entry::enqueue(&mut core.board, arrival, now)?;
+        let key = put(&mut core.board, now)?;
         let (sender, receiver) = oneshot::channel();
         core.waiters.insert(key, sender);
         self.run(&mut core, now);
@@ -171,29 +211,27 @@
 
     /// Finds out whether enough is known to serve; once that is so, it stays so.
     ///
-    /// A starting process must hold the highest revision that it heard of. A platform that shows an
-    /// old revision can't take a restarted instance back while peers know a newer one; and when no
-    /// peer or no platform answers for a while, the word of the other is enough.
+    /// Until then it asks peers for their revision; [`start::is_ready`] has the rule.
     pub fn find_ready(&self) {
         if self.ready.load(Ordering::Relaxed) {
             return;
         }
-        let age = self.clock.now().duration_since(self.started);
-        let (revision, highest, peers) = self.view(|board| {
-            let others = board
-                .members
-                .map
-                .iter()
-                .filter(|(id, _)| **id != board.me());
-            let heard = others.clone().any(|(_, m)| m.live);
-            let highest = others.map(|(_, m)| m.revision).max().unwrap_or(0);
-            (board.config.revision, highest, heard)
+        let now = self.clock.now();
+        let (ready, revision) = self.view(|board| {
+            let ready = start::is_ready(board, self.started, now);
+            (ready, board.config.revision)
         });
-        let both = peers && self.platform_spoke.load(Ordering::Relaxed);
-        let enough = both || age > START_WAIT;
-        if revision > 0 && revision >= highest && enough {
+        if ready {
             self.ready.store(true, Ordering::Relaxed);
             log::info!(target: "daemon", "ready at revision {revision}");
+            return;
+        }
+        let round = now.duration_since(self.started).as_millis() / ASK_EVERY.as_millis();
+        let round = round as u32 + 1;
+        if self.asked.fetch_max(round, Ordering::Relaxed) < round {
+            for peer in self.view(|board| start::to_ask(board, round)) {
+                self.outgoing.send(peer, Message::Probe(0));
+            }
         }
     }
 
@@ -213,6 +251,34 @@
     }
 }
 
+fn log_note(board: &Board, note: Note) {
+    let name = |id: InstanceId| {
+        let member = board.members.map.get(&id);
+        member.map_or_else(|| "?".into(), |m| m.contact.name.clone())
+    };
+    match note {
+        Note::Died(id) => log::warn!(target: "membership", "{} is not heard any more", name(id)),
+        Note::Revived(id) => log::info!(target: "membership", "{} is heard", name(id)),
+        Note::Owner(pool, id) => {
+            let (service, domain) = pool_names(board, pool);
+            log::info!(target: "pools", "owner of {service} in {domain} is {}", name(id));
+        }
+        Note::Paused(gap) => {
+            log::warn!(target: "membership", "stopped for {} ms; view is old", gap.as_millis());
+        }
+        Note::Confirmed => log::info!(target: "membership", "view is confirmed"),
+    }
+}
+
+fn pool_names(board: &Board, pool: PoolId) -> (Box<str>, Box<str>) {
+    let config = &board.config;
+    let names = config.pools.get(&pool).and_then(|p| {
+        let service = config.services.get(&p.service)?.name.clone();
+        Some((service, config.domain_names.get(&p.domain)?.clone()))
+    });
+    names.unwrap_or_default()
+}
+
 fn hand_out(core: &mut Core, now: Instant) {
     for dispatch in std::mem::take(&mut core.board.dispatches) {
         let (pool, grant) = (dispatch.pool, dispatch.grant);
--- a/crates/hawthornmill-test-support/src/steps.rs
+++ b/crates/hawthornmill-test-support/src/steps.rs
@@ -11,9 +11,8 @@
 use hawthornmill::board::{Board, Dispatch, RequestKey, Tuning};
 use hawthornmill::codes::Code;
 use hawthornmill::ident::{AccountId, Incarnation, InstanceId, ServerId, ServiceId};
-use hawthornmill::membership::Sign;
 use hawthornmill::pools::{self, entry, owner, tick};
-use hawthornmill::wire::message::{Contact, Message};
+use hawthornmill::wire::message::{Contact, Message, ProbeAck};
 
 use crate::fleet::FleetText;
 
@@ -61,7 +60,7 @@
     pub frozen: BTreeSet<usize>,
     /// Instances that are dead.
     pub dead: BTreeSet<usize>,
-    /// Pairs of instances between which nothing passes.
+    /// Pairs of instances, from and to, between which nothing passes; streams are held up.
     pub cut: BTreeSet<(usize, usize)>,
     /// Cost that servers ran, by account.
     pub received: BTreeMap<AccountId, f64>,
@@ -120,8 +119,10 @@
             asked: BTreeMap::new(),
             history: VecDeque::new(),
         };
-        for own in &contacts {
-            let mut board = Board::new(own.clone(), Incarnation(1), tuning.clone(), start);
+        for (number, own) in contacts.iter().enumerate() {
+            // Grants carry half of an incarnation, so no two instances may start with the same.
+            let run = Incarnation(1 + 1000 * number as u64);
+            let mut board = Board::new(own.clone(), run, tuning.clone(), start);
             for other in &contacts {
                 board.members.learn(other.clone(), start);
             }
@@ -178,6 +179,7 @@
             bytes: 100,
             deadline: now + Duration::from_millis(deadline),
         };
+        tick::notice_pause(&mut self.boards[entry], now);
         let key = entry::enqueue(&mut self.boards[entry], arrival, now)?;
         let asked = Asked {
             account,
@@ -271,10 +273,12 @@
             if self.dead.contains(&target) || self.dead.contains(&from) {
                 continue;
             }
-            if self.cut.contains(&(from, target)) {
+            let cut = self.cut.contains(&(from, target));
+            if cut && by_datagram(&message) {
                 continue;
             }
-            if self.frozen.contains(&target) {
+            // A connection keeps what it can't deliver and brings it late.
+            if cut || self.frozen.contains(&target) {
                 self.wire.push_back((from, to, message));
                 continue;
             }
@@ -285,6 +289,7 @@
     fn take(&mut self, from: usize, target: usize, message: Message, now: Instant) {
         let (sender, run) = (self.boards[from].me(), self.boards[from].incarnation);
         let board = &mut self.boards[target];
+        tick::notice_pause(board, now);
         match message {
             Message::Reports(reports) => {
                 for report in reports {
@@ -295,10 +300,15 @@
                 }
             }
             Message::Probe(number) => {
+                let ack = ProbeAck {
+                    number,
+                    revision: board.config.revision,
+                    serving: true,
+                };
                 self.wire
-                    .push_back((target, sender, Message::ProbeAck(number)));
+                    .push_back((target, sender, Message::ProbeAck(ack)));
             }
-            Message::ProbeAck(number) => tick::on_probe_ack(board, number, now),
+            Message::ProbeAck(ack) => tick::on_probe_ack(board, ack, now),
             message => {
                 if board.broken.contains(&sender) {
                     entry::on_link(board, sender);
@@ -318,6 +328,7 @@
             *self.received.entry(run.account).or_default() += run.cost as f64;
             let (pool, grant) = (run.dispatch.pool, run.dispatch.grant);
             let board = &mut self.boards[run.entry];
+            tick::notice_pause(board, now);
             entry::finish(board, pool, grant, run.cost as f64, false, now);
         }
     }
@@ -328,6 +339,7 @@
             self.beat(index);
         }
         let board = &mut self.boards[index];
+        tick::notice_pause(board, now);
         if self.now.is_multiple_of(TICK) {
             tick::tick(board, now);
         }
@@ -379,13 +391,8 @@
     fn beat(&mut self, index: usize) {
         let now = self.instant();
         let own = &self.boards[index];
-        let sign = Sign {
-            from: own.me(),
-            incarnation: own.incarnation,
-            leaving: own.members.own().leaving,
-            revision: own.config.revision,
-            interval: Duration::from_millis(HEARTBEAT),
-        };
+        let interval = Duration::from_millis(HEARTBEAT);
+        let sign = own.members.own_sign(own.config.revision, interval, now);
         for other in 0..self.boards.len() {
             if other != index && self.runs_now(other) && !self.cut.contains(&(index, other)) {
                 let board = &mut self.boards[other];
@@ -433,6 +440,13 @@
     }
 }
 
+fn by_datagram(message: &Message) -> bool {
+    matches!(
+        message,
+        Message::Reports(_) | Message::Probe(_) | Message::ProbeAck(_)
+    )
+}
+
 fn kind(message: &Message) -> &'static str {
     match message {
         Message::Demand(_) => "demand",
@@ -440,6 +454,7 @@
         Message::Holding(_) => "holding",
         Message::Sync { .. } => "sync",
         Message::Reports(_) => "reports",
+        Message::Handover(_) => "handover",
         _ => "other",
     }
 }
--- a/crates/hawthornmill/src/board.rs
+++ b/crates/hawthornmill/src/board.rs
@@ -12,10 +12,13 @@
 use smallvec::SmallVec;
 
 use crate::codes::Code;
-use crate::config::{FleetConfig, Manifest, accept::Values};
+use crate::config::{FleetConfig, Manifest, accept::Values, intake::Intake};
 use crate::fairness::Ledger;
 use crate::ident::{AccountId, Incarnation, InstanceId, PoolId, ServerId, ServiceId};
-use crate::membership::{Members, reports::Reports};
+use crate::limits::backlog::Backlogs;
+use crate::limits::pace::Pace;
+use crate::membership::{Members, reports::Reports, roster::Roster, start::Start};
+use crate::notes::Note;
 use crate::pools::entry::Link;
 use crate::pools::owner::Owned;
 use crate::wire::message::{Contact, GrantId, Message};
@@ -88,6 +91,8 @@
     pub bytes: usize,
     /// Servers that failed it already.
     pub avoid: SmallVec<[ServerId; 2]>,
+    /// Grants of servers to avoid that it let go by.
+    pub declined: u8,
 }
 
 /// A request that may go to a server now.
@@ -122,6 +127,12 @@
     pub manifest: Manifest,
     /// Texts of the configuration in force, for peers that ask.
     pub values: Arc<Values>,
+    /// Revisions that are not held.
+    pub intake: Intake,
+    /// What this instance was told at its start.
+    pub start: Start,
+    /// The platform's instance list.
+    pub roster: Roster,
     /// Instances.
     pub members: Members,
     /// Reports of all instances.
@@ -130,8 +141,10 @@
     pub ledger: Ledger,
     /// Requests that wait at this entry.
     pub waiting: SlotMap<RequestKey, Waiting>,
-    /// Bytes of all waiting bodies.
-    pub waiting_bytes: usize,
+    /// How much waits, by account.
+    pub backlogs: Backlogs,
+    /// How fast each queue is served.
+    pub paces: BTreeMap<(ServiceId, AccountId), Pace>,
     /// Order of waiting requests.
     pub queues: BTreeMap<(ServiceId, AccountId), VecDeque<RequestKey>>,
     /// Queues that changed since their demand was last told.
@@ -140,6 +153,8 @@
     pub links: BTreeMap<PoolId, Link>,
     /// Pools for which other entries or this one have sent demand here.
     pub owned: BTreeMap<PoolId, Owned>,
+    /// Servers whose answers said that they are leaving, and when.
+    pub said_leaving: BTreeMap<ServerId, Instant>,
     /// Connections to these instances broke and have not been renewed.
     pub broken: BTreeSet<InstanceId>,
     /// A pause made this instance's view old; nothing is dispatched until it is confirmed.
@@ -148,16 +163,22 @@
     pub woke: Option<Instant>,
     /// Numbers of the pause, to tell confirmations apart.
     pub pauses: u64,
+    /// Revision that a peer named after the pause; the view is old until it is in force.
+    pub awaited: Option<u64>,
     /// Messages that wait to be sent.
     pub outbox: Vec<(InstanceId, Message)>,
     /// Requests that may go to a server.
     pub dispatches: Vec<Dispatch>,
+    /// Events that operators should read in the log.
+    pub notes: Vec<Note>,
     /// Requests that are given up.
     pub refusals: Vec<(RequestKey, Code)>,
     /// Last tick.
     pub ticked: Instant,
-    /// When owners were last worked out with the passing of time.
-    pub placed: Instant,
+    /// When owners must be worked out anew although nothing changed.
+    pub replace: Option<Instant>,
+    /// Revision whose servers and slots the owned pools have.
+    pub sized: u64,
 }
 
 impl Board {
@@ -170,24 +191,32 @@
             config: Arc::new(FleetConfig::default()),
             manifest: Manifest::default(),
             values: Arc::new(Values::new()),
+            intake: Intake::default(),
+            start: Start::default(),
+            roster: Roster::default(),
             members: Members::new(me, contact, incarnation, now),
             reports: Reports::default(),
             ledger: Ledger::default(),
             waiting: SlotMap::with_key(),
-            waiting_bytes: 0,
+            backlogs: Backlogs::default(),
+            paces: BTreeMap::new(),
             queues: BTreeMap::new(),
             dirty: BTreeSet::new(),
             links: BTreeMap::new(),
             owned: BTreeMap::new(),
+            said_leaving: BTreeMap::new(),
             broken: BTreeSet::new(),
             stale: None,
             woke: None,
             pauses: 0,
+            awaited: None,
             outbox: Vec::new(),
             dispatches: Vec::new(),
+            notes: Vec::new(),
             refusals: Vec::new(),
             ticked: now,
-            placed: now,
+            replace: None,
+            sized: 0,
         }
     }
 
@@ -201,6 +230,10 @@
         if config.revision <= self.config.revision {
             return false;
         }
+        let known = |(service, account): &(ServiceId, AccountId)| {
+            config.services.contains_key(service) && config.accounts.contains_key(account)
+        };
+        self.paces.retain(|key, _| known(key));
         self.config = Arc::new(config);
         self.manifest = manifest;
         self.values = Arc::new(values);
--- a/crates/hawthornmill/src/pools/mod.rs
+++ b/crates/hawthornmill/src/pools/mod.rs
@@ -1,6 +1,6 @@
 //! Pools, owners and slots.
 //!
-//! Requests wait at the entry that received them ([`entry`]). The owner of a pool ([`owner`])
+//! Requests wait at the entry that received them ([`queue`], [`entry`]). The owner of a pool ([`owner`])
 //! learns only how many wait for each account, and grants slots one by one to the account that has
 //! received the least normalised service; the entry then sends its oldest request of that account
 //! straight to the server. [`ownership`] follows the members and the configuration; [`turn()`] runs
@@ -9,18 +9,48 @@
 pub mod entry;
 pub mod owner;
 pub mod ownership;
+pub mod queue;
 pub mod schedule;
 pub mod tick;
 
+use std::collections::BTreeSet;
 use std::time::Instant;
 
 use crate::board::Board;
 use crate::ident::{Incarnation, InstanceId};
+use crate::membership::place;
 use crate::wire::message::Message;
 
 /// Rounds of messages to itself that one turn may take.
 const SELF_ROUNDS: usize = 64;
 
+/// Instances that need this one's heartbeats: its failure domain, and those it works with.
+///
+/// A region's relay also tries the failure domains in which nobody is heard, one instance after
+/// another with each `round`: one that starts while the platform is down knows nobody, and a
+/// heartbeat brings it a first contact. One that leaves tells everybody: callers in any region may be
+/// given its address until the instance that they ask has heard of it.
+pub fn beat_targets(board: &Board, round: u32) -> BTreeSet<InstanceId> {
+    let home = board.members.own().domain;
+    let mates = board.members.map.iter().filter(|(_, m)| m.domain == home);
+    let owners = board
+        .links
+        .values()
+        .filter(|link| !link.told.is_empty() || !link.held.is_empty())
+        .filter_map(|link| link.owner);
+    let owned = board.owned.values().filter(|owned| owned.active);
+    let entries = owned.flat_map(|owned| owned.entries.keys());
+    let mut targets: BTreeSet<InstanceId> = mates.map(|(id, _)| *id).collect();
+    targets.extend(owners.map(|(id, _)| id));
+    targets.extend(entries);
+    targets.extend(place::silent_guesses(&board.members, round));
+    if board.members.own().leaving {
+        targets.extend(board.members.live().map(|(id, _)| id));
+    }
+    targets.remove(&board.me());
+    targets
+}
+
 /// Runs everything that recent events have made due, messages to itself included.
 pub fn turn(board: &mut Board, now: Instant) {
     for _ in 0..SELF_ROUNDS {
@@ -59,6 +89,7 @@
         Message::Demand(demand) => owner::on_demand(board, from, incarnation, &demand, now),
         Message::Grants(grants) => entry::on_grants(board, from, incarnation, &grants, now),
         Message::Holding(holding) => owner::on_holding(board, from, incarnation, &holding, now),
+        Message::Handover(handover) => ownership::on_handover(board, &handover, now),
         Message::Sync { pool, last } => entry::on_sync(board, from, incarnation, pool, last),
         _ => {}
     }
--- a/crates/hawthornmill/src/pools/owner.rs
+++ b/crates/hawthornmill/src/pools/owner.rs
@@ -1,7 +1,7 @@
 //! The owner's side of a pool: what each entry wants and holds.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::board::Board;
 use crate::fairness::CostKey;
@@ -11,6 +11,9 @@
 /// Part of a new load reading in the owner's trust: readings over this are foreign work.
 const FOREIGN_READINGS: u8 = 2;
 
+/// Time after a penalty in which a server gets one request at a time, until one succeeds.
+const PROBING: Duration = Duration::from_secs(2);
+
 /// Slots of one server.
 #[derive(Debug, Clone, Default)]
 pub struct ServerSlots {
@@ -22,10 +25,14 @@
     pub used: u16,
     /// Class in the configuration.
     pub class: u16,
-    /// It gets no new work.
+    /// The configuration says that it gets no new work.
     pub leaving: bool,
-    /// It could not be reached; no grants until then.
+    /// Its own load report says so.
+    pub says_leaving: bool,
+    /// It failed; no grants until then, and one at a time for `PROBING` after.
     pub avoid: Option<Instant>,
+    /// Number of the last grant of a slot here.
+    pub last: u32,
     /// Most slots granted at once since the last load reading, and before it.
     pub peak: [u16; 2],
     /// Load readings in a row that showed work of others.
@@ -33,22 +40,28 @@
 }
 
 impl ServerSlots {
-    /// Takes slots, class and state from the configuration.
-    pub fn resize(&mut self, total: u16, class: u16, leaving: bool) {
+    /// Takes slots, class and state from the configuration; true when that changed anything.
+    pub fn resize(&mut self, total: u16, class: u16, leaving: bool) -> bool {
+        let old = (self.total, self.class, self.leaving);
         if self.total != total {
             self.total = total;
             self.limit = total;
         }
         self.class = class;
         self.leaving = leaving;
+        old != (total, class, leaving)
     }
 
     /// Slots that may be granted now.
     pub fn free(&self, now: Instant) -> u16 {
-        if self.leaving || self.avoid.is_some_and(|until| now < until) {
-            return 0;
+        let free = self.limit.saturating_sub(self.used);
+        match self.avoid {
+            _ if self.leaving || self.says_leaving => 0,
+            Some(until) if now < until => 0,
+            // A server that still fails would otherwise cost as many calls as it has slots.
+            Some(until) if now < until + PROBING => free.min(u16::from(self.used == 0)),
+            _ => free,
         }
-        self.limit.saturating_sub(self.used)
     }
 
     /// Takes a slot.
@@ -129,6 +142,8 @@
     pub active: bool,
     /// From when on it grants.
     pub ready: Option<Instant>,
+    /// When the old owner handed the pool over, before this instance took itself for the owner.
+    pub handed: Option<Instant>,
     /// Servers.
     pub servers: BTreeMap<ServerId, ServerSlots>,
     /// Slots held, by entry and grant.
@@ -155,6 +170,28 @@
         self.dirty = true;
     }
 
+    /// Notes the process run of an entry that speaks; false when that run is over.
+    pub fn meet(&mut self, entry: InstanceId, incarnation: Incarnation) -> bool {
+        match self.entries.get(&entry) {
+            Some(known) if *known > incarnation => return false,
+            Some(known) if *known < incarnation => self.forget(entry),
+            _ => {}
+        }
+        self.entries.insert(entry, incarnation);
+        true
+    }
+
+    /// Stops to own the pool and drops what was known of it.
+    ///
+    /// The numbers of grants go on: entries remember the last one of this run, and would take a
+    /// number that is used again for a grant that has long arrived.
+    pub fn deactivate(&mut self) {
+        *self = Self {
+            seq: self.seq,
+            ..Self::default()
+        };
+    }
+
     /// Drops everything that `entry` wants and holds.
     pub fn forget(&mut self, entry: InstanceId) {
         if self.entries.remove(&entry).is_none() {
@@ -203,15 +240,17 @@
         self.dirty = true;
     }
 
-    fn add_held(&mut self, entry: InstanceId, held: &Held) {
+    /// Books a slot that an entry holds.
+    pub fn add_held(&mut self, entry: InstanceId, held: &Held, charged: f64) {
+        if self.held.contains_key(&(entry, held.grant)) {
+            return;
+        }
         let slot = HeldSlot {
             account: held.account,
             server: held.server,
-            charged: 0.0,
+            charged,
         };
-        if self.held.insert((entry, held.grant), slot).is_some() {
-            return;
-        }
+        self.held.insert((entry, held.grant), slot);
         self.servers.entry(held.server).or_default().take();
         self.accounts.entry(held.account).or_default().held += 1;
     }
@@ -230,16 +269,6 @@
     incarnation.0 as u32
 }
 
-fn meet(owned: &mut Owned, entry: InstanceId, incarnation: Incarnation) -> bool {
-    match owned.entries.get(&entry) {
-        Some(known) if *known > incarnation => return false,
-        Some(known) if *known < incarnation => owned.forget(entry),
-        _ => {}
-    }
-    owned.entries.insert(entry, incarnation);
-    true
-}
-
 /// Takes what changed at an entry.
 pub fn on_demand(
     board: &mut Board,
@@ -252,7 +281,7 @@
         return;
     };
     let owned = board.owned.entry(demand.pool).or_default();
-    if !meet(owned, from, incarnation) {
+    if !owned.meet(from, incarnation) {
         return;
     }
     for want in &demand.wants {
@@ -292,10 +321,12 @@
     let Some(slot) = owned.free(from, done.grant) else {
         return;
     };
-    if done.failed
-        && let Some(server) = owned.servers.get_mut(&slot.server)
-    {
-        server.avoid = Some(penalty);
+    if let Some(server) = owned.servers.get_mut(&slot.server) {
+        if done.failed {
+            server.avoid = Some(penalty);
+        } else if done.cost > 0.0 {
+            server.avoid = server.avoid.filter(|until| now < *until);
+        }
     }
     let key = CostKey {
         service,
@@ -327,7 +358,7 @@
     };
     let made = maker(board.incarnation);
     let owned = board.owned.entry(holding.pool).or_default();
-    if !meet(owned, from, incarnation) {
+    if !owned.meet(from, incarnation) {
         return;
     }
     let gone: Vec<GrantId> = owned
@@ -340,7 +371,7 @@
         refunds.extend(owned.free(from, grant));
     }
     for held in &holding.held {
-        owned.add_held(from, held);
+        owned.add_held(from, held, 0.0);
     }
     // Every grant up to `ack` has arrived or is lost, so what is granted counts from there.
     let flying: Vec<AccountId> = owned
@@ -387,6 +418,17 @@
     }
 }
 
+/// Takes a server's own word, in its load report, on whether it is leaving.
+pub fn on_leaving(board: &mut Board, pool: PoolId, server: ServerId, leaving: bool) {
+    if let Some(owned) = board.owned.get_mut(&pool)
+        && let Some(slots) = owned.servers.get_mut(&server)
+        && slots.says_leaving != leaving
+    {
+        slots.says_leaving = leaving;
+        owned.dirty = true;
+    }
+}
+
 /// Takes a server's load reading.
 pub fn on_load(board: &mut Board, pool: PoolId, server: ServerId, running: u16) {
     if let Some(owned) = board.owned.get_mut(&pool)
