--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod one_fleet;
 mod overload;
 mod path;
+mod random_input;
 mod retries;
 mod settings;
 mod spans;
