Cut the link to a server, and restart routers at full load

The booking was made and its answer lost behind a cut link: the caller hears unknown, twice, and no server is asked again.

--- a/tests/testsuite/histories.rs
+++ b/tests/testsuite/histories.rs
@@ -139,6 +139,11 @@
 
     // A run that a lost caller began may still be under way.
     tokio::time::sleep(Duration::from_millis(300)).await;
+    let outcomes = ["whole", "not_run", "ran", "unknown", "none"].map(|o| (o, count(&copies, o)));
+    println!(
+        "seed {seed}, {routers} routers: {} copies, {outcomes:?}",
+        copies.len()
+    );
     let broken = check(&copies, &books(&site));
     assert_eq!(broken, [], "seed {seed}, {events:?}");
     site.stop().await;
--- a/tests/testsuite/leave.rs
+++ b/tests/testsuite/leave.rs
@@ -12,7 +12,7 @@
 
 use crate::{ROUTER, block_on};
 
-const CALLERS: &str = "[caller big]\nservice = drafting\nrate = 60\ntokens = 30\n\
+const CALLERS: &str = "[caller big]\nservice = drafting\nworkers = 24\ntokens = 30\n\
                        [caller small-1]\nservice = drafting\nrate = 20\ntokens = 30\n\
                        [caller small-2]\nservice = booking\nrate = 15\npath = /run\nkeyed = yes\n";
 
@@ -48,9 +48,9 @@
     (codes, listed)
 }
 
-/// All eight routers are restarted in turn under load. Callers use the addresses they have for as
-/// long as they may, streams are in the middle, bookings are under way: every one of them must get
-/// its whole answer, and no booking may be made twice.
+/// All eight routers are restarted in turn while more calls wait than the servers can run. Callers
+/// use the addresses they have for as long as they may, streams are in the middle, bookings are
+/// under way: each must get its whole answer, and no booking may be made twice.
 #[test]
 fn a_rolling_restart_cuts_and_loses_nothing() {
     block_on(async {
@@ -69,6 +69,11 @@
         let (codes, listed) = roll(&mut site).await;
         let stories = calls.await.expect("the load ends");
 
+        println!(
+            "{} calls, {} bookings",
+            stories.len(),
+            stories.iter().filter(|s| s.key.is_some()).count()
+        );
         let unfinished: Vec<_> = stories.iter().filter(|s| !s.whole()).collect();
         assert!(
             unfinished.is_empty(),
--- a/tests/testsuite/once.rs
+++ b/tests/testsuite/once.rs
@@ -1,9 +1,11 @@
 //! Calls that must not repeat, through real routers whose homes fail.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use hawthornmill_lab::demo::site::{Site, SitePlan};
 use hawthornmill_lab::history::storm::books;
+use hawthornmill_lab::standin::relay::{LinkState, Relay};
 use hawthornmill_test_support::procs::{Answer, DOMAINS, send, small_fleet, start};
 use nix::sys::signal::Signal;
 
@@ -121,3 +123,52 @@
         site.stop().await;
     });
 }
+
+/// Puts a link that can be cut in front of every booking server, and waits until it is in use.
+async fn links(site: &Site) -> Vec<Arc<Relay>> {
+    let (mut text, mut links) = (site.text.to_string(), Vec::new());
+    for server in site.config.servers.values() {
+        if server.name.starts_with("book") {
+            let target = server.address.parse().expect("the site's address");
+            let link = Relay::start(target).await.expect("a free port");
+            text = text.replace(&*server.address, &link.address.to_string());
+            links.push(link);
+        }
+    }
+    site.platform
+        .publish([("fleet".into(), text.into())].into());
+    while site.statuses().await.iter().any(|s| s["revision"] != 2) {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    links
+}
+
+/// The link to the booking server is cut after the call has reached it. The booking is made, its
+/// answer never comes: the caller must hear `unknown`, also when it asks again, and no server may
+/// be asked a second time.
+#[test]
+fn a_link_that_is_cut_after_the_call_left_makes_it_unknown() {
+    block_on(async {
+        let site = site(2, Duration::from_millis(500)).await;
+        let links = links(&site).await;
+        let key = format!("{}.1", prefix(&site, 0).await);
+        let cut = async {
+            tokio::time::sleep(Duration::from_millis(250)).await;
+            for link in &links {
+                link.set(LinkState {
+                    cut: true,
+                    ..LinkState::default()
+                });
+            }
+        };
+
+        let (first, ()) = tokio::join!(book(&site, 1, &key, "1200"), cut);
+        links.iter().for_each(|l| l.set(LinkState::default()));
+        let again = book(&site, 1, &key, "1200").await.json();
+
+        assert_eq!(first.json()["outcome"], "unknown");
+        assert_eq!(again["outcome"], "unknown");
+        assert_eq!(runs(&site), 1);
+        site.stop().await;
+    });
+}
