--- a/crates/hawthornmill-lab/src/slopes/fixture.rs
+++ b/crates/hawthornmill-lab/src/slopes/fixture.rs
@@ -154,7 +154,8 @@
             leaving: false,
             revision: 1,
             interval: Duration::from_mins(1),
-            steady: 255,
+            steady: u8::MAX,
+            direct: true,
         };
         board.members.hear(sign, now);
     }
--- a/crates/hawthornmill-net/src/entry/stream.rs
+++ b/crates/hawthornmill-net/src/entry/stream.rs
@@ -139,6 +139,9 @@
         let skip = self.splice.take(&chunk);
         chunk.advance(skip.ok_or("the resumed answer is another one")?);
         self.tail.push(&chunk);
+        if let Some(slot) = &mut self.slot {
+            slot.add_bytes(chunk.len());
+        }
         if let Some(lines) = &mut self.lines {
             lines.push(&chunk);
         }
--- a/crates/hawthornmill-net/src/peers/inbox.rs
+++ b/crates/hawthornmill-net/src/peers/inbox.rs
@@ -10,7 +10,7 @@
 use hawthornmill::membership::{Sign, place};
 use hawthornmill::pools::tick;
 use hawthornmill::wire::message::{
-    ConfigPull, ConfigValues, Heartbeat, Message, ProbeAck, RosterDelta, RosterPull, Standing,
+    ConfigPull, ConfigValues, Heartbeat, Message, ProbeAck, RosterDelta, RosterPull,
 };
 use hawthornmill::wire::{Frame, FrameError};
 
@@ -45,15 +45,6 @@
             pull(fleet, from, ack.revision);
         }
         Message::Reports(reports) => take_reports(fleet, from, reports),
-        Message::StandingPull => {
-            let totals = fleet.view(|board| board.ledger.standing());
-            fleet
-                .outgoing
-                .send(from, Message::Standing(Standing { totals }));
-        }
-        Message::Standing(standing) => {
-            fleet.feed(|board, _| board.ledger.adopt(&standing.totals));
-        }
         Message::ConfigPull(pull) => answer_pull(fleet, from, &pull),
         Message::ConfigValues(values) => take_values(fleet, values),
         Message::RosterPull(pull) => {
@@ -74,6 +65,7 @@
         revision: heartbeat.revision,
         interval: Duration::from_millis(heartbeat.interval.into()),
         steady: heartbeat.steady,
+        direct: true,
     };
     let (follows, list) = fleet.feed(|board, now| {
         if let Some(contact) = heartbeat.contact {
