--- a/crates/hawthornmill-net/src/entry/keyed.rs
+++ b/crates/hawthornmill-net/src/entry/keyed.rs
@@ -77,7 +77,6 @@
         Code::BadKey,
         Code::KeyExpired,
         Code::KeyRefused,
-        Code::KeyRefused,
         Code::KeysFull,
         Code::HomeUnreachable,
     ];
--- a/tests/testsuite/once.rs
+++ b/tests/testsuite/once.rs
@@ -163,7 +163,9 @@
         };
 
         let (first, ()) = tokio::join!(book(&site, 1, &key, "1200"), cut);
-        links.iter().for_each(|l| l.set(LinkState::default()));
+        for link in &links {
+            link.set(LinkState::default());
+        }
         let again = book(&site, 1, &key, "1200").await.json();
 
         assert_eq!(first.json()["outcome"], "unknown");
