--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -23,12 +23,14 @@
 mod one_fleet;
 mod overload;
 mod path;
+mod random_input;
 mod retries;
 mod settings;
 mod shares;
 mod signs;
 mod spans;
 mod standins;
+mod whole;
 
 /// The router program under test.
 const ROUTER: &str = env!("CARGO_BIN_EXE_hawthornmill-router");
