Take a longer heartbeat interval for its giver's word

Cause: a rule for relayed reports (one with more patience does not count while a direct heartbeat does) also hit direct heartbeats whose interval had grown. It came in with the intervals that grow; the fixed-order tests did not show it, since their interval never changes.

Heartbeats also linger for 30 s after work ended, and the last one names the longest interval.

--- a/crates/hawthornmill-lab/src/standin/engine.rs
+++ b/crates/hawthornmill-lab/src/standin/engine.rs
@@ -89,6 +89,7 @@
             .at("/generate", post(generate))
             .at("/load", get(load))
             .at("/admin/book", get(book))
+            .at("/admin/leaving", post(set_leaving))
             .data(Arc::clone(self))
     }
 
@@ -116,6 +117,12 @@
         .body(format!("{{\"running\":{running},\"leaving\":{leaving}}}"))
 }
 
+#[handler]
+fn set_leaving(Json(leaving): Json<bool>, Data(engine): Data<&Arc<Engine>>) -> Json<bool> {
+    engine.ledger.set_leaving(leaving);
+    Json(leaving)
+}
+
 #[handler]
 fn book(Data(engine): Data<&Arc<Engine>>) -> Json<serde_json::Value> {
     Json(serde_json::to_value(&*engine.ledger.lock()).unwrap_or_default())
--- a/crates/hawthornmill-lab/src/standin/plain.rs
+++ b/crates/hawthornmill-lab/src/standin/plain.rs
@@ -49,6 +49,7 @@
             .at("/run", post(run))
             .at("/load", get(load))
             .at("/admin/book", get(book))
+            .at("/admin/leaving", post(set_leaving))
             .data(Arc::clone(self))
     }
 }
@@ -61,6 +62,12 @@
         .body(format!("{{\"running\":{running},\"leaving\":{leaving}}}"))
 }
 
+#[handler]
+fn set_leaving(Json(leaving): Json<bool>, Data(plain): Data<&Arc<Plain>>) -> Json<bool> {
+    plain.ledger.set_leaving(leaving);
+    Json(leaving)
+}
+
 #[handler]
 fn book(Data(plain): Data<&Arc<Plain>>) -> Json<serde_json::Value> {
     Json(serde_json::to_value(&*plain.ledger.lock()).unwrap_or_default())
--- a/crates/hawthornmill-net/src/peers/udp.rs
+++ b/crates/hawthornmill-net/src/peers/udp.rs
@@ -1,12 +1,13 @@
 //! Heartbeats, probes and reports.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use hawthornmill::board::Board;
 use hawthornmill::ident::InstanceId;
-use hawthornmill::membership::beat_interval;
+use hawthornmill::membership::{MOST_BEAT, beat_interval};
 use hawthornmill::pools::beat_targets;
 use hawthornmill::wire::frame::DATAGRAM_LIMIT;
 use hawthornmill::wire::{Heartbeat, Message, Opener, Sealer};
@@ -18,6 +19,8 @@
 
 /// Heartbeats between two that carry the sender's contact to everybody.
 const CONTACT_EVERY: u64 = 50;
+/// Time for which an instance gets heartbeats after it last needed them.
+const LINGER: Duration = Duration::from_secs(30);
 const QUEUE: usize = 1024;
 
 /// Starts the tasks that send and receive datagrams.
@@ -79,44 +82,69 @@
     }
 }
 
+/// Instances that get heartbeats, and when each was last needed.
+#[derive(Debug, Default)]
+struct Targets(BTreeMap<InstanceId, Instant>);
+
+impl Targets {
+    /// Takes those needed now in, and those out that were not for [`LINGER`].
+    ///
+    /// Whoever gets heartbeats expects the next one. An instance that works with another only now
+    /// and then would be taken for dead each time its heartbeats end, and its pools would move.
+    fn update(&mut self, needed: BTreeSet<InstanceId>, now: Instant) -> Vec<InstanceId> {
+        self.0.extend(needed.into_iter().map(|id| (id, now)));
+        let over = |at: &Instant| now.duration_since(*at) > LINGER;
+        let out = self.0.iter().filter(|(_, at)| over(at));
+        let out: Vec<InstanceId> = out.map(|(id, _)| *id).collect();
+        self.0.retain(|_, at| !over(at));
+        out
+    }
+}
+
 /// Sends heartbeats, the more seldom the more instances need them, and at once when something about
 /// this instance changed.
 async fn beat(fleet: Arc<Fleet>) {
     let mut count = 0_u64;
     let mut due = tokio::time::Instant::now();
+    let mut targets = Targets::default();
     loop {
         tokio::select! {
             () = tokio::time::sleep_until(due) => {}
             () = fleet.hurry.notified() => {}
         }
         let now = fleet.clock.now();
-        let platform = fleet.platform.is_answered(now);
-        let (interval, beats) = fleet.view(|board| {
-            let targets = beat_targets(board, count as u32);
-            let interval = beat_interval(fleet.settings.heartbeat, targets.len());
-            let beat = heartbeat(board, interval, platform, now);
-            let silent = |id: &InstanceId| !board.members.is_live(*id);
-            let beats: Vec<_> = targets
-                .into_iter()
-                .map(|id| {
-                    (
-                        id,
-                        beat.clone(),
-                        count.is_multiple_of(CONTACT_EVERY) || silent(&id),
-                    )
-                })
-                .collect();
-            (interval, beats)
-        });
+        let needed = fleet.view(|board| beat_targets(board, count as u32));
+        let out = targets.update(needed, now);
+        let interval = beat_interval(fleet.settings.heartbeat, targets.0.len());
+        for to in out {
+            // The last one says that the next is far off, so that reports are enough from here on.
+            send_beat(&fleet, to, MOST_BEAT, true, now);
+        }
+        for to in targets.0.keys() {
+            send_beat(
+                &fleet,
+                *to,
+                interval,
+                count.is_multiple_of(CONTACT_EVERY),
+                now,
+            );
+        }
         count += 1;
         due = tokio::time::Instant::now() + interval;
-        for (to, mut beat, tell) in beats {
-            beat.contact = tell.then(|| Box::new(fleet.settings.contact.clone()));
-            fleet.outgoing.send(to, Message::Heartbeat(beat));
-        }
     }
 }
 
+fn send_beat(fleet: &Fleet, to: InstanceId, interval: Duration, contact: bool, now: Instant) {
+    let platform = fleet.platform.is_answered(now);
+    let (mut beat, live) = fleet.view(|board| {
+        let beat = heartbeat(board, interval, platform, now);
+        (beat, board.members.is_live(to))
+    });
+    let tell = contact || !live;
+    beat.contact = tell.then(|| Box::new(fleet.settings.contact.clone()));
+    fleet.outgoing.send(to, Message::Heartbeat(beat));
+}
+
 fn heartbeat(board: &Board, interval: Duration, platform: bool, now: Instant) -> Heartbeat {
     let sign = board.members.own_sign(board.config.revision, interval, now);
     Heartbeat {
--- a/crates/hawthornmill/src/membership/mod.rs
+++ b/crates/hawthornmill/src/membership/mod.rs
@@ -32,7 +32,7 @@
 /// Time for one heartbeat to one instance, so that all of them stay within about 1.2 KB/s.
 const BEAT_EACH: Duration = Duration::from_millis(50);
 /// Longest time between heartbeats.
-const MOST_BEAT: Duration = Duration::from_secs(5);
+pub const MOST_BEAT: Duration = Duration::from_secs(5);
 
 /// Time between heartbeats to `targets` instances: `base`, or longer when they are many.
 ///
@@ -251,8 +251,6 @@
         }
         // All views take how long an instance has been steady from itself, so they agree on who is
         // preferred as an owner. One that comes and goes without noticing starts anew in each view.
-        // All views take how long an instance has been steady from itself, so they agree on who is
-        // preferred as an owner. One that comes and goes without noticing starts anew in each view.
         if restarted || again {
             member.returned = (again && !cut).then_some(now);
         }
@@ -271,8 +269,9 @@
         member.incarnation = sign.incarnation;
         member.revision = member.revision.max(sign.revision);
         let patience = (sign.interval * MISSED_BEATS).max(LEAST_PATIENCE);
-        let slower = member.live && patience > member.patience;
-        // A relayed report must not cover the silence of the more frequent direct heartbeats.
+        let slower = !sign.direct && member.live && patience > member.patience;
+        // A relayed report must not cover the silence of the more frequent direct heartbeats. A
+        // direct one that names a longer interval must count, or its giver seems to fall silent.
         if slower && !restarted && member.within_patience(now) {
             return true;
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -27,6 +27,7 @@
 mod shares;
 mod spans;
 mod standins;
+mod steady_owners;
 
 /// The router program under test.
 const ROUTER: &str = env!("CARGO_BIN_EXE_hawthornmill-router");
--- a/tests/testsuite/membership.rs
+++ b/tests/testsuite/membership.rs
@@ -1,12 +1,15 @@
 //! Owners of pools through starts, stops, pauses and cuts, driven in a fixed order.
 
+use std::time::{Duration, Instant};
+
 use hawthornmill::board::Tuning;
-use hawthornmill::ident::{DomainId, PoolId, ServiceId};
+use hawthornmill::ident::{DomainId, Incarnation, InstanceId, PoolId, ServiceId};
+use hawthornmill::membership::{Members, Sign};
 use hawthornmill::pools::tick;
 use hawthornmill::wire::message::ProbeAck;
 use hawthornmill_test_support::fleet::FleetText;
 use hawthornmill_test_support::procs::small_fleet;
-use hawthornmill_test_support::steps::Steps;
+use hawthornmill_test_support::steps::{Steps, contact};
 
 /// Four instances in one failure domain, one in each of two others.
 const PLACES: &[(&str, &str)] = &[
@@ -283,3 +286,35 @@
     let text = text.replacen("slots = 4", "slots = 4\nleaving = yes", 1);
     FleetText::new().line(&text)
 }
+
+/// An instance that works with more and more others sends its heartbeats more seldom, and says so.
+/// If the longer interval were not taken for its word, each view would count it as dead until the
+/// next heartbeat, and all pools would move back and forth.
+#[test]
+fn longer_intervals_between_heartbeats_are_no_silence() {
+    let start = Instant::now();
+    let own = contact("i0", "a", "north");
+    let mut members = Members::new(InstanceId::of("i0"), own, Incarnation(1), start);
+    members.learn(contact("i1", "a", "north"), start);
+    let mut at = Duration::ZERO;
+    let mut died = 0;
+
+    for interval in [100, 350, 350, 350, 800, 800, 800].map(Duration::from_millis) {
+        let sign = Sign {
+            from: InstanceId::of("i1"),
+            incarnation: Incarnation(1),
+            leaving: false,
+            revision: 1,
+            interval,
+            steady: 0,
+            direct: true,
+        };
+        members.hear(sign, start + at);
+        at += interval;
+        members.sweep(start + at);
+        died += members.died.len();
+        members.died.clear();
+    }
+
+    assert_eq!(died, 0);
+}
