--- a/crates/hawthornmill-net/src/peers/udp.rs
+++ b/crates/hawthornmill-net/src/peers/udp.rs
@@ -7,7 +7,7 @@
 
 use hawthornmill::board::Board;
 use hawthornmill::ident::InstanceId;
-use hawthornmill::membership::beat_interval;
+use hawthornmill::membership::{MOST_BEAT, beat_interval};
 use hawthornmill::pools::beat_targets;
 use hawthornmill::wire::frame::DATAGRAM_LIMIT;
 use hawthornmill::wire::{Heartbeat, Message, Opener, Sealer};
@@ -21,6 +21,8 @@
 const CONTACT_EVERY: u64 = 50;
 /// Heartbeats that say that no more will come; one may be lost.
 const LAST_BEATS: u8 = 3;
+/// Time for which an instance gets heartbeats after it last needed them.
+const LINGER: Duration = Duration::from_secs(30);
 const QUEUE: usize = 1024;
 
 /// Starts the tasks that send and receive datagrams.
@@ -82,11 +84,21 @@
     }
 }
 
-/// Instances that are sent heartbeats, and how many last ones each is due.
+/// An instance that is sent heartbeats.
+#[derive(Debug, Clone, Copy)]
+struct Partner {
+    /// When it last needed them.
+    needed: Instant,
+    /// Last heartbeats that it is due after that.
+    last: u8,
+}
+
+/// Instances that are sent heartbeats.
 ///
-/// One that needs no more heartbeats must hear so: otherwise it takes the silence for a death, works
-/// out owners anew, and takes it back with the next relayed report.
-type Partners = BTreeMap<InstanceId, u8>;
+/// Whoever gets heartbeats expects the next one. An instance that works with another only now and
+/// then keeps getting them for [`LINGER`], and one that needs no more hears so. Otherwise it takes the
+/// silence for a death, works out owners anew, and takes it back with the next relayed report.
+type Partners = BTreeMap<InstanceId, Partner>;
 
 /// Sends heartbeats, the more seldom the more instances need them, and at once when something about
 /// this instance changed.
@@ -108,35 +120,33 @@
 fn beat_all(fleet: &Fleet, partners: &mut Partners, count: u64) -> Duration {
     let now = fleet.clock.now();
     let platform = fleet.platform.is_answered(now);
-    let (interval, beat, targets, silent) = fleet.view(|board| {
-        let targets = beat_targets(board, count as u32);
-        let interval = beat_interval(fleet.settings.heartbeat, targets.len());
-        let beat = heartbeat(board, interval, platform, now);
+    let needed = fleet.view(|board| beat_targets(board, count as u32));
+    for id in needed {
+        let fresh = Partner {
+            needed: now,
+            last: LAST_BEATS,
+        };
+        partners.insert(id, fresh);
+    }
+    let interval = beat_interval(fleet.settings.heartbeat, partners.len());
+    let (beat, silent) = fleet.view(|board| {
         let silent = |id: &&InstanceId| !board.members.is_live(**id);
-        let silent: BTreeSet<InstanceId> = targets.iter().filter(silent).copied().collect();
-        (interval, beat, targets, silent)
+        let silent: BTreeSet<InstanceId> = partners.keys().filter(silent).copied().collect();
+        (heartbeat(board, interval, platform, now), silent)
     });
-    for to in &targets {
-        partners.insert(*to, LAST_BEATS);
+    partners.retain(|to, partner| {
         let tell = count.is_multiple_of(CONTACT_EVERY) || silent.contains(to);
         let contact = tell.then(|| Box::new(fleet.settings.contact.clone()));
-        let beat = Heartbeat {
+        let mut beat = Heartbeat {
             contact,
             ..beat.clone()
         };
-        fleet.outgoing.send(*to, Message::Heartbeat(beat));
-    }
-    partners.retain(|to, left| {
-        if targets.contains(to) {
-            return true;
+        if now.duration_since(partner.needed) > LINGER {
+            beat.interval = 0;
+            partner.last -= 1;
         }
-        let last = Heartbeat {
-            interval: 0,
-            ..beat.clone()
-        };
-        fleet.outgoing.send(*to, Message::Heartbeat(last));
-        *left -= 1;
-        *left > 0
+        fleet.outgoing.send(*to, Message::Heartbeat(beat));
+        partner.last > 0
     });
     interval
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -29,6 +29,7 @@
 mod signs;
 mod spans;
 mod standins;
+mod steady_owners;
 mod whole;
 
 /// The router program under test.
