--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -31,6 +31,7 @@
 mod standins;
 mod steady_owners;
 mod whole;
+mod starvation;
 
 /// The router program under test.
 const ROUTER: &str = env!("CARGO_BIN_EXE_hawthornmill-router");
