--- a/crates/hawthornmill-net/src/entry/call.rs
+++ b/crates/hawthornmill-net/src/entry/call.rs
@@ -15,7 +15,8 @@
 use super::admit::{Admitted, admit};
 use super::home::fresh_prefix;
 use super::problem::Problem;
-use super::{addresses, body, keyed, record, relay, retries};
+use super::stream::{self, Delivery};
+use super::{addresses, body, keyed, record, retries};
 use crate::fleet::{Fleet, SlotGuard, Ticket};
 use crate::upstream::{Outbound, SendError, passed_on};
 
@@ -32,6 +33,11 @@
         fleet.flying.fetch_add(1, Ordering::SeqCst);
         Self(Arc::clone(fleet))
     }
+
+    /// The process in which the call is in flight.
+    pub fn fleet(&self) -> &Arc<Fleet> {
+        &self.0
+    }
 }
 
 impl Drop for Flying {
@@ -83,7 +89,10 @@
         return keyed::run(fleet, request, call, flying).await;
     }
     match retries::run(fleet, &call).await {
-        Ok((slot, answer)) => relay::stream(fleet, call, slot, answer, flying),
+        Ok((slot, answer)) => {
+            let cutter = fleet.connections.cutter(request);
+            stream::answer(call, slot, answer, Delivery { flying, cutter })
+        }
         Err(problem) => refuse(fleet, &problem),
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod errors;
 mod explain;
 mod frames;
+mod heartbeats;
 mod histories;
 mod keys;
 mod labels;
@@ -22,11 +23,14 @@
 mod one_fleet;
 mod overload;
 mod path;
+mod random_input;
 mod retries;
 mod settings;
 mod shares;
+mod signs;
 mod spans;
 mod standins;
+mod whole;
 
 /// The router program under test.
 const ROUTER: &str = env!("CARGO_BIN_EXE_hawthornmill-router");
