Say unknown of a call whose first try may have run

Cause: a call that may repeat was tried, its answer could not be used, and the second try got no slot before the deadline. The caller was told the last try's word, not_run (3007), while the engine's book showed a run. Now the call says unknown (3019 for the deadline) once the bytes of some try may have left. whole::a_refused_retry… failed without the change; two earlier forms of the test (other servers unreachable, other servers leaving) did not provoke it and were replaced.

--- a/crates/hawthornmill-net/src/entry/retries.rs
+++ b/crates/hawthornmill-net/src/entry/retries.rs
@@ -25,6 +25,30 @@
 pub async fn run(
     fleet: &Arc<Fleet>,
     call: &Call,
+) -> Result<(SlotGuard, reqwest::Response), Problem> {
+    let mut sent = false;
+    let result = tries(fleet, call, &mut sent).await;
+    result.map_err(|problem| honest(problem, sent))
+}
+
+/// The last try may say `not_run` of itself: no slot, no connection. If the bytes of an earlier try
+/// left, a server may have run that one, and the call as a whole is not known to have been left.
+fn honest(mut problem: Problem, sent: bool) -> Problem {
+    if sent && problem.outcome == Outcome::NotRun {
+        problem.outcome = Outcome::Unknown;
+        problem.attempt = Outcome::Unknown;
+        if problem.code == Code::DeadlinePassed {
+            problem.code = Code::DeadlineWhileRunning;
+        }
+    }
+    problem
+}
+
+/// Sets `sent` once a byte of some try may have reached a server.
+async fn tries(
+    fleet: &Arc<Fleet>,
+    call: &Call,
+    sent: &mut bool,
 ) -> Result<(SlotGuard, reqwest::Response), Problem> {
     let mut held = Tried::new(fleet, call, slot(fleet, call).await?);
     let mut avoid: SmallVec<[ServerId; 2]> = SmallVec::new();
@@ -41,6 +65,7 @@
         let Some(pause) = decide(fleet, call, held.slot(), failure, number) else {
             return give(fleet, call, held.into_slot(), tried);
         };
+        *sent |= !matches!(&tried, Err(problem) if problem.outcome == Outcome::NotRun);
         settle(fleet, call, held.into_slot(), &tried);
         drop(tried);
         if !avoid.contains(&server) {
--- a/tests/testsuite/whole.rs
+++ b/tests/testsuite/whole.rs
@@ -38,18 +38,21 @@
     books.fold((0, 0), |(s, f), r| (s + r.started, f + r.finished))
 }
 
-fn call(site: &Site, path: &str, body: String) -> reqwest::RequestBuilder {
+fn call_without_token(site: &Site, path: &str, body: String) -> reqwest::RequestBuilder {
     let url = format!(
         "http://{}/v1/call/drafting{path}",
         site.routers[0].listed.http
     );
     reqwest::Client::new()
         .post(url)
-        .bearer_auth("token-big")
         .timeout(Duration::from_secs(30))
         .body(body)
 }
 
+fn call(site: &Site, path: &str, body: String) -> reqwest::RequestBuilder {
+    call_without_token(site, path, body).bearer_auth("token-big")
+}
+
 fn generate(site: &Site, tokens: u32) -> reqwest::RequestBuilder {
     let body = format!("{{\"tag\":\"{TAG}\",\"tokens\":{tokens}}}");
     call(site, "/generate", body)
@@ -154,6 +157,42 @@
     });
 }
 
+/// Every slot is taken, a lab's call waits, and gets one. The engine's answer can't be used; the
+/// slot goes to others, and the call's deadline passes while it waits to be tried again. That last
+/// wait ran nothing, but the call was run before it: `not_run` would be false.
+#[test]
+fn a_refused_retry_does_not_say_that_the_call_was_not_run() {
+    block_on(async {
+        let site = site("").await;
+        // Twelve slots, and as many calls behind them.
+        let mut long = Vec::new();
+        for _ in 0..12 {
+            long.push(generate(&site, 20_000).send().await.expect("an answer"));
+        }
+        let more = join_all((0..6).map(|_| generate(&site, 20_000).send()));
+        let body = "{\"tag\":\"small-1/1\",\"tokens\":5}".to_owned();
+        let lab = call_without_token(&site, "/generate", body)
+            .bearer_auth("token-small-1")
+            .header("hawthornmill-timeout-ms", "1500");
+        let free = async {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            engines(&site).for_each(|e| e.misbehave(&[EngineFault::WrongId]));
+            long.pop();
+        };
+
+        let answer = tokio::select! {
+            (answer, ()) = async { tokio::join!(send(lab), free) } => answer,
+            _ = more => panic!("nothing ends"),
+        };
+
+        let json = answer.expect("an answer").json();
+        let started = engines(&site).any(|e| e.ledger.lock().runs.contains_key("small-1/1"));
+        assert!(started);
+        assert_eq!(json["outcome"], "unknown");
+        site.stop().await;
+    });
+}
+
 /// Answers of nothing, one byte, several megabytes, and thousands of single bytes, sixteen of them
 /// at the same time over one router: every caller gets its own, byte for byte.
 #[test]
