--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -26,6 +26,7 @@
 mod retries;
 mod settings;
 mod shares;
+mod signs;
 mod spans;
 mod standins;
 mod whole;
