--- a/crates/hawthornmill/src/membership/mod.rs
+++ b/crates/hawthornmill/src/membership/mod.rs
@@ -34,7 +34,7 @@
 /// Time for one heartbeat to one instance, so that all of them stay within about 1.2 KB/s.
 const BEAT_EACH: Duration = Duration::from_millis(50);
 /// Longest time between heartbeats.
-pub const MOST_BEAT: Duration = Duration::from_secs(5);
+const MOST_BEAT: Duration = Duration::from_secs(5);
 
 /// Time between heartbeats to `targets` instances: `base`, or longer when they are many.
 ///
