--- a/crates/hawthornmill/src/pools/owner.rs
+++ b/crates/hawthornmill/src/pools/owner.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use crate::board::Board;
+use crate::board::{Board, Policy};
 use crate::fairness::CostKey;
 use crate::ident::{AccountId, Incarnation, InstanceId, PoolId, ServerId, ServiceId};
 use crate::wire::message::{Demand, Done, GrantId, Held, Holding, Message, Want};
@@ -105,7 +105,7 @@
         } else {
             0
         };
-        self.limit = target.clamp(least, most).max(1);
+        self.limit = target.clamp(least, most).max(1).min(self.total);
     }
 
     /// Trusts the configured slots again.
@@ -515,8 +515,12 @@
 
 /// Takes a server's load reading.
 ///
-/// An owner that still collects what entries hold would take their work for another owner's.
+/// An owner that still collects what entries hold would take their work for another owner's, and an
+/// instance that schedules alone would take the work of all others for it.
 pub fn on_load(board: &mut Board, pool: PoolId, server: ServerId, running: u16) {
+    if board.tuning.policy == Policy::Static {
+        return;
+    }
     if let Some(owned) = board.owned.get_mut(&pool).filter(|o| o.announced)
         && let Some(slots) = owned.servers.get_mut(&server)
     {
