Choose ports that outgoing connections don't take

Cause: sites failed to start in three of seven runs of the whole suite ("r1 is not ready", the demo with empty output), each time another test. A router's ports were chosen from those that the system also gives to outgoing connections (32768 to 60999 here), and were free only until a call of another test took one; r1 itself ran and waited for a router that did not. That is concluded from r1's log and the order of the waiting; the failed router's own log was gone. Change: ports from 10000 to 31999, and the error names the end of every router's log, so that the next such failure shows its cause.

--- a/crates/hawthornmill-lab/src/demo/site.rs
+++ b/crates/hawthornmill-lab/src/demo/site.rs
@@ -278,7 +278,9 @@
                     break;
                 }
                 if Instant::now() > until {
-                    return Err(format!("{} is not ready", router.listed.name).into());
+                    let name = &router.listed.name;
+                    let ends: Vec<String> = self.routers.iter().map(log_end).collect();
+                    return Err(format!("{name} is not ready; {}", ends.join("; ")).into());
                 }
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
@@ -443,15 +445,31 @@
     })
 }
 
+/// The last line of a router's log that is no metric, span or usage line.
+fn log_end(router: &Router) -> String {
+    let log = std::fs::read_to_string(&router.log).unwrap_or_default();
+    let line = log.lines().rfind(|l| !l.contains("\"kind\":"));
+    format!(
+        "{}: {}",
+        router.listed.name,
+        line.unwrap_or("nothing logged")
+    )
+}
+
+/// Ports that systems don't give to outgoing connections, so that none of the many connections of a
+/// run takes a port between its choice and the router's start.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+
 /// Two ports that were free a moment ago, the second for TCP and UDP alike.
 fn free_ports() -> Result<(SocketAddr, SocketAddr), Box<str>> {
-    let words = |e: std::io::Error| Box::<str>::from(e.to_string());
-    let http = TcpListener::bind("127.0.0.1:0").map_err(words)?;
-    for _ in 0..50 {
-        let peer = TcpListener::bind("127.0.0.1:0").map_err(words)?;
-        let address = peer.local_addr().map_err(words)?;
-        if UdpSocket::bind(address).is_ok() {
-            return Ok((http.local_addr().map_err(words)?, address));
+    Ok((free_port()?, free_port()?))
+}
+
+fn free_port() -> Result<SocketAddr, Box<str>> {
+    for _ in 0..200 {
+        let address = SocketAddr::from(([127, 0, 0, 1], rand::random_range(PORTS)));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return Ok(address);
         }
     }
     Err("no free port".into())
