--- a/crates/hawthornmill-net/src/entry/mod.rs
+++ b/crates/hawthornmill-net/src/entry/mod.rs
@@ -1,7 +1,7 @@
 //! What callers see.
 //!
 //! [`routes`] lists the calls. [`admit`] checks a request before it costs anything, [`call`] takes
-//! it through queue, slot and server, [`relay`] passes the answer on as it comes, [`record`]
+//! it through queue, slot and server, [`stream`] passes the answer on as it comes, [`record`]
 //! charges it and writes its usage record, [`home`] keeps calls that must not repeat, and
 //! [`problem`] writes every refusal.
 
@@ -17,3 +17,4 @@
 mod retries;
 pub mod routes;
 pub mod status;
+pub mod stream;
--- a/crates/hawthornmill-net/src/fleet.rs
+++ b/crates/hawthornmill-net/src/fleet.rs
@@ -17,6 +17,7 @@
 use smallvec::SmallVec;
 use tokio::sync::{Notify, oneshot};
 
+use crate::connections::Connections;
 use crate::entry::home::Home;
 use crate::peers::Outgoing;
 use crate::platform;
@@ -55,6 +56,8 @@
     pub outgoing: Outgoing,
     /// Connections to backend servers.
     pub upstream: Upstream,
+    /// Connections of callers.
+    pub connections: Connections,
     /// Keys of calls that must not repeat.
     pub home: Home,
     /// Logs, spans and metrics.
@@ -104,6 +107,7 @@
             retries: Mutex::default(),
             outgoing,
             upstream: Upstream::new(),
+            connections: Connections::default(),
             home,
             telemetry,
             platform: platform::Answers::default(),
--- a/crates/hawthornmill-net/src/peers/udp.rs
+++ b/crates/hawthornmill-net/src/peers/udp.rs
@@ -1,12 +1,13 @@
 //! Heartbeats, probes and reports.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use hawthornmill::board::Board;
 use hawthornmill::ident::InstanceId;
-use hawthornmill::membership::beat_interval;
+use hawthornmill::membership::{MOST_BEAT, beat_interval};
 use hawthornmill::pools::beat_targets;
 use hawthornmill::wire::frame::DATAGRAM_LIMIT;
 use hawthornmill::wire::{Heartbeat, Message, Opener, Sealer};
@@ -18,6 +19,10 @@
 
 /// Heartbeats between two that carry the sender's contact to everybody.
 const CONTACT_EVERY: u64 = 50;
+/// Heartbeats that say that no more will come; one may be lost.
+const LAST_BEATS: u8 = 3;
+/// Time for which an instance gets heartbeats after it last needed them.
+const LINGER: Duration = Duration::from_secs(30);
 const QUEUE: usize = 1024;
 
 /// Starts the tasks that send and receive datagrams.
@@ -79,44 +84,73 @@
     }
 }
 
+/// An instance that is sent heartbeats.
+#[derive(Debug, Clone, Copy)]
+struct Partner {
+    /// When it last needed them.
+    needed: Instant,
+    /// Last heartbeats that it is due after that.
+    last: u8,
+}
+
+/// Instances that are sent heartbeats.
+///
+/// Whoever gets heartbeats expects the next one. An instance that works with another only now and
+/// then keeps getting them for [`LINGER`], and one that needs no more hears so. Otherwise it takes the
+/// silence for a death, works out owners anew, and takes it back with the next relayed report.
+type Partners = BTreeMap<InstanceId, Partner>;
+
 /// Sends heartbeats, the more seldom the more instances need them, and at once when something about
 /// this instance changed.
 async fn beat(fleet: Arc<Fleet>) {
     let mut count = 0_u64;
+    let mut partners = Partners::new();
     let mut due = tokio::time::Instant::now();
     loop {
         tokio::select! {
             () = tokio::time::sleep_until(due) => {}
             () = fleet.hurry.notified() => {}
         }
-        let now = fleet.clock.now();
-        let platform = fleet.platform.is_answered(now);
-        let (interval, beats) = fleet.view(|board| {
-            let targets = beat_targets(board, count as u32);
-            let interval = beat_interval(fleet.settings.heartbeat, targets.len());
-            let beat = heartbeat(board, interval, platform, now);
-            let silent = |id: &InstanceId| !board.members.is_live(*id);
-            let beats: Vec<_> = targets
-                .into_iter()
-                .map(|id| {
-                    (
-                        id,
-                        beat.clone(),
-                        count.is_multiple_of(CONTACT_EVERY) || silent(&id),
-                    )
-                })
-                .collect();
-            (interval, beats)
-        });
+        due = tokio::time::Instant::now() + beat_all(&fleet, &mut partners, count);
         count += 1;
-        due = tokio::time::Instant::now() + interval;
-        for (to, mut beat, tell) in beats {
-            beat.contact = tell.then(|| Box::new(fleet.settings.contact.clone()));
-            fleet.outgoing.send(to, Message::Heartbeat(beat));
-        }
     }
 }
 
+/// Sends one heartbeat to everybody who needs one and returns the time until the next.
+fn beat_all(fleet: &Fleet, partners: &mut Partners, count: u64) -> Duration {
+    let now = fleet.clock.now();
+    let platform = fleet.platform.is_answered(now);
+    let needed = fleet.view(|board| beat_targets(board, count as u32));
+    for id in needed {
+        let fresh = Partner {
+            needed: now,
+            last: LAST_BEATS,
+        };
+        partners.insert(id, fresh);
+    }
+    let interval = beat_interval(fleet.settings.heartbeat, partners.len());
+    let (beat, silent) = fleet.view(|board| {
+        let silent = |id: &&InstanceId| !board.members.is_live(**id);
+        let silent: BTreeSet<InstanceId> = partners.keys().filter(silent).copied().collect();
+        (heartbeat(board, interval, platform, now), silent)
+    });
+    partners.retain(|to, partner| {
+        let tell = count.is_multiple_of(CONTACT_EVERY) || silent.contains(to);
+        let contact = tell.then(|| Box::new(fleet.settings.contact.clone()));
+        let mut beat = Heartbeat {
+            contact,
+            ..beat.clone()
+        };
+        if now.duration_since(partner.needed) > LINGER {
+            beat.interval = 0;
+            partner.last -= 1;
+        }
+        fleet.outgoing.send(*to, Message::Heartbeat(beat));
+        partner.last > 0
+    });
+    interval
+}
+
 fn heartbeat(board: &Board, interval: Duration, platform: bool, now: Instant) -> Heartbeat {
     let sign = board.members.own_sign(board.config.revision, interval, now);
     Heartbeat {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,11 +22,16 @@
 mod one_fleet;
 mod overload;
 mod path;
+mod random_input;
 mod retries;
 mod settings;
 mod shares;
+mod signs;
 mod spans;
 mod standins;
+mod steady_owners;
+mod whole;
+mod starvation;
 
 /// The router program under test.
 const ROUTER: &str = env!("CARGO_BIN_EXE_hawthornmill-router");
