--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -29,6 +29,8 @@
 mod signs;
 mod spans;
 mod standins;
+mod starvation;
+mod steady_owners;
 mod whole;
 
 /// The router program under test.
