Send short frames after the first one of a stream

Cause: control traffic over its budget. 33 of 80 bytes of a demand or grant frame repeated what the stream's first frame had said. The MAC still covers all of it, so frames left out, repeated or moved are refused as before. Ruled out: a shorter MAC; dropping the numbers (a replay within a connection would pass). A frame with one want and one release, or one grant: 80 bytes before, 48 after (hawthornmill-slopes).

--- a/crates/hawthornmill-lab/src/slopes/measure.rs
+++ b/crates/hawthornmill-lab/src/slopes/measure.rs
@@ -12,7 +12,7 @@
 use hawthornmill::membership::place::{domain_relay, region_relay};
 use hawthornmill::pools::entry::{self, Arrival};
 use hawthornmill::pools::{self, tick};
-use hawthornmill::wire::frame::{HEADER, payload_len};
+use hawthornmill::wire::frame::{HEADER, SHORT_HEADER, payload_len};
 use hawthornmill::wire::message::{ConfigValues, Heartbeat, Message, PoolState, Report};
 
 use super::fixture::{BusyOwner, Size, board, contact, hear_all, values};
@@ -60,7 +60,9 @@
         sizes.iter().map(|n| (*n as f64, value(*n))).collect()
     };
     let mut owner = BusyOwner::new(230, BACKLOGGED, POOL, ENTRIES);
-    let [demand, grant] = owner.message_bytes().map(|b| (b + HEADER + LENGTH) as f64);
+    let [demand, grant] = owner
+        .message_bytes()
+        .map(|b| (b + SHORT_HEADER + LENGTH) as f64);
     vec![
         Line::through(
             "owner: µs for a release, a want and a grant",
@@ -392,7 +394,7 @@
         });
         moved.push((
             servers as f64,
-            (payload_len(&message) + HEADER + LENGTH) as f64,
+            (payload_len(&message) + SHORT_HEADER + LENGTH) as f64,
         ));
     }
     vec![
--- a/crates/hawthornmill-net/src/peers/tcp.rs
+++ b/crates/hawthornmill-net/src/peers/tcp.rs
@@ -50,7 +50,7 @@
     if stream.set_nodelay(true).is_err() || stream.write_all(&nonce.to_le_bytes()).await.is_err() {
         return;
     }
-    let mut opener = Opener::new(fleet.settings.key, nonce);
+    let mut opener = Opener::stream(fleet.settings.key, nonce);
     let mut stream = tokio::io::BufReader::new(stream);
     loop {
         let frame = match read_frame(&mut stream).await {
@@ -181,7 +181,7 @@
 }
 
 fn append(sealer: &mut Sealer, bytes: &mut Vec<u8>, message: &Message) {
-    match sealer.seal(message) {
+    match sealer.seal_next(message) {
         Ok(frame) => {
             bytes.extend((frame.len() as u32).to_be_bytes());
             bytes.extend(frame);
--- a/crates/hawthornmill/src/wire/frame.rs
+++ b/crates/hawthornmill/src/wire/frame.rs
@@ -15,6 +15,11 @@
 //! The key comes from the settings. A repeated or reordered frame is refused by its sequence
 //! number. On TCP the acceptor's nonce keeps frames of an earlier connection out of this one; on UDP
 //! the receiver's id keeps frames for one instance out of another, which has not seen their number.
+//!
+//! On TCP all of the header but the version and the MAC is known after the first frame: the sender
+//! and the channel stay, and the number rises by one. So every later frame is short, a byte that says
+//! so, the MAC of the whole header and the payload, and the payload. A frame that was left out,
+//! repeated or moved has another number, and thus a wrong MAC.
 
 use std::collections::BTreeMap;
 
@@ -26,6 +31,10 @@
 
 /// Version of the protocol.
 pub const VERSION: u8 = 1;
+/// First byte of a short frame.
+const SHORT: u8 = 0x80 | VERSION;
+/// Bytes before the payload of a short frame.
+pub const SHORT_HEADER: usize = 1 + MAC;
 /// Bytes before the payload.
 pub const HEADER: usize = 1 + 8 + 8 + 8 + 8 + MAC;
 /// Most bytes of a frame on TCP; a configuration of several values fits.
@@ -86,6 +95,7 @@
     incarnation: Incarnation,
     channel: u64,
     seq: u64,
+    begun: bool,
 }
 
 impl Sealer {
@@ -97,7 +107,23 @@
             incarnation,
             channel,
             seq: 0,
+            begun: false,
+        }
+    }
+
+    /// Encodes and authenticates the next message of a stream; only the first frame is a full one.
+    ///
+    /// # Errors
+    /// As [`Self::seal`].
+    pub fn seal_next(&mut self, message: &Message) -> Result<Vec<u8>, FrameError> {
+        let frame = self.seal(message)?;
+        if !std::mem::replace(&mut self.begun, true) {
+            return Ok(frame);
         }
+        let mut short = Vec::with_capacity(SHORT_HEADER + frame.len() - HEADER);
+        short.push(SHORT);
+        short.extend(&frame[HEADER - MAC..]);
+        Ok(short)
     }
 
     /// Encodes and authenticates `message`.
@@ -116,11 +142,7 @@
     pub fn seal_on(&mut self, channel: u64, message: &Message) -> Result<Vec<u8>, FrameError> {
         self.seq += 1;
         let mut frame = Vec::with_capacity(128);
-        frame.push(VERSION);
-        frame.extend(self.sender.0.to_le_bytes());
-        frame.extend(self.incarnation.0.to_le_bytes());
-        frame.extend(self.seq.to_le_bytes());
-        frame.extend(channel.to_le_bytes());
+        push_header(&mut frame, self.sender, self.incarnation, self.seq, channel);
         frame.extend([0_u8; MAC]);
         let mut frame =
             postcard::to_extend(message, frame).map_err(|_error| FrameError::Malformed)?;
@@ -133,6 +155,21 @@
     }
 }
 
+/// Writes a header up to the MAC.
+fn push_header(
+    frame: &mut Vec<u8>,
+    sender: InstanceId,
+    incarnation: Incarnation,
+    seq: u64,
+    channel: u64,
+) {
+    frame.push(VERSION);
+    frame.extend(sender.0.to_le_bytes());
+    frame.extend(incarnation.0.to_le_bytes());
+    frame.extend(seq.to_le_bytes());
+    frame.extend(channel.to_le_bytes());
+}
+
 /// Bytes that `message` takes in a frame, without the header.
 pub fn payload_len(message: &Message) -> usize {
     postcard::to_allocvec(message).map_or(0, |bytes| bytes.len())
@@ -157,6 +194,9 @@
     key: [u8; 32],
     channel: u64,
     last: BTreeMap<InstanceId, (Incarnation, u64)>,
+    /// Sender of a stream whose first frame was opened; none on datagrams.
+    stream: Option<InstanceId>,
+    is_stream: bool,
 }
 
 impl Opener {
@@ -166,9 +206,29 @@
             key,
             channel,
             last: BTreeMap::new(),
+            stream: None,
+            is_stream: false,
         }
     }
 
+    /// An opener for a stream, on which later frames may be short.
+    pub fn stream(key: [u8; 32], channel: u64) -> Self {
+        Self {
+            is_stream: true,
+            ..Self::new(key, channel)
+        }
+    }
+
+    /// The full frame that a short one stands for; none where no full one came before.
+    fn lengthen(&self, short: &[u8]) -> Option<Vec<u8>> {
+        let sender = self.stream?;
+        let (incarnation, seq) = self.last.get(&sender)?;
+        let mut frame = Vec::with_capacity(HEADER + short.len());
+        push_header(&mut frame, sender, *incarnation, seq + 1, self.channel);
+        frame.extend(&short[1..]);
+        Some(frame)
+    }
+
     /// Checks and decodes one frame.
     ///
     /// # Errors
@@ -177,6 +237,16 @@
         if frame.len() > FRAME_LIMIT {
             return Err(FrameError::TooLarge);
         }
+        let lengthened;
+        let frame = if self.is_stream && frame.first() == Some(&SHORT) {
+            if frame.len() < SHORT_HEADER {
+                return Err(FrameError::Malformed);
+            }
+            lengthened = self.lengthen(frame).ok_or(FrameError::Malformed)?;
+            &*lengthened
+        } else {
+            frame
+        };
         if frame.len() < HEADER {
             return Err(FrameError::Malformed);
         }
@@ -197,6 +267,7 @@
             return Err(FrameError::Replayed);
         }
         *last = (incarnation, seq);
+        self.stream = self.is_stream.then_some(sender);
         let message =
             postcard::from_bytes(&frame[HEADER..]).map_err(|_error| FrameError::Malformed)?;
         Ok(Frame {
--- a/tests/testsuite/frames.rs
+++ b/tests/testsuite/frames.rs
@@ -38,6 +38,56 @@
     );
 }
 
+/// Frames of a stream as they leave, the first a full one.
+fn stream(messages: &[Message]) -> Vec<Vec<u8>> {
+    let mut sealer = sealer(9);
+    let sealed = messages.iter().map(|m| sealer.seal_next(m));
+    sealed.map(|f| f.expect("it fits")).collect()
+}
+
+#[test]
+fn later_frames_of_a_stream_are_short_and_open_in_order() {
+    let messages = [1, 2, 3].map(Message::Probe);
+    let frames = stream(&messages);
+    let mut opener = Opener::stream(KEY, 9);
+
+    let opened: Vec<_> = frames.iter().map(|f| opener.open(f)).collect();
+
+    let lengths: Vec<usize> = frames.iter().map(Vec::len).collect();
+    assert_eq!(lengths, [51, 19, 19]);
+    for (frame, message) in opened.into_iter().zip(messages) {
+        assert_eq!(frame.expect("the frame is good").message, message);
+    }
+}
+
+/// Somebody who can write into a connection leaves a frame out, repeats one or moves one. Short frames
+/// carry no number, so only the MAC can tell.
+#[test]
+fn short_frames_out_of_their_order_are_refused() {
+    let frames = stream(&[1, 2, 3].map(Message::Probe));
+    let after = |first: &[usize], then: usize| {
+        let mut opener = Opener::stream(KEY, 9);
+        for index in first {
+            opener.open(&frames[*index]).expect("the frame is good");
+        }
+        opener.open(&frames[then]).map(|f| f.message)
+    };
+
+    assert_eq!(after(&[0], 2), Err(FrameError::Forged));
+    assert_eq!(after(&[0, 1], 1), Err(FrameError::Forged));
+    assert_eq!(after(&[], 1), Err(FrameError::Malformed));
+    assert_eq!(after(&[0, 1], 0), Err(FrameError::Replayed));
+}
+
+#[test]
+fn a_short_frame_is_no_datagram() {
+    let frames = stream(&[1, 2].map(Message::Probe));
+    let mut opener = Opener::new(KEY, 9);
+    opener.open(&frames[0]).expect("the frame is good");
+
+    assert_eq!(opener.open(&frames[1]), Err(FrameError::Malformed));
+}
+
 proptest! {
     #[test]
     fn any_changed_byte_is_noticed(at in 0_usize..60, bit in 0_u8..8) {
