--- a/crates/hawthornmill-net/src/peers/udp.rs
+++ b/crates/hawthornmill-net/src/peers/udp.rs
@@ -7,7 +7,7 @@
 
 use hawthornmill::board::Board;
 use hawthornmill::ident::InstanceId;
-use hawthornmill::membership::{MOST_BEAT, beat_interval};
+use hawthornmill::membership::beat_interval;
 use hawthornmill::pools::beat_targets;
 use hawthornmill::wire::frame::DATAGRAM_LIMIT;
 use hawthornmill::wire::{Heartbeat, Message, Opener, Sealer};
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -29,9 +29,9 @@
 mod signs;
 mod spans;
 mod standins;
+mod starvation;
 mod steady_owners;
 mod whole;
-mod starvation;
 
 /// The router program under test.
 const ROUTER: &str = env!("CARGO_BIN_EXE_hawthornmill-router");
