Keep the port of the dead server in its test

Cause: the test freed the port of the server that is gone, and a stand-in of another test got it; 8 of 344 calls were answered 404 by that one. The port now stays bound and never listens, so connections are refused throughout, which is what the test is about; its verdict is unchanged.

--- a/tests/testsuite/bad_servers.rs
+++ b/tests/testsuite/bad_servers.rs
@@ -9,7 +9,7 @@
 use hawthornmill_lab::load::{Plan, Watcher, run, summary::summarize};
 use hawthornmill_test_support::procs::small_site;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 
 use crate::{ROUTER, block_on};
 
@@ -52,11 +52,12 @@
     block_on(async {
         let site = small_site(ROUTER, 3).await;
         let (broken, busy) = (Arc::<AtomicU64>::default(), Arc::<AtomicU64>::default());
-        let gone = TcpListener::bind("127.0.0.1:0")
-            .await
+        // Bound to the end of the test and never listening: connections are refused, and no server of
+        // another test can get the port.
+        let gone = TcpSocket::new_v4().expect("a socket can be made");
+        gone.bind(([127, 0, 0, 1], 0).into())
             .expect("a port is free");
         let dead = gone.local_addr().expect("it is bound");
-        drop(gone);
         let mut text = site.text.to_string();
         text.push_str(&server(
             "breaks",
