--- a/crates/hawthornmill-lab/src/overload.rs
+++ b/crates/hawthornmill-lab/src/overload.rs
@@ -49,6 +49,8 @@
     pub offered: f64,
     /// Cost a second of answers that came whole and in time.
     pub goodput: f64,
+    /// Cost a second of answers that came whole after the caller's deadline.
+    pub late: f64,
     /// Goodput over capacity.
     pub ratio: f64,
     /// Calls under overload.
@@ -145,6 +147,7 @@
         capacity,
         offered: offered / plan.time.as_secs_f64(),
         goodput,
+        late: rate(&stories, plan.time, Duration::MAX) - goodput,
         ratio: goodput / capacity,
         calls: stories.len(),
         lost: stories.iter().filter(|s| !s.whole() && s.code == 0).count(),
