Tell counters and levels with all their digits

Cause: counters are cumulative and went out as 32-bit floats. Ruled out: exact integers, since normalised service is a quotient. A counter in a report takes 24 bytes instead of 20; 32 instead of 40 go into one report, which keeps it under one datagram.

--- a/crates/hawthornmill-lab/src/slopes/measure.rs
+++ b/crates/hawthornmill-lab/src/slopes/measure.rs
@@ -214,7 +214,7 @@
         costs: (0..costs)
             .map(|n| {
                 let account = AccountId::of(&format!("a{n}"));
-                (CostKey { service, account }, version as f32)
+                (CostKey { service, account }, f64::from(version))
             })
             .collect(),
     }
--- a/crates/hawthornmill/src/membership/reports.rs
+++ b/crates/hawthornmill/src/membership/reports.rs
@@ -17,7 +17,7 @@
 /// Rounds after which a neighbour is told everything again.
 pub const REFRESH: u32 = 16;
 /// Counters that one report in a datagram may carry.
-const COSTS_EACH: usize = 40;
+const COSTS_EACH: usize = 32;
 /// Rounds after which an instance reports although nothing changed.
 pub const KEEPALIVE: u32 = 4;
 /// Bytes of reports in one datagram; the frame's header fits under the datagram limit besides.
@@ -33,7 +33,7 @@
     revision: u64,
     steady: u8,
     pools: Vec<PoolState>,
-    costs: BTreeMap<CostKey, (f32, u32)>,
+    costs: BTreeMap<CostKey, (f64, u32)>,
     from: Option<InstanceId>,
 }
 
@@ -77,7 +77,7 @@
         origin.revision = revision;
         origin.pools = pools;
         for (key, value) in costs {
-            origin.costs.insert(key, (value as f32, origin.version));
+            origin.costs.insert(key, (value, origin.version));
         }
     }
 
@@ -104,7 +104,7 @@
             origin.costs.clear();
         }
         for (key, value) in &report.costs {
-            ledger.merge(report.origin, report.incarnation, *key, f64::from(*value));
+            ledger.merge(report.origin, report.incarnation, *key, *value);
             origin.costs.insert(*key, (*value, report.version));
         }
         let news = !report.costs.is_empty()
@@ -226,13 +226,13 @@
 }
 
 fn split(id: InstanceId, origin: &Origin, after: u32) -> Vec<Report> {
-    let costs: Vec<(CostKey, f32)> = origin
+    let costs: Vec<(CostKey, f64)> = origin
         .costs
         .iter()
         .filter(|(_, (_, version))| *version > after)
         .map(|(key, (value, _))| (*key, *value))
         .collect();
-    let mut chunks: Vec<Vec<(CostKey, f32)>> =
+    let mut chunks: Vec<Vec<(CostKey, f64)>> =
         costs.chunks(COSTS_EACH).map(<[_]>::to_vec).collect();
     if chunks.is_empty() {
         chunks.push(Vec::new());
--- a/crates/hawthornmill/src/pools/ownership.rs
+++ b/crates/hawthornmill/src/pools/ownership.rs
@@ -130,7 +130,7 @@
     let owner = board.links.get(&pool).and_then(|l| l.owner);
     owner
         .and_then(|(id, _)| board.reports.pool(pool, id))
-        .map_or(0.0, |state| f64::from(state.level))
+        .map_or(0.0, |state| state.level)
 }
 
 fn incarnation_of(board: &Board, id: InstanceId) -> Incarnation {
--- a/crates/hawthornmill/src/wire/message.rs
+++ b/crates/hawthornmill/src/wire/message.rs
@@ -107,7 +107,7 @@
     /// Slots that nothing waits for.
     pub idle: u16,
     /// Least normalised service among the accounts that wait there.
-    pub level: f32,
+    pub level: f64,
 }
 
 /// What an instance tells of itself, passed on by relays; newest version wins.
@@ -128,7 +128,7 @@
     /// Pools that it owns.
     pub pools: Vec<PoolState>,
     /// Own cumulative counters that changed.
-    pub costs: Vec<(CostKey, f32)>,
+    pub costs: Vec<(CostKey, f64)>,
 }
 
 /// Cumulative counters of one owner.
--- a/tests/testsuite/shares.rs
+++ b/tests/testsuite/shares.rs
@@ -1,6 +1,8 @@
 //! Fair shares over the whole fleet, in a fixed order.
 
 use hawthornmill::board::{Policy, Tuning};
+use hawthornmill::fairness::CostKey;
+use hawthornmill::ident::{AccountId, ServiceId};
 use hawthornmill_test_support::loads::{Backlog, Drive, EIGHT, WIDE_SLOTS, gap_bound, wide_fleet};
 use hawthornmill_test_support::steps::Steps;
 
@@ -103,8 +105,6 @@
 
 /// Normalised service of every account of [`UNEVEN`], as one instance knows it.
 fn totals(board: &hawthornmill::board::Board) -> Vec<f64> {
-    use hawthornmill::fairness::CostKey;
-    use hawthornmill::ident::{AccountId, ServiceId};
     let service = ServiceId::of("drafting");
     let key = |b: &Backlog| CostKey {
         service,
@@ -173,3 +173,24 @@
     assert!((0.8..1.2).contains(&(lab / owed)), "{lab} of {owed}");
     assert!(drive.gap < bound);
 }
+
+/// A fleet has run for days. An owner's counter of an account is in the tens of billions, and what the
+/// account receives from call to call is a few hundred. Told with too few digits, the other owners
+/// would not see those calls at all, and the account would be served ahead of the others.
+#[test]
+fn counters_stay_exact_after_days() {
+    let mut steps = Steps::new(&wide_fleet(), EIGHT, &Tuning::default());
+    let key = CostKey {
+        service: ServiceId::of("drafting"),
+        account: AccountId::of("large"),
+    };
+    steps.boards[0].ledger.charge(key, 3e10);
+    steps.run(1000, |_| {});
+    let before = steps.boards[2].ledger.total(key);
+
+    steps.boards[0].ledger.charge(key, 300.0);
+    steps.run(1000, |_| {});
+
+    let seen = steps.boards[2].ledger.total(key) - before;
+    assert!((seen - 300.0).abs() < 1.0, "seen {seen}");
+}
