--- a/crates/hawthornmill-lab/src/demo/site.rs
+++ b/crates/hawthornmill-lab/src/demo/site.rs
@@ -443,20 +443,18 @@
     })
 }
 
-/// Ports for routers, below those that the kernel gives to outgoing connections: a router that starts
-/// anew would otherwise find its port taken by a connection of any process on the machine.
-const PORTS: std::ops::Range<u16> = 10_000..32_000;
-
 /// Two ports that were free a moment ago, the second for TCP and UDP alike.
 fn free_ports() -> Result<(SocketAddr, SocketAddr), Box<str>> {
-    let mut free = (0..200).filter_map(|_| {
-        let address = SocketAddr::from(([127, 0, 0, 1], rand::random_range(PORTS)));
-        let both = TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok();
-        both.then_some(address)
-    });
-    let http = free.next();
-    let peer = free.find(|p| Some(*p) != http);
-    http.zip(peer).ok_or_else(|| "no free port".into())
+    let words = |e: std::io::Error| Box::<str>::from(e.to_string());
+    let http = TcpListener::bind("127.0.0.1:0").map_err(words)?;
+    for _ in 0..50 {
+        let peer = TcpListener::bind("127.0.0.1:0").map_err(words)?;
+        let address = peer.local_addr().map_err(words)?;
+        if UdpSocket::bind(address).is_ok() {
+            return Ok((http.local_addr().map_err(words)?, address));
+        }
+    }
+    Err("no free port".into())
 }
 
 fn client() -> reqwest::Client {
