--- a/crates/hawthornmill-net/src/entry/keyed.rs
+++ b/crates/hawthornmill-net/src/entry/keyed.rs
@@ -130,7 +130,8 @@
     let id = call.out.id.clone();
     if undatable(fleet) {
         // Nothing of this copy has left; an earlier one may have run.
-        return Err(Problem::new(Code::NotReady, Outcome::Unknown, &id).attempt(Outcome::NotRun));
+        let problem = Problem::new(Code::NotReady, Outcome::Unknown, &id).attempt(Outcome::NotRun);
+        return Err(problem.retry(SETTLE));
     }
     let ttl = fleet.settings.discovery.keys;
     let own: OwnKey = (call.admitted.account, text.into());
