--- a/crates/hawthornmill-lab/src/demo/site.rs
+++ b/crates/hawthornmill-lab/src/demo/site.rs
@@ -456,23 +456,20 @@
     )
 }
 
-/// Ports that systems don't give to outgoing connections, so that none of the many connections of a
-/// run takes a port between its choice and the router's start.
+/// Ports for routers, below those that the kernel gives to outgoing connections: a router that starts
+/// anew would otherwise find its port taken by a connection of any process on the machine.
 const PORTS: std::ops::Range<u16> = 10_000..32_000;
 
 /// Two ports that were free a moment ago, the second for TCP and UDP alike.
 fn free_ports() -> Result<(SocketAddr, SocketAddr), Box<str>> {
-    Ok((free_port()?, free_port()?))
-}
-
-fn free_port() -> Result<SocketAddr, Box<str>> {
-    for _ in 0..200 {
+    let mut free = (0..200).filter_map(|_| {
         let address = SocketAddr::from(([127, 0, 0, 1], rand::random_range(PORTS)));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
-            return Ok(address);
-        }
-    }
-    Err("no free port".into())
+        let both = TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok();
+        both.then_some(address)
+    });
+    let http = free.next();
+    let peer = free.find(|p| Some(*p) != http);
+    http.zip(peer).ok_or_else(|| "no free port".into())
 }
 
 fn client() -> reqwest::Client {
