Hand each router port out once

Cause: sites drew ports at random between 10000 and 32000 and routers bound them later, so two sites of one run got the same one now and then. Now each process counts up from a place of its own.

--- a/crates/hawthornmill-lab/src/demo/site.rs
+++ b/crates/hawthornmill-lab/src/demo/site.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use hawthornmill::config::accept::{Values, accept, manifest};
@@ -458,18 +458,34 @@
 
 /// Ports for routers, below those that the kernel gives to outgoing connections: a router that starts
 /// anew would otherwise find its port taken by a connection of any process on the machine.
-const PORTS: std::ops::Range<u16> = 10_000..32_000;
+const PORTS: std::ops::Range<u32> = 10_000..32_000;
+/// Distance between the first ports of two processes with consecutive ids.
+const STRIDE: u32 = 977;
 
-/// Two ports that were free a moment ago, the second for TCP and UDP alike.
+/// Ports that this process has handed out.
+static HANDED: AtomicU32 = AtomicU32::new(0);
+
+/// Two ports that were free a moment ago, for TCP and UDP alike.
 fn free_ports() -> Result<(SocketAddr, SocketAddr), Box<str>> {
-    let mut free = (0..200).filter_map(|_| {
-        let address = SocketAddr::from(([127, 0, 0, 1], rand::random_range(PORTS)));
-        let both = TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok();
-        both.then_some(address)
-    });
-    let http = free.next();
-    let peer = free.find(|p| Some(*p) != http);
-    http.zip(peer).ok_or_else(|| "no free port".into())
+    Ok((free_port()?, free_port()?))
+}
+
+/// A free port that this process has not handed out before.
+///
+/// Routers bind their ports some time after these were chosen, so two sites of one process that draw
+/// at random now and then get the same one; each process counts up from a place of its own instead.
+fn free_port() -> Result<SocketAddr, Box<str>> {
+    let count = PORTS.end - PORTS.start;
+    let first = std::process::id().wrapping_mul(STRIDE);
+    for _ in 0..count {
+        let number = first.wrapping_add(HANDED.fetch_add(1, Ordering::Relaxed));
+        let port = (PORTS.start + number % count) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err("no free port".into())
 }
 
 fn client() -> reqwest::Client {
