--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -27,6 +27,19 @@
     group.finish();
 }
 
+/// The decision alone, from a free slot to the grant on the board, clock readings included.
+fn decision(c: &mut Criterion) {
+    let mut group = c.benchmark_group("decision");
+    for (waiting, servers) in [(23, 70), (230, 70), (23, 280)] {
+        let mut owner = BusyOwner::new(230, waiting, servers, 14);
+        let name = format!("{waiting} waiting, {servers} servers");
+        group.bench_function(name, |b| {
+            b.iter_custom(|count| (0..count).map(|_| owner.step()).sum());
+        });
+    }
+    group.finish();
+}
+
 /// A call that arrives behind others, and leaves.
 fn arrival(c: &mut Criterion) {
     let mut group = c.benchmark_group("arrival");
@@ -181,6 +194,6 @@
     config = Criterion::default()
         .warm_up_time(Duration::from_millis(500))
         .measurement_time(Duration::from_secs(2));
-    targets = grant, arrival, selector, configuration, report
+    targets = grant, decision, arrival, selector, configuration, report
 }
 criterion_main!(benches);
--- a/crates/hawthornmill-lab/src/slopes/fixture.rs
+++ b/crates/hawthornmill-lab/src/slopes/fixture.rs
@@ -222,7 +222,9 @@
     ///
     /// # Panics
     /// When no slot is granted, which is a fault of the fixture.
-    pub fn step(&mut self) {
+    ///
+    /// Returns the time of the decision alone: from a free slot to the grant on the board.
+    pub fn step(&mut self) -> Duration {
         let (entry, grant) = self.granted.pop_front().expect("slots are granted");
         let id = GrantId {
             maker: self.board.incarnation.0 as u32,
@@ -233,7 +235,7 @@
             cost: COST,
             failed: false,
         };
-        self.want(entry, grant.account, SmallVec::from_iter([done]));
+        self.want(entry, grant.account, SmallVec::from_iter([done]))
     }
 
     /// Bytes of the payloads of a step's two messages: entry to owner, owner to entry.
@@ -266,7 +268,12 @@
         [demand, grants].map(|m| payload_len(&m))
     }
 
-    fn want(&mut self, entry: InstanceId, account: AccountId, done: SmallVec<[Done; 2]>) {
+    fn want(
+        &mut self,
+        entry: InstanceId,
+        account: AccountId,
+        done: SmallVec<[Done; 2]>,
+    ) -> Duration {
         let received = self.received.entry((entry, account)).or_default();
         let wanted = *received + WANTED;
         let demand = Demand {
@@ -276,6 +283,9 @@
         };
         let message = Message::Demand(demand);
         pools::receive(&mut self.board, entry, Incarnation(1), message, self.now);
+        let begin = Instant::now();
+        pools::schedule::run(&mut self.board, self.now);
+        let decided = begin.elapsed();
         pools::turn(&mut self.board, self.now);
         for (to, message) in self.board.outbox.drain(..) {
             if let Message::Grants(grants) = message {
@@ -285,5 +295,6 @@
                 }
             }
         }
+        decided
     }
 }
--- a/crates/hawthornmill/src/pools/schedule.rs
+++ b/crates/hawthornmill/src/pools/schedule.rs
@@ -15,6 +15,18 @@
 /// Classes of servers in one pool that fit on the stack.
 type FreeClasses = SmallVec<[(u16, usize); 8]>;
 
+/// A server with slots that may be granted.
+#[derive(Debug, Clone, Copy)]
+struct FreeServer {
+    id: ServerId,
+    class: u16,
+    free: u16,
+    last: u32,
+}
+
+/// Servers with free slots in the order of their keys; under load seldom more than a few.
+type FreeServers = SmallVec<[FreeServer; 16]>;
+
 /// Totals of the accounts that wait, a tenth of the accounts of a large fleet on the stack.
 type Totals = SmallVec<[f64; 32]>;
 
@@ -47,12 +59,14 @@
     owned.dirty = false;
     let cap = board.tuning.lag_cap * default * f64::from(slots(owned));
     let mut out: Vec<(InstanceId, Grants)> = Vec::new();
-    let mut free = free_classes(owned, config, now);
+    // Looked for once: with a scan for each grant the cost grew with the servers.
+    let mut free = free_servers(owned, now);
     while !free.is_empty() {
-        let Some(pick) = pick_account(owned, config, &board.ledger, service, &free, cap) else {
+        let classes = free_classes(&free, config);
+        let Some(pick) = pick_account(owned, config, &board.ledger, service, &classes, cap) else {
             break;
         };
-        let Some(server) = pick_server(owned, pick.class, now) else {
+        let Some(server) = pick_server(&free, pick.class) else {
             break;
         };
         let key = CostKey {
@@ -63,7 +77,7 @@
         board.ledger.charge(key, charge);
         let entry = grant(owned, pick.account, server, charge, made);
         push(&mut out, id, entry, owned.seq, pick.account, server);
-        free = free_classes(owned, config, now);
+        update(&mut free, owned, server, now);
     }
     board
         .outbox
@@ -74,14 +88,39 @@
     owned.servers.values().map(|s| u32::from(s.total)).sum()
 }
 
+fn free_servers(owned: &Owned, now: Instant) -> FreeServers {
+    let servers = owned.servers.iter();
+    servers
+        .map(|(id, s)| FreeServer {
+            id: *id,
+            class: s.class,
+            free: s.free(now),
+            last: s.last,
+        })
+        .filter(|s| s.free > 0)
+        .collect()
+}
+
+/// Takes over what a grant changed at `server`.
+fn update(free: &mut FreeServers, owned: &Owned, server: ServerId, now: Instant) {
+    let Some(slots) = owned.servers.get(&server) else {
+        return;
+    };
+    for known in free.iter_mut().filter(|s| s.id == server) {
+        known.free = slots.free(now);
+        known.last = slots.last;
+    }
+    free.retain(|s| s.free > 0);
+}
+
 /// Classes with a free slot, the ones open to the fewest accounts first.
 ///
 /// An account that may use several classes thus leaves the more open ones to those that have no
 /// other.
-fn free_classes(owned: &Owned, config: &FleetConfig, now: Instant) -> FreeClasses {
+fn free_classes(free: &FreeServers, config: &FleetConfig) -> FreeClasses {
     let mut classes = FreeClasses::new();
-    for server in owned.servers.values() {
-        if server.free(now) > 0 && !classes.iter().any(|(c, _)| *c == server.class) {
+    for server in free {
+        if !classes.iter().any(|(c, _)| *c == server.class) {
             let open = config
                 .classes
                 .get(usize::from(server.class))
@@ -161,13 +200,11 @@
 ///
 /// Without the second rule an idle pool would offer the same server to each call in turn, and a call
 /// that failed there would be offered it again.
-fn pick_server(owned: &Owned, class: u16, now: Instant) -> Option<ServerId> {
-    owned
-        .servers
-        .iter()
-        .filter(|(_, s)| s.class == class && s.free(now) > 0)
-        .max_by_key(|(_, s)| (s.free(now), std::cmp::Reverse(s.last)))
-        .map(|(id, _)| *id)
+fn pick_server(free: &FreeServers, class: u16) -> Option<ServerId> {
+    free.iter()
+        .filter(|s| s.class == class)
+        .max_by_key(|s| (s.free, std::cmp::Reverse(s.last)))
+        .map(|s| s.id)
 }
 
 /// Books the grant and returns the entry that gets it: of those that wait, the one served longest ago.
