--- a/crates/hawthornmill-lab/src/lib.rs
+++ b/crates/hawthornmill-lab/src/lib.rs
@@ -5,7 +5,7 @@
 //! and writes down what became of every call. [`demo`] puts both around real router processes and
 //! measures what the accounts received. [`overhead`] measures the time that a router adds to a call,
 //! [`overload`] goodput and memory under overload, [`slopes`] what the decisions cost as a fleet grows.
-//! Every figure comes from the load tool or the stand-ins,
+//! [`program`] is what their programs share. Every figure comes from the load tool or the stand-ins,
 //! never from what a router says of itself.
 
 pub mod demo;
@@ -13,5 +13,6 @@
 pub mod load;
 pub mod overhead;
 pub mod overload;
+pub mod program;
 pub mod slopes;
 pub mod standin;
