--- a/crates/hawthornmill-lab/src/program.rs
+++ b/crates/hawthornmill-lab/src/program.rs
@@ -1,7 +1,7 @@
 //! Programs that measure a fleet and act as its routers too.
 //!
 //! `cargo run --bin NAME` builds no other program, so such a program starts itself again for each
-//! router, with [`AS_ROUTER`] as its first argument.
+//! router, with `as-router` as its first argument.
 
 use std::path::Path;
 use std::process::ExitCode;
