--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -11,10 +11,10 @@
 use hawthornmill::ident::{AccountId, Incarnation, InstanceId, PoolId, ServiceId};
 use hawthornmill::labels::Selector;
 use hawthornmill::pools;
-use hawthornmill::pools::entry::{self, Arrival};
+use hawthornmill::pools::entry;
 use hawthornmill::wire::message::{Message, PoolState, Report};
 use hawthornmill::wire::{Opener, Sealer};
-use hawthornmill_lab::slopes::fixture::{BusyOwner, Size, board, config, values};
+use hawthornmill_lab::slopes::fixture::{BusyOwner, Size, board, call, config, values};
 
 /// A release and the grant that follows from it, 230 accounts, a tenth or all of them waiting.
 fn grant(c: &mut Criterion) {
@@ -50,12 +50,7 @@
             ..Size::DESIGN
         };
         let mut board = board(size, 0, now);
-        let arrival = Arrival {
-            service: ServiceId::of("m0"),
-            account: AccountId::of("a0"),
-            bytes: 1000,
-            deadline: now + Duration::from_hours(1),
-        };
+        let arrival = call(now);
         for _ in 0..ahead {
             entry::enqueue(&mut board, arrival, now).expect("there is room");
         }
--- a/crates/hawthornmill-lab/src/slopes/fixture.rs
+++ b/crates/hawthornmill-lab/src/slopes/fixture.rs
@@ -9,7 +9,7 @@
 use hawthornmill::config::accept::{Manifest, Values, accept, manifest};
 use hawthornmill::ident::{AccountId, DomainId, Incarnation, InstanceId, PoolId, ServiceId};
 use hawthornmill::membership::Sign;
-use hawthornmill::pools;
+use hawthornmill::pools::{self, entry::Arrival};
 use hawthornmill::wire::frame::payload_len;
 use hawthornmill::wire::message::{Contact, Demand, Done, Grant, GrantId, Grants, Message, Want};
 use smallvec::SmallVec;
@@ -145,6 +145,16 @@
     board
 }
 
+/// A call of the first account to the first model that nothing makes late.
+pub fn call(now: Instant) -> Arrival {
+    Arrival {
+        service: ServiceId::of("m0"),
+        account: AccountId::of("a0"),
+        bytes: 1000,
+        deadline: now + Duration::from_hours(1),
+    }
+}
+
 /// Every instance gives a sign of life.
 pub fn hear_all(board: &mut Board, size: Size, now: Instant) {
     for other in 0..size.instances {
--- a/crates/hawthornmill-lab/src/slopes/measure.rs
+++ b/crates/hawthornmill-lab/src/slopes/measure.rs
@@ -10,12 +10,12 @@
     AccountId, DomainId, Incarnation, InstanceId, PoolId, RegionId, ServiceId,
 };
 use hawthornmill::membership::place::{domain_relay, region_relay};
-use hawthornmill::pools::entry::{self, Arrival};
+use hawthornmill::pools::entry;
 use hawthornmill::pools::{self, tick};
 use hawthornmill::wire::frame::{HEADER, SHORT_HEADER, payload_len};
 use hawthornmill::wire::message::{ConfigValues, Heartbeat, Message, PoolState, Report};
 
-use super::fixture::{BusyOwner, Size, board, contact, hear_all, values};
+use super::fixture::{BusyOwner, Size, board, call, contact, hear_all, values};
 use super::line::Line;
 
 /// Bytes of the length before each frame on TCP.
@@ -103,12 +103,7 @@
         ..Size::DESIGN
     };
     let mut board = board(size, 0, now);
-    let arrival = Arrival {
-        service: ServiceId::of("m0"),
-        account: AccountId::of("a0"),
-        bytes: 1000,
-        deadline: now + Duration::from_hours(1),
-    };
+    let arrival = call(now);
     for _ in 0..ahead {
         // A queue under its bounds takes every call.
         let _queued = entry::enqueue(&mut board, arrival, now);
