--- /dev/null
+++ b/crates/hawthornmill-gateway/src/daemon.rs
@@ -0,0 +1,218 @@
+//! Joins the parts of a gateway into one process.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use hawthornmill::clock::Clock;
+use hawthornmill::codes::Code;
+use hawthornmill::ident::Incarnation;
+use hawthornmill::ini::Fault;
+use serde_json::json;
+use tokio::net::{TcpListener, TcpSocket, UdpSocket};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+
+use crate::dialect::Dialect;
+use crate::gateway::{Gateway, Phase, sweeps, turns};
+use crate::settings::Settings;
+use crate::side::Side;
+use crate::{journal, mates, serve, side, store};
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// Time for which a leaving process takes requests of callers that have not heard of it.
+///
+/// Some callers keep a directory's answer for three times its lifetime; a request that comes much
+/// later could not end within the grace.
+const OLD_ANSWERS: u32 = 3;
+/// Time before the end of the grace at which the process ends by itself.
+const BEFORE_GRACE: Duration = Duration::from_millis(400);
+/// Time between two looks at what is under way.
+const LOOK: Duration = Duration::from_millis(20);
+/// Time between two looks at the settings file, which may change without a signal.
+const REREAD: Duration = Duration::from_secs(1);
+
+/// Runs a gateway until it is told to stop; the result is the process's exit code.
+pub fn main(config: &Path, dialect: Dialect) -> u8 {
+    let settings = match Settings::load(config) {
+        Ok(settings) => settings,
+        Err(faults) => return report(&faults),
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    match runtime {
+        Ok(runtime) => LocalSet::new().block_on(&runtime, run(settings, config, dialect)),
+        Err(error) => {
+            eprintln!("the runtime can't start: {error}");
+            1
+        }
+    }
+}
+
+fn report(faults: &[Fault]) -> u8 {
+    for fault in faults {
+        eprintln!("{fault}");
+    }
+    2
+}
+
+/// A number that is greater for each later run of the same instance.
+fn incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since.map_or(0, |d| d.as_millis() as u64);
+    Incarnation((millis << 12) | u64::from(rand::random::<u16>() >> 4))
+}
+
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    // Accepted connections inherit it: a head and its first event must not wait for each other.
+    socket.set_nodelay(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+struct Sockets {
+    front: TcpListener,
+    sides: Vec<(TcpListener, Side)>,
+    peer: TcpListener,
+    news: UdpSocket,
+}
+
+async fn bind(settings: &Settings) -> Result<Sockets, Vec<Fault>> {
+    let fault = |address: SocketAddr, error: std::io::Error| {
+        vec![Fault {
+            code: Code::BindFailed,
+            file: address.to_string().into(),
+            line: 0,
+            column: 0,
+            what: error.to_string().into(),
+        }]
+    };
+    let open = |address| listen(address).map_err(|e| fault(address, e));
+    let listen = settings.listen;
+    let mut sides = vec![
+        (open(listen.ready)?, Side::Ready),
+        (open(listen.directory)?, Side::Directory),
+    ];
+    if let Some(metrics) = listen.metrics {
+        sides.push((open(metrics)?, Side::Metrics));
+    }
+    Ok(Sockets {
+        front: open(listen.front)?,
+        sides,
+        peer: open(listen.peer)?,
+        news: UdpSocket::bind(listen.peer).await.map_err(|e| fault(listen.peer, e))?,
+    })
+}
+
+async fn run(settings: Settings, config: &Path, dialect: Dialect) -> u8 {
+    let sockets = match bind(&settings).await {
+        Ok(sockets) => sockets,
+        Err(faults) => return report(&faults),
+    };
+    let signals = [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()];
+    let signals: std::io::Result<Vec<Signal>> = signals.into_iter().map(signal).collect();
+    let (Ok(signals), Ok(())) = (signals, journal::start(settings.level)) else {
+        eprintln!("signals or the log can't be had");
+        return 1;
+    };
+    let gateway = Gateway::new(settings, dialect, Clock::system(), incarnation());
+    let name = gateway.settings().name.clone();
+    journal::belief("start", json!({"instance": name, "run": gateway.incarnation.0}));
+    start(&gateway, sockets);
+    spawn_local(reread(Rc::clone(&gateway), config.to_path_buf()));
+    let cut = until_told(&gateway, signals, config).await;
+    journal::belief("stop", json!({"instance": name, "requests_cut": cut}));
+    journal::flush();
+    u8::from(cut > 0)
+}
+
+fn start(gateway: &Rc<Gateway>, sockets: Sockets) {
+    let news = Rc::new(sockets.news);
+    spawn_local(store::follow(Rc::clone(gateway), store::Topic::Catalog));
+    spawn_local(store::follow(Rc::clone(gateway), store::Topic::Servers));
+    spawn_local(mates::tell(Rc::clone(gateway), Rc::clone(&news)));
+    spawn_local(mates::hear(Rc::clone(gateway), news));
+    spawn_local(mates::catch_up(Rc::clone(gateway)));
+    spawn_local(mates::answer(Rc::clone(gateway), sockets.peer));
+    for (listener, side) in sockets.sides {
+        spawn_local(side::serve(Rc::clone(gateway), listener, side));
+    }
+    spawn_local(serve::accept(Rc::clone(gateway), sockets.front));
+    spawn_local(turns(Rc::clone(gateway)));
+    spawn_local(sweeps(Rc::clone(gateway)));
+}
+
+/// Serves until a signal to stop, then ends in order; the result is the number of requests cut.
+async fn until_told(gateway: &Rc<Gateway>, mut signals: Vec<Signal>, config: &Path) -> usize {
+    let mut hup = signals.pop();
+    let [term, int] = &mut signals[..] else {
+        return 0;
+    };
+    loop {
+        let reload = async {
+            match &mut hup {
+                Some(hup) => hup.recv().await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = int.recv() => break,
+            _ = reload => load_again(gateway, config),
+        }
+    }
+    leave(gateway).await
+}
+
+async fn leave(gateway: &Gateway) -> usize {
+    let promises = gateway.settings().promises;
+    let end = tokio::time::Instant::now() + promises.grace.saturating_sub(BEFORE_GRACE);
+    journal::belief("leaving", json!({"under_way": gateway.flying.get()}));
+    gateway.enter(Phase::Leaving);
+    tokio::time::sleep(promises.ttl * OLD_ANSWERS).await;
+    gateway.enter(Phase::Closed);
+    while gateway.flying.get() > 0 && tokio::time::Instant::now() < end {
+        tokio::time::sleep(LOOK).await;
+    }
+    gateway.flying.get()
+}
+
+/// Takes changed settings; a file with faults changes nothing.
+fn load_again(gateway: &Gateway, config: &Path) {
+    let settings = match Settings::load(config) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
+            journal::belief("settings_refused", json!({"faults": faults}));
+            return;
+        }
+    };
+    if settings == *gateway.settings() {
+        return;
+    }
+    if settings.listen != gateway.settings().listen {
+        journal::belief("settings_need_restart", json!({"section": "listen"}));
+    }
+    gateway.desk.borrow_mut().regions.clone_from(&settings.regions);
+    *gateway.settings.borrow_mut() = Rc::new(settings);
+    journal::belief("settings_in_force", json!({}));
+}
+
+async fn reread(gateway: Rc<Gateway>, config: PathBuf) {
+    let stamp = || std::fs::metadata(&config).and_then(|m| m.modified()).ok();
+    let mut last = stamp();
+    loop {
+        tokio::time::sleep(REREAD).await;
+        let now = stamp();
+        if now != last {
+            last = now;
+            load_again(&gateway, &config);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -0,0 +1,292 @@
+//! What the tasks of one gateway process share.
+//!
+//! The process has one thread, so the shared state is borrowed for the length of a call and never
+//! across an await.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hawthornmill::clock::Clock;
+use hawthornmill::ident::{Incarnation, InstanceId, ServerId};
+use hawthornmill::routing::budget::Budget;
+use hawthornmill::routing::catalog::Catalog;
+use hawthornmill::routing::desk::{Desk, Request, Ticket, Verdict};
+use hawthornmill::routing::news::Mates;
+use hawthornmill::routing::place::{Choice, Place};
+use hawthornmill::routing::registry::Change;
+use hawthornmill::routing::table::Table;
+use serde_json::json;
+use slotmap::SecondaryMap;
+use tokio::sync::{Notify, oneshot, watch};
+
+use crate::dialect::Dialect;
+use crate::journal;
+use crate::meters::Meters;
+use crate::pool::Pool;
+use crate::settings::Settings;
+
+/// How far the process is on its way out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// It serves.
+    Serving,
+    /// It was told to stop and serves those that have not heard of it.
+    Leaving,
+    /// It refuses new requests and waits for those under way.
+    Closed,
+}
+
+/// The shared state.
+#[derive(Debug)]
+pub struct Gateway {
+    /// Settings in force.
+    pub settings: RefCell<Rc<Settings>>,
+    /// The adapter.
+    pub dialect: Dialect,
+    /// Source of time.
+    pub clock: Clock,
+    /// This instance's key.
+    pub me: InstanceId,
+    /// This process run.
+    pub incarnation: Incarnation,
+    /// Decisions.
+    pub desk: RefCell<Desk>,
+    /// Catalog in force.
+    pub table: RefCell<Option<Rc<Table>>>,
+    /// The other instances.
+    pub mates: RefCell<Mates>,
+    /// Connections to servers.
+    pub pool: Pool,
+    /// Counters.
+    pub meters: Meters,
+    /// Requests under way.
+    pub flying: Cell<usize>,
+    /// Bytes of bodies in memory.
+    pub bodies: Cell<usize>,
+    /// The catalog or the registrations came from the store or a mate since the start.
+    pub listed: Cell<bool>,
+    /// A place came free, or something else that waiting requests depend on changed.
+    pub nudge: Notify,
+    /// Something that the others should hear at once changed.
+    pub hurry: Notify,
+    phase: watch::Sender<Phase>,
+    waiters: RefCell<SecondaryMap<Ticket, oneshot::Sender<Verdict>>>,
+}
+
+impl Gateway {
+    /// The state of a process that has heard nothing yet.
+    pub fn new(settings: Settings, dialect: Dialect, clock: Clock, incarnation: Incarnation) -> Rc<Self> {
+        let now = clock.now();
+        let place = Place {
+            domain: settings.domain,
+            region: settings.region,
+        };
+        let mut desk = Desk::new(place, Budget::new(settings.promises.resends, now), now);
+        desk.regions.clone_from(&settings.regions);
+        Rc::new(Self {
+            me: InstanceId::of(&settings.name),
+            settings: RefCell::new(Rc::new(settings)),
+            dialect,
+            clock,
+            incarnation,
+            desk: RefCell::new(desk),
+            table: RefCell::default(),
+            mates: RefCell::default(),
+            pool: Pool::default(),
+            meters: Meters::default(),
+            flying: Cell::new(0),
+            bodies: Cell::new(0),
+            listed: Cell::new(false),
+            nudge: Notify::new(),
+            hurry: Notify::new(),
+            phase: watch::Sender::new(Phase::Serving),
+            waiters: RefCell::default(),
+        })
+    }
+
+    /// The present instant.
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Settings in force.
+    pub fn settings(&self) -> Rc<Settings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Catalog in force.
+    pub fn table(&self) -> Option<Rc<Table>> {
+        self.table.borrow().clone()
+    }
+
+    /// Version of the catalog in force; 0 when there is none.
+    pub fn version(&self) -> u64 {
+        self.table.borrow().as_ref().map_or(0, |t| t.version())
+    }
+
+    /// How far the process is on its way out.
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Tells of changes of the phase.
+    pub fn phases(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
+    }
+
+    /// Goes on to `phase`.
+    pub fn enter(&self, phase: Phase) {
+        self.phase.send_replace(phase);
+        self.hurry.notify_one();
+    }
+
+    /// Tells whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.phase() == Phase::Serving && self.listed.get() && self.table.borrow().is_some()
+    }
+
+    /// Puts `catalog` in force unless an equal or newer one is; `from` is told in the log.
+    pub fn accept(&self, catalog: Catalog, from: &str) {
+        let (version, before) = (catalog.version, self.version());
+        if version <= before {
+            return;
+        }
+        match Table::new(catalog) {
+            Ok(table) => {
+                let fields = json!({"version": version, "before": before, "from": from});
+                journal::belief("catalog_in_force", fields);
+                self.desk.borrow_mut().token_rate = table.limits().token_rate;
+                *self.table.borrow_mut() = Some(Rc::new(table));
+                self.nudge.notify_one();
+                self.hurry.notify_one();
+            }
+            Err((code, what)) => {
+                let fields = json!({"version": version, "code": code.number(), "why": what});
+                journal::belief("catalog_refused", fields);
+            }
+        }
+    }
+
+    /// Takes one change of the registrations.
+    pub fn register(&self, change: Change, from: &str) {
+        let told = describe(&change, from);
+        if self.desk.borrow_mut().registry.take(change, self.now()) {
+            journal::belief("registration", told);
+            self.nudge.notify_one();
+        }
+    }
+
+    /// Takes a whole list of registrations.
+    pub fn list(&self, changes: Vec<Change>, revision: u64, away: bool, from: &str) {
+        let fields = json!({
+            "servers": changes.len(), "revision": revision, "store_was_away": away, "from": from,
+        });
+        journal::belief("registrations_listed", fields);
+        let mut desk = self.desk.borrow_mut();
+        desk.registry.replace(changes, revision, away, self.now());
+        self.listed.set(true);
+        self.nudge.notify_one();
+    }
+
+    /// Waits until the desk decides on `request`.
+    pub async fn place(&self, request: &Request) -> Verdict {
+        let verdict = self.desk.borrow_mut().ask(request, self.now());
+        let Verdict::Wait(ticket) = verdict else {
+            return verdict;
+        };
+        let (sender, receiver) = oneshot::channel();
+        self.waiters.borrow_mut().insert(ticket, sender);
+        let waiting = Waiting { gateway: self, ticket };
+        let verdict = receiver.await;
+        std::mem::forget(waiting);
+        // The sender is dropped only together with the gateway.
+        verdict.unwrap_or(Verdict::Wait(ticket))
+    }
+
+    /// Lets the desk decide on those that wait.
+    pub fn turn(&self) {
+        let decided = self.desk.borrow_mut().turn(self.now());
+        for (ticket, verdict) in decided {
+            let waiter = self.waiters.borrow_mut().remove(ticket);
+            let taken = waiter.is_some_and(|w| w.send(verdict).is_ok());
+            if let (false, Verdict::Send(choice)) = (taken, verdict) {
+                self.release(&choice, false);
+            }
+        }
+    }
+
+    /// A request is no longer under way at its server.
+    pub fn release(&self, choice: &Choice, began: bool) {
+        self.desk.borrow_mut().ended(choice, began);
+        self.nudge.notify_one();
+    }
+
+    /// Name of a server for logs.
+    pub fn server_name(&self, server: ServerId) -> Box<str> {
+        let desk = self.desk.borrow();
+        let known = desk.registry.get(server);
+        known.map_or_else(|| "gone".into(), |k| k.entry.name.clone())
+    }
+}
+
+fn describe(change: &Change, from: &str) -> serde_json::Value {
+    match &change.entry {
+        Some(entry) => json!({
+            "server": entry.name, "address": entry.address.to_string(), "draining": entry.draining,
+            "revision": change.revision, "from": from,
+        }),
+        None => json!({"server": format!("{:x}", change.server.0), "gone": true,
+            "revision": change.revision, "from": from}),
+    }
+}
+
+/// Takes a request out of the line when its caller is gone.
+struct Waiting<'a> {
+    gateway: &'a Gateway,
+    ticket: Ticket,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let waiter = self.gateway.waiters.borrow_mut().remove(self.ticket);
+        if waiter.is_some() {
+            self.gateway.desk.borrow_mut().leave(self.ticket);
+        }
+    }
+}
+
+/// Time between two looks at what waits, beside those that a nudge brings.
+const LOOK: Duration = Duration::from_millis(25);
+/// Time between two clean-ups.
+const SWEEP: Duration = Duration::from_millis(250);
+
+/// Decides on waiting requests for as long as the process lives.
+pub async fn turns(gateway: Rc<Gateway>) {
+    loop {
+        if gateway.desk.borrow().waiting() > 0 {
+            tokio::select! {
+                () = gateway.nudge.notified() => {}
+                () = tokio::time::sleep(LOOK) => {}
+            }
+        } else {
+            gateway.nudge.notified().await;
+        }
+        gateway.turn();
+    }
+}
+
+/// Drops what no longer counts for as long as the process lives.
+pub async fn sweeps(gateway: Rc<Gateway>) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        let now = gateway.now();
+        let gone = gateway.desk.borrow_mut().sweep(now);
+        for server in gone {
+            let fields = json!({"server": format!("{:x}", server.0), "why": "not back in time"});
+            journal::belief("registration_lapsed", fields);
+        }
+        let desk = gateway.desk.borrow();
+        gateway.pool.sweep(|id| desk.registry.get(id).is_some(), now);
+    }
+}
--- /dev/null
+++ b/crates/hawthornmill-gateway/src/lib.rs
@@ -0,0 +1,31 @@
+//! The gateway: plain HTTP in, registered backend servers behind, answers unchanged.
+//!
+//! A process has one thread. Every task borrows the shared [`gateway::Gateway`] for the length of a
+//! call. Decisions are those of [`hawthornmill::routing`]; what the wire looks like comes from an
+//! adapter as a [`dialect::Dialect`].
+//!
+//! | module | owns |
+//! |---|---|
+//! | [`serve`] | connections of callers |
+//! | [`trip`] | one request: admit, wait, send, deliver, settle |
+//! | [`pool`] | connections to servers |
+//! | [`store`] | following the platform's store |
+//! | [`mates`] | news between instances |
+//! | [`side`] | state, directory, metrics |
+//! | [`journal`], [`meters`] | the log and the counters |
+//! | [`http`] | heads and bodies |
+//! | [`settings`], [`daemon`] | the process |
+
+pub mod daemon;
+pub mod dialect;
+pub mod gateway;
+pub mod http;
+pub mod journal;
+pub mod mates;
+pub mod meters;
+pub mod pool;
+pub mod serve;
+pub mod settings;
+pub mod side;
+pub mod store;
+pub mod trip;
--- /dev/null
+++ b/crates/hawthornmill-gateway/src/mates.rs
@@ -0,0 +1,245 @@
+//! News to and from the other instances, over UDP, and the catching up that it leads to, over TCP.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hawthornmill::routing::news::{Knowledge, Mate, News, Pull};
+use hawthornmill::wire::frame::{DATAGRAM_LIMIT, FRAME_LIMIT, FrameError};
+use hawthornmill::wire::{Message, Opener, Sealer};
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+
+use crate::gateway::{Gateway, Phase};
+use crate::journal;
+use crate::pool::connect;
+
+/// Time for which a mate must be ahead before it is asked: the store's own answer is mostly faster.
+const BEHIND: Duration = Duration::from_millis(350);
+/// Time between two looks at whether a mate is ahead.
+const LOOK: Duration = Duration::from_millis(100);
+/// Time allowed for a mate's answer.
+const ANSWER: Duration = Duration::from_millis(1_500);
+/// Least time between two pieces of news, however much changes.
+const LEAST_PAUSE: Duration = Duration::from_millis(40);
+/// Work entries and accounts told at most, so that news fit a packet.
+const MOST_TOLD: usize = 48;
+
+/// Datagrams dropped as seen before, without one that was taken between, after which the memory of
+/// numbers is dropped.
+///
+/// A process that restarts after its machine's time of day was set back has a lower run number than
+/// the one before, and would be taken for an echo of it for ever.
+const MOST_ECHOES: u32 = 6;
+
+/// Channel of datagrams; instances drop what repeats by its sequence number.
+const DATAGRAMS: u64 = 0;
+
+/// Sends news for as long as the process lives.
+pub async fn tell(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    let key = gateway.settings().key;
+    let mut sealer = Sealer::new(key, gateway.me, gateway.incarnation, DATAGRAMS);
+    let mut round = 0;
+    loop {
+        let pause = gateway.settings().news;
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = gateway.hurry.notified() => tokio::time::sleep(LEAST_PAUSE).await,
+        }
+        round += 1;
+        let now = gateway.now();
+        let settings = gateway.settings();
+        let targets = gateway.mates.borrow_mut().targets(&settings.seeds, now);
+        let most = gateway.mates.borrow().most();
+        gateway.desk.borrow_mut().budget.share_among(most);
+        let news = news(&gateway, round, now);
+        let Ok(frame) = sealer.seal(&Message::News(Box::new(news))) else {
+            log::error!(target: "mates", "news can't be encoded");
+            continue;
+        };
+        if frame.len() > DATAGRAM_LIMIT {
+            log::warn!(target: "mates", "news of {} bytes over one packet", frame.len());
+        }
+        for target in targets.iter().filter(|t| **t != settings.listen.peer) {
+            // An unreachable mate shows as an error here; it is silent to us either way.
+            let _sent = socket.try_send_to(&frame, *target);
+        }
+    }
+}
+
+fn news(gateway: &Gateway, round: u64, now: Instant) -> News {
+    let settings = gateway.settings();
+    let mut desk = gateway.desk.borrow_mut();
+    let mut work = desk.loads.own();
+    work.truncate(MOST_TOLD);
+    let mut usage = desk.usage.own(now);
+    usage.sort_by(|a, b| b.1.asked.total_cmp(&a.1.asked));
+    usage.truncate(MOST_TOLD);
+    News {
+        mate: Mate {
+            front: settings.listen.front,
+            peer: settings.listen.peer,
+            domain: settings.domain,
+        },
+        ready: gateway.is_ready(),
+        leaving: gateway.phase() > Phase::Serving,
+        version: gateway.version(),
+        revision: desk.registry.latest(),
+        work,
+        usage,
+        others: gateway.mates.borrow().named(round, now),
+    }
+}
+
+/// Takes news for as long as the process lives.
+pub async fn hear(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    let mut opener = Opener::new(gateway.settings().key, DATAGRAMS);
+    let mut buffer = vec![0; 65_536];
+    let mut echoes = 0;
+    loop {
+        let Ok((length, _from)) = socket.recv_from(&mut buffer).await else {
+            // An unreachable mate shows as an error on the next receive; the socket is still good.
+            tokio::task::yield_now().await;
+            continue;
+        };
+        match opener.open(&buffer[..length]) {
+            Ok(frame) if frame.sender == gateway.me => {}
+            Ok(frame) => {
+                let Message::News(news) = frame.message else {
+                    continue;
+                };
+                let now = gateway.now();
+                let mut mates = gateway.mates.borrow_mut();
+                mates.hear(frame.sender, frame.incarnation, &news, now);
+                let mut desk = gateway.desk.borrow_mut();
+                desk.loads.hear(frame.sender, news.work, now);
+                desk.usage.hear(frame.sender, news.usage, now);
+                if desk.waiting() > 0 {
+                    gateway.nudge.notify_one();
+                }
+            }
+            Err(FrameError::Replayed) => {
+                echoes += 1;
+                if echoes > MOST_ECHOES {
+                    opener = Opener::new(gateway.settings().key, DATAGRAMS);
+                    echoes = 0;
+                }
+            }
+            Err(error) => log::warn!(target: "mates", "datagram dropped: {error}"),
+        }
+    }
+}
+
+/// Asks mates that know more, for as long as the process lives.
+pub async fn catch_up(gateway: Rc<Gateway>) {
+    let mut behind: Option<Instant> = None;
+    loop {
+        tokio::time::sleep(LOOK).await;
+        let now = gateway.now();
+        let (version, revision) = (gateway.version(), gateway.desk.borrow().registry.latest());
+        let ahead = gateway.mates.borrow().ahead(version, revision, now).copied();
+        let Some(ahead) = ahead else {
+            behind = None;
+            continue;
+        };
+        if now.duration_since(*behind.get_or_insert(now)) < BEHIND {
+            continue;
+        }
+        behind = None;
+        let pull = Pull { version, revision };
+        let asked = tokio::time::timeout(ANSWER, ask(&gateway, ahead.mate.peer, pull)).await;
+        match asked {
+            Ok(Ok(knowledge)) => learn(&gateway, knowledge, ahead.mate.peer),
+            Ok(Err(error)) => {
+                log::warn!(target: "mates", "{} can't tell what it knows: {error}", ahead.mate.peer);
+            }
+            Err(_elapsed) => {
+                log::warn!(target: "mates", "{} doesn't tell what it knows", ahead.mate.peer);
+            }
+        }
+    }
+}
+
+fn learn(gateway: &Gateway, knowledge: Knowledge, from: SocketAddr) {
+    let from = from.to_string();
+    if let Some(catalog) = knowledge.catalog {
+        gateway.accept(catalog, &from);
+    }
+    if let Some(servers) = knowledge.servers {
+        gateway.list(servers, knowledge.revision, false, &from);
+    }
+}
+
+async fn ask(gateway: &Gateway, mate: SocketAddr, pull: Pull) -> std::io::Result<Knowledge> {
+    let mut link = connect(mate).await?;
+    let channel = link.read_u64_le().await?;
+    let key = gateway.settings().key;
+    let mut sealer = Sealer::new(key, gateway.me, gateway.incarnation, channel);
+    send(&mut link, &mut sealer, &Message::Pull(pull)).await?;
+    let mut opener = Opener::new(key, channel);
+    match receive(&mut link, &mut opener).await? {
+        Message::Knowledge(knowledge) => Ok(*knowledge),
+        _ => Err(std::io::ErrorKind::InvalidData.into()),
+    }
+}
+
+async fn send(link: &mut TcpStream, sealer: &mut Sealer, message: &Message) -> std::io::Result<()> {
+    let frame = sealer.seal(message).map_err(std::io::Error::other)?;
+    link.write_u32_le(frame.len() as u32).await?;
+    link.write_all(&frame).await
+}
+
+async fn receive(link: &mut TcpStream, opener: &mut Opener) -> std::io::Result<Message> {
+    let length = link.read_u32_le().await? as usize;
+    if length > FRAME_LIMIT {
+        return Err(std::io::ErrorKind::InvalidData.into());
+    }
+    let mut frame = vec![0; length];
+    link.read_exact(&mut frame).await?;
+    let frame = opener.open(&frame).map_err(std::io::Error::other)?;
+    Ok(frame.message)
+}
+
+/// Answers mates that ask, for as long as the process lives.
+pub async fn answer(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        let Ok((link, from)) = listener.accept().await else {
+            tokio::time::sleep(LOOK).await;
+            continue;
+        };
+        let gateway = Rc::clone(&gateway);
+        tokio::task::spawn_local(async move {
+            let told = tokio::time::timeout(ANSWER, tell_one(&gateway, link)).await;
+            if let Ok(Err(error)) = told {
+                let fields = json!({"mate": from.to_string(), "why": error.to_string()});
+                journal::belief("mate_not_told", fields);
+            }
+        });
+    }
+}
+
+async fn tell_one(gateway: &Gateway, mut link: TcpStream) -> std::io::Result<()> {
+    let channel: u64 = rand::random();
+    link.write_u64_le(channel).await?;
+    let key = gateway.settings().key;
+    let mut opener = Opener::new(key, channel);
+    let Message::Pull(pull) = receive(&mut link, &mut opener).await? else {
+        return Err(std::io::ErrorKind::InvalidData.into());
+    };
+    let knowledge = knowledge(gateway, pull);
+    let mut sealer = Sealer::new(key, gateway.me, gateway.incarnation, channel);
+    send(&mut link, &mut sealer, &Message::Knowledge(Box::new(knowledge))).await
+}
+
+fn knowledge(gateway: &Gateway, pull: Pull) -> Knowledge {
+    let table = gateway.table();
+    let newer = table.filter(|t| t.version() > pull.version);
+    let desk = gateway.desk.borrow();
+    let latest = desk.registry.latest();
+    Knowledge {
+        catalog: newer.map(|t| t.catalog().clone()),
+        servers: (latest > pull.revision).then(|| desk.registry.snapshot()),
+        revision: latest,
+    }
+}
--- /dev/null
+++ b/crates/hawthornmill-gateway/src/serve.rs
@@ -0,0 +1,135 @@
+//! Connections of callers: one request after the other, and noticing when the caller leaves.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use hawthornmill::codes::Code;
+use tokio::io::AsyncReadExt;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+
+use crate::gateway::{Gateway, Phase};
+use crate::trip::read::{Next, next};
+use crate::trip::reply::Reply;
+use crate::trip::{End, carry};
+
+/// Connections that are served at once; the rest of the descriptors is for servers.
+const MOST_CONNECTIONS: usize = 2_600;
+/// Bytes that a caller may send ahead of its answer; more are left in the socket.
+const MOST_AHEAD: usize = 16 << 10;
+/// Time for which what a refused caller still sends is read, so that it can read its answer.
+///
+/// Closing a connection with unread bytes resets it, and the reset overtakes the answer.
+const LINGER: Duration = Duration::from_millis(300);
+
+/// What a caller sends.
+#[derive(Debug)]
+pub struct Reader {
+    half: OwnedReadHalf,
+    /// Bytes received and not used yet.
+    pub buffer: BytesMut,
+}
+
+impl Reader {
+    /// Reads more; 0 when the caller has closed.
+    ///
+    /// # Errors
+    /// When the connection broke.
+    pub async fn more(&mut self) -> std::io::Result<usize> {
+        self.half.read_buf(&mut self.buffer).await
+    }
+
+    /// Ends when the caller has closed its connection.
+    async fn gone(&mut self) {
+        loop {
+            if self.buffer.len() >= MOST_AHEAD {
+                // Reading on would take memory for a caller that sends without waiting; its
+                // leaving is noticed when the answer can't be written.
+                std::future::pending::<()>().await;
+            }
+            match self.more().await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
+        }
+    }
+}
+
+/// Accepts callers for as long as the process lives.
+pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        let accepted = listener.accept().await;
+        let Ok((stream, _from)) = accepted else {
+            // Out of descriptors, most likely; others are given back meanwhile.
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        if gateway.meters.connections.get() >= MOST_CONNECTIONS {
+            // Closed without a byte of a request read, so its caller may go elsewhere at once.
+            continue;
+        }
+        spawn_local(serve(Rc::clone(&gateway), stream));
+    }
+}
+
+struct Open<'a>(&'a std::cell::Cell<usize>);
+
+impl<'a> Open<'a> {
+    fn count(cell: &'a std::cell::Cell<usize>) -> Self {
+        cell.set(cell.get() + 1);
+        Self(cell)
+    }
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
+    let _open = Open::count(&gateway.meters.connections);
+    let (half, mut out) = stream.into_split();
+    let mut reader = Reader {
+        half,
+        buffer: BytesMut::with_capacity(2048),
+    };
+    loop {
+        let call = match next(&gateway, &mut reader, &mut out).await {
+            Next::Call(call) => call,
+            Next::Refuse(code) => return turn_away(&gateway, code, &mut reader, &mut out).await,
+            Next::Closed => return,
+        };
+        let _flying = Open::count(&gateway.flying);
+        let last = call.head.closes() || gateway.phase() >= Phase::Leaving;
+        let mut trip = call.begin(&gateway);
+        let end = tokio::select! {
+            biased;
+            end = carry(&gateway, &call, &mut trip, last, &mut out) => end,
+            () = reader.gone() => End::Left,
+        };
+        trip.settle(&gateway, &call, end);
+        if end != End::Whole || last {
+            return;
+        }
+    }
+}
+
+/// Answers what is no request, and reads on for a moment so that the answer arrives.
+async fn turn_away(gateway: &Gateway, code: Code, reader: &mut Reader, out: &mut OwnedWriteHalf) {
+    let reply = Reply::new(code);
+    if reply.write(gateway, None, true, out).await.is_err() {
+        return;
+    }
+    let rest = async {
+        loop {
+            reader.buffer.clear();
+            if !matches!(reader.more().await, Ok(bytes) if bytes > 0) {
+                return;
+            }
+        }
+    };
+    let _ended = tokio::time::timeout(LINGER, rest).await;
+}
--- /dev/null
+++ b/crates/hawthornmill-gateway/src/trip/again.rs
@@ -0,0 +1,103 @@
+//! Whether a request that failed at one server goes to another.
+//!
+//! A request that reached no server may go on freely. One that a server refused, or that may have
+//! run, takes from the fleet's budget of second sends; one that may have run must besides be allowed
+//! to run again.
+
+use hawthornmill::ident::ServerId;
+use hawthornmill::routing::loads::Verdict;
+use serde_json::json;
+
+use super::admit::Admitted;
+use super::read::Call;
+use super::send::Answer;
+use super::settle::Trip;
+use crate::gateway::Gateway;
+use crate::journal;
+
+/// Servers that one request may fail to reach; each costs up to a connection's time.
+const MOST_UNREACHED: u32 = 3;
+
+/// What follows a failure.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Next {
+    /// Another server gets the request.
+    Again,
+    /// It has not run and is refused.
+    Refuse,
+    /// It may have run and fails.
+    Fail,
+}
+
+/// Tells whether a server's answer is a failure that another server might not give.
+pub fn is_failure(answer: &Answer) -> bool {
+    answer.head.status >= 500
+}
+
+/// Takes a second send for a request that may have run.
+pub fn may(gateway: &Gateway, admitted: &Admitted, trip: &mut Trip) -> bool {
+    admitted.repeat.allowed() && take(gateway, admitted, trip)
+}
+
+fn take(gateway: &Gateway, admitted: &Admitted, trip: &mut Trip) -> bool {
+    if trip.arrivals >= admitted.attempts {
+        return false;
+    }
+    let service = admitted.request.service;
+    let taken = gateway.desk.borrow_mut().budget.take(service, gateway.now());
+    if taken {
+        gateway.meters.resent(&admitted.service_name);
+    }
+    taken
+}
+
+/// The server could not be reached.
+pub fn after_unreached(
+    gateway: &Gateway,
+    call: &Call,
+    trip: &mut Trip,
+    server: ServerId,
+    why: &str,
+) -> Next {
+    let fields = json!({"server": gateway.server_name(server), "why": why});
+    journal::trouble("server_unreached", &call.attempt, fields);
+    gateway.pool.drop_idle(server);
+    let now = gateway.now();
+    gateway.desk.borrow_mut().loads.judge(server, Verdict::Unreachable, now);
+    trip.unreached += 1;
+    if trip.unreached <= MOST_UNREACHED {
+        Next::Again
+    } else if trip.maybe_run {
+        Next::Fail
+    } else {
+        Next::Refuse
+    }
+}
+
+/// The server says that it did not run the request.
+pub fn after_not_run(
+    gateway: &Gateway,
+    admitted: &Admitted,
+    trip: &mut Trip,
+    server: ServerId,
+    moved: bool,
+) -> Next {
+    if !moved {
+        gateway.desk.borrow_mut().loads.judge(server, Verdict::Full, gateway.now());
+    }
+    trip.not_run();
+    if take(gateway, admitted, trip) {
+        Next::Again
+    } else if trip.maybe_run {
+        Next::Fail
+    } else {
+        Next::Refuse
+    }
+}
+
+/// The server broke off, and may have run the request.
+pub fn after_break(gateway: &Gateway, admitted: &Admitted, trip: &mut Trip, server: ServerId) -> Next {
+    let now = gateway.now();
+    gateway.desk.borrow_mut().loads.judge(server, Verdict::Failed, now);
+    if may(gateway, admitted, trip) { Next::Again } else { Next::Fail }
+}
--- /dev/null
+++ b/crates/hawthornmill-gateway/src/trip/deliver.rs
@@ -0,0 +1,276 @@
+//! Passes a server's answer on: whole, or visibly broken off.
+//!
+//! A short answer is read to its end before a byte of it goes to the caller, so that one that breaks
+//! off can still be replaced by the truth. Streams and long answers go on as they come.
+
+use bytes::BytesMut;
+use hawthornmill::routing::loads::Verdict;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
+
+use super::End;
+use super::admit::Admitted;
+use super::events::Splitter;
+use super::read::Call;
+use super::send::{Answer, read_some};
+use super::settle::{Stage, Trip};
+use crate::gateway::Gateway;
+use crate::http::body::{Decoder, Piece};
+use crate::http::head::{AnswerHead, Framing};
+use crate::http::write::Bytes;
+
+/// Bytes of an answer that is read whole before it is passed on.
+const SHORT: usize = 64 << 10;
+
+/// How the delivery ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Delivered {
+    /// The caller has the whole answer.
+    Whole,
+    /// The caller is gone.
+    CallerGone,
+    /// The server broke off; what the caller has so far ends nowhere.
+    Cut,
+}
+
+/// What the server's side of an answer brought.
+enum Part {
+    Data(bytes::Bytes),
+    End,
+    Cut,
+}
+
+async fn part(answer: &mut Answer, decoder: &mut Decoder) -> Part {
+    loop {
+        match decoder.next(&mut answer.upstream.buffer) {
+            Ok(Piece::Data(data)) => return Part::Data(data),
+            Ok(Piece::End) => return Part::End,
+            Ok(Piece::More) => {}
+            Err(_malformed) => return Part::Cut,
+        }
+        match read_some(&answer.upstream.stream, &mut answer.upstream.buffer).await {
+            // Only an orderly close ends a body that has no length; a reset cuts it.
+            Ok(0) if decoder.ends_with_connection() => return Part::End,
+            Ok(0) | Err(_) => return Part::Cut,
+            Ok(_) => {}
+        }
+    }
+}
+
+/// Passes `answer` on; `begin` is called when its first token is here.
+#[expect(clippy::too_many_arguments, reason = "a step takes what the steps before it gave")]
+pub async fn deliver(
+    gateway: &Gateway,
+    call: &Call,
+    admitted: &Admitted,
+    trip: &mut Trip,
+    answer: Answer,
+    last: bool,
+    out: &mut OwnedWriteHalf,
+    begin: &mut dyn FnMut(()),
+) -> Delivered {
+    if trip.stage == Stage::Answering && answer.head.status != 200 {
+        return Delivered::Cut;
+    }
+    let kind = answer.head.fields.text("content-type").unwrap_or_default();
+    if admitted.streams && answer.head.status == 200 && kind.starts_with("text/event-stream") {
+        return stream(gateway, trip, answer, last, out, begin).await;
+    }
+    short(gateway, call, trip, answer, last, out, begin).await
+}
+
+/// The head of the answer for the caller.
+fn head(answer: &AnswerHead, framing: Framing, last: bool) -> Bytes {
+    let mut bytes = Bytes::answer(answer.status, &answer.reason);
+    bytes.fields(&answer.fields, &[]);
+    if framing == Framing::Empty {
+        // No body, but the length of what would be there may be told, as for HEAD.
+        if let Some(length) = answer.fields.get("content-length") {
+            bytes.field("Content-Length", length);
+        }
+    }
+    bytes.framing(framing);
+    if last {
+        bytes.field("Connection", "close");
+    }
+    bytes.end();
+    bytes
+}
+
+async fn short(
+    gateway: &Gateway,
+    call: &Call,
+    trip: &mut Trip,
+    mut answer: Answer,
+    last: bool,
+    out: &mut OwnedWriteHalf,
+    begin: &mut dyn FnMut(()),
+) -> Delivered {
+    let mut decoder = Decoder::new(answer.framing);
+    let mut body = answer.body.take().unwrap_or_default();
+    loop {
+        match part(&mut answer, &mut decoder).await {
+            Part::Data(data) => body.extend_from_slice(&data),
+            Part::Cut => return Delivered::Cut,
+            Part::End => break,
+        }
+        begin(());
+        if body.len() > SHORT {
+            return long(gateway, trip, answer, decoder, body, last, out).await;
+        }
+    }
+    begin(());
+    judge(gateway, &answer);
+    answer.body = Some(body);
+    let end = pass_whole(gateway, call, trip, &answer, last, out).await;
+    answer.finish(gateway);
+    match end {
+        End::Whole => Delivered::Whole,
+        End::Broken | End::Left => Delivered::CallerGone,
+    }
+}
+
+/// Reads the rest of a short answer; none when it breaks off or is long.
+pub async fn collect(mut answer: Answer) -> Option<Answer> {
+    let mut decoder = Decoder::new(answer.framing);
+    let mut body = BytesMut::new();
+    loop {
+        match part(&mut answer, &mut decoder).await {
+            Part::Data(data) => body.extend_from_slice(&data),
+            Part::Cut => return None,
+            Part::End => break,
+        }
+        if body.len() > SHORT {
+            return None;
+        }
+    }
+    answer.body = Some(body);
+    Some(answer)
+}
+
+fn judge(gateway: &Gateway, answer: &Answer) {
+    let verdict = if answer.head.status >= 500 { Verdict::Failed } else { Verdict::Sound };
+    let mut desk = gateway.desk.borrow_mut();
+    desk.loads.judge(answer.server, verdict, gateway.now());
+}
+
+/// Writes an answer whose body was read.
+pub async fn pass_whole(
+    gateway: &Gateway,
+    _call: &Call,
+    trip: &mut Trip,
+    answer: &Answer,
+    last: bool,
+    out: &mut OwnedWriteHalf,
+) -> End {
+    let none = BytesMut::new();
+    let body = answer.body.as_ref().unwrap_or(&none);
+    let framing = match answer.framing {
+        Framing::Empty => Framing::Empty,
+        _ => Framing::Length(body.len() as u64),
+    };
+    let mut bytes = head(&answer.head, framing, last);
+    bytes.0.extend_from_slice(body);
+    trip.answering(answer.head.status, gateway.now());
+    match out.write_all(&bytes.0).await {
+        Ok(()) => End::Whole,
+        Err(_gone) => End::Left,
+    }
+}
+
+/// Passes on an answer too long to be held.
+async fn long(
+    gateway: &Gateway,
+    trip: &mut Trip,
+    mut answer: Answer,
+    mut decoder: Decoder,
+    first: BytesMut,
+    last: bool,
+    out: &mut OwnedWriteHalf,
+) -> Delivered {
+    let chunked = !matches!(answer.framing, Framing::Length(_));
+    let mut bytes = head(&answer.head, answer.framing, last);
+    trip.answering(answer.head.status, gateway.now());
+    let mut data = first.freeze();
+    loop {
+        if chunked {
+            bytes.chunk(&data);
+        } else {
+            bytes.0.extend_from_slice(&data);
+        }
+        if out.write_all(&bytes.0).await.is_err() {
+            return Delivered::CallerGone;
+        }
+        bytes.0.clear();
+        match part(&mut answer, &mut decoder).await {
+            Part::Data(next) => data = next,
+            Part::Cut => return Delivered::Cut,
+            Part::End => break,
+        }
+    }
+    judge(gateway, &answer);
+    if chunked {
+        bytes.last_chunk();
+        if out.write_all(&bytes.0).await.is_err() {
+            return Delivered::CallerGone;
+        }
+    }
+    answer.finish(gateway);
+    Delivered::Whole
+}
+
+/// Passes on a stream, event by event.
+///
+/// The head waits for the first whole event: until then another server may still have the request.
+async fn stream(
+    gateway: &Gateway,
+    trip: &mut Trip,
+    mut answer: Answer,
+    last: bool,
+    out: &mut OwnedWriteHalf,
+    begin: &mut dyn FnMut(()),
+) -> Delivered {
+    let mut decoder = Decoder::new(answer.framing);
+    let mut splitter = Splitter::default();
+    let mut bytes = Bytes::default();
+    let number = gateway.dialect.event;
+    loop {
+        let (whole, ended) = match part(&mut answer, &mut decoder).await {
+            Part::Data(data) => (splitter.push(&data, number, trip.last_event), false),
+            Part::End => (None, true),
+            Part::Cut => return Delivered::Cut,
+        };
+        if splitter.is_overlong() {
+            return Delivered::Cut;
+        }
+        let Some(whole) = whole else {
+            if ended {
+                break;
+            }
+            continue;
+        };
+        begin(());
+        if trip.stage != Stage::Answering {
+            bytes = head(&answer.head, Framing::Chunked, last);
+            trip.answering(answer.head.status, gateway.now());
+        }
+        bytes.chunk(&whole.bytes);
+        if out.write_all(&bytes.0).await.is_err() {
+            return Delivered::CallerGone;
+        }
+        bytes.0.clear();
+        trip.last_event = whole.last.or(trip.last_event);
+    }
+    if trip.stage != Stage::Answering {
+        bytes = head(&answer.head, Framing::Chunked, last);
+        trip.answering(answer.head.status, gateway.now());
+    }
+    bytes.chunk(&splitter.rest());
+    bytes.last_chunk();
+    judge(gateway, &answer);
+    if out.write_all(&bytes.0).await.is_err() {
+        return Delivered::CallerGone;
+    }
+    answer.finish(gateway);
+    Delivered::Whole
+}
--- /dev/null
+++ b/crates/hawthornmill-gateway/src/trip/settle.rs
@@ -0,0 +1,157 @@
+//! The record of one request: how far it is, and its last line in the log.
+
+use std::time::Instant;
+
+use hawthornmill::codes::Code;
+use hawthornmill::routing::place::Choice;
+use serde_json::json;
+
+use super::End;
+use super::admit::Admitted;
+use super::read::Call;
+use super::reply::Reply;
+use crate::gateway::Gateway;
+use crate::journal;
+
+/// How far a request is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// No server has a byte of it, or those that had say that they did not run it.
+    Waiting,
+    /// A server may run it.
+    Sent,
+    /// Its caller has the begin of the answer.
+    Answering,
+}
+
+/// What is known of one request on its way.
+#[derive(Debug)]
+pub struct Trip {
+    /// How far it is.
+    pub stage: Stage,
+    /// Servers that had a byte of it.
+    pub arrivals: u32,
+    /// Servers that could not be reached.
+    pub unreached: u32,
+    /// A server may have run it, or still runs it.
+    pub maybe_run: bool,
+    /// The server in turn has a byte of it.
+    pub this_sent: bool,
+    /// Number of the last whole event that the caller has.
+    pub last_event: Option<u64>,
+    /// Status that the caller got; 0 when none.
+    pub status: u16,
+    code: Option<Code>,
+    admitted: Option<(Box<str>, Box<str>)>,
+    servers: Vec<Box<str>>,
+    begun: Option<Instant>,
+}
+
+impl Trip {
+    /// A request that has just come.
+    pub const fn new(_now: Instant) -> Self {
+        Self {
+            stage: Stage::Waiting,
+            arrivals: 0,
+            unreached: 0,
+            maybe_run: false,
+            this_sent: false,
+            last_event: None,
+            status: 0,
+            code: None,
+            admitted: None,
+            servers: Vec::new(),
+            begun: None,
+        }
+    }
+
+    /// The request may be served.
+    pub fn admitted(&mut self, call: &Call, admitted: &Admitted) {
+        self.admitted = Some((admitted.route.clone(), admitted.service_name.clone()));
+        let fields = json!({
+            "route": admitted.route, "service": admitted.service_name, "account": admitted.account,
+            "prompt_tokens": admitted.request.shape.prompt,
+            "time_left_ms": admitted.request.ends.duration_since(call.came).as_millis() as u64,
+        });
+        journal::step("admitted", &call.attempt, fields);
+    }
+
+    /// The request goes to a server.
+    pub fn sending(&mut self, gateway: &Gateway, call: &Call, choice: &Choice) {
+        let name = gateway.server_name(choice.server);
+        let waited = gateway.now().duration_since(call.came);
+        let fields = json!({
+            "server": name, "waited_ms": waited.as_millis() as u64, "send": self.arrivals + 1,
+            "tokens_before_first": choice.ahead, "expected_ms": choice.expected.as_millis() as u64,
+            "catalog": gateway.version(), "registrations": gateway.desk.borrow().registry.latest(),
+        });
+        journal::step("sent", &call.attempt, fields);
+        self.servers.push(name);
+    }
+
+    /// The first bytes are with the server.
+    pub fn sent_bytes(&mut self) {
+        if !std::mem::replace(&mut self.this_sent, true) {
+            self.arrivals += 1;
+            if self.stage == Stage::Waiting {
+                self.stage = Stage::Sent;
+            }
+        }
+    }
+
+    /// The server in turn says that it did not run it.
+    pub fn not_run(&mut self) {
+        self.this_sent = false;
+        if self.stage == Stage::Sent && !self.maybe_run {
+            self.stage = Stage::Waiting;
+        }
+    }
+
+    /// The answer has begun with `status`.
+    pub fn answering(&mut self, status: u16, now: Instant) {
+        self.stage = Stage::Answering;
+        self.status = status;
+        self.begun.get_or_insert(now);
+    }
+
+    /// Why it ends as it does.
+    pub const fn note_code(&mut self, code: Code) {
+        self.code = Some(code);
+    }
+
+    /// The gateway answers itself.
+    pub const fn note_reply(&mut self, reply: &Reply) {
+        self.code = Some(reply.code);
+        self.status = reply.code.status();
+    }
+
+    /// Writes the request's last line and counts it.
+    pub fn settle(&self, gateway: &Gateway, call: &Call, end: End) {
+        let now = gateway.now();
+        let outcome = match end {
+            End::Left => "caller_left",
+            End::Broken => "broken_off",
+            End::Whole if self.code.is_some_and(|c| matches!(c.status(), 429 | 503)) => "refused",
+            End::Whole if self.code.is_some() => "failed",
+            End::Whole if self.status >= 500 => "server_failed",
+            End::Whole => "answered",
+        };
+        let (route, service) = match &self.admitted {
+            Some((route, service)) => (&**route, &**service),
+            None => ("none", "none"),
+        };
+        gateway.meters.ended(service, outcome);
+        let fields = json!({
+            "outcome": outcome, "status": self.status, "code": self.code.map(Code::number),
+            "route": route, "service": service, "servers": self.servers, "sends": self.arrivals,
+            "last_event": self.last_event,
+            "begin_ms": self.begun.map(|b| b.duration_since(call.came).as_millis() as u64),
+            "took_ms": now.duration_since(call.came).as_millis() as u64,
+        });
+        if outcome == "answered" {
+            journal::step("ended", &call.attempt, fields);
+        } else {
+            journal::trouble("ended", &call.attempt, fields);
+        }
+    }
+}
--- a/crates/hawthornmill/src/codes.rs
+++ b/crates/hawthornmill/src/codes.rs
@@ -135,6 +135,10 @@
     KeyRefused = 3024, 409, "idempotency key was refused and stays so";
     /// The account's queue is so long that the deadline would pass in it.
     QueueLate = 3030, 429, "account's queue is too long for the deadline";
+    /// A caller that is too slow with the head or the body of its request.
+    HeadTooSlow = 3031, 408, "request came too slowly";
+    /// A request in an HTTP version before 1.1.
+    OldVersion = 3032, 505, "HTTP/1.1 is needed";
     /// A peer's frame that can't be decoded.
     FrameMalformed = 4001, 0, "malformed peer frame";
     /// A peer's frame with a wrong authentication code.
--- a/crates/hawthornmill/src/lib.rs
+++ b/crates/hawthornmill/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`membership`] | who is live, leaving or dead, and who owns or relays what |
 //! | [`keys`] | at-most-once calls: key prefixes and the table of a home |
 //! | [`notes`] | events that operators should read in the log |
+//! | [`routing`] | the gateway: routes, registered servers, placement, letting in |
 //! | [`usage`] | one record for each finished request |
 //! | [`wire`] | typed messages between instances and their authenticated frames |
 
@@ -32,5 +33,6 @@
 pub mod membership;
 pub mod notes;
 pub mod pools;
+pub mod routing;
 pub mod usage;
 pub mod wire;
--- /dev/null
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -0,0 +1,346 @@
+//! Lets requests in, makes them wait, or turns them away.
+//!
+//! Load pattern: more work arrives than the servers can hold. A request goes to a server only when
+//! it can begin there in time, so the servers' own queues, which know no order, stay short. Others
+//! wait here for a small part of their objective: that evens out bursts, and a longer wait would
+//! only make a late answer of one that could have been refused at once. While anything waits,
+//! accounts below their max-min share go first, then urgent routes, then the longest waiting.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use slotmap::{SlotMap, new_key_type};
+use smallvec::SmallVec;
+
+use super::budget::Budget;
+use super::catalog::Engine;
+use super::loads::{Loads, Work};
+use super::memory::PrefixMemory;
+use super::place::{Ask, Choice, Place, ReadRate, Unplaced, View, choose};
+use super::registry::Registry;
+use super::shape::Shape;
+use super::usage::{Usage, WINDOW, level};
+use crate::codes::Code;
+use crate::ident::{AccountId, DomainId, RegionId, ServerId, ServiceId};
+use crate::limits::pace::Pace;
+
+/// Part of its objective for which a request waits for room at most.
+///
+/// A wait of an eighth costs its caller nothing; one of three quarters leaves no time to answer.
+const PATIENCE: f64 = 0.3;
+/// Times its objective that a request may be expected to take and still be sent.
+///
+/// A late answer is worth a third of one in time at most, and delays those behind it.
+const LATE: f64 = 1.0;
+/// Part of the max-min level from which an account counts as served while others wait.
+const SERVED: f64 = 1.0;
+/// Requests that wait at one instance at most; each holds its body.
+const MOST_WAITING: usize = 512;
+/// Time after which the shares are worked out anew.
+const SHARES_EVERY: Duration = Duration::from_millis(200);
+/// Time to come back that is told when no server of the service is known.
+const NO_SERVER_AGAIN: Duration = Duration::from_millis(700);
+
+new_key_type! {
+    /// A request that waits.
+    pub struct Ticket;
+}
+
+/// A request that wants a server.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// Account that pays; none on public routes.
+    pub account: Option<AccountId>,
+    /// Service that serves it.
+    pub service: ServiceId,
+    /// Set where model engines serve it.
+    pub engine: Option<Engine>,
+    /// Its size.
+    pub shape: Shape,
+    /// Rank; 0 goes first.
+    pub priority: u32,
+    /// Time to the answer's begin that its caller is promised.
+    pub objective: Duration,
+    /// When it came.
+    pub came: Instant,
+    /// When its caller gives up or the route's timeout passes.
+    pub ends: Instant,
+    /// Servers that had it before.
+    pub tried: SmallVec<[ServerId; 2]>,
+}
+
+/// Why a request is turned away, and when its caller may come back.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Refusal {
+    /// Numbered reason.
+    pub code: Code,
+    /// Time after which to come back.
+    pub again: Duration,
+}
+
+/// What becomes of a request now.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Verdict {
+    /// It goes to this server; its work is counted there from now on.
+    Send(Choice),
+    /// It waits; [`Desk::turn`] tells when that is over.
+    Wait(Ticket),
+    /// It is turned away and has not run.
+    Refuse(Refusal),
+}
+
+/// Everything that decides where requests go.
+#[derive(Debug)]
+pub struct Desk {
+    /// Servers.
+    pub registry: Registry,
+    /// Their work.
+    pub loads: Loads,
+    /// What they have read.
+    pub memory: PrefixMemory,
+    /// What accounts asked for and got.
+    pub usage: Usage,
+    /// Second sends.
+    pub budget: Budget,
+    /// Region of each failure domain.
+    pub regions: Vec<(DomainId, RegionId)>,
+    /// Tokens a second of all engines; 0 when unknown.
+    pub token_rate: f64,
+    place: Place,
+    rates: BTreeMap<ServiceId, ReadRate>,
+    paces: BTreeMap<ServiceId, Pace>,
+    line: SlotMap<Ticket, Request>,
+    over: BTreeMap<AccountId, bool>,
+    shared: Option<Instant>,
+}
+
+impl Desk {
+    /// A desk that knows no server.
+    pub fn new(place: Place, budget: Budget, now: Instant) -> Self {
+        Self {
+            registry: Registry::default(),
+            loads: Loads::default(),
+            memory: PrefixMemory::default(),
+            usage: Usage::new(now),
+            budget,
+            regions: Vec::new(),
+            token_rate: 0.0,
+            place,
+            rates: BTreeMap::new(),
+            paces: BTreeMap::new(),
+            line: SlotMap::with_key(),
+            over: BTreeMap::new(),
+            shared: None,
+        }
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.line.len()
+    }
+
+    /// Decides on a request that came, or that its server did not run.
+    pub fn ask(&mut self, request: &Request, now: Instant) -> Verdict {
+        if request.tried.is_empty() {
+            self.budget.came(request.service, now);
+            if let Some(account) = request.account {
+                self.usage.asked(account, request.shape.cost(), now);
+            }
+        }
+        self.share(now);
+        if !self.behind(request) {
+            match self.place(request, now) {
+                Ok(verdict) => return verdict,
+                Err(Unplaced::NoServer) => {
+                    return refuse(Code::UpstreamUnreachable, NO_SERVER_AGAIN);
+                }
+                Err(Unplaced::AllFull) => {}
+            }
+        }
+        if self.line.len() >= MOST_WAITING || self.is_hopeless(request, now) {
+            return self.refuse_full(request, now);
+        }
+        Verdict::Wait(self.line.insert(request.clone()))
+    }
+
+    /// Decides on those that wait; every request is named at most once.
+    pub fn turn(&mut self, now: Instant) -> Vec<(Ticket, Verdict)> {
+        self.share(now);
+        let mut order: Vec<Ticket> = self.line.keys().collect();
+        order.sort_by_key(|t| self.rank(&self.line[*t]));
+        let mut full: SmallVec<[ServiceId; 4]> = SmallVec::new();
+        let mut decided = Vec::new();
+        for ticket in order {
+            let request = self.line[ticket].clone();
+            let mut verdict = None;
+            // One that doesn't fit lets smaller ones behind it pass only while it can still wait.
+            if !full.contains(&request.service) {
+                match self.place(&request, now) {
+                    Ok(placed) => verdict = Some(placed),
+                    Err(Unplaced::NoServer) => {
+                        verdict = Some(refuse(Code::UpstreamUnreachable, NO_SERVER_AGAIN));
+                    }
+                    Err(Unplaced::AllFull) => full.push(request.service),
+                }
+            }
+            if verdict.is_none() && now >= patience_end(&request) {
+                verdict = Some(self.refuse_full(&request, now));
+            }
+            if let Some(verdict) = verdict {
+                self.line.remove(ticket);
+                self.left(request.service, &verdict, now);
+                decided.push((ticket, verdict));
+            }
+        }
+        decided
+    }
+
+    /// A request that waited is no longer wanted by its caller.
+    pub fn leave(&mut self, ticket: Ticket) {
+        self.line.remove(ticket);
+    }
+
+    /// The first token, or the whole answer, came `time` after a request was sent.
+    pub fn began(&mut self, service: ServiceId, choice: &Choice, time: Duration) {
+        self.rates
+            .entry(service)
+            .or_default()
+            .observe(choice.ahead, time);
+        let read = Work {
+            unread: choice.work.unread,
+            ..Work::default()
+        };
+        self.loads.end(choice.server, read);
+    }
+
+    /// The request is no longer under way; `began` says whether [`Self::began`] was called for it.
+    pub fn ended(&mut self, choice: &Choice, began: bool) {
+        let mut work = choice.work;
+        if began {
+            work.unread = 0;
+        }
+        self.loads.end(choice.server, work);
+    }
+
+    /// Drops what no longer counts and returns the servers that are gone.
+    pub fn sweep(&mut self, now: Instant) -> Vec<ServerId> {
+        let gone = self.registry.sweep(now);
+        for server in &gone {
+            self.memory.forget(*server);
+        }
+        let registry = &self.registry;
+        self.loads.sweep(|id| registry.get(id).is_some(), now);
+        gone
+    }
+
+    fn place(&mut self, request: &Request, now: Instant) -> Result<Verdict, Unplaced> {
+        let view = View {
+            registry: &self.registry,
+            loads: &self.loads,
+            memory: &self.memory,
+            place: self.place,
+            regions: &self.regions,
+        };
+        let ask = Ask {
+            service: request.service,
+            engine: request.engine,
+            shape: &request.shape,
+            avoid: &request.tried,
+            rate: self
+                .rates
+                .get(&request.service)
+                .copied()
+                .unwrap_or_default(),
+        };
+        let choice = choose(&view, &ask, now)?;
+        let begins = now + choice.expected;
+        if begins > request.came + request.objective.mul_f64(LATE) && request.tried.is_empty() {
+            return Err(Unplaced::AllFull);
+        }
+        self.loads.begin(choice.server, choice.work);
+        self.memory.note(choice.server, &request.shape, now);
+        if let Some(account) = request.account
+            && request.tried.is_empty()
+        {
+            self.usage.got(account, request.shape.cost(), now);
+        }
+        Ok(Verdict::Send(choice))
+    }
+
+    /// Tells whether others of the same service wait that go before `request`.
+    fn behind(&self, request: &Request) -> bool {
+        let rank = self.rank(request);
+        let mut others = self.line.values().filter(|r| r.service == request.service);
+        others.any(|r| self.rank(r) < rank)
+    }
+
+    fn rank(&self, request: &Request) -> (bool, u32, Instant) {
+        let over = request.account.and_then(|a| self.over.get(&a)).copied();
+        (over.unwrap_or(false), request.priority, request.came)
+    }
+
+    /// Tells whether a request can't get to the head of the line while it may wait.
+    fn is_hopeless(&self, request: &Request, now: Instant) -> bool {
+        let rank = self.rank(request);
+        let same = self.line.values().filter(|r| r.service == request.service);
+        let ahead = same.filter(|r| self.rank(r) <= rank).count();
+        let left = patience_end(request).saturating_duration_since(now);
+        let pace = self.paces.get(&request.service);
+        left.is_zero() || pace.is_some_and(|p| p.hopeless(ahead, left, now))
+    }
+
+    fn refuse_full(&self, request: &Request, now: Instant) -> Verdict {
+        let same = self.line.values().filter(|r| r.service == request.service);
+        let ahead = same.count();
+        let pace = self
+            .paces
+            .get(&request.service)
+            .copied()
+            .unwrap_or_default();
+        // The ticket's place in the line is as good a spread as any, and needs no randomness here.
+        let draw = (ahead % 8) as f64 / 8.0;
+        let again = pace.come_back(ahead, draw, now);
+        refuse(
+            Code::QueueLate,
+            again.max(request.objective.mul_f64(PATIENCE)),
+        )
+    }
+
+    fn left(&mut self, service: ServiceId, verdict: &Verdict, now: Instant) {
+        let left = self.line.values().filter(|r| r.service == service).count();
+        let pace = self.paces.entry(service).or_default();
+        if matches!(verdict, Verdict::Send(_)) {
+            pace.served(left, now);
+        } else if left == 0 {
+            pace.emptied();
+        }
+    }
+
+    /// Works out which accounts have had their share.
+    fn share(&mut self, now: Instant) {
+        if self
+            .shared
+            .is_some_and(|at| now.duration_since(at) < SHARES_EVERY)
+        {
+            return;
+        }
+        self.shared = Some(now);
+        self.over.clear();
+        if self.token_rate <= 0.0 {
+            return;
+        }
+        let fleet = self.usage.fleet(now);
+        let capacity = self.token_rate * WINDOW.as_secs_f64();
+        let level = level(fleet.values().map(|s| f64::from(s.asked)), capacity) * SERVED;
+        let over = fleet.iter().map(|(id, s)| (*id, f64::from(s.got) >= level));
+        self.over = over.collect();
+    }
+}
+
+fn patience_end(request: &Request) -> Instant {
+    (request.came + request.objective.mul_f64(PATIENCE)).min(request.ends)
+}
+
+const fn refuse(code: Code, again: Duration) -> Verdict {
+    Verdict::Refuse(Refusal { code, again })
+}
--- /dev/null
+++ b/crates/hawthornmill/src/routing/loads.rs
@@ -0,0 +1,199 @@
+//! What is under way at each backend server, here and at the other instances.
+//!
+//! An instance knows exactly what it sent itself, and what the others sent from their last report,
+//! a fraction of a second old. A server's own report rides on its answers and tells of work that
+//! nobody here accounts for. Whether a server is sound is judged by what its answers were, never by
+//! what it says of itself alone.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::ident::{InstanceId, ServerId};
+
+/// Time for which a peer's last report counts; about five reports may be lost.
+const REPORT_LIFE: Duration = Duration::from_millis(1_500);
+/// Age up to which a server's own report counts beside what is known of its work.
+const OWN_REPORT_LIFE: Duration = Duration::from_millis(300);
+/// First time for which a server that can't be reached gets no work; each further failure doubles it.
+const FIRST_DOWN: Duration = Duration::from_millis(400);
+/// Longest such time: a server that is back must not stay without work.
+const MOST_DOWN: Duration = Duration::from_secs(3);
+/// Time in which a server's share of failures falls to half without new ones.
+const FORGIVE: Duration = Duration::from_secs(2);
+/// Weight of the newest answer in a server's share of failures.
+const NEWEST: f64 = 0.12;
+
+/// Work under way at one server.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+pub struct Work {
+    /// Requests.
+    pub running: u32,
+    /// Prompt tokens of requests that have not begun to answer.
+    pub unread: u32,
+    /// Tokens that the requests take in the server's memory.
+    pub held: u32,
+}
+
+impl Work {
+    fn add(&mut self, other: Self) {
+        self.running += other.running;
+        self.unread += other.unread;
+        self.held += other.held;
+    }
+
+    fn subtract(&mut self, other: Self) {
+        self.running = self.running.saturating_sub(other.running);
+        self.unread = self.unread.saturating_sub(other.unread);
+        self.held = self.held.saturating_sub(other.held);
+    }
+}
+
+/// What a server says of its load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OwnReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+}
+
+/// How a request to a server ended, as far as the server's soundness goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It answered as it should.
+    Sound,
+    /// It failed, broke off or stayed silent.
+    Failed,
+    /// It was full; says nothing of its soundness.
+    Full,
+    /// No connection could be made, or it is another server by now.
+    Unreachable,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Server {
+    own: Work,
+    report: Option<(OwnReport, Instant)>,
+    failing: f64,
+    judged: Option<Instant>,
+    down: Option<Instant>,
+    downs: u32,
+}
+
+/// Work and soundness of every server.
+#[derive(Debug, Clone, Default)]
+pub struct Loads {
+    servers: BTreeMap<ServerId, Server>,
+    peers: BTreeMap<InstanceId, (Instant, Vec<(ServerId, Work)>)>,
+    others: BTreeMap<ServerId, Work>,
+}
+
+impl Loads {
+    /// A request is sent to `server`.
+    pub fn begin(&mut self, server: ServerId, work: Work) {
+        self.servers.entry(server).or_default().own.add(work);
+    }
+
+    /// Part of what [`Self::begin`] added is over.
+    pub fn end(&mut self, server: ServerId, work: Work) {
+        if let Some(known) = self.servers.get_mut(&server) {
+            known.own.subtract(work);
+        }
+    }
+
+    /// All work under way at `server` as far as is known.
+    pub fn total(&self, server: ServerId, now: Instant) -> Work {
+        let known = self.servers.get(&server);
+        let mut work = known.map_or_else(Work::default, |s| s.own);
+        work.add(self.others.get(&server).copied().unwrap_or_default());
+        if let Some((report, at)) = known.and_then(|s| s.report)
+            && now.duration_since(at) < OWN_REPORT_LIFE
+        {
+            work.running = work.running.max(report.running + report.waiting);
+        }
+        work
+    }
+
+    /// What this instance has under way, for the others.
+    pub fn own(&self) -> Vec<(ServerId, Work)> {
+        let busy = self.servers.iter().filter(|(_, s)| s.own.running > 0);
+        busy.map(|(id, s)| (*id, s.own)).collect()
+    }
+
+    /// Takes what a peer has under way, in place of what it said before.
+    pub fn hear(&mut self, peer: InstanceId, work: Vec<(ServerId, Work)>, now: Instant) {
+        self.peers.insert(peer, (now, work));
+        self.sum_others(now);
+    }
+
+    /// Forgets peers that fell silent and servers that `keep` does not know.
+    pub fn sweep(&mut self, keep: impl Fn(ServerId) -> bool, now: Instant) {
+        self.sum_others(now);
+        self.servers.retain(|id, s| s.own.running > 0 || keep(*id));
+    }
+
+    fn sum_others(&mut self, now: Instant) {
+        self.peers
+            .retain(|_, (at, _)| now.duration_since(*at) < REPORT_LIFE);
+        self.others.clear();
+        for (server, work) in self.peers.values().flat_map(|(_, list)| list) {
+            self.others.entry(*server).or_default().add(*work);
+        }
+    }
+
+    /// Takes a server's own report.
+    pub fn report(&mut self, server: ServerId, report: OwnReport, now: Instant) {
+        self.servers.entry(server).or_default().report = Some((report, now));
+    }
+
+    /// Takes how a request ended.
+    pub fn judge(&mut self, server: ServerId, verdict: Verdict, now: Instant) {
+        let known = self.servers.entry(server).or_default();
+        match verdict {
+            Verdict::Sound => {
+                known.failing = faded(known, now) * (1.0 - NEWEST);
+                known.judged = Some(now);
+                known.downs = 0;
+                known.down = None;
+            }
+            Verdict::Failed => {
+                known.failing = faded(known, now) * (1.0 - NEWEST) + NEWEST;
+                known.judged = Some(now);
+            }
+            Verdict::Full => {}
+            Verdict::Unreachable => {
+                let time = FIRST_DOWN * 2_u32.saturating_pow(known.downs);
+                known.down = Some(now + time.min(MOST_DOWN));
+                known.downs = (known.downs + 1).min(8);
+            }
+        }
+    }
+
+    /// Tells whether `server` gets no work now because it couldn't be reached.
+    ///
+    /// Once its time is over it gets one request, and others only after an answer to that.
+    pub fn is_down(&self, server: ServerId, now: Instant) -> bool {
+        let Some(known) = self.servers.get(&server) else {
+            return false;
+        };
+        match known.down {
+            Some(until) => now < until || known.own.running > 0,
+            None => false,
+        }
+    }
+
+    /// Part of the answers of `server` that were failures lately, 0 to 1.
+    pub fn failing(&self, server: ServerId, now: Instant) -> f64 {
+        self.servers.get(&server).map_or(0.0, |s| faded(s, now))
+    }
+}
+
+fn faded(server: &Server, now: Instant) -> f64 {
+    let Some(judged) = server.judged else {
+        return 0.0;
+    };
+    let age = now.duration_since(judged).as_secs_f64();
+    server.failing * 0.5_f64.powf(age / FORGIVE.as_secs_f64())
+}
--- /dev/null
+++ b/crates/hawthornmill/src/routing/memory.rs
@@ -0,0 +1,55 @@
+//! Which server has read which prompt prefix lately, as far as this instance sent it there.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use super::shape::{PrefixKey, Shape};
+use crate::ident::ServerId;
+
+/// Time for which a prefix is taken to be kept after its last use: engines keep what is used again
+/// within several seconds, and give up the least recently used first.
+const KEPT: Duration = Duration::from_secs(12);
+/// Prefixes that are remembered at most, about 1.5 MB.
+const MOST: usize = 20_000;
+
+/// Prefixes that servers have read.
+#[derive(Debug, Clone, Default)]
+pub struct PrefixMemory {
+    used: BTreeMap<(PrefixKey, ServerId), Instant>,
+}
+
+impl PrefixMemory {
+    /// `server` reads the prompt of `shape`.
+    pub fn note(&mut self, server: ServerId, shape: &Shape, now: Instant) {
+        if self.used.len() >= MOST {
+            self.sweep(now);
+        }
+        if self.used.len() >= MOST {
+            return;
+        }
+        for (key, _) in shape.prefixes() {
+            self.used.insert((key, server), now);
+        }
+    }
+
+    /// Tokens of the prompt that `server` need not read again.
+    pub fn kept(&self, server: ServerId, shape: &Shape, now: Instant) -> u32 {
+        let fresh = |key: PrefixKey| {
+            let used = self.used.get(&(key, server));
+            used.is_some_and(|at| now.duration_since(*at) < KEPT)
+        };
+        let prefixes = shape.prefixes();
+        let kept = prefixes.iter().take_while(|(key, _)| fresh(*key)).last();
+        kept.map_or(0, |(_, tokens)| *tokens)
+    }
+
+    /// Forgets what servers will have given up.
+    pub fn sweep(&mut self, now: Instant) {
+        self.used.retain(|_, at| now.duration_since(*at) < KEPT);
+    }
+
+    /// Forgets everything of a server that is gone or has started anew.
+    pub fn forget(&mut self, server: ServerId) {
+        self.used.retain(|(_, s), _| *s != server);
+    }
+}
--- /dev/null
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -0,0 +1,29 @@
+//! Decisions of the gateway: which route, which server, now or later or not at all.
+//!
+//! The gateway is the second way into the fleet. Its callers speak plain HTTP to a host and a path
+//! and get the server's answer unchanged; its servers register themselves. Everything here is free
+//! of input and output and takes `now`.
+//!
+//! | module | owns |
+//! |---|---|
+//! | [`catalog`], [`table`] | what operators publish, and looking it up |
+//! | [`registry`] | servers as they registered themselves |
+//! | [`shape`] | what a request will cost an engine |
+//! | [`loads`], [`memory`] | what is under way at each server, and what it has read |
+//! | [`place`] | the server for a request |
+//! | [`usage`] | what accounts asked for and got, and their max-min shares |
+//! | [`budget`] | second sends over the fleet |
+//! | [`desk`] | letting in, waiting, turning away |
+//! | [`news`] | what instances tell each other |
+
+pub mod budget;
+pub mod catalog;
+pub mod desk;
+pub mod loads;
+pub mod memory;
+pub mod news;
+pub mod place;
+pub mod registry;
+pub mod shape;
+pub mod table;
+pub mod usage;
--- /dev/null
+++ b/crates/hawthornmill/src/routing/place.rs
@@ -0,0 +1,274 @@
+//! Chooses the backend server for a request.
+//!
+//! Load pattern: prompts come in families that share a long beginning. Whoever reads it again pays
+//! for it in engine time, so a family has a *home* server that every instance works out alone by
+//! rendezvous hashing, and goes elsewhere only when the home is busier than reading anew costs.
+//! Families with a short shared part have a home in each failure domain, since carrying the request
+//! there costs more than one more reading; long ones have one home in the whole fleet.
+//!
+//! Each candidate gets an expected time to the first token. What a server can't hold besides what
+//! is under way is no candidate; when none is left, the request waits.
+
+use std::time::{Duration, Instant};
+
+use super::catalog::Engine;
+use super::loads::{Loads, Work};
+use super::memory::PrefixMemory;
+use super::registry::Registry;
+use super::shape::Shape;
+use crate::ident::{DomainId, RegionId, ServerId, ServiceId, mix};
+
+/// Shared tokens from which a family has one home in the whole fleet.
+///
+/// Reading 2,000 tokens takes an engine 15 to 20 ms; carrying a request of that size to another
+/// region takes 60 ms of nobody's time and some kilobytes.
+const FLEET_WIDE: u32 = 2_000;
+/// Round trip to another failure domain of the region, and to another region (the brief's figures).
+const ROUND_TRIPS: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(3),
+    Duration::from_millis(60),
+];
+/// Time that an answer takes longer on a server whose slots are nearly all taken.
+const CROWDED: Duration = Duration::from_millis(120);
+/// What a failure costs a request in time, by which failing servers are passed over.
+const FAILURE: Duration = Duration::from_millis(1_500);
+/// Part of an engine's memory that requests may take; the rest keeps shared prefixes.
+const MEMORY_PART: f64 = 0.85;
+/// Requests at a plain server beyond its slots: they wait there for about half a request's time.
+const PLAIN_QUEUE: f64 = 0.5;
+/// Rate at which an engine reads prompts until answers have shown it, in tokens a millisecond.
+const FIRST_RATE: f64 = 60.0;
+/// Weight of the newest observation of that rate.
+const RATE_WEIGHT: f64 = 0.02;
+/// Least tokens of an observation: under it, fixed times outweigh the reading.
+const RATE_TOKENS: u32 = 3_000;
+/// Bounds of a plausible rate in tokens a millisecond.
+const RATES: (f64, f64) = (5.0, 400.0);
+
+/// How fast engines of one service read prompts, learnt from their answers.
+#[derive(Debug, Clone, Copy)]
+pub struct ReadRate(f64);
+
+impl Default for ReadRate {
+    fn default() -> Self {
+        Self(FIRST_RATE)
+    }
+}
+
+impl ReadRate {
+    /// The first token came `time` after `tokens` were before it, its own prompt included.
+    pub fn observe(&mut self, tokens: u32, time: Duration) {
+        let millis = time.as_secs_f64() * 1000.0;
+        if tokens < RATE_TOKENS || millis <= 0.0 {
+            return;
+        }
+        let sample = (f64::from(tokens) / millis).clamp(RATES.0, RATES.1);
+        self.0 += RATE_WEIGHT * (sample - self.0);
+    }
+
+    /// Time in which `tokens` are read.
+    pub fn time(self, tokens: u32) -> Duration {
+        Duration::from_secs_f64(f64::from(tokens) / self.0 / 1000.0)
+    }
+}
+
+/// Where this instance stands.
+#[derive(Debug, Clone, Copy)]
+pub struct Place {
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Its region.
+    pub region: RegionId,
+}
+
+/// What a choice looks at.
+#[derive(Debug)]
+pub struct View<'a> {
+    /// Servers.
+    pub registry: &'a Registry,
+    /// Their work.
+    pub loads: &'a Loads,
+    /// What they have read.
+    pub memory: &'a PrefixMemory,
+    /// Where this instance stands.
+    pub place: Place,
+    /// Region of each failure domain.
+    pub regions: &'a [(DomainId, RegionId)],
+}
+
+/// A request that needs a server.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// Service that serves it.
+    pub service: ServiceId,
+    /// Set where model engines serve it.
+    pub engine: Option<Engine>,
+    /// Its size.
+    pub shape: &'a Shape,
+    /// Servers that had it before.
+    pub avoid: &'a [ServerId],
+    /// How fast the service's engines read.
+    pub rate: ReadRate,
+}
+
+/// The server chosen.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Choice {
+    /// The server.
+    pub server: ServerId,
+    /// What the request adds to the server's work.
+    pub work: Work,
+    /// Prompt tokens before its first token, its own included.
+    pub ahead: u32,
+    /// Expected time to the first token.
+    pub expected: Duration,
+}
+
+/// Why no server was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unplaced {
+    /// The service has no server that could ever take it.
+    NoServer,
+    /// All servers that could take it are full.
+    AllFull,
+}
+
+struct Candidate {
+    server: ServerId,
+    tier: usize,
+    slots: u32,
+    domain: DomainId,
+}
+
+/// Chooses the server with the least expected time to the first token.
+///
+/// # Errors
+/// [`Unplaced`] says whether waiting can help.
+pub fn choose(view: &View<'_>, ask: &Ask<'_>, now: Instant) -> Result<Choice, Unplaced> {
+    let candidates = candidates(view, ask, now);
+    if candidates.is_empty() {
+        return Err(Unplaced::NoServer);
+    }
+    let home = home(&candidates, ask.shape);
+    candidates
+        .iter()
+        .filter_map(|c| weigh(view, ask, c, home, now))
+        .min_by(|a, b| a.1.total_cmp(&b.1))
+        .map(|(choice, _)| choice)
+        .ok_or(Unplaced::AllFull)
+}
+
+fn candidates(view: &View<'_>, ask: &Ask<'_>, now: Instant) -> Vec<Candidate> {
+    let usable = |id: &ServerId| !ask.avoid.contains(id) && !view.loads.is_down(*id, now);
+    view.registry
+        .entries()
+        .filter(|(id, known)| {
+            known.entry.service == ask.service && !known.entry.draining && usable(id)
+        })
+        .map(|(server, known)| Candidate {
+            server,
+            tier: tier(view, known.entry.domain),
+            slots: known.entry.slots,
+            domain: known.entry.domain,
+        })
+        .collect()
+}
+
+fn tier(view: &View<'_>, domain: DomainId) -> usize {
+    if domain == view.place.domain {
+        return 0;
+    }
+    let region = view.regions.iter().find(|(d, _)| *d == domain);
+    if region.is_some_and(|(_, r)| *r == view.place.region) {
+        1
+    } else {
+        2
+    }
+}
+
+/// The server that keeps the request's shared prefix.
+fn home(candidates: &[Candidate], shape: &Shape) -> Option<ServerId> {
+    let family = shape.family()?;
+    let reach = if shape.shared() >= FLEET_WIDE {
+        2
+    } else {
+        candidates.iter().map(|c| c.tier).min()?
+    };
+    candidates
+        .iter()
+        .filter(|c| c.tier <= reach)
+        .max_by_key(|c| (mix(family.0 ^ c.server.0), c.domain))
+        .map(|c| c.server)
+}
+
+/// The choice of one candidate and its cost in seconds; none when the server is full.
+fn weigh(
+    view: &View<'_>,
+    ask: &Ask<'_>,
+    candidate: &Candidate,
+    home: Option<ServerId>,
+    now: Instant,
+) -> Option<(Choice, f64)> {
+    let total = view.loads.total(candidate.server, now);
+    let slots = ask
+        .engine
+        .map_or(candidate.slots, |e| e.slots.min(candidate.slots.max(1)));
+    let room = if ask.engine.is_some() {
+        f64::from(slots)
+    } else {
+        f64::from(slots) * (1.0 + PLAIN_QUEUE)
+    };
+    if f64::from(total.running) + 1.0 > room.max(1.0) {
+        return None;
+    }
+    let read = to_read(view, ask, candidate.server, home, now);
+    let held = held(ask.shape, read);
+    if let Some(engine) = ask.engine
+        && total.running > 0
+        && f64::from(total.held + held) > f64::from(engine.memory) * MEMORY_PART
+    {
+        return None;
+    }
+    let ahead = total.unread + read;
+    let full = f64::from(total.running) / room;
+    let expected = ask.rate.time(ahead) + ROUND_TRIPS[candidate.tier];
+    let cost = expected.as_secs_f64()
+        + ask.rate.time(read).as_secs_f64()
+        + CROWDED.as_secs_f64() * full * full
+        + FAILURE.as_secs_f64() * view.loads.failing(candidate.server, now);
+    let choice = Choice {
+        server: candidate.server,
+        work: Work {
+            running: 1,
+            unread: read,
+            held,
+        },
+        ahead,
+        expected,
+    };
+    Some((choice, cost))
+}
+
+/// Prompt tokens that the server must read.
+fn to_read(
+    view: &View<'_>,
+    ask: &Ask<'_>,
+    server: ServerId,
+    home: Option<ServerId>,
+    now: Instant,
+) -> u32 {
+    let shape = ask.shape;
+    let seen = view.memory.kept(server, shape, now);
+    let kept = if home == Some(server) {
+        seen.max(shape.shared())
+    } else {
+        seen
+    };
+    shape.prompt.saturating_sub(kept)
+}
+
+/// Tokens that the request takes in the engine's memory besides what is kept there already.
+fn held(shape: &Shape, read: u32) -> u32 {
+    read + shape.expected()
+}
--- /dev/null
+++ b/crates/hawthornmill/src/routing/registry.rs
@@ -0,0 +1,208 @@
+//! Backend servers as they have registered themselves.
+//!
+//! Entries come from the platform's store, read here or by a peer, each with the store's revision.
+//! A newer revision of an entry replaces an older one whatever the order of arrival. An entry that
+//! is missing after the store was away is kept for a short grace: servers register anew within
+//! about two seconds of its return, and dropping all of them meanwhile would refuse every request.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::ident::{DomainId, ServerId, ServiceId};
+
+/// Time for which an entry that was lost while the store was away still counts.
+///
+/// The platform promises that a live server's entry is back within about two seconds.
+pub const RETURN_GRACE: Duration = Duration::from_millis(2_200);
+/// Time for which the revision of a removed entry is remembered, so that a late copy can't revive it.
+const REMEMBER_GONE: Duration = Duration::from_mins(2);
+
+/// What a server says of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Registration {
+    /// Name of this run of the server.
+    pub name: Box<str>,
+    /// Service that it offers.
+    pub service: ServiceId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// It takes no new work.
+    pub draining: bool,
+    /// Start of the run in milliseconds of Unix time; 0 where it isn't said.
+    pub born: u64,
+}
+
+/// One change of an entry.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Entry that changed.
+    pub server: ServerId,
+    /// The store's revision of the change.
+    pub revision: u64,
+    /// The entry now; none when it was removed or can't be used.
+    pub entry: Option<Registration>,
+}
+
+/// An entry in force.
+#[derive(Debug, Clone)]
+pub struct Known {
+    /// What the server said last.
+    pub entry: Registration,
+    /// The store's revision of that.
+    pub revision: u64,
+    /// Set when the entry was found missing after the store was away: when it ceases to count.
+    pub until: Option<Instant>,
+}
+
+/// Every registration that this instance knows of.
+#[derive(Debug, Clone, Default)]
+pub struct Registry {
+    known: BTreeMap<ServerId, Known>,
+    gone: BTreeMap<ServerId, (u64, Instant)>,
+    /// Revision of the store up to which changes are known.
+    revision: u64,
+    /// Revision of the newest change of any entry.
+    latest: u64,
+}
+
+impl Registry {
+    /// Revision of the store up to which changes are known; 0 before the first list.
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Revision of the newest change of any entry, removals included.
+    pub const fn latest(&self) -> u64 {
+        self.latest
+    }
+
+    /// Entries in force.
+    pub fn entries(&self) -> impl Iterator<Item = (ServerId, &Known)> {
+        self.known.iter().map(|(id, known)| (*id, known))
+    }
+
+    /// An entry in force.
+    pub fn get(&self, id: ServerId) -> Option<&Known> {
+        self.known.get(&id)
+    }
+
+    /// Takes one change; false when it is older than what is known.
+    pub fn take(&mut self, change: Change, now: Instant) -> bool {
+        let known = self.known.get(&change.server).map_or(0, |k| k.revision);
+        let gone = self.gone.get(&change.server).map_or(0, |(r, _)| *r);
+        if change.revision <= known.max(gone) {
+            return false;
+        }
+        self.latest = self.latest.max(change.revision);
+        match change.entry {
+            Some(entry) => {
+                self.gone.remove(&change.server);
+                let known = Known {
+                    entry,
+                    revision: change.revision,
+                    until: None,
+                };
+                self.known.insert(change.server, known);
+            }
+            None => {
+                self.known.remove(&change.server);
+                self.gone.insert(change.server, (change.revision, now));
+            }
+        }
+        true
+    }
+
+    /// Changes up to `revision` have been taken.
+    pub fn advance(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Takes a whole list as of `revision`; entries that it lacks are gone, at once or after a grace.
+    ///
+    /// `away` says that the store was out of reach before, so that live servers may be missing. A
+    /// list that is older than what is known says nothing of missing entries.
+    pub fn replace(&mut self, list: Vec<Change>, revision: u64, away: bool, now: Instant) {
+        if self.revision == 0 {
+            // Removals before the first list are in it by their absence.
+            self.latest = self.latest.max(list.iter().map(|c| c.revision).max().unwrap_or(0));
+        }
+        let stale = revision < self.revision;
+        let listed: Vec<ServerId> = list.iter().map(|c| c.server).collect();
+        for change in list {
+            self.confirm(change.server);
+            self.take(change, now);
+        }
+        if stale {
+            return;
+        }
+        let missing: Vec<ServerId> = self
+            .known
+            .iter()
+            .filter(|(id, known)| !listed.contains(id) && known.revision <= revision)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in missing {
+            if away {
+                self.doubt(id, now);
+            } else {
+                self.remove(id, revision, now);
+            }
+        }
+        self.advance(revision);
+    }
+
+    /// Entries whose grace is over are removed.
+    pub fn sweep(&mut self, now: Instant) -> Vec<ServerId> {
+        let over = |k: &Known| k.until.is_some_and(|until| until <= now);
+        let ids: Vec<ServerId> = self
+            .known
+            .iter()
+            .filter(|(_, known)| over(known))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in &ids {
+            self.remove(*id, self.revision, now);
+        }
+        self.gone
+            .retain(|_, (_, at)| now.duration_since(*at) < REMEMBER_GONE);
+        ids
+    }
+
+    /// Every entry, for a peer that knows less.
+    pub fn snapshot(&self) -> Vec<Change> {
+        self.known
+            .iter()
+            .map(|(id, known)| Change {
+                server: *id,
+                revision: known.revision,
+                entry: Some(known.entry.clone()),
+            })
+            .collect()
+    }
+
+    /// An entry was removed while the store was away: it counts until the grace is over.
+    pub fn doubt(&mut self, id: ServerId, now: Instant) {
+        if let Some(known) = self.known.get_mut(&id) {
+            known.until.get_or_insert(now + RETURN_GRACE);
+        }
+    }
+
+    fn confirm(&mut self, id: ServerId) {
+        if let Some(known) = self.known.get_mut(&id) {
+            known.until = None;
+        }
+    }
+
+    fn remove(&mut self, id: ServerId, revision: u64, now: Instant) {
+        if let Some(known) = self.known.remove(&id) {
+            self.gone.insert(id, (revision.max(known.revision), now));
+        }
+    }
+}
--- /dev/null
+++ b/crates/hawthornmill/src/routing/shape.rs
@@ -0,0 +1,69 @@
+//! What a request will cost a model engine, as far as its caller says.
+
+use smallvec::SmallVec;
+
+use crate::ident::mix;
+
+/// One part of a prompt; requests that begin with the same parts share what was read of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Identity of the part's text.
+    pub id: u64,
+    /// Its length in tokens.
+    pub tokens: u32,
+}
+
+/// Identity of a prompt up to the end of one of its parts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PrefixKey(pub u64);
+
+/// Size and parts of a request for a model engine.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Shape {
+    /// Parts in order; the last one belongs to the request or its session alone.
+    pub parts: SmallVec<[PromptPart; 4]>,
+    /// Tokens of the whole prompt.
+    pub prompt: u32,
+    /// Tokens that will be generated at most.
+    pub most: u32,
+    /// The caller's guess of the tokens that will be generated, right at the median only.
+    pub hint: Option<u32>,
+}
+
+impl Shape {
+    /// Tokens that will be generated, as far as can be told.
+    pub fn expected(&self) -> u32 {
+        self.hint.map_or(self.most, |hint| hint.min(self.most))
+    }
+
+    /// Tokens read and generated, a generated one counted twice.
+    pub fn cost(&self) -> f64 {
+        f64::from(self.prompt) + 2.0 * f64::from(self.expected())
+    }
+
+    /// Tokens of the parts that other requests share.
+    pub fn shared(&self) -> u32 {
+        let all = self.parts.len().saturating_sub(1);
+        self.parts[..all].iter().map(|p| p.tokens).sum()
+    }
+
+    /// The prompt's prefixes in order, each with its tokens; the last one is the whole prompt.
+    pub fn prefixes(&self) -> SmallVec<[(PrefixKey, u32); 4]> {
+        let mut key = 0_u64;
+        let mut tokens = 0;
+        self.parts
+            .iter()
+            .map(|part| {
+                key = mix(key ^ part.id);
+                tokens += part.tokens;
+                (PrefixKey(key), tokens)
+            })
+            .collect()
+    }
+
+    /// Identity of the shared parts together; none where nothing is shared.
+    pub fn family(&self) -> Option<PrefixKey> {
+        let shared = self.parts.len().checked_sub(2)?;
+        self.prefixes().get(shared).map(|(key, _)| *key)
+    }
+}
--- /dev/null
+++ b/crates/hawthornmill/src/routing/table.rs
@@ -0,0 +1,121 @@
+//! Looks up the route and the account of a request.
+
+use std::collections::BTreeMap;
+
+use super::catalog::{Account, Catalog, Limits, Route, Service, TokenDigest, check};
+use crate::codes::Code;
+use crate::ident::ServiceId;
+
+/// A catalog in force, indexed.
+#[derive(Debug, Clone)]
+pub struct Table {
+    catalog: Catalog,
+    /// Indexes of routes by host, the longest prefix first.
+    hosts: BTreeMap<Box<str>, Vec<usize>>,
+    tokens: BTreeMap<TokenDigest, usize>,
+    services: BTreeMap<ServiceId, usize>,
+}
+
+/// For whom a request is made.
+#[derive(Debug, Clone, Copy)]
+pub enum Caller<'a> {
+    /// A token that belongs to an account.
+    Known(&'a Account),
+    /// The route needs no token, and none that is known came.
+    Anyone,
+}
+
+impl Table {
+    /// Indexes `catalog`.
+    ///
+    /// # Errors
+    /// As [`check`].
+    pub fn new(catalog: Catalog) -> Result<Self, (Code, Box<str>)> {
+        check(&catalog)?;
+        let mut hosts: BTreeMap<Box<str>, Vec<usize>> = BTreeMap::new();
+        for (index, route) in catalog.routes.iter().enumerate() {
+            hosts.entry(route.host.clone()).or_default().push(index);
+        }
+        for list in hosts.values_mut() {
+            list.sort_by_key(|i| std::cmp::Reverse(catalog.routes[*i].prefix.len()));
+        }
+        let accounts = catalog.accounts.iter().enumerate();
+        let tokens = accounts
+            .flat_map(|(index, account)| account.tokens.iter().map(move |t| (*t, index)))
+            .collect();
+        let services = catalog.services.iter().enumerate();
+        let services = services.map(|(index, s)| (s.id, index)).collect();
+        Ok(Self {
+            catalog,
+            hosts,
+            tokens,
+            services,
+        })
+    }
+
+    /// The catalog as published.
+    pub const fn catalog(&self) -> &Catalog {
+        &self.catalog
+    }
+
+    /// Version of the catalog.
+    pub const fn version(&self) -> u64 {
+        self.catalog.version
+    }
+
+    /// Bounds on callers.
+    pub const fn limits(&self) -> &Limits {
+        &self.catalog.limits
+    }
+
+    /// A service by key.
+    pub fn service(&self, id: ServiceId) -> Option<&Service> {
+        self.services.get(&id).map(|i| &self.catalog.services[*i])
+    }
+
+    /// The route with the longest prefix of `path` at `host`, which may carry a port.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+        let list = self.hosts.get(name.to_ascii_lowercase().as_str())?;
+        let routes = list.iter().map(|i| &self.catalog.routes[*i]);
+        routes.into_iter().find(|r| path.starts_with(&*r.prefix))
+    }
+
+    /// Tells whether any route goes by `host`.
+    pub fn has_host(&self, host: &str) -> bool {
+        self.hosts.contains_key(host.to_ascii_lowercase().as_str())
+    }
+
+    /// For whom a request with `token` is made; none when it must be refused.
+    pub fn caller(&self, route: &Route, token: Option<&[u8]>) -> Option<Caller<'_>> {
+        if self.catalog.accounts.is_empty() {
+            return Some(Caller::Anyone);
+        }
+        let known = token.and_then(|t| self.tokens.get(&TokenDigest::of(t)));
+        match known {
+            Some(index) => Some(Caller::Known(&self.catalog.accounts[*index])),
+            None if route.public => Some(Caller::Anyone),
+            None => None,
+        }
+    }
+
+    /// Tells whether callers carry tokens at all.
+    pub const fn has_accounts(&self) -> bool {
+        !self.catalog.accounts.is_empty()
+    }
+}
+
+/// The service of `route` for a draw between 0 and 1, by weight.
+pub fn split(route: &Route, draw: f64) -> ServiceId {
+    let total: u32 = route.targets.iter().map(|t| t.weight).sum();
+    let mut left = draw * f64::from(total);
+    for target in &route.targets {
+        left -= f64::from(target.weight);
+        if left < 0.0 {
+            return target.service;
+        }
+    }
+    // A draw of exactly 1 lands behind the last target.
+    let usable = route.targets.iter().rfind(|t| t.weight > 0);
+    usable.map_or(route.targets[0].service, |t| t.service)
+}
--- a/crates/hawthornmill/src/wire/message.rs
+++ b/crates/hawthornmill/src/wire/message.rs
@@ -6,6 +6,7 @@
 use crate::config::Manifest;
 use crate::fairness::CostKey;
 use crate::ident::{AccountId, Incarnation, InstanceId, PoolId, ServerId};
+use crate::routing::news::{Knowledge, News, Pull};
 
 /// Names one grant: the owner that made it and its number there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -307,4 +308,10 @@
     RosterDelta(RosterDelta),
     /// Old owner to new owner.
     Handover(Handover),
+    /// What an instance of the gateway tells the others, over UDP.
+    News(Box<News>),
+    /// Asks an instance of the gateway for newer knowledge.
+    Pull(Pull),
+    /// Answers with it.
+    Knowledge(Box<Knowledge>),
 }
