--- a/crates/hawthornmill-gateway/src/daemon.rs
+++ b/crates/hawthornmill-gateway/src/daemon.rs
@@ -40,7 +40,9 @@
         Ok(settings) => settings,
         Err(faults) => return report(&faults),
     };
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
     match runtime {
         Ok(runtime) => LocalSet::new().block_on(&runtime, run(settings, config, dialect)),
         Err(error) => {
@@ -106,7 +108,9 @@
         front: open(listen.front)?,
         sides,
         peer: open(listen.peer)?,
-        news: UdpSocket::bind(listen.peer).await.map_err(|e| fault(listen.peer, e))?,
+        news: UdpSocket::bind(listen.peer)
+            .await
+            .map_err(|e| fault(listen.peer, e))?,
     })
 }
 
@@ -115,7 +119,11 @@
         Ok(sockets) => sockets,
         Err(faults) => return report(&faults),
     };
-    let signals = [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()];
+    let signals = [
+        SignalKind::terminate(),
+        SignalKind::interrupt(),
+        SignalKind::hangup(),
+    ];
     let signals: std::io::Result<Vec<Signal>> = signals.into_iter().map(signal).collect();
     let (Ok(signals), Ok(())) = (signals, journal::start(settings.level)) else {
         eprintln!("signals or the log can't be had");
@@ -123,7 +131,10 @@
     };
     let gateway = Gateway::new(settings, dialect, Clock::system(), incarnation());
     let name = gateway.settings().name.clone();
-    journal::belief("start", json!({"instance": name, "run": gateway.incarnation.0}));
+    journal::belief(
+        "start",
+        json!({"instance": name, "run": gateway.incarnation.0}),
+    );
     start(&gateway, sockets);
     spawn_local(reread(Rc::clone(&gateway), config.to_path_buf()));
     let cut = until_told(&gateway, signals, config).await;
@@ -199,7 +210,11 @@
     if settings.listen != gateway.settings().listen {
         journal::belief("settings_need_restart", json!({"section": "listen"}));
     }
-    gateway.desk.borrow_mut().regions.clone_from(&settings.regions);
+    gateway
+        .desk
+        .borrow_mut()
+        .regions
+        .clone_from(&settings.regions);
     *gateway.settings.borrow_mut() = Rc::new(settings);
     journal::belief("settings_in_force", json!({}));
 }
--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -76,7 +76,12 @@
 
 impl Gateway {
     /// The state of a process that has heard nothing yet.
-    pub fn new(settings: Settings, dialect: Dialect, clock: Clock, incarnation: Incarnation) -> Rc<Self> {
+    pub fn new(
+        settings: Settings,
+        dialect: Dialect,
+        clock: Clock,
+        incarnation: Incarnation,
+    ) -> Rc<Self> {
         let now = clock.now();
         let place = Place {
             domain: settings.domain,
@@ -197,7 +202,10 @@
         };
         let (sender, receiver) = oneshot::channel();
         self.waiters.borrow_mut().insert(ticket, sender);
-        let waiting = Waiting { gateway: self, ticket };
+        let waiting = Waiting {
+            gateway: self,
+            ticket,
+        };
         let verdict = receiver.await;
         std::mem::forget(waiting);
         // The sender is dropped only together with the gateway.
@@ -287,6 +295,8 @@
             journal::belief("registration_lapsed", fields);
         }
         let desk = gateway.desk.borrow();
-        gateway.pool.sweep(|id| desk.registry.get(id).is_some(), now);
+        gateway
+            .pool
+            .sweep(|id| desk.registry.get(id).is_some(), now);
     }
 }
--- a/crates/hawthornmill-gateway/src/http/body.rs
+++ b/crates/hawthornmill-gateway/src/http/body.rs
@@ -74,7 +74,11 @@
                 State::Open if buffer.is_empty() => return Ok(Piece::More),
                 State::Open => return Ok(Piece::Data(buffer.split().freeze())),
                 State::Left(0) => {
-                    self.state = if self.chunked { State::ChunkEnd } else { State::Done };
+                    self.state = if self.chunked {
+                        State::ChunkEnd
+                    } else {
+                        State::Done
+                    };
                 }
                 State::Left(_) if buffer.is_empty() => return Ok(Piece::More),
                 State::Left(left) => {
@@ -105,7 +109,11 @@
 /// Takes a line that ends with CR and LF.
 fn line(buffer: &mut BytesMut) -> Result<Option<BytesMut>, Malformed> {
     let Some(end) = buffer.iter().position(|b| *b == b'\n') else {
-        return if buffer.len() > MOST_LINE { Err(Malformed) } else { Ok(None) };
+        return if buffer.len() > MOST_LINE {
+            Err(Malformed)
+        } else {
+            Ok(None)
+        };
     };
     if end == 0 || buffer[end - 1] != b'\r' || end > MOST_LINE {
         return Err(Malformed);
@@ -124,5 +132,9 @@
     }
     let text = std::str::from_utf8(digits).map_err(|_bytes| Malformed)?;
     let bytes = u64::from_str_radix(text, 16).map_err(|_range| Malformed)?;
-    Ok(if bytes == 0 { State::Trailers(0) } else { State::Left(bytes) })
+    Ok(if bytes == 0 {
+        State::Trailers(0)
+    } else {
+        State::Left(bytes)
+    })
 }
--- a/crates/hawthornmill-gateway/src/http/head.rs
+++ b/crates/hawthornmill-gateway/src/http/head.rs
@@ -204,7 +204,9 @@
 
 fn is_chunked(fields: &Fields) -> bool {
     let mut values = fields.all("transfer-encoding");
-    let only = values.next().is_some_and(|v| v.eq_ignore_ascii_case(b"chunked"));
+    let only = values
+        .next()
+        .is_some_and(|v| v.eq_ignore_ascii_case(b"chunked"));
     only && values.next().is_none()
 }
 
--- a/crates/hawthornmill-gateway/src/journal.rs
+++ b/crates/hawthornmill-gateway/src/journal.rs
@@ -120,7 +120,10 @@
 fn line(event: &str, request: Option<&str>, fields: Value) -> Value {
     let time = SystemTime::now().duration_since(UNIX_EPOCH);
     let mut map = Map::new();
-    map.insert("time_ms".into(), time.map_or(0, |t| t.as_millis() as u64).into());
+    map.insert(
+        "time_ms".into(),
+        time.map_or(0, |t| t.as_millis() as u64).into(),
+    );
     map.insert("event".into(), event.into());
     if let Some(request) = request {
         map.insert("request".into(), request.into());
--- a/crates/hawthornmill-gateway/src/mates.rs
+++ b/crates/hawthornmill-gateway/src/mates.rs
@@ -88,6 +88,8 @@
         revision: desk.registry.latest(),
         work,
         usage,
+        strays: desk.take_strays(),
+        short: desk.told_short(now),
         others: gateway.mates.borrow().named(round, now),
     }
 }
@@ -113,8 +115,7 @@
                 let mut mates = gateway.mates.borrow_mut();
                 mates.hear(frame.sender, frame.incarnation, &news, now);
                 let mut desk = gateway.desk.borrow_mut();
-                desk.loads.hear(frame.sender, news.work, now);
-                desk.usage.hear(frame.sender, news.usage, now);
+                desk.hear(frame.sender, &news, now);
                 if desk.waiting() > 0 {
                     gateway.nudge.notify_one();
                 }
@@ -138,7 +139,11 @@
         tokio::time::sleep(LOOK).await;
         let now = gateway.now();
         let (version, revision) = (gateway.version(), gateway.desk.borrow().registry.latest());
-        let ahead = gateway.mates.borrow().ahead(version, revision, now).copied();
+        let ahead = gateway
+            .mates
+            .borrow()
+            .ahead(version, revision, now)
+            .copied();
         let Some(ahead) = ahead else {
             behind = None;
             continue;
@@ -229,7 +234,12 @@
     };
     let knowledge = knowledge(gateway, pull);
     let mut sealer = Sealer::new(key, gateway.me, gateway.incarnation, channel);
-    send(&mut link, &mut sealer, &Message::Knowledge(Box::new(knowledge))).await
+    send(
+        &mut link,
+        &mut sealer,
+        &Message::Knowledge(Box::new(knowledge)),
+    )
+    .await
 }
 
 fn knowledge(gateway: &Gateway, pull: Pull) -> Knowledge {
--- a/crates/hawthornmill-gateway/src/meters.rs
+++ b/crates/hawthornmill-gateway/src/meters.rs
@@ -35,7 +35,11 @@
 impl Meters {
     /// A request ended.
     pub fn ended(&self, service: &str, outcome: &'static str) {
-        *self.requests.borrow_mut().entry((service.into(), outcome)).or_default() += 1;
+        *self
+            .requests
+            .borrow_mut()
+            .entry((service.into(), outcome))
+            .or_default() += 1;
     }
 
     /// A request was sent once more.
@@ -71,17 +75,30 @@
             );
         }
         for (service, count) in &*self.resends.borrow() {
-            let _ok = writeln!(text, "hawthornmill_resends_total{{service=\"{service}\"}} {count}");
+            let _ok = writeln!(
+                text,
+                "hawthornmill_resends_total{{service=\"{service}\"}} {count}"
+            );
         }
         for (outcome, count) in &*self.store.borrow() {
-            let _ok = writeln!(text, "hawthornmill_store_calls_total{{outcome=\"{outcome}\"}} {count}");
+            let _ok = writeln!(
+                text,
+                "hawthornmill_store_calls_total{{outcome=\"{outcome}\"}} {count}"
+            );
         }
         for (service, h) in &*self.begins.borrow() {
             let name = "hawthornmill_begin_milliseconds";
             for (bucket, bound) in h.buckets.iter().zip(BOUNDS) {
-                let _ok = writeln!(text, "{name}_bucket{{service=\"{service}\",le=\"{bound}\"}} {bucket}");
+                let _ok = writeln!(
+                    text,
+                    "{name}_bucket{{service=\"{service}\",le=\"{bound}\"}} {bucket}"
+                );
             }
-            let _ok = writeln!(text, "{name}_bucket{{service=\"{service}\",le=\"+Inf\"}} {}", h.count);
+            let _ok = writeln!(
+                text,
+                "{name}_bucket{{service=\"{service}\",le=\"+Inf\"}} {}",
+                h.count
+            );
             let _ok = writeln!(text, "{name}_count{{service=\"{service}\"}} {}", h.count);
             let _ok = writeln!(text, "{name}_sum{{service=\"{service}\"}} {}", h.sum);
         }
--- a/crates/hawthornmill-gateway/src/pool.rs
+++ b/crates/hawthornmill-gateway/src/pool.rs
@@ -91,7 +91,11 @@
         let list = idle.get_mut(&server)?;
         while let Some(last) = list.pop() {
             let age = now.duration_since(last.since);
-            let keep = if once { last.keep.min(BRIEF_IDLE) } else { last.keep };
+            let keep = if once {
+                last.keep.min(BRIEF_IDLE)
+            } else {
+                last.keep
+            };
             if age < keep && is_quiet(&last.stream) {
                 return Some(last.stream);
             }
--- a/crates/hawthornmill-gateway/src/serve.rs
+++ b/crates/hawthornmill-gateway/src/serve.rs
@@ -13,10 +13,13 @@
 use crate::gateway::{Gateway, Phase};
 use crate::trip::read::{Next, next};
 use crate::trip::reply::Reply;
-use crate::trip::{End, carry};
+use crate::trip::{Closing, End, carry};
 
 /// Connections that are served at once; the rest of the descriptors is for servers.
 const MOST_CONNECTIONS: usize = 2_600;
+/// Connections from which a refused caller's is closed: it comes back on a new one, and the old one
+/// would lie idle until its time is over.
+const MANY_CONNECTIONS: usize = 500;
 /// Bytes that a caller may send ahead of its answer; more are left in the socket.
 const MOST_AHEAD: usize = 16 << 10;
 /// Time for which what a refused caller still sends is read, so that it can read its answer.
@@ -103,15 +106,17 @@
             Next::Closed => return,
         };
         let _flying = Open::count(&gateway.flying);
-        let last = call.head.closes() || gateway.phase() >= Phase::Leaving;
+        let leaving = gateway.phase() >= Phase::Leaving;
+        let last = call.head.closes() || leaving;
+        let crowded = gateway.meters.connections.get() > MANY_CONNECTIONS;
         let mut trip = call.begin(&gateway);
         let end = tokio::select! {
             biased;
-            end = carry(&gateway, &call, &mut trip, last, &mut out) => end,
+            end = carry(&gateway, &call, &mut trip, Closing { last, crowded }, &mut out) => end,
             () = reader.gone() => End::Left,
         };
         trip.settle(&gateway, &call, end);
-        if end != End::Whole || last {
+        if end != End::Whole || last || (crowded && trip.is_refused()) {
             return;
         }
     }
--- a/crates/hawthornmill-gateway/src/settings.rs
+++ b/crates/hawthornmill-gateway/src/settings.rs
@@ -9,7 +9,15 @@
 use hawthornmill::ini::{Fault, Reader, Section, read};
 use hawthornmill::routing::budget::Terms;
 
-const SECTIONS: &[&str] = &["instance", "listen", "peers", "domain", "store", "promises", "telemetry"];
+const SECTIONS: &[&str] = &[
+    "instance",
+    "listen",
+    "peers",
+    "domain",
+    "store",
+    "promises",
+    "telemetry",
+];
 
 /// Addresses that this process serves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -114,7 +122,10 @@
             name,
             domain: DomainId::of(&domain),
             region: RegionId::of(&region),
-            regions: domains.iter().map(|s| domain_region(&mut reader, s)).collect(),
+            regions: domains
+                .iter()
+                .map(|s| domain_region(&mut reader, s))
+                .collect(),
             listen,
             seeds: seeds(&mut reader, &peers, listen.peer.port()),
             key: key(&mut reader, &peers),
@@ -168,7 +179,12 @@
         return Vec::new();
     };
     let mut seeds = Vec::new();
-    for word in entry.value.split(',').map(str::trim).filter(|w| !w.is_empty()) {
+    for word in entry
+        .value
+        .split(',')
+        .map(str::trim)
+        .filter(|w| !w.is_empty())
+    {
         match word.parse::<SocketAddr>() {
             Ok(address) => seeds.push(SocketAddr::new(address.ip(), port)),
             Err(_unreadable) => {
@@ -207,7 +223,13 @@
 }
 
 fn promises(reader: &mut Reader<'_>, section: &Section) -> Promises {
-    let known = ["grace_s", "ttl_s", "resend_ratio", "resend_extra", "resend_window_s"];
+    let known = [
+        "grace_s",
+        "ttl_s",
+        "resend_ratio",
+        "resend_extra",
+        "resend_window_s",
+    ];
     reader.known_keys(section, &known);
     Promises {
         grace: seconds(reader, section, "grace_s", 8.0),
--- a/crates/hawthornmill-gateway/src/side.rs
+++ b/crates/hawthornmill-gateway/src/side.rs
@@ -122,10 +122,20 @@
 fn named(gateway: &Gateway, question: &Question) -> Answer {
     let addresses = addresses(gateway, question);
     if addresses.is_empty() {
-        return (503, "Service Unavailable", TEXT, b"no instance is ready\n".to_vec());
+        return (
+            503,
+            "Service Unavailable",
+            TEXT,
+            b"no instance is ready\n".to_vec(),
+        );
     }
     let ttl = gateway.settings().promises.ttl.as_secs_f64();
-    (200, "OK", JSON, (gateway.dialect.surface.addresses)(&addresses, ttl))
+    (
+        200,
+        "OK",
+        JSON,
+        (gateway.dialect.surface.addresses)(&addresses, ttl),
+    )
 }
 
 /// Instances that take requests: those of the caller's failure domain, or of a wider circle when
@@ -146,7 +156,11 @@
     let circles: [&dyn Fn(DomainId) -> bool; 3] = [&|d| d == domain, &within, &|_| true];
     let mut chosen = Vec::new();
     for circle in circles {
-        chosen = all.iter().filter(|(d, _)| circle(*d)).map(|(_, a)| *a).collect();
+        chosen = all
+            .iter()
+            .filter(|(d, _)| circle(*d))
+            .map(|(_, a)| *a)
+            .collect();
         if chosen.len() >= ENOUGH {
             break;
         }
--- a/crates/hawthornmill-gateway/src/store.rs
+++ b/crates/hawthornmill-gateway/src/store.rs
@@ -136,7 +136,11 @@
         }
         self.revision = Some(page.revision.max(after));
         if self.topic == Topic::Servers {
-            self.gateway.desk.borrow_mut().registry.advance(page.revision);
+            self.gateway
+                .desk
+                .borrow_mut()
+                .registry
+                .advance(page.revision);
         }
         Ok(())
     }
@@ -155,7 +159,11 @@
             (Topic::Catalog, _) => {}
             (Topic::Servers, None) if self.was_away() => {
                 let server = hawthornmill::ident::ServerId::of(self.server_name(&item));
-                self.gateway.desk.borrow_mut().registry.doubt(server, self.gateway.now());
+                self.gateway
+                    .desk
+                    .borrow_mut()
+                    .registry
+                    .doubt(server, self.gateway.now());
             }
             (Topic::Servers, _) => {
                 let change = self.change(&item);
@@ -189,7 +197,8 @@
 
     /// Tells whether entries may be missing because servers could not write.
     fn was_away(&self) -> bool {
-        self.returning.is_some_and(|until| self.gateway.now() < until)
+        self.returning
+            .is_some_and(|until| self.gateway.now() < until)
     }
 
     async fn settle(&mut self, result: Result<(), Failure>) {
--- a/crates/hawthornmill-gateway/src/trip/admit.rs
+++ b/crates/hawthornmill-gateway/src/trip/admit.rs
@@ -60,9 +60,15 @@
     };
     let host = std::str::from_utf8(host).map_err(|_bytes| Reply::new(Code::BadHeader))?;
     let path = call.head.path();
-    let route = table.route(host, path).ok_or_else(|| Reply::new(Code::NoSuchCall))?;
-    let token = fields.get(names.token).and_then(|v| bearer(v, names.scheme));
-    let caller = table.caller(route, token).ok_or_else(|| Reply::new(Code::BadToken))?;
+    let route = table
+        .route(host, path)
+        .ok_or_else(|| Reply::new(Code::NoSuchCall))?;
+    let token = fields
+        .get(names.token)
+        .and_then(|v| bearer(v, names.scheme));
+    let caller = table
+        .caller(route, token)
+        .ok_or_else(|| Reply::new(Code::BadToken))?;
     let left = time_left(fields.get(names.deadline))?;
     let shape = (gateway.dialect.shape)(fields).map_err(|_why| Reply::new(Code::BadHeader))?;
     let service = split(route, rand::random());
@@ -106,6 +112,9 @@
         return Ok(None);
     };
     let text = std::str::from_utf8(value).map_err(|_bytes| Reply::new(Code::BadHeader))?;
-    let millis: u64 = text.trim().parse().map_err(|_number| Reply::new(Code::BadHeader))?;
+    let millis: u64 = text
+        .trim()
+        .parse()
+        .map_err(|_number| Reply::new(Code::BadHeader))?;
     Ok(Some(Duration::from_millis(millis)))
 }
--- a/crates/hawthornmill-gateway/src/trip/again.rs
+++ b/crates/hawthornmill-gateway/src/trip/again.rs
@@ -44,7 +44,11 @@
         return false;
     }
     let service = admitted.request.service;
-    let taken = gateway.desk.borrow_mut().budget.take(service, gateway.now());
+    let taken = gateway
+        .desk
+        .borrow_mut()
+        .budget
+        .take(service, gateway.now());
     if taken {
         gateway.meters.resent(&admitted.service_name);
     }
@@ -63,7 +67,11 @@
     journal::trouble("server_unreached", &call.attempt, fields);
     gateway.pool.drop_idle(server);
     let now = gateway.now();
-    gateway.desk.borrow_mut().loads.judge(server, Verdict::Unreachable, now);
+    gateway
+        .desk
+        .borrow_mut()
+        .loads
+        .judge(server, Verdict::Unreachable, now);
     trip.unreached += 1;
     if trip.unreached <= MOST_UNREACHED {
         Next::Again
@@ -83,7 +91,11 @@
     moved: bool,
 ) -> Next {
     if !moved {
-        gateway.desk.borrow_mut().loads.judge(server, Verdict::Full, gateway.now());
+        gateway
+            .desk
+            .borrow_mut()
+            .loads
+            .judge(server, Verdict::Full, gateway.now());
     }
     trip.not_run();
     if take(gateway, admitted, trip) {
@@ -96,8 +108,21 @@
 }
 
 /// The server broke off, and may have run the request.
-pub fn after_break(gateway: &Gateway, admitted: &Admitted, trip: &mut Trip, server: ServerId) -> Next {
+pub fn after_break(
+    gateway: &Gateway,
+    admitted: &Admitted,
+    trip: &mut Trip,
+    server: ServerId,
+) -> Next {
     let now = gateway.now();
-    gateway.desk.borrow_mut().loads.judge(server, Verdict::Failed, now);
-    if may(gateway, admitted, trip) { Next::Again } else { Next::Fail }
+    gateway
+        .desk
+        .borrow_mut()
+        .loads
+        .judge(server, Verdict::Failed, now);
+    if may(gateway, admitted, trip) {
+        Next::Again
+    } else {
+        Next::Fail
+    }
 }
--- a/crates/hawthornmill-gateway/src/trip/deliver.rs
+++ b/crates/hawthornmill-gateway/src/trip/deliver.rs
@@ -58,7 +58,10 @@
 }
 
 /// Passes `answer` on; `begin` is called when its first token is here.
-#[expect(clippy::too_many_arguments, reason = "a step takes what the steps before it gave")]
+#[expect(
+    clippy::too_many_arguments,
+    reason = "a step takes what the steps before it gave"
+)]
 pub async fn deliver(
     gateway: &Gateway,
     call: &Call,
@@ -149,7 +152,11 @@
 }
 
 fn judge(gateway: &Gateway, answer: &Answer) {
-    let verdict = if answer.head.status >= 500 { Verdict::Failed } else { Verdict::Sound };
+    let verdict = if answer.head.status >= 500 {
+        Verdict::Failed
+    } else {
+        Verdict::Sound
+    };
     let mut desk = gateway.desk.borrow_mut();
     desk.loads.judge(answer.server, verdict, gateway.now());
 }
--- a/crates/hawthornmill-gateway/src/trip/mod.rs
+++ b/crates/hawthornmill-gateway/src/trip/mod.rs
@@ -48,21 +48,30 @@
     Left,
 }
 
+/// Whether the connection ends after the answer.
+#[derive(Debug, Clone, Copy)]
+pub struct Closing {
+    /// After any answer.
+    pub last: bool,
+    /// After a refusal.
+    pub crowded: bool,
+}
+
 /// Carries a request to its end, in the time that its route and its caller allow.
 pub async fn carry(
     gateway: &Gateway,
     call: &Call,
     trip: &mut Trip,
-    last: bool,
+    closing: Closing,
     out: &mut OwnedWriteHalf,
 ) -> End {
     let admitted = match admit::admit(gateway, call) {
         Ok(admitted) => admitted,
-        Err(reply) => return answer_self(gateway, call, trip, &reply, last, out).await,
+        Err(reply) => return answer_self(gateway, call, trip, &reply, closing, out).await,
     };
     trip.admitted(call, &admitted);
     let ends = tokio::time::Instant::from_std(admitted.request.ends);
-    let journey = journey(gateway, call, &admitted, trip, last, out);
+    let journey = journey(gateway, call, &admitted, trip, closing, out);
     if let Ok(end) = tokio::time::timeout_at(ends, journey).await {
         return end;
     }
@@ -70,11 +79,11 @@
         Stage::Waiting => {
             let again = admitted.request.objective;
             let reply = Reply::again(Code::QueueLate, again);
-            answer_self(gateway, call, trip, &reply, last, out).await
+            answer_self(gateway, call, trip, &reply, closing, out).await
         }
         Stage::Sent => {
             let reply = Reply::new(Code::DeadlineWhileRunning);
-            answer_self(gateway, call, trip, &reply, last, out).await
+            answer_self(gateway, call, trip, &reply, closing, out).await
         }
         Stage::Answering => {
             trip.note_code(Code::DeadlineWhileRunning);
@@ -104,7 +113,10 @@
         }
         let now = self.gateway.now();
         let time = now.duration_since(sent);
-        self.gateway.desk.borrow_mut().began(admitted.request.service, &self.choice, time);
+        self.gateway
+            .desk
+            .borrow_mut()
+            .began(admitted.request.service, &self.choice, time);
         let whole = now.duration_since(call.came);
         self.gateway.meters.began(&admitted.service_name, whole);
     }
@@ -115,7 +127,7 @@
     call: &Call,
     admitted: &Admitted,
     trip: &mut Trip,
-    last: bool,
+    closing: Closing,
     out: &mut OwnedWriteHalf,
 ) -> End {
     let mut request = admitted.request.clone();
@@ -124,33 +136,61 @@
         let choice = match gateway.place(&request).await {
             Verdict::Send(choice) => choice,
             Verdict::Refuse(refusal) => {
-                return no_server(gateway, call, trip, fallback, refusal, last, out).await;
+                return no_server(gateway, call, trip, fallback, refusal, closing, out).await;
             }
             Verdict::Wait(_) => {
-                let refusal = Refusal { code: Code::InstanceFull, again: request.objective };
-                return no_server(gateway, call, trip, fallback, refusal, last, out).await;
+                let refusal = Refusal {
+                    code: Code::InstanceFull,
+                    again: request.objective,
+                };
+                return no_server(gateway, call, trip, fallback, refusal, closing, out).await;
             }
         };
-        let mut held = Held { gateway, choice, began: false };
+        let mut held = Held {
+            gateway,
+            choice,
+            began: false,
+        };
         trip.sending(gateway, call, &choice);
         let sent_at = gateway.now();
         let sent = send(gateway, call, admitted, trip, choice.server).await;
         let failed = match sent {
-            Sent::Answer(answer) if again::is_failure(&answer) && again::may(gateway, admitted, trip) => {
-                gateway.desk.borrow_mut().loads.judge(choice.server, loads::Verdict::Failed, gateway.now());
+            Sent::Answer(answer)
+                if again::is_failure(&answer) && again::may(gateway, admitted, trip) =>
+            {
+                gateway.desk.borrow_mut().loads.judge(
+                    choice.server,
+                    loads::Verdict::Failed,
+                    gateway.now(),
+                );
                 fallback = deliver::collect(answer).await.or(fallback);
                 Next::Again
             }
             Sent::Answer(answer) => {
                 let begin = |held: &mut Held<'_>| held.begin(call, admitted, sent_at);
-                match deliver(gateway, call, admitted, trip, answer, last, out, &mut |()| begin(&mut held)).await {
+                match deliver(
+                    gateway,
+                    call,
+                    admitted,
+                    trip,
+                    answer,
+                    closing.last,
+                    out,
+                    &mut |()| begin(&mut held),
+                )
+                .await
+                {
                     Delivered::Whole => return End::Whole,
                     Delivered::CallerGone => return End::Left,
                     Delivered::Cut => again::after_break(gateway, admitted, trip, choice.server),
                 }
             }
-            Sent::Unreached(why) => again::after_unreached(gateway, call, trip, choice.server, &why),
-            Sent::NotRun { moved } => again::after_not_run(gateway, admitted, trip, choice.server, moved),
+            Sent::Unreached(why) => {
+                again::after_unreached(gateway, call, trip, choice.server, &why)
+            }
+            Sent::NotRun { moved } => {
+                again::after_not_run(gateway, admitted, trip, choice.server, moved)
+            }
             Sent::Broken(why) => {
                 journal::trouble("server_broke_off", &call.attempt, json!({"why": why}));
                 again::after_break(gateway, admitted, trip, choice.server)
@@ -161,8 +201,11 @@
         match failed {
             Next::Again => {}
             Next::Refuse => {
-                let refusal = Refusal { code: Code::UpstreamUnreachable, again: admitted.request.objective / 2 };
-                return no_server(gateway, call, trip, fallback, refusal, last, out).await;
+                let refusal = Refusal {
+                    code: Code::UpstreamUnreachable,
+                    again: admitted.request.objective / 2,
+                };
+                return no_server(gateway, call, trip, fallback, refusal, closing, out).await;
             }
             Next::Fail if trip.stage == Stage::Answering => {
                 trip.note_code(Code::UpstreamFailed);
@@ -170,7 +213,7 @@
             }
             Next::Fail => {
                 let reply = Reply::new(Code::UpstreamFailed);
-                return answer_self(gateway, call, trip, &reply, last, out).await;
+                return answer_self(gateway, call, trip, &reply, closing, out).await;
             }
         }
     }
@@ -184,7 +227,7 @@
     trip: &mut Trip,
     fallback: Option<Answer>,
     refusal: Refusal,
-    last: bool,
+    closing: Closing,
     out: &mut OwnedWriteHalf,
 ) -> End {
     if trip.stage == Stage::Answering {
@@ -192,14 +235,14 @@
         return End::Broken;
     }
     if let Some(answer) = fallback {
-        return deliver::pass_whole(gateway, call, trip, &answer, last, out).await;
+        return deliver::pass_whole(gateway, call, trip, &answer, closing.last, out).await;
     }
     let reply = if trip.maybe_run {
         Reply::new(Code::UpstreamFailed)
     } else {
         Reply::again(refusal.code, refusal.again)
     };
-    answer_self(gateway, call, trip, &reply, last, out).await
+    answer_self(gateway, call, trip, &reply, closing, out).await
 }
 
 async fn answer_self(
@@ -207,11 +250,19 @@
     call: &Call,
     trip: &mut Trip,
     reply: &Reply,
-    last: bool,
+    closing: Closing,
     out: &mut OwnedWriteHalf,
 ) -> End {
     trip.note_reply(reply);
-    match reply.write(gateway, Some(&call.attempt), last, out).await {
+    match reply
+        .write(
+            gateway,
+            Some(&call.attempt),
+            closing.last || closing.crowded && reply.again.is_some(),
+            out,
+        )
+        .await
+    {
         Ok(()) => End::Whole,
         Err(_gone) => End::Left,
     }
--- a/crates/hawthornmill-gateway/src/trip/read.rs
+++ b/crates/hawthornmill-gateway/src/trip/read.rs
@@ -59,7 +59,9 @@
 
 /// Reads the next request of a connection.
 pub async fn next(gateway: &Rc<Gateway>, reader: &mut Reader, out: &mut OwnedWriteHalf) -> Next {
-    let limits = gateway.table().map_or_else(Limits::default, |t| *t.limits());
+    let limits = gateway
+        .table()
+        .map_or_else(Limits::default, |t| *t.limits());
     if reader.buffer.is_empty() && !first_byte(gateway, reader, limits.idle_time).await {
         return Next::Closed;
     }
@@ -99,7 +101,10 @@
 
 fn call(gateway: &Rc<Gateway>, head: RequestHead, body: Bytes) -> Call {
     gateway.bodies.set(gateway.bodies.get() + body.len());
-    let attempt = head.fields.text(gateway.dialect.names.attempt).unwrap_or_default();
+    let attempt = head
+        .fields
+        .text(gateway.dialect.names.attempt)
+        .unwrap_or_default();
     Call {
         attempt: attempt.into(),
         head,
@@ -128,7 +133,11 @@
             Ok(Some((_, length))) if length > most => return Err(Code::HeadersTooLarge),
             Ok(Some((head, length))) => {
                 let _taken = reader.buffer.split_to(length);
-                return if head.current { Ok(Some(head)) } else { Err(Code::OldVersion) };
+                return if head.current {
+                    Ok(Some(head))
+                } else {
+                    Err(Code::OldVersion)
+                };
             }
             Ok(None) if reader.buffer.len() > most => return Err(Code::HeadersTooLarge),
             Ok(None) => {}
--- a/crates/hawthornmill-gateway/src/trip/send.rs
+++ b/crates/hawthornmill-gateway/src/trip/send.rs
@@ -85,7 +85,10 @@
         Err(error) => return Sent::Unreached(error.to_string().into()),
     };
     if !upstream.reused {
-        gateway.meters.connects.set(gateway.meters.connects.get() + 1);
+        gateway
+            .meters
+            .connects
+            .set(gateway.meters.connects.get() + 1);
     }
     let bytes = request(gateway, call, admitted, trip, &name);
     let written = match write(&mut upstream, &bytes.0, trip).await {
@@ -99,7 +102,13 @@
 }
 
 /// The request as the server gets it.
-fn request(gateway: &Gateway, call: &Call, admitted: &Admitted, trip: &Trip, server: &str) -> Bytes {
+fn request(
+    gateway: &Gateway,
+    call: &Call,
+    admitted: &Admitted,
+    trip: &Trip,
+    server: &str,
+) -> Bytes {
     let names = &gateway.dialect.names;
     let mut not: Vec<&str> = vec![names.deadline, names.expect, names.account];
     not.extend(names.reserved);
@@ -111,7 +120,10 @@
     }
     let mut bytes = Bytes::request(&call.head.method, &call.head.target);
     bytes.fields(&call.head.fields, &not);
-    let left = admitted.request.ends.saturating_duration_since(gateway.now());
+    let left = admitted
+        .request
+        .ends
+        .saturating_duration_since(gateway.now());
     bytes.field(names.deadline, left.as_millis().to_string());
     bytes.field(names.expect, server);
     if let Some(account) = &admitted.account {
@@ -205,7 +217,11 @@
             continue;
         }
         if let Some(load) = (gateway.dialect.load)(&head.fields) {
-            gateway.desk.borrow_mut().loads.report(server, load, gateway.now());
+            gateway
+                .desk
+                .borrow_mut()
+                .loads
+                .report(server, load, gateway.now());
         }
         let moved = head.status == MISDIRECTED;
         if moved || head.fields.get(names.not_run).is_some() {
@@ -288,7 +304,11 @@
     if moved {
         gateway.pool.drop_idle(answer.server);
         let now = gateway.now();
-        gateway.desk.borrow_mut().loads.judge(answer.server, loads::Verdict::Unreachable, now);
+        gateway
+            .desk
+            .borrow_mut()
+            .loads
+            .judge(answer.server, loads::Verdict::Unreachable, now);
         return;
     }
     let rest = skip(&mut answer.upstream, answer.framing);
@@ -302,7 +322,9 @@
     pub fn finish(self, gateway: &Gateway) {
         if self.clean {
             let said = keep_alive(&self.head);
-            gateway.pool.give(self.server, self.upstream, said, gateway.now());
+            gateway
+                .pool
+                .give(self.server, self.upstream, said, gateway.now());
         }
     }
 }
@@ -310,6 +332,8 @@
 /// How long the server says that it keeps an idle connection.
 fn keep_alive(head: &AnswerHead) -> Option<Duration> {
     let text = head.fields.text("keep-alive")?;
-    let timeout = text.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
+    let timeout = text
+        .split(',')
+        .find_map(|p| p.trim().strip_prefix("timeout="))?;
     timeout.trim().parse().ok().map(Duration::from_secs)
 }
--- a/crates/hawthornmill-gateway/src/trip/settle.rs
+++ b/crates/hawthornmill-gateway/src/trip/settle.rs
@@ -41,6 +41,7 @@
     pub last_event: Option<u64>,
     /// Status that the caller got; 0 when none.
     pub status: u16,
+    told_again: bool,
     code: Option<Code>,
     admitted: Option<(Box<str>, Box<str>)>,
     servers: Vec<Box<str>>,
@@ -58,6 +59,7 @@
             this_sent: false,
             last_event: None,
             status: 0,
+            told_again: false,
             code: None,
             admitted: None,
             servers: Vec::new(),
@@ -114,6 +116,11 @@
         self.begun.get_or_insert(now);
     }
 
+    /// The gateway refused it with a time to come back.
+    pub const fn is_refused(&self) -> bool {
+        self.told_again
+    }
+
     /// Why it ends as it does.
     pub const fn note_code(&mut self, code: Code) {
         self.code = Some(code);
@@ -123,6 +130,7 @@
     pub const fn note_reply(&mut self, reply: &Reply) {
         self.code = Some(reply.code);
         self.status = reply.code.status();
+        self.told_again = reply.again.is_some();
     }
 
     /// Writes the request's last line and counts it.
--- a/crates/hawthornmill/src/routing/desk.rs
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -16,12 +16,13 @@
 use super::catalog::Engine;
 use super::loads::{Loads, Work};
 use super::memory::PrefixMemory;
+use super::news::News;
 use super::place::{Ask, Choice, Place, ReadRate, Unplaced, View, choose};
 use super::registry::Registry;
-use super::shape::Shape;
-use super::usage::{Usage, WINDOW, level};
+use super::shape::{PrefixKey, Shape};
+use super::usage::{Standing, Usage, WINDOW, standings};
 use crate::codes::Code;
-use crate::ident::{AccountId, DomainId, RegionId, ServerId, ServiceId};
+use crate::ident::{AccountId, DomainId, InstanceId, RegionId, ServerId, ServiceId};
 use crate::limits::pace::Pace;
 
 /// Part of its objective for which a request waits for room at most.
@@ -32,8 +33,15 @@
 ///
 /// A late answer is worth a third of one in time at most, and delays those behind it.
 const LATE: f64 = 1.0;
-/// Part of the max-min level from which an account counts as served while others wait.
-const SERVED: f64 = 1.0;
+/// Part of a server's room and of the objective that a request of each standing may take.
+///
+/// Accounts beyond their share take what is left over. If they filled the servers, requests of the
+/// others would find no room or come behind long prompts, before any could be turned away.
+const PARTS: [f64; 3] = [1.0, 0.7, 0.5];
+/// Time for which a service counts as short after a request found no room.
+const SHORT: Duration = Duration::from_millis(600);
+/// Prefixes sent astray that are told at once.
+const MOST_STRAYS: usize = 24;
 /// Requests that wait at one instance at most; each holds its body.
 const MOST_WAITING: usize = 512;
 /// Time after which the shares are worked out anew.
@@ -110,7 +118,10 @@
     rates: BTreeMap<ServiceId, ReadRate>,
     paces: BTreeMap<ServiceId, Pace>,
     line: SlotMap<Ticket, Request>,
-    over: BTreeMap<AccountId, bool>,
+    standings: BTreeMap<AccountId, Standing>,
+    short: BTreeMap<(ServiceId, Standing), Instant>,
+    heard_short: BTreeMap<(ServiceId, Standing), Instant>,
+    strays: Vec<(PrefixKey, ServerId)>,
     shared: Option<Instant>,
 }
 
@@ -129,7 +140,10 @@
             rates: BTreeMap::new(),
             paces: BTreeMap::new(),
             line: SlotMap::with_key(),
-            over: BTreeMap::new(),
+            standings: BTreeMap::new(),
+            short: BTreeMap::new(),
+            heard_short: BTreeMap::new(),
+            strays: Vec::new(),
             shared: None,
         }
     }
@@ -148,7 +162,7 @@
             }
         }
         self.share(now);
-        if !self.behind(request) {
+        if !self.behind(request) && !self.is_blocked(request, now) {
             match self.place(request, now) {
                 Ok(verdict) => return verdict,
                 Err(Unplaced::NoServer) => {
@@ -157,7 +171,10 @@
                 Err(Unplaced::AllFull) => {}
             }
         }
-        if self.line.len() >= MOST_WAITING || self.is_hopeless(request, now) {
+        self.short
+            .insert((request.service, self.standing(request)), now);
+        let blocked = self.is_blocked(request, now);
+        if blocked || self.line.len() >= MOST_WAITING || self.is_hopeless(request, now) {
             return self.refuse_full(request, now);
         }
         Verdict::Wait(self.line.insert(request.clone()))
@@ -174,7 +191,7 @@
             let request = self.line[ticket].clone();
             let mut verdict = None;
             // One that doesn't fit lets smaller ones behind it pass only while it can still wait.
-            if !full.contains(&request.service) {
+            if !full.contains(&request.service) && !self.is_blocked(&request, now) {
                 match self.place(&request, now) {
                     Ok(placed) => verdict = Some(placed),
                     Err(Unplaced::NoServer) => {
@@ -251,6 +268,8 @@
                 .get(&request.service)
                 .copied()
                 .unwrap_or_default(),
+            objective: (request.came + request.objective).saturating_duration_since(now),
+            part: PARTS[self.standing(request) as usize],
         };
         let choice = choose(&view, &ask, now)?;
         let begins = now + choice.expected;
@@ -259,6 +278,11 @@
         }
         self.loads.begin(choice.server, choice.work);
         self.memory.note(choice.server, &request.shape, now);
+        if let (true, Some(family)) = (choice.stray, request.shape.family())
+            && self.strays.len() < MOST_STRAYS
+        {
+            self.strays.push((family, choice.server));
+        }
         if let Some(account) = request.account
             && request.tried.is_empty()
         {
@@ -274,9 +298,50 @@
         others.any(|r| self.rank(r) < rank)
     }
 
-    fn rank(&self, request: &Request) -> (bool, u32, Instant) {
-        let over = request.account.and_then(|a| self.over.get(&a)).copied();
-        (over.unwrap_or(false), request.priority, request.came)
+    fn rank(&self, request: &Request) -> (Standing, u32, Instant) {
+        (self.standing(request), request.priority, request.came)
+    }
+
+    fn standing(&self, request: &Request) -> Standing {
+        let known = request.account.and_then(|a| self.standings.get(&a));
+        known.copied().unwrap_or_default()
+    }
+
+    /// Tells whether accounts that go before this request's found no room lately, here or elsewhere.
+    fn is_blocked(&self, request: &Request, now: Instant) -> bool {
+        let standing = self.standing(request);
+        let recent = |at: &Instant| now.duration_since(*at) < SHORT;
+        let short = self.short.iter().chain(&self.heard_short);
+        short
+            .filter(|((service, s), _)| *service == request.service && *s < standing)
+            .any(|(_, at)| recent(at))
+    }
+
+    /// Services for which requests found no room lately, for the others.
+    pub fn told_short(&self, now: Instant) -> Vec<(ServiceId, Standing)> {
+        let recent = |at: &Instant| now.duration_since(*at) < SHORT / 2;
+        let short = self
+            .short
+            .iter()
+            .filter(|((_, s), at)| *s < Standing::Above && recent(at));
+        short.map(|(key, _)| *key).collect()
+    }
+
+    /// Prefixes that were sent to other servers than their homes since this was last asked.
+    pub fn take_strays(&mut self) -> Vec<(PrefixKey, ServerId)> {
+        std::mem::take(&mut self.strays)
+    }
+
+    /// Takes what another instance tells.
+    pub fn hear(&mut self, from: InstanceId, news: &News, now: Instant) {
+        self.loads.hear(from, news.work.clone(), now);
+        self.usage.hear(from, news.usage.clone(), now);
+        for (family, server) in &news.strays {
+            self.memory.hear(*server, *family, now);
+        }
+        for key in &news.short {
+            self.heard_short.insert(*key, now);
+        }
     }
 
     /// Tells whether a request can't get to the head of the line while it may wait.
@@ -325,15 +390,12 @@
             return;
         }
         self.shared = Some(now);
-        self.over.clear();
+        self.standings.clear();
         if self.token_rate <= 0.0 {
             return;
         }
         let fleet = self.usage.fleet(now);
-        let capacity = self.token_rate * WINDOW.as_secs_f64();
-        let level = level(fleet.values().map(|s| f64::from(s.asked)), capacity) * SERVED;
-        let over = fleet.iter().map(|(id, s)| (*id, f64::from(s.got) >= level));
-        self.over = over.collect();
+        self.standings = standings(&fleet, self.token_rate * WINDOW.as_secs_f64());
     }
 }
 
--- a/crates/hawthornmill/src/routing/memory.rs
+++ b/crates/hawthornmill/src/routing/memory.rs
@@ -1,4 +1,4 @@
-//! Which server has read which prompt prefix lately, as far as this instance sent it there.
+//! Which server has read which prompt prefix lately, as far as this instance sent it there or heard.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -32,14 +32,22 @@
         }
     }
 
+    /// Another instance says that `server` has read the prefix `key`.
+    pub fn hear(&mut self, server: ServerId, key: PrefixKey, now: Instant) {
+        if self.used.len() < MOST {
+            self.used.insert((key, server), now);
+        }
+    }
+
     /// Tokens of the prompt that `server` need not read again.
     pub fn kept(&self, server: ServerId, shape: &Shape, now: Instant) -> u32 {
         let fresh = |key: PrefixKey| {
             let used = self.used.get(&(key, server));
             used.is_some_and(|at| now.duration_since(*at) < KEPT)
         };
+        // Whoever keeps a prefix keeps all that is before it.
         let prefixes = shape.prefixes();
-        let kept = prefixes.iter().take_while(|(key, _)| fresh(*key)).last();
+        let kept = prefixes.iter().rfind(|(key, _)| fresh(*key));
         kept.map_or(0, |(_, tokens)| *tokens)
     }
 
--- a/crates/hawthornmill/src/routing/news.rs
+++ b/crates/hawthornmill/src/routing/news.rs
@@ -13,8 +13,9 @@
 use super::catalog::Catalog;
 use super::loads::Work;
 use super::registry::Change;
-use super::usage::Sums;
-use crate::ident::{AccountId, DomainId, Incarnation, InstanceId, ServerId};
+use super::shape::PrefixKey;
+use super::usage::{Standing, Sums};
+use crate::ident::{AccountId, DomainId, Incarnation, InstanceId, ServerId, ServiceId};
 
 /// Silence after which an instance is no longer named to callers; about six lost news.
 const SILENT: Duration = Duration::from_millis(1_300);
@@ -51,6 +52,10 @@
     pub work: Vec<(ServerId, Work)>,
     /// What accounts asked of it and got.
     pub usage: Vec<(AccountId, Sums)>,
+    /// Shared prefixes that it sent to other servers than their homes since its last news.
+    pub strays: Vec<(PrefixKey, ServerId)>,
+    /// Services for which requests of the told rank found no room lately.
+    pub short: Vec<(ServiceId, Standing)>,
     /// Peer addresses of others that it hears.
     pub others: Vec<SocketAddr>,
 }
--- a/crates/hawthornmill/src/routing/place.rs
+++ b/crates/hawthornmill/src/routing/place.rs
@@ -29,6 +29,16 @@
     Duration::from_millis(3),
     Duration::from_millis(60),
 ];
+/// Time from an engine's begin of a request to its first token, besides the reading.
+const FIRST_TOKEN: Duration = Duration::from_millis(60);
+/// What reading a shared token again costs beside the time: the engine does it in place of other
+/// work, and the platform bills it. In seconds a token; a long shared prefix weighs as much as half
+/// of its request's objective.
+const REREAD: f64 = 100e-6;
+/// Part of the objective from which an expected begin counts as at risk.
+const AT_RISK: f64 = 0.6;
+/// Times by which each second at risk counts more than one before.
+const RISK: f64 = 3.0;
 /// Time that an answer takes longer on a server whose slots are nearly all taken.
 const CROWDED: Duration = Duration::from_millis(120);
 /// What a failure costs a request in time, by which failing servers are passed over.
@@ -59,7 +69,7 @@
 impl ReadRate {
     /// The first token came `time` after `tokens` were before it, its own prompt included.
     pub fn observe(&mut self, tokens: u32, time: Duration) {
-        let millis = time.as_secs_f64() * 1000.0;
+        let millis = time.saturating_sub(FIRST_TOKEN).as_secs_f64() * 1000.0;
         if tokens < RATE_TOKENS || millis <= 0.0 {
             return;
         }
@@ -110,6 +120,10 @@
     pub avoid: &'a [ServerId],
     /// How fast the service's engines read.
     pub rate: ReadRate,
+    /// Time that is left of the objective.
+    pub objective: Duration,
+    /// Part of a server's room and of the objective that the request may take.
+    pub part: f64,
 }
 
 /// The server chosen.
@@ -123,6 +137,8 @@
     pub ahead: u32,
     /// Expected time to the first token.
     pub expected: Duration,
+    /// It goes to another server than the one that keeps its shared prefix.
+    pub stray: bool,
 }
 
 /// Why no server was chosen.
@@ -211,30 +227,31 @@
     now: Instant,
 ) -> Option<(Choice, f64)> {
     let total = view.loads.total(candidate.server, now);
-    let slots = ask
-        .engine
-        .map_or(candidate.slots, |e| e.slots.min(candidate.slots.max(1)));
-    let room = if ask.engine.is_some() {
-        f64::from(slots)
-    } else {
-        f64::from(slots) * (1.0 + PLAIN_QUEUE)
-    };
-    if f64::from(total.running) + 1.0 > room.max(1.0) {
+    let room = room(ask, candidate);
+    if f64::from(total.running) + 1.0 > (room * ask.part).max(1.0) {
         return None;
     }
     let read = to_read(view, ask, candidate.server, home, now);
     let held = held(ask.shape, read);
     if let Some(engine) = ask.engine
         && total.running > 0
-        && f64::from(total.held + held) > f64::from(engine.memory) * MEMORY_PART
+        && f64::from(total.held + held) > f64::from(engine.memory) * MEMORY_PART * ask.part
     {
         return None;
     }
     let ahead = total.unread + read;
+    let first = ask.engine.map_or(Duration::ZERO, |_| FIRST_TOKEN);
+    let expected = first + ask.rate.time(ahead) + ROUND_TRIPS[candidate.tier];
+    if ask.part < 1.0 && expected > ask.objective.mul_f64(ask.part) {
+        return None;
+    }
+    let unique = ask.shape.prompt.saturating_sub(ask.shape.shared());
+    let again = read.saturating_sub(unique);
+    let risk = expected.saturating_sub(ask.objective.mul_f64(AT_RISK));
     let full = f64::from(total.running) / room;
-    let expected = ask.rate.time(ahead) + ROUND_TRIPS[candidate.tier];
     let cost = expected.as_secs_f64()
-        + ask.rate.time(read).as_secs_f64()
+        + REREAD * f64::from(again)
+        + RISK * risk.as_secs_f64()
         + CROWDED.as_secs_f64() * full * full
         + FAILURE.as_secs_f64() * view.loads.failing(candidate.server, now);
     let choice = Choice {
@@ -246,10 +263,20 @@
         },
         ahead,
         expected,
+        stray: home.is_some_and(|h| h != candidate.server),
     };
     Some((choice, cost))
 }
 
+/// Requests that the server may have at once.
+fn room(ask: &Ask<'_>, candidate: &Candidate) -> f64 {
+    let own = f64::from(candidate.slots.max(1));
+    match ask.engine {
+        Some(engine) => own.min(f64::from(engine.slots)),
+        None => own * (1.0 + PLAIN_QUEUE),
+    }
+}
+
 /// Prompt tokens that the server must read.
 fn to_read(
     view: &View<'_>,
--- a/crates/hawthornmill/src/routing/registry.rs
+++ b/crates/hawthornmill/src/routing/registry.rs
@@ -131,7 +131,9 @@
     pub fn replace(&mut self, list: Vec<Change>, revision: u64, away: bool, now: Instant) {
         if self.revision == 0 {
             // Removals before the first list are in it by their absence.
-            self.latest = self.latest.max(list.iter().map(|c| c.revision).max().unwrap_or(0));
+            self.latest = self
+                .latest
+                .max(list.iter().map(|c| c.revision).max().unwrap_or(0));
         }
         let stale = revision < self.revision;
         let listed: Vec<ServerId> = list.iter().map(|c| c.server).collect();
--- a/crates/hawthornmill/src/routing/shape.rs
+++ b/crates/hawthornmill/src/routing/shape.rs
@@ -1,5 +1,6 @@
 //! What a request will cost a model engine, as far as its caller says.
 
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 use crate::ident::mix;
@@ -14,8 +15,8 @@
 }
 
 /// Identity of a prompt up to the end of one of its parts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct PrefixKey(pub u64);
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PrefixKey(#[serde(with = "postcard::fixint::le")] pub u64);
 
 /// Size and parts of a request for a model engine.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
--- a/crates/hawthornmill/src/routing/usage.rs
+++ b/crates/hawthornmill/src/routing/usage.rs
@@ -28,6 +28,38 @@
     pub got: f32,
 }
 
+/// How an account stands to its share, the ones to serve first in front.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
+pub enum Standing {
+    /// It has had less than its part of the capacity that operators promise.
+    #[default]
+    Owed,
+    /// It has had that, but less than an even part of what the servers yield.
+    Below,
+    /// It has had more than an even part.
+    Above,
+}
+
+/// The standing of each account, from its sums over the fleet and the capacity in tokens a window.
+pub fn standings(
+    fleet: &BTreeMap<AccountId, Sums>,
+    promised: f64,
+) -> BTreeMap<AccountId, Standing> {
+    let asked = || fleet.values().map(|s| f64::from(s.asked));
+    let yielded: f64 = fleet.values().map(|s| f64::from(s.got)).sum();
+    let owed = level(asked(), promised);
+    let even = level(asked(), yielded.max(promised));
+    let standing = |sums: &Sums| match f64::from(sums.got) {
+        got if got < owed => Standing::Owed,
+        got if got < even => Standing::Below,
+        _ => Standing::Above,
+    };
+    fleet
+        .iter()
+        .map(|(id, sums)| (*id, standing(sums)))
+        .collect()
+}
+
 #[derive(Debug, Clone, Default)]
 struct Ring {
     parts: [Sums; PARTS as usize],
--- a/src/bin/hawthornmill-gateway.rs
+++ b/src/bin/hawthornmill-gateway.rs
@@ -21,7 +21,9 @@
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    let named = args.config.or_else(|| std::env::var_os(CONFIG).map(PathBuf::from));
+    let named = args
+        .config
+        .or_else(|| std::env::var_os(CONFIG).map(PathBuf::from));
     let Some(config) = named else {
         eprintln!("no settings file: give --config or set {CONFIG}");
         return ExitCode::from(2);
