--- a/crates/hawthornmill-gateway/src/daemon.rs
+++ b/crates/hawthornmill-gateway/src/daemon.rs
@@ -44,7 +44,7 @@
         .enable_all()
         .build();
     match runtime {
-        Ok(runtime) => LocalSet::new().block_on(&runtime, run(settings, config, dialect)),
+        Ok(runtime) => LocalSet::new().block_on(&runtime, run(settings, config, &dialect)),
         Err(error) => {
             eprintln!("the runtime can't start: {error}");
             1
@@ -114,22 +114,16 @@
     })
 }
 
-async fn run(settings: Settings, config: &Path, dialect: Dialect) -> u8 {
+async fn run(settings: Settings, config: &Path, dialect: &Dialect) -> u8 {
     let sockets = match bind(&settings).await {
         Ok(sockets) => sockets,
         Err(faults) => return report(&faults),
     };
-    let signals = [
-        SignalKind::terminate(),
-        SignalKind::interrupt(),
-        SignalKind::hangup(),
-    ];
-    let signals: std::io::Result<Vec<Signal>> = signals.into_iter().map(signal).collect();
-    let (Ok(signals), Ok(())) = (signals, journal::start(settings.level)) else {
+    let (Ok(signals), Ok(())) = (Signals::new(), journal::start(settings.level)) else {
         eprintln!("signals or the log can't be had");
         return 1;
     };
-    let gateway = Gateway::new(settings, dialect, Clock::system(), incarnation());
+    let gateway = Gateway::new(settings, *dialect, Clock::system(), incarnation());
     let name = gateway.settings().name.clone();
     journal::belief(
         "start",
@@ -159,23 +153,29 @@
     spawn_local(sweeps(Rc::clone(gateway)));
 }
 
+struct Signals {
+    term: Signal,
+    int: Signal,
+    hup: Signal,
+}
+
+impl Signals {
+    fn new() -> std::io::Result<Self> {
+        Ok(Self {
+            term: signal(SignalKind::terminate())?,
+            int: signal(SignalKind::interrupt())?,
+            hup: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
 /// Serves until a signal to stop, then ends in order; the result is the number of requests cut.
-async fn until_told(gateway: &Rc<Gateway>, mut signals: Vec<Signal>, config: &Path) -> usize {
-    let mut hup = signals.pop();
-    let [term, int] = &mut signals[..] else {
-        return 0;
-    };
+async fn until_told(gateway: &Rc<Gateway>, mut signals: Signals, config: &Path) -> usize {
     loop {
-        let reload = async {
-            match &mut hup {
-                Some(hup) => hup.recv().await,
-                None => std::future::pending().await,
-            }
-        };
         tokio::select! {
-            _ = term.recv() => break,
-            _ = int.recv() => break,
-            _ = reload => load_again(gateway, config),
+            _ = signals.term.recv() => break,
+            _ = signals.int.recv() => break,
+            _ = signals.hup.recv() => load_again(gateway, config),
         }
     }
     leave(gateway).await
--- a/crates/hawthornmill-gateway/src/dialect.rs
+++ b/crates/hawthornmill-gateway/src/dialect.rs
@@ -3,7 +3,6 @@
 //! Names and encodings of callers, servers and the store differ from one platform to another; what
 //! they mean does not. An adapter fills in a [`Dialect`], and nothing else here knows a name.
 
-use hawthornmill::ident::ServerId;
 use hawthornmill::routing::catalog::Catalog;
 use hawthornmill::routing::loads::OwnReport;
 use hawthornmill::routing::registry::Registration;
@@ -108,7 +107,7 @@
     /// Reads a catalog.
     pub catalog: fn(&[u8]) -> Result<Catalog, Unusable>,
     /// Reads a registration; the name comes from its key.
-    pub registration: fn(&str, &[u8]) -> Result<(ServerId, Registration), Unusable>,
+    pub registration: fn(&str, &[u8]) -> Result<Registration, Unusable>,
     /// Reads what a request says of its size.
     pub shape: fn(&Fields) -> Result<Shape, Unusable>,
     /// Reads what a server says of its load in an answer.
--- a/crates/hawthornmill-gateway/src/serve.rs
+++ b/crates/hawthornmill-gateway/src/serve.rs
@@ -13,7 +13,8 @@
 use crate::gateway::{Gateway, Phase};
 use crate::trip::read::{Next, next};
 use crate::trip::reply::Reply;
-use crate::trip::{Closing, End, carry};
+use crate::trip::settle::Trip;
+use crate::trip::{Closing, End, Way, carry};
 
 /// Connections that are served at once; the rest of the descriptors is for servers.
 const MOST_CONNECTIONS: usize = 2_600;
@@ -109,10 +110,15 @@
         let leaving = gateway.phase() >= Phase::Leaving;
         let last = call.head.closes() || leaving;
         let crowded = gateway.meters.connections.get() > MANY_CONNECTIONS;
-        let mut trip = call.begin(&gateway);
+        let mut trip = Trip::default();
+        let way = Way {
+            gateway: &gateway,
+            call: &call,
+            closing: Closing { last, crowded },
+        };
         let end = tokio::select! {
             biased;
-            end = carry(&gateway, &call, &mut trip, Closing { last, crowded }, &mut out) => end,
+            end = carry(way, &mut trip, &mut out) => end,
             () = reader.gone() => End::Left,
         };
         trip.settle(&gateway, &call, end);
--- a/crates/hawthornmill-gateway/src/store.rs
+++ b/crates/hawthornmill-gateway/src/store.rs
@@ -31,7 +31,7 @@
 /// Time without an answer after which servers may have lapsed through the store's fault.
 ///
 /// Servers write every 1.2 s and lapse after three silent intervals.
-const AWAY: Duration = Duration::from_millis(2_000);
+const AWAY: Duration = Duration::from_secs(2);
 /// Time after the store's return in which missing servers are still waited for.
 const RETURN: Duration = Duration::from_millis(2_500);
 /// Bytes of one answer at most: a megabyte of values in base64, and their keys.
@@ -117,7 +117,7 @@
         let revision = revision.unwrap_or_default();
         let away = self.was_away();
         match self.topic {
-            Topic::Catalog => items.into_iter().for_each(|i| self.take(i)),
+            Topic::Catalog => items.iter().for_each(|i| self.take(i)),
             Topic::Servers => {
                 let changes = items.iter().map(|i| self.change(i)).collect();
                 self.gateway.list(changes, revision, away, "store");
@@ -131,7 +131,7 @@
         let store = self.gateway.dialect.store;
         let path = (store.watch)(self.prefix(), after, WAIT.as_millis() as u64);
         let page = self.call(&path, WAIT + CALL).await?;
-        for item in page.items {
+        for item in &page.items {
             self.take(item);
         }
         self.revision = Some(page.revision.max(after));
@@ -145,7 +145,7 @@
         Ok(())
     }
 
-    fn take(&mut self, item: Item) {
+    fn take(&self, item: &Item) {
         match (self.topic, &item.value) {
             (Topic::Catalog, Some(value)) if *item.key == *self.prefix() => {
                 match (self.gateway.dialect.catalog)(value) {
@@ -158,7 +158,7 @@
             }
             (Topic::Catalog, _) => {}
             (Topic::Servers, None) if self.was_away() => {
-                let server = hawthornmill::ident::ServerId::of(self.server_name(&item));
+                let server = hawthornmill::ident::ServerId::of(self.server_name(item));
                 self.gateway
                     .desk
                     .borrow_mut()
@@ -166,7 +166,7 @@
                     .doubt(server, self.gateway.now());
             }
             (Topic::Servers, _) => {
-                let change = self.change(&item);
+                let change = self.change(item);
                 self.gateway.register(change, "store");
             }
         }
@@ -180,7 +180,7 @@
         let name = self.server_name(item);
         let read = |value: &Vec<u8>| (self.gateway.dialect.registration)(name, value);
         let entry = match item.value.as_ref().map(read) {
-            Some(Ok((_, entry))) => Some(entry),
+            Some(Ok(entry)) => Some(entry),
             Some(Err(why)) => {
                 let fields = json!({"server": name, "revision": item.revision, "why": why});
                 journal::belief("registration_unreadable", fields);
--- a/crates/hawthornmill-gateway/src/trip/again.rs
+++ b/crates/hawthornmill-gateway/src/trip/again.rs
@@ -34,6 +34,16 @@
     answer.head.status >= 500
 }
 
+/// Notes that a server answered with a failure.
+pub fn note_failure(gateway: &Gateway, server: ServerId) {
+    let now = gateway.now();
+    gateway
+        .desk
+        .borrow_mut()
+        .loads
+        .judge(server, Verdict::Failed, now);
+}
+
 /// Takes a second send for a request that may have run.
 pub fn may(gateway: &Gateway, admitted: &Admitted, trip: &mut Trip) -> bool {
     admitted.repeat.allowed() && take(gateway, admitted, trip)
--- a/crates/hawthornmill-gateway/src/trip/deliver.rs
+++ b/crates/hawthornmill-gateway/src/trip/deliver.rs
@@ -8,12 +8,11 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 
-use super::End;
 use super::admit::Admitted;
 use super::events::Splitter;
-use super::read::Call;
 use super::send::{Answer, read_some};
 use super::settle::{Stage, Trip};
+use super::{End, Held, Way};
 use crate::gateway::Gateway;
 use crate::http::body::{Decoder, Piece};
 use crate::http::head::{AnswerHead, Framing};
@@ -57,29 +56,23 @@
     }
 }
 
-/// Passes `answer` on; `begin` is called when its first token is here.
-#[expect(
-    clippy::too_many_arguments,
-    reason = "a step takes what the steps before it gave"
-)]
+/// Passes `answer` on.
 pub async fn deliver(
-    gateway: &Gateway,
-    call: &Call,
+    way: Way<'_>,
     admitted: &Admitted,
     trip: &mut Trip,
     answer: Answer,
-    last: bool,
+    held: &mut Held<'_>,
     out: &mut OwnedWriteHalf,
-    begin: &mut dyn FnMut(()),
 ) -> Delivered {
     if trip.stage == Stage::Answering && answer.head.status != 200 {
         return Delivered::Cut;
     }
     let kind = answer.head.fields.text("content-type").unwrap_or_default();
     if admitted.streams && answer.head.status == 200 && kind.starts_with("text/event-stream") {
-        return stream(gateway, trip, answer, last, out, begin).await;
+        return stream(way, trip, answer, held, out).await;
     }
-    short(gateway, call, trip, answer, last, out, begin).await
+    short(way, trip, answer, held, out).await
 }
 
 /// The head of the answer for the caller.
@@ -101,13 +94,11 @@
 }
 
 async fn short(
-    gateway: &Gateway,
-    call: &Call,
+    way: Way<'_>,
     trip: &mut Trip,
     mut answer: Answer,
-    last: bool,
+    held: &mut Held<'_>,
     out: &mut OwnedWriteHalf,
-    begin: &mut dyn FnMut(()),
 ) -> Delivered {
     let mut decoder = Decoder::new(answer.framing);
     let mut body = answer.body.take().unwrap_or_default();
@@ -117,16 +108,16 @@
             Part::Cut => return Delivered::Cut,
             Part::End => break,
         }
-        begin(());
+        held.begin();
         if body.len() > SHORT {
-            return long(gateway, trip, answer, decoder, body, last, out).await;
+            return long(way, trip, answer, decoder, body, out).await;
         }
     }
-    begin(());
-    judge(gateway, &answer);
+    held.begin();
+    judge(way.gateway, &answer);
     answer.body = Some(body);
-    let end = pass_whole(gateway, call, trip, &answer, last, out).await;
-    answer.finish(gateway);
+    let end = pass_whole(way, trip, &answer, out).await;
+    answer.finish(way.gateway);
     match end {
         End::Whole => Delivered::Whole,
         End::Broken | End::Left => Delivered::CallerGone,
@@ -163,11 +154,9 @@
 
 /// Writes an answer whose body was read.
 pub async fn pass_whole(
-    gateway: &Gateway,
-    _call: &Call,
+    way: Way<'_>,
     trip: &mut Trip,
     answer: &Answer,
-    last: bool,
     out: &mut OwnedWriteHalf,
 ) -> End {
     let none = BytesMut::new();
@@ -176,9 +165,9 @@
         Framing::Empty => Framing::Empty,
         _ => Framing::Length(body.len() as u64),
     };
-    let mut bytes = head(&answer.head, framing, last);
+    let mut bytes = head(&answer.head, framing, way.closing.last);
     bytes.0.extend_from_slice(body);
-    trip.answering(answer.head.status, gateway.now());
+    trip.answering(answer.head.status, way.gateway.now());
     match out.write_all(&bytes.0).await {
         Ok(()) => End::Whole,
         Err(_gone) => End::Left,
@@ -187,17 +176,16 @@
 
 /// Passes on an answer too long to be held.
 async fn long(
-    gateway: &Gateway,
+    way: Way<'_>,
     trip: &mut Trip,
     mut answer: Answer,
     mut decoder: Decoder,
     first: BytesMut,
-    last: bool,
     out: &mut OwnedWriteHalf,
 ) -> Delivered {
     let chunked = !matches!(answer.framing, Framing::Length(_));
-    let mut bytes = head(&answer.head, answer.framing, last);
-    trip.answering(answer.head.status, gateway.now());
+    let mut bytes = head(&answer.head, answer.framing, way.closing.last);
+    trip.answering(answer.head.status, way.gateway.now());
     let mut data = first.freeze();
     loop {
         if chunked {
@@ -215,14 +203,14 @@
             Part::End => break,
         }
     }
-    judge(gateway, &answer);
+    judge(way.gateway, &answer);
     if chunked {
         bytes.last_chunk();
         if out.write_all(&bytes.0).await.is_err() {
             return Delivered::CallerGone;
         }
     }
-    answer.finish(gateway);
+    answer.finish(way.gateway);
     Delivered::Whole
 }
 
@@ -230,17 +218,16 @@
 ///
 /// The head waits for the first whole event: until then another server may still have the request.
 async fn stream(
-    gateway: &Gateway,
+    way: Way<'_>,
     trip: &mut Trip,
     mut answer: Answer,
-    last: bool,
+    held: &mut Held<'_>,
     out: &mut OwnedWriteHalf,
-    begin: &mut dyn FnMut(()),
 ) -> Delivered {
     let mut decoder = Decoder::new(answer.framing);
     let mut splitter = Splitter::default();
     let mut bytes = Bytes::default();
-    let number = gateway.dialect.event;
+    let number = way.gateway.dialect.event;
     loop {
         let (whole, ended) = match part(&mut answer, &mut decoder).await {
             Part::Data(data) => (splitter.push(&data, number, trip.last_event), false),
@@ -256,10 +243,10 @@
             }
             continue;
         };
-        begin(());
+        held.begin();
         if trip.stage != Stage::Answering {
-            bytes = head(&answer.head, Framing::Chunked, last);
-            trip.answering(answer.head.status, gateway.now());
+            bytes = head(&answer.head, Framing::Chunked, way.closing.last);
+            trip.answering(answer.head.status, way.gateway.now());
         }
         bytes.chunk(&whole.bytes);
         if out.write_all(&bytes.0).await.is_err() {
@@ -269,15 +256,15 @@
         trip.last_event = whole.last.or(trip.last_event);
     }
     if trip.stage != Stage::Answering {
-        bytes = head(&answer.head, Framing::Chunked, last);
-        trip.answering(answer.head.status, gateway.now());
+        bytes = head(&answer.head, Framing::Chunked, way.closing.last);
+        trip.answering(answer.head.status, way.gateway.now());
     }
     bytes.chunk(&splitter.rest());
     bytes.last_chunk();
-    judge(gateway, &answer);
+    judge(way.gateway, &answer);
     if out.write_all(&bytes.0).await.is_err() {
         return Delivered::CallerGone;
     }
-    answer.finish(gateway);
+    answer.finish(way.gateway);
     Delivered::Whole
 }
--- a/crates/hawthornmill-gateway/src/trip/mod.rs
+++ b/crates/hawthornmill-gateway/src/trip/mod.rs
@@ -20,9 +20,10 @@
 pub mod send;
 pub mod settle;
 
+use std::time::Instant;
+
 use hawthornmill::codes::Code;
 use hawthornmill::routing::desk::{Refusal, Verdict};
-use hawthornmill::routing::loads;
 use hawthornmill::routing::place::Choice;
 use serde_json::json;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -31,7 +32,7 @@
 use crate::journal;
 use admit::Admitted;
 use again::Next;
-use deliver::{Delivered, deliver};
+use deliver::{Delivered, deliver, pass_whole};
 use read::Call;
 use reply::Reply;
 use send::{Answer, Sent, send};
@@ -57,45 +58,47 @@
     pub crowded: bool,
 }
 
+/// What every step of a request looks at.
+#[derive(Debug, Clone, Copy)]
+pub struct Way<'a> {
+    /// The process.
+    pub gateway: &'a Gateway,
+    /// The request as it came.
+    pub call: &'a Call,
+    /// Whether the connection ends after the answer.
+    pub closing: Closing,
+}
+
 /// Carries a request to its end, in the time that its route and its caller allow.
-pub async fn carry(
-    gateway: &Gateway,
-    call: &Call,
-    trip: &mut Trip,
-    closing: Closing,
-    out: &mut OwnedWriteHalf,
-) -> End {
-    let admitted = match admit::admit(gateway, call) {
+pub async fn carry(way: Way<'_>, trip: &mut Trip, out: &mut OwnedWriteHalf) -> End {
+    let admitted = match admit::admit(way.gateway, way.call) {
         Ok(admitted) => admitted,
-        Err(reply) => return answer_self(gateway, call, trip, &reply, closing, out).await,
+        Err(reply) => return answer_self(way, trip, &reply, out).await,
     };
-    trip.admitted(call, &admitted);
+    trip.admitted(way.call, &admitted);
     let ends = tokio::time::Instant::from_std(admitted.request.ends);
-    let journey = journey(gateway, call, &admitted, trip, closing, out);
+    let journey = journey(way, &admitted, trip, out);
     if let Ok(end) = tokio::time::timeout_at(ends, journey).await {
         return end;
     }
-    match trip.stage {
-        Stage::Waiting => {
-            let again = admitted.request.objective;
-            let reply = Reply::again(Code::QueueLate, again);
-            answer_self(gateway, call, trip, &reply, closing, out).await
-        }
-        Stage::Sent => {
-            let reply = Reply::new(Code::DeadlineWhileRunning);
-            answer_self(gateway, call, trip, &reply, closing, out).await
-        }
+    let reply = match trip.stage {
+        Stage::Waiting => Reply::again(Code::QueueLate, admitted.request.objective),
+        Stage::Sent => Reply::new(Code::DeadlineWhileRunning),
         Stage::Answering => {
             trip.note_code(Code::DeadlineWhileRunning);
-            End::Broken
+            return End::Broken;
         }
-    }
+    };
+    answer_self(way, trip, &reply, out).await
 }
 
-/// Releases a server's place however the request ends.
-struct Held<'a> {
+/// A server's place for one request, released however that ends.
+#[derive(Debug)]
+pub struct Held<'a> {
     gateway: &'a Gateway,
+    admitted: &'a Admitted,
     choice: Choice,
+    sent: Instant,
     began: bool,
 }
 
@@ -106,115 +109,112 @@
 }
 
 impl Held<'_> {
-    /// The answer's first token is here.
-    fn begin(&mut self, call: &Call, admitted: &Admitted, sent: std::time::Instant) {
+    /// The answer's first token is here; later calls change nothing.
+    pub fn begin(&mut self) {
         if std::mem::replace(&mut self.began, true) {
             return;
         }
         let now = self.gateway.now();
-        let time = now.duration_since(sent);
+        let (time, request) = (now.duration_since(self.sent), &self.admitted.request);
         self.gateway
             .desk
             .borrow_mut()
-            .began(admitted.request.service, &self.choice, time);
-        let whole = now.duration_since(call.came);
-        self.gateway.meters.began(&admitted.service_name, whole);
+            .began(request.service, &self.choice, time);
+        let whole = now.duration_since(request.came);
+        self.gateway
+            .meters
+            .began(&self.admitted.service_name, whole);
     }
 }
 
+/// Sends the request to one server after another until it ends.
 async fn journey(
-    gateway: &Gateway,
-    call: &Call,
+    way: Way<'_>,
     admitted: &Admitted,
     trip: &mut Trip,
-    closing: Closing,
     out: &mut OwnedWriteHalf,
 ) -> End {
     let mut request = admitted.request.clone();
     let mut fallback: Option<Answer> = None;
     loop {
-        let choice = match gateway.place(&request).await {
+        let choice = match way.gateway.place(&request).await {
             Verdict::Send(choice) => choice,
-            Verdict::Refuse(refusal) => {
-                return no_server(gateway, call, trip, fallback, refusal, closing, out).await;
-            }
+            Verdict::Refuse(refusal) => return no_server(way, trip, fallback, refusal, out).await,
             Verdict::Wait(_) => {
+                let again = request.objective;
                 let refusal = Refusal {
                     code: Code::InstanceFull,
-                    again: request.objective,
+                    again,
                 };
-                return no_server(gateway, call, trip, fallback, refusal, closing, out).await;
-            }
-        };
-        let mut held = Held {
-            gateway,
-            choice,
-            began: false,
-        };
-        trip.sending(gateway, call, &choice);
-        let sent_at = gateway.now();
-        let sent = send(gateway, call, admitted, trip, choice.server).await;
-        let failed = match sent {
-            Sent::Answer(answer)
-                if again::is_failure(&answer) && again::may(gateway, admitted, trip) =>
-            {
-                gateway.desk.borrow_mut().loads.judge(
-                    choice.server,
-                    loads::Verdict::Failed,
-                    gateway.now(),
-                );
-                fallback = deliver::collect(answer).await.or(fallback);
-                Next::Again
-            }
-            Sent::Answer(answer) => {
-                let begin = |held: &mut Held<'_>| held.begin(call, admitted, sent_at);
-                match deliver(
-                    gateway,
-                    call,
-                    admitted,
-                    trip,
-                    answer,
-                    closing.last,
-                    out,
-                    &mut |()| begin(&mut held),
-                )
-                .await
-                {
-                    Delivered::Whole => return End::Whole,
-                    Delivered::CallerGone => return End::Left,
-                    Delivered::Cut => again::after_break(gateway, admitted, trip, choice.server),
-                }
-            }
-            Sent::Unreached(why) => {
-                again::after_unreached(gateway, call, trip, choice.server, &why)
-            }
-            Sent::NotRun { moved } => {
-                again::after_not_run(gateway, admitted, trip, choice.server, moved)
-            }
-            Sent::Broken(why) => {
-                journal::trouble("server_broke_off", &call.attempt, json!({"why": why}));
-                again::after_break(gateway, admitted, trip, choice.server)
+                return no_server(way, trip, fallback, refusal, out).await;
             }
         };
-        drop(held);
         request.tried.push(choice.server);
-        match failed {
+        let next = match attempt(way, admitted, trip, choice, &mut fallback, out).await {
+            Ok(end) => return end,
+            Err(next) => next,
+        };
+        match next {
             Next::Again => {}
             Next::Refuse => {
                 let refusal = Refusal {
                     code: Code::UpstreamUnreachable,
                     again: admitted.request.objective / 2,
                 };
-                return no_server(gateway, call, trip, fallback, refusal, closing, out).await;
+                return no_server(way, trip, fallback, refusal, out).await;
             }
             Next::Fail if trip.stage == Stage::Answering => {
                 trip.note_code(Code::UpstreamFailed);
                 return End::Broken;
             }
             Next::Fail => {
-                let reply = Reply::new(Code::UpstreamFailed);
-                return answer_self(gateway, call, trip, &reply, closing, out).await;
+                return answer_self(way, trip, &Reply::new(Code::UpstreamFailed), out).await;
+            }
+        }
+    }
+}
+
+/// Sends the request to one server; an error says what follows its failure there.
+async fn attempt(
+    way: Way<'_>,
+    admitted: &Admitted,
+    trip: &mut Trip,
+    choice: Choice,
+    fallback: &mut Option<Answer>,
+    out: &mut OwnedWriteHalf,
+) -> Result<End, Next> {
+    let (gateway, server) = (way.gateway, choice.server);
+    trip.sending(gateway, way.call, &choice);
+    let mut held = Held {
+        gateway,
+        admitted,
+        choice,
+        sent: gateway.now(),
+        began: false,
+    };
+    match send(gateway, way.call, admitted, trip, server).await {
+        Sent::Answer(answer)
+            if again::is_failure(&answer) && again::may(gateway, admitted, trip) =>
+        {
+            again::note_failure(gateway, server);
+            if let Some(answer) = deliver::collect(answer).await {
+                *fallback = Some(answer);
             }
+            Err(Next::Again)
+        }
+        Sent::Answer(answer) => match deliver(way, admitted, trip, answer, &mut held, out).await {
+            Delivered::Whole => Ok(End::Whole),
+            Delivered::CallerGone => Ok(End::Left),
+            Delivered::Cut => Err(again::after_break(gateway, admitted, trip, server)),
+        },
+        Sent::Unreached(why) => Err(again::after_unreached(
+            gateway, way.call, trip, server, &why,
+        )),
+        Sent::NotRun { moved } => Err(again::after_not_run(gateway, admitted, trip, server, moved)),
+        Sent::Broken(why) => {
+            let fields = json!({"server": gateway.server_name(server), "why": why});
+            journal::trouble("server_broke_off", &way.call.attempt, fields);
+            Err(again::after_break(gateway, admitted, trip, server))
         }
     }
 }
@@ -222,12 +222,10 @@
 /// Ends a request for which there is no further server: with a failure that a server gave, or with
 /// the truth about whether it may have run.
 async fn no_server(
-    gateway: &Gateway,
-    call: &Call,
+    way: Way<'_>,
     trip: &mut Trip,
     fallback: Option<Answer>,
     refusal: Refusal,
-    closing: Closing,
     out: &mut OwnedWriteHalf,
 ) -> End {
     if trip.stage == Stage::Answering {
@@ -235,32 +233,26 @@
         return End::Broken;
     }
     if let Some(answer) = fallback {
-        return deliver::pass_whole(gateway, call, trip, &answer, closing.last, out).await;
+        return pass_whole(way, trip, &answer, out).await;
     }
     let reply = if trip.maybe_run {
         Reply::new(Code::UpstreamFailed)
     } else {
         Reply::again(refusal.code, refusal.again)
     };
-    answer_self(gateway, call, trip, &reply, closing, out).await
+    answer_self(way, trip, &reply, out).await
 }
 
 async fn answer_self(
-    gateway: &Gateway,
-    call: &Call,
+    way: Way<'_>,
     trip: &mut Trip,
     reply: &Reply,
-    closing: Closing,
     out: &mut OwnedWriteHalf,
 ) -> End {
     trip.note_reply(reply);
+    let last = way.closing.last || (way.closing.crowded && trip.is_refused());
     match reply
-        .write(
-            gateway,
-            Some(&call.attempt),
-            closing.last || closing.crowded && reply.again.is_some(),
-            out,
-        )
+        .write(way.gateway, Some(&way.call.attempt), last, out)
         .await
     {
         Ok(()) => End::Whole,
--- a/crates/hawthornmill-gateway/src/trip/read.rs
+++ b/crates/hawthornmill-gateway/src/trip/read.rs
@@ -9,7 +9,6 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 
-use super::settle::Trip;
 use crate::gateway::{Gateway, Phase};
 use crate::http::body::{Decoder, Piece};
 use crate::http::head::{self, Framing, RequestHead};
@@ -39,13 +38,6 @@
     }
 }
 
-impl Call {
-    /// Starts the record of what becomes of the request.
-    pub fn begin(&self, gateway: &Gateway) -> Trip {
-        Trip::new(gateway.now())
-    }
-}
-
 /// What a connection brings next.
 #[derive(Debug)]
 pub enum Next {
--- a/crates/hawthornmill-gateway/src/trip/send.rs
+++ b/crates/hawthornmill-gateway/src/trip/send.rs
@@ -15,7 +15,7 @@
 
 use super::admit::Admitted;
 use super::read::Call;
-use super::settle::{Stage, Trip};
+use super::settle::Trip;
 use crate::gateway::Gateway;
 use crate::http::body::{Decoder, Piece};
 use crate::http::head::{self, AnswerHead, Framing};
@@ -93,7 +93,7 @@
     let bytes = request(gateway, call, admitted, trip, &name);
     let written = match write(&mut upstream, &bytes.0, trip).await {
         Ok(whole) => whole,
-        Err(error) if trip.stage == Stage::Waiting || !trip.this_sent => {
+        Err(error) if !trip.this_sent => {
             return Sent::Unreached(error.to_string().into());
         }
         Err(error) => return Sent::Broken(error.to_string().into()),
--- a/crates/hawthornmill-gateway/src/trip/settle.rs
+++ b/crates/hawthornmill-gateway/src/trip/settle.rs
@@ -14,9 +14,10 @@
 use crate::journal;
 
 /// How far a request is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Stage {
     /// No server has a byte of it, or those that had say that they did not run it.
+    #[default]
     Waiting,
     /// A server may run it.
     Sent,
@@ -25,7 +26,7 @@
 }
 
 /// What is known of one request on its way.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Trip {
     /// How far it is.
     pub stage: Stage,
@@ -49,24 +50,6 @@
 }
 
 impl Trip {
-    /// A request that has just come.
-    pub const fn new(_now: Instant) -> Self {
-        Self {
-            stage: Stage::Waiting,
-            arrivals: 0,
-            unreached: 0,
-            maybe_run: false,
-            this_sent: false,
-            last_event: None,
-            status: 0,
-            told_again: false,
-            code: None,
-            admitted: None,
-            servers: Vec::new(),
-            begun: None,
-        }
-    }
-
     /// The request may be served.
     pub fn admitted(&mut self, call: &Call, admitted: &Admitted) {
         self.admitted = Some((admitted.route.clone(), admitted.service_name.clone()));
--- a/crates/hawthornmill/src/routing/news.rs
+++ b/crates/hawthornmill/src/routing/news.rs
@@ -20,7 +20,7 @@
 /// Silence after which an instance is no longer named to callers; about six lost news.
 const SILENT: Duration = Duration::from_millis(1_300);
 /// Silence after which an instance is forgotten.
-const FORGOTTEN: Duration = Duration::from_secs(60);
+const FORGOTTEN: Duration = Duration::from_mins(1);
 /// Instances named in one piece of news, so that it stays within a packet.
 const NAMED: usize = 16;
 
--- a/crates/hawthornmill/src/routing/registry.rs
+++ b/crates/hawthornmill/src/routing/registry.rs
@@ -101,20 +101,17 @@
             return false;
         }
         self.latest = self.latest.max(change.revision);
-        match change.entry {
-            Some(entry) => {
-                self.gone.remove(&change.server);
-                let known = Known {
-                    entry,
-                    revision: change.revision,
-                    until: None,
-                };
-                self.known.insert(change.server, known);
-            }
-            None => {
-                self.known.remove(&change.server);
-                self.gone.insert(change.server, (change.revision, now));
-            }
+        if let Some(entry) = change.entry {
+            self.gone.remove(&change.server);
+            let known = Known {
+                entry,
+                revision: change.revision,
+                until: None,
+            };
+            self.known.insert(change.server, known);
+        } else {
+            self.known.remove(&change.server);
+            self.gone.insert(change.server, (change.revision, now));
         }
         true
     }
