--- /dev/null
+++ b/tests/testsuite/gateway/catching_up.rs
@@ -0,0 +1,149 @@
+//! The store away, stale or forgetful, and instances that tell each other.
+
+use std::time::Duration;
+
+use super::fleet::{Fleet, call, config, request, route, until};
+use super::store::Mode;
+use crate::block_on;
+use serde_json::json;
+
+fn with_route(version: u64, name: &str) -> String {
+    let mut config = config(version);
+    if let Some(routes) = config["routes"].as_array_mut() {
+        routes.push(route(name, "idempotent", &json!({})));
+    }
+    config.to_string()
+}
+
+async fn status(front: std::net::SocketAddr, path: &str) -> u16 {
+    call(front, request("GET", path, "a", "").as_bytes())
+        .await
+        .map_or(0, |a| a.status())
+}
+
+#[test]
+fn instances_name_each_other_to_callers() {
+    block_on(async {
+        let fleet = Fleet::start(3, 1).await;
+        let all: Vec<_> = fleet
+            .gateways
+            .iter()
+            .map(super::fleet::Gateway::front)
+            .collect();
+
+        for gateway in &fleet.gateways {
+            until("every instance is named", || async {
+                let named = gateway.named().await;
+                all.iter().all(|a| named.contains(a))
+            })
+            .await;
+        }
+    });
+}
+
+/// The store turns one machine away and serves the others. A key is taken away meanwhile; the
+/// machine that hears nothing of the store must not go on taking it.
+#[test]
+fn a_machine_that_the_store_turns_away_learns_from_the_others() {
+    block_on(async {
+        let fleet = Fleet::start(2, 1).await;
+        let cut = &fleet.gateways[1];
+        fleet.store.refuse(cut.ip);
+
+        fleet
+            .store
+            .put("op/config", with_route(2, "added").as_bytes());
+        until("the route is served there", || async {
+            status(cut.front(), "/added/").await == 200
+        })
+        .await;
+        fleet.register(&fleet.servers[0], "draining");
+        until("the server is left there", || async {
+            status(cut.front(), "/added/").await == 503
+        })
+        .await;
+    });
+}
+
+/// The store is down and an instance restarts. It knows nothing; another one knows all of it.
+#[test]
+fn an_instance_that_restarts_without_the_store_serves_what_the_others_know() {
+    block_on(async {
+        let mut fleet = Fleet::start(2, 1).await;
+        fleet
+            .store
+            .put("op/config", with_route(2, "added").as_bytes());
+        let front = fleet.gateways[0].front();
+        until("the route is served", || async {
+            status(front, "/added/").await == 200
+        })
+        .await;
+        fleet.store.set_mode(Mode::Silent);
+
+        fleet.gateways[1].kill();
+        fleet.gateways[1].start();
+
+        until("it is ready", || fleet.gateways[1].is_ready()).await;
+        assert_eq!(status(fleet.gateways[1].front(), "/added/").await, 200);
+    });
+}
+
+#[test]
+fn changes_made_while_the_store_was_silent_are_in_force_after_it() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        let front = fleet.gateways[0].front();
+        for mode in [Mode::Silent, Mode::Refusing] {
+            fleet.store.set_mode(mode);
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            assert_eq!(status(front, "/get/").await, 200, "what is known serves on");
+            fleet.store.set_mode(Mode::Sound);
+        }
+
+        fleet
+            .store
+            .put("op/config", with_route(2, "added").as_bytes());
+
+        until("the route is served", || async {
+            status(front, "/added/").await == 200
+        })
+        .await;
+    });
+}
+
+/// The store drops its history while a server leaves. No wait tells of that; only a fresh list does.
+#[test]
+fn a_server_that_left_while_the_history_was_lost_gets_no_requests() {
+    block_on(async {
+        let fleet = Fleet::start(1, 2).await;
+        let front = fleet.gateways[0].front();
+        fleet.store.lose_history(Some("servers/i-0"));
+        until("the loss is noticed", || async {
+            !fleet.gateways[0].logged("store_history_lost").is_empty()
+        })
+        .await;
+        tokio::time::sleep(Duration::from_millis(2_600)).await;
+        let before = fleet.servers[0].arrivals().len();
+
+        for _ in 0..10 {
+            assert_eq!(status(front, "/get/").await, 200);
+        }
+
+        assert_eq!(fleet.servers[0].arrivals().len(), before);
+    });
+}
+
+/// Waits are long, since every call is paid for.
+#[test]
+fn a_calm_second_costs_the_store_less_than_one_call_per_topic() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let before = fleet.store.calls();
+
+        tokio::time::sleep(Duration::from_secs(5)).await;
+
+        let calls = fleet.store.calls() - before;
+        assert!(calls <= 8, "{calls} calls in five seconds");
+    });
+}
--- /dev/null
+++ b/tests/testsuite/gateway/http.rs
@@ -0,0 +1,160 @@
+//! Heads, bodies and events, byte by byte.
+
+use bytes::BytesMut;
+use hawthornmill_gateway::http::body::{Decoder, Piece};
+use hawthornmill_gateway::http::head::{self, Framing, Malformed};
+use hawthornmill_gateway::trip::events::Splitter;
+use hawthornmill_platform::request::event_number;
+use proptest::prelude::*;
+
+fn framing(fields: &str) -> Result<Framing, Malformed> {
+    let text = format!("POST /a HTTP/1.1\r\nHost: h\r\n{fields}\r\n");
+    let (head, _) = head::request(text.as_bytes())?.expect("the head is whole");
+    head.framing()
+}
+
+/// A body whose end two readers find in two places hides a second request in it.
+#[test]
+fn a_length_that_can_be_read_in_two_ways_is_refused() {
+    let refused = [
+        "Content-Length: 5\r\nContent-Length: 6\r\n",
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked, identity\r\n",
+        "Transfer-Encoding: xchunked\r\n",
+        "Content-Length: +5\r\n",
+        "Content-Length: 5, 5\r\n",
+        "Content-Length: -1\r\n",
+        "Content-Length: 99999999999999999999999\r\n",
+        "Content-Length:\r\n",
+    ];
+
+    for fields in refused {
+        assert_eq!(framing(fields), Err(Malformed), "{fields}");
+    }
+    assert_eq!(
+        framing("Content-Length: 5\r\nContent-Length: 5\r\n"),
+        Ok(Framing::Length(5))
+    );
+    assert_eq!(
+        framing("Transfer-Encoding: Chunked\r\n"),
+        Ok(Framing::Chunked)
+    );
+    assert_eq!(framing(""), Ok(Framing::Empty));
+}
+
+#[test]
+fn a_head_that_is_none_is_refused() {
+    for text in [
+        "GET\r\n\r\n",
+        "GET /a HTTP/1.1\r\nA B: c\r\n\r\n",
+        "GET /a HTTP/1.1\r\n a: b\r\n\r\n",
+    ] {
+        assert_eq!(head::request(text.as_bytes()), Err(Malformed), "{text}");
+    }
+}
+
+/// All pieces of a body; none when it is malformed or incomplete.
+fn decode(framing: Framing, parts: &[&[u8]]) -> Option<(Vec<u8>, Vec<u8>)> {
+    let mut decoder = Decoder::new(framing);
+    let mut buffer = BytesMut::new();
+    let mut body = Vec::new();
+    let mut parts = parts.iter();
+    loop {
+        match decoder.next(&mut buffer).ok()? {
+            Piece::Data(data) => body.extend_from_slice(&data),
+            Piece::End => {
+                parts.for_each(|part| buffer.extend_from_slice(part));
+                return Some((body, buffer.to_vec()));
+            }
+            Piece::More => buffer.extend_from_slice(parts.next()?),
+        }
+    }
+}
+
+#[test]
+fn chunks_are_joined_wherever_the_bytes_are_cut_and_what_follows_is_left() {
+    let text = b"4\r\nWiki\r\n6;x=y\r\npedia \r\n0\r\nTrailer: t\r\n\r\nGET";
+
+    for cut in 0..text.len() {
+        let decoded = decode(Framing::Chunked, &[&text[..cut], &text[cut..]]);
+        assert_eq!(
+            decoded,
+            Some((b"Wikipedia ".to_vec(), b"GET".to_vec())),
+            "cut at {cut}"
+        );
+    }
+}
+
+#[test]
+fn malformed_chunks_are_refused() {
+    let refused: [&[u8]; 6] = [
+        b"x\r\n",
+        b"\r\n",
+        b"4\nWiki\n",
+        b"4\r\nWikiX\r\n",
+        b"ffffffffffffffff\r\n",
+        b"-4\r\n",
+    ];
+
+    for text in refused {
+        assert_eq!(decode(Framing::Chunked, &[text]), None);
+    }
+}
+
+proptest! {
+    #[test]
+    fn random_bytes_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let _request = head::request(&bytes);
+        let _answer = head::answer(&bytes);
+        let _body = decode(Framing::Chunked, &[&bytes]);
+        let _number = event_number(&bytes);
+    }
+
+    #[test]
+    fn a_chunked_body_comes_back_whole(body in proptest::collection::vec(any::<u8>(), 1..500), size in 1_usize..50) {
+        let mut text = hawthornmill_gateway::http::write::Bytes::default();
+        body.chunks(size).for_each(|chunk| text.chunk(chunk));
+        text.last_chunk();
+
+        prop_assert_eq!(decode(Framing::Chunked, &[&text.0]), Some((body, Vec::new())));
+    }
+
+    #[test]
+    fn events_come_whole_wherever_the_bytes_are_cut(cuts in proptest::collection::vec(0_usize..60, 0..6)) {
+        let text = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n".to_vec();
+        let mut cuts: Vec<usize> = cuts.into_iter().map(|c| c.min(text.len())).collect();
+        cuts.sort_unstable();
+        cuts.push(text.len());
+        let (mut splitter, mut out, mut from, mut last) = (Splitter::default(), Vec::new(), 0, None);
+
+        for cut in cuts {
+            if let Some(whole) = splitter.push(&text[from..cut], event_number, last) {
+                out.extend_from_slice(&whole.bytes);
+                last = whole.last.or(last);
+            }
+            from = cut;
+        }
+
+        prop_assert_eq!(out, text);
+        prop_assert_eq!(last, Some(3));
+    }
+}
+
+/// A server goes on for another one and begins with the event that the caller has already.
+#[test]
+fn events_that_the_caller_has_are_left_out() {
+    let mut splitter = Splitter::default();
+
+    let whole = splitter.push(
+        b"id: 4\ndata: x\n\nid: 5\ndata: y\n\nid: 6",
+        event_number,
+        Some(4),
+    );
+
+    let whole = whole.expect("there is a whole event");
+    assert_eq!(&*whole.bytes, b"id: 5\ndata: y\n\n");
+    assert_eq!(whole.last, Some(5));
+    assert_eq!(&*splitter.rest(), b"id: 6");
+}
--- /dev/null
+++ b/tests/testsuite/gateway/ingress.rs
@@ -0,0 +1,210 @@
+//! What callers may send, and what reaches the server of it.
+
+use std::time::Duration;
+
+use super::fleet::{Caller, Fleet, call, config, request, route, until};
+use crate::block_on;
+use serde_json::json;
+
+#[test]
+fn a_request_and_its_answer_pass_unchanged() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        let head = request(
+            "POST",
+            "/get/x%20y/../z?a=1&b=%2F",
+            "id-1",
+            "X-Own: As Is\r\nTenant: thief\r\nConnection: X-Hop\r\nX-Hop: 1\r\nPin-Ms: 9\r\nTransfer-Encoding: chunked\r\n",
+        );
+
+        let answer = call(
+            fleet.gateways[0].front(),
+            format!("{head}3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n").as_bytes(),
+        )
+        .await;
+
+        let answer = answer.expect("there is an answer");
+        assert_eq!(
+            (answer.status(), answer.text().as_str()),
+            (200, "answer to id-1 by i-0")
+        );
+        assert_eq!(
+            (answer.field("x-own"), answer.field("server-stamp")),
+            (Some("kept"), Some("i-0.1"))
+        );
+        let arrival = &fleet.servers[0].arrivals()[0];
+        let field = |name| arrival.head.fields.text(name);
+        assert_eq!(
+            (&*arrival.head.method, &*arrival.head.target),
+            ("POST", "/get/x%20y/../z?a=1&b=%2F")
+        );
+        assert_eq!(arrival.body, b"abcde");
+        assert_eq!(
+            (field("tenant"), field("expect-instance"), field("x-own")),
+            (Some("lab"), Some("i-0"), Some("As Is"))
+        );
+        assert_eq!(
+            (field("authorization"), field("x-hop"), field("pin-ms")),
+            (None, None, None)
+        );
+        let left: u64 = field("deadline-ms")
+            .and_then(|t| t.parse().ok())
+            .expect("a time left");
+        assert!(left <= 3_000 && left > 1_000, "{left}");
+    });
+}
+
+#[test]
+fn what_may_not_be_served_is_refused_at_once_and_reaches_no_server() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        let front = fleet.gateways[0].front();
+        let long = "x".repeat(5_000);
+        let cases = [
+            (request("GET", "/none/", "a", ""), 404),
+            (request("GET", "/get", "b", ""), 404),
+            (
+                request("GET", "/get/", "c", "").replace("h.example", "other.example"),
+                404,
+            ),
+            (
+                request("GET", "/get/", "d", "").replace("key-1", "stolen"),
+                401,
+            ),
+            (
+                request("GET", "/get/", "e", "").replace("Authorization: Token key-1\r\n", ""),
+                401,
+            ),
+            (request("GET", "/get/", "f", "").replace("5000", "-5"), 400),
+            (request("GET", "/get/", "g", "Host: second\r\n"), 400),
+            (request("GET", "/get/", "h", &format!("X: {long}\r\n")), 431),
+            (
+                request("POST", "/get/", "i", "Content-Length: 200000\r\n"),
+                413,
+            ),
+            (
+                request(
+                    "POST",
+                    "/get/",
+                    "j",
+                    "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+                ),
+                400,
+            ),
+            (
+                request("GET", "/get/", "k", "").replace("HTTP/1.1", "HTTP/1.0"),
+                505,
+            ),
+            (request("GET", "/get/", "l", "Token-Usage: many\r\n"), 400),
+        ];
+
+        for (text, status) in cases {
+            let answer = call(front, text.as_bytes())
+                .await
+                .expect("there is an answer");
+            assert_eq!(answer.status(), status, "{text}");
+            assert_eq!(answer.field("server-stamp"), None);
+        }
+        let open = request("GET", "/open/", "m", "").replace("Authorization: Token key-1\r\n", "");
+        let open = call(front, open.as_bytes())
+            .await
+            .expect("there is an answer");
+
+        assert_eq!(open.status(), 200);
+        assert_eq!(fleet.runs(), 1);
+    });
+}
+
+/// A caller hides a second request in the body of the first. If the gateway and the server saw the
+/// body's end in two places, the server would run a request that nobody sent.
+#[test]
+fn what_follows_a_body_is_the_next_request_of_the_same_caller_only() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        let mut caller = Caller::connect(fleet.gateways[0].front()).await;
+        let hidden = request("GET", "/get/hidden", "id-2", "").replace("key-1", "stolen");
+        let first = request("POST", "/get/a", "id-1", "Content-Length: 2\r\n");
+
+        caller.send(format!("{first}ok{hidden}").as_bytes()).await;
+        let one = caller.read().await.expect("the first answer");
+        let two = caller.read().await.expect("the second answer");
+
+        assert_eq!((one.status(), two.status()), (200, 401));
+        assert_eq!(fleet.runs(), 1);
+    });
+}
+
+#[test]
+fn a_slow_head_ends_in_408_and_an_idle_connection_is_closed() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        let mut slow = Caller::connect(fleet.gateways[0].front()).await;
+        let mut idle = Caller::connect(fleet.gateways[0].front()).await;
+
+        slow.send(b"GET /get/ HTTP/1.1\r\nHost:").await;
+        let answer = slow.read().await.expect("there is an answer");
+        let closed = idle.read().await;
+
+        assert_eq!(answer.status(), 408);
+        assert!(closed.is_none());
+    });
+}
+
+/// The process has started and the store is away. It knows no route yet; 404 would say that there
+/// is none, and the caller would give up.
+#[test]
+fn without_a_configuration_the_answer_is_503_and_the_process_is_not_ready() {
+    block_on(async {
+        let mut fleet = Fleet::prepare(1, 1).await;
+        fleet.gateways[0].start();
+        let front = fleet.gateways[0].front();
+        until("the gateway listens", || async {
+            tokio::net::TcpStream::connect(front).await.is_ok()
+        })
+        .await;
+
+        let answer = call(front, request("GET", "/get/", "a", "").as_bytes())
+            .await
+            .expect("an answer");
+        let ready = fleet.gateways[0].is_ready().await;
+        fleet
+            .store
+            .put("op/config", config(1).to_string().as_bytes());
+        until("the gateway is ready", || fleet.gateways[0].is_ready()).await;
+
+        assert_eq!(answer.status(), 503);
+        assert!(answer.field("retry-after").is_some());
+        assert!(!ready);
+    });
+}
+
+#[test]
+fn a_new_configuration_is_in_force_at_once_and_an_older_one_never() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        let front = fleet.gateways[0].front();
+        let mut newer = config(5);
+        newer["routes"] = json!([route("added", "idempotent", &json!({}))]);
+        newer["tenants"] = json!([{"name": "lab", "apiKeys": ["key-1"]}]);
+        let status = |path: &'static str| async move {
+            call(front, request("GET", path, "a", "").as_bytes())
+                .await
+                .map_or(0, |a| a.status())
+        };
+
+        fleet.store.put("op/config", newer.to_string().as_bytes());
+        until("the new route is served", || async {
+            status("/added/").await == 200
+        })
+        .await;
+        fleet
+            .store
+            .put("op/config", config(4).to_string().as_bytes());
+        fleet
+            .store
+            .put("op/config", b"{\"version\":9,\"routes\":[{}]}");
+        tokio::time::sleep(Duration::from_millis(300)).await;
+
+        assert_eq!((status("/added/").await, status("/get/").await), (200, 404));
+    });
+}
--- /dev/null
+++ b/tests/testsuite/gateway/mod.rs
@@ -0,0 +1,14 @@
+//! The gateway's processes before stand-ins of the platform, and its parts that need none.
+
+mod answers;
+mod boundary;
+mod catching_up;
+mod fleet;
+mod http;
+mod ingress;
+mod leaving;
+mod once;
+mod server;
+mod store;
+mod streams;
+mod translation;
--- /dev/null
+++ b/tests/testsuite/gateway/once.rs
@@ -0,0 +1,184 @@
+//! What must not run twice, and what a refusal says.
+
+use std::time::Duration;
+
+use super::fleet::{Fleet, call, request};
+use super::server::Act;
+use crate::block_on;
+
+/// A booking runs, and the server's connection breaks before the answer. Sent to another server, it
+/// would be booked twice; refused with 503, the caller would send it again itself.
+#[test]
+fn a_request_that_may_have_run_is_not_sent_again_and_not_called_refused() {
+    block_on(async {
+        let fleet = Fleet::start(1, 3).await;
+        for act in [Act::Reset, Act::Short, Act::Garble] {
+            fleet
+                .servers
+                .iter()
+                .for_each(|s| s.script(std::slice::from_ref(&act)));
+            let before = fleet.runs();
+
+            let answer = call(
+                fleet.gateways[0].front(),
+                request("POST", "/once/", "a", "").as_bytes(),
+            )
+            .await;
+
+            let status = answer.expect("there is an answer").status();
+            assert_eq!((status, fleet.runs() - before), (502, 1), "{act:?}");
+            drain(&fleet).await;
+        }
+    });
+}
+
+/// Uses up what is left of the servers' scripts.
+async fn drain(fleet: &Fleet) {
+    for server in &fleet.servers {
+        let text = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+        let mut link = tokio::net::TcpStream::connect(server.address)
+            .await
+            .expect("the server listens");
+        let sent = tokio::io::AsyncWriteExt::write_all(&mut link, text.as_bytes()).await;
+        sent.expect("the server takes the bytes");
+        let mut byte = [0; 1];
+        let _read = tokio::time::timeout(
+            Duration::from_secs(1),
+            tokio::io::AsyncReadExt::read(&mut link, &mut byte),
+        )
+        .await;
+    }
+}
+
+#[test]
+fn a_request_that_its_server_did_not_run_goes_to_another() {
+    block_on(async {
+        let fleet = Fleet::start(1, 2).await;
+        fleet.servers[0].script(&[Act::NotRun, Act::NotRun, Act::NotRun, Act::NotRun]);
+        let front = fleet.gateways[0].front();
+
+        for number in 0..4 {
+            let answer = call(
+                front,
+                request("POST", "/once/", &format!("id-{number}"), "").as_bytes(),
+            )
+            .await;
+            assert_eq!(answer.expect("there is an answer").status(), 200);
+        }
+
+        assert_eq!(fleet.runs(), 4);
+    });
+}
+
+/// Every server says that it did not run the request. Then the refusal is true, and the caller may
+/// come back.
+#[test]
+fn a_refusal_after_servers_that_ran_nothing_promises_so() {
+    block_on(async {
+        let fleet = Fleet::start(1, 2).await;
+        fleet
+            .servers
+            .iter()
+            .for_each(|s| s.script(&[Act::NotRun, Act::NotRun]));
+
+        let answer = call(
+            fleet.gateways[0].front(),
+            request("POST", "/once/", "a", "").as_bytes(),
+        )
+        .await;
+
+        let answer = answer.expect("there is an answer");
+        assert_eq!((answer.status(), fleet.runs()), (503, 0));
+        assert!(
+            answer
+                .field("retry-after")
+                .is_some_and(|t| t.parse::<f64>().is_ok_and(|s| s > 0.0))
+        );
+        assert_eq!(answer.field("server-stamp"), None);
+    });
+}
+
+#[test]
+fn a_server_with_anothers_address_is_not_taken_for_it() {
+    block_on(async {
+        let fleet = Fleet::start(1, 2).await;
+        fleet.servers[0].script(&[Act::Moved]);
+        let front = fleet.gateways[0].front();
+
+        for number in 0..3 {
+            let answer = call(
+                front,
+                request("POST", "/once/", &format!("id-{number}"), "").as_bytes(),
+            )
+            .await;
+            assert_eq!(answer.expect("there is an answer").status(), 200);
+        }
+
+        assert_eq!(fleet.runs(), 3);
+    });
+}
+
+#[test]
+fn a_request_that_may_repeat_is_sent_again_when_its_answer_is_lost() {
+    block_on(async {
+        let fleet = Fleet::start(1, 2).await;
+        let front = fleet.gateways[0].front();
+        for act in [Act::Reset, Act::Short, Act::Garble, Act::Fail] {
+            fleet.servers[0].script(std::slice::from_ref(&act));
+            for number in 0..3 {
+                let answer = call(
+                    front,
+                    request("GET", "/get/", &format!("{act:?}-{number}"), "").as_bytes(),
+                )
+                .await;
+                let answer = answer.expect("there is an answer");
+                assert_eq!(answer.status(), 200, "{act:?}");
+                assert!(
+                    answer
+                        .text()
+                        .starts_with(&format!("answer to {act:?}-{number} by"))
+                );
+            }
+        }
+    });
+}
+
+/// Both servers fail. The caller gets the failure as the server gave it, with the server's stamp.
+#[test]
+fn a_failure_that_every_server_gives_is_passed_on_as_it_is() {
+    block_on(async {
+        let fleet = Fleet::start(1, 2).await;
+        fleet.servers.iter().for_each(|s| s.script(&[Act::Fail]));
+
+        let answer = call(
+            fleet.gateways[0].front(),
+            request("GET", "/get/", "a", "").as_bytes(),
+        )
+        .await;
+
+        let answer = answer.expect("there is an answer");
+        assert_eq!((answer.status(), answer.text().as_str()), (500, "failed"));
+        assert!(answer.field("server-stamp").is_some());
+        assert_eq!(fleet.runs(), 2);
+    });
+}
+
+/// A process must not hold a request beyond the route's time; what it says then depends on whether
+/// a server had the request.
+#[test]
+fn the_routes_time_ends_a_request_with_the_truth() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        fleet.servers[0].script(&[Act::Hang]);
+        let began = std::time::Instant::now();
+
+        let answer = call(
+            fleet.gateways[0].front(),
+            request("GET", "/brief/", "a", "").as_bytes(),
+        )
+        .await;
+
+        assert_eq!(answer.expect("there is an answer").status(), 504);
+        assert!(began.elapsed() < Duration::from_secs(2));
+    });
+}
--- /dev/null
+++ b/tests/testsuite/gateway/translation.rs
@@ -0,0 +1,162 @@
+//! The adapter: names and encodings in both directions.
+
+use std::time::Duration;
+
+use hawthornmill::ident::ServiceId;
+use hawthornmill::routing::catalog::Repeat;
+use hawthornmill_gateway::http::head;
+use hawthornmill_platform::{catalog, directory, registration, request, store};
+use proptest::prelude::*;
+
+const CONFIG: &str = r#"{"version":7,"future":1,
+ "routes":[
+  {"name":"r1","host":"H.example","pathPrefix":"/a/","kind":"streaming","timeoutMs":15000,"targetLatencyMs":1000,
+   "priority":1,"trafficSplit":[{"service":"s1","weight":90},{"service":"s2","weight":0.5}],"maxAttempts":2,
+   "public":false,"sticky":true,"resumable":true,"gapTargetMs":400},
+  {"name":"r2","host":"h.example","pathPrefix":"/b/","kind":"non_idempotent","timeoutMs":800,"service":"s2"}],
+ "services":[{"name":"s1","engine":{"slots":64,"kvCapacity":432367}},{"name":"s2","maxConnections":110}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000,"tokensPerS":510000},
+ "tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":2}]}"#;
+
+#[test]
+fn a_configuration_becomes_a_catalog() {
+    let catalog = catalog::read(CONFIG.as_bytes()).expect("the configuration can be read");
+
+    let [first, second] = &*catalog.routes else {
+        panic!("two routes")
+    };
+    assert_eq!(
+        (catalog.version, &*first.host, first.repeat, first.streams),
+        (7, "h.example", Repeat::Resume, true)
+    );
+    assert_eq!(first.targets[1].service, ServiceId::of("s2"));
+    assert_eq!(
+        (first.targets[0].weight, first.targets[1].weight),
+        (90_000, 500)
+    );
+    assert_eq!(
+        (second.repeat, second.attempts, second.timeout),
+        (Repeat::Never, 1, Duration::from_millis(800))
+    );
+    assert_eq!(
+        catalog.services[0].engine.map(|e| (e.slots, e.memory)),
+        Some((64, 432_367))
+    );
+    assert_eq!(catalog.accounts[0].tokens.len(), 2);
+    assert_eq!(catalog.limits.idle_time, Duration::from_secs(15));
+}
+
+#[test]
+fn a_stream_that_may_not_be_resumed_runs_once() {
+    let text = CONFIG.replace("\"resumable\":true", "\"resumable\":false");
+
+    let catalog = catalog::read(text.as_bytes()).expect("the configuration can be read");
+
+    assert_eq!(catalog.routes[0].repeat, Repeat::Never);
+}
+
+/// Entries of another writer: each names no server and says why; none of them ends the reading.
+#[test]
+fn registrations_with_faults_name_no_server() {
+    let sound = r#"{"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"ready","born":5,"new":[]}"#;
+    let faulty = [
+        "",
+        "null",
+        "[]",
+        "{}",
+        "\u{fffd}",
+        r#"{"service":"s","address":"10.0.0.1:80","zone":"z","slots":6}"#,
+        r#"{"service":"s","address":"nowhere","zone":"z","slots":6,"state":"ready"}"#,
+        r#"{"service":"s","address":"10.0.0.1:80","zone":"z","slots":"6","state":"ready"}"#,
+        r#"{"service":7,"address":"10.0.0.1:80","zone":"z","slots":6,"state":"ready"}"#,
+        r#"{"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"sleeping"}"#,
+        r#"{"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"ready","born":"x"}"#,
+    ];
+
+    let entry = registration::read("i-1", sound.as_bytes()).expect("the entry can be read");
+
+    assert_eq!(
+        (&*entry.name, entry.slots, entry.draining, entry.born),
+        ("i-1", 6, false, 5)
+    );
+    for text in faulty {
+        assert!(
+            registration::read("i-1", text.as_bytes()).is_err(),
+            "{text}"
+        );
+    }
+}
+
+#[test]
+fn a_store_answer_becomes_a_page() {
+    let list = br#"{"entries":[{"key":"servers/a","value":"e30=","revision":4,"created":2,"lease":0}],"hasMore":true,"asOf":9}"#;
+    let wait = br#"{"events":[{"key":"servers/a","revision":5,"deleted":true}],"asOf":5}"#;
+
+    let list = store::page(list).expect("the list can be read");
+    let wait = store::page(wait).expect("the answer can be read");
+
+    assert!(list.more);
+    assert_eq!(
+        (list.revision, list.items[0].value.as_deref()),
+        (9, Some(&b"{}"[..]))
+    );
+    assert_eq!(wait.items[0].value, None);
+    assert_eq!(store::page(br#"{"entries":[{"key":"a","rev"#).ok(), None);
+    assert_eq!(store::page(b"<html>").ok(), None);
+}
+
+fn shape_of(fields: &str) -> Option<hawthornmill::routing::shape::Shape> {
+    let text = format!("POST /a HTTP/1.1\r\n{fields}\r\n");
+    let (head, _) = head::request(text.as_bytes()).ok()??;
+    request::shape(&head.fields).ok()
+}
+
+#[test]
+fn a_request_tells_its_size_and_parts() {
+    let shape = shape_of(
+        "Model: m\r\nToken-Usage: 1460,80\r\nPrompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\nLength-Hint: 33\r\n",
+    );
+    let other = shape_of(
+        "Model: n\r\nToken-Usage: 1460,80\r\nPrompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n",
+    );
+
+    let (shape, other) = (shape.expect("a size"), other.expect("a size"));
+    assert_eq!(
+        (shape.prompt, shape.shared(), shape.expected()),
+        (1_460, 1_210, 33)
+    );
+    assert_eq!(other.expected(), 80);
+    assert_ne!(
+        shape.family(),
+        other.family(),
+        "prompts of two models share nothing"
+    );
+    assert!(shape_of("Token-Usage: x\r\n").is_none());
+    assert!(shape_of("Token-Usage: 1,2\r\nPrompt-Prefix: zz\r\n").is_none());
+    assert_eq!(shape_of("A: b\r\n").map(|s| s.prompt), Some(0));
+}
+
+#[test]
+fn the_directory_is_asked_and_answers() {
+    let question =
+        directory::question("/v1/resolve?name=h&region=r&zone=z").expect("it is this call");
+    let answer = directory::addresses(&["10.1.0.33:8783".parse().expect("an address")], 1.5);
+
+    assert_eq!((&*question.domain, &*question.region), ("z", "r"));
+    assert!(directory::question("/v1/other").is_none());
+    assert_eq!(answer, br#"{"addresses":["10.1.0.33:8783"],"ttlS":1.5}"#);
+}
+
+proptest! {
+    #[test]
+    fn random_bytes_are_refused(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        prop_assert!(catalog::read(&bytes).is_err());
+        prop_assert!(registration::read("i", &bytes).is_err());
+        prop_assert!(store::page(&bytes).is_err());
+    }
+
+    #[test]
+    fn a_configuration_that_is_cut_is_refused(end in 0_usize..CONFIG.len()) {
+        prop_assert!(catalog::read(&CONFIG.as_bytes()[..end]).is_err());
+    }
+}
--- /dev/null
+++ b/tests/testsuite/routing/desk.rs
@@ -0,0 +1,189 @@
+//! Letting in, waiting and turning away.
+
+use std::time::Instant;
+
+use hawthornmill::codes::Code;
+use hawthornmill::ident::{AccountId, InstanceId};
+use hawthornmill::routing::desk::{Desk, Verdict};
+use hawthornmill::routing::news::{Mate, News};
+use hawthornmill::routing::usage::{Standing, Sums};
+
+use super::{desk, drafter, millis, request, sent, shape};
+
+const ONE: &[(&str, &str)] = &[("a1", "a")];
+
+/// Takes all eight slots of the only server.
+fn fill(desk: &mut Desk, now: Instant) {
+    for _ in 0..8 {
+        let _choice = sent(desk.ask(&request("lab", shape(1, 10, 10), now), now));
+    }
+}
+
+fn news(
+    short: Vec<(hawthornmill::ident::ServiceId, Standing)>,
+    usage: Vec<(AccountId, Sums)>,
+) -> News {
+    let address = "127.0.0.1:1".parse().expect("the address is well-formed");
+    News {
+        mate: Mate {
+            front: address,
+            peer: address,
+            domain: hawthornmill::ident::DomainId::of("b"),
+        },
+        ready: true,
+        leaving: false,
+        version: 1,
+        revision: 1,
+        work: Vec::new(),
+        usage,
+        strays: Vec::new(),
+        short,
+        others: Vec::new(),
+    }
+}
+
+#[test]
+fn a_request_waits_for_room_and_goes_when_there_is_some() {
+    let now = Instant::now();
+    let mut desk = desk(ONE, now);
+    fill(&mut desk, now);
+
+    let verdict = desk.ask(&request("lab", shape(1, 10, 10), now), now);
+    let Verdict::Wait(ticket) = verdict else {
+        panic!("{verdict:?}")
+    };
+    let none = desk.turn(now + millis(10));
+    let work = desk.loads.own()[0].1;
+    let one = hawthornmill::routing::loads::Work {
+        running: 1,
+        unread: work.unread / 8,
+        held: work.held / 8,
+    };
+    desk.loads.end(hawthornmill::ident::ServerId::of("a1"), one);
+    let decided = desk.turn(now + millis(20));
+
+    assert!(none.is_empty());
+    assert_eq!(decided.len(), 1);
+    assert_eq!(decided[0].0, ticket);
+    assert!(matches!(decided[0].1, Verdict::Send(_)));
+}
+
+/// The servers are full and stay so. Held until its time is over, the request would be refused only
+/// when its caller has no time left to go elsewhere.
+#[test]
+fn a_wait_ends_after_a_small_part_of_the_objective_with_a_time_to_come_back() {
+    let now = Instant::now();
+    let mut desk = desk(ONE, now);
+    fill(&mut desk, now);
+    let verdict = desk.ask(&request("lab", shape(1, 10, 10), now), now);
+    assert!(matches!(verdict, Verdict::Wait(_)));
+
+    let early = desk.turn(now + millis(200));
+    let late = desk.turn(now + millis(310));
+
+    assert!(early.is_empty());
+    let Verdict::Refuse(refusal) = late[0].1 else {
+        panic!("{:?}", late[0].1)
+    };
+    assert_eq!(refusal.code, Code::QueueLate);
+    assert!(refusal.again >= millis(50));
+    assert_eq!(desk.waiting(), 0);
+}
+
+#[test]
+fn a_service_without_servers_refuses_at_once() {
+    let now = Instant::now();
+    let mut desk = desk(&[], now);
+
+    let verdict = desk.ask(&request("lab", shape(1, 10, 10), now), now);
+
+    let Verdict::Refuse(refusal) = verdict else {
+        panic!("{verdict:?}")
+    };
+    assert_eq!(refusal.code, Code::UpstreamUnreachable);
+}
+
+/// Load pattern: one account floods, and others ask for little. Whoever is beyond its share takes
+/// only what is left over: the last places of a server stay free for the others, who would
+/// otherwise come behind the flood's prompts.
+#[test]
+fn an_account_beyond_its_share_leaves_room_for_the_others() {
+    let now = Instant::now();
+    let mut desk = desk(ONE, now);
+    desk.token_rate = 10.0;
+    let flood: Vec<Verdict> = (0..8)
+        .map(|step| {
+            let at = now + millis(step * 250);
+            desk.ask(&request("flood", shape(1, 10, 10), at), at)
+        })
+        .collect();
+
+    let later = now + millis(2_100);
+    let small = desk.ask(&request("small", shape(1, 1, 1), later), later);
+
+    assert!(flood.iter().any(|v| !matches!(v, Verdict::Send(_))));
+    assert!(matches!(small, Verdict::Send(_)));
+}
+
+/// Another instance has turned away a request of an account below its share, a moment ago. Here the
+/// flooding account's next request finds a place that came free; if it took it, the account below
+/// its share would starve at the other instance.
+#[test]
+fn an_account_beyond_its_share_gives_way_to_one_that_waits_elsewhere() {
+    let now = Instant::now();
+    let mut desk = desk(ONE, now);
+    desk.token_rate = 10.0;
+    let flood = AccountId::of("flood");
+    let usage = vec![(
+        flood,
+        Sums {
+            asked: 1e6,
+            got: 1e6,
+        },
+    )];
+    let short = vec![(drafter(), Standing::Owed)];
+    desk.hear(InstanceId::of("other"), &news(short, usage), now);
+
+    let refused = desk.ask(&request("flood", shape(1, 10, 10), now), now);
+    let owed = desk.ask(&request("small", shape(1, 10, 10), now), now);
+    let later = now + millis(1_000);
+    desk.hear(
+        InstanceId::of("other"),
+        &news(Vec::new(), Vec::new()),
+        later,
+    );
+    let after = desk.ask(&request("flood", shape(1, 10, 10), later), later);
+
+    assert!(matches!(refused, Verdict::Refuse(_)));
+    assert!(matches!(owed, Verdict::Send(_)));
+    assert!(matches!(after, Verdict::Send(_)));
+}
+
+/// A prompt so long that its first token can't come in time is turned away at once, not sent to
+/// keep others waiting behind it.
+#[test]
+fn what_can_not_begin_in_time_is_not_sent() {
+    let now = Instant::now();
+    let mut desk = desk(ONE, now);
+    let mut hurried = request("lab", shape(1, 0, 20_000), now);
+    hurried.objective = millis(100);
+
+    let verdict = desk.ask(&hurried, now);
+
+    assert!(!matches!(verdict, Verdict::Send(_)), "{verdict:?}");
+}
+
+#[test]
+fn a_caller_that_leaves_takes_its_request_out_of_the_line() {
+    let now = Instant::now();
+    let mut desk = desk(ONE, now);
+    fill(&mut desk, now);
+    let Verdict::Wait(ticket) = desk.ask(&request("lab", shape(1, 10, 10), now), now) else {
+        panic!("the request does not wait")
+    };
+
+    desk.leave(ticket);
+
+    assert_eq!(desk.waiting(), 0);
+    assert!(desk.turn(now + millis(400)).is_empty());
+}
--- /dev/null
+++ b/tests/testsuite/routing/loads.rs
@@ -0,0 +1,93 @@
+//! What is known of servers' work and soundness.
+
+use std::time::Instant;
+
+use hawthornmill::ident::{InstanceId, ServerId};
+use hawthornmill::routing::loads::{Loads, OwnReport, Verdict, Work};
+
+use super::millis;
+
+const ONE: Work = Work {
+    running: 1,
+    unread: 500,
+    held: 700,
+};
+
+#[test]
+fn work_here_and_elsewhere_is_summed_and_a_silent_peer_is_forgotten() {
+    let now = Instant::now();
+    let server = ServerId::of("s");
+    let mut loads = Loads::default();
+    loads.begin(server, ONE);
+    loads.hear(InstanceId::of("other"), vec![(server, ONE)], now);
+
+    let both = loads.total(server, now);
+    loads.sweep(|_| true, now + millis(2_000));
+    let own = loads.total(server, now + millis(2_000));
+
+    assert_eq!(
+        both,
+        Work {
+            running: 2,
+            unread: 1_000,
+            held: 1_400
+        }
+    );
+    assert_eq!(own, ONE);
+}
+
+/// A router dies and its requests run on at the server. Nobody here knows of them, but the server's
+/// own report, which rides on its answers, does.
+#[test]
+fn a_servers_own_report_counts_while_it_is_fresh() {
+    let now = Instant::now();
+    let server = ServerId::of("s");
+    let mut loads = Loads::default();
+
+    loads.report(
+        server,
+        OwnReport {
+            running: 5,
+            waiting: 2,
+        },
+        now,
+    );
+
+    assert_eq!(loads.total(server, now).running, 7);
+    assert_eq!(loads.total(server, now + millis(400)).running, 0);
+}
+
+/// A server is dark. Without a bound, each request would wait for its connection to fail; without
+/// an end to the bound, the server would stay without work after its return.
+#[test]
+fn a_server_that_can_not_be_reached_rests_and_then_gets_one_request() {
+    let now = Instant::now();
+    let server = ServerId::of("s");
+    let mut loads = Loads::default();
+
+    loads.judge(server, Verdict::Unreachable, now);
+    let resting = loads.is_down(server, now + millis(100));
+    let over = loads.is_down(server, now + millis(500));
+    loads.begin(server, ONE);
+    let tried = loads.is_down(server, now + millis(500));
+    loads.judge(server, Verdict::Sound, now + millis(600));
+    let sound = loads.is_down(server, now + millis(600));
+
+    assert!(resting && !over && tried && !sound);
+}
+
+#[test]
+fn failures_weigh_and_fade() {
+    let now = Instant::now();
+    let server = ServerId::of("s");
+    let mut loads = Loads::default();
+    for _ in 0..10 {
+        loads.judge(server, Verdict::Failed, now);
+    }
+
+    let fresh = loads.failing(server, now);
+    let faded = loads.failing(server, now + millis(8_000));
+
+    assert!(fresh > 0.6, "{fresh}");
+    assert!(faded < 0.06, "{faded}");
+}
--- /dev/null
+++ b/tests/testsuite/routing/registry.rs
@@ -0,0 +1,94 @@
+//! Registrations that arrive late, twice, out of order, or not at all.
+
+use std::time::{Duration, Instant};
+
+use hawthornmill::ident::ServerId;
+use hawthornmill::routing::registry::{RETURN_GRACE, Registry};
+
+use super::{change, entry};
+
+fn names(registry: &Registry) -> Vec<ServerId> {
+    registry.entries().map(|(id, _)| id).collect()
+}
+
+/// A server drains and leaves. A copy of its old entry, read earlier by a peer, arrives afterwards.
+/// Taken for news, it would bring the server back, and requests would go to a dead address.
+#[test]
+fn an_older_copy_does_not_revive_a_server_that_is_gone() {
+    let now = Instant::now();
+    let mut registry = Registry::default();
+    registry.take(change("s", 10, Some(entry("s", "a"))), now);
+    registry.take(change("s", 20, None), now);
+
+    let taken = registry.take(change("s", 15, Some(entry("s", "a"))), now);
+
+    assert!(!taken);
+    assert!(names(&registry).is_empty());
+}
+
+/// The store was down for seconds, live servers could not write, and their entries lapsed. The list
+/// read at its return lacks them. Dropped at once, the whole service would be without servers for two
+/// seconds; kept for ever, dead ones would get requests.
+#[test]
+fn entries_that_lapsed_with_the_store_away_count_until_the_grace_is_over() {
+    let now = Instant::now();
+    let mut registry = Registry::default();
+    registry.replace(
+        vec![
+            change("s", 1, Some(entry("s", "a"))),
+            change("t", 2, Some(entry("t", "a"))),
+        ],
+        2,
+        false,
+        now,
+    );
+
+    registry.replace(Vec::new(), 9, true, now);
+    registry.take(
+        change("t", 11, Some(entry("t", "a"))),
+        now + Duration::from_secs(1),
+    );
+    let before = names(&registry).len();
+    let gone = registry.sweep(now + RETURN_GRACE);
+
+    assert_eq!(before, 2);
+    assert_eq!(gone, [ServerId::of("s")]);
+    assert_eq!(names(&registry), [ServerId::of("t")]);
+}
+
+#[test]
+fn a_list_of_a_store_that_was_there_removes_what_it_lacks_at_once() {
+    let now = Instant::now();
+    let mut registry = Registry::default();
+    registry.replace(vec![change("s", 1, Some(entry("s", "a")))], 1, false, now);
+
+    registry.replace(Vec::new(), 5, false, now);
+
+    assert!(names(&registry).is_empty());
+}
+
+/// A stale list, as a store gives after it lost its history, lacks a server that registered since.
+#[test]
+fn a_stale_list_removes_nothing() {
+    let now = Instant::now();
+    let mut registry = Registry::default();
+    registry.replace(vec![change("s", 8, Some(entry("s", "a")))], 9, false, now);
+
+    registry.replace(Vec::new(), 5, false, now);
+
+    assert_eq!(names(&registry), [ServerId::of("s")]);
+    assert_eq!(registry.revision(), 9);
+}
+
+#[test]
+fn an_entry_that_can_not_be_read_names_no_server_and_leaves_the_others() {
+    let now = Instant::now();
+    let mut registry = Registry::default();
+    registry.take(change("s", 1, Some(entry("s", "a"))), now);
+    registry.take(change("t", 2, Some(entry("t", "a"))), now);
+
+    registry.take(change("s", 3, None), now);
+
+    assert_eq!(names(&registry), [ServerId::of("t")]);
+    assert_eq!(registry.latest(), 3);
+}
--- /dev/null
+++ b/tests/testsuite/routing/table.rs
@@ -0,0 +1,96 @@
+//! Looking up routes and accounts.
+
+use hawthornmill::codes::Code;
+use hawthornmill::ident::ServiceId;
+use hawthornmill::routing::catalog::Target;
+use hawthornmill::routing::table::{Caller, Table, split};
+use smallvec::smallvec;
+
+use super::{account, catalog, route};
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = vec![
+        route("h.example", "/a/"),
+        route("h.example", "/a/b/"),
+        route("g.example", "/"),
+    ];
+    let table = Table::new(catalog(1, routes, Vec::new())).expect("the catalog is sound");
+
+    let name = |host, path| table.route(host, path).map(|r| r.prefix.clone());
+
+    assert_eq!(name("h.example", "/a/b/c").as_deref(), Some("/a/b/"));
+    assert_eq!(name("H.Example:8080", "/a/x").as_deref(), Some("/a/"));
+    assert_eq!(name("h.example", "/a"), None);
+    assert_eq!(name("h.example", "/ab/"), None);
+    assert_eq!(name("g.example", "/a/b/c").as_deref(), Some("/"));
+    assert_eq!(name("f.example", "/a/"), None);
+}
+
+#[test]
+fn a_token_names_its_account_and_only_public_routes_need_none() {
+    let mut open = route("h.example", "/open/");
+    open.public = true;
+    let closed = route("h.example", "/closed/");
+    let accounts = vec![account("lab", "secret")];
+    let table = Table::new(catalog(1, vec![open.clone(), closed.clone()], accounts))
+        .expect("the catalog is sound");
+
+    let known = table.caller(&closed, Some(b"secret"));
+    let unknown = table.caller(&closed, Some(b"other"));
+    let missing = table.caller(&closed, None);
+    let anyone = table.caller(&open, None);
+
+    assert!(matches!(known, Some(Caller::Known(a)) if &*a.name == "lab"));
+    assert!(unknown.is_none() && missing.is_none());
+    assert!(matches!(anyone, Some(Caller::Anyone)));
+}
+
+#[test]
+fn a_split_follows_the_weights_at_every_draw() {
+    let (first, second) = (ServiceId::of("first"), ServiceId::of("second"));
+    let mut route = route("h.example", "/");
+    route.targets = smallvec![
+        Target {
+            service: first,
+            weight: 90
+        },
+        Target {
+            service: second,
+            weight: 10
+        },
+        Target {
+            service: ServiceId::of("none"),
+            weight: 0
+        },
+    ];
+
+    let draws = (0..=1_000).map(|d| split(&route, f64::from(d) / 1_000.0));
+    let seconds = draws.filter(|s| *s == second).count();
+
+    assert_eq!(split(&route, 0.0), first);
+    assert_eq!(split(&route, 1.0), second);
+    assert_eq!(seconds, 101);
+}
+
+#[test]
+fn a_catalog_with_a_fault_is_refused_whole() {
+    let mut nowhere = route("h.example", "/");
+    nowhere.targets[0].service = ServiceId::of("gone");
+    let twice = vec![route("h.example", "/"), route("h.example", "/")];
+    let mut bare = route("h.example", "/x");
+    bare.prefix = "/x".into();
+    let mut weightless = route("h.example", "/");
+    weightless.targets[0].weight = 0;
+
+    let code = |routes| {
+        Table::new(catalog(1, routes, Vec::new()))
+            .map(drop)
+            .map_err(|f| f.0)
+    };
+
+    assert_eq!(code(vec![nowhere]), Err(Code::UnknownReference));
+    assert_eq!(code(twice), Err(Code::Duplicate));
+    assert_eq!(code(vec![bare]), Err(Code::BadValue));
+    assert_eq!(code(vec![weightless]), Err(Code::BadValue));
+}
