--- a/crates/hawthornmill-gateway/src/mates.rs
+++ b/crates/hawthornmill-gateway/src/mates.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hawthornmill::routing::news::{Knowledge, Mate, News, Pull};
+use hawthornmill::routing::news::{Knowledge, Mate, News, Pull, Seen};
 use hawthornmill::wire::frame::{DATAGRAM_LIMIT, FRAME_LIMIT, FrameError};
 use hawthornmill::wire::{Message, Opener, Sealer};
 use serde_json::json;
@@ -113,7 +113,9 @@
                 };
                 let now = gateway.now();
                 let mut mates = gateway.mates.borrow_mut();
-                mates.hear(frame.sender, frame.incarnation, &news, now);
+                if let Some(change) = mates.hear(frame.sender, frame.incarnation, &news, now) {
+                    note(change, news.mate.peer, mates.live(now).count());
+                }
                 let mut desk = gateway.desk.borrow_mut();
                 desk.hear(frame.sender, &news, now);
                 if desk.waiting() > 0 {
@@ -132,6 +134,11 @@
     }
 }
 
+fn note(change: Seen, mate: SocketAddr, live: usize) {
+    let fields = json!({"mate": mate.to_string(), "how": format!("{change:?}"), "live": live});
+    journal::belief("mate", fields);
+}
+
 /// Asks mates that know more, for as long as the process lives.
 pub async fn catch_up(gateway: Rc<Gateway>) {
     let mut behind: Option<Instant> = None;
--- a/crates/hawthornmill-gateway/src/trip/mod.rs
+++ b/crates/hawthornmill-gateway/src/trip/mod.rs
@@ -5,8 +5,8 @@
 //! | [`read`] | bytes of a caller | a [`read::Call`] |
 //! | [`admit`] | a call and the catalog | an [`admit::Admitted`], or a [`reply::Reply`] |
 //! | wait | an admitted call | a server, from the desk |
-//! | [`send`] | a call and its server | a [`send::Sent`] |
-//! | [`deliver`], [`events`] | a server's answer | bytes to the caller |
+//! | [`mod@send`] | a call and its server | a [`send::Sent`] |
+//! | [`mod@deliver`], [`events`] | a server's answer | bytes to the caller |
 //! | [`settle`] | how it ended | log line, counters |
 //!
 //! [`again`] alone decides whether a request is sent once more.
--- a/crates/hawthornmill/src/routing/news.rs
+++ b/crates/hawthornmill/src/routing/news.rs
@@ -99,6 +99,17 @@
     pub at: Instant,
 }
 
+/// What an instance's news change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Seen {
+    /// It was not known in this run.
+    Started,
+    /// It was silent for a while.
+    Returned,
+    /// It is about to stop.
+    Leaving,
+}
+
 /// The other instances.
 #[derive(Debug, Clone, Default)]
 pub struct Mates {
@@ -108,10 +119,22 @@
 }
 
 impl Mates {
-    /// Takes the news of `from`.
-    pub fn hear(&mut self, from: InstanceId, run: Incarnation, news: &News, now: Instant) {
+    /// Takes the news of `from`; tells what they change.
+    pub fn hear(
+        &mut self,
+        from: InstanceId,
+        run: Incarnation,
+        news: &News,
+        now: Instant,
+    ) -> Option<Seen> {
         let before = self.heard.get(&from).filter(|h| h.incarnation == run);
         let leaving = news.leaving || before.is_some_and(|h| h.leaving);
+        let seen = match before {
+            None => Some(Seen::Started),
+            Some(before) if now.duration_since(before.at) >= SILENT => Some(Seen::Returned),
+            Some(before) if leaving && !before.leaving => Some(Seen::Leaving),
+            Some(_) => None,
+        };
         let heard = Heard {
             mate: news.mate,
             incarnation: run,
@@ -128,6 +151,7 @@
         self.contacts.remove(&news.mate.peer);
         let live = self.live(now).count() + 1;
         self.most = self.most.max(live);
+        seen
     }
 
     /// The greatest number of instances that were heard at once, this one included.
