Serve long prompts while nothing else waits; let a part of the instances say that a service is short

Cause: a prompt whose reading alone exceeds its objective was refused at idle servers, and its refusal kept the others back in the whole fleet.

--- a/crates/hawthornmill/src/routing/desk.rs
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -17,7 +17,7 @@
 use super::loads::{Loads, Work};
 use super::memory::PrefixMemory;
 use super::news::News;
-use super::place::{Ask, Choice, Place, ReadRate, Unplaced, View, choose};
+use super::place::{Ask, Choice, Place, ReadRate, Unplaced, View, choose, is_long};
 use super::registry::Registry;
 use super::shape::{PrefixKey, Shape};
 use super::usage::{Standing, Usage, WINDOW, standings};
@@ -29,10 +29,6 @@
 ///
 /// A wait of an eighth costs its caller nothing; one of three quarters leaves no time to answer.
 const PATIENCE: f64 = 0.3;
-/// Times its objective that a request may be expected to take and still be sent.
-///
-/// A late answer is worth a third of one in time at most, and delays those behind it.
-const LATE: f64 = 1.0;
 /// Part of a server's room and of the objective that a request of each standing may take.
 ///
 /// Accounts beyond their share take what is left over. If they filled the servers, requests of the
@@ -40,6 +36,8 @@
 const PARTS: [f64; 3] = [1.0, 0.7, 0.5];
 /// Time for which a service counts as short after a request found no room.
 const SHORT: Duration = Duration::from_millis(600);
+/// Part of the instances that must find no room for a service to count as short.
+const SHORT_PART: f64 = 0.06;
 /// Prefixes sent astray that are told at once.
 const MOST_STRAYS: usize = 24;
 /// Requests that wait at one instance at most; each holds its body.
@@ -114,13 +112,15 @@
     pub regions: Vec<(DomainId, RegionId)>,
     /// Tokens a second of all engines; 0 when unknown.
     pub token_rate: f64,
+    /// Instances of the fleet, this one included.
+    pub instances: usize,
     place: Place,
     rates: BTreeMap<ServiceId, ReadRate>,
     paces: BTreeMap<ServiceId, Pace>,
     line: SlotMap<Ticket, Request>,
     standings: BTreeMap<AccountId, Standing>,
     short: BTreeMap<(ServiceId, Standing), Instant>,
-    heard_short: BTreeMap<(ServiceId, Standing), Instant>,
+    heard_short: BTreeMap<(ServiceId, Standing, InstanceId), Instant>,
     strays: Vec<(PrefixKey, ServerId)>,
     shared: Option<Instant>,
 }
@@ -136,6 +136,7 @@
             budget,
             regions: Vec::new(),
             token_rate: 0.0,
+            instances: 1,
             place,
             rates: BTreeMap::new(),
             paces: BTreeMap::new(),
@@ -272,8 +273,11 @@
             part: PARTS[self.standing(request) as usize],
         };
         let choice = choose(&view, &ask, now)?;
-        let begins = now + choice.expected;
-        if begins > request.came + request.objective.mul_f64(LATE) && request.tried.is_empty() {
+        // Elsewhere it would begin sooner at the price of reading its shared part again, which is
+        // what servers have no time for when this one is late.
+        let calm = self.shortage(request.service, Standing::Above, now) == 0;
+        let timely = choice.expected <= ask.objective;
+        if request.tried.is_empty() && !timely && !(calm && is_long(&choice, ask.objective)) {
             return Err(Unplaced::AllFull);
         }
         self.loads.begin(choice.server, choice.work);
@@ -307,14 +311,28 @@
         known.copied().unwrap_or_default()
     }
 
-    /// Tells whether accounts that go before this request's found no room lately, here or elsewhere.
+    /// Tells whether accounts that go before this request's find no room, here or elsewhere.
+    ///
+    /// One instance that finds none may have met a single odd request. In a large fleet some do at
+    /// any time, so a part of the instances must say so.
     fn is_blocked(&self, request: &Request, now: Instant) -> bool {
         let standing = self.standing(request);
-        let recent = |at: &Instant| now.duration_since(*at) < SHORT;
-        let short = self.short.iter().chain(&self.heard_short);
-        short
-            .filter(|((service, s), _)| *service == request.service && *s < standing)
-            .any(|(_, at)| recent(at))
+        let short = self.shortage(request.service, standing, now);
+        short > 0 && short as f64 >= SHORT_PART * self.instances as f64
+    }
+
+    /// Instances at which requests of a better standing than `standing` found no room lately.
+    fn shortage(&self, service: ServiceId, standing: Standing, now: Instant) -> usize {
+        let counts = |s: ServiceId, better: Standing, at: Instant| {
+            s == service && better < standing && now.duration_since(at) < SHORT
+        };
+        let own = self
+            .short
+            .iter()
+            .any(|((s, better), at)| counts(*s, *better, *at));
+        let heard = self.heard_short.iter();
+        let others = heard.filter(|((s, better, _), at)| counts(*s, *better, **at));
+        usize::from(own) + others.count()
     }
 
     /// Services for which requests found no room lately, for the others.
@@ -340,7 +358,7 @@
             self.memory.hear(*server, *family, now);
         }
         for key in &news.short {
-            self.heard_short.insert(*key, now);
+            self.heard_short.insert((key.0, key.1, from), now);
         }
     }
 
--- a/crates/hawthornmill/src/routing/place.rs
+++ b/crates/hawthornmill/src/routing/place.rs
@@ -39,6 +39,10 @@
 const AT_RISK: f64 = 0.6;
 /// Times by which each second at risk counts more than one before.
 const RISK: f64 = 3.0;
+/// Part of the time from which a prompt's own reading makes a request a long one.
+const LONG: f64 = 0.6;
+/// Part of the time for which a long request may have others before it.
+const LONG_WAIT: f64 = 0.2;
 /// Time that an answer takes longer on a server whose slots are nearly all taken.
 const CROWDED: Duration = Duration::from_millis(120);
 /// What a failure costs a request in time, by which failing servers are passed over.
@@ -137,6 +141,8 @@
     pub ahead: u32,
     /// Expected time to the first token.
     pub expected: Duration,
+    /// The same if nothing were before it there.
+    pub alone: Duration,
     /// It goes to another server than the one that keeps its shared prefix.
     pub stray: bool,
 }
@@ -242,6 +248,7 @@
     let ahead = total.unread + read;
     let first = ask.engine.map_or(Duration::ZERO, |_| FIRST_TOKEN);
     let expected = first + ask.rate.time(ahead) + ROUND_TRIPS[candidate.tier];
+    let alone = first + ask.rate.time(read) + ROUND_TRIPS[candidate.tier];
     if ask.part < 1.0 && expected > ask.objective.mul_f64(ask.part) {
         return None;
     }
@@ -263,11 +270,21 @@
         },
         ahead,
         expected,
+        alone,
         stray: home.is_some_and(|h| h != candidate.server),
     };
     Some((choice, cost))
 }
 
+/// Tells whether a request is late wherever it goes, and hardly anything is before it at its server.
+///
+/// A prompt can be so long that its reading alone takes most of the time. It is served all the same
+/// while nothing else waits; the others that it would delay are worth more.
+pub fn is_long(choice: &Choice, time: Duration) -> bool {
+    let wait = choice.expected - choice.alone;
+    choice.alone > time.mul_f64(LONG) && wait <= time.mul_f64(LONG_WAIT)
+}
+
 /// Requests that the server may have at once.
 fn room(ask: &Ask<'_>, candidate: &Candidate) -> f64 {
     let own = f64::from(candidate.slots.max(1));
