--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -12,7 +12,7 @@
 use hawthornmill::routing::budget::Budget;
 use hawthornmill::routing::catalog::Catalog;
 use hawthornmill::routing::desk::{Desk, Request, Ticket, Verdict};
-use hawthornmill::routing::news::Mates;
+use hawthornmill::routing::news::{Mates, Reading};
 use hawthornmill::routing::place::{Choice, Place};
 use hawthornmill::routing::registry::Change;
 use hawthornmill::routing::table::Table;
@@ -66,6 +66,8 @@
     pub bodies: Cell<usize>,
     /// The catalog or the registrations came from the store or a mate since the start.
     pub listed: Cell<bool>,
+    /// What this instance has to do with the store.
+    pub reading: Cell<Reading>,
     /// A place came free, or something else that waiting requests depend on changed.
     pub nudge: Notify,
     /// Something that the others should hear at once changed.
@@ -97,12 +99,13 @@
             incarnation,
             desk: RefCell::new(desk),
             table: RefCell::default(),
-            mates: RefCell::default(),
+            mates: RefCell::new(Mates::new(place.domain)),
             pool: Pool::default(),
             meters: Meters::default(),
             flying: Cell::new(0),
             bodies: Cell::new(0),
             listed: Cell::new(false),
+            reading: Cell::new(Reading::Answered),
             nudge: Notify::new(),
             hurry: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
--- a/crates/hawthornmill-gateway/src/mates.rs
+++ b/crates/hawthornmill-gateway/src/mates.rs
@@ -50,7 +50,10 @@
         round += 1;
         let now = gateway.now();
         let settings = gateway.settings();
-        let targets = gateway.mates.borrow_mut().targets(&settings.seeds, now);
+        let targets = gateway
+            .mates
+            .borrow_mut()
+            .targets(&settings.seeds, round, now);
         let most = gateway.mates.borrow().most();
         let live = gateway.mates.borrow().live(now).count() + 1;
         gateway.desk.borrow_mut().budget.share_among(most);
@@ -86,6 +89,7 @@
         },
         ready: gateway.is_ready(),
         leaving: gateway.phase() > Phase::Serving,
+        reading: gateway.reading.get(),
         version: gateway.version(),
         revision: desk.registry.latest(),
         work,
--- a/crates/hawthornmill-gateway/src/store.rs
+++ b/crates/hawthornmill-gateway/src/store.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
+use hawthornmill::routing::news::Reading;
 use hawthornmill::routing::registry::Change;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -23,7 +24,12 @@
 use crate::pool::connect;
 
 /// Time for which a wait for changes may stay at the store.
-const WAIT: Duration = Duration::from_millis(2_500);
+///
+/// A connection that went silent shows when the wait is over, well within the bound of four seconds
+/// after which the platform counts an instance as undisturbed again, and three more for changes.
+const WAIT: Duration = Duration::from_millis(3_500);
+/// Pause after a change, in which others gather.
+const GATHER: Duration = Duration::from_millis(100);
 /// Time allowed for a call besides the wait that it asks for.
 const CALL: Duration = Duration::from_millis(900);
 /// Bounds of the pause after a call that failed.
@@ -34,6 +40,8 @@
 const AWAY: Duration = Duration::from_secs(2);
 /// Time after the store's return in which missing servers are still waited for.
 const RETURN: Duration = Duration::from_millis(2_500);
+/// Time between two looks of an instance for which others read.
+const LOOK: Duration = Duration::from_millis(200);
 /// Bytes of one answer at most: a megabyte of values in base64, and their keys.
 const MOST_BYTES: usize = 4 << 20;
 
@@ -83,6 +91,7 @@
         failures: 0,
     };
     loop {
+        follower.rest().await;
         let result = match follower.revision {
             None => follower.list().await,
             Some(revision) => follower.wait(revision).await,
@@ -92,6 +101,23 @@
 }
 
 impl Follower {
+    /// Waits while other instances read for this one.
+    async fn rest(&self) {
+        let gateway = &self.gateway;
+        loop {
+            let known = gateway.listed.get() && gateway.version() > 0;
+            let now = gateway.now();
+            if !known || gateway.mates.borrow().should_read(gateway.me, now) {
+                if gateway.reading.get() == Reading::Idle {
+                    gateway.reading.set(Reading::Answered);
+                }
+                return;
+            }
+            gateway.reading.set(Reading::Idle);
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
     fn prefix(&self) -> &'static str {
         let store = &self.gateway.dialect.store;
         match self.topic {
@@ -134,6 +160,10 @@
         for item in &page.items {
             self.take(item);
         }
+        if !page.items.is_empty() {
+            // Changes come in bursts, and a wait that is answered for each one costs a call for each.
+            tokio::time::sleep(GATHER).await;
+        }
         self.revision = Some(page.revision.max(after));
         if self.topic == Topic::Servers {
             self.gateway
@@ -214,6 +244,7 @@
                 }
                 self.answered = now;
                 self.failures = 0;
+                self.gateway.reading.set(Reading::Answered);
             }
             Err(Failure::HistoryLost) => {
                 journal::belief("store_history_lost", json!({"topic": topic}));
@@ -224,6 +255,7 @@
                     let fields = json!({"topic": topic, "how": format!("{failure:?}")});
                     journal::belief("store_lost", fields);
                 }
+                self.gateway.reading.set(Reading::Lost);
                 if now.duration_since(self.answered) > AWAY {
                     self.returning = Some(now + RETURN);
                 }
--- a/crates/hawthornmill-gateway/src/trip/settle.rs
+++ b/crates/hawthornmill-gateway/src/trip/settle.rs
@@ -67,7 +67,7 @@
         let waited = gateway.now().duration_since(call.came);
         let fields = json!({
             "server": name, "waited_ms": waited.as_millis() as u64, "send": self.arrivals + 1,
-            "tokens_before_first": choice.ahead, "expected_ms": choice.expected.as_millis() as u64,
+            "tokens_before_first": choice.ahead, "tokens_again": choice.again, "stray": choice.stray, "expected_ms": choice.expected.as_millis() as u64,
             "catalog": gateway.version(), "registrations": gateway.desk.borrow().registry.latest(),
         });
         journal::step("sent", &call.attempt, fields);
--- a/crates/hawthornmill/src/routing/loads.rs
+++ b/crates/hawthornmill/src/routing/loads.rs
@@ -12,8 +12,9 @@
 
 use crate::ident::{InstanceId, ServerId};
 
-/// Time for which a peer's last report counts; about five reports may be lost.
-const REPORT_LIFE: Duration = Duration::from_millis(1_500);
+/// Time for which a peer's last report counts; a peer that is far away in a large fleet reports every
+/// 0.8 s, and two of its reports may be lost.
+const REPORT_LIFE: Duration = Duration::from_millis(2_500);
 /// Age up to which a server's own report counts beside what is known of its work.
 const OWN_REPORT_LIFE: Duration = Duration::from_millis(300);
 /// First time for which a server that can't be reached gets no work; each further failure doubles it.
--- a/crates/hawthornmill/src/routing/news.rs
+++ b/crates/hawthornmill/src/routing/news.rs
@@ -15,12 +15,20 @@
 use super::registry::Change;
 use super::shape::PrefixKey;
 use super::usage::{Standing, Sums};
-use crate::ident::{AccountId, DomainId, Incarnation, InstanceId, ServerId, ServiceId};
+use crate::ident::{AccountId, DomainId, Incarnation, InstanceId, ServerId, ServiceId, mix};
 
 /// Silence after which an instance is no longer named to callers; about six lost news.
 const SILENT: Duration = Duration::from_millis(1_300);
+/// The same for one that sends news only once in [`FAR_ROUNDS`]; about three lost news.
+const FAR_SILENT: Duration = Duration::from_millis(2_600);
 /// Silence after which an instance is forgotten.
 const FORGOTTEN: Duration = Duration::from_mins(1);
+/// Rounds of which one goes to an instance of another failure domain in a larger fleet.
+const FAR_ROUNDS: u64 = 4;
+/// Instances up to which all follow the store.
+const SMALL_FLEET: usize = 12;
+/// Instances of one failure domain that follow the store in a larger fleet.
+const READERS: usize = 2;
 /// Instances named in one piece of news, so that it stays within a packet.
 const NAMED: usize = 16;
 
@@ -35,6 +43,18 @@
     pub domain: DomainId,
 }
 
+/// What an instance has to do with the platform's store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub enum Reading {
+    /// Others read for it.
+    #[default]
+    Idle,
+    /// It reads, and the store answers it.
+    Answered,
+    /// It reads, and the store does not answer it.
+    Lost,
+}
+
 /// One instance's news.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct News {
@@ -44,6 +64,8 @@
     pub ready: bool,
     /// It is about to stop.
     pub leaving: bool,
+    /// What it has to do with the store.
+    pub reading: Reading,
     /// Version of its catalog; 0 when it has none.
     pub version: u64,
     /// The store's revision up to which it knows registrations.
@@ -91,12 +113,16 @@
     pub ready: bool,
     /// It is about to stop; never taken back within a run.
     pub leaving: bool,
+    /// What it has to do with the store.
+    pub reading: Reading,
     /// Version of its catalog.
     pub version: u64,
     /// Revision of its registrations.
     pub revision: u64,
     /// When it was last heard.
     pub at: Instant,
+    /// Silence after which it counts as gone.
+    pub patience: Duration,
 }
 
 /// What an instance's news change.
@@ -111,14 +137,25 @@
 }
 
 /// The other instances.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Mates {
+    domain: DomainId,
     heard: BTreeMap<InstanceId, Heard>,
     contacts: BTreeMap<SocketAddr, Instant>,
     most: usize,
 }
 
 impl Mates {
+    /// Nobody is heard yet by this instance of `domain`.
+    pub const fn new(domain: DomainId) -> Self {
+        Self {
+            domain,
+            heard: BTreeMap::new(),
+            contacts: BTreeMap::new(),
+            most: 0,
+        }
+    }
+
     /// Takes the news of `from`; tells what they change.
     pub fn hear(
         &mut self,
@@ -129,9 +166,12 @@
     ) -> Option<Seen> {
         let before = self.heard.get(&from).filter(|h| h.incarnation == run);
         let leaving = news.leaving || before.is_some_and(|h| h.leaving);
+        let far = self.heard.len() >= SMALL_FLEET && news.mate.domain != self.domain;
         let seen = match before {
             None => Some(Seen::Started),
-            Some(before) if now.duration_since(before.at) >= SILENT => Some(Seen::Returned),
+            Some(before) if now.duration_since(before.at) >= before.patience => {
+                Some(Seen::Returned)
+            }
             Some(before) if leaving && !before.leaving => Some(Seen::Leaving),
             Some(_) => None,
         };
@@ -140,9 +180,11 @@
             incarnation: run,
             ready: news.ready,
             leaving,
+            reading: news.reading,
             version: news.version,
             revision: news.revision,
             at: now,
+            patience: if far { FAR_SILENT } else { SILENT },
         };
         self.heard.insert(from, heard);
         for address in &news.others {
@@ -163,7 +205,7 @@
     pub fn live(&self, now: Instant) -> impl Iterator<Item = (InstanceId, &Heard)> {
         self.heard
             .iter()
-            .filter(move |(_, h)| now.duration_since(h.at) < SILENT)
+            .filter(move |(_, h)| now.duration_since(h.at) < h.patience)
             .map(|(id, h)| (*id, h))
     }
 
@@ -174,6 +216,23 @@
             .max_by_key(|h| (h.version, h.revision))
     }
 
+    /// Tells whether instance `me` should follow the store.
+    ///
+    /// In a small fleet every instance does: they are few, and each hears of a change at once. In a
+    /// larger one some of each failure domain do, and the others hear from them; an instance that the
+    /// store does not answer is not counted, so another one takes its part.
+    pub fn should_read(&self, me: InstanceId, now: Instant) -> bool {
+        let others = || self.live(now).filter(|(_, h)| !h.leaving);
+        if others().count() < SMALL_FLEET || others().all(|(_, h)| h.reading != Reading::Answered) {
+            return true;
+        }
+        let domain = self.domain;
+        let mine = mix(domain.0 ^ me.0);
+        let rivals =
+            others().filter(|(_, h)| h.mate.domain == domain && h.reading != Reading::Lost);
+        rivals.filter(|(id, _)| mix(domain.0 ^ id.0) > mine).count() < READERS
+    }
+
     /// Some instances to name to others, another part each `round`.
     pub fn named(&self, round: u64, now: Instant) -> Vec<SocketAddr> {
         let all: Vec<SocketAddr> = self.live(now).map(|(_, h)| h.mate.peer).collect();
@@ -186,15 +245,26 @@
             .collect()
     }
 
-    /// Where to send news: everybody heard, everybody named by others, and `seeds`.
-    pub fn targets(&mut self, seeds: &[SocketAddr], now: Instant) -> Vec<SocketAddr> {
+    /// Where to send news in `round`: everybody heard, everybody named by others, and `seeds`.
+    ///
+    /// In a large fleet, instances of other failure domains get one piece in
+    /// [`FAR_ROUNDS`], unless something must be heard at once: news grow with the square of the
+    /// fleet, and between failure domains they are billed.
+    pub fn targets(&mut self, seeds: &[SocketAddr], round: u64, now: Instant) -> Vec<SocketAddr> {
         self.heard
             .retain(|_, h| now.duration_since(h.at) < FORGOTTEN);
         self.contacts
             .retain(|_, at| now.duration_since(*at) < FORGOTTEN);
-        let mut all: Vec<SocketAddr> = self.heard.values().map(|h| h.mate.peer).collect();
-        all.extend(self.contacts.keys());
-        all.extend(seeds);
+        let large = self.heard.len() >= SMALL_FLEET;
+        let due = |id: &InstanceId, h: &Heard| {
+            !large || h.mate.domain == self.domain || (id.0 ^ round).is_multiple_of(FAR_ROUNDS)
+        };
+        let heard = self.heard.iter().filter(|(id, h)| due(id, h));
+        let mut all: Vec<SocketAddr> = heard.map(|(_, h)| h.mate.peer).collect();
+        if !large || round.is_multiple_of(FAR_ROUNDS) {
+            all.extend(self.contacts.keys());
+            all.extend(seeds);
+        }
         all.sort_unstable();
         all.dedup();
         all
--- a/crates/hawthornmill/src/routing/place.rs
+++ b/crates/hawthornmill/src/routing/place.rs
@@ -32,9 +32,9 @@
 /// Time from an engine's begin of a request to its first token, besides the reading.
 const FIRST_TOKEN: Duration = Duration::from_millis(60);
 /// What reading a shared token again costs beside the time: the engine does it in place of other
-/// work, and the platform bills it. In seconds a token; a long shared prefix weighs as much as half
-/// of its request's objective.
-const REREAD: f64 = 100e-6;
+/// work, and the platform bills it. In seconds a token; a long shared prefix weighs about as much as
+/// its request's objective.
+const REREAD: f64 = 200e-6;
 /// Part of the objective from which an expected begin counts as at risk.
 const AT_RISK: f64 = 0.6;
 /// Times by which each second at risk counts more than one before.
@@ -48,7 +48,9 @@
 /// What a failure costs a request in time, by which failing servers are passed over.
 const FAILURE: Duration = Duration::from_millis(1_500);
 /// Part of an engine's memory that requests may take; the rest keeps shared prefixes.
-const MEMORY_PART: f64 = 0.85;
+///
+/// At 0.85, running requests crowded out the prefixes: 0.01 less of the worth on days of high load.
+const MEMORY_PART: f64 = 0.65;
 /// Requests at a plain server beyond its slots: they wait there for about half a request's time.
 const PLAIN_QUEUE: f64 = 0.5;
 /// Rate at which an engine reads prompts until answers have shown it, in tokens a millisecond.
@@ -143,6 +145,8 @@
     pub expected: Duration,
     /// The same if nothing were before it there.
     pub alone: Duration,
+    /// Tokens of shared parts that the server must read though another one keeps them.
+    pub again: u32,
     /// It goes to another server than the one that keeps its shared prefix.
     pub stray: bool,
 }
@@ -271,6 +275,7 @@
         ahead,
         expected,
         alone,
+        again,
         stray: home.is_some_and(|h| h != candidate.server),
     };
     Some((choice, cost))
--- a/crates/hawthornmill/src/routing/usage.rs
+++ b/crates/hawthornmill/src/routing/usage.rs
@@ -17,7 +17,7 @@
 /// Parts into which the window is divided.
 const PARTS: u64 = 8;
 /// Time for which a peer's last word counts.
-const PEER_LIFE: Duration = Duration::from_millis(1_500);
+const PEER_LIFE: Duration = Duration::from_millis(2_500);
 
 /// Costs of one account within the window, in tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
