--- a/crates/hawthornmill-gateway/src/trip/mod.rs
+++ b/crates/hawthornmill-gateway/src/trip/mod.rs
@@ -139,7 +139,10 @@
     loop {
         let choice = match way.gateway.place(&request).await {
             Verdict::Send(choice) => choice,
-            Verdict::Refuse(refusal) => return no_server(way, trip, fallback, refusal, out).await,
+            Verdict::Refuse(refusal) => {
+                settle::note_refusal(way, &request, &refusal);
+                return no_server(way, trip, fallback, refusal, out).await;
+            }
             Verdict::Wait(_) => {
                 let again = request.objective;
                 let refusal = Refusal {
--- a/crates/hawthornmill-gateway/src/trip/settle.rs
+++ b/crates/hawthornmill-gateway/src/trip/settle.rs
@@ -3,16 +3,33 @@
 use std::time::Instant;
 
 use hawthornmill::codes::Code;
+use hawthornmill::routing::desk::{Refusal, Request};
 use hawthornmill::routing::place::Choice;
 use serde_json::json;
 
-use super::End;
 use super::admit::Admitted;
 use super::read::Call;
 use super::reply::Reply;
+use super::{End, Way};
 use crate::gateway::Gateway;
 use crate::journal;
 
+/// Writes why the desk turned a request away.
+pub fn note_refusal(way: Way<'_>, request: &Request, refusal: &Refusal) {
+    let (gateway, now) = (way.gateway, way.gateway.now());
+    let desk = gateway.desk.borrow();
+    let outlook = desk.outlook(request, now);
+    let fields = json!({
+        "code": refusal.code.number(), "again_ms": refusal.again.as_millis() as u64,
+        "waited_ms": now.duration_since(request.came).as_millis() as u64,
+        "servers": outlook.servers, "draining": outlook.draining, "down": outlook.down,
+        "full": outlook.full, "waiting": outlook.waiting, "short_at": outlook.short,
+        "standing": format!("{:?}", outlook.standing), "registrations": desk.registry.latest(),
+        "catalog": gateway.version(),
+    });
+    journal::trouble("refused", &way.call.attempt, fields);
+}
+
 /// How far a request is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Stage {
--- a/crates/hawthornmill-tools/src/explain/mod.rs
+++ b/crates/hawthornmill-tools/src/explain/mod.rs
@@ -14,11 +14,14 @@
 use hawthornmill::usage::explain::{Interval, Log, Missing, divide};
 use serde::Serialize;
 
+use crate::request;
+
 /// Explain from routers' logs what each account was owed and received. Exit codes: 0 nothing is
-/// missing, 1 records are missing or unreadable, 2 a file can't be read or written.
+/// missing, 1 records are missing or unreadable, 2 a file can't be read or written. With the words
+/// `request ID` before the files it tells what became of one request at the gateways that wrote them.
 #[derive(Debug, FromArgs)]
 pub struct ExplainArgs {
-    /// logs of routers
+    /// logs of routers; or `request`, a request's id, and logs of gateways
     #[argh(positional)]
     files: Vec<PathBuf>,
     /// seconds of one interval; default 60
@@ -32,6 +35,9 @@
     plot: Option<PathBuf>,
 }
 
+/// Word before a request's id; a log of this name is given as `./request`.
+const REQUEST: &str = "request";
+
 /// Everything that the tool tells.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Explained {
@@ -67,6 +73,11 @@
 
 /// Runs the tool; the result is the process's exit code.
 pub fn main(args: &ExplainArgs) -> u8 {
+    if let [word, id, files @ ..] = &*args.files
+        && word.as_os_str() == REQUEST
+    {
+        return request::main(&id.to_string_lossy(), files, args.json);
+    }
     match run(args) {
         Ok(explained) if explained.is_whole() => 0,
         Ok(_) => 1,
--- a/crates/hawthornmill-tools/src/lib.rs
+++ b/crates/hawthornmill-tools/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod check;
 pub mod explain;
+pub mod request;
--- a/crates/hawthornmill/src/routing/desk.rs
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -75,6 +75,25 @@
     pub tried: SmallVec<[ServerId; 2]>,
 }
 
+/// What the desk believes of a request's service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Outlook {
+    /// Servers registered for the service.
+    pub servers: usize,
+    /// Those of them that drain.
+    pub draining: usize,
+    /// Those that could not be reached lately.
+    pub down: usize,
+    /// Those whose slots are all taken.
+    pub full: usize,
+    /// Requests that wait at this instance.
+    pub waiting: usize,
+    /// Instances at which requests of the service found no room lately.
+    pub short: usize,
+    /// How the request's account stands to its share.
+    pub standing: Standing,
+}
+
 /// Why a request is turned away, and when its caller may come back.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Refusal {
@@ -240,6 +259,25 @@
         self.loads.end(choice.server, work);
     }
 
+    /// What a decision on `request` rests on now.
+    pub fn outlook(&self, request: &Request, now: Instant) -> Outlook {
+        let entries = self.registry.entries();
+        let mut outlook = Outlook {
+            standing: self.standing(request),
+            waiting: self.line.len(),
+            short: self.shortage(request.service, Standing::Above, now),
+            ..Outlook::default()
+        };
+        for (id, known) in entries.filter(|(_, k)| k.entry.service == request.service) {
+            outlook.servers += 1;
+            outlook.draining += usize::from(known.entry.draining);
+            outlook.down += usize::from(self.loads.is_down(id, now));
+            let running = self.loads.total(id, now).running;
+            outlook.full += usize::from(running >= known.entry.slots);
+        }
+        outlook
+    }
+
     /// Drops what no longer counts and returns the servers that are gone.
     pub fn sweep(&mut self, now: Instant) -> Vec<ServerId> {
         let gone = self.registry.sweep(now);
--- a/crates/hawthornmill/src/routing/place.rs
+++ b/crates/hawthornmill/src/routing/place.rs
@@ -286,7 +286,7 @@
 /// A prompt can be so long that its reading alone takes most of the time. It is served all the same
 /// while nothing else waits; the others that it would delay are worth more.
 pub fn is_long(choice: &Choice, time: Duration) -> bool {
-    let wait = choice.expected - choice.alone;
+    let wait = choice.expected.saturating_sub(choice.alone);
     choice.alone > time.mul_f64(LONG) && wait <= time.mul_f64(LONG_WAIT)
 }
 
--- a/tests/testsuite/gateway/fleet.rs
+++ b/tests/testsuite/gateway/fleet.rs
@@ -161,7 +161,10 @@
 impl Drop for Fleet {
     fn drop(&mut self) {
         self.gateways.clear();
-        let _removed = std::fs::remove_dir_all(&self.dir);
+        // Set to look at the logs of a test afterwards.
+        if std::env::var_os("HAWTHORNMILL_KEEP").is_none() {
+            let _removed = std::fs::remove_dir_all(&self.dir);
+        }
     }
 }
 
