--- a/crates/hawthornmill-gateway/src/trip/mod.rs
+++ b/crates/hawthornmill-gateway/src/trip/mod.rs
@@ -23,6 +23,7 @@
 use std::time::Instant;
 
 use hawthornmill::codes::Code;
+use hawthornmill::ident::ServerId;
 use hawthornmill::routing::desk::{Refusal, Verdict};
 use hawthornmill::routing::place::Choice;
 use serde_json::json;
@@ -208,20 +209,27 @@
         Sent::Answer(answer) => match deliver(way, admitted, trip, answer, &mut held, out).await {
             Delivered::Whole => Ok(End::Whole),
             Delivered::CallerGone => Ok(End::Left),
-            Delivered::Cut => Err(again::after_break(gateway, admitted, trip, server)),
+            Delivered::Cut => {
+                note_break(way, server, "the answer broke off");
+                Err(again::after_break(gateway, admitted, trip, server))
+            }
         },
         Sent::Unreached(why) => Err(again::after_unreached(
             gateway, way.call, trip, server, &why,
         )),
         Sent::NotRun { moved } => Err(again::after_not_run(gateway, admitted, trip, server, moved)),
         Sent::Broken(why) => {
-            let fields = json!({"server": gateway.server_name(server), "why": why});
-            journal::trouble("server_broke_off", &way.call.attempt, fields);
+            note_break(way, server, &why);
             Err(again::after_break(gateway, admitted, trip, server))
         }
     }
 }
 
+fn note_break(way: Way<'_>, server: ServerId, why: &str) {
+    let fields = json!({"server": way.gateway.server_name(server), "why": why});
+    journal::trouble("server_broke_off", &way.call.attempt, fields);
+}
+
 /// Ends a request for which there is no further server: with a failure that a server gave, or with
 /// the truth about whether it may have run.
 async fn no_server(
--- a/crates/hawthornmill-tools/src/request/mod.rs
+++ b/crates/hawthornmill-tools/src/request/mod.rs
@@ -105,8 +105,8 @@
         one.into_iter().map(Into::into).collect()
     };
     let involved: Vec<Box<str>> = steps.iter().flat_map(servers).collect();
-    let mut latest: BTreeMap<(&str, Box<str>), &Line> = BTreeMap::new();
-    for line in before {
+    let mut latest: BTreeMap<(&str, Box<str>), usize> = BTreeMap::new();
+    for (at, line) in before.iter().enumerate() {
         let Some((event, about)) = BELIEFS.iter().find(|(e, _)| **e == *line.event) else {
             continue;
         };
@@ -119,11 +119,12 @@
         if *event == REGISTRATION && other {
             continue;
         }
-        latest.insert((event, about.into()), line);
+        latest.insert((event, about.into()), at);
     }
-    let mut lines: Vec<Line> = latest.into_values().cloned().collect();
-    lines.sort_by_key(|l| l.time);
-    lines
+    // The order of lines is that of events; the clock may have been set back between them.
+    let mut places: Vec<usize> = latest.into_values().collect();
+    places.sort_unstable();
+    places.into_iter().map(|at| before[at].clone()).collect()
 }
 
 fn missing(all: &[Line], steps: &[Line], started: bool) -> Vec<Box<str>> {
--- a/tests/testsuite/gateway/explaining.rs
+++ b/tests/testsuite/gateway/explaining.rs
@@ -109,6 +109,8 @@
         let story = story(&fleet, "id-8");
 
         assert!(!answer.expect("there is an answer").whole);
+        let broke = &step(&story, "server_broke_off")["fields"];
+        assert_eq!(broke["server"], "i-0");
         let ended = &step(&story, "ended")["fields"];
         assert_eq!(
             (&ended["outcome"], &ended["code"], &ended["last_event"]),
