--- a/crates/hawthornmill-gateway/src/trip/again.rs
+++ b/crates/hawthornmill-gateway/src/trip/again.rs
@@ -49,6 +49,11 @@
     admitted.repeat.allowed() && take(gateway, admitted, trip)
 }
 
+/// Tells whether the request may go to another server after one that may have run it.
+pub fn is_left(admitted: &Admitted, trip: &Trip) -> bool {
+    admitted.repeat.allowed() && trip.arrivals < admitted.attempts
+}
+
 fn take(gateway: &Gateway, admitted: &Admitted, trip: &mut Trip) -> bool {
     if trip.arrivals >= admitted.attempts {
         return false;
--- a/crates/hawthornmill-gateway/src/trip/mod.rs
+++ b/crates/hawthornmill-gateway/src/trip/mod.rs
@@ -103,8 +103,19 @@
     began: bool,
 }
 
+/// Times the objective after which a server that has not begun counts as silent.
+///
+/// A server that takes requests and answers none looks idle, and would draw more of them; no answer
+/// of its own ever says so. Under load all servers are late alike, so none is passed over for it.
+const SILENT: f64 = 1.5;
+
 impl Drop for Held<'_> {
     fn drop(&mut self) {
+        let silent = self.admitted.request.objective.mul_f64(SILENT);
+        let time = self.gateway.now().duration_since(self.sent);
+        if !self.began && time > silent {
+            again::note_failure(self.gateway, self.choice.server);
+        }
         self.gateway.release(&self.choice, self.began);
     }
 }
@@ -196,7 +207,7 @@
         sent: gateway.now(),
         began: false,
     };
-    match send(gateway, way.call, admitted, trip, server).await {
+    match send(gateway, way.call, admitted, trip, &choice).await {
         Sent::Answer(answer)
             if again::is_failure(&answer) && again::may(gateway, admitted, trip) =>
         {
--- a/crates/hawthornmill-gateway/src/trip/send.rs
+++ b/crates/hawthornmill-gateway/src/trip/send.rs
@@ -11,9 +11,11 @@
 use hawthornmill::ident::ServerId;
 use hawthornmill::routing::catalog::Repeat;
 use hawthornmill::routing::loads;
+use hawthornmill::routing::place::Choice;
 use tokio::net::TcpStream;
 
 use super::admit::Admitted;
+use super::again;
 use super::read::Call;
 use super::settle::Trip;
 use crate::gateway::Gateway;
@@ -24,6 +26,10 @@
 
 /// Status of a server that is not the one expected; it has not run the request.
 const MISDIRECTED: u16 = 421;
+/// Times the objective after which a silent server is given up; besides, twice the expected time.
+///
+/// By then the answer is late anyway. Sooner, a server that is merely busy would lose what it has read.
+const GIVEN_UP: f64 = 2.0;
 /// Bytes of an answer's head at most.
 const MOST_HEAD: usize = 64 << 10;
 /// Bytes of an answer to an earlier request that are read past at most.
@@ -62,14 +68,15 @@
     Answer(Answer),
 }
 
-/// Sends `call` to `server`.
+/// Sends `call` to the server of `choice`.
 pub async fn send(
     gateway: &Gateway,
     call: &Call,
     admitted: &Admitted,
     trip: &mut Trip,
-    server: ServerId,
+    choice: &Choice,
 ) -> Sent {
+    let server = choice.server;
     let target = {
         let desk = gateway.desk.borrow();
         let known = desk.registry.get(server);
@@ -98,7 +105,18 @@
         }
         Err(error) => return Sent::Broken(error.to_string().into()),
     };
-    receive(gateway, call, upstream, server, written).await
+    let answer = receive(gateway, call, upstream, server, written);
+    if !again::is_left(admitted, trip) {
+        return answer.await;
+    }
+    // Dropping the connection cancels the request there before another server gets it.
+    let answer = tokio::time::timeout(patience(admitted, choice), answer).await;
+    answer.unwrap_or_else(|_elapsed| Sent::Broken("no answer in time".into()))
+}
+
+/// Time for which a server may be silent before another one gets the request.
+fn patience(admitted: &Admitted, choice: &Choice) -> Duration {
+    admitted.request.objective.mul_f64(GIVEN_UP) + choice.expected * 2
 }
 
 /// The request as the server gets it.
--- a/tests/testsuite/gateway/once.rs
+++ b/tests/testsuite/gateway/once.rs
@@ -163,6 +163,35 @@
     });
 }
 
+/// A server takes requests and answers none of them, while its connections are good. A request that
+/// may repeat would wait there until its caller gives up, with another server idle.
+#[test]
+fn a_silent_server_loses_a_request_that_may_repeat_to_another() {
+    block_on(async {
+        let fleet = Fleet::start(1, 2).await;
+        fleet.servers[0].script(&[Act::Hang, Act::Hang, Act::Hang, Act::Hang]);
+        let front = fleet.gateways[0].front();
+        let texts: Vec<String> = (0..4)
+            .map(|n| request("GET", "/get/", &format!("id-{n}"), ""))
+            .collect();
+
+        let (a, b, c, d) = tokio::join!(
+            call(front, texts[0].as_bytes()),
+            call(front, texts[1].as_bytes()),
+            call(front, texts[2].as_bytes()),
+            call(front, texts[3].as_bytes()),
+        );
+
+        for answer in [a, b, c, d] {
+            assert_eq!(answer.expect("there is an answer").status(), 200);
+        }
+        assert!(
+            fleet.servers[0].runs() > 0,
+            "the silent server had none of them"
+        );
+    });
+}
+
 /// A process must not hold a request beyond the route's time; what it says then depends on whether
 /// a server had the request.
 #[test]
