Tell doubted registrations as doubted, ask for registrations and catalogs apart

Found on the way: whoever had heard of a removal through a list asked for the list again twice a second; the instance with the newest catalog hid the one with the newest registrations. Each with a test.

--- a/crates/hawthornmill-gateway/src/mates.rs
+++ b/crates/hawthornmill-gateway/src/mates.rs
@@ -152,33 +152,31 @@
         tokio::time::sleep(LOOK).await;
         let now = gateway.now();
         let (version, revision) = (gateway.version(), gateway.desk.borrow().registry.latest());
-        let ahead = gateway
-            .mates
-            .borrow()
-            .ahead(version, revision, now)
-            .copied();
-        let Some(ahead) = ahead else {
+        let ahead = gateway.mates.borrow().ahead(version, revision, now);
+        if ahead.is_empty() {
             behind = None;
             continue;
-        };
+        }
         if now.duration_since(*behind.get_or_insert(now)) < BEHIND {
             continue;
         }
         behind = None;
-        let pull = Pull { version, revision };
-        let asked = tokio::time::timeout(ANSWER, ask(&gateway, ahead.mate.peer, pull)).await;
-        match asked {
-            Ok(Ok(knowledge)) => learn(&gateway, knowledge, ahead.mate.peer),
-            Ok(Err(error)) => {
-                log::warn!(target: "mates", "{} can't tell what it knows: {error}", ahead.mate.peer);
-            }
-            Err(_elapsed) => {
-                log::warn!(target: "mates", "{} doesn't tell what it knows", ahead.mate.peer);
-            }
+        for mate in ahead {
+            ask_one(&gateway, mate.mate.peer, Pull { version, revision }).await;
         }
     }
 }
 
+async fn ask_one(gateway: &Gateway, mate: SocketAddr, pull: Pull) {
+    match tokio::time::timeout(ANSWER, ask(gateway, mate, pull)).await {
+        Ok(Ok(knowledge)) => learn(gateway, knowledge, mate),
+        Ok(Err(error)) => {
+            log::warn!(target: "mates", "{mate} can't tell what it knows: {error}");
+        }
+        Err(_elapsed) => log::warn!(target: "mates", "{mate} doesn't tell what it knows"),
+    }
+}
+
 fn learn(gateway: &Gateway, knowledge: Knowledge, from: SocketAddr) {
     let from = from.to_string();
     if let Some(catalog) = knowledge.catalog {
@@ -186,6 +184,13 @@
     }
     if let Some(servers) = knowledge.servers {
         gateway.list(servers, knowledge.revision, false, &from);
+        let registry = &mut gateway.desk.borrow_mut().registry;
+        // Taken for sound here, an entry that its teller is about to drop would count for ever: no
+        // further change tells of it.
+        for server in knowledge.doubted {
+            registry.doubt(server, gateway.now());
+        }
+        registry.caught_up(knowledge.revision);
     }
 }
 
@@ -263,6 +268,7 @@
     Knowledge {
         catalog: newer.map(|t| t.catalog().clone()),
         servers: (latest > pull.revision).then(|| desk.registry.snapshot()),
+        doubted: desk.registry.doubted(),
         revision: latest,
     }
 }
--- a/crates/hawthornmill/src/routing/news.rs
+++ b/crates/hawthornmill/src/routing/news.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 
 use super::catalog::Catalog;
 use super::loads::Work;
@@ -98,6 +99,8 @@
     pub catalog: Option<Catalog>,
     /// All registrations, if they are newer than the asker's.
     pub servers: Option<Vec<Change>>,
+    /// Those of them that were removed while the store was away, and count for a grace only.
+    pub doubted: Vec<ServerId>,
     /// Revision of the registrations.
     pub revision: u64,
 }
@@ -209,11 +212,21 @@
             .map(|(id, h)| (*id, h))
     }
 
-    /// The instance with the newest knowledge beyond `version` and `revision`.
-    pub fn ahead(&self, version: u64, revision: u64, now: Instant) -> Option<&Heard> {
-        let live = self.live(now).map(|(_, h)| h);
-        live.filter(|h| h.version > version || h.revision > revision)
-            .max_by_key(|h| (h.version, h.revision))
+    /// Whom to ask for what is newer than `version` and `revision`: the instance with the newest
+    /// catalog and the one with the newest registrations, once where both are the same.
+    ///
+    /// While catalogs come in quick succession, the one with the newest catalog changes all the time
+    /// and may be behind in registrations; asked alone, it would hide for seconds that a server drains.
+    pub fn ahead(&self, version: u64, revision: u64, now: Instant) -> SmallVec<[Heard; 2]> {
+        let live = || self.live(now).map(|(_, h)| h);
+        let catalog = live().filter(|h| h.version > version);
+        let servers = live().filter(|h| h.revision > revision);
+        let mut ask: SmallVec<[Heard; 2]> = SmallVec::new();
+        ask.extend(servers.max_by_key(|h| (h.revision, h.version)).copied());
+        if ask.first().is_none_or(|h| h.version <= version) {
+            ask.extend(catalog.max_by_key(|h| (h.version, h.revision)).copied());
+        }
+        ask
     }
 
     /// Tells whether instance `me` should follow the store.
--- a/crates/hawthornmill/src/routing/registry.rs
+++ b/crates/hawthornmill/src/routing/registry.rs
@@ -157,6 +157,20 @@
         self.advance(revision);
     }
 
+    /// Entries that count for a grace only.
+    pub fn doubted(&self) -> Vec<ServerId> {
+        let doubted = self.known.iter().filter(|(_, k)| k.until.is_some());
+        doubted.map(|(id, _)| *id).collect()
+    }
+
+    /// Changes up to `revision` were taken from another instance's list, removals included.
+    ///
+    /// A list names no removals. Without this, an instance that was told of one would seem to be behind
+    /// for ever and ask for the whole list again and again.
+    pub fn caught_up(&mut self, revision: u64) {
+        self.latest = self.latest.max(revision);
+    }
+
     /// Entries whose grace is over are removed.
     pub fn sweep(&mut self, now: Instant) -> Vec<ServerId> {
         let over = |k: &Known| k.until.is_some_and(|until| until <= now);
--- a/tests/testsuite/routing/mates.rs
+++ b/tests/testsuite/routing/mates.rs
@@ -104,12 +104,15 @@
         .live(later)
         .map(|(_, h)| h.mate.front.port())
         .collect();
-    let ahead = mates.ahead(3, 0, later).map(|h| h.version);
+    let versions = |have| -> Vec<u64> {
+        let ahead = mates.ahead(have, 0, later);
+        ahead.iter().map(|h| h.version).collect()
+    };
 
     assert_eq!(live.len(), 2);
     assert!(!live.contains(&20));
-    assert_eq!(ahead, Some(5));
-    assert!(mates.ahead(5, 0, later).is_none());
+    assert_eq!(versions(3), [5]);
+    assert!(versions(5).is_empty());
 }
 
 /// A fleet of `count` instances in two failure domains, as instance `r0` of domain `a` hears it.
@@ -179,3 +182,34 @@
         "in a small fleet all read"
     );
 }
+
+/// Catalogs come in quick succession while a server drains. The instance with the newest catalog has
+/// not heard of the server yet. Asked alone, again and again, it would never tell of it, and requests
+/// would go to the server until it is gone.
+#[test]
+fn the_newest_catalog_does_not_hide_the_newest_registrations() {
+    let now = Instant::now();
+    let mut mates = Mates::new(DomainId::of("a"));
+    let mut servers = news(20, 3, Vec::new());
+    servers.revision = 9;
+    let mut both = news(40, 6, Vec::new());
+    both.revision = 9;
+    mates.hear(
+        InstanceId::of("catalog"),
+        Incarnation(1),
+        &news(30, 5, Vec::new()),
+        now,
+    );
+    mates.hear(InstanceId::of("servers"), Incarnation(1), &servers, now);
+    let ask = |mates: &Mates| -> Vec<u16> {
+        let ahead = mates.ahead(3, 8, now);
+        ahead.iter().map(|h| h.mate.front.port()).collect()
+    };
+
+    let apart = ask(&mates);
+    mates.hear(InstanceId::of("both"), Incarnation(1), &both, now);
+    let together = ask(&mates);
+
+    assert_eq!(apart, [20, 30]);
+    assert_eq!(together, [40]);
+}
--- a/tests/testsuite/routing/registry.rs
+++ b/tests/testsuite/routing/registry.rs
@@ -92,3 +92,38 @@
     assert_eq!(names(&registry), [ServerId::of("t")]);
     assert_eq!(registry.latest(), 3);
 }
+
+/// A server was removed, and another instance's list, which lacks it, brings that here. The instance
+/// must then count as caught up, or it would ask for the list again with every look.
+#[test]
+fn a_list_of_another_instance_catches_up_with_removals() {
+    let now = Instant::now();
+    let mut registry = Registry::default();
+    registry.replace(vec![change("s", 1, Some(entry("s", "a")))], 1, false, now);
+
+    registry.replace(Vec::new(), 7, false, now);
+    registry.caught_up(7);
+
+    assert!(names(&registry).is_empty());
+    assert_eq!(registry.latest(), 7);
+}
+
+/// An instance that the store did not answer hears of a removal and keeps the entry for its grace. It
+/// tells another instance of all that it knows at that moment. If the doubt were not told with it, the
+/// other one would keep the server for ever, since no later change names it.
+#[test]
+fn a_doubted_entry_is_told_as_doubted() {
+    let now = Instant::now();
+    let mut teller = Registry::default();
+    let mut hearer = Registry::default();
+    teller.replace(vec![change("s", 1, Some(entry("s", "a")))], 1, false, now);
+    teller.doubt(ServerId::of("s"), now);
+
+    hearer.replace(teller.snapshot(), teller.latest(), false, now);
+    for server in teller.doubted() {
+        hearer.doubt(server, now);
+    }
+    let gone = hearer.sweep(now + RETURN_GRACE);
+
+    assert_eq!(gone, [ServerId::of("s")]);
+}
