--- a/crates/hawthornmill/src/routing/place.rs
+++ b/crates/hawthornmill/src/routing/place.rs
@@ -35,6 +35,10 @@
 /// work, and the platform bills it. In seconds a token; a long shared prefix weighs about as much as
 /// its request's objective.
 const REREAD: f64 = 200e-6;
+/// Servers of a family that are taken in order.
+const RANKED: usize = 10;
+/// What each further place in that order costs.
+const RANK: Duration = Duration::from_millis(10);
 /// Part of the objective from which an expected begin counts as at risk.
 const AT_RISK: f64 = 0.6;
 /// Times by which each second at risk counts more than one before.
@@ -164,7 +168,6 @@
     server: ServerId,
     tier: usize,
     slots: u32,
-    domain: DomainId,
 }
 
 /// Chooses the server with the least expected time to the first token.
@@ -176,10 +179,10 @@
     if candidates.is_empty() {
         return Err(Unplaced::NoServer);
     }
-    let home = home(&candidates, ask.shape);
+    let homes = homes(&candidates, ask.shape);
     candidates
         .iter()
-        .filter_map(|c| weigh(view, ask, c, home, now))
+        .filter_map(|c| weigh(view, ask, c, &homes, now))
         .min_by(|a, b| a.1.total_cmp(&b.1))
         .map(|(choice, _)| choice)
         .ok_or(Unplaced::AllFull)
@@ -196,7 +199,6 @@
             server,
             tier: tier(view, known.entry.domain),
             slots: known.entry.slots,
-            domain: known.entry.domain,
         })
         .collect()
 }
@@ -213,19 +215,27 @@
     }
 }
 
-/// The server that keeps the request's shared prefix.
-fn home(candidates: &[Candidate], shape: &Shape) -> Option<ServerId> {
-    let family = shape.family()?;
+/// The servers that keep the request's shared prefix, in the order in which every instance takes them.
+///
+/// The first one is its home. When that is full, all instances go on to the same second one, which
+/// therefore keeps the prefix too; so a family has as many copies as its load needs.
+fn homes(candidates: &[Candidate], shape: &Shape) -> Vec<ServerId> {
+    let Some(family) = shape.family() else {
+        return Vec::new();
+    };
+    let nearest = candidates.iter().map(|c| c.tier).min().unwrap_or(0);
     let reach = if shape.shared() >= FLEET_WIDE {
         2
     } else {
-        candidates.iter().map(|c| c.tier).min()?
+        nearest
     };
-    candidates
-        .iter()
-        .filter(|c| c.tier <= reach)
-        .max_by_key(|c| (mix(family.0 ^ c.server.0), c.domain))
-        .map(|c| c.server)
+    let within = candidates.iter().filter(|c| c.tier <= reach);
+    let mut ranked: Vec<(u64, ServerId)> = within
+        .map(|c| (mix(family.0 ^ c.server.0), c.server))
+        .collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked.truncate(RANKED);
+    ranked.into_iter().map(|(_, server)| server).collect()
 }
 
 /// The choice of one candidate and its cost in seconds; none when the server is full.
@@ -233,9 +243,10 @@
     view: &View<'_>,
     ask: &Ask<'_>,
     candidate: &Candidate,
-    home: Option<ServerId>,
+    homes: &[ServerId],
     now: Instant,
 ) -> Option<(Choice, f64)> {
+    let home = homes.first().copied();
     let total = view.loads.total(candidate.server, now);
     let room = room(ask, candidate);
     if f64::from(total.running) + 1.0 > (room * ask.part).max(1.0) {
@@ -260,10 +271,15 @@
     let again = read.saturating_sub(unique);
     let risk = expected.saturating_sub(ask.objective.mul_f64(AT_RISK));
     let full = f64::from(total.running) / room;
+    let rank = homes
+        .iter()
+        .position(|h| *h == candidate.server)
+        .unwrap_or(homes.len());
     let cost = expected.as_secs_f64()
         + REREAD * f64::from(again)
         + RISK * risk.as_secs_f64()
         + CROWDED.as_secs_f64() * full * full
+        + RANK.as_secs_f64() * rank as f64
         + FAILURE.as_secs_f64() * view.loads.failing(candidate.server, now);
     let choice = Choice {
         server: candidate.server,
