Tell shortages and strays until far instances of a large fleet have heard of them

Cause: far instances get one piece of news in four, but a shortage was told for 0.3 s and a stray once, so they missed most.

--- a/crates/hawthornmill-gateway/src/mates.rs
+++ b/crates/hawthornmill-gateway/src/mates.rs
@@ -94,7 +94,7 @@
         revision: desk.registry.latest(),
         work,
         usage,
-        strays: desk.take_strays(),
+        strays: desk.told_strays(now),
         short: desk.told_short(now),
         others: gateway.mates.borrow().named(round, now),
     }
--- a/crates/hawthornmill/src/routing/desk.rs
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -6,7 +6,7 @@
 //! only make a late answer of one that could have been refused at once. While anything waits,
 //! accounts below their max-min share go first, then urgent routes, then the longest waiting.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use slotmap::{SlotMap, new_key_type};
@@ -38,6 +38,9 @@
 const SHORT: Duration = Duration::from_millis(600);
 /// Part of the instances that must find no room for a service to count as short.
 const SHORT_PART: f64 = 0.06;
+/// Time for which a shortage or a stray is told: in a large fleet some instances get only one piece of
+/// news in four, and would else miss most of them.
+const TOLD: Duration = Duration::from_millis(900);
 /// Prefixes sent astray that are told at once.
 const MOST_STRAYS: usize = 24;
 /// Requests that wait at one instance at most; each holds its body.
@@ -140,7 +143,7 @@
     standings: BTreeMap<AccountId, Standing>,
     short: BTreeMap<(ServiceId, Standing), Instant>,
     heard_short: BTreeMap<(ServiceId, Standing, InstanceId), Instant>,
-    strays: Vec<(PrefixKey, ServerId)>,
+    strays: VecDeque<(PrefixKey, ServerId, Instant)>,
     shared: Option<Instant>,
 }
 
@@ -163,7 +166,7 @@
             standings: BTreeMap::new(),
             short: BTreeMap::new(),
             heard_short: BTreeMap::new(),
-            strays: Vec::new(),
+            strays: VecDeque::new(),
             shared: None,
         }
     }
@@ -320,10 +323,11 @@
         }
         self.loads.begin(choice.server, choice.work);
         self.memory.note(choice.server, &request.shape, now);
-        if let (true, Some(family)) = (choice.stray, request.shape.family())
-            && self.strays.len() < MOST_STRAYS
-        {
-            self.strays.push((family, choice.server));
+        if let (true, Some(family)) = (choice.stray, request.shape.family()) {
+            if self.strays.len() >= MOST_STRAYS {
+                self.strays.pop_front();
+            }
+            self.strays.push_back((family, choice.server, now));
         }
         if let Some(account) = request.account
             && request.tried.is_empty()
@@ -375,7 +379,7 @@
 
     /// Services for which requests found no room lately, for the others.
     pub fn told_short(&self, now: Instant) -> Vec<(ServiceId, Standing)> {
-        let recent = |at: &Instant| now.duration_since(*at) < SHORT / 2;
+        let recent = |at: &Instant| now.duration_since(*at) < TOLD;
         let short = self
             .short
             .iter()
@@ -383,9 +387,11 @@
         short.map(|(key, _)| *key).collect()
     }
 
-    /// Prefixes that were sent to other servers than their homes since this was last asked.
-    pub fn take_strays(&mut self) -> Vec<(PrefixKey, ServerId)> {
-        std::mem::take(&mut self.strays)
+    /// Prefixes that were sent to other servers than their homes lately, for the others.
+    pub fn told_strays(&mut self, now: Instant) -> Vec<(PrefixKey, ServerId)> {
+        self.strays
+            .retain(|(_, _, at)| now.duration_since(*at) < TOLD);
+        self.strays.iter().map(|(f, s, _)| (*f, *s)).collect()
     }
 
     /// Takes what another instance tells.
--- a/tests/testsuite/routing/desk.rs
+++ b/tests/testsuite/routing/desk.rs
@@ -210,3 +210,19 @@
     assert_eq!(desk.waiting(), 0);
     assert!(desk.turn(now + millis(400)).is_empty());
 }
+
+/// An instance far away in a large fleet gets one piece of news in four. A shortage told for a third
+/// of a second only would mostly pass it by, and accounts beyond their share there would not give way.
+#[test]
+fn a_shortage_is_told_until_far_instances_have_heard_of_it() {
+    let now = Instant::now();
+    let mut desk = desk(ONE, now);
+    fill(&mut desk, now);
+    let _waiting = desk.ask(&request("lab", shape(1, 10, 10), now), now);
+
+    let later = desk.told_short(now + millis(800));
+    let over = desk.told_short(now + millis(1_000));
+
+    assert_eq!(later, [(drafter(), Standing::Owed)]);
+    assert!(over.is_empty());
+}
--- a/tests/testsuite/routing/place.rs
+++ b/tests/testsuite/routing/place.rs
@@ -76,7 +76,7 @@
             servers.push(choice.server);
         }
     }
-    let strays = desk.take_strays();
+    let strays = desk.told_strays(now);
 
     servers.sort_unstable();
     servers.dedup();
