--- a/crates/hawthornmill/src/routing/news.rs
+++ b/crates/hawthornmill/src/routing/news.rs
@@ -260,9 +260,8 @@
 
     /// Where to send news in `round`: everybody heard, everybody named by others, and `seeds`.
     ///
-    /// In a large fleet, instances of other failure domains get one piece in
-    /// [`FAR_ROUNDS`], unless something must be heard at once: news grow with the square of the
-    /// fleet, and between failure domains they are billed.
+    /// In a large fleet, instances of other failure domains get one piece in four: news grow with the
+    /// square of the fleet, and between failure domains they are billed.
     pub fn targets(&mut self, seeds: &[SocketAddr], round: u64, now: Instant) -> Vec<SocketAddr> {
         self.heard
             .retain(|_, h| now.duration_since(h.at) < FORGOTTEN);
