--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -179,7 +179,7 @@
     /// Takes one change of the registrations.
     pub fn register(&self, change: Change, from: &str) {
         let told = describe(&change, from);
-        if self.desk.borrow_mut().registry.take(change, self.now()) {
+        if self.desk.borrow_mut().register(change, self.now()) {
             journal::belief("registration", told);
             self.nudge.notify_one();
         }
--- a/crates/hawthornmill-gateway/src/settings.rs
+++ b/crates/hawthornmill-gateway/src/settings.rs
@@ -79,15 +79,8 @@
     /// Every fault of the file.
     pub fn load(path: &Path) -> Result<Self, Vec<Fault>> {
         let file = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|error| {
-            vec![Fault {
-                code: Code::FileUnreadable,
-                file: file.as_str().into(),
-                line: 0,
-                column: 0,
-                what: error.to_string().into(),
-            }]
-        })?;
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| vec![Fault::unreadable(path, &error.to_string())])?;
         Self::parse(&file, &text)
     }
 
--- a/crates/hawthornmill-gateway/src/trip/again.rs
+++ b/crates/hawthornmill-gateway/src/trip/again.rs
@@ -70,6 +70,15 @@
     taken
 }
 
+/// What ends a request that no other server gets: only one that has not run may be called refused.
+const fn give_up(trip: &Trip) -> Next {
+    if trip.maybe_run {
+        Next::Fail
+    } else {
+        Next::Refuse
+    }
+}
+
 /// The server could not be reached.
 pub fn after_unreached(
     gateway: &Gateway,
@@ -90,10 +99,8 @@
     trip.unreached += 1;
     if trip.unreached <= MOST_UNREACHED {
         Next::Again
-    } else if trip.maybe_run {
-        Next::Fail
     } else {
-        Next::Refuse
+        give_up(trip)
     }
 }
 
@@ -115,10 +122,8 @@
     trip.not_run();
     if take(gateway, admitted, trip) {
         Next::Again
-    } else if trip.maybe_run {
-        Next::Fail
     } else {
-        Next::Refuse
+        give_up(trip)
     }
 }
 
--- a/crates/hawthornmill-tools/src/explain/mod.rs
+++ b/crates/hawthornmill-tools/src/explain/mod.rs
@@ -9,7 +9,6 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
-use hawthornmill::codes::Code;
 use hawthornmill::ini::Fault;
 use hawthornmill::usage::explain::{Interval, Log, Missing, divide};
 use serde::Serialize;
@@ -91,14 +90,17 @@
 fn run(args: &ExplainArgs) -> Result<Explained, Fault> {
     let mut log = Log::default();
     for file in &args.files {
-        read::read_file(file, &mut log).map_err(|e| unreadable(file, &e.to_string()))?;
+        read::read_file(file, &mut log).map_err(|e| Fault::unreadable(file, &e.to_string()))?;
     }
     let explained = Explained::new(&log, args.interval);
     if let Some(file) = &args.plot {
         // Steps of a second show what an interval's sum hides.
         let steps = divide(&log, 1000);
-        std::fs::write(file, plot::svg(&steps).map_err(|e| unreadable(file, &e))?)
-            .map_err(|e| unreadable(file, &e.to_string()))?;
+        std::fs::write(
+            file,
+            plot::svg(&steps).map_err(|e| Fault::unreadable(file, &e))?,
+        )
+        .map_err(|e| Fault::unreadable(file, &e.to_string()))?;
     }
     if args.json {
         println!("{}", serde_json::to_string(&explained).unwrap_or_default());
@@ -107,13 +109,3 @@
     }
     Ok(explained)
 }
-
-fn unreadable(file: &std::path::Path, what: &str) -> Fault {
-    Fault {
-        code: Code::FileUnreadable,
-        file: file.display().to_string().into(),
-        line: 0,
-        column: 0,
-        what: what.into(),
-    }
-}
--- a/crates/hawthornmill-tools/src/request/mod.rs
+++ b/crates/hawthornmill-tools/src/request/mod.rs
@@ -9,7 +9,6 @@
 use std::fmt::Write as _;
 use std::path::{Path, PathBuf};
 
-use hawthornmill::codes::Code;
 use hawthornmill::ini::Fault;
 use serde::Serialize;
 use serde_json::Value;
@@ -215,12 +214,6 @@
 
 fn read_file(file: &Path, request: &str) -> Result<Option<Part>, Fault> {
     let name = file.display().to_string();
-    let bytes = std::fs::read(file).map_err(|error| Fault {
-        code: Code::FileUnreadable,
-        file: name.as_str().into(),
-        line: 0,
-        column: 0,
-        what: error.to_string().into(),
-    })?;
+    let bytes = std::fs::read(file).map_err(|e| Fault::unreadable(file, &e.to_string()))?;
     Ok(read(&name, &String::from_utf8_lossy(&bytes), request))
 }
--- a/crates/hawthornmill/src/ini.rs
+++ b/crates/hawthornmill/src/ini.rs
@@ -5,6 +5,7 @@
 //! both refuse what they do not know instead of passing over it.
 
 use std::fmt;
+use std::path::Path;
 
 use ini::{Ini, ParseOption};
 
@@ -25,6 +26,19 @@
     pub what: Box<str>,
 }
 
+impl Fault {
+    /// A file that can't be read, and why.
+    pub fn unreadable(file: &Path, what: &str) -> Self {
+        Self {
+            code: Code::FileUnreadable,
+            file: file.display().to_string().into(),
+            line: 0,
+            column: 0,
+            what: what.into(),
+        }
+    }
+}
+
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.file)?;
--- a/crates/hawthornmill/src/routing/desk.rs
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -18,7 +18,7 @@
 use super::memory::PrefixMemory;
 use super::news::News;
 use super::place::{Ask, Choice, Place, ReadRate, Unplaced, View, choose, is_long};
-use super::registry::Registry;
+use super::registry::{Change, Registry};
 use super::shape::{PrefixKey, Shape};
 use super::usage::{Standing, Usage, WINDOW, standings};
 use crate::codes::Code;
@@ -240,6 +240,21 @@
         self.line.remove(ticket);
     }
 
+    /// Takes one change of a registration; false when it is older than what is known.
+    ///
+    /// A server that starts anew under its old name has read nothing yet. Taken for the run before, it
+    /// would draw prompts whose beginnings it no longer keeps.
+    pub fn register(&mut self, change: Change, now: Instant) -> bool {
+        let server = change.server;
+        let born = |registry: &Registry| registry.get(server).map(|k| k.entry.born);
+        let before = born(&self.registry);
+        let taken = self.registry.take(change, now);
+        if taken && before != born(&self.registry) {
+            self.memory.forget(server);
+        }
+        taken
+    }
+
     /// The first token, or the whole answer, came `time` after a request was sent.
     pub fn began(&mut self, service: ServiceId, choice: &Choice, time: Duration) {
         self.rates
--- a/crates/hawthornmill/src/routing/table.rs
+++ b/crates/hawthornmill/src/routing/table.rs
@@ -81,11 +81,6 @@
         routes.into_iter().find(|r| path.starts_with(&*r.prefix))
     }
 
-    /// Tells whether any route goes by `host`.
-    pub fn has_host(&self, host: &str) -> bool {
-        self.hosts.contains_key(host.to_ascii_lowercase().as_str())
-    }
-
     /// For whom a request with `token` is made; none when it must be refused.
     pub fn caller(&self, route: &Route, token: Option<&[u8]>) -> Option<Caller<'_>> {
         if self.catalog.accounts.is_empty() {
--- a/tests/testsuite/gateway/leaving.rs
+++ b/tests/testsuite/gateway/leaving.rs
@@ -118,33 +118,35 @@
     }
 }
 
+/// Waits until the gateway has logged a registration with `word` set, and checks that the first
+/// server gets none of the requests that come after.
+async fn gets_nothing_new(fleet: &Fleet, word: &str) {
+    until("its word is known", || async {
+        let known = fleet.gateways[0].logged("registration");
+        known.iter().any(|l| l[word] == true)
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let before = fleet.servers[0].arrivals().len();
+
+    for number in 0..10 {
+        let text = request("GET", "/get/", &format!("{number}"), "");
+        let answer = call(fleet.gateways[0].front(), text.as_bytes()).await;
+        assert_eq!(answer.expect("there is an answer").status(), 200);
+    }
+
+    assert_eq!(fleet.servers[0].arrivals().len(), before);
+}
+
 /// A server drains while requests go on; none may reach it once its word is known.
 #[test]
 fn a_draining_server_gets_nothing_new() {
     block_on(async {
         let fleet = Fleet::start(1, 2).await;
-        let front = fleet.gateways[0].front();
+
         fleet.register(&fleet.servers[0], "draining");
-        until("its word is known", || async {
-            fleet.gateways[0]
-                .logged("registration")
-                .iter()
-                .any(|l| l["draining"] == true)
-        })
-        .await;
-        tokio::time::sleep(Duration::from_millis(50)).await;
-        let before = fleet.servers[0].arrivals().len();
-
-        for number in 0..10 {
-            let answer = call(
-                front,
-                request("GET", "/get/", &format!("{number}"), "").as_bytes(),
-            )
-            .await;
-            assert_eq!(answer.expect("there is an answer").status(), 200);
-        }
 
-        assert_eq!(fleet.servers[0].arrivals().len(), before);
+        gets_nothing_new(&fleet, "draining").await;
     });
 }
 
@@ -153,28 +155,10 @@
 fn a_server_whose_entry_is_removed_gets_nothing_new() {
     block_on(async {
         let fleet = Fleet::start(1, 2).await;
-        let front = fleet.gateways[0].front();
+
         fleet.store.remove("servers/i-0");
-        until("its removal is known", || async {
-            fleet.gateways[0]
-                .logged("registration")
-                .iter()
-                .any(|l| l["gone"] == true)
-        })
-        .await;
-        tokio::time::sleep(Duration::from_millis(50)).await;
-        let before = fleet.servers[0].arrivals().len();
-
-        for number in 0..10 {
-            let answer = call(
-                front,
-                request("GET", "/get/", &format!("{number}"), "").as_bytes(),
-            )
-            .await;
-            assert_eq!(answer.expect("there is an answer").status(), 200);
-        }
 
-        assert_eq!(fleet.servers[0].arrivals().len(), before);
+        gets_nothing_new(&fleet, "gone").await;
     });
 }
 
--- a/tests/testsuite/routing/desk.rs
+++ b/tests/testsuite/routing/desk.rs
@@ -226,3 +226,23 @@
     assert_eq!(later, [(drafter(), Standing::Owed)]);
     assert!(over.is_empty());
 }
+
+/// A server starts again under the name that it had, with its memory empty. Prompts that it had read
+/// before are new to it, and a choice that counts on them would come late there.
+#[test]
+fn a_server_that_started_anew_has_read_nothing() {
+    let now = Instant::now();
+    let mut desk = desk(ONE, now);
+    let first = sent(desk.ask(&request("lab", shape(1, 300, 200), now), now));
+    desk.ended(&first, true);
+    let known = sent(desk.ask(&request("lab", shape(1, 300, 200), now), now));
+    desk.ended(&known, true);
+    let mut anew = super::entry("a1", "a");
+    anew.born = 7;
+
+    desk.register(super::change("a1", 90, Some(anew)), now);
+    let unknown = sent(desk.ask(&request("lab", shape(1, 300, 200), now), now));
+
+    assert_eq!(known.work.unread, 0);
+    assert_eq!(unknown.work.unread, 200, "its own part must be read again");
+}
