--- a/crates/hawthornmill-tools/src/check/mod.rs
+++ b/crates/hawthornmill-tools/src/check/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Exit codes: 0 good, 1 good with warnings where `--strict` was given, 2 faults.
 
+mod catalog;
 mod show;
 
 use std::path::PathBuf;
@@ -12,6 +13,7 @@
 use hawthornmill::config::accept::{Values, accept, manifest};
 use hawthornmill::config::compare::{compare, warnings};
 use hawthornmill::ini::Fault;
+use hawthornmill_gateway::settings::Settings as GatewaySettings;
 use hawthornmill_net::settings::Settings;
 
 /// Check settings and fleet configurations. Exit codes: 0 good, 1 good with warnings and --strict,
@@ -28,6 +30,8 @@
     Settings(SettingsArgs),
     Fleet(FleetArgs),
     Token(TokenArgs),
+    Gateway(GatewayArgs),
+    Catalog(CatalogArgs),
 }
 
 /// Check the settings file of a router.
@@ -54,6 +58,27 @@
     strict: bool,
 }
 
+/// Check the settings file of a gateway.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "gateway")]
+struct GatewayArgs {
+    /// settings file
+    #[argh(positional)]
+    file: PathBuf,
+}
+
+/// Check a catalog of the gateway, as the platform publishes it.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "catalog")]
+struct CatalogArgs {
+    /// the catalog
+    #[argh(positional)]
+    file: PathBuf,
+    /// the catalog in force, to compare with
+    #[argh(option)]
+    present: Option<PathBuf>,
+}
+
 /// Print the hash of a bearer token, as the configuration holds it.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "token")]
@@ -66,10 +91,9 @@
 /// Runs the tool; the result is the process's exit code.
 pub fn main(args: &CheckArgs) -> u8 {
     let result = match &args.what {
-        What::Settings(args) => Settings::load(&args.file).map(|_| Verdict {
-            text: "settings are good\n".into(),
-            ..Verdict::default()
-        }),
+        What::Settings(args) => Settings::load(&args.file).map(|_| good()),
+        What::Gateway(args) => GatewaySettings::load(&args.file).map(|_| good()),
+        What::Catalog(args) => check_catalog(args),
         What::Fleet(args) => check_fleet(args),
         What::Token(args) => Ok(Verdict {
             text: format!("{}\n", blake3::hash(args.token.as_bytes()).to_hex()),
@@ -100,6 +124,25 @@
     strict: bool,
 }
 
+fn good() -> Verdict {
+    Verdict {
+        text: "settings are good\n".into(),
+        ..Verdict::default()
+    }
+}
+
+fn check_catalog(args: &CatalogArgs) -> Result<Verdict, Vec<Fault>> {
+    let candidate = catalog::read(&args.file)?;
+    let mut text = catalog::describe(&candidate);
+    if let Some(present) = &args.present {
+        text += &catalog::changes(&catalog::read(present)?, &candidate);
+    }
+    Ok(Verdict {
+        text,
+        ..Verdict::default()
+    })
+}
+
 fn check_fleet(args: &FleetArgs) -> Result<Verdict, Vec<Fault>> {
     let candidate = read_fleet(&args.files)?;
     let mut text = show::describe(&candidate);
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod boundary;
 mod catching_up;
+mod checking;
 mod explaining;
 mod fleet;
 mod http;
