Tell a request that an earlier server may have run from one that was refused

Cause: a flag said whether an earlier server may have run a request, and nothing set it. A repeatable request that broke off at one server and was declined by the next was answered 503, which promises that it did not run. The test fails before (503 for 502). Requests that must not repeat were not touched: they never go to a second server.

The flag is gone: each send that was not declined counts, in the one place that knows. Mended with it: the stage of a request stood beside the facts that it follows from; an answer was read to its end by two loops; a place that was decided but not heard of any more is released, without forgetting the guard; a decision is a server or a refusal, so no caller handles a third case; a server that has moved is judged where all others are.

--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -8,10 +8,11 @@
 use std::time::{Duration, Instant};
 
 use hawthornmill::clock::Clock;
+use hawthornmill::codes::Code;
 use hawthornmill::ident::{Incarnation, InstanceId, ServerId};
 use hawthornmill::routing::budget::Budget;
 use hawthornmill::routing::catalog::Catalog;
-use hawthornmill::routing::desk::{Desk, Request, Ticket, Verdict};
+use hawthornmill::routing::desk::{Desk, Refusal, Request, Ticket, Verdict};
 use hawthornmill::routing::news::{Mates, Reading};
 use hawthornmill::routing::place::{Choice, Place};
 use hawthornmill::routing::registry::Change;
@@ -73,7 +74,7 @@
     /// Something that the others should hear at once changed.
     pub hurry: Notify,
     phase: watch::Sender<Phase>,
-    waiters: RefCell<SecondaryMap<Ticket, oneshot::Sender<Verdict>>>,
+    waiters: RefCell<SecondaryMap<Ticket, oneshot::Sender<Result<Choice, Refusal>>>>,
 }
 
 impl Gateway {
@@ -198,30 +199,43 @@
     }
 
     /// Waits until the desk decides on `request`.
-    pub async fn place(&self, request: &Request) -> Verdict {
+    ///
+    /// # Errors
+    /// Why it is turned away, and when its caller may come back.
+    pub async fn place(&self, request: &Request) -> Result<Choice, Refusal> {
         let verdict = self.desk.borrow_mut().ask(request, self.now());
-        let Verdict::Wait(ticket) = verdict else {
-            return verdict;
+        let decided = match verdict {
+            Verdict::Decided(decided) => return decided,
+            Verdict::Wait(ticket) => self.wait(ticket).await,
         };
-        let (sender, receiver) = oneshot::channel();
+        // The other end is dropped only together with the gateway, and nobody is served then.
+        decided.unwrap_or(Err(Refusal {
+            code: Code::NotReady,
+            again: request.objective,
+        }))
+    }
+
+    async fn wait(&self, ticket: Ticket) -> Option<Result<Choice, Refusal>> {
+        let (sender, decided) = oneshot::channel();
         self.waiters.borrow_mut().insert(ticket, sender);
-        let waiting = Waiting {
+        let mut waiting = Waiting {
             gateway: self,
             ticket,
+            decided,
         };
-        let verdict = receiver.await;
-        std::mem::forget(waiting);
-        // The sender is dropped only together with the gateway.
-        verdict.unwrap_or(Verdict::Wait(ticket))
+        (&mut waiting.decided).await.ok()
     }
 
     /// Lets the desk decide on those that wait.
     pub fn turn(&self) {
         let decided = self.desk.borrow_mut().turn(self.now());
-        for (ticket, verdict) in decided {
+        for (ticket, decided) in decided {
             let waiter = self.waiters.borrow_mut().remove(ticket);
-            let taken = waiter.is_some_and(|w| w.send(verdict).is_ok());
-            if let (false, Verdict::Send(choice)) = (taken, verdict) {
+            let untaken = match waiter {
+                Some(waiter) => waiter.send(decided).err(),
+                None => Some(decided),
+            };
+            if let Some(Ok(choice)) = untaken {
                 self.release(&choice, false);
             }
         }
@@ -252,18 +266,28 @@
     }
 }
 
-/// Takes a request out of the line when its caller is gone.
+/// A request in the line; takes it out when its caller leaves.
 struct Waiting<'a> {
     gateway: &'a Gateway,
     ticket: Ticket,
+    decided: oneshot::Receiver<Result<Choice, Refusal>>,
 }
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        let waiter = self.gateway.waiters.borrow_mut().remove(self.ticket);
-        if waiter.is_some() {
+        if self
+            .gateway
+            .waiters
+            .borrow_mut()
+            .remove(self.ticket)
+            .is_some()
+        {
             self.gateway.desk.borrow_mut().leave(self.ticket);
         }
+        // A place was found and its caller left before it heard; nobody else would free it.
+        if let Ok(Ok(choice)) = self.decided.try_recv() {
+            self.gateway.release(&choice, false);
+        }
     }
 }
 
--- a/crates/hawthornmill-gateway/src/trip/again.rs
+++ b/crates/hawthornmill-gateway/src/trip/again.rs
@@ -34,14 +34,10 @@
     answer.head.status >= 500
 }
 
-/// Notes that a server answered with a failure.
-pub fn note_failure(gateway: &Gateway, server: ServerId) {
+/// Notes how a request to `server` ended.
+pub fn judge(gateway: &Gateway, server: ServerId, verdict: Verdict) {
     let now = gateway.now();
-    gateway
-        .desk
-        .borrow_mut()
-        .loads
-        .judge(server, Verdict::Failed, now);
+    gateway.desk.borrow_mut().loads.judge(server, verdict, now);
 }
 
 /// Takes a second send for a request that may have run.
@@ -72,7 +68,7 @@
 
 /// What ends a request that no other server gets: only one that has not run may be called refused.
 const fn give_up(trip: &Trip) -> Next {
-    if trip.maybe_run {
+    if trip.may_have_run() {
         Next::Fail
     } else {
         Next::Refuse
@@ -90,12 +86,7 @@
     let fields = json!({"server": gateway.server_name(server), "why": why});
     journal::trouble("server_unreached", &call.attempt, fields);
     gateway.pool.drop_idle(server);
-    let now = gateway.now();
-    gateway
-        .desk
-        .borrow_mut()
-        .loads
-        .judge(server, Verdict::Unreachable, now);
+    judge(gateway, server, Verdict::Unreachable);
     trip.unreached += 1;
     if trip.unreached <= MOST_UNREACHED {
         Next::Again
@@ -112,12 +103,11 @@
     server: ServerId,
     moved: bool,
 ) -> Next {
-    if !moved {
-        gateway
-            .desk
-            .borrow_mut()
-            .loads
-            .judge(server, Verdict::Full, gateway.now());
+    if moved {
+        gateway.pool.drop_idle(server);
+        judge(gateway, server, Verdict::Unreachable);
+    } else {
+        judge(gateway, server, Verdict::Full);
     }
     trip.not_run();
     if take(gateway, admitted, trip) {
@@ -134,12 +124,7 @@
     trip: &mut Trip,
     server: ServerId,
 ) -> Next {
-    let now = gateway.now();
-    gateway
-        .desk
-        .borrow_mut()
-        .loads
-        .judge(server, Verdict::Failed, now);
+    judge(gateway, server, Verdict::Failed);
     if may(gateway, admitted, trip) {
         Next::Again
     } else {
--- a/crates/hawthornmill-gateway/src/trip/deliver.rs
+++ b/crates/hawthornmill-gateway/src/trip/deliver.rs
@@ -11,8 +11,8 @@
 use super::admit::Admitted;
 use super::events::Splitter;
 use super::send::{Answer, read_some};
-use super::settle::{Stage, Trip};
-use super::{End, Held, Way};
+use super::settle::Trip;
+use super::{End, Held, Way, again};
 use crate::gateway::Gateway;
 use crate::http::body::{Decoder, Piece};
 use crate::http::head::{AnswerHead, Framing};
@@ -65,7 +65,7 @@
     held: &mut Held<'_>,
     out: &mut OwnedWriteHalf,
 ) -> Delivered {
-    if trip.stage == Stage::Answering && answer.head.status != 200 {
+    if trip.is_answering() && answer.head.status != 200 {
         return Delivered::Cut;
     }
     let kind = answer.head.fields.text("content-type").unwrap_or_default();
@@ -93,6 +93,34 @@
     bytes
 }
 
+/// How the reading of an answer ended.
+enum Read {
+    /// It is whole.
+    Whole,
+    /// It goes on, and is longer than what is held.
+    Long,
+    /// The server broke off.
+    Cut,
+}
+
+/// Reads `answer` to its end, or until it is too long to be held; `part_came` is called with each part.
+async fn read(answer: &mut Answer, decoder: &mut Decoder, mut part_came: impl FnMut()) -> Read {
+    let mut body = answer.body.take().unwrap_or_default();
+    let read = loop {
+        match part(answer, decoder).await {
+            Part::Data(data) => body.extend_from_slice(&data),
+            Part::Cut => break Read::Cut,
+            Part::End => break Read::Whole,
+        }
+        part_came();
+        if body.len() > SHORT {
+            break Read::Long;
+        }
+    };
+    answer.body = Some(body);
+    read
+}
+
 async fn short(
     way: Way<'_>,
     trip: &mut Trip,
@@ -101,21 +129,13 @@
     out: &mut OwnedWriteHalf,
 ) -> Delivered {
     let mut decoder = Decoder::new(answer.framing);
-    let mut body = answer.body.take().unwrap_or_default();
-    loop {
-        match part(&mut answer, &mut decoder).await {
-            Part::Data(data) => body.extend_from_slice(&data),
-            Part::Cut => return Delivered::Cut,
-            Part::End => break,
-        }
-        held.begin();
-        if body.len() > SHORT {
-            return long(way, trip, answer, decoder, body, out).await;
-        }
+    match read(&mut answer, &mut decoder, || held.begin()).await {
+        Read::Whole => {}
+        Read::Long => return long(way, trip, answer, decoder, out).await,
+        Read::Cut => return Delivered::Cut,
     }
     held.begin();
-    judge(way.gateway, &answer);
-    answer.body = Some(body);
+    judge_answer(way.gateway, &answer);
     let end = pass_whole(way, trip, &answer, out).await;
     answer.finish(way.gateway);
     match end {
@@ -127,29 +147,19 @@
 /// Reads the rest of a short answer; none when it breaks off or is long.
 pub async fn collect(mut answer: Answer) -> Option<Answer> {
     let mut decoder = Decoder::new(answer.framing);
-    let mut body = BytesMut::new();
-    loop {
-        match part(&mut answer, &mut decoder).await {
-            Part::Data(data) => body.extend_from_slice(&data),
-            Part::Cut => return None,
-            Part::End => break,
-        }
-        if body.len() > SHORT {
-            return None;
-        }
+    match read(&mut answer, &mut decoder, || {}).await {
+        Read::Whole => Some(answer),
+        Read::Long | Read::Cut => None,
     }
-    answer.body = Some(body);
-    Some(answer)
 }
 
-fn judge(gateway: &Gateway, answer: &Answer) {
-    let verdict = if answer.head.status >= 500 {
+fn judge_answer(gateway: &Gateway, answer: &Answer) {
+    let verdict = if again::is_failure(answer) {
         Verdict::Failed
     } else {
         Verdict::Sound
     };
-    let mut desk = gateway.desk.borrow_mut();
-    desk.loads.judge(answer.server, verdict, gateway.now());
+    again::judge(gateway, answer.server, verdict);
 }
 
 /// Writes an answer whose body was read.
@@ -180,13 +190,12 @@
     trip: &mut Trip,
     mut answer: Answer,
     mut decoder: Decoder,
-    first: BytesMut,
     out: &mut OwnedWriteHalf,
 ) -> Delivered {
     let chunked = !matches!(answer.framing, Framing::Length(_));
     let mut bytes = head(&answer.head, answer.framing, way.closing.last);
     trip.answering(answer.head.status, way.gateway.now());
-    let mut data = first.freeze();
+    let mut data = answer.body.take().unwrap_or_default().freeze();
     loop {
         if chunked {
             bytes.chunk(&data);
@@ -203,7 +212,7 @@
             Part::End => break,
         }
     }
-    judge(way.gateway, &answer);
+    judge_answer(way.gateway, &answer);
     if chunked {
         bytes.last_chunk();
         if out.write_all(&bytes.0).await.is_err() {
@@ -244,7 +253,7 @@
             continue;
         };
         held.begin();
-        if trip.stage != Stage::Answering {
+        if !trip.is_answering() {
             bytes = head(&answer.head, Framing::Chunked, way.closing.last);
             trip.answering(answer.head.status, way.gateway.now());
         }
@@ -255,13 +264,13 @@
         bytes.0.clear();
         trip.last_event = whole.last.or(trip.last_event);
     }
-    if trip.stage != Stage::Answering {
+    if !trip.is_answering() {
         bytes = head(&answer.head, Framing::Chunked, way.closing.last);
         trip.answering(answer.head.status, way.gateway.now());
     }
     bytes.chunk(&splitter.rest());
     bytes.last_chunk();
-    judge(way.gateway, &answer);
+    judge_answer(way.gateway, &answer);
     if out.write_all(&bytes.0).await.is_err() {
         return Delivered::CallerGone;
     }
--- a/crates/hawthornmill-gateway/src/trip/mod.rs
+++ b/crates/hawthornmill-gateway/src/trip/mod.rs
@@ -24,7 +24,8 @@
 
 use hawthornmill::codes::Code;
 use hawthornmill::ident::ServerId;
-use hawthornmill::routing::desk::{Refusal, Verdict};
+use hawthornmill::routing::desk::Refusal;
+use hawthornmill::routing::loads;
 use hawthornmill::routing::place::Choice;
 use serde_json::json;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -37,7 +38,7 @@
 use read::Call;
 use reply::Reply;
 use send::{Answer, Sent, send};
-use settle::{Stage, Trip};
+use settle::Trip;
 
 /// How a request ended for its caller's connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -82,13 +83,14 @@
     if let Ok(end) = tokio::time::timeout_at(ends, journey).await {
         return end;
     }
-    let reply = match trip.stage {
-        Stage::Waiting => Reply::again(Code::QueueLate, admitted.request.objective),
-        Stage::Sent => Reply::new(Code::DeadlineWhileRunning),
-        Stage::Answering => {
-            trip.note_code(Code::DeadlineWhileRunning);
-            return End::Broken;
-        }
+    if trip.is_answering() {
+        trip.note_code(Code::DeadlineWhileRunning);
+        return End::Broken;
+    }
+    let reply = if trip.may_have_run() {
+        Reply::new(Code::DeadlineWhileRunning)
+    } else {
+        Reply::again(Code::QueueLate, admitted.request.objective)
     };
     answer_self(way, trip, &reply, out).await
 }
@@ -114,7 +116,7 @@
         let silent = self.admitted.request.objective.mul_f64(SILENT);
         let time = self.gateway.now().duration_since(self.sent);
         if !self.began && time > silent {
-            again::note_failure(self.gateway, self.choice.server);
+            again::judge(self.gateway, self.choice.server, loads::Verdict::Failed);
         }
         self.gateway.release(&self.choice, self.began);
     }
@@ -150,19 +152,11 @@
     let mut fallback: Option<Answer> = None;
     loop {
         let choice = match way.gateway.place(&request).await {
-            Verdict::Send(choice) => choice,
-            Verdict::Refuse(refusal) => {
+            Ok(choice) => choice,
+            Err(refusal) => {
                 settle::note_refusal(way, &request, &refusal);
                 return no_server(way, trip, fallback, refusal, out).await;
             }
-            Verdict::Wait(_) => {
-                let again = request.objective;
-                let refusal = Refusal {
-                    code: Code::InstanceFull,
-                    again,
-                };
-                return no_server(way, trip, fallback, refusal, out).await;
-            }
         };
         request.tried.push(choice.server);
         let next = match attempt(way, admitted, trip, choice, &mut fallback, out).await {
@@ -178,7 +172,7 @@
                 };
                 return no_server(way, trip, fallback, refusal, out).await;
             }
-            Next::Fail if trip.stage == Stage::Answering => {
+            Next::Fail if trip.is_answering() => {
                 trip.note_code(Code::UpstreamFailed);
                 return End::Broken;
             }
@@ -211,7 +205,7 @@
         Sent::Answer(answer)
             if again::is_failure(&answer) && again::may(gateway, admitted, trip) =>
         {
-            again::note_failure(gateway, server);
+            again::judge(gateway, server, loads::Verdict::Failed);
             if let Some(answer) = deliver::collect(answer).await {
                 *fallback = Some(answer);
             }
@@ -250,14 +244,14 @@
     refusal: Refusal,
     out: &mut OwnedWriteHalf,
 ) -> End {
-    if trip.stage == Stage::Answering {
+    if trip.is_answering() {
         trip.note_code(refusal.code);
         return End::Broken;
     }
     if let Some(answer) = fallback {
         return pass_whole(way, trip, &answer, out).await;
     }
-    let reply = if trip.maybe_run {
+    let reply = if trip.may_have_run() {
         Reply::new(Code::UpstreamFailed)
     } else {
         Reply::again(refusal.code, refusal.again)
--- a/crates/hawthornmill-gateway/src/trip/send.rs
+++ b/crates/hawthornmill-gateway/src/trip/send.rs
@@ -10,7 +10,6 @@
 use bytes::BytesMut;
 use hawthornmill::ident::ServerId;
 use hawthornmill::routing::catalog::Repeat;
-use hawthornmill::routing::loads;
 use hawthornmill::routing::place::Choice;
 use tokio::net::TcpStream;
 
@@ -100,7 +99,7 @@
     let bytes = request(gateway, call, admitted, trip, &name);
     let written = match write(&mut upstream, &bytes.0, trip).await {
         Ok(whole) => whole,
-        Err(error) if !trip.this_sent => {
+        Err(error) if !trip.is_sent() => {
             return Sent::Unreached(error.to_string().into());
         }
         Err(error) => return Sent::Broken(error.to_string().into()),
@@ -163,9 +162,8 @@
 
 /// Writes the request; false when the server answered before it had all of it.
 async fn write(upstream: &mut Upstream, mut bytes: &[u8], trip: &mut Trip) -> io::Result<bool> {
-    trip.this_sent = false;
     while !bytes.is_empty() {
-        if trip.this_sent {
+        if trip.is_sent() {
             tokio::select! {
                 biased;
                 ready = upstream.stream.writable() => ready?,
@@ -244,7 +242,9 @@
         let moved = head.status == MISDIRECTED;
         if moved || head.fields.get(names.not_run).is_some() {
             let answer = answer(head, framing, upstream, server, clean);
-            keep_after_refusal(gateway, answer, moved).await;
+            if !moved {
+                keep_after_refusal(gateway, answer).await;
+            }
             return Sent::NotRun { moved };
         }
         if named.is_none() && head.status < 400 {
@@ -318,17 +318,8 @@
 /// Time for which the rest of a server's refusal is read, to keep its connection.
 const REFUSAL_REST: Duration = Duration::from_millis(50);
 
-async fn keep_after_refusal(gateway: &Gateway, mut answer: Answer, moved: bool) {
-    if moved {
-        gateway.pool.drop_idle(answer.server);
-        let now = gateway.now();
-        gateway
-            .desk
-            .borrow_mut()
-            .loads
-            .judge(answer.server, loads::Verdict::Unreachable, now);
-        return;
-    }
+/// Keeps the connection of a server that refused, if the rest of its answer comes at once.
+async fn keep_after_refusal(gateway: &Gateway, mut answer: Answer) {
     let rest = skip(&mut answer.upstream, answer.framing);
     if matches!(tokio::time::timeout(REFUSAL_REST, rest).await, Ok(Ok(()))) {
         answer.finish(gateway);
--- a/crates/hawthornmill-gateway/src/trip/settle.rs
+++ b/crates/hawthornmill-gateway/src/trip/settle.rs
@@ -30,35 +30,21 @@
     journal::trouble("refused", &way.call.attempt, fields);
 }
 
-/// How far a request is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub enum Stage {
-    /// No server has a byte of it, or those that had say that they did not run it.
-    #[default]
-    Waiting,
-    /// A server may run it.
-    Sent,
-    /// Its caller has the begin of the answer.
-    Answering,
-}
-
 /// What is known of one request on its way.
 #[derive(Debug, Default)]
 pub struct Trip {
-    /// How far it is.
-    pub stage: Stage,
     /// Servers that had a byte of it.
     pub arrivals: u32,
     /// Servers that could not be reached.
     pub unreached: u32,
-    /// A server may have run it, or still runs it.
-    pub maybe_run: bool,
-    /// The server in turn has a byte of it.
-    pub this_sent: bool,
     /// Number of the last whole event that the caller has.
     pub last_event: Option<u64>,
     /// Status that the caller got; 0 when none.
     pub status: u16,
+    /// An earlier server had a byte of it and never said that it did not run it.
+    earlier: bool,
+    /// The server in turn has a byte of it.
+    this: bool,
     told_again: bool,
     code: Option<Code>,
     admitted: Option<(Box<str>, Box<str>)>,
@@ -89,33 +75,43 @@
         });
         journal::step("sent", &call.attempt, fields);
         self.servers.push(name);
+        self.earlier |= std::mem::take(&mut self.this);
     }
 
     /// The first bytes are with the server.
-    pub fn sent_bytes(&mut self) {
-        if !std::mem::replace(&mut self.this_sent, true) {
+    pub const fn sent_bytes(&mut self) {
+        if !self.this {
+            self.this = true;
             self.arrivals += 1;
-            if self.stage == Stage::Waiting {
-                self.stage = Stage::Sent;
-            }
         }
     }
 
+    /// Tells whether the server in turn has a byte of it.
+    pub const fn is_sent(&self) -> bool {
+        self.this
+    }
+
+    /// Tells whether a server may have run it, or still runs it.
+    pub const fn may_have_run(&self) -> bool {
+        self.earlier || self.this
+    }
+
     /// The server in turn says that it did not run it.
-    pub fn not_run(&mut self) {
-        self.this_sent = false;
-        if self.stage == Stage::Sent && !self.maybe_run {
-            self.stage = Stage::Waiting;
-        }
+    pub const fn not_run(&mut self) {
+        self.this = false;
     }
 
     /// The answer has begun with `status`.
     pub fn answering(&mut self, status: u16, now: Instant) {
-        self.stage = Stage::Answering;
         self.status = status;
         self.begun.get_or_insert(now);
     }
 
+    /// Tells whether its caller has the begin of an answer.
+    pub const fn is_answering(&self) -> bool {
+        self.begun.is_some()
+    }
+
     /// The gateway refused it with a time to come back.
     pub const fn is_refused(&self) -> bool {
         self.told_again
--- a/crates/hawthornmill/src/routing/desk.rs
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -47,8 +47,11 @@
 const MOST_WAITING: usize = 512;
 /// Time after which the shares are worked out anew.
 const SHARES_EVERY: Duration = Duration::from_millis(200);
-/// Time to come back that is told when no server of the service is known.
-const NO_SERVER_AGAIN: Duration = Duration::from_millis(700);
+/// The refusal when no server of the service is known: most are back, or replaced, within a second.
+const NO_SERVER: Refusal = Refusal {
+    code: Code::UpstreamUnreachable,
+    again: Duration::from_millis(700),
+};
 
 new_key_type! {
     /// A request that waits.
@@ -106,15 +109,17 @@
     pub again: Duration,
 }
 
-/// What becomes of a request now.
+/// The server for a request, where its work is counted from then on, or why it is turned away; it has
+/// not run then.
+pub type Decided = Result<Choice, Refusal>;
+
+/// What becomes of a request that comes.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Verdict {
-    /// It goes to this server; its work is counted there from now on.
-    Send(Choice),
+    /// It goes to a server or is turned away.
+    Decided(Decided),
     /// It waits; [`Desk::turn`] tells when that is over.
     Wait(Ticket),
-    /// It is turned away and has not run.
-    Refuse(Refusal),
 }
 
 /// Everything that decides where requests go.
@@ -187,10 +192,8 @@
         self.share(now);
         if !self.behind(request) && !self.is_blocked(request, now) {
             match self.place(request, now) {
-                Ok(verdict) => return verdict,
-                Err(Unplaced::NoServer) => {
-                    return refuse(Code::UpstreamUnreachable, NO_SERVER_AGAIN);
-                }
+                Ok(choice) => return Verdict::Decided(Ok(choice)),
+                Err(Unplaced::NoServer) => return Verdict::Decided(Err(NO_SERVER)),
                 Err(Unplaced::AllFull) => {}
             }
         }
@@ -198,41 +201,45 @@
             .insert((request.service, self.standing(request)), now);
         let blocked = self.is_blocked(request, now);
         if blocked || self.line.len() >= MOST_WAITING || self.is_hopeless(request, now) {
-            return self.refuse_full(request, now);
+            return Verdict::Decided(Err(self.refuse_full(request, now)));
         }
         Verdict::Wait(self.line.insert(request.clone()))
     }
 
     /// Decides on those that wait; every request is named at most once.
-    pub fn turn(&mut self, now: Instant) -> Vec<(Ticket, Verdict)> {
+    ///
+    /// Nobody passes one of the same service that goes before and finds no room: a long prompt would
+    /// never be placed while short ones keep taking what comes free.
+    pub fn turn(&mut self, now: Instant) -> Vec<(Ticket, Decided)> {
         self.share(now);
         let mut order: Vec<Ticket> = self.line.keys().collect();
         order.sort_by_key(|t| self.rank(&self.line[*t]));
         let mut full: SmallVec<[ServiceId; 4]> = SmallVec::new();
-        let mut decided = Vec::new();
+        let mut all = Vec::new();
         for ticket in order {
             let request = self.line[ticket].clone();
-            let mut verdict = None;
-            // One that doesn't fit lets smaller ones behind it pass only while it can still wait.
-            if !full.contains(&request.service) && !self.is_blocked(&request, now) {
-                match self.place(&request, now) {
-                    Ok(placed) => verdict = Some(placed),
-                    Err(Unplaced::NoServer) => {
-                        verdict = Some(refuse(Code::UpstreamUnreachable, NO_SERVER_AGAIN));
-                    }
-                    Err(Unplaced::AllFull) => full.push(request.service),
-                }
-            }
-            if verdict.is_none() && now >= patience_end(&request) {
-                verdict = Some(self.refuse_full(&request, now));
-            }
-            if let Some(verdict) = verdict {
-                self.line.remove(ticket);
-                self.left(request.service, &verdict, now);
-                decided.push((ticket, verdict));
+            let held_back = full.contains(&request.service) || self.is_blocked(&request, now);
+            let placed = if held_back {
+                Err(Unplaced::AllFull)
+            } else {
+                self.place(&request, now)
+            };
+            if !held_back && placed == Err(Unplaced::AllFull) {
+                full.push(request.service);
             }
+            let decided = match placed {
+                Ok(choice) => Ok(choice),
+                Err(Unplaced::NoServer) => Err(NO_SERVER),
+                Err(Unplaced::AllFull) if now >= patience_end(&request) => {
+                    Err(self.refuse_full(&request, now))
+                }
+                Err(Unplaced::AllFull) => continue,
+            };
+            self.line.remove(ticket);
+            self.left(request.service, decided.is_ok(), now);
+            all.push((ticket, decided));
         }
-        decided
+        all
     }
 
     /// A request that waited is no longer wanted by its caller.
@@ -307,7 +314,7 @@
         gone
     }
 
-    fn place(&mut self, request: &Request, now: Instant) -> Result<Verdict, Unplaced> {
+    fn place(&mut self, request: &Request, now: Instant) -> Result<Choice, Unplaced> {
         let view = View {
             registry: &self.registry,
             loads: &self.loads,
@@ -349,7 +356,7 @@
         {
             self.usage.got(account, request.shape.cost(), now);
         }
-        Ok(Verdict::Send(choice))
+        Ok(choice)
     }
 
     /// Tells whether others of the same service wait that go before `request`.
@@ -431,7 +438,7 @@
         left.is_zero() || pace.is_some_and(|p| p.hopeless(ahead, left, now))
     }
 
-    fn refuse_full(&self, request: &Request, now: Instant) -> Verdict {
+    fn refuse_full(&self, request: &Request, now: Instant) -> Refusal {
         let same = self.line.values().filter(|r| r.service == request.service);
         let ahead = same.count();
         let pace = self
@@ -442,16 +449,16 @@
         // The ticket's place in the line is as good a spread as any, and needs no randomness here.
         let draw = (ahead % 8) as f64 / 8.0;
         let again = pace.come_back(ahead, draw, now);
-        refuse(
-            Code::QueueLate,
-            again.max(request.objective.mul_f64(PATIENCE)),
-        )
+        Refusal {
+            code: Code::QueueLate,
+            again: again.max(request.objective.mul_f64(PATIENCE)),
+        }
     }
 
-    fn left(&mut self, service: ServiceId, verdict: &Verdict, now: Instant) {
+    fn left(&mut self, service: ServiceId, placed: bool, now: Instant) {
         let left = self.line.values().filter(|r| r.service == service).count();
         let pace = self.paces.entry(service).or_default();
-        if matches!(verdict, Verdict::Send(_)) {
+        if placed {
             pace.served(left, now);
         } else if left == 0 {
             pace.emptied();
@@ -479,7 +486,3 @@
 fn patience_end(request: &Request) -> Instant {
     (request.came + request.objective.mul_f64(PATIENCE)).min(request.ends)
 }
-
-const fn refuse(code: Code, again: Duration) -> Verdict {
-    Verdict::Refuse(Refusal { code, again })
-}
--- a/tests/testsuite/gateway/once.rs
+++ b/tests/testsuite/gateway/once.rs
@@ -70,6 +70,26 @@
     });
 }
 
+/// One server breaks off a request that may repeat, and another one says that it did not run it. The
+/// first may have run it all the same. Called refused, its caller would believe that nothing happened.
+#[test]
+fn a_refusal_is_not_said_of_a_request_that_an_earlier_server_may_have_run() {
+    block_on(async {
+        // Whichever of the two has the request first, it breaks off there in one of the fleets.
+        for broken in [0, 1] {
+            let fleet = Fleet::start(1, 2).await;
+            fleet.servers[broken].script(&[Act::Reset]);
+            fleet.servers[1 - broken].script(&[Act::NotRun]);
+
+            let text = request("GET", "/get/", "a", "");
+            let answer = call(fleet.gateways[0].front(), text.as_bytes()).await;
+
+            assert_eq!(answer.expect("there is an answer").status(), 502);
+            assert_eq!(fleet.servers[broken].runs(), 1);
+        }
+    });
+}
+
 /// Every server says that it did not run the request. Then the refusal is true, and the caller may
 /// come back.
 #[test]
--- a/tests/testsuite/routing/desk.rs
+++ b/tests/testsuite/routing/desk.rs
@@ -66,7 +66,8 @@
     assert!(none.is_empty());
     assert_eq!(decided.len(), 1);
     assert_eq!(decided[0].0, ticket);
-    assert!(matches!(decided[0].1, Verdict::Send(_)));
+    let placed = decided[0].1.expect("there is room");
+    assert_eq!(placed.server, hawthornmill::ident::ServerId::of("a1"));
 }
 
 /// The servers are full and stay so. Held until its time is over, the request would be refused only
@@ -83,7 +84,7 @@
     let late = desk.turn(now + millis(310));
 
     assert!(early.is_empty());
-    let Verdict::Refuse(refusal) = late[0].1 else {
+    let Err(refusal) = late[0].1 else {
         panic!("{:?}", late[0].1)
     };
     assert_eq!(refusal.code, Code::QueueLate);
@@ -98,7 +99,7 @@
 
     let verdict = desk.ask(&request("lab", shape(1, 10, 10), now), now);
 
-    let Verdict::Refuse(refusal) = verdict else {
+    let Verdict::Decided(Err(refusal)) = verdict else {
         panic!("{verdict:?}")
     };
     assert_eq!(refusal.code, Code::UpstreamUnreachable);
@@ -122,8 +123,8 @@
     let later = now + millis(2_100);
     let small = desk.ask(&request("small", shape(1, 1, 1), later), later);
 
-    assert!(flood.iter().any(|v| !matches!(v, Verdict::Send(_))));
-    assert!(matches!(small, Verdict::Send(_)));
+    assert!(flood.iter().any(|v| !matches!(v, Verdict::Decided(Ok(_)))));
+    assert!(matches!(small, Verdict::Decided(Ok(_))));
 }
 
 /// Another instance has turned away a request of an account below its share, a moment ago. Here the
@@ -155,9 +156,9 @@
     );
     let after = desk.ask(&request("flood", shape(1, 10, 10), later), later);
 
-    assert!(matches!(refused, Verdict::Refuse(_)));
-    assert!(matches!(owed, Verdict::Send(_)));
-    assert!(matches!(after, Verdict::Send(_)));
+    assert!(matches!(refused, Verdict::Decided(Err(_))));
+    assert!(matches!(owed, Verdict::Decided(Ok(_))));
+    assert!(matches!(after, Verdict::Decided(Ok(_))));
 }
 
 /// So much waits to be read at the only server that a request would begin late behind it. Sent all
@@ -170,7 +171,7 @@
 
     let verdict = desk.ask(&request("lab", shape(2, 0, 10_000), now), now);
 
-    assert!(!matches!(verdict, Verdict::Send(_)), "{verdict:?}");
+    assert!(!matches!(verdict, Verdict::Decided(Ok(_))), "{verdict:?}");
 }
 
 /// A prompt is so long that reading it alone takes more than its objective. It is late wherever it
@@ -192,8 +193,11 @@
     let served = calm.ask(&long(), now);
     let held_back = short.ask(&long(), now);
 
-    assert!(matches!(served, Verdict::Send(_)), "{served:?}");
-    assert!(!matches!(held_back, Verdict::Send(_)), "{held_back:?}");
+    assert!(matches!(served, Verdict::Decided(Ok(_))), "{served:?}");
+    assert!(
+        !matches!(held_back, Verdict::Decided(Ok(_))),
+        "{held_back:?}"
+    );
 }
 
 #[test]
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -156,7 +156,7 @@
 
 fn sent(verdict: Verdict) -> Choice {
     match verdict {
-        Verdict::Send(choice) => choice,
+        Verdict::Decided(Ok(choice)) => choice,
         other => panic!("the request was not sent: {other:?}"),
     }
 }
--- a/tests/testsuite/routing/place.rs
+++ b/tests/testsuite/routing/place.rs
@@ -72,7 +72,9 @@
     let mut servers = Vec::new();
 
     for _ in 0..12 {
-        if let Verdict::Send(choice) = desk.ask(&request("lab", shape(7, 5_000, 8_000), now), now) {
+        if let Verdict::Decided(Ok(choice)) =
+            desk.ask(&request("lab", shape(7, 5_000, 8_000), now), now)
+        {
             servers.push(choice.server);
         }
     }
@@ -133,7 +135,7 @@
 
     assert!(matches!(
         (first, second),
-        (Verdict::Send(_), Verdict::Send(_))
+        (Verdict::Decided(Ok(_)), Verdict::Decided(Ok(_)))
     ));
     assert!(matches!(third, Verdict::Wait(_)));
 }
