Keep in one place what the daemons do alike

The gateway wrote again how settings files are read and their faults told, how a socket listens, how a run is numbered, and how frames are read from a stream; in the last it lost the guard that a length alone takes no memory, so that anybody who connected could make it take 16 MB. The new crate hawthornmill-process has one copy for both daemons. The variable that names the settings file is the platform's, and stands in platform/ now; the check of names covers it.

--- a/crates/hawthornmill-gateway/src/daemon.rs
+++ b/crates/hawthornmill-gateway/src/daemon.rs
@@ -1,16 +1,16 @@
 //! Joins the parts of a gateway into one process.
 
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use hawthornmill::clock::Clock;
-use hawthornmill::codes::Code;
-use hawthornmill::ident::Incarnation;
 use hawthornmill::ini::Fault;
+use hawthornmill_process::run::incarnation;
+use hawthornmill_process::settings::{report, unbound};
+use hawthornmill_process::sockets;
 use serde_json::json;
-use tokio::net::{TcpListener, TcpSocket, UdpSocket};
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 
@@ -20,8 +20,6 @@
 use crate::side::Side;
 use crate::{journal, mates, serve, side, store};
 
-/// Connections that wait to be accepted.
-const BACKLOG: u32 = 1024;
 /// Time for which a leaving process takes requests of callers that have not heard of it.
 ///
 /// Some callers keep a directory's answer for three times its lifetime; a request that comes much
@@ -52,32 +50,6 @@
     }
 }
 
-fn report(faults: &[Fault]) -> u8 {
-    for fault in faults {
-        eprintln!("{fault}");
-    }
-    2
-}
-
-/// A number that is greater for each later run of the same instance.
-fn incarnation() -> Incarnation {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    let millis = since.map_or(0, |d| d.as_millis() as u64);
-    Incarnation((millis << 12) | u64::from(rand::random::<u16>() >> 4))
-}
-
-fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_reuseaddr(true)?;
-    // Accepted connections inherit it: a head and its first event must not wait for each other.
-    socket.set_nodelay(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
 struct Sockets {
     front: TcpListener,
     sides: Vec<(TcpListener, Side)>,
@@ -86,16 +58,7 @@
 }
 
 async fn bind(settings: &Settings) -> Result<Sockets, Vec<Fault>> {
-    let fault = |address: SocketAddr, error: std::io::Error| {
-        vec![Fault {
-            code: Code::BindFailed,
-            file: address.to_string().into(),
-            line: 0,
-            column: 0,
-            what: error.to_string().into(),
-        }]
-    };
-    let open = |address| listen(address).map_err(|e| fault(address, e));
+    let open = |address| sockets::listen(address).map_err(|e| unbound(&address.to_string(), &e));
     let listen = settings.listen;
     let mut sides = vec![
         (open(listen.ready)?, Side::Ready),
@@ -110,7 +73,7 @@
         peer: open(listen.peer)?,
         news: UdpSocket::bind(listen.peer)
             .await
-            .map_err(|e| fault(listen.peer, e))?,
+            .map_err(|e| unbound(&listen.peer.to_string(), &e))?,
     })
 }
 
--- a/crates/hawthornmill-gateway/src/mates.rs
+++ b/crates/hawthornmill-gateway/src/mates.rs
@@ -5,8 +5,9 @@
 use std::time::{Duration, Instant};
 
 use hawthornmill::routing::news::{Knowledge, Mate, News, Pull, Seen};
-use hawthornmill::wire::frame::{DATAGRAM_LIMIT, FRAME_LIMIT, FrameError};
+use hawthornmill::wire::frame::{DATAGRAM_LIMIT, FrameError};
 use hawthornmill::wire::{Message, Opener, Sealer};
+use hawthornmill_process::frames;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -209,17 +210,14 @@
 
 async fn send(link: &mut TcpStream, sealer: &mut Sealer, message: &Message) -> std::io::Result<()> {
     let frame = sealer.seal(message).map_err(std::io::Error::other)?;
-    link.write_u32_le(frame.len() as u32).await?;
-    link.write_all(&frame).await
+    let mut bytes = Vec::with_capacity(frame.len() + size_of::<u32>());
+    frames::append(&mut bytes, &frame);
+    link.write_all(&bytes).await
 }
 
 async fn receive(link: &mut TcpStream, opener: &mut Opener) -> std::io::Result<Message> {
-    let length = link.read_u32_le().await? as usize;
-    if length > FRAME_LIMIT {
-        return Err(std::io::ErrorKind::InvalidData.into());
-    }
-    let mut frame = vec![0; length];
-    link.read_exact(&mut frame).await?;
+    let frame = frames::read(link).await.map_err(std::io::Error::other)?;
+    let frame = frame.ok_or(std::io::ErrorKind::UnexpectedEof)?;
     let frame = opener.open(&frame).map_err(std::io::Error::other)?;
     Ok(frame.message)
 }
--- a/crates/hawthornmill-gateway/src/pool.rs
+++ b/crates/hawthornmill-gateway/src/pool.rs
@@ -12,8 +12,9 @@
 
 use bytes::BytesMut;
 use hawthornmill::ident::ServerId;
+use hawthornmill_process::sockets;
 use socket2::SockRef;
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::TcpStream;
 
 /// Time allowed for a new connection: eight round trips between regions (60 ms, the brief).
 const CONNECT: Duration = Duration::from_millis(500);
@@ -151,10 +152,7 @@
 /// # Errors
 /// When there is nobody in time.
 pub async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
+    let socket = sockets::socket(address)?;
     let stream = tokio::time::timeout(CONNECT, socket.connect(address))
         .await
         .map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
--- a/crates/hawthornmill-gateway/src/settings.rs
+++ b/crates/hawthornmill-gateway/src/settings.rs
@@ -78,10 +78,7 @@
     /// # Errors
     /// Every fault of the file.
     pub fn load(path: &Path) -> Result<Self, Vec<Fault>> {
-        let file = path.display().to_string();
-        let text = std::fs::read_to_string(path)
-            .map_err(|error| vec![Fault::unreadable(path, &error.to_string())])?;
-        Self::parse(&file, &text)
+        hawthornmill_process::settings::load(path, Self::parse)
     }
 
     /// Checks the text of a settings file.
@@ -94,15 +91,7 @@
         for section in sections.iter().filter(|s| !SECTIONS.contains(&&*s.kind)) {
             reader.unknown_section(section, SECTIONS);
         }
-        let one = |kind: &str| {
-            let found = sections.iter().find(|s| &*s.kind == kind).cloned();
-            found.unwrap_or_else(|| Section {
-                kind: kind.into(),
-                name: "".into(),
-                line: 0,
-                entries: Vec::new(),
-            })
-        };
+        let one = |kind: &str| Section::first(&sections, kind);
         let listen = listen(&mut reader, &one("listen"));
         let instance = one("instance");
         reader.known_keys(&instance, &["name", "domain", "region"]);
@@ -122,16 +111,12 @@
             listen,
             seeds: seeds(&mut reader, &peers, listen.peer.port()),
             key: key(&mut reader, &peers),
-            news: millis(&mut reader, &peers, "news_ms", 200.0),
+            news: reader.millis(&peers, "news_ms", 200.0),
             store: store(&mut reader, &one("store")),
             promises: promises(&mut reader, &one("promises")),
             level: level(&mut reader, &one("telemetry")),
         };
-        if reader.faults.is_empty() {
-            Ok(settings)
-        } else {
-            Err(reader.faults)
-        }
+        reader.finish(settings)
     }
 }
 
@@ -147,17 +132,10 @@
     }
 }
 
+/// An address, or one that nobody has where there is a fault.
 fn address(reader: &mut Reader<'_>, section: &Section, key: &str) -> SocketAddr {
     let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
-    let Some(text) = reader.need(section, key) else {
-        return nowhere;
-    };
-    text.parse().unwrap_or_else(|_unreadable| {
-        let line = section.get(key).map_or(0, |e| e.line);
-        let what = format!("`{key}` is IP:port, not `{text}`");
-        reader.fault(Code::BadValue, line, 0, what);
-        nowhere
-    })
+    reader.address(section, key).unwrap_or(nowhere)
 }
 
 fn domain_region(reader: &mut Reader<'_>, section: &Section) -> (DomainId, RegionId) {
@@ -190,15 +168,10 @@
 }
 
 fn key(reader: &mut Reader<'_>, section: &Section) -> [u8; 32] {
-    let Some(text) = reader.need(section, "key") else {
+    if reader.need(section, "key").is_none() {
         return [0; 32];
-    };
-    if let Ok(hash) = blake3::Hash::from_hex(text.as_bytes()) {
-        return *hash.as_bytes();
     }
-    let line = section.get("key").map_or(0, |e| e.line);
-    reader.fault(Code::BadValue, line, 0, "`key` is 64 hexadecimal digits");
-    [0; 32]
+    reader.digits(section, "key").unwrap_or_default()
 }
 
 fn store(reader: &mut Reader<'_>, section: &Section) -> SocketAddr {
@@ -206,11 +179,6 @@
     address(reader, section, "address")
 }
 
-fn millis(reader: &mut Reader<'_>, section: &Section, key: &str, default: f64) -> Duration {
-    let value = reader.bounded(section, key, default, 1.0..=3_600_000.0);
-    Duration::from_secs_f64(value / 1000.0)
-}
-
 fn seconds(reader: &mut Reader<'_>, section: &Section, key: &str, default: f64) -> Duration {
     Duration::from_secs_f64(reader.bounded(section, key, default, 0.01..=3_600.0))
 }
--- a/crates/hawthornmill-net/src/daemon.rs
+++ b/crates/hawthornmill-net/src/daemon.rs
@@ -3,13 +3,14 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use hawthornmill::clock::Clock;
-use hawthornmill::codes::Code;
-use hawthornmill::ident::{Incarnation, PoolId, ServerId};
+use hawthornmill::ident::{PoolId, ServerId};
 use hawthornmill::ini::Fault;
 use hawthornmill::pools::{owner, tick};
+use hawthornmill_process::run::incarnation;
+use hawthornmill_process::settings::{report, unbound};
 use poem::Server;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
@@ -48,13 +49,6 @@
     }
 }
 
-fn report(faults: &[Fault]) -> u8 {
-    for fault in faults {
-        eprintln!("{fault}");
-    }
-    2
-}
-
 struct Sockets {
     http: TcpListener,
     tcp: TcpListener,
@@ -62,30 +56,16 @@
 }
 
 async fn bind(settings: &Settings) -> Result<Sockets, Vec<Fault>> {
-    let fault = |address: &str, error: std::io::Error| {
-        vec![Fault {
-            code: Code::BindFailed,
-            file: address.into(),
-            line: 0,
-            column: 0,
-            what: error.to_string().into(),
-        }]
-    };
     let (http, peer) = (&*settings.contact.http, &*settings.contact.peer);
     Ok(Sockets {
-        http: bind_http(http).map_err(|e| fault(http, e))?,
-        tcp: TcpListener::bind(peer).await.map_err(|e| fault(peer, e))?,
-        udp: UdpSocket::bind(peer).await.map_err(|e| fault(peer, e))?,
+        http: bind_http(http).map_err(|e| unbound(http, &e))?,
+        tcp: TcpListener::bind(peer)
+            .await
+            .map_err(|e| unbound(peer, &e))?,
+        udp: UdpSocket::bind(peer).await.map_err(|e| unbound(peer, &e))?,
     })
 }
 
-/// A number that is greater for each later run of the same instance.
-fn incarnation() -> Incarnation {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    let millis = since.map_or(0, |d| d.as_millis() as u64);
-    Incarnation((millis << 12) | u64::from(rand::random::<u16>() >> 4))
-}
-
 async fn run(settings: Settings) -> u8 {
     let sockets = match bind(&settings).await {
         Ok(sockets) => sockets,
--- a/crates/hawthornmill-net/src/peers/tcp.rs
+++ b/crates/hawthornmill-net/src/peers/tcp.rs
@@ -8,8 +8,8 @@
 
 use hawthornmill::ident::InstanceId;
 use hawthornmill::pools::entry;
-use hawthornmill::wire::frame::FRAME_LIMIT;
-use hawthornmill::wire::{FrameError, Message, Opener, Sealer};
+use hawthornmill::wire::{Message, Opener, Sealer};
+use hawthornmill_process::frames;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -53,7 +53,7 @@
     let mut opener = Opener::stream(fleet.settings.key, nonce);
     let mut stream = tokio::io::BufReader::new(stream);
     loop {
-        let frame = match read_frame(&mut stream).await {
+        let frame = match frames::read(&mut stream).await {
             Ok(Some(frame)) => frame,
             Ok(None) => return,
             Err(error) => {
@@ -71,24 +71,6 @@
     }
 }
 
-async fn read_frame(
-    stream: &mut tokio::io::BufReader<TcpStream>,
-) -> Result<Option<Vec<u8>>, FrameError> {
-    let Ok(length) = stream.read_u32().await else {
-        return Ok(None);
-    };
-    if length as usize > FRAME_LIMIT {
-        return Err(FrameError::TooLarge);
-    }
-    // The buffer grows with what arrives, so a forged length alone takes no memory.
-    let mut frame = Vec::new();
-    let mut limited = stream.take(u64::from(length));
-    match limited.read_to_end(&mut frame).await {
-        Ok(read) if read == length as usize => Ok(Some(frame)),
-        _ => Ok(None),
-    }
-}
-
 async fn open(fleet: Arc<Fleet>) {
     loop {
         for (to, queue) in fleet.outgoing.take_wishes() {
@@ -182,10 +164,7 @@
 
 fn append(sealer: &mut Sealer, bytes: &mut Vec<u8>, message: &Message) {
     match sealer.seal_next(message) {
-        Ok(frame) => {
-            bytes.extend((frame.len() as u32).to_be_bytes());
-            bytes.extend(frame);
-        }
+        Ok(frame) => frames::append(bytes, &frame),
         Err(error) => log::error!(target: "peers", "message can't be sent: {error}"),
     }
 }
--- a/crates/hawthornmill-net/src/settings.rs
+++ b/crates/hawthornmill-net/src/settings.rs
@@ -1,11 +1,9 @@
 //! Settings of one router process, read from an INI file and checked whole.
 
-use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
 use hawthornmill::board::{Policy, Tuning};
-use hawthornmill::codes::Code;
 use hawthornmill::ini::{Fault, Reader, Section, read};
 use hawthornmill::wire::message::Contact;
 
@@ -19,7 +17,6 @@
     "telemetry",
     "status",
 ];
-const MOST_MS: f64 = 3_600_000.0;
 const MOST_COUNT: f64 = 1e9;
 
 /// Bounds on what callers may send and what is kept for them.
@@ -88,10 +85,7 @@
     /// # Errors
     /// Every fault of the file.
     pub fn load(path: &Path) -> Result<Self, Vec<Fault>> {
-        let file = path.display().to_string();
-        let text = std::fs::read_to_string(path)
-            .map_err(|error| vec![Fault::unreadable(path, &error.to_string())])?;
-        Self::parse(&file, &text)
+        hawthornmill_process::settings::load(path, Self::parse)
     }
 
     /// Checks the text of a settings file.
@@ -104,61 +98,30 @@
         for section in sections.iter().filter(|s| !SECTIONS.contains(&&*s.kind)) {
             reader.unknown_section(section, SECTIONS);
         }
-        let pick = |kind: &str| {
-            sections
-                .iter()
-                .find(|s| &*s.kind == kind)
-                .cloned()
-                .unwrap_or_else(|| empty(kind))
-        };
+        let pick = |kind: &str| Section::first(&sections, kind);
         let settings = Self {
             contact: contact(&mut reader, &pick("instance")),
             platform: platform(&mut reader, &pick("platform")),
             key: key(&mut reader, &pick("peers")),
             heartbeat: heartbeat(&mut reader, &pick("peers")),
-            load: millis(&mut reader, &pick("scheduling"), "load_ms", 250.0),
+            load: reader.millis(&pick("scheduling"), "load_ms", 250.0),
             tuning: tuning(&mut reader, &pick("scheduling"), &pick("limits")),
             limits: limits(&mut reader, &pick("limits")),
             discovery: discovery(&mut reader, &pick("discovery")),
             telemetry: telemetry(&mut reader, &pick("telemetry")),
             operators: operators(&mut reader, &pick("status")),
         };
-        if reader.faults.is_empty() {
-            Ok(settings)
-        } else {
-            Err(reader.faults)
-        }
-    }
-}
-
-fn empty(kind: &str) -> Section {
-    Section {
-        kind: kind.into(),
-        name: "".into(),
-        line: 0,
-        entries: Vec::new(),
+        reader.finish(settings)
     }
 }
 
-fn millis(reader: &mut Reader<'_>, section: &Section, key: &str, default: f64) -> Duration {
-    let value = reader.bounded(section, key, default, 1.0..=MOST_MS);
-    Duration::from_secs_f64(value / 1000.0)
-}
-
 fn count(reader: &mut Reader<'_>, section: &Section, key: &str, default: f64) -> usize {
     reader.bounded(section, key, default, 1.0..=MOST_COUNT) as usize
 }
 
 fn address(reader: &mut Reader<'_>, section: &Section, key: &str) -> Box<str> {
-    let Some(value) = reader.need(section, key) else {
-        return "".into();
-    };
-    if value.parse::<SocketAddr>().is_err() {
-        let line = section.get(key).map_or(0, |e| e.line);
-        let what = format!("`{key}` is IP:port, not `{value}`");
-        reader.fault(Code::BadValue, line, 0, what);
-    }
-    value
+    let address = reader.address(section, key);
+    address.map_or_else(|| "".into(), |a| a.to_string().into())
 }
 
 fn contact(reader: &mut Reader<'_>, section: &Section) -> Contact {
@@ -184,27 +147,16 @@
     if reader.need(section, "key").is_none() {
         return [0; 32];
     }
-    digits(reader, section, "key").unwrap_or_default()
+    reader.digits(section, "key").unwrap_or_default()
 }
 
 fn operators(reader: &mut Reader<'_>, section: &Section) -> Option<[u8; 32]> {
     reader.known_keys(section, &["token"]);
-    digits(reader, section, "token")
-}
-
-/// 32 bytes as hexadecimal digits; a fault doesn't repeat them, since they may be secret.
-fn digits(reader: &mut Reader<'_>, section: &Section, key: &str) -> Option<[u8; 32]> {
-    let entry = section.get(key)?;
-    if let Ok(hash) = blake3::Hash::from_hex(entry.value.as_bytes()) {
-        return Some(*hash.as_bytes());
-    }
-    let what = format!("`{key}` is 64 hexadecimal digits");
-    reader.fault(Code::BadValue, entry.line, 0, what);
-    None
+    reader.digits(section, "token")
 }
 
 fn heartbeat(reader: &mut Reader<'_>, section: &Section) -> Duration {
-    millis(reader, section, "heartbeat_ms", 100.0)
+    reader.millis(section, "heartbeat_ms", 100.0)
 }
 
 fn tuning(reader: &mut Reader<'_>, section: &Section, limits: &Section) -> Tuning {
@@ -227,11 +179,11 @@
             "policy",
             &[("pooled", Policy::Pooled), ("static", Policy::Static)],
         ),
-        rebuild: millis(reader, section, "rebuild_ms", ms(base.rebuild)),
-        report: millis(reader, section, "report_ms", ms(base.report)),
-        penalty: millis(reader, section, "penalty_ms", ms(base.penalty)),
-        pause: millis(reader, section, "pause_ms", ms(base.pause)),
-        confirm: millis(reader, section, "confirm_ms", ms(base.confirm)),
+        rebuild: reader.millis(section, "rebuild_ms", ms(base.rebuild)),
+        report: reader.millis(section, "report_ms", ms(base.report)),
+        penalty: reader.millis(section, "penalty_ms", ms(base.penalty)),
+        pause: reader.millis(section, "pause_ms", ms(base.pause)),
+        confirm: reader.millis(section, "confirm_ms", ms(base.confirm)),
         max_waiting: count(reader, limits, "max_waiting", base.max_waiting as f64),
         max_bytes: count(reader, limits, "max_bytes", base.max_bytes as f64),
         lag_cap: reader.bounded(section, "lag_cap", base.lag_cap, 0.1..=1e6),
@@ -264,9 +216,9 @@
 fn discovery(reader: &mut Reader<'_>, section: &Section) -> Discovery {
     reader.known_keys(section, &["ttl_ms", "key_ttl_ms", "drain_ms"]);
     Discovery {
-        ttl: millis(reader, section, "ttl_ms", 3000.0),
-        keys: millis(reader, section, "key_ttl_ms", 120_000.0),
-        drain: millis(reader, section, "drain_ms", 60_000.0),
+        ttl: reader.millis(section, "ttl_ms", 3000.0),
+        keys: reader.millis(section, "key_ttl_ms", 120_000.0),
+        drain: reader.millis(section, "drain_ms", 60_000.0),
     }
 }
 
@@ -275,6 +227,6 @@
     TelemetrySettings {
         level: reader.value(section, "level", log::LevelFilter::Info),
         spans: reader.bounded(section, "spans", 0.0, 0.0..=1.0),
-        metrics: millis(reader, section, "metrics_ms", 10_000.0),
+        metrics: reader.millis(section, "metrics_ms", 10_000.0),
     }
 }
--- a/crates/hawthornmill/src/ini.rs
+++ b/crates/hawthornmill/src/ini.rs
@@ -5,7 +5,9 @@
 //! both refuse what they do not know instead of passing over it.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
 
 use ini::{Ini, ParseOption};
 
@@ -65,6 +67,9 @@
     pub column: usize,
 }
 
+/// Longest time that a key in milliseconds can say: an hour.
+const MOST_MS: f64 = 3_600_000.0;
+
 /// A section `[kind name]` with its keys.
 #[derive(Debug, Clone)]
 pub struct Section {
@@ -79,6 +84,17 @@
 }
 
 impl Section {
+    /// The first section of `kind`, or one without keys where there is none.
+    pub fn first(sections: &[Self], kind: &str) -> Self {
+        let found = sections.iter().find(|s| &*s.kind == kind).cloned();
+        found.unwrap_or_else(|| Self {
+            kind: kind.into(),
+            name: "".into(),
+            line: 0,
+            entries: Vec::new(),
+        })
+    }
+
     /// The entry of `key`.
     pub fn get(&self, key: &str) -> Option<&Entry> {
         self.entries.iter().find(|e| &*e.key == key)
@@ -290,6 +306,48 @@
         default
     }
 
+    /// The value of `key` in milliseconds, from one to an hour.
+    pub fn millis(&mut self, section: &Section, key: &str, default: f64) -> Duration {
+        let value = self.bounded(section, key, default, 1.0..=MOST_MS);
+        Duration::from_secs_f64(value / 1000.0)
+    }
+
+    /// The value of `key` as `IP:port`, or a fault where it is missing or something else.
+    pub fn address(&mut self, section: &Section, key: &str) -> Option<SocketAddr> {
+        let value = self.need(section, key)?;
+        let address = value.parse().ok();
+        if address.is_none() {
+            let line = section.get(key).map_or(0, |e| e.line);
+            let what = format!("`{key}` is IP:port, not `{value}`");
+            self.fault(Code::BadValue, line, 0, what);
+        }
+        address
+    }
+
+    /// 32 bytes as hexadecimal digits, where `key` stands; a fault doesn't repeat them, since they may
+    /// be secret.
+    pub fn digits(&mut self, section: &Section, key: &str) -> Option<[u8; 32]> {
+        let entry = section.get(key)?;
+        if let Ok(hash) = blake3::Hash::from_hex(entry.value.as_bytes()) {
+            return Some(*hash.as_bytes());
+        }
+        let what = format!("`{key}` is 64 hexadecimal digits");
+        self.fault(Code::BadValue, entry.line, 0, what);
+        None
+    }
+
+    /// What was read, unless there are faults.
+    ///
+    /// # Errors
+    /// Every fault noted so far.
+    pub fn finish<T>(self, value: T) -> Result<T, Vec<Fault>> {
+        if self.faults.is_empty() {
+            Ok(value)
+        } else {
+            Err(self.faults)
+        }
+    }
+
     /// The value of `key` as one of `words`, or the first word where the key is missing.
     pub fn word<T: Copy>(&mut self, section: &Section, key: &str, words: &[(&str, T)]) -> T {
         let Some(entry) = section.get(key) else {
--- a/src/bin/hawthornmill-gateway.rs
+++ b/src/bin/hawthornmill-gateway.rs
@@ -4,17 +4,15 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use hawthornmill_platform::SETTINGS_VARIABLE;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
-/// Variable that names the settings file where no argument does.
-const CONFIG: &str = "HAWTHORNMILL_CONFIG";
-
 /// Pass requests of client accounts on to registered backend servers.
 #[derive(Debug, FromArgs)]
 struct Args {
-    /// settings file; the variable `HAWTHORNMILL_CONFIG` names it where this is missing
+    /// settings file; where this is missing, the platform's variable names it
     #[argh(option)]
     config: Option<PathBuf>,
 }
@@ -23,9 +21,9 @@
     let args: Args = argh::from_env();
     let named = args
         .config
-        .or_else(|| std::env::var_os(CONFIG).map(PathBuf::from));
+        .or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from));
     let Some(config) = named else {
-        eprintln!("no settings file: give --config or set {CONFIG}");
+        eprintln!("no settings file: give --config or set {SETTINGS_VARIABLE}");
         return ExitCode::from(2);
     };
     hawthornmill_gateway::daemon::main(&config, hawthornmill_platform::dialect()).into()
--- a/tests/testsuite/frames.rs
+++ b/tests/testsuite/frames.rs
@@ -103,3 +103,21 @@
         prop_assert!(Opener::new(KEY, 0).open(&bytes).is_err());
     }
 }
+
+/// A stream is cut in the middle of a frame, or begins with a length that no frame has. What came must
+/// not pass for a frame.
+#[tokio::test]
+async fn a_stream_frame_comes_whole_or_not_at_all() {
+    use hawthornmill_process::frames;
+    let mut whole = Vec::new();
+    frames::append(&mut whole, b"frame");
+    let too_long = [0xff; 4];
+
+    let read = frames::read(&mut &*whole).await;
+    let cut = frames::read(&mut &whole[..6]).await;
+    let refused = frames::read(&mut &too_long[..]).await;
+
+    assert_eq!(read, Ok(Some(b"frame".to_vec())));
+    assert_eq!(cut, Ok(None));
+    assert_eq!(refused, Err(FrameError::TooLarge));
+}
--- a/tests/testsuite/gateway/boundary.rs
+++ b/tests/testsuite/gateway/boundary.rs
@@ -4,6 +4,7 @@
 
 /// Names of the wire that mean nothing elsewhere in the project.
 const NAMES: &[&str] = &[
+    "HAWTHORNMILL_CONFIG",
     "Attempt-Id",
     "Deadline-Ms",
     "Expect-Instance",
