Count and serve metrics by a library

Counters, histograms and their text were written by hand, though the house style names libraries for both. Names and test as before; each metric has a line of help now.

--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -61,6 +61,8 @@
     pub pool: Pool,
     /// Counters.
     pub meters: Meters,
+    /// Callers' connections that are open.
+    pub connections: Cell<usize>,
     /// Requests under way.
     pub flying: Cell<usize>,
     /// Bytes of bodies in memory.
@@ -103,6 +105,7 @@
             mates: RefCell::new(Mates::new(place.domain)),
             pool: Pool::default(),
             meters: Meters::default(),
+            connections: Cell::new(0),
             flying: Cell::new(0),
             bodies: Cell::new(0),
             listed: Cell::new(false),
--- a/crates/hawthornmill-gateway/src/serve.rs
+++ b/crates/hawthornmill-gateway/src/serve.rs
@@ -70,7 +70,7 @@
             tokio::time::sleep(Duration::from_millis(20)).await;
             continue;
         };
-        if gateway.meters.connections.get() >= MOST_CONNECTIONS {
+        if gateway.connections.get() >= MOST_CONNECTIONS {
             // Closed without a byte of a request read, so its caller may go elsewhere at once.
             continue;
         }
@@ -94,7 +94,7 @@
 }
 
 async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
-    let _open = Open::count(&gateway.meters.connections);
+    let _open = Open::count(&gateway.connections);
     let (half, mut out) = stream.into_split();
     let mut reader = Reader {
         half,
@@ -109,7 +109,7 @@
         let _flying = Open::count(&gateway.flying);
         let leaving = gateway.phase() >= Phase::Leaving;
         let last = call.head.closes() || leaving;
-        let crowded = gateway.meters.connections.get() > MANY_CONNECTIONS;
+        let crowded = gateway.connections.get() > MANY_CONNECTIONS;
         let mut trip = Trip::default();
         let way = Way {
             gateway: &gateway,
--- a/crates/hawthornmill-gateway/src/side.rs
+++ b/crates/hawthornmill-gateway/src/side.rs
@@ -175,16 +175,43 @@
     let work = desk.loads.own();
     let running: u32 = work.iter().map(|(_, w)| w.running).sum();
     let unread: u32 = work.iter().map(|(_, w)| w.unread).sum();
-    let gauges = [
-        ("catalog_version", gateway.version() as f64),
-        ("registrations_revision", desk.registry.latest() as f64),
-        ("registrations", desk.registry.entries().count() as f64),
-        ("mates", gateway.mates.borrow().live(now).count() as f64),
-        ("waiting", desk.waiting() as f64),
-        ("running", f64::from(running)),
-        ("unread_prompt_tokens", f64::from(unread)),
-        ("flying", gateway.flying.get() as f64),
-        ("body_bytes", gateway.bodies.get() as f64),
-    ];
-    gateway.meters.text(&gauges)
+    let mates = gateway.mates.borrow().live(now).count();
+    let count = |value: usize| value.cast_signed() as i64;
+    let number = |value: u64| value.cast_signed();
+    gateway.meters.text(&[
+        (
+            "catalog_version",
+            "Catalog in force",
+            number(gateway.version()),
+        ),
+        (
+            "registrations_revision",
+            "Newest change known",
+            number(desk.registry.latest()),
+        ),
+        (
+            "registrations",
+            "Servers known",
+            count(desk.registry.entries().count()),
+        ),
+        ("mates", "Other instances heard", count(mates)),
+        ("waiting", "Requests in line", count(desk.waiting())),
+        ("running", "Requests at servers", i64::from(running)),
+        (
+            "unread_prompt_tokens",
+            "Tokens sent and not begun",
+            i64::from(unread),
+        ),
+        ("flying", "Requests in all", count(gateway.flying.get())),
+        (
+            "connections",
+            "Callers' connections",
+            count(gateway.connections.get()),
+        ),
+        (
+            "body_bytes",
+            "Bytes of bodies in memory",
+            count(gateway.bodies.get()),
+        ),
+    ])
 }
--- a/crates/hawthornmill-gateway/src/trip/send.rs
+++ b/crates/hawthornmill-gateway/src/trip/send.rs
@@ -91,10 +91,7 @@
         Err(error) => return Sent::Unreached(error.to_string().into()),
     };
     if !upstream.reused {
-        gateway
-            .meters
-            .connects
-            .set(gateway.meters.connects.get() + 1);
+        gateway.meters.connected();
     }
     let bytes = request(gateway, call, admitted, trip, &name);
     let written = match write(&mut upstream, &bytes.0, trip).await {
