Bound idle connections by what a service allows; forget what a restarted server had read on every way

Cause: an instance kept up to 48 idle connections to a server, whatever the service allows; requests that must not run twice take only fresh ones and leave a new one idle each time, so eight instances could hold 384 before a server that accepts 110 and resets the rest. Half of the bound is divided among the instances now, and the newest stay. Whether a server had started anew was looked at for single changes only; a whole list, of the store or of another instance, passed it by. The registry notes it where entries change. The guard for an instance whose clock was set back had no test.

--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -196,7 +196,7 @@
         });
         journal::belief("registrations_listed", fields);
         let mut desk = self.desk.borrow_mut();
-        desk.registry.replace(changes, revision, away, self.now());
+        desk.list(changes, revision, away, self.now());
         self.listed.set(true);
         self.nudge.notify_one();
     }
@@ -250,6 +250,28 @@
         self.nudge.notify_one();
     }
 
+    /// Idle connections that this instance may keep to `server`; none once it is gone.
+    ///
+    /// A server resets what is over its service's bound, and cannot tell idle connections from needed
+    /// ones. Half of the bound, divided by the instances, leaves the other half for requests under way.
+    pub fn idle_bound(&self, server: ServerId) -> usize {
+        let Some(service) = self
+            .desk
+            .borrow()
+            .registry
+            .get(server)
+            .map(|k| k.entry.service)
+        else {
+            return 0;
+        };
+        let table = self.table();
+        let bound = table.and_then(|t| Some(t.service(service)?.connections as usize));
+        match bound {
+            Some(bound) if bound > 0 => (bound / 2 / self.mates.borrow().most().max(1)).max(1),
+            _ => usize::MAX,
+        }
+    }
+
     /// Name of a server for logs.
     pub fn server_name(&self, server: ServerId) -> Box<str> {
         let desk = self.desk.borrow();
--- a/crates/hawthornmill-gateway/src/pool.rs
+++ b/crates/hawthornmill-gateway/src/pool.rs
@@ -32,7 +32,7 @@
 /// A server that drops an idle connection resets what is sent next, and whether that ran can't be
 /// told; one used a moment ago is hardly dropped yet.
 const BRIEF_IDLE: Duration = Duration::from_millis(400);
-/// Idle connections kept for one server.
+/// Idle connections kept for one server, whatever its service allows.
 const MOST_IDLE: usize = 48;
 
 /// A connection to a server.
@@ -109,21 +109,31 @@
         None
     }
 
-    /// Keeps a connection whose answer is complete; `said` is what the server told of its patience.
-    pub fn give(&self, server: ServerId, upstream: Upstream, said: Option<Duration>, now: Instant) {
-        if !upstream.buffer.is_empty() {
+    /// Keeps a connection whose answer is complete, unless there are `most` already; `said` is what the
+    /// server told of its patience.
+    pub fn give(
+        &self,
+        server: ServerId,
+        upstream: Upstream,
+        said: Option<Duration>,
+        most: usize,
+        now: Instant,
+    ) {
+        let keep = said.map_or(UNSAID_IDLE, |s| s.mul_f64(IDLE_PART));
+        if !upstream.buffer.is_empty() || keep.is_zero() || most == 0 {
             return;
         }
-        let keep = said.map_or(UNSAID_IDLE, |s| s.mul_f64(IDLE_PART));
         let mut idle = self.idle.borrow_mut();
         let list = idle.entry(server).or_default();
-        if list.len() < MOST_IDLE && !keep.is_zero() {
-            list.push(Idle {
-                stream: upstream.stream,
-                since: now,
-                keep,
-            });
+        // The newest is the best: a request that must not run twice takes no other.
+        if list.len() >= most.min(MOST_IDLE) {
+            list.remove(0);
         }
+        list.push(Idle {
+            stream: upstream.stream,
+            since: now,
+            keep,
+        });
     }
 
     /// Closes connections that are too old, and those of servers that `keep` does not know.
@@ -135,6 +145,11 @@
         });
     }
 
+    /// Idle connections to `server`.
+    pub fn idle_count(&self, server: ServerId) -> usize {
+        self.idle.borrow().get(&server).map_or(0, Vec::len)
+    }
+
     /// Closes the idle connections of a server that can't be reached or is another by now.
     pub fn drop_idle(&self, server: ServerId) {
         self.idle.borrow_mut().remove(&server);
--- a/crates/hawthornmill-gateway/src/trip/send.rs
+++ b/crates/hawthornmill-gateway/src/trip/send.rs
@@ -328,9 +328,10 @@
     pub fn finish(self, gateway: &Gateway) {
         if self.clean {
             let said = keep_alive(&self.head);
+            let (most, now) = (gateway.idle_bound(self.server), gateway.now());
             gateway
                 .pool
-                .give(self.server, self.upstream, said, gateway.now());
+                .give(self.server, self.upstream, said, most, now);
         }
     }
 }
--- a/crates/hawthornmill/src/routing/desk.rs
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -248,18 +248,25 @@
     }
 
     /// Takes one change of a registration; false when it is older than what is known.
-    ///
-    /// A server that starts anew under its old name has read nothing yet. Taken for the run before, it
-    /// would draw prompts whose beginnings it no longer keeps.
     pub fn register(&mut self, change: Change, now: Instant) -> bool {
-        let server = change.server;
-        let born = |registry: &Registry| registry.get(server).map(|k| k.entry.born);
-        let before = born(&self.registry);
         let taken = self.registry.take(change, now);
-        if taken && before != born(&self.registry) {
+        self.forget_lost();
+        taken
+    }
+
+    /// Takes a whole list of registrations, as [`Registry::replace`] does.
+    pub fn list(&mut self, changes: Vec<Change>, revision: u64, away: bool, now: Instant) {
+        self.registry.replace(changes, revision, away, now);
+        self.forget_lost();
+    }
+
+    /// Forgets what servers had read that are gone, or have started anew under their old name.
+    ///
+    /// Taken for the run before, such a server would draw prompts whose beginnings it no longer keeps.
+    fn forget_lost(&mut self) {
+        for server in self.registry.take_lost() {
             self.memory.forget(server);
         }
-        taken
     }
 
     /// The first token, or the whole answer, came `time` after a request was sent.
@@ -306,9 +313,7 @@
     /// Drops what no longer counts and returns the servers that are gone.
     pub fn sweep(&mut self, now: Instant) -> Vec<ServerId> {
         let gone = self.registry.sweep(now);
-        for server in &gone {
-            self.memory.forget(*server);
-        }
+        self.forget_lost();
         let registry = &self.registry;
         self.loads.sweep(|id| registry.get(id).is_some(), now);
         gone
--- a/crates/hawthornmill/src/routing/registry.rs
+++ b/crates/hawthornmill/src/routing/registry.rs
@@ -70,6 +70,8 @@
     revision: u64,
     /// Revision of the newest change of any entry.
     latest: u64,
+    /// Servers that are gone or have started anew since [`Self::take_lost`] was last asked.
+    lost: Vec<ServerId>,
 }
 
 impl Registry {
@@ -101,6 +103,11 @@
             return false;
         }
         self.latest = self.latest.max(change.revision);
+        let before = self.known.get(&change.server).map(|k| k.entry.born);
+        let after = change.entry.as_ref().map(|e| e.born);
+        if before.is_some() && before != after {
+            self.lost.push(change.server);
+        }
         if let Some(entry) = change.entry {
             self.gone.remove(&change.server);
             let known = Known {
@@ -157,6 +164,11 @@
         self.advance(revision);
     }
 
+    /// Servers that are gone or have started anew, and so keep nothing of what they had read.
+    pub fn take_lost(&mut self) -> Vec<ServerId> {
+        std::mem::take(&mut self.lost)
+    }
+
     /// Entries that count for a grace only.
     pub fn doubted(&self) -> Vec<ServerId> {
         let doubted = self.known.iter().filter(|(_, k)| k.until.is_some());
@@ -216,6 +228,7 @@
     fn remove(&mut self, id: ServerId, revision: u64, now: Instant) {
         if let Some(known) = self.known.remove(&id) {
             self.gone.insert(id, (revision.max(known.revision), now));
+            self.lost.push(id);
         }
     }
 }
--- a/tests/testsuite/gateway/catching_up.rs
+++ b/tests/testsuite/gateway/catching_up.rs
@@ -147,3 +147,63 @@
         assert!(calls <= 8, "{calls} calls in five seconds");
     });
 }
+
+/// A machine's time of day is set back, and its process restarts: its run has a lower number than the
+/// one before. Taken for an echo of that one, its news would never be heard again, and callers would
+/// not be sent to it.
+#[test]
+fn an_instance_whose_clock_was_set_back_is_heard_again() {
+    use hawthornmill::ident::{DomainId, Incarnation, InstanceId};
+    use hawthornmill::routing::news::{Mate, News, Reading};
+    use hawthornmill::wire::{Message, Sealer};
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        let here = tokio::net::UdpSocket::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        let own = here.local_addr().expect("the socket has an address");
+        let peer = std::net::SocketAddr::new(fleet.gateways[0].ip, super::fleet::PEER);
+        let say = |run: u64, number: u16| {
+            let front = std::net::SocketAddr::new(own.ip(), number);
+            let news = News {
+                mate: Mate {
+                    front,
+                    peer: own,
+                    domain: DomainId::of("a"),
+                },
+                ready: true,
+                leaving: false,
+                reading: Reading::Answered,
+                version: 0,
+                revision: 0,
+                work: Vec::new(),
+                usage: Vec::new(),
+                strays: Vec::new(),
+                short: Vec::new(),
+                others: Vec::new(),
+            };
+            let mut sealer = Sealer::new(
+                super::fleet::key(),
+                InstanceId::of("other"),
+                Incarnation(run),
+                0,
+            );
+            let frames = (0..20).map(move |_| sealer.seal(&Message::News(Box::new(news.clone()))));
+            frames.map(|f| f.expect("the news fit")).collect::<Vec<_>>()
+        };
+        for frame in say(9, 1_001) {
+            here.send_to(&frame, peer).await.expect("the datagram goes");
+        }
+        let named = |port: u16| {
+            let gateway = &fleet.gateways[0];
+            move || async move { gateway.named().await.iter().any(|a| a.port() == port) }
+        };
+        until("the first run is named", named(1_001)).await;
+
+        for frame in say(5, 1_002) {
+            here.send_to(&frame, peer).await.expect("the datagram goes");
+        }
+
+        until("the second run is named", named(1_002)).await;
+    });
+}
--- /dev/null
+++ b/tests/testsuite/gateway/connections.rs
@@ -0,0 +1,81 @@
+//! Connections to servers.
+
+use std::time::{Duration, Instant};
+
+use bytes::BytesMut;
+use hawthornmill::ident::ServerId;
+use hawthornmill_gateway::pool::{Pool, Upstream};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::block_on;
+
+/// Requests that must not run twice take only connections used a moment ago, so each burst makes new
+/// ones and leaves them idle. A server resets what is over its bound, and might reset one in use.
+#[test]
+fn idle_connections_stay_within_the_bound_and_the_newest_stay() {
+    block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        let address = listener.local_addr().expect("the listener has an address");
+        let (pool, server, now) = (Pool::default(), ServerId::of("s"), Instant::now());
+        let mut kept = Vec::new();
+
+        for _ in 0..5 {
+            let stream = TcpStream::connect(address)
+                .await
+                .expect("the listener listens");
+            kept.push(stream.local_addr().expect("the connection has an address"));
+            let (buffer, reused) = (BytesMut::new(), false);
+            pool.give(
+                server,
+                Upstream {
+                    stream,
+                    buffer,
+                    reused,
+                },
+                None,
+                2,
+                now,
+            );
+        }
+        let idle = pool.idle_count(server);
+        let later = now + Duration::from_millis(10);
+        let taken = pool
+            .take(server, address, true, later)
+            .await
+            .expect("one is idle");
+
+        assert_eq!(idle, 2);
+        assert!(taken.reused);
+        assert_eq!(taken.stream.local_addr().ok(), kept.last().copied());
+    });
+}
+
+#[test]
+fn nothing_is_kept_for_a_server_that_is_gone_or_sent_more_than_its_answer() {
+    block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        let address = listener.local_addr().expect("the listener has an address");
+        let (pool, server, now) = (Pool::default(), ServerId::of("s"), Instant::now());
+        let link = || async {
+            let stream = TcpStream::connect(address)
+                .await
+                .expect("the listener listens");
+            Upstream {
+                stream,
+                buffer: BytesMut::new(),
+                reused: false,
+            }
+        };
+        let mut more = link().await;
+        more.buffer.extend_from_slice(b"HTTP/1.1 200 OK\r\n");
+
+        pool.give(server, link().await, None, 0, now);
+        pool.give(server, more, None, 2, now);
+
+        assert_eq!(pool.idle_count(server), 0);
+    });
+}
--- a/tests/testsuite/gateway/fleet.rs
+++ b/tests/testsuite/gateway/fleet.rs
@@ -25,7 +25,8 @@
 const FRONT: u16 = 7_401;
 const READY: u16 = 7_402;
 const DIRECTORY: u16 = 7_403;
-const PEER: u16 = 7_404;
+/// Where instances hear each other.
+pub const PEER: u16 = 7_404;
 const METRICS: u16 = 7_405;
 
 static FLEETS: AtomicU32 = AtomicU32::new(0);
@@ -38,6 +39,13 @@
     [(16 + number / 250 % 200) as u8, (number % 250) as u8]
 }
 
+/// The key of the fleets' frames.
+pub fn key() -> [u8; 32] {
+    *blake3::Hash::from_hex(KEY)
+        .expect("the key is well-formed")
+        .as_bytes()
+}
+
 /// One gateway process.
 #[derive(Debug)]
 pub struct Gateway {
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod boundary;
 mod catching_up;
 mod checking;
+mod connections;
 mod explaining;
 mod fleet;
 mod http;
--- a/tests/testsuite/routing/desk.rs
+++ b/tests/testsuite/routing/desk.rs
@@ -250,3 +250,19 @@
     assert_eq!(known.work.unread, 0);
     assert_eq!(unknown.work.unread, 200, "its own part must be read again");
 }
+
+/// The same, told by a whole list: of the store after it lost its history, or of another instance.
+#[test]
+fn a_list_tells_of_a_server_that_started_anew() {
+    let now = Instant::now();
+    let mut desk = desk(ONE, now);
+    let first = sent(desk.ask(&request("lab", shape(1, 300, 200), now), now));
+    desk.ended(&first, true);
+    let mut anew = super::entry("a1", "a");
+    anew.born = 7;
+
+    desk.list(vec![super::change("a1", 90, Some(anew))], 90, false, now);
+    let unknown = sent(desk.ask(&request("lab", shape(1, 300, 200), now), now));
+
+    assert_eq!(unknown.work.unread, 200, "its own part must be read again");
+}
