--- a/crates/hawthornmill-gateway/src/settings.rs
+++ b/crates/hawthornmill-gateway/src/settings.rs
@@ -6,7 +6,7 @@
 
 use hawthornmill::codes::Code;
 use hawthornmill::ident::{DomainId, RegionId};
-use hawthornmill::ini::{Fault, Reader, Section, read};
+use hawthornmill::ini::{Fault, Reader, Section};
 use hawthornmill::routing::budget::Terms;
 
 const SECTIONS: &[&str] = &[
@@ -86,11 +86,7 @@
     /// # Errors
     /// Every fault of the text.
     pub fn parse(file: &str, text: &str) -> Result<Self, Vec<Fault>> {
-        let sections = read(file, text)?;
-        let mut reader = Reader::new(file);
-        for section in sections.iter().filter(|s| !SECTIONS.contains(&&*s.kind)) {
-            reader.unknown_section(section, SECTIONS);
-        }
+        let (mut reader, sections) = Reader::open(file, text, SECTIONS)?;
         let one = |kind: &str| Section::first(&sections, kind);
         let listen = listen(&mut reader, &one("listen"));
         let instance = one("instance");
--- a/crates/hawthornmill-net/src/settings.rs
+++ b/crates/hawthornmill-net/src/settings.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hawthornmill::board::{Policy, Tuning};
-use hawthornmill::ini::{Fault, Reader, Section, read};
+use hawthornmill::ini::{Fault, Reader, Section};
 use hawthornmill::wire::message::Contact;
 
 const SECTIONS: &[&str] = &[
@@ -93,11 +93,7 @@
     /// # Errors
     /// Every fault of the text.
     pub fn parse(file: &str, text: &str) -> Result<Self, Vec<Fault>> {
-        let sections = read(file, text)?;
-        let mut reader = Reader::new(file);
-        for section in sections.iter().filter(|s| !SECTIONS.contains(&&*s.kind)) {
-            reader.unknown_section(section, SECTIONS);
-        }
+        let (mut reader, sections) = Reader::open(file, text, SECTIONS)?;
         let pick = |kind: &str| Section::first(&sections, kind);
         let settings = Self {
             contact: contact(&mut reader, &pick("instance")),
--- a/crates/hawthornmill/src/ini.rs
+++ b/crates/hawthornmill/src/ini.rs
@@ -226,6 +226,23 @@
 }
 
 impl<'a> Reader<'a> {
+    /// Reads `text` into sections and notes those of a kind that is not in `kinds`.
+    ///
+    /// # Errors
+    /// As [`read`].
+    pub fn open(
+        file: &'a str,
+        text: &str,
+        kinds: &[&str],
+    ) -> Result<(Self, Vec<Section>), Vec<Fault>> {
+        let sections = read(file, text)?;
+        let mut reader = Self::new(file);
+        for section in sections.iter().filter(|s| !kinds.contains(&&*s.kind)) {
+            reader.unknown_section(section, kinds);
+        }
+        Ok((reader, sections))
+    }
+
     /// A reader for the text called `file`.
     pub fn new(file: &'a str) -> Self {
         Self {
