Let backlogs drain while they are read, and judge a server's pace by its answers

A server that turns slow was known by its failures alone, and it fails nothing.

Now a server's backlog drains at its rate, each instance tells how much it ever sent there, so lost and repeated reports count right, and a server's pace is what its first tokens took of what was expected. Also: a prompt that would be late on idle servers tells of no shortage (one of them shut out all accounts beyond their share for 0.6 s), and these accounts take 0.9 and 0.75 of a server while nobody lacks room.

--- a/crates/hawthornmill-gateway/src/trip/mod.rs
+++ b/crates/hawthornmill-gateway/src/trip/mod.rs
@@ -133,7 +133,7 @@
         self.gateway
             .desk
             .borrow_mut()
-            .began(request.service, &self.choice, time);
+            .began(request.service, &self.choice, time, now);
         self.gateway.tell_work();
         let whole = now.duration_since(request.came);
         self.gateway
--- a/crates/hawthornmill/src/routing/desk.rs
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -34,6 +34,8 @@
 /// Accounts beyond their share take what is left over. If they filled the servers, requests of the
 /// others would find no room or come behind long prompts, before any could be turned away.
 const PARTS: [f64; 3] = [1.0, 0.7, 0.5];
+/// The same while nobody who goes before found no room lately.
+const CALM_PARTS: [f64; 3] = [1.0, 0.9, 0.75];
 /// Time for which a service counts as short after a request found no room.
 const SHORT: Duration = Duration::from_millis(600);
 /// Part of the instances that must find no room for a service to count as short.
@@ -194,6 +196,9 @@
             match self.place(request, now) {
                 Ok(choice) => return Verdict::Decided(Ok(choice)),
                 Err(Unplaced::NoServer) => return Verdict::Decided(Err(NO_SERVER)),
+                Err(Unplaced::TooLong) => {
+                    return Verdict::Decided(Err(self.refuse_full(request, now)));
+                }
                 Err(Unplaced::AllFull) => {}
             }
         }
@@ -230,6 +235,7 @@
             let decided = match placed {
                 Ok(choice) => Ok(choice),
                 Err(Unplaced::NoServer) => Err(NO_SERVER),
+                Err(Unplaced::TooLong) => Err(self.refuse_full(&request, now)),
                 Err(Unplaced::AllFull) if now >= patience_end(&request) => {
                     Err(self.refuse_full(&request, now))
                 }
@@ -270,11 +276,14 @@
     }
 
     /// The first token, or the whole answer, came `time` after a request was sent.
-    pub fn began(&mut self, service: ServiceId, choice: &Choice, time: Duration) {
+    pub fn began(&mut self, service: ServiceId, choice: &Choice, time: Duration, now: Instant) {
         self.rates
             .entry(service)
             .or_default()
             .observe(choice.ahead, time);
+        if choice.ahead > 0 {
+            self.loads.observe(choice.server, choice.usual, time, now);
+        }
         let read = Work {
             unread: choice.work.unread,
             ..Work::default()
@@ -320,6 +329,8 @@
     }
 
     fn place(&mut self, request: &Request, now: Instant) -> Result<Choice, Unplaced> {
+        let calm = self.shortage(request.service, Standing::Above, now) == 0;
+        let parts = if calm { CALM_PARTS } else { PARTS };
         let view = View {
             registry: &self.registry,
             loads: &self.loads,
@@ -338,17 +349,22 @@
                 .copied()
                 .unwrap_or_default(),
             objective: (request.came + request.objective).saturating_duration_since(now),
-            part: PARTS[self.standing(request) as usize],
+            part: parts[self.standing(request) as usize],
         };
         let choice = choose(&view, &ask, now)?;
         // Elsewhere it would begin sooner at the price of reading its shared part again, which is
         // what servers have no time for when this one is late.
-        let calm = self.shortage(request.service, Standing::Above, now) == 0;
         let timely = choice.expected <= ask.objective;
         if request.tried.is_empty() && !timely && !(calm && is_long(&choice, ask.objective)) {
-            return Err(Unplaced::AllFull);
+            // What would be late on idle servers too tells of no shortage.
+            return Err(if choice.alone > ask.objective {
+                Unplaced::TooLong
+            } else {
+                Unplaced::AllFull
+            });
         }
-        self.loads.begin(choice.server, choice.work);
+        self.loads
+            .begin(choice.server, choice.work, ask.rate.per_second(), now);
         self.memory.note(choice.server, &request.shape, now);
         if let (true, Some(family)) = (choice.stray, request.shape.family()) {
             if self.strays.len() >= MOST_STRAYS {
--- a/crates/hawthornmill/src/routing/loads.rs
+++ b/crates/hawthornmill/src/routing/loads.rs
@@ -28,6 +28,10 @@
 ///
 /// One that hears 200 ms late of a prompt of 50,000 tokens sends a dozen short ones behind it.
 const TELL_AT: u32 = 2_000;
+/// Weight of the newest answer in a server's pace: ten answers tell a slow server.
+const PACE_WEIGHT: f64 = 0.1;
+/// Bound of a server's pace, in times of what is expected.
+const MOST_PACE: f64 = 6.0;
 /// Weight of the newest answer in a server's share of failures.
 const NEWEST: f64 = 0.12;
 
@@ -40,6 +44,8 @@
     pub unread: u32,
     /// Tokens that the requests take in the server's memory.
     pub held: u32,
+    /// Effort of all prompts that the teller ever sent there, in tokens; wraps.
+    pub sent: u32,
 }
 
 impl Work {
@@ -47,6 +53,7 @@
         self.running += other.running;
         self.unread += other.unread;
         self.held += other.held;
+        self.sent = self.sent.wrapping_add(other.sent);
     }
 
     fn subtract(&mut self, other: Self) {
@@ -78,9 +85,63 @@
     Unreachable,
 }
 
+/// Reading that is left at a server.
+#[derive(Debug, Clone, Copy, Default)]
+struct Backlog {
+    left: f64,
+    rate: f64,
+    at: Option<Instant>,
+}
+
+impl Backlog {
+    fn at(&self, now: Instant) -> f64 {
+        let time = self.at.map_or(Duration::ZERO, |at| now.duration_since(at));
+        (self.left - self.rate * time.as_secs_f64()).max(0.0)
+    }
+
+    fn add(&mut self, effort: u32, now: Instant) {
+        self.left = self.at(now) + f64::from(effort);
+        self.at = Some(now);
+    }
+}
+
+/// How the times to the first token of a server compare with those expected.
+#[derive(Debug, Clone, Copy)]
+struct Pace {
+    times: f64,
+    at: Option<Instant>,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self {
+            times: 1.0,
+            at: None,
+        }
+    }
+}
+
+impl Pace {
+    fn observe(&mut self, expected: Duration, time: Duration, now: Instant) {
+        let sample = time.as_secs_f64() / expected.as_secs_f64().max(0.001);
+        let sample = sample.clamp(1.0 / MOST_PACE, MOST_PACE);
+        self.times = self.at(now) * (1.0 - PACE_WEIGHT) + sample * PACE_WEIGHT;
+        self.at = Some(now);
+    }
+
+    /// The pace at `now`: without answers it goes back to the usual one, so that the server is tried again.
+    fn at(&self, now: Instant) -> f64 {
+        let age = self.at.map_or(Duration::ZERO, |at| now.duration_since(at));
+        let kept = 0.5_f64.powf(age.as_secs_f64() / FORGIVE.as_secs_f64());
+        1.0 + (self.times - 1.0) * kept
+    }
+}
+
 #[derive(Debug, Clone, Default)]
 struct Server {
     own: Work,
+    backlog: Backlog,
+    pace: Pace,
     report: Option<(OwnReport, Instant)>,
     failing: f64,
     judged: Option<Instant>,
@@ -94,14 +155,41 @@
     servers: BTreeMap<ServerId, Server>,
     peers: BTreeMap<InstanceId, (Instant, Vec<(ServerId, Work)>)>,
     others: BTreeMap<ServerId, Work>,
+    sent: BTreeMap<(InstanceId, ServerId), u32>,
     untold: u32,
 }
 
 impl Loads {
-    /// A request is sent to `server`.
-    pub fn begin(&mut self, server: ServerId, work: Work) {
+    /// A request is sent to `server`, which reads `rate` tokens a second as far as is known.
+    pub fn begin(&mut self, server: ServerId, work: Work, rate: f64, now: Instant) {
         self.untold += work.unread;
-        self.servers.entry(server).or_default().own.add(work);
+        let known = self.servers.entry(server).or_default();
+        known.own.add(work);
+        known.own.sent = known.own.sent.wrapping_add(work.unread);
+        known.backlog.rate = rate / known.pace.at(now);
+        known.backlog.add(work.unread, now);
+    }
+
+    /// Effort of reading that is left at `server`, in tokens.
+    ///
+    /// Prompts are read one after the other, so what was sent there drains at the rate of its reading.
+    /// Counted whole until its first token, a long prompt would hide for its whole reading that the
+    /// server is nearly through.
+    pub fn backlog(&self, server: ServerId, now: Instant) -> u32 {
+        let known = self.servers.get(&server);
+        let left = known.map_or(0.0, |s| s.backlog.at(now));
+        left.min(f64::from(self.total(server, now).unread)) as u32
+    }
+
+    /// The first token from `server` came after `time` instead of `expected`.
+    pub fn observe(&mut self, server: ServerId, expected: Duration, time: Duration, now: Instant) {
+        let known = self.servers.entry(server).or_default();
+        known.pace.observe(expected, time, now);
+    }
+
+    /// Times that answers of `server` lately took of what was expected; 1 while nothing is known.
+    pub fn pace(&self, server: ServerId, now: Instant) -> f64 {
+        self.servers.get(&server).map_or(1.0, |s| s.pace.at(now))
     }
 
     /// Part of what [`Self::begin`] added is over.
@@ -143,6 +231,14 @@
 
     /// Takes what a peer has under way, in place of what it said before.
     pub fn hear(&mut self, peer: InstanceId, work: Vec<(ServerId, Work)>, now: Instant) {
+        for (server, work) in &work {
+            let before = self.sent.insert((peer, *server), work.sent);
+            // What it sent and what was read since is no backlog; a teller that started anew counts
+            // from 0 and has sent no more than is unread.
+            let new = work.sent.wrapping_sub(before.unwrap_or(0)).min(work.unread);
+            let known = self.servers.entry(*server).or_default();
+            known.backlog.add(new, now);
+        }
         self.peers.insert(peer, (now, work));
         self.sum_others(now);
     }
@@ -151,6 +247,7 @@
     pub fn sweep(&mut self, keep: impl Fn(ServerId) -> bool, now: Instant) {
         self.sum_others(now);
         self.servers.retain(|id, s| s.own.running > 0 || keep(*id));
+        self.sent.retain(|(_, id), _| keep(*id));
     }
 
     fn sum_others(&mut self, now: Instant) {
--- a/crates/hawthornmill/src/routing/place.rs
+++ b/crates/hawthornmill/src/routing/place.rs
@@ -93,6 +93,11 @@
         self.0 += RATE_WEIGHT * (sample - self.0);
     }
 
+    /// Tokens that are read in a second.
+    pub fn per_second(self) -> f64 {
+        self.0 * 1000.0
+    }
+
     /// Time in which `tokens` are read.
     pub fn time(self, tokens: u32) -> Duration {
         Duration::from_secs_f64(f64::from(tokens) / self.0 / 1000.0)
@@ -151,6 +156,8 @@
     pub work: Work,
     /// Effort of the reading before its first token, its own included, in tokens.
     pub ahead: u32,
+    /// Time to the first token if the server is as fast as the others.
+    pub usual: Duration,
     /// Expected time to the first token.
     pub expected: Duration,
     /// The same if nothing were before it there.
@@ -168,6 +175,8 @@
     NoServer,
     /// All servers that could take it are full.
     AllFull,
+    /// It would be late even if nothing were before it.
+    TooLong,
 }
 
 struct Candidate {
@@ -267,10 +276,13 @@
         return None;
     }
     let effort = ask.shape.effort(read);
-    let ahead = total.unread + effort;
+    let ahead = view.loads.backlog(candidate.server, now) + effort;
+    let pace = view.loads.pace(candidate.server, now).max(1.0);
     let first = ask.engine.map_or(Duration::ZERO, |_| FIRST_TOKEN);
-    let expected = first + ask.rate.time(ahead) + ROUND_TRIPS[candidate.tier];
-    let alone = first + ask.rate.time(effort) + ROUND_TRIPS[candidate.tier];
+    let way = ROUND_TRIPS[candidate.tier];
+    let usual = first + ask.rate.time(ahead) + way;
+    let expected = usual.mul_f64(pace);
+    let alone = (first + ask.rate.time(effort)).mul_f64(pace) + way;
     if ask.part < 1.0 && expected > ask.objective.mul_f64(ask.part) {
         return None;
     }
@@ -281,8 +293,10 @@
             running: 1,
             unread: effort,
             held,
+            sent: 0,
         },
         ahead,
+        usual,
         expected,
         alone,
         again: read.saturating_sub(unique),
--- a/tests/testsuite/routing/desk.rs
+++ b/tests/testsuite/routing/desk.rs
@@ -59,6 +59,7 @@
         running: 1,
         unread: work.unread / 8,
         held: work.held / 8,
+        sent: 0,
     };
     desk.loads.end(hawthornmill::ident::ServerId::of("a1"), one);
     let decided = desk.turn(now + millis(20));
@@ -200,6 +201,53 @@
     );
 }
 
+/// A prompt too long for its objective is turned away while others wait. That says nothing of the
+/// room at the servers; taken for a shortage, it would shut out every account beyond its share for
+/// most of a second, before idle servers.
+#[test]
+fn a_prompt_that_is_late_on_idle_servers_tells_of_no_shortage() {
+    let now = Instant::now();
+    let mut desk = desk(ONE, now);
+    let told = vec![(drafter(), Standing::Owed)];
+    desk.hear(InstanceId::of("other"), &news(told, Vec::new()), now);
+    let mut long = request("lab", shape(1, 0, 20_000), now);
+    long.objective = millis(100);
+
+    let turned_away = desk.ask(&long, now);
+
+    assert!(matches!(turned_away, Verdict::Decided(Err(_))));
+    assert!(desk.told_short(now).is_empty());
+}
+
+/// Load pattern: one account asks for more than its share while nobody else finds no room. Held to a
+/// half of each server all the same, it would wait before servers that nobody uses.
+#[test]
+fn an_account_beyond_its_share_takes_more_while_nobody_lacks_room() {
+    let now = Instant::now();
+    let flood = AccountId::of("flood");
+    let usage = vec![(
+        flood,
+        Sums {
+            asked: 1e6,
+            got: 1e6,
+        },
+    )];
+    let placed = |short: Vec<_>| {
+        let mut desk = desk(ONE, now);
+        desk.token_rate = 10.0;
+        desk.instances = 100;
+        desk.hear(InstanceId::of("other"), &news(short, usage.clone()), now);
+        let asks = (0..8).map(|_| desk.ask(&request("flood", shape(1, 10, 10), now), now));
+        asks.filter(|v| matches!(v, Verdict::Decided(Ok(_))))
+            .count()
+    };
+
+    let calm = placed(Vec::new());
+    let short = placed(vec![(drafter(), Standing::Owed)]);
+
+    assert_eq!((calm, short), (6, 4));
+}
+
 #[test]
 fn a_caller_that_leaves_takes_its_request_out_of_the_line() {
     let now = Instant::now();
--- a/tests/testsuite/routing/loads.rs
+++ b/tests/testsuite/routing/loads.rs
@@ -11,14 +11,17 @@
     running: 1,
     unread: 500,
     held: 700,
+    sent: 0,
 };
+/// Tokens that the servers of these tests read in a second.
+const RATE: f64 = 100_000.0;
 
 #[test]
 fn work_here_and_elsewhere_is_summed_and_a_silent_peer_is_forgotten() {
     let now = Instant::now();
     let server = ServerId::of("s");
     let mut loads = Loads::default();
-    loads.begin(server, ONE);
+    loads.begin(server, ONE, RATE, now);
     loads.hear(InstanceId::of("other"), vec![(server, ONE)], now);
 
     let both = loads.total(server, now);
@@ -30,16 +33,18 @@
         Work {
             running: 2,
             unread: 1_000,
-            held: 1_400
+            held: 1_400,
+            sent: 500,
         }
     );
-    assert_eq!(own, ONE);
+    assert_eq!(own, Work { sent: 500, ..ONE });
 }
 
 /// Load pattern: a very long prompt goes to a server. The others hear of it with the next news, a fifth
 /// of a second later, and send a dozen short requests behind it meanwhile.
 #[test]
 fn much_new_work_is_told_before_the_next_news_and_little_is_not() {
+    let now = Instant::now();
     let server = ServerId::of("s");
     let mut loads = Loads::default();
     let long = Work {
@@ -47,9 +52,9 @@
         ..ONE
     };
 
-    loads.begin(server, ONE);
+    loads.begin(server, ONE, RATE, now);
     let after_short = loads.is_untold();
-    loads.begin(server, long);
+    loads.begin(server, long, RATE, now);
     let after_long = loads.is_untold();
     loads.told();
     let after_telling = loads.is_untold();
@@ -62,6 +67,70 @@
     );
 }
 
+/// Load pattern: a prompt of 20,000 tokens is nearly read. Counted whole until its first token, its
+/// server looks as busy as at its begin, and short requests are sent to servers that must read their
+/// shared part again.
+#[test]
+fn a_backlog_drains_while_its_prompts_are_read() {
+    let now = Instant::now();
+    let server = ServerId::of("s");
+    let mut loads = Loads::default();
+    let long = Work {
+        unread: 20_000,
+        ..ONE
+    };
+
+    loads.begin(server, long, RATE, now);
+    let backlogs = [0, 150, 400].map(|t| loads.backlog(server, now + millis(t)));
+
+    assert_eq!(backlogs, [20_000, 5_000, 0]);
+    assert_eq!(loads.total(server, now + millis(400)).unread, 20_000);
+}
+
+/// Peers tell the same work again and again, and some of their reports are lost. What they sent must
+/// count once, from whichever report tells of it first, and what was read meanwhile not at all.
+#[test]
+fn what_a_peer_sent_joins_the_backlog_once() {
+    let now = Instant::now();
+    let (peer, server) = (InstanceId::of("other"), ServerId::of("s"));
+    let mut loads = Loads::default();
+    loads.begin(server, ONE, RATE, now);
+    let told = |sent, unread| {
+        let work = Work {
+            unread,
+            sent,
+            ..ONE
+        };
+        vec![(server, work)]
+    };
+
+    loads.hear(peer, told(50_000, 4_000), now);
+    let first = loads.backlog(server, now);
+    loads.hear(peer, told(50_000, 4_000), now);
+    let repeated = loads.backlog(server, now);
+    loads.hear(peer, told(53_000, 7_000), now);
+    let more = loads.backlog(server, now);
+
+    assert_eq!([first, repeated, more], [4_500, 4_500, 7_500]);
+}
+
+/// A server turns slow and fails nothing. What it is sent comes late, while idle servers stand by.
+#[test]
+fn a_slow_server_is_known_by_its_answers_and_tried_again_later() {
+    let now = Instant::now();
+    let (slow, other) = (ServerId::of("slow"), ServerId::of("other"));
+    let mut loads = Loads::default();
+
+    for _ in 0..10 {
+        loads.observe(slow, millis(100), millis(500), now);
+        loads.observe(other, millis(100), millis(110), now);
+    }
+
+    assert!(loads.pace(slow, now) > 3.0);
+    assert!(loads.pace(other, now) < 1.2);
+    assert!(loads.pace(slow, now + millis(10_000)) < 1.2);
+}
+
 /// A router dies and its requests run on at the server. Nobody here knows of them, but the server's
 /// own report, which rides on its answers, does.
 #[test]
@@ -94,7 +163,7 @@
     loads.judge(server, Verdict::Unreachable, now);
     let resting = loads.is_down(server, now + millis(100));
     let over = loads.is_down(server, now + millis(500));
-    loads.begin(server, ONE);
+    loads.begin(server, ONE, RATE, now);
     let tried = loads.is_down(server, now + millis(500));
     loads.judge(server, Verdict::Sound, now + millis(600));
     let sound = loads.is_down(server, now + millis(600));
--- a/tests/testsuite/routing/mates.rs
+++ b/tests/testsuite/routing/mates.rs
@@ -55,7 +55,7 @@
 fn work_is_told_to_all_in_a_small_fleet_and_to_the_own_domain_in_a_large_one() {
     let now = Instant::now();
     let mut mates = Mates::new(DomainId::of("a"));
-    let mut hear = |mates: &mut Mates, number: u16| {
+    let hear = |mates: &mut Mates, number: u16| {
         let mut news = news(1_000 + 2 * number, 1, Vec::new());
         if number % 2 == 1 {
             news.mate.domain = DomainId::of("b");
