Sum up by failure domain in a large fleet; tell a breach's story in the soak

Cause: in a fleet of 73 or 87, instances of other failure domains got one piece of news in four, so costs and work were 0.8 s old there, and news grew with the square of the fleet. Two relays of each domain, picked by a hash over the live ones, now tell one relay of each other domain by turns what the domain has in sum; it passes that on as it came. A relay that is cut off or gone costs a round.

--- a/crates/hawthornmill-gateway/src/mates.rs
+++ b/crates/hawthornmill-gateway/src/mates.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use hawthornmill::ident::{Incarnation, InstanceId};
+use hawthornmill::routing::digest::{DomainWork, Member};
 use hawthornmill::routing::news::{Knowledge, Mate, News, Pull, Seen};
 use hawthornmill::wire::frame::{DATAGRAM_LIMIT, FrameError};
 use hawthornmill::wire::{Message, Opener, Sealer};
@@ -79,6 +81,75 @@
             // An unreachable mate shows as an error here; it is silent to us either way.
             let _sent = socket.try_send_to(&frame, *target);
         }
+        relay(&gateway, &mut sealer, &socket, round);
+    }
+}
+
+/// Tells the other failure domains what this one has, if this instance is one of its relays.
+fn relay(gateway: &Gateway, sealer: &mut Sealer, socket: &UdpSocket, round: u64) {
+    let now = gateway.now();
+    let Some(rank) = gateway.mates.borrow().relay_rank(gateway.me, now) else {
+        return;
+    };
+    let targets = gateway.mates.borrow().relays(rank, round, now);
+    for message in domain_news(gateway, now) {
+        let Ok(frame) = sealer.seal(&message) else {
+            log::error!(target: "mates", "a domain's news can't be encoded");
+            continue;
+        };
+        for target in &targets {
+            // An unreachable mate shows as an error here; it is silent to us either way.
+            let _sent = socket.try_send_to(&frame, *target);
+        }
+    }
+}
+
+fn domain_news(gateway: &Gateway, now: Instant) -> Vec<Message> {
+    let settings = gateway.settings();
+    let mates = gateway.mates.borrow();
+    let mut desk = gateway.desk.borrow_mut();
+    let mut members: Vec<Member> = mates
+        .domain_mates(now)
+        .map(|(id, h)| Member {
+            id,
+            run: h.incarnation,
+            mate: h.mate,
+            ready: h.ready,
+            leaving: h.leaving,
+            reading: h.reading,
+            version: h.version,
+            revision: h.revision,
+        })
+        .collect();
+    let ids: Vec<InstanceId> = members.iter().map(|m| m.id).collect();
+    members.push(Member {
+        id: gateway.me,
+        run: gateway.incarnation,
+        mate: mate(gateway),
+        ready: gateway.is_ready(),
+        leaving: gateway.phase() > Phase::Serving,
+        reading: gateway.reading.get(),
+        version: gateway.version(),
+        revision: desk.registry.latest(),
+    });
+    let work = desk.loads.sum(&ids);
+    let mut usage = desk.usage.sum(&ids, now);
+    usage.sort_by(|a, b| b.1.asked.total_cmp(&a.1.asked));
+    usage.truncate(MOST_TOLD);
+    let members = desk.members(settings.domain, members, now);
+    let parts = DomainWork::parts(settings.domain, &work, &usage);
+    let parts = parts.into_iter().map(|p| Message::DomainWork(Box::new(p)));
+    std::iter::once(Message::Members(Box::new(members)))
+        .chain(parts)
+        .collect()
+}
+
+fn mate(gateway: &Gateway) -> Mate {
+    let settings = gateway.settings();
+    Mate {
+        front: settings.listen.front,
+        peer: settings.listen.peer,
+        domain: settings.domain,
     }
 }
 
@@ -103,7 +174,6 @@
 }
 
 fn news(gateway: &Gateway, round: u64, now: Instant) -> News {
-    let settings = gateway.settings();
     let mut desk = gateway.desk.borrow_mut();
     let mut work = desk.loads.own();
     work.truncate(MOST_TOLD);
@@ -111,11 +181,7 @@
     usage.sort_by(|a, b| b.1.asked.total_cmp(&a.1.asked));
     usage.truncate(MOST_TOLD);
     News {
-        mate: Mate {
-            front: settings.listen.front,
-            peer: settings.listen.peer,
-            domain: settings.domain,
-        },
+        mate: mate(gateway),
         ready: gateway.is_ready(),
         leaving: gateway.phase() > Phase::Serving,
         reading: gateway.reading.get(),
@@ -135,7 +201,7 @@
     let mut buffer = vec![0; 65_536];
     let mut echoes = 0;
     loop {
-        let Ok((length, _from)) = socket.recv_from(&mut buffer).await else {
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
             // An unreachable mate shows as an error on the next receive; the socket is still good.
             tokio::task::yield_now().await;
             continue;
@@ -143,25 +209,10 @@
         match opener.open(&buffer[..length]) {
             Ok(frame) if frame.sender == gateway.me => {}
             Ok(frame) => {
-                let now = gateway.now();
-                let news = match frame.message {
-                    Message::News(news) => news,
-                    Message::Work(work) => {
-                        let mut desk = gateway.desk.borrow_mut();
-                        desk.loads.hear(frame.sender, work, now);
-                        continue;
-                    }
-                    _ => continue,
-                };
-                let mut mates = gateway.mates.borrow_mut();
-                if let Some(change) = mates.hear(frame.sender, frame.incarnation, &news, now) {
-                    note(change, news.mate.peer, mates.live(now).count());
-                }
-                let mut desk = gateway.desk.borrow_mut();
-                desk.hear(frame.sender, &news, now);
-                if desk.waiting() > 0 {
-                    gateway.nudge.notify_one();
+                if matches!(frame.message, Message::Members(_) | Message::DomainWork(_)) {
+                    pass_on(&gateway, &socket, &buffer[..length], from);
                 }
+                take(&gateway, frame.sender, frame.incarnation, frame.message);
             }
             Err(FrameError::Replayed) => {
                 echoes += 1;
@@ -175,6 +226,62 @@
     }
 }
 
+/// Passes what another failure domain tells on to the own one, if this instance is one of its relays.
+///
+/// What came from the own domain was passed on by another relay.
+fn pass_on(gateway: &Gateway, socket: &UdpSocket, frame: &[u8], from: SocketAddr) {
+    let now = gateway.now();
+    let mates = gateway.mates.borrow();
+    if mates.relay_rank(gateway.me, now).is_none() || mates.is_domain_mate(from) {
+        return;
+    }
+    for (_, mate) in mates.domain_mates(now) {
+        // An unreachable mate shows as an error here; it is silent to us either way.
+        let _sent = socket.try_send_to(frame, mate.mate.peer);
+    }
+}
+
+/// Takes one message of another instance.
+fn take(gateway: &Gateway, sender: InstanceId, run: Incarnation, message: Message) {
+    let now = gateway.now();
+    let own = gateway.settings().domain;
+    match message {
+        Message::News(news) => take_news(gateway, sender, run, &news),
+        Message::Work(work) => gateway.desk.borrow_mut().loads.hear(sender, work, now),
+        Message::Members(told) if told.domain != own => {
+            for member in told.members.iter().filter(|m| m.id != gateway.me) {
+                let mut mates = gateway.mates.borrow_mut();
+                if let Some(change) = mates.hear_member(member, now) {
+                    note(change, member.mate.peer, mates.live(now).count());
+                }
+            }
+            gateway.desk.borrow_mut().hear_members(&told, now);
+        }
+        Message::DomainWork(told) if told.domain != own => {
+            gateway.desk.borrow_mut().hear_work(*told, now);
+        }
+        _ => {}
+    }
+}
+
+fn take_news(gateway: &Gateway, sender: InstanceId, run: Incarnation, news: &News) {
+    let now = gateway.now();
+    let mut mates = gateway.mates.borrow_mut();
+    if let Some(change) = mates.hear(sender, run, news, now) {
+        note(change, news.mate.peer, mates.live(now).count());
+    }
+    let own = gateway.settings().domain;
+    if mates.is_large() && news.mate.domain != own {
+        // Its domain's sums hold the same; counted here too, its work would count twice.
+        return;
+    }
+    let mut desk = gateway.desk.borrow_mut();
+    desk.hear(sender, news, now);
+    if desk.waiting() > 0 {
+        gateway.nudge.notify_one();
+    }
+}
+
 fn note(change: Seen, mate: SocketAddr, live: usize) {
     let fields = json!({"mate": mate.to_string(), "how": format!("{change:?}"), "live": live});
     journal::belief("mate", fields);
--- a/crates/hawthornmill/src/routing/desk.rs
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -14,6 +14,7 @@
 
 use super::budget::Budget;
 use super::catalog::Engine;
+use super::digest::{self, DomainWork, Member, Members};
 use super::loads::{Loads, Work};
 use super::memory::PrefixMemory;
 use super::news::News;
@@ -156,8 +157,9 @@
     line: SlotMap<Ticket, Request>,
     shares: BTreeMap<AccountId, Share>,
     short: BTreeMap<(ServiceId, Standing), Instant>,
-    heard_short: BTreeMap<(ServiceId, Standing, InstanceId), Instant>,
+    heard_short: BTreeMap<(ServiceId, Standing, InstanceId), (Instant, u16)>,
     strays: VecDeque<(PrefixKey, ServerId, Instant)>,
+    heard_strays: VecDeque<(PrefixKey, ServerId, Instant)>,
     shared: Option<Instant>,
 }
 
@@ -181,6 +183,7 @@
             short: BTreeMap::new(),
             heard_short: BTreeMap::new(),
             strays: VecDeque::new(),
+            heard_strays: VecDeque::new(),
             shared: None,
         }
     }
@@ -374,10 +377,7 @@
             .begin(choice.server, choice.work, ask.rate.per_second(), now);
         self.memory.note(choice.server, &request.shape, now);
         if let (true, Some(family)) = (choice.stray, request.shape.family()) {
-            if self.strays.len() >= MOST_STRAYS {
-                self.strays.pop_front();
-            }
-            self.strays.push_back((family, choice.server, now));
+            push_stray(&mut self.strays, family, choice.server, now);
         }
         if let Some(account) = request.account
             && request.tried.is_empty()
@@ -438,8 +438,9 @@
             .iter()
             .any(|((s, better), at)| counts(*s, *better, *at));
         let heard = self.heard_short.iter();
-        let others = heard.filter(|((s, better, _), at)| counts(*s, *better, **at));
-        usize::from(own) + others.count()
+        let others = heard.filter(|((s, better, _), (at, _))| counts(*s, *better, *at));
+        let others: usize = others.map(|(_, (_, count))| usize::from(*count)).sum();
+        usize::from(own) + others
     }
 
     /// Services for which requests found no room lately, for the others.
@@ -467,8 +468,59 @@
             self.memory.hear(*server, *family, now);
         }
         for key in &news.short {
-            self.heard_short.insert((key.0, key.1, from), now);
+            self.heard_short.insert((key.0, key.1, from), (now, 1));
+        }
+        for (family, server) in &news.strays {
+            push_stray(&mut self.heard_strays, *family, *server, now);
+        }
+    }
+
+    /// What the own failure domain tells the others: `members` are its live instances, this one among them.
+    pub fn members(&mut self, domain: DomainId, members: Vec<Member>, now: Instant) -> Members {
+        let mut short: BTreeMap<(ServiceId, Standing), u16> = BTreeMap::new();
+        for key in self.told_short(now) {
+            *short.entry(key).or_default() += 1;
+        }
+        for ((service, standing, from), (at, _)) in &self.heard_short {
+            let ours = members.iter().any(|m| m.id == *from);
+            if ours && now.duration_since(*at) < SHORT {
+                *short.entry((*service, *standing)).or_default() += 1;
+            }
+        }
+        let fresh = |at: &Instant| now.duration_since(*at) < TOLD;
+        self.heard_strays.retain(|(_, _, at)| fresh(at));
+        let all = self.strays.iter().chain(&self.heard_strays).rev();
+        let strays = all.filter(|(_, _, at)| fresh(at));
+        Members {
+            domain,
+            members,
+            short: short.into_iter().map(|((s, st), n)| (s, st, n)).collect(),
+            strays: strays
+                .take(digest::MOST_STRAYS)
+                .map(|(f, s, _)| (*f, *s))
+                .collect(),
+        }
+    }
+
+    /// Takes what another failure domain tells of itself.
+    pub fn hear_members(&mut self, members: &Members, now: Instant) {
+        let teller = digest::teller(members.domain, 0);
+        for (service, standing, count) in &members.short {
+            self.heard_short
+                .insert((*service, *standing, teller), (now, *count));
+        }
+        for (family, server) in &members.strays {
+            self.memory.hear(*server, *family, now);
+        }
+    }
+
+    /// Takes what another failure domain has under way.
+    pub fn hear_work(&mut self, told: DomainWork, now: Instant) {
+        let teller = told.teller();
+        if told.part == 0 {
+            self.usage.hear(teller, told.usage, now);
         }
+        self.loads.hear(teller, told.work, now);
     }
 
     /// Tells whether a request can't get to the head of the line while it may wait.
@@ -526,6 +578,18 @@
     }
 }
 
+fn push_stray(
+    strays: &mut VecDeque<(PrefixKey, ServerId, Instant)>,
+    family: PrefixKey,
+    server: ServerId,
+    now: Instant,
+) {
+    if strays.len() >= MOST_STRAYS {
+        strays.pop_front();
+    }
+    strays.push_back((family, server, now));
+}
+
 fn patience_end(request: &Request) -> Instant {
     (request.came + request.objective.mul_f64(PATIENCE)).min(request.ends)
 }
--- a/crates/hawthornmill/src/routing/loads.rs
+++ b/crates/hawthornmill/src/routing/loads.rs
@@ -229,13 +229,24 @@
         busy.map(|(id, s)| (*id, s.own)).collect()
     }
 
+    /// What this instance and the `members` of its failure domain have under way, in sum.
+    pub fn sum(&self, members: &[InstanceId]) -> Vec<(ServerId, Work)> {
+        let mut all: BTreeMap<ServerId, Work> = self.own().into_iter().collect();
+        let peers = members.iter().filter_map(|id| self.peers.get(id));
+        for (server, work) in peers.flat_map(|(_, list)| list) {
+            all.entry(*server).or_default().add(*work);
+        }
+        all.into_iter().collect()
+    }
+
     /// Takes what a peer has under way, in place of what it said before.
     pub fn hear(&mut self, peer: InstanceId, work: Vec<(ServerId, Work)>, now: Instant) {
         for (server, work) in &work {
             let before = self.sent.insert((peer, *server), work.sent);
-            // What it sent and what was read since is no backlog; a teller that started anew counts
-            // from 0 and has sent no more than is unread.
-            let new = work.sent.wrapping_sub(before.unwrap_or(0)).min(work.unread);
+            // What it sent and what was read since is no backlog. The count falls when a teller starts
+            // anew, or when a domain's sum misses a member: that brings nothing new.
+            let grown = work.sent.wrapping_sub(before.unwrap_or(0)).cast_signed();
+            let new = (grown.max(0).cast_unsigned()).min(work.unread);
             let known = self.servers.entry(*server).or_default();
             known.backlog.add(new, now);
         }
--- a/crates/hawthornmill/src/routing/mod.rs
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -15,10 +15,12 @@
 //! | [`budget`] | second sends over the fleet |
 //! | [`desk`] | letting in, waiting, turning away |
 //! | [`news`] | what instances tell each other |
+//! | [`digest`] | what failure domains tell each other in a large fleet |
 
 pub mod budget;
 pub mod catalog;
 pub mod desk;
+pub mod digest;
 pub mod loads;
 pub mod memory;
 pub mod news;
--- a/crates/hawthornmill/src/routing/news.rs
+++ b/crates/hawthornmill/src/routing/news.rs
@@ -12,6 +12,7 @@
 use smallvec::SmallVec;
 
 use super::catalog::Catalog;
+use super::digest::Member;
 use super::loads::Work;
 use super::registry::Change;
 use super::shape::PrefixKey;
@@ -20,12 +21,16 @@
 
 /// Silence after which an instance is no longer named to callers; about six lost news.
 const SILENT: Duration = Duration::from_millis(1_300);
-/// The same for one that sends news only once in [`FAR_ROUNDS`]; about three lost news.
+/// The same for one of another failure domain in a larger fleet; a dozen lost tellings of relays.
 const FAR_SILENT: Duration = Duration::from_millis(2_600);
 /// Silence after which an instance is forgotten.
 const FORGOTTEN: Duration = Duration::from_mins(1);
-/// Rounds of which one goes to an instance of another failure domain in a larger fleet.
+/// Rounds of which one goes to seeds, and to those of other failure domains that tell us, in a larger fleet.
 const FAR_ROUNDS: u64 = 4;
+/// Relays of a failure domain in a larger fleet: one may be cut off or gone, and not yet count as silent.
+const RELAYS: usize = 2;
+/// Time for which an instance of another failure domain that told us itself is told news in a larger fleet.
+const DIRECT: Duration = Duration::from_secs(2);
 /// Instances up to which all follow the store.
 const SMALL_FLEET: usize = 12;
 /// Instances of one failure domain that follow the store in a larger fleet.
@@ -122,8 +127,10 @@
     pub version: u64,
     /// Revision of its registrations.
     pub revision: u64,
-    /// When it was last heard.
+    /// When it was last heard, itself or by a relay.
     pub at: Instant,
+    /// When it was last heard itself.
+    pub direct: Option<Instant>,
     /// Silence after which it counts as gone.
     pub patience: Duration,
 }
@@ -187,6 +194,7 @@
             version: news.version,
             revision: news.revision,
             at: now,
+            direct: Some(now),
             patience: if far { FAR_SILENT } else { SILENT },
         };
         self.heard.insert(from, heard);
@@ -199,6 +207,86 @@
         seen
     }
 
+    /// Takes what a relay of another failure domain tells of one of its instances; tells what it changes.
+    pub fn hear_member(&mut self, member: &Member, now: Instant) -> Option<Seen> {
+        let known = self.heard.get(&member.id);
+        let before = known.filter(|h| h.incarnation == member.run);
+        let leaving = member.leaving || before.is_some_and(|h| h.leaving);
+        let seen = match before {
+            None => Some(Seen::Started),
+            Some(before) if now.duration_since(before.at) >= before.patience => {
+                Some(Seen::Returned)
+            }
+            Some(before) if leaving && !before.leaving => Some(Seen::Leaving),
+            Some(_) => None,
+        };
+        let heard = Heard {
+            mate: member.mate,
+            incarnation: member.run,
+            ready: member.ready,
+            leaving,
+            reading: member.reading,
+            version: member.version,
+            revision: member.revision,
+            at: now,
+            direct: known.and_then(|h| h.direct),
+            patience: FAR_SILENT,
+        };
+        self.heard.insert(member.id, heard);
+        self.contacts.remove(&member.mate.peer);
+        let live = self.live(now).count() + 1;
+        self.most = self.most.max(live);
+        seen
+    }
+
+    /// Tells whether the fleet is so large that failure domains tell each other sums.
+    pub fn is_large(&self) -> bool {
+        self.heard.len() >= SMALL_FLEET
+    }
+
+    /// Live instances of the own failure domain besides this one.
+    pub fn domain_mates(&self, now: Instant) -> impl Iterator<Item = (InstanceId, &Heard)> {
+        self.live(now).filter(|(_, h)| h.mate.domain == self.domain)
+    }
+
+    /// Place of instance `me` among the relays of its domain; none when it is no relay.
+    pub fn relay_rank(&self, me: InstanceId, now: Instant) -> Option<usize> {
+        if !self.is_large() {
+            return None;
+        }
+        let mine = mix(self.domain.0 ^ me.0);
+        let others = self.domain_mates(now).filter(|(_, h)| !h.leaving);
+        let before = others
+            .filter(|(id, _)| mix(self.domain.0 ^ id.0) > mine)
+            .count();
+        (before < RELAYS).then_some(before)
+    }
+
+    /// Whom the relay of `rank` tells in `round`: one relay of each other failure domain, by turns, so
+    /// that one that is cut off hides nothing for longer than a round.
+    pub fn relays(&self, rank: usize, round: u64, now: Instant) -> Vec<SocketAddr> {
+        let mut domains: BTreeMap<DomainId, SmallVec<[(u64, SocketAddr); 16]>> = BTreeMap::new();
+        let far = self
+            .live(now)
+            .filter(|(_, h)| h.mate.domain != self.domain && !h.leaving);
+        for (id, heard) in far {
+            let domain = heard.mate.domain;
+            let ranked = domains.entry(domain).or_default();
+            ranked.push((mix(domain.0 ^ id.0), heard.mate.peer));
+        }
+        let turn = |mut ranked: SmallVec<[(u64, SocketAddr); 16]>| {
+            ranked.sort_unstable_by(|a, b| b.cmp(a));
+            ranked[(rank + round as usize) % RELAYS.min(ranked.len())].1
+        };
+        domains.into_values().map(turn).collect()
+    }
+
+    /// Tells whether `address` is that of an instance of the own failure domain.
+    pub fn is_domain_mate(&self, address: SocketAddr) -> bool {
+        let mut all = self.heard.values();
+        all.any(|h| h.mate.domain == self.domain && h.mate.peer == address)
+    }
+
     /// The greatest number of instances that were heard at once, this one included.
     pub const fn most(&self) -> usize {
         self.most
@@ -260,7 +348,7 @@
 
     /// Whom to tell of work at once: everybody in a small fleet, the own failure domain in a larger one.
     pub fn near(&self, now: Instant) -> Vec<SocketAddr> {
-        let large = self.heard.len() >= SMALL_FLEET;
+        let large = self.is_large();
         let near = self
             .live(now)
             .filter(|(_, h)| !large || h.mate.domain == self.domain);
@@ -269,16 +357,19 @@
 
     /// Where to send news in `round`: everybody heard, everybody named by others, and `seeds`.
     ///
-    /// In a large fleet, instances of other failure domains get one piece in four: news grow with the
-    /// square of the fleet, and between failure domains they are billed.
+    /// In a large fleet, the other failure domains hear from relays, and only those of their instances
+    /// that tell us themselves, as one does that starts, get news now and then.
     pub fn targets(&mut self, seeds: &[SocketAddr], round: u64, now: Instant) -> Vec<SocketAddr> {
         self.heard
             .retain(|_, h| now.duration_since(h.at) < FORGOTTEN);
         self.contacts
             .retain(|_, at| now.duration_since(*at) < FORGOTTEN);
-        let large = self.heard.len() >= SMALL_FLEET;
+        let large = self.is_large();
         let due = |id: &InstanceId, h: &Heard| {
-            !large || h.mate.domain == self.domain || (id.0 ^ round).is_multiple_of(FAR_ROUNDS)
+            let direct = h.direct.is_some_and(|at| now.duration_since(at) < DIRECT);
+            !large
+                || h.mate.domain == self.domain
+                || (direct && (id.0 ^ round).is_multiple_of(FAR_ROUNDS))
         };
         let heard = self.heard.iter().filter(|(id, h)| due(id, h));
         let mut all: Vec<SocketAddr> = heard.map(|(_, h)| h.mate.peer).collect();
--- a/crates/hawthornmill/src/routing/usage.rs
+++ b/crates/hawthornmill/src/routing/usage.rs
@@ -144,6 +144,18 @@
         sums.filter(|(_, s)| s.asked > 0.0).collect()
     }
 
+    /// Sums of this instance and the `members` of its failure domain.
+    pub fn sum(&mut self, members: &[InstanceId], now: Instant) -> Vec<(AccountId, Sums)> {
+        let mut all: BTreeMap<AccountId, Sums> = self.own(now).into_iter().collect();
+        let peers = members.iter().filter_map(|id| self.peers.get(id));
+        for (account, sums) in peers.flat_map(|(_, list)| list) {
+            let total = all.entry(*account).or_default();
+            total.asked += sums.asked;
+            total.got += sums.got;
+        }
+        all.into_iter().collect()
+    }
+
     /// Takes a peer's sums in place of what it said before.
     pub fn hear(&mut self, peer: InstanceId, sums: Vec<(AccountId, Sums)>, now: Instant) {
         self.peers.insert(peer, (now, sums));
--- a/crates/hawthornmill/src/wire/message.rs
+++ b/crates/hawthornmill/src/wire/message.rs
@@ -6,6 +6,7 @@
 use crate::config::Manifest;
 use crate::fairness::CostKey;
 use crate::ident::{AccountId, Incarnation, InstanceId, PoolId, ServerId};
+use crate::routing::digest::{DomainWork, Members};
 use crate::routing::loads::Work;
 use crate::routing::news::{Knowledge, News, Pull};
 
@@ -313,6 +314,10 @@
     News(Box<News>),
     /// Work that an instance of the gateway has under way, between two pieces of news, over UDP.
     Work(Vec<(ServerId, Work)>),
+    /// Who is in a failure domain of a large fleet, over UDP.
+    Members(Box<Members>),
+    /// What such a domain has under way, over UDP.
+    DomainWork(Box<DomainWork>),
     /// Asks an instance of the gateway for newer knowledge.
     Pull(Pull),
     /// Answers with it.
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -29,6 +29,7 @@
 use argh::FromArgs;
 
 use callers::Outcome;
+use fleet::Fleet;
 use plan::Size;
 use plant::Plant;
 use promises::{Breach, Records, check};
@@ -117,7 +118,7 @@
         let faults = steps.len();
         let (records, fleet) = world::play(*seed, size, steps, None).await;
         let breaches = check(&records);
-        tell(*seed, &records, faults, &breaches);
+        tell(*seed, &records, faults, &breaches, &fleet);
         if !breaches.is_empty() {
             failed += 1;
             if let Some(keep) = keep {
@@ -128,7 +129,7 @@
     failed
 }
 
-fn tell(seed: u64, records: &Records, faults: usize, breaches: &[Breach]) {
+fn tell(seed: u64, records: &Records, faults: usize, breaches: &[Breach], fleet: &Fleet) {
     let count = |wanted: &dyn Fn(u16) -> bool| {
         let all = records.seen.iter();
         all.filter(|s| matches!(s.outcome, Outcome::Answer { .. }) && wanted(s.status()))
@@ -141,7 +142,14 @@
         breaches.len()
     );
     for breach in breaches.iter().take(10) {
-        println!("         {}: {} {}", breach.promise, breach.id, breach.what);
+        let at = breach.at.map_or(0.0, |at| records.since(at).as_secs_f64());
+        println!(
+            "         {at:.3} s {}: {} {}",
+            breach.promise, breach.id, breach.what
+        );
+        if !breach.id.is_empty() {
+            println!("{}", fleet.story(&breach.id));
+        }
     }
 }
 
--- a/tests/soak/promises.rs
+++ b/tests/soak/promises.rs
@@ -66,13 +66,28 @@
     pub promise: &'static str,
     /// The attempt by which it shows; empty where it is none.
     pub id: Box<str>,
+    /// When that attempt was sent.
+    pub at: Option<Instant>,
     /// What was seen.
     pub what: String,
 }
 
 fn breach(promise: &'static str, id: &str, what: String) -> Breach {
     let id = id.into();
-    Breach { promise, id, what }
+    Breach {
+        promise,
+        id,
+        at: None,
+        what,
+    }
+}
+
+impl Records {
+    /// Time from the first attempt to `at`.
+    pub fn since(&self, at: Instant) -> Duration {
+        let first = self.seen.iter().map(|s| s.sent).min();
+        first.map_or(Duration::ZERO, |first| at.saturating_duration_since(first))
+    }
 }
 
 /// Every promise that was not kept.
@@ -103,6 +118,10 @@
     all.extend(recovered(records));
     all.extend(unasked(records));
     all.extend(ended(records));
+    for breach in &mut all {
+        let seen = records.seen.iter().find(|s| s.id == breach.id);
+        breach.at = seen.map(|s| s.sent);
+    }
     all
 }
 
--- a/tests/testsuite/gateway/fleet.rs
+++ b/tests/testsuite/gateway/fleet.rs
@@ -296,6 +296,23 @@
         }
     }
 
+    /// What the gateways logged of the attempt `id`, as one story.
+    pub fn story(&self, id: &str) -> String {
+        let mut parts: Vec<_> = self
+            .gateways
+            .iter()
+            .filter_map(|gateway| {
+                let text = std::fs::read_to_string(&gateway.log).unwrap_or_default();
+                hawthornmill_tools::request::read(&gateway.log.to_string_lossy(), &text, id)
+            })
+            .collect();
+        parts.sort_by_key(|p| p.steps.first().map(|l| l.time));
+        hawthornmill_tools::request::text(&hawthornmill_tools::request::Story {
+            request: id.into(),
+            parts,
+        })
+    }
+
     /// Copies what the gateways wrote to `to`.
     pub fn keep_logs(&self, to: &std::path::Path) {
         std::fs::create_dir_all(to).expect("the directory can be made");
--- /dev/null
+++ b/tests/testsuite/routing/digest.rs
@@ -0,0 +1,237 @@
+//! What failure domains of a large fleet tell each other.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use hawthornmill::ident::{AccountId, DomainId, Incarnation, InstanceId, ServerId};
+use hawthornmill::routing::digest::{DomainWork, Member};
+use hawthornmill::routing::loads::{Loads, Work};
+use hawthornmill::routing::news::{Mate, Mates, News, Reading};
+use hawthornmill::routing::usage::Sums;
+use hawthornmill::wire::frame::DATAGRAM_LIMIT;
+use hawthornmill::wire::{Message, Sealer};
+
+use super::{desk, millis};
+
+const ONE: Work = Work {
+    running: 1,
+    unread: 500,
+    held: 700,
+    sent: 500,
+};
+
+fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], number))
+}
+
+fn name(number: u16) -> InstanceId {
+    InstanceId::of(&format!("r{number}"))
+}
+
+/// The domain of an instance: six of each.
+fn domain(number: u16) -> DomainId {
+    DomainId::of(["a", "b", "c"][usize::from(number / 6)])
+}
+
+fn mate(number: u16) -> Mate {
+    Mate {
+        front: address(2 * number + 1_000),
+        peer: address(2 * number + 1_001),
+        domain: domain(number),
+    }
+}
+
+fn news(number: u16) -> News {
+    News {
+        mate: mate(number),
+        ready: true,
+        leaving: false,
+        reading: Reading::Answered,
+        version: 1,
+        revision: 1,
+        work: Vec::new(),
+        usage: Vec::new(),
+        strays: Vec::new(),
+        short: Vec::new(),
+        others: Vec::new(),
+    }
+}
+
+fn member(number: u16) -> Member {
+    Member {
+        id: name(number),
+        run: Incarnation(1),
+        mate: mate(number),
+        ready: true,
+        leaving: false,
+        reading: Reading::Answered,
+        version: 1,
+        revision: 1,
+    }
+}
+
+/// What instance `me` of a fleet of 18 knows, the own domain by news and the others by their relays.
+fn mates(me: u16, now: Instant) -> Mates {
+    let mut mates = Mates::new(domain(me));
+    for number in (0..18).filter(|n| *n != me) {
+        if domain(number) == domain(me) {
+            mates.hear(name(number), Incarnation(1), &news(number), now);
+        } else {
+            mates.hear_member(&member(number), now);
+        }
+    }
+    mates
+}
+
+#[test]
+fn two_instances_of_each_domain_relay_and_others_take_over() {
+    let now = Instant::now();
+    let relays: Vec<u16> = (0..6)
+        .filter(|me| mates(*me, now).relay_rank(name(*me), now).is_some())
+        .collect();
+    let after = |me: u16| {
+        let mut mates = mates(me, now);
+        let later = now + millis(1_500);
+        for number in (0..6).filter(|n| !relays.contains(n) && *n != me) {
+            mates.hear(name(number), Incarnation(1), &news(number), later);
+        }
+        mates.relay_rank(name(me), later).is_some()
+    };
+
+    let heirs = (0..6).filter(|n| !relays.contains(n) && after(*n)).count();
+
+    assert_eq!(relays.len(), 2);
+    assert_eq!(heirs, 2, "the relays fell silent");
+}
+
+/// One relay of a domain is cut off and does not count as silent yet. Told by turns, its domain hears
+/// by the other one in the next round.
+#[test]
+fn relays_of_other_domains_are_told_by_turns() {
+    let now = Instant::now();
+    let mates = mates(0, now);
+
+    let (first, second, third) = (
+        mates.relays(0, 0, now),
+        mates.relays(0, 1, now),
+        mates.relays(0, 2, now),
+    );
+
+    assert_eq!(first.len(), 2, "one of each other domain");
+    assert!(first.iter().all(|a| !second.contains(a)));
+    assert_eq!(first, third);
+}
+
+/// In a large fleet, news to every instance would grow with the square of the fleet.
+#[test]
+fn news_of_a_large_fleet_stay_in_the_domain() {
+    let now = Instant::now();
+    let mut mates = mates(0, now);
+
+    let targets = mates.targets(&[], 1, now);
+
+    assert_eq!(targets.len(), 5);
+    assert!(targets.iter().all(|a| mates.is_domain_mate(*a)));
+}
+
+/// An instance starts in a large fleet and knows only a seed, in another domain. The seed must tell it
+/// of the others, though its own domain is not the seed's.
+#[test]
+fn an_instance_that_tells_us_itself_hears_back_from_another_domain() {
+    let now = Instant::now();
+    let mut mates = mates(0, now);
+
+    mates.hear(name(7), Incarnation(2), &news(7), now);
+    let told = (0..4).any(|round| mates.targets(&[], round, now).contains(&mate(7).peer));
+    let later = (0..4).any(|round| {
+        let at = now + millis(2_100);
+        mates.targets(&[], round, at).contains(&mate(7).peer)
+    });
+
+    assert!(told);
+    assert!(!later, "its relay tells of it by now");
+}
+
+/// A domain's sums replace what it told before, whichever of its relays tells them, and count once.
+#[test]
+fn a_domain_counts_as_one_teller() {
+    let now = Instant::now();
+    let server = ServerId::of("s");
+    let mut desk = desk(&[("s", "a")], now);
+    let usage = vec![(
+        AccountId::of("lab"),
+        Sums {
+            asked: 10.0,
+            got: 5.0,
+        },
+    )];
+    let told = DomainWork::parts(DomainId::of("b"), &[(server, ONE)], &usage);
+
+    for _ in 0..3 {
+        for part in &told {
+            desk.hear_work(part.clone(), now);
+        }
+    }
+
+    assert_eq!(desk.loads.total(server, now).running, 1);
+    assert_eq!(desk.usage.fleet(now)[&AccountId::of("lab")], usage[0].1);
+}
+
+/// A domain's sum falls when one of its relays has not heard of a member yet. Taken for a count that
+/// wrapped, the difference would be four thousand million tokens of new work.
+#[test]
+fn a_sum_that_falls_brings_no_new_backlog() {
+    let now = Instant::now();
+    let (peer, server) = (InstanceId::of("b"), ServerId::of("s"));
+    let mut loads = Loads::default();
+    let told = |sent| {
+        let unread = 9_000;
+        vec![(
+            server,
+            Work {
+                sent,
+                unread,
+                ..ONE
+            },
+        )]
+    };
+
+    loads.hear(peer, told(50_000), now);
+    let first = loads.backlog(server, now);
+    loads.hear(peer, told(20_000), now);
+
+    assert_eq!(loads.backlog(server, now), first);
+}
+
+/// A domain of 16 instances before 90 servers with 30 accounts: each of its datagrams fits a packet.
+#[test]
+fn what_a_domain_tells_fits_packets() {
+    let work: Vec<(ServerId, Work)> = (0..90)
+        .map(|n| {
+            let work = Work {
+                running: 30,
+                unread: 60_000,
+                held: 300_000,
+                sent: u32::MAX,
+            };
+            (ServerId::of(&format!("s{n}")), work)
+        })
+        .collect();
+    let sums = Sums {
+        asked: 1e7,
+        got: 1e7,
+    };
+    let usage: Vec<(AccountId, Sums)> = (0..30)
+        .map(|n| (AccountId::of(&format!("a{n}")), sums))
+        .collect();
+
+    let mut sealer = Sealer::new([7; 32], name(1), Incarnation(u64::MAX), 0);
+    let parts = DomainWork::parts(DomainId::of("b"), &work, &usage);
+    let sizes = parts
+        .into_iter()
+        .map(|p| Message::DomainWork(Box::new(p)))
+        .map(|m| sealer.seal(&m).expect("it can be encoded").len());
+
+    let sizes: Vec<usize> = sizes.collect();
+    assert!(sizes.iter().all(|s| *s <= DATAGRAM_LIMIT), "{sizes:?}");
+}
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod desk;
+mod digest;
 mod loads;
 mod mates;
 mod place;
