Send no request on whose caller left before it was read

A process that gets no processor for a while reads whole requests whose connections have ended meanwhile, and its first step sent them on before it looked at the connection again.

Ruled out: looking at the connection first in the same select. The socket itself is asked now.

--- a/crates/hawthornmill-gateway/src/serve.rs
+++ b/crates/hawthornmill-gateway/src/serve.rs
@@ -1,10 +1,12 @@
 //! Connections of callers: one request after the other, and noticing when the caller leaves.
 
+use std::mem::MaybeUninit;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::BytesMut;
 use hawthornmill::codes::Code;
+use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -45,6 +47,18 @@
         self.half.read_buf(&mut self.buffer).await
     }
 
+    /// Tells whether the caller has closed its connection already.
+    ///
+    /// A process that got no processor for a while finds requests whose callers have left meanwhile. The
+    /// socket itself is asked: the runtime hears of the end only after the request was sent on.
+    fn has_left(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        match SockRef::from(self.half.as_ref()).peek(&mut byte) {
+            Ok(bytes) => bytes == 0,
+            Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
+        }
+    }
+
     /// Ends when the caller has closed its connection.
     async fn gone(&mut self) {
         loop {
@@ -116,10 +130,14 @@
             call: &call,
             closing: Closing { last, crowded },
         };
-        let end = tokio::select! {
-            biased;
-            end = carry(way, &mut trip, &mut out) => end,
-            () = reader.gone() => End::Left,
+        let end = if reader.has_left() {
+            End::Left
+        } else {
+            tokio::select! {
+                biased;
+                end = carry(way, &mut trip, &mut out) => end,
+                () = reader.gone() => End::Left,
+            }
         };
         trip.settle(&gateway, &call, end);
         if end != End::Whole || last || (crowded && trip.is_refused()) {
--- a/tests/testsuite/gateway/leaving.rs
+++ b/tests/testsuite/gateway/leaving.rs
@@ -51,6 +51,33 @@
     });
 }
 
+/// A process gets no processor for a second. Callers send requests meanwhile and give up; their requests
+/// and the ends of their connections lie in its sockets. Sent on when it wakes, they would take servers'
+/// places for nobody, or run what a caller has tried elsewhere since.
+#[test]
+fn a_request_whose_caller_left_before_it_was_read_goes_nowhere() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        let gateway = &fleet.gateways[0];
+        let warm = request("POST", "/once/", "warm", "");
+        let warm = call(gateway.front(), warm.as_bytes()).await;
+        assert_eq!(warm.map(|a| a.status()), Some(200));
+
+        gateway.signal(Signal::SIGSTOP);
+        for number in 0..20 {
+            let mut caller = Caller::connect(gateway.front()).await;
+            let text = request("POST", "/once/", &format!("left-{number}"), "");
+            caller.send(text.as_bytes()).await;
+        }
+        gateway.signal(Signal::SIGCONT);
+        let after = request("POST", "/once/", "after", "");
+        let after = call(gateway.front(), after.as_bytes()).await;
+
+        assert_eq!(after.map(|a| a.status()), Some(200));
+        assert_eq!(fleet.servers[0].arrivals().len(), 2);
+    });
+}
+
 #[test]
 fn a_reload_ends_nothing_and_faulty_settings_change_nothing() {
     block_on(async {
