Let costs fade, and let only accounts that are owed shut others out

Costs left a window of four seconds all at once, so accounts that had their share at its begin got nothing until it was over. Then accounts around an even part shut each other out for 0.6 s at a time, several times a second; only those that are owed do so now.

--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -94,7 +94,7 @@
             domain: settings.domain,
             region: settings.region,
         };
-        let mut desk = Desk::new(place, Budget::new(settings.promises.resends, now), now);
+        let mut desk = Desk::new(place, Budget::new(settings.promises.resends, now));
         desk.regions.clone_from(&settings.regions);
         Rc::new(Self {
             me: InstanceId::of(&settings.name),
--- a/crates/hawthornmill/src/routing/desk.rs
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -21,7 +21,7 @@
 use super::place::{Ask, Choice, Place, ReadRate, Unplaced, View, choose, is_long};
 use super::registry::{Change, Registry};
 use super::shape::{PrefixKey, Shape};
-use super::usage::{Share, Standing, Usage, WINDOW, standings};
+use super::usage::{FADE, Share, Standing, Usage, standings};
 use crate::codes::Code;
 use crate::ident::{AccountId, DomainId, InstanceId, RegionId, ServerId, ServiceId};
 use crate::limits::pace::Pace;
@@ -165,12 +165,12 @@
 
 impl Desk {
     /// A desk that knows no server.
-    pub fn new(place: Place, budget: Budget, now: Instant) -> Self {
+    pub fn new(place: Place, budget: Budget) -> Self {
         Self {
             registry: Registry::default(),
             loads: Loads::default(),
             memory: PrefixMemory::default(),
-            usage: Usage::new(now),
+            usage: Usage::default(),
             budget,
             regions: Vec::new(),
             token_rate: 0.0,
@@ -422,8 +422,11 @@
     ///
     /// One instance that finds none may have met a single odd request. In a large fleet some do at
     /// any time, so a part of the instances must say so.
+    ///
+    /// Only accounts that are owed shut others out. Accounts around an even part change sides several
+    /// times a second; if one side shut out the other for [`SHORT`] each time, servers would idle.
     fn is_blocked(&self, request: &Request, now: Instant) -> bool {
-        let standing = self.standing(request);
+        let standing = self.standing(request).min(Standing::Below);
         let short = self.shortage(request.service, standing, now);
         short > 0 && short as f64 >= SHORT_PART * self.instances as f64
     }
@@ -574,7 +577,7 @@
             return;
         }
         let fleet = self.usage.fleet(now);
-        self.shares = standings(&fleet, self.token_rate * WINDOW.as_secs_f64());
+        self.shares = standings(&fleet, self.token_rate * FADE.as_secs_f64());
     }
 }
 
--- a/crates/hawthornmill/src/routing/usage.rs
+++ b/crates/hawthornmill/src/routing/usage.rs
@@ -12,14 +12,18 @@
 
 use crate::ident::{AccountId, InstanceId};
 
-/// Time over which costs are summed; the platform's contract for shares uses the same.
-pub const WINDOW: Duration = Duration::from_secs(4);
-/// Parts into which the window is divided.
-const PARTS: u64 = 8;
+/// Time in which a cost counts for a third of what it did.
+///
+/// Costs fade instead of leaving a window all at once: an account that had its share at the begin of a
+/// window got nothing until the window was over, then all at once again, and in every other two seconds a
+/// quarter of what accounts were owed was refused before idle servers.
+pub const FADE: Duration = Duration::from_secs(1);
+/// Cost, in tokens, under which an account is no longer told of.
+const LEAST: f32 = 1.0;
 /// Time for which a peer's last word counts.
 const PEER_LIFE: Duration = Duration::from_millis(2_500);
 
-/// Costs of one account within the window, in tokens.
+/// Costs of one account as they count now, in tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
 pub struct Sums {
     /// Cost of requests that came.
@@ -77,82 +81,80 @@
     fleet.iter().map(|(id, sums)| (*id, share(sums))).collect()
 }
 
-#[derive(Debug, Clone, Default)]
-struct Ring {
-    parts: [Sums; PARTS as usize],
-    newest: u64,
+impl Sums {
+    /// What is left of it after `time`.
+    fn faded(self, time: Duration) -> Self {
+        let left = (-time.as_secs_f32() / FADE.as_secs_f32()).exp();
+        Self {
+            asked: self.asked * left,
+            got: self.got * left,
+        }
+    }
+
+    fn add(&mut self, other: Self) {
+        self.asked += other.asked;
+        self.got += other.got;
+    }
 }
 
-impl Ring {
-    fn at(&mut self, part: u64) -> &mut Sums {
-        let first = (self.newest + 1).max((part + 1).saturating_sub(PARTS));
-        for stale in first..=part {
-            self.parts[(stale % PARTS) as usize] = Sums::default();
-        }
-        self.newest = self.newest.max(part);
-        &mut self.parts[(part % PARTS) as usize]
+/// Sums at an instant.
+#[derive(Debug, Clone, Copy)]
+struct Fading {
+    sums: Sums,
+    at: Instant,
+}
+
+impl Fading {
+    fn at(&self, now: Instant) -> Sums {
+        self.sums.faded(now.saturating_duration_since(self.at))
     }
 
-    fn sum(&mut self, part: u64) -> Sums {
-        let _current = self.at(part);
-        self.parts.iter().fold(Sums::default(), |sum, p| Sums {
-            asked: sum.asked + p.asked,
-            got: sum.got + p.got,
-        })
+    fn add(&mut self, sums: Sums, now: Instant) {
+        self.sums = self.at(now);
+        self.at = now;
+        self.sums.add(sums);
     }
 }
 
 /// Costs by account, here and elsewhere.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Usage {
-    start: Instant,
-    own: BTreeMap<AccountId, Ring>,
+    own: BTreeMap<AccountId, Fading>,
     peers: BTreeMap<InstanceId, (Instant, Vec<(AccountId, Sums)>)>,
 }
 
 impl Usage {
-    /// Nothing asked, nothing given.
-    pub const fn new(now: Instant) -> Self {
-        Self {
-            start: now,
-            own: BTreeMap::new(),
-            peers: BTreeMap::new(),
-        }
-    }
-
-    fn part(&self, now: Instant) -> u64 {
-        let length = WINDOW.as_millis() as u64 / PARTS;
-        now.duration_since(self.start).as_millis() as u64 / length
+    fn count(&mut self, account: AccountId, sums: Sums, now: Instant) {
+        let none = Fading {
+            sums: Sums::default(),
+            at: now,
+        };
+        self.own.entry(account).or_insert(none).add(sums, now);
     }
 
     /// A request of `cost` came.
     pub fn asked(&mut self, account: AccountId, cost: f64, now: Instant) {
-        let part = self.part(now);
-        self.own.entry(account).or_default().at(part).asked += cost as f32;
+        let asked = cost as f32;
+        self.count(account, Sums { asked, got: 0.0 }, now);
     }
 
     /// A request of `cost` was sent to a server.
     pub fn got(&mut self, account: AccountId, cost: f64, now: Instant) {
-        let part = self.part(now);
-        self.own.entry(account).or_default().at(part).got += cost as f32;
+        let got = cost as f32;
+        self.count(account, Sums { asked: 0.0, got }, now);
     }
 
     /// This instance's sums, for the others.
     pub fn own(&mut self, now: Instant) -> Vec<(AccountId, Sums)> {
-        let part = self.part(now);
-        let sums = self.own.iter_mut().map(|(id, ring)| (*id, ring.sum(part)));
-        sums.filter(|(_, s)| s.asked > 0.0).collect()
+        self.own.retain(|_, f| f.at(now).asked >= LEAST);
+        self.own.iter().map(|(id, f)| (*id, f.at(now))).collect()
     }
 
     /// Sums of this instance and the `members` of its failure domain.
     pub fn sum(&mut self, members: &[InstanceId], now: Instant) -> Vec<(AccountId, Sums)> {
         let mut all: BTreeMap<AccountId, Sums> = self.own(now).into_iter().collect();
         let peers = members.iter().filter_map(|id| self.peers.get(id));
-        for (account, sums) in peers.flat_map(|(_, list)| list) {
-            let total = all.entry(*account).or_default();
-            total.asked += sums.asked;
-            total.got += sums.got;
-        }
+        add_told(&mut all, peers, now);
         all.into_iter().collect()
     }
 
@@ -166,15 +168,24 @@
         self.peers
             .retain(|_, (at, _)| now.duration_since(*at) < PEER_LIFE);
         let mut all: BTreeMap<AccountId, Sums> = self.own(now).into_iter().collect();
-        for (account, sums) in self.peers.values().flat_map(|(_, list)| list) {
-            let total = all.entry(*account).or_default();
-            total.asked += sums.asked;
-            total.got += sums.got;
-        }
+        add_told(&mut all, self.peers.values(), now);
         all
     }
 }
 
+fn add_told<'a>(
+    all: &mut BTreeMap<AccountId, Sums>,
+    told: impl Iterator<Item = &'a (Instant, Vec<(AccountId, Sums)>)>,
+    now: Instant,
+) {
+    for (at, list) in told {
+        let age = now.saturating_duration_since(*at);
+        for (account, sums) in list {
+            all.entry(*account).or_default().add(sums.faded(age));
+        }
+    }
+}
+
 /// The most that an account gets when `capacity` is shared max-min among those that `asked`.
 ///
 /// Infinite when everybody can have all of it.
--- a/tests/testsuite/routing/desk.rs
+++ b/tests/testsuite/routing/desk.rs
@@ -162,6 +162,31 @@
     assert!(matches!(after, Verdict::Decided(Ok(_))));
 }
 
+/// Load pattern: two accounts ask for many times their share, and what they had is about even. The one
+/// that is a little behind met a full server; if that shut out the other everywhere for most of a
+/// second, idle servers would stand by.
+#[test]
+fn only_an_account_that_is_owed_shuts_others_out() {
+    let now = Instant::now();
+    let flood = Sums {
+        asked: 1e6,
+        got: 1e6,
+    };
+    let asks = |better: Standing| {
+        let mut desk = desk(ONE, now);
+        desk.token_rate = 10.0;
+        let usage = vec![(AccountId::of("flood"), flood)];
+        let short = vec![(drafter(), better)];
+        desk.hear(InstanceId::of("other"), &news(short, usage), now);
+        desk.ask(&request("flood", shape(1, 10, 10), now), now)
+    };
+
+    let (owed, below) = (asks(Standing::Owed), asks(Standing::Below));
+
+    assert!(matches!(owed, Verdict::Decided(Err(_))), "{owed:?}");
+    assert!(matches!(below, Verdict::Decided(Ok(_))), "{below:?}");
+}
+
 /// So much waits to be read at the only server that a request would begin late behind it. Sent all
 /// the same, it would keep others waiting and its caller have no time left to go elsewhere.
 #[test]
