Let the backlog of a server drain that this instance has not used; one way to put down who was heard

Cause, seen in a reading of the change: a server's backlog drained at the rate of the last request that this instance sent there, so at none before the first. What others had sent to it stayed whole, it looked busy for as long as others used it, and was passed over. Test first: 20,000 tokens left after 150 ms instead of 5,000.

--- a/crates/hawthornmill/src/routing/loads.rs
+++ b/crates/hawthornmill/src/routing/loads.rs
@@ -157,12 +157,15 @@
     others: BTreeMap<ServerId, Work>,
     sent: BTreeMap<(InstanceId, ServerId), u32>,
     untold: u32,
+    /// Tokens a second that servers read, as far as this instance knows.
+    rate: f64,
 }
 
 impl Loads {
     /// A request is sent to `server`, which reads `rate` tokens a second as far as is known.
     pub fn begin(&mut self, server: ServerId, work: Work, rate: f64, now: Instant) {
-        self.untold += work.unread;
+        self.untold = self.untold.saturating_add(work.unread);
+        self.rate = rate;
         let known = self.servers.entry(server).or_default();
         known.own.add(work);
         known.own.sent = known.own.sent.wrapping_add(work.unread);
@@ -194,7 +197,7 @@
 
     /// Part of what [`Self::begin`] added is over.
     pub fn end(&mut self, server: ServerId, work: Work) {
-        self.untold += work.unread;
+        self.untold = self.untold.saturating_add(work.unread);
         if let Some(known) = self.servers.get_mut(&server) {
             known.own.subtract(work);
         }
@@ -248,6 +251,10 @@
             let grown = work.sent.wrapping_sub(before.unwrap_or(0)).cast_signed();
             let new = (grown.max(0).cast_unsigned()).min(work.unread);
             let known = self.servers.entry(*server).or_default();
+            // A server that this instance has not used would never seem to read, and so never be used.
+            if known.backlog.rate <= 0.0 {
+                known.backlog.rate = self.rate;
+            }
             known.backlog.add(new, now);
         }
         self.peers.insert(peer, (now, work));
--- a/crates/hawthornmill/src/routing/news.rs
+++ b/crates/hawthornmill/src/routing/news.rs
@@ -176,22 +176,12 @@
         news: &News,
         now: Instant,
     ) -> Option<Seen> {
-        let before = self.heard.get(&from).filter(|h| h.incarnation == run);
-        let leaving = news.leaving || before.is_some_and(|h| h.leaving);
-        let far = self.heard.len() >= SMALL_FLEET && news.mate.domain != self.domain;
-        let seen = match before {
-            None => Some(Seen::Started),
-            Some(before) if now.duration_since(before.at) >= before.patience => {
-                Some(Seen::Returned)
-            }
-            Some(before) if leaving && !before.leaving => Some(Seen::Leaving),
-            Some(_) => None,
-        };
+        let far = self.is_large() && news.mate.domain != self.domain;
         let heard = Heard {
             mate: news.mate,
             incarnation: run,
             ready: news.ready,
-            leaving,
+            leaving: news.leaving,
             reading: news.reading,
             version: news.version,
             revision: news.revision,
@@ -199,43 +189,44 @@
             direct: Some(now),
             patience: if far { FAR_SILENT } else { SILENT },
         };
-        self.heard.insert(from, heard);
         for address in &news.others {
             self.contacts.insert(*address, now);
         }
-        self.contacts.remove(&news.mate.peer);
-        let live = self.live(now).count() + 1;
-        self.most = self.most.max(live);
-        seen
+        self.put(from, heard, now)
     }
 
     /// Takes what a relay of another failure domain tells of one of its instances; tells what it changes.
     pub fn hear_member(&mut self, member: &Member, now: Instant) -> Option<Seen> {
-        let known = self.heard.get(&member.id);
-        let before = known.filter(|h| h.incarnation == member.run);
-        let leaving = member.leaving || before.is_some_and(|h| h.leaving);
-        let seen = match before {
-            None => Some(Seen::Started),
-            Some(before) if now.duration_since(before.at) >= before.patience => {
-                Some(Seen::Returned)
-            }
-            Some(before) if leaving && !before.leaving => Some(Seen::Leaving),
-            Some(_) => None,
-        };
         let heard = Heard {
             mate: member.mate,
             incarnation: member.run,
             ready: member.ready,
-            leaving,
+            leaving: member.leaving,
             reading: member.reading,
             version: member.version,
             revision: member.revision,
             at: now,
-            direct: known.and_then(|h| h.direct),
+            direct: self.heard.get(&member.id).and_then(|h| h.direct),
             patience: FAR_SILENT,
         };
-        self.heard.insert(member.id, heard);
-        self.contacts.remove(&member.mate.peer);
+        self.put(member.id, heard, now)
+    }
+
+    /// Replaces what was known of `from`; a run that was leaving stays so.
+    fn put(&mut self, from: InstanceId, mut heard: Heard, now: Instant) -> Option<Seen> {
+        let known = self.heard.get(&from);
+        let before = known.filter(|h| h.incarnation == heard.incarnation);
+        heard.leaving |= before.is_some_and(|h| h.leaving);
+        let seen = match before {
+            None => Some(Seen::Started),
+            Some(before) if now.duration_since(before.at) >= before.patience => {
+                Some(Seen::Returned)
+            }
+            Some(before) if heard.leaving && !before.leaving => Some(Seen::Leaving),
+            Some(_) => None,
+        };
+        self.contacts.remove(&heard.mate.peer);
+        self.heard.insert(from, heard);
         let live = self.live(now).count() + 1;
         self.most = self.most.max(live);
         seen
--- a/crates/hawthornmill/src/routing/place.rs
+++ b/crates/hawthornmill/src/routing/place.rs
@@ -40,7 +40,7 @@
 /// the latter kept 0.01 more of the worth at one site and the same at the other.
 const REREAD: f64 = 200e-6;
 /// Servers of a family that are taken in order; beyond them, load alone decides.
-pub const RANKED: usize = 10;
+const RANKED: usize = 10;
 /// What each further place in that order costs: little beside a prompt's reading, much beside the
 /// differences between idle servers.
 const RANK: Duration = Duration::from_millis(10);
--- a/tests/testsuite/routing/loads.rs
+++ b/tests/testsuite/routing/loads.rs
@@ -114,6 +114,27 @@
     assert_eq!([first, repeated, more], [4_500, 4_500, 7_500]);
 }
 
+/// Load pattern: an instance of a large fleet uses a few of many servers, and hears of work at all of
+/// them. What others sent to one that it has not used drains there too; else that one looked busy for as
+/// long as others used it, and would never be chosen here.
+#[test]
+fn the_backlog_of_a_server_that_was_not_used_here_drains_too() {
+    let now = Instant::now();
+    let (used, other) = (ServerId::of("used"), ServerId::of("other"));
+    let mut loads = Loads::default();
+    loads.begin(used, ONE, RATE, now);
+    let told = Work {
+        unread: 20_000,
+        sent: 20_000,
+        ..ONE
+    };
+
+    loads.hear(InstanceId::of("peer"), vec![(other, told)], now);
+
+    let backlogs = [0, 150].map(|t| loads.backlog(other, now + millis(t)));
+    assert_eq!(backlogs, [20_000, 5_000]);
+}
+
 /// A server turns slow and fails nothing. What it is sent comes late, while idle servers stand by.
 #[test]
 fn a_slow_server_is_known_by_its_answers_and_tried_again_later() {
