--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -27,6 +27,7 @@
 use std::time::Duration;
 
 use argh::FromArgs;
+use tokio::signal::unix::{SignalKind, signal};
 
 use callers::Outcome;
 use fleet::Fleet;
@@ -78,17 +79,10 @@
         .build()
         .expect("a runtime can start");
     let failed = runtime.block_on(async {
-        match args.seed {
-            Some(first) => {
-                let size = Size {
-                    routers: args.routers,
-                    servers: args.servers,
-                    time: Duration::from_secs(args.seconds),
-                };
-                let seeds: Vec<u64> = (first..first + args.seeds).collect();
-                play_all(&seeds, size, args.keep.as_deref()).await
-            }
-            None => usual_run().await,
+        tokio::select! {
+            failed = run(&args) => failed,
+            // Dropping the run ends its processes.
+            () = interrupted() => 1,
         }
     });
     if failed == 0 {
@@ -98,6 +92,35 @@
     }
 }
 
+async fn run(args: &Args) -> usize {
+    let Some(first) = args.seed else {
+        return usual_run().await;
+    };
+    let size = Size {
+        routers: args.routers,
+        servers: args.servers,
+        time: Duration::from_secs(args.seconds),
+    };
+    let seeds: Vec<u64> = (first..first + args.seeds).collect();
+    play_all(&seeds, size, args.keep.as_deref()).await
+}
+
+/// Ends when the soak is told to stop.
+async fn interrupted() {
+    let listen = |kind| signal(kind).expect("signals can be heard");
+    let (mut stop, mut interrupt, mut hangup) = (
+        listen(SignalKind::terminate()),
+        listen(SignalKind::interrupt()),
+        listen(SignalKind::hangup()),
+    );
+    tokio::select! {
+        _ = stop.recv() => {}
+        _ = interrupt.recv() => {}
+        _ = hangup.recv() => {}
+    }
+    println!("interrupted");
+}
+
 async fn usual_run() -> usize {
     let seeds: Vec<u64> = USUAL.iter().chain(&REGRESSIONS).copied().collect();
     let failed = play_all(&seeds, SIZE, None).await + prove().await;
