--- a/crates/hawthornmill-gateway/src/mates.rs
+++ b/crates/hawthornmill-gateway/src/mates.rs
@@ -30,8 +30,8 @@
 const LEAST_PAUSE: Duration = Duration::from_millis(40);
 /// Least time between two tellings of work, in which others would send some ten requests.
 const WORK_PAUSE: Duration = Duration::from_millis(20);
-/// The same in a large fleet, where each telling goes to a dozen mates: at 20 ms the datagrams took three
-/// times the processor time of all requests, and the busiest instances fell a second behind.
+/// The same in a large fleet, where each telling goes to a dozen mates: at 20 ms the datagrams took a
+/// sixth of the instances' processor time.
 const WORK_PAUSE_LARGE: Duration = Duration::from_millis(150);
 /// Work entries and accounts told at most, so that news fit a packet.
 const MOST_TOLD: usize = 48;
--- a/crates/hawthornmill/src/routing/memory.rs
+++ b/crates/hawthornmill/src/routing/memory.rs
@@ -46,8 +46,8 @@
 
     /// Servers that need not read all of the prompt, with the tokens that each one keeps.
     ///
-    /// One search for each prefix finds all of them; one for each server and prefix took a quarter of a
-    /// choice among 90 servers.
+    /// One search for each prefix finds all of them, where a fleet of 90 servers took one for each server
+    /// and prefix.
     pub fn keepers(&self, shape: &Shape, now: Instant) -> Keepers {
         let mut keepers = Keepers::new();
         for (key, tokens) in shape.prefixes() {
--- a/crates/hawthornmill/src/routing/news.rs
+++ b/crates/hawthornmill/src/routing/news.rs
@@ -306,9 +306,8 @@
     /// While catalogs come in quick succession, the one with the newest catalog changes all the time
     /// and may be behind in registrations; asked alone, it would hide for seconds that a server drains.
     ///
-    /// One of the own failure domain goes before others that are further ahead: whole lists between
-    /// domains were most of a large fleet's bytes there, and the domain asks elsewhere as soon as
-    /// none of its own knows more.
+    /// One of the own failure domain goes before others that are further ahead: bytes between domains
+    /// are billed, and the domain asks elsewhere as soon as none of its own knows more.
     ///
     /// Those in `mute` did not answer lately: one that was stopped right after it had told of a change
     /// counts as live for a second more, and would be asked again and again.
