--- a/crates/hawthornmill/src/routing/desk.rs
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -51,8 +51,6 @@
 /// Time for which a shortage or a stray is told: in a large fleet some instances get only one piece of
 /// news in four, and would else miss most of them.
 const TOLD: Duration = Duration::from_millis(900);
-/// Prefixes sent astray that are told at once.
-const MOST_STRAYS: usize = 24;
 /// Requests that wait at one instance at most; each holds its body.
 const MOST_WAITING: usize = 512;
 /// Time after which the shares are worked out anew.
@@ -587,7 +585,7 @@
     server: ServerId,
     now: Instant,
 ) {
-    if strays.len() >= MOST_STRAYS {
+    if strays.len() >= digest::MOST_STRAYS {
         strays.pop_front();
     }
     strays.push_back((family, server, now));
--- a/crates/hawthornmill/src/routing/digest.rs
+++ b/crates/hawthornmill/src/routing/digest.rs
@@ -16,7 +16,7 @@
 
 /// Servers in one datagram, each of up to 22 bytes.
 const MOST_SERVERS: usize = 56;
-/// Prefixes sent astray in one datagram.
+/// Prefixes sent astray that are told at once, by an instance and by a domain: they fit a packet.
 pub const MOST_STRAYS: usize = 24;
 
 /// One live instance of a domain.
