Keep what follows a body in the stand-in that answers early

Cause: the stand-in read the rest of the body into a buffer of its own and dropped it, and with it the next request when that had come behind the body already. With 200 ms before it reads on the test failed three times of three; the gateway had written the whole body before the answer, so its use of the connection was right. The late reading stays in the test: without the fix it fails each time. Ruled out: a second use of a connection on which part of a body is missing (write() reports that, and the connection is not kept).

--- a/tests/soak/plant.rs
+++ b/tests/soak/plant.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
+use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -63,7 +64,7 @@
 
 async fn serve(mut link: TcpStream, target: SocketAddr, plant: Plant, count: Arc<AtomicU32>) {
     // One request a connection: the end of the answer is the end of the connection.
-    let Some((head, body)) = read_request(&mut link).await else {
+    let Some((head, body)) = read_request(&mut link, &mut BytesMut::new()).await else {
         return;
     };
     let wrong = count.fetch_add(1, Ordering::Relaxed).is_multiple_of(EACH);
--- a/tests/testsuite/gateway/server.rs
+++ b/tests/testsuite/gateway/server.rs
@@ -11,6 +11,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+/// Time after which a server that answered early reads the rest of the request.
+const READS_ON: Duration = Duration::from_millis(200);
+
 /// What the server does with one request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Act {
@@ -131,12 +134,13 @@
 
     async fn serve(self, mut link: TcpStream) {
         let mut sent = 0;
+        let mut buffer = BytesMut::new();
         loop {
             let act = self.lock().script.front().cloned();
-            if act == Some(Act::Early) && self.early(&mut link).await {
+            if act == Some(Act::Early) && self.early(&mut link, &mut buffer).await {
                 continue;
             }
-            let Some((head, body)) = read_request(&mut link).await else {
+            let Some((head, body)) = read_request(&mut link, &mut buffer).await else {
                 return;
             };
             let act = self.next_act(&head);
@@ -161,10 +165,11 @@
         scripted.unwrap_or_else(|| state.usual.map_or(Act::Serve, |usual| usual(head)))
     }
 
-    /// Answers once the head of a request is here, then reads its body.
-    async fn early(&self, link: &mut TcpStream) -> bool {
-        let mut buffer = BytesMut::new();
-        let Some(head) = read_head(link, &mut buffer).await else {
+    /// Answers once the head of a request is here, and reads its body a while later.
+    ///
+    /// By then the next request may stand behind the body; it stays in `buffer`.
+    async fn early(&self, link: &mut TcpStream, buffer: &mut BytesMut) -> bool {
+        let Some(head) = read_head(link, buffer).await else {
             return false;
         };
         self.lock().script.pop_front();
@@ -175,9 +180,8 @@
             .to_owned();
         let fields = [("Attempt-Id", id.as_str()), ("Server-Stamp", "early")];
         let written = write_answer(link, 400, &fields, b"too long").await;
-        let body = read_body(link, &mut buffer, &head)
-            .await
-            .unwrap_or_default();
+        tokio::time::sleep(READS_ON).await;
+        let body = read_body(link, buffer, &head).await.unwrap_or_default();
         self.lock().arrivals.push(Arrival {
             head,
             body,
@@ -334,11 +338,13 @@
     }
 }
 
-/// Reads one request; none when the connection ends first.
-pub async fn read_request(link: &mut TcpStream) -> Option<(RequestHead, Vec<u8>)> {
-    let mut buffer = BytesMut::new();
-    let head = read_head(link, &mut buffer).await?;
-    let body = read_body(link, &mut buffer, &head).await?;
+/// Reads one request, and leaves in `buffer` what follows it; none when the connection ends first.
+pub async fn read_request(
+    link: &mut TcpStream,
+    buffer: &mut BytesMut,
+) -> Option<(RequestHead, Vec<u8>)> {
+    let head = read_head(link, buffer).await?;
+    let body = read_body(link, buffer, &head).await?;
     Some((head, body))
 }
 
--- a/tests/testsuite/gateway/store.rs
+++ b/tests/testsuite/gateway/store.rs
@@ -7,6 +7,7 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
+use bytes::BytesMut;
 use serde_json::{Value, json};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -128,7 +129,8 @@
 
     async fn serve(self, mut link: TcpStream, from: SocketAddr) {
         let mut mode = self.mode.subscribe();
-        while let Some((head, _body)) = read_request(&mut link).await {
+        let mut buffer = BytesMut::new();
+        while let Some((head, _body)) = read_request(&mut link, &mut buffer).await {
             self.lock().calls += 1;
             if *mode.borrow_and_update() == Mode::Silent {
                 std::future::pending::<()>().await;
