Let owed work that one instance turns away count by its cost

Others give way only when 6 % of the instances find no room; one of 73 is less. News tell now the cost of what found no room, and 6 % of the promised capacity shuts out accounts beyond their share too.

Ruled out: the directory.

Test: much_owed_work_that_one_instance_turns_away_shuts_others_out fails without it.

--- a/crates/hawthornmill/src/routing/desk.rs
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -17,7 +17,7 @@
 use super::digest::{self, DomainWork, Member, Members};
 use super::loads::{Loads, Work};
 use super::memory::PrefixMemory;
-use super::news::News;
+use super::news::{Lack, News};
 use super::place::{Ask, Choice, Place, ReadRate, Unplaced, View, choose, is_long};
 use super::registry::{Change, Registry};
 use super::shape::{PrefixKey, Shape};
@@ -48,6 +48,12 @@
 const SHORT: Duration = Duration::from_millis(600);
 /// Part of the instances that must find no room for a service to count as short.
 const SHORT_PART: f64 = 0.06;
+/// Part of the promised capacity that must lack room for a service to count as short, wherever it came in.
+///
+/// The callers of one account mostly come in by one instance. A flood of an account that was owed its
+/// share was turned away there, while others, who came in by seventy instances, had twice as much: one
+/// instance is less than [`SHORT_PART`] of them.
+const LACK_PART: f64 = 0.06;
 /// Time for which a shortage or a stray is told: in a large fleet some instances get only one piece of
 /// news in four, and would else miss most of them.
 const TOLD: Duration = Duration::from_millis(900);
@@ -130,6 +136,28 @@
     Wait(Ticket),
 }
 
+/// Work that found no room here.
+#[derive(Debug, Clone, Copy)]
+struct Turned {
+    cost: f64,
+    at: Instant,
+}
+
+impl Turned {
+    /// What is left of the cost at `now`.
+    fn cost(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.at);
+        self.cost * (-age.as_secs_f64() / FADE.as_secs_f64()).exp()
+    }
+
+    fn lack(&self, now: Instant) -> Lack {
+        Lack {
+            places: 1,
+            cost: self.cost(now) as u32,
+        }
+    }
+}
+
 /// Everything that decides where requests go.
 #[derive(Debug)]
 pub struct Desk {
@@ -154,8 +182,8 @@
     paces: BTreeMap<ServiceId, Pace>,
     line: SlotMap<Ticket, Request>,
     shares: BTreeMap<AccountId, Share>,
-    short: BTreeMap<(ServiceId, Standing), Instant>,
-    heard_short: BTreeMap<(ServiceId, Standing, InstanceId), (Instant, u16)>,
+    short: BTreeMap<(ServiceId, Standing), Turned>,
+    heard_short: BTreeMap<(ServiceId, Standing, InstanceId), (Instant, Lack)>,
     strays: VecDeque<(PrefixKey, ServerId, Instant)>,
     heard_strays: VecDeque<(PrefixKey, ServerId, Instant)>,
     shared: Option<Instant>,
@@ -210,8 +238,7 @@
                 Err(Unplaced::AllFull) => {}
             }
         }
-        self.short
-            .insert((request.service, self.standing(request)), now);
+        self.found_no_room(request, now);
         let blocked = self.is_blocked(request, now);
         if blocked || self.line.len() >= MOST_WAITING || self.is_hopeless(request, now) {
             return Verdict::Decided(Err(self.refuse_full(request, now)));
@@ -219,6 +246,13 @@
         Verdict::Wait(self.line.insert(request.clone()))
     }
 
+    fn found_no_room(&mut self, request: &Request, now: Instant) {
+        let key = (request.service, self.standing(request));
+        let before = self.short.get(&key).map_or(0.0, |t| t.cost(now));
+        let cost = before + request.shape.cost();
+        self.short.insert(key, Turned { cost, at: now });
+    }
+
     /// Decides on those that wait; every request is named at most once.
     ///
     /// Nobody passes one of the same service that goes before and finds no room: a long prompt would
@@ -314,7 +348,10 @@
         let mut outlook = Outlook {
             standing: self.standing(request),
             waiting: self.line.len(),
-            short: self.shortage(request.service, Standing::Above, now),
+            short: self
+                .shortage(request.service, Standing::Above, now)
+                .places
+                .into(),
             ..Outlook::default()
         };
         for (id, known) in entries.filter(|(_, k)| k.entry.service == request.service) {
@@ -337,7 +374,7 @@
     }
 
     fn place(&mut self, request: &Request, now: Instant) -> Result<Choice, Unplaced> {
-        let calm = self.shortage(request.service, Standing::Above, now) == 0;
+        let calm = self.shortage(request.service, Standing::Above, now).places == 0;
         let view = View {
             registry: &self.registry,
             loads: &self.loads,
@@ -425,33 +462,44 @@
     /// times a second; if one side shut out the other for [`SHORT`] each time, servers would idle.
     fn is_blocked(&self, request: &Request, now: Instant) -> bool {
         let standing = self.standing(request).min(Standing::Below);
-        let short = self.shortage(request.service, standing, now);
-        short > 0 && short as f64 >= SHORT_PART * self.instances as f64
+        let lack = self.shortage(request.service, standing, now);
+        let spread = f64::from(lack.places) >= SHORT_PART * self.instances as f64;
+        let capacity = self.token_rate * FADE.as_secs_f64();
+        let much = lack.cost > 0 && f64::from(lack.cost) >= LACK_PART * capacity;
+        lack.places > 0 && (spread || much)
     }
 
-    /// Instances at which requests of a better standing than `standing` found no room lately.
-    fn shortage(&self, service: ServiceId, standing: Standing, now: Instant) -> usize {
+    /// What of a better standing than `standing` found no room lately, here and elsewhere.
+    fn shortage(&self, service: ServiceId, standing: Standing, now: Instant) -> Lack {
         let counts = |s: ServiceId, better: Standing, at: Instant| {
             s == service && better < standing && now.duration_since(at) < SHORT
         };
-        let own = self
+        let mut all = Lack::default();
+        for ((_, _), turned) in self
             .short
             .iter()
-            .any(|((s, better), at)| counts(*s, *better, *at));
+            .filter(|((s, better), t)| counts(*s, *better, t.at))
+        {
+            all.cost = all.cost.saturating_add(turned.cost(now) as u32);
+            all.places = 1;
+        }
         let heard = self.heard_short.iter();
         let others = heard.filter(|((s, better, _), (at, _))| counts(*s, *better, *at));
-        let others: usize = others.map(|(_, (_, count))| usize::from(*count)).sum();
-        usize::from(own) + others
+        for (_, (_, lack)) in others {
+            all.add(*lack);
+        }
+        all
     }
 
     /// Services for which requests found no room lately, for the others.
-    pub fn told_short(&self, now: Instant) -> Vec<(ServiceId, Standing)> {
-        let recent = |at: &Instant| now.duration_since(*at) < TOLD;
+    pub fn told_short(&self, now: Instant) -> Vec<(ServiceId, Standing, Lack)> {
+        let recent = |t: &Turned| now.duration_since(t.at) < TOLD;
         let short = self
             .short
             .iter()
-            .filter(|((_, s), at)| *s < Standing::Above && recent(at));
-        short.map(|(key, _)| *key).collect()
+            .filter(|((_, s), t)| *s < Standing::Above && recent(t));
+        let told = short.map(|((service, standing), t)| (*service, *standing, t.lack(now)));
+        told.collect()
     }
 
     /// Prefixes that were sent to other servers than their homes lately, for the others.
@@ -468,8 +516,9 @@
         for (family, server) in &news.strays {
             self.memory.hear(*server, *family, now);
         }
-        for key in &news.short {
-            self.heard_short.insert((key.0, key.1, from), (now, 1));
+        for (service, standing, lack) in &news.short {
+            self.heard_short
+                .insert((*service, *standing, from), (now, *lack));
         }
         for (family, server) in &news.strays {
             push_stray(&mut self.heard_strays, *family, *server, now);
@@ -478,14 +527,14 @@
 
     /// What the own failure domain tells the others: `members` are its live instances, this one among them.
     pub fn members(&mut self, domain: DomainId, members: Vec<Member>, now: Instant) -> Members {
-        let mut short: BTreeMap<(ServiceId, Standing), u16> = BTreeMap::new();
-        for key in self.told_short(now) {
-            *short.entry(key).or_default() += 1;
+        let mut short: BTreeMap<(ServiceId, Standing), Lack> = BTreeMap::new();
+        for (service, standing, lack) in self.told_short(now) {
+            short.entry((service, standing)).or_default().add(lack);
         }
-        for ((service, standing, from), (at, _)) in &self.heard_short {
+        for ((service, standing, from), (at, lack)) in &self.heard_short {
             let ours = members.iter().any(|m| m.id == *from);
             if ours && now.duration_since(*at) < SHORT {
-                *short.entry((*service, *standing)).or_default() += 1;
+                short.entry((*service, *standing)).or_default().add(*lack);
             }
         }
         let fresh = |at: &Instant| now.duration_since(*at) < TOLD;
@@ -506,9 +555,9 @@
     /// Takes what another failure domain tells of itself.
     pub fn hear_members(&mut self, members: &Members, now: Instant) {
         let teller = digest::teller(members.domain, 0);
-        for (service, standing, count) in &members.short {
+        for (service, standing, lack) in &members.short {
             self.heard_short
-                .insert((*service, *standing, teller), (now, *count));
+                .insert((*service, *standing, teller), (now, *lack));
         }
         for (family, server) in &members.strays {
             self.memory.hear(*server, *family, now);
--- a/crates/hawthornmill/src/routing/digest.rs
+++ b/crates/hawthornmill/src/routing/digest.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::loads::Work;
-use super::news::{Mate, Reading};
+use super::news::{Lack, Mate, Reading};
 use super::shape::PrefixKey;
 use super::usage::{Standing, Sums};
 use crate::ident::{AccountId, DomainId, Incarnation, InstanceId, ServerId, ServiceId, mix};
@@ -47,8 +47,8 @@
     pub domain: DomainId,
     /// Its live instances.
     pub members: Vec<Member>,
-    /// Instances at which requests of a standing found no room lately, by service.
-    pub short: Vec<(ServiceId, Standing, u16)>,
+    /// What found no room lately, by service and standing.
+    pub short: Vec<(ServiceId, Standing, Lack)>,
     /// Shared prefixes that were sent to other servers than their homes lately.
     pub strays: Vec<(PrefixKey, ServerId)>,
 }
--- a/crates/hawthornmill/src/routing/news.rs
+++ b/crates/hawthornmill/src/routing/news.rs
@@ -66,6 +66,23 @@
     Lost,
 }
 
+/// How much work of one standing found no room lately.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Lack {
+    /// Instances at which it found none.
+    pub places: u16,
+    /// Its cost in tokens, as it counts now.
+    pub cost: u32,
+}
+
+impl Lack {
+    /// Counts `other` too.
+    pub const fn add(&mut self, other: Self) {
+        self.places = self.places.saturating_add(other.places);
+        self.cost = self.cost.saturating_add(other.cost);
+    }
+}
+
 /// One instance's news.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct News {
@@ -87,8 +104,8 @@
     pub usage: Vec<(AccountId, Sums)>,
     /// Shared prefixes that it sent to other servers than their homes since its last news.
     pub strays: Vec<(PrefixKey, ServerId)>,
-    /// Services for which requests of the told rank found no room lately.
-    pub short: Vec<(ServiceId, Standing)>,
+    /// Services for which requests of the told rank found no room lately, and how much work that was.
+    pub short: Vec<(ServiceId, Standing, Lack)>,
     /// Peer addresses of others that it hears.
     pub others: Vec<SocketAddr>,
 }
--- a/tests/testsuite/routing/desk.rs
+++ b/tests/testsuite/routing/desk.rs
@@ -5,13 +5,16 @@
 use hawthornmill::codes::Code;
 use hawthornmill::ident::{AccountId, InstanceId};
 use hawthornmill::routing::desk::{Desk, Verdict};
-use hawthornmill::routing::news::{Mate, News, Reading};
+use hawthornmill::routing::news::{Lack, Mate, News, Reading};
 use hawthornmill::routing::usage::{Standing, Sums};
 
 use super::{desk, drafter, millis, request, sent, shape};
 
 const ONE: &[(&str, &str)] = &[("a1", "a")];
 
+/// A single request that found no room, of next to no cost.
+const ODD: Lack = Lack { places: 1, cost: 0 };
+
 /// Takes all eight slots of the only server.
 fn fill(desk: &mut Desk, now: Instant) {
     for _ in 0..8 {
@@ -38,7 +41,7 @@
         work: Vec::new(),
         usage,
         strays: Vec::new(),
-        short,
+        short: short.into_iter().map(|(s, st)| (s, st, ODD)).collect(),
         others: Vec::new(),
     }
 }
@@ -187,6 +190,55 @@
     assert!(matches!(below, Verdict::Decided(Ok(_))), "{below:?}");
 }
 
+/// Load pattern: an account's callers all come in by one instance of a hundred. It is owed its share and
+/// turned away there, while an account beyond its share, which comes in by all of them, has twice as much:
+/// one instance that finds no room is taken for an odd request. What it turned away is more than that.
+#[test]
+fn much_owed_work_that_one_instance_turns_away_shuts_others_out() {
+    let now = Instant::now();
+    let flood = Sums {
+        asked: 1e6,
+        got: 1e6,
+    };
+    let asks = |cost: u32| {
+        let mut desk = desk(ONE, now);
+        desk.token_rate = 10_000.0;
+        desk.instances = 100;
+        let usage = vec![(AccountId::of("flood"), flood)];
+        let mut told = news(vec![(drafter(), Standing::Owed)], usage);
+        told.short[0].2.cost = cost;
+        desk.hear(InstanceId::of("other"), &told, now);
+        desk.ask(&request("flood", shape(1, 10, 10), now), now)
+    };
+
+    let (odd, much) = (asks(500), asks(2_000));
+
+    assert!(matches!(odd, Verdict::Decided(Ok(_))), "{odd:?}");
+    assert!(matches!(much, Verdict::Decided(Err(_))), "{much:?}");
+}
+
+/// What an instance turned away counts for about a second, as costs do; told of for longer, it would shut
+/// others out when nobody is turned away any more.
+#[test]
+fn what_was_turned_away_is_told_with_its_cost_and_fades() {
+    let now = Instant::now();
+    let mut desk = desk(ONE, now);
+    fill(&mut desk, now);
+    for _ in 0..3 {
+        let _waiting = desk.ask(&request("lab", shape(1, 100, 100), now), now);
+    }
+
+    let cost = |after: u64| desk.told_short(now + millis(after))[0].2.cost;
+
+    let whole = 3.0 * shape(1, 100, 100).cost();
+    assert_eq!(cost(0), whole as u32);
+    assert!(
+        f64::from(cost(800)) < 0.5 * whole,
+        "{} of {whole}",
+        cost(800)
+    );
+}
+
 /// So much waits to be read at the only server that a request would begin late behind it. Sent all
 /// the same, it would keep others waiting and its caller have no time left to go elsewhere.
 #[test]
@@ -361,7 +413,8 @@
     let later = desk.told_short(now + millis(800));
     let over = desk.told_short(now + millis(1_000));
 
-    assert_eq!(later, [(drafter(), Standing::Owed)]);
+    let keys: Vec<_> = later.iter().map(|(s, st, _)| (*s, *st)).collect();
+    assert_eq!(keys, [(drafter(), Standing::Owed)]);
     assert!(over.is_empty());
 }
 
