--- a/crates/hawthornmill-gateway/src/pool.rs
+++ b/crates/hawthornmill-gateway/src/pool.rs
@@ -14,6 +14,7 @@
 use hawthornmill::ident::ServerId;
 use hawthornmill_process::sockets;
 use socket2::SockRef;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
 /// Time allowed for a new connection: eight round trips between regions (60 ms, the brief).
@@ -46,6 +47,19 @@
     pub reused: bool,
 }
 
+impl Upstream {
+    /// Reads more; 0 when the server has closed.
+    ///
+    /// Of a read that leaves room in the buffer the runtime knows that there is no more: asking until nothing
+    /// comes took a second system call for each event of a stream, 0.44 of all reads.
+    ///
+    /// # Errors
+    /// When the connection broke.
+    pub async fn more(&mut self) -> io::Result<usize> {
+        self.stream.read_buf(&mut self.buffer).await
+    }
+}
+
 #[derive(Debug)]
 struct Idle {
     stream: TcpStream,
--- a/crates/hawthornmill-gateway/src/trip/deliver.rs
+++ b/crates/hawthornmill-gateway/src/trip/deliver.rs
@@ -10,7 +10,7 @@
 
 use super::admit::Admitted;
 use super::events::Splitter;
-use super::send::{Answer, read_some};
+use super::send::Answer;
 use super::settle::Trip;
 use super::{End, Held, Way, again};
 use crate::gateway::Gateway;
@@ -47,7 +47,7 @@
             Ok(Piece::More) => {}
             Err(_malformed) => return Part::Cut,
         }
-        match read_some(&answer.upstream.stream, &mut answer.upstream.buffer).await {
+        match answer.upstream.more().await {
             // Only an orderly close ends a body that has no length; a reset cuts it.
             Ok(0) if decoder.ends_with_connection() => return Part::End,
             Ok(0) | Err(_) => return Part::Cut,
--- a/crates/hawthornmill-gateway/src/trip/send.rs
+++ b/crates/hawthornmill-gateway/src/trip/send.rs
@@ -186,11 +186,11 @@
     Ok(true)
 }
 
-/// Reads what there is, and waits when there is nothing.
+/// Reads what there is, and waits when there is nothing; for use while the connection is also written to.
 ///
 /// # Errors
 /// When the connection broke.
-pub async fn read_some(stream: &TcpStream, buffer: &mut BytesMut) -> io::Result<usize> {
+async fn read_some(stream: &TcpStream, buffer: &mut BytesMut) -> io::Result<usize> {
     loop {
         stream.readable().await?;
         match stream.try_read_buf(buffer) {
@@ -280,7 +280,7 @@
             Ok(None) => return Err("answer's head is too long".into()),
             Err(_malformed) => return Err("what came is no answer".into()),
         }
-        match read_some(&upstream.stream, &mut upstream.buffer).await {
+        match upstream.more().await {
             Ok(0) => return Err("connection closed before an answer".into()),
             Ok(_) => {}
             Err(error) => return Err(error.to_string().into()),
@@ -299,7 +299,7 @@
             Ok(Piece::End) => return Ok(()),
             Ok(Piece::Data(data)) => skipped += data.len(),
             Ok(Piece::More) => {
-                let read = read_some(&upstream.stream, &mut upstream.buffer).await;
+                let read = upstream.more().await;
                 if !matches!(read, Ok(bytes) if bytes > 0) {
                     return Err(());
                 }
--- a/crates/hawthornmill/src/routing/loads.rs
+++ b/crates/hawthornmill/src/routing/loads.rs
@@ -292,8 +292,17 @@
             }
             known.backlog.add(new, now);
         }
-        self.peers.insert(peer, (now, work));
-        self.sum_others(now);
+        for (server, work) in &work {
+            self.others.entry(*server).or_default().add(*work);
+        }
+        // Only what changed is summed: all tellers' lists anew at each of some two hundred datagrams a second
+        // took more time than all choices.
+        let before = self.peers.insert(peer, (now, work));
+        for (server, work) in before.into_iter().flat_map(|(_, list)| list) {
+            if let Some(others) = self.others.get_mut(&server) {
+                others.subtract(work);
+            }
+        }
     }
 
     /// Forgets peers that fell silent and servers that `keep` does not know.
--- a/tests/testsuite/routing/loads.rs
+++ b/tests/testsuite/routing/loads.rs
@@ -40,6 +40,23 @@
     assert_eq!(own, Work { sent: 500, ..ONE });
 }
 
+/// A peer tells again and again, each time in place of before. If what it said before stayed in the sum,
+/// servers would fill up with work that is long over.
+#[test]
+fn what_a_peer_tells_replaces_what_it_told_before() {
+    let now = Instant::now();
+    let (one, two) = (ServerId::of("one"), ServerId::of("two"));
+    let (peer, other) = (InstanceId::of("peer"), InstanceId::of("other"));
+    let mut loads = Loads::default();
+    loads.hear(other, vec![(one, ONE)], now);
+
+    loads.hear(peer, vec![(one, ONE), (two, ONE)], now);
+    loads.hear(peer, vec![(two, Work { running: 3, ..ONE })], now);
+
+    let running = |server| loads.total(server, now).running;
+    assert_eq!((running(one), running(two)), (1, 3));
+}
+
 /// Load pattern: a very long prompt goes to a server. The others hear of it with the next news, a fifth
 /// of a second later, and send a dozen short requests behind it meanwhile.
 #[test]
