Turn new connections away while the process is behind

Cause: with processor time charged, the instance to which a flooding account's callers are bound is some 100 ms late at each turn of its loop, and a request takes six to eight turns: it is read and served 0.6 to 1 s late, new connections wait until callers give up. Seen by the lateness of a timer, logged ten times a second.

An instance that is 15 ms late or more turns part of the new connections away, at 60 ms nearly all: a request that is there already gets 503 with a time to come back, others are closed unread. Neither gets a task or a place in the poll. One log line for a tenth of a second names the requests; hawthornmill-explain finds them.

--- a/crates/hawthornmill-gateway/src/daemon.rs
+++ b/crates/hawthornmill-gateway/src/daemon.rs
@@ -15,10 +15,10 @@
 use tokio::task::{LocalSet, spawn_local};
 
 use crate::dialect::Dialect;
-use crate::gateway::{Gateway, Phase, sweeps, turns};
+use crate::gateway::{Gateway, Phase, sweeps, ticks, turns};
 use crate::settings::Settings;
 use crate::side::Side;
-use crate::{journal, mates, serve, side, store};
+use crate::{door, journal, mates, side, store};
 
 /// Time for which a leaving process takes requests of callers that have not heard of it.
 ///
@@ -111,8 +111,9 @@
     for (listener, side) in sockets.sides {
         spawn_local(side::serve(Rc::clone(gateway), listener, side));
     }
-    spawn_local(serve::accept(Rc::clone(gateway), sockets.front));
+    spawn_local(door::accept(Rc::clone(gateway), sockets.front));
     spawn_local(turns(Rc::clone(gateway)));
+    spawn_local(ticks(Rc::clone(gateway)));
     spawn_local(sweeps(Rc::clone(gateway)));
 }
 
--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use hawthornmill::clock::Clock;
 use hawthornmill::codes::Code;
 use hawthornmill::ident::{Incarnation, InstanceId, ServerId};
+use hawthornmill::limits::strain::Strain;
 use hawthornmill::routing::budget::Budget;
 use hawthornmill::routing::catalog::Catalog;
 use hawthornmill::routing::desk::{Desk, Refusal, Request, Ticket, Verdict};
@@ -38,6 +39,15 @@
     Closed,
 }
 
+/// Connections that were turned away because the process was behind.
+#[derive(Debug, Default)]
+pub struct Turned {
+    /// Requests that were told when to come back.
+    pub told: Vec<Box<str>>,
+    /// Connections that were closed unread.
+    pub unread: u64,
+}
+
 /// The shared state.
 #[derive(Debug)]
 pub struct Gateway {
@@ -63,6 +73,10 @@
     pub meters: Meters,
     /// Callers' connections that are open.
     pub connections: Cell<usize>,
+    /// How late the process is with its work.
+    pub strain: Cell<Strain>,
+    /// Connections turned away since the log told of them.
+    pub turned: RefCell<Turned>,
     /// Requests under way.
     pub flying: Cell<usize>,
     /// Bytes of bodies in memory.
@@ -108,6 +122,8 @@
             pool: Pool::default(),
             meters: Meters::default(),
             connections: Cell::new(0),
+            strain: Cell::default(),
+            turned: RefCell::default(),
             flying: Cell::new(0),
             bodies: Cell::new(0),
             listed: Cell::new(false),
@@ -348,6 +364,34 @@
     }
 }
 
+/// Time between two looks at how late the process is.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Measures how late the process is for as long as it lives.
+pub async fn ticks(gateway: Rc<Gateway>) {
+    loop {
+        let now = gateway.now();
+        let mut strain = gateway.strain.get();
+        strain.tick(now, now + TICK);
+        gateway.strain.set(strain);
+        tell_turned(&gateway, strain.late(now));
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+/// One line for all connections that were turned away since the last one: a flood has thousands a second.
+fn tell_turned(gateway: &Gateway, late: Duration) {
+    let turned = gateway.turned.take();
+    if turned.unread == 0 && turned.told.is_empty() {
+        return;
+    }
+    let fields = json!({
+        "code": Code::InstanceFull.number(), "late_ms": late.as_millis() as u64, "unread": turned.unread,
+        "connections": gateway.connections.get(), "requests": turned.told,
+    });
+    journal::belief("turned_away", fields);
+}
+
 /// Drops what no longer counts for as long as the process lives.
 pub async fn sweeps(gateway: Rc<Gateway>) {
     loop {
--- a/crates/hawthornmill-gateway/src/lib.rs
+++ b/crates/hawthornmill-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! | module | owns |
 //! |---|---|
+//! | [`door`] | taking new connections of callers, or turning them away |
 //! | [`serve`] | connections of callers |
 //! | [`trip`] | one request: admit, wait, send, deliver, settle |
 //! | [`pool`] | connections to servers |
@@ -18,6 +19,7 @@
 
 pub mod daemon;
 pub mod dialect;
+pub mod door;
 pub mod gateway;
 pub mod http;
 pub mod journal;
--- a/crates/hawthornmill-gateway/src/meters.rs
+++ b/crates/hawthornmill-gateway/src/meters.rs
@@ -52,6 +52,7 @@
     resends: Counts<ByService>,
     store: Counts<ByCall>,
     connects: Counter<u64, AtomicU64>,
+    turned: Counts<ByCall>,
     begins: Family<ByService, Histogram, fn() -> Histogram>,
 }
 
@@ -64,6 +65,7 @@
             resends: Family::default(),
             store: Family::default(),
             connects: Counter::default(),
+            turned: Family::default(),
             begins: Family::new_with_constructor(begins),
         };
         let registry = &mut meters.registry;
@@ -75,6 +77,8 @@
             "New connections to servers",
             meters.connects.clone(),
         );
+        let help = "Connections turned away because the process was behind or full";
+        registry.register("turned_away", help, meters.turned.clone());
         let help = "Time to the answer's begin in milliseconds";
         registry.register("begin_milliseconds", help, meters.begins.clone());
         meters
@@ -111,6 +115,11 @@
         self.connects.inc();
     }
 
+    /// A connection was turned away.
+    pub fn turned_away(&self, outcome: &'static str) {
+        self.turned.get_or_create(&ByCall { outcome }).inc();
+    }
+
     /// An answer began `time` after its request came.
     pub fn began(&self, service: &str, time: Duration) {
         let millis = time.as_secs_f64() * 1000.0;
--- a/crates/hawthornmill-gateway/src/serve.rs
+++ b/crates/hawthornmill-gateway/src/serve.rs
@@ -8,9 +8,8 @@
 use hawthornmill::codes::Code;
 use socket2::SockRef;
 use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::task::spawn_local;
 
 use crate::gateway::{Gateway, Phase};
 use crate::trip::read::{Next, next};
@@ -18,8 +17,6 @@
 use crate::trip::settle::Trip;
 use crate::trip::{Closing, End, Way, carry};
 
-/// Connections that are served at once; the rest of the descriptors is for servers.
-const MOST_CONNECTIONS: usize = 2_600;
 /// Connections from which a refused caller's is closed: it comes back on a new one, and the old one
 /// would lie idle until its time is over.
 const MANY_CONNECTIONS: usize = 500;
@@ -75,23 +72,6 @@
     }
 }
 
-/// Accepts callers for as long as the process lives.
-pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
-    loop {
-        let accepted = listener.accept().await;
-        let Ok((stream, _from)) = accepted else {
-            // Out of descriptors, most likely; others are given back meanwhile.
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
-        if gateway.connections.get() >= MOST_CONNECTIONS {
-            // Closed without a byte of a request read, so its caller may go elsewhere at once.
-            continue;
-        }
-        spawn_local(serve(Rc::clone(&gateway), stream));
-    }
-}
-
 struct Open<'a>(&'a std::cell::Cell<usize>);
 
 impl<'a> Open<'a> {
@@ -107,17 +87,25 @@
     }
 }
 
-async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
-    let _open = Open::count(&gateway.connections);
+/// Serves one connection to its end.
+pub async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
     let (half, mut out) = stream.into_split();
+    calls(&gateway, half, &mut out).await;
+    // The descriptor is closed with the half that was read; shut down before, it would take one more system
+    // call a connection.
+    out.forget();
+}
+
+async fn calls(gateway: &Rc<Gateway>, half: OwnedReadHalf, out: &mut OwnedWriteHalf) {
+    let _open = Open::count(&gateway.connections);
     let mut reader = Reader {
         half,
         buffer: BytesMut::with_capacity(2048),
     };
     loop {
-        let call = match next(&gateway, &mut reader, &mut out).await {
+        let call = match next(gateway, &mut reader, out).await {
             Next::Call(call) => call,
-            Next::Refuse(code) => return turn_away(&gateway, code, &mut reader, &mut out).await,
+            Next::Refuse(code) => return turn_away(gateway, code, &mut reader, out).await,
             Next::Closed => return,
         };
         let _flying = Open::count(&gateway.flying);
@@ -126,7 +114,7 @@
         let crowded = gateway.connections.get() > MANY_CONNECTIONS;
         let mut trip = Trip::default();
         let way = Way {
-            gateway: &gateway,
+            gateway,
             call: &call,
             closing: Closing { last, crowded },
         };
@@ -135,11 +123,11 @@
         } else {
             tokio::select! {
                 biased;
-                end = carry(way, &mut trip, &mut out) => end,
+                end = carry(way, &mut trip, out) => end,
                 () = reader.gone() => End::Left,
             }
         };
-        trip.settle(&gateway, &call, end);
+        trip.settle(gateway, &call, end);
         if end != End::Whole || last || (crowded && trip.is_refused()) {
             return;
         }
--- a/crates/hawthornmill-gateway/src/trip/reply.rs
+++ b/crates/hawthornmill-gateway/src/trip/reply.rs
@@ -44,6 +44,11 @@
         last: bool,
         out: &mut OwnedWriteHalf,
     ) -> std::io::Result<()> {
+        out.write_all(&self.bytes(gateway, attempt, last).0).await
+    }
+
+    /// Its bytes; `attempt` is the request's identity where it could be read.
+    pub fn bytes(&self, gateway: &Gateway, attempt: Option<&str>, last: bool) -> Bytes {
         let names = &gateway.dialect.names;
         let body = json!({"code": self.code.number(), "title": self.code.title()}).to_string();
         let mut bytes = Bytes::answer(self.code.status(), self.code.title());
@@ -60,6 +65,6 @@
         }
         bytes.end();
         bytes.0.extend_from_slice(body.as_bytes());
-        out.write_all(&bytes.0).await
+        bytes
     }
 }
--- a/crates/hawthornmill-tools/src/request/mod.rs
+++ b/crates/hawthornmill-tools/src/request/mod.rs
@@ -29,6 +29,11 @@
 /// Registrations of other servers than the request's are left out, unless it had none.
 const REGISTRATION: &str = "registration";
 
+/// Field of a line that is about several requests.
+const SEVERAL: &str = "requests";
+/// Events after which a request has no further line.
+const LAST: &[&str] = &["ended", "turned_away"];
+
 /// One line of a log that matters.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Line {
@@ -65,7 +70,7 @@
 /// Reads one log and takes from it what concerns `request`; none when nothing does.
 pub fn read(name: &str, text: &str, request: &str) -> Option<Part> {
     let lines: Vec<Line> = text.lines().filter_map(line).collect();
-    let own = |l: &Line| l.fields.get("request").and_then(Value::as_str) == Some(request);
+    let own = |l: &Line| concerns(l, request);
     let first = lines.iter().position(own)?;
     let steps: Vec<Line> = lines.iter().filter(|l| own(l)).cloned().collect();
     let before = &lines[..first];
@@ -79,6 +84,14 @@
     })
 }
 
+/// Tells whether a line is about `request`, alone or as one of several.
+fn concerns(line: &Line, request: &str) -> bool {
+    let list = line.fields.get(SEVERAL).and_then(Value::as_array);
+    let mut several = list.into_iter().flatten();
+    line.fields.get("request").and_then(Value::as_str) == Some(request)
+        || several.any(|r| r.as_str() == Some(request))
+}
+
 /// A line of the log; none where there is no object on it.
 ///
 /// The collector of the logs may have put its own words before the object.
@@ -131,7 +144,7 @@
     if !started {
         missing.push("the log begins after the process's start".into());
     }
-    if !steps.iter().any(|l| &*l.event == "ended") {
+    if !steps.iter().any(|l| LAST.contains(&&*l.event)) {
         missing.push("no last line: the process was killed, or the line was dropped".into());
     }
     let dropped = all.iter().filter(|l| &*l.event == "lines_dropped");
@@ -180,7 +193,7 @@
     let fields = line
         .fields
         .iter()
-        .filter(|(k, v)| &***k != "request" && !v.is_null());
+        .filter(|(k, v)| &***k != "request" && &***k != SEVERAL && !v.is_null());
     let fields: Vec<String> = fields.map(|(k, v)| format!("{k}={v}")).collect();
     format!("    {time:>14}  {:<22} {}\n", line.event, fields.join(" "))
 }
--- /dev/null
+++ b/tests/testsuite/gateway/door.rs
@@ -0,0 +1,137 @@
+//! Connections that are turned away while the process is behind.
+
+use std::time::{Duration, Instant};
+
+use hawthornmill::limits::strain::Strain;
+use nix::sys::signal::Signal;
+
+use super::fleet::{Answer, Fleet, call, request, until};
+use crate::block_on;
+
+fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+const TICK: u64 = 100;
+
+/// A process whose timers came so many milliseconds late one after the other, and the time after that.
+fn strained(late: &[u64]) -> (Strain, Instant) {
+    let mut now = Instant::now();
+    let mut strain = Strain::default();
+    strain.tick(now, now + millis(TICK));
+    for late in late {
+        now += millis(TICK + late);
+        strain.tick(now, now + millis(TICK));
+    }
+    (strain, now)
+}
+
+fn part(late: &[u64]) -> f64 {
+    let (strain, now) = strained(late);
+    strain.part(now)
+}
+
+#[test]
+fn a_process_in_time_turns_nobody_away() {
+    let parts = [0, 2, 14].map(|late| part(&[late]));
+
+    assert!(parts.iter().all(|p| *p <= 0.0), "{parts:?}");
+}
+
+/// Load pattern: an account's callers come in by one instance, ten times as many as its processor can
+/// read. Each step of a request waits behind those of all others, so each request is late, and by far more
+/// than one step.
+#[test]
+fn the_later_a_process_is_the_more_it_turns_away_but_never_all() {
+    let parts = [20, 40, 60, 5_000].map(|late| part(&[late]));
+
+    assert!(parts.is_sorted(), "{parts:?}");
+    assert!(parts[0] > 0.0 && parts[1] > 0.3, "{parts:?}");
+    assert!(parts[3] < 1.0, "{parts:?}");
+}
+
+/// A machine freezes for a second and goes on. Its callers were late once; turned away for seconds after,
+/// they would lose an instance that has nothing to do.
+#[test]
+fn after_a_pause_a_process_takes_all_again_within_half_a_second() {
+    let after = [vec![1_000, 0], vec![1_000, 0, 0, 0, 0]].map(|late| part(&late));
+
+    assert!(after[0] > 0.5, "{after:?}");
+    assert!(after[1] <= 0.01, "{after:?}");
+}
+
+/// A process wakes after a second. What came meanwhile is read before its timer has run.
+#[test]
+fn a_timer_that_should_have_come_counts_before_it_does() {
+    let (strain, now) = strained(&[0]);
+
+    let (due, overdue) = (
+        strain.part(now + millis(TICK)),
+        strain.part(now + millis(1_000)),
+    );
+
+    assert!(due <= 0.0, "{due}");
+    assert!(overdue > 0.9, "{overdue}");
+}
+
+async fn ask(fleet: &Fleet, count: usize) -> Vec<Option<Answer>> {
+    let front = fleet.gateways[0].front();
+    let tasks = (0..count).map(|n| {
+        let text = request("POST", "/once/", &format!("id-{n}"), "");
+        tokio::spawn(async move { call(front, text.as_bytes()).await })
+    });
+    let tasks: Vec<_> = tasks.collect();
+    let mut answers = Vec::new();
+    for task in tasks {
+        answers.push(task.await.expect("a caller's task ends"));
+    }
+    answers
+}
+
+/// A process gets no processor for half a second while requests that must not run twice come in. Read one
+/// after the other, all would be late, and new callers would wait behind them. Those that it can't read in
+/// time are told so at once, with a time to come back; none of them has run, and the log names each.
+#[test]
+fn a_process_that_is_behind_tells_new_callers_when_to_come_back() {
+    block_on(async {
+        let fleet = Fleet::start(1, 4).await;
+        let paused = &fleet.gateways[0];
+
+        paused.signal(Signal::SIGSTOP);
+        tokio::time::sleep(millis(500)).await;
+        let (answers, ()) = tokio::join!(ask(&fleet, 60), async {
+            tokio::time::sleep(millis(300)).await;
+            paused.signal(Signal::SIGCONT);
+        });
+        until("the log tells of them", || async {
+            !paused.logged("turned_away").is_empty()
+        })
+        .await;
+
+        let status = |code: u16| answers.iter().flatten().filter(move |a| a.status() == code);
+        let (ran, told) = (status(200).count(), status(503).count());
+        assert!(told > 0, "{ran} of 60 were answered, nobody was told");
+        assert!(status(503).all(|a| a.field("retry-after").is_some()));
+        assert_eq!(fleet.runs(), ran, "what was turned away has not run");
+        let named: usize = paused
+            .logged("turned_away")
+            .iter()
+            .filter_map(|l| l["requests"].as_array().map(Vec::len))
+            .sum();
+        assert_eq!(named, told, "each is named in the log");
+    });
+}
+
+/// Somebody asks why a request was turned away. The log has one line for all of a tenth of a second.
+#[test]
+fn a_request_that_was_turned_away_has_a_story() {
+    let log = "{\"event\":\"start\",\"instance\":\"g0\",\"time_ms\":1}\n\
+        {\"event\":\"turned_away\",\"late_ms\":120,\"requests\":[\"a\",\"b\"],\"time_ms\":5}\n";
+
+    let part = hawthornmill_tools::request::read("g0", log, "b").expect("it has a line");
+    let none = hawthornmill_tools::request::read("g0", log, "c");
+
+    assert_eq!(&*part.steps[0].event, "turned_away");
+    assert!(part.missing.is_empty(), "{:?}", part.missing);
+    assert!(none.is_none());
+}
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod catching_up;
 mod checking;
 mod connections;
+mod door;
 mod explaining;
 #[expect(dead_code, reason = "the soak uses the other part of the fixtures")]
 mod fleet;
