Read a request at the door only when it is answered there

What the door looks at stays in the socket until it is sure to be answered. Before, a request in chunks, or one without an identity, was read and its connection closed: a caller could not tell whether it ran, and an orderly stop would have lost it. Found by reading; no run showed it. Test: what_is_not_told_when_to_come_back_is_not_read fails when the look takes the bytes.

--- a/crates/hawthornmill-gateway/src/door.rs
+++ b/crates/hawthornmill-gateway/src/door.rs
@@ -93,6 +93,11 @@
         gateway.meters.turned_away("unread");
         return;
     };
+    // Closed with unread bytes, the connection would be reset, and the reset overtake the answer.
+    let mut request = [0; MOST_READ];
+    if recv(stream.as_raw_fd(), &mut request, MsgFlags::MSG_DONTWAIT).is_err() {
+        return;
+    }
     let bytes = Reply::again(Code::InstanceFull, COME_BACK).bytes(gateway, Some(&attempt), true);
     // A caller that is gone needs no answer, and the little that is written fits an empty socket.
     let _sent = send(stream.as_raw_fd(), &bytes.0, MsgFlags::MSG_DONTWAIT);
@@ -100,10 +105,12 @@
     gateway.meters.turned_away("told");
 }
 
-/// The identity of the request on `stream`, if all of it has come and nothing else.
+/// The identity of the request on `stream`, if all of it has come and nothing else; nothing is taken from the
+/// stream.
 fn whole_request(gateway: &Gateway, stream: &TcpStream) -> Option<Box<str>> {
     let mut buffer = [0; MOST_READ];
-    let length = recv(stream.as_raw_fd(), &mut buffer, MsgFlags::MSG_DONTWAIT).ok()?;
+    let look = MsgFlags::MSG_DONTWAIT | MsgFlags::MSG_PEEK;
+    let length = recv(stream.as_raw_fd(), &mut buffer, look).ok()?;
     let bytes = &buffer[..length];
     let (head, end) = head::request(bytes).ok()??;
     let body = match head.framing().ok()? {
--- a/tests/testsuite/gateway/door.rs
+++ b/tests/testsuite/gateway/door.rs
@@ -1,9 +1,12 @@
 //! Connections that are turned away while the process is behind.
 
+use std::io::ErrorKind;
 use std::time::{Duration, Instant};
 
 use hawthornmill::limits::strain::Strain;
 use nix::sys::signal::Signal;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use super::fleet::{Answer, Fleet, call, request, until};
 use crate::block_on;
@@ -74,10 +77,40 @@
     assert!(overdue > 0.9, "{overdue}");
 }
 
-async fn ask(fleet: &Fleet, count: usize) -> Vec<Option<Answer>> {
+/// What callers get who come in while the process is paused, each with the request that `text` makes.
+async fn ask_paused(fleet: &Fleet, count: usize, text: fn(usize) -> String) -> Vec<Option<Answer>> {
+    let paused = &fleet.gateways[0];
+    paused.signal(Signal::SIGSTOP);
+    tokio::time::sleep(millis(500)).await;
+    let asked = ask(fleet, count, text);
+    let (answers, ()) = tokio::join!(asked, async {
+        tokio::time::sleep(millis(300)).await;
+        paused.signal(Signal::SIGCONT);
+    });
+    let served = answers.iter().flatten().filter(|a| a.status() == 200);
+    let away = count - served.count();
+    until("the log tells of all that were turned away", || async {
+        let (told, unread) = turned_away(fleet);
+        told + unread == away
+    })
+    .await;
+    answers
+}
+
+/// Requests that the log names as turned away, and connections that were closed unread.
+fn turned_away(fleet: &Fleet) -> (usize, usize) {
+    let lines = fleet.gateways[0].logged("turned_away");
+    let told = lines
+        .iter()
+        .filter_map(|l| l["requests"].as_array().map(Vec::len));
+    let unread = lines.iter().filter_map(|l| l["unread"].as_u64());
+    (told.sum(), unread.sum::<u64>() as usize)
+}
+
+async fn ask(fleet: &Fleet, count: usize, text: fn(usize) -> String) -> Vec<Option<Answer>> {
     let front = fleet.gateways[0].front();
     let tasks = (0..count).map(|n| {
-        let text = request("POST", "/once/", &format!("id-{n}"), "");
+        let text = text(n);
         tokio::spawn(async move { call(front, text.as_bytes()).await })
     });
     let tasks: Vec<_> = tasks.collect();
@@ -95,16 +128,8 @@
 fn a_process_that_is_behind_tells_new_callers_when_to_come_back() {
     block_on(async {
         let fleet = Fleet::start(1, 4).await;
-        let paused = &fleet.gateways[0];
-
-        paused.signal(Signal::SIGSTOP);
-        tokio::time::sleep(millis(500)).await;
-        let (answers, ()) = tokio::join!(ask(&fleet, 60), async {
-            tokio::time::sleep(millis(300)).await;
-            paused.signal(Signal::SIGCONT);
-        });
-        until("the log tells of them", || async {
-            !paused.logged("turned_away").is_empty()
+        let answers = ask_paused(&fleet, 60, |n| {
+            request("POST", "/once/", &format!("id-{n}"), "")
         })
         .await;
 
@@ -113,12 +138,46 @@
         assert!(told > 0, "{ran} of 60 were answered, nobody was told");
         assert!(status(503).all(|a| a.field("retry-after").is_some()));
         assert_eq!(fleet.runs(), ran, "what was turned away has not run");
-        let named: usize = paused
-            .logged("turned_away")
-            .iter()
-            .filter_map(|l| l["requests"].as_array().map(Vec::len))
-            .sum();
-        assert_eq!(named, told, "each is named in the log");
+        assert_eq!(turned_away(&fleet).0, told, "each is named in the log");
+    });
+}
+
+/// The same, and the requests have bodies whose end the process would have to look for. Read and then
+/// closed without an answer, a request that must not run twice would be lost to its caller, who can't tell
+/// whether it ran. Closed with its bytes unread, which a reset shows, it may go to another instance.
+#[test]
+fn what_is_not_told_when_to_come_back_is_not_read() {
+    block_on(async {
+        let fleet = Fleet::start(1, 4).await;
+        let paused = &fleet.gateways[0];
+        let head = request("POST", "/once/", "long", "Transfer-Encoding: chunked\r\n");
+        let text = head + "2\r\nhi\r\n0\r\n\r\n";
+
+        paused.signal(Signal::SIGSTOP);
+        let mut callers = Vec::new();
+        for _ in 0..40 {
+            let mut caller = TcpStream::connect(paused.front())
+                .await
+                .expect("the queue of connections has room");
+            caller
+                .write_all(text.as_bytes())
+                .await
+                .expect("the socket has room");
+            callers.push(caller);
+        }
+        tokio::time::sleep(millis(500)).await;
+        paused.signal(Signal::SIGCONT);
+        let (mut answered, mut reset) = (0, 0);
+        for mut caller in callers {
+            match caller.read_u8().await {
+                Ok(_begin) => answered += 1,
+                Err(error) if error.kind() == ErrorKind::ConnectionReset => reset += 1,
+                Err(error) => panic!("read and closed without an answer: {error}"),
+            }
+        }
+
+        assert!(reset > 0, "{answered} of 40 were answered");
+        assert_eq!(fleet.runs(), answered);
     });
 }
 
