Give shortages a module of their own; an instance that can't take callers is not ready

A pure move but for the door: when its listener can't be watched the process logged that and stayed ready. It is closed then, so the directory names others.

--- a/crates/hawthornmill-gateway/src/door.rs
+++ b/crates/hawthornmill-gateway/src/door.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, Phase};
 use crate::http::head::{self, Framing};
 use crate::serve;
 use crate::trip::reply::Reply;
@@ -28,8 +28,8 @@
 const NO_DESCRIPTOR: Duration = Duration::from_millis(20);
 /// Bytes of a request that is read to be turned away; a longer one is closed unread.
 const MOST_READ: usize = 16 << 10;
-/// Time after which a caller that is turned away may come back: several times what the process is late, so
-/// that it is through with what it has, and within the shortest objective of 200 ms twice over.
+/// Time after which a caller that is turned away may come back: six times the lateness from which most are
+/// turned away, so that the process is through with what it has; an objective of 600 ms can still be met.
 const COME_BACK: Duration = Duration::from_millis(400);
 
 /// Takes callers for as long as the process lives.
@@ -38,6 +38,8 @@
         Ok(listener) => listener,
         Err(error) => {
             log::error!(target: "door", "callers can't be taken: {error}");
+            // Callers must not be sent to an instance that takes none.
+            gateway.enter(Phase::Closed);
             return;
         }
     };
--- a/crates/hawthornmill/src/routing/desk.rs
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -21,6 +21,7 @@
 use super::place::{Ask, Choice, Place, ReadRate, Unplaced, View, choose, is_long};
 use super::registry::{Change, Registry};
 use super::shape::{PrefixKey, Shape};
+use super::shortage::{Shortages, TOLD, shuts_out};
 use super::usage::{FADE, Share, Standing, Usage, standings};
 use crate::codes::Code;
 use crate::ident::{AccountId, DomainId, InstanceId, RegionId, ServerId, ServiceId};
@@ -44,19 +45,6 @@
 const COPIES: [usize; 3] = [usize::MAX, usize::MAX, 2];
 /// Lead, in times of an even part, from which an account's room shrinks no further.
 const MOST_LEAD: f64 = 4.0;
-/// Time for which a service counts as short after a request found no room.
-const SHORT: Duration = Duration::from_millis(600);
-/// Part of the instances that must find no room for a service to count as short.
-const SHORT_PART: f64 = 0.06;
-/// Part of the promised capacity that must lack room for a service to count as short, wherever it came in.
-///
-/// The callers of one account mostly come in by one instance. A flood of an account that was owed its
-/// share was turned away there, while others, who came in by seventy instances, had twice as much: one
-/// instance is less than [`SHORT_PART`] of them.
-const LACK_PART: f64 = 0.06;
-/// Time for which a shortage or a stray is told: in a large fleet some instances get only one piece of
-/// news in four, and would else miss most of them.
-const TOLD: Duration = Duration::from_millis(900);
 /// Requests that wait at one instance at most; each holds its body.
 const MOST_WAITING: usize = 512;
 /// Time after which the shares are worked out anew.
@@ -136,28 +124,6 @@
     Wait(Ticket),
 }
 
-/// Work that found no room here.
-#[derive(Debug, Clone, Copy)]
-struct Turned {
-    cost: f64,
-    at: Instant,
-}
-
-impl Turned {
-    /// What is left of the cost at `now`.
-    fn cost(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.at);
-        self.cost * (-age.as_secs_f64() / FADE.as_secs_f64()).exp()
-    }
-
-    fn lack(&self, now: Instant) -> Lack {
-        Lack {
-            places: 1,
-            cost: self.cost(now) as u32,
-        }
-    }
-}
-
 /// Everything that decides where requests go.
 #[derive(Debug)]
 pub struct Desk {
@@ -182,8 +148,7 @@
     paces: BTreeMap<ServiceId, Pace>,
     line: SlotMap<Ticket, Request>,
     shares: BTreeMap<AccountId, Share>,
-    short: BTreeMap<(ServiceId, Standing), Turned>,
-    heard_short: BTreeMap<(ServiceId, Standing, InstanceId), (Instant, Lack)>,
+    shortages: Shortages,
     strays: VecDeque<(PrefixKey, ServerId, Instant)>,
     heard_strays: VecDeque<(PrefixKey, ServerId, Instant)>,
     shared: Option<Instant>,
@@ -206,8 +171,7 @@
             paces: BTreeMap::new(),
             line: SlotMap::with_key(),
             shares: BTreeMap::new(),
-            short: BTreeMap::new(),
-            heard_short: BTreeMap::new(),
+            shortages: Shortages::default(),
             strays: VecDeque::new(),
             heard_strays: VecDeque::new(),
             shared: None,
@@ -238,7 +202,8 @@
                 Err(Unplaced::AllFull) => {}
             }
         }
-        self.found_no_room(request, now);
+        let (standing, cost) = (self.standing(request), request.shape.cost());
+        self.shortages.add(request.service, standing, cost, now);
         let blocked = self.is_blocked(request, now);
         if blocked || self.line.len() >= MOST_WAITING || self.is_hopeless(request, now) {
             return Verdict::Decided(Err(self.refuse_full(request, now)));
@@ -246,13 +211,6 @@
         Verdict::Wait(self.line.insert(request.clone()))
     }
 
-    fn found_no_room(&mut self, request: &Request, now: Instant) {
-        let key = (request.service, self.standing(request));
-        let before = self.short.get(&key).map_or(0.0, |t| t.cost(now));
-        let cost = before + request.shape.cost();
-        self.short.insert(key, Turned { cost, at: now });
-    }
-
     /// Decides on those that wait; every request is named at most once.
     ///
     /// Nobody passes one of the same service that goes before and finds no room: a long prompt would
@@ -348,10 +306,7 @@
         let mut outlook = Outlook {
             standing: self.standing(request),
             waiting: self.line.len(),
-            short: self
-                .shortage(request.service, Standing::Above, now)
-                .places
-                .into(),
+            short: self.better(request, now).places.into(),
             ..Outlook::default()
         };
         for (id, known) in entries.filter(|(_, k)| k.entry.service == request.service) {
@@ -374,7 +329,7 @@
     }
 
     fn place(&mut self, request: &Request, now: Instant) -> Result<Choice, Unplaced> {
-        let calm = self.shortage(request.service, Standing::Above, now).places == 0;
+        let calm = self.better(request, now).places == 0;
         let view = View {
             registry: &self.registry,
             loads: &self.loads,
@@ -453,53 +408,24 @@
         PARTS[share.standing as usize] / share.lead.clamp(1.0, MOST_LEAD)
     }
 
+    /// What found no room lately, here or elsewhere, of accounts that are not beyond their share.
+    fn better(&self, request: &Request, now: Instant) -> Lack {
+        self.shortages.before(request.service, Standing::Above, now)
+    }
+
     /// Tells whether accounts that go before this request's find no room, here or elsewhere.
     ///
-    /// One instance that finds none may have met a single odd request. In a large fleet some do at
-    /// any time, so a part of the instances must say so.
-    ///
     /// Only accounts that are owed shut others out. Accounts around an even part change sides several
-    /// times a second; if one side shut out the other for [`SHORT`] each time, servers would idle.
+    /// times a second; if one side shut out the other each time, servers would idle.
     fn is_blocked(&self, request: &Request, now: Instant) -> bool {
         let standing = self.standing(request).min(Standing::Below);
-        let lack = self.shortage(request.service, standing, now);
-        let spread = f64::from(lack.places) >= SHORT_PART * self.instances as f64;
-        let capacity = self.token_rate * FADE.as_secs_f64();
-        let much = lack.cost > 0 && f64::from(lack.cost) >= LACK_PART * capacity;
-        lack.places > 0 && (spread || much)
+        let lack = self.shortages.before(request.service, standing, now);
+        shuts_out(lack, self.instances, self.token_rate)
     }
 
-    /// What of a better standing than `standing` found no room lately, here and elsewhere.
-    fn shortage(&self, service: ServiceId, standing: Standing, now: Instant) -> Lack {
-        let counts = |s: ServiceId, better: Standing, at: Instant| {
-            s == service && better < standing && now.duration_since(at) < SHORT
-        };
-        let mut all = Lack::default();
-        for ((_, _), turned) in self
-            .short
-            .iter()
-            .filter(|((s, better), t)| counts(*s, *better, t.at))
-        {
-            all.cost = all.cost.saturating_add(turned.cost(now) as u32);
-            all.places = 1;
-        }
-        let heard = self.heard_short.iter();
-        let others = heard.filter(|((s, better, _), (at, _))| counts(*s, *better, *at));
-        for (_, (_, lack)) in others {
-            all.add(*lack);
-        }
-        all
-    }
-
-    /// Services for which requests found no room lately, for the others.
+    /// Work that found no room lately, for the others.
     pub fn told_short(&self, now: Instant) -> Vec<(ServiceId, Standing, Lack)> {
-        let recent = |t: &Turned| now.duration_since(t.at) < TOLD;
-        let short = self
-            .short
-            .iter()
-            .filter(|((_, s), t)| *s < Standing::Above && recent(t));
-        let told = short.map(|((service, standing), t)| (*service, *standing, t.lack(now)));
-        told.collect()
+        self.shortages.told(now)
     }
 
     /// Prefixes that were sent to other servers than their homes lately, for the others.
@@ -516,10 +442,7 @@
         for (family, server) in &news.strays {
             self.memory.hear(*server, *family, now);
         }
-        for (service, standing, lack) in &news.short {
-            self.heard_short
-                .insert((*service, *standing, from), (now, *lack));
-        }
+        self.shortages.hear(from, &news.short, now);
         for (family, server) in &news.strays {
             push_stray(&mut self.heard_strays, *family, *server, now);
         }
@@ -527,16 +450,8 @@
 
     /// What the own failure domain tells the others: `members` are its live instances, this one among them.
     pub fn members(&mut self, domain: DomainId, members: Vec<Member>, now: Instant) -> Members {
-        let mut short: BTreeMap<(ServiceId, Standing), Lack> = BTreeMap::new();
-        for (service, standing, lack) in self.told_short(now) {
-            short.entry((service, standing)).or_default().add(lack);
-        }
-        for ((service, standing, from), (at, lack)) in &self.heard_short {
-            let ours = members.iter().any(|m| m.id == *from);
-            if ours && now.duration_since(*at) < SHORT {
-                short.entry((*service, *standing)).or_default().add(*lack);
-            }
-        }
+        let ids: Vec<InstanceId> = members.iter().map(|m| m.id).collect();
+        let short = self.shortages.sum(&ids, now);
         let fresh = |at: &Instant| now.duration_since(*at) < TOLD;
         self.heard_strays.retain(|(_, _, at)| fresh(at));
         let all = self.strays.iter().chain(&self.heard_strays).rev();
@@ -544,7 +459,7 @@
         Members {
             domain,
             members,
-            short: short.into_iter().map(|((s, st), n)| (s, st, n)).collect(),
+            short,
             strays: strays
                 .take(digest::MOST_STRAYS)
                 .map(|(f, s, _)| (*f, *s))
@@ -555,10 +470,7 @@
     /// Takes what another failure domain tells of itself.
     pub fn hear_members(&mut self, members: &Members, now: Instant) {
         let teller = digest::teller(members.domain, 0);
-        for (service, standing, lack) in &members.short {
-            self.heard_short
-                .insert((*service, *standing, teller), (now, *lack));
-        }
+        self.shortages.hear(teller, &members.short, now);
         for (family, server) in &members.strays {
             self.memory.hear(*server, *family, now);
         }
--- a/crates/hawthornmill/src/routing/mod.rs
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -13,6 +13,7 @@
 //! | [`place`] | the server for a request |
 //! | [`usage`] | what accounts asked for and got, and their max-min shares |
 //! | [`budget`] | second sends over the fleet |
+//! | [`shortage`] | what found no room lately |
 //! | [`desk`] | letting in, waiting, turning away |
 //! | [`news`] | what instances tell each other |
 //! | [`digest`] | what failure domains tell each other in a large fleet |
@@ -27,5 +28,6 @@
 pub mod place;
 pub mod registry;
 pub mod shape;
+pub mod shortage;
 pub mod table;
 pub mod usage;
