Keep a request that waits for few servers from holding back all others

At the head of its line stood a prompt of an account beyond its share: either the two servers that may read its shared part were full, or its own reading took more than its account's part of the objective.

Now a request that waits for its homes keeps others from these only, and one that would be late for its part on an idle server is refused at once.

--- a/crates/hawthornmill/src/routing/desk.rs
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -18,7 +18,7 @@
 use super::loads::{Loads, Work};
 use super::memory::PrefixMemory;
 use super::news::{Lack, News};
-use super::place::{Ask, Choice, Place, ReadRate, Unplaced, View, choose, is_long};
+use super::place::{Ask, Choice, Homes, Place, ReadRate, Unplaced, View, choose, is_long};
 use super::registry::{Change, Registry};
 use super::shape::{PrefixKey, Shape};
 use super::shortage::{Shortages, TOLD, shuts_out};
@@ -124,6 +124,14 @@
     Wait(Ticket),
 }
 
+/// A request that waits.
+#[derive(Debug, Clone)]
+struct InLine {
+    request: Request,
+    /// The only servers that it waits for; empty when any server will do.
+    homes: Homes,
+}
+
 /// Everything that decides where requests go.
 #[derive(Debug)]
 pub struct Desk {
@@ -146,7 +154,7 @@
     place: Place,
     rates: BTreeMap<ServiceId, ReadRate>,
     paces: BTreeMap<ServiceId, Pace>,
-    line: SlotMap<Ticket, Request>,
+    line: SlotMap<Ticket, InLine>,
     shares: BTreeMap<AccountId, Share>,
     shortages: Shortages,
     strays: VecDeque<(PrefixKey, ServerId, Instant)>,
@@ -192,14 +200,18 @@
             }
         }
         self.work_out(now);
-        if !self.behind(request) && !self.is_blocked(request, now) {
-            match self.place(request, now) {
+        let mut homes = Homes::new();
+        if let Some(kept) = self.kept_for_better(request)
+            && !self.is_blocked(request, now)
+        {
+            match self.place(request, &kept, now) {
                 Ok(choice) => return Verdict::Decided(Ok(choice)),
                 Err(Unplaced::NoServer) => return Verdict::Decided(Err(NO_SERVER)),
                 Err(Unplaced::TooLong) => {
                     return Verdict::Decided(Err(self.refuse_full(request, now)));
                 }
                 Err(Unplaced::AllFull) => {}
+                Err(Unplaced::HomesFull(full)) => homes = full,
             }
         }
         let (standing, cost) = (self.standing(request), request.shape.cost());
@@ -208,38 +220,50 @@
         if blocked || self.line.len() >= MOST_WAITING || self.is_hopeless(request, now) {
             return Verdict::Decided(Err(self.refuse_full(request, now)));
         }
-        Verdict::Wait(self.line.insert(request.clone()))
+        let request = request.clone();
+        Verdict::Wait(self.line.insert(InLine { request, homes }))
     }
 
     /// Decides on those that wait; every request is named at most once.
     ///
     /// Nobody passes one of the same service that goes before and finds no room: a long prompt would
-    /// never be placed while short ones keep taking what comes free.
+    /// never be placed while short ones keep taking what comes free. One that waits for few servers keeps
+    /// the others from just these.
     pub fn turn(&mut self, now: Instant) -> Vec<(Ticket, Decided)> {
         self.work_out(now);
         let mut order: Vec<Ticket> = self.line.keys().collect();
-        order.sort_by_key(|t| self.rank(&self.line[*t]));
+        order.sort_by_key(|t| self.rank(&self.line[*t].request));
         let mut full: SmallVec<[ServiceId; 4]> = SmallVec::new();
+        let mut kept = Homes::new();
         let mut all = Vec::new();
         for ticket in order {
-            let request = self.line[ticket].clone();
+            let request = self.line[ticket].request.clone();
             let held_back = full.contains(&request.service) || self.is_blocked(&request, now);
             let placed = if held_back {
                 Err(Unplaced::AllFull)
             } else {
-                self.place(&request, now)
+                self.place(&request, &kept, now)
             };
-            if !held_back && placed == Err(Unplaced::AllFull) {
-                full.push(request.service);
-            }
             let decided = match placed {
                 Ok(choice) => Ok(choice),
                 Err(Unplaced::NoServer) => Err(NO_SERVER),
                 Err(Unplaced::TooLong) => Err(self.refuse_full(&request, now)),
-                Err(Unplaced::AllFull) if now >= patience_end(&request) => {
+                Err(Unplaced::AllFull | Unplaced::HomesFull(_))
+                    if now >= patience_end(&request) =>
+                {
                     Err(self.refuse_full(&request, now))
                 }
-                Err(Unplaced::AllFull) => continue,
+                Err(Unplaced::AllFull) => {
+                    if !held_back {
+                        full.push(request.service);
+                    }
+                    continue;
+                }
+                Err(Unplaced::HomesFull(homes)) => {
+                    kept.extend_from_slice(&homes);
+                    self.line[ticket].homes = homes;
+                    continue;
+                }
             };
             self.line.remove(ticket);
             self.left(request.service, decided.is_ok(), now);
@@ -328,7 +352,12 @@
         gone
     }
 
-    fn place(&mut self, request: &Request, now: Instant) -> Result<Choice, Unplaced> {
+    fn place(
+        &mut self,
+        request: &Request,
+        kept: &[ServerId],
+        now: Instant,
+    ) -> Result<Choice, Unplaced> {
         let calm = self.better(request, now).places == 0;
         let view = View {
             registry: &self.registry,
@@ -342,12 +371,14 @@
             engine: request.engine,
             shape: &request.shape,
             avoid: &request.tried,
+            kept,
             rate: self
                 .rates
                 .get(&request.service)
                 .copied()
                 .unwrap_or_default(),
             objective: (request.came + request.objective).saturating_duration_since(now),
+            promised: request.objective,
             part: self.part(request, calm),
             copies: COPIES[self.standing(request) as usize],
         };
@@ -377,11 +408,27 @@
         Ok(choice)
     }
 
-    /// Tells whether others of the same service wait that go before `request`.
-    fn behind(&self, request: &Request) -> bool {
+    /// The servers for which others wait that go before `request`; none when some of those wait for any server.
+    fn kept_for_better(&self, request: &Request) -> Option<Homes> {
         let rank = self.rank(request);
-        let mut others = self.line.values().filter(|r| r.service == request.service);
-        others.any(|r| self.rank(r) < rank)
+        let mut kept = Homes::new();
+        for waiting in self.same(request.service) {
+            if self.rank(&waiting.request) >= rank {
+                continue;
+            }
+            if waiting.homes.is_empty() {
+                return None;
+            }
+            kept.extend_from_slice(&waiting.homes);
+        }
+        Some(kept)
+    }
+
+    /// Those that wait for a server of `service`.
+    fn same(&self, service: ServiceId) -> impl Iterator<Item = &InLine> {
+        self.line
+            .values()
+            .filter(move |w| w.request.service == service)
     }
 
     fn rank(&self, request: &Request) -> (Standing, u32, Instant) {
@@ -488,16 +535,15 @@
     /// Tells whether a request can't get to the head of the line while it may wait.
     fn is_hopeless(&self, request: &Request, now: Instant) -> bool {
         let rank = self.rank(request);
-        let same = self.line.values().filter(|r| r.service == request.service);
-        let ahead = same.filter(|r| self.rank(r) <= rank).count();
+        let same = self.same(request.service);
+        let ahead = same.filter(|w| self.rank(&w.request) <= rank).count();
         let left = patience_end(request).saturating_duration_since(now);
         let pace = self.paces.get(&request.service);
         left.is_zero() || pace.is_some_and(|p| p.hopeless(ahead, left, now))
     }
 
     fn refuse_full(&self, request: &Request, now: Instant) -> Refusal {
-        let same = self.line.values().filter(|r| r.service == request.service);
-        let ahead = same.count();
+        let ahead = self.same(request.service).count();
         let pace = self
             .paces
             .get(&request.service)
@@ -513,7 +559,7 @@
     }
 
     fn left(&mut self, service: ServiceId, placed: bool, now: Instant) {
-        let left = self.line.values().filter(|r| r.service == service).count();
+        let left = self.same(service).count();
         let pace = self.paces.entry(service).or_default();
         if placed {
             pace.served(left, now);
--- a/crates/hawthornmill/src/routing/place.rs
+++ b/crates/hawthornmill/src/routing/place.rs
@@ -11,6 +11,8 @@
 
 use std::time::{Duration, Instant};
 
+use smallvec::SmallVec;
+
 use super::catalog::Engine;
 use super::loads::{Loads, Work};
 use super::memory::{Keepers, PrefixMemory};
@@ -141,10 +143,14 @@
     pub shape: &'a Shape,
     /// Servers that had it before.
     pub avoid: &'a [ServerId],
+    /// Servers for which others wait that go before it.
+    pub kept: &'a [ServerId],
     /// How fast the service's engines read.
     pub rate: ReadRate,
     /// Time that is left of the objective.
     pub objective: Duration,
+    /// The whole objective.
+    pub promised: Duration,
     /// Part of a server's room and of the objective that the request may take.
     pub part: f64,
     /// Servers of its family, in their order, to which it may go though a long shared part may have to be
@@ -173,13 +179,18 @@
     pub stray: bool,
 }
 
+/// Servers for which a request waits.
+pub type Homes = SmallVec<[ServerId; 2]>;
+
 /// Why no server was chosen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Unplaced {
     /// The service has no server that could ever take it.
     NoServer,
     /// All servers that could take it are full.
     AllFull,
+    /// The few servers that may read its shared prefix are full, and it goes to no other.
+    HomesFull(Homes),
     /// It would be late even if nothing were before it.
     TooLong,
 }
@@ -211,12 +222,23 @@
         keepers: view.memory.keepers(ask.shape, now),
         shared: ask.shape.shared(),
     };
-    candidates
-        .iter()
-        .filter_map(|c| weigh(view, ask, c, &known, now))
-        .min_by(|a, b| a.1.total_cmp(&b.1))
-        .map(|(choice, _)| choice)
-        .ok_or(Unplaced::AllFull)
+    let mut best: Option<(Choice, f64)> = None;
+    let mut full = Homes::new();
+    let mut kept_out = false;
+    for candidate in &candidates {
+        match weigh(view, ask, candidate, &known, now) {
+            Ok(found) if best.is_none_or(|(_, cost)| found.1 < cost) => best = Some(found),
+            Ok(_) | Err(Unfit::TooLong) => {}
+            Err(Unfit::Full) => full.push(candidate.server),
+            Err(Unfit::Copies) => kept_out = true,
+        }
+    }
+    match best {
+        Some((choice, _)) => Ok(choice),
+        None if full.is_empty() => Err(Unplaced::TooLong),
+        None if kept_out => Err(Unplaced::HomesFull(full)),
+        None => Err(Unplaced::AllFull),
+    }
 }
 
 fn candidates(view: &View<'_>, ask: &Ask<'_>, now: Instant) -> Vec<Candidate> {
@@ -269,29 +291,49 @@
     ranked.into_iter().map(|(_, server)| server).collect()
 }
 
-/// The choice of one candidate and its cost in seconds; none when the server is full.
+/// Why a server can't take a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Unfit {
+    /// It has too much under way.
+    Full,
+    /// The request would be late there with nothing before it.
+    TooLong,
+    /// Its shared part would be read there once more than its account may ask.
+    Copies,
+}
+
+/// The choice of one candidate and its cost in seconds.
 fn weigh(
     view: &View<'_>,
     ask: &Ask<'_>,
     candidate: &Candidate,
     known: &Known,
     now: Instant,
-) -> Option<(Choice, f64)> {
+) -> Result<(Choice, f64), Unfit> {
     let homes = &known.homes;
     let home = homes.first().copied();
+    let read = to_read(ask, known, candidate.server);
+    let unique = ask.shape.prompt.saturating_sub(known.shared);
+    let again = read.saturating_sub(unique);
+    let rank = homes.iter().position(|h| *h == candidate.server);
+    if again >= LONG_SHARED && rank.unwrap_or(homes.len()) >= ask.copies {
+        return Err(Unfit::Copies);
+    }
     let glance = view.loads.glance(candidate.server, now);
     let total = glance.total;
     let room = room(ask, candidate);
+    if ask.kept.contains(&candidate.server) {
+        return Err(Unfit::Full);
+    }
     if f64::from(total.running) + 1.0 > (room * ask.part).max(1.0) {
-        return None;
+        return Err(Unfit::Full);
     }
-    let read = to_read(ask, known, candidate.server);
     let held = held(ask.shape, read);
     if let Some(engine) = ask.engine
         && total.running > 0
         && f64::from(total.held + held) > f64::from(engine.memory) * MEMORY_PART * ask.part
     {
-        return None;
+        return Err(Unfit::Full);
     }
     let effort = ask.shape.effort(read);
     let ahead = glance.backlog + effort;
@@ -301,10 +343,14 @@
     let usual = first + ask.rate.time(ahead) + way;
     let expected = usual.mul_f64(pace);
     let alone = (first + ask.rate.time(effort)).mul_f64(pace) + way;
-    if ask.part < 1.0 && expected > ask.objective.mul_f64(ask.part) {
-        return None;
+    let allowed = ask.objective.mul_f64(ask.part);
+    if ask.part < 1.0 && expected > allowed {
+        return Err(if alone > ask.promised.mul_f64(ask.part) {
+            Unfit::TooLong
+        } else {
+            Unfit::Full
+        });
     }
-    let unique = ask.shape.prompt.saturating_sub(known.shared);
     let choice = Choice {
         server: candidate.server,
         work: Work {
@@ -317,16 +363,12 @@
         usual,
         expected,
         alone,
-        again: read.saturating_sub(unique),
+        again,
         stray: home.is_some_and(|h| h != candidate.server),
     };
-    let rank = homes.iter().position(|h| *h == choice.server);
-    if choice.again >= LONG_SHARED && rank.unwrap_or(homes.len()) >= ask.copies {
-        return None;
-    }
     let full = f64::from(total.running) / room;
     let cost = cost(&choice, ask.objective, homes, full, glance.failing);
-    Some((choice, cost))
+    Ok((choice, cost))
 }
 
 /// What a choice costs its request and the others, in seconds.
--- a/tests/testsuite/routing/desk.rs
+++ b/tests/testsuite/routing/desk.rs
@@ -455,3 +455,83 @@
     let own = shape(1, 300, 200).effort(200);
     assert_eq!(unknown.work.unread, own, "its own part must be read again");
 }
+
+/// A desk before six servers that knows `flood` to be beyond its share.
+fn flooded(now: Instant) -> Desk {
+    let six = [
+        ("a0", "a"),
+        ("a1", "a"),
+        ("a2", "a"),
+        ("a3", "a"),
+        ("a4", "a"),
+        ("a5", "a"),
+    ];
+    let mut desk = desk(&six, now);
+    desk.token_rate = 10.0;
+    let sums = Sums {
+        asked: 1e6,
+        got: 1e6,
+    };
+    let usage = vec![(AccountId::of("flood"), sums)];
+    desk.hear(InstanceId::of("other"), &news(Vec::new(), usage), now);
+    desk
+}
+
+/// Failure: one long prompt that waits for its family's homes holds back all that its instance has to send.
+#[test]
+fn a_request_that_waits_for_few_servers_holds_back_none_that_needs_others() {
+    let now = Instant::now();
+    let mut desk = flooded(now);
+    let long = request("flood", shape(1, 5_000, 10), now);
+    let taken = std::iter::repeat_with(|| desk.ask(&long, now));
+    let waits = taken.take(48).any(|v| matches!(v, Verdict::Wait(_)));
+    assert!(waits, "its homes never filled up");
+
+    let then = now + millis(1);
+    let next = desk.ask(&request("flood", shape(2, 10, 10), then), then);
+    let later = desk.turn(now + millis(10));
+
+    assert!(matches!(next, Verdict::Decided(Ok(_))), "{next:?}");
+    assert!(later.is_empty(), "the long prompt lost its place");
+}
+
+/// Failure: a request passes one that goes before it and takes the server for which that one waits.
+#[test]
+fn nobody_takes_the_server_for_which_one_that_goes_before_waits() {
+    let now = Instant::now();
+    let mut desk = flooded(now);
+    let long = request("flood", shape(1, 5_000, 10), now);
+    let mut homes = Vec::new();
+    let ticket = loop {
+        match desk.ask(&long, now) {
+            Verdict::Decided(Ok(choice)) => homes.push(choice),
+            Verdict::Wait(ticket) => break ticket,
+            other => panic!("{other:?}"),
+        }
+    };
+    desk.ended(&homes[0], false);
+    let later = request("flood", shape(1, 5_000, 10), now + millis(1));
+
+    let second = desk.ask(&later, now + millis(1));
+    let decided = desk.turn(now + millis(1));
+
+    assert!(matches!(second, Verdict::Wait(_)), "{second:?}");
+    assert_eq!(
+        decided.first().map(|(t, d)| (*t, d.is_ok())),
+        Some((ticket, true))
+    );
+}
+
+/// Failure: a prompt too long for its account's part of the time waits in vain and holds back the others.
+#[test]
+fn a_prompt_too_long_for_its_part_of_the_time_is_refused_at_once() {
+    let now = Instant::now();
+    let mut desk = flooded(now);
+    let long = request("flood", shape(1, 0, 35_000), now);
+
+    let refused = desk.ask(&long, now);
+    let next = desk.ask(&request("flood", shape(2, 10, 10), now), now);
+
+    assert!(matches!(refused, Verdict::Decided(Err(_))), "{refused:?}");
+    assert!(matches!(next, Verdict::Decided(Ok(_))), "{next:?}");
+}
