Learn the rate of reading and the fixed time to a first token apart

The callers of yemi400 come to front-central-c-1 and fill its link; each answer came some 400 ms late. The mean of tokens by time made that a rate of 14 to 20 tokens a millisecond (112 in truth), so that no server seemed in time: it sent 15 requests a second of 110, of an account that was owed, before idle engines, and the refused callers' second tries filled the link further.

Now a line is laid through the times by the tokens before them.

--- a/crates/hawthornmill/src/routing/desk.rs
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -18,7 +18,8 @@
 use super::loads::{Loads, Work};
 use super::memory::PrefixMemory;
 use super::news::{Lack, News};
-use super::place::{Ask, Choice, Homes, Place, ReadRate, Unplaced, View, choose, is_long};
+use super::place::{Ask, Choice, Homes, Place, Unplaced, View, choose, is_long};
+use super::reading::ReadTimes;
 use super::registry::{Change, Registry};
 use super::shape::{PrefixKey, Shape};
 use super::shortage::{Shortages, TOLD, shuts_out};
@@ -152,7 +153,7 @@
     /// Instances of the fleet, this one included.
     pub instances: usize,
     place: Place,
-    rates: BTreeMap<ServiceId, ReadRate>,
+    times: BTreeMap<ServiceId, ReadTimes>,
     paces: BTreeMap<ServiceId, Pace>,
     line: SlotMap<Ticket, InLine>,
     shares: BTreeMap<AccountId, Share>,
@@ -175,7 +176,7 @@
             token_rate: 0.0,
             instances: 1,
             place,
-            rates: BTreeMap::new(),
+            times: BTreeMap::new(),
             paces: BTreeMap::new(),
             line: SlotMap::with_key(),
             shares: BTreeMap::new(),
@@ -301,10 +302,10 @@
 
     /// The first token, or the whole answer, came `time` after a request was sent.
     pub fn began(&mut self, service: ServiceId, choice: &Choice, time: Duration, now: Instant) {
-        self.rates
+        self.times
             .entry(service)
             .or_default()
-            .observe(choice.ahead, time);
+            .observe(choice.ahead, time.saturating_sub(choice.way));
         if choice.ahead > 0 {
             self.loads.observe(choice.server, choice.usual, time, now);
         }
@@ -372,8 +373,8 @@
             shape: &request.shape,
             avoid: &request.tried,
             kept,
-            rate: self
-                .rates
+            times: self
+                .times
                 .get(&request.service)
                 .copied()
                 .unwrap_or_default(),
@@ -395,7 +396,7 @@
             });
         }
         self.loads
-            .begin(choice.server, choice.work, ask.rate.per_second(), now);
+            .begin(choice.server, choice.work, ask.times.per_second(), now);
         self.memory.note(choice.server, &request.shape, now);
         if let (true, Some(family)) = (choice.stray, request.shape.family()) {
             push_stray(&mut self.strays, family, choice.server, now);
--- a/crates/hawthornmill/src/routing/mod.rs
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -26,6 +26,7 @@
 pub mod memory;
 pub mod news;
 pub mod place;
+pub mod reading;
 pub mod registry;
 pub mod shape;
 pub mod shortage;
--- a/crates/hawthornmill/src/routing/place.rs
+++ b/crates/hawthornmill/src/routing/place.rs
@@ -16,40 +16,32 @@
 use super::catalog::Engine;
 use super::loads::{Loads, Work};
 use super::memory::{Keepers, PrefixMemory};
+use super::reading::ReadTimes;
 use super::registry::Registry;
 use super::shape::Shape;
 use crate::ident::{DomainId, RegionId, ServerId, ServiceId, mix};
 
-/// Shared tokens from which a family has one home in the whole fleet.
-///
-/// Reading 2,000 tokens takes the engines of the users' sheets 14 to 22 ms; carrying a request of that size to another
-/// region takes 60 ms of nobody's time and some kilobytes.
+/// Shared tokens from which a family has one home in the whole fleet: reading them costs more than the way.
 const FLEET_WIDE: u32 = 2_000;
 /// Tokens of a shared part from which reading it again takes more of an engine than most requests do.
 const LONG_SHARED: u32 = 1_500;
-/// Round trip to another failure domain of the region, and to another region (the brief's figures).
+/// Round trip to the own failure domain, to another one of the region, and to another region.
 const ROUND_TRIPS: [Duration; 3] = [
     Duration::ZERO,
     Duration::from_millis(3),
     Duration::from_millis(60),
 ];
-/// Time from an engine's begin of a request to its first token, besides the reading.
-const FIRST_TOKEN: Duration = Duration::from_millis(60);
 /// What reading a shared token again costs beside its own time, in seconds a token: the engine does it
 /// in place of other requests' work.
-///
-/// A long shared prefix weighs about as much as its request's objective. Of 100 and 200 microseconds,
-/// the latter kept 0.01 more of the worth at one site and the same at the other.
 const REREAD: f64 = 200e-6;
 /// Servers of a family that are taken in order; beyond them, load alone decides.
 const RANKED: usize = 10;
 /// What each further place in that order costs: little beside a prompt's reading, much beside the
 /// differences between idle servers.
 const RANK: Duration = Duration::from_millis(10);
-/// Part of the objective from which an expected begin counts as at risk: the slowest tenth of the
-/// answers of a calm day began 65 to 290 ms later than expected, by tokens before the first.
+/// Part of the objective from which an expected begin counts as at risk.
 const AT_RISK: f64 = 0.6;
-/// Times by which each second at risk counts more than one before; chosen, not measured apart.
+/// Times by which each second at risk counts more than one before.
 const RISK: f64 = 3.0;
 /// Part of the time from which a prompt's own reading makes a request a long one.
 const LONG: f64 = 0.6;
@@ -61,52 +53,9 @@
 /// What a failure costs a request in time: about the objective and a second try.
 const FAILURE: Duration = Duration::from_millis(1_500);
 /// Part of an engine's memory that requests may take; the rest keeps shared prefixes.
-///
-/// At 0.85, running requests crowded out the prefixes: 0.005 and 0.010 less of the worth on the mean of
-/// six days of two sites, one run each.
 const MEMORY_PART: f64 = 0.65;
 /// Requests at a plain server beyond its slots: they wait there for about half a request's time.
 const PLAIN_QUEUE: f64 = 0.5;
-/// Rate at which an engine reads prompts until answers have shown it, in tokens a millisecond.
-const FIRST_RATE: f64 = 60.0;
-/// Weight of the newest observation of that rate.
-const RATE_WEIGHT: f64 = 0.02;
-/// Least tokens of an observation: under it, fixed times outweigh the reading.
-const RATE_TOKENS: u32 = 3_000;
-/// Bounds of a plausible rate in tokens a millisecond.
-const RATES: (f64, f64) = (5.0, 400.0);
-
-/// How fast engines of one service read prompts, learnt from their answers.
-#[derive(Debug, Clone, Copy)]
-pub struct ReadRate(f64);
-
-impl Default for ReadRate {
-    fn default() -> Self {
-        Self(FIRST_RATE)
-    }
-}
-
-impl ReadRate {
-    /// The first token came `time` after `tokens` were before it, its own prompt included.
-    pub fn observe(&mut self, tokens: u32, time: Duration) {
-        let millis = time.saturating_sub(FIRST_TOKEN).as_secs_f64() * 1000.0;
-        if tokens < RATE_TOKENS || millis <= 0.0 {
-            return;
-        }
-        let sample = (f64::from(tokens) / millis).clamp(RATES.0, RATES.1);
-        self.0 += RATE_WEIGHT * (sample - self.0);
-    }
-
-    /// Tokens that are read in a second.
-    pub fn per_second(self) -> f64 {
-        self.0 * 1000.0
-    }
-
-    /// Time in which `tokens` are read.
-    pub fn time(self, tokens: u32) -> Duration {
-        Duration::from_secs_f64(f64::from(tokens) / self.0 / 1000.0)
-    }
-}
 
 /// Where this instance stands.
 #[derive(Debug, Clone, Copy)]
@@ -145,8 +94,8 @@
     pub avoid: &'a [ServerId],
     /// Servers for which others wait that go before it.
     pub kept: &'a [ServerId],
-    /// How fast the service's engines read.
-    pub rate: ReadRate,
+    /// How long the service's engines take to a first token.
+    pub times: ReadTimes,
     /// Time that is left of the objective.
     pub objective: Duration,
     /// The whole objective.
@@ -167,6 +116,8 @@
     pub work: Work,
     /// Effort of the reading before its first token, its own included, in tokens.
     pub ahead: u32,
+    /// Round trip to the server.
+    pub way: Duration,
     /// Time to the first token if the server is as fast as the others.
     pub usual: Duration,
     /// Expected time to the first token.
@@ -338,11 +289,11 @@
     let effort = ask.shape.effort(read);
     let ahead = glance.backlog + effort;
     let pace = glance.pace.max(1.0);
-    let first = ask.engine.map_or(Duration::ZERO, |_| FIRST_TOKEN);
+    let first = ask.engine.map_or(Duration::ZERO, |_| ask.times.first());
     let way = ROUND_TRIPS[candidate.tier];
-    let usual = first + ask.rate.time(ahead) + way;
+    let usual = first + ask.times.reading(ahead) + way;
     let expected = usual.mul_f64(pace);
-    let alone = (first + ask.rate.time(effort)).mul_f64(pace) + way;
+    let alone = (first + ask.times.reading(effort)).mul_f64(pace) + way;
     let allowed = ask.objective.mul_f64(ask.part);
     if ask.part < 1.0 && expected > allowed {
         return Err(if alone > ask.promised.mul_f64(ask.part) {
@@ -360,6 +311,7 @@
             sent: 0,
         },
         ahead,
+        way,
         usual,
         expected,
         alone,
--- /dev/null
+++ b/crates/hawthornmill/src/routing/reading.rs
@@ -0,0 +1,103 @@
+//! How long engines of a service take to a first token, learnt from their answers.
+//!
+//! Load pattern: an instance's own link is full, and every answer reaches it half a second late. Taken for slow
+//! reading, that makes all servers look busy, and the instance turns away work for which engines idle.
+//!
+//! So a line is laid through the times by the tokens before them, the older answers weighing less: its slope is the
+//! reading, its begin is what is the same for all requests.
+
+use std::time::Duration;
+
+/// Time to a first token besides the reading, until answers have shown it.
+const FIRST_TIME: Duration = Duration::from_millis(60);
+/// Rate of reading until answers have shown it, in tokens a millisecond.
+const FIRST_RATE: f64 = 60.0;
+/// Tokens of the longer of the two prompts that stand in for answers at the begin.
+const FIRST_PROMPT: f64 = 10_000.0;
+/// Answers of each of the two that stand in.
+const FIRST_ANSWERS: f64 = 5.0;
+/// Part of its weight that an answer loses with each newer one.
+const FADE: f64 = 0.01;
+/// Bounds of a plausible rate, in tokens a millisecond.
+const RATES: (f64, f64) = (5.0, 400.0);
+
+/// Weighted sums over answers: tokens before the first one, and milliseconds to it.
+#[derive(Debug, Clone, Copy)]
+pub struct ReadTimes {
+    weight: f64,
+    tokens: f64,
+    millis: f64,
+    squares: f64,
+    products: f64,
+}
+
+impl Default for ReadTimes {
+    fn default() -> Self {
+        let mut times = Self {
+            weight: 0.0,
+            tokens: 0.0,
+            millis: 0.0,
+            squares: 0.0,
+            products: 0.0,
+        };
+        let first = FIRST_TIME.as_secs_f64() * 1000.0;
+        times.add(FIRST_ANSWERS, 0.0, first);
+        times.add(
+            FIRST_ANSWERS,
+            FIRST_PROMPT,
+            first + FIRST_PROMPT / FIRST_RATE,
+        );
+        times
+    }
+}
+
+impl ReadTimes {
+    /// The first token came `time` after `tokens` were before it, its own prompt included.
+    pub fn observe(&mut self, tokens: u32, time: Duration) {
+        if tokens == 0 {
+            return;
+        }
+        self.fade();
+        self.add(1.0, f64::from(tokens), time.as_secs_f64() * 1000.0);
+    }
+
+    fn fade(&mut self) {
+        let kept = 1.0 - FADE;
+        self.weight *= kept;
+        self.tokens *= kept;
+        self.millis *= kept;
+        self.squares *= kept;
+        self.products *= kept;
+    }
+
+    fn add(&mut self, weight: f64, tokens: f64, millis: f64) {
+        self.weight += weight;
+        self.tokens += weight * tokens;
+        self.millis += weight * millis;
+        self.squares += weight * tokens * tokens;
+        self.products += weight * tokens * millis;
+    }
+
+    /// Tokens that are read in a millisecond.
+    fn rate(self) -> f64 {
+        let spread = self.squares - self.tokens * self.tokens / self.weight;
+        let slope = (self.products - self.tokens * self.millis / self.weight) / spread.max(1.0);
+        (1.0 / slope.max(f64::MIN_POSITIVE)).clamp(RATES.0, RATES.1)
+    }
+
+    /// Tokens that are read in a second.
+    pub fn per_second(self) -> f64 {
+        self.rate() * 1000.0
+    }
+
+    /// Time in which `tokens` are read.
+    pub fn reading(self, tokens: u32) -> Duration {
+        Duration::from_secs_f64(f64::from(tokens) / self.per_second())
+    }
+
+    /// Time to a first token besides the reading.
+    pub fn first(self) -> Duration {
+        let millis = (self.millis - self.tokens / self.rate()) / self.weight;
+        Duration::from_secs_f64(millis.max(0.0) / 1000.0)
+    }
+}
--- a/tests/testsuite/routing/desk.rs
+++ b/tests/testsuite/routing/desk.rs
@@ -506,7 +506,7 @@
         match desk.ask(&long, now) {
             Verdict::Decided(Ok(choice)) => homes.push(choice),
             Verdict::Wait(ticket) => break ticket,
-            other => panic!("{other:?}"),
+            other @ Verdict::Decided(_) => panic!("{other:?}"),
         }
     };
     desk.ended(&homes[0], false);
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -6,6 +6,7 @@
 mod loads;
 mod mates;
 mod place;
+mod reading;
 mod registry;
 mod shares;
 mod table;
