Smaller parts and fewer copies for accounts that have had their share

What was idle behind blocked lines now goes to accounts beyond their share; with the parts of before they crowd out others and have more read again.

--- a/crates/hawthornmill/src/routing/desk.rs
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -28,22 +28,19 @@
 use crate::ident::{AccountId, DomainId, InstanceId, RegionId, ServerId, ServiceId};
 use crate::limits::pace::Pace;
 
-/// Part of its objective for which a request waits for room at most.
-///
-/// A wait of an eighth costs its caller nothing; one of three quarters leaves no time to answer.
+/// Part of its objective for which a request waits for room at most; the rest is for its answer.
 const PATIENCE: f64 = 0.3;
 /// Part of a server's room and of the objective that a request of each standing may take.
 ///
 /// Accounts beyond their share take what is left over. If they filled the servers, requests of the
 /// others would find no room or come behind long prompts, before any could be turned away.
-const PARTS: [f64; 3] = [1.0, 0.7, 0.5];
+const PARTS: [f64; 3] = [1.0, 0.6, 0.35];
 /// The same while nobody who goes before found no room lately.
-const CALM_PARTS: [f64; 3] = [1.0, 0.9, 0.75];
+const CALM_PARTS: [f64; 3] = [1.0, 0.85, 0.6];
 /// Servers that may read a family's long shared part for a request of each standing.
 ///
-/// An account beyond its share that was let in anywhere had 29 % of its tokens read again, on a day on
-/// which it asked for four fifths of all. Two copies serve twice what one server holds.
-const COPIES: [usize; 3] = [usize::MAX, usize::MAX, 2];
+/// Each further copy takes reading time and memory from all.
+const COPIES: [usize; 3] = [usize::MAX, 2, 1];
 /// Lead, in times of an even part, from which an account's room shrinks no further.
 const MOST_LEAD: f64 = 4.0;
 /// Requests that wait at one instance at most; each holds its body.
