Let only much owed work shut others out; say in the log what turned a request away

In a fleet of eight, 6 % of the instances are one instance, and one odd request there (a long prompt, say) shut all accounts that had had their part out for 0.6 s. What counts now is the cost that finds no room, 6 % of the promised capacity in a second, wherever it comes in.

--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -13,7 +13,7 @@
 use hawthornmill::limits::strain::Strain;
 use hawthornmill::routing::budget::Budget;
 use hawthornmill::routing::catalog::Catalog;
-use hawthornmill::routing::desk::{Desk, Refusal, Request, Ticket, Verdict};
+use hawthornmill::routing::desk::{Cause, Desk, Refusal, Request, Ticket, Verdict};
 use hawthornmill::routing::news::{Mates, Reading};
 use hawthornmill::routing::place::{Choice, Place};
 use hawthornmill::routing::registry::Change;
@@ -234,6 +234,7 @@
         // The other end is dropped only together with the gateway, and nobody is served then.
         decided.unwrap_or(Err(Refusal {
             code: Code::NotReady,
+            cause: Cause::NoServer,
             again: request.objective,
         }))
     }
--- a/crates/hawthornmill-gateway/src/mates.rs
+++ b/crates/hawthornmill-gateway/src/mates.rs
@@ -76,9 +76,7 @@
             .borrow_mut()
             .targets(&settings.seeds, round, now);
         let most = gateway.mates.borrow().most();
-        let live = gateway.mates.borrow().live(now).count() + 1;
         gateway.desk.borrow_mut().budget.share_among(most);
-        gateway.desk.borrow_mut().instances = live;
         let news = news(&gateway, round, now);
         let Ok(frame) = sealer.seal(&Message::News(Box::new(news))) else {
             log::error!(target: "mates", "news can't be encoded");
--- a/crates/hawthornmill-gateway/src/trip/mod.rs
+++ b/crates/hawthornmill-gateway/src/trip/mod.rs
@@ -24,7 +24,7 @@
 
 use hawthornmill::codes::Code;
 use hawthornmill::ident::ServerId;
-use hawthornmill::routing::desk::Refusal;
+use hawthornmill::routing::desk::{Cause, Refusal};
 use hawthornmill::routing::loads;
 use hawthornmill::routing::place::Choice;
 use serde_json::json;
@@ -169,6 +169,7 @@
             Next::Refuse => {
                 let refusal = Refusal {
                     code: Code::UpstreamUnreachable,
+                    cause: Cause::NoServer,
                     again: admitted.request.objective / 2,
                 };
                 return no_server(way, trip, fallback, refusal, out).await;
--- a/crates/hawthornmill-gateway/src/trip/settle.rs
+++ b/crates/hawthornmill-gateway/src/trip/settle.rs
@@ -20,7 +20,8 @@
     let desk = gateway.desk.borrow();
     let outlook = desk.outlook(request, now);
     let fields = json!({
-        "code": refusal.code.number(), "again_ms": refusal.again.as_millis() as u64,
+        "code": refusal.code.number(), "cause": format!("{:?}", refusal.cause),
+        "again_ms": refusal.again.as_millis() as u64,
         "waited_ms": now.duration_since(request.came).as_millis() as u64,
         "servers": outlook.servers, "draining": outlook.draining, "down": outlook.down,
         "full": outlook.full, "waiting": outlook.waiting, "short_at": outlook.short,
--- a/crates/hawthornmill/src/routing/desk.rs
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -50,6 +50,7 @@
 /// The refusal when no server of the service is known: most are back, or replaced, within a second.
 const NO_SERVER: Refusal = Refusal {
     code: Code::UpstreamUnreachable,
+    cause: Cause::NoServer,
     again: Duration::from_millis(700),
 };
 
@@ -100,11 +101,28 @@
     pub standing: Standing,
 }
 
+/// What turned a request away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cause {
+    /// No server could take it.
+    NoServer,
+    /// Accounts that are owed find no room, and its account has had its part.
+    OthersOwed,
+    /// It would begin too late even if nothing were before it.
+    TooLong,
+    /// Too many wait before it.
+    Crowd,
+    /// No room came free while it waited.
+    Waited,
+}
+
 /// Why a request is turned away, and when its caller may come back.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Refusal {
     /// Numbered reason.
     pub code: Code,
+    /// What turned it away, for the log.
+    pub cause: Cause,
     /// Time after which to come back.
     pub again: Duration,
 }
@@ -147,8 +165,6 @@
     pub regions: Vec<(DomainId, RegionId)>,
     /// Tokens a second of all engines; 0 when unknown.
     pub token_rate: f64,
-    /// Instances of the fleet, this one included.
-    pub instances: usize,
     place: Place,
     times: BTreeMap<ServiceId, ReadTimes>,
     paces: BTreeMap<ServiceId, Pace>,
@@ -171,7 +187,6 @@
             budget,
             regions: Vec::new(),
             token_rate: 0.0,
-            instances: 1,
             place,
             times: BTreeMap::new(),
             paces: BTreeMap::new(),
@@ -206,7 +221,7 @@
                 Ok(choice) => return Verdict::Decided(Ok(choice)),
                 Err(Unplaced::NoServer) => return Verdict::Decided(Err(NO_SERVER)),
                 Err(Unplaced::TooLong) => {
-                    return Verdict::Decided(Err(self.refuse_full(request, now)));
+                    return Verdict::Decided(Err(self.refuse(request, Cause::TooLong, now)));
                 }
                 Err(Unplaced::AllFull) => {}
                 Err(Unplaced::HomesFull(full)) => homes = full,
@@ -214,9 +229,11 @@
         }
         let (standing, cost) = (self.standing(request), request.shape.cost());
         self.shortages.add(request.service, standing, cost, now);
-        let blocked = self.is_blocked(request, now);
-        if blocked || self.line.len() >= MOST_WAITING || self.is_hopeless(request, now) {
-            return Verdict::Decided(Err(self.refuse_full(request, now)));
+        if self.is_blocked(request, now) {
+            return Verdict::Decided(Err(self.refuse(request, Cause::OthersOwed, now)));
+        }
+        if self.line.len() >= MOST_WAITING || self.is_hopeless(request, now) {
+            return Verdict::Decided(Err(self.refuse(request, Cause::Crowd, now)));
         }
         let request = request.clone();
         Verdict::Wait(self.line.insert(InLine { request, homes }))
@@ -245,11 +262,11 @@
             let decided = match placed {
                 Ok(choice) => Ok(choice),
                 Err(Unplaced::NoServer) => Err(NO_SERVER),
-                Err(Unplaced::TooLong) => Err(self.refuse_full(&request, now)),
+                Err(Unplaced::TooLong) => Err(self.refuse(&request, Cause::TooLong, now)),
                 Err(Unplaced::AllFull | Unplaced::HomesFull(_))
                     if now >= patience_end(&request) =>
                 {
-                    Err(self.refuse_full(&request, now))
+                    Err(self.refuse(&request, Cause::Waited, now))
                 }
                 Err(Unplaced::AllFull) => {
                     if !held_back {
@@ -465,7 +482,7 @@
     fn is_blocked(&self, request: &Request, now: Instant) -> bool {
         let standing = self.standing(request).min(Standing::Below);
         let lack = self.shortages.before(request.service, standing, now);
-        shuts_out(lack, self.instances, self.token_rate)
+        shuts_out(lack, self.token_rate)
     }
 
     /// Work that found no room lately, for the others.
@@ -540,7 +557,7 @@
         left.is_zero() || pace.is_some_and(|p| p.hopeless(ahead, left, now))
     }
 
-    fn refuse_full(&self, request: &Request, now: Instant) -> Refusal {
+    fn refuse(&self, request: &Request, cause: Cause, now: Instant) -> Refusal {
         let ahead = self.same(request.service).count();
         let pace = self
             .paces
@@ -552,6 +569,7 @@
         let again = pace.come_back(ahead, draw, now);
         Refusal {
             code: Code::QueueLate,
+            cause,
             again: again.max(request.objective.mul_f64(PATIENCE)),
         }
     }
--- a/crates/hawthornmill/src/routing/shortage.rs
+++ b/crates/hawthornmill/src/routing/shortage.rs
@@ -9,16 +9,9 @@
 
 /// Time for which a service counts as short after a request found no room.
 const SHORT: Duration = Duration::from_millis(600);
-/// Part of the instances that must find no room for a service to count as short.
-const SHORT_PART: f64 = 0.06;
 /// Part of the promised capacity that must lack room for a service to count as short, wherever it came in.
-///
-/// The callers of one account mostly come in by one instance. A flood of an account that was owed its
-/// share was turned away there, while others, who came in by seventy instances, had twice as much: one
-/// instance is less than [`SHORT_PART`] of them.
 const LACK_PART: f64 = 0.06;
-/// Time for which a shortage or a stray is told: in a large fleet some instances get only one piece of
-/// news in four, and would else miss most of them.
+/// Time for which a shortage or a stray is told, so that it outlives lost news.
 pub const TOLD: Duration = Duration::from_millis(900);
 
 /// Work that found no room here.
@@ -107,12 +100,9 @@
     }
 }
 
-/// Tells whether `lack` shuts others out, in a fleet of `instances` whose engines yield `rate` tokens a second.
+/// Tells whether `lack` shuts others out, where engines yield `rate` tokens a second.
 ///
-/// One instance that finds no room may have met a single odd request. In a large fleet some do at any time,
-/// so a part of the instances must say so, or much work must lack room.
-pub fn shuts_out(lack: Lack, instances: usize, rate: f64) -> bool {
-    let spread = f64::from(lack.places) >= SHORT_PART * instances as f64;
-    let much = lack.cost > 0 && f64::from(lack.cost) >= LACK_PART * rate * FADE.as_secs_f64();
-    lack.places > 0 && (spread || much)
+/// Single requests find no room at any time, in a large fleet at several instances at once; so much work must lack it.
+pub fn shuts_out(lack: Lack, rate: f64) -> bool {
+    lack.cost > 0 && f64::from(lack.cost) >= LACK_PART * rate * FADE.as_secs_f64()
 }
