--- a/crates/hawthornmill/src/routing/desk.rs
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -41,7 +41,9 @@
 ///
 /// Each further copy takes reading time and memory from all.
 const COPIES: [usize; 3] = [usize::MAX, 2, 1];
-/// Lead, in times of an even part, from which an account's room shrinks no further.
+/// Lead, in times of an even part, from which an account's room shrinks also while nobody lacks room.
+const CALM_LEAD: f64 = 1.2;
+/// Times by which an account's room shrinks at most for its lead.
 const MOST_LEAD: f64 = 4.0;
 /// Requests that wait at one instance at most; each holds its body.
 const MOST_WAITING: usize = 512;
@@ -463,7 +465,8 @@
     fn part(&self, request: &Request, calm: bool) -> f64 {
         let share = self.share_of(request);
         if calm {
-            return CALM_PARTS[share.standing as usize];
+            return CALM_PARTS[share.standing as usize]
+                / (share.lead / CALM_LEAD).clamp(1.0, MOST_LEAD);
         }
         // Of two accounts beyond their share, the one that is ahead finds less room: alike, whoever
         // has more entries to come in by would have several times as much.
--- a/tests/testsuite/routing/desk.rs
+++ b/tests/testsuite/routing/desk.rs
@@ -354,6 +354,30 @@
     assert!(behind >= 2 * ahead, "{ahead} against {behind}");
 }
 
+/// Failure: while only accounts beyond their share wait, the one that comes in by more instances gets twice as much.
+#[test]
+fn an_account_far_ahead_finds_less_room_also_in_calm_times() {
+    let now = Instant::now();
+    let got = |name, got| {
+        let asked = 1e6;
+        (AccountId::of(name), Sums { asked, got })
+    };
+    let usage = vec![got("ahead", 6e5), got("behind", 2e5), got("third", 2e5)];
+    let placed = |name: &str| {
+        let mut desk = desk(ONE, now);
+        desk.token_rate = 10.0;
+        let told = news(Vec::new(), usage.clone());
+        desk.hear(InstanceId::of("other"), &told, now);
+        let asks = (0..8).map(|_| desk.ask(&request(name, shape(1, 10, 10), now), now));
+        asks.filter(|v| matches!(v, Verdict::Decided(Ok(_))))
+            .count()
+    };
+
+    let (ahead, behind) = (placed("ahead"), placed("behind"));
+
+    assert!(behind > ahead, "{ahead} against {behind}");
+}
+
 /// Load pattern: an account far beyond its share asks for prompts with long shared parts, and their
 /// homes have no room for it. Let in at any server, each would read the part anew, and a third of what
 /// the engines read would be read for the second time.
