--- a/crates/hawthornmill-gateway/src/door.rs
+++ b/crates/hawthornmill-gateway/src/door.rs
@@ -28,8 +28,7 @@
 const NO_DESCRIPTOR: Duration = Duration::from_millis(20);
 /// Bytes of a request that is read to be turned away; a longer one is closed unread.
 const MOST_READ: usize = 16 << 10;
-/// Time after which a caller that is turned away may come back: six times the lateness from which most are
-/// turned away, so that the process is through with what it has; an objective of 600 ms can still be met.
+/// Time after which a caller that is turned away may come back: by then the process is through with what it has.
 const COME_BACK: Duration = Duration::from_millis(400);
 
 /// Takes callers for as long as the process lives.
--- a/crates/hawthornmill-gateway/src/mates.rs
+++ b/crates/hawthornmill-gateway/src/mates.rs
@@ -31,10 +31,6 @@
 /// Least time between two tellings of work, in which others would send some ten requests.
 const WORK_PAUSE: Duration = Duration::from_millis(20);
 /// The same in a large fleet, where each telling goes to a dozen mates.
-///
-/// At 150 ms instances chose by work that was over, and prompts left the servers that keep their long shared
-/// parts: a seventh of all prompt tokens was read again on a day of high load, a ninth at 50 ms. At 20 ms
-/// it was no less.
 const WORK_PAUSE_LARGE: Duration = Duration::from_millis(50);
 /// Work entries and accounts told at most, so that news fit a packet.
 const MOST_TOLD: usize = 48;
--- a/crates/hawthornmill/src/limits/strain.rs
+++ b/crates/hawthornmill/src/limits/strain.rs
@@ -8,18 +8,13 @@
 
 use std::time::{Duration, Instant};
 
-/// Lateness from which connections are turned away.
-///
-/// A process in time is 0 to 2 ms late. A request takes several turns of the process, and waits in each
-/// for everything else: at about 100 ms a turn one was seen to reach its server 1.1 s late.
+/// Lateness from which connections are turned away: a request takes several turns of the process, and waits in each.
 const FIRST: Duration = Duration::from_millis(15);
-/// Lateness beyond [`FIRST`] at which the most are turned away: eight turns of 60 ms take most of the usual
-/// objectives of 400 to 600 ms.
+/// Lateness beyond [`FIRST`] at which the most are turned away.
 const RANGE: Duration = Duration::from_millis(45);
 /// Part of the connections that is turned away at most, so that the process is always seen to take some.
 const MOST_PART: f64 = 0.95;
-/// Part of the lateness that is kept when the next timer is less late: a queue takes a while to shrink, and
-/// after a pause of a second connections are turned away for a quarter of a second more.
+/// Part of the lateness that is kept when the next timer is less late: a queue takes a while to shrink.
 const KEPT: f64 = 0.25;
 
 /// How late a process runs what is due.
--- a/crates/hawthornmill/src/routing/loads.rs
+++ b/crates/hawthornmill/src/routing/loads.rs
@@ -24,11 +24,9 @@
 /// Time in which a server's share of failures falls to half without new ones.
 const FORGIVE: Duration = Duration::from_secs(2);
 /// Effort of reading begun or done here since the others were told last, from which they are told at
-/// once, in tokens; engines read that much in about 15 ms.
-///
-/// One that hears 200 ms late of a prompt of 50,000 tokens sends a dozen short ones behind it.
+/// once, in tokens: whoever hears late of a long prompt sends short ones behind it.
 const TELL_AT: u32 = 2_000;
-/// Weight of the newest answer in a server's pace: ten answers tell a slow server.
+/// Weight of the newest answer in a server's pace.
 const PACE_WEIGHT: f64 = 0.1;
 /// Bound of a server's pace, in times of what is expected.
 const MOST_PACE: f64 = 6.0;
--- a/crates/hawthornmill/src/routing/usage.rs
+++ b/crates/hawthornmill/src/routing/usage.rs
@@ -14,9 +14,7 @@
 
 /// Time in which a cost counts for a third of what it did.
 ///
-/// Costs fade instead of leaving a window all at once: an account that had its share at the begin of a
-/// window got nothing until the window was over, then all at once again: in every other two seconds a
-/// quarter of what accounts were owed was refused.
+/// Costs fade, since an account whose costs leave a window all at once gets nothing until then, and then too much.
 pub const FADE: Duration = Duration::from_secs(1);
 /// Cost, in tokens, under which an account is no longer told of.
 const LEAST: f32 = 1.0;
