--- a/crates/hawthornmill/src/routing/desk.rs
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -150,6 +150,14 @@
     homes: Homes,
 }
 
+/// What those further back in the line may not take, since others that go before wait for it.
+#[derive(Debug, Default)]
+struct Taken {
+    /// Services of which any server would do.
+    services: SmallVec<[ServiceId; 4]>,
+    servers: Homes,
+}
+
 /// Everything that decides where requests go.
 #[derive(Debug)]
 pub struct Desk {
@@ -208,12 +216,7 @@
 
     /// Decides on a request that came, or that its server did not run.
     pub fn ask(&mut self, request: &Request, now: Instant) -> Verdict {
-        if request.tried.is_empty() {
-            self.budget.came(request.service, now);
-            if let Some(account) = request.account {
-                self.usage.asked(account, request.shape.cost(), now);
-            }
-        }
+        self.count(request, now);
         self.work_out(now);
         let mut homes = Homes::new();
         if let Some(kept) = self.kept_for_better(request)
@@ -241,6 +244,17 @@
         Verdict::Wait(self.line.insert(InLine { request, homes }))
     }
 
+    /// Counts a request that came for the first time.
+    fn count(&mut self, request: &Request, now: Instant) {
+        if !request.tried.is_empty() {
+            return;
+        }
+        self.budget.came(request.service, now);
+        if let Some(account) = request.account {
+            self.usage.asked(account, request.shape.cost(), now);
+        }
+    }
+
     /// Decides on those that wait; every request is named at most once.
     ///
     /// Nobody passes one of the same service that goes before and finds no room: a long prompt would
@@ -250,45 +264,44 @@
         self.work_out(now);
         let mut order: Vec<Ticket> = self.line.keys().collect();
         order.sort_by_key(|t| self.rank(&self.line[*t].request));
-        let mut full: SmallVec<[ServiceId; 4]> = SmallVec::new();
-        let mut kept = Homes::new();
+        let mut taken = Taken::default();
         let mut all = Vec::new();
         for ticket in order {
-            let request = self.line[ticket].request.clone();
-            let held_back = full.contains(&request.service) || self.is_blocked(&request, now);
-            let placed = if held_back {
-                Err(Unplaced::AllFull)
-            } else {
-                self.place(&request, &kept, now)
-            };
-            let decided = match placed {
-                Ok(choice) => Ok(choice),
-                Err(Unplaced::NoServer) => Err(NO_SERVER),
-                Err(Unplaced::TooLong) => Err(self.refuse(&request, Cause::TooLong, now)),
-                Err(Unplaced::AllFull | Unplaced::HomesFull(_))
-                    if now >= patience_end(&request) =>
-                {
-                    Err(self.refuse(&request, Cause::Waited, now))
-                }
-                Err(Unplaced::AllFull) => {
-                    if !held_back {
-                        full.push(request.service);
-                    }
-                    continue;
-                }
-                Err(Unplaced::HomesFull(homes)) => {
-                    kept.extend_from_slice(&homes);
-                    self.line[ticket].homes = homes;
-                    continue;
-                }
+            let Some(decided) = self.try_waiting(ticket, &mut taken, now) else {
+                continue;
             };
-            self.line.remove(ticket);
-            self.left(request.service, decided.is_ok(), now);
+            if let Some(waiting) = self.line.remove(ticket) {
+                self.left(waiting.request.service, decided.is_ok(), now);
+            }
             all.push((ticket, decided));
         }
         all
     }
 
+    /// Decides on one that waits; none when it stays in the line.
+    fn try_waiting(&mut self, ticket: Ticket, taken: &mut Taken, now: Instant) -> Option<Decided> {
+        let request = self.line[ticket].request.clone();
+        let over = now >= patience_end(&request);
+        if taken.services.contains(&request.service) || self.is_blocked(&request, now) {
+            return over.then(|| Err(self.refuse(&request, Cause::Waited, now)));
+        }
+        match self.place(&request, &taken.servers, now) {
+            Ok(choice) => Some(Ok(choice)),
+            Err(Unplaced::NoServer) => Some(Err(NO_SERVER)),
+            Err(Unplaced::TooLong) => Some(Err(self.refuse(&request, Cause::TooLong, now))),
+            Err(_full) if over => Some(Err(self.refuse(&request, Cause::Waited, now))),
+            Err(Unplaced::AllFull) => {
+                taken.services.push(request.service);
+                None
+            }
+            Err(Unplaced::HomesFull(homes)) => {
+                taken.servers.extend_from_slice(&homes);
+                self.line[ticket].homes = homes;
+                None
+            }
+        }
+    }
+
     /// A request that waited is no longer wanted by its caller.
     pub fn leave(&mut self, ticket: Ticket) {
         self.line.remove(ticket);
