--- a/crates/hawthornmill-gateway/src/mates.rs
+++ b/crates/hawthornmill-gateway/src/mates.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use hawthornmill::ident::{Incarnation, InstanceId};
+use hawthornmill::limits::patience::{self, Patience};
 use hawthornmill::routing::digest::{DomainWork, Member};
 use hawthornmill::routing::news::{Knowledge, Mate, News, Pull, Seen};
 use hawthornmill::wire::frame::{DATAGRAM_LIMIT, FrameError};
@@ -16,14 +17,12 @@
 
 use crate::gateway::{Gateway, Phase};
 use crate::journal;
-use crate::pool::connect;
+use crate::pool::connect_within;
 
 /// Time for which a mate must be ahead before it is asked: the store's own answer is mostly faster.
 const BEHIND: Duration = Duration::from_millis(350);
 /// Time between two looks at whether a mate is ahead.
 const LOOK: Duration = Duration::from_millis(100);
-/// Time allowed for a mate's answer: several round trips between regions, and a catalog's way.
-const ANSWER: Duration = Duration::from_millis(700);
 /// Time for which a mate that did not answer is not asked again; by then it counts as silent.
 const MUTE: Duration = Duration::from_secs(2);
 /// Least time between two pieces of news, however much changes.
@@ -298,6 +297,7 @@
 pub async fn catch_up(gateway: Rc<Gateway>) {
     let mut behind: Option<Instant> = None;
     let mut mute: Vec<(SocketAddr, Instant)> = Vec::new();
+    let mut patience = Patience::default();
     loop {
         tokio::time::sleep(LOOK).await;
         let now = gateway.now();
@@ -318,20 +318,23 @@
         let mut answered = true;
         for mate in ahead {
             let peer = mate.mate.peer;
-            if !ask_one(&gateway, peer, Pull { version, revision }).await {
+            if !ask_one(&gateway, peer, Pull { version, revision }, patience.time()).await {
                 mute.push((peer, gateway.now()));
                 answered = false;
             }
         }
         if answered {
             behind = None;
+            patience = Patience::default();
+        } else {
+            patience.missed();
         }
     }
 }
 
-/// Asks one mate; false when it does not answer.
-async fn ask_one(gateway: &Gateway, mate: SocketAddr, pull: Pull) -> bool {
-    match tokio::time::timeout(ANSWER, ask(gateway, mate, pull)).await {
+/// Asks one mate; false when it does not answer within `time`.
+async fn ask_one(gateway: &Gateway, mate: SocketAddr, pull: Pull, time: Duration) -> bool {
+    match tokio::time::timeout(time, ask(gateway, mate, pull, time)).await {
         Ok(Ok(knowledge)) => {
             learn(gateway, knowledge, mate);
             return true;
@@ -361,8 +364,13 @@
     }
 }
 
-async fn ask(gateway: &Gateway, mate: SocketAddr, pull: Pull) -> std::io::Result<Knowledge> {
-    let mut link = connect(mate).await?;
+async fn ask(
+    gateway: &Gateway,
+    mate: SocketAddr,
+    pull: Pull,
+    time: Duration,
+) -> std::io::Result<Knowledge> {
+    let mut link = connect_within(mate, time).await?;
     let channel = link.read_u64_le().await?;
     let key = gateway.settings().key;
     let mut sealer = Sealer::new(key, gateway.me, gateway.incarnation, channel);
@@ -397,7 +405,7 @@
         };
         let gateway = Rc::clone(&gateway);
         tokio::task::spawn_local(async move {
-            let told = tokio::time::timeout(ANSWER, tell_one(&gateway, link)).await;
+            let told = tokio::time::timeout(patience::MOST, tell_one(&gateway, link)).await;
             if let Ok(Err(error)) = told {
                 let fields = json!({"mate": from.to_string(), "why": error.to_string()});
                 journal::belief("mate_not_told", fields);
--- a/crates/hawthornmill-gateway/src/pool.rs
+++ b/crates/hawthornmill-gateway/src/pool.rs
@@ -181,8 +181,16 @@
 /// # Errors
 /// When there is nobody in time.
 pub async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    connect_within(address, CONNECT).await
+}
+
+/// The same in another time.
+///
+/// # Errors
+/// When there is nobody in time.
+pub async fn connect_within(address: SocketAddr, time: Duration) -> io::Result<TcpStream> {
     let socket = sockets::socket(address)?;
-    let stream = tokio::time::timeout(CONNECT, socket.connect(address))
+    let stream = tokio::time::timeout(time, socket.connect(address))
         .await
         .map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
--- a/crates/hawthornmill/src/limits/mod.rs
+++ b/crates/hawthornmill/src/limits/mod.rs
@@ -9,5 +9,6 @@
 
 pub mod backlog;
 pub mod pace;
+pub mod patience;
 pub mod retry;
 pub mod strain;
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -5,6 +5,7 @@
 mod digest;
 mod loads;
 mod mates;
+mod patience;
 mod place;
 mod reading;
 mod registry;
