Put requests and allowances into modules of their own; look once where it was looked twice

The data of a request and of what becomes of it stand in routing/request.rs, the part of a server that an account's requests may take in routing/allowance.rs. Whether others are owed was asked twice for a request that waits, a server's place in its family worked out twice for a candidate, and work summed up for servers that are kept for others.

--- a/crates/hawthornmill-gateway/src/journal.rs
+++ b/crates/hawthornmill-gateway/src/journal.rs
@@ -13,8 +13,7 @@
 use log4rs::config::{Appender, Config, Root};
 use serde_json::{Map, Value, json};
 
-/// Bytes that wait to be written at most: about six seconds of one instance's lines, of which the most
-/// in a second of a day of three times the usual load were 82 KB.
+/// Bytes that wait to be written at most: some seconds of one instance's lines under high load.
 const MOST_BYTES: usize = 512 << 10;
 /// Time between two writes.
 const WRITE_EVERY: Duration = Duration::from_millis(100);
--- a/crates/hawthornmill-gateway/src/store.rs
+++ b/crates/hawthornmill-gateway/src/store.rs
@@ -36,8 +36,7 @@
 const AGAIN: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(500));
 /// The longest such pause of an instance of a large fleet that knows something already.
 ///
-/// While the store answers nobody, all of them ask it; at half a second each, 73 instances made 4,030
-/// calls on a day with outages of 14 seconds. Whoever is answered first tells the others.
+/// While the store answers nobody, all of them ask it; whoever is answered first tells the others.
 const AGAIN_LARGE: Duration = Duration::from_millis(1_800);
 /// Time without an answer after which servers may have lapsed through the store's fault.
 ///
--- a/crates/hawthornmill-gateway/src/trip/admit.rs
+++ b/crates/hawthornmill-gateway/src/trip/admit.rs
@@ -4,7 +4,7 @@
 
 use hawthornmill::codes::Code;
 use hawthornmill::routing::catalog::Repeat;
-use hawthornmill::routing::desk::Request;
+use hawthornmill::routing::request::Request;
 use hawthornmill::routing::table::{Caller, split};
 use smallvec::SmallVec;
 
--- a/crates/hawthornmill-gateway/src/trip/mod.rs
+++ b/crates/hawthornmill-gateway/src/trip/mod.rs
@@ -24,9 +24,9 @@
 
 use hawthornmill::codes::Code;
 use hawthornmill::ident::ServerId;
-use hawthornmill::routing::desk::{Cause, Refusal};
 use hawthornmill::routing::loads;
 use hawthornmill::routing::place::Choice;
+use hawthornmill::routing::request::{Cause, Refusal};
 use serde_json::json;
 use tokio::net::tcp::OwnedWriteHalf;
 
--- a/crates/hawthornmill-gateway/src/trip/settle.rs
+++ b/crates/hawthornmill-gateway/src/trip/settle.rs
@@ -3,8 +3,8 @@
 use std::time::Instant;
 
 use hawthornmill::codes::Code;
-use hawthornmill::routing::desk::{Refusal, Request};
 use hawthornmill::routing::place::Choice;
+use hawthornmill::routing::request::{Refusal, Request};
 use serde_json::json;
 
 use super::admit::Admitted;
--- a/crates/hawthornmill/src/pools/regions.rs
+++ b/crates/hawthornmill/src/pools/regions.rs
@@ -43,7 +43,7 @@
         }
     }
 
-    /// Adds what the time since the last call allows; at most one second's worth is saved up.
+    /// Adds what the time since the last call allows; at most what a second allows is saved up.
     pub fn refill(&mut self, rate: f64, now: Instant) {
         let time = now.duration_since(self.filled).as_secs_f64();
         self.left = (self.left + rate * time).min(rate);
--- a/crates/hawthornmill/src/routing/desk.rs
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -9,11 +9,11 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use slotmap::{SlotMap, new_key_type};
+use slotmap::SlotMap;
 use smallvec::SmallVec;
 
+use super::allowance;
 use super::budget::Budget;
-use super::catalog::Engine;
 use super::digest::{self, DomainWork, Member, Members};
 use super::loads::{Loads, Work};
 use super::memory::PrefixMemory;
@@ -21,7 +21,8 @@
 use super::place::{Ask, Choice, Homes, Place, Unplaced, View, choose, is_long};
 use super::reading::ReadTimes;
 use super::registry::{Change, Registry};
-use super::shape::{PrefixKey, Shape};
+use super::request::{Cause, Decided, Outlook, Refusal, Request, Ticket, Verdict};
+use super::shape::PrefixKey;
 use super::shortage::{Shortages, TOLD, shuts_out};
 use super::usage::{FADE, Share, Standing, Usage, standings};
 use crate::codes::Code;
@@ -30,21 +31,6 @@
 
 /// Part of its objective for which a request waits for room at most; the rest is for its answer.
 const PATIENCE: f64 = 0.3;
-/// Part of a server's room and of the objective that a request of each standing may take.
-///
-/// Accounts beyond their share take what is left over. If they filled the servers, requests of the
-/// others would find no room or come behind long prompts, before any could be turned away.
-const PARTS: [f64; 3] = [1.0, 0.6, 0.35];
-/// The same while nobody who goes before found no room lately.
-const CALM_PARTS: [f64; 3] = [1.0, 0.85, 0.6];
-/// Servers that may read a family's long shared part for a request of each standing.
-///
-/// Each further copy takes reading time and memory from all.
-const COPIES: [usize; 3] = [usize::MAX, 2, 1];
-/// Lead, in times of an even part, from which an account's room shrinks also while nobody lacks room.
-const CALM_LEAD: f64 = 1.2;
-/// Times by which an account's room shrinks at most for its lead.
-const MOST_LEAD: f64 = 4.0;
 /// Requests that wait at one instance at most; each holds its body.
 const MOST_WAITING: usize = 512;
 /// Time after which the shares are worked out anew.
@@ -56,92 +42,6 @@
     again: Duration::from_millis(700),
 };
 
-new_key_type! {
-    /// A request that waits.
-    pub struct Ticket;
-}
-
-/// A request that wants a server.
-#[derive(Debug, Clone)]
-pub struct Request {
-    /// Account that pays; none on public routes.
-    pub account: Option<AccountId>,
-    /// Service that serves it.
-    pub service: ServiceId,
-    /// Set where model engines serve it.
-    pub engine: Option<Engine>,
-    /// Its size.
-    pub shape: Shape,
-    /// Rank; 0 goes first.
-    pub priority: u32,
-    /// Time to the answer's begin that its caller is promised.
-    pub objective: Duration,
-    /// When it came.
-    pub came: Instant,
-    /// When its caller gives up or the route's timeout passes.
-    pub ends: Instant,
-    /// Servers that had it before.
-    pub tried: SmallVec<[ServerId; 2]>,
-}
-
-/// What the desk believes of a request's service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Outlook {
-    /// Servers registered for the service.
-    pub servers: usize,
-    /// Those of them that drain.
-    pub draining: usize,
-    /// Those that could not be reached lately.
-    pub down: usize,
-    /// Those whose slots are all taken.
-    pub full: usize,
-    /// Requests that wait at this instance.
-    pub waiting: usize,
-    /// Instances at which requests of the service found no room lately.
-    pub short: usize,
-    /// How the request's account stands to its share.
-    pub standing: Standing,
-}
-
-/// What turned a request away.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Cause {
-    /// No server could take it.
-    NoServer,
-    /// Accounts that are owed find no room, and its account has had its part.
-    OthersOwed,
-    /// It would begin too late even if nothing were before it.
-    TooLong,
-    /// Too many wait before it.
-    Crowd,
-    /// No room came free while it waited.
-    Waited,
-}
-
-/// Why a request is turned away, and when its caller may come back.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Refusal {
-    /// Numbered reason.
-    pub code: Code,
-    /// What turned it away, for the log.
-    pub cause: Cause,
-    /// Time after which to come back.
-    pub again: Duration,
-}
-
-/// The server for a request, where its work is counted from then on, or why it is turned away; it has
-/// not run then.
-pub type Decided = Result<Choice, Refusal>;
-
-/// What becomes of a request that comes.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Verdict {
-    /// It goes to a server or is turned away.
-    Decided(Decided),
-    /// It waits; [`Desk::turn`] tells when that is over.
-    Wait(Ticket),
-}
-
 /// A request that waits.
 #[derive(Debug, Clone)]
 struct InLine {
@@ -218,9 +118,10 @@
     pub fn ask(&mut self, request: &Request, now: Instant) -> Verdict {
         self.count(request, now);
         self.work_out(now);
+        let blocked = self.is_blocked(request, now);
         let mut homes = Homes::new();
         if let Some(kept) = self.kept_for_better(request)
-            && !self.is_blocked(request, now)
+            && !blocked
         {
             match self.place(request, &kept, now) {
                 Ok(choice) => return Verdict::Decided(Ok(choice)),
@@ -234,7 +135,7 @@
         }
         let (standing, cost) = (self.standing(request), request.shape.cost());
         self.shortages.add(request.service, standing, cost, now);
-        if self.is_blocked(request, now) {
+        if blocked {
             return Verdict::Decided(Err(self.refuse(request, Cause::OthersOwed, now)));
         }
         if self.line.len() >= MOST_WAITING || self.is_hopeless(request, now) {
@@ -389,6 +290,7 @@
         now: Instant,
     ) -> Result<Choice, Unplaced> {
         let calm = self.better(request, now).places == 0;
+        let share = self.share_of(request);
         let view = View {
             registry: &self.registry,
             loads: &self.loads,
@@ -409,8 +311,8 @@
                 .unwrap_or_default(),
             objective: (request.came + request.objective).saturating_duration_since(now),
             promised: request.objective,
-            part: self.part(request, calm),
-            copies: COPIES[self.standing(request) as usize],
+            part: allowance::part(share, calm),
+            copies: allowance::copies(share.standing),
         };
         let choice = choose(&view, &ask, now)?;
         // Elsewhere it would begin sooner at the price of reading its shared part again, which is
@@ -474,18 +376,6 @@
         known.copied().unwrap_or_default()
     }
 
-    /// Part of a server's room that `request` may take.
-    fn part(&self, request: &Request, calm: bool) -> f64 {
-        let share = self.share_of(request);
-        if calm {
-            return CALM_PARTS[share.standing as usize]
-                / (share.lead / CALM_LEAD).clamp(1.0, MOST_LEAD);
-        }
-        // Of two accounts beyond their share, the one that is ahead finds less room: alike, whoever
-        // has more entries to come in by would have several times as much.
-        PARTS[share.standing as usize] / share.lead.clamp(1.0, MOST_LEAD)
-    }
-
     /// What found no room lately, here or elsewhere, of accounts that are not beyond their share.
     fn better(&self, request: &Request, now: Instant) -> Lack {
         self.shortages.before(request.service, Standing::Above, now)
--- a/crates/hawthornmill/src/routing/memory.rs
+++ b/crates/hawthornmill/src/routing/memory.rs
@@ -46,8 +46,7 @@
 
     /// Servers that need not read all of the prompt, with the tokens that each one keeps.
     ///
-    /// One search for each prefix finds all of them, where a fleet of 90 servers took one for each server
-    /// and prefix.
+    /// One search for each prefix finds all of them, however many servers there are.
     pub fn keepers(&self, shape: &Shape, now: Instant) -> Keepers {
         let mut keepers = Keepers::new();
         for (key, tokens) in shape.prefixes() {
--- a/crates/hawthornmill/src/routing/mod.rs
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -10,14 +10,18 @@
 //! | [`registry`] | servers as they registered themselves |
 //! | [`shape`] | what a request will cost an engine |
 //! | [`loads`], [`memory`] | what is under way at each server, and what it has read |
+//! | [`reading`] | how long engines take to a first token |
+//! | [`request`] | a request that wants a server, and what can become of it |
 //! | [`place`] | the server for a request |
 //! | [`usage`] | what accounts asked for and got, and their max-min shares |
+//! | [`allowance`] | how much of a server an account's requests may take |
 //! | [`budget`] | second sends over the fleet |
 //! | [`shortage`] | what found no room lately |
 //! | [`desk`] | letting in, waiting, turning away |
 //! | [`news`] | what instances tell each other |
 //! | [`digest`] | what failure domains tell each other in a large fleet |
 
+pub mod allowance;
 pub mod budget;
 pub mod catalog;
 pub mod desk;
@@ -28,6 +32,7 @@
 pub mod place;
 pub mod reading;
 pub mod registry;
+pub mod request;
 pub mod shape;
 pub mod shortage;
 pub mod table;
--- a/crates/hawthornmill/src/routing/place.rs
+++ b/crates/hawthornmill/src/routing/place.rs
@@ -267,15 +267,16 @@
     let unique = ask.shape.prompt.saturating_sub(known.shared);
     let again = read.saturating_sub(unique);
     let rank = homes.iter().position(|h| *h == candidate.server);
-    if again >= LONG_SHARED && rank.unwrap_or(homes.len()) >= ask.copies {
+    let rank = rank.unwrap_or(homes.len());
+    if again >= LONG_SHARED && rank >= ask.copies {
         return Err(Unfit::Copies);
     }
-    let glance = view.loads.glance(candidate.server, now);
-    let total = glance.total;
-    let room = room(ask, candidate);
     if ask.kept.contains(&candidate.server) {
         return Err(Unfit::Full);
     }
+    let glance = view.loads.glance(candidate.server, now);
+    let total = glance.total;
+    let room = room(ask, candidate);
     if f64::from(total.running) + 1.0 > (room * ask.part).max(1.0) {
         return Err(Unfit::Full);
     }
@@ -319,28 +320,28 @@
         stray: home.is_some_and(|h| h != candidate.server),
     };
     let full = f64::from(total.running) / room;
-    let cost = cost(&choice, ask.objective, homes, full, glance.failing);
+    let cost = cost(&choice, ask.objective, rank, full, glance.failing);
     Ok((choice, cost))
 }
 
 /// What a choice costs its request and the others, in seconds.
 ///
-/// `full` is the part of the server's room that is taken, `failing` that of its answers that fail.
-fn cost(choice: &Choice, objective: Duration, homes: &[ServerId], full: f64, failing: f64) -> f64 {
+/// `rank` is the server's place among the family's, `full` the part of its room that is taken, `failing` that of
+/// its answers that fail.
+fn cost(choice: &Choice, objective: Duration, rank: usize, full: f64, failing: f64) -> f64 {
     let risk = choice.expected.saturating_sub(objective.mul_f64(AT_RISK));
-    let rank = homes.iter().position(|h| *h == choice.server);
     choice.expected.as_secs_f64()
         + REREAD * f64::from(choice.again)
         + RISK * risk.as_secs_f64()
         + CROWDED.as_secs_f64() * full * full
-        + RANK.as_secs_f64() * rank.unwrap_or(homes.len()) as f64
+        + RANK.as_secs_f64() * rank as f64
         + FAILURE.as_secs_f64() * failing
 }
 
 /// Tells whether a request is late wherever it goes, and hardly anything is before it at its server.
 ///
-/// A prompt can be so long that its reading alone takes most of the time. It is served all the same
-/// while nothing else waits; the others that it would delay are worth more.
+/// A prompt can be so long that its reading alone takes most of the time. It delays several others, so it is served
+/// only while nothing else waits.
 pub fn is_long(choice: &Choice, time: Duration) -> bool {
     let wait = choice.expected.saturating_sub(choice.alone);
     choice.alone > time.mul_f64(LONG) && wait <= time.mul_f64(LONG_WAIT)
--- /dev/null
+++ b/crates/hawthornmill/src/routing/request.rs
@@ -0,0 +1,99 @@
+//! A request that wants a server, and what can become of it.
+
+use std::time::{Duration, Instant};
+
+use slotmap::new_key_type;
+use smallvec::SmallVec;
+
+use super::catalog::Engine;
+use super::place::Choice;
+use super::shape::Shape;
+use super::usage::Standing;
+use crate::codes::Code;
+use crate::ident::{AccountId, ServerId, ServiceId};
+
+new_key_type! {
+    /// A request that waits.
+    pub struct Ticket;
+}
+
+/// A request that wants a server.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// Account that pays; none on public routes.
+    pub account: Option<AccountId>,
+    /// Service that serves it.
+    pub service: ServiceId,
+    /// Set where model engines serve it.
+    pub engine: Option<Engine>,
+    /// Its size.
+    pub shape: Shape,
+    /// Rank; 0 goes first.
+    pub priority: u32,
+    /// Time to the answer's begin that its caller is promised.
+    pub objective: Duration,
+    /// When it came.
+    pub came: Instant,
+    /// When its caller gives up or the route's timeout passes.
+    pub ends: Instant,
+    /// Servers that had it before.
+    pub tried: SmallVec<[ServerId; 2]>,
+}
+
+/// What an instance believes of a request's service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Outlook {
+    /// Servers registered for the service.
+    pub servers: usize,
+    /// Those of them that drain.
+    pub draining: usize,
+    /// Those that could not be reached lately.
+    pub down: usize,
+    /// Those whose slots are all taken.
+    pub full: usize,
+    /// Requests that wait at this instance.
+    pub waiting: usize,
+    /// Instances at which requests of the service found no room lately.
+    pub short: usize,
+    /// How the request's account stands to its share.
+    pub standing: Standing,
+}
+
+/// What turned a request away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cause {
+    /// No server could take it.
+    NoServer,
+    /// Accounts that are owed find no room, and its account has had its part.
+    OthersOwed,
+    /// It would begin too late even if nothing were before it.
+    TooLong,
+    /// Too many wait before it.
+    Crowd,
+    /// No room came free while it waited.
+    Waited,
+}
+
+/// Why a request is turned away, and when its caller may come back.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Refusal {
+    /// Numbered reason.
+    pub code: Code,
+    /// What turned it away, for the log.
+    pub cause: Cause,
+    /// Time after which to come back.
+    pub again: Duration,
+}
+
+/// The server for a request, where its work is counted from then on, or why it is turned away; it has
+/// not run then.
+pub type Decided = Result<Choice, Refusal>;
+
+/// What becomes of a request that comes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Verdict {
+    /// It goes to a server or is turned away.
+    Decided(Decided),
+    /// It waits; [`super::desk::Desk::turn`] tells when that is over.
+    Wait(Ticket),
+}
--- a/tests/testsuite/routing/desk.rs
+++ b/tests/testsuite/routing/desk.rs
@@ -4,8 +4,9 @@
 
 use hawthornmill::codes::Code;
 use hawthornmill::ident::{AccountId, InstanceId};
-use hawthornmill::routing::desk::{Desk, Verdict};
+use hawthornmill::routing::desk::Desk;
 use hawthornmill::routing::news::{Lack, Mate, News, Reading};
+use hawthornmill::routing::request::Verdict;
 use hawthornmill::routing::usage::{Standing, Sums};
 
 use super::{desk, drafter, millis, request, sent, shape};
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -19,9 +19,10 @@
 use hawthornmill::routing::catalog::{
     Account, Catalog, Engine, Limits, Repeat, Route, Service, Target, TokenDigest,
 };
-use hawthornmill::routing::desk::{Desk, Request, Verdict};
+use hawthornmill::routing::desk::Desk;
 use hawthornmill::routing::place::{Choice, Place};
 use hawthornmill::routing::registry::{Change, Registration};
+use hawthornmill::routing::request::{Request, Verdict};
 use hawthornmill::routing::shape::{PromptPart, Shape};
 use smallvec::{SmallVec, smallvec};
 
--- a/tests/testsuite/routing/place.rs
+++ b/tests/testsuite/routing/place.rs
@@ -3,8 +3,8 @@
 use std::time::Instant;
 
 use hawthornmill::ident::ServerId;
-use hawthornmill::routing::desk::Verdict;
 use hawthornmill::routing::loads;
+use hawthornmill::routing::request::Verdict;
 
 use super::{change, desk, entry, millis, request, sent, shape};
 
