Let one that may go to any server by now hold back those behind it

Found by reading: a request that had waited for few servers kept that mark when its account fell back to its share and any server would do, so that others passed it and took what came free. The test fails without the change; no run showed it.

--- a/crates/hawthornmill/src/routing/desk.rs
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -193,6 +193,7 @@
             Err(_full) if over => Some(Err(self.refuse(&request, Cause::Waited, now))),
             Err(Unplaced::AllFull) => {
                 taken.services.push(request.service);
+                self.line[ticket].homes.clear();
                 None
             }
             Err(Unplaced::HomesFull(homes)) => {
--- a/tests/testsuite/routing/desk.rs
+++ b/tests/testsuite/routing/desk.rs
@@ -574,3 +574,30 @@
 
     assert!(matches!(verdict, Verdict::Decided(Ok(_))), "{verdict:?}");
 }
+
+/// Failure: a request that may go to any server by now, and finds none, lets others pass as if it waited for few.
+#[test]
+fn one_that_waits_for_any_server_holds_back_those_behind_it() {
+    let now = Instant::now();
+    let mut desk = flooded(now);
+    let long = request("flood", shape(1, 5_000, 10), now);
+    let mut placed = Vec::new();
+    while let Verdict::Decided(Ok(choice)) = desk.ask(&long, now) {
+        placed.push(choice);
+    }
+    let home = placed[0].server;
+    for _ in placed.len()..6 * 8 {
+        placed.push(sent(desk.ask(&request("lab", shape(3, 10, 10), now), now)));
+    }
+    // Without a promised rate no account is beyond its share.
+    desk.token_rate = 0.0;
+    let then = now + millis(250);
+    let turned = desk.turn(then);
+    let other = placed.iter().find(|c| c.server != home);
+    desk.ended(other.expect("there are six servers"), false);
+
+    let behind = desk.ask(&request("flood", shape(2, 10, 10), then), then);
+
+    assert!(turned.is_empty(), "{turned:?}");
+    assert!(matches!(behind, Verdict::Wait(_)), "{behind:?}");
+}
