Give only peers that live more time to answer

The change before gave every peer more time after a miss, so several that were gone would have held up the question to one that lives for up to 3 s each, where 3 s is all that a change may take. Only a peer that was heard while it was asked counts now.

--- a/crates/hawthornmill-gateway/src/mates.rs
+++ b/crates/hawthornmill-gateway/src/mates.rs
@@ -317,24 +317,23 @@
         }
         let mut answered = true;
         for mate in ahead {
-            let peer = mate.mate.peer;
+            let (peer, asked) = (mate.mate.peer, gateway.now());
             if !ask_one(&gateway, peer, Pull { version, revision }, patience.time()).await {
                 mute.push((peer, gateway.now()));
+                patience.missed(gateway.mates.borrow().is_heard_since(peer, asked));
                 answered = false;
             }
         }
         if answered {
             behind = None;
             patience = Patience::default();
-        } else {
-            patience.missed();
         }
     }
 }
 
 /// Asks one mate; false when it does not answer within `time`.
 async fn ask_one(gateway: &Gateway, mate: SocketAddr, pull: Pull, time: Duration) -> bool {
-    match tokio::time::timeout(time, ask(gateway, mate, pull, time)).await {
+    match tokio::time::timeout(time, ask(gateway, mate, pull)).await {
         Ok(Ok(knowledge)) => {
             learn(gateway, knowledge, mate);
             return true;
@@ -364,13 +363,8 @@
     }
 }
 
-async fn ask(
-    gateway: &Gateway,
-    mate: SocketAddr,
-    pull: Pull,
-    time: Duration,
-) -> std::io::Result<Knowledge> {
-    let mut link = connect_within(mate, time).await?;
+async fn ask(gateway: &Gateway, mate: SocketAddr, pull: Pull) -> std::io::Result<Knowledge> {
+    let mut link = connect_within(mate, patience::MOST).await?;
     let channel = link.read_u64_le().await?;
     let key = gateway.settings().key;
     let mut sealer = Sealer::new(key, gateway.me, gateway.incarnation, channel);
--- a/crates/hawthornmill/src/limits/patience.rs
+++ b/crates/hawthornmill/src/limits/patience.rs
@@ -11,7 +11,7 @@
 /// Most time for an answer.
 pub const MOST: Duration = Duration::from_secs(3);
 
-/// Time for the next answer; it doubles with each one that does not come.
+/// Time for the next answer; it doubles with each one that a peer who lives does not give.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Patience(Duration);
 
@@ -27,8 +27,12 @@
         self.0
     }
 
-    /// An answer did not come in time.
-    pub fn missed(&mut self) {
-        self.0 = (self.0 * 2).min(MOST);
+    /// An answer did not come in time; `alive` says that its peer was heard meanwhile.
+    ///
+    /// More time for one that is gone would only hold up the question to the next one.
+    pub fn missed(&mut self, alive: bool) {
+        if alive {
+            self.0 = (self.0 * 2).min(MOST);
+        }
     }
 }
--- a/crates/hawthornmill/src/routing/news.rs
+++ b/crates/hawthornmill/src/routing/news.rs
@@ -304,6 +304,12 @@
         all.any(|h| h.mate.domain == self.domain && h.mate.peer == address)
     }
 
+    /// Tells whether the instance at `address` was heard, itself or by a relay, after `since`.
+    pub fn is_heard_since(&self, address: SocketAddr, since: Instant) -> bool {
+        let mut all = self.heard.values();
+        all.any(|h| h.mate.peer == address && h.at > since)
+    }
+
     /// The greatest number of instances that were heard at once, this one included.
     pub const fn most(&self) -> usize {
         self.most
--- a/tests/testsuite/routing/mates.rs
+++ b/tests/testsuite/routing/mates.rs
@@ -236,3 +236,19 @@
     assert_eq!(apart, [20, 30]);
     assert_eq!(together, [40]);
 }
+
+#[test]
+fn an_instance_is_heard_since_a_moment_only_if_it_told_something_after_it() {
+    let now = Instant::now();
+    let mut mates = Mates::new(DomainId::of("a"));
+    let told = news(20, 1, Vec::new());
+    let id = InstanceId::of("r2");
+    mates.hear(id, Incarnation(1), &told, now);
+
+    let before = mates.is_heard_since(address(21), now);
+    mates.hear(id, Incarnation(1), &told, now + millis(5));
+    let after = mates.is_heard_since(address(21), now);
+    let other = mates.is_heard_since(address(31), now);
+
+    assert_eq!((before, after, other), (false, true, false));
+}
--- a/tests/testsuite/routing/patience.rs
+++ b/tests/testsuite/routing/patience.rs
@@ -13,7 +13,7 @@
         if late <= patience.time() {
             return Some(number);
         }
-        patience.missed();
+        patience.missed(true);
     }
     None
 }
@@ -26,7 +26,19 @@
     assert_eq!(questions(MOST), Some(4));
 }
 
-/// Failure: a peer that is gone holds up the question to the next one for ever.
+/// Failure: peers that are gone hold up the question to one that lives for seconds each.
+#[test]
+fn a_peer_that_is_gone_gets_no_more_time() {
+    let mut patience = Patience::default();
+    let first = patience.time();
+
+    patience.missed(false);
+    patience.missed(false);
+
+    assert_eq!(patience.time(), first);
+}
+
+/// Failure: a peer that lives and never answers holds up the question to the next one for ever.
 #[test]
 fn patience_has_an_end() {
     assert_eq!(questions(MOST + millis(1)), None);
