--- a/tests/testsuite/routing/desk.rs
+++ b/tests/testsuite/routing/desk.rs
@@ -28,10 +28,16 @@
     }
 }
 
-fn news(
-    short: Vec<(hawthornmill::ident::ServiceId, Standing)>,
-    usage: Vec<(AccountId, Sums)>,
-) -> News {
+/// Usage that puts `flood` far beyond its share.
+fn flooding() -> Vec<(AccountId, Sums)> {
+    let sums = Sums {
+        asked: 1e6,
+        got: 1e6,
+    };
+    vec![(AccountId::of("flood"), sums)]
+}
+
+fn news(short: Vec<(Standing, Lack)>, usage: Vec<(AccountId, Sums)>) -> News {
     let address = "127.0.0.1:1".parse().expect("the address is well-formed");
     News {
         mate: Mate {
@@ -47,7 +53,7 @@
         work: Vec::new(),
         usage,
         strays: Vec::new(),
-        short: short.into_iter().map(|(s, st)| (s, st, ODD)).collect(),
+        short: short.into_iter().map(|(s, l)| (drafter(), s, l)).collect(),
         others: Vec::new(),
     }
 }
@@ -145,16 +151,7 @@
     let now = Instant::now();
     let mut desk = desk(ONE, now);
     desk.token_rate = 10.0;
-    let flood = AccountId::of("flood");
-    let usage = vec![(
-        flood,
-        Sums {
-            asked: 1e6,
-            got: 1e6,
-        },
-    )];
-    let mut told = news(vec![(drafter(), Standing::Owed)], usage);
-    told.short[0].2 = MUCH;
+    let told = news(vec![(Standing::Owed, MUCH)], flooding());
     desk.hear(InstanceId::of("other"), &told, now);
 
     let refused = desk.ask(&request("flood", shape(1, 10, 10), now), now);
@@ -172,22 +169,14 @@
     assert!(matches!(after, Verdict::Decided(Ok(_))));
 }
 
-/// Load pattern: two accounts ask for many times their share, and what they had is about even. The one
-/// that is a little behind met a full server; if that shut out the other everywhere for most of a
-/// second, idle servers would stand by.
+/// Failure: of two accounts around an even part, each shuts the other out in turn while servers idle.
 #[test]
 fn only_an_account_that_is_owed_shuts_others_out() {
     let now = Instant::now();
-    let flood = Sums {
-        asked: 1e6,
-        got: 1e6,
-    };
     let asks = |better: Standing| {
         let mut desk = desk(ONE, now);
         desk.token_rate = 10.0;
-        let usage = vec![(AccountId::of("flood"), flood)];
-        let mut told = news(vec![(drafter(), better)], usage);
-        told.short[0].2 = MUCH;
+        let told = news(vec![(better, MUCH)], flooding());
         desk.hear(InstanceId::of("other"), &told, now);
         desk.ask(&request("flood", shape(1, 10, 10), now), now)
     };
@@ -203,16 +192,11 @@
 #[test]
 fn much_owed_work_that_one_instance_turns_away_shuts_others_out() {
     let now = Instant::now();
-    let flood = Sums {
-        asked: 1e6,
-        got: 1e6,
-    };
     let asks = |cost: u32| {
         let mut desk = desk(ONE, now);
         desk.token_rate = 10_000.0;
-        let usage = vec![(AccountId::of("flood"), flood)];
-        let mut told = news(vec![(drafter(), Standing::Owed)], usage);
-        told.short[0].2.cost = cost;
+        let lack = Lack { places: 1, cost };
+        let told = news(vec![(Standing::Owed, lack)], flooding());
         desk.hear(InstanceId::of("other"), &told, now);
         desk.ask(&request("flood", shape(1, 10, 10), now), now)
     };
@@ -223,8 +207,7 @@
     assert!(matches!(much, Verdict::Decided(Err(_))), "{much:?}");
 }
 
-/// What an instance turned away counts for about a second, as costs do; told of for longer, it would shut
-/// others out when nobody is turned away any more.
+/// Failure: work that was turned away shuts others out when nobody is turned away any more.
 #[test]
 fn what_was_turned_away_is_told_with_its_cost_and_fades() {
     let now = Instant::now();
@@ -271,7 +254,7 @@
     };
     let mut calm = desk(ONE, now);
     let mut short = desk(ONE, now);
-    let told = vec![(drafter(), Standing::Owed)];
+    let told = vec![(Standing::Owed, ODD)];
     short.hear(InstanceId::of("other"), &news(told, Vec::new()), now);
 
     let served = calm.ask(&long(), now);
@@ -291,7 +274,7 @@
 fn a_prompt_that_is_late_on_idle_servers_tells_of_no_shortage() {
     let now = Instant::now();
     let mut desk = desk(ONE, now);
-    let told = vec![(drafter(), Standing::Owed)];
+    let told = vec![(Standing::Owed, ODD)];
     desk.hear(InstanceId::of("other"), &news(told, Vec::new()), now);
     let mut long = request("lab", shape(1, 0, 20_000), now);
     long.objective = millis(100);
@@ -302,37 +285,28 @@
     assert!(desk.told_short(now).is_empty());
 }
 
-/// Load pattern: one account asks for more than its share while nobody else finds no room. Held to a
-/// half of each server all the same, it would wait before servers that nobody uses.
+/// Failure: an account beyond its share waits before servers that nobody uses.
 #[test]
 fn an_account_beyond_its_share_takes_more_while_nobody_lacks_room() {
     let now = Instant::now();
-    let flood = AccountId::of("flood");
-    let usage = vec![(
-        flood,
-        Sums {
-            asked: 1e6,
-            got: 1e6,
-        },
-    )];
     let placed = |short: Vec<_>| {
         let mut desk = desk(ONE, now);
         desk.token_rate = 10.0;
-        desk.hear(InstanceId::of("other"), &news(short, usage.clone()), now);
+        desk.hear(InstanceId::of("other"), &news(short, flooding()), now);
         let asks = (0..8).map(|_| desk.ask(&request("flood", shape(1, 10, 10), now), now));
         asks.filter(|v| matches!(v, Verdict::Decided(Ok(_))))
             .count()
     };
 
     let calm = placed(Vec::new());
-    let short = placed(vec![(drafter(), Standing::Owed)]);
+    let short = placed(vec![(Standing::Owed, ODD)]);
 
     assert_eq!((calm, short), (4, 2));
 }
 
 /// Requests of `account` that find room at once of eight, where one account is far ahead of two others and one just
 /// has an even part, all ask for more, and `short` found no room elsewhere.
-fn placed_of_eight(account: &str, short: Vec<(hawthornmill::ident::ServiceId, Standing)>) -> usize {
+fn placed_of_eight(account: &str, short: Vec<(Standing, Lack)>) -> usize {
     let now = Instant::now();
     let got = |name, got| {
         let asked = 1e6;
@@ -355,7 +329,7 @@
 /// Failure: each instance gives two accounts the same room, so the one that comes in by more gets three times as much.
 #[test]
 fn of_two_accounts_beyond_their_share_the_one_ahead_finds_less_room() {
-    let short = vec![(drafter(), Standing::Owed)];
+    let short = vec![(Standing::Owed, ODD)];
 
     let (ahead, behind) = (
         placed_of_eight("ahead", short.clone()),
@@ -376,9 +350,7 @@
     assert!(near > ahead, "{ahead} against {near}");
 }
 
-/// Load pattern: an account far beyond its share asks for prompts with long shared parts, and their
-/// homes have no room for it. Let in at any server, each would read the part anew, and a third of what
-/// the engines read would be read for the second time.
+/// Failure: every server reads an account's long shared parts anew, since their homes have no room for it.
 #[test]
 fn an_account_beyond_its_share_makes_few_servers_read_a_long_part_again() {
     let now = Instant::now();
@@ -387,12 +359,8 @@
     let servers = |name: &str| {
         let mut desk = desk(&six, now);
         desk.token_rate = 10.0;
-        let flood = Sums {
-            asked: 1e6,
-            got: 1e6,
-        };
-        let usage = vec![(AccountId::of("flood"), flood)];
-        desk.hear(InstanceId::of("other"), &news(Vec::new(), usage), now);
+        let told = news(Vec::new(), flooding());
+        desk.hear(InstanceId::of("other"), &told, now);
         let mut used: Vec<_> = (0..48)
             .filter_map(
                 |_| match desk.ask(&request(name, shape(1, 5_000, 10), now), now) {
@@ -493,12 +461,8 @@
     ];
     let mut desk = desk(&six, now);
     desk.token_rate = 10.0;
-    let sums = Sums {
-        asked: 1e6,
-        got: 1e6,
-    };
-    let usage = vec![(AccountId::of("flood"), sums)];
-    desk.hear(InstanceId::of("other"), &news(Vec::new(), usage), now);
+    let told = news(Vec::new(), flooding());
+    desk.hear(InstanceId::of("other"), &told, now);
     desk
 }
 
@@ -567,7 +531,7 @@
     let now = Instant::now();
     let mut desk = flooded(now);
     desk.token_rate = 10_000.0;
-    let odd = news(vec![(drafter(), Standing::Owed)], Vec::new());
+    let odd = news(vec![(Standing::Owed, ODD)], Vec::new());
     desk.hear(InstanceId::of("third"), &odd, now);
 
     let verdict = desk.ask(&request("flood", shape(1, 10, 10), now), now);
