--- a/crates/hawthornmill-gateway/src/trip/settle.rs
+++ b/crates/hawthornmill-gateway/src/trip/settle.rs
@@ -25,7 +25,8 @@
         "waited_ms": now.duration_since(request.came).as_millis() as u64,
         "servers": outlook.servers, "draining": outlook.draining, "down": outlook.down,
         "full": outlook.full, "waiting": outlook.waiting, "short_at": outlook.short,
-        "standing": format!("{:?}", outlook.standing), "registrations": desk.registry.latest(),
+        "lack": outlook.lack, "standing": format!("{:?}", outlook.share.standing), "lead": outlook.share.lead,
+        "asked": outlook.sums.asked, "got": outlook.sums.got, "registrations": desk.registry.latest(),
         "catalog": gateway.version(),
     });
     journal::trouble("refused", &way.call.attempt, fields);
--- a/crates/hawthornmill/src/routing/desk.rs
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -24,7 +24,7 @@
 use super::request::{Cause, Decided, Outlook, Refusal, Request, Ticket, Verdict};
 use super::shape::PrefixKey;
 use super::shortage::{Shortages, TOLD, shuts_out};
-use super::usage::{FADE, Share, Standing, Usage, standings};
+use super::usage::{FADE, Share, Standing, Sums, Usage, standings};
 use crate::codes::Code;
 use crate::ident::{AccountId, DomainId, InstanceId, RegionId, ServerId, ServiceId};
 use crate::limits::pace::Pace;
@@ -79,6 +79,7 @@
     times: BTreeMap<ServiceId, ReadTimes>,
     paces: BTreeMap<ServiceId, Pace>,
     line: SlotMap<Ticket, InLine>,
+    fleet: BTreeMap<AccountId, Sums>,
     shares: BTreeMap<AccountId, Share>,
     shortages: Shortages,
     strays: VecDeque<(PrefixKey, ServerId, Instant)>,
@@ -101,6 +102,7 @@
             times: BTreeMap::new(),
             paces: BTreeMap::new(),
             line: SlotMap::with_key(),
+            fleet: BTreeMap::new(),
             shares: BTreeMap::new(),
             shortages: Shortages::default(),
             strays: VecDeque::new(),
@@ -259,10 +261,13 @@
     /// What a decision on `request` rests on now.
     pub fn outlook(&self, request: &Request, now: Instant) -> Outlook {
         let entries = self.registry.entries();
+        let lack = self.better(request, now);
         let mut outlook = Outlook {
-            standing: self.standing(request),
+            share: self.share_of(request),
+            sums: self.sums_of(request),
             waiting: self.line.len(),
-            short: self.better(request, now).places.into(),
+            short: lack.places.into(),
+            lack: lack.cost,
             ..Outlook::default()
         };
         for (id, known) in entries.filter(|(_, k)| k.entry.service == request.service) {
@@ -377,6 +382,11 @@
         known.copied().unwrap_or_default()
     }
 
+    fn sums_of(&self, request: &Request) -> Sums {
+        let known = request.account.and_then(|a| self.fleet.get(&a));
+        known.copied().unwrap_or_default()
+    }
+
     /// What found no room lately, here or elsewhere, of accounts that are not beyond their share.
     fn better(&self, request: &Request, now: Instant) -> Lack {
         self.shortages.before(request.service, Standing::Above, now)
@@ -504,8 +514,8 @@
         if self.token_rate <= 0.0 {
             return;
         }
-        let fleet = self.usage.fleet(now);
-        self.shares = standings(&fleet, self.token_rate * FADE.as_secs_f64());
+        self.fleet = self.usage.fleet(now);
+        self.shares = standings(&self.fleet, self.token_rate * FADE.as_secs_f64());
     }
 }
 
--- a/crates/hawthornmill/src/routing/request.rs
+++ b/crates/hawthornmill/src/routing/request.rs
@@ -8,7 +8,7 @@
 use super::catalog::Engine;
 use super::place::Choice;
 use super::shape::Shape;
-use super::usage::Standing;
+use super::usage::{Share, Sums};
 use crate::codes::Code;
 use crate::ident::{AccountId, ServerId, ServiceId};
 
@@ -40,8 +40,8 @@
     pub tried: SmallVec<[ServerId; 2]>,
 }
 
-/// What an instance believes of a request's service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+/// What an instance believes of a request's service and account.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Outlook {
     /// Servers registered for the service.
     pub servers: usize,
@@ -55,8 +55,12 @@
     pub waiting: usize,
     /// Instances at which requests of the service found no room lately.
     pub short: usize,
+    /// Cost of those, in tokens.
+    pub lack: u32,
     /// How the request's account stands to its share.
-    pub standing: Standing,
+    pub share: Share,
+    /// What the account asked for and got over the fleet lately, in tokens.
+    pub sums: Sums,
 }
 
 /// What turned a request away.
