Forget what servers took when no answers come, and learn nothing while behind

Cause: the instance was behind, so first tokens reached it late. It learnt them as slow servers and refused what seemed too long even for an idle one; with nothing sent, no answer could show otherwise. Class: an estimate that decides on what alone could correct it.

Now times are not learnt while the process is behind, and after half a second without answers what was learnt gives way to what was assumed first.

--- a/crates/hawthornmill-gateway/src/trip/mod.rs
+++ b/crates/hawthornmill-gateway/src/trip/mod.rs
@@ -129,7 +129,9 @@
             return;
         }
         let now = self.gateway.now();
-        let (time, request) = (now.duration_since(self.sent), &self.admitted.request);
+        let request = &self.admitted.request;
+        let behind = self.gateway.strain.get().is_behind(now);
+        let time = (!behind).then(|| now.duration_since(self.sent));
         self.gateway
             .desk
             .borrow_mut()
--- a/crates/hawthornmill/src/limits/strain.rs
+++ b/crates/hawthornmill/src/limits/strain.rs
@@ -36,6 +36,11 @@
         self.late.max(self.overdue(now))
     }
 
+    /// Tells whether the process is so late that times it measures tell more of itself than of others.
+    pub fn is_behind(&self, now: Instant) -> bool {
+        self.late(now) > FIRST
+    }
+
     fn overdue(&self, now: Instant) -> Duration {
         self.due
             .map_or(Duration::ZERO, |due| now.saturating_duration_since(due))
--- a/crates/hawthornmill/src/routing/desk.rs
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -234,12 +234,18 @@
     }
 
     /// The first token, or the whole answer, came `time` after a request was sent.
-    pub fn began(&mut self, service: ServiceId, choice: &Choice, time: Duration, now: Instant) {
-        self.times
-            .entry(service)
-            .or_default()
-            .observe(choice.ahead, time.saturating_sub(choice.way));
-        if choice.ahead > 0 {
+    ///
+    /// None when this process was behind with its work: the time would tell of that, and not of the server.
+    pub fn began(
+        &mut self,
+        service: ServiceId,
+        choice: &Choice,
+        time: Option<Duration>,
+        now: Instant,
+    ) {
+        if let Some(time) = time.filter(|_| choice.ahead > 0) {
+            let times = self.times.entry(service).or_default();
+            times.observe(choice.ahead, time.saturating_sub(choice.way), now);
             self.loads.observe(choice.server, choice.usual, time, now);
         }
         let read = Work {
@@ -314,7 +320,8 @@
                 .times
                 .get(&request.service)
                 .copied()
-                .unwrap_or_default(),
+                .unwrap_or_default()
+                .at(now),
             objective: (request.came + request.objective).saturating_duration_since(now),
             promised: request.objective,
             part: allowance::part(share, calm),
--- a/crates/hawthornmill/src/routing/reading.rs
+++ b/crates/hawthornmill/src/routing/reading.rs
@@ -4,9 +4,10 @@
 //! reading, that makes all servers look busy, and the instance turns away work for which engines idle.
 //!
 //! So a line is laid through the times by the tokens before them, the older answers weighing less: its slope is the
-//! reading, its begin is what is the same for all requests.
+//! reading, its begin is what is the same for all requests. What it says decides which requests are sent at all, so
+//! without new answers it goes back to what was assumed first: else a wrong one could last for ever.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time to a first token besides the reading, until answers have shown it.
 const FIRST_TIME: Duration = Duration::from_millis(60);
@@ -18,6 +19,10 @@
 const FIRST_ANSWERS: f64 = 5.0;
 /// Part of its weight that an answer loses with each newer one.
 const FADE: f64 = 0.01;
+/// Time without an answer after which what was learnt begins to count less.
+const SILENT: Duration = Duration::from_millis(500);
+/// Further time in which it comes to count half.
+const FORGET: Duration = Duration::from_millis(250);
 /// Bounds of a plausible rate, in tokens a millisecond.
 const RATES: (f64, f64) = (5.0, 400.0);
 
@@ -29,6 +34,7 @@
     millis: f64,
     squares: f64,
     products: f64,
+    last: Option<Instant>,
 }
 
 impl Default for ReadTimes {
@@ -39,6 +45,7 @@
             millis: 0.0,
             squares: 0.0,
             products: 0.0,
+            last: None,
         };
         let first = FIRST_TIME.as_secs_f64() * 1000.0;
         times.add(FIRST_ANSWERS, 0.0, first);
@@ -53,16 +60,37 @@
 
 impl ReadTimes {
     /// The first token came `time` after `tokens` were before it, its own prompt included.
-    pub fn observe(&mut self, tokens: u32, time: Duration) {
+    pub fn observe(&mut self, tokens: u32, time: Duration, now: Instant) {
         if tokens == 0 {
             return;
         }
-        self.fade();
+        *self = self.at(now);
+        self.last = Some(now);
+        self.keep(1.0 - FADE);
         self.add(1.0, f64::from(tokens), time.as_secs_f64() * 1000.0);
     }
 
-    fn fade(&mut self) {
-        let kept = 1.0 - FADE;
+    /// What it says at `now`: the longer no answer came, the more of what was assumed first.
+    pub fn at(self, now: Instant) -> Self {
+        let silence = self.last.map_or(Duration::ZERO, |last| {
+            now.saturating_duration_since(last).saturating_sub(SILENT)
+        });
+        if silence.is_zero() {
+            return self;
+        }
+        let kept = 0.5_f64.powf(silence.as_secs_f64() / FORGET.as_secs_f64());
+        let (mut learnt, mut first) = (self, Self::default());
+        learnt.keep(kept);
+        first.keep(1.0 - kept);
+        learnt.weight += first.weight;
+        learnt.tokens += first.tokens;
+        learnt.millis += first.millis;
+        learnt.squares += first.squares;
+        learnt.products += first.products;
+        learnt
+    }
+
+    fn keep(&mut self, kept: f64) {
         self.weight *= kept;
         self.tokens *= kept;
         self.millis *= kept;
--- a/tests/testsuite/gateway/door.rs
+++ b/tests/testsuite/gateway/door.rs
@@ -34,6 +34,19 @@
     strain.part(now)
 }
 
+/// Failure: a process that is behind takes its own lateness for slow servers, and sends them nothing.
+#[test]
+fn a_process_that_is_behind_knows_that_its_times_tell_of_itself() {
+    let behind = |late: &[u64]| {
+        let (strain, now) = strained(late);
+        strain.is_behind(now)
+    };
+
+    assert!(behind(&[30]));
+    assert!(!behind(&[5]));
+    assert!(!behind(&[30, 0, 0]));
+}
+
 #[test]
 fn a_process_in_time_turns_nobody_away() {
     let parts = [0, 2, 14].map(|late| part(&[late]));
--- a/tests/testsuite/routing/desk.rs
+++ b/tests/testsuite/routing/desk.rs
@@ -574,7 +574,7 @@
     let mut desk = desk(ONE, now);
     let choice = sent(desk.ask(&request("lab", shape(1, 10, 10), now), now));
     for step in 0..400 {
-        desk.began(drafter(), &choice, millis(1_500), now + millis(step));
+        desk.began(drafter(), &choice, Some(millis(1_500)), now + millis(step));
     }
     desk.ended(&choice, true);
 
--- a/tests/testsuite/routing/place.rs
+++ b/tests/testsuite/routing/place.rs
@@ -27,7 +27,7 @@
     let mut servers = Vec::new();
     for _ in 0..4 {
         let choice = sent(desk.ask(&request("lab", shape(7, 5_000, 500), now), now));
-        desk.began(super::drafter(), &choice, millis(100), now);
+        desk.began(super::drafter(), &choice, Some(millis(100)), now);
         servers.push(choice.server);
     }
 
--- a/tests/testsuite/routing/reading.rs
+++ b/tests/testsuite/routing/reading.rs
@@ -1,6 +1,6 @@
 //! How long engines take to a first token.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hawthornmill::routing::reading::ReadTimes;
 
@@ -9,10 +9,11 @@
 /// Answers that take `fixed` and a millisecond for each 100 tokens.
 fn learnt(fixed: Duration) -> ReadTimes {
     let mut times = ReadTimes::default();
+    let now = Instant::now();
     for number in 0..2_000_u32 {
         let tokens = 200 + number * 997 % 20_000;
         let reading = Duration::from_secs_f64(f64::from(tokens) / 100_000.0);
-        times.observe(tokens, fixed + reading);
+        times.observe(tokens, fixed + reading, now);
     }
     times
 }
@@ -43,8 +44,9 @@
 #[test]
 fn requests_of_one_length_leave_plausible_figures() {
     let mut times = ReadTimes::default();
+    let now = Instant::now();
     for _ in 0..5_000 {
-        times.observe(3_000, millis(200));
+        times.observe(3_000, millis(200), now);
     }
 
     let expected = times.first() + times.reading(3_000);
