--- a/crates/hawthornmill/src/routing/reading.rs
+++ b/crates/hawthornmill/src/routing/reading.rs
@@ -71,6 +71,7 @@
     }
 
     /// What it says at `now`: the longer no answer came, the more of what was assumed first.
+    #[must_use]
     pub fn at(self, now: Instant) -> Self {
         let silence = self.last.map_or(Duration::ZERO, |last| {
             now.saturating_duration_since(last).saturating_sub(SILENT)
