Play many instances in a fixed order: like parts for accounts, and no idle servers

24 desks before 12 servers, three accounts that ask for many times their share by one, two and all of them.

--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -4,6 +4,7 @@
 mod desk;
 mod digest;
 mod loads;
+mod many;
 mod mates;
 mod patience;
 mod place;
