Revert: count at once what an account is sent, for all instances, of a fifth more than was yielded

Cause: one request here stands for more than the others really send, so all accounts are held to less than an even part, and what is yielded falls with it.

--- a/crates/hawthornmill/src/routing/budget.rs
+++ b/crates/hawthornmill/src/routing/budget.rs
@@ -75,11 +75,6 @@
         }
     }
 
-    /// Instances that share the budget.
-    pub const fn sharers(&self) -> usize {
-        self.sharers
-    }
-
     /// Learns how many instances share the budget; the greatest number counts.
     pub fn share_among(&mut self, instances: usize) {
         self.sharers = self.sharers.max(instances);
--- a/crates/hawthornmill/src/routing/desk.rs
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -24,9 +24,9 @@
 use super::request::{Cause, Decided, Outlook, Refusal, Request, Ticket, Verdict};
 use super::shape::PrefixKey;
 use super::shortage::{Shortages, TOLD, shuts_out};
-use super::usage::{FADE, Share, Shares, Standing, Sums, Usage};
+use super::usage::{FADE, Share, Standing, Sums, Usage, standings};
 use crate::codes::Code;
-use crate::ident::{DomainId, InstanceId, RegionId, ServerId, ServiceId};
+use crate::ident::{AccountId, DomainId, InstanceId, RegionId, ServerId, ServiceId};
 use crate::limits::pace::Pace;
 
 /// Part of its objective for which a request waits for room at most; the rest is for its answer.
@@ -79,7 +79,8 @@
     times: BTreeMap<ServiceId, ReadTimes>,
     paces: BTreeMap<ServiceId, Pace>,
     line: SlotMap<Ticket, InLine>,
-    shares: Shares,
+    fleet: BTreeMap<AccountId, Sums>,
+    shares: BTreeMap<AccountId, Share>,
     shortages: Shortages,
     strays: VecDeque<(PrefixKey, ServerId, Instant)>,
     heard_strays: VecDeque<(PrefixKey, ServerId, Instant)>,
@@ -101,7 +102,8 @@
             times: BTreeMap::new(),
             paces: BTreeMap::new(),
             line: SlotMap::with_key(),
-            shares: Shares::default(),
+            fleet: BTreeMap::new(),
+            shares: BTreeMap::new(),
             shortages: Shortages::default(),
             strays: VecDeque::new(),
             heard_strays: VecDeque::new(),
@@ -347,8 +349,6 @@
             && request.tried.is_empty()
         {
             self.usage.got(account, request.shape.cost(), now);
-            let instances = self.budget.sharers();
-            self.shares.sent(account, request.shape.cost(), instances);
         }
         Ok(choice)
     }
@@ -385,13 +385,13 @@
     }
 
     fn share_of(&self, request: &Request) -> Share {
-        let known = request.account.and_then(|a| self.shares.of(a));
-        known.unwrap_or_default()
+        let known = request.account.and_then(|a| self.shares.get(&a));
+        known.copied().unwrap_or_default()
     }
 
     fn sums_of(&self, request: &Request) -> Sums {
-        let known = request.account.and_then(|a| self.shares.sums(a));
-        known.unwrap_or_default()
+        let known = request.account.and_then(|a| self.fleet.get(&a));
+        known.copied().unwrap_or_default()
     }
 
     /// What found no room lately, here or elsewhere, of accounts that are not beyond their share.
@@ -517,13 +517,12 @@
             return;
         }
         self.shared = Some(now);
-        self.shares = Shares::default();
+        self.shares.clear();
         if self.token_rate <= 0.0 {
             return;
         }
-        let (fleet, here) = (self.usage.fleet(now), self.usage.own(now));
-        let promised = self.token_rate * FADE.as_secs_f64();
-        self.shares = Shares::work_out(&fleet, &here, promised);
+        self.fleet = self.usage.fleet(now);
+        self.shares = standings(&self.fleet, self.token_rate * FADE.as_secs_f64());
     }
 }
 
--- a/crates/hawthornmill/src/routing/usage.rs
+++ b/crates/hawthornmill/src/routing/usage.rs
@@ -21,10 +21,6 @@
 /// Time for which a peer's last word counts.
 const PEER_LIFE: Duration = Duration::from_millis(2_500);
 
-/// Times of what the servers were seen to yield that accounts may share: with just as much for everybody, what idles
-/// would never be found.
-const GROWTH: f64 = 1.2;
-
 /// Costs of one account as they count now, in tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
 pub struct Sums {
@@ -40,7 +36,7 @@
     /// It has had less than its part of the capacity that operators promise.
     #[default]
     Owed,
-    /// It has had that, but less than an even part of what the servers may yield.
+    /// It has had that, but less than an even part of what the servers yield.
     Below,
     /// It has had more than an even part.
     Above,
@@ -64,88 +60,23 @@
     }
 }
 
-/// One account's sums over the fleet, and what it asked here.
-#[derive(Debug, Clone, Copy)]
-struct Known {
-    fleet: Sums,
-    here: f32,
-}
-
-/// The shares of all accounts: as they were last worked out, and what was sent here since.
-///
-/// Load pattern: an account asks for many times its share at one instance. Judged by what was known a fraction of a
-/// second ago, it would take all servers at once and then be turned away until that has faded.
-#[derive(Debug, Clone, Default)]
-pub struct Shares {
-    owed: f64,
-    even: f64,
-    accounts: BTreeMap<AccountId, Known>,
-}
-
-impl Shares {
-    /// Works the shares out from the sums over the fleet, those here, and the promised capacity in tokens a window.
-    pub fn work_out(
-        fleet: &BTreeMap<AccountId, Sums>,
-        here: &[(AccountId, Sums)],
-        promised: f64,
-    ) -> Self {
-        let asked = || fleet.values().map(|s| f64::from(s.asked));
-        let yielded: f64 = fleet.values().map(|s| f64::from(s.got)).sum();
-        let known = |fleet: &Sums| Known {
-            fleet: *fleet,
-            here: 0.0,
-        };
-        let mut shares = Self {
-            owed: level(asked(), promised),
-            even: level(asked(), (yielded * GROWTH).max(promised)),
-            accounts: fleet.iter().map(|(id, s)| (*id, known(s))).collect(),
-        };
-        for (account, sums) in here {
-            if let Some(known) = shares.accounts.get_mut(account) {
-                known.here = sums.asked;
-            }
-        }
-        shares
-    }
-
-    /// How `account` stands to its share; none when nothing is known of it.
-    pub fn of(&self, account: AccountId) -> Option<Share> {
-        let got = f64::from(self.accounts.get(&account)?.fleet.got);
+/// The share of each account, from its sums over the fleet and the capacity in tokens a window.
+pub fn standings(fleet: &BTreeMap<AccountId, Sums>, promised: f64) -> BTreeMap<AccountId, Share> {
+    let asked = || fleet.values().map(|s| f64::from(s.asked));
+    let yielded: f64 = fleet.values().map(|s| f64::from(s.got)).sum();
+    let owed = level(asked(), promised);
+    let even = level(asked(), yielded.max(promised));
+    let share = |sums: &Sums| {
+        let got = f64::from(sums.got);
         let standing = match got {
-            got if got < self.owed => Standing::Owed,
-            got if got < self.even => Standing::Below,
+            got if got < owed => Standing::Owed,
+            got if got < even => Standing::Below,
             _ => Standing::Above,
         };
-        let lead = if self.even.is_finite() {
-            got / self.even
-        } else {
-            1.0
-        };
-        Some(Share { standing, lead })
-    }
-
-    /// Sums of `account` over the fleet.
-    pub fn sums(&self, account: AccountId) -> Option<Sums> {
-        Some(self.accounts.get(&account)?.fleet)
-    }
-
-    /// A request of `cost` of `account` was sent from here, one of so many `instances`.
-    ///
-    /// The other instances meanwhile send theirs, each by its part of what the account asks; so one here stands for
-    /// several, at most for an even part. Whoever asks for less than that is due all of it.
-    pub fn sent(&mut self, account: AccountId, cost: f64, instances: usize) {
-        let even = self.even;
-        let Some(known) = self.accounts.get_mut(&account) else {
-            return;
-        };
-        let asked = f64::from(known.fleet.asked);
-        if asked < even {
-            return;
-        }
-        let times = asked / f64::from(known.here).max(cost);
-        let times = times.clamp(1.0, instances.max(1) as f64);
-        known.fleet.got += (cost * times).min(even).max(cost) as f32;
-    }
+        let lead = if even.is_finite() { got / even } else { 1.0 };
+        Share { standing, lead }
+    };
+    fleet.iter().map(|(id, sums)| (*id, share(sums))).collect()
 }
 
 impl Sums {
