--- a/crates/hawthornmill/src/limits/strain.rs
+++ b/crates/hawthornmill/src/limits/strain.rs
@@ -8,7 +8,8 @@
 
 use std::time::{Duration, Instant};
 
-/// Lateness from which connections are turned away: a request takes several turns of the process, and waits in each.
+/// Lateness from which a process counts as behind and turns connections away: a request takes several of its turns,
+/// and waits in each.
 const FIRST: Duration = Duration::from_millis(15);
 /// Lateness beyond [`FIRST`] at which the most are turned away.
 const RANGE: Duration = Duration::from_millis(45);
--- a/crates/hawthornmill/src/routing/reading.rs
+++ b/crates/hawthornmill/src/routing/reading.rs
@@ -59,11 +59,8 @@
 }
 
 impl ReadTimes {
-    /// The first token came `time` after `tokens` were before it, its own prompt included.
+    /// The first token came `time` after `tokens` were before it, its own prompt included; above 0.
     pub fn observe(&mut self, tokens: u32, time: Duration, now: Instant) {
-        if tokens == 0 {
-            return;
-        }
         *self = self.at(now);
         self.last = Some(now);
         self.keep(1.0 - FADE);
@@ -80,17 +77,21 @@
             return self;
         }
         let kept = 0.5_f64.powf(silence.as_secs_f64() / FORGET.as_secs_f64());
-        let (mut learnt, mut first) = (self, Self::default());
+        let (mut learnt, mut assumed) = (self, Self::default());
         learnt.keep(kept);
-        first.keep(1.0 - kept);
-        learnt.weight += first.weight;
-        learnt.tokens += first.tokens;
-        learnt.millis += first.millis;
-        learnt.squares += first.squares;
-        learnt.products += first.products;
+        assumed.keep(1.0 - kept);
+        learnt.merge(assumed);
         learnt
     }
 
+    fn merge(&mut self, other: Self) {
+        self.weight += other.weight;
+        self.tokens += other.tokens;
+        self.millis += other.millis;
+        self.squares += other.squares;
+        self.products += other.products;
+    }
+
     fn keep(&mut self, kept: f64) {
         self.weight *= kept;
         self.tokens *= kept;
@@ -100,11 +101,14 @@
     }
 
     fn add(&mut self, weight: f64, tokens: f64, millis: f64) {
-        self.weight += weight;
-        self.tokens += weight * tokens;
-        self.millis += weight * millis;
-        self.squares += weight * tokens * tokens;
-        self.products += weight * tokens * millis;
+        self.merge(Self {
+            weight,
+            tokens: weight * tokens,
+            millis: weight * millis,
+            squares: weight * tokens * tokens,
+            products: weight * tokens * millis,
+            last: None,
+        });
     }
 
     /// Tokens that are read in a millisecond.
