--- a/crates/hawthornmill-gateway/src/trip/read.rs
+++ b/crates/hawthornmill-gateway/src/trip/read.rs
@@ -26,6 +26,8 @@
     pub body: Bytes,
     /// Identity that the caller gave this attempt.
     pub attempt: Box<str>,
+    /// When its head had come.
+    pub began: Instant,
     /// When it had come whole.
     pub came: Instant,
     held: Rc<Gateway>,
@@ -83,15 +85,16 @@
             return Next::Closed;
         }
     }
+    let began = gateway.now();
     let body = whole_body(reader, framing, limits.body_bytes, limits.idle_time).await;
     match body {
-        Ok(Some(body)) => Next::Call(call(gateway, head, body)),
+        Ok(Some(body)) => Next::Call(call(gateway, head, body, began)),
         Ok(None) => Next::Closed,
         Err(code) => Next::Refuse(code),
     }
 }
 
-fn call(gateway: &Rc<Gateway>, head: RequestHead, body: Bytes) -> Call {
+fn call(gateway: &Rc<Gateway>, head: RequestHead, body: Bytes, began: Instant) -> Call {
     gateway.bodies.set(gateway.bodies.get() + body.len());
     let attempt = head
         .fields
@@ -101,6 +104,7 @@
         attempt: attempt.into(),
         head,
         body,
+        began,
         came: gateway.now(),
         held: Rc::clone(gateway),
     }
--- a/crates/hawthornmill-gateway/src/trip/settle.rs
+++ b/crates/hawthornmill-gateway/src/trip/settle.rs
@@ -60,7 +60,8 @@
         self.admitted = Some((admitted.route.clone(), admitted.service_name.clone()));
         let fields = json!({
             "route": admitted.route, "service": admitted.service_name, "account": admitted.account,
-            "prompt_tokens": admitted.request.shape.prompt,
+            "prompt_tokens": admitted.request.shape.prompt, "body_bytes": call.body.len(),
+            "body_ms": call.came.duration_since(call.began).as_millis() as u64,
             "time_left_ms": admitted.request.ends.duration_since(call.came).as_millis() as u64,
         });
         journal::step("admitted", &call.attempt, fields);
