Say no final word by a catalog that is known to be old

Callers saw: 404 for a route that had been there for eight seconds, a word that no caller comes back after. Cause: front-mba-port-2 knew from its peers' news of version 20 and could not get it; it went on to say by version 16 what only the newest can say. Why it works: 503 with a time to come back is true, and the caller may come back to an instance that knows more.

--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -11,6 +11,7 @@
 use hawthornmill::codes::Code;
 use hawthornmill::ident::{Incarnation, InstanceId, ServerId};
 use hawthornmill::limits::strain::Strain;
+use hawthornmill::routing::behind::Behind;
 use hawthornmill::routing::budget::Budget;
 use hawthornmill::routing::catalog::Catalog;
 use hawthornmill::routing::desk::Desk;
@@ -66,6 +67,8 @@
     pub desk: RefCell<Desk>,
     /// Catalog in force.
     pub table: RefCell<Option<Rc<Table>>>,
+    /// Catalogs that others have and this instance has not.
+    pub behind: RefCell<Behind>,
     /// The other instances.
     pub mates: RefCell<Mates>,
     /// Connections to servers.
@@ -119,6 +122,7 @@
             incarnation,
             desk: RefCell::new(desk),
             table: RefCell::default(),
+            behind: RefCell::default(),
             mates: RefCell::new(Mates::new(place.domain)),
             pool: Pool::default(),
             meters: Meters::default(),
@@ -190,6 +194,7 @@
                 journal::belief("catalog_in_force", fields);
                 self.desk.borrow_mut().token_rate = table.limits().token_rate;
                 *self.table.borrow_mut() = Some(Rc::new(table));
+                self.behind.borrow_mut().reach(version);
                 self.nudge.notify_one();
                 self.hurry.notify_one();
             }
@@ -200,6 +205,12 @@
         }
     }
 
+    /// Another instance decides by the catalog of `version`.
+    pub fn hear_version(&self, version: u64) {
+        let (own, now) = (self.version(), self.now());
+        self.behind.borrow_mut().hear(version, own, now);
+    }
+
     /// Takes one change of the registrations.
     pub fn register(&self, change: Change, from: &str) {
         let told = describe(&change, from);
--- a/crates/hawthornmill-gateway/src/journal.rs
+++ b/crates/hawthornmill-gateway/src/journal.rs
@@ -15,6 +15,8 @@
 
 /// Bytes that wait to be written at most: some seconds of one instance's lines under high load.
 const MOST_BYTES: usize = 512 << 10;
+/// Bytes that are written at once: a pipe takes them whole.
+const MOST_PIECE: usize = 4 << 10;
 /// Time between two writes.
 const WRITE_EVERY: Duration = Duration::from_millis(100);
 
@@ -91,7 +93,9 @@
     }
     let mut out = std::io::stdout().lock();
     // A reader of the log that is gone must not end the service.
-    let _written = out.write_all(bytes).and_then(|()| out.flush());
+    for piece in bytes.chunks(MOST_PIECE) {
+        let _written = out.write_all(piece).and_then(|()| out.flush());
+    }
 }
 
 /// Starts the log.
--- a/crates/hawthornmill-gateway/src/mates.rs
+++ b/crates/hawthornmill-gateway/src/mates.rs
@@ -256,6 +256,7 @@
         Message::Work(work) => gateway.desk.borrow_mut().loads.hear(sender, work, now),
         Message::Members(told) if told.domain != own => {
             for member in told.members.iter().filter(|m| m.id != gateway.me) {
+                gateway.hear_version(member.version);
                 let mut mates = gateway.mates.borrow_mut();
                 if let Some(change) = mates.hear_member(member, now) {
                     note(change, member.mate.peer, mates.live(now).count());
@@ -272,6 +273,7 @@
 
 fn take_news(gateway: &Gateway, sender: InstanceId, run: Incarnation, news: &News) {
     let now = gateway.now();
+    gateway.hear_version(news.version);
     let mut mates = gateway.mates.borrow_mut();
     if let Some(change) = mates.hear(sender, run, news, now) {
         note(change, news.mate.peer, mates.live(now).count());
--- a/crates/hawthornmill-gateway/src/trip/admit.rs
+++ b/crates/hawthornmill-gateway/src/trip/admit.rs
@@ -12,7 +12,7 @@
 use super::reply::Reply;
 use crate::gateway::{Gateway, Phase};
 
-/// Time to come back when the process knows no catalog yet; the store answers in milliseconds.
+/// Time to come back when the process lacks the newest catalog; the store and peers answer in milliseconds.
 const UNKNOWN_AGAIN: Duration = Duration::from_millis(300);
 /// Time to come back when the process is about to end: at once, to another address.
 const CLOSED_AGAIN: Duration = Duration::from_millis(10);
@@ -62,13 +62,13 @@
     let path = call.head.path();
     let route = table
         .route(host, path)
-        .ok_or_else(|| Reply::new(Code::NoSuchCall))?;
+        .ok_or_else(|| unknown(gateway, Code::NoSuchCall))?;
     let token = fields
         .get(names.token)
         .and_then(|v| bearer(v, names.scheme));
     let caller = table
         .caller(route, token)
-        .ok_or_else(|| Reply::new(Code::BadToken))?;
+        .ok_or_else(|| unknown(gateway, Code::BadToken))?;
     let left = time_left(fields.get(names.deadline))?;
     let shape = (gateway.dialect.shape)(fields).map_err(|_why| Reply::new(Code::BadHeader))?;
     let service = split(route, rand::random());
@@ -100,6 +100,17 @@
     })
 }
 
+/// Answers that the catalog in force doesn't know a route or a token.
+///
+/// Only the newest catalog can say so for good.
+fn unknown(gateway: &Gateway, code: Code) -> Reply {
+    if gateway.behind.borrow().is_some() {
+        Reply::again(Code::NotReady, UNKNOWN_AGAIN)
+    } else {
+        Reply::new(code)
+    }
+}
+
 fn bearer<'a>(value: &'a [u8], scheme: &str) -> Option<&'a [u8]> {
     let (word, rest) = value.split_at_checked(scheme.len())?;
     let token = rest.trim_ascii();
--- a/crates/hawthornmill/src/routing/mod.rs
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -19,9 +19,11 @@
 //! | [`shortage`] | what found no room lately |
 //! | [`desk`] | letting in, waiting, turning away |
 //! | [`news`] | what instances tell each other |
+//! | [`behind`] | how long it is known that others decide by something newer |
 //! | [`digest`] | what failure domains tell each other in a large fleet |
 
 pub mod allowance;
+pub mod behind;
 pub mod budget;
 pub mod catalog;
 pub mod desk;
--- a/tests/testsuite/gateway/catching_up.rs
+++ b/tests/testsuite/gateway/catching_up.rs
@@ -1,8 +1,13 @@
 //! The store away, stale or forgetful, and instances that tell each other.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use super::fleet::{Fleet, call, config, request, route, until};
+use hawthornmill::ident::{DomainId, Incarnation, InstanceId};
+use hawthornmill::routing::news::{Mate, News, Reading};
+use hawthornmill::wire::{Message, Sealer};
+
+use super::fleet::{Fleet, PEER, call, config, key, request, route, until};
 use super::store::Mode;
 use crate::block_on;
 use serde_json::json;
@@ -15,6 +20,58 @@
     config.to_string()
 }
 
+/// Another instance as far as its datagrams go; it answers nothing.
+struct Peer {
+    socket: tokio::net::UdpSocket,
+    to: std::net::SocketAddr,
+}
+
+impl Peer {
+    async fn bind(fleet: &Fleet) -> Self {
+        let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await;
+        Self {
+            socket: socket.expect("a port is free"),
+            to: std::net::SocketAddr::new(fleet.gateways[0].ip, PEER),
+        }
+    }
+
+    /// Says, in process run `run`, that callers reach it at `port` and that it has the catalog of `version`.
+    async fn say(&self, run: u64, port: u16, version: u64) {
+        let own = self.socket.local_addr().expect("the socket has an address");
+        let news = News {
+            mate: Mate {
+                front: std::net::SocketAddr::new(own.ip(), port),
+                peer: own,
+                domain: DomainId::of("a"),
+            },
+            ready: true,
+            leaving: false,
+            reading: Reading::Answered,
+            version,
+            revision: 0,
+            work: Vec::new(),
+            usage: Vec::new(),
+            strays: Vec::new(),
+            short: Vec::new(),
+            others: Vec::new(),
+        };
+        let mut sealer = Sealer::new(key(), InstanceId::of("other"), Incarnation(run), 0);
+        for _ in 0..20 {
+            let frame = sealer.seal(&Message::News(Box::new(news.clone())));
+            let frame = frame.expect("the news fit");
+            let sent = self.socket.send_to(&frame, self.to).await;
+            sent.expect("the datagram goes");
+        }
+    }
+
+    /// Says that it has the catalog of `version`.
+    async fn tell(&self, version: u64) {
+        static RUNS: AtomicU64 = AtomicU64::new(1);
+        let run = RUNS.fetch_add(1, Ordering::Relaxed);
+        self.say(run, 1_001, version).await;
+    }
+}
+
 async fn status(front: std::net::SocketAddr, path: &str) -> u16 {
     call(front, request("GET", path, "a", "").as_bytes())
         .await
@@ -148,61 +205,49 @@
     });
 }
 
+/// Failure: an instance that knows of a newer catalog, and can't get it, says by the old one that there is no such route.
+#[test]
+fn an_instance_that_knows_of_a_newer_catalog_says_no_final_word_by_its_own() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        let front = fleet.gateways[0].front();
+        assert_eq!(status(front, "/added/").await, 404, "it has the newest");
+        let ahead = Peer::bind(&fleet).await;
+
+        until("it hears of a newer one", || async {
+            ahead.tell(2).await;
+            status(front, "/added/").await == 503
+        })
+        .await;
+
+        assert_eq!(status(front, "/get/").await, 200, "what is known serves on");
+        fleet
+            .store
+            .put("op/config", with_route(2, "added").as_bytes());
+        until("the route is served", || async {
+            status(front, "/added/").await == 200
+        })
+        .await;
+        assert_eq!(status(front, "/unknown/").await, 404, "it has the newest");
+    });
+}
+
 /// A machine's time of day is set back, and its process restarts: its run has a lower number than the
 /// one before. Taken for an echo of that one, its news would never be heard again, and callers would
 /// not be sent to it.
 #[test]
 fn an_instance_whose_clock_was_set_back_is_heard_again() {
-    use hawthornmill::ident::{DomainId, Incarnation, InstanceId};
-    use hawthornmill::routing::news::{Mate, News, Reading};
-    use hawthornmill::wire::{Message, Sealer};
     block_on(async {
         let fleet = Fleet::start(1, 1).await;
-        let here = tokio::net::UdpSocket::bind("127.0.0.1:0")
-            .await
-            .expect("a port is free");
-        let own = here.local_addr().expect("the socket has an address");
-        let peer = std::net::SocketAddr::new(fleet.gateways[0].ip, super::fleet::PEER);
-        let say = |run: u64, number: u16| {
-            let front = std::net::SocketAddr::new(own.ip(), number);
-            let news = News {
-                mate: Mate {
-                    front,
-                    peer: own,
-                    domain: DomainId::of("a"),
-                },
-                ready: true,
-                leaving: false,
-                reading: Reading::Answered,
-                version: 0,
-                revision: 0,
-                work: Vec::new(),
-                usage: Vec::new(),
-                strays: Vec::new(),
-                short: Vec::new(),
-                others: Vec::new(),
-            };
-            let mut sealer = Sealer::new(
-                super::fleet::key(),
-                InstanceId::of("other"),
-                Incarnation(run),
-                0,
-            );
-            let frames = (0..20).map(move |_| sealer.seal(&Message::News(Box::new(news.clone()))));
-            frames.map(|f| f.expect("the news fit")).collect::<Vec<_>>()
-        };
-        for frame in say(9, 1_001) {
-            here.send_to(&frame, peer).await.expect("the datagram goes");
-        }
+        let peer = Peer::bind(&fleet).await;
+        peer.say(9, 1_001, 0).await;
         let named = |port: u16| {
             let gateway = &fleet.gateways[0];
             move || async move { gateway.named().await.iter().any(|a| a.port() == port) }
         };
         until("the first run is named", named(1_001)).await;
 
-        for frame in say(5, 1_002) {
-            here.send_to(&frame, peer).await.expect("the datagram goes");
-        }
+        peer.say(5, 1_002, 0).await;
 
         until("the second run is named", named(1_002)).await;
     });
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions of the gateway in a fixed order, with a clock moved by hand and no socket.
 
+mod behind;
 mod budget;
 mod desk;
 mod digest;
