Ask peers for what they know in datagrams first, so that a full link doesn't hold it up

Callers saw: an instance went on by a configuration of 20 s before, and by registrations of 18 s before. Cause: the answer to its question came over a new connection, in three round trips one after the other (connection, greeting, answer). Callers fill the instance's own link, 10 Mbit/s, to 8.4 Mbit/s of bodies alone (280 requests a second of 3.7 KB), so that each round trip takes one to three seconds; the question was given up after 0.7 to 3 s and asked anew of another peer. Ruled out: the peer's processor (no processor time charged), a dead peer (others were told). Why it works: datagrams don't queue behind connections there, one round trip is enough, and only lost parts are asked for again. What doesn't fit 96 datagrams goes over a connection as before. The tests fail without it (no route for 20 s).

--- a/crates/hawthornmill-gateway/src/daemon.rs
+++ b/crates/hawthornmill-gateway/src/daemon.rs
@@ -16,9 +16,10 @@
 
 use crate::dialect::Dialect;
 use crate::gateway::{Gateway, Phase, sweeps, ticks, turns};
+use crate::post::Post;
 use crate::settings::Settings;
 use crate::side::Side;
-use crate::{door, journal, mates, side, store};
+use crate::{catching_up, door, journal, mates, side, store};
 
 /// Time for which a leaving process takes requests of callers that have not heard of it.
 ///
@@ -101,13 +102,13 @@
 }
 
 fn start(gateway: &Rc<Gateway>, sockets: Sockets) {
-    let news = Rc::new(sockets.news);
+    let post = Rc::new(Post::new(gateway, sockets.news));
     spawn_local(store::follow(Rc::clone(gateway), store::Topic::Catalog));
     spawn_local(store::follow(Rc::clone(gateway), store::Topic::Servers));
-    spawn_local(mates::tell(Rc::clone(gateway), Rc::clone(&news)));
-    spawn_local(mates::hear(Rc::clone(gateway), news));
-    spawn_local(mates::catch_up(Rc::clone(gateway)));
-    spawn_local(mates::answer(Rc::clone(gateway), sockets.peer));
+    spawn_local(mates::tell(Rc::clone(gateway), Rc::clone(&post)));
+    spawn_local(mates::hear(Rc::clone(gateway), Rc::clone(&post)));
+    spawn_local(catching_up::catch_up(Rc::clone(gateway), post));
+    spawn_local(catching_up::answer(Rc::clone(gateway), sockets.peer));
     for (listener, side) in sockets.sides {
         spawn_local(side::serve(Rc::clone(gateway), listener, side));
     }
--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 use slotmap::SecondaryMap;
 use tokio::sync::{Notify, oneshot, watch};
 
+use crate::catching_up::Gatherings;
 use crate::dialect::Dialect;
 use crate::journal;
 use crate::meters::Meters;
@@ -69,6 +70,8 @@
     pub table: RefCell<Option<Rc<Table>>>,
     /// Catalogs that others have and this instance has not.
     pub behind: RefCell<Behind>,
+    /// What another instance tells of what it knows.
+    pub gathering: Gatherings,
     /// The other instances.
     pub mates: RefCell<Mates>,
     /// Connections to servers.
@@ -123,6 +126,7 @@
             desk: RefCell::new(desk),
             table: RefCell::default(),
             behind: RefCell::default(),
+            gathering: Gatherings::default(),
             mates: RefCell::new(Mates::new(place.domain)),
             pool: Pool::default(),
             meters: Meters::default(),
--- a/crates/hawthornmill-gateway/src/lib.rs
+++ b/crates/hawthornmill-gateway/src/lib.rs
@@ -11,12 +11,14 @@
 //! | [`trip`] | one request: admit, wait, send, deliver, settle |
 //! | [`pool`] | connections to servers |
 //! | [`store`] | following the platform's store |
-//! | [`mates`] | news between instances |
+//! | [`post`], [`mates`] | datagrams, and the news in them |
+//! | [`catching_up`] | getting from other instances what they know and this one does not |
 //! | [`side`] | state, directory, metrics |
 //! | [`journal`], [`meters`] | the log and the counters |
 //! | [`http`] | heads and bodies |
 //! | [`settings`], [`daemon`] | the process |
 
+pub mod catching_up;
 pub mod daemon;
 pub mod dialect;
 pub mod door;
@@ -26,6 +28,7 @@
 pub mod mates;
 pub mod meters;
 pub mod pool;
+pub mod post;
 pub mod serve;
 pub mod settings;
 pub mod side;
--- /dev/null
+++ b/crates/hawthornmill-gateway/src/post.rs
@@ -0,0 +1,53 @@
+//! Datagrams to other instances.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+
+use hawthornmill::wire::frame::DATAGRAM_LIMIT;
+use hawthornmill::wire::{Message, Sealer};
+use tokio::net::UdpSocket;
+
+use crate::gateway::Gateway;
+
+/// Channel of datagrams; instances drop what repeats by its sequence number.
+pub const DATAGRAMS: u64 = 0;
+
+/// The socket for datagrams, and the one sequence in which they are numbered.
+#[derive(Debug)]
+pub struct Post {
+    /// The socket.
+    pub socket: UdpSocket,
+    sealer: RefCell<Sealer>,
+}
+
+impl Post {
+    /// Sends by `socket` in the name of `gateway`.
+    pub fn new(gateway: &Gateway, socket: UdpSocket) -> Self {
+        let key = gateway.settings().key;
+        let sealer = Sealer::new(key, gateway.me, gateway.incarnation, DATAGRAMS);
+        Self {
+            socket,
+            sealer: RefCell::new(sealer),
+        }
+    }
+
+    /// Sends `message` to each of `targets`.
+    pub fn send(&self, message: &Message, targets: impl IntoIterator<Item = SocketAddr>) {
+        let Ok(frame) = self.sealer.borrow_mut().seal(message) else {
+            log::error!(target: "mates", "a message can't be encoded");
+            return;
+        };
+        if frame.len() > DATAGRAM_LIMIT {
+            log::warn!(target: "mates", "message of {} bytes over one packet", frame.len());
+        }
+        self.send_frame(&frame, targets);
+    }
+
+    /// Sends a frame as it is to each of `targets`.
+    pub fn send_frame(&self, frame: &[u8], targets: impl IntoIterator<Item = SocketAddr>) {
+        for target in targets {
+            // An unreachable instance shows as an error here; it is silent to us either way.
+            let _sent = self.socket.try_send_to(frame, target);
+        }
+    }
+}
--- a/crates/hawthornmill/src/routing/mod.rs
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -20,6 +20,7 @@
 //! | [`desk`] | letting in, waiting, turning away |
 //! | [`news`] | what instances tell each other |
 //! | [`behind`] | how long it is known that others decide by something newer |
+//! | [`parts`] | what an instance knows, in parts that fit datagrams |
 //! | [`digest`] | what failure domains tell each other in a large fleet |
 
 pub mod allowance;
@@ -31,6 +32,7 @@
 pub mod loads;
 pub mod memory;
 pub mod news;
+pub mod parts;
 pub mod place;
 pub mod reading;
 pub mod registry;
--- /dev/null
+++ b/crates/hawthornmill/src/routing/parts.rs
@@ -0,0 +1,126 @@
+//! What an instance knows, in parts that fit datagrams.
+//!
+//! Load pattern: callers fill the link of an instance that is behind. Whatever comes over a connection waits behind
+//! what they send: an answer after three round trips came after more than four seconds, or never. Datagrams don't
+//! wait for those before them, and only those that were lost are sent again.
+
+use serde::{Deserialize, Serialize};
+
+use super::news::Pull;
+
+/// Bytes of one part; with its frame it fits a datagram.
+const PART_BYTES: usize = 1_200;
+/// Parts of what is sent in datagrams at most; more goes over a connection.
+const MOST_PARTS: usize = 96;
+
+/// Asks for what a peer knows beyond a version and a revision, in parts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Wanted {
+    /// What the asker has.
+    pub pull: Pull,
+    /// Digest of what the missing parts belong to; 0 for all parts of whatever is newest.
+    pub digest: u64,
+    /// Numbers of the missing parts.
+    pub missing: Vec<u16>,
+}
+
+/// One part of an answer to [`Wanted`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// Digest of the whole.
+    pub digest: u64,
+    /// Number of the part, from 0.
+    pub number: u16,
+    /// Number of parts; 0 when the whole is too large for datagrams.
+    pub parts: u16,
+    /// Its bytes.
+    pub bytes: Vec<u8>,
+}
+
+/// The parts of `whole` that `wanted` asks for, or the word that there are too many.
+pub fn split(whole: &[u8], wanted: &Wanted) -> Vec<Part> {
+    let digest = digest(whole);
+    let parts = whole.len().div_ceil(PART_BYTES);
+    if parts > MOST_PARTS {
+        let too_large = Part {
+            digest,
+            number: 0,
+            parts: 0,
+            bytes: Vec::new(),
+        };
+        return vec![too_large];
+    }
+    let all = wanted.digest != digest;
+    let chunks = whole.chunks(PART_BYTES).zip(0..);
+    let chosen = chunks.filter(|(_, number)| all || wanted.missing.contains(number));
+    let part = |(bytes, number): (&[u8], u16)| Part {
+        digest,
+        number,
+        parts: parts as u16,
+        bytes: bytes.to_vec(),
+    };
+    chosen.map(part).collect()
+}
+
+/// Never 0, which stands for none.
+fn digest(whole: &[u8]) -> u64 {
+    let hash = blake3::hash(whole);
+    let mut first = [0; 8];
+    first.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(first).max(1)
+}
+
+/// The parts of one answer that have come.
+#[derive(Debug, Clone, Default)]
+pub struct Gathering {
+    digest: u64,
+    parts: Vec<Option<Vec<u8>>>,
+    too_large: bool,
+}
+
+impl Gathering {
+    /// Takes one part; those of an older answer are dropped when one of another comes.
+    pub fn take(&mut self, part: Part) {
+        if part.parts == 0 {
+            self.too_large = true;
+            return;
+        }
+        if usize::from(part.parts) > MOST_PARTS {
+            return;
+        }
+        if part.digest != self.digest || self.parts.len() != usize::from(part.parts) {
+            self.digest = part.digest;
+            self.parts = vec![None; usize::from(part.parts)];
+        }
+        if let Some(place) = self.parts.get_mut(usize::from(part.number)) {
+            *place = Some(part.bytes);
+        }
+    }
+
+    /// The answer doesn't fit datagrams.
+    pub const fn is_too_large(&self) -> bool {
+        self.too_large
+    }
+
+    /// Parts that have come.
+    pub fn count(&self) -> usize {
+        self.parts.iter().flatten().count()
+    }
+
+    /// What is still to be asked for by one that has what `pull` says.
+    pub fn wanted(&self, pull: Pull) -> Wanted {
+        let missing = self.parts.iter().zip(0..).filter(|(p, _)| p.is_none());
+        Wanted {
+            pull,
+            digest: self.digest,
+            missing: missing.map(|(_, number)| number).collect(),
+        }
+    }
+
+    /// The whole answer, once all parts are there and belong together.
+    pub fn whole(&self) -> Option<Vec<u8>> {
+        let parts: Option<Vec<&[u8]>> = self.parts.iter().map(Option::as_deref).collect();
+        let whole = parts.filter(|p| !p.is_empty())?.concat();
+        (digest(&whole) == self.digest).then_some(whole)
+    }
+}
--- a/crates/hawthornmill/src/wire/message.rs
+++ b/crates/hawthornmill/src/wire/message.rs
@@ -9,6 +9,7 @@
 use crate::routing::digest::{DomainWork, Members};
 use crate::routing::loads::Work;
 use crate::routing::news::{Knowledge, News, Pull};
+use crate::routing::parts::{Part, Wanted};
 
 /// Names one grant: the owner that made it and its number there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -322,4 +323,8 @@
     Pull(Pull),
     /// Answers with it.
     Knowledge(Box<Knowledge>),
+    /// Asks an instance of the gateway for newer knowledge in parts, over UDP.
+    Wanted(Wanted),
+    /// Answers with one part of it.
+    Part(Part),
 }
--- a/tests/testsuite/gateway/catching_up.rs
+++ b/tests/testsuite/gateway/catching_up.rs
@@ -1,11 +1,12 @@
 //! The store away, stale or forgetful, and instances that tell each other.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::cell::RefCell;
 use std::time::Duration;
 
 use hawthornmill::ident::{DomainId, Incarnation, InstanceId};
-use hawthornmill::routing::news::{Mate, News, Reading};
-use hawthornmill::wire::{Message, Sealer};
+use hawthornmill::routing::news::{Knowledge, Mate, News, Reading};
+use hawthornmill::routing::parts::split;
+use hawthornmill::wire::{Message, Opener, Sealer};
 
 use super::fleet::{Fleet, PEER, call, config, key, request, route, until};
 use super::store::Mode;
@@ -20,23 +21,44 @@
     config.to_string()
 }
 
-/// Another instance as far as its datagrams go; it answers nothing.
+/// A configuration that takes several datagrams.
+fn with_many_routes(version: u64) -> String {
+    let mut config = config(version);
+    if let Some(routes) = config["routes"].as_array_mut() {
+        let more = (0..100).map(|n| route(&format!("added-{n}"), "idempotent", &json!({})));
+        routes.extend(more);
+    }
+    config.to_string()
+}
+
+/// Another instance as far as its datagrams go; no connection to it gets through.
 struct Peer {
     socket: tokio::net::UdpSocket,
     to: std::net::SocketAddr,
+    sealer: RefCell<Sealer>,
 }
 
 impl Peer {
-    async fn bind(fleet: &Fleet) -> Self {
+    /// A peer of the first gateway, in process run `run`.
+    async fn bind(fleet: &Fleet, run: u64) -> Self {
         let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await;
+        let sealer = Sealer::new(key(), InstanceId::of("other"), Incarnation(run), 0);
         Self {
             socket: socket.expect("a port is free"),
             to: std::net::SocketAddr::new(fleet.gateways[0].ip, PEER),
+            sealer: RefCell::new(sealer),
         }
     }
 
-    /// Says, in process run `run`, that callers reach it at `port` and that it has the catalog of `version`.
-    async fn say(&self, run: u64, port: u16, version: u64) {
+    async fn send(&self, message: &Message) {
+        let frame = self.sealer.borrow_mut().seal(message);
+        let frame = frame.expect("the message fits");
+        let sent = self.socket.send_to(&frame, self.to).await;
+        sent.expect("the datagram goes");
+    }
+
+    /// Says that callers reach it at `port` and that it has the catalog of `version`.
+    async fn tell(&self, port: u16, version: u64) {
         let own = self.socket.local_addr().expect("the socket has an address");
         let news = News {
             mate: Mate {
@@ -55,20 +77,27 @@
             short: Vec::new(),
             others: Vec::new(),
         };
-        let mut sealer = Sealer::new(key(), InstanceId::of("other"), Incarnation(run), 0);
         for _ in 0..20 {
-            let frame = sealer.seal(&Message::News(Box::new(news.clone())));
-            let frame = frame.expect("the news fit");
-            let sent = self.socket.send_to(&frame, self.to).await;
-            sent.expect("the datagram goes");
+            self.send(&Message::News(Box::new(news.clone()))).await;
         }
     }
 
-    /// Says that it has the catalog of `version`.
-    async fn tell(&self, version: u64) {
-        static RUNS: AtomicU64 = AtomicU64::new(1);
-        let run = RUNS.fetch_add(1, Ordering::Relaxed);
-        self.say(run, 1_001, version).await;
+    /// Answers each question for its knowledge with `knowledge`, but loses the first part each time.
+    async fn answer(&self, knowledge: &Knowledge) {
+        let whole = postcard::to_allocvec(knowledge).expect("it can be encoded");
+        let mut opener = Opener::new(key(), 0);
+        let mut buffer = vec![0; 2_048];
+        loop {
+            let (length, _) = self.socket.recv_from(&mut buffer).await.expect("it comes");
+            let frame = opener.open(&buffer[..length]);
+            if let Ok(Message::Wanted(wanted)) = frame.map(|f| f.message) {
+                let parts = split(&whole, &wanted);
+                let lost = usize::from(parts.len() > 1);
+                for part in parts.into_iter().skip(lost) {
+                    self.send(&Message::Part(part)).await;
+                }
+            }
+        }
     }
 }
 
@@ -212,10 +241,10 @@
         let fleet = Fleet::start(1, 1).await;
         let front = fleet.gateways[0].front();
         assert_eq!(status(front, "/added/").await, 404, "it has the newest");
-        let ahead = Peer::bind(&fleet).await;
+        let ahead = Peer::bind(&fleet, 1).await;
 
         until("it hears of a newer one", || async {
-            ahead.tell(2).await;
+            ahead.tell(1_001, 2).await;
             status(front, "/added/").await == 503
         })
         .await;
@@ -232,6 +261,33 @@
     });
 }
 
+/// Failure: callers fill an instance's link, no connection to a peer is answered in time, and it never gets a new catalog.
+#[test]
+fn a_newer_catalog_comes_in_datagrams_where_no_connection_gets_through() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        let front = fleet.gateways[0].front();
+        let ahead = Peer::bind(&fleet, 1).await;
+        let catalog = hawthornmill_platform::catalog::read(with_many_routes(2).as_bytes());
+        let knowledge = Knowledge {
+            catalog: Some(catalog.expect("the catalog is sound")),
+            servers: None,
+            doubted: Vec::new(),
+            revision: 0,
+        };
+        ahead.tell(1_001, 2).await;
+
+        let served = until("the route is served", || async {
+            ahead.tell(1_001, 2).await;
+            status(front, "/added-99/").await == 200
+        });
+        tokio::select! {
+            () = served => {}
+            () = ahead.answer(&knowledge) => {}
+        }
+    });
+}
+
 /// A machine's time of day is set back, and its process restarts: its run has a lower number than the
 /// one before. Taken for an echo of that one, its news would never be heard again, and callers would
 /// not be sent to it.
@@ -239,15 +295,14 @@
 fn an_instance_whose_clock_was_set_back_is_heard_again() {
     block_on(async {
         let fleet = Fleet::start(1, 1).await;
-        let peer = Peer::bind(&fleet).await;
-        peer.say(9, 1_001, 0).await;
+        Peer::bind(&fleet, 9).await.tell(1_001, 0).await;
         let named = |port: u16| {
             let gateway = &fleet.gateways[0];
             move || async move { gateway.named().await.iter().any(|a| a.port() == port) }
         };
         until("the first run is named", named(1_001)).await;
 
-        peer.say(5, 1_002, 0).await;
+        Peer::bind(&fleet, 5).await.tell(1_002, 0).await;
 
         until("the second run is named", named(1_002)).await;
     });
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -7,6 +7,7 @@
 mod loads;
 mod many;
 mod mates;
+mod parts;
 mod patience;
 mod place;
 mod reading;
