Take no requests while others have long decided by a newer catalog

An instance that can't get a catalog for three quarters of the time in which it must be in force (setting apply_ms) is not ready, isn't named, and refuses with a time to come back, as long as an instance that lives and takes requests has it.

--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -31,6 +31,10 @@
 use crate::pool::Pool;
 use crate::settings::Settings;
 
+/// Part of the time in which a catalog must be in force after which an instance without it decides nothing; the
+/// rest is for news of it on their way.
+const OUTDATED: f64 = 0.75;
+
 /// How far the process is on its way out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -183,7 +187,17 @@
 
     /// Tells whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
-        self.phase() == Phase::Serving && self.listed.get() && self.table.borrow().is_some()
+        let known = self.listed.get() && self.table.borrow().is_some();
+        self.phase() == Phase::Serving && known && !self.is_outdated()
+    }
+
+    /// Tells whether a newer catalog is in force by now, so that others must decide.
+    ///
+    /// Where nobody that lives has it, this instance's own is still the best there is.
+    pub fn is_outdated(&self) -> bool {
+        let now = self.now();
+        let late = self.settings().promises.apply.mul_f64(OUTDATED);
+        self.behind.borrow().time(now) > late && self.mates.borrow().has_newer(self.version(), now)
     }
 
     /// Puts `catalog` in force unless an equal or newer one is; `from` is told in the log.
--- a/crates/hawthornmill-gateway/src/serve.rs
+++ b/crates/hawthornmill-gateway/src/serve.rs
@@ -109,8 +109,8 @@
             Next::Closed => return,
         };
         let _flying = Open::count(&gateway.flying);
-        let leaving = gateway.phase() >= Phase::Leaving;
-        let last = call.head.closes() || leaving;
+        let elsewhere = gateway.phase() >= Phase::Leaving || gateway.is_outdated();
+        let last = call.head.closes() || elsewhere;
         let crowded = gateway.connections.get() > MANY_CONNECTIONS;
         let mut trip = Trip::default();
         let way = Way {
--- a/crates/hawthornmill-gateway/src/settings.rs
+++ b/crates/hawthornmill-gateway/src/settings.rs
@@ -37,6 +37,8 @@
 /// What operators were promised of this deployment.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Promises {
+    /// Time in which a published catalog is in force everywhere.
+    pub apply: Duration,
     /// Time from the signal to stop to the end of the process.
     pub grace: Duration,
     /// Time for which callers may use a directory's answer.
@@ -181,6 +183,7 @@
 
 fn promises(reader: &mut Reader<'_>, section: &Section) -> Promises {
     let known = [
+        "apply_ms",
         "grace_s",
         "ttl_s",
         "resend_ratio",
@@ -189,6 +192,7 @@
     ];
     reader.known_keys(section, &known);
     Promises {
+        apply: reader.millis(section, "apply_ms", 3_000.0),
         grace: seconds(reader, section, "grace_s", 8.0),
         ttl: seconds(reader, section, "ttl_s", 1.0),
         resends: Terms {
--- a/crates/hawthornmill-gateway/src/trip/admit.rs
+++ b/crates/hawthornmill-gateway/src/trip/admit.rs
@@ -49,7 +49,7 @@
     let Some(table) = gateway.table() else {
         return Err(Reply::again(Code::NotReady, UNKNOWN_AGAIN));
     };
-    if !gateway.listed.get() {
+    if !gateway.listed.get() || gateway.is_outdated() {
         return Err(Reply::again(Code::NotReady, UNKNOWN_AGAIN));
     }
     let fields = &call.head.fields;
--- a/crates/hawthornmill/src/routing/news.rs
+++ b/crates/hawthornmill/src/routing/news.rs
@@ -304,6 +304,12 @@
         all.any(|h| h.mate.domain == self.domain && h.mate.peer == address)
     }
 
+    /// Tells whether an instance that lives and takes requests has a newer catalog than `version`.
+    pub fn has_newer(&self, version: u64, now: Instant) -> bool {
+        let mut all = self.live(now).map(|(_, h)| h);
+        all.any(|h| h.version > version && h.ready && !h.leaving)
+    }
+
     /// Tells whether the instance at `address` was heard, itself or by a relay, after `since`.
     pub fn is_heard_since(&self, address: SocketAddr, since: Instant) -> bool {
         let mut all = self.heard.values();
--- a/tests/testsuite/gateway/catching_up.rs
+++ b/tests/testsuite/gateway/catching_up.rs
@@ -261,6 +261,27 @@
     });
 }
 
+/// Failure: an instance can't get a catalog that others have long decided by, and goes on by its own.
+#[test]
+fn an_instance_that_stays_behind_takes_no_requests_while_others_do() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        let gateway = &fleet.gateways[0];
+        let ahead = Peer::bind(&fleet, 1).await;
+
+        until("it takes no more", || async {
+            ahead.tell(1_001, 2).await;
+            status(gateway.front(), "/get/").await == 503 && !gateway.is_ready().await
+        })
+        .await;
+
+        until("it serves again once nobody has more", || async {
+            status(gateway.front(), "/get/").await == 200 && gateway.is_ready().await
+        })
+        .await;
+    });
+}
+
 /// Failure: callers fill an instance's link, no connection to a peer is answered in time, and it never gets a new catalog.
 #[test]
 fn a_newer_catalog_comes_in_datagrams_where_no_connection_gets_through() {
