Don't give a doubted server's grace anew at each instance that hears of it

Callers saw: requests went to servers more than four seconds after they had left (a server that leaves without saying so: its entry is removed, and it goes on for a while). Cause: an instance that was cut off from the store takes a removal in the first 2.5 s after its return for a lapse by the store's fault, and lets the server count for 2.2 s more. It told this to others as a doubt without the time that was left, so that each of them gave a grace of its own, and one more with each question. Not found before: a doubt was not logged. Why it works: what is left of the grace goes with the doubt, and one that runs is never prolonged. The same fault elsewhere: a removal under doubt did not raise the revision that is told, so others heard of it only with some later change; it does now. Both tests fail without it.

--- a/crates/hawthornmill-gateway/src/catching_up.rs
+++ b/crates/hawthornmill-gateway/src/catching_up.rs
@@ -10,6 +10,7 @@
 use hawthornmill::limits::patience::{self, Patience};
 use hawthornmill::routing::news::{Knowledge, Pull};
 use hawthornmill::routing::parts::{Gathering, Part, Wanted, split};
+use hawthornmill::routing::registry::List;
 use hawthornmill::wire::{Message, Opener, Sealer};
 use hawthornmill_process::frames;
 use serde_json::json;
@@ -200,14 +201,15 @@
     if let Some(catalog) = knowledge.catalog {
         gateway.accept(catalog, &from);
     }
-    if let Some(servers) = knowledge.servers {
-        gateway.list(servers, knowledge.revision, false, &from);
+    if let Some(entries) = knowledge.servers {
+        let list = List {
+            entries,
+            doubted: knowledge.doubted,
+            revision: knowledge.revision,
+            away: false,
+        };
+        gateway.list(list, &from);
         let registry = &mut gateway.desk.borrow_mut().registry;
-        // Taken for sound here, an entry that its teller is about to drop would count for ever: no
-        // further change tells of it.
-        for server in knowledge.doubted {
-            registry.doubt(server, gateway.now());
-        }
         registry.caught_up(knowledge.revision);
     }
 }
@@ -290,7 +292,7 @@
     Knowledge {
         catalog: newer.map(|t| t.catalog().clone()),
         servers: (latest > pull.revision).then(|| desk.registry.snapshot()),
-        doubted: desk.registry.doubted(),
+        doubted: desk.registry.doubted(gateway.now()),
         revision: latest,
     }
 }
--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -17,7 +17,7 @@
 use hawthornmill::routing::desk::Desk;
 use hawthornmill::routing::news::{Mates, Reading};
 use hawthornmill::routing::place::{Choice, Place};
-use hawthornmill::routing::registry::Change;
+use hawthornmill::routing::registry::{Change, List};
 use hawthornmill::routing::request::{Cause, Refusal, Request, Ticket, Verdict};
 use hawthornmill::routing::table::Table;
 use serde_json::json;
@@ -238,14 +238,23 @@
         }
     }
 
+    /// An entry was removed at `revision`, maybe since the store was away.
+    pub fn doubt(&self, server: ServerId, revision: u64) {
+        let name = self.server_name(server);
+        let fields = json!({"server": name, "revision": revision});
+        journal::belief("registration_doubted", fields);
+        let registry = &mut self.desk.borrow_mut().registry;
+        registry.doubt_anew(server, revision, self.now());
+    }
+
     /// Takes a whole list of registrations.
-    pub fn list(&self, changes: Vec<Change>, revision: u64, away: bool, from: &str) {
+    pub fn list(&self, list: List, from: &str) {
         let fields = json!({
-            "servers": changes.len(), "revision": revision, "store_was_away": away, "from": from,
+            "servers": list.entries.len(), "doubted": list.doubted.len(), "revision": list.revision,
+            "store_was_away": list.away, "from": from,
         });
         journal::belief("registrations_listed", fields);
-        let mut desk = self.desk.borrow_mut();
-        desk.list(changes, revision, away, self.now());
+        self.desk.borrow_mut().list(list, self.now());
         self.listed.set(true);
         self.nudge.notify_one();
     }
--- a/crates/hawthornmill-gateway/src/store.rs
+++ b/crates/hawthornmill-gateway/src/store.rs
@@ -9,8 +9,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
+use hawthornmill::ident::ServerId;
 use hawthornmill::routing::news::Reading;
-use hawthornmill::routing::registry::Change;
+use hawthornmill::routing::registry::{Change, List};
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -149,8 +150,13 @@
         match self.topic {
             Topic::Catalog => items.iter().for_each(|i| self.take(i)),
             Topic::Servers => {
-                let changes = items.iter().map(|i| self.change(i)).collect();
-                self.gateway.list(changes, revision, away, "store");
+                let list = List {
+                    entries: items.iter().map(|i| self.change(i)).collect(),
+                    doubted: Vec::new(),
+                    revision,
+                    away,
+                };
+                self.gateway.list(list, "store");
             }
         }
         self.revision = Some(revision);
@@ -192,12 +198,8 @@
             }
             (Topic::Catalog, _) => {}
             (Topic::Servers, None) if self.was_away() => {
-                let server = hawthornmill::ident::ServerId::of(self.server_name(item));
-                self.gateway
-                    .desk
-                    .borrow_mut()
-                    .registry
-                    .doubt(server, self.gateway.now());
+                let server = ServerId::of(self.server_name(item));
+                self.gateway.doubt(server, item.revision);
             }
             (Topic::Servers, _) => {
                 let change = self.change(item);
@@ -223,7 +225,7 @@
             None => None,
         };
         Change {
-            server: hawthornmill::ident::ServerId::of(name),
+            server: ServerId::of(name),
             revision: item.revision,
             entry,
         }
--- a/crates/hawthornmill/src/routing/desk.rs
+++ b/crates/hawthornmill/src/routing/desk.rs
@@ -20,7 +20,7 @@
 use super::news::{Lack, News};
 use super::place::{Ask, Choice, Homes, Place, Unplaced, View, choose, is_long};
 use super::reading::ReadTimes;
-use super::registry::{Change, Registry};
+use super::registry::{Change, List, Registry};
 use super::request::{Cause, Decided, Outlook, Refusal, Request, Ticket, Verdict};
 use super::shape::PrefixKey;
 use super::shortage::{Shortages, TOLD, shuts_out};
@@ -219,8 +219,8 @@
     }
 
     /// Takes a whole list of registrations, as [`Registry::replace`] does.
-    pub fn list(&mut self, changes: Vec<Change>, revision: u64, away: bool, now: Instant) {
-        self.registry.replace(changes, revision, away, now);
+    pub fn list(&mut self, list: List, now: Instant) {
+        self.registry.replace(list, now);
         self.forget_lost();
     }
 
--- a/crates/hawthornmill/src/routing/registry.rs
+++ b/crates/hawthornmill/src/routing/registry.rs
@@ -50,6 +50,28 @@
     pub entry: Option<Registration>,
 }
 
+/// An entry that was found missing after the store was away, and counts for a grace only.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Doubt {
+    /// The entry.
+    pub server: ServerId,
+    /// What is left of its grace.
+    pub left: Duration,
+}
+
+/// A whole list of entries.
+#[derive(Debug, Clone)]
+pub struct List {
+    /// The entries.
+    pub entries: Vec<Change>,
+    /// Those of them that whoever made the list doubts.
+    pub doubted: Vec<Doubt>,
+    /// The store's revision of the list.
+    pub revision: u64,
+    /// The store was out of reach before, so that live servers may be missing.
+    pub away: bool,
+}
+
 /// An entry in force.
 #[derive(Debug, Clone)]
 pub struct Known {
@@ -128,23 +150,33 @@
         self.revision = self.revision.max(revision);
     }
 
-    /// Takes a whole list as of `revision`; entries that it lacks are gone, at once or after a grace.
+    /// Takes a whole list; entries that it lacks are gone, at once or after a grace.
     ///
-    /// `away` says that the store was out of reach before, so that live servers may be missing. A
-    /// list that is older than what is known says nothing of missing entries.
-    pub fn replace(&mut self, list: Vec<Change>, revision: u64, away: bool, now: Instant) {
+    /// A list that is older than what is known says nothing of missing entries.
+    pub fn replace(&mut self, list: List, now: Instant) {
+        let List {
+            entries,
+            doubted,
+            revision,
+            away,
+        } = list;
         if self.revision == 0 {
             // Removals before the first list are in it by their absence.
             self.latest = self
                 .latest
-                .max(list.iter().map(|c| c.revision).max().unwrap_or(0));
+                .max(entries.iter().map(|c| c.revision).max().unwrap_or(0));
         }
         let stale = revision < self.revision;
-        let listed: Vec<ServerId> = list.iter().map(|c| c.server).collect();
-        for change in list {
-            self.confirm(change.server);
+        let listed: Vec<ServerId> = entries.iter().map(|c| c.server).collect();
+        for change in entries {
+            if doubted.iter().all(|d| d.server != change.server) {
+                self.confirm(change.server);
+            }
             self.take(change, now);
         }
+        for doubt in doubted {
+            self.doubt(doubt, now);
+        }
         if stale {
             return;
         }
@@ -154,11 +186,11 @@
             .filter(|(id, known)| !listed.contains(id) && known.revision <= revision)
             .map(|(id, _)| *id)
             .collect();
-        for id in missing {
+        for server in missing {
             if away {
-                self.doubt(id, now);
+                self.doubt_anew(server, revision, now);
             } else {
-                self.remove(id, revision, now);
+                self.remove(server, revision, now);
             }
         }
         self.advance(revision);
@@ -169,10 +201,16 @@
         std::mem::take(&mut self.lost)
     }
 
-    /// Entries that count for a grace only.
-    pub fn doubted(&self) -> Vec<ServerId> {
-        let doubted = self.known.iter().filter(|(_, k)| k.until.is_some());
-        doubted.map(|(id, _)| *id).collect()
+    /// Entries that count for a grace only, and what is left of it at `now`.
+    pub fn doubted(&self, now: Instant) -> Vec<Doubt> {
+        let doubt = |(server, known): (&ServerId, &Known)| {
+            let left = known.until?.saturating_duration_since(now);
+            Some(Doubt {
+                server: *server,
+                left,
+            })
+        };
+        self.known.iter().filter_map(doubt).collect()
     }
 
     /// Changes up to `revision` were taken from another instance's list, removals included.
@@ -212,10 +250,20 @@
             .collect()
     }
 
-    /// An entry was removed while the store was away: it counts until the grace is over.
-    pub fn doubt(&mut self, id: ServerId, now: Instant) {
-        if let Some(known) = self.known.get_mut(&id) {
-            known.until.get_or_insert(now + RETURN_GRACE);
+    /// An entry was removed at `revision`, maybe since the store was away: it counts until a new grace is over.
+    ///
+    /// The revision is told to others as that of any change, so that they come to doubt the entry too.
+    pub fn doubt_anew(&mut self, server: ServerId, revision: u64, now: Instant) {
+        let left = RETURN_GRACE;
+        self.doubt(Doubt { server, left }, now);
+        self.latest = self.latest.max(revision);
+    }
+
+    /// Takes another instance's doubt, with what is left of its grace; one that runs here isn't prolonged.
+    fn doubt(&mut self, doubt: Doubt, now: Instant) {
+        if let Some(known) = self.known.get_mut(&doubt.server) {
+            let until = now + doubt.left;
+            known.until = Some(known.until.map_or(until, |u| u.min(until)));
         }
     }
 
--- a/tests/testsuite/routing/desk.rs
+++ b/tests/testsuite/routing/desk.rs
@@ -442,7 +442,8 @@
     let mut anew = super::entry("a1", "a");
     anew.born = 7;
 
-    desk.list(vec![super::change("a1", 90, Some(anew))], 90, false, now);
+    let anew = vec![super::change("a1", 90, Some(anew))];
+    desk.list(super::list(anew, 90, false), now);
     let unknown = sent(desk.ask(&request("lab", shape(1, 300, 200), now), now));
 
     let own = shape(1, 300, 200).effort(200);
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -24,7 +24,7 @@
 };
 use hawthornmill::routing::desk::Desk;
 use hawthornmill::routing::place::{Choice, Place};
-use hawthornmill::routing::registry::{Change, Registration};
+use hawthornmill::routing::registry::{Change, List, Registration};
 use hawthornmill::routing::request::{Request, Verdict};
 use hawthornmill::routing::shape::{PromptPart, Shape};
 use smallvec::{SmallVec, smallvec};
@@ -105,6 +105,16 @@
     }
 }
 
+/// A list that holds `entries`, of which none is doubted.
+fn list(entries: Vec<Change>, revision: u64, away: bool) -> List {
+    List {
+        entries,
+        doubted: Vec::new(),
+        revision,
+        away,
+    }
+}
+
 /// A desk in domain `a` of region `north` before `servers` in the domains named with them.
 fn desk(servers: &[(&str, &str)], now: Instant) -> Desk {
     let terms = Terms {
--- a/tests/testsuite/routing/registry.rs
+++ b/tests/testsuite/routing/registry.rs
@@ -3,9 +3,19 @@
 use std::time::{Duration, Instant};
 
 use hawthornmill::ident::ServerId;
-use hawthornmill::routing::registry::{RETURN_GRACE, Registry};
+use hawthornmill::routing::registry::{List, RETURN_GRACE, Registry};
 
-use super::{change, entry};
+use super::{change, entry, list, millis};
+
+/// What `registry` tells another instance at `now`.
+fn told(registry: &Registry, now: Instant) -> List {
+    List {
+        entries: registry.snapshot(),
+        doubted: registry.doubted(now),
+        revision: registry.latest(),
+        away: false,
+    }
+}
 
 fn names(registry: &Registry) -> Vec<ServerId> {
     registry.entries().map(|(id, _)| id).collect()
@@ -34,16 +44,18 @@
     let now = Instant::now();
     let mut registry = Registry::default();
     registry.replace(
-        vec![
-            change("s", 1, Some(entry("s", "a"))),
-            change("t", 2, Some(entry("t", "a"))),
-        ],
-        2,
-        false,
+        list(
+            vec![
+                change("s", 1, Some(entry("s", "a"))),
+                change("t", 2, Some(entry("t", "a"))),
+            ],
+            2,
+            false,
+        ),
         now,
     );
 
-    registry.replace(Vec::new(), 9, true, now);
+    registry.replace(list(Vec::new(), 9, true), now);
     registry.take(
         change("t", 11, Some(entry("t", "a"))),
         now + Duration::from_secs(1),
@@ -60,9 +72,12 @@
 fn a_list_of_a_store_that_was_there_removes_what_it_lacks_at_once() {
     let now = Instant::now();
     let mut registry = Registry::default();
-    registry.replace(vec![change("s", 1, Some(entry("s", "a")))], 1, false, now);
+    registry.replace(
+        list(vec![change("s", 1, Some(entry("s", "a")))], 1, false),
+        now,
+    );
 
-    registry.replace(Vec::new(), 5, false, now);
+    registry.replace(list(Vec::new(), 5, false), now);
 
     assert!(names(&registry).is_empty());
 }
@@ -72,9 +87,12 @@
 fn a_stale_list_removes_nothing() {
     let now = Instant::now();
     let mut registry = Registry::default();
-    registry.replace(vec![change("s", 8, Some(entry("s", "a")))], 9, false, now);
+    registry.replace(
+        list(vec![change("s", 8, Some(entry("s", "a")))], 9, false),
+        now,
+    );
 
-    registry.replace(Vec::new(), 5, false, now);
+    registry.replace(list(Vec::new(), 5, false), now);
 
     assert_eq!(names(&registry), [ServerId::of("s")]);
     assert_eq!(registry.revision(), 9);
@@ -99,9 +117,12 @@
 fn a_list_of_another_instance_catches_up_with_removals() {
     let now = Instant::now();
     let mut registry = Registry::default();
-    registry.replace(vec![change("s", 1, Some(entry("s", "a")))], 1, false, now);
+    registry.replace(
+        list(vec![change("s", 1, Some(entry("s", "a")))], 1, false),
+        now,
+    );
 
-    registry.replace(Vec::new(), 7, false, now);
+    registry.replace(list(Vec::new(), 7, false), now);
     registry.caught_up(7);
 
     assert!(names(&registry).is_empty());
@@ -116,14 +137,56 @@
     let now = Instant::now();
     let mut teller = Registry::default();
     let mut hearer = Registry::default();
-    teller.replace(vec![change("s", 1, Some(entry("s", "a")))], 1, false, now);
-    teller.doubt(ServerId::of("s"), now);
+    teller.replace(
+        list(vec![change("s", 1, Some(entry("s", "a")))], 1, false),
+        now,
+    );
+    teller.doubt_anew(ServerId::of("s"), 2, now);
 
-    hearer.replace(teller.snapshot(), teller.latest(), false, now);
-    for server in teller.doubted() {
-        hearer.doubt(server, now);
-    }
+    hearer.replace(told(&teller, now), now);
     let gone = hearer.sweep(now + RETURN_GRACE);
 
     assert_eq!(gone, [ServerId::of("s")]);
 }
+
+/// Failure: each instance that hears of a doubt gives a grace of its own, and a server that left gets requests for seconds more.
+#[test]
+fn a_grace_does_not_begin_anew_with_each_instance_that_hears_of_it() {
+    let now = Instant::now();
+    let mut instances: Vec<Registry> = (0..3).map(|_| Registry::default()).collect();
+    for registry in &mut instances {
+        let first = vec![change("s", 1, Some(entry("s", "a")))];
+        registry.replace(list(first, 1, false), now);
+    }
+    instances[0].doubt_anew(ServerId::of("s"), 2, now);
+
+    for hop in 1..3 {
+        let heard = now + millis(900) * hop;
+        let told = told(&instances[hop as usize - 1], heard);
+        instances[hop as usize].replace(told.clone(), heard);
+        instances[hop as usize].replace(told, heard);
+    }
+
+    for mut registry in instances {
+        assert_eq!(registry.sweep(now + RETURN_GRACE), [ServerId::of("s")]);
+    }
+}
+
+/// Failure: nobody but the reader of the store hears that an entry was removed while the store was away.
+#[test]
+fn a_doubt_is_told_as_newer_than_what_others_know() {
+    let now = Instant::now();
+    for missing in [false, true] {
+        let mut registry = Registry::default();
+        let first = vec![change("s", 1, Some(entry("s", "a")))];
+        registry.replace(list(first, 1, false), now);
+
+        if missing {
+            registry.replace(list(Vec::new(), 7, true), now);
+        } else {
+            registry.doubt_anew(ServerId::of("s"), 7, now);
+        }
+
+        assert_eq!(registry.latest(), 7);
+    }
+}
