Learn nothing of servers over a link that is full

Cause (one of several): the instance takes first tokens that wait before its own full link for slow servers, and refuses every request as too long to be in time.

--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use hawthornmill::clock::Clock;
 use hawthornmill::codes::Code;
 use hawthornmill::ident::{Incarnation, InstanceId, ServerId};
+use hawthornmill::limits::link::Link;
 use hawthornmill::limits::strain::Strain;
 use hawthornmill::routing::behind::Behind;
 use hawthornmill::routing::budget::Budget;
@@ -84,6 +85,8 @@
     pub meters: Meters,
     /// Callers' connections that are open.
     pub connections: Cell<usize>,
+    /// How full the instance's link is.
+    pub link: RefCell<Link>,
     /// How late the process is with its work.
     pub strain: Cell<Strain>,
     /// Connections turned away since the log told of them.
@@ -135,6 +138,7 @@
             pool: Pool::default(),
             meters: Meters::default(),
             connections: Cell::new(0),
+            link: RefCell::default(),
             strain: Cell::default(),
             turned: RefCell::default(),
             flying: Cell::new(0),
@@ -159,6 +163,12 @@
         Rc::clone(&self.settings.borrow())
     }
 
+    /// Tells whether times that are measured now tell more of this instance than of servers.
+    pub fn is_behind(&self) -> bool {
+        let now = self.now();
+        self.strain.get().is_behind(now) || self.link.borrow().is_late(now)
+    }
+
     /// Catalog in force.
     pub fn table(&self) -> Option<Rc<Table>> {
         self.table.borrow().clone()
--- a/crates/hawthornmill-gateway/src/trip/mod.rs
+++ b/crates/hawthornmill-gateway/src/trip/mod.rs
@@ -130,8 +130,7 @@
         }
         let now = self.gateway.now();
         let request = &self.admitted.request;
-        let behind = self.gateway.strain.get().is_behind(now);
-        let time = (!behind).then(|| now.duration_since(self.sent));
+        let time = (!self.gateway.is_behind()).then(|| now.duration_since(self.sent));
         self.gateway
             .desk
             .borrow_mut()
--- a/crates/hawthornmill-gateway/src/trip/send.rs
+++ b/crates/hawthornmill-gateway/src/trip/send.rs
@@ -86,7 +86,13 @@
     };
     let now = gateway.now();
     let once = admitted.repeat == Repeat::Never;
-    let mut upstream = match gateway.pool.take(server, address, once, now).await {
+    let taken = gateway.pool.take(server, address, once, now).await;
+    if !taken.as_ref().is_ok_and(|u| u.reused) {
+        let after = gateway.now();
+        let took = after.duration_since(now);
+        gateway.link.borrow_mut().attempt(address, took, after);
+    }
+    let mut upstream = match taken {
         Ok(upstream) => upstream,
         Err(error) => return Sent::Unreached(error.to_string().into()),
     };
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod desk;
 mod digest;
+mod link;
 mod loads;
 mod many;
 mod mates;
