Ask the next peer when one is silent in datagrams, before a connection to it is tried

Found in reading: with datagrams first, a peer that is gone would hold up the question for 1.1 s in place of 0.7 s. Where another peer knows more it is asked at once, after 0.4 s; a connection is tried where nobody else is left or the answer is too large.

--- a/crates/hawthornmill-gateway/src/catching_up.rs
+++ b/crates/hawthornmill-gateway/src/catching_up.rs
@@ -34,11 +34,13 @@
 /// Rounds in a row that bring nothing, after which a connection is tried.
 const MOST_EMPTY: usize = 2;
 
-/// The answer in parts that is waited for.
+/// The answer in parts that is waited for, if any.
 #[derive(Debug, Default)]
 pub struct Gatherings {
-    /// Who was asked, and what has come.
-    open: RefCell<Option<(SocketAddr, Gathering)>>,
+    /// Who was asked last.
+    asked: Cell<Option<SocketAddr>>,
+    /// What has come from there.
+    gathering: RefCell<Gathering>,
     /// A part came.
     came: Notify,
 }
@@ -46,20 +48,19 @@
 impl Gatherings {
     /// Takes one part; one that nobody waits for is dropped.
     pub fn take(&self, from: SocketAddr, part: Part) {
-        if let Some((asked, gathering)) = self.open.borrow_mut().as_mut()
-            && *asked == from
-        {
-            gathering.take(part);
+        if self.asked.get() == Some(from) {
+            self.gathering.borrow_mut().take(part);
             self.came.notify_one();
         }
     }
 
     fn begin(&self, mate: SocketAddr) {
-        *self.open.borrow_mut() = Some((mate, Gathering::default()));
+        self.asked.set(Some(mate));
+        self.gathering.take();
     }
 
-    fn look<T>(&self, look: impl FnOnce(&Gathering) -> T) -> Option<T> {
-        self.open.borrow().as_ref().map(|(_, g)| look(g))
+    fn look<T>(&self, look: impl FnOnce(&Gathering) -> T) -> T {
+        look(&self.gathering.borrow())
     }
 }
 
@@ -74,34 +75,46 @@
     }
 }
 
-/// Asks `mate` in datagrams; none when it doesn't answer or the answer is too large for them.
-async fn gather(gateway: &Gateway, post: &Post, mate: SocketAddr, pull: Pull) -> Option<Knowledge> {
+/// Why an answer doesn't come in datagrams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Unanswered {
+    Silent,
+    TooLarge,
+    Unreadable,
+}
+
+/// Asks `mate` in datagrams.
+async fn gather(
+    gateway: &Gateway,
+    post: &Post,
+    mate: SocketAddr,
+    pull: Pull,
+) -> Result<Knowledge, Unanswered> {
     let gathering = &gateway.gathering;
     gathering.begin(mate);
     let mut empty = 0;
     while empty < MOST_EMPTY {
-        let before = gathering.look(Gathering::count)?;
-        let wanted = gathering.look(|g| g.wanted(pull))?;
+        let (before, wanted) = gathering.look(|g| (g.count(), g.wanted(pull)));
         post.send(&Message::Wanted(wanted), [mate]);
         let _over = tokio::time::timeout(ROUND, until_whole(gathering)).await;
-        if gathering.look(Gathering::is_too_large)? {
-            return None;
+        if gathering.look(Gathering::is_too_large) {
+            return Err(Unanswered::TooLarge);
         }
-        if let Some(whole) = gathering.look(Gathering::whole)? {
-            let read = postcard::from_bytes(&whole);
-            return read
-                .inspect_err(|e| log::warn!(target: "mates", "{mate} can't be understood: {e}"))
-                .ok();
+        if let Some(whole) = gathering.look(Gathering::whole) {
+            return postcard::from_bytes(&whole).map_err(|error| {
+                log::warn!(target: "mates", "{mate} can't be understood: {error}");
+                Unanswered::Unreadable
+            });
         }
-        let came = gathering.look(Gathering::count)? > before;
+        let came = gathering.look(Gathering::count) > before;
         empty = if came { 0 } else { empty + 1 };
     }
-    None
+    Err(Unanswered::Silent)
 }
 
 async fn until_whole(gathering: &Gatherings) {
     let over = |g: &Gathering| g.is_too_large() || g.whole().is_some();
-    while gathering.look(over) == Some(false) {
+    while !gathering.look(over) {
         gathering.came.notified().await;
     }
 }
@@ -162,10 +175,17 @@
     time: Duration,
 ) -> bool {
     let began = gateway.now();
-    if let Some(knowledge) = gather(gateway, post, mate, pull).await {
-        learn(gateway, knowledge, mate);
-        note_answer(gateway, mate, began, "parts", None);
-        return true;
+    match gather(gateway, post, mate, pull).await {
+        Ok(knowledge) => {
+            learn(gateway, knowledge, mate);
+            note_answer(gateway, mate, began, "parts", None);
+            return true;
+        }
+        Err(Unanswered::Silent) if has_other(gateway, mate, pull) => {
+            note_answer(gateway, mate, began, "parts", Some("silent"));
+            return false;
+        }
+        Err(_other) => {}
     }
     let step = Cell::new(Step::Connecting);
     let answer = tokio::time::timeout(time, ask(gateway, mate, pull, &step)).await;
@@ -178,17 +198,19 @@
         Err(_elapsed) => Some(format!("no answer in {} ms", time.as_millis())),
     };
     let (answered, step) = (why.is_none(), format!("{:?}", step.get()));
-    note_answer(gateway, mate, began, &step, why);
+    note_answer(gateway, mate, began, &step, why.as_deref());
     answered
 }
 
-fn note_answer(
-    gateway: &Gateway,
-    mate: SocketAddr,
-    began: Instant,
-    step: &str,
-    why: Option<String>,
-) {
+/// Tells whether somebody else knows more than `pull` says: asked next, it may answer at once.
+fn has_other(gateway: &Gateway, mate: SocketAddr, pull: Pull) -> bool {
+    let (mates, now) = (gateway.mates.borrow(), gateway.now());
+    !mates
+        .ahead(pull.version, pull.revision, &[mate], now)
+        .is_empty()
+}
+
+fn note_answer(gateway: &Gateway, mate: SocketAddr, began: Instant, step: &str, why: Option<&str>) {
     let took = gateway.now().duration_since(began);
     let fields = json!({
         "mate": mate.to_string(), "step": step, "why": why, "took_ms": took.as_millis() as u64,
