Mend what a second reading of the change found: names, a circle, work done twice, one fixture of news

- Post, Gathering, Gatherings and Behind say little: Datagrams, Reassembly, Awaited (a file of its own, so that gateway, catching_up and datagrams no longer import each other in a circle) and Lag (in the log lag_ms).
- The parts of an answer were joined and hashed twice; now once, when the last one comes, and parts that don't belong together are dropped.
- Whether somebody else can be asked left out the peers that had not answered; and a peer that was silent in datagrams lengthened the time for connections, which it says nothing of.
- News were written out by hand in five tests: one fixture (test-support, news_of).

--- a/crates/hawthornmill-gateway/src/catching_up.rs
+++ b/crates/hawthornmill-gateway/src/catching_up.rs
@@ -2,26 +2,26 @@
 //!
 //! It is asked for in datagrams first, and over a connection where it doesn't fit them or none comes.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use hawthornmill::limits::patience::{self, Patience};
-use hawthornmill::routing::news::{Knowledge, Pull};
-use hawthornmill::routing::parts::{Gathering, Part, Wanted, split};
+use hawthornmill::routing::news::{Heard, Knowledge, Pull};
+use hawthornmill::routing::parts::{Outcome, Reassembly, Wanted, split};
 use hawthornmill::routing::registry::List;
 use hawthornmill::wire::{Message, Opener, Sealer};
 use hawthornmill_process::frames;
 use serde_json::json;
+use smallvec::SmallVec;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
 
+use crate::datagrams::Datagrams;
 use crate::gateway::Gateway;
 use crate::journal;
 use crate::pool::connect_within;
-use crate::post::Post;
 
 /// Time for which a mate must be ahead before it is asked: the store's own answer is mostly faster.
 const BEHIND: Duration = Duration::from_millis(350);
@@ -34,44 +34,14 @@
 /// Rounds in a row that bring nothing, after which a connection is tried.
 const MOST_EMPTY: usize = 2;
 
-/// The answer in parts that is waited for, if any.
-#[derive(Debug, Default)]
-pub struct Gatherings {
-    /// Who was asked last.
-    asked: Cell<Option<SocketAddr>>,
-    /// What has come from there.
-    gathering: RefCell<Gathering>,
-    /// A part came.
-    came: Notify,
-}
-
-impl Gatherings {
-    /// Takes one part; one that nobody waits for is dropped.
-    pub fn take(&self, from: SocketAddr, part: Part) {
-        if self.asked.get() == Some(from) {
-            self.gathering.borrow_mut().take(part);
-            self.came.notify_one();
-        }
-    }
-
-    fn begin(&self, mate: SocketAddr) {
-        self.asked.set(Some(mate));
-        self.gathering.take();
-    }
-
-    fn look<T>(&self, look: impl FnOnce(&Gathering) -> T) -> T {
-        look(&self.gathering.borrow())
-    }
-}
-
 /// Sends the parts that `wanted` asks for.
-pub fn tell_parts(gateway: &Gateway, post: &Post, to: SocketAddr, wanted: &Wanted) {
+pub fn tell_parts(gateway: &Gateway, datagrams: &Datagrams, to: SocketAddr, wanted: &Wanted) {
     let Ok(whole) = postcard::to_allocvec(&knowledge(gateway, wanted.pull)) else {
         log::error!(target: "mates", "what is known can't be encoded");
         return;
     };
     for part in split(&whole, wanted) {
-        post.send(&Message::Part(part), [to]);
+        datagrams.send(&Message::Part(part), [to]);
     }
 }
 
@@ -83,44 +53,54 @@
     Unreadable,
 }
 
-/// Asks `mate` in datagrams.
-async fn gather(
+/// Asks `mate` in datagrams, and learns what it answers.
+async fn ask_in_datagrams(
     gateway: &Gateway,
-    post: &Post,
+    datagrams: &Datagrams,
+    mate: SocketAddr,
+    pull: Pull,
+) -> Result<(), Unanswered> {
+    let began = gateway.now();
+    let answer = answer_in_parts(gateway, datagrams, mate, pull).await;
+    let why = answer.as_ref().err().map(|why| format!("{why:?}"));
+    note_answer(gateway, mate, began, "parts", why.as_deref());
+    learn(gateway, answer?, mate);
+    Ok(())
+}
+
+async fn answer_in_parts(
+    gateway: &Gateway,
+    datagrams: &Datagrams,
     mate: SocketAddr,
     pull: Pull,
 ) -> Result<Knowledge, Unanswered> {
-    let gathering = &gateway.gathering;
-    gathering.begin(mate);
+    let awaited = &gateway.awaited;
+    awaited.expect(mate);
     let mut empty = 0;
     while empty < MOST_EMPTY {
-        let (before, wanted) = gathering.look(|g| (g.count(), g.wanted(pull)));
-        post.send(&Message::Wanted(wanted), [mate]);
-        let _over = tokio::time::timeout(ROUND, until_whole(gathering)).await;
-        if gathering.look(Gathering::is_too_large) {
-            return Err(Unanswered::TooLarge);
-        }
-        if let Some(whole) = gathering.look(Gathering::whole) {
-            return postcard::from_bytes(&whole).map_err(|error| {
-                log::warn!(target: "mates", "{mate} can't be understood: {error}");
-                Unanswered::Unreadable
-            });
+        let (before, wanted) = awaited.look(|a| (a.count(), a.wanted(pull)));
+        datagrams.send(&Message::Wanted(wanted), [mate]);
+        let _over = tokio::time::timeout(ROUND, awaited.ended()).await;
+        match awaited.look(|a| a.outcome().cloned()) {
+            Some(Outcome::Whole(whole)) => return read(&whole),
+            Some(Outcome::TooLarge) => return Err(Unanswered::TooLarge),
+            None => {}
         }
-        let came = gathering.look(Gathering::count) > before;
+        let came = awaited.look(Reassembly::count) > before;
         empty = if came { 0 } else { empty + 1 };
     }
     Err(Unanswered::Silent)
 }
 
-async fn until_whole(gathering: &Gatherings) {
-    let over = |g: &Gathering| g.is_too_large() || g.whole().is_some();
-    while !gathering.look(over) {
-        gathering.came.notified().await;
-    }
+fn read(whole: &[u8]) -> Result<Knowledge, Unanswered> {
+    postcard::from_bytes(whole).map_err(|error| {
+        log::warn!(target: "mates", "an answer can't be understood: {error}");
+        Unanswered::Unreadable
+    })
 }
 
 /// Asks mates that know more, for as long as the process lives.
-pub async fn catch_up(gateway: Rc<Gateway>, post: Rc<Post>) {
+pub async fn catch_up(gateway: Rc<Gateway>, datagrams: Rc<Datagrams>) {
     let mut behind: Option<Instant> = None;
     let mut mute: Vec<(SocketAddr, Instant)> = Vec::new();
     let mut patience = Patience::default();
@@ -128,12 +108,11 @@
         tokio::time::sleep(LOOK).await;
         let now = gateway.now();
         mute.retain(|(_, at)| now.duration_since(*at) < MUTE);
-        let passed: Vec<SocketAddr> = mute.iter().map(|(mate, _)| *mate).collect();
-        let (version, revision) = (gateway.version(), gateway.desk.borrow().registry.latest());
-        let ahead = gateway
-            .mates
-            .borrow()
-            .ahead(version, revision, &passed, now);
+        let pull = Pull {
+            version: gateway.version(),
+            revision: gateway.desk.borrow().registry.latest(),
+        };
+        let ahead = ahead(&gateway, pull, &mute);
         if ahead.is_empty() {
             behind = None;
             continue;
@@ -143,11 +122,17 @@
         }
         let mut answered = true;
         for mate in ahead {
-            let (peer, asked) = (mate.mate.peer, gateway.now());
-            let pull = Pull { version, revision };
-            if !ask_one(&gateway, &post, peer, pull, patience.time()).await {
+            let peer = mate.mate.peer;
+            mute.push((peer, now));
+            let told = match ask_in_datagrams(&gateway, &datagrams, peer, pull).await {
+                Ok(()) => true,
+                // Another one may answer at once.
+                Err(Unanswered::Silent) if !self::ahead(&gateway, pull, &mute).is_empty() => false,
+                Err(_) => ask_by_connection(&gateway, peer, pull, &mut patience).await,
+            };
+            mute.pop();
+            if !told {
                 mute.push((peer, gateway.now()));
-                patience.missed(gateway.mates.borrow().is_heard_since(peer, asked));
                 answered = false;
             }
         }
@@ -158,6 +143,13 @@
     }
 }
 
+/// Whom to ask for more than `pull` says, those in `mute` left out.
+fn ahead(gateway: &Gateway, pull: Pull, mute: &[(SocketAddr, Instant)]) -> SmallVec<[Heard; 2]> {
+    let mute: Vec<SocketAddr> = mute.iter().map(|(mate, _)| *mate).collect();
+    let mates = gateway.mates.borrow();
+    mates.ahead(pull.version, pull.revision, &mute, gateway.now())
+}
+
 /// How far a question over a connection is.
 #[derive(Debug, Clone, Copy)]
 enum Step {
@@ -166,48 +158,29 @@
     Asked,
 }
 
-/// Asks one mate; false when it does not answer, over a connection within `time`.
-async fn ask_one(
+/// Asks `mate` over a connection; false when it does not answer in the time that `patience` gives.
+async fn ask_by_connection(
     gateway: &Gateway,
-    post: &Post,
     mate: SocketAddr,
     pull: Pull,
-    time: Duration,
+    patience: &mut Patience,
 ) -> bool {
-    let began = gateway.now();
-    match gather(gateway, post, mate, pull).await {
-        Ok(knowledge) => {
-            learn(gateway, knowledge, mate);
-            note_answer(gateway, mate, began, "parts", None);
-            return true;
-        }
-        Err(Unanswered::Silent) if has_other(gateway, mate, pull) => {
-            note_answer(gateway, mate, began, "parts", Some("silent"));
-            return false;
-        }
-        Err(_other) => {}
-    }
-    let step = Cell::new(Step::Connecting);
-    let answer = tokio::time::timeout(time, ask(gateway, mate, pull, &step)).await;
+    let (began, step) = (gateway.now(), Cell::new(Step::Connecting));
+    let answer = tokio::time::timeout(patience.time(), ask(gateway, mate, pull, &step)).await;
     let why = match answer {
         Ok(Ok(knowledge)) => {
             learn(gateway, knowledge, mate);
             None
         }
         Ok(Err(error)) => Some(error.to_string()),
-        Err(_elapsed) => Some(format!("no answer in {} ms", time.as_millis())),
+        Err(_elapsed) => Some(format!("no answer in {} ms", patience.time().as_millis())),
     };
-    let (answered, step) = (why.is_none(), format!("{:?}", step.get()));
+    let step = format!("{:?}", step.get());
     note_answer(gateway, mate, began, &step, why.as_deref());
-    answered
-}
-
-/// Tells whether somebody else knows more than `pull` says: asked next, it may answer at once.
-fn has_other(gateway: &Gateway, mate: SocketAddr, pull: Pull) -> bool {
-    let (mates, now) = (gateway.mates.borrow(), gateway.now());
-    !mates
-        .ahead(pull.version, pull.revision, &[mate], now)
-        .is_empty()
+    if why.is_some() {
+        patience.missed(gateway.mates.borrow().is_heard_since(mate, began));
+    }
+    why.is_none()
 }
 
 fn note_answer(gateway: &Gateway, mate: SocketAddr, began: Instant, step: &str, why: Option<&str>) {
--- a/crates/hawthornmill-gateway/src/daemon.rs
+++ b/crates/hawthornmill-gateway/src/daemon.rs
@@ -6,6 +6,7 @@
 
 use hawthornmill::clock::Clock;
 use hawthornmill::ini::Fault;
+use hawthornmill::wire::Sealer;
 use hawthornmill_process::run::incarnation;
 use hawthornmill_process::settings::{report, unbound};
 use hawthornmill_process::sockets;
@@ -14,9 +15,9 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 
+use crate::datagrams::{self, Datagrams};
 use crate::dialect::Dialect;
 use crate::gateway::{Gateway, Phase, sweeps, ticks, turns};
-use crate::post::Post;
 use crate::settings::Settings;
 use crate::side::Side;
 use crate::{catching_up, door, journal, mates, side, store};
@@ -102,12 +103,14 @@
 }
 
 fn start(gateway: &Rc<Gateway>, sockets: Sockets) {
-    let post = Rc::new(Post::new(gateway, sockets.news));
+    let key = gateway.settings().key;
+    let sealer = Sealer::new(key, gateway.me, gateway.incarnation, datagrams::CHANNEL);
+    let datagrams = Rc::new(Datagrams::new(sockets.news, sealer));
     spawn_local(store::follow(Rc::clone(gateway), store::Topic::Catalog));
     spawn_local(store::follow(Rc::clone(gateway), store::Topic::Servers));
-    spawn_local(mates::tell(Rc::clone(gateway), Rc::clone(&post)));
-    spawn_local(mates::hear(Rc::clone(gateway), Rc::clone(&post)));
-    spawn_local(catching_up::catch_up(Rc::clone(gateway), post));
+    spawn_local(mates::tell(Rc::clone(gateway), Rc::clone(&datagrams)));
+    spawn_local(mates::hear(Rc::clone(gateway), Rc::clone(&datagrams)));
+    spawn_local(catching_up::catch_up(Rc::clone(gateway), datagrams));
     spawn_local(catching_up::answer(Rc::clone(gateway), sockets.peer));
     for (listener, side) in sockets.sides {
         spawn_local(side::serve(Rc::clone(gateway), listener, side));
--- a/crates/hawthornmill-gateway/src/post.rs
+++ b/crates/hawthornmill-gateway/src/datagrams.rs
@@ -7,24 +7,20 @@
 use hawthornmill::wire::{Message, Sealer};
 use tokio::net::UdpSocket;
 
-use crate::gateway::Gateway;
-
 /// Channel of datagrams; instances drop what repeats by its sequence number.
-pub const DATAGRAMS: u64 = 0;
+pub const CHANNEL: u64 = 0;
 
 /// The socket for datagrams, and the one sequence in which they are numbered.
 #[derive(Debug)]
-pub struct Post {
+pub struct Datagrams {
     /// The socket.
     pub socket: UdpSocket,
     sealer: RefCell<Sealer>,
 }
 
-impl Post {
-    /// Sends by `socket` in the name of `gateway`.
-    pub fn new(gateway: &Gateway, socket: UdpSocket) -> Self {
-        let key = gateway.settings().key;
-        let sealer = Sealer::new(key, gateway.me, gateway.incarnation, DATAGRAMS);
+impl Datagrams {
+    /// Sends by `socket` what `sealer` seals for [`CHANNEL`].
+    pub const fn new(socket: UdpSocket, sealer: Sealer) -> Self {
         Self {
             socket,
             sealer: RefCell::new(sealer),
--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -12,10 +12,10 @@
 use hawthornmill::ident::{Incarnation, InstanceId, ServerId};
 use hawthornmill::limits::link::Link;
 use hawthornmill::limits::strain::Strain;
-use hawthornmill::routing::behind::Behind;
 use hawthornmill::routing::budget::Budget;
 use hawthornmill::routing::catalog::Catalog;
 use hawthornmill::routing::desk::Desk;
+use hawthornmill::routing::lag::Lag;
 use hawthornmill::routing::news::{Mates, Reading};
 use hawthornmill::routing::place::{Choice, Place};
 use hawthornmill::routing::registry::{Change, List};
@@ -25,7 +25,7 @@
 use slotmap::SecondaryMap;
 use tokio::sync::{Notify, oneshot, watch};
 
-use crate::catching_up::Gatherings;
+use crate::awaited::Awaited;
 use crate::dialect::Dialect;
 use crate::journal;
 use crate::meters::Meters;
@@ -74,9 +74,9 @@
     /// Catalog in force.
     pub table: RefCell<Option<Rc<Table>>>,
     /// Catalogs that others have and this instance has not.
-    pub behind: RefCell<Behind>,
+    pub lag: RefCell<Lag>,
     /// What another instance tells of what it knows.
-    pub gathering: Gatherings,
+    pub awaited: Awaited,
     /// The other instances.
     pub mates: RefCell<Mates>,
     /// Connections to servers.
@@ -132,8 +132,8 @@
             incarnation,
             desk: RefCell::new(desk),
             table: RefCell::default(),
-            behind: RefCell::default(),
-            gathering: Gatherings::default(),
+            lag: RefCell::default(),
+            awaited: Awaited::default(),
             mates: RefCell::new(Mates::new(place.domain)),
             pool: Pool::default(),
             meters: Meters::default(),
@@ -207,7 +207,7 @@
     pub fn is_outdated(&self) -> bool {
         let now = self.now();
         let late = self.settings().promises.apply.mul_f64(OUTDATED);
-        self.behind.borrow().time(now) > late && self.mates.borrow().has_newer(self.version(), now)
+        self.lag.borrow().time(now) > late && self.mates.borrow().has_newer(self.version(), now)
     }
 
     /// Puts `catalog` in force unless an equal or newer one is; `from` is told in the log.
@@ -222,7 +222,7 @@
                 journal::belief("catalog_in_force", fields);
                 self.desk.borrow_mut().token_rate = table.limits().token_rate;
                 *self.table.borrow_mut() = Some(Rc::new(table));
-                self.behind.borrow_mut().reach(version);
+                self.lag.borrow_mut().reach(version);
                 self.nudge.notify_one();
                 self.hurry.notify_one();
             }
@@ -236,7 +236,7 @@
     /// Another instance decides by the catalog of `version`.
     pub fn hear_version(&self, version: u64) {
         let (own, now) = (self.version(), self.now());
-        self.behind.borrow_mut().hear(version, own, now);
+        self.lag.borrow_mut().hear(version, own, now);
     }
 
     /// Takes one change of the registrations.
--- a/crates/hawthornmill-gateway/src/lib.rs
+++ b/crates/hawthornmill-gateway/src/lib.rs
@@ -11,15 +11,17 @@
 //! | [`trip`] | one request: admit, wait, send, deliver, settle |
 //! | [`pool`] | connections to servers |
 //! | [`store`] | following the platform's store |
-//! | [`post`], [`mates`] | datagrams, and the news in them |
-//! | [`catching_up`] | getting from other instances what they know and this one does not |
+//! | [`datagrams`], [`mates`] | datagrams, and the news in them |
+//! | [`catching_up`], [`awaited`] | getting from other instances what they know and this one does not |
 //! | [`side`] | state, directory, metrics |
 //! | [`journal`], [`meters`] | the log and the counters |
 //! | [`http`] | heads and bodies |
 //! | [`settings`], [`daemon`] | the process |
 
+pub mod awaited;
 pub mod catching_up;
 pub mod daemon;
+pub mod datagrams;
 pub mod dialect;
 pub mod door;
 pub mod gateway;
@@ -28,7 +30,6 @@
 pub mod mates;
 pub mod meters;
 pub mod pool;
-pub mod post;
 pub mod serve;
 pub mod settings;
 pub mod side;
--- a/crates/hawthornmill-gateway/src/mates.rs
+++ b/crates/hawthornmill-gateway/src/mates.rs
@@ -12,9 +12,9 @@
 use serde_json::json;
 
 use crate::catching_up;
+use crate::datagrams::{self, Datagrams};
 use crate::gateway::{Gateway, Phase};
 use crate::journal;
-use crate::post::{DATAGRAMS, Post};
 
 /// Least time between two pieces of news, however much changes.
 const LEAST_PAUSE: Duration = Duration::from_millis(40);
@@ -33,7 +33,7 @@
 const MOST_ECHOES: u32 = 6;
 
 /// Sends news for as long as the process lives.
-pub async fn tell(gateway: Rc<Gateway>, post: Rc<Post>) {
+pub async fn tell(gateway: Rc<Gateway>, datagrams: Rc<Datagrams>) {
     let mut round = 0;
     let mut due = tokio::time::Instant::now();
     loop {
@@ -41,7 +41,7 @@
             () = tokio::time::sleep_until(due) => {}
             () = gateway.hurry.notified() => tokio::time::sleep(LEAST_PAUSE).await,
             () = gateway.stir.notified() => {
-                tell_work(&gateway, &post);
+                tell_work(&gateway, &datagrams);
                 let large = gateway.mates.borrow().is_large();
                 let pause = if large { WORK_PAUSE_LARGE } else { WORK_PAUSE };
                 tokio::time::sleep(pause).await;
@@ -60,13 +60,13 @@
         gateway.desk.borrow_mut().budget.share_among(most);
         let news = news(&gateway, round, now);
         let others = targets.iter().filter(|t| **t != settings.listen.peer);
-        post.send(&Message::News(Box::new(news)), others.copied());
-        relay(&gateway, &post, round);
+        datagrams.send(&Message::News(Box::new(news)), others.copied());
+        relay(&gateway, &datagrams, round);
     }
 }
 
 /// Tells the other failure domains what this one has, if this instance is one of its relays.
-fn relay(gateway: &Gateway, post: &Post, round: u64) {
+fn relay(gateway: &Gateway, datagrams: &Datagrams, round: u64) {
     let now = gateway.now();
     let Some(rank) = gateway.mates.borrow().relay_rank(gateway.me, now) else {
         return;
@@ -76,7 +76,7 @@
         return;
     }
     for message in domain_news(gateway, now) {
-        post.send(&message, targets.iter().copied());
+        datagrams.send(&message, targets.iter().copied());
     }
 }
 
@@ -130,7 +130,7 @@
 }
 
 /// Tells those nearby what this instance has under way.
-fn tell_work(gateway: &Gateway, post: &Post) {
+fn tell_work(gateway: &Gateway, datagrams: &Datagrams) {
     let work = {
         let loads = &mut gateway.desk.borrow_mut().loads;
         loads.told();
@@ -139,7 +139,7 @@
         work
     };
     let near = gateway.mates.borrow().near(gateway.now());
-    post.send(&Message::Work(work), near);
+    datagrams.send(&Message::Work(work), near);
 }
 
 fn news(gateway: &Gateway, round: u64, now: Instant) -> News {
@@ -165,12 +165,12 @@
 }
 
 /// Takes news for as long as the process lives.
-pub async fn hear(gateway: Rc<Gateway>, post: Rc<Post>) {
-    let mut opener = Opener::new(gateway.settings().key, DATAGRAMS);
+pub async fn hear(gateway: Rc<Gateway>, datagrams: Rc<Datagrams>) {
+    let mut opener = Opener::new(gateway.settings().key, datagrams::CHANNEL);
     let mut buffer = vec![0; 65_536];
     let mut echoes = 0;
     loop {
-        let Ok((length, from)) = post.socket.recv_from(&mut buffer).await else {
+        let Ok((length, from)) = datagrams.socket.recv_from(&mut buffer).await else {
             // An unreachable mate shows as an error on the next receive; the socket is still good.
             tokio::task::yield_now().await;
             continue;
@@ -179,14 +179,14 @@
             Ok(frame) if frame.sender == gateway.me => {}
             Ok(frame) => {
                 if matches!(frame.message, Message::Members(_) | Message::DomainWork(_)) {
-                    pass_on(&gateway, &post, &buffer[..length], from);
+                    pass_on(&gateway, &datagrams, &buffer[..length], from);
                 }
-                take(&gateway, &post, from, frame);
+                take(&gateway, &datagrams, from, frame);
             }
             Err(FrameError::Replayed) => {
                 echoes += 1;
                 if echoes > MOST_ECHOES {
-                    opener = Opener::new(gateway.settings().key, DATAGRAMS);
+                    opener = Opener::new(gateway.settings().key, datagrams::CHANNEL);
                     echoes = 0;
                 }
             }
@@ -198,18 +198,18 @@
 /// Passes what another failure domain tells on to the own one, if this instance is one of its relays.
 ///
 /// What came from the own domain was passed on by another relay.
-fn pass_on(gateway: &Gateway, post: &Post, frame: &[u8], from: SocketAddr) {
+fn pass_on(gateway: &Gateway, datagrams: &Datagrams, frame: &[u8], from: SocketAddr) {
     let now = gateway.now();
     let mates = gateway.mates.borrow();
     if mates.relay_rank(gateway.me, now).is_none() || mates.is_domain_mate(from) {
         return;
     }
     let near = mates.domain_mates(now).map(|(_, mate)| mate.mate.peer);
-    post.send_frame(frame, near);
+    datagrams.send_frame(frame, near);
 }
 
 /// Takes one message of another instance.
-fn take(gateway: &Gateway, post: &Post, from: SocketAddr, frame: Frame) {
+fn take(gateway: &Gateway, datagrams: &Datagrams, from: SocketAddr, frame: Frame) {
     let now = gateway.now();
     let own = gateway.settings().domain;
     let (sender, run) = (frame.sender, frame.incarnation);
@@ -229,8 +229,8 @@
         Message::DomainWork(told) if told.domain != own => {
             gateway.desk.borrow_mut().hear_work(*told, now);
         }
-        Message::Wanted(wanted) => catching_up::tell_parts(gateway, post, from, &wanted),
-        Message::Part(part) => gateway.gathering.take(from, part),
+        Message::Wanted(wanted) => catching_up::tell_parts(gateway, datagrams, from, &wanted),
+        Message::Part(part) => gateway.awaited.take(from, part),
         _ => {}
     }
 }
--- a/crates/hawthornmill-test-support/src/lib.rs
+++ b/crates/hawthornmill-test-support/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod fleet;
 pub mod loads;
+pub mod news;
 pub mod procs;
 pub mod steps;
--- a/crates/hawthornmill/src/routing/behind.rs
+++ b/crates/hawthornmill/src/routing/lag.rs
@@ -11,12 +11,12 @@
 
 /// Numbers of something published, a catalog's version or a revision, that were heard of and are not here yet.
 #[derive(Debug, Clone, Default)]
-pub struct Behind {
+pub struct Lag {
     /// Rising, each with the instant at which it was first heard of.
     newer: SmallVec<[(u64, Instant); MOST]>,
 }
 
-impl Behind {
+impl Lag {
     /// Somebody has `number`; this instance has `own`.
     pub fn hear(&mut self, number: u64, own: u64, now: Instant) {
         let known = self.newer.last().map_or(own, |(last, _)| *last);
--- a/crates/hawthornmill/src/routing/mod.rs
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -19,16 +19,16 @@
 //! | [`shortage`] | what found no room lately |
 //! | [`desk`] | letting in, waiting, turning away |
 //! | [`news`] | what instances tell each other |
-//! | [`behind`] | how long it is known that others decide by something newer |
+//! | [`lag`] | how long it is known that others decide by something newer |
 //! | [`parts`] | what an instance knows, in parts that fit datagrams |
 //! | [`digest`] | what failure domains tell each other in a large fleet |
 
 pub mod allowance;
-pub mod behind;
 pub mod budget;
 pub mod catalog;
 pub mod desk;
 pub mod digest;
+pub mod lag;
 pub mod loads;
 pub mod memory;
 pub mod news;
--- a/crates/hawthornmill/src/routing/parts.rs
+++ b/crates/hawthornmill/src/routing/parts.rs
@@ -70,19 +70,28 @@
     u64::from_le_bytes(first).max(1)
 }
 
-/// The parts of one answer that have come.
+/// Puts the parts of one answer together.
 #[derive(Debug, Clone, Default)]
-pub struct Gathering {
+pub struct Reassembly {
     digest: u64,
     parts: Vec<Option<Vec<u8>>>,
-    too_large: bool,
+    outcome: Option<Outcome>,
 }
 
-impl Gathering {
+/// How an answer in parts ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// All of it is here.
+    Whole(Vec<u8>),
+    /// It doesn't fit datagrams.
+    TooLarge,
+}
+
+impl Reassembly {
     /// Takes one part; those of an older answer are dropped when one of another comes.
     pub fn take(&mut self, part: Part) {
         if part.parts == 0 {
-            self.too_large = true;
+            self.outcome = Some(Outcome::TooLarge);
             return;
         }
         if usize::from(part.parts) > MOST_PARTS {
@@ -95,11 +104,25 @@
         if let Some(place) = self.parts.get_mut(usize::from(part.number)) {
             *place = Some(part.bytes);
         }
+        self.join();
     }
 
-    /// The answer doesn't fit datagrams.
-    pub const fn is_too_large(&self) -> bool {
-        self.too_large
+    /// Joins the parts once all are there; those that don't belong together are dropped.
+    fn join(&mut self) {
+        let parts: Option<Vec<&[u8]>> = self.parts.iter().map(Option::as_deref).collect();
+        let Some(whole) = parts.map(|p| p.concat()) else {
+            return;
+        };
+        if digest(&whole) == self.digest {
+            self.outcome = Some(Outcome::Whole(whole));
+        } else {
+            *self = Self::default();
+        }
+    }
+
+    /// How the answer ended, if it has.
+    pub const fn outcome(&self) -> Option<&Outcome> {
+        self.outcome.as_ref()
     }
 
     /// Parts that have come.
@@ -116,11 +139,4 @@
             missing: missing.map(|(_, number)| number).collect(),
         }
     }
-
-    /// The whole answer, once all parts are there and belong together.
-    pub fn whole(&self) -> Option<Vec<u8>> {
-        let parts: Option<Vec<&[u8]>> = self.parts.iter().map(Option::as_deref).collect();
-        let whole = parts.filter(|p| !p.is_empty())?.concat();
-        (digest(&whole) == self.digest).then_some(whole)
-    }
 }
--- a/tests/testsuite/gateway/catching_up.rs
+++ b/tests/testsuite/gateway/catching_up.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use hawthornmill::ident::{DomainId, Incarnation, InstanceId};
-use hawthornmill::routing::news::{Knowledge, Mate, News, Reading};
+use hawthornmill::routing::news::{Knowledge, Mate, News};
 use hawthornmill::routing::parts::split;
 use hawthornmill::wire::{Message, Opener, Sealer};
+use hawthornmill_test_support::news::news_of;
 
 use super::fleet::{Fleet, PEER, call, config, key, request, route, until};
 use super::store::Mode;
@@ -60,22 +61,15 @@
     /// Says that callers reach it at `port` and that it has the catalog of `version`.
     async fn tell(&self, port: u16, version: u64) {
         let own = self.socket.local_addr().expect("the socket has an address");
+        let mate = Mate {
+            front: std::net::SocketAddr::new(own.ip(), port),
+            peer: own,
+            domain: DomainId::of("a"),
+        };
         let news = News {
-            mate: Mate {
-                front: std::net::SocketAddr::new(own.ip(), port),
-                peer: own,
-                domain: DomainId::of("a"),
-            },
-            ready: true,
-            leaving: false,
-            reading: Reading::Answered,
             version,
             revision: 0,
-            work: Vec::new(),
-            usage: Vec::new(),
-            strays: Vec::new(),
-            short: Vec::new(),
-            others: Vec::new(),
+            ..news_of(mate)
         };
         for _ in 0..20 {
             self.send(&Message::News(Box::new(news.clone()))).await;
--- a/tests/testsuite/routing/desk.rs
+++ b/tests/testsuite/routing/desk.rs
@@ -5,31 +5,32 @@
 use hawthornmill::codes::Code;
 use hawthornmill::ident::{AccountId, InstanceId};
 use hawthornmill::routing::desk::Desk;
-use hawthornmill::routing::news::{Lack, Mate, News, Reading};
+use hawthornmill::routing::news::{Lack, Mate, News};
 use hawthornmill::routing::request::Verdict;
 use hawthornmill::routing::usage::{Standing, Sums};
+use hawthornmill_test_support::news::news_of;
 
 use super::{desk, drafter, millis, request, sent, shape};
 
-const ONE: &[(&str, &str)] = &[("a1", "a")];
+pub const ONE: &[(&str, &str)] = &[("a1", "a")];
 
 /// A single request that found no room, of next to no cost.
-const ODD: Lack = Lack { places: 1, cost: 0 };
+pub const ODD: Lack = Lack { places: 1, cost: 0 };
 /// Work that is much for the fleets here.
-const MUCH: Lack = Lack {
+pub const MUCH: Lack = Lack {
     places: 1,
     cost: 1_000,
 };
 
 /// Takes all eight slots of the only server.
-fn fill(desk: &mut Desk, now: Instant) {
+pub fn fill(desk: &mut Desk, now: Instant) {
     for _ in 0..8 {
         let _choice = sent(desk.ask(&request("lab", shape(1, 10, 10), now), now));
     }
 }
 
 /// Usage that puts `flood` far beyond its share.
-fn flooding() -> Vec<(AccountId, Sums)> {
+pub fn flooding() -> Vec<(AccountId, Sums)> {
     let sums = Sums {
         asked: 1e6,
         got: 1e6,
@@ -37,24 +38,17 @@
     vec![(AccountId::of("flood"), sums)]
 }
 
-fn news(short: Vec<(Standing, Lack)>, usage: Vec<(AccountId, Sums)>) -> News {
+pub fn news(short: Vec<(Standing, Lack)>, usage: Vec<(AccountId, Sums)>) -> News {
     let address = "127.0.0.1:1".parse().expect("the address is well-formed");
+    let mate = Mate {
+        front: address,
+        peer: address,
+        domain: hawthornmill::ident::DomainId::of("b"),
+    };
     News {
-        mate: Mate {
-            front: address,
-            peer: address,
-            domain: hawthornmill::ident::DomainId::of("b"),
-        },
-        ready: true,
-        leaving: false,
-        reading: Reading::Answered,
-        version: 1,
-        revision: 1,
-        work: Vec::new(),
         usage,
-        strays: Vec::new(),
         short: short.into_iter().map(|(s, l)| (drafter(), s, l)).collect(),
-        others: Vec::new(),
+        ..news_of(mate)
     }
 }
 
@@ -143,91 +137,6 @@
     assert!(matches!(small, Verdict::Decided(Ok(_))));
 }
 
-/// Another instance has turned away a request of an account below its share, a moment ago. Here the
-/// flooding account's next request finds a place that came free; if it took it, the account below
-/// its share would starve at the other instance.
-#[test]
-fn an_account_beyond_its_share_gives_way_to_one_that_waits_elsewhere() {
-    let now = Instant::now();
-    let mut desk = desk(ONE, now);
-    desk.token_rate = 10.0;
-    let told = news(vec![(Standing::Owed, MUCH)], flooding());
-    desk.hear(InstanceId::of("other"), &told, now);
-
-    let refused = desk.ask(&request("flood", shape(1, 10, 10), now), now);
-    let owed = desk.ask(&request("small", shape(1, 10, 10), now), now);
-    let later = now + millis(1_000);
-    desk.hear(
-        InstanceId::of("other"),
-        &news(Vec::new(), Vec::new()),
-        later,
-    );
-    let after = desk.ask(&request("flood", shape(1, 10, 10), later), later);
-
-    assert!(matches!(refused, Verdict::Decided(Err(_))));
-    assert!(matches!(owed, Verdict::Decided(Ok(_))));
-    assert!(matches!(after, Verdict::Decided(Ok(_))));
-}
-
-/// Failure: of two accounts around an even part, each shuts the other out in turn while servers idle.
-#[test]
-fn only_an_account_that_is_owed_shuts_others_out() {
-    let now = Instant::now();
-    let asks = |better: Standing| {
-        let mut desk = desk(ONE, now);
-        desk.token_rate = 10.0;
-        let told = news(vec![(better, MUCH)], flooding());
-        desk.hear(InstanceId::of("other"), &told, now);
-        desk.ask(&request("flood", shape(1, 10, 10), now), now)
-    };
-
-    let (owed, below) = (asks(Standing::Owed), asks(Standing::Below));
-
-    assert!(matches!(owed, Verdict::Decided(Err(_))), "{owed:?}");
-    assert!(matches!(below, Verdict::Decided(Ok(_))), "{below:?}");
-}
-
-/// Failure: an account that comes in by one instance is turned away there while others have twice as much; or a
-/// single odd request shuts everybody else out of idle servers.
-#[test]
-fn much_owed_work_that_one_instance_turns_away_shuts_others_out() {
-    let now = Instant::now();
-    let asks = |cost: u32| {
-        let mut desk = desk(ONE, now);
-        desk.token_rate = 10_000.0;
-        let lack = Lack { places: 1, cost };
-        let told = news(vec![(Standing::Owed, lack)], flooding());
-        desk.hear(InstanceId::of("other"), &told, now);
-        desk.ask(&request("flood", shape(1, 10, 10), now), now)
-    };
-
-    let (odd, much) = (asks(500), asks(2_000));
-
-    assert!(matches!(odd, Verdict::Decided(Ok(_))), "{odd:?}");
-    assert!(matches!(much, Verdict::Decided(Err(_))), "{much:?}");
-}
-
-/// Failure: work that was turned away shuts others out when nobody is turned away any more.
-#[test]
-fn what_was_turned_away_is_told_with_its_cost_and_fades() {
-    let now = Instant::now();
-    let mut desk = desk(ONE, now);
-    fill(&mut desk, now);
-    for _ in 0..3 {
-        let _waiting = desk.ask(&request("lab", shape(1, 100, 100), now), now);
-    }
-
-    let cost = |after: u64| desk.told_short(now + millis(after))[0].2.cost;
-
-    let whole = 3.0 * shape(1, 100, 100).cost();
-    assert_eq!(cost(0), whole as u32);
-    assert!(
-        f64::from(cost(800)) < 0.5 * whole,
-        "{} of {whole}",
-        cost(800)
-    );
-}
-
 /// So much waits to be read at the only server that a request would begin late behind it. Sent all
 /// the same, it would keep others waiting and its caller have no time left to go elsewhere.
 #[test]
@@ -394,23 +303,6 @@
     assert!(desk.turn(now + millis(400)).is_empty());
 }
 
-/// An instance far away in a large fleet gets one piece of news in four. A shortage told for a third
-/// of a second only would mostly pass it by, and accounts beyond their share there would not give way.
-#[test]
-fn a_shortage_is_told_until_far_instances_have_heard_of_it() {
-    let now = Instant::now();
-    let mut desk = desk(ONE, now);
-    fill(&mut desk, now);
-    let _waiting = desk.ask(&request("lab", shape(1, 10, 10), now), now);
-
-    let later = desk.told_short(now + millis(800));
-    let over = desk.told_short(now + millis(1_000));
-
-    let keys: Vec<_> = later.iter().map(|(s, st, _)| (*s, *st)).collect();
-    assert_eq!(keys, [(drafter(), Standing::Owed)]);
-    assert!(over.is_empty());
-}
-
 /// A server starts again under the name that it had, with its memory empty. Prompts that it had read
 /// before are new to it, and a choice that counts on them would come late there.
 #[test]
@@ -451,7 +343,7 @@
 }
 
 /// A desk before six servers that knows `flood` to be beyond its share.
-fn flooded(now: Instant) -> Desk {
+pub fn flooded(now: Instant) -> Desk {
     let six = [
         ("a0", "a"),
         ("a1", "a"),
@@ -526,20 +418,6 @@
     assert!(matches!(next, Verdict::Decided(Ok(_))), "{next:?}");
 }
 
-/// Failure: one odd request of an owed account, at one of few instances, keeps everybody else from idle servers.
-#[test]
-fn a_single_odd_request_shuts_nobody_out() {
-    let now = Instant::now();
-    let mut desk = flooded(now);
-    desk.token_rate = 10_000.0;
-    let odd = news(vec![(Standing::Owed, ODD)], Vec::new());
-    desk.hear(InstanceId::of("third"), &odd, now);
-
-    let verdict = desk.ask(&request("flood", shape(1, 10, 10), now), now);
-
-    assert!(matches!(verdict, Verdict::Decided(Ok(_))), "{verdict:?}");
-}
-
 /// Failure: a request that may go to any server by now, and finds none, lets others pass as if it waited for few.
 #[test]
 fn one_that_waits_for_any_server_holds_back_those_behind_it() {
--- a/tests/testsuite/routing/digest.rs
+++ b/tests/testsuite/routing/digest.rs
@@ -10,6 +10,7 @@
 use hawthornmill::routing::usage::Sums;
 use hawthornmill::wire::frame::DATAGRAM_LIMIT;
 use hawthornmill::wire::{Message, Sealer};
+use hawthornmill_test_support::news::news_of;
 
 use super::{desk, millis};
 
@@ -42,19 +43,7 @@
 }
 
 fn news(number: u16) -> News {
-    News {
-        mate: mate(number),
-        ready: true,
-        leaving: false,
-        reading: Reading::Answered,
-        version: 1,
-        revision: 1,
-        work: Vec::new(),
-        usage: Vec::new(),
-        strays: Vec::new(),
-        short: Vec::new(),
-        others: Vec::new(),
-    }
+    news_of(mate(number))
 }
 
 fn member(number: u16) -> Member {
--- a/tests/testsuite/routing/many.rs
+++ b/tests/testsuite/routing/many.rs
@@ -5,9 +5,10 @@
 
 use hawthornmill::ident::{DomainId, InstanceId, ServerId};
 use hawthornmill::routing::desk::Desk;
-use hawthornmill::routing::news::{Mate, News, Reading};
+use hawthornmill::routing::news::{Mate, News};
 use hawthornmill::routing::place::Choice;
 use hawthornmill::routing::request::{Decided, Request, Ticket, Verdict};
+use hawthornmill_test_support::news::news_of;
 
 use super::{desk, drafter, millis, request, shape};
 
@@ -131,17 +132,11 @@
             domain: DomainId::of("a"),
         };
         let news = |desk: &mut Desk| News {
-            mate,
-            ready: true,
-            leaving: false,
-            reading: Reading::Answered,
-            version: 1,
-            revision: 1,
             work: desk.loads.own(),
             usage: desk.usage.own(now),
             strays: desk.told_strays(now),
             short: desk.told_short(now),
-            others: Vec::new(),
+            ..news_of(mate)
         };
         let all: Vec<News> = self.desks.iter_mut().map(news).collect();
         for (from, told) in all.iter().enumerate() {
--- a/tests/testsuite/routing/mates.rs
+++ b/tests/testsuite/routing/mates.rs
@@ -5,6 +5,7 @@
 
 use hawthornmill::ident::{DomainId, Incarnation, InstanceId};
 use hawthornmill::routing::news::{Mate, Mates, News, Reading};
+use hawthornmill_test_support::news::news_of;
 
 use super::millis;
 
@@ -13,22 +14,16 @@
 }
 
 fn news(port: u16, version: u64, others: Vec<SocketAddr>) -> News {
+    let mate = Mate {
+        front: address(port),
+        peer: address(port + 1),
+        domain: DomainId::of("a"),
+    };
     News {
-        mate: Mate {
-            front: address(port),
-            peer: address(port + 1),
-            domain: DomainId::of("a"),
-        },
-        ready: true,
-        leaving: false,
-        reading: Reading::Answered,
         version,
         revision: 0,
-        work: Vec::new(),
-        usage: Vec::new(),
-        strays: Vec::new(),
-        short: Vec::new(),
         others,
+        ..news_of(mate)
     }
 }
 
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -1,9 +1,9 @@
 //! Decisions of the gateway in a fixed order, with a clock moved by hand and no socket.
 
-mod behind;
 mod budget;
 mod desk;
 mod digest;
+mod lag;
 mod link;
 mod loads;
 mod many;
@@ -14,6 +14,7 @@
 mod reading;
 mod registry;
 mod shares;
+mod shortage;
 mod table;
 
 use std::time::{Duration, Instant};
--- a/tests/testsuite/routing/parts.rs
+++ b/tests/testsuite/routing/parts.rs
@@ -1,7 +1,7 @@
 //! What an instance knows, in parts that fit datagrams.
 
 use hawthornmill::routing::news::Pull;
-use hawthornmill::routing::parts::{Gathering, Part, split};
+use hawthornmill::routing::parts::{Outcome, Part, Reassembly, split};
 
 const PULL: Pull = Pull {
     version: 16,
@@ -14,14 +14,14 @@
 
 /// Rounds of questions until `whole` is there, where `lost` tells which datagrams are; none when ten are not enough.
 fn rounds(whole: &[u8], mut lost: impl FnMut(&Part) -> bool) -> Option<usize> {
-    let mut gathering = Gathering::default();
+    let mut answer = Reassembly::default();
     for round in 1..=10 {
-        for part in split(whole, &gathering.wanted(PULL)) {
+        for part in split(whole, &answer.wanted(PULL)) {
             if !lost(&part) {
-                gathering.take(part);
+                answer.take(part);
             }
         }
-        if gathering.whole().as_deref() == Some(whole) {
+        if answer.outcome() == Some(&Outcome::Whole(whole.to_vec())) {
             return Some(round);
         }
     }
@@ -50,40 +50,40 @@
 /// Failure: what is known changes between two rounds, and parts of both are joined.
 #[test]
 fn parts_of_two_answers_are_never_joined() {
-    let mut gathering = Gathering::default();
+    let mut answer = Reassembly::default();
     let (old, new) = (bytes(5_000), bytes(5_001));
-    for part in split(&old, &gathering.wanted(PULL)).into_iter().skip(1) {
-        gathering.take(part);
+    for part in split(&old, &answer.wanted(PULL)).into_iter().skip(1) {
+        answer.take(part);
     }
 
-    for part in split(&new, &gathering.wanted(PULL)) {
-        gathering.take(part);
+    for part in split(&new, &answer.wanted(PULL)) {
+        answer.take(part);
     }
 
-    assert_eq!(gathering.whole(), Some(new));
+    assert_eq!(answer.outcome(), Some(&Outcome::Whole(new)));
 }
 
 /// Failure: a part is forged or broken, and an instance decides by what nobody published.
 #[test]
 fn parts_that_do_not_make_the_told_whole_are_no_answer() {
-    let mut gathering = Gathering::default();
+    let mut answer = Reassembly::default();
     let whole = bytes(3_000);
 
-    for mut part in split(&whole, &gathering.wanted(PULL)) {
+    for mut part in split(&whole, &answer.wanted(PULL)) {
         part.bytes[0] ^= 1;
-        gathering.take(part);
+        answer.take(part);
     }
 
-    assert_eq!(gathering.whole(), None);
+    assert_eq!(answer.outcome(), None);
 }
 
 #[test]
 fn what_is_too_large_for_datagrams_is_said_to_be() {
-    let mut gathering = Gathering::default();
+    let mut answer = Reassembly::default();
 
-    for part in split(&bytes(1 << 20), &gathering.wanted(PULL)) {
-        gathering.take(part);
+    for part in split(&bytes(1 << 20), &answer.wanted(PULL)) {
+        answer.take(part);
     }
 
-    assert!(gathering.is_too_large());
+    assert_eq!(answer.outcome(), Some(&Outcome::TooLarge));
 }
--- /dev/null
+++ b/tests/testsuite/routing/shortage.rs
@@ -0,0 +1,127 @@
+//! Work that found no room, and who gives way to it.
+
+use std::time::Instant;
+
+use hawthornmill::ident::InstanceId;
+use hawthornmill::routing::news::Lack;
+use hawthornmill::routing::request::Verdict;
+use hawthornmill::routing::usage::Standing;
+
+use super::desk::{MUCH, ODD, ONE, fill, flooded, flooding, news};
+use super::{desk, drafter, millis, request, shape};
+
+/// Another instance has turned away a request of an account below its share, a moment ago. Here the
+/// flooding account's next request finds a place that came free; if it took it, the account below
+/// its share would starve at the other instance.
+#[test]
+fn an_account_beyond_its_share_gives_way_to_one_that_waits_elsewhere() {
+    let now = Instant::now();
+    let mut desk = desk(ONE, now);
+    desk.token_rate = 10.0;
+    let told = news(vec![(Standing::Owed, MUCH)], flooding());
+    desk.hear(InstanceId::of("other"), &told, now);
+
+    let refused = desk.ask(&request("flood", shape(1, 10, 10), now), now);
+    let owed = desk.ask(&request("small", shape(1, 10, 10), now), now);
+    let later = now + millis(1_000);
+    desk.hear(
+        InstanceId::of("other"),
+        &news(Vec::new(), Vec::new()),
+        later,
+    );
+    let after = desk.ask(&request("flood", shape(1, 10, 10), later), later);
+
+    assert!(matches!(refused, Verdict::Decided(Err(_))));
+    assert!(matches!(owed, Verdict::Decided(Ok(_))));
+    assert!(matches!(after, Verdict::Decided(Ok(_))));
+}
+
+/// Failure: of two accounts around an even part, each shuts the other out in turn while servers idle.
+#[test]
+fn only_an_account_that_is_owed_shuts_others_out() {
+    let now = Instant::now();
+    let asks = |better: Standing| {
+        let mut desk = desk(ONE, now);
+        desk.token_rate = 10.0;
+        let told = news(vec![(better, MUCH)], flooding());
+        desk.hear(InstanceId::of("other"), &told, now);
+        desk.ask(&request("flood", shape(1, 10, 10), now), now)
+    };
+
+    let (owed, below) = (asks(Standing::Owed), asks(Standing::Below));
+
+    assert!(matches!(owed, Verdict::Decided(Err(_))), "{owed:?}");
+    assert!(matches!(below, Verdict::Decided(Ok(_))), "{below:?}");
+}
+
+/// Failure: an account that comes in by one instance is turned away there while others have twice as much; or a
+/// single odd request shuts everybody else out of idle servers.
+#[test]
+fn much_owed_work_that_one_instance_turns_away_shuts_others_out() {
+    let now = Instant::now();
+    let asks = |cost: u32| {
+        let mut desk = desk(ONE, now);
+        desk.token_rate = 10_000.0;
+        let lack = Lack { places: 1, cost };
+        let told = news(vec![(Standing::Owed, lack)], flooding());
+        desk.hear(InstanceId::of("other"), &told, now);
+        desk.ask(&request("flood", shape(1, 10, 10), now), now)
+    };
+
+    let (odd, much) = (asks(500), asks(2_000));
+
+    assert!(matches!(odd, Verdict::Decided(Ok(_))), "{odd:?}");
+    assert!(matches!(much, Verdict::Decided(Err(_))), "{much:?}");
+}
+
+/// Failure: work that was turned away shuts others out when nobody is turned away any more.
+#[test]
+fn what_was_turned_away_is_told_with_its_cost_and_fades() {
+    let now = Instant::now();
+    let mut desk = desk(ONE, now);
+    fill(&mut desk, now);
+    for _ in 0..3 {
+        let _waiting = desk.ask(&request("lab", shape(1, 100, 100), now), now);
+    }
+
+    let cost = |after: u64| desk.told_short(now + millis(after))[0].2.cost;
+
+    let whole = 3.0 * shape(1, 100, 100).cost();
+    assert_eq!(cost(0), whole as u32);
+    assert!(
+        f64::from(cost(800)) < 0.5 * whole,
+        "{} of {whole}",
+        cost(800)
+    );
+}
+
+/// An instance far away in a large fleet gets one piece of news in four. A shortage told for a third
+/// of a second only would mostly pass it by, and accounts beyond their share there would not give way.
+#[test]
+fn a_shortage_is_told_until_far_instances_have_heard_of_it() {
+    let now = Instant::now();
+    let mut desk = desk(ONE, now);
+    fill(&mut desk, now);
+    let _waiting = desk.ask(&request("lab", shape(1, 10, 10), now), now);
+
+    let later = desk.told_short(now + millis(800));
+    let over = desk.told_short(now + millis(1_000));
+
+    let keys: Vec<_> = later.iter().map(|(s, st, _)| (*s, *st)).collect();
+    assert_eq!(keys, [(drafter(), Standing::Owed)]);
+    assert!(over.is_empty());
+}
+
+/// Failure: one odd request of an owed account, at one of few instances, keeps everybody else from idle servers.
+#[test]
+fn a_single_odd_request_shuts_nobody_out() {
+    let now = Instant::now();
+    let mut desk = flooded(now);
+    desk.token_rate = 10_000.0;
+    let odd = news(vec![(Standing::Owed, ODD)], Vec::new());
+    desk.hear(InstanceId::of("third"), &odd, now);
+
+    let verdict = desk.ask(&request("flood", shape(1, 10, 10), now), now);
+
+    assert!(matches!(verdict, Verdict::Decided(Ok(_))), "{verdict:?}");
+}
