Keep what was answered in parts, so that lost parts don't begin anew; wait longer where the process is behind

Found in reading the change again. What a peer knows is encoded anew for each round; while servers are replaced it changes many times a second, as does what is left of a doubt's grace, so an asker that lost one part got all parts of another answer, and again. Answers are kept for 0.8 s, eight at most; a round takes 0.2 s and twice the lateness.

--- a/crates/hawthornmill-gateway/src/catching_up.rs
+++ b/crates/hawthornmill-gateway/src/catching_up.rs
@@ -9,7 +9,7 @@
 
 use hawthornmill::limits::patience::{self, Patience};
 use hawthornmill::routing::news::{Heard, Knowledge, Pull};
-use hawthornmill::routing::parts::{Outcome, Reassembly, Wanted, split};
+use hawthornmill::routing::parts::{self, Outcome, Reassembly, Wanted};
 use hawthornmill::routing::registry::List;
 use hawthornmill::wire::{Message, Opener, Sealer};
 use hawthornmill_process::frames;
@@ -29,18 +29,21 @@
 const LOOK: Duration = Duration::from_millis(100);
 /// Time for which a mate that did not answer is not asked again; by then it counts as silent.
 const MUTE: Duration = Duration::from_secs(2);
-/// Time for the parts that were asked for; several round trips between regions.
-const ROUND: Duration = Duration::from_millis(200);
 /// Rounds in a row that bring nothing, after which a connection is tried.
 const MOST_EMPTY: usize = 2;
 
 /// Sends the parts that `wanted` asks for.
 pub fn tell_parts(gateway: &Gateway, datagrams: &Datagrams, to: SocketAddr, wanted: &Wanted) {
-    let Ok(whole) = postcard::to_allocvec(&knowledge(gateway, wanted.pull)) else {
-        log::error!(target: "mates", "what is known can't be encoded");
-        return;
+    let newest = || {
+        let whole = postcard::to_allocvec(&knowledge(gateway, wanted.pull));
+        whole.unwrap_or_else(|error| {
+            log::error!(target: "mates", "what is known can't be encoded: {error}");
+            Vec::new()
+        })
     };
-    for part in split(&whole, wanted) {
+    let now = gateway.now();
+    let parts = gateway.answers.borrow_mut().parts(wanted, newest, now);
+    for part in parts {
         datagrams.send(&Message::Part(part), [to]);
     }
 }
@@ -80,7 +83,8 @@
     while empty < MOST_EMPTY {
         let (before, wanted) = awaited.look(|a| (a.count(), a.wanted(pull)));
         datagrams.send(&Message::Wanted(wanted), [mate]);
-        let _over = tokio::time::timeout(ROUND, awaited.ended()).await;
+        let round = parts::round(gateway.strain.get().late(gateway.now()));
+        let _over = tokio::time::timeout(round, awaited.ended()).await;
         match awaited.look(|a| a.outcome().cloned()) {
             Some(Outcome::Whole(whole)) => return read(&whole),
             Some(Outcome::TooLarge) => return Err(Unanswered::TooLarge),
--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use hawthornmill::routing::desk::Desk;
 use hawthornmill::routing::lag::Lag;
 use hawthornmill::routing::news::{Mates, Reading};
+use hawthornmill::routing::parts::RecentAnswers;
 use hawthornmill::routing::place::{Choice, Place};
 use hawthornmill::routing::registry::{Change, List};
 use hawthornmill::routing::request::{Cause, Refusal, Request, Ticket, Verdict};
@@ -75,6 +76,8 @@
     pub table: RefCell<Option<Rc<Table>>>,
     /// Catalogs that others have and this instance has not.
     pub lag: RefCell<Lag>,
+    /// What this instance told others lately of what it knows.
+    pub answers: RefCell<RecentAnswers>,
     /// What another instance tells of what it knows.
     pub awaited: Awaited,
     /// The other instances.
@@ -133,6 +136,7 @@
             desk: RefCell::new(desk),
             table: RefCell::default(),
             lag: RefCell::default(),
+            answers: RefCell::default(),
             awaited: Awaited::default(),
             mates: RefCell::new(Mates::new(place.domain)),
             pool: Pool::default(),
--- a/crates/hawthornmill/src/routing/parts.rs
+++ b/crates/hawthornmill/src/routing/parts.rs
@@ -4,6 +4,9 @@
 //! what they send: an answer after three round trips came after more than four seconds, or never. Datagrams don't
 //! wait for those before them, and only those that were lost are sent again.
 
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
 use serde::{Deserialize, Serialize};
 
 use super::news::Pull;
@@ -12,6 +15,20 @@
 const PART_BYTES: usize = 1_200;
 /// Parts of what is sent in datagrams at most; more goes over a connection.
 const MOST_PARTS: usize = 96;
+/// Time for which missing parts of an answer can be asked for: a few rounds. The graces that it tells are too long by
+/// as much.
+const KEPT: Duration = Duration::from_millis(800);
+/// Answers that are kept at most, each of [`MOST_PARTS`] at most.
+const MOST_KEPT: usize = 8;
+/// Time for the parts of one round; several round trips between regions.
+const ROUND: Duration = Duration::from_millis(200);
+
+/// Time for the parts of one round, where the asker is `late` with all that it does.
+///
+/// It reads what came only after what came before, in the turn that hears the question's timer too.
+pub fn round(late: Duration) -> Duration {
+    ROUND + late * 2
+}
 
 /// Asks for what a peer knows beyond a version and a revision, in parts.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,6 +54,48 @@
     pub bytes: Vec<u8>,
 }
 
+/// Answers that were given lately.
+///
+/// What is known changes between two rounds, many times a second while servers are replaced. Answered from what
+/// is known by then, an asker that lost one part would begin anew each time.
+#[derive(Debug, Clone, Default)]
+pub struct RecentAnswers {
+    kept: VecDeque<RecentAnswer>,
+}
+
+#[derive(Debug, Clone)]
+struct RecentAnswer {
+    digest: u64,
+    whole: Vec<u8>,
+    at: Instant,
+}
+
+impl RecentAnswers {
+    /// The parts that `wanted` asks for, of the answer that it names or else of `newest`.
+    pub fn parts(
+        &mut self,
+        wanted: &Wanted,
+        newest: impl FnOnce() -> Vec<u8>,
+        now: Instant,
+    ) -> Vec<Part> {
+        self.kept.retain(|a| now.duration_since(a.at) < KEPT);
+        if let Some(answer) = self.kept.iter().find(|a| a.digest == wanted.digest) {
+            return split(&answer.whole, wanted);
+        }
+        let whole = newest();
+        let parts = split(&whole, wanted);
+        if self.kept.len() >= MOST_KEPT {
+            self.kept.pop_front();
+        }
+        self.kept.push_back(RecentAnswer {
+            digest: digest(&whole),
+            whole,
+            at: now,
+        });
+        parts
+    }
+}
+
 /// The parts of `whole` that `wanted` asks for, or the word that there are too many.
 pub fn split(whole: &[u8], wanted: &Wanted) -> Vec<Part> {
     let digest = digest(whole);
--- a/tests/testsuite/routing/parts.rs
+++ b/tests/testsuite/routing/parts.rs
@@ -1,7 +1,11 @@
 //! What an instance knows, in parts that fit datagrams.
 
+use std::time::Instant;
+
 use hawthornmill::routing::news::Pull;
-use hawthornmill::routing::parts::{Outcome, Part, Reassembly, split};
+use hawthornmill::routing::parts::{Outcome, Part, Reassembly, RecentAnswers, round, split};
+
+use super::millis;
 
 const PULL: Pull = Pull {
     version: 16,
@@ -47,6 +51,56 @@
     assert!(rounds.is_some_and(|r| r <= 7), "{rounds:?}");
 }
 
+/// Failure: registrations change between two rounds, and an asker that lost one part begins anew each time.
+#[test]
+fn missing_parts_come_of_the_answer_that_was_begun() {
+    let now = Instant::now();
+    let mut answers = RecentAnswers::default();
+    let mut answer = Reassembly::default();
+    let mut datagrams = 0;
+
+    for round in 1..=3_u32 {
+        let newest = || bytes(8_000 + round as usize);
+        let at = now + millis(200) * round;
+        for part in answers.parts(&answer.wanted(PULL), newest, at) {
+            datagrams += 1;
+            if datagrams % 3 != 0 {
+                answer.take(part);
+            }
+        }
+    }
+
+    assert_eq!(answer.outcome(), Some(&Outcome::Whole(bytes(8_001))));
+}
+
+/// Failure: an answer that was kept hides for long what has changed since.
+#[test]
+fn an_answer_is_kept_for_a_few_rounds_only() {
+    let now = Instant::now();
+    let mut answers = RecentAnswers::default();
+    let mut answer = Reassembly::default();
+    for part in answers
+        .parts(&answer.wanted(PULL), || bytes(3_000), now)
+        .into_iter()
+        .skip(1)
+    {
+        answer.take(part);
+    }
+
+    for part in answers.parts(&answer.wanted(PULL), || bytes(3_001), now + millis(1_000)) {
+        answer.take(part);
+    }
+
+    assert_eq!(answer.outcome(), Some(&Outcome::Whole(bytes(3_001))));
+}
+
+/// Failure: a process that is behind gives up each round before it has read what came.
+#[test]
+fn a_round_lasts_longer_where_the_process_is_behind() {
+    assert_eq!(round(millis(0)), millis(200));
+    assert_eq!(round(millis(300)), millis(800));
+}
+
 /// Failure: what is known changes between two rounds, and parts of both are joined.
 #[test]
 fn parts_of_two_answers_are_never_joined() {
