Tell at once which servers leave, so that a late list or a doubt sends no requests there

A doubt that runs 2.2 s and a list that comes once a second leave no room for a process that is behind. Why it works: whoever has read from the store that a server leaves tells its failure domain in the next datagrams, for 0.9 s, and relays tell the other domains; the hearer marks the entry as draining and keeps its revision, so the entry's own change, or a newer one, still counts. The tests fail without it. A doubt of a server that isn't known here is no longer logged.

--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use hawthornmill::routing::catalog::Catalog;
 use hawthornmill::routing::desk::Desk;
 use hawthornmill::routing::lag::Lag;
+use hawthornmill::routing::leaving::{Leavers, Leaving, Source};
 use hawthornmill::routing::news::{Mates, Reading};
 use hawthornmill::routing::parts::RecentAnswers;
 use hawthornmill::routing::place::{Choice, Place};
@@ -76,6 +77,8 @@
     pub table: RefCell<Option<Rc<Table>>>,
     /// Catalogs that others have and this instance has not.
     pub lag: RefCell<Lag>,
+    /// Servers that leave, as heard lately.
+    pub leavers: RefCell<Leavers>,
     /// What this instance told others lately of what it knows.
     pub answers: RefCell<RecentAnswers>,
     /// What another instance tells of what it knows.
@@ -136,6 +139,7 @@
             desk: RefCell::new(desk),
             table: RefCell::default(),
             lag: RefCell::default(),
+            leavers: RefCell::default(),
             answers: RefCell::default(),
             awaited: Awaited::default(),
             mates: RefCell::new(Mates::new(place.domain)),
@@ -245,19 +249,40 @@
 
     /// Takes one change of the registrations.
     pub fn register(&self, change: Change, from: &str) {
-        let told = describe(&change, from);
+        let (told, leaving) = (describe(&change, from), change.leaving());
         if self.desk.borrow_mut().register(change, self.now()) {
             journal::belief("registration", told);
             self.nudge.notify_one();
+            if let Some(leaving) = leaving {
+                self.tell_leaving(leaving, Source::Store);
+            }
+        }
+    }
+
+    /// Takes the word of another instance that servers leave.
+    pub fn hear_leaving(&self, all: &[Leaving]) {
+        for leaving in all {
+            if self.desk.borrow_mut().registry.leaves(*leaving) {
+                let server = self.server_name(leaving.server);
+                let fields = json!({"server": server, "revision": leaving.revision});
+                journal::belief("registration_leaving", fields);
+                self.tell_leaving(*leaving, Source::Peer);
+            }
         }
     }
 
+    fn tell_leaving(&self, leaving: Leaving, source: Source) {
+        self.leavers.borrow_mut().hear(leaving, source, self.now());
+        self.hurry.notify_one();
+    }
+
     /// An entry was removed at `revision`, maybe since the store was away.
     pub fn doubt(&self, server: ServerId, revision: u64) {
-        let name = self.server_name(server);
-        let fields = json!({"server": name, "revision": revision});
-        journal::belief("registration_doubted", fields);
         let registry = &mut self.desk.borrow_mut().registry;
+        if let Some(known) = registry.get(server) {
+            let fields = json!({"server": known.entry.name, "revision": revision});
+            journal::belief("registration_doubted", fields);
+        }
         registry.doubt_anew(server, revision, self.now());
     }
 
--- a/crates/hawthornmill-gateway/src/mates.rs
+++ b/crates/hawthornmill-gateway/src/mates.rs
@@ -61,10 +61,20 @@
         let news = news(&gateway, round, now);
         let others = targets.iter().filter(|t| **t != settings.listen.peer);
         datagrams.send(&Message::News(Box::new(news)), others.copied());
+        tell_leaving(&gateway, &datagrams, now);
         relay(&gateway, &datagrams, round);
     }
 }
 
+/// Tells those nearby which servers leave, as the store told this instance.
+fn tell_leaving(gateway: &Gateway, datagrams: &Datagrams, now: Instant) {
+    let leaving = gateway.leavers.borrow().near(now);
+    if !leaving.is_empty() {
+        let near = gateway.mates.borrow().near(now);
+        datagrams.send(&Message::Leaving(leaving), near);
+    }
+}
+
 /// Tells the other failure domains what this one has, if this instance is one of its relays.
 fn relay(gateway: &Gateway, datagrams: &Datagrams, round: u64) {
     let now = gateway.now();
@@ -75,7 +85,9 @@
     if targets.is_empty() {
         return;
     }
-    for message in domain_news(gateway, now) {
+    let leaving = gateway.leavers.borrow().far(now);
+    let leaving = (!leaving.is_empty()).then_some(Message::Leaving(leaving));
+    for message in leaving.into_iter().chain(domain_news(gateway, now)) {
         datagrams.send(&message, targets.iter().copied());
     }
 }
@@ -178,7 +190,7 @@
         match opener.open(&buffer[..length]) {
             Ok(frame) if frame.sender == gateway.me => {}
             Ok(frame) => {
-                if matches!(frame.message, Message::Members(_) | Message::DomainWork(_)) {
+                if is_relayed(&frame.message) {
                     pass_on(&gateway, &datagrams, &buffer[..length], from);
                 }
                 take(&gateway, &datagrams, from, frame);
@@ -195,6 +207,14 @@
     }
 }
 
+/// Tells whether failure domains tell each other `message` by relays.
+const fn is_relayed(message: &Message) -> bool {
+    matches!(
+        message,
+        Message::Members(_) | Message::DomainWork(_) | Message::Leaving(_)
+    )
+}
+
 /// Passes what another failure domain tells on to the own one, if this instance is one of its relays.
 ///
 /// What came from the own domain was passed on by another relay.
@@ -229,6 +249,7 @@
         Message::DomainWork(told) if told.domain != own => {
             gateway.desk.borrow_mut().hear_work(*told, now);
         }
+        Message::Leaving(all) => gateway.hear_leaving(&all),
         Message::Wanted(wanted) => catching_up::tell_parts(gateway, datagrams, from, &wanted),
         Message::Part(part) => gateway.awaited.take(from, part),
         _ => {}
--- a/crates/hawthornmill/src/routing/mod.rs
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -8,6 +8,7 @@
 //! |---|---|
 //! | [`catalog`], [`table`] | what operators publish, and looking it up |
 //! | [`registry`] | servers as they registered themselves |
+//! | [`leaving`] | servers that leave, told at once |
 //! | [`shape`] | what a request will cost an engine |
 //! | [`loads`], [`memory`] | what is under way at each server, and what it has read |
 //! | [`reading`] | how long engines take to a first token |
@@ -29,6 +30,7 @@
 pub mod desk;
 pub mod digest;
 pub mod lag;
+pub mod leaving;
 pub mod loads;
 pub mod memory;
 pub mod news;
--- a/crates/hawthornmill/src/routing/registry.rs
+++ b/crates/hawthornmill/src/routing/registry.rs
@@ -11,6 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::leaving::Leaving;
 use crate::ident::{DomainId, ServerId, ServiceId};
 
 /// Time for which an entry that was lost while the store was away still counts.
@@ -50,6 +51,17 @@
     pub entry: Option<Registration>,
 }
 
+impl Change {
+    /// The word that the server leaves, if the change says so.
+    pub fn leaving(&self) -> Option<Leaving> {
+        let leaves = self.entry.as_ref().is_none_or(|e| e.draining);
+        leaves.then_some(Leaving {
+            server: self.server,
+            revision: self.revision,
+        })
+    }
+}
+
 /// An entry that was found missing after the store was away, and counts for a grace only.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Doubt {
@@ -145,6 +157,17 @@
         true
     }
 
+    /// Another instance knows that a server leaves: it takes no new work; false when that, or newer, is known here.
+    ///
+    /// The entry stays as it is known otherwise, until its own change comes.
+    pub fn leaves(&mut self, leaving: Leaving) -> bool {
+        let known = self.known.get_mut(&leaving.server);
+        let Some(known) = known.filter(|k| k.revision < leaving.revision) else {
+            return false;
+        };
+        !std::mem::replace(&mut known.entry.draining, true)
+    }
+
     /// Changes up to `revision` have been taken.
     pub fn advance(&mut self, revision: u64) {
         self.revision = self.revision.max(revision);
--- a/crates/hawthornmill/src/wire/message.rs
+++ b/crates/hawthornmill/src/wire/message.rs
@@ -7,6 +7,7 @@
 use crate::fairness::CostKey;
 use crate::ident::{AccountId, Incarnation, InstanceId, PoolId, ServerId};
 use crate::routing::digest::{DomainWork, Members};
+use crate::routing::leaving::Leaving;
 use crate::routing::loads::Work;
 use crate::routing::news::{Knowledge, News, Pull};
 use crate::routing::parts::{Part, Wanted};
@@ -323,6 +324,8 @@
     Pull(Pull),
     /// Answers with it.
     Knowledge(Box<Knowledge>),
+    /// Servers that leave, as an instance of the gateway knows for sure, over UDP.
+    Leaving(Vec<Leaving>),
     /// Asks an instance of the gateway for newer knowledge in parts, over UDP.
     Wanted(Wanted),
     /// Answers with one part of it.
--- a/tests/testsuite/gateway/catching_up.rs
+++ b/tests/testsuite/gateway/catching_up.rs
@@ -3,7 +3,8 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
-use hawthornmill::ident::{DomainId, Incarnation, InstanceId};
+use hawthornmill::ident::{DomainId, Incarnation, InstanceId, ServerId};
+use hawthornmill::routing::leaving::Leaving;
 use hawthornmill::routing::news::{Knowledge, Mate, News};
 use hawthornmill::routing::parts::split;
 use hawthornmill::wire::{Message, Opener, Sealer};
@@ -276,6 +277,32 @@
     });
 }
 
+/// Failure: an instance whose list of registrations comes late sends on to a server that others know to leave.
+#[test]
+fn a_server_that_a_peer_knows_to_leave_gets_no_requests() {
+    block_on(async {
+        let fleet = Fleet::start(1, 2).await;
+        let front = fleet.gateways[0].front();
+        let peer = Peer::bind(&fleet, 1).await;
+        let leaving = Leaving {
+            server: ServerId::of("i-0"),
+            revision: 1_000,
+        };
+
+        until("it is heard", || async {
+            peer.send(&Message::Leaving(vec![leaving])).await;
+            !fleet.gateways[0].logged("registration_leaving").is_empty()
+        })
+        .await;
+        let before = fleet.servers[0].arrivals().len();
+
+        for _ in 0..10 {
+            assert_eq!(status(front, "/get/").await, 200);
+        }
+        assert_eq!(fleet.servers[0].arrivals().len(), before);
+    });
+}
+
 /// Failure: callers fill an instance's link, no connection to a peer is answered in time, and it never gets a new catalog.
 #[test]
 fn a_newer_catalog_comes_in_datagrams_where_no_connection_gets_through() {
--- /dev/null
+++ b/tests/testsuite/routing/leaving.rs
@@ -0,0 +1,62 @@
+//! Servers that leave, told at once.
+
+use std::time::Instant;
+
+use hawthornmill::ident::ServerId;
+use hawthornmill::routing::leaving::{Leavers, Leaving, Source};
+use hawthornmill::routing::request::Verdict;
+
+use super::{change, desk, entry, millis, request, sent, shape};
+
+fn leaving(server: &str, revision: u64) -> Leaving {
+    Leaving {
+        server: ServerId::of(server),
+        revision,
+    }
+}
+
+/// Failure: an instance that doubts that a server is gone sends requests there while others know it for sure.
+#[test]
+fn a_server_that_others_know_to_leave_gets_no_work_though_it_is_doubted_here() {
+    let now = Instant::now();
+    let mut desk = desk(&[("a1", "a"), ("a2", "a")], now);
+    desk.registry.doubt_anew(ServerId::of("a1"), 50, now);
+
+    let new = desk.registry.leaves(leaving("a1", 50));
+    let again = desk.registry.leaves(leaving("a1", 50));
+
+    assert!(new && !again);
+    for _ in 0..8 {
+        let choice = sent(desk.ask(&request("lab", shape(1, 10, 10), now), now));
+        assert_eq!(choice.server, ServerId::of("a2"));
+    }
+}
+
+/// Failure: an old word that a server leaves keeps one from work that has registered anew since.
+#[test]
+fn a_server_that_is_back_gets_work() {
+    let now = Instant::now();
+    let mut desk = desk(&[("a1", "a")], now);
+
+    desk.registry.leaves(leaving("a1", 50));
+    desk.register(change("a1", 60, Some(entry("a1", "a"))), now);
+    let late = desk.registry.leaves(leaving("a1", 50));
+
+    assert!(!late);
+    let verdict = desk.ask(&request("lab", shape(1, 10, 10), now), now);
+    assert!(matches!(verdict, Verdict::Decided(Ok(_))), "{verdict:?}");
+}
+
+/// Failure: each instance tells its whole failure domain what it has heard there, and datagrams grow with the square.
+#[test]
+fn what_a_peer_told_is_told_to_other_domains_only() {
+    let now = Instant::now();
+    let mut leavers = Leavers::default();
+
+    leavers.hear(leaving("a1", 50), Source::Store, now);
+    leavers.hear(leaving("a2", 51), Source::Peer, now);
+
+    assert_eq!(leavers.near(now), [leaving("a1", 50)]);
+    assert_eq!(leavers.far(now), [leaving("a2", 51), leaving("a1", 50)]);
+    assert!(leavers.far(now + millis(1_000)).is_empty());
+}
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -4,6 +4,7 @@
 mod desk;
 mod digest;
 mod lag;
+mod leaving;
 mod link;
 mod loads;
 mod many;
