Tell others of a removal that only a new list of the store shows

Found in reading (the same fault as a doubt that was not told): after the store lost its history, its reader finds by a new list that a server is gone; no change of an entry raised the revision that is told, so the instances for which it reads kept the server until some later change. The test fails without it.

--- a/crates/hawthornmill/src/routing/registry.rs
+++ b/crates/hawthornmill/src/routing/registry.rs
@@ -209,6 +209,10 @@
             .filter(|(id, known)| !listed.contains(id) && known.revision <= revision)
             .map(|(id, _)| *id)
             .collect();
+        if !missing.is_empty() {
+            // No change of an entry tells others of these removals.
+            self.latest = self.latest.max(revision);
+        }
         for server in missing {
             if away {
                 self.doubt_anew(server, revision, now);
--- a/tests/testsuite/routing/registry.rs
+++ b/tests/testsuite/routing/registry.rs
@@ -172,6 +172,19 @@
     }
 }
 
+/// Failure: a reader finds by a new list that a server is gone, and nobody else hears of it.
+#[test]
+fn a_removal_that_only_a_list_shows_is_told_as_newer_than_what_others_know() {
+    let now = Instant::now();
+    let mut registry = Registry::default();
+    let first = vec![change("s", 1, Some(entry("s", "a")))];
+    registry.replace(list(first, 1, false), now);
+
+    registry.replace(list(Vec::new(), 7, false), now);
+
+    assert_eq!(registry.latest(), 7);
+}
+
 /// Failure: nobody but the reader of the store hears that an entry was removed while the store was away.
 #[test]
 fn a_doubt_is_told_as_newer_than_what_others_know() {
