End direct reports between failure domains once relays name both sides

Cause: reports name known peers. Each name made its peer a stranger again, who got a report from every instance in each fourth round; and whoever got a direct report answered it, so that the pair went on without an end, though relays named both. Both tests failed before. Change: names of live peers are no strangers; direct reports are answered only until a relay names their sender. The strangers had also brought together domains that were cut off from each other for long; two silent peers are now probed in each fourth round instead (test). The number of live peers, which was counted anew with each report, is counted once a round.

--- a/crates/hawthornmill/src/routing/gossip.rs
+++ b/crates/hawthornmill/src/routing/gossip.rs
@@ -3,7 +3,7 @@
 //! Each instance sends a report to the others several times a second over UDP; a lost one costs a fraction of a second of
 //! accuracy. An instance that hears of a newer catalog or store revision than its own requests it from the sender.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -31,6 +31,9 @@
 /// A relay sends in one of this many rounds. The two relays alternate, so a domain reports every 0.2 s; each summary is
 /// forwarded to every instance of each other domain.
 const RELAY_INTERVAL_ROUNDS: u64 = 2;
+/// In a large fleet, silent peers of other failure domains that get a report in such a round, so that domains which were
+/// cut off from each other meet again.
+const PROBES_PER_ROUND: usize = 2;
 /// In a large fleet, time for which a peer of another failure domain gets reports after it reported directly.
 const DIRECT_TTL: Duration = Duration::from_secs(2);
 /// Number of other instances from which a fleet counts as large.
@@ -150,8 +153,10 @@
     pub revision: u64,
     /// Last report, direct or through a relay.
     pub last_seen: Instant,
-    /// Last direct report.
+    /// Last direct report of its current incarnation.
     pub last_direct: Option<Instant>,
+    /// Last report of a relay on its current incarnation.
+    pub last_relayed: Option<Instant>,
     /// Silence after which it counts as gone.
     pub timeout: Duration,
 }
@@ -206,6 +211,7 @@
             revision: report.revision,
             last_seen: now,
             last_direct: Some(now),
+            last_relayed: None,
             timeout: if remote { REMOTE_TIMEOUT } else { PEER_TIMEOUT },
         };
         for address in &report.known_peers {
@@ -225,7 +231,8 @@
             catalog_version: member.catalog_version,
             revision: member.revision,
             last_seen: now,
-            last_direct: self.peers.get(&member.id).and_then(|p| p.last_direct),
+            last_direct: None,
+            last_relayed: Some(now),
             timeout: REMOTE_TIMEOUT,
         };
         self.update(member.id, state, now)
@@ -241,6 +248,8 @@
         let current = self.peers.get(&from);
         let previous = current.filter(|p| p.incarnation == state.incarnation);
         state.leaving |= previous.is_some_and(|p| p.leaving);
+        state.last_direct = state.last_direct.or(previous.and_then(|p| p.last_direct));
+        state.last_relayed = state.last_relayed.or(previous.and_then(|p| p.last_relayed));
         let change = match previous {
             None => Some(PeerChange::Started),
             Some(previous) if now.duration_since(previous.last_seen) >= previous.timeout => {
@@ -249,10 +258,7 @@
             Some(previous) if state.leaving && !previous.leaving => Some(PeerChange::Leaving),
             Some(_) => None,
         };
-        self.contacts.remove(&state.info.peer_addr);
         self.peers.insert(from, state);
-        let live = self.live(now).count() + 1;
-        self.max_seen = self.max_seen.max(live);
         change
     }
 
@@ -413,6 +419,19 @@
             .collect()
     }
 
+    /// Returns some silent peers that did not say that they stop, others in each `turn`.
+    fn silent_sample(&self, turn: u64, now: Instant) -> Vec<SocketAddr> {
+        let silent = self
+            .peers
+            .values()
+            .filter(|p| now.duration_since(p.last_seen) >= p.timeout && !p.leaving);
+        let mut silent: Vec<SocketAddr> = silent.map(|p| p.info.peer_addr).collect();
+        let first = (turn as usize * PROBES_PER_ROUND) % silent.len().max(1);
+        silent.rotate_left(first);
+        silent.truncate(PROBES_PER_ROUND);
+        silent
+    }
+
     /// Returns where work is reported at once: all peers in a small fleet, the own failure domain in a large one.
     pub fn broadcast_targets(&self, now: Instant) -> Vec<SocketAddr> {
         let large = self.is_large_fleet();
@@ -424,8 +443,8 @@
 
     /// Returns where to send the report of `round`: to all known peers, all peers named by others, and `seeds`.
     ///
-    /// In a large fleet, other failure domains hear from relays. Of their instances, only those that report directly, as
-    /// one does that has just started, get a report in some rounds.
+    /// In a large fleet, other failure domains hear from relays. Of their instances, only those that report directly and
+    /// that no relay names yet, as when one has just started, get a report in some rounds.
     pub fn gossip_targets(
         &mut self,
         seeds: &[SocketAddr],
@@ -436,20 +455,26 @@
             .retain(|_, p| now.duration_since(p.last_seen) < FORGET_AFTER);
         self.contacts
             .retain(|_, at| now.duration_since(*at) < FORGET_AFTER);
+        let live_addresses: BTreeSet<SocketAddr> =
+            self.live(now).map(|(_, p)| p.info.peer_addr).collect();
+        self.max_seen = self.max_seen.max(live_addresses.len() + 1);
+        self.contacts.retain(|a, _| !live_addresses.contains(a));
         let large = self.is_large_fleet();
+        let is_recent =
+            |at: Option<Instant>, ttl: Duration| at.is_some_and(|at| now.duration_since(at) < ttl);
         let due = |id: &InstanceId, p: &PeerState| {
-            let direct = p
-                .last_direct
-                .is_some_and(|at| now.duration_since(at) < DIRECT_TTL);
+            let direct_only =
+                is_recent(p.last_direct, DIRECT_TTL) && !is_recent(p.last_relayed, REMOTE_TIMEOUT);
             !large
                 || p.info.domain == self.domain
-                || (direct && (id.0 ^ round).is_multiple_of(REMOTE_INTERVAL_ROUNDS))
+                || (direct_only && (id.0 ^ round).is_multiple_of(REMOTE_INTERVAL_ROUNDS))
         };
         let due_peers = self.peers.iter().filter(|(id, p)| due(id, p));
         let mut all: Vec<SocketAddr> = due_peers.map(|(_, p)| p.info.peer_addr).collect();
         if !large || round.is_multiple_of(REMOTE_INTERVAL_ROUNDS) {
             all.extend(self.contacts.keys());
             all.extend(seeds);
+            all.extend(self.silent_sample(round / REMOTE_INTERVAL_ROUNDS, now));
         }
         all.sort_unstable();
         all.dedup();
--- a/tests/testsuite/routing/domain_summary.rs
+++ b/tests/testsuite/routing/domain_summary.rs
@@ -153,6 +153,72 @@
     assert!(!later, "its relay reports it by now");
 }
 
+/// Failure: reports name known peers, each of which counts as a stranger again and gets reports from every other failure
+/// domain, so that traffic grows with the square of the fleet.
+#[test]
+fn peer_named_again_by_others_gets_no_direct_reports() {
+    let now = Instant::now();
+    let mut peer_table = peer_table(0, now);
+    let mut naming_all = report(1);
+    naming_all.known_peers = (0..18).map(|n| peer_info(n).peer_addr).collect();
+
+    peer_table.apply_report(instance(1), Incarnation(1), &naming_all, now);
+    let targets: Vec<SocketAddr> = (0..4)
+        .flat_map(|round| peer_table.gossip_targets(&[], round, now))
+        .collect();
+
+    let remote = (6..18).map(|n| peer_info(n).peer_addr);
+    let remote_targets: Vec<SocketAddr> = remote.filter(|a| targets.contains(a)).collect();
+    assert!(remote_targets.is_empty(), "{remote_targets:?}");
+}
+
+/// Failure: two instances of different failure domains each answer the other's direct report, without an end.
+#[test]
+fn direct_reports_end_once_relays_name_both_peers() {
+    let start = Instant::now();
+    let numbers = [0, 7];
+    let mut tables = numbers.map(|n| peer_table(n, start));
+    tables[1].apply_report(instance(0), Incarnation(1), &report(0), start);
+    let mut late_reports = 0;
+
+    for round in 0..40 {
+        let now = start + millis(200 * round);
+        for side in 0..2 {
+            tables[side].apply_member(&member(numbers[1 - side]), now);
+            let to = peer_info(numbers[1 - side]).peer_addr;
+            if tables[side].gossip_targets(&[], round, now).contains(&to) {
+                let from = numbers[side];
+                tables[1 - side].apply_report(instance(from), Incarnation(1), &report(from), now);
+                late_reports += u32::from(round >= 20);
+            }
+        }
+    }
+
+    assert_eq!(late_reports, 0);
+}
+
+/// Failure: failure domains that were cut off from each other for longer than the silence that is tolerated never meet
+/// again, since only live peers are told anything and no seed is up.
+#[test]
+fn silent_peers_of_other_domains_are_probed_in_turn() {
+    let now = Instant::now();
+    let mut peer_table = peer_table(0, now);
+    let later = now + millis(3_000);
+
+    let probed: Vec<SocketAddr> = (0..40)
+        .flat_map(|round| peer_table.gossip_targets(&[], round, later))
+        .collect();
+
+    assert!((6..18).all(|n| probed.contains(&peer_info(n).peer_addr)));
+    let most = (6..18).map(|n| {
+        probed
+            .iter()
+            .filter(|a| **a == peer_info(n).peer_addr)
+            .count()
+    });
+    assert!(most.max() <= Some(2), "they get few reports");
+}
+
 /// Failure: every instance of a large fleet requests a change from another failure domain, and whole lists make up most of
 /// the bytes sent there.
 #[test]
