--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -4,6 +4,7 @@
 //! an await.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -14,8 +15,9 @@
 use hawthornmill::limits::load_shedding::LoadShedder;
 use hawthornmill::routing::catalog::Catalog;
 use hawthornmill::routing::departures::{Departure, RecentDepartures, Source};
+use hawthornmill::routing::domain_summary::MemberRotation;
 use hawthornmill::routing::fragments::ResponseCache;
-use hawthornmill::routing::gossip::{PeerTable, StoreRole};
+use hawthornmill::routing::gossip::{PeerChange, PeerTable, StoreRole};
 use hawthornmill::routing::lag::Lag;
 use hawthornmill::routing::placement::{Location, Placement};
 use hawthornmill::routing::registry::{Change, RegistrationList};
@@ -86,6 +88,10 @@
     pub pending_state: PendingState,
     /// The other instances.
     pub peers: RefCell<PeerTable>,
+    /// Changes of other instances since they were last logged.
+    pub peer_changes: RefCell<Vec<(PeerChange, SocketAddr)>>,
+    /// Members of this failure domain that are named to others next.
+    pub member_rotation: RefCell<MemberRotation>,
     /// Connections to servers.
     pub pool: Pool,
     /// Counters and histograms.
@@ -134,6 +140,7 @@
             RetryBudget::new(settings.guarantees.resend_budget, now),
         );
         scheduler.regions.clone_from(&settings.regions);
+        let peers = PeerTable::new(location.domain, settings.cpu_percent);
         Rc::new(Self {
             id: InstanceId::of(&settings.name),
             settings: RefCell::new(Rc::new(settings)),
@@ -146,7 +153,9 @@
             leaving_servers: RefCell::default(),
             state_cache: RefCell::default(),
             pending_state: PendingState::default(),
-            peers: RefCell::new(PeerTable::new(location.domain)),
+            peers: RefCell::new(peers),
+            peer_changes: RefCell::default(),
+            member_rotation: RefCell::default(),
             pool: Pool::default(),
             metrics: Metrics::default(),
             connections: Cell::new(0),
--- a/crates/hawthornmill-gateway/src/gossip.rs
+++ b/crates/hawthornmill-gateway/src/gossip.rs
@@ -5,15 +5,16 @@
 use std::time::{Duration, Instant};
 
 use hawthornmill::ident::{Incarnation, InstanceId};
-use hawthornmill::routing::domain_summary::{DomainWork, Member};
+use hawthornmill::routing::domain_summary::DomainMembers;
 use hawthornmill::routing::gossip::{InstanceReport, PeerChange, PeerInfo};
+use hawthornmill::routing::load_parts::{DemandPart, WorkPart};
 use hawthornmill::wire::frame::{Frame, FrameError};
 use hawthornmill::wire::{Message, Opener};
 use serde_json::json;
 
 use crate::datagrams::{self, DatagramSocket};
 use crate::gateway::{Gateway, Phase};
-use crate::{event_log, state_sync};
+use crate::{event_log, relay, state_sync};
 
 /// Shortest time between two reports.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(40);
@@ -21,9 +22,14 @@
 const MIN_WORK_INTERVAL: Duration = Duration::from_millis(20);
 /// Shortest time between two announcements of work to the dozen peers in a large fleet.
 const MIN_WORK_INTERVAL_LARGE: Duration = Duration::from_millis(50);
+/// Shortest time between two announcements of work to the relays of a large failure domain, which pass them on in sum.
+const MIN_WORK_INTERVAL_RELAYED: Duration = Duration::from_millis(100);
 /// Most work entries and client accounts in a message, so that it fits into a packet.
 const MAX_REPORTED: usize = 48;
 
+/// Most changes of peers in a round that are logged in a line each.
+const MAX_LOGGED_CHANGES: usize = 4;
+
 /// Replayed datagrams after which the recorded sequence numbers are cleared.
 ///
 /// A process that restarts after its machine's clock was set back has a lower run number than before.
@@ -40,9 +46,7 @@
             () = gateway.report_wakeup.notified() => tokio::time::sleep(MIN_REPORT_INTERVAL).await,
             () = gateway.work_wakeup.notified() => {
                 send_work(&gateway, &datagrams);
-                let large = gateway.peers.borrow().is_large_fleet();
-                let interval = if large { MIN_WORK_INTERVAL_LARGE } else { MIN_WORK_INTERVAL };
-                tokio::time::sleep(interval).await;
+                tokio::time::sleep(work_interval(&gateway)).await;
                 continue;
             }
         }
@@ -50,10 +54,11 @@
         round += 1;
         let now = gateway.now();
         let settings = gateway.settings();
-        let targets = gateway
-            .peers
-            .borrow_mut()
-            .gossip_targets(&settings.seeds, round, now);
+        let targets =
+            gateway
+                .peers
+                .borrow_mut()
+                .gossip_targets(gateway.id, &settings.seeds, round, now);
         let fleet_size = gateway.peers.borrow().max_seen();
         gateway
             .scheduler
@@ -62,119 +67,125 @@
             .observe_instances(fleet_size);
         let report = build_report(&gateway, round, now);
         let others = targets.iter().filter(|t| **t != settings.listen.peer);
+        let in_parts = report.in_parts;
         datagrams.send(&Message::InstanceReport(Box::new(report)), others.copied());
+        if in_parts {
+            send_load(&gateway, &datagrams, now);
+        }
         send_leaving(&gateway, &datagrams, now);
-        relay_domain(&gateway, &datagrams, round);
+        if !in_parts {
+            relay::relay_domain(&gateway, &datagrams, round);
+        }
+        log_peer_changes(&gateway);
     }
 }
 
-/// Announces to nearby instances the servers that are leaving according to the store.
-fn send_leaving(gateway: &Gateway, datagrams: &DatagramSocket, now: Instant) {
-    let leaving = gateway.leaving_servers.borrow().for_domain(now);
-    if !leaving.is_empty() {
-        let targets = gateway.peers.borrow().broadcast_targets(now);
-        datagrams.send(&Message::Departures(leaving), targets);
+fn work_interval(gateway: &Gateway) -> Duration {
+    let peers = gateway.peers.borrow();
+    match (peers.is_large_domain(), peers.is_large_fleet()) {
+        (true, _) => MIN_WORK_INTERVAL_RELAYED,
+        (false, true) => MIN_WORK_INTERVAL_LARGE,
+        (false, false) => MIN_WORK_INTERVAL,
     }
 }
 
-/// Sends the state of this failure domain to the others, if this instance is one of its relays.
-fn relay_domain(gateway: &Gateway, datagrams: &DatagramSocket, round: u64) {
-    let now = gateway.now();
-    let Some(rank) = gateway.peers.borrow().relay_rank(gateway.id, now) else {
-        return;
-    };
-    let targets = gateway.peers.borrow().relay_targets(rank, round, now);
-    if targets.is_empty() {
-        return;
+/// Sends the load of this instance to the relays of its failure domain.
+fn send_load(gateway: &Gateway, datagrams: &DatagramSocket, now: Instant) {
+    let targets = gateway.peers.borrow().broadcast_targets(gateway.id, now);
+    let mut scheduler = gateway.scheduler.borrow_mut();
+    scheduler.loads.mark_broadcast();
+    for part in scheduler.own_work() {
+        let message = Message::WorkPart(Box::new(part));
+        datagrams.send(&message, targets.iter().copied());
     }
-    let leaving = gateway.leaving_servers.borrow().for_other_domains(now);
-    let leaving = (!leaving.is_empty()).then_some(Message::Departures(leaving));
-    for message in leaving.into_iter().chain(domain_messages(gateway, now)) {
+    for part in scheduler.own_demand(now) {
+        let message = Message::DemandPart(Box::new(part));
         datagrams.send(&message, targets.iter().copied());
     }
 }
 
-fn domain_messages(gateway: &Gateway, now: Instant) -> Vec<Message> {
-    let settings = gateway.settings();
+/// Announces to nearby instances the servers that are leaving according to the store.
+///
+/// The relays of a large failure domain also pass on what they heard from its instances.
+fn send_leaving(gateway: &Gateway, datagrams: &DatagramSocket, now: Instant) {
     let peers = gateway.peers.borrow();
-    let mut scheduler = gateway.scheduler.borrow_mut();
-    let mut members: Vec<Member> = peers
-        .domain_peers(now)
-        .map(|(id, h)| Member {
-            id,
-            incarnation: h.incarnation,
-            info: h.info,
-            ready: h.ready,
-            leaving: h.leaving,
-            store_role: h.store_role,
-            catalog_version: h.catalog_version,
-            revision: h.revision,
-        })
-        .collect();
-    let ids: Vec<InstanceId> = members.iter().map(|m| m.id).collect();
-    members.push(Member {
-        id: gateway.id,
-        incarnation: gateway.incarnation,
-        info: own_info(gateway),
-        ready: gateway.is_ready(),
-        leaving: gateway.phase() > Phase::Serving,
-        store_role: gateway.store_role.get(),
-        catalog_version: gateway.catalog_version(),
-        revision: scheduler.registry.latest_revision(),
-    });
-    let work = scheduler.loads.domain_sum(&ids);
-    let mut usage = scheduler.account_usage.domain_sum(&ids, now);
-    usage.sort_by(|a, b| b.1.requested.total_cmp(&a.1.requested));
-    usage.truncate(MAX_REPORTED);
-    let members = scheduler.domain_members(settings.domain, members, now);
-    let parts = DomainWork::parts(settings.domain, &work, &usage);
-    let parts = parts.into_iter().map(|p| Message::DomainWork(Box::new(p)));
-    std::iter::once(Message::DomainMembers(Box::new(members)))
-        .chain(parts)
-        .collect()
+    let speaks = peers.is_large_domain() && peers.speaks_for_domain(gateway.id, now);
+    let recent = gateway.leaving_servers.borrow();
+    let (leaving, targets) = if speaks {
+        let members = peers.domain_peers(now).map(|(_, p)| p.info.peer_addr);
+        (recent.for_other_domains(now), members.collect())
+    } else {
+        (
+            recent.for_domain(now),
+            peers.broadcast_targets(gateway.id, now),
+        )
+    };
+    if !leaving.is_empty() {
+        datagrams.send(&Message::Departures(leaving), targets);
+    }
 }
 
-fn own_info(gateway: &Gateway) -> PeerInfo {
+/// Returns the addresses and the processor of this instance.
+pub fn own_info(gateway: &Gateway) -> PeerInfo {
     let settings = gateway.settings();
     PeerInfo {
         client_addr: settings.listen.front,
         peer_addr: settings.listen.peer,
         domain: settings.domain,
+        cpu_percent: gateway.peers.borrow().cpu_percent,
     }
 }
 
 /// Announces this instance's work in flight to nearby instances.
 fn send_work(gateway: &Gateway, datagrams: &DatagramSocket) {
-    let work = {
-        let loads = &mut gateway.scheduler.borrow_mut().loads;
-        loads.mark_broadcast();
-        let mut work = loads.local();
-        work.truncate(MAX_REPORTED);
-        work
-    };
-    let targets = gateway.peers.borrow().broadcast_targets(gateway.now());
+    let targets = gateway
+        .peers
+        .borrow()
+        .broadcast_targets(gateway.id, gateway.now());
+    let mut scheduler = gateway.scheduler.borrow_mut();
+    scheduler.loads.mark_broadcast();
+    if gateway.peers.borrow().is_large_domain() {
+        for part in scheduler.own_work() {
+            let message = Message::WorkPart(Box::new(part));
+            datagrams.send(&message, targets.iter().copied());
+        }
+        return;
+    }
+    let mut work = scheduler.loads.local();
+    work.truncate(MAX_REPORTED);
     datagrams.send(&Message::Work(work), targets);
 }
 
 fn build_report(gateway: &Gateway, round: u64, now: Instant) -> InstanceReport {
     let mut scheduler = gateway.scheduler.borrow_mut();
-    let mut work = scheduler.loads.local();
-    work.truncate(MAX_REPORTED);
-    let mut usage = scheduler.account_usage.local(now);
-    usage.sort_by(|a, b| b.1.requested.total_cmp(&a.1.requested));
-    usage.truncate(MAX_REPORTED);
-    InstanceReport {
+    let report = InstanceReport {
         info: own_info(gateway),
         ready: gateway.is_ready(),
         leaving: gateway.phase() > Phase::Serving,
         store_role: gateway.store_role.get(),
         catalog_version: gateway.catalog_version(),
         revision: scheduler.registry.latest_revision(),
+        in_parts: gateway.peers.borrow().is_large_domain(),
+        work: Vec::new(),
+        usage: Vec::new(),
+        spilled: Vec::new(),
+        unmet: Vec::new(),
+        known_peers: gateway.peers.borrow().peer_sample(gateway.id, round, now),
+    };
+    if report.in_parts {
+        return report;
+    }
+    let mut work = scheduler.loads.local();
+    work.truncate(MAX_REPORTED);
+    let mut usage = scheduler.account_usage.local(now);
+    usage.sort_by(|a, b| b.1.requested.total_cmp(&a.1.requested));
+    usage.truncate(MAX_REPORTED);
+    InstanceReport {
         work,
         usage,
         spilled: scheduler.spilled_prefixes(now),
         unmet: scheduler.unmet_demand(now),
-        known_peers: gateway.peers.borrow().peer_sample(round, now),
+        ..report
     }
 }
 
@@ -192,9 +203,7 @@
         match opener.open(&buffer[..length]) {
             Ok(frame) if frame.sender == gateway.id => {}
             Ok(frame) => {
-                if is_relayed(&frame.message) {
-                    forward_to_domain(&gateway, &datagrams, &buffer[..length], from);
-                }
+                relay::forward(&gateway, &datagrams, &frame, &buffer[..length], from);
                 handle_message(&gateway, &datagrams, from, frame);
             }
             Err(FrameError::Replayed) => {
@@ -209,36 +218,9 @@
     }
 }
 
-/// Tells whether failure domains exchange `message` through relays.
-const fn is_relayed(message: &Message) -> bool {
-    matches!(
-        message,
-        Message::DomainMembers(_) | Message::DomainWork(_) | Message::Departures(_)
-    )
-}
-
-/// Forwards a frame of another failure domain to this one, if this instance is one of its relays.
-///
-/// Frames from this domain are skipped: another relay has forwarded them.
-fn forward_to_domain(
-    gateway: &Gateway,
-    datagrams: &DatagramSocket,
-    frame: &[u8],
-    from: SocketAddr,
-) {
-    let now = gateway.now();
-    let peers = gateway.peers.borrow();
-    if peers.relay_rank(gateway.id, now).is_none() || peers.is_domain_peer(from) {
-        return;
-    }
-    let domain_peers = peers.domain_peers(now).map(|(_, peer)| peer.info.peer_addr);
-    datagrams.send_frame(frame, domain_peers);
-}
-
 /// Handles a message of another instance.
 fn handle_message(gateway: &Gateway, datagrams: &DatagramSocket, from: SocketAddr, frame: Frame) {
     let now = gateway.now();
-    let own = gateway.settings().domain;
     let (sender, run) = (frame.sender, frame.incarnation);
     match frame.message {
         Message::InstanceReport(report) => handle_report(gateway, sender, run, &report),
@@ -247,22 +229,9 @@
             .borrow_mut()
             .loads
             .apply_peer_report(sender, work, now),
-        Message::DomainMembers(members) if members.domain != own => {
-            for member in members.members.iter().filter(|m| m.id != gateway.id) {
-                gateway.observe_version(member.catalog_version);
-                let mut peers = gateway.peers.borrow_mut();
-                if let Some(change) = peers.apply_member(member, now) {
-                    log_peer_change(change, member.info.peer_addr, peers.live(now).count());
-                }
-            }
-            gateway
-                .scheduler
-                .borrow_mut()
-                .apply_domain_members(&members, now);
-        }
-        Message::DomainWork(work) if work.domain != own => {
-            gateway.scheduler.borrow_mut().apply_domain_work(*work, now);
-        }
+        Message::DomainMembers(members) => handle_members(gateway, sender, &members),
+        Message::WorkPart(part) => handle_work(gateway, sender, *part),
+        Message::DemandPart(part) => handle_demand(gateway, sender, &part),
         Message::Departures(all) => gateway.apply_leaving(&all),
         Message::FragmentRequest(r) => state_sync::send_fragments(gateway, datagrams, from, &r),
         Message::Fragment(part) => gateway.pending_state.add_fragment(from, part),
@@ -270,16 +239,58 @@
     }
 }
 
+fn handle_work(gateway: &Gateway, sender: InstanceId, part: WorkPart) {
+    if !relay::applies(gateway, sender, part.scope) {
+        return;
+    }
+    let mut scheduler = gateway.scheduler.borrow_mut();
+    scheduler.apply_work(sender, part, gateway.now());
+    if scheduler.queue_len() > 0 {
+        gateway.queue_wakeup.notify_one();
+    }
+}
+
+fn handle_demand(gateway: &Gateway, sender: InstanceId, part: &DemandPart) {
+    if relay::applies(gateway, sender, part.scope) {
+        let mut scheduler = gateway.scheduler.borrow_mut();
+        scheduler.apply_demand(sender, part, gateway.now());
+    }
+}
+
+/// Applies what a relay reports on members of a failure domain.
+///
+/// A relay of the own domain hears its members itself.
+fn handle_members(gateway: &Gateway, sender: InstanceId, members: &DomainMembers) {
+    let now = gateway.now();
+    let mut peers = gateway.peers.borrow_mut();
+    if members.domain == gateway.settings().domain {
+        if peers.relay_rank(gateway.id, now).is_some() {
+            return;
+        }
+        peers.mark_heard(sender, now);
+    }
+    for member in members.members.iter().filter(|m| m.id != gateway.id) {
+        gateway.observe_version(member.catalog_version);
+        if let Some(change) = peers.apply_member(member, now) {
+            gateway
+                .peer_changes
+                .borrow_mut()
+                .push((change, member.info.peer_addr));
+        }
+    }
+}
+
 fn handle_report(gateway: &Gateway, sender: InstanceId, run: Incarnation, report: &InstanceReport) {
     let now = gateway.now();
     gateway.observe_version(report.catalog_version);
     let mut peers = gateway.peers.borrow_mut();
     if let Some(change) = peers.apply_report(sender, run, report, now) {
-        log_peer_change(change, report.info.peer_addr, peers.live(now).count());
+        let peer = report.info.peer_addr;
+        gateway.peer_changes.borrow_mut().push((change, peer));
     }
     let own = gateway.settings().domain;
-    if peers.is_large_fleet() && report.info.domain != own {
-        // The totals of its domain include its work, which must not be counted twice.
+    if report.in_parts || (peers.is_large_fleet() && report.info.domain != own) {
+        // Parts or the totals of its domain include its work, which must not be counted twice.
         return;
     }
     let mut scheduler = gateway.scheduler.borrow_mut();
@@ -289,7 +300,24 @@
     }
 }
 
-fn log_peer_change(change: PeerChange, peer: SocketAddr, live: usize) {
-    let fields = json!({"mate": peer.to_string(), "how": format!("{change:?}"), "live": live});
-    event_log::state_change("mate", fields);
+/// Logs the changes of peers since the last call; many at once, as when a fleet starts, in one line.
+fn log_peer_changes(gateway: &Gateway) {
+    let changes = gateway.peer_changes.take();
+    let live = gateway.peers.borrow().live(gateway.now()).count();
+    if changes.len() <= MAX_LOGGED_CHANGES {
+        for (change, peer) in changes {
+            let fields =
+                json!({"mate": peer.to_string(), "how": format!("{change:?}"), "live": live});
+            event_log::state_change("mate", fields);
+        }
+        return;
+    }
+    let count = |change| changes.iter().filter(|(c, _)| *c == change).count();
+    let first = changes.iter().take(MAX_LOGGED_CHANGES);
+    let fields = json!({
+        "started": count(PeerChange::Started), "returned": count(PeerChange::Returned),
+        "leaving": count(PeerChange::Leaving), "live": live,
+        "first": first.map(|(_, peer)| peer.to_string()).collect::<Vec<_>>(),
+    });
+    event_log::state_change("mates", fields);
 }
--- a/crates/hawthornmill-gateway/src/lib.rs
+++ b/crates/hawthornmill-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`datagrams`], [`gossip`] | messages between instances over UDP |
 //! | [`state_sync`], [`pending_state`] | pulls catalogs and registrations from other instances |
 //! | [`endpoints`] | readiness, directory, metrics |
+//! | [`relay`] | what relays of a large fleet pass on |
 //! | [`event_log`], [`metrics`] | the event log, and the counters |
 //! | [`http`] | parsing and writing HTTP messages |
 //! | [`adapter`] | the interface to the platform |
@@ -34,6 +35,7 @@
 pub mod pending_state;
 pub mod pool;
 pub mod proxy;
+pub mod relay;
 pub mod settings;
 pub mod state_sync;
 pub mod store_watch;
--- /dev/null
+++ b/crates/hawthornmill-gateway/src/relay.rs
@@ -0,0 +1,236 @@
+//! Relays what the instances of a failure domain report, to the other domains and to the domain itself.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hawthornmill::ident::InstanceId;
+use hawthornmill::routing::domain_summary::{DomainMembers, Member};
+use hawthornmill::routing::load_parts::Scope;
+use hawthornmill::wire::Message;
+use hawthornmill::wire::frame::Frame;
+
+use crate::datagrams::DatagramSocket;
+use crate::gateway::{Gateway, Phase};
+use crate::gossip::own_info;
+
+/// Interval at which the relay of a large failure domain tells some of its members the work of the rest of the fleet.
+const SLICE_INTERVAL: Duration = Duration::from_millis(25);
+/// Slices of the members; each member is told once in this many intervals, so that datagrams don't come in bursts.
+const SLICES: u64 = 4;
+/// Intervals between two reports on a large domain to the others, and between two on demand to a member.
+const DOMAIN_INTERVALS: u64 = 8;
+/// Intervals between two messages on members of a large domain.
+const MEMBERS_INTERVALS: u64 = 16;
+
+/// Sends the state of this failure domain to the others, if this instance is one of its relays.
+pub fn relay_domain(gateway: &Gateway, datagrams: &DatagramSocket, round: u64) {
+    let now = gateway.now();
+    let Some(rank) = gateway.peers.borrow().relay_rank(gateway.id, now) else {
+        return;
+    };
+    let targets = gateway.peers.borrow().relay_targets(rank, round, now);
+    if targets.is_empty() {
+        return;
+    }
+    send_departures(gateway, datagrams, &targets, now);
+    send_members(gateway, datagrams, &targets, now);
+    send_domain_load(gateway, datagrams, &targets, now);
+}
+
+/// Speaks for a large failure domain while this instance is its first relay, until the process ends.
+pub async fn relay_large_domain(gateway: Rc<Gateway>, datagrams: Rc<DatagramSocket>) {
+    let mut interval: u64 = 0;
+    loop {
+        tokio::time::sleep(SLICE_INTERVAL).await;
+        interval += 1;
+        let now = gateway.now();
+        let (is_relay, speaks) = {
+            let peers = gateway.peers.borrow();
+            let large = peers.is_large_domain();
+            let is_relay = peers.relay_rank(gateway.id, now).is_some();
+            (
+                large && is_relay,
+                large && peers.speaks_for_domain(gateway.id, now),
+            )
+        };
+        if is_relay {
+            gateway.scheduler.borrow_mut().forget_rest_of_fleet();
+        }
+        if speaks {
+            tell_members(&gateway, &datagrams, interval, now);
+            tell_domains(&gateway, &datagrams, interval, now);
+        } else {
+            tokio::time::sleep(SLICE_INTERVAL * (SLICES as u32 - 1)).await;
+        }
+    }
+}
+
+/// Tells a slice of the members what the rest of the fleet does.
+fn tell_members(gateway: &Gateway, datagrams: &DatagramSocket, interval: u64, now: Instant) {
+    let peers = gateway.peers.borrow();
+    let mut scheduler = gateway.scheduler.borrow_mut();
+    let fleet = scheduler.fleet_load(now);
+    let with_demand = (interval / SLICES).is_multiple_of(DOMAIN_INTERVALS / SLICES);
+    let members = peers.domain_peers(now);
+    for (id, peer) in members.filter(|(id, _)| id.0 % SLICES == interval % SLICES) {
+        for part in scheduler.work_without(&fleet, id) {
+            datagrams.send(&Message::WorkPart(Box::new(part)), [peer.info.peer_addr]);
+        }
+        if !with_demand {
+            continue;
+        }
+        for part in scheduler.demand_without(&fleet, id, now) {
+            datagrams.send(&Message::DemandPart(Box::new(part)), [peer.info.peer_addr]);
+        }
+    }
+}
+
+/// Tells the relays of other domains the load of this one, and all of them and the own members who its members are.
+fn tell_domains(gateway: &Gateway, datagrams: &DatagramSocket, interval: u64, now: Instant) {
+    if !interval.is_multiple_of(DOMAIN_INTERVALS) {
+        return;
+    }
+    let mut targets: Vec<SocketAddr> = {
+        let peers = gateway.peers.borrow();
+        peers.remote_relays(now).into_iter().flatten().collect()
+    };
+    send_departures(gateway, datagrams, &targets, now);
+    send_domain_load(gateway, datagrams, &targets, now);
+    if interval.is_multiple_of(MEMBERS_INTERVALS) {
+        let peers = gateway.peers.borrow();
+        targets.extend(peers.domain_peers(now).map(|(_, p)| p.info.peer_addr));
+        drop(peers);
+        send_members(gateway, datagrams, &targets, now);
+    }
+}
+
+fn send_departures(
+    gateway: &Gateway,
+    datagrams: &DatagramSocket,
+    targets: &[SocketAddr],
+    now: Instant,
+) {
+    let leaving = gateway.leaving_servers.borrow().for_other_domains(now);
+    if !leaving.is_empty() {
+        let message = Message::Departures(leaving);
+        datagrams.send(&message, targets.iter().copied());
+    }
+}
+
+fn send_members(
+    gateway: &Gateway,
+    datagrams: &DatagramSocket,
+    targets: &[SocketAddr],
+    now: Instant,
+) {
+    let members = members(gateway, now);
+    let domain = gateway.settings().domain;
+    let members = gateway.member_rotation.borrow_mut().next_batch(&members);
+    let message = Message::DomainMembers(Box::new(DomainMembers { domain, members }));
+    datagrams.send(&message, targets.iter().copied());
+}
+
+fn send_domain_load(
+    gateway: &Gateway,
+    datagrams: &DatagramSocket,
+    targets: &[SocketAddr],
+    now: Instant,
+) {
+    let domain = gateway.settings().domain;
+    let ids: Vec<InstanceId> = {
+        let peers = gateway.peers.borrow();
+        peers.domain_peers(now).map(|(id, _)| id).collect()
+    };
+    let mut scheduler = gateway.scheduler.borrow_mut();
+    for part in scheduler.domain_demand(domain, &ids, now) {
+        let message = Message::DemandPart(Box::new(part));
+        datagrams.send(&message, targets.iter().copied());
+    }
+    for part in scheduler.domain_work(domain, &ids) {
+        let message = Message::WorkPart(Box::new(part));
+        datagrams.send(&message, targets.iter().copied());
+    }
+}
+
+/// Returns the live instances of this failure domain, this one first.
+fn members(gateway: &Gateway, now: Instant) -> Vec<Member> {
+    let own = Member {
+        id: gateway.id,
+        incarnation: gateway.incarnation,
+        info: own_info(gateway),
+        ready: gateway.is_ready(),
+        leaving: gateway.phase() > Phase::Serving,
+        store_role: gateway.store_role.get(),
+        catalog_version: gateway.catalog_version(),
+        revision: gateway.scheduler.borrow().registry.latest_revision(),
+    };
+    let peers = gateway.peers.borrow();
+    let others = peers.domain_peers(now).map(|(id, p)| Member {
+        id,
+        incarnation: p.incarnation,
+        info: p.info,
+        ready: p.ready,
+        leaving: p.leaving,
+        store_role: p.store_role,
+        catalog_version: p.catalog_version,
+        revision: p.revision,
+    });
+    std::iter::once(own).chain(others).collect()
+}
+
+/// Forwards a frame of another failure domain to this one, if this instance is one of its relays.
+///
+/// Frames from this domain are skipped: another relay has forwarded them. In a large domain, only one relay forwards, and
+/// loads are told in sum.
+pub fn forward(
+    gateway: &Gateway,
+    datagrams: &DatagramSocket,
+    frame: &Frame,
+    bytes: &[u8],
+    from: SocketAddr,
+) {
+    let peers = gateway.peers.borrow();
+    let large = peers.is_large_domain();
+    let is_relayed = match &frame.message {
+        Message::DomainMembers(_) | Message::Departures(_) => true,
+        Message::WorkPart(part) => matches!(part.scope, Scope::Domain(_)) && !large,
+        Message::DemandPart(part) => matches!(part.scope, Scope::Domain(_)) && !large,
+        _ => false,
+    };
+    if !is_relayed {
+        return;
+    }
+    let now = gateway.now();
+    let forwards = if large {
+        peers.speaks_for_domain(gateway.id, now)
+    } else {
+        peers.relay_rank(gateway.id, now).is_some()
+    };
+    if !forwards || peers.is_domain_peer(from) {
+        return;
+    }
+    let domain_peers = peers.domain_peers(now).map(|(_, peer)| peer.info.peer_addr);
+    datagrams.send_frame(bytes, domain_peers);
+}
+
+/// Returns whether this instance takes over a load of `scope` from `sender`.
+///
+/// In a large domain, only relays sum up what instances and other domains report, and the others take over that sum;
+/// whoever did both would count work twice.
+pub fn applies(gateway: &Gateway, sender: InstanceId, scope: Scope) -> bool {
+    let now = gateway.now();
+    let mut peers = gateway.peers.borrow_mut();
+    let sums_up = !peers.is_large_domain() || peers.relay_rank(gateway.id, now).is_some();
+    match scope {
+        Scope::Instance => {
+            peers.mark_heard(sender, now);
+            sums_up
+        }
+        Scope::Domain(domain) => domain != gateway.settings().domain && sums_up,
+        Scope::RestOfFleet => {
+            peers.mark_heard(sender, now);
+            !sums_up
+        }
+    }
+}
--- a/crates/hawthornmill-gateway/src/settings.rs
+++ b/crates/hawthornmill-gateway/src/settings.rs
@@ -58,6 +58,8 @@
     pub region: RegionId,
     /// Region of each failure domain.
     pub regions: Vec<(DomainId, RegionId)>,
+    /// Processor that the process may use, in percent of a core.
+    pub cpu_percent: u16,
     /// Addresses on which to listen.
     pub listen: ListenAddresses,
     /// Peer addresses of a few other instances, some of which may be outdated.
@@ -92,7 +94,10 @@
         let one = |kind: &str| Section::first_or_empty(&sections, kind);
         let listen = listen(&mut reader, &one("listen"));
         let instance = one("instance");
-        reader.reject_unknown_keys(&instance, &["name", "domain", "region"]);
+        reader.reject_unknown_keys(
+            &instance,
+            &["name", "domain", "region", "cores", "cpu_share"],
+        );
         let mut required = |key| reader.required(&instance, key).unwrap_or_default();
         let (name, domain, region) = (required("name"), required("domain"), required("region"));
         let domains: Vec<&Section> = sections.iter().filter(|s| &*s.kind == "domain").collect();
@@ -106,6 +111,7 @@
                 .iter()
                 .map(|s| domain_region(&mut reader, s))
                 .collect(),
+            cpu_percent: cpu_percent(&mut reader, &instance),
             listen,
             seeds: seeds(&mut reader, &peers, listen.peer.port()),
             key: key(&mut reader, &peers),
@@ -118,6 +124,13 @@
     }
 }
 
+/// Reads the number of cores and the share of them that the process may use.
+fn cpu_percent(reader: &mut Reader<'_>, section: &Section) -> u16 {
+    let cores = reader.number_in(section, "cores", 1.0, 0.01..=256.0);
+    let share = reader.number_in(section, "cpu_share", 1.0, 0.01..=1.0);
+    (100.0 * cores * share).round() as u16
+}
+
 fn listen(reader: &mut Reader<'_>, section: &Section) -> ListenAddresses {
     reader.reject_unknown_keys(section, &["front", "ready", "directory", "peer", "metrics"]);
     let metrics = section.get("metrics").is_some();
--- a/crates/hawthornmill/src/routing/domain_summary.rs
+++ b/crates/hawthornmill/src/routing/domain_summary.rs
@@ -6,18 +6,17 @@
 //! forwards what it receives to its own domain unchanged. A lost relay costs every second summary until it counts as
 //! silent; no state is kept by relays alone.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
-use super::gossip::{PeerInfo, StoreRole, UnmetDemand};
-use super::loads::Work;
-use super::shape::PrefixKey;
-use super::usage::{AccountUsage, ShareStatus};
-use crate::ident::{AccountId, DomainId, Incarnation, InstanceId, ServerId, ServiceId, mix};
+use super::gossip::{PeerInfo, StoreRole};
+use crate::ident::{DomainId, Incarnation, InstanceId};
 
-/// Servers per datagram, at up to 22 bytes each.
-const MAX_SERVERS: usize = 56;
-/// Spilled prefixes in one report of an instance or a domain, so that they fit a datagram.
-pub const MAX_SPILLED: usize = 24;
+/// Members in one message, at up to 56 bytes each, so that they fit a datagram.
+const MAX_MEMBERS: usize = 24;
+/// Members in one message that are named out of turn since they changed.
+const MAX_CHANGED: usize = 8;
 
 /// One live instance of a domain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -40,64 +39,49 @@
     pub revision: u64,
 }
 
-/// Live instances of a domain, and the demand that found no capacity there.
+/// Some of the live instances of a domain.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct DomainMembers {
     /// The domain.
     pub domain: DomainId,
-    /// Its live instances.
+    /// Live instances; further ones are in other messages.
     pub members: Vec<Member>,
-    /// Recent unmet demand by service and share status.
-    pub unmet: Vec<(ServiceId, ShareStatus, UnmetDemand)>,
-    /// Shared prefixes recently sent to a server other than their home.
-    pub spilled: Vec<(PrefixKey, ServerId)>,
 }
 
-/// Work in flight of a domain, or one part of it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct DomainWork {
-    /// The domain.
-    pub domain: DomainId,
-    /// Index of the part.
-    pub number: u8,
-    /// Work in flight by server.
-    pub work: Vec<(ServerId, Work)>,
-    /// Usage of accounts; in the first part only.
-    pub usage: Vec<(AccountId, AccountUsage)>,
+/// Chooses the members that a relay names next, so that each message fits a datagram and no member is left out.
+#[derive(Debug, Clone, Default)]
+pub struct MemberRotation {
+    told: BTreeMap<InstanceId, Member>,
+    next: usize,
 }
 
-impl DomainWork {
-    /// Splits the work and usage of `domain` into parts: usage first, then servers in as many parts as they need.
-    pub fn parts(
-        domain: DomainId,
-        work: &[(ServerId, Work)],
-        usage: &[(AccountId, AccountUsage)],
-    ) -> Vec<Self> {
-        let accounts = Self {
-            domain,
-            number: 0,
-            work: Vec::new(),
-            usage: usage.to_vec(),
-        };
-        let servers = work
-            .chunks(MAX_SERVERS)
-            .zip(1..)
-            .map(|(chunk, number)| Self {
-                domain,
-                number,
-                work: chunk.to_vec(),
-                usage: Vec::new(),
-            });
-        std::iter::once(accounts).chain(servers).collect()
+impl MemberRotation {
+    /// Returns the next of `members` to name: some that changed, and others by turns.
+    pub fn next_batch(&mut self, members: &[Member]) -> Vec<Member> {
+        self.told
+            .retain(|id, _| members.iter().any(|m| m.id == *id));
+        let first = self.next % members.len().max(1);
+        let (before, from) = members.split_at(first);
+        let in_turn = || from.iter().chain(before);
+        let changed = in_turn().filter(|m| self.has_changed(m));
+        let mut batch: Vec<Member> = changed.take(MAX_CHANGED).copied().collect();
+        let by_turns = MAX_MEMBERS - batch.len();
+        batch.extend(in_turn().take(by_turns));
+        self.next = first + by_turns;
+        self.told.extend(batch.iter().map(|m| (m.id, *m)));
+        batch
     }
 
-    /// Returns the key under which this part is recorded, as if a single instance had reported it.
-    pub fn source_id(&self) -> InstanceId {
-        source_id(self.domain, self.number)
+    /// Returns whether `member` differs from what was last told, but for its progress in reading the store.
+    fn has_changed(&self, member: &Member) -> bool {
+        let told = self.told.get(&member.id);
+        told.is_none_or(|told| {
+            let progress = Member {
+                catalog_version: told.catalog_version,
+                revision: told.revision,
+                ..*member
+            };
+            progress != *told
+        })
     }
 }
-
-/// Returns the key under which part `number` of the summary of `domain` is recorded.
-pub fn source_id(domain: DomainId, number: u8) -> InstanceId {
-    InstanceId(mix(domain.0 ^ u64::from(number)))
-}
--- a/crates/hawthornmill/src/routing/gossip.rs
+++ b/crates/hawthornmill/src/routing/gossip.rs
@@ -16,7 +16,7 @@
 use super::registry::{Change, Unconfirmed};
 use super::shape::PrefixKey;
 use super::usage::{AccountUsage, ShareStatus};
-use crate::ident::{AccountId, DomainId, Incarnation, InstanceId, ServerId, ServiceId, mix};
+use crate::ident::{AccountId, DomainId, Incarnation, InstanceId, ServerId, ServiceId};
 
 /// Silence after which a peer is no longer listed to callers; about six lost reports.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1_300);
@@ -26,22 +26,15 @@
 const FORGET_AFTER: Duration = Duration::from_mins(1);
 /// In a large fleet, one in this many rounds goes to seeds and to peers of other failure domains that report directly.
 const REMOTE_INTERVAL_ROUNDS: u64 = 4;
-/// Relays of a failure domain in a large fleet; one may be cut off or gone and not count as silent yet.
-const RELAYS_PER_DOMAIN: usize = 2;
-/// A relay sends in one of this many rounds. The two relays alternate, so a domain reports every 0.2 s; each summary is
-/// forwarded to every instance of each other domain.
-const RELAY_INTERVAL_ROUNDS: u64 = 2;
 /// In a large fleet, silent peers of other failure domains that get a report in such a round, so that domains which were
 /// cut off from each other meet again.
 const PROBES_PER_ROUND: usize = 2;
+/// In a large fleet, named addresses that get their first report in another round, so that a fleet that starts meets soon.
+const NEW_CONTACTS_PER_ROUND: usize = 8;
 /// In a large fleet, time for which a peer of another failure domain gets reports after it reported directly.
 const DIRECT_TTL: Duration = Duration::from_secs(2);
 /// Number of other instances from which a fleet counts as large.
-const LARGE_FLEET_PEERS: usize = 12;
-/// Instances per failure domain that follow the store in a large fleet.
-///
-/// While this one is gone and not replaced yet, which takes 1.3 s, the domain hears from followers in other domains.
-const STORE_FOLLOWERS: usize = 1;
+pub(super) const LARGE_FLEET_PEERS: usize = 12;
 /// Peers named in one report, so that it fits a datagram.
 const SAMPLE_SIZE: usize = 16;
 
@@ -54,6 +47,8 @@
     pub peer_addr: SocketAddr,
     /// Its failure domain.
     pub domain: DomainId,
+    /// Its processor, in percent of a core; 0 while it is overloaded and should have no role among the instances.
+    pub cpu_percent: u16,
 }
 
 /// Role of an instance towards the platform's store.
@@ -100,6 +95,8 @@
     pub catalog_version: u64,
     /// Revision of the store up to which it knows the registrations.
     pub revision: u64,
+    /// Its load is told in parts of its own, and the following lists are empty.
+    pub in_parts: bool,
     /// Its work in flight by server.
     pub work: Vec<(ServerId, Work)>,
     /// Usage of accounts that it recorded.
@@ -159,6 +156,8 @@
     pub last_relayed: Option<Instant>,
     /// Silence after which it counts as gone.
     pub timeout: Duration,
+    /// Whether its current incarnation was sent a report.
+    pub reported_to: bool,
 }
 
 /// Change of a peer that its report shows.
@@ -172,20 +171,31 @@
     Leaving,
 }
 
+/// An address that a peer named and from which nothing was heard.
+#[derive(Debug, Clone, Copy)]
+struct Contact {
+    named_at: Instant,
+    /// Whether a report was sent there.
+    reported: bool,
+}
+
 /// Table of the other instances.
 #[derive(Debug, Clone)]
 pub struct PeerTable {
-    domain: DomainId,
-    peers: BTreeMap<InstanceId, PeerState>,
-    contacts: BTreeMap<SocketAddr, Instant>,
+    pub(super) domain: DomainId,
+    /// Processor of this instance, in percent of a core; 0 while it is overloaded.
+    pub cpu_percent: u16,
+    pub(super) peers: BTreeMap<InstanceId, PeerState>,
+    contacts: BTreeMap<SocketAddr, Contact>,
     max_seen: usize,
 }
 
 impl PeerTable {
-    /// Creates an empty table for an instance of `domain`.
-    pub const fn new(domain: DomainId) -> Self {
+    /// Creates an empty table for an instance of `domain` with a processor of `cpu_percent` percent of a core.
+    pub const fn new(domain: DomainId, cpu_percent: u16) -> Self {
         Self {
             domain,
+            cpu_percent,
             peers: BTreeMap::new(),
             contacts: BTreeMap::new(),
             max_seen: 0,
@@ -213,14 +223,19 @@
             last_direct: Some(now),
             last_relayed: None,
             timeout: if remote { REMOTE_TIMEOUT } else { PEER_TIMEOUT },
+            reported_to: false,
         };
         for address in &report.known_peers {
-            self.contacts.insert(*address, now);
+            let contact = self.contacts.entry(*address).or_insert(Contact {
+                named_at: now,
+                reported: false,
+            });
+            contact.named_at = now;
         }
         self.update(from, state, now)
     }
 
-    /// Applies a relay's report on an instance of another failure domain; returns the change that it shows, if any.
+    /// Applies a relay's report on an instance; returns the change that it shows, if any.
     pub fn apply_member(&mut self, member: &Member, now: Instant) -> Option<PeerChange> {
         let state = PeerState {
             info: member.info,
@@ -234,10 +249,18 @@
             last_direct: None,
             last_relayed: Some(now),
             timeout: REMOTE_TIMEOUT,
+            reported_to: false,
         };
         self.update(member.id, state, now)
     }
 
+    /// Records that `from`, if it is known, has just sent something itself.
+    pub fn mark_heard(&mut self, from: InstanceId, now: Instant) {
+        if let Some(peer) = self.peers.get_mut(&from) {
+            (peer.last_seen, peer.last_direct) = (now, Some(now));
+        }
+    }
+
     /// Replaces the state of `from`; within an incarnation, `leaving` stays set.
     fn update(
         &mut self,
@@ -248,6 +271,11 @@
         let current = self.peers.get(&from);
         let previous = current.filter(|p| p.incarnation == state.incarnation);
         state.leaving |= previous.is_some_and(|p| p.leaving);
+        state.reported_to = previous.is_some_and(|p| p.reported_to);
+        if previous.is_some_and(|p| p.timeout == REMOTE_TIMEOUT && p.last_relayed.is_some()) {
+            // Its relay names it less often than it would report itself.
+            state.timeout = REMOTE_TIMEOUT;
+        }
         state.last_direct = state.last_direct.or(previous.and_then(|p| p.last_direct));
         state.last_relayed = state.last_relayed.or(previous.and_then(|p| p.last_relayed));
         let change = match previous {
@@ -272,44 +300,6 @@
         self.live(now).filter(|(_, p)| p.info.domain == self.domain)
     }
 
-    /// Returns the rank of instance `me` among the relays of its domain, or `None` when it is no relay.
-    pub fn relay_rank(&self, me: InstanceId, now: Instant) -> Option<usize> {
-        if !self.is_large_fleet() {
-            return None;
-        }
-        let own_hash = mix(self.domain.0 ^ me.0);
-        let others = self.domain_peers(now).filter(|(_, p)| !p.leaving);
-        let ahead = others
-            .filter(|(id, _)| mix(self.domain.0 ^ id.0) > own_hash)
-            .count();
-        (ahead < RELAYS_PER_DOMAIN).then_some(ahead)
-    }
-
-    /// Returns where the relay of `rank` sends its summary in `round`: one relay of each other failure domain.
-    ///
-    /// The relays of a domain take turns, so one that is cut off delays a change by two summaries at most.
-    pub fn relay_targets(&self, rank: usize, round: u64, now: Instant) -> Vec<SocketAddr> {
-        if !(rank as u64 * RELAY_INTERVAL_ROUNDS / 2 + round).is_multiple_of(RELAY_INTERVAL_ROUNDS)
-        {
-            return Vec::new();
-        }
-        let turn = rank + (round / RELAY_INTERVAL_ROUNDS) as usize;
-        let mut domains: BTreeMap<DomainId, SmallVec<[(u64, SocketAddr); 16]>> = BTreeMap::new();
-        let remote = self
-            .live(now)
-            .filter(|(_, p)| p.info.domain != self.domain && !p.leaving);
-        for (id, state) in remote {
-            let domain = state.info.domain;
-            let ranked = domains.entry(domain).or_default();
-            ranked.push((mix(domain.0 ^ id.0), state.info.peer_addr));
-        }
-        let chosen = |mut ranked: SmallVec<[(u64, SocketAddr); 16]>| {
-            ranked.sort_unstable_by(|a, b| b.cmp(a));
-            ranked[turn % RELAYS_PER_DOMAIN.min(ranked.len())].1
-        };
-        domains.into_values().map(chosen).collect()
-    }
-
     /// Returns whether `address` belongs to an instance of the own failure domain.
     pub fn is_domain_peer(&self, address: SocketAddr) -> bool {
         let mut all = self.peers.values();
@@ -385,38 +375,18 @@
         selected
     }
 
-    /// Returns whether instance `me` should follow the store.
-    ///
-    /// In a small fleet every instance does, so that each hears of a change at once. In a large one some instances of each
-    /// failure domain do, and the others hear from them; an instance that gets no response from the store isn't counted, so
-    /// another one takes over.
-    pub fn should_follow_store(&self, me: InstanceId, now: Instant) -> bool {
-        let others = || self.live(now).filter(|(_, p)| !p.leaving);
-        if others().count() < LARGE_FLEET_PEERS
-            || others().all(|(_, p)| p.store_role != StoreRole::Connected)
-        {
-            return true;
-        }
-        let domain = self.domain;
-        let own_hash = mix(domain.0 ^ me.0);
-        let candidates = others()
-            .filter(|(_, p)| p.info.domain == domain && p.store_role != StoreRole::Disconnected);
-        candidates
-            .filter(|(id, _)| mix(domain.0 ^ id.0) > own_hash)
-            .count()
-            < STORE_FOLLOWERS
-    }
-
     /// Returns some peers to name in a report, another part of them each `round`.
-    pub fn peer_sample(&self, round: u64, now: Instant) -> Vec<SocketAddr> {
+    ///
+    /// The relays of a large failure domain come first, so that an instance that knows others of its domain finds them.
+    pub fn peer_sample(&self, me: InstanceId, round: u64, now: Instant) -> Vec<SocketAddr> {
         let all: Vec<SocketAddr> = self.live(now).map(|(_, p)| p.info.peer_addr).collect();
         let first = (round as usize * SAMPLE_SIZE) % all.len().max(1);
-        all.iter()
-            .cycle()
-            .skip(first)
-            .take(SAMPLE_SIZE.min(all.len()))
-            .copied()
-            .collect()
+        let relays = self.own_relays(me, now).unwrap_or_default();
+        let relays = relays.iter().filter_map(|id| self.peers.get(id));
+        let mut sample: Vec<SocketAddr> = relays.map(|p| p.info.peer_addr).collect();
+        let others = all.iter().cycle().skip(first);
+        sample.extend(others.take(SAMPLE_SIZE.min(all.len()) - sample.len()));
+        sample
     }
 
     /// Returns some silent peers that did not say that they stop, others in each `turn`.
@@ -432,21 +402,14 @@
         silent
     }
 
-    /// Returns where work is reported at once: all peers in a small fleet, the own failure domain in a large one.
-    pub fn broadcast_targets(&self, now: Instant) -> Vec<SocketAddr> {
-        let large = self.is_large_fleet();
-        let targets = self
-            .live(now)
-            .filter(|(_, p)| !large || p.info.domain == self.domain);
-        targets.map(|(_, p)| p.info.peer_addr).collect()
-    }
-
     /// Returns where to send the report of `round`: to all known peers, all peers named by others, and `seeds`.
     ///
     /// In a large fleet, other failure domains hear from relays. Of their instances, only those that report directly and
-    /// that no relay names yet, as when one has just started, get a report in some rounds.
+    /// that no relay names yet, as when one has just started, get a report in some rounds. In a large failure domain, the
+    /// same holds for its own instances.
     pub fn gossip_targets(
         &mut self,
+        me: InstanceId,
         seeds: &[SocketAddr],
         round: u64,
         now: Instant,
@@ -454,7 +417,7 @@
         self.peers
             .retain(|_, p| now.duration_since(p.last_seen) < FORGET_AFTER);
         self.contacts
-            .retain(|_, at| now.duration_since(*at) < FORGET_AFTER);
+            .retain(|_, c| now.duration_since(c.named_at) < FORGET_AFTER);
         let live_addresses: BTreeSet<SocketAddr> =
             self.live(now).map(|(_, p)| p.info.peer_addr).collect();
         self.max_seen = self.max_seen.max(live_addresses.len() + 1);
@@ -462,19 +425,36 @@
         let large = self.is_large_fleet();
         let is_recent =
             |at: Option<Instant>, ttl: Duration| at.is_some_and(|at| now.duration_since(at) < ttl);
+        let own_relays = self.own_relays(me, now);
         let due = |id: &InstanceId, p: &PeerState| {
             let direct_only =
                 is_recent(p.last_direct, DIRECT_TTL) && !is_recent(p.last_relayed, REMOTE_TIMEOUT);
+            let in_turn = !p.reported_to || (id.0 ^ round).is_multiple_of(REMOTE_INTERVAL_ROUNDS);
             !large
-                || p.info.domain == self.domain
-                || (direct_only && (id.0 ^ round).is_multiple_of(REMOTE_INTERVAL_ROUNDS))
+                || (p.info.domain == self.domain
+                    && own_relays.as_ref().is_none_or(|relays| relays.contains(id)))
+                || (direct_only && in_turn)
         };
         let due_peers = self.peers.iter().filter(|(id, p)| due(id, p));
-        let mut all: Vec<SocketAddr> = due_peers.map(|(_, p)| p.info.peer_addr).collect();
+        let due_peers: Vec<InstanceId> = due_peers.map(|(id, _)| *id).collect();
+        let mut all = Vec::with_capacity(due_peers.len());
+        for id in due_peers {
+            if let Some(peer) = self.peers.get_mut(&id) {
+                peer.reported_to = true;
+                all.push(peer.info.peer_addr);
+            }
+        }
         if !large || round.is_multiple_of(REMOTE_INTERVAL_ROUNDS) {
+            self.contacts.values_mut().for_each(|c| c.reported = true);
             all.extend(self.contacts.keys());
             all.extend(seeds);
             all.extend(self.silent_sample(round / REMOTE_INTERVAL_ROUNDS, now));
+        } else {
+            let new = self.contacts.iter_mut().filter(|(_, c)| !c.reported);
+            for (address, contact) in new.take(NEW_CONTACTS_PER_ROUND) {
+                contact.reported = true;
+                all.push(*address);
+            }
         }
         all.sort_unstable();
         all.dedup();
--- a/crates/hawthornmill/src/routing/loads.rs
+++ b/crates/hawthornmill/src/routing/loads.rs
@@ -9,11 +9,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::load_parts::{PartKey, Scope, WorkPart};
+use super::remote_work::RemoteWork;
 use crate::ident::{InstanceId, ServerId};
 
-/// Lifetime of a peer's report. A distant peer in a large fleet reports every 0.8 s, and two of its reports may be
-/// lost.
-const PEER_REPORT_TTL: Duration = Duration::from_millis(2_500);
 /// Age up to which a server's own report is used beside what is known of its work.
 const SERVER_REPORT_TTL: Duration = Duration::from_millis(300);
 /// Backoff after the first failed connection to a server; each further failure doubles it.
@@ -46,14 +45,16 @@
 }
 
 impl Work {
-    fn add(&mut self, other: Self) {
+    /// Adds `other`.
+    pub(super) const fn add(&mut self, other: Self) {
         self.running += other.running;
         self.pending_prefill += other.pending_prefill;
         self.kv_tokens += other.kv_tokens;
         self.total_prefill = self.total_prefill.wrapping_add(other.total_prefill);
     }
 
-    fn subtract(&mut self, other: Self) {
+    /// Subtracts `other`, except its total, which never falls.
+    pub(super) const fn subtract(&mut self, other: Self) {
         self.running = self.running.saturating_sub(other.running);
         self.pending_prefill = self.pending_prefill.saturating_sub(other.pending_prefill);
         self.kv_tokens = self.kv_tokens.saturating_sub(other.kv_tokens);
@@ -180,9 +181,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct LoadTracker {
     servers: BTreeMap<ServerId, Server>,
-    peers: BTreeMap<InstanceId, (Instant, Vec<(ServerId, Work)>)>,
-    remote: BTreeMap<ServerId, Work>,
-    last_totals: BTreeMap<(InstanceId, ServerId), u32>,
+    remote: RemoteWork,
     unreported: u32,
     /// Latest known prefill rate of servers, in tokens per second.
     rate: f64,
@@ -210,7 +209,7 @@
 
     /// Returns load and health of `server` with a single lookup.
     pub fn snapshot(&self, server: ServerId, now: Instant) -> LoadSnapshot {
-        let remote = self.remote.get(&server).copied().unwrap_or_default();
+        let remote = self.remote.at(server);
         let Some(state) = self.servers.get(&server) else {
             return LoadSnapshot {
                 total: remote,
@@ -271,14 +270,40 @@
 
     /// Returns the total work of this instance and the `members` of its failure domain.
     pub fn domain_sum(&self, members: &[InstanceId]) -> Vec<(ServerId, Work)> {
-        let mut all: BTreeMap<ServerId, Work> = self.local().into_iter().collect();
-        let peers = members.iter().filter_map(|id| self.peers.get(id));
-        for (server, work) in peers.flat_map(|(_, list)| list) {
-            all.entry(*server).or_default().add(*work);
-        }
+        let mut all = self.remote.sum_of(members);
+        self.add_local(&mut all);
         all.into_iter().collect()
     }
 
+    /// Returns the work of the whole fleet, as far as it is known here.
+    pub fn fleet_sum(&self) -> BTreeMap<ServerId, Work> {
+        let mut all = self.remote.sum();
+        self.add_local(&mut all);
+        all
+    }
+
+    /// Returns `fleet_sum` without what `member` reported.
+    pub fn fleet_without(
+        &self,
+        fleet_sum: &BTreeMap<ServerId, Work>,
+        member: InstanceId,
+    ) -> Vec<(ServerId, Work)> {
+        let mut all = fleet_sum.clone();
+        for (server, own) in self.remote.contribution(member) {
+            if let Some(sum) = all.get_mut(&server) {
+                sum.subtract(own);
+                sum.total_prefill = sum.total_prefill.wrapping_sub(own.total_prefill);
+            }
+        }
+        all.into_iter().filter(|(_, w)| w.running > 0).collect()
+    }
+
+    fn add_local(&self, all: &mut BTreeMap<ServerId, Work>) {
+        for (server, work) in self.local() {
+            all.entry(server).or_default().add(work);
+        }
+    }
+
     /// Replaces what a peer reported before with its new report.
     pub fn apply_peer_report(
         &mut self,
@@ -286,50 +311,52 @@
         work: Vec<(ServerId, Work)>,
         now: Instant,
     ) {
-        for (server, work) in &work {
-            let before = self.last_totals.insert((peer, *server), work.total_prefill);
-            // Only new work joins the backlog, not what was prefilled since. The total falls when a peer restarts or when a
-            // domain's sum misses a member; that adds nothing.
-            let growth = work
-                .total_prefill
-                .wrapping_sub(before.unwrap_or(0))
-                .cast_signed();
-            let new = (growth.max(0).cast_unsigned()).min(work.pending_prefill);
-            let state = self.servers.entry(*server).or_default();
+        self.replace_remote(PartKey::whole(peer), peer, work, now);
+    }
+
+    /// Replaces a part of the report of `sender`.
+    pub fn apply_part(&mut self, sender: InstanceId, part: WorkPart, now: Instant) {
+        let origin = part.scope.origin(sender);
+        if part.scope == Scope::RestOfFleet {
+            self.remote.retain_rest_of_fleet();
+        }
+        self.remote.remove_surplus(origin, &part);
+        let key = PartKey {
+            origin,
+            number: part.number,
+        };
+        self.replace_remote(key, part.scope.counters(sender), part.work, now);
+    }
+
+    /// Forgets what a relay reported of the rest of the fleet.
+    pub fn remove_rest_of_fleet(&mut self) {
+        self.remote.remove_rest_of_fleet();
+    }
+
+    fn replace_remote(
+        &mut self,
+        key: PartKey,
+        reporter: InstanceId,
+        work: Vec<(ServerId, Work)>,
+        now: Instant,
+    ) {
+        // Only new work joins the backlog, not what was prefilled since.
+        for (server, begun) in self.remote.replace(key, reporter, work, now) {
+            let state = self.servers.entry(server).or_default();
             // Without a rate, the backlog of a server that this instance has not used would never drain, and the server would
             // never be used.
             if state.backlog.rate <= 0.0 {
                 state.backlog.rate = self.rate;
             }
-            state.backlog.add(new, now);
-        }
-        for (server, work) in &work {
-            self.remote.entry(*server).or_default().add(*work);
-        }
-        // Only the servers of this report are updated: reports arrive many times a second and name few servers.
-        let before = self.peers.insert(peer, (now, work));
-        for (server, work) in before.into_iter().flat_map(|(_, list)| list) {
-            if let Some(remote) = self.remote.get_mut(&server) {
-                remote.subtract(work);
-            }
+            state.backlog.add(begun, now);
         }
     }
 
     /// Drops silent peers, and servers for which `keep` returns false.
     pub fn sweep(&mut self, keep: impl Fn(ServerId) -> bool, now: Instant) {
-        self.sum_remote(now);
+        self.remote.sweep(&keep, now);
         self.servers
             .retain(|id, s| s.local.running > 0 || keep(*id));
-        self.last_totals.retain(|(_, id), _| keep(*id));
-    }
-
-    fn sum_remote(&mut self, now: Instant) {
-        self.peers
-            .retain(|_, (at, _)| now.duration_since(*at) < PEER_REPORT_TTL);
-        self.remote.clear();
-        for (server, work) in self.peers.values().flat_map(|(_, list)| list) {
-            self.remote.entry(*server).or_default().add(*work);
-        }
     }
 
     /// Applies a server's own report.
--- a/crates/hawthornmill/src/routing/mod.rs
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -20,7 +20,10 @@
 //! | [`gossip`] | reports that instances exchange, and the table of peers |
 //! | [`lag`] | time since a newer catalog or revision was first heard of |
 //! | [`fragments`] | transfer of a large response in datagrams |
-//! | [`domain_summary`] | sums that failure domains exchange in a large fleet |
+//! | [`domain_summary`] | members of the failure domains of a large fleet, as relays name them |
+//! | [`relays`] | instances that relay between others or follow the store |
+//! | [`load_parts`] | load of an instance, a failure domain or the fleet, in parts that fit a datagram |
+//! | [`remote_work`] | work in flight that other instances report |
 
 pub mod allowance;
 pub mod catalog;
@@ -29,10 +32,13 @@
 pub mod fragments;
 pub mod gossip;
 pub mod lag;
+pub mod load_parts;
 pub mod loads;
 pub mod placement;
 pub mod prefix_index;
 pub mod registry;
+pub mod relays;
+pub mod remote_work;
 pub mod request;
 pub mod retry_budget;
 pub mod route_table;
--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -5,15 +5,14 @@
 //! of their objective. That smooths bursts; a longer wait would only turn an immediate refusal into a late response. The
 //! queue is served in the order of the accounts' max-min fair shares, then of priority, then of arrival.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use slotmap::SlotMap;
 use smallvec::SmallVec;
 
 use super::allowance;
-use super::domain_summary::{self, DomainMembers, DomainWork, Member};
-use super::gossip::{InstanceReport, UnmetDemand};
+use super::gossip::UnmetDemand;
 use super::loads::{LoadTracker, Work};
 use super::placement::{
     HomeServers, Location, Placement, PlacementError, PlacementRequest, PlacementView,
@@ -23,14 +22,17 @@
 use super::registry::{Change, RegistrationList, Registry};
 use super::request::{Admission, Cause, Decision, DecisionContext, Refusal, Request, Ticket};
 use super::retry_budget::RetryBudget;
-use super::shape::PrefixKey;
 use super::ttft::TtftModel;
-use super::unmet_demand::{REPORT_TTL, UnmetDemandTracker, preempts_others};
+use super::unmet_demand::{UnmetDemandTracker, preempts_others};
 use super::usage::{AccountUsage, DECAY_TIME, FairShare, ShareStatus, UsageTracker, fair_shares};
 use crate::codes::Code;
-use crate::ident::{AccountId, DomainId, InstanceId, RegionId, ServerId, ServiceId};
+use crate::ident::{AccountId, DomainId, RegionId, ServerId, ServiceId};
 use crate::limits::queue_rate::QueueRate;
 
+mod exchange;
+
+use exchange::SpilledPrefixes;
+
 /// Fraction of its objective for which a request may be queued; the rest is left for its response.
 const MAX_WAIT_FRACTION: f64 = 0.3;
 /// Maximum number of queued requests of one instance; each holds its body in memory.
@@ -84,8 +86,8 @@
     fleet_usage: BTreeMap<AccountId, AccountUsage>,
     shares: BTreeMap<AccountId, FairShare>,
     unmet_tracker: UnmetDemandTracker,
-    spilled: VecDeque<(PrefixKey, ServerId, Instant)>,
-    peer_spilled: VecDeque<(PrefixKey, ServerId, Instant)>,
+    spilled: SpilledPrefixes,
+    peer_spilled: SpilledPrefixes,
     shares_updated: Option<Instant>,
 }
 
@@ -107,8 +109,8 @@
             fleet_usage: BTreeMap::new(),
             shares: BTreeMap::new(),
             unmet_tracker: UnmetDemandTracker::default(),
-            spilled: VecDeque::new(),
-            peer_spilled: VecDeque::new(),
+            spilled: SpilledPrefixes::default(),
+            peer_spilled: SpilledPrefixes::default(),
             shares_updated: None,
         }
     }
@@ -365,7 +367,7 @@
         self.prefix_index
             .record(placement.server, &request.shape, now);
         if let (true, Some(prefix)) = (placement.spilled, request.shape.shared_prefix()) {
-            push_spilled(&mut self.spilled, prefix, placement.server, now);
+            self.spilled.push(prefix, placement.server, now);
         }
         if let Some(account) = request.account
             && request.tried.is_empty()
@@ -433,77 +435,6 @@
         preempts_others(unmet, self.token_rate)
     }
 
-    /// Returns this instance's recent unmet demand, to report to others.
-    pub fn unmet_demand(&self, now: Instant) -> Vec<(ServiceId, ShareStatus, UnmetDemand)> {
-        self.unmet_tracker.report(now)
-    }
-
-    /// Returns prefixes recently sent to a server other than their home, to report to others.
-    pub fn spilled_prefixes(&mut self, now: Instant) -> Vec<(PrefixKey, ServerId)> {
-        self.spilled
-            .retain(|(_, _, at)| now.duration_since(*at) < REPORT_TTL);
-        self.spilled.iter().map(|(p, s, _)| (*p, *s)).collect()
-    }
-
-    /// Applies the report of another instance.
-    pub fn apply_report(&mut self, from: InstanceId, report: &InstanceReport, now: Instant) {
-        self.loads.apply_peer_report(from, report.work.clone(), now);
-        self.account_usage
-            .apply_peer_report(from, report.usage.clone(), now);
-        for (prefix, server) in &report.spilled {
-            self.prefix_index.record_remote(*server, *prefix, now);
-        }
-        self.unmet_tracker
-            .apply_peer_report(from, &report.unmet, now);
-        for (prefix, server) in &report.spilled {
-            push_spilled(&mut self.peer_spilled, *prefix, *server, now);
-        }
-    }
-
-    /// Builds the report of the own failure domain; `members` are its live instances, including this one.
-    pub fn domain_members(
-        &mut self,
-        domain: DomainId,
-        members: Vec<Member>,
-        now: Instant,
-    ) -> DomainMembers {
-        let ids: Vec<InstanceId> = members.iter().map(|m| m.id).collect();
-        let unmet = self.unmet_tracker.domain_sum(&ids, now);
-        let fresh = |at: &Instant| now.duration_since(*at) < REPORT_TTL;
-        self.peer_spilled.retain(|(_, _, at)| fresh(at));
-        let all = self.spilled.iter().chain(&self.peer_spilled).rev();
-        let spilled = all.filter(|(_, _, at)| fresh(at));
-        DomainMembers {
-            domain,
-            members,
-            unmet,
-            spilled: spilled
-                .take(domain_summary::MAX_SPILLED)
-                .map(|(p, s, _)| (*p, *s))
-                .collect(),
-        }
-    }
-
-    /// Applies another failure domain's report on its members.
-    pub fn apply_domain_members(&mut self, members: &DomainMembers, now: Instant) {
-        let source = domain_summary::source_id(members.domain, 0);
-        self.unmet_tracker
-            .apply_peer_report(source, &members.unmet, now);
-        for (prefix, server) in &members.spilled {
-            self.prefix_index.record_remote(*server, *prefix, now);
-        }
-    }
-
-    /// Applies another failure domain's report on its work in flight.
-    pub fn apply_domain_work(&mut self, summary: DomainWork, now: Instant) {
-        let source = summary.source_id();
-        if summary.number == 0 {
-            self.account_usage
-                .apply_peer_report(source, summary.usage, now);
-        }
-        self.loads.apply_peer_report(source, summary.work, now);
-    }
-
     /// Returns whether a request can't reach the head of the queue within its time to wait.
     fn is_hopeless(&self, request: &Request, now: Instant) -> bool {
         let rank = self.rank(request);
@@ -562,18 +493,6 @@
     }
 }
 
-fn push_spilled(
-    spilled: &mut VecDeque<(PrefixKey, ServerId, Instant)>,
-    prefix: PrefixKey,
-    server: ServerId,
-    now: Instant,
-) {
-    if spilled.len() >= domain_summary::MAX_SPILLED {
-        spilled.pop_front();
-    }
-    spilled.push_back((prefix, server, now));
-}
-
 fn wait_deadline(request: &Request) -> Instant {
     (request.arrival + request.objective.mul_f64(MAX_WAIT_FRACTION)).min(request.deadline)
 }
--- a/crates/hawthornmill/src/routing/unmet_demand.rs
+++ b/crates/hawthornmill/src/routing/unmet_demand.rs
@@ -84,19 +84,41 @@
         &self,
         members: &[InstanceId],
         now: Instant,
+    ) -> Vec<(ServiceId, ShareStatus, UnmetDemand)> {
+        self.sum_from(|from| members.contains(&from), now)
+    }
+
+    fn sum_from(
+        &self,
+        counts: impl Fn(InstanceId) -> bool,
+        now: Instant,
     ) -> Vec<(ServiceId, ShareStatus, UnmetDemand)> {
         let mut all: BTreeMap<(ServiceId, ShareStatus), UnmetDemand> = BTreeMap::new();
         for (service, status, demand) in self.report(now) {
             all.entry((service, status)).or_default().add(demand);
         }
         for ((service, status, from), (at, demand)) in &self.remote {
-            if members.contains(from) && now.duration_since(*at) < DEMAND_TTL {
+            if counts(*from) && now.duration_since(*at) < DEMAND_TTL {
                 all.entry((*service, *status)).or_default().add(*demand);
             }
         }
         all.into_iter().map(|((s, st), l)| (s, st, l)).collect()
     }
 
+    /// Returns the unmet demand of the whole fleet without what `member` reported.
+    pub fn fleet_without(
+        &self,
+        member: InstanceId,
+        now: Instant,
+    ) -> Vec<(ServiceId, ShareStatus, UnmetDemand)> {
+        self.sum_from(|from| from != member, now)
+    }
+
+    /// Forgets the reports for whose origin `keep` returns false.
+    pub fn retain(&mut self, keep: impl Fn(InstanceId) -> bool) {
+        self.remote.retain(|(_, _, from), _| keep(*from));
+    }
+
     /// Applies the report of `from`, an instance or a failure domain.
     pub fn apply_peer_report(
         &mut self,
--- a/crates/hawthornmill/src/routing/usage.rs
+++ b/crates/hawthornmill/src/routing/usage.rs
@@ -11,6 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::load_parts::{DemandPart, PartKey, REST_OF_FLEET, Scope};
 use crate::ident::{AccountId, InstanceId};
 
 /// Time constant of the decay: after it, a cost counts for 1/e of its value.
@@ -116,6 +117,13 @@
         self.requested += other.requested;
         self.served += other.served;
     }
+
+    fn without(self, other: Self) -> Self {
+        Self {
+            requested: (self.requested - other.requested).max(0.0),
+            served: (self.served - other.served).max(0.0),
+        }
+    }
 }
 
 /// Usage at an instant.
@@ -141,7 +149,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct UsageTracker {
     local: BTreeMap<AccountId, Decaying>,
-    peers: BTreeMap<InstanceId, (Instant, Vec<(AccountId, AccountUsage)>)>,
+    peers: BTreeMap<PartKey, (Instant, Vec<(AccountId, AccountUsage)>)>,
 }
 
 impl UsageTracker {
@@ -193,11 +201,42 @@
         now: Instant,
     ) -> Vec<(AccountId, AccountUsage)> {
         let mut all: BTreeMap<AccountId, AccountUsage> = self.local(now).into_iter().collect();
-        let peers = members.iter().filter_map(|id| self.peers.get(id));
-        add_peer_reports(&mut all, peers, now);
+        for member in members {
+            add_peer_reports(&mut all, self.parts_of(*member), now);
+        }
         all.into_iter().collect()
     }
 
+    /// Returns `totals` without what `member` reported.
+    pub fn without(
+        &self,
+        totals: &BTreeMap<AccountId, AccountUsage>,
+        member: InstanceId,
+        now: Instant,
+    ) -> Vec<(AccountId, AccountUsage)> {
+        let mut own = BTreeMap::new();
+        add_peer_reports(&mut own, self.parts_of(member), now);
+        let left = |(id, sums): (&AccountId, &AccountUsage)| {
+            let own = own.get(id).copied().unwrap_or_default();
+            (*id, sums.without(own))
+        };
+        let all = totals.iter().map(left);
+        all.filter(|(_, sums)| sums.requested >= MIN_REPORTED_COST)
+            .collect()
+    }
+
+    fn parts_of(
+        &self,
+        origin: InstanceId,
+    ) -> impl Iterator<Item = &(Instant, Vec<(AccountId, AccountUsage)>)> {
+        let last = PartKey {
+            origin,
+            number: u8::MAX,
+        };
+        let parts = self.peers.range(PartKey::whole(origin)..=last);
+        parts.map(|(_, part)| part)
+    }
+
     /// Replaces a peer's earlier report.
     pub fn apply_peer_report(
         &mut self,
@@ -205,7 +244,27 @@
         sums: Vec<(AccountId, AccountUsage)>,
         now: Instant,
     ) {
-        self.peers.insert(peer, (now, sums));
+        self.peers.insert(PartKey::whole(peer), (now, sums));
+    }
+
+    /// Replaces a part of the report of `sender`.
+    pub fn apply_part(&mut self, sender: InstanceId, part: &DemandPart, now: Instant) {
+        let origin = part.scope.origin(sender);
+        if part.scope == Scope::RestOfFleet {
+            self.peers.retain(|key, _| key.origin == REST_OF_FLEET);
+        }
+        self.peers
+            .retain(|key, _| key.origin != origin || key.number < part.parts);
+        let key = PartKey {
+            origin,
+            number: part.number,
+        };
+        self.peers.insert(key, (now, part.usage.clone()));
+    }
+
+    /// Forgets what a relay reported of the rest of the fleet.
+    pub fn remove_rest_of_fleet(&mut self) {
+        self.peers.retain(|key, _| key.origin != REST_OF_FLEET);
     }
 
     /// Returns fleet-wide usage.
--- a/crates/hawthornmill/src/wire/message.rs
+++ b/crates/hawthornmill/src/wire/message.rs
@@ -7,9 +7,10 @@
 use crate::fairness::CostKey;
 use crate::ident::{AccountId, Incarnation, InstanceId, PoolId, ServerId};
 use crate::routing::departures::Departure;
-use crate::routing::domain_summary::{DomainMembers, DomainWork};
+use crate::routing::domain_summary::DomainMembers;
 use crate::routing::fragments::{Fragment, FragmentRequest};
 use crate::routing::gossip::{InstanceReport, SyncRequest, SyncResponse};
+use crate::routing::load_parts::{DemandPart, WorkPart};
 use crate::routing::loads::Work;
 
 /// Identifies a grant: the owner that issued it and its number there.
@@ -321,8 +322,10 @@
     Work(Vec<(ServerId, Work)>),
     /// Members of a failure domain of a large fleet, over UDP.
     DomainMembers(Box<DomainMembers>),
-    /// Requests that such a failure domain has in flight, over UDP.
-    DomainWork(Box<DomainWork>),
+    /// Work in flight of an instance, a failure domain or the rest of the fleet, over UDP.
+    WorkPart(Box<WorkPart>),
+    /// Demand that came to an instance, a failure domain or the rest of the fleet, over UDP.
+    DemandPart(Box<DemandPart>),
     /// Requests newer state from a gateway instance.
     SyncRequest(SyncRequest),
     /// Response with that state.
--- a/tests/testsuite/gateway/missed_updates.rs
+++ b/tests/testsuite/gateway/missed_updates.rs
@@ -66,6 +66,7 @@
             client_addr: std::net::SocketAddr::new(own.ip(), port),
             peer_addr: own,
             domain: DomainId::of("a"),
+            cpu_percent: 12,
         };
         let report = InstanceReport {
             catalog_version: version,
--- a/tests/testsuite/routing/domain_summary.rs
+++ b/tests/testsuite/routing/domain_summary.rs
@@ -1,13 +1,16 @@
 //! Summaries that failure domains of a large fleet exchange.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use hawthornmill::ident::{AccountId, DomainId, Incarnation, InstanceId, ServerId};
-use hawthornmill::routing::domain_summary::{DomainWork, Member};
-use hawthornmill::routing::gossip::{InstanceReport, PeerInfo, PeerTable, StoreRole};
+use hawthornmill::ident::{AccountId, DomainId, Incarnation, InstanceId, ServerId, ServiceId};
+use hawthornmill::routing::domain_summary::{DomainMembers, Member, MemberRotation};
+use hawthornmill::routing::gossip::{InstanceReport, PeerInfo, PeerTable, StoreRole, UnmetDemand};
+use hawthornmill::routing::load_parts::{Scope, split_demand, split_work};
 use hawthornmill::routing::loads::{LoadTracker, Work};
-use hawthornmill::routing::usage::AccountUsage;
+use hawthornmill::routing::shape::PrefixKey;
+use hawthornmill::routing::usage::{AccountUsage, ShareStatus};
 use hawthornmill::wire::frame::MAX_DATAGRAM_BYTES;
 use hawthornmill::wire::{Message, Sealer};
 use hawthornmill_test_support::gossip::instance_report;
@@ -31,7 +34,7 @@
 
 /// Failure domain of an instance; each has six.
 fn domain(number: u16) -> DomainId {
-    DomainId::of(["a", "b", "c"][usize::from(number / 6)])
+    DomainId::of(["a", "b", "c"][usize::from(number / 6).min(2)])
 }
 
 fn peer_info(number: u16) -> PeerInfo {
@@ -39,6 +42,7 @@
         client_addr: address(2 * number + 1_000),
         peer_addr: address(2 * number + 1_001),
         domain: domain(number),
+        cpu_percent: 12,
     }
 }
 
@@ -61,7 +65,7 @@
 
 /// Peer table of instance `me` in a fleet of 18, with reports of its own domain and summaries of the others.
 fn peer_table(me: u16, now: Instant) -> PeerTable {
-    let mut peer_table = PeerTable::new(domain(me));
+    let mut peer_table = PeerTable::new(domain(me), 12);
     for number in (0..18).filter(|n| *n != me) {
         if domain(number) == domain(me) {
             peer_table.apply_report(instance(number), Incarnation(1), &report(number), now);
@@ -123,7 +127,7 @@
     let now = Instant::now();
     let mut peer_table = peer_table(0, now);
 
-    let targets = peer_table.gossip_targets(&[], 1, now);
+    let targets = peer_table.gossip_targets(instance(0), &[], 1, now);
 
     assert_eq!(targets.len(), 5);
     assert!(targets.iter().all(|a| peer_table.is_domain_peer(*a)));
@@ -139,13 +143,13 @@
     peer_table.apply_report(instance(7), Incarnation(2), &report(7), now);
     let reported = (0..4).any(|round| {
         peer_table
-            .gossip_targets(&[], round, now)
+            .gossip_targets(instance(0), &[], round, now)
             .contains(&peer_info(7).peer_addr)
     });
     let later = (0..4).any(|round| {
         let at = now + millis(2_100);
         peer_table
-            .gossip_targets(&[], round, at)
+            .gossip_targets(instance(0), &[], round, at)
             .contains(&peer_info(7).peer_addr)
     });
 
@@ -164,7 +168,7 @@
 
     peer_table.apply_report(instance(1), Incarnation(1), &naming_all, now);
     let targets: Vec<SocketAddr> = (0..4)
-        .flat_map(|round| peer_table.gossip_targets(&[], round, now))
+        .flat_map(|round| peer_table.gossip_targets(instance(0), &[], round, now))
         .collect();
 
     let remote = (6..18).map(|n| peer_info(n).peer_addr);
@@ -186,7 +190,10 @@
         for side in 0..2 {
             tables[side].apply_member(&member(numbers[1 - side]), now);
             let to = peer_info(numbers[1 - side]).peer_addr;
-            if tables[side].gossip_targets(&[], round, now).contains(&to) {
+            if tables[side]
+                .gossip_targets(instance(numbers[side]), &[], round, now)
+                .contains(&to)
+            {
                 let from = numbers[side];
                 tables[1 - side].apply_report(instance(from), Incarnation(1), &report(from), now);
                 late_reports += u32::from(round >= 20);
@@ -206,7 +213,7 @@
     let later = now + millis(3_000);
 
     let probed: Vec<SocketAddr> = (0..40)
-        .flat_map(|round| peer_table.gossip_targets(&[], round, later))
+        .flat_map(|round| peer_table.gossip_targets(instance(0), &[], round, later))
         .collect();
 
     assert!((6..18).all(|n| probed.contains(&peer_info(n).peer_addr)));
@@ -275,11 +282,16 @@
             served: 5.0,
         },
     )];
-    let reported = DomainWork::parts(DomainId::of("b"), &[(server, ONE)], &usage);
+    let scope = Scope::Domain(DomainId::of("b"));
+    let work = split_work(scope, &[(server, ONE)]);
+    let demand = split_demand(scope, &usage, &[], &[]);
 
-    for _ in 0..3 {
-        for part in &reported {
-            scheduler.apply_domain_work(part.clone(), now);
+    for relay in [instance(6), instance(7), instance(6)] {
+        for part in &work {
+            scheduler.apply_work(relay, part.clone(), now);
+        }
+        for part in &demand {
+            scheduler.apply_demand(relay, part, now);
         }
     }
 
@@ -316,35 +328,121 @@
     assert_eq!(loads.backlog(server, now), first);
 }
 
-/// Failure: a summary of 16 instances, 90 servers and 30 accounts exceeds the size of a datagram.
+/// Failure: a summary of 90 servers and 30 accounts, or of 12,000 and 230, exceeds the size of a datagram and is lost as a
+/// whole, or what does not fit is left out of each one.
 #[test]
-fn domain_summaries_fit_datagrams() {
-    let work: Vec<(ServerId, Work)> = (0..90)
-        .map(|n| {
-            let work = Work {
-                running: 30,
-                pending_prefill: 60_000,
-                kv_tokens: 300_000,
-                total_prefill: u32::MAX,
-            };
-            (ServerId::of(&format!("s{n}")), work)
-        })
-        .collect();
+fn summaries_fit_datagrams_and_leave_nothing_out() {
+    let scope = Scope::Domain(DomainId::of("b"));
+    let mut sealer = Sealer::new([7; 32], instance(1), Incarnation(u64::MAX), 0);
+    for (servers, accounts) in [(90, 30), (12_000, 230)] {
+        let (work, usage) = (busy_servers(servers), usages(accounts));
+        let spilled: Vec<_> = (0..256)
+            .map(|n| (PrefixKey(u64::MAX - n), work[0].0))
+            .collect();
+        let unmet = UnmetDemand {
+            instances: u16::MAX,
+            cost: u32::MAX,
+        };
+        let unmet: Vec<_> = (0..9)
+            .map(|n| {
+                (
+                    ServiceId::of(&format!("m{n}")),
+                    ShareStatus::BelowGuarantee,
+                    unmet,
+                )
+            })
+            .collect();
+
+        let works = split_work(scope, &work);
+        let demands = split_demand(scope, &usage, &unmet, &spilled);
+
+        let mut sizes: Vec<usize> = Vec::new();
+        for part in &works {
+            let message = Message::WorkPart(Box::new(part.clone()));
+            sizes.push(sealer.seal(&message).expect("it can be encoded").len());
+        }
+        for part in &demands {
+            let message = Message::DemandPart(Box::new(part.clone()));
+            sizes.push(sealer.seal(&message).expect("it can be encoded").len());
+        }
+        assert!(sizes.iter().all(|s| *s <= MAX_DATAGRAM_BYTES), "{sizes:?}");
+        assert_eq!(works.iter().map(|p| p.work.len()).sum::<usize>(), servers);
+        assert_eq!(
+            demands.iter().map(|p| p.usage.len()).sum::<usize>(),
+            accounts
+        );
+        assert_eq!(demands.iter().map(|p| p.spilled.len()).sum::<usize>(), 256);
+        assert_eq!(demands.iter().map(|p| p.unmet.len()).sum::<usize>(), 9);
+    }
+}
+
+fn busy_servers(count: usize) -> Vec<(ServerId, Work)> {
+    let work = Work {
+        running: 30,
+        pending_prefill: 60_000,
+        kv_tokens: 300_000,
+        total_prefill: u32::MAX,
+    };
+    (0..count)
+        .map(|n| (ServerId::of(&format!("s{n}")), work))
+        .collect()
+}
+
+fn usages(count: usize) -> Vec<(AccountId, AccountUsage)> {
     let sums = AccountUsage {
         requested: 1e7,
         served: 1e7,
     };
-    let usage: Vec<(AccountId, AccountUsage)> = (0..30)
+    (0..count)
         .map(|n| (AccountId::of(&format!("a{n}")), sums))
-        .collect();
+        .collect()
+}
 
+/// Failure: a report shrinks from two parts to one, and the second part counts on until it expires.
+#[test]
+fn parts_of_a_longer_report_are_replaced_by_a_shorter_one() {
+    let now = Instant::now();
+    let work = busy_servers(80);
+    let mut loads = LoadTracker::default();
+    let apply = |loads: &mut LoadTracker, count: usize| {
+        for part in split_work(Scope::Instance, &work[..count]) {
+            loads.apply_part(instance(1), part, now);
+        }
+    };
+
+    apply(&mut loads, 80);
+    let all = loads.total(work[79].0, now).running;
+    apply(&mut loads, 20);
+
+    assert_eq!(all, 30);
+    assert_eq!(loads.total(work[79].0, now).running, 0);
+    assert_eq!(loads.total(work[0].0, now).running, 30);
+}
+
+/// Failure: the members of a large failure domain exceed a datagram, and those at its end are never named; or one that is
+/// about to stop is named only in its turn.
+#[test]
+fn all_members_of_a_large_domain_are_named_and_changed_ones_first() {
+    let mut members: Vec<Member> = (0..49).map(member).collect();
+    let mut rotation = MemberRotation::default();
     let mut sealer = Sealer::new([7; 32], instance(1), Incarnation(u64::MAX), 0);
-    let parts = DomainWork::parts(DomainId::of("b"), &work, &usage);
-    let sizes = parts
-        .into_iter()
-        .map(|p| Message::DomainWork(Box::new(p)))
-        .map(|m| sealer.seal(&m).expect("it can be encoded").len());
-
-    let sizes: Vec<usize> = sizes.collect();
-    assert!(sizes.iter().all(|s| *s <= MAX_DATAGRAM_BYTES), "{sizes:?}");
+    let mut named: BTreeMap<InstanceId, u32> = BTreeMap::new();
+
+    for _ in 0..4 {
+        let batch = rotation.next_batch(&members);
+        for member in &batch {
+            *named.entry(member.id).or_default() += 1;
+        }
+        let message = Message::DomainMembers(Box::new(DomainMembers {
+            domain: domain(0),
+            members: batch,
+        }));
+        let frame = sealer.seal(&message).expect("it can be encoded");
+        assert!(frame.len() <= MAX_DATAGRAM_BYTES, "{}", frame.len());
+    }
+    members[40].leaving = true;
+    let next = rotation.next_batch(&members);
+
+    assert_eq!(named.len(), 49);
+    assert!(next.iter().any(|m| m.id == instance(40) && m.leaving));
 }
--- a/tests/testsuite/routing/fleet_simulation.rs
+++ b/tests/testsuite/routing/fleet_simulation.rs
@@ -137,6 +137,7 @@
             client_addr: address,
             peer_addr: address,
             domain: DomainId::of("a"),
+            cpu_percent: 12,
         };
         let report = |scheduler: &mut Scheduler| InstanceReport {
             work: scheduler.loads.local(),
--- a/tests/testsuite/routing/gossip.rs
+++ b/tests/testsuite/routing/gossip.rs
@@ -18,6 +18,7 @@
         client_addr: address(port),
         peer_addr: address(port + 1),
         domain: DomainId::of("a"),
+        cpu_percent: 12,
     };
     InstanceReport {
         catalog_version: version,
@@ -31,7 +32,7 @@
 #[test]
 fn peers_named_by_others_get_reports() {
     let now = Instant::now();
-    let mut peer_table = PeerTable::new(DomainId::of("a"));
+    let mut peer_table = PeerTable::new(DomainId::of("a"), 12);
 
     peer_table.apply_report(
         InstanceId::of("r2"),
@@ -39,7 +40,7 @@
         &report(20, 1, vec![address(31)]),
         now,
     );
-    let targets = peer_table.gossip_targets(&[address(99)], 1, now);
+    let targets = peer_table.gossip_targets(InstanceId::of("r0"), &[address(99)], 1, now);
 
     assert_eq!(targets, [address(21), address(31), address(99)]);
 }
@@ -49,7 +50,7 @@
 #[test]
 fn work_reports_in_a_large_fleet_stay_in_the_domain() {
     let now = Instant::now();
-    let mut peer_table = PeerTable::new(DomainId::of("a"));
+    let mut peer_table = PeerTable::new(DomainId::of("a"), 12);
     let apply = |peer_table: &mut PeerTable, number: u16| {
         let mut report = report(1_000 + 2 * number, 1, Vec::new());
         if number % 2 == 1 {
@@ -60,9 +61,13 @@
     };
 
     (0..6).for_each(|n| apply(&mut peer_table, n));
-    let small = peer_table.broadcast_targets(now).len();
+    let small = peer_table
+        .broadcast_targets(InstanceId::of("r0"), now)
+        .len();
     (6..20).for_each(|n| apply(&mut peer_table, n));
-    let large_fleet = peer_table.broadcast_targets(now).len();
+    let large_fleet = peer_table
+        .broadcast_targets(InstanceId::of("r0"), now)
+        .len();
 
     assert_eq!((small, large_fleet), (6, 10));
 }
@@ -71,7 +76,7 @@
 #[test]
 fn late_report_does_not_undo_leaving() {
     let now = Instant::now();
-    let mut peer_table = PeerTable::new(DomainId::of("a"));
+    let mut peer_table = PeerTable::new(DomainId::of("a"), 12);
     let mut leaving = report(20, 1, Vec::new());
     leaving.leaving = true;
 
@@ -107,7 +112,7 @@
 #[test]
 fn silent_peer_is_not_live_and_the_newest_is_asked() {
     let now = Instant::now();
-    let mut peer_table = PeerTable::new(DomainId::of("a"));
+    let mut peer_table = PeerTable::new(DomainId::of("a"), 12);
     peer_table.apply_report(
         InstanceId::of("old"),
         Incarnation(1),
@@ -145,7 +150,7 @@
 
 /// Peer table of instance `r0` of domain `a` in a fleet of `count` instances in two failure domains.
 fn large_fleet(count: u16, now: Instant) -> PeerTable {
-    let mut peer_table = PeerTable::new(DomainId::of("a"));
+    let mut peer_table = PeerTable::new(DomainId::of("a"), 12);
     for number in 1..count {
         let mut report = report(1_000 + 2 * number, 1, Vec::new());
         report.info.domain = DomainId::of(if number % 2 == 0 { "a" } else { "b" });
@@ -162,12 +167,19 @@
     let now = Instant::now();
     let mut peer_table = large_fleet(41, now);
 
-    let rounds: Vec<usize> = (0..4)
-        .map(|round| peer_table.gossip_targets(&[], round, now).len())
+    let rounds: Vec<usize> = (0..8)
+        .map(|round| {
+            peer_table
+                .gossip_targets(InstanceId::of("r0"), &[], round, now)
+                .len()
+        })
         .collect();
-    let small = large_fleet(9, now).gossip_targets(&[], 1, now).len();
+    let small = large_fleet(9, now)
+        .gossip_targets(InstanceId::of("r0"), &[], 1, now)
+        .len();
 
-    assert_eq!(rounds.iter().sum::<usize>(), 4 * 20 + 20, "{rounds:?}");
+    assert_eq!(rounds[0], 20 + 20, "each gets its first report at once");
+    assert_eq!(rounds[4..].iter().sum::<usize>(), 4 * 20 + 20, "{rounds:?}");
     assert_eq!(small, 8);
 }
 
@@ -220,7 +232,7 @@
 #[test]
 fn newest_catalog_does_not_hide_newer_registrations() {
     let now = Instant::now();
-    let mut peer_table = PeerTable::new(DomainId::of("a"));
+    let mut peer_table = PeerTable::new(DomainId::of("a"), 12);
     let mut servers = report(20, 3, Vec::new());
     servers.revision = 9;
     let mut both = report(40, 6, Vec::new());
@@ -248,7 +260,7 @@
 #[test]
 fn peer_is_seen_since_an_instant_only_after_a_later_report() {
     let now = Instant::now();
-    let mut peer_table = PeerTable::new(DomainId::of("a"));
+    let mut peer_table = PeerTable::new(DomainId::of("a"), 12);
     let unchanged = report(20, 1, Vec::new());
     let id = InstanceId::of("r2");
     peer_table.apply_report(id, Incarnation(1), &unchanged, now);
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -8,6 +8,7 @@
 mod fragments;
 mod gossip;
 mod lag;
+mod large_fleet;
 mod loads;
 mod log_names;
 mod placement;
--- a/tests/testsuite/routing/scheduler.rs
+++ b/tests/testsuite/routing/scheduler.rs
@@ -50,6 +50,7 @@
         client_addr: address,
         peer_addr: address,
         domain: hawthornmill::ident::DomainId::of("b"),
+        cpu_percent: 12,
     };
     InstanceReport {
         usage,
