Wake an idle process less often

Seen: after the exchange shrank, an idle fleet of 295 still took 111 s of the world's processor time for 14 s. Cause: timers that find nothing to do, the log's thread ten times a second, the pull of state ten times, roles ten times, and reports that say 'no work' five times a second. Change: the log's thread waits for lines, pulls wait for a peer that has newer state, roles are checked five times a second, and an idle instance stops its empty reports after a few.

--- a/crates/hawthornmill-gateway/src/event_log.rs
+++ b/crates/hawthornmill-gateway/src/event_log.rs
@@ -5,7 +5,7 @@
 //! it is full. The number of dropped lines is logged when there is room again.
 
 use std::io::Write;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use log::{Level, LevelFilter, Record};
@@ -26,12 +26,25 @@
     other_dropped: u64,
 }
 
+#[derive(Debug, Default)]
+struct Shared {
+    buffered: Mutex<Buffered>,
+    filled: Condvar,
+}
+
 #[derive(Debug, Clone, Default)]
-struct LineBuffer(Arc<Mutex<Buffered>>);
+struct LineBuffer(Arc<Shared>);
 
 impl LineBuffer {
     fn lock(&self) -> MutexGuard<'_, Buffered> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        let buffered = self.0.buffered.lock();
+        buffered.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits until there is something to write; an idle process must not wake up for its log.
+    fn wait_filled(&self) {
+        let is_empty = |b: &mut Buffered| b.bytes.is_empty();
+        let _filled = self.0.filled.wait_while(self.lock(), is_empty);
     }
 
     fn push(&self, low_priority: bool, line: &str) {
@@ -49,8 +62,12 @@
             }
             return;
         }
+        let was_empty = pending.bytes.is_empty();
         pending.bytes.extend_from_slice(line.as_bytes());
         pending.bytes.push(b'\n');
+        if was_empty {
+            self.0.filled.notify_one();
+        }
     }
 
     fn take_bytes(&self) -> Vec<u8> {
@@ -116,6 +133,7 @@
         .name("journal".into())
         .spawn(move || {
             loop {
+                buffer.wait_filled();
                 std::thread::sleep(WRITE_INTERVAL);
                 write(&buffer.take_bytes());
             }
--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -116,6 +116,10 @@
     pub queue_wakeup: Notify,
     /// Wakes the gossip task: something changed that peers should learn at once.
     pub report_wakeup: Notify,
+    /// Wakes the task that pulls state from peers: one of them has newer state.
+    pub behind_wakeup: Notify,
+    /// Reports without work or demand that were sent in a row.
+    pub idle_reports: Cell<u32>,
     /// Wakes the gossip task: the work of this instance changed much since it was last announced.
     pub work_wakeup: Notify,
     phase: watch::Sender<Phase>,
@@ -168,6 +172,8 @@
             store_role: Cell::new(StoreRole::Connected),
             queue_wakeup: Notify::new(),
             report_wakeup: Notify::new(),
+            behind_wakeup: Notify::new(),
+            idle_reports: Cell::new(0),
             work_wakeup: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
             waiters: RefCell::default(),
@@ -262,10 +268,13 @@
         }
     }
 
-    /// Records that a peer uses the catalog of `version`.
-    pub fn observe_version(&self, version: u64) {
+    /// Records that a peer uses the catalog of `version` and the registrations of `revision`.
+    pub fn observe_versions(&self, version: u64, revision: u64) {
         let (own, now) = (self.catalog_version(), self.now());
         self.catalog_lag.borrow_mut().observe(version, own, now);
+        if version > own || revision > self.scheduler.borrow().registry.latest_revision() {
+            self.behind_wakeup.notify_one();
+        }
     }
 
     /// Applies a change of one registration.
--- a/crates/hawthornmill-gateway/src/gossip.rs
+++ b/crates/hawthornmill-gateway/src/gossip.rs
@@ -27,6 +27,8 @@
 /// Most work entries and client accounts in a message, so that it fits into a packet.
 const MAX_REPORTED: usize = 48;
 
+/// Reports of an instance without work or demand that are sent, so that one of them arrives.
+const MAX_IDLE_REPORTS: u32 = 4;
 /// Most changes of peers in a round that are logged in a line each.
 const MAX_LOGGED_CHANGES: usize = 4;
 
@@ -94,11 +96,23 @@
     let targets = gateway.peers.borrow().broadcast_targets(gateway.id, now);
     let mut scheduler = gateway.scheduler.borrow_mut();
     scheduler.loads.mark_broadcast();
-    for part in scheduler.own_work() {
+    // Reports expire, so an instance that has been idle for a while need not say so.
+    let is_idle = gateway.idle_reports.get() > MAX_IDLE_REPORTS;
+    let (work, demand) = (scheduler.own_work(), scheduler.own_demand(now));
+    let idle = work.iter().all(|p| p.work.is_empty()) && demand.iter().all(DemandPart::is_empty);
+    gateway.idle_reports.set(if idle {
+        gateway.idle_reports.get() + 1
+    } else {
+        0
+    });
+    if idle && is_idle {
+        return;
+    }
+    for part in work {
         let message = Message::WorkPart(Box::new(part));
         datagrams.send(&message, targets.iter().copied());
     }
-    for part in scheduler.own_demand(now) {
+    for part in demand {
         let message = Message::DemandPart(Box::new(part));
         datagrams.send(&message, targets.iter().copied());
     }
@@ -270,7 +284,7 @@
         peers.mark_heard(sender, now);
     }
     for member in members.members.iter().filter(|m| m.id != gateway.id) {
-        gateway.observe_version(member.catalog_version);
+        gateway.observe_versions(member.catalog_version, member.revision);
         if let Some(change) = peers.apply_member(member, now) {
             gateway
                 .peer_changes
@@ -282,7 +296,7 @@
 
 fn handle_report(gateway: &Gateway, sender: InstanceId, run: Incarnation, report: &InstanceReport) {
     let now = gateway.now();
-    gateway.observe_version(report.catalog_version);
+    gateway.observe_versions(report.catalog_version, report.revision);
     let mut peers = gateway.peers.borrow_mut();
     if let Some(change) = peers.apply_report(sender, run, report, now) {
         let peer = report.info.peer_addr;
--- a/crates/hawthornmill-gateway/src/relay.rs
+++ b/crates/hawthornmill-gateway/src/relay.rs
@@ -18,6 +18,8 @@
 const SLICE_INTERVAL: Duration = Duration::from_millis(25);
 /// Slices of the members; each member is told once in this many intervals, so that datagrams don't come in bursts.
 const SLICES: u64 = 4;
+/// Interval at which another instance checks whether it is the relay now.
+const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Intervals between two reports on a large domain to the others, and between two on demand to a member.
 const DOMAIN_INTERVALS: u64 = 8;
 /// Intervals between two messages on members of a large domain.
@@ -61,7 +63,7 @@
             tell_members(&gateway, &datagrams, interval, now);
             tell_domains(&gateway, &datagrams, interval, now);
         } else {
-            tokio::time::sleep(SLICE_INTERVAL * (SLICES as u32 - 1)).await;
+            tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
         }
     }
 }
--- a/crates/hawthornmill-gateway/src/state_sync.rs
+++ b/crates/hawthornmill-gateway/src/state_sync.rs
@@ -26,8 +26,10 @@
 
 /// Time for which a peer must be ahead before it is asked; the store mostly answers sooner.
 const MIN_BEHIND: Duration = Duration::from_millis(350);
-/// Interval at which the peers are checked for newer state.
+/// Interval at which the peers are checked for newer state, while one of them has such.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest time until the next check while no peer is known to have newer state.
+const MAX_IDLE_WAIT: Duration = Duration::from_millis(900);
 /// Time for which a peer that did not answer is skipped; after it, the peer counts as silent.
 const RETRY_DELAY: Duration = Duration::from_secs(2);
 /// Consecutive rounds without a datagram after which a connection is tried.
@@ -129,6 +131,9 @@
         let ahead = peers_ahead(&gateway, request, &skipped);
         if ahead.is_empty() {
             behind_since = None;
+            // The notification may be of a peer that is skipped now, so this wait ends by itself too.
+            let notified = gateway.behind_wakeup.notified();
+            let _either = tokio::time::timeout(MAX_IDLE_WAIT, notified).await;
             continue;
         }
         if now.duration_since(*behind_since.get_or_insert(now)) < MIN_BEHIND {
--- a/crates/hawthornmill/src/routing/load_parts.rs
+++ b/crates/hawthornmill/src/routing/load_parts.rs
@@ -103,6 +103,13 @@
     pub spilled: Vec<(PrefixKey, ServerId)>,
 }
 
+impl DemandPart {
+    /// Returns whether the part tells nothing.
+    pub const fn is_empty(&self) -> bool {
+        self.usage.is_empty() && self.unmet.is_empty() && self.spilled.is_empty()
+    }
+}
+
 /// Splits `work` into parts; there is one without work if there is none.
 pub fn split_work(scope: Scope, work: &[(ServerId, Work)]) -> Vec<WorkPart> {
     let parts = work.len().div_ceil(MAX_SERVERS).max(1);
