Stop asking strangers once a relay names the fleet

Each of 300 instances that start at once sent a report to each other one: in the fixed-order test 65,000 datagrams in the first two seconds. Whoever hears its relay now leaves strangers and seeds alone but for one round in sixteen. The relay itself is in each message on members, so that its domain hears at once which catalog there is.

--- a/crates/hawthornmill/src/routing/domain_summary.rs
+++ b/crates/hawthornmill/src/routing/domain_summary.rs
@@ -56,15 +56,21 @@
 }
 
 impl MemberRotation {
-    /// Returns the next of `members` to name: some that changed, and others by turns.
+    /// Returns the next of `members` to name: the first one, some that changed, and others by turns.
+    ///
+    /// The first one is the relay itself; its domain learns from it which catalog and registrations there are.
     pub fn next_batch(&mut self, members: &[Member]) -> Vec<Member> {
         self.told
             .retain(|id, _| members.iter().any(|m| m.id == *id));
+        let Some((relay, members)) = members.split_first() else {
+            return Vec::new();
+        };
         let first = self.next % members.len().max(1);
         let (before, from) = members.split_at(first);
         let in_turn = || from.iter().chain(before);
         let changed = in_turn().filter(|m| self.has_changed(m));
-        let mut batch: Vec<Member> = changed.take(MAX_CHANGED).copied().collect();
+        let mut batch = vec![*relay];
+        batch.extend(changed.take(MAX_CHANGED));
         let by_turns = MAX_MEMBERS - batch.len();
         batch.extend(in_turn().take(by_turns));
         self.next = first + by_turns;
--- a/crates/hawthornmill/src/routing/gossip.rs
+++ b/crates/hawthornmill/src/routing/gossip.rs
@@ -26,11 +26,13 @@
 const FORGET_AFTER: Duration = Duration::from_mins(1);
 /// In a large fleet, one in this many rounds goes to seeds and to peers of other failure domains that report directly.
 const REMOTE_INTERVAL_ROUNDS: u64 = 4;
+/// The same for seeds and named addresses while a relay of a large failure domain names the fleet's instances.
+const SETTLED_INTERVAL_ROUNDS: u64 = 16;
 /// In a large fleet, silent peers of other failure domains that get a report in such a round, so that domains which were
 /// cut off from each other meet again.
 const PROBES_PER_ROUND: usize = 2;
 /// In a large fleet, named addresses that get their first report in another round, so that a fleet that starts meets soon.
-const NEW_CONTACTS_PER_ROUND: usize = 8;
+const NEW_CONTACTS_PER_ROUND: usize = 4;
 /// In a large fleet, time for which a peer of another failure domain gets reports after it reported directly.
 const DIRECT_TTL: Duration = Duration::from_secs(2);
 /// Number of other instances from which a fleet counts as large.
@@ -389,6 +391,14 @@
         sample
     }
 
+    /// Returns whether a relay of the own failure domain, which is large, was heard lately.
+    fn hears_relay(&self, me: InstanceId, now: Instant) -> bool {
+        let relays = self.own_relays(me, now).unwrap_or_default();
+        let relays = relays.iter().filter_map(|id| self.peers.get(id));
+        let mut heard = relays.filter_map(|p| p.last_direct);
+        self.relay_rank(me, now).is_none() && heard.any(|at| now.duration_since(at) < PEER_TIMEOUT)
+    }
+
     /// Returns some silent peers that did not say that they stop, others in each `turn`.
     fn silent_sample(&self, turn: u64, now: Instant) -> Vec<SocketAddr> {
         let silent = self
@@ -444,18 +454,25 @@
                 all.push(peer.info.peer_addr);
             }
         }
-        if !large || round.is_multiple_of(REMOTE_INTERVAL_ROUNDS) {
+        let strangers_due = if self.hears_relay(me, now) {
+            round.is_multiple_of(SETTLED_INTERVAL_ROUNDS)
+        } else {
+            !large || round.is_multiple_of(REMOTE_INTERVAL_ROUNDS)
+        };
+        if strangers_due {
             self.contacts.values_mut().for_each(|c| c.reported = true);
             all.extend(self.contacts.keys());
             all.extend(seeds);
-            all.extend(self.silent_sample(round / REMOTE_INTERVAL_ROUNDS, now));
-        } else {
+        } else if !self.hears_relay(me, now) {
             let new = self.contacts.iter_mut().filter(|(_, c)| !c.reported);
             for (address, contact) in new.take(NEW_CONTACTS_PER_ROUND) {
                 contact.reported = true;
                 all.push(*address);
             }
         }
+        if large && round.is_multiple_of(REMOTE_INTERVAL_ROUNDS) {
+            all.extend(self.silent_sample(round / REMOTE_INTERVAL_ROUNDS, now));
+        }
         all.sort_unstable();
         all.dedup();
         all
