Give roles up while late, and read the store by one instance a domain at the first start

A relay whose machine turns slow still answered, so nobody took its place, and its whole domain acted on late reports: one that is over 50 ms late for a second says that it has no processor to spare, which puts it behind all others, until it is in time for five seconds. When the fleet starts for the first time, which the settings say, and nobody waits for it, those that do not follow the store wait to hear from those that do, four seconds at most. After any other start each one reads at once. Tests: role_fitness, store_start.

--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 use hawthornmill::ident::{Incarnation, InstanceId, ServerId};
 use hawthornmill::limits::congestion::LinkMonitor;
 use hawthornmill::limits::load_shedding::LoadShedder;
+use hawthornmill::limits::role_fitness::RoleFitness;
 use hawthornmill::routing::catalog::Catalog;
 use hawthornmill::routing::departures::{Departure, RecentDepartures, Source};
 use hawthornmill::routing::domain_summary::MemberRotation;
@@ -222,6 +223,15 @@
         self.report_wakeup.notify_one();
     }
 
+    /// Takes or gives up roles that other instances depend on; `late` is the timer lag that decided it.
+    fn set_fitness(&self, fit: bool, late: Duration) {
+        let fields = json!({"fit": fit, "late_ms": late.as_millis() as u64});
+        event_log::state_change("roles", fields);
+        let cpu_percent = if fit { self.settings().cpu_percent } else { 0 };
+        self.peers.borrow_mut().cpu_percent = cpu_percent;
+        self.report_wakeup.notify_one();
+    }
+
     /// Tells whether clients may be sent to this instance.
     pub fn is_ready(&self) -> bool {
         let known = self.has_registrations.get() && self.table.borrow().is_some();
@@ -482,11 +492,15 @@
 
 /// Measures how late timers run until the process ends.
 pub async fn monitor_lateness(gateway: Rc<Gateway>) {
+    let mut fitness = RoleFitness::default();
     loop {
         let now = gateway.now();
         let mut load_shedder = gateway.load_shedder.get();
         load_shedder.tick(now, now + LATENESS_INTERVAL);
         gateway.load_shedder.set(load_shedder);
+        if let Some(fit) = fitness.observe(load_shedder.lag(now), now) {
+            gateway.set_fitness(fit, load_shedder.lag(now));
+        }
         log_rejected(&gateway, load_shedder.lag(now));
         tokio::time::sleep(LATENESS_INTERVAL).await;
     }
--- a/crates/hawthornmill-gateway/src/settings.rs
+++ b/crates/hawthornmill-gateway/src/settings.rs
@@ -19,6 +19,15 @@
     "telemetry",
 ];
 
+const INSTANCE_KEYS: [&str; 6] = [
+    "name",
+    "domain",
+    "region",
+    "cores",
+    "cpu_share",
+    "first_start",
+];
+
 /// Addresses on which this process listens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ListenAddresses {
@@ -60,6 +69,8 @@
     pub regions: Vec<(DomainId, RegionId)>,
     /// Processor that the process may use, in percent of a core.
     pub cpu_percent: u16,
+    /// The whole fleet starts for the first time.
+    pub first_start: bool,
     /// Addresses on which to listen.
     pub listen: ListenAddresses,
     /// Peer addresses of a few other instances, some of which may be outdated.
@@ -94,10 +105,7 @@
         let one = |kind: &str| Section::first_or_empty(&sections, kind);
         let listen = listen(&mut reader, &one("listen"));
         let instance = one("instance");
-        reader.reject_unknown_keys(
-            &instance,
-            &["name", "domain", "region", "cores", "cpu_share"],
-        );
+        reader.reject_unknown_keys(&instance, &INSTANCE_KEYS);
         let mut required = |key| reader.required(&instance, key).unwrap_or_default();
         let (name, domain, region) = (required("name"), required("domain"), required("region"));
         let domains: Vec<&Section> = sections.iter().filter(|s| &*s.kind == "domain").collect();
@@ -112,6 +120,11 @@
                 .map(|s| domain_region(&mut reader, s))
                 .collect(),
             cpu_percent: cpu_percent(&mut reader, &instance),
+            first_start: reader.choice(
+                &instance,
+                "first_start",
+                &[("false", false), ("true", true)],
+            ),
             listen,
             seeds: seeds(&mut reader, &peers, listen.peer.port()),
             key: key(&mut reader, &peers),
--- a/crates/hawthornmill-gateway/src/store_watch.rs
+++ b/crates/hawthornmill-gateway/src/store_watch.rs
@@ -12,6 +12,7 @@
 use hawthornmill::ident::ServerId;
 use hawthornmill::routing::gossip::StoreRole;
 use hawthornmill::routing::registry::{Change, RegistrationList};
+use hawthornmill::routing::store_start::Start;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -76,6 +77,7 @@
     topic: Topic,
     stream: Option<TcpStream>,
     revision: Option<u64>,
+    started_at: Instant,
     answered_at: Instant,
     /// Until when missing registrations may come back.
     grace_until: Option<Instant>,
@@ -91,6 +93,7 @@
         topic,
         stream: None,
         revision: None,
+        started_at: now,
         answered_at: now,
         grace_until: None,
         unreachable: false,
@@ -113,7 +116,12 @@
         loop {
             let known = gateway.has_registrations.get() && gateway.catalog_version() > 0;
             let now = gateway.now();
-            if !known || gateway.peers.borrow().should_follow_store(gateway.id, now) {
+            let start = Start {
+                first: gateway.settings().first_start,
+                age: now.duration_since(self.started_at),
+                is_follower: gateway.peers.borrow().should_follow_store(gateway.id, now),
+            };
+            if start.is_follower && known || !known && start.reads_store() {
                 if gateway.store_role.get() == StoreRole::Idle {
                     gateway.store_role.set(StoreRole::Connected);
                 }
--- a/crates/hawthornmill/src/limits/mod.rs
+++ b/crates/hawthornmill/src/limits/mod.rs
@@ -7,6 +7,7 @@
 //! | [`load_shedding`] | how many new connections an overloaded process closes |
 //! | [`queue_rate`] | how fast a queue is served, and when a refused caller should retry |
 //! | [`retry`] | whether a failed call is retried, and after which delay |
+//! | [`role_fitness`] | whether the process is fast enough to relay for others |
 //! | [`timeout`] | how long to wait for a peer's response |
 
 pub mod backlog;
@@ -14,4 +15,5 @@
 pub mod load_shedding;
 pub mod queue_rate;
 pub mod retry;
+pub mod role_fitness;
 pub mod timeout;
--- a/crates/hawthornmill/src/routing/mod.rs
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -22,6 +22,7 @@
 //! | [`fragments`] | transfer of a large response in datagrams |
 //! | [`domain_summary`] | members of the failure domains of a large fleet, as relays name them |
 //! | [`relays`] | instances that relay between others or follow the store |
+//! | [`store_start`] | whether an instance that starts reads the platform's store |
 //! | [`load_parts`] | load of an instance, a failure domain or the fleet, in parts that fit a datagram |
 //! | [`remote_work`] | work in flight that other instances report |
 
@@ -44,6 +45,7 @@
 pub mod route_table;
 pub mod scheduler;
 pub mod shape;
+pub mod store_start;
 pub mod ttft;
 pub mod unmet_demand;
 pub mod usage;
