Let periodic tasks fall due together

Seen: an idle process of a large domain still woke up some 35 times a second for timers, each of a task of its own. Change: lateness, reports, roles, cleaning and settings wait for a common grid of ticks since the start; empty work is not told to members.

--- a/crates/hawthornmill-gateway/src/daemon.rs
+++ b/crates/hawthornmill-gateway/src/daemon.rs
@@ -211,7 +211,7 @@
     let modified = || std::fs::metadata(&config).and_then(|m| m.modified()).ok();
     let mut last_modified = modified();
     loop {
-        tokio::time::sleep(SETTINGS_CHECK_INTERVAL).await;
+        tokio::time::sleep_until(gateway.next_tick(SETTINGS_CHECK_INTERVAL)).await;
         let now = modified();
         if now != last_modified {
             last_modified = now;
--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -71,6 +71,7 @@
     pub adapter: Adapter,
     /// Source of time.
     pub clock: Clock,
+    start: tokio::time::Instant,
     /// Identifies this instance.
     pub id: InstanceId,
     /// Identifies this run of the process.
@@ -151,6 +152,7 @@
             settings: RefCell::new(Rc::new(settings)),
             adapter,
             clock,
+            start: tokio::time::Instant::now(),
             incarnation,
             scheduler: RefCell::new(scheduler),
             table: RefCell::default(),
@@ -186,6 +188,15 @@
         self.clock.now()
     }
 
+    /// Returns the next instant that is a multiple of `interval` after the start.
+    ///
+    /// Periodic tasks that fall due together wake the process up once.
+    pub fn next_tick(&self, interval: Duration) -> tokio::time::Instant {
+        let elapsed = self.start.elapsed().as_nanos();
+        let ticks = elapsed / interval.as_nanos().max(1) + 1;
+        self.start + interval * u32::try_from(ticks).unwrap_or(u32::MAX)
+    }
+
     /// Returns the current settings.
     pub fn settings(&self) -> Rc<Settings> {
         Rc::clone(&self.settings.borrow())
@@ -471,7 +482,7 @@
 
 /// Interval at which queued requests are checked without a wakeup.
 const DISPATCH_INTERVAL: Duration = Duration::from_millis(25);
-const CLEANUP_INTERVAL: Duration = Duration::from_millis(250);
+const CLEANUP_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Dispatches queued requests until the process ends.
 pub async fn dispatch_loop(gateway: Rc<Gateway>) {
@@ -495,14 +506,15 @@
     let mut fitness = RoleFitness::default();
     loop {
         let now = gateway.now();
+        let next = gateway.next_tick(LATENESS_INTERVAL);
         let mut load_shedder = gateway.load_shedder.get();
-        load_shedder.tick(now, now + LATENESS_INTERVAL);
+        load_shedder.tick(now, now + next.duration_since(tokio::time::Instant::now()));
         gateway.load_shedder.set(load_shedder);
         if let Some(fit) = fitness.observe(load_shedder.lag(now), now) {
             gateway.set_fitness(fit, load_shedder.lag(now));
         }
         log_rejected(&gateway, load_shedder.lag(now));
-        tokio::time::sleep(LATENESS_INTERVAL).await;
+        tokio::time::sleep_until(next).await;
     }
 }
 
@@ -522,7 +534,7 @@
 /// Removes expired registrations and idle connections until the process ends.
 pub async fn cleanup_loop(gateway: Rc<Gateway>) {
     loop {
-        tokio::time::sleep(CLEANUP_INTERVAL).await;
+        tokio::time::sleep_until(gateway.next_tick(CLEANUP_INTERVAL)).await;
         let now = gateway.now();
         let gone = gateway.scheduler.borrow_mut().sweep(now);
         for server in gone {
--- a/crates/hawthornmill-gateway/src/gossip.rs
+++ b/crates/hawthornmill-gateway/src/gossip.rs
@@ -52,7 +52,7 @@
                 continue;
             }
         }
-        due = tokio::time::Instant::now() + gateway.settings().report_interval;
+        due = gateway.next_tick(gateway.settings().report_interval);
         round += 1;
         let now = gateway.now();
         let settings = gateway.settings();
--- a/crates/hawthornmill-gateway/src/relay.rs
+++ b/crates/hawthornmill-gateway/src/relay.rs
@@ -44,7 +44,7 @@
 pub async fn relay_large_domain(gateway: Rc<Gateway>, datagrams: Rc<DatagramSocket>) {
     let mut interval: u64 = 0;
     loop {
-        tokio::time::sleep(SLICE_INTERVAL).await;
+        tokio::time::sleep_until(gateway.next_tick(SLICE_INTERVAL)).await;
         interval += 1;
         let now = gateway.now();
         let (is_relay, speaks) = {
@@ -63,7 +63,7 @@
             tell_members(&gateway, &datagrams, interval, now);
             tell_domains(&gateway, &datagrams, interval, now);
         } else {
-            tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
+            tokio::time::sleep_until(gateway.next_tick(ROLE_CHECK_INTERVAL)).await;
         }
     }
 }
@@ -77,6 +77,9 @@
     let members = peers.domain_peers(now);
     for (id, peer) in members.filter(|(id, _)| id.0 % SLICES == interval % SLICES) {
         for part in scheduler.work_without(&fleet, id) {
+            if part.work.is_empty() && !with_demand {
+                continue;
+            }
             datagrams.send(&Message::WorkPart(Box::new(part)), [peer.info.peer_addr]);
         }
         if !with_demand {
--- a/crates/hawthornmill-gateway/src/store_watch.rs
+++ b/crates/hawthornmill-gateway/src/store_watch.rs
@@ -128,7 +128,7 @@
                 return;
             }
             gateway.store_role.set(StoreRole::Idle);
-            tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
+            tokio::time::sleep_until(gateway.next_tick(ROLE_CHECK_INTERVAL)).await;
         }
     }
 
