Count one instance of a domain as the first to follow the store

While a fleet starts nobody is connected to the store, so each instance that had heard of others took itself for the follower: 722 calls instead of a few dozen. At the first start the order of the roles alone decides (test).

--- a/crates/hawthornmill-gateway/src/store_watch.rs
+++ b/crates/hawthornmill-gateway/src/store_watch.rs
@@ -113,23 +113,28 @@
     /// Waits while other instances read the store for this one.
     async fn wait_until_reader(&self) {
         let gateway = &self.gateway;
-        loop {
-            let known = gateway.has_registrations.get() && gateway.catalog_version() > 0;
-            let now = gateway.now();
-            let start = Start {
-                first: gateway.settings().first_start,
-                age: now.duration_since(self.started_at),
-                is_follower: gateway.peers.borrow().should_follow_store(gateway.id, now),
-            };
-            if start.is_follower && known || !known && start.reads_store() {
-                if gateway.store_role.get() == StoreRole::Idle {
-                    gateway.store_role.set(StoreRole::Connected);
-                }
-                return;
-            }
+        while !self.is_reader() {
             gateway.store_role.set(StoreRole::Idle);
             tokio::time::sleep_until(gateway.next_tick(ROLE_CHECK_INTERVAL)).await;
         }
+        if gateway.store_role.get() == StoreRole::Idle {
+            gateway.store_role.set(StoreRole::Connected);
+        }
+    }
+
+    /// Tells whether this instance reads the store now.
+    fn is_reader(&self) -> bool {
+        let gateway = &self.gateway;
+        let (peers, now) = (gateway.peers.borrow(), gateway.now());
+        if gateway.has_registrations.get() && gateway.catalog_version() > 0 {
+            return peers.should_follow_store(gateway.id, now);
+        }
+        let start = Start {
+            first: gateway.settings().first_start,
+            age: now.duration_since(self.started_at),
+            is_follower: peers.is_first_to_follow(gateway.id, now),
+        };
+        start.reads_store()
     }
 
     fn prefix(&self) -> &'static str {
--- a/crates/hawthornmill/src/routing/relays.rs
+++ b/crates/hawthornmill/src/routing/relays.rs
@@ -159,10 +159,15 @@
         {
             return true;
         }
+        self.is_first_to_follow(me, now)
+    }
+
+    /// Returns whether no other instance of the failure domain would follow the store before instance `me`.
+    pub fn is_first_to_follow(&self, me: InstanceId, now: Instant) -> bool {
         let own = self.own_order(me);
-        let candidates = others().filter(|(_, p)| {
-            p.info.domain == self.domain && p.store_role != StoreRole::Disconnected
-        });
+        let candidates = self
+            .domain_peers(now)
+            .filter(|(_, p)| !p.leaving && p.store_role != StoreRole::Disconnected);
         candidates
             .filter(|(id, p)| peer_order(*id, &p.info) > own)
             .count()
--- a/tests/testsuite/routing/role_fitness.rs
+++ b/tests/testsuite/routing/role_fitness.rs
@@ -4,7 +4,7 @@
 
 use hawthornmill::ident::{DomainId, Incarnation, InstanceId};
 use hawthornmill::limits::role_fitness::RoleFitness;
-use hawthornmill::routing::gossip::{PeerInfo, PeerTable};
+use hawthornmill::routing::gossip::{InstanceReport, PeerInfo, PeerTable, StoreRole};
 use hawthornmill_test_support::gossip::instance_report;
 
 use super::millis;
@@ -27,6 +27,35 @@
     assert_eq!(changes, [(30, false), (90, true)]);
 }
 
+/// Failure: while a fleet starts nobody is connected to the store, so each instance takes itself for its follower.
+#[test]
+fn one_instance_of_a_domain_is_the_first_to_follow_the_store_before_any_is_connected() {
+    let now = Instant::now();
+    let report = |number: u16| {
+        let address = std::net::SocketAddr::from(([127, 0, 0, 1], 1_000 + number));
+        let info = PeerInfo {
+            client_addr: address,
+            peer_addr: address,
+            domain: DomainId::of("a"),
+            cpu_percent: 12,
+        };
+        InstanceReport {
+            store_role: StoreRole::Idle,
+            ..instance_report(info)
+        }
+    };
+    let first = (0..20).filter(|me| {
+        let mut peer_table = PeerTable::new(DomainId::of("a"), 12);
+        for number in (0..20).filter(|n| n != me) {
+            let id = InstanceId::of(&format!("r{number}"));
+            peer_table.apply_report(id, Incarnation(1), &report(number), now);
+        }
+        peer_table.is_first_to_follow(InstanceId::of(&format!("r{me}")), now)
+    });
+
+    assert_eq!(first.count(), 1);
+}
+
 /// Failure: roles go by a hash alone, to instances with a quarter of the processor of others.
 #[test]
 fn fastest_instances_relay_and_slow_ones_do_not() {
