Keep each spilled prefix once at a relay, and pass on all of them

Cause, one of them: instances repeat the prefixes that they sent astray in each report for 0.9 s. At a relay of 48 members and five domains the repeats fill its memory of 256 within 0.15 s, and a domain told the 24 newest only, so others did not know which servers had a prompt's prefix cached. Change: each is kept once, 1,024 of them, and a domain tells up to 128. The test fails before (24 of 96 are told).

--- a/crates/hawthornmill/src/routing/scheduler/exchange.rs
+++ b/crates/hawthornmill/src/routing/scheduler/exchange.rs
@@ -1,6 +1,6 @@
 //! What a scheduler tells other instances, and what it takes over from them.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use super::Scheduler;
@@ -14,30 +14,44 @@
 use crate::routing::unmet_demand::REPORT_TTL;
 use crate::routing::usage::{AccountUsage, ShareStatus};
 
-/// Spilled prefixes in one report of an instance or a domain, so that they fit a datagram.
+/// Spilled prefixes in one report of an instance, so that it fits a datagram.
 const MAX_SPILLED: usize = 24;
+/// Spilled prefixes in one report of a failure domain; two datagrams.
+const MAX_DOMAIN_SPILLED: usize = 128;
 /// Spilled prefixes that are kept; a relay passes on those of a whole fleet.
-const MAX_KEPT: usize = 256;
-/// Time for which a relay names a spilled prefix to its domain; two or three of its reports.
-const RELAY_TTL: Duration = Duration::from_millis(450);
+const MAX_KEPT: usize = 1_024;
+/// Time for which a relay names a spilled prefix: in two of its reports, so that one may be lost.
+const RELAY_TTL: Duration = Duration::from_millis(420);
 
 /// Prefixes recently sent to a server other than their home, the oldest first.
+///
+/// Each is kept once: instances repeat theirs in several reports, and the repeats of a fleet would drive out the others.
 #[derive(Debug, Clone, Default)]
-pub(super) struct SpilledPrefixes(VecDeque<(PrefixKey, ServerId, Instant)>);
+pub(super) struct SpilledPrefixes {
+    in_order: VecDeque<(PrefixKey, ServerId, Instant)>,
+    known: BTreeSet<(PrefixKey, ServerId)>,
+}
 
 impl SpilledPrefixes {
     pub(super) fn push(&mut self, prefix: PrefixKey, server: ServerId, now: Instant) {
-        while self.0.len() >= MAX_KEPT
-            || self.0.front().is_some_and(|e| is_old(e.2, REPORT_TTL, now))
-        {
-            self.0.pop_front();
+        while self.is_full(now) {
+            if let Some((prefix, server, _)) = self.in_order.pop_front() {
+                self.known.remove(&(prefix, server));
+            }
+        }
+        if self.known.insert((prefix, server)) {
+            self.in_order.push_back((prefix, server, now));
         }
-        self.0.push_back((prefix, server, now));
+    }
+
+    fn is_full(&self, now: Instant) -> bool {
+        let oldest = self.in_order.front();
+        self.in_order.len() >= MAX_KEPT || oldest.is_some_and(|e| is_old(e.2, REPORT_TTL, now))
     }
 
     /// Returns those that are not older than `ttl`, the newest first.
     fn newest(&self, ttl: Duration, now: Instant) -> impl Iterator<Item = (PrefixKey, ServerId)> {
-        let recent = self.0.iter().rev();
+        let recent = self.in_order.iter().rev();
         recent
             .take_while(move |(_, _, at)| !is_old(*at, ttl, now))
             .map(|(prefix, server, _)| (*prefix, *server))
@@ -112,7 +126,8 @@
     ) -> Vec<DemandPart> {
         let usage = self.account_usage.domain_sum(members, now);
         let unmet = self.unmet_tracker.domain_sum(members, now);
-        let spilled: Vec<_> = self.recent_spilled(now).take(MAX_SPILLED).collect();
+        let recent = self.recent_spilled(now);
+        let spilled: Vec<_> = recent.take(MAX_DOMAIN_SPILLED).collect();
         split_demand(Scope::Domain(domain), &usage, &unmet, &spilled)
     }
 
--- a/tests/testsuite/routing/domain_summary.rs
+++ b/tests/testsuite/routing/domain_summary.rs
@@ -1,6 +1,6 @@
 //! Summaries that failure domains of a large fleet exchange.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Instant;
 
@@ -376,6 +376,30 @@
     }
 }
 
+/// Failure: instances repeat their spilled prefixes in each report, the repeats of a large domain fill the relay's memory, and
+/// other domains read prompts again that a server has cached.
+#[test]
+fn relay_passes_on_each_spilled_prefix_whatever_is_repeated() {
+    let start = Instant::now();
+    let mut relay = scheduler(&[("s", "a")], start);
+    let server = ServerId::of("s");
+    let mut told = BTreeSet::new();
+
+    for round in 0..4 {
+        let now = start + millis(200 * round);
+        for member in 0..48 {
+            let spilled = [0, 1].map(|n| (PrefixKey(2 * u64::from(member) + n), server));
+            for part in split_demand(Scope::Instance, &[], &[], &spilled) {
+                relay.apply_demand(instance(member), &part, now);
+            }
+        }
+        let parts = relay.domain_demand(domain(0), &[], now);
+        told.extend(parts.into_iter().flat_map(|p| p.spilled));
+    }
+
+    assert_eq!(told.len(), 96);
+}
+
 fn busy_servers(count: usize) -> Vec<(ServerId, Work)> {
     let work = Work {
         running: 30,
