--- a/crates/hawthornmill/src/routing/gossip.rs
+++ b/crates/hawthornmill/src/routing/gossip.rs
@@ -424,57 +424,82 @@
         round: u64,
         now: Instant,
     ) -> Vec<SocketAddr> {
+        self.forget_silent(now);
+        let mut all = self.take_due_peers(me, round, now);
+        all.extend(self.take_due_strangers(me, seeds, round, now));
+        if self.is_large_fleet() && round.is_multiple_of(REMOTE_INTERVAL_ROUNDS) {
+            all.extend(self.silent_sample(round / REMOTE_INTERVAL_ROUNDS, now));
+        }
+        all.sort_unstable();
+        all.dedup();
+        all
+    }
+
+    fn forget_silent(&mut self, now: Instant) {
         self.peers
             .retain(|_, p| now.duration_since(p.last_seen) < FORGET_AFTER);
-        self.contacts
-            .retain(|_, c| now.duration_since(c.named_at) < FORGET_AFTER);
-        let live_addresses: BTreeSet<SocketAddr> =
-            self.live(now).map(|(_, p)| p.info.peer_addr).collect();
-        self.max_seen = self.max_seen.max(live_addresses.len() + 1);
-        self.contacts.retain(|a, _| !live_addresses.contains(a));
+        let live: BTreeSet<SocketAddr> = self.live(now).map(|(_, p)| p.info.peer_addr).collect();
+        self.max_seen = self.max_seen.max(live.len() + 1);
+        self.contacts.retain(|address, contact| {
+            !live.contains(address) && now.duration_since(contact.named_at) < FORGET_AFTER
+        });
+    }
+
+    /// Returns the known peers that get a report in `round`.
+    fn take_due_peers(&mut self, me: InstanceId, round: u64, now: Instant) -> Vec<SocketAddr> {
         let large = self.is_large_fleet();
+        let own_relays = self.own_relays(me, now);
         let is_recent =
             |at: Option<Instant>, ttl: Duration| at.is_some_and(|at| now.duration_since(at) < ttl);
-        let own_relays = self.own_relays(me, now);
-        let due = |id: &InstanceId, p: &PeerState| {
+        let is_due = |id: &InstanceId, p: &PeerState| {
+            let is_near = p.info.domain == self.domain
+                && own_relays.as_ref().is_none_or(|relays| relays.contains(id));
             let direct_only =
                 is_recent(p.last_direct, DIRECT_TTL) && !is_recent(p.last_relayed, REMOTE_TIMEOUT);
             let in_turn = !p.reported_to || (id.0 ^ round).is_multiple_of(REMOTE_INTERVAL_ROUNDS);
-            !large
-                || (p.info.domain == self.domain
-                    && own_relays.as_ref().is_none_or(|relays| relays.contains(id)))
-                || (direct_only && in_turn)
+            !large || is_near || (direct_only && in_turn)
         };
-        let due_peers = self.peers.iter().filter(|(id, p)| due(id, p));
-        let due_peers: Vec<InstanceId> = due_peers.map(|(id, _)| *id).collect();
-        let mut all = Vec::with_capacity(due_peers.len());
-        for id in due_peers {
+        let due = self.peers.iter().filter(|(id, p)| is_due(id, p));
+        let due: Vec<InstanceId> = due.map(|(id, _)| *id).collect();
+        let mut addresses = Vec::with_capacity(due.len());
+        for id in due {
             if let Some(peer) = self.peers.get_mut(&id) {
                 peer.reported_to = true;
-                all.push(peer.info.peer_addr);
+                addresses.push(peer.info.peer_addr);
             }
         }
-        let strangers_due = if self.hears_relay(me, now) {
+        addresses
+    }
+
+    /// Returns the seeds and named addresses that get a report in `round`.
+    fn take_due_strangers(
+        &mut self,
+        me: InstanceId,
+        seeds: &[SocketAddr],
+        round: u64,
+        now: Instant,
+    ) -> Vec<SocketAddr> {
+        let hears_relay = self.hears_relay(me, now);
+        let all_due = if hears_relay {
             round.is_multiple_of(SETTLED_INTERVAL_ROUNDS)
         } else {
-            !large || round.is_multiple_of(REMOTE_INTERVAL_ROUNDS)
+            !self.is_large_fleet() || round.is_multiple_of(REMOTE_INTERVAL_ROUNDS)
         };
-        if strangers_due {
-            self.contacts.values_mut().for_each(|c| c.reported = true);
-            all.extend(self.contacts.keys());
-            all.extend(seeds);
-        } else if !self.hears_relay(me, now) {
-            let new = self.contacts.iter_mut().filter(|(_, c)| !c.reported);
-            for (address, contact) in new.take(NEW_CONTACTS_PER_ROUND) {
-                contact.reported = true;
-                all.push(*address);
-            }
+        let new = self.contacts.iter_mut().filter(|(_, c)| !c.reported);
+        let count = match (all_due, hears_relay) {
+            (true, _) => usize::MAX,
+            (false, true) => 0,
+            (false, false) => NEW_CONTACTS_PER_ROUND,
+        };
+        let mut addresses: Vec<SocketAddr> = Vec::new();
+        for (address, contact) in new.take(count) {
+            contact.reported = true;
+            addresses.push(*address);
         }
-        if large && round.is_multiple_of(REMOTE_INTERVAL_ROUNDS) {
-            all.extend(self.silent_sample(round / REMOTE_INTERVAL_ROUNDS, now));
+        if all_due {
+            addresses.extend(self.contacts.keys());
+            addresses.extend(seeds);
         }
-        all.sort_unstable();
-        all.dedup();
-        all
+        addresses
     }
 }
