Refuse a label that is given twice

An account's labels `size=small, size=large` counted as the last one without a word, so it got other servers than its operator read. The new test failed before.

--- a/crates/hawthornmill/src/labels.rs
+++ b/crates/hawthornmill/src/labels.rs
@@ -199,7 +199,12 @@
         };
         check_word(at, key.trim())?;
         check_word(at + key.len() + 1, value.trim())?;
-        labels.insert(key.trim().into(), value.trim().into());
+        if labels
+            .insert(key.trim().into(), value.trim().into())
+            .is_some()
+        {
+            return Err(error(at, "the label is given twice"));
+        }
         at += part.len() + 1;
     }
     Ok(labels)
--- a/tests/testsuite/labels.rs
+++ b/tests/testsuite/labels.rs
@@ -35,3 +35,11 @@
     insta::assert_snapshot!(error_of("region of (a)"), @"column 1: a list needs `key in` or `key notin` before it");
     insta::assert_snapshot!(error_of("a=b)"), @"column 4: `)` without `(`");
 }
+
+/// Failure: of a label that is given twice the last one counts, and an account gets other servers than its operator reads.
+#[test]
+fn label_that_is_given_twice_is_an_error() {
+    let error = parse_labels("size=small, region=a, size=large").expect_err("`size` is ambiguous");
+
+    insta::assert_snapshot!(error.to_string(), @"column 22: the label is given twice");
+}
