--- a/crates/hawthornmill-gateway/src/gossip.rs
+++ b/crates/hawthornmill-gateway/src/gossip.rs
@@ -96,16 +96,15 @@
     let targets = gateway.peers.borrow().broadcast_targets(gateway.id, now);
     let mut scheduler = gateway.scheduler.borrow_mut();
     scheduler.loads.mark_broadcast();
-    // Reports expire, so an instance that has been idle for a while need not say so.
-    let is_idle = gateway.idle_reports.get() > MAX_IDLE_REPORTS;
     let (work, demand) = (scheduler.own_work(), scheduler.own_demand(now));
-    let idle = work.iter().all(|p| p.work.is_empty()) && demand.iter().all(DemandPart::is_empty);
-    gateway.idle_reports.set(if idle {
+    let is_idle = work.iter().all(|p| p.work.is_empty()) && demand.iter().all(DemandPart::is_empty);
+    let idle_reports = if is_idle {
         gateway.idle_reports.get() + 1
     } else {
         0
-    });
-    if idle && is_idle {
+    };
+    gateway.idle_reports.set(idle_reports);
+    if idle_reports > MAX_IDLE_REPORTS {
         return;
     }
     for part in work {
--- a/crates/hawthornmill/src/routing/domain_summary.rs
+++ b/crates/hawthornmill/src/routing/domain_summary.rs
@@ -1,10 +1,7 @@
-//! Summaries that failure domains exchange in a large fleet.
+//! Members of the failure domains of a large fleet, as relays name them to each other and to their own domain.
 //!
-//! If every instance reported to every other one, datagrams would grow with the square of the fleet, and traffic between
-//! failure domains is billed. An instance therefore reports in full to its own domain only. Two *relays* per domain,
-//! chosen by a hash over the live instances, send the domain's sums to the relays of the other domains, and a relay
-//! forwards what it receives to its own domain unchanged. A lost relay costs every second summary until it counts as
-//! silent; no state is kept by relays alone.
+//! Load pattern: the members of a large domain don't fit a datagram, and each of the others needs to know all of them.
+//! A relay names some of them in each message, so that every member is named again well before it would count as silent.
 
 use std::collections::BTreeMap;
 
