--- a/crates/hawthornmill-gateway/src/gossip.rs
+++ b/crates/hawthornmill-gateway/src/gossip.rs
@@ -7,7 +7,7 @@
 use hawthornmill::ident::{Incarnation, InstanceId};
 use hawthornmill::routing::domain_summary::DomainMembers;
 use hawthornmill::routing::gossip::{InstanceReport, PeerChange, PeerInfo};
-use hawthornmill::routing::load_parts::{DemandPart, WorkPart};
+use hawthornmill::routing::load_parts::{DemandPart, Scope, WorkPart};
 use hawthornmill::wire::frame::{Frame, FrameError};
 use hawthornmill::wire::{Message, Opener};
 use serde_json::json;
@@ -253,7 +253,8 @@
 }
 
 fn handle_work(gateway: &Gateway, sender: InstanceId, part: WorkPart) {
-    if !relay::applies(gateway, sender, part.scope) {
+    mark_heard(gateway, sender, part.scope);
+    if !relay::takes_over(gateway, part.scope) {
         return;
     }
     let mut scheduler = gateway.scheduler.borrow_mut();
@@ -264,12 +265,21 @@
 }
 
 fn handle_demand(gateway: &Gateway, sender: InstanceId, part: &DemandPart) {
-    if relay::applies(gateway, sender, part.scope) {
+    mark_heard(gateway, sender, part.scope);
+    if relay::takes_over(gateway, part.scope) {
         let mut scheduler = gateway.scheduler.borrow_mut();
         scheduler.apply_demand(sender, part, gateway.now());
     }
 }
 
+/// Records that `sender` sent a load itself; those of other domains may have been forwarded.
+fn mark_heard(gateway: &Gateway, sender: InstanceId, scope: Scope) {
+    if !matches!(scope, Scope::Domain(_)) {
+        let now = gateway.now();
+        gateway.peers.borrow_mut().mark_heard(sender, now);
+    }
+}
+
 /// Applies what a relay reports on members of a failure domain.
 ///
 /// A relay of the own domain hears its members itself.
--- a/crates/hawthornmill-gateway/src/relay.rs
+++ b/crates/hawthornmill-gateway/src/relay.rs
@@ -219,23 +219,17 @@
     datagrams.send_frame(bytes, domain_peers);
 }
 
-/// Returns whether this instance takes over a load of `scope` from `sender`.
+/// Returns whether this instance takes over a load of `scope`.
 ///
 /// In a large domain, only relays sum up what instances and other domains report, and the others take over that sum;
 /// whoever did both would count work twice.
-pub fn applies(gateway: &Gateway, sender: InstanceId, scope: Scope) -> bool {
-    let now = gateway.now();
-    let mut peers = gateway.peers.borrow_mut();
-    let sums_up = !peers.is_large_domain() || peers.relay_rank(gateway.id, now).is_some();
+pub fn takes_over(gateway: &Gateway, scope: Scope) -> bool {
+    let peers = gateway.peers.borrow();
+    let is_relay = peers.relay_rank(gateway.id, gateway.now()).is_some();
+    let sums_up = is_relay || !peers.is_large_domain();
     match scope {
-        Scope::Instance => {
-            peers.mark_heard(sender, now);
-            sums_up
-        }
-        Scope::Domain(domain) => domain != gateway.settings().domain && sums_up,
-        Scope::RestOfFleet => {
-            peers.mark_heard(sender, now);
-            !sums_up
-        }
+        Scope::Instance => sums_up,
+        Scope::Domain(domain) => sums_up && domain != gateway.settings().domain,
+        Scope::RestOfFleet => !sums_up,
     }
 }
