Take a reloaded processor over at once

Found by reading the change again: the processor that the settings give was taken at the start only, so an instance that got more of it by a reload went on to tell the others the old figure, by which they choose their relays and followers, and an instance that had been late took the new one by chance. The peer table now holds the processor and the fitness apart, and what it offers follows from both. The test failed before: no report with the new processor within 5 s.

--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -238,8 +238,7 @@
     fn set_fitness(&self, fit: bool, late: Duration) {
         let fields = json!({"fit": fit, "late_ms": late.as_millis() as u64});
         event_log::state_change("roles", fields);
-        let cpu_percent = if fit { self.settings().cpu_percent } else { 0 };
-        self.peers.borrow_mut().cpu_percent = cpu_percent;
+        self.peers.borrow_mut().is_fit = fit;
         self.report_wakeup.notify_one();
     }
 
--- a/crates/hawthornmill-gateway/src/gossip.rs
+++ b/crates/hawthornmill-gateway/src/gossip.rs
@@ -145,7 +145,7 @@
         client_addr: settings.listen.front,
         peer_addr: settings.listen.peer,
         domain: settings.domain,
-        cpu_percent: gateway.peers.borrow().cpu_percent,
+        cpu_percent: gateway.peers.borrow().offered_cpu(),
     }
 }
 
--- a/crates/hawthornmill/src/routing/gossip.rs
+++ b/crates/hawthornmill/src/routing/gossip.rs
@@ -185,8 +185,10 @@
 #[derive(Debug, Clone)]
 pub struct PeerTable {
     pub(super) domain: DomainId,
-    /// Processor of this instance, in percent of a core; 0 while it is overloaded.
+    /// Processor of this instance, in percent of a core.
     pub cpu_percent: u16,
+    /// Whether this instance is fast enough for a role that others depend on.
+    pub is_fit: bool,
     pub(super) peers: BTreeMap<InstanceId, PeerState>,
     contacts: BTreeMap<SocketAddr, Contact>,
     max_seen: usize,
@@ -198,12 +200,18 @@
         Self {
             domain,
             cpu_percent,
+            is_fit: true,
             peers: BTreeMap::new(),
             contacts: BTreeMap::new(),
             max_seen: 0,
         }
     }
 
+    /// Returns the processor by which the others rank this instance for roles, in percent of a core.
+    pub const fn offered_cpu(&self) -> u16 {
+        if self.is_fit { self.cpu_percent } else { 0 }
+    }
+
     /// Applies the report of `from`; returns the change that it shows, if any.
     pub fn apply_report(
         &mut self,
--- a/crates/hawthornmill/src/routing/relays.rs
+++ b/crates/hawthornmill/src/routing/relays.rs
@@ -46,7 +46,7 @@
 
 impl PeerTable {
     fn own_order(&self, me: InstanceId) -> RoleOrder {
-        role_order(me, self.domain, self.cpu_percent)
+        role_order(me, self.domain, self.offered_cpu())
     }
 
     /// Returns the rank of instance `me` among the relays of its domain, or `None` when it is no relay.
--- a/tests/testsuite/gateway/missed_updates.rs
+++ b/tests/testsuite/gateway/missed_updates.rs
@@ -9,6 +9,7 @@
 use hawthornmill::routing::gossip::{InstanceReport, PeerInfo, SyncResponse};
 use hawthornmill::wire::{Message, Opener, Sealer};
 use hawthornmill_test_support::gossip::instance_report;
+use nix::sys::signal::Signal;
 use serde_json::json;
 
 use super::fleet::{Fleet, PEER_PORT, config, frame_key, request, route, send_request, wait_until};
@@ -79,6 +80,23 @@
         }
     }
 
+    /// Waits for a report of an instance that may use `cpu_percent` of a core.
+    async fn wait_for_cpu(&self, cpu_percent: u16) {
+        let mut opener = Opener::new(frame_key(), 0);
+        let mut buffer = vec![0; 2_048];
+        loop {
+            let received = self.socket.recv_from(&mut buffer).await;
+            let (length, _) = received.expect("a datagram arrives");
+            let message = opener.open(&buffer[..length]).map(|f| f.message);
+            match message {
+                Ok(Message::InstanceReport(report)) if report.info.cpu_percent == cpu_percent => {
+                    return;
+                }
+                _ => {}
+            }
+        }
+    }
+
     /// Answers each pull with `state`, but drops the first fragment each time.
     async fn serve_fragments(&self, state: &SyncResponse) {
         let whole = postcard::to_allocvec(state).expect("the state can be encoded");
@@ -383,3 +401,27 @@
         wait_until("the second run is listed", is_listed(1_002)).await;
     });
 }
+
+/// Failure: an instance gets more processor by a reload of its settings, and goes on to tell the others the old figure, by
+/// which they choose their relays, until it is restarted.
+#[test]
+fn reloaded_processor_is_told_to_peers() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        let peer = Peer::bind(&fleet, 1).await;
+        peer.announce(9, 0).await;
+        peer.wait_for_cpu(100).await;
+        let config = &fleet.gateways[0].config;
+        let text = std::fs::read_to_string(config).expect("the settings can be read");
+        let faster = text.replace(
+            "region = north\n\n[listen]",
+            "region = north\ncores = 4\n\n[listen]",
+        );
+
+        std::fs::write(config, faster).expect("the settings can be written");
+        fleet.gateways[0].signal(Signal::SIGHUP);
+
+        let told = tokio::time::timeout(Duration::from_secs(5), peer.wait_for_cpu(400)).await;
+        assert!(told.is_ok(), "no report with the new processor");
+    });
+}
--- a/tests/testsuite/routing/role_fitness.rs
+++ b/tests/testsuite/routing/role_fitness.rs
@@ -87,6 +87,6 @@
 
     assert_eq!(is_relay(50, [12; 20]), (true, true));
     assert!(is_relay(50, one_faster).0);
-    assert_eq!(is_relay(0, [12; 20]), (false, false));
+    assert_eq!(is_relay(0, [12; 20]), (false, false), "it is late");
     assert_eq!(is_relay(12, [50; 20]), (false, false));
 }
