Send parts, and find the parts of a report, in one place each

The loops that send work and demand stood five times, the range of a report's parts three times, the key of a part twice, and two methods only passed on to others.

--- a/crates/hawthornmill-gateway/src/datagrams.rs
+++ b/crates/hawthornmill-gateway/src/datagrams.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 
+use hawthornmill::routing::load_parts::{DemandPart, WorkPart};
 use hawthornmill::wire::frame::MAX_DATAGRAM_BYTES;
 use hawthornmill::wire::{Message, Sealer};
 use tokio::net::UdpSocket;
@@ -39,6 +40,22 @@
         self.send_frame(&frame, targets);
     }
 
+    /// Sends each of `parts` to each of `targets`.
+    pub fn send_work(&self, parts: Vec<WorkPart>, targets: &[SocketAddr]) {
+        for part in parts {
+            let message = Message::WorkPart(Box::new(part));
+            self.send(&message, targets.iter().copied());
+        }
+    }
+
+    /// Sends each of `parts` to each of `targets`.
+    pub fn send_demand(&self, parts: Vec<DemandPart>, targets: &[SocketAddr]) {
+        for part in parts {
+            let message = Message::DemandPart(Box::new(part));
+            self.send(&message, targets.iter().copied());
+        }
+    }
+
     /// Sends a sealed frame unchanged to each of `targets`.
     pub fn send_frame(&self, frame: &[u8], targets: impl IntoIterator<Item = SocketAddr>) {
         for target in targets {
--- a/crates/hawthornmill-gateway/src/gossip.rs
+++ b/crates/hawthornmill-gateway/src/gossip.rs
@@ -107,14 +107,8 @@
     if idle_reports > MAX_IDLE_REPORTS {
         return;
     }
-    for part in work {
-        let message = Message::WorkPart(Box::new(part));
-        datagrams.send(&message, targets.iter().copied());
-    }
-    for part in demand {
-        let message = Message::DemandPart(Box::new(part));
-        datagrams.send(&message, targets.iter().copied());
-    }
+    datagrams.send_work(work, &targets);
+    datagrams.send_demand(demand, &targets);
 }
 
 /// Announces to nearby instances the servers that are leaving according to the store.
@@ -158,10 +152,7 @@
     let mut scheduler = gateway.scheduler.borrow_mut();
     scheduler.loads.mark_broadcast();
     if gateway.peers.borrow().is_large_domain() {
-        for part in scheduler.own_work() {
-            let message = Message::WorkPart(Box::new(part));
-            datagrams.send(&message, targets.iter().copied());
-        }
+        datagrams.send_work(scheduler.own_work(), &targets);
         return;
     }
     let mut work = scheduler.loads.local();
--- a/crates/hawthornmill-gateway/src/relay.rs
+++ b/crates/hawthornmill-gateway/src/relay.rs
@@ -76,17 +76,14 @@
     let with_demand = (interval / SLICES).is_multiple_of(DOMAIN_INTERVALS / SLICES);
     let members = peers.domain_peers(now);
     for (id, peer) in members.filter(|(id, _)| id.0 % SLICES == interval % SLICES) {
-        for part in scheduler.work_without(&fleet, id) {
-            if part.work.is_empty() && !with_demand {
-                continue;
-            }
-            datagrams.send(&Message::WorkPart(Box::new(part)), [peer.info.peer_addr]);
+        let target = [peer.info.peer_addr];
+        let work = scheduler.work_without(&fleet, id);
+        let is_idle = work.iter().all(|p| p.work.is_empty());
+        if with_demand || !is_idle {
+            datagrams.send_work(work, &target);
         }
-        if !with_demand {
-            continue;
-        }
-        for part in scheduler.demand_without(&fleet, id, now) {
-            datagrams.send(&Message::DemandPart(Box::new(part)), [peer.info.peer_addr]);
+        if with_demand {
+            datagrams.send_demand(scheduler.demand_without(&fleet, id, now), &target);
         }
     }
 }
@@ -148,14 +145,8 @@
         peers.domain_peers(now).map(|(id, _)| id).collect()
     };
     let mut scheduler = gateway.scheduler.borrow_mut();
-    for part in scheduler.domain_demand(domain, &ids, now) {
-        let message = Message::DemandPart(Box::new(part));
-        datagrams.send(&message, targets.iter().copied());
-    }
-    for part in scheduler.domain_work(domain, &ids) {
-        let message = Message::WorkPart(Box::new(part));
-        datagrams.send(&message, targets.iter().copied());
-    }
+    datagrams.send_demand(scheduler.domain_demand(domain, &ids, now), targets);
+    datagrams.send_work(scheduler.domain_work(domain, &ids), targets);
 }
 
 /// Returns the live instances of this failure domain, this one first.
--- a/crates/hawthornmill/src/routing/load_parts.rs
+++ b/crates/hawthornmill/src/routing/load_parts.rs
@@ -3,6 +3,8 @@
 //! Load pattern: hundreds of instances, servers and accounts. One message for all of them is larger than a packet and is
 //! lost as a whole; a limit on its entries would leave the same accounts and servers out each time.
 
+use std::ops::RangeInclusive;
+
 use serde::{Deserialize, Serialize};
 
 use super::gossip::UnmetDemand;
@@ -71,6 +73,15 @@
     pub const fn whole(origin: InstanceId) -> Self {
         Self { origin, number: 0 }
     }
+
+    /// Returns the keys of all parts of `origin` from `number` on.
+    pub const fn from_number(origin: InstanceId, number: u8) -> RangeInclusive<Self> {
+        let last = Self {
+            origin,
+            number: u8::MAX,
+        };
+        Self { origin, number }..=last
+    }
 }
 
 /// Work in flight, or one part of it.
@@ -104,12 +115,30 @@
 }
 
 impl DemandPart {
+    /// Returns the key under which this part, sent by `sender`, is recorded.
+    pub fn key(&self, sender: InstanceId) -> PartKey {
+        PartKey {
+            origin: self.scope.origin(sender),
+            number: self.number,
+        }
+    }
+
     /// Returns whether the part tells nothing.
     pub const fn is_empty(&self) -> bool {
         self.usage.is_empty() && self.unmet.is_empty() && self.spilled.is_empty()
     }
 }
 
+impl WorkPart {
+    /// Returns the key under which this part, sent by `sender`, is recorded.
+    pub fn key(&self, sender: InstanceId) -> PartKey {
+        PartKey {
+            origin: self.scope.origin(sender),
+            number: self.number,
+        }
+    }
+}
+
 /// Splits `work` into parts; there is one without work if there is none.
 pub fn split_work(scope: Scope, work: &[(ServerId, Work)]) -> Vec<WorkPart> {
     let parts = work.len().div_ceil(MAX_SERVERS).max(1);
--- a/crates/hawthornmill/src/routing/loads.rs
+++ b/crates/hawthornmill/src/routing/loads.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::load_parts::{PartKey, Scope, WorkPart};
+use super::load_parts::{PartKey, REST_OF_FLEET, Scope, WorkPart};
 use super::remote_work::RemoteWork;
 use crate::ident::{InstanceId, ServerId};
 
@@ -289,7 +289,7 @@
         member: InstanceId,
     ) -> Vec<(ServerId, Work)> {
         let mut all = fleet_sum.clone();
-        for (server, own) in self.remote.contribution(member) {
+        for (server, own) in self.remote.sum_of(&[member]) {
             if let Some(sum) = all.get_mut(&server) {
                 sum.subtract(own);
                 sum.total_prefill = sum.total_prefill.wrapping_sub(own.total_prefill);
@@ -316,21 +316,17 @@
 
     /// Replaces a part of the report of `sender`.
     pub fn apply_part(&mut self, sender: InstanceId, part: WorkPart, now: Instant) {
-        let origin = part.scope.origin(sender);
+        let key = part.key(sender);
         if part.scope == Scope::RestOfFleet {
             self.remote.retain_rest_of_fleet();
         }
-        self.remote.remove_surplus(origin, &part);
-        let key = PartKey {
-            origin,
-            number: part.number,
-        };
+        self.remote.remove_from(key.origin, part.parts);
         self.replace_remote(key, part.scope.counters(sender), part.work, now);
     }
 
     /// Forgets what a relay reported of the rest of the fleet.
     pub fn remove_rest_of_fleet(&mut self) {
-        self.remote.remove_rest_of_fleet();
+        self.remote.remove_from(REST_OF_FLEET, 0);
     }
 
     fn replace_remote(
--- a/crates/hawthornmill/src/routing/remote_work.rs
+++ b/crates/hawthornmill/src/routing/remote_work.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use super::load_parts::{PartKey, REST_OF_FLEET, WorkPart};
+use super::load_parts::{PartKey, REST_OF_FLEET};
 use super::loads::Work;
 use crate::ident::{InstanceId, ServerId};
 
@@ -48,18 +48,14 @@
         begun
     }
 
-    /// Removes the parts of `part`'s report that are left from a time when it had more of them.
-    pub fn remove_surplus(&mut self, origin: InstanceId, part: &WorkPart) {
-        let first = PartKey {
-            origin,
-            number: part.parts,
-        };
-        self.remove_range(first, origin);
-    }
-
-    /// Removes what a relay reported of the rest of the fleet.
-    pub fn remove_rest_of_fleet(&mut self) {
-        self.remove_range(PartKey::whole(REST_OF_FLEET), REST_OF_FLEET);
+    /// Removes the parts of `origin` from `number` on, which are left from a time when its report had more of them.
+    pub fn remove_from(&mut self, origin: InstanceId, number: u8) {
+        let surplus = self.parts.range(PartKey::from_number(origin, number));
+        let surplus: Vec<PartKey> = surplus.map(|(key, _)| *key).collect();
+        for key in surplus {
+            let before = self.parts.remove(&key);
+            self.subtract(before);
+        }
     }
 
     /// Removes all but what a relay reported of the rest of the fleet.
@@ -71,22 +67,6 @@
         self.sum_all();
     }
 
-    fn remove_range(&mut self, first: PartKey, origin: InstanceId) {
-        let last = PartKey {
-            origin,
-            number: u8::MAX,
-        };
-        let surplus: Vec<PartKey> = self
-            .parts
-            .range(first..=last)
-            .map(|(key, _)| *key)
-            .collect();
-        for key in surplus {
-            let before = self.parts.remove(&key);
-            self.subtract(before);
-        }
-    }
-
     fn subtract(&mut self, part: Option<(Instant, Vec<(ServerId, Work)>)>) {
         for (server, work) in part.into_iter().flat_map(|(_, list)| list) {
             if let Some(sum) = self.sums.get_mut(&server) {
@@ -140,17 +120,8 @@
         busy.map(with_total).collect()
     }
 
-    /// Returns what `member` contributes to [`Self::sum`].
-    pub fn contribution(&self, member: InstanceId) -> BTreeMap<ServerId, Work> {
-        self.sum_of(&[member])
-    }
-
     fn parts_of(&self, origin: InstanceId) -> impl Iterator<Item = &(ServerId, Work)> {
-        let last = PartKey {
-            origin,
-            number: u8::MAX,
-        };
-        let parts = self.parts.range(PartKey::whole(origin)..=last);
+        let parts = self.parts.range(PartKey::from_number(origin, 0));
         parts.flat_map(|(_, (_, list))| list)
     }
 
--- a/crates/hawthornmill/src/routing/usage.rs
+++ b/crates/hawthornmill/src/routing/usage.rs
@@ -229,11 +229,7 @@
         &self,
         origin: InstanceId,
     ) -> impl Iterator<Item = &(Instant, Vec<(AccountId, AccountUsage)>)> {
-        let last = PartKey {
-            origin,
-            number: u8::MAX,
-        };
-        let parts = self.peers.range(PartKey::whole(origin)..=last);
+        let parts = self.peers.range(PartKey::from_number(origin, 0));
         parts.map(|(_, part)| part)
     }
 
@@ -249,16 +245,12 @@
 
     /// Replaces a part of the report of `sender`.
     pub fn apply_part(&mut self, sender: InstanceId, part: &DemandPart, now: Instant) {
-        let origin = part.scope.origin(sender);
+        let key = part.key(sender);
         if part.scope == Scope::RestOfFleet {
             self.peers.retain(|key, _| key.origin == REST_OF_FLEET);
         }
         self.peers
-            .retain(|key, _| key.origin != origin || key.number < part.parts);
-        let key = PartKey {
-            origin,
-            number: part.number,
-        };
+            .retain(|k, _| k.origin != key.origin || k.number < part.parts);
         self.peers.insert(key, (now, part.usage.clone()));
     }
 
