Name silent members at once, not only leave them out

Seen by reading the change again: with reports going to the relays alone, the relay waits 1.3 s before a dead member counts as silent, and each other instance of the domain waited 2.6 s more after the relay's last word on it. Before the exchange through relays, the instances of a domain knew after 1.3 s; callers were sent to a dead instance for up to 3.9 s instead. Between domains it had been so before. Change: a relay names members that fell silent as such, first like all that changed. Who hears the member itself goes on to count it as live. A relay that takes most of its domain for silent names none: it was paused or cut off itself.

--- a/crates/hawthornmill-gateway/src/relay.rs
+++ b/crates/hawthornmill-gateway/src/relay.rs
@@ -149,7 +149,7 @@
     datagrams.send_work(scheduler.domain_work(domain, &ids), targets);
 }
 
-/// Returns the live instances of this failure domain, this one first.
+/// Returns the instances of this failure domain that are live or were so lately, this one first.
 fn members(gateway: &Gateway, now: Instant) -> Vec<Member> {
     let own = Member {
         id: gateway.id,
@@ -157,21 +157,12 @@
         info: own_info(gateway),
         ready: gateway.is_ready(),
         leaving: gateway.phase() > Phase::Serving,
+        silent: false,
         store_role: gateway.store_role.get(),
         catalog_version: gateway.catalog_version(),
         revision: gateway.scheduler.borrow().registry.latest_revision(),
     };
-    let peers = gateway.peers.borrow();
-    let others = peers.domain_peers(now).map(|(id, p)| Member {
-        id,
-        incarnation: p.incarnation,
-        info: p.info,
-        ready: p.ready,
-        leaving: p.leaving,
-        store_role: p.store_role,
-        catalog_version: p.catalog_version,
-        revision: p.revision,
-    });
+    let others = gateway.peers.borrow().domain_members(now);
     std::iter::once(own).chain(others).collect()
 }
 
--- a/crates/hawthornmill/src/routing/domain_summary.rs
+++ b/crates/hawthornmill/src/routing/domain_summary.rs
@@ -10,12 +10,12 @@
 use super::gossip::{PeerInfo, StoreRole};
 use crate::ident::{DomainId, Incarnation, InstanceId};
 
-/// Members in one message, at up to 56 bytes each, so that they fit a datagram.
-const MAX_MEMBERS: usize = 24;
+/// Members in one message, at up to 57 bytes each, so that they fit a datagram.
+const MAX_MEMBERS: usize = 23;
 /// Members in one message that are named out of turn since they changed.
 const MAX_CHANGED: usize = 8;
 
-/// One live instance of a domain.
+/// One instance of a domain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
     /// The instance.
@@ -28,6 +28,8 @@
     pub ready: bool,
     /// It is about to stop.
     pub leaving: bool,
+    /// Nothing was heard of it for so long that it counts as gone.
+    pub silent: bool,
     /// Its role towards the platform's store.
     pub store_role: StoreRole,
     /// Version of its catalog.
@@ -36,12 +38,12 @@
     pub revision: u64,
 }
 
-/// Some of the live instances of a domain.
+/// Some of the instances of a domain.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct DomainMembers {
     /// The domain.
     pub domain: DomainId,
-    /// Live instances; further ones are in other messages.
+    /// Instances that are live or were lately; further ones are in other messages.
     pub members: Vec<Member>,
 }
 
--- a/crates/hawthornmill/src/routing/gossip.rs
+++ b/crates/hawthornmill/src/routing/gossip.rs
@@ -22,6 +22,8 @@
 const PEER_TIMEOUT: Duration = Duration::from_millis(1_300);
 /// The same for a peer of another failure domain in a large fleet; a dozen lost summaries of relays.
 const REMOTE_TIMEOUT: Duration = Duration::from_millis(2_600);
+/// Time for which a relay names a member of its domain as silent; it names each member several times in it.
+const SILENCE_REPORT_TTL: Duration = Duration::from_secs(4);
 /// Silence after which a peer is forgotten.
 const FORGET_AFTER: Duration = Duration::from_mins(1);
 /// In a large fleet, one in this many rounds goes to seeds and to peers of other failure domains that report directly.
@@ -160,6 +162,28 @@
     pub timeout: Duration,
     /// Whether its current incarnation was sent a report.
     pub reported_to: bool,
+    /// When a relay of its domain said that it is silent, if it did so since the last report.
+    pub silent_at: Option<Instant>,
+}
+
+impl PeerState {
+    fn member(&self, id: InstanceId, now: Instant) -> Member {
+        Member {
+            id,
+            incarnation: self.incarnation,
+            info: self.info,
+            ready: self.ready,
+            leaving: self.leaving,
+            silent: !self.is_live(now),
+            store_role: self.store_role,
+            catalog_version: self.catalog_version,
+            revision: self.revision,
+        }
+    }
+
+    fn is_live(&self, now: Instant) -> bool {
+        self.silent_at.is_none() && now.duration_since(self.last_seen) < self.timeout
+    }
 }
 
 /// Change of a peer that its report shows.
@@ -234,6 +258,7 @@
             last_relayed: None,
             timeout: if remote { REMOTE_TIMEOUT } else { PEER_TIMEOUT },
             reported_to: false,
+            silent_at: None,
         };
         for address in &report.known_peers {
             let contact = self.contacts.entry(*address).or_insert(Contact {
@@ -247,6 +272,10 @@
 
     /// Applies a relay's report on an instance; returns the change that it shows, if any.
     pub fn apply_member(&mut self, member: &Member, now: Instant) -> Option<PeerChange> {
+        if member.silent {
+            self.mark_silent(member, now);
+            return None;
+        }
         let state = PeerState {
             info: member.info,
             incarnation: member.incarnation,
@@ -260,6 +289,7 @@
             last_relayed: Some(now),
             timeout: REMOTE_TIMEOUT,
             reported_to: false,
+            silent_at: None,
         };
         self.update(member.id, state, now)
     }
@@ -267,10 +297,38 @@
     /// Records that `from`, if it is known, has just sent something itself.
     pub fn mark_heard(&mut self, from: InstanceId, now: Instant) {
         if let Some(peer) = self.peers.get_mut(&from) {
-            (peer.last_seen, peer.last_direct) = (now, Some(now));
+            (peer.last_seen, peer.last_direct, peer.silent_at) = (now, Some(now), None);
         }
     }
 
+    /// Records that a relay hears nothing of `member`, unless it has reported here since.
+    fn mark_silent(&mut self, member: &Member, now: Instant) {
+        let Some(peer) = self.peers.get_mut(&member.id) else {
+            return;
+        };
+        let heard = peer.last_direct;
+        let is_heard = heard.is_some_and(|at| now.duration_since(at) < PEER_TIMEOUT);
+        if peer.incarnation == member.incarnation && !is_heard {
+            peer.silent_at = Some(now);
+        }
+    }
+
+    /// Returns the other instances of the own failure domain that are live or were so lately.
+    ///
+    /// None is named as silent while most of them are: then it is this instance that was paused or cut off.
+    pub fn domain_members(&self, now: Instant) -> Vec<Member> {
+        let known = self.peers.iter().filter(|(_, p)| {
+            let silence = now.duration_since(p.last_seen);
+            p.info.domain == self.domain && silence < p.timeout + SILENCE_REPORT_TTL
+        });
+        let mut members: Vec<Member> = known.map(|(id, p)| p.member(*id, now)).collect();
+        let silent = members.iter().filter(|m| m.silent).count();
+        if 2 * silent > members.len() {
+            members.retain(|m| !m.silent);
+        }
+        members
+    }
+
     /// Replaces the state of `from`; within an incarnation, `leaving` stays set.
     fn update(
         &mut self,
@@ -290,9 +348,7 @@
         state.last_relayed = state.last_relayed.or(previous.and_then(|p| p.last_relayed));
         let change = match previous {
             None => Some(PeerChange::Started),
-            Some(previous) if now.duration_since(previous.last_seen) >= previous.timeout => {
-                Some(PeerChange::Returned)
-            }
+            Some(previous) if !previous.is_live(now) => Some(PeerChange::Returned),
             Some(previous) if state.leaving && !previous.leaving => Some(PeerChange::Leaving),
             Some(_) => None,
         };
@@ -337,7 +393,7 @@
     pub fn live(&self, now: Instant) -> impl Iterator<Item = (InstanceId, &PeerState)> {
         self.peers
             .iter()
-            .filter(move |(_, p)| now.duration_since(p.last_seen) < p.timeout)
+            .filter(move |(_, p)| p.is_live(now))
             .map(|(id, p)| (*id, p))
     }
 
@@ -412,7 +468,7 @@
         let silent = self
             .peers
             .values()
-            .filter(|p| now.duration_since(p.last_seen) >= p.timeout && !p.leaving);
+            .filter(|p| !p.is_live(now) && !p.leaving);
         let mut silent: Vec<SocketAddr> = silent.map(|p| p.info.peer_addr).collect();
         let first = (turn as usize * PROBES_PER_ROUND) % silent.len().max(1);
         silent.rotate_left(first);
--- a/tests/testsuite/routing/domain_summary.rs
+++ b/tests/testsuite/routing/domain_summary.rs
@@ -57,6 +57,7 @@
         info: peer_info(number),
         ready: true,
         leaving: false,
+        silent: false,
         store_role: StoreRole::Connected,
         catalog_version: 1,
         revision: 1,
@@ -269,6 +270,43 @@
     assert_eq!(then[0].info, peer_info(3));
 }
 
+/// Failure: a relay was paused or cut off, takes all its members for silent when it goes on, and the whole fleet stops
+/// naming them to callers.
+#[test]
+fn relay_that_hears_hardly_any_member_names_none_as_silent() {
+    let now = Instant::now();
+    let later = now + millis(1_500);
+    let named = |heard: u16| {
+        let mut peer_table = peer_table(0, now);
+        for number in 1..=heard {
+            peer_table.apply_report(instance(number), Incarnation(1), &report(number), later);
+        }
+        let members = peer_table.domain_members(later);
+        members.iter().filter(|m| m.silent).count()
+    };
+
+    assert_eq!([named(0), named(2), named(3), named(5)], [0, 0, 2, 0]);
+}
+
+/// Failure: a relay loses the reports of an instance that others hear themselves, and they take its word for it.
+#[test]
+fn peer_that_reports_here_is_live_whatever_a_relay_says() {
+    let now = Instant::now();
+    let later = now + millis(1_500);
+    let mut peer_table = peer_table(0, now);
+    let silent = |number| Member {
+        silent: true,
+        ..member(number)
+    };
+    peer_table.apply_report(instance(7), Incarnation(1), &report(7), later);
+
+    peer_table.apply_member(&silent(7), later);
+    peer_table.apply_member(&silent(8), later);
+    let live = |id| peer_table.live(later).any(|(peer, _)| peer == id);
+
+    assert_eq!([live(instance(7)), live(instance(8))], [true, false]);
+}
+
 /// Failure: the same summary, sent by two relays or repeatedly, is counted more than once.
 #[test]
 fn repeated_domain_summaries_count_once() {
--- a/tests/testsuite/routing/large_fleet.rs
+++ b/tests/testsuite/routing/large_fleet.rs
@@ -1,6 +1,6 @@
 //! Exchange between the instances of a large fleet, in a fixed order and without sockets.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Instant;
 
@@ -50,6 +50,7 @@
             info: self.info,
             ready: true,
             leaving: false,
+            silent: false,
             store_role: StoreRole::Connected,
             catalog_version: 1,
             revision: 1,
@@ -61,6 +62,8 @@
     instances: Vec<Instance>,
     by_address: BTreeMap<SocketAddr, usize>,
     start: Instant,
+    /// Instances that were killed.
+    gone: BTreeSet<InstanceId>,
 }
 
 impl Fleet {
@@ -71,6 +74,7 @@
             by_address: addresses.zip(0..).collect(),
             instances,
             start: Instant::now(),
+            gone: BTreeSet::new(),
         }
     }
 
@@ -79,6 +83,9 @@
         let now = self.start + millis(ROUND_MS * round);
         for from in 0..self.instances.len() {
             let instance = &mut self.instances[from];
+            if self.gone.contains(&instance.id) {
+                continue;
+            }
             let targets = instance
                 .peer_table
                 .gossip_targets(instance.id, seeds, round, now);
@@ -108,12 +115,7 @@
             return;
         }
         let mut members = vec![instance.member()];
-        members.extend(peer_table.domain_peers(now).map(|(id, p)| Member {
-            id,
-            incarnation: p.incarnation,
-            info: p.info,
-            ..instance.member()
-        }));
+        members.extend(peer_table.domain_members(now));
         let batch = instance.rotation.next_batch(&members);
         let domain = instance.info.domain;
         let near: Vec<SocketAddr> = peer_table
@@ -230,3 +232,21 @@
     assert_eq!(before.len(), 1);
     assert!(after.len() == 2 && after.contains(&before[0]), "{after:?}");
 }
+
+/// Failure: a member of a large domain is killed, its relay waits until it counts as silent, each other instance waits once
+/// more after the relay's last word on it, and callers are sent to the dead instance for four seconds.
+#[test]
+fn killed_member_is_not_live_anywhere_within_two_and_a_half_seconds() {
+    let mut fleet = Fleet::new(300);
+    let seeds = [fleet.instances[0].info.peer_addr];
+    (0..20).for_each(|round| fleet.exchange(round, &seeds));
+    let killed = fleet.instances[200].id;
+    fleet.gone.insert(killed);
+
+    (20..=32).for_each(|round| fleet.exchange(round, &seeds));
+
+    let now = fleet.start + millis(ROUND_MS * 32);
+    let others = fleet.instances.iter().filter(|i| i.id != killed);
+    let believing = others.filter(|i| i.peer_table.live(now).any(|(id, _)| id == killed));
+    assert_eq!(believing.count(), 0, "instances that count it as live");
+}
