--- a/crates/hawthornmill-gateway/src/adapter.rs
+++ b/crates/hawthornmill-gateway/src/adapter.rs
@@ -63,8 +63,12 @@
 /// How to call the store.
 #[derive(Debug, Clone, Copy)]
 pub struct StoreApi {
+    /// Prefix of the keys that operators write, the catalog's among them.
+    pub operator_prefix: &'static str,
     /// Key of the catalog.
     pub catalog_key: &'static str,
+    /// Prefix of the keys of evacuated failure domains; the name of the domain follows it.
+    pub evacuations_prefix: &'static str,
     /// Prefix of the registrations' keys; the name of the server follows it.
     pub servers_prefix: &'static str,
     /// Builds the path of one page from a key prefix and the last key of the page before.
--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -14,11 +14,12 @@
 use hawthornmill::limits::congestion::LinkMonitor;
 use hawthornmill::limits::load_shedding::LoadShedder;
 use hawthornmill::limits::role_fitness::RoleFitness;
+use hawthornmill::routing::announcements::{Announcements, Departure, RecentAnnouncements, Source};
 use hawthornmill::routing::catalog::Catalog;
-use hawthornmill::routing::departures::{Departure, RecentDepartures, Source};
 use hawthornmill::routing::domain_summary::MemberRotation;
+use hawthornmill::routing::evacuations::Evacuation;
 use hawthornmill::routing::fragments::ResponseCache;
-use hawthornmill::routing::gossip::{PeerChange, PeerTable, StoreRole};
+use hawthornmill::routing::gossip::{PeerChange, PeerTable, StoreRole, SyncRequest};
 use hawthornmill::routing::lag::Lag;
 use hawthornmill::routing::placement::{Location, Placement};
 use hawthornmill::routing::registry::{Change, RegistrationList};
@@ -82,8 +83,8 @@
     pub table: RefCell<Option<Rc<RouteTable>>>,
     /// How long this instance has lacked a catalog that another one has.
     pub catalog_lag: RefCell<Lag>,
-    /// Recent announcements that servers are leaving.
-    pub leaving_servers: RefCell<RecentDepartures>,
+    /// Recent changes to announce to other instances.
+    pub announcements: RefCell<RecentAnnouncements>,
     /// Encoded state that was recently sent to peers.
     pub state_cache: RefCell<ResponseCache>,
     /// State that is being received from a peer.
@@ -157,7 +158,7 @@
             scheduler: RefCell::new(scheduler),
             table: RefCell::default(),
             catalog_lag: RefCell::default(),
-            leaving_servers: RefCell::default(),
+            announcements: RefCell::default(),
             state_cache: RefCell::default(),
             pending_state: PendingState::default(),
             peers: RefCell::new(peers),
@@ -288,15 +289,64 @@
         }
     }
 
-    /// Records that a peer uses the catalog of `version` and the registrations of `revision`.
-    pub fn observe_versions(&self, version: u64, revision: u64) {
-        let (own, now) = (self.catalog_version(), self.now());
-        self.catalog_lag.borrow_mut().observe(version, own, now);
-        if version > own || revision > self.scheduler.borrow().registry.latest_revision() {
+    /// Returns what this instance knows, to ask others for what is newer.
+    pub fn known_state(&self) -> SyncRequest {
+        let scheduler = self.scheduler.borrow();
+        SyncRequest {
+            catalog_version: self.catalog_version(),
+            revision: scheduler.registry.latest_revision(),
+            evacuation_revision: scheduler.evacuations.latest_revision(),
+        }
+    }
+
+    /// Records what a peer knows.
+    pub fn observe_versions(&self, peer: SyncRequest) {
+        let (own, now) = (self.known_state(), self.now());
+        self.catalog_lag
+            .borrow_mut()
+            .observe(peer.catalog_version, own.catalog_version, now);
+        if peer.catalog_version > own.catalog_version
+            || peer.revision > own.revision
+            || peer.evacuation_revision > own.evacuation_revision
+        {
             self.behind_wakeup.notify_one();
         }
     }
 
+    /// Applies a change of an evacuation.
+    pub fn apply_evacuation(&self, change: Evacuation, from: &str, source: Source) {
+        let now = self.now();
+        let Some(changed) = self.scheduler.borrow_mut().apply_evacuation(change) else {
+            return;
+        };
+        self.announcements
+            .borrow_mut()
+            .record_evacuation(change, source, now);
+        self.report_wakeup.notify_one();
+        if !changed {
+            return;
+        }
+        let event = if change.active {
+            "domain_evacuated"
+        } else {
+            "domain_taken_back"
+        };
+        let domain = self.settings().domain_name(change.domain);
+        let fields = json!({"domain": domain, "revision": change.revision, "from": from});
+        event_log::state_change(event, fields);
+        self.queue_wakeup.notify_one();
+    }
+
+    /// Applies the complete list of evacuated failure domains at `revision`.
+    pub fn apply_evacuation_list(&self, listed: &[Evacuation], revision: u64) {
+        let scheduler = self.scheduler.borrow();
+        let changes = scheduler.evacuations.changes_to(listed, revision);
+        drop(scheduler);
+        for change in changes {
+            self.apply_evacuation(change, "store", Source::Store);
+        }
+    }
+
     /// Applies a change of one registration.
     pub fn apply_change(&self, change: Change, from: &str) {
         let (fields, leaving) = (describe_change(&change, from), change.departure());
@@ -309,9 +359,12 @@
         }
     }
 
-    /// Applies announcements of a peer that servers are leaving.
-    pub fn apply_leaving(&self, all: &[Departure]) {
-        for leaving in all {
+    /// Applies what a peer announces.
+    pub fn apply_announcements(&self, announced: &Announcements) {
+        for change in &announced.evacuations {
+            self.apply_evacuation(*change, "peer", Source::Peer);
+        }
+        for leaving in &announced.departures {
             if self.scheduler.borrow_mut().registry.mark_draining(*leaving) {
                 let server = self.server_name(leaving.server);
                 let fields = json!({"server": server, "revision": leaving.revision});
@@ -322,9 +375,9 @@
     }
 
     fn announce_leaving(&self, leaving: Departure, source: Source) {
-        self.leaving_servers
+        self.announcements
             .borrow_mut()
-            .record(leaving, source, self.now());
+            .record_departure(leaving, source, self.now());
         self.report_wakeup.notify_one();
     }
 
--- a/crates/hawthornmill-gateway/src/gossip.rs
+++ b/crates/hawthornmill-gateway/src/gossip.rs
@@ -6,7 +6,7 @@
 
 use hawthornmill::ident::{Incarnation, InstanceId};
 use hawthornmill::routing::domain_summary::DomainMembers;
-use hawthornmill::routing::gossip::{InstanceReport, PeerChange, PeerInfo};
+use hawthornmill::routing::gossip::{InstanceReport, PeerChange, PeerInfo, SyncRequest};
 use hawthornmill::routing::load_parts::{DemandPart, Scope, WorkPart};
 use hawthornmill::wire::frame::{Frame, FrameError};
 use hawthornmill::wire::{Message, Opener};
@@ -74,7 +74,7 @@
         if in_parts {
             send_load(&gateway, &datagrams, now);
         }
-        send_leaving(&gateway, &datagrams, now);
+        send_announcements(&gateway, &datagrams, now);
         if !in_parts {
             relay::relay_domain(&gateway, &datagrams, round);
         }
@@ -111,14 +111,14 @@
     datagrams.send_demand(demand, &targets);
 }
 
-/// Announces to nearby instances the servers that are leaving according to the store.
+/// Announces to nearby instances what changed according to the store.
 ///
 /// The relays of a large failure domain also pass on what they heard from its instances.
-fn send_leaving(gateway: &Gateway, datagrams: &DatagramSocket, now: Instant) {
+fn send_announcements(gateway: &Gateway, datagrams: &DatagramSocket, now: Instant) {
     let peers = gateway.peers.borrow();
     let speaks = peers.is_large_domain() && peers.speaks_for_domain(gateway.id, now);
-    let recent = gateway.leaving_servers.borrow();
-    let (leaving, targets) = if speaks {
+    let recent = gateway.announcements.borrow();
+    let (announced, targets) = if speaks {
         let members = peers.domain_peers(now).map(|(_, p)| p.info.peer_addr);
         (recent.for_other_domains(now), members.collect())
     } else {
@@ -127,8 +127,8 @@
             peers.broadcast_targets(gateway.id, now),
         )
     };
-    if !leaving.is_empty() {
-        datagrams.send(&Message::Departures(leaving), targets);
+    if !announced.is_empty() {
+        datagrams.send(&Message::Announcements(Box::new(announced)), targets);
     }
 }
 
@@ -169,6 +169,7 @@
         store_role: gateway.store_role.get(),
         catalog_version: gateway.catalog_version(),
         revision: scheduler.registry.latest_revision(),
+        evacuation_revision: scheduler.evacuations.latest_revision(),
         in_parts: gateway.peers.borrow().is_large_domain(),
         work: Vec::new(),
         usage: Vec::new(),
@@ -236,7 +237,7 @@
         Message::DomainMembers(members) => handle_members(gateway, sender, &members),
         Message::WorkPart(part) => handle_work(gateway, sender, *part),
         Message::DemandPart(part) => handle_demand(gateway, sender, &part),
-        Message::Departures(all) => gateway.apply_leaving(&all),
+        Message::Announcements(announced) => gateway.apply_announcements(&announced),
         Message::FragmentRequest(r) => state_sync::send_fragments(gateway, datagrams, from, &r),
         Message::Fragment(part) => gateway.pending_state.add_fragment(from, part),
         _ => {}
@@ -284,7 +285,11 @@
         peers.mark_heard(sender, now);
     }
     for member in members.members.iter().filter(|m| m.id != gateway.id) {
-        gateway.observe_versions(member.catalog_version, member.revision);
+        gateway.observe_versions(SyncRequest {
+            catalog_version: member.catalog_version,
+            revision: member.revision,
+            evacuation_revision: member.evacuation_revision,
+        });
         if let Some(change) = peers.apply_member(member, now) {
             gateway
                 .peer_changes
@@ -296,7 +301,11 @@
 
 fn handle_report(gateway: &Gateway, sender: InstanceId, run: Incarnation, report: &InstanceReport) {
     let now = gateway.now();
-    gateway.observe_versions(report.catalog_version, report.revision);
+    gateway.observe_versions(SyncRequest {
+        catalog_version: report.catalog_version,
+        revision: report.revision,
+        evacuation_revision: report.evacuation_revision,
+    });
     let mut peers = gateway.peers.borrow_mut();
     if let Some(change) = peers.apply_report(sender, run, report, now) {
         let peer = report.info.peer_addr;
--- a/crates/hawthornmill-gateway/src/proxy/admission.rs
+++ b/crates/hawthornmill-gateway/src/proxy/admission.rs
@@ -97,6 +97,10 @@
         arrival: request.received,
         deadline: request.received + remaining.map_or(route.timeout, |l| l.min(route.timeout)),
         tried: SmallVec::new(),
+        allowed_regions: match account {
+            Some(account) => route.allowed_regions.intersect(&account.allowed_regions),
+            None => route.allowed_regions.clone(),
+        },
     };
     Ok(Admitted {
         request: pending,
--- a/crates/hawthornmill-gateway/src/relay.rs
+++ b/crates/hawthornmill-gateway/src/relay.rs
@@ -35,7 +35,7 @@
     if targets.is_empty() {
         return;
     }
-    send_departures(gateway, datagrams, &targets, now);
+    send_announcements(gateway, datagrams, &targets, now);
     send_members(gateway, datagrams, &targets, now);
     send_domain_load(gateway, datagrams, &targets, now);
 }
@@ -97,7 +97,7 @@
         let peers = gateway.peers.borrow();
         peers.remote_relays(now).into_iter().flatten().collect()
     };
-    send_departures(gateway, datagrams, &targets, now);
+    send_announcements(gateway, datagrams, &targets, now);
     send_domain_load(gateway, datagrams, &targets, now);
     if interval.is_multiple_of(MEMBERS_INTERVALS) {
         let peers = gateway.peers.borrow();
@@ -107,15 +107,15 @@
     }
 }
 
-fn send_departures(
+fn send_announcements(
     gateway: &Gateway,
     datagrams: &DatagramSocket,
     targets: &[SocketAddr],
     now: Instant,
 ) {
-    let leaving = gateway.leaving_servers.borrow().for_other_domains(now);
-    if !leaving.is_empty() {
-        let message = Message::Departures(leaving);
+    let announced = gateway.announcements.borrow().for_other_domains(now);
+    if !announced.is_empty() {
+        let message = Message::Announcements(Box::new(announced));
         datagrams.send(&message, targets.iter().copied());
     }
 }
@@ -151,6 +151,7 @@
 
 /// Returns the instances of this failure domain that are live or were so lately, this one first.
 fn members(gateway: &Gateway, now: Instant) -> Vec<Member> {
+    let state = gateway.known_state();
     let own = Member {
         id: gateway.id,
         incarnation: gateway.incarnation,
@@ -159,8 +160,9 @@
         leaving: gateway.phase() > Phase::Serving,
         silent: false,
         store_role: gateway.store_role.get(),
-        catalog_version: gateway.catalog_version(),
-        revision: gateway.scheduler.borrow().registry.latest_revision(),
+        catalog_version: state.catalog_version,
+        revision: state.revision,
+        evacuation_revision: state.evacuation_revision,
     };
     let others = gateway.peers.borrow().domain_members(now);
     std::iter::once(own).chain(others).collect()
@@ -180,7 +182,7 @@
     let peers = gateway.peers.borrow();
     let large = peers.is_large_domain();
     let is_relayed = match &frame.message {
-        Message::DomainMembers(_) | Message::Departures(_) => true,
+        Message::DomainMembers(_) | Message::Announcements(_) => true,
         Message::WorkPart(part) => matches!(part.scope, Scope::Domain(_)) && !large,
         Message::DemandPart(part) => matches!(part.scope, Scope::Domain(_)) && !large,
         _ => false,
--- a/crates/hawthornmill-gateway/src/settings.rs
+++ b/crates/hawthornmill-gateway/src/settings.rs
@@ -67,6 +67,8 @@
     pub region: RegionId,
     /// Region of each failure domain.
     pub regions: Vec<(DomainId, RegionId)>,
+    /// Name of each failure domain.
+    pub domain_names: Vec<(DomainId, Box<str>)>,
     /// Processor that the process may use, in percent of a core.
     pub cpu_percent: u16,
     /// The whole fleet starts for the first time.
@@ -96,6 +98,15 @@
         hawthornmill_process::settings::load(path, Self::parse)
     }
 
+    /// Returns the name of a failure domain for logs.
+    pub fn domain_name(&self, domain: DomainId) -> Box<str> {
+        let known = self.domain_names.iter().find(|(id, _)| *id == domain);
+        known.map_or_else(
+            || format!("{:x}", domain.0).into(),
+            |(_, name)| name.clone(),
+        )
+    }
+
     /// Checks the text of a settings file.
     ///
     /// # Errors
@@ -119,6 +130,10 @@
                 .iter()
                 .map(|s| domain_region(&mut reader, s))
                 .collect(),
+            domain_names: domains
+                .iter()
+                .map(|s| (DomainId::of(&s.name), s.name.clone()))
+                .collect(),
             cpu_percent: cpu_percent(&mut reader, &instance),
             first_start: reader.choice(
                 &instance,
--- a/crates/hawthornmill-gateway/src/state_sync.rs
+++ b/crates/hawthornmill-gateway/src/state_sync.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use hawthornmill::limits::timeout::{self, AdaptiveTimeout};
+use hawthornmill::routing::announcements::Source;
 use hawthornmill::routing::fragments::{self, FragmentRequest, Outcome, Reassembly};
 use hawthornmill::routing::gossip::{PeerState, SyncRequest, SyncResponse};
 use hawthornmill::routing::registry::RegistrationList;
@@ -124,10 +125,7 @@
         tokio::time::sleep(CHECK_INTERVAL).await;
         let now = gateway.now();
         skipped.retain(|(_, at)| now.duration_since(*at) < RETRY_DELAY);
-        let request = SyncRequest {
-            catalog_version: gateway.catalog_version(),
-            revision: gateway.scheduler.borrow().registry.latest_revision(),
-        };
+        let request = gateway.known_state();
         let ahead = peers_ahead(&gateway, request, &skipped);
         if ahead.is_empty() {
             behind_since = None;
@@ -174,12 +172,7 @@
 ) -> SmallVec<[PeerState; 2]> {
     let skipped: Vec<SocketAddr> = skipped.iter().map(|(peer, _)| *peer).collect();
     let peers = gateway.peers.borrow();
-    peers.sync_candidates(
-        request.catalog_version,
-        request.revision,
-        &skipped,
-        gateway.now(),
-    )
+    peers.sync_candidates(request, &skipped, gateway.now())
 }
 
 /// Progress of a pull over a connection; the log shows the variant.
@@ -232,6 +225,9 @@
 
 fn apply_response(gateway: &Gateway, response: SyncResponse, from: SocketAddr) {
     let from = from.to_string();
+    for change in response.evacuations {
+        gateway.apply_evacuation(change, &from, Source::Peer);
+    }
     if let Some(catalog) = response.catalog {
         gateway.apply_catalog(catalog, &from);
     }
@@ -333,5 +329,6 @@
         registrations: (latest > request.revision).then(|| scheduler.registry.snapshot()),
         unconfirmed: scheduler.registry.unconfirmed(gateway.now()),
         revision: latest,
+        evacuations: scheduler.evacuations.snapshot(),
     }
 }
--- a/crates/hawthornmill-gateway/src/store_watch.rs
+++ b/crates/hawthornmill-gateway/src/store_watch.rs
@@ -1,4 +1,4 @@
-//! Watches the catalog and the registrations in the platform's store.
+//! Watches what operators write, and the servers' registrations, in the platform's store.
 //!
 //! Each of them is listed once and then watched for changes, on a connection of its own. A watch that
 //! is not answered in time means that its connection is dead; the next call opens a new one. Each
@@ -9,7 +9,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
-use hawthornmill::ident::ServerId;
+use hawthornmill::ident::{DomainId, ServerId};
+use hawthornmill::routing::announcements::Source;
+use hawthornmill::routing::evacuations::Evacuation;
 use hawthornmill::routing::gossip::StoreRole;
 use hawthornmill::routing::registry::{Change, RegistrationList};
 use hawthornmill::routing::store_start::Start;
@@ -55,7 +57,7 @@
 /// What is watched; the log shows the variant.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Topic {
-    /// The catalog.
+    /// What operators write: the catalog and evacuations of failure domains.
     Catalog,
     /// The servers' registrations.
     Servers,
@@ -140,7 +142,7 @@
     fn prefix(&self) -> &'static str {
         let store = &self.gateway.adapter.store;
         match self.topic {
-            Topic::Catalog => store.catalog_key,
+            Topic::Catalog => store.operator_prefix,
             Topic::Servers => store.servers_prefix,
         }
     }
@@ -162,7 +164,7 @@
         let revision = revision.unwrap_or_default();
         let after_outage = self.is_in_grace();
         match self.topic {
-            Topic::Catalog => entries.iter().for_each(|i| self.apply_entry(i)),
+            Topic::Catalog => self.apply_operator_list(&entries, revision),
             Topic::Servers => {
                 let list = RegistrationList {
                     entries: entries.iter().map(|i| self.parse_change(i)).collect(),
@@ -201,16 +203,14 @@
 
     fn apply_entry(&self, entry: &KvEntry) {
         match (self.topic, &entry.value) {
-            (Topic::Catalog, Some(value)) if *entry.key == *self.prefix() => {
-                match (self.gateway.adapter.parse_catalog)(value) {
-                    Ok(catalog) => self.gateway.apply_catalog(catalog, "store"),
-                    Err(why) => {
-                        let fields = json!({"revision": entry.revision, "why": why});
-                        event_log::state_change("catalog_unreadable", fields);
-                    }
+            (Topic::Catalog, value) => {
+                if let Some(change) = self.evacuation(entry) {
+                    self.gateway
+                        .apply_evacuation(change, "store", Source::Store);
+                } else if let Some(value) = value {
+                    self.apply_catalog(entry, value);
                 }
             }
-            (Topic::Catalog, _) => {}
             (Topic::Servers, None) if self.is_in_grace() => {
                 let server = ServerId::of(self.server_name(entry));
                 self.gateway.suspect_removal(server, entry.revision);
@@ -222,6 +222,40 @@
         }
     }
 
+    /// Applies the complete list of what operators have written.
+    fn apply_operator_list(&self, entries: &[KvEntry], revision: u64) {
+        let evacuated = entries.iter().filter_map(|e| self.evacuation(e));
+        let evacuated: Vec<Evacuation> = evacuated.collect();
+        self.gateway.apply_evacuation_list(&evacuated, revision);
+        for entry in entries {
+            self.apply_entry(entry);
+        }
+    }
+
+    /// Returns the evacuation that `entry` begins or takes back, if it is about one.
+    fn evacuation(&self, entry: &KvEntry) -> Option<Evacuation> {
+        let prefix = self.gateway.adapter.store.evacuations_prefix;
+        let domain = entry.key.strip_prefix(prefix)?;
+        Some(Evacuation {
+            domain: DomainId::of(domain),
+            revision: entry.revision,
+            active: entry.value.is_some(),
+        })
+    }
+
+    fn apply_catalog(&self, entry: &KvEntry, value: &[u8]) {
+        if *entry.key != *self.gateway.adapter.store.catalog_key {
+            return;
+        }
+        match (self.gateway.adapter.parse_catalog)(value) {
+            Ok(catalog) => self.gateway.apply_catalog(catalog, "store"),
+            Err(why) => {
+                let fields = json!({"revision": entry.revision, "why": why});
+                event_log::state_change("catalog_unreadable", fields);
+            }
+        }
+    }
+
     fn server_name<'a>(&self, entry: &'a KvEntry) -> &'a str {
         entry.key.strip_prefix(self.prefix()).unwrap_or(&entry.key)
     }
--- a/crates/hawthornmill-test-support/src/gossip.rs
+++ b/crates/hawthornmill-test-support/src/gossip.rs
@@ -11,6 +11,7 @@
         store_role: StoreRole::Connected,
         catalog_version: 1,
         revision: 1,
+        evacuation_revision: 0,
         in_parts: false,
         work: Vec::new(),
         usage: Vec::new(),
--- a/crates/hawthornmill/src/codes.rs
+++ b/crates/hawthornmill/src/codes.rs
@@ -139,6 +139,8 @@
     RequestTooSlow = 3031, 408, "request came too slowly";
     /// A request in an HTTP version before 1.1.
     HttpVersionTooOld = 3032, 505, "HTTP/1.1 is needed";
+    /// No server in a region in which the request may be served.
+    RegionUnavailable = 3033, 503, "no server in an allowed region";
     /// A peer's frame that can't be decoded.
     FrameMalformed = 4001, 0, "malformed peer frame";
     /// A peer's frame with a wrong message authentication code.
--- a/crates/hawthornmill/src/routing/announcements.rs
+++ b/crates/hawthornmill/src/routing/announcements.rs
@@ -1,18 +1,24 @@
-//! Servers that leave, reported without waiting for the list of registrations.
+//! Changes that instances tell each other at once, without waiting for the list of registrations.
 //!
 //! Load pattern: an instance that was cut off, or whose process lags, receives registrations seconds late or holds them as
-//! unconfirmed, while others know from the store that a server leaves.
+//! unconfirmed, while others know from the store that a server leaves, has turned cold, or is in an evacuated failure
+//! domain.
 
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
+use super::evacuations::Evacuation;
 use crate::ident::ServerId;
 
-/// Time for which a departure is reported, so that it outlasts lost datagrams.
+/// Time for which a change is announced, so that it outlasts lost datagrams.
 const REPORT_TTL: Duration = Duration::from_millis(900);
-/// Departures in one report, so that they fit a datagram.
-const MAX_REPORTED: usize = 48;
+/// Departures in one message, so that all of it fits a datagram.
+const MAX_DEPARTURES: usize = 44;
+/// Evacuations in one message.
+const MAX_EVACUATIONS: usize = 12;
+/// Cold servers in one message.
+const MAX_COLD: usize = 24;
 
 /// A server that is certain to leave, or gone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,7 +29,16 @@
     pub revision: u64,
 }
 
-/// Origin of a departure.
+/// A server that has turned cold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ColdServer {
+    /// The server.
+    pub server: ServerId,
+    /// Milliseconds for which it stays cold.
+    pub remaining_ms: u32,
+}
+
+/// Origin of an announcement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Source {
     /// The platform's store.
@@ -32,36 +47,99 @@
     Peer,
 }
 
-/// Recent departures.
-#[derive(Debug, Clone, Default)]
-pub struct RecentDepartures {
-    recent: Vec<(Departure, Source, Instant)>,
+/// What one instance announces to others.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Announcements {
+    /// Servers that leave.
+    pub departures: Vec<Departure>,
+    /// Failure domains that are evacuated or taken back.
+    pub evacuations: Vec<Evacuation>,
+    /// Servers that have turned cold.
+    pub cold_servers: Vec<ColdServer>,
+}
+
+impl Announcements {
+    /// Returns whether there is nothing to announce.
+    pub const fn is_empty(&self) -> bool {
+        self.departures.is_empty() && self.evacuations.is_empty() && self.cold_servers.is_empty()
+    }
+}
+
+/// Recent changes of one kind.
+#[derive(Debug, Clone)]
+struct Recent<T> {
+    recent: Vec<(T, Source, Instant)>,
+}
+
+impl<T> Default for Recent<T> {
+    fn default() -> Self {
+        Self { recent: Vec::new() }
+    }
 }
 
-impl RecentDepartures {
-    /// Records `departure`, received from `source`.
-    pub fn record(&mut self, departure: Departure, source: Source, now: Instant) {
+impl<T: Copy> Recent<T> {
+    fn record(&mut self, change: T, source: Source, now: Instant) {
         self.recent
             .retain(|(_, _, at)| now.duration_since(*at) < REPORT_TTL);
-        self.recent.push((departure, source, now));
+        self.recent.push((change, source, now));
+    }
+
+    /// Returns the newest fresh changes whose source is selected, with their age.
+    fn select(&self, now: Instant, sources: &[Source], most: usize) -> Vec<(T, Duration)> {
+        let fresh = self.recent.iter().rev().filter_map(|(change, source, at)| {
+            let age = now.duration_since(*at);
+            (sources.contains(source) && age < REPORT_TTL).then_some((*change, age))
+        });
+        fresh.take(most).collect()
+    }
+}
+
+/// Recent changes to announce.
+#[derive(Debug, Clone, Default)]
+pub struct RecentAnnouncements {
+    departures: Recent<Departure>,
+    evacuations: Recent<Evacuation>,
+    cold_servers: Recent<ColdServer>,
+}
+
+impl RecentAnnouncements {
+    /// Records a departure that was learnt from `source`.
+    pub fn record_departure(&mut self, departure: Departure, source: Source, now: Instant) {
+        self.departures.record(departure, source, now);
+    }
+
+    /// Records a change of an evacuation that was learnt from `source`.
+    pub fn record_evacuation(&mut self, change: Evacuation, source: Source, now: Instant) {
+        self.evacuations.record(change, source, now);
+    }
+
+    /// Records a server that turned cold, as learnt from `source`.
+    pub fn record_cold(&mut self, cold: ColdServer, source: Source, now: Instant) {
+        self.cold_servers.record(cold, source, now);
     }
 
-    /// Returns departures to report within the own domain: only those from the store, since peers report their own.
-    pub fn for_domain(&self, now: Instant) -> Vec<Departure> {
-        self.select(now, |source| source == Source::Store)
+    /// Returns what to announce within the own domain: only what came from the store, since peers announce theirs.
+    pub fn for_domain(&self, now: Instant) -> Announcements {
+        self.select(now, &[Source::Store])
     }
 
-    /// Returns departures to report to other failure domains: all of them, on behalf of the own domain.
-    pub fn for_other_domains(&self, now: Instant) -> Vec<Departure> {
-        self.select(now, |_| true)
+    /// Returns what to announce to other failure domains: all of it, on behalf of the own domain.
+    pub fn for_other_domains(&self, now: Instant) -> Announcements {
+        self.select(now, &[Source::Store, Source::Peer])
     }
 
-    fn select(&self, now: Instant, from: impl Fn(Source) -> bool) -> Vec<Departure> {
-        let fresh = self.recent.iter().rev();
-        let fresh = fresh.filter(|(_, s, at)| from(*s) && now.duration_since(*at) < REPORT_TTL);
-        fresh
-            .take(MAX_REPORTED)
-            .map(|(departure, _, _)| *departure)
-            .collect()
+    fn select(&self, now: Instant, sources: &[Source]) -> Announcements {
+        let departures = self.departures.select(now, sources, MAX_DEPARTURES);
+        let evacuations = self.evacuations.select(now, sources, MAX_EVACUATIONS);
+        let cold_servers = self.cold_servers.select(now, sources, MAX_COLD);
+        let remaining = |(cold, age): (ColdServer, Duration)| ColdServer {
+            remaining_ms: cold.remaining_ms.saturating_sub(age.as_millis() as u32),
+            ..cold
+        };
+        Announcements {
+            departures: departures.into_iter().map(|(d, _)| d).collect(),
+            evacuations: evacuations.into_iter().map(|(e, _)| e).collect(),
+            cold_servers: cold_servers.into_iter().map(remaining).collect(),
+        }
     }
 }
--- a/crates/hawthornmill/src/routing/catalog.rs
+++ b/crates/hawthornmill/src/routing/catalog.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
+use super::regions::AllowedRegions;
 use crate::codes::Code;
 use crate::ident::{AccountId, ServiceId};
 
@@ -63,6 +64,8 @@
     pub max_attempts: u32,
     /// Requests need no account.
     pub public: bool,
+    /// Regions in which its requests may be served.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// Capacity of the model engines of a service.
@@ -109,6 +112,8 @@
     pub tokens: SmallVec<[TokenDigest; 2]>,
     /// Priority that overrides the route's.
     pub priority: Option<u32>,
+    /// Regions in which its requests may be served, besides the bounds of the route.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// Limits on callers, and the capacity of the fleet.
--- a/crates/hawthornmill/src/routing/domain_summary.rs
+++ b/crates/hawthornmill/src/routing/domain_summary.rs
@@ -10,8 +10,8 @@
 use super::gossip::{PeerInfo, StoreRole};
 use crate::ident::{DomainId, Incarnation, InstanceId};
 
-/// Members in one message, at up to 57 bytes each, so that they fit a datagram.
-const MAX_MEMBERS: usize = 23;
+/// Members in one message, at up to 62 bytes each, so that they fit a datagram.
+const MAX_MEMBERS: usize = 21;
 /// Members in one message that are named out of turn since they changed.
 const MAX_CHANGED: usize = 8;
 
@@ -36,6 +36,8 @@
     pub catalog_version: u64,
     /// Revision of its registrations.
     pub revision: u64,
+    /// Revision of the newest evacuation that it knows.
+    pub evacuation_revision: u64,
 }
 
 /// Some of the instances of a domain.
@@ -84,6 +86,7 @@
             let progress = Member {
                 catalog_version: told.catalog_version,
                 revision: told.revision,
+                evacuation_revision: told.evacuation_revision,
                 ..*member
             };
             progress != *told
--- /dev/null
+++ b/crates/hawthornmill/src/routing/evacuations.rs
@@ -0,0 +1,82 @@
+//! Failure domains that operators evacuate: their servers finish what they run and get no new requests.
+//!
+//! What is known of a domain comes from the platform's store, directly or through other instances, with the store's
+//! revision. The newest revision wins whatever the order of arrival, so a late copy neither restores nor hides an
+//! evacuation.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ident::DomainId;
+
+/// Whether a failure domain is evacuated, as of a revision of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evacuation {
+    /// The domain.
+    pub domain: DomainId,
+    /// The store's revision of the change.
+    pub revision: u64,
+    /// Its servers get no new requests; false once the operator has taken the evacuation back.
+    pub active: bool,
+}
+
+/// What is known of every domain that was ever evacuated.
+#[derive(Debug, Clone, Default)]
+pub struct Evacuations {
+    known: BTreeMap<DomainId, Evacuation>,
+}
+
+impl Evacuations {
+    /// Applies one change; returns whether the domain is evacuated or taken back by it.
+    pub fn apply(&mut self, change: Evacuation) -> bool {
+        let current = self.known.get(&change.domain);
+        if current.is_some_and(|c| c.revision >= change.revision) {
+            return false;
+        }
+        let was_active = current.is_some_and(|c| c.active);
+        self.known.insert(change.domain, change);
+        was_active != change.active
+    }
+
+    /// Returns the changes that a complete list of evacuated domains at `revision` implies: those in the list, and those that
+    /// are missing from it and so were taken back.
+    pub fn changes_to(&self, listed: &[Evacuation], revision: u64) -> Vec<Evacuation> {
+        let is_listed = |domain| listed.iter().any(|e| e.domain == domain);
+        let taken_back = self
+            .known
+            .values()
+            .filter(|e| e.active && !is_listed(e.domain));
+        let taken_back = taken_back.map(|e| Evacuation {
+            revision,
+            active: false,
+            ..*e
+        });
+        listed.iter().copied().chain(taken_back).collect()
+    }
+
+    /// Returns whether the servers of `domain` get no new requests.
+    pub fn is_evacuated(&self, domain: DomainId) -> bool {
+        self.known.get(&domain).is_some_and(|e| e.active)
+    }
+
+    /// Returns what is known of `domain`.
+    pub fn get(&self, domain: DomainId) -> Option<Evacuation> {
+        self.known.get(&domain).copied()
+    }
+
+    /// Returns the revision of the newest change; 0 when no domain was ever evacuated.
+    pub fn latest_revision(&self) -> u64 {
+        self.known.values().map(|e| e.revision).max().unwrap_or(0)
+    }
+
+    /// Returns the number of evacuated domains.
+    pub fn active_count(&self) -> usize {
+        self.known.values().filter(|e| e.active).count()
+    }
+
+    /// Returns everything that is known, to tell other instances.
+    pub fn snapshot(&self) -> Vec<Evacuation> {
+        self.known.values().copied().collect()
+    }
+}
--- a/crates/hawthornmill/src/routing/gossip.rs
+++ b/crates/hawthornmill/src/routing/gossip.rs
@@ -12,6 +12,7 @@
 
 use super::catalog::Catalog;
 use super::domain_summary::Member;
+use super::evacuations::Evacuation;
 use super::loads::Work;
 use super::registry::{Change, Unconfirmed};
 use super::shape::PrefixKey;
@@ -99,6 +100,8 @@
     pub catalog_version: u64,
     /// Revision of the store up to which it knows the registrations.
     pub revision: u64,
+    /// Revision of the newest evacuation that it knows.
+    pub evacuation_revision: u64,
     /// Its load is told in parts of its own, and the following lists are empty.
     pub in_parts: bool,
     /// Its work in flight by server.
@@ -113,13 +116,15 @@
     pub known_peers: Vec<SocketAddr>,
 }
 
-/// Requests what a peer knows beyond a catalog version and a revision.
+/// Requests what a peer knows beyond a catalog version and two revisions.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SyncRequest {
     /// Version of the requester's catalog.
     pub catalog_version: u64,
     /// Revision of the requester's registrations.
     pub revision: u64,
+    /// Revision of the newest evacuation that the requester knows.
+    pub evacuation_revision: u64,
 }
 
 /// Response to a [`SyncRequest`].
@@ -133,6 +138,8 @@
     pub unconfirmed: Vec<Unconfirmed>,
     /// Revision of the responder's registrations.
     pub revision: u64,
+    /// All evacuations that the responder knows of, whether active or taken back.
+    pub evacuations: Vec<Evacuation>,
 }
 
 /// State of another instance, as last heard.
@@ -152,6 +159,8 @@
     pub catalog_version: u64,
     /// Revision of its registrations.
     pub revision: u64,
+    /// Revision of the newest evacuation that it knows.
+    pub evacuation_revision: u64,
     /// Last report, direct or through a relay.
     pub last_seen: Instant,
     /// Last direct report of its current incarnation.
@@ -178,6 +187,7 @@
             store_role: self.store_role,
             catalog_version: self.catalog_version,
             revision: self.revision,
+            evacuation_revision: self.evacuation_revision,
         }
     }
 
@@ -253,6 +263,7 @@
             store_role: report.store_role,
             catalog_version: report.catalog_version,
             revision: report.revision,
+            evacuation_revision: report.evacuation_revision,
             last_seen: now,
             last_direct: Some(now),
             last_relayed: None,
@@ -284,6 +295,7 @@
             store_role: member.store_role,
             catalog_version: member.catalog_version,
             revision: member.revision,
+            evacuation_revision: member.evacuation_revision,
             last_seen: now,
             last_direct: None,
             last_relayed: Some(now),
@@ -397,9 +409,10 @@
             .map(|(id, p)| (*id, p))
     }
 
-    /// Returns the peers from which to request what is newer than `version` and `revision`.
+    /// Returns the peers from which to request what is newer than what `request` names.
     ///
-    /// These are the peer with the newest catalog and the one with the newest registrations, or one peer that is both. While
+    /// These are the peer with the newest catalog and the one with the newest registrations and evacuations, or one peer that
+    /// is both. While
     /// catalogs change in quick succession, the peer with the newest one changes all the time and may be behind in
     /// registrations; asked alone, it would hide for seconds that a server drains.
     ///
@@ -410,22 +423,27 @@
     /// for another second and would be asked again and again.
     pub fn sync_candidates(
         &self,
-        version: u64,
-        revision: u64,
+        request: SyncRequest,
         unresponsive: &[SocketAddr],
         now: Instant,
     ) -> SmallVec<[PeerState; 2]> {
+        let version = request.catalog_version;
         let live = || {
             let all = self.live(now).map(|(_, p)| p);
             all.filter(|p| !unresponsive.contains(&p.info.peer_addr))
         };
         let is_local = |p: &PeerState| p.info.domain == self.domain;
         let catalog = live().filter(|p| p.catalog_version > version);
-        let servers = live().filter(|p| p.revision > revision);
+        let servers = live().filter(|p| {
+            p.revision > request.revision || p.evacuation_revision > request.evacuation_revision
+        });
         let mut selected: SmallVec<[PeerState; 2]> = SmallVec::new();
         selected.extend(
             servers
-                .max_by_key(|p| (is_local(p), p.revision, p.catalog_version))
+                .max_by_key(|p| {
+                    let newest = p.revision.max(p.evacuation_revision);
+                    (is_local(p), newest, p.catalog_version)
+                })
                 .copied(),
         );
         if selected
--- a/crates/hawthornmill/src/routing/mod.rs
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -6,7 +6,9 @@
 //! |---|---|
 //! | [`catalog`], [`route_table`] | routes, services and accounts as published, and their lookup |
 //! | [`registry`] | backend servers as they registered themselves |
-//! | [`departures`] | servers that leave, announced without waiting for the registrations |
+//! | [`announcements`] | changes that are announced without waiting for the registrations |
+//! | [`evacuations`] | failure domains whose servers get no new requests |
+//! | [`regions`] | regions to which a request is bound |
 //! | [`shape`] | size of a request and its cost on a model engine |
 //! | [`loads`], [`prefix_index`] | work in flight at each server, and the prompt prefixes it has cached |
 //! | [`ttft`] | estimated time to the first token |
@@ -27,9 +29,10 @@
 //! | [`remote_work`] | work in flight that other instances report |
 
 pub mod allowance;
+pub mod announcements;
 pub mod catalog;
-pub mod departures;
 pub mod domain_summary;
+pub mod evacuations;
 pub mod fragments;
 pub mod gossip;
 pub mod lag;
@@ -37,6 +40,7 @@
 pub mod loads;
 pub mod placement;
 pub mod prefix_index;
+pub mod regions;
 pub mod registry;
 pub mod relays;
 pub mod remote_work;
--- a/crates/hawthornmill/src/routing/placement.rs
+++ b/crates/hawthornmill/src/routing/placement.rs
@@ -16,6 +16,7 @@
 use super::catalog::Engine;
 use super::loads::{LoadTracker, Work};
 use super::prefix_index::{PrefixHits, PrefixIndex};
+use super::regions::{AllowedRegions, Reach};
 use super::registry::Registry;
 use super::shape::Shape;
 use super::ttft::TtftModel;
@@ -75,8 +76,8 @@
     pub prefix_index: &'a PrefixIndex,
     /// Location of this instance.
     pub location: Location,
-    /// Region of each failure domain.
-    pub regions: &'a [(DomainId, RegionId)],
+    /// Regions of the failure domains, and evacuated ones.
+    pub reach: Reach<'a>,
 }
 
 /// A request to be placed.
@@ -90,6 +91,8 @@
     pub shape: &'a Shape,
     /// Servers to which it was already sent.
     pub excluded: &'a [ServerId],
+    /// Regions in which it may be served.
+    pub allowed_regions: &'a AllowedRegions,
     /// Servers reserved for queued requests that go before it.
     pub reserved: &'a [ServerId],
     /// TTFT estimate of the service's engines.
@@ -135,6 +138,8 @@
 pub enum PlacementError {
     /// The service has no usable server.
     NoServer,
+    /// The service has usable servers, and none of them is in a region in which the request may be served.
+    RegionBound,
     /// All usable servers are at capacity.
     AllFull,
     /// The few servers that may prefill its shared prefix are at capacity, and it may go to no other.
@@ -167,7 +172,11 @@
 ) -> Result<Placement, PlacementError> {
     let candidates = candidates(view, request, now);
     if candidates.is_empty() {
-        return Err(PlacementError::NoServer);
+        return Err(if has_servers_elsewhere(view, request) {
+            PlacementError::RegionBound
+        } else {
+            PlacementError::NoServer
+        });
     }
     let context = RequestContext {
         homes: homes(&candidates, request.shape),
@@ -204,6 +213,9 @@
         .filter(|(id, entry)| {
             entry.registration.service == request.service
                 && !entry.registration.draining
+                && view
+                    .reach
+                    .allows(request.allowed_regions, entry.registration.domain)
                 && usable(id)
         })
         .map(|(server, entry)| Candidate {
@@ -214,12 +226,22 @@
         .collect()
 }
 
+/// Returns whether servers of the service are registered in regions in which the request may not be served.
+fn has_servers_elsewhere(view: &PlacementView<'_>, request: &PlacementRequest<'_>) -> bool {
+    view.registry.entries().any(|(_, entry)| {
+        let registration = &entry.registration;
+        registration.service == request.service
+            && !view
+                .reach
+                .is_within(request.allowed_regions, registration.domain)
+    })
+}
+
 fn tier(view: &PlacementView<'_>, domain: DomainId) -> usize {
     if domain == view.location.domain {
         return 0;
     }
-    let region = view.regions.iter().find(|(d, _)| *d == domain);
-    if region.is_some_and(|(_, r)| *r == view.location.region) {
+    if view.reach.region(domain) == Some(view.location.region) {
         1
     } else {
         2
--- a/crates/hawthornmill/src/routing/registry.rs
+++ b/crates/hawthornmill/src/routing/registry.rs
@@ -11,7 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::departures::Departure;
+use super::announcements::Departure;
 use crate::ident::{DomainId, ServerId, ServiceId};
 
 /// Grace period of an entry that was lost during an outage of the store.
--- a/crates/hawthornmill/src/routing/request.rs
+++ b/crates/hawthornmill/src/routing/request.rs
@@ -8,6 +8,7 @@
 
 use super::catalog::Engine;
 use super::placement::Placement;
+use super::regions::AllowedRegions;
 use super::shape::Shape;
 use super::usage::{AccountUsage, FairShare};
 use crate::codes::Code;
@@ -39,6 +40,8 @@
     pub deadline: Instant,
     /// Servers to which it was already sent.
     pub tried: SmallVec<[ServerId; 2]>,
+    /// Regions in which it may be served.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// State on which the decision on a request is based.
@@ -48,6 +51,10 @@
     pub servers: usize,
     /// Draining servers among them.
     pub draining: usize,
+    /// Servers of evacuated failure domains among them.
+    pub evacuated: usize,
+    /// Servers outside the regions in which the request may be served.
+    pub out_of_region: usize,
     /// Servers that recently couldn't be reached.
     pub down: usize,
     /// Servers whose slots are all in use.
@@ -69,6 +76,8 @@
 pub enum Cause {
     /// The service has no server that could take it.
     NoServer,
+    /// The service has servers, and none of them is in a region in which the request may be served.
+    RegionBound,
     /// Accounts below their guarantee have unmet demand, and this account has had its share.
     OverFairShare,
     /// It would be late even on an idle server.
@@ -84,6 +93,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::NoServer => "NoServer",
+            Self::RegionBound => "RegionBound",
             Self::OverFairShare => "OthersOwed",
             Self::TooLong => "TooLong",
             Self::QueueFull => "Crowd",
--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -12,6 +12,7 @@
 use smallvec::SmallVec;
 
 use super::allowance;
+use super::evacuations::{Evacuation, Evacuations};
 use super::gossip::UnmetDemand;
 use super::loads::{LoadTracker, Work};
 use super::placement::{
@@ -19,6 +20,7 @@
     choose_server, is_prefill_bound,
 };
 use super::prefix_index::PrefixIndex;
+use super::regions::Reach;
 use super::registry::{Change, RegistrationList, Registry};
 use super::request::{Admission, Cause, Decision, DecisionContext, Refusal, Request, Ticket};
 use super::retry_budget::RetryBudget;
@@ -46,6 +48,14 @@
     retry_after: Duration::from_millis(700),
 };
 
+/// Refusal while no server is in a region in which the request may be served; evacuations and outages of all of them
+/// last some seconds.
+const REGION_BOUND: Refusal = Refusal {
+    code: Code::RegionUnavailable,
+    cause: Cause::RegionBound,
+    retry_after: Duration::from_secs(1),
+};
+
 /// A queued request.
 #[derive(Debug, Clone)]
 struct QueuedRequest {
@@ -77,6 +87,8 @@
     pub retry_budget: RetryBudget,
     /// Region of each failure domain.
     pub regions: Vec<(DomainId, RegionId)>,
+    /// Evacuated failure domains.
+    pub evacuations: Evacuations,
     /// Tokens per second that all engines yield; 0 when unknown.
     pub token_rate: f64,
     location: Location,
@@ -101,6 +113,7 @@
             account_usage: UsageTracker::default(),
             retry_budget: budget,
             regions: Vec::new(),
+            evacuations: Evacuations::default(),
             token_rate: 0.0,
             location,
             ttft_models: BTreeMap::new(),
@@ -132,6 +145,7 @@
             match self.try_place(request, &reserved, now) {
                 Ok(placement) => return Admission::Decided(Ok(placement)),
                 Err(PlacementError::NoServer) => return Admission::Decided(Err(NO_SERVER)),
+                Err(PlacementError::RegionBound) => return Admission::Decided(Err(REGION_BOUND)),
                 Err(PlacementError::TooLong) => {
                     return Admission::Decided(Err(self.refuse(request, Cause::TooLong, now)));
                 }
@@ -202,6 +216,7 @@
         match self.try_place(&request, &reserved.servers, now) {
             Ok(placement) => Some(Ok(placement)),
             Err(PlacementError::NoServer) => Some(Err(NO_SERVER)),
+            Err(PlacementError::RegionBound) => Some(Err(REGION_BOUND)),
             Err(PlacementError::TooLong) => Some(Err(self.refuse(&request, Cause::TooLong, now))),
             Err(_full) if expired => Some(Err(self.refuse(&request, Cause::QueueTimeout, now))),
             Err(PlacementError::AllFull) => {
@@ -229,6 +244,16 @@
         applied
     }
 
+    /// Applies a change of an evacuation; returns whether servers of the domain begin or cease to get requests by it, or
+    /// `None` when as much was known already.
+    pub fn apply_evacuation(&mut self, change: Evacuation) -> Option<bool> {
+        let known = self.evacuations.get(change.domain);
+        if known.is_some_and(|k| k.revision >= change.revision) {
+            return None;
+        }
+        Some(self.evacuations.apply(change))
+    }
+
     /// Applies a whole list of registrations; see [`Registry::replace_all`].
     pub fn replace_registrations(&mut self, list: RegistrationList, now: Instant) {
         self.registry.replace_all(list, now);
@@ -294,7 +319,11 @@
         };
         for (id, entry) in entries.filter(|(_, e)| e.registration.service == request.service) {
             context.servers += 1;
+            let domain = entry.registration.domain;
+            let is_within = self.reach().is_within(&request.allowed_regions, domain);
             context.draining += usize::from(entry.registration.draining);
+            context.evacuated += usize::from(self.evacuations.is_evacuated(domain));
+            context.out_of_region += usize::from(!is_within);
             context.down += usize::from(self.loads.is_down(id, now));
             let running = self.loads.total(id, now).running;
             context.full += usize::from(running >= entry.registration.slots);
@@ -324,13 +353,14 @@
             loads: &self.loads,
             prefix_index: &self.prefix_index,
             location: self.location,
-            regions: &self.regions,
+            reach: self.reach(),
         };
         let query = PlacementRequest {
             service: request.service,
             engine: request.engine,
             shape: &request.shape,
             excluded: &request.tried,
+            allowed_regions: &request.allowed_regions,
             reserved,
             ttft: self
                 .ttft_models
@@ -378,6 +408,14 @@
         Ok(placement)
     }
 
+    /// Returns the regions of the failure domains, and evacuated ones.
+    fn reach(&self) -> Reach<'_> {
+        Reach {
+            regions: &self.regions,
+            evacuations: &self.evacuations,
+        }
+    }
+
     /// Returns the servers reserved for queued requests ahead of `request`; `None` when one of those waits for any server.
     fn reserved_servers(&self, request: &Request) -> Option<HomeServers> {
         let rank = self.rank(request);
--- a/crates/hawthornmill/src/wire/message.rs
+++ b/crates/hawthornmill/src/wire/message.rs
@@ -6,7 +6,7 @@
 use crate::config::Manifest;
 use crate::fairness::CostKey;
 use crate::ident::{AccountId, Incarnation, InstanceId, PoolId, ServerId};
-use crate::routing::departures::Departure;
+use crate::routing::announcements::Announcements;
 use crate::routing::domain_summary::DomainMembers;
 use crate::routing::fragments::{Fragment, FragmentRequest};
 use crate::routing::gossip::{InstanceReport, SyncRequest, SyncResponse};
@@ -330,8 +330,8 @@
     SyncRequest(SyncRequest),
     /// Response with that state.
     SyncResponse(Box<SyncResponse>),
-    /// Servers that a gateway instance knows to be leaving, over UDP.
-    Departures(Vec<Departure>),
+    /// Recent changes of servers and failure domains that a gateway instance knows of, over UDP.
+    Announcements(Box<Announcements>),
     /// Requests newer state from a gateway instance in parts, over UDP.
     FragmentRequest(FragmentRequest),
     /// Response with one part of it.
--- a/tests/testsuite/gateway/fleet.rs
+++ b/tests/testsuite/gateway/fleet.rs
@@ -248,11 +248,19 @@
         }
         for number in 0..gateways {
             let gateway = fleet.gateway(number);
+            fleet.store.listen(fleet.store_address(number)).await;
             fleet.gateways.push(gateway);
         }
         fleet
     }
 
+    /// Returns the address of the store that the gateway of `number` calls.
+    ///
+    /// Connections to loopback addresses all come from the same one, so the store tells gateways apart by its own.
+    pub fn store_address(&self, number: usize) -> SocketAddr {
+        SocketAddr::new(self.store.address.ip(), 7_410 + number as u16)
+    }
+
     /// Starts and registers one more server.
     pub async fn add_server(&mut self, name: &str) -> Server {
         let number = 100 + self.servers.len() as u8;
@@ -269,8 +277,19 @@
 
     /// Writes the registration of a server with the address of a proxy in front of it.
     pub fn register_at(&self, server: &Server, address: SocketAddr, state: &str) -> u64 {
-        let entry = json!({"service": "app", "address": address.to_string(), "zone": "a",
-            "version": "v1", "slots": 4, "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 1});
+        self.write_registration(
+            server,
+            &json!({"address": address.to_string(), "state": state}),
+        )
+    }
+
+    /// Writes the registration of a ready server; the keys of `more` replace the usual ones.
+    pub fn write_registration(&self, server: &Server, more: &Value) -> u64 {
+        let mut entry = json!({"service": "app", "address": server.address.to_string(), "zone": "a",
+            "version": "v1", "slots": 4, "state": "ready", "coldRemainingMs": 0, "sequence": 1, "born": 1});
+        if let (Some(entry), Some(more)) = (entry.as_object_mut(), more.as_object()) {
+            entry.extend(more.clone());
+        }
         self.store.put(
             &format!("servers/{}", server.name),
             entry.to_string().as_bytes(),
@@ -285,9 +304,10 @@
         let text = format!(
             "[instance]\nname = g{number}\ndomain = a\nregion = north\n\n[listen]\nfront = {own}:{FRONT_PORT}\n\
              ready = {own}:{READY_PORT}\ndirectory = {own}:{DIRECTORY_PORT}\npeer = {own}:{PEER_PORT}\nmetrics = {own}:{METRICS_PORT}\n\n\
-             [peers]\nseeds = {seeds}\nkey = {KEY}\n\n[domain a]\nregion = north\n\n[store]\naddress = {}\n\n\
+             [peers]\nseeds = {seeds}\nkey = {KEY}\n\n[domain a]\nregion = north\n\n[domain b]\nregion = north\n\n\
+             [domain c]\nregion = south\n\n[store]\naddress = {}\n\n\
              [promises]\ngrace_s = 8\nttl_s = 0.3\n",
-            self.store.address
+            self.store_address(number)
         );
         let config = self.dir.join(format!("g{number}.ini"));
         std::fs::write(&config, text).expect("the settings can be written");
--- a/tests/testsuite/gateway/missed_updates.rs
+++ b/tests/testsuite/gateway/missed_updates.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hawthornmill::ident::{DomainId, Incarnation, InstanceId, ServerId};
-use hawthornmill::routing::departures::Departure;
+use hawthornmill::routing::announcements::{Announcements, Departure};
 use hawthornmill::routing::fragments::split_fragments;
 use hawthornmill::routing::gossip::{InstanceReport, PeerInfo, SyncResponse};
 use hawthornmill::wire::{Message, Opener, Sealer};
@@ -155,7 +155,11 @@
     block_on(async {
         let fleet = Fleet::start(2, 1).await;
         let cut = &fleet.gateways[1];
-        fleet.store.reject_address(cut.ip);
+        fleet.store.reject_calls_at(fleet.store_address(1));
+        wait_until("the store rejects its calls", || async {
+            cut.logged("store_lost").len() == 2
+        })
+        .await;
 
         fleet
             .store
@@ -334,9 +338,14 @@
             server: ServerId::of("i-0"),
             revision: 1_000,
         };
+        let announced = Announcements {
+            departures: vec![leaving],
+            ..Announcements::default()
+        };
 
         wait_until("the instance receives the announcement", || async {
-            peer.send(&Message::Departures(vec![leaving])).await;
+            peer.send(&Message::Announcements(Box::new(announced.clone())))
+                .await;
             !fleet.gateways[0].logged("registration_leaving").is_empty()
         })
         .await;
@@ -362,6 +371,7 @@
             registrations: None,
             unconfirmed: Vec::new(),
             revision: 0,
+            evacuations: Vec::new(),
         };
         peer.announce(1_001, 2).await;
 
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod invalid_config;
 mod missed_updates;
 mod overload;
+mod placement_bounds;
 mod platform_adapter;
 mod platform_names;
 mod request_handling;
--- a/tests/testsuite/gateway/store.rs
+++ b/tests/testsuite/gateway/store.rs
@@ -31,7 +31,8 @@
     history: Vec<Value>,
     history_start: u64,
     revision: u64,
-    rejected: Vec<std::net::IpAddr>,
+    /// Addresses of the store at which it rejects calls.
+    rejected: Vec<SocketAddr>,
     calls: u64,
 }
 
@@ -48,22 +49,27 @@
 impl Store {
     /// Starts an empty store at `address`.
     pub async fn start(address: SocketAddr) -> Self {
-        let listener = TcpListener::bind(address)
-            .await
-            .expect("the store's address is free");
         let store = Self {
             address,
             state: Arc::default(),
             mode: Arc::new(watch::Sender::new(Mode::Healthy)),
             changed: Arc::new(watch::Sender::new(0)),
         };
-        let serving = store.clone();
+        store.listen(address).await;
+        store
+    }
+
+    /// Listens at one more address.
+    pub async fn listen(&self, address: SocketAddr) {
+        let listener = TcpListener::bind(address)
+            .await
+            .expect("the store's address is free");
+        let serving = self.clone();
         tokio::spawn(async move {
-            while let Ok((stream, from)) = listener.accept().await {
-                tokio::spawn(serving.clone().serve(stream, from));
+            while let Ok((stream, _from)) = listener.accept().await {
+                tokio::spawn(serving.clone().serve(stream, address));
             }
         });
-        store
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -115,9 +121,9 @@
         self.mode.send_replace(mode);
     }
 
-    /// Rejects all further calls from `ip`.
-    pub fn reject_address(&self, ip: std::net::IpAddr) {
-        self.lock().rejected.push(ip);
+    /// Rejects all further calls at its address `at`.
+    pub fn reject_calls_at(&self, at: SocketAddr) {
+        self.lock().rejected.push(at);
         let revision = self.lock().revision;
         self.changed.send_replace(revision);
     }
@@ -127,7 +133,7 @@
         self.lock().calls
     }
 
-    async fn serve(self, mut stream: TcpStream, from: SocketAddr) {
+    async fn serve(self, mut stream: TcpStream, at: SocketAddr) {
         let mut mode = self.mode.subscribe();
         let mut buffer = BytesMut::new();
         while let Some((head, _body)) = read_request(&mut stream, &mut buffer).await {
@@ -135,7 +141,7 @@
             if *mode.borrow_and_update() == Mode::Unresponsive {
                 std::future::pending::<()>().await;
             }
-            let response = self.respond(&head.target, from);
+            let response = self.respond(&head.target, at);
             let unresponsive = async {
                 let _silent = mode.wait_for(|m| *m == Mode::Unresponsive).await.is_ok();
             };
@@ -143,8 +149,7 @@
                 response = response => response,
                 () = unresponsive => std::future::pending().await,
             };
-            let rejected =
-                *mode.borrow() == Mode::Refusing || self.lock().rejected.contains(&from.ip());
+            let rejected = *mode.borrow() == Mode::Refusing || self.lock().rejected.contains(&at);
             let (status, body) = if rejected {
                 (503, json!({}))
             } else {
@@ -160,7 +165,7 @@
         }
     }
 
-    async fn respond(&self, target: &str, from: SocketAddr) -> (u16, Value) {
+    async fn respond(&self, target: &str, at: SocketAddr) -> (u16, Value) {
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let find = |name: &str| {
             let mut pairs = query.split('&').filter_map(|p| p.split_once('='));
@@ -174,7 +179,7 @@
             "/v1/kv-range" => (200, self.list_page(&prefix, &after)),
             "/v1/kv-watch" => {
                 let wait = Duration::from_millis(find("waitMs").parse().unwrap_or(0));
-                self.wait_for_changes(&prefix, after.parse().unwrap_or(0), wait, from)
+                self.wait_for_changes(&prefix, after.parse().unwrap_or(0), wait, at)
                     .await
             }
             _ => (404, json!({})),
@@ -199,13 +204,13 @@
         prefix: &str,
         after: u64,
         wait: Duration,
-        from: SocketAddr,
+        at: SocketAddr,
     ) -> (u16, Value) {
         let mut changed = self.changed.subscribe();
         let end = tokio::time::Instant::now() + wait;
         loop {
             changed.borrow_and_update();
-            if let Some(response) = self.pending_changes(prefix, after, from) {
+            if let Some(response) = self.pending_changes(prefix, after, at) {
                 return response;
             }
             if tokio::time::timeout_at(end, changed.changed())
@@ -218,7 +223,7 @@
         }
     }
 
-    fn pending_changes(&self, prefix: &str, after: u64, from: SocketAddr) -> Option<(u16, Value)> {
+    fn pending_changes(&self, prefix: &str, after: u64, at: SocketAddr) -> Option<(u16, Value)> {
         let state = self.lock();
         if after < state.history_start {
             return Some((410, json!({})));
@@ -228,7 +233,7 @@
             key.starts_with(prefix) && e["revision"].as_u64().unwrap_or(0) > after
         };
         let events: Vec<&Value> = state.history.iter().filter(is_newer).collect();
-        let rejected = state.rejected.contains(&from.ip());
+        let rejected = state.rejected.contains(&at);
         (!events.is_empty() || rejected)
             .then(|| (200, json!({"events": events, "asOf": state.revision})))
     }
--- a/tests/testsuite/routing/announcements.rs
+++ b/tests/testsuite/routing/announcements.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use hawthornmill::ident::ServerId;
-use hawthornmill::routing::departures::{Departure, RecentDepartures, Source};
+use hawthornmill::routing::announcements::{Departure, RecentAnnouncements, Source};
 use hawthornmill::routing::request::Admission;
 
 use super::{change, entry, millis, request, scheduler, sent, shape};
@@ -53,15 +53,15 @@
 #[test]
 fn departure_from_a_peer_is_not_repeated_in_the_own_domain() {
     let now = Instant::now();
-    let mut departures = RecentDepartures::default();
+    let mut recent = RecentAnnouncements::default();
 
-    departures.record(departure("a1", 50), Source::Store, now);
-    departures.record(departure("a2", 51), Source::Peer, now);
+    recent.record_departure(departure("a1", 50), Source::Store, now);
+    recent.record_departure(departure("a2", 51), Source::Peer, now);
 
-    assert_eq!(departures.for_domain(now), [departure("a1", 50)]);
+    assert_eq!(recent.for_domain(now).departures, [departure("a1", 50)]);
     assert_eq!(
-        departures.for_other_domains(now),
+        recent.for_other_domains(now).departures,
         [departure("a2", 51), departure("a1", 50)]
     );
-    assert!(departures.for_other_domains(now + millis(1_000)).is_empty());
+    assert!(recent.for_other_domains(now + millis(1_000)).is_empty());
 }
--- a/tests/testsuite/routing/domain_summary.rs
+++ b/tests/testsuite/routing/domain_summary.rs
@@ -61,6 +61,7 @@
         store_role: StoreRole::Connected,
         catalog_version: 1,
         revision: 1,
+        evacuation_revision: 0,
     }
 }
 
@@ -237,12 +238,12 @@
     (far.catalog_version, far.revision) = (9, 9);
     peer_table.apply_member(&far, now);
 
-    let first = peer_table.sync_candidates(1, 1, &[], now);
+    let first = peer_table.sync_candidates(super::known(1, 1), &[], now);
     let mut near = report(3);
     (near.catalog_version, near.revision) = (5, 5);
     peer_table.apply_report(instance(3), Incarnation(1), &near, now);
-    let second = peer_table.sync_candidates(1, 1, &[], now);
-    let third = peer_table.sync_candidates(5, 5, &[], now);
+    let second = peer_table.sync_candidates(super::known(1, 1), &[], now);
+    let third = peer_table.sync_candidates(super::known(5, 5), &[], now);
 
     let asked = [first, second, third].map(|a| a.iter().map(|h| h.info).collect::<Vec<_>>());
     assert_eq!(
@@ -263,8 +264,8 @@
         peer_table.apply_report(instance(number), Incarnation(1), &report, now);
     }
 
-    let first = peer_table.sync_candidates(1, 1, &[], now);
-    let then = peer_table.sync_candidates(1, 1, &[peer_info(2).peer_addr], now);
+    let first = peer_table.sync_candidates(super::known(1, 1), &[], now);
+    let then = peer_table.sync_candidates(super::known(1, 1), &[peer_info(2).peer_addr], now);
 
     assert_eq!(first[0].info, peer_info(2));
     assert_eq!(then[0].info, peer_info(3));
--- a/tests/testsuite/routing/fragments.rs
+++ b/tests/testsuite/routing/fragments.rs
@@ -12,6 +12,7 @@
 const SYNC: SyncRequest = SyncRequest {
     catalog_version: 16,
     revision: 40,
+    evacuation_revision: 0,
 };
 
 fn bytes(length: usize) -> Vec<u8> {
--- a/tests/testsuite/routing/gossip.rs
+++ b/tests/testsuite/routing/gossip.rs
@@ -138,7 +138,7 @@
         .map(|(_, p)| p.info.client_addr.port())
         .collect();
     let versions = |have| -> Vec<u64> {
-        let ahead = peer_table.sync_candidates(have, 0, &[], later);
+        let ahead = peer_table.sync_candidates(super::known(have, 0), &[], later);
         ahead.iter().map(|p| p.catalog_version).collect()
     };
 
@@ -249,7 +249,7 @@
     );
     peer_table.apply_report(InstanceId::of("servers"), Incarnation(1), &servers, now);
     let candidates = |peer_table: &PeerTable| -> Vec<u16> {
-        let ahead = peer_table.sync_candidates(3, 8, &[], now);
+        let ahead = peer_table.sync_candidates(super::known(3, 8), &[], now);
         ahead.iter().map(|p| p.info.client_addr.port()).collect()
     };
 
--- a/tests/testsuite/routing/large_fleet.rs
+++ b/tests/testsuite/routing/large_fleet.rs
@@ -54,6 +54,7 @@
             store_role: StoreRole::Connected,
             catalog_version: 1,
             revision: 1,
+            evacuation_revision: 0,
         }
     }
 }
--- a/tests/testsuite/routing/log_names.rs
+++ b/tests/testsuite/routing/log_names.rs
@@ -8,6 +8,7 @@
 fn renamed_causes_of_refusals_keep_their_log_names() {
     let causes = [
         Cause::NoServer,
+        Cause::RegionBound,
         Cause::OverFairShare,
         Cause::TooLong,
         Cause::QueueFull,
@@ -16,7 +17,14 @@
 
     assert_eq!(
         causes.map(|cause| cause.to_string()),
-        ["NoServer", "OthersOwed", "TooLong", "Crowd", "Waited"]
+        [
+            "NoServer",
+            "RegionBound",
+            "OthersOwed",
+            "TooLong",
+            "Crowd",
+            "Waited"
+        ]
     );
 }
 
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -1,9 +1,10 @@
 //! Routing decisions in a fixed order, with a simulated clock and no sockets.
 
 mod adaptive_timeout;
+mod announcements;
 mod congestion;
-mod departures;
 mod domain_summary;
+mod evacuations;
 mod fleet_simulation;
 mod fragments;
 mod gossip;
@@ -12,6 +13,7 @@
 mod loads;
 mod log_names;
 mod placement;
+mod regions;
 mod registry;
 mod retry_budget;
 mod role_fitness;
@@ -28,7 +30,9 @@
 use hawthornmill::routing::catalog::{
     Account, Catalog, Engine, Limits, RetryPolicy, Route, Service, Target, TokenDigest,
 };
+use hawthornmill::routing::gossip::SyncRequest;
 use hawthornmill::routing::placement::{Location, Placement};
+use hawthornmill::routing::regions::AllowedRegions;
 use hawthornmill::routing::registry::{Change, Registration, RegistrationList};
 use hawthornmill::routing::request::{Admission, Request};
 use hawthornmill::routing::retry_budget::{RetryBudget, RetryBudgetConfig};
@@ -49,6 +53,15 @@
     Duration::from_millis(value)
 }
 
+/// What an instance with a catalog of `version` and registrations of `revision` knows.
+fn known(version: u64, revision: u64) -> SyncRequest {
+    SyncRequest {
+        catalog_version: version,
+        revision,
+        evacuation_revision: 0,
+    }
+}
+
 fn route(host: &str, prefix: &str) -> Route {
     Route {
         name: prefix.into(),
@@ -65,6 +78,7 @@
         priority: 1,
         max_attempts: 2,
         public: false,
+        allowed_regions: AllowedRegions::Any,
     }
 }
 
@@ -74,6 +88,7 @@
         name: name.into(),
         tokens: smallvec![TokenDigest::of(token.as_bytes())],
         priority: None,
+        allowed_regions: AllowedRegions::Any,
     }
 }
 
@@ -175,6 +190,7 @@
         arrival: now,
         deadline: now + millis(10_000),
         tried: SmallVec::new(),
+        allowed_regions: AllowedRegions::Any,
     }
 }
 
