Bound what cold servers get, over all instances together

Change: a few instances chosen by hash, those of the server's failure domain first, may send to a cold server, each a fixed part of the bound; two disjoint sets of them stay within it, so a split or doubling fleet does too. A server that turns cold in use is paused for the window, one in a domain that is taken back counts as cold before it says so. Announced to peers like departures; lists carry what is left.

Tests: routing::cold_start can't be built without the change.

--- a/crates/hawthornmill-gateway/src/daemon.rs
+++ b/crates/hawthornmill-gateway/src/daemon.rs
@@ -203,6 +203,11 @@
         .borrow_mut()
         .regions
         .clone_from(&settings.regions);
+    gateway
+        .scheduler
+        .borrow_mut()
+        .cold_limiter
+        .set_tolerance(settings.guarantees.cold_tolerance);
     gateway.peers.borrow_mut().cpu_percent = settings.cpu_percent;
     *gateway.settings.borrow_mut() = Rc::new(settings);
     event_log::state_change("settings_in_force", json!({}));
--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -14,8 +14,11 @@
 use hawthornmill::limits::congestion::LinkMonitor;
 use hawthornmill::limits::load_shedding::LoadShedder;
 use hawthornmill::limits::role_fitness::RoleFitness;
-use hawthornmill::routing::announcements::{Announcements, Departure, RecentAnnouncements, Source};
+use hawthornmill::routing::announcements::{
+    Announcements, ColdServer, Departure, RecentAnnouncements, Source,
+};
 use hawthornmill::routing::catalog::Catalog;
+use hawthornmill::routing::cold_start::ColdStartLimiter;
 use hawthornmill::routing::domain_summary::MemberRotation;
 use hawthornmill::routing::evacuations::Evacuation;
 use hawthornmill::routing::fragments::ResponseCache;
@@ -138,6 +141,7 @@
         incarnation: Incarnation,
     ) -> Rc<Self> {
         let now = clock.now();
+        let id = InstanceId::of(&settings.name);
         let location = Location {
             domain: settings.domain,
             region: settings.region,
@@ -145,11 +149,12 @@
         let mut scheduler = Scheduler::new(
             location,
             RetryBudget::new(settings.guarantees.resend_budget, now),
+            ColdStartLimiter::new(id, location.domain, settings.guarantees.cold_tolerance, now),
         );
         scheduler.regions.clone_from(&settings.regions);
         let peers = PeerTable::new(location.domain, settings.cpu_percent);
         Rc::new(Self {
-            id: InstanceId::of(&settings.name),
+            id,
             settings: RefCell::new(Rc::new(settings)),
             adapter,
             clock,
@@ -276,7 +281,7 @@
             Ok(table) => {
                 let fields = json!({"version": version, "before": before, "from": from});
                 event_log::state_change("catalog_in_force", fields);
-                self.scheduler.borrow_mut().token_rate = table.limits().token_rate;
+                self.scheduler.borrow_mut().apply_catalog(table.catalog());
                 *self.table.borrow_mut() = Some(Rc::new(table));
                 self.catalog_lag.borrow_mut().catch_up(version);
                 self.queue_wakeup.notify_one();
@@ -316,7 +321,7 @@
     /// Applies a change of an evacuation.
     pub fn apply_evacuation(&self, change: Evacuation, from: &str, source: Source) {
         let now = self.now();
-        let Some(changed) = self.scheduler.borrow_mut().apply_evacuation(change) else {
+        let Some(changed) = self.scheduler.borrow_mut().apply_evacuation(change, now) else {
             return;
         };
         self.announcements
@@ -350,9 +355,14 @@
     /// Applies a change of one registration.
     pub fn apply_change(&self, change: Change, from: &str) {
         let (fields, leaving) = (describe_change(&change, from), change.departure());
-        if self.scheduler.borrow_mut().apply_change(change, self.now()) {
+        let (server, now) = (change.server, self.now());
+        let was_warm = self.cold_time(server).is_zero();
+        if self.scheduler.borrow_mut().apply_change(change, now) {
             event_log::state_change("registration", fields);
             self.queue_wakeup.notify_one();
+            if was_warm && !self.cold_time(server).is_zero() {
+                self.announce_cold(server, from, Source::Store);
+            }
             if let Some(leaving) = leaving {
                 self.announce_leaving(leaving, Source::Store);
             }
@@ -364,6 +374,11 @@
         for change in &announced.evacuations {
             self.apply_evacuation(*change, "peer", Source::Peer);
         }
+        for cold in &announced.cold_servers {
+            if self.scheduler.borrow_mut().apply_cold(*cold, self.now()) {
+                self.announce_cold(cold.server, "peer", Source::Peer);
+            }
+        }
         for leaving in &announced.departures {
             if self.scheduler.borrow_mut().registry.mark_draining(*leaving) {
                 let server = self.server_name(leaving.server);
@@ -374,6 +389,28 @@
         }
     }
 
+    /// Returns the time for which a server stays cold.
+    fn cold_time(&self, server: ServerId) -> Duration {
+        let scheduler = self.scheduler.borrow();
+        scheduler.registry.cold_time(server, self.now())
+    }
+
+    /// Logs and announces that a server has turned cold.
+    fn announce_cold(&self, server: ServerId, from: &str, source: Source) {
+        let remaining_ms = self.cold_time(server).as_millis() as u32;
+        let fields =
+            json!({"server": self.server_name(server), "cold_ms": remaining_ms, "from": from});
+        event_log::state_change("server_cold", fields);
+        let cold = ColdServer {
+            server,
+            remaining_ms,
+        };
+        self.announcements
+            .borrow_mut()
+            .record_cold(cold, source, self.now());
+        self.report_wakeup.notify_one();
+    }
+
     fn announce_leaving(&self, leaving: Departure, source: Source) {
         self.announcements
             .borrow_mut()
@@ -583,12 +620,25 @@
     event_log::state_change("turned_away", fields);
 }
 
+/// Logs servers that are cold no longer.
+fn log_warm(gateway: &Gateway, now: Instant) {
+    let warm = gateway.scheduler.borrow_mut().take_warm(now);
+    for server in &warm {
+        let fields = json!({"server": gateway.server_name(*server)});
+        event_log::state_change("server_warm", fields);
+    }
+    if !warm.is_empty() {
+        gateway.queue_wakeup.notify_one();
+    }
+}
+
 /// Removes expired registrations and idle connections until the process ends.
 pub async fn cleanup_loop(gateway: Rc<Gateway>) {
     loop {
         tokio::time::sleep_until(gateway.next_tick(CLEANUP_INTERVAL)).await;
         let now = gateway.now();
         let gone = gateway.scheduler.borrow_mut().sweep(now);
+        log_warm(&gateway, now);
         for server in gone {
             let fields = json!({"server": format!("{:x}", server.0), "why": "not back in time"});
             event_log::state_change("registration_lapsed", fields);
--- a/crates/hawthornmill-gateway/src/gossip.rs
+++ b/crates/hawthornmill-gateway/src/gossip.rs
@@ -61,12 +61,7 @@
                 .peers
                 .borrow_mut()
                 .gossip_targets(gateway.id, &settings.seeds, round, now);
-        let fleet_size = gateway.peers.borrow().max_seen();
-        gateway
-            .scheduler
-            .borrow_mut()
-            .retry_budget
-            .observe_instances(fleet_size);
+        observe_instances(&gateway);
         let report = build_report(&gateway, round, now);
         let others = targets.iter().filter(|t| **t != settings.listen.peer);
         let in_parts = report.in_parts;
@@ -82,6 +77,16 @@
     }
 }
 
+/// Tells the scheduler which instances there are.
+fn observe_instances(gateway: &Gateway) {
+    let peers = gateway.peers.borrow();
+    let mut scheduler = gateway.scheduler.borrow_mut();
+    scheduler.retry_budget.observe_instances(peers.max_seen());
+    let mut known = peers.known_domains();
+    known.push((gateway.id, gateway.settings().domain));
+    scheduler.cold_limiter.observe_instances(known);
+}
+
 fn work_interval(gateway: &Gateway) -> Duration {
     let peers = gateway.peers.borrow();
     match (peers.is_large_domain(), peers.is_large_fleet()) {
--- a/crates/hawthornmill-gateway/src/settings.rs
+++ b/crates/hawthornmill-gateway/src/settings.rs
@@ -7,6 +7,7 @@
 use hawthornmill::codes::Code;
 use hawthornmill::ident::{DomainId, RegionId};
 use hawthornmill::ini::{Diagnostic, Reader, Section};
+use hawthornmill::routing::cold_start::ColdStartTolerance;
 use hawthornmill::routing::retry_budget::RetryBudgetConfig;
 
 const SECTIONS: &[&str] = &[
@@ -54,6 +55,8 @@
     pub directory_ttl: Duration,
     /// Budget of the whole fleet for sending requests to another server.
     pub resend_budget: RetryBudgetConfig,
+    /// How far requests to a cold server may exceed the rate of its service.
+    pub cold_tolerance: ColdStartTolerance,
 }
 
 /// Settings of a gateway process.
@@ -230,6 +233,8 @@
         "resend_ratio",
         "resend_extra",
         "resend_window_s",
+        "cold_factor",
+        "cold_extra",
     ];
     reader.reject_unknown_keys(section, &known);
     Guarantees {
@@ -241,6 +246,10 @@
             extra: reader.number_in(section, "resend_extra", 20.0, 0.0..=1e6),
             window: seconds(reader, section, "resend_window_s", 10.0),
         },
+        cold_tolerance: ColdStartTolerance {
+            factor: reader.number_in(section, "cold_factor", 1.0, 0.0..=100.0),
+            extra: reader.number_in(section, "cold_extra", 0.0, 0.0..=1e6),
+        },
     }
 }
 
--- a/crates/hawthornmill-gateway/src/state_sync.rs
+++ b/crates/hawthornmill-gateway/src/state_sync.rs
@@ -326,7 +326,8 @@
     let latest = scheduler.registry.latest_revision();
     SyncResponse {
         catalog: newer.map(|t| t.catalog().clone()),
-        registrations: (latest > request.revision).then(|| scheduler.registry.snapshot()),
+        registrations: (latest > request.revision)
+            .then(|| scheduler.registry.snapshot(gateway.now())),
         unconfirmed: scheduler.registry.unconfirmed(gateway.now()),
         revision: latest,
         evacuations: scheduler.evacuations.snapshot(),
--- a/crates/hawthornmill/src/routing/catalog.rs
+++ b/crates/hawthornmill/src/routing/catalog.rs
@@ -77,8 +77,17 @@
     pub kv_capacity: u32,
 }
 
+/// What servers of a service bear after a start.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ColdStart {
+    /// Time for which a server is cold after a start.
+    pub time: Duration,
+    /// Requests per second that it bears meanwhile, from all its clients together.
+    pub rate: f64,
+}
+
 /// A group of servers under one name.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Key that routes and registrations refer to.
     pub id: ServiceId,
@@ -88,6 +97,8 @@
     pub max_connections: u32,
     /// Set where the servers are model engines.
     pub engine: Option<Engine>,
+    /// Set where servers bear less after a start.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// Digest of a bearer token; the token itself isn't stored.
--- a/crates/hawthornmill/src/routing/gossip.rs
+++ b/crates/hawthornmill/src/routing/gossip.rs
@@ -401,6 +401,12 @@
         self.max_seen
     }
 
+    /// Returns the remembered peers, live or silent, with their failure domains.
+    pub fn known_domains(&self) -> Vec<(InstanceId, DomainId)> {
+        let peers = self.peers.iter();
+        peers.map(|(id, p)| (*id, p.info.domain)).collect()
+    }
+
     /// Returns the live peers.
     pub fn live(&self, now: Instant) -> impl Iterator<Item = (InstanceId, &PeerState)> {
         self.peers
--- a/crates/hawthornmill/src/routing/mod.rs
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -7,6 +7,7 @@
 //! | [`catalog`], [`route_table`] | routes, services and accounts as published, and their lookup |
 //! | [`registry`] | backend servers as they registered themselves |
 //! | [`announcements`] | changes that are announced without waiting for the registrations |
+//! | [`cold_start`] | requests that a cold server may get |
 //! | [`evacuations`] | failure domains whose servers get no new requests |
 //! | [`regions`] | regions to which a request is bound |
 //! | [`shape`] | size of a request and its cost on a model engine |
@@ -31,6 +32,7 @@
 pub mod allowance;
 pub mod announcements;
 pub mod catalog;
+pub mod cold_start;
 pub mod domain_summary;
 pub mod evacuations;
 pub mod fragments;
--- a/crates/hawthornmill/src/routing/registry.rs
+++ b/crates/hawthornmill/src/routing/registry.rs
@@ -38,6 +38,8 @@
     pub draining: bool,
     /// Start of the run in milliseconds of Unix time; 0 when not given.
     pub start_ms: u64,
+    /// Time for which it stays cold; zero when it is warm.
+    pub cold_time: Duration,
 }
 
 /// A change of one entry.
@@ -104,6 +106,8 @@
     revision: u64,
     /// Revision of the newest change of any entry.
     latest_revision: u64,
+    /// Cold servers, each with the end of that.
+    cold: BTreeMap<ServerId, Instant>,
     /// Servers that were removed or restarted since the last [`Self::take_lost_caches`].
     lost_caches: Vec<ServerId>,
 }
@@ -144,8 +148,10 @@
         let new_start = change.registration.as_ref().map(|e| e.start_ms);
         if old_start.is_some() && old_start != new_start {
             self.lost_caches.push(change.server);
+            self.cold.remove(&change.server);
         }
         if let Some(registration) = change.registration {
+            self.mark_cold(change.server, registration.cold_time, now);
             self.tombstones.remove(&change.server);
             let entry = RegistryEntry {
                 registration,
@@ -155,6 +161,7 @@
             self.entries.insert(change.server, entry);
         } else {
             self.entries.remove(&change.server);
+            self.cold.remove(&change.server);
             self.tombstones
                 .insert(change.server, (change.revision, now));
         }
@@ -172,6 +179,34 @@
         !std::mem::replace(&mut entry.registration.draining, true)
     }
 
+    /// Records that a server stays cold for `time`, or longer if more is known already.
+    pub fn mark_cold(&mut self, server: ServerId, time: Duration, now: Instant) {
+        if !time.is_zero() {
+            let until = self.cold.entry(server).or_insert(now + time);
+            *until = (*until).max(now + time);
+        }
+    }
+
+    /// Returns the time for which a server stays cold; zero when it is warm.
+    pub fn cold_time(&self, server: ServerId, now: Instant) -> Duration {
+        let until = self.cold.get(&server);
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
+    /// Returns the cold servers.
+    pub fn cold_servers(&self, now: Instant) -> impl Iterator<Item = (ServerId, &RegistryEntry)> {
+        let cold = self.cold.iter().filter(move |(_, until)| now < **until);
+        cold.filter_map(|(id, _)| Some((*id, self.entries.get(id)?)))
+    }
+
+    /// Forgets servers that are cold no longer, and returns them.
+    pub fn take_warm(&mut self, now: Instant) -> Vec<ServerId> {
+        let warm = self.cold.iter().filter(|(_, until)| now >= **until);
+        let warm: Vec<ServerId> = warm.map(|(id, _)| *id).collect();
+        self.cold.retain(|_, until| now < *until);
+        warm
+    }
+
     /// Records that all changes up to `revision` were applied.
     pub fn advance(&mut self, revision: u64) {
         self.revision = self.revision.max(revision);
@@ -269,14 +304,17 @@
         ids
     }
 
-    /// Returns all entries, for a peer that is behind.
-    pub fn snapshot(&self) -> Vec<Change> {
+    /// Returns all entries, for a peer that is behind; cold servers with what is left of that at `now`.
+    pub fn snapshot(&self, now: Instant) -> Vec<Change> {
         self.entries
             .iter()
             .map(|(id, entry)| Change {
                 server: *id,
                 revision: entry.revision,
-                registration: Some(entry.registration.clone()),
+                registration: Some(Registration {
+                    cold_time: self.cold_time(*id, now),
+                    ..entry.registration.clone()
+                }),
             })
             .collect()
     }
@@ -305,6 +343,7 @@
     }
 
     fn remove(&mut self, id: ServerId, revision: u64, now: Instant) {
+        self.cold.remove(&id);
         if let Some(entry) = self.entries.remove(&id) {
             self.tombstones
                 .insert(id, (revision.max(entry.revision), now));
--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -12,6 +12,9 @@
 use smallvec::SmallVec;
 
 use super::allowance;
+use super::announcements::ColdServer;
+use super::catalog::{Catalog, ColdStart};
+use super::cold_start::ColdStartLimiter;
 use super::evacuations::{Evacuation, Evacuations};
 use super::gossip::UnmetDemand;
 use super::loads::{LoadTracker, Work};
@@ -91,6 +94,10 @@
     pub evacuations: Evacuations,
     /// Tokens per second that all engines yield; 0 when unknown.
     pub token_rate: f64,
+    /// What servers of each service bear after a start.
+    pub cold_starts: BTreeMap<ServiceId, ColdStart>,
+    /// What this instance may send to cold servers.
+    pub cold_limiter: ColdStartLimiter,
     location: Location,
     ttft_models: BTreeMap<ServiceId, TtftModel>,
     queue_rates: BTreeMap<ServiceId, QueueRate>,
@@ -105,7 +112,7 @@
 
 impl Scheduler {
     /// Creates a scheduler without servers.
-    pub fn new(location: Location, budget: RetryBudget) -> Self {
+    pub fn new(location: Location, budget: RetryBudget, cold_limiter: ColdStartLimiter) -> Self {
         Self {
             registry: Registry::default(),
             loads: LoadTracker::default(),
@@ -115,6 +122,8 @@
             regions: Vec::new(),
             evacuations: Evacuations::default(),
             token_rate: 0.0,
+            cold_starts: BTreeMap::new(),
+            cold_limiter,
             location,
             ttft_models: BTreeMap::new(),
             queue_rates: BTreeMap::new(),
@@ -239,19 +248,81 @@
 
     /// Applies one change of a registration; returns false when it is older than the current entry.
     pub fn apply_change(&mut self, change: Change, now: Instant) -> bool {
+        let server = change.server;
+        let was_known = self.registry.get(server).map(|e| e.registration.start_ms);
+        let was_warm = self.registry.cold_time(server, now).is_zero();
         let applied = self.registry.apply(change, now);
+        let same_run = self.registry.get(server).map(|e| e.registration.start_ms) == was_known;
+        if was_warm && same_run && !self.registry.cold_time(server, now).is_zero() {
+            self.pause_cold(server, now);
+        }
         self.drop_lost_caches();
         applied
     }
 
     /// Applies a change of an evacuation; returns whether servers of the domain begin or cease to get requests by it, or
     /// `None` when as much was known already.
-    pub fn apply_evacuation(&mut self, change: Evacuation) -> Option<bool> {
+    pub fn apply_evacuation(&mut self, change: Evacuation, now: Instant) -> Option<bool> {
         let known = self.evacuations.get(change.domain);
         if known.is_some_and(|k| k.revision >= change.revision) {
             return None;
         }
-        Some(self.evacuations.apply(change))
+        let changed = self.evacuations.apply(change);
+        if changed && !change.active {
+            self.expect_cold(change.domain, now);
+        }
+        Some(changed)
+    }
+
+    /// Takes all servers of a domain for cold that is taken back: they got no requests for a while, and register as cold
+    /// up to a heartbeat later.
+    fn expect_cold(&mut self, domain: DomainId, now: Instant) {
+        let servers = self.registry.entries();
+        let servers = servers.filter(|(_, e)| e.registration.domain == domain);
+        let cold_time = |service| self.cold_starts.get(&service).map(|c| c.time);
+        let cold: Vec<(ServerId, Duration)> = servers
+            .filter_map(|(id, e)| Some((id, cold_time(e.registration.service)?)))
+            .collect();
+        for (server, time) in cold {
+            self.registry.mark_cold(server, time, now);
+        }
+    }
+
+    /// Applies a peer's announcement that a server has turned cold; returns whether it counted as warm here.
+    pub fn apply_cold(&mut self, cold: ColdServer, now: Instant) -> bool {
+        let was_warm = self.registry.cold_time(cold.server, now).is_zero();
+        if self.registry.get(cold.server).is_none() {
+            return false;
+        }
+        let time = Duration::from_millis(cold.remaining_ms.into());
+        self.registry.mark_cold(cold.server, time, now);
+        if was_warm {
+            self.pause_cold(cold.server, now);
+        }
+        was_warm && !time.is_zero()
+    }
+
+    /// Stops sending to a server that has turned cold while it was in use.
+    fn pause_cold(&mut self, server: ServerId, now: Instant) {
+        let service = self.registry.get(server).map(|e| e.registration.service);
+        if let Some(cold_start) = service.and_then(|s| self.cold_starts.get(&s)) {
+            self.cold_limiter.pause(server, *cold_start, now);
+        }
+    }
+
+    /// Returns the cold servers of `service` to which this instance may send nothing now.
+    fn cold_at_limit(&mut self, service: ServiceId, now: Instant) -> HomeServers {
+        let Some(cold_start) = self.cold_starts.get(&service) else {
+            return HomeServers::new();
+        };
+        let cold = self.registry.cold_servers(now);
+        let cold = cold.filter(|(_, e)| e.registration.service == service);
+        cold.filter(|(id, e)| {
+            let domain = e.registration.domain;
+            !self.cold_limiter.allows(*id, domain, *cold_start, now)
+        })
+        .map(|(id, _)| id)
+        .collect()
     }
 
     /// Applies a whole list of registrations; see [`Registry::replace_all`].
@@ -305,6 +376,24 @@
         self.loads.end(placement.server, work);
     }
 
+    /// Takes over what a catalog that comes into force says of the servers.
+    pub fn apply_catalog(&mut self, catalog: &Catalog) {
+        self.token_rate = catalog.limits.token_rate;
+        let services = catalog.services.iter();
+        self.cold_starts = services
+            .filter_map(|s| Some((s.id, s.cold_start?)))
+            .collect();
+    }
+
+    /// Forgets servers that are cold no longer, and returns them.
+    pub fn take_warm(&mut self, now: Instant) -> Vec<ServerId> {
+        let warm = self.registry.take_warm(now);
+        for server in &warm {
+            self.cold_limiter.forget(*server);
+        }
+        warm
+    }
+
     /// Returns what a decision on `request` is based on now.
     pub fn decision_context(&self, request: &Request, now: Instant) -> DecisionContext {
         let entries = self.registry.entries();
@@ -346,6 +435,8 @@
         reserved: &[ServerId],
         now: Instant,
     ) -> Result<Placement, PlacementError> {
+        let mut unavailable = self.cold_at_limit(request.service, now);
+        unavailable.extend_from_slice(reserved);
         let uncontended = self.unmet_ahead(request, now).instances == 0;
         let share = self.share_of(request);
         let view = PlacementView {
@@ -361,7 +452,7 @@
             shape: &request.shape,
             excluded: &request.tried,
             allowed_regions: &request.allowed_regions,
-            reserved,
+            reserved: &unavailable,
             ttft: self
                 .ttft_models
                 .get(&request.service)
@@ -394,6 +485,9 @@
             query.ttft.prefill_rate(),
             now,
         );
+        if !self.registry.cold_time(placement.server, now).is_zero() {
+            self.cold_limiter.record(placement.server, now);
+        }
         self.prefix_index
             .record(placement.server, &request.shape, now);
         if let (true, Some(prefix)) = (placement.spilled, request.shape.shared_prefix()) {
--- a/tests/testsuite/routing/evacuations.rs
+++ b/tests/testsuite/routing/evacuations.rs
@@ -35,11 +35,11 @@
     let own = [ServerId::of("a1"), ServerId::of("a2")];
 
     let before = sent(scheduler.submit(&ask(1), now));
-    let changed = scheduler.apply_evacuation(evacuated("a", 50));
+    let changed = scheduler.apply_evacuation(evacuated("a", 50), now);
     let meanwhile: Vec<ServerId> = (0..10)
         .map(|family| sent(scheduler.submit(&ask(family), now)).server)
         .collect();
-    scheduler.apply_evacuation(taken_back("a", 60));
+    scheduler.apply_evacuation(taken_back("a", 60), now);
     let after = sent(scheduler.submit(&ask(1), now));
 
     assert_eq!(changed, Some(true));
@@ -62,7 +62,7 @@
         }
     };
 
-    scheduler.apply_evacuation(evacuated("a", 50));
+    scheduler.apply_evacuation(evacuated("a", 50), now);
     for placement in &placed {
         scheduler.finish(placement, false);
     }
@@ -88,7 +88,7 @@
         ..request("lab", shape(1, 300, 200), now)
     };
     for (domain, revision) in [("a", 50), ("b", 51)] {
-        scheduler.apply_evacuation(evacuated(domain, revision));
+        scheduler.apply_evacuation(evacuated(domain, revision), now);
     }
 
     let bound = scheduler.submit(&bound, now);
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -2,6 +2,7 @@
 
 mod adaptive_timeout;
 mod announcements;
+mod cold_start;
 mod congestion;
 mod domain_summary;
 mod evacuations;
@@ -26,10 +27,11 @@
 
 use std::time::{Duration, Instant};
 
-use hawthornmill::ident::{AccountId, DomainId, RegionId, ServerId, ServiceId};
+use hawthornmill::ident::{AccountId, DomainId, InstanceId, RegionId, ServerId, ServiceId};
 use hawthornmill::routing::catalog::{
     Account, Catalog, Engine, Limits, RetryPolicy, Route, Service, Target, TokenDigest,
 };
+use hawthornmill::routing::cold_start::{ColdStartLimiter, ColdStartTolerance};
 use hawthornmill::routing::gossip::SyncRequest;
 use hawthornmill::routing::placement::{Location, Placement};
 use hawthornmill::routing::regions::AllowedRegions;
@@ -45,6 +47,11 @@
     kv_capacity: 100_000,
 };
 
+const TOLERANCE: ColdStartTolerance = ColdStartTolerance {
+    factor: 1.5,
+    extra: 5.0,
+};
+
 fn drafter() -> ServiceId {
     ServiceId::of("drafter")
 }
@@ -101,6 +108,7 @@
             name: "drafter".into(),
             max_connections: 100,
             engine: Some(ENGINE),
+            cold_start: None,
         }],
         accounts,
         limits: Limits::default(),
@@ -116,6 +124,7 @@
         slots: 8,
         draining: false,
         start_ms: 0,
+        cold_time: Duration::ZERO,
     }
 }
 
@@ -148,7 +157,8 @@
         domain: DomainId::of("a"),
         region: RegionId::of("north"),
     };
-    let mut scheduler = Scheduler::new(location, RetryBudget::new(config, now));
+    let limiter = ColdStartLimiter::new(InstanceId::of("me"), location.domain, TOLERANCE, now);
+    let mut scheduler = Scheduler::new(location, RetryBudget::new(config, now), limiter);
     let regions = [("a", "north"), ("b", "north"), ("c", "south")];
     scheduler.regions = regions
         .map(|(d, r)| (DomainId::of(d), RegionId::of(r)))
--- a/tests/testsuite/routing/registry.rs
+++ b/tests/testsuite/routing/registry.rs
@@ -10,7 +10,7 @@
 /// The list that `registry` sends to another instance at `now`.
 fn sent(registry: &Registry, now: Instant) -> RegistrationList {
     RegistrationList {
-        entries: registry.snapshot(),
+        entries: registry.snapshot(now),
         unconfirmed: registry.unconfirmed(now),
         revision: registry.latest_revision(),
         after_outage: false,
