--- a/crates/hawthornmill-gateway/src/endpoints.rs
+++ b/crates/hawthornmill-gateway/src/endpoints.rs
@@ -201,6 +201,16 @@
             "Servers known",
             count(scheduler.registry.entries().count()),
         ),
+        (
+            "cold_servers",
+            "Servers that bear little after a start",
+            count(scheduler.registry.cold_servers(now).count()),
+        ),
+        (
+            "evacuated_domains",
+            "Failure domains whose servers get no new requests",
+            count(scheduler.evacuations.active_count()),
+        ),
         ("mates", "Other instances heard", count(peers)),
         ("waiting", "Requests in line", count(scheduler.queue_len())),
         ("running", "Requests at servers", i64::from(running)),
--- a/crates/hawthornmill-tools/src/check/catalog.rs
+++ b/crates/hawthornmill-tools/src/check/catalog.rs
@@ -5,8 +5,10 @@
 use std::path::Path;
 
 use hawthornmill::codes::Code;
+use hawthornmill::ident::RegionId;
 use hawthornmill::ini::Diagnostic;
 use hawthornmill::routing::catalog::{Account, Catalog, Route, validate};
+use hawthornmill::routing::regions::AllowedRegions;
 
 /// Reads and validates the catalog in `file`.
 ///
@@ -64,6 +66,32 @@
     text
 }
 
+/// Lists routes that no region can serve, for some of the accounts or for all.
+///
+/// `known` are the regions of the fleet, if they are known.
+pub fn warnings(catalog: &Catalog, known: Option<&[RegionId]>) -> Vec<String> {
+    let is_served = |regions: &AllowedRegions| match known {
+        Some(known) => known.iter().any(|r| regions.contains(Some(*r))),
+        None => !regions.is_empty(),
+    };
+    let mut warnings = Vec::new();
+    for route in &catalog.routes {
+        if !is_served(&route.allowed_regions) {
+            warnings.push(format!("route {}: no region can serve it", route.name));
+            continue;
+        }
+        let bounds = |a: &Account| route.allowed_regions.intersect(&a.allowed_regions);
+        let accounts = catalog.accounts.iter().filter(|_| !route.public);
+        for account in accounts.filter(|a| !is_served(&bounds(a))) {
+            let (route, account) = (&route.name, &account.name);
+            warnings.push(format!(
+                "route {route}: no region can serve it for account {account}"
+            ));
+        }
+    }
+    warnings
+}
+
 fn index_by<T>(list: &[T], key: impl Fn(&T) -> String) -> BTreeMap<String, &T> {
     list.iter().map(|entry| (key(entry), entry)).collect()
 }
--- a/crates/hawthornmill-tools/src/check/mod.rs
+++ b/crates/hawthornmill-tools/src/check/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Exit codes: 0 valid, 1 valid but with warnings under `--strict`, 2 invalid or unreadable.
 
-mod catalog;
+pub mod catalog;
 mod show;
 
 use std::path::PathBuf;
@@ -77,6 +77,12 @@
     /// file of the catalog in force, to compare with
     #[argh(option)]
     present: Option<PathBuf>,
+    /// settings file of a gateway, which names the regions
+    #[argh(option)]
+    settings: Option<PathBuf>,
+    /// exit with 1 when there are warnings
+    #[argh(switch)]
+    strict: bool,
 }
 
 /// Print the hash of a bearer token, for the configuration.
@@ -137,9 +143,13 @@
     if let Some(present) = &args.present {
         text += &catalog::changes(&catalog::read(present)?, &candidate);
     }
+    let settings = args.settings.as_deref().map(GatewaySettings::load);
+    let settings = settings.transpose()?;
+    let regions = settings.map(|s| s.regions.iter().map(|(_, r)| *r).collect::<Vec<_>>());
     Ok(CheckReport {
         text,
-        ..CheckReport::default()
+        warnings: catalog::warnings(&candidate, regions.as_deref()),
+        strict: args.strict,
     })
 }
 
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -206,7 +206,11 @@
     let at = Duration::from_millis(4_200);
     match plant {
         Plant::Old => vec![(at, plan::Step::AddRoute)],
-        Plant::Unsaid => vec![(at, plan::Step::Revoke), (at, plan::Step::Drain(0))],
+        Plant::Unsaid => vec![
+            (at, plan::Step::Revoke),
+            (at, plan::Step::Drain(0)),
+            (at, plan::Step::Evacuate),
+        ],
         _ => vec![(Duration::from_millis(100), plan::Step::Forget)],
     }
 }
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -56,6 +56,10 @@
     Return(usize),
     /// The link to a server changes.
     Link(usize, LinkState),
+    /// The second failure domain is evacuated.
+    Evacuate,
+    /// It is taken back, and its servers are cold.
+    TakeBack,
 }
 
 /// A step and its time from the begin of the traffic.
@@ -74,9 +78,11 @@
         }
         at += millis(&mut rng, 150, 900);
     }
+    evacuate(seed, last, &mut steps);
     // Whatever is still broken is mended, so that the rest of the run can show recovery.
     steps.push((last, Step::Store(Mode::Healthy)));
     steps.push((last, Step::Restore));
+    steps.push((last, Step::TakeBack));
     steps.extend((0..size.routers).map(|r| (last, Step::Resume(r))));
     steps.extend((0..size.servers).map(|s| (last, Step::Return(s))));
     steps.extend((0..size.servers).map(|s| (last, Step::Link(s, LinkState::default()))));
@@ -87,6 +93,17 @@
     steps
 }
 
+/// Adds evacuations beside the other faults, from a sequence of random numbers of their own.
+fn evacuate(seed: u64, last: Duration, steps: &mut Vec<Timed>) {
+    let mut rng = StdRng::seed_from_u64(!seed);
+    let mut at = millis(&mut rng, 300, 2_000);
+    while at < last {
+        let end = at + millis(&mut rng, 100, 6_000);
+        steps.extend([(at, Step::Evacuate), (end, Step::TakeBack)]);
+        at = end + millis(&mut rng, 100, 3_000);
+    }
+}
+
 fn millis(rng: &mut StdRng, least: u64, most: u64) -> Duration {
     Duration::from_millis(rng.random_range(least..most))
 }
--- a/tests/soak/plant.rs
+++ b/tests/soak/plant.rs
@@ -28,14 +28,14 @@
     Cut,
     /// Routes that were added are not known.
     Old,
-    /// Tokens and draining servers are reported to the checks only, not to the fleet.
+    /// Tokens, draining servers and evacuations are reported to the checks only, not to the fleet.
     Unsaid,
     /// Nothing is answered any more.
     Dead,
 }
 
 /// Each planted fault, with the promise that must be found broken.
-pub const ALL: [(Plant, &str); 9] = [
+pub const ALL: [(Plant, &str); 10] = [
     (Plant::Twice, "at most once"),
     (Plant::Denial, "truthful refusals"),
     (Plant::Mixed, "whole answers of the right caller"),
@@ -44,6 +44,7 @@
     (Plant::Old, "configuration in force"),
     (Plant::Unsaid, "configuration in force"),
     (Plant::Unsaid, "draining servers get nothing new"),
+    (Plant::Unsaid, "evacuated domains get nothing new"),
     (Plant::Dead, "the fleet recovers"),
 ];
 
--- a/tests/soak/promises.rs
+++ b/tests/soak/promises.rs
@@ -13,7 +13,7 @@
 const STABLE: Duration = Duration::from_secs(4);
 /// Time in which a configuration, and a token's removal, must be in force.
 const IN_FORCE: Duration = Duration::from_secs(3);
-/// Time in which a draining server must get its last request.
+/// Time in which a draining server, or one of an evacuated domain, must get its last request.
 const DRAINED: Duration = Duration::from_secs(3);
 /// Time after which nothing may be served any more by the rules of an older version.
 const NO_GOING_BACK: Duration = Duration::from_millis(250);
@@ -55,6 +55,8 @@
     pub tokens: Vec<Span>,
     /// Servers that drained, until they took work again.
     pub drains: Vec<(usize, Span)>,
+    /// When the second failure domain was evacuated, until it was taken back.
+    pub evacuations: Vec<Span>,
     /// When the last fault began or was mended.
     pub calm: Option<Instant>,
 }
@@ -118,6 +120,7 @@
     }
     all.extend(going_back(records));
     all.extend(drained(records));
+    all.extend(evacuated(records));
     all.extend(budget(records, &arrivals));
     all.extend(recovered(records));
     all.extend(unasked(records));
@@ -344,7 +347,31 @@
     None
 }
 
+/// Returns whether a server is in the failure domain that is evacuated at times.
+pub const fn is_in_second_domain(server: usize) -> bool {
+    !server.is_multiple_of(2)
+}
+
 fn drained(records: &Records) -> Vec<Breach> {
+    late_arrivals(records, "draining servers get nothing new", |server| {
+        let drains = records.drains.iter().filter(move |(s, _)| *s == server);
+        drains.map(|(_, span)| *span).collect()
+    })
+}
+
+fn evacuated(records: &Records) -> Vec<Breach> {
+    late_arrivals(records, "evacuated domains get nothing new", |server| {
+        let spans = records.evacuations.iter().copied();
+        spans.filter(|_| is_in_second_domain(server)).collect()
+    })
+}
+
+/// Requests that reached a server too late in one of the spans in which it is to get nothing new.
+fn late_arrivals(
+    records: &Records,
+    promise: &'static str,
+    closed: impl Fn(usize) -> Vec<Span>,
+) -> Vec<Breach> {
     let by_id: BTreeMap<&str, &Seen> = records.seen.iter().map(|s| (&*s.id, s)).collect();
     let mut all = Vec::new();
     for (server, arrival) in &records.arrivals {
@@ -354,18 +381,14 @@
             .get_str("attempt-id")
             .unwrap_or_default();
         let Some(seen) = by_id.get(id) else { continue };
-        let late = records.drains.iter().find(|(s, (from, to))| {
-            s == server && arrival.received_at > *from + DRAINED && arrival.received_at < *to
-        });
-        if let Some((_, (from, _))) = late
-            && left_alone(records, seen, *from)
+        let late = closed(*server)
+            .into_iter()
+            .find(|(from, to)| arrival.received_at > *from + DRAINED && arrival.received_at < *to);
+        if let Some((from, _)) = late
+            && left_alone(records, seen, from)
         {
-            let after = arrival.received_at.duration_since(*from).as_millis();
-            all.push(breach(
-                "draining servers get nothing new",
-                id,
-                format!("{after} ms later"),
-            ));
+            let after = arrival.received_at.duration_since(from).as_millis();
+            all.push(breach(promise, id, format!("{after} ms later")));
         }
     }
     all
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -13,7 +13,7 @@
 use crate::fleet::{Fleet, config, route};
 use crate::plan::{Size, Step, Timed};
 use crate::plant::{self, Plant};
-use crate::promises::{EVENTS, Records, Span};
+use crate::promises::{EVENTS, Records, Span, is_in_second_domain};
 use crate::scripted_server::Behavior;
 use crate::store::Mode;
 
@@ -27,6 +27,10 @@
 const LOOK: Duration = Duration::from_millis(15);
 /// Time in which a process that starts gets ready.
 const START: Duration = Duration::from_secs(1);
+/// Key of the store by which the second failure domain is evacuated.
+const EVACUATION: &str = "op/evacuate/b";
+/// Time for which a server says that it is cold after its domain is taken back, in milliseconds.
+const COLD_MS: u64 = 1_000;
 /// Open end of a span.
 const OPEN: Duration = Duration::from_hours(1);
 
@@ -49,6 +53,7 @@
     routes: Vec<u64>,
     revoked: bool,
     drains: Vec<bool>,
+    evacuated: bool,
     plant: Option<Plant>,
 }
 
@@ -97,9 +102,11 @@
         for server in fleet.servers.clone() {
             server.set_default(usual);
             let relay = Relay::start(server.address).await.expect("a port is free");
-            fleet.register_at(&server, relay.address, "ready");
             relays.push(relay);
         }
+        for number in 0..size.servers {
+            register(&fleet, &relays, number, &json!({}));
+        }
         fleet
             .store
             .put("op/config", config(1).to_string().as_bytes());
@@ -134,6 +141,7 @@
             routes: Vec::new(),
             revoked: false,
             drains: vec![false; size.servers],
+            evacuated: false,
             plant,
         }
     }
@@ -173,6 +181,8 @@
             Step::Drain(server) if !self.drains[server] => self.drain(server, now),
             Step::Return(server) if self.drains[server] => self.give_back(server, now),
             Step::Link(server, state) => self.link(server, state, now),
+            Step::Evacuate if !self.evacuated => self.evacuate(now),
+            Step::TakeBack if self.evacuated => self.take_back(now),
             // It is down, stopping, paused or done already.
             _ => {}
         }
@@ -273,7 +283,7 @@
 
     fn drain(&mut self, server: usize, now: Instant) {
         if self.plant != Some(Plant::Unsaid) {
-            self.register(server, "draining");
+            self.register(server, &json!({"state": "draining"}));
         }
         self.drains[server] = true;
         self.records.drains.push((server, open(now)));
@@ -282,13 +292,29 @@
     fn give_back(&mut self, server: usize, now: Instant) {
         self.drains[server] = false;
         close_of(&mut self.records.drains, server, now);
-        self.register(server, "ready");
+        self.register(server, &json!({}));
     }
 
-    fn register(&self, server: usize, state: &str) {
-        let address = self.relays[server].address;
-        self.fleet
-            .register_at(&self.fleet.servers[server], address, state);
+    fn register(&self, server: usize, more: &Value) {
+        register(&self.fleet, &self.relays, server, more);
+    }
+
+    fn evacuate(&mut self, now: Instant) {
+        if self.plant != Some(Plant::Unsaid) {
+            self.fleet.store.put(EVACUATION, b"{}");
+        }
+        self.evacuated = true;
+        self.records.evacuations.push(open(now));
+    }
+
+    fn take_back(&mut self, now: Instant) {
+        self.evacuated = false;
+        close(&mut self.records.evacuations, now);
+        self.fleet.store.remove(EVACUATION);
+        let idle = (0..self.drains.len()).filter(|s| is_in_second_domain(*s) && !self.drains[*s]);
+        for server in idle.collect::<Vec<_>>() {
+            self.register(server, &json!({"coldRemainingMs": COLD_MS}));
+        }
     }
 
     fn link(&mut self, server: usize, state: LinkState, now: Instant) {
@@ -314,6 +340,20 @@
     }
 }
 
+/// Registers a server at its relay, with the keys of `more`.
+fn register(fleet: &Fleet, relays: &[Arc<Relay>], server: usize, more: &Value) {
+    let zone = if is_in_second_domain(server) {
+        "b"
+    } else {
+        "a"
+    };
+    let mut entry = json!({"address": relays[server].address.to_string(), "zone": zone});
+    if let (Some(entry), Some(more)) = (entry.as_object_mut(), more.as_object()) {
+        entry.extend(more.clone());
+    }
+    fleet.write_registration(&fleet.servers[server], &entry);
+}
+
 /// Ends the span that is open.
 fn close(spans: &mut [Span], now: Instant) {
     if let Some(span) = spans.last_mut() {
