Fetch cached prefixes from the server that keeps them, and look at each failure domain once in a placement

Change: the chosen server is told to fetch from the server that is known to keep most of the prompt, or else from the first two in the order of the family, where that is faster than to prefill; never from one that is down, leaving, evacuated or out of the request's regions. Placement itself still counts a copy as dear. [policy] fetch_prefixes. A placement works out estimate, tier and regions once a failure domain and not once a server.

routing::fetching replays a family that becomes popular; without the change it can't be built.

--- a/crates/hawthornmill-gateway/src/adapter.rs
+++ b/crates/hawthornmill-gateway/src/adapter.rs
@@ -34,6 +34,8 @@
     pub not_executed: &'static str,
     /// Seconds after which a rejected client may retry.
     pub retry_after: &'static str,
+    /// Address of the server from which the receiving one fetches cached parts of the prompt.
+    pub fetch_source: &'static str,
     /// Further fields that only the gateway may set.
     pub reserved: &'static [&'static str],
 }
--- a/crates/hawthornmill-gateway/src/daemon.rs
+++ b/crates/hawthornmill-gateway/src/daemon.rs
@@ -198,16 +198,12 @@
     if settings.listen != gateway.settings().listen {
         event_log::state_change("settings_need_restart", json!({"section": "listen"}));
     }
-    gateway
-        .scheduler
-        .borrow_mut()
-        .regions
-        .clone_from(&settings.regions);
-    gateway
-        .scheduler
-        .borrow_mut()
-        .cold_limiter
-        .set_tolerance(settings.guarantees.cold_tolerance);
+    let mut scheduler = gateway.scheduler.borrow_mut();
+    scheduler.regions.clone_from(&settings.regions);
+    scheduler.fetches_prefixes = settings.fetches_prefixes;
+    let tolerance = settings.guarantees.cold_tolerance;
+    scheduler.cold_limiter.set_tolerance(tolerance);
+    drop(scheduler);
     gateway.peers.borrow_mut().cpu_percent = settings.cpu_percent;
     *gateway.settings.borrow_mut() = Rc::new(settings);
     event_log::state_change("settings_in_force", json!({}));
--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -152,6 +152,7 @@
             ColdStartLimiter::new(id, location.domain, settings.guarantees.cold_tolerance, now),
         );
         scheduler.regions.clone_from(&settings.regions);
+        scheduler.fetches_prefixes = settings.fetches_prefixes;
         let peers = PeerTable::new(location.domain, settings.cpu_percent);
         Rc::new(Self {
             id,
--- a/crates/hawthornmill-gateway/src/proxy/progress.rs
+++ b/crates/hawthornmill-gateway/src/proxy/progress.rs
@@ -86,7 +86,7 @@
         let waited = gateway.now().duration_since(request.received);
         let fields = json!({
             "server": name, "waited_ms": waited.as_millis() as u64, "send": self.sends + 1,
-            "tokens_before_first": placement.queued_prefill, "tokens_again": placement.duplicate_prefill, "stray": placement.spilled, "expected_ms": placement.expected_ttft.as_millis() as u64,
+            "tokens_before_first": placement.queued_prefill, "tokens_again": placement.duplicate_prefill, "tokens_fetched": placement.fetch.map_or(0, |f| f.tokens), "stray": placement.spilled, "expected_ms": placement.expected_ttft.as_millis() as u64,
             "catalog": gateway.catalog_version(), "lag_ms": lag_ms(gateway), "registrations": gateway.scheduler.borrow().registry.latest_revision(),
         });
         event_log::request_step("sent", &request.attempt_id, fields);
--- a/crates/hawthornmill-gateway/src/proxy/send.rs
+++ b/crates/hawthornmill-gateway/src/proxy/send.rs
@@ -5,6 +5,7 @@
 //! not execute the request.
 
 use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -81,9 +82,13 @@
     let target = {
         let scheduler = gateway.scheduler.borrow();
         let known = scheduler.registry.get(server);
-        known.map(|k| (k.registration.address, k.registration.name.clone()))
+        let source = placement
+            .fetch
+            .and_then(|f| scheduler.registry.get(f.source));
+        let source = source.map(|s| s.registration.address);
+        known.map(|k| (k.registration.address, k.registration.name.clone(), source))
     };
-    let Some((address, name)) = target else {
+    let Some((address, name, source)) = target else {
         return SendOutcome::Unreachable("server is gone".into());
     };
     let now = gateway.now();
@@ -104,7 +109,7 @@
     if !upstream.reused {
         gateway.metrics.server_connected();
     }
-    let bytes = encode_request(gateway, request, admitted, progress, &name);
+    let bytes = encode_request(gateway, request, admitted, progress, &name, source);
     let written = match write_request(&mut upstream, &bytes.0, progress).await {
         Ok(complete) => complete,
         Err(error) if !progress.bytes_sent() => {
@@ -133,6 +138,7 @@
     admitted: &Admitted,
     progress: &RequestProgress,
     server: &str,
+    fetch_source: Option<SocketAddr>,
 ) -> MessageBuffer {
     let names = &gateway.adapter.headers;
     let mut excluded: Vec<&str> = vec![names.deadline, names.expected_server, names.account];
@@ -151,6 +157,9 @@
         .saturating_duration_since(gateway.now());
     bytes.header(names.deadline, remaining.as_millis().to_string());
     bytes.header(names.expected_server, server);
+    if let Some(source) = fetch_source {
+        bytes.header(names.fetch_source, source.to_string());
+    }
     if let Some(account) = &admitted.account_name {
         bytes.header(names.account, account.as_bytes());
     }
--- a/crates/hawthornmill-gateway/src/settings.rs
+++ b/crates/hawthornmill-gateway/src/settings.rs
@@ -17,6 +17,7 @@
     "domain",
     "store",
     "promises",
+    "policy",
     "telemetry",
 ];
 
@@ -88,6 +89,8 @@
     pub store: SocketAddr,
     /// Guarantees given for the deployment.
     pub guarantees: Guarantees,
+    /// Servers fetch cached parts of prompts from others where they can.
+    pub fetches_prefixes: bool,
     /// Least severe level that is logged.
     pub level: log::LevelFilter,
 }
@@ -149,6 +152,7 @@
             report_interval: reader.millis(&peers, "news_ms", 200.0),
             store: store(&mut reader, &one("store")),
             guarantees: guarantees(&mut reader, &one("promises")),
+            fetches_prefixes: fetches_prefixes(&mut reader, &one("policy")),
             level: level(&mut reader, &one("telemetry")),
         };
         reader.finish(settings)
@@ -253,6 +257,15 @@
     }
 }
 
+fn fetches_prefixes(reader: &mut Reader<'_>, section: &Section) -> bool {
+    reader.reject_unknown_keys(section, &["fetch_prefixes"]);
+    reader.choice(
+        section,
+        "fetch_prefixes",
+        &[("true", true), ("false", false)],
+    )
+}
+
 fn level(reader: &mut Reader<'_>, section: &Section) -> log::LevelFilter {
     reader.reject_unknown_keys(section, &["level"]);
     let words = [
--- a/crates/hawthornmill/src/routing/catalog.rs
+++ b/crates/hawthornmill/src/routing/catalog.rs
@@ -75,6 +75,8 @@
     pub slots: u32,
     /// Tokens that one server's KV memory holds.
     pub kv_capacity: u32,
+    /// Time to copy the KV memory of a token from one server to another; zero where servers can't.
+    pub copy_time: Duration,
 }
 
 /// What servers of a service bear after a start.
--- a/crates/hawthornmill/src/routing/placement.rs
+++ b/crates/hawthornmill/src/routing/placement.rs
@@ -19,15 +19,17 @@
 use super::regions::{AllowedRegions, Reach};
 use super::registry::Registry;
 use super::shape::Shape;
-use super::ttft::TtftModel;
+use super::ttft::TtftEstimate;
 use crate::ident::{DomainId, RegionId, ServerId, ServiceId, mix};
 
 /// Shared tokens from which a family has one home in the whole fleet: their prefill costs more than the round trip.
 const FLEET_WIDE_TOKENS: u32 = 2_000;
 /// Shared tokens whose second prefill takes more of an engine than most requests do.
 const LONG_PREFIX_TOKENS: u32 = 1_500;
+/// Index of other regions among the round trips.
+const FLEET_TIER: usize = 2;
 /// Round trip within the own failure domain, to another domain of the region, and to another region.
-const ROUND_TRIPS: [Duration; 3] = [
+const ROUND_TRIPS: [Duration; FLEET_TIER + 1] = [
     Duration::ZERO,
     Duration::from_millis(3),
     Duration::from_millis(60),
@@ -46,6 +48,12 @@
 const PREFILL_BOUND_FRACTION: f64 = 0.6;
 /// Fraction of the time left that a prefill-bound request may wait for others.
 const MAX_WAIT_FRACTION: f64 = 0.2;
+/// Cached tokens from which a server fetches them from another one, if that is faster than to prefill them.
+const MIN_FETCHED_TOKENS: u32 = 200;
+/// Servers in the order of a family from which others fetch its prefix.
+const FETCHED_FROM_HOMES: usize = 2;
+/// Time until a fetch begins.
+const FETCH_SETUP: Duration = Duration::from_millis(3);
 /// Additional latency on a server whose slots are nearly all used: a step of a full batch takes some milliseconds
 /// longer, over the tokens of one event and the wait for a slot.
 const FULL_BATCH_COST: Duration = Duration::from_millis(120);
@@ -96,7 +104,7 @@
     /// Servers reserved for queued requests that go before it.
     pub reserved: &'a [ServerId],
     /// TTFT estimate of the service's engines.
-    pub ttft: TtftModel,
+    pub ttft: TtftEstimate,
     /// Time left of the latency objective.
     pub time_left: Duration,
     /// The whole latency objective.
@@ -105,6 +113,8 @@
     pub capacity_fraction: f64,
     /// Number of servers, in the order of its family, where a long shared prefix may be prefilled for it.
     pub max_copies: usize,
+    /// Whether its server may fetch cached parts of the prompt from another one.
+    pub fetches_prefixes: bool,
 }
 
 /// The chosen server and the expected latency there.
@@ -128,6 +138,17 @@
     pub duplicate_prefill: u32,
     /// The server is not the home of its shared prefix.
     pub spilled: bool,
+    /// Where the server fetches cached tokens that it lacks.
+    pub fetch: Option<Fetch>,
+}
+
+/// Cached tokens that a server fetches from another one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Fetch {
+    /// Server that caches them.
+    pub source: ServerId,
+    /// Number of tokens beyond what the receiving server is known to cache.
+    pub tokens: u32,
 }
 
 /// Servers that a queued request waits for.
@@ -149,12 +170,21 @@
 }
 
 /// Values that are common to all candidates of a request.
-struct RequestContext {
+struct RequestContext<'a> {
+    /// In the order of their identifiers; others may fetch from these.
+    candidates: &'a [Candidate],
     homes: Vec<ServerId>,
     hits: PrefixHits,
     shared_tokens: u32,
 }
 
+impl RequestContext<'_> {
+    fn is_candidate(&self, server: ServerId) -> bool {
+        let found = self.candidates.binary_search_by_key(&server, |c| c.server);
+        found.is_ok()
+    }
+}
+
 struct Candidate {
     server: ServerId,
     tier: usize,
@@ -179,6 +209,7 @@
         });
     }
     let context = RequestContext {
+        candidates: &candidates,
         homes: homes(&candidates, request.shape),
         hits: view.prefix_index.lookup(request.shape, now),
         shared_tokens: request.shape.shared_tokens(),
@@ -195,7 +226,10 @@
         }
     }
     match best {
-        Some((placement, _)) => Ok(placement),
+        Some((placement, _)) => Ok(Placement {
+            fetch: fetch(request, &context, placement.server),
+            ..placement
+        }),
         None if full.is_empty() => Err(PlacementError::TooLong),
         None if prefix_limited => Err(PlacementError::HomesFull(full)),
         None => Err(PlacementError::AllFull),
@@ -208,20 +242,29 @@
     now: Instant,
 ) -> Vec<Candidate> {
     let usable = |id: &ServerId| !request.excluded.contains(id) && !view.loads.is_down(*id, now);
+    // There are far fewer failure domains than servers.
+    let mut tiers: SmallVec<[(DomainId, Option<usize>); 8]> = SmallVec::new();
     view.registry
         .entries()
         .filter(|(id, entry)| {
             entry.registration.service == request.service
                 && !entry.registration.draining
-                && view
-                    .reach
-                    .allows(request.allowed_regions, entry.registration.domain)
                 && usable(id)
         })
-        .map(|(server, entry)| Candidate {
-            server,
-            tier: tier(view, entry.registration.domain),
-            slots: entry.registration.slots,
+        .filter_map(|(server, entry)| {
+            let domain = entry.registration.domain;
+            let known = tiers.iter().find(|(id, _)| *id == domain).copied();
+            let (_, tier) = known.unwrap_or_else(|| {
+                let is_allowed = view.reach.allows(request.allowed_regions, domain);
+                let found = (domain, is_allowed.then(|| tier(view, domain)));
+                tiers.push(found);
+                found
+            });
+            Some(Candidate {
+                server,
+                tier: tier?,
+                slots: entry.registration.slots,
+            })
         })
         .collect()
 }
@@ -258,7 +301,7 @@
     };
     let nearest = candidates.iter().map(|c| c.tier).min().unwrap_or(0);
     let reach = if shape.shared_tokens() >= FLEET_WIDE_TOKENS {
-        2
+        FLEET_TIER
     } else {
         nearest
     };
@@ -287,7 +330,7 @@
     view: &PlacementView<'_>,
     request: &PlacementRequest<'_>,
     candidate: &Candidate,
-    context: &RequestContext,
+    context: &RequestContext<'_>,
     now: Instant,
 ) -> Result<(Placement, f64), Rejection> {
     let homes = &context.homes;
@@ -325,7 +368,7 @@
     let slowdown = load.slowdown.max(1.0);
     let base = request
         .engine
-        .map_or(Duration::ZERO, |_| request.ttft.base_latency());
+        .map_or(Duration::ZERO, |_| request.ttft.base_latency);
     let round_trip = ROUND_TRIPS[candidate.tier];
     let baseline = base + request.ttft.prefill_time(queued) + round_trip;
     let expected = baseline.mul_f64(slowdown);
@@ -355,6 +398,7 @@
         unloaded_ttft: unloaded,
         duplicate_prefill: duplicate,
         spilled: home.is_some_and(|h| h != candidate.server),
+        fetch: None,
     };
     let utilization = f64::from(total.running) / capacity;
     let cost = cost(
@@ -413,7 +457,7 @@
 /// Returns the prompt tokens that the server must prefill.
 fn uncached_tokens(
     request: &PlacementRequest<'_>,
-    context: &RequestContext,
+    context: &RequestContext<'_>,
     server: ServerId,
 ) -> u32 {
     let cached = context.hits.iter().find(|(id, _)| *id == server);
@@ -426,6 +470,31 @@
     request.shape.prompt_tokens.saturating_sub(retained)
 }
 
+/// Returns from where `server` should fetch cached tokens that it lacks, if that is faster than to prefill them.
+///
+/// The first servers in the order of the family count as caching the shared prefix. One that doesn't costs no more than the
+/// attempt to fetch from it, so a home of which this isn't known for sure gets a source too: after a restart or an
+/// evacuation of the home, the second server has taken its place meanwhile.
+fn fetch(
+    request: &PlacementRequest<'_>,
+    context: &RequestContext<'_>,
+    server: ServerId,
+) -> Option<Fetch> {
+    let engine = request.engine.filter(|e| !e.copy_time.is_zero());
+    let engine = engine.filter(|_| request.fetches_prefixes)?;
+    let homes = context.homes.iter().take(FETCHED_FROM_HOMES);
+    let homes = homes.map(|home| (*home, context.shared_tokens));
+    let sources = context.hits.iter().copied().chain(homes);
+    let (source, tokens) = sources
+        .filter(|(id, _)| *id != server && context.is_candidate(*id))
+        .reduce(|best, next| if next.1 > best.1 { next } else { best })?;
+    let known = context.hits.iter().find(|(id, _)| *id == server);
+    let tokens = tokens.saturating_sub(known.map_or(0, |(_, tokens)| *tokens));
+    let time = FETCH_SETUP + engine.copy_time * tokens;
+    let is_faster = time < request.ttft.prefill_time(tokens);
+    (tokens >= MIN_FETCHED_TOKENS && is_faster).then_some(Fetch { source, tokens })
+}
+
 /// Returns the tokens that the request occupies in the engine's KV memory besides what is cached there.
 fn kv_tokens(shape: &Shape, uncached: u32) -> u32 {
     uncached + shape.expected_output()
--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -92,6 +92,8 @@
     pub regions: Vec<(DomainId, RegionId)>,
     /// Evacuated failure domains.
     pub evacuations: Evacuations,
+    /// Whether servers may fetch cached parts of prompts from others.
+    pub fetches_prefixes: bool,
     /// Tokens per second that all engines yield; 0 when unknown.
     pub token_rate: f64,
     /// What servers of each service bear after a start.
@@ -121,6 +123,7 @@
             retry_budget: budget,
             regions: Vec::new(),
             evacuations: Evacuations::default(),
+            fetches_prefixes: true,
             token_rate: 0.0,
             cold_starts: BTreeMap::new(),
             cold_limiter,
@@ -458,11 +461,13 @@
                 .get(&request.service)
                 .copied()
                 .unwrap_or_default()
-                .decayed(now),
+                .decayed(now)
+                .estimate(),
             time_left: (request.arrival + request.objective).saturating_duration_since(now),
             full_objective: request.objective,
             capacity_fraction: allowance::capacity_fraction(share, uncontended),
             max_copies: allowance::max_prefix_copies(share.status),
+            fetches_prefixes: self.fetches_prefixes,
         };
         let placement = choose_server(&view, &query, now)?;
         // Another server would begin sooner, at the price of a second prefill of the shared prefix. When this server is
@@ -482,7 +487,7 @@
         self.loads.begin(
             placement.server,
             placement.work,
-            query.ttft.prefill_rate(),
+            query.ttft.prefill_rate,
             now,
         );
         if !self.registry.cold_time(placement.server, now).is_zero() {
--- a/crates/hawthornmill/src/routing/ttft.rs
+++ b/crates/hawthornmill/src/routing/ttft.rs
@@ -37,6 +37,22 @@
     last: Option<Instant>,
 }
 
+/// Estimated time to the first token of a service's engines.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TtftEstimate {
+    /// Prefill rate in tokens per second.
+    pub prefill_rate: f64,
+    /// TTFT without the prefill.
+    pub base_latency: Duration,
+}
+
+impl TtftEstimate {
+    /// Returns the time to prefill `tokens`.
+    pub fn prefill_time(self, tokens: u32) -> Duration {
+        Duration::from_secs_f64(f64::from(tokens) / self.prefill_rate)
+    }
+}
+
 impl Default for TtftModel {
     fn default() -> Self {
         let mut model = Self {
@@ -119,19 +135,13 @@
         (1.0 / slope.max(f64::MIN_POSITIVE)).clamp(RATE_BOUNDS_PER_MS.0, RATE_BOUNDS_PER_MS.1)
     }
 
-    /// Returns the prefill rate in tokens per second.
-    pub fn prefill_rate(self) -> f64 {
-        self.rate_per_ms() * 1000.0
-    }
-
-    /// Returns the time to prefill `tokens`.
-    pub fn prefill_time(self, tokens: u32) -> Duration {
-        Duration::from_secs_f64(f64::from(tokens) / self.prefill_rate())
-    }
-
-    /// Returns the TTFT without the prefill.
-    pub fn base_latency(self) -> Duration {
-        let millis = (self.millis - self.tokens / self.rate_per_ms()) / self.weight;
-        Duration::from_secs_f64(millis.max(0.0) / 1000.0)
+    /// Returns the estimate; a placement uses it for each of its candidates.
+    pub fn estimate(self) -> TtftEstimate {
+        let rate_per_ms = self.rate_per_ms();
+        let millis = (self.millis - self.tokens / rate_per_ms) / self.weight;
+        TtftEstimate {
+            prefill_rate: rate_per_ms * 1000.0,
+            base_latency: Duration::from_secs_f64(millis.max(0.0) / 1000.0),
+        }
     }
 }
--- a/tests/testsuite/gateway/platform_adapter.rs
+++ b/tests/testsuite/gateway/platform_adapter.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use hawthornmill::ident::ServiceId;
+use hawthornmill::ident::{RegionId, ServiceId};
 use hawthornmill::routing::catalog::RetryPolicy;
+use hawthornmill::routing::regions::AllowedRegions;
 use hawthornmill_gateway::http::head;
 use hawthornmill_platform::{catalog, directory, registration, request, store};
 use proptest::prelude::*;
@@ -13,10 +14,11 @@
   {"name":"r1","host":"H.example","pathPrefix":"/a/","kind":"streaming","timeoutMs":15000,"targetLatencyMs":1000,
    "priority":1,"trafficSplit":[{"service":"s1","weight":90},{"service":"s2","weight":0.5}],"maxAttempts":2,
    "public":false,"sticky":true,"resumable":true,"gapTargetMs":400},
-  {"name":"r2","host":"h.example","pathPrefix":"/b/","kind":"non_idempotent","timeoutMs":800,"service":"s2"}],
- "services":[{"name":"s1","engine":{"slots":64,"kvCapacity":432367}},{"name":"s2","maxConnections":110}],
+  {"name":"r2","host":"h.example","pathPrefix":"/b/","kind":"non_idempotent","timeoutMs":800,"service":"s2","allowedRegions":["north"]}],
+ "services":[{"name":"s1","coldStartS":2.5,"coldPerS":14.0,
+  "engine":{"slots":64,"kvCapacity":432367,"kvTokenBytes":125000,"linkMbps":1000000}},{"name":"s2","maxConnections":110}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000,"tokensPerS":510000},
- "tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":2}]}"#;
+ "tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":2,"allowedRegions":["north","south"]}]}"#;
 
 #[test]
 fn configuration_parses_to_catalog() {
@@ -47,10 +49,34 @@
         catalog.services[0].engine.map(|e| (e.slots, e.kv_capacity)),
         Some((64, 432_367))
     );
+    let [engines, plain] = &*catalog.services else {
+        panic!("expected two services")
+    };
+    let copy_time = engines.engine.map(|e| e.copy_time);
+    assert_eq!(copy_time, Some(Duration::from_micros(1)));
+    let cold_start = engines.cold_start.map(|c| (c.time, c.rate));
+    assert_eq!(cold_start, Some((Duration::from_millis(2_500), 14.0)));
+    assert_eq!((plain.engine, plain.cold_start), (None, None));
     assert_eq!(catalog.accounts[0].tokens.len(), 2);
     assert_eq!(catalog.limits.idle_timeout, Duration::from_secs(15));
 }
 
+/// Failure: the bounds of a route or an account to regions are dropped, or a missing list is taken for no region at all.
+#[test]
+fn regions_of_routes_and_accounts_are_parsed() {
+    let catalog = catalog::parse(CONFIG.as_bytes()).expect("the configuration is valid");
+    let only = |names: &[&str]| {
+        AllowedRegions::Only(names.iter().map(|name| RegionId::of(name)).collect())
+    };
+
+    assert_eq!(catalog.routes[0].allowed_regions, AllowedRegions::Any);
+    assert_eq!(catalog.routes[1].allowed_regions, only(&["north"]));
+    assert_eq!(
+        catalog.accounts[0].allowed_regions,
+        only(&["north", "south"])
+    );
+}
+
 #[test]
 fn non_resumable_stream_is_not_repeated() {
     let text = CONFIG.replace("\"resumable\":true", "\"resumable\":false");
@@ -63,7 +89,7 @@
 /// Failure: an invalid entry in the store is taken for a server, or makes the adapter panic.
 #[test]
 fn invalid_registration_is_rejected() {
-    let valid = r#"{"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"ready","born":5,"new":[]}"#;
+    let valid = r#"{"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"ready","born":5,"new":[],"coldRemainingMs":1500}"#;
     let invalid = [
         "",
         "null",
@@ -84,6 +110,7 @@
         (&*entry.name, entry.slots, entry.draining, entry.start_ms),
         ("i-1", 6, false, 5)
     );
+    assert_eq!(entry.cold_time, Duration::from_millis(1_500));
     for text in invalid {
         assert!(
             registration::parse("i-1", text.as_bytes()).is_err(),
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -6,6 +6,7 @@
 mod congestion;
 mod domain_summary;
 mod evacuations;
+mod fetching;
 mod fleet_simulation;
 mod fragments;
 mod gossip;
@@ -45,6 +46,7 @@
 const ENGINE: Engine = Engine {
     slots: 8,
     kv_capacity: 100_000,
+    copy_time: Duration::ZERO,
 };
 
 const TOLERANCE: ColdStartTolerance = ColdStartTolerance {
--- a/tests/testsuite/routing/ttft.rs
+++ b/tests/testsuite/routing/ttft.rs
@@ -23,11 +23,11 @@
     let model = learned(millis(90));
 
     assert!(
-        (model.prefill_rate() - 100_000.0).abs() < 1_000.0,
+        (model.estimate().prefill_rate - 100_000.0).abs() < 1_000.0,
         "{model:?}"
     );
     assert!(
-        model.base_latency().abs_diff(millis(90)) < millis(2),
+        model.estimate().base_latency.abs_diff(millis(90)) < millis(2),
         "{model:?}"
     );
 }
@@ -38,7 +38,7 @@
     let model = learned(millis(600));
 
     assert!(
-        (model.prefill_rate() - 100_000.0).abs() < 1_000.0,
+        (model.estimate().prefill_rate - 100_000.0).abs() < 1_000.0,
         "{model:?}"
     );
 }
@@ -52,7 +52,7 @@
         model.observe(3_000, millis(200), now);
     }
 
-    let expected = model.base_latency() + model.prefill_time(3_000);
+    let expected = model.estimate().base_latency + model.estimate().prefill_time(3_000);
     assert!(expected.abs_diff(millis(200)) < millis(5), "{model:?}");
-    assert!(model.prefill_rate() >= 5_000.0 && model.prefill_rate() <= 400_000.0);
+    assert!(model.estimate().prefill_rate >= 5_000.0 && model.estimate().prefill_rate <= 400_000.0);
 }
