--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -14,18 +14,14 @@
 use hawthornmill::limits::congestion::LinkMonitor;
 use hawthornmill::limits::load_shedding::LoadShedder;
 use hawthornmill::limits::role_fitness::RoleFitness;
-use hawthornmill::routing::announcements::{
-    Announcements, ColdServer, Departure, RecentAnnouncements, Source,
-};
+use hawthornmill::routing::announcements::RecentAnnouncements;
 use hawthornmill::routing::catalog::Catalog;
 use hawthornmill::routing::cold_start::ColdStartLimiter;
 use hawthornmill::routing::domain_summary::MemberRotation;
-use hawthornmill::routing::evacuations::Evacuation;
 use hawthornmill::routing::fragments::ResponseCache;
-use hawthornmill::routing::gossip::{PeerChange, PeerTable, StoreRole, SyncRequest};
+use hawthornmill::routing::gossip::{PeerChange, PeerTable, StoreRole};
 use hawthornmill::routing::lag::Lag;
 use hawthornmill::routing::placement::{Location, Placement};
-use hawthornmill::routing::registry::{Change, RegistrationList};
 use hawthornmill::routing::request::{Admission, Cause, Refusal, Request, Ticket};
 use hawthornmill::routing::retry_budget::RetryBudget;
 use hawthornmill::routing::route_table::RouteTable;
@@ -41,6 +37,8 @@
 use crate::pool::Pool;
 use crate::settings::Settings;
 
+mod updates;
+
 /// Share of the guaranteed apply time after which an instance without the newest catalog rejects requests.
 ///
 /// The rest covers the time that gossip about a new catalog takes to arrive.
@@ -295,156 +293,6 @@
         }
     }
 
-    /// Returns what this instance knows, to ask others for what is newer.
-    pub fn known_state(&self) -> SyncRequest {
-        let scheduler = self.scheduler.borrow();
-        SyncRequest {
-            catalog_version: self.catalog_version(),
-            revision: scheduler.registry.latest_revision(),
-            evacuation_revision: scheduler.evacuations.latest_revision(),
-        }
-    }
-
-    /// Records what a peer knows.
-    pub fn observe_versions(&self, peer: SyncRequest) {
-        let (own, now) = (self.known_state(), self.now());
-        self.catalog_lag
-            .borrow_mut()
-            .observe(peer.catalog_version, own.catalog_version, now);
-        if peer.catalog_version > own.catalog_version
-            || peer.revision > own.revision
-            || peer.evacuation_revision > own.evacuation_revision
-        {
-            self.behind_wakeup.notify_one();
-        }
-    }
-
-    /// Applies a change of an evacuation.
-    pub fn apply_evacuation(&self, change: Evacuation, from: &str, source: Source) {
-        let now = self.now();
-        let Some(changed) = self.scheduler.borrow_mut().apply_evacuation(change, now) else {
-            return;
-        };
-        self.announcements
-            .borrow_mut()
-            .record_evacuation(change, source, now);
-        self.report_wakeup.notify_one();
-        if !changed {
-            return;
-        }
-        let event = if change.active {
-            "domain_evacuated"
-        } else {
-            "domain_taken_back"
-        };
-        let domain = self.settings().domain_name(change.domain);
-        let fields = json!({"domain": domain, "revision": change.revision, "from": from});
-        event_log::state_change(event, fields);
-        self.queue_wakeup.notify_one();
-    }
-
-    /// Applies the complete list of evacuated failure domains at `revision`.
-    pub fn apply_evacuation_list(&self, listed: &[Evacuation], revision: u64) {
-        let scheduler = self.scheduler.borrow();
-        let changes = scheduler.evacuations.changes_to(listed, revision);
-        drop(scheduler);
-        for change in changes {
-            self.apply_evacuation(change, "store", Source::Store);
-        }
-    }
-
-    /// Applies a change of one registration.
-    pub fn apply_change(&self, change: Change, from: &str) {
-        let (fields, leaving) = (describe_change(&change, from), change.departure());
-        let (server, now) = (change.server, self.now());
-        let was_warm = self.cold_time(server).is_zero();
-        if self.scheduler.borrow_mut().apply_change(change, now) {
-            event_log::state_change("registration", fields);
-            self.queue_wakeup.notify_one();
-            if was_warm && !self.cold_time(server).is_zero() {
-                self.announce_cold(server, from, Source::Store);
-            }
-            if let Some(leaving) = leaving {
-                self.announce_leaving(leaving, Source::Store);
-            }
-        }
-    }
-
-    /// Applies what a peer announces.
-    pub fn apply_announcements(&self, announced: &Announcements) {
-        for change in &announced.evacuations {
-            self.apply_evacuation(*change, "peer", Source::Peer);
-        }
-        for cold in &announced.cold_servers {
-            if self.scheduler.borrow_mut().apply_cold(*cold, self.now()) {
-                self.announce_cold(cold.server, "peer", Source::Peer);
-            }
-        }
-        for leaving in &announced.departures {
-            if self.scheduler.borrow_mut().registry.mark_draining(*leaving) {
-                let server = self.server_name(leaving.server);
-                let fields = json!({"server": server, "revision": leaving.revision});
-                event_log::state_change("registration_leaving", fields);
-                self.announce_leaving(*leaving, Source::Peer);
-            }
-        }
-    }
-
-    /// Returns the time for which a server stays cold.
-    fn cold_time(&self, server: ServerId) -> Duration {
-        let scheduler = self.scheduler.borrow();
-        scheduler.registry.cold_time(server, self.now())
-    }
-
-    /// Logs and announces that a server has turned cold.
-    fn announce_cold(&self, server: ServerId, from: &str, source: Source) {
-        let remaining_ms = self.cold_time(server).as_millis() as u32;
-        let fields =
-            json!({"server": self.server_name(server), "cold_ms": remaining_ms, "from": from});
-        event_log::state_change("server_cold", fields);
-        let cold = ColdServer {
-            server,
-            remaining_ms,
-        };
-        self.announcements
-            .borrow_mut()
-            .record_cold(cold, source, self.now());
-        self.report_wakeup.notify_one();
-    }
-
-    fn announce_leaving(&self, leaving: Departure, source: Source) {
-        self.announcements
-            .borrow_mut()
-            .record_departure(leaving, source, self.now());
-        self.report_wakeup.notify_one();
-    }
-
-    /// Records that a registration was removed at `revision`, possibly because the store was unavailable.
-    ///
-    /// The server could not renew its registration then, and may come back.
-    pub fn suspect_removal(&self, server: ServerId, revision: u64) {
-        let registry = &mut self.scheduler.borrow_mut().registry;
-        if let Some(known) = registry.get(server) {
-            let fields = json!({"server": known.registration.name, "revision": revision});
-            event_log::state_change("registration_doubted", fields);
-        }
-        registry.mark_unconfirmed(server, revision, self.now());
-    }
-
-    /// Applies a complete list of registrations.
-    pub fn apply_registrations(&self, list: RegistrationList, from: &str) {
-        let fields = json!({
-            "servers": list.entries.len(), "doubted": list.unconfirmed.len(), "revision": list.revision,
-            "store_was_away": list.after_outage, "from": from,
-        });
-        event_log::state_change("registrations_listed", fields);
-        self.scheduler
-            .borrow_mut()
-            .replace_registrations(list, self.now());
-        self.has_registrations.set(true);
-        self.queue_wakeup.notify_one();
-    }
-
     /// Waits until a server is selected for `request`.
     ///
     /// # Errors
@@ -534,17 +382,6 @@
     }
 }
 
-fn describe_change(change: &Change, from: &str) -> serde_json::Value {
-    match &change.registration {
-        Some(entry) => json!({
-            "server": entry.name, "address": entry.address.to_string(), "draining": entry.draining,
-            "revision": change.revision, "from": from,
-        }),
-        None => json!({"server": format!("{:x}", change.server.0), "gone": true,
-            "revision": change.revision, "from": from}),
-    }
-}
-
 /// A queued request; removed from the queue on drop, when its client disconnects.
 struct QueuedRequest<'a> {
     gateway: &'a Gateway,
--- a/crates/hawthornmill/src/routing/evacuations.rs
+++ b/crates/hawthornmill/src/routing/evacuations.rs
@@ -28,15 +28,15 @@
 }
 
 impl Evacuations {
-    /// Applies one change; returns whether the domain is evacuated or taken back by it.
-    pub fn apply(&mut self, change: Evacuation) -> bool {
+    /// Applies one change; returns whether the domain is evacuated or taken back by it, or `None` when as much was known.
+    pub fn apply(&mut self, change: Evacuation) -> Option<bool> {
         let current = self.known.get(&change.domain);
         if current.is_some_and(|c| c.revision >= change.revision) {
-            return false;
+            return None;
         }
         let was_active = current.is_some_and(|c| c.active);
         self.known.insert(change.domain, change);
-        was_active != change.active
+        Some(was_active != change.active)
     }
 
     /// Returns the changes that a complete list of evacuated domains at `revision` implies: those in the list, and those that
@@ -60,11 +60,6 @@
         self.known.get(&domain).is_some_and(|e| e.active)
     }
 
-    /// Returns what is known of `domain`.
-    pub fn get(&self, domain: DomainId) -> Option<Evacuation> {
-        self.known.get(&domain).copied()
-    }
-
     /// Returns the revision of the newest change; 0 when no domain was ever evacuated.
     pub fn latest_revision(&self) -> u64 {
         self.known.values().map(|e| e.revision).max().unwrap_or(0)
--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -12,10 +12,9 @@
 use smallvec::SmallVec;
 
 use super::allowance;
-use super::announcements::ColdServer;
-use super::catalog::{Catalog, ColdStart};
+use super::catalog::ColdStart;
 use super::cold_start::ColdStartLimiter;
-use super::evacuations::{Evacuation, Evacuations};
+use super::evacuations::Evacuations;
 use super::gossip::UnmetDemand;
 use super::loads::{LoadTracker, Work};
 use super::placement::{
@@ -24,7 +23,7 @@
 };
 use super::prefix_index::PrefixIndex;
 use super::regions::Reach;
-use super::registry::{Change, RegistrationList, Registry};
+use super::registry::Registry;
 use super::request::{Admission, Cause, Decision, DecisionContext, Refusal, Request, Ticket};
 use super::retry_budget::RetryBudget;
 use super::ttft::TtftModel;
@@ -35,6 +34,7 @@
 use crate::limits::queue_rate::QueueRate;
 
 mod exchange;
+mod servers;
 
 use exchange::SpilledPrefixes;
 
@@ -249,100 +249,6 @@
         self.queue.remove(ticket);
     }
 
-    /// Applies one change of a registration; returns false when it is older than the current entry.
-    pub fn apply_change(&mut self, change: Change, now: Instant) -> bool {
-        let server = change.server;
-        let was_known = self.registry.get(server).map(|e| e.registration.start_ms);
-        let was_warm = self.registry.cold_time(server, now).is_zero();
-        let applied = self.registry.apply(change, now);
-        let same_run = self.registry.get(server).map(|e| e.registration.start_ms) == was_known;
-        if was_warm && same_run && !self.registry.cold_time(server, now).is_zero() {
-            self.pause_cold(server, now);
-        }
-        self.drop_lost_caches();
-        applied
-    }
-
-    /// Applies a change of an evacuation; returns whether servers of the domain begin or cease to get requests by it, or
-    /// `None` when as much was known already.
-    pub fn apply_evacuation(&mut self, change: Evacuation, now: Instant) -> Option<bool> {
-        let known = self.evacuations.get(change.domain);
-        if known.is_some_and(|k| k.revision >= change.revision) {
-            return None;
-        }
-        let changed = self.evacuations.apply(change);
-        if changed && !change.active {
-            self.expect_cold(change.domain, now);
-        }
-        Some(changed)
-    }
-
-    /// Takes all servers of a domain for cold that is taken back: they got no requests for a while, and register as cold
-    /// up to a heartbeat later.
-    fn expect_cold(&mut self, domain: DomainId, now: Instant) {
-        let servers = self.registry.entries();
-        let servers = servers.filter(|(_, e)| e.registration.domain == domain);
-        let cold_time = |service| self.cold_starts.get(&service).map(|c| c.time);
-        let cold: Vec<(ServerId, Duration)> = servers
-            .filter_map(|(id, e)| Some((id, cold_time(e.registration.service)?)))
-            .collect();
-        for (server, time) in cold {
-            self.registry.mark_cold(server, time, now);
-        }
-    }
-
-    /// Applies a peer's announcement that a server has turned cold; returns whether it counted as warm here.
-    pub fn apply_cold(&mut self, cold: ColdServer, now: Instant) -> bool {
-        let was_warm = self.registry.cold_time(cold.server, now).is_zero();
-        if self.registry.get(cold.server).is_none() {
-            return false;
-        }
-        let time = Duration::from_millis(cold.remaining_ms.into());
-        self.registry.mark_cold(cold.server, time, now);
-        if was_warm {
-            self.pause_cold(cold.server, now);
-        }
-        was_warm && !time.is_zero()
-    }
-
-    /// Stops sending to a server that has turned cold while it was in use.
-    fn pause_cold(&mut self, server: ServerId, now: Instant) {
-        let service = self.registry.get(server).map(|e| e.registration.service);
-        if let Some(cold_start) = service.and_then(|s| self.cold_starts.get(&s)) {
-            self.cold_limiter.pause(server, *cold_start, now);
-        }
-    }
-
-    /// Returns the cold servers of `service` to which this instance may send nothing now.
-    fn cold_at_limit(&mut self, service: ServiceId, now: Instant) -> HomeServers {
-        let Some(cold_start) = self.cold_starts.get(&service) else {
-            return HomeServers::new();
-        };
-        let cold = self.registry.cold_servers(now);
-        let cold = cold.filter(|(_, e)| e.registration.service == service);
-        cold.filter(|(id, e)| {
-            let domain = e.registration.domain;
-            !self.cold_limiter.allows(*id, domain, *cold_start, now)
-        })
-        .map(|(id, _)| id)
-        .collect()
-    }
-
-    /// Applies a whole list of registrations; see [`Registry::replace_all`].
-    pub fn replace_registrations(&mut self, list: RegistrationList, now: Instant) {
-        self.registry.replace_all(list, now);
-        self.drop_lost_caches();
-    }
-
-    /// Drops cached prefixes of servers that are gone or have restarted under the same name.
-    ///
-    /// Otherwise a restarted server would attract prompts whose prefixes it no longer caches.
-    fn drop_lost_caches(&mut self) {
-        for server in self.registry.take_lost_caches() {
-            self.prefix_index.remove_server(server);
-        }
-    }
-
     /// Records the first token, or the whole response, `time` after the request was sent.
     ///
     /// `time` is `None` when this process lagged: it would measure the process and not the server.
@@ -379,24 +285,6 @@
         self.loads.end(placement.server, work);
     }
 
-    /// Takes over what a catalog that comes into force says of the servers.
-    pub fn apply_catalog(&mut self, catalog: &Catalog) {
-        self.token_rate = catalog.limits.token_rate;
-        let services = catalog.services.iter();
-        self.cold_starts = services
-            .filter_map(|s| Some((s.id, s.cold_start?)))
-            .collect();
-    }
-
-    /// Forgets servers that are cold no longer, and returns them.
-    pub fn take_warm(&mut self, now: Instant) -> Vec<ServerId> {
-        let warm = self.registry.take_warm(now);
-        for server in &warm {
-            self.cold_limiter.forget(*server);
-        }
-        warm
-    }
-
     /// Returns what a decision on `request` is based on now.
     pub fn decision_context(&self, request: &Request, now: Instant) -> DecisionContext {
         let entries = self.registry.entries();
@@ -423,15 +311,6 @@
         context
     }
 
-    /// Drops expired state and returns the servers whose registrations expired.
-    pub fn sweep(&mut self, now: Instant) -> Vec<ServerId> {
-        let expired = self.registry.expire(now);
-        self.drop_lost_caches();
-        let registry = &self.registry;
-        self.loads.sweep(|id| registry.get(id).is_some(), now);
-        expired
-    }
-
     fn try_place(
         &mut self,
         request: &Request,
