Go on with a list of registrations after a rejected call

Cause: all instances list 3,000 registrations at once, 60 pages each; the store rejects calls over its rate, and after each rejected or silent call the list began anew, so hardly any ended. Evidence: gateway::missed_updates::list_goes_on_after_a_rejected_call: with one of five calls rejected, an instance before 24 servers (12 pages) never gets ready without the change (20 s), and at once with it. Change: pages that were read are kept for ten seconds, and the back-off starts again at each page.

--- a/crates/hawthornmill-gateway/src/store_watch.rs
+++ b/crates/hawthornmill-gateway/src/store_watch.rs
@@ -34,6 +34,8 @@
 const WATCH_TIMEOUT: Duration = Duration::from_millis(3_500);
 /// Delay after a change, so that one watch returns several changes.
 const BATCH_DELAY: Duration = Duration::from_millis(100);
+/// Time after which a list that isn't complete begins anew; the store keeps changes for longer.
+const MAX_LIST_TIME: Duration = Duration::from_secs(10);
 /// Time allowed for a call, in addition to the timeout of a watch.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Shortest and longest delay after a failed call.
@@ -74,11 +76,21 @@
     Silent,
 }
 
+/// A list of which not all pages were read yet.
+#[derive(Debug)]
+struct PartialList {
+    entries: Vec<KvEntry>,
+    /// The store's revision at the first page.
+    revision: u64,
+    started_at: Instant,
+}
+
 struct Watcher {
     gateway: Rc<Gateway>,
     topic: Topic,
     stream: Option<TcpStream>,
     revision: Option<u64>,
+    partial: Option<PartialList>,
     started_at: Instant,
     answered_at: Instant,
     /// Until when missing registrations may come back.
@@ -95,6 +107,7 @@
         topic,
         stream: None,
         revision: None,
+        partial: None,
         started_at: now,
         answered_at: now,
         grace_until: None,
@@ -148,20 +161,9 @@
     }
 
     async fn list_all(&mut self) -> Result<(), StoreError> {
-        let store = self.gateway.adapter.store;
-        let mut entries: Vec<KvEntry> = Vec::new();
-        let mut revision = None;
-        loop {
-            let path = (store.list_path)(self.prefix(), entries.last().map(|i| &*i.key));
-            let page = self.call(&path, CALL_TIMEOUT).await?;
-            // Later pages have newer revisions; the first watch repeats the changes between them.
-            revision.get_or_insert(page.revision);
-            entries.extend(page.entries);
-            if !page.has_more {
-                break;
-            }
-        }
-        let revision = revision.unwrap_or_default();
+        let PartialList {
+            entries, revision, ..
+        } = self.read_pages().await?;
         let after_outage = self.is_in_grace();
         match self.topic {
             Topic::Catalog => self.apply_operator_list(&entries, revision),
@@ -179,6 +181,41 @@
         Ok(())
     }
 
+    /// Reads all pages of a list; after a failed call it goes on where it was.
+    ///
+    /// While hundreds of instances start at once, the store rejects some calls of each list. If each began anew, none would
+    /// ever end.
+    async fn read_pages(&mut self) -> Result<PartialList, StoreError> {
+        let store = self.gateway.adapter.store;
+        let now = self.gateway.now();
+        let is_recent = |p: &PartialList| now.duration_since(p.started_at) < MAX_LIST_TIME;
+        let mut partial = self.partial.take().filter(is_recent);
+        loop {
+            let read = partial.as_ref().and_then(|p| p.entries.last());
+            let path = (store.list_path)(self.prefix(), read.map(|e| &*e.key));
+            let page = match self.call(&path, CALL_TIMEOUT).await {
+                Ok(page) => page,
+                Err(error) => {
+                    self.partial = partial;
+                    return Err(error);
+                }
+            };
+            self.failures = 0;
+            // Later pages have newer revisions; the first watch repeats the changes between them.
+            let list = partial.get_or_insert_with(|| PartialList {
+                entries: Vec::new(),
+                revision: page.revision,
+                started_at: now,
+            });
+            list.entries.extend(page.entries);
+            if !page.has_more
+                && let Some(list) = partial.take()
+            {
+                return Ok(list);
+            }
+        }
+    }
+
     async fn watch_changes(&mut self, after: u64) -> Result<(), StoreError> {
         let store = self.gateway.adapter.store;
         let path = (store.watch_path)(self.prefix(), after, WATCH_TIMEOUT.as_millis() as u64);
--- a/tests/testsuite/gateway/missed_updates.rs
+++ b/tests/testsuite/gateway/missed_updates.rs
@@ -251,6 +251,23 @@
     });
 }
 
+/// Failure: hundreds of instances start at once, the store rejects some calls of each of them, and a list of many pages
+/// begins anew after each of these: no instance gets ready.
+#[test]
+fn list_goes_on_after_a_rejected_call() {
+    block_on(async {
+        let mut fleet = Fleet::prepare(1, 24).await;
+        fleet
+            .store
+            .put("op/config", config(1).to_string().as_bytes());
+        fleet.store.reject_one_in(5);
+
+        fleet.gateways[0].start();
+
+        wait_until("the instance is ready", || fleet.gateways[0].is_ready()).await;
+    });
+}
+
 /// Failure: an instance calls the store often although nothing changes; each call costs the platform something.
 #[test]
 fn idle_instance_makes_few_store_calls() {
--- a/tests/testsuite/gateway/store.rs
+++ b/tests/testsuite/gateway/store.rs
@@ -34,6 +34,15 @@
     /// Addresses of the store at which it rejects calls.
     rejected: Vec<SocketAddr>,
     calls: u64,
+    /// One of this many calls is rejected; 0 for none.
+    rejected_share: u64,
+}
+
+impl State {
+    fn rejects_call_at(&self, at: SocketAddr) -> bool {
+        let in_turn = self.rejected_share > 0 && self.calls.is_multiple_of(self.rejected_share);
+        in_turn || self.rejected.contains(&at)
+    }
 }
 
 /// A store in memory with an HTTP server.
@@ -128,6 +137,11 @@
         self.changed.send_replace(revision);
     }
 
+    /// Rejects one of `share` calls from now on.
+    pub fn reject_one_in(&self, share: u64) {
+        self.lock().rejected_share = share;
+    }
+
     /// Returns the number of calls so far.
     pub fn calls(&self) -> u64 {
         self.lock().calls
@@ -149,7 +163,7 @@
                 response = response => response,
                 () = unresponsive => std::future::pending().await,
             };
-            let rejected = *mode.borrow() == Mode::Refusing || self.lock().rejected.contains(&at);
+            let rejected = *mode.borrow() == Mode::Refusing || self.lock().rejects_call_at(at);
             let (status, body) = if rejected {
                 (503, json!({}))
             } else {
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -49,6 +49,16 @@
     copy_time: Duration::ZERO,
 };
 
+/// Servers with their failure domains.
+const SIX: &[(&str, &str)] = &[
+    ("a1", "a"),
+    ("a2", "a"),
+    ("b1", "b"),
+    ("b2", "b"),
+    ("c1", "c"),
+    ("c2", "c"),
+];
+
 const TOLERANCE: ColdStartTolerance = ColdStartTolerance {
     factor: 1.5,
     extra: 5.0,
--- a/tests/testsuite/routing/placement.rs
+++ b/tests/testsuite/routing/placement.rs
@@ -6,16 +6,7 @@
 use hawthornmill::routing::loads;
 use hawthornmill::routing::request::Admission;
 
-use super::{change, entry, millis, request, scheduler, sent, shape};
-
-const SIX: &[(&str, &str)] = &[
-    ("a1", "a"),
-    ("a2", "a"),
-    ("b1", "b"),
-    ("b2", "b"),
-    ("c1", "c"),
-    ("c2", "c"),
-];
+use super::{SIX, change, entry, millis, request, scheduler, sent, shape};
 
 /// Load pattern: many prompts of a few families, each with a long shared prefix. If each request went to the least loaded
 /// server, every server would prefill every prefix.
--- a/tests/testsuite/routing/regions.rs
+++ b/tests/testsuite/routing/regions.rs
@@ -8,16 +8,7 @@
 use hawthornmill::routing::regions::AllowedRegions;
 use hawthornmill::routing::request::{Admission, Cause, Request};
 
-use super::{millis, request, scheduler, sent, shape};
-
-const SIX: &[(&str, &str)] = &[
-    ("a1", "a"),
-    ("a2", "a"),
-    ("b1", "b"),
-    ("b2", "b"),
-    ("c1", "c"),
-    ("c2", "c"),
-];
+use super::{SIX, millis, request, scheduler, sent, shape};
 
 fn only(names: &[&str]) -> AllowedRegions {
     AllowedRegions::Only(names.iter().map(|name| RegionId::of(name)).collect())
