--- a/crates/hawthornmill/src/routing/scheduler/servers.rs
+++ b/crates/hawthornmill/src/routing/scheduler/servers.rs
@@ -104,7 +104,8 @@
         .collect()
     }
 
-    /// Applies a whole list of registrations; see [`Registry::replace_all`].
+    /// Applies a whole list of registrations; see
+    /// [`Registry::replace_all`](crate::routing::registry::Registry::replace_all).
     pub fn replace_registrations(&mut self, list: RegistrationList, now: Instant) {
         self.registry.replace_all(list, now);
         self.drop_lost_caches();
