--- a/tests/testsuite/routing/cold_start.rs
+++ b/tests/testsuite/routing/cold_start.rs
@@ -129,6 +129,24 @@
     }
 }
 
+/// Failure: instances die while a server is cold, others take their places before all know of it, and the old and the new
+/// senders add up.
+#[test]
+fn fleet_with_deaths_stays_within_the_bound() {
+    for count in [8, 66, 300] {
+        let (start, known) = (Instant::now(), instances("i", count));
+        let survivors: Known = known.iter().copied().skip(count / 3).collect();
+        // Half of the survivors have forgotten the dead.
+        let (early, late) = survivors.split_at(survivors.len() / 2);
+        let mut all = limiters(early, &survivors, start);
+        all.extend(limiters(late, &known, start));
+
+        let most = most_in_a_second(&mut all, "s", start + SETTLED);
+
+        assert!(most <= BOUND, "{count} instances sent {most}");
+    }
+}
+
 /// Failure: an instance that has just started and has heard of no other one takes itself for the only sender.
 #[test]
 fn instance_that_has_just_started_sends_nothing_to_a_cold_server() {
