--- a/tests/testsuite/routing/cold_start.rs
+++ b/tests/testsuite/routing/cold_start.rs
@@ -212,13 +212,13 @@
         now,
     );
 
-    let while_cold = send(&mut scheduler, &["a1", "a2"], 60, now);
+    let while_cold = send(&mut scheduler, &["a1", "a2"], 200, now);
     let warm_at = now + millis(3_100);
     let warm = scheduler.take_warm(warm_at);
     let while_warm = send(&mut scheduler, &["a1", "a2"], 60, warm_at);
 
     assert!((1..=BOUND).contains(&while_cold[0]), "{while_cold:?}");
-    assert_eq!(while_cold.iter().sum::<usize>(), 60);
+    assert_eq!(while_cold.iter().sum::<usize>(), 200);
     assert_eq!(warm, [ServerId::of("a1")]);
     assert!(while_warm[0] >= 20, "{while_warm:?}");
 }
