Fetch cached prefixes within a region only

Found by reading: the source could be in another region than the receiving server. A part that a bound request left at a server of its region was then copied to another region by a request that isn't bound, against 'served, cached and stored only in those regions'; and 0.66 GB would take over a minute on 60 Mbit/s, while the estimate takes the engines' own link.

Test: routing::fetching::nothing_is_fetched_from_another_region fails without the change (five of six fetches crossed). popular_family_is_fetched... expected no reading at all; the region that has no copy has to read it once, so it expects just that one now.

--- a/crates/hawthornmill/src/routing/placement.rs
+++ b/crates/hawthornmill/src/routing/placement.rs
@@ -171,7 +171,7 @@
 
 /// Values that are common to all candidates of a request.
 struct RequestContext<'a> {
-    /// In the order of their identifiers; others may fetch from these.
+    /// In the order of their identifiers.
     candidates: &'a [Candidate],
     homes: Vec<ServerId>,
     hits: PrefixHits,
@@ -179,15 +179,17 @@
 }
 
 impl RequestContext<'_> {
-    fn is_candidate(&self, server: ServerId) -> bool {
+    /// Returns the region of a server that the request may use.
+    fn region(&self, server: ServerId) -> Option<RegionId> {
         let found = self.candidates.binary_search_by_key(&server, |c| c.server);
-        found.is_ok()
+        self.candidates[found.ok()?].region
     }
 }
 
 struct Candidate {
     server: ServerId,
     tier: usize,
+    region: Option<RegionId>,
     slots: u32,
 }
 
@@ -243,7 +245,7 @@
 ) -> Vec<Candidate> {
     let usable = |id: &ServerId| !request.excluded.contains(id) && !view.loads.is_down(*id, now);
     // There are far fewer failure domains than servers.
-    let mut tiers: SmallVec<[(DomainId, Option<usize>); 8]> = SmallVec::new();
+    let mut places: SmallVec<[Place; 8]> = SmallVec::new();
     view.registry
         .entries()
         .filter(|(id, entry)| {
@@ -253,22 +255,42 @@
         })
         .filter_map(|(server, entry)| {
             let domain = entry.registration.domain;
-            let known = tiers.iter().find(|(id, _)| *id == domain).copied();
-            let (_, tier) = known.unwrap_or_else(|| {
-                let is_allowed = view.reach.allows(request.allowed_regions, domain);
-                let found = (domain, is_allowed.then(|| tier(view, domain)));
-                tiers.push(found);
-                found
+            let known = places.iter().find(|p| p.domain == domain).copied();
+            let place = known.unwrap_or_else(|| {
+                let place = place(view, request, domain);
+                places.push(place);
+                place
             });
-            Some(Candidate {
+            place.is_allowed.then_some(Candidate {
                 server,
-                tier: tier?,
+                tier: place.tier,
+                region: place.region,
                 slots: entry.registration.slots,
             })
         })
         .collect()
 }
 
+/// Where a failure domain is, as a request sees it.
+#[derive(Debug, Clone, Copy)]
+struct Place {
+    domain: DomainId,
+    region: Option<RegionId>,
+    /// Index among the round trips.
+    tier: usize,
+    /// Its servers may get the request.
+    is_allowed: bool,
+}
+
+fn place(view: &PlacementView<'_>, request: &PlacementRequest<'_>, domain: DomainId) -> Place {
+    Place {
+        domain,
+        region: view.reach.region(domain),
+        tier: tier(view, domain),
+        is_allowed: view.reach.allows(request.allowed_regions, domain),
+    }
+}
+
 /// Returns whether servers of the service are registered in regions in which the request may not be served.
 fn has_servers_elsewhere(view: &PlacementView<'_>, request: &PlacementRequest<'_>) -> bool {
     view.registry.entries().any(|(_, entry)| {
@@ -472,8 +494,9 @@
 
 /// Returns from where `server` should fetch cached tokens that it lacks, if that is faster than to prefill them.
 ///
-/// The first servers in the order of the family count as caching the shared prefix. One that doesn't costs no more than the
-/// attempt to fetch from it, so a home of which this isn't known for sure gets a source too: after a restart or an
+/// The source is in the same region: what another request left there may be bound to it, and the link between regions is
+/// narrow. The first servers in the order of the family count as caching the shared prefix. One that doesn't costs no more
+/// than the attempt to fetch from it, so a home of which this isn't known for sure gets a source too: after a restart or an
 /// evacuation of the home, the second server has taken its place meanwhile.
 fn fetch(
     request: &PlacementRequest<'_>,
@@ -482,11 +505,16 @@
 ) -> Option<Fetch> {
     let engine = request.engine.filter(|e| !e.copy_time.is_zero());
     let engine = engine.filter(|_| request.fetches_prefixes)?;
-    let homes = context.homes.iter().take(FETCHED_FROM_HOMES);
-    let homes = homes.map(|home| (*home, context.shared_tokens));
-    let sources = context.hits.iter().copied().chain(homes);
-    let (source, tokens) = sources
-        .filter(|(id, _)| *id != server && context.is_candidate(*id))
+    let region = context.region(server)?;
+    let is_source = |id: ServerId| id != server && context.region(id) == Some(region);
+    let homes = context.homes.iter().filter(|home| is_source(**home));
+    let homes = homes
+        .take(FETCHED_FROM_HOMES)
+        .map(|home| (*home, context.shared_tokens));
+    let hits = context.hits.iter().filter(|(id, _)| is_source(*id));
+    let (source, tokens) = hits
+        .copied()
+        .chain(homes)
         .reduce(|best, next| if next.1 > best.1 { next } else { best })?;
     let known = context.hits.iter().find(|(id, _)| *id == server);
     let tokens = tokens.saturating_sub(known.map_or(0, |(_, tokens)| *tokens));
