--- a/crates/hawthornmill-gateway/src/store_watch.rs
+++ b/crates/hawthornmill-gateway/src/store_watch.rs
@@ -265,7 +265,9 @@
         let evacuated: Vec<Evacuation> = evacuated.collect();
         self.gateway.apply_evacuation_list(&evacuated, revision);
         for entry in entries {
-            self.apply_entry(entry);
+            if let Some(value) = &entry.value {
+                self.apply_catalog(entry, value);
+            }
         }
     }
 
