Name how far an instance knows the store, and keep it in one type

Reports, members and peers each held the same three numbers, and the request for newer state served as the name of what a peer knows. KnownState holds them and compares them in one place.

--- a/crates/hawthornmill-gateway/src/gateway/updates.rs
+++ b/crates/hawthornmill-gateway/src/gateway/updates.rs
@@ -5,7 +5,7 @@
 use hawthornmill::ident::ServerId;
 use hawthornmill::routing::announcements::{Announcements, ColdServer, Departure, Source};
 use hawthornmill::routing::evacuations::Evacuation;
-use hawthornmill::routing::gossip::SyncRequest;
+use hawthornmill::routing::gossip::KnownState;
 use hawthornmill::routing::registry::{Change, RegistrationList};
 use serde_json::json;
 
@@ -13,26 +13,23 @@
 use crate::event_log;
 
 impl Gateway {
-    /// Returns what this instance knows, to ask others for what is newer.
-    pub fn known_state(&self) -> SyncRequest {
+    /// Returns how far this instance knows the store.
+    pub fn known_state(&self) -> KnownState {
         let scheduler = self.scheduler.borrow();
-        SyncRequest {
+        KnownState {
             catalog_version: self.catalog_version(),
             revision: scheduler.registry.latest_revision(),
             evacuation_revision: scheduler.evacuations.latest_revision(),
         }
     }
 
-    /// Records what a peer knows.
-    pub fn observe_versions(&self, peer: SyncRequest) {
+    /// Records how far a peer knows the store.
+    pub fn observe_known(&self, peer: KnownState) {
         let (own, now) = (self.known_state(), self.now());
         self.catalog_lag
             .borrow_mut()
             .observe(peer.catalog_version, own.catalog_version, now);
-        if peer.catalog_version > own.catalog_version
-            || peer.revision > own.revision
-            || peer.evacuation_revision > own.evacuation_revision
-        {
+        if peer.is_ahead_of(own) {
             self.behind_wakeup.notify_one();
         }
     }
--- a/crates/hawthornmill-gateway/src/gossip.rs
+++ b/crates/hawthornmill-gateway/src/gossip.rs
@@ -6,7 +6,7 @@
 
 use hawthornmill::ident::{Incarnation, InstanceId};
 use hawthornmill::routing::domain_summary::DomainMembers;
-use hawthornmill::routing::gossip::{InstanceReport, PeerChange, PeerInfo, SyncRequest};
+use hawthornmill::routing::gossip::{InstanceReport, PeerChange, PeerInfo};
 use hawthornmill::routing::load_parts::{DemandPart, Scope, WorkPart};
 use hawthornmill::wire::frame::{Frame, FrameError};
 use hawthornmill::wire::{Message, Opener};
@@ -166,15 +166,12 @@
 }
 
 fn build_report(gateway: &Gateway, round: u64, now: Instant) -> InstanceReport {
-    let mut scheduler = gateway.scheduler.borrow_mut();
     let report = InstanceReport {
         info: own_info(gateway),
         ready: gateway.is_ready(),
         leaving: gateway.phase() > Phase::Serving,
         store_role: gateway.store_role.get(),
-        catalog_version: gateway.catalog_version(),
-        revision: scheduler.registry.latest_revision(),
-        evacuation_revision: scheduler.evacuations.latest_revision(),
+        known: gateway.known_state(),
         in_parts: gateway.peers.borrow().is_large_domain(),
         work: Vec::new(),
         usage: Vec::new(),
@@ -185,6 +182,7 @@
     if report.in_parts {
         return report;
     }
+    let mut scheduler = gateway.scheduler.borrow_mut();
     let mut work = scheduler.loads.local();
     work.truncate(MAX_REPORTED);
     let mut usage = scheduler.account_usage.local(now);
@@ -290,11 +288,7 @@
         peers.mark_heard(sender, now);
     }
     for member in members.members.iter().filter(|m| m.id != gateway.id) {
-        gateway.observe_versions(SyncRequest {
-            catalog_version: member.catalog_version,
-            revision: member.revision,
-            evacuation_revision: member.evacuation_revision,
-        });
+        gateway.observe_known(member.known);
         if let Some(change) = peers.apply_member(member, now) {
             gateway
                 .peer_changes
@@ -306,11 +300,7 @@
 
 fn handle_report(gateway: &Gateway, sender: InstanceId, run: Incarnation, report: &InstanceReport) {
     let now = gateway.now();
-    gateway.observe_versions(SyncRequest {
-        catalog_version: report.catalog_version,
-        revision: report.revision,
-        evacuation_revision: report.evacuation_revision,
-    });
+    gateway.observe_known(report.known);
     let mut peers = gateway.peers.borrow_mut();
     if let Some(change) = peers.apply_report(sender, run, report, now) {
         let peer = report.info.peer_addr;
--- a/crates/hawthornmill-gateway/src/relay.rs
+++ b/crates/hawthornmill-gateway/src/relay.rs
@@ -151,7 +151,6 @@
 
 /// Returns the instances of this failure domain that are live or were so lately, this one first.
 fn members(gateway: &Gateway, now: Instant) -> Vec<Member> {
-    let state = gateway.known_state();
     let own = Member {
         id: gateway.id,
         incarnation: gateway.incarnation,
@@ -160,9 +159,7 @@
         leaving: gateway.phase() > Phase::Serving,
         silent: false,
         store_role: gateway.store_role.get(),
-        catalog_version: state.catalog_version,
-        revision: state.revision,
-        evacuation_revision: state.evacuation_revision,
+        known: gateway.known_state(),
     };
     let others = gateway.peers.borrow().domain_members(now);
     std::iter::once(own).chain(others).collect()
--- a/crates/hawthornmill-gateway/src/state_sync.rs
+++ b/crates/hawthornmill-gateway/src/state_sync.rs
@@ -11,7 +11,7 @@
 use hawthornmill::limits::timeout::{self, AdaptiveTimeout};
 use hawthornmill::routing::announcements::Source;
 use hawthornmill::routing::fragments::{self, FragmentRequest, Outcome, Reassembly};
-use hawthornmill::routing::gossip::{PeerState, SyncRequest, SyncResponse};
+use hawthornmill::routing::gossip::{KnownState, PeerState, SyncResponse};
 use hawthornmill::routing::registry::RegistrationList;
 use hawthornmill::wire::{Message, Opener, Sealer};
 use hawthornmill_process::frames;
@@ -73,7 +73,7 @@
     gateway: &Gateway,
     datagrams: &DatagramSocket,
     peer: SocketAddr,
-    request: SyncRequest,
+    request: KnownState,
 ) -> Result<(), PullError> {
     let began = gateway.now();
     let response = receive_fragments(gateway, datagrams, peer, request).await;
@@ -87,7 +87,7 @@
     gateway: &Gateway,
     datagrams: &DatagramSocket,
     peer: SocketAddr,
-    request: SyncRequest,
+    request: KnownState,
 ) -> Result<SyncResponse, PullError> {
     let pending = &gateway.pending_state;
     pending.start(peer);
@@ -167,7 +167,7 @@
 /// Returns the peers to ask for newer state than `request` names, except those in `skipped`.
 fn peers_ahead(
     gateway: &Gateway,
-    request: SyncRequest,
+    request: KnownState,
     skipped: &[(SocketAddr, Instant)],
 ) -> SmallVec<[PeerState; 2]> {
     let skipped: Vec<SocketAddr> = skipped.iter().map(|(peer, _)| *peer).collect();
@@ -187,7 +187,7 @@
 async fn pull_by_connection(
     gateway: &Gateway,
     peer: SocketAddr,
-    request: SyncRequest,
+    request: KnownState,
     answer_timeout: &mut AdaptiveTimeout,
 ) -> bool {
     let (began, step) = (gateway.now(), Cell::new(Step::Connecting));
@@ -247,7 +247,7 @@
 async fn request_state(
     gateway: &Gateway,
     peer: SocketAddr,
-    request: SyncRequest,
+    request: KnownState,
     step: &Cell<Step>,
 ) -> std::io::Result<SyncResponse> {
     let mut stream = connect_timeout(peer, timeout::MAX_TIMEOUT).await?;
@@ -319,7 +319,7 @@
     .await
 }
 
-fn build_response(gateway: &Gateway, request: SyncRequest) -> SyncResponse {
+fn build_response(gateway: &Gateway, request: KnownState) -> SyncResponse {
     let table = gateway.table();
     let newer = table.filter(|t| t.version() > request.catalog_version);
     let scheduler = gateway.scheduler.borrow();
--- a/crates/hawthornmill-test-support/src/gossip.rs
+++ b/crates/hawthornmill-test-support/src/gossip.rs
@@ -1,6 +1,6 @@
 //! Gossip messages between gateway instances.
 
-use hawthornmill::routing::gossip::{InstanceReport, PeerInfo, StoreRole};
+use hawthornmill::routing::gossip::{InstanceReport, KnownState, PeerInfo, StoreRole};
 
 /// Returns the report of a ready instance that is connected to the store and has no work.
 pub const fn instance_report(peer: PeerInfo) -> InstanceReport {
@@ -9,9 +9,11 @@
         ready: true,
         leaving: false,
         store_role: StoreRole::Connected,
-        catalog_version: 1,
-        revision: 1,
-        evacuation_revision: 0,
+        known: KnownState {
+            catalog_version: 1,
+            revision: 1,
+            evacuation_revision: 0,
+        },
         in_parts: false,
         work: Vec::new(),
         usage: Vec::new(),
--- a/crates/hawthornmill/src/routing/domain_summary.rs
+++ b/crates/hawthornmill/src/routing/domain_summary.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::gossip::{PeerInfo, StoreRole};
+use super::gossip::{KnownState, PeerInfo, StoreRole};
 use crate::ident::{DomainId, Incarnation, InstanceId};
 
 /// Members in one message, at up to 62 bytes each, so that they fit a datagram.
@@ -32,12 +32,8 @@
     pub silent: bool,
     /// Its role towards the platform's store.
     pub store_role: StoreRole,
-    /// Version of its catalog.
-    pub catalog_version: u64,
-    /// Revision of its registrations.
-    pub revision: u64,
-    /// Revision of the newest evacuation that it knows.
-    pub evacuation_revision: u64,
+    /// How far it knows the store.
+    pub known: KnownState,
 }
 
 /// Some of the instances of a domain.
@@ -84,9 +80,7 @@
         let told = self.told.get(&member.id);
         told.is_none_or(|told| {
             let progress = Member {
-                catalog_version: told.catalog_version,
-                revision: told.revision,
-                evacuation_revision: told.evacuation_revision,
+                known: told.known,
                 ..*member
             };
             progress != *told
--- a/crates/hawthornmill/src/routing/fragments.rs
+++ b/crates/hawthornmill/src/routing/fragments.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::gossip::SyncRequest;
+use super::gossip::KnownState;
 
 /// Payload bytes of a fragment; with its frame it fits a datagram.
 const FRAGMENT_BYTES: usize = 1_200;
@@ -34,7 +34,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FragmentRequest {
     /// What the requester has.
-    pub sync: SyncRequest,
+    pub sync: KnownState,
     /// Digest of the response to which the missing fragments belong; 0 requests all fragments of the latest one.
     pub digest: u64,
     /// Indexes of the missing fragments.
@@ -191,7 +191,7 @@
     }
 
     /// Builds the request for the missing fragments, for a requester whose state is `sync`.
-    pub fn request(&self, sync: SyncRequest) -> FragmentRequest {
+    pub fn request(&self, sync: KnownState) -> FragmentRequest {
         let missing = self.fragments.iter().zip(0..).filter(|(f, _)| f.is_none());
         FragmentRequest {
             sync,
--- a/crates/hawthornmill/src/routing/gossip.rs
+++ b/crates/hawthornmill/src/routing/gossip.rs
@@ -96,12 +96,8 @@
     pub leaving: bool,
     /// Its role towards the store.
     pub store_role: StoreRole,
-    /// Version of its catalog; 0 when it has none.
-    pub catalog_version: u64,
-    /// Revision of the store up to which it knows the registrations.
-    pub revision: u64,
-    /// Revision of the newest evacuation that it knows.
-    pub evacuation_revision: u64,
+    /// How far it knows the store.
+    pub known: KnownState,
     /// Its load is told in parts of its own, and the following lists are empty.
     pub in_parts: bool,
     /// Its work in flight by server.
@@ -116,18 +112,30 @@
     pub known_peers: Vec<SocketAddr>,
 }
 
-/// Requests what a peer knows beyond a catalog version and two revisions.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SyncRequest {
-    /// Version of the requester's catalog.
+/// How far an instance knows what it takes over from the store; a request for newer state names the requester's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct KnownState {
+    /// Version of its catalog; 0 when it has none.
     pub catalog_version: u64,
-    /// Revision of the requester's registrations.
+    /// Revision of the store up to which it knows the registrations.
     pub revision: u64,
-    /// Revision of the newest evacuation that the requester knows.
+    /// Revision of the newest evacuation that it knows.
     pub evacuation_revision: u64,
 }
 
-/// Response to a [`SyncRequest`].
+impl KnownState {
+    /// Returns whether any part of it is newer than in `other`.
+    pub const fn is_ahead_of(self, other: Self) -> bool {
+        self.catalog_version > other.catalog_version || self.has_newer_servers(other)
+    }
+
+    /// Returns whether its registrations or evacuations are newer than in `other`.
+    pub const fn has_newer_servers(self, other: Self) -> bool {
+        self.revision > other.revision || self.evacuation_revision > other.evacuation_revision
+    }
+}
+
+/// Response to a request for what is newer than a [`KnownState`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct SyncResponse {
     /// The catalog, if newer than the requester's.
@@ -155,12 +163,8 @@
     pub leaving: bool,
     /// Its role towards the store.
     pub store_role: StoreRole,
-    /// Version of its catalog.
-    pub catalog_version: u64,
-    /// Revision of its registrations.
-    pub revision: u64,
-    /// Revision of the newest evacuation that it knows.
-    pub evacuation_revision: u64,
+    /// How far it knows the store.
+    pub known: KnownState,
     /// Last report, direct or through a relay.
     pub last_seen: Instant,
     /// Last direct report of its current incarnation.
@@ -185,9 +189,7 @@
             leaving: self.leaving,
             silent: !self.is_live(now),
             store_role: self.store_role,
-            catalog_version: self.catalog_version,
-            revision: self.revision,
-            evacuation_revision: self.evacuation_revision,
+            known: self.known,
         }
     }
 
@@ -261,9 +263,7 @@
             ready: report.ready,
             leaving: report.leaving,
             store_role: report.store_role,
-            catalog_version: report.catalog_version,
-            revision: report.revision,
-            evacuation_revision: report.evacuation_revision,
+            known: report.known,
             last_seen: now,
             last_direct: Some(now),
             last_relayed: None,
@@ -293,9 +293,7 @@
             ready: member.ready,
             leaving: member.leaving,
             store_role: member.store_role,
-            catalog_version: member.catalog_version,
-            revision: member.revision,
-            evacuation_revision: member.evacuation_revision,
+            known: member.known,
             last_seen: now,
             last_direct: None,
             last_relayed: Some(now),
@@ -387,7 +385,7 @@
     /// Returns whether a live instance that accepts requests has a newer catalog than `version`.
     pub fn has_newer_catalog(&self, version: u64, now: Instant) -> bool {
         let mut all = self.live(now).map(|(_, p)| p);
-        all.any(|p| p.catalog_version > version && p.ready && !p.leaving)
+        all.any(|p| p.known.catalog_version > version && p.ready && !p.leaving)
     }
 
     /// Returns whether the instance at `address` was heard, directly or through a relay, after `since`.
@@ -429,36 +427,31 @@
     /// for another second and would be asked again and again.
     pub fn sync_candidates(
         &self,
-        request: SyncRequest,
+        request: KnownState,
         unresponsive: &[SocketAddr],
         now: Instant,
     ) -> SmallVec<[PeerState; 2]> {
-        let version = request.catalog_version;
         let live = || {
             let all = self.live(now).map(|(_, p)| p);
             all.filter(|p| !unresponsive.contains(&p.info.peer_addr))
         };
         let is_local = |p: &PeerState| p.info.domain == self.domain;
-        let catalog = live().filter(|p| p.catalog_version > version);
-        let servers = live().filter(|p| {
-            p.revision > request.revision || p.evacuation_revision > request.evacuation_revision
-        });
+        let has_newer_catalog = |p: &PeerState| p.known.catalog_version > request.catalog_version;
+        let catalog = live().filter(|p| has_newer_catalog(p));
+        let servers = live().filter(|p| p.known.has_newer_servers(request));
         let mut selected: SmallVec<[PeerState; 2]> = SmallVec::new();
         selected.extend(
             servers
                 .max_by_key(|p| {
-                    let newest = p.revision.max(p.evacuation_revision);
-                    (is_local(p), newest, p.catalog_version)
+                    let newest = p.known.revision.max(p.known.evacuation_revision);
+                    (is_local(p), newest, p.known.catalog_version)
                 })
                 .copied(),
         );
-        if selected
-            .first()
-            .is_none_or(|p| p.catalog_version <= version)
-        {
+        if selected.first().is_none_or(|p| !has_newer_catalog(p)) {
             selected.extend(
                 catalog
-                    .max_by_key(|p| (is_local(p), p.catalog_version, p.revision))
+                    .max_by_key(|p| (is_local(p), p.known.catalog_version, p.known.revision))
                     .copied(),
             );
         }
--- a/crates/hawthornmill/src/wire/message.rs
+++ b/crates/hawthornmill/src/wire/message.rs
@@ -9,7 +9,7 @@
 use crate::routing::announcements::Announcements;
 use crate::routing::domain_summary::DomainMembers;
 use crate::routing::fragments::{Fragment, FragmentRequest};
-use crate::routing::gossip::{InstanceReport, SyncRequest, SyncResponse};
+use crate::routing::gossip::{InstanceReport, KnownState, SyncResponse};
 use crate::routing::load_parts::{DemandPart, WorkPart};
 use crate::routing::loads::Work;
 
@@ -327,7 +327,7 @@
     /// Demand that came to an instance, a failure domain or the rest of the fleet, over UDP.
     DemandPart(Box<DemandPart>),
     /// Requests newer state from a gateway instance.
-    SyncRequest(SyncRequest),
+    SyncRequest(KnownState),
     /// Response with that state.
     SyncResponse(Box<SyncResponse>),
     /// Recent changes of servers and failure domains that a gateway instance knows of, over UDP.
--- a/tests/testsuite/gateway/missed_updates.rs
+++ b/tests/testsuite/gateway/missed_updates.rs
@@ -6,7 +6,7 @@
 use hawthornmill::ident::{DomainId, Incarnation, InstanceId, ServerId};
 use hawthornmill::routing::announcements::{Announcements, Departure};
 use hawthornmill::routing::fragments::split_fragments;
-use hawthornmill::routing::gossip::{InstanceReport, PeerInfo, SyncResponse};
+use hawthornmill::routing::gossip::{InstanceReport, KnownState, PeerInfo, SyncResponse};
 use hawthornmill::wire::{Message, Opener, Sealer};
 use hawthornmill_test_support::gossip::instance_report;
 use nix::sys::signal::Signal;
@@ -70,8 +70,10 @@
             cpu_percent: 12,
         };
         let report = InstanceReport {
-            catalog_version: version,
-            revision: 0,
+            known: KnownState {
+                catalog_version: version,
+                ..KnownState::default()
+            },
             ..instance_report(info)
         };
         for _ in 0..20 {
--- a/tests/testsuite/routing/domain_summary.rs
+++ b/tests/testsuite/routing/domain_summary.rs
@@ -59,9 +59,7 @@
         leaving: false,
         silent: false,
         store_role: StoreRole::Connected,
-        catalog_version: 1,
-        revision: 1,
-        evacuation_revision: 0,
+        known: super::known(1, 1),
     }
 }
 
@@ -235,12 +233,12 @@
     let now = Instant::now();
     let mut peer_table = peer_table(0, now);
     let mut far = member(8);
-    (far.catalog_version, far.revision) = (9, 9);
+    far.known = super::known(9, 9);
     peer_table.apply_member(&far, now);
 
     let first = peer_table.sync_candidates(super::known(1, 1), &[], now);
     let mut near = report(3);
-    (near.catalog_version, near.revision) = (5, 5);
+    near.known = super::known(5, 5);
     peer_table.apply_report(instance(3), Incarnation(1), &near, now);
     let second = peer_table.sync_candidates(super::known(1, 1), &[], now);
     let third = peer_table.sync_candidates(super::known(5, 5), &[], now);
@@ -260,7 +258,7 @@
     let mut peer_table = peer_table(0, now);
     for (number, version) in [(2, 9), (3, 5)] {
         let mut report = report(number);
-        report.catalog_version = version;
+        report.known.catalog_version = version;
         peer_table.apply_report(instance(number), Incarnation(1), &report, now);
     }
 
--- a/tests/testsuite/routing/fragments.rs
+++ b/tests/testsuite/routing/fragments.rs
@@ -5,11 +5,11 @@
 use hawthornmill::routing::fragments::{
     Fragment, Outcome, Reassembly, ResponseCache, round_timeout, split_fragments,
 };
-use hawthornmill::routing::gossip::SyncRequest;
+use hawthornmill::routing::gossip::KnownState;
 
 use super::millis;
 
-const SYNC: SyncRequest = SyncRequest {
+const SYNC: KnownState = KnownState {
     catalog_version: 16,
     revision: 40,
     evacuation_revision: 0,
--- a/tests/testsuite/routing/gossip.rs
+++ b/tests/testsuite/routing/gossip.rs
@@ -21,8 +21,7 @@
         cpu_percent: 12,
     };
     InstanceReport {
-        catalog_version: version,
-        revision: 0,
+        known: super::known(version, 0),
         known_peers,
         ..instance_report(info)
     }
@@ -139,7 +138,7 @@
         .collect();
     let versions = |have| -> Vec<u64> {
         let ahead = peer_table.sync_candidates(super::known(have, 0), &[], later);
-        ahead.iter().map(|p| p.catalog_version).collect()
+        ahead.iter().map(|p| p.known.catalog_version).collect()
     };
 
     assert_eq!(live.len(), 2);
@@ -238,9 +237,9 @@
     let now = Instant::now();
     let mut peer_table = PeerTable::new(DomainId::of("a"), 12);
     let mut servers = report(20, 3, Vec::new());
-    servers.revision = 9;
+    servers.known.revision = 9;
     let mut both = report(40, 6, Vec::new());
-    both.revision = 9;
+    both.known.revision = 9;
     peer_table.apply_report(
         InstanceId::of("catalog"),
         Incarnation(1),
--- a/tests/testsuite/routing/large_fleet.rs
+++ b/tests/testsuite/routing/large_fleet.rs
@@ -52,9 +52,7 @@
             leaving: false,
             silent: false,
             store_role: StoreRole::Connected,
-            catalog_version: 1,
-            revision: 1,
-            evacuation_revision: 0,
+            known: super::known(1, 1),
         }
     }
 }
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -33,7 +33,7 @@
     Account, Catalog, Engine, Limits, RetryPolicy, Route, Service, Target, TokenDigest,
 };
 use hawthornmill::routing::cold_start::{ColdStartLimiter, ColdStartTolerance};
-use hawthornmill::routing::gossip::SyncRequest;
+use hawthornmill::routing::gossip::KnownState;
 use hawthornmill::routing::placement::{Location, Placement};
 use hawthornmill::routing::regions::AllowedRegions;
 use hawthornmill::routing::registry::{Change, Registration, RegistrationList};
@@ -73,8 +73,8 @@
 }
 
 /// What an instance with a catalog of `version` and registrations of `revision` knows.
-fn known(version: u64, revision: u64) -> SyncRequest {
-    SyncRequest {
+fn known(version: u64, revision: u64) -> KnownState {
+    KnownState {
         catalog_version: version,
         revision,
         evacuation_revision: 0,
