Notice servers that turn cold where the registry records them

The scheduler and the gateway each compared a server's cold time before and after a change, and a list that shows a server as cold did neither: it was not logged, and what the server had just got was not counted (FAILBACK, if the announcement is lost). The registry notes it for changes, lists, announcements and domains that are taken back, once. The limiter forgets servers that are gone, too: it kept an entry for each that ended while cold.

Test: routing::cold_start::server_that_a_list_shows_as_cold_is_paused.

--- a/crates/hawthornmill-gateway/src/gateway/updates.rs
+++ b/crates/hawthornmill-gateway/src/gateway/updates.rs
@@ -1,7 +1,5 @@
 //! What a gateway learns of the platform and of the servers, from the store and from peers.
 
-use std::time::Duration;
-
 use hawthornmill::ident::ServerId;
 use hawthornmill::routing::announcements::{Announcements, ColdServer, Departure, Source};
 use hawthornmill::routing::evacuations::Evacuation;
@@ -55,6 +53,7 @@
         let domain = self.settings().domain_name(change.domain);
         let fields = json!({"domain": domain, "revision": change.revision, "from": from});
         event_log::state_change(event, fields);
+        self.announce_cold(from, source);
         self.queue_wakeup.notify_one();
     }
 
@@ -71,14 +70,10 @@
     /// Applies a change of one registration.
     pub fn apply_change(&self, change: Change, from: &str) {
         let (fields, leaving) = (describe_change(&change, from), change.departure());
-        let (server, now) = (change.server, self.now());
-        let was_warm = self.cold_time(server).is_zero();
-        if self.scheduler.borrow_mut().apply_change(change, now) {
+        if self.scheduler.borrow_mut().apply_change(change, self.now()) {
             event_log::state_change("registration", fields);
             self.queue_wakeup.notify_one();
-            if was_warm && !self.cold_time(server).is_zero() {
-                self.announce_cold(server, from, Source::Store);
-            }
+            self.announce_cold(from, Source::Store);
             if let Some(leaving) = leaving {
                 self.announce_leaving(leaving, Source::Store);
             }
@@ -91,10 +86,9 @@
             self.apply_evacuation(*change, "peer", Source::Peer);
         }
         for cold in &announced.cold_servers {
-            if self.scheduler.borrow_mut().apply_cold(*cold, self.now()) {
-                self.announce_cold(cold.server, "peer", Source::Peer);
-            }
+            self.scheduler.borrow_mut().apply_cold(*cold, self.now());
         }
+        self.announce_cold("peer", Source::Peer);
         for leaving in &announced.departures {
             if self.scheduler.borrow_mut().registry.mark_draining(*leaving) {
                 let server = self.server_name(leaving.server);
@@ -105,26 +99,23 @@
         }
     }
 
-    /// Returns the time for which a server stays cold.
-    fn cold_time(&self, server: ServerId) -> Duration {
-        let scheduler = self.scheduler.borrow();
-        scheduler.registry.cold_time(server, self.now())
-    }
-
-    /// Logs and announces that a server has turned cold.
-    fn announce_cold(&self, server: ServerId, from: &str, source: Source) {
-        let remaining_ms = self.cold_time(server).as_millis() as u32;
-        let fields =
-            json!({"server": self.server_name(server), "cold_ms": remaining_ms, "from": from});
-        event_log::state_change("server_cold", fields);
-        let cold = ColdServer {
-            server,
-            remaining_ms,
-        };
-        self.announcements
-            .borrow_mut()
-            .record_cold(cold, source, self.now());
-        self.report_wakeup.notify_one();
+    /// Logs and announces the servers that have turned cold.
+    fn announce_cold(&self, from: &str, source: Source) {
+        let now = self.now();
+        let mut scheduler = self.scheduler.borrow_mut();
+        for server in scheduler.take_turned_cold(now) {
+            let remaining = scheduler.registry.cold_time(server, now);
+            let known = scheduler.registry.get(server);
+            let name = known.map(|k| k.registration.name.clone());
+            let fields =
+                json!({"server": name, "cold_ms": remaining.as_millis() as u64, "from": from});
+            event_log::state_change("server_cold", fields);
+            let cold = ColdServer { server, remaining };
+            self.announcements
+                .borrow_mut()
+                .record_cold(cold, source, now);
+            self.report_wakeup.notify_one();
+        }
     }
 
     fn announce_leaving(&self, leaving: Departure, source: Source) {
@@ -156,6 +147,8 @@
         self.scheduler
             .borrow_mut()
             .replace_registrations(list, self.now());
+        // The own domain isn't told: its instances get the list too.
+        self.announce_cold(from, Source::Peer);
         self.has_registrations.set(true);
         self.queue_wakeup.notify_one();
     }
--- a/crates/hawthornmill/src/routing/announcements.rs
+++ b/crates/hawthornmill/src/routing/announcements.rs
@@ -34,8 +34,8 @@
 pub struct ColdServer {
     /// The server.
     pub server: ServerId,
-    /// Milliseconds for which it stays cold.
-    pub remaining_ms: u32,
+    /// Time for which it stays cold.
+    pub remaining: Duration,
 }
 
 /// Origin of an announcement.
@@ -133,7 +133,7 @@
         let evacuations = self.evacuations.select(now, sources, MAX_EVACUATIONS);
         let cold_servers = self.cold_servers.select(now, sources, MAX_COLD);
         let remaining = |(cold, age): (ColdServer, Duration)| ColdServer {
-            remaining_ms: cold.remaining_ms.saturating_sub(age.as_millis() as u32),
+            remaining: cold.remaining.saturating_sub(age),
             ..cold
         };
         Announcements {
--- a/crates/hawthornmill/src/routing/cold_start.rs
+++ b/crates/hawthornmill/src/routing/cold_start.rs
@@ -146,9 +146,9 @@
         *sent = std::iter::repeat_n(now, parts.requests).collect();
     }
 
-    /// Forgets a server that is warm or gone.
-    pub fn forget(&mut self, server: ServerId) {
-        self.sent.remove(&server);
-        self.is_sender.remove(&server);
+    /// Forgets servers for which `keep` returns false: they are warm or gone.
+    pub fn retain(&mut self, keep: impl Fn(ServerId) -> bool) {
+        self.sent.retain(|server, _| keep(*server));
+        self.is_sender.retain(|server, _| keep(*server));
     }
 }
--- a/crates/hawthornmill/src/routing/registry.rs
+++ b/crates/hawthornmill/src/routing/registry.rs
@@ -97,6 +97,15 @@
     pub expires_at: Option<Instant>,
 }
 
+/// A server that has turned cold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TurnedCold {
+    /// The server.
+    pub server: ServerId,
+    /// It may have got requests just before: it has neither started since nor been evacuated.
+    pub was_used: bool,
+}
+
 /// All registrations that this instance knows.
 #[derive(Debug, Clone, Default)]
 pub struct Registry {
@@ -108,6 +117,8 @@
     latest_revision: u64,
     /// Cold servers, each with the end of that.
     cold: BTreeMap<ServerId, Instant>,
+    /// Servers that turned cold since the last [`Self::take_turned_cold`].
+    turned_cold: Vec<TurnedCold>,
     /// Servers that were removed or restarted since the last [`Self::take_lost_caches`].
     lost_caches: Vec<ServerId>,
 }
@@ -151,7 +162,8 @@
             self.cold.remove(&change.server);
         }
         if let Some(registration) = change.registration {
-            self.mark_cold(change.server, registration.cold_time, now);
+            let was_used = old_start == new_start;
+            self.mark_cold(change.server, registration.cold_time, was_used, now);
             self.tombstones.remove(&change.server);
             let entry = RegistryEntry {
                 registration,
@@ -180,11 +192,22 @@
     }
 
     /// Records that a server stays cold for `time`, or longer if more is known already.
-    pub fn mark_cold(&mut self, server: ServerId, time: Duration, now: Instant) {
-        if !time.is_zero() {
-            let until = self.cold.entry(server).or_insert(now + time);
-            *until = (*until).max(now + time);
+    ///
+    /// `was_used` tells whether it may have got requests just before.
+    pub fn mark_cold(&mut self, server: ServerId, time: Duration, was_used: bool, now: Instant) {
+        if time.is_zero() {
+            return;
+        }
+        if self.cold_time(server, now).is_zero() {
+            self.turned_cold.push(TurnedCold { server, was_used });
         }
+        let until = self.cold.entry(server).or_insert(now + time);
+        *until = (*until).max(now + time);
+    }
+
+    /// Returns the servers that have turned cold, and clears the list.
+    pub fn take_turned_cold(&mut self) -> Vec<TurnedCold> {
+        std::mem::take(&mut self.turned_cold)
     }
 
     /// Returns the time for which a server stays cold; zero when it is warm.
--- a/crates/hawthornmill/src/routing/scheduler/servers.rs
+++ b/crates/hawthornmill/src/routing/scheduler/servers.rs
@@ -23,22 +23,15 @@
     /// Forgets servers that are cold no longer, and returns them.
     pub fn take_warm(&mut self, now: Instant) -> Vec<ServerId> {
         let warm = self.registry.take_warm(now);
-        for server in &warm {
-            self.cold_limiter.forget(*server);
-        }
+        let registry = &self.registry;
+        self.cold_limiter
+            .retain(|server| !registry.cold_time(server, now).is_zero());
         warm
     }
 
     /// Applies one change of a registration; returns false when it is older than the current entry.
     pub fn apply_change(&mut self, change: Change, now: Instant) -> bool {
-        let server = change.server;
-        let was_known = self.registry.get(server).map(|e| e.registration.start_ms);
-        let was_warm = self.registry.cold_time(server, now).is_zero();
         let applied = self.registry.apply(change, now);
-        let same_run = self.registry.get(server).map(|e| e.registration.start_ms) == was_known;
-        if was_warm && same_run && !self.registry.cold_time(server, now).is_zero() {
-            self.pause_cold(server, now);
-        }
         self.drop_lost_caches();
         applied
     }
@@ -63,30 +56,30 @@
             .filter_map(|(id, e)| Some((id, cold_time(e.registration.service)?)))
             .collect();
         for (server, time) in cold {
-            self.registry.mark_cold(server, time, now);
+            self.registry.mark_cold(server, time, false, now);
         }
     }
 
-    /// Applies a peer's announcement that a server has turned cold; returns whether it counted as warm here.
-    pub fn apply_cold(&mut self, cold: ColdServer, now: Instant) -> bool {
-        let was_warm = self.registry.cold_time(cold.server, now).is_zero();
-        if self.registry.get(cold.server).is_none() {
-            return false;
-        }
-        let time = Duration::from_millis(cold.remaining_ms.into());
-        self.registry.mark_cold(cold.server, time, now);
-        if was_warm {
-            self.pause_cold(cold.server, now);
+    /// Applies a peer's announcement that a server has turned cold.
+    pub fn apply_cold(&mut self, cold: ColdServer, now: Instant) {
+        if self.registry.get(cold.server).is_some() {
+            self.registry
+                .mark_cold(cold.server, cold.remaining, true, now);
         }
-        was_warm && !time.is_zero()
     }
 
-    /// Stops sending to a server that has turned cold while it was in use.
-    fn pause_cold(&mut self, server: ServerId, now: Instant) {
-        let service = self.registry.get(server).map(|e| e.registration.service);
-        if let Some(cold_start) = service.and_then(|s| self.cold_starts.get(&s)) {
-            self.cold_limiter.pause(server, *cold_start, now);
+    /// Returns the servers that have turned cold since the last call, and sends nothing for a moment to those that were in
+    /// use.
+    pub fn take_turned_cold(&mut self, now: Instant) -> Vec<ServerId> {
+        let turned = self.registry.take_turned_cold();
+        for cold in turned.iter().filter(|c| c.was_used) {
+            let service = self.registry.get(cold.server);
+            let service = service.map(|e| e.registration.service);
+            if let Some(cold_start) = service.and_then(|s| self.cold_starts.get(&s)) {
+                self.cold_limiter.pause(cold.server, *cold_start, now);
+            }
         }
+        turned.into_iter().map(|c| c.server).collect()
     }
 
     /// Returns the cold servers of `service` to which this instance may send nothing now.
--- a/tests/testsuite/routing/cold_start.rs
+++ b/tests/testsuite/routing/cold_start.rs
@@ -231,19 +231,41 @@
     let mut scheduler = scheduler_with_cold_starts(&[("a1", "a"), ("a2", "a")], start);
     let announced = ColdServer {
         server: ServerId::of("a1"),
-        remaining_ms: 3_000,
+        remaining: millis(3_000),
     };
 
-    let turned = scheduler.apply_cold(announced, now);
-    let repeated = scheduler.apply_cold(announced, now);
+    scheduler.apply_cold(announced, now);
+    let turned = scheduler.take_turned_cold(now);
+    scheduler.apply_cold(announced, now);
+    let repeated = scheduler.take_turned_cold(now);
     let paused = send(&mut scheduler, &["a1", "a2"], 30, now + millis(900));
     let after = send(&mut scheduler, &["a1", "a2"], 30, now + millis(1_300));
 
-    assert_eq!((turned, repeated), (true, false));
+    assert_eq!(turned, [ServerId::of("a1")]);
+    assert!(repeated.is_empty());
     assert_eq!(paused, [0, 30]);
     assert!(after[0] > 0, "{after:?}");
 }
 
+/// Failure: an instance hears of a cold server by a list only, and goes on sending there as before.
+#[test]
+fn server_that_a_list_shows_as_cold_is_paused() {
+    let start = Instant::now();
+    let now = start + SETTLED;
+    let mut scheduler = scheduler_with_cold_starts(&[("a1", "a"), ("a2", "a")], start);
+    let entries = vec![
+        change("a1", 50, Some(cold_entry("a1", "a", millis(3_000)))),
+        change("a2", 2, Some(entry("a2", "a"))),
+    ];
+
+    scheduler.replace_registrations(super::list(entries, 60, false), now);
+    let turned = scheduler.take_turned_cold(now);
+    let paused = send(&mut scheduler, &["a1", "a2"], 30, now + millis(900));
+
+    assert_eq!(turned, [ServerId::of("a1")]);
+    assert_eq!(paused, [0, 30]);
+}
+
 /// Failure: all instances send to the idle servers of a domain that is taken back, before the servers have said that they
 /// are cold.
 #[test]
--- a/tests/testsuite/routing/fetching.rs
+++ b/tests/testsuite/routing/fetching.rs
@@ -55,7 +55,10 @@
 
     assert!(none >= SHARED, "nothing spilled: {none}");
     assert_eq!(slow, none, "a link slower than the engine is not used");
-    assert_eq!(fast, SHARED, "only the region that has no copy yet reads it");
+    assert_eq!(
+        fast, SHARED,
+        "only the region that has no copy yet reads it"
+    );
 }
 
 /// Failure: operators switch fetching off, and servers are told to fetch.
