--- a/tests/testsuite/gateway/connection_pool.rs
+++ b/tests/testsuite/gateway/connection_pool.rs
@@ -1,5 +1,6 @@
 //! The pool of connections to backend servers.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
@@ -9,15 +10,20 @@
 
 use crate::block_on;
 
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    (listener, address)
+}
+
 /// Failure: requests that must not be executed twice only reuse recently used connections, so each burst
 /// opens new ones. A server resets connections above its limit, and could reset one in use.
 #[test]
 fn idle_limit_keeps_newest_connections() {
     block_on(async {
-        let listener = TcpListener::bind("127.0.0.1:0")
-            .await
-            .expect("a port is free");
-        let address = listener.local_addr().expect("the listener has an address");
+        let (listener, address) = listen().await;
         let (pool, server, now) = (Pool::default(), ServerId::of("s"), Instant::now());
         let mut kept = Vec::new();
 
@@ -55,10 +61,7 @@
 #[test]
 fn connection_of_gone_server_or_with_extra_bytes_is_not_pooled() {
     block_on(async {
-        let listener = TcpListener::bind("127.0.0.1:0")
-            .await
-            .expect("a port is free");
-        let address = listener.local_addr().expect("the listener has an address");
+        let (listener, address) = listen().await;
         let (pool, server, now) = (Pool::default(), ServerId::of("s"), Instant::now());
         let connect = || async {
             let stream = TcpStream::connect(address)
--- a/tests/testsuite/gateway/missed_updates.rs
+++ b/tests/testsuite/gateway/missed_updates.rs
@@ -128,6 +128,15 @@
         .map_or(0, |a| a.status())
 }
 
+/// Sends ten requests to the first gateway, each of which is served; returns how many came to the first server.
+async fn received_by_first_server_of_ten(fleet: &Fleet) -> usize {
+    let before = fleet.servers[0].received().len();
+    for _ in 0..10 {
+        assert_eq!(status(fleet.gateways[0].front(), "/get/").await, 200);
+    }
+    fleet.servers[0].received().len() - before
+}
+
 /// Failure: the directory of an instance omits a ready instance.
 #[test]
 fn directory_lists_every_ready_instance() {
@@ -236,20 +245,14 @@
 fn lost_history_hides_no_removed_server() {
     block_on(async {
         let fleet = Fleet::start(1, 2).await;
-        let front = fleet.gateways[0].front();
         fleet.store.drop_history(Some("servers/i-0"));
         wait_until("the instance notices the loss", || async {
             !fleet.gateways[0].logged("store_history_lost").is_empty()
         })
         .await;
         tokio::time::sleep(Duration::from_millis(2_600)).await;
-        let before = fleet.servers[0].received().len();
 
-        for _ in 0..10 {
-            assert_eq!(status(front, "/get/").await, 200);
-        }
-
-        assert_eq!(fleet.servers[0].received().len(), before);
+        assert_eq!(received_by_first_server_of_ten(&fleet).await, 0);
     });
 }
 
@@ -351,7 +354,6 @@
 fn late_registrations_send_nothing_to_a_leaving_server() {
     block_on(async {
         let fleet = Fleet::start(1, 2).await;
-        let front = fleet.gateways[0].front();
         let peer = Peer::bind(&fleet, 1).await;
         let leaving = Departure {
             server: ServerId::of("i-0"),
@@ -368,12 +370,8 @@
             !fleet.gateways[0].logged("registration_leaving").is_empty()
         })
         .await;
-        let before = fleet.servers[0].received().len();
 
-        for _ in 0..10 {
-            assert_eq!(status(front, "/get/").await, 200);
-        }
-        assert_eq!(fleet.servers[0].received().len(), before);
+        assert_eq!(received_by_first_server_of_ten(&fleet).await, 0);
     });
 }
 
