--- a/tests/testsuite/gateway/connection_pool.rs
+++ b/tests/testsuite/gateway/connection_pool.rs
@@ -23,7 +23,7 @@
 #[test]
 fn idle_limit_keeps_newest_connections() {
     block_on(async {
-        let (listener, address) = listen().await;
+        let (_listener, address) = listen().await;
         let (pool, server, now) = (Pool::default(), ServerId::of("s"), Instant::now());
         let mut kept = Vec::new();
 
@@ -61,7 +61,7 @@
 #[test]
 fn connection_of_gone_server_or_with_extra_bytes_is_not_pooled() {
     block_on(async {
-        let (listener, address) = listen().await;
+        let (_listener, address) = listen().await;
         let (pool, server, now) = (Pool::default(), ServerId::of("s"), Instant::now());
         let connect = || async {
             let stream = TcpStream::connect(address)
