--- a/crates/hawthornmill/src/limits/congestion.rs
+++ b/crates/hawthornmill/src/limits/congestion.rs
@@ -11,7 +11,7 @@
 
 /// Age up to which a connection attempt is taken into account.
 const SAMPLE_VALIDITY: Duration = Duration::from_secs(2);
-/// Addresses that must be slow before the link is blamed; a few servers may be down or slow themselves.
+/// Addresses that must be slow for the link to count as congested; a few servers may be down or slow themselves.
 const MIN_SAMPLES: usize = 3;
 /// Connect time that means congestion; the round trip between two regions is shorter.
 const CONGESTED_CONNECT_TIME: Duration = Duration::from_millis(100);
--- a/crates/hawthornmill/src/routing/placement.rs
+++ b/crates/hawthornmill/src/routing/placement.rs
@@ -16,7 +16,7 @@
 use super::catalog::Engine;
 use super::loads::{LoadTracker, Work};
 use super::prefix_index::{PrefixHits, PrefixIndex};
-use super::regions::{AllowedRegions, Reach};
+use super::regions::{AllowedRegions, Eligibility};
 use super::registry::Registry;
 use super::shape::Shape;
 use super::ttft::TtftEstimate;
@@ -85,7 +85,7 @@
     /// Location of this instance.
     pub location: Location,
     /// Regions of the failure domains, and evacuated ones.
-    pub reach: Reach<'a>,
+    pub eligibility: Eligibility<'a>,
 }
 
 /// A request to be placed.
@@ -285,9 +285,9 @@
 fn place(view: &PlacementView<'_>, request: &PlacementRequest<'_>, domain: DomainId) -> Place {
     Place {
         domain,
-        region: view.reach.region(domain),
+        region: view.eligibility.region(domain),
         tier: tier(view, domain),
-        is_allowed: view.reach.allows(request.allowed_regions, domain),
+        is_allowed: view.eligibility.allows(request.allowed_regions, domain),
     }
 }
 
@@ -297,7 +297,7 @@
         let registration = &entry.registration;
         registration.service == request.service
             && !view
-                .reach
+                .eligibility
                 .is_within(request.allowed_regions, registration.domain)
     })
 }
@@ -306,7 +306,7 @@
     if domain == view.location.domain {
         return 0;
     }
-    if view.reach.region(domain) == Some(view.location.region) {
+    if view.eligibility.region(domain) == Some(view.location.region) {
         1
     } else {
         2
@@ -322,12 +322,12 @@
         return Vec::new();
     };
     let nearest = candidates.iter().map(|c| c.tier).min().unwrap_or(0);
-    let reach = if shape.shared_tokens() >= FLEET_WIDE_TOKENS {
+    let widest_tier = if shape.shared_tokens() >= FLEET_WIDE_TOKENS {
         FLEET_TIER
     } else {
         nearest
     };
-    let within = candidates.iter().filter(|c| c.tier <= reach);
+    let within = candidates.iter().filter(|c| c.tier <= widest_tier);
     let mut ranked: Vec<(u64, ServerId)> = within
         .map(|c| (mix(family.0 ^ c.server.0), c.server))
         .collect();
--- a/crates/hawthornmill/src/routing/regions.rs
+++ b/crates/hawthornmill/src/routing/regions.rs
@@ -1,6 +1,6 @@
 //! Regions to which a request is bound, and whether it may be sent to a failure domain.
 //!
-//! Every choice of a server asks [`Reach::allows`]: placement, the home of a prompt family, spills, retries and resumed
+//! Every choice of a server asks [`Eligibility::allows`]: placement, the home of a prompt family, spills, retries and resumed
 //! streams.
 
 use serde::{Deserialize, Serialize};
@@ -47,14 +47,14 @@
 
 /// Where the failure domains are, and which of them are evacuated.
 #[derive(Debug, Clone, Copy)]
-pub struct Reach<'a> {
+pub struct Eligibility<'a> {
     /// Region of each failure domain.
     pub regions: &'a [(DomainId, RegionId)],
     /// Failure domains whose servers take no new requests.
     pub evacuations: &'a Evacuations,
 }
 
-impl Reach<'_> {
+impl Eligibility<'_> {
     /// Returns the region of `domain`, if the settings name it.
     pub fn region(&self, domain: DomainId) -> Option<RegionId> {
         let known = self.regions.iter().find(|(d, _)| *d == domain);
--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -22,7 +22,7 @@
     choose_server, is_prefill_bound,
 };
 use super::prefix_index::PrefixIndex;
-use super::regions::Reach;
+use super::regions::Eligibility;
 use super::registry::Registry;
 use super::request::{Admission, Cause, Decision, DecisionContext, Refusal, Request, Ticket};
 use super::retry_budget::RetryBudget;
@@ -300,7 +300,9 @@
         for (id, entry) in entries.filter(|(_, e)| e.registration.service == request.service) {
             context.servers += 1;
             let domain = entry.registration.domain;
-            let is_within = self.reach().is_within(&request.allowed_regions, domain);
+            let is_within = self
+                .eligibility()
+                .is_within(&request.allowed_regions, domain);
             context.draining += usize::from(entry.registration.draining);
             context.evacuated += usize::from(self.evacuations.is_evacuated(domain));
             context.out_of_region += usize::from(!is_within);
@@ -326,7 +328,7 @@
             loads: &self.loads,
             prefix_index: &self.prefix_index,
             location: self.location,
-            reach: self.reach(),
+            eligibility: self.eligibility(),
         };
         let query = PlacementRequest {
             service: request.service,
@@ -387,8 +389,8 @@
     }
 
     /// Returns the regions of the failure domains, and evacuated ones.
-    fn reach(&self) -> Reach<'_> {
-        Reach {
+    fn eligibility(&self) -> Eligibility<'_> {
+        Eligibility {
             regions: &self.regions,
             evacuations: &self.evacuations,
         }
