--- a/crates/hawthornmill/src/routing/regions.rs
+++ b/crates/hawthornmill/src/routing/regions.rs
@@ -68,6 +68,6 @@
 
     /// Returns whether `domain` is in one of the `allowed` regions.
     pub fn is_within(&self, allowed: &AllowedRegions, domain: DomainId) -> bool {
-        *allowed == AllowedRegions::Any || allowed.contains(self.region(domain))
+        allowed.contains(self.region(domain))
     }
 }
