Log the levels of the shares, and account and standing of each send

Whether a starved account is ordered before others can't be told from a refusal alone: it needs what the account is compared with, and where accounts stand whose requests are sent meanwhile. No decision changes.

--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -166,7 +166,7 @@
         let placement = match context.gateway.select_server(&request).await {
             Ok(placement) => placement,
             Err(refusal) => {
-                progress::log_rejection(context, &request, &refusal);
+                progress::log_rejection(context, admitted, &request, &refusal);
                 return end_without_server(context, progress, fallback, refusal, out).await;
             }
         };
@@ -213,7 +213,7 @@
     out: &mut OwnedWriteHalf,
 ) -> Result<RequestOutcome, RetryDecision> {
     let (gateway, server) = (context.gateway, placement.server);
-    progress.start_attempt(gateway, context.request, &placement);
+    progress.start_attempt(gateway, context.request, admitted, &placement);
     let mut slot = SlotGuard {
         gateway,
         admitted,
--- a/crates/hawthornmill-gateway/src/proxy/progress.rs
+++ b/crates/hawthornmill-gateway/src/proxy/progress.rs
@@ -15,19 +15,25 @@
 use crate::gateway::Gateway;
 
 /// Logs why the scheduler rejected a request.
-pub fn log_rejection(context: RequestContext<'_>, request: &Request, refusal: &Refusal) {
+pub fn log_rejection(
+    context: RequestContext<'_>,
+    admitted: &Admitted,
+    request: &Request,
+    refusal: &Refusal,
+) {
     let (gateway, now) = (context.gateway, context.gateway.now());
     let scheduler = gateway.scheduler.borrow();
     let decision = scheduler.decision_context(request, now);
     let fields = json!({
-        "code": refusal.code.number(), "cause": refusal.cause.to_string(),
+        "account": admitted.account_name, "code": refusal.code.number(), "cause": refusal.cause.to_string(),
         "again_ms": refusal.retry_after.as_millis() as u64,
         "waited_ms": now.duration_since(request.arrival).as_millis() as u64,
         "servers": decision.servers, "draining": decision.draining, "down": decision.down,
         "evacuated": decision.evacuated, "out_of_region": decision.out_of_region,
         "full": decision.full, "waiting": decision.queue_len, "short_at": decision.unmet_instances,
         "lack": decision.unmet_cost, "standing": decision.share.status.to_string(), "lead": decision.share.usage_ratio,
-        "asked": decision.usage.requested, "got": decision.usage.served, "registrations": scheduler.registry.latest_revision(),
+        "asked": decision.usage.requested, "got": decision.usage.served,
+        "level_owed": decision.levels.guaranteed, "level_even": decision.levels.fair, "registrations": scheduler.registry.latest_revision(),
         "catalog": gateway.catalog_version(), "lag_ms": lag_ms(gateway),
         "link_wait_ms": gateway.link_monitor.borrow().queueing_delay(now).as_millis() as u64,
     });
@@ -80,11 +86,14 @@
         &mut self,
         gateway: &Gateway,
         request: &ClientRequest,
+        admitted: &Admitted,
         placement: &Placement,
     ) {
+        let share = gateway.scheduler.borrow().share_of(&admitted.request);
         let name = gateway.server_name(placement.server);
         let waited = gateway.now().duration_since(request.received);
         let fields = json!({
+            "account": admitted.account_name, "standing": share.status.to_string(), "lead": share.usage_ratio,
             "server": name, "waited_ms": waited.as_millis() as u64, "send": self.sends + 1,
             "tokens_before_first": placement.queued_prefill, "tokens_again": placement.duplicate_prefill, "tokens_fetched": placement.fetch.map_or(0, |f| f.tokens), "stray": placement.spilled, "expected_ms": placement.expected_ttft.as_millis() as u64,
             "catalog": gateway.catalog_version(), "lag_ms": lag_ms(gateway), "registrations": gateway.scheduler.borrow().registry.latest_revision(),
--- a/crates/hawthornmill/src/routing/request.rs
+++ b/crates/hawthornmill/src/routing/request.rs
@@ -10,7 +10,7 @@
 use super::placement::Placement;
 use super::regions::AllowedRegions;
 use super::shape::Shape;
-use super::usage::{AccountUsage, FairShare};
+use super::usage::{AccountUsage, FairShare, ShareLevels};
 use crate::codes::Code;
 use crate::ident::{AccountId, ServerId, ServiceId};
 
@@ -69,6 +69,8 @@
     pub share: FairShare,
     /// Recent fleet-wide usage of the account, in tokens.
     pub usage: AccountUsage,
+    /// Usage up to which accounts are below their guarantee and below their fair share.
+    pub levels: ShareLevels,
 }
 
 /// Cause of a refusal.
--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -28,7 +28,10 @@
 use super::retry_budget::RetryBudget;
 use super::ttft::TtftModel;
 use super::unmet_demand::{UnmetDemandTracker, preempts_others};
-use super::usage::{AccountUsage, DECAY_TIME, FairShare, ShareStatus, UsageTracker, fair_shares};
+use super::usage::{
+    AccountUsage, DECAY_TIME, FairShare, ShareLevels, ShareStatus, UsageTracker, fair_shares,
+    share_levels,
+};
 use crate::codes::Code;
 use crate::ident::{AccountId, DomainId, RegionId, ServerId, ServiceId};
 use crate::limits::queue_rate::QueueRate;
@@ -105,6 +108,7 @@
     queue_rates: BTreeMap<ServiceId, QueueRate>,
     queue: SlotMap<Ticket, QueuedRequest>,
     fleet_usage: BTreeMap<AccountId, AccountUsage>,
+    share_levels: ShareLevels,
     shares: BTreeMap<AccountId, FairShare>,
     unmet_tracker: UnmetDemandTracker,
     spilled: SpilledPrefixes,
@@ -132,6 +136,7 @@
             queue_rates: BTreeMap::new(),
             queue: SlotMap::with_key(),
             fleet_usage: BTreeMap::new(),
+            share_levels: ShareLevels::default(),
             shares: BTreeMap::new(),
             unmet_tracker: UnmetDemandTracker::default(),
             spilled: SpilledPrefixes::default(),
@@ -292,6 +297,7 @@
         let mut context = DecisionContext {
             share: self.share_of(request),
             usage: self.usage_of(request),
+            levels: self.share_levels,
             queue_len: self.queue.len(),
             unmet_instances: unmet.instances.into(),
             unmet_cost: unmet.cost,
@@ -427,7 +433,8 @@
         self.share_of(request).status
     }
 
-    fn share_of(&self, request: &Request) -> FairShare {
+    /// Returns the fair share of the request's account.
+    pub fn share_of(&self, request: &Request) -> FairShare {
         let entry = request.account.and_then(|a| self.shares.get(&a));
         entry.copied().unwrap_or_default()
     }
@@ -504,10 +511,9 @@
             return;
         }
         self.fleet_usage = self.account_usage.fleet_totals(now);
-        self.shares = fair_shares(
-            &self.fleet_usage,
-            self.token_rate * DECAY_TIME.as_secs_f64(),
-        );
+        let guaranteed = self.token_rate * DECAY_TIME.as_secs_f64();
+        self.share_levels = share_levels(&self.fleet_usage, guaranteed);
+        self.shares = fair_shares(&self.fleet_usage, self.share_levels);
     }
 }
 
--- a/crates/hawthornmill/src/routing/usage.rs
+++ b/crates/hawthornmill/src/routing/usage.rs
@@ -74,24 +74,48 @@
     }
 }
 
-/// Computes the share of each account from fleet-wide usage and the guaranteed capacity, in tokens per decay time.
+/// Usage up to which accounts have a status, in tokens per decay time; infinite where all that is requested fits.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ShareLevels {
+    /// Below it, an account is below its guarantee.
+    pub guaranteed: f64,
+    /// Below it, an account is below its fair share.
+    pub fair: f64,
+}
+
+impl Default for ShareLevels {
+    fn default() -> Self {
+        Self {
+            guaranteed: f64::INFINITY,
+            fair: f64::INFINITY,
+        }
+    }
+}
+
+/// Computes the levels from fleet-wide usage and the guaranteed capacity, in tokens per decay time.
+pub fn share_levels(fleet: &BTreeMap<AccountId, AccountUsage>, guaranteed: f64) -> ShareLevels {
+    let requested = || fleet.values().map(|s| f64::from(s.requested));
+    let total_served: f64 = fleet.values().map(|s| f64::from(s.served)).sum();
+    ShareLevels {
+        guaranteed: max_min_share(requested(), guaranteed),
+        fair: max_min_share(requested(), total_served.max(guaranteed)),
+    }
+}
+
+/// Computes the share of each account from fleet-wide usage and `levels`.
 pub fn fair_shares(
     fleet: &BTreeMap<AccountId, AccountUsage>,
-    guaranteed: f64,
+    levels: ShareLevels,
 ) -> BTreeMap<AccountId, FairShare> {
-    let requested = || fleet.values().map(|s| f64::from(s.requested));
-    let total_served: f64 = fleet.values().map(|s| f64::from(s.served)).sum();
-    let guaranteed_level = max_min_share(requested(), guaranteed);
-    let fair_level = max_min_share(requested(), total_served.max(guaranteed));
     let share = |sums: &AccountUsage| {
         let served = f64::from(sums.served);
         let status = match served {
-            served if served < guaranteed_level => ShareStatus::BelowGuarantee,
-            served if served < fair_level => ShareStatus::BelowFairShare,
+            served if served < levels.guaranteed => ShareStatus::BelowGuarantee,
+            served if served < levels.fair => ShareStatus::BelowFairShare,
             _ => ShareStatus::AboveFairShare,
         };
-        let usage_ratio = if fair_level.is_finite() {
-            served / fair_level
+        let usage_ratio = if levels.fair.is_finite() {
+            served / levels.fair
         } else {
             1.0
         };
--- a/tests/testsuite/routing/usage.rs
+++ b/tests/testsuite/routing/usage.rs
@@ -5,7 +5,7 @@
 
 use hawthornmill::ident::{AccountId, InstanceId};
 use hawthornmill::routing::usage::{
-    AccountUsage, DECAY_TIME, ShareStatus, UsageTracker, fair_shares, max_min_share,
+    AccountUsage, DECAY_TIME, ShareStatus, UsageTracker, fair_shares, max_min_share, share_levels,
 };
 use proptest::prelude::*;
 
@@ -106,7 +106,7 @@
     .map(|(name, sums)| (AccountId::of(name), sums))
     .into();
 
-    let standings = fair_shares(&fleet, 500.0);
+    let standings = fair_shares(&fleet, share_levels(&fleet, 500.0));
 
     let (poor, rich) = (
         standings[&AccountId::of("poor")],
