Send an account's fair share as a rate that is divided among the instances

Cause: standing compared fleet-wide usage, which is 0.2 to 0.4 s old, with a level. An account below it was sent without limit by every instance until news came, and was shut out until that had faded: a controller that acts many times on one late measurement.

Change: an account that asks more than its even share has a credit at each instance: its even share, a twentieth more so that idle capacity is found, divided by where its requests arrive; more of it while its usage is below, less while it is above, none at twice. Within it, it is owed and takes 0.9 of a server, beyond it above. In a line, less usage goes first.

--- a/crates/hawthornmill/src/routing/allowance.rs
+++ b/crates/hawthornmill/src/routing/allowance.rs
@@ -20,6 +20,8 @@
 const UNCONTENDED_RATIO: f64 = 1.2;
 /// Largest factor by which an account's capacity shrinks for its usage ratio.
 const MAX_REDUCTION: f64 = 4.0;
+/// Largest fraction for an account that requests more than its fair share; the rest is for those that request less.
+const LIMITED_FRACTION: f64 = 0.9;
 
 /// Returns the fraction of a server's capacity and of the latency objective for an account with `share`.
 ///
@@ -32,7 +34,12 @@
     } else {
         (CONTENDED_FRACTIONS, share.usage_ratio)
     };
-    fractions[share.status as usize] / reduction.clamp(1.0, MAX_REDUCTION)
+    let most = if share.is_limited {
+        LIMITED_FRACTION
+    } else {
+        1.0
+    };
+    (fractions[share.status as usize] / reduction.clamp(1.0, MAX_REDUCTION)).min(most)
 }
 
 /// Returns the number of servers that may prefill a long shared prefix for an account with `status`.
--- a/crates/hawthornmill/src/routing/mod.rs
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -33,6 +33,7 @@
 pub mod announcements;
 pub mod catalog;
 pub mod cold_start;
+pub mod credit;
 pub mod domain_summary;
 pub mod evacuations;
 pub mod fragments;
--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -14,6 +14,7 @@
 use super::allowance;
 use super::catalog::ColdStart;
 use super::cold_start::ColdStartLimiter;
+use super::credit::{Credit, ShareOfDemand};
 use super::evacuations::Evacuations;
 use super::gossip::UnmetDemand;
 use super::loads::{LoadTracker, Work};
@@ -47,6 +48,8 @@
 const MAX_QUEUE_LEN: usize = 512;
 /// Interval at which fair shares are recomputed.
 const SHARE_INTERVAL: Duration = Duration::from_millis(200);
+/// Steps of usage, per fair share, between which accounts are ordered; within a step the earlier request goes first.
+const USAGE_STEPS: f64 = 4.0;
 /// Refusal while the service has no known server; most servers are back, or replaced, within a second.
 const NO_SERVER: Refusal = Refusal {
     code: Code::UpstreamUnreachable,
@@ -110,6 +113,8 @@
     fleet_usage: BTreeMap<AccountId, AccountUsage>,
     share_levels: ShareLevels,
     shares: BTreeMap<AccountId, FairShare>,
+    /// Of accounts that request more than their level.
+    credits: BTreeMap<AccountId, Credit>,
     unmet_tracker: UnmetDemandTracker,
     spilled: SpilledPrefixes,
     peer_spilled: SpilledPrefixes,
@@ -138,6 +143,7 @@
             fleet_usage: BTreeMap::new(),
             share_levels: ShareLevels::default(),
             shares: BTreeMap::new(),
+            credits: BTreeMap::new(),
             unmet_tracker: UnmetDemandTracker::default(),
             spilled: SpilledPrefixes::default(),
             peer_spilled: SpilledPrefixes::default(),
@@ -388,8 +394,11 @@
         if let Some(account) = request.account
             && request.tried.is_empty()
         {
-            self.account_usage
-                .record_served(account, request.shape.cost(), now);
+            let cost = request.shape.cost();
+            self.account_usage.record_served(account, cost, now);
+            if let Some(credit) = self.credits.get_mut(&account) {
+                credit.charge(cost);
+            }
         }
         Ok(placement)
     }
@@ -425,8 +434,11 @@
             .filter(move |q| q.request.service == service)
     }
 
-    fn rank(&self, request: &Request) -> (ShareStatus, u32, Instant) {
-        (self.status(request), request.priority, request.arrival)
+    /// Returns the position of a request in the queue; with the same status and priority, accounts with less usage go first.
+    fn rank(&self, request: &Request) -> (ShareStatus, u32, u32, Instant) {
+        let share = self.share_of(request);
+        let usage = (share.usage_ratio * USAGE_STEPS) as u32;
+        (share.status, request.priority, usage, request.arrival)
     }
 
     fn status(&self, request: &Request) -> ShareStatus {
@@ -435,8 +447,19 @@
 
     /// Returns the fair share of the request's account.
     pub fn share_of(&self, request: &Request) -> FairShare {
-        let entry = request.account.and_then(|a| self.shares.get(&a));
-        entry.copied().unwrap_or_default()
+        let Some(account) = request.account else {
+            return FairShare::default();
+        };
+        let mut share = self.shares.get(&account).copied().unwrap_or_default();
+        if let Some(credit) = self.credits.get(&account) {
+            share.is_limited = true;
+            share.status = if credit.is_positive() {
+                ShareStatus::BelowGuarantee
+            } else {
+                ShareStatus::AboveFairShare
+            };
+        }
+        share
     }
 
     fn usage_of(&self, request: &Request) -> AccountUsage {
@@ -497,23 +520,49 @@
         }
     }
 
-    /// Recomputes the fair shares of the accounts.
+    /// Recomputes the fair shares of the accounts, and their credit here.
     fn update_shares(&mut self, now: Instant) {
-        if self
+        let elapsed = self
             .shares_updated
-            .is_some_and(|at| now.duration_since(at) < SHARE_INTERVAL)
-        {
+            .map_or(Duration::MAX, |at| now.duration_since(at));
+        if elapsed < SHARE_INTERVAL {
             return;
         }
         self.shares_updated = Some(now);
         self.shares.clear();
         if self.token_rate <= 0.0 {
+            self.credits.clear();
             return;
         }
         self.fleet_usage = self.account_usage.fleet_totals(now);
         let guaranteed = self.token_rate * DECAY_TIME.as_secs_f64();
         self.share_levels = share_levels(&self.fleet_usage, guaranteed);
         self.shares = fair_shares(&self.fleet_usage, self.share_levels);
+        self.refill_credits(elapsed, now);
+    }
+
+    /// Adds credit for `elapsed` to the accounts that request more than their level; the others need none.
+    fn refill_credits(&mut self, elapsed: Duration, now: Instant) {
+        let local: BTreeMap<AccountId, AccountUsage> =
+            self.account_usage.local(now).into_iter().collect();
+        let level = self.share_levels.fair;
+        let mut credits = BTreeMap::new();
+        for (id, fleet) in &self.fleet_usage {
+            if f64::from(fleet.requested) <= level {
+                continue;
+            }
+            let share = ShareOfDemand {
+                level,
+                fleet: *fleet,
+                local: local.get(id).copied().unwrap_or_default(),
+            };
+            let mut credit = self.credits.get(id).copied();
+            if let Some(credit) = &mut credit {
+                credit.refill(&share, elapsed);
+            }
+            credits.insert(*id, credit.unwrap_or_else(|| Credit::new(&share)));
+        }
+        self.credits = credits;
     }
 }
 
--- a/crates/hawthornmill/src/routing/usage.rs
+++ b/crates/hawthornmill/src/routing/usage.rs
@@ -63,13 +63,16 @@
     pub status: ShareStatus,
     /// Usage in multiples of the fair share of what the servers yield.
     pub usage_ratio: f64,
+    /// It requests more than its fair share, so its requests within the share are limited by their credit.
+    pub is_limited: bool,
 }
 
 impl Default for FairShare {
     fn default() -> Self {
         Self {
             status: ShareStatus::BelowGuarantee,
-            usage_ratio: 1.0,
+            usage_ratio: 0.0,
+            is_limited: false,
         }
     }
 }
@@ -122,6 +125,7 @@
         FairShare {
             status,
             usage_ratio,
+            is_limited: false,
         }
     };
     fleet.iter().map(|(id, sums)| (*id, share(sums))).collect()
--- a/tests/testsuite/routing/fleet_simulation.rs
+++ b/tests/testsuite/routing/fleet_simulation.rs
@@ -1,6 +1,6 @@
 //! Simulation of many instances in a fixed order: capacity of accounts that enter at a few of them or at all.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use hawthornmill::ident::{DomainId, InstanceId, ServerId};
@@ -52,10 +52,14 @@
     free_at: BTreeMap<ServerId, Instant>,
     events: Vec<PendingEvent>,
     started: BTreeMap<&'static str, u32>,
+    /// Reports of all instances that are on their way, the oldest first.
+    reports: VecDeque<Vec<InstanceReport>>,
+    /// Rounds of reports after which a report arrives.
+    delay_rounds: usize,
 }
 
 impl Fleet {
-    fn new(instances: usize, now: Instant) -> Self {
+    fn new(instances: usize, delay_rounds: usize, now: Instant) -> Self {
         let servers = SERVERS.map(|name| (name, "a"));
         let one = || {
             let mut scheduler = scheduler(&servers, now);
@@ -69,6 +73,8 @@
             free_at: BTreeMap::new(),
             events: Vec::new(),
             started: BTreeMap::new(),
+            reports: VecDeque::new(),
+            delay_rounds,
         }
     }
 
@@ -146,7 +152,12 @@
             unmet: scheduler.unmet_demand(now),
             ..instance_report(info)
         };
-        let all: Vec<InstanceReport> = self.schedulers.iter_mut().map(report).collect();
+        self.reports
+            .push_back(self.schedulers.iter_mut().map(report).collect());
+        if self.reports.len() <= self.delay_rounds {
+            return;
+        }
+        let all = self.reports.pop_front().expect("there is a report");
         for (from, peer_report) in all.iter().enumerate() {
             let id = InstanceId::of(&format!("i{from}"));
             let others = self.schedulers.iter_mut().enumerate();
@@ -157,10 +168,11 @@
     }
 }
 
-/// Returns the number of started requests per account in a fleet of `instances`.
-fn started(instances: usize, all: &[Callers]) -> BTreeMap<&'static str, u32> {
+/// Returns the number of started requests per account in a fleet of `instances` whose reports arrive after `delay_rounds`
+/// further ones were sent.
+fn started(instances: usize, delay_rounds: usize, all: &[Callers]) -> BTreeMap<&'static str, u32> {
     let start = Instant::now();
-    let mut fleet = Fleet::new(instances, start);
+    let mut fleet = Fleet::new(instances, delay_rounds, start);
     let mut sent = vec![0_usize; all.len()];
     for milli in 0..DURATIONS_MS[0] {
         let now = start + millis(milli);
@@ -188,7 +200,7 @@
 
 /// Three accounts that request many times their share from `instances` instances: one enters at one instance, one at two
 /// and one at all.
-fn overloaded(instances: usize) -> BTreeMap<&'static str, u32> {
+fn overloaded(instances: usize, delay_rounds: usize) -> BTreeMap<&'static str, u32> {
     let callers = |account, entry_points, requests_per_ms| Callers {
         account,
         entry_points,
@@ -199,7 +211,7 @@
         callers("two", 2, 0.4),
         callers("all", instances, 0.8),
     ];
-    started(instances, &all)
+    started(instances, delay_rounds, &all)
 }
 
 /// Fraction of the requests that the servers can start, where each holds a slot until its end.
@@ -214,7 +226,7 @@
 /// best served; or servers idle, since each account is held to an even part of what was served.
 #[test]
 fn accounts_get_similar_shares_wherever_they_enter() {
-    let started = overloaded(24);
+    let started = overloaded(24, 0);
 
     let (least, best) = (started.values().min(), started.values().max());
     assert_eq!(started.len(), 3, "{started:?}");
@@ -225,8 +237,21 @@
 /// Failure: servers idle while accounts above their share wait, in small fleets or in large ones.
 #[test]
 fn servers_do_not_idle_in_small_and_large_fleets() {
-    let (few, many) = (overloaded(8), overloaded(72));
+    let (few, many) = (overloaded(8, 0), overloaded(72, 0));
 
     assert!(utilization(&few) >= 0.9, "{few:?}");
     assert!(utilization(&many) >= 0.9, "{many:?}");
 }
+
+/// Failure: an account that enters at every instance of a large fleet is sent on by all of them until the news of that
+/// arrives, and again each time that its usage has decayed, so it gets more than twice as much as one that enters at one.
+#[test]
+fn accounts_get_similar_shares_on_late_reports() {
+    for rounds in [4, 8] {
+        let started = overloaded(72, rounds);
+
+        let (least, best) = (started.values().min(), started.values().max());
+        assert!(least.map(|l| l * 2) >= best.copied(), "{started:?}");
+        assert!(utilization(&started) >= 0.9, "{started:?}");
+    }
+}
