--- a/crates/hawthornmill-gateway/src/proxy/send.rs
+++ b/crates/hawthornmill-gateway/src/proxy/send.rs
@@ -12,12 +12,14 @@
 use hawthornmill::ident::ServerId;
 use hawthornmill::routing::catalog::RetryPolicy;
 use hawthornmill::routing::placement::Placement;
+use serde_json::json;
 use tokio::net::TcpStream;
 
 use super::admission::Admitted;
 use super::progress::RequestProgress;
 use super::read::ClientRequest;
 use super::retry;
+use crate::event_log;
 use crate::gateway::Gateway;
 use crate::http::body::{BodyDecoder, Decoded};
 use crate::http::head::{self, Framing, ResponseHead};
@@ -263,6 +265,11 @@
         }
         let misdirected = head.status == MISDIRECTED_REQUEST;
         if misdirected || head.headers.get(names.not_executed).is_some() {
+            let fields = json!({
+                "server": gateway.server_name(server), "status": head.status,
+                "rest_s": head.headers.get_str(names.retry_after),
+            });
+            event_log::request_step("server_rejected", &request.attempt_id, fields);
             let response = server_response(head, framing, upstream, server, reusable);
             if !misdirected {
                 reuse_after_rejection(gateway, response).await;
