Failing tests: servers that ask for a rest or say that they leave go on getting requests

A server that rejects a request with Retry-After gets the next requests too, and callers its rejections; all servers resting for 7.5 s, a caller is told 0.7 s; a server that answers with Server-Leaving gets 30 of 30 further requests.

--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -17,5 +17,6 @@
 mod responses;
 #[expect(dead_code, reason = "the soak uses the other part of the fixtures")]
 mod scripted_server;
+mod server_notices;
 mod shutdown;
 mod store;
--- a/tests/testsuite/gateway/scripted_server.rs
+++ b/tests/testsuite/gateway/scripted_server.rs
@@ -23,7 +23,11 @@
     RespondAfterMs(u64),
     /// Rejects it without executing it.
     NotExecuted,
-    /// Responds that another server has the address.
+    /// Rejects it without executing it, and wants no requests for a time, given in seconds.
+    Rest(&'static str),
+    /// Executes it, responds, and says that it leaves.
+    Leaving,
+    /// Responds that another server, which leaves, has the address.
     Misdirected,
     /// Executes it and resets the connection instead of responding.
     Reset,
@@ -146,7 +150,10 @@
                 return;
             };
             let behavior = self.next_behavior(&head);
-            let executed = !matches!(behavior, Behavior::NotExecuted | Behavior::Misdirected);
+            let executed = !matches!(
+                behavior,
+                Behavior::NotExecuted | Behavior::Rest(_) | Behavior::Misdirected
+            );
             self.lock().received.push(ReceivedRequest {
                 head: head.clone(),
                 body,
@@ -232,8 +239,17 @@
             Behavior::NotExecuted => {
                 write_response(stream, 503, &[("Not-Executed", "1"), headers[0]], b"").await
             }
+            Behavior::Rest(seconds) => {
+                let rest = [("Not-Executed", "1"), ("Retry-After", seconds), headers[0]];
+                write_response(stream, 503, &rest, b"").await
+            }
+            Behavior::Leaving => {
+                let headers = [headers[0], headers[1], ("Server-Leaving", "1")];
+                write_response(stream, 200, &headers, body.as_bytes()).await
+            }
             Behavior::Misdirected => {
-                write_response(stream, 421, &[("Instance-Id", "other")], b"").await
+                let headers = [("Instance-Id", "other"), ("Server-Leaving", "1")];
+                write_response(stream, 421, &headers, b"").await
             }
             Behavior::ServerError => write_response(stream, 500, &headers, b"failed").await,
             Behavior::DuplicateResponse => {
