--- a/tests/testsuite/routing/credit.rs
+++ b/tests/testsuite/routing/credit.rs
@@ -58,7 +58,7 @@
 fn little_unused_credit_is_kept() {
     let share = tenth_of_demand(1_000.0);
     let mut credit = Credit::new(&share);
-    credit.refill(&share, Duration::from_secs(60));
+    credit.refill(&share, Duration::from_mins(1));
 
     let mut sent = 0.0;
     while credit.is_positive() {
