Send nothing to a server that asked for a rest, or that said itself that it leaves

Cause: nothing read Retry-After or Server-Leaving of a server's response. A rejection counts as 'full', which says nothing of the server's health, so one that sheds has the least work and attracts the next requests. The log's lines 'sent' show sends decided up to three seconds after the answer, which rules out requests that were on their way, and no restart or reused address there.

Change: what a server says of itself is one question more in the choice of a server, and is asked again before the first byte leaves, since a connection may take half a second. It belongs to a run of a server, not to its name or address, and a 421 of another server says nothing. The latest end of several rests counts, 5 minutes at most; instances return up to a tenth of the rest apart, each with one request first. While all servers of a service rest, requests are refused at once until the first is back, unless it is within their time to wait. A server that says it leaves gets nothing new whatever its registration says.

--- a/crates/hawthornmill-gateway/src/adapter.rs
+++ b/crates/hawthornmill-gateway/src/adapter.rs
@@ -3,12 +3,14 @@
 //! Header names and encodings differ from one platform to another, but their meaning does not. Each
 //! platform fills in an [`Adapter`]; the gateway contains no platform-specific name.
 
+use std::time::Duration;
+
 use hawthornmill::routing::catalog::Catalog;
 use hawthornmill::routing::loads::ServerReport;
 use hawthornmill::routing::registry::Registration;
 use hawthornmill::routing::shape::Shape;
 
-use crate::http::head::Headers;
+use crate::http::head::{Headers, ResponseHead};
 
 /// Why a value received from outside can't be used, as a message.
 pub type ParseError = Box<str>;
@@ -118,6 +120,10 @@
     pub parse_shape: fn(&Headers) -> Result<Shape, ParseError>,
     /// Parses the load that a server reports in the header of a response.
     pub parse_load: fn(&Headers) -> Option<ServerReport>,
+    /// Parses how long the server of a rejection wants no more requests.
+    pub parse_rest: fn(&ResponseHead) -> Option<Duration>,
+    /// Returns whether a response says that its server leaves.
+    pub says_leaving: fn(&Headers) -> bool,
     /// Parses the number of a stream event.
     pub parse_event_id: fn(&[u8]) -> Option<u64>,
 }
--- a/crates/hawthornmill-gateway/src/endpoints.rs
+++ b/crates/hawthornmill-gateway/src/endpoints.rs
@@ -183,6 +183,7 @@
     let running: u32 = work.iter().map(|(_, w)| w.running).sum();
     let unread: u32 = work.iter().map(|(_, w)| w.pending_prefill).sum();
     let peers = gateway.peers.borrow().live(now).count();
+    let (resting, leaving) = scheduler.notices.counts(now);
     let count = |value: usize| value.cast_signed() as i64;
     let gauge = |value: u64| value.cast_signed();
     gateway.metrics.encode(&[
@@ -211,6 +212,16 @@
             "Failure domains whose servers get no new requests",
             count(scheduler.evacuations.active_count()),
         ),
+        (
+            "resting_servers",
+            "Servers that asked for a rest",
+            count(resting),
+        ),
+        (
+            "leaving_servers",
+            "Servers that said themselves that they leave",
+            count(leaving),
+        ),
         ("mates", "Other instances heard", count(peers)),
         ("waiting", "Requests in line", count(scheduler.queue_len())),
         ("running", "Requests at servers", i64::from(running)),
--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -249,6 +249,7 @@
             server,
             &reason,
         )),
+        SendOutcome::Withheld => Err(retry::on_withheld(gateway, context.request, server)),
         SendOutcome::NotExecuted { misdirected } => Err(retry::on_not_executed(
             gateway,
             admitted,
--- a/crates/hawthornmill-gateway/src/proxy/progress.rs
+++ b/crates/hawthornmill-gateway/src/proxy/progress.rs
@@ -30,7 +30,7 @@
         "waited_ms": now.duration_since(request.arrival).as_millis() as u64,
         "servers": decision.servers, "draining": decision.draining, "down": decision.down,
         "evacuated": decision.evacuated, "out_of_region": decision.out_of_region,
-        "full": decision.full, "waiting": decision.queue_len, "short_at": decision.unmet_instances,
+        "resting": decision.resting, "leaving": decision.leaving, "full": decision.full, "waiting": decision.queue_len, "short_at": decision.unmet_instances,
         "lack": decision.unmet_cost, "standing": decision.share.status.to_string(), "lead": decision.share.usage_ratio,
         "asked": decision.usage.requested, "got": decision.usage.served,
         "level_owed": decision.levels.guaranteed, "level_even": decision.levels.fair, "registrations": scheduler.registry.latest_revision(),
--- a/crates/hawthornmill-gateway/src/proxy/retry.rs
+++ b/crates/hawthornmill-gateway/src/proxy/retry.rs
@@ -124,6 +124,13 @@
     }
 }
 
+/// Handles a server that takes no requests by now; nothing was sent, so the request goes to another one.
+pub fn on_withheld(gateway: &Gateway, request: &ClientRequest, server: ServerId) -> RetryDecision {
+    let fields = json!({"server": gateway.server_name(server)});
+    event_log::request_problem("send_withheld", &request.attempt_id, fields);
+    RetryDecision::Retry
+}
+
 /// Handles a connection that broke before the end of the response; the request may have been executed.
 pub fn on_interrupted(
     gateway: &Gateway,
--- a/crates/hawthornmill-gateway/src/proxy/send.rs
+++ b/crates/hawthornmill-gateway/src/proxy/send.rs
@@ -61,6 +61,8 @@
 pub enum SendOutcome {
     /// No byte was sent, for the reason given.
     Unreachable(Box<str>),
+    /// No byte was sent, since the server takes no requests by now.
+    Withheld,
     /// The server reports that it did not execute the request.
     NotExecuted {
         /// Whether another server now has the address.
@@ -88,9 +90,16 @@
             .fetch
             .and_then(|f| scheduler.registry.get(f.source));
         let source = source.map(|s| s.registration.address);
-        known.map(|k| (k.registration.address, k.registration.name.clone(), source))
+        known.map(|k| {
+            let run = ServerRun {
+                server,
+                start_ms: k.registration.start_ms,
+            };
+            let address = k.registration.address;
+            (run, address, k.registration.name.clone(), source)
+        })
     };
-    let Some((address, name, source)) = target else {
+    let Some((run, address, name, source)) = target else {
         return SendOutcome::Unreachable("server is gone".into());
     };
     let now = gateway.now();
@@ -111,6 +120,13 @@
     if !upstream.reused {
         gateway.metrics.server_connected();
     }
+    // While the connection was being opened, a response to another request may have said that the server wants no more.
+    let now = gateway.now();
+    if !gateway.scheduler.borrow().may_send(server, now) {
+        let max_idle = gateway.max_idle(server);
+        gateway.pool.put_back(server, upstream, None, max_idle, now);
+        return SendOutcome::Withheld;
+    }
     let bytes = encode_request(gateway, request, admitted, progress, &name, source);
     let written = match write_request(&mut upstream, &bytes.0, progress).await {
         Ok(complete) => complete,
@@ -119,7 +135,7 @@
         }
         Err(error) => return SendOutcome::Interrupted(error.to_string().into()),
     };
-    let response = receive_response(gateway, request, upstream, server, written);
+    let response = receive_response(gateway, request, upstream, run, written);
     if !retry::can_retry(admitted, progress) {
         return response.await;
     }
@@ -226,14 +242,48 @@
     }
 }
 
+/// One run of a server, which may start again under the same name.
+#[derive(Debug, Clone, Copy)]
+struct ServerRun {
+    server: ServerId,
+    /// Start of the run, as its registration gives it.
+    start_ms: u64,
+}
+
+/// Records and logs what a response says of its server: that it wants a rest, or that it leaves.
+fn record_notices(gateway: &Gateway, run: ServerRun, head: &ResponseHead) {
+    let (adapter, now) = (&gateway.adapter, gateway.now());
+    let mut scheduler = gateway.scheduler.borrow_mut();
+    let ServerRun { server, start_ms } = run;
+    let rest = (adapter.parse_rest)(head);
+    let until = rest.map(|rest| scheduler.notices.record_rest(server, start_ms, rest, now));
+    if until.is_none() {
+        scheduler.notices.record_response(server, now);
+    }
+    let is_new = (adapter.says_leaving)(&head.headers)
+        && scheduler.notices.record_leaving(server, start_ms, now);
+    drop(scheduler);
+    if let Some(until) = until {
+        let rest = until.saturating_duration_since(now);
+        let fields =
+            json!({"server": gateway.server_name(server), "rest_ms": rest.as_millis() as u64});
+        event_log::state_change("server_rests", fields);
+    }
+    if is_new {
+        let fields = json!({"server": gateway.server_name(server)});
+        event_log::state_change("server_leaves", fields);
+    }
+}
+
 /// Reads the head of the response, and skips interim responses and those to earlier requests.
 async fn receive_response(
     gateway: &Gateway,
     request: &ClientRequest,
     mut upstream: Upstream,
-    server: ServerId,
+    run: ServerRun,
     written: bool,
 ) -> SendOutcome {
+    let server = run.server;
     let names = &gateway.adapter.headers;
     let mut reusable = written;
     loop {
@@ -264,6 +314,9 @@
                 .apply_server_report(server, load, gateway.now());
         }
         let misdirected = head.status == MISDIRECTED_REQUEST;
+        if !misdirected {
+            record_notices(gateway, run, &head);
+        }
         if misdirected || head.headers.get(names.not_executed).is_some() {
             let fields = json!({
                 "server": gateway.server_name(server), "status": head.status,
--- a/crates/hawthornmill/src/routing/mod.rs
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -51,6 +51,7 @@
 pub mod retry_budget;
 pub mod route_table;
 pub mod scheduler;
+pub mod server_notices;
 pub mod shape;
 pub mod store_start;
 pub mod ttft;
--- a/crates/hawthornmill/src/routing/placement.rs
+++ b/crates/hawthornmill/src/routing/placement.rs
@@ -17,7 +17,8 @@
 use super::loads::{LoadTracker, Work};
 use super::prefix_index::{PrefixHits, PrefixIndex};
 use super::regions::{AllowedRegions, Eligibility};
-use super::registry::Registry;
+use super::registry::{Registry, RegistryEntry};
+use super::server_notices::{Availability, ServerNotices};
 use super::shape::Shape;
 use super::ttft::TtftEstimate;
 use crate::ident::{DomainId, RegionId, ServerId, ServiceId, mix};
@@ -80,6 +81,8 @@
     pub registry: &'a Registry,
     /// Load and health of the servers.
     pub loads: &'a LoadTracker,
+    /// What the servers said of themselves.
+    pub notices: &'a ServerNotices,
     /// Prompt prefixes that the servers have cached.
     pub prefix_index: &'a PrefixIndex,
     /// Location of this instance.
@@ -161,6 +164,8 @@
     NoServer,
     /// The service has usable servers, and none of them is in a region in which the request may be served.
     RegionBound,
+    /// All usable servers want no requests, the first of them until the instant given.
+    Resting(Instant),
     /// All usable servers are at capacity.
     AllFull,
     /// The few servers that may prefill its shared prefix are at capacity, and it may go to no other.
@@ -204,7 +209,9 @@
 ) -> Result<Placement, PlacementError> {
     let candidates = candidates(view, request, now);
     if candidates.is_empty() {
-        return Err(if has_servers_elsewhere(view, request) {
+        return Err(if let Some(until) = first_rest_end(view, request, now) {
+            PlacementError::Resting(until)
+        } else if has_servers_elsewhere(view, request) {
             PlacementError::RegionBound
         } else {
             PlacementError::NoServer
@@ -243,15 +250,13 @@
     request: &PlacementRequest<'_>,
     now: Instant,
 ) -> Vec<Candidate> {
-    let usable = |id: &ServerId| !request.excluded.contains(id) && !view.loads.is_down(*id, now);
     // There are far fewer failure domains than servers.
     let mut places: SmallVec<[Place; 8]> = SmallVec::new();
     view.registry
         .entries()
         .filter(|(id, entry)| {
-            entry.registration.service == request.service
-                && !entry.registration.draining
-                && usable(id)
+            is_usable(view, request, *id, entry, now)
+                && view.notices.availability(*id, entry, now) == Availability::Available
         })
         .filter_map(|(server, entry)| {
             let domain = entry.registration.domain;
@@ -271,6 +276,41 @@
         .collect()
 }
 
+/// Returns whether a server of the service takes requests and can be reached, as far as its registration and its outcomes
+/// tell.
+fn is_usable(
+    view: &PlacementView<'_>,
+    request: &PlacementRequest<'_>,
+    server: ServerId,
+    entry: &RegistryEntry,
+    now: Instant,
+) -> bool {
+    entry.registration.service == request.service
+        && !entry.registration.draining
+        && !request.excluded.contains(&server)
+        && !view.loads.is_down(server, now)
+}
+
+/// Returns when the first server that the request may use takes requests again.
+fn first_rest_end(
+    view: &PlacementView<'_>,
+    request: &PlacementRequest<'_>,
+    now: Instant,
+) -> Option<Instant> {
+    let usable = view.registry.entries().filter(|(id, entry)| {
+        is_usable(view, request, *id, entry, now)
+            && place(view, request, entry.registration.domain).is_allowed
+    });
+    let ends = usable.filter_map(
+        |(id, entry)| match view.notices.availability(id, entry, now) {
+            Availability::Resting(until) => Some(until),
+            Availability::Trial => Some(now),
+            Availability::Available | Availability::Leaving => None,
+        },
+    );
+    ends.min()
+}
+
 /// Where a failure domain is, as a request sees it.
 #[derive(Debug, Clone, Copy)]
 struct Place {
--- a/crates/hawthornmill/src/routing/request.rs
+++ b/crates/hawthornmill/src/routing/request.rs
@@ -57,6 +57,10 @@
     pub out_of_region: usize,
     /// Servers that recently couldn't be reached.
     pub down: usize,
+    /// Servers that want a rest.
+    pub resting: usize,
+    /// Servers that said themselves that they leave.
+    pub leaving: usize,
     /// Servers whose slots are all in use.
     pub full: usize,
     /// Queued requests of this instance.
@@ -80,6 +84,8 @@
     NoServer,
     /// The service has servers, and none of them is in a region in which the request may be served.
     RegionBound,
+    /// All servers that could take it want a rest.
+    Resting,
     /// Accounts below their guarantee have unmet demand, and this account has had its share.
     OverFairShare,
     /// It would be late even on an idle server.
@@ -96,6 +102,7 @@
         f.write_str(match self {
             Self::NoServer => "NoServer",
             Self::RegionBound => "RegionBound",
+            Self::Resting => "Resting",
             Self::OverFairShare => "OthersOwed",
             Self::TooLong => "TooLong",
             Self::QueueFull => "Crowd",
--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -27,6 +27,7 @@
 use super::registry::Registry;
 use super::request::{Admission, Cause, Decision, DecisionContext, Refusal, Request, Ticket};
 use super::retry_budget::RetryBudget;
+use super::server_notices::{Availability, ServerNotices};
 use super::ttft::TtftModel;
 use super::unmet_demand::{UnmetDemandTracker, preempts_others};
 use super::usage::{
@@ -106,6 +107,8 @@
     pub cold_starts: BTreeMap<ServiceId, ColdStart>,
     /// What this instance may send to cold servers.
     pub cold_limiter: ColdStartLimiter,
+    /// What the servers said of themselves.
+    pub notices: ServerNotices,
     location: Location,
     ttft_models: BTreeMap<ServiceId, TtftModel>,
     queue_rates: BTreeMap<ServiceId, QueueRate>,
@@ -124,6 +127,7 @@
 impl Scheduler {
     /// Creates a scheduler without servers.
     pub fn new(location: Location, budget: RetryBudget, cold_limiter: ColdStartLimiter) -> Self {
+        let notices = ServerNotices::new(cold_limiter.instance());
         Self {
             registry: Registry::default(),
             loads: LoadTracker::default(),
@@ -136,6 +140,7 @@
             token_rate: 0.0,
             cold_starts: BTreeMap::new(),
             cold_limiter,
+            notices,
             location,
             ttft_models: BTreeMap::new(),
             queue_rates: BTreeMap::new(),
@@ -172,7 +177,10 @@
                 Err(PlacementError::TooLong) => {
                     return Admission::Decided(Err(self.refuse(request, Cause::TooLong, now)));
                 }
-                Err(PlacementError::AllFull) => {}
+                Err(PlacementError::Resting(until)) if until >= wait_deadline(request) => {
+                    return Admission::Decided(Err(resting(until, now)));
+                }
+                Err(PlacementError::AllFull | PlacementError::Resting(_)) => {}
                 Err(PlacementError::HomesFull(full)) => homes = full,
             }
         }
@@ -241,8 +249,11 @@
             Err(PlacementError::NoServer) => Some(Err(NO_SERVER)),
             Err(PlacementError::RegionBound) => Some(Err(REGION_BOUND)),
             Err(PlacementError::TooLong) => Some(Err(self.refuse(&request, Cause::TooLong, now))),
+            Err(PlacementError::Resting(until)) if expired || until >= wait_deadline(&request) => {
+                Some(Err(resting(until, now)))
+            }
             Err(_full) if expired => Some(Err(self.refuse(&request, Cause::QueueTimeout, now))),
-            Err(PlacementError::AllFull) => {
+            Err(PlacementError::AllFull | PlacementError::Resting(_)) => {
                 reserved.services.push(request.service);
                 self.queue[ticket].homes.clear();
                 None
@@ -318,6 +329,11 @@
             context.draining += usize::from(entry.registration.draining);
             context.evacuated += usize::from(self.evacuations.is_evacuated(domain));
             context.out_of_region += usize::from(!is_within);
+            match self.notices.availability(id, entry, now) {
+                Availability::Resting(_) | Availability::Trial => context.resting += 1,
+                Availability::Leaving => context.leaving += 1,
+                Availability::Available => {}
+            }
             context.down += usize::from(self.loads.is_down(id, now));
             let running = self.loads.total(id, now).running;
             context.full += usize::from(running >= entry.registration.slots);
@@ -338,6 +354,7 @@
         let view = PlacementView {
             registry: &self.registry,
             loads: &self.loads,
+            notices: &self.notices,
             prefix_index: &self.prefix_index,
             location: self.location,
             eligibility: self.eligibility(),
@@ -386,6 +403,7 @@
         if !self.registry.cold_time(placement.server, now).is_zero() {
             self.cold_limiter.record(placement.server, now);
         }
+        self.notices.record_sent(placement.server, now);
         self.prefix_index
             .record(placement.server, &request.shape, now);
         if let (true, Some(prefix)) = (placement.spilled, request.shape.shared_prefix()) {
@@ -566,6 +584,15 @@
     }
 }
 
+/// Refuses a request whose servers rest beyond its time to wait: until the first of them is back.
+fn resting(until: Instant, now: Instant) -> Refusal {
+    Refusal {
+        code: Code::UpstreamUnreachable,
+        cause: Cause::Resting,
+        retry_after: until.saturating_duration_since(now),
+    }
+}
+
 fn wait_deadline(request: &Request) -> Instant {
     (request.arrival + request.objective.mul_f64(MAX_WAIT_FRACTION)).min(request.deadline)
 }
--- a/crates/hawthornmill/src/routing/scheduler/servers.rs
+++ b/crates/hawthornmill/src/routing/scheduler/servers.rs
@@ -9,6 +9,7 @@
 use crate::routing::evacuations::Evacuation;
 use crate::routing::placement::HomeServers;
 use crate::routing::registry::{Change, RegistrationList};
+use crate::routing::server_notices::Availability;
 
 impl Scheduler {
     /// Takes over what a catalog that comes into force says of the servers.
@@ -113,12 +114,26 @@
         }
     }
 
+    /// Returns whether a request that was placed on `server` may still be sent there.
+    pub fn may_send(&self, server: ServerId, now: Instant) -> bool {
+        let Some(entry) = self.registry.get(server) else {
+            return false;
+        };
+        let availability = self.notices.availability(server, entry, now);
+        let is_told_off = matches!(
+            availability,
+            Availability::Resting(_) | Availability::Leaving
+        );
+        !entry.registration.draining && !is_told_off
+    }
+
     /// Drops expired state and returns the servers whose registrations expired.
     pub fn sweep(&mut self, now: Instant) -> Vec<ServerId> {
         let expired = self.registry.expire(now);
         self.drop_lost_caches();
         let registry = &self.registry;
         self.loads.sweep(|id| registry.get(id).is_some(), now);
+        self.notices.sweep(|id| registry.get(id).is_some(), now);
         expired
     }
 }
--- a/tests/testsuite/routing/log_names.rs
+++ b/tests/testsuite/routing/log_names.rs
@@ -9,6 +9,7 @@
     let causes = [
         Cause::NoServer,
         Cause::RegionBound,
+        Cause::Resting,
         Cause::OverFairShare,
         Cause::TooLong,
         Cause::QueueFull,
@@ -20,6 +21,7 @@
         [
             "NoServer",
             "RegionBound",
+            "Resting",
             "OthersOwed",
             "TooLong",
             "Crowd",
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -22,6 +22,7 @@
 mod role_fitness;
 mod route_table;
 mod scheduler;
+mod server_notices;
 mod store_start;
 mod ttft;
 mod unmet_demand;
