--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -14,7 +14,7 @@
 use super::allowance;
 use super::catalog::ColdStart;
 use super::cold_start::ColdStartLimiter;
-use super::credit::{Credit, ShareOfDemand};
+use super::credit::Credit;
 use super::evacuations::Evacuations;
 use super::gossip::UnmetDemand;
 use super::loads::{LoadTracker, Work};
@@ -30,16 +30,14 @@
 use super::server_notices::{Availability, ServerNotices};
 use super::ttft::TtftModel;
 use super::unmet_demand::{UnmetDemandTracker, preempts_others};
-use super::usage::{
-    AccountUsage, DECAY_TIME, FairShare, ShareLevels, ShareStatus, UsageTracker, fair_shares,
-    share_levels,
-};
+use super::usage::{AccountUsage, FairShare, ShareLevels, ShareStatus, UsageTracker};
 use crate::codes::Code;
 use crate::ident::{AccountId, DomainId, RegionId, ServerId, ServiceId};
 use crate::limits::queue_rate::QueueRate;
 
 mod exchange;
 mod servers;
+mod shares;
 
 use exchange::SpilledPrefixes;
 
@@ -47,8 +45,6 @@
 const MAX_WAIT_FRACTION: f64 = 0.3;
 /// Maximum number of queued requests of one instance; each holds its body in memory.
 const MAX_QUEUE_LEN: usize = 512;
-/// Interval at which fair shares are recomputed.
-const SHARE_INTERVAL: Duration = Duration::from_millis(200);
 /// Steps of usage, per fair share, between which accounts are ordered; within a step the earlier request goes first.
 const USAGE_STEPS: f64 = 4.0;
 /// Refusal while the service has no known server; most servers are back, or replaced, within a second.
@@ -459,32 +455,6 @@
         (share.status, request.priority, usage, request.arrival)
     }
 
-    fn status(&self, request: &Request) -> ShareStatus {
-        self.share_of(request).status
-    }
-
-    /// Returns the fair share of the request's account.
-    pub fn share_of(&self, request: &Request) -> FairShare {
-        let Some(account) = request.account else {
-            return FairShare::default();
-        };
-        let mut share = self.shares.get(&account).copied().unwrap_or_default();
-        if let Some(credit) = self.credits.get(&account) {
-            share.is_limited = true;
-            share.status = if credit.is_positive() {
-                ShareStatus::BelowGuarantee
-            } else {
-                ShareStatus::AboveFairShare
-            };
-        }
-        share
-    }
-
-    fn usage_of(&self, request: &Request) -> AccountUsage {
-        let entry = request.account.and_then(|a| self.fleet_usage.get(&a));
-        entry.copied().unwrap_or_default()
-    }
-
     /// Recent unmet demand, here or elsewhere, of accounts not above their fair share.
     fn unmet_ahead(&self, request: &Request, now: Instant) -> UnmetDemand {
         self.unmet_tracker
@@ -537,51 +507,6 @@
             queue_rate.on_empty();
         }
     }
-
-    /// Recomputes the fair shares of the accounts, and their credit here.
-    fn update_shares(&mut self, now: Instant) {
-        let elapsed = self
-            .shares_updated
-            .map_or(Duration::MAX, |at| now.duration_since(at));
-        if elapsed < SHARE_INTERVAL {
-            return;
-        }
-        self.shares_updated = Some(now);
-        self.shares.clear();
-        if self.token_rate <= 0.0 {
-            self.credits.clear();
-            return;
-        }
-        self.fleet_usage = self.account_usage.fleet_totals(now);
-        let guaranteed = self.token_rate * DECAY_TIME.as_secs_f64();
-        self.share_levels = share_levels(&self.fleet_usage, guaranteed);
-        self.shares = fair_shares(&self.fleet_usage, self.share_levels);
-        self.refill_credits(elapsed, now);
-    }
-
-    /// Adds credit for `elapsed` to the accounts that request more than their level; the others need none.
-    fn refill_credits(&mut self, elapsed: Duration, now: Instant) {
-        let local: BTreeMap<AccountId, AccountUsage> =
-            self.account_usage.local(now).into_iter().collect();
-        let level = self.share_levels.fair;
-        let mut credits = BTreeMap::new();
-        for (id, fleet) in &self.fleet_usage {
-            if f64::from(fleet.requested) <= level {
-                continue;
-            }
-            let share = ShareOfDemand {
-                level,
-                fleet: *fleet,
-                local: local.get(id).copied().unwrap_or_default(),
-            };
-            let mut credit = self.credits.get(id).copied();
-            if let Some(credit) = &mut credit {
-                credit.refill(&share, elapsed);
-            }
-            credits.insert(*id, credit.unwrap_or_else(|| Credit::new(&share)));
-        }
-        self.credits = credits;
-    }
 }
 
 /// Refuses a request whose servers rest beyond its time to wait: until the first of them is back.
