--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -174,7 +174,7 @@
                     return Admission::Decided(Err(self.refuse(request, Cause::TooLong, now)));
                 }
                 Err(PlacementError::Resting(until)) if until >= wait_deadline(request) => {
-                    return Admission::Decided(Err(resting(until, now)));
+                    return Admission::Decided(Err(resting(request, until, now)));
                 }
                 Err(PlacementError::AllFull | PlacementError::Resting(_)) => {}
                 Err(PlacementError::HomesFull(full)) => homes = full,
@@ -246,7 +246,7 @@
             Err(PlacementError::RegionBound) => Some(Err(REGION_BOUND)),
             Err(PlacementError::TooLong) => Some(Err(self.refuse(&request, Cause::TooLong, now))),
             Err(PlacementError::Resting(until)) if expired || until >= wait_deadline(&request) => {
-                Some(Err(resting(until, now)))
+                Some(Err(resting(&request, until, now)))
             }
             Err(_full) if expired => Some(Err(self.refuse(&request, Cause::QueueTimeout, now))),
             Err(PlacementError::AllFull | PlacementError::Resting(_)) => {
@@ -510,11 +510,13 @@
 }
 
 /// Refuses a request whose servers rest beyond its time to wait: until the first of them is back.
-fn resting(until: Instant, now: Instant) -> Refusal {
+fn resting(request: &Request, until: Instant, now: Instant) -> Refusal {
     Refusal {
         code: Code::UpstreamUnreachable,
         cause: Cause::Resting,
-        retry_after: until.saturating_duration_since(now),
+        retry_after: until
+            .saturating_duration_since(now)
+            .max(request.objective.mul_f64(MAX_WAIT_FRACTION)),
     }
 }
 
