Let no request whose time to wait is over block new ones, nor a late dispatch

Cause: queued requests reserve what they wait for until the dispatch task decides on them. When the process is late, that task has its turn late, requests whose time to wait is over stay, and each new one is judged behind them.

Change: those whose time is over reserve nothing and count as ahead of nobody, and a request that arrives while the dispatch is overdue dispatches the queue first. expired_requests_in_the_queue_block_no_new_request fails without it.

--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -116,6 +116,8 @@
     pub has_registrations: Cell<bool>,
     /// Whether this instance reads the store, and whether the store answers.
     pub store_role: Cell<StoreRole>,
+    /// When queued requests were last dispatched.
+    dispatched: Cell<Instant>,
     /// Wakes the dispatch loop: a slot became free, or another input of queued requests changed.
     pub queue_wakeup: Notify,
     /// Wakes the gossip task: something changed that peers should learn at once.
@@ -178,6 +180,7 @@
             body_bytes: Cell::new(0),
             has_registrations: Cell::new(false),
             store_role: Cell::new(StoreRole::Connected),
+            dispatched: Cell::new(now),
             queue_wakeup: Notify::new(),
             report_wakeup: Notify::new(),
             behind_wakeup: Notify::new(),
@@ -298,6 +301,7 @@
     /// # Errors
     /// Why the request is rejected, and when its client may retry.
     pub async fn select_server(&self, request: &Request) -> Result<Placement, Refusal> {
+        self.dispatch_overdue();
         let admission = self.scheduler.borrow_mut().submit(request, self.now());
         self.announce_work();
         let decided = match admission {
@@ -323,8 +327,18 @@
         (&mut queued.decided).await.ok()
     }
 
+    /// Selects servers for queued requests if the dispatch loop is late, so that a new request isn't refused because of
+    /// requests that only wait for that loop.
+    fn dispatch_overdue(&self) {
+        let elapsed = self.now().duration_since(self.dispatched.get());
+        if elapsed > DISPATCH_INTERVAL && self.scheduler.borrow().queue_len() > 0 {
+            self.dispatch_queue();
+        }
+    }
+
     /// Selects servers for queued requests as far as possible.
     pub fn dispatch_queue(&self) {
+        self.dispatched.set(self.now());
         let decided = self.scheduler.borrow_mut().dispatch_queued(self.now());
         self.announce_work();
         for (ticket, decided) in decided {
--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -163,7 +163,7 @@
         self.update_shares(now);
         let blocked = self.is_blocked(request, now);
         let mut homes = HomeServers::new();
-        if let Some(reserved) = self.reserved_servers(request)
+        if let Some(reserved) = self.reserved_servers(request, now)
             && !blocked
         {
             match self.try_place(request, &reserved, now) {
@@ -426,10 +426,10 @@
     }
 
     /// Returns the servers reserved for queued requests ahead of `request`; `None` when one of those waits for any server.
-    fn reserved_servers(&self, request: &Request) -> Option<HomeServers> {
+    fn reserved_servers(&self, request: &Request, now: Instant) -> Option<HomeServers> {
         let rank = self.rank(request);
         let mut reserved = HomeServers::new();
-        for queued in self.queued_for(request.service) {
+        for queued in self.waiting_for(request.service, now) {
             if self.rank(&queued.request) >= rank {
                 continue;
             }
@@ -448,6 +448,16 @@
             .filter(move |q| q.request.service == service)
     }
 
+    /// Queued requests for `service` whose time to wait is not over; the others only wait to be told so.
+    fn waiting_for(
+        &self,
+        service: ServiceId,
+        now: Instant,
+    ) -> impl Iterator<Item = &QueuedRequest> {
+        let queued = self.queued_for(service);
+        queued.filter(move |q| now < wait_deadline(&q.request))
+    }
+
     /// Returns the position of a request in the queue; with the same status and priority, accounts with less usage go first.
     fn rank(&self, request: &Request) -> (ShareStatus, u32, u32, Instant) {
         let share = self.share_of(request);
@@ -474,7 +484,7 @@
     /// Returns whether a request can't reach the head of the queue within its time to wait.
     fn is_hopeless(&self, request: &Request, now: Instant) -> bool {
         let rank = self.rank(request);
-        let queued = self.queued_for(request.service);
+        let queued = self.waiting_for(request.service, now);
         let ahead = queued.filter(|q| self.rank(&q.request) <= rank).count();
         let left = wait_deadline(request).saturating_duration_since(now);
         let queue_rate = self.queue_rates.get(&request.service);
--- a/tests/testsuite/routing/scheduler.rs
+++ b/tests/testsuite/routing/scheduler.rs
@@ -5,6 +5,7 @@
 use hawthornmill::codes::Code;
 use hawthornmill::ident::{AccountId, InstanceId};
 use hawthornmill::routing::gossip::{InstanceReport, PeerInfo, UnmetDemand};
+use hawthornmill::routing::placement::Placement;
 use hawthornmill::routing::request::Admission;
 use hawthornmill::routing::scheduler::Scheduler;
 use hawthornmill::routing::usage::{AccountUsage, ShareStatus};
@@ -431,6 +432,28 @@
     );
 }
 
+/// Failure: a process is late, requests whose time to wait is over are still in its queue, and a new request is refused
+/// behind them, though servers are free.
+#[test]
+fn expired_requests_in_the_queue_block_no_new_request() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(ONE_SERVER, now);
+    let ask = |at| request("lab", shape(1, 10, 10), at);
+    let placed: Vec<Placement> = (0..8)
+        .map(|_| sent(scheduler.submit(&ask(now), now)))
+        .collect();
+    let queued = scheduler.submit(&ask(now), now);
+    for placement in &placed {
+        scheduler.finish(placement, false);
+    }
+    let later = now + millis(400);
+
+    let new = scheduler.submit(&ask(later), later);
+
+    assert!(matches!(queued, Admission::Queued(_)), "{queued:?}");
+    assert!(matches!(new, Admission::Decided(Ok(_))), "{new:?}");
+}
+
 /// Failure: a prompt too long for its account's time limit is queued in vain and blocks others.
 #[test]
 fn prompt_too_long_for_its_time_limit_is_refused_at_once() {
