--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -15,6 +15,7 @@
 use hawthornmill::routing::request::{Admission, Request};
 use hawthornmill::routing::retry_budget::{RetryBudget, RetryBudgetConfig};
 use hawthornmill::routing::scheduler::Scheduler;
+use hawthornmill::routing::server_notices::ServerNotices;
 use hawthornmill::routing::shape::{PromptPart, Shape};
 use smallvec::{SmallVec, smallvec};
 
@@ -46,7 +47,8 @@
         extra: 5.0,
     };
     let limiter = ColdStartLimiter::new(InstanceId::of("me"), location.domain, tolerance, now);
-    let mut scheduler = Scheduler::new(location, RetryBudget::new(budget, now), limiter);
+    let notices = ServerNotices::new(InstanceId::of("me"));
+    let mut scheduler = Scheduler::new(location, RetryBudget::new(budget, now), limiter, notices);
     let region = |number| RegionId::of(if number % 2 == 0 { "north" } else { "south" });
     scheduler.regions = (0..DOMAINS).map(|n| (domain(n), region(n))).collect();
     for number in 0..servers {
--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -26,6 +26,7 @@
 use hawthornmill::routing::retry_budget::RetryBudget;
 use hawthornmill::routing::route_table::RouteTable;
 use hawthornmill::routing::scheduler::Scheduler;
+use hawthornmill::routing::server_notices::ServerNotices;
 use serde_json::json;
 use slotmap::SecondaryMap;
 use tokio::sync::{Notify, oneshot, watch};
@@ -150,6 +151,7 @@
             location,
             RetryBudget::new(settings.guarantees.resend_budget, now),
             ColdStartLimiter::new(id, location.domain, settings.guarantees.cold_tolerance, now),
+            ServerNotices::new(id),
         );
         scheduler.regions.clone_from(&settings.regions);
         scheduler.fetches_prefixes = settings.fetches_prefixes;
--- a/crates/hawthornmill/src/routing/cold_start.rs
+++ b/crates/hawthornmill/src/routing/cold_start.rs
@@ -85,11 +85,6 @@
         }
     }
 
-    /// Returns the instance whose limiter this is.
-    pub const fn instance(&self) -> InstanceId {
-        self.me
-    }
-
     /// Replaces the bound, as settings give it.
     pub fn set_tolerance(&mut self, tolerance: ColdStartTolerance) {
         self.tolerance = tolerance;
--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -122,8 +122,12 @@
 
 impl Scheduler {
     /// Creates a scheduler without servers.
-    pub fn new(location: Location, budget: RetryBudget, cold_limiter: ColdStartLimiter) -> Self {
-        let notices = ServerNotices::new(cold_limiter.instance());
+    pub fn new(
+        location: Location,
+        budget: RetryBudget,
+        cold_limiter: ColdStartLimiter,
+        notices: ServerNotices,
+    ) -> Self {
         Self {
             registry: Registry::default(),
             loads: LoadTracker::default(),
--- a/crates/hawthornmill/src/routing/usage.rs
+++ b/crates/hawthornmill/src/routing/usage.rs
@@ -36,12 +36,12 @@
 /// Status of an account relative to its share of the capacity, in the order in which accounts are served.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
 pub enum ShareStatus {
-    /// It has had less than its share of the guaranteed capacity.
+    /// It has had less than its share of the guaranteed capacity, or it requests more than its fair share and has credit.
     #[default]
     BelowGuarantee,
     /// It has had that, but less than its fair share of what the servers yield.
     BelowFairShare,
-    /// It has had its fair share of what the servers yield, or more.
+    /// It has had its fair share of what the servers yield, or more, or it has no credit.
     AboveFairShare,
 }
 
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -42,6 +42,7 @@
 use hawthornmill::routing::request::{Admission, Request};
 use hawthornmill::routing::retry_budget::{RetryBudget, RetryBudgetConfig};
 use hawthornmill::routing::scheduler::Scheduler;
+use hawthornmill::routing::server_notices::ServerNotices;
 use hawthornmill::routing::shape::{PromptPart, Shape};
 use smallvec::{SmallVec, smallvec};
 
@@ -172,7 +173,8 @@
         region: RegionId::of("north"),
     };
     let limiter = ColdStartLimiter::new(InstanceId::of("me"), location.domain, TOLERANCE, now);
-    let mut scheduler = Scheduler::new(location, RetryBudget::new(config, now), limiter);
+    let notices = ServerNotices::new(InstanceId::of("me"));
+    let mut scheduler = Scheduler::new(location, RetryBudget::new(config, now), limiter, notices);
     let regions = [("a", "north"), ("b", "north"), ("c", "south")];
     scheduler.regions = regions
         .map(|(d, r)| (DomainId::of(d), RegionId::of(r)))
