Send nothing to a failure domain that was evacuated while the connection was opened

The question that is asked again before the first byte knew of rests, of leaving and of draining, and not of evacuations. The test fails without the change.

--- a/crates/hawthornmill/src/routing/scheduler/servers.rs
+++ b/crates/hawthornmill/src/routing/scheduler/servers.rs
@@ -124,7 +124,8 @@
             availability,
             Availability::Resting(_) | Availability::Leaving
         );
-        !entry.registration.draining && !is_told_off
+        let is_evacuated = self.evacuations.is_evacuated(entry.registration.domain);
+        !entry.registration.draining && !is_evacuated && !is_told_off
     }
 
     /// Drops expired state and returns the servers whose registrations expired.
--- a/tests/testsuite/routing/evacuations.rs
+++ b/tests/testsuite/routing/evacuations.rs
@@ -47,6 +47,20 @@
     assert!(meanwhile.iter().all(|server| !own.contains(server)));
 }
 
+/// Failure: a domain is evacuated while a connection to one of its servers is opened, and the request is sent there.
+#[test]
+fn placed_request_is_not_sent_to_a_domain_evacuated_since() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(FOUR, now);
+    let placed = sent(scheduler.submit(&request("lab", shape(1, 300, 200), now), now));
+
+    let before = scheduler.may_send(placed.server, now);
+    scheduler.apply_evacuation(evacuated("a", 50), now);
+    let after = scheduler.may_send(placed.server, now);
+
+    assert!(before && !after, "{placed:?}");
+}
+
 /// Failure: a request that waits for a server of a domain is sent there after the domain was evacuated.
 #[test]
 fn queued_request_finds_another_place() {
