--- a/tests/testsuite/gateway/platform_adapter.rs
+++ b/tests/testsuite/gateway/platform_adapter.rs
@@ -178,6 +178,47 @@
     assert_eq!(shape_of("A: b\r\n").map(|s| s.prompt_tokens), Some(0));
 }
 
+/// Returns the head of a response with `status` and `fields`.
+fn response_head(status: u16, fields: &str) -> head::ResponseHead {
+    let text = format!("HTTP/1.1 {status} X\r\n{fields}Content-Length: 0\r\n\r\n");
+    let parsed = head::parse_response(text.as_bytes()).expect("the head is well-formed");
+    parsed.expect("the head is complete").0
+}
+
+/// Failure: a rest in fractions is not read, an absurd one overflows, or a time of another status is taken for one.
+#[test]
+fn rest_is_parsed_from_rejections_only() {
+    let rest = |status, value: &str| {
+        request::parse_rest(&response_head(status, &format!("Retry-After: {value}\r\n")))
+    };
+
+    assert_eq!(rest(503, "3"), Some(Duration::from_secs(3)));
+    assert_eq!(rest(503, " 0.25 "), Some(Duration::from_millis(250)));
+    assert_eq!(rest(503, "1e300"), Some(Duration::MAX));
+    for value in [
+        "0",
+        "-1",
+        "NaN",
+        "soon",
+        "Thu, 03 Dec 2026 22:00:00 GMT",
+        "",
+    ] {
+        assert_eq!(rest(503, value), None, "{value}");
+    }
+    assert_eq!((rest(200, "3"), rest(429, "3")), (None, None));
+    assert_eq!(request::parse_rest(&response_head(503, "")), None);
+}
+
+/// Failure: a server that says it stays is taken for one that leaves.
+#[test]
+fn leaving_is_parsed_from_any_response() {
+    let leaving =
+        |status, fields: &str| request::says_leaving(&response_head(status, fields).headers);
+
+    assert!(leaving(200, "Server-Leaving: 1\r\n") && leaving(503, "server-leaving:1\r\n"));
+    assert!(!leaving(200, "Server-Leaving: 0\r\n") && !leaving(200, ""));
+}
+
 #[test]
 fn directory_query_parses_and_addresses_encode() {
     let question = directory::parse_query("/v1/resolve?name=h&region=r&zone=z%2D1")
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -13,6 +13,7 @@
 mod gossip;
 mod lag;
 mod large_fleet;
+mod late_dispatch;
 mod loads;
 mod log_names;
 mod placement;
