--- a/crates/hawthornmill-gateway/src/http/head.rs
+++ b/crates/hawthornmill-gateway/src/http/head.rs
@@ -89,6 +89,18 @@
     UntilClose,
 }
 
+impl Framing {
+    /// Returns the name for logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Empty => "none",
+            Self::Length(_) => "length",
+            Self::Chunked => "chunked",
+            Self::UntilClose => "until_close",
+        }
+    }
+}
+
 /// Error for a head or body that is invalid or ambiguous.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Malformed;
--- a/crates/hawthornmill-gateway/src/proxy/events.rs
+++ b/crates/hawthornmill-gateway/src/proxy/events.rs
@@ -61,6 +61,11 @@
         self.buffer.split().freeze()
     }
 
+    /// Returns the number of bytes after the last complete event.
+    pub fn rest_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns whether the incomplete event is larger than allowed.
     pub fn exceeds_limit(&self) -> bool {
         self.buffer.len() > MAX_EVENT_BYTES
--- a/crates/hawthornmill-gateway/src/proxy/forward.rs
+++ b/crates/hawthornmill-gateway/src/proxy/forward.rs
@@ -10,7 +10,7 @@
 
 use super::admission::Admitted;
 use super::events::EventSplitter;
-use super::progress::RequestProgress;
+use super::progress::{BodyEnd, RequestProgress};
 use super::send::ServerResponse;
 use super::{RequestContext, RequestOutcome, SlotGuard, retry};
 use crate::gateway::Gateway;
@@ -35,22 +35,23 @@
 /// The next part of a response body.
 enum BodyPart {
     Data(bytes::Bytes),
-    End,
-    Truncated,
+    End(BodyEnd),
+    Truncated(BodyEnd),
 }
 
 async fn next_part(response: &mut ServerResponse, decoder: &mut BodyDecoder) -> BodyPart {
     loop {
         match decoder.next(&mut response.upstream.buffer) {
             Ok(Decoded::Data(data)) => return BodyPart::Data(data),
-            Ok(Decoded::End) => return BodyPart::End,
+            Ok(Decoded::End) => return BodyPart::End(BodyEnd::Framing),
             Ok(Decoded::Incomplete) => {}
-            Err(_malformed) => return BodyPart::Truncated,
+            Err(_malformed) => return BodyPart::Truncated(BodyEnd::Malformed),
         }
         match response.upstream.read_more().await {
             // Only an orderly close completes a body without a length; a reset truncates it.
-            Ok(0) if decoder.ends_at_close() => return BodyPart::End,
-            Ok(0) | Err(_) => return BodyPart::Truncated,
+            Ok(0) if decoder.ends_at_close() => return BodyPart::End(BodyEnd::Closed),
+            Ok(0) => return BodyPart::Truncated(BodyEnd::Closed),
+            Err(_failed) => return BodyPart::Truncated(BodyEnd::Failed),
             Ok(_) => {}
         }
     }
@@ -103,11 +104,11 @@
 /// How buffering a response ended.
 enum Buffered {
     /// The response is complete.
-    Complete,
+    Complete(BodyEnd),
     /// The response exceeds the buffer limit and has not ended.
     TooLong,
     /// The response was cut off.
-    Truncated,
+    Truncated(BodyEnd),
 }
 
 /// Buffers the body of `response` to its end or to the limit, and calls `on_data` after each part.
@@ -120,8 +121,8 @@
     let outcome = loop {
         match next_part(response, decoder).await {
             BodyPart::Data(data) => body.extend_from_slice(&data),
-            BodyPart::Truncated => break Buffered::Truncated,
-            BodyPart::End => break Buffered::Complete,
+            BodyPart::Truncated(end) => break Buffered::Truncated(end),
+            BodyPart::End(end) => break Buffered::Complete(end),
         }
         on_data();
         if body.len() > MAX_BUFFERED_BYTES {
@@ -141,9 +142,12 @@
 ) -> ForwardOutcome {
     let mut decoder = BodyDecoder::new(response.framing);
     match buffer_body(&mut response, &mut decoder, || slot.record_first_token()).await {
-        Buffered::Complete => {}
+        Buffered::Complete(end) => progress.record_body_end(response.framing, end, 0),
         Buffered::TooLong => return forward_long(context, progress, response, decoder, out).await,
-        Buffered::Truncated => return ForwardOutcome::Truncated,
+        Buffered::Truncated(end) => {
+            progress.record_body_end(response.framing, end, 0);
+            return ForwardOutcome::Truncated;
+        }
     }
     slot.record_first_token();
     record_server_outcome(context.gateway, &response);
@@ -159,8 +163,8 @@
 pub async fn read_to_end(mut response: ServerResponse) -> Option<ServerResponse> {
     let mut decoder = BodyDecoder::new(response.framing);
     match buffer_body(&mut response, &mut decoder, || {}).await {
-        Buffered::Complete => Some(response),
-        Buffered::TooLong | Buffered::Truncated => None,
+        Buffered::Complete(_) => Some(response),
+        Buffered::TooLong | Buffered::Truncated(_) => None,
     }
 }
 
@@ -219,8 +223,14 @@
         bytes.0.clear();
         match next_part(&mut response, &mut decoder).await {
             BodyPart::Data(next) => data = next,
-            BodyPart::Truncated => return ForwardOutcome::Truncated,
-            BodyPart::End => break,
+            BodyPart::Truncated(end) => {
+                progress.record_body_end(response.framing, end, 0);
+                return ForwardOutcome::Truncated;
+            }
+            BodyPart::End(end) => {
+                progress.record_body_end(response.framing, end, 0);
+                break;
+            }
         }
     }
     record_server_outcome(context.gateway, &response);
@@ -254,8 +264,14 @@
                 splitter.push(&data, event_id, progress.last_event_id),
                 false,
             ),
-            BodyPart::End => (None, true),
-            BodyPart::Truncated => return ForwardOutcome::Truncated,
+            BodyPart::End(end) => {
+                progress.record_body_end(response.framing, end, splitter.rest_bytes());
+                (None, true)
+            }
+            BodyPart::Truncated(end) => {
+                progress.record_body_end(response.framing, end, splitter.rest_bytes());
+                return ForwardOutcome::Truncated;
+            }
         };
         if splitter.exceeds_limit() {
             return ForwardOutcome::Truncated;
--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -237,7 +237,7 @@
                 ForwardOutcome::Complete => Ok(RequestOutcome::Complete),
                 ForwardOutcome::ClientClosed => Ok(RequestOutcome::ClientClosed),
                 ForwardOutcome::Truncated => {
-                    log_interruption(context, server, "the answer broke off");
+                    log_interruption(context, progress, server, "the answer broke off");
                     Err(retry::on_interrupted(gateway, admitted, progress, server))
                 }
             }
@@ -258,14 +258,21 @@
             misdirected,
         )),
         SendOutcome::Interrupted(reason) => {
-            log_interruption(context, server, &reason);
+            log_interruption(context, progress, server, &reason);
             Err(retry::on_interrupted(gateway, admitted, progress, server))
         }
     }
 }
 
-fn log_interruption(context: RequestContext<'_>, server: ServerId, reason: &str) {
-    let fields = json!({"server": context.gateway.server_name(server), "why": reason});
+fn log_interruption(
+    context: RequestContext<'_>,
+    progress: &RequestProgress,
+    server: ServerId,
+    reason: &str,
+) {
+    let fields = json!({
+        "server": context.gateway.server_name(server), "why": reason, "body": progress.body_fields(),
+    });
     event_log::request_problem("server_broke_off", &context.request.attempt_id, fields);
 }
 
--- a/crates/hawthornmill-gateway/src/proxy/progress.rs
+++ b/crates/hawthornmill-gateway/src/proxy/progress.rs
@@ -5,7 +5,7 @@
 use hawthornmill::codes::Code;
 use hawthornmill::routing::placement::Placement;
 use hawthornmill::routing::request::{Refusal, Request};
-use serde_json::json;
+use serde_json::{Value, json};
 
 use super::admission::Admitted;
 use super::error_response::ErrorResponse;
@@ -13,6 +13,7 @@
 use super::{RequestContext, RequestOutcome};
 use crate::event_log;
 use crate::gateway::Gateway;
+use crate::http::head::Framing;
 
 /// Logs why the scheduler rejected a request.
 pub fn log_rejection(
@@ -46,6 +47,39 @@
     lag.duration(gateway.now()).as_millis() as u64
 }
 
+/// What ended the body of a server's response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// The length or the last chunk.
+    Framing,
+    /// The server closed its connection in order.
+    Closed,
+    /// The connection failed.
+    Failed,
+    /// The bytes violate the framing.
+    Malformed,
+}
+
+impl BodyEnd {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Framing => "framing",
+            Self::Closed => "closed",
+            Self::Failed => "failed",
+            Self::Malformed => "malformed",
+        }
+    }
+}
+
+/// The body of a server's response, as far as it was read.
+#[derive(Debug, Clone, Copy)]
+struct BodySummary {
+    framing: Framing,
+    end: BodyEnd,
+    /// Bytes after the last complete event of a stream.
+    rest_bytes: usize,
+}
+
 /// Progress of one request through the proxy.
 #[derive(Debug, Default)]
 pub struct RequestProgress {
@@ -66,6 +100,7 @@
     admitted: Option<(Box<str>, Box<str>)>,
     servers: Vec<Box<str>>,
     response_start: Option<Instant>,
+    body: Option<BodySummary>,
 }
 
 impl RequestProgress {
@@ -100,6 +135,7 @@
         });
         event_log::request_step("sent", &request.attempt_id, fields);
         self.servers.push(name);
+        self.body = None;
         self.earlier_uncertain |= std::mem::take(&mut self.bytes_sent);
     }
 
@@ -142,6 +178,24 @@
         self.has_retry_after
     }
 
+    /// Records how the body of a response ended; `rest_bytes` came after the last complete event of a stream.
+    pub const fn record_body_end(&mut self, framing: Framing, end: BodyEnd, rest_bytes: usize) {
+        self.body = Some(BodySummary {
+            framing,
+            end,
+            rest_bytes,
+        });
+    }
+
+    /// Returns how the body of the last response ended, for the log.
+    pub fn body_fields(&self) -> Value {
+        self.body.map_or(Value::Null, |body| {
+            json!({
+                "framing": body.framing.name(), "ended_by": body.end.name(), "rest_bytes": body.rest_bytes,
+            })
+        })
+    }
+
     /// Sets the code of the error that ends the request.
     pub const fn set_code(&mut self, code: Code) {
         self.code = Some(code);
@@ -179,7 +233,7 @@
             "route": route, "service": service, "servers": self.servers, "sends": self.sends,
             "last_event": self.last_event_id, "catalog": gateway.catalog_version(), "lag_ms": lag_ms(gateway),
             "begin_ms": self.response_start.map(|b| b.duration_since(request.received).as_millis() as u64),
-            "took_ms": now.duration_since(request.received).as_millis() as u64,
+            "took_ms": now.duration_since(request.received).as_millis() as u64, "body": self.body_fields(),
         });
         if outcome == "answered" {
             event_log::request_step("ended", &request.attempt_id, fields);
