Failing tests: answers that were cut reach their callers as complete, or joined with another run

Four reproduce what the record of ORDER shows, against a stand-in that frames its streams by chunks, a length or the end of its connection and cuts them at any byte: two events and a half, then a regular end. Three were found while looking for the same cause: after a part of an answer was passed on, a retry forwards whatever comes next, so the head and body of a second run stand inside the first answer.

--- a/tests/testsuite/gateway/event_streams.rs
+++ b/tests/testsuite/gateway/event_streams.rs
@@ -1,7 +1,9 @@
 //! Event streams: resumed only where allowed, and never ended as if complete.
 
+use hawthornmill_gateway::http::head::RequestHead;
+
 use super::fleet::{Fleet, Response, request, send_request};
-use super::scripted_server::Behavior;
+use super::scripted_server::{Behavior, PartialStream, Server, StreamEnd, StreamFraming, events};
 use crate::block_on;
 
 async fn stream(fleet: &Fleet, path: &str, id: &str) -> Response {
@@ -13,11 +15,6 @@
     response.expect("the gateway responds")
 }
 
-fn events(first: u64, last: u64) -> String {
-    let event = |n| format!("id: {n}\ndata: piece {n}\n\n");
-    (first..=last).map(event).collect::<Vec<_>>().concat()
-}
-
 #[test]
 fn stream_is_forwarded_completely() {
     block_on(async {
@@ -50,10 +47,7 @@
         };
 
         assert!(response.text() == events(1, 9) || response.text() == events(1, 5) + &events(6, 9));
-        let resumed = fleet
-            .servers
-            .iter()
-            .flat_map(super::scripted_server::Server::received);
+        let resumed = fleet.servers.iter().flat_map(Server::received);
         assert!(
             resumed
                 .filter(|a| a.head.headers.get_str("last-event-id") == Some("5"))
@@ -79,3 +73,191 @@
         assert_eq!(fleet.runs(), 1);
     });
 }
+
+/// Returns a stream of `count` events that ends in order inside the event after `whole`.
+fn cut_after(framing: StreamFraming, whole: u64, count: u64) -> Behavior {
+    Behavior::PartialStream(PartialStream {
+        framing,
+        count,
+        bytes: events(1, whole).len() + 7,
+        end: StreamEnd::Regular,
+    })
+}
+
+/// Failure: a server crashes in the middle of a stream that has neither length nor chunks; the end of its
+/// connection is taken for the end of the stream.
+#[test]
+fn stream_without_length_cut_inside_event_is_not_complete() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        fleet.servers[0].script(&[cut_after(StreamFraming::UntilClose, 2, 4)]);
+
+        let response = stream(&fleet, "/whole/", "a").await;
+
+        assert!(!response.whole, "a truncated stream looks complete");
+        assert_eq!(response.text(), events(1, 2));
+    });
+}
+
+/// Failure: a server's last chunk comes although an event is half; the stream is taken for complete.
+#[test]
+fn chunks_that_end_inside_event_are_not_complete() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        fleet.servers[0].script(&[cut_after(StreamFraming::Chunked, 2, 4)]);
+
+        let response = stream(&fleet, "/whole/", "a").await;
+
+        assert!(!response.whole, "a truncated stream looks complete");
+        assert_eq!(response.text(), events(1, 2));
+    });
+}
+
+/// Failure: a stream without length is cut inside its third event, and the caller gets half of it instead of the rest.
+#[test]
+fn stream_without_length_continues_at_another_server() {
+    block_on(async {
+        let fleet = Fleet::start(1, 2).await;
+        let whole = Behavior::PartialStream(PartialStream {
+            framing: StreamFraming::UntilClose,
+            count: 6,
+            bytes: usize::MAX,
+            end: StreamEnd::Regular,
+        });
+        for server in &fleet.servers {
+            server.script(&[cut_after(StreamFraming::UntilClose, 2, 6), whole.clone()]);
+        }
+
+        // Both servers cut their first stream, so the first request may fail on both.
+        let first = stream(&fleet, "/stream/", "a").await;
+        let second = stream(&fleet, "/stream/", "b").await;
+
+        for response in [first, second] {
+            assert!(events(1, 6).starts_with(&response.text()));
+            assert_eq!(response.whole, response.text() == events(1, 6));
+        }
+        let resumes = fleet.servers.iter().flat_map(Server::received);
+        let resumes = resumes.filter(|r| r.head.headers.get_str("last-event-id") == Some("2"));
+        assert!(resumes.count() >= 1);
+    });
+}
+
+/// Behavior for a path that ends with a framing, a number of bytes and an end.
+fn partial_stream(head: &RequestHead) -> Behavior {
+    let mut words = head.target.rsplit('/');
+    let (end, bytes, framing) = (words.next(), words.next(), words.next());
+    Behavior::PartialStream(PartialStream {
+        framing: match framing {
+            Some("chunked") => StreamFraming::Chunked,
+            Some("length") => StreamFraming::Length,
+            _ => StreamFraming::UntilClose,
+        },
+        count: 3,
+        bytes: bytes.and_then(|b| b.parse().ok()).unwrap_or(0),
+        end: match end {
+            Some("regular") => StreamEnd::Regular,
+            Some("close") => StreamEnd::Close,
+            _ => StreamEnd::Reset,
+        },
+    })
+}
+
+/// Returns the response to a request for `path`, which servers that failed lately may reject at first.
+async fn admitted_stream(fleet: &Fleet, path: &str) -> Response {
+    for number in 0..200 {
+        let response = stream(fleet, path, &format!("{path}-{number}")).await;
+        if !matches!(response.status(), 429 | 503) {
+            return response;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    panic!("{path}: every request is rejected");
+}
+
+/// Failure: some framing and some byte at which a stream is cut make a part of it look complete, or a whole stream look cut.
+#[test]
+fn stream_cut_at_any_byte_ends_as_complete_only_if_it_may_be() {
+    block_on(async {
+        let fleet = Fleet::start(1, 4).await;
+        fleet
+            .servers
+            .iter()
+            .for_each(|s| s.set_default(partial_stream));
+        let whole = events(1, 3);
+        let boundaries = [0, 1, 2, 3].map(|n| events(1, n).len());
+
+        for framing in ["chunked", "length", "none"] {
+            for end in ["regular", "close", "reset"] {
+                for bytes in 0..=whole.len() {
+                    let path = format!("/whole/{framing}/{bytes}/{end}");
+                    let response = admitted_stream(&fleet, &path).await;
+
+                    let may_be_complete = match (framing, end) {
+                        ("length", _) => bytes == whole.len(),
+                        ("chunked", "regular") => boundaries.contains(&bytes),
+                        ("none", "regular" | "close") => bytes > 0 && boundaries.contains(&bytes),
+                        _ => false,
+                    };
+                    if response.status() != 200 {
+                        assert_eq!(response.status(), 502, "{path}");
+                        assert!(!may_be_complete || end == "reset", "{path}");
+                        continue;
+                    }
+                    let sent = boundaries.into_iter().rfind(|b| *b <= bytes);
+                    let sent = &whole[..sent.unwrap_or(0)];
+                    assert!(sent.starts_with(&response.text()), "{path}");
+                    assert!(boundaries.contains(&response.body.len()), "{path}");
+                    if response.whole {
+                        assert!(may_be_complete, "{path}: a part looks complete");
+                        assert_eq!(response.text(), sent, "{path}");
+                    }
+                    if may_be_complete && end != "reset" {
+                        assert!(response.whole, "{path}: a whole stream looks cut");
+                    }
+                }
+            }
+        }
+    });
+}
+
+/// Failure: a stream whose events have no ids is sent again from its start after the caller has a part of it.
+#[test]
+fn stream_without_ids_is_not_repeated_after_it_has_begun() {
+    block_on(async {
+        let fleet = Fleet::start(1, 2).await;
+        for server in &fleet.servers {
+            server.script(&[Behavior::StreamWithoutIds(3)]);
+        }
+
+        let response = stream(&fleet, "/stream/", "a").await;
+
+        assert!(!response.whole);
+        assert_eq!(response.text(), "data: piece\n\n".repeat(3));
+        assert_eq!(fleet.runs(), 1);
+    });
+}
+
+/// Behavior of a server that breaks off streams and answers requests to resume one with something else.
+fn resumed_otherwise(head: &RequestHead) -> Behavior {
+    match head.headers.get("last-event-id") {
+        Some(_) => Behavior::Respond,
+        None => Behavior::BrokenStream(2),
+    }
+}
+
+/// Failure: a stream is resumed at a server whose answer is no stream, and that answer's head becomes a part of the body.
+#[test]
+fn stream_is_not_continued_by_another_kind_of_response() {
+    block_on(async {
+        let fleet = Fleet::start(1, 2).await;
+        for server in &fleet.servers {
+            server.set_default(resumed_otherwise);
+        }
+
+        let response = stream(&fleet, "/stream/", "a").await;
+
+        assert!(!response.whole, "a truncated stream looks complete");
+        assert_eq!(response.text(), events(1, 2));
+        assert_eq!(fleet.runs(), 2);
+    });
+}
--- a/tests/testsuite/gateway/responses.rs
+++ b/tests/testsuite/gateway/responses.rs
@@ -44,6 +44,49 @@
     });
 }
 
+/// Failure: the connection of an answer without length is reset, and what came of it looks complete.
+#[test]
+fn reset_response_without_length_is_not_complete() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        fleet.servers[0].script(&[Behavior::ResetWithoutLength]);
+
+        let response = send_request(
+            fleet.gateways[0].front(),
+            request("GET", "/once/", "a", "").as_bytes(),
+        )
+        .await;
+
+        assert_eq!(response.expect("the gateway responds").status(), 502);
+    });
+}
+
+/// Failure: a long answer is cut after its caller has a part of it; the request is sent again, and the second answer is
+/// appended to that part.
+#[test]
+fn long_response_is_not_joined_with_that_of_another_run() {
+    block_on(async {
+        let fleet = Fleet::start(1, 2).await;
+        for server in &fleet.servers {
+            server.script(&[
+                Behavior::TruncatedAfter(100_000),
+                Behavior::TruncatedAfter(100_000),
+            ]);
+        }
+
+        let response = send_request(
+            fleet.gateways[0].front(),
+            request("GET", "/get/", "a", "").as_bytes(),
+        )
+        .await;
+
+        let response = response.expect("the gateway responds");
+        assert!(!response.whole, "parts of two runs look like one answer");
+        assert!(response.body.iter().all(|b| *b == b'x'));
+        assert_eq!(fleet.runs(), 1);
+    });
+}
+
 /// Failure: a server responds before it has read the whole body and keeps reading. If its connection is
 /// reused at once, the bytes of the next request are read as the rest of that body.
 #[test]
--- a/tests/testsuite/gateway/scripted_server.rs
+++ b/tests/testsuite/gateway/scripted_server.rs
@@ -14,6 +14,47 @@
 /// Pause after which a server that responded early reads the rest of the request.
 const EARLY_RESPONSE_PAUSE: Duration = Duration::from_millis(200);
 
+/// How a server delimits the body of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamFraming {
+    /// Chunks.
+    Chunked,
+    /// A length.
+    Length,
+    /// Neither: the body ends with its connection.
+    UntilClose,
+}
+
+/// How a server ends a stream after the bytes that it sends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamEnd {
+    /// With a last chunk, where there are chunks, and by closing the connection in order.
+    Regular,
+    /// By closing the connection in order, without a last chunk.
+    Close,
+    /// By resetting the connection.
+    Reset,
+}
+
+/// A stream of which a part is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PartialStream {
+    /// How the body is delimited.
+    pub framing: StreamFraming,
+    /// Events of the whole stream.
+    pub count: u64,
+    /// Bytes of it that are sent; all if there are fewer.
+    pub bytes: usize,
+    /// How it ends after them.
+    pub end: StreamEnd,
+}
+
+/// Returns the events with these ids as a server sends them.
+pub fn events(first: u64, last: u64) -> String {
+    let event = |n| format!("id: {n}\ndata: piece {n}\n\n");
+    (first..=last).map(event).collect::<Vec<_>>().concat()
+}
+
 /// How the server handles one request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Behavior {
@@ -47,6 +88,14 @@
     Stream(u64),
     /// Executes it and responds with a stream that is cut off in the event after this many.
     BrokenStream(u64),
+    /// Executes it and responds with a part of a stream, in one write.
+    PartialStream(PartialStream),
+    /// Executes it and responds with these bytes of a body, of which the length says that there are more.
+    TruncatedAfter(usize),
+    /// Executes it, responds without a length and resets the connection in the middle of the body.
+    ResetWithoutLength,
+    /// Executes it and responds with a stream whose events have no ids, cut off in the event after this many.
+    StreamWithoutIds(u64),
     /// Executes it and never responds.
     Hang,
 }
@@ -280,6 +329,35 @@
             }
             Behavior::Stream(count) => return self.stream(stream, head, count, false).await,
             Behavior::BrokenStream(count) => return self.stream(stream, head, count, true).await,
+            Behavior::PartialStream(part) => {
+                send_part(stream, head, &self.name, part).await;
+                return false;
+            }
+            Behavior::TruncatedAfter(bytes) => {
+                let text = format!(
+                    "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: {stamp}\r\nContent-Length: {}\r\n\r\n{}",
+                    bytes * 2,
+                    "x".repeat(bytes)
+                );
+                let _written = stream.write_all(text.as_bytes()).await;
+                return false;
+            }
+            Behavior::ResetWithoutLength => {
+                let text = format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\n\r\nhalf");
+                let _written = stream.write_all(text.as_bytes()).await;
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                let _set = stream.set_zero_linger();
+                return false;
+            }
+            Behavior::StreamWithoutIds(count) => {
+                let events = "data: piece\n\n".repeat(count as usize);
+                let text = format!(
+                    "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: {stamp}\r\n\
+                     Content-Type: text/event-stream\r\n\r\n{events}data: ha"
+                );
+                let _written = stream.write_all(text.as_bytes()).await;
+                return false;
+            }
             Behavior::EarlyResponse => Ok(()),
             Behavior::Hang => {
                 self.work(stream, Duration::from_mins(1)).await;
@@ -310,11 +388,7 @@
         truncated: bool,
     ) -> bool {
         let id = head.headers.get_str("attempt-id").unwrap_or_default();
-        let after: u64 = head
-            .headers
-            .get_str("last-event-id")
-            .and_then(|t| t.parse().ok())
-            .unwrap_or(0);
+        let after = last_event_id(head);
         let text = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: {}\r\nContent-Type: text/event-stream\r\n\
              Transfer-Encoding: chunked\r\n\r\n",
@@ -324,7 +398,7 @@
             return false;
         }
         for number in after + 1..=count {
-            let event = format!("id: {number}\ndata: piece {number}\n\n");
+            let event = events(number, number);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if stream.write_all(chunk.as_bytes()).await.is_err()
                 || !self.work(stream, Duration::from_millis(10)).await
@@ -341,6 +415,45 @@
     }
 }
 
+/// Returns the number after which a request wants the events of its stream.
+fn last_event_id(head: &RequestHead) -> u64 {
+    let text = head.headers.get_str("last-event-id");
+    text.and_then(|t| t.parse().ok()).unwrap_or(0)
+}
+
+/// Sends a part of a stream; the caller closes the connection.
+async fn send_part(stream: &mut TcpStream, head: &RequestHead, server: &str, part: PartialStream) {
+    let id = head.headers.get_str("attempt-id").unwrap_or_default();
+    let whole = events(last_event_id(head) + 1, part.count);
+    let body = &whole[..part.bytes.min(whole.len())];
+    let (framing, body) = match part.framing {
+        StreamFraming::Chunked if body.is_empty() => {
+            ("Transfer-Encoding: chunked\r\n".into(), String::new())
+        }
+        StreamFraming::Chunked => (
+            "Transfer-Encoding: chunked\r\n".into(),
+            format!("{:x}\r\n{body}\r\n", body.len()),
+        ),
+        StreamFraming::Length => (format!("Content-Length: {}\r\n", whole.len()), body.into()),
+        StreamFraming::UntilClose => (String::new(), body.into()),
+    };
+    let is_chunked = part.framing == StreamFraming::Chunked;
+    let last = if is_chunked && part.end == StreamEnd::Regular {
+        "0\r\n\r\n"
+    } else {
+        ""
+    };
+    let text = format!(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: {server}\r\n\
+         Content-Type: text/event-stream\r\n{framing}\r\n{body}{last}"
+    );
+    // The gateway may have closed the connection by now.
+    let _written = stream.write_all(text.as_bytes()).await;
+    if part.end == StreamEnd::Reset {
+        let _set = stream.set_zero_linger();
+    }
+}
+
 async fn read_head(stream: &mut TcpStream, buffer: &mut BytesMut) -> Option<RequestHead> {
     loop {
         if let Some((head, length)) = head::parse_request(buffer).ok()? {
