End a stream as complete only where an event ends

Callers saw 200, a part of a stream and a regular end, after its server had crashed in the middle of an event.

Cause: the end of a connection was taken for the end of the content. An orderly close ends a body without length, and the gateway forwarded what was left after the last event and its own last chunk; so it did with a server's last chunk inside an event. Class: framing tells how bytes end, not whether what they say is whole.

Now a scanner of the stream's lines (LF, CR, CRLF) tells where it may end: outside of an event and of a line; without length and chunks, not before its first event. Else it was broken off: resumed where the route allows it and the budget does, or ended visibly; no half event is passed on, and it counts as a failure of the server. A stream without length that is cut exactly between two events can't be told from a whole one.

New: CR as the end of lines failed before too (nothing was forwarded until the end).

--- a/crates/hawthornmill-gateway/src/proxy/events.rs
+++ b/crates/hawthornmill-gateway/src/proxy/events.rs
@@ -4,6 +4,7 @@
 //! could resume the stream, because a resumed stream begins with a complete event.
 
 use bytes::{Bytes, BytesMut};
+use hawthornmill::event_stream::EventScanner;
 
 /// Maximum size of one event.
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -21,6 +22,9 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Bytes at the start of the buffer that were scanned and hold no end of an event.
+    scanned: usize,
+    scanner: EventScanner,
 }
 
 impl EventSplitter {
@@ -38,8 +42,9 @@
         let mut out = BytesMut::new();
         let mut last_id = None;
         let mut has_events = false;
-        while let Some(end) = end_of_event(&self.buffer) {
-            let event = self.buffer.split_to(end);
+        while let Some(block) = self.scanner.next_block(&self.buffer[self.scanned..]) {
+            let event = self.buffer.split_to(self.scanned + block.bytes);
+            self.scanned = 0;
             let id = event_id(&event);
             if let (Some(id), Some(seen)) = (id, seen)
                 && id <= seen
@@ -50,14 +55,21 @@
             has_events = true;
             out.extend_from_slice(&event);
         }
+        self.scanned = self.buffer.len();
         has_events.then(|| CompleteEvents {
             bytes: out.freeze(),
             last_id,
         })
     }
 
-    /// Takes the bytes after the last complete event.
+    /// Returns whether the stream may end here; `delimited` tells that a length or chunks mark its end.
+    pub const fn may_end(&self, delimited: bool) -> bool {
+        self.scanner.may_end(delimited)
+    }
+
+    /// Takes the bytes after the last complete event: a comment, or nothing, at the end of a complete stream.
     pub fn take_rest(&mut self) -> Bytes {
+        self.scanned = 0;
         self.buffer.split().freeze()
     }
 
@@ -71,19 +83,3 @@
         self.buffer.len() > MAX_EVENT_BYTES
     }
 }
-
-/// Returns the length of the first event, including the empty line that ends it.
-fn end_of_event(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (index, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let text = &bytes[line_start..index];
-        if text.is_empty() || text == b"\r" {
-            return Some(index + 1);
-        }
-        line_start = index + 1;
-    }
-    None
-}
--- a/crates/hawthornmill-gateway/src/proxy/forward.rs
+++ b/crates/hawthornmill-gateway/src/proxy/forward.rs
@@ -266,6 +266,9 @@
             ),
             BodyPart::End(end) => {
                 progress.record_body_end(response.framing, end, splitter.rest_bytes());
+                if !splitter.may_end(response.framing != Framing::UntilClose) {
+                    return ForwardOutcome::Truncated;
+                }
                 (None, true)
             }
             BodyPart::Truncated(end) => {
--- a/crates/hawthornmill/src/lib.rs
+++ b/crates/hawthornmill/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`membership`] | who is live, leaving or dead, and who owns or relays what |
 //! | [`keys`] | at-most-once calls: idempotency keys and the table of their home instance |
 //! | [`events`] | events that operators should read in the log |
+//! | [`event_stream`], [`response`] | whether a server's response is complete |
 //! | [`routing`] | the gateway: routes, registered servers, placement, admission |
 //! | [`usage`] | one record for each finished request |
 //! | [`wire`] | typed messages between instances and their authenticated frames |
@@ -23,6 +24,7 @@
 pub mod clock;
 pub mod codes;
 pub mod config;
+pub mod event_stream;
 pub mod events;
 pub mod fairness;
 pub mod ident;
--- a/tests/testsuite/gateway/http_parsing.rs
+++ b/tests/testsuite/gateway/http_parsing.rs
@@ -146,6 +146,21 @@
     }
 }
 
+/// Failure: a server ends its lines with CR; no event is found to be complete, and the caller gets all at the end.
+#[test]
+fn events_with_any_line_end_are_split() {
+    for end in ["\n", "\r", "\r\n"] {
+        let mut splitter = EventSplitter::default();
+        let text = "id: 4|data: x||id: 5|data: y||id: 6".replace('|', end);
+
+        let events = splitter.push(text.as_bytes(), event_id, None);
+
+        let events = events.expect("there is a complete event");
+        assert_eq!(events.last_id, Some(5), "{end:?}");
+        assert_eq!(&*splitter.take_rest(), b"id: 6", "{end:?}");
+    }
+}
+
 /// Failure: a server that resumes a stream repeats an event that the client has already received.
 #[test]
 fn repeated_events_are_dropped() {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod demo;
 mod end_to_end;
 mod errors;
+mod event_stream;
 mod explain;
 mod failing_servers;
 mod fleet_shares;
