Send a request again after its answer has begun only where a stream goes on

A caller of a long answer (over 64 KiB) whose server broke off got the part, then the head and the body of a second run's answer in the place of the rest, up to the length of the first: one answer of two runs, complete to the eye. The same for a stream that was resumed at a server whose answer is no stream; a stream whose events have no ids was sent again from its start.

Cause: the decision to send again asked what the route allows, not whether the caller had a part already; whatever came next was forwarded. Now, once an answer has begun, only a route that may be resumed is sent again, after an event with an id that was the last one passed on, and only a stream continues a stream.

--- a/crates/hawthornmill-gateway/src/proxy/events.rs
+++ b/crates/hawthornmill-gateway/src/proxy/events.rs
@@ -14,7 +14,7 @@
 pub struct CompleteEvents {
     /// The events as received.
     pub bytes: Bytes,
-    /// Id of the last event that has one.
+    /// Id of the last event that was received; `None` if it has none, so that the stream can't be resumed after it.
     pub last_id: Option<u64>,
 }
 
@@ -40,7 +40,7 @@
     ) -> Option<CompleteEvents> {
         self.buffer.extend_from_slice(data);
         let mut out = BytesMut::new();
-        let mut last_id = None;
+        let mut last_id = seen;
         let mut has_events = false;
         while let Some(block) = self.scanner.next_block(&self.buffer[self.scanned..]) {
             let event = self.buffer.split_to(self.scanned + block.bytes);
@@ -51,7 +51,9 @@
             {
                 continue;
             }
-            last_id = id.or(last_id);
+            if block.is_event {
+                last_id = id;
+            }
             has_events = true;
             out.extend_from_slice(&event);
         }
--- a/crates/hawthornmill-gateway/src/proxy/forward.rs
+++ b/crates/hawthornmill-gateway/src/proxy/forward.rs
@@ -66,23 +66,23 @@
     slot: &mut SlotGuard<'_>,
     out: &mut OwnedWriteHalf,
 ) -> ForwardOutcome {
-    if progress.response_started() && response.head.status != 200 {
-        return ForwardOutcome::Truncated;
-    }
-    let content_type = response
-        .head
-        .headers
-        .get_str("content-type")
-        .unwrap_or_default();
-    if admitted.streaming
-        && response.head.status == 200
-        && content_type.starts_with("text/event-stream")
-    {
+    let is_stream =
+        admitted.streaming && response.head.status == 200 && is_event_stream(&response.head);
+    if is_stream {
         return forward_stream(context, progress, response, slot, out).await;
     }
+    if progress.response_started() {
+        return ForwardOutcome::Truncated;
+    }
     forward_buffered(context, progress, response, slot, out).await
 }
 
+fn is_event_stream(head: &ResponseHead) -> bool {
+    let content_type = head.headers.get_str("content-type").unwrap_or_default();
+    let media_type = content_type.split(';').next().unwrap_or_default();
+    media_type.trim().eq_ignore_ascii_case("text/event-stream")
+}
+
 /// Encodes the head of the response for the client.
 fn encode_head(response: &ResponseHead, framing: Framing, close: bool) -> MessageBuffer {
     let mut bytes = MessageBuffer::response(response.status, &response.reason);
@@ -295,7 +295,7 @@
             return ForwardOutcome::ClientClosed;
         }
         bytes.0.clear();
-        progress.last_event_id = events.last_id.or(progress.last_event_id);
+        progress.last_event_id = events.last_id;
     }
     if !progress.response_started() {
         bytes = encode_head(&response.head, Framing::Chunked, context.close.always);
--- a/crates/hawthornmill-gateway/src/proxy/retry.rs
+++ b/crates/hawthornmill-gateway/src/proxy/retry.rs
@@ -2,9 +2,11 @@
 //!
 //! A request of which no byte was sent is retried without a charge. One that a server rejected, or that
 //! may have been executed, takes from the fleet's retry budget; one that may have been executed must
-//! also belong to a route that allows repetition.
+//! also belong to a route that allows repetition. Once the client has a part of the response, only a
+//! stream can go on, from the last event that it has.
 
 use hawthornmill::ident::ServerId;
+use hawthornmill::routing::catalog::RetryPolicy;
 use hawthornmill::routing::loads::ServerOutcome;
 use serde_json::json;
 
@@ -46,12 +48,19 @@
 
 /// Takes a retry from the budget for a request that may have been executed.
 pub fn try_retry(gateway: &Gateway, admitted: &Admitted, progress: &mut RequestProgress) -> bool {
-    admitted.retry_policy.allows_retry() && take_budget(gateway, admitted, progress)
+    allows_retry(admitted, progress) && take_budget(gateway, admitted, progress)
 }
 
 /// Returns whether the request could be sent to another server after one that may have executed it.
 pub fn can_retry(admitted: &Admitted, progress: &RequestProgress) -> bool {
-    admitted.retry_policy.allows_retry() && progress.sends < admitted.max_attempts
+    allows_retry(admitted, progress) && progress.sends < admitted.max_attempts
+}
+
+fn allows_retry(admitted: &Admitted, progress: &RequestProgress) -> bool {
+    if !progress.response_started() {
+        return admitted.retry_policy.allows_retry();
+    }
+    admitted.retry_policy == RetryPolicy::Resumable && progress.last_event_id.is_some()
 }
 
 /// Takes one retry from the budget of the service, unless the request has used all its attempts.
--- a/tests/testsuite/event_stream.rs
+++ b/tests/testsuite/event_stream.rs
@@ -63,8 +63,12 @@
         Just("data")
     ];
     let end = prop_oneof![Just("\n"), Just("\r\n"), Just("\r")];
-    prop::collection::vec((line, end), 0..12)
-        .prop_map(|lines| lines.into_iter().map(|(l, e)| format!("{l}{e}")).collect())
+    prop::collection::vec((line, end), 0..12).prop_map(|lines| {
+        lines
+            .into_iter()
+            .flat_map(|(line, end)| [line, end])
+            .collect()
+    })
 }
 
 /// Whether a stream may end after `text`, found by rewriting all line ends.
--- a/tests/testsuite/gateway/scripted_server.rs
+++ b/tests/testsuite/gateway/scripted_server.rs
@@ -14,6 +14,9 @@
 /// Pause after which a server that responded early reads the rest of the request.
 const EARLY_RESPONSE_PAUSE: Duration = Duration::from_millis(200);
 
+/// Pause after which a connection is reset, so that the bytes sent before arrive.
+const RESET_PAUSE: Duration = Duration::from_millis(50);
+
 /// How a server delimits the body of a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StreamFraming {
@@ -313,49 +316,27 @@
                 let _set = stream.set_zero_linger();
                 return false;
             }
-            Behavior::TruncatedBody => {
-                let text = format!(
-                    "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nContent-Length: 100\r\n\r\nhalf"
-                );
-                let _written = stream.write_all(text.as_bytes()).await;
-                return false;
-            }
             Behavior::InvalidResponse => stream.write_all(b"\0\0nonsense\r\n\r\n").await,
-            Behavior::NoLength => {
-                let text =
-                    format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\n\r\nwhole without a length");
-                let _written = stream.write_all(text.as_bytes()).await;
-                return false;
-            }
             Behavior::Stream(count) => return self.stream(stream, head, count, false).await,
             Behavior::BrokenStream(count) => return self.stream(stream, head, count, true).await,
             Behavior::PartialStream(part) => {
                 send_part(stream, head, &self.name, part).await;
                 return false;
             }
-            Behavior::TruncatedAfter(bytes) => {
-                let text = format!(
-                    "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: {stamp}\r\nContent-Length: {}\r\n\r\n{}",
-                    bytes * 2,
-                    "x".repeat(bytes)
-                );
-                let _written = stream.write_all(text.as_bytes()).await;
-                return false;
-            }
-            Behavior::ResetWithoutLength => {
-                let text = format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\n\r\nhalf");
-                let _written = stream.write_all(text.as_bytes()).await;
-                tokio::time::sleep(Duration::from_millis(50)).await;
-                let _set = stream.set_zero_linger();
-                return false;
-            }
-            Behavior::StreamWithoutIds(count) => {
-                let events = "data: piece\n\n".repeat(count as usize);
+            Behavior::NoLength
+            | Behavior::ResetWithoutLength
+            | Behavior::TruncatedBody
+            | Behavior::TruncatedAfter(_)
+            | Behavior::StreamWithoutIds(_) => {
                 let text = format!(
-                    "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: {stamp}\r\n\
-                     Content-Type: text/event-stream\r\n\r\n{events}data: ha"
+                    "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: {stamp}\r\n{}",
+                    fields_and_body(&behavior)
                 );
                 let _written = stream.write_all(text.as_bytes()).await;
+                if behavior == Behavior::ResetWithoutLength {
+                    tokio::time::sleep(RESET_PAUSE).await;
+                    let _set = stream.set_zero_linger();
+                }
                 return false;
             }
             Behavior::EarlyResponse => Ok(()),
@@ -415,6 +396,24 @@
     }
 }
 
+/// Returns the last header fields and the body after which a server closes its connection.
+fn fields_and_body(behavior: &Behavior) -> String {
+    match behavior {
+        Behavior::NoLength => "\r\nwhole without a length".into(),
+        Behavior::ResetWithoutLength => "\r\nhalf".into(),
+        Behavior::TruncatedBody => "Content-Length: 100\r\n\r\nhalf".into(),
+        Behavior::TruncatedAfter(bytes) => {
+            let body = "x".repeat(*bytes);
+            format!("Content-Length: {}\r\n\r\n{body}", bytes * 2)
+        }
+        Behavior::StreamWithoutIds(count) => {
+            let events = "data: piece\n\n".repeat(*count as usize);
+            format!("Content-Type: text/event-stream\r\n\r\n{events}data: ha")
+        }
+        _ => String::new(),
+    }
+}
+
 /// Returns the number after which a request wants the events of its stream.
 fn last_event_id(head: &RequestHead) -> u64 {
     let text = head.headers.get_str("last-event-id");
