Send no last chunk after the head of a stream

A caller that asked with HEAD for a stream got a last chunk after the head, with which its next answer would begin. Cause: a stream was forwarded as chunks whether its response has a body or not. The new test failed before.

--- a/crates/hawthornmill-gateway/src/proxy/forward.rs
+++ b/crates/hawthornmill-gateway/src/proxy/forward.rs
@@ -66,9 +66,7 @@
     slot: &mut SlotGuard<'_>,
     out: &mut OwnedWriteHalf,
 ) -> ForwardOutcome {
-    let is_stream =
-        admitted.streaming && response.head.status == 200 && is_event_stream(&response.head);
-    if is_stream {
+    if admitted.streaming && is_event_stream(&response) {
         return forward_stream(context, progress, response, slot, out).await;
     }
     if progress.response_started() {
@@ -77,10 +75,13 @@
     forward_buffered(context, progress, response, slot, out).await
 }
 
-fn is_event_stream(head: &ResponseHead) -> bool {
+fn is_event_stream(response: &ServerResponse) -> bool {
+    let head = &response.head;
     let content_type = head.headers.get_str("content-type").unwrap_or_default();
     let media_type = content_type.split(';').next().unwrap_or_default();
-    media_type.trim().eq_ignore_ascii_case("text/event-stream")
+    head.status == 200
+        && response.framing != Framing::Empty
+        && media_type.trim().eq_ignore_ascii_case("text/event-stream")
 }
 
 /// Encodes the head of the response for the client.
--- a/tests/testsuite/gateway/event_streams.rs
+++ b/tests/testsuite/gateway/event_streams.rs
@@ -1,8 +1,11 @@
 //! Event streams: resumed only where allowed, and never ended as if complete.
 
+use std::time::Duration;
+
 use hawthornmill_gateway::http::head::RequestHead;
+use tokio::io::AsyncReadExt;
 
-use super::fleet::{Fleet, Response, request, send_request};
+use super::fleet::{Client, Fleet, Response, request, send_request};
 use super::scripted_server::{Behavior, PartialStream, Server, StreamEnd, StreamFraming, events};
 use crate::block_on;
 
@@ -169,7 +172,7 @@
         if !matches!(response.status(), 429 | 503) {
             return response;
         }
-        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
     }
     panic!("{path}: every request is rejected");
 }
@@ -261,3 +264,36 @@
         assert_eq!(fleet.runs(), 2);
     });
 }
+
+/// Failure: the head of a stream is asked for, and a last chunk follows it, which the next answer begins with.
+#[test]
+fn head_of_stream_has_no_body() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        fleet.servers[0].script(&[Behavior::PartialStream(PartialStream {
+            framing: StreamFraming::Chunked,
+            count: 1,
+            bytes: 0,
+            end: StreamEnd::Close,
+        })]);
+        let mut client = Client::connect(fleet.gateways[0].front()).await;
+        client
+            .send(request("HEAD", "/whole/", "a", "").as_bytes())
+            .await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+
+        let mut received = vec![0; 4096];
+        let length = client
+            .stream
+            .read(&mut received)
+            .await
+            .expect("the gateway responds");
+
+        let received = String::from_utf8_lossy(&received[..length]).into_owned();
+        assert!(received.starts_with("HTTP/1.1 200"), "{received}");
+        assert!(
+            received.ends_with("\r\n\r\n") && !received.contains("\r\n0\r\n"),
+            "{received}"
+        );
+    });
+}
