Take a response for a stream by what it says of itself, whatever its route is

A stream on a route that isn't marked as streaming was a plain body: cut inside an event and without length, it reached its caller as complete.

--- a/crates/hawthornmill-gateway/src/proxy/admission.rs
+++ b/crates/hawthornmill-gateway/src/proxy/admission.rs
@@ -24,8 +24,6 @@
     pub request: Request,
     /// Whether the request may be executed more than once.
     pub retry_policy: RetryPolicy,
-    /// Whether the response is a stream of events.
-    pub streaming: bool,
     /// Maximum number of servers to which the request may be sent.
     pub max_attempts: u32,
     /// Name of the client account, which is sent to the server.
@@ -105,7 +103,6 @@
     Ok(Admitted {
         request: pending,
         retry_policy: route.retry_policy,
-        streaming: route.streaming,
         max_attempts: route.max_attempts.max(1),
         account_name: account.map(|a| a.name.clone()),
         strip_token: table.has_accounts(),
--- a/crates/hawthornmill-gateway/src/proxy/forward.rs
+++ b/crates/hawthornmill-gateway/src/proxy/forward.rs
@@ -8,7 +8,6 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 
-use super::admission::Admitted;
 use super::events::EventSplitter;
 use super::progress::{BodyEnd, RequestProgress};
 use super::send::ServerResponse;
@@ -60,13 +59,12 @@
 /// Forwards `response` to the client.
 pub async fn forward_response(
     context: RequestContext<'_>,
-    admitted: &Admitted,
     progress: &mut RequestProgress,
     response: ServerResponse,
     slot: &mut SlotGuard<'_>,
     out: &mut OwnedWriteHalf,
 ) -> ForwardOutcome {
-    if admitted.streaming && is_event_stream(&response) {
+    if is_event_stream(&response) {
         return forward_stream(context, progress, response, slot, out).await;
     }
     if progress.response_started() {
--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -233,7 +233,7 @@
             Err(RetryDecision::Retry)
         }
         SendOutcome::Response(response) => {
-            match forward_response(context, admitted, progress, response, &mut slot, out).await {
+            match forward_response(context, progress, response, &mut slot, out).await {
                 ForwardOutcome::Complete => Ok(RequestOutcome::Complete),
                 ForwardOutcome::ClientClosed => Ok(RequestOutcome::ClientClosed),
                 ForwardOutcome::Truncated => {
--- a/tests/testsuite/gateway/event_streams.rs
+++ b/tests/testsuite/gateway/event_streams.rs
@@ -265,6 +265,20 @@
     });
 }
 
+/// Failure: a route is not marked as streaming, and a stream that is cut inside an event counts as a complete body there.
+#[test]
+fn event_stream_of_plain_route_cut_inside_event_is_not_complete() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        fleet.servers[0].script(&[cut_after(StreamFraming::UntilClose, 2, 4)]);
+
+        let response = stream(&fleet, "/once/", "a").await;
+
+        assert!(!response.whole, "a truncated stream looks complete");
+        assert_eq!(response.text(), events(1, 2));
+    });
+}
+
 /// Failure: the head of a stream is asked for, and a last chunk follows it, which the next answer begins with.
 #[test]
 fn head_of_stream_has_no_body() {
