Soak: streams that end with their connection, and streams cut inside an event

No stream of the soak had any framing but chunks, and none was cut; the check of order counted ids and not pieces. Now every other stream has neither length nor chunks, servers cut some at any byte in three framings and three ways to end, and a stream must be whole pieces. A planted half piece shows that the check finds it.

--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -6,7 +6,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::scripted_server::Behavior;
+use crate::promises::EVENTS;
+use crate::scripted_server::{Behavior, PartialStream, StreamEnd, StreamFraming, events};
 use crate::store::Mode;
 
 /// Part of the run in which faults begin; the rest shows whether the fleet recovers.
@@ -79,6 +80,7 @@
         at += millis(&mut rng, 150, 900);
     }
     evacuate(seed, last, &mut steps);
+    cut_streams(seed, size, last, &mut steps);
     // Whatever is still broken is mended, so that the rest of the run can show recovery.
     steps.push((last, Step::Store(Mode::Healthy)));
     steps.push((last, Step::Restore));
@@ -104,6 +106,34 @@
     }
 }
 
+/// Adds streams that are cut inside an event, from a sequence of random numbers of their own.
+fn cut_streams(seed: u64, size: Size, last: Duration, steps: &mut Vec<Timed>) {
+    const FRAMINGS: [StreamFraming; 3] = [
+        StreamFraming::Chunked,
+        StreamFraming::Length,
+        StreamFraming::UntilClose,
+    ];
+    const ENDS: [StreamEnd; 3] = [StreamEnd::Regular, StreamEnd::Close, StreamEnd::Reset];
+    let mut rng = StdRng::seed_from_u64(seed.rotate_left(32));
+    let mut at = millis(&mut rng, 100, 700);
+    while at < last {
+        let part = PartialStream {
+            framing: FRAMINGS[rng.random_range(0..FRAMINGS.len())],
+            count: EVENTS,
+            bytes: events(1, rng.random_range(0..EVENTS)).len()
+                + rng.random_range(1..events(1, 1).len()),
+            end: ENDS[rng.random_range(0..ENDS.len())],
+        };
+        let server = rng.random_range(0..size.servers);
+        let count = rng.random_range(1..5);
+        steps.push((
+            at,
+            Step::Script(server, Behavior::PartialStream(part), count),
+        ));
+        at += millis(&mut rng, 100, 900);
+    }
+}
+
 fn millis(rng: &mut StdRng, least: u64, most: u64) -> Duration {
     Duration::from_millis(rng.random_range(least..most))
 }
--- a/tests/soak/plant.rs
+++ b/tests/soak/plant.rs
@@ -8,7 +8,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::scripted_server::{read_request, write_response};
+use crate::scripted_server::{events, read_request, write_response};
 
 /// Requests of which one is treated wrongly.
 const EACH: u32 = 4;
@@ -24,6 +24,8 @@
     Mixed,
     /// A piece of a stream is missing.
     Gap,
+    /// A stream ends as complete in the middle of its second piece.
+    Half,
     /// The connection ends instead of an answer.
     Cut,
     /// Routes that were added are not known.
@@ -35,11 +37,12 @@
 }
 
 /// Each planted fault, with the promise that must be found broken.
-pub const ALL: [(Plant, &str); 10] = [
+pub const ALL: [(Plant, &str); 11] = [
     (Plant::Twice, "at most once"),
     (Plant::Denial, "truthful refusals"),
     (Plant::Mixed, "whole answers of the right caller"),
     (Plant::Gap, "streams in order"),
+    (Plant::Half, "streams in order"),
     (Plant::Cut, "answers are delivered"),
     (Plant::Old, "configuration in force"),
     (Plant::Unsaid, "configuration in force"),
@@ -91,7 +94,8 @@
             return;
         }
         Plant::Mixed if wrong => answer = forward(target, &ask(&format!("{id}-other"))).await,
-        Plant::Gap => answer = without_piece(&answer),
+        Plant::Gap => answer = with_second_piece(&answer, ""),
+        Plant::Half => answer = with_second_piece(&answer, "id: 2\ndata: pi"),
         Plant::Cut if wrong => return,
         Plant::Old if head.target.starts_with("/added") => {
             let _written = write_response(&mut link, 404, &[], b"").await;
@@ -113,10 +117,19 @@
     answer
 }
 
-/// The answer without the second piece of its stream, which has a chunk of its own.
-fn without_piece(answer: &[u8]) -> Vec<u8> {
+/// The answer with `piece` in the place of the second piece of its stream, which has a chunk of its own.
+///
+/// Nothing but the last chunk follows a piece that is cut.
+fn with_second_piece(answer: &[u8], piece: &str) -> Vec<u8> {
     let text = String::from_utf8_lossy(answer).into_owned();
-    let event = "id: 2\ndata: piece 2\n\n";
-    let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-    text.replacen(&chunk, "", 1).into_bytes()
+    let chunk = |event: &str| format!("{:x}\r\n{event}\r\n", event.len());
+    let Some((before, after)) = text.split_once(&chunk(&events(2, 2))) else {
+        return answer.to_vec();
+    };
+    let rest = if piece.is_empty() {
+        after.to_owned()
+    } else {
+        chunk(piece) + "0\r\n\r\n"
+    };
+    (before.to_owned() + &rest).into_bytes()
 }
--- a/tests/soak/promises.rs
+++ b/tests/soak/promises.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crate::callers::{Kind, Outcome, Seen};
-use crate::scripted_server::{Behavior, ReceivedRequest};
+use crate::scripted_server::{Behavior, ReceivedRequest, events};
 
 /// Time without trouble after which a process must keep its bounds.
 const STABLE: Duration = Duration::from_secs(4);
@@ -181,7 +181,7 @@
     format!("answer to {} by ", seen.id)
 }
 
-/// A stream that ends as complete has each piece once, in order.
+/// A stream has whole pieces only, each once and in order, and all of them if it ends as complete.
 fn ordered(seen: &Seen) -> Option<Breach> {
     let Outcome::Answer {
         status: 200,
@@ -200,7 +200,7 @@
         .lines()
         .filter_map(|l| l.strip_prefix("id: ")?.parse().ok())
         .collect();
-    let in_order = ids.iter().enumerate().all(|(at, id)| *id == at as u64 + 1);
+    let in_order = **body == events(1, ids.len() as u64);
     let complete = !*whole || ids.len() as u64 == EVENTS;
     (!in_order || !complete).then(|| {
         breach(
@@ -319,7 +319,10 @@
     let (server, arrival) = reached.last()?;
     let sound = matches!(
         arrival.behavior,
-        Behavior::Respond | Behavior::RespondAfterMs(_) | Behavior::Stream(_)
+        Behavior::Respond
+            | Behavior::RespondAfterMs(_)
+            | Behavior::Stream(_)
+            | Behavior::StreamUntilClose(_)
     ) && reached.len() == 1;
     let links: Vec<Span> = records
         .links
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -85,7 +85,13 @@
 
 fn usual(head: &RequestHead) -> Behavior {
     if head.target.starts_with("/stream/") || head.target.starts_with("/whole/") {
-        Behavior::Stream(EVENTS)
+        let id = head.headers.get_str("attempt-id").unwrap_or_default();
+        // Attempts are numbered; every other stream ends with its connection.
+        if id.ends_with(['0', '2', '4', '6', '8', 'a', 'c', 'e']) {
+            Behavior::StreamUntilClose(EVENTS)
+        } else {
+            Behavior::Stream(EVENTS)
+        }
     } else {
         Behavior::RespondAfterMs(10)
     }
--- a/tests/testsuite/gateway/scripted_server.rs
+++ b/tests/testsuite/gateway/scripted_server.rs
@@ -17,6 +17,11 @@
 /// Pause after which a connection is reset, so that the bytes sent before arrive.
 const RESET_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time between two events of a stream.
+const EVENT_INTERVAL: Duration = Duration::from_millis(10);
+/// Line of a head that tells that the body is sent in chunks.
+const CHUNKED: &str = "Transfer-Encoding: chunked\r\n";
+
 /// How a server delimits the body of a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StreamFraming {
@@ -89,6 +94,8 @@
     EarlyResponse,
     /// Executes it and responds with a stream of this many events.
     Stream(u64),
+    /// The same, without chunks and length, so that the connection's end delimits the stream.
+    StreamUntilClose(u64),
     /// Executes it and responds with a stream that is cut off in the event after this many.
     BrokenStream(u64),
     /// Executes it and responds with a part of a stream, in one write.
@@ -319,6 +326,10 @@
             Behavior::InvalidResponse => stream.write_all(b"\0\0nonsense\r\n\r\n").await,
             Behavior::Stream(count) => return self.stream(stream, head, count, false).await,
             Behavior::BrokenStream(count) => return self.stream(stream, head, count, true).await,
+            Behavior::StreamUntilClose(count) => {
+                self.stream_until_close(stream, head, count).await;
+                return false;
+            }
             Behavior::PartialStream(part) => {
                 send_part(stream, head, &self.name, part).await;
                 return false;
@@ -360,7 +371,23 @@
         }
     }
 
-    /// Sends the events after `Last-Event-Id`, ten milliseconds apart.
+    /// Sends the events after `Last-Event-Id` without chunks and length, as far apart.
+    async fn stream_until_close(&self, stream: &mut TcpStream, head: &RequestHead, count: u64) {
+        let text = stream_head(head, &self.name, "");
+        if stream.write_all(text.as_bytes()).await.is_err() {
+            return;
+        }
+        for number in last_event_id(head) + 1..=count {
+            let event = events(number, number);
+            if stream.write_all(event.as_bytes()).await.is_err()
+                || !self.work(stream, EVENT_INTERVAL).await
+            {
+                return;
+            }
+        }
+    }
+
+    /// Sends the events after `Last-Event-Id` in chunks, ten milliseconds apart.
     async fn stream(
         &self,
         stream: &mut TcpStream,
@@ -368,13 +395,8 @@
         count: u64,
         truncated: bool,
     ) -> bool {
-        let id = head.headers.get_str("attempt-id").unwrap_or_default();
         let after = last_event_id(head);
-        let text = format!(
-            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: {}\r\nContent-Type: text/event-stream\r\n\
-             Transfer-Encoding: chunked\r\n\r\n",
-            self.name
-        );
+        let text = stream_head(head, &self.name, CHUNKED);
         if stream.write_all(text.as_bytes()).await.is_err() {
             return false;
         }
@@ -382,7 +404,7 @@
             let event = events(number, number);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if stream.write_all(chunk.as_bytes()).await.is_err()
-                || !self.work(stream, Duration::from_millis(10)).await
+                || !self.work(stream, EVENT_INTERVAL).await
             {
                 return false;
             }
@@ -414,6 +436,15 @@
     }
 }
 
+/// Returns the head of a stream; `framing` is the line that tells how its body is delimited, or nothing.
+fn stream_head(head: &RequestHead, server: &str, framing: &str) -> String {
+    let id = head.headers.get_str("attempt-id").unwrap_or_default();
+    format!(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: {server}\r\n\
+         Content-Type: text/event-stream\r\n{framing}\r\n"
+    )
+}
+
 /// Returns the number after which a request wants the events of its stream.
 fn last_event_id(head: &RequestHead) -> u64 {
     let text = head.headers.get_str("last-event-id");
@@ -422,19 +453,16 @@
 
 /// Sends a part of a stream; the caller closes the connection.
 async fn send_part(stream: &mut TcpStream, head: &RequestHead, server: &str, part: PartialStream) {
-    let id = head.headers.get_str("attempt-id").unwrap_or_default();
     let whole = events(last_event_id(head) + 1, part.count);
     let body = &whole[..part.bytes.min(whole.len())];
-    let (framing, body) = match part.framing {
-        StreamFraming::Chunked if body.is_empty() => {
-            ("Transfer-Encoding: chunked\r\n".into(), String::new())
+    let (framing, body): (Box<str>, String) = match part.framing {
+        StreamFraming::Chunked if body.is_empty() => (CHUNKED.into(), String::new()),
+        StreamFraming::Chunked => (CHUNKED.into(), format!("{:x}\r\n{body}\r\n", body.len())),
+        StreamFraming::Length => {
+            let line = format!("Content-Length: {}\r\n", whole.len());
+            (line.into(), body.into())
         }
-        StreamFraming::Chunked => (
-            "Transfer-Encoding: chunked\r\n".into(),
-            format!("{:x}\r\n{body}\r\n", body.len()),
-        ),
-        StreamFraming::Length => (format!("Content-Length: {}\r\n", whole.len()), body.into()),
-        StreamFraming::UntilClose => (String::new(), body.into()),
+        StreamFraming::UntilClose => ("".into(), body.into()),
     };
     let is_chunked = part.framing == StreamFraming::Chunked;
     let last = if is_chunked && part.end == StreamEnd::Regular {
@@ -442,10 +470,7 @@
     } else {
         ""
     };
-    let text = format!(
-        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: {server}\r\n\
-         Content-Type: text/event-stream\r\n{framing}\r\n{body}{last}"
-    );
+    let text = stream_head(head, server, &framing) + &body + last;
     // The gateway may have closed the connection by now.
     let _written = stream.write_all(text.as_bytes()).await;
     if part.end == StreamEnd::Reset {
