Router: end an event stream as complete only where an event ends

Now the router follows the stream's lines with the gateway's scanner: the caller's connection is aborted, and the key's outcome is unknown. The stand-in engine can answer with events; one whose service reports its cost is an engine also where calls must not repeat.

--- a/crates/hawthornmill-gateway/src/proxy/forward.rs
+++ b/crates/hawthornmill-gateway/src/proxy/forward.rs
@@ -4,6 +4,7 @@
 //! still be retried or replaced by an error. Streams and long responses are forwarded as they arrive.
 
 use bytes::BytesMut;
+use hawthornmill::event_stream::is_event_stream;
 use hawthornmill::routing::loads::ServerOutcome;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -64,7 +65,7 @@
     slot: &mut SlotGuard<'_>,
     out: &mut OwnedWriteHalf,
 ) -> ForwardOutcome {
-    if is_event_stream(&response) {
+    if has_events(&response) {
         return forward_stream(context, progress, response, slot, out).await;
     }
     if progress.response_started() {
@@ -73,13 +74,15 @@
     forward_buffered(context, progress, response, slot, out).await
 }
 
-fn is_event_stream(response: &ServerResponse) -> bool {
+/// Returns whether the body of `response` is an event stream.
+fn has_events(response: &ServerResponse) -> bool {
     let head = &response.head;
-    let content_type = head.headers.get_str("content-type").unwrap_or_default();
-    let media_type = content_type.split(';').next().unwrap_or_default();
     head.status == 200
         && response.framing != Framing::Empty
-        && media_type.trim().eq_ignore_ascii_case("text/event-stream")
+        && head
+            .headers
+            .get_str("content-type")
+            .is_some_and(is_event_stream)
 }
 
 /// Encodes the head of the response for the client.
--- a/crates/hawthornmill-lab/src/demo/site.rs
+++ b/crates/hawthornmill-lab/src/demo/site.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use hawthornmill::config::accept::{Values, accept, manifest};
-use hawthornmill::config::{CostKind, FleetConfig, RetryPolicy};
+use hawthornmill::config::{CostKind, FleetConfig};
 use hawthornmill::ident::ServerId;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -369,7 +369,7 @@
     let mut addresses = BTreeMap::new();
     for (id, server) in &config.servers {
         let service = &config.services[&server.service];
-        let model = service.retry == RetryPolicy::Allowed && service.cost == CostKind::Reported;
+        let model = service.cost == CostKind::Reported;
         let (standin, running) = if model {
             let engine = Engine::new(plan.model);
             let running = serve("127.0.0.1:0", engine.endpoint());
--- a/crates/hawthornmill-lab/src/load/caller.rs
+++ b/crates/hawthornmill-lab/src/load/caller.rs
@@ -291,6 +291,7 @@
         tag: story.tag.clone(),
         tokens: job.tokens,
         from: 0,
+        events: false,
     };
     serde_json::to_string(&asked).unwrap_or_default()
 }
@@ -332,6 +333,7 @@
         tag: story.tag.clone(),
         tokens: job.tokens,
         from: 0,
+        events: false,
     };
     let mut expected: String = (0..job.tokens).map(|i| line(&story.tag, i)).collect();
     expected.push_str(&last_line(&asked));
--- a/crates/hawthornmill-lab/src/overhead.rs
+++ b/crates/hawthornmill-lab/src/overhead.rs
@@ -149,6 +149,7 @@
         tag: format!("caller/{number}").into(),
         tokens: TOKENS,
         from: 0,
+        events: false,
     };
     let body = serde_json::to_string(&asked).map_err(|e| e.to_string())?;
     let request = client.post(url).bearer_auth(TOKEN).body(body);
--- a/crates/hawthornmill-lab/src/standin/engine.rs
+++ b/crates/hawthornmill-lab/src/standin/engine.rs
@@ -63,6 +63,9 @@
     /// Lines that the caller has already.
     #[serde(default)]
     pub from: u32,
+    /// Answers with an event stream, each line as an event of its own.
+    #[serde(default)]
+    pub events: bool,
 }
 
 /// How an engine misbehaves in one call.
@@ -170,6 +173,11 @@
     };
     engine.ledger.start(&asked.tag);
     let fault = engine.faults().pop_front();
+    let kind = if asked.events {
+        "text/event-stream"
+    } else {
+        "application/x-ndjson"
+    };
     let stream = Tokens {
         fault,
         abort_handle: connections.abort_handle(request),
@@ -184,7 +192,7 @@
         last: false,
         whole: false,
     };
-    let mut answer = Response::builder().content_type("application/x-ndjson");
+    let mut answer = Response::builder().content_type(kind);
     if fault == Some(EngineFault::WrongId) {
         answer = answer.header(REQUEST_ID, "another");
     } else if let Some(id) = request.header(REQUEST_ID) {
@@ -250,6 +258,9 @@
             let wait = self.engine.step() * self.engine.model.burst;
             self.timer = Box::pin(sleep(wait));
         }
+        if self.asked.events {
+            text = as_events(&text);
+        }
         text.truncate(self.left);
         self.left -= text.len().min(self.left);
         Poll::Ready(Some(Ok(text.into())))
@@ -310,6 +321,11 @@
     format!("{{\"tag\":\"{tag}\",\"token\":{index}}}\n")
 }
 
+/// The lines of an answer as events.
+pub fn as_events(lines: &str) -> String {
+    lines.lines().flat_map(|l| ["data: ", l, "\n\n"]).collect()
+}
+
 /// The last line of an answer, with the usage.
 pub fn last_line(asked: &Generate) -> String {
     format!(
--- a/crates/hawthornmill-net/src/api/idempotency.rs
+++ b/crates/hawthornmill-net/src/api/idempotency.rs
@@ -16,7 +16,7 @@
 use hawthornmill::keys::{ClaimResult, KeyError, KeyPrefix, KeyUse, StoredResponse};
 use hawthornmill::pools::tick;
 use hawthornmill::response::ResponseLines;
-use poem::http::StatusCode;
+use poem::http::{HeaderMap, StatusCode};
 use poem::{Body, Request, Response};
 use tokio::sync::watch;
 
@@ -26,6 +26,7 @@
 use super::key_store::issue_key_prefix;
 use super::problem::Problem;
 use super::{accounting, stream as response_stream};
+use crate::event_check::EventCheck;
 use crate::fleet::{Fleet, SlotGuard};
 use crate::upstream::REQUEST_ID_HEADER;
 
@@ -325,7 +326,8 @@
         }
     };
     let complete = ended
-        && (!response_stream::requires_last_line(call, response.status()) || has_last_line(&body));
+        && (!response_stream::requires_last_line(call, response.status()) || has_last_line(&body))
+        && has_whole_events(response.headers(), &body);
     let code = if complete {
         0
     } else {
@@ -359,6 +361,15 @@
     lines.is_complete()
 }
 
+/// Returns whether an event stream ends where one may end; a body of another type has no events.
+fn has_whole_events(headers: &HeaderMap, body: &[u8]) -> bool {
+    let Some(mut events) = EventCheck::of(headers) else {
+        return true;
+    };
+    events.push(body);
+    events.may_end()
+}
+
 /// Forwards the call to the home of its key.
 async fn forward(
     fleet: &Arc<Fleet>,
--- a/crates/hawthornmill-net/src/api/stream.rs
+++ b/crates/hawthornmill-net/src/api/stream.rs
@@ -24,6 +24,7 @@
 use super::call_result::{CallResult, finish, reported_cost};
 use super::problem::Problem;
 use crate::connections::AbortHandle;
+use crate::event_check::EventCheck;
 use crate::fleet::{Fleet, SlotGuard};
 use crate::upstream::{REQUEST_ID_HEADER, ResponseTail, forwarded_headers};
 
@@ -47,6 +48,8 @@
     /// Tracked if the service's rules of completeness or resumption depend on lines.
     lines: Option<ResponseLines>,
     requires_last_line: bool,
+    /// Tracked if the response is an event stream.
+    events: Option<EventCheck>,
     resume_filter: ResumeFilter,
     resumes: u32,
     tail: ResponseTail,
@@ -82,7 +85,8 @@
     fn is_complete(&self) -> bool {
         let lines_complete =
             !self.requires_last_line || self.lines.as_ref().is_some_and(ResponseLines::is_complete);
-        lines_complete && self.resume_filter.is_done()
+        let events_complete = self.events.as_ref().is_none_or(EventCheck::may_end);
+        lines_complete && events_complete && self.resume_filter.is_done()
     }
 
     /// Resumes an interrupted response, or returns the error that aborts the caller's stream.
@@ -146,6 +150,9 @@
         if let Some(lines) = &mut self.lines {
             lines.push(&chunk);
         }
+        if let Some(events) = &mut self.events {
+            events.push(&chunk);
+        }
         Ok(chunk)
     }
 
@@ -218,7 +225,7 @@
                         this.source = Source::Finished;
                         Ok(())
                     }
-                    NextChunk::End => this.interrupted("the response ended without its last line"),
+                    NextChunk::End => this.interrupted("the response ended before it was complete"),
                     NextChunk::Failed(reason) => this.interrupted(reason),
                 },
             };
@@ -286,6 +293,7 @@
         slot: Some(slot),
         lines: (requires_last_line || resume).then(ResponseLines::default),
         requires_last_line,
+        events: EventCheck::of(upstream.headers()),
         resume_filter: ResumeFilter::default(),
         resumes: 0,
         tail: ResponseTail::default(),
--- a/crates/hawthornmill-net/src/lib.rs
+++ b/crates/hawthornmill-net/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod api;
 pub mod connections;
 pub mod daemon;
+mod event_check;
 pub mod fleet;
 pub mod peers;
 pub mod platform;
--- a/crates/hawthornmill/src/event_stream.rs
+++ b/crates/hawthornmill/src/event_stream.rs
@@ -3,6 +3,12 @@
 //! HTTP framing tells how the bytes of a stream ended, not whether its last event is complete: a server that
 //! fails may close its connection in order, or even send a last chunk. [`EventScanner`] tells where a stream may end.
 
+/// Returns whether `content_type`, with or without parameters, is that of an event stream.
+pub fn is_event_stream(content_type: &str) -> bool {
+    let media_type = content_type.split(';').next().unwrap_or_default();
+    media_type.trim().eq_ignore_ascii_case("text/event-stream")
+}
+
 /// A part of a stream that ends with an empty line.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Block {
--- a/tests/testsuite/response_integrity.rs
+++ b/tests/testsuite/response_integrity.rs
@@ -6,7 +6,7 @@
 use futures_util::future::join_all;
 use hawthornmill::response::{ResponseLines, ResumeFilter};
 use hawthornmill_lab::demo::site::{Site, SitePlan, Standin};
-use hawthornmill_lab::standin::engine::{EngineFault, Generate, byte, last_line, line};
+use hawthornmill_lab::standin::engine::{EngineFault, Generate, as_events, byte, last_line, line};
 use hawthornmill_test_support::procs::{DOMAINS, send, small_fleet, start};
 use nix::sys::signal::Signal;
 use proptest::prelude::*;
@@ -64,6 +64,7 @@
         tag: TAG.into(),
         tokens,
         from: 0,
+        events: false,
     }));
     text
 }
@@ -125,6 +126,60 @@
     site.stop().await;
 }
 
+fn event_call(site: &Site) -> reqwest::RequestBuilder {
+    let body = format!("{{\"tag\":\"{TAG}\",\"tokens\":40,\"events\":true}}");
+    call(site, "/generate", body)
+}
+
+/// Failure: a server ends an event stream in order inside an event, and its caller takes the part for the whole.
+#[test]
+fn event_stream_cut_inside_event_is_not_complete() {
+    block_on(async {
+        let site = start_site("").await;
+        engines(&site).for_each(|e| e.misbehave(&[EngineFault::End(300)]));
+
+        let mut responses = Vec::new();
+        for _ in 0..4 {
+            responses.push(send(event_call(&site)).await);
+        }
+
+        let whole = as_events(&expected_body(40));
+        let complete = responses.iter().flatten();
+        assert!(
+            complete.clone().all(|r| r.text == whole),
+            "a part looks complete"
+        );
+        assert!(
+            (1..4).contains(&complete.count()),
+            "each engine cuts its first stream"
+        );
+        site.stop().await;
+    });
+}
+
+/// Failure: the answer that is kept for repeats of a keyed call is an event stream that was cut.
+#[test]
+fn cut_event_stream_is_not_kept_for_repeats() {
+    block_on(async {
+        let site = start_site("repeat = never").await;
+        engines(&site).for_each(|e| e.misbehave(&[EngineFault::End(300)]));
+        let url = format!("http://{}/v1/addresses", site.routers[0].listed.http);
+        let client = reqwest::Client::new();
+        let addresses = send(client.get(url).bearer_auth("token-big")).await;
+        let addresses = addresses.expect("the router responds").json();
+        let key = format!("{}.1", addresses["key_prefix"].as_str().unwrap_or_default());
+
+        let first = send(event_call(&site).header("idempotency-key", &key)).await;
+        let second = send(event_call(&site).header("idempotency-key", &key)).await;
+
+        for response in [first, second] {
+            let response = response.expect("the router responds");
+            assert_eq!(response.json()["outcome"], "unknown", "{}", response.text);
+        }
+        site.stop().await;
+    });
+}
+
 /// If the service allows its responses to be resumed, the caller of an interrupted response must
 /// get every byte once and in order, without noticing the interruption.
 #[test]
