Judge the end of a response's last line however long the line is

A caller of a response whose last line is over 64 KiB had its connection aborted, or the response resumed, though it was complete. Cause: bytes beyond what is kept for resuming were dropped before the line's end was judged. The line is read byte by byte now, and only what resuming needs is kept. long_last_line_ends_complete_response failed before; a property compares cuts at any byte with a JSON parser.

--- a/crates/hawthornmill/src/response.rs
+++ b/crates/hawthornmill/src/response.rs
@@ -5,14 +5,17 @@
 //! from which line an interrupted response can be resumed. [`ResumeFilter`] removes from the
 //! resumed response what the client already has.
 
-/// Longest line that is tracked; a response with a longer one can't be resumed.
+/// Longest line that is kept; a response with a longer one can't be resumed.
 const MAX_LINE_BYTES: usize = 64 << 10;
 
 /// Lines of a response, as far as it was forwarded.
 #[derive(Debug, Clone, Default)]
 pub struct ResponseLines {
     count: u64,
+    /// The current line, up to the limit.
     partial: Vec<u8>,
+    line: LineScanner,
+    /// The last complete line has `"done": true`.
     done: bool,
     too_long: bool,
 }
@@ -22,7 +25,7 @@
     pub fn push(&mut self, mut chunk: &[u8]) {
         while let Some(end) = chunk.iter().position(|b| *b == b'\n') {
             self.extend(&chunk[..end]);
-            self.done = is_done(&self.partial);
+            self.done = std::mem::take(&mut self.line).is_done();
             self.count += 1;
             self.partial.clear();
             chunk = &chunk[end + 1..];
@@ -31,6 +34,9 @@
     }
 
     fn extend(&mut self, part: &[u8]) {
+        for byte in part {
+            self.line.push(*byte);
+        }
         if self.partial.len() + part.len() > MAX_LINE_BYTES {
             self.too_long = true;
             return;
@@ -40,10 +46,10 @@
 
     /// Returns whether the last line marks the end of the response; its line end may be missing.
     pub fn is_complete(&self) -> bool {
-        if self.partial.is_empty() {
+        if self.line.is_empty() {
             self.done
         } else {
-            is_done(&self.partial) && is_balanced(&self.partial)
+            self.line.is_done() && self.line.is_balanced()
         }
     }
 
@@ -53,34 +59,93 @@
     }
 }
 
-/// Returns whether `line` has `"done": true`.
+/// Start of the field that marks the last line.
+const DONE_FIELD: &[u8] = b"\"done\":";
+/// Its value there.
+const DONE_VALUE: &[u8] = b"true";
+
+/// How far the first field `done` of a line was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DoneField {
+    /// Bytes of [`DONE_FIELD`] that the line ends with.
+    Name(usize),
+    /// Bytes of [`DONE_VALUE`] that came after it.
+    Value(usize),
+    /// It has another value.
+    Other,
+}
+
+/// Reads a line with a JSON object, of any length.
 ///
-/// A quote within a JSON string is escaped, so generated text can't look like the field itself.
-fn is_done(line: &[u8]) -> bool {
-    let field = b"\"done\":";
-    let Some(at) = line.windows(field.len()).position(|w| w == field) else {
-        return false;
-    };
-    line[at + field.len()..]
-        .trim_ascii_start()
-        .starts_with(b"true")
+/// A quote within a JSON string is escaped, so generated text can't look like a field.
+#[derive(Debug, Clone)]
+struct LineScanner {
+    field: DoneField,
+    depth: i32,
+    in_string: bool,
+    escaped: bool,
+    /// The last byte that is no white space; 0 if there is none.
+    last: u8,
+}
+
+impl Default for LineScanner {
+    fn default() -> Self {
+        Self {
+            field: DoneField::Name(0),
+            depth: 0,
+            in_string: false,
+            escaped: false,
+            last: 0,
+        }
+    }
 }
 
-/// Returns whether the JSON object on a line without its line end is complete: the connection may
-/// be cut between the `done` field and the end of its line.
-fn is_balanced(line: &[u8]) -> bool {
-    let (mut depth, mut in_string, mut escaped) = (0, false, false);
-    for byte in line {
+impl LineScanner {
+    fn push(&mut self, byte: u8) {
+        self.field = self.field.after(byte);
+        if !byte.is_ascii_whitespace() {
+            self.last = byte;
+        }
         match byte {
-            _ if escaped => escaped = false,
-            b'\\' if in_string => escaped = true,
-            b'"' => in_string = !in_string,
-            b'{' | b'[' if !in_string => depth += 1,
-            b'}' | b']' if !in_string => depth -= 1,
+            _ if self.escaped => self.escaped = false,
+            b'\\' if self.in_string => self.escaped = true,
+            b'"' => self.in_string = !self.in_string,
+            b'{' | b'[' if !self.in_string => self.depth += 1,
+            b'}' | b']' if !self.in_string => self.depth -= 1,
             _ => {}
         }
     }
-    depth == 0 && !in_string && line.trim_ascii_end().ends_with(b"}")
+
+    const fn is_empty(&self) -> bool {
+        self.last == 0
+    }
+
+    /// Returns whether the line has `"done": true`.
+    fn is_done(&self) -> bool {
+        self.field == DoneField::Value(DONE_VALUE.len())
+    }
+
+    /// Returns whether the object of a line without its line end is complete: the connection may be cut
+    /// between the `done` field and the end of its line.
+    const fn is_balanced(&self) -> bool {
+        self.depth == 0 && !self.in_string && self.last == b'}'
+    }
+}
+
+impl DoneField {
+    fn after(self, byte: u8) -> Self {
+        match self {
+            Self::Name(read) if byte != DONE_FIELD[read] => {
+                Self::Name(usize::from(byte == DONE_FIELD[0]))
+            }
+            Self::Name(read) if read + 1 == DONE_FIELD.len() => Self::Value(0),
+            Self::Name(read) => Self::Name(read + 1),
+            Self::Value(0) if byte.is_ascii_whitespace() => self,
+            Self::Value(read) if read == DONE_VALUE.len() => self,
+            Self::Value(read) if byte == DONE_VALUE[read] => Self::Value(read + 1),
+            Self::Value(_) | Self::Other => Self::Other,
+        }
+    }
 }
 
 /// Removes from a resumed response what was already forwarded.
--- a/tests/testsuite/response_integrity.rs
+++ b/tests/testsuite/response_integrity.rs
@@ -180,6 +180,20 @@
     });
 }
 
+/// Failure: the last line of a response is longer than the part of a line that is kept, and the whole response counts as cut.
+#[test]
+fn long_last_line_ends_complete_response() {
+    let text = format!("{{\"text\":\"{}\",\"done\":true}}", "x".repeat(100_000));
+    let mut lines = ResponseLines::default();
+
+    lines.push(text.as_bytes());
+
+    assert!(lines.is_complete());
+    assert_eq!(lines.resume_point(), None);
+    lines.push(b"\n");
+    assert!(lines.is_complete());
+}
+
 /// If the service allows its responses to be resumed, the caller of an interrupted response must
 /// get every byte once and in order, without noticing the interruption.
 #[test]
@@ -428,6 +442,12 @@
     });
 }
 
+/// Whether a JSON object on one line, without its line end, has the field `done` with the value true.
+fn is_last_line(line: &str) -> bool {
+    let value: Result<serde_json::Value, _> = serde_json::from_str(line);
+    value.is_ok_and(|v| v["done"] == serde_json::Value::Bool(true))
+}
+
 proptest! {
     /// However a response is split into chunks and wherever it is interrupted, the part before the
     /// interruption and the filtered resumed part make up the original, and only the complete
@@ -452,4 +472,20 @@
         prop_assert_eq!(joined, text.as_bytes());
         prop_assert!(resume_filter.is_done());
     }
+
+    #[test]
+    fn last_line_is_recognized_at_any_cut_and_split(
+        text in "[a-z\"\\\\{}:,]{0,12}", done in any::<bool>(), space in " {0,2}", at in 0_usize..80, split in 0_usize..80,
+    ) {
+        let text = serde_json::to_string(&text).expect("a text can be written as JSON");
+        let line = format!("{{\"text\":{text},\"done\":{space}{done},\"usage\":{{\"cost\":1}}}}");
+        let cut = &line[..at.min(line.len())];
+        let (first, second) = cut.split_at(split.min(cut.len()));
+        let mut lines = ResponseLines::default();
+
+        lines.push(first.as_bytes());
+        lines.push(second.as_bytes());
+
+        prop_assert_eq!(lines.is_complete(), is_last_line(cut), "{}", cut);
+    }
 }
