--- a/tests/testsuite/frames.rs
+++ b/tests/testsuite/frames.rs
@@ -121,3 +121,19 @@
     assert_eq!(cut, Ok(None));
     assert_eq!(oversized, Err(FrameError::TooLarge));
 }
+
+/// Failure: a connection between instances ends inside a frame, and what came of it is taken for the frame.
+#[test]
+fn frame_cut_at_any_byte_is_not_read() {
+    let mut bytes = Vec::new();
+    hawthornmill_process::frames::append(&mut bytes, b"whole frame");
+
+    crate::block_on(async {
+        for end in 0..bytes.len() {
+            let read = hawthornmill_process::frames::read(&mut &bytes[..end]).await;
+            assert!(matches!(read, Ok(None)), "cut at {end}");
+        }
+        let read = hawthornmill_process::frames::read(&mut &bytes[..]).await;
+        assert_eq!(read.ok().flatten().as_deref(), Some(&b"whole frame"[..]));
+    });
+}
--- a/tests/testsuite/gateway/platform_adapter.rs
+++ b/tests/testsuite/gateway/platform_adapter.rs
@@ -119,13 +119,23 @@
     }
 }
 
+const LIST: &[u8] = br#"{"entries":[{"key":"servers/a","value":"e30=","revision":4,"created":2,"lease":0}],"hasMore":true,"asOf":9}"#;
+const WATCH: &[u8] = br#"{"events":[{"key":"servers/a","revision":5,"deleted":true}],"asOf":5}"#;
+
+/// Failure: the store's response ends with its connection, and a part of a list is taken for all servers that there are.
 #[test]
-fn store_response_parses_to_page() {
-    let list = br#"{"entries":[{"key":"servers/a","value":"e30=","revision":4,"created":2,"lease":0}],"hasMore":true,"asOf":9}"#;
-    let watch = br#"{"events":[{"key":"servers/a","revision":5,"deleted":true}],"asOf":5}"#;
+fn store_response_cut_at_any_byte_is_rejected() {
+    for page in [LIST, WATCH] {
+        for end in 0..page.len() {
+            assert!(store::parse_page(&page[..end]).is_err(), "cut at {end}");
+        }
+    }
+}
 
-    let list = store::parse_page(list).expect("the list is valid");
-    let watch = store::parse_page(watch).expect("the response is valid");
+#[test]
+fn store_response_parses_to_page() {
+    let list = store::parse_page(LIST).expect("the list is valid");
+    let watch = store::parse_page(WATCH).expect("the response is valid");
 
     assert!(list.has_more);
     assert_eq!(
