Read a changed settings file once it has stayed the same for a check

Without a signal, a changed file is read after it has rested for one check (a second); the check at the start closes the gap between the first reading and the watch. A signal still means at once.

--- a/crates/hawthornmill-gateway/src/daemon.rs
+++ b/crates/hawthornmill-gateway/src/daemon.rs
@@ -209,15 +209,18 @@
     event_log::state_change("settings_in_force", json!({}));
 }
 
+/// Reloads the settings file when it has changed without a signal, and then stayed the same for one check interval.
+///
+/// The file may be written in parts, and sections that are missing have defaults.
 async fn watch_settings(gateway: Rc<Gateway>, config: PathBuf) {
-    let modified = || std::fs::metadata(&config).and_then(|m| m.modified()).ok();
-    let mut last_modified = modified();
+    let (mut checked, mut loaded) = (None, None);
     loop {
         tokio::time::sleep_until(gateway.next_tick(SETTINGS_CHECK_INTERVAL)).await;
-        let now = modified();
-        if now != last_modified {
-            last_modified = now;
+        let modified = std::fs::metadata(&config).and_then(|m| m.modified()).ok();
+        if modified == checked && modified != loaded {
+            loaded = modified;
             reload_settings(&gateway, &config);
         }
+        checked = modified;
     }
 }
--- a/tests/testsuite/gateway/shutdown.rs
+++ b/tests/testsuite/gateway/shutdown.rs
@@ -87,6 +87,33 @@
     });
 }
 
+/// Failure: a settings file is read while it is being written, and the part that is there is applied with defaults for the rest.
+#[test]
+fn settings_file_is_not_read_while_it_is_written() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        let config = &fleet.gateways[0].config;
+        let whole = std::fs::read_to_string(config).expect("the settings can be read");
+        let (first, second) = whole
+            .split_once("ttl_s")
+            .expect("the settings have a time to live");
+
+        std::fs::write(config, first).expect("the settings can be written");
+        for part in 1..=12 {
+            let comments = "; still being written\n".repeat(part);
+            std::fs::write(config, format!("{first}{comments}"))
+                .expect("the settings can be written");
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+        std::fs::write(config, format!("{first}ttl_s{second}"))
+            .expect("the settings can be written");
+        tokio::time::sleep(Duration::from_secs(3)).await;
+
+        let applied = fleet.gateways[0].logged("settings_in_force");
+        assert!(applied.is_empty(), "{applied:?}");
+    });
+}
+
 /// Failure: a reload cuts off requests, or applies invalid settings.
 #[test]
 fn reload_drops_no_request_and_ignores_invalid_settings() {
