--- a/tests/testsuite/frames.rs
+++ b/tests/testsuite/frames.rs
@@ -133,7 +133,7 @@
             let read = hawthornmill_process::frames::read(&mut &bytes[..end]).await;
             assert!(matches!(read, Ok(None)), "cut at {end}");
         }
-        let read = hawthornmill_process::frames::read(&mut &bytes[..]).await;
+        let read = hawthornmill_process::frames::read(&mut bytes.as_slice()).await;
         assert_eq!(read.ok().flatten().as_deref(), Some(&b"whole frame"[..]));
     });
 }
