--- a/tests/testsuite/gateway/event_streams.rs
+++ b/tests/testsuite/gateway/event_streams.rs
@@ -9,6 +9,9 @@
 use super::scripted_server::{Behavior, PartialStream, Server, StreamEnd, StreamFraming, events};
 use crate::block_on;
 
+/// Bytes of an event up to the middle of its second line.
+const HALF_EVENT_BYTES: usize = 7;
+
 async fn stream(fleet: &Fleet, path: &str, id: &str) -> Response {
     fleet.send_admitted(&request("POST", path, id, "")).await
 }
@@ -77,7 +80,7 @@
     Behavior::PartialStream(PartialStream {
         framing,
         count,
-        bytes: events(1, whole).len() + 7,
+        bytes: events(1, whole).len() + HALF_EVENT_BYTES,
         end: StreamEnd::Regular,
     })
 }
