Router: judge no events where a response has no content

Found in reading the change again: with the check of event streams, an answer to HEAD that says it is an event stream and gives neither a length nor chunks was judged as a stream cut before its first event, and the caller's connection was aborted. The check now asks what the one for the last line asked already (a success with content, not HEAD), in one function for both. No test of its own: the stand-in engine answers no HEAD; response_integrity's 16 tests pass.

--- a/crates/hawthornmill-net/src/api/idempotency.rs
+++ b/crates/hawthornmill-net/src/api/idempotency.rs
@@ -16,7 +16,7 @@
 use hawthornmill::keys::{ClaimResult, KeyError, KeyPrefix, KeyUse, StoredResponse};
 use hawthornmill::pools::tick;
 use hawthornmill::response::ResponseLines;
-use poem::http::{HeaderMap, StatusCode};
+use poem::http::StatusCode;
 use poem::{Body, Request, Response};
 use tokio::sync::watch;
 
@@ -327,7 +327,7 @@
     };
     let complete = ended
         && (!response_stream::requires_last_line(call, response.status()) || has_last_line(&body))
-        && has_whole_events(response.headers(), &body);
+        && has_whole_events(response_stream::event_check(call, &response), &body);
     let code = if complete {
         0
     } else {
@@ -362,12 +362,11 @@
 }
 
 /// Returns whether an event stream ends where one may end; a body of another type has no events.
-fn has_whole_events(headers: &HeaderMap, body: &[u8]) -> bool {
-    let Some(mut events) = EventCheck::of(headers) else {
-        return true;
-    };
-    events.push(body);
-    events.may_end()
+fn has_whole_events(check: Option<EventCheck>, body: &[u8]) -> bool {
+    check.is_none_or(|mut events| {
+        events.push(body);
+        events.may_end()
+    })
 }
 
 /// Forwards the call to the home of its key.
--- a/crates/hawthornmill-net/src/api/stream.rs
+++ b/crates/hawthornmill-net/src/api/stream.rs
@@ -262,10 +262,19 @@
 
 /// Returns whether a response with `status` is complete only with its last line.
 pub fn requires_last_line(call: &Call, status: StatusCode) -> bool {
-    call.admitted.response.completion == Completion::DoneLine
-        && status.is_success()
-        && status != StatusCode::NO_CONTENT
-        && call.outbound.method != Method::HEAD
+    call.admitted.response.completion == Completion::DoneLine && has_content(call, status)
+}
+
+/// Returns whether a response with `status` has content whose end is judged.
+fn has_content(call: &Call, status: StatusCode) -> bool {
+    status.is_success() && status != StatusCode::NO_CONTENT && call.outbound.method != Method::HEAD
+}
+
+/// Returns the check for `response` if its content is an event stream.
+pub fn event_check(call: &Call, response: &reqwest::Response) -> Option<EventCheck> {
+    has_content(call, response.status())
+        .then(|| EventCheck::of(response.headers()))
+        .flatten()
 }
 
 /// Builds the caller's response, which streams the server's.
@@ -293,7 +302,7 @@
         slot: Some(slot),
         lines: (requires_last_line || resume).then(ResponseLines::default),
         requires_last_line,
-        events: EventCheck::of(upstream.headers()),
+        events: event_check(&call, &upstream),
         resume_filter: ResumeFilter::default(),
         resumes: 0,
         tail: ResponseTail::default(),
