Tell what holds a queue and what processor time an instance uses

`refused` gets head_tokens, head_ms (the queued request that goes first to any server) and credit (what this instance may still send of an account that asks for more than its share); the metrics get processor_milliseconds and late_milliseconds. No decision changes.

--- a/crates/hawthornmill-gateway/src/endpoints.rs
+++ b/crates/hawthornmill-gateway/src/endpoints.rs
@@ -6,6 +6,8 @@
 
 use bytes::BytesMut;
 use hawthornmill::ident::{DomainId, RegionId};
+use nix::sys::resource::{UsageWho, getrusage};
+use nix::sys::time::TimeValLike;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -176,6 +178,14 @@
     chosen
 }
 
+/// Returns the processor time that this process has used, in user and kernel mode.
+fn processor_time_ms() -> i64 {
+    let Ok(usage) = getrusage(UsageWho::RUSAGE_SELF) else {
+        return 0;
+    };
+    (usage.user_time() + usage.system_time()).num_milliseconds()
+}
+
 fn encode_metrics(gateway: &Gateway) -> String {
     let now = gateway.now();
     let scheduler = gateway.scheduler.borrow();
@@ -186,6 +196,7 @@
     let (resting, leaving) = scheduler.notices.counts(now);
     let count = |value: usize| value.cast_signed() as i64;
     let gauge = |value: u64| value.cast_signed();
+    let lag = gateway.load_shedder.get().lag(now);
     gateway.metrics.encode(&[
         (
             "catalog_version",
@@ -241,5 +252,15 @@
             "Bytes of bodies in memory",
             count(gateway.body_bytes.get()),
         ),
+        (
+            "late_milliseconds",
+            "How late timers run",
+            gauge(lag.as_millis() as u64),
+        ),
+        (
+            "processor_milliseconds",
+            "Processor time of the process since its start",
+            processor_time_ms(),
+        ),
     ])
 }
--- a/crates/hawthornmill/src/routing/credit.rs
+++ b/crates/hawthornmill/src/routing/credit.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Returns the tokens left; negative when the last request overdrew the credit.
+    pub const fn tokens(&self) -> f64 {
+        self.tokens
+    }
+
     /// Returns whether the account's next request is within its share.
     pub fn is_positive(&self) -> bool {
         self.tokens > 0.0
--- a/crates/hawthornmill/src/routing/request.rs
+++ b/crates/hawthornmill/src/routing/request.rs
@@ -65,18 +65,31 @@
     pub full: usize,
     /// Queued requests of this instance.
     pub queue_len: usize,
+    /// The queued request that goes first to any server of the service.
+    pub queue_head: QueueHead,
     /// Instances with recent unmet demand for the service.
     pub unmet_instances: usize,
     /// Cost of that demand, in tokens.
     pub unmet_cost: u32,
     /// Fair share of the request's account.
     pub share: FairShare,
+    /// Tokens that this instance may still send of an account that requests more than its fair share.
+    pub credit: Option<f64>,
     /// Recent fleet-wide usage of the account, in tokens.
     pub usage: AccountUsage,
     /// Usage up to which accounts are below their guarantee and below their fair share.
     pub levels: ShareLevels,
 }
 
+/// The first queued request of a service; zero when none is queued.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct QueueHead {
+    /// Tokens of its prompt.
+    pub prompt_tokens: u32,
+    /// Time since its arrival.
+    pub waited: Duration,
+}
+
 /// Cause of a refusal.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Cause {
--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -25,7 +25,9 @@
 use super::prefix_index::PrefixIndex;
 use super::regions::Eligibility;
 use super::registry::Registry;
-use super::request::{Admission, Cause, Decision, DecisionContext, Refusal, Request, Ticket};
+use super::request::{
+    Admission, Cause, Decision, DecisionContext, QueueHead, Refusal, Request, Ticket,
+};
 use super::retry_budget::RetryBudget;
 use super::server_notices::{Availability, ServerNotices};
 use super::ttft::TtftModel;
@@ -316,6 +318,11 @@
             usage: self.usage_of(request),
             levels: self.share_levels,
             queue_len: self.queue.len(),
+            queue_head: self.queue_head(request.service, now),
+            credit: request
+                .account
+                .and_then(|a| self.credits.get(&a))
+                .map(Credit::tokens),
             unmet_instances: unmet.instances.into(),
             unmet_cost: unmet.cost,
             ..DecisionContext::default()
@@ -452,6 +459,16 @@
             .filter(move |q| q.request.service == service)
     }
 
+    /// Returns the queued request for `service` that goes first to any server.
+    fn queue_head(&self, service: ServiceId, now: Instant) -> QueueHead {
+        let queued = self.queued_for(service).filter(|q| q.homes.is_empty());
+        let first = queued.min_by_key(|q| self.rank(&q.request));
+        first.map_or_else(QueueHead::default, |q| QueueHead {
+            prompt_tokens: q.request.shape.prompt_tokens,
+            waited: now.saturating_duration_since(q.request.arrival),
+        })
+    }
+
     /// Queued requests for `service` whose time to wait is not over; the others only wait to be told so.
     fn waiting_for(
         &self,
