Count what other instances report as it was until the next report is due

Cause: usage is a sum that fades with a time constant of a second, and what others report faded by the age of the report at each of three hops (relay of the domain, relay of another, member). An instance knows what came by itself exactly, and of the rest of the fleet two thirds. So an account that comes in by one instance counts as at its share when the other one seems to be, which has had 1.5 times as much, and the level, a part of what the fleet seems to yield, is a third too low.

Change: a report counts in full for 0.6 s, three intervals of the slowest hop, and fades from then on. The class: age of news taken for change of what they tell. Looked for elsewhere: unmet demand is passed on as it was told; backlogs and failure rates are local.

--- a/crates/hawthornmill/src/routing/usage.rs
+++ b/crates/hawthornmill/src/routing/usage.rs
@@ -21,6 +21,11 @@
 pub const DECAY_TIME: Duration = Duration::from_secs(1);
 /// Cost in tokens below which an account is no longer reported.
 const MIN_REPORTED_COST: f32 = 1.0;
+/// Age up to which a peer's report counts as it was: the next one may still be on its way.
+///
+/// Usage that faded while a report waits would make an account that enters elsewhere seem to have had less than one that
+/// enters here.
+const PEER_REPORT_HOLD: Duration = Duration::from_millis(600);
 /// Lifetime of a peer's report.
 const PEER_REPORT_TTL: Duration = Duration::from_millis(2_500);
 
@@ -303,9 +308,11 @@
     now: Instant,
 ) {
     for (at, list) in reports {
-        let age = now.saturating_duration_since(*at);
+        let overdue = now
+            .saturating_duration_since(*at)
+            .saturating_sub(PEER_REPORT_HOLD);
         for (account, sums) in list {
-            all.entry(*account).or_default().add(sums.decayed(age));
+            all.entry(*account).or_default().add(sums.decayed(overdue));
         }
     }
 }
