Go on with a stream at the version that began it, within an answer and over its caller's tries

Causes: the registrations' version was not decoded; a stream that broke off was resumed at any server that placement liked; and Resumes was read nowhere, so the instance at which a caller came back knew nothing of its stream.

Change: a request has a version from its stream's first event on, that of the server's run as it was when it was sent, and placement, its queue, retries and the source of cached parts ask for it. Nobody knows the attempt: it can only be the version that the service has had alone for a minute, else 503 with code 3034 at once. Messages and registrations changed, so frames between instances have version 2: builds of both sides of a release don't read each other's.

Weighed: a version from the attempt's id alone (wrong as soon as servers come and go); the first instance keeps it (its kill loses all); telling all (at 295 instances 3,000 streams a second would be 88 MB a second). The class: state of one build read by another; so cached parts of prompts are fetched from servers of the same version only.

--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
-use hawthornmill::ident::{AccountId, DomainId, InstanceId, RegionId, ServerId, ServiceId};
+use hawthornmill::ident::{
+    AccountId, DomainId, InstanceId, RegionId, ServerId, ServiceId, VersionId,
+};
 use hawthornmill::routing::catalog::Engine;
 use hawthornmill::routing::cold_start::{ColdStartLimiter, ColdStartTolerance};
 use hawthornmill::routing::placement::Location;
@@ -56,6 +58,8 @@
         let registration = Registration {
             name: name.as_str().into(),
             service: ServiceId::of("drafter"),
+            version: VersionId::of("v1"),
+            version_name: "v1".into(),
             address: "127.0.0.1:80".parse().expect("the address is well-formed"),
             domain: domain(number),
             slots: 16,
@@ -95,6 +99,7 @@
         deadline: now + Duration::from_secs(8),
         tried: SmallVec::new(),
         allowed_regions: AllowedRegions::Any,
+        version: None,
     }
 }
 
--- a/crates/hawthornmill-gateway/src/adapter.rs
+++ b/crates/hawthornmill-gateway/src/adapter.rs
@@ -32,6 +32,8 @@
     pub expected_server: &'static str,
     /// Number of the last stream event that the client received.
     pub last_event_id: &'static str,
+    /// Attempt of the client that brought the first event of the stream that it takes up.
+    pub resumes: &'static str,
     /// In a response: the server did not run the request.
     pub not_executed: &'static str,
     /// Seconds after which a rejected client may retry.
--- a/crates/hawthornmill-gateway/src/daemon.rs
+++ b/crates/hawthornmill-gateway/src/daemon.rs
@@ -20,7 +20,9 @@
 use crate::endpoints::Endpoint;
 use crate::gateway::{Gateway, Phase, cleanup_loop, dispatch_loop, monitor_lateness};
 use crate::settings::Settings;
-use crate::{endpoints, event_log, gossip, listener, relay, state_sync, store_watch};
+use crate::{
+    endpoints, event_log, gossip, listener, relay, state_sync, store_watch, stream_versions,
+};
 
 /// Multiple of the directory's time to live for which a stopping process still accepts requests.
 ///
@@ -127,6 +129,10 @@
         Rc::clone(gateway),
         Rc::clone(&datagrams),
     ));
+    spawn_local(stream_versions::exchange(
+        Rc::clone(gateway),
+        Rc::clone(&datagrams),
+    ));
     spawn_local(state_sync::sync_from_peers(Rc::clone(gateway), datagrams));
     spawn_local(state_sync::serve_peers(Rc::clone(gateway), sockets.peer));
     for (listener, endpoint) in sockets.endpoints {
--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 
 use hawthornmill::clock::Clock;
 use hawthornmill::codes::Code;
-use hawthornmill::ident::{Incarnation, InstanceId, ServerId};
+use hawthornmill::ident::{Incarnation, InstanceId, ServerId, VersionId};
 use hawthornmill::limits::congestion::LinkMonitor;
 use hawthornmill::limits::load_shedding::LoadShedder;
 use hawthornmill::limits::role_fitness::RoleFitness;
@@ -37,6 +37,7 @@
 use crate::pending_state::PendingState;
 use crate::pool::Pool;
 use crate::settings::Settings;
+use crate::stream_versions::StreamRegister;
 
 mod updates;
 
@@ -97,6 +98,8 @@
     pub peer_changes: RefCell<Vec<(PeerChange, SocketAddr)>>,
     /// Members of this failure domain that are named to others next.
     pub member_rotation: RefCell<MemberRotation>,
+    /// Versions of servers at which streams began.
+    pub streams: StreamRegister,
     /// Connections to servers.
     pub pool: Pool,
     /// Counters and histograms.
@@ -172,6 +175,7 @@
             peers: RefCell::new(peers),
             peer_changes: RefCell::default(),
             member_rotation: RefCell::default(),
+            streams: StreamRegister::default(),
             pool: Pool::default(),
             metrics: Metrics::default(),
             connections: Cell::new(0),
@@ -396,6 +400,22 @@
         let known = scheduler.registry.get(server);
         known.map_or_else(|| "gone".into(), |k| k.registration.name.clone())
     }
+
+    /// Returns the version of a server's software for logs.
+    pub fn server_version_name(&self, server: ServerId) -> Option<Box<str>> {
+        let scheduler = self.scheduler.borrow();
+        let known = scheduler.registry.get(server);
+        known.map(|k| k.registration.version_name.clone())
+    }
+
+    /// Returns the version of a server's software; `None` if it is not registered.
+    pub fn server_version(&self, server: ServerId) -> Option<VersionId> {
+        let scheduler = self.scheduler.borrow();
+        scheduler
+            .registry
+            .get(server)
+            .map(|k| k.registration.version)
+    }
 }
 
 /// A queued request; removed from the queue on drop, when its client disconnects.
--- a/crates/hawthornmill-gateway/src/gateway/updates.rs
+++ b/crates/hawthornmill-gateway/src/gateway/updates.rs
@@ -158,7 +158,7 @@
     match &change.registration {
         Some(entry) => json!({
             "server": entry.name, "address": entry.address.to_string(), "draining": entry.draining,
-            "revision": change.revision, "from": from,
+            "version": entry.version_name, "revision": change.revision, "from": from,
         }),
         None => json!({"server": format!("{:x}", change.server.0), "gone": true,
             "revision": change.revision, "from": from}),
--- a/crates/hawthornmill-gateway/src/lib.rs
+++ b/crates/hawthornmill-gateway/src/lib.rs
@@ -39,3 +39,4 @@
 pub mod settings;
 pub mod state_sync;
 pub mod store_watch;
+pub mod stream_versions;
--- a/crates/hawthornmill-gateway/src/proxy/admission.rs
+++ b/crates/hawthornmill-gateway/src/proxy/admission.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use hawthornmill::codes::Code;
+use hawthornmill::ident::AccountId;
 use hawthornmill::routing::catalog::RetryPolicy;
 use hawthornmill::routing::request::Request;
 use hawthornmill::routing::route_table::{Caller, pick_service};
+use hawthornmill::routing::stream_versions::StreamKey;
 use smallvec::SmallVec;
 
 use super::error_response::ErrorResponse;
@@ -17,6 +19,18 @@
 /// Retry delay sent while the process shuts down; the client reconnects to another address.
 const SHUTDOWN_RETRY_DELAY: Duration = Duration::from_millis(10);
 
+/// Maximum length of the name of an attempt.
+const MAX_ATTEMPT_BYTES: usize = 256;
+
+/// Which stream a request on a resumable route is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamOrigin {
+    /// It begins a stream.
+    New(StreamKey),
+    /// It takes up the stream of an earlier attempt, which its client named or not.
+    Resumed(Option<StreamKey>),
+}
+
 /// A request that passed admission, with the terms of its route.
 #[derive(Debug)]
 pub struct Admitted {
@@ -24,6 +38,8 @@
     pub request: Request,
     /// Whether the request may be executed more than once.
     pub retry_policy: RetryPolicy,
+    /// The stream that it begins or takes up; `None` on routes whose streams end with their server.
+    pub stream: Option<StreamOrigin>,
     /// Maximum number of servers to which the request may be sent.
     pub max_attempts: u32,
     /// Name of the client account, which is sent to the server.
@@ -85,6 +101,9 @@
         Caller::Account(account) => Some(account),
         Caller::Anonymous => None,
     };
+    let stream = (route.retry_policy == RetryPolicy::Resumable)
+        .then(|| stream_origin(gateway, request, account.map(|a| a.id)))
+        .transpose()?;
     let pending = Request {
         account: account.map(|a| a.id),
         service,
@@ -99,10 +118,12 @@
             Some(account) => route.allowed_regions.intersect(&account.allowed_regions),
             None => route.allowed_regions.clone(),
         },
+        version: None,
     };
     Ok(Admitted {
         request: pending,
         retry_policy: route.retry_policy,
+        stream,
         max_attempts: route.max_attempts.max(1),
         account_name: account.map(|a| a.name.clone()),
         strip_token: table.has_accounts(),
@@ -111,6 +132,31 @@
     })
 }
 
+/// Tells whether a request begins a stream, or which one it takes up.
+fn stream_origin(
+    gateway: &Gateway,
+    request: &ClientRequest,
+    account: Option<AccountId>,
+) -> Result<StreamOrigin, ErrorResponse> {
+    let (headers, names) = (&request.head.headers, &gateway.adapter.headers);
+    let mut values = headers.get_all(names.resumes);
+    let (first, repeated) = (values.next(), values.next().is_some());
+    let is_valid = |v: &[u8]| !v.is_empty() && v.len() <= MAX_ATTEMPT_BYTES;
+    if repeated || first.is_some_and(|v| !is_valid(v)) {
+        return Err(ErrorResponse::new(Code::BadHeader));
+    }
+    let first = first
+        .map(std::str::from_utf8)
+        .transpose()
+        .map_err(|_bytes| ErrorResponse::new(Code::BadHeader))?;
+    if headers.get(names.last_event_id).is_none() {
+        let key = StreamKey::of(account, &request.attempt_id);
+        return Ok(StreamOrigin::New(key));
+    }
+    let key = first.map(|attempt| StreamKey::of(account, attempt));
+    Ok(StreamOrigin::Resumed(key))
+}
+
 /// Rejects a request whose route or token is not in the catalog in force.
 ///
 /// The rejection is temporary while a newer catalog exists, since that one may contain it.
--- a/crates/hawthornmill-gateway/src/proxy/forward.rs
+++ b/crates/hawthornmill-gateway/src/proxy/forward.rs
@@ -289,6 +289,7 @@
         };
         slot.record_first_token();
         if !progress.response_started() {
+            slot.bind_stream(progress);
             bytes = encode_head(&response.head, Framing::Chunked, context.close.always);
             progress.start_response(response.head.status, context.gateway.now());
         }
--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -22,14 +22,15 @@
 
 use std::time::Instant;
 
-use admission::Admitted;
+use admission::{Admitted, StreamOrigin};
 use error_response::ErrorResponse;
 use forward::{ForwardOutcome, forward_response, write_buffered};
 use hawthornmill::codes::Code;
-use hawthornmill::ident::ServerId;
+use hawthornmill::ident::{ServerId, VersionId};
 use hawthornmill::routing::loads;
 use hawthornmill::routing::placement::Placement;
 use hawthornmill::routing::request::{Cause, Refusal};
+use hawthornmill::routing::stream_versions::{StreamKey, StreamVersion};
 use progress::RequestProgress;
 use read::ClientRequest;
 use retry::RetryDecision;
@@ -106,6 +107,8 @@
     admitted: &'a Admitted,
     placement: Placement,
     sent_at: Instant,
+    /// Version of the server when the request was sent.
+    version: Option<VersionId>,
     responded: bool,
 }
 
@@ -131,6 +134,16 @@
 }
 
 impl SlotGuard<'_> {
+    /// Binds a stream whose first event came from this server to the server's version.
+    pub fn bind_stream(&self, progress: &mut RequestProgress) {
+        progress.version = self.version;
+        if let (Some(StreamOrigin::New(key)), Some(version)) = (self.admitted.stream, self.version)
+        {
+            let stream = StreamVersion { key, version };
+            self.gateway.streams.begin(self.gateway, stream);
+        }
+    }
+
     /// Records the first token of the response; later calls have no effect.
     pub fn record_first_token(&mut self) {
         if std::mem::replace(&mut self.responded, true) {
@@ -161,8 +174,15 @@
     out: &mut OwnedWriteHalf,
 ) -> RequestOutcome {
     let mut request = admitted.request.clone();
+    if let Some(StreamOrigin::Resumed(key)) = admitted.stream {
+        request.version = match stream_version(context.gateway, admitted, key).await {
+            Some(version) => Some(version),
+            None => return send_error(context, progress, &version_unknown(admitted), out).await,
+        };
+    }
     let mut fallback: Option<ServerResponse> = None;
     loop {
+        request.version = progress.version.or(request.version);
         let placement = match context.gateway.select_server(&request).await {
             Ok(placement) => placement,
             Err(refusal) => {
@@ -203,6 +223,33 @@
     }
 }
 
+/// Returns the version at which a stream began that the request takes up.
+///
+/// Where nobody knows the attempt, a service whose servers have had one version only leaves no doubt.
+async fn stream_version(
+    gateway: &Gateway,
+    admitted: &Admitted,
+    key: Option<StreamKey>,
+) -> Option<VersionId> {
+    let known = match key {
+        Some(key) => gateway.streams.find(gateway, key).await,
+        None => None,
+    };
+    let (service, now) = (admitted.request.service, gateway.now());
+    known.or_else(|| {
+        gateway
+            .scheduler
+            .borrow()
+            .registry
+            .only_version(service, now)
+    })
+}
+
+/// Rejects a request that takes up a stream of unknown version; another attempt may reach an instance that knows it.
+const fn version_unknown(admitted: &Admitted) -> ErrorResponse {
+    ErrorResponse::with_retry_after(Code::VersionUnknown, admitted.request.objective)
+}
+
 /// Sends the request to one server; the error is the decision that follows a failure.
 async fn attempt(
     context: RequestContext<'_>,
@@ -219,6 +266,7 @@
         admitted,
         placement,
         sent_at: gateway.now(),
+        version: gateway.server_version(server),
         responded: false,
     };
     match send(gateway, context.request, admitted, progress, &placement).await {
--- a/crates/hawthornmill-gateway/src/proxy/progress.rs
+++ b/crates/hawthornmill-gateway/src/proxy/progress.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use hawthornmill::codes::Code;
+use hawthornmill::ident::VersionId;
 use hawthornmill::routing::placement::Placement;
 use hawthornmill::routing::request::{Refusal, Request};
 use serde_json::{Value, json};
@@ -91,6 +92,8 @@
     pub unreachable: u32,
     /// Id of the last complete event that was forwarded to the client.
     pub last_event_id: Option<u64>,
+    /// Version of the server that brought the first event.
+    pub version: Option<VersionId>,
     /// Status sent to the client, or 0 if none.
     pub status: u16,
     /// An earlier server was sent bytes of the request and never reported that it did not execute it.
@@ -129,9 +132,10 @@
         let share = gateway.scheduler.borrow().share_of(&admitted.request);
         let name = gateway.server_name(placement.server);
         let waited = gateway.now().duration_since(request.received);
+        let version = gateway.server_version_name(placement.server);
         let fields = json!({
             "account": admitted.account_name, "standing": share.status.to_string(), "lead": share.usage_ratio,
-            "server": name, "waited_ms": waited.as_millis() as u64, "send": self.sends + 1,
+            "server": name, "version": version, "waited_ms": waited.as_millis() as u64, "send": self.sends + 1,
             "tokens_before_first": placement.queued_prefill, "tokens_again": placement.duplicate_prefill, "tokens_fetched": placement.fetch.map_or(0, |f| f.tokens), "stray": placement.spilled, "expected_ms": placement.expected_ttft.as_millis() as u64,
             "catalog": gateway.catalog_version(), "lag_ms": lag_ms(gateway), "registrations": gateway.scheduler.borrow().registry.latest_revision(),
         });
--- /dev/null
+++ b/crates/hawthornmill-gateway/src/stream_versions.rs
@@ -0,0 +1,180 @@
+//! Tells other instances at which versions of servers streams began, and asks them.
+//!
+//! [`hawthornmill::routing::stream_versions`] keeps the records and chooses whom to tell and whom to ask.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hawthornmill::ident::{InstanceId, VersionId};
+use hawthornmill::routing::stream_versions::{
+    ASKED, HOLDERS, StreamKey, StreamVersion, StreamVersions, holders,
+};
+use hawthornmill::wire::Message;
+use tokio::sync::Notify;
+
+use crate::datagrams::DatagramSocket;
+use crate::gateway::Gateway;
+
+/// Time for which records are gathered into one message; those of the last one are lost if the process is killed.
+const GATHER_TIME: Duration = Duration::from_millis(5);
+/// Records or keys in one message, so that it fits a datagram.
+const MAX_IN_MESSAGE: usize = 64;
+/// Time after which a question without an answer is repeated; regions are 60 ms apart and back.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(100);
+/// Times that a question is sent.
+const MAX_QUESTIONS: usize = 3;
+
+/// What this instance knows of streams, and what it asks others.
+#[derive(Debug, Default)]
+pub struct StreamRegister {
+    versions: RefCell<StreamVersions>,
+    /// Streams asked for, each with the instances that don't know it.
+    asked: RefCell<BTreeMap<StreamKey, BTreeSet<InstanceId>>>,
+    unsent: RefCell<Vec<StreamKey>>,
+    /// Wakes the task that sends.
+    wakeup: Notify,
+    /// Wakes requests that wait for an answer.
+    answered: Notify,
+}
+
+impl StreamRegister {
+    /// Records that a stream began here, and tells others.
+    pub fn begin(&self, gateway: &Gateway, stream: StreamVersion) {
+        self.versions.borrow_mut().begin(stream, gateway.now());
+        self.wakeup.notify_one();
+    }
+
+    /// Returns the version at which a stream began, from others if this instance doesn't know it; `None` if none of them does.
+    pub async fn find(&self, gateway: &Gateway, key: StreamKey) -> Option<VersionId> {
+        for _ in 0..MAX_QUESTIONS {
+            if let Some(version) = self.versions.borrow().get(key) {
+                return Some(version);
+            }
+            let targets = targets(gateway, key, ASKED).len();
+            if self.unknown_count(key) >= targets {
+                break;
+            }
+            self.unsent.borrow_mut().push(key);
+            self.wakeup.notify_one();
+            let answer = self.wait_for_answer(key, targets);
+            let _elapsed = tokio::time::timeout(REPEAT_INTERVAL, answer).await;
+        }
+        self.asked.borrow_mut().remove(&key);
+        self.versions.borrow().get(key)
+    }
+
+    fn unknown_count(&self, key: StreamKey) -> usize {
+        let mut asked = self.asked.borrow_mut();
+        asked.entry(key).or_default().len()
+    }
+
+    async fn wait_for_answer(&self, key: StreamKey, targets: usize) {
+        loop {
+            let answered = self.answered.notified();
+            if self.versions.borrow().get(key).is_some() || self.unknown_count(key) >= targets {
+                return;
+            }
+            answered.await;
+        }
+    }
+
+    /// Records what another instance tells of streams.
+    pub fn record(&self, gateway: &Gateway, told: &[StreamVersion]) {
+        let now = gateway.now();
+        let mut versions = self.versions.borrow_mut();
+        told.iter().for_each(|s| versions.record(*s, now));
+    }
+
+    /// Returns the answer to another instance's question.
+    pub fn answer(&self, keys: &[StreamKey]) -> Message {
+        let versions = self.versions.borrow();
+        let answers = keys.iter().take(MAX_IN_MESSAGE);
+        Message::StreamAnswer(answers.map(|key| (*key, versions.get(*key))).collect())
+    }
+
+    /// Records the answer of `from` to a question of this instance.
+    pub fn record_answer(
+        &self,
+        gateway: &Gateway,
+        from: InstanceId,
+        answers: &[(StreamKey, Option<VersionId>)],
+    ) {
+        for (key, version) in answers {
+            let mut asked = self.asked.borrow_mut();
+            let Some(unknown) = asked.get_mut(key) else {
+                continue;
+            };
+            match version {
+                Some(version) => {
+                    let stream = StreamVersion {
+                        key: *key,
+                        version: *version,
+                    };
+                    self.record(gateway, &[stream]);
+                }
+                None => {
+                    unknown.insert(from);
+                }
+            }
+        }
+        self.answered.notify_waiters();
+    }
+}
+
+/// Returns the addresses of the `most` other instances that are told of a stream or asked for it.
+fn targets(gateway: &Gateway, key: StreamKey, most: usize) -> Vec<SocketAddr> {
+    let peers = gateway.peers.borrow();
+    let live: BTreeMap<InstanceId, _> = peers.live(gateway.now()).collect();
+    let others = live.iter().map(|(id, peer)| (*id, peer.info.domain));
+    let own = (gateway.id, gateway.settings().domain);
+    // Every instance ranks all of them, itself included, so that all name the same ones.
+    let chosen = holders(key, others.chain([own]), most);
+    let others = chosen.iter().filter_map(|id| live.get(id));
+    others.map(|peer| peer.info.peer_addr).collect()
+}
+
+/// Sends records and questions until the process ends.
+pub async fn exchange(gateway: Rc<Gateway>, datagrams: Rc<DatagramSocket>) {
+    let register = &gateway.streams;
+    loop {
+        register.wakeup.notified().await;
+        tokio::time::sleep(GATHER_TIME).await;
+        let begun = register.versions.borrow_mut().take_unsent();
+        let records = by_target(&gateway, begun, HOLDERS, |s| s.key);
+        send_in_parts(&datagrams, records, Message::StreamVersions);
+        let questions = register.unsent.take();
+        let questions = by_target(&gateway, questions, ASKED, |key| *key);
+        send_in_parts(&datagrams, questions, Message::StreamQuery);
+    }
+}
+
+/// Groups `items` by the instances that get them.
+fn by_target<T: Copy>(
+    gateway: &Gateway,
+    items: Vec<T>,
+    most: usize,
+    key: impl Fn(&T) -> StreamKey,
+) -> BTreeMap<SocketAddr, Vec<T>> {
+    let mut all: BTreeMap<SocketAddr, Vec<T>> = BTreeMap::new();
+    for item in items {
+        for target in targets(gateway, key(&item), most) {
+            all.entry(target).or_default().push(item);
+        }
+    }
+    all
+}
+
+fn send_in_parts<T: Copy>(
+    datagrams: &DatagramSocket,
+    items: BTreeMap<SocketAddr, Vec<T>>,
+    message: impl Fn(Vec<T>) -> Message,
+) {
+    for (target, items) in items {
+        for part in items.chunks(MAX_IN_MESSAGE) {
+            datagrams.send(&message(part.to_vec()), [target]);
+        }
+    }
+}
--- a/crates/hawthornmill/src/codes.rs
+++ b/crates/hawthornmill/src/codes.rs
@@ -141,6 +141,8 @@
     HttpVersionTooOld = 3032, 505, "HTTP/1.1 is needed";
     /// No server in a region in which the request may be served.
     RegionUnavailable = 3033, 503, "no server in an allowed region";
+    /// A stream that can't go on, since nobody knows at which version of the servers it began.
+    VersionUnknown = 3034, 503, "version at which the stream began is unknown";
     /// A peer's frame that can't be decoded.
     FrameMalformed = 4001, 0, "malformed peer frame";
     /// A peer's frame with a wrong message authentication code.
--- a/crates/hawthornmill/src/ident.rs
+++ b/crates/hawthornmill/src/ident.rs
@@ -63,6 +63,12 @@
     "region"
 );
 
+name_id!(
+    /// A version of the software of a service's backend servers; versions have no order.
+    VersionId,
+    "version"
+);
+
 /// The backend servers of one service in one failure domain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct PoolId(#[serde(with = "postcard::fixint::le")] pub u64);
--- a/crates/hawthornmill/src/routing/mod.rs
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -54,6 +54,7 @@
 pub mod server_notices;
 pub mod shape;
 pub mod store_start;
+pub mod stream_versions;
 pub mod ttft;
 pub mod unmet_demand;
 pub mod usage;
--- a/crates/hawthornmill/src/routing/placement.rs
+++ b/crates/hawthornmill/src/routing/placement.rs
@@ -21,7 +21,7 @@
 use super::server_notices::{Availability, ServerNotices};
 use super::shape::Shape;
 use super::ttft::TtftEstimate;
-use crate::ident::{DomainId, RegionId, ServerId, ServiceId, mix};
+use crate::ident::{DomainId, RegionId, ServerId, ServiceId, VersionId, mix};
 
 /// Shared tokens from which a family has one home in the whole fleet: their prefill costs more than the round trip.
 const FLEET_WIDE_TOKENS: u32 = 2_000;
@@ -104,6 +104,8 @@
     pub excluded: &'a [ServerId],
     /// Regions in which it may be served.
     pub allowed_regions: &'a AllowedRegions,
+    /// The only version of servers that may serve it; `None` for any.
+    pub version: Option<VersionId>,
     /// Servers reserved for queued requests that go before it.
     pub reserved: &'a [ServerId],
     /// TTFT estimate of the service's engines.
@@ -188,10 +190,10 @@
 }
 
 impl RequestContext<'_> {
-    /// Returns the region of a server that the request may use.
-    fn region(&self, server: ServerId) -> Option<RegionId> {
+    /// Returns a server that the request may use.
+    fn candidate(&self, server: ServerId) -> Option<&Candidate<'_>> {
         let found = self.candidates.binary_search_by_key(&server, |c| c.server);
-        self.candidates[found.ok()?].region
+        Some(&self.candidates[found.ok()?])
     }
 }
 
@@ -200,6 +202,7 @@
     load: KnownLoad<'a>,
     tier: usize,
     region: Option<RegionId>,
+    version: VersionId,
     slots: u32,
 }
 
@@ -290,6 +293,7 @@
                 load,
                 tier: place.tier,
                 region: place.region,
+                version: entry.registration.version,
                 slots: entry.registration.slots,
             })
         })
@@ -301,6 +305,9 @@
     entry.registration.service == request.service
         && !entry.registration.draining
         && !request.excluded.contains(&server)
+        && request
+            .version
+            .is_none_or(|v| v == entry.registration.version)
 }
 
 /// Returns when the first server that the request may use takes requests again.
@@ -561,7 +568,7 @@
 
 /// Returns from where `server` should fetch cached tokens that it lacks, if that is faster than to prefill them.
 ///
-/// The source is in the same region: what another request left there may be bound to it, and the link between regions is
+/// The source has the same software version, as what two versions keep doesn't fit together, and is in the same region: what another request left there may be bound to it, and the link between regions is
 /// narrow. The first servers in the order of the family count as caching the shared prefix. One that doesn't costs no more
 /// than the attempt to fetch from it, so a home of which this isn't known for sure gets a source too: after a restart or an
 /// evacuation of the home, the second server has taken its place meanwhile.
@@ -572,8 +579,10 @@
 ) -> Option<Fetch> {
     let engine = request.engine.filter(|e| !e.copy_time.is_zero());
     let engine = engine.filter(|_| request.fetches_prefixes)?;
-    let region = context.region(server)?;
-    let is_source = |id: ServerId| id != server && context.region(id) == Some(region);
+    let target = context.candidate(server)?;
+    let region = target.region?;
+    let fits = |c: &Candidate<'_>| c.region == Some(region) && c.version == target.version;
+    let is_source = |id: ServerId| id != server && context.candidate(id).is_some_and(fits);
     let homes = context.homes.iter().filter(|home| is_source(**home));
     let homes = homes
         .take(FETCHED_FROM_HOMES)
--- a/crates/hawthornmill/src/routing/registry.rs
+++ b/crates/hawthornmill/src/routing/registry.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::announcements::Departure;
-use crate::ident::{DomainId, ServerId, ServiceId};
+use crate::ident::{DomainId, ServerId, ServiceId, VersionId};
 
 /// Grace period of an entry that was lost during an outage of the store.
 ///
@@ -21,6 +21,9 @@
 /// Time for which the revision of a removed entry is kept, so that a late copy can't restore the entry.
 const TOMBSTONE_TTL: Duration = Duration::from_mins(2);
 
+/// Time for which a version counts among those of its service after its last server left; a stream may have begun there.
+const VERSION_TTL: Duration = Duration::from_mins(1);
+
 /// Registration of a server, as it published it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registration {
@@ -28,6 +31,10 @@
     pub name: Box<str>,
     /// Service that it provides.
     pub service: ServiceId,
+    /// Version of its software.
+    pub version: VersionId,
+    /// The same as the server names it, for logs.
+    pub version_name: Box<str>,
     /// Address on which it listens.
     pub address: SocketAddr,
     /// Its failure domain.
@@ -119,6 +126,8 @@
     cold: BTreeMap<ServerId, Instant>,
     /// Servers that turned cold since the last [`Self::take_turned_cold`].
     turned_cold: Vec<TurnedCold>,
+    /// Versions of services that a server had, each with the instant at which it left.
+    left_versions: BTreeMap<(ServiceId, VersionId), Instant>,
     /// Servers that were removed or restarted since the last [`Self::take_lost_caches`].
     lost_caches: Vec<ServerId>,
 }
@@ -152,6 +161,7 @@
             return false;
         }
         self.latest_revision = self.latest_revision.max(change.revision);
+        self.record_left_version(change.server, now);
         let old_start = self
             .entries
             .get(&change.server)
@@ -180,6 +190,26 @@
         true
     }
 
+    /// Records the version that a server has until now, before its entry changes.
+    fn record_left_version(&mut self, server: ServerId, now: Instant) {
+        if let Some(entry) = self.entries.get(&server) {
+            let of = (entry.registration.service, entry.registration.version);
+            self.left_versions.insert(of, now);
+        }
+    }
+
+    /// Returns the version of a service whose servers have had no other one lately.
+    pub fn only_version(&self, service: ServiceId, now: Instant) -> Option<VersionId> {
+        let current = self.entries.values().map(|e| &e.registration);
+        let current = current.filter(|r| r.service == service).map(|r| r.version);
+        let is_recent = |at: Instant| now.duration_since(at) < VERSION_TTL;
+        let left = self.left_versions.iter();
+        let left = left.filter(|((s, _), at)| *s == service && is_recent(**at));
+        let mut versions = current.chain(left.map(|((_, version), _)| *version));
+        let first = versions.next()?;
+        versions.all(|v| v == first).then_some(first)
+    }
+
     /// Marks a server that another instance knows to leave as draining; returns false when nothing changed.
     ///
     /// The entry stays otherwise unchanged until its own change arrives.
@@ -367,6 +397,7 @@
 
     fn remove(&mut self, id: ServerId, revision: u64, now: Instant) {
         self.cold.remove(&id);
+        self.record_left_version(id, now);
         if let Some(entry) = self.entries.remove(&id) {
             self.tombstones
                 .insert(id, (revision.max(entry.revision), now));
--- a/crates/hawthornmill/src/routing/request.rs
+++ b/crates/hawthornmill/src/routing/request.rs
@@ -12,7 +12,7 @@
 use super::shape::Shape;
 use super::usage::{AccountUsage, FairShare, ShareLevels};
 use crate::codes::Code;
-use crate::ident::{AccountId, ServerId, ServiceId};
+use crate::ident::{AccountId, ServerId, ServiceId, VersionId};
 
 new_key_type! {
     /// Identifies a queued request.
@@ -42,6 +42,8 @@
     pub tried: SmallVec<[ServerId; 2]>,
     /// Regions in which it may be served.
     pub allowed_regions: AllowedRegions,
+    /// The only version of servers that may go on with its stream; `None` before its first event.
+    pub version: Option<VersionId>,
 }
 
 /// State on which the decision on a request is based.
--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -383,6 +383,7 @@
             shape: &request.shape,
             excluded: &request.tried,
             allowed_regions: &request.allowed_regions,
+            version: request.version,
             reserved: &unavailable,
             ttft: self
                 .ttft_models
--- a/crates/hawthornmill/src/wire/frame.rs
+++ b/crates/hawthornmill/src/wire/frame.rs
@@ -31,7 +31,7 @@
 use crate::ident::{Incarnation, InstanceId};
 
 /// Protocol version.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 /// First byte of a short frame.
 const SHORT_MARKER: u8 = 0x80 | VERSION;
 /// Length of the header of a short frame.
--- a/crates/hawthornmill/src/wire/message.rs
+++ b/crates/hawthornmill/src/wire/message.rs
@@ -5,13 +5,14 @@
 
 use crate::config::Manifest;
 use crate::fairness::CostKey;
-use crate::ident::{AccountId, Incarnation, InstanceId, PoolId, ServerId};
+use crate::ident::{AccountId, Incarnation, InstanceId, PoolId, ServerId, VersionId};
 use crate::routing::announcements::Announcements;
 use crate::routing::domain_summary::DomainMembers;
 use crate::routing::fragments::{Fragment, FragmentRequest};
 use crate::routing::gossip::{InstanceReport, KnownState, SyncResponse};
 use crate::routing::load_parts::{DemandPart, WorkPart};
 use crate::routing::loads::Work;
+use crate::routing::stream_versions::{StreamKey, StreamVersion};
 
 /// Identifies a grant: the owner that issued it and its number there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -336,4 +337,10 @@
     FragmentRequest(FragmentRequest),
     /// Response with one part of it.
     Fragment(Fragment),
+    /// Versions at which streams began at the sender, over UDP.
+    StreamVersions(Vec<StreamVersion>),
+    /// Requests the versions at which streams began, over UDP.
+    StreamQuery(Vec<StreamKey>),
+    /// Response with these versions; `None` where the sender doesn't know it.
+    StreamAnswer(Vec<(StreamKey, Option<VersionId>)>),
 }
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -20,3 +20,4 @@
 mod server_notices;
 mod shutdown;
 mod store;
+mod stream_versions;
--- /dev/null
+++ b/tests/testsuite/gateway/stream_versions.rs
@@ -0,0 +1,261 @@
+//! Streams in front of servers of two software versions.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use hawthornmill_gateway::http::head::RequestHead;
+use serde_json::json;
+
+use super::fleet::{Client, Fleet, Response, config, request, send_request, wait_until};
+use super::scripted_server::Behavior;
+use crate::block_on;
+
+/// Versions of the servers, by number.
+const VERSIONS: [&str; 4] = ["v1", "v2", "v1", "v2"];
+/// Streams per test; each goes to one of two versions by chance.
+const STREAMS: usize = 12;
+
+/// Breaks off each stream that begins, and completes each that is resumed.
+fn break_off_first(head: &RequestHead) -> Behavior {
+    if head.headers.get("last-event-id").is_some() {
+        Behavior::Stream(6)
+    } else {
+        Behavior::BrokenStream(3)
+    }
+}
+
+/// Sends events for a second, or the last three of a stream that is resumed.
+fn stream_long(head: &RequestHead) -> Behavior {
+    if head.headers.get("last-event-id").is_some() {
+        Behavior::Stream(6)
+    } else {
+        Behavior::Stream(100)
+    }
+}
+
+/// Starts gateways in front of four servers of two versions, and waits until all of them know these.
+async fn start(gateways: usize, default: fn(&RequestHead) -> Behavior) -> Fleet {
+    let fleet = Fleet::start(gateways, VERSIONS.len()).await;
+    for (server, version) in fleet.servers.iter().zip(VERSIONS) {
+        server.set_default(default);
+        fleet.write_registration(server, &json!({"version": version}));
+    }
+    wait_until_known(&fleet, "v2").await;
+    fleet
+}
+
+/// Waits until every gateway has logged a registration of `version`.
+async fn wait_until_known(fleet: &Fleet, version: &str) {
+    wait_until("the versions are known", || async {
+        let knows = |lines: Vec<serde_json::Value>| lines.iter().any(|l| l["version"] == version);
+        fleet
+            .gateways
+            .iter()
+            .all(|g| knows(g.logged("registration")))
+    })
+    .await;
+}
+
+/// Returns the versions of the servers that were sent the attempts, by attempt.
+fn versions_by_attempt(fleet: &Fleet) -> BTreeMap<String, Vec<&'static str>> {
+    let mut all: BTreeMap<String, Vec<&'static str>> = BTreeMap::new();
+    for (server, version) in fleet.servers.iter().zip(VERSIONS) {
+        for received in server.received() {
+            let id = received.head.headers.get_str("attempt-id");
+            let id = id.unwrap_or_default().to_owned();
+            all.entry(id).or_default().push(version);
+        }
+    }
+    all
+}
+
+/// Returns a request that takes up, after event 3, the stream that `first` began.
+fn resuming(id: &str, first: &str) -> String {
+    request(
+        "GET",
+        "/stream/x",
+        id,
+        &format!("Last-Event-Id: 3\r\nResumes: {first}\r\n"),
+    )
+}
+
+async fn send(fleet: &Fleet, gateway: usize, text: &str) -> Response {
+    let address = fleet.gateways[gateway].front();
+    let response = send_request(address, text.as_bytes()).await;
+    response.expect("there is a response")
+}
+
+/// Failure: a server breaks off a stream, and a server of another version goes on with it in the same answer.
+#[test]
+fn broken_stream_is_resumed_at_its_version_only() {
+    block_on(async {
+        let fleet = start(1, break_off_first).await;
+
+        let mut whole = 0;
+        for number in 0..STREAMS {
+            let id = format!("s-{number}");
+            let text = request("GET", "/stream/x", &id, "");
+            whole += usize::from(send(&fleet, 0, &text).await.whole);
+        }
+
+        let by_attempt = versions_by_attempt(&fleet);
+        let is_mixed = |v: &[&str]| v.iter().any(|version| *version != v[0]);
+        let mixed: Vec<_> = by_attempt.values().filter(|v| is_mixed(v)).collect();
+        assert!(mixed.is_empty(), "{mixed:?}");
+        assert!(by_attempt.values().all(|v| v.len() == 2), "{by_attempt:?}");
+        assert_eq!(whole, STREAMS);
+    });
+}
+
+/// Begins streams at the first gateway, kills it after some events, and takes them up at `gateway`; returns the versions at
+/// which each one began and went on.
+async fn take_up_after_kill(fleet: &mut Fleet, gateway: usize) -> Vec<[Vec<&'static str>; 2]> {
+    let mut clients = Vec::new();
+    for number in 0..STREAMS {
+        let mut client = Client::connect(fleet.gateways[0].front()).await;
+        let text = request("GET", "/stream/x", &format!("a-{number}"), "");
+        client.send(text.as_bytes()).await;
+        clients.push(client);
+    }
+    for client in &mut clients {
+        let mut event = [0; 512];
+        client.stream.peek(&mut event).await.expect("events come");
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fleet.gateways[0].kill();
+    for number in 0..STREAMS {
+        let text = resuming(&format!("b-{number}"), &format!("a-{number}"));
+        let response = send(fleet, gateway, &text).await;
+        assert!(response.whole && response.status() == 200, "{response:?}");
+    }
+    let mut by_attempt = versions_by_attempt(fleet);
+    let mut of = |id: String| by_attempt.remove(&id).unwrap_or_default();
+    (0..STREAMS)
+        .map(|n| [of(format!("a-{n}")), of(format!("b-{n}"))])
+        .collect()
+}
+
+/// Failure: the instance that carries streams is killed, their callers come back at another one, and it sends them to a server of
+/// another version than the one that began them.
+#[test]
+fn stream_taken_up_at_another_instance_stays_at_its_version() {
+    block_on(async {
+        let mut fleet = start(3, stream_long).await;
+
+        let streams = take_up_after_kill(&mut fleet, 2).await;
+
+        let moved: Vec<_> = streams.iter().filter(|[began, on]| began != on).collect();
+        assert!(moved.is_empty(), "{moved:?}");
+    });
+}
+
+/// Failure: a stream of which nobody knows the version goes to any of two versions, or its caller waits for an answer in vain;
+/// or an attempt of another account tells its version.
+#[test]
+fn stream_of_unknown_version_is_refused_at_once() {
+    block_on(async {
+        let fleet = start(2, break_off_first).await;
+        let mut two = config(2);
+        two["tenants"] =
+            json!([{"name": "lab", "apiKeys": ["key-1"]}, {"name": "kiosk", "apiKeys": ["key-9"]}]);
+        fleet.store.put("op/config", two.to_string().as_bytes());
+        wait_until("the accounts are known", || async {
+            let known = |g: &super::fleet::Gateway| g.logged("catalog_in_force").len() == 2;
+            fleet.gateways.iter().all(known)
+        })
+        .await;
+        let first = send(&fleet, 0, &request("GET", "/stream/x", "a-1", "")).await;
+        let runs = fleet.runs();
+
+        let asked = Instant::now();
+        let unknown = send(&fleet, 1, &resuming("b-1", "a-9")).await;
+        let waited = asked.elapsed();
+        let unnamed = request("GET", "/stream/x", "b-2", "Last-Event-Id: 3\r\n");
+        let unnamed = send(&fleet, 1, &unnamed).await;
+        let foreign = resuming("b-3", "a-1").replace("key-1", "key-9");
+        let foreign = send(&fleet, 1, &foreign).await;
+        let own = send(&fleet, 1, &resuming("b-4", "a-1")).await;
+
+        assert!(first.whole);
+        for refused in [unknown, unnamed, foreign] {
+            assert_eq!(refused.status(), 503, "{}", refused.text());
+            assert!(refused.text().contains("3034"), "{}", refused.text());
+            assert!(refused.field("retry-after").is_some());
+        }
+        assert!(waited < Duration::from_secs(1), "{waited:?}");
+        assert_eq!(own.status(), 200, "{}", own.text());
+        assert_eq!(fleet.runs(), runs + 1);
+    });
+}
+
+/// Failure: callers of a service with one version are refused because nobody knows their first attempt.
+#[test]
+fn stream_goes_on_where_there_is_one_version() {
+    block_on(async {
+        let fleet = Fleet::start(1, 2).await;
+        for server in &fleet.servers {
+            server.set_default(break_off_first);
+        }
+
+        let named = send(&fleet, 0, &resuming("b-1", "a-9")).await;
+        let unnamed = request("GET", "/stream/x", "b-2", "Last-Event-Id: 3\r\n");
+        let unnamed = send(&fleet, 0, &unnamed).await;
+
+        assert!(named.whole && named.status() == 200, "{named:?}");
+        assert!(unnamed.whole && unnamed.status() == 200, "{unnamed:?}");
+    });
+}
+
+/// Failure: a caller whose stream's version has no server any more waits, or its stream goes on at another version.
+#[test]
+fn stream_whose_version_is_gone_is_refused_at_once() {
+    block_on(async {
+        let fleet = start(1, break_off_first).await;
+        let first = send(&fleet, 0, &request("GET", "/stream/x", "a-1", "")).await;
+        let version = versions_by_attempt(&fleet)["a-1"][0];
+        for (server, of) in fleet.servers.iter().zip(VERSIONS) {
+            if of == version {
+                fleet.register(server, "draining");
+            }
+        }
+        wait_until("the servers are known to leave", || async {
+            let lines = fleet.gateways[0].logged("registration");
+            lines.iter().filter(|l| l["draining"] == true).count() >= 2
+        })
+        .await;
+        let runs = fleet.runs();
+
+        let asked = Instant::now();
+        let gone = send(&fleet, 0, &resuming("b-1", "a-1")).await;
+
+        assert!(first.whole);
+        assert_eq!(gone.status(), 503, "{}", gone.text());
+        assert!(asked.elapsed() < Duration::from_secs(1));
+        assert_eq!(fleet.runs(), runs);
+    });
+}
+
+/// Failure: a malformed name of the first attempt is taken for one, or for none.
+#[test]
+fn malformed_name_of_the_first_attempt_is_rejected() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        let long = "a".repeat(300);
+
+        for fields in [
+            "Resumes: \r\n",
+            "Resumes: a-1\r\nResumes: a-2\r\n",
+            &format!("Resumes: {long}\r\n"),
+        ] {
+            let text = request(
+                "GET",
+                "/stream/x",
+                "b-1",
+                &format!("Last-Event-Id: 3\r\n{fields}"),
+            );
+            let response = send(&fleet, 0, &text).await;
+            assert_eq!(response.status(), 400, "{fields}");
+        }
+        assert_eq!(fleet.runs(), 0);
+    });
+}
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -26,13 +26,16 @@
 mod scheduler;
 mod server_notices;
 mod store_start;
+mod stream_versions;
 mod ttft;
 mod unmet_demand;
 mod usage;
 
 use std::time::{Duration, Instant};
 
-use hawthornmill::ident::{AccountId, DomainId, InstanceId, RegionId, ServerId, ServiceId};
+use hawthornmill::ident::{
+    AccountId, DomainId, InstanceId, RegionId, ServerId, ServiceId, VersionId,
+};
 use hawthornmill::routing::catalog::{
     Account, Catalog, Engine, Limits, RetryPolicy, Route, Service, Target, TokenDigest,
 };
@@ -136,6 +139,8 @@
     Registration {
         name: name.into(),
         service: drafter(),
+        version: VersionId::of("v1"),
+        version_name: "v1".into(),
         address: "127.0.0.1:80".parse().expect("the address is well-formed"),
         domain: DomainId::of(domain),
         slots: 8,
@@ -219,6 +224,7 @@
         deadline: now + millis(10_000),
         tried: SmallVec::new(),
         allowed_regions: AllowedRegions::Any,
+        version: None,
     }
 }
 
