--- a/crates/hawthornmill-gateway/src/stream_versions.rs
+++ b/crates/hawthornmill-gateway/src/stream_versions.rs
@@ -85,7 +85,9 @@
     pub fn record(&self, gateway: &Gateway, told: &[StreamVersion]) {
         let now = gateway.now();
         let mut versions = self.versions.borrow_mut();
-        told.iter().for_each(|s| versions.record(*s, now));
+        for stream in told {
+            versions.record(*stream, now);
+        }
     }
 
     /// Returns the answer to another instance's question.
