Soak: servers of two versions, releases in series, callers that take streams up elsewhere

Servers mark their events with their version, two of the four each, in both failure domains. Callers leave four of ten streams after some events and take each unfinished one up at any gateway, naming the attempt that brought its first event; in each run all servers of one version leave in series and come back, and a gateway is killed at their end. New promise: streams of one version, within an answer (its events are of one mark) and over a caller's attempts. The two planted cuts look for marked events now, and pass on what names a stream.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -13,10 +13,16 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use crate::promises::EVENTS;
+
 /// Time that callers give a request, in milliseconds.
 pub const DEADLINE_MS: u64 = 2_500;
 /// Time after which a caller gives a request up: its deadline and a little more.
 const GIVEN_UP: Duration = Duration::from_millis(DEADLINE_MS + 700);
+/// Part of the streams that their callers leave after some events, to take them up at another gateway.
+const LEFT: f64 = 0.4;
+/// Bytes after which they leave.
+const LEFT_AFTER: std::ops::Range<usize> = 1..120;
 /// Time allowed for a new connection.
 const CONNECT: Duration = Duration::from_secs(1);
 
@@ -65,6 +71,15 @@
     Nonsense,
 }
 
+/// A stream that its caller takes up.
+#[derive(Debug, Clone)]
+pub struct Resumed {
+    /// Identity of the attempt that brought its first event.
+    pub first: Box<str>,
+    /// Number of the last event that the caller has.
+    pub after: u64,
+}
+
 /// One attempt as its caller saw it.
 #[derive(Debug, Clone)]
 pub struct Seen {
@@ -72,6 +87,8 @@
     pub id: Box<str>,
     /// What it asked for.
     pub kind: Kind,
+    /// The stream that it takes up.
+    pub resumes: Option<Resumed>,
     /// Number of the gateway.
     pub router: usize,
     /// Number of the process run, counted by the soak.
@@ -82,9 +99,42 @@
     pub ended: Instant,
     /// How it ended.
     pub outcome: Outcome,
+    /// Its caller left before the end.
+    pub left: bool,
 }
 
 impl Seen {
+    /// The number of the last event that its caller had before.
+    pub fn after(&self) -> u64 {
+        self.resumes.as_ref().map_or(0, |r| r.after)
+    }
+
+    /// What came of the body of its answer.
+    pub fn body(&self) -> &str {
+        match &self.outcome {
+            Outcome::Answer { body, .. } => body,
+            _ => "",
+        }
+    }
+
+    /// The stream that its caller has a part of, to be taken up.
+    fn unfinished(&self) -> Option<Resumed> {
+        let Outcome::Answer {
+            whole: false, body, ..
+        } = &self.outcome
+        else {
+            return None;
+        };
+        let is_stream = self.kind == Kind::Stream && body.starts_with("id: ");
+        let received = body.matches("\n\n").count() as u64;
+        let earlier = self.resumes.as_ref().map(|r| r.first.clone());
+        let is_unfinished = received > 0 && self.after() + received < EVENTS;
+        (is_stream && is_unfinished).then(|| Resumed {
+            first: earlier.unwrap_or_else(|| self.id.clone()),
+            after: self.after() + received,
+        })
+    }
+
     /// The status of its answer; 0 when there is none.
     pub const fn status(&self) -> u16 {
         match self.outcome {
@@ -112,30 +162,53 @@
     let mut rng = StdRng::seed_from_u64(seed.wrapping_mul(1_000).wrapping_add(number));
     let mut open: Option<(usize, TcpStream, BytesMut)> = None;
     let mut count = 0;
+    let mut unfinished: Option<Resumed> = None;
     while Instant::now() < end {
         tokio::time::sleep(Duration::from_millis(rng.random_range(5..60))).await;
-        let kind = kind(&mut rng, &field);
+        let resumes = unfinished.take();
+        let drawn = kind(&mut rng, &field);
+        let kind = if resumes.is_some() {
+            Kind::Stream
+        } else {
+            drawn
+        };
         let id: Box<str> = format!("{seed:x}-{number:x}-{count:x}").into();
         count += 1;
         let (router, link) = match open.take() {
             Some((router, link, buffer)) if rng.random_bool(0.9) => (router, Some((link, buffer))),
             _ => (rng.random_range(0..field.fronts.len()), None),
         };
+        let leaves = kind == Kind::Stream && rng.random_bool(LEFT);
+        let enough = if leaves {
+            rng.random_range(LEFT_AFTER)
+        } else {
+            usize::MAX
+        };
         let run = field.runs.lock().expect("no holder panics")[router];
         let (sent, (outcome, link)) = (
             Instant::now(),
-            attempt(&field, router, link, &id, kind).await,
+            attempt(
+                &field,
+                router,
+                link,
+                &request(&id, kind, resumes.as_ref()),
+                enough,
+            )
+            .await,
         );
         open = link.map(|(link, buffer)| (router, link, buffer));
         let seen = Seen {
             id,
             kind,
+            resumes,
             router,
             run,
             sent,
             ended: Instant::now(),
             outcome,
+            left: leaves,
         };
+        unfinished = seen.unfinished();
         field.seen.lock().expect("no holder panics").push(seen);
     }
 }
@@ -158,17 +231,16 @@
     field: &Field,
     router: usize,
     link: Option<Link>,
-    id: &str,
-    kind: Kind,
+    text: &str,
+    enough: usize,
 ) -> (Outcome, Option<Link>) {
     let Some(mut link) = connected(field, router, link).await else {
         return (Outcome::Unreached, None);
     };
-    let text = request(id, kind);
     if link.0.write_all(text.as_bytes()).await.is_err() {
         return (Outcome::Closed, None);
     }
-    match tokio::time::timeout(GIVEN_UP, read(&mut link)).await {
+    match tokio::time::timeout(GIVEN_UP, read(&mut link, enough)).await {
         Ok((outcome, true)) => (outcome, Some(link)),
         Ok((outcome, false)) => (outcome, None),
         Err(_elapsed) => (Outcome::Nothing, None),
@@ -185,7 +257,10 @@
     Some((stream, BytesMut::new()))
 }
 
-fn request(id: &str, kind: Kind) -> String {
+fn request(id: &str, kind: Kind, resumes: Option<&Resumed>) -> String {
+    let more = resumes.map_or_else(String::new, |r| {
+        format!("Last-Event-Id: {}\r\nResumes: {}\r\n", r.after, r.first)
+    });
     let (path, key) = match kind {
         Kind::Get => ("/get/".to_owned(), "key-1"),
         Kind::Once => ("/once/".to_owned(), "key-1"),
@@ -196,12 +271,13 @@
     };
     format!(
         "POST {path} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: {DEADLINE_MS}\r\n\
-         Authorization: Token {key}\r\nContent-Length: 4\r\n\r\nbody"
+         Authorization: Token {key}\r\n{more}Content-Length: 4\r\n\r\nbody"
     )
 }
 
-/// Reads one answer; also tells whether the connection can be used again.
-async fn read(link: &mut Link) -> (Outcome, bool) {
+/// Reads one answer, of its body no more than `enough` bytes and what comes with them; also tells whether the connection can be
+/// used again.
+async fn read(link: &mut Link, enough: usize) -> (Outcome, bool) {
     let (stream, buffer) = link;
     let head = loop {
         match head::parse_response(buffer) {
@@ -228,6 +304,11 @@
                 whole = true;
                 break;
             }
+            Ok(Decoded::Incomplete) if body.len() >= enough => {
+                // The caller drops the event of which it has a part only.
+                body.truncate(complete_events(&body));
+                break;
+            }
             Ok(Decoded::Incomplete) if matches!(stream.read_buf(buffer).await, Ok(n) if n > 0) => {}
             Ok(Decoded::Incomplete) => break,
             Err(_malformed) => return (Outcome::Nonsense, false),
@@ -237,6 +318,12 @@
     (answer(&head, whole, &body), usable)
 }
 
+/// Returns the length of the complete events at the start of a stream.
+fn complete_events(body: &[u8]) -> usize {
+    let end = body.windows(2).rposition(|pair| pair == b"\n\n");
+    end.map_or(0, |at| at + 2)
+}
+
 fn answer(head: &ResponseHead, whole: bool, body: &[u8]) -> Outcome {
     Outcome::Answer {
         status: head.status,
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -6,8 +6,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::promises::EVENTS;
-use crate::scripted_server::{Behavior, PartialStream, StreamEnd, StreamFraming, events};
+use crate::promises::{EVENTS, VERSIONS, version_of};
+use crate::scripted_server::{Behavior, PartialStream, StreamEnd, StreamFraming, marked_events};
 use crate::store::Mode;
 
 /// Part of the run in which faults begin; the rest shows whether the fleet recovers.
@@ -81,6 +81,7 @@
     }
     evacuate(seed, last, &mut steps);
     cut_streams(seed, size, last, &mut steps);
+    release(seed, size, last, &mut steps);
     // Whatever is still broken is mended, so that the rest of the run can show recovery.
     steps.push((last, Step::Store(Mode::Healthy)));
     steps.push((last, Step::Restore));
@@ -114,14 +115,14 @@
         StreamFraming::UntilClose,
     ];
     const ENDS: [StreamEnd; 3] = [StreamEnd::Regular, StreamEnd::Close, StreamEnd::Reset];
+    let sent = |last| marked_events(1, last, VERSIONS[0]).len();
     let mut rng = StdRng::seed_from_u64(seed.rotate_left(32));
     let mut at = millis(&mut rng, 100, 700);
     while at < last {
         let part = PartialStream {
             framing: FRAMINGS[rng.random_range(0..FRAMINGS.len())],
             count: EVENTS,
-            bytes: events(1, rng.random_range(0..EVENTS)).len()
-                + rng.random_range(1..events(1, 1).len()),
+            bytes: sent(rng.random_range(0..EVENTS)) + rng.random_range(1..sent(1)),
             end: ENDS[rng.random_range(0..ENDS.len())],
         };
         let server = rng.random_range(0..size.servers);
@@ -134,6 +135,24 @@
     }
 }
 
+/// Adds releases, in which all servers of one version leave in series and come back, from a sequence of random numbers of
+/// their own. Within them, gateways are killed whose streams are then taken up elsewhere.
+fn release(seed: u64, size: Size, last: Duration, steps: &mut Vec<Timed>) {
+    let mut rng = StdRng::seed_from_u64(seed.rotate_left(16));
+    let mut at = millis(&mut rng, 400, 2_500);
+    while at < last {
+        let version = VERSIONS[rng.random_range(0..VERSIONS.len())];
+        let servers = (0..size.servers).filter(|s| version_of(*s) == version);
+        for server in servers.collect::<Vec<_>>() {
+            at += millis(&mut rng, 50, 300);
+            steps.push((at, Step::Drain(server)));
+            steps.push((at + Duration::from_secs(4), Step::Return(server)));
+        }
+        steps.push((at, Step::Kill(rng.random_range(0..size.routers))));
+        at += millis(&mut rng, 1_000, 4_000);
+    }
+}
+
 fn millis(rng: &mut StdRng, least: u64, most: u64) -> Duration {
     Duration::from_millis(rng.random_range(least..most))
 }
--- a/tests/soak/plant.rs
+++ b/tests/soak/plant.rs
@@ -8,7 +8,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::scripted_server::{events, read_request, write_response};
+use crate::promises::VERSIONS;
+use crate::scripted_server::{marked_events, read_request, write_response};
 
 /// Requests of which one is treated wrongly.
 const EACH: u32 = 4;
@@ -30,14 +31,14 @@
     Cut,
     /// Routes that were added are not known.
     Old,
-    /// Tokens, draining servers and evacuations are reported to the checks only, not to the fleet.
+    /// Tokens, draining servers, evacuations and versions are reported to the checks only, not to the fleet.
     Unsaid,
     /// Nothing is answered any more.
     Dead,
 }
 
 /// Each planted fault, with the promise that must be found broken.
-pub const ALL: [(Plant, &str); 11] = [
+pub const ALL: [(Plant, &str); 12] = [
     (Plant::Twice, "at most once"),
     (Plant::Denial, "truthful refusals"),
     (Plant::Mixed, "whole answers of the right caller"),
@@ -48,6 +49,7 @@
     (Plant::Unsaid, "configuration in force"),
     (Plant::Unsaid, "draining servers get nothing new"),
     (Plant::Unsaid, "evacuated domains get nothing new"),
+    (Plant::Unsaid, "streams of one version"),
     (Plant::Dead, "the fleet recovers"),
 ];
 
@@ -74,10 +76,14 @@
     let wrong = count.fetch_add(1, Ordering::Relaxed).is_multiple_of(EACH);
     let field = |name: &str| head.headers.get_str(name).unwrap_or_default().to_owned();
     let id = field("attempt-id");
+    let more: String = ["Last-Event-Id", "Resumes"]
+        .iter()
+        .filter_map(|name| Some(format!("{name}: {}\r\n", head.headers.get_str(name)?)))
+        .collect();
     let ask = |id: &str| {
         format!(
             "POST {} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: {}\r\nAuthorization: {}\r\n\
-             Connection: close\r\nContent-Length: {}\r\n\r\n{}",
+             {more}Connection: close\r\nContent-Length: {}\r\n\r\n{}",
             head.target,
             field("deadline-ms"),
             field("authorization"),
@@ -123,7 +129,9 @@
 fn with_second_piece(answer: &[u8], piece: &str) -> Vec<u8> {
     let text = String::from_utf8_lossy(answer).into_owned();
     let chunk = |event: &str| format!("{:x}\r\n{event}\r\n", event.len());
-    let Some((before, after)) = text.split_once(&chunk(&events(2, 2))) else {
+    let second = |version| chunk(&marked_events(2, 2, version));
+    let mut parts = VERSIONS.iter().map(|v| text.split_once(&second(v)));
+    let Some((before, after)) = parts.find_map(|p| p) else {
         return answer.to_vec();
     };
     let rest = if piece.is_empty() {
--- a/tests/soak/promises.rs
+++ b/tests/soak/promises.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crate::callers::{Kind, Outcome, Seen};
-use crate::scripted_server::{Behavior, ReceivedRequest, events};
+use crate::scripted_server::{Behavior, ReceivedRequest, marked_events};
 
 /// Time without trouble after which a process must keep its bounds.
 const STABLE: Duration = Duration::from_secs(4);
@@ -28,6 +28,8 @@
 const SERVED_PART: f64 = 0.9;
 /// Events of a stream.
 pub const EVENTS: u64 = 6;
+/// Software versions of the servers, with which they mark their events.
+pub const VERSIONS: [&str; 2] = [" v1", " v2"];
 
 /// A span of trouble.
 pub type Span = (Instant, Instant);
@@ -112,6 +114,7 @@
         all.extend(refused(seen, reached));
         all.extend(whole(seen));
         all.extend(ordered(seen));
+        all.extend(one_version(records, seen));
         all.extend(in_force(records, seen));
         all.extend(answer_lost(records, seen, reached, &mut lost));
     }
@@ -200,8 +203,11 @@
         .lines()
         .filter_map(|l| l.strip_prefix("id: ")?.parse().ok())
         .collect();
-    let in_order = **body == events(1, ids.len() as u64);
-    let complete = !*whole || ids.len() as u64 == EVENTS;
+    let (after, last) = (seen.after(), seen.after() + ids.len() as u64);
+    let in_order = VERSIONS
+        .iter()
+        .any(|v| **body == marked_events(after + 1, last, v));
+    let complete = !*whole || last == EVENTS;
     (!in_order || !complete).then(|| {
         breach(
             "streams in order",
@@ -211,6 +217,26 @@
     })
 }
 
+/// Returns the version of the server of that number; each is in both failure domains.
+pub const fn version_of(server: usize) -> &'static str {
+    VERSIONS[server / 2 % 2]
+}
+
+/// A stream that is taken up has events of one version only, over all attempts of its caller.
+fn one_version(records: &Records, seen: &Seen) -> Option<Breach> {
+    let taken = seen.resumes.as_ref()?;
+    let first = records.seen.iter().find(|s| s.id == taken.first)?;
+    let version = |s: &Seen| VERSIONS.into_iter().find(|v| s.body().contains(v));
+    let (began, on) = (version(first)?, version(seen)?);
+    (began != on).then(|| {
+        breach(
+            "streams of one version",
+            &seen.id,
+            format!("began as {} at{began}, went on at{on}", taken.first),
+        )
+    })
+}
+
 /// Tells whether one of `spans` comes within `STABLE` before `from` or until `to`.
 fn touches(spans: &[Span], from: Instant, to: Instant) -> bool {
     spans
@@ -332,7 +358,7 @@
         .collect();
     let harmed = touches(&links, seen.sent, seen.ended)
         || touches(&records.routers[seen.router], seen.sent, seen.ended);
-    if !cut || !sound || harmed {
+    if !cut || !sound || harmed || seen.left {
         return None;
     }
     let stopping = records.stops.iter().any(|(router, (from, to))| {
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -13,7 +13,7 @@
 use crate::fleet::{Fleet, config, route};
 use crate::plan::{Size, Step, Timed};
 use crate::plant::{self, Plant};
-use crate::promises::{EVENTS, Records, Span, is_in_second_domain};
+use crate::promises::{EVENTS, Records, Span, is_in_second_domain, version_of};
 use crate::scripted_server::Behavior;
 use crate::store::Mode;
 
@@ -105,13 +105,14 @@
     async fn start(size: Size, plant: Option<Plant>) -> Self {
         let mut fleet = Fleet::prepare(size.routers, size.servers).await;
         let mut relays = Vec::new();
-        for server in fleet.servers.clone() {
+        for (number, server) in fleet.servers.clone().into_iter().enumerate() {
             server.set_default(usual);
+            server.set_mark(version_of(number));
             let relay = Relay::start(server.address).await.expect("a port is free");
             relays.push(relay);
         }
         for number in 0..size.servers {
-            register(&fleet, &relays, number, &json!({}));
+            register(&fleet, &relays, number, plant, &json!({}));
         }
         fleet
             .store
@@ -302,7 +303,7 @@
     }
 
     fn register(&self, server: usize, more: &Value) {
-        register(&self.fleet, &self.relays, server, more);
+        register(&self.fleet, &self.relays, server, self.plant, more);
     }
 
     fn evacuate(&mut self, now: Instant) {
@@ -347,13 +348,27 @@
 }
 
 /// Registers a server at its relay, with the keys of `more`.
-fn register(fleet: &Fleet, relays: &[Arc<Relay>], server: usize, more: &Value) {
+fn register(
+    fleet: &Fleet,
+    relays: &[Arc<Relay>],
+    server: usize,
+    plant: Option<Plant>,
+    more: &Value,
+) {
     let zone = if is_in_second_domain(server) {
         "b"
     } else {
         "a"
     };
-    let mut entry = json!({"address": relays[server].address.to_string(), "zone": zone});
+    let told = if plant == Some(Plant::Unsaid) {
+        0
+    } else {
+        server
+    };
+    let version = version_of(told).trim();
+    let mut entry = json!({
+        "address": relays[server].address.to_string(), "zone": zone, "version": version,
+    });
     if let (Some(entry), Some(more)) = (entry.as_object_mut(), more.as_object()) {
         entry.extend(more.clone());
     }
--- a/tests/testsuite/gateway/scripted_server.rs
+++ b/tests/testsuite/gateway/scripted_server.rs
@@ -59,7 +59,12 @@
 
 /// Returns the events with these ids as a server sends them.
 pub fn events(first: u64, last: u64) -> String {
-    let event = |n| format!("id: {n}\ndata: piece {n}\n\n");
+    marked_events(first, last, "")
+}
+
+/// Returns the events with these ids as a server sends them that ends the data of each with `mark`.
+pub fn marked_events(first: u64, last: u64, mark: &str) -> String {
+    let event = |n| format!("id: {n}\ndata: piece {n}{mark}\n\n");
     (first..=last).map(event).collect::<Vec<_>>().concat()
 }
 
@@ -132,6 +137,8 @@
 struct State {
     script: VecDeque<Behavior>,
     default: Option<DefaultBehavior>,
+    /// What the data of its events ends with.
+    mark: &'static str,
     received: Vec<ReceivedRequest>,
     client_disconnects: usize,
 }
@@ -180,6 +187,11 @@
         self.lock().default = Some(default);
     }
 
+    /// Sets what the data of its events ends with.
+    pub fn set_mark(&self, mark: &'static str) {
+        self.lock().mark = mark;
+    }
+
     /// Returns the requests received so far.
     pub fn received(&self) -> Vec<ReceivedRequest> {
         self.lock().received.clone()
@@ -331,7 +343,8 @@
                 return false;
             }
             Behavior::PartialStream(part) => {
-                send_part(stream, head, &self.name, part).await;
+                let mark = self.lock().mark;
+                send_part(stream, head, &self.name, mark, part).await;
                 return false;
             }
             Behavior::NoLength
@@ -373,12 +386,13 @@
 
     /// Sends the events after `Last-Event-Id` without chunks and length, as far apart.
     async fn stream_until_close(&self, stream: &mut TcpStream, head: &RequestHead, count: u64) {
+        let mark = self.lock().mark;
         let text = stream_head(head, &self.name, "");
         if stream.write_all(text.as_bytes()).await.is_err() {
             return;
         }
         for number in last_event_id(head) + 1..=count {
-            let event = events(number, number);
+            let event = marked_events(number, number, mark);
             if stream.write_all(event.as_bytes()).await.is_err()
                 || !self.work(stream, EVENT_INTERVAL).await
             {
@@ -395,13 +409,13 @@
         count: u64,
         truncated: bool,
     ) -> bool {
-        let after = last_event_id(head);
+        let (after, mark) = (last_event_id(head), self.lock().mark);
         let text = stream_head(head, &self.name, CHUNKED);
         if stream.write_all(text.as_bytes()).await.is_err() {
             return false;
         }
         for number in after + 1..=count {
-            let event = events(number, number);
+            let event = marked_events(number, number, mark);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if stream.write_all(chunk.as_bytes()).await.is_err()
                 || !self.work(stream, EVENT_INTERVAL).await
@@ -452,8 +466,14 @@
 }
 
 /// Sends a part of a stream; the caller closes the connection.
-async fn send_part(stream: &mut TcpStream, head: &RequestHead, server: &str, part: PartialStream) {
-    let whole = events(last_event_id(head) + 1, part.count);
+async fn send_part(
+    stream: &mut TcpStream,
+    head: &RequestHead,
+    server: &str,
+    mark: &str,
+    part: PartialStream,
+) {
+    let whole = marked_events(last_event_id(head) + 1, part.count, mark);
     let body = &whole[..part.bytes.min(whole.len())];
     let (framing, body): (Box<str>, String) = match part.framing {
         StreamFraming::Chunked if body.is_empty() => (CHUNKED.into(), String::new()),
