--- a/tests/testsuite/routing/fetching.rs
+++ b/tests/testsuite/routing/fetching.rs
@@ -2,16 +2,17 @@
 
 use std::time::{Duration, Instant};
 
-use hawthornmill::ident::{DomainId, RegionId, ServerId};
+use hawthornmill::ident::{DomainId, RegionId, ServerId, VersionId};
 use hawthornmill::routing::catalog::Engine;
 use hawthornmill::routing::evacuations::Evacuation;
 use hawthornmill::routing::loads::ServerOutcome;
 use hawthornmill::routing::placement::Placement;
 use hawthornmill::routing::regions::AllowedRegions;
+use hawthornmill::routing::registry::Registration;
 use hawthornmill::routing::request::{Admission, Request};
 use hawthornmill::routing::scheduler::Scheduler;
 
-use super::{ENGINE, SIX, millis, request, scheduler, sent, shape};
+use super::{ENGINE, SIX, change, entry, millis, request, scheduler, sent, shape};
 
 const SHARED: u32 = 5_000;
 const FOUR: &[(&str, &str)] = &[("a1", "a"), ("a2", "a"), ("b1", "b"), ("c1", "c")];
@@ -176,3 +177,28 @@
         }
     }
 }
+
+/// Failure: a server reads memory that a server of another software version has written.
+#[test]
+fn nothing_is_fetched_from_a_server_of_another_version() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(FOUR, now);
+    for (number, (name, domain)) in FOUR.iter().enumerate() {
+        let versioned = Registration {
+            version: VersionId::of(["v1", "v2"][number % 2]),
+            ..entry(name, domain)
+        };
+        scheduler.apply_change(change(name, 10 + number as u64, Some(versioned)), now);
+    }
+
+    let placed = burst(&mut scheduler, FAST_LINK, now);
+
+    let version = |id| scheduler.registry.get(id).map(|e| e.registration.version);
+    let fetched = placed
+        .iter()
+        .filter_map(|p| Some((p.server, p.fetch?.source)));
+    let mixed: Vec<_> = fetched
+        .filter(|(to, from)| version(*to) != version(*from))
+        .collect();
+    assert!(mixed.is_empty(), "{mixed:?}");
+}
