--- a/tests/testsuite/frames.rs
+++ b/tests/testsuite/frames.rs
@@ -79,6 +79,17 @@
     assert_eq!(after(&[0, 1], 0), Err(FrameError::Replayed));
 }
 
+/// Failure: during a release, an instance reads a message of another build as one of its own, with other values in its fields.
+#[test]
+fn frame_of_another_build_is_not_read() {
+    let mut frame = sealer(9).seal(&Message::Probe(1)).expect("it fits");
+    frame[0] -= 1;
+
+    let opened = Opener::new(KEY, 9).open(&frame);
+
+    assert_eq!(opened.map(|f| f.message), Err(FrameError::Version));
+}
+
 #[test]
 fn short_frame_is_rejected_as_datagram() {
     let frames = stream(&[1, 2].map(Message::Probe));
