--- a/crates/hawthornmill/src/routing/placement.rs
+++ b/crates/hawthornmill/src/routing/placement.rs
@@ -23,6 +23,11 @@
 use super::ttft::TtftEstimate;
 use crate::ident::{DomainId, RegionId, ServerId, ServiceId, VersionId, mix};
 
+mod fetch;
+
+pub use fetch::Fetch;
+use fetch::fetch;
+
 /// Shared tokens from which a family has one home in the whole fleet: their prefill costs more than the round trip.
 const FLEET_WIDE_TOKENS: u32 = 2_000;
 /// Shared tokens whose second prefill takes more of an engine than most requests do.
@@ -49,12 +54,6 @@
 const PREFILL_BOUND_FRACTION: f64 = 0.6;
 /// Fraction of the time left that a prefill-bound request may wait for others.
 const MAX_WAIT_FRACTION: f64 = 0.2;
-/// Cached tokens from which a server fetches them from another one, if that is faster than to prefill them.
-const MIN_FETCHED_TOKENS: u32 = 200;
-/// Servers in the order of a family from which others fetch its prefix.
-const FETCHED_FROM_HOMES: usize = 2;
-/// Time until a fetch begins.
-const FETCH_SETUP: Duration = Duration::from_millis(3);
 /// Additional latency on a server whose slots are nearly all used: a step of a full batch takes some milliseconds
 /// longer, over the tokens of one event and the wait for a slot.
 const FULL_BATCH_COST: Duration = Duration::from_millis(120);
@@ -147,15 +146,6 @@
     pub fetch: Option<Fetch>,
 }
 
-/// Cached tokens that a server fetches from another one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Fetch {
-    /// Server that caches them.
-    pub source: ServerId,
-    /// Number of tokens beyond what the receiving server is known to cache.
-    pub tokens: u32,
-}
-
 /// Servers that a queued request waits for.
 pub type HomeServers = SmallVec<[ServerId; 2]>;
 
@@ -566,39 +556,6 @@
     request.shape.prompt_tokens.saturating_sub(retained)
 }
 
-/// Returns from where `server` should fetch cached tokens that it lacks, if that is faster than to prefill them.
-///
-/// The source has the same software version, as what two versions keep doesn't fit together, and is in the same region: what another request left there may be bound to it, and the link between regions is
-/// narrow. The first servers in the order of the family count as caching the shared prefix. One that doesn't costs no more
-/// than the attempt to fetch from it, so a home of which this isn't known for sure gets a source too: after a restart or an
-/// evacuation of the home, the second server has taken its place meanwhile.
-fn fetch(
-    request: &PlacementRequest<'_>,
-    context: &RequestContext<'_>,
-    server: ServerId,
-) -> Option<Fetch> {
-    let engine = request.engine.filter(|e| !e.copy_time.is_zero());
-    let engine = engine.filter(|_| request.fetches_prefixes)?;
-    let target = context.candidate(server)?;
-    let region = target.region?;
-    let fits = |c: &Candidate<'_>| c.region == Some(region) && c.version == target.version;
-    let is_source = |id: ServerId| id != server && context.candidate(id).is_some_and(fits);
-    let homes = context.homes.iter().filter(|home| is_source(**home));
-    let homes = homes
-        .take(FETCHED_FROM_HOMES)
-        .map(|home| (*home, context.shared_tokens));
-    let hits = context.hits.iter().filter(|(id, _)| is_source(*id));
-    let (source, tokens) = hits
-        .copied()
-        .chain(homes)
-        .reduce(|best, next| if next.1 > best.1 { next } else { best })?;
-    let known = context.hits.iter().find(|(id, _)| *id == server);
-    let tokens = tokens.saturating_sub(known.map_or(0, |(_, tokens)| *tokens));
-    let time = FETCH_SETUP + engine.copy_time * tokens;
-    let is_faster = time < request.ttft.prefill_time(tokens);
-    (tokens >= MIN_FETCHED_TOKENS && is_faster).then_some(Fetch { source, tokens })
-}
-
 /// Returns the tokens that the request occupies in the engine's KV memory besides what is cached there.
 fn kv_tokens(shape: &Shape, uncached: u32) -> u32 {
     uncached + shape.expected_output()
