Let a request that may go to some servers only hold no others of its service

It reserves the server that will have capacity first, and nobody waits behind it. Test: request_bound_to_full_servers_holds_no_others, failed before for both kinds.

--- a/crates/hawthornmill/src/routing/request.rs
+++ b/crates/hawthornmill/src/routing/request.rs
@@ -46,6 +46,13 @@
     pub version: Option<VersionId>,
 }
 
+impl Request {
+    /// Returns whether only some servers of its service may serve it, so that others can have capacity when it finds none.
+    pub fn is_bound(&self) -> bool {
+        self.version.is_some() || self.allowed_regions != AllowedRegions::Any
+    }
+}
+
 /// State on which the decision on a request is based.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct DecisionContext {
--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -171,6 +171,12 @@
                 Err(PlacementError::Resting(until)) if until >= wait_deadline(request) => {
                     return Admission::Decided(Err(resting(request, until, now)));
                 }
+                Err(PlacementError::AllFull(soonest)) if request.is_bound() => {
+                    awaited = Awaited::Homes(soonest.into_iter().collect());
+                }
+                Err(PlacementError::Resting(_)) if request.is_bound() => {
+                    awaited = Awaited::Homes(HomeServers::new());
+                }
                 Err(PlacementError::Resting(_)) => {}
                 Err(PlacementError::AllFull(soonest)) => {
                     let is_first = self.queue_head(request.service, now).is_none();
@@ -257,6 +263,15 @@
                 Some(Err(resting(&request, until, now)))
             }
             Err(_full) if expired => Some(Err(self.refuse(&request, Cause::QueueTimeout, now))),
+            Err(PlacementError::AllFull(soonest)) if request.is_bound() => {
+                reserved.servers.extend(soonest);
+                self.queue[ticket].awaited = Awaited::Homes(soonest.into_iter().collect());
+                None
+            }
+            Err(PlacementError::Resting(_)) if request.is_bound() => {
+                self.queue[ticket].awaited = Awaited::Homes(HomeServers::new());
+                None
+            }
             Err(PlacementError::Resting(_)) => {
                 reserved.record_full(service, 0);
                 self.queue[ticket].awaited = Awaited::Any(None);
--- a/crates/hawthornmill/src/routing/scheduler/queue.rs
+++ b/crates/hawthornmill/src/routing/scheduler/queue.rs
@@ -18,7 +18,7 @@
 pub(super) enum Awaited {
     /// Any server; the one given is reserved for it.
     Any(Option<ServerId>),
-    /// These only, which are reserved for it.
+    /// Some servers only; those given are reserved for it.
     Homes(HomeServers),
 }
 
--- a/tests/testsuite/routing/overtaking.rs
+++ b/tests/testsuite/routing/overtaking.rs
@@ -2,10 +2,13 @@
 
 use std::time::Instant;
 
-use hawthornmill::routing::request::Admission;
+use hawthornmill::ident::{RegionId, VersionId};
+use hawthornmill::routing::regions::AllowedRegions;
+use hawthornmill::routing::registry::Registration;
+use hawthornmill::routing::request::{Admission, Request};
 
 use super::scheduler::flooded_scheduler;
-use super::{millis, request, scheduler, sent, shape};
+use super::{change, entry, millis, request, scheduler, sent, shape};
 
 /// Failure: a prompt that finds no capacity on any server holds smaller ones behind it, for which there is enough; or they take
 /// the server that would have capacity for it first.
@@ -77,3 +80,41 @@
     assert!(dispatched.is_empty(), "{dispatched:?}");
     assert!(matches!(behind, Admission::Queued(_)), "{behind:?}");
 }
+
+/// Failure: a request that may go to servers of one version or region only finds them full, and holds all others of its service,
+/// for which there is enough.
+#[test]
+fn request_bound_to_full_servers_holds_no_others() {
+    let now = Instant::now();
+    let ask = |at| request("lab", shape(1, 10, 10), at);
+    let to_version = Request {
+        version: Some(VersionId::of("v2")),
+        ..ask(now)
+    };
+    let to_region = Request {
+        allowed_regions: AllowedRegions::Only([RegionId::of("south")].into_iter().collect()),
+        ..ask(now)
+    };
+    let placed = [to_version, to_region].map(|bound| {
+        let mut scheduler = scheduler(&[("a1", "a"), ("c1", "c")], now);
+        let newer = Registration {
+            version: VersionId::of("v2"),
+            ..entry("c1", "c")
+        };
+        scheduler.apply_change(change("c1", 10, Some(newer)), now);
+        let fill = std::iter::repeat_with(|| scheduler.submit(&bound, now));
+        let waits = fill.take(20).any(|a| matches!(a, Admission::Queued(_)));
+        let then = now + millis(1);
+        let at_once = scheduler.submit(&ask(then), then);
+        let _none = scheduler.dispatch_queued(now + millis(30));
+        let later = now + millis(31);
+        (waits, at_once, scheduler.submit(&ask(later), later))
+    });
+
+    for (waits, at_once, after_dispatch) in placed {
+        assert!(waits);
+        assert!(matches!(at_once, Admission::Decided(Ok(_))), "{at_once:?}");
+        let is_placed = matches!(after_dispatch, Admission::Decided(Ok(_)));
+        assert!(is_placed, "{after_dispatch:?}");
+    }
+}
