Tests of stream versions stand a late process; registrations are valid only with a version, and their test says so

A comment named a field of the platform. stream_taken_up_at_another_instance... failed once there: the test changed the version of registered servers while they ran, which no server does, and waited for one of two to be known; a stream of the other was recorded at its old version. The servers have their versions before the gateways start. It also sends again what a late gateway turned away, by the log.

--- a/crates/hawthornmill-gateway/src/proxy/admission.rs
+++ b/crates/hawthornmill-gateway/src/proxy/admission.rs
@@ -22,7 +22,7 @@
 /// Maximum length of the name of an attempt.
 const MAX_ATTEMPT_BYTES: usize = 256;
 
-/// Which stream a request on a resumable route is about.
+/// Which stream a request is about, on a route whose streams may go on at another server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StreamOrigin {
     /// It begins a stream.
--- a/tests/testsuite/gateway/fleet.rs
+++ b/tests/testsuite/gateway/fleet.rs
@@ -326,7 +326,12 @@
     ///
     /// It must have logged each time that it did so; a connection that it didn't read is closed without a response.
     pub async fn send_admitted(&self, text: &str) -> Response {
-        let gateway = &self.gateways[0];
+        self.send_admitted_to(0, text).await
+    }
+
+    /// Does the same at the gateway of `number`.
+    pub async fn send_admitted_to(&self, number: usize, text: &str) -> Response {
+        let gateway = &self.gateways[number];
         for _ in 0..MAX_TURNED_AWAY {
             let before = gateway.logged("turned_away").len();
             let response = send_request(gateway.front(), text.as_bytes()).await;
--- a/tests/testsuite/gateway/platform_adapter.rs
+++ b/tests/testsuite/gateway/platform_adapter.rs
@@ -89,19 +89,21 @@
 /// Failure: an invalid entry in the store is taken for a server, or makes the adapter panic.
 #[test]
 fn invalid_registration_is_rejected() {
-    let valid = r#"{"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"ready","born":5,"new":[],"coldRemainingMs":1500}"#;
+    let valid = r#"{"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":6,"state":"ready","born":5,"new":[],"coldRemainingMs":1500}"#;
     let invalid = [
         "",
         "null",
         "[]",
         "{}",
         "\u{fffd}",
-        r#"{"service":"s","address":"10.0.0.1:80","zone":"z","slots":6}"#,
-        r#"{"service":"s","address":"nowhere","zone":"z","slots":6,"state":"ready"}"#,
-        r#"{"service":"s","address":"10.0.0.1:80","zone":"z","slots":"6","state":"ready"}"#,
-        r#"{"service":7,"address":"10.0.0.1:80","zone":"z","slots":6,"state":"ready"}"#,
-        r#"{"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"sleeping"}"#,
-        r#"{"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"ready","born":"x"}"#,
+        r#"{"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":6}"#,
+        r#"{"service":"s","address":"nowhere","zone":"z","version":"v1","slots":6,"state":"ready"}"#,
+        r#"{"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":"6","state":"ready"}"#,
+        r#"{"service":7,"address":"10.0.0.1:80","zone":"z","version":"v1","slots":6,"state":"ready"}"#,
+        r#"{"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":6,"state":"sleeping"}"#,
+        r#"{"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":6,"state":"ready","born":"x"}"#,
+        r#"{"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"ready"}"#,
+        r#"{"service":"s","address":"10.0.0.1:80","zone":"z","version":1,"slots":6,"state":"ready"}"#,
     ];
 
     let entry = registration::parse("i-1", valid.as_bytes()).expect("the entry is valid");
@@ -110,6 +112,7 @@
         (&*entry.name, entry.slots, entry.draining, entry.start_ms),
         ("i-1", 6, false, 5)
     );
+    assert_eq!(&*entry.version_name, "v1");
     assert_eq!(entry.cold_time, Duration::from_millis(1_500));
     for text in invalid {
         assert!(
--- a/tests/testsuite/gateway/stream_versions.rs
+++ b/tests/testsuite/gateway/stream_versions.rs
@@ -6,7 +6,7 @@
 use hawthornmill_gateway::http::head::RequestHead;
 use serde_json::json;
 
-use super::fleet::{Client, Fleet, Response, config, request, send_request, wait_until};
+use super::fleet::{Client, Fleet, config, request, wait_until};
 use super::scripted_server::Behavior;
 use crate::block_on;
 
@@ -14,6 +14,8 @@
 const VERSIONS: [&str; 4] = ["v1", "v2", "v1", "v2"];
 /// Streams per test; each goes to one of two versions by chance.
 const STREAMS: usize = 12;
+/// Times that a stream is begun again.
+const MAX_TURNED_AWAY: usize = 20;
 
 /// Breaks off each stream that begins, and completes each that is resumed.
 fn break_off_first(head: &RequestHead) -> Behavior {
@@ -33,27 +35,28 @@
     }
 }
 
-/// Starts gateways in front of four servers of two versions, and waits until all of them know these.
+/// Starts gateways in front of four servers of two versions.
 async fn start(gateways: usize, default: fn(&RequestHead) -> Behavior) -> Fleet {
-    let fleet = Fleet::start(gateways, VERSIONS.len()).await;
+    let mut fleet = Fleet::prepare(gateways, VERSIONS.len()).await;
     for (server, version) in fleet.servers.iter().zip(VERSIONS) {
         server.set_default(default);
         fleet.write_registration(server, &json!({"version": version}));
     }
-    wait_until_known(&fleet, "v2").await;
     fleet
-}
-
-/// Waits until every gateway has logged a registration of `version`.
-async fn wait_until_known(fleet: &Fleet, version: &str) {
-    wait_until("the versions are known", || async {
-        let knows = |lines: Vec<serde_json::Value>| lines.iter().any(|l| l["version"] == version);
-        fleet
-            .gateways
-            .iter()
-            .all(|g| knows(g.logged("registration")))
-    })
-    .await;
+        .store
+        .put("op/config", config(1).to_string().as_bytes());
+    for gateway in &mut fleet.gateways {
+        gateway.start();
+    }
+    for gateway in &fleet.gateways {
+        wait_until("the gateway is ready", || gateway.is_ready()).await;
+        wait_until("the gateway hears the others", || async {
+            let text = gateway.metrics().await;
+            text.contains(&format!("hawthornmill_mates {}", gateways - 1))
+        })
+        .await;
+    }
+    fleet
 }
 
 /// Returns the versions of the servers that were sent the attempts, by attempt.
@@ -79,12 +82,6 @@
     )
 }
 
-async fn send(fleet: &Fleet, gateway: usize, text: &str) -> Response {
-    let address = fleet.gateways[gateway].front();
-    let response = send_request(address, text.as_bytes()).await;
-    response.expect("there is a response")
-}
-
 /// Failure: a server breaks off a stream, and a server of another version goes on with it in the same answer.
 #[test]
 fn broken_stream_is_resumed_at_its_version_only() {
@@ -95,7 +92,7 @@
         for number in 0..STREAMS {
             let id = format!("s-{number}");
             let text = request("GET", "/stream/x", &id, "");
-            whole += usize::from(send(&fleet, 0, &text).await.whole);
+            whole += usize::from(fleet.send_admitted_to(0, &text).await.whole);
         }
 
         let by_attempt = versions_by_attempt(&fleet);
@@ -107,25 +104,34 @@
     });
 }
 
+/// Begins a stream at the first gateway, again while that turns connections away because its process is late.
+async fn begin_stream(fleet: &Fleet, id: &str) -> Client {
+    let text = request("GET", "/stream/x", id, "");
+    for _ in 0..MAX_TURNED_AWAY {
+        let mut client = Client::connect(fleet.gateways[0].front()).await;
+        client.send(text.as_bytes()).await;
+        let mut head = [0; 12];
+        let read = client.stream.peek(&mut head).await;
+        if read.is_ok() && &head == b"HTTP/1.1 200" {
+            return client;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("no stream begins");
+}
+
 /// Begins streams at the first gateway, kills it after some events, and takes them up at `gateway`; returns the versions at
 /// which each one began and went on.
 async fn take_up_after_kill(fleet: &mut Fleet, gateway: usize) -> Vec<[Vec<&'static str>; 2]> {
     let mut clients = Vec::new();
     for number in 0..STREAMS {
-        let mut client = Client::connect(fleet.gateways[0].front()).await;
-        let text = request("GET", "/stream/x", &format!("a-{number}"), "");
-        client.send(text.as_bytes()).await;
-        clients.push(client);
-    }
-    for client in &mut clients {
-        let mut event = [0; 512];
-        client.stream.peek(&mut event).await.expect("events come");
+        clients.push(begin_stream(fleet, &format!("a-{number}")).await);
     }
     tokio::time::sleep(Duration::from_millis(100)).await;
     fleet.gateways[0].kill();
     for number in 0..STREAMS {
         let text = resuming(&format!("b-{number}"), &format!("a-{number}"));
-        let response = send(fleet, gateway, &text).await;
+        let response = fleet.send_admitted_to(gateway, &text).await;
         assert!(response.whole && response.status() == 200, "{response:?}");
     }
     let mut by_attempt = versions_by_attempt(fleet);
@@ -164,17 +170,19 @@
             fleet.gateways.iter().all(known)
         })
         .await;
-        let first = send(&fleet, 0, &request("GET", "/stream/x", "a-1", "")).await;
+        let first = fleet
+            .send_admitted_to(0, &request("GET", "/stream/x", "a-1", ""))
+            .await;
         let runs = fleet.runs();
 
         let asked = Instant::now();
-        let unknown = send(&fleet, 1, &resuming("b-1", "a-9")).await;
+        let unknown = fleet.send_admitted_to(1, &resuming("b-1", "a-9")).await;
         let waited = asked.elapsed();
         let unnamed = request("GET", "/stream/x", "b-2", "Last-Event-Id: 3\r\n");
-        let unnamed = send(&fleet, 1, &unnamed).await;
+        let unnamed = fleet.send_admitted_to(1, &unnamed).await;
         let foreign = resuming("b-3", "a-1").replace("key-1", "key-9");
-        let foreign = send(&fleet, 1, &foreign).await;
-        let own = send(&fleet, 1, &resuming("b-4", "a-1")).await;
+        let foreign = fleet.send_admitted_to(1, &foreign).await;
+        let own = fleet.send_admitted_to(1, &resuming("b-4", "a-1")).await;
 
         assert!(first.whole);
         for refused in [unknown, unnamed, foreign] {
@@ -197,9 +205,9 @@
             server.set_default(break_off_first);
         }
 
-        let named = send(&fleet, 0, &resuming("b-1", "a-9")).await;
+        let named = fleet.send_admitted_to(0, &resuming("b-1", "a-9")).await;
         let unnamed = request("GET", "/stream/x", "b-2", "Last-Event-Id: 3\r\n");
-        let unnamed = send(&fleet, 0, &unnamed).await;
+        let unnamed = fleet.send_admitted_to(0, &unnamed).await;
 
         assert!(named.whole && named.status() == 200, "{named:?}");
         assert!(unnamed.whole && unnamed.status() == 200, "{unnamed:?}");
@@ -211,7 +219,9 @@
 fn stream_whose_version_is_gone_is_refused_at_once() {
     block_on(async {
         let fleet = start(1, break_off_first).await;
-        let first = send(&fleet, 0, &request("GET", "/stream/x", "a-1", "")).await;
+        let first = fleet
+            .send_admitted_to(0, &request("GET", "/stream/x", "a-1", ""))
+            .await;
         let version = versions_by_attempt(&fleet)["a-1"][0];
         for (server, of) in fleet.servers.iter().zip(VERSIONS) {
             if of == version {
@@ -226,7 +236,7 @@
         let runs = fleet.runs();
 
         let asked = Instant::now();
-        let gone = send(&fleet, 0, &resuming("b-1", "a-1")).await;
+        let gone = fleet.send_admitted_to(0, &resuming("b-1", "a-1")).await;
 
         assert!(first.whole);
         assert_eq!(gone.status(), 503, "{}", gone.text());
@@ -253,7 +263,7 @@
                 "b-1",
                 &format!("Last-Event-Id: 3\r\n{fields}"),
             );
-            let response = send(&fleet, 0, &text).await;
+            let response = fleet.send_admitted_to(0, &text).await;
             assert_eq!(response.status(), 400, "{fields}");
         }
         assert_eq!(fleet.runs(), 0);
