Forget a question for a stream's version when its caller leaves

Found by reading the change again: a caller that left while other instances were asked at which version its stream began left its key in memory for good. The question is forgotten on drop.

--- a/crates/hawthornmill-gateway/src/stream_versions.rs
+++ b/crates/hawthornmill-gateway/src/stream_versions.rs
@@ -40,6 +40,18 @@
     answered: Notify,
 }
 
+/// A question to other instances; forgotten on drop, also when the caller leaves before the answer.
+struct Question<'a> {
+    register: &'a StreamRegister,
+    key: StreamKey,
+}
+
+impl Drop for Question<'_> {
+    fn drop(&mut self) {
+        self.register.asked.borrow_mut().remove(&self.key);
+    }
+}
+
 impl StreamRegister {
     /// Records that a stream began here, and tells others.
     pub fn begin(&self, gateway: &Gateway, stream: StreamVersion) {
@@ -49,6 +61,10 @@
 
     /// Returns the version at which a stream began, from others if this instance doesn't know it; `None` if none of them does.
     pub async fn find(&self, gateway: &Gateway, key: StreamKey) -> Option<VersionId> {
+        let _question = Question {
+            register: self,
+            key,
+        };
         for _ in 0..MAX_QUESTIONS {
             if let Some(version) = self.versions.borrow().get(key) {
                 return Some(version);
@@ -62,7 +78,6 @@
             let answer = self.wait_for_answer(key, targets);
             let _elapsed = tokio::time::timeout(REPEAT_INTERVAL, answer).await;
         }
-        self.asked.borrow_mut().remove(&key);
         self.versions.borrow().get(key)
     }
 
