Tell which part refuses, why an instance takes nothing yet, and what counts as unmet demand

- refused: fraction, contended. ended: not_ready (no_catalog, no_registrations, outdated, maybe_newer, stopping).
- catalog_in_force, registrations_listed: age_ms since the start.
- metrics: refusals by cause, begun_tokens, not_ready by reason, unmet_tokens by standing and reason.

--- a/crates/hawthornmill-gateway/src/endpoints.rs
+++ b/crates/hawthornmill-gateway/src/endpoints.rs
@@ -197,6 +197,9 @@
     let count = |value: usize| value.cast_signed() as i64;
     let gauge = |value: u64| value.cast_signed();
     let lag = gateway.load_shedder.get().lag(now);
+    for (status, reason, tokens) in scheduler.unmet_totals() {
+        gateway.metrics.set_unmet(status, reason, tokens);
+    }
     gateway.metrics.encode(&[
         (
             "catalog_version",
--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -211,6 +211,11 @@
         self.start + interval * u32::try_from(ticks).unwrap_or(u32::MAX)
     }
 
+    /// Returns the time since the process started, in milliseconds.
+    fn age_ms(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
+    }
+
     /// Returns the current settings.
     pub fn settings(&self) -> Rc<Settings> {
         Rc::clone(&self.settings.borrow())
@@ -287,7 +292,7 @@
         }
         match RouteTable::new(catalog) {
             Ok(table) => {
-                let fields = json!({"version": version, "before": before, "from": from});
+                let fields = json!({"version": version, "before": before, "from": from, "age_ms": self.age_ms()});
                 event_log::state_change("catalog_in_force", fields);
                 self.scheduler.borrow_mut().apply_catalog(table.catalog());
                 *self.table.borrow_mut() = Some(Rc::new(table));
--- a/crates/hawthornmill-gateway/src/gateway/updates.rs
+++ b/crates/hawthornmill-gateway/src/gateway/updates.rs
@@ -141,7 +141,7 @@
     pub fn apply_registrations(&self, list: RegistrationList, from: &str) {
         let fields = json!({
             "servers": list.entries.len(), "doubted": list.unconfirmed.len(), "revision": list.revision,
-            "store_was_away": list.after_outage, "from": from,
+            "store_was_away": list.after_outage, "from": from, "age_ms": self.age_ms(),
         });
         event_log::state_change("registrations_listed", fields);
         self.scheduler
--- a/crates/hawthornmill-gateway/src/metrics.rs
+++ b/crates/hawthornmill-gateway/src/metrics.rs
@@ -3,6 +3,9 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
+use hawthornmill::routing::request::Cause;
+use hawthornmill::routing::unmet_demand::UnmetReason;
+use hawthornmill::routing::usage::ShareStatus;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
 use prometheus_client::metrics::counter::Counter;
@@ -42,6 +45,18 @@
     outcome: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabels {
+    service: ServiceName,
+    cause: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct UnmetLabels {
+    standing: &'static str,
+    why: &'static str,
+}
+
 type CounterFamily<L> = Family<L, Counter<u64, AtomicU64>>;
 
 /// The counters of a process.
@@ -49,6 +64,10 @@
 pub struct Metrics {
     registry: Registry,
     requests: CounterFamily<RequestLabels>,
+    refusals: CounterFamily<CauseLabels>,
+    not_ready: CounterFamily<OutcomeLabels>,
+    begun_tokens: CounterFamily<ServiceLabels>,
+    unmet_tokens: Family<UnmetLabels, Gauge>,
     resends: CounterFamily<ServiceLabels>,
     store_calls: CounterFamily<OutcomeLabels>,
     connects: Counter<u64, AtomicU64>,
@@ -62,6 +81,10 @@
         let mut metrics = Self {
             registry: Registry::with_prefix("hawthornmill"),
             requests: Family::default(),
+            refusals: Family::default(),
+            not_ready: Family::default(),
+            begun_tokens: Family::default(),
+            unmet_tokens: Family::default(),
             resends: Family::default(),
             store_calls: Family::default(),
             connects: Counter::default(),
@@ -70,6 +93,14 @@
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests that ended", metrics.requests.clone());
+        let help = "Requests refused by the scheduler, by cause";
+        registry.register("refusals", help, metrics.refusals.clone());
+        let help = "Requests refused because the instance could not serve yet or any more";
+        registry.register("not_ready", help, metrics.not_ready.clone());
+        let help = "Prompt tokens of requests that were sent to a server, once each";
+        registry.register("begun_tokens", help, metrics.begun_tokens.clone());
+        let help = "Tokens of requests that weren't sent when they arrived, by standing and reason";
+        registry.register("unmet_tokens", help, metrics.unmet_tokens.clone());
         registry.register("resends", "Second sends", metrics.resends.clone());
         registry.register(
             "store_calls",
@@ -104,6 +135,40 @@
             .inc();
     }
 
+    /// Counts a request that the scheduler refused.
+    pub fn request_refused(&self, service: &str, cause: Cause) {
+        let service = ServiceName(service.into());
+        let cause = cause.name();
+        self.refusals
+            .get_or_create(&CauseLabels { service, cause })
+            .inc();
+    }
+
+    /// Counts a request that was refused because the instance could not serve it yet, or any more.
+    pub fn request_not_ready(&self, outcome: &'static str) {
+        self.not_ready
+            .get_or_create(&OutcomeLabels { outcome })
+            .inc();
+    }
+
+    /// Counts the prompt tokens of a request that is sent to its first server.
+    pub fn request_begun(&self, service: &str, tokens: u32) {
+        self.begun_tokens
+            .get_or_create(&service_labels(service))
+            .inc_by(tokens.into());
+    }
+
+    /// Sets the tokens of all requests of a status that were not sent when they arrived.
+    pub fn set_unmet(&self, status: ShareStatus, reason: UnmetReason, tokens: u64) {
+        let labels = UnmetLabels {
+            standing: status.name(),
+            why: reason.name(),
+        };
+        self.unmet_tokens
+            .get_or_create(&labels)
+            .set(tokens.cast_signed());
+    }
+
     /// Counts a request that was sent to another server.
     pub fn request_resent(&self, service: &str) {
         self.resends.get_or_create(&service_labels(service)).inc();
--- a/crates/hawthornmill-gateway/src/proxy/admission.rs
+++ b/crates/hawthornmill-gateway/src/proxy/admission.rs
@@ -10,7 +10,7 @@
 use hawthornmill::routing::stream_versions::StreamKey;
 use smallvec::SmallVec;
 
-use super::error_response::ErrorResponse;
+use super::error_response::{ErrorResponse, NotReady};
 use super::read::ClientRequest;
 use crate::gateway::{Gateway, Phase};
 
@@ -58,20 +58,26 @@
 /// Returns the response that rejects the request, which has not been executed.
 pub fn admit(gateway: &Gateway, request: &ClientRequest) -> Result<Admitted, ErrorResponse> {
     if gateway.phase() == Phase::Draining {
-        return Err(ErrorResponse::with_retry_after(
-            Code::NotReady,
+        return Err(ErrorResponse::not_ready(
+            NotReady::Stopping,
             SHUTDOWN_RETRY_DELAY,
         ));
     }
     let Some(table) = gateway.table() else {
-        return Err(ErrorResponse::with_retry_after(
-            Code::NotReady,
+        return Err(ErrorResponse::not_ready(
+            NotReady::NoCatalog,
             CATALOG_RETRY_DELAY,
         ));
     };
-    if !gateway.has_registrations.get() || gateway.is_outdated() {
-        return Err(ErrorResponse::with_retry_after(
-            Code::NotReady,
+    if !gateway.has_registrations.get() {
+        return Err(ErrorResponse::not_ready(
+            NotReady::NoRegistrations,
+            CATALOG_RETRY_DELAY,
+        ));
+    }
+    if gateway.is_outdated() {
+        return Err(ErrorResponse::not_ready(
+            NotReady::Outdated,
             CATALOG_RETRY_DELAY,
         ));
     }
@@ -162,7 +168,7 @@
 /// The rejection is temporary while a newer catalog exists, since that one may contain it.
 fn not_in_catalog(gateway: &Gateway, code: Code) -> ErrorResponse {
     if gateway.catalog_lag.borrow().is_behind() {
-        ErrorResponse::with_retry_after(Code::NotReady, CATALOG_RETRY_DELAY)
+        ErrorResponse::not_ready(NotReady::MaybeNewer, CATALOG_RETRY_DELAY)
     } else {
         ErrorResponse::new(code)
     }
--- a/crates/hawthornmill-gateway/src/proxy/error_response.rs
+++ b/crates/hawthornmill-gateway/src/proxy/error_response.rs
@@ -10,6 +10,34 @@
 use crate::gateway::Gateway;
 use crate::http::write::MessageBuffer;
 
+/// Why an instance takes a request later only; the log and the metrics show the variant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum NotReady {
+    /// It is about to stop.
+    Stopping,
+    /// It has no catalog yet.
+    NoCatalog,
+    /// It has no registrations yet.
+    NoRegistrations,
+    /// Its catalog should have been replaced by now.
+    Outdated,
+    /// Its catalog lacks the route or the token, and a newer one exists.
+    MaybeNewer,
+}
+
+impl NotReady {
+    /// Returns the name that log lines and metrics use.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Stopping => "stopping",
+            Self::NoCatalog => "no_catalog",
+            Self::NoRegistrations => "no_registrations",
+            Self::Outdated => "outdated",
+            Self::MaybeNewer => "maybe_newer",
+        }
+    }
+}
+
 /// An error response of the gateway, with a problem document as its body.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ErrorResponse {
@@ -17,6 +45,8 @@
     pub code: Code,
     /// Delay after which the client may retry; set only if the request has not been executed.
     pub retry_after: Option<Duration>,
+    /// Set where the instance takes the request later only.
+    pub not_ready: Option<NotReady>,
 }
 
 impl ErrorResponse {
@@ -25,6 +55,7 @@
         Self {
             code,
             retry_after: None,
+            not_ready: None,
         }
     }
 
@@ -33,6 +64,16 @@
         Self {
             code,
             retry_after: Some(after),
+            not_ready: None,
+        }
+    }
+
+    /// Creates the response of an instance that takes the request, which has not been executed, `after` a while only.
+    pub const fn not_ready(reason: NotReady, after: Duration) -> Self {
+        Self {
+            code: Code::NotReady,
+            retry_after: Some(after),
+            not_ready: Some(reason),
         }
     }
 
--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -187,6 +187,10 @@
             Ok(placement) => placement,
             Err(refusal) => {
                 progress::log_rejection(context, admitted, &request, &refusal);
+                context
+                    .gateway
+                    .metrics
+                    .request_refused(&admitted.service_name, refusal.cause);
                 return end_without_server(context, progress, fallback, refusal, out).await;
             }
         };
--- a/crates/hawthornmill-gateway/src/proxy/progress.rs
+++ b/crates/hawthornmill-gateway/src/proxy/progress.rs
@@ -9,7 +9,7 @@
 use serde_json::{Value, json};
 
 use super::admission::Admitted;
-use super::error_response::ErrorResponse;
+use super::error_response::{ErrorResponse, NotReady};
 use super::read::ClientRequest;
 use super::{RequestContext, RequestOutcome};
 use crate::event_log;
@@ -33,6 +33,7 @@
         "servers": decision.servers, "draining": decision.draining, "down": decision.down,
         "evacuated": decision.evacuated, "out_of_region": decision.out_of_region,
         "resting": decision.resting, "leaving": decision.leaving, "full": decision.full, "waiting": decision.queue_len,
+        "fraction": decision.capacity_fraction, "contended": decision.is_contended,
         "head_tokens": decision.queue_head.prompt_tokens, "head_ms": decision.queue_head.waited.as_millis() as u64,
         "credit": decision.credit, "short_at": decision.unmet_instances,
         "lack": decision.unmet_cost, "standing": decision.share.status.to_string(), "lead": decision.share.usage_ratio,
@@ -102,6 +103,7 @@
     bytes_sent: bool,
     has_retry_after: bool,
     code: Option<Code>,
+    not_ready: Option<NotReady>,
     admitted: Option<(Box<str>, Box<str>)>,
     servers: Vec<Box<str>>,
     response_start: Option<Instant>,
@@ -140,6 +142,12 @@
             "catalog": gateway.catalog_version(), "lag_ms": lag_ms(gateway), "registrations": gateway.scheduler.borrow().registry.latest_revision(),
         });
         event_log::request_step("sent", &request.attempt_id, fields);
+        if self.servers.is_empty() {
+            let tokens = admitted.request.shape.prompt_tokens;
+            gateway
+                .metrics
+                .request_begun(&admitted.service_name, tokens);
+        }
         self.servers.push(name);
         self.body = None;
         self.earlier_uncertain |= std::mem::take(&mut self.bytes_sent);
@@ -210,6 +218,7 @@
     /// Records that the gateway sends an error response.
     pub const fn record_error(&mut self, response: &ErrorResponse) {
         self.code = Some(response.code);
+        self.not_ready = response.not_ready;
         self.status = response.code.status();
         self.has_retry_after = response.retry_after.is_some();
     }
@@ -234,9 +243,13 @@
             None => ("none", "none"),
         };
         gateway.metrics.request_ended(service, outcome);
+        let not_ready = self.not_ready.map(NotReady::name);
+        if let Some(reason) = not_ready {
+            gateway.metrics.request_not_ready(reason);
+        }
         let fields = json!({
             "outcome": outcome, "status": self.status, "code": self.code.map(Code::number),
-            "route": route, "service": service, "servers": self.servers, "sends": self.sends,
+            "not_ready": not_ready, "route": route, "service": service, "servers": self.servers, "sends": self.sends,
             "last_event": self.last_event_id, "catalog": gateway.catalog_version(), "lag_ms": lag_ms(gateway),
             "begin_ms": self.response_start.map(|b| b.duration_since(request.received).as_millis() as u64),
             "took_ms": now.duration_since(request.received).as_millis() as u64, "body": self.body_fields(),
--- a/crates/hawthornmill/src/routing/request.rs
+++ b/crates/hawthornmill/src/routing/request.rs
@@ -80,6 +80,10 @@
     pub unmet_instances: usize,
     /// Cost of that demand, in tokens.
     pub unmet_cost: u32,
+    /// Fraction of a server's capacity and of the latency objective that the request may use.
+    pub capacity_fraction: f64,
+    /// Whether accounts ahead of those above their fair share have unmet demand.
+    pub is_contended: bool,
     /// Fair share of the request's account.
     pub share: FairShare,
     /// Tokens that this instance may still send of an account that requests more than its fair share.
@@ -118,10 +122,10 @@
     QueueTimeout,
 }
 
-impl fmt::Display for Cause {
-    /// Writes the name that log lines use.
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+impl Cause {
+    /// Returns the name that log lines and metrics use.
+    pub const fn name(self) -> &'static str {
+        match self {
             Self::NoServer => "NoServer",
             Self::RegionBound => "RegionBound",
             Self::Resting => "Resting",
@@ -129,7 +133,13 @@
             Self::TooLong => "TooLong",
             Self::QueueFull => "Crowd",
             Self::QueueTimeout => "Waited",
-        })
+        }
+    }
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
     }
 }
 
--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -30,7 +30,7 @@
 use super::retry_budget::RetryBudget;
 use super::server_notices::{Availability, ServerNotices};
 use super::ttft::TtftModel;
-use super::unmet_demand::{UnmetDemandTracker, preempts_others};
+use super::unmet_demand::{UnmetDemandTracker, UnmetReason, preempts_others};
 use super::usage::{AccountUsage, FairShare, ShareLevels, ShareStatus, UsageTracker};
 use crate::codes::Code;
 use crate::ident::{AccountId, DomainId, RegionId, ServerId, ServiceId};
@@ -185,10 +185,16 @@
                 Err(PlacementError::HomesFull(full)) => awaited = Awaited::Homes(full),
             }
         }
-        if !matches!(turn, Turn::AfterDispatch) {
+        let unmet = match turn {
+            Turn::AfterDispatch => None,
+            _ if blocked => Some(UnmetReason::Preempted),
+            Turn::Now(_) => Some(UnmetReason::NoCapacity),
+            Turn::Full => Some(UnmetReason::Behind),
+        };
+        if let Some(reason) = unmet {
             let (status, cost) = (self.status(request), request.shape.cost());
             self.unmet_tracker
-                .record(request.service, status, cost, now);
+                .record(request.service, status, reason, cost, now);
         }
         if blocked {
             return Admission::Decided(Err(self.refuse(request, Cause::OverFairShare, now)));
@@ -338,9 +344,9 @@
     /// Returns what a decision on `request` is based on now.
     pub fn decision_context(&self, request: &Request, now: Instant) -> DecisionContext {
         let entries = self.registry.entries();
-        let unmet = self.unmet_ahead(request, now);
+        let (share, unmet) = (self.share_of(request), self.unmet_ahead(request, now));
         let mut context = DecisionContext {
-            share: self.share_of(request),
+            share,
             usage: self.usage_of(request),
             levels: self.share_levels,
             queue_len: self.queue.len(),
@@ -351,6 +357,8 @@
                 .map(Credit::tokens),
             unmet_instances: unmet.instances.into(),
             unmet_cost: unmet.cost,
+            capacity_fraction: allowance::capacity_fraction(share, unmet.instances == 0),
+            is_contended: unmet.instances > 0,
             ..DecisionContext::default()
         };
         for (id, entry) in entries.filter(|(_, e)| e.registration.service == request.service) {
--- a/crates/hawthornmill/src/routing/scheduler/exchange.rs
+++ b/crates/hawthornmill/src/routing/scheduler/exchange.rs
@@ -11,7 +11,7 @@
 };
 use crate::routing::loads::Work;
 use crate::routing::shape::PrefixKey;
-use crate::routing::unmet_demand::REPORT_TTL;
+use crate::routing::unmet_demand::{REPORT_TTL, UnmetReason};
 use crate::routing::usage::{AccountUsage, ShareStatus};
 
 /// Spilled prefixes in one report of an instance, so that it fits a datagram.
@@ -75,6 +75,11 @@
         self.unmet_tracker.report(now)
     }
 
+    /// Returns the cost of all requests that found no capacity here since the start, in tokens.
+    pub fn unmet_totals(&self) -> impl Iterator<Item = (ShareStatus, UnmetReason, u64)> {
+        self.unmet_tracker.totals()
+    }
+
     /// Returns prefixes recently sent to a server other than their home, to report to others.
     pub fn spilled_prefixes(&self, now: Instant) -> Vec<(PrefixKey, ServerId)> {
         self.spilled
--- a/crates/hawthornmill/src/routing/unmet_demand.rs
+++ b/crates/hawthornmill/src/routing/unmet_demand.rs
@@ -14,6 +14,28 @@
 /// Time for which unmet demand and spilled prefixes are reported, so that they outlast lost reports.
 pub const REPORT_TTL: Duration = Duration::from_millis(900);
 
+/// Why a request was not sent when it arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum UnmetReason {
+    /// No server that it may use had capacity.
+    NoCapacity,
+    /// A queued request ahead of it that is no larger found no capacity.
+    Behind,
+    /// Accounts ahead of its account have unmet demand.
+    Preempted,
+}
+
+impl UnmetReason {
+    /// Returns the name that metrics use.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NoCapacity => "no_capacity",
+            Self::Behind => "behind",
+            Self::Preempted => "preempted",
+        }
+    }
+}
+
 /// Work that found no capacity at this instance.
 #[derive(Debug, Clone, Copy)]
 struct LocalDemand {
@@ -37,17 +59,33 @@
 pub struct UnmetDemandTracker {
     local: BTreeMap<(ServiceId, ShareStatus), LocalDemand>,
     remote: BTreeMap<(ServiceId, ShareStatus, InstanceId), (Instant, UnmetDemand)>,
+    /// Cost of all requests that found no capacity here.
+    totals: BTreeMap<(ShareStatus, UnmetReason), f64>,
 }
 
 impl UnmetDemandTracker {
     /// Records that a request of `cost` found no capacity here.
-    pub fn record(&mut self, service: ServiceId, status: ShareStatus, cost: f64, now: Instant) {
+    pub fn record(
+        &mut self,
+        service: ServiceId,
+        status: ShareStatus,
+        reason: UnmetReason,
+        cost: f64,
+        now: Instant,
+    ) {
+        *self.totals.entry((status, reason)).or_default() += cost;
         let key = (service, status);
         let before = self.local.get(&key).map_or(0, |d| d.demand(now).cost);
         let cost = f64::from(before) + cost;
         self.local.insert(key, LocalDemand { cost, at: now });
     }
 
+    /// Returns the cost of all requests that found no capacity here since the start, in tokens.
+    pub fn totals(&self) -> impl Iterator<Item = (ShareStatus, UnmetReason, u64)> {
+        let totals = self.totals.iter();
+        totals.map(|((status, reason), cost)| (*status, *reason, *cost as u64))
+    }
+
     /// Returns recent unmet demand, here and elsewhere, of accounts ahead of those with `status`.
     pub fn ahead_of(&self, service: ServiceId, status: ShareStatus, now: Instant) -> UnmetDemand {
         let counts = |s: ServiceId, better: ShareStatus, at: Instant| {
--- a/crates/hawthornmill/src/routing/usage.rs
+++ b/crates/hawthornmill/src/routing/usage.rs
@@ -50,14 +50,20 @@
     AboveFairShare,
 }
 
-impl fmt::Display for ShareStatus {
-    /// Writes the name that log lines use.
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+impl ShareStatus {
+    /// Returns the name that log lines and metrics use.
+    pub const fn name(self) -> &'static str {
+        match self {
             Self::BelowGuarantee => "Owed",
             Self::BelowFairShare => "Below",
             Self::AboveFairShare => "Above",
-        })
+        }
+    }
+}
+
+impl fmt::Display for ShareStatus {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
     }
 }
 
