Serve the first callers of a process that starts again

Cause: the patience that spares peers a question which the store answers soon was also kept by an instance that has nothing at all, peers told it that they know more only in their next round, and nothing waited. Class: work refused for want of what a peer already knows.

--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -128,6 +128,8 @@
     pub report_wakeup: Notify,
     /// Wakes the task that pulls state from peers: one of them has newer state.
     pub behind_wakeup: Notify,
+    /// Wakes requests that wait for a catalog and registrations: one of them has come.
+    pub state_wakeup: Notify,
     /// Reports without work or demand that were sent in a row.
     pub idle_reports: Cell<u32>,
     /// Wakes the gossip task: the work of this instance changed much since it was last announced.
@@ -190,6 +192,7 @@
             queue_wakeup: Notify::new(),
             report_wakeup: Notify::new(),
             behind_wakeup: Notify::new(),
+            state_wakeup: Notify::new(),
             idle_reports: Cell::new(0),
             work_wakeup: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
@@ -261,10 +264,14 @@
         self.report_wakeup.notify_one();
     }
 
+    /// Tells whether this instance has a catalog and registrations.
+    pub fn has_state(&self) -> bool {
+        self.has_registrations.get() && self.table.borrow().is_some()
+    }
+
     /// Tells whether clients may be sent to this instance.
     pub fn is_ready(&self) -> bool {
-        let known = self.has_registrations.get() && self.table.borrow().is_some();
-        self.phase() == Phase::Serving && known && !self.is_outdated()
+        self.phase() == Phase::Serving && self.has_state() && !self.is_outdated()
     }
 
     /// Tells whether a live peer has a newer catalog that should be in force by now.
@@ -298,6 +305,7 @@
                 *self.table.borrow_mut() = Some(Rc::new(table));
                 self.catalog_lag.borrow_mut().catch_up(version);
                 self.queue_wakeup.notify_one();
+                self.state_wakeup.notify_waiters();
                 self.report_wakeup.notify_one();
             }
             Err((code, message)) => {
--- a/crates/hawthornmill-gateway/src/gateway/updates.rs
+++ b/crates/hawthornmill-gateway/src/gateway/updates.rs
@@ -150,6 +150,7 @@
         // The own domain isn't told: its instances get the list too.
         self.announce_cold(from, Source::Peer);
         self.has_registrations.set(true);
+        self.state_wakeup.notify_waiters();
         self.queue_wakeup.notify_one();
     }
 }
--- a/crates/hawthornmill-gateway/src/gossip.rs
+++ b/crates/hawthornmill-gateway/src/gossip.rs
@@ -197,6 +197,12 @@
     }
 }
 
+/// Reports at once to an instance that has no catalog yet, so that it learns whom to ask for one.
+fn report_to_newcomer(gateway: &Gateway, datagrams: &DatagramSocket, newcomer: SocketAddr) {
+    let report = build_report(gateway, 0, gateway.now());
+    datagrams.send(&Message::InstanceReport(Box::new(report)), [newcomer]);
+}
+
 /// Receives datagrams until the process ends.
 pub async fn receive(gateway: Rc<Gateway>, datagrams: Rc<DatagramSocket>) {
     let mut opener = Opener::new(gateway.settings().key, datagrams::CHANNEL);
@@ -231,7 +237,12 @@
     let now = gateway.now();
     let (sender, run) = (frame.sender, frame.incarnation);
     match frame.message {
-        Message::InstanceReport(report) => handle_report(gateway, sender, run, &report),
+        Message::InstanceReport(report) => {
+            handle_report(gateway, sender, run, &report);
+            if report.known.catalog_version == 0 && gateway.has_state() {
+                report_to_newcomer(gateway, datagrams, from);
+            }
+        }
         Message::Work(work) => gateway
             .scheduler
             .borrow_mut()
--- a/crates/hawthornmill-gateway/src/proxy/admission.rs
+++ b/crates/hawthornmill-gateway/src/proxy/admission.rs
@@ -181,7 +181,11 @@
         .then_some(token)
 }
 
-fn parse_deadline(value: Option<&[u8]>) -> Result<Option<Duration>, ErrorResponse> {
+/// Parses the time that a caller gives a request, in milliseconds; `None` where it names none.
+///
+/// # Errors
+/// The response to a malformed number.
+pub(super) fn parse_deadline(value: Option<&[u8]>) -> Result<Option<Duration>, ErrorResponse> {
     let Some(value) = value else {
         return Ok(None);
     };
--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -3,6 +3,7 @@
 //! | step | input | output |
 //! |---|---|---|
 //! | [`read`] | bytes from a client | a [`read::ClientRequest`] |
+//! | [`start_wait`] | a request of a process that has just started | the same, once it can be admitted |
 //! | [`admission`] | a request and the catalog | an [`admission::Admitted`], or an [`error_response::ErrorResponse`] |
 //! | queue | an admitted request | a server chosen by the scheduler |
 //! | [`mod@send`] | a request and its server | a [`send::SendOutcome`] |
@@ -19,6 +20,7 @@
 pub mod read;
 pub mod retry;
 pub mod send;
+pub mod start_wait;
 
 use std::time::Instant;
 
@@ -78,6 +80,7 @@
     progress: &mut RequestProgress,
     out: &mut OwnedWriteHalf,
 ) -> RequestOutcome {
+    start_wait::wait_for_state(context.gateway, context.request).await;
     let admitted = match admission::admit(context.gateway, context.request) {
         Ok(admitted) => admitted,
         Err(response) => return send_error(context, progress, &response, out).await,
--- a/crates/hawthornmill-gateway/src/state_sync.rs
+++ b/crates/hawthornmill-gateway/src/state_sync.rs
@@ -29,6 +29,8 @@
 const MIN_BEHIND: Duration = Duration::from_millis(350);
 /// Interval at which the peers are checked for newer state, while one of them has such.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// The same while this instance has no state at all, and callers wait for it.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Longest time until the next check while no peer is known to have newer state.
 const MAX_IDLE_WAIT: Duration = Duration::from_millis(900);
 /// Time for which a peer that did not answer is skipped; after it, the peer counts as silent.
@@ -122,7 +124,12 @@
     let mut skipped: Vec<(SocketAddr, Instant)> = Vec::new();
     let mut answer_timeout = AdaptiveTimeout::default();
     loop {
-        tokio::time::sleep(CHECK_INTERVAL).await;
+        let interval = if gateway.has_state() {
+            CHECK_INTERVAL
+        } else {
+            START_CHECK_INTERVAL
+        };
+        tokio::time::sleep(interval).await;
         let now = gateway.now();
         skipped.retain(|(_, at)| now.duration_since(*at) < RETRY_DELAY);
         let request = gateway.known_state();
@@ -134,7 +141,8 @@
             let _either = tokio::time::timeout(MAX_IDLE_WAIT, notified).await;
             continue;
         }
-        if now.duration_since(*behind_since.get_or_insert(now)) < MIN_BEHIND {
+        let min_behind = min_behind(&gateway, &ahead);
+        if now.duration_since(*behind_since.get_or_insert(now)) < min_behind {
             continue;
         }
         let mut all_answered = true;
@@ -164,6 +172,19 @@
     }
 }
 
+/// Returns the time for which the peers in `ahead` must be so before one is asked.
+///
+/// An instance without any state asks its own failure domain at once. Other domains are not asked by all instances of a
+/// domain that starts: the first one to know tells the rest.
+fn min_behind(gateway: &Gateway, ahead: &[PeerState]) -> Duration {
+    let own = gateway.settings().domain;
+    if !gateway.has_state() && ahead.iter().any(|p| p.info.domain == own) {
+        Duration::ZERO
+    } else {
+        MIN_BEHIND
+    }
+}
+
 /// Returns the peers to ask for newer state than `request` names, except those in `skipped`.
 fn peers_ahead(
     gateway: &Gateway,
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod platform_names;
 mod request_handling;
 mod responses;
+mod restarts;
 #[expect(dead_code, reason = "the soak uses the other part of the fixtures")]
 mod scripted_server;
 mod server_notices;
