Refuse a removed token for good while a further catalog is on its way

Cause: a token that is not in the catalog in force may be in a newer one, which holds for unknown tokens and hardly for removed ones. Change: a catalog remembers the tokens that earlier ones had and that are in none since, 4,096 at most.

gateway::missed_updates::removed_token_is_refused_for_good failed before (503 for 401); routing::route_table:: removed_tokens_are_those_of_earlier_catalogs_only.

--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -302,6 +302,10 @@
                 let fields = json!({"version": version, "before": before, "from": from, "age_ms": self.age_ms()});
                 event_log::state_change("catalog_in_force", fields);
                 self.scheduler.borrow_mut().apply_catalog(table.catalog());
+                let table = match self.table() {
+                    Some(previous) => table.succeeding(&previous),
+                    None => table,
+                };
                 *self.table.borrow_mut() = Some(Rc::new(table));
                 self.catalog_lag.borrow_mut().catch_up(version);
                 self.queue_wakeup.notify_one();
--- a/crates/hawthornmill-gateway/src/proxy/admission.rs
+++ b/crates/hawthornmill-gateway/src/proxy/admission.rs
@@ -97,7 +97,11 @@
         .and_then(|v| parse_token(v, names.auth_scheme));
     let caller = table
         .authenticate(route, token)
-        .ok_or_else(|| not_in_catalog(gateway, Code::BadToken))?;
+        .ok_or_else(|| match token {
+            // A newer catalog hardly brings it back, and the caller would try again until it is there.
+            Some(token) if table.has_removed(token) => ErrorResponse::new(Code::BadToken),
+            _ => not_in_catalog(gateway, Code::BadToken),
+        })?;
     let remaining = parse_deadline(headers.get(names.deadline))?;
     let shape = (gateway.adapter.parse_shape)(headers)
         .map_err(|_invalid| ErrorResponse::new(Code::BadHeader))?;
--- a/crates/hawthornmill/src/routing/route_table.rs
+++ b/crates/hawthornmill/src/routing/route_table.rs
@@ -1,11 +1,14 @@
 //! Lookup of the route and the account of a request.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::catalog::{Account, Catalog, Limits, Route, Service, TokenDigest, validate};
 use crate::codes::Code;
 use crate::ident::ServiceId;
 
+/// Removed tokens that are remembered; of more, only the newest catalog's.
+const MAX_REMOVED_TOKENS: usize = 4_096;
+
 /// An indexed catalog in force.
 #[derive(Debug, Clone)]
 pub struct RouteTable {
@@ -14,6 +17,8 @@
     hosts: BTreeMap<Box<str>, Vec<usize>>,
     accounts_by_token: BTreeMap<TokenDigest, usize>,
     services: BTreeMap<ServiceId, usize>,
+    /// Tokens of earlier catalogs that are in none since.
+    removed_tokens: BTreeSet<TokenDigest>,
 }
 
 /// On whose behalf a request is made.
@@ -50,9 +55,27 @@
             hosts,
             accounts_by_token,
             services,
+            removed_tokens: BTreeSet::new(),
         })
     }
 
+    /// Remembers the tokens that `previous`, the catalog before this one, had and this one hasn't.
+    #[must_use]
+    pub fn succeeding(mut self, previous: &Self) -> Self {
+        let is_removed = |token: &&TokenDigest| !self.accounts_by_token.contains_key(*token);
+        let mut removed: BTreeSet<TokenDigest> = previous
+            .accounts_by_token
+            .keys()
+            .filter(is_removed)
+            .copied()
+            .collect();
+        if removed.len() + previous.removed_tokens.len() <= MAX_REMOVED_TOKENS {
+            removed.extend(previous.removed_tokens.iter().filter(is_removed));
+        }
+        self.removed_tokens = removed;
+        self
+    }
+
     /// Returns the catalog as published.
     pub const fn catalog(&self) -> &Catalog {
         &self.catalog
@@ -94,6 +117,11 @@
         }
     }
 
+    /// Returns whether an earlier catalog had `token`, and this one took it away.
+    pub fn has_removed(&self, token: &[u8]) -> bool {
+        !self.removed_tokens.is_empty() && self.removed_tokens.contains(&TokenDigest::of(token))
+    }
+
     /// Returns whether callers need tokens at all.
     pub const fn has_accounts(&self) -> bool {
         !self.catalog.accounts.is_empty()
--- a/tests/testsuite/gateway/missed_updates.rs
+++ b/tests/testsuite/gateway/missed_updates.rs
@@ -128,6 +128,12 @@
         .map_or(0, |a| a.status())
 }
 
+async fn status_with_token(front: std::net::SocketAddr, token: &str) -> u16 {
+    let text = request("GET", "/get/", "r", "").replace("key-1", token);
+    let response = send_request(front, text.as_bytes()).await;
+    response.map_or(0, |r| r.status())
+}
+
 /// Sends ten requests to the first gateway, each of which is served; returns how many came to the first server.
 async fn received_by_first_server_of_ten(fleet: &Fleet) -> usize {
     let before = fleet.servers[0].received().len();
@@ -327,6 +333,33 @@
     });
 }
 
+/// Failure: a token was taken away, and its callers are told to come back, again and again, whenever a further catalog is on
+/// its way.
+#[test]
+fn removed_token_is_refused_for_good() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        let front = fleet.gateways[0].front();
+        let mut without = config(2);
+        without["tenants"] = json!([{"name": "lab", "apiKeys": ["key-1"]}]);
+        fleet.store.put("op/config", without.to_string().as_bytes());
+        wait_until("the token is taken away", || async {
+            status_with_token(front, "key-2").await == 401
+        })
+        .await;
+        let peer = Peer::bind(&fleet, 1).await;
+
+        wait_until("the instance learns of a newer catalog", || async {
+            peer.announce(1_001, 3).await;
+            status_with_token(front, "key-3").await == 503
+        })
+        .await;
+
+        assert_eq!(status_with_token(front, "key-2").await, 401);
+        assert_eq!(status_with_token(front, "key-1").await, 200);
+    });
+}
+
 /// Failure: an instance can't get a catalog that others have long applied, and serves requests by its old one.
 #[test]
 fn outdated_instance_accepts_no_requests() {
--- a/tests/testsuite/gateway/store.rs
+++ b/tests/testsuite/gateway/store.rs
@@ -23,6 +23,8 @@
     Refusing,
     /// Not at all.
     Unresponsive,
+    /// As specified, this much later.
+    Late(Duration),
 }
 
 #[derive(Debug, Default)]
@@ -164,6 +166,11 @@
                 () = unresponsive => std::future::pending().await,
             };
             let rejected = *mode.borrow() == Mode::Refusing || self.lock().rejects_call_at(at);
+            let delay = match *mode.borrow() {
+                Mode::Late(delay) => delay,
+                _ => Duration::ZERO,
+            };
+            tokio::time::sleep(delay).await;
             let (status, body) = if rejected {
                 (503, json!({}))
             } else {
--- a/tests/testsuite/routing/route_table.rs
+++ b/tests/testsuite/routing/route_table.rs
@@ -94,3 +94,22 @@
     assert_eq!(code(vec![bare]), Err(Code::BadValue));
     assert_eq!(code(vec![weightless]), Err(Code::BadValue));
 }
+
+/// Failure: a token that was taken away and given back is still refused for good, or one is forgotten at the next change.
+#[test]
+fn removed_tokens_are_those_of_earlier_catalogs_only() {
+    let table = |version, tokens: &[&str]| {
+        let accounts = tokens.iter().map(|t| account(t, t)).collect();
+        RouteTable::new(catalog(version, vec![route("h.example", "/")], accounts))
+            .expect("the catalog is valid")
+    };
+
+    let first = table(1, &["a", "b", "c"]);
+    let second = table(2, &["a"]).succeeding(&first);
+    let third = table(3, &["a", "c"]).succeeding(&second);
+
+    let removed =
+        |table: &RouteTable| ["a", "b", "c", "d"].map(|t| table.has_removed(t.as_bytes()));
+    assert_eq!(removed(&second), [false, true, true, false]);
+    assert_eq!(removed(&third), [false, true, false, false]);
+}
