Soak: accounts that ask for more than the servers can do, and the promise of fair shares

Now (--shares): busy accounts that come in by two gateways or all, modest ones, a store that answers late, timers that slip, restarts of every gateway in series with slow starts, connections used until the process closes them. Check: half of what was asked or the best served one got, second by second, in six seconds in each of which the account waited. A planted fault, an account that hardly sends, is found.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -225,7 +225,8 @@
     }
 }
 
-type Link = (TcpStream, BytesMut);
+/// A connection, and the bytes received on it and not read yet.
+pub type Link = (TcpStream, BytesMut);
 
 async fn attempt(
     field: &Field,
@@ -240,6 +241,11 @@
     if link.0.write_all(text.as_bytes()).await.is_err() {
         return (Outcome::Closed, None);
     }
+    read_answer(link, enough).await
+}
+
+/// Reads one answer, of its body no more than `enough` bytes; returns the connection if it can be used again.
+pub async fn read_answer(mut link: Link, enough: usize) -> (Outcome, Option<Link>) {
     match tokio::time::timeout(GIVEN_UP, read(&mut link, enough)).await {
         Ok((outcome, true)) => (outcome, Some(link)),
         Ok((outcome, false)) => (outcome, None),
@@ -252,7 +258,12 @@
     if link.is_some() {
         return link;
     }
-    let connect = TcpStream::connect(field.fronts[router]);
+    connect(field.fronts[router]).await
+}
+
+/// Opens a connection; `None` where nobody listens.
+pub async fn connect(address: SocketAddr) -> Option<Link> {
+    let connect = TcpStream::connect(address);
     let stream = tokio::time::timeout(CONNECT, connect).await.ok()?.ok()?;
     Some((stream, BytesMut::new()))
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -20,6 +20,7 @@
 mod plan;
 mod plant;
 mod promises;
+mod shares;
 mod world;
 
 use std::path::{Path, PathBuf};
@@ -34,11 +35,20 @@
 use plan::Size;
 use plant::Plant;
 use promises::{Breach, Records, check};
+use shares::Unfair;
 
 /// Seeds that are played in a whole test run.
 const USUAL: [u64; 3] = [1, 2, 3];
 /// Seeds that failed once; each with its cause in docs/operators/soak.md.
 const REGRESSIONS: [u64; 0] = [];
+/// Seeds of runs with accounts that are played in a whole test run.
+const SHARES_USUAL: [u64; 1] = [1];
+/// Size of such a run unless told otherwise.
+const SHARES_SIZE: Size = Size {
+    routers: 4,
+    servers: 6,
+    time: Duration::from_secs(14),
+};
 /// Planted faults that are played at the same time: a dozen processes keep a small machine busy enough.
 const AT_ONCE: usize = 3;
 /// Size of a run unless told otherwise.
@@ -66,6 +76,9 @@
     /// backend servers
     #[argh(option, default = "4")]
     servers: usize,
+    /// plays accounts that ask for more than the servers can do, in place of random faults
+    #[argh(switch)]
+    shares: bool,
     /// directory for the logs of runs that broke a promise
     #[argh(option)]
     keep: Option<PathBuf>,
@@ -102,6 +115,9 @@
         time: Duration::from_secs(args.seconds),
     };
     let seeds: Vec<u64> = (first..first + args.seeds).collect();
+    if args.shares {
+        return play_shares(&seeds, size, args.keep.as_deref()).await;
+    }
     play_all(&seeds, size, args.keep.as_deref()).await
 }
 
@@ -123,8 +139,11 @@
 
 async fn usual_run() -> usize {
     let seeds: Vec<u64> = USUAL.iter().chain(&REGRESSIONS).copied().collect();
-    let failed = play_all(&seeds, SIZE, None).await + prove().await;
-    let passed = seeds.len() + plant::ALL.len() - failed;
+    let failed = play_all(&seeds, SIZE, None).await
+        + prove().await
+        + play_shares(&SHARES_USUAL, SHARES_SIZE, None).await
+        + prove_shares().await;
+    let passed = seeds.len() + plant::ALL.len() + SHARES_USUAL.len() + 1 - failed;
     println!("soak: {passed} passed, {failed} failed");
     failed
 }
@@ -176,6 +195,40 @@
     }
 }
 
+/// Plays accounts that ask for more than the servers can do, and tells how many seeds broke the promise.
+async fn play_shares(seeds: &[u64], size: Size, keep: Option<&Path>) -> usize {
+    println!(
+        "{:>8} {:>8} {:>8}  unfair windows",
+        "seed", "attempts", "begun"
+    );
+    let mut failed = 0;
+    for seed in seeds {
+        let (shares, fleet) = shares::play(*seed, size, Unfair::No).await;
+        let (breaches, (attempts, begun)) = (shares.check(), shares.counts());
+        println!("{seed:>8} {attempts:>8} {begun:>8}  {}", breaches.len());
+        for breach in breaches.iter().take(10) {
+            let at = breach.at.map_or(0.0, |at| shares.since(at).as_secs_f64());
+            println!("         {at:.0} s {}: {}", breach.promise, breach.what);
+        }
+        if !breaches.is_empty() {
+            failed += 1;
+            if let Some(keep) = keep {
+                fleet.copy_logs(&keep.join(seed.to_string()));
+            }
+        }
+    }
+    failed
+}
+
+/// Plays an account that hardly gets a request through, and tells whether that was not found.
+async fn prove_shares() -> usize {
+    let (shares, _fleet) = shares::play(7, SHARES_SIZE, Unfair::Starved).await;
+    let found = !shares.check().is_empty();
+    let said = if found { "found" } else { "MISSED" };
+    println!("planted Starved: fair shares {said}");
+    usize::from(!found)
+}
+
 /// Plays each planted fault and tells how many were not found.
 async fn prove() -> usize {
     let mut missed = 0;
