Count no queued request as full that may use more since it was tried

What callers saw: accounts above their share refused (OthersOwed, Crowd) while none of 60 servers was full, and begun work that rises slowly after demand leaps.

Cause: the requests of an account that has used up its credit are queued as above its share. When the credit is refilled, all of them rank as owed at once, but they are tried in the next dispatch only. A request that comes before that stood behind them as behind requests that find no capacity, and counted as owed work without any; 6 % of what is promised, and every account without credit is shut out, in the whole fleet, for 0.6 s. Refusals lower what is begun, and with it the level that the credits are part of. Class: a result kept after the state that it rests on has changed.

Change: a queued request keeps the status with which it found no capacity; one whose status is better since, or that was never tried, is due for a dispatch, and what comes after it waits for that.

--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -202,8 +202,14 @@
         if self.queue.len() >= MAX_QUEUE_LEN || self.is_hopeless(request, now) {
             return Admission::Decided(Err(self.refuse(request, Cause::QueueFull, now)));
         }
+        let was_tried = !matches!(turn, Turn::AfterDispatch);
+        let tried_as = was_tried.then(|| self.status(request));
         let request = request.clone();
-        Admission::Queued(self.queue.insert(QueuedRequest { request, awaited }))
+        Admission::Queued(self.queue.insert(QueuedRequest {
+            request,
+            awaited,
+            tried_as,
+        }))
     }
 
     /// Records a request's first attempt.
@@ -256,10 +262,13 @@
         let least = reserved.least_tokens(service);
         if least.is_some_and(|least| tokens >= least) || self.is_blocked(queued, now) {
             let refusal = expired.then(|| Err(self.refuse(queued, Cause::QueueTimeout, now)));
+            let status = self.status(queued);
+            self.queue[ticket].tried_as = Some(status);
             self.queue[ticket].awaited = Awaited::Any(None);
             return refusal;
         }
         let request = queued.clone();
+        self.queue[ticket].tried_as = Some(self.status(&request));
         match self.try_place(&request, &reserved.servers, now) {
             Ok(placement) => Some(Ok(placement)),
             Err(PlacementError::NoServer) => Some(Err(NO_SERVER)),
@@ -480,7 +489,9 @@
                 continue;
             }
             match &queued.awaited {
-                Awaited::Any(_) if self.has_freed => return Turn::AfterDispatch,
+                Awaited::Any(_) if self.has_freed || self.may_use_more(queued) => {
+                    return Turn::AfterDispatch;
+                }
                 Awaited::Any(_)
                     if queued.request.shape.prompt_tokens <= request.shape.prompt_tokens =>
                 {
@@ -493,6 +504,12 @@
         Turn::Now(reserved)
     }
 
+    /// Returns whether a queued request may find capacity where it found none when it was last tried, if it was.
+    fn may_use_more(&self, queued: &QueuedRequest) -> bool {
+        let status = self.status(&queued.request);
+        queued.tried_as.is_none_or(|tried_as| status < tried_as)
+    }
+
     /// Queued requests for `service`.
     fn queued_for(&self, service: ServiceId) -> impl Iterator<Item = &QueuedRequest> {
         self.queue
--- a/crates/hawthornmill/src/routing/scheduler/queue.rs
+++ b/crates/hawthornmill/src/routing/scheduler/queue.rs
@@ -5,12 +5,15 @@
 use crate::ident::{ServerId, ServiceId};
 use crate::routing::placement::HomeServers;
 use crate::routing::request::Request;
+use crate::routing::usage::ShareStatus;
 
 /// A queued request.
 #[derive(Debug, Clone)]
 pub(super) struct QueuedRequest {
     pub request: Request,
     pub awaited: Awaited,
+    /// Status of its account when it last found no capacity; `None` before it was tried.
+    pub tried_as: Option<ShareStatus>,
 }
 
 /// Servers of which a queued request waits for one.
@@ -52,6 +55,6 @@
     Now(HomeServers),
     /// One ahead that is no larger finds no capacity.
     Full,
-    /// Capacity became free, and the requests ahead have not been tried since.
+    /// Capacity became free, or one ahead may use more than when it was tried, and it has not been tried since.
     AfterDispatch,
 }
--- a/tests/testsuite/routing/unmet_demand.rs
+++ b/tests/testsuite/routing/unmet_demand.rs
@@ -5,12 +5,13 @@
 use hawthornmill::ident::InstanceId;
 use hawthornmill::routing::gossip::UnmetDemand;
 use hawthornmill::routing::request::Admission;
+use hawthornmill::routing::scheduler::Scheduler;
 use hawthornmill::routing::usage::ShareStatus;
 
 use super::scheduler::{
     NEGLIGIBLE, ONE_SERVER, SIGNIFICANT, fill_server, flood_usage, flooded_scheduler, report,
 };
-use super::{drafter, millis, request, scheduler, shape};
+use super::{drafter, millis, request, scheduler, sent, shape};
 
 /// Failure: another instance has just refused a request of an account below its share. Here a slot becomes free, the
 /// flooding account takes it, and the other account starves.
@@ -139,3 +140,41 @@
 
     assert!(matches!(verdict, Admission::Decided(Ok(_))), "{verdict:?}");
 }
+
+/// A scheduler whose account `hot` waits without credit, and an instant by which it has credit again.
+///
+/// The account uses four of the eight slots, as many as it may without credit.
+fn scheduler_with_queued_account(start: Instant) -> (Scheduler, Instant) {
+    let mut scheduler = scheduler(ONE_SERVER, start);
+    scheduler.token_rate = 1_000.0;
+    let ask = |scheduler: &mut Scheduler, now| {
+        scheduler.submit(&request("hot", shape(1, 10, 10), now), now)
+    };
+    for _ in 0..8 {
+        let placement = sent(ask(&mut scheduler, start));
+        scheduler.finish(&placement, false);
+    }
+    let without = start + millis(200);
+    for _ in 0..4 {
+        let _running = sent(ask(&mut scheduler, without));
+    }
+    let waits = ask(&mut scheduler, without);
+    assert!(matches!(waits, Admission::Queued(_)), "{waits:?}");
+    let _none_decided = scheduler.dispatch_queued(without);
+    (scheduler, start + millis(450))
+}
+
+/// Failure: an account's credit is refilled while its requests are queued; until these are tried again, its next ones count as
+/// owed work without capacity, and all accounts without credit are refused in the whole fleet while servers idle.
+#[test]
+fn queued_requests_with_new_credit_are_no_unmet_demand() {
+    let (mut scheduler, later) = scheduler_with_queued_account(Instant::now());
+
+    let next = scheduler.submit(&request("hot", shape(1, 10, 10), later), later);
+    let unmet = scheduler.unmet_demand(later);
+    let sent = scheduler.dispatch_queued(later);
+
+    let placed = sent.iter().filter(|(_, decision)| decision.is_ok()).count();
+    assert_eq!(placed, 2, "{next:?}, {sent:?}");
+    assert!(unmet.is_empty(), "{unmet:?}");
+}
