Let only much unmet demand take capacity from accounts above their share

Cause: an account without credit may use 0.35 of a server, divided by its usage, in place of 0.6 while any request of another found no server within 0.6 s, wherever in the fleet. Shutting accounts out has a threshold of 6 % of the promised capacity since 'single requests find no capacity at any time'; this had none. Class: a condition that is always true in a large fleet taken for a signal.

Change: the same threshold for both.

--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -354,6 +354,7 @@
     pub fn decision_context(&self, request: &Request, now: Instant) -> DecisionContext {
         let entries = self.registry.entries();
         let (share, unmet) = (self.share_of(request), self.unmet_ahead(request, now));
+        let is_contended = preempts_others(unmet, self.token_rate);
         let mut context = DecisionContext {
             share,
             usage: self.usage_of(request),
@@ -366,8 +367,8 @@
                 .map(Credit::tokens),
             unmet_instances: unmet.instances.into(),
             unmet_cost: unmet.cost,
-            capacity_fraction: allowance::capacity_fraction(share, unmet.instances == 0),
-            is_contended: unmet.instances > 0,
+            capacity_fraction: allowance::capacity_fraction(share, !is_contended),
+            is_contended,
             ..DecisionContext::default()
         };
         for (id, entry) in entries.filter(|(_, e)| e.registration.service == request.service) {
@@ -399,7 +400,7 @@
     ) -> Result<Placement, PlacementError> {
         let mut unavailable = self.cold_at_limit(request.service, now);
         unavailable.extend_from_slice(reserved);
-        let uncontended = self.unmet_ahead(request, now).instances == 0;
+        let uncontended = !self.is_contended(request, now);
         let share = self.share_of(request);
         let view = PlacementView {
             registry: &self.registry,
@@ -551,6 +552,11 @@
             .ahead_of(request.service, ShareStatus::AboveFairShare, now)
     }
 
+    /// Returns whether accounts not above their fair share have much unmet demand, here or elsewhere.
+    fn is_contended(&self, request: &Request, now: Instant) -> bool {
+        preempts_others(self.unmet_ahead(request, now), self.token_rate)
+    }
+
     /// Returns whether accounts ahead of this request's account have unmet demand, here or elsewhere.
     ///
     /// Only accounts below their guarantee preempt others. Accounts around their fair share change sides several times a
