--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -24,9 +24,7 @@
 use super::prefix_index::PrefixIndex;
 use super::regions::Eligibility;
 use super::registry::Registry;
-use super::request::{
-    Admission, Cause, Decision, DecisionContext, QueueHead, Refusal, Request, Ticket,
-};
+use super::request::{Admission, Cause, Decision, DecisionContext, Refusal, Request, Ticket};
 use super::retry_budget::RetryBudget;
 use super::server_notices::{Availability, ServerNotices};
 use super::ttft::TtftModel;
@@ -42,14 +40,10 @@
 mod shares;
 
 use exchange::SpilledPrefixes;
-use queue::{Awaited, QueuedRequest, Reserved, Turn};
+use queue::{Awaited, MAX_WAIT_FRACTION, QueuedRequest, Reserved, Turn, wait_deadline};
 
-/// Fraction of its objective for which a request may be queued; the rest is left for its response.
-const MAX_WAIT_FRACTION: f64 = 0.3;
 /// Maximum number of queued requests of one instance; each holds its body in memory.
 const MAX_QUEUE_LEN: usize = 512;
-/// Steps of usage, per fair share, between which accounts are ordered; within a step the earlier request goes first.
-const USAGE_STEPS: f64 = 4.0;
 /// Refusal while the service has no known server; most servers are back, or replaced, within a second.
 const NO_SERVER: Refusal = Refusal {
     code: Code::UpstreamUnreachable,
@@ -481,71 +475,6 @@
         }
     }
 
-    /// Returns whether `request` may be placed now, beside the queued requests ahead of it.
-    fn turn(&self, request: &Request, now: Instant) -> Turn {
-        let rank = self.rank(request);
-        let mut reserved = HomeServers::new();
-        for queued in self.waiting_for(request.service, now) {
-            if self.rank(&queued.request) >= rank {
-                continue;
-            }
-            match &queued.awaited {
-                Awaited::Any(_) if self.has_freed || self.may_use_more(queued) => {
-                    return Turn::AfterDispatch;
-                }
-                Awaited::Any(_)
-                    if queued.request.shape.prompt_tokens <= request.shape.prompt_tokens =>
-                {
-                    return Turn::Full;
-                }
-                Awaited::Any(server) => reserved.extend(*server),
-                Awaited::Homes(homes) => reserved.extend_from_slice(homes),
-            }
-        }
-        Turn::Now(reserved)
-    }
-
-    /// Returns whether a queued request may find capacity where it found none when it was last tried, if it was.
-    fn may_use_more(&self, queued: &QueuedRequest) -> bool {
-        let status = self.status(&queued.request);
-        queued.tried_as.is_none_or(|tried_as| status < tried_as)
-    }
-
-    /// Queued requests for `service`.
-    fn queued_for(&self, service: ServiceId) -> impl Iterator<Item = &QueuedRequest> {
-        self.queue
-            .values()
-            .filter(move |q| q.request.service == service)
-    }
-
-    /// Returns the queued request for `service` that goes first to any server.
-    fn queue_head(&self, service: ServiceId, now: Instant) -> Option<QueueHead> {
-        let queued = self.queued_for(service);
-        let any = queued.filter(|q| matches!(q.awaited, Awaited::Any(_)));
-        let first = any.min_by_key(|q| self.rank(&q.request))?;
-        Some(QueueHead {
-            prompt_tokens: first.request.shape.prompt_tokens,
-            waited: now.saturating_duration_since(first.request.arrival),
-        })
-    }
-
-    /// Queued requests for `service` whose time to wait is not over; the others only wait to be told so.
-    fn waiting_for(
-        &self,
-        service: ServiceId,
-        now: Instant,
-    ) -> impl Iterator<Item = &QueuedRequest> {
-        let queued = self.queued_for(service);
-        queued.filter(move |q| now < wait_deadline(&q.request))
-    }
-
-    /// Returns the position of a request in the queue; with the same status and priority, accounts with less usage go first.
-    fn rank(&self, request: &Request) -> (ShareStatus, u32, u32, Instant) {
-        let share = self.share_of(request);
-        let usage = (share.usage_ratio * USAGE_STEPS) as u32;
-        (share.status, request.priority, usage, request.arrival)
-    }
-
     /// Recent unmet demand, here or elsewhere, of accounts not above their fair share.
     fn unmet_ahead(&self, request: &Request, now: Instant) -> UnmetDemand {
         self.unmet_tracker
@@ -615,7 +544,3 @@
             .max(request.objective.mul_f64(MAX_WAIT_FRACTION)),
     }
 }
-
-fn wait_deadline(request: &Request) -> Instant {
-    (request.arrival + request.objective.mul_f64(MAX_WAIT_FRACTION)).min(request.deadline)
-}
--- a/crates/hawthornmill/src/routing/scheduler/queue.rs
+++ b/crates/hawthornmill/src/routing/scheduler/queue.rs
@@ -1,12 +1,20 @@
 //! Queued requests, and what they leave to those behind them.
 
+use std::time::Instant;
+
 use smallvec::SmallVec;
 
+use super::Scheduler;
 use crate::ident::{ServerId, ServiceId};
 use crate::routing::placement::HomeServers;
-use crate::routing::request::Request;
+use crate::routing::request::{QueueHead, Request};
 use crate::routing::usage::ShareStatus;
 
+/// Fraction of its objective for which a request may be queued; the rest is left for its response.
+pub(super) const MAX_WAIT_FRACTION: f64 = 0.3;
+/// Steps of usage, per fair share, between which accounts are ordered; within a step the earlier request goes first.
+const USAGE_STEPS: f64 = 4.0;
+
 /// A queued request.
 #[derive(Debug, Clone)]
 pub(super) struct QueuedRequest {
@@ -58,3 +66,75 @@
     /// Capacity became free, or one ahead may use more than when it was tried, and it has not been tried since.
     AfterDispatch,
 }
+
+impl Scheduler {
+    /// Returns whether `request` may be placed now, beside the queued requests ahead of it.
+    pub(super) fn turn(&self, request: &Request, now: Instant) -> Turn {
+        let rank = self.rank(request);
+        let mut reserved = HomeServers::new();
+        for queued in self.waiting_for(request.service, now) {
+            if self.rank(&queued.request) >= rank {
+                continue;
+            }
+            match &queued.awaited {
+                Awaited::Any(_) if self.has_freed || self.may_use_more(queued) => {
+                    return Turn::AfterDispatch;
+                }
+                Awaited::Any(_)
+                    if queued.request.shape.prompt_tokens <= request.shape.prompt_tokens =>
+                {
+                    return Turn::Full;
+                }
+                Awaited::Any(server) => reserved.extend(*server),
+                Awaited::Homes(homes) => reserved.extend_from_slice(homes),
+            }
+        }
+        Turn::Now(reserved)
+    }
+
+    /// Returns whether a queued request may find capacity where it found none when it was last tried, if it was.
+    fn may_use_more(&self, queued: &QueuedRequest) -> bool {
+        let status = self.status(&queued.request);
+        queued.tried_as.is_none_or(|tried_as| status < tried_as)
+    }
+
+    /// Queued requests for `service`.
+    pub(super) fn queued_for(&self, service: ServiceId) -> impl Iterator<Item = &QueuedRequest> {
+        self.queue
+            .values()
+            .filter(move |q| q.request.service == service)
+    }
+
+    /// Returns the queued request for `service` that goes first to any server.
+    pub(super) fn queue_head(&self, service: ServiceId, now: Instant) -> Option<QueueHead> {
+        let queued = self.queued_for(service);
+        let any = queued.filter(|q| matches!(q.awaited, Awaited::Any(_)));
+        let first = any.min_by_key(|q| self.rank(&q.request))?;
+        Some(QueueHead {
+            prompt_tokens: first.request.shape.prompt_tokens,
+            waited: now.saturating_duration_since(first.request.arrival),
+        })
+    }
+
+    /// Queued requests for `service` whose time to wait is not over; the others only wait to be told so.
+    pub(super) fn waiting_for(
+        &self,
+        service: ServiceId,
+        now: Instant,
+    ) -> impl Iterator<Item = &QueuedRequest> {
+        let queued = self.queued_for(service);
+        queued.filter(move |q| now < wait_deadline(&q.request))
+    }
+
+    /// Returns the position of a request in the queue; with the same status and priority, accounts with less usage go first.
+    pub(super) fn rank(&self, request: &Request) -> (ShareStatus, u32, u32, Instant) {
+        let share = self.share_of(request);
+        let usage = (share.usage_ratio * USAGE_STEPS) as u32;
+        (share.status, request.priority, usage, request.arrival)
+    }
+}
+
+/// Returns when a queued request must have found a server.
+pub(super) fn wait_deadline(request: &Request) -> Instant {
+    (request.arrival + request.objective.mul_f64(MAX_WAIT_FRACTION)).min(request.deadline)
+}
