Leave others time on the servers that accounts above their share use

Cause: an account that asks for more than its share could fill a server up to 0.9 of everyone's objective and prefill a family's prefix at any number of servers; expected times are those of a moment ago, so whoever came next was late. It was hidden while such accounts were shut out.

routing::scheduler::account_with_credit_leaves_time_to_others failed before. The test of first callers plays a late store too.

--- a/crates/hawthornmill/src/routing/placement.rs
+++ b/crates/hawthornmill/src/routing/placement.rs
@@ -113,8 +113,10 @@
     pub time_left: Duration,
     /// The whole latency objective.
     pub full_objective: Duration,
-    /// Fraction of a server's capacity and of the objective that the request may use.
+    /// Fraction of a server's capacity that the request may use.
     pub capacity_fraction: f64,
+    /// Fraction of the objective that it may be expected to take; 1 for no limit.
+    pub latency_fraction: f64,
     /// Number of servers, in the order of its family, where a long shared prefix may be prefilled for it.
     pub max_copies: usize,
     /// Whether its server may fetch cached parts of the prompt from another one.
@@ -220,7 +222,7 @@
         homes: homes(&candidates, request.shape),
         hits: view.prefix_index.lookup(request.shape, now),
         shared_tokens: request.shape.shared_tokens(),
-        time_limit: request.time_left.mul_f64(request.capacity_fraction),
+        time_limit: request.time_left.mul_f64(request.latency_fraction),
         risk_start: request.time_left.mul_f64(RISK_THRESHOLD),
     };
     let mut best: Option<(Placement, f64)> = None;
@@ -453,9 +455,9 @@
     let baseline = base + request.ttft.prefill_time(queued) + round_trip;
     let expected = slowed(baseline, slowdown);
     let unloaded = slowed(base + request.ttft.prefill_time(prefill), slowdown) + round_trip;
-    if request.capacity_fraction < 1.0 && expected > context.time_limit {
+    if request.latency_fraction < 1.0 && expected > context.time_limit {
         return Err(
-            if unloaded > request.full_objective.mul_f64(request.capacity_fraction) {
+            if unloaded > request.full_objective.mul_f64(request.latency_fraction) {
                 Rejection::TooLong
             } else {
                 full
--- a/crates/hawthornmill/src/routing/request.rs
+++ b/crates/hawthornmill/src/routing/request.rs
@@ -80,7 +80,7 @@
     pub unmet_instances: usize,
     /// Cost of that demand, in tokens.
     pub unmet_cost: u32,
-    /// Fraction of a server's capacity and of the latency objective that the request may use.
+    /// Fraction of a server's capacity that the request may use.
     pub capacity_fraction: f64,
     /// Whether accounts ahead of those above their fair share have unmet demand.
     pub is_contended: bool,
--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -396,6 +396,7 @@
         unavailable.extend_from_slice(reserved);
         let uncontended = !self.is_contended(request, now);
         let share = self.share_of(request);
+        let capacity_fraction = allowance::capacity_fraction(share, uncontended);
         let view = PlacementView {
             registry: &self.registry,
             loads: &self.loads,
@@ -421,8 +422,9 @@
                 .estimate(),
             time_left: (request.arrival + request.objective).saturating_duration_since(now),
             full_objective: request.objective,
-            capacity_fraction: allowance::capacity_fraction(share, uncontended),
-            max_copies: allowance::max_prefix_copies(share.status),
+            capacity_fraction,
+            latency_fraction: allowance::latency_fraction(capacity_fraction),
+            max_copies: allowance::max_prefix_copies(share),
             fetches_prefixes: self.fetches_prefixes,
         };
         let placement = choose_server(&view, &query, now)?;
--- a/tests/testsuite/gateway/restarts.rs
+++ b/tests/testsuite/gateway/restarts.rs
@@ -1,36 +1,45 @@
 //! Instances that start again while callers still know their addresses.
 
+use std::time::Duration;
+
 use tokio::net::TcpStream;
 
-use super::fleet::{Fleet, request, wait_until};
+use super::fleet::{Fleet, Response, request, wait_until};
 use super::store::Mode;
 use crate::block_on;
 
 /// Requests that wait for an instance that has just started.
 const FIRST_REQUESTS: usize = 6;
 
+/// Returns the statuses of requests that are sent as soon as a restarted instance listens; the other one knows all.
+async fn first_statuses(mode: Mode) -> Vec<u16> {
+    let mut fleet = Fleet::start(2, 1).await;
+    fleet.store.set_mode(mode);
+    fleet.gateways[1].kill();
+
+    fleet.gateways[1].start();
+    let front = fleet.gateways[1].front();
+    wait_until("the instance listens", || async {
+        TcpStream::connect(front).await.is_ok()
+    })
+    .await;
+    let texts: Vec<String> = (0..FIRST_REQUESTS)
+        .map(|n| request("GET", "/get/", &format!("first-{n}"), ""))
+        .collect();
+    let sent = texts.iter().map(|text| fleet.send_admitted_to(1, text));
+    let responses = futures_util::future::join_all(sent).await;
+    responses.iter().map(Response::status).collect()
+}
+
 /// Failure: callers come back to an instance as soon as it listens again, and it refuses them until it has asked another one
 /// for what that knows; an account whose entries restart in turn is refused all the while.
 #[test]
 fn restarted_instance_serves_its_first_callers() {
     block_on(async {
-        let mut fleet = Fleet::start(2, 1).await;
-        fleet.store.set_mode(Mode::Unresponsive);
-        fleet.gateways[1].kill();
-
-        fleet.gateways[1].start();
-        let front = fleet.gateways[1].front();
-        wait_until("the instance listens", || async {
-            TcpStream::connect(front).await.is_ok()
-        })
-        .await;
-        let texts: Vec<String> = (0..FIRST_REQUESTS)
-            .map(|n| request("GET", "/get/", &format!("first-{n}"), ""))
-            .collect();
-        let sent = texts.iter().map(|text| fleet.send_admitted_to(1, text));
-        let responses = futures_util::future::join_all(sent).await;
-
-        let statuses: Vec<u16> = responses.iter().map(|r| r.status()).collect();
-        assert_eq!(statuses, [200; FIRST_REQUESTS]);
+        let silent = first_statuses(Mode::Unresponsive).await;
+        let late = first_statuses(Mode::Late(Duration::from_secs(3))).await;
+
+        assert_eq!(silent, [200; FIRST_REQUESTS]);
+        assert_eq!(late, [200; FIRST_REQUESTS]);
     });
 }
--- a/tests/testsuite/routing/scheduler.rs
+++ b/tests/testsuite/routing/scheduler.rs
@@ -224,6 +224,33 @@
     assert_eq!((uncontended, contended), (4, 2));
 }
 
+/// Failure: an account that requests more than its share fills servers up to the objective of everyone's requests, and those
+/// of other accounts behind it are late.
+#[test]
+fn account_with_credit_leaves_time_to_others() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(ONE_SERVER, now);
+    let cost = shape(1, 10, 10).cost();
+    scheduler.token_rate = 20.0 * cost;
+    for _ in 0..100 {
+        let hot = AccountId::of("hot");
+        scheduler.account_usage.record_requested(hot, cost, now);
+    }
+    // Its prefill takes about two thirds of the objective.
+    let mut long = request("lab", shape(2, 0, 24_000), now);
+    long.account = None;
+    let _busy = sent(scheduler.submit(&long, now));
+
+    let hot = request("hot", shape(1, 10, 10), now);
+    let lab = request("lab", shape(1, 10, 10), now);
+    let (held_back, served) = (scheduler.submit(&hot, now), scheduler.submit(&lab, now));
+
+    let share = scheduler.share_of(&hot);
+    assert!(share.is_limited && share.status == ShareStatus::BelowGuarantee);
+    assert!(matches!(held_back, Admission::Queued(_)), "{held_back:?}");
+    assert!(matches!(served, Admission::Decided(Ok(_))), "{served:?}");
+}
+
 /// Failure: one request that finds no server takes capacity from all accounts above their share, in the whole fleet and for
 /// most of a second.
 #[test]
