--- a/tests/testsuite/gateway/restarts.rs
+++ b/tests/testsuite/gateway/restarts.rs
@@ -43,3 +43,32 @@
         assert_eq!(late, [200; FIRST_REQUESTS]);
     });
 }
+
+/// Failure: a caller waits for its whole deadline at an instance that gets no catalog from anybody.
+#[test]
+fn instance_without_any_state_refuses_after_a_moment() {
+    block_on(async {
+        let mut fleet = Fleet::prepare(1, 1).await;
+        fleet.store.set_mode(Mode::Unresponsive);
+        fleet.gateways[0].start();
+        let front = fleet.gateways[0].front();
+        wait_until("the instance listens", || async {
+            TcpStream::connect(front).await.is_ok()
+        })
+        .await;
+
+        let refused = fleet
+            .send_admitted(&request("GET", "/get/", "early", ""))
+            .await;
+
+        assert_eq!(refused.status(), 503);
+        assert!(refused.field("retry-after").is_some());
+        wait_until("the refusal is logged", || async {
+            let ended = fleet.gateways[0].logged("ended");
+            ended
+                .iter()
+                .any(|l| l["request"] == "early" && l["not_ready"] == "no_catalog")
+        })
+        .await;
+    });
+}
--- a/tests/testsuite/routing/scheduler.rs
+++ b/tests/testsuite/routing/scheduler.rs
@@ -188,6 +188,28 @@
     );
 }
 
+/// Failure: a long prompt is refused in front of idle servers for as long as any request of another account, anywhere, has just
+/// found no server.
+#[test]
+fn single_request_holds_back_no_prefill_bound_prompt() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(ONE_SERVER, now);
+    scheduler.token_rate = 10_000.0;
+    let one = UnmetDemand {
+        instances: 1,
+        cost: 500,
+    };
+    let reported = vec![(ShareStatus::BelowGuarantee, one)];
+    scheduler.apply_report(InstanceId::of("other"), &report(reported, Vec::new()), now);
+    let mut long = request("lab", shape(1, 0, 20_000), now);
+    long.account = None;
+    long.objective = millis(100);
+
+    let served = scheduler.submit(&long, now);
+
+    assert!(matches!(served, Admission::Decided(Ok(_))), "{served:?}");
+}
+
 /// Failure: a prompt too long for its objective is refused while others wait. Counted as unmet demand, it would preempt
 /// every account above its share for most of a second, in front of idle servers.
 #[test]
