--- a/crates/hawthornmill-net/src/peers/udp.rs
+++ b/crates/hawthornmill-net/src/peers/udp.rs
@@ -51,8 +51,12 @@
         let Some((address, cross_region)) = address(&fleet, to) else {
             continue;
         };
-        let Ok(frame) = sealer.seal_on(to.0, &message) else {
-            continue;
+        let frame = match sealer.seal_on(to.0, &message) {
+            Ok(frame) => frame,
+            Err(error) => {
+                log::error!(target: "peers", "can't encode a message to a peer: {error}");
+                continue;
+            }
         };
         if frame.len() > MAX_DATAGRAM_BYTES {
             log::warn!(target: "peers", "datagram of {} bytes exceeds one packet", frame.len());
