--- a/crates/hawthornmill/src/routing/allowance.rs
+++ b/crates/hawthornmill/src/routing/allowance.rs
@@ -10,7 +10,7 @@
 /// Accounts above their fair share get what is left over. If they filled the servers, requests of other accounts would
 /// find no capacity, or queue behind long prompts, before any request could be refused.
 const CONTENDED_FRACTIONS: [f64; 3] = [1.0, 0.6, 0.35];
-/// The same while no account ahead of those above their fair share has unmet demand.
+/// The same while no accounts ahead of those above their fair share have much unmet demand.
 const UNCONTENDED_FRACTIONS: [f64; 3] = [1.0, 0.85, 0.6];
 /// Servers that may prefill a family's long shared prefix, for a request of each status.
 ///
@@ -31,7 +31,7 @@
 
 /// Returns the fraction of a server's capacity for an account with `share`.
 ///
-/// `uncontended` means that no account ahead of those above their fair share has unmet demand.
+/// `uncontended` means that no accounts ahead of those above their fair share have much unmet demand.
 pub fn capacity_fraction(share: FairShare, uncontended: bool) -> f64 {
     // Of two accounts above their fair share, the one with more usage gets less. With equal fractions, an account that
     // enters at more instances would get several times as much.
--- a/crates/hawthornmill/src/routing/request.rs
+++ b/crates/hawthornmill/src/routing/request.rs
@@ -82,7 +82,7 @@
     pub unmet_cost: u32,
     /// Fraction of a server's capacity that the request may use.
     pub capacity_fraction: f64,
-    /// Whether accounts ahead of those above their fair share have unmet demand.
+    /// Whether accounts ahead of those above their fair share have much unmet demand.
     pub is_contended: bool,
     /// Fair share of the request's account.
     pub share: FairShare,
