--- a/tests/soak/shares.rs
+++ b/tests/soak/shares.rs
@@ -46,6 +46,16 @@
 const ALLOWED: f64 = 3.0;
 /// Objective of the route; a request that takes longer waits past it.
 const OBJECTIVE: Duration = Duration::from_secs(1);
+/// Attempts of a request.
+const ATTEMPTS: u32 = 2;
+/// Pause before the second attempt, in milliseconds.
+const RETRY_MS: std::ops::Range<u64> = 100..300;
+/// Callers from which an account is a busy one.
+const BUSY_CALLERS: usize = 8;
+/// Longest pause of a modest account's caller between two requests, in milliseconds.
+const MODEST_REST_MS: u64 = 400;
+/// The same for a busy account.
+const BUSY_REST_MS: u64 = 10;
 /// A starved account sends one of this many requests.
 const STARVED_SHARE: u64 = 5;
 /// How late the store answers.
@@ -96,6 +106,13 @@
     calls: Mutex<Vec<(Box<str>, Call)>>,
 }
 
+impl Shared {
+    fn record(&self, id: Box<str>, call: Call) {
+        let mut calls = self.calls.lock().expect("no holder panics");
+        calls.push((id, call));
+    }
+}
+
 /// Plays one run of `seed` and returns what was seen.
 pub async fn play(seed: u64, size: Size, unfair: Unfair) -> (Shares, Fleet) {
     let mut rng = StdRng::seed_from_u64(seed);
@@ -111,16 +128,19 @@
     for (number, account) in accounts.iter().enumerate() {
         for caller in 0..account.callers {
             let name = format!("{seed:x}-{number}-{caller}");
-            let starved = unfair == Unfair::Starved && number == 0;
-            let task = call_on(
-                Arc::clone(&shared),
-                account.clone(),
+            let seed = name
+                .bytes()
+                .fold(0_u64, |sum, b| sum.wrapping_mul(31).wrapping_add(b.into()));
+            let caller = Caller {
+                shared: Arc::clone(&shared),
+                account: account.clone(),
                 number,
                 name,
-                starved,
-                end,
-            );
-            tasks.spawn(task);
+                starved: unfair == Unfair::Starved && number == 0,
+                rng: StdRng::seed_from_u64(seed),
+                link: None,
+            };
+            tasks.spawn(caller.run(end));
         }
     }
     disturb(&mut rng, &mut fleet, start, size).await;
@@ -244,96 +264,87 @@
 /// A connection and the gateway at its other end.
 type Link = (usize, TcpStream, BytesMut);
 
-/// Sends one request after the other until `end`; each is tried again once, at the time that it was told.
-async fn call_on(
+/// One caller of an account, which sends one request after the other.
+struct Caller {
     shared: Arc<Shared>,
     account: Account,
+    /// Number of the account.
     number: usize,
     name: String,
     starved: bool,
-    end: Instant,
-) {
-    let mut link: Option<Link> = None;
-    let mut rng = StdRng::seed_from_u64(name.bytes().fold(7, |sum, b| sum * 31 + u64::from(b)));
-    let mut count = 0_u64;
-    while Instant::now() < end {
+    rng: StdRng,
+    link: Option<Link>,
+}
+
+impl Caller {
+    async fn run(mut self, end: Instant) {
+        let most_rest = if self.account.callers < BUSY_CALLERS {
+            MODEST_REST_MS
+        } else {
+            BUSY_REST_MS
+        };
+        let mut count = 0;
+        while Instant::now() < end {
+            self.ask(count).await;
+            count += 1;
+            self.rest(most_rest / 2..most_rest).await;
+        }
+    }
+
+    async fn rest(&mut self, millis: std::ops::Range<u64>) {
+        tokio::time::sleep(Duration::from_millis(self.rng.random_range(millis))).await;
+    }
+
+    /// Sends a request, a second time when it is refused or lost.
+    async fn ask(&mut self, count: u64) {
         let sent = Instant::now();
-        let mut waited = true;
-        for attempt in 0..2 {
-            let id: Box<str> = format!("{name}-{count}-{attempt}").into();
-            let given_up = starved && !count.is_multiple_of(STARVED_SHARE);
-            let (outcome, kept) = if given_up {
-                (Outcome::Unreached, None)
+        for attempt in 0..ATTEMPTS {
+            let id: Box<str> = format!("{}-{count}-{attempt}", self.name).into();
+            let given_up = self.starved && !count.is_multiple_of(STARVED_SHARE);
+            let outcome = if given_up {
+                Outcome::Unreached
             } else {
-                send_once(&shared, &account, &id, link.take(), &mut rng).await
+                self.send_once(&id).await
             };
-            link = kept;
+            let served = matches!(outcome, Outcome::Answer { status: 200, .. });
+            let late = sent.elapsed() > OBJECTIVE;
             let call = Call {
-                account: number,
+                account: self.number,
                 sent,
                 is_first: attempt == 0,
                 begun: None,
-                waited: false,
+                waited: (served && late) || (!served && attempt + 1 == ATTEMPTS),
             };
-            shared
-                .calls
-                .lock()
-                .expect("no holder panics")
-                .push((id, call));
-            if matches!(&outcome, Outcome::Answer { status: 200, .. }) {
-                waited = sent.elapsed() > OBJECTIVE;
-                break;
-            }
-            // An instance that is gone or leaves is left for another one.
-            if !matches!(&outcome, Outcome::Answer { .. }) {
-                link = None;
-            }
-            tokio::time::sleep(Duration::from_millis(rng.random_range(100..300))).await;
-        }
-        if waited {
-            let mut calls = shared.calls.lock().expect("no holder panics");
-            if let Some((_, call)) = calls
-                .iter_mut()
-                .rev()
-                .find(|(_, c)| c.account == number && c.sent == sent)
-            {
-                call.waited = true;
+            self.shared.record(id, call);
+            if served {
+                return;
             }
+            self.rest(RETRY_MS).await;
         }
-        count += 1;
-        let rest = if account.callers < 8 { 400 } else { 10 };
-        tokio::time::sleep(Duration::from_millis(rng.random_range(rest / 2..rest))).await;
     }
-}
 
-async fn send_once(
-    shared: &Shared,
-    account: &Account,
-    id: &str,
-    link: Option<Link>,
-    rng: &mut StdRng,
-) -> (Outcome, Option<Link>) {
-    let link = match link {
-        Some(link) => Some(link),
-        None => connect(shared, account, rng).await,
-    };
-    let Some((router, mut stream, buffer)) = link else {
-        return (Outcome::Unreached, None);
-    };
-    let text = format!(
-        "POST /get/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: {}\r\n\
-         Authorization: Token {}\r\nToken-Usage: {PROMPT_TOKENS},{OUTPUT_TOKENS}\r\nContent-Length: 4\r\n\r\nbody",
-        callers::DEADLINE_MS,
-        account.name,
-    );
-    if stream.write_all(text.as_bytes()).await.is_err() {
-        return (Outcome::Closed, None);
+    /// Sends a request on the open connection, or on a new one; one without an answer is closed.
+    async fn send_once(&mut self, id: &str) -> Outcome {
+        let link = match self.link.take() {
+            Some(link) => Some(link),
+            None => connect(&self.shared, &self.account, &mut self.rng).await,
+        };
+        let Some((router, mut stream, buffer)) = link else {
+            return Outcome::Unreached;
+        };
+        let text = format!(
+            "POST /get/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: {}\r\n\
+             Authorization: Token {}\r\nToken-Usage: {PROMPT_TOKENS},{OUTPUT_TOKENS}\r\nContent-Length: 4\r\n\r\nbody",
+            callers::DEADLINE_MS,
+            self.account.name,
+        );
+        if stream.write_all(text.as_bytes()).await.is_err() {
+            return Outcome::Closed;
+        }
+        let (outcome, kept) = callers::read_answer((stream, buffer), usize::MAX).await;
+        self.link = kept.map(|(stream, buffer)| (router, stream, buffer));
+        outcome
     }
-    let (outcome, kept) = callers::read_answer((stream, buffer), usize::MAX).await;
-    (
-        outcome,
-        kept.map(|(stream, buffer)| (router, stream, buffer)),
-    )
 }
 
 /// Connects to one of the account's gateways, to the next one where that is gone.
