--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -4,6 +4,7 @@
 mod announcements;
 mod cold_start;
 mod congestion;
+mod contention;
 mod credit;
 mod domain_summary;
 mod evacuations;
