Log which requests a server ran when it ended

Cause: `server_broke_off` told that one answer broke off.

Change: a server whose connection breaks is asked for a new one; if it refuses, or a later run of it registers within 3 s, it has ended. Resets, garbled bytes and answers that break off at a running server, and the end of a server that leaves, are none.

--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use hawthornmill::routing::gossip::{PeerChange, PeerTable, StoreRole};
 use hawthornmill::routing::lag::Lag;
 use hawthornmill::routing::placement::{Location, Placement};
+use hawthornmill::routing::registry::ServerRun;
 use hawthornmill::routing::request::{Admission, Cause, Refusal, Request, Ticket};
 use hawthornmill::routing::retry_budget::RetryBudget;
 use hawthornmill::routing::route_table::RouteTable;
@@ -36,6 +37,7 @@
 use crate::metrics::Metrics;
 use crate::pending_state::PendingState;
 use crate::pool::Pool;
+use crate::server_ends::ServerEnds;
 use crate::settings::Settings;
 use crate::stream_versions::StreamRegister;
 
@@ -98,6 +100,8 @@
     pub peer_changes: RefCell<Vec<(PeerChange, SocketAddr)>>,
     /// Members of this failure domain that are named to others next.
     pub member_rotation: RefCell<MemberRotation>,
+    /// Servers that ended while they ran requests.
+    pub server_ends: ServerEnds,
     /// Versions of servers at which streams began.
     pub streams: StreamRegister,
     /// Connections to servers.
@@ -177,6 +181,7 @@
             peers: RefCell::new(peers),
             peer_changes: RefCell::default(),
             member_rotation: RefCell::default(),
+            server_ends: ServerEnds::default(),
             streams: StreamRegister::default(),
             pool: Pool::default(),
             metrics: Metrics::default(),
@@ -425,6 +430,13 @@
         known.map(|k| k.registration.version_name.clone())
     }
 
+    /// Returns the current run of a server; `None` if it is not registered.
+    pub fn server_run(&self, server: ServerId) -> Option<ServerRun> {
+        let scheduler = self.scheduler.borrow();
+        let start_ms = scheduler.registry.get(server)?.registration.start_ms;
+        Some(ServerRun { server, start_ms })
+    }
+
     /// Returns the version of a server's software; `None` if it is not registered.
     pub fn server_version(&self, server: ServerId) -> Option<VersionId> {
         let scheduler = self.scheduler.borrow();
--- a/crates/hawthornmill-gateway/src/pool.rs
+++ b/crates/hawthornmill-gateway/src/pool.rs
@@ -36,6 +36,9 @@
 /// Idle connections kept per server, whatever the limit of its service.
 const MAX_IDLE_PER_SERVER: usize = 48;
 
+/// Initial size of the buffer of received bytes.
+const BUFFER_BYTES: usize = 4096;
+
 /// A connection to a server.
 #[derive(Debug)]
 pub struct Upstream {
@@ -48,6 +51,15 @@
 }
 
 impl Upstream {
+    /// Wraps a new connection.
+    pub fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            buffer: BytesMut::with_capacity(BUFFER_BYTES),
+            reused: false,
+        }
+    }
+
     /// Reads more bytes into the buffer; returns 0 if the server closed the connection.
     ///
     /// Reads only once: the runtime knows from a read that doesn't fill the buffer that the socket is empty.
@@ -89,16 +101,11 @@
     ) -> io::Result<Upstream> {
         if let Some(stream) = self.take_idle(server, at_most_once, now) {
             return Ok(Upstream {
-                stream,
-                buffer: BytesMut::with_capacity(4096),
                 reused: true,
+                ..Upstream::new(stream)
             });
         }
-        Ok(Upstream {
-            stream: connect(address).await?,
-            buffer: BytesMut::with_capacity(4096),
-            reused: false,
-        })
+        connect(address).await.map(Upstream::new)
     }
 
     fn take_idle(&self, server: ServerId, at_most_once: bool, now: Instant) -> Option<TcpStream> {
--- a/crates/hawthornmill-gateway/src/proxy/events.rs
+++ b/crates/hawthornmill-gateway/src/proxy/events.rs
@@ -16,6 +16,8 @@
     pub bytes: Bytes,
     /// Id of the last event that was received; `None` if it has none, so that the stream can't be resumed after it.
     pub last_id: Option<u64>,
+    /// Number of the events.
+    pub count: u32,
 }
 
 /// Splits a stream into complete events and keeps the incomplete rest.
@@ -42,6 +44,7 @@
         let mut out = BytesMut::new();
         let mut last_id = seen;
         let mut has_events = false;
+        let mut count = 0;
         while let Some(block) = self.scanner.next_block(&self.buffer[self.scanned..]) {
             let event = self.buffer.split_to(self.scanned + block.bytes);
             self.scanned = 0;
@@ -53,6 +56,7 @@
             }
             if block.is_event {
                 last_id = id;
+                count += 1;
             }
             has_events = true;
             out.extend_from_slice(&event);
@@ -61,6 +65,7 @@
         has_events.then(|| CompleteEvents {
             bytes: out.freeze(),
             last_id,
+            count,
         })
     }
 
--- a/crates/hawthornmill-gateway/src/proxy/forward.rs
+++ b/crates/hawthornmill-gateway/src/proxy/forward.rs
@@ -298,7 +298,7 @@
             return ForwardOutcome::ClientClosed;
         }
         bytes.0.clear();
-        progress.last_event_id = events.last_id;
+        progress.record_events(&events);
     }
     if !progress.response_started() {
         bytes = encode_head(&response.head, Framing::Chunked, context.close.always);
--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -29,8 +29,10 @@
 use forward::{ForwardOutcome, forward_response, write_buffered};
 use hawthornmill::codes::Code;
 use hawthornmill::ident::{ServerId, VersionId};
+use hawthornmill::quarantine::fingerprint::{Fingerprint, RequestContent};
 use hawthornmill::routing::loads;
 use hawthornmill::routing::placement::Placement;
+use hawthornmill::routing::registry::ServerRun;
 use hawthornmill::routing::request::{Cause, Refusal};
 use hawthornmill::routing::stream_versions::{StreamKey, StreamVersion};
 use progress::RequestProgress;
@@ -42,6 +44,7 @@
 
 use crate::event_log;
 use crate::gateway::Gateway;
+use crate::server_ends::BrokenRequest;
 
 /// How a request ended, which determines whether its connection can be reused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -112,6 +115,8 @@
     sent_at: Instant,
     /// Version of the server when the request was sent.
     version: Option<VersionId>,
+    /// Run of the server to which the request was sent; `None` if it is not registered.
+    run: Option<ServerRun>,
     responded: bool,
 }
 
@@ -147,6 +152,24 @@
         }
     }
 
+    /// Records that the connection ended on which the server ran the request.
+    fn record_break(&self, request: &ClientRequest, progress: &RequestProgress) {
+        let Some(run) = self.run else {
+            return;
+        };
+        let parts = self.admitted.request.shape.parts.iter();
+        let broken = BrokenRequest {
+            attempt_id: request.attempt_id.clone(),
+            fingerprint: fingerprint(request, self.admitted),
+            parts: parts.map(|p| p.id).collect(),
+            ran: self.gateway.now().duration_since(self.sent_at),
+            events: progress.server_events,
+        };
+        self.gateway
+            .server_ends
+            .record_break(self.gateway, run, broken);
+    }
+
     /// Records the first token of the response; later calls have no effect.
     pub fn record_first_token(&mut self) {
         if std::mem::replace(&mut self.responded, true) {
@@ -169,6 +192,19 @@
     }
 }
 
+/// Returns the identity of what a server sees of the request.
+fn fingerprint(request: &ClientRequest, admitted: &Admitted) -> Fingerprint {
+    let head = &request.head;
+    Fingerprint::of_request(&RequestContent {
+        account: admitted.request.account,
+        method: &head.method,
+        host: head.headers.get("host").unwrap_or_default(),
+        target: &head.target,
+        parts: &admitted.request.shape.parts,
+        body: &request.body,
+    })
+}
+
 /// Sends the request to one server after another until one responds or the retries are used up.
 async fn try_servers(
     context: RequestContext<'_>,
@@ -274,6 +310,7 @@
         placement,
         sent_at: gateway.now(),
         version: gateway.server_version(server),
+        run: gateway.server_run(server),
         responded: false,
     };
     match send(gateway, context.request, admitted, progress, &placement).await {
@@ -293,6 +330,9 @@
                 ForwardOutcome::ClientClosed => Ok(RequestOutcome::ClientClosed),
                 ForwardOutcome::Truncated => {
                     log_interruption(context, progress, server, "the answer broke off");
+                    if progress.connection_lost() {
+                        slot.record_break(context.request, progress);
+                    }
                     Err(retry::on_interrupted(gateway, admitted, progress, server))
                 }
             }
@@ -312,8 +352,11 @@
             server,
             misdirected,
         )),
-        SendOutcome::Interrupted(reason) => {
-            log_interruption(context, progress, server, &reason);
+        SendOutcome::Interrupted(interruption) => {
+            log_interruption(context, progress, server, &interruption.reason);
+            if interruption.connection_lost {
+                slot.record_break(context.request, progress);
+            }
             Err(retry::on_interrupted(gateway, admitted, progress, server))
         }
     }
--- a/crates/hawthornmill-gateway/src/proxy/progress.rs
+++ b/crates/hawthornmill-gateway/src/proxy/progress.rs
@@ -10,6 +10,7 @@
 
 use super::admission::Admitted;
 use super::error_response::{ErrorResponse, NotReady};
+use super::events::CompleteEvents;
 use super::read::ClientRequest;
 use super::{RequestContext, RequestOutcome};
 use crate::event_log;
@@ -93,6 +94,8 @@
     pub unreachable: u32,
     /// Id of the last complete event that was forwarded to the client.
     pub last_event_id: Option<u64>,
+    /// Events that the current server brought.
+    pub server_events: u32,
     /// Version of the server that brought the first event.
     pub version: Option<VersionId>,
     /// Status sent to the client, or 0 if none.
@@ -150,6 +153,7 @@
         }
         self.servers.push(name);
         self.body = None;
+        self.server_events = 0;
         self.earlier_uncertain |= std::mem::take(&mut self.bytes_sent);
     }
 
@@ -201,6 +205,18 @@
         });
     }
 
+    /// Records that events of a stream were forwarded.
+    pub const fn record_events(&mut self, events: &CompleteEvents) {
+        self.last_event_id = events.last_id;
+        self.server_events += events.count;
+    }
+
+    /// Returns whether the last response broke off because its connection ended.
+    pub fn connection_lost(&self) -> bool {
+        self.body
+            .is_some_and(|body| matches!(body.end, BodyEnd::Closed | BodyEnd::Failed))
+    }
+
     /// Returns how the body of the last response ended, for the log.
     pub fn body_fields(&self) -> Value {
         self.body.map_or(Value::Null, |body| {
--- a/crates/hawthornmill-gateway/src/proxy/send.rs
+++ b/crates/hawthornmill-gateway/src/proxy/send.rs
@@ -12,6 +12,7 @@
 use hawthornmill::ident::ServerId;
 use hawthornmill::routing::catalog::RetryPolicy;
 use hawthornmill::routing::placement::Placement;
+use hawthornmill::routing::registry::ServerRun;
 use serde_json::json;
 use tokio::net::TcpStream;
 
@@ -56,6 +57,33 @@
     pub body: Option<BytesMut>,
 }
 
+/// Why no usable response came.
+#[derive(Debug)]
+pub struct Interruption {
+    /// Reason for the log.
+    pub reason: Box<str>,
+    /// The connection ended, as all connections of a server do that ends itself.
+    pub connection_lost: bool,
+}
+
+impl Interruption {
+    /// The connection ended before a response.
+    fn connection_lost(reason: impl Into<Box<str>>) -> Self {
+        Self {
+            reason: reason.into(),
+            connection_lost: true,
+        }
+    }
+
+    /// The server is there, and what it sent or didn't send is no response.
+    fn no_response(reason: &str) -> Self {
+        Self {
+            reason: reason.into(),
+            connection_lost: false,
+        }
+    }
+}
+
 /// Outcome of sending a request to a server.
 #[derive(Debug)]
 pub enum SendOutcome {
@@ -68,8 +96,8 @@
         /// Whether another server now has the address.
         misdirected: bool,
     },
-    /// The request may have been executed, and failed for the reason given.
-    Interrupted(Box<str>),
+    /// The request may have been executed, and failed.
+    Interrupted(Interruption),
     /// The server responds.
     Response(ServerResponse),
 }
@@ -133,7 +161,10 @@
         Err(error) if !progress.bytes_sent() => {
             return SendOutcome::Unreachable(error.to_string().into());
         }
-        Err(error) => return SendOutcome::Interrupted(error.to_string().into()),
+        Err(error) => {
+            let interruption = Interruption::connection_lost(error.to_string());
+            return SendOutcome::Interrupted(interruption);
+        }
     };
     let response = receive_response(gateway, request, upstream, run, written);
     if !retry::can_retry(admitted, progress) {
@@ -141,7 +172,9 @@
     }
     // A timeout drops the connection, which cancels the request before it is sent to another server.
     let response = tokio::time::timeout(silence_limit(admitted, placement), response).await;
-    response.unwrap_or_else(|_elapsed| SendOutcome::Interrupted("no answer in time".into()))
+    response.unwrap_or_else(|_elapsed| {
+        SendOutcome::Interrupted(Interruption::no_response("no answer in time"))
+    })
 }
 
 /// Returns how long a server may be silent before the request is sent to another one.
@@ -242,14 +275,6 @@
     }
 }
 
-/// One run of a server, which may start again under the same name.
-#[derive(Debug, Clone, Copy)]
-struct ServerRun {
-    server: ServerId,
-    /// Start of the run, as its registration gives it.
-    start_ms: u64,
-}
-
 /// Records and logs what a response says of its server: that it wants a rest, or that it leaves.
 fn record_notices(gateway: &Gateway, run: ServerRun, head: &ResponseHead) {
     let (adapter, now) = (&gateway.adapter, gateway.now());
@@ -289,20 +314,24 @@
     loop {
         let head = match read_head(&mut upstream).await {
             Ok(head) => head,
-            Err(reason) => return SendOutcome::Interrupted(reason),
+            Err(interruption) => return SendOutcome::Interrupted(interruption),
         };
         if (100..200).contains(&head.status) {
             continue;
         }
         let Ok(framing) = head.framing(&request.head.method) else {
-            return SendOutcome::Interrupted("answer's length can be read in two ways".into());
+            return SendOutcome::Interrupted(Interruption::no_response(
+                "answer's length can be read in two ways",
+            ));
         };
         let response_id = head.headers.get_str(names.attempt_id);
         if response_id.is_some_and(|id| id != &*request.attempt_id) {
             // A late or duplicate response to an earlier request on this connection.
             reusable = false;
             if skip_body(&mut upstream, framing).await.is_err() {
-                return SendOutcome::Interrupted("an answer to another request doesn't end".into());
+                return SendOutcome::Interrupted(Interruption::no_response(
+                    "an answer to another request doesn't end",
+                ));
             }
             continue;
         }
@@ -330,7 +359,7 @@
             return SendOutcome::NotExecuted { misdirected };
         }
         if response_id.is_none() && head.status < 400 {
-            return SendOutcome::Interrupted("answer names no request".into());
+            return SendOutcome::Interrupted(Interruption::no_response("answer names no request"));
         }
         return SendOutcome::Response(server_response(head, framing, upstream, server, reusable));
     }
@@ -354,7 +383,7 @@
     }
 }
 
-async fn read_head(upstream: &mut Upstream) -> Result<ResponseHead, Box<str>> {
+async fn read_head(upstream: &mut Upstream) -> Result<ResponseHead, Interruption> {
     loop {
         match head::parse_response(&upstream.buffer) {
             Ok(Some((head, length))) => {
@@ -362,13 +391,16 @@
                 return Ok(head);
             }
             Ok(None) if upstream.buffer.len() <= MAX_HEAD_BYTES => {}
-            Ok(None) => return Err("answer's head is too long".into()),
-            Err(_malformed) => return Err("what came is no answer".into()),
+            Ok(None) => return Err(Interruption::no_response("answer's head is too long")),
+            Err(_malformed) => return Err(Interruption::no_response("what came is no answer")),
         }
         match upstream.read_more().await {
-            Ok(0) => return Err("connection closed before an answer".into()),
+            Ok(0) => {
+                let reason = "connection closed before an answer";
+                return Err(Interruption::connection_lost(reason));
+            }
             Ok(_) => {}
-            Err(error) => return Err(error.to_string().into()),
+            Err(error) => return Err(Interruption::connection_lost(error.to_string())),
         }
     }
 }
--- /dev/null
+++ b/crates/hawthornmill-gateway/src/server_ends.rs
@@ -0,0 +1,246 @@
+//! Servers that ended while they ran requests.
+//!
+//! A connection that breaks tells nothing of its server: a reset, garbled bytes or a lost answer end a connection and no
+//! server. A server has ended if it takes no connection any more, or if a later run of it has registered.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hawthornmill::quarantine::fingerprint::Fingerprint;
+use hawthornmill::routing::registry::ServerRun;
+use hawthornmill::routing::server_notices::Availability;
+use serde_json::{Value, json};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+use crate::event_log;
+use crate::gateway::Gateway;
+use crate::pool::{self, Upstream};
+
+/// Attempts to connect to a server, one of which is refused if it has ended; its listener may close last.
+const MAX_PROBES: usize = 3;
+/// Pause between two of them.
+const PROBE_INTERVAL: Duration = Duration::from_millis(40);
+/// Time for which a new connection must stay open to show that the server runs.
+const OPEN_TIME: Duration = Duration::from_millis(60);
+/// Time within which a later run of a server that took a connection must register to show that the earlier one ended.
+const RESTART_TIME: Duration = Duration::from_secs(3);
+/// Interval at which registrations are looked at meanwhile.
+const RESTART_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which a proven end is kept, for connections whose break is noticed late.
+const PROVEN_TTL: Duration = Duration::from_secs(10);
+/// Maximum number of requests that a log line describes.
+const MAX_LOGGED: usize = 16;
+
+/// A request whose connection to a server ended while the server ran it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BrokenRequest {
+    /// Id of the client's attempt.
+    pub attempt_id: Box<str>,
+    /// Identity of its content.
+    pub fingerprint: Fingerprint,
+    /// Ids of the parts of its prompt.
+    pub parts: Vec<u64>,
+    /// Time since it was sent to the server.
+    pub ran: Duration,
+    /// Events that the server brought.
+    pub events: u32,
+}
+
+/// What is known of the end of a server's run.
+#[derive(Debug)]
+struct Examined {
+    first_break: Instant,
+    broken: Vec<BrokenRequest>,
+    /// How it was shown that the server ended.
+    proof: Option<Proof>,
+}
+
+/// What shows that a server has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Proof {
+    /// It refuses connections.
+    Refused,
+    /// A later run has its name or its address.
+    Replaced,
+}
+
+impl Proof {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::Replaced => "replaced",
+        }
+    }
+}
+
+/// Runs of servers that may have ended, and those that have.
+#[derive(Debug, Default)]
+pub struct ServerEnds {
+    runs: RefCell<BTreeMap<ServerRun, Examined>>,
+    unexamined: RefCell<Vec<ServerRun>>,
+    wakeup: Notify,
+}
+
+impl ServerEnds {
+    /// Records that the connection on which `run` of a server ran `request` ended.
+    pub fn record_break(&self, gateway: &Gateway, run: ServerRun, request: BrokenRequest) {
+        if !is_unexpected(gateway, run) {
+            return;
+        }
+        let now = gateway.now();
+        let mut runs = self.runs.borrow_mut();
+        let examined = runs.entry(run).or_insert_with(|| {
+            self.unexamined.borrow_mut().push(run);
+            self.wakeup.notify_one();
+            Examined {
+                first_break: now,
+                broken: Vec::new(),
+                proof: None,
+            }
+        });
+        if let Some(proof) = examined.proof {
+            log_end(gateway, run, proof, std::slice::from_ref(&request));
+        }
+        examined.broken.push(request);
+    }
+
+    fn record_end(&self, gateway: &Gateway, run: ServerRun, proof: Proof) {
+        let mut runs = self.runs.borrow_mut();
+        let Some(examined) = runs.get_mut(&run) else {
+            return;
+        };
+        examined.proof = Some(proof);
+        gateway.metrics.server_ended();
+        log_end(gateway, run, proof, &examined.broken);
+    }
+
+    /// Forgets old ends, and runs that turned out not to have ended.
+    fn forget(&self, run: ServerRun, now: Instant) {
+        let mut runs = self.runs.borrow_mut();
+        runs.retain(|known, examined| {
+            let is_recent = now.duration_since(examined.first_break) < PROVEN_TTL;
+            (*known != run || examined.proof.is_some()) && is_recent
+        });
+    }
+}
+
+/// Returns whether the end of a server's run would be unexpected: it is registered and hasn't said that it leaves.
+fn is_unexpected(gateway: &Gateway, run: ServerRun) -> bool {
+    let scheduler = gateway.scheduler.borrow();
+    let entry = scheduler.registry.get(run.server);
+    entry.is_some_and(|entry| {
+        let notice = scheduler
+            .notices
+            .availability(run.server, entry, gateway.now());
+        !entry.registration.draining && notice != Availability::Leaving
+    })
+}
+
+fn log_end(gateway: &Gateway, run: ServerRun, proof: Proof, broken: &[BrokenRequest]) {
+    let describe = |b: &BrokenRequest| -> Value {
+        let parts = b.parts.iter().map(|id| format!("{id:x}"));
+        json!({
+            "request": b.attempt_id, "fingerprint": format!("{:x}", b.fingerprint.0),
+            "parts": parts.collect::<Vec<_>>(), "ran_ms": b.ran.as_millis() as u64, "events": b.events,
+        })
+    };
+    let running: Vec<Value> = broken.iter().take(MAX_LOGGED).map(describe).collect();
+    let ids: Vec<&str> = broken.iter().map(|b| &*b.attempt_id).collect();
+    let fields = json!({
+        "server": gateway.server_name(run.server), "run": run.start_ms, "proof": proof.name(),
+        "broken": broken.len(), "running": running, "requests": ids,
+    });
+    event_log::state_change("server_ended", fields);
+}
+
+/// Examines servers whose connections break, until the process ends.
+pub async fn examine_runs(gateway: Rc<Gateway>) {
+    loop {
+        gateway.server_ends.wakeup.notified().await;
+        for run in gateway.server_ends.unexamined.take() {
+            spawn_local(examine(Rc::clone(&gateway), run));
+        }
+    }
+}
+
+async fn examine(gateway: Rc<Gateway>, run: ServerRun) {
+    let proof = if refuses_connections(&gateway, run).await {
+        Some(Proof::Refused)
+    } else {
+        is_replaced(&gateway, run).await.then_some(Proof::Replaced)
+    };
+    if let Some(proof) = proof {
+        gateway.server_ends.record_end(&gateway, run, proof);
+    }
+    gateway.server_ends.forget(run, gateway.now());
+}
+
+async fn refuses_connections(gateway: &Gateway, run: ServerRun) -> bool {
+    let address = {
+        let scheduler = gateway.scheduler.borrow();
+        let entry = scheduler.registry.get(run.server);
+        entry.map(|e| e.registration.address)
+    };
+    let Some(address) = address else {
+        return false;
+    };
+    for _ in 0..MAX_PROBES {
+        match pool::connect(address).await {
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return true,
+            Err(_unknown) => {}
+            Ok(stream) if stays_open(&stream).await => {
+                keep_connection(gateway, run, stream);
+                return false;
+            }
+            Ok(_closed) => {}
+        }
+        tokio::time::sleep(PROBE_INTERVAL).await;
+    }
+    false
+}
+
+/// Returns whether the server leaves a new connection open.
+async fn stays_open(stream: &TcpStream) -> bool {
+    tokio::time::timeout(OPEN_TIME, stream.readable())
+        .await
+        .is_err()
+}
+
+/// Keeps the connection of a probe for a request.
+fn keep_connection(gateway: &Gateway, run: ServerRun, stream: TcpStream) {
+    let upstream = Upstream::new(stream);
+    let (max_idle, now) = (gateway.max_idle(run.server), gateway.now());
+    gateway
+        .pool
+        .put_back(run.server, upstream, None, max_idle, now);
+}
+
+/// Waits whether a later run registers under the name or the address of `run`.
+async fn is_replaced(gateway: &Gateway, run: ServerRun) -> bool {
+    let end = gateway.now() + RESTART_TIME;
+    let address = {
+        let scheduler = gateway.scheduler.borrow();
+        let entry = scheduler.registry.get(run.server);
+        entry.map(|e| e.registration.address)
+    };
+    while gateway.now() < end {
+        tokio::time::sleep(RESTART_CHECK_INTERVAL).await;
+        let scheduler = gateway.scheduler.borrow();
+        let mut entries = scheduler.registry.entries();
+        let is_later = entries.any(|(id, entry)| {
+            let registration = &entry.registration;
+            let has_name = id == run.server && registration.start_ms != run.start_ms;
+            let has_address = id != run.server && Some(registration.address) == address;
+            has_name || has_address
+        });
+        if is_later {
+            return true;
+        }
+    }
+    false
+}
--- a/crates/hawthornmill/src/lib.rs
+++ b/crates/hawthornmill/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`keys`] | at-most-once calls: idempotency keys and the table of their home instance |
 //! | [`events`] | events that operators should read in the log |
 //! | [`event_stream`], [`response`] | whether a server's response is complete |
+//! | [`quarantine`] | requests under which backend servers end |
 //! | [`routing`] | the gateway: routes, registered servers, placement, admission |
 //! | [`usage`] | one record for each finished request |
 //! | [`wire`] | typed messages between instances and their authenticated frames |
@@ -34,6 +35,7 @@
 pub mod limits;
 pub mod membership;
 pub mod pools;
+pub mod quarantine;
 pub mod response;
 pub mod routing;
 pub mod usage;
--- a/crates/hawthornmill/src/routing/registry.rs
+++ b/crates/hawthornmill/src/routing/registry.rs
@@ -24,6 +24,15 @@
 /// Time for which a version counts among those of its service after its last server left; a stream may have begun there.
 const VERSION_TTL: Duration = Duration::from_mins(1);
 
+/// One run of a server, which may start again under the same name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ServerRun {
+    /// The server.
+    pub server: ServerId,
+    /// Start of the run in milliseconds of Unix time, as its registration gives it; 0 when not given.
+    pub start_ms: u64,
+}
+
 /// Registration of a server, as it published it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registration {
--- a/tests/testsuite/gateway/scripted_server.rs
+++ b/tests/testsuite/gateway/scripted_server.rs
@@ -10,6 +10,7 @@
 use hawthornmill_gateway::http::head::{self, RequestHead};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 /// Pause after which a server that responded early reads the rest of the request.
 const EARLY_RESPONSE_PAUSE: Duration = Duration::from_millis(200);
@@ -113,6 +114,8 @@
     StreamWithoutIds(u64),
     /// Executes it and never responds.
     Hang,
+    /// Executes it, sends a stream's head and this many events, and ends: all its connections close.
+    EndAfter(u64),
 }
 
 /// One request that the server received.
@@ -133,6 +136,9 @@
 /// Behavior for requests after the end of the script.
 pub type DefaultBehavior = fn(&RequestHead) -> Behavior;
 
+/// One life of the server's process, which takes connections until it ends.
+type Life = Arc<watch::Sender<bool>>;
+
 #[derive(Debug, Default)]
 struct State {
     script: VecDeque<Behavior>,
@@ -141,6 +147,12 @@
     mark: &'static str,
     received: Vec<ReceivedRequest>,
     client_disconnects: usize,
+    /// The latest life.
+    life: Life,
+    /// Number of its starts.
+    starts: usize,
+    /// When it ended, once for each life that did.
+    ended: Vec<Instant>,
 }
 
 /// The server, which listens until its process ends.
@@ -156,21 +168,82 @@
 impl Server {
     /// Starts a server called `name` at `address` that responds to every request until it has a script.
     pub async fn start(name: &str, address: SocketAddr) -> Self {
-        let listener = TcpListener::bind(address)
-            .await
-            .expect("the server's address is free");
         let server = Self {
             name: name.into(),
             address,
             state: Arc::default(),
         };
-        let handle = server.clone();
+        server.run().await;
+        server
+    }
+
+    /// Starts the process, at first or after it ended.
+    pub async fn run(&self) {
+        let listener = TcpListener::bind(self.address)
+            .await
+            .expect("the server's address is free");
+        let life: Life = Arc::new(watch::Sender::new(false));
+        let mut state = self.lock();
+        state.starts += 1;
+        state.life = Arc::clone(&life);
+        drop(state);
+        let handle = self.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(handle.clone().serve(stream));
+            let mut ended = life.subscribe();
+            loop {
+                tokio::select! {
+                    _ = ended.wait_for(|ended| *ended) => break,
+                    accepted = listener.accept() => match accepted {
+                        Ok((stream, _)) => handle.serve_until_end(stream, &life),
+                        Err(_failed) => break,
+                    },
+                }
             }
         });
-        server
+    }
+
+    /// Serves a connection, which is closed when the process ends.
+    fn serve_until_end(&self, stream: TcpStream, life: &Life) {
+        let (server, life) = (self.clone(), Arc::clone(life));
+        tokio::spawn(async move {
+            let mut ended = life.subscribe();
+            tokio::select! {
+                _ = ended.wait_for(|ended| *ended) => {}
+                () = server.serve(stream, &life) => {}
+            }
+        });
+    }
+
+    /// Ends the process from outside, whatever it runs.
+    pub fn kill(&self) {
+        let life = Arc::clone(&self.lock().life);
+        self.end(&life);
+    }
+
+    /// Ends the process of `life`.
+    fn end(&self, life: &Life) {
+        if !life.send_replace(true) {
+            self.lock().ended.push(Instant::now());
+        }
+    }
+
+    /// Returns the name under which it registers in its current life.
+    pub fn current_name(&self) -> String {
+        match self.lock().starts {
+            0 | 1 => self.name.clone(),
+            starts => format!("{}-{starts}", self.name),
+        }
+    }
+
+    /// Returns when it ended, once for each life that did.
+    pub fn ends(&self) -> Vec<Instant> {
+        self.lock().ended.clone()
+    }
+
+    /// Returns whether it has ended and not started again.
+    pub fn is_down(&self) -> bool {
+        let state = self.lock();
+        state.ended.len() == state.starts
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -207,7 +280,7 @@
         self.lock().client_disconnects
     }
 
-    async fn serve(self, mut stream: TcpStream) {
+    async fn serve(&self, mut stream: TcpStream, life: &Life) {
         let mut request_count = 0;
         let mut buffer = BytesMut::new();
         loop {
@@ -233,6 +306,10 @@
                 received_at: Instant::now(),
             });
             request_count += 1;
+            if let Behavior::EndAfter(events) = behavior {
+                self.send_events(&mut stream, &head, events).await;
+                return self.end(life);
+            }
             if !self
                 .perform(&mut stream, &head, behavior, request_count)
                 .await
@@ -363,7 +440,7 @@
                 }
                 return false;
             }
-            Behavior::EarlyResponse => Ok(()),
+            Behavior::EarlyResponse | Behavior::EndAfter(_) => Ok(()),
             Behavior::Hang => {
                 self.work(stream, Duration::from_mins(1)).await;
                 return false;
@@ -384,6 +461,19 @@
         }
     }
 
+    /// Sends the head of a stream and its first events, if there are some to send.
+    async fn send_events(&self, stream: &mut TcpStream, head: &RequestHead, count: u64) {
+        let after = last_event_id(head);
+        if count <= after {
+            return;
+        }
+        let text = stream_head(head, &self.name, "");
+        let sent = marked_events(after + 1, count, self.lock().mark);
+        let _written = stream.write_all((text + &sent).as_bytes()).await;
+        // The events arrive before the end.
+        tokio::time::sleep(EVENT_INTERVAL).await;
+    }
+
     /// Sends the events after `Last-Event-Id` without chunks and length, as far apart.
     async fn stream_until_close(&self, stream: &mut TcpStream, head: &RequestHead, count: u64) {
         let mark = self.lock().mark;
--- /dev/null
+++ b/tests/testsuite/gateway/server_ends.rs
@@ -0,0 +1,114 @@
+//! Servers that end while they run requests, and what the log says of it.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use super::fleet::{Fleet, request, send_request, wait_until};
+use super::scripted_server::Behavior;
+use crate::block_on;
+
+const PROMPT: &str = "Token-Usage: 30,10\r\nPrompt-Prefix: a1:10,b2:10,c3:10\r\n";
+
+/// Failure: the log tells that answers broke off, and not that their server ended, nor what it ran then.
+#[test]
+fn log_tells_which_requests_a_server_ran_when_it_ended() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        fleet.servers[0].script(&[Behavior::RespondAfterMs(5_000), Behavior::EndAfter(0)]);
+        let front = fleet.gateways[0].front();
+
+        let waiting = tokio::spawn(async move {
+            send_request(front, request("POST", "/whole/", "w", PROMPT).as_bytes()).await
+        });
+        wait_until("the server runs the first request", || async {
+            fleet.servers[0].executed_count() == 1
+        })
+        .await;
+        let ending = send_request(front, request("POST", "/whole/", "e", PROMPT).as_bytes()).await;
+        let waited = waiting.await.expect("the request ends");
+        wait_until("the end is logged", || async {
+            !fleet.gateways[0].logged("server_ended").is_empty()
+        })
+        .await;
+
+        assert_eq!(ending.expect("there is a response").status(), 502);
+        assert_eq!(waited.expect("there is a response").status(), 502);
+        let line = &fleet.gateways[0].logged("server_ended")[0];
+        assert_eq!(
+            (&line["server"], &line["broken"], &line["proof"]),
+            (&json!("i-0"), &json!(2), &json!("refused"))
+        );
+        let running = line["running"].as_array().expect("it lists the requests");
+        assert_eq!(running[0]["parts"].as_array().map(Vec::len), Some(3));
+        assert_eq!(running[0]["parts"], running[1]["parts"]);
+        assert_eq!(running[0]["fingerprint"], running[1]["fingerprint"]);
+        assert!(running.iter().all(|r| r["events"] == 0));
+        let metrics = fleet.gateways[0].metrics().await;
+        assert!(
+            metrics.contains("hawthornmill_server_ends_total 1"),
+            "{metrics}"
+        );
+    });
+}
+
+/// Failure: a connection that is reset counts as the end of its server.
+#[test]
+fn broken_connections_of_a_running_server_are_no_end() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        fleet.servers[0].script(&[
+            Behavior::Reset,
+            Behavior::TruncatedBody,
+            Behavior::InvalidResponse,
+            Behavior::BrokenStream(2),
+        ]);
+
+        for id in ["1", "2", "3", "4"] {
+            let text = request("POST", "/whole/", id, PROMPT);
+            let _broken = send_request(fleet.gateways[0].front(), text.as_bytes()).await;
+        }
+        wait_until("all failures are logged", || async {
+            fleet.gateways[0].logged("server_broke_off").len() == 4
+        })
+        .await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+
+        assert_eq!(
+            fleet.gateways[0].logged("server_ended"),
+            [] as [serde_json::Value; 0]
+        );
+    });
+}
+
+/// Failure: a server that leaves closes the connections of its last requests, and that counts as an unexpected end.
+#[test]
+fn draining_server_ends_as_expected() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        fleet.servers[0].script(&[Behavior::RespondAfterMs(5_000)]);
+        let front = fleet.gateways[0].front();
+        let waiting = tokio::spawn(async move {
+            send_request(front, request("GET", "/get/", "w", "").as_bytes()).await
+        });
+        wait_until("the server runs the request", || async {
+            fleet.servers[0].executed_count() == 1
+        })
+        .await;
+
+        fleet.register(&fleet.servers[0], "draining");
+        wait_until("the registration is known", || async {
+            let lines = fleet.gateways[0].logged("registration");
+            lines.iter().any(|l| l["draining"] == true)
+        })
+        .await;
+        fleet.servers[0].kill();
+        let _response = waiting.await.expect("the request ends");
+        tokio::time::sleep(Duration::from_millis(300)).await;
+
+        assert_eq!(
+            fleet.gateways[0].logged("server_ended"),
+            [] as [serde_json::Value; 0]
+        );
+    });
+}
