--- a/tests/testsuite/gateway/fleet.rs
+++ b/tests/testsuite/gateway/fleet.rs
@@ -294,11 +294,26 @@
             entry.extend(more.clone());
         }
         self.store.put(
-            &format!("servers/{}", server.name),
+            &format!("servers/{}", server.current_name()),
             entry.to_string().as_bytes(),
         )
     }
 
+    /// Starts each server that ends again, `pause` later, under another name; never returns.
+    pub async fn restart_ended_servers(&self, pause: Duration) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            for server in self.servers.iter().filter(|s| s.is_down()) {
+                if server.ends().last().is_some_and(|at| at.elapsed() >= pause) {
+                    self.store
+                        .remove(&format!("servers/{}", server.current_name()));
+                    server.run().await;
+                    self.register(server, "ready");
+                }
+            }
+        }
+    }
+
     fn gateway(&self, number: usize) -> Gateway {
         let own = ip(self.net, 1 + number as u8);
         let seeds = [1, 2, 99]
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod placement_bounds;
 mod platform_adapter;
 mod platform_names;
+mod quarantine;
 mod request_handling;
 mod responses;
 mod restarts;
