--- a/crates/hawthornmill-gateway/src/gateway/updates.rs
+++ b/crates/hawthornmill-gateway/src/gateway/updates.rs
@@ -1,9 +1,10 @@
 //! What a gateway learns of the platform and of the servers, from the store and from peers.
 
 use hawthornmill::ident::ServerId;
-use hawthornmill::routing::announcements::{Announcements, ColdServer, Departure, Source};
+use hawthornmill::routing::announcements::{Announcements, ColdServer, Departure};
 use hawthornmill::routing::evacuations::Evacuation;
 use hawthornmill::routing::gossip::KnownState;
+use hawthornmill::routing::recent::Source;
 use hawthornmill::routing::registry::{Change, RegistrationList};
 use serde_json::json;
 
@@ -63,7 +64,7 @@
         let changes = scheduler.evacuations.changes_to(listed, revision);
         drop(scheduler);
         for change in changes {
-            self.apply_evacuation(change, "store", Source::Store);
+            self.apply_evacuation(change, "store", Source::Own);
         }
     }
 
@@ -73,9 +74,9 @@
         if self.scheduler.borrow_mut().apply_change(change, self.now()) {
             event_log::state_change("registration", fields);
             self.queue_wakeup.notify_one();
-            self.announce_cold(from, Source::Store);
+            self.announce_cold(from, Source::Own);
             if let Some(leaving) = leaving {
-                self.announce_leaving(leaving, Source::Store);
+                self.announce_leaving(leaving, Source::Own);
             }
         }
     }
--- a/crates/hawthornmill-gateway/src/state_sync.rs
+++ b/crates/hawthornmill-gateway/src/state_sync.rs
@@ -9,9 +9,9 @@
 use std::time::{Duration, Instant};
 
 use hawthornmill::limits::timeout::{self, AdaptiveTimeout};
-use hawthornmill::routing::announcements::Source;
 use hawthornmill::routing::fragments::{self, FragmentRequest, Outcome, Reassembly};
 use hawthornmill::routing::gossip::{KnownState, PeerState, SyncResponse};
+use hawthornmill::routing::recent::Source;
 use hawthornmill::routing::registry::RegistrationList;
 use hawthornmill::wire::{Message, Opener, Sealer};
 use hawthornmill_process::frames;
--- a/crates/hawthornmill-gateway/src/store_watch.rs
+++ b/crates/hawthornmill-gateway/src/store_watch.rs
@@ -10,9 +10,9 @@
 
 use bytes::BytesMut;
 use hawthornmill::ident::{DomainId, ServerId};
-use hawthornmill::routing::announcements::Source;
 use hawthornmill::routing::evacuations::Evacuation;
 use hawthornmill::routing::gossip::StoreRole;
+use hawthornmill::routing::recent::Source;
 use hawthornmill::routing::registry::{Change, RegistrationList};
 use hawthornmill::routing::store_start::Start;
 use serde_json::json;
@@ -242,8 +242,7 @@
         match (self.topic, &entry.value) {
             (Topic::Catalog, value) => {
                 if let Some(change) = self.evacuation(entry) {
-                    self.gateway
-                        .apply_evacuation(change, "store", Source::Store);
+                    self.gateway.apply_evacuation(change, "store", Source::Own);
                 } else if let Some(value) = value {
                     self.apply_catalog(entry, value);
                 }
--- a/crates/hawthornmill/src/routing/announcements.rs
+++ b/crates/hawthornmill/src/routing/announcements.rs
@@ -9,10 +9,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::evacuations::Evacuation;
+use super::recent::{Recent, Source};
 use crate::ident::ServerId;
 
-/// Time for which a change is announced, so that it outlasts lost datagrams.
-const REPORT_TTL: Duration = Duration::from_millis(900);
 /// Departures in one message, so that all of it fits a datagram.
 const MAX_DEPARTURES: usize = 44;
 /// Evacuations in one message.
@@ -38,15 +37,6 @@
     pub remaining: Duration,
 }
 
-/// Origin of an announcement.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Source {
-    /// The platform's store.
-    Store,
-    /// Another instance.
-    Peer,
-}
-
 /// What one instance announces to others.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Announcements {
@@ -65,35 +55,6 @@
     }
 }
 
-/// Recent changes of one kind.
-#[derive(Debug, Clone)]
-struct Recent<T> {
-    recent: Vec<(T, Source, Instant)>,
-}
-
-impl<T> Default for Recent<T> {
-    fn default() -> Self {
-        Self { recent: Vec::new() }
-    }
-}
-
-impl<T: Copy> Recent<T> {
-    fn record(&mut self, change: T, source: Source, now: Instant) {
-        self.recent
-            .retain(|(_, _, at)| now.duration_since(*at) < REPORT_TTL);
-        self.recent.push((change, source, now));
-    }
-
-    /// Returns the newest fresh changes whose source is selected, with their age.
-    fn select(&self, now: Instant, sources: &[Source], most: usize) -> Vec<(T, Duration)> {
-        let fresh = self.recent.iter().rev().filter_map(|(change, source, at)| {
-            let age = now.duration_since(*at);
-            (sources.contains(source) && age < REPORT_TTL).then_some((*change, age))
-        });
-        fresh.take(most).collect()
-    }
-}
-
 /// Recent changes to announce.
 #[derive(Debug, Clone, Default)]
 pub struct RecentAnnouncements {
@@ -120,12 +81,12 @@
 
     /// Returns what to announce within the own domain: only what came from the store, since peers announce theirs.
     pub fn for_domain(&self, now: Instant) -> Announcements {
-        self.select(now, &[Source::Store])
+        self.select(now, &[Source::Own])
     }
 
     /// Returns what to announce to other failure domains: all of it, on behalf of the own domain.
     pub fn for_other_domains(&self, now: Instant) -> Announcements {
-        self.select(now, &[Source::Store, Source::Peer])
+        self.select(now, &[Source::Own, Source::Peer])
     }
 
     fn select(&self, now: Instant, sources: &[Source]) -> Announcements {
--- a/crates/hawthornmill/src/routing/mod.rs
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -6,7 +6,7 @@
 //! |---|---|
 //! | [`catalog`], [`route_table`] | routes, services and accounts as published, and their lookup |
 //! | [`registry`] | backend servers as they registered themselves |
-//! | [`announcements`] | changes that are announced without waiting for the registrations |
+//! | [`announcements`], [`recent`] | changes that are announced without waiting for the registrations |
 //! | [`cold_start`] | requests that a cold server may get |
 //! | [`evacuations`] | failure domains whose servers get no new requests |
 //! | [`regions`] | regions to which a request is bound |
@@ -43,6 +43,7 @@
 pub mod loads;
 pub mod placement;
 pub mod prefix_index;
+pub mod recent;
 pub mod regions;
 pub mod registry;
 pub mod relays;
--- a/tests/testsuite/routing/announcements.rs
+++ b/tests/testsuite/routing/announcements.rs
@@ -3,7 +3,8 @@
 use std::time::Instant;
 
 use hawthornmill::ident::ServerId;
-use hawthornmill::routing::announcements::{Departure, RecentAnnouncements, Source};
+use hawthornmill::routing::announcements::{Departure, RecentAnnouncements};
+use hawthornmill::routing::recent::Source;
 use hawthornmill::routing::request::Admission;
 
 use super::{change, entry, millis, request, scheduler, sent, shape};
@@ -55,7 +56,7 @@
     let now = Instant::now();
     let mut recent = RecentAnnouncements::default();
 
-    recent.record_departure(departure("a1", 50), Source::Store, now);
+    recent.record_departure(departure("a1", 50), Source::Own, now);
     recent.record_departure(departure("a2", 51), Source::Peer, now);
 
     assert_eq!(recent.for_domain(now).departures, [departure("a1", 50)]);
