--- a/crates/hawthornmill-gateway/src/daemon.rs
+++ b/crates/hawthornmill-gateway/src/daemon.rs
@@ -213,6 +213,10 @@
     scheduler.cold_limiter.set_tolerance(tolerance);
     drop(scheduler);
     gateway.peers.borrow_mut().cpu_percent = settings.cpu_percent;
+    let mut quarantine = gateway.quarantine.borrow_mut();
+    quarantine.set_trusted(&settings.trusted, gateway.now());
+    drop(quarantine);
+    gateway.announce_quarantine();
     *gateway.settings.borrow_mut() = Rc::new(settings);
     event_log::state_change("settings_in_force", json!({}));
 }
--- a/crates/hawthornmill-gateway/src/endpoints.rs
+++ b/crates/hawthornmill-gateway/src/endpoints.rs
@@ -236,6 +236,11 @@
             "Servers that said themselves that they leave",
             count(leaving),
         ),
+        (
+            "quarantined_requests",
+            "Requests that are refused since servers ended under them",
+            count(gateway.quarantine.borrow().len()),
+        ),
         ("mates", "Other instances heard", count(peers)),
         ("waiting", "Requests in line", count(scheduler.queue_len())),
         ("running", "Requests at servers", i64::from(running)),
--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -14,6 +14,7 @@
 use hawthornmill::limits::congestion::LinkMonitor;
 use hawthornmill::limits::load_shedding::LoadShedder;
 use hawthornmill::limits::role_fitness::RoleFitness;
+use hawthornmill::quarantine::table::Quarantine;
 use hawthornmill::routing::announcements::RecentAnnouncements;
 use hawthornmill::routing::catalog::Catalog;
 use hawthornmill::routing::cold_start::ColdStartLimiter;
@@ -100,6 +101,10 @@
     pub peer_changes: RefCell<Vec<(PeerChange, SocketAddr)>>,
     /// Members of this failure domain that are named to others next.
     pub member_rotation: RefCell<MemberRotation>,
+    /// Requests under which servers end.
+    pub quarantine: RefCell<Quarantine>,
+    /// Wakes requests that are held until it is known whether servers end under them.
+    pub quarantine_wakeup: Notify,
     /// Servers that ended while they ran requests.
     pub server_ends: ServerEnds,
     /// Versions of servers at which streams began.
@@ -164,6 +169,8 @@
         );
         scheduler.regions.clone_from(&settings.regions);
         scheduler.fetches_prefixes = settings.fetches_prefixes;
+        let mut quarantine = Quarantine::default();
+        quarantine.set_trusted(&settings.trusted, now);
         let peers = PeerTable::new(location.domain, settings.cpu_percent);
         Rc::new(Self {
             id,
@@ -181,6 +188,8 @@
             peers: RefCell::new(peers),
             peer_changes: RefCell::default(),
             member_rotation: RefCell::default(),
+            quarantine: RefCell::new(quarantine),
+            quarantine_wakeup: Notify::new(),
             server_ends: ServerEnds::default(),
             streams: StreamRegister::default(),
             pool: Pool::default(),
--- a/crates/hawthornmill-gateway/src/gateway/updates.rs
+++ b/crates/hawthornmill-gateway/src/gateway/updates.rs
@@ -1,6 +1,8 @@
 //! What a gateway learns of the platform and of the servers, from the store and from peers.
 
 use hawthornmill::ident::ServerId;
+use hawthornmill::quarantine::news::QuarantineNews;
+use hawthornmill::quarantine::table::Change as QuarantineChange;
 use hawthornmill::routing::announcements::{Announcements, ColdServer, Departure};
 use hawthornmill::routing::evacuations::Evacuation;
 use hawthornmill::routing::gossip::KnownState;
@@ -138,6 +140,44 @@
         registry.mark_unconfirmed(server, revision, self.now());
     }
 
+    /// Applies what a peer tells of ended servers and quarantined requests.
+    pub fn apply_quarantine_news(&self, news: &QuarantineNews) {
+        let mut quarantine = self.quarantine.borrow_mut();
+        if quarantine.apply(news, self.now()) {
+            drop(quarantine);
+            self.announce_quarantine();
+        }
+    }
+
+    /// Logs what changed in the quarantine, and tells held requests and other instances.
+    pub fn announce_quarantine(&self) {
+        self.log_quarantine();
+        self.quarantine_wakeup.notify_waiters();
+        self.report_wakeup.notify_one();
+    }
+
+    /// Logs what changed in the quarantine.
+    pub fn log_quarantine(&self) {
+        for change in self.quarantine.borrow_mut().take_changes() {
+            match change {
+                QuarantineChange::Quarantined {
+                    fingerprint,
+                    ends,
+                    heard,
+                } => {
+                    let fields = json!({"fingerprint": format!("{:x}", fingerprint.0), "ends": ends, "heard": heard});
+                    event_log::state_change("quarantine_begun", fields);
+                }
+                QuarantineChange::Cleared(fingerprint) | QuarantineChange::Lapsed(fingerprint) => {
+                    let cleared = matches!(change, QuarantineChange::Cleared(_));
+                    let fields =
+                        json!({"fingerprint": format!("{:x}", fingerprint.0), "cleared": cleared});
+                    event_log::state_change("quarantine_ended", fields);
+                }
+            }
+        }
+    }
+
     /// Applies a complete list of registrations.
     pub fn apply_registrations(&self, list: RegistrationList, from: &str) {
         let fields = json!({
--- a/crates/hawthornmill-gateway/src/gossip.rs
+++ b/crates/hawthornmill-gateway/src/gossip.rs
@@ -5,9 +5,11 @@
 use std::time::{Duration, Instant};
 
 use hawthornmill::ident::{Incarnation, InstanceId};
+use hawthornmill::quarantine::table::REPEAT_ROUNDS;
 use hawthornmill::routing::domain_summary::DomainMembers;
 use hawthornmill::routing::gossip::{InstanceReport, PeerChange, PeerInfo};
 use hawthornmill::routing::load_parts::{DemandPart, Scope, WorkPart};
+use hawthornmill::routing::recent::Audience;
 use hawthornmill::wire::frame::{Frame, FrameError};
 use hawthornmill::wire::{Message, Opener};
 use serde_json::json;
@@ -70,6 +72,7 @@
             send_load(&gateway, &datagrams, now);
         }
         send_announcements(&gateway, &datagrams, now);
+        send_quarantine_news(&gateway, &datagrams, round, now);
         if !in_parts {
             relay::relay_domain(&gateway, &datagrams, round);
         }
@@ -116,27 +119,53 @@
     datagrams.send_demand(demand, &targets);
 }
 
-/// Announces to nearby instances what changed according to the store.
+/// Returns which nearby instances are told of changes, and on whose behalf.
 ///
 /// The relays of a large failure domain also pass on what they heard from its instances.
-fn send_announcements(gateway: &Gateway, datagrams: &DatagramSocket, now: Instant) {
+fn nearby_instances(gateway: &Gateway, now: Instant) -> (Audience, Vec<SocketAddr>) {
     let peers = gateway.peers.borrow();
-    let speaks = peers.is_large_domain() && peers.speaks_for_domain(gateway.id, now);
-    let recent = gateway.announcements.borrow();
-    let (announced, targets) = if speaks {
+    if peers.is_large_domain() && peers.speaks_for_domain(gateway.id, now) {
         let members = peers.domain_peers(now).map(|(_, p)| p.info.peer_addr);
-        (recent.for_other_domains(now), members.collect())
+        (Audience::OtherDomains, members.collect())
     } else {
-        (
-            recent.for_domain(now),
-            peers.broadcast_targets(gateway.id, now),
-        )
-    };
+        let targets = peers.broadcast_targets(gateway.id, now);
+        (Audience::Domain, targets)
+    }
+}
+
+/// Announces to nearby instances what changed according to the store.
+fn send_announcements(gateway: &Gateway, datagrams: &DatagramSocket, now: Instant) {
+    let (audience, targets) = nearby_instances(gateway, now);
+    let announced = gateway.announcements.borrow().for_audience(audience, now);
     if !announced.is_empty() {
         datagrams.send(&Message::Announcements(Box::new(announced)), targets);
     }
 }
 
+/// Tells nearby instances of ended servers and quarantined requests.
+fn send_quarantine_news(gateway: &Gateway, datagrams: &DatagramSocket, round: u64, now: Instant) {
+    if gateway.quarantine.borrow().is_idle() {
+        return;
+    }
+    gateway.quarantine.borrow_mut().update(now);
+    gateway.log_quarantine();
+    let (audience, targets) = nearby_instances(gateway, now);
+    let all = round.is_multiple_of(REPEAT_ROUNDS);
+    for message in gateway.quarantine.borrow().messages(audience, all, now) {
+        let message = Message::QuarantineNews(Box::new(message));
+        datagrams.send(&message, targets.iter().copied());
+    }
+}
+
+/// Tells an instance that has just started which requests are quarantined.
+fn tell_quarantine(gateway: &Gateway, datagrams: &DatagramSocket, newcomer: SocketAddr) {
+    let quarantine = gateway.quarantine.borrow();
+    for message in quarantine.messages(Audience::OtherDomains, true, gateway.now()) {
+        let message = Message::QuarantineNews(Box::new(message));
+        datagrams.send(&message, [newcomer]);
+    }
+}
+
 /// Returns the addresses and the processor of this instance.
 pub fn own_info(gateway: &Gateway) -> PeerInfo {
     let settings = gateway.settings();
@@ -241,6 +270,7 @@
             handle_report(gateway, sender, run, &report);
             if report.known.catalog_version == 0 && gateway.has_state() {
                 report_to_newcomer(gateway, datagrams, from);
+                tell_quarantine(gateway, datagrams, from);
             }
         }
         Message::Work(work) => gateway
@@ -252,6 +282,7 @@
         Message::WorkPart(part) => handle_work(gateway, sender, *part),
         Message::DemandPart(part) => handle_demand(gateway, sender, &part),
         Message::Announcements(announced) => gateway.apply_announcements(&announced),
+        Message::QuarantineNews(news) => gateway.apply_quarantine_news(&news),
         Message::FragmentRequest(r) => state_sync::send_fragments(gateway, datagrams, from, &r),
         Message::Fragment(part) => gateway.pending_state.add_fragment(from, part),
         Message::StreamVersions(told) => gateway.streams.record(gateway, &told),
--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -17,6 +17,7 @@
 pub mod events;
 pub mod forward;
 pub mod progress;
+pub mod quarantine;
 pub mod read;
 pub mod retry;
 pub mod send;
@@ -29,11 +30,11 @@
 use forward::{ForwardOutcome, forward_response, write_buffered};
 use hawthornmill::codes::Code;
 use hawthornmill::ident::{ServerId, VersionId};
-use hawthornmill::quarantine::fingerprint::{Fingerprint, RequestContent};
+use hawthornmill::quarantine::evidence::RunningRequest;
 use hawthornmill::routing::loads;
 use hawthornmill::routing::placement::Placement;
 use hawthornmill::routing::registry::ServerRun;
-use hawthornmill::routing::request::{Cause, Refusal};
+use hawthornmill::routing::request::{Cause, Refusal, Request};
 use hawthornmill::routing::stream_versions::{StreamKey, StreamVersion};
 use progress::RequestProgress;
 use read::ClientRequest;
@@ -160,10 +161,13 @@
         let parts = self.admitted.request.shape.parts.iter();
         let broken = BrokenRequest {
             attempt_id: request.attempt_id.clone(),
-            fingerprint: fingerprint(request, self.admitted),
             parts: parts.map(|p| p.id).collect(),
             ran: self.gateway.now().duration_since(self.sent_at),
-            events: progress.server_events,
+            running: RunningRequest {
+                fingerprint: quarantine::fingerprint(request, self.admitted),
+                events: progress.server_events,
+                position: progress.last_event_id.unwrap_or(0),
+            },
         };
         self.gateway
             .server_ends
@@ -192,19 +196,6 @@
     }
 }
 
-/// Returns the identity of what a server sees of the request.
-fn fingerprint(request: &ClientRequest, admitted: &Admitted) -> Fingerprint {
-    let head = &request.head;
-    Fingerprint::of_request(&RequestContent {
-        account: admitted.request.account,
-        method: &head.method,
-        host: head.headers.get("host").unwrap_or_default(),
-        target: &head.target,
-        parts: &admitted.request.shape.parts,
-        body: &request.body,
-    })
-}
-
 /// Sends the request to one server after another until one responds or the retries are used up.
 async fn try_servers(
     context: RequestContext<'_>,
@@ -222,15 +213,19 @@
     let mut fallback: Option<ServerResponse> = None;
     loop {
         request.version = progress.version.or(request.version);
+        if let Err(refusal) = quarantine::wait_until_clear(context, admitted).await {
+            return refuse(
+                context, admitted, progress, &request, fallback, refusal, out,
+            )
+            .await;
+        }
         let placement = match context.gateway.select_server(&request).await {
             Ok(placement) => placement,
             Err(refusal) => {
-                progress::log_rejection(context, admitted, &request, &refusal);
-                context
-                    .gateway
-                    .metrics
-                    .request_refused(&admitted.service_name, refusal.cause);
-                return end_without_server(context, progress, fallback, refusal, out).await;
+                return refuse(
+                    context, admitted, progress, &request, fallback, refusal, out,
+                )
+                .await;
             }
         };
         request.tried.push(placement.server);
@@ -313,7 +308,7 @@
         run: gateway.server_run(server),
         responded: false,
     };
-    match send(gateway, context.request, admitted, progress, &placement).await {
+    match send(context, admitted, progress, &placement).await {
         SendOutcome::Response(response)
             if retry::is_server_error(&response)
                 && retry::try_retry(gateway, admitted, progress) =>
@@ -326,14 +321,17 @@
         }
         SendOutcome::Response(response) => {
             match forward_response(context, progress, response, &mut slot, out).await {
-                ForwardOutcome::Complete => Ok(RequestOutcome::Complete),
+                ForwardOutcome::Complete => {
+                    quarantine::record_answer(context, admitted, progress.status);
+                    Ok(RequestOutcome::Complete)
+                }
                 ForwardOutcome::ClientClosed => Ok(RequestOutcome::ClientClosed),
                 ForwardOutcome::Truncated => {
                     log_interruption(context, progress, server, "the answer broke off");
                     if progress.connection_lost() {
                         slot.record_break(context.request, progress);
                     }
-                    Err(retry::on_interrupted(gateway, admitted, progress, server))
+                    Err(retry::on_interrupted(context, admitted, progress, server))
                 }
             }
         }
@@ -357,7 +355,7 @@
             if interruption.connection_lost {
                 slot.record_break(context.request, progress);
             }
-            Err(retry::on_interrupted(gateway, admitted, progress, server))
+            Err(retry::on_interrupted(context, admitted, progress, server))
         }
     }
 }
@@ -374,6 +372,22 @@
     event_log::request_problem("server_broke_off", &context.request.attempt_id, fields);
 }
 
+/// Logs and counts a refusal, and ends the request.
+async fn refuse(
+    context: RequestContext<'_>,
+    admitted: &Admitted,
+    progress: &mut RequestProgress,
+    request: &Request,
+    fallback: Option<ServerResponse>,
+    refusal: Refusal,
+    out: &mut OwnedWriteHalf,
+) -> RequestOutcome {
+    progress::log_rejection(context, admitted, request, &refusal);
+    let metrics = &context.gateway.metrics;
+    metrics.request_refused(&admitted.service_name, refusal.cause);
+    end_without_server(context, progress, fallback, refusal, out).await
+}
+
 /// Ends a request for which there is no further server.
 ///
 /// The client receives the error response of a server if there is one, else an error that tells whether
--- a/crates/hawthornmill-gateway/src/proxy/retry.rs
+++ b/crates/hawthornmill-gateway/src/proxy/retry.rs
@@ -14,6 +14,7 @@
 use super::progress::RequestProgress;
 use super::read::ClientRequest;
 use super::send::ServerResponse;
+use super::{RequestContext, quarantine};
 use crate::event_log;
 use crate::gateway::Gateway;
 
@@ -141,14 +142,17 @@
 }
 
 /// Handles a connection that broke before the end of the response; the request may have been executed.
+///
+/// A request under which a server has ended before isn't sent again: it might end a third one.
 pub fn on_interrupted(
-    gateway: &Gateway,
+    context: RequestContext<'_>,
     admitted: &Admitted,
     progress: &mut RequestProgress,
     server: ServerId,
 ) -> RetryDecision {
+    let gateway = context.gateway;
     record_outcome(gateway, server, ServerOutcome::Failed);
-    if try_retry(gateway, admitted, progress) {
+    if !quarantine::has_ended_server(context, admitted) && try_retry(gateway, admitted, progress) {
         RetryDecision::Retry
     } else {
         RetryDecision::Fail
--- a/crates/hawthornmill-gateway/src/proxy/send.rs
+++ b/crates/hawthornmill-gateway/src/proxy/send.rs
@@ -10,6 +10,7 @@
 
 use bytes::BytesMut;
 use hawthornmill::ident::ServerId;
+use hawthornmill::quarantine::table::Standing;
 use hawthornmill::routing::catalog::RetryPolicy;
 use hawthornmill::routing::placement::Placement;
 use hawthornmill::routing::registry::ServerRun;
@@ -19,7 +20,7 @@
 use super::admission::Admitted;
 use super::progress::RequestProgress;
 use super::read::ClientRequest;
-use super::retry;
+use super::{RequestContext, quarantine, retry};
 use crate::event_log;
 use crate::gateway::Gateway;
 use crate::http::body::{BodyDecoder, Decoded};
@@ -104,12 +105,14 @@
 
 /// Sends `request` to the chosen server.
 pub async fn send(
-    gateway: &Gateway,
-    request: &ClientRequest,
+    context: RequestContext<'_>,
     admitted: &Admitted,
     progress: &mut RequestProgress,
     placement: &Placement,
 ) -> SendOutcome {
+    let RequestContext {
+        gateway, request, ..
+    } = context;
     let server = placement.server;
     let target = {
         let scheduler = gateway.scheduler.borrow();
@@ -148,9 +151,11 @@
     if !upstream.reused {
         gateway.metrics.server_connected();
     }
-    // While the connection was being opened, a response to another request may have said that the server wants no more.
+    // While the connection was being opened, a response to another request may have said that the
+    // server wants no more, or servers may have ended under this request.
     let now = gateway.now();
-    if !gateway.scheduler.borrow().may_send(server, now) {
+    let is_clear = quarantine::standing(context, admitted) == Standing::Clear;
+    if !is_clear || !gateway.scheduler.borrow().may_send(server, now) {
         let max_idle = gateway.max_idle(server);
         gateway.pool.put_back(server, upstream, None, max_idle, now);
         return SendOutcome::Withheld;
--- a/crates/hawthornmill-gateway/src/relay.rs
+++ b/crates/hawthornmill-gateway/src/relay.rs
@@ -5,8 +5,10 @@
 use std::time::{Duration, Instant};
 
 use hawthornmill::ident::InstanceId;
+use hawthornmill::quarantine::table::REPEAT_ROUNDS;
 use hawthornmill::routing::domain_summary::{DomainMembers, Member};
 use hawthornmill::routing::load_parts::Scope;
+use hawthornmill::routing::recent::Audience;
 use hawthornmill::wire::Message;
 use hawthornmill::wire::frame::Frame;
 
@@ -36,6 +38,8 @@
         return;
     }
     send_announcements(gateway, datagrams, &targets, now);
+    let all = round.is_multiple_of(REPEAT_ROUNDS);
+    send_quarantine_news(gateway, datagrams, &targets, all, now);
     send_members(gateway, datagrams, &targets, now);
     send_domain_load(gateway, datagrams, &targets, now);
 }
@@ -98,6 +102,8 @@
         peers.remote_relays(now).into_iter().flatten().collect()
     };
     send_announcements(gateway, datagrams, &targets, now);
+    let all = (interval / DOMAIN_INTERVALS).is_multiple_of(REPEAT_ROUNDS);
+    send_quarantine_news(gateway, datagrams, &targets, all, now);
     send_domain_load(gateway, datagrams, &targets, now);
     if interval.is_multiple_of(MEMBERS_INTERVALS) {
         let peers = gateway.peers.borrow();
@@ -113,13 +119,29 @@
     targets: &[SocketAddr],
     now: Instant,
 ) {
-    let announced = gateway.announcements.borrow().for_other_domains(now);
+    let audience = Audience::OtherDomains;
+    let announced = gateway.announcements.borrow().for_audience(audience, now);
     if !announced.is_empty() {
         let message = Message::Announcements(Box::new(announced));
         datagrams.send(&message, targets.iter().copied());
     }
 }
 
+/// Sends what this instance knows of ended servers; `all` adds every quarantined request.
+fn send_quarantine_news(
+    gateway: &Gateway,
+    datagrams: &DatagramSocket,
+    targets: &[SocketAddr],
+    all: bool,
+    now: Instant,
+) {
+    let quarantine = gateway.quarantine.borrow();
+    for message in quarantine.messages(Audience::OtherDomains, all, now) {
+        let message = Message::QuarantineNews(Box::new(message));
+        datagrams.send(&message, targets.iter().copied());
+    }
+}
+
 fn send_members(
     gateway: &Gateway,
     datagrams: &DatagramSocket,
@@ -179,7 +201,7 @@
     let peers = gateway.peers.borrow();
     let large = peers.is_large_domain();
     let is_relayed = match &frame.message {
-        Message::DomainMembers(_) | Message::Announcements(_) => true,
+        Message::DomainMembers(_) | Message::Announcements(_) | Message::QuarantineNews(_) => true,
         Message::WorkPart(part) => matches!(part.scope, Scope::Domain(_)) && !large,
         Message::DemandPart(part) => matches!(part.scope, Scope::Domain(_)) && !large,
         _ => false,
--- a/crates/hawthornmill-gateway/src/server_ends.rs
+++ b/crates/hawthornmill-gateway/src/server_ends.rs
@@ -9,7 +9,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hawthornmill::quarantine::fingerprint::Fingerprint;
+use hawthornmill::quarantine::evidence::RunningRequest;
+use hawthornmill::routing::recent::Source;
 use hawthornmill::routing::registry::ServerRun;
 use hawthornmill::routing::server_notices::Availability;
 use serde_json::{Value, json};
@@ -41,14 +42,12 @@
 pub struct BrokenRequest {
     /// Id of the client's attempt.
     pub attempt_id: Box<str>,
-    /// Identity of its content.
-    pub fingerprint: Fingerprint,
     /// Ids of the parts of its prompt.
     pub parts: Vec<u64>,
     /// Time since it was sent to the server.
     pub ran: Duration,
-    /// Events that the server brought.
-    pub events: u32,
+    /// What it was and how far it got.
+    pub running: RunningRequest,
 }
 
 /// What is known of the end of a server's run.
@@ -103,8 +102,10 @@
                 proof: None,
             }
         });
+        let first_break = examined.first_break;
         if let Some(proof) = examined.proof {
-            log_end(gateway, run, proof, std::slice::from_ref(&request));
+            let late = std::slice::from_ref(&request);
+            report_end(gateway, run, first_break, proof, late);
         }
         examined.broken.push(request);
     }
@@ -116,7 +117,7 @@
         };
         examined.proof = Some(proof);
         gateway.metrics.server_ended();
-        log_end(gateway, run, proof, &examined.broken);
+        report_end(gateway, run, examined.first_break, proof, &examined.broken);
     }
 
     /// Forgets old ends, and runs that turned out not to have ended.
@@ -141,12 +142,31 @@
     })
 }
 
+/// Logs that a server ended while it ran the `broken` requests, and lets the fleet know.
+fn report_end(
+    gateway: &Gateway,
+    run: ServerRun,
+    at: Instant,
+    proof: Proof,
+    broken: &[BrokenRequest],
+) {
+    log_end(gateway, run, proof, broken);
+    let mut running: Vec<RunningRequest> = broken.iter().map(|b| b.running).collect();
+    // Those that got least far are the likeliest causes, and the list is cut.
+    running.sort_by_key(|r| r.events);
+    let now = gateway.now();
+    let mut quarantine = gateway.quarantine.borrow_mut();
+    quarantine.record_end(run, at, &running, Source::Own, now);
+    drop(quarantine);
+    gateway.announce_quarantine();
+}
+
 fn log_end(gateway: &Gateway, run: ServerRun, proof: Proof, broken: &[BrokenRequest]) {
     let describe = |b: &BrokenRequest| -> Value {
         let parts = b.parts.iter().map(|id| format!("{id:x}"));
         json!({
-            "request": b.attempt_id, "fingerprint": format!("{:x}", b.fingerprint.0),
-            "parts": parts.collect::<Vec<_>>(), "ran_ms": b.ran.as_millis() as u64, "events": b.events,
+            "request": b.attempt_id, "fingerprint": format!("{:x}", b.running.fingerprint.0),
+            "parts": parts.collect::<Vec<_>>(), "ran_ms": b.ran.as_millis() as u64, "events": b.running.events,
         })
     };
     let running: Vec<Value> = broken.iter().take(MAX_LOGGED).map(describe).collect();
--- a/crates/hawthornmill-gateway/src/settings.rs
+++ b/crates/hawthornmill-gateway/src/settings.rs
@@ -7,6 +7,7 @@
 use hawthornmill::codes::Code;
 use hawthornmill::ident::{DomainId, RegionId};
 use hawthornmill::ini::{Diagnostic, Reader, Section};
+use hawthornmill::quarantine::fingerprint::Fingerprint;
 use hawthornmill::routing::cold_start::ColdStartTolerance;
 use hawthornmill::routing::retry_budget::RetryBudgetConfig;
 
@@ -91,6 +92,8 @@
     pub guarantees: Guarantees,
     /// Servers fetch cached parts of prompts from others where they can.
     pub fetches_prefixes: bool,
+    /// Requests that are never quarantined.
+    pub trusted: Vec<Fingerprint>,
     /// Least severe level that is logged.
     pub level: log::LevelFilter,
 }
@@ -153,6 +156,7 @@
             store: store(&mut reader, &one("store")),
             guarantees: guarantees(&mut reader, &one("promises")),
             fetches_prefixes: fetches_prefixes(&mut reader, &one("policy")),
+            trusted: trusted(&mut reader, &one("policy")),
             level: level(&mut reader, &one("telemetry")),
         };
         reader.finish(settings)
@@ -258,7 +262,7 @@
 }
 
 fn fetches_prefixes(reader: &mut Reader<'_>, section: &Section) -> bool {
-    reader.reject_unknown_keys(section, &["fetch_prefixes"]);
+    reader.reject_unknown_keys(section, &["fetch_prefixes", "never_quarantine"]);
     reader.choice(
         section,
         "fetch_prefixes",
@@ -266,6 +270,25 @@
     )
 }
 
+/// Reads the fingerprints of requests that are never quarantined, in hexadecimal.
+fn trusted(reader: &mut Reader<'_>, section: &Section) -> Vec<Fingerprint> {
+    let Some(entry) = section.get("never_quarantine") else {
+        return Vec::new();
+    };
+    let words = entry.value.split(',').map(str::trim);
+    let mut trusted = Vec::new();
+    for word in words.filter(|w| !w.is_empty()) {
+        if let Ok(number) = u64::from_str_radix(word, 16) {
+            trusted.push(Fingerprint(number));
+        } else {
+            let what =
+                format!("`never_quarantine` must be a list of hexadecimal numbers, not `{word}`");
+            reader.report(Code::BadValue, entry.line, 0, what);
+        }
+    }
+    trusted
+}
+
 fn level(reader: &mut Reader<'_>, section: &Section) -> log::LevelFilter {
     reader.reject_unknown_keys(section, &["level"]);
     let words = [
--- a/crates/hawthornmill/src/quarantine/fingerprint.rs
+++ b/crates/hawthornmill/src/quarantine/fingerprint.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ident::AccountId;
+use crate::ident::{AccountId, mix};
 use crate::routing::shape::PromptPart;
 
 /// Identity of the content of a request; a client's repeats of a request share it.
@@ -28,24 +28,28 @@
 
 impl Fingerprint {
     /// Returns the fingerprint of a whole request.
+    ///
+    /// The hash is fast and not secure: the account is part of it, so whoever finds two requests with one fingerprint has
+    /// found two of his own.
     pub fn of_request(content: &RequestContent<'_>) -> Self {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(&content.account.map_or(0, |a| a.0).to_le_bytes());
-        for field in [
-            content.method.as_bytes(),
-            content.host,
-            content.target.as_bytes(),
-        ] {
-            hasher.update(&(field.len() as u64).to_le_bytes());
-            hasher.update(field);
+        let account = content.account.map_or(0, |a| a.0);
+        let mut hash = fold(mix(account), content.method.as_bytes());
+        for field in [content.host, content.target.as_bytes(), content.body] {
+            hash = fold(hash, field);
         }
-        hasher.update(&(content.parts.len() as u64).to_le_bytes());
-        for part in content.parts {
-            hasher.update(&part.id.to_le_bytes());
-        }
-        hasher.update(content.body);
-        let mut first = [0_u8; 8];
-        first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-        Self(u64::from_le_bytes(first))
+        let parts = content.parts.iter();
+        Self(parts.fold(hash, |hash, part| mix(hash ^ part.id)))
+    }
+}
+
+/// Adds a field, with its length, to a hash.
+fn fold(hash: u64, field: &[u8]) -> u64 {
+    let mut hash = mix(hash ^ field.len() as u64);
+    let (words, rest) = field.as_chunks::<8>();
+    for word in words {
+        hash = mix(hash ^ u64::from_le_bytes(*word));
     }
+    let mut last = [0_u8; 8];
+    last[..rest.len()].copy_from_slice(rest);
+    mix(hash ^ u64::from_le_bytes(last))
 }
--- a/crates/hawthornmill/src/quarantine/mod.rs
+++ b/crates/hawthornmill/src/quarantine/mod.rs
@@ -1,10 +1,18 @@
 //! Requests under which backend servers end.
 //!
-//! Load pattern: a request, or a part that many requests share, ends each server that runs it. Its caller repeats it, each
-//! repeat goes to another server, as after any failure, and so one caller ends server after server.
+//! Load pattern: a request ends each server that runs it. Its client repeats it under new attempt ids at any instance,
+//! each repeat goes to another server, as after any failure, and so one client ends server after server. No instance sees
+//! more than a few of these ends, so instances tell each other what servers ran when they ended, and what was answered
+//! since. Each of them then finds the same cause, and refuses it before it reaches another server.
 //!
 //! | module | owns |
 //! |---|---|
 //! | [`fingerprint`] | what makes two requests the same |
+//! | [`evidence`] | which servers ended, what they ran, and what explains it |
+//! | [`table`] | which requests are held or refused |
+//! | [`news`] | what instances tell each other of it |
 
+pub mod evidence;
 pub mod fingerprint;
+pub mod news;
+pub mod table;
--- a/crates/hawthornmill/src/routing/announcements.rs
+++ b/crates/hawthornmill/src/routing/announcements.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::evacuations::Evacuation;
-use super::recent::{Recent, Source};
+use super::recent::{Audience, Recent, Source};
 use crate::ident::ServerId;
 
 /// Departures in one message, so that all of it fits a datagram.
@@ -79,20 +79,11 @@
         self.cold_servers.record(cold, source, now);
     }
 
-    /// Returns what to announce within the own domain: only what came from the store, since peers announce theirs.
-    pub fn for_domain(&self, now: Instant) -> Announcements {
-        self.select(now, &[Source::Own])
-    }
-
-    /// Returns what to announce to other failure domains: all of it, on behalf of the own domain.
-    pub fn for_other_domains(&self, now: Instant) -> Announcements {
-        self.select(now, &[Source::Own, Source::Peer])
-    }
-
-    fn select(&self, now: Instant, sources: &[Source]) -> Announcements {
-        let departures = self.departures.select(now, sources, MAX_DEPARTURES);
-        let evacuations = self.evacuations.select(now, sources, MAX_EVACUATIONS);
-        let cold_servers = self.cold_servers.select(now, sources, MAX_COLD);
+    /// Returns what to announce to `audience`.
+    pub fn for_audience(&self, audience: Audience, now: Instant) -> Announcements {
+        let departures = self.departures.select(now, audience, MAX_DEPARTURES);
+        let evacuations = self.evacuations.select(now, audience, MAX_EVACUATIONS);
+        let cold_servers = self.cold_servers.select(now, audience, MAX_COLD);
         let remaining = |(cold, age): (ColdServer, Duration)| ColdServer {
             remaining: cold.remaining.saturating_sub(age),
             ..cold
--- a/crates/hawthornmill/src/routing/request.rs
+++ b/crates/hawthornmill/src/routing/request.rs
@@ -120,6 +120,8 @@
     QueueFull,
     /// No capacity became free while it was queued.
     QueueTimeout,
+    /// Servers have ended under it.
+    Quarantined,
 }
 
 impl Cause {
@@ -133,6 +135,7 @@
             Self::TooLong => "TooLong",
             Self::QueueFull => "Crowd",
             Self::QueueTimeout => "Waited",
+            Self::Quarantined => "Quarantined",
         }
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
 mod metrics;
 mod overload;
 mod owner_stability;
+mod quarantine;
 mod random_input;
 mod response_integrity;
 mod retries;
--- /dev/null
+++ b/tests/testsuite/quarantine/mod.rs
@@ -0,0 +1,77 @@
+//! Requests under which servers end, decided in a fixed order with a simulated clock.
+
+mod requests;
+
+use std::time::{Duration, Instant};
+
+use hawthornmill::ident::ServerId;
+use hawthornmill::quarantine::evidence::RunningRequest;
+use hawthornmill::quarantine::fingerprint::{Fingerprint, RequestContent};
+use hawthornmill::quarantine::news::QuarantineNews;
+use hawthornmill::quarantine::table::{Quarantine, Standing};
+use hawthornmill::routing::recent::{Audience, Source};
+use hawthornmill::routing::registry::ServerRun;
+
+const fn millis(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn run(number: usize) -> ServerRun {
+    ServerRun {
+        server: ServerId::of(&format!("s{number}")),
+        start_ms: 1,
+    }
+}
+
+/// Returns a request that is told apart by its target.
+fn request(target: &str) -> RunningRequest {
+    let content = RequestContent {
+        account: None,
+        method: "GET",
+        host: b"h.example",
+        target,
+        parts: &[],
+        body: b"",
+    };
+    RunningRequest {
+        fingerprint: Fingerprint::of_request(&content),
+        events: 0,
+        position: 0,
+    }
+}
+
+fn after_events(target: &str, events: u32) -> RunningRequest {
+    RunningRequest {
+        events,
+        position: events.into(),
+        ..request(target)
+    }
+}
+
+fn end(table: &mut Quarantine, number: usize, running: &[RunningRequest], now: Instant) {
+    table.record_end(run(number), now, running, Source::Own, now);
+}
+
+fn answer(table: &mut Quarantine, request: &RunningRequest, now: Instant) {
+    table.record_sound(request.fingerprint, now, Source::Own, now);
+}
+
+fn standing(table: &mut Quarantine, request: &RunningRequest, now: Instant) -> Standing {
+    table.standing(request.fingerprint, now)
+}
+
+fn is_quarantined(table: &mut Quarantine, request: &RunningRequest, now: Instant) -> bool {
+    matches!(standing(table, request, now), Standing::Quarantined(_))
+}
+
+/// Tells one instance what the other one announces.
+fn tell(from: &Quarantine, to: &mut Quarantine, now: Instant) {
+    for message in news(from, now) {
+        to.apply(&message, now);
+    }
+}
+
+/// Returns what an instance tells the others.
+fn news(table: &Quarantine, now: Instant) -> Vec<QuarantineNews> {
+    table.messages(Audience::Domain, false, now)
+}
--- /dev/null
+++ b/tests/testsuite/quarantine/requests.rs
@@ -0,0 +1,420 @@
+//! A request that is repeated, and others that only happen to run where servers end.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use hawthornmill::ident::AccountId;
+use hawthornmill::quarantine::fingerprint::{Fingerprint, RequestContent};
+use hawthornmill::quarantine::table::{Change, QUARANTINE_TTL, Quarantine, Standing};
+use hawthornmill::routing::recent::Audience;
+use hawthornmill::routing::shape::PromptPart;
+use hawthornmill::wire::frame::MAX_DATAGRAM_BYTES;
+
+use super::{
+    after_events, answer, end, is_quarantined, millis, news, request, run, standing, tell,
+};
+
+/// Failure: a request ends server after server, since nothing ties its repeats to each other.
+#[test]
+fn third_end_holds_a_request_and_then_refuses_it() {
+    let (mut table, now) = (Quarantine::default(), Instant::now());
+    let bad = request("/bad");
+
+    end(&mut table, 1, &[bad], now);
+    end(&mut table, 2, &[bad], now + millis(200));
+    let after_two = standing(&mut table, &bad, now + millis(300));
+    end(&mut table, 3, &[bad], now + millis(400));
+    let after_three = standing(&mut table, &bad, now + millis(450));
+    let later = standing(&mut table, &bad, now + millis(1_100));
+
+    assert_eq!(after_two, Standing::Clear);
+    assert!(matches!(after_three, Standing::Held(_)), "{after_three:?}");
+    let Standing::Quarantined(quarantined) = later else {
+        panic!("{later:?}");
+    };
+    assert_eq!(
+        (quarantined.ends, quarantined.retry_after),
+        (3, QUARANTINE_TTL)
+    );
+    assert_eq!(
+        standing(&mut table, &request("/7"), now + millis(1_100)),
+        Standing::Clear
+    );
+}
+
+/// Failure: a rack that loses power counts against each request that ran there, and three racks refuse sound requests.
+#[test]
+fn servers_that_end_together_convict_no_request() {
+    let (mut table, now) = (Quarantine::default(), Instant::now());
+    let long = request("/long");
+
+    for wave in 0..6_u32 {
+        let at = now + millis(2_000) * wave;
+        for server in 0..3 {
+            let number = wave as usize * 3 + server;
+            let running = if server == 0 {
+                vec![long]
+            } else {
+                vec![request(&format!("/{number}"))]
+            };
+            end(
+                &mut table,
+                number,
+                &running,
+                at + millis(server as u64 * 10),
+            );
+        }
+    }
+
+    let verdict = standing(&mut table, &long, now + millis(13_000));
+    assert_eq!(verdict, Standing::Clear);
+}
+
+/// Failure: the repeats of two clients end two servers in one moment, and that counts as a rack.
+#[test]
+fn request_that_ran_on_all_servers_of_a_moment_is_their_cause() {
+    let (mut table, now) = (Quarantine::default(), Instant::now());
+    let bad = request("/bad");
+
+    for wave in 0..3_u32 {
+        let at = now + millis(300) * wave;
+        for server in 0..2 {
+            let number = wave as usize * 2 + server;
+            end(
+                &mut table,
+                number,
+                &[bad, request(&format!("/{number}"))],
+                at,
+            );
+        }
+    }
+
+    assert!(matches!(
+        standing(&mut table, &bad, now + millis(700)),
+        Standing::Held(_)
+    ));
+}
+
+/// Failure: a request that is answered elsewhere stays refused because of servers that ended under it by chance.
+#[test]
+fn answered_request_is_cleared() {
+    let (mut table, now) = (Quarantine::default(), Instant::now());
+    let popular = request("/popular");
+
+    for number in 0..3 {
+        end(
+            &mut table,
+            number,
+            &[popular],
+            now + millis(200 * number as u64),
+        );
+    }
+    answer(&mut table, &popular, now + millis(500));
+    let cleared = standing(&mut table, &popular, now + millis(2_000));
+    for number in 3..5 {
+        end(
+            &mut table,
+            number,
+            &[popular],
+            now + millis(3_000 + 200 * number as u64),
+        );
+    }
+
+    assert_eq!(cleared, Standing::Clear);
+    assert_eq!(table.earlier_ends(popular.fingerprint), 2);
+    assert_eq!(
+        standing(&mut table, &popular, now + millis(9_000)),
+        Standing::Clear
+    );
+}
+
+/// Failure: a request that was refused wrongly stays so, though one that was under way is answered.
+#[test]
+fn late_answer_lifts_a_quarantine_everywhere() {
+    let (mut here, mut there, now) = (Quarantine::default(), Quarantine::default(), Instant::now());
+    let wrong = request("/wrong");
+    for number in 0..3 {
+        end(
+            &mut here,
+            number,
+            &[wrong],
+            now + millis(200 * number as u64),
+        );
+    }
+    let at = now + millis(1_100);
+    assert!(is_quarantined(&mut here, &wrong, at));
+    tell(&here, &mut there, at);
+    assert!(is_quarantined(&mut there, &wrong, at + millis(700)));
+
+    answer(&mut here, &wrong, at + millis(800));
+    tell(&here, &mut there, at + millis(900));
+
+    assert_eq!(
+        standing(&mut here, &wrong, at + millis(900)),
+        Standing::Clear
+    );
+    assert_eq!(
+        standing(&mut there, &wrong, at + millis(900)),
+        Standing::Clear
+    );
+    let changes = there.take_changes();
+    assert_eq!(changes.last(), Some(&Change::Cleared(wrong.fingerprint)));
+}
+
+/// Failure: each instance sees one end, so none of them ever knows of three.
+#[test]
+fn instances_that_saw_one_end_each_find_the_cause_together() {
+    let now = Instant::now();
+    let bad = request("/bad");
+    let mut instances = vec![Quarantine::default(); 3];
+
+    for (number, table) in instances.iter_mut().enumerate() {
+        end(table, number, &[bad], now + millis(200 * number as u64));
+    }
+    let at = now + millis(500);
+    let told: Vec<_> = instances.iter().flat_map(|t| news(t, at)).collect();
+    for table in &mut instances {
+        for message in &told {
+            table.apply(message, at);
+        }
+    }
+
+    for table in &mut instances {
+        assert!(is_quarantined(table, &bad, at + millis(700)));
+        assert_eq!(table.earlier_ends(bad.fingerprint), 3);
+    }
+}
+
+/// Failure: an instance that has just started, or missed all that was told before, sends a quarantined request.
+#[test]
+fn instance_that_starts_later_is_told() {
+    let (mut known, mut newcomer, now) =
+        (Quarantine::default(), Quarantine::default(), Instant::now());
+    let bad = request("/bad");
+    for number in 0..3 {
+        end(
+            &mut known,
+            number,
+            &[bad],
+            now + millis(200 * number as u64),
+        );
+    }
+    assert!(is_quarantined(&mut known, &bad, now + millis(1_100)));
+    let later = now + Duration::from_mins(3);
+
+    for message in known.messages(Audience::OtherDomains, true, later) {
+        newcomer.apply(&message, later);
+    }
+
+    assert!(is_quarantined(&mut newcomer, &bad, later));
+}
+
+/// Failure: a stream that is served for long loses its server three times by chance and is refused.
+#[test]
+fn streams_that_go_on_are_no_cause_unless_they_break_at_the_same_event() {
+    let (mut table, now) = (Quarantine::default(), Instant::now());
+
+    for (number, events) in [70, 12, 31, 44].into_iter().enumerate() {
+        let at = now + millis(300 * number as u64);
+        let running = [after_events("/long", events), after_events("/same", 20)];
+        end(&mut table, number, &running, at);
+    }
+
+    let later = now + millis(2_000);
+    assert_eq!(
+        standing(&mut table, &request("/long"), later),
+        Standing::Clear
+    );
+    assert!(is_quarantined(&mut table, &request("/same"), later));
+}
+
+/// Failure: a sound request that is sent again lands where the next server ends, and is refused with the cause.
+#[test]
+fn request_that_ran_beside_the_cause_goes_on() {
+    let (mut table, now) = (Quarantine::default(), Instant::now());
+    let (bad, beside) = (request("/bad"), request("/beside"));
+
+    for number in 0..5 {
+        let running = if number < 3 {
+            vec![bad, beside]
+        } else {
+            vec![bad]
+        };
+        end(
+            &mut table,
+            number,
+            &running,
+            now + millis(200 * number as u64),
+        );
+    }
+
+    let later = now + millis(2_000);
+    assert!(is_quarantined(&mut table, &bad, later));
+    assert_eq!(standing(&mut table, &beside, later), Standing::Clear);
+}
+
+/// Failure: a quarantine outlives its cause, or each of its ends costs as many servers as the first one did.
+#[test]
+fn quarantine_lapses_without_requests_and_one_more_end_renews_it() {
+    let (mut table, now) = (Quarantine::default(), Instant::now());
+    let bad = request("/bad");
+    for number in 0..3 {
+        end(
+            &mut table,
+            number,
+            &[bad],
+            now + millis(200 * number as u64),
+        );
+    }
+    let refused_at = now + QUARANTINE_TTL / 2;
+    assert!(is_quarantined(&mut table, &bad, now + millis(1_100)));
+    assert!(is_quarantined(&mut table, &bad, refused_at));
+
+    let kept = now + QUARANTINE_TTL + millis(1_100);
+    assert!(!table.is_empty());
+    table.update(kept);
+    assert!(!table.is_empty(), "a request was refused in between");
+    let lapsed = refused_at + QUARANTINE_TTL;
+    assert_eq!(standing(&mut table, &bad, lapsed), Standing::Clear);
+    end(&mut table, 3, &[bad], lapsed + millis(100));
+
+    assert!(is_quarantined(&mut table, &bad, lapsed + millis(800)));
+}
+
+/// Failure: a client fills the memory of all instances, or a datagram, with requests under which servers end.
+#[test]
+fn what_is_kept_and_told_is_bounded() {
+    let (mut table, now) = (Quarantine::default(), Instant::now());
+
+    for number in 0..600 {
+        let at = now + millis(250 * number as u64);
+        let bad = request(&format!("/{}", number / 3));
+        let others = (0..200).map(|n| request(&format!("/{number}/{n}")));
+        let running: Vec<_> = std::iter::once(bad).chain(others).collect();
+        end(&mut table, number, &running, at);
+        table.update(at);
+        for message in table.messages(Audience::OtherDomains, true, at) {
+            let bytes = postcard::to_stdvec(&message).expect("it can be encoded");
+            assert!(bytes.len() < MAX_DATAGRAM_BYTES - 100, "{}", bytes.len());
+        }
+    }
+
+    assert!(table.len() <= 128, "{}", table.len());
+    assert!(table.len() > 100, "{}", table.len());
+}
+
+/// Failure: an end that two instances report, each with what it ran there, counts twice.
+#[test]
+fn end_that_two_instances_saw_counts_once() {
+    let (mut table, now) = (Quarantine::default(), Instant::now());
+    let bad = request("/bad");
+
+    for number in 0..2 {
+        let at = now + millis(200 * number as u64);
+        end(&mut table, number, &[bad], at);
+        table.record_end(
+            run(number),
+            at + millis(40),
+            &[bad, request("/other")],
+            hawthornmill::routing::recent::Source::Peer,
+            at + millis(90),
+        );
+    }
+
+    assert_eq!(table.earlier_ends(bad.fingerprint), 2);
+    assert_eq!(
+        standing(&mut table, &bad, now + millis(2_000)),
+        Standing::Clear
+    );
+}
+
+/// Failure: two requests of which servers see something else share their fate.
+#[test]
+fn fingerprints_tell_requests_apart_by_all_that_servers_see() {
+    let part = |id| PromptPart { id, tokens: 10 };
+    let (one, other) = ([part(1), part(2)], [part(1), part(3)]);
+    let base = RequestContent {
+        account: Some(AccountId::of("lab")),
+        method: "POST",
+        host: b"h.example",
+        target: "/a/7",
+        parts: &one,
+        body: b"0123456789",
+    };
+    let all = [
+        base,
+        RequestContent {
+            account: None,
+            ..base
+        },
+        RequestContent {
+            account: Some(AccountId::of("other")),
+            ..base
+        },
+        RequestContent {
+            method: "GET",
+            ..base
+        },
+        RequestContent {
+            host: b"i.example",
+            ..base
+        },
+        RequestContent {
+            target: "/a/8",
+            ..base
+        },
+        RequestContent {
+            host: b"h.exampl",
+            target: "e/a/7",
+            ..base
+        },
+        RequestContent {
+            parts: &other,
+            ..base
+        },
+        RequestContent {
+            parts: &one[..1],
+            ..base
+        },
+        RequestContent {
+            body: b"012345678",
+            ..base
+        },
+        RequestContent {
+            body: b"0123456789\0",
+            ..base
+        },
+    ];
+
+    let distinct: BTreeSet<Fingerprint> = all.iter().map(Fingerprint::of_request).collect();
+
+    assert_eq!(distinct.len(), all.len());
+    assert_eq!(
+        Fingerprint::of_request(&base),
+        Fingerprint::of_request(&{ base })
+    );
+}
+
+/// Failure: an operator sees that a sound request is refused and can't do anything about it.
+#[test]
+fn operator_can_trust_a_request() {
+    let (mut table, now) = (Quarantine::default(), Instant::now());
+    let bad = request("/bad");
+    for number in 0..3 {
+        end(
+            &mut table,
+            number,
+            &[bad],
+            now + millis(200 * number as u64),
+        );
+    }
+    assert!(is_quarantined(&mut table, &bad, now + millis(1_100)));
+
+    table.set_trusted(&[bad.fingerprint], now + millis(1_200));
+    end(&mut table, 3, &[bad], now + millis(1_300));
+
+    assert_eq!(
+        standing(&mut table, &bad, now + millis(3_000)),
+        Standing::Clear
+    );
+}
--- a/tests/testsuite/routing/announcements.rs
+++ b/tests/testsuite/routing/announcements.rs
@@ -4,7 +4,7 @@
 
 use hawthornmill::ident::ServerId;
 use hawthornmill::routing::announcements::{Departure, RecentAnnouncements};
-use hawthornmill::routing::recent::Source;
+use hawthornmill::routing::recent::{Audience, Source};
 use hawthornmill::routing::request::Admission;
 
 use super::{change, entry, millis, request, scheduler, sent, shape};
@@ -59,10 +59,17 @@
     recent.record_departure(departure("a1", 50), Source::Own, now);
     recent.record_departure(departure("a2", 51), Source::Peer, now);
 
-    assert_eq!(recent.for_domain(now).departures, [departure("a1", 50)]);
     assert_eq!(
-        recent.for_other_domains(now).departures,
+        recent.for_audience(Audience::Domain, now).departures,
+        [departure("a1", 50)]
+    );
+    assert_eq!(
+        recent.for_audience(Audience::OtherDomains, now).departures,
         [departure("a2", 51), departure("a1", 50)]
     );
-    assert!(recent.for_other_domains(now + millis(1_000)).is_empty());
+    assert!(
+        recent
+            .for_audience(Audience::OtherDomains, now + millis(1_000))
+            .is_empty()
+    );
 }
