--- a/tests/testsuite/gateway/quarantine.rs
+++ b/tests/testsuite/gateway/quarantine.rs
@@ -234,3 +234,52 @@
         assert!(served > 0.9, "{served}");
     });
 }
+
+async fn play_bad_part(fleet: &Fleet, length: Duration) -> Outcome {
+    fleet
+        .servers
+        .iter()
+        .for_each(|s| s.set_default(stream_by_part));
+    let bad = |n| prompt(&format!("bad-{n}"), "bad", &format!("d{n:x}"));
+    let sound = |n| {
+        let second = format!("b{}", n % 30);
+        prompt(&format!("sound-{n}"), &second, &format!("c{n:x}"))
+    };
+    play(fleet, length, ends_by_part, bad, sound).await
+}
+
+fn assert_bad_part_is_stopped(outcome: &Outcome, length: Duration) {
+    let late = outcome.late_arrivals(5);
+    let ends = outcome.ends.len();
+    assert!(late <= MAX_LATE, "{late} sent late, {ends} ends");
+    let served = outcome.served_share(2 * DETECTION_TIME, length);
+    assert!(served > 0.9, "{served}");
+}
+
+/// Failure: prompts with one part in common, no two alike, end server after server.
+///
+/// Sound prompts share their other parts with them, and their account.
+#[test]
+fn prompts_with_a_part_that_ends_servers_are_stopped() {
+    block_on(async {
+        let fleet = Fleet::start(3, 8).await;
+        let length = Duration::from_secs(11);
+
+        let outcome = play_bad_part(&fleet, length).await;
+
+        assert_bad_part_is_stopped(&outcome, length);
+    });
+}
+
+/// Failure: the same, and no instance sees two of the first five ends.
+#[test]
+fn part_that_ends_servers_is_found_by_instances_that_see_one_end_each() {
+    block_on(async {
+        let fleet = Fleet::start(8, 12).await;
+        let length = Duration::from_secs(11);
+
+        let outcome = play_bad_part(&fleet, length).await;
+
+        assert_bad_part_is_stopped(&outcome, length);
+    });
+}
