--- a/crates/hawthornmill-gateway/src/proxy/forward.rs
+++ b/crates/hawthornmill-gateway/src/proxy/forward.rs
@@ -299,6 +299,7 @@
         }
         bytes.0.clear();
         progress.record_events(&events);
+        slot.record_events(context, progress, &events);
     }
     if !progress.response_started() {
         bytes = encode_head(&response.head, Framing::Chunked, context.close.always);
--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -27,6 +27,7 @@
 
 use admission::{Admitted, StreamOrigin};
 use error_response::ErrorResponse;
+use events::CompleteEvents;
 use forward::{ForwardOutcome, forward_response, write_buffered};
 use hawthornmill::codes::Code;
 use hawthornmill::ident::{ServerId, VersionId};
@@ -158,13 +159,11 @@
         let Some(run) = self.run else {
             return;
         };
-        let parts = self.admitted.request.shape.parts.iter();
         let broken = BrokenRequest {
             attempt_id: request.attempt_id.clone(),
-            parts: parts.map(|p| p.id).collect(),
             ran: self.gateway.now().duration_since(self.sent_at),
             running: RunningRequest {
-                fingerprint: quarantine::fingerprint(request, self.admitted),
+                fingerprints: quarantine::fingerprints(request, self.admitted),
                 events: progress.server_events,
                 position: progress.last_event_id.unwrap_or(0),
             },
@@ -174,6 +173,16 @@
             .record_break(self.gateway, run, broken);
     }
 
+    /// Records that a stream went on.
+    pub fn record_events(
+        &self,
+        context: RequestContext<'_>,
+        progress: &RequestProgress,
+        events: &CompleteEvents,
+    ) {
+        quarantine::record_events(context, self.admitted, progress.server_events, events.count);
+    }
+
     /// Records the first token of the response; later calls have no effect.
     pub fn record_first_token(&mut self) {
         if std::mem::replace(&mut self.responded, true) {
--- a/crates/hawthornmill-gateway/src/proxy/quarantine.rs
+++ b/crates/hawthornmill-gateway/src/proxy/quarantine.rs
@@ -1,7 +1,8 @@
 //! Holds and refuses requests under which servers end, and records those that were answered.
 
 use hawthornmill::codes::Code;
-use hawthornmill::quarantine::fingerprint::{Fingerprint, RequestContent};
+use hawthornmill::quarantine::evidence::SOUND_EVENTS;
+use hawthornmill::quarantine::fingerprint::{Fingerprint, Fingerprints, RequestContent};
 use hawthornmill::quarantine::table::{Quarantined, Standing};
 use hawthornmill::routing::recent::Source;
 use hawthornmill::routing::request::{Cause, Refusal};
@@ -13,10 +14,10 @@
 use super::read::ClientRequest;
 use crate::event_log;
 
-/// Returns the identity of what a server sees of the request.
-pub fn fingerprint(request: &ClientRequest, admitted: &Admitted) -> Fingerprint {
+/// Returns the identity of what a server sees of the request, and of the parts of its prompt.
+pub fn fingerprints(request: &ClientRequest, admitted: &Admitted) -> Fingerprints {
     let head = &request.head;
-    Fingerprint::of_request(&RequestContent {
+    Fingerprints::of(&RequestContent {
         account: admitted.request.account,
         method: &head.method,
         host: head.headers.get("host").unwrap_or_default(),
@@ -32,9 +33,9 @@
     if gateway.quarantine.borrow().is_idle() {
         return Standing::Clear;
     }
-    let fingerprint = fingerprint(context.request, admitted);
+    let fingerprints = fingerprints(context.request, admitted);
     let mut quarantine = gateway.quarantine.borrow_mut();
-    let standing = quarantine.standing(fingerprint, gateway.now());
+    let standing = quarantine.standing(&fingerprints, gateway.now());
     drop(quarantine);
     gateway.log_quarantine();
     standing
@@ -75,22 +76,37 @@
     event_log::request_problem("quarantined", &context.request.attempt_id, fields);
 }
 
-/// Returns whether a server is known to have ended under the request before its connection broke.
-pub fn has_ended_server(context: RequestContext<'_>, admitted: &Admitted) -> bool {
+/// Returns whether the request may be sent again after its connection broke.
+pub fn allows_retry(context: RequestContext<'_>, admitted: &Admitted) -> bool {
     let quarantine = context.gateway.quarantine.borrow();
-    !quarantine.is_idle() && quarantine.earlier_ends(fingerprint(context.request, admitted)) > 0
+    quarantine.is_idle() || quarantine.allows_retry(&fingerprints(context.request, admitted))
 }
 
 /// Records that a server answered the request completely.
 pub fn record_answer(context: RequestContext<'_>, admitted: &Admitted, status: u16) {
-    let gateway = context.gateway;
-    if status >= 400 || gateway.quarantine.borrow().is_idle() {
-        return;
+    if status < 400 && !context.gateway.quarantine.borrow().is_idle() {
+        record_sound(context, fingerprints(context.request, admitted).all());
+    }
+}
+
+/// Records that a stream of the request brought `count` more events, the last of which was number `events`.
+///
+/// Once it has gone on for some, the parts of its prompt are not what ends servers.
+pub fn record_events(context: RequestContext<'_>, admitted: &Admitted, events: u32, count: u32) {
+    let is_first = events >= SOUND_EVENTS && events - count < SOUND_EVENTS;
+    if is_first && !context.gateway.quarantine.borrow().is_idle() {
+        let parts = fingerprints(context.request, admitted).parts;
+        record_sound(context, parts.into_iter());
     }
-    let fingerprint = fingerprint(context.request, admitted);
-    let now = gateway.now();
+}
+
+fn record_sound(context: RequestContext<'_>, sound: impl Iterator<Item = Fingerprint>) {
+    let (gateway, now) = (context.gateway, context.gateway.now());
     let mut quarantine = gateway.quarantine.borrow_mut();
-    let is_new = quarantine.record_sound(fingerprint, now, Source::Own, now);
+    let mut is_new = false;
+    for fingerprint in sound {
+        is_new |= quarantine.record_sound(fingerprint, now, Source::Own, now);
+    }
     drop(quarantine);
     if is_new {
         gateway.announce_quarantine();
--- a/crates/hawthornmill-gateway/src/proxy/retry.rs
+++ b/crates/hawthornmill-gateway/src/proxy/retry.rs
@@ -143,7 +143,7 @@
 
 /// Handles a connection that broke before the end of the response; the request may have been executed.
 ///
-/// A request under which a server has ended before isn't sent again: it might end a third one.
+/// A request under which servers have ended before isn't sent again: it might end another one.
 pub fn on_interrupted(
     context: RequestContext<'_>,
     admitted: &Admitted,
@@ -152,7 +152,7 @@
 ) -> RetryDecision {
     let gateway = context.gateway;
     record_outcome(gateway, server, ServerOutcome::Failed);
-    if !quarantine::has_ended_server(context, admitted) && try_retry(gateway, admitted, progress) {
+    if quarantine::allows_retry(context, admitted) && try_retry(gateway, admitted, progress) {
         RetryDecision::Retry
     } else {
         RetryDecision::Fail
--- a/crates/hawthornmill-gateway/src/server_ends.rs
+++ b/crates/hawthornmill-gateway/src/server_ends.rs
@@ -42,8 +42,6 @@
 pub struct BrokenRequest {
     /// Id of the client's attempt.
     pub attempt_id: Box<str>,
-    /// Ids of the parts of its prompt.
-    pub parts: Vec<u64>,
     /// Time since it was sent to the server.
     pub ran: Duration,
     /// What it was and how far it got.
@@ -151,7 +149,7 @@
     broken: &[BrokenRequest],
 ) {
     log_end(gateway, run, proof, broken);
-    let mut running: Vec<RunningRequest> = broken.iter().map(|b| b.running).collect();
+    let mut running: Vec<RunningRequest> = broken.iter().map(|b| b.running.clone()).collect();
     // Those that got least far are the likeliest causes, and the list is cut.
     running.sort_by_key(|r| r.events);
     let now = gateway.now();
@@ -163,9 +161,10 @@
 
 fn log_end(gateway: &Gateway, run: ServerRun, proof: Proof, broken: &[BrokenRequest]) {
     let describe = |b: &BrokenRequest| -> Value {
-        let parts = b.parts.iter().map(|id| format!("{id:x}"));
+        let fingerprints = &b.running.fingerprints;
+        let parts = fingerprints.parts.iter().map(|p| format!("{:x}", p.0));
         json!({
-            "request": b.attempt_id, "fingerprint": format!("{:x}", b.running.fingerprint.0),
+            "request": b.attempt_id, "fingerprint": format!("{:x}", fingerprints.request.0),
             "parts": parts.collect::<Vec<_>>(), "ran_ms": b.ran.as_millis() as u64, "events": b.running.events,
         })
     };
--- a/crates/hawthornmill/src/quarantine/evidence.rs
+++ b/crates/hawthornmill/src/quarantine/evidence.rs
@@ -1,16 +1,18 @@
 //! Servers that ended, what they ran then, and what has been answered since.
 //!
-//! A request that happens to run where a server ends is no cause of it. So an end counts only against what explains all
-//! ends of its moment: a rack, a power cut or an operator ends many servers at once, and no request ran on all of them.
-//! What has been answered completely since doesn't count any more; and a stream that goes on for some events is not what
-//! ends its server, unless it breaks off at the same event again.
+//! A request that happens to run where a server ends is no cause of it, and each part of a prompt that it shares with others
+//! even less. So an end counts only against what explains all ends of its moment: a rack, a power cut or an operator ends
+//! many servers at once, and no request ran on all of them. What has been answered completely since doesn't count any more:
+//! parts that sound requests hold too are cleared within moments. A stream that goes on for some events is not what ends
+//! its server, unless it breaks off at the same event again. And what one cause explains doesn't count against another.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
-use super::fingerprint::Fingerprint;
+use super::fingerprint::{Fingerprint, Fingerprints};
 use crate::routing::registry::ServerRun;
 
 /// Time within which the ends of several servers count as one; instances notice an end up to this much apart.
@@ -21,8 +23,12 @@
 pub const SOUND_EVENTS: u32 = 4;
 /// Events by which two streams that break off at the same place may differ, as several arrive together.
 const SAME_PLACE_EVENTS: u64 = 2;
-/// Distinct ends under a request after which it is taken for their cause.
-const REQUEST_ENDS: u32 = 3;
+/// Moments of ends under a request, or a part of a prompt, after which it is taken for their cause.
+const CAUSE_MOMENTS: u32 = 3;
+/// The same for the first part of prompts, which most requests share.
+const FIRST_PART_MOMENTS: u32 = 5;
+/// Moments under a part that no single request, and no single other cause, explains.
+const PART_MARGIN: u32 = 2;
 /// Time for which an end counts.
 const END_TTL: Duration = Duration::from_mins(10);
 /// Maximum number of ends that are kept; moments are bits of a word.
@@ -33,10 +39,10 @@
 const MAX_SOUND: usize = 512;
 
 /// A request that a server ran when it ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunningRequest {
-    /// Identity of its content.
-    pub fingerprint: Fingerprint,
+    /// Identity of its content and of its parts.
+    pub fingerprints: Fingerprints,
     /// Events that this server brought.
     pub events: u32,
     /// Id of the last event that its client has; 0 before the first.
@@ -52,8 +58,27 @@
 }
 
 impl ServerEnd {
-    fn find(&self, fingerprint: Fingerprint) -> Option<&RunningRequest> {
-        self.running.iter().find(|r| r.fingerprint == fingerprint)
+    fn find(&self, request: Fingerprint) -> Option<&RunningRequest> {
+        let mut running = self.running.iter();
+        running.find(|r| r.fingerprints.request == request)
+    }
+
+    /// Returns whether the server ran `suspect`, a request or a part that hadn't gone on for some events.
+    fn ran(&self, suspect: Fingerprint) -> bool {
+        let mut running = self.running.iter();
+        running.any(|r| r.suspects().any(|s| s == suspect))
+    }
+}
+
+impl RunningRequest {
+    /// Returns what may have ended the server.
+    fn suspects(&self) -> impl Iterator<Item = Fingerprint> {
+        let most = if self.events < SOUND_EVENTS {
+            usize::MAX
+        } else {
+            1
+        };
+        self.fingerprints.all().take(most)
     }
 }
 
@@ -84,14 +109,14 @@
         let known = self.ends.iter_mut().find(|e| e.run == run);
         let new: Vec<RunningRequest> = if let Some(end) = known {
             end.at = end.at.min(at);
-            let is_new = |r: &&RunningRequest| end.find(r.fingerprint).is_none();
+            let is_new = |r: &&RunningRequest| end.find(r.fingerprints.request).is_none();
             let room = MAX_RUNNING - end.running.len();
             let new: Vec<RunningRequest> =
-                running.iter().filter(is_new).take(room).copied().collect();
+                running.iter().filter(is_new).take(room).cloned().collect();
             end.running.extend_from_slice(&new);
             new
         } else {
-            let running: Vec<RunningRequest> = running.iter().take(MAX_RUNNING).copied().collect();
+            let running: Vec<RunningRequest> = running.iter().take(MAX_RUNNING).cloned().collect();
             self.ends.push(ServerEnd {
                 run,
                 at,
@@ -120,16 +145,14 @@
 
     /// Returns the number of servers that ended under `fingerprint` after its last answer.
     pub fn count(&self, fingerprint: Fingerprint) -> usize {
-        let ends = self.ends.iter().filter(|end| {
-            let running = end.find(fingerprint);
-            running.is_some_and(|running| self.counts(end, running))
-        });
-        ends.count()
+        let ends = self.ends.iter();
+        ends.filter(|end| self.counts(end, fingerprint) && end.ran(fingerprint))
+            .count()
     }
 
-    /// Returns whether an end counts against a request that ran there.
-    fn counts(&self, end: &ServerEnd, running: &RunningRequest) -> bool {
-        let answered = self.sound.get(&running.fingerprint);
+    /// Returns whether an end counts against what ran there.
+    fn counts(&self, end: &ServerEnd, suspect: Fingerprint) -> bool {
+        let answered = self.sound.get(&suspect);
         answered.is_none_or(|at| *at < end.at)
     }
 
@@ -148,43 +171,48 @@
             .is_some_and(|sound| *sound >= at)
     }
 
-    /// Returns what explains the ends, the strongest cause first.
+    /// Returns what explains the ends.
     ///
     /// `is_lapsed` tells which causes have been known before, so that one more end is enough.
     pub fn causes(&self, is_lapsed: impl Fn(Fingerprint) -> bool) -> Vec<Fingerprint> {
         let moments = self.moments();
         let mut candidates: Vec<Candidate> = Vec::new();
-        for (fingerprint, runs) in self.runs_by_request() {
-            let lapsed = is_lapsed(fingerprint);
-            let needed = if lapsed { 1 } else { REQUEST_ENDS };
+        for (fingerprint, runs) in self.runs_by_suspect() {
+            let depth = runs.iter().filter_map(|r| r.depth).max();
+            let needed = match depth {
+                _ if is_lapsed(fingerprint) => 1,
+                Some(0) => FIRST_PART_MOMENTS,
+                _ => CAUSE_MOMENTS,
+            };
             if runs.len() >= needed as usize {
-                let explained = moments.explained(&runs);
-                candidates.push(Candidate {
-                    fingerprint,
-                    explained,
-                    needed,
-                });
+                candidates.push(Candidate::new(fingerprint, depth, needed, &runs, &moments));
             }
         }
-        candidates.sort_by_key(|c| (std::cmp::Reverse(c.explained.count_ones()), c.fingerprint));
-        let mut taken: MomentSet = 0;
-        let mut causes = Vec::new();
+        candidates.sort_by_key(Candidate::rank);
+        let mut causes: Vec<Candidate> = Vec::new();
         for candidate in candidates {
-            if (candidate.explained & !taken).count_ones() >= candidate.needed {
-                taken |= candidate.explained;
-                causes.push(candidate.fingerprint);
+            if candidate.is_cause(&causes) {
+                causes.push(candidate);
             }
         }
-        causes
+        causes.into_iter().map(|c| c.fingerprint).collect()
     }
 
-    /// Returns the runs that count against each request, with the index of the end.
-    fn runs_by_request(&self) -> BTreeMap<Fingerprint, Vec<(usize, RunningRequest)>> {
-        let mut runs: BTreeMap<Fingerprint, Vec<(usize, RunningRequest)>> = BTreeMap::new();
+    /// Returns the runs that count against each request and each part of a prompt.
+    fn runs_by_suspect(&self) -> BTreeMap<Fingerprint, Vec<Run>> {
+        let mut runs: BTreeMap<Fingerprint, Vec<Run>> = BTreeMap::new();
         for (index, end) in self.ends.iter().enumerate() {
-            for running in end.running.iter().filter(|r| self.counts(end, r)) {
-                let of_request = runs.entry(running.fingerprint).or_default();
-                of_request.push((index, *running));
+            for running in &end.running {
+                let suspects = running.suspects().enumerate();
+                for (place, suspect) in suspects.filter(|(_, s)| self.counts(end, *s)) {
+                    runs.entry(suspect).or_default().push(Run {
+                        end: index,
+                        request: running.fingerprints.request,
+                        depth: place.checked_sub(1),
+                        events: running.events,
+                        position: running.position,
+                    });
+                }
             }
         }
         runs
@@ -210,15 +238,84 @@
 /// Moments, one bit each.
 type MomentSet = u64;
 
-/// A request that may be the cause of ends.
+/// What a server ran when it ended, as it counts against one suspect.
+#[derive(Debug, Clone, Copy)]
+struct Run {
+    /// Index of the end.
+    end: usize,
+    /// The request that it was.
+    request: Fingerprint,
+    /// Place of the suspect among the parts of the prompt; `None` for the whole request.
+    depth: Option<usize>,
+    events: u32,
+    position: u64,
+}
+
+/// What may be the cause of ends.
 #[derive(Debug)]
 struct Candidate {
     fingerprint: Fingerprint,
+    /// Place among the parts of the prompt; `None` for a whole request.
+    depth: Option<usize>,
     explained: MomentSet,
-    /// Moments that it must explain and no stronger cause does.
+    /// Moments of each request that held it.
+    by_request: BTreeMap<Fingerprint, MomentSet>,
+    /// Moments that it must explain and no other cause does.
     needed: u32,
 }
 
+impl Candidate {
+    fn new(
+        fingerprint: Fingerprint,
+        depth: Option<usize>,
+        needed: u32,
+        runs: &[Run],
+        moments: &Moments,
+    ) -> Self {
+        let mut by_request: BTreeMap<Fingerprint, MomentSet> = BTreeMap::new();
+        for run in runs {
+            *by_request.entry(run.request).or_default() |= 1 << moments.of_ends[run.end];
+        }
+        Self {
+            fingerprint,
+            depth,
+            explained: moments.explained(runs),
+            by_request,
+            needed,
+        }
+    }
+
+    /// Returns its place in the order in which ends are explained: what explains most comes first, and what is narrower.
+    ///
+    /// The first part of prompts comes last: if most requests share it, it ran at more ends than a part that few hold.
+    fn rank(&self) -> (bool, Reverse<u32>, Reverse<usize>) {
+        let narrowness = self.depth.unwrap_or(usize::MAX);
+        let count = self.explained.count_ones();
+        (self.depth == Some(0), Reverse(count), Reverse(narrowness))
+    }
+
+    /// Returns whether each request that held `other` held this too.
+    fn contains(&self, other: &Self) -> bool {
+        let mut requests = other.by_request.keys();
+        requests.all(|r| self.by_request.contains_key(r))
+    }
+
+    /// Returns whether this explains enough that no cause in `known` does.
+    fn is_cause(&self, known: &[Self]) -> bool {
+        let others = known.iter().filter(|c| !self.contains(c));
+        let others = others.fold(0, |set, c| set | c.explained);
+        if (self.explained & !others).count_ones() < self.needed {
+            return false;
+        }
+        // Requests that hold a part bring it into their own ends, and so does a narrower part.
+        let narrower = known.iter().map(|c| c.explained);
+        let mut single = self.by_request.values().copied().chain(narrower);
+        self.depth.is_none()
+            || self.needed == 1
+            || single.all(|set| (self.explained & !set).count_ones() >= PART_MARGIN)
+    }
+}
+
 /// Groups of ends that happened at the same moment.
 #[derive(Debug, Default)]
 struct Moments {
@@ -229,18 +326,20 @@
 }
 
 impl Moments {
-    /// Returns the moments whose ends a request explains: it ran wherever a server ended, and broke off early or at the
+    /// Returns the moments whose ends something explains: it ran wherever a server ended, and broke off early or at the
     /// same event each time.
-    fn explained(&self, runs: &[(usize, RunningRequest)]) -> MomentSet {
+    fn explained(&self, runs: &[Run]) -> MomentSet {
+        let mut ends: Vec<usize> = runs.iter().map(|r| r.end).collect();
+        ends.dedup();
         let mut counts = vec![0; self.sizes.len()];
-        for (end, _) in runs {
-            counts[self.of_ends[*end]] += 1;
+        for end in ends {
+            counts[self.of_ends[end]] += 1;
         }
         let is_explained = |moment: usize| {
             let size = self.sizes[moment];
             counts[moment] >= size - size / ENDS_PER_GAP
         };
-        let seen = runs.iter().map(|(end, run)| (self.of_ends[*end], run));
+        let seen = runs.iter().map(|run| (self.of_ends[run.end], run));
         let seen: Vec<_> = seen.filter(|(moment, _)| is_explained(*moment)).collect();
         let at_place = |place: u64| -> MomentSet {
             let agreeing = seen.iter().filter(|(_, run)| {
--- a/crates/hawthornmill/src/quarantine/fingerprint.rs
+++ b/crates/hawthornmill/src/quarantine/fingerprint.rs
@@ -1,11 +1,15 @@
 //! Identity of what a request holds, whatever its attempt is called.
 
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 
 use crate::ident::{AccountId, mix};
 use crate::routing::shape::PromptPart;
 
-/// Identity of the content of a request; a client's repeats of a request share it.
+/// Parts of a prompt that are looked at.
+const MAX_PARTS: usize = 16;
+
+/// Identity of the content of a request, which a client's repeats share, or of a part of its prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Fingerprint(#[serde(with = "postcard::fixint::le")] pub u64);
 
@@ -26,6 +30,33 @@
     pub body: &'a [u8],
 }
 
+/// All that a request may share with another one under which servers end.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fingerprints {
+    /// The whole request.
+    pub request: Fingerprint,
+    /// The parts of its prompt that other requests may hold too, in their order; the last part is its own.
+    pub parts: SmallVec<[Fingerprint; 2]>,
+}
+
+impl Fingerprints {
+    /// Returns the fingerprints of a request.
+    pub fn of(content: &RequestContent<'_>) -> Self {
+        let shared = content.parts.len().saturating_sub(1).min(MAX_PARTS);
+        let parts = content.parts[..shared].iter();
+        Self {
+            request: Fingerprint::of_request(content),
+            parts: parts.map(|p| Fingerprint(mix(!p.id))).collect(),
+        }
+    }
+
+    /// Returns all of them.
+    pub fn all(&self) -> impl Iterator<Item = Fingerprint> {
+        let parts = self.parts.iter().copied();
+        std::iter::once(self.request).chain(parts)
+    }
+}
+
 impl Fingerprint {
     /// Returns the fingerprint of a whole request.
     ///
--- a/crates/hawthornmill/src/quarantine/mod.rs
+++ b/crates/hawthornmill/src/quarantine/mod.rs
@@ -1,6 +1,6 @@
 //! Requests under which backend servers end.
 //!
-//! Load pattern: a request ends each server that runs it. Its client repeats it under new attempt ids at any instance,
+//! Load pattern: a request, or a part of a prompt that many requests hold, ends each server that runs it. Its client repeats it under new attempt ids at any instance,
 //! each repeat goes to another server, as after any failure, and so one client ends server after server. No instance sees
 //! more than a few of these ends, so instances tell each other what servers ran when they ended, and what was answered
 //! since. Each of them then finds the same cause, and refuses it before it reaches another server.
--- a/crates/hawthornmill/src/quarantine/news.rs
+++ b/crates/hawthornmill/src/quarantine/news.rs
@@ -13,10 +13,10 @@
 const MESSAGE_BYTES: usize = 1_100;
 /// Most bytes of an item, without the requests of an end.
 const ITEM_BYTES: usize = 28;
-/// Most bytes of a request of an end.
-const RUNNING_BYTES: usize = 20;
-/// Requests of an end in one item.
-const MAX_RUNNING: usize = (MESSAGE_BYTES - ITEM_BYTES) / RUNNING_BYTES;
+/// Most bytes of a request of an end, without the parts of its prompt.
+const REQUEST_BYTES: usize = 25;
+/// Bytes of a part.
+const PART_BYTES: usize = 8;
 /// Items of each kind that are announced at a time.
 const MAX_ITEMS: usize = 64;
 
@@ -71,6 +71,11 @@
     sound: Recent<(Fingerprint, Instant)>,
 }
 
+/// Returns the most bytes that a request of an end takes in a message.
+fn encoded_bytes(running: &RunningRequest) -> usize {
+    REQUEST_BYTES + PART_BYTES * running.fingerprints.parts.len()
+}
+
 /// Returns a duration in milliseconds.
 pub fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
@@ -86,8 +91,16 @@
         source: Source,
         now: Instant,
     ) {
-        for part in running.chunks(MAX_RUNNING) {
+        let mut rest = running;
+        while !rest.is_empty() {
+            let sizes = rest.iter().scan(ITEM_BYTES, |sum, running| {
+                *sum += encoded_bytes(running);
+                Some(*sum)
+            });
+            let fitting = sizes.take_while(|sum| *sum <= MESSAGE_BYTES).count();
+            let (part, later) = rest.split_at(fitting.max(1));
             self.ends.record((run, at, part.to_vec()), source, now);
+            rest = later;
         }
     }
 
@@ -111,7 +124,7 @@
     ) -> Vec<QuarantineNews> {
         let mut messages = Messages::default();
         for ((run, at, running), _) in self.ends.select(now, audience, MAX_ITEMS) {
-            let bytes = ITEM_BYTES + RUNNING_BYTES * running.len();
+            let bytes = ITEM_BYTES + running.iter().map(encoded_bytes).sum::<usize>();
             messages.with_room(bytes).ends.push(EndNews {
                 run,
                 age_ms: millis(now.duration_since(at)),
--- a/crates/hawthornmill/src/quarantine/table.rs
+++ b/crates/hawthornmill/src/quarantine/table.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::evidence::{Evidence, RunningRequest};
-use super::fingerprint::Fingerprint;
+use super::fingerprint::{Fingerprint, Fingerprints};
 use super::news::{QuarantineNews, RecentNews, VerdictNews, millis};
 use crate::routing::recent::{Audience, Source};
 use crate::routing::registry::ServerRun;
@@ -115,23 +115,34 @@
         self.verdicts.is_empty()
     }
 
+    /// Returns whether a request that broke off may be sent again: no server ended under it before, and at most one under
+    /// a part that few requests hold.
+    pub fn allows_retry(&self, fingerprints: &Fingerprints) -> bool {
+        let rare = fingerprints.parts.iter().skip(1);
+        self.evidence.count(fingerprints.request) == 0
+            && rare.copied().all(|part| self.evidence.count(part) <= 1)
+    }
+
     /// Returns the number of servers that ended under `fingerprint` after its last answer.
     pub fn earlier_ends(&self, fingerprint: Fingerprint) -> usize {
         self.evidence.count(fingerprint)
     }
 
     /// Returns what may be done with a request; one that must not be sent counts as refused.
-    pub fn standing(&mut self, fingerprint: Fingerprint, now: Instant) -> Standing {
+    pub fn standing(&mut self, fingerprints: &Fingerprints, now: Instant) -> Standing {
         self.update(now);
-        if let Some(verdict) = self.verdicts.get_mut(&fingerprint) {
-            verdict.refused_at = now;
-            return Standing::Quarantined(Quarantined {
-                fingerprint,
-                ends: verdict.ends,
-                retry_after: QUARANTINE_TTL,
-            });
+        for fingerprint in fingerprints.all() {
+            if let Some(verdict) = self.verdicts.get_mut(&fingerprint) {
+                verdict.refused_at = now;
+                return Standing::Quarantined(Quarantined {
+                    fingerprint,
+                    ends: verdict.ends,
+                    retry_after: QUARANTINE_TTL,
+                });
+            }
         }
-        match self.held.get(&fingerprint) {
+        let held = fingerprints.all().filter_map(|f| self.held.get(&f));
+        match held.max() {
             Some(since) => Standing::Held(*since + VERDICT_DELAY),
             None => Standing::Clear,
         }
