--- a/crates/hawthornmill-net/src/api/accounting.rs
+++ b/crates/hawthornmill-net/src/api/accounting.rs
@@ -17,6 +17,7 @@
 use super::call_result::CallResult;
 use super::problem::Problem;
 use crate::fleet::{Fleet, SlotGuard};
+use crate::quarantine;
 
 /// The slot of an attempt in progress.
 ///
@@ -85,6 +86,9 @@
     result: CallResult,
 ) {
     let not_run = result.outcome == Outcome::NotRun;
+    if result.code == 0 && result.outcome == Outcome::Ran {
+        quarantine::record_answer(fleet, call);
+    }
     let cost = if not_run {
         0.0
     } else {
--- a/crates/hawthornmill-net/src/api/call.rs
+++ b/crates/hawthornmill-net/src/api/call.rs
@@ -18,6 +18,7 @@
 use super::stream::{self, CallerConnection};
 use super::{accounting, addresses, body, idempotency, retries};
 use crate::fleet::{Fleet, QueuedRequest, SlotGuard};
+use crate::quarantine::{self, Progress};
 use crate::upstream::{OutboundRequest, SendError, forwarded_headers};
 
 /// Response header with which a server announces that it is shutting down.
@@ -182,6 +183,11 @@
 /// # Errors
 /// The rejection, with the delay before a retry; the request was not run.
 pub async fn acquire_slot(fleet: &Arc<Fleet>, call: &Call) -> Result<SlotGuard, Problem> {
+    let started = fleet.clock.now();
+    if let Err(problem) = quarantine::wait_until_clear(fleet, call).await {
+        accounting::record_rejection(fleet, call, &problem, started);
+        return Err(problem);
+    }
     wait_for_slot(fleet, call, fleet.enqueue(arrival(call))).await
 }
 
@@ -254,6 +260,9 @@
         // connection is made below, so no byte was sent.
         return Err(Problem::not_run(Code::DeadlinePassed, &call.outbound.id));
     }
+    // Servers may have ended under the call while it waited for its slot.
+    quarantine::wait_until_clear(fleet, call).await?;
+    let sent_at = fleet.clock.now();
     let span = fleet.telemetry.spans.start_child(&call.span, "server");
     let mut outbound = call.outbound.clone();
     fleet
@@ -278,6 +287,10 @@
             ))
         }
         Ok(Err(SendError::Failed(code))) => {
+            if code == Code::UpstreamFailed {
+                let progress = Progress { sent_at, pieces: 0 };
+                quarantine::record_break(fleet, call, slot.dispatch.server, progress);
+            }
             Err(Problem::new(code, Outcome::Unknown, &call.outbound.id))
         }
         Err(_elapsed) => Err(Problem::new(
--- a/crates/hawthornmill-net/src/api/retries.rs
+++ b/crates/hawthornmill-net/src/api/retries.rs
@@ -14,6 +14,7 @@
 use super::call_result::{self, CallResult};
 use super::problem::Problem;
 use crate::fleet::{Fleet, SlotGuard};
+use crate::quarantine;
 
 /// Result of one attempt.
 type AttemptResult = Result<reqwest::Response, Problem>;
@@ -121,6 +122,9 @@
     if retries.record_failure(&failed_attempt) {
         slot.set_failed();
     }
+    if failure == Failure::Broken && !quarantine::allows_retry(fleet, call) {
+        return None;
+    }
     retries.retry_delay(&failed_attempt, draw, now)
 }
 
--- a/crates/hawthornmill-net/src/api/stream.rs
+++ b/crates/hawthornmill-net/src/api/stream.rs
@@ -26,6 +26,7 @@
 use crate::connections::AbortHandle;
 use crate::event_check::EventCheck;
 use crate::fleet::{Fleet, SlotGuard};
+use crate::quarantine::{self, Progress};
 use crate::upstream::{REQUEST_ID_HEADER, ResponseTail, forwarded_headers};
 
 /// Maximum number of times that one response is resumed.
@@ -52,6 +53,8 @@
     events: Option<EventCheck>,
     resume_filter: ResumeFilter,
     resumes: u32,
+    /// Pieces of the response that came.
+    pieces: u32,
     tail: ResponseTail,
     reported: Option<f64>,
     idle_timer: Pin<Box<Sleep>>,
@@ -91,6 +94,13 @@
 
     /// Resumes an interrupted response, or returns the error that aborts the caller's stream.
     fn interrupted(&mut self, reason: &str) -> Result<(), io::Error> {
+        if let Some(slot) = &self.slot {
+            let progress = Progress {
+                sent_at: slot.acquired_at,
+                pieces: self.pieces,
+            };
+            quarantine::record_break(&self.fleet, &self.call, slot.dispatch.server, progress);
+        }
         if let Some(call) = self.resume_call() {
             // The resumed response reports the cost of the whole call.
             self.reported = Some(0.0);
@@ -144,6 +154,7 @@
         let skip = self.resume_filter.skip(&chunk);
         chunk.advance(skip.ok_or("the resumed response differs from the original")?);
         self.tail.push(&chunk);
+        self.pieces += 1;
         if let Some(slot) = &mut self.slot {
             slot.add_bytes(chunk.len());
         }
@@ -305,6 +316,7 @@
         events: event_check(&call, &upstream),
         resume_filter: ResumeFilter::default(),
         resumes: 0,
+        pieces: 0,
         tail: ResponseTail::default(),
         reported: reported_cost(&upstream),
         idle_timer: Box::pin(sleep(call.admitted.response.idle_timeout)),
--- a/crates/hawthornmill-net/src/fleet.rs
+++ b/crates/hawthornmill-net/src/fleet.rs
@@ -21,6 +21,7 @@
 use crate::connections::Connections;
 use crate::peers::Outgoing;
 use crate::platform;
+use crate::quarantine::CallQuarantine;
 use crate::settings::Settings;
 use crate::telemetry::Telemetry;
 use crate::upstream::Upstream;
@@ -52,6 +53,8 @@
     pub incarnation: Incarnation,
     state: Mutex<SharedState>,
     retries: Mutex<Retries>,
+    /// Calls under which servers end.
+    pub quarantine: CallQuarantine,
     /// Messages to peers.
     pub outgoing: Outgoing,
     /// Connections to backend servers.
@@ -105,6 +108,7 @@
                 waiters: BTreeMap::new(),
             }),
             retries: Mutex::default(),
+            quarantine: CallQuarantine::default(),
             outgoing,
             upstream: Upstream::new(),
             connections: Connections::default(),
--- a/crates/hawthornmill-net/src/lib.rs
+++ b/crates/hawthornmill-net/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`upstream`] | backend servers, over HTTP |
 //! | [`peers`] | other instances, over UDP and TCP |
 //! | [`platform`] | the platform's configuration service and instance list |
+//! | [`quarantine`] | servers and peers: calls under which servers end |
 //! | [`telemetry`] | operators: logs, spans, metrics, usage records |
 //! | [`settings`], [`sockets`], [`connections`] | the local system: settings file and ports |
 //! | [`daemon`] | none: it starts and stops the other modules |
@@ -21,6 +22,7 @@
 pub mod fleet;
 pub mod peers;
 pub mod platform;
+pub mod quarantine;
 pub mod settings;
 pub mod sockets;
 pub mod telemetry;
--- a/crates/hawthornmill-net/src/peers/handler.rs
+++ b/crates/hawthornmill-net/src/peers/handler.rs
@@ -15,6 +15,7 @@
 use hawthornmill::wire::{Frame, FrameError};
 
 use crate::fleet::Fleet;
+use crate::quarantine;
 
 /// Counts a rejected frame, and logs it when the count is a power of two.
 ///
@@ -57,6 +58,11 @@
             }
         }
         Message::RosterDelta(delta) => handle_roster(fleet, from, delta),
+        Message::QuarantineNews(news) => quarantine::apply_news(fleet, &news),
+        Message::LedgerPull => {
+            quarantine::tell_newcomer(fleet, from);
+            fleet.receive(from, incarnation, Message::LedgerPull);
+        }
         message => fleet.receive(from, incarnation, message),
     }
 }
--- a/crates/hawthornmill/src/pools/entry.rs
+++ b/crates/hawthornmill/src/pools/entry.rs
@@ -234,7 +234,7 @@
 }
 
 /// Returns true if the configuration or the server itself says that the server is leaving.
-fn is_leaving(board: &Blackboard, server: ServerId, now: Instant) -> bool {
+pub fn is_leaving(board: &Blackboard, server: ServerId, now: Instant) -> bool {
     let listed = board.config.servers.get(&server).is_some_and(|s| s.leaving);
     let announced = board.leaving_servers.get(&server);
     listed || announced.is_some_and(|at| now.duration_since(*at) < LEAVING_VALIDITY)
