--- a/tests/testsuite/gateway/server_ends.rs
+++ b/tests/testsuite/gateway/server_ends.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hawthornmill_lab::standin::relay::Relay;
 use serde_json::json;
 
 use super::fleet::{Fleet, request, send_request, wait_until};
@@ -112,3 +113,61 @@
         );
     });
 }
+
+/// Failure: a proxy in front of a server takes connections after the server has ended, and its end is never known.
+#[test]
+fn server_behind_a_proxy_ends() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        let server = &fleet.servers[0];
+        let proxy = Relay::start(server.address).await.expect("a port is free");
+        fleet.register_at(server, proxy.address, "ready");
+        wait_until("the registration is known", || async {
+            let address = proxy.address.to_string();
+            let lines = fleet.gateways[0].logged("registration");
+            lines.iter().any(|l| l["address"] == address)
+        })
+        .await;
+        server.script(&[Behavior::EndAfter(0)]);
+
+        let text = request("POST", "/whole/", "e", PROMPT);
+        let _broken = send_request(fleet.gateways[0].front(), text.as_bytes()).await;
+        wait_until("the end is logged", || async {
+            !fleet.gateways[0].logged("server_ended").is_empty()
+        })
+        .await;
+
+        let line = &fleet.gateways[0].logged("server_ended")[0];
+        assert_eq!(
+            (&line["proof"], &line["broken"]),
+            (&json!("closed"), &json!(1))
+        );
+    });
+}
+
+/// Failure: an older registration of the same address counts as the later run of a server whose connection was reset.
+#[test]
+fn older_registration_of_an_address_is_no_proof() {
+    block_on(async {
+        let mut fleet = Fleet::start(1, 1).await;
+        let other = fleet.add_server("older").await;
+        fleet.register_at(&other, fleet.servers[0].address, "draining");
+        wait_until("the registration is known", || async {
+            let lines = fleet.gateways[0].logged("registration");
+            lines
+                .iter()
+                .any(|l| l["server"] == "older" && l["draining"] == true)
+        })
+        .await;
+        fleet.servers[0].script(&[Behavior::Reset]);
+
+        let text = request("POST", "/whole/", "r", PROMPT);
+        let _broken = send_request(fleet.gateways[0].front(), text.as_bytes()).await;
+        // Longer than a later run is waited for.
+        tokio::time::sleep(Duration::from_millis(3_500)).await;
+
+        let ended = fleet.gateways[0].logged("server_ended");
+        assert_eq!(ended, [] as [serde_json::Value; 0]);
+        assert_eq!(fleet.gateways[0].logged("server_broke_off").len(), 1);
+    });
+}
