Quarantine: drop the oldest answers when there are many, not the newest

Found by reading: after 512 requests had been answered that had run at some end, no further answer was recorded for ten minutes, so popular requests and parts could not be cleared any more and would have been refused. Now the one that was answered longest ago is dropped, of 2,048. quarantine::requests::latest_answers_count_however_many_there_were failed before (refused after three ends with an answer since) and passes.

--- a/crates/hawthornmill/src/quarantine/evidence.rs
+++ b/crates/hawthornmill/src/quarantine/evidence.rs
@@ -4,8 +4,9 @@
 //! even less. So an end counts only against what explains all ends of its moment: a rack, a power cut or an operator ends
 //! many servers at once, and no request ran on all of them. What has been answered completely since doesn't count any more:
 //! parts that sound requests hold too are cleared within moments. What ran several times at one server is no likely cause
-//! either, since the first run would have ended it; that tells what is popular while nothing is answered. A stream that goes on for some events is not what ends
-//! its server, unless it breaks off at the same event again. And what one cause explains doesn't count against another.
+//! either, since the first run would have ended it; that tells what is popular while nothing is answered. A stream that goes
+//! on for some events is not what ends its server, unless it breaks off at the same event again. And what one cause explains
+//! doesn't count against another.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -40,8 +41,8 @@
 const MAX_ENDS: usize = 64;
 /// Maximum number of requests kept for an end.
 const MAX_RUNNING: usize = 48;
-/// Maximum number of answered requests that are kept.
-const MAX_SOUND: usize = 512;
+/// Maximum number of answered requests and parts that are kept; beyond them, the one answered longest ago is dropped.
+const MAX_SOUND: usize = 2_048;
 
 /// A request that a server ran when it ended.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -168,10 +169,14 @@
 
     /// Records that `fingerprint` was answered at `at`.
     pub fn record_sound(&mut self, fingerprint: Fingerprint, at: Instant) {
-        if self.sound.len() < MAX_SOUND {
-            let latest = self.sound.entry(fingerprint).or_insert(at);
-            *latest = (*latest).max(at);
+        if self.sound.len() >= MAX_SOUND && !self.sound.contains_key(&fingerprint) {
+            let oldest = self.sound.iter().min_by_key(|(_, at)| **at);
+            if let Some(oldest) = oldest.map(|(f, _)| *f) {
+                self.sound.remove(&oldest);
+            }
         }
+        let latest = self.sound.entry(fingerprint).or_insert(at);
+        *latest = (*latest).max(at);
     }
 
     /// Returns whether `fingerprint` was answered at or after `at`.
--- a/tests/testsuite/quarantine/requests.rs
+++ b/tests/testsuite/quarantine/requests.rs
@@ -525,3 +525,35 @@
     );
     assert!(is_quarantined(&mut table, &bad, now + millis(1_900)));
 }
+
+/// Failure: so many requests were answered after an end that no further answer clears anything.
+#[test]
+fn latest_answers_count_however_many_there_were() {
+    let (mut table, now) = (Quarantine::default(), Instant::now());
+    let popular = request("/popular");
+    for number in 0..64 {
+        let others = (0..46).map(|n| request(&format!("/{number}/{n}")));
+        let running: Vec<_> = others.collect();
+        end(
+            &mut table,
+            number,
+            &running,
+            now + millis(200 * number as u64),
+        );
+        for other in &running {
+            answer(&mut table, other, now + millis(200 * number as u64 + 100));
+        }
+    }
+    let later = now + millis(200 * 64);
+
+    for number in 0..3 {
+        let at = later + millis(200 * number as u64);
+        end(&mut table, 100 + number, std::slice::from_ref(&popular), at);
+    }
+    answer(&mut table, &popular, later + millis(500));
+
+    assert_eq!(
+        standing(&mut table, &popular, later + millis(3_000)),
+        Standing::Clear
+    );
+}
