--- a/crates/hawthornmill-gateway/src/daemon.rs
+++ b/crates/hawthornmill-gateway/src/daemon.rs
@@ -21,7 +21,7 @@
 use crate::gateway::{Gateway, Phase, cleanup_loop, dispatch_loop, monitor_lateness};
 use crate::settings::Settings;
 use crate::{
-    endpoints, event_log, gossip, listener, relay, server_ends, state_sync, store_watch,
+    endpoints, event_log, gossip, listener, relay, server_crashes, state_sync, store_watch,
     stream_versions,
 };
 
@@ -130,7 +130,7 @@
         Rc::clone(gateway),
         Rc::clone(&datagrams),
     ));
-    spawn_local(server_ends::examine_runs(Rc::clone(gateway)));
+    spawn_local(server_crashes::examine_runs(Rc::clone(gateway)));
     spawn_local(stream_versions::exchange(
         Rc::clone(gateway),
         Rc::clone(&datagrams),
@@ -214,7 +214,7 @@
     drop(scheduler);
     gateway.peers.borrow_mut().cpu_percent = settings.cpu_percent;
     let mut quarantine = gateway.quarantine.borrow_mut();
-    quarantine.set_trusted(&settings.trusted, gateway.now());
+    quarantine.set_exempt(&settings.exempt, gateway.now());
     drop(quarantine);
     gateway.announce_quarantine();
     *gateway.settings.borrow_mut() = Rc::new(settings);
--- a/crates/hawthornmill-gateway/src/endpoints.rs
+++ b/crates/hawthornmill-gateway/src/endpoints.rs
@@ -238,7 +238,7 @@
         ),
         (
             "quarantined_requests",
-            "Requests that are refused since servers ended under them",
+            "Requests that are refused since servers crashed under them",
             count(gateway.quarantine.borrow().len()),
         ),
         ("mates", "Other instances heard", count(peers)),
--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -38,7 +38,7 @@
 use crate::metrics::Metrics;
 use crate::pending_state::PendingState;
 use crate::pool::Pool;
-use crate::server_ends::ServerEnds;
+use crate::server_crashes::ServerCrashes;
 use crate::settings::Settings;
 use crate::stream_versions::StreamRegister;
 
@@ -106,7 +106,7 @@
     /// Wakes requests that are held until it is known whether servers end under them.
     pub quarantine_wakeup: Notify,
     /// Servers that ended while they ran requests.
-    pub server_ends: ServerEnds,
+    pub server_crashes: ServerCrashes,
     /// Versions of servers at which streams began.
     pub streams: StreamRegister,
     /// Connections to servers.
@@ -170,7 +170,7 @@
         scheduler.regions.clone_from(&settings.regions);
         scheduler.fetches_prefixes = settings.fetches_prefixes;
         let mut quarantine = Quarantine::default();
-        quarantine.set_trusted(&settings.trusted, now);
+        quarantine.set_exempt(&settings.exempt, now);
         let peers = PeerTable::new(location.domain, settings.cpu_percent);
         Rc::new(Self {
             id,
@@ -190,7 +190,7 @@
             member_rotation: RefCell::default(),
             quarantine: RefCell::new(quarantine),
             quarantine_wakeup: Notify::new(),
-            server_ends: ServerEnds::default(),
+            server_crashes: ServerCrashes::default(),
             streams: StreamRegister::default(),
             pool: Pool::default(),
             metrics: Metrics::default(),
--- a/crates/hawthornmill-gateway/src/gateway/updates.rs
+++ b/crates/hawthornmill-gateway/src/gateway/updates.rs
@@ -1,7 +1,7 @@
 //! What a gateway learns of the platform and of the servers, from the store and from peers.
 
 use hawthornmill::ident::ServerId;
-use hawthornmill::quarantine::news::QuarantineNews;
+use hawthornmill::quarantine::report::QuarantineReport;
 use hawthornmill::quarantine::table::Change as QuarantineChange;
 use hawthornmill::routing::announcements::{Announcements, ColdServer, Departure};
 use hawthornmill::routing::evacuations::Evacuation;
@@ -141,7 +141,7 @@
     }
 
     /// Applies what a peer tells of ended servers and quarantined requests.
-    pub fn apply_quarantine_news(&self, news: &QuarantineNews) {
+    pub fn apply_quarantine_report(&self, news: &QuarantineReport) {
         let mut quarantine = self.quarantine.borrow_mut();
         if quarantine.apply(news, self.now()) {
             drop(quarantine);
@@ -162,13 +162,13 @@
             match change {
                 QuarantineChange::Quarantined {
                     fingerprint,
-                    ends,
+                    crashes,
                     heard,
                 } => {
-                    let fields = json!({"fingerprint": format!("{:x}", fingerprint.0), "ends": ends, "heard": heard});
+                    let fields = json!({"fingerprint": format!("{:x}", fingerprint.0), "ends": crashes, "heard": heard});
                     event_log::state_change("quarantine_begun", fields);
                 }
-                QuarantineChange::Cleared(fingerprint) | QuarantineChange::Lapsed(fingerprint) => {
+                QuarantineChange::Cleared(fingerprint) | QuarantineChange::Expired(fingerprint) => {
                     let cleared = matches!(change, QuarantineChange::Cleared(_));
                     let fields =
                         json!({"fingerprint": format!("{:x}", fingerprint.0), "cleared": cleared});
--- a/crates/hawthornmill-gateway/src/gossip.rs
+++ b/crates/hawthornmill-gateway/src/gossip.rs
@@ -72,7 +72,7 @@
             send_load(&gateway, &datagrams, now);
         }
         send_announcements(&gateway, &datagrams, now);
-        send_quarantine_news(&gateway, &datagrams, round, now);
+        send_quarantine_reports(&gateway, &datagrams, round, now);
         if !in_parts {
             relay::relay_domain(&gateway, &datagrams, round);
         }
@@ -143,7 +143,12 @@
 }
 
 /// Tells nearby instances of ended servers and quarantined requests.
-fn send_quarantine_news(gateway: &Gateway, datagrams: &DatagramSocket, round: u64, now: Instant) {
+fn send_quarantine_reports(
+    gateway: &Gateway,
+    datagrams: &DatagramSocket,
+    round: u64,
+    now: Instant,
+) {
     if gateway.quarantine.borrow().is_idle() {
         return;
     }
@@ -152,7 +157,7 @@
     let (audience, targets) = nearby_instances(gateway, now);
     let all = round.is_multiple_of(REPEAT_ROUNDS);
     for message in gateway.quarantine.borrow().messages(audience, all, now) {
-        let message = Message::QuarantineNews(Box::new(message));
+        let message = Message::QuarantineReport(Box::new(message));
         datagrams.send(&message, targets.iter().copied());
     }
 }
@@ -161,7 +166,7 @@
 fn tell_quarantine(gateway: &Gateway, datagrams: &DatagramSocket, newcomer: SocketAddr) {
     let quarantine = gateway.quarantine.borrow();
     for message in quarantine.messages(Audience::OtherDomains, true, gateway.now()) {
-        let message = Message::QuarantineNews(Box::new(message));
+        let message = Message::QuarantineReport(Box::new(message));
         datagrams.send(&message, [newcomer]);
     }
 }
@@ -282,7 +287,7 @@
         Message::WorkPart(part) => handle_work(gateway, sender, *part),
         Message::DemandPart(part) => handle_demand(gateway, sender, &part),
         Message::Announcements(announced) => gateway.apply_announcements(&announced),
-        Message::QuarantineNews(news) => gateway.apply_quarantine_news(&news),
+        Message::QuarantineReport(news) => gateway.apply_quarantine_report(&news),
         Message::FragmentRequest(r) => state_sync::send_fragments(gateway, datagrams, from, &r),
         Message::Fragment(part) => gateway.pending_state.add_fragment(from, part),
         Message::StreamVersions(told) => gateway.streams.record(gateway, &told),
--- a/crates/hawthornmill-gateway/src/lib.rs
+++ b/crates/hawthornmill-gateway/src/lib.rs
@@ -10,7 +10,7 @@
 //! | [`connection`] | connections of clients |
 //! | [`proxy`] | one request: admission, queueing, forwarding, the response |
 //! | [`pool`] | connections to backend servers |
-//! | [`server_ends`] | servers that ended while they ran requests |
+//! | [`server_crashes`] | servers that crashed while they ran requests |
 //! | [`store_watch`] | watches the platform's store |
 //! | [`datagrams`], [`gossip`] | messages between instances over UDP |
 //! | [`state_sync`], [`pending_state`] | pulls catalogs and registrations from other instances |
@@ -37,7 +37,7 @@
 pub mod pool;
 pub mod proxy;
 pub mod relay;
-pub mod server_ends;
+pub mod server_crashes;
 pub mod settings;
 pub mod state_sync;
 pub mod store_watch;
--- a/crates/hawthornmill-gateway/src/metrics.rs
+++ b/crates/hawthornmill-gateway/src/metrics.rs
@@ -71,7 +71,7 @@
     resends: CounterFamily<ServiceLabels>,
     store_calls: CounterFamily<OutcomeLabels>,
     connects: Counter<u64, AtomicU64>,
-    server_ends: Counter<u64, AtomicU64>,
+    server_crashes: Counter<u64, AtomicU64>,
     rejected: CounterFamily<OutcomeLabels>,
     response_starts: Family<ServiceLabels, Histogram, fn() -> Histogram>,
 }
@@ -89,7 +89,7 @@
             resends: Family::default(),
             store_calls: Family::default(),
             connects: Counter::default(),
-            server_ends: Counter::default(),
+            server_crashes: Counter::default(),
             rejected: Family::default(),
             response_starts: Family::new_with_constructor(response_starts),
         };
@@ -114,8 +114,8 @@
             "New connections to servers",
             metrics.connects.clone(),
         );
-        let help = "Servers that ended while they ran requests of this instance";
-        registry.register("server_ends", help, metrics.server_ends.clone());
+        let help = "Servers that crashed while they ran requests of this instance";
+        registry.register("server_crashes", help, metrics.server_crashes.clone());
         let help = "Connections turned away because the process was behind or full";
         registry.register("turned_away", help, metrics.rejected.clone());
         let help = "Time to the answer's begin in milliseconds";
@@ -132,8 +132,8 @@
 
 impl Metrics {
     /// Counts a server that ended while it ran requests.
-    pub fn server_ended(&self) {
-        self.server_ends.inc();
+    pub fn server_crashed(&self) {
+        self.server_crashes.inc();
     }
 
     /// Counts a request that ended.
--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -46,7 +46,7 @@
 
 use crate::event_log;
 use crate::gateway::Gateway;
-use crate::server_ends::BrokenRequest;
+use crate::server_crashes::BrokenRequest;
 
 /// How a request ended, which determines whether its connection can be reused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -171,7 +171,7 @@
             },
         };
         self.gateway
-            .server_ends
+            .server_crashes
             .record_break(self.gateway, run, broken);
     }
 
@@ -188,7 +188,7 @@
 
     fn record_life(&self) {
         if let Some(run) = self.run {
-            self.gateway.server_ends.record_life(run);
+            self.gateway.server_crashes.record_life(run);
         }
     }
 
--- a/crates/hawthornmill-gateway/src/proxy/quarantine.rs
+++ b/crates/hawthornmill-gateway/src/proxy/quarantine.rs
@@ -2,9 +2,9 @@
 
 use hawthornmill::codes::Code;
 use hawthornmill::ident::mix;
-use hawthornmill::quarantine::evidence::SOUND_EVENTS;
+use hawthornmill::quarantine::evidence::PROGRESS_EVENTS;
 use hawthornmill::quarantine::fingerprint::{Fingerprint, Fingerprints, RequestContent};
-use hawthornmill::quarantine::table::{Quarantined, Standing};
+use hawthornmill::quarantine::table::{QuarantineStatus, Quarantined};
 use hawthornmill::routing::recent::Source;
 use hawthornmill::routing::request::{Cause, Refusal};
 use serde_json::json;
@@ -35,20 +35,20 @@
 }
 
 /// Returns what may be done with the request now.
-pub fn standing(context: RequestContext<'_>, admitted: &Admitted) -> Standing {
+pub fn status(context: RequestContext<'_>, admitted: &Admitted) -> QuarantineStatus {
     let gateway = context.gateway;
     if gateway.quarantine.borrow().is_idle() {
-        return Standing::Clear;
+        return QuarantineStatus::Clear;
     }
     let fingerprints = fingerprints(context.request, admitted);
     let mut quarantine = gateway.quarantine.borrow_mut();
-    let standing = quarantine.standing(&fingerprints, gateway.now());
+    let status = quarantine.status(&fingerprints, gateway.now());
     drop(quarantine);
     gateway.log_quarantine();
-    standing
+    status
 }
 
-/// Waits while it is uncertain whether servers end under the request.
+/// Waits while it is uncertain whether servers crash under the request.
 ///
 /// # Errors
 /// The refusal of a request that must not be sent.
@@ -58,13 +58,13 @@
 ) -> Result<(), Refusal> {
     loop {
         let changed = context.gateway.quarantine_wakeup.notified();
-        match standing(context, admitted) {
-            Standing::Clear => return Ok(()),
-            Standing::Held(until) => {
+        match status(context, admitted) {
+            QuarantineStatus::Clear => return Ok(()),
+            QuarantineStatus::Held(until) => {
                 let until = Instant::from_std(until);
                 let _elapsed = tokio::time::timeout_at(until, changed).await;
             }
-            Standing::Quarantined(quarantined) => {
+            QuarantineStatus::Quarantined(quarantined) => {
                 log_refusal(context, quarantined);
                 return Err(Refusal {
                     code: Code::RequestQuarantined,
@@ -78,7 +78,7 @@
 
 fn log_refusal(context: RequestContext<'_>, quarantined: Quarantined) {
     let fields = json!({
-        "fingerprint": format!("{:x}", quarantined.fingerprint.0), "ends": quarantined.ends,
+        "fingerprint": format!("{:x}", quarantined.fingerprint.0), "ends": quarantined.crashes,
     });
     event_log::request_problem("quarantined", &context.request.attempt_id, fields);
 }
@@ -92,27 +92,27 @@
 /// Records that a server answered the request completely.
 pub fn record_answer(context: RequestContext<'_>, admitted: &Admitted, status: u16) {
     if status < 400 && !context.gateway.quarantine.borrow().is_idle() {
-        record_sound(context, fingerprints(context.request, admitted).all());
+        clear(context, fingerprints(context.request, admitted).all());
     }
 }
 
 /// Records that a stream of the request brought `count` more events, the last of which was number `events`.
 ///
-/// Once it has gone on for some, the parts of its prompt are not what ends servers.
+/// Once it has gone on for some, the parts of its prompt are not what crashes servers.
 pub fn record_events(context: RequestContext<'_>, admitted: &Admitted, events: u32, count: u32) {
-    let is_first = events >= SOUND_EVENTS && events - count < SOUND_EVENTS;
+    let is_first = events >= PROGRESS_EVENTS && events - count < PROGRESS_EVENTS;
     if is_first && !context.gateway.quarantine.borrow().is_idle() {
         let parts = fingerprints(context.request, admitted).parts;
-        record_sound(context, parts.into_iter());
+        clear(context, parts.into_iter());
     }
 }
 
-fn record_sound(context: RequestContext<'_>, sound: impl Iterator<Item = Fingerprint>) {
+fn clear(context: RequestContext<'_>, answered: impl Iterator<Item = Fingerprint>) {
     let (gateway, now) = (context.gateway, context.gateway.now());
     let mut quarantine = gateway.quarantine.borrow_mut();
     let mut is_new = false;
-    for fingerprint in sound {
-        is_new |= quarantine.record_sound(fingerprint, now, Source::Own, now);
+    for fingerprint in answered {
+        is_new |= quarantine.record_answer(fingerprint, now, Source::Own, now);
     }
     drop(quarantine);
     if is_new {
--- a/crates/hawthornmill-gateway/src/proxy/send.rs
+++ b/crates/hawthornmill-gateway/src/proxy/send.rs
@@ -10,7 +10,7 @@
 
 use bytes::BytesMut;
 use hawthornmill::ident::ServerId;
-use hawthornmill::quarantine::table::Standing;
+use hawthornmill::quarantine::table::QuarantineStatus;
 use hawthornmill::routing::catalog::RetryPolicy;
 use hawthornmill::routing::placement::Placement;
 use hawthornmill::routing::registry::ServerRun;
@@ -154,7 +154,7 @@
     // While the connection was being opened, a response to another request may have said that the
     // server wants no more, or servers may have ended under this request.
     let now = gateway.now();
-    let is_clear = quarantine::standing(context, admitted) == Standing::Clear;
+    let is_clear = quarantine::status(context, admitted) == QuarantineStatus::Clear;
     if !is_clear || !gateway.scheduler.borrow().may_send(server, now) {
         let max_idle = gateway.max_idle(server);
         gateway.pool.put_back(server, upstream, None, max_idle, now);
--- a/crates/hawthornmill-gateway/src/relay.rs
+++ b/crates/hawthornmill-gateway/src/relay.rs
@@ -39,7 +39,7 @@
     }
     send_announcements(gateway, datagrams, &targets, now);
     let all = round.is_multiple_of(REPEAT_ROUNDS);
-    send_quarantine_news(gateway, datagrams, &targets, all, now);
+    send_quarantine_reports(gateway, datagrams, &targets, all, now);
     send_members(gateway, datagrams, &targets, now);
     send_domain_load(gateway, datagrams, &targets, now);
 }
@@ -103,7 +103,7 @@
     };
     send_announcements(gateway, datagrams, &targets, now);
     let all = (interval / DOMAIN_INTERVALS).is_multiple_of(REPEAT_ROUNDS);
-    send_quarantine_news(gateway, datagrams, &targets, all, now);
+    send_quarantine_reports(gateway, datagrams, &targets, all, now);
     send_domain_load(gateway, datagrams, &targets, now);
     if interval.is_multiple_of(MEMBERS_INTERVALS) {
         let peers = gateway.peers.borrow();
@@ -128,7 +128,7 @@
 }
 
 /// Sends what this instance knows of ended servers; `all` adds every quarantined request.
-fn send_quarantine_news(
+fn send_quarantine_reports(
     gateway: &Gateway,
     datagrams: &DatagramSocket,
     targets: &[SocketAddr],
@@ -137,7 +137,7 @@
 ) {
     let quarantine = gateway.quarantine.borrow();
     for message in quarantine.messages(Audience::OtherDomains, all, now) {
-        let message = Message::QuarantineNews(Box::new(message));
+        let message = Message::QuarantineReport(Box::new(message));
         datagrams.send(&message, targets.iter().copied());
     }
 }
@@ -201,7 +201,9 @@
     let peers = gateway.peers.borrow();
     let large = peers.is_large_domain();
     let is_relayed = match &frame.message {
-        Message::DomainMembers(_) | Message::Announcements(_) | Message::QuarantineNews(_) => true,
+        Message::DomainMembers(_) | Message::Announcements(_) | Message::QuarantineReport(_) => {
+            true
+        }
         Message::WorkPart(part) => matches!(part.scope, Scope::Domain(_)) && !large,
         Message::DemandPart(part) => matches!(part.scope, Scope::Domain(_)) && !large,
         _ => false,
--- a/crates/hawthornmill-gateway/src/server_ends.rs
+++ b/crates/hawthornmill-gateway/src/server_crashes.rs
@@ -1,7 +1,7 @@
-//! Servers that ended while they ran requests.
+//! Servers that crashed while they ran requests.
 //!
 //! A connection that breaks tells nothing of its server: a reset, garbled bytes or a lost answer end a connection and no
-//! server. A server has ended if it takes no connection any more, if something in front of it closes each new one and it
+//! server. A server has crashed if it takes no connection any more, if something in front of it closes each new one and it
 //! brings nothing on the others, or if a later run of it has registered.
 
 use std::cell::RefCell;
@@ -25,22 +25,22 @@
 use crate::gateway::Gateway;
 use crate::pool::{self, Upstream};
 
-/// Attempts to connect to a server, one of which is refused if it has ended; its listener may close last.
+/// Attempts to connect to a server, one of which is refused if it has crashed; its listener may close last.
 const MAX_PROBES: usize = 3;
 /// Pause between two of them.
 const PROBE_INTERVAL: Duration = Duration::from_millis(40);
 /// Time for which a new connection must stay open to show that the server runs.
 const OPEN_TIME: Duration = Duration::from_millis(60);
-/// Time within which a later run of a server that took a connection must register to show that the earlier one ended.
+/// Time within which a later run of a server that took a connection must register to show that the earlier one crashed.
 const RESTART_TIME: Duration = Duration::from_secs(3);
 /// Interval at which registrations are looked at meanwhile.
 const RESTART_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Time for which a proven end is kept, for connections whose break is noticed late.
+/// Time for which a proven crash is kept, for connections whose break is noticed late.
 const PROVEN_TTL: Duration = Duration::from_secs(10);
 /// Maximum number of requests that a log line describes.
 const MAX_LOGGED: usize = 16;
 
-/// A request whose connection to a server ended while the server ran it.
+/// A request whose connection to a server crashed while the server ran it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BrokenRequest {
     /// Id of the client's attempt.
@@ -53,18 +53,18 @@
     pub running: RunningRequest,
 }
 
-/// What is known of the end of a server's run.
+/// What is known of the crash of a server's run.
 #[derive(Debug)]
 struct Examined {
     first_break: Instant,
     broken: Vec<BrokenRequest>,
     /// Whether the server has brought something since.
     alive: bool,
-    /// How it was shown that the server ended.
+    /// How it was shown that the server crashed.
     proof: Option<Proof>,
 }
 
-/// What shows that a server has ended.
+/// What shows that a server has crashed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Proof {
     /// It refuses connections.
@@ -87,13 +87,13 @@
 
 /// Runs of servers that may have ended, and those that have.
 #[derive(Debug, Default)]
-pub struct ServerEnds {
+pub struct ServerCrashes {
     runs: RefCell<BTreeMap<ServerRun, Examined>>,
     unexamined: RefCell<Vec<ServerRun>>,
     wakeup: Notify,
 }
 
-impl ServerEnds {
+impl ServerCrashes {
     /// Records that the connection on which `run` of a server ran `request` ended.
     pub fn record_break(&self, gateway: &Gateway, run: ServerRun, request: BrokenRequest) {
         if !is_unexpected(gateway, run) {
@@ -120,7 +120,7 @@
         let first_break = examined.first_break;
         if let Some(proof) = examined.proof {
             let late = std::slice::from_ref(&request);
-            report_end(gateway, run, first_break, proof, late);
+            report_crash(gateway, run, first_break, proof, late);
         }
         examined.broken.push(request);
     }
@@ -137,17 +137,17 @@
         runs.get(&run).is_some_and(|examined| examined.alive)
     }
 
-    fn record_end(&self, gateway: &Gateway, run: ServerRun, proof: Proof) {
+    fn record_crash(&self, gateway: &Gateway, run: ServerRun, proof: Proof) {
         let mut runs = self.runs.borrow_mut();
         let Some(examined) = runs.get_mut(&run) else {
             return;
         };
         examined.proof = Some(proof);
-        gateway.metrics.server_ended();
-        report_end(gateway, run, examined.first_break, proof, &examined.broken);
+        gateway.metrics.server_crashed();
+        report_crash(gateway, run, examined.first_break, proof, &examined.broken);
     }
 
-    /// Forgets old ends, and runs that turned out not to have ended.
+    /// Forgets old crashes, and runs that turned out not to have crashed.
     fn forget(&self, run: ServerRun, now: Instant) {
         let mut runs = self.runs.borrow_mut();
         runs.retain(|known, examined| {
@@ -157,7 +157,7 @@
     }
 }
 
-/// Returns whether the end of a server's run would be unexpected: it is registered and hasn't said that it leaves.
+/// Returns whether the crash of a server's run would be unexpected: it is registered and hasn't said that it leaves.
 fn is_unexpected(gateway: &Gateway, run: ServerRun) -> bool {
     let scheduler = gateway.scheduler.borrow();
     let entry = scheduler.registry.get(run.server);
@@ -169,20 +169,20 @@
     })
 }
 
-/// Logs that a server ended while it ran the `broken` requests, and lets the fleet know.
-fn report_end(
+/// Logs that a server crashed while it ran the `broken` requests, and lets the fleet know.
+fn report_crash(
     gateway: &Gateway,
     run: ServerRun,
     at: Instant,
     proof: Proof,
     broken: &[BrokenRequest],
 ) {
-    log_end(gateway, run, proof, broken);
+    log_crash(gateway, run, proof, broken);
     let running: Vec<RunningRequest> = broken.iter().map(|b| b.running.clone()).collect();
     let running = likeliest_first(running);
     let now = gateway.now();
     let mut quarantine = gateway.quarantine.borrow_mut();
-    quarantine.record_end(run, at, &running, Source::Own, now);
+    quarantine.record_crash(run, at, &running, Source::Own, now);
     drop(quarantine);
     gateway.announce_quarantine();
 }
@@ -202,7 +202,7 @@
     numbered.into_iter().map(|(_, r)| r).collect()
 }
 
-fn log_end(gateway: &Gateway, run: ServerRun, proof: Proof, broken: &[BrokenRequest]) {
+fn log_crash(gateway: &Gateway, run: ServerRun, proof: Proof, broken: &[BrokenRequest]) {
     let describe = |b: &BrokenRequest| -> Value {
         let fingerprints = &b.running.fingerprints;
         let parts = fingerprints.parts.iter().map(|p| format!("{:x}", p.0));
@@ -217,14 +217,14 @@
         "server": gateway.server_name(run.server), "run": run.start_ms, "proof": proof.name(),
         "broken": broken.len(), "running": running, "requests": ids,
     });
-    event_log::state_change("server_ended", fields);
+    event_log::state_change("server_crashed", fields);
 }
 
 /// Examines servers whose connections break, until the process ends.
 pub async fn examine_runs(gateway: Rc<Gateway>) {
     loop {
-        gateway.server_ends.wakeup.notified().await;
-        for run in gateway.server_ends.unexamined.take() {
+        gateway.server_crashes.wakeup.notified().await;
+        for run in gateway.server_crashes.unexamined.take() {
             spawn_local(examine(Rc::clone(&gateway), run));
         }
     }
@@ -232,32 +232,34 @@
 
 async fn examine(gateway: Rc<Gateway>, run: ServerRun) {
     let Some(address) = address_of(&gateway, run) else {
-        return gateway.server_ends.forget(run, gateway.now());
+        return gateway.server_crashes.forget(run, gateway.now());
     };
     let known = runs_at(&gateway, run, address);
-    let ends = &gateway.server_ends;
+    let crashes = &gateway.server_crashes;
     match probe(&gateway, run, address).await {
-        Probe::Refused => ends.record_end(&gateway, run, Proof::Refused),
-        Probe::Closed if !ends.is_alive(run) => ends.record_end(&gateway, run, Proof::Closed),
+        Probe::Refused => crashes.record_crash(&gateway, run, Proof::Refused),
+        Probe::Closed if !crashes.is_alive(run) => {
+            crashes.record_crash(&gateway, run, Proof::Closed);
+        }
         Probe::Closed | Probe::Unclear => {
             if is_replaced(&gateway, run, address, &known).await {
-                ends.record_end(&gateway, run, Proof::Replaced);
+                crashes.record_crash(&gateway, run, Proof::Replaced);
             }
         }
         Probe::Open => {
             // Connections that break from now on are a matter of their own.
-            let broken = ends.runs.borrow_mut().remove(&run);
+            let broken = crashes.runs.borrow_mut().remove(&run);
             if let Some(broken) = broken
                 && is_replaced(&gateway, run, address, &known).await
             {
-                gateway.metrics.server_ended();
+                gateway.metrics.server_crashed();
                 let (at, broken) = (broken.first_break, &broken.broken);
-                report_end(&gateway, run, at, Proof::Replaced, broken);
+                report_crash(&gateway, run, at, Proof::Replaced, broken);
             }
             return;
         }
     }
-    ends.forget(run, gateway.now());
+    crashes.forget(run, gateway.now());
 }
 
 fn address_of(gateway: &Gateway, run: ServerRun) -> Option<SocketAddr> {
--- a/crates/hawthornmill-gateway/src/settings.rs
+++ b/crates/hawthornmill-gateway/src/settings.rs
@@ -93,7 +93,7 @@
     /// Servers fetch cached parts of prompts from others where they can.
     pub fetches_prefixes: bool,
     /// Requests that are never quarantined.
-    pub trusted: Vec<Fingerprint>,
+    pub exempt: Vec<Fingerprint>,
     /// Least severe level that is logged.
     pub level: log::LevelFilter,
 }
@@ -156,7 +156,7 @@
             store: store(&mut reader, &one("store")),
             guarantees: guarantees(&mut reader, &one("promises")),
             fetches_prefixes: fetches_prefixes(&mut reader, &one("policy")),
-            trusted: trusted(&mut reader, &one("policy")),
+            exempt: exempt(&mut reader, &one("policy")),
             level: level(&mut reader, &one("telemetry")),
         };
         reader.finish(settings)
@@ -271,22 +271,22 @@
 }
 
 /// Reads the fingerprints of requests that are never quarantined, in hexadecimal.
-fn trusted(reader: &mut Reader<'_>, section: &Section) -> Vec<Fingerprint> {
+fn exempt(reader: &mut Reader<'_>, section: &Section) -> Vec<Fingerprint> {
     let Some(entry) = section.get("never_quarantine") else {
         return Vec::new();
     };
     let words = entry.value.split(',').map(str::trim);
-    let mut trusted = Vec::new();
+    let mut exempt = Vec::new();
     for word in words.filter(|w| !w.is_empty()) {
         if let Ok(number) = u64::from_str_radix(word, 16) {
-            trusted.push(Fingerprint(number));
+            exempt.push(Fingerprint(number));
         } else {
             let what =
                 format!("`never_quarantine` must be a list of hexadecimal numbers, not `{word}`");
             reader.report(Code::BadValue, entry.line, 0, what);
         }
     }
-    trusted
+    exempt
 }
 
 fn level(reader: &mut Reader<'_>, section: &Section) -> log::LevelFilter {
--- a/crates/hawthornmill-net/src/peers/handler.rs
+++ b/crates/hawthornmill-net/src/peers/handler.rs
@@ -58,7 +58,7 @@
             }
         }
         Message::RosterDelta(delta) => handle_roster(fleet, from, delta),
-        Message::QuarantineNews(news) => quarantine::apply_news(fleet, &news),
+        Message::QuarantineReport(news) => quarantine::apply_report(fleet, &news),
         Message::LedgerPull => {
             quarantine::tell_newcomer(fleet, from);
             fleet.receive(from, incarnation, Message::LedgerPull);
--- a/crates/hawthornmill-net/src/quarantine.rs
+++ b/crates/hawthornmill-net/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Calls under which servers end: proof of the ends, what peers are told, and which calls are held or refused.
+//! Calls under which servers end: proof of the crashes, what peers are told, and which calls are held or refused.
 
 use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -10,8 +10,8 @@
 use hawthornmill::pools::entry;
 use hawthornmill::quarantine::evidence::RunningRequest;
 use hawthornmill::quarantine::fingerprint::{Fingerprints, RequestContent};
-use hawthornmill::quarantine::news::QuarantineNews;
-use hawthornmill::quarantine::table::{Change, Quarantine, Standing};
+use hawthornmill::quarantine::report::QuarantineReport;
+use hawthornmill::quarantine::table::{Change, Quarantine, QuarantineStatus};
 use hawthornmill::routing::recent::{Audience, Source};
 use hawthornmill::routing::registry::ServerRun;
 use hawthornmill::wire::message::Message;
@@ -55,7 +55,7 @@
     })
 }
 
-/// Waits while it is uncertain whether servers end under `call`.
+/// Waits while it is uncertain whether servers crash under `call`.
 ///
 /// # Errors
 /// The refusal of a call that must not be sent; this copy was not run.
@@ -67,15 +67,15 @@
             return Ok(());
         }
         let now = fleet.clock.now();
-        let standing = quarantine.table().standing(&fingerprints(call), now);
+        let status = quarantine.table().status(&fingerprints(call), now);
         log_changes(fleet);
-        match standing {
-            Standing::Clear => return Ok(()),
-            Standing::Held(until) => {
+        match status {
+            QuarantineStatus::Clear => return Ok(()),
+            QuarantineStatus::Held(until) => {
                 let until = tokio::time::Instant::from_std(until);
                 let _elapsed = tokio::time::timeout_at(until, changed).await;
             }
-            Standing::Quarantined(refused) => {
+            QuarantineStatus::Quarantined(refused) => {
                 let problem = Problem::not_run(Code::RequestQuarantined, &call.outbound.id);
                 return Err(problem.with_retry_after(refused.retry_after));
             }
@@ -116,7 +116,7 @@
         }
         log::warn!(target: "pools", "server {address} ended while it ran a call");
         let (run, now_proven) = (run_of(server), fleet.clock.now());
-        let is_new = fleet.quarantine.table().record_end(
+        let is_new = fleet.quarantine.table().record_crash(
             run,
             now,
             std::slice::from_ref(&running),
@@ -170,7 +170,7 @@
         return;
     }
     let request = fingerprints(call).request;
-    let is_new = table.record_sound(request, now, Source::Own, now);
+    let is_new = table.record_answer(request, now, Source::Own, now);
     drop(table);
     if is_new {
         announce(fleet);
@@ -178,7 +178,7 @@
 }
 
 /// Takes over what a peer tells.
-pub fn apply_news(fleet: &Fleet, news: &QuarantineNews) {
+pub fn apply_report(fleet: &Fleet, news: &QuarantineReport) {
     let is_new = fleet.quarantine.table().apply(news, fleet.clock.now());
     if is_new {
         log_changes(fleet);
@@ -194,7 +194,7 @@
         .table()
         .messages(Audience::OtherDomains, true, now);
     for message in messages {
-        let message = Message::QuarantineNews(Box::new(message));
+        let message = Message::QuarantineReport(Box::new(message));
         fleet.outgoing.send(peer, message);
     }
 }
@@ -214,7 +214,7 @@
         .messages(Audience::Domain, false, now);
     for message in messages {
         for peer in &peers {
-            let message = Message::QuarantineNews(Box::new(message.clone()));
+            let message = Message::QuarantineReport(Box::new(message.clone()));
             fleet.outgoing.send(*peer, message);
         }
     }
@@ -224,12 +224,14 @@
     for change in fleet.quarantine.table().take_changes() {
         match change {
             Change::Quarantined {
-                fingerprint, ends, ..
+                fingerprint,
+                crashes,
+                ..
             } => {
                 let print = fingerprint.0;
-                log::warn!(target: "pools", "call {print:x} is refused: {ends} servers ended under it");
+                log::warn!(target: "pools", "call {print:x} is refused: {crashes} servers crashed under it");
             }
-            Change::Cleared(fingerprint) | Change::Lapsed(fingerprint) => {
+            Change::Cleared(fingerprint) | Change::Expired(fingerprint) => {
                 log::warn!(target: "pools", "call {:x} is no longer refused", fingerprint.0);
             }
         }
--- a/crates/hawthornmill/src/codes.rs
+++ b/crates/hawthornmill/src/codes.rs
@@ -144,7 +144,7 @@
     /// A stream that can't go on, since nobody knows at which version of the servers it began.
     VersionUnknown = 3034, 503, "version at which the stream began is unknown";
     /// A request under which servers have ended.
-    RequestQuarantined = 3035, 503, "servers have ended under this request";
+    RequestQuarantined = 3035, 503, "servers have crashed under this request";
     /// A peer's frame that can't be decoded.
     FrameMalformed = 4001, 0, "malformed peer frame";
     /// A peer's frame with a wrong message authentication code.
--- a/crates/hawthornmill/src/quarantine/evidence.rs
+++ b/crates/hawthornmill/src/quarantine/evidence.rs
@@ -1,11 +1,11 @@
-//! Servers that ended, what they ran then, and what has been answered since.
+//! Servers that crashed, what they ran then, and what has been answered since.
 //!
-//! A request that happens to run where a server ends is no cause of it, and each part of a prompt that it shares with others
-//! even less. So an end counts only against what explains all ends of its moment: a rack, a power cut or an operator ends
+//! A request that happens to run where a server crashes is no cause of it, and each part of a prompt that it shares with others
+//! even less. So a crash counts only against what explains all crashes of its group: a rack, a power cut or an operator crashes
 //! many servers at once, and no request ran on all of them. What has been answered completely since doesn't count any more:
-//! parts that sound requests hold too are cleared within moments. What ran several times at one server is no likely cause
-//! either, since the first run would have ended it; that tells what is popular while nothing is answered. A stream that goes
-//! on for some events is not what ends its server, unless it breaks off at the same event again. And what one cause explains
+//! parts that sound requests hold too are cleared within groups. What ran several times at one server is no likely cause
+//! either, since the first run would have crashed it; that tells what is popular while nothing is answered. A stream that goes
+//! on for some events is not what crashes its server, unless it breaks off at the same event again. And what one cause explains
 //! doesn't count against another.
 
 use std::cmp::Reverse;
@@ -17,34 +17,34 @@
 use super::fingerprint::{Fingerprint, Fingerprints};
 use crate::routing::registry::ServerRun;
 
-/// Time within which the ends of several servers count as one; instances notice an end up to this much apart.
-const MOMENT: Duration = Duration::from_millis(100);
-/// Time between two ends of a server whose runs can't be told apart by their start, if they are one.
+/// Time within which the crashes of several servers count as one; instances notice a crash up to this much apart.
+const GROUP_TIME: Duration = Duration::from_millis(100);
+/// Time between two crashes of a server whose runs can't be told apart by their start, if they are one.
 const SAME_RUN: Duration = Duration::from_millis(500);
-/// Ends of one moment of which one may lack what explains the others, since its report may be lost.
-const ENDS_PER_GAP: usize = 4;
-/// Events after which a stream is not what ends its server.
-pub const SOUND_EVENTS: u32 = 4;
+/// Crashes of one group of which one may lack what explains the others, since its report may be lost.
+const CRASHES_PER_GAP: usize = 4;
+/// Events after which a stream is not what crashes its server.
+pub const PROGRESS_EVENTS: u32 = 4;
 /// Events by which two streams that break off at the same place may differ, as several arrive together.
 const SAME_PLACE_EVENTS: u64 = 2;
-/// Weight of a moment at which something ran once where a server ended; that of several runs is shared among them.
-const MOMENT_WEIGHT: u32 = 60;
-/// Moments of ends under a request, or a part of a prompt, after which it is taken for their cause.
-const CAUSE_MOMENTS: u32 = 3;
+/// Weight of a group at which something ran once where a server crashed; that of several runs is shared among them.
+const GROUP_WEIGHT: u32 = 60;
+/// Groups of crashes under a request, or a part of a prompt, after which it is taken for their cause.
+const CAUSE_GROUPS: u32 = 3;
 /// The same for the first part of prompts, which most requests share.
-const FIRST_PART_MOMENTS: u32 = 5;
-/// Moments under a part that no single request, and no single other cause, explains.
+const FIRST_PART_GROUPS: u32 = 5;
+/// Groups under a part that no single request, and no single other cause, explains.
 const PART_MARGIN: u32 = 2;
-/// Time for which an end counts.
-const END_TTL: Duration = Duration::from_mins(10);
-/// Maximum number of ends that are kept; moments are bits of a word.
-const MAX_ENDS: usize = 64;
-/// Maximum number of requests kept for an end.
+/// Time for which a crash counts.
+const CRASH_TTL: Duration = Duration::from_mins(10);
+/// Maximum number of crashes that are kept; groups are bits of a word.
+const MAX_CRASHES: usize = 64;
+/// Maximum number of requests kept for a crash.
 const MAX_RUNNING: usize = 48;
 /// Maximum number of answered requests and parts that are kept; beyond them, the one answered longest ago is dropped.
-const MAX_SOUND: usize = 2_048;
+const MAX_ANSWERS: usize = 2_048;
 
-/// A request that a server ran when it ended.
+/// A request that a server ran when it crashed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunningRequest {
     /// Hash of the attempt's id.
@@ -58,15 +58,15 @@
     pub position: u64,
 }
 
-/// The end of a server's run.
+/// The crash of a server's run.
 #[derive(Debug, Clone)]
-struct ServerEnd {
+struct Crash {
     run: ServerRun,
     at: Instant,
     running: Vec<RunningRequest>,
 }
 
-impl ServerEnd {
+impl Crash {
     fn has_attempt(&self, attempt: u64) -> bool {
         self.running.iter().any(|r| r.attempt == attempt)
     }
@@ -79,9 +79,9 @@
 }
 
 impl RunningRequest {
-    /// Returns what may have ended the server.
+    /// Returns what may have crashed the server.
     fn suspects(&self) -> impl Iterator<Item = Fingerprint> {
-        let most = if self.events < SOUND_EVENTS {
+        let most = if self.events < PROGRESS_EVENTS {
             usize::MAX
         } else {
             1
@@ -90,23 +90,23 @@
     }
 }
 
-/// What is known of recent ends.
+/// What is known of recent crashes.
 #[derive(Debug, Clone, Default)]
 pub struct Evidence {
     /// In the order of their times.
-    ends: Vec<ServerEnd>,
-    /// When requests that ran at some end were last answered.
-    sound: BTreeMap<Fingerprint, Instant>,
+    crashes: Vec<Crash>,
+    /// When requests that ran at some crash were last answered.
+    answers: BTreeMap<Fingerprint, Instant>,
 }
 
 impl Evidence {
-    /// Returns whether no end is known.
+    /// Returns whether no crash is known.
     pub const fn is_empty(&self) -> bool {
-        self.ends.is_empty()
+        self.crashes.is_empty()
     }
 
-    /// Records that a server ended while it ran `running`; returns what of it is new.
-    pub fn record_end(
+    /// Records that a server crashed while it ran `running`; returns what of it is new.
+    pub fn record_crash(
         &mut self,
         run: ServerRun,
         at: Instant,
@@ -114,98 +114,101 @@
         now: Instant,
     ) -> Vec<RunningRequest> {
         self.expire(now);
-        let is_same = |e: &&mut ServerEnd| {
+        let is_same = |e: &&mut Crash| {
             e.run == run && (run.start_ms != 0 || e.at.max(at) - e.at.min(at) < SAME_RUN)
         };
-        let known = self.ends.iter_mut().find(is_same);
-        let new: Vec<RunningRequest> = if let Some(end) = known {
-            end.at = end.at.min(at);
-            let is_new = |r: &&RunningRequest| !end.has_attempt(r.attempt);
-            let room = MAX_RUNNING - end.running.len();
+        let known = self.crashes.iter_mut().find(is_same);
+        let new: Vec<RunningRequest> = if let Some(crash) = known {
+            crash.at = crash.at.min(at);
+            let is_new = |r: &&RunningRequest| !crash.has_attempt(r.attempt);
+            let room = MAX_RUNNING - crash.running.len();
             let new: Vec<RunningRequest> =
                 running.iter().filter(is_new).take(room).cloned().collect();
-            end.running.extend_from_slice(&new);
+            crash.running.extend_from_slice(&new);
             new
         } else {
             let running: Vec<RunningRequest> = running.iter().take(MAX_RUNNING).cloned().collect();
-            self.ends.push(ServerEnd {
+            self.crashes.push(Crash {
                 run,
                 at,
                 running: running.clone(),
             });
             running
         };
-        self.ends.sort_by_key(|e| e.at);
+        self.crashes.sort_by_key(|e| e.at);
         new
     }
 
     fn expire(&mut self, now: Instant) {
-        self.ends.retain(|e| now.duration_since(e.at) < END_TTL);
-        if self.ends.len() >= MAX_ENDS {
-            self.ends.remove(0);
+        self.crashes
+            .retain(|e| now.duration_since(e.at) < CRASH_TTL);
+        if self.crashes.len() >= MAX_CRASHES {
+            self.crashes.remove(0);
         }
-        if self.sound.len() >= MAX_SOUND {
-            self.sound.retain(|_, at| now.duration_since(*at) < END_TTL);
+        if self.answers.len() >= MAX_ANSWERS {
+            self.answers
+                .retain(|_, at| now.duration_since(*at) < CRASH_TTL);
         }
     }
 
-    /// Returns whether a server ended under `fingerprint` after its last answer.
+    /// Returns whether a server crashed under `fingerprint` after its last answer.
     pub fn is_suspected(&self, fingerprint: Fingerprint) -> bool {
         self.count(fingerprint) > 0
     }
 
-    /// Returns the number of servers that ended under `fingerprint` after its last answer.
+    /// Returns the number of servers that crashed under `fingerprint` after its last answer.
     pub fn count(&self, fingerprint: Fingerprint) -> usize {
-        let ends = self.ends.iter();
-        ends.filter(|end| self.counts(end, fingerprint) && end.ran(fingerprint))
+        let crashes = self.crashes.iter();
+        crashes
+            .filter(|crash| self.counts(crash, fingerprint) && crash.ran(fingerprint))
             .count()
     }
 
-    /// Returns whether an end counts against what ran there.
-    fn counts(&self, end: &ServerEnd, suspect: Fingerprint) -> bool {
-        let answered = self.sound.get(&suspect);
-        answered.is_none_or(|at| *at < end.at)
+    /// Returns whether a crash counts against what ran there.
+    fn counts(&self, crash: &Crash, suspect: Fingerprint) -> bool {
+        let answered = self.answers.get(&suspect);
+        answered.is_none_or(|at| *at < crash.at)
     }
 
     /// Records that `fingerprint` was answered at `at`.
-    pub fn record_sound(&mut self, fingerprint: Fingerprint, at: Instant) {
-        if self.sound.len() >= MAX_SOUND && !self.sound.contains_key(&fingerprint) {
-            let oldest = self.sound.iter().min_by_key(|(_, at)| **at);
+    pub fn record_answer(&mut self, fingerprint: Fingerprint, at: Instant) {
+        if self.answers.len() >= MAX_ANSWERS && !self.answers.contains_key(&fingerprint) {
+            let oldest = self.answers.iter().min_by_key(|(_, at)| **at);
             if let Some(oldest) = oldest.map(|(f, _)| *f) {
-                self.sound.remove(&oldest);
+                self.answers.remove(&oldest);
             }
         }
-        let latest = self.sound.entry(fingerprint).or_insert(at);
+        let latest = self.answers.entry(fingerprint).or_insert(at);
         *latest = (*latest).max(at);
     }
 
     /// Returns whether `fingerprint` was answered at or after `at`.
-    pub fn is_sound_since(&self, fingerprint: Fingerprint, at: Instant) -> bool {
-        self.sound
+    pub fn is_answered_since(&self, fingerprint: Fingerprint, at: Instant) -> bool {
+        self.answers
             .get(&fingerprint)
-            .is_some_and(|sound| *sound >= at)
+            .is_some_and(|answers| *answers >= at)
     }
 
-    /// Returns whether there were too few moments of ends for any cause that hasn't been known before.
-    pub fn is_thin(&self) -> bool {
-        self.moments().sizes.len() < CAUSE_MOMENTS as usize
+    /// Returns whether there were too few groups of crashes for any cause that hasn't been known before.
+    pub fn has_few_groups(&self) -> bool {
+        self.groups().sizes.len() < CAUSE_GROUPS as usize
     }
 
-    /// Returns what explains the ends.
+    /// Returns what explains the crashes.
     ///
-    /// `is_lapsed` tells which causes have been known before, so that one more end is enough.
-    pub fn causes(&self, is_lapsed: impl Fn(Fingerprint) -> bool) -> Vec<Fingerprint> {
-        let moments = self.moments();
+    /// `is_expired` tells which causes have been known before, so that one more crash is enough.
+    pub fn causes(&self, is_expired: impl Fn(Fingerprint) -> bool) -> Vec<Fingerprint> {
+        let groups = self.groups();
         let mut candidates: Vec<Candidate> = Vec::new();
         for (fingerprint, runs) in self.runs_by_suspect() {
             let depth = runs.iter().filter_map(|r| r.depth).max();
             let needed = match depth {
-                _ if is_lapsed(fingerprint) => 0,
-                Some(0) => FIRST_PART_MOMENTS,
-                _ => CAUSE_MOMENTS,
+                _ if is_expired(fingerprint) => 0,
+                Some(0) => FIRST_PART_GROUPS,
+                _ => CAUSE_GROUPS,
             };
             if runs.len() >= needed.max(1) as usize {
-                candidates.push(Candidate::new(fingerprint, depth, needed, &runs, &moments));
+                candidates.push(Candidate::new(fingerprint, depth, needed, &runs, &groups));
             }
         }
         candidates.sort_by_key(Candidate::rank);
@@ -221,12 +224,12 @@
     /// Returns the runs that count against each request and each part of a prompt.
     fn runs_by_suspect(&self) -> BTreeMap<Fingerprint, Vec<Run>> {
         let mut runs: BTreeMap<Fingerprint, Vec<Run>> = BTreeMap::new();
-        for (index, end) in self.ends.iter().enumerate() {
-            for running in &end.running {
+        for (index, crash) in self.crashes.iter().enumerate() {
+            for running in &crash.running {
                 let suspects = running.suspects().enumerate();
-                for (place, suspect) in suspects.filter(|(_, s)| self.counts(end, *s)) {
+                for (place, suspect) in suspects.filter(|(_, s)| self.counts(crash, *s)) {
                     runs.entry(suspect).or_default().push(Run {
-                        end: index,
+                        crash: index,
                         request: running.fingerprints.request,
                         depth: place.checked_sub(1),
                         events: running.events,
@@ -238,31 +241,31 @@
         runs
     }
 
-    /// Groups the ends that happened at the same moment.
-    fn moments(&self) -> Moments {
-        let mut moments = Moments::default();
+    /// Groups the crashes that happened at the same group.
+    fn groups(&self) -> CrashGroups {
+        let mut groups = CrashGroups::default();
         let mut first: Option<Instant> = None;
-        for end in &self.ends {
-            if first.is_none_or(|first| end.at >= first + MOMENT) {
-                first = Some(end.at);
-                moments.sizes.push(0);
+        for crash in &self.crashes {
+            if first.is_none_or(|first| crash.at >= first + GROUP_TIME) {
+                first = Some(crash.at);
+                groups.sizes.push(0);
             }
-            let last = moments.sizes.len() - 1;
-            moments.sizes[last] += 1;
-            moments.of_ends.push(last);
+            let last = groups.sizes.len() - 1;
+            groups.sizes[last] += 1;
+            groups.of_crashes.push(last);
         }
-        moments
+        groups
     }
 }
 
-/// Moments, one bit each.
-type MomentSet = u64;
+/// Groups, one bit each.
+type GroupSet = u64;
 
-/// What a server ran when it ended, as it counts against one suspect.
+/// What a server ran when it crashed, as it counts against one suspect.
 #[derive(Debug, Clone, Copy)]
 struct Run {
-    /// Index of the end.
-    end: usize,
+    /// Index of the crash.
+    crash: usize,
     /// The request that it was.
     request: Fingerprint,
     /// Place of the suspect among the parts of the prompt; `None` for the whole request.
@@ -271,18 +274,18 @@
     position: u64,
 }
 
-/// What may be the cause of ends.
+/// What may be the cause of crashes.
 #[derive(Debug)]
 struct Candidate {
     fingerprint: Fingerprint,
     /// Place among the parts of the prompt; `None` for a whole request.
     depth: Option<usize>,
-    explained: MomentSet,
-    /// Weight of each moment.
+    explained: GroupSet,
+    /// Weight of each group.
     weights: Vec<u32>,
-    /// Moments of each request that held it.
-    by_request: BTreeMap<Fingerprint, MomentSet>,
-    /// Moments, each of full weight, that it must explain and no other cause does; one of any weight if it is 0.
+    /// Groups of each request that held it.
+    by_request: BTreeMap<Fingerprint, GroupSet>,
+    /// Groups, each of full weight, that it must explain and no other cause does; one of any weight if it is 0.
     needed: u32,
 }
 
@@ -292,34 +295,34 @@
         depth: Option<usize>,
         needed: u32,
         runs: &[Run],
-        moments: &Moments,
+        groups: &CrashGroups,
     ) -> Self {
-        let mut by_request: BTreeMap<Fingerprint, MomentSet> = BTreeMap::new();
+        let mut by_request: BTreeMap<Fingerprint, GroupSet> = BTreeMap::new();
         for run in runs {
-            *by_request.entry(run.request).or_default() |= 1 << moments.of_ends[run.end];
+            *by_request.entry(run.request).or_default() |= 1 << groups.of_crashes[run.crash];
         }
         Self {
             fingerprint,
             depth,
-            explained: moments.explained(runs),
-            weights: moments.weights(runs),
+            explained: groups.explained(runs),
+            weights: groups.weights(runs),
             by_request,
             needed,
         }
     }
 
-    /// Returns its place in the order in which ends are explained: what explains most comes first, and what is narrower.
+    /// Returns its place in the order in which crashes are explained: what explains most comes first, and what is narrower.
     ///
-    /// The first part of prompts comes last: if most requests share it, it ran at more ends than a part that few hold.
+    /// The first part of prompts comes last: if most requests share it, it ran at more crashes than a part that few hold.
     fn rank(&self) -> (bool, Reverse<u32>, Reverse<usize>) {
         let narrowness = self.depth.unwrap_or(usize::MAX);
         let weight = self.weight(self.explained);
         (self.depth == Some(0), Reverse(weight), Reverse(narrowness))
     }
 
-    fn weight(&self, moments: MomentSet) -> u32 {
+    fn weight(&self, groups: GroupSet) -> u32 {
         let weights = self.weights.iter().enumerate();
-        let counted = weights.filter(|(moment, _)| moments & (1 << moment) != 0);
+        let counted = weights.filter(|(group, _)| groups & (1 << group) != 0);
         counted.map(|(_, weight)| weight).sum()
     }
 
@@ -334,10 +337,10 @@
         let others = known.iter().filter(|c| !self.contains(c));
         let others = others.fold(0, |set, c| set | c.explained);
         let weight = self.weight(self.explained & !others);
-        if weight < (self.needed * MOMENT_WEIGHT).max(1) {
+        if weight < (self.needed * GROUP_WEIGHT).max(1) {
             return false;
         }
-        // Requests that hold a part bring it into their own ends, and so does a narrower part.
+        // Requests that hold a part bring it into their own crashes, and so does a narrower part.
         let narrower = known.iter().map(|c| c.explained);
         let mut single = self.by_request.values().copied().chain(narrower);
         self.depth.is_none()
@@ -346,47 +349,47 @@
     }
 }
 
-/// Groups of ends that happened at the same moment.
+/// Groups of crashes that happened at the same group.
 #[derive(Debug, Default)]
-struct Moments {
-    /// Moment of each end.
-    of_ends: Vec<usize>,
-    /// Number of ends of each moment.
+struct CrashGroups {
+    /// Moment of each crash.
+    of_crashes: Vec<usize>,
+    /// Number of crashes of each group.
     sizes: Vec<usize>,
 }
 
-impl Moments {
-    /// Returns the weight of each moment for something that ran where servers ended: the less, the more often at one of them.
+impl CrashGroups {
+    /// Returns the weight of each group for something that ran where servers crashed: the less, the more often at one of them.
     fn weights(&self, runs: &[Run]) -> Vec<u32> {
-        let mut weights = vec![MOMENT_WEIGHT; self.sizes.len()];
-        for of_end in runs.chunk_by(|a, b| a.end == b.end) {
-            let weight = &mut weights[self.of_ends[of_end[0].end]];
-            *weight = (*weight).min(MOMENT_WEIGHT / of_end.len() as u32);
+        let mut weights = vec![GROUP_WEIGHT; self.sizes.len()];
+        for of_end in runs.chunk_by(|a, b| a.crash == b.crash) {
+            let weight = &mut weights[self.of_crashes[of_end[0].crash]];
+            *weight = (*weight).min(GROUP_WEIGHT / of_end.len() as u32);
         }
         weights
     }
 
-    /// Returns the moments whose ends something explains: it ran wherever a server ended, and broke off early or at the
+    /// Returns the groups whose crashes something explains: it ran wherever a server crashed, and broke off early or at the
     /// same event each time.
-    fn explained(&self, runs: &[Run]) -> MomentSet {
-        let mut ends: Vec<usize> = runs.iter().map(|r| r.end).collect();
-        ends.dedup();
+    fn explained(&self, runs: &[Run]) -> GroupSet {
+        let mut crashes: Vec<usize> = runs.iter().map(|r| r.crash).collect();
+        crashes.dedup();
         let mut counts = vec![0; self.sizes.len()];
-        for end in ends {
-            counts[self.of_ends[end]] += 1;
+        for crash in crashes {
+            counts[self.of_crashes[crash]] += 1;
         }
-        let is_explained = |moment: usize| {
-            let size = self.sizes[moment];
-            counts[moment] >= size - size / ENDS_PER_GAP
+        let is_explained = |group: usize| {
+            let size = self.sizes[group];
+            counts[group] >= size - size / CRASHES_PER_GAP
         };
-        let seen = runs.iter().map(|run| (self.of_ends[run.end], run));
-        let seen: Vec<_> = seen.filter(|(moment, _)| is_explained(*moment)).collect();
-        let at_place = |place: u64| -> MomentSet {
+        let seen = runs.iter().map(|run| (self.of_crashes[run.crash], run));
+        let seen: Vec<_> = seen.filter(|(group, _)| is_explained(*group)).collect();
+        let at_place = |place: u64| -> GroupSet {
             let agreeing = seen.iter().filter(|(_, run)| {
                 let is_same = run.position.abs_diff(place) <= SAME_PLACE_EVENTS;
-                run.events < SOUND_EVENTS || is_same
+                run.events < PROGRESS_EVENTS || is_same
             });
-            agreeing.fold(0, |set, (moment, _)| set | 1 << moment)
+            agreeing.fold(0, |set, (group, _)| set | 1 << group)
         };
         let sets = seen.iter().map(|(_, run)| at_place(run.position));
         sets.max_by_key(|set| set.count_ones()).unwrap_or(0)
--- a/crates/hawthornmill/src/quarantine/fingerprint.rs
+++ b/crates/hawthornmill/src/quarantine/fingerprint.rs
@@ -30,7 +30,7 @@
     pub body: &'a [u8],
 }
 
-/// All that a request may share with another one under which servers end.
+/// All that a request may share with another one under which servers crash.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Fingerprints {
     /// The whole request.
--- a/crates/hawthornmill/src/quarantine/news.rs
+++ b/crates/hawthornmill/src/quarantine/report.rs
@@ -1,4 +1,4 @@
-//! What instances tell each other of ended servers and quarantined requests.
+//! What instances tell each other of crashed servers and quarantined requests.
 
 use std::time::{Duration, Instant};
 
@@ -11,29 +11,29 @@
 
 /// Bytes of one message, so that it fits a datagram with its frame.
 const MESSAGE_BYTES: usize = 1_100;
-/// Most bytes of an item, without the requests of an end.
+/// Most bytes of an item, without the requests of a crash.
 const ITEM_BYTES: usize = 28;
-/// Most bytes of a request of an end, without the parts of its prompt.
+/// Most bytes of a request of a crash, without the parts of its prompt.
 const REQUEST_BYTES: usize = 33;
 /// Bytes of a part.
 const PART_BYTES: usize = 8;
 /// Items of each kind that are announced at a time.
 const MAX_ITEMS: usize = 64;
 
-/// The end of a server's run.
+/// The crash of a server's run.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EndNews {
+pub struct CrashReport {
     /// The run.
     pub run: ServerRun,
-    /// Milliseconds since it ended.
+    /// Milliseconds since it crashed.
     pub age_ms: u32,
     /// Some of the requests that it ran.
     pub running: Vec<RunningRequest>,
 }
 
-/// A request that was answered, under which a server had ended before.
+/// A request that was answered, under which a server had crashed before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SoundNews {
+pub struct AnswerReport {
     /// Identity of the request.
     pub fingerprint: Fingerprint,
     /// Milliseconds since the answer.
@@ -42,36 +42,36 @@
 
 /// A quarantined request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct VerdictNews {
+pub struct EntryReport {
     /// Identity of the request.
     pub fingerprint: Fingerprint,
-    /// Servers that ended under it.
-    pub ends: u32,
+    /// Servers that crashed under it.
+    pub crashes: u32,
     /// Milliseconds since it was quarantined.
     pub age_ms: u32,
     /// Milliseconds since it was last refused.
     pub idle_ms: u32,
 }
 
-/// A message on ended servers and quarantined requests.
+/// A message on crashed servers and quarantined requests.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct QuarantineNews {
-    /// Servers that ended.
-    pub ends: Vec<EndNews>,
+pub struct QuarantineReport {
+    /// Servers that crashed.
+    pub crashes: Vec<CrashReport>,
     /// Requests that were answered.
-    pub sound: Vec<SoundNews>,
+    pub answers: Vec<AnswerReport>,
     /// Quarantined requests.
-    pub verdicts: Vec<VerdictNews>,
+    pub entries: Vec<EntryReport>,
 }
 
 /// Recent changes to announce.
 #[derive(Debug, Clone, Default)]
-pub struct RecentNews {
-    ends: Recent<(ServerRun, Instant, Vec<RunningRequest>)>,
-    sound: Recent<(Fingerprint, Instant)>,
+pub struct RecentChanges {
+    crashes: Recent<(ServerRun, Instant, Vec<RunningRequest>)>,
+    answers: Recent<(Fingerprint, Instant)>,
 }
 
-/// Returns the most bytes that a request of an end takes in a message.
+/// Returns the most bytes that a request of a crash takes in a message.
 fn encoded_bytes(running: &RunningRequest) -> usize {
     REQUEST_BYTES + PART_BYTES * running.fingerprints.parts.len()
 }
@@ -81,9 +81,9 @@
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
-impl RecentNews {
-    /// Records that a server ended while it ran `running`.
-    pub fn record_end(
+impl RecentChanges {
+    /// Records that a server crashed while it ran `running`.
+    pub fn record_crash(
         &mut self,
         run: ServerRun,
         at: Instant,
@@ -99,46 +99,46 @@
             });
             let fitting = sizes.take_while(|sum| *sum <= MESSAGE_BYTES).count();
             let (part, later) = rest.split_at(fitting.max(1));
-            self.ends.record((run, at, part.to_vec()), source, now);
+            self.crashes.record((run, at, part.to_vec()), source, now);
             rest = later;
         }
     }
 
     /// Records that a request was answered.
-    pub fn record_sound(
+    pub fn record_answer(
         &mut self,
         fingerprint: Fingerprint,
         at: Instant,
         source: Source,
         now: Instant,
     ) {
-        self.sound.record((fingerprint, at), source, now);
+        self.answers.record((fingerprint, at), source, now);
     }
 
-    /// Returns messages with what is to be announced, and with `verdicts`.
+    /// Returns messages with what is to be announced, and with `entries`.
     pub fn messages(
         &self,
         audience: Audience,
-        verdicts: &[VerdictNews],
+        entries: &[EntryReport],
         now: Instant,
-    ) -> Vec<QuarantineNews> {
+    ) -> Vec<QuarantineReport> {
         let mut messages = Messages::default();
-        for ((run, at, running), _) in self.ends.select(now, audience, MAX_ITEMS) {
+        for ((run, at, running), _) in self.crashes.select(now, audience, MAX_ITEMS) {
             let bytes = ITEM_BYTES + running.iter().map(encoded_bytes).sum::<usize>();
-            messages.with_room(bytes).ends.push(EndNews {
+            messages.with_room(bytes).crashes.push(CrashReport {
                 run,
                 age_ms: millis(now.duration_since(at)),
                 running,
             });
         }
-        for ((fingerprint, at), _) in self.sound.select(now, audience, MAX_ITEMS) {
-            messages.with_room(ITEM_BYTES).sound.push(SoundNews {
+        for ((fingerprint, at), _) in self.answers.select(now, audience, MAX_ITEMS) {
+            messages.with_room(ITEM_BYTES).answers.push(AnswerReport {
                 fingerprint,
                 age_ms: millis(now.duration_since(at)),
             });
         }
-        for verdict in verdicts {
-            messages.with_room(ITEM_BYTES).verdicts.push(*verdict);
+        for entry in entries {
+            messages.with_room(ITEM_BYTES).entries.push(*entry);
         }
         messages.all
     }
@@ -147,16 +147,16 @@
 /// Messages that are filled one after the other.
 #[derive(Debug, Default)]
 struct Messages {
-    all: Vec<QuarantineNews>,
+    all: Vec<QuarantineReport>,
     /// Bytes of the last one.
     bytes: usize,
 }
 
 impl Messages {
     /// Returns a message that has room for another `bytes`.
-    fn with_room(&mut self, bytes: usize) -> &mut QuarantineNews {
+    fn with_room(&mut self, bytes: usize) -> &mut QuarantineReport {
         if self.all.is_empty() || self.bytes + bytes > MESSAGE_BYTES {
-            self.all.push(QuarantineNews::default());
+            self.all.push(QuarantineReport::default());
             self.bytes = 0;
         }
         self.bytes += bytes;
--- a/crates/hawthornmill/src/routing/request.rs
+++ b/crates/hawthornmill/src/routing/request.rs
@@ -120,7 +120,7 @@
     QueueFull,
     /// No capacity became free while it was queued.
     QueueTimeout,
-    /// Servers have ended under it.
+    /// Servers have crashed under it.
     Quarantined,
 }
 
--- a/crates/hawthornmill/src/wire/message.rs
+++ b/crates/hawthornmill/src/wire/message.rs
@@ -6,7 +6,7 @@
 use crate::config::Manifest;
 use crate::fairness::CostKey;
 use crate::ident::{AccountId, Incarnation, InstanceId, PoolId, ServerId, VersionId};
-use crate::quarantine::news::QuarantineNews;
+use crate::quarantine::report::QuarantineReport;
 use crate::routing::announcements::Announcements;
 use crate::routing::domain_summary::DomainMembers;
 use crate::routing::fragments::{Fragment, FragmentRequest};
@@ -345,5 +345,5 @@
     /// Response with these versions; `None` where the sender doesn't know it.
     StreamAnswer(Vec<(StreamKey, Option<VersionId>)>),
     /// Servers that ended and quarantined requests, over UDP.
-    QuarantineNews(Box<QuarantineNews>),
+    QuarantineReport(Box<QuarantineReport>),
 }
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -13,7 +13,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::ends;
+use crate::crashes;
 use crate::promises::EVENTS;
 
 /// Time that callers give a request, in milliseconds.
@@ -173,7 +173,7 @@
         let drawn = kind(&mut rng, &field);
         let kind = match resumes {
             Some(_) => Kind::Stream,
-            None if bad.random_bool(ends::BAD_SHARE) => Kind::Bad,
+            None if bad.random_bool(crashes::BAD_SHARE) => Kind::Bad,
             None => drawn,
         };
         let id: Box<str> = format!("{seed:x}-{number:x}-{count:x}").into();
@@ -284,7 +284,7 @@
         Kind::Added(number) => (format!("/added-{number}/"), "key-1"),
         Kind::Token => ("/get/".to_owned(), "key-2"),
     };
-    let prompt = ends::prompt(id, kind);
+    let prompt = crashes::prompt(id, kind);
     format!(
         "POST {path} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: {DEADLINE_MS}\r\n\
          Authorization: Token {key}\r\n{more}{prompt}Content-Length: 4\r\n\r\nbody"
--- a/tests/soak/ends.rs
+++ b/tests/soak/crashes.rs
@@ -1,4 +1,4 @@
-//! Prompts with a part under which servers end, and the promise that they are stopped.
+//! Prompts with a part under which servers crash, and the promise that they are stopped.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -8,12 +8,12 @@
 use crate::callers::{Kind, Seen};
 use crate::promises::{Breach, Records, breach, left_alone};
 
-/// Share of the requests under which servers end.
+/// Share of the requests under which servers crash.
 pub const BAD_SHARE: f64 = 0.02;
 /// Parts that sound prompts have in second place.
 const SECOND_PARTS: u64 = 20;
 /// Ends after which the fleet must know the part.
-const KNOWN_ENDS: usize = 5;
+const KNOWN_CRASHES: usize = 5;
 /// Time in which it must.
 const DETECTION_TIME: Duration = Duration::from_secs(4);
 /// Prompts that may reach servers after that.
@@ -32,26 +32,26 @@
     format!("Token-Usage: 30,10\r\nPrompt-Prefix: a1:10,{second}:10,{hash:x}:10\r\n")
 }
 
-/// Returns whether each server ends that runs the request.
+/// Returns whether each server crashes that runs the request.
 pub fn is_bad(head: &RequestHead) -> bool {
     let prefix = head.headers.get_str("prompt-prefix");
     prefix.is_some_and(|p| p.contains(",bad:"))
 }
 
-/// Prompts with a part under which servers ended reach hardly any more, if the instance was left alone.
+/// Prompts with a part under which servers crashed reach hardly any more, if the instance was left alone.
 pub fn stopped(records: &Records) -> Option<Breach> {
     let by_id: BTreeMap<&str, &Seen> = records.seen.iter().map(|s| (&*s.id, s)).collect();
     let bad = records.arrivals.iter().filter(|(_, a)| is_bad(&a.head));
-    let mut ends: Vec<Instant> = bad
+    let mut crashes: Vec<Instant> = bad
         .clone()
         .filter_map(|(server, arrival)| {
-            let mut ends = records.server_ends[*server].iter();
-            ends.find(|at| **at >= arrival.received_at).copied()
+            let mut crashes = records.server_crashes[*server].iter();
+            crashes.find(|at| **at >= arrival.received_at).copied()
         })
         .collect();
-    ends.sort_unstable();
-    ends.dedup();
-    let known = *ends.get(KNOWN_ENDS - 1)? + DETECTION_TIME;
+    crashes.sort_unstable();
+    crashes.dedup();
+    let known = *crashes.get(KNOWN_CRASHES - 1)? + DETECTION_TIME;
     let is_late = |id: &str, at: Instant| {
         let seen = by_id.get(id);
         at > known && seen.is_some_and(|s| left_alone(records, s, s.sent))
@@ -62,7 +62,7 @@
     });
     let late = late.count();
     (late > MAX_LATE).then(|| {
-        let what = format!("{late} more, {} servers ended", ends.len());
+        let what = format!("{late} more, {} servers crashed", crashes.len());
         breach("requests that end servers are stopped", "", what)
     })
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -17,7 +17,7 @@
 mod store;
 
 mod callers;
-mod ends;
+mod crashes;
 mod plan;
 mod plant;
 mod promises;
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -55,8 +55,8 @@
     Drain(usize),
     /// A server takes work again.
     Return(usize),
-    /// A server ends, whatever it runs; it starts again a little later.
-    End(usize),
+    /// A server crashes, whatever it runs; it starts again a little later.
+    Crash(usize),
     /// The link to a server changes.
     Link(usize, LinkState),
     /// The second failure domain is evacuated.
@@ -164,7 +164,7 @@
         for _ in 0..rng.random_range(1..=2) {
             let server = rng.random_range(0..size.servers);
             let apart = millis(&mut rng, 0, 30);
-            steps.push((at + apart, Step::End(server)));
+            steps.push((at + apart, Step::Crash(server)));
         }
         at += millis(&mut rng, 700, 3_000);
     }
--- a/tests/soak/promises.rs
+++ b/tests/soak/promises.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crate::callers::{Kind, Outcome, Seen};
-use crate::ends;
+use crate::crashes;
 use crate::scripted_server::{Behavior, ReceivedRequest, marked_events};
 
 /// Time without trouble after which a process must keep its bounds.
@@ -50,8 +50,8 @@
     pub exits: Vec<(usize, Option<i32>)>,
     /// When the store did not answer.
     pub store: Vec<Span>,
-    /// When each server ended.
-    pub server_ends: Vec<Vec<Instant>>,
+    /// When each server crashed.
+    pub server_crashes: Vec<Vec<Instant>>,
     /// When links to servers were broken or slow, with the number of the server.
     pub links: Vec<(usize, Span)>,
     /// Routes added (true) and removed, with their numbers.
@@ -130,7 +130,7 @@
     all.extend(evacuated(records));
     all.extend(budget(records, &arrivals));
     all.extend(recovered(records));
-    all.extend(ends::stopped(records));
+    all.extend(crashes::stopped(records));
     all.extend(unasked(records));
     all.extend(ended(records));
     for breach in &mut all {
@@ -361,7 +361,7 @@
         .filter(|(s, _)| s == server)
         .map(|(_, span)| *span)
         .collect();
-    let mut ends = records.server_ends[*server].iter();
+    let mut ends = records.server_crashes[*server].iter();
     let harmed = ends.any(|at| *at >= arrival.received_at && *at <= seen.ended)
         || touches(&links, seen.sent, seen.ended)
         || touches(&records.routers[seen.router], seen.sent, seen.ended);
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 
 use crate::callers::{Field, call_on};
-use crate::ends;
+use crate::crashes;
 use crate::fleet::{Fleet, config, route};
 use crate::plan::{Size, Step, Timed};
 use crate::plant::{self, Plant};
@@ -80,7 +80,7 @@
             world.apply(step);
         }
         world.tend();
-        world.start_ended_servers().await;
+        world.start_crashed_servers().await;
         tokio::time::sleep(LOOK).await;
     }
     while callers.join_next().await.is_some() {}
@@ -88,8 +88,8 @@
 }
 
 fn usual(head: &RequestHead) -> Behavior {
-    if ends::is_bad(head) {
-        return Behavior::EndAfter(0);
+    if crashes::is_bad(head) {
+        return Behavior::CrashAfter(0);
     }
     if head.target.starts_with("/stream/") || head.target.starts_with("/whole/") {
         let id = head.headers.get_str("attempt-id").unwrap_or_default();
@@ -114,7 +114,7 @@
         let mut relays = Vec::new();
         for (number, server) in fleet.servers.clone().into_iter().enumerate() {
             server.set_default(usual);
-            server.reset_at_end();
+            server.reset_on_crash();
             server.set_mark(version_of(number));
             let relay = Relay::start(server.address).await.expect("a port is free");
             relays.push(relay);
@@ -195,7 +195,7 @@
             }
             Step::Drain(server) if !self.drains[server] => self.drain(server, now),
             Step::Return(server) if self.drains[server] => self.give_back(server, now),
-            Step::End(server) if !self.fleet.servers[server].is_down() => {
+            Step::Crash(server) if !self.fleet.servers[server].is_down() => {
                 self.fleet.servers[server].kill();
             }
             Step::Link(server, state) => self.link(server, state, now),
@@ -242,10 +242,10 @@
         }
     }
 
-    async fn start_ended_servers(&self) {
+    async fn start_crashed_servers(&self) {
         for (number, server) in self.fleet.servers.iter().enumerate() {
             let is_due = |at: &Instant| at.elapsed() >= SERVER_RESTART;
-            if server.is_down() && server.ends().last().is_some_and(is_due) {
+            if server.is_down() && server.crashes().last().is_some_and(is_due) {
                 let gone = format!("servers/{}", server.current_name());
                 self.fleet.store.remove(&gone);
                 server.run().await;
@@ -370,7 +370,7 @@
         for (number, server) in self.fleet.servers.iter().enumerate() {
             let arrivals = server.received().into_iter().map(|a| (number, a));
             self.records.arrivals.extend(arrivals);
-            self.records.server_ends.push(server.ends());
+            self.records.server_crashes.push(server.crashes());
         }
         (self.records, self.fleet)
     }
--- a/tests/testsuite/gateway/fleet.rs
+++ b/tests/testsuite/gateway/fleet.rs
@@ -299,12 +299,16 @@
         )
     }
 
-    /// Starts each server that ends again, `pause` later, under another name; never returns.
-    pub async fn restart_ended_servers(&self, pause: Duration) {
+    /// Starts each server that crashes again, `pause` later, under another name; never returns.
+    pub async fn restart_crashed_servers(&self, pause: Duration) {
         loop {
             tokio::time::sleep(Duration::from_millis(20)).await;
             for server in self.servers.iter().filter(|s| s.is_down()) {
-                if server.ends().last().is_some_and(|at| at.elapsed() >= pause) {
+                if server
+                    .crashes()
+                    .last()
+                    .is_some_and(|at| at.elapsed() >= pause)
+                {
                     self.store
                         .remove(&format!("servers/{}", server.current_name()));
                     server.run().await;
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -19,7 +19,7 @@
 mod restarts;
 #[expect(dead_code, reason = "the soak uses the other part of the fixtures")]
 mod scripted_server;
-mod server_ends;
+mod server_crashes;
 mod server_notices;
 mod shutdown;
 mod store;
--- a/tests/testsuite/gateway/quarantine.rs
+++ b/tests/testsuite/gateway/quarantine.rs
@@ -1,4 +1,4 @@
-//! Requests under which servers end, at real processes.
+//! Requests under which servers crash, at real processes.
 
 use std::time::{Duration, Instant};
 
@@ -10,13 +10,13 @@
 use super::scripted_server::{Behavior, Server};
 use crate::block_on;
 
-/// Time after which a server that ended is back.
+/// Time after which a server that crashed is back.
 const RESTART_PAUSE: Duration = Duration::from_millis(1_500);
 /// Time between two requests that end servers.
 const BAD_INTERVAL: Duration = Duration::from_millis(240);
 /// Time between two sound requests.
 const SOUND_INTERVAL: Duration = Duration::from_millis(30);
-/// Time within which the fleet must know a request that ends servers.
+/// Time within which the fleet must know a request that crashes servers.
 const DETECTION_TIME: Duration = Duration::from_secs(4);
 /// Requests that may reach servers after that.
 const MAX_LATE: usize = 3;
@@ -27,7 +27,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Attempt {
     sent: Instant,
-    /// Status of the response; 0 if the connection ended without one.
+    /// Status of the response; 0 if the connection crashed without one.
     status: u16,
     /// Whether the response was complete.
     whole: bool,
@@ -37,8 +37,8 @@
 #[derive(Debug)]
 struct Outcome {
     started: Instant,
-    /// When servers ended, in order.
-    ends: Vec<Instant>,
+    /// When servers crashed, in order.
+    crashes: Vec<Instant>,
     /// When requests that end servers reached one.
     bad_arrivals: Vec<Instant>,
     bad: Vec<Attempt>,
@@ -48,7 +48,7 @@
 impl Outcome {
     /// Returns the number of requests that reached servers later than the detection time after end `number`.
     fn late_arrivals(&self, number: usize) -> usize {
-        let Some(end) = self.ends.get(number - 1) else {
+        let Some(end) = self.crashes.get(number - 1) else {
             return 0;
         };
         let bound = *end + DETECTION_TIME;
@@ -102,7 +102,7 @@
     done
 }
 
-/// Plays clients whose requests end servers beside others, while servers that ended come back.
+/// Plays clients whose requests end servers beside others, while servers that crashed come back.
 async fn play(
     fleet: &Fleet,
     length: Duration,
@@ -114,16 +114,16 @@
     let bad = send_every(fleet, BAD_INTERVAL, length, bad);
     let sound = send_every(fleet, SOUND_INTERVAL, length, sound);
     let (bad, sound) = tokio::select! {
-        () = fleet.restart_ended_servers(RESTART_PAUSE) => unreachable!("it never returns"),
+        () = fleet.restart_crashed_servers(RESTART_PAUSE) => unreachable!("it never returns"),
         done = async { tokio::join!(bad, sound) } => done,
     };
-    let mut ends: Vec<Instant> = fleet.servers.iter().flat_map(Server::ends).collect();
-    ends.sort_unstable();
+    let mut crashes: Vec<Instant> = fleet.servers.iter().flat_map(Server::crashes).collect();
+    crashes.sort_unstable();
     let received = fleet.servers.iter().flat_map(Server::received);
     let bad_arrivals = received.filter(|r| is_bad(&r.head));
     Outcome {
         started,
-        ends,
+        crashes,
         bad_arrivals: bad_arrivals.map(|r| r.received_at).collect(),
         bad,
         sound,
@@ -136,17 +136,17 @@
 
 fn act_by_path(head: &RequestHead) -> Behavior {
     if ends_by_path(head) {
-        Behavior::EndAfter(0)
+        Behavior::CrashAfter(0)
     } else {
         Behavior::RespondAfterMs(WORK_MS)
     }
 }
 
-/// Failure: a client repeats a request, each time under a new attempt id, and ends server after server.
+/// Failure: a client repeats a request, each time under a new attempt id, and crashes server after server.
 ///
 /// No instance ties the attempts to each other, and each one goes to a server that still runs.
 #[test]
-fn repeated_request_stops_ending_servers() {
+fn repeated_request_stops_crashing_servers() {
     block_on(async {
         let fleet = Fleet::start(3, 8).await;
         fleet
@@ -167,8 +167,8 @@
         let late = outcome.late_arrivals(3);
         assert!(
             late <= MAX_LATE,
-            "{late} sent late, {} ends",
-            outcome.ends.len()
+            "{late} sent late, {} crashes",
+            outcome.crashes.len()
         );
         assert!(outcome.bad.iter().all(|a| matches!(a.status, 502 | 503)));
         let served = outcome.served_share(2 * DETECTION_TIME, length);
@@ -183,14 +183,14 @@
 
 fn stream_by_part(head: &RequestHead) -> Behavior {
     if ends_by_part(head) {
-        Behavior::EndAfter(0)
+        Behavior::CrashAfter(0)
     } else {
-        Behavior::Stream(SOUND_EVENTS)
+        Behavior::Stream(PROGRESS_EVENTS)
     }
 }
 
 /// Events of a sound stream.
-const SOUND_EVENTS: u64 = 6;
+const PROGRESS_EVENTS: u64 = 6;
 
 /// Returns a request with the parts `a1`, `second` and `last`.
 fn prompt(id: &str, second: &str, last: &str) -> String {
@@ -198,9 +198,9 @@
     request("POST", "/stream/x", id, &fields)
 }
 
-/// Failure: a client repeats a prompt, each time under a new attempt id, and ends server after server.
+/// Failure: a client repeats a prompt, each time under a new attempt id, and crashes server after server.
 #[test]
-fn repeated_prompt_stops_ending_servers() {
+fn repeated_prompt_stops_crashing_servers() {
     block_on(async {
         let fleet = Fleet::start(3, 8).await;
         fleet
@@ -227,8 +227,8 @@
         let late = outcome.late_arrivals(3);
         assert!(
             late <= MAX_LATE,
-            "{late} sent late, {} ends",
-            outcome.ends.len()
+            "{late} sent late, {} crashes",
+            outcome.crashes.len()
         );
         let served = outcome.served_share(2 * DETECTION_TIME, length);
         assert!(served > 0.9, "{served}");
@@ -250,17 +250,17 @@
 
 fn assert_bad_part_is_stopped(outcome: &Outcome, length: Duration) {
     let late = outcome.late_arrivals(5);
-    let ends = outcome.ends.len();
-    assert!(late <= MAX_LATE, "{late} sent late, {ends} ends");
+    let crashes = outcome.crashes.len();
+    assert!(late <= MAX_LATE, "{late} sent late, {crashes} crashes");
     let served = outcome.served_share(2 * DETECTION_TIME, length);
     assert!(served > 0.9, "{served}");
 }
 
-/// Failure: prompts with one part in common, no two alike, end server after server.
+/// Failure: prompts with one part in common, no two alike, crash server after server.
 ///
 /// Sound prompts share their other parts with them, and their account.
 #[test]
-fn prompts_with_a_part_that_ends_servers_are_stopped() {
+fn prompts_with_a_part_that_crashes_servers_are_stopped() {
     block_on(async {
         let fleet = Fleet::start(3, 8).await;
         let length = Duration::from_secs(11);
@@ -271,9 +271,9 @@
     });
 }
 
-/// Failure: the same, and no instance sees two of the first five ends.
+/// Failure: the same, and no instance sees two of the first five crashes.
 #[test]
-fn part_that_ends_servers_is_found_by_instances_that_see_one_end_each() {
+fn part_that_crashes_servers_is_found_by_instances_that_see_one_crash_each() {
     block_on(async {
         let fleet = Fleet::start(8, 12).await;
         let length = Duration::from_secs(11);
--- a/tests/testsuite/gateway/scripted_server.rs
+++ b/tests/testsuite/gateway/scripted_server.rs
@@ -114,8 +114,8 @@
     StreamWithoutIds(u64),
     /// Executes it and never responds.
     Hang,
-    /// Executes it, sends a stream's head and this many events, and ends: all its connections close.
-    EndAfter(u64),
+    /// Executes it, sends a stream's head and this many events, and crashes: all its connections close.
+    CrashAfter(u64),
 }
 
 /// One request that the server received.
@@ -153,8 +153,8 @@
     life: Life,
     /// Number of its starts.
     starts: usize,
-    /// When it ended, once for each life that did.
-    ended: Vec<Instant>,
+    /// When it crashed, once for each life that did.
+    crashed: Vec<Instant>,
 }
 
 /// The server, which listens until its process ends.
@@ -196,7 +196,7 @@
                 tokio::select! {
                     _ = ended.wait_for(|ended| *ended) => break,
                     accepted = listener.accept() => match accepted {
-                        Ok((stream, _)) => handle.serve_until_end(stream, &life),
+                        Ok((stream, _)) => handle.serve_until_crash(stream, &life),
                         Err(_failed) => break,
                     },
                 }
@@ -205,15 +205,15 @@
     }
 
     /// Serves a connection, which is closed when the process ends.
-    fn serve_until_end(&self, stream: TcpStream, life: &Life) {
+    fn serve_until_crash(&self, stream: TcpStream, life: &Life) {
         let (server, life) = (self.clone(), Arc::clone(life));
         tokio::spawn(async move {
             let (mut stream, mut ended) = (stream, life.subscribe());
-            let has_ended = tokio::select! {
+            let has_crashed = tokio::select! {
                 _ = ended.wait_for(|ended| *ended) => true,
                 () = server.serve(&mut stream, &life) => *life.borrow(),
             };
-            if has_ended && server.lock().resets {
+            if has_crashed && server.lock().resets {
                 let _set = stream.set_zero_linger();
             }
         });
@@ -222,7 +222,7 @@
     /// Resets its connections when it ends.
     ///
     /// The orderly end of a stream without length and chunks, between two events, looks like the end of a whole one.
-    pub fn reset_at_end(&self) {
+    pub fn reset_on_crash(&self) {
         self.lock().resets = true;
     }
 
@@ -235,7 +235,7 @@
     /// Ends the process of `life`.
     fn end(&self, life: &Life) {
         if !life.send_replace(true) {
-            self.lock().ended.push(Instant::now());
+            self.lock().crashed.push(Instant::now());
         }
     }
 
@@ -247,15 +247,15 @@
         }
     }
 
-    /// Returns when it ended, once for each life that did.
-    pub fn ends(&self) -> Vec<Instant> {
-        self.lock().ended.clone()
+    /// Returns when it crashed, once for each life that did.
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.lock().crashed.clone()
     }
 
     /// Returns whether it has ended and not started again.
     pub fn is_down(&self) -> bool {
         let state = self.lock();
-        state.ended.len() == state.starts
+        state.crashed.len() == state.starts
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -318,7 +318,7 @@
                 received_at: Instant::now(),
             });
             request_count += 1;
-            if let Behavior::EndAfter(events) = behavior {
+            if let Behavior::CrashAfter(events) = behavior {
                 self.send_events(stream, &head, events).await;
                 return self.end(life);
             }
@@ -449,7 +449,7 @@
                 }
                 return false;
             }
-            Behavior::EarlyResponse | Behavior::EndAfter(_) => Ok(()),
+            Behavior::EarlyResponse | Behavior::CrashAfter(_) => Ok(()),
             Behavior::Hang => {
                 self.work(stream, Duration::from_mins(1)).await;
                 return false;
--- a/tests/testsuite/gateway/server_ends.rs
+++ b/tests/testsuite/gateway/server_crashes.rs
@@ -1,4 +1,4 @@
-//! Servers that end while they run requests, and what the log says of it.
+//! Servers that crash while they run requests, and what the log says of it.
 
 use std::time::Duration;
 
@@ -11,12 +11,12 @@
 
 const PROMPT: &str = "Token-Usage: 30,10\r\nPrompt-Prefix: a1:10,b2:10,c3:10\r\n";
 
-/// Failure: the log tells that answers broke off, and not that their server ended, nor what it ran then.
+/// Failure: the log tells that answers broke off, and not that their server crashed, nor what it ran then.
 #[test]
 fn log_tells_which_requests_a_server_ran_when_it_ended() {
     block_on(async {
         let fleet = Fleet::start(1, 1).await;
-        fleet.servers[0].script(&[Behavior::RespondAfterMs(5_000), Behavior::EndAfter(0)]);
+        fleet.servers[0].script(&[Behavior::RespondAfterMs(5_000), Behavior::CrashAfter(0)]);
         let front = fleet.gateways[0].front();
 
         let waiting = tokio::spawn(async move {
@@ -27,15 +27,15 @@
         })
         .await;
         let ending = send_request(front, request("POST", "/whole/", "e", PROMPT).as_bytes()).await;
-        let waited = waiting.await.expect("the request ends");
+        let waited = waiting.await.expect("the request crashes");
         wait_until("the end is logged", || async {
-            !fleet.gateways[0].logged("server_ended").is_empty()
+            !fleet.gateways[0].logged("server_crashed").is_empty()
         })
         .await;
 
         assert_eq!(ending.expect("there is a response").status(), 502);
         assert_eq!(waited.expect("there is a response").status(), 502);
-        let line = &fleet.gateways[0].logged("server_ended")[0];
+        let line = &fleet.gateways[0].logged("server_crashed")[0];
         assert_eq!(
             (&line["server"], &line["broken"], &line["proof"]),
             (&json!("i-0"), &json!(2), &json!("refused"))
@@ -47,7 +47,7 @@
         assert!(running.iter().all(|r| r["events"] == 0));
         let metrics = fleet.gateways[0].metrics().await;
         assert!(
-            metrics.contains("hawthornmill_server_ends_total 1"),
+            metrics.contains("hawthornmill_server_crashes_total 1"),
             "{metrics}"
         );
     });
@@ -76,7 +76,7 @@
         tokio::time::sleep(Duration::from_millis(500)).await;
 
         assert_eq!(
-            fleet.gateways[0].logged("server_ended"),
+            fleet.gateways[0].logged("server_crashed"),
             [] as [serde_json::Value; 0]
         );
     });
@@ -84,7 +84,7 @@
 
 /// Failure: a server that leaves closes the connections of its last requests, and that counts as an unexpected end.
 #[test]
-fn draining_server_ends_as_expected() {
+fn connections_of_a_draining_server_close_as_expected() {
     block_on(async {
         let fleet = Fleet::start(1, 1).await;
         fleet.servers[0].script(&[Behavior::RespondAfterMs(5_000)]);
@@ -104,19 +104,19 @@
         })
         .await;
         fleet.servers[0].kill();
-        let _response = waiting.await.expect("the request ends");
+        let _response = waiting.await.expect("the request crashes");
         tokio::time::sleep(Duration::from_millis(300)).await;
 
         assert_eq!(
-            fleet.gateways[0].logged("server_ended"),
+            fleet.gateways[0].logged("server_crashed"),
             [] as [serde_json::Value; 0]
         );
     });
 }
 
-/// Failure: a proxy in front of a server takes connections after the server has ended, and its end is never known.
+/// Failure: a proxy in front of a server takes connections after the server has crashed, and its end is never known.
 #[test]
-fn server_behind_a_proxy_ends() {
+fn server_behind_a_proxy_crashes() {
     block_on(async {
         let fleet = Fleet::start(1, 1).await;
         let server = &fleet.servers[0];
@@ -128,16 +128,16 @@
             lines.iter().any(|l| l["address"] == address)
         })
         .await;
-        server.script(&[Behavior::EndAfter(0)]);
+        server.script(&[Behavior::CrashAfter(0)]);
 
         let text = request("POST", "/whole/", "e", PROMPT);
         let _broken = send_request(fleet.gateways[0].front(), text.as_bytes()).await;
         wait_until("the end is logged", || async {
-            !fleet.gateways[0].logged("server_ended").is_empty()
+            !fleet.gateways[0].logged("server_crashed").is_empty()
         })
         .await;
 
-        let line = &fleet.gateways[0].logged("server_ended")[0];
+        let line = &fleet.gateways[0].logged("server_crashed")[0];
         assert_eq!(
             (&line["proof"], &line["broken"]),
             (&json!("closed"), &json!(1))
@@ -166,8 +166,8 @@
         // Longer than a later run is waited for.
         tokio::time::sleep(Duration::from_millis(3_500)).await;
 
-        let ended = fleet.gateways[0].logged("server_ended");
-        assert_eq!(ended, [] as [serde_json::Value; 0]);
+        let crashed = fleet.gateways[0].logged("server_crashed");
+        assert_eq!(crashed, [] as [serde_json::Value; 0]);
         assert_eq!(fleet.gateways[0].logged("server_broke_off").len(), 1);
     });
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -31,7 +31,7 @@
 mod retries;
 mod rolling_restart;
 mod routing;
-mod server_ends;
+mod server_crashes;
 mod settings;
 mod shares;
 mod spans;
--- a/tests/testsuite/quarantine/mod.rs
+++ b/tests/testsuite/quarantine/mod.rs
@@ -1,4 +1,4 @@
-//! Requests under which servers end, decided in a fixed order with a simulated clock.
+//! Requests under which servers crash, decided in a fixed order with a simulated clock.
 
 mod parts;
 mod requests;
@@ -9,8 +9,8 @@
 use hawthornmill::ident::ServerId;
 use hawthornmill::quarantine::evidence::RunningRequest;
 use hawthornmill::quarantine::fingerprint::{Fingerprints, RequestContent};
-use hawthornmill::quarantine::news::QuarantineNews;
-use hawthornmill::quarantine::table::{Quarantine, Standing};
+use hawthornmill::quarantine::report::QuarantineReport;
+use hawthornmill::quarantine::table::{Quarantine, QuarantineStatus};
 use hawthornmill::routing::recent::{Audience, Source};
 use hawthornmill::routing::registry::ServerRun;
 use hawthornmill::routing::shape::PromptPart;
@@ -68,22 +68,25 @@
     }
 }
 
-fn end(table: &mut Quarantine, number: usize, running: &[RunningRequest], now: Instant) {
-    table.record_end(run(number), now, running, Source::Own, now);
+fn crash(table: &mut Quarantine, number: usize, running: &[RunningRequest], now: Instant) {
+    table.record_crash(run(number), now, running, Source::Own, now);
 }
 
 fn answer(table: &mut Quarantine, request: &RunningRequest, now: Instant) {
     for fingerprint in request.fingerprints.all() {
-        table.record_sound(fingerprint, now, Source::Own, now);
+        table.record_answer(fingerprint, now, Source::Own, now);
     }
 }
 
-fn standing(table: &mut Quarantine, request: &RunningRequest, now: Instant) -> Standing {
-    table.standing(&request.fingerprints, now)
+fn status(table: &mut Quarantine, request: &RunningRequest, now: Instant) -> QuarantineStatus {
+    table.status(&request.fingerprints, now)
 }
 
 fn is_quarantined(table: &mut Quarantine, request: &RunningRequest, now: Instant) -> bool {
-    matches!(standing(table, request, now), Standing::Quarantined(_))
+    matches!(
+        status(table, request, now),
+        QuarantineStatus::Quarantined(_)
+    )
 }
 
 /// Tells one instance what the other one announces.
@@ -94,6 +97,6 @@
 }
 
 /// Returns what an instance tells the others.
-fn news(table: &Quarantine, now: Instant) -> Vec<QuarantineNews> {
+fn news(table: &Quarantine, now: Instant) -> Vec<QuarantineReport> {
     table.messages(Audience::Domain, false, now)
 }
--- a/tests/testsuite/quarantine/parts.rs
+++ b/tests/testsuite/quarantine/parts.rs
@@ -1,11 +1,11 @@
-//! A part that prompts share, and parts that only happen to be there where servers end.
+//! A part that prompts share, and parts that only happen to be there where servers crash.
 
 use std::time::{Duration, Instant};
 
 use hawthornmill::quarantine::evidence::RunningRequest;
-use hawthornmill::quarantine::table::{Quarantine, Standing};
+use hawthornmill::quarantine::table::{Quarantine, QuarantineStatus};
 
-use super::{answer, end, is_quarantined, millis, prompt, standing};
+use super::{answer, crash, is_quarantined, millis, prompt, status};
 
 const FIRST: u64 = 1;
 const BAD: u64 = 2;
@@ -18,7 +18,7 @@
     )
 }
 
-fn ends_every(
+fn crashes_every(
     table: &mut Quarantine,
     interval: Duration,
     running: &[Vec<RunningRequest>],
@@ -26,7 +26,7 @@
 ) -> Instant {
     let mut at = now;
     for (number, running) in running.iter().enumerate() {
-        end(table, number, running, at);
+        crash(table, number, running, at);
         at += interval;
     }
     at
@@ -38,14 +38,14 @@
     let (mut table, now) = (Quarantine::default(), Instant::now());
     let running: Vec<_> = (0..4).map(|n| vec![unique(FIRST, BAD, n)]).collect();
 
-    let at = ends_every(&mut table, millis(250), &running, now);
+    let at = crashes_every(&mut table, millis(250), &running, now);
 
     let later = at + millis(700);
     assert!(is_quarantined(&mut table, &unique(FIRST, BAD, 9), later));
     assert!(is_quarantined(&mut table, &unique(7, BAD, 10), later));
     assert_eq!(
-        standing(&mut table, &unique(FIRST, 3, 11), later),
-        Standing::Clear
+        status(&mut table, &unique(FIRST, 3, 11), later),
+        QuarantineStatus::Clear
     );
 }
 
@@ -55,19 +55,19 @@
     let (mut table, now) = (Quarantine::default(), Instant::now());
     let running: Vec<_> = (0..9)
         .map(|n| match n {
-            // The report of the cause is lost, or the server ended by itself.
+            // The report of the cause is lost, or the server crashed by itself.
             2 => vec![unique(FIRST, 50, 100 + n)],
             _ => vec![unique(FIRST, BAD, n), unique(FIRST, 60 + n as u64, 100 + n)],
         })
         .collect();
 
-    let at = ends_every(&mut table, millis(250), &running, now);
+    let at = crashes_every(&mut table, millis(250), &running, now);
 
     let later = at + millis(700);
     assert!(is_quarantined(&mut table, &unique(FIRST, BAD, 20), later));
     assert_eq!(
-        standing(&mut table, &unique(FIRST, 3, 21), later),
-        Standing::Clear
+        status(&mut table, &unique(FIRST, 3, 21), later),
+        QuarantineStatus::Clear
     );
 }
 
@@ -79,13 +79,13 @@
         .map(|n| vec![unique(BAD, 30 + n as u64 / 2, n)])
         .collect();
 
-    let at = ends_every(&mut table, millis(250), &running, now);
+    let at = crashes_every(&mut table, millis(250), &running, now);
 
     let later = at + millis(700);
     assert!(is_quarantined(&mut table, &unique(BAD, 99, 20), later));
     assert_eq!(
-        standing(&mut table, &unique(FIRST, 30, 21), later),
-        Standing::Clear
+        status(&mut table, &unique(FIRST, 30, 21), later),
+        QuarantineStatus::Clear
     );
 }
 
@@ -101,13 +101,13 @@
         })
         .collect();
 
-    let at = ends_every(&mut table, millis(250), &running, now);
+    let at = crashes_every(&mut table, millis(250), &running, now);
 
     let later = at + millis(700);
     assert!(is_quarantined(&mut table, &bad, later));
     assert_eq!(
-        standing(&mut table, &unique(FIRST, 5, 60), later),
-        Standing::Clear
+        status(&mut table, &unique(FIRST, 5, 60), later),
+        QuarantineStatus::Clear
     );
 }
 
@@ -117,7 +117,7 @@
     let (mut table, now) = (Quarantine::default(), Instant::now());
     let running: Vec<_> = (0..6).map(|n| vec![unique(FIRST, BAD, n / 3)]).collect();
 
-    let at = ends_every(&mut table, millis(250), &running, now);
+    let at = crashes_every(&mut table, millis(250), &running, now);
 
     assert!(is_quarantined(
         &mut table,
@@ -126,14 +126,14 @@
     ));
 }
 
-/// Failure: a popular part is refused, since prompts with it run wherever a server ends.
+/// Failure: a popular part is refused, since prompts with it run wherever a server crashes.
 #[test]
 fn answered_parts_are_no_cause() {
     let (mut table, now) = (Quarantine::default(), Instant::now());
 
     for number in 0..30 {
         let at = now + millis(250) * number as u32;
-        end(&mut table, number, &[unique(FIRST, 5, number)], at);
+        crash(&mut table, number, &[unique(FIRST, 5, number)], at);
         if number % 3 == 2 {
             answer(
                 &mut table,
@@ -141,8 +141,8 @@
                 at + millis(100),
             );
         }
-        let held = standing(&mut table, &unique(FIRST, 5, 900), at + millis(150));
-        assert!(matches!(held, Standing::Clear), "{held:?}");
+        let held = status(&mut table, &unique(FIRST, 5, 900), at + millis(150));
+        assert!(matches!(held, QuarantineStatus::Clear), "{held:?}");
     }
 }
 
@@ -160,39 +160,39 @@
         })
         .collect();
 
-    let at = ends_every(&mut table, millis(250), &running, now);
+    let at = crashes_every(&mut table, millis(250), &running, now);
 
     let later = at + millis(700);
     assert_eq!(
-        standing(&mut table, &unique(FIRST, 5, 60), later),
-        Standing::Clear
+        status(&mut table, &unique(FIRST, 5, 60), later),
+        QuarantineStatus::Clear
     );
 }
 
-/// Failure: an account ends servers under another one's part, and that one's prompts are refused for good.
+/// Failure: an account crashes servers under another one's part, and that one's prompts are refused for good.
 #[test]
 fn part_of_another_account_is_cleared_by_its_answers() {
     let (mut table, now) = (Quarantine::default(), Instant::now());
     let running: Vec<_> = (0..4).map(|n| vec![unique(FIRST, 5, n)]).collect();
-    let at = ends_every(&mut table, millis(250), &running, now);
+    let at = crashes_every(&mut table, millis(250), &running, now);
     let refused = is_quarantined(&mut table, &unique(FIRST, 5, 60), at + millis(700));
 
-    // One that was sent before the verdict.
+    // One that was sent before the entry.
     answer(&mut table, &unique(FIRST, 5, 61), at + millis(900));
 
     assert!(refused);
-    let cleared = standing(&mut table, &unique(FIRST, 5, 62), at + millis(950));
-    assert_eq!(cleared, Standing::Clear);
+    let cleared = status(&mut table, &unique(FIRST, 5, 62), at + millis(950));
+    assert_eq!(cleared, QuarantineStatus::Clear);
 }
 
-/// Failure: the prompt that has just lost its server is sent again, though servers have ended under its part before.
+/// Failure: the prompt that has just lost its server is sent again, though servers have crashed under its part before.
 #[test]
 fn prompt_is_not_sent_again_after_two_ends_under_its_part() {
     let (mut table, now) = (Quarantine::default(), Instant::now());
 
     let before = table.allows_retry(&unique(FIRST, BAD, 9).fingerprints);
     let running: Vec<_> = (0..2).map(|n| vec![unique(FIRST, BAD, n)]).collect();
-    ends_every(&mut table, millis(250), &running, now);
+    crashes_every(&mut table, millis(250), &running, now);
 
     assert!(before);
     assert!(!table.allows_retry(&unique(FIRST, BAD, 9).fingerprints));
--- a/tests/testsuite/quarantine/requests.rs
+++ b/tests/testsuite/quarantine/requests.rs
@@ -1,4 +1,4 @@
-//! A request that is repeated, and others that only happen to run where servers end.
+//! A request that is repeated, and others that only happen to run where servers crash.
 
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
@@ -6,41 +6,44 @@
 use hawthornmill::ident::AccountId;
 use hawthornmill::quarantine::evidence::RunningRequest;
 use hawthornmill::quarantine::fingerprint::{Fingerprint, RequestContent};
-use hawthornmill::quarantine::table::{Change, QUARANTINE_TTL, Quarantine, Standing};
+use hawthornmill::quarantine::table::{Change, QUARANTINE_TTL, Quarantine, QuarantineStatus};
 use hawthornmill::routing::recent::{Audience, Source};
 use hawthornmill::routing::registry::ServerRun;
 use hawthornmill::routing::shape::PromptPart;
 use hawthornmill::wire::frame::MAX_DATAGRAM_BYTES;
 
 use super::{
-    after_events, answer, end, is_quarantined, millis, news, request, run, standing, tell,
+    after_events, answer, crash, is_quarantined, millis, news, request, run, status, tell,
 };
 
-/// Failure: a request ends server after server, since nothing ties its repeats to each other.
+/// Failure: a request crashes server after server, since nothing ties its repeats to each other.
 #[test]
 fn third_end_holds_a_request_and_then_refuses_it() {
     let (mut table, now) = (Quarantine::default(), Instant::now());
     let bad = request("/bad");
 
-    end(&mut table, 1, std::slice::from_ref(&bad), now);
-    end(&mut table, 2, std::slice::from_ref(&bad), now + millis(200));
-    let after_two = standing(&mut table, &bad, now + millis(300));
-    end(&mut table, 3, std::slice::from_ref(&bad), now + millis(400));
-    let after_three = standing(&mut table, &bad, now + millis(450));
-    let later = standing(&mut table, &bad, now + millis(1_100));
-
-    assert_eq!(after_two, Standing::Clear);
-    assert!(matches!(after_three, Standing::Held(_)), "{after_three:?}");
-    let Standing::Quarantined(quarantined) = later else {
+    crash(&mut table, 1, std::slice::from_ref(&bad), now);
+    crash(&mut table, 2, std::slice::from_ref(&bad), now + millis(200));
+    let after_two = status(&mut table, &bad, now + millis(300));
+    crash(&mut table, 3, std::slice::from_ref(&bad), now + millis(400));
+    let after_three = status(&mut table, &bad, now + millis(450));
+    let later = status(&mut table, &bad, now + millis(1_100));
+
+    assert_eq!(after_two, QuarantineStatus::Clear);
+    assert!(
+        matches!(after_three, QuarantineStatus::Held(_)),
+        "{after_three:?}"
+    );
+    let QuarantineStatus::Quarantined(quarantined) = later else {
         panic!("{later:?}");
     };
     assert_eq!(
-        (quarantined.ends, quarantined.retry_after),
+        (quarantined.crashes, quarantined.retry_after),
         (3, QUARANTINE_TTL)
     );
     assert_eq!(
-        standing(&mut table, &request("/7"), now + millis(1_100)),
-        Standing::Clear
+        status(&mut table, &request("/7"), now + millis(1_100)),
+        QuarantineStatus::Clear
     );
 }
 
@@ -59,7 +62,7 @@
             } else {
                 vec![request(&format!("/{number}"))]
             };
-            end(
+            crash(
                 &mut table,
                 number,
                 &running,
@@ -68,11 +71,11 @@
         }
     }
 
-    let verdict = standing(&mut table, &long, now + millis(13_000));
-    assert_eq!(verdict, Standing::Clear);
+    let entry = status(&mut table, &long, now + millis(13_000));
+    assert_eq!(entry, QuarantineStatus::Clear);
 }
 
-/// Failure: the repeats of two clients end two servers in one moment, and that counts as a rack.
+/// Failure: the repeats of two clients crash two servers in one group, and that counts as a rack.
 #[test]
 fn request_that_ran_on_all_servers_of_a_moment_is_their_cause() {
     let (mut table, now) = (Quarantine::default(), Instant::now());
@@ -82,7 +85,7 @@
         let at = now + millis(300) * wave;
         for server in 0..2 {
             let number = wave as usize * 2 + server;
-            end(
+            crash(
                 &mut table,
                 number,
                 &[bad.clone(), request(&format!("/{number}"))],
@@ -92,19 +95,19 @@
     }
 
     assert!(matches!(
-        standing(&mut table, &bad, now + millis(700)),
-        Standing::Held(_)
+        status(&mut table, &bad, now + millis(700)),
+        QuarantineStatus::Held(_)
     ));
 }
 
-/// Failure: a request that is answered elsewhere stays refused because of servers that ended under it by chance.
+/// Failure: a request that is answered elsewhere stays refused because of servers that crashed under it by chance.
 #[test]
 fn answered_request_is_cleared() {
     let (mut table, now) = (Quarantine::default(), Instant::now());
     let popular = request("/popular");
 
     for number in 0..3 {
-        end(
+        crash(
             &mut table,
             number,
             std::slice::from_ref(&popular),
@@ -112,9 +115,9 @@
         );
     }
     answer(&mut table, &popular, now + millis(500));
-    let cleared = standing(&mut table, &popular, now + millis(2_000));
+    let cleared = status(&mut table, &popular, now + millis(2_000));
     for number in 3..5 {
-        end(
+        crash(
             &mut table,
             number,
             std::slice::from_ref(&popular),
@@ -122,11 +125,11 @@
         );
     }
 
-    assert_eq!(cleared, Standing::Clear);
-    assert_eq!(table.earlier_ends(popular.fingerprints.request), 2);
+    assert_eq!(cleared, QuarantineStatus::Clear);
+    assert_eq!(table.earlier_crashes(popular.fingerprints.request), 2);
     assert_eq!(
-        standing(&mut table, &popular, now + millis(9_000)),
-        Standing::Clear
+        status(&mut table, &popular, now + millis(9_000)),
+        QuarantineStatus::Clear
     );
 }
 
@@ -136,7 +139,7 @@
     let (mut here, mut there, now) = (Quarantine::default(), Quarantine::default(), Instant::now());
     let wrong = request("/wrong");
     for number in 0..3 {
-        end(
+        crash(
             &mut here,
             number,
             std::slice::from_ref(&wrong),
@@ -152,12 +155,12 @@
     tell(&here, &mut there, at + millis(900));
 
     assert_eq!(
-        standing(&mut here, &wrong, at + millis(900)),
-        Standing::Clear
+        status(&mut here, &wrong, at + millis(900)),
+        QuarantineStatus::Clear
     );
     assert_eq!(
-        standing(&mut there, &wrong, at + millis(900)),
-        Standing::Clear
+        status(&mut there, &wrong, at + millis(900)),
+        QuarantineStatus::Clear
     );
     let changes = there.take_changes();
     assert_eq!(
@@ -166,7 +169,7 @@
     );
 }
 
-/// Failure: each instance sees one end, so none of them ever knows of three.
+/// Failure: each instance sees one crash, so none of them ever knows of three.
 #[test]
 fn instances_that_saw_one_end_each_find_the_cause_together() {
     let now = Instant::now();
@@ -174,7 +177,7 @@
     let mut instances = vec![Quarantine::default(); 3];
 
     for (number, table) in instances.iter_mut().enumerate() {
-        end(
+        crash(
             table,
             number,
             std::slice::from_ref(&bad),
@@ -191,7 +194,7 @@
 
     for table in &mut instances {
         assert!(is_quarantined(table, &bad, at + millis(700)));
-        assert_eq!(table.earlier_ends(bad.fingerprints.request), 3);
+        assert_eq!(table.earlier_crashes(bad.fingerprints.request), 3);
     }
 }
 
@@ -202,7 +205,7 @@
         (Quarantine::default(), Quarantine::default(), Instant::now());
     let bad = request("/bad");
     for number in 0..3 {
-        end(
+        crash(
             &mut known,
             number,
             std::slice::from_ref(&bad),
@@ -227,18 +230,18 @@
     for (number, events) in [70, 12, 31, 44].into_iter().enumerate() {
         let at = now + millis(300 * number as u64);
         let running = [after_events("/long", events), after_events("/same", 20)];
-        end(&mut table, number, &running, at);
+        crash(&mut table, number, &running, at);
     }
 
     let later = now + millis(2_000);
     assert_eq!(
-        standing(&mut table, &request("/long"), later),
-        Standing::Clear
+        status(&mut table, &request("/long"), later),
+        QuarantineStatus::Clear
     );
     assert!(is_quarantined(&mut table, &request("/same"), later));
 }
 
-/// Failure: a sound request that is sent again lands where the next server ends, and is refused with the cause.
+/// Failure: a sound request that is sent again lands where the next server crashes, and is refused with the cause.
 #[test]
 fn request_that_ran_beside_the_cause_goes_on() {
     let (mut table, now) = (Quarantine::default(), Instant::now());
@@ -250,7 +253,7 @@
         } else {
             vec![bad.clone()]
         };
-        end(
+        crash(
             &mut table,
             number,
             &running,
@@ -260,16 +263,16 @@
 
     let later = now + millis(2_000);
     assert!(is_quarantined(&mut table, &bad, later));
-    assert_eq!(standing(&mut table, &beside, later), Standing::Clear);
+    assert_eq!(status(&mut table, &beside, later), QuarantineStatus::Clear);
 }
 
-/// Failure: a quarantine outlives its cause, or each of its ends costs as many servers as the first one did.
+/// Failure: a quarantine outlives its cause, or each of its crashes costs as many servers as the first one did.
 #[test]
 fn quarantine_lapses_without_requests_and_one_more_end_renews_it() {
     let (mut table, now) = (Quarantine::default(), Instant::now());
     let bad = request("/bad");
     for number in 0..3 {
-        end(
+        crash(
             &mut table,
             number,
             std::slice::from_ref(&bad),
@@ -284,19 +287,19 @@
     assert!(!table.is_empty());
     table.update(kept);
     assert!(!table.is_empty(), "a request was refused in between");
-    let lapsed = refused_at + QUARANTINE_TTL;
-    assert_eq!(standing(&mut table, &bad, lapsed), Standing::Clear);
-    end(
+    let expired = refused_at + QUARANTINE_TTL;
+    assert_eq!(status(&mut table, &bad, expired), QuarantineStatus::Clear);
+    crash(
         &mut table,
         3,
         std::slice::from_ref(&bad),
-        lapsed + millis(100),
+        expired + millis(100),
     );
 
-    assert!(is_quarantined(&mut table, &bad, lapsed + millis(800)));
+    assert!(is_quarantined(&mut table, &bad, expired + millis(800)));
 }
 
-/// Failure: a client fills the memory of all instances, or a datagram, with requests under which servers end.
+/// Failure: a client fills the memory of all instances, or a datagram, with requests under which servers crash.
 #[test]
 fn what_is_kept_and_told_is_bounded() {
     let (mut table, now) = (Quarantine::default(), Instant::now());
@@ -306,7 +309,7 @@
         let bad = request(&format!("/{}", number / 3));
         let others = (0..200).map(|n| request(&format!("/{number}/{n}")));
         let running: Vec<_> = std::iter::once(bad).chain(others).collect();
-        end(&mut table, number, &running, at);
+        crash(&mut table, number, &running, at);
         table.update(at);
         for message in table.messages(Audience::OtherDomains, true, at) {
             let bytes = postcard::to_stdvec(&message).expect("it can be encoded");
@@ -318,7 +321,7 @@
     assert!(table.len() > 100, "{}", table.len());
 }
 
-/// Failure: an end that two instances report, each with what it ran there, counts twice.
+/// Failure: a crash that two instances report, each with what it ran there, counts twice.
 #[test]
 fn end_that_two_instances_saw_counts_once() {
     let (mut table, now) = (Quarantine::default(), Instant::now());
@@ -326,8 +329,8 @@
 
     for number in 0..2 {
         let at = now + millis(200 * number as u64);
-        end(&mut table, number, std::slice::from_ref(&bad), at);
-        table.record_end(
+        crash(&mut table, number, std::slice::from_ref(&bad), at);
+        table.record_crash(
             run(number),
             at + millis(40),
             &[bad.clone(), request("/other")],
@@ -336,10 +339,10 @@
         );
     }
 
-    assert_eq!(table.earlier_ends(bad.fingerprints.request), 2);
+    assert_eq!(table.earlier_crashes(bad.fingerprints.request), 2);
     assert_eq!(
-        standing(&mut table, &bad, now + millis(2_000)),
-        Standing::Clear
+        status(&mut table, &bad, now + millis(2_000)),
+        QuarantineStatus::Clear
     );
 }
 
@@ -416,7 +419,7 @@
     let (mut table, now) = (Quarantine::default(), Instant::now());
     let bad = request("/bad");
     for number in 0..3 {
-        end(
+        crash(
             &mut table,
             number,
             std::slice::from_ref(&bad),
@@ -425,8 +428,8 @@
     }
     assert!(is_quarantined(&mut table, &bad, now + millis(1_100)));
 
-    table.set_trusted(&[bad.fingerprints.request], now + millis(1_200));
-    end(
+    table.set_exempt(&[bad.fingerprints.request], now + millis(1_200));
+    crash(
         &mut table,
         3,
         std::slice::from_ref(&bad),
@@ -434,12 +437,12 @@
     );
 
     assert_eq!(
-        standing(&mut table, &bad, now + millis(3_000)),
-        Standing::Clear
+        status(&mut table, &bad, now + millis(3_000)),
+        QuarantineStatus::Clear
     );
 }
 
-/// Failure: servers that don't tell when they started end again and again, and all of it counts as one end.
+/// Failure: servers that don't tell when they started crash again and again, and all of it counts as one crash.
 #[test]
 fn ends_of_a_server_without_a_start_are_told_apart_by_their_times() {
     let (mut table, now) = (Quarantine::default(), Instant::now());
@@ -452,7 +455,7 @@
     for number in 0..3 {
         let at = now + millis(2_000 * number);
         for seen_at in [at, at + millis(80)] {
-            table.record_end(
+            table.record_crash(
                 unnamed,
                 seen_at,
                 std::slice::from_ref(&bad),
@@ -462,7 +465,7 @@
         }
     }
 
-    assert_eq!(table.earlier_ends(bad.fingerprints.request), 3);
+    assert_eq!(table.earlier_crashes(bad.fingerprints.request), 3);
 }
 
 /// Failure: all servers are down most of the time, so nothing is answered, and the request that most callers send is
@@ -479,7 +482,7 @@
         });
         let cause = (number % 4 != 0).then(|| bad.clone());
         let running: Vec<_> = copies.chain(cause).collect();
-        end(
+        crash(
             &mut table,
             number,
             &running,
@@ -489,16 +492,16 @@
 
     let later = now + millis(3_000);
     assert!(is_quarantined(&mut table, &bad, later));
-    assert_eq!(standing(&mut table, &popular, later), Standing::Clear);
+    assert_eq!(status(&mut table, &popular, later), QuarantineStatus::Clear);
 }
 
-/// Failure: a request was refused before the cause that explains the same ends was known, and stays so.
+/// Failure: a request was refused before the cause that explains the same crashes was known, and stays so.
 #[test]
 fn quarantine_is_lifted_when_another_cause_explains_its_ends() {
     let (mut table, now) = (Quarantine::default(), Instant::now());
     let (bad, beside) = (request("/bad"), request("/beside"));
     for number in 0..3 {
-        end(
+        crash(
             &mut table,
             number,
             std::slice::from_ref(&beside),
@@ -510,7 +513,7 @@
     // An instance whose news comes late ran the cause there, and at one server more.
     for number in 0..4 {
         let at = now + millis(200 * number as u64);
-        table.record_end(
+        table.record_crash(
             run(number),
             at,
             std::slice::from_ref(&bad),
@@ -520,13 +523,13 @@
     }
 
     assert_eq!(
-        standing(&mut table, &beside, now + millis(1_300)),
-        Standing::Clear
+        status(&mut table, &beside, now + millis(1_300)),
+        QuarantineStatus::Clear
     );
     assert!(is_quarantined(&mut table, &bad, now + millis(1_900)));
 }
 
-/// Failure: so many requests were answered after an end that no further answer clears anything.
+/// Failure: so many requests were answered after a crash that no further answer clears anything.
 #[test]
 fn latest_answers_count_however_many_there_were() {
     let (mut table, now) = (Quarantine::default(), Instant::now());
@@ -534,7 +537,7 @@
     for number in 0..64 {
         let others = (0..46).map(|n| request(&format!("/{number}/{n}")));
         let running: Vec<_> = others.collect();
-        end(
+        crash(
             &mut table,
             number,
             &running,
@@ -548,12 +551,12 @@
 
     for number in 0..3 {
         let at = later + millis(200 * number as u64);
-        end(&mut table, 100 + number, std::slice::from_ref(&popular), at);
+        crash(&mut table, 100 + number, std::slice::from_ref(&popular), at);
     }
     answer(&mut table, &popular, later + millis(500));
 
     assert_eq!(
-        standing(&mut table, &popular, later + millis(3_000)),
-        Standing::Clear
+        status(&mut table, &popular, later + millis(3_000)),
+        QuarantineStatus::Clear
     );
 }
--- a/tests/testsuite/quarantine/simulation.rs
+++ b/tests/testsuite/quarantine/simulation.rs
@@ -1,12 +1,12 @@
-//! Fleets whose servers end, played with a simulated clock: what is found, and what is refused wrongly.
+//! Fleets whose servers crash, played with a simulated clock: what is found, and what is refused wrongly.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use hawthornmill::ident::ServerId;
 use hawthornmill::quarantine::evidence::RunningRequest;
-use hawthornmill::quarantine::news::QuarantineNews;
-use hawthornmill::quarantine::table::{Quarantine, Standing};
+use hawthornmill::quarantine::report::QuarantineReport;
+use hawthornmill::quarantine::table::{Quarantine, QuarantineStatus};
 use hawthornmill::routing::recent::{Audience, Source};
 use hawthornmill::routing::registry::ServerRun;
 use rand::rngs::StdRng;
@@ -15,7 +15,7 @@
 use super::{millis, prompt};
 
 const TICK: Duration = Duration::from_millis(10);
-/// Part of prompts under which servers end.
+/// Part of prompts under which servers crash.
 const BAD: u64 = 0xbad;
 /// Time from the start of a run to its first event, at most.
 const MAX_START_MS: u64 = 400;
@@ -42,10 +42,10 @@
     loss: f64,
     /// Most time that a message takes.
     delay_ms: u64,
-    /// Servers that end together every two seconds, without a cause.
+    /// Servers that crash together every two seconds, without a cause.
     rack: usize,
-    /// Servers a second that end alone, without a cause.
-    lone_ends: f64,
+    /// Servers a second that crash alone, without a cause.
+    lone_crashes: f64,
     seconds: u64,
 }
 
@@ -60,7 +60,7 @@
     loss: 0.0,
     delay_ms: 60,
     rack: 0,
-    lone_ends: 0.0,
+    lone_crashes: 0.0,
     seconds: 30,
 };
 
@@ -83,8 +83,8 @@
 /// What a play showed.
 #[derive(Debug, Default)]
 struct Outcome {
-    /// Seconds after the start at which servers ended under the bad part.
-    bad_ends: Vec<f64>,
+    /// Seconds after the start at which servers crashed under the bad part.
+    bad_crashes: Vec<f64>,
     /// Seconds after the start at which prompts with the bad part reached servers.
     bad_sent: Vec<f64>,
     sound: usize,
@@ -97,7 +97,7 @@
 impl Outcome {
     /// Returns the prompts that reached servers later than four seconds after the fifth end.
     fn late(&self) -> usize {
-        let Some(fifth) = self.bad_ends.get(4) else {
+        let Some(fifth) = self.bad_crashes.get(4) else {
             return 0;
         };
         self.bad_sent.iter().filter(|at| **at > fifth + 4.0).count()
@@ -114,7 +114,7 @@
     /// Requests that are to be sent by an instance.
     waiting: Vec<(usize, RunningRequest, bool)>,
     /// Messages under way, by arrival.
-    messages: BTreeMap<Instant, Vec<(usize, QuarantineNews)>>,
+    messages: BTreeMap<Instant, Vec<(usize, QuarantineReport)>>,
     numbers: u64,
     outcome: Outcome,
 }
@@ -142,7 +142,7 @@
             self.arrive();
             self.deliver_messages();
             self.send_waiting();
-            self.end_servers_without_cause(tick);
+            self.crash_servers_without_cause(tick);
             self.run_servers();
             if tick % REPORT_TICKS < 2 {
                 self.tell(tick);
@@ -183,13 +183,13 @@
 
     fn send_waiting(&mut self) {
         for (instance, request, bad) in std::mem::take(&mut self.waiting) {
-            match self.tables[instance].standing(&request.fingerprints, self.now) {
-                Standing::Clear => self.send(instance, request, bad),
-                Standing::Held(_) => {
+            match self.tables[instance].status(&request.fingerprints, self.now) {
+                QuarantineStatus::Clear => self.send(instance, request, bad),
+                QuarantineStatus::Held(_) => {
                     self.outcome.held_ticks += usize::from(!bad);
                     self.waiting.push((instance, request, bad));
                 }
-                Standing::Quarantined(_) => self.outcome.refused += usize::from(!bad),
+                QuarantineStatus::Quarantined(_) => self.outcome.refused += usize::from(!bad),
             }
         }
     }
@@ -217,17 +217,17 @@
         });
     }
 
-    fn end_servers_without_cause(&mut self, tick: u64) {
+    fn crash_servers_without_cause(&mut self, tick: u64) {
         if tick % 200 == 150 {
             for _ in 0..self.plan.rack {
                 let server = self.rng.random_range(0..self.servers.len());
-                self.end_server(server);
+                self.crash_server(server);
             }
         }
-        let lone_ends = self.plan.lone_ends;
-        if self.happens(lone_ends) {
+        let lone_crashes = self.plan.lone_crashes;
+        if self.happens(lone_crashes) {
             let server = self.rng.random_range(0..self.servers.len());
-            self.end_server(server);
+            self.crash_server(server);
         }
     }
 
@@ -242,21 +242,21 @@
             let begins_bad = server.running.iter().any(|r| r.bad && r.first_event <= now);
             if begins_bad {
                 let at = now.duration_since(self.start).as_secs_f64();
-                self.outcome.bad_ends.push(at);
-                self.end_server(number);
+                self.outcome.bad_crashes.push(at);
+                self.crash_server(number);
                 continue;
             }
             let done: Vec<Run> = server.running.extract_if(.., |r| r.end <= now).collect();
             for run in done {
                 let table = &mut self.tables[run.instance];
                 for fingerprint in run.request.fingerprints.all() {
-                    table.record_sound(fingerprint, now, Source::Own, now);
+                    table.record_answer(fingerprint, now, Source::Own, now);
                 }
             }
         }
     }
 
-    fn end_server(&mut self, number: usize) {
+    fn crash_server(&mut self, number: usize) {
         let now = self.now;
         let server = &mut self.servers[number];
         if server.back_at.is_some() {
@@ -273,7 +273,7 @@
             let own = broken.iter().filter(|r| r.instance == instance);
             let running: Vec<RunningRequest> = own.clone().map(|r| after_events(r, now)).collect();
             let table = &mut self.tables[instance];
-            table.record_end(run, now, &running, Source::Own, now);
+            table.record_crash(run, now, &running, Source::Own, now);
             for run in own {
                 // Sent again once, as the gateway does.
                 if table.allows_retry(&run.request.fingerprints) {
@@ -313,7 +313,7 @@
     }
 }
 
-/// Returns a request as it was when its server ended: an event comes every 50 ms.
+/// Returns a request as it was when its server crashed: an event comes every 50 ms.
 fn after_events(run: &Run, now: Instant) -> RunningRequest {
     let since = now.saturating_duration_since(run.first_event);
     let events = if now < run.first_event || run.bad {
@@ -337,7 +337,11 @@
 fn assert_bad_is_found(outcomes: &[Outcome]) {
     for outcome in outcomes {
         let late = outcome.late();
-        assert!(late <= 3, "{late} late, ends at {:?}", outcome.bad_ends);
+        assert!(
+            late <= 3,
+            "{late} late, crashes at {:?}",
+            outcome.bad_crashes
+        );
     }
 }
 
@@ -366,7 +370,7 @@
     }
 }
 
-/// Failure: a bad part that comes seldom is forgotten between two of its prompts, or ends servers for long.
+/// Failure: a bad part that comes seldom is forgotten between two of its prompts, or crashes servers for long.
 #[test]
 fn seldom_bad_part_is_found() {
     let plan = Plan {
@@ -379,17 +383,17 @@
 
     assert_bad_is_found(&outcomes);
     assert_sound_go_on(&outcomes);
-    let most = outcomes.iter().map(|o| o.bad_ends.len()).max();
-    assert!(most <= Some(7), "{most:?} ends");
+    let most = outcomes.iter().map(|o| o.bad_crashes.len()).max();
+    assert!(most <= Some(7), "{most:?} crashes");
 }
 
-/// Failure: racks die and servers end alone beside the bad part, so it isn't found, or sound parts are refused.
+/// Failure: racks die and servers crash alone beside the bad part, so it isn't found, or sound parts are refused.
 #[test]
-fn bad_part_beside_other_ends_is_found() {
+fn bad_part_beside_other_crashes_is_found() {
     let plan = Plan {
         bad_rate: 4.0,
         rack: 3,
-        lone_ends: 0.5,
+        lone_crashes: 0.5,
         ..CALM
     };
 
@@ -399,13 +403,13 @@
     assert_sound_go_on(&outcomes);
 }
 
-/// Failure: racks die and servers end alone, and requests that happened to run there are refused.
+/// Failure: racks die and servers crash alone, and requests that happened to run there are refused.
 #[test]
-fn ends_without_a_cause_refuse_nothing() {
+fn crashes_without_a_cause_refuse_nothing() {
     for (first_parts, second_parts) in [(8, 312), (1, 20), (1, 1), (200, 2_000)] {
         let plan = Plan {
             rack: 4,
-            lone_ends: 1.0,
+            lone_crashes: 1.0,
             first_parts,
             second_parts,
             ..CALM
@@ -417,7 +421,7 @@
     }
 }
 
-/// Failure: datagrams are lost or late, and instances never hear of the ends that others saw, or of the answers.
+/// Failure: datagrams are lost or late, and instances never hear of the crashes that others saw, or of the answers.
 #[test]
 fn bad_part_is_found_though_messages_are_lost() {
     let plan = Plan {
@@ -451,7 +455,7 @@
     assert_sound_go_on(&outcomes);
 }
 
-/// Failure: in a fleet of hundreds of instances none sees two of the ends, and news comes late through relays.
+/// Failure: in a fleet of hundreds of instances none sees two of the crashes, and news comes late through relays.
 #[test]
 fn bad_part_is_found_in_large_fleets() {
     for (instances, servers, seeds) in [(24, 60, 0..2), (295, 160, 0..1)] {
--- a/tests/testsuite/server_ends.rs
+++ b/tests/testsuite/server_crashes.rs
@@ -15,16 +15,16 @@
 use crate::{ROUTER, block_on};
 
 const SERVERS: usize = 6;
-/// Time after which a server that ended is back.
+/// Time after which a server that crashed is back.
 const RESTART_PAUSE: Duration = Duration::from_secs(1);
-/// Time within which the fleet must know a call that ends servers.
+/// Time within which the fleet must know a call that crashes servers.
 const DETECTION_TIME: Duration = Duration::from_secs(4);
 const ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 13\r\n\r\n{\"running\":0}";
 
-/// When servers ended, and when calls that end servers reached one.
+/// When servers crashed, and when calls that end servers reached one.
 #[derive(Debug, Default)]
 struct Seen {
-    ends: Vec<Instant>,
+    crashes: Vec<Instant>,
     bad: Vec<Instant>,
 }
 
@@ -32,7 +32,7 @@
     seen.lock().expect("no holder panics")
 }
 
-/// Answers one request after another; returns once one comes that ends the server.
+/// Answers one request after another; returns once one comes that crashes the server.
 async fn serve(mut stream: TcpStream, seen: Arc<Mutex<Seen>>, end: mpsc::Sender<()>) {
     let mut bytes = vec![0; 4_096];
     while let Ok(count) = stream.read(&mut bytes).await {
@@ -51,21 +51,21 @@
     }
 }
 
-/// Runs a server that ends under some calls, with all its connections, and comes back.
+/// Runs a server that crashes under some calls, with all its connections, and comes back.
 async fn run_server(address: SocketAddr, seen: Arc<Mutex<Seen>>) {
     loop {
         let listener = TcpListener::bind(address).await.expect("the port is free");
         let mut connections = JoinSet::new();
-        let (end, mut ended) = mpsc::channel(1);
+        let (end, mut crashed) = mpsc::channel(1);
         loop {
             tokio::select! {
                 Ok((stream, _)) = listener.accept() => {
                     connections.spawn(serve(stream, Arc::clone(&seen), end.clone()));
                 }
-                _ = ended.recv() => break,
+                _ = crashed.recv() => break,
             }
         }
-        lock(&seen).ends.push(Instant::now());
+        lock(&seen).crashes.push(Instant::now());
         drop(listener);
         drop(connections);
         tokio::time::sleep(RESTART_PAUSE).await;
@@ -79,7 +79,7 @@
 
 /// Failure: a caller repeats a call at any router, and each router sends it to server after server.
 #[test]
-fn repeated_call_stops_ending_servers() {
+fn repeated_call_stops_crashing_servers() {
     block_on(async {
         let site = small_site(ROUTER, 3).await;
         let seen: Arc<Mutex<Seen>> = Arc::default();
@@ -118,9 +118,9 @@
         }
 
         let seen = std::mem::take(&mut *lock(&seen));
-        let known = seen.ends[2] + DETECTION_TIME;
+        let known = seen.crashes[2] + DETECTION_TIME;
         let late = seen.bad.iter().filter(|at| **at > known).count();
-        assert!(late <= 3, "{late} late, {} ends", seen.ends.len());
+        assert!(late <= 3, "{late} late, {} crashes", seen.crashes.len());
         assert_eq!(statuses.last(), Some(&503), "{statuses:?}");
         let last = sound.iter().filter(|(at, _)| *at > Duration::from_secs(6));
         assert!(last.clone().all(|(_, status)| *status == 200), "{sound:?}");
