Check gateway catalogs for entries without effect, contradictory limits and differences

Cause: hawthornmill-check catalog stopped at the first fault and knew only routes without a region. Change: the check reports all faults, entries that can never match, limits that contradict each other or the settings of a gateway (retry budget, [hedging]), and differences from the version in force, read from a file or from the store. Text and JSON; exit codes 0 to 3. Findings are numbered from 5101 on.

--- a/crates/hawthornmill-tools/src/check/mod.rs
+++ b/crates/hawthornmill-tools/src/check/mod.rs
@@ -1,10 +1,12 @@
 //! Validates settings, fleet configurations and catalogs before they are deployed.
 //!
-//! Exit codes: 0 valid, 1 valid but with warnings under `--strict`, 2 invalid or unreadable.
+//! Exit codes: 0 valid, 1 valid but with warnings, 2 invalid, 3 for a command line that can't be read. Warnings give 1
+//! for a catalog always, otherwise under `--strict`. A file that can't be read gives 3 for a catalog, otherwise 2.
 
 pub mod catalog;
 mod show;
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use argh::FromArgs;
@@ -16,8 +18,10 @@
 use hawthornmill_gateway::settings::Settings as GatewaySettings;
 use hawthornmill_net::settings::Settings;
 
-/// Check settings and fleet configurations. Exit codes: 0 valid, 1 valid but with warnings under
-/// --strict, 2 invalid or unreadable.
+use catalog::PresentSource;
+
+/// Check settings, fleet configurations and catalogs. Exit codes: 0 valid, 1 valid but with warnings (of catalogs;
+/// otherwise under --strict), 2 invalid, 3 something can't be read (of catalogs; otherwise 2).
 #[derive(Debug, FromArgs)]
 pub struct CheckArgs {
     #[argh(subcommand)]
@@ -67,7 +71,8 @@
     file: PathBuf,
 }
 
-/// Check a gateway catalog in the platform's format.
+/// Check a gateway catalog in the platform's format. Exit codes: 0 nothing found or differences only, 1 warnings,
+/// 2 errors, 3 something can't be read.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "catalog")]
 struct CatalogArgs {
@@ -77,11 +82,18 @@
     /// file of the catalog in force, to compare with
     #[argh(option)]
     present: Option<PathBuf>,
-    /// settings file of a gateway, which names the regions
+    /// address (IP:port) of the store, from which the catalog in force and the registered servers are read
+    #[argh(option)]
+    store: Option<SocketAddr>,
+    /// settings file of a gateway, which names the regions, the retry budget and the hedging of requests
     #[argh(option)]
     settings: Option<PathBuf>,
-    /// exit with 1 when there are warnings
+    /// print one JSON object
+    #[argh(switch)]
+    json: bool,
+    /// no effect: warnings give exit code 1 without it; kept for scripts that set it
     #[argh(switch)]
+    #[expect(dead_code, reason = "the command line of earlier versions stays valid")]
     strict: bool,
 }
 
@@ -94,12 +106,30 @@
     token: String,
 }
 
-/// Runs the tool and returns the exit code of the process.
-pub fn main(args: &CheckArgs) -> u8 {
+/// Exit code for a command line that can't be read; 1 would mean warnings.
+const EXIT_BAD_ARGUMENTS: u8 = 3;
+
+/// Runs the tool with the words of its command line and returns the exit code of the process.
+pub fn run(words: &[&str]) -> u8 {
+    let arguments = words.get(1..).unwrap_or_default();
+    match CheckArgs::from_args(&["hawthornmill-check"], arguments) {
+        Ok(args) => main(&args),
+        Err(exit) if exit.status.is_ok() => {
+            println!("{}", exit.output);
+            0
+        }
+        Err(exit) => {
+            eprintln!("{}", exit.output);
+            EXIT_BAD_ARGUMENTS
+        }
+    }
+}
+
+fn main(args: &CheckArgs) -> u8 {
     let result = match &args.command {
         Command::Settings(args) => Settings::load(&args.file).map(|_| settings_valid()),
         Command::Gateway(args) => GatewaySettings::load(&args.file).map(|_| settings_valid()),
-        Command::Catalog(args) => check_catalog(args),
+        Command::Catalog(args) => return check_catalog(args),
         Command::Fleet(args) => check_fleet(args),
         Command::Token(args) => Ok(CheckReport {
             text: format!("{}\n", blake3::hash(args.token.as_bytes()).to_hex()),
@@ -137,20 +167,23 @@
     }
 }
 
-fn check_catalog(args: &CatalogArgs) -> Result<CheckReport, Vec<Diagnostic>> {
-    let candidate = catalog::read(&args.file)?;
-    let mut text = catalog::describe(&candidate);
-    if let Some(present) = &args.present {
-        text += &catalog::changes(&catalog::read(present)?, &candidate);
+fn check_catalog(args: &CatalogArgs) -> u8 {
+    let present = match (&args.present, args.store) {
+        (Some(_), Some(_)) => {
+            eprintln!("only one of --present and --store can be given");
+            return EXIT_BAD_ARGUMENTS;
+        }
+        (Some(path), None) => Some(PresentSource::File(path.clone())),
+        (None, store) => store.map(PresentSource::Store),
+    };
+    let report = catalog::check_files(&args.file, args.settings.as_deref(), present.as_ref());
+    if args.json {
+        print!("{}", report.json());
+    } else {
+        print!("{}", report.summary());
+        eprint!("{}", report.problems());
     }
-    let settings = args.settings.as_deref().map(GatewaySettings::load);
-    let settings = settings.transpose()?;
-    let regions = settings.map(|s| s.regions.iter().map(|(_, r)| *r).collect::<Vec<_>>());
-    Ok(CheckReport {
-        text,
-        warnings: catalog::warnings(&candidate, regions.as_deref()),
-        strict: args.strict,
-    })
+    report.exit_code()
 }
 
 fn check_fleet(args: &FleetArgs) -> Result<CheckReport, Vec<Diagnostic>> {
--- a/crates/hawthornmill-tools/src/check/show.rs
+++ b/crates/hawthornmill-tools/src/check/show.rs
@@ -65,7 +65,8 @@
     writeln!(out, "  {} others stay as they are", comparison.unchanged)
 }
 
-fn format_names(kind: &str, names: &[Box<str>]) -> String {
+/// Returns the number of `names` and the first few of them.
+pub fn format_names(kind: &str, names: &[Box<str>]) -> String {
     let more = names.len().saturating_sub(MAX_LISTED_NAMES);
     let listed: Vec<&str> = names.iter().take(MAX_LISTED_NAMES).map(|n| &**n).collect();
     let plural = if names.len() == 1 { "" } else { "s" };
--- a/crates/hawthornmill/src/codes.rs
+++ b/crates/hawthornmill/src/codes.rs
@@ -155,4 +155,64 @@
     FrameTooLarge = 4004, 0, "peer frame over the bound";
     /// A peer's frame of another protocol version.
     FrameVersionMismatch = 4005, 0, "peer frame of another version";
+    /// A limit of 0, with which every request fails.
+    LimitOfZero = 5101, 0, "limit of 0";
+    /// Two services or two accounts with the same name.
+    NameDefinedTwice = 5102, 0, "name defined twice";
+    /// A token that two accounts have; it identifies only one of them.
+    TokenShared = 5103, 0, "token of two accounts";
+    /// An account with the empty token.
+    TokenEmpty = 5104, 0, "empty token";
+    /// Weights of a route whose sum is too large to be drawn from.
+    WeightsTooLarge = 5105, 0, "weights too large";
+    /// A catalog version that gateways ignore.
+    VersionTooLow = 5106, 0, "version never comes into force";
+    /// A route that no request can match.
+    RouteUnmatched = 5201, 0, "no request can match the route";
+    /// A region in which no server can be.
+    RegionUnknown = 5202, 0, "no server is in the region";
+    /// A route that no region can serve, for some accounts or for all.
+    RouteUnserved = 5203, 0, "no region can serve the route";
+    /// A service that gets no requests from any route.
+    ServiceUnused = 5204, 0, "service without a route";
+    /// A target of a route that gets no requests of its own.
+    TargetUnused = 5205, 0, "target without requests";
+    /// An account without a token.
+    AccountWithoutToken = 5206, 0, "account without a token";
+    /// A route whose timeout is below its latency objective.
+    TimeoutBelowObjective = 5207, 0, "timeout below the latency objective";
+    /// Routes with several attempts where the retry budget is 0.
+    AttemptsWithoutBudget = 5208, 0, "several attempts without a retry budget";
+    /// Hedged requests where the retry budget is 0.
+    HedgingWithoutBudget = 5209, 0, "hedging without a retry budget";
+    /// Hedging settings that lead to no hedge, for some routes or for all.
+    HedgingUnused = 5210, 0, "hedging that never takes place";
+    /// A value that gateways ignore or replace.
+    ValueIgnored = 5211, 0, "value ignored or replaced";
+    /// A service whose servers accept fewer connections than they have slots.
+    FewConnections = 5212, 0, "fewer connections than slots";
+    /// A route of the catalog in force that the candidate lacks.
+    RouteRemoved = 5213, 0, "route removed";
+    /// A service of the catalog in force that the candidate lacks.
+    ServiceRemoved = 5214, 0, "service removed";
+    /// A host of the catalog in force that has no route in the candidate.
+    HostRemoved = 5215, 0, "host without routes";
+    /// All accounts are removed, so that callers need no token.
+    AccountsRemoved = 5216, 0, "callers need no token any more";
+    /// A service with a route but without a registered server.
+    ServiceWithoutServer = 5217, 0, "service without a server";
+    /// Two routes with the same name.
+    RouteNameShared = 5218, 0, "two routes share a name";
+    /// The catalog to compare with is one that gateways refuse.
+    PresentRefused = 5219, 0, "version in force would be refused";
+    /// An entry that the catalog in force lacks.
+    EntryAdded = 5301, 0, "entry added";
+    /// An entry that differs from the catalog in force.
+    EntryChanged = 5302, 0, "entry changed";
+    /// An account of the catalog in force that the candidate lacks.
+    EntryRemoved = 5303, 0, "entry removed";
+    /// The store holds no catalog.
+    NothingInForce = 5304, 0, "no version in force";
+    /// The catalog to compare with can't be parsed.
+    PresentUnparsable = 5401, 0, "version in force can't be parsed";
 }
--- a/crates/hawthornmill/src/routing/catalog.rs
+++ b/crates/hawthornmill/src/routing/catalog.rs
@@ -176,39 +176,38 @@
 /// # Errors
 /// Returns the code and the text of the first fault; no part of the catalog may come into force then.
 pub fn validate(catalog: &Catalog) -> Result<(), (Code, Box<str>)> {
+    let faults = faults(catalog, |service| format!("{:x}", service.0).into());
+    faults.into_iter().next().map_or(Ok(()), Err)
+}
+
+/// Returns the code and the text of each fault for which the catalog is refused; `name_of` returns the name of a service
+/// that the catalog doesn't define.
+pub fn faults(catalog: &Catalog, name_of: impl Fn(ServiceId) -> Box<str>) -> Vec<(Code, Box<str>)> {
     let services: BTreeSet<ServiceId> = catalog.services.iter().map(|s| s.id).collect();
     let mut seen = BTreeSet::new();
+    let mut faults = Vec::new();
+    let mut report = |code: Code, what: String| faults.push((code, what.into()));
     for route in &catalog.routes {
-        let name = &route.name;
-        if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
-            let what = format!(
-                "route {name}: prefix `{}` must begin and end with a slash",
-                route.prefix
-            );
-            return Err((Code::BadValue, what.into()));
+        let (name, prefix) = (&route.name, &route.prefix);
+        if !prefix.starts_with('/') || !prefix.ends_with('/') {
+            let what = format!("route {name}: prefix `{prefix}` must begin and end with a slash");
+            report(Code::BadValue, what);
         }
         if route.targets.iter().all(|t| t.weight == 0) {
             let what = format!("route {name} has no target with a weight above 0");
-            return Err((Code::BadValue, what.into()));
+            report(Code::BadValue, what);
         }
-        if let Some(target) = route
-            .targets
-            .iter()
-            .find(|t| !services.contains(&t.service))
-        {
-            let what = format!(
-                "route {name} names an unknown service {:x}",
-                target.service.0
-            );
-            return Err((Code::UnknownReference, what.into()));
+        let is_unknown = |t: &&Target| !services.contains(&t.service);
+        for target in route.targets.iter().filter(is_unknown) {
+            let service = name_of(target.service);
+            let what = format!("route {name} names an unknown service {service}");
+            report(Code::UnknownReference, what);
         }
-        if !seen.insert((&route.host, &route.prefix)) {
-            let what = format!(
-                "route {name}: duplicate host and prefix {}{}",
-                route.host, route.prefix
-            );
-            return Err((Code::Duplicate, what.into()));
+        if !seen.insert((&route.host, prefix)) {
+            let host = &route.host;
+            let what = format!("route {name}: duplicate host and prefix {host}{prefix}");
+            report(Code::Duplicate, what);
         }
     }
-    Ok(())
+    faults
 }
--- a/src/bin/hawthornmill-check.rs
+++ b/src/bin/hawthornmill-check.rs
@@ -5,5 +5,7 @@
 use hawthornmill_tools::check;
 
 fn main() -> ExitCode {
-    check::main(&argh::from_env()).into()
+    let words: Vec<String> = std::env::args().collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    check::run(&words).into()
 }
--- a/tests/testsuite/check.rs
+++ b/tests/testsuite/check.rs
@@ -7,10 +7,9 @@
 use hawthornmill::config::compare::warnings;
 use hawthornmill::config::entitlement::entitlements;
 use hawthornmill::config::names::NameRegistry;
-use hawthornmill::ident::{AccountId, RegionId, ServiceId};
+use hawthornmill::ident::{AccountId, ServiceId};
 use hawthornmill_test_support::fleet::FleetBuilder;
 use hawthornmill_test_support::procs::small_fleet;
-use hawthornmill_tools::check::catalog::warnings as catalog_warnings;
 
 const CHECK: &str = env!("CARGO_BIN_EXE_hawthornmill-check");
 
@@ -164,32 +163,3 @@
 
     assert_eq!(found, [None, None, None, Some("one".into())]);
 }
-
-/// Failure: a route is bound to regions that the fleet doesn't have, or that its account may not use, and each of its
-/// requests is refused.
-#[test]
-fn route_that_no_region_can_serve_is_reported() {
-    let catalog = hawthornmill_platform::catalog::parse(
-        br#"{"version":1,"services":[{"name":"s"}],"routes":[
-            {"name":"anywhere","host":"h","pathPrefix":"/a/","kind":"idempotent","timeoutMs":9,"service":"s"},
-            {"name":"north","host":"h","pathPrefix":"/n/","kind":"idempotent","timeoutMs":9,"service":"s",
-             "allowedRegions":["north"]},
-            {"name":"west","host":"h","pathPrefix":"/w/","kind":"idempotent","timeoutMs":9,"service":"s",
-             "allowedRegions":["west"]}],
-          "tenants":[{"name":"free","apiKeys":["k"]},{"name":"bound","apiKeys":["l"],"allowedRegions":["south"]}]}"#,
-    );
-    let catalog = catalog.expect("the catalog is valid");
-    let known = ["north", "south"].map(RegionId::of);
-
-    let with_settings = catalog_warnings(&catalog, Some(&known)).join("\n");
-    let without = catalog_warnings(&catalog, None).join("\n");
-
-    insta::assert_snapshot!(with_settings, @r"
-    route north: no region can serve it for account bound
-    route west: no region can serve it
-    ");
-    insta::assert_snapshot!(without, @r"
-    route north: no region can serve it for account bound
-    route west: no region can serve it for account bound
-    ");
-}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod access_control;
 mod at_most_once;
+mod catalog_check;
 mod causes;
 mod check;
 mod configuration;
