Say in the check's output how many sources can't be read

Cause: a check whose sources were unreadable ended with '0 errors, 0 warnings' and exit code 3. Change: the last line and the JSON object count them.

--- a/crates/hawthornmill-tools/src/check/catalog/finding.rs
+++ b/crates/hawthornmill-tools/src/check/catalog/finding.rs
@@ -188,9 +188,16 @@
         }
         let differences = self.of(|severity| severity == Severity::Info);
         lines.extend(differences.map(ToString::to_string));
-        let (errors, warnings) = (self.count(Severity::Error), self.count(Severity::Warning));
-        lines.push(format!("{errors} errors, {warnings} warnings\n"));
-        lines.join("\n")
+        let count = |severity: Severity, kind: &str| format!("{} {kind}", self.count(severity));
+        let mut counts = vec![
+            count(Severity::Error, "errors"),
+            count(Severity::Warning, "warnings"),
+        ];
+        if self.count(Severity::Unreadable) > 0 {
+            counts.push(count(Severity::Unreadable, "can't be read"));
+        }
+        lines.push(counts.join(", "));
+        lines.join("\n") + "\n"
     }
 
     /// Returns the findings that are no mere differences as lines of text.
@@ -206,6 +213,7 @@
         let mut report = serde_json::json!(self);
         report["errors"] = self.count(Severity::Error).into();
         report["warnings"] = self.count(Severity::Warning).into();
+        report["unreadable"] = self.count(Severity::Unreadable).into();
         report["exit_code"] = self.exit_code().into();
         format!("{report:#}\n")
     }
--- a/tests/testsuite/gateway/invalid_config.rs
+++ b/tests/testsuite/gateway/invalid_config.rs
@@ -134,7 +134,7 @@
     "#);
     let mut rest = output;
     rest["findings"] = json!([]);
-    insta::assert_snapshot!(rest, @r#"{"accounts":1,"errors":0,"exit_code":1,"findings":[],"in_force":4,"routes":6,"services":1,"version":5,"warnings":3}"#);
+    insta::assert_snapshot!(rest, @r#"{"accounts":1,"errors":0,"exit_code":1,"findings":[],"in_force":4,"routes":6,"services":1,"unreadable":0,"version":5,"warnings":3}"#);
 }
 
 /// Failure: a store that refuses, or never answers, holds up the tool or passes for an empty one.
@@ -158,6 +158,7 @@
         "{refusing:?}"
     );
     assert!(silent.2.contains("unreadable 2008"), "{silent:?}");
+    assert!(silent.1.contains("1 can't be read"), "{silent:?}");
     assert!(empty.1.contains("info 5304"), "{empty:?}");
     assert!(empty.2.contains("warning 5217: service app"), "{empty:?}");
 }
