Test that the catalog check gives up on a store without end

Cause: the limits on a response and on repeated pages had no test. Change: a store that sends an endless body and one that repeats a page; each ends the check with 2008.

--- a/tests/testsuite/gateway/invalid_config.rs
+++ b/tests/testsuite/gateway/invalid_config.rs
@@ -1,5 +1,7 @@
 //! The tool that checks settings and catalogs before they are deployed.
 
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::Command;
 
@@ -190,3 +192,41 @@
     );
     assert!(settings_errors.contains("error 1004"), "{settings_errors}");
 }
+
+/// Answers each call on its first connection with `head` and then `body`, `times` times.
+fn store_that_sends(head: &'static str, body: &'static str, times: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    std::thread::spawn(move || {
+        let (mut stream, _from) = listener.accept().expect("the tool connects");
+        let mut request = [0; 1_024];
+        while stream.read(&mut request).is_ok_and(|bytes| bytes > 0) {
+            let mut parts = std::iter::once(head).chain(std::iter::repeat_n(body, times));
+            if parts.any(|part| stream.write_all(part.as_bytes()).is_err()) {
+                return;
+            }
+        }
+    });
+    address
+}
+
+/// Failure: a store that sends a body or a list without end fills the memory of the tool, or keeps it forever.
+#[test]
+fn store_without_end_is_given_up() {
+    let newer = write_file("no-end.json", &sound_config(5).to_string());
+    let page = r#"{"entries":[{"key":"op/a","value":"","revision":1}],"hasMore":true,"asOf":1}"#;
+    let length = "HTTP/1.1 200 OK\r\nContent-Length: 76\r\n\r\n";
+    let endless = store_that_sends("HTTP/1.1 200 OK\r\n\r\n", page, usize::MAX);
+    let repeating = store_that_sends(length, page, 1);
+    let run = |store: SocketAddr| check(&["catalog", "--store", &store.to_string()], &[&newer]);
+
+    let (endless, repeating) = (run(endless), run(repeating));
+
+    assert_eq!((endless.0, repeating.0), (Some(3), Some(3)));
+    let problems =
+        [endless.2, repeating.2].map(|p| p.split_once(": ").map(|(_, why)| why.to_owned()));
+    insta::assert_snapshot!(problems.map(Option::unwrap_or_default).concat(), @r"
+    unreadable 2008: a response of over 4194304 bytes
+    unreadable 2008: the list of `op/` doesn't go on
+    ");
+}
