Parse all figures of a server's load; model of server speed, used in placement

Cause: only the first two figures of the load header were read, so a server whose work takes 2.5 times as long for a moment looked like any other one, and a lasting difference was learnt by each instance alone and forgotten in 2 s.

Change: ServerReport holds slots, speed and the number of unreadable figures. SpeedTable learns a lasting part and keeps the last figure. Placement and the backlog rate use both for services whose servers report the fourth figure. Scheduler::reports_speed tells which services do.

--- a/crates/hawthornmill-gateway/src/lib.rs
+++ b/crates/hawthornmill-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`store_watch`] | watches the platform's store |
 //! | [`datagrams`], [`gossip`] | messages between instances over UDP |
 //! | [`state_sync`], [`pending_state`] | pulls catalogs and registrations from other instances |
+//! | [`server_speeds`] | how long work takes at each server, as instances tell each other |
 //! | [`endpoints`] | readiness, directory, metrics |
 //! | [`relay`] | what relays of a large fleet pass on |
 //! | [`event_log`], [`metrics`] | the event log, and the counters |
@@ -38,6 +39,7 @@
 pub mod proxy;
 pub mod relay;
 pub mod server_crashes;
+pub mod server_speeds;
 pub mod settings;
 pub mod state_sync;
 pub mod store_watch;
--- a/crates/hawthornmill-gateway/src/proxy/send.rs
+++ b/crates/hawthornmill-gateway/src/proxy/send.rs
@@ -27,6 +27,7 @@
 use crate::http::head::{self, Framing, ResponseHead};
 use crate::http::write::MessageBuffer;
 use crate::pool::Upstream;
+use crate::server_speeds;
 
 /// Status of a server that is not the expected one and did not execute the request.
 const MISDIRECTED_REQUEST: u16 = 421;
@@ -341,11 +342,7 @@
             continue;
         }
         if let Some(load) = (gateway.adapter.parse_load)(&head.headers) {
-            gateway
-                .scheduler
-                .borrow_mut()
-                .loads
-                .apply_server_report(server, load, gateway.now());
+            server_speeds::apply_report(gateway, server, load);
         }
         let misdirected = head.status == MISDIRECTED_REQUEST;
         if !misdirected {
--- a/crates/hawthornmill/src/routing/loads.rs
+++ b/crates/hawthornmill/src/routing/loads.rs
@@ -11,7 +11,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::load_parts::{PartKey, REST_OF_FLEET, Scope, WorkPart};
+use super::registry::Registration;
 use super::remote_work::RemoteWork;
+use super::server_speed::{BelievedSpeed, ServerSpeed, SpeedFigure, SpeedTable};
 use crate::ident::{InstanceId, ServerId};
 
 /// Age up to which a server's own report is used beside what is known of its work.
@@ -63,12 +65,20 @@
 }
 
 /// Load that a server reports itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ServerReport {
     /// Running requests.
     pub running: u32,
     /// Queued requests.
     pub waiting: u32,
+    /// Whether either of these counts could be read; one that could not is 0.
+    pub has_counts: bool,
+    /// Requests that it runs concurrently.
+    pub slots: Option<u32>,
+    /// How long work takes there now.
+    pub speed: Option<SpeedFigure>,
+    /// Figures of the report that could not be read.
+    pub unreadable: u8,
 }
 
 /// Outcome of a request, as far as it concerns the server's health.
@@ -159,7 +169,8 @@
         if let Some((report, at)) = self.report
             && now.duration_since(at) < SERVER_REPORT_TTL
         {
-            work.running = work.running.max(report.running + report.waiting);
+            let reported = report.running.saturating_add(report.waiting);
+            work.running = work.running.max(reported);
         }
         work
     }
@@ -183,6 +194,7 @@
 pub struct KnownLoad<'a> {
     local: Option<&'a Server>,
     remote: Work,
+    speed: Option<&'a ServerSpeed>,
 }
 
 impl KnownLoad<'_> {
@@ -205,6 +217,12 @@
         }
     }
 
+    /// Returns what is believed of the server's speed.
+    pub fn speed(&self, now: Instant) -> BelievedSpeed {
+        self.speed
+            .map_or(BelievedSpeed::USUAL, |speed| speed.believed(now))
+    }
+
     /// Returns whether the server gets no work now because it couldn't be reached.
     ///
     /// After its backoff it gets one request, and further ones only after a response to that.
@@ -224,6 +242,7 @@
 pub struct LoadCursor<'a> {
     local: Peekable<btree_map::Iter<'a, ServerId, Server>>,
     remote: Peekable<btree_map::Iter<'a, ServerId, Work>>,
+    speeds: Peekable<btree_map::Iter<'a, ServerId, ServerSpeed>>,
 }
 
 impl<'a> LoadCursor<'a> {
@@ -234,6 +253,7 @@
             remote: advance_to(&mut self.remote, server)
                 .copied()
                 .unwrap_or_default(),
+            speed: advance_to(&mut self.speeds, server),
         }
     }
 }
@@ -255,6 +275,8 @@
     unreported: u32,
     /// Latest known prefill rate of servers, in tokens per second.
     rate: f64,
+    /// How long work takes at the servers.
+    pub speeds: SpeedTable,
 }
 
 impl LoadTracker {
@@ -262,10 +284,12 @@
     pub fn begin(&mut self, server: ServerId, work: Work, rate: f64, now: Instant) {
         self.unreported = self.unreported.saturating_add(work.pending_prefill);
         self.rate = rate;
+        self.speeds.record_decision();
+        let speed = self.speeds.get(server).map(|s| s.believed(now).factor());
         let state = self.servers.entry(server).or_default();
         state.local.add(work);
         state.local.total_prefill = state.local.total_prefill.wrapping_add(work.pending_prefill);
-        state.backlog.rate = rate / state.slowdown.at(now);
+        state.backlog.rate = rate / speed.unwrap_or_else(|| state.slowdown.at(now));
         state.backlog.add(work.pending_prefill, now);
     }
 
@@ -286,6 +310,7 @@
         KnownLoad {
             local: self.servers.get(&server),
             remote: self.remote.at(server),
+            speed: self.speeds.get(server),
         }
     }
 
@@ -294,6 +319,7 @@
         LoadCursor {
             local: self.servers.iter().peekable(),
             remote: self.remote.sums().peekable(),
+            speeds: self.speeds.iter().peekable(),
         }
     }
 
@@ -412,7 +438,8 @@
             // Without a rate, the backlog of a server that this instance has not used would never drain, and the server would
             // never be used.
             if state.backlog.rate <= 0.0 {
-                state.backlog.rate = self.rate;
+                let speed = self.speeds.get(server).map(|s| s.believed(now).factor());
+                state.backlog.rate = self.rate / speed.unwrap_or(1.0);
             }
             state.backlog.add(begun, now);
         }
@@ -425,11 +452,30 @@
             .retain(|id, s| s.local.running > 0 || keep(*id));
     }
 
-    /// Applies a server's own report.
+    /// Applies a server's own report; one without a readable count leaves the previous one in force.
     pub fn apply_server_report(&mut self, server: ServerId, report: ServerReport, now: Instant) {
+        if !report.has_counts {
+            return;
+        }
         self.servers.entry(server).or_default().report = Some((report, now));
     }
 
+    /// Applies the figure in a server's own report of how long work takes there; its backlog drains accordingly from now on.
+    pub fn apply_speed_figure(
+        &mut self,
+        server: ServerId,
+        registration: &Registration,
+        figure: SpeedFigure,
+        now: Instant,
+    ) {
+        self.speeds.record_figure(server, registration, figure, now);
+        let factor = self.speeds.believed(server, now).factor();
+        if let Some(state) = self.servers.get_mut(&server) {
+            state.backlog.add(0, now);
+            state.backlog.rate = self.rate / factor;
+        }
+    }
+
     /// Records the outcome of a request.
     pub fn record_outcome(&mut self, server: ServerId, outcome: ServerOutcome, now: Instant) {
         let state = self.servers.entry(server).or_default();
--- a/crates/hawthornmill/src/routing/mod.rs
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -21,6 +21,7 @@
 //! | [`unmet_demand`] | work that recently found no capacity |
 //! | [`scheduler`] | admission, queueing and refusal |
 //! | [`gossip`] | reports that instances exchange, and the table of peers |
+//! | [`server_speed`] | how long work takes at each server, from its reports and from measured times |
 //! | [`lag`] | time since a newer catalog or revision was first heard of |
 //! | [`fragments`] | transfer of a large response in datagrams |
 //! | [`domain_summary`] | members of the failure domains of a large fleet, as relays name them |
@@ -53,6 +54,7 @@
 pub mod route_table;
 pub mod scheduler;
 pub mod server_notices;
+pub mod server_speed;
 pub mod shape;
 pub mod store_start;
 pub mod stream_versions;
--- a/crates/hawthornmill/src/routing/placement.rs
+++ b/crates/hawthornmill/src/routing/placement.rs
@@ -19,14 +19,18 @@
 use super::regions::{AllowedRegions, Eligibility};
 use super::registry::{Registry, RegistryEntry};
 use super::server_notices::{Availability, ServerNotices};
+use super::server_speed::SpeedTable;
 use super::shape::Shape;
 use super::ttft::TtftEstimate;
 use crate::ident::{DomainId, RegionId, ServerId, ServiceId, VersionId, mix};
 
 mod fetch;
+mod speed;
 
 pub use fetch::Fetch;
 use fetch::fetch;
+use speed::{CandidateSpeed, Fastest, expected_times};
+pub use speed::{PassedOver, PlacedSpeed};
 
 /// Shared tokens from which a family has one home in the whole fleet: their prefill costs more than the round trip.
 const FLEET_WIDE_TOKENS: u32 = 2_000;
@@ -146,6 +150,8 @@
     pub spilled: bool,
     /// Where the server fetches cached tokens that it lacks.
     pub fetch: Option<Fetch>,
+    /// What was believed of the server's speed; set where servers of the service report it.
+    pub speed: Option<PlacedSpeed>,
 }
 
 /// Servers that a queued request waits for.
@@ -179,6 +185,8 @@
     time_limit: Duration,
     /// TTFT from which the request is at risk of being late.
     risk_start: Duration,
+    /// Set where servers of the service report their speed.
+    speeds: Option<&'a SpeedTable>,
 }
 
 impl RequestContext<'_> {
@@ -224,16 +232,23 @@
         shared_tokens: request.shape.shared_tokens(),
         time_limit: request.time_left.mul_f64(request.latency_fraction),
         risk_start: request.time_left.mul_f64(RISK_THRESHOLD),
+        speeds: Some(&view.loads.speeds).filter(|s| s.reports(request.service)),
     };
+    let mut fastest = Fastest::default();
     let mut best: Option<(Placement, f64)> = None;
     let mut full = HomeServers::new();
     let mut soonest: Option<(u32, ServerId)> = None;
     let mut prefix_limited = false;
     for candidate in &candidates {
-        match evaluate(request, candidate, &context, now) {
+        let speed = CandidateSpeed::of(candidate, &context, now);
+        let evaluated = evaluate(request, candidate, &context, speed, now);
+        if let Some(speed) = speed {
+            fastest.record(candidate.server, speed, evaluated.as_ref().err());
+        }
+        match evaluated {
             Ok(found) if best.is_none_or(|(_, cost)| found.1 < cost) => best = Some(found),
             Ok(_) | Err(Rejection::TooLong) => {}
-            Err(Rejection::Full { queued }) => {
+            Err(Rejection::Full { queued } | Rejection::TooSlow { queued }) => {
                 full.push(candidate.server);
                 if soonest.is_none_or(|(least, _)| queued < least) {
                     soonest = Some((queued, candidate.server));
@@ -246,6 +261,7 @@
     match best {
         Some((placement, _)) => Ok(Placement {
             fetch: fetch(request, &context, placement.server),
+            speed: placement.speed.map(|speed| fastest.compare(speed)),
             ..placement
         }),
         None if full.is_empty() => Err(PlacementError::TooLong),
@@ -403,6 +419,11 @@
     Reserved,
     /// The request would be late there even without other work.
     TooLong,
+    /// The request would be in time there at the usual speed, but isn't at the present one.
+    TooSlow {
+        /// Prefill cost there until the request's first token, in tokens.
+        queued: u32,
+    },
     /// It isn't among the servers that may prefill the shared prefix for this account.
     PrefixLimit,
 }
@@ -412,6 +433,7 @@
     request: &PlacementRequest<'_>,
     candidate: &Candidate<'_>,
     context: &RequestContext<'_>,
+    speed: Option<CandidateSpeed>,
     now: Instant,
 ) -> Result<(Placement, f64), Rejection> {
     let homes = &context.homes;
@@ -447,14 +469,13 @@
     {
         return Err(full);
     }
-    let slowdown = load.slowdown.max(1.0);
     let base = request
         .engine
         .map_or(Duration::ZERO, |_| request.ttft.base_latency);
     let round_trip = ROUND_TRIPS[candidate.tier];
+    let own_time = base + request.ttft.prefill_time(prefill);
     let baseline = base + request.ttft.prefill_time(queued) + round_trip;
-    let expected = slowed(baseline, slowdown);
-    let unloaded = slowed(base + request.ttft.prefill_time(prefill), slowdown) + round_trip;
+    let (expected, unloaded) = expected_times(speed, load.slowdown, baseline, own_time, round_trip);
     if request.latency_fraction < 1.0 && expected > context.time_limit {
         return Err(
             if unloaded > request.full_objective.mul_f64(request.latency_fraction) {
@@ -464,6 +485,11 @@
             },
         );
     }
+    // A slow server gets nothing that is late only because of its speed; a retry takes what there is.
+    let is_late = expected > request.time_left && baseline <= request.time_left;
+    if speed.is_some() && is_late && request.excluded.is_empty() {
+        return Err(Rejection::TooSlow { queued });
+    }
     let placement = Placement {
         server: candidate.server,
         work: Work {
@@ -480,6 +506,7 @@
         duplicate_prefill: duplicate,
         spilled: home.is_some_and(|h| h != candidate.server),
         fetch: None,
+        speed: speed.map(|s| s.placed(total.running < candidate.slots)),
     };
     let utilization = f64::from(total.running) / capacity;
     let cost = cost(
@@ -489,16 +516,11 @@
         utilization,
         load.failure_rate,
     );
-    Ok((placement, cost))
-}
-
-/// Returns `time` on a server that takes `slowdown` times as long, 1 or more.
-fn slowed(time: Duration, slowdown: f64) -> Duration {
-    if slowdown > 1.0 {
-        time.mul_f64(slowdown)
-    } else {
-        time
-    }
+    let adjustment = speed.map_or(0.0, |speed| match request.engine {
+        Some(_) => speed.engine_adjustment(own_time),
+        None => speed.plain_adjustment(total.running, candidate.slots, utilization),
+    });
+    Ok((placement, cost + adjustment))
 }
 
 /// Returns the cost of a placement to its request and to others, in seconds.
--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -316,7 +316,9 @@
         time: Option<Duration>,
         now: Instant,
     ) {
-        if let Some(time) = time.filter(|_| placement.queued_prefill > 0) {
+        if let (Some(speed), Some(time)) = (placement.speed, time) {
+            self.record_speed(service, placement, speed, time, now);
+        } else if let Some(time) = time.filter(|_| placement.queued_prefill > 0) {
             let model = self.ttft_models.entry(service).or_default();
             model.observe(
                 placement.queued_prefill,
--- a/crates/hawthornmill/src/routing/scheduler/servers.rs
+++ b/crates/hawthornmill/src/routing/scheduler/servers.rs
@@ -7,7 +7,8 @@
 use crate::routing::announcements::ColdServer;
 use crate::routing::catalog::Catalog;
 use crate::routing::evacuations::Evacuation;
-use crate::routing::placement::HomeServers;
+use crate::routing::loads::ServerReport;
+use crate::routing::placement::{HomeServers, PlacedSpeed, Placement};
 use crate::routing::registry::{Change, RegistrationList};
 use crate::routing::server_notices::Availability;
 
@@ -98,6 +99,47 @@
         .collect()
     }
 
+    /// Applies what a server reports of itself in a response.
+    pub fn apply_server_report(&mut self, server: ServerId, report: ServerReport, now: Instant) {
+        self.loads.apply_server_report(server, report, now);
+        let Some(figure) = report.speed else {
+            return;
+        };
+        if let Some(entry) = self.registry.get(server) {
+            self.loads
+                .apply_speed_figure(server, &entry.registration, figure, now);
+        }
+    }
+
+    /// Returns whether servers of `service` report how long work takes there.
+    pub fn reports_speed(&self, service: ServiceId) -> bool {
+        self.loads.speeds.reports(service)
+    }
+
+    /// Records how long the first token took at a server whose service reports speeds.
+    ///
+    /// Times count as those of a usual server in the estimate of the service. It would otherwise follow the servers that get
+    /// most requests, and the instances would compare servers with different standards.
+    pub(super) fn record_speed(
+        &mut self,
+        service: ServiceId,
+        placement: &Placement,
+        speed: PlacedSpeed,
+        time: Duration,
+        now: Instant,
+    ) {
+        let served = time.saturating_sub(placement.round_trip);
+        let speeds = &mut self.loads.speeds;
+        if placement.queued_prefill > 0 {
+            let expected = placement.baseline_ttft.saturating_sub(placement.round_trip);
+            let usual = speeds.record_time(placement.server, &self.registry, expected, served, now);
+            let model = self.ttft_models.entry(service).or_default();
+            model.observe(placement.queued_prefill, usual, now);
+        } else if speed.has_free_slot {
+            speeds.record_plain_time(placement.server, &self.registry, served, now);
+        }
+    }
+
     /// Applies a whole list of registrations; see
     /// [`Registry::replace_all`](crate::routing::registry::Registry::replace_all).
     pub fn replace_registrations(&mut self, list: RegistrationList, now: Instant) {
@@ -105,12 +147,14 @@
         self.drop_lost_caches();
     }
 
-    /// Drops cached prefixes of servers that are gone or have restarted under the same name.
+    /// Drops cached prefixes and speeds of servers that are gone or have restarted under the same name.
     ///
-    /// Otherwise a restarted server would attract prompts whose prefixes it no longer caches.
+    /// Otherwise a restarted server would attract prompts whose prefixes it no longer caches, and a fast server might take
+    /// the name of a slow one.
     fn drop_lost_caches(&mut self) {
         for server in self.registry.take_lost_caches() {
             self.prefix_index.remove_server(server);
+            self.loads.speeds.forget(server);
         }
     }
 
--- /dev/null
+++ b/crates/hawthornmill/src/routing/server_speed/exchange.rs
@@ -0,0 +1,292 @@
+//! Builds the messages on the servers' speed, and takes over those of other instances.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use super::evidence::Evidence;
+use super::report::{
+    LastingEntry, MAX_LASTING, MAX_MOMENTARY, MomentaryEntry, RunTag, SpeedReport,
+};
+use super::{Figure, SpeedTable, USUAL_PERCENT};
+use crate::ident::{DomainId, Incarnation, InstanceId};
+use crate::routing::load_parts::Scope;
+use crate::routing::registry::Registry;
+
+/// Deviation from the usual figure from which a figure is told to others, in percent.
+const TOLD_DEVIATION: f64 = 20.0;
+/// Age up to which a figure is told.
+const TOLD_AGE: Duration = Duration::from_millis(300);
+/// Weight below which evidence is neither told nor kept.
+const LEAST_WEIGHT: f64 = 0.25;
+/// Runs of which one peer's evidence is kept, so that messages can't fill the memory.
+const MAX_RUNS: usize = 16_384;
+
+/// Who is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Listeners {
+    /// Instances that get this instance's own reports: the failure domain, or the whole small fleet.
+    Near,
+    /// Relays of other failure domains, on behalf of the own one.
+    OtherDomains,
+    /// Members of a large failure domain, which hear from its relay only.
+    Members,
+}
+
+/// Who was told a figure, and whether it came from the own failure domain.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Told {
+    listeners: [bool; 3],
+    is_remote: bool,
+    is_heard: bool,
+}
+
+impl Told {
+    const fn may_tell(self, listeners: Listeners) -> bool {
+        let is_known_there = match listeners {
+            Listeners::Near => self.is_heard,
+            Listeners::OtherDomains => self.is_remote,
+            Listeners::Members => false,
+        };
+        !is_known_there && !self.listeners[listeners as usize]
+    }
+}
+
+/// Whose evidence it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Origin {
+    /// One run of an instance; what an earlier run measured still counts.
+    Instance(InstanceId, Incarnation),
+    Domain(DomainId),
+    Fleet,
+}
+
+/// Evidence of other instances.
+#[derive(Debug, Clone, Default)]
+pub(super) struct PeerEvidence {
+    by_origin: BTreeMap<Origin, BTreeMap<RunTag, Evidence>>,
+}
+
+impl PeerEvidence {
+    fn record(&mut self, origin: Origin, entry: LastingEntry, now: Instant) {
+        let runs = self.by_origin.entry(origin).or_default();
+        if runs.len() < MAX_RUNS || runs.contains_key(&entry.run) {
+            let evidence = Evidence::new(entry.log(), entry.weight(), now);
+            runs.insert(entry.run, evidence);
+        }
+    }
+
+    /// Returns the sums of all evidence, and drops what counts no more.
+    pub(super) fn sums(&mut self, now: Instant) -> BTreeMap<RunTag, Evidence> {
+        let mut sums: BTreeMap<RunTag, Evidence> = BTreeMap::new();
+        self.by_origin.retain(|_, runs| {
+            runs.retain(|tag, evidence| {
+                let evidence = evidence.decayed(now);
+                let is_kept = evidence.weight() >= LEAST_WEIGHT;
+                if is_kept {
+                    let sum = sums.entry(*tag).or_insert(Evidence::EMPTY);
+                    sum.merge(evidence);
+                }
+                is_kept
+            });
+            !runs.is_empty()
+        });
+        sums
+    }
+
+    /// Returns the sums of the evidence of instances for which `is_member` returns true.
+    fn sums_of(
+        &self,
+        is_member: impl Fn(InstanceId) -> bool,
+        now: Instant,
+    ) -> BTreeMap<RunTag, Evidence> {
+        let mut sums: BTreeMap<RunTag, Evidence> = BTreeMap::new();
+        let members = self
+            .by_origin
+            .iter()
+            .filter(|(origin, _)| matches!(origin, Origin::Instance(id, _) if is_member(*id)));
+        for (tag, evidence) in members.flat_map(|(_, runs)| runs) {
+            let sum = sums.entry(*tag).or_insert(Evidence::EMPTY);
+            sum.merge(evidence.decayed(now));
+        }
+        sums
+    }
+
+    pub(super) fn forget(&mut self, run: RunTag) {
+        for runs in self.by_origin.values_mut() {
+            runs.remove(&run);
+        }
+    }
+}
+
+/// The run after which the next message begins, for each kind of listeners.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Rotation([Option<RunTag>; 3]);
+
+impl Rotation {
+    /// Returns the entries of the next message; all of them take turns if there are more than fit.
+    fn next(
+        &mut self,
+        listeners: Listeners,
+        all: &BTreeMap<RunTag, Evidence>,
+    ) -> Vec<LastingEntry> {
+        let last = self.0[listeners as usize];
+        let is_after = |tag: RunTag| last.is_none_or(|last| tag > last);
+        let after = all.iter().filter(|(tag, _)| is_after(**tag));
+        let before = all.iter().filter(|(tag, _)| !is_after(**tag));
+        let heavy = after
+            .chain(before)
+            .filter(|(_, e)| e.weight() >= LEAST_WEIGHT);
+        let entries: Vec<LastingEntry> = heavy
+            .take(MAX_LASTING)
+            .map(|(tag, e)| LastingEntry::new(*tag, e.log(), e.weight()))
+            .collect();
+        self.0[listeners as usize] = entries.last().map(|e| e.run);
+        entries
+    }
+}
+
+impl SpeedTable {
+    /// Returns what this instance measured itself; the lasting parts only if `with_lasting`.
+    pub fn own_report(&mut self, with_lasting: bool, now: Instant) -> SpeedReport {
+        let lasting = with_lasting.then(|| self.own_evidence(now));
+        self.report(Scope::Instance, Listeners::Near, lasting, now)
+    }
+
+    /// Returns what the instances of `domain` measured, of which this is one and `is_member` tells the others.
+    pub fn domain_report(
+        &mut self,
+        domain: DomainId,
+        is_member: impl Fn(InstanceId) -> bool,
+        with_lasting: bool,
+        now: Instant,
+    ) -> SpeedReport {
+        let lasting = with_lasting.then(|| {
+            let sums = self.peers.sums_of(is_member, now);
+            merged(sums, self.own_evidence(now))
+        });
+        self.report(Scope::Domain(domain), Listeners::OtherDomains, lasting, now)
+    }
+
+    /// Returns all that is known here, for an instance that starts or the members of a large domain.
+    pub fn fleet_report(&mut self, with_lasting: bool, now: Instant) -> SpeedReport {
+        let lasting = with_lasting.then(|| {
+            let sums = self.peers.sums(now);
+            merged(sums, self.own_evidence(now))
+        });
+        self.report(Scope::RestOfFleet, Listeners::Members, lasting, now)
+    }
+
+    fn report(
+        &mut self,
+        scope: Scope,
+        listeners: Listeners,
+        lasting: Option<BTreeMap<RunTag, Evidence>>,
+        now: Instant,
+    ) -> SpeedReport {
+        let lasting = lasting.map(|all| self.rotation.next(listeners, &all));
+        SpeedReport {
+            scope,
+            lasting: lasting.unwrap_or_default(),
+            momentary: self.take_figures(listeners, now),
+        }
+    }
+
+    fn own_evidence(&self, now: Instant) -> BTreeMap<RunTag, Evidence> {
+        let measured = self.servers.iter().filter(|(_, s)| s.own.weight() > 0.0);
+        measured
+            .map(|(server, s)| (RunTag::of(*server, s.start_ms), s.own.decayed(now)))
+            .collect()
+    }
+
+    /// Returns the new figures that `listeners` should know and were not told.
+    fn take_figures(&mut self, listeners: Listeners, now: Instant) -> Vec<MomentaryEntry> {
+        let mut entries = Vec::new();
+        for (server, speed) in &mut self.servers {
+            let Some(known) = &mut speed.figure else {
+                continue;
+            };
+            let deviation = f64::from(known.figure.percent()) - USUAL_PERCENT;
+            let is_told = deviation.abs() >= TOLD_DEVIATION && known.age(now) < TOLD_AGE;
+            if entries.len() < MAX_MOMENTARY && is_told && known.told.may_tell(listeners) {
+                known.told.listeners[listeners as usize] = true;
+                let run = RunTag::of(*server, speed.start_ms);
+                let age = known.age(now).as_millis() as u16;
+                entries.push(MomentaryEntry::new(run, known.figure, age));
+            }
+        }
+        entries
+    }
+
+    /// Takes over what `sender` reports. Reports of the own failure domain `own` in sum are left out: its instances are heard
+    /// themselves.
+    pub fn apply(
+        &mut self,
+        (sender, run): (InstanceId, Incarnation),
+        own: DomainId,
+        report: &SpeedReport,
+        registry: &Registry,
+        now: Instant,
+    ) {
+        let origin = match report.scope {
+            Scope::Instance => Origin::Instance(sender, run),
+            Scope::Domain(domain) if domain == own => return,
+            Scope::Domain(domain) => Origin::Domain(domain),
+            Scope::RestOfFleet => Origin::Fleet,
+        };
+        self.update_index(registry);
+        for entry in &report.lasting {
+            self.peers.record(origin, *entry, now);
+            self.mark_reporting(entry.run, now);
+        }
+        for entry in &report.momentary {
+            self.mark_reporting(entry.run, now);
+            self.apply_figure(*entry, report.scope != Scope::Instance, registry, now);
+        }
+        self.refresh_if_due(registry, now);
+    }
+
+    fn mark_reporting(&mut self, run: RunTag, now: Instant) {
+        if let Some(run) = self.index.get(run) {
+            self.services.insert(run.service, now);
+        }
+    }
+
+    /// Takes over a figure that is newer than the known one.
+    fn apply_figure(
+        &mut self,
+        entry: MomentaryEntry,
+        is_remote: bool,
+        registry: &Registry,
+        now: Instant,
+    ) {
+        let known = self.index.get(entry.run);
+        let registered = known.and_then(|run| registry.get(run.server));
+        let (Some(known), Some(registered)) = (known, registered) else {
+            return;
+        };
+        let age = Duration::from_millis(entry.age_ms.into());
+        let (Some(figure), Some(at)) = (entry.figure(), now.checked_sub(age)) else {
+            return;
+        };
+        let speed = self.run(known.server, &registered.registration);
+        if speed.figure.is_none_or(|f| f.at < at) {
+            let told = Told {
+                is_remote,
+                is_heard: true,
+                ..Told::default()
+            };
+            speed.figure = Some(Figure { figure, at, told });
+        }
+    }
+}
+
+/// Returns the sum of `one` and `other`.
+fn merged(
+    mut one: BTreeMap<RunTag, Evidence>,
+    other: BTreeMap<RunTag, Evidence>,
+) -> BTreeMap<RunTag, Evidence> {
+    for (tag, evidence) in other {
+        one.entry(tag).or_insert(Evidence::EMPTY).merge(evidence);
+    }
+    one
+}
--- a/tests/testsuite/gateway/platform_adapter.rs
+++ b/tests/testsuite/gateway/platform_adapter.rs
@@ -4,7 +4,9 @@
 
 use hawthornmill::ident::{RegionId, ServiceId};
 use hawthornmill::routing::catalog::RetryPolicy;
+use hawthornmill::routing::loads::ServerReport;
 use hawthornmill::routing::regions::AllowedRegions;
+use hawthornmill::routing::server_speed::SpeedFigure;
 use hawthornmill_gateway::http::head;
 use hawthornmill_platform::{catalog, directory, registration, request, store};
 use proptest::prelude::*;
@@ -259,3 +261,83 @@
         prop_assert!(catalog::parse(&CONFIG.as_bytes()[..end]).is_err());
     }
 }
+
+fn load(value: &[u8]) -> ServerReport {
+    let mut text = b"HTTP/1.1 200 OK\r\nServer-Load: ".to_vec();
+    text.extend_from_slice(value);
+    text.extend_from_slice(b"\r\n\r\n");
+    let parsed = head::parse_response(&text).expect("the head is valid");
+    let (head, _length) = parsed.expect("the head is complete");
+    request::parse_load(&head.headers).expect("the header is there")
+}
+
+/// Failure: the figure of a server's speed is lost, or taken for another one.
+#[test]
+fn all_four_figures_of_load_are_parsed() {
+    let report = load(b"3, 1,12,250");
+
+    let counts = (report.running, report.waiting, report.slots);
+    assert_eq!(counts, (3, 1, Some(12)));
+    assert_eq!(report.speed.map(SpeedFigure::percent), Some(250));
+    assert_eq!(report.unreadable, 0);
+}
+
+/// Failure: one bad figure makes the others unusable, or a wild one moves decisions beyond its bound.
+#[test]
+fn bad_figures_of_load_are_left_out_and_bounded() {
+    // Value, running, waiting, slots, percent, unreadable figures.
+    let cases: [(&[u8], u32, u32, Option<u32>, Option<u16>, u8); 12] = [
+        (b"3,0,12", 3, 0, Some(12), None, 0),
+        (b"3,0", 3, 0, None, None, 0),
+        (b"x,2,12,100", 0, 2, Some(12), Some(100), 1),
+        (b"3,-1,12,100", 3, 0, Some(12), Some(100), 1),
+        (
+            b"4294967295,4294967295,1,100",
+            10_000,
+            10_000,
+            Some(1),
+            Some(100),
+            0,
+        ),
+        (b"99999999999,1,1,100", 0, 1, Some(1), Some(100), 1),
+        (b"3,0,12,0", 3, 0, Some(12), None, 1),
+        (b"3,0,12,-250", 3, 0, Some(12), None, 1),
+        (b"3,0,12,nan", 3, 0, Some(12), None, 1),
+        (b"3,0,12,inf", 3, 0, Some(12), None, 1),
+        (b"3,0,12,1e300", 3, 0, Some(12), Some(800), 0),
+        (b"3,0,12,0.5,7,8,9", 3, 0, Some(12), Some(25), 0),
+    ];
+    for (value, running, waiting, slots, percent, unreadable) in cases {
+        let report = load(value);
+
+        let text = String::from_utf8_lossy(value);
+        let counts = (report.running, report.waiting, report.slots);
+        assert_eq!(counts, (running, waiting, slots), "{text}");
+        assert_eq!(report.speed.map(SpeedFigure::percent), percent, "{text}");
+        assert_eq!(report.unreadable, unreadable, "{text}");
+    }
+}
+
+proptest! {
+    /// Failure: some bytes in the header make the parser panic, or pass a figure beyond its bounds.
+    #[test]
+    fn any_load_is_bounded(value in proptest::collection::vec(0x20_u8..=0xff, 0..200)) {
+        prop_assume!(!value.contains(&0x7f));
+
+        let report = load(&value);
+
+        prop_assert!(report.running <= 10_000 && report.waiting <= 10_000);
+        prop_assert!(report.speed.is_none_or(|s| (25..=800).contains(&s.percent())));
+    }
+
+    /// Failure: numbers of any size in any number make the parser panic, or pass beyond their bounds.
+    #[test]
+    fn any_numbers_in_load_are_bounded(
+        figures in proptest::collection::vec("-?[0-9]{0,40}(\\.[0-9]{0,3})?(e-?[0-9]{1,4})?", 0..41),
+    ) {
+        let report = load(figures.join(",").as_bytes());
+
+        prop_assert!(report.running <= 10_000 && report.waiting <= 10_000);
+        prop_assert!(report.speed.is_none_or(|s| (25..=800).contains(&s.percent())));
+    }
+}
--- a/tests/testsuite/routing/loads.rs
+++ b/tests/testsuite/routing/loads.rs
@@ -187,6 +187,8 @@
         ServerReport {
             running: 5,
             waiting: 2,
+            has_counts: true,
+            ..ServerReport::default()
         },
         now,
     );
