Exchange the servers' speed between instances; metrics and log fields

Cause: an instance hears of one server about once in 3 s, which is too rarely to know a figure that changes several times a second, or to learn a lasting difference alone.

Change: Message::SpeedReport tells an instance's own measurements to its failure domain every other second, and new figures that differ by 20 % once each; relays tell other domains the sums; an instance that starts is told all. Metrics count servers by speed and unreadable figures, the log line of a sent request says what was believed.

--- a/crates/hawthornmill-gateway/src/endpoints.rs
+++ b/crates/hawthornmill-gateway/src/endpoints.rs
@@ -6,6 +6,7 @@
 
 use bytes::BytesMut;
 use hawthornmill::ident::{DomainId, RegionId};
+use hawthornmill::routing::server_speed::SpeedSummary;
 use nix::sys::resource::{UsageWho, getrusage};
 use nix::sys::time::TimeValLike;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -200,7 +201,7 @@
     for (status, reason, tokens) in scheduler.unmet_totals() {
         gateway.metrics.set_unmet(status, reason, tokens);
     }
-    gateway.metrics.encode(&[
+    let mut gauges = vec![
         (
             "catalog_version",
             "Catalog in force",
@@ -270,5 +271,35 @@
             "Processor time of the process since its start",
             processor_time_ms(),
         ),
-    ])
+    ];
+    gauges.extend(speed_gauges(scheduler.loads.speeds.summary(now)));
+    gateway.metrics.encode(&gauges)
+}
+
+type GaugeValue = (&'static str, &'static str, i64);
+
+fn speed_gauges(speeds: SpeedSummary) -> [GaugeValue; 4] {
+    let count = |value: usize| value.cast_signed() as i64;
+    [
+        (
+            "fast_servers",
+            "Servers that take less than 80 % of the usual time now",
+            count(speeds.fast),
+        ),
+        (
+            "usual_speed_servers",
+            "Servers that take about the usual time now",
+            count(speeds.usual),
+        ),
+        (
+            "slow_servers",
+            "Servers that take more than 125 % of the usual time now",
+            count(speeds.slow),
+        ),
+        (
+            "server_speed_spread_percent",
+            "Standard deviation of the time that servers take in the long run, in percent of the usual time",
+            (speeds.spread * 100.0).round() as i64,
+        ),
+    ]
 }
--- a/crates/hawthornmill-gateway/src/gossip.rs
+++ b/crates/hawthornmill-gateway/src/gossip.rs
@@ -16,7 +16,7 @@
 
 use crate::datagrams::{self, DatagramSocket};
 use crate::gateway::{Gateway, Phase};
-use crate::{event_log, relay, state_sync};
+use crate::{event_log, relay, server_speeds, state_sync};
 
 /// Shortest time between two reports.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(40);
@@ -73,6 +73,7 @@
         }
         send_announcements(&gateway, &datagrams, now);
         send_quarantine_reports(&gateway, &datagrams, round, now);
+        server_speeds::send_own(&gateway, &datagrams, round, now);
         if !in_parts {
             relay::relay_domain(&gateway, &datagrams, round);
         }
@@ -276,6 +277,7 @@
             if report.known.catalog_version == 0 && gateway.has_state() {
                 report_to_newcomer(gateway, datagrams, from);
                 tell_quarantine(gateway, datagrams, from);
+                server_speeds::send_fleet(gateway, datagrams, &[from], true, now);
             }
         }
         Message::Work(work) => gateway
@@ -288,6 +290,7 @@
         Message::DemandPart(part) => handle_demand(gateway, sender, &part),
         Message::Announcements(announced) => gateway.apply_announcements(&announced),
         Message::QuarantineReport(news) => gateway.apply_quarantine_report(&news),
+        Message::SpeedReport(told) => server_speeds::apply(gateway, (sender, run), &told),
         Message::FragmentRequest(r) => state_sync::send_fragments(gateway, datagrams, from, &r),
         Message::Fragment(part) => gateway.pending_state.add_fragment(from, part),
         Message::StreamVersions(told) => gateway.streams.record(gateway, &told),
--- a/crates/hawthornmill-gateway/src/metrics.rs
+++ b/crates/hawthornmill-gateway/src/metrics.rs
@@ -72,6 +72,7 @@
     store_calls: CounterFamily<OutcomeLabels>,
     connects: Counter<u64, AtomicU64>,
     server_crashes: Counter<u64, AtomicU64>,
+    unreadable_figures: Counter<u64, AtomicU64>,
     rejected: CounterFamily<OutcomeLabels>,
     response_starts: Family<ServiceLabels, Histogram, fn() -> Histogram>,
 }
@@ -90,6 +91,7 @@
             store_calls: Family::default(),
             connects: Counter::default(),
             server_crashes: Counter::default(),
+            unreadable_figures: Counter::default(),
             rejected: Family::default(),
             response_starts: Family::new_with_constructor(response_starts),
         };
@@ -116,6 +118,12 @@
         );
         let help = "Servers that crashed while they ran requests of this instance";
         registry.register("server_crashes", help, metrics.server_crashes.clone());
+        let help = "Figures of servers' load reports that could not be read";
+        registry.register(
+            "unreadable_figures",
+            help,
+            metrics.unreadable_figures.clone(),
+        );
         let help = "Connections turned away because the process was behind or full";
         registry.register("turned_away", help, metrics.rejected.clone());
         let help = "Time to the answer's begin in milliseconds";
@@ -136,6 +144,11 @@
         self.server_crashes.inc();
     }
 
+    /// Counts figures of a server's load report that could not be read.
+    pub fn figures_unreadable(&self, count: u8) {
+        self.unreadable_figures.inc_by(count.into());
+    }
+
     /// Counts a request that ended.
     pub fn request_ended(&self, service: &str, outcome: &'static str) {
         let service = ServiceName(service.into());
--- a/crates/hawthornmill-gateway/src/proxy/progress.rs
+++ b/crates/hawthornmill-gateway/src/proxy/progress.rs
@@ -4,7 +4,7 @@
 
 use hawthornmill::codes::Code;
 use hawthornmill::ident::VersionId;
-use hawthornmill::routing::placement::Placement;
+use hawthornmill::routing::placement::{PassedOver, Placement};
 use hawthornmill::routing::request::{Refusal, Request};
 use serde_json::{Value, json};
 
@@ -52,6 +52,19 @@
     lag.duration(gateway.now()).as_millis() as u64
 }
 
+/// Returns what was believed of the server's speed; null where servers of the service report none.
+fn speed_fields(placement: &Placement) -> Value {
+    placement.speed.map_or(Value::Null, |speed| {
+        let believed = speed.believed;
+        json!({
+            "percent": (believed.factor() * 100.0).round() as u64,
+            "lasting_percent": (believed.lasting * 100.0).round() as u64,
+            "age_ms": believed.age.map(|age| age.as_millis() as u64),
+            "faster_passed_over": speed.passed_over.map(PassedOver::name),
+        })
+    })
+}
+
 /// What ended the body of a server's response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyEnd {
@@ -141,7 +154,7 @@
         let fields = json!({
             "account": admitted.account_name, "standing": share.status.to_string(), "lead": share.usage_ratio,
             "server": name, "version": version, "waited_ms": waited.as_millis() as u64, "send": self.sends + 1,
-            "tokens_before_first": placement.queued_prefill, "tokens_again": placement.duplicate_prefill, "tokens_fetched": placement.fetch.map_or(0, |f| f.tokens), "stray": placement.spilled, "expected_ms": placement.expected_ttft.as_millis() as u64,
+            "tokens_before_first": placement.queued_prefill, "tokens_again": placement.duplicate_prefill, "tokens_fetched": placement.fetch.map_or(0, |f| f.tokens), "stray": placement.spilled, "expected_ms": placement.expected_ttft.as_millis() as u64, "speed": speed_fields(placement),
             "catalog": gateway.catalog_version(), "lag_ms": lag_ms(gateway), "registrations": gateway.scheduler.borrow().registry.latest_revision(),
         });
         event_log::request_step("sent", &request.attempt_id, fields);
--- a/crates/hawthornmill-gateway/src/relay.rs
+++ b/crates/hawthornmill-gateway/src/relay.rs
@@ -15,6 +15,7 @@
 use crate::datagrams::DatagramSocket;
 use crate::gateway::{Gateway, Phase};
 use crate::gossip::own_info;
+use crate::server_speeds;
 
 /// Interval at which the relay of a large failure domain tells some of its members the work of the rest of the fleet.
 const SLICE_INTERVAL: Duration = Duration::from_millis(25);
@@ -24,6 +25,8 @@
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Intervals between two reports on a large domain to the others, and between two on demand to a member.
 const DOMAIN_INTERVALS: u64 = 8;
+/// Intervals between two messages on the lasting speed of servers from a large domain: 2 s.
+const SPEED_INTERVALS: u64 = 80;
 /// Intervals between two messages on members of a large domain.
 const MEMBERS_INTERVALS: u64 = 16;
 
@@ -42,6 +45,8 @@
     send_quarantine_reports(gateway, datagrams, &targets, all, now);
     send_members(gateway, datagrams, &targets, now);
     send_domain_load(gateway, datagrams, &targets, now);
+    let with_lasting = server_speeds::tells_lasting(rank, round);
+    server_speeds::send_domain(gateway, datagrams, &targets, with_lasting, now);
 }
 
 /// Speaks for a large failure domain while this instance is its first relay, until the process ends.
@@ -105,10 +110,18 @@
     let all = (interval / DOMAIN_INTERVALS).is_multiple_of(REPEAT_ROUNDS);
     send_quarantine_reports(gateway, datagrams, &targets, all, now);
     send_domain_load(gateway, datagrams, &targets, now);
-    if interval.is_multiple_of(MEMBERS_INTERVALS) {
+    let with_lasting = interval.is_multiple_of(SPEED_INTERVALS);
+    server_speeds::send_domain(gateway, datagrams, &targets, with_lasting, now);
+    let members: Vec<SocketAddr> = {
         let peers = gateway.peers.borrow();
-        targets.extend(peers.domain_peers(now).map(|(_, p)| p.info.peer_addr));
-        drop(peers);
+        peers
+            .domain_peers(now)
+            .map(|(_, p)| p.info.peer_addr)
+            .collect()
+    };
+    server_speeds::send_fleet(gateway, datagrams, &members, with_lasting, now);
+    if interval.is_multiple_of(MEMBERS_INTERVALS) {
+        targets.extend(members);
         send_members(gateway, datagrams, &targets, now);
     }
 }
@@ -206,6 +219,7 @@
         }
         Message::WorkPart(part) => matches!(part.scope, Scope::Domain(_)) && !large,
         Message::DemandPart(part) => matches!(part.scope, Scope::Domain(_)) && !large,
+        Message::SpeedReport(told) => matches!(told.scope, Scope::Domain(_)) && !large,
         _ => false,
     };
     if !is_relayed {
--- a/crates/hawthornmill/src/routing/loads.rs
+++ b/crates/hawthornmill/src/routing/loads.rs
@@ -319,7 +319,7 @@
         LoadCursor {
             local: self.servers.iter().peekable(),
             remote: self.remote.sums().peekable(),
-            speeds: self.speeds.iter().peekable(),
+            speeds: self.speeds.by_server().peekable(),
         }
     }
 
--- a/crates/hawthornmill/src/routing/placement/speed.rs
+++ b/crates/hawthornmill/src/routing/placement/speed.rs
@@ -120,7 +120,7 @@
 ) -> (Duration, Duration) {
     if let Some(speed) = speed {
         let factor = speed.factor();
-        let expected = (baseline - round_trip).mul_f64(factor) + round_trip;
+        let expected = baseline.saturating_sub(round_trip).mul_f64(factor) + round_trip;
         return (expected, own_time.mul_f64(factor) + round_trip);
     }
     let slowdown = slowdown.max(1.0);
--- a/crates/hawthornmill/src/routing/relays.rs
+++ b/crates/hawthornmill/src/routing/relays.rs
@@ -62,6 +62,12 @@
         (ahead < RELAYS_PER_DOMAIN).then_some(ahead)
     }
 
+    /// Returns whether `id` is a remembered peer of the own failure domain.
+    pub fn is_domain_member(&self, id: InstanceId) -> bool {
+        let peer = self.peers.get(&id);
+        peer.is_some_and(|p| p.info.domain == self.domain)
+    }
+
     /// Returns whether the own failure domain is so large that its instances report to its relays only.
     pub fn is_large_domain(&self) -> bool {
         let own = self.peers.values().filter(|p| p.info.domain == self.domain);
--- a/crates/hawthornmill/src/routing/scheduler/exchange.rs
+++ b/crates/hawthornmill/src/routing/scheduler/exchange.rs
@@ -4,12 +4,13 @@
 use std::time::{Duration, Instant};
 
 use super::Scheduler;
-use crate::ident::{AccountId, DomainId, InstanceId, ServerId, ServiceId};
+use crate::ident::{AccountId, DomainId, Incarnation, InstanceId, ServerId, ServiceId};
 use crate::routing::gossip::{InstanceReport, UnmetDemand};
 use crate::routing::load_parts::{
     DemandPart, REST_OF_FLEET, Scope, WorkPart, split_demand, split_work,
 };
 use crate::routing::loads::Work;
+use crate::routing::server_speed::SpeedReport;
 use crate::routing::shape::PrefixKey;
 use crate::routing::unmet_demand::{REPORT_TTL, UnmetReason};
 use crate::routing::usage::{AccountUsage, ShareStatus};
@@ -185,6 +186,18 @@
         self.apply_spilled(&part.spilled, now);
     }
 
+    /// Applies what `sender` reports on the servers' speed; `own` is the own failure domain.
+    pub fn apply_speed_report(
+        &mut self,
+        sender: (InstanceId, Incarnation),
+        own: DomainId,
+        report: &SpeedReport,
+        now: Instant,
+    ) {
+        let speeds = &mut self.loads.speeds;
+        speeds.apply(sender, own, report, &self.registry, now);
+    }
+
     /// Forgets what a relay told of the rest of the fleet, when this instance hears it from the instances themselves.
     pub fn forget_rest_of_fleet(&mut self) {
         self.loads.remove_rest_of_fleet();
--- a/crates/hawthornmill/src/routing/server_speed.rs
+++ b/crates/hawthornmill/src/routing/server_speed.rs
@@ -8,8 +8,7 @@
 //! figure that the server reported last; it fades with its age. Only services whose servers report that figure have
 //! factors.
 
-use std::collections::BTreeMap;
-use std::collections::btree_map;
+use std::collections::{BTreeMap, BTreeSet, btree_map};
 use std::time::{Duration, Instant};
 
 use super::registry::{Registration, Registry};
@@ -63,7 +62,7 @@
 /// A figure and what became of it here.
 #[derive(Debug, Clone, Copy)]
 struct Figure {
-    figure: SpeedFigure,
+    value: SpeedFigure,
     at: Instant,
     told: Told,
 }
@@ -76,7 +75,7 @@
     /// Returns the factor that the figure still contributes: all of it when new, 1 when it no longer counts.
     fn faded(&self, now: Instant) -> f64 {
         let fraction = self.age(now).as_secs_f64() / FIGURE_TTL.as_secs_f64();
-        1.0 + (self.figure.factor() - 1.0) * (1.0 - fraction).max(0.0)
+        1.0 + (self.value.factor() - 1.0) * (1.0 - fraction).max(0.0)
     }
 }
 
@@ -166,6 +165,8 @@
     refreshed: Option<Instant>,
     seed: u64,
     decisions: u64,
+    /// Servers whose reports could not be read, so that each is logged once.
+    unreadable: BTreeSet<ServerId>,
 }
 
 impl SpeedTable {
@@ -190,7 +191,7 @@
     }
 
     /// Returns all known speeds in the order of the servers' identifiers.
-    pub(super) fn iter(&self) -> btree_map::Iter<'_, ServerId, ServerSpeed> {
+    pub(super) fn by_server(&self) -> btree_map::Iter<'_, ServerId, ServerSpeed> {
         self.servers.iter()
     }
 
@@ -221,7 +222,7 @@
     ) {
         self.services.insert(registration.service, now);
         self.run(server, registration).figure = Some(Figure {
-            figure,
+            value: figure,
             at: now,
             told: Told::default(),
         });
@@ -269,8 +270,14 @@
             .record(usual_time);
     }
 
+    /// Records that a report of `server` could not be read; returns whether it is the first one.
+    pub fn mark_unreadable(&mut self, server: ServerId) -> bool {
+        self.unreadable.insert(server)
+    }
+
     /// Forgets what was learnt of `server`, whose name may belong to another run from now on.
     pub fn forget(&mut self, server: ServerId) {
+        self.unreadable.remove(&server);
         if let Some(speed) = self.servers.remove(&server) {
             self.peers.forget(RunTag::of(server, speed.start_ms));
         }
--- a/crates/hawthornmill/src/routing/server_speed/exchange.rs
+++ b/crates/hawthornmill/src/routing/server_speed/exchange.rs
@@ -205,13 +205,13 @@
             let Some(known) = &mut speed.figure else {
                 continue;
             };
-            let deviation = f64::from(known.figure.percent()) - USUAL_PERCENT;
+            let deviation = f64::from(known.value.percent()) - USUAL_PERCENT;
             let is_told = deviation.abs() >= TOLD_DEVIATION && known.age(now) < TOLD_AGE;
             if entries.len() < MAX_MOMENTARY && is_told && known.told.may_tell(listeners) {
                 known.told.listeners[listeners as usize] = true;
                 let run = RunTag::of(*server, speed.start_ms);
                 let age = known.age(now).as_millis() as u16;
-                entries.push(MomentaryEntry::new(run, known.figure, age));
+                entries.push(MomentaryEntry::new(run, known.value, age));
             }
         }
         entries
@@ -275,7 +275,11 @@
                 is_heard: true,
                 ..Told::default()
             };
-            speed.figure = Some(Figure { figure, at, told });
+            speed.figure = Some(Figure {
+                value: figure,
+                at,
+                told,
+            });
         }
     }
 }
--- a/crates/hawthornmill/src/wire/message.rs
+++ b/crates/hawthornmill/src/wire/message.rs
@@ -13,6 +13,7 @@
 use crate::routing::gossip::{InstanceReport, KnownState, SyncResponse};
 use crate::routing::load_parts::{DemandPart, WorkPart};
 use crate::routing::loads::Work;
+use crate::routing::server_speed::SpeedReport;
 use crate::routing::stream_versions::{StreamKey, StreamVersion};
 
 /// Identifies a grant: the owner that issued it and its number there.
@@ -346,4 +347,6 @@
     StreamAnswer(Vec<(StreamKey, Option<VersionId>)>),
     /// Servers that ended and quarantined requests, over UDP.
     QuarantineReport(Box<QuarantineReport>),
+    /// How long work takes at the servers, over UDP.
+    SpeedReport(Box<SpeedReport>),
 }
--- a/tests/testsuite/gateway/platform_adapter.rs
+++ b/tests/testsuite/gateway/platform_adapter.rs
@@ -271,6 +271,9 @@
     request::parse_load(&head.headers).expect("the header is there")
 }
 
+/// Value, running, waiting, slots, percent, unreadable figures.
+type LoadCase = (&'static [u8], u32, u32, Option<u32>, Option<u16>, u8);
+
 /// Failure: the figure of a server's speed is lost, or taken for another one.
 #[test]
 fn all_four_figures_of_load_are_parsed() {
@@ -285,8 +288,7 @@
 /// Failure: one bad figure makes the others unusable, or a wild one moves decisions beyond its bound.
 #[test]
 fn bad_figures_of_load_are_left_out_and_bounded() {
-    // Value, running, waiting, slots, percent, unreadable figures.
-    let cases: [(&[u8], u32, u32, Option<u32>, Option<u16>, u8); 12] = [
+    let cases: [LoadCase; 12] = [
         (b"3,0,12", 3, 0, Some(12), None, 0),
         (b"3,0", 3, 0, None, None, 0),
         (b"x,2,12,100", 0, 2, Some(12), Some(100), 1),
