Tests of server speed: learning, exchange, bounds, placement, herd of 61 instances

Cause: the model and the exchange had no tests of their own.

Change: 18 tests in a fixed order, among them 61 instances that lose three of ten datagrams, and 61 instances that all know one server's figure.

--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -26,6 +26,7 @@
 mod route_table;
 mod scheduler;
 mod server_notices;
+mod server_speed;
 mod store_start;
 mod stream_versions;
 mod ttft;
--- /dev/null
+++ b/tests/testsuite/routing/server_speed.rs
@@ -0,0 +1,593 @@
+//! How long work takes at each server: what is learnt, told and made of it.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use hawthornmill::ident::{DomainId, Incarnation, InstanceId, ServerId, ServiceId, mix};
+use hawthornmill::routing::load_parts::Scope;
+use hawthornmill::routing::loads::ServerReport;
+use hawthornmill::routing::placement::{PassedOver, Placement};
+use hawthornmill::routing::request::{Admission, Request};
+use hawthornmill::routing::scheduler::Scheduler;
+use hawthornmill::routing::server_speed::{SpeedFigure, SpeedReport};
+use hawthornmill::wire::frame::MAX_DATAGRAM_BYTES;
+use hawthornmill::wire::{Message, Sealer};
+
+use super::{change, drafter, entry, millis, request, scheduler, sent, shape};
+
+/// Servers of one failure domain.
+const FOUR: &[(&str, &str)] = &[("s0", "a"), ("s1", "a"), ("s2", "a"), ("s3", "a")];
+/// Expected time of the measurements below at a usual server.
+const EXPECTED: Duration = Duration::from_millis(100);
+
+fn server(number: usize) -> ServerId {
+    ServerId::of(&format!("s{number}"))
+}
+
+fn figure(percent: u32) -> SpeedFigure {
+    SpeedFigure::from_percent(f64::from(percent)).expect("the figure is valid")
+}
+
+fn report(scheduler: &mut Scheduler, server: ServerId, percent: u32, now: Instant) {
+    let report = ServerReport {
+        speed: Some(figure(percent)),
+        ..ServerReport::default()
+    };
+    scheduler.apply_server_report(server, report, now);
+}
+
+/// Records that work took `factor` times the expected time.
+fn measure(scheduler: &mut Scheduler, server: ServerId, factor: f64, now: Instant) {
+    let time = EXPECTED.mul_f64(factor);
+    let speeds = &mut scheduler.loads.speeds;
+    speeds.record_time(server, &scheduler.registry, EXPECTED, time, now);
+}
+
+fn lasting(scheduler: &Scheduler, server: ServerId, now: Instant) -> f64 {
+    scheduler.loads.speeds.believed(server, now).lasting
+}
+
+fn momentary(scheduler: &Scheduler, server: ServerId, now: Instant) -> f64 {
+    scheduler.loads.speeds.believed(server, now).momentary
+}
+
+/// Lets `scheduler` take over what the instance `from` of failure domain `b` tells.
+fn hear(scheduler: &mut Scheduler, from: &str, told: &SpeedReport, now: Instant) {
+    let sender = (InstanceId::of(from), Incarnation(1));
+    scheduler.apply_speed_report(sender, DomainId::of("a"), told, now);
+}
+
+/// A scheduler that has learnt that the servers of `FOUR` are usual and `s0` takes `factor` times as long.
+fn learnt(factor: f64, now: Instant) -> Scheduler {
+    let mut scheduler = scheduler(FOUR, now);
+    for round in 0..40 {
+        for number in 0..4 {
+            let at = now + millis(50 * round);
+            report(&mut scheduler, server(number), 100, at);
+            let factor = if number == 0 { factor } else { 1.0 };
+            measure(&mut scheduler, server(number), factor, at);
+        }
+    }
+    scheduler
+}
+
+/// Failure: a server that takes 1.82 times as long settles near 1.12, or is forgotten within seconds.
+#[test]
+fn lasting_part_is_learnt_and_kept() {
+    let now = Instant::now();
+
+    let mut scheduler = learnt(1.82, now);
+
+    let later = now + millis(12_000);
+    let at_once = lasting(&scheduler, server(0), now + millis(2_000));
+    measure(&mut scheduler, server(1), 1.0, later);
+    assert!((1.6..=1.85).contains(&at_once), "{at_once}");
+    let kept = lasting(&scheduler, server(0), later);
+    assert!((1.6..=1.85).contains(&kept), "{kept}");
+}
+
+/// Failure: a moment in which a server is slow counts as a lasting property.
+#[test]
+fn momentary_figure_is_divided_out() {
+    let now = Instant::now();
+    let mut scheduler = learnt(1.0, now);
+
+    for round in 0..40 {
+        let at = now + millis(2_000 + 50 * round);
+        report(&mut scheduler, server(0), 250, at);
+        measure(&mut scheduler, server(0), 2.5, at);
+    }
+
+    let believed = lasting(&scheduler, server(0), now + millis(4_000));
+    assert!((0.97..=1.03).contains(&believed), "{believed}");
+}
+
+/// Failure: a server whose figure never fits its times is believed for ever.
+#[test]
+fn lie_is_cancelled_by_measured_times() {
+    let now = Instant::now();
+    let mut scheduler = learnt(1.0, now);
+
+    for round in 0..400 {
+        let at = now + millis(2_000 + 50 * round);
+        report(&mut scheduler, server(0), 25, at);
+        report(&mut scheduler, server(1), 800, at);
+        for number in 0..4 {
+            measure(&mut scheduler, server(number), 1.0, at);
+        }
+    }
+
+    let end = now + millis(21_950);
+    let modest = scheduler.loads.speeds.believed(server(0), end).factor();
+    assert!((0.8..=1.1).contains(&modest), "{modest}");
+    // The bound of the lasting part limits what it can cancel.
+    let bounded = scheduler.loads.speeds.believed(server(1), end);
+    assert_eq!((bounded.lasting, bounded.momentary), (0.5, 8.0));
+}
+
+/// Failure: a figure counts in full until it suddenly doesn't, or for longer than it means anything.
+#[test]
+fn figure_fades_with_its_age() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(FOUR, now);
+
+    report(&mut scheduler, server(0), 250, now);
+
+    let at = |age| momentary(&scheduler, server(0), now + millis(age));
+    assert!((at(0) - 2.5).abs() < 1e-9);
+    assert!((at(300) - 1.75).abs() < 1e-9);
+    assert!((at(599) - 1.0).abs() < 0.01);
+    assert!((at(600) - 1.0).abs() < 1e-9);
+    let speeds = &scheduler.loads.speeds;
+    let age = |age| speeds.believed(server(0), now + millis(age)).age;
+    assert_eq!((age(300), age(600)), (Some(millis(300)), None));
+}
+
+/// Failure: a server that starts again is taken for as slow as before, or a new one with the name of another one.
+#[test]
+fn new_run_starts_with_nothing_learnt() {
+    let now = Instant::now();
+    let mut scheduler = learnt(3.0, now);
+    let later = now + millis(2_000);
+    let before = lasting(&scheduler, server(0), later);
+    let told = scheduler.loads.speeds.own_report(true, later);
+
+    let mut registration = entry("s0", "a");
+    registration.start_ms = 7;
+    assert!(scheduler.apply_change(change("s0", 100, Some(registration)), later));
+    // A late message tells of the earlier run.
+    hear(&mut scheduler, "peer", &told, later + millis(600));
+
+    let after = scheduler
+        .loads
+        .speeds
+        .believed(server(0), later + millis(600));
+    assert!(before > 2.0, "{before}");
+    assert!((after.factor() - 1.0).abs() < 1e-9, "{after:?}");
+}
+
+/// Failure: nothing is known of the servers for seconds after an instance started.
+#[test]
+fn instance_that_starts_is_told_what_is_learnt() {
+    let now = Instant::now();
+    let mut old = learnt(1.82, now);
+    let later = now + millis(2_000);
+    let mut new = scheduler(FOUR, now);
+
+    let told = old.loads.speeds.fleet_report(true, later);
+    hear(&mut new, "old", &told, later);
+
+    assert!(new.reports_speed(drafter()));
+    let believed = lasting(&new, server(0), later);
+    assert!((1.6..=1.85).contains(&believed), "{believed}");
+}
+
+/// Failure: datagrams tell figures that mean nothing, or the same ones again and again.
+#[test]
+fn figures_are_told_once_and_only_if_new_and_unusual() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(FOUR, now);
+    report(&mut scheduler, server(0), 250, now);
+    report(&mut scheduler, server(1), 119, now);
+    report(&mut scheduler, server(2), 80, now);
+    let speeds = &mut scheduler.loads.speeds;
+
+    let first = speeds.own_report(false, now + millis(100)).momentary.len();
+    let second = speeds.own_report(false, now + millis(200)).momentary.len();
+    speeds.record_figure(server(3), &entry("s3", "a"), figure(250), now);
+    let old = speeds.own_report(false, now + millis(300)).momentary.len();
+
+    assert_eq!((first, second, old), (2, 0, 0));
+}
+
+/// Failure: a figure that was heard is told on as one's own and circulates, or an older one replaces a newer one.
+#[test]
+fn heard_figure_is_not_told_on_in_the_domain() {
+    let now = Instant::now();
+    let (mut from, mut to) = (scheduler(FOUR, now), scheduler(FOUR, now));
+    report(&mut from, server(0), 250, now);
+    report(&mut from, server(1), 250, now);
+    let told = from.loads.speeds.own_report(false, now + millis(100));
+    report(&mut to, server(1), 100, now + millis(50));
+
+    hear(&mut to, "peer", &told, now + millis(100));
+
+    let speeds = &mut to.loads.speeds;
+    let in_domain = speeds.own_report(false, now + millis(100)).momentary;
+    let domain = DomainId::of("a");
+    let outside = speeds.domain_report(domain, |_| true, false, now + millis(100));
+    assert!(in_domain.is_empty());
+    assert_eq!(outside.momentary.len(), 1);
+    let heard = [0, 1].map(|n| momentary(&to, server(n), now + millis(100)) > 1.5);
+    assert_eq!(heard, [true, false]);
+}
+
+/// Failure: a message is larger than a packet and is lost as a whole, or some servers are never told of.
+#[test]
+fn many_servers_take_turns_in_datagrams() {
+    let now = Instant::now();
+    let names: Vec<String> = (0..300).map(|n| format!("s{n}")).collect();
+    let servers: Vec<(&str, &str)> = names.iter().map(|n| (&**n, "a")).collect();
+    let mut scheduler = scheduler(&servers, now);
+    for number in 0..300 {
+        report(&mut scheduler, server(number), 800, now);
+        measure(&mut scheduler, server(number), 8.0, now);
+    }
+    let mut sealer = Sealer::new(Default::default(), InstanceId::of("me"), Incarnation(1), 0);
+    let mut told = BTreeMap::new();
+
+    for _ in 0..3 {
+        let report = scheduler.loads.speeds.own_report(true, now);
+        for entry in &report.lasting {
+            *told.entry(entry.run).or_insert(0) += 1;
+        }
+        let message = Message::SpeedReport(Box::new(report));
+        let frame = sealer.seal(&message).expect("the message is encoded");
+        assert!(frame.len() <= MAX_DATAGRAM_BYTES, "{}", frame.len());
+    }
+
+    assert_eq!(told.len(), 300);
+}
+
+/// Failure: what a service reports changes decisions of another one that reports nothing.
+#[test]
+fn service_without_figures_is_served_as_before() {
+    let now = Instant::now();
+    let (mut with, mut without) = (scheduler(FOUR, now), scheduler(FOUR, now));
+    let mut other = entry("other", "a");
+    other.service = ServiceId::of("other");
+    for scheduler in [&mut with, &mut without] {
+        assert!(scheduler.apply_change(change("other", 50, Some(other.clone())), now));
+    }
+    report(&mut with, ServerId::of("other"), 800, now);
+    let no_speed = ServerReport {
+        running: 2,
+        has_counts: true,
+        ..ServerReport::default()
+    };
+    with.apply_server_report(server(0), no_speed, now);
+    without.apply_server_report(server(0), no_speed, now);
+
+    for number in 0..60_u64 {
+        let at = now + millis(number * 7);
+        let shape = shape(number % 9, 900, 300 + number as u32 * 11);
+        let [one, two] = [&mut with, &mut without].map(|scheduler| {
+            let placement = sent(scheduler.submit(&request("lab", shape.clone(), at), at));
+            let time = Some(millis(60 + number * 3));
+            scheduler.record_first_token(drafter(), &placement, time, at + millis(5));
+            scheduler.finish(&placement, true);
+            placement
+        });
+        assert_eq!(one, two);
+        assert_eq!(one.speed, None);
+    }
+    let reporting = [drafter(), ServiceId::of("other")].map(|s| with.reports_speed(s));
+    assert_eq!(reporting, [false, true]);
+}
+
+/// Failure: a slow server gets a prompt that it can't finish in time, or loses the short work that it can.
+#[test]
+fn slow_server_keeps_only_what_it_can_finish() {
+    let now = Instant::now();
+    let servers = &FOUR[..1];
+    let mut scheduler = scheduler(servers, now);
+    report(&mut scheduler, server(0), 300, now);
+
+    let short = scheduler.submit(&request("lab", shape(1, 0, 500), now), now);
+    let long = scheduler.submit(&request("lab", shape(2, 0, 20_000), now), now);
+
+    let placement = sent(short);
+    let factor = placement.speed.map(|s| s.believed.factor());
+    assert_eq!(factor, Some(3.0));
+    assert!(placement.expected_ttft > placement.baseline_ttft.mul_f64(2.9));
+    assert!(matches!(long, Admission::Queued(_)), "{long:?}");
+}
+
+/// Failure: a fast server counts as a usual one.
+#[test]
+fn fast_server_is_credited() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(&FOUR[..1], now);
+    report(&mut scheduler, server(0), 50, now);
+
+    let placement = sent(scheduler.submit(&request("lab", shape(1, 0, 6_000), now), now));
+
+    let half = placement.baseline_ttft.mul_f64(0.5);
+    assert_eq!(placement.expected_ttft, half);
+}
+
+/// Failure: an operator can't see why a faster server didn't get a request.
+#[test]
+fn reason_of_a_passed_over_server_is_told() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(&FOUR[..2], now);
+    report(&mut scheduler, server(1), 100, now);
+    let full = ServerReport {
+        running: 8,
+        has_counts: true,
+        speed: Some(figure(50)),
+        ..ServerReport::default()
+    };
+    scheduler.apply_server_report(server(0), full, now);
+
+    let placement = sent(scheduler.submit(&request("lab", shape(1, 0, 500), now), now));
+
+    assert_eq!(placement.server, server(1));
+    let reason = placement.speed.and_then(|s| s.passed_over);
+    assert_eq!(reason, Some(PassedOver::Full));
+}
+
+/// Failure: a plain server that takes 2.5 times as long gets as many requests as the others.
+#[test]
+fn slow_plain_server_gets_fewer_requests() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(FOUR, now);
+    let mut counts = [0; 4];
+    let mut running: Vec<(Instant, Placement)> = Vec::new();
+
+    for step in 0..2_000 {
+        let at = now + millis(10 * step);
+        running.retain(|(end, placement)| {
+            if *end <= at {
+                scheduler.finish(placement, true);
+            }
+            *end > at
+        });
+        for number in 0..4 {
+            let percent = if number == 0 { 250 } else { 100 };
+            report(&mut scheduler, server(number), percent, at);
+        }
+        let placement = sent(scheduler.submit(&plain_request(at), at));
+        let number = (0..4).find(|n| server(*n) == placement.server);
+        let number = number.expect("the server is known");
+        counts[number] += 1;
+        let time = if number == 0 { 250 } else { 100 };
+        running.push((at + millis(time), placement));
+    }
+
+    let share = f64::from(counts[0]) / 2_000.0;
+    // By speed alone it would be 0.4 / 3.4 = 0.118.
+    assert!((0.02..0.13).contains(&share), "{counts:?}");
+}
+
+/// Failure: plain servers that are slow for good are never found out, since their requests have no expected time.
+#[test]
+fn lasting_part_of_plain_servers_is_learnt() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(FOUR, now);
+    for number in 0..4 {
+        report(&mut scheduler, server(number), 100, now);
+    }
+
+    for step in 0..600 {
+        let at = now + millis(20 * step);
+        let placement = sent(scheduler.submit(&plain_request(at), at));
+        let is_slow = placement.server == server(0);
+        let time = millis(if is_slow { 182 } else { 100 });
+        scheduler.record_first_token(drafter(), &placement, Some(time), at);
+        scheduler.finish(&placement, true);
+    }
+
+    let believed = lasting(&scheduler, server(0), now + millis(12_000));
+    assert!((1.6..=1.9).contains(&believed), "{believed}");
+}
+
+fn plain_request(now: Instant) -> Request {
+    Request {
+        engine: None,
+        ..request("lab", Default::default(), now)
+    }
+}
+
+/// Failure: evidence doesn't cross failure domains, or lost datagrams keep an instance from learning.
+#[test]
+fn fleet_learns_in_spite_of_lost_datagrams() {
+    const INSTANCES: usize = 61;
+    const DOMAINS: usize = 6;
+    let now = Instant::now();
+    let names: Vec<String> = (0..90).map(|n| format!("s{n}")).collect();
+    let servers: Vec<(&str, &str)> = names.iter().map(|n| (&**n, "a")).collect();
+    let mut fleet: Vec<Scheduler> = (0..INSTANCES).map(|_| scheduler(&servers, now)).collect();
+    let factor = |server: usize| [1.0, 0.83, 1.82, 1.0, 1.0][server % 5];
+    let domains: Vec<DomainId> = (0..DOMAINS)
+        .map(|d| DomainId::of(&format!("d{d}")))
+        .collect();
+    let names: Vec<InstanceId> = (0..INSTANCES)
+        .map(|n| InstanceId::of(&format!("i{n}")))
+        .collect();
+    let mut random = 1_u64;
+    let mut next = move || {
+        random = mix(random);
+        random
+    };
+    let mut told = 0;
+
+    for step in 0..100_u64 {
+        let at = now + millis(100 * step);
+        for scheduler in &mut fleet {
+            for _ in 0..3 {
+                let number = next() as usize % 90;
+                let percent = if next() % 5 == 0 { 250 } else { 100 };
+                let noise = 0.6 + (next() % 80) as f64 / 100.0;
+                report(scheduler, server(number), percent, at);
+                let time = factor(number) * f64::from(percent) / 100.0 * noise;
+                measure(scheduler, server(number), time, at);
+            }
+        }
+        if step % 20 != 19 {
+            continue;
+        }
+        for from in 0..INSTANCES {
+            let domain = from % DOMAINS;
+            let own = fleet[from].loads.speeds.own_report(true, at);
+            let is_relay = from < DOMAINS;
+            let sums = is_relay.then(|| {
+                let is_member =
+                    |id| names.iter().position(|n| *n == id).unwrap_or(0) % DOMAINS == domain;
+                let speeds = &mut fleet[from].loads.speeds;
+                speeds.domain_report(domains[domain], is_member, true, at)
+            });
+            told += 1;
+            for to in (0..INSTANCES).filter(|to| *to != from) {
+                let heard = if to % DOMAINS == domain {
+                    Some(&own)
+                } else {
+                    sums.as_ref()
+                };
+                // Three of ten datagrams are lost.
+                if let Some(heard) = heard.filter(|_| next() % 10 >= 3) {
+                    let sender = (names[from], Incarnation(1));
+                    fleet[to].apply_speed_report(sender, domains[to % DOMAINS], heard, at);
+                }
+            }
+        }
+    }
+
+    assert_eq!(told, 5 * INSTANCES);
+    let end = now + millis(10_000);
+    for scheduler in &mut fleet {
+        measure(scheduler, server(0), 1.0, end);
+        for number in 0..90 {
+            let ratio = lasting(scheduler, server(number), end) / factor(number);
+            assert!((0.85..=1.18).contains(&ratio), "server {number}: {ratio}");
+        }
+    }
+}
+
+/// Requests without a shared prefix, which have no home, at 61 instances that all know the figure of one server and hear
+/// of each other's work every 200 ms.
+fn counts_of_fleet(percent: u32) -> Vec<u32> {
+    const SERVERS: usize = 24;
+    let now = Instant::now();
+    let names: Vec<String> = (0..SERVERS).map(|n| format!("s{n}")).collect();
+    let servers: Vec<(&str, &str)> = names.iter().map(|n| (&**n, "a")).collect();
+    let mut fleet: Vec<Scheduler> = (0..61).map(|_| scheduler(&servers, now)).collect();
+    let ids: Vec<InstanceId> = (0..61).map(|n| InstanceId::of(&format!("i{n}"))).collect();
+    for (scheduler, id) in fleet.iter_mut().zip(&ids) {
+        scheduler.loads.speeds.set_seed(id.0);
+    }
+    let mut counts = vec![0; SERVERS];
+    let mut running: Vec<(Instant, usize, Placement)> = Vec::new();
+    for step in 0..200_u64 {
+        let at = now + millis(10 * step);
+        if step % 20 == 0 {
+            let work: Vec<_> = fleet.iter().map(|s| s.loads.local()).collect();
+            for (number, scheduler) in fleet.iter_mut().enumerate() {
+                report(scheduler, server(0), percent, at);
+                let others = ids.iter().zip(&work).enumerate();
+                for (_, (peer, work)) in others.filter(|(other, _)| *other != number) {
+                    scheduler.loads.apply_peer_report(*peer, work.clone(), at);
+                }
+            }
+        }
+        running.retain(|(end, instance, placement)| {
+            if *end <= at {
+                fleet[*instance].record_first_token(drafter(), placement, None, at);
+                fleet[*instance].finish(placement, true);
+            }
+            *end > at
+        });
+        // Each instance gets a request every 100 ms, all of them at the same time.
+        if step % 10 == 0 {
+            for (instance, scheduler) in fleet.iter_mut().enumerate() {
+                let own = shape(step * 61 + instance as u64, 0, 400);
+                let placement = sent(scheduler.submit(&request("lab", own, at), at));
+                let number = (0..SERVERS).find(|n| server(*n) == placement.server);
+                let number = number.expect("the server is known");
+                counts[number] += 1;
+                let speed = if number == 0 {
+                    f64::from(percent) / 100.0
+                } else {
+                    1.0
+                };
+                running.push((at + millis(150).mul_f64(speed), instance, placement));
+            }
+        }
+    }
+    counts
+}
+
+/// Failure: many instances read the same good figure, and all of them send there.
+#[test]
+fn one_figure_known_to_all_attracts_no_herd() {
+    for percent in [25, 50, 100, 250, 800] {
+        let counts = counts_of_fleet(percent);
+
+        let total: u32 = counts.iter().sum();
+        let speeds: Vec<f64> = (0..counts.len())
+            .map(|n| {
+                if n == 0 {
+                    100.0 / f64::from(percent)
+                } else {
+                    1.0
+                }
+            })
+            .collect();
+        let all: f64 = speeds.iter().sum();
+        for (count, speed) in counts.iter().zip(&speeds) {
+            let share = f64::from(total) * speed / all;
+            assert!(
+                f64::from(*count) <= 1.5 * share,
+                "{percent} %: {count} of {total}, share {share}: {counts:?}"
+            );
+        }
+    }
+}
+
+/// Failure: a message from a faulty instance makes another one panic, or passes a bound.
+#[test]
+fn wild_messages_are_bounded() {
+    let now = Instant::now();
+    let mut scheduler = learnt(1.0, now);
+    let later = now + millis(2_000);
+    let mut told = scheduler.loads.speeds.own_report(true, later);
+    told.momentary = Vec::new();
+    let bytes = postcard::to_stdvec(&told).expect("the report is encoded");
+    for position in 0..bytes.len() {
+        for value in [0, 0x7f, 0x80, 0xff] {
+            let mut changed = bytes.clone();
+            changed[position] = value;
+            if let Ok(wild) = postcard::from_bytes::<SpeedReport>(&changed) {
+                hear(&mut scheduler, "wild", &wild, later + millis(600));
+            }
+        }
+    }
+    hear(
+        &mut scheduler,
+        "empty",
+        &SpeedReport {
+            scope: Scope::RestOfFleet,
+            lasting: Vec::new(),
+            momentary: Vec::new(),
+        },
+        later,
+    );
+
+    let end = later + millis(1_200);
+    measure(&mut scheduler, server(1), 1.0, end);
+    for number in 0..4 {
+        let believed = scheduler.loads.speeds.believed(server(number), end);
+        assert!((0.5..=4.0).contains(&believed.lasting), "{believed:?}");
+        assert!((0.25..=8.0).contains(&believed.momentary), "{believed:?}");
+    }
+}
