Server speed: tests with processes and of bytes; a log line of an unreadable load can't end the process

Cause: the first test with processes found that the log line of an unreadable load borrowed the scheduler twice, which ended the gateway.

Change: the borrow ends first. An instance that starts is told of all servers in up to 8 datagrams. A queued request reserves the server that begins it first by its speed. Tests of fleets move to a file of their own.

--- a/crates/hawthornmill-gateway/src/gossip.rs
+++ b/crates/hawthornmill-gateway/src/gossip.rs
@@ -277,7 +277,7 @@
             if report.known.catalog_version == 0 && gateway.has_state() {
                 report_to_newcomer(gateway, datagrams, from);
                 tell_quarantine(gateway, datagrams, from);
-                server_speeds::send_fleet(gateway, datagrams, &[from], true, now);
+                server_speeds::tell_newcomer(gateway, datagrams, from, now);
             }
         }
         Message::Work(work) => gateway
--- a/crates/hawthornmill-gateway/src/server_speeds.rs
+++ b/crates/hawthornmill-gateway/src/server_speeds.rs
@@ -27,18 +27,23 @@
 /// relays of a domain in turn.
 const RELAY_TURNS: u64 = 9;
 
+/// Most datagrams to an instance that has just started; it learns the rest with the regular messages.
+const MAX_NEWCOMER_PARTS: usize = 8;
+
 /// Applies the load that `server` reports in a response.
 pub fn apply_report(gateway: &Gateway, server: ServerId, report: ServerReport) {
     let now = gateway.now();
     let mut scheduler = gateway.scheduler.borrow_mut();
     scheduler.apply_server_report(server, report, now);
-    if report.unreadable > 0 {
-        gateway.metrics.figures_unreadable(report.unreadable);
-        if scheduler.loads.speeds.mark_unreadable(server) {
-            let fields =
-                json!({"server": gateway.server_name(server), "figures": report.unreadable});
-            event_log::state_change("load_unreadable", fields);
-        }
+    if report.unreadable == 0 {
+        return;
+    }
+    gateway.metrics.figures_unreadable(report.unreadable);
+    let is_first = scheduler.loads.speeds.mark_unreadable(server);
+    drop(scheduler);
+    if is_first {
+        let fields = json!({"server": gateway.server_name(server), "figures": report.unreadable});
+        event_log::state_change("load_unreadable", fields);
     }
 }
 
@@ -78,7 +83,20 @@
     send(datagrams, report, targets);
 }
 
-/// Tells `targets` all that is known here: an instance that has just started, or the members of a large failure domain.
+/// Tells an instance that has just started all that is known here.
+pub fn tell_newcomer(
+    gateway: &Gateway,
+    datagrams: &DatagramSocket,
+    newcomer: SocketAddr,
+    now: Instant,
+) {
+    let parts = gateway.scheduler.borrow().loads.speeds.parts();
+    for _ in 0..parts.min(MAX_NEWCOMER_PARTS) {
+        send_fleet(gateway, datagrams, &[newcomer], true, now);
+    }
+}
+
+/// Tells `targets` what is known here, as to the members of a large failure domain.
 pub fn send_fleet(
     gateway: &Gateway,
     datagrams: &DatagramSocket,
--- a/crates/hawthornmill/src/routing/placement.rs
+++ b/crates/hawthornmill/src/routing/placement.rs
@@ -248,13 +248,13 @@
         match evaluated {
             Ok(found) if best.is_none_or(|(_, cost)| found.1 < cost) => best = Some(found),
             Ok(_) | Err(Rejection::TooLong) => {}
-            Err(Rejection::Full { queued } | Rejection::TooSlow { queued }) => {
+            Err(Rejection::Full { queued }) => {
                 full.push(candidate.server);
                 if soonest.is_none_or(|(least, _)| queued < least) {
                     soonest = Some((queued, candidate.server));
                 }
             }
-            Err(Rejection::Reserved) => full.push(candidate.server),
+            Err(Rejection::Reserved | Rejection::TooSlow) => full.push(candidate.server),
             Err(Rejection::PrefixLimit) => prefix_limited = true,
         }
     }
@@ -412,7 +412,7 @@
 enum Rejection {
     /// It is at capacity.
     Full {
-        /// Prefill cost there until the request's first token, in tokens.
+        /// Prefill cost there until the request's first token, in tokens of a server of usual speed.
         queued: u32,
     },
     /// It is reserved for requests that go before.
@@ -420,10 +420,7 @@
     /// The request would be late there even without other work.
     TooLong,
     /// The request would be in time there at the usual speed, but isn't at the present one.
-    TooSlow {
-        /// Prefill cost there until the request's first token, in tokens.
-        queued: u32,
-    },
+    TooSlow,
     /// It isn't among the servers that may prefill the shared prefix for this account.
     PrefixLimit,
 }
@@ -456,7 +453,9 @@
     let total = load.total;
     let prefill = request.shape.prefill_cost(uncached);
     let queued = load.backlog + prefill;
-    let full = Rejection::Full { queued };
+    let full = Rejection::Full {
+        queued: speed.map_or(queued, |s| s.scaled(queued)),
+    };
     let capacity = capacity(request, candidate);
     if f64::from(total.running) + 1.0 > (capacity * request.capacity_fraction).max(1.0) {
         return Err(full);
@@ -488,7 +487,7 @@
     // A slow server gets nothing that is late only because of its speed; a retry takes what there is.
     let is_late = expected > request.time_left && baseline <= request.time_left;
     if speed.is_some() && is_late && request.excluded.is_empty() {
-        return Err(Rejection::TooSlow { queued });
+        return Err(Rejection::TooSlow);
     }
     let placement = Placement {
         server: candidate.server,
--- a/crates/hawthornmill/src/routing/placement/speed.rs
+++ b/crates/hawthornmill/src/routing/placement/speed.rs
@@ -82,6 +82,11 @@
         self.believed.factor()
     }
 
+    /// Returns the tokens that a usual server prefills in the time that this one takes for `tokens`.
+    pub(super) fn scaled(self, tokens: u32) -> u32 {
+        (f64::from(tokens) * self.factor()) as u32
+    }
+
     pub(super) const fn placed(self, has_free_slot: bool) -> PlacedSpeed {
         PlacedSpeed {
             believed: self.believed,
@@ -156,7 +161,7 @@
         let reason = match rejection {
             Some(Rejection::Full { .. }) => PassedOver::Full,
             Some(Rejection::Reserved) => PassedOver::Reserved,
-            Some(Rejection::TooLong | Rejection::TooSlow { .. }) => PassedOver::TooLate,
+            Some(Rejection::TooLong | Rejection::TooSlow) => PassedOver::TooLate,
             Some(Rejection::PrefixLimit) => PassedOver::PrefixLimit,
             None => PassedOver::Cost,
         };
--- a/crates/hawthornmill/src/routing/server_speed/exchange.rs
+++ b/crates/hawthornmill/src/routing/server_speed/exchange.rs
@@ -176,6 +176,11 @@
         self.report(Scope::RestOfFleet, Listeners::Members, lasting, now)
     }
 
+    /// Returns the number of messages that tell the lasting parts of all servers.
+    pub fn parts(&self) -> usize {
+        self.servers.len().div_ceil(MAX_LASTING)
+    }
+
     fn report(
         &mut self,
         scope: Scope,
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod scripted_server;
 mod server_crashes;
 mod server_notices;
+mod server_speed;
 mod shutdown;
 mod store;
 mod stream_versions;
--- a/tests/testsuite/gateway/scripted_server.rs
+++ b/tests/testsuite/gateway/scripted_server.rs
@@ -82,6 +82,8 @@
     Rest(&'static str),
     /// Executes it, responds, and says that it leaves.
     Leaving,
+    /// Executes it, responds, and reports this load.
+    Load(&'static str),
     /// Responds that another server, which leaves, has the address.
     Misdirected,
     /// Executes it and resets the connection instead of responding.
@@ -404,6 +406,10 @@
                 let headers = [headers[0], headers[1], ("Server-Leaving", "1")];
                 write_response(stream, 200, &headers, body.as_bytes()).await
             }
+            Behavior::Load(load) => {
+                let headers = [headers[0], headers[1], ("Server-Load", load)];
+                write_response(stream, 200, &headers, body.as_bytes()).await
+            }
             Behavior::Misdirected => {
                 let headers = [("Instance-Id", "other"), ("Server-Leaving", "1")];
                 write_response(stream, 421, &headers, b"").await
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -27,6 +27,7 @@
 mod scheduler;
 mod server_notices;
 mod server_speed;
+mod server_speed_fleet;
 mod store_start;
 mod stream_versions;
 mod ttft;
