--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -11,6 +11,7 @@
 };
 use hawthornmill::routing::catalog::Engine;
 use hawthornmill::routing::cold_start::{ColdStartLimiter, ColdStartTolerance};
+use hawthornmill::routing::loads::ServerReport;
 use hawthornmill::routing::placement::Location;
 use hawthornmill::routing::regions::AllowedRegions;
 use hawthornmill::routing::registry::{Change, Registration};
@@ -18,6 +19,7 @@
 use hawthornmill::routing::retry_budget::{RetryBudget, RetryBudgetConfig};
 use hawthornmill::routing::scheduler::Scheduler;
 use hawthornmill::routing::server_notices::ServerNotices;
+use hawthornmill::routing::server_speed::SpeedFigure;
 use hawthornmill::routing::shape::{PromptPart, Shape};
 use smallvec::{SmallVec, smallvec};
 
@@ -139,6 +141,33 @@
     group.finish();
 }
 
+/// The same among 112 servers, without and with figures of their speed.
+fn speeds(c: &mut Criterion) {
+    let mut group = c.benchmark_group("speeds");
+    for reports in [false, true] {
+        let now = Instant::now();
+        let mut scheduler = scheduler(112, now);
+        for number in (0..112).filter(|_| reports) {
+            let report = ServerReport {
+                speed: SpeedFigure::from_percent(80.0 + f64::from(number)),
+                ..ServerReport::default()
+            };
+            scheduler.apply_server_report(ServerId::of(&format!("s-{number}")), report, now);
+        }
+        let mut family = 0;
+        group.bench_function(BenchmarkId::new("reported", reports), |b| {
+            b.iter(|| {
+                family += 1;
+                let admission = scheduler.submit(&request(family % 758, 3_000, now), now);
+                if let Admission::Decided(Ok(placement)) = admission {
+                    scheduler.finish(&placement, false);
+                }
+            });
+        });
+    }
+    group.finish();
+}
+
 /// A look at all queued requests while every server is full.
 fn dispatch(c: &mut Criterion) {
     let mut group = c.benchmark_group("dispatch");
@@ -166,5 +195,5 @@
     group.finish();
 }
 
-criterion_group!(benches, submit, dispatch, context);
+criterion_group!(benches, submit, speeds, dispatch, context);
 criterion_main!(benches);
--- a/crates/hawthornmill-gateway/src/server_speeds.rs
+++ b/crates/hawthornmill-gateway/src/server_speeds.rs
@@ -90,13 +90,13 @@
     newcomer: SocketAddr,
     now: Instant,
 ) {
-    let parts = gateway.scheduler.borrow().loads.speeds.parts();
-    for _ in 0..parts.min(MAX_NEWCOMER_PARTS) {
-        send_fleet(gateway, datagrams, &[newcomer], true, now);
+    let speeds = &mut gateway.scheduler.borrow_mut().loads.speeds;
+    for _ in 0..speeds.parts().min(MAX_NEWCOMER_PARTS) {
+        send(datagrams, speeds.newcomer_report(now), &[newcomer]);
     }
 }
 
-/// Tells `targets` what is known here, as to the members of a large failure domain.
+/// Tells `targets`, the members of a large failure domain, what this relay knows.
 pub fn send_fleet(
     gateway: &Gateway,
     datagrams: &DatagramSocket,
--- a/crates/hawthornmill/src/routing/server_speed/exchange.rs
+++ b/crates/hawthornmill/src/routing/server_speed/exchange.rs
@@ -30,12 +30,14 @@
     OtherDomains,
     /// Members of a large failure domain, which hear from its relay only.
     Members,
+    /// An instance that has just started.
+    Newcomer,
 }
 
 /// Who was told a figure, and whether it came from the own failure domain.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Told {
-    listeners: [bool; 3],
+    listeners: [bool; 4],
     is_remote: bool,
     is_heard: bool,
 }
@@ -46,6 +48,8 @@
             Listeners::Near => self.is_heard,
             Listeners::OtherDomains => self.is_remote,
             Listeners::Members => false,
+            // What is new is worth nothing before it has a catalog.
+            Listeners::Newcomer => true,
         };
         !is_known_there && !self.listeners[listeners as usize]
     }
@@ -93,18 +97,11 @@
         sums
     }
 
-    /// Returns the sums of the evidence of instances for which `is_member` returns true.
-    fn sums_of(
-        &self,
-        is_member: impl Fn(InstanceId) -> bool,
-        now: Instant,
-    ) -> BTreeMap<RunTag, Evidence> {
+    /// Returns the sums of the evidence from origins for which `counts` returns true.
+    fn sums_of(&self, counts: impl Fn(Origin) -> bool, now: Instant) -> BTreeMap<RunTag, Evidence> {
         let mut sums: BTreeMap<RunTag, Evidence> = BTreeMap::new();
-        let members = self
-            .by_origin
-            .iter()
-            .filter(|(origin, _)| matches!(origin, Origin::Instance(id, _) if is_member(*id)));
-        for (tag, evidence) in members.flat_map(|(_, runs)| runs) {
+        let counted = self.by_origin.iter().filter(|(origin, _)| counts(**origin));
+        for (tag, evidence) in counted.flat_map(|(_, runs)| runs) {
             let sum = sums.entry(*tag).or_insert(Evidence::EMPTY);
             sum.merge(evidence.decayed(now));
         }
@@ -120,7 +117,7 @@
 
 /// The run after which the next message begins, for each kind of listeners.
 #[derive(Debug, Clone, Copy, Default)]
-pub(super) struct Rotation([Option<RunTag>; 3]);
+pub(super) struct Rotation([Option<RunTag>; 4]);
 
 impl Rotation {
     /// Returns the entries of the next message; all of them take turns if there are more than fit.
@@ -161,21 +158,31 @@
         now: Instant,
     ) -> SpeedReport {
         let lasting = with_lasting.then(|| {
-            let sums = self.peers.sums_of(is_member, now);
+            let counts = |origin| matches!(origin, Origin::Instance(id, _) if is_member(id));
+            let sums = self.peers.sums_of(counts, now);
             merged(sums, self.own_evidence(now))
         });
         self.report(Scope::Domain(domain), Listeners::OtherDomains, lasting, now)
     }
 
-    /// Returns all that is known here, for an instance that starts or the members of a large domain.
+    /// Returns what instances and failure domains told this relay, for the members of its large domain.
+    ///
+    /// What another relay told of the fleet is left out, or two relays would tell each other their own sums.
     pub fn fleet_report(&mut self, with_lasting: bool, now: Instant) -> SpeedReport {
         let lasting = with_lasting.then(|| {
-            let sums = self.peers.sums(now);
+            let sums = self.peers.sums_of(|origin| origin != Origin::Fleet, now);
             merged(sums, self.own_evidence(now))
         });
         self.report(Scope::RestOfFleet, Listeners::Members, lasting, now)
     }
 
+    /// Returns the lasting parts by all that is known here, for an instance that has just started.
+    pub fn newcomer_report(&mut self, now: Instant) -> SpeedReport {
+        let sums = self.peers.sums(now);
+        let lasting = merged(sums, self.own_evidence(now));
+        self.report(Scope::RestOfFleet, Listeners::Newcomer, Some(lasting), now)
+    }
+
     /// Returns the number of messages that tell the lasting parts of all servers.
     pub fn parts(&self) -> usize {
         self.servers.len().div_ceil(MAX_LASTING)
--- a/tests/testsuite/routing/server_speed.rs
+++ b/tests/testsuite/routing/server_speed.rs
@@ -174,7 +174,7 @@
     let later = now + millis(2_000);
     let mut new = scheduler(FOUR, now);
 
-    let told = old.loads.speeds.fleet_report(true, later);
+    let told = old.loads.speeds.newcomer_report(later);
     hear(&mut new, "old", &told, later);
 
     assert!(new.reports_speed(drafter()));
@@ -182,6 +182,20 @@
     assert!((1.6..=1.85).contains(&believed), "{believed}");
 }
 
+/// Failure: the two relays of a large domain tell each other their own sums, which never fade.
+#[test]
+fn relay_tells_no_sums_of_another_relay() {
+    let now = Instant::now();
+    let (mut one, mut two) = (learnt(1.82, now), scheduler(FOUR, now));
+    let later = now + millis(2_000);
+
+    let told = one.loads.speeds.fleet_report(true, later);
+    hear(&mut two, "one", &told, later);
+
+    let again = two.loads.speeds.fleet_report(true, later);
+    assert_eq!((told.lasting.len(), again.lasting.len()), (4, 0));
+}
+
 /// Failure: datagrams tell figures that mean nothing, or the same ones again and again.
 #[test]
 fn figures_are_told_once_and_only_if_new_and_unusual() {
