Server speed: the backlog drains at its own service's rate and at the lasting speed

Cause: a figure set the drain of a server's backlog to the rate of the last request begun for any service, divided by a momentary factor that then stayed until the next request, long after it had faded. Lasting parts told by peers didn't reach the rate.

Change: each backlog keeps the usual rate of its service and drains at that rate over the lasting part, set with each request begun and each report of new work. The momentary part counts in the expected time of a choice only.

--- a/crates/hawthornmill/src/routing/loads.rs
+++ b/crates/hawthornmill/src/routing/loads.rs
@@ -11,7 +11,6 @@
 use serde::{Deserialize, Serialize};
 
 use super::load_parts::{PartKey, REST_OF_FLEET, Scope, WorkPart};
-use super::registry::Registration;
 use super::remote_work::RemoteWork;
 use super::server_speed::{BelievedSpeed, ServerSpeed, SpeedFigure, SpeedTable};
 use crate::ident::{InstanceId, ServerId};
@@ -98,6 +97,9 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Backlog {
     tokens: f64,
+    /// Tokens per second that a server of usual speed prefills.
+    usual_rate: f64,
+    /// Tokens per second that this server prefills.
     rate: f64,
     at: Option<Instant>,
 }
@@ -108,6 +110,12 @@
         (self.tokens - self.rate * time.as_secs_f64()).max(0.0)
     }
 
+    /// Sets the rate of a server that takes `factor` times as long as one that prefills `usual_rate`.
+    fn set_rate(&mut self, usual_rate: f64, factor: f64) {
+        self.usual_rate = usual_rate;
+        self.rate = usual_rate / factor;
+    }
+
     fn add(&mut self, effort: u32, now: Instant) {
         self.tokens = self.at(now) + f64::from(effort);
         self.at = Some(now);
@@ -285,11 +293,13 @@
         self.unreported = self.unreported.saturating_add(work.pending_prefill);
         self.rate = rate;
         self.speeds.record_decision();
-        let speed = self.speeds.get(server).map(|s| s.believed(now).factor());
+        // A momentary figure would count until the next request, long after it has faded.
+        let lasting = self.speeds.get(server).map(|s| s.believed(now).lasting);
         let state = self.servers.entry(server).or_default();
         state.local.add(work);
         state.local.total_prefill = state.local.total_prefill.wrapping_add(work.pending_prefill);
-        state.backlog.rate = rate / speed.unwrap_or_else(|| state.slowdown.at(now));
+        let factor = lasting.unwrap_or_else(|| state.slowdown.at(now));
+        state.backlog.set_rate(rate, factor);
         state.backlog.add(work.pending_prefill, now);
     }
 
@@ -434,14 +444,16 @@
     ) {
         // Only new work joins the backlog, not what was prefilled since.
         for (server, begun) in self.remote.replace(key, reporter, work, now) {
-            let state = self.servers.entry(server).or_default();
+            let lasting = self.speeds.get(server).map(|s| s.believed(now).lasting);
+            let backlog = &mut self.servers.entry(server).or_default().backlog;
             // Without a rate, the backlog of a server that this instance has not used would never drain, and the server would
             // never be used.
-            if state.backlog.rate <= 0.0 {
-                let speed = self.speeds.get(server).map(|s| s.believed(now).factor());
-                state.backlog.rate = self.rate / speed.unwrap_or(1.0);
+            if backlog.usual_rate <= 0.0 {
+                backlog.set_rate(self.rate, lasting.unwrap_or(1.0));
+            } else if let Some(lasting) = lasting {
+                backlog.set_rate(backlog.usual_rate, lasting);
             }
-            state.backlog.add(begun, now);
+            backlog.add(begun, now);
         }
     }
 
@@ -460,22 +472,6 @@
         self.servers.entry(server).or_default().report = Some((report, now));
     }
 
-    /// Applies the figure in a server's own report of how long work takes there; its backlog drains accordingly from now on.
-    pub fn apply_speed_figure(
-        &mut self,
-        server: ServerId,
-        registration: &Registration,
-        figure: SpeedFigure,
-        now: Instant,
-    ) {
-        self.speeds.record_figure(server, registration, figure, now);
-        let factor = self.speeds.believed(server, now).factor();
-        if let Some(state) = self.servers.get_mut(&server) {
-            state.backlog.add(0, now);
-            state.backlog.rate = self.rate / factor;
-        }
-    }
-
     /// Records the outcome of a request.
     pub fn record_outcome(&mut self, server: ServerId, outcome: ServerOutcome, now: Instant) {
         let state = self.servers.entry(server).or_default();
--- a/crates/hawthornmill/src/routing/scheduler/servers.rs
+++ b/crates/hawthornmill/src/routing/scheduler/servers.rs
@@ -106,8 +106,8 @@
             return;
         };
         if let Some(entry) = self.registry.get(server) {
-            self.loads
-                .apply_speed_figure(server, &entry.registration, figure, now);
+            let speeds = &mut self.loads.speeds;
+            speeds.record_figure(server, &entry.registration, figure, now);
         }
     }
 
--- a/tests/testsuite/routing/loads.rs
+++ b/tests/testsuite/routing/loads.rs
@@ -4,8 +4,9 @@
 
 use hawthornmill::ident::{InstanceId, ServerId};
 use hawthornmill::routing::loads::{LoadTracker, ServerOutcome, ServerReport, Work};
+use hawthornmill::routing::server_speed::SpeedFigure;
 
-use super::millis;
+use super::{entry, millis};
 
 const ONE: Work = Work {
     running: 1,
@@ -111,6 +112,33 @@
     );
 }
 
+/// Failure: an engine's backlog drains at the rate of another service, or for long at a figure that meant a moment.
+#[test]
+fn figure_leaves_the_drain_of_the_backlog_to_its_service() {
+    let now = Instant::now();
+    let (engine, other) = (ServerId::of("engine"), ServerId::of("other"));
+    let mut loads = LoadTracker::default();
+    let long = Work {
+        pending_prefill: 20_000,
+        ..ONE
+    };
+    loads.begin(engine, long, RATE, now);
+    loads.begin(other, ONE, RATE / 10.0, now);
+
+    let slow = SpeedFigure::from_percent(250.0).expect("the figure is valid");
+    loads
+        .speeds
+        .record_figure(engine, &entry("engine", "a"), slow, now);
+    let more = Work {
+        pending_prefill: 1_000,
+        ..ONE
+    };
+    loads.begin(engine, more, RATE, now);
+
+    let backlogs = [0, 150, 400].map(|t| loads.backlog(engine, now + millis(t)));
+    assert_eq!(backlogs, [21_000, 6_000, 0]);
+}
+
 /// Failure: work in repeated reports counts more than once, or work in a lost report never. What was prefilled meanwhile
 /// must not count at all.
 #[test]
