Server speed: own evidence only where figures are read; sums of the fleet are not added twice

Cause: an instance that heard of evidence took the service for a reporting one and told its own, so two instances kept each other believing it after one stray figure. What relays tell of the fleet was added to what its instances and domains tell.

Change: a table notes separately when it read a figure of a service itself, and tells own evidence only within five minutes of that. Of a run, the heavier counts of the fleet's sum and the sum of own, instances' and domains' evidence.

--- a/crates/hawthornmill/src/routing/server_speed.rs
+++ b/crates/hawthornmill/src/routing/server_speed.rs
@@ -151,11 +151,20 @@
     pub spread: f64,
 }
 
+/// When figures of a service's servers were last known of.
+#[derive(Debug, Clone, Copy)]
+struct LastFigure {
+    /// Read in a response or told by another instance.
+    at: Instant,
+    /// Read in a response.
+    read_at: Option<Instant>,
+}
+
 /// Speeds of all servers of services that report them.
 #[derive(Debug, Clone, Default)]
 pub struct SpeedTable {
-    /// Services whose servers report figures, and when one was last heard of.
-    services: BTreeMap<ServiceId, Instant>,
+    /// Services whose servers report figures.
+    services: BTreeMap<ServiceId, LastFigure>,
     servers: BTreeMap<ServerId, ServerSpeed>,
     /// Usual time of requests without a prompt.
     usual_times: BTreeMap<ServiceId, UsualTime>,
@@ -220,7 +229,11 @@
         figure: SpeedFigure,
         now: Instant,
     ) {
-        self.services.insert(registration.service, now);
+        let read = LastFigure {
+            at: now,
+            read_at: Some(now),
+        };
+        self.services.insert(registration.service, read);
         self.run(server, registration).figure = Some(Figure {
             value: figure,
             at: now,
--- a/crates/hawthornmill/src/routing/server_speed/exchange.rs
+++ b/crates/hawthornmill/src/routing/server_speed/exchange.rs
@@ -4,10 +4,11 @@
 use std::time::{Duration, Instant};
 
 use super::evidence::Evidence;
+use super::refresh::SERVICE_TTL;
 use super::report::{
     LastingEntry, MAX_LASTING, MAX_MOMENTARY, MomentaryEntry, RunTag, SpeedReport,
 };
-use super::{Figure, SpeedTable, USUAL_PERCENT};
+use super::{Figure, LastFigure, SpeedTable, USUAL_PERCENT};
 use crate::ident::{DomainId, Incarnation, InstanceId};
 use crate::routing::load_parts::Scope;
 use crate::routing::registry::Registry;
@@ -79,21 +80,29 @@
         }
     }
 
-    /// Returns the sums of all evidence, and drops what counts no more.
-    pub(super) fn sums(&mut self, now: Instant) -> BTreeMap<RunTag, Evidence> {
-        let mut sums: BTreeMap<RunTag, Evidence> = BTreeMap::new();
+    /// Drops what counts no more.
+    pub(super) fn drop_faded(&mut self, now: Instant) {
         self.by_origin.retain(|_, runs| {
-            runs.retain(|tag, evidence| {
-                let evidence = evidence.decayed(now);
-                let is_kept = evidence.weight() >= LEAST_WEIGHT;
-                if is_kept {
-                    let sum = sums.entry(*tag).or_insert(Evidence::EMPTY);
-                    sum.merge(evidence);
-                }
-                is_kept
-            });
+            runs.retain(|_, evidence| evidence.decayed(now).weight() >= LEAST_WEIGHT);
             !runs.is_empty()
         });
+    }
+
+    /// Returns the sums of all evidence with `own`.
+    ///
+    /// Sums of the fleet hold what instances and domains tell as well, so the heavier of the two counts.
+    pub(super) fn sums_with(
+        &self,
+        own: BTreeMap<RunTag, Evidence>,
+        now: Instant,
+    ) -> BTreeMap<RunTag, Evidence> {
+        let mut sums = merged(self.sums_of(|origin| origin != Origin::Fleet, now), own);
+        for (tag, fleet) in self.sums_of(|origin| origin == Origin::Fleet, now) {
+            let sum = sums.entry(tag).or_insert(Evidence::EMPTY);
+            if fleet.weight() > sum.weight() {
+                *sum = fleet;
+            }
+        }
         sums
     }
 
@@ -178,8 +187,7 @@
 
     /// Returns the lasting parts by all that is known here, for an instance that has just started.
     pub fn newcomer_report(&mut self, now: Instant) -> SpeedReport {
-        let sums = self.peers.sums(now);
-        let lasting = merged(sums, self.own_evidence(now));
+        let lasting = self.peers.sums_with(self.own_evidence(now), now);
         self.report(Scope::RestOfFleet, Listeners::Newcomer, Some(lasting), now)
     }
 
@@ -203,9 +211,17 @@
         }
     }
 
+    /// Returns what this instance measured of services whose figures it reads itself.
+    ///
+    /// Instances that told each other more would take the service for one that reports figures long after the last one.
     fn own_evidence(&self, now: Instant) -> BTreeMap<RunTag, Evidence> {
+        let reads = |service| {
+            let last = self.services.get(&service).and_then(|last| last.read_at);
+            last.is_some_and(|at| now.saturating_duration_since(at) < SERVICE_TTL)
+        };
         let measured = self.servers.iter().filter(|(_, s)| s.own.weight() > 0.0);
         measured
+            .filter(|(_, s)| reads(s.service))
             .map(|(server, s)| (RunTag::of(*server, s.start_ms), s.own.decayed(now)))
             .collect()
     }
@@ -259,7 +275,11 @@
 
     fn mark_reporting(&mut self, run: RunTag, now: Instant) {
         if let Some(run) = self.index.get(run) {
-            self.services.insert(run.service, now);
+            let heard = LastFigure {
+                at: now,
+                read_at: None,
+            };
+            self.services.entry(run.service).or_insert(heard).at = now;
         }
     }
 
--- a/crates/hawthornmill/src/routing/server_speed/refresh.rs
+++ b/crates/hawthornmill/src/routing/server_speed/refresh.rs
@@ -16,7 +16,7 @@
 /// Weight from which a server counts among those whose median is the usual speed.
 const MEDIAN_WEIGHT: f64 = 1.0;
 /// Time after the last figure from which a service counts as one whose servers report none.
-const SERVICE_TTL: Duration = Duration::from_mins(5);
+pub(super) const SERVICE_TTL: Duration = Duration::from_mins(5);
 /// Weight of the newest request in the usual time of a service.
 const USUAL_TIME_WEIGHT: f64 = 0.02;
 
@@ -97,23 +97,27 @@
         self.refreshed = Some(now);
         self.update_index(registry);
         self.services
-            .retain(|_, heard| now.saturating_duration_since(*heard) < SERVICE_TTL);
+            .retain(|_, last| now.saturating_duration_since(last.at) < SERVICE_TTL);
         let services = &self.services;
         self.servers
             .retain(|_, speed| services.contains_key(&speed.service));
-        let heard = self.peers.sums(now);
-        let runs = heard.keys().filter_map(|tag| self.index.get(*tag));
+        self.peers.drop_faded(now);
+        let own = self.servers.iter().map(|(server, speed)| {
+            let tag = RunTag::of(*server, speed.start_ms);
+            (tag, speed.own.decayed(now))
+        });
+        let all = self.peers.sums_with(own.collect(), now);
+        let runs = all.keys().filter_map(|tag| self.index.get(*tag));
         for run in runs.filter(|run| services.contains_key(&run.service)) {
             let new = ServerSpeed::new(run.service, run.start_ms);
             self.servers.entry(run.server).or_insert(new);
         }
         let mut known: BTreeMap<ServiceId, Vec<(ServerId, Evidence)>> = BTreeMap::new();
         for (server, speed) in &self.servers {
-            let mut all = speed.own.decayed(now);
-            if let Some(heard) = heard.get(&RunTag::of(*server, speed.start_ms)) {
-                all.merge(*heard);
-            }
-            known.entry(speed.service).or_default().push((*server, all));
+            let tag = RunTag::of(*server, speed.start_ms);
+            let evidence = all.get(&tag).copied().unwrap_or(Evidence::EMPTY);
+            let servers = known.entry(speed.service).or_default();
+            servers.push((*server, evidence));
         }
         for servers in known.values() {
             let usual = median(servers);
--- a/tests/testsuite/routing/server_speed.rs
+++ b/tests/testsuite/routing/server_speed.rs
@@ -166,6 +166,35 @@
     assert!((after.factor() - 1.0).abs() < 1e-9, "{after:?}");
 }
 
+/// Failure: after one stray figure, instances keep each other believing for ever that a service reports figures.
+#[test]
+fn service_that_stops_reporting_is_given_up_by_all() {
+    let now = Instant::now();
+    let mut both = [scheduler(FOUR, now), scheduler(FOUR, now)];
+    report(&mut both[0], server(0), 100, now);
+    let mut reported = 0;
+
+    for step in 0..450 {
+        let at = now + millis(2_000 * step);
+        for scheduler in &mut both {
+            for number in 0..4 {
+                measure(scheduler, server(number), 1.0, at);
+            }
+            reported += u32::from(scheduler.reports_speed(drafter()));
+        }
+        let told = both.each_mut().map(|s| s.loads.speeds.own_report(true, at));
+        for (to, from) in [(0, 1), (1, 0)] {
+            if !told[from].is_empty() {
+                hear(&mut both[to], ["one", "two"][from], &told[from], at);
+            }
+        }
+    }
+
+    let still = both.map(|s| s.reports_speed(drafter()));
+    assert_eq!(still, [false, false]);
+    assert!(reported > 300, "{reported}");
+}
+
 /// Failure: nothing is known of the servers for seconds after an instance started.
 #[test]
 fn instance_that_starts_is_told_what_is_learnt() {
@@ -196,6 +225,21 @@
     assert_eq!((told.lasting.len(), again.lasting.len()), (4, 0));
 }
 
+/// Failure: what an instance measured and also hears as part of the fleet's sum counts twice, in each of two relays in turn.
+#[test]
+fn own_part_of_the_fleets_sum_counts_once() {
+    let now = Instant::now();
+    let mut one = learnt(1.82, now);
+    let later = now + millis(2_000);
+
+    let told = one.loads.speeds.newcomer_report(later);
+    hear(&mut one, "two", &told, later);
+
+    let again = one.loads.speeds.newcomer_report(later);
+    let weights = [told, again].map(|t| t.lasting.iter().map(|e| e.weight()).sum::<f64>());
+    assert!((weights[0] - weights[1]).abs() < 1e-9, "{weights:?}");
+}
+
 /// Failure: datagrams tell figures that mean nothing, or the same ones again and again.
 #[test]
 fn figures_are_told_once_and_only_if_new_and_unusual() {
