Server speed: a fast server draws no herd of long prompts

Cause: of a request's own time beyond 150 ms, the gain of a fast server counted in full against a random part of 40 ms, so that all instances that knew its figure sent long prompts there.

Change: the whole gain in own time counts by chance only, and the random part grows with the own time from 150 ms on.

--- a/crates/hawthornmill/src/routing/placement/speed.rs
+++ b/crates/hawthornmill/src/routing/placement/speed.rs
@@ -12,7 +12,7 @@
 
 /// Range of the random cost that spreads requests over alike servers of usual speed; some steps of [`super::RANK_COST`].
 const SPREAD_COST: Duration = Duration::from_millis(40);
-/// Part of a request's own time in which a fast server gains by chance only; most requests take less.
+/// Own time of a request from which that range grows with it; most requests take less.
 const SPREAD_TIME: Duration = Duration::from_millis(150);
 /// Fraction by which a server must be faster than the chosen one to be named as passed over.
 const NOTED_ADVANTAGE: f64 = 0.9;
@@ -99,8 +99,9 @@
     /// server.
     pub(super) fn engine_adjustment(self, own_time: Duration) -> f64 {
         let factor = self.factor().min(1.0);
-        let withheld = own_time.min(SPREAD_TIME).as_secs_f64() * (1.0 - factor);
-        withheld + SPREAD_COST.as_secs_f64() * factor * self.chance
+        let withheld = own_time.as_secs_f64() * (1.0 - factor);
+        let growth = own_time.div_duration_f64(SPREAD_TIME).max(1.0);
+        withheld + SPREAD_COST.as_secs_f64() * growth * factor * self.chance
     }
 
     /// Returns what a plain server costs instead of its utilization, in seconds: its running requests per slot, at its
--- a/tests/testsuite/routing/server_speed_fleet.rs
+++ b/tests/testsuite/routing/server_speed_fleet.rs
@@ -1,11 +1,13 @@
 //! How long work takes at each server, as many instances tell each other and make use of it.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hawthornmill::ident::{DomainId, Incarnation, InstanceId, mix};
 use hawthornmill::routing::gossip::{InstanceReport, PeerInfo};
 use hawthornmill::routing::placement::Placement;
+use hawthornmill::routing::request::{Admission, Request};
 use hawthornmill::routing::scheduler::Scheduler;
+use hawthornmill::routing::shape::Shape;
 use hawthornmill::wire::{Message, Sealer};
 use hawthornmill_test_support::gossip::instance_report;
 
@@ -94,9 +96,22 @@
     }
 }
 
+/// What each instance sends, all of them at the same time.
+#[derive(Debug, Clone, Copy)]
+struct Demand {
+    /// Tokens of a prompt; `None` for a service without prompts.
+    tokens: Option<u32>,
+    /// Steps of 10 ms between two requests of an instance.
+    interval: u64,
+    /// Requests of an instance.
+    rounds: u64,
+    /// Time of a request at a usual server.
+    time: Duration,
+}
+
 /// Requests without a shared prefix, which have no home, at 61 instances that all know the figure of one server and hear
 /// of each other's work every 200 ms.
-fn counts_of_fleet(percent: u32) -> Vec<u32> {
+fn counts_of_fleet(demand: Demand, percent: u32) -> Vec<u32> {
     const SERVERS: usize = 24;
     let now = Instant::now();
     let mut fleet: Vec<Scheduler> = (0..INSTANCES).map(|_| scheduler_of(SERVERS, now)).collect();
@@ -106,7 +121,7 @@
     }
     let mut counts = vec![0; SERVERS];
     let mut running: Vec<(Instant, usize, Placement)> = Vec::new();
-    for step in 0..200_u64 {
+    for step in 0..demand.interval * demand.rounds {
         let at = now + millis(10 * step);
         if step % 20 == 0 {
             let work: Vec<_> = fleet.iter().map(|s| s.loads.local()).collect();
@@ -125,11 +140,18 @@
             }
             *end > at
         });
-        // Each instance gets a request every 100 ms, all of them at the same time.
-        if step % 10 == 0 {
+        if step % demand.interval == 0 {
             for (instance, scheduler) in fleet.iter_mut().enumerate() {
-                let own = shape(step * 61 + instance as u64, 0, 400);
-                let placement = sent(scheduler.submit(&request("lab", own, at), at));
+                let own = shape(step * 61 + instance as u64, 0, demand.tokens.unwrap_or(0));
+                let wanted = Request {
+                    engine: demand
+                        .tokens
+                        .and(request("lab", Shape::default(), at).engine),
+                    ..request("lab", own, at)
+                };
+                let Admission::Decided(Ok(placement)) = scheduler.submit(&wanted, at) else {
+                    continue;
+                };
                 let number = (0..SERVERS).find(|n| server(*n) == placement.server);
                 let number = number.expect("the server is known");
                 counts[number] += 1;
@@ -138,7 +160,7 @@
                 } else {
                     1.0
                 };
-                running.push((at + millis(150).mul_f64(speed), instance, placement));
+                running.push((at + demand.time.mul_f64(speed), instance, placement));
             }
         }
     }
@@ -148,10 +170,32 @@
 /// Failure: many instances read the same good figure, and all of them send there.
 #[test]
 fn one_figure_known_to_all_attracts_no_herd() {
-    for percent in [25, 50, 100, 250, 800] {
-        let counts = counts_of_fleet(percent);
+    let demands = [
+        (Some(400), 10, 20, 150),
+        (Some(6_000), 30, 20, 160),
+        (Some(20_000), 100, 15, 393),
+        (None, 10, 20, 150),
+    ];
+    let cases = demands.iter().flat_map(|demand| {
+        let percents = [25, 50, 100, 250, 800].into_iter();
+        percents.map(move |percent| (demand, percent))
+    });
+    for ((tokens, interval, rounds, time), percent) in cases {
+        let demand = Demand {
+            tokens: *tokens,
+            interval: *interval,
+            rounds: *rounds,
+            time: millis(*time),
+        };
+
+        let counts = counts_of_fleet(demand, percent);
 
         let total: u32 = counts.iter().sum();
+        // Nearly all are sent, or the shares would mean little.
+        assert!(
+            u64::from(total) * 10 >= demand.rounds * 61 * 9,
+            "{demand:?}: {total}"
+        );
         let speeds: Vec<f64> = (0..counts.len())
             .map(|n| {
                 if n == 0 {
@@ -166,7 +210,7 @@
             let share = f64::from(total) * speed / all;
             assert!(
                 f64::from(*count) <= 1.5 * share,
-                "{percent} %: {count} of {total}, share {share}: {counts:?}"
+                "{demand:?}, {percent} %: {count} of {total}, share {share}: {counts:?}"
             );
         }
     }
