Server speed: errors are no samples; a slow server gets no late prompt after a wait

Cause: a fast response with an error status credited its server as fast. A prompt withheld from a slow server was sent there once its time left was shorter than the time at the usual speed.

Change: responses with a status of 400 or more give no time where speeds are reported. Late because of speed is what a server slower than usual finishes late though the request alone at the usual speed fits the whole objective. A server of the usual speed or a faster one is never rejected for its speed.

The status of errors has no test of its own.

--- a/crates/hawthornmill-gateway/src/proxy/forward.rs
+++ b/crates/hawthornmill-gateway/src/proxy/forward.rs
@@ -143,7 +143,9 @@
     out: &mut OwnedWriteHalf,
 ) -> ForwardOutcome {
     let mut decoder = BodyDecoder::new(response.framing);
-    match buffer_body(&mut response, &mut decoder, || slot.record_first_token()).await {
+    let status = response.head.status;
+    let on_data = || slot.record_first_token(status);
+    match buffer_body(&mut response, &mut decoder, on_data).await {
         Buffered::Complete(end) => progress.record_body_end(response.framing, end, 0),
         Buffered::TooLong => return forward_long(context, progress, response, decoder, out).await,
         Buffered::Truncated(end) => {
@@ -151,7 +153,7 @@
             return ForwardOutcome::Truncated;
         }
     }
-    slot.record_first_token();
+    slot.record_first_token(status);
     record_server_outcome(context.gateway, &response);
     let outcome = write_buffered(context, progress, &response, out).await;
     response.recycle_connection(context.gateway);
@@ -287,7 +289,7 @@
             }
             continue;
         };
-        slot.record_first_token();
+        slot.record_first_token(response.head.status);
         if !progress.response_started() {
             slot.bind_stream(progress);
             bytes = encode_head(&response.head, Framing::Chunked, context.close.always);
--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -128,6 +128,9 @@
 /// load, all servers are late by the same measure, so none of them is put at a disadvantage.
 const UNRESPONSIVE_FACTOR: f64 = 1.5;
 
+/// Least status of a response that is an error.
+const FIRST_ERROR_STATUS: u16 = 400;
+
 impl Drop for SlotGuard<'_> {
     fn drop(&mut self) {
         let limit = self.admitted.request.objective.mul_f64(UNRESPONSIVE_FACTOR);
@@ -192,15 +195,18 @@
         }
     }
 
-    /// Records the first token of the response; later calls have no effect.
-    pub fn record_first_token(&mut self) {
+    /// Records the first token of the response with `status`; later calls have no effect.
+    pub fn record_first_token(&mut self, status: u16) {
         if std::mem::replace(&mut self.responded, true) {
             return;
         }
         self.record_life();
         let now = self.gateway.now();
         let request = &self.admitted.request;
-        let elapsed = (!self.gateway.is_overloaded()).then(|| now.duration_since(self.sent_at));
+        // An error comes sooner than a response, and would credit the server as fast.
+        let is_untimed = status >= FIRST_ERROR_STATUS && self.placement.speed.is_some();
+        let is_timed = !is_untimed && !self.gateway.is_overloaded();
+        let elapsed = is_timed.then(|| now.duration_since(self.sent_at));
         self.gateway.scheduler.borrow_mut().record_first_token(
             request.service,
             &self.placement,
--- a/crates/hawthornmill/src/routing/placement.rs
+++ b/crates/hawthornmill/src/routing/placement.rs
@@ -484,9 +484,11 @@
             },
         );
     }
-    // A slow server gets nothing that is late only because of its speed; a retry takes what there is.
-    let is_late = expected > request.time_left && baseline <= request.time_left;
-    if speed.is_some() && is_late && request.excluded.is_empty() {
+    // A slow server gets nothing that would have been in time at the usual speed, also if it was queued since; a retry takes
+    // what there is.
+    let is_slow = speed.is_some_and(|s| s.factor() > 1.0);
+    let is_late = expected > request.time_left && own_time + round_trip <= request.full_objective;
+    if is_slow && is_late && request.excluded.is_empty() {
         return Err(Rejection::TooSlow);
     }
     let placement = Placement {
--- a/tests/testsuite/routing/server_speed.rs
+++ b/tests/testsuite/routing/server_speed.rs
@@ -361,6 +361,24 @@
     assert!(matches!(long, Admission::Queued(_)), "{long:?}");
 }
 
+/// Failure: a prompt that was withheld from a slow server is sent there after all, once it would be late anywhere.
+#[test]
+fn slow_server_gets_no_late_prompt_after_a_wait() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(&FOUR[..1], now);
+    report(&mut scheduler, server(0), 300, now);
+    let wanted = request("lab", shape(1, 0, 20_000), now);
+    let first = scheduler.submit(&wanted, now);
+    let later = now + millis(700);
+    report(&mut scheduler, server(0), 300, later);
+
+    let again = scheduler.dispatch_queued(later);
+
+    assert!(matches!(first, Admission::Queued(_)), "{first:?}");
+    let sent = again.iter().filter(|(_, decision)| decision.is_ok());
+    assert_eq!(sent.count(), 0, "{again:?}");
+}
+
 /// Failure: a fast server counts as a usual one.
 #[test]
 fn fast_server_is_credited() {
