Server speed: the whole figure is divided out of times; cold servers give no evidence

Cause: the figure comes with the head of a response, the first token some hundred milliseconds later, and only what was left of the figure by then was divided out of the time: most of a slow moment counted as lasting. Times of servers that were still cold counted too.

Times of requests sent to a cold server are skipped.

--- a/crates/hawthornmill/src/routing/scheduler/servers.rs
+++ b/crates/hawthornmill/src/routing/scheduler/servers.rs
@@ -128,6 +128,11 @@
         time: Duration,
         now: Instant,
     ) {
+        let sent_at = now.checked_sub(time).unwrap_or(now);
+        // What a server takes longer while it is cold is no property of it.
+        if self.registry.cold_time(placement.server, sent_at) > Duration::ZERO {
+            return;
+        }
         let served = time.saturating_sub(placement.round_trip);
         let speeds = &mut self.loads.speeds;
         if placement.queued_prefill > 0 {
--- a/crates/hawthornmill/src/routing/server_speed.rs
+++ b/crates/hawthornmill/src/routing/server_speed.rs
@@ -136,6 +136,15 @@
             age: figure.map(|f| f.age(now)),
         }
     }
+
+    /// Returns the factor of the figure behind a time measured at `now`.
+    ///
+    /// The figure comes with the head of the response, up to some hundred milliseconds before the first token. It was true
+    /// while the server worked, so its age doesn't weaken it.
+    fn reported_factor(&self, now: Instant) -> f64 {
+        let figure = self.figure.filter(|f| f.age(now) < FIGURE_TTL);
+        figure.map_or(1.0, |f| f.value.factor())
+    }
 }
 
 /// Servers by speed, for the metrics.
@@ -255,11 +264,11 @@
             return time;
         };
         let run = self.run(server, &entry.registration);
-        let believed = run.believed(now);
+        let (lasting, momentary) = (run.lasting, run.reported_factor(now));
         let ratio = time.as_secs_f64() / expected.as_secs_f64().max(0.001);
-        run.own.add(log_ratio(ratio / believed.momentary), now);
+        run.own.add(log_ratio(ratio / momentary), now);
         self.refresh_if_due(registry, now);
-        time.div_f64(believed.factor())
+        time.div_f64(lasting * momentary)
     }
 
     /// Records the time of a request without a prompt, whose usual time is learnt as well.
--- a/tests/testsuite/routing/server_speed.rs
+++ b/tests/testsuite/routing/server_speed.rs
@@ -102,6 +102,46 @@
     assert!((0.97..=1.03).contains(&believed), "{believed}");
 }
 
+/// Failure: the figure comes with the head, the first token 400 ms later, and most of a slow moment counts as lasting.
+#[test]
+fn figure_of_the_head_is_divided_out_in_full() {
+    let now = Instant::now();
+    let mut scheduler = learnt(1.0, now);
+
+    for round in 0..40 {
+        let at = now + millis(2_000 + 700 * round);
+        report(&mut scheduler, server(0), 250, at);
+        measure(&mut scheduler, server(0), 2.5, at + millis(400));
+    }
+
+    let believed = lasting(&scheduler, server(0), now + millis(30_000));
+    assert!((0.97..=1.03).contains(&believed), "{believed}");
+}
+
+/// Failure: a server that has just started and is still cold is believed to be slow for minutes.
+#[test]
+fn times_of_a_cold_server_are_no_evidence() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(&FOUR[..1], now);
+    let mut registration = entry("s0", "a");
+    registration.cold_time = millis(5_000);
+    assert!(scheduler.apply_change(change("s0", 100, Some(registration)), now));
+    report(&mut scheduler, server(0), 100, now);
+    let placement = sent(scheduler.submit(&request("lab", shape(1, 0, 500), now), now));
+
+    let mut weight = |after| {
+        let at = now + millis(after);
+        scheduler.record_first_token(drafter(), &placement, Some(millis(300)), at);
+        let told = scheduler.loads.speeds.own_report(true, at).lasting;
+        told.iter().map(|e| e.weight()).sum::<f64>()
+    };
+
+    assert!(weight(300) < 0.1);
+    // Sent while it was cold.
+    assert!(weight(5_200) < 0.1);
+    assert!(weight(5_400) > 0.9);
+}
+
 /// Failure: a server whose figure never fits its times is believed for ever.
 #[test]
 fn lie_is_cancelled_by_measured_times() {
