Server speed: instances tell figures in each round

Cause: figures were told every 400 ms, but only those younger than 300 ms, so a quarter of them never was.

Change: an instance tells its new figures with each report, every 200 ms.

A report that tells nothing isn't sent and isn't counted.

--- a/crates/hawthornmill-gateway/src/server_speeds.rs
+++ b/crates/hawthornmill-gateway/src/server_speeds.rs
@@ -20,9 +20,6 @@
 
 /// Reports of an instance between two that tell lasting parts; 2 s at the usual interval.
 const LASTING_ROUNDS: u64 = 10;
-/// Reports of an instance between two that tell momentary figures; those of two rounds share a datagram.
-const MOMENTARY_ROUNDS: u64 = 2;
-
 /// Messages of a relay to other domains between two that tell lasting parts. The number is odd, so that these go to the
 /// relays of a domain in turn.
 const RELAY_TURNS: u64 = 9;
@@ -50,9 +47,6 @@
 /// Tells nearby instances what this one measured.
 pub fn send_own(gateway: &Gateway, datagrams: &DatagramSocket, round: u64, now: Instant) {
     let turn = round.wrapping_add(gateway.id.0);
-    if !turn.is_multiple_of(MOMENTARY_ROUNDS) {
-        return;
-    }
     let report = {
         let speeds = &mut gateway.scheduler.borrow_mut().loads.speeds;
         if speeds.is_idle() {
--- a/tests/testsuite/routing/server_speed_fleet.rs
+++ b/tests/testsuite/routing/server_speed_fleet.rs
@@ -257,8 +257,8 @@
             })
         };
         usual_bytes += bytes(Message::InstanceReport(Box::new(usual)));
-        if round % 2 == 0 {
-            let told = scheduler.loads.speeds.own_report(round % 10 == 0, at);
+        let told = scheduler.loads.speeds.own_report(round % 10 == 0, at);
+        if !told.is_empty() {
             speeds += bytes(Message::SpeedReport(Box::new(told)));
         }
     }
