Test that decisions without speed figures equal those of the revision before

Cause: the test compared two schedulers of the same code, so a change that touched both went unseen.

Change: a digest of the 60 placements (server, expected times, token counts) is compared with the one that gave for the same requests.

--- a/tests/testsuite/routing/server_speed.rs
+++ b/tests/testsuite/routing/server_speed.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use hawthornmill::ident::{DomainId, Incarnation, InstanceId, ServerId, ServiceId};
+use hawthornmill::ident::{DomainId, Incarnation, InstanceId, ServerId, ServiceId, mix};
 use hawthornmill::routing::loads::ServerReport;
 use hawthornmill::routing::placement::{PassedOver, Placement};
 use hawthornmill::routing::request::{Admission, Request};
@@ -347,7 +347,24 @@
     assert_eq!(told.len(), 300);
 }
 
-/// Failure: what a service reports changes decisions of another one that reports nothing.
+/// Digest of the decisions below by the revision before servers' speed was known.
+const DECISIONS_BEFORE: u64 = 0x54ff_c9b7_e7f3_d261;
+
+/// Returns `digest` with all figures of a placement.
+fn extended(digest: u64, placement: &Placement) -> u64 {
+    let times = [
+        placement.expected_ttft,
+        placement.unloaded_ttft,
+        placement.baseline_ttft,
+    ];
+    let times = times.iter().map(|t| t.as_nanos() as u64);
+    let sizes = [placement.queued_prefill, placement.duplicate_prefill].map(u64::from);
+    let all = times.chain(sizes).chain([placement.server.0]);
+    all.fold(digest, |sum, value| mix(sum ^ value))
+}
+
+/// Failure: what a service reports changes decisions of another one that reports nothing, or decisions differ from those
+/// before speeds were known.
 #[test]
 fn service_without_figures_is_served_as_before() {
     let now = Instant::now();
@@ -366,6 +383,7 @@
     with.apply_server_report(server(0), no_speed, now);
     without.apply_server_report(server(0), no_speed, now);
 
+    let mut digest = 0;
     for number in 0..60_u64 {
         let at = now + millis(number * 7);
         let shape = shape(number % 9, 900, 300 + number as u32 * 11);
@@ -378,7 +396,9 @@
         });
         assert_eq!(one, two);
         assert_eq!(one.speed, None);
+        digest = extended(digest, &one);
     }
+    assert_eq!(digest, DECISIONS_BEFORE, "{digest:#x}");
     let reporting = [drafter(), ServiceId::of("other")].map(|s| with.reports_speed(s));
     assert_eq!(reporting, [false, true]);
 }
