--- a/crates/hawthornmill/src/routing/loads.rs
+++ b/crates/hawthornmill/src/routing/loads.rs
@@ -12,6 +12,7 @@
 
 use super::load_parts::{PartKey, REST_OF_FLEET, Scope, WorkPart};
 use super::remote_work::RemoteWork;
+use super::server_speed::{BelievedSpeed, ServerSpeed, SpeedFigure, SpeedTable};
 use crate::ident::{InstanceId, ServerId};
 
 /// Age up to which a server's own report is used beside what is known of its work.
@@ -63,12 +64,20 @@
 }
 
 /// Load that a server reports itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ServerReport {
     /// Running requests.
     pub running: u32,
     /// Queued requests.
     pub waiting: u32,
+    /// Whether either of these counts could be read; one that could not is 0.
+    pub has_counts: bool,
+    /// Requests that it runs concurrently.
+    pub slots: Option<u32>,
+    /// How long work takes there now.
+    pub speed: Option<SpeedFigure>,
+    /// Figures of the report that could not be read.
+    pub unreadable: u8,
 }
 
 /// Outcome of a request, as far as it concerns the server's health.
@@ -88,6 +97,9 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Backlog {
     tokens: f64,
+    /// Tokens per second that a server of usual speed prefills.
+    usual_rate: f64,
+    /// Tokens per second that this server prefills.
     rate: f64,
     at: Option<Instant>,
 }
@@ -98,6 +110,12 @@
         (self.tokens - self.rate * time.as_secs_f64()).max(0.0)
     }
 
+    /// Sets the rate of a server that takes `factor` times as long as one that prefills `usual_rate`.
+    fn set_rate(&mut self, usual_rate: f64, factor: f64) {
+        self.usual_rate = usual_rate;
+        self.rate = usual_rate / factor;
+    }
+
     fn add(&mut self, effort: u32, now: Instant) {
         self.tokens = self.at(now) + f64::from(effort);
         self.at = Some(now);
@@ -159,7 +177,8 @@
         if let Some((report, at)) = self.report
             && now.duration_since(at) < SERVER_REPORT_TTL
         {
-            work.running = work.running.max(report.running + report.waiting);
+            let reported = report.running.saturating_add(report.waiting);
+            work.running = work.running.max(reported);
         }
         work
     }
@@ -183,6 +202,7 @@
 pub struct KnownLoad<'a> {
     local: Option<&'a Server>,
     remote: Work,
+    speed: Option<&'a ServerSpeed>,
 }
 
 impl KnownLoad<'_> {
@@ -205,6 +225,12 @@
         }
     }
 
+    /// Returns what is believed of the server's speed.
+    pub fn speed(&self, now: Instant) -> BelievedSpeed {
+        self.speed
+            .map_or(BelievedSpeed::USUAL, |speed| speed.believed(now))
+    }
+
     /// Returns whether the server gets no work now because it couldn't be reached.
     ///
     /// After its backoff it gets one request, and further ones only after a response to that.
@@ -224,6 +250,7 @@
 pub struct LoadCursor<'a> {
     local: Peekable<btree_map::Iter<'a, ServerId, Server>>,
     remote: Peekable<btree_map::Iter<'a, ServerId, Work>>,
+    speeds: Peekable<btree_map::Iter<'a, ServerId, ServerSpeed>>,
 }
 
 impl<'a> LoadCursor<'a> {
@@ -234,6 +261,7 @@
             remote: advance_to(&mut self.remote, server)
                 .copied()
                 .unwrap_or_default(),
+            speed: advance_to(&mut self.speeds, server),
         }
     }
 }
@@ -255,6 +283,8 @@
     unreported: u32,
     /// Latest known prefill rate of servers, in tokens per second.
     rate: f64,
+    /// How long work takes at the servers.
+    pub speeds: SpeedTable,
 }
 
 impl LoadTracker {
@@ -262,10 +292,14 @@
     pub fn begin(&mut self, server: ServerId, work: Work, rate: f64, now: Instant) {
         self.unreported = self.unreported.saturating_add(work.pending_prefill);
         self.rate = rate;
+        self.speeds.record_decision();
+        // A momentary figure would count until the next request, long after it has faded.
+        let lasting = self.speeds.get(server).map(|s| s.believed(now).lasting);
         let state = self.servers.entry(server).or_default();
         state.local.add(work);
         state.local.total_prefill = state.local.total_prefill.wrapping_add(work.pending_prefill);
-        state.backlog.rate = rate / state.slowdown.at(now);
+        let factor = lasting.unwrap_or_else(|| state.slowdown.at(now));
+        state.backlog.set_rate(rate, factor);
         state.backlog.add(work.pending_prefill, now);
     }
 
@@ -286,6 +320,7 @@
         KnownLoad {
             local: self.servers.get(&server),
             remote: self.remote.at(server),
+            speed: self.speeds.get(server),
         }
     }
 
@@ -294,6 +329,7 @@
         LoadCursor {
             local: self.servers.iter().peekable(),
             remote: self.remote.sums().peekable(),
+            speeds: self.speeds.by_server().peekable(),
         }
     }
 
@@ -408,13 +444,16 @@
     ) {
         // Only new work joins the backlog, not what was prefilled since.
         for (server, begun) in self.remote.replace(key, reporter, work, now) {
-            let state = self.servers.entry(server).or_default();
+            let lasting = self.speeds.get(server).map(|s| s.believed(now).lasting);
+            let backlog = &mut self.servers.entry(server).or_default().backlog;
             // Without a rate, the backlog of a server that this instance has not used would never drain, and the server would
             // never be used.
-            if state.backlog.rate <= 0.0 {
-                state.backlog.rate = self.rate;
+            if backlog.usual_rate <= 0.0 {
+                backlog.set_rate(self.rate, lasting.unwrap_or(1.0));
+            } else if let Some(lasting) = lasting {
+                backlog.set_rate(backlog.usual_rate, lasting);
             }
-            state.backlog.add(begun, now);
+            backlog.add(begun, now);
         }
     }
 
@@ -425,8 +464,11 @@
             .retain(|id, s| s.local.running > 0 || keep(*id));
     }
 
-    /// Applies a server's own report.
+    /// Applies a server's own report; one without a readable count leaves the previous one in force.
     pub fn apply_server_report(&mut self, server: ServerId, report: ServerReport, now: Instant) {
+        if !report.has_counts {
+            return;
+        }
         self.servers.entry(server).or_default().report = Some((report, now));
     }
 
--- a/crates/hawthornmill/src/routing/placement.rs
+++ b/crates/hawthornmill/src/routing/placement.rs
@@ -19,14 +19,18 @@
 use super::regions::{AllowedRegions, Eligibility};
 use super::registry::{Registry, RegistryEntry};
 use super::server_notices::{Availability, ServerNotices};
+use super::server_speed::SpeedTable;
 use super::shape::Shape;
 use super::ttft::TtftEstimate;
 use crate::ident::{DomainId, RegionId, ServerId, ServiceId, VersionId, mix};
 
 mod fetch;
+mod speed;
 
 pub use fetch::Fetch;
 use fetch::fetch;
+use speed::{CandidateSpeed, Fastest, expected_times};
+pub use speed::{PassedOver, PlacedSpeed};
 
 /// Shared tokens from which a family has one home in the whole fleet: their prefill costs more than the round trip.
 const FLEET_WIDE_TOKENS: u32 = 2_000;
@@ -146,6 +150,8 @@
     pub spilled: bool,
     /// Where the server fetches cached tokens that it lacks.
     pub fetch: Option<Fetch>,
+    /// What was believed of the server's speed; set where servers of the service report it.
+    pub speed: Option<PlacedSpeed>,
 }
 
 /// Servers that a queued request waits for.
@@ -179,6 +185,8 @@
     time_limit: Duration,
     /// TTFT from which the request is at risk of being late.
     risk_start: Duration,
+    /// Set where servers of the service report their speed.
+    speeds: Option<&'a SpeedTable>,
 }
 
 impl RequestContext<'_> {
@@ -224,13 +232,20 @@
         shared_tokens: request.shape.shared_tokens(),
         time_limit: request.time_left.mul_f64(request.latency_fraction),
         risk_start: request.time_left.mul_f64(RISK_THRESHOLD),
+        speeds: Some(&view.loads.speeds).filter(|s| s.reports(request.service)),
     };
+    let mut fastest = Fastest::default();
     let mut best: Option<(Placement, f64)> = None;
     let mut full = HomeServers::new();
     let mut soonest: Option<(u32, ServerId)> = None;
     let mut prefix_limited = false;
     for candidate in &candidates {
-        match evaluate(request, candidate, &context, now) {
+        let speed = CandidateSpeed::of(candidate, &context, now);
+        let evaluated = evaluate(request, candidate, &context, speed, now);
+        if let Some(speed) = speed {
+            fastest.record(candidate.server, speed, evaluated.as_ref().err());
+        }
+        match evaluated {
             Ok(found) if best.is_none_or(|(_, cost)| found.1 < cost) => best = Some(found),
             Ok(_) | Err(Rejection::TooLong) => {}
             Err(Rejection::Full { queued }) => {
@@ -239,13 +254,14 @@
                     soonest = Some((queued, candidate.server));
                 }
             }
-            Err(Rejection::Reserved) => full.push(candidate.server),
+            Err(Rejection::Reserved | Rejection::TooSlow) => full.push(candidate.server),
             Err(Rejection::PrefixLimit) => prefix_limited = true,
         }
     }
     match best {
         Some((placement, _)) => Ok(Placement {
             fetch: fetch(request, &context, placement.server),
+            speed: placement.speed.map(|speed| fastest.compare(speed)),
             ..placement
         }),
         None if full.is_empty() => Err(PlacementError::TooLong),
@@ -396,13 +412,15 @@
 enum Rejection {
     /// It is at capacity.
     Full {
-        /// Prefill cost there until the request's first token, in tokens.
+        /// Prefill cost there until the request's first token, in tokens of a server of usual speed.
         queued: u32,
     },
     /// It is reserved for requests that go before.
     Reserved,
     /// The request would be late there even without other work.
     TooLong,
+    /// The request would be in time there at the usual speed, but isn't at the present one.
+    TooSlow,
     /// It isn't among the servers that may prefill the shared prefix for this account.
     PrefixLimit,
 }
@@ -412,6 +430,7 @@
     request: &PlacementRequest<'_>,
     candidate: &Candidate<'_>,
     context: &RequestContext<'_>,
+    speed: Option<CandidateSpeed>,
     now: Instant,
 ) -> Result<(Placement, f64), Rejection> {
     let homes = &context.homes;
@@ -434,7 +453,9 @@
     let total = load.total;
     let prefill = request.shape.prefill_cost(uncached);
     let queued = load.backlog + prefill;
-    let full = Rejection::Full { queued };
+    let full = Rejection::Full {
+        queued: speed.map_or(queued, |s| s.scaled(queued)),
+    };
     let capacity = capacity(request, candidate);
     if f64::from(total.running) + 1.0 > (capacity * request.capacity_fraction).max(1.0) {
         return Err(full);
@@ -447,14 +468,13 @@
     {
         return Err(full);
     }
-    let slowdown = load.slowdown.max(1.0);
     let base = request
         .engine
         .map_or(Duration::ZERO, |_| request.ttft.base_latency);
     let round_trip = ROUND_TRIPS[candidate.tier];
+    let own_time = base + request.ttft.prefill_time(prefill);
     let baseline = base + request.ttft.prefill_time(queued) + round_trip;
-    let expected = slowed(baseline, slowdown);
-    let unloaded = slowed(base + request.ttft.prefill_time(prefill), slowdown) + round_trip;
+    let (expected, unloaded) = expected_times(speed, load.slowdown, baseline, own_time, round_trip);
     if request.latency_fraction < 1.0 && expected > context.time_limit {
         return Err(
             if unloaded > request.full_objective.mul_f64(request.latency_fraction) {
@@ -464,6 +484,13 @@
             },
         );
     }
+    // A slow server gets nothing that would have been in time at the usual speed, also if it was queued since; a retry takes
+    // what there is.
+    let is_slow = speed.is_some_and(|s| s.factor() > 1.0);
+    let is_late = expected > request.time_left && own_time + round_trip <= request.full_objective;
+    if is_slow && is_late && request.excluded.is_empty() {
+        return Err(Rejection::TooSlow);
+    }
     let placement = Placement {
         server: candidate.server,
         work: Work {
@@ -480,6 +507,7 @@
         duplicate_prefill: duplicate,
         spilled: home.is_some_and(|h| h != candidate.server),
         fetch: None,
+        speed: speed.map(|s| s.placed(total.running < candidate.slots)),
     };
     let utilization = f64::from(total.running) / capacity;
     let cost = cost(
@@ -489,16 +517,11 @@
         utilization,
         load.failure_rate,
     );
-    Ok((placement, cost))
-}
-
-/// Returns `time` on a server that takes `slowdown` times as long, 1 or more.
-fn slowed(time: Duration, slowdown: f64) -> Duration {
-    if slowdown > 1.0 {
-        time.mul_f64(slowdown)
-    } else {
-        time
-    }
+    let adjustment = speed.map_or(0.0, |speed| match request.engine {
+        Some(_) => speed.engine_adjustment(own_time),
+        None => speed.plain_adjustment(total.running, candidate.slots, utilization),
+    });
+    Ok((placement, cost + adjustment))
 }
 
 /// Returns the cost of a placement to its request and to others, in seconds.
