--- a/crates/hawthornmill-gateway/src/daemon.rs
+++ b/crates/hawthornmill-gateway/src/daemon.rs
@@ -209,6 +209,7 @@
     let mut scheduler = gateway.scheduler.borrow_mut();
     scheduler.regions.clone_from(&settings.regions);
     scheduler.fetches_prefixes = settings.fetches_prefixes;
+    scheduler.hedging.set_config(settings.hedging);
     let tolerance = settings.guarantees.cold_tolerance;
     scheduler.cold_limiter.set_tolerance(tolerance);
     drop(scheduler);
--- a/crates/hawthornmill-gateway/src/endpoints.rs
+++ b/crates/hawthornmill-gateway/src/endpoints.rs
@@ -186,8 +186,22 @@
     (usage.user_time() + usage.system_time()).num_milliseconds()
 }
 
+/// Sets the extra work by hedges of each service, where settings ask for hedges.
+fn set_hedge_percent(gateway: &Gateway) {
+    let mut scheduler = gateway.scheduler.borrow_mut();
+    let Some(table) = gateway.table().filter(|_| scheduler.hedging.is_on()) else {
+        return;
+    };
+    for (service, percent) in scheduler.retry_budget.hedge_percent(gateway.now()) {
+        if let Some(service) = table.service(service) {
+            gateway.metrics.set_hedge_percent(&service.name, percent);
+        }
+    }
+}
+
 fn encode_metrics(gateway: &Gateway) -> String {
     let now = gateway.now();
+    set_hedge_percent(gateway);
     let scheduler = gateway.scheduler.borrow();
     let work = scheduler.loads.local();
     let running: u32 = work.iter().map(|(_, w)| w.running).sum();
--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -169,6 +169,7 @@
         );
         scheduler.regions.clone_from(&settings.regions);
         scheduler.fetches_prefixes = settings.fetches_prefixes;
+        scheduler.hedging.set_config(settings.hedging);
         let mut quarantine = Quarantine::default();
         quarantine.set_exempt(&settings.exempt, now);
         let peers = PeerTable::new(location.domain, settings.cpu_percent);
--- a/crates/hawthornmill-gateway/src/metrics.rs
+++ b/crates/hawthornmill-gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
+use hawthornmill::routing::hedging::Withheld;
 use hawthornmill::routing::request::Cause;
 use hawthornmill::routing::unmet_demand::UnmetReason;
 use hawthornmill::routing::usage::ShareStatus;
@@ -51,6 +52,12 @@
     cause: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabels {
+    service: ServiceName,
+    reason: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct UnmetLabels {
     standing: &'static str,
@@ -69,6 +76,10 @@
     begun_tokens: CounterFamily<ServiceLabels>,
     unmet_tokens: Family<UnmetLabels, Gauge>,
     resends: CounterFamily<ServiceLabels>,
+    hedges_sent: CounterFamily<ServiceLabels>,
+    hedges_won: CounterFamily<ServiceLabels>,
+    hedges_withheld: CounterFamily<ReasonLabels>,
+    hedge_percent: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
     store_calls: CounterFamily<OutcomeLabels>,
     connects: Counter<u64, AtomicU64>,
     server_crashes: Counter<u64, AtomicU64>,
@@ -87,6 +98,10 @@
             begun_tokens: Family::default(),
             unmet_tokens: Family::default(),
             resends: Family::default(),
+            hedges_sent: Family::default(),
+            hedges_won: Family::default(),
+            hedges_withheld: Family::default(),
+            hedge_percent: Family::default(),
             store_calls: Family::default(),
             connects: Counter::default(),
             server_crashes: Counter::default(),
@@ -104,6 +119,14 @@
         let help = "Tokens of requests that weren't sent when they arrived, by standing and reason";
         registry.register("unmet_tokens", help, metrics.unmet_tokens.clone());
         registry.register("resends", "Second sends", metrics.resends.clone());
+        let help = "Second copies of requests that had no answer in time";
+        registry.register("hedges_sent", help, metrics.hedges_sent.clone());
+        let help = "Second copies that answered first";
+        registry.register("hedges_won", help, metrics.hedges_won.clone());
+        let help = "Second copies that were due and not sent, by reason";
+        registry.register("hedges_withheld", help, metrics.hedges_withheld.clone());
+        let help = "Second copies in percent of the requests of the last window";
+        registry.register("hedge_extra_percent", help, metrics.hedge_percent.clone());
         registry.register(
             "store_calls",
             "Calls of the store",
@@ -183,6 +206,36 @@
         self.resends.get_or_create(&service_labels(service)).inc();
     }
 
+    /// Counts a second copy of a request.
+    pub fn hedge_sent(&self, service: &str) {
+        self.hedges_sent
+            .get_or_create(&service_labels(service))
+            .inc();
+    }
+
+    /// Counts a second copy that answered first.
+    pub fn hedge_won(&self, service: &str) {
+        self.hedges_won
+            .get_or_create(&service_labels(service))
+            .inc();
+    }
+
+    /// Counts a second copy that was due and not sent.
+    pub fn hedge_withheld(&self, service: &str, withheld: Withheld) {
+        let labels = ReasonLabels {
+            service: ServiceName(service.into()),
+            reason: withheld.name(),
+        };
+        self.hedges_withheld.get_or_create(&labels).inc();
+    }
+
+    /// Sets the second copies of a service in percent of its recent requests.
+    pub fn set_hedge_percent(&self, service: &str, percent: f64) {
+        self.hedge_percent
+            .get_or_create(&service_labels(service))
+            .set(percent);
+    }
+
     /// Counts a call of the store.
     pub fn store_called(&self, outcome: &'static str) {
         self.store_calls
--- a/crates/hawthornmill-gateway/src/proxy/admission.rs
+++ b/crates/hawthornmill-gateway/src/proxy/admission.rs
@@ -40,6 +40,8 @@
     pub retry_policy: RetryPolicy,
     /// The stream that it begins or takes up; `None` on routes whose streams end with their server.
     pub stream: Option<StreamOrigin>,
+    /// Whether the response is a stream of events.
+    pub streaming: bool,
     /// Maximum number of servers to which the request may be sent.
     pub max_attempts: u32,
     /// Name of the client account, which is sent to the server.
@@ -134,6 +136,7 @@
         request: pending,
         retry_policy: route.retry_policy,
         stream,
+        streaming: route.streaming,
         max_attempts: route.max_attempts.max(1),
         account_name: account.map(|a| a.name.clone()),
         strip_token: table.has_accounts(),
--- a/crates/hawthornmill-gateway/src/proxy/forward.rs
+++ b/crates/hawthornmill-gateway/src/proxy/forward.rs
@@ -104,7 +104,8 @@
 }
 
 /// How buffering a response ended.
-enum Buffered {
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Buffered {
     /// The response is complete.
     Complete(BodyEnd),
     /// The response exceeds the buffer limit and has not ended.
@@ -113,6 +114,32 @@
     Truncated(BodyEnd),
 }
 
+/// A body that was buffered to its end or to the limit.
+#[derive(Debug)]
+pub struct ReadAhead {
+    decoder: BodyDecoder,
+    /// How buffering ended.
+    pub end: Buffered,
+}
+
+/// Buffers the body of `response` and calls `on_data` after each part; does nothing if it is a stream of events.
+pub async fn read_ahead(response: &mut ServerResponse, on_data: impl FnMut()) {
+    if !has_events(response) {
+        let buffered = take_buffered(response, on_data).await;
+        response.read_ahead = Some(buffered);
+    }
+}
+
+/// Takes what was read ahead of the body, or buffers it now.
+async fn take_buffered(response: &mut ServerResponse, on_data: impl FnMut()) -> ReadAhead {
+    if let Some(buffered) = response.read_ahead.take() {
+        return buffered;
+    }
+    let mut decoder = BodyDecoder::new(response.framing);
+    let end = buffer_body(response, &mut decoder, on_data).await;
+    ReadAhead { decoder, end }
+}
+
 /// Buffers the body of `response` to its end or to the limit, and calls `on_data` after each part.
 async fn buffer_body(
     response: &mut ServerResponse,
@@ -142,8 +169,9 @@
     slot: &mut SlotGuard<'_>,
     out: &mut OwnedWriteHalf,
 ) -> ForwardOutcome {
-    let mut decoder = BodyDecoder::new(response.framing);
-    match buffer_body(&mut response, &mut decoder, || slot.record_first_token()).await {
+    let ReadAhead { decoder, end } =
+        take_buffered(&mut response, || slot.record_first_token()).await;
+    match end {
         Buffered::Complete(end) => progress.record_body_end(response.framing, end, 0),
         Buffered::TooLong => return forward_long(context, progress, response, decoder, out).await,
         Buffered::Truncated(end) => {
@@ -163,8 +191,7 @@
 
 /// Reads a short response to its end; `None` if it is cut off or exceeds the limit.
 pub async fn read_to_end(mut response: ServerResponse) -> Option<ServerResponse> {
-    let mut decoder = BodyDecoder::new(response.framing);
-    match buffer_body(&mut response, &mut decoder, || {}).await {
+    match take_buffered(&mut response, || {}).await.end {
         Buffered::Complete(_) => Some(response),
         Buffered::TooLong | Buffered::Truncated(_) => None,
     }
--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -7,6 +7,7 @@
 //! | [`admission`] | a request and the catalog | an [`admission::Admitted`], or an [`error_response::ErrorResponse`] |
 //! | queue | an admitted request | a server chosen by the scheduler |
 //! | [`mod@send`] | a request and its server | a [`send::SendOutcome`] |
+//! | [`hedge`] | a request that may be repeated, and its server | the same, of the first good answer of two servers |
 //! | [`forward`], [`events`] | a server's response | bytes to the client |
 //! | [`progress`] | the outcome | log line, counters |
 //!
@@ -16,6 +17,7 @@
 pub mod error_response;
 pub mod events;
 pub mod forward;
+pub mod hedge;
 pub mod progress;
 pub mod quarantine;
 pub mod read;
@@ -37,10 +39,11 @@
 use hawthornmill::routing::registry::ServerRun;
 use hawthornmill::routing::request::{Cause, Refusal, Request};
 use hawthornmill::routing::stream_versions::{StreamKey, StreamVersion};
+use hedge::send_hedged;
 use progress::RequestProgress;
 use read::ClientRequest;
 use retry::RetryDecision;
-use send::{SendOutcome, ServerResponse, send};
+use send::{SendOutcome, ServerResponse};
 use serde_json::json;
 use tokio::net::tcp::OwnedWriteHalf;
 
@@ -120,6 +123,8 @@
     /// Run of the server to which the request was sent; `None` if it is not registered.
     run: Option<ServerRun>,
     responded: bool,
+    /// It belongs to a hedge, whose first token counts for the request only if it wins.
+    is_hedge: bool,
 }
 
 /// Multiple of the latency objective after which a server without a response counts as failed.
@@ -143,6 +148,22 @@
     }
 }
 
+impl<'a> SlotGuard<'a> {
+    /// Occupies the slot of a placed request from now on.
+    fn new(gateway: &'a Gateway, admitted: &'a Admitted, placement: Placement) -> Self {
+        Self {
+            gateway,
+            admitted,
+            placement,
+            sent_at: gateway.now(),
+            version: gateway.server_version(placement.server),
+            run: gateway.server_run(placement.server),
+            responded: false,
+            is_hedge: false,
+        }
+    }
+}
+
 impl SlotGuard<'_> {
     /// Binds a stream whose first event came from this server to the server's version.
     pub fn bind_stream(&self, progress: &mut RequestProgress) {
@@ -208,7 +229,15 @@
             now,
         );
         self.gateway.announce_work();
-        let latency = now.duration_since(request.arrival);
+        if !self.is_hedge {
+            self.count_start();
+        }
+    }
+
+    /// Counts the time from the arrival of the request to the begin of its response.
+    fn count_start(&self) {
+        let arrival = self.admitted.request.arrival;
+        let latency = self.gateway.now().duration_since(arrival);
         self.gateway
             .metrics
             .response_started(&self.admitted.service_name, latency);
@@ -248,11 +277,12 @@
             }
         };
         request.tried.push(placement.server);
-        let decision =
-            match attempt(context, admitted, progress, placement, &mut fallback, out).await {
-                Ok(outcome) => return outcome,
-                Err(decision) => decision,
-            };
+        let slot = SlotGuard::new(context.gateway, admitted, placement);
+        let decision = match attempt(context, &request, progress, slot, &mut fallback, out).await {
+            Ok(outcome) => return outcome,
+            Err(decision) => decision,
+        };
+        request.tried.extend(progress.take_hedge_server());
         match decision {
             RetryDecision::Retry => {}
             RetryDecision::Reject => {
@@ -307,27 +337,21 @@
     ErrorResponse::with_retry_after(Code::VersionUnknown, admitted.request.objective)
 }
 
-/// Sends the request to one server; the error is the decision that follows a failure.
+/// Sends the request to one server, and to a second one where a hedge is due; the error is the decision that follows a
+/// failure.
 async fn attempt(
     context: RequestContext<'_>,
-    admitted: &Admitted,
+    request: &Request,
     progress: &mut RequestProgress,
-    placement: Placement,
+    slot: SlotGuard<'_>,
     fallback: &mut Option<ServerResponse>,
     out: &mut OwnedWriteHalf,
 ) -> Result<RequestOutcome, RetryDecision> {
-    let (gateway, server) = (context.gateway, placement.server);
-    progress.start_attempt(gateway, context.request, admitted, &placement);
-    let mut slot = SlotGuard {
-        gateway,
-        admitted,
-        placement,
-        sent_at: gateway.now(),
-        version: gateway.server_version(server),
-        run: gateway.server_run(server),
-        responded: false,
-    };
-    match send(context, admitted, progress, &placement).await {
+    let (gateway, admitted) = (context.gateway, slot.admitted);
+    progress.start_attempt(gateway, context.request, admitted, &slot.placement);
+    let (outcome, mut slot) = send_hedged(context, request, progress, slot).await;
+    let server = slot.placement.server;
+    match outcome {
         SendOutcome::Response(response)
             if retry::is_server_error(&response)
                 && retry::try_retry(gateway, admitted, progress) =>
--- a/crates/hawthornmill-gateway/src/proxy/progress.rs
+++ b/crates/hawthornmill-gateway/src/proxy/progress.rs
@@ -1,9 +1,11 @@
 //! Progress of one request and its log lines.
 
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 use std::time::Instant;
 
 use hawthornmill::codes::Code;
-use hawthornmill::ident::VersionId;
+use hawthornmill::ident::{ServerId, VersionId};
 use hawthornmill::routing::placement::Placement;
 use hawthornmill::routing::request::{Refusal, Request};
 use serde_json::{Value, json};
@@ -85,6 +87,15 @@
     rest_bytes: usize,
 }
 
+/// What became of the hedge of a request, known also while both copies are in flight.
+#[derive(Debug, Default)]
+pub struct HedgeState {
+    /// A server may have executed the hedge, or may still be executing it.
+    pub may_have_executed: Cell<bool>,
+    /// Fields of the final log line.
+    pub fields: RefCell<Value>,
+}
+
 /// Progress of one request through the proxy.
 #[derive(Debug, Default)]
 pub struct RequestProgress {
@@ -111,6 +122,10 @@
     servers: Vec<Box<str>>,
     response_start: Option<Instant>,
     body: Option<BodySummary>,
+    /// Set where a hedge may be sent.
+    hedge: Option<Rc<HedgeState>>,
+    /// Server of the hedge of the current attempt.
+    hedge_server: Option<ServerId>,
 }
 
 impl RequestProgress {
@@ -171,8 +186,39 @@
     }
 
     /// Returns whether a server may have executed the request, or may still be executing it.
-    pub const fn may_have_executed(&self) -> bool {
-        self.earlier_uncertain || self.bytes_sent
+    pub fn may_have_executed(&self) -> bool {
+        let hedge = self.hedge.as_ref();
+        self.earlier_uncertain
+            || self.bytes_sent
+            || hedge.is_some_and(|h| h.may_have_executed.get())
+    }
+
+    /// Returns the state of a hedge of this request, which outlasts a copy that is dropped.
+    pub fn hedge_state(&mut self) -> Rc<HedgeState> {
+        Rc::clone(self.hedge.get_or_insert_default())
+    }
+
+    /// Returns the progress of a hedge, which is one send more than the current attempt.
+    pub fn for_hedge(&self) -> Self {
+        Self {
+            sends: self.sends + 1,
+            ..Self::default()
+        }
+    }
+
+    /// Adds the progress of a hedge that was sent to `server`.
+    pub fn add_hedge(&mut self, hedge: &Self, server: ServerId, name: Box<str>) {
+        self.earlier_uncertain |= hedge.bytes_sent;
+        self.hedge_server = Some(server);
+        self.servers.push(name);
+        if let Some(state) = &self.hedge {
+            state.may_have_executed.set(false);
+        }
+    }
+
+    /// Takes the server of the hedge of the current attempt.
+    pub const fn take_hedge_server(&mut self) -> Option<ServerId> {
+        self.hedge_server.take()
     }
 
     /// Records that the current server reported that it did not execute the request.
@@ -263,13 +309,18 @@
         if let Some(reason) = not_ready {
             gateway.metrics.request_not_ready(reason);
         }
-        let fields = json!({
+        let mut fields = json!({
             "outcome": outcome, "status": self.status, "code": self.code.map(Code::number),
             "not_ready": not_ready, "route": route, "service": service, "servers": self.servers, "sends": self.sends,
             "last_event": self.last_event_id, "catalog": gateway.catalog_version(), "lag_ms": lag_ms(gateway),
             "begin_ms": self.response_start.map(|b| b.duration_since(request.received).as_millis() as u64),
             "took_ms": now.duration_since(request.received).as_millis() as u64, "body": self.body_fields(),
         });
+        if let Some(hedge) = self.hedge.as_ref().map(|h| h.fields.take())
+            && !hedge.is_null()
+        {
+            fields["hedge"] = hedge;
+        }
         if outcome == "answered" {
             event_log::request_step("ended", &request.attempt_id, fields);
         } else {
--- a/crates/hawthornmill-gateway/src/proxy/retry.rs
+++ b/crates/hawthornmill-gateway/src/proxy/retry.rs
@@ -84,7 +84,7 @@
 /// Returns the decision for a request without further attempts.
 ///
 /// A rejection promises that no server executed the request.
-const fn final_decision(progress: &RequestProgress) -> RetryDecision {
+fn final_decision(progress: &RequestProgress) -> RetryDecision {
     if progress.may_have_executed() {
         RetryDecision::Fail
     } else {
@@ -100,10 +100,7 @@
     server: ServerId,
     reason: &str,
 ) -> RetryDecision {
-    let fields = json!({"server": gateway.server_name(server), "why": reason});
-    event_log::request_problem("server_unreached", &request.attempt_id, fields);
-    gateway.pool.discard_idle(server);
-    record_outcome(gateway, server, ServerOutcome::Unreachable);
+    record_unreachable(gateway, request, server, reason);
     progress.unreachable += 1;
     if progress.unreachable <= MAX_UNREACHABLE {
         RetryDecision::Retry
@@ -112,20 +109,38 @@
     }
 }
 
-/// Handles a server that reports that it did not execute the request.
-pub fn on_not_executed(
+/// Logs and records that a server could not be reached.
+pub fn record_unreachable(
     gateway: &Gateway,
-    admitted: &Admitted,
-    progress: &mut RequestProgress,
+    request: &ClientRequest,
     server: ServerId,
-    misdirected: bool,
-) -> RetryDecision {
+    reason: &str,
+) {
+    let fields = json!({"server": gateway.server_name(server), "why": reason});
+    event_log::request_problem("server_unreached", &request.attempt_id, fields);
+    gateway.pool.discard_idle(server);
+    record_outcome(gateway, server, ServerOutcome::Unreachable);
+}
+
+/// Records that a server did not execute a request.
+pub fn record_not_executed(gateway: &Gateway, server: ServerId, misdirected: bool) {
     if misdirected {
         gateway.pool.discard_idle(server);
         record_outcome(gateway, server, ServerOutcome::Unreachable);
     } else {
         record_outcome(gateway, server, ServerOutcome::Full);
     }
+}
+
+/// Handles a server that reports that it did not execute the request.
+pub fn on_not_executed(
+    gateway: &Gateway,
+    admitted: &Admitted,
+    progress: &mut RequestProgress,
+    server: ServerId,
+    misdirected: bool,
+) -> RetryDecision {
+    record_not_executed(gateway, server, misdirected);
     progress.record_not_executed();
     if take_budget(gateway, admitted, progress) {
         RetryDecision::Retry
@@ -136,9 +151,14 @@
 
 /// Handles a server that takes no requests by now; nothing was sent, so the request goes to another one.
 pub fn on_withheld(gateway: &Gateway, request: &ClientRequest, server: ServerId) -> RetryDecision {
+    log_withheld(gateway, request, server);
+    RetryDecision::Retry
+}
+
+/// Logs that a server takes no requests by now.
+pub fn log_withheld(gateway: &Gateway, request: &ClientRequest, server: ServerId) {
     let fields = json!({"server": gateway.server_name(server)});
     event_log::request_problem("send_withheld", &request.attempt_id, fields);
-    RetryDecision::Retry
 }
 
 /// Handles a connection that broke before the end of the response; the request may have been executed.
--- a/crates/hawthornmill-gateway/src/proxy/send.rs
+++ b/crates/hawthornmill-gateway/src/proxy/send.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpStream;
 
 use super::admission::Admitted;
+use super::forward::ReadAhead;
 use super::progress::RequestProgress;
 use super::read::ClientRequest;
 use super::{RequestContext, quarantine, retry};
@@ -56,6 +57,8 @@
     pub reusable: bool,
     /// The body, as far as it has been buffered.
     pub body: Option<BytesMut>,
+    /// Where buffering the body ended, if it was buffered before the response is forwarded.
+    pub read_ahead: Option<ReadAhead>,
 }
 
 /// Why no usable response came.
@@ -385,6 +388,7 @@
         server,
         reusable,
         body: None,
+        read_ahead: None,
     }
 }
 
--- a/crates/hawthornmill-gateway/src/settings.rs
+++ b/crates/hawthornmill-gateway/src/settings.rs
@@ -9,6 +9,7 @@
 use hawthornmill::ini::{Diagnostic, Reader, Section};
 use hawthornmill::quarantine::fingerprint::Fingerprint;
 use hawthornmill::routing::cold_start::ColdStartTolerance;
+use hawthornmill::routing::hedging::{HedgedServices, HedgingConfig};
 use hawthornmill::routing::retry_budget::RetryBudgetConfig;
 
 const SECTIONS: &[&str] = &[
@@ -19,6 +20,7 @@
     "store",
     "promises",
     "policy",
+    "hedging",
     "telemetry",
 ];
 
@@ -92,6 +94,8 @@
     pub guarantees: Guarantees,
     /// Servers fetch cached parts of prompts from others where they can.
     pub fetches_prefixes: bool,
+    /// Second copies of requests that have no answer in time.
+    pub hedging: HedgingConfig,
     /// Requests that are never quarantined.
     pub exempt: Vec<Fingerprint>,
     /// Least severe level that is logged.
@@ -156,6 +160,7 @@
             store: store(&mut reader, &one("store")),
             guarantees: guarantees(&mut reader, &one("promises")),
             fetches_prefixes: fetches_prefixes(&mut reader, &one("policy")),
+            hedging: hedging(&mut reader, &one("hedging")),
             exempt: exempt(&mut reader, &one("policy")),
             level: level(&mut reader, &one("telemetry")),
         };
@@ -270,6 +275,22 @@
     )
 }
 
+fn hedging(reader: &mut Reader<'_>, section: &Section) -> HedgingConfig {
+    reader.reject_unknown_keys(section, &["share", "quantile", "after_ms", "services"]);
+    let default = HedgingConfig::default();
+    let services = [
+        ("all", HedgedServices::All),
+        ("speed_reported", HedgedServices::SpeedReported),
+    ];
+    let has_delay = section.get("after_ms").is_some();
+    HedgingConfig {
+        share: reader.number_in(section, "share", default.share, 0.0..=0.5),
+        quantile: reader.number_in(section, "quantile", default.quantile, 0.5..=0.999),
+        after: has_delay.then(|| reader.millis(section, "after_ms", 1.0)),
+        services: reader.choice(section, "services", &services),
+    }
+}
+
 /// Reads the fingerprints of requests that are never quarantined, in hexadecimal.
 fn exempt(reader: &mut Reader<'_>, section: &Section) -> Vec<Fingerprint> {
     let Some(entry) = section.get("never_quarantine") else {
--- a/crates/hawthornmill/src/routing/mod.rs
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -18,6 +18,7 @@
 //! | [`usage`] | usage of each account and its max-min fair share |
 //! | [`allowance`] | fraction of a server's capacity that an account may use |
 //! | [`retry_budget`] | fleet-wide bound on retries |
+//! | [`hedging`] | second copies of requests that have no answer after some time |
 //! | [`unmet_demand`] | work that recently found no capacity |
 //! | [`scheduler`] | admission, queueing and refusal |
 //! | [`gossip`] | reports that instances exchange, and the table of peers |
@@ -38,6 +39,7 @@
 pub mod evacuations;
 pub mod fragments;
 pub mod gossip;
+pub mod hedging;
 pub mod lag;
 pub mod load_parts;
 pub mod loads;
--- a/crates/hawthornmill/src/routing/placement.rs
+++ b/crates/hawthornmill/src/routing/placement.rs
@@ -14,6 +14,7 @@
 use smallvec::SmallVec;
 
 use super::catalog::Engine;
+use super::hedging::SpareLimits;
 use super::loads::{KnownLoad, LoadTracker, Work};
 use super::prefix_index::{PrefixHits, PrefixIndex};
 use super::regions::{AllowedRegions, Eligibility};
@@ -24,9 +25,11 @@
 use crate::ident::{DomainId, RegionId, ServerId, ServiceId, VersionId, mix};
 
 mod fetch;
+mod spare;
 
 pub use fetch::Fetch;
 use fetch::fetch;
+use spare::has_spare;
 
 /// Shared tokens from which a family has one home in the whole fleet: their prefill costs more than the round trip.
 const FLEET_WIDE_TOKENS: u32 = 2_000;
@@ -121,6 +124,8 @@
     pub max_copies: usize,
     /// Whether its server may fetch cached parts of the prompt from another one.
     pub fetches_prefixes: bool,
+    /// Bounds on servers that may get it, where only warm ones with spare capacity may; `None` for any.
+    pub spare: Option<SpareLimits>,
 }
 
 /// The chosen server and the expected latency there.
@@ -270,7 +275,7 @@
         })
         .filter_map(|(server, entry)| {
             let load = loads.find(server);
-            if load.is_down(now) {
+            if load.is_down(now) || !has_spare(view, request, (server, entry), load, now) {
                 return None;
             }
             let domain = entry.registration.domain;
--- a/crates/hawthornmill/src/routing/retry_budget.rs
+++ b/crates/hawthornmill/src/routing/retry_budget.rs
@@ -24,19 +24,39 @@
     pub window: Duration,
 }
 
-/// Requests and retries of one service within the last window, by bucket.
+/// Fraction of the budget that hedges may use, so that retries after failures always have the rest.
+const HEDGE_FRACTION: f64 = 0.5;
+
+/// Which limit a further hedge would exceed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HedgeLimit {
+    /// The share of the requests.
+    Share,
+    /// The budget, or the part of it that hedges may use.
+    Budget,
+}
+
+/// Requests, retries and hedges of one service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+struct Counts {
+    requests: u32,
+    retries: u32,
+    hedges: u32,
+}
+
+/// Counts of one service within the last window, by bucket.
 #[derive(Debug, Clone, Default)]
 struct WindowCounts {
-    buckets: VecDeque<(u64, u32, u32)>,
+    buckets: VecDeque<(u64, Counts)>,
 }
 
 /// Buckets per window.
 const BUCKETS: u32 = 10;
 
 impl WindowCounts {
-    fn bucket(&mut self, index: u64) -> &mut (u64, u32, u32) {
+    fn bucket(&mut self, index: u64) -> &mut Counts {
         if self.buckets.back().is_none_or(|b| b.0 < index) {
-            self.buckets.push_back((index, 0, 0));
+            self.buckets.push_back((index, Counts::default()));
         }
         while self
             .buckets
@@ -46,12 +66,18 @@
             self.buckets.pop_front();
         }
         let last = self.buckets.len() - 1;
-        &mut self.buckets[last]
+        &mut self.buckets[last].1
     }
 
-    fn totals(&self) -> (u32, u32) {
-        let requests = self.buckets.iter().map(|b| b.1).sum();
-        (requests, self.buckets.iter().map(|b| b.2).sum())
+    /// Returns the counts of the window that ends with the bucket `index`.
+    fn totals(&mut self, index: u64) -> Counts {
+        let _current = self.bucket(index);
+        let buckets = self.buckets.iter();
+        buckets.fold(Counts::default(), |sum, (_, counts)| Counts {
+            requests: sum.requests + counts.requests,
+            retries: sum.retries + counts.retries,
+            hedges: sum.hedges + counts.hedges,
+        })
     }
 }
 
@@ -88,21 +114,72 @@
     /// Records a first attempt for `service`.
     pub fn record_request(&mut self, service: ServiceId, now: Instant) {
         let index = self.bucket_index(now);
-        self.counts.entry(service).or_default().bucket(index).1 += 1;
+        self.counts
+            .entry(service)
+            .or_default()
+            .bucket(index)
+            .requests += 1;
     }
 
     /// Takes one retry from the budget; returns false when none is left.
     pub fn try_acquire(&mut self, service: ServiceId, now: Instant) -> bool {
         let index = self.bucket_index(now);
         let counts = self.counts.entry(service).or_default();
-        let _current = counts.bucket(index);
-        let (requests, retries) = counts.totals();
-        let allowed =
-            f64::from(requests) * self.config.ratio + self.config.extra / self.instances as f64;
-        if f64::from(retries) + 1.0 > allowed * USABLE_FRACTION {
+        let totals = counts.totals(index);
+        let allowed = allowed(&self.config, self.instances, totals.requests);
+        if f64::from(totals.retries + totals.hedges) + 1.0 > allowed {
             return false;
         }
-        counts.bucket(index).2 += 1;
+        counts.bucket(index).retries += 1;
         true
     }
+
+    /// Returns whether one more hedge stays within `share` of the requests and within the budget.
+    ///
+    /// # Errors
+    /// The limit that it would exceed.
+    pub fn check_hedge(
+        &mut self,
+        service: ServiceId,
+        share: f64,
+        now: Instant,
+    ) -> Result<(), HedgeLimit> {
+        let index = self.bucket_index(now);
+        let totals = self.counts.entry(service).or_default().totals(index);
+        let allowed = allowed(&self.config, self.instances, totals.requests);
+        let hedges = f64::from(totals.hedges) + 1.0;
+        if hedges > f64::from(totals.requests) * share {
+            return Err(HedgeLimit::Share);
+        }
+        if hedges > allowed * HEDGE_FRACTION || hedges + f64::from(totals.retries) > allowed {
+            return Err(HedgeLimit::Budget);
+        }
+        Ok(())
+    }
+
+    /// Takes a hedge from the budget.
+    pub fn record_hedge(&mut self, service: ServiceId, now: Instant) {
+        let index = self.bucket_index(now);
+        let counts = self.counts.entry(service).or_default().bucket(index);
+        counts.hedges += 1;
+    }
+
+    /// Returns the hedges of each service in percent of its requests within the last window.
+    pub fn hedge_percent(&mut self, now: Instant) -> Vec<(ServiceId, f64)> {
+        let index = self.bucket_index(now);
+        let counts = self.counts.iter_mut();
+        counts
+            .map(|(service, counts)| {
+                let totals = counts.totals(index);
+                let requests = f64::from(totals.requests.max(1));
+                (*service, 100.0 * f64::from(totals.hedges) / requests)
+            })
+            .collect()
+    }
+}
+
+/// Returns the second sends that one of `instances` may make for `requests` of its own.
+fn allowed(config: &RetryBudgetConfig, instances: usize, requests: u32) -> f64 {
+    let all = f64::from(requests) * config.ratio + config.extra / instances as f64;
+    all * USABLE_FRACTION
 }
--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -16,6 +16,7 @@
 use super::credit::Credit;
 use super::evacuations::Evacuations;
 use super::gossip::UnmetDemand;
+use super::hedging::{Hedging, SpareLimits};
 use super::loads::{LoadTracker, Work};
 use super::placement::{
     HomeServers, Location, Placement, PlacementError, PlacementRequest, PlacementView,
@@ -35,6 +36,7 @@
 use crate::limits::queue_rate::QueueRate;
 
 mod exchange;
+mod hedges;
 mod queue;
 mod servers;
 mod shares;
@@ -72,6 +74,8 @@
     pub account_usage: UsageTracker,
     /// Budget for retries.
     pub retry_budget: RetryBudget,
+    /// When second copies of requests are sent.
+    pub hedging: Hedging,
     /// Region of each failure domain.
     pub regions: Vec<(DomainId, RegionId)>,
     /// Evacuated failure domains.
@@ -117,6 +121,7 @@
             prefix_index: PrefixIndex::default(),
             account_usage: UsageTracker::default(),
             retry_budget: budget,
+            hedging: Hedging::default(),
             regions: Vec::new(),
             evacuations: Evacuations::default(),
             fetches_prefixes: true,
@@ -391,6 +396,17 @@
         request: &Request,
         reserved: &[ServerId],
         now: Instant,
+    ) -> Result<Placement, PlacementError> {
+        self.place(request, reserved, None, now)
+    }
+
+    /// Places a request; a hedge, which has bounds on `spare` capacity, is charged to its account too.
+    fn place(
+        &mut self,
+        request: &Request,
+        reserved: &[ServerId],
+        spare: Option<SpareLimits>,
+        now: Instant,
     ) -> Result<Placement, PlacementError> {
         let mut unavailable = self.cold_at_limit(request.service, now);
         unavailable.extend_from_slice(reserved);
@@ -426,6 +442,7 @@
             latency_fraction: allowance::latency_fraction(capacity_fraction),
             max_copies: allowance::max_prefix_copies(share),
             fetches_prefixes: self.fetches_prefixes,
+            spare,
         };
         let placement = choose_server(&view, &query, now)?;
         // Another server would begin sooner, at the price of a second prefill of the shared prefix. When this server is
@@ -458,7 +475,7 @@
             self.spilled.push(prefix, placement.server, now);
         }
         if let Some(account) = request.account
-            && request.tried.is_empty()
+            && (request.tried.is_empty() || spare.is_some())
         {
             let cost = request.shape.cost();
             self.account_usage.record_served(account, cost, now);
--- a/crates/hawthornmill/src/routing/scheduler/servers.rs
+++ b/crates/hawthornmill/src/routing/scheduler/servers.rs
@@ -98,6 +98,11 @@
         .collect()
     }
 
+    /// Returns whether servers of `service` report their speed with their load.
+    pub const fn reports_speed(&self, _service: ServiceId) -> bool {
+        false
+    }
+
     /// Applies a whole list of registrations; see
     /// [`Registry::replace_all`](crate::routing::registry::Registry::replace_all).
     pub fn replace_registrations(&mut self, list: RegistrationList, now: Instant) {
--- a/crates/hawthornmill/src/routing/unmet_demand.rs
+++ b/crates/hawthornmill/src/routing/unmet_demand.rs
@@ -107,6 +107,15 @@
         all
     }
 
+    /// Returns whether requests for `service` recently found no capacity, here or elsewhere.
+    pub fn has_any(&self, service: ServiceId, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.duration_since(at) < DEMAND_TTL;
+        let mut local = self.local.iter();
+        let mut remote = self.remote.iter();
+        local.any(|((s, _), demand)| *s == service && is_recent(demand.at))
+            || remote.any(|((s, _, _), (at, _))| *s == service && is_recent(*at))
+    }
+
     /// Returns this instance's unmet demand, to report to others.
     pub fn report(&self, now: Instant) -> Vec<(ServiceId, ShareStatus, UnmetDemand)> {
         let recent = |d: &LocalDemand| now.duration_since(d.at) < REPORT_TTL;
--- /dev/null
+++ b/tests/testsuite/gateway/hedged_requests.rs
@@ -0,0 +1,281 @@
+//! Second copies of requests that have had no answer in time, with real processes.
+
+use std::io::Write as _;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use super::fleet::{Client, Fleet, config, request, wait_until};
+use super::scripted_server::{Behavior, Server};
+use crate::block_on;
+
+/// Requests that give an allowance of hedges.
+const WARM_UP: usize = 30;
+/// Requests of which some go to the slow server first.
+const REQUESTS: usize = 4;
+/// Time after which a hedge is due; longer than an answer takes on a busy machine.
+const AFTER: Duration = Duration::from_millis(300);
+
+/// Starts one gateway with two servers and the section `[hedging]`, and sends requests that give it an allowance.
+async fn start(hedging: &str) -> Fleet {
+    let mut fleet = Fleet::prepare(1, 2).await;
+    let options = std::fs::File::options()
+        .append(true)
+        .open(&fleet.gateways[0].config);
+    let section = format!("\n[hedging]\n{hedging}\n");
+    options
+        .expect("the settings exist")
+        .write_all(section.as_bytes())
+        .expect("the settings can be written");
+    fleet
+        .store
+        .put("op/config", config(1).to_string().as_bytes());
+    fleet.gateways[0].start();
+    wait_until("the gateway is ready", || fleet.gateways[0].is_ready()).await;
+    for number in 0..WARM_UP {
+        let text = request("GET", "/get/", &format!("warm-{number}"), "");
+        let response = fleet.send_admitted(&text).await;
+        assert_eq!(response.status(), 200);
+    }
+    fleet
+}
+
+fn settings() -> String {
+    format!("share = 0.5\nafter_ms = {}", AFTER.as_millis())
+}
+
+/// Sends requests with ids that begin with `id`, one after the other, and returns the longest time until an answer.
+async fn slowest_answer(fleet: &Fleet, path: &str, id: &str) -> Duration {
+    let mut slowest = Duration::ZERO;
+    for number in 0..REQUESTS {
+        let begin = Instant::now();
+        let text = request("GET", path, &format!("{id}-{number}"), "");
+        let response = fleet.send_admitted(&text).await;
+        assert_eq!(response.status(), 200);
+        assert!(response.whole);
+        slowest = slowest.max(begin.elapsed());
+    }
+    slowest
+}
+
+/// Returns the number of requests with ids that begin with `id` that a server received.
+fn received(server: &Server, id: &str) -> usize {
+    let ids = server.received();
+    let ids = ids
+        .iter()
+        .filter_map(|r| r.head.headers.get_str("attempt-id"));
+    ids.filter(|i| i.starts_with(id)).count()
+}
+
+/// Returns the server that gets first copies while all are idle, and the other one.
+fn by_use(fleet: &Fleet) -> (&Server, &Server) {
+    let (a, b) = (&fleet.servers[0], &fleet.servers[1]);
+    if a.executed_count() > b.executed_count() {
+        (a, b)
+    } else {
+        (b, a)
+    }
+}
+
+/// Waits for a log line of `event`, and returns the first.
+async fn logged(fleet: &Fleet, event: &str) -> Value {
+    let gateway = &fleet.gateways[0];
+    wait_until("the line is written", || async {
+        !gateway.logged(event).is_empty()
+    })
+    .await;
+    gateway.logged(event).remove(0)
+}
+
+/// Failure: a slow server makes requests late though another one is idle, or goes on with work that nobody needs, or an
+/// operator can't tell what happened.
+#[test]
+fn slow_answer_is_replaced_by_that_of_another_server() {
+    block_on(async {
+        let fleet = start(&settings()).await;
+        let gateway = &fleet.gateways[0];
+        let (slow_server, other) = by_use(&fleet);
+        slow_server.set_default(|_| Behavior::RespondAfterMs(2_500));
+
+        let slowest = slowest_answer(&fleet, "/get/", "slow").await;
+
+        assert!(slowest < Duration::from_millis(2_000), "{slowest:?}");
+        let slow = received(slow_server, "slow");
+        assert!(slow > 0, "no request went to the slow server");
+        wait_until("each slow copy is cancelled", || async {
+            slow_server.client_disconnects() == slow
+        })
+        .await;
+        assert_eq!(received(other, "slow"), REQUESTS);
+        let deadlines = other.received();
+        let hedge = logged(&fleet, "hedge_sent").await;
+        let id = hedge["request"]
+            .as_str()
+            .expect("a line has an id")
+            .to_owned();
+        let copy = deadlines
+            .iter()
+            .find(|r| r.head.headers.get_str("attempt-id") == Some(&id))
+            .and_then(|r| r.head.headers.get_str("deadline-ms")?.parse::<u128>().ok());
+        let left = 3_000 - AFTER.as_millis();
+        assert!(copy.is_some_and(|ms| ms <= left && ms > 500), "{copy:?}");
+        wait_until("the last line is written", || async {
+            gateway.logged("ended").iter().any(|l| l["request"] == *id)
+        })
+        .await;
+        let ended = logged(&fleet, "hedge_ended").await;
+        let servers = json!([slow_server.name, other.name]);
+        assert_eq!(
+            (&ended["servers"], &ended["winner"]),
+            (&servers, &json!("hedge"))
+        );
+        let last = gateway.logged("ended");
+        let last = last.iter().find(|l| l["request"] == *id);
+        let last = last.expect("the request ended");
+        assert_eq!(
+            (&last["hedge"]["winner"], &last["sends"], &last["servers"]),
+            (&json!("hedge"), &json!(2), &servers)
+        );
+        let history = fleet.request_history(&id);
+        assert!(history.contains("hedge_sent") && history.contains("hedge_ended"));
+        let metrics = gateway.metrics().await;
+        for line in [
+            format!("hawthornmill_hedges_sent_total{{service=\"app\"}} {slow}"),
+            format!("hawthornmill_hedges_won_total{{service=\"app\"}} {slow}"),
+        ] {
+            assert!(metrics.contains(&line), "{line} is missing in\n{metrics}");
+        }
+        assert!(metrics.contains("hawthornmill_hedge_extra_percent{service=\"app\"}"));
+        // A server whose copies lost is not suspect, so it still gets first copies.
+        assert!(gateway.logged("server_broke_off").is_empty());
+    });
+}
+
+/// Failure: a request that must not run twice, or a stream, runs at two servers at the same time.
+#[test]
+fn requests_that_run_once_and_streams_are_never_hedged() {
+    block_on(async {
+        let fleet = start(&settings()).await;
+        for server in &fleet.servers {
+            server.set_default(|_| Behavior::RespondAfterMs(900));
+        }
+
+        for path in ["/once/", "/stream/", "/whole/"] {
+            let id = format!("x{}", path.len());
+            let response = fleet.send_admitted(&request("POST", path, &id, "")).await;
+
+            assert_eq!(response.status(), 200);
+            let runs: usize = fleet.servers.iter().map(|s| received(s, &id)).sum();
+            assert_eq!(runs, 1, "{path}");
+        }
+        assert!(fleet.gateways[0].logged("hedge_sent").is_empty());
+    });
+}
+
+/// Failure: both copies fail, and the request is retried once for each of them, beyond the attempts of its route.
+#[test]
+fn two_failed_copies_are_one_failed_attempt() {
+    block_on(async {
+        let fleet = start(&settings()).await;
+        for server in &fleet.servers {
+            server.set_default(|_| Behavior::ResetAfterMs(700));
+        }
+
+        let response = fleet
+            .send_admitted(&request("GET", "/get/", "bad", ""))
+            .await;
+
+        assert_eq!(response.status(), 502);
+        let runs: usize = fleet.servers.iter().map(|s| received(s, "bad")).sum();
+        assert_eq!(runs, 2);
+        let ended = logged(&fleet, "hedge_ended").await;
+        assert_eq!(ended["winner"], "both_failed");
+    });
+}
+
+/// Failure: a caller leaves after a hedge was sent, and a server goes on with its copy.
+#[test]
+fn caller_that_leaves_ends_both_copies() {
+    block_on(async {
+        let fleet = start(&settings()).await;
+        for server in &fleet.servers {
+            server.set_default(|_| Behavior::RespondAfterMs(20_000));
+        }
+
+        let mut client = Client::connect(fleet.gateways[0].front()).await;
+        client
+            .send(request("GET", "/get/", "left", "").as_bytes())
+            .await;
+        wait_until("both servers have a copy", || async {
+            fleet.servers.iter().all(|s| received(s, "left") == 1)
+        })
+        .await;
+        drop(client);
+
+        wait_until("both copies are cancelled", || async {
+            fleet.servers.iter().all(|s| s.client_disconnects() == 1)
+        })
+        .await;
+        wait_until("the hedge is logged", || async {
+            let ended = fleet.gateways[0].logged("hedge_ended");
+            ended.iter().any(|l| l["winner"] == "none")
+        })
+        .await;
+    });
+}
+
+/// Failure: the process is killed between a hedge and its cancellation, and servers go on with both copies.
+#[test]
+fn killed_instance_ends_both_copies() {
+    block_on(async {
+        let mut fleet = start(&settings()).await;
+        for server in &fleet.servers {
+            server.set_default(|_| Behavior::RespondAfterMs(20_000));
+        }
+        let mut client = Client::connect(fleet.gateways[0].front()).await;
+        client
+            .send(request("GET", "/get/", "kill", "").as_bytes())
+            .await;
+        wait_until("both servers have a copy", || async {
+            fleet.servers.iter().all(|s| received(s, "kill") == 1)
+        })
+        .await;
+
+        fleet.gateways[0].kill();
+
+        wait_until("both copies end", || async {
+            fleet.servers.iter().all(|s| s.client_disconnects() == 1)
+        })
+        .await;
+    });
+}
+
+/// Failure: an instance without the section hedges, or an instance with it logs or counts nothing where it holds back.
+#[test]
+fn hedges_are_off_by_default_and_withheld_at_the_limit() {
+    block_on(async {
+        for (settings, reason) in [("", None), ("share = 0.01\nafter_ms = 300", Some("share"))] {
+            let fleet = start(settings).await;
+            for server in &fleet.servers {
+                server.set_default(|_| Behavior::RespondAfterMs(900));
+            }
+
+            let slowest = slowest_answer(&fleet, "/get/", "plain").await;
+
+            assert!(slowest >= Duration::from_millis(900), "{slowest:?}");
+            assert_eq!(fleet.runs(), WARM_UP + REQUESTS);
+            let metrics = fleet.gateways[0].metrics().await;
+            let withheld =
+                format!("hedges_withheld_total{{service=\"app\",reason=\"share\"}} {REQUESTS}");
+            assert_eq!(metrics.contains(&withheld), reason.is_some());
+            wait_until("the last line is written", || async {
+                let ended = fleet.gateways[0].logged("ended");
+                ended.len() >= WARM_UP + REQUESTS
+            })
+            .await;
+            let ended = fleet.gateways[0].logged("ended");
+            let last = ended.last().expect("requests ended");
+            assert_eq!(last["hedge"]["withheld"].as_str(), reason);
+        }
+    });
+}
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod failed_requests;
 #[expect(dead_code, reason = "the soak uses the other part of the fixtures")]
 mod fleet;
+mod hedged_requests;
 mod http_parsing;
 mod invalid_config;
 mod missed_updates;
--- a/tests/testsuite/gateway/scripted_server.rs
+++ b/tests/testsuite/gateway/scripted_server.rs
@@ -86,6 +86,8 @@
     Misdirected,
     /// Executes it and resets the connection instead of responding.
     Reset,
+    /// Does the same after a delay.
+    ResetAfterMs(u64),
     /// Executes it and responds with 500.
     ServerError,
     /// Executes it and responds twice.
@@ -417,7 +419,12 @@
                 };
                 first.and(second.await)
             }
-            Behavior::Reset => {
+            Behavior::Reset | Behavior::ResetAfterMs(_) => {
+                if let Behavior::ResetAfterMs(delay_ms) = behavior
+                    && !self.work(stream, Duration::from_millis(delay_ms)).await
+                {
+                    return false;
+                }
                 let _set = stream.set_zero_linger();
                 return false;
             }
--- /dev/null
+++ b/tests/testsuite/routing/hedging.rs
@@ -0,0 +1,397 @@
+//! Hedged requests: when a second copy is due, where it goes, and its limits.
+
+use std::time::{Duration, Instant};
+
+use hawthornmill::ident::{InstanceId, ServerId};
+use hawthornmill::routing::gossip::UnmetDemand;
+use hawthornmill::routing::hedging::{
+    HedgedServices, Hedging, HedgingConfig, Race, RaceStep, RequestCopy, Withheld,
+};
+use hawthornmill::routing::loads::{ServerOutcome, Work};
+use hawthornmill::routing::registry::Registration;
+use hawthornmill::routing::request::Request;
+use hawthornmill::routing::retry_budget::{HedgeLimit, RetryBudget, RetryBudgetConfig};
+use hawthornmill::routing::scheduler::Scheduler;
+use hawthornmill::routing::usage::ShareStatus;
+
+use super::{SIX, change, drafter, entry, millis, request, scheduler, sent, shape};
+
+const SHARE: f64 = 0.05;
+const INSTANCES: usize = 61;
+const BUDGET: RetryBudgetConfig = RetryBudgetConfig {
+    ratio: 0.2,
+    extra: 162.0,
+    window: Duration::from_secs(10),
+};
+
+fn config(share: f64) -> HedgingConfig {
+    HedgingConfig {
+        share,
+        ..HedgingConfig::default()
+    }
+}
+
+fn learning() -> Hedging {
+    let mut hedging = Hedging::default();
+    hedging.set_config(config(SHARE));
+    hedging
+}
+
+/// Records response times of `usual`, each fiftieth ten times as long, 100 ms apart; returns the time after the last.
+fn record_times(hedging: &mut Hedging, usual: Duration, rounds: u32, mut now: Instant) -> Instant {
+    for number in 0..100 * rounds {
+        let time = if number % 50 == 49 { usual * 10 } else { usual };
+        hedging.record_response(drafter(), time, now);
+        now += millis(100);
+    }
+    now
+}
+
+/// A scheduler with `servers` and a full allowance of hedges.
+fn hedging_scheduler(servers: &[(&str, &str)], now: Instant) -> Scheduler {
+    let mut scheduler = scheduler(servers, now);
+    scheduler.hedging.set_config(config(0.5));
+    for _ in 0..100 {
+        scheduler.retry_budget.record_request(drafter(), now);
+    }
+    scheduler
+}
+
+fn hedged_request(first: &str, now: Instant) -> Request {
+    let mut request = request("lab", shape(1, 10, 10), now);
+    request.tried.push(ServerId::of(first));
+    request
+}
+
+fn occupy(scheduler: &mut Scheduler, server: &str, running: u32, now: Instant) {
+    let work = Work {
+        running,
+        ..Work::default()
+    };
+    scheduler
+        .loads
+        .begin(ServerId::of(server), work, 1_000.0, now);
+}
+
+/// Failure: the delay keeps to the load of the morning, so that at a higher load every request is hedged, and at a lower
+/// one none.
+#[test]
+fn quantile_follows_shifting_load() {
+    let mut hedging = learning();
+    let slow = record_times(&mut hedging, millis(40), 4, Instant::now());
+    let before = hedging.delay(drafter(), slow).expect("it is learnt");
+    let fast = record_times(&mut hedging, millis(120), 12, slow);
+    let risen = hedging.delay(drafter(), fast).expect("it is learnt");
+    let end = record_times(&mut hedging, millis(20), 12, fast);
+    let fallen = hedging.delay(drafter(), end).expect("it is learnt");
+
+    assert!(before >= millis(39) && before <= millis(41), "{before:?}");
+    assert!(risen >= millis(118) && risen <= millis(122), "{risen:?}");
+    assert!(fallen >= millis(19) && fallen <= millis(22), "{fallen:?}");
+}
+
+/// Failure: a few samples of a service that is hardly used give a random delay, or a service that was idle for long keeps
+/// an old one.
+#[test]
+fn quantile_needs_recent_samples_and_a_fixed_time_none() {
+    let now = Instant::now();
+    let mut hedging = learning();
+    for _ in 0..19 {
+        hedging.record_response(drafter(), millis(50), now);
+    }
+    let few = hedging.delay(drafter(), now);
+    hedging.record_response(drafter(), millis(50), now);
+    let enough = hedging.delay(drafter(), now);
+    let idle = hedging.delay(drafter(), now + Duration::from_mins(60));
+    hedging.set_config(HedgingConfig {
+        after: Some(millis(70)),
+        ..config(SHARE)
+    });
+    let fixed = hedging.delay(drafter(), now + Duration::from_mins(60));
+    hedging.set_config(config(0.0));
+    let off = hedging.delay(drafter(), now);
+
+    assert_eq!((few, idle, off), (None, None, None));
+    assert!(enough.is_some());
+    assert_eq!(fixed, Some(millis(70)));
+}
+
+/// Failure: each instance takes its share of the whole fleet's requests, since it has not heard of the others, or a
+/// restarted one begins with an allowance. No instance of this fleet ever gets a report.
+#[test]
+fn fleet_without_reports_stays_within_the_share() {
+    let now = Instant::now();
+    let mut budgets = vec![RetryBudget::new(BUDGET, now); INSTANCES];
+    let (mut requests, mut hedges) = (0_u32, 0_u32);
+
+    for step in 0..600_u64 {
+        let at = now + millis(step * 100);
+        for (number, budget) in budgets.iter_mut().enumerate() {
+            if (step as usize + number).is_multiple_of(150) {
+                *budget = RetryBudget::new(BUDGET, at);
+                assert_eq!(
+                    budget.check_hedge(drafter(), SHARE, at),
+                    Err(HedgeLimit::Share)
+                );
+            }
+            if (step as usize + number).is_multiple_of(3) {
+                budget.record_request(drafter(), at);
+                requests += 1;
+            }
+            while budget.check_hedge(drafter(), SHARE, at).is_ok() {
+                budget.record_hedge(drafter(), at);
+                hedges += 1;
+            }
+        }
+        assert!(f64::from(hedges) <= f64::from(requests) * SHARE);
+    }
+
+    assert!(hedges > 100, "{hedges} hedges: the limit is of use");
+}
+
+/// Failure: hedges use up the retry budget, and requests whose servers fail can't be retried.
+#[test]
+fn hedges_leave_half_of_the_retry_budget() {
+    let now = Instant::now();
+    let mut budget = RetryBudget::new(BUDGET, now);
+    budget.observe_instances(INSTANCES);
+    for _ in 0..1_000 {
+        budget.record_request(drafter(), now);
+    }
+    let (mut hedges, mut retries) = (0, 0);
+
+    while budget.check_hedge(drafter(), 0.5, now).is_ok() {
+        budget.record_hedge(drafter(), now);
+        hedges += 1;
+    }
+    while budget.try_acquire(drafter(), now) {
+        retries += 1;
+    }
+
+    assert_eq!(
+        budget.check_hedge(drafter(), 0.5, now),
+        Err(HedgeLimit::Budget)
+    );
+    let whole = 1_000.0 * BUDGET.ratio + BUDGET.extra / INSTANCES as f64;
+    assert!(f64::from(hedges) <= whole / 2.0 && hedges > 50, "{hedges}");
+    assert!(retries >= hedges, "{retries} retries after {hedges} hedges");
+    assert!(f64::from(hedges + retries) <= whole);
+    let percent = budget.hedge_percent(now);
+    assert!((percent[0].1 - f64::from(hedges) / 10.0).abs() < 1e-9);
+}
+
+/// Failure: a hedge goes to the server that has the first copy, to one that takes no requests, or to one that hardly bears
+/// more.
+#[test]
+fn hedge_goes_to_a_warm_healthy_server_with_spare_capacity() {
+    let now = Instant::now();
+    let domains = ["a", "a", "a", "a", "a", "a", "a", "b"];
+    let names = [
+        "first", "down", "resting", "leaving", "suspect", "cold", "busy", "free",
+    ];
+    let servers: Vec<(&str, &str)> = names.into_iter().zip(domains).collect();
+    let mut scheduler = hedging_scheduler(&servers, now);
+    let id = ServerId::of;
+    scheduler
+        .loads
+        .record_outcome(id("down"), ServerOutcome::Unreachable, now);
+    scheduler
+        .loads
+        .record_outcome(id("suspect"), ServerOutcome::Failed, now);
+    scheduler
+        .notices
+        .record_rest(id("resting"), 0, millis(5_000), now);
+    scheduler.notices.record_leaving(id("leaving"), 0, now);
+    scheduler
+        .registry
+        .mark_cold(id("cold"), millis(5_000), false, now);
+    occupy(&mut scheduler, "busy", 6, now);
+
+    let hedge = scheduler.place_hedge(&hedged_request("first", now), now);
+    occupy(&mut scheduler, "free", 5, now);
+    let none = scheduler.place_hedge(&hedged_request("first", now), now);
+
+    assert_eq!(hedge.map(|p| p.server), Ok(id("free")));
+    assert_eq!(none, Err(Withheld::NoServer));
+}
+
+/// Failure: hedges go on while requests are queued or find no capacity, here or elsewhere, and add to the overload.
+#[test]
+fn no_hedge_while_the_service_is_short_of_capacity() {
+    let now = Instant::now();
+    let mut queued = hedging_scheduler(&[("a1", "a")], now);
+    for _ in 0..9 {
+        let _queued_or_sent = queued.submit(&request("lab", shape(1, 10, 10), now), now);
+    }
+    let mut unmet = hedging_scheduler(SIX, now);
+    let demand = UnmetDemand {
+        instances: 1,
+        cost: 1,
+    };
+    let report = super::scheduler::report(vec![(ShareStatus::BelowFairShare, demand)], Vec::new());
+    unmet.apply_report(InstanceId::of("peer"), &report, now);
+    let mut busy = hedging_scheduler(SIX, now);
+    for (name, _) in &SIX[..5] {
+        occupy(&mut busy, name, 7, now);
+    }
+
+    let request = hedged_request("a1", now);
+    let later = now + millis(700);
+
+    assert_eq!(queued.queue_len(), 1);
+    assert_eq!(queued.place_hedge(&request, now), Err(Withheld::Queued));
+    assert_eq!(unmet.place_hedge(&request, now), Err(Withheld::UnmetDemand));
+    assert!(unmet.place_hedge(&request, later).is_ok());
+    assert_eq!(busy.place_hedge(&request, now), Err(Withheld::Busy));
+}
+
+/// Failure: hedges of many slow requests fill the servers up to their last slot.
+#[test]
+fn hedges_stop_before_they_fill_the_service() {
+    let now = Instant::now();
+    let mut scheduler = hedging_scheduler(SIX, now);
+    for _ in 0..1_000 {
+        scheduler.retry_budget.record_request(drafter(), now);
+    }
+    let mut hedges = 0;
+
+    let withheld = loop {
+        match scheduler.place_hedge(&hedged_request("a1", now), now) {
+            Ok(_) => hedges += 1,
+            Err(withheld) => break withheld,
+        }
+    };
+
+    // Five servers of eight slots each get less than 70 % of them and one more.
+    assert!(matches!(withheld, Withheld::NoServer | Withheld::Busy));
+    assert!(hedges <= 5 * 6, "{hedges}");
+    for (name, _) in SIX {
+        assert!(scheduler.loads.total(ServerId::of(name), now).running <= 6);
+    }
+}
+
+/// Failure: an account gets more than its share by requests that are hedged.
+#[test]
+fn hedge_is_charged_to_its_account() {
+    let now = Instant::now();
+    let mut scheduler = hedging_scheduler(SIX, now);
+    let mut request = request("lab", shape(1, 10, 10), now);
+    let first = sent(scheduler.submit(&request, now));
+    let served = |scheduler: &mut Scheduler| scheduler.account_usage.local(now)[0].1;
+    let once = served(&mut scheduler);
+
+    request.tried.push(first.server);
+    let hedge = scheduler.place_hedge(&request, now).expect("there is room");
+    let twice = served(&mut scheduler);
+
+    assert_ne!(hedge.server, first.server);
+    assert!((twice.served - 2.0 * once.served).abs() < 1.0);
+    assert!((twice.requested - once.requested).abs() < 1.0);
+}
+
+/// Failure: an instance that is killed between a hedge and its cancellation starts again with the allowance that it had, and
+/// a crash loop hedges without limit.
+#[test]
+fn instance_that_crashed_between_hedge_and_cancel_has_no_allowance() {
+    let now = Instant::now();
+    let mut scheduler = hedging_scheduler(SIX, now);
+    let before = scheduler.place_hedge(&hedged_request("a1", now), now);
+
+    let mut restarted = super::scheduler(SIX, now);
+    restarted.hedging.set_config(config(0.5));
+    let after = restarted.place_hedge(&hedged_request("a1", now), now);
+
+    assert!(before.is_ok());
+    assert_eq!(after, Err(Withheld::Share));
+    assert!(restarted.loads.local().is_empty());
+}
+
+/// Failure: both copies answer at the same instant, and the caller gets two answers or a mixture.
+#[test]
+fn one_of_two_answers_at_the_same_instant_is_delivered() {
+    let mut race = Race::default();
+
+    let steps = [
+        race.record(RequestCopy::First, true),
+        race.record(RequestCopy::Hedge, true),
+        race.record(RequestCopy::First, true),
+    ];
+
+    assert_eq!(
+        steps,
+        [
+            RaceStep::Deliver(RequestCopy::First),
+            RaceStep::Ignore,
+            RaceStep::Ignore
+        ]
+    );
+    assert_eq!(race.winner(), Some(RequestCopy::First));
+}
+
+/// Failure: the server of the copy that lost counts as failing, since its answer was cut off.
+#[test]
+fn broken_answer_counts_as_a_failure_only_if_no_copy_wins() {
+    let (mut won, mut lost) = (Race::default(), Race::default());
+
+    let won_steps = [
+        won.record(RequestCopy::First, false),
+        won.record(RequestCopy::Hedge, true),
+    ];
+    let lost_steps = [
+        lost.record(RequestCopy::Hedge, false),
+        lost.record(RequestCopy::Hedge, false),
+        lost.record(RequestCopy::First, false),
+    ];
+
+    assert_eq!(
+        won_steps,
+        [RaceStep::Wait, RaceStep::Deliver(RequestCopy::Hedge)]
+    );
+    assert!(!won.counts_failures());
+    assert_eq!(
+        lost_steps,
+        [RaceStep::Wait, RaceStep::Ignore, RaceStep::Fail]
+    );
+    assert!(lost.counts_failures());
+}
+
+/// Failure: a service whose servers don't report their speed is hedged though settings exclude it.
+#[test]
+fn services_of_the_settings_are_hedged() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(SIX, now);
+    let off = scheduler.hedges_service(drafter());
+    scheduler.hedging.set_config(config(SHARE));
+    let all = scheduler.hedges_service(drafter());
+    scheduler.hedging.set_config(HedgingConfig {
+        services: HedgedServices::SpeedReported,
+        ..config(SHARE)
+    });
+
+    assert!(!off && all);
+    assert_eq!(
+        scheduler.hedges_service(drafter()),
+        scheduler.reports_speed(drafter())
+    );
+}
+
+/// Failure: hedging that is off changes where the hedge's reserve of slots matters: placements of first copies.
+#[test]
+fn first_copies_use_servers_that_get_no_hedges() {
+    let now = Instant::now();
+    let mut scheduler = hedging_scheduler(&[("a1", "a")], now);
+    let draining = Registration {
+        draining: true,
+        ..entry("a2", "a")
+    };
+    scheduler
+        .registry
+        .apply(change("a2", 9, Some(draining)), now);
+    occupy(&mut scheduler, "a1", 6, now);
+
+    let first = sent(scheduler.submit(&request("lab", shape(1, 10, 10), now), now));
+    let hedge = scheduler.place_hedge(&hedged_request("x", now), now);
+
+    assert_eq!(first.server, ServerId::of("a1"));
+    assert_eq!(hedge, Err(Withheld::Busy));
+}
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -12,6 +12,7 @@
 mod fleet_simulation;
 mod fragments;
 mod gossip;
+mod hedging;
 mod lag;
 mod large_fleet;
 mod late_dispatch;
