Test and document hedged requests

Cause: limits, logs and settings of hedges were not covered with real processes, nor documented. Change: tests for the retry after two failed copies, a loser's broken answer, an unreachable second server, the learnt delay and the settings; the end of a connection is recorded as evidence of a crash before the other copy ends; documentation.

--- a/crates/hawthornmill-gateway/src/proxy/hedge.rs
+++ b/crates/hawthornmill-gateway/src/proxy/hedge.rs
@@ -58,10 +58,7 @@
     };
     record_response(context, &slot, &end);
     match hedge {
-        Some(hedge) => {
-            let mut progresses = (progress, hedge_progress);
-            settle(context, &mut progresses, end, slot, hedge)
-        }
+        Some(hedge) => settle(context, (progress, &mut hedge_progress), end, slot, hedge),
         None => (end.into_first(), slot),
     }
 }
@@ -91,9 +88,25 @@
         };
         forward::read_ahead(response, on_data).await;
     }
+    // Recorded before the other copy ends: it may be about to crash a second server.
+    if is_connection_lost(&outcome) {
+        slot.record_break(context.request, progress);
+    }
     outcome
 }
 
+fn is_connection_lost(outcome: &SendOutcome) -> bool {
+    match outcome {
+        SendOutcome::Interrupted(interruption) => interruption.connection_lost,
+        SendOutcome::Response(response) => {
+            broken_body(response).is_some_and(BodyEnd::is_connection_lost)
+        }
+        SendOutcome::Unreachable(_) | SendOutcome::Withheld | SendOutcome::NotExecuted { .. } => {
+            false
+        }
+    }
+}
+
 /// Waits for the first copy; returns `None` when a hedge is due.
 async fn send_until_due(
     context: RequestContext<'_>,
@@ -276,7 +289,7 @@
 /// The slot of the other copy is released.
 fn settle<'a>(
     context: RequestContext<'a>,
-    (progress, hedge_progress): &mut (&mut RequestProgress, RequestProgress),
+    (progress, hedge_progress): (&mut RequestProgress, &mut RequestProgress),
     end: RaceEnd,
     slot: SlotGuard<'a>,
     hedge: Hedge<'a>,
@@ -312,8 +325,6 @@
 }
 
 /// Records what the failure of one copy tells of its server; a broken answer only if `counts`.
-///
-/// A connection that broke by itself is evidence of a crash in any case.
 fn record_failure(
     context: RequestContext<'_>,
     progress: &mut RequestProgress,
@@ -322,7 +333,7 @@
     counts: bool,
 ) {
     let (gateway, server) = (context.gateway, slot.placement.server);
-    let (reason, connection_lost) = match outcome {
+    let reason = match outcome {
         SendOutcome::Unreachable(reason) => {
             return retry::record_unreachable(gateway, context.request, server, &reason);
         }
@@ -331,21 +342,16 @@
             progress.record_not_executed();
             return retry::record_not_executed(gateway, server, misdirected);
         }
-        SendOutcome::Interrupted(interruption) => {
-            (interruption.reason, interruption.connection_lost)
-        }
+        SendOutcome::Interrupted(interruption) => interruption.reason,
         SendOutcome::Response(response) => {
             let Some(end) = broken_body(&response) else {
                 return retry::record_outcome(gateway, server, ServerOutcome::Failed);
             };
             progress.record_body_end(response.framing, end, 0);
-            ("the answer broke off".into(), progress.connection_lost())
+            "the answer broke off".into()
         }
     };
     log_interruption(context, progress, server, &reason);
-    if connection_lost {
-        slot.record_break(context.request, progress);
-    }
     if counts {
         retry::record_outcome(gateway, server, ServerOutcome::Failed);
     }
--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -25,6 +25,7 @@
 pub mod send;
 pub mod start_wait;
 
+use std::cell::Cell;
 use std::time::Instant;
 
 use admission::{Admitted, StreamOrigin};
@@ -125,6 +126,8 @@
     responded: bool,
     /// It belongs to a hedge, whose first token counts for the request only if it wins.
     is_hedge: bool,
+    /// The end of its connection is recorded.
+    break_recorded: Cell<bool>,
 }
 
 /// Multiple of the latency objective after which a server without a response counts as failed.
@@ -160,6 +163,7 @@
             run: gateway.server_run(placement.server),
             responded: false,
             is_hedge: false,
+            break_recorded: Cell::new(false),
         }
     }
 }
@@ -175,9 +179,9 @@
         }
     }
 
-    /// Records that the connection ended on which the server ran the request.
+    /// Records that the connection ended on which the server ran the request; later calls have no effect.
     fn record_break(&self, request: &ClientRequest, progress: &RequestProgress) {
-        let Some(run) = self.run else {
+        let Some(run) = self.run.filter(|_| !self.break_recorded.replace(true)) else {
             return;
         };
         let broken = BrokenRequest {
--- a/crates/hawthornmill-gateway/src/proxy/progress.rs
+++ b/crates/hawthornmill-gateway/src/proxy/progress.rs
@@ -68,6 +68,11 @@
 }
 
 impl BodyEnd {
+    /// Returns whether the connection ended, as all connections of a server do that ends itself.
+    pub const fn is_connection_lost(self) -> bool {
+        matches!(self, Self::Closed | Self::Failed)
+    }
+
     const fn name(self) -> &'static str {
         match self {
             Self::Framing => "framing",
@@ -199,6 +204,7 @@
     }
 
     /// Returns the progress of a hedge, which is one send more than the current attempt.
+    #[must_use]
     pub fn for_hedge(&self) -> Self {
         Self {
             sends: self.sends + 1,
@@ -259,8 +265,7 @@
 
     /// Returns whether the last response broke off because its connection ended.
     pub fn connection_lost(&self) -> bool {
-        self.body
-            .is_some_and(|body| matches!(body.end, BodyEnd::Closed | BodyEnd::Failed))
+        self.body.is_some_and(|body| body.end.is_connection_lost())
     }
 
     /// Returns how the body of the last response ended, for the log.
--- a/tests/testsuite/gateway/hedged_requests.rs
+++ b/tests/testsuite/gateway/hedged_requests.rs
@@ -3,12 +3,20 @@
 use std::io::Write as _;
 use std::time::{Duration, Instant};
 
+use hawthornmill::codes::Code;
+use hawthornmill::routing::hedging::{HedgedServices, HedgingConfig};
+use hawthornmill_gateway::settings::Settings;
 use serde_json::{Value, json};
 
-use super::fleet::{Client, Fleet, config, request, wait_until};
+use super::fleet::{Client, Fleet, config, request, route, wait_until};
 use super::scripted_server::{Behavior, Server};
 use crate::block_on;
 
+/// Settings without the section on hedges.
+const SETTINGS: &str = "[instance]\nname = g1\ndomain = a\nregion = north\n\n[listen]\nfront = 127.0.0.1:1\n\
+    ready = 127.0.0.1:2\ndirectory = 127.0.0.1:3\npeer = 127.0.0.1:4\n\n[peers]\n\
+    key = 8f0c1a52b7e64d39a1c5f2087be94d63105ad7c8e2f93b46700de1b85c2f4a97\n\n\
+    [domain a]\nregion = north\n\n[store]\naddress = 127.0.0.1:5\n";
 /// Requests that give an allowance of hedges.
 const WARM_UP: usize = 30;
 /// Requests of which some go to the slow server first.
@@ -18,7 +26,12 @@
 
 /// Starts one gateway with two servers and the section `[hedging]`, and sends requests that give it an allowance.
 async fn start(hedging: &str) -> Fleet {
-    let mut fleet = Fleet::prepare(1, 2).await;
+    start_before(2, hedging).await
+}
+
+/// Does the same with any number of servers.
+async fn start_before(servers: usize, hedging: &str) -> Fleet {
+    let mut fleet = Fleet::prepare(1, servers).await;
     let options = std::fs::File::options()
         .append(true)
         .open(&fleet.gateways[0].config);
@@ -27,9 +40,10 @@
         .expect("the settings exist")
         .write_all(section.as_bytes())
         .expect("the settings can be written");
-    fleet
-        .store
-        .put("op/config", config(1).to_string().as_bytes());
+    let mut config = config(1);
+    let routes = config["routes"].as_array_mut().expect("routes are a list");
+    routes.push(route("many", "idempotent", &json!({"maxAttempts": 4})));
+    fleet.store.put("op/config", config.to_string().as_bytes());
     fleet.gateways[0].start();
     wait_until("the gateway is ready", || fleet.gateways[0].is_ready()).await;
     for number in 0..WARM_UP {
@@ -99,7 +113,7 @@
 
         let slowest = slowest_answer(&fleet, "/get/", "slow").await;
 
-        assert!(slowest < Duration::from_millis(2_000), "{slowest:?}");
+        assert!(slowest < Duration::from_secs(2), "{slowest:?}");
         let slow = received(slow_server, "slow");
         assert!(slow > 0, "no request went to the slow server");
         wait_until("each slow copy is cancelled", || async {
@@ -151,6 +165,54 @@
     });
 }
 
+/// Failure: an instance without `after_ms` never hedges, since it doesn't learn the response times.
+#[test]
+fn learnt_response_times_decide_when_a_hedge_is_due() {
+    block_on(async {
+        let fleet = start("share = 0.5\nquantile = 0.9").await;
+        let (preferred, _) = by_use(&fleet);
+        preferred.set_default(|_| Behavior::RespondAfterMs(2_500));
+
+        let slowest = slowest_answer(&fleet, "/get/", "learnt").await;
+
+        assert!(slowest < Duration::from_secs(2), "{slowest:?}");
+    });
+}
+
+/// Failure: a mistyped or excessive setting is taken for the default, or the section changes something when it is absent.
+#[test]
+fn hedging_settings_are_checked() {
+    let parse = |section: &str| {
+        let text = format!("{SETTINGS}\n[hedging]\n{section}\n");
+        let settings = Settings::parse("g.ini", &text);
+        settings.map(|s| s.hedging).map_err(|faults| faults[0].code)
+    };
+
+    let all = "share = 0.05\nquantile = 0.99\nafter_ms = 40\nservices = speed_reported";
+    let expected = HedgingConfig {
+        share: 0.05,
+        quantile: 0.99,
+        after: Some(Duration::from_millis(40)),
+        services: HedgedServices::SpeedReported,
+    };
+    let absent = Settings::parse("g.ini", SETTINGS).expect("the settings are valid");
+
+    assert_eq!(parse(all), Ok(expected));
+    assert_eq!(absent.hedging, HedgingConfig::default());
+    assert!(absent.hedging.share <= 0.0);
+    for bad in [
+        "share = 0.6",
+        "share = -1",
+        "share = NaN",
+        "quantile = 1",
+        "after_ms = 0",
+        "services = some",
+    ] {
+        assert_eq!(parse(bad), Err(Code::BadValue), "{bad}");
+    }
+    assert_eq!(parse("shares = 0.1"), Err(Code::UnknownKey));
+}
+
 /// Failure: a request that must not run twice, or a stream, runs at two servers at the same time.
 #[test]
 fn requests_that_run_once_and_streams_are_never_hedged() {
@@ -193,6 +255,84 @@
     });
 }
 
+/// Failure: after two failed copies the request takes two retries from the budget, or goes to a server that failed.
+#[test]
+fn third_server_gets_the_one_retry_after_two_failed_copies() {
+    block_on(async {
+        let fleet = start_before(3, &settings()).await;
+        for server in &fleet.servers {
+            server.script(&[Behavior::ResetAfterMs(700)]);
+        }
+        // The server that gets the retry answers it.
+        let text = request("GET", "/many/", "third", "");
+        let failing = fleet.servers.clone();
+        let clear = async {
+            wait_until("two servers have a copy", || async {
+                failing.iter().filter(|s| received(s, "third") == 1).count() == 2
+            })
+            .await;
+            let third = failing.iter().find(|s| received(s, "third") == 0);
+            third.expect("one server is left").clear_script();
+        };
+
+        let (response, ()) = tokio::join!(fleet.send_admitted(&text), clear);
+
+        assert_eq!(response.status(), 200);
+        let runs = fleet.servers.iter().map(|s| received(s, "third"));
+        assert_eq!(runs.collect::<Vec<_>>(), [1, 1, 1]);
+        let metrics = fleet.gateways[0].metrics().await;
+        let resends = "hawthornmill_resends_total{service=\"app\"} 1";
+        assert!(metrics.contains(resends), "{metrics}");
+    });
+}
+
+/// Failure: the server of a copy that broke off counts as failing though the other copy answered, or the caller gets the
+/// broken answer.
+#[test]
+fn broken_answer_of_the_loser_leaves_its_server_in_use() {
+    block_on(async {
+        let fleet = start(&settings()).await;
+        let (preferred, other) = by_use(&fleet);
+        preferred.script(&[Behavior::ResetAfterMs(600)]);
+        other.script(&[Behavior::RespondAfterMs(600)]);
+
+        let response = fleet
+            .send_admitted(&request("GET", "/get/", "broken", ""))
+            .await;
+        let ended = logged(&fleet, "hedge_ended").await;
+        let next = fleet
+            .send_admitted(&request("GET", "/get/", "next", ""))
+            .await;
+
+        assert_eq!((response.status(), next.status()), (200, 200));
+        assert!(response.text().ends_with(&other.name));
+        assert_eq!(ended["winner"], "hedge");
+        assert_eq!(received(preferred, "next"), 1);
+    });
+}
+
+/// Failure: a hedge whose server can't be reached ends the request, or is sent again at no charge.
+#[test]
+fn first_copy_goes_on_when_the_second_server_is_unreachable() {
+    block_on(async {
+        let fleet = start(&settings()).await;
+        let (preferred, other) = by_use(&fleet);
+        preferred.script(&[Behavior::RespondAfterMs(900)]);
+        other.kill();
+
+        let response = fleet
+            .send_admitted(&request("GET", "/get/", "cut", ""))
+            .await;
+        let ended = logged(&fleet, "hedge_ended").await;
+
+        assert_eq!(response.status(), 200);
+        assert_eq!(ended["winner"], "first");
+        let metrics = fleet.gateways[0].metrics().await;
+        assert!(metrics.contains("hawthornmill_hedges_sent_total{service=\"app\"} 1"));
+        assert_eq!(received(preferred, "cut"), 1);
+    });
+}
+
 /// Failure: a caller leaves after a hedge was sent, and a server goes on with its copy.
 #[test]
 fn caller_that_leaves_ends_both_copies() {
--- a/tests/testsuite/gateway/scripted_server.rs
+++ b/tests/testsuite/gateway/scripted_server.rs
@@ -269,6 +269,11 @@
         self.lock().script.extend(behaviors.iter().cloned());
     }
 
+    /// Removes the rest of the script.
+    pub fn clear_script(&self) {
+        self.lock().script.clear();
+    }
+
     /// Sets the behavior for requests after the end of the script.
     pub fn set_default(&self, default: DefaultBehavior) {
         self.lock().default = Some(default);
--- a/tests/testsuite/routing/hedging.rs
+++ b/tests/testsuite/routing/hedging.rs
@@ -102,12 +102,12 @@
     let few = hedging.delay(drafter(), now);
     hedging.record_response(drafter(), millis(50), now);
     let enough = hedging.delay(drafter(), now);
-    let idle = hedging.delay(drafter(), now + Duration::from_mins(60));
+    let idle = hedging.delay(drafter(), now + Duration::from_hours(1));
     hedging.set_config(HedgingConfig {
         after: Some(millis(70)),
         ..config(SHARE)
     });
-    let fixed = hedging.delay(drafter(), now + Duration::from_mins(60));
+    let fixed = hedging.delay(drafter(), now + Duration::from_hours(1));
     hedging.set_config(config(0.0));
     let off = hedging.delay(drafter(), now);
 
@@ -241,7 +241,7 @@
     assert_eq!(queued.queue_len(), 1);
     assert_eq!(queued.place_hedge(&request, now), Err(Withheld::Queued));
     assert_eq!(unmet.place_hedge(&request, now), Err(Withheld::UnmetDemand));
-    assert!(unmet.place_hedge(&request, later).is_ok());
+    assert_eq!(unmet.place_hedge(&request, later).err(), None);
     assert_eq!(busy.place_hedge(&request, now), Err(Withheld::Busy));
 }
 
@@ -301,7 +301,7 @@
     restarted.hedging.set_config(config(0.5));
     let after = restarted.place_hedge(&hedged_request("a1", now), now);
 
-    assert!(before.is_ok());
+    assert_eq!(before.err(), None);
     assert_eq!(after, Err(Withheld::Share));
     assert!(restarted.loads.local().is_empty());
 }
