Don't count a cancelled copy as a failure of its server

Cause: the slot of a copy that lost a race was dropped after 1.5 times the objective without a response, which counts as a failure, though its server had less time than the silence limit. Change: a slot of a cancelled copy counts only from the silence limit.

--- a/crates/hawthornmill-gateway/src/proxy/hedge.rs
+++ b/crates/hawthornmill-gateway/src/proxy/hedge.rs
@@ -291,11 +291,11 @@
     context: RequestContext<'a>,
     (progress, hedge_progress): (&mut RequestProgress, &mut RequestProgress),
     end: RaceEnd,
-    slot: SlotGuard<'a>,
+    mut slot: SlotGuard<'a>,
     hedge: Hedge<'a>,
 ) -> (SendOutcome, SlotGuard<'a>) {
     let Hedge {
-        slot: hedge_slot,
+        slot: mut hedge_slot,
         log,
     } = hedge;
     log.end(end.race.winner());
@@ -305,6 +305,7 @@
     let name = context.gateway.server_name(server);
     match end.copies {
         CopyOutcomes::First { outcome, hedge } => {
+            hedge_slot.cancelled = hedge.is_none();
             if let Some(failed) = hedge {
                 record_failure(context, hedge_progress, &hedge_slot, failed, counts);
             }
@@ -312,6 +313,7 @@
             (outcome, slot)
         }
         CopyOutcomes::Hedge { answer, first } => {
+            slot.cancelled = first.is_none();
             if let Some(failed) = first {
                 record_failure(context, progress, &slot, failed, counts);
             }
--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -44,7 +44,7 @@
 use progress::RequestProgress;
 use read::ClientRequest;
 use retry::RetryDecision;
-use send::{SendOutcome, ServerResponse};
+use send::{SendOutcome, ServerResponse, silence_limit};
 use serde_json::json;
 use tokio::net::tcp::OwnedWriteHalf;
 
@@ -126,6 +126,8 @@
     responded: bool,
     /// It belongs to a hedge, whose first token counts for the request only if it wins.
     is_hedge: bool,
+    /// It belongs to a copy that was cancelled since the other copy answered.
+    cancelled: bool,
     /// The end of its connection is recorded.
     break_recorded: Cell<bool>,
 }
@@ -138,7 +140,12 @@
 
 impl Drop for SlotGuard<'_> {
     fn drop(&mut self) {
-        let limit = self.admitted.request.objective.mul_f64(UNRESPONSIVE_FACTOR);
+        // Under a cancelled copy, the server was given less time than it may take.
+        let limit = if self.cancelled {
+            silence_limit(self.admitted, &self.placement)
+        } else {
+            self.admitted.request.objective.mul_f64(UNRESPONSIVE_FACTOR)
+        };
         let elapsed = self.gateway.now().duration_since(self.sent_at);
         if !self.responded && elapsed > limit {
             retry::record_outcome(
@@ -163,6 +170,7 @@
             run: gateway.server_run(placement.server),
             responded: false,
             is_hedge: false,
+            cancelled: false,
             break_recorded: Cell::new(false),
         }
     }
--- a/crates/hawthornmill-gateway/src/proxy/send.rs
+++ b/crates/hawthornmill-gateway/src/proxy/send.rs
@@ -186,7 +186,7 @@
 }
 
 /// Returns how long a server may be silent before the request is sent to another one.
-fn silence_limit(admitted: &Admitted, placement: &Placement) -> Duration {
+pub fn silence_limit(admitted: &Admitted, placement: &Placement) -> Duration {
     admitted.request.objective.mul_f64(ABANDON_FACTOR) + placement.expected_ttft * 2
 }
 
--- a/tests/testsuite/gateway/hedged_requests.rs
+++ b/tests/testsuite/gateway/hedged_requests.rs
@@ -232,6 +232,28 @@
     });
 }
 
+/// Failure: a server whose copy is cancelled after 1.5 times the objective, before its silence limit, counts as failing.
+#[test]
+fn cancelled_copy_leaves_its_server_in_use() {
+    block_on(async {
+        let (fleet, responses) = play(2, AFTER_300_MS, async |fleet| {
+            let (preferred, other) = by_use(fleet);
+            preferred.script(&[Behavior::Hang]);
+            other.script(&[Behavior::RespondAfterMs(1_350)]);
+            let slow = get(fleet, "/get/", "slow").await;
+            [slow, get(fleet, "/get/", "next").await]
+        })
+        .await;
+        let (preferred, other) = by_use(&fleet);
+
+        assert!(responses.iter().all(|r| r.status() == 200));
+        assert!(responses[0].text().ends_with(&other.name));
+        let ended = logged(&fleet, "hedge_ended", "slow").await;
+        assert_eq!(ended["winner"], "hedge");
+        assert_eq!(received(preferred, "next"), 1);
+    });
+}
+
 /// Failure: a hedge whose server can't be reached ends the request, or isn't counted.
 #[test]
 fn first_copy_goes_on_when_the_second_server_is_unreachable() {
