Let the graver of two failed copies count, and record a failed copy at once

Cause: if both copies failed, the first one's failure decided even if the other may have crashed its server, and a complete error response was dropped for a made-up one. What a failed copy told of its server was recorded, and its slot released, only after the other copy ended. Change: a copy that broke off counts before an error response, that before one that was not executed, that before one that was not sent; an error response of the other copy reaches a caller whose request isn't sent again. A copy that fails records its server's state and releases its slot when it ends; the retry decision waits for the other copy.

--- a/crates/hawthornmill-gateway/src/proxy/forward.rs
+++ b/crates/hawthornmill-gateway/src/proxy/forward.rs
@@ -180,7 +180,7 @@
         }
     }
     slot.record_first_token();
-    record_server_outcome(context.gateway, &response);
+    record_server_outcome(context.gateway, &mut response);
     let outcome = write_buffered(context, progress, &response, out).await;
     response.recycle_connection(context.gateway);
     match outcome {
@@ -197,7 +197,11 @@
     }
 }
 
-fn record_server_outcome(gateway: &Gateway, response: &ServerResponse) {
+/// Records whether a complete response is an error; later calls have no effect.
+pub fn record_server_outcome(gateway: &Gateway, response: &mut ServerResponse) {
+    if std::mem::replace(&mut response.outcome_recorded, true) {
+        return;
+    }
     let outcome = if retry::is_server_error(response) {
         ServerOutcome::Failed
     } else {
@@ -262,7 +266,7 @@
             }
         }
     }
-    record_server_outcome(context.gateway, &response);
+    record_server_outcome(context.gateway, &mut response);
     if chunked {
         bytes.last_chunk();
         if out.write_all(&bytes.0).await.is_err() {
@@ -334,7 +338,7 @@
     }
     bytes.chunk(&splitter.take_rest());
     bytes.last_chunk();
-    record_server_outcome(context.gateway, &response);
+    record_server_outcome(context.gateway, &mut response);
     if out.write_all(&bytes.0).await.is_err() {
         return ForwardOutcome::ClientClosed;
     }
--- a/crates/hawthornmill-gateway/src/proxy/hedge.rs
+++ b/crates/hawthornmill-gateway/src/proxy/hedge.rs
@@ -2,6 +2,7 @@
 //!
 //! A copy is cancelled by dropping it, which closes its connection; servers stop work for a closed connection.
 
+use std::cmp::Ordering;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -16,23 +17,24 @@
 use super::admission::Admitted;
 use super::forward::{self, Buffered};
 use super::progress::{BodyEnd, HedgeState, RequestProgress};
-use super::send::{SendOutcome, ServerResponse, send};
+use super::send::{SendOutcome, ServerResponse, send, silence_limit};
 use super::{RequestContext, SlotGuard, log_interruption, quarantine, retry};
 use crate::event_log;
 
 /// Sends the request to the server of `slot`, and to a second one if that has not answered in time.
 ///
-/// Returns the outcome that counts, with the slot of its server.
+/// Returns the outcome that counts.
 pub async fn send_hedged<'a>(
     context: RequestContext<'a>,
     request: &Request,
     progress: &mut RequestProgress,
     mut slot: SlotGuard<'a>,
-) -> (SendOutcome, SlotGuard<'a>) {
+) -> HedgedEnd<'a> {
     let admitted = slot.admitted;
     if !is_hedgeable(context, admitted) {
         let outcome = send(context, admitted, progress, &slot.placement).await;
-        return (outcome, slot);
+        retry::record_failed_send(context, progress, slot.placement.server, &outcome);
+        return HedgedEnd::of(outcome, slot);
     }
     let state = progress.hedge_state();
     let mut hedge_progress = progress.for_hedge();
@@ -59,7 +61,28 @@
     record_response(context, &slot, &end);
     match hedge {
         Some(hedge) => settle(context, (progress, &mut hedge_progress), end, slot, hedge),
-        None => (end.into_first(), slot),
+        None => HedgedEnd::of(end.outcome, slot),
+    }
+}
+
+/// How sending a request ended.
+#[derive(Debug)]
+pub struct HedgedEnd<'a> {
+    /// The outcome that counts.
+    pub outcome: SendOutcome,
+    /// The slot of its server.
+    pub slot: SlotGuard<'a>,
+    /// A complete response of the other copy that failed too, for a caller whose request isn't sent again.
+    pub error_response: Option<ServerResponse>,
+}
+
+impl<'a> HedgedEnd<'a> {
+    const fn of(outcome: SendOutcome, slot: SlotGuard<'a>) -> Self {
+        Self {
+            outcome,
+            slot,
+            error_response: None,
+        }
     }
 }
 
@@ -72,6 +95,8 @@
 }
 
 /// Sends one copy, and reads its answer as far as it is buffered.
+///
+/// A copy that failed occupies no slot while the other one runs, and what its failure tells of the server is recorded now.
 async fn send_copy(
     context: RequestContext<'_>,
     progress: &mut RequestProgress,
@@ -79,6 +104,7 @@
 ) -> SendOutcome {
     let (admitted, placement) = (slot.admitted, slot.placement);
     let mut outcome = send(context, admitted, progress, &placement).await;
+    retry::record_failed_send(context, progress, placement.server, &outcome);
     if let SendOutcome::Response(response) = &mut outcome {
         let is_error = retry::is_server_error(response);
         let on_data = || {
@@ -87,14 +113,33 @@
             }
         };
         forward::read_ahead(response, on_data).await;
+        if is_error && is_complete(response) {
+            forward::record_server_outcome(context.gateway, response);
+        }
     }
     // Recorded before the other copy ends: it may be about to crash a second server.
     if is_connection_lost(&outcome) {
         slot.record_break(context.request, progress);
     }
+    if !is_good(&outcome) && has_ended(&outcome) {
+        slot.release(silence_limit(admitted, &placement));
+    }
     outcome
 }
 
+/// Returns whether the server has ended its work on a copy.
+fn has_ended(outcome: &SendOutcome) -> bool {
+    match outcome {
+        SendOutcome::Response(response) => is_complete(response) || broken_body(response).is_some(),
+        _ => true,
+    }
+}
+
+fn is_complete(response: &ServerResponse) -> bool {
+    let end = response.read_ahead.as_ref().map(|r| r.end);
+    matches!(end, Some(Buffered::Complete(_)))
+}
+
 fn is_connection_lost(outcome: &SendOutcome) -> bool {
     match outcome {
         SendOutcome::Interrupted(interruption) => interruption.connection_lost,
@@ -126,6 +171,8 @@
 struct Hedge<'a> {
     slot: SlotGuard<'a>,
     log: HedgeLog<'a>,
+    /// Sends of its request before it.
+    earlier_sends: u32,
 }
 
 /// Chooses the server of a hedge, which counts as sent from then on.
@@ -159,25 +206,22 @@
     gateway.metrics.hedge_sent(&admitted.service_name);
     state.may_have_executed.set(true);
     let log = HedgeLog::begin(context, request, &slot, state);
-    Ok(Hedge { slot, log })
+    Ok(Hedge {
+        slot,
+        log,
+        earlier_sends: sends,
+    })
 }
 
 /// How the copies of a request ended.
 struct RaceEnd {
     race: Race,
-    copies: CopyOutcomes,
-}
-
-/// The outcome that counts, and that of the other copy if it ended before.
-enum CopyOutcomes {
-    First {
-        outcome: SendOutcome,
-        hedge: Option<SendOutcome>,
-    },
-    Hedge {
-        answer: SendOutcome,
-        first: Option<SendOutcome>,
-    },
+    /// The copy whose outcome counts.
+    counted: RequestCopy,
+    /// The outcome that counts.
+    outcome: SendOutcome,
+    /// The outcome of the other copy if it ended before.
+    other: Option<SendOutcome>,
 }
 
 impl RaceEnd {
@@ -185,27 +229,40 @@
     fn without_hedge(outcome: SendOutcome) -> Self {
         let mut race = Race::default();
         race.record(RequestCopy::First, is_good(&outcome));
-        let copies = CopyOutcomes::First {
+        Self {
+            race,
+            counted: RequestCopy::First,
             outcome,
-            hedge: None,
-        };
-        Self { race, copies }
+            other: None,
+        }
     }
 
-    /// Returns the outcome that counts.
-    fn into_first(self) -> SendOutcome {
-        match self.copies {
-            CopyOutcomes::First { outcome, .. } => outcome,
-            CopyOutcomes::Hedge { answer, .. } => answer,
+    /// Returns whether the first copy answered, or was still running when the hedge won.
+    const fn tells_response_time(&self) -> bool {
+        match self.counted {
+            RequestCopy::First => self.race.winner().is_some(),
+            RequestCopy::Hedge => self.other.is_none(),
         }
     }
+}
 
-    /// Returns whether the first copy answered, or was still running when the hedge won.
-    fn tells_response_time(&self) -> bool {
-        match &self.copies {
-            CopyOutcomes::First { .. } => self.race.winner().is_some(),
-            CopyOutcomes::Hedge { first, .. } => first.is_none(),
+/// What a failed copy leaves possible, the least first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Severity {
+    NotSent,
+    NotExecuted,
+    ErrorResponse,
+    Interrupted,
+}
+
+fn severity(outcome: &SendOutcome) -> Severity {
+    match outcome {
+        SendOutcome::Unreachable(_) | SendOutcome::Withheld => Severity::NotSent,
+        SendOutcome::NotExecuted { .. } => Severity::NotExecuted,
+        SendOutcome::Response(response) if broken_body(response).is_none() => {
+            Severity::ErrorResponse
         }
+        SendOutcome::Response(_) | SendOutcome::Interrupted(_) => Severity::Interrupted,
     }
 }
 
@@ -225,7 +282,9 @@
     }
 }
 
-/// Waits for the first good answer of two copies, or for both failures; if both end at the same time, the first counts.
+/// Waits for the first good answer of two copies; if both end at the same time, the first counts.
+///
+/// If both fail, the graver failure counts: the retry rules must know of a copy that may have crashed its server.
 async fn race(
     mut first: Pin<&mut impl Future<Output = SendOutcome>>,
     hedge: impl Future<Output = SendOutcome>,
@@ -236,39 +295,36 @@
         outcome = &mut first => (RequestCopy::First, outcome),
         outcome = &mut hedge => (RequestCopy::Hedge, outcome),
     };
-    let step = race.record(copy, is_good(&outcome));
-    let copies = match (copy, step) {
-        (RequestCopy::First, RaceStep::Wait) => {
-            let other = hedge.await;
-            match race.record(RequestCopy::Hedge, is_good(&other)) {
-                RaceStep::Deliver(_) => CopyOutcomes::Hedge {
-                    answer: other,
-                    first: Some(outcome),
-                },
-                _ => CopyOutcomes::First {
-                    outcome,
-                    hedge: Some(other),
-                },
-            }
-        }
-        (RequestCopy::Hedge, RaceStep::Wait) => {
-            let other = first.await;
-            race.record(RequestCopy::First, is_good(&other));
-            CopyOutcomes::First {
-                outcome: other,
-                hedge: Some(outcome),
-            }
-        }
-        (RequestCopy::First, _) => CopyOutcomes::First {
+    if race.record(copy, is_good(&outcome)) != RaceStep::Wait {
+        return RaceEnd {
+            race,
+            counted: copy,
             outcome,
-            hedge: None,
-        },
-        (RequestCopy::Hedge, _) => CopyOutcomes::Hedge {
-            answer: outcome,
-            first: None,
-        },
+            other: None,
+        };
+    }
+    let (later_copy, later) = match copy {
+        RequestCopy::First => (RequestCopy::Hedge, hedge.await),
+        RequestCopy::Hedge => (RequestCopy::First, first.await),
     };
-    RaceEnd { race, copies }
+    let step = race.record(later_copy, is_good(&later));
+    let counts_later = match severity(&later).cmp(&severity(&outcome)) {
+        _ if step == RaceStep::Deliver(later_copy) => true,
+        Ordering::Greater => true,
+        Ordering::Equal => later_copy == RequestCopy::First,
+        Ordering::Less => false,
+    };
+    let (counted, outcome, other) = if counts_later {
+        (later_copy, later, outcome)
+    } else {
+        (copy, outcome, later)
+    };
+    RaceEnd {
+        race,
+        counted,
+        outcome,
+        other: Some(other),
+    }
 }
 
 /// Records how long the first copy took, or how long it had taken when it was cancelled.
@@ -284,79 +340,70 @@
     scheduler.hedging.record_response(service, time, now);
 }
 
-/// Records what the copies tell of their servers, and returns the outcome that counts with the slot of its server.
+/// Records what the copies tell of their servers, and returns the outcome that counts.
 ///
 /// The slot of the other copy is released.
 fn settle<'a>(
     context: RequestContext<'a>,
     (progress, hedge_progress): (&mut RequestProgress, &mut RequestProgress),
     end: RaceEnd,
-    mut slot: SlotGuard<'a>,
+    slot: SlotGuard<'a>,
     hedge: Hedge<'a>,
-) -> (SendOutcome, SlotGuard<'a>) {
-    let Hedge {
-        slot: mut hedge_slot,
-        log,
-    } = hedge;
-    log.end(end.race.winner());
-    progress.sends += u32::from(hedge_progress.bytes_sent());
-    let counts = end.race.counts_failures();
-    let server = hedge_slot.placement.server;
-    let name = context.gateway.server_name(server);
-    match end.copies {
-        CopyOutcomes::First { outcome, hedge } => {
-            hedge_slot.cancelled = hedge.is_none();
-            if let Some(failed) = hedge {
-                record_failure(context, hedge_progress, &hedge_slot, failed, counts);
-            }
-            progress.add_hedge(hedge_progress, server, name);
-            (outcome, slot)
-        }
-        CopyOutcomes::Hedge { answer, first } => {
-            slot.cancelled = first.is_none();
-            if let Some(failed) = first {
-                record_failure(context, progress, &slot, failed, counts);
-            }
-            progress.add_hedge(hedge_progress, server, name);
-            if !slot.responded {
-                hedge_slot.count_start();
-            }
-            (answer, hedge_slot)
+) -> HedgedEnd<'a> {
+    let winner = end.race.winner();
+    hedge.log.end(winner);
+    progress.sends += hedge_progress.sends - hedge.earlier_sends;
+    let server = hedge.slot.placement.server;
+    let first_responded = slot.responded;
+    let (mut slot, mut other_slot, other_progress) = match end.counted {
+        RequestCopy::First => (slot, hedge.slot, &mut *hedge_progress),
+        RequestCopy::Hedge => (hedge.slot, slot, &mut *progress),
+    };
+    other_slot.cancelled = end.other.is_none();
+    let mut error_response = None;
+    if let Some(other) = end.other {
+        let counts = end.race.counts_failures();
+        error_response = record_failure(context, other_progress, &other_slot, other, counts);
+    }
+    progress.add_hedge(hedge_progress, server, context.gateway.server_name(server));
+    if end.counted == RequestCopy::Hedge && !first_responded {
+        slot.is_hedge = false;
+        if slot.responded {
+            slot.count_start();
         }
     }
+    HedgedEnd {
+        outcome: end.outcome,
+        slot,
+        error_response: error_response.filter(|_| winner.is_none()),
+    }
 }
 
-/// Records what the failure of one copy tells of its server; a broken answer only if `counts`.
+/// Records what a copy that broke off tells of its server, if it `counts`; returns the response of one that is complete.
 fn record_failure(
     context: RequestContext<'_>,
     progress: &mut RequestProgress,
     slot: &SlotGuard<'_>,
     outcome: SendOutcome,
     counts: bool,
-) {
-    let (gateway, server) = (context.gateway, slot.placement.server);
+) -> Option<ServerResponse> {
+    let server = slot.placement.server;
     let reason = match outcome {
-        SendOutcome::Unreachable(reason) => {
-            return retry::record_unreachable(gateway, context.request, server, &reason);
-        }
-        SendOutcome::Withheld => return retry::log_withheld(gateway, context.request, server),
-        SendOutcome::NotExecuted { misdirected } => {
-            progress.record_not_executed();
-            return retry::record_not_executed(gateway, server, misdirected);
-        }
         SendOutcome::Interrupted(interruption) => interruption.reason,
         SendOutcome::Response(response) => {
             let Some(end) = broken_body(&response) else {
-                return retry::record_outcome(gateway, server, ServerOutcome::Failed);
+                return Some(response).filter(is_complete);
             };
             progress.record_body_end(response.framing, end, 0);
             "the answer broke off".into()
         }
+        _ => return None,
     };
     log_interruption(context, progress, server, &reason);
     if counts {
-        retry::record_outcome(gateway, server, ServerOutcome::Failed);
+        retry::record_outcome(context.gateway, server, ServerOutcome::Failed);
     }
+    None
 }
 
 /// Logs the end of a hedge when it is dropped, which happens also if the request ends before both copies.
--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -26,7 +26,7 @@
 pub mod start_wait;
 
 use std::cell::Cell;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use admission::{Admitted, StreamOrigin};
 use error_response::ErrorResponse;
@@ -128,6 +128,8 @@
     is_hedge: bool,
     /// It belongs to a copy that was cancelled since the other copy answered.
     cancelled: bool,
+    /// The slot is released already.
+    released: bool,
     /// The end of its connection is recorded.
     break_recorded: Cell<bool>,
 }
@@ -146,15 +148,7 @@
         } else {
             self.admitted.request.objective.mul_f64(UNRESPONSIVE_FACTOR)
         };
-        let elapsed = self.gateway.now().duration_since(self.sent_at);
-        if !self.responded && elapsed > limit {
-            retry::record_outcome(
-                self.gateway,
-                self.placement.server,
-                loads::ServerOutcome::Failed,
-            );
-        }
-        self.gateway.release(&self.placement, self.responded);
+        self.release(limit);
     }
 }
 
@@ -171,12 +165,29 @@
             responded: false,
             is_hedge: false,
             cancelled: false,
+            released: false,
             break_recorded: Cell::new(false),
         }
     }
 }
 
 impl SlotGuard<'_> {
+    /// Releases the slot; the server counts as failed if it was silent beyond `limit`. Later calls have no effect.
+    fn release(&mut self, limit: Duration) {
+        if std::mem::replace(&mut self.released, true) {
+            return;
+        }
+        let elapsed = self.gateway.now().duration_since(self.sent_at);
+        if !self.responded && elapsed > limit {
+            retry::record_outcome(
+                self.gateway,
+                self.placement.server,
+                loads::ServerOutcome::Failed,
+            );
+        }
+        self.gateway.release(&self.placement, self.responded);
+    }
+
     /// Binds a stream whose first event came from this server to the server's version.
     pub fn bind_stream(&self, progress: &mut RequestProgress) {
         progress.version = self.version;
@@ -231,6 +242,15 @@
             return;
         }
         self.record_life();
+        if !self.released {
+            self.observe_first_token();
+        }
+        if !self.is_hedge {
+            self.count_start();
+        }
+    }
+
+    fn observe_first_token(&self) {
         let now = self.gateway.now();
         let request = &self.admitted.request;
         let elapsed = (!self.gateway.is_overloaded()).then(|| now.duration_since(self.sent_at));
@@ -241,9 +261,6 @@
             now,
         );
         self.gateway.announce_work();
-        if !self.is_hedge {
-            self.count_start();
-        }
     }
 
     /// Counts the time from the arrival of the request to the begin of its response.
@@ -361,21 +378,45 @@
 ) -> Result<RequestOutcome, RetryDecision> {
     let (gateway, admitted) = (context.gateway, slot.admitted);
     progress.start_attempt(gateway, context.request, admitted, &slot.placement);
-    let (outcome, mut slot) = send_hedged(context, request, progress, slot).await;
+    let end = send_hedged(context, request, progress, slot).await;
+    let (mut slot, error_response) = (end.slot, end.error_response);
+    let ended = conclude(context, progress, end.outcome, &mut slot, fallback, out).await;
+    match (ended, error_response) {
+        (Err(RetryDecision::Fail), Some(response)) if !progress.response_started() => {
+            Ok(write_buffered(context, progress, &response, out).await)
+        }
+        (Err(decision), Some(response)) => {
+            *fallback = Some(response);
+            Err(decision)
+        }
+        (ended, _) => ended,
+    }
+}
+
+/// Forwards the response of a server; the error is the decision that follows a failure.
+async fn conclude(
+    context: RequestContext<'_>,
+    progress: &mut RequestProgress,
+    outcome: SendOutcome,
+    slot: &mut SlotGuard<'_>,
+    fallback: &mut Option<ServerResponse>,
+    out: &mut OwnedWriteHalf,
+) -> Result<RequestOutcome, RetryDecision> {
+    let (gateway, admitted) = (context.gateway, slot.admitted);
     let server = slot.placement.server;
     match outcome {
-        SendOutcome::Response(response)
+        SendOutcome::Response(mut response)
             if retry::is_server_error(&response)
                 && retry::try_retry(gateway, admitted, progress) =>
         {
-            retry::record_outcome(gateway, server, loads::ServerOutcome::Failed);
+            forward::record_server_outcome(gateway, &mut response);
             if let Some(response) = forward::read_to_end(response).await {
                 *fallback = Some(response);
             }
             Err(RetryDecision::Retry)
         }
         SendOutcome::Response(response) => {
-            match forward_response(context, progress, response, &mut slot, out).await {
+            match forward_response(context, progress, response, slot, out).await {
                 ForwardOutcome::Complete => {
                     quarantine::record_answer(context, admitted, progress.status);
                     Ok(RequestOutcome::Complete)
@@ -390,21 +431,9 @@
                 }
             }
         }
-        SendOutcome::Unreachable(reason) => Err(retry::on_unreachable(
-            gateway,
-            context.request,
-            progress,
-            server,
-            &reason,
-        )),
-        SendOutcome::Withheld => Err(retry::on_withheld(gateway, context.request, server)),
-        SendOutcome::NotExecuted { misdirected } => Err(retry::on_not_executed(
-            gateway,
-            admitted,
-            progress,
-            server,
-            misdirected,
-        )),
+        SendOutcome::Unreachable(_) => Err(retry::on_unreachable(progress)),
+        SendOutcome::Withheld => Err(RetryDecision::Retry),
+        SendOutcome::NotExecuted { .. } => Err(retry::on_not_executed(gateway, admitted, progress)),
         SendOutcome::Interrupted(interruption) => {
             log_interruption(context, progress, server, &interruption.reason);
             if interruption.connection_lost {
--- a/crates/hawthornmill-gateway/src/proxy/retry.rs
+++ b/crates/hawthornmill-gateway/src/proxy/retry.rs
@@ -13,7 +13,7 @@
 use super::admission::Admitted;
 use super::progress::RequestProgress;
 use super::read::ClientRequest;
-use super::send::ServerResponse;
+use super::send::{SendOutcome, ServerResponse};
 use super::{RequestContext, quarantine};
 use crate::event_log;
 use crate::gateway::Gateway;
@@ -92,15 +92,29 @@
     }
 }
 
-/// Handles a server that could not be reached.
-pub fn on_unreachable(
-    gateway: &Gateway,
-    request: &ClientRequest,
+/// Records what a failure to have a request executed tells of `server`; other outcomes are recorded when they are known.
+pub fn record_failed_send(
+    context: RequestContext<'_>,
     progress: &mut RequestProgress,
     server: ServerId,
-    reason: &str,
-) -> RetryDecision {
-    record_unreachable(gateway, request, server, reason);
+    outcome: &SendOutcome,
+) {
+    let RequestContext {
+        gateway, request, ..
+    } = context;
+    match outcome {
+        SendOutcome::Unreachable(reason) => record_unreachable(gateway, request, server, reason),
+        SendOutcome::Withheld => log_withheld(gateway, request, server),
+        SendOutcome::NotExecuted { misdirected } => {
+            record_not_executed(gateway, server, *misdirected);
+            progress.record_not_executed();
+        }
+        SendOutcome::Interrupted(_) | SendOutcome::Response(_) => {}
+    }
+}
+
+/// Handles a server that could not be reached.
+pub fn on_unreachable(progress: &mut RequestProgress) -> RetryDecision {
     progress.unreachable += 1;
     if progress.unreachable <= MAX_UNREACHABLE {
         RetryDecision::Retry
@@ -110,12 +124,7 @@
 }
 
 /// Logs and records that a server could not be reached.
-pub fn record_unreachable(
-    gateway: &Gateway,
-    request: &ClientRequest,
-    server: ServerId,
-    reason: &str,
-) {
+fn record_unreachable(gateway: &Gateway, request: &ClientRequest, server: ServerId, reason: &str) {
     let fields = json!({"server": gateway.server_name(server), "why": reason});
     event_log::request_problem("server_unreached", &request.attempt_id, fields);
     gateway.pool.discard_idle(server);
@@ -123,7 +132,7 @@
 }
 
 /// Records that a server did not execute a request.
-pub fn record_not_executed(gateway: &Gateway, server: ServerId, misdirected: bool) {
+fn record_not_executed(gateway: &Gateway, server: ServerId, misdirected: bool) {
     if misdirected {
         gateway.pool.discard_idle(server);
         record_outcome(gateway, server, ServerOutcome::Unreachable);
@@ -137,11 +146,7 @@
     gateway: &Gateway,
     admitted: &Admitted,
     progress: &mut RequestProgress,
-    server: ServerId,
-    misdirected: bool,
 ) -> RetryDecision {
-    record_not_executed(gateway, server, misdirected);
-    progress.record_not_executed();
     if take_budget(gateway, admitted, progress) {
         RetryDecision::Retry
     } else {
@@ -149,14 +154,8 @@
     }
 }
 
-/// Handles a server that takes no requests by now; nothing was sent, so the request goes to another one.
-pub fn on_withheld(gateway: &Gateway, request: &ClientRequest, server: ServerId) -> RetryDecision {
-    log_withheld(gateway, request, server);
-    RetryDecision::Retry
-}
-
 /// Logs that a server takes no requests by now.
-pub fn log_withheld(gateway: &Gateway, request: &ClientRequest, server: ServerId) {
+fn log_withheld(gateway: &Gateway, request: &ClientRequest, server: ServerId) {
     let fields = json!({"server": gateway.server_name(server)});
     event_log::request_problem("send_withheld", &request.attempt_id, fields);
 }
--- a/crates/hawthornmill-gateway/src/proxy/send.rs
+++ b/crates/hawthornmill-gateway/src/proxy/send.rs
@@ -59,6 +59,8 @@
     pub body: Option<BytesMut>,
     /// Where buffering the body ended, if it was buffered before the response is forwarded.
     pub read_ahead: Option<ReadAhead>,
+    /// Whether it is recorded what the response tells of the server.
+    pub outcome_recorded: bool,
 }
 
 /// Why no usable response came.
@@ -389,6 +391,7 @@
         reusable,
         body: None,
         read_ahead: None,
+        outcome_recorded: false,
     }
 }
 
--- a/crates/hawthornmill/src/routing/hedging.rs
+++ b/crates/hawthornmill/src/routing/hedging.rs
@@ -281,7 +281,7 @@
     Wait,
     /// Forward the answer of this copy and cancel the other one.
     Deliver(RequestCopy),
-    /// Both failed: the retry rules apply once, to the failure of the first copy.
+    /// Both failed: the retry rules apply once, to the graver failure.
     Fail,
     /// The race is over already; the caller has the answer of the other copy.
     Ignore,
--- a/tests/testsuite/gateway/hedged_requests.rs
+++ b/tests/testsuite/gateway/hedged_requests.rs
@@ -209,6 +209,47 @@
     });
 }
 
+/// Failure: after a copy that broke off and one with an error response, the caller gets a made-up error, or the request runs
+/// more often than its route allows.
+#[test]
+fn error_response_of_one_failed_copy_reaches_the_caller() {
+    block_on(async {
+        let (fleet, response) = play(2, AFTER_300_MS, async |fleet| {
+            let (preferred, other) = by_use(fleet);
+            preferred.script(&[Behavior::ResetAfterMs(900)]);
+            other.script(&[Behavior::ServerError]);
+            get(fleet, "/get/", "failed").await
+        })
+        .await;
+
+        assert_eq!((response.status(), response.text()), (500, "failed".into()));
+        assert_eq!(copies(&fleet, "failed"), [1, 1]);
+        let ended = logged(&fleet, "hedge_ended", "failed").await;
+        assert_eq!(ended["winner"], "both_failed");
+    });
+}
+
+/// Failure: a failed copy keeps its slot, and its server's state isn't known, until the other copy ends.
+#[test]
+fn unreachable_server_is_recorded_while_the_other_copy_runs() {
+    block_on(async {
+        let (fleet, (response, is_early)) = play(2, AFTER_300_MS, async |fleet| {
+            let (preferred, other) = by_use(fleet);
+            preferred.script(&[Behavior::RespondAfterMs(1_500)]);
+            other.kill();
+            let recorded = async {
+                logged(fleet, "server_unreached", "slow").await;
+                fleet.gateways[0].logged("hedge_ended").is_empty()
+            };
+            tokio::join!(get(fleet, "/get/", "slow"), recorded)
+        })
+        .await;
+
+        assert_eq!(response.status(), 200);
+        assert!(is_early);
+    });
+}
+
 /// Failure: the server of a copy that broke off counts as failing though the other copy answered, or the caller gets the
 /// broken answer.
 #[test]
