Let only answers that name the request win, and log the wait of the first copy

Cause: a 4xx without the request's id could win a race. waited_ms was the time since the arrival, which includes queueing and earlier attempts. Change: an answer wins only if it gives the id. waited_ms begins when the first copy is sent.

--- a/crates/hawthornmill-gateway/src/proxy/hedge.rs
+++ b/crates/hawthornmill-gateway/src/proxy/hedge.rs
@@ -38,12 +38,13 @@
     }
     let state = progress.hedge_state();
     let mut hedge_progress = progress.for_hedge();
+    let earlier = (slot.sent_at, hedge_progress.sends);
     let mut hedge = None;
     let end = {
         let mut first = pin!(send_copy(context, progress, &mut slot));
         match send_until_due(context, admitted, first.as_mut()).await {
             Some(outcome) => RaceEnd::without_hedge(outcome),
-            None => match place_hedge(context, admitted, request, hedge_progress.sends, &state) {
+            None => match place_hedge(context, admitted, request, earlier, &state) {
                 Ok(placed) => {
                     let placed = hedge.insert(placed);
                     let second = send_copy(context, &mut hedge_progress, &mut placed.slot);
@@ -183,7 +184,7 @@
     context: RequestContext<'a>,
     admitted: &'a Admitted,
     request: &Request,
-    sends: u32,
+    (first_sent, sends): (Instant, u32),
     state: &Rc<HedgeState>,
 ) -> Result<Hedge<'a>, Withheld> {
     let gateway = context.gateway;
@@ -205,7 +206,7 @@
     gateway.announce_work();
     gateway.metrics.hedge_sent(&admitted.service_name);
     state.may_have_executed.set(true);
-    let log = HedgeLog::begin(context, request, &slot, state);
+    let log = HedgeLog::begin(context, request, &slot, first_sent, state);
     Ok(Hedge {
         slot,
         log,
@@ -266,12 +267,12 @@
     }
 }
 
-/// Returns whether an outcome is an answer for the caller: complete, or too long to wait for its end.
+/// Returns whether an outcome is an answer for the caller: to this request, and complete or too long to wait for its end.
 fn is_good(outcome: &SendOutcome) -> bool {
     let SendOutcome::Response(response) = outcome else {
         return false;
     };
-    !retry::is_server_error(response) && broken_body(response).is_none()
+    response.names_request && !retry::is_server_error(response) && broken_body(response).is_none()
 }
 
 /// Returns how the body of a response that was read ahead was cut off.
@@ -423,6 +424,7 @@
         context: RequestContext<'a>,
         request: &Request,
         slot: &SlotGuard<'_>,
+        first_sent: Instant,
         state: &Rc<HedgeState>,
     ) -> Self {
         let gateway = context.gateway;
@@ -436,7 +438,7 @@
                 first.unwrap_or_default(),
                 gateway.server_name(slot.placement.server),
             ],
-            waited: sent_at.duration_since(request.arrival),
+            waited: sent_at.duration_since(first_sent),
             sent_at,
             winner: "none",
         };
--- a/crates/hawthornmill-gateway/src/proxy/send.rs
+++ b/crates/hawthornmill-gateway/src/proxy/send.rs
@@ -59,6 +59,8 @@
     pub body: Option<BytesMut>,
     /// Where buffering the body ended, if it was buffered before the response is forwarded.
     pub read_ahead: Option<ReadAhead>,
+    /// Whether it gives the id of the request.
+    pub names_request: bool,
     /// Whether it is recorded what the response tells of the server.
     pub outcome_recorded: bool,
 }
@@ -368,10 +370,14 @@
             }
             return SendOutcome::NotExecuted { misdirected };
         }
-        if response_id.is_none() && head.status < 400 {
+        let names_request = response_id.is_some();
+        if !names_request && head.status < 400 {
             return SendOutcome::Interrupted(Interruption::no_response("answer names no request"));
         }
-        return SendOutcome::Response(server_response(head, framing, upstream, server, reusable));
+        return SendOutcome::Response(ServerResponse {
+            names_request,
+            ..server_response(head, framing, upstream, server, reusable)
+        });
     }
 }
 
@@ -391,6 +397,7 @@
         reusable,
         body: None,
         read_ahead: None,
+        names_request: false,
         outcome_recorded: false,
     }
 }
--- a/tests/testsuite/gateway/hedged_requests.rs
+++ b/tests/testsuite/gateway/hedged_requests.rs
@@ -229,6 +229,24 @@
     });
 }
 
+/// Failure: the caller gets a response that may belong to another request, though the other copy answers.
+#[test]
+fn answer_without_the_id_of_the_request_does_not_win() {
+    block_on(async {
+        let (fleet, response) = play(2, AFTER_300_MS, async |fleet| {
+            let (preferred, other) = by_use(fleet);
+            preferred.script(&[Behavior::RespondAfterMs(900)]);
+            other.script(&[Behavior::ClientErrorWithoutId]);
+            get(fleet, "/get/", "named").await
+        })
+        .await;
+
+        assert_eq!(response.status(), 200);
+        let ended = logged(&fleet, "hedge_ended", "named").await;
+        assert_eq!(ended["winner"], "first");
+    });
+}
+
 /// Failure: a failed copy keeps its slot, and its server's state isn't known, until the other copy ends.
 #[test]
 fn unreachable_server_is_recorded_while_the_other_copy_runs() {
--- a/tests/testsuite/gateway/scripted_server.rs
+++ b/tests/testsuite/gateway/scripted_server.rs
@@ -96,6 +96,8 @@
     TruncatedBody,
     /// Executes it and sends bytes that are not HTTP.
     InvalidResponse,
+    /// Responds with an error of the client that names no request.
+    ClientErrorWithoutId,
     /// Executes it and responds without a length, so that the connection's end delimits the body.
     NoLength,
     /// Responds before it has read the body, and keeps the connection open.
@@ -433,6 +435,7 @@
                 let _set = stream.set_zero_linger();
                 return false;
             }
+            Behavior::ClientErrorWithoutId => write_response(stream, 400, &[], b"").await,
             Behavior::InvalidResponse => stream.write_all(b"\0\0nonsense\r\n\r\n").await,
             Behavior::Stream(count) => return self.stream(stream, head, count, false).await,
             Behavior::BrokenStream(count) => return self.stream(stream, head, count, true).await,
