Withhold hedges that come too late, and tie their allowance to sent requests

Cause: a hedge was sent though its server wasn't expected to answer before the deadline; queued and refused requests raised the allowance of hedges, so that overload gave more; a peer's report of no unmet demand stopped them. Change: such a hedge is withheld as too_late; first attempts that got a server are counted for the share (the retry budget is as before); a report of cost 0 doesn't count.

--- a/crates/hawthornmill/src/routing/hedging.rs
+++ b/crates/hawthornmill/src/routing/hedging.rs
@@ -109,6 +109,8 @@
     Budget,
     /// No other server is usable and has spare capacity.
     NoServer,
+    /// The best other server isn't expected to answer before the deadline of the request.
+    TooLate,
 }
 
 impl Withheld {
@@ -124,6 +126,7 @@
             Self::Share => "share",
             Self::Budget => "budget",
             Self::NoServer => "no_server",
+            Self::TooLate => "too_late",
         }
     }
 }
--- a/crates/hawthornmill/src/routing/retry_budget.rs
+++ b/crates/hawthornmill/src/routing/retry_budget.rs
@@ -40,6 +40,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 struct Counts {
     requests: u32,
+    /// Requests whose first attempt got a server.
+    placed: u32,
     retries: u32,
     hedges: u32,
 }
@@ -75,6 +77,7 @@
         let buckets = self.buckets.iter();
         buckets.fold(Counts::default(), |sum, (_, counts)| Counts {
             requests: sum.requests + counts.requests,
+            placed: sum.placed + counts.placed,
             retries: sum.retries + counts.retries,
             hedges: sum.hedges + counts.hedges,
         })
@@ -121,6 +124,13 @@
             .requests += 1;
     }
 
+    /// Records that a first attempt for `service` got a server, which gives an allowance of hedges.
+    pub fn record_placed(&mut self, service: ServiceId, now: Instant) {
+        let index = self.bucket_index(now);
+        let counts = self.counts.entry(service).or_default().bucket(index);
+        counts.placed += 1;
+    }
+
     /// Takes one retry from the budget; returns false when none is left.
     pub fn try_acquire(&mut self, service: ServiceId, now: Instant) -> bool {
         let index = self.bucket_index(now);
@@ -134,7 +144,7 @@
         true
     }
 
-    /// Returns whether one more hedge stays within `share` of the requests and within the budget.
+    /// Returns whether one more hedge stays within `share` of the requests that got a server, and within the budget.
     ///
     /// # Errors
     /// The limit that it would exceed.
@@ -148,7 +158,7 @@
         let totals = self.counts.entry(service).or_default().totals(index);
         let allowed = allowed(&self.config, self.instances, totals.requests);
         let hedges = f64::from(totals.hedges) + 1.0;
-        if hedges > f64::from(totals.requests) * share {
+        if hedges > f64::from(totals.placed) * share {
             return Err(HedgeLimit::Share);
         }
         if hedges > allowed * HEDGE_FRACTION || hedges + f64::from(totals.retries) > allowed {
@@ -171,7 +181,7 @@
         counts
             .map(|(service, counts)| {
                 let totals = counts.totals(index);
-                let requests = f64::from(totals.requests.max(1));
+                let requests = f64::from(totals.placed.max(1));
                 (*service, 100.0 * f64::from(totals.hedges) / requests)
             })
             .collect()
--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -445,6 +445,9 @@
             spare,
         };
         let placement = choose_server(&view, &query, now)?;
+        if spare.is_some() && now + placement.expected_ttft >= request.deadline {
+            return Err(PlacementError::TooLong);
+        }
         // Another server would begin sooner, at the price of a second prefill of the shared prefix. When this server is
         // late, there is no capacity for that.
         let on_time = placement.expected_ttft <= query.time_left;
@@ -469,6 +472,9 @@
             self.cold_limiter.record(placement.server, now);
         }
         self.notices.record_sent(placement.server, now);
+        if request.tried.is_empty() {
+            self.retry_budget.record_placed(request.service, now);
+        }
         self.prefix_index
             .record(placement.server, &request.shape, now);
         if let (true, Some(prefix)) = (placement.spilled, request.shape.shared_prefix()) {
--- a/crates/hawthornmill/src/routing/scheduler/hedges.rs
+++ b/crates/hawthornmill/src/routing/scheduler/hedges.rs
@@ -5,7 +5,7 @@
 use super::Scheduler;
 use crate::ident::ServiceId;
 use crate::routing::hedging::{HedgedServices, SPARE_LIMITS, Withheld};
-use crate::routing::placement::Placement;
+use crate::routing::placement::{Placement, PlacementError};
 use crate::routing::request::Request;
 
 impl Scheduler {
@@ -39,7 +39,10 @@
         self.update_shares(now);
         let placement = self
             .place(request, &[], Some(SPARE_LIMITS), now)
-            .map_err(|_none| Withheld::NoServer)?;
+            .map_err(|error| match error {
+                PlacementError::TooLong => Withheld::TooLate,
+                _ => Withheld::NoServer,
+            })?;
         self.retry_budget.record_hedge(service, now);
         Ok(placement)
     }
--- a/crates/hawthornmill/src/routing/unmet_demand.rs
+++ b/crates/hawthornmill/src/routing/unmet_demand.rs
@@ -113,7 +113,7 @@
         let mut local = self.local.iter();
         let mut remote = self.remote.iter();
         local.any(|((s, _), demand)| *s == service && is_recent(demand.at))
-            || remote.any(|((s, _, _), (at, _))| *s == service && is_recent(*at))
+            || remote.any(|((s, _, _), (at, d))| *s == service && d.cost > 0 && is_recent(*at))
     }
 
     /// Returns this instance's unmet demand, to report to others.
--- a/tests/testsuite/routing/hedging.rs
+++ b/tests/testsuite/routing/hedging.rs
@@ -10,7 +10,7 @@
     HedgedServices, Hedging, HedgingConfig, Race, RaceStep, RequestCopy, Withheld,
 };
 use hawthornmill::routing::loads::{ServerOutcome, Work};
-use hawthornmill::routing::request::Request;
+use hawthornmill::routing::request::{Admission, Request};
 use hawthornmill::routing::retry_budget::{HedgeLimit, RetryBudget, RetryBudgetConfig};
 use hawthornmill::routing::scheduler::Scheduler;
 use hawthornmill::routing::usage::ShareStatus;
@@ -48,12 +48,18 @@
     now
 }
 
+/// Records a request that got a server at once.
+fn record_sent(budget: &mut RetryBudget, now: Instant) {
+    budget.record_request(drafter(), now);
+    budget.record_placed(drafter(), now);
+}
+
 /// A scheduler with `servers` and a full allowance of hedges.
 fn hedging_scheduler(servers: &[(&str, &str)], now: Instant) -> Scheduler {
     let mut scheduler = scheduler(servers, now);
     scheduler.hedging.set_config(config(0.5));
     for _ in 0..100 {
-        scheduler.retry_budget.record_request(drafter(), now);
+        record_sent(&mut scheduler.retry_budget, now);
     }
     scheduler
 }
@@ -132,7 +138,7 @@
                 *budget = RetryBudget::new(BUDGET, at);
             }
             if (step as usize + number).is_multiple_of(3) {
-                budget.record_request(drafter(), at);
+                record_sent(budget, at);
                 requests += 1;
             }
             while budget.check_hedge(drafter(), SHARE, at).is_ok() {
@@ -153,7 +159,7 @@
     let mut budget = RetryBudget::new(BUDGET, now);
     budget.observe_instances(INSTANCES);
     for _ in 0..1_000 {
-        budget.record_request(drafter(), now);
+        record_sent(&mut budget, now);
     }
     let (mut hedges, mut retries) = (0, 0);
 
@@ -229,13 +235,70 @@
     assert_eq!(busy.place_hedge(&request, now), Err(Withheld::Busy));
 }
 
+/// Failure: a peer's report that has decayed to nothing stops hedges.
+#[test]
+fn report_without_unmet_demand_does_not_stop_hedges() {
+    let now = Instant::now();
+    let mut scheduler = hedging_scheduler(SIX, now);
+    let nothing = UnmetDemand {
+        instances: 1,
+        cost: 0,
+    };
+    let report = super::scheduler::report(vec![(ShareStatus::BelowFairShare, nothing)], Vec::new());
+    scheduler.apply_report(InstanceId::of("peer"), &report, now);
+
+    let hedge = scheduler.place_hedge(&hedged_request("a1", now), now);
+
+    assert_eq!(hedge.err(), None);
+}
+
+/// Failure: a hedge that can't answer before the deadline of its request takes capacity, or is counted.
+#[test]
+fn hedge_that_comes_too_late_is_withheld() {
+    let now = Instant::now();
+    let mut scheduler = hedging_scheduler(SIX, now);
+    let mut request = hedged_request("a1", now);
+    request.deadline = now;
+
+    let late = scheduler.place_hedge(&request, now);
+
+    let percent = scheduler.retry_budget.hedge_percent(now);
+    assert_eq!(late, Err(Withheld::TooLate));
+    assert!(percent.iter().all(|(_, p)| *p == 0.0), "{percent:?}");
+}
+
+/// Failure: the allowance grows with requests that are queued or refused, so that overload gives more hedges.
+#[test]
+fn only_requests_that_got_a_server_give_an_allowance() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(&[("a1", "a")], now);
+    let mut sent = 0;
+
+    for _ in 0..20 {
+        let admission = scheduler.submit(&request("lab", shape(1, 10, 10), now), now);
+        sent += u32::from(matches!(admission, Admission::Decided(Ok(_))));
+    }
+    let mut hedges = 0;
+    while scheduler
+        .retry_budget
+        .check_hedge(drafter(), 0.5, now)
+        .is_ok()
+    {
+        scheduler.retry_budget.record_hedge(drafter(), now);
+        hedges += 1;
+    }
+
+    assert!(sent < 20, "{sent}");
+    assert_eq!(hedges, sent / 2);
+}
+
 /// Failure: hedges of many slow requests fill the servers up to their last slot.
 #[test]
 fn hedges_stop_before_they_fill_the_service() {
     let now = Instant::now();
     let mut scheduler = hedging_scheduler(SIX, now);
     for _ in 0..1_000 {
-        scheduler.retry_budget.record_request(drafter(), now);
+        record_sent(&mut scheduler.retry_budget, now);
     }
     let mut hedges = 0;
 
