Learn of servers that drop connects, and keep a first copy without a retry

Cause: a hedge answers before the first copy's connect times out, so a server that drops connects was never recorded as unreachable. A first copy was closed at its silence limit for a retry though the hedge had used the last attempt. Every request's future had room for two copies. Change: requests that may be hedged connect in a task of their own, which outlasts the copy and pools the connection or records the failure. A hedge in flight counts as a send before a copy is abandoned. Two copies are sent from a future on the heap; requests that aren't hedged need none.

--- a/crates/hawthornmill-gateway/src/pool.rs
+++ b/crates/hawthornmill-gateway/src/pool.rs
@@ -99,15 +99,21 @@
         at_most_once: bool,
         now: Instant,
     ) -> io::Result<Upstream> {
-        if let Some(stream) = self.take_idle(server, at_most_once, now) {
-            return Ok(Upstream {
-                reused: true,
-                ..Upstream::new(stream)
-            });
+        if let Some(idle) = self.take(server, at_most_once, now) {
+            return Ok(idle);
         }
         connect(address).await.map(Upstream::new)
     }
 
+    /// Returns an idle connection if there is one; `at_most_once` as in [`Self::acquire`].
+    pub fn take(&self, server: ServerId, at_most_once: bool, now: Instant) -> Option<Upstream> {
+        let stream = self.take_idle(server, at_most_once, now)?;
+        Some(Upstream {
+            reused: true,
+            ..Upstream::new(stream)
+        })
+    }
+
     fn take_idle(&self, server: ServerId, at_most_once: bool, now: Instant) -> Option<TcpStream> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&server)?;
--- a/crates/hawthornmill-gateway/src/proxy/hedge.rs
+++ b/crates/hawthornmill-gateway/src/proxy/hedge.rs
@@ -28,7 +28,7 @@
     context: RequestContext<'a>,
     request: &Request,
     progress: &mut RequestProgress,
-    mut slot: SlotGuard<'a>,
+    slot: SlotGuard<'a>,
 ) -> HedgedEnd<'a> {
     let admitted = slot.admitted;
     if !is_hedgeable(context, admitted) {
@@ -36,6 +36,17 @@
         retry::record_failed_send(context, progress, slot.placement.server, &outcome);
         return HedgedEnd::of(outcome, slot);
     }
+    // On the heap, so that requests that aren't hedged need no memory for two copies.
+    Box::pin(send_copies(context, request, progress, slot)).await
+}
+
+async fn send_copies<'a>(
+    context: RequestContext<'a>,
+    request: &Request,
+    progress: &mut RequestProgress,
+    mut slot: SlotGuard<'a>,
+) -> HedgedEnd<'a> {
+    let admitted = slot.admitted;
     let state = progress.hedge_state();
     let mut hedge_progress = progress.for_hedge();
     let earlier = (slot.sent_at, hedge_progress.sends);
@@ -47,7 +58,13 @@
             None => match place_hedge(context, admitted, request, earlier, &state) {
                 Ok(placed) => {
                     let placed = hedge.insert(placed);
-                    let second = send_copy(context, &mut hedge_progress, &mut placed.slot);
+                    let second = async {
+                        let outcome =
+                            send_copy(context, &mut hedge_progress, &mut placed.slot).await;
+                        let may_have_executed = hedge_progress.bytes_sent();
+                        state.may_have_executed.set(may_have_executed);
+                        outcome
+                    };
                     race(first.as_mut(), second).await
                 }
                 Err(withheld) => {
@@ -88,7 +105,7 @@
 }
 
 /// Returns whether the request may be sent to two servers at the same time.
-fn is_hedgeable(context: RequestContext<'_>, admitted: &Admitted) -> bool {
+pub fn is_hedgeable(context: RequestContext<'_>, admitted: &Admitted) -> bool {
     let scheduler = context.gateway.scheduler.borrow();
     scheduler.hedges_service(admitted.request.service)
         && admitted.retry_policy == RetryPolicy::Idempotent
--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -26,6 +26,7 @@
 pub mod start_wait;
 
 use std::cell::Cell;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use admission::{Admitted, StreamOrigin};
@@ -76,7 +77,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct RequestContext<'a> {
     /// State of the process.
-    pub gateway: &'a Gateway,
+    pub gateway: &'a Rc<Gateway>,
     /// The request as received.
     pub request: &'a ClientRequest,
     /// Whether to close the connection after the response.
--- a/crates/hawthornmill-gateway/src/proxy/progress.rs
+++ b/crates/hawthornmill-gateway/src/proxy/progress.rs
@@ -198,6 +198,12 @@
             || hedge.is_some_and(|h| h.may_have_executed.get())
     }
 
+    /// Returns the sends of the request, with that of a hedge in flight.
+    pub fn all_sends(&self) -> u32 {
+        let hedge = self.hedge.as_ref();
+        self.sends + u32::from(hedge.is_some_and(|h| h.may_have_executed.get()))
+    }
+
     /// Returns the state of a hedge of this request, which outlasts a copy that is dropped.
     pub fn hedge_state(&mut self) -> Rc<HedgeState> {
         Rc::clone(self.hedge.get_or_insert_default())
--- a/crates/hawthornmill-gateway/src/proxy/retry.rs
+++ b/crates/hawthornmill-gateway/src/proxy/retry.rs
@@ -54,7 +54,7 @@
 
 /// Returns whether the request could be sent to another server after one that may have executed it.
 pub fn can_retry(admitted: &Admitted, progress: &RequestProgress) -> bool {
-    allows_retry(admitted, progress) && progress.sends < admitted.max_attempts
+    allows_retry(admitted, progress) && progress.all_sends() < admitted.max_attempts
 }
 
 fn allows_retry(admitted: &Admitted, progress: &RequestProgress) -> bool {
@@ -103,7 +103,9 @@
         gateway, request, ..
     } = context;
     match outcome {
-        SendOutcome::Unreachable(reason) => record_unreachable(gateway, request, server, reason),
+        SendOutcome::Unreachable(reason) => {
+            record_unreachable(gateway, &request.attempt_id, server, reason)
+        }
         SendOutcome::Withheld => log_withheld(gateway, request, server),
         SendOutcome::NotExecuted { misdirected } => {
             record_not_executed(gateway, server, *misdirected);
@@ -124,9 +126,9 @@
 }
 
 /// Logs and records that a server could not be reached.
-fn record_unreachable(gateway: &Gateway, request: &ClientRequest, server: ServerId, reason: &str) {
+pub fn record_unreachable(gateway: &Gateway, attempt_id: &str, server: ServerId, reason: &str) {
     let fields = json!({"server": gateway.server_name(server), "why": reason});
-    event_log::request_problem("server_unreached", &request.attempt_id, fields);
+    event_log::request_problem("server_unreached", attempt_id, fields);
     gateway.pool.discard_idle(server);
     record_outcome(gateway, server, ServerOutcome::Unreachable);
 }
--- a/crates/hawthornmill-gateway/src/proxy/send.rs
+++ b/crates/hawthornmill-gateway/src/proxy/send.rs
@@ -6,6 +6,8 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -16,18 +18,20 @@
 use hawthornmill::routing::registry::ServerRun;
 use serde_json::json;
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
 
 use super::admission::Admitted;
 use super::forward::ReadAhead;
 use super::progress::RequestProgress;
 use super::read::ClientRequest;
-use super::{RequestContext, quarantine, retry};
+use super::{RequestContext, hedge, quarantine, retry};
 use crate::event_log;
 use crate::gateway::Gateway;
 use crate::http::body::{BodyDecoder, Decoded};
 use crate::http::head::{self, Framing, ResponseHead};
 use crate::http::write::MessageBuffer;
-use crate::pool::Upstream;
+use crate::pool::{self, Upstream};
 
 /// Status of a server that is not the expected one and did not execute the request.
 const MISDIRECTED_REQUEST: u16 = 421;
@@ -142,7 +146,11 @@
     };
     let now = gateway.now();
     let once = admitted.retry_policy == RetryPolicy::AtMostOnce;
-    let taken = gateway.pool.acquire(server, address, once, now).await;
+    let taken = if hedge::is_hedgeable(context, admitted) {
+        acquire_detached(context, server, address).await
+    } else {
+        gateway.pool.acquire(server, address, once, now).await
+    };
     if !taken.as_ref().is_ok_and(|u| u.reused) {
         let after = gateway.now();
         let elapsed = after.duration_since(now);
@@ -178,15 +186,54 @@
             return SendOutcome::Interrupted(interruption);
         }
     };
-    let response = receive_response(gateway, request, upstream, run, written);
+    let mut response = pin!(receive_response(gateway, request, upstream, run, written));
     if !retry::can_retry(admitted, progress) {
         return response.await;
     }
-    // A timeout drops the connection, which cancels the request before it is sent to another server.
-    let response = tokio::time::timeout(silence_limit(admitted, placement), response).await;
-    response.unwrap_or_else(|_elapsed| {
-        SendOutcome::Interrupted(Interruption::no_response("no answer in time"))
-    })
+    let limit = silence_limit(admitted, placement);
+    loop {
+        if let Ok(outcome) = tokio::time::timeout(limit, &mut response).await {
+            return outcome;
+        }
+        // Returning drops the connection, which cancels the request before it is sent to another server. A hedge may have
+        // used the last attempt meanwhile.
+        if retry::can_retry(admitted, progress) {
+            return SendOutcome::Interrupted(Interruption::no_response("no answer in time"));
+        }
+    }
+}
+
+/// Returns an idle connection, or opens one in a task of its own, which outlasts a copy that is cancelled.
+///
+/// Otherwise a server that drops connects would never be known as unreachable: the other copy answers first.
+async fn acquire_detached(
+    context: RequestContext<'_>,
+    server: ServerId,
+    address: SocketAddr,
+) -> io::Result<Upstream> {
+    let gateway = Rc::clone(context.gateway);
+    if let Some(idle) = gateway.pool.take(server, false, gateway.now()) {
+        return Ok(idle);
+    }
+    let attempt_id = context.request.attempt_id.clone();
+    let (sender, connected) = oneshot::channel();
+    spawn_local(async move {
+        let result = pool::connect(address).await.map(Upstream::new);
+        match sender.send(result) {
+            Ok(()) => {}
+            Err(Ok(upstream)) => {
+                let (max_idle, now) = (gateway.max_idle(server), gateway.now());
+                gateway.pool.put_back(server, upstream, None, max_idle, now);
+            }
+            Err(Err(error)) => {
+                retry::record_unreachable(&gateway, &attempt_id, server, &error.to_string());
+            }
+        }
+    });
+    // The sender is only dropped together with the runtime.
+    connected
+        .await
+        .unwrap_or_else(|_ended| Err(io::ErrorKind::Interrupted.into()))
 }
 
 /// Returns how long a server may be silent before the request is sent to another one.
--- a/tests/testsuite/gateway/hedged_requests.rs
+++ b/tests/testsuite/gateway/hedged_requests.rs
@@ -1,12 +1,14 @@
 //! Second copies of requests that have had no answer in time, with real processes.
 
 use std::io::Write as _;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use hawthornmill::codes::Code;
 use hawthornmill::routing::hedging::{HedgedServices, HedgingConfig};
 use hawthornmill_gateway::settings::Settings;
 use serde_json::{Value, json};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use super::fleet::{Client, Fleet, Response, config, request, route, wait_until};
 use super::scripted_server::{Behavior, DefaultBehavior, Server};
@@ -251,7 +253,7 @@
 #[test]
 fn unreachable_server_is_recorded_while_the_other_copy_runs() {
     block_on(async {
-        let (fleet, (response, is_early)) = play(2, AFTER_300_MS, async |fleet| {
+        let (_fleet, (response, is_early)) = play(2, AFTER_300_MS, async |fleet| {
             let (preferred, other) = by_use(fleet);
             preferred.script(&[Behavior::RespondAfterMs(1_500)]);
             other.kill();
@@ -313,6 +315,60 @@
     });
 }
 
+/// Binds `address` once its server has ended; connects to it are dropped as long as the result is kept.
+async fn drop_connects(address: SocketAddr) -> (TcpListener, TcpStream) {
+    let listen = || {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(0)
+    };
+    wait_until("the address is free", || async { listen().is_ok() }).await;
+    let listener = listen().expect("the address is free");
+    let only = TcpStream::connect(address).await;
+    (listener, only.expect("the queue has room for one"))
+}
+
+/// Failure: a server that drops connects is never known to be down, since the hedge answers before the connect times out,
+/// and each request waits for its hedge.
+#[test]
+fn server_that_drops_connects_becomes_known_as_down() {
+    block_on(async {
+        let (fleet, responses) = play(2, AFTER_300_MS, async |fleet| {
+            let (preferred, _other) = by_use(fleet);
+            preferred.kill();
+            let _dropping = drop_connects(preferred.address).await;
+            let hedged = get(fleet, "/get/", "hedged").await;
+            logged(fleet, "server_unreached", "hedged").await;
+            [hedged, get(fleet, "/get/", "next").await]
+        })
+        .await;
+
+        assert!(responses.iter().all(|r| r.status() == 200));
+        let hedged = logged(&fleet, "hedge_ended", "hedged").await;
+        assert_eq!(hedged["winner"], "hedge");
+        assert_eq!(fleet.gateways[0].logged("hedge_sent").len(), 1);
+    });
+}
+
+/// Failure: the first copy is abandoned at its silence limit for a retry, though the hedge has used the last attempt.
+#[test]
+fn first_copy_is_not_abandoned_after_the_last_attempt() {
+    block_on(async {
+        let (fleet, response) = play(2, AFTER_300_MS, async |fleet| {
+            let (preferred, other) = by_use(fleet);
+            preferred.script(&[Behavior::RespondAfterMs(2_400)]);
+            other.script(&[Behavior::Hang]);
+            get(fleet, "/get/", "patient").await
+        })
+        .await;
+
+        assert_eq!(response.status(), 200);
+        let ended = logged(&fleet, "hedge_ended", "patient").await;
+        assert_eq!(ended["winner"], "first");
+    });
+}
+
 /// Failure: a hedge whose server can't be reached ends the request, or isn't counted.
 #[test]
 fn first_copy_goes_on_when_the_second_server_is_unreachable() {
