--- a/crates/hawthornmill-gateway/src/proxy/hedge.rs
+++ b/crates/hawthornmill-gateway/src/proxy/hedge.rs
@@ -17,7 +17,7 @@
 use super::admission::Admitted;
 use super::forward::{self, Buffered};
 use super::progress::{BodyEnd, HedgeState, RequestProgress};
-use super::send::{SendOutcome, ServerResponse, send, silence_limit};
+use super::send::{SendOutcome, ServerResponse, send};
 use super::{RequestContext, SlotGuard, log_interruption, quarantine, retry};
 use crate::event_log;
 
@@ -140,7 +140,8 @@
         slot.record_break(context.request, progress);
     }
     if !is_good(&outcome) && has_ended(&outcome) {
-        slot.release(silence_limit(admitted, &placement));
+        slot.end_early();
+        slot.release();
     }
     outcome
 }
@@ -377,7 +378,9 @@
         RequestCopy::First => (slot, hedge.slot, &mut *hedge_progress),
         RequestCopy::Hedge => (hedge.slot, slot, &mut *progress),
     };
-    other_slot.cancelled = end.other.is_none();
+    if end.other.is_none() {
+        other_slot.end_early();
+    }
     let mut error_response = None;
     if let Some(other) = end.other {
         let counts = end.race.counts_failures();
--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -127,8 +127,8 @@
     responded: bool,
     /// It belongs to a hedge, whose first token counts for the request only if it wins.
     is_hedge: bool,
-    /// It belongs to a copy that was cancelled since the other copy answered.
-    cancelled: bool,
+    /// Time without a response from which the server counts as failed.
+    silence_limit: Duration,
     /// The slot is released already.
     released: bool,
     /// The end of its connection is recorded.
@@ -143,13 +143,7 @@
 
 impl Drop for SlotGuard<'_> {
     fn drop(&mut self) {
-        // Under a cancelled copy, the server was given less time than it may take.
-        let limit = if self.cancelled {
-            silence_limit(self.admitted, &self.placement)
-        } else {
-            self.admitted.request.objective.mul_f64(UNRESPONSIVE_FACTOR)
-        };
-        self.release(limit);
+        self.release();
     }
 }
 
@@ -165,7 +159,7 @@
             run: gateway.server_run(placement.server),
             responded: false,
             is_hedge: false,
-            cancelled: false,
+            silence_limit: admitted.request.objective.mul_f64(UNRESPONSIVE_FACTOR),
             released: false,
             break_recorded: Cell::new(false),
         }
@@ -173,13 +167,18 @@
 }
 
 impl SlotGuard<'_> {
-    /// Releases the slot; the server counts as failed if it was silent beyond `limit`. Later calls have no effect.
-    fn release(&mut self, limit: Duration) {
+    /// Records that a copy of a hedged request was cancelled or failed, so that its server had less time than usual.
+    fn end_early(&mut self) {
+        self.silence_limit = silence_limit(self.admitted, &self.placement);
+    }
+
+    /// Releases the slot, and records a server that was silent for too long as failed; later calls have no effect.
+    fn release(&mut self) {
         if std::mem::replace(&mut self.released, true) {
             return;
         }
         let elapsed = self.gateway.now().duration_since(self.sent_at);
-        if !self.responded && elapsed > limit {
+        if !self.responded && elapsed > self.silence_limit {
             retry::record_outcome(
                 self.gateway,
                 self.placement.server,
--- a/crates/hawthornmill-gateway/src/proxy/retry.rs
+++ b/crates/hawthornmill-gateway/src/proxy/retry.rs
@@ -104,7 +104,7 @@
     } = context;
     match outcome {
         SendOutcome::Unreachable(reason) => {
-            record_unreachable(gateway, &request.attempt_id, server, reason)
+            record_unreachable(gateway, &request.attempt_id, server, reason);
         }
         SendOutcome::Withheld => log_withheld(gateway, request, server),
         SendOutcome::NotExecuted { misdirected } => {
