--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -7,6 +7,7 @@
 //! | [`admission`] | a request and the catalog | an [`admission::Admitted`], or an [`error_response::ErrorResponse`] |
 //! | queue | an admitted request | a server chosen by the scheduler |
 //! | [`mod@send`] | a request and its server | a [`send::SendOutcome`] |
+//! | [`hedge`] | a request that may be repeated, and its server | the same, of the first good answer of two servers |
 //! | [`forward`], [`events`] | a server's response | bytes to the client |
 //! | [`progress`] | the outcome | log line, counters |
 //!
@@ -16,6 +17,7 @@
 pub mod error_response;
 pub mod events;
 pub mod forward;
+pub mod hedge;
 pub mod progress;
 pub mod quarantine;
 pub mod read;
@@ -23,7 +25,9 @@
 pub mod send;
 pub mod start_wait;
 
-use std::time::Instant;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use admission::{Admitted, StreamOrigin};
 use error_response::ErrorResponse;
@@ -37,10 +41,11 @@
 use hawthornmill::routing::registry::ServerRun;
 use hawthornmill::routing::request::{Cause, Refusal, Request};
 use hawthornmill::routing::stream_versions::{StreamKey, StreamVersion};
+use hedge::send_hedged;
 use progress::RequestProgress;
 use read::ClientRequest;
 use retry::RetryDecision;
-use send::{SendOutcome, ServerResponse, send};
+use send::{SendOutcome, ServerResponse, silence_limit};
 use serde_json::json;
 use tokio::net::tcp::OwnedWriteHalf;
 
@@ -72,7 +77,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct RequestContext<'a> {
     /// State of the process.
-    pub gateway: &'a Gateway,
+    pub gateway: &'a Rc<Gateway>,
     /// The request as received.
     pub request: &'a ClientRequest,
     /// Whether to close the connection after the response.
@@ -120,6 +125,14 @@
     /// Run of the server to which the request was sent; `None` if it is not registered.
     run: Option<ServerRun>,
     responded: bool,
+    /// It belongs to a hedge, whose first token counts for the request only if it wins.
+    is_hedge: bool,
+    /// Time without a response from which the server counts as failed.
+    silence_limit: Duration,
+    /// The slot is released already.
+    released: bool,
+    /// The end of its connection is recorded.
+    break_recorded: Cell<bool>,
 }
 
 /// Multiple of the latency objective after which a server without a response counts as failed.
@@ -133,9 +146,42 @@
 
 impl Drop for SlotGuard<'_> {
     fn drop(&mut self) {
-        let limit = self.admitted.request.objective.mul_f64(UNRESPONSIVE_FACTOR);
+        self.release();
+    }
+}
+
+impl<'a> SlotGuard<'a> {
+    /// Occupies the slot of a placed request from now on.
+    fn new(gateway: &'a Gateway, admitted: &'a Admitted, placement: Placement) -> Self {
+        Self {
+            gateway,
+            admitted,
+            placement,
+            sent_at: gateway.now(),
+            version: gateway.server_version(placement.server),
+            run: gateway.server_run(placement.server),
+            responded: false,
+            is_hedge: false,
+            silence_limit: admitted.request.objective.mul_f64(UNRESPONSIVE_FACTOR),
+            released: false,
+            break_recorded: Cell::new(false),
+        }
+    }
+}
+
+impl SlotGuard<'_> {
+    /// Records that a copy of a hedged request was cancelled or failed, so that its server had less time than usual.
+    fn end_early(&mut self) {
+        self.silence_limit = silence_limit(self.admitted, &self.placement);
+    }
+
+    /// Releases the slot, and records a server that was silent for too long as failed; later calls have no effect.
+    fn release(&mut self) {
+        if std::mem::replace(&mut self.released, true) {
+            return;
+        }
         let elapsed = self.gateway.now().duration_since(self.sent_at);
-        if !self.responded && elapsed > limit {
+        if !self.responded && elapsed > self.silence_limit {
             retry::record_outcome(
                 self.gateway,
                 self.placement.server,
@@ -144,9 +190,7 @@
         }
         self.gateway.release(&self.placement, self.responded);
     }
-}
 
-impl SlotGuard<'_> {
     /// Binds a stream whose first event came from this server to the server's version.
     pub fn bind_stream(&self, progress: &mut RequestProgress) {
         progress.version = self.version;
@@ -157,9 +201,9 @@
         }
     }
 
-    /// Records that the connection ended on which the server ran the request.
+    /// Records that the connection ended on which the server ran the request; later calls have no effect.
     fn record_break(&self, request: &ClientRequest, progress: &RequestProgress) {
-        let Some(run) = self.run else {
+        let Some(run) = self.run.filter(|_| !self.break_recorded.replace(true)) else {
             return;
         };
         let broken = BrokenRequest {
@@ -201,6 +245,15 @@
             return;
         }
         self.record_life();
+        if !self.released {
+            self.observe_first_token(status);
+        }
+        if !self.is_hedge {
+            self.count_start();
+        }
+    }
+
+    fn observe_first_token(&self, status: u16) {
         let now = self.gateway.now();
         let request = &self.admitted.request;
         // An error comes sooner than a response, and would credit the server as fast.
@@ -214,7 +267,12 @@
             now,
         );
         self.gateway.announce_work();
-        let latency = now.duration_since(request.arrival);
+    }
+
+    /// Counts the time from the arrival of the request to the begin of its response.
+    fn count_start(&self) {
+        let arrival = self.admitted.request.arrival;
+        let latency = self.gateway.now().duration_since(arrival);
         self.gateway
             .metrics
             .response_started(&self.admitted.service_name, latency);
@@ -254,11 +312,12 @@
             }
         };
         request.tried.push(placement.server);
-        let decision =
-            match attempt(context, admitted, progress, placement, &mut fallback, out).await {
-                Ok(outcome) => return outcome,
-                Err(decision) => decision,
-            };
+        let slot = SlotGuard::new(context.gateway, admitted, placement);
+        let decision = match attempt(context, &request, progress, slot, &mut fallback, out).await {
+            Ok(outcome) => return outcome,
+            Err(decision) => decision,
+        };
+        request.tried.extend(progress.take_hedge_server());
         match decision {
             RetryDecision::Retry => {}
             RetryDecision::Reject => {
@@ -313,39 +372,57 @@
     ErrorResponse::with_retry_after(Code::VersionUnknown, admitted.request.objective)
 }
 
-/// Sends the request to one server; the error is the decision that follows a failure.
+/// Sends the request to one server, and to a second one where a hedge is due; the error is the decision that follows a
+/// failure.
 async fn attempt(
     context: RequestContext<'_>,
-    admitted: &Admitted,
+    request: &Request,
     progress: &mut RequestProgress,
-    placement: Placement,
+    slot: SlotGuard<'_>,
     fallback: &mut Option<ServerResponse>,
     out: &mut OwnedWriteHalf,
 ) -> Result<RequestOutcome, RetryDecision> {
-    let (gateway, server) = (context.gateway, placement.server);
-    progress.start_attempt(gateway, context.request, admitted, &placement);
-    let mut slot = SlotGuard {
-        gateway,
-        admitted,
-        placement,
-        sent_at: gateway.now(),
-        version: gateway.server_version(server),
-        run: gateway.server_run(server),
-        responded: false,
-    };
-    match send(context, admitted, progress, &placement).await {
-        SendOutcome::Response(response)
+    let (gateway, admitted) = (context.gateway, slot.admitted);
+    progress.start_attempt(gateway, context.request, admitted, &slot.placement);
+    let end = send_hedged(context, request, progress, slot).await;
+    let (mut slot, error_response) = (end.slot, end.error_response);
+    let ended = conclude(context, progress, end.outcome, &mut slot, fallback, out).await;
+    match (ended, error_response) {
+        (Err(RetryDecision::Fail), Some(response)) if !progress.response_started() => {
+            Ok(write_buffered(context, progress, &response, out).await)
+        }
+        (Err(decision), Some(response)) => {
+            *fallback = Some(response);
+            Err(decision)
+        }
+        (ended, _) => ended,
+    }
+}
+
+/// Forwards the response of a server; the error is the decision that follows a failure.
+async fn conclude(
+    context: RequestContext<'_>,
+    progress: &mut RequestProgress,
+    outcome: SendOutcome,
+    slot: &mut SlotGuard<'_>,
+    fallback: &mut Option<ServerResponse>,
+    out: &mut OwnedWriteHalf,
+) -> Result<RequestOutcome, RetryDecision> {
+    let (gateway, admitted) = (context.gateway, slot.admitted);
+    let server = slot.placement.server;
+    match outcome {
+        SendOutcome::Response(mut response)
             if retry::is_server_error(&response)
                 && retry::try_retry(gateway, admitted, progress) =>
         {
-            retry::record_outcome(gateway, server, loads::ServerOutcome::Failed);
+            forward::record_server_outcome(gateway, &mut response);
             if let Some(response) = forward::read_to_end(response).await {
                 *fallback = Some(response);
             }
             Err(RetryDecision::Retry)
         }
         SendOutcome::Response(response) => {
-            match forward_response(context, progress, response, &mut slot, out).await {
+            match forward_response(context, progress, response, slot, out).await {
                 ForwardOutcome::Complete => {
                     quarantine::record_answer(context, admitted, progress.status);
                     Ok(RequestOutcome::Complete)
@@ -360,21 +437,9 @@
                 }
             }
         }
-        SendOutcome::Unreachable(reason) => Err(retry::on_unreachable(
-            gateway,
-            context.request,
-            progress,
-            server,
-            &reason,
-        )),
-        SendOutcome::Withheld => Err(retry::on_withheld(gateway, context.request, server)),
-        SendOutcome::NotExecuted { misdirected } => Err(retry::on_not_executed(
-            gateway,
-            admitted,
-            progress,
-            server,
-            misdirected,
-        )),
+        SendOutcome::Unreachable(_) => Err(retry::on_unreachable(progress)),
+        SendOutcome::Withheld => Err(RetryDecision::Retry),
+        SendOutcome::NotExecuted { .. } => Err(retry::on_not_executed(gateway, admitted, progress)),
         SendOutcome::Interrupted(interruption) => {
             log_interruption(context, progress, server, &interruption.reason);
             if interruption.connection_lost {
--- a/crates/hawthornmill-gateway/src/proxy/retry.rs
+++ b/crates/hawthornmill-gateway/src/proxy/retry.rs
@@ -13,7 +13,7 @@
 use super::admission::Admitted;
 use super::progress::RequestProgress;
 use super::read::ClientRequest;
-use super::send::ServerResponse;
+use super::send::{SendOutcome, ServerResponse};
 use super::{RequestContext, quarantine};
 use crate::event_log;
 use crate::gateway::Gateway;
@@ -54,7 +54,7 @@
 
 /// Returns whether the request could be sent to another server after one that may have executed it.
 pub fn can_retry(admitted: &Admitted, progress: &RequestProgress) -> bool {
-    allows_retry(admitted, progress) && progress.sends < admitted.max_attempts
+    allows_retry(admitted, progress) && progress.all_sends() < admitted.max_attempts
 }
 
 fn allows_retry(admitted: &Admitted, progress: &RequestProgress) -> bool {
@@ -84,7 +84,7 @@
 /// Returns the decision for a request without further attempts.
 ///
 /// A rejection promises that no server executed the request.
-const fn final_decision(progress: &RequestProgress) -> RetryDecision {
+fn final_decision(progress: &RequestProgress) -> RetryDecision {
     if progress.may_have_executed() {
         RetryDecision::Fail
     } else {
@@ -92,18 +92,31 @@
     }
 }
 
-/// Handles a server that could not be reached.
-pub fn on_unreachable(
-    gateway: &Gateway,
-    request: &ClientRequest,
+/// Records what a failure to have a request executed tells of `server`; other outcomes are recorded when they are known.
+pub fn record_failed_send(
+    context: RequestContext<'_>,
     progress: &mut RequestProgress,
     server: ServerId,
-    reason: &str,
-) -> RetryDecision {
-    let fields = json!({"server": gateway.server_name(server), "why": reason});
-    event_log::request_problem("server_unreached", &request.attempt_id, fields);
-    gateway.pool.discard_idle(server);
-    record_outcome(gateway, server, ServerOutcome::Unreachable);
+    outcome: &SendOutcome,
+) {
+    let RequestContext {
+        gateway, request, ..
+    } = context;
+    match outcome {
+        SendOutcome::Unreachable(reason) => {
+            record_unreachable(gateway, &request.attempt_id, server, reason);
+        }
+        SendOutcome::Withheld => log_withheld(gateway, request, server),
+        SendOutcome::NotExecuted { misdirected } => {
+            record_not_executed(gateway, server, *misdirected);
+            progress.record_not_executed();
+        }
+        SendOutcome::Interrupted(_) | SendOutcome::Response(_) => {}
+    }
+}
+
+/// Handles a server that could not be reached.
+pub fn on_unreachable(progress: &mut RequestProgress) -> RetryDecision {
     progress.unreachable += 1;
     if progress.unreachable <= MAX_UNREACHABLE {
         RetryDecision::Retry
@@ -112,21 +125,30 @@
     }
 }
 
-/// Handles a server that reports that it did not execute the request.
-pub fn on_not_executed(
-    gateway: &Gateway,
-    admitted: &Admitted,
-    progress: &mut RequestProgress,
-    server: ServerId,
-    misdirected: bool,
-) -> RetryDecision {
+/// Logs and records that a server could not be reached.
+pub fn record_unreachable(gateway: &Gateway, attempt_id: &str, server: ServerId, reason: &str) {
+    let fields = json!({"server": gateway.server_name(server), "why": reason});
+    event_log::request_problem("server_unreached", attempt_id, fields);
+    gateway.pool.discard_idle(server);
+    record_outcome(gateway, server, ServerOutcome::Unreachable);
+}
+
+/// Records that a server did not execute a request.
+fn record_not_executed(gateway: &Gateway, server: ServerId, misdirected: bool) {
     if misdirected {
         gateway.pool.discard_idle(server);
         record_outcome(gateway, server, ServerOutcome::Unreachable);
     } else {
         record_outcome(gateway, server, ServerOutcome::Full);
     }
-    progress.record_not_executed();
+}
+
+/// Handles a server that reports that it did not execute the request.
+pub fn on_not_executed(
+    gateway: &Gateway,
+    admitted: &Admitted,
+    progress: &mut RequestProgress,
+) -> RetryDecision {
     if take_budget(gateway, admitted, progress) {
         RetryDecision::Retry
     } else {
@@ -134,11 +156,10 @@
     }
 }
 
-/// Handles a server that takes no requests by now; nothing was sent, so the request goes to another one.
-pub fn on_withheld(gateway: &Gateway, request: &ClientRequest, server: ServerId) -> RetryDecision {
+/// Logs that a server takes no requests by now.
+fn log_withheld(gateway: &Gateway, request: &ClientRequest, server: ServerId) {
     let fields = json!({"server": gateway.server_name(server)});
     event_log::request_problem("send_withheld", &request.attempt_id, fields);
-    RetryDecision::Retry
 }
 
 /// Handles a connection that broke before the end of the response; the request may have been executed.
--- a/crates/hawthornmill/src/routing/placement.rs
+++ b/crates/hawthornmill/src/routing/placement.rs
@@ -14,6 +14,7 @@
 use smallvec::SmallVec;
 
 use super::catalog::Engine;
+use super::hedging::SpareLimits;
 use super::loads::{KnownLoad, LoadTracker, Work};
 use super::prefix_index::{PrefixHits, PrefixIndex};
 use super::regions::{AllowedRegions, Eligibility};
@@ -25,10 +26,12 @@
 use crate::ident::{DomainId, RegionId, ServerId, ServiceId, VersionId, mix};
 
 mod fetch;
+mod spare;
 mod speed;
 
 pub use fetch::Fetch;
 use fetch::fetch;
+use spare::has_spare;
 use speed::{CandidateSpeed, Fastest, expected_times};
 pub use speed::{PassedOver, PlacedSpeed};
 
@@ -125,6 +128,8 @@
     pub max_copies: usize,
     /// Whether its server may fetch cached parts of the prompt from another one.
     pub fetches_prefixes: bool,
+    /// Bounds on servers that may get it, where only warm ones with spare capacity may; `None` for any.
+    pub spare: Option<SpareLimits>,
 }
 
 /// The chosen server and the expected latency there.
@@ -286,7 +291,7 @@
         })
         .filter_map(|(server, entry)| {
             let load = loads.find(server);
-            if load.is_down(now) {
+            if load.is_down(now) || !has_spare(view, request, (server, entry), load, now) {
                 return None;
             }
             let domain = entry.registration.domain;
--- a/tests/testsuite/gateway/scripted_server.rs
+++ b/tests/testsuite/gateway/scripted_server.rs
@@ -88,6 +88,8 @@
     Misdirected,
     /// Executes it and resets the connection instead of responding.
     Reset,
+    /// Does the same after a delay.
+    ResetAfterMs(u64),
     /// Executes it and responds with 500.
     ServerError,
     /// Executes it and responds twice.
@@ -96,6 +98,8 @@
     TruncatedBody,
     /// Executes it and sends bytes that are not HTTP.
     InvalidResponse,
+    /// Responds with an error of the client that names no request.
+    ClientErrorWithoutId,
     /// Executes it and responds without a length, so that the connection's end delimits the body.
     NoLength,
     /// Responds before it has read the body, and keeps the connection open.
@@ -269,6 +273,11 @@
         self.lock().script.extend(behaviors.iter().cloned());
     }
 
+    /// Removes the rest of the script.
+    pub fn clear_script(&self) {
+        self.lock().script.clear();
+    }
+
     /// Sets the behavior for requests after the end of the script.
     pub fn set_default(&self, default: DefaultBehavior) {
         self.lock().default = Some(default);
@@ -423,10 +432,16 @@
                 };
                 first.and(second.await)
             }
-            Behavior::Reset => {
+            Behavior::Reset | Behavior::ResetAfterMs(_) => {
+                if let Behavior::ResetAfterMs(delay_ms) = behavior
+                    && !self.work(stream, Duration::from_millis(delay_ms)).await
+                {
+                    return false;
+                }
                 let _set = stream.set_zero_linger();
                 return false;
             }
+            Behavior::ClientErrorWithoutId => write_response(stream, 400, &[], b"").await,
             Behavior::InvalidResponse => stream.write_all(b"\0\0nonsense\r\n\r\n").await,
             Behavior::Stream(count) => return self.stream(stream, head, count, false).await,
             Behavior::BrokenStream(count) => return self.stream(stream, head, count, true).await,
