Failing tests: responses without end

Cause: a server that pours bytes that are no answer, fast or slowly, occupies an instance until the deadline, and 400 events without end use more memory than an instance of 120 MB has.

Change: a server for tests that pours, and tests for each flow at full speed and as a trickle.

--- a/tests/testsuite/gateway/fleet.rs
+++ b/tests/testsuite/gateway/fleet.rs
@@ -96,6 +96,18 @@
         }
     }
 
+    /// Returns the most memory that the process has used, in KiB.
+    pub fn peak_memory_kib(&self) -> u64 {
+        let child = self.child.as_ref().expect("the gateway runs");
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.expect("the process status can be read");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let number = line.and_then(|l| l.trim().strip_suffix(" kB"));
+        number
+            .and_then(|n| n.parse().ok())
+            .expect("the status has the peak")
+    }
+
     /// Returns the exit code, or `None` while the process runs.
     pub fn exit_code(&mut self) -> Option<i32> {
         let status = self
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod at_most_once;
 mod connection_pool;
+mod endless_responses;
 mod event_streams;
 mod failed_requests;
 #[expect(dead_code, reason = "the soak uses the other part of the fixtures")]
@@ -13,6 +14,7 @@
 mod placement_bounds;
 mod platform_adapter;
 mod platform_names;
+mod pouring_server;
 mod quarantine;
 mod request_handling;
 mod responses;
