--- a/crates/hawthornmill-gateway/src/connection.rs
+++ b/crates/hawthornmill-gateway/src/connection.rs
@@ -27,6 +27,8 @@
 ///
 /// Closing a connection with unread bytes resets it, and the reset may overtake the response.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(300);
+/// Most bytes that are read and dropped in that time.
+const MAX_DRAIN_BYTES: usize = 1 << 20;
 
 /// The receiving half of a client connection.
 #[derive(Debug)]
@@ -151,10 +153,12 @@
         return;
     }
     let drain = async {
-        loop {
+        let mut drained = 0;
+        while drained < MAX_DRAIN_BYTES {
             reader.buffer.clear();
-            if !matches!(reader.read_more().await, Ok(bytes) if bytes > 0) {
-                return;
+            match reader.read_more().await {
+                Ok(0) | Err(_) => return,
+                Ok(bytes) => drained += bytes,
             }
         }
     };
--- a/crates/hawthornmill-gateway/src/endpoints.rs
+++ b/crates/hawthornmill-gateway/src/endpoints.rs
@@ -64,7 +64,8 @@
 ) -> std::io::Result<()> {
     let mut buffer = BytesMut::with_capacity(1024);
     loop {
-        let Some((head, head_length)) = read_head(&mut stream, &mut buffer).await? else {
+        let head = tokio::time::timeout(IDLE_TIMEOUT, read_head(&mut stream, &mut buffer));
+        let Some((head, head_length)) = head.await?? else {
             return Ok(());
         };
         let _head = buffer.split_to(head_length);
@@ -95,8 +96,7 @@
             Ok(None) if buffer.len() <= MAX_HEAD_BYTES => {}
             _ => return Ok(None),
         }
-        let received = tokio::time::timeout(IDLE_TIMEOUT, stream.read_buf(buffer)).await;
-        if received.map_err(|_elapsed| std::io::Error::from(std::io::ErrorKind::TimedOut))?? == 0 {
+        if stream.read_buf(buffer).await? == 0 {
             return Ok(None);
         }
     }
@@ -231,6 +231,11 @@
             "Servers that asked for a rest",
             count(resting),
         ),
+        (
+            "response_bytes_held",
+            "Bytes of incomplete responses that are longer than 4 KiB",
+            count(gateway.held_responses.total()),
+        ),
         (
             "leaving_servers",
             "Servers that said themselves that they leave",
--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -38,6 +38,8 @@
 use crate::metrics::Metrics;
 use crate::pending_state::PendingState;
 use crate::pool::Pool;
+use crate::proxy::held_bytes::{HeldBytes, HeldResponses};
+use crate::proxy::response_limits;
 use crate::server_crashes::ServerCrashes;
 use crate::settings::Settings;
 use crate::stream_versions::StreamRegister;
@@ -125,6 +127,8 @@
     pub in_flight: Cell<usize>,
     /// Bytes of request bodies held in memory.
     pub body_bytes: Cell<usize>,
+    /// Incomplete responses held in memory.
+    pub held_responses: HeldResponses,
     /// Whether a list of registrations came from the store or a peer since the start.
     pub has_registrations: Cell<bool>,
     /// Whether this instance reads the store, and whether the store answers.
@@ -200,6 +204,7 @@
             rejected: RefCell::default(),
             in_flight: Cell::new(0),
             body_bytes: Cell::new(0),
+            held_responses: HeldResponses::default(),
             has_registrations: Cell::new(false),
             store_role: Cell::new(StoreRole::Connected),
             dispatched: Cell::new(now),
@@ -238,6 +243,12 @@
         Rc::clone(&self.settings.borrow())
     }
 
+    /// Begins to account the memory that a server's response uses while it is incomplete.
+    pub fn hold_response(&self) -> HeldBytes<'_> {
+        let limit = response_limits::held_limit(self.settings.borrow().memory_bytes);
+        self.held_responses.begin(limit)
+    }
+
     /// Tells whether latency measured now reflects this instance rather than the servers.
     pub fn is_overloaded(&self) -> bool {
         let now = self.now();
--- a/crates/hawthornmill-gateway/src/http/body.rs
+++ b/crates/hawthornmill-gateway/src/http/body.rs
@@ -8,6 +8,10 @@
 const MAX_LINE_BYTES: usize = 256;
 /// Maximum length of all trailer lines together.
 const MAX_TRAILER_BYTES: usize = 4096;
+/// Maximum length of all chunk extensions together, for a body with little data.
+const MAX_EXTENSION_BYTES: u64 = 16 << 10;
+/// Bytes of chunk extensions allowed for each byte of data in addition; a sound sender signs each chunk at most.
+const EXTENSION_RATIO: u64 = 8;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
@@ -30,6 +34,10 @@
 pub struct BodyDecoder {
     chunked: bool,
     state: State,
+    /// Bytes of data in the chunks so far.
+    data: u64,
+    /// Bytes of chunk extensions so far.
+    extensions: u64,
 }
 
 /// Result of decoding the bytes in the buffer.
@@ -55,6 +63,8 @@
         Self {
             chunked: matches!(framing, Framing::Chunked),
             state,
+            data: 0,
+            extensions: 0,
         }
     }
 
@@ -84,11 +94,15 @@
                 State::Remaining(remaining) => {
                     let taken = remaining.min(buffer.len() as u64);
                     self.state = State::Remaining(remaining - taken);
+                    self.data += taken;
                     return Ok(Decoded::Data(buffer.split_to(taken as usize).freeze()));
                 }
                 State::ChunkSize => match take_line(buffer)? {
                     None => return Ok(Decoded::Incomplete),
-                    Some(line) => self.state = parse_chunk_size(&line)?,
+                    Some(line) => {
+                        self.record_extension(&line)?;
+                        self.state = parse_chunk_size(&line)?;
+                    }
                 },
                 State::ChunkEnd => match take_line(buffer)? {
                     None => return Ok(Decoded::Incomplete),
@@ -106,6 +120,19 @@
     }
 }
 
+impl BodyDecoder {
+    /// Records the extension of a chunk size line, which costs a sender of endless bytes nothing.
+    fn record_extension(&mut self, line: &[u8]) -> Result<(), Malformed> {
+        let start = line.iter().position(|b| *b == b';');
+        self.extensions += start.map_or(0, |start| line.len() - start) as u64;
+        let allowed = MAX_EXTENSION_BYTES + self.data.saturating_mul(EXTENSION_RATIO);
+        if self.extensions > allowed {
+            return Err(Malformed);
+        }
+        Ok(())
+    }
+}
+
 /// Takes a line that ends with CRLF out of the buffer, without the CRLF.
 fn take_line(buffer: &mut BytesMut) -> Result<Option<BytesMut>, Malformed> {
     let Some(end) = buffer.iter().position(|b| *b == b'\n') else {
--- a/crates/hawthornmill-gateway/src/metrics.rs
+++ b/crates/hawthornmill-gateway/src/metrics.rs
@@ -14,6 +14,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::proxy::response_limits::CutReason;
+
 /// Upper bounds of the histogram buckets; latency objectives are between 200 and 1,000 ms.
 const BUCKET_BOUNDS_MS: [f64; 12] = [
     5.0, 10.0, 25.0, 50.0, 100.0, 200.0, 300.0, 500.0, 800.0, 1_500.0, 3_000.0, 10_000.0,
@@ -57,6 +59,11 @@
     why: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CutLabels {
+    reason: &'static str,
+}
+
 type CounterFamily<L> = Family<L, Counter<u64, AtomicU64>>;
 
 /// The counters of a process.
@@ -72,6 +79,7 @@
     store_calls: CounterFamily<OutcomeLabels>,
     connects: Counter<u64, AtomicU64>,
     server_crashes: Counter<u64, AtomicU64>,
+    cuts: CounterFamily<CutLabels>,
     rejected: CounterFamily<OutcomeLabels>,
     response_starts: Family<ServiceLabels, Histogram, fn() -> Histogram>,
 }
@@ -90,6 +98,7 @@
             store_calls: Family::default(),
             connects: Counter::default(),
             server_crashes: Counter::default(),
+            cuts: Family::default(),
             rejected: Family::default(),
             response_starts: Family::new_with_constructor(response_starts),
         };
@@ -118,6 +127,8 @@
         registry.register("server_crashes", help, metrics.server_crashes.clone());
         let help = "Connections turned away because the process was behind or full";
         registry.register("turned_away", help, metrics.rejected.clone());
+        let help = "Connections to servers that were closed because of what came, by reason";
+        registry.register("responses_cut", help, metrics.cuts.clone());
         let help = "Time to the answer's begin in milliseconds";
         registry.register("begin_milliseconds", help, metrics.response_starts.clone());
         metrics
@@ -195,6 +206,12 @@
         self.connects.inc();
     }
 
+    /// Counts a connection to a server that is closed because of what the server sent.
+    pub fn response_cut(&self, reason: CutReason) {
+        let reason = reason.name();
+        self.cuts.get_or_create(&CutLabels { reason }).inc();
+    }
+
     /// Counts a client connection that was rejected.
     pub fn connection_rejected(&self, outcome: &'static str) {
         self.rejected
--- a/crates/hawthornmill-gateway/src/pool.rs
+++ b/crates/hawthornmill-gateway/src/pool.rs
@@ -48,6 +48,8 @@
     pub buffer: BytesMut,
     /// Whether the connection carried a request before.
     pub reused: bool,
+    /// Bytes received for the current request.
+    pub received: usize,
 }
 
 impl Upstream {
@@ -57,6 +59,7 @@
             stream,
             buffer: BytesMut::with_capacity(BUFFER_BYTES),
             reused: false,
+            received: 0,
         }
     }
 
@@ -68,7 +71,9 @@
     /// # Errors
     /// If the connection fails.
     pub async fn read_more(&mut self) -> io::Result<usize> {
-        self.stream.read_buf(&mut self.buffer).await
+        let read = self.stream.read_buf(&mut self.buffer).await?;
+        self.received += read;
+        Ok(read)
     }
 }
 
--- a/crates/hawthornmill-gateway/src/proxy/events.rs
+++ b/crates/hawthornmill-gateway/src/proxy/events.rs
@@ -6,8 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use hawthornmill::event_stream::EventScanner;
 
-/// Maximum size of one event.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+use super::response_limits::{CutReason, MAX_EVENT_BYTES, MAX_REPEATED_BYTES};
 
 /// One or more complete events, with the id of the last one.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -27,6 +26,8 @@
     /// Bytes at the start of the buffer that were scanned and hold no end of an event.
     scanned: usize,
     scanner: EventScanner,
+    /// Bytes of events that were dropped because the client has them.
+    repeated: usize,
 }
 
 impl EventSplitter {
@@ -52,6 +53,7 @@
             if let (Some(id), Some(seen)) = (id, seen)
                 && id <= seen
             {
+                self.repeated += event.len();
                 continue;
             }
             if block.is_event {
@@ -85,8 +87,21 @@
         self.buffer.len()
     }
 
-    /// Returns whether the incomplete event is larger than allowed.
-    pub fn exceeds_limit(&self) -> bool {
-        self.buffer.len() > MAX_EVENT_BYTES
+    /// Returns the memory that the bytes after the last complete event use.
+    pub fn rest_memory(&self) -> usize {
+        if self.buffer.is_empty() {
+            0
+        } else {
+            self.buffer.capacity()
+        }
+    }
+
+    /// Returns the bound that the stream exceeds, if it does.
+    pub fn exceeded_limit(&self) -> Option<CutReason> {
+        if self.buffer.len() > MAX_EVENT_BYTES {
+            Some(CutReason::EventBytes)
+        } else {
+            (self.repeated > MAX_REPEATED_BYTES).then_some(CutReason::RepeatedBytes)
+        }
     }
 }
--- a/crates/hawthornmill-gateway/src/proxy/forward.rs
+++ b/crates/hawthornmill-gateway/src/proxy/forward.rs
@@ -10,8 +10,10 @@
 use tokio::net::tcp::OwnedWriteHalf;
 
 use super::events::EventSplitter;
+use super::held_bytes::HeldBytes;
 use super::progress::{BodyEnd, RequestProgress};
-use super::send::ServerResponse;
+use super::response_limits::{CutReason, MAX_ERROR_BYTES, MAX_ERROR_TIME};
+use super::send::{ReadError, ServerResponse, read_more, record_cut};
 use super::{RequestContext, RequestOutcome, SlotGuard, retry};
 use crate::gateway::Gateway;
 use crate::http::body::{BodyDecoder, Decoded};
@@ -37,9 +39,15 @@
     Data(bytes::Bytes),
     End(BodyEnd),
     Truncated(BodyEnd),
+    /// The response must end because it holds the most memory.
+    Evicted,
 }
 
-async fn next_part(response: &mut ServerResponse, decoder: &mut BodyDecoder) -> BodyPart {
+async fn next_part(
+    response: &mut ServerResponse,
+    decoder: &mut BodyDecoder,
+    held: &HeldBytes<'_>,
+) -> BodyPart {
     loop {
         match decoder.next(&mut response.upstream.buffer) {
             Ok(Decoded::Data(data)) => return BodyPart::Data(data),
@@ -47,10 +55,11 @@
             Ok(Decoded::Incomplete) => {}
             Err(_malformed) => return BodyPart::Truncated(BodyEnd::Malformed),
         }
-        match response.upstream.read_more().await {
+        match read_more(&mut response.upstream, held, None).await {
             // Only an orderly close completes a body without a length; a reset truncates it.
             Ok(0) if decoder.ends_at_close() => return BodyPart::End(BodyEnd::Closed),
             Ok(0) => return BodyPart::Truncated(BodyEnd::Closed),
+            Err(ReadError::Evicted) => return BodyPart::Evicted,
             Err(_failed) => return BodyPart::Truncated(BodyEnd::Failed),
             Ok(_) => {}
         }
@@ -107,27 +116,34 @@
 enum Buffered {
     /// The response is complete.
     Complete(BodyEnd),
-    /// The response exceeds the buffer limit and has not ended.
+    /// The response has not ended, and exceeds the buffer limit or uses memory that others need.
     TooLong,
     /// The response was cut off.
     Truncated(BodyEnd),
 }
 
 /// Buffers the body of `response` to its end or to the limit, and calls `on_data` after each part.
+///
+/// At most `max_received` bytes are read, framing included.
 async fn buffer_body(
     response: &mut ServerResponse,
     decoder: &mut BodyDecoder,
+    mut held: HeldBytes<'_>,
+    max_received: usize,
     mut on_data: impl FnMut(),
 ) -> Buffered {
     let mut body = response.body.take().unwrap_or_default();
+    let limit = response.upstream.received.saturating_add(max_received);
     let outcome = loop {
-        match next_part(response, decoder).await {
+        match next_part(response, decoder, &held).await {
             BodyPart::Data(data) => body.extend_from_slice(&data),
             BodyPart::Truncated(end) => break Buffered::Truncated(end),
             BodyPart::End(end) => break Buffered::Complete(end),
+            BodyPart::Evicted => break Buffered::TooLong,
         }
         on_data();
-        if body.len() > MAX_BUFFERED_BYTES {
+        let is_long = body.len() > MAX_BUFFERED_BYTES || response.upstream.received > limit;
+        if is_long || held.set(body.capacity()).is_err() {
             break Buffered::TooLong;
         }
     };
@@ -143,13 +159,12 @@
     out: &mut OwnedWriteHalf,
 ) -> ForwardOutcome {
     let mut decoder = BodyDecoder::new(response.framing);
-    match buffer_body(&mut response, &mut decoder, || slot.record_first_token()).await {
+    let held = context.gateway.hold_response();
+    let on_data = || slot.record_first_token();
+    match buffer_body(&mut response, &mut decoder, held, usize::MAX, on_data).await {
         Buffered::Complete(end) => progress.record_body_end(response.framing, end, 0),
         Buffered::TooLong => return forward_long(context, progress, response, decoder, out).await,
-        Buffered::Truncated(end) => {
-            progress.record_body_end(response.framing, end, 0);
-            return ForwardOutcome::Truncated;
-        }
+        Buffered::Truncated(end) => return truncate(context, progress, &response, end, 0),
     }
     slot.record_first_token();
     record_server_outcome(context.gateway, &response);
@@ -161,13 +176,58 @@
     }
 }
 
-/// Reads a short response to its end; `None` if it is cut off or exceeds the limit.
-pub async fn read_to_end(mut response: ServerResponse) -> Option<ServerResponse> {
-    let mut decoder = BodyDecoder::new(response.framing);
-    match buffer_body(&mut response, &mut decoder, || {}).await {
-        Buffered::Complete(_) => Some(response),
-        Buffered::TooLong | Buffered::Truncated(_) => None,
+/// Records that a response was cut off, and by what.
+fn truncate(
+    context: RequestContext<'_>,
+    progress: &mut RequestProgress,
+    response: &ServerResponse,
+    end: BodyEnd,
+    rest_bytes: usize,
+) -> ForwardOutcome {
+    progress.record_body_end(response.framing, end, rest_bytes);
+    if end == BodyEnd::Malformed {
+        log_cut(context, response, CutReason::Malformed);
+        progress.record_cut(Some(CutReason::Malformed));
     }
+    ForwardOutcome::Truncated
+}
+
+/// Records that the gateway closes the connection because of what the server sent.
+fn cut(
+    context: RequestContext<'_>,
+    progress: &mut RequestProgress,
+    response: &ServerResponse,
+    reason: CutReason,
+    rest_bytes: usize,
+) -> ForwardOutcome {
+    progress.record_body_end(response.framing, BodyEnd::Cut, rest_bytes);
+    progress.record_cut(Some(reason));
+    log_cut(context, response, reason);
+    ForwardOutcome::Truncated
+}
+
+fn log_cut(context: RequestContext<'_>, response: &ServerResponse, reason: CutReason) {
+    let (server, bytes) = (response.server, response.upstream.received);
+    record_cut(context.gateway, context.request, server, reason, bytes);
+}
+
+/// Reads a short error response to its end; `None` if it is cut off, or exceeds a limit.
+pub async fn read_to_end(
+    context: RequestContext<'_>,
+    mut response: ServerResponse,
+) -> Option<ServerResponse> {
+    let mut decoder = BodyDecoder::new(response.framing);
+    let held = context.gateway.hold_response();
+    let body = buffer_body(&mut response, &mut decoder, held, MAX_ERROR_BYTES, || {});
+    let reason = match tokio::time::timeout(MAX_ERROR_TIME, body).await {
+        Ok(Buffered::Complete(_)) => return Some(response),
+        Ok(Buffered::Truncated(BodyEnd::Malformed)) => CutReason::Malformed,
+        Ok(Buffered::Truncated(_)) => return None,
+        Ok(Buffered::TooLong) => CutReason::ErrorBytes,
+        Err(_elapsed) => CutReason::ErrorTime,
+    };
+    log_cut(context, &response, reason);
+    None
 }
 
 fn record_server_outcome(gateway: &Gateway, response: &ServerResponse) {
@@ -213,6 +273,7 @@
     let mut bytes = encode_head(&response.head, response.framing, context.close.always);
     progress.start_response(response.head.status, context.gateway.now());
     let mut data = response.body.take().unwrap_or_default().freeze();
+    let held = context.gateway.hold_response();
     loop {
         if chunked {
             bytes.chunk(&data);
@@ -223,12 +284,10 @@
             return ForwardOutcome::ClientClosed;
         }
         bytes.0.clear();
-        match next_part(&mut response, &mut decoder).await {
+        match next_part(&mut response, &mut decoder, &held).await {
             BodyPart::Data(next) => data = next,
-            BodyPart::Truncated(end) => {
-                progress.record_body_end(response.framing, end, 0);
-                return ForwardOutcome::Truncated;
-            }
+            BodyPart::Truncated(end) => return truncate(context, progress, &response, end, 0),
+            BodyPart::Evicted => return cut(context, progress, &response, CutReason::Memory, 0),
             BodyPart::End(end) => {
                 progress.record_body_end(response.framing, end, 0);
                 break;
@@ -258,28 +317,33 @@
 ) -> ForwardOutcome {
     let mut decoder = BodyDecoder::new(response.framing);
     let mut splitter = EventSplitter::default();
+    let mut held = context.gateway.hold_response();
     let mut bytes = MessageBuffer::default();
     let event_id = context.gateway.adapter.parse_event_id;
     loop {
-        let (events, ended) = match next_part(&mut response, &mut decoder).await {
+        let rest_bytes = splitter.rest_bytes();
+        let (events, ended) = match next_part(&mut response, &mut decoder, &held).await {
             BodyPart::Data(data) => (
                 splitter.push(&data, event_id, progress.last_event_id),
                 false,
             ),
             BodyPart::End(end) => {
-                progress.record_body_end(response.framing, end, splitter.rest_bytes());
+                progress.record_body_end(response.framing, end, rest_bytes);
                 if !splitter.may_end(response.framing != Framing::UntilClose) {
                     return ForwardOutcome::Truncated;
                 }
                 (None, true)
             }
             BodyPart::Truncated(end) => {
-                progress.record_body_end(response.framing, end, splitter.rest_bytes());
-                return ForwardOutcome::Truncated;
+                return truncate(context, progress, &response, end, rest_bytes);
+            }
+            BodyPart::Evicted => {
+                return cut(context, progress, &response, CutReason::Memory, rest_bytes);
             }
         };
-        if splitter.exceeds_limit() {
-            return ForwardOutcome::Truncated;
+        let exceeded = splitter.exceeded_limit();
+        if let Some(reason) = exceeded.or_else(|| held.set(splitter.rest_memory()).err()) {
+            return cut(context, progress, &response, reason, splitter.rest_bytes());
         }
         let Some(events) = events else {
             if ended {
--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -7,6 +7,7 @@
 //! | [`admission`] | a request and the catalog | an [`admission::Admitted`], or an [`error_response::ErrorResponse`] |
 //! | queue | an admitted request | a server chosen by the scheduler |
 //! | [`mod@send`] | a request and its server | a [`send::SendOutcome`] |
+//! | [`response_reader`], [`response_limits`], [`held_bytes`] | bytes of a server | the head of its answer, or why its connection is closed |
 //! | [`forward`], [`events`] | a server's response | bytes to the client |
 //! | [`progress`] | the outcome | log line, counters |
 //!
@@ -16,9 +17,12 @@
 pub mod error_response;
 pub mod events;
 pub mod forward;
+pub mod held_bytes;
 pub mod progress;
 pub mod quarantine;
 pub mod read;
+pub mod response_limits;
+pub mod response_reader;
 pub mod retry;
 pub mod send;
 pub mod start_wait;
@@ -264,17 +268,12 @@
                 return end_without_server(context, progress, fallback, refusal, out).await;
             }
             RetryDecision::Fail if progress.response_started() => {
-                progress.set_code(Code::UpstreamFailed);
+                progress.set_code(progress.failure_code());
                 return RequestOutcome::Truncated;
             }
             RetryDecision::Fail => {
-                return send_error(
-                    context,
-                    progress,
-                    &ErrorResponse::new(Code::UpstreamFailed),
-                    out,
-                )
-                .await;
+                let response = ErrorResponse::new(progress.failure_code());
+                return send_error(context, progress, &response, out).await;
             }
         }
     }
@@ -333,7 +332,7 @@
                 && retry::try_retry(gateway, admitted, progress) =>
         {
             retry::record_outcome(gateway, server, loads::ServerOutcome::Failed);
-            if let Some(response) = forward::read_to_end(response).await {
+            if let Some(response) = forward::read_to_end(context, response).await {
                 *fallback = Some(response);
             }
             Err(RetryDecision::Retry)
@@ -426,7 +425,7 @@
         return write_buffered(context, progress, &response, out).await;
     }
     let response = if progress.may_have_executed() {
-        ErrorResponse::new(Code::UpstreamFailed)
+        ErrorResponse::new(progress.failure_code())
     } else {
         ErrorResponse::with_retry_after(refusal.code, refusal.retry_after)
     };
--- a/crates/hawthornmill-gateway/src/proxy/progress.rs
+++ b/crates/hawthornmill-gateway/src/proxy/progress.rs
@@ -12,6 +12,7 @@
 use super::error_response::{ErrorResponse, NotReady};
 use super::events::CompleteEvents;
 use super::read::ClientRequest;
+use super::response_limits::CutReason;
 use super::{RequestContext, RequestOutcome};
 use crate::event_log;
 use crate::gateway::Gateway;
@@ -63,6 +64,8 @@
     Failed,
     /// The bytes violate the framing.
     Malformed,
+    /// The gateway closed the connection because a bound was exceeded.
+    Cut,
 }
 
 impl BodyEnd {
@@ -72,6 +75,7 @@
             Self::Closed => "closed",
             Self::Failed => "failed",
             Self::Malformed => "malformed",
+            Self::Cut => "cut",
         }
     }
 }
@@ -111,6 +115,8 @@
     servers: Vec<Box<str>>,
     response_start: Option<Instant>,
     body: Option<BodySummary>,
+    /// Why the gateway closed the connection to the current server, if it did.
+    cut: Option<CutReason>,
 }
 
 impl RequestProgress {
@@ -153,6 +159,7 @@
         }
         self.servers.push(name);
         self.body = None;
+        self.cut = None;
         self.server_events = 0;
         self.earlier_uncertain |= std::mem::take(&mut self.bytes_sent);
     }
@@ -226,6 +233,16 @@
         })
     }
 
+    /// Records whether, and why, the gateway closed the connection to the current server.
+    pub const fn record_cut(&mut self, reason: Option<CutReason>) {
+        self.cut = reason;
+    }
+
+    /// Returns the code for a request whose last server brought no usable answer.
+    pub fn failure_code(&self) -> Code {
+        self.cut.map_or(Code::UpstreamFailed, CutReason::code)
+    }
+
     /// Sets the code of the error that ends the request.
     pub const fn set_code(&mut self, code: Code) {
         self.code = Some(code);
--- a/crates/hawthornmill-gateway/src/proxy/read.rs
+++ b/crates/hawthornmill-gateway/src/proxy/read.rs
@@ -14,8 +14,12 @@
 use crate::http::body::{BodyDecoder, Decoded};
 use crate::http::head::{self, Framing, RequestHead};
 
-/// Maximum size of all request bodies of the process; an instance has about a hundred megabytes of memory.
-const MAX_BODY_MEMORY_BYTES: usize = 32 << 20;
+/// Part of the memory in the settings for all request bodies of the process.
+const BODY_MEMORY_SHARE: f64 = 0.27;
+/// Rate at which a body must come on average, after the time that a connection may be idle.
+///
+/// Slower than any link; a sender of a byte now and then would otherwise hold its connection for hours.
+const MIN_BODY_BYTES_PER_SECOND: f64 = 512.0;
 
 /// A request as received from a client.
 #[derive(Debug)]
@@ -30,16 +34,47 @@
     pub head_received: Instant,
     /// When the body was complete.
     pub received: Instant,
+    _memory: BodyMemory,
+}
+
+/// Memory that one request body uses, also while it is received; dropping it releases the memory.
+#[derive(Debug)]
+struct BodyMemory {
     gateway: Rc<Gateway>,
+    bytes: usize,
 }
 
-impl Drop for ClientRequest {
+impl BodyMemory {
+    fn new(gateway: &Rc<Gateway>) -> Self {
+        Self {
+            gateway: Rc::clone(gateway),
+            bytes: 0,
+        }
+    }
+
+    /// Sets the bytes of the body; fails if the bodies of the process then use more memory than they may.
+    fn set(&mut self, bytes: usize) -> Result<(), Code> {
+        let total = &self.gateway.body_bytes;
+        total.set(total.get() - self.bytes + bytes);
+        self.bytes = bytes;
+        if total.get() > max_body_memory(&self.gateway) {
+            return Err(Code::InstanceFull);
+        }
+        Ok(())
+    }
+}
+
+impl Drop for BodyMemory {
     fn drop(&mut self) {
-        let body_bytes = &self.gateway.body_bytes;
-        body_bytes.set(body_bytes.get() - self.body.len());
+        let total = &self.gateway.body_bytes;
+        total.set(total.get() - self.bytes);
     }
 }
 
+fn max_body_memory(gateway: &Gateway) -> usize {
+    (gateway.settings.borrow().memory_bytes as f64 * BODY_MEMORY_SHARE) as usize
+}
+
 /// Result of reading from a client connection.
 #[derive(Debug)]
 pub enum ReadOutcome {
@@ -83,7 +118,7 @@
     if declared > limits.body_bytes {
         return ReadOutcome::Reject(Code::BodyTooLarge);
     }
-    if gateway.body_bytes.get() + declared > MAX_BODY_MEMORY_BYTES {
+    if gateway.body_bytes.get() + declared > max_body_memory(gateway) {
         return ReadOutcome::Reject(Code::InstanceFull);
     }
     if framing != Framing::Empty && head.headers.has_token("expect", "100-continue") {
@@ -93,9 +128,12 @@
         }
     }
     let head_received = gateway.now();
-    let body = read_body(reader, framing, limits.body_bytes, limits.idle_timeout).await;
-    match body {
-        Ok(Some(body)) => ReadOutcome::Request(client_request(gateway, head, body, head_received)),
+    let mut memory = BodyMemory::new(gateway);
+    match read_body(reader, framing, limits, &mut memory).await {
+        Ok(Some(body)) => {
+            let request = client_request(gateway, head, body, head_received, memory);
+            ReadOutcome::Request(request)
+        }
         Ok(None) => ReadOutcome::Closed,
         Err(code) => ReadOutcome::Reject(code),
     }
@@ -106,10 +144,8 @@
     head: RequestHead,
     body: Bytes,
     head_received: Instant,
+    memory: BodyMemory,
 ) -> ClientRequest {
-    gateway
-        .body_bytes
-        .set(gateway.body_bytes.get() + body.len());
     let attempt = head
         .headers
         .get_str(gateway.adapter.headers.attempt_id)
@@ -120,7 +156,7 @@
         body,
         head_received,
         received: gateway.now(),
-        gateway: Rc::clone(gateway),
+        _memory: memory,
     }
 }
 
@@ -166,24 +202,35 @@
 async fn read_body(
     reader: &mut RequestReader,
     framing: Framing,
-    limit: usize,
-    idle: Duration,
+    limits: Limits,
+    memory: &mut BodyMemory,
 ) -> Result<Option<Bytes>, Code> {
     let mut decoder = BodyDecoder::new(framing);
     let mut body = BytesMut::new();
+    let started = tokio::time::Instant::now();
     loop {
         match decoder.next(&mut reader.buffer) {
             Ok(Decoded::Data(data)) => body.extend_from_slice(&data),
             Ok(Decoded::End) => return Ok(Some(body.freeze())),
-            Ok(Decoded::Incomplete) => match tokio::time::timeout(idle, reader.read_more()).await {
-                Ok(Ok(bytes)) if bytes > 0 => {}
-                Ok(_) => return Ok(None),
-                Err(_elapsed) => return Err(Code::RequestTooSlow),
-            },
+            Ok(Decoded::Incomplete) => {
+                let pause_end = tokio::time::Instant::now() + limits.idle_timeout;
+                let end = pause_end.min(started + allowed_time(limits.idle_timeout, body.len()));
+                match tokio::time::timeout_at(end, reader.read_more()).await {
+                    Ok(Ok(bytes)) if bytes > 0 => {}
+                    Ok(_) => return Ok(None),
+                    Err(_elapsed) => return Err(Code::RequestTooSlow),
+                }
+            }
             Err(_malformed) => return Err(Code::BadHeader),
         }
-        if body.len() > limit {
+        if body.len() > limits.body_bytes {
             return Err(Code::BodyTooLarge);
         }
+        memory.set(body.len())?;
     }
 }
+
+/// Returns the time in which a body must have brought more than `bytes`.
+fn allowed_time(idle: Duration, bytes: usize) -> Duration {
+    idle + Duration::from_secs_f64(bytes as f64 / MIN_BODY_BYTES_PER_SECOND)
+}
--- a/crates/hawthornmill-gateway/src/proxy/send.rs
+++ b/crates/hawthornmill-gateway/src/proxy/send.rs
@@ -18,13 +18,16 @@
 use tokio::net::TcpStream;
 
 use super::admission::Admitted;
+use super::held_bytes::HeldBytes;
 use super::progress::RequestProgress;
 use super::read::ClientRequest;
+use super::response_limits::{CutReason, MAX_REFUSAL_BYTES, MAX_REFUSAL_TIME};
+use super::response_reader::{AnswerHead, Expected, ResponseReader};
 use super::{RequestContext, quarantine, retry};
 use crate::event_log;
 use crate::gateway::Gateway;
 use crate::http::body::{BodyDecoder, Decoded};
-use crate::http::head::{self, Framing, ResponseHead};
+use crate::http::head::{Framing, ResponseHead};
 use crate::http::write::MessageBuffer;
 use crate::pool::Upstream;
 
@@ -36,11 +39,6 @@
 /// The response is late by then in any case. With a shorter limit, a server that is only busy would lose
 /// the prompts that it has already processed.
 const ABANDON_FACTOR: f64 = 2.0;
-/// Maximum size of a response head.
-const MAX_HEAD_BYTES: usize = 64 << 10;
-/// Maximum size of a response to an earlier request that is read and discarded.
-const MAX_SKIPPED_BYTES: usize = 1 << 20;
-
 /// A server's response whose head has been read.
 #[derive(Debug)]
 pub struct ServerResponse {
@@ -65,6 +63,8 @@
     pub reason: Box<str>,
     /// The connection ended, as all connections of a server do that ends itself.
     pub connection_lost: bool,
+    /// Why the gateway closed the connection, if it did.
+    pub cut: Option<CutReason>,
 }
 
 impl Interruption {
@@ -73,6 +73,7 @@
         Self {
             reason: reason.into(),
             connection_lost: true,
+            cut: None,
         }
     }
 
@@ -81,6 +82,15 @@
         Self {
             reason: reason.into(),
             connection_lost: false,
+            cut: None,
+        }
+    }
+
+    /// What the server sent exceeds a bound or is no response.
+    fn cut(reason: CutReason) -> Self {
+        Self {
+            cut: Some(reason),
+            ..Self::no_response(reason.description())
         }
     }
 }
@@ -172,14 +182,19 @@
         }
     };
     let response = receive_response(gateway, request, upstream, run, written);
-    if !retry::can_retry(admitted, progress) {
-        return response.await;
+    let outcome = if retry::can_retry(admitted, progress) {
+        // A timeout drops the connection, which cancels the request before it is sent to another server.
+        let response = tokio::time::timeout(silence_limit(admitted, placement), response).await;
+        response.unwrap_or_else(|_elapsed| {
+            SendOutcome::Interrupted(Interruption::no_response("no answer in time"))
+        })
+    } else {
+        response.await
+    };
+    if let SendOutcome::Interrupted(interruption) = &outcome {
+        progress.record_cut(interruption.cut);
     }
-    // A timeout drops the connection, which cancels the request before it is sent to another server.
-    let response = tokio::time::timeout(silence_limit(admitted, placement), response).await;
-    response.unwrap_or_else(|_elapsed| {
-        SendOutcome::Interrupted(Interruption::no_response("no answer in time"))
-    })
+    outcome
 }
 
 /// Returns how long a server may be silent before the request is sent to another one.
@@ -245,7 +260,9 @@
                 biased;
                 ready = upstream.stream.writable() => ready?,
                 read = read_some(&upstream.stream, &mut upstream.buffer) => {
-                    return match read? {
+                    let read = read?;
+                    upstream.received += read;
+                    return match read {
                         0 => Err(io::ErrorKind::UnexpectedEof.into()),
                         _ => Ok(false),
                     };
@@ -315,61 +332,137 @@
 ) -> SendOutcome {
     let server = run.server;
     let names = &gateway.adapter.headers;
-    let mut reusable = written;
-    loop {
-        let head = match read_head(&mut upstream).await {
-            Ok(head) => head,
-            Err(interruption) => return SendOutcome::Interrupted(interruption),
-        };
-        if (100..200).contains(&head.status) {
-            continue;
-        }
-        let Ok(framing) = head.framing(&request.head.method) else {
-            return SendOutcome::Interrupted(Interruption::no_response(
-                "answer's length can be read in two ways",
-            ));
-        };
-        let response_id = head.headers.get_str(names.attempt_id);
-        if response_id.is_some_and(|id| id != &*request.attempt_id) {
-            // A late or duplicate response to an earlier request on this connection.
-            reusable = false;
-            if skip_body(&mut upstream, framing).await.is_err() {
-                return SendOutcome::Interrupted(Interruption::no_response(
-                    "an answer to another request doesn't end",
-                ));
+    let mut reader = ResponseReader::new(Expected {
+        method: &request.head.method,
+        attempt_id: &request.attempt_id,
+        id_header: names.attempt_id,
+    });
+    let answer = match read_answer(gateway, &mut reader, &mut upstream).await {
+        Ok(answer) => answer,
+        Err(interruption) => {
+            if let Some(reason) = interruption.cut {
+                record_cut(gateway, request, server, reason, upstream.received);
             }
-            continue;
-        }
-        if let Some(load) = (gateway.adapter.parse_load)(&head.headers) {
-            gateway
-                .scheduler
-                .borrow_mut()
-                .loads
-                .apply_server_report(server, load, gateway.now());
+            return SendOutcome::Interrupted(interruption);
         }
-        let misdirected = head.status == MISDIRECTED_REQUEST;
+    };
+    let AnswerHead {
+        head,
+        framing,
+        is_named,
+    } = answer;
+    let reusable = written && !reader.skipped_other();
+    if let Some(load) = (gateway.adapter.parse_load)(&head.headers) {
+        gateway
+            .scheduler
+            .borrow_mut()
+            .loads
+            .apply_server_report(server, load, gateway.now());
+    }
+    let misdirected = head.status == MISDIRECTED_REQUEST;
+    if !misdirected {
+        record_notices(gateway, run, &head);
+    }
+    if misdirected || head.headers.get(names.not_executed).is_some() {
+        let fields = json!({
+            "server": gateway.server_name(server), "status": head.status,
+            "rest_s": head.headers.get_str(names.retry_after),
+        });
+        event_log::request_step("server_rejected", &request.attempt_id, fields);
+        let response = server_response(head, framing, upstream, server, reusable);
         if !misdirected {
-            record_notices(gateway, run, &head);
+            reuse_after_rejection(gateway, request, response).await;
         }
-        if misdirected || head.headers.get(names.not_executed).is_some() {
-            let fields = json!({
-                "server": gateway.server_name(server), "status": head.status,
-                "rest_s": head.headers.get_str(names.retry_after),
-            });
-            event_log::request_step("server_rejected", &request.attempt_id, fields);
-            let response = server_response(head, framing, upstream, server, reusable);
-            if !misdirected {
-                reuse_after_rejection(gateway, response).await;
+        return SendOutcome::NotExecuted { misdirected };
+    }
+    if !is_named && head.status < 400 {
+        return SendOutcome::Interrupted(Interruption::no_response("answer names no request"));
+    }
+    SendOutcome::Response(server_response(head, framing, upstream, server, reusable))
+}
+
+/// Reads up to the head of the answer, within the bounds of `reader` and of the memory of all connections.
+async fn read_answer(
+    gateway: &Gateway,
+    reader: &mut ResponseReader<'_>,
+    upstream: &mut Upstream,
+) -> Result<AnswerHead, Interruption> {
+    let mut held = gateway.hold_response();
+    loop {
+        let answer = reader.next(&mut upstream.buffer, gateway.now());
+        if let Some(answer) = answer.map_err(Interruption::cut)? {
+            return Ok(answer);
+        }
+        held.set(upstream.buffer.len()).map_err(Interruption::cut)?;
+        let deadline = reader.deadline().map(tokio::time::Instant::from_std);
+        let read = read_more(upstream, &held, deadline).await;
+        match read {
+            // While this process is late, the rest of the head may wait in the socket.
+            Err(ReadError::Late) if gateway.is_overloaded() && reader.extend() => {}
+            Err(ReadError::Late) => return Err(Interruption::cut(reader.late_reason())),
+            Err(ReadError::Evicted) => return Err(Interruption::cut(CutReason::Memory)),
+            Err(ReadError::Failed(error)) => {
+                return Err(Interruption::connection_lost(error.to_string()));
+            }
+            Ok(0) => {
+                let reason = "connection closed before an answer";
+                return Err(Interruption::connection_lost(reason));
             }
-            return SendOutcome::NotExecuted { misdirected };
+            Ok(_) => {}
         }
-        if response_id.is_none() && head.status < 400 {
-            return SendOutcome::Interrupted(Interruption::no_response("answer names no request"));
+    }
+}
+
+/// Why no more bytes were read.
+#[derive(Debug)]
+pub enum ReadError {
+    /// The deadline has passed.
+    Late,
+    /// The response must end because it holds the most memory.
+    Evicted,
+    /// The connection failed.
+    Failed(io::Error),
+}
+
+/// Reads more bytes until the deadline, if there is one, unless the response must end before.
+///
+/// # Errors
+/// [`ReadError`].
+pub async fn read_more(
+    upstream: &mut Upstream,
+    held: &HeldBytes<'_>,
+    deadline: Option<tokio::time::Instant>,
+) -> Result<usize, ReadError> {
+    let late = async {
+        match deadline {
+            Some(deadline) => tokio::time::sleep_until(deadline).await,
+            None => std::future::pending().await,
         }
-        return SendOutcome::Response(server_response(head, framing, upstream, server, reusable));
+    };
+    // Bytes that have arrived are read even after the deadline, which may have passed while the process was late.
+    tokio::select! {
+        biased;
+        () = held.evicted() => Err(ReadError::Evicted),
+        read = upstream.read_more() => read.map_err(ReadError::Failed),
+        () = late => Err(ReadError::Late),
     }
 }
 
+/// Counts and logs that the connection to a server is closed because of what it sent.
+pub fn record_cut(
+    gateway: &Gateway,
+    request: &ClientRequest,
+    server: ServerId,
+    reason: CutReason,
+    bytes: usize,
+) {
+    gateway.metrics.response_cut(reason);
+    let fields = json!({
+        "server": gateway.server_name(server), "reason": reason.name(), "bytes": bytes,
+    });
+    event_log::request_problem("response_cut", &request.attempt_id, fields);
+}
+
 fn server_response(
     head: ResponseHead,
     framing: Framing,
@@ -388,65 +481,57 @@
     }
 }
 
-async fn read_head(upstream: &mut Upstream) -> Result<ResponseHead, Interruption> {
-    loop {
-        match head::parse_response(&upstream.buffer) {
-            Ok(Some((head, length))) => {
-                let _taken = upstream.buffer.split_to(length);
-                return Ok(head);
-            }
-            Ok(None) if upstream.buffer.len() <= MAX_HEAD_BYTES => {}
-            Ok(None) => return Err(Interruption::no_response("answer's head is too long")),
-            Err(_malformed) => return Err(Interruption::no_response("what came is no answer")),
-        }
-        match upstream.read_more().await {
-            Ok(0) => {
-                let reason = "connection closed before an answer";
-                return Err(Interruption::connection_lost(reason));
-            }
-            Ok(_) => {}
-            Err(error) => return Err(Interruption::connection_lost(error.to_string())),
-        }
-    }
-}
-
-/// Reads and discards a body; fails if it is too long or does not end.
-async fn skip_body(upstream: &mut Upstream, framing: Framing) -> Result<(), ()> {
-    if framing == Framing::UntilClose {
-        return Err(());
+/// Reads and discards a body of at most `max_bytes`, with its framing.
+///
+/// # Errors
+/// The bound that is exceeded, or `None` if the connection ends.
+async fn skip_body(
+    upstream: &mut Upstream,
+    framing: Framing,
+    max_bytes: usize,
+) -> Result<(), Option<CutReason>> {
+    let is_too_long = matches!(framing, Framing::Length(bytes) if bytes > max_bytes as u64);
+    if is_too_long || framing == Framing::UntilClose {
+        return Err(Some(CutReason::RefusalBytes));
     }
     let mut decoder = BodyDecoder::new(framing);
     let mut skipped = 0;
     loop {
-        match decoder.next(&mut upstream.buffer) {
-            Ok(Decoded::End) => return Ok(()),
-            Ok(Decoded::Data(data)) => skipped += data.len(),
-            Ok(Decoded::Incomplete) => {
+        let before = upstream.buffer.len();
+        let decoded = decoder.next(&mut upstream.buffer);
+        skipped += before - upstream.buffer.len();
+        match decoded.map_err(|_body| Some(CutReason::Malformed))? {
+            Decoded::End => return Ok(()),
+            _ if skipped > max_bytes => return Err(Some(CutReason::RefusalBytes)),
+            Decoded::Data(_) => {}
+            Decoded::Incomplete => {
                 let read = upstream.read_more().await;
                 if !matches!(read, Ok(bytes) if bytes > 0) {
-                    return Err(());
+                    return Err(None);
                 }
             }
-            Err(_malformed) => return Err(()),
-        }
-        if skipped > MAX_SKIPPED_BYTES {
-            return Err(());
         }
     }
 }
 
-/// Time allowed for reading the rest of a server's rejection, so that its connection can be reused.
-const REJECTION_DRAIN_TIME: Duration = Duration::from_millis(50);
-
 /// Returns the connection of a server that rejected a request to the pool, if its response ends in time.
-async fn reuse_after_rejection(gateway: &Gateway, mut response: ServerResponse) {
-    let rest = skip_body(&mut response.upstream, response.framing);
-    if matches!(
-        tokio::time::timeout(REJECTION_DRAIN_TIME, rest).await,
-        Ok(Ok(()))
-    ) {
-        response.recycle_connection(gateway);
+async fn reuse_after_rejection(
+    gateway: &Gateway,
+    request: &ClientRequest,
+    mut response: ServerResponse,
+) {
+    if !response.reusable {
+        return;
     }
+    let rest = skip_body(&mut response.upstream, response.framing, MAX_REFUSAL_BYTES);
+    let reason = match tokio::time::timeout(MAX_REFUSAL_TIME, rest).await {
+        Ok(Ok(())) => return response.recycle_connection(gateway),
+        Ok(Err(None)) => return,
+        Ok(Err(Some(reason))) => reason,
+        Err(_elapsed) => CutReason::RefusalTime,
+    };
+    let (server, bytes) = (response.server, response.upstream.received);
+    record_cut(gateway, request, server, reason, bytes);
 }
 
 impl ServerResponse {
--- a/crates/hawthornmill-gateway/src/settings.rs
+++ b/crates/hawthornmill-gateway/src/settings.rs
@@ -22,15 +22,19 @@
     "telemetry",
 ];
 
-const INSTANCE_KEYS: [&str; 6] = [
+const INSTANCE_KEYS: [&str; 7] = [
     "name",
     "domain",
     "region",
     "cores",
     "cpu_share",
+    "memory_mb",
     "first_start",
 ];
 
+/// Memory of an instance whose settings don't name it; the smallest instances have that much.
+const DEFAULT_MEMORY_MB: f64 = 120.0;
+
 /// Addresses on which this process listens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ListenAddresses {
@@ -76,6 +80,8 @@
     pub domain_names: Vec<(DomainId, Box<str>)>,
     /// Processor that the process may use, in percent of a core.
     pub cpu_percent: u16,
+    /// Memory that the process may use.
+    pub memory_bytes: usize,
     /// The whole fleet starts for the first time.
     pub first_start: bool,
     /// Addresses on which to listen.
@@ -144,6 +150,7 @@
                 .map(|s| (DomainId::of(&s.name), s.name.clone()))
                 .collect(),
             cpu_percent: cpu_percent(&mut reader, &instance),
+            memory_bytes: memory_bytes(&mut reader, &instance),
             first_start: reader.choice(
                 &instance,
                 "first_start",
@@ -170,6 +177,12 @@
     (100.0 * cores * share).round() as u16
 }
 
+/// Reads the memory that the process may use, in MiB.
+fn memory_bytes(reader: &mut Reader<'_>, section: &Section) -> usize {
+    let memory = reader.number_in(section, "memory_mb", DEFAULT_MEMORY_MB, 16.0..=1e6);
+    (memory * f64::from(1 << 20)) as usize
+}
+
 fn listen(reader: &mut Reader<'_>, section: &Section) -> ListenAddresses {
     reader.reject_unknown_keys(section, &["front", "ready", "directory", "peer", "metrics"]);
     let metrics = section.get("metrics").is_some();
--- a/crates/hawthornmill-gateway/src/state_sync.rs
+++ b/crates/hawthornmill-gateway/src/state_sync.rs
@@ -13,6 +13,7 @@
 use hawthornmill::routing::gossip::{KnownState, PeerState, SyncResponse};
 use hawthornmill::routing::recent::Source;
 use hawthornmill::routing::registry::RegistrationList;
+use hawthornmill::wire::frame::MAX_FRAME_BYTES;
 use hawthornmill::wire::{Message, Opener, Sealer};
 use hawthornmill_process::frames;
 use serde_json::json;
@@ -38,6 +39,9 @@
 /// Consecutive rounds without a datagram after which a connection is tried.
 const MAX_EMPTY_ROUNDS: usize = 2;
 
+/// Longest frame of a request; only its sender is known to hold the key once it is complete.
+const MAX_REQUEST_BYTES: usize = 1 << 10;
+
 /// Sends the requested fragments of this instance's state.
 pub fn send_fragments(
     gateway: &Gateway,
@@ -279,7 +283,7 @@
     let mut sealer = Sealer::new(key, gateway.id, gateway.incarnation, channel);
     send_message(&mut stream, &mut sealer, &Message::SyncRequest(request)).await?;
     let mut opener = Opener::new(key, channel);
-    match receive_message(&mut stream, &mut opener).await? {
+    match receive_message(&mut stream, &mut opener, MAX_FRAME_BYTES).await? {
         Message::SyncResponse(response) => Ok(*response),
         _ => Err(std::io::ErrorKind::InvalidData.into()),
     }
@@ -296,8 +300,13 @@
     stream.write_all(&bytes).await
 }
 
-async fn receive_message(stream: &mut TcpStream, opener: &mut Opener) -> std::io::Result<Message> {
-    let frame = frames::read(stream).await.map_err(std::io::Error::other)?;
+async fn receive_message(
+    stream: &mut TcpStream,
+    opener: &mut Opener,
+    max_bytes: usize,
+) -> std::io::Result<Message> {
+    let frame = frames::read_up_to(stream, max_bytes).await;
+    let frame = frame.map_err(std::io::Error::other)?;
     let frame = frame.ok_or(std::io::ErrorKind::UnexpectedEof)?;
     let frame = opener.open(&frame).map_err(std::io::Error::other)?;
     Ok(frame.message)
@@ -327,7 +336,8 @@
     stream.write_u64_le(channel).await?;
     let key = gateway.settings().key;
     let mut opener = Opener::new(key, channel);
-    let Message::SyncRequest(request) = receive_message(&mut stream, &mut opener).await? else {
+    let request = receive_message(&mut stream, &mut opener, MAX_REQUEST_BYTES).await?;
+    let Message::SyncRequest(request) = request else {
         return Err(std::io::ErrorKind::InvalidData.into());
     };
     let response = build_response(gateway, request);
--- a/crates/hawthornmill-gateway/src/store_watch.rs
+++ b/crates/hawthornmill-gateway/src/store_watch.rs
@@ -26,6 +26,7 @@
 use crate::http::head;
 use crate::http::write::MessageBuffer;
 use crate::pool::connect;
+use crate::proxy::response_limits::MAX_HEAD_BYTES;
 
 /// Time after which the store answers a watch even without changes.
 ///
@@ -55,6 +56,8 @@
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Longest response: a megabyte of values in base64, and their keys.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
+/// Longest list, over all of its pages; the keys and values of 12,000 servers take about 4 MB.
+const MAX_LIST_BYTES: usize = 16 << 20;
 
 /// What is watched; the log shows the variant.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -80,6 +83,8 @@
 #[derive(Debug)]
 struct PartialList {
     entries: Vec<KvEntry>,
+    /// Bytes of all keys and values.
+    bytes: usize,
     /// The store's revision at the first page.
     revision: u64,
     started_at: Instant,
@@ -204,9 +209,17 @@
             // Later pages have newer revisions; the first watch repeats the changes between them.
             let list = partial.get_or_insert_with(|| PartialList {
                 entries: Vec::new(),
+                bytes: 0,
                 revision: page.revision,
                 started_at: now,
             });
+            list.bytes += page.entries.iter().map(entry_bytes).sum::<usize>();
+            // A page without entries would be asked for again and again.
+            let is_endless = page.has_more && page.entries.is_empty();
+            if is_endless || list.bytes > MAX_LIST_BYTES {
+                event_log::state_change("store_unreadable", json!({"why": "the list doesn't end"}));
+                return Err(StoreError::Silent);
+            }
             list.entries.extend(page.entries);
             if !page.has_more
                 && let Some(list) = partial.take()
@@ -404,6 +417,10 @@
     }
 }
 
+fn entry_bytes(entry: &KvEntry) -> usize {
+    entry.key.len() + entry.value.as_ref().map_or(0, Vec::len)
+}
+
 /// Reads one response; returns its status, its body, and whether the connection can be used again.
 ///
 /// # Errors
@@ -415,7 +432,7 @@
         if let Some(found) = head::parse_response(&buffer).map_err(|_head| invalid())? {
             break found;
         }
-        if stream.read_buf(&mut buffer).await? == 0 || buffer.len() > MAX_RESPONSE_BYTES {
+        if stream.read_buf(&mut buffer).await? == 0 || buffer.len() > MAX_HEAD_BYTES {
             return Err(invalid());
         }
     };
--- a/crates/hawthornmill-net/src/api/idempotency.rs
+++ b/crates/hawthornmill-net/src/api/idempotency.rs
@@ -28,7 +28,7 @@
 use super::{accounting, stream as response_stream};
 use crate::event_check::EventCheck;
 use crate::fleet::{Fleet, SlotGuard};
-use crate::upstream::REQUEST_ID_HEADER;
+use crate::upstream::{REQUEST_ID_HEADER, read_body};
 
 /// Header with the caller's idempotency key.
 pub const KEY_HEADER: &str = "idempotency-key";
@@ -405,7 +405,7 @@
         .timeout(remaining + RESULT_GRACE)
         .send()
         .await;
-    let response = result.map_err(|error| {
+    let mut response = result.map_err(|error| {
         // `is_connect` errors occur only before the connection is made, and nothing is sent before.
         if error.is_connect() {
             // Without a connection this copy reached nobody; an earlier copy may have run.
@@ -417,8 +417,7 @@
     let status = response.status();
     let headers = crate::upstream::forwarded_headers(response.headers());
     let request_id = response.headers().get(REQUEST_ID_HEADER).cloned();
-    let body = response
-        .bytes()
+    let body = read_body(&mut response, MAX_RESPONSE_BYTES)
         .await
         .map_err(|_error| Problem::new(Code::HomeUnreachable, Outcome::Unknown, id))?;
     let mut response = Response::builder().status(status).body(body);
--- a/crates/hawthornmill-net/src/platform.rs
+++ b/crates/hawthornmill-net/src/platform.rs
@@ -13,6 +13,7 @@
 
 use crate::fleet::Fleet;
 use crate::peers::handler::install;
+use crate::upstream::{BodyError, read_body};
 
 /// How long the platform may hold a watch request open.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
@@ -97,16 +98,15 @@
     if !response.status().is_success() {
         return None;
     }
-    let mut bytes = Vec::new();
-    while let Some(chunk) = response.chunk().await.ok()? {
-        bytes.extend_from_slice(&chunk);
-        if bytes.len() > max_bytes {
+    match read_body(&mut response, max_bytes).await {
+        Ok(bytes) => Some(bytes),
+        Err(BodyError::TooLarge) => {
             let code = Code::ValueTooLarge.number();
             log::error!(target: "config", "{path}: code {code}: over {max_bytes} bytes");
-            return None;
+            None
         }
+        Err(BodyError::Broken) => None,
     }
-    Some(bytes)
 }
 
 /// Outcome of one request for the manifest.
--- a/crates/hawthornmill-net/src/upstream.rs
+++ b/crates/hawthornmill-net/src/upstream.rs
@@ -14,6 +14,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 /// Length of the end of a response that is searched for a reported cost.
 const TAIL_BYTES: usize = 512;
+/// Maximum size of a load report.
+const MAX_LOAD_BYTES: usize = 4 << 10;
 
 /// Headers that are valid for one hop only and are not forwarded.
 const HOP_BY_HOP_HEADERS: &[&str] = &[
@@ -138,7 +140,8 @@
     pub async fn fetch_load(&self, address: &str) -> Option<ServerLoad> {
         let url = format!("http://{address}/load");
         let request = self.pooled.get(url).timeout(Duration::from_millis(500));
-        let bytes = request.send().await.ok()?.bytes().await.ok()?;
+        let mut response = request.send().await.ok()?;
+        let bytes = read_body(&mut response, MAX_LOAD_BYTES).await.ok()?;
         serde_json::from_slice(&bytes).ok()
     }
 
@@ -154,6 +157,33 @@
     }
 }
 
+/// Why a body was not read to its end.
+#[derive(Debug)]
+pub enum BodyError {
+    /// The connection failed.
+    Broken,
+    /// The body is longer than allowed.
+    TooLarge,
+}
+
+/// Reads a body of at most `max_bytes`; the caller bounds the time.
+///
+/// # Errors
+/// [`BodyError`].
+pub async fn read_body(
+    response: &mut reqwest::Response,
+    max_bytes: usize,
+) -> Result<Vec<u8>, BodyError> {
+    let mut body = Vec::new();
+    while let Some(chunk) = response.chunk().await.map_err(|_error| BodyError::Broken)? {
+        body.extend_from_slice(&chunk);
+        if body.len() > max_bytes {
+            return Err(BodyError::TooLarge);
+        }
+    }
+    Ok(body)
+}
+
 /// Returns the headers of `from` that are forwarded.
 pub fn forwarded_headers(from: &HeaderMap) -> HeaderMap {
     from.iter()
--- a/crates/hawthornmill/src/codes.rs
+++ b/crates/hawthornmill/src/codes.rs
@@ -145,6 +145,8 @@
     VersionUnknown = 3034, 503, "version at which the stream began is unknown";
     /// A request under which servers have ended.
     RequestQuarantined = 3035, 503, "servers have crashed under this request";
+    /// A server's answer that exceeds a bound on its size or time; the request may have run.
+    ResponseOverLimit = 3036, 502, "backend server's answer exceeded a bound";
     /// A peer's frame that can't be decoded.
     FrameMalformed = 4001, 0, "malformed peer frame";
     /// A peer's frame with a wrong message authentication code.
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod pouring_server;
 mod quarantine;
 mod request_handling;
+mod response_reader;
 mod responses;
 mod restarts;
 #[expect(dead_code, reason = "the soak uses the other part of the fixtures")]
