--- a/crates/hawthornmill-gateway/src/connection.rs
+++ b/crates/hawthornmill-gateway/src/connection.rs
@@ -161,6 +161,8 @@
                 Ok(bytes) => drained += bytes,
             }
         }
+        // The client has the rest of the time to read the response.
+        std::future::pending::<()>().await;
     };
     let _ended = tokio::time::timeout(DRAIN_TIMEOUT, drain).await;
 }
--- a/crates/hawthornmill-gateway/src/proxy/events.rs
+++ b/crates/hawthornmill-gateway/src/proxy/events.rs
@@ -89,11 +89,7 @@
 
     /// Returns the memory that the bytes after the last complete event use.
     pub fn rest_memory(&self) -> usize {
-        if self.buffer.is_empty() {
-            0
-        } else {
-            self.buffer.capacity()
-        }
+        self.buffer.capacity()
     }
 
     /// Returns the bound that the stream exceeds, if it does.
--- a/crates/hawthornmill-gateway/src/proxy/forward.rs
+++ b/crates/hawthornmill-gateway/src/proxy/forward.rs
@@ -143,7 +143,8 @@
         }
         on_data();
         let is_long = body.len() > MAX_BUFFERED_BYTES || response.upstream.received > limit;
-        if is_long || held.set(body.capacity()).is_err() {
+        let memory = body.capacity() + response.upstream.buffer.capacity();
+        if is_long || held.set(body.len(), memory).is_err() {
             break Buffered::TooLong;
         }
     };
@@ -341,9 +342,11 @@
                 return cut(context, progress, &response, CutReason::Memory, rest_bytes);
             }
         };
+        let rest_bytes = splitter.rest_bytes();
+        let memory = splitter.rest_memory() + response.upstream.buffer.capacity();
         let exceeded = splitter.exceeded_limit();
-        if let Some(reason) = exceeded.or_else(|| held.set(splitter.rest_memory()).err()) {
-            return cut(context, progress, &response, reason, splitter.rest_bytes());
+        if let Some(reason) = exceeded.or_else(|| held.set(rest_bytes, memory).err()) {
+            return cut(context, progress, &response, reason, rest_bytes);
         }
         let Some(events) = events else {
             if ended {
--- a/crates/hawthornmill-gateway/src/proxy/held_bytes.rs
+++ b/crates/hawthornmill-gateway/src/proxy/held_bytes.rs
@@ -104,11 +104,11 @@
 }
 
 impl HeldBytes<'_> {
-    /// Sets the bytes that the response holds.
+    /// Sets the bytes of the response that are incomplete, and the memory that it uses for them.
     ///
     /// # Errors
     /// If this response must end because it holds the most.
-    pub fn set(&mut self, bytes: usize) -> Result<(), CutReason> {
+    pub fn set(&mut self, bytes: usize, memory: usize) -> Result<(), CutReason> {
         if self.is_evicted() {
             return Err(CutReason::Memory);
         }
@@ -118,7 +118,7 @@
         }
         let holder = self.register();
         let mut ledger = self.responses.ledger.borrow_mut();
-        let victim = ledger.set(holder, bytes, self.limit);
+        let victim = ledger.set(holder, memory, self.limit);
         drop(ledger);
         if let Some(victim) = victim {
             self.responses.evict(victim);
--- a/crates/hawthornmill-gateway/src/proxy/send.rs
+++ b/crates/hawthornmill-gateway/src/proxy/send.rs
@@ -393,7 +393,9 @@
         if let Some(answer) = answer.map_err(Interruption::cut)? {
             return Ok(answer);
         }
-        held.set(upstream.buffer.len()).map_err(Interruption::cut)?;
+        let bytes = upstream.buffer.len();
+        let is_held = held.set(bytes, upstream.buffer.capacity());
+        is_held.map_err(Interruption::cut)?;
         let deadline = reader.deadline().map(tokio::time::Instant::from_std);
         let read = read_more(upstream, &held, deadline).await;
         match read {
--- a/tests/testsuite/gateway/endless_responses.rs
+++ b/tests/testsuite/gateway/endless_responses.rs
@@ -100,7 +100,8 @@
     (response, took)
 }
 
-fn code(response: &Response) -> u64 {
+/// Returns the code in the body of an error of the gateway, or 0.
+pub fn code(response: &Response) -> u64 {
     let body: Value = serde_json::from_slice(&response.body).unwrap_or_default();
     body["code"].as_u64().unwrap_or_default()
 }
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod at_most_once;
 mod connection_pool;
+mod endless_elsewhere;
 mod endless_responses;
 mod event_streams;
 mod failed_requests;
@@ -17,6 +18,7 @@
 mod pouring_server;
 mod quarantine;
 mod request_handling;
+mod response_limits;
 mod response_reader;
 mod responses;
 mod restarts;
--- a/tests/testsuite/gateway/response_reader.rs
+++ b/tests/testsuite/gateway/response_reader.rs
@@ -111,12 +111,12 @@
     let first = reader.next(&mut buffer, start);
     let before = reader.deadline();
     buffer.extend_from_slice(INTERIM);
-    let later = start + Duration::from_secs(60);
+    let later = start + Duration::from_mins(1);
     let second = reader.next(&mut buffer, later);
     let after = reader.deadline();
     buffer.extend_from_slice(ANSWER);
 
-    let answer = reader.next(&mut buffer, later + Duration::from_secs(60));
+    let answer = reader.next(&mut buffer, later + Duration::from_mins(1));
 
     assert_eq!((first, second), (Ok(None), Ok(None)));
     assert_eq!((before, after), (None, None));
@@ -180,7 +180,7 @@
         let seeds = corpus();
         let mut bytes = seeds[seed.index(seeds.len())].1.clone();
         bytes.extend_from_slice(&seeds[next.index(seeds.len())].1);
-        let at = at.index(bytes.len());
+        let at = at.index(bytes.len() + 1);
         bytes.splice(at..(at + removed).min(bytes.len()), added);
 
         let whole = read_in_parts(&bytes, &[]);
