A stream that must end for its memory does so while it writes to a slow client too

Cause: a response that had to end released its bytes in the ledger at once, but kept them while its client did not read.

Change: writing events ends when the response must; after a part of a chunk nothing is resumed. One assertion of response_limits in the form that the linter wants.

No test of its own.

--- a/crates/hawthornmill-gateway/src/proxy/forward.rs
+++ b/crates/hawthornmill-gateway/src/proxy/forward.rs
@@ -359,7 +359,16 @@
             progress.start_response(response.head.status, context.gateway.now());
         }
         bytes.chunk(&events.bytes);
-        if out.write_all(&bytes.0).await.is_err() {
+        let written = tokio::select! {
+            biased;
+            written = out.write_all(&bytes.0) => written,
+            () = held.evicted() => {
+                // A part of a chunk may be written, after which nothing can be resumed.
+                progress.last_event_id = None;
+                return cut(context, progress, &response, CutReason::Memory, rest_bytes);
+            }
+        };
+        if written.is_err() {
             return ForwardOutcome::ClientClosed;
         }
         bytes.0.clear();
--- a/tests/testsuite/gateway/response_limits.rs
+++ b/tests/testsuite/gateway/response_limits.rs
@@ -95,7 +95,7 @@
     shrink(&mut buffer);
 
     assert!(buffer.capacity() < 9_000);
-    assert_eq!(&buffer[..], b"xxx");
+    assert_eq!(&*buffer, b"xxx");
 }
 
 /// Failure: an event within the bound is cut, or one beyond it isn't.
