Drain rejected clients by time alone, and let a resumed stream repeat what was forwarded

Cause: the drain after a rejection stopped reading at 1 MiB, so that a client that writes its whole body first could block and lose the response; repeated events were cut at 1 MiB, though a server may repeat a longer stream from its start. Change: only DRAIN_TIMEOUT (300 ms) bounds the drain; repeated events are bounded by twice the forwarded bytes, at least 1 MiB.

--- a/crates/hawthornmill-gateway/src/connection.rs
+++ b/crates/hawthornmill-gateway/src/connection.rs
@@ -26,9 +26,8 @@
 /// Time for which bytes of a rejected client are read and dropped, so that the response arrives.
 ///
 /// Closing a connection with unread bytes resets it, and the reset may overtake the response.
+/// No bound on bytes: a client that writes its whole body first would block on it and never read the response.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(300);
-/// Most bytes that are read and dropped in that time.
-const MAX_DRAIN_BYTES: usize = 1 << 20;
 
 /// The receiving half of a client connection.
 #[derive(Debug)]
@@ -153,16 +152,12 @@
         return;
     }
     let drain = async {
-        let mut drained = 0;
-        while drained < MAX_DRAIN_BYTES {
+        loop {
             reader.buffer.clear();
-            match reader.read_more().await {
-                Ok(0) | Err(_) => return,
-                Ok(bytes) => drained += bytes,
+            if !matches!(reader.read_more().await, Ok(bytes) if bytes > 0) {
+                return;
             }
         }
-        // The client has the rest of the time to read the response.
-        std::future::pending::<()>().await;
     };
     let _ended = tokio::time::timeout(DRAIN_TIMEOUT, drain).await;
 }
--- a/crates/hawthornmill-gateway/src/proxy/events.rs
+++ b/crates/hawthornmill-gateway/src/proxy/events.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use hawthornmill::event_stream::EventScanner;
 
-use super::response_limits::{CutReason, MAX_EVENT_BYTES, MAX_REPEATED_BYTES};
+use super::response_limits::{CutReason, MAX_EVENT_BYTES, max_repeated_bytes};
 
 /// One or more complete events, with the id of the last one.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -64,9 +64,19 @@
     scanner: EventScanner,
     /// Bytes of events that were dropped because the client has them.
     repeated: usize,
+    /// Bytes of events that the client had before this stream.
+    forwarded: usize,
 }
 
 impl EventSplitter {
+    /// Creates a splitter for a stream whose client has `forwarded` bytes of events already.
+    pub fn resuming(forwarded: usize) -> Self {
+        Self {
+            forwarded,
+            ..Self::default()
+        }
+    }
+
     /// Adds bytes and returns the events that are now complete.
     ///
     /// `event_id` parses the id of one event. Events with an id up to `seen` are dropped, because a server
@@ -128,7 +138,7 @@
         if self.rest.bytes > MAX_EVENT_BYTES {
             Some(CutReason::EventBytes)
         } else {
-            (self.repeated > MAX_REPEATED_BYTES).then_some(CutReason::RepeatedBytes)
+            (self.repeated > max_repeated_bytes(self.forwarded)).then_some(CutReason::RepeatedBytes)
         }
     }
 }
--- a/crates/hawthornmill-gateway/src/proxy/forward.rs
+++ b/crates/hawthornmill-gateway/src/proxy/forward.rs
@@ -316,7 +316,7 @@
     out: &mut OwnedWriteHalf,
 ) -> ForwardOutcome {
     let mut decoder = BodyDecoder::new(response.framing);
-    let mut splitter = EventSplitter::default();
+    let mut splitter = EventSplitter::resuming(progress.event_bytes);
     let mut held = context.gateway.hold_response();
     let mut bytes = MessageBuffer::default();
     let event_id = context.gateway.adapter.parse_event_id;
--- a/crates/hawthornmill-gateway/src/proxy/progress.rs
+++ b/crates/hawthornmill-gateway/src/proxy/progress.rs
@@ -100,6 +100,8 @@
     pub last_event_id: Option<u64>,
     /// Events that the current server brought.
     pub server_events: u32,
+    /// Bytes of events that were forwarded to the client.
+    pub event_bytes: usize,
     /// Version of the server that brought the first event.
     pub version: Option<VersionId>,
     /// Status sent to the client, or 0 if none.
@@ -215,6 +217,7 @@
     /// Records that events of a stream were forwarded.
     pub const fn record_events(&mut self, events: &CompleteEvents) {
         self.last_event_id = events.last_id;
+        self.event_bytes += events.bytes.len();
         self.server_events += events.count;
     }
 
--- a/crates/hawthornmill-gateway/src/proxy/response_limits.rs
+++ b/crates/hawthornmill-gateway/src/proxy/response_limits.rs
@@ -27,8 +27,12 @@
 pub const MAX_SKIP_TIME: Duration = Duration::from_secs(1);
 /// Maximum size of an event that has not ended.
 pub const MAX_EVENT_BYTES: usize = 256 << 10;
-/// Maximum size of events that a resumed stream repeats; a server may repeat the stream from its start.
-pub const MAX_REPEATED_BYTES: usize = 1 << 20;
+/// Size of events that a resumed stream may repeat in any case.
+const MIN_REPEATED_BYTES: usize = 1 << 20;
+/// Multiple of the bytes that the client has already which a resumed stream may repeat.
+///
+/// A server may repeat the stream from its start, with comments and other spacing.
+const REPEATED_FACTOR: usize = 2;
 /// Maximum size of the body of a refusal that is read so that its connection can be reused.
 pub const MAX_REFUSAL_BYTES: usize = 16 << 10;
 /// Maximum time for the same.
@@ -45,6 +49,11 @@
     memory_bytes / HELD_DIVISOR
 }
 
+/// Returns the maximum size of events that a resumed stream repeats to a client that has `forwarded` bytes of them.
+pub fn max_repeated_bytes(forwarded: usize) -> usize {
+    MIN_REPEATED_BYTES.max(forwarded.saturating_mul(REPEATED_FACTOR))
+}
+
 /// Why the connection to a server is closed; the log and the metrics show the name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum CutReason {
--- a/tests/testsuite/gateway/endless_elsewhere.rs
+++ b/tests/testsuite/gateway/endless_elsewhere.rs
@@ -22,6 +22,8 @@
 const SMALL_MEMORY: &str = "memory_mb = 16";
 /// Clients whose incomplete bodies together exceed their part of that.
 const BODY_CLIENTS: usize = 60;
+/// Size of a body above what the buffers of sockets hold.
+const REJECTED_BODY_BYTES: usize = 5_000_000;
 /// Pause between parts of a body that together take longer than the idle time.
 const SLOW_PAUSE: Duration = Duration::from_millis(140);
 /// Time after which a body that comes too slowly is rejected, as in the configuration, and some more.
@@ -263,6 +265,20 @@
     });
 }
 
+/// Failure: a client that writes its whole body before it reads loses the response that rejects it.
+#[test]
+fn response_to_a_rejected_body_arrives() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        let field = format!("Content-Length: {REJECTED_BODY_BYTES}\r\n");
+        let text = request("POST", "/get/", "a", &field) + &"x".repeat(REJECTED_BODY_BYTES);
+
+        let response = fleet.send_admitted(&text).await;
+
+        assert_eq!(response.status(), 413);
+    });
+}
+
 /// Failure: a body of which a byte comes now and then holds its connection for hours.
 #[test]
 fn trickle_of_a_client_body_is_rejected() {
--- a/tests/testsuite/gateway/response_limits.rs
+++ b/tests/testsuite/gateway/response_limits.rs
@@ -129,3 +129,19 @@
     assert_eq!(whole_stream, (0, None));
     assert_eq!(endless, (0, Some(CutReason::RepeatedBytes)));
 }
+
+/// Failure: a server that repeats a long stream from its start is cut off, so that the stream can't be resumed.
+#[test]
+fn repeat_of_a_long_stream_is_not_cut() {
+    let text = events(1, 9).repeat(15_000);
+    let mut splitter = EventSplitter::resuming(text.len());
+    assert!(text.len() > 2 << 20);
+
+    let mut push = || {
+        splitter.push(text.as_bytes(), event_id, Some(9));
+        splitter.exceeded_limit()
+    };
+
+    assert_eq!((push(), push()), (None, None));
+    assert_eq!(push(), Some(CutReason::RepeatedBytes));
+}
