Bound a client's body by a long time, not by a rate

Cause: a sound upload of 200 bytes a second, with no pause above the idle time, was answered with 408. Change: a body must be complete within 20 times the idle time; there is no least rate.

--- a/crates/hawthornmill-gateway/src/proxy/read.rs
+++ b/crates/hawthornmill-gateway/src/proxy/read.rs
@@ -16,10 +16,10 @@
 
 /// Part of the memory in the settings for all request bodies of the process.
 const BODY_MEMORY_SHARE: f64 = 0.27;
-/// Rate at which a body must come on average, after the time that a connection may be idle.
+/// Multiple of the time that a connection may be idle in which a body must be complete.
 ///
-/// Slower than any link; a sender of a byte now and then would otherwise hold its connection for hours.
-const MIN_BODY_BYTES_PER_SECOND: f64 = 512.0;
+/// A sender of a byte now and then would otherwise hold its connection for hours.
+const BODY_TIME_FACTOR: u32 = 20;
 
 /// A request as received from a client.
 #[derive(Debug)]
@@ -207,15 +207,14 @@
 ) -> Result<Option<Bytes>, Code> {
     let mut decoder = BodyDecoder::new(framing);
     let mut body = BytesMut::new();
-    let started = tokio::time::Instant::now();
+    let body_end = tokio::time::Instant::now() + limits.idle_timeout * BODY_TIME_FACTOR;
     loop {
         match decoder.next(&mut reader.buffer) {
             Ok(Decoded::Data(data)) => body.extend_from_slice(&data),
             Ok(Decoded::End) => return Ok(Some(body.freeze())),
             Ok(Decoded::Incomplete) => {
                 let pause_end = tokio::time::Instant::now() + limits.idle_timeout;
-                let end = pause_end.min(started + allowed_time(limits.idle_timeout, body.len()));
-                match tokio::time::timeout_at(end, reader.read_more()).await {
+                match tokio::time::timeout_at(pause_end.min(body_end), reader.read_more()).await {
                     Ok(Ok(bytes)) if bytes > 0 => {}
                     Ok(_) => return Ok(None),
                     Err(_elapsed) => return Err(Code::RequestTooSlow),
@@ -229,8 +228,3 @@
         memory.set(body.len())?;
     }
 }
-
-/// Returns the time in which a body must have brought more than `bytes`.
-fn allowed_time(idle: Duration, bytes: usize) -> Duration {
-    idle + Duration::from_secs_f64(bytes as f64 / MIN_BODY_BYTES_PER_SECOND)
-}
