Grant time for a late process once per answer, from the moment it is granted

Cause: the grace was never reset, so that each later response had it too, and it counted from the first byte, so that it was void after a stop of 2 s. A skipped response whose second packet this process read late ended the request without a check whether the process was late. Change: the time ends 1 s after it is granted and with the response it was granted for; a late end of a skipped response is checked against the overload too.

--- a/crates/hawthornmill-gateway/src/proxy/response_limits.rs
+++ b/crates/hawthornmill-gateway/src/proxy/response_limits.rs
@@ -213,6 +213,11 @@
         Ok(())
     }
 
+    /// Forgets the time in which skipped responses were received.
+    pub const fn reset_time(&mut self) {
+        self.spent = Duration::ZERO;
+    }
+
     /// Returns the time for which skipped responses may still be received.
     pub const fn time_left(&self) -> Duration {
         MAX_SKIP_TIME.saturating_sub(self.spent)
--- a/crates/hawthornmill-gateway/src/proxy/response_reader.rs
+++ b/crates/hawthornmill-gateway/src/proxy/response_reader.rs
@@ -2,7 +2,7 @@
 //!
 //! Interim responses and those to other attempts, which come late or twice, are skipped within bounds.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::{Buf, BytesMut};
 
@@ -51,8 +51,10 @@
     limits: SkipLimits,
     /// When the first byte was seen of the response that is being read.
     begun: Option<Instant>,
-    /// Time granted in addition because this process was late.
-    grace: Duration,
+    /// Whether more time was granted because this process was late.
+    extended: bool,
+    /// End of that time, while the response is read that it was granted for.
+    extended_end: Option<Instant>,
     skipped_other: bool,
 }
 
@@ -64,7 +66,8 @@
             state: State::Head,
             limits: SkipLimits::default(),
             begun: None,
-            grace: Duration::ZERO,
+            extended: false,
+            extended_end: None,
             skipped_other: false,
         }
     }
@@ -142,7 +145,10 @@
 
     fn end_skipped(&mut self, now: Instant) -> Result<(), CutReason> {
         let begun = self.begun.take().unwrap_or(now);
-        self.limits.record_time(begun + self.grace, now)
+        if self.extended_end.take().is_some() {
+            return Ok(());
+        }
+        self.limits.record_time(begun, now)
     }
 
     /// Returns when the response that is being read must have ended; `None` while there is silence between two.
@@ -151,14 +157,21 @@
             State::Head => MAX_HEAD_TIME,
             State::OtherBody(_) => self.limits.time_left(),
         };
-        Some(self.begun? + time + self.grace)
+        let begun = self.begun?;
+        Some(self.extended_end.unwrap_or(begun + time))
     }
 
-    /// Extends the deadline once, because this process was late; returns whether it did.
-    pub const fn extend(&mut self) -> bool {
-        let first = self.grace.is_zero();
-        self.grace = MAX_HEAD_TIME;
-        first
+    /// Grants more time once per answer, because this process was late; returns whether it did.
+    ///
+    /// The time of the skipped responses starts anew, for it may have passed while this process stood still.
+    pub fn extend(&mut self, now: Instant) -> bool {
+        if self.extended {
+            return false;
+        }
+        self.extended = true;
+        self.extended_end = self.begun.map(|_| now + MAX_HEAD_TIME);
+        self.limits.reset_time();
+        true
     }
 
     /// Returns the reason that a passed deadline has.
--- a/crates/hawthornmill-gateway/src/proxy/send.rs
+++ b/crates/hawthornmill-gateway/src/proxy/send.rs
@@ -390,16 +390,18 @@
 ) -> Result<AnswerHead, Interruption> {
     let mut held = gateway.hold_response();
     loop {
-        let answer = reader.next(&mut upstream.buffer, gateway.now());
-        if let Some(answer) = answer.map_err(Interruption::cut)? {
-            return Ok(answer);
+        match reader.next(&mut upstream.buffer, gateway.now()) {
+            Ok(Some(answer)) => return Ok(answer),
+            Ok(None) => {}
+            Err(CutReason::SkipTime) if extend_if_late(gateway, reader) => continue,
+            Err(reason) => return Err(Interruption::cut(reason)),
         }
         held.set(upstream.buffer.len()).map_err(Interruption::cut)?;
         let deadline = reader.deadline().map(tokio::time::Instant::from_std);
         let read = read_more(upstream, &held, deadline).await;
         match read {
             // While this process is late, the rest of the head may wait in the socket.
-            Err(ReadError::Late) if gateway.is_overloaded() && reader.extend() => {}
+            Err(ReadError::Late) if extend_if_late(gateway, reader) => {}
             Err(ReadError::Late) => return Err(Interruption::cut(reader.late_reason())),
             Err(ReadError::Evicted) => return Err(Interruption::cut(CutReason::Memory)),
             Err(ReadError::Failed(error)) => {
@@ -414,6 +416,11 @@
     }
 }
 
+/// Grants the reader more time if this process is late; returns whether it did.
+fn extend_if_late(gateway: &Gateway, reader: &mut ResponseReader<'_>) -> bool {
+    gateway.is_overloaded() && reader.extend(gateway.now())
+}
+
 /// Why no more bytes were read.
 #[derive(Debug)]
 pub enum ReadError {
