Account events until they are written, and release what large heads and events leave

Cause: completed events left the account while a slow client read them, and their buffers kept their size; a read buffer was not replaced after a large head, because its capacity falls with what is taken from it; an error response that had to end for its memory was counted as too long. Change: the encoded events count while they are written, their copy is dropped and a buffer above 16 KiB is replaced; shrink() is told the length of the head; Buffered::Evicted is counted as memory.

--- a/crates/hawthornmill-gateway/src/http/write.rs
+++ b/crates/hawthornmill-gateway/src/http/write.rs
@@ -18,11 +18,22 @@
     "expect",
 ];
 
+/// Capacity above which a buffer is replaced rather than kept for the next part of a message.
+const MAX_KEPT_BYTES: usize = 16 << 10;
+
 /// Buffer in which a message is encoded.
 #[derive(Debug, Default)]
 pub struct MessageBuffer(pub Vec<u8>);
 
 impl MessageBuffer {
+    /// Empties the buffer, and releases its memory if it is large.
+    pub fn clear(&mut self) {
+        if self.0.capacity() > MAX_KEPT_BYTES {
+            self.0 = Vec::new();
+        }
+        self.0.clear();
+    }
+
     /// Starts a request with its request line.
     pub fn request(method: &str, target: &str) -> Self {
         let mut bytes = Self(Vec::with_capacity(1024));
--- a/crates/hawthornmill-gateway/src/proxy/forward.rs
+++ b/crates/hawthornmill-gateway/src/proxy/forward.rs
@@ -116,8 +116,10 @@
 enum Buffered {
     /// The response is complete.
     Complete(BodyEnd),
-    /// The response has not ended, and exceeds the buffer limit or uses memory that others need.
+    /// The response has not ended, and exceeds the buffer limit.
     TooLong,
+    /// The response has not ended, and holds the most of the memory, which others need.
+    Evicted,
     /// The response was cut off.
     Truncated(BodyEnd),
 }
@@ -139,13 +141,15 @@
             BodyPart::Data(data) => body.extend_from_slice(&data),
             BodyPart::Truncated(end) => break Buffered::Truncated(end),
             BodyPart::End(end) => break Buffered::Complete(end),
-            BodyPart::Evicted => break Buffered::TooLong,
+            BodyPart::Evicted => break Buffered::Evicted,
         }
         on_data();
-        let is_long = body.len() > MAX_BUFFERED_BYTES || response.upstream.received > limit;
-        if is_long || held.set(body.len()).is_err() {
+        if body.len() > MAX_BUFFERED_BYTES || response.upstream.received > limit {
             break Buffered::TooLong;
         }
+        if held.set(body.len()).is_err() {
+            break Buffered::Evicted;
+        }
     };
     response.body = Some(body);
     outcome
@@ -163,7 +167,9 @@
     let on_data = || slot.record_first_token();
     match buffer_body(&mut response, &mut decoder, held, usize::MAX, on_data).await {
         Buffered::Complete(end) => progress.record_body_end(response.framing, end, 0),
-        Buffered::TooLong => return forward_long(context, progress, response, decoder, out).await,
+        Buffered::TooLong | Buffered::Evicted => {
+            return forward_long(context, progress, response, decoder, out).await;
+        }
         Buffered::Truncated(end) => return truncate(context, progress, &response, end, 0),
     }
     slot.record_first_token();
@@ -224,6 +230,7 @@
         Ok(Buffered::Truncated(BodyEnd::Malformed)) => CutReason::Malformed,
         Ok(Buffered::Truncated(_)) => return None,
         Ok(Buffered::TooLong) => CutReason::ErrorBytes,
+        Ok(Buffered::Evicted) => CutReason::Memory,
         Err(_elapsed) => CutReason::ErrorTime,
     };
     log_cut(context, &response, reason);
@@ -346,7 +353,7 @@
         if let Some(reason) = exceeded.or_else(|| held.set(rest_bytes).err()) {
             return cut(context, progress, &response, reason, rest_bytes);
         }
-        let Some(events) = events else {
+        let Some(mut events) = events else {
             if ended {
                 break;
             }
@@ -358,7 +365,11 @@
             bytes = encode_head(&response.head, Framing::Chunked, context.close.always);
             progress.start_response(response.head.status, context.gateway.now());
         }
-        bytes.chunk(&events.bytes);
+        let size = events.bytes.len();
+        bytes.chunk(&std::mem::take(&mut events.bytes));
+        if let Err(reason) = held.set(rest_bytes + bytes.0.len()) {
+            return cut(context, progress, &response, reason, rest_bytes);
+        }
         let written = tokio::select! {
             biased;
             written = out.write_all(&bytes.0) => written,
@@ -371,9 +382,12 @@
         if written.is_err() {
             return ForwardOutcome::ClientClosed;
         }
-        bytes.0.clear();
-        progress.record_events(&events);
+        bytes.clear();
+        progress.record_events(&events, size);
         slot.record_events(context, progress, &events);
+        if let Err(reason) = held.set(rest_bytes) {
+            return cut(context, progress, &response, reason, rest_bytes);
+        }
     }
     if !progress.response_started() {
         bytes = encode_head(&response.head, Framing::Chunked, context.close.always);
--- a/crates/hawthornmill-gateway/src/proxy/held_bytes.rs
+++ b/crates/hawthornmill-gateway/src/proxy/held_bytes.rs
@@ -18,8 +18,10 @@
 const MAX_KEPT_BYTES: usize = 16 << 10;
 
 /// Replaces a large buffer that holds little, so that memory that isn't accounted is not kept.
-pub fn shrink(buffer: &mut BytesMut) {
-    if buffer.len() <= MIN_HELD_BYTES && buffer.capacity() > MAX_KEPT_BYTES {
+///
+/// `taken` bytes were taken from its front, by which its capacity, but not its memory, has become less.
+pub fn shrink(buffer: &mut BytesMut, taken: usize) {
+    if buffer.len() <= MIN_HELD_BYTES && buffer.capacity() + taken > MAX_KEPT_BYTES {
         let mut small = BytesMut::with_capacity(MIN_HELD_BYTES);
         small.extend_from_slice(buffer);
         *buffer = small;
--- a/crates/hawthornmill-gateway/src/proxy/progress.rs
+++ b/crates/hawthornmill-gateway/src/proxy/progress.rs
@@ -214,10 +214,10 @@
         });
     }
 
-    /// Records that events of a stream were forwarded.
-    pub const fn record_events(&mut self, events: &CompleteEvents) {
+    /// Records that events of a stream, of `size` bytes together, were forwarded.
+    pub const fn record_events(&mut self, events: &CompleteEvents, size: usize) {
         self.last_event_id = events.last_id;
-        self.event_bytes += events.bytes.len();
+        self.event_bytes += size;
         self.server_events += events.count;
     }
 
--- a/crates/hawthornmill-gateway/src/proxy/response_reader.rs
+++ b/crates/hawthornmill-gateway/src/proxy/response_reader.rs
@@ -41,6 +41,8 @@
     pub framing: Framing,
     /// Whether the answer names the attempt.
     pub is_named: bool,
+    /// Length of the head as received.
+    pub length: usize,
 }
 
 /// Reads up to the head of the answer.
@@ -130,6 +132,7 @@
                 head,
                 framing,
                 is_named,
+                length,
             }));
         }
         self.skipped_other = true;
--- a/crates/hawthornmill-gateway/src/proxy/send.rs
+++ b/crates/hawthornmill-gateway/src/proxy/send.rs
@@ -346,11 +346,12 @@
             return SendOutcome::Interrupted(interruption);
         }
     };
-    shrink(&mut upstream.buffer);
+    shrink(&mut upstream.buffer, answer.length);
     let AnswerHead {
         head,
         framing,
         is_named,
+        ..
     } = answer;
     let reusable = written && !reader.skipped_other();
     if let Some(load) = (gateway.adapter.parse_load)(&head.headers) {
--- a/tests/testsuite/gateway/response_limits.rs
+++ b/tests/testsuite/gateway/response_limits.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Buf, BytesMut};
 use hawthornmill_gateway::proxy::events::EventSplitter;
 use hawthornmill_gateway::proxy::held_bytes::{HeldResponses, HolderId, Ledger, shrink};
 use hawthornmill_gateway::proxy::response_limits::{CutReason, MAX_EVENT_BYTES, held_limit};
@@ -90,11 +90,15 @@
 #[test]
 fn large_buffer_that_holds_little_is_replaced() {
     let mut buffer = BytesMut::with_capacity(MAX_EVENT_BYTES);
+    let head = 254 << 10;
+    buffer.extend_from_slice(&vec![b'h'; head]);
     buffer.extend_from_slice(b"xxx");
+    buffer.advance(head);
 
-    shrink(&mut buffer);
+    shrink(&mut buffer, head);
 
     assert!(buffer.capacity() < 9_000);
+    assert!(!buffer.try_reclaim(head), "the memory is released");
     assert_eq!(&*buffer, b"xxx");
 }
 
