--- a/crates/hawthornmill-gateway/src/connection.rs
+++ b/crates/hawthornmill-gateway/src/connection.rs
@@ -26,6 +26,7 @@
 /// Time for which bytes of a rejected client are read and dropped, so that the response arrives.
 ///
 /// Closing a connection with unread bytes resets it, and the reset may overtake the response.
+/// No bound on bytes: a client that writes its whole body first would block on it and never read the response.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// The receiving half of a client connection.
--- a/crates/hawthornmill-gateway/src/proxy/events.rs
+++ b/crates/hawthornmill-gateway/src/proxy/events.rs
@@ -6,8 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use hawthornmill::event_stream::EventScanner;
 
-/// Maximum size of one event.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+use super::response_limits::{CutReason, MAX_EVENT_BYTES, max_repeated_bytes};
 
 /// One or more complete events, with the id of the last one.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -20,38 +19,88 @@
     pub count: u32,
 }
 
+/// Size of the blocks that hold an incomplete event.
+const BLOCK_BYTES: usize = 4 << 10;
+
+/// Bytes in blocks of one size.
+///
+/// A buffer that grows by doubling leaves freed blocks of each size to the allocator, which together use more
+/// memory than the buffer.
+#[derive(Debug, Default)]
+struct Blocks {
+    blocks: Vec<Vec<u8>>,
+    bytes: usize,
+}
+
+impl Blocks {
+    fn push(&mut self, mut data: &[u8]) {
+        self.bytes += data.len();
+        while !data.is_empty() {
+            let room = self.blocks.last().map_or(0, |b| BLOCK_BYTES - b.len());
+            if room == 0 {
+                self.blocks.push(Vec::with_capacity(BLOCK_BYTES));
+            }
+            let Some(block) = self.blocks.last_mut() else {
+                return;
+            };
+            let (part, rest) = data.split_at(data.len().min(BLOCK_BYTES - block.len()));
+            block.extend_from_slice(part);
+            data = rest;
+        }
+    }
+
+    /// Takes all bytes.
+    fn take(&mut self) -> Vec<u8> {
+        self.bytes = 0;
+        std::mem::take(&mut self.blocks).concat()
+    }
+}
+
 /// Splits a stream into complete events and keeps the incomplete rest.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
-    buffer: BytesMut,
-    /// Bytes at the start of the buffer that were scanned and hold no end of an event.
-    scanned: usize,
+    /// Bytes that were scanned and hold no end of an event.
+    rest: Blocks,
     scanner: EventScanner,
+    /// Bytes of events that were dropped because the client has them.
+    repeated: usize,
+    /// Bytes of events that the client had before this stream.
+    forwarded: usize,
 }
 
 impl EventSplitter {
+    /// Creates a splitter for a stream whose client has `forwarded` bytes of events already.
+    pub fn resuming(forwarded: usize) -> Self {
+        Self {
+            forwarded,
+            ..Self::default()
+        }
+    }
+
     /// Adds bytes and returns the events that are now complete.
     ///
     /// `event_id` parses the id of one event. Events with an id up to `seen` are dropped, because a server
     /// that resumes a stream may repeat the last event.
     pub fn push(
         &mut self,
-        data: &[u8],
+        mut data: &[u8],
         event_id: impl Fn(&[u8]) -> Option<u64>,
         seen: Option<u64>,
     ) -> Option<CompleteEvents> {
-        self.buffer.extend_from_slice(data);
         let mut out = BytesMut::new();
         let mut last_id = seen;
         let mut has_events = false;
         let mut count = 0;
-        while let Some(block) = self.scanner.next_block(&self.buffer[self.scanned..]) {
-            let event = self.buffer.split_to(self.scanned + block.bytes);
-            self.scanned = 0;
+        while let Some(block) = self.scanner.next_block(data) {
+            let (end, after) = data.split_at(block.bytes);
+            data = after;
+            let mut event = self.rest.take();
+            event.extend_from_slice(end);
             let id = event_id(&event);
             if let (Some(id), Some(seen)) = (id, seen)
                 && id <= seen
             {
+                self.repeated += event.len();
                 continue;
             }
             if block.is_event {
@@ -61,7 +110,7 @@
             has_events = true;
             out.extend_from_slice(&event);
         }
-        self.scanned = self.buffer.len();
+        self.rest.push(data);
         has_events.then(|| CompleteEvents {
             bytes: out.freeze(),
             last_id,
@@ -76,17 +125,20 @@
 
     /// Takes the bytes after the last complete event: a comment, or nothing, at the end of a complete stream.
     pub fn take_rest(&mut self) -> Bytes {
-        self.scanned = 0;
-        self.buffer.split().freeze()
+        self.rest.take().into()
     }
 
     /// Returns the number of bytes after the last complete event.
-    pub fn rest_bytes(&self) -> usize {
-        self.buffer.len()
+    pub const fn rest_bytes(&self) -> usize {
+        self.rest.bytes
     }
 
-    /// Returns whether the incomplete event is larger than allowed.
-    pub fn exceeds_limit(&self) -> bool {
-        self.buffer.len() > MAX_EVENT_BYTES
+    /// Returns the bound that the stream exceeds, if it does.
+    pub fn exceeded_limit(&self) -> Option<CutReason> {
+        if self.rest.bytes > MAX_EVENT_BYTES {
+            Some(CutReason::EventBytes)
+        } else {
+            (self.repeated > max_repeated_bytes(self.forwarded)).then_some(CutReason::RepeatedBytes)
+        }
     }
 }
--- a/crates/hawthornmill-gateway/src/proxy/forward.rs
+++ b/crates/hawthornmill-gateway/src/proxy/forward.rs
@@ -10,8 +10,10 @@
 use tokio::net::tcp::OwnedWriteHalf;
 
 use super::events::EventSplitter;
+use super::held_bytes::HeldBytes;
 use super::progress::{BodyEnd, RequestProgress};
-use super::send::ServerResponse;
+use super::response_limits::{CutReason, MAX_ERROR_BYTES, MAX_ERROR_TIME};
+use super::send::{ReadError, ServerResponse, read_more, record_cut};
 use super::{RequestContext, RequestOutcome, SlotGuard, retry};
 use crate::gateway::Gateway;
 use crate::http::body::{BodyDecoder, Decoded};
@@ -37,9 +39,15 @@
     Data(bytes::Bytes),
     End(BodyEnd),
     Truncated(BodyEnd),
+    /// The response must end because it holds the most memory.
+    Evicted,
 }
 
-async fn next_part(response: &mut ServerResponse, decoder: &mut BodyDecoder) -> BodyPart {
+async fn next_part(
+    response: &mut ServerResponse,
+    decoder: &mut BodyDecoder,
+    held: &HeldBytes<'_>,
+) -> BodyPart {
     loop {
         match decoder.next(&mut response.upstream.buffer) {
             Ok(Decoded::Data(data)) => return BodyPart::Data(data),
@@ -47,10 +55,11 @@
             Ok(Decoded::Incomplete) => {}
             Err(_malformed) => return BodyPart::Truncated(BodyEnd::Malformed),
         }
-        match response.upstream.read_more().await {
+        match read_more(&mut response.upstream, held, None).await {
             // Only an orderly close completes a body without a length; a reset truncates it.
             Ok(0) if decoder.ends_at_close() => return BodyPart::End(BodyEnd::Closed),
             Ok(0) => return BodyPart::Truncated(BodyEnd::Closed),
+            Err(ReadError::Evicted) => return BodyPart::Evicted,
             Err(_failed) => return BodyPart::Truncated(BodyEnd::Failed),
             Ok(_) => {}
         }
@@ -108,8 +117,10 @@
 pub enum Buffered {
     /// The response is complete.
     Complete(BodyEnd),
-    /// The response exceeds the buffer limit and has not ended.
+    /// The response has not ended, and exceeds the buffer limit.
     TooLong,
+    /// The response has not ended, and holds the most of the memory, which others need.
+    Evicted,
     /// The response was cut off.
     Truncated(BodyEnd),
 }
@@ -123,40 +134,59 @@
 }
 
 /// Buffers the body of `response` and calls `on_data` after each part; does nothing if it is a stream of events.
-pub async fn read_ahead(response: &mut ServerResponse, on_data: impl FnMut()) {
+pub async fn read_ahead(gateway: &Gateway, response: &mut ServerResponse, on_data: impl FnMut()) {
     if !has_events(response) {
-        let buffered = take_buffered(response, on_data).await;
+        let mut held = gateway.hold_response();
+        let buffered = take_buffered(response, &mut held, usize::MAX, on_data).await;
         response.read_ahead = Some(buffered);
     }
 }
 
-/// Takes what was read ahead of the body, or buffers it now.
-async fn take_buffered(response: &mut ServerResponse, on_data: impl FnMut()) -> ReadAhead {
-    if let Some(buffered) = response.read_ahead.take() {
+/// Takes what was read ahead of the body, or buffers it now; `held` accounts it.
+async fn take_buffered(
+    response: &mut ServerResponse,
+    held: &mut HeldBytes<'_>,
+    max_received: usize,
+    on_data: impl FnMut(),
+) -> ReadAhead {
+    if let Some(mut buffered) = response.read_ahead.take() {
+        let bytes = response.body.as_ref().map_or(0, BytesMut::len);
+        if held.set(bytes).is_err() && buffered.end == Buffered::TooLong {
+            buffered.end = Buffered::Evicted;
+        }
         return buffered;
     }
     let mut decoder = BodyDecoder::new(response.framing);
-    let end = buffer_body(response, &mut decoder, on_data).await;
+    let end = buffer_body(response, &mut decoder, held, max_received, on_data).await;
     ReadAhead { decoder, end }
 }
 
 /// Buffers the body of `response` to its end or to the limit, and calls `on_data` after each part.
+///
+/// At most `max_received` bytes are read, framing included.
 async fn buffer_body(
     response: &mut ServerResponse,
     decoder: &mut BodyDecoder,
+    held: &mut HeldBytes<'_>,
+    max_received: usize,
     mut on_data: impl FnMut(),
 ) -> Buffered {
     let mut body = response.body.take().unwrap_or_default();
+    let limit = response.upstream.received.saturating_add(max_received);
     let outcome = loop {
-        match next_part(response, decoder).await {
+        match next_part(response, decoder, held).await {
             BodyPart::Data(data) => body.extend_from_slice(&data),
             BodyPart::Truncated(end) => break Buffered::Truncated(end),
             BodyPart::End(end) => break Buffered::Complete(end),
+            BodyPart::Evicted => break Buffered::Evicted,
         }
         on_data();
-        if body.len() > MAX_BUFFERED_BYTES {
+        if body.len() > MAX_BUFFERED_BYTES || response.upstream.received > limit {
             break Buffered::TooLong;
         }
+        if held.set(body.len()).is_err() {
+            break Buffered::Evicted;
+        }
     };
     response.body = Some(body);
     outcome
@@ -170,19 +200,28 @@
     out: &mut OwnedWriteHalf,
 ) -> ForwardOutcome {
     let status = response.head.status;
+    let mut held = context.gateway.hold_response();
     let on_data = || slot.record_first_token(status);
-    let ReadAhead { decoder, end } = take_buffered(&mut response, on_data).await;
+    let buffered = take_buffered(&mut response, &mut held, usize::MAX, on_data);
+    let ReadAhead { decoder, end } = buffered.await;
     match end {
         Buffered::Complete(end) => progress.record_body_end(response.framing, end, 0),
-        Buffered::TooLong => return forward_long(context, progress, response, decoder, out).await,
-        Buffered::Truncated(end) => {
-            progress.record_body_end(response.framing, end, 0);
-            return ForwardOutcome::Truncated;
+        Buffered::TooLong | Buffered::Evicted => {
+            return forward_long(context, progress, response, decoder, out).await;
         }
+        Buffered::Truncated(end) => return truncate(context, progress, &response, end, 0),
     }
     slot.record_first_token(status);
     record_server_outcome(context.gateway, &mut response);
-    let outcome = write_buffered(context, progress, &response, out).await;
+    let outcome = tokio::select! {
+        biased;
+        outcome = write_buffered(context, progress, &response, out) => outcome,
+        () = held.evicted() => {
+            // The server's answer is complete; it is the client that reads too slowly.
+            log_cut(context, &response, CutReason::Memory);
+            return ForwardOutcome::ClientClosed;
+        }
+    };
     response.recycle_connection(context.gateway);
     match outcome {
         RequestOutcome::Complete => ForwardOutcome::Complete,
@@ -190,12 +229,59 @@
     }
 }
 
-/// Reads a short response to its end; `None` if it is cut off or exceeds the limit.
-pub async fn read_to_end(mut response: ServerResponse) -> Option<ServerResponse> {
-    match take_buffered(&mut response, || {}).await.end {
-        Buffered::Complete(_) => Some(response),
-        Buffered::TooLong | Buffered::Truncated(_) => None,
+/// Records that a response was cut off, and by what.
+fn truncate(
+    context: RequestContext<'_>,
+    progress: &mut RequestProgress,
+    response: &ServerResponse,
+    end: BodyEnd,
+    rest_bytes: usize,
+) -> ForwardOutcome {
+    progress.record_body_end(response.framing, end, rest_bytes);
+    if end == BodyEnd::Malformed {
+        log_cut(context, response, CutReason::Malformed);
+        progress.record_cut(Some(CutReason::Malformed));
     }
+    ForwardOutcome::Truncated
+}
+
+/// Records that the gateway closes the connection because of what the server sent.
+fn cut(
+    context: RequestContext<'_>,
+    progress: &mut RequestProgress,
+    response: &ServerResponse,
+    reason: CutReason,
+    rest_bytes: usize,
+) -> ForwardOutcome {
+    progress.record_body_end(response.framing, BodyEnd::Cut, rest_bytes);
+    progress.record_cut(Some(reason));
+    log_cut(context, response, reason);
+    ForwardOutcome::Truncated
+}
+
+fn log_cut(context: RequestContext<'_>, response: &ServerResponse, reason: CutReason) {
+    let (server, bytes) = (response.server, response.upstream.received);
+    record_cut(context.gateway, context.request, server, reason, bytes);
+}
+
+/// Reads a short error response to its end; `None` if it is cut off, or exceeds a limit.
+pub async fn read_to_end(
+    context: RequestContext<'_>,
+    mut response: ServerResponse,
+) -> Option<ServerResponse> {
+    let mut held = context.gateway.hold_response();
+    let body = take_buffered(&mut response, &mut held, MAX_ERROR_BYTES, || {});
+    let body = tokio::time::timeout(MAX_ERROR_TIME, body).await;
+    let reason = match body.map(|read| read.end) {
+        Ok(Buffered::Complete(_)) => return Some(response),
+        Ok(Buffered::Truncated(BodyEnd::Malformed)) => CutReason::Malformed,
+        Ok(Buffered::Truncated(_)) => return None,
+        Ok(Buffered::TooLong) => CutReason::ErrorBytes,
+        Ok(Buffered::Evicted) => CutReason::Memory,
+        Err(_elapsed) => CutReason::ErrorTime,
+    };
+    log_cut(context, &response, reason);
+    None
 }
 
 /// Records whether a complete response is an error; later calls have no effect.
@@ -245,6 +331,7 @@
     let mut bytes = encode_head(&response.head, response.framing, context.close.always);
     progress.start_response(response.head.status, context.gateway.now());
     let mut data = response.body.take().unwrap_or_default().freeze();
+    let held = context.gateway.hold_response();
     loop {
         if chunked {
             bytes.chunk(&data);
@@ -255,12 +342,10 @@
             return ForwardOutcome::ClientClosed;
         }
         bytes.0.clear();
-        match next_part(&mut response, &mut decoder).await {
+        match next_part(&mut response, &mut decoder, &held).await {
             BodyPart::Data(next) => data = next,
-            BodyPart::Truncated(end) => {
-                progress.record_body_end(response.framing, end, 0);
-                return ForwardOutcome::Truncated;
-            }
+            BodyPart::Truncated(end) => return truncate(context, progress, &response, end, 0),
+            BodyPart::Evicted => return cut(context, progress, &response, CutReason::Memory, 0),
             BodyPart::End(end) => {
                 progress.record_body_end(response.framing, end, 0);
                 break;
@@ -289,31 +374,37 @@
     out: &mut OwnedWriteHalf,
 ) -> ForwardOutcome {
     let mut decoder = BodyDecoder::new(response.framing);
-    let mut splitter = EventSplitter::default();
+    let mut splitter = EventSplitter::resuming(progress.event_bytes);
+    let mut held = context.gateway.hold_response();
     let mut bytes = MessageBuffer::default();
     let event_id = context.gateway.adapter.parse_event_id;
     loop {
-        let (events, ended) = match next_part(&mut response, &mut decoder).await {
+        let rest_bytes = splitter.rest_bytes();
+        let (events, ended) = match next_part(&mut response, &mut decoder, &held).await {
             BodyPart::Data(data) => (
                 splitter.push(&data, event_id, progress.last_event_id),
                 false,
             ),
             BodyPart::End(end) => {
-                progress.record_body_end(response.framing, end, splitter.rest_bytes());
+                progress.record_body_end(response.framing, end, rest_bytes);
                 if !splitter.may_end(response.framing != Framing::UntilClose) {
                     return ForwardOutcome::Truncated;
                 }
                 (None, true)
             }
             BodyPart::Truncated(end) => {
-                progress.record_body_end(response.framing, end, splitter.rest_bytes());
-                return ForwardOutcome::Truncated;
+                return truncate(context, progress, &response, end, rest_bytes);
+            }
+            BodyPart::Evicted => {
+                return cut(context, progress, &response, CutReason::Memory, rest_bytes);
             }
         };
-        if splitter.exceeds_limit() {
-            return ForwardOutcome::Truncated;
+        let rest_bytes = splitter.rest_bytes();
+        let exceeded = splitter.exceeded_limit();
+        if let Some(reason) = exceeded.or_else(|| held.set(rest_bytes).err()) {
+            return cut(context, progress, &response, reason, rest_bytes);
         }
-        let Some(events) = events else {
+        let Some(mut events) = events else {
             if ended {
                 break;
             }
@@ -325,13 +416,29 @@
             bytes = encode_head(&response.head, Framing::Chunked, context.close.always);
             progress.start_response(response.head.status, context.gateway.now());
         }
-        bytes.chunk(&events.bytes);
-        if out.write_all(&bytes.0).await.is_err() {
+        let size = events.bytes.len();
+        bytes.chunk(&std::mem::take(&mut events.bytes));
+        if let Err(reason) = held.set(rest_bytes + bytes.0.len()) {
+            return cut(context, progress, &response, reason, rest_bytes);
+        }
+        let written = tokio::select! {
+            biased;
+            written = out.write_all(&bytes.0) => written,
+            () = held.evicted() => {
+                // A part of a chunk may be written, after which nothing can be resumed.
+                progress.last_event_id = None;
+                return cut(context, progress, &response, CutReason::Memory, rest_bytes);
+            }
+        };
+        if written.is_err() {
             return ForwardOutcome::ClientClosed;
         }
-        bytes.0.clear();
-        progress.record_events(&events);
+        bytes.clear();
+        progress.record_events(&events, size);
         slot.record_events(context, progress, &events);
+        if let Err(reason) = held.set(rest_bytes) {
+            return cut(context, progress, &response, reason, rest_bytes);
+        }
     }
     if !progress.response_started() {
         bytes = encode_head(&response.head, Framing::Chunked, context.close.always);
--- a/crates/hawthornmill-gateway/src/proxy/hedge.rs
+++ b/crates/hawthornmill-gateway/src/proxy/hedge.rs
@@ -130,7 +130,7 @@
                 slot.record_first_token(status);
             }
         };
-        forward::read_ahead(response, on_data).await;
+        forward::read_ahead(context.gateway, response, on_data).await;
         if is_error && is_complete(response) {
             forward::record_server_outcome(context.gateway, response);
         }
@@ -297,7 +297,7 @@
 fn broken_body(response: &ServerResponse) -> Option<BodyEnd> {
     match response.read_ahead.as_ref()?.end {
         Buffered::Truncated(end) => Some(end),
-        Buffered::Complete(_) | Buffered::TooLong => None,
+        Buffered::Complete(_) | Buffered::TooLong | Buffered::Evicted => None,
     }
 }
 
--- a/crates/hawthornmill-gateway/src/proxy/progress.rs
+++ b/crates/hawthornmill-gateway/src/proxy/progress.rs
@@ -14,6 +14,7 @@
 use super::error_response::{ErrorResponse, NotReady};
 use super::events::CompleteEvents;
 use super::read::ClientRequest;
+use super::response_limits::CutReason;
 use super::{RequestContext, RequestOutcome};
 use crate::event_log;
 use crate::gateway::Gateway;
@@ -78,6 +79,8 @@
     Failed,
     /// The bytes violate the framing.
     Malformed,
+    /// The gateway closed the connection because a bound was exceeded.
+    Cut,
 }
 
 impl BodyEnd {
@@ -92,6 +95,7 @@
             Self::Closed => "closed",
             Self::Failed => "failed",
             Self::Malformed => "malformed",
+            Self::Cut => "cut",
         }
     }
 }
@@ -125,6 +129,8 @@
     pub last_event_id: Option<u64>,
     /// Events that the current server brought.
     pub server_events: u32,
+    /// Bytes of events that were forwarded to the client.
+    pub event_bytes: usize,
     /// Version of the server that brought the first event.
     pub version: Option<VersionId>,
     /// Status sent to the client, or 0 if none.
@@ -144,6 +150,8 @@
     hedge: Option<Rc<HedgeState>>,
     /// Server of the hedge of the current attempt.
     hedge_server: Option<ServerId>,
+    /// Why the gateway closed the connection to the current server, if it did.
+    cut: Option<CutReason>,
 }
 
 impl RequestProgress {
@@ -186,6 +194,7 @@
         }
         self.servers.push(name);
         self.body = None;
+        self.cut = None;
         self.server_events = 0;
         self.earlier_uncertain |= std::mem::take(&mut self.bytes_sent);
     }
@@ -276,9 +285,10 @@
         });
     }
 
-    /// Records that events of a stream were forwarded.
-    pub const fn record_events(&mut self, events: &CompleteEvents) {
+    /// Records that events of a stream, of `size` bytes together, were forwarded.
+    pub const fn record_events(&mut self, events: &CompleteEvents, size: usize) {
         self.last_event_id = events.last_id;
+        self.event_bytes += size;
         self.server_events += events.count;
     }
 
@@ -296,6 +306,16 @@
         })
     }
 
+    /// Records whether, and why, the gateway closed the connection to the current server.
+    pub const fn record_cut(&mut self, reason: Option<CutReason>) {
+        self.cut = reason;
+    }
+
+    /// Returns the code for a request whose last server brought no usable answer.
+    pub fn failure_code(&self) -> Code {
+        self.cut.map_or(Code::UpstreamFailed, CutReason::code)
+    }
+
     /// Sets the code of the error that ends the request.
     pub const fn set_code(&mut self, code: Code) {
         self.code = Some(code);
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -2,6 +2,8 @@
 
 mod at_most_once;
 mod connection_pool;
+mod endless_elsewhere;
+mod endless_responses;
 mod event_streams;
 mod failed_requests;
 #[expect(dead_code, reason = "the soak uses the other part of the fixtures")]
@@ -14,8 +16,11 @@
 mod placement_bounds;
 mod platform_adapter;
 mod platform_names;
+mod pouring_server;
 mod quarantine;
 mod request_handling;
+mod response_limits;
+mod response_reader;
 mod responses;
 mod restarts;
 #[expect(dead_code, reason = "the soak uses the other part of the fixtures")]
