Serve the longest prompts of a route at least about half as often as others

Cause: the part of the objective that an account above its share may use also covered a prompt's own prefill, so prompts from 14,000 tokens on fitted on no server, not even on an idle one (table in docs/design/0069). A prompt among the costliest tenth of its route is now limited by its wait alone while fewer of them were placed than the setting long_prompt_ratio asks for.

--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -7,7 +7,7 @@
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use hawthornmill::ident::{
-    AccountId, DomainId, InstanceId, RegionId, ServerId, ServiceId, VersionId,
+    AccountId, DomainId, InstanceId, RegionId, RouteId, ServerId, ServiceId, VersionId,
 };
 use hawthornmill::routing::catalog::Engine;
 use hawthornmill::routing::cold_start::{ColdStartLimiter, ColdStartTolerance};
@@ -83,6 +83,7 @@
     let part = |id, tokens| PromptPart { id, tokens };
     Request {
         account: Some(AccountId::of("lab")),
+        route: RouteId::of("r"),
         service: ServiceId::of("drafter"),
         engine: Some(ENGINE),
         shape: Shape {
--- a/crates/hawthornmill-gateway/src/daemon.rs
+++ b/crates/hawthornmill-gateway/src/daemon.rs
@@ -210,6 +210,7 @@
     scheduler.regions.clone_from(&settings.regions);
     scheduler.fetches_prefixes = settings.fetches_prefixes;
     scheduler.hedging.set_config(settings.hedging);
+    scheduler.long_prompts.ratio = settings.long_prompt_ratio;
     let tolerance = settings.guarantees.cold_tolerance;
     scheduler.cold_limiter.set_tolerance(tolerance);
     drop(scheduler);
--- a/crates/hawthornmill-gateway/src/proxy/admission.rs
+++ b/crates/hawthornmill-gateway/src/proxy/admission.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hawthornmill::codes::Code;
-use hawthornmill::ident::AccountId;
+use hawthornmill::ident::{AccountId, RouteId};
 use hawthornmill::routing::catalog::RetryPolicy;
 use hawthornmill::routing::request::Request;
 use hawthornmill::routing::route_table::{Caller, pick_service};
@@ -118,6 +118,7 @@
         .transpose()?;
     let pending = Request {
         account: account.map(|a| a.id),
+        route: RouteId::of(&route.name),
         service,
         engine: known_service.and_then(|s| s.engine),
         shape,
--- a/crates/hawthornmill-gateway/src/proxy/forward.rs
+++ b/crates/hawthornmill-gateway/src/proxy/forward.rs
@@ -138,7 +138,7 @@
     if !has_events(response) {
         let mut held = gateway.hold_response();
         let buffered = take_buffered(response, &mut held, usize::MAX, on_data).await;
-        response.read_ahead = Some(buffered);
+        response.read_ahead = Some(Box::new(buffered));
     }
 }
 
@@ -154,7 +154,7 @@
         if held.set(bytes).is_err() && buffered.end == Buffered::TooLong {
             buffered.end = Buffered::Evicted;
         }
-        return buffered;
+        return *buffered;
     }
     let mut decoder = BodyDecoder::new(response.framing);
     let end = buffer_body(response, &mut decoder, held, max_received, on_data).await;
--- a/crates/hawthornmill-gateway/src/proxy/send.rs
+++ b/crates/hawthornmill-gateway/src/proxy/send.rs
@@ -61,7 +61,7 @@
     /// The body, as far as it has been buffered.
     pub body: Option<BytesMut>,
     /// Where buffering the body ended, if it was buffered before the response is forwarded.
-    pub read_ahead: Option<ReadAhead>,
+    pub read_ahead: Option<Box<ReadAhead>>,
     /// Whether it gives the id of the request.
     pub names_request: bool,
     /// Whether it is recorded what the response tells of the server.
--- a/crates/hawthornmill-gateway/src/settings.rs
+++ b/crates/hawthornmill-gateway/src/settings.rs
@@ -102,6 +102,8 @@
     pub fetches_prefixes: bool,
     /// Second copies of requests that have no answer in time.
     pub hedging: HedgingConfig,
+    /// Fraction of what others get that long prompts get at least; 0 for no such aim.
+    pub long_prompt_ratio: f64,
     /// Requests that are never quarantined.
     pub exempt: Vec<Fingerprint>,
     /// Least severe level that is logged.
@@ -168,6 +170,7 @@
             guarantees: guarantees(&mut reader, &one("promises")),
             fetches_prefixes: fetches_prefixes(&mut reader, &one("policy")),
             hedging: hedging(&mut reader, &one("hedging")),
+            long_prompt_ratio: long_prompt_ratio(&mut reader, &one("policy")),
             exempt: exempt(&mut reader, &one("policy")),
             level: level(&mut reader, &one("telemetry")),
         };
@@ -280,7 +283,10 @@
 }
 
 fn fetches_prefixes(reader: &mut Reader<'_>, section: &Section) -> bool {
-    reader.reject_unknown_keys(section, &["fetch_prefixes", "never_quarantine"]);
+    reader.reject_unknown_keys(
+        section,
+        &["fetch_prefixes", "long_prompt_ratio", "never_quarantine"],
+    );
     reader.choice(
         section,
         "fetch_prefixes",
@@ -304,6 +310,10 @@
     }
 }
 
+fn long_prompt_ratio(reader: &mut Reader<'_>, section: &Section) -> f64 {
+    reader.number_in(section, "long_prompt_ratio", 0.0, 0.0..=1.0)
+}
+
 /// Reads the fingerprints of requests that are never quarantined, in hexadecimal.
 fn exempt(reader: &mut Reader<'_>, section: &Section) -> Vec<Fingerprint> {
     let Some(entry) = section.get("never_quarantine") else {
--- a/crates/hawthornmill/src/ident.rs
+++ b/crates/hawthornmill/src/ident.rs
@@ -47,6 +47,11 @@
     ServiceId,
     "service"
 );
+name_id!(
+    /// A route of a catalog.
+    RouteId,
+    "route"
+);
 name_id!(
     /// A backend server.
     ServerId,
--- a/crates/hawthornmill/src/routing/mod.rs
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -44,6 +44,7 @@
 pub mod lag;
 pub mod load_parts;
 pub mod loads;
+pub mod long_prompts;
 pub mod placement;
 pub mod prefix_index;
 pub mod recent;
--- a/crates/hawthornmill/src/routing/placement.rs
+++ b/crates/hawthornmill/src/routing/placement.rs
@@ -13,6 +13,7 @@
 
 use smallvec::SmallVec;
 
+use super::allowance::LatencyLimit;
 use super::catalog::Engine;
 use super::hedging::SpareLimits;
 use super::loads::{KnownLoad, LoadTracker, Work};
@@ -122,8 +123,8 @@
     pub full_objective: Duration,
     /// Fraction of a server's capacity that the request may use.
     pub capacity_fraction: f64,
-    /// Fraction of the objective that it may be expected to take; 1 for no limit.
-    pub latency_fraction: f64,
+    /// What it may be expected to take.
+    pub latency_limit: LatencyLimit,
     /// Number of servers, in the order of its family, where a long shared prefix may be prefilled for it.
     pub max_copies: usize,
     /// Whether its server may fetch cached parts of the prompt from another one.
@@ -186,8 +187,6 @@
     homes: Vec<ServerId>,
     hits: PrefixHits,
     shared_tokens: u32,
-    /// TTFT above which the request may not be placed.
-    time_limit: Duration,
     /// TTFT from which the request is at risk of being late.
     risk_start: Duration,
     /// Set where servers of the service report their speed.
@@ -235,7 +234,6 @@
         homes: homes(&candidates, request.shape),
         hits: view.prefix_index.lookup(request.shape, now),
         shared_tokens: request.shape.shared_tokens(),
-        time_limit: request.time_left.mul_f64(request.latency_fraction),
         risk_start: request.time_left.mul_f64(RISK_THRESHOLD),
         speeds: Some(&view.loads.speeds).filter(|s| s.reports(request.service)),
     };
@@ -480,14 +478,13 @@
     let own_time = base + request.ttft.prefill_time(prefill);
     let baseline = base + request.ttft.prefill_time(queued) + round_trip;
     let (expected, unloaded) = expected_times(speed, load.slowdown, baseline, own_time, round_trip);
-    if request.latency_fraction < 1.0 && expected > context.time_limit {
-        return Err(
-            if unloaded > request.full_objective.mul_f64(request.latency_fraction) {
-                Rejection::TooLong
-            } else {
-                full
-            },
-        );
+    let (limit, objective) = (request.latency_limit, request.full_objective);
+    if !limit.allows(expected, unloaded, request.time_left, objective) {
+        return Err(if limit.is_too_long(unloaded, objective) {
+            Rejection::TooLong
+        } else {
+            full
+        });
     }
     // A slow server gets nothing that would have been in time at the usual speed, also if it was queued since; a retry takes
     // what there is.
--- a/crates/hawthornmill/src/routing/request.rs
+++ b/crates/hawthornmill/src/routing/request.rs
@@ -12,7 +12,7 @@
 use super::shape::Shape;
 use super::usage::{AccountUsage, FairShare, ShareLevels};
 use crate::codes::Code;
-use crate::ident::{AccountId, ServerId, ServiceId, VersionId};
+use crate::ident::{AccountId, RouteId, ServerId, ServiceId, VersionId};
 
 new_key_type! {
     /// Identifies a queued request.
@@ -24,6 +24,8 @@
 pub struct Request {
     /// Account that is charged; `None` on public routes.
     pub account: Option<AccountId>,
+    /// Route by which it came; requests of a route are of one kind.
+    pub route: RouteId,
     /// Service that serves it.
     pub service: ServiceId,
     /// Set where model engines serve the request.
--- a/crates/hawthornmill/src/routing/route_table.rs
+++ b/crates/hawthornmill/src/routing/route_table.rs
@@ -130,8 +130,8 @@
 
 /// Picks a service of `route` by weight, for a `draw` between 0 and 1.
 pub fn pick_service(route: &Route, draw: f64) -> ServiceId {
-    let total: u32 = route.targets.iter().map(|t| t.weight).sum();
-    let mut left = draw * f64::from(total);
+    let total: f64 = route.targets.iter().map(|t| f64::from(t.weight)).sum();
+    let mut left = draw * total;
     for target in &route.targets {
         left -= f64::from(target.weight);
         if left < 0.0 {
--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -10,7 +10,7 @@
 
 use slotmap::SlotMap;
 
-use super::allowance;
+use super::allowance::{self, LatencyLimit};
 use super::catalog::ColdStart;
 use super::cold_start::ColdStartLimiter;
 use super::credit::Credit;
@@ -18,6 +18,7 @@
 use super::gossip::UnmetDemand;
 use super::hedging::{Hedging, SpareLimits};
 use super::loads::{LoadTracker, Work};
+use super::long_prompts::LongPrompts;
 use super::placement::{
     HomeServers, Location, Placement, PlacementError, PlacementRequest, PlacementView,
     choose_server, is_prefill_bound,
@@ -28,7 +29,7 @@
 use super::request::{Admission, Cause, Decision, DecisionContext, Refusal, Request, Ticket};
 use super::retry_budget::RetryBudget;
 use super::server_notices::{Availability, ServerNotices};
-use super::ttft::TtftModel;
+use super::ttft::{TtftEstimate, TtftModel};
 use super::unmet_demand::{UnmetDemandTracker, UnmetReason, preempts_others};
 use super::usage::{AccountUsage, FairShare, ShareLevels, ShareStatus, UsageTracker};
 use crate::codes::Code;
@@ -82,6 +83,8 @@
     pub evacuations: Evacuations,
     /// Whether servers may fetch cached parts of prompts from others.
     pub fetches_prefixes: bool,
+    /// Long prompts that are owed.
+    pub long_prompts: LongPrompts,
     /// Tokens per second that all engines yield; 0 when unknown.
     pub token_rate: f64,
     /// What servers of each service bear after a start.
@@ -125,6 +128,7 @@
             regions: Vec::new(),
             evacuations: Evacuations::default(),
             fetches_prefixes: true,
+            long_prompts: LongPrompts::default(),
             token_rate: 0.0,
             cold_starts: BTreeMap::new(),
             cold_limiter,
@@ -217,6 +221,8 @@
             return;
         }
         self.retry_budget.record_request(request.service, now);
+        self.long_prompts
+            .record_arrival(request.route, request.shape.cost(), now);
         if let Some(account) = request.account {
             self.account_usage
                 .record_requested(account, request.shape.cost(), now);
@@ -415,6 +421,9 @@
         let uncontended = !self.is_contended(request, now);
         let share = self.share_of(request);
         let capacity_fraction = allowance::capacity_fraction(share, uncontended);
+        let is_owed = self
+            .long_prompts
+            .is_owed(request.route, request.shape.cost());
         let view = PlacementView {
             registry: &self.registry,
             loads: &self.loads,
@@ -431,17 +440,11 @@
             allowed_regions: &request.allowed_regions,
             version: request.version,
             reserved: &unavailable,
-            ttft: self
-                .ttft_models
-                .get(&request.service)
-                .copied()
-                .unwrap_or_default()
-                .decayed(now)
-                .estimate(),
+            ttft: self.ttft_estimate(request.service, now),
             time_left: (request.arrival + request.objective).saturating_duration_since(now),
             full_objective: request.objective,
             capacity_fraction,
-            latency_fraction: allowance::latency_fraction(capacity_fraction),
+            latency_limit: LatencyLimit::new(share, capacity_fraction, is_owed),
             max_copies: allowance::max_prefix_copies(share),
             fetches_prefixes: self.fetches_prefixes,
             spare,
@@ -482,6 +485,10 @@
         if let (true, Some(prefix)) = (placement.spilled, request.shape.shared_prefix()) {
             self.spilled.push(prefix, placement.server, now);
         }
+        if request.tried.is_empty() {
+            self.long_prompts
+                .record_placed(request.route, request.shape.cost(), now);
+        }
         if let Some(account) = request.account
             && (request.tried.is_empty() || spare.is_some())
         {
@@ -494,6 +501,11 @@
         Ok(placement)
     }
 
+    fn ttft_estimate(&self, service: ServiceId, now: Instant) -> TtftEstimate {
+        let model = self.ttft_models.get(&service).copied();
+        model.unwrap_or_default().decayed(now).estimate()
+    }
+
     /// Returns the regions of the failure domains, and evacuated ones.
     fn eligibility(&self) -> Eligibility<'_> {
         Eligibility {
--- a/tests/testsuite/routing/fleet_simulation.rs
+++ b/tests/testsuite/routing/fleet_simulation.rs
@@ -66,6 +66,9 @@
     started: BTreeMap<&'static str, u32>,
     /// Prompt tokens of the started requests.
     tokens: BTreeMap<&'static str, u64>,
+    /// Requests that arrived and that started, usual ones and long ones.
+    arrived_by_length: [u32; 2],
+    started_by_length: [u32; 2],
     /// Reports of all instances that are on their way, the oldest first.
     reports: VecDeque<Vec<InstanceReport>>,
     /// Rounds of reports after which a report arrives.
@@ -75,6 +78,11 @@
     unread: Vec<(&'static str, Request)>,
 }
 
+/// Returns the index of a request among the usual and the long ones.
+fn length_class(prompt_tokens: u32) -> usize {
+    usize::from(prompt_tokens > OWN_TOKENS[1])
+}
+
 /// Interval between the turns of a late instance, how long a turn takes, and how many requests are read in it.
 const LATE_TURNS: (u64, u64, usize) = (250, 30, 60);
 
@@ -94,6 +102,8 @@
             events: Vec::new(),
             started: BTreeMap::new(),
             tokens: BTreeMap::new(),
+            arrived_by_length: [0; 2],
+            started_by_length: [0; 2],
             reports: VecDeque::new(),
             delay_rounds,
             is_first_late: false,
@@ -175,6 +185,7 @@
             } = event.call;
             *self.started.entry(account).or_default() += 1;
             *self.tokens.entry(account).or_default() += u64::from(prompt_tokens);
+            self.started_by_length[length_class(prompt_tokens)] += 1;
             self.events[index].began = true;
             self.events[index].at = now + LATENCIES[1];
         }
@@ -220,6 +231,8 @@
         if milli == DURATIONS_MS[1] {
             fleet.started.clear();
             fleet.tokens.clear();
+            fleet.arrived_by_length = [0; 2];
+            fleet.started_by_length = [0; 2];
         }
         fleet.serve(milli, now);
         if !fleet.is_paused(0, milli) {
@@ -235,6 +248,7 @@
                     // No two of them share more than the prefix of their family.
                     request.shape.parts[1].id = 0x1_0000 + *sent as u64;
                 }
+                fleet.arrived_by_length[usize::from(is_long)] += 1;
                 let entry = *sent % callers.entry_points;
                 if fleet.is_paused(entry, milli) {
                     fleet.unread.push((callers.account, request));
@@ -336,3 +350,42 @@
     let (one, all) = (fleet.tokens["one"], fleet.tokens["all"]);
     assert!(one * 2 >= all, "{one} against {all}");
 }
+
+/// Fraction of the requests that started, of the usual ones and of the long ones, where accounts request several times
+/// what the servers can do.
+fn served_by_length(instances: usize, ratio: f64) -> [f64; 2] {
+    let callers = |account, requests_per_ms| Callers {
+        account,
+        entry_points: instances,
+        requests_per_ms,
+        long_share: 10,
+    };
+    let all = [
+        callers("large", 0.5),
+        callers("other", 0.25),
+        callers("small", 0.03),
+    ];
+    let start = Instant::now();
+    let mut fleet = Fleet::new(instances, 4, start);
+    for scheduler in &mut fleet.schedulers {
+        scheduler.long_prompts.ratio = ratio;
+    }
+    let fleet = simulate(fleet, start, &all);
+    let started = |n: usize| f64::from(fleet.started_by_length[n]);
+    [0, 1].map(|n| started(n) / f64::from(fleet.arrived_by_length[n]))
+}
+
+/// Failure: while accounts request more than their share, the longest tenth of their prompts finds no server, since its own
+/// prefill counts against the part of the objective that they may use.
+#[test]
+fn longest_prompts_are_served_half_as_often_as_others() {
+    for instances in [8, 24] {
+        let [usual, long] = served_by_length(instances, 0.6);
+        let before = served_by_length(instances, 0.0);
+
+        let seen = format!("{instances}: {long} of {usual}, without the aim {before:?}");
+        assert!(long >= 0.5 * usual, "{seen}");
+        assert!(before[1] < 0.5 * before[0], "{seen}");
+        assert!(usual >= 0.8 * before[0], "{seen}");
+    }
+}
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -38,7 +38,7 @@
 use std::time::{Duration, Instant};
 
 use hawthornmill::ident::{
-    AccountId, DomainId, InstanceId, RegionId, ServerId, ServiceId, VersionId,
+    AccountId, DomainId, InstanceId, RegionId, RouteId, ServerId, ServiceId, VersionId,
 };
 use hawthornmill::routing::catalog::{
     Account, Catalog, Engine, Limits, RetryPolicy, Route, Service, Target, TokenDigest,
@@ -219,6 +219,7 @@
 fn request(account: &str, shape: Shape, now: Instant) -> Request {
     Request {
         account: Some(AccountId::of(account)),
+        route: RouteId::of("r"),
         service: drafter(),
         engine: Some(ENGINE),
         shape,
