Test the drain with a body that exceeds the buffers of sockets

Cause: with 5 MB the test of a rejected body passed with the bound of 1 MiB too. Change: 16 MB. Result: fails with the bound, passes without it.

--- a/tests/testsuite/gateway/endless_elsewhere.rs
+++ b/tests/testsuite/gateway/endless_elsewhere.rs
@@ -23,7 +23,7 @@
 /// Clients whose incomplete bodies together exceed their part of that.
 const BODY_CLIENTS: usize = 60;
 /// Size of a body above what the buffers of sockets hold.
-const REJECTED_BODY_BYTES: usize = 5_000_000;
+const REJECTED_BODY_BYTES: usize = 16_000_000;
 /// Pause between the parts of a slow body.
 const SLOW_PAUSE: Duration = Duration::from_millis(300);
 /// Parts of a slow body, which together take more than twice the idle time.
