--- a/crates/hawthornmill-tools/src/check/catalog/mod.rs
+++ b/crates/hawthornmill-tools/src/check/catalog/mod.rs
@@ -1,6 +1,6 @@
 //! Check of a gateway catalog in the platform's format before it is published.
 //!
-//! [`check`] does no I/O; [`read`] collects what it needs.
+//! [`check`] does no I/O; [`check_files`] collects what it needs.
 //!
 //! | module | finds |
 //! |---|---|
