--- a/crates/hawthornmill-gateway/src/proxy/progress.rs
+++ b/crates/hawthornmill-gateway/src/proxy/progress.rs
@@ -38,6 +38,8 @@
         "evacuated": decision.evacuated, "out_of_region": decision.out_of_region,
         "resting": decision.resting, "leaving": decision.leaving, "full": decision.full, "waiting": decision.queue_len,
         "fraction": decision.capacity_fraction, "contended": decision.is_contended,
+        "prompt_tokens": request.shape.prompt_tokens,
+        "long_owed": scheduler.long_prompts.is_owed(request.route, request.shape.cost()),
         "head_tokens": decision.queue_head.prompt_tokens, "head_ms": decision.queue_head.waited.as_millis() as u64,
         "credit": decision.credit, "short_at": decision.unmet_instances,
         "lack": decision.unmet_cost, "standing": decision.share.status.to_string(), "lead": decision.share.usage_ratio,
