--- a/tests/testsuite/quarantine/requests.rs
+++ b/tests/testsuite/quarantine/requests.rs
@@ -560,3 +560,52 @@
         QuarantineStatus::Clear
     );
 }
+
+/// Failure: all servers come back at the same time and crash together under one request each time, and that counts as a
+/// rack that fails each time.
+#[test]
+fn cause_of_two_groups_of_crashes_is_found() {
+    let (mut table, now) = (Quarantine::default(), Instant::now());
+    let (bad, rare) = (request("/bad"), request("/rare"));
+
+    for wave in 0..2_u32 {
+        for server in 0..4 {
+            let number = wave as usize * 4 + server;
+            let mut running = vec![bad.clone()];
+            running.extend((server == 0).then(|| rare.clone()));
+            let at = now + millis(1_300) * wave + millis(20 * server as u64);
+            crash(&mut table, number, &running, at);
+        }
+    }
+
+    assert!(is_quarantined(&mut table, &bad, now + millis(2_100)));
+    let later = now + millis(2_100);
+    assert_eq!(status(&mut table, &rare, later), QuarantineStatus::Clear);
+}
+
+/// Failure: two relays tell each other of one answer for as long as there is something to clear.
+#[test]
+fn answer_that_clears_nothing_is_not_told_on() {
+    let (mut here, mut there, now) = (Quarantine::default(), Quarantine::default(), Instant::now());
+    let popular = request("/popular");
+    crash(&mut here, 0, std::slice::from_ref(&popular), now);
+    tell(&here, &mut there, now + millis(50));
+    answer(&mut here, &popular, now + millis(100));
+    let messages = here.messages(Audience::OtherDomains, false, now + millis(200));
+
+    // It clears the first crash, and came before the second one.
+    let first = messages.iter().map(|m| there.apply(m, now + millis(230)));
+    let first: Vec<bool> = first.collect();
+    crash(
+        &mut there,
+        1,
+        std::slice::from_ref(&popular),
+        now + millis(900),
+    );
+    let again = messages.iter().map(|m| there.apply(m, now + millis(240)));
+    let again: Vec<bool> = again.collect();
+
+    assert!(first.contains(&true));
+    assert!(!again.contains(&true));
+    assert_eq!(there.earlier_crashes(popular.fingerprints.request), 1);
+}
