--- a/crates/hawthornmill-gateway/src/gateway/updates.rs
+++ b/crates/hawthornmill-gateway/src/gateway/updates.rs
@@ -140,16 +140,16 @@
         registry.mark_unconfirmed(server, revision, self.now());
     }
 
-    /// Applies what a peer reports of crashed servers and quarantined requests.
-    pub fn apply_quarantine_report(&self, report: &QuarantineReport) {
-        let is_new = self.quarantine.borrow_mut().apply(report, self.now());
-        if is_new {
-            self.log_quarantine();
-            self.quarantine_wakeup.notify_waiters();
+    /// Applies what a peer tells of ended servers and quarantined requests.
+    pub fn apply_quarantine_report(&self, news: &QuarantineReport) {
+        let mut quarantine = self.quarantine.borrow_mut();
+        if quarantine.apply(news, self.now()) {
+            drop(quarantine);
+            self.announce_quarantine();
         }
     }
 
-    /// Logs what changed in the quarantine, and tells held requests and, at once, other instances.
+    /// Logs what changed in the quarantine, and tells held requests and other instances.
     pub fn announce_quarantine(&self) {
         self.log_quarantine();
         self.quarantine_wakeup.notify_waiters();
--- a/crates/hawthornmill-gateway/src/gossip.rs
+++ b/crates/hawthornmill-gateway/src/gossip.rs
@@ -150,6 +150,9 @@
     round: u64,
     now: Instant,
 ) {
+    if gateway.quarantine.borrow().is_idle() {
+        return;
+    }
     gateway.quarantine.borrow_mut().update(now);
     gateway.log_quarantine();
     let (audience, targets) = nearby_instances(gateway, now);
--- a/crates/hawthornmill-gateway/src/proxy/quarantine.rs
+++ b/crates/hawthornmill-gateway/src/proxy/quarantine.rs
@@ -4,7 +4,7 @@
 use hawthornmill::ident::mix;
 use hawthornmill::quarantine::evidence::PROGRESS_EVENTS;
 use hawthornmill::quarantine::fingerprint::{Fingerprint, Fingerprints, RequestContent};
-use hawthornmill::quarantine::table::{Cleared, QuarantineStatus, Quarantined};
+use hawthornmill::quarantine::table::{QuarantineStatus, Quarantined};
 use hawthornmill::routing::recent::Source;
 use hawthornmill::routing::request::{Cause, Refusal};
 use serde_json::json;
@@ -37,13 +37,15 @@
 /// Returns what may be done with the request now.
 pub fn status(context: RequestContext<'_>, admitted: &Admitted) -> QuarantineStatus {
     let gateway = context.gateway;
-    if !gateway.quarantine.borrow_mut().blocks_any(gateway.now()) {
+    if gateway.quarantine.borrow().is_idle() {
         return QuarantineStatus::Clear;
     }
-    gateway.log_quarantine();
     let fingerprints = fingerprints(context.request, admitted);
     let mut quarantine = gateway.quarantine.borrow_mut();
-    quarantine.status(&fingerprints, gateway.now())
+    let status = quarantine.status(&fingerprints, gateway.now());
+    drop(quarantine);
+    gateway.log_quarantine();
+    status
 }
 
 /// Waits while it is uncertain whether servers crash under the request.
@@ -84,12 +86,12 @@
 /// Returns whether the request may be sent again after its connection broke.
 pub fn allows_retry(context: RequestContext<'_>, admitted: &Admitted) -> bool {
     let quarantine = context.gateway.quarantine.borrow();
-    !quarantine.needs_answers() || quarantine.allows_retry(&fingerprints(context.request, admitted))
+    quarantine.is_idle() || quarantine.allows_retry(&fingerprints(context.request, admitted))
 }
 
 /// Records that a server answered the request completely.
 pub fn record_answer(context: RequestContext<'_>, admitted: &Admitted, status: u16) {
-    if status < 400 && context.gateway.quarantine.borrow().needs_answers() {
+    if status < 400 && !context.gateway.quarantine.borrow().is_idle() {
         clear(context, fingerprints(context.request, admitted).all());
     }
 }
@@ -99,7 +101,7 @@
 /// Once it has gone on for some, the parts of its prompt are not what crashes servers.
 pub fn record_events(context: RequestContext<'_>, admitted: &Admitted, events: u32, count: u32) {
     let is_first = events >= PROGRESS_EVENTS && events - count < PROGRESS_EVENTS;
-    if is_first && context.gateway.quarantine.borrow().needs_answers() {
+    if is_first && !context.gateway.quarantine.borrow().is_idle() {
         let parts = fingerprints(context.request, admitted).parts;
         clear(context, parts.into_iter());
     }
@@ -108,13 +110,12 @@
 fn clear(context: RequestContext<'_>, answered: impl Iterator<Item = Fingerprint>) {
     let (gateway, now) = (context.gateway, context.gateway.now());
     let mut quarantine = gateway.quarantine.borrow_mut();
-    let mut cleared = Cleared::Nothing;
+    let mut is_new = false;
     for fingerprint in answered {
-        cleared = cleared.max(quarantine.record_answer(fingerprint, now, Source::Own, now));
+        is_new |= quarantine.record_answer(fingerprint, now, Source::Own, now);
     }
     drop(quarantine);
-    // Other answers are told with the next report: after a crash, there are many of them.
-    if cleared == Cleared::Block {
+    if is_new {
         gateway.announce_quarantine();
     }
 }
--- a/crates/hawthornmill-net/src/quarantine.rs
+++ b/crates/hawthornmill-net/src/quarantine.rs
@@ -11,7 +11,7 @@
 use hawthornmill::quarantine::evidence::RunningRequest;
 use hawthornmill::quarantine::fingerprint::{Fingerprints, RequestContent};
 use hawthornmill::quarantine::report::QuarantineReport;
-use hawthornmill::quarantine::table::{Change, Cleared, Quarantine, QuarantineStatus};
+use hawthornmill::quarantine::table::{Change, Quarantine, QuarantineStatus};
 use hawthornmill::routing::recent::{Audience, Source};
 use hawthornmill::routing::registry::ServerRun;
 use hawthornmill::wire::message::Message;
@@ -63,10 +63,10 @@
     let quarantine = &fleet.quarantine;
     loop {
         let changed = quarantine.changed.notified();
-        let now = fleet.clock.now();
-        if !quarantine.table().blocks_any(now) {
+        if quarantine.table().is_idle() {
             return Ok(());
         }
+        let now = fleet.clock.now();
         let status = quarantine.table().status(&fingerprints(call), now);
         log_changes(fleet);
         match status {
@@ -159,20 +159,20 @@
 /// Returns whether `call` may be sent again after its connection broke.
 pub fn allows_retry(fleet: &Fleet, call: &Call) -> bool {
     let table = fleet.quarantine.table();
-    !table.needs_answers() || table.allows_retry(&fingerprints(call))
+    table.is_idle() || table.allows_retry(&fingerprints(call))
 }
 
 /// Records that a server answered `call` completely.
 pub fn record_answer(fleet: &Fleet, call: &Call) {
     let now = fleet.clock.now();
     let mut table = fleet.quarantine.table();
-    if !table.needs_answers() {
+    if table.is_idle() {
         return;
     }
     let request = fingerprints(call).request;
-    let cleared = table.record_answer(request, now, Source::Own, now);
+    let is_new = table.record_answer(request, now, Source::Own, now);
     drop(table);
-    if cleared != Cleared::Nothing {
+    if is_new {
         announce(fleet);
     }
 }
--- a/crates/hawthornmill/src/quarantine/report.rs
+++ b/crates/hawthornmill/src/quarantine/report.rs
@@ -125,20 +125,20 @@
         let mut messages = Messages::default();
         for ((run, at, running), _) in self.crashes.select(now, audience, MAX_ITEMS) {
             let bytes = ITEM_BYTES + running.iter().map(encoded_bytes).sum::<usize>();
-            messages.with_space(bytes).crashes.push(CrashReport {
+            messages.with_room(bytes).crashes.push(CrashReport {
                 run,
                 age_ms: millis(now.duration_since(at)),
                 running,
             });
         }
         for ((fingerprint, at), _) in self.answers.select(now, audience, MAX_ITEMS) {
-            messages.with_space(ITEM_BYTES).answers.push(AnswerReport {
+            messages.with_room(ITEM_BYTES).answers.push(AnswerReport {
                 fingerprint,
                 age_ms: millis(now.duration_since(at)),
             });
         }
         for entry in entries {
-            messages.with_space(ITEM_BYTES).entries.push(*entry);
+            messages.with_room(ITEM_BYTES).entries.push(*entry);
         }
         messages.all
     }
@@ -153,8 +153,8 @@
 }
 
 impl Messages {
-    /// Returns a message that has space for another `bytes`.
-    fn with_space(&mut self, bytes: usize) -> &mut QuarantineReport {
+    /// Returns a message that has room for another `bytes`.
+    fn with_room(&mut self, bytes: usize) -> &mut QuarantineReport {
         if self.all.is_empty() || self.bytes + bytes > MESSAGE_BYTES {
             self.all.push(QuarantineReport::default());
             self.bytes = 0;
--- a/crates/hawthornmill/src/quarantine/table.rs
+++ b/crates/hawthornmill/src/quarantine/table.rs
@@ -15,7 +15,7 @@
 /// cause.
 const DECISION_DELAY: Duration = Duration::from_millis(600);
 /// Shortest time between two searches for causes; in a large fleet, reports of a crash come from hundreds of instances.
-const SEARCH_INTERVAL: Duration = Duration::from_millis(200);
+const SEARCH_INTERVAL: Duration = Duration::from_millis(100);
 /// Time without a request after which a quarantine crashes; one more crash renews it.
 pub const QUARANTINE_TTL: Duration = Duration::from_mins(10);
 /// Time for which a quarantine that has crashed is remembered.
@@ -67,18 +67,6 @@
     Expired(Fingerprint),
 }
 
-/// What an answer cleared.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Cleared {
-    /// Nothing that wasn't cleared before.
-    Nothing,
-    /// A suspicion.
-    Suspicion,
-    /// What was held or refused.
-    Block,
-}
-
-/// What is refused.
 #[derive(Debug, Clone, Copy)]
 struct Entry {
     crashes: u32,
@@ -106,15 +94,9 @@
 }
 
 impl Quarantine {
-    /// Returns whether answers tell anything: some request is suspected or quarantined, or was.
-    pub fn needs_answers(&self) -> bool {
-        !(self.evidence.is_empty() && self.entries.is_empty() && self.expired.is_empty())
-    }
-
-    /// Returns whether some request is held or refused at `now`.
-    pub fn blocks_any(&mut self, now: Instant) -> bool {
-        self.update(now);
-        !(self.held.is_empty() && self.entries.is_empty())
+    /// Returns whether nothing is known of any request, so that none needs a look.
+    pub fn is_idle(&self) -> bool {
+        self.evidence.is_empty() && self.entries.is_empty() && self.expired.is_empty()
     }
 
     /// Sets the requests that are never held or refused.
@@ -188,39 +170,32 @@
         !new.is_empty()
     }
 
-    /// Records that a request was answered completely at `at`, and returns what that cleared.
-    ///
-    /// Instances tell each other of answers; one that clears nothing is not told on.
+    /// Records that a request was answered completely at `at`, if a server crashed under it; returns whether one did.
     pub fn record_answer(
         &mut self,
         fingerprint: Fingerprint,
         at: Instant,
         source: Source,
         now: Instant,
-    ) -> Cleared {
-        let was_expired = self.expired.remove(&fingerprint).is_some();
+    ) -> bool {
+        let is_expired = self.expired.remove(&fingerprint).is_some();
         let entry = self.entries.get(&fingerprint);
-        let is_wrong = entry.is_some_and(|e| e.since <= at);
-        if !is_wrong && !was_expired && !self.evidence.is_cleared_by(fingerprint, at) {
-            return Cleared::Nothing;
+        let is_wrong = entry.is_some_and(|v| v.since <= at);
+        if !is_wrong && !is_expired && !self.evidence.is_suspected(fingerprint) {
+            return false;
         }
         self.evidence.record_answer(fingerprint, at);
         self.recent.record_answer(fingerprint, at, source, now);
-        self.changed_at = Some(now);
         if is_wrong {
             self.entries.remove(&fingerprint);
             self.changes.push(Change::Cleared(fingerprint));
         }
-        let is_suspected = self.evidence.is_suspected(fingerprint);
-        let was_held = !is_suspected && self.held.remove(&fingerprint).is_some();
-        if is_wrong || was_held {
-            Cleared::Block
-        } else {
-            Cleared::Suspicion
-        }
+        self.held.remove(&fingerprint);
+        self.changed_at = Some(now);
+        true
     }
 
-    /// Takes over what another instance reports; returns whether some of it is new.
+    /// Takes over what another instance tells; returns whether some of it is new.
     pub fn apply(&mut self, report: &QuarantineReport, now: Instant) -> bool {
         let mut is_new = false;
         let before = |age_ms: u32| {
@@ -231,25 +206,24 @@
             let at = before(crash.age_ms);
             is_new |= self.record_crash(crash.run, at, &crash.running, Source::Peer, now);
         }
-        for answer in &report.answers {
-            let at = before(answer.age_ms);
-            let cleared = self.record_answer(answer.fingerprint, at, Source::Peer, now);
-            is_new |= cleared != Cleared::Nothing;
+        for answers in &report.answers {
+            let at = before(answers.age_ms);
+            is_new |= self.record_answer(answers.fingerprint, at, Source::Peer, now);
         }
-        for entry in &report.entries {
-            is_new |= self.apply_entry(entry, before(entry.age_ms), before(entry.idle_ms), now);
+        for told in &report.entries {
+            is_new |= self.apply_entry(told, before(told.age_ms), before(told.idle_ms), now);
         }
         is_new
     }
 
     fn apply_entry(
         &mut self,
-        report: &EntryReport,
+        told: &EntryReport,
         since: Instant,
         refused_at: Instant,
         now: Instant,
     ) -> bool {
-        let fingerprint = report.fingerprint;
+        let fingerprint = told.fingerprint;
         let is_over =
             now.duration_since(refused_at) >= QUARANTINE_TTL || self.exempt.contains(&fingerprint);
         if is_over || self.evidence.is_answered_since(fingerprint, since) {
@@ -257,16 +231,16 @@
         }
         if let Some(known) = self.entries.get_mut(&fingerprint) {
             known.refused_at = known.refused_at.max(refused_at);
-            known.crashes = known.crashes.max(report.crashes);
+            known.crashes = known.crashes.max(told.crashes);
             return false;
         }
         let expired = &self.expired;
         let causes = self.evidence.causes(|f| expired.contains_key(&f));
-        if self.is_superseded(fingerprint, report.crashes, &causes) {
+        if self.is_superseded(fingerprint, told.crashes, &causes) {
             return false;
         }
         let entry = Entry {
-            crashes: report.crashes,
+            crashes: told.crashes,
             since,
             refused_at,
         };
--- a/tests/soak/crashes.rs
+++ b/tests/soak/crashes.rs
@@ -63,6 +63,6 @@
     let late = late.count();
     (late > MAX_LATE).then(|| {
         let what = format!("{late} more, {} servers crashed", crashes.len());
-        breach("requests that crash servers are stopped", "", what)
+        breach("requests that end servers are stopped", "", what)
     })
 }
--- a/tests/testsuite/gateway/quarantine.rs
+++ b/tests/testsuite/gateway/quarantine.rs
@@ -12,7 +12,7 @@
 
 /// Time after which a server that crashed is back.
 const RESTART_PAUSE: Duration = Duration::from_millis(1_500);
-/// Time between two requests that crash servers.
+/// Time between two requests that end servers.
 const BAD_INTERVAL: Duration = Duration::from_millis(240);
 /// Time between two sound requests.
 const SOUND_INTERVAL: Duration = Duration::from_millis(30);
@@ -39,19 +39,19 @@
     started: Instant,
     /// When servers crashed, in order.
     crashes: Vec<Instant>,
-    /// When requests that crash servers reached one.
+    /// When requests that end servers reached one.
     bad_arrivals: Vec<Instant>,
     bad: Vec<Attempt>,
     sound: Vec<Attempt>,
 }
 
 impl Outcome {
-    /// Returns the number of requests that reached servers later than the detection time after crash `number`.
+    /// Returns the number of requests that reached servers later than the detection time after end `number`.
     fn late_arrivals(&self, number: usize) -> usize {
-        let Some(crash) = self.crashes.get(number - 1) else {
+        let Some(end) = self.crashes.get(number - 1) else {
             return 0;
         };
-        let bound = *crash + DETECTION_TIME;
+        let bound = *end + DETECTION_TIME;
         self.bad_arrivals.iter().filter(|at| **at > bound).count()
     }
 
@@ -102,7 +102,7 @@
     done
 }
 
-/// Plays clients whose requests crash servers beside others, while servers that crashed come back.
+/// Plays clients whose requests end servers beside others, while servers that crashed come back.
 async fn play(
     fleet: &Fleet,
     length: Duration,
--- a/tests/testsuite/gateway/server_crashes.rs
+++ b/tests/testsuite/gateway/server_crashes.rs
@@ -13,7 +13,7 @@
 
 /// Failure: the log tells that answers broke off, and not that their server crashed, nor what it ran then.
 #[test]
-fn log_tells_which_requests_a_server_ran_when_it_crashed() {
+fn log_tells_which_requests_a_server_ran_when_it_ended() {
     block_on(async {
         let fleet = Fleet::start(1, 1).await;
         fleet.servers[0].script(&[Behavior::RespondAfterMs(5_000), Behavior::CrashAfter(0)]);
@@ -28,7 +28,7 @@
         .await;
         let ending = send_request(front, request("POST", "/whole/", "e", PROMPT).as_bytes()).await;
         let waited = waiting.await.expect("the request crashes");
-        wait_until("the crash is logged", || async {
+        wait_until("the end is logged", || async {
             !fleet.gateways[0].logged("server_crashed").is_empty()
         })
         .await;
@@ -53,7 +53,7 @@
     });
 }
 
-/// Failure: a connection that is reset counts as the crash of its server.
+/// Failure: a connection that is reset counts as the end of its server.
 #[test]
 fn broken_connections_of_a_running_server_are_no_end() {
     block_on(async {
@@ -82,7 +82,7 @@
     });
 }
 
-/// Failure: a server that leaves closes the connections of its last requests, and that counts as a crash.
+/// Failure: a server that leaves closes the connections of its last requests, and that counts as an unexpected end.
 #[test]
 fn connections_of_a_draining_server_close_as_expected() {
     block_on(async {
@@ -114,7 +114,7 @@
     });
 }
 
-/// Failure: a proxy in front of a server takes connections after the server has crashed, and its crash is never known.
+/// Failure: a proxy in front of a server takes connections after the server has crashed, and its end is never known.
 #[test]
 fn server_behind_a_proxy_crashes() {
     block_on(async {
@@ -132,7 +132,7 @@
 
         let text = request("POST", "/whole/", "e", PROMPT);
         let _broken = send_request(fleet.gateways[0].front(), text.as_bytes()).await;
-        wait_until("the crash is logged", || async {
+        wait_until("the end is logged", || async {
             !fleet.gateways[0].logged("server_crashed").is_empty()
         })
         .await;
--- a/tests/testsuite/quarantine/simulation.rs
+++ b/tests/testsuite/quarantine/simulation.rs
@@ -95,7 +95,7 @@
 }
 
 impl Outcome {
-    /// Returns the prompts that reached servers later than four seconds after the fifth crash.
+    /// Returns the prompts that reached servers later than four seconds after the fifth end.
     fn late(&self) -> usize {
         let Some(fifth) = self.bad_crashes.get(4) else {
             return 0;
@@ -352,7 +352,7 @@
     assert!(refused * 100 <= sound, "{refused} of {sound} refused");
 }
 
-/// Failure: of many parts at each crash, rare and popular ones, the bad one isn't found, or a sound one with it.
+/// Failure: of many parts at each end, rare and popular ones, the bad one isn't found, or a sound one with it.
 #[test]
 fn bad_part_among_rare_and_popular_ones_is_found() {
     for (first_parts, second_parts) in [(8, 312), (1, 20), (40, 3)] {
--- a/tests/testsuite/server_crashes.rs
+++ b/tests/testsuite/server_crashes.rs
@@ -1,4 +1,4 @@
-//! Calls through real routers that crash the servers which run them.
+//! Calls through real routers that end the servers which run them.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -21,7 +21,7 @@
 const DETECTION_TIME: Duration = Duration::from_secs(4);
 const ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 13\r\n\r\n{\"running\":0}";
 
-/// When servers crashed, and when calls that crash servers reached one.
+/// When servers crashed, and when calls that end servers reached one.
 #[derive(Debug, Default)]
 struct Seen {
     crashes: Vec<Instant>,
@@ -33,7 +33,7 @@
 }
 
 /// Answers one request after another; returns once one comes that crashes the server.
-async fn serve(mut stream: TcpStream, seen: Arc<Mutex<Seen>>, crash: mpsc::Sender<()>) {
+async fn serve(mut stream: TcpStream, seen: Arc<Mutex<Seen>>, end: mpsc::Sender<()>) {
     let mut bytes = vec![0; 4_096];
     while let Ok(count) = stream.read(&mut bytes).await {
         if count == 0 {
@@ -42,7 +42,7 @@
         let text = String::from_utf8_lossy(&bytes[..count]);
         if text.contains("/bad") {
             lock(&seen).bad.push(Instant::now());
-            let _sent = crash.send(()).await;
+            let _ended = end.send(()).await;
             return std::future::pending().await;
         }
         if stream.write_all(ANSWER.as_bytes()).await.is_err() {
@@ -56,11 +56,11 @@
     loop {
         let listener = TcpListener::bind(address).await.expect("the port is free");
         let mut connections = JoinSet::new();
-        let (crash, mut crashed) = mpsc::channel(1);
+        let (end, mut crashed) = mpsc::channel(1);
         loop {
             tokio::select! {
                 Ok((stream, _)) = listener.accept() => {
-                    connections.spawn(serve(stream, Arc::clone(&seen), crash.clone()));
+                    connections.spawn(serve(stream, Arc::clone(&seen), end.clone()));
                 }
                 _ = crashed.recv() => break,
             }
