--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -6,7 +6,7 @@
 //! | [`start_wait`] | a request of a process that has just started | the same, once it can be admitted |
 //! | [`admission`] | a request and the catalog | an [`admission::Admitted`], or an [`error_response::ErrorResponse`] |
 //! | queue | an admitted request | a server chosen by the scheduler |
-//! | [`mod@send`] | a request and its server | a [`send::SendOutcome`] |
+//! | [`connect`], [`mod@send`] | a request and its server | a [`send::SendOutcome`] |
 //! | [`hedge`] | a request that may be repeated, and its server | the same, of the first good answer of two servers |
 //! | [`response_reader`], [`response_limits`], [`held_bytes`] | bytes of a server | the head of its answer, or why its connection is closed |
 //! | [`forward`], [`events`] | a server's response | bytes to the client |
@@ -15,6 +15,7 @@
 //! Only [`retry`] decides whether a request is sent again.
 
 pub mod admission;
+pub mod connect;
 pub mod error_response;
 pub mod events;
 pub mod forward;
--- a/crates/hawthornmill-gateway/src/proxy/send.rs
+++ b/crates/hawthornmill-gateway/src/proxy/send.rs
@@ -7,7 +7,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -18,8 +17,6 @@
 use hawthornmill::routing::registry::ServerRun;
 use serde_json::json;
 use tokio::net::TcpStream;
-use tokio::sync::oneshot;
-use tokio::task::spawn_local;
 
 use super::admission::Admitted;
 use super::forward::ReadAhead;
@@ -28,13 +25,13 @@
 use super::read::ClientRequest;
 use super::response_limits::{CutReason, MAX_REFUSAL_BYTES, MAX_REFUSAL_TIME};
 use super::response_reader::{AnswerHead, Expected, ResponseReader};
-use super::{RequestContext, hedge, quarantine, retry};
+use super::{RequestContext, connect, hedge, quarantine, retry};
 use crate::event_log;
 use crate::gateway::Gateway;
 use crate::http::body::{BodyDecoder, Decoded};
 use crate::http::head::{Framing, ResponseHead};
 use crate::http::write::MessageBuffer;
-use crate::pool::{self, Upstream};
+use crate::pool::Upstream;
 use crate::server_speeds;
 
 /// Status of a server that is not the expected one and did not execute the request.
@@ -158,7 +155,7 @@
     let now = gateway.now();
     let once = admitted.retry_policy == RetryPolicy::AtMostOnce;
     let taken = if hedge::is_hedgeable(context, admitted) {
-        acquire_detached(context, server, address).await
+        connect::acquire_detached(context, server, address).await
     } else {
         gateway.pool.acquire(server, address, once, now).await
     };
@@ -229,39 +226,6 @@
     }
 }
 
-/// Returns an idle connection, or opens one in a task of its own, which outlasts a copy that is cancelled.
-///
-/// Otherwise a server that drops connects would never be known as unreachable: the other copy answers first.
-async fn acquire_detached(
-    context: RequestContext<'_>,
-    server: ServerId,
-    address: SocketAddr,
-) -> io::Result<Upstream> {
-    let gateway = Rc::clone(context.gateway);
-    if let Some(idle) = gateway.pool.take(server, false, gateway.now()) {
-        return Ok(idle);
-    }
-    let attempt_id = context.request.attempt_id.clone();
-    let (sender, connected) = oneshot::channel();
-    spawn_local(async move {
-        let result = pool::connect(address).await.map(Upstream::new);
-        match sender.send(result) {
-            Ok(()) => {}
-            Err(Ok(upstream)) => {
-                let (max_idle, now) = (gateway.max_idle(server), gateway.now());
-                gateway.pool.put_back(server, upstream, None, max_idle, now);
-            }
-            Err(Err(error)) => {
-                retry::record_unreachable(&gateway, &attempt_id, server, &error.to_string());
-            }
-        }
-    });
-    // The sender is only dropped together with the runtime.
-    connected
-        .await
-        .unwrap_or_else(|_ended| Err(io::ErrorKind::Interrupted.into()))
-}
-
 /// Returns how long a server may be silent before the request is sent to another one.
 pub fn silence_limit(admitted: &Admitted, placement: &Placement) -> Duration {
     admitted.request.objective.mul_f64(ABANDON_FACTOR) + placement.expected_ttft * 2
