--- a/crates/hawthornmill-gateway/src/daemon.rs
+++ b/crates/hawthornmill-gateway/src/daemon.rs
@@ -211,6 +211,7 @@
     scheduler.fetches_prefixes = settings.fetches_prefixes;
     scheduler.hedging.set_config(settings.hedging);
     scheduler.long_prompts.ratio = settings.long_prompt_ratio;
+    scheduler.long_prompts.max_slots = settings.long_prompt_slots;
     let tolerance = settings.guarantees.cold_tolerance;
     scheduler.cold_limiter.set_tolerance(tolerance);
     drop(scheduler);
--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -174,6 +174,7 @@
         scheduler.regions.clone_from(&settings.regions);
         scheduler.fetches_prefixes = settings.fetches_prefixes;
         scheduler.long_prompts.ratio = settings.long_prompt_ratio;
+        scheduler.long_prompts.max_slots = settings.long_prompt_slots;
         scheduler.loads.speeds.set_seed(id.0);
         scheduler.hedging.set_config(settings.hedging);
         let mut quarantine = Quarantine::default();
--- a/crates/hawthornmill-gateway/src/settings.rs
+++ b/crates/hawthornmill-gateway/src/settings.rs
@@ -104,6 +104,8 @@
     pub hedging: HedgingConfig,
     /// Fraction of what others get that long prompts get at least; 0 for no such aim.
     pub long_prompt_ratio: f64,
+    /// Most slots of an engine for whose service there is such an aim.
+    pub long_prompt_slots: u32,
     /// Requests that are never quarantined.
     pub exempt: Vec<Fingerprint>,
     /// Least severe level that is logged.
@@ -171,6 +173,7 @@
             fetches_prefixes: fetches_prefixes(&mut reader, &one("policy")),
             hedging: hedging(&mut reader, &one("hedging")),
             long_prompt_ratio: long_prompt_ratio(&mut reader, &one("policy")),
+            long_prompt_slots: long_prompt_slots(&mut reader, &one("policy")),
             exempt: exempt(&mut reader, &one("policy")),
             level: level(&mut reader, &one("telemetry")),
         };
@@ -285,7 +288,12 @@
 fn fetches_prefixes(reader: &mut Reader<'_>, section: &Section) -> bool {
     reader.reject_unknown_keys(
         section,
-        &["fetch_prefixes", "long_prompt_ratio", "never_quarantine"],
+        &[
+            "fetch_prefixes",
+            "long_prompt_ratio",
+            "long_prompt_slots",
+            "never_quarantine",
+        ],
     );
     reader.choice(
         section,
@@ -314,6 +322,11 @@
     reader.number_in(section, "long_prompt_ratio", 0.0, 0.0..=1.0)
 }
 
+fn long_prompt_slots(reader: &mut Reader<'_>, section: &Section) -> u32 {
+    let most = f64::from(u32::MAX);
+    reader.number_in(section, "long_prompt_slots", most, 1.0..=most) as u32
+}
+
 /// Reads the fingerprints of requests that are never quarantined, in hexadecimal.
 fn exempt(reader: &mut Reader<'_>, section: &Section) -> Vec<Fingerprint> {
     let Some(entry) = section.get("never_quarantine") else {
--- a/crates/hawthornmill/src/routing/long_prompts.rs
+++ b/crates/hawthornmill/src/routing/long_prompts.rs
@@ -12,6 +12,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use super::catalog::Engine;
 use crate::ident::RouteId;
 
 /// Time constant over which the fraction of placed requests is averaged.
@@ -82,14 +83,33 @@
 }
 
 /// How many long prompts this instance owes, by route.
-#[derive(Debug, Clone, Default)]
+///
+/// An engine with many slots has room for a long prompt beside what it runs, so that the aim would only delay others.
+#[derive(Debug, Clone)]
 pub struct LongPrompts {
     /// Fraction of what others get that long prompts get at least; 0 for no such aim.
     pub ratio: f64,
+    /// Most slots of an engine for whose service there is such an aim.
+    pub max_slots: u32,
     counts: BTreeMap<RouteId, Counts>,
 }
 
+impl Default for LongPrompts {
+    fn default() -> Self {
+        Self {
+            ratio: 0.0,
+            max_slots: u32::MAX,
+            counts: BTreeMap::new(),
+        }
+    }
+}
+
 impl LongPrompts {
+    /// Returns whether there is an aim for the services of `engine`.
+    pub fn applies(&self, engine: Option<Engine>) -> bool {
+        self.ratio > 0.0 && engine.is_some_and(|e| e.slots <= self.max_slots)
+    }
+
     /// Records that a request of `cost` tokens arrived.
     pub fn record_arrival(&mut self, route: RouteId, cost: f64, now: Instant) {
         if self.ratio <= 0.0 {
--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -421,9 +421,9 @@
         let uncontended = !self.is_contended(request, now);
         let share = self.share_of(request);
         let capacity_fraction = allowance::capacity_fraction(share, uncontended);
-        let is_owed = self
-            .long_prompts
-            .is_owed(request.route, request.shape.cost());
+        let long = &self.long_prompts;
+        let is_owed =
+            long.applies(request.engine) && long.is_owed(request.route, request.shape.cost());
         let view = PlacementView {
             registry: &self.registry,
             loads: &self.loads,
