--- a/review/common/kit.rs
+++ b/review/common/kit.rs
@@ -125,6 +125,10 @@
 /// Time for which the store keeps its history.
 const HISTORY: Duration = Duration::from_secs(20);
 
+/// Items and bytes from which on the next page begins.
+const PAGE_ITEMS: usize = 500;
+const PAGE_BYTES: usize = 1_000_000;
+
 struct Change {
     key: String,
     revision: u64,
@@ -256,12 +260,17 @@
         let after = query(path, "afterRevision").unwrap_or("");
         let state = self.state.lock().unwrap();
         let items = state.items.iter();
-        let items = items.filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
-        let entries: Vec<String> = items
-            .map(|(key, (value, revision, created))| item(key, value, *revision, *created))
-            .collect();
-        let revision = state.revision;
-        format!(r#"{{"entries":[{}],"hasMore":false,"asOf":{revision}}}"#, entries.join(","))
+        let mut items = items
+            .filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after)
+            .peekable();
+        let (mut entries, mut bytes) = (Vec::new(), 0);
+        while let Some((key, (value, revision, created))) = items.next_if(|_| entries.len() < PAGE_ITEMS && bytes < PAGE_BYTES) {
+            let entry = item(key, value, *revision, *created);
+            bytes += entry.len();
+            entries.push(entry);
+        }
+        let (has_more, revision) = (items.peek().is_some(), state.revision);
+        format!(r#"{{"entries":[{}],"hasMore":{has_more},"asOf":{revision}}}"#, entries.join(","))
     }
 
     /// Waits for changes; `None` if some of them are no longer kept.
