--- a/review/common/kit.rs
+++ b/review/common/kit.rs
@@ -91,7 +91,9 @@
 /// Reads a message whose body has a length, or none; `None` if the channel ends before its end.
 pub fn read_message(reader: &mut impl BufRead) -> Option<Message> {
     let mut message = read_head(reader)?;
-    let length = message.header("content-length").and_then(|l| l.parse().ok());
+    let length = message
+        .header("content-length")
+        .and_then(|l| l.parse().ok());
     let mut body = vec![0; length.unwrap_or(0)];
     reader.read_exact(&mut body).ok()?;
     message.body = body;
@@ -195,7 +197,12 @@
         state.items.insert(key.into(), item);
         let written = Some((value.as_bytes().to_vec(), created));
         let at = Instant::now();
-        state.changes.push(Change { key: key.into(), revision, at, written });
+        state.changes.push(Change {
+            key: key.into(),
+            revision,
+            at,
+            written,
+        });
         self.changed.notify_all();
         at
     }
@@ -207,7 +214,12 @@
         let revision = state.revision;
         state.items.remove(key);
         let at = Instant::now();
-        state.changes.push(Change { key: key.into(), revision, at, written: None });
+        state.changes.push(Change {
+            key: key.into(),
+            revision,
+            at,
+            written: None,
+        });
         self.changed.notify_all();
         at
     }
@@ -264,13 +276,18 @@
             .filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after)
             .peekable();
         let (mut entries, mut bytes) = (Vec::new(), 0);
-        while let Some((key, (value, revision, created))) = items.next_if(|_| entries.len() < PAGE_ITEMS && bytes < PAGE_BYTES) {
+        while let Some((key, (value, revision, created))) =
+            items.next_if(|_| entries.len() < PAGE_ITEMS && bytes < PAGE_BYTES)
+        {
             let entry = item(key, value, *revision, *created);
             bytes += entry.len();
             entries.push(entry);
         }
         let (has_more, revision) = (items.peek().is_some(), state.revision);
-        format!(r#"{{"entries":[{}],"hasMore":{has_more},"asOf":{revision}}}"#, entries.join(","))
+        format!(
+            r#"{{"entries":[{}],"hasMore":{has_more},"asOf":{revision}}}"#,
+            entries.join(",")
+        )
     }
 
     /// Waits for changes; `None` if some of them are no longer kept.
@@ -278,7 +295,8 @@
         let prefix = query(path, "pathPrefix").unwrap_or("");
         let number_of = |name: &str| query(path, name).and_then(|v| v.parse::<u64>().ok());
         let after = number_of("afterRevision").unwrap_or(0);
-        let end = Instant::now() + Duration::from_millis(number_of("waitMs").unwrap_or(0).min(30_000));
+        let end =
+            Instant::now() + Duration::from_millis(number_of("waitMs").unwrap_or(0).min(30_000));
         let mut state = self.state.lock().unwrap();
         loop {
             let is_old = |c: &Change| c.at.elapsed() > HISTORY;
@@ -294,13 +312,19 @@
             let events: Vec<String> = changes
                 .map(|c| match &c.written {
                     Some((value, created)) => item(&c.key, value, c.revision, *created),
-                    None => format!(r#"{{"key":"{}","revision":{},"deleted":true}}"#, c.key, c.revision),
+                    None => format!(
+                        r#"{{"key":"{}","revision":{},"deleted":true}}"#,
+                        c.key, c.revision
+                    ),
                 })
                 .collect();
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() || state.silent_to >= number {
                 let revision = state.revision;
-                return Some(format!(r#"{{"events":[{}],"asOf":{revision}}}"#, events.join(",")));
+                return Some(format!(
+                    r#"{{"events":[{}],"asOf":{revision}}}"#,
+                    events.join(",")
+                ));
             }
             state = self.changed.wait_timeout(state, left).unwrap().0;
         }
@@ -309,7 +333,9 @@
 
 fn item(key: &str, value: &[u8], revision: u64, created: u64) -> String {
     let value = base64(value);
-    format!(r#"{{"key":"{key}","value":"{value}","revision":{revision},"created":{created},"lease":0}}"#)
+    format!(
+        r#"{{"key":"{key}","value":"{value}","revision":{revision},"created":{created},"lease":0}}"#
+    )
 }
 
 /// Settings of a gateway process, as `deploy/gateway.ini` gives them on a small installation.
@@ -351,7 +377,8 @@
         let all = [ports.front, ports.ready, ports.directory, ports.peer, 7410];
         let is_free = (0..=machines).all(|m| {
             let ip = Ipv4Addr::new(127, net[0], net[1], m + 1);
-            all.iter().all(|port| TcpListener::bind((ip, *port)).is_ok())
+            all.iter()
+                .all(|port| TcpListener::bind((ip, *port)).is_ok())
         });
         if is_free {
             return (net, ports);
@@ -368,7 +395,13 @@
 }
 
 impl Gateway {
-    pub fn new(dir: &Path, machine: Machine, ports: Ports, seeds: &[Ipv4Addr], store: SocketAddr) -> Self {
+    pub fn new(
+        dir: &Path,
+        machine: Machine,
+        ports: Ports,
+        seeds: &[Ipv4Addr],
+        store: SocketAddr,
+    ) -> Self {
         let config = dir.join(format!("{}.ini", machine.name));
         let gateway = Self {
             log: dir.join(format!("{}.log", machine.name)),
@@ -381,10 +414,19 @@
         gateway
     }
 
-    pub fn write_settings(&self, seeds: &[Ipv4Addr], store: SocketAddr, memory_mb: u32, first_start: bool) {
+    pub fn write_settings(
+        &self,
+        seeds: &[Ipv4Addr],
+        store: SocketAddr,
+        memory_mb: u32,
+        first_start: bool,
+    ) {
         let (m, p) = (&self.machine, self.ports);
         let region = ZONES.iter().find(|(z, _)| *z == m.zone).unwrap().1;
-        let seeds: Vec<String> = seeds.iter().map(|ip| format!("{ip}:{}", p.control)).collect();
+        let seeds: Vec<String> = seeds
+            .iter()
+            .map(|ip| format!("{ip}:{}", p.control))
+            .collect();
         let zones: Vec<String> = ZONES
             .iter()
             .map(|(zone, region)| format!("[domain {zone}]\nregion = {region}\n"))
@@ -396,14 +438,25 @@
              key = 8f0c1a52b7e64d39a1c5f2087be94d63105ad7c8e2f93b46700de1b85c2f4a97\n\n{}\n[store]\naddress = {store}\n\n\
              [promises]\napply_ms = 3000\ngrace_s = 8\nttl_s = 1\nresend_ratio = 0.2\nresend_extra = 56\n\
              resend_window_s = 10\n\n[policy]\nlong_prompt_ratio = 0.55\nlong_prompt_slots = 12\n",
-            m.name, m.zone, p.front, p.ready, p.directory, p.peer, seeds.join(","), zones.join("\n"),
+            m.name,
+            m.zone,
+            p.front,
+            p.ready,
+            p.directory,
+            p.peer,
+            seeds.join(","),
+            zones.join("\n"),
             ip = m.ip,
         );
         std::fs::write(&self.config, text).expect("the settings can be written");
     }
 
     pub fn start(&mut self) {
-        let log = File::options().create(true).append(true).open(&self.log).unwrap();
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .unwrap();
         let child = Command::new("target/release/hawthornmill-gateway")
             .env_clear()
             .env("HAWTHORNMILL_CONFIG", &self.config)
@@ -421,7 +474,8 @@
     pub fn is_ready(&self) -> bool {
         let address: SocketAddr = (self.machine.ip, self.ports.ready).into();
         let text = "GET /v1/ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
-        exchange(address, text.as_bytes(), Duration::from_secs(1)).is_some_and(|a| a.status() == 200)
+        exchange(address, text.as_bytes(), Duration::from_secs(1))
+            .is_some_and(|a| a.status() == 200)
     }
 
     pub fn signal(&self, signal: &str) {
