Store watch: keep of a list only what means something, and list again where changes are too long

Cause: values were kept, and counted against 16 MiB, before anyone looked at them, so the list ended as unreadable and began anew for ever. A watch answer over 4 MiB counted as silence and was asked for again until the store dropped its history. It is also a holder of memory that the account of requests doesn't see: two lists of 16 MiB with their pages.

Fix: each page is parsed when it comes, and values that name no server, catalog or evacuation are dropped; a page that ends with the same key as the one before ends the list. A list comes in pages, so an answer that is too long leads to a list at once, and one whose declared length is too long isn't read.

--- a/crates/hawthornmill-gateway/src/store_watch.rs
+++ b/crates/hawthornmill-gateway/src/store_watch.rs
@@ -5,6 +5,7 @@
 //! call costs the platform something, so watches are long, and gossip tells in between if this
 //! instance has missed a change.
 
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -23,7 +24,7 @@
 use crate::event_log;
 use crate::gateway::Gateway;
 use crate::http::body::{BodyDecoder, Decoded};
-use crate::http::head;
+use crate::http::head::{self, Framing};
 use crate::http::write::MessageBuffer;
 use crate::pool::connect;
 use crate::proxy::response_limits::MAX_HEAD_BYTES;
@@ -56,7 +57,7 @@
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Longest response: a megabyte of values in base64, and their keys.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
-/// Longest list, over all of its pages; the keys and values of 12,000 servers take about 4 MB.
+/// Most bytes that are kept of a list, over all of its pages; the keys and values of 12,000 servers take about 4 MB.
 const MAX_LIST_BYTES: usize = 16 << 20;
 
 /// What is watched; the log shows the variant.
@@ -75,15 +76,24 @@
     HistoryLost,
     /// The store answered with this error status.
     Refused(u16),
+    /// The response is longer than the bound.
+    TooLong,
     /// No response came, or one that could not be parsed.
     Silent,
 }
 
 /// A list of which not all pages were read yet.
+///
+/// Each page is parsed when it comes: another writer's values may be long, and are not kept.
 #[derive(Debug)]
 struct PartialList {
+    /// Changes to registrations, of a list of these.
+    changes: Vec<Change>,
+    /// Entries of operators that mean something here, of a list of these.
     entries: Vec<KvEntry>,
-    /// Bytes of all keys and values.
+    /// Last key that was read, whether or not its entry is kept.
+    last_key: Option<Box<str>>,
+    /// Bytes of all keys and values that are kept.
     bytes: usize,
     /// The store's revision at the first page.
     revision: u64,
@@ -167,14 +177,17 @@
 
     async fn list_all(&mut self) -> Result<(), StoreError> {
         let PartialList {
-            entries, revision, ..
+            changes,
+            entries,
+            revision,
+            ..
         } = self.read_pages().await?;
         let after_outage = self.is_in_grace();
         match self.topic {
             Topic::Catalog => self.apply_operator_list(&entries, revision),
             Topic::Servers => {
                 let list = RegistrationList {
-                    entries: entries.iter().map(|i| self.parse_change(i)).collect(),
+                    entries: changes,
                     unconfirmed: Vec::new(),
                     revision,
                     after_outage,
@@ -196,8 +209,8 @@
         let is_recent = |p: &PartialList| now.duration_since(p.started_at) < MAX_LIST_TIME;
         let mut partial = self.partial.take().filter(is_recent);
         loop {
-            let read = partial.as_ref().and_then(|p| p.entries.last());
-            let path = (store.list_path)(self.prefix(), read.map(|e| &*e.key));
+            let read = partial.as_ref().and_then(|p| p.last_key.as_deref());
+            let path = (store.list_path)(self.prefix(), read);
             let page = match self.call(&path, CALL_TIMEOUT).await {
                 Ok(page) => page,
                 Err(error) => {
@@ -208,27 +221,51 @@
             self.failures = 0;
             // Later pages have newer revisions; the first watch repeats the changes between them.
             let list = partial.get_or_insert_with(|| PartialList {
+                changes: Vec::new(),
                 entries: Vec::new(),
+                last_key: None,
                 bytes: 0,
                 revision: page.revision,
                 started_at: now,
             });
-            list.bytes += page.entries.iter().map(entry_bytes).sum::<usize>();
-            // A page without entries would be asked for again and again.
-            let is_endless = page.has_more && page.entries.is_empty();
+            let (has_more, last) = (page.has_more, page.entries.last().map(|e| e.key.clone()));
+            // A page without entries, or the same page once more, would be asked for again and again.
+            let is_endless = has_more && (last.is_none() || last == list.last_key);
+            list.last_key = last.or(list.last_key.take());
+            for entry in page.entries {
+                self.keep_entry(list, entry);
+            }
             if is_endless || list.bytes > MAX_LIST_BYTES {
                 event_log::state_change("store_unreadable", json!({"why": "the list doesn't end"}));
                 return Err(StoreError::Silent);
             }
-            list.entries.extend(page.entries);
-            if !page.has_more
-                && let Some(list) = partial.take()
-            {
+            if !has_more && let Some(list) = partial.take() {
                 return Ok(list);
             }
         }
     }
 
+    /// Adds what an entry means to a list.
+    fn keep_entry(&self, list: &mut PartialList, entry: KvEntry) {
+        match self.topic {
+            Topic::Servers => {
+                let change = self.parse_change(&entry);
+                list.bytes += match &change.registration {
+                    Some(_) => entry_bytes(&entry),
+                    None => size_of::<Change>(),
+                };
+                list.changes.push(change);
+            }
+            Topic::Catalog => {
+                let catalog_key = self.gateway.adapter.store.catalog_key;
+                if *entry.key == *catalog_key || self.evacuation(&entry).is_some() {
+                    list.bytes += entry_bytes(&entry);
+                    list.entries.push(entry);
+                }
+            }
+        }
+    }
+
     async fn watch_changes(&mut self, after: u64) -> Result<(), StoreError> {
         let store = self.gateway.adapter.store;
         let path = (store.watch_path)(self.prefix(), after, WATCH_TIMEOUT.as_millis() as u64);
@@ -355,6 +392,11 @@
                 event_log::state_change("store_history_lost", json!({"topic": topic}));
                 self.revision = None;
             }
+            // A list comes in pages, whatever has changed since.
+            Err(StoreError::TooLong) if self.revision.is_some() => {
+                event_log::state_change("store_changes_too_long", json!({"topic": topic}));
+                self.revision = None;
+            }
             Err(failure) => {
                 if !std::mem::replace(&mut self.unreachable, true) {
                     let fields = json!({"topic": topic, "how": format!("{failure:?}")});
@@ -390,11 +432,14 @@
             },
             Ok(Ok((410, _))) => ("history_lost", Err(StoreError::HistoryLost)),
             Ok(Ok((status, _))) => ("refused", Err(StoreError::Refused(status))),
+            Ok(Err(error)) if error.kind() == ErrorKind::FileTooLarge => {
+                ("too_long", Err(StoreError::TooLong))
+            }
             Ok(Err(_)) => ("broken", Err(StoreError::Silent)),
             Err(_elapsed) => ("silent", Err(StoreError::Silent)),
         };
         self.gateway.metrics.store_called(outcome);
-        if matches!(result, Err(StoreError::Silent)) {
+        if matches!(result, Err(StoreError::Silent | StoreError::TooLong)) {
             self.stream = None;
         }
         result
@@ -424,9 +469,10 @@
 /// Reads one response; returns its status, its body, and whether the connection can be used again.
 ///
 /// # Errors
-/// If the connection fails, or the response is malformed or too long.
+/// If the connection fails, or the response is malformed; [`ErrorKind::FileTooLarge`] if it is too long.
 pub async fn read_response(stream: &mut TcpStream) -> std::io::Result<(u16, Vec<u8>, bool)> {
-    let invalid = || std::io::Error::from(std::io::ErrorKind::InvalidData);
+    let invalid = || std::io::Error::from(ErrorKind::InvalidData);
+    let too_long = || std::io::Error::from(ErrorKind::FileTooLarge);
     let mut buffer = BytesMut::with_capacity(4096);
     let (head, length) = loop {
         if let Some(found) = head::parse_response(&buffer).map_err(|_head| invalid())? {
@@ -437,8 +483,13 @@
         }
     };
     let _head = buffer.split_to(length);
-    let mut decoder = BodyDecoder::new(head.framing("GET").map_err(|_framing| invalid())?);
-    let mut body = Vec::new();
+    let framing = head.framing("GET").map_err(|_framing| invalid())?;
+    let mut body = match framing {
+        Framing::Length(bytes) if bytes > MAX_RESPONSE_BYTES as u64 => return Err(too_long()),
+        Framing::Length(bytes) => Vec::with_capacity(bytes as usize),
+        _ => Vec::new(),
+    };
+    let mut decoder = BodyDecoder::new(framing);
     loop {
         match decoder.next(&mut buffer).map_err(|_body| invalid())? {
             Decoded::Data(data) => body.extend_from_slice(&data),
@@ -453,7 +504,7 @@
             }
         }
         if body.len() > MAX_RESPONSE_BYTES {
-            return Err(invalid());
+            return Err(too_long());
         }
     }
     let reusable = !head.closes_connection() && !decoder.ends_at_close() && buffer.is_empty();
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod hedged_requests;
 mod http_parsing;
 mod invalid_config;
+mod long_values;
 mod memory;
 mod missed_updates;
 mod overload;
