Test: bodies beside endless events, and long incomplete heads, stay within memory

Cause: each kind of holder had a bound of its own or none, so tests of one kind said nothing of the sum.

--- a/tests/testsuite/gateway/memory.rs
+++ b/tests/testsuite/gateway/memory.rs
@@ -1,5 +1,6 @@
 //! Memory that request bodies, heads and kept errors take, in whole processes.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
@@ -7,7 +8,10 @@
 use tokio::io::AsyncWriteExt;
 
 use super::endless_responses::code;
-use super::fleet::{Client, Fleet, Gateway, Response, config, request, route, wait_until};
+use super::fleet::{
+    Client, Fleet, Gateway, Response, config, request, route, send_request, wait_until,
+};
+use super::pouring_server::{Flow, PouringServer, TRICKLE_PAUSE};
 use super::scripted_server::{Behavior, Server};
 use crate::block_on;
 
@@ -20,6 +24,10 @@
 /// Clients with long heads, and bytes of these that they send.
 const HEAD_CLIENTS: usize = 2_000;
 const HEAD_BYTES: usize = 15_000;
+/// Streams whose events never end.
+const STREAMS: usize = 200;
+/// Bytes of these that are held before bodies come.
+const HELD_RESPONSE_BYTES: usize = 12 << 20;
 const HEAD_BATCH: usize = 20;
 const HEAD_PAUSE: Duration = Duration::from_millis(20);
 const ROUNDS: usize = 4;
@@ -38,6 +46,15 @@
     config["routes"] = json!([
         route("get", "idempotent", &json!({"timeoutMs": 9_000})),
         route("once", "non_idempotent", &json!({"timeoutMs": 9_000})),
+        route(
+            "stream",
+            "streaming",
+            &json!({"timeoutMs": 9_000, "service": "pour"})
+        ),
+    ]);
+    config["services"] = json!([
+        {"name": "app", "maxConnections": 100},
+        {"name": "pour", "maxConnections": 1_000},
     ]);
     config["limits"]["maxBodyBytes"] = (4 << 20).into();
     config["limits"]["maxHeaderBytes"] = (16 << 10).into();
@@ -183,6 +200,64 @@
     assert_memory_suffices(80, 250_000, Coding::Length);
 }
 
+fn gauge(metrics: &str, name: &str) -> Option<usize> {
+    let line = format!("\nhawthornmill_{name} ");
+    let value = metrics.split(&line).nth(1)?.lines().next()?;
+    value.parse().ok()
+}
+
+/// Registers a server whose events never end, for the route `stream`.
+async fn start_pouring_server(fleet: &Fleet) -> PouringServer {
+    const HEAD: &str =
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nContent-Type: text/event-stream\r\n\r\n";
+    let address = SocketAddr::new(fleet.servers[0].address.ip(), 7_401);
+    let flow = Flow {
+        start: &[(0, HEAD)],
+        unit: include_str!("endless_event_lines.txt"),
+        pause: Some(TRICKLE_PAUSE),
+    };
+    let entry = json!({"service": "pour", "address": address.to_string(), "zone": "a",
+        "version": "v1", "slots": 1_000, "state": "ready", "coldRemainingMs": 0, "sequence": 1, "born": 1});
+    let text = entry.to_string();
+    fleet.store.put("servers/i-pour", text.as_bytes());
+    let pouring = PouringServer::start(address, flow).await;
+    wait_until("the server is known", || async {
+        let lines = fleet.gateways[0].logged("registration");
+        lines.iter().any(|l| l["server"] == "i-pour")
+    })
+    .await;
+    pouring
+}
+
+/// Failure: bodies and incomplete responses have a bound each, and both together use more than there is.
+#[test]
+fn bodies_beside_endless_events_stay_within_memory() {
+    block_on(async {
+        let fleet = start(2).await;
+        let _pouring = start_pouring_server(&fleet).await;
+        let front = fleet.gateways[0].front();
+        let streams: Vec<_> = (0..STREAMS)
+            .map(|number| {
+                let text = request("POST", "/stream/", &format!("stream-{number}"), "");
+                tokio::spawn(async move { send_request(front, text.as_bytes()).await })
+            })
+            .collect();
+        wait_until("much of responses is held", || async {
+            let metrics = fleet.gateways[0].metrics().await;
+            gauge(&metrics, "response_bytes_held") >= Some(HELD_RESPONSE_BYTES)
+        })
+        .await;
+
+        let counts = send_bodies(&fleet, CLIENTS, BODY_BYTES, Coding::Length).await;
+
+        let peak = fleet.gateways[0].peak_memory_kib();
+        println!("peak {peak} KiB, {counts:?}");
+        assert!(peak < MEMORY_MB << 10, "{peak} KiB");
+        assert!(counts.served >= CLIENTS, "{counts:?}");
+        streams.iter().for_each(tokio::task::JoinHandle::abort);
+    });
+}
+
 /// Failure: long heads that are incomplete use memory that nobody counts.
 #[test]
 fn long_incomplete_heads_stay_within_memory() {
@@ -310,14 +385,13 @@
 
         wait_until("no request holds memory, and no block is spare", || async {
             let metrics = fleet.gateways[0].metrics().await;
-            let zero = [
+            let parts = [
                 "body_bytes",
                 "head_bytes",
                 "kept_error_bytes",
                 "spare_block_bytes",
             ];
-            zero.iter()
-                .all(|name| metrics.contains(&format!("\nhawthornmill_{name} 0\n")))
+            parts.iter().all(|name| gauge(&metrics, name) == Some(0))
         })
         .await;
     });
