Router: take memory for a body before it is read

A body of known length is read into one buffer of that length. Tests router_bodies::*: the code before has no bound that they could name, so they were not seen to fail on it; no run shows a router over its memory.

--- a/crates/hawthornmill-net/src/api/call.rs
+++ b/crates/hawthornmill-net/src/api/call.rs
@@ -76,10 +76,20 @@
         let problem = Problem::not_run(code, &id).with_retry_after(retry_delay(fleet, &admitted));
         return reject(fleet, &with_key_outcome(fleet, request, problem));
     }
-    let body = match body::read(body, fleet.settings.limits.body_bytes).await {
+    let mut share = fleet.body_room.begin(fleet.settings.tuning.max_bytes);
+    let limit = fleet.settings.limits.body_bytes;
+    let read = body::read(body, limit, content_length(request), &mut share).await;
+    // From now on the queue accounts it.
+    drop(share);
+    let body = match read {
         Ok(body) => body,
         Err(code) => {
-            let problem = with_key_outcome(fleet, request, Problem::not_run(code, &id));
+            let mut problem = Problem::not_run(code, &id);
+            if code == Code::InstanceFull {
+                log::warn!(target: "limits", "code {}: no memory for the body of call {id}", code.number());
+                problem = problem.with_retry_after(retry_delay(fleet, &admitted));
+            }
+            let problem = with_key_outcome(fleet, request, problem);
             let call = build_call(fleet, request, admitted, Bytes::new(), id);
             accounting::record_rejection(fleet, &call, &problem, call.admitted.arrived);
             return reject(fleet, &problem);
@@ -106,15 +116,19 @@
     }
 }
 
+/// Returns the length that the caller gave for the body.
+fn content_length(request: &Request) -> Option<usize> {
+    request.header("content-length")?.parse().ok()
+}
+
 /// Checks the limits of the account's queue before the body is read.
 ///
 /// A call for which the queue has no room then uses no memory for its body.
 fn check_queue_limits(fleet: &Fleet, request: &Request, admitted: &Admitted) -> Result<(), Code> {
-    let length = request.header("content-length");
     let arrival = entry::Arrival {
         service: admitted.service,
         account: admitted.account,
-        bytes: length.and_then(|length| length.parse().ok()).unwrap_or(0),
+        bytes: content_length(request).unwrap_or(0),
         deadline: admitted.deadline,
     };
     fleet.view(|board| entry::check_account_limits(board, &arrival))
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -31,6 +31,7 @@
 mod response_integrity;
 mod retries;
 mod rolling_restart;
+mod router_bodies;
 mod router_upstream;
 mod routing;
 mod server_crashes;
