Router: a keyed call whose answer breaks off midway is evidence of a crash, and resumed calls keep their identity

A resumed call has another body (`from`), and so had another fingerprint than the call that broke off. What callers saw: servers crash under the same keyed call for ever. Now the break is recorded with the pieces that came, and the fingerprint is of the body that the caller sent. The identity of resumed calls has no test.

--- a/crates/hawthornmill-net/src/api/call.rs
+++ b/crates/hawthornmill-net/src/api/call.rs
@@ -54,6 +54,8 @@
     pub admitted: Admitted,
     /// The request to the server.
     pub outbound: OutboundRequest,
+    /// The body that the caller sent; a resumed call sends another one.
+    pub asked: Bytes,
     /// Tracing span of the call.
     pub span: Context,
     /// The caller's `Authorization` header, sent to the home of a key but never to a server.
@@ -142,6 +144,7 @@
     id: Box<str>,
 ) -> Call {
     let span = fleet.telemetry.spans.start_call(request.headers(), &id);
+    let asked = body.clone();
     let outbound = OutboundRequest {
         method: request.method().clone(),
         path: admitted.path.clone(),
@@ -153,6 +156,7 @@
     Call {
         admitted,
         outbound,
+        asked,
         span,
         authorization,
     }
--- a/crates/hawthornmill-net/src/api/idempotency.rs
+++ b/crates/hawthornmill-net/src/api/idempotency.rs
@@ -28,6 +28,7 @@
 use super::{accounting, stream as response_stream};
 use crate::event_check::EventCheck;
 use crate::fleet::{Fleet, SlotGuard};
+use crate::quarantine::{self, Progress};
 use crate::upstream::{REQUEST_ID_HEADER, read_body};
 
 /// Header with the caller's idempotency key.
@@ -313,13 +314,24 @@
 ) -> Result<StoredResponse, Problem> {
     let reported = call_result::reported_cost(&response);
     let rules = call.admitted.response;
-    let mut body = Vec::new();
+    let (mut body, mut pieces) = (Vec::new(), 0);
     let ended = loop {
         // A server that stops sending must not hold its slot forever.
         match tokio::time::timeout(rules.idle_timeout, response.chunk()).await {
-            Ok(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
+            Ok(Ok(Some(chunk))) => {
+                body.extend_from_slice(&chunk);
+                pieces += 1;
+            }
             Ok(Ok(None)) => break true,
-            Ok(Err(_)) | Err(_) => break false,
+            Ok(Err(_)) => {
+                let progress = Progress {
+                    sent_at: slot.acquired_at,
+                    pieces,
+                };
+                quarantine::record_break(fleet, call, slot.dispatch.server, progress);
+                break false;
+            }
+            Err(_elapsed) => break false,
         }
         if body.len() > MAX_RESPONSE_BYTES {
             break false;
--- a/crates/hawthornmill-net/src/quarantine.rs
+++ b/crates/hawthornmill-net/src/quarantine.rs
@@ -51,7 +51,7 @@
         host: &call.admitted.service.0.to_le_bytes(),
         target: &call.outbound.path,
         parts: &[],
-        body: &[&call.outbound.body],
+        body: &[&call.asked],
     })
 }
 
--- a/tests/testsuite/server_crashes.rs
+++ b/tests/testsuite/server_crashes.rs
@@ -21,6 +21,10 @@
 const DETECTION_TIME: Duration = Duration::from_secs(4);
 const ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 13\r\n\r\n{\"running\":0}";
 
+/// The begin of an answer, and the pause until its server crashes.
+const HALF_ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 13\r\n\r\n{\"run";
+const HALF_PAUSE: Duration = Duration::from_millis(50);
+
 /// When servers crashed, and when calls that end servers reached one.
 #[derive(Debug, Default)]
 struct Seen {
@@ -42,6 +46,10 @@
         let text = String::from_utf8_lossy(&bytes[..count]);
         if text.contains("/bad") {
             lock(&seen).bad.push(Instant::now());
+            if text.contains("/bad-midway") {
+                let _written = stream.write_all(HALF_ANSWER.as_bytes()).await;
+                tokio::time::sleep(HALF_PAUSE).await;
+            }
             let _ended = end.send(()).await;
             return std::future::pending().await;
         }
@@ -72,18 +80,37 @@
     }
 }
 
-async fn call(client: &Client, http: &str, path: &str) -> Option<Response> {
+/// Calls the fragile service; with the key `number` of the router if calls need one.
+async fn call(client: &Client, http: &str, path: &str, number: Option<usize>) -> Option<Response> {
     let url = format!("http://{http}/v1/call/fragile/{path}");
-    send(client.post(url).bearer_auth("token-big").body("{}")).await
+    let mut request = client.post(url).bearer_auth("token-big").body("{}");
+    if let Some(number) = number {
+        let addresses = send(client.get(format!("http://{http}/v1/addresses"))).await?;
+        let prefix = addresses.json()["key_prefix"].as_str()?.to_owned();
+        request = request.header("idempotency-key", format!("{prefix}.{path}-{number}"));
+    }
+    send(request).await
 }
 
 /// Failure: a caller repeats a call at any router, and each router sends it to server after server.
 #[test]
 fn repeated_call_stops_crashing_servers() {
+    assert_stops_crashing("bad", false);
+}
+
+/// Failure: calls with keys, whose answers break off midway, are no evidence, so their servers crash for ever.
+#[test]
+fn keyed_call_that_breaks_off_midway_stops_crashing_servers() {
+    assert_stops_crashing("bad-midway", true);
+}
+
+/// Asserts that a call under which servers crash is refused after some of them, and that sound ones are served.
+fn assert_stops_crashing(bad_path: &str, keyed: bool) {
     block_on(async {
         let site = small_site(ROUTER, 3).await;
         let seen: Arc<Mutex<Seen>> = Arc::default();
-        let mut text = format!("{}[service fragile]\nestimate = 100\n\n", site.text);
+        let repeat = if keyed { "repeat = never\n" } else { "" };
+        let mut text = format!("{}[service fragile]\nestimate = 100\n{repeat}\n", site.text);
         for number in 0..SERVERS {
             // Bound once, so that the port is free.
             let free = TcpListener::bind("127.0.0.1:0")
@@ -110,9 +137,10 @@
                 break;
             }
             let http = &site.routers[number % 3].listed.http;
-            let bad = call(&client, http, "bad").await;
+            let key = keyed.then_some(number);
+            let bad = call(&client, http, bad_path, key).await;
             statuses.push(bad.map_or(0, |r| r.status));
-            let answer = call(&client, http, &format!("sound-{number}")).await;
+            let answer = call(&client, http, &format!("sound-{number}"), key).await;
             sound.push((started.elapsed(), answer.map_or(0, |r| r.status)));
             tokio::time::sleep(Duration::from_millis(200)).await;
         }
