--- a/crates/hawthornmill-net/src/api/body.rs
+++ b/crates/hawthornmill-net/src/api/body.rs
@@ -13,62 +13,64 @@
 /// discard the response with it: the caller would see a connection error instead of the rejection.
 const MAX_DISCARD_BYTES: usize = 16 << 20;
 
-/// Bytes that are taken at once for a body of unknown length.
-const MIN_TAKEN_BYTES: usize = 16 << 10;
+/// Least capacity of the buffer of a body of unknown length.
+const MIN_BUFFER_BYTES: usize = 16 << 10;
 
 /// Memory for all bodies that the process reads at the same time.
 #[derive(Debug, Default)]
-pub struct BodyRoom {
-    taken: AtomicUsize,
+pub struct BodyBudget {
+    reserved: AtomicUsize,
 }
 
-impl BodyRoom {
-    /// Returns the bytes that are taken.
-    pub fn taken(&self) -> usize {
-        self.taken.load(Ordering::SeqCst)
+impl BodyBudget {
+    /// Returns the bytes that are reserved.
+    pub fn reserved(&self) -> usize {
+        self.reserved.load(Ordering::SeqCst)
     }
 
-    /// Begins to read a body, for which nothing is taken yet; `max_bytes` is for all bodies together.
-    pub const fn begin(&self, max_bytes: usize) -> BodyShare<'_> {
-        BodyShare {
-            room: self,
+    /// Begins to read a body, for which nothing is reserved yet; `max_bytes` is for all bodies together.
+    pub const fn begin(&self, max_bytes: usize) -> BodyReservation<'_> {
+        BodyReservation {
+            budget: self,
             max_bytes,
-            taken: 0,
+            reserved: 0,
         }
     }
 }
 
-/// Memory taken for one body; dropping it gives the memory back.
+/// Memory reserved for one body; dropping it releases the memory.
 #[derive(Debug)]
-pub struct BodyShare<'a> {
-    room: &'a BodyRoom,
+pub struct BodyReservation<'a> {
+    budget: &'a BodyBudget,
     max_bytes: usize,
-    taken: usize,
+    reserved: usize,
 }
 
-impl BodyShare<'_> {
-    /// Takes more, so that it is `bytes` in all; returns false if there is no room.
+impl BodyReservation<'_> {
+    /// Reserves more, so that it is `bytes` in all; returns false if there is no memory.
     fn grow_to(&mut self, bytes: usize) -> bool {
-        let more = bytes.saturating_sub(self.taken);
-        let before = self.room.taken.fetch_add(more, Ordering::SeqCst);
+        let more = bytes.saturating_sub(self.reserved);
+        let before = self.budget.reserved.fetch_add(more, Ordering::SeqCst);
         if before.saturating_add(more) > self.max_bytes {
-            self.room.taken.fetch_sub(more, Ordering::SeqCst);
+            self.budget.reserved.fetch_sub(more, Ordering::SeqCst);
             return false;
         }
-        self.taken += more;
+        self.reserved += more;
         true
     }
 }
 
-impl Drop for BodyShare<'_> {
+impl Drop for BodyReservation<'_> {
     fn drop(&mut self) {
-        self.room.taken.fetch_sub(self.taken, Ordering::SeqCst);
+        self.budget
+            .reserved
+            .fetch_sub(self.reserved, Ordering::SeqCst);
     }
 }
 
 /// Reads a body of at most `limit` bytes; `declared` is its length if the caller gave one.
 ///
-/// Memory is taken from `share` before it is allocated.
+/// Memory is reserved with `memory` before it is allocated.
 ///
 /// # Errors
 /// [`Code::BodyTooLarge`], [`Code::InstanceFull`] if there is no memory for it, or [`Code::BadHeader`] for a truncated
@@ -77,11 +79,11 @@
     body: Body,
     limit: usize,
     declared: Option<usize>,
-    share: &mut BodyShare<'_>,
+    memory: &mut BodyReservation<'_>,
 ) -> Result<Bytes, Code> {
     let mut chunks = Box::pin(body.into_bytes_stream());
     let first = declared.unwrap_or(0).min(limit);
-    let mut rejection = (!share.grow_to(first)).then_some(Code::InstanceFull);
+    let mut rejection = (!memory.grow_to(first)).then_some(Code::InstanceFull);
     let mut buffer = BytesMut::with_capacity(rejection.map_or(first, |_code| 0));
     let mut excess = 0;
     while let Some(chunk) = chunks.next().await {
@@ -91,8 +93,8 @@
             rejection = Some(Code::BodyTooLarge);
         }
         if rejection.is_none() && length > buffer.capacity() {
-            let capacity = (buffer.capacity() * 2).max(length).max(MIN_TAKEN_BYTES);
-            if share.grow_to(buffer.capacity() + capacity) {
+            let capacity = (buffer.capacity() * 2).max(length).max(MIN_BUFFER_BYTES);
+            if memory.grow_to(buffer.capacity() + capacity) {
                 let mut larger = BytesMut::with_capacity(capacity);
                 larger.extend_from_slice(&buffer);
                 buffer = larger;
--- a/crates/hawthornmill-net/src/api/call.rs
+++ b/crates/hawthornmill-net/src/api/call.rs
@@ -78,11 +78,11 @@
         let problem = Problem::not_run(code, &id).with_retry_after(retry_delay(fleet, &admitted));
         return reject(fleet, &with_key_outcome(fleet, request, problem));
     }
-    let mut share = fleet.body_room.begin(fleet.settings.tuning.max_bytes);
+    let mut memory = fleet.body_budget.begin(fleet.settings.tuning.max_bytes);
     let limit = fleet.settings.limits.body_bytes;
-    let read = body::read(body, limit, content_length(request), &mut share).await;
+    let read = body::read(body, limit, content_length(request), &mut memory).await;
     // From now on the queue accounts it.
-    drop(share);
+    drop(memory);
     let body = match read {
         Ok(body) => body,
         Err(code) => {
--- a/crates/hawthornmill-net/src/fleet.rs
+++ b/crates/hawthornmill-net/src/fleet.rs
@@ -17,7 +17,7 @@
 use smallvec::SmallVec;
 use tokio::sync::{Notify, oneshot};
 
-use crate::api::body::BodyRoom;
+use crate::api::body::BodyBudget;
 use crate::api::key_store::KeyStore;
 use crate::connections::Connections;
 use crate::peers::Outgoing;
@@ -75,7 +75,7 @@
     /// When new calls will be refused; set when the process starts to leave.
     pub closes_at: OnceLock<Instant>,
     /// Memory for the bodies that are being read.
-    pub body_room: BodyRoom,
+    pub body_budget: BodyBudget,
     /// Number of calls in flight.
     pub in_flight: AtomicUsize,
     /// Triggers a heartbeat at once, after a change that peers should know of.
@@ -121,7 +121,7 @@
             ready: AtomicBool::new(false),
             closed: AtomicBool::new(false),
             closes_at: OnceLock::new(),
-            body_room: BodyRoom::default(),
+            body_budget: BodyBudget::default(),
             in_flight: AtomicUsize::new(0),
             heartbeat_now: Notify::new(),
             next_request: AtomicU64::new(0),
