--- a/crates/hawthornmill-gateway/src/daemon.rs
+++ b/crates/hawthornmill-gateway/src/daemon.rs
@@ -221,7 +221,7 @@
     drop(quarantine);
     gateway.announce_quarantine();
     *gateway.settings.borrow_mut() = Rc::new(settings);
-    gateway.limit_responses();
+    gateway.share_memory();
     event_log::state_change("settings_in_force", json!({}));
 }
 
--- a/crates/hawthornmill-gateway/src/endpoints.rs
+++ b/crates/hawthornmill-gateway/src/endpoints.rs
@@ -298,7 +298,7 @@
 
 fn memory_gauges(gateway: &Gateway) -> [GaugeValue; 7] {
     let count = |value: usize| value.cast_signed() as i64;
-    let rooms = &gateway.request_rooms;
+    let reservations = &gateway.reservations;
     [
         (
             "response_bytes_held",
@@ -308,17 +308,17 @@
         (
             "body_bytes",
             "Bytes that bodies take in memory",
-            count(rooms.used(RequestPart::Body)),
+            count(reservations.reserved(RequestPart::Body)),
         ),
         (
             "head_bytes",
             "Bytes that heads of more than 4 KiB take in memory",
-            count(rooms.used(RequestPart::Head)),
+            count(reservations.reserved(RequestPart::Head)),
         ),
         (
             "kept_error_bytes",
             "Bytes of servers' error responses that are kept while their requests are sent again",
-            count(rooms.used(RequestPart::KeptError)),
+            count(reservations.reserved(RequestPart::KeptError)),
         ),
         (
             "spare_block_bytes",
--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -40,7 +40,7 @@
 use crate::pending_state::PendingState;
 use crate::pool::Pool;
 use crate::proxy::held_bytes::{HeldBytes, HeldResponses};
-use crate::proxy::request_room::{RequestRooms, shared_limit};
+use crate::proxy::reservation::{Reservations, shared_limit};
 use crate::proxy::response_limits;
 use crate::server_crashes::ServerCrashes;
 use crate::settings::Settings;
@@ -128,7 +128,7 @@
     /// Number of requests in flight.
     pub in_flight: Cell<usize>,
     /// Heads, bodies and kept error responses of requests held in memory.
-    pub request_rooms: RequestRooms,
+    pub reservations: Reservations,
     /// Blocks for request bodies.
     pub block_pool: Rc<BlockPool>,
     /// Incomplete responses held in memory.
@@ -211,7 +211,7 @@
             load_shedder: Cell::default(),
             rejected: RefCell::default(),
             in_flight: Cell::new(0),
-            request_rooms: RequestRooms::default(),
+            reservations: Reservations::default(),
             block_pool: Rc::default(),
             held_responses: Rc::default(),
             has_registrations: Cell::new(false),
@@ -226,7 +226,7 @@
             phase: watch::Sender::new(Phase::Serving),
             waiters: RefCell::default(),
         });
-        gateway.limit_responses();
+        gateway.share_memory();
         gateway
     }
 
@@ -259,12 +259,14 @@
         self.held_responses.begin()
     }
 
-    /// Sets the memory for incomplete responses to what requests leave of it.
-    pub fn limit_responses(&self) {
+    /// Limits incomplete responses and spare blocks to the memory that requests leave.
+    pub fn share_memory(&self) {
         let memory_bytes = self.settings.borrow().memory_bytes;
-        let left = shared_limit(memory_bytes).saturating_sub(self.request_rooms.total());
+        let left = shared_limit(memory_bytes).saturating_sub(self.reservations.total());
         let limit = response_limits::held_limit(memory_bytes).min(left);
         self.held_responses.set_limit(limit);
+        let spare = left.saturating_sub(self.held_responses.total());
+        self.block_pool.shrink_to(spare);
     }
 
     /// Tells whether latency measured now reflects this instance rather than the servers.
--- a/crates/hawthornmill-gateway/src/http/blocks.rs
+++ b/crates/hawthornmill-gateway/src/http/blocks.rs
@@ -1,11 +1,13 @@
-//! Message bodies in blocks, which are never copied while they grow.
+//! Bytes in blocks, which are never copied while they grow.
 //!
 //! A buffer that doubles holds the old and the new bytes while it grows, and up to twice its length afterwards.
 
 use std::cell::{Cell, RefCell};
-use std::io::IoSlice;
 use std::rc::Rc;
 
+use bytes::BufMut;
+use bytes::buf::Limit;
+
 /// Size of the blocks of a long body.
 const BLOCK_BYTES: usize = 32 << 10;
 /// Size of the first block of a body of unknown length, and least size of any block but that of a shorter body.
@@ -38,6 +40,13 @@
         self.least.set(kept);
     }
 
+    /// Frees blocks so that those left have at most `bytes`.
+    pub fn shrink_to(&self, bytes: usize) {
+        let mut spare = self.spare.borrow_mut();
+        spare.truncate(bytes / BLOCK_BYTES);
+        self.least.set(self.least.get().min(spare.len()));
+    }
+
     fn take(&self) -> Vec<u8> {
         let mut spare = self.spare.borrow_mut();
         let block = spare.pop();
@@ -51,13 +60,67 @@
     }
 }
 
-/// A body in blocks.
+/// Bytes in blocks, the last of which may have space for more.
+#[derive(Debug, Default)]
+pub struct Blocks {
+    blocks: Vec<Vec<u8>>,
+    length: usize,
+}
+
+impl Blocks {
+    /// Returns the number of bytes.
+    pub const fn len(&self) -> usize {
+        self.length
+    }
+
+    /// Returns whether there are no bytes.
+    pub const fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
+    /// Returns the parts in their order.
+    pub fn parts(&self) -> impl Iterator<Item = &[u8]> {
+        self.blocks.iter().map(Vec::as_slice)
+    }
+
+    /// Returns the space that is left in the last block.
+    pub fn spare(&self) -> usize {
+        self.blocks.last().map_or(0, |b| b.capacity() - b.len())
+    }
+
+    /// Adds an empty block, in which further bytes are put.
+    pub fn add_block(&mut self, block: Vec<u8>) {
+        self.blocks.push(block);
+    }
+
+    /// Adds the first bytes of `data` that fit into the last block; returns the rest.
+    pub fn push<'a>(&mut self, data: &'a [u8]) -> &'a [u8] {
+        let (part, rest) = data.split_at(data.len().min(self.spare()));
+        if let Some(block) = self.blocks.last_mut() {
+            block.extend_from_slice(part);
+            self.length += part.len();
+        }
+        rest
+    }
+
+    /// Returns the last block, which is there.
+    fn last(&mut self) -> &mut Vec<u8> {
+        let last = self.blocks.len() - 1;
+        &mut self.blocks[last]
+    }
+
+    /// Takes all blocks.
+    pub fn take(&mut self) -> Vec<Vec<u8>> {
+        self.length = 0;
+        std::mem::take(&mut self.blocks)
+    }
+}
+
+/// A body in blocks, of which the long ones are used again.
 #[derive(Debug)]
 pub struct BodyBlocks {
     pool: Rc<BlockPool>,
-    blocks: Vec<Vec<u8>>,
-    /// Bytes of the body so far.
-    length: usize,
+    blocks: Blocks,
     /// Bytes of all blocks, used or not.
     allocated: usize,
 }
@@ -81,10 +144,8 @@
 
 impl Drop for BodyBlocks {
     fn drop(&mut self) {
-        let long = self
-            .blocks
-            .drain(..)
-            .filter(|b| b.capacity() == BLOCK_BYTES);
+        let blocks = self.blocks.take().into_iter();
+        let long = blocks.filter(|b| b.capacity() == BLOCK_BYTES);
         long.for_each(|block| self.pool.put_back(block));
     }
 }
@@ -94,36 +155,30 @@
     pub fn new(pool: &Rc<BlockPool>) -> Self {
         Self {
             pool: Rc::clone(pool),
-            blocks: Vec::new(),
-            length: 0,
+            blocks: Blocks::default(),
             allocated: 0,
         }
     }
 
     /// Returns the bytes of the body so far.
     pub const fn len(&self) -> usize {
-        self.length
+        self.blocks.len()
     }
 
     /// Returns whether the body has no bytes so far.
     pub const fn is_empty(&self) -> bool {
-        self.length == 0
+        self.blocks.is_empty()
     }
 
     /// Returns the parts of the body in their order.
     pub fn parts(&self) -> impl Iterator<Item = &[u8]> {
-        self.blocks.iter().map(Vec::as_slice)
+        self.blocks.parts()
     }
 
-    /// Returns the parts of the body for a vectored write.
-    pub fn slices(&self) -> impl Iterator<Item = IoSlice<'_>> {
-        self.parts().map(IoSlice::new)
-    }
-
-    /// Returns the bytes that the blocks take once the next one is there; `missing` is how many bytes of the body are
+    /// Returns the bytes that the blocks take once one has space for more; `missing` is how many bytes of the body are
     /// still to come, if that is known.
     pub fn next_allocation(&self, missing: Option<usize>) -> usize {
-        if self.spare() > 0 {
+        if self.blocks.spare() > 0 {
             return self.allocated;
         }
         self.allocated + self.next_block(missing)
@@ -131,44 +186,40 @@
 
     fn next_block(&self, missing: Option<usize>) -> usize {
         let unknown = || {
-            self.length
-                .next_power_of_two()
-                .clamp(MIN_BLOCK_BYTES, BLOCK_BYTES)
+            let power = self.len().next_power_of_two();
+            power.clamp(MIN_BLOCK_BYTES, BLOCK_BYTES)
         };
         missing.map_or_else(unknown, block_bytes)
     }
 
-    fn spare(&self) -> usize {
-        self.blocks.last().map_or(0, |b| b.capacity() - b.len())
+    /// Adds a block if the last one is full; the argument as for [`Self::next_allocation`].
+    fn make_space(&mut self, missing: Option<usize>) {
+        if self.blocks.spare() > 0 {
+            return;
+        }
+        let block = match self.next_block(missing) {
+            BLOCK_BYTES => self.pool.take(),
+            bytes => Vec::with_capacity(bytes),
+        };
+        self.allocated += block.capacity();
+        self.blocks.add_block(block);
     }
 
-    /// Returns the last block, with room for more; arguments as for [`Self::next_allocation`].
-    ///
-    /// [`Self::record_added`] must be called for what is added to it.
-    pub fn open_block(&mut self, missing: Option<usize>) -> &mut Vec<u8> {
-        if self.spare() == 0 {
-            let block = match self.next_block(missing) {
-                BLOCK_BYTES => self.pool.take(),
-                bytes => Vec::with_capacity(bytes),
-            };
-            self.allocated += block.capacity();
-            self.blocks.push(block);
-        }
-        let last = self.blocks.len() - 1;
-        &mut self.blocks[last]
+    /// Returns a part of a block for at most `most` bytes that are read into it; `missing` as for
+    /// [`Self::next_allocation`].
+    pub fn space(&mut self, missing: Option<usize>, most: usize) -> Limit<&mut Vec<u8>> {
+        self.make_space(missing);
+        self.blocks.last().limit(most)
     }
 
-    /// Records that bytes were added to the last block.
-    pub const fn record_added(&mut self, bytes: usize) {
-        self.length += bytes;
+    /// Records that bytes were read into the space.
+    pub const fn record_read(&mut self, bytes: usize) {
+        self.blocks.length += bytes;
     }
 
     /// Adds the first bytes of `data` that fit into one block; returns the rest.
     pub fn push<'a>(&mut self, data: &'a [u8], missing: Option<usize>) -> &'a [u8] {
-        let block = self.open_block(missing);
-        let (part, rest) = data.split_at(data.len().min(block.capacity() - block.len()));
-        block.extend_from_slice(part);
-        self.record_added(part.len());
-        rest
+        self.make_space(missing);
+        self.blocks.push(data)
     }
 }
--- a/crates/hawthornmill-gateway/src/http/write.rs
+++ b/crates/hawthornmill-gateway/src/http/write.rs
@@ -21,6 +21,9 @@
 /// Capacity above which a buffer is replaced rather than kept for the next part of a message.
 const MAX_KEPT_BYTES: usize = 16 << 10;
 
+/// Longest part of a body that is copied behind what precedes it, so that one write sends both.
+pub const MAX_COPIED_BYTES: usize = 4 << 10;
+
 /// Buffer in which a message is encoded.
 #[derive(Debug, Default)]
 pub struct MessageBuffer(pub Vec<u8>);
--- a/crates/hawthornmill-gateway/src/metrics.rs
+++ b/crates/hawthornmill-gateway/src/metrics.rs
@@ -15,7 +15,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
-use crate::proxy::request_room::RoomRefusal;
+use crate::proxy::reservation::ReservationError;
 use crate::proxy::response_limits::CutReason;
 
 /// Upper bounds of the histogram buckets; latency objectives are between 200 and 1,000 ms.
@@ -93,7 +93,7 @@
     server_crashes: Counter<u64, AtomicU64>,
     unreadable_figures: Counter<u64, AtomicU64>,
     cuts: CounterFamily<CutLabels>,
-    room_refusals: CounterFamily<CutLabels>,
+    memory_refusals: CounterFamily<CutLabels>,
     rejected: CounterFamily<OutcomeLabels>,
     response_starts: Family<ServiceLabels, Histogram, fn() -> Histogram>,
 }
@@ -118,7 +118,7 @@
             server_crashes: Counter::default(),
             unreadable_figures: Counter::default(),
             cuts: Family::default(),
-            room_refusals: Family::default(),
+            memory_refusals: Family::default(),
             rejected: Family::default(),
             response_starts: Family::new_with_constructor(response_starts),
         };
@@ -164,7 +164,7 @@
         let help = "Connections to servers that were closed because of what came, by reason";
         registry.register("responses_cut", help, metrics.cuts.clone());
         let help = "Requests refused for lack of memory, by reason";
-        registry.register("no_room", help, metrics.room_refusals.clone());
+        registry.register("memory_refusals", help, metrics.memory_refusals.clone());
         let help = "Time to the answer's begin in milliseconds";
         registry.register("begin_milliseconds", help, metrics.response_starts.clone());
         metrics
@@ -283,10 +283,10 @@
         self.cuts.get_or_create(&CutLabels { reason }).inc();
     }
 
-    /// Counts a request without room in memory.
-    pub fn room_refused(&self, refusal: RoomRefusal) {
-        let reason = refusal.name();
-        self.room_refusals
+    /// Counts a request for which there was no memory.
+    pub fn memory_refused(&self, error: ReservationError) {
+        let reason = error.name();
+        self.memory_refusals
             .get_or_create(&CutLabels { reason })
             .inc();
     }
--- a/crates/hawthornmill-gateway/src/proxy/events.rs
+++ b/crates/hawthornmill-gateway/src/proxy/events.rs
@@ -7,6 +7,7 @@
 use hawthornmill::event_stream::EventScanner;
 
 use super::response_limits::{CutReason, MAX_EVENT_BYTES, max_repeated_bytes};
+use crate::http::blocks::Blocks;
 
 /// One or more complete events, with the id of the last one.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -20,41 +21,9 @@
 }
 
 /// Size of the blocks that hold an incomplete event.
-const BLOCK_BYTES: usize = 4 << 10;
-
-/// Bytes in blocks of one size.
 ///
-/// A buffer that grows by doubling leaves freed blocks of each size to the allocator, which together use more
-/// memory than the buffer.
-#[derive(Debug, Default)]
-struct Blocks {
-    blocks: Vec<Vec<u8>>,
-    bytes: usize,
-}
-
-impl Blocks {
-    fn push(&mut self, mut data: &[u8]) {
-        self.bytes += data.len();
-        while !data.is_empty() {
-            let room = self.blocks.last().map_or(0, |b| BLOCK_BYTES - b.len());
-            if room == 0 {
-                self.blocks.push(Vec::with_capacity(BLOCK_BYTES));
-            }
-            let Some(block) = self.blocks.last_mut() else {
-                return;
-            };
-            let (part, rest) = data.split_at(data.len().min(BLOCK_BYTES - block.len()));
-            block.extend_from_slice(part);
-            data = rest;
-        }
-    }
-
-    /// Takes all bytes.
-    fn take(&mut self) -> Vec<u8> {
-        self.bytes = 0;
-        std::mem::take(&mut self.blocks).concat()
-    }
-}
+/// Buffers that double would leave freed ones of each size to the allocator.
+const BLOCK_BYTES: usize = 4 << 10;
 
 /// Splits a stream into complete events and keeps the incomplete rest.
 #[derive(Debug, Default)]
@@ -94,7 +63,7 @@
         while let Some(block) = self.scanner.next_block(data) {
             let (end, after) = data.split_at(block.bytes);
             data = after;
-            let mut event = self.rest.take();
+            let mut event = self.rest.take().concat();
             event.extend_from_slice(end);
             let id = event_id(&event);
             if let (Some(id), Some(seen)) = (id, seen)
@@ -110,7 +79,7 @@
             has_events = true;
             out.extend_from_slice(&event);
         }
-        self.rest.push(data);
+        self.keep_rest(data);
         has_events.then(|| CompleteEvents {
             bytes: out.freeze(),
             last_id,
@@ -118,6 +87,16 @@
         })
     }
 
+    /// Keeps bytes that hold no end of an event.
+    fn keep_rest(&mut self, mut data: &[u8]) {
+        while !data.is_empty() {
+            if self.rest.spare() == 0 {
+                self.rest.add_block(Vec::with_capacity(BLOCK_BYTES));
+            }
+            data = self.rest.push(data);
+        }
+    }
+
     /// Returns whether the stream may end here; `delimited` tells that a length or chunks mark its end.
     pub const fn may_end(&self, delimited: bool) -> bool {
         self.scanner.may_end(delimited)
@@ -125,17 +104,17 @@
 
     /// Takes the bytes after the last complete event: a comment, or nothing, at the end of a complete stream.
     pub fn take_rest(&mut self) -> Bytes {
-        self.rest.take().into()
+        self.rest.take().concat().into()
     }
 
     /// Returns the number of bytes after the last complete event.
     pub const fn rest_bytes(&self) -> usize {
-        self.rest.bytes
+        self.rest.len()
     }
 
     /// Returns the bound that the stream exceeds, if it does.
     pub fn exceeded_limit(&self) -> Option<CutReason> {
-        if self.rest.bytes > MAX_EVENT_BYTES {
+        if self.rest.len() > MAX_EVENT_BYTES {
             Some(CutReason::EventBytes)
         } else {
             (self.repeated > max_repeated_bytes(self.forwarded)).then_some(CutReason::RepeatedBytes)
--- a/crates/hawthornmill-gateway/src/proxy/forward.rs
+++ b/crates/hawthornmill-gateway/src/proxy/forward.rs
@@ -15,22 +15,23 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 
+use super::admission::Admitted;
 use super::events::EventSplitter;
 use super::held_bytes::HeldBytes;
 use super::progress::{BodyEnd, RequestProgress};
-use super::request_room::Room;
+use super::reservation::Reservation;
 use super::response_limits::{CutReason, MAX_ERROR_BYTES, MAX_ERROR_TIME};
 use super::send::{ReadError, ServerResponse, read_more, record_cut};
 use super::{RequestContext, RequestOutcome, SlotGuard, quarantine, retry};
 use crate::gateway::Gateway;
 use crate::http::body::{BodyDecoder, Decoded};
 use crate::http::head::{Framing, ResponseHead};
-use crate::http::write::MessageBuffer;
+use crate::http::write::{MAX_COPIED_BYTES, MessageBuffer};
 
 /// Maximum size of a response body that is buffered before it is forwarded.
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
-/// Longest part of a body that is copied behind what precedes it, so that one write sends both.
-const MAX_COPIED_BYTES: usize = 4 << 10;
+/// Bytes from which on a request's body is released before the request ends.
+const MIN_RELEASED_BYTES: usize = 16 << 10;
 /// Time in which a client takes what is buffered of a long response when there is no memory for it.
 const EVICTED_WRITE_TIME: Duration = Duration::from_secs(1);
 
@@ -94,6 +95,14 @@
     forward_buffered(context, progress, response, slot, out).await
 }
 
+/// Releases the body of a request that can't be sent again; its fingerprints stay known.
+fn release_body(context: RequestContext<'_>, admitted: &Admitted) {
+    if context.request.body_bytes >= MIN_RELEASED_BYTES {
+        let _known = quarantine::fingerprints(context.request, admitted);
+        context.request.release_body();
+    }
+}
+
 /// Returns whether the body of `response` is an event stream.
 fn has_events(response: &ServerResponse) -> bool {
     let head = &response.head;
@@ -223,7 +232,7 @@
         Buffered::Complete(end) => progress.record_body_end(response.framing, end, 0),
         Buffered::TooLong | Buffered::Evicted => {
             // What follows begins the client's response, after which the request isn't sent again.
-            quarantine::release_body(context.request, slot.admitted);
+            release_body(context, slot.admitted);
             drop(held);
             return forward_long(context, progress, response, decoder, out).await;
         }
@@ -231,7 +240,7 @@
     }
     slot.record_first_token(status);
     record_server_outcome(context.gateway, &mut response);
-    quarantine::release_body(context.request, slot.admitted);
+    release_body(context, slot.admitted);
     let outcome = tokio::select! {
         biased;
         outcome = write_buffered(context, progress, &response, out) => outcome,
@@ -303,12 +312,12 @@
     None
 }
 
-/// Keeps a complete error response while the request is sent again; `None` if there is no room for it.
+/// Keeps a complete error response while the request is sent again; `None` if there is no memory for it.
 pub fn keep(gateway: &Rc<Gateway>, mut response: ServerResponse) -> Option<ServerResponse> {
     let bytes = response.body.as_ref().map_or(0, BytesMut::capacity);
-    let mut room = Room::empty(gateway, RequestPart::KeptError);
-    room.grow_to(bytes).ok()?;
-    response.kept = Some(Box::new(room));
+    let mut memory = Reservation::empty(gateway, RequestPart::KeptError);
+    memory.grow_to(bytes).ok()?;
+    response.kept = Some(Box::new(memory));
     response.read_ahead = None;
     Some(response)
 }
@@ -476,7 +485,7 @@
         if !progress.response_started() {
             slot.bind_stream(progress);
             if slot.admitted.retry_policy != RetryPolicy::Resumable {
-                quarantine::release_body(context.request, slot.admitted);
+                release_body(context, slot.admitted);
             }
             bytes = encode_head(&response.head, Framing::Chunked, context.close.always);
             progress.start_response(response.head.status, context.gateway.now());
--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -3,7 +3,7 @@
 //! | step | input | output |
 //! |---|---|---|
 //! | [`read`] | bytes from a client | a [`read::ClientRequest`] |
-//! | [`request_body`], [`request_room`] | the rest of a request | its body, once there is room in memory |
+//! | [`request_body`], [`reservation`] | the rest of a request | its body, once its memory is reserved |
 //! | [`start_wait`] | a request of a process that has just started | the same, once it can be admitted |
 //! | [`admission`] | a request and the catalog | an [`admission::Admitted`], or an [`error_response::ErrorResponse`] |
 //! | queue | an admitted request | a server chosen by the scheduler |
@@ -26,8 +26,8 @@
 pub mod quarantine;
 pub mod read;
 pub mod request_body;
-pub mod request_room;
 pub mod request_writer;
+pub mod reservation;
 pub mod response_limits;
 pub mod response_reader;
 pub mod retry;
--- a/crates/hawthornmill-gateway/src/proxy/quarantine.rs
+++ b/crates/hawthornmill-gateway/src/proxy/quarantine.rs
@@ -16,9 +16,6 @@
 use super::read::ClientRequest;
 use crate::event_log;
 
-/// Bytes from which on a body is released before its request ends.
-const MIN_RELEASED_BYTES: usize = 16 << 10;
-
 /// Returns the identity of what a server sees of the request, and of the parts of its prompt.
 pub fn fingerprints<'a>(request: &ClientRequest, admitted: &'a Admitted) -> &'a Fingerprints {
     admitted
@@ -41,14 +38,6 @@
     })
 }
 
-/// Releases the body of a request that can't be sent again; what is known of it stays known.
-pub fn release_body(request: &ClientRequest, admitted: &Admitted) {
-    if request.body_bytes >= MIN_RELEASED_BYTES {
-        let _known = fingerprints(request, admitted);
-        request.release_body();
-    }
-}
-
 /// Returns a hash of the id of the client's attempt.
 pub fn attempt_hash(request: &ClientRequest) -> u64 {
     let bytes = request.attempt_id.bytes();
--- a/crates/hawthornmill-gateway/src/proxy/read.rs
+++ b/crates/hawthornmill-gateway/src/proxy/read.rs
@@ -13,12 +13,12 @@
 use super::error_response::ErrorResponse;
 use super::held_bytes::shrink;
 use super::request_body::{RequestBody, Upload};
-use super::request_room::{self, Room};
+use super::reservation::{self, Reservation};
 use crate::connection::RequestReader;
 use crate::gateway::{Gateway, Phase};
 use crate::http::head::{self, Framing, RequestHead};
 
-/// Bytes up to which a head takes no room; nearly all are shorter.
+/// Bytes up to which no memory is reserved for a head; nearly all are shorter.
 const MIN_HEAD_BYTES: usize = 4 << 10;
 
 /// A request as received from a client.
@@ -36,7 +36,7 @@
     pub received: Instant,
     /// The body, until the request can't be sent any more.
     body: RefCell<Option<Rc<RequestBody>>>,
-    _head_room: Room,
+    _head_memory: Reservation,
 }
 
 impl ClientRequest {
@@ -92,8 +92,8 @@
     if reader.buffer.is_empty() && !wait_for_data(gateway, reader, limits.idle_timeout).await {
         return ReadOutcome::Closed;
     }
-    let mut room = Room::empty(gateway, RequestPart::Head);
-    let head = read_head(gateway, reader, limits.header_bytes, &mut room);
+    let mut memory = Reservation::empty(gateway, RequestPart::Head);
+    let head = read_head(gateway, reader, limits.header_bytes, &mut memory);
     let head = match tokio::time::timeout(limits.header_timeout, head).await {
         Ok(Ok(Some(head))) => head,
         Ok(Ok(None)) => return ReadOutcome::Closed,
@@ -128,7 +128,7 @@
             head_received,
             received: gateway.now(),
             body: RefCell::new(Some(Rc::new(body))),
-            _head_room: room,
+            _head_memory: memory,
         }),
         Err(error) => match error.response(gateway, &attempt_id, framing) {
             Some(response) => ReadOutcome::Reject(Rejection {
@@ -157,12 +157,12 @@
     }
 }
 
-/// Reads a request head, which takes `room` if it is long; `None` if the client closed its connection first.
+/// Reads a request head, for which `memory` is reserved if it is long; `None` if the client closed its connection first.
 async fn read_head(
     gateway: &Gateway,
     reader: &mut RequestReader,
     limit: usize,
-    room: &mut Room,
+    memory: &mut Reservation,
 ) -> Result<Option<RequestHead>, Rejection> {
     loop {
         match head::parse_request(&reader.buffer) {
@@ -188,10 +188,10 @@
             return Ok(None);
         }
         if reader.buffer.len() > MIN_HEAD_BYTES
-            && let Err(refusal) = room.grow_to(reader.buffer.capacity())
+            && let Err(error) = memory.grow_to(reader.buffer.capacity())
         {
             return Err(Rejection {
-                response: request_room::refuse(gateway, "", None, refusal),
+                response: reservation::refuse(gateway, "", None, error),
                 attempt_id: Box::default(),
             });
         }
--- a/crates/hawthornmill-gateway/src/proxy/request_body.rs
+++ b/crates/hawthornmill-gateway/src/proxy/request_body.rs
@@ -1,15 +1,14 @@
-//! Reading of request bodies, which take their room in memory before they come.
+//! Reading of request bodies, whose memory is reserved before they come.
 
 use std::rc::Rc;
 
-use bytes::BufMut;
 use hawthornmill::codes::Code;
 use hawthornmill::limits::request_memory::RequestPart;
 use hawthornmill::routing::catalog::Limits;
 use tokio::time::Instant;
 
 use super::error_response::ErrorResponse;
-use super::request_room::{Room, RoomRefusal, refuse};
+use super::reservation::{Reservation, ReservationError, refuse};
 use crate::connection::RequestReader;
 use crate::gateway::Gateway;
 use crate::http::blocks::{BodyBlocks, allocation};
@@ -21,12 +20,12 @@
 /// A sender of a byte now and then would otherwise hold its connection for hours.
 const BODY_TIME_FACTOR: u32 = 20;
 
-/// The body of a request, with the room that it takes.
+/// The body of a request, with the memory that it takes.
 #[derive(Debug)]
 pub struct RequestBody {
     /// The bytes.
     pub blocks: BodyBlocks,
-    _room: Room,
+    _memory: Reservation,
 }
 
 /// Why there is no complete body.
@@ -36,13 +35,13 @@
     Closed,
     /// The body is rejected.
     Rejected(Code),
-    /// There is no room for it.
-    NoRoom(RoomRefusal),
+    /// There is no memory for it.
+    OutOfMemory(ReservationError),
 }
 
-impl From<RoomRefusal> for BodyError {
-    fn from(refusal: RoomRefusal) -> Self {
-        Self::NoRoom(refusal)
+impl From<ReservationError> for BodyError {
+    fn from(error: ReservationError) -> Self {
+        Self::OutOfMemory(error)
     }
 }
 
@@ -51,17 +50,17 @@
 pub struct Upload {
     decoder: BodyDecoder,
     blocks: BodyBlocks,
-    room: Room,
+    memory: Reservation,
     /// Length of the body, if its head tells.
     length: Option<usize>,
     limits: Limits,
 }
 
 impl Upload {
-    /// Takes the room for a body whose head has come.
+    /// Reserves the memory for a body whose head has come.
     ///
     /// # Errors
-    /// If the body is too long, or there is no room for it.
+    /// If the body is too long, or there is no memory for it.
     pub fn begin(
         gateway: &Rc<Gateway>,
         framing: Framing,
@@ -75,12 +74,12 @@
         if length.is_some_and(|bytes| bytes > limits.body_bytes) {
             return Err(BodyError::Rejected(Code::BodyTooLarge));
         }
-        let mut room = Room::empty(gateway, RequestPart::Body);
-        room.grow_to(length.map_or(0, allocation))?;
+        let mut memory = Reservation::empty(gateway, RequestPart::Body);
+        memory.grow_to(length.map_or(0, allocation))?;
         Ok(Self {
             decoder: BodyDecoder::new(framing),
             blocks: BodyBlocks::new(&gateway.block_pool),
-            room,
+            memory,
             length,
             limits,
         })
@@ -100,17 +99,17 @@
                 Ok(Decoded::Incomplete) => {
                     // Most short bodies come together with their heads.
                     if !std::mem::replace(&mut is_waiting, true) {
-                        self.room.begin_upload();
+                        self.memory.begin_upload();
                     }
                     self.read_more(reader, end).await?;
                 }
                 Err(_malformed) => return Err(BodyError::Rejected(Code::BadHeader)),
             }
         }
-        self.room.end_upload()?;
+        self.memory.end_upload()?;
         Ok(RequestBody {
             blocks: self.blocks,
-            _room: self.room,
+            _memory: self.memory,
         })
     }
 
@@ -125,10 +124,10 @@
         }
         while !data.is_empty() {
             let missing = self.missing();
-            self.room.grow_to(self.blocks.next_allocation(missing))?;
+            self.memory.grow_to(self.blocks.next_allocation(missing))?;
             data = self.blocks.push(data, missing);
         }
-        self.room.record_received(self.blocks.len());
+        self.memory.record_received(self.blocks.len());
         Ok(())
     }
 
@@ -143,21 +142,20 @@
         let is_data = due > 0 && self.blocks.len() + due <= self.limits.body_bytes;
         if is_data {
             let missing = self.missing();
-            self.room.grow_to(self.blocks.next_allocation(missing))?;
+            self.memory.grow_to(self.blocks.next_allocation(missing))?;
         }
         let missing = self.missing();
         let pause_end = Instant::now() + self.limits.idle_timeout;
         let read = async {
             if is_data {
-                let block = self.blocks.open_block(missing);
-                reader.read_into(&mut block.limit(due)).await
+                reader.read_into(&mut self.blocks.space(missing, due)).await
             } else {
                 reader.read_more().await
             }
         };
         let read = tokio::select! {
             biased;
-            () = self.room.displaced() => return Err(RoomRefusal::Displaced.into()),
+            () = self.memory.evicted() => return Err(ReservationError::Evicted.into()),
             read = tokio::time::timeout_at(pause_end.min(end), read) => read,
         };
         let bytes = match read {
@@ -167,8 +165,8 @@
         };
         if is_data {
             self.decoder.record_read(bytes as u64);
-            self.blocks.record_added(bytes);
-            self.room.record_received(self.blocks.len());
+            self.blocks.record_read(bytes);
+            self.memory.record_received(self.blocks.len());
         }
         Ok(())
     }
@@ -189,7 +187,7 @@
         match self {
             Self::Closed => None,
             Self::Rejected(code) => Some(ErrorResponse::new(code)),
-            Self::NoRoom(refusal) => Some(refuse(gateway, attempt_id, declared, refusal)),
+            Self::OutOfMemory(error) => Some(refuse(gateway, attempt_id, declared, error)),
         }
     }
 }
--- a/crates/hawthornmill-gateway/src/proxy/request_writer.rs
+++ b/crates/hawthornmill-gateway/src/proxy/request_writer.rs
@@ -14,11 +14,9 @@
 use super::request_body::RequestBody;
 use crate::gateway::Gateway;
 use crate::http::head::Framing;
-use crate::http::write::MessageBuffer;
+use crate::http::write::{MAX_COPIED_BYTES, MessageBuffer};
 use crate::pool::Upstream;
 
-/// Longest body that is copied behind its head, so that one write sends both.
-const MAX_COPIED_BYTES: usize = 4 << 10;
 /// Parts of a request that are written at once.
 const MAX_PARTS: usize = 64;
 
@@ -77,12 +75,16 @@
     body: Option<Rc<RequestBody>>,
     progress: &mut RequestProgress,
 ) -> io::Result<bool> {
+    debug_assert!(
+        body.is_some(),
+        "a request whose body was released isn't sent"
+    );
     let blocks = body.as_ref().map(|b| &b.blocks);
     let mut parts: SmallVec<[IoSlice<'_>; 2]> = SmallVec::new();
     match blocks {
         Some(blocks) if blocks.len() > MAX_COPIED_BYTES => {
             parts.push(IoSlice::new(&head.0));
-            parts.extend(blocks.slices());
+            parts.extend(blocks.parts().map(IoSlice::new));
         }
         Some(blocks) => {
             blocks.parts().for_each(|p| head.0.extend_from_slice(p));
--- a/crates/hawthornmill-gateway/src/proxy/send.rs
+++ b/crates/hawthornmill-gateway/src/proxy/send.rs
@@ -21,8 +21,8 @@
 use super::held_bytes::{HeldBytes, shrink};
 use super::progress::RequestProgress;
 use super::read::ClientRequest;
-use super::request_room::Room;
 use super::request_writer::{encode_head, write_request};
+use super::reservation::Reservation;
 use super::response_limits::{CutReason, MAX_REFUSAL_BYTES, MAX_REFUSAL_TIME};
 use super::response_reader::{AnswerHead, Expected, ResponseReader};
 use super::{RequestContext, connect, hedge, quarantine, retry};
@@ -58,8 +58,8 @@
     pub body: Option<BytesMut>,
     /// Where buffering the body ended, if it was buffered before the response is forwarded.
     pub read_ahead: Option<Box<ReadAhead>>,
-    /// Room of an error response that is kept while the request is sent to another server.
-    pub kept: Option<Box<Room>>,
+    /// Reservation of an error response that is kept while the request is sent to another server.
+    pub kept: Option<Box<Reservation>>,
     /// Whether it gives the id of the request.
     pub names_request: bool,
     /// Whether it is recorded what the response tells of the server.
--- a/crates/hawthornmill/src/limits/request_memory.rs
+++ b/crates/hawthornmill/src/limits/request_memory.rs
@@ -1,7 +1,7 @@
-//! Memory that the requests of one process use together, and which of them gives way when it is used up.
+//! Memory that the requests of one process use together, and which uploads are evicted when it is used up.
 //!
-//! Memory is taken before it is allocated, for a body of known length when its head has come. What is counted is what is
-//! allocated, so the sum is a bound on the memory itself.
+//! Memory is reserved before it is allocated, for a body of known length when its head has come. What is counted is what
+//! is allocated, so the sum is a bound on the memory itself.
 
 use std::time::{Duration, Instant};
 
@@ -15,14 +15,14 @@
 
 /// Time for which a body may be received at any speed.
 const UPLOAD_GRACE: Duration = Duration::from_secs(1);
-/// Bytes a second; a body that comes more slowly gives way when others lack room.
+/// Bytes a second below which an upload can be evicted.
 const MIN_UPLOAD_RATE: f64 = (64 << 10) as f64;
-/// Least size whose time in memory tells when there will be room again.
+/// Least size of a body whose lifetime tells when there will be memory again.
 pub const MIN_TIMED_BYTES: usize = 64 << 10;
-/// Weight of the newest time in the mean.
-const HOLD_WEIGHT: f64 = 0.125;
-/// Time after which there may be room again where none was measured.
-const DEFAULT_HOLD: Duration = Duration::from_millis(400);
+/// Weight of the newest lifetime in the mean.
+const LIFETIME_WEIGHT: f64 = 0.125;
+/// Lifetime of a body that is assumed before one was measured.
+const DEFAULT_LIFETIME: Duration = Duration::from_millis(400);
 /// Shortest and longest time that a refused caller is told to wait.
 const RETRY_RANGE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(5));
 
@@ -42,14 +42,14 @@
     pub const ALL: [Self; 3] = [Self::Head, Self::Body, Self::KeptError];
 }
 
-/// There is no room.
+/// The memory for requests is used up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct NoRoom;
+pub struct OutOfMemory;
 
 #[derive(Debug, Clone, Copy)]
 struct Upload {
-    /// Bytes taken for it.
-    taken: usize,
+    /// Bytes reserved for it.
+    reserved: usize,
     received: usize,
     begun: Instant,
 }
@@ -61,69 +61,77 @@
         self.received as f64 / elapsed.max(f64::MIN_POSITIVE)
     }
 
-    fn gives_way(&self, now: Instant) -> bool {
+    fn is_evictable(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.begun) > UPLOAD_GRACE && self.rate(now) < MIN_UPLOAD_RATE
     }
 }
 
-/// Uploads that give way to a request.
-pub type Displaced = SmallVec<[UploadKey; 4]>;
+/// Uploads that were evicted for a request.
+pub type Evicted = SmallVec<[UploadKey; 4]>;
 
 /// Bytes that the requests of a process use, without I/O.
 #[derive(Debug, Default)]
 pub struct RequestMemory {
     /// Bytes of each part, in the order of [`RequestPart::ALL`].
-    used: [usize; RequestPart::ALL.len()],
+    reserved: [usize; RequestPart::ALL.len()],
     uploads: SlotMap<UploadKey, Upload>,
-    /// Mean time that a large body is in memory.
-    mean_hold: Option<Duration>,
+    /// Mean time that a long body is in memory.
+    mean_lifetime: Option<Duration>,
 }
 
 impl RequestMemory {
-    /// Takes `bytes`, if no more than `limit` are used then.
+    /// Reserves `bytes`, if no more than `limit` are reserved then.
     ///
     /// # Errors
-    /// If there is no room.
-    pub fn take(&mut self, part: RequestPart, bytes: usize, limit: usize) -> Result<(), NoRoom> {
+    /// If there is no memory.
+    pub fn reserve(
+        &mut self,
+        part: RequestPart,
+        bytes: usize,
+        limit: usize,
+    ) -> Result<(), OutOfMemory> {
         if self.total().saturating_add(bytes) > limit {
-            return Err(NoRoom);
+            return Err(OutOfMemory);
         }
-        self.used[part as usize] += bytes;
+        self.reserved[part as usize] += bytes;
         Ok(())
     }
 
-    /// Takes `bytes` of which some are used by bodies that come slowly; returns the uploads that must end for it.
+    /// Reserves `bytes`, and evicts uploads that are too slow if need be; returns these, whose bytes are released.
     ///
-    /// The bytes of these no longer count.
+    /// `own` is the upload for which the bytes are, which is not evicted itself.
     ///
     /// # Errors
-    /// If there is no room even so.
-    pub fn take_from_slow(
+    /// If there is no memory even so; nothing is evicted then.
+    pub fn reserve_evicting(
         &mut self,
         part: RequestPart,
         bytes: usize,
         limit: usize,
+        own: Option<UploadKey>,
         now: Instant,
-    ) -> Result<Displaced, NoRoom> {
+    ) -> Result<Evicted, OutOfMemory> {
         let excess = self.total().saturating_add(bytes).saturating_sub(limit);
-        let displaced = self.slow_uploads(excess, now).ok_or(NoRoom)?;
-        for upload in &displaced {
-            self.end_upload(*upload);
+        let evicted = self.slow_uploads(excess, own, now).ok_or(OutOfMemory)?;
+        for key in &evicted {
+            if let Some(upload) = self.uploads.remove(*key) {
+                self.release(RequestPart::Body, upload.reserved);
+            }
         }
-        self.take(part, bytes, limit)?;
-        Ok(displaced)
+        self.reserve(part, bytes, limit)?;
+        Ok(evicted)
     }
 
-    /// Returns the slowest uploads that hold `bytes` together; `None` if those that may give way hold less.
-    fn slow_uploads(&self, bytes: usize, now: Instant) -> Option<Displaced> {
-        let mut chosen = Displaced::new();
-        let slow = self.uploads.iter().filter(|(_, u)| u.gives_way(now));
+    /// Returns the slowest uploads with `bytes` together, but `own`; `None` if those that can be evicted have fewer.
+    fn slow_uploads(&self, bytes: usize, own: Option<UploadKey>, now: Instant) -> Option<Evicted> {
+        let uploads = self.uploads.iter();
+        let slow = uploads.filter(|(key, u)| Some(*key) != own && u.is_evictable(now));
         let mut slow: Vec<(UploadKey, &Upload)> = slow.collect();
         slow.sort_by(|(_, a), (_, b)| a.rate(now).total_cmp(&b.rate(now)));
-        let mut freed = 0;
+        let (mut chosen, mut freed) = (Evicted::new(), 0);
         for (key, upload) in slow {
             chosen.push(key);
-            freed += upload.taken;
+            freed += upload.reserved;
             if freed >= bytes {
                 return Some(chosen);
             }
@@ -131,60 +139,59 @@
         None
     }
 
-    /// Gives bytes of a part back.
-    pub const fn give_back(&mut self, part: RequestPart, bytes: usize) {
-        self.used[part as usize] -= bytes;
+    /// Releases bytes of a part.
+    pub const fn release(&mut self, part: RequestPart, bytes: usize) {
+        self.reserved[part as usize] -= bytes;
     }
 
-    /// Begins to follow a body that is being received, for which `taken` bytes were taken.
-    pub fn begin_upload(&mut self, taken: usize, now: Instant) -> UploadKey {
+    /// Begins to follow a body that is being received, for which `reserved` bytes are reserved.
+    pub fn begin_upload(&mut self, reserved: usize, now: Instant) -> UploadKey {
         self.uploads.insert(Upload {
-            taken,
+            reserved,
             received: 0,
             begun: now,
         })
     }
 
-    /// Records how much was received of a body, and how much was taken for it.
-    pub fn record_upload(&mut self, upload: UploadKey, received: usize, taken: usize) {
+    /// Records how many bytes of a body were received.
+    pub fn record_received(&mut self, upload: UploadKey, received: usize) {
         if let Some(upload) = self.uploads.get_mut(upload) {
             upload.received = received;
-            upload.taken = taken;
         }
     }
 
-    /// Ends an upload that gave way, and gives its bytes back.
-    fn end_upload(&mut self, upload: UploadKey) {
-        if let Some(upload) = self.uploads.remove(upload) {
-            self.give_back(RequestPart::Body, upload.taken);
+    /// Records how many bytes are reserved for a body that is being received.
+    pub fn record_reserved(&mut self, upload: UploadKey, reserved: usize) {
+        if let Some(upload) = self.uploads.get_mut(upload) {
+            upload.reserved = reserved;
         }
     }
 
-    /// Stops following a body that is complete or given up; returns false if it had to give way.
-    pub fn forget_upload(&mut self, upload: UploadKey) -> bool {
+    /// Stops following a body that is complete or abandoned; returns false if it was evicted.
+    pub fn end_upload(&mut self, upload: UploadKey) -> bool {
         self.uploads.remove(upload).is_some()
     }
 
-    /// Records that a body of at least [`MIN_TIMED_BYTES`] was in memory for `held`.
-    pub fn record_hold(&mut self, held: Duration) {
-        let before = self.mean_hold.unwrap_or(held);
-        let mean = before.mul_f64(1.0 - HOLD_WEIGHT) + held.mul_f64(HOLD_WEIGHT);
-        self.mean_hold = Some(mean);
+    /// Records that a body of at least [`MIN_TIMED_BYTES`] was in memory for `lifetime`.
+    pub fn record_lifetime(&mut self, lifetime: Duration) {
+        let before = self.mean_lifetime.unwrap_or(lifetime);
+        let mean = before.mul_f64(1.0 - LIFETIME_WEIGHT) + lifetime.mul_f64(LIFETIME_WEIGHT);
+        self.mean_lifetime = Some(mean);
     }
 
-    /// Returns when a refused caller finds room, if callers hold it for as long as before.
+    /// Returns when there is memory for a refused caller, if bodies live as long as before.
     pub fn retry_after(&self) -> Duration {
-        let hold = self.mean_hold.unwrap_or(DEFAULT_HOLD);
-        hold.clamp(RETRY_RANGE.0, RETRY_RANGE.1)
+        let lifetime = self.mean_lifetime.unwrap_or(DEFAULT_LIFETIME);
+        lifetime.clamp(RETRY_RANGE.0, RETRY_RANGE.1)
     }
 
-    /// Returns the bytes of a part.
-    pub const fn used(&self, part: RequestPart) -> usize {
-        self.used[part as usize]
+    /// Returns the bytes reserved for a part.
+    pub const fn reserved(&self, part: RequestPart) -> usize {
+        self.reserved[part as usize]
     }
 
-    /// Returns the bytes of all parts.
+    /// Returns the bytes reserved for all parts.
     pub fn total(&self) -> usize {
-        self.used.iter().sum()
+        self.reserved.iter().sum()
     }
 }
--- a/tests/testsuite/gateway/endless_elsewhere.rs
+++ b/tests/testsuite/gateway/endless_elsewhere.rs
@@ -354,7 +354,7 @@
         .await;
 
         // A connection that is turned away because the process is late has the same code as one without room.
-        let no_room = fleet.gateways[0].logged("no_room");
+        let no_room = fleet.gateways[0].logged("memory_refused");
         let is_logged = |id: &str| no_room.iter().any(|l| l["request"] == id);
         let codes: Vec<(String, u64)> = codes.into_iter().flatten().collect();
         let full = codes.iter().filter(|(id, c)| *c == 3020 && is_logged(id));
--- a/tests/testsuite/gateway/memory.rs
+++ b/tests/testsuite/gateway/memory.rs
@@ -18,9 +18,11 @@
 /// Memory that the process may use, in MiB.
 const MEMORY_MB: u64 = 64;
 const BODY_BYTES: usize = 2_000_000;
-/// Bytes that a client announces which holds room; the room that five of them leave is too small for another.
+/// Bytes that a client announces for which memory is reserved; what five of them leave is too little for another.
 const HELD_BYTES: usize = 4_000_000;
 const CLIENTS: usize = 12;
+/// Bytes that fill blocks of 4, 4, 8, 16 and 32 KiB.
+const WHOLE_BLOCKS_BYTES: usize = 64 << 10;
 /// Clients with long heads, and bytes of these that they send.
 const MAX_HEAD_CLIENTS: usize = 8_000;
 const HEAD_BYTES: usize = 15_000;
@@ -34,8 +36,8 @@
 /// Time that a server works on a request.
 const WORK_MS: u64 = 150;
 /// Code of a request that is refused for lack of memory.
-const NO_ROOM: u64 = 3020;
-/// Longest time until a request is refused that finds no room; the time for an idle connection is twice as long.
+const OUT_OF_MEMORY: u64 = 3020;
+/// Longest time until a request is refused for which there is no memory; the time for an idle connection is twice as long.
 const MAX_REFUSAL_TIME: Duration = Duration::from_millis(1_500);
 
 /// Starts a gateway with little memory in front of servers that take a while.
@@ -142,7 +144,7 @@
                     counts.served += 1;
                 }
                 503 => {
-                    assert_eq!(code(&response), NO_ROOM);
+                    assert_eq!(code(&response), OUT_OF_MEMORY);
                     assert!(
                         response.field("retry-after").is_some(),
                         "{}",
@@ -267,8 +269,8 @@
         let head = request("POST", "/once/", "a", &field);
         let head = &head.as_bytes()[..HEAD_BYTES];
         let mut clients = Vec::new();
-        while fleet.gateways[0].logged("no_room").is_empty() {
-            assert!(clients.len() < MAX_HEAD_CLIENTS, "all find room");
+        while fleet.gateways[0].logged("memory_refused").is_empty() {
+            assert!(clients.len() < MAX_HEAD_CLIENTS, "all find memory");
             if clients.len() % HEAD_BATCH == 0 {
                 // A process that is late turns connections away.
                 tokio::time::sleep(HEAD_PAUSE).await;
@@ -285,24 +287,24 @@
     });
 }
 
-/// Failure: a body is received and dropped, or `100 Continue` is sent, where there is no room for it.
+/// Failure: a body is received and dropped, or `100 Continue` is sent, where there is no memory for it.
 #[test]
-fn request_without_room_is_refused_at_its_head() {
+fn request_without_memory_is_refused_at_its_head() {
     block_on(async {
         let fleet = start(1).await;
-        let _uploads = hold_room(&fleet, 12).await;
+        let _uploads = hold_memory(&fleet, 12).await;
         let more = format!("Content-Length: {HELD_BYTES}\r\nExpect: 100-continue\r\n");
         let begun = Instant::now();
 
         let response = exchange(&fleet, request("POST", "/once/", "late", &more).as_bytes()).await;
 
         let response = response.expect("the client is told");
-        assert_eq!((response.status(), code(&response)), (503, NO_ROOM));
+        assert_eq!((response.status(), code(&response)), (503, OUT_OF_MEMORY));
         assert_eq!(response.field("attempt-id"), Some("late"));
         assert!(response.field("retry-after").is_some());
         assert!(begun.elapsed() < MAX_REFUSAL_TIME);
         wait_until("the refusal is logged", || async {
-            let lines = fleet.gateways[0].logged("no_room");
+            let lines = fleet.gateways[0].logged("memory_refused");
             lines
                 .iter()
                 .any(|l| l["request"] == "late" && l["why"] == "full")
@@ -311,8 +313,8 @@
     });
 }
 
-/// Takes all room with clients that send heads only.
-async fn hold_room(fleet: &Fleet, clients: usize) -> Vec<Client> {
+/// Reserves all memory with clients that send heads only.
+async fn hold_memory(fleet: &Fleet, clients: usize) -> Vec<Client> {
     let mut uploads = Vec::new();
     for number in 0..clients {
         let mut client = Client::connect(fleet.gateways[0].front()).await;
@@ -322,8 +324,8 @@
             .await;
         uploads.push(client);
     }
-    wait_until("the room is taken", || async {
-        !fleet.gateways[0].logged("no_room").is_empty()
+    wait_until("the memory is reserved", || async {
+        !fleet.gateways[0].logged("memory_refused").is_empty()
     })
     .await;
     uploads
@@ -331,10 +333,10 @@
 
 /// Failure: clients that announce long bodies and send nothing keep all others out until they time out.
 #[test]
-fn stalled_bodies_give_way() {
+fn stalled_bodies_are_evicted() {
     block_on(async {
         let fleet = start(1).await;
-        let mut uploads = hold_room(&fleet, 12).await;
+        let mut uploads = hold_memory(&fleet, 12).await;
         tokio::time::sleep(MAX_REFUSAL_TIME).await;
         let sound = message("/once/", "sound", &body(HELD_BYTES, 0), Coding::Length);
 
@@ -342,8 +344,8 @@
 
         assert_eq!(response.map(|r| r.status()), Some(200));
         wait_until("a stalled client is told", || async {
-            let lines = fleet.gateways[0].logged("no_room");
-            lines.iter().any(|l| l["why"] == "displaced")
+            let lines = fleet.gateways[0].logged("memory_refused");
+            lines.iter().any(|l| l["why"] == "evicted")
         })
         .await;
         uploads.clear();
@@ -351,6 +353,59 @@
     });
 }
 
+/// Failure: the last block of a body that is evicted while it is awaited stays reserved for ever.
+#[test]
+fn evicted_bodies_in_chunks_give_all_their_memory_back() {
+    block_on(async {
+        let fleet = start(1).await;
+        let head = request("POST", "/once/", "a", "Transfer-Encoding: chunked\r\n");
+        // As many bytes as the first blocks hold, so that the next one is reserved before it is needed.
+        let begin = [head.as_bytes(), b"f4240\r\n", &body(WHOLE_BLOCKS_BYTES, 0)].concat();
+        let mut stalled = Vec::new();
+        while fleet.gateways[0].logged("memory_refused").is_empty() {
+            assert!(stalled.len() < MAX_HEAD_CLIENTS, "all find memory");
+            let mut client = Client::connect(fleet.gateways[0].front()).await;
+            let _written = client.stream.write_all(&begin).await;
+            stalled.push(client);
+        }
+        tokio::time::sleep(MAX_REFUSAL_TIME).await;
+        let sound = message("/once/", "sound", &body(HELD_BYTES, 0), Coding::Length);
+
+        let response = exchange(&fleet, &sound).await;
+
+        assert_eq!(response.map(|r| r.status()), Some(200));
+        drop(stalled);
+        wait_until("no request holds memory", || async {
+            gauge(&fleet.gateways[0].metrics().await, "body_bytes") == Some(0)
+        })
+        .await;
+    });
+}
+
+/// Failure: a body that never fits is told to come back, again and again.
+#[test]
+fn body_that_never_fits_is_told_no_time_to_retry() {
+    block_on(async {
+        let mut fleet = start(1).await;
+        let mut config = config(2);
+        config["limits"]["maxBodyBytes"] = (64 << 20).into();
+        fleet.store.put("op/config", config.to_string().as_bytes());
+        let gateway = &mut fleet.gateways[0];
+        wait_until("the configuration is in force", || async {
+            let lines = gateway.logged("catalog_in_force");
+            lines.iter().any(|l| l["version"] == 2)
+        })
+        .await;
+        let more = format!("Content-Length: {}\r\n", 32 << 20);
+
+        let response = exchange(&fleet, request("POST", "/once/", "huge", &more).as_bytes()).await;
+
+        let response = response.expect("the client is told");
+        assert_eq!((response.status(), code(&response)), (503, OUT_OF_MEMORY));
+        assert_eq!(response.field("retry-after"), None);
+    });
+}
+
 /// Failure: a body in several blocks is sent in part, or from its middle, when it is sent again.
 #[test]
 fn long_body_is_whole_when_it_is_sent_again() {
@@ -370,13 +425,13 @@
     });
 }
 
-/// Failure: the memory of bodies is lost when their requests end, so that after some time none has room.
+/// Failure: the memory of bodies is lost when their requests end, so that after some time there is none.
 #[test]
 fn ended_requests_give_their_memory_back() {
     block_on(async {
         let fleet = start(2).await;
         let _counts = send_bodies(&fleet, CLIENTS, BODY_BYTES, Coding::Length).await;
-        let uploads = hold_room(&fleet, 12).await;
+        let uploads = hold_memory(&fleet, 12).await;
         drop(uploads);
 
         wait_until("no request holds memory, and no block is spare", || async {
--- a/tests/testsuite/gateway/request_memory.rs
+++ b/tests/testsuite/gateway/request_memory.rs
@@ -3,10 +3,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hawthornmill::limits::request_memory::{NoRoom, RequestMemory, RequestPart};
+use hawthornmill::limits::request_memory::{OutOfMemory, RequestMemory, RequestPart};
 use hawthornmill::quarantine::fingerprint::{Fingerprint, RequestContent};
 use hawthornmill_gateway::http::blocks::{BlockPool, BodyBlocks, allocation};
-use hawthornmill_gateway::proxy::request_room::{request_limit, shared_limit};
+use hawthornmill_gateway::proxy::reservation::{request_limit, shared_limit};
 use proptest::prelude::*;
 
 const LIMIT: usize = 100 << 10;
@@ -16,53 +16,97 @@
     start + Duration::from_secs_f64(seconds)
 }
 
-/// Failure: a sound upload gives way, or one that has just begun.
+/// Failure: a sound upload is evicted, or one that has just begun.
 #[test]
-fn only_slow_uploads_give_way() {
+fn only_slow_uploads_are_evicted() {
     let (mut memory, start) = (RequestMemory::default(), Instant::now());
-    memory.take(BODY, 90 << 10, LIMIT).expect("there is room");
+    memory
+        .reserve(BODY, 90 << 10, LIMIT)
+        .expect("there is memory");
     let (sound, slow) = (
         memory.begin_upload(40 << 10, start),
         memory.begin_upload(50 << 10, start),
     );
-    memory.record_upload(sound, 400 << 10, 40 << 10);
+    memory.record_received(sound, 400 << 10);
 
-    let early = memory.take_from_slow(BODY, 30 << 10, LIMIT, after(start, 0.9));
-    let much = memory.take_from_slow(BODY, 70 << 10, LIMIT, after(start, 3.0));
-    let some = memory.take_from_slow(BODY, 30 << 10, LIMIT, after(start, 3.0));
+    let early = memory.reserve_evicting(BODY, 30 << 10, LIMIT, None, after(start, 0.9));
+    let much = memory.reserve_evicting(BODY, 70 << 10, LIMIT, None, after(start, 3.0));
+    let some = memory.reserve_evicting(BODY, 30 << 10, LIMIT, None, after(start, 3.0));
 
-    assert_eq!((early, much), (Err(NoRoom), Err(NoRoom)));
-    assert_eq!(some.expect("one gives way").as_slice(), [slow]);
+    assert_eq!((early, much), (Err(OutOfMemory), Err(OutOfMemory)));
+    assert_eq!(some.expect("one is evicted").as_slice(), [slow]);
     assert_eq!(memory.total(), 70 << 10);
     assert_eq!(
-        (memory.forget_upload(slow), memory.forget_upload(sound)),
+        (memory.end_upload(slow), memory.end_upload(sound)),
         (false, true)
     );
 }
 
-/// Failure: several uploads give way where the slowest alone makes room.
+/// Failure: several uploads are evicted where the slowest alone suffices.
 #[test]
-fn slowest_upload_gives_way_first() {
+fn slowest_upload_is_evicted_first() {
     let (mut memory, start) = (RequestMemory::default(), Instant::now());
-    memory.take(BODY, 90 << 10, LIMIT).expect("there is room");
+    memory
+        .reserve(BODY, 90 << 10, LIMIT)
+        .expect("there is memory");
     let uploads = [30_000, 10, 20_000].map(|received| {
         let upload = memory.begin_upload(30 << 10, start);
-        memory.record_upload(upload, received, 30 << 10);
+        memory.record_received(upload, received);
         upload
     });
 
-    let displaced = memory.take_from_slow(BODY, 20 << 10, LIMIT, after(start, 2.0));
+    let evicted = memory.reserve_evicting(BODY, 20 << 10, LIMIT, None, after(start, 2.0));
 
-    assert_eq!(displaced.expect("one gives way").as_slice(), [uploads[1]]);
+    assert_eq!(evicted.expect("one is evicted").as_slice(), [uploads[1]]);
 }
 
-/// Failure: refused callers come back long before there is room, or only long afterwards.
+/// Failure: a slow upload that needs more evicts itself, and what it reserves then is never released.
+#[test]
+fn upload_does_not_evict_itself() {
+    let (mut memory, start) = (RequestMemory::default(), Instant::now());
+    memory
+        .reserve(BODY, 90 << 10, LIMIT)
+        .expect("there is memory");
+    let (own, other) = (
+        memory.begin_upload(60 << 10, start),
+        memory.begin_upload(30 << 10, start),
+    );
+    memory.record_received(other, 10);
+
+    let much = memory.reserve_evicting(BODY, 50 << 10, LIMIT, Some(own), after(start, 2.0));
+    let some = memory.reserve_evicting(BODY, 20 << 10, LIMIT, Some(own), after(start, 2.0));
+
+    assert_eq!(much, Err(OutOfMemory));
+    assert_eq!(some.expect("the other is evicted").as_slice(), [other]);
+    assert!(memory.end_upload(own), "it goes on");
+}
+
+/// Failure: memory that was reserved for an upload last is not released with its eviction.
+#[test]
+fn eviction_releases_all_that_is_reserved() {
+    let (mut memory, start) = (RequestMemory::default(), Instant::now());
+    memory
+        .reserve(BODY, 50 << 10, LIMIT)
+        .expect("there is memory");
+    let upload = memory.begin_upload(50 << 10, start);
+    memory
+        .reserve(BODY, 40 << 10, LIMIT)
+        .expect("there is memory");
+    memory.record_reserved(upload, 90 << 10);
+
+    let evicted = memory.reserve_evicting(BODY, 30 << 10, LIMIT, None, after(start, 2.0));
+
+    assert_eq!(evicted.expect("it is evicted").as_slice(), [upload]);
+    assert_eq!(memory.total(), 30 << 10);
+}
+
+/// Failure: refused callers come back long before there is memory, or only long afterwards.
 #[test]
 fn refused_callers_return_when_bodies_have_ended() {
     let mut memory = RequestMemory::default();
     let before = memory.retry_after();
     for _ in 0..40 {
-        memory.record_hold(Duration::from_secs(2));
+        memory.record_lifetime(Duration::from_secs(2));
     }
 
     assert_eq!(before, Duration::from_millis(400));
@@ -95,6 +139,21 @@
     assert_eq!((spare, after_use, pool.bytes()), (3 << 15, 3 << 15, 0));
 }
 
+/// Failure: spare blocks use memory that requests and responses need, beyond what all of them may use.
+#[test]
+fn spare_blocks_leave_others_their_memory() {
+    let pool = Rc::new(BlockPool::default());
+    let mut body = BodyBlocks::new(&pool);
+    fill(&mut body, &vec![1; 100_000], Some(100_000));
+    drop(body);
+
+    pool.shrink_to(70_000);
+    let shrunk = pool.bytes();
+    pool.shrink_to(0);
+
+    assert_eq!((shrunk, pool.bytes()), (2 << 15, 0));
+}
+
 fn fill(body: &mut BodyBlocks, mut data: &[u8], length: Option<usize>) {
     while !data.is_empty() {
         data = body.push(data, length.map(|l| l - body.len()));
@@ -113,9 +172,9 @@
 }
 
 proptest! {
-    /// Failure: more is allocated for a body than was taken for it, or its bytes are changed.
+    /// Failure: more is allocated for a body than was reserved for it, or its bytes are changed.
     #[test]
-    fn body_takes_what_was_counted(length in 0_usize..200_000, is_known: bool, piece in 1_usize..70_000) {
+    fn blocks_have_the_bytes_that_were_counted(length in 0_usize..200_000, is_known: bool, piece in 1_usize..70_000) {
         let data: Vec<u8> = (0..length).map(|at| (at % 251) as u8).collect();
         let pool = Rc::new(BlockPool::default());
         let mut body = BodyBlocks::new(&pool);
