--- a/benches/gateway_cost.rs
+++ b/benches/gateway_cost.rs
@@ -6,12 +6,17 @@
 #[path = "../tests/testsuite/gateway/fleet.rs"]
 #[expect(dead_code, reason = "the bench needs a part of the fixtures only")]
 mod fleet;
+#[path = "../tests/testsuite/gateway/http_io.rs"]
+mod http_io;
 #[path = "../tests/testsuite/gateway/scripted_server.rs"]
 #[expect(dead_code, reason = "the bench needs a part of the fixtures only")]
 mod scripted_server;
 #[path = "../tests/testsuite/gateway/store.rs"]
 #[expect(dead_code, reason = "the bench needs a part of the fixtures only")]
 mod store;
+#[path = "../tests/testsuite/gateway/streams.rs"]
+#[expect(dead_code, reason = "the bench needs a part of the fixtures only")]
+mod streams;
 
 use std::time::{Duration, Instant};
 
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -9,12 +9,17 @@
 #[path = "../testsuite/gateway/fleet.rs"]
 #[expect(dead_code, reason = "the soak needs a part of the fixtures only")]
 mod fleet;
+#[path = "../testsuite/gateway/http_io.rs"]
+mod http_io;
 #[path = "../testsuite/gateway/scripted_server.rs"]
 #[expect(dead_code, reason = "the soak needs a part of the fixtures only")]
 mod scripted_server;
 #[path = "../testsuite/gateway/store.rs"]
 #[expect(dead_code, reason = "the soak needs a part of the fixtures only")]
 mod store;
+#[path = "../testsuite/gateway/streams.rs"]
+#[expect(dead_code, reason = "the soak needs a part of the fixtures only")]
+mod streams;
 
 mod callers;
 mod crashes;
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -7,8 +7,9 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::promises::{EVENTS, VERSIONS, version_of};
-use crate::scripted_server::{Behavior, PartialStream, StreamEnd, StreamFraming, marked_events};
+use crate::scripted_server::Behavior;
 use crate::store::Mode;
+use crate::streams::{PartialStream, StreamEnd, StreamFraming, marked_events};
 
 /// Part of the run in which faults begin; the rest shows whether the fleet recovers.
 const FAULTY_PART: f64 = 0.55;
--- a/tests/soak/plant.rs
+++ b/tests/soak/plant.rs
@@ -8,8 +8,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::http_io::{read_request, write_response};
 use crate::promises::VERSIONS;
-use crate::scripted_server::{marked_events, read_request, write_response};
+use crate::streams::marked_events;
 
 /// Requests of which one is treated wrongly.
 const EACH: u32 = 4;
--- a/tests/soak/promises.rs
+++ b/tests/soak/promises.rs
@@ -8,7 +8,8 @@
 
 use crate::callers::{Kind, Outcome, Seen};
 use crate::crashes;
-use crate::scripted_server::{Behavior, ReceivedRequest, marked_events};
+use crate::scripted_server::{Behavior, ReceivedRequest};
+use crate::streams::marked_events;
 
 /// Time without trouble after which a process must keep its bounds.
 const STABLE: Duration = Duration::from_secs(4);
--- a/tests/testsuite/gateway/event_streams.rs
+++ b/tests/testsuite/gateway/event_streams.rs
@@ -6,7 +6,8 @@
 use tokio::io::AsyncReadExt;
 
 use super::fleet::{Client, Fleet, Response, request};
-use super::scripted_server::{Behavior, PartialStream, Server, StreamEnd, StreamFraming, events};
+use super::scripted_server::{Behavior, Server};
+use super::streams::{PartialStream, StreamEnd, StreamFraming, events};
 use crate::block_on;
 
 /// Bytes of an event up to the middle of its second line.
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -9,6 +9,7 @@
 #[expect(dead_code, reason = "the soak uses the other part of the fixtures")]
 mod fleet;
 mod hedged_requests;
+mod http_io;
 mod http_parsing;
 mod invalid_config;
 mod long_values;
@@ -34,3 +35,4 @@
 mod shutdown;
 mod store;
 mod stream_versions;
+mod streams;
--- a/tests/testsuite/gateway/pouring_server.rs
+++ b/tests/testsuite/gateway/pouring_server.rs
@@ -9,7 +9,7 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
 
-use super::scripted_server::read_request;
+use super::http_io::read_request;
 
 /// Bytes of one write at full speed.
 const WRITE_BYTES: usize = 16 << 10;
--- a/tests/testsuite/gateway/response_limits.rs
+++ b/tests/testsuite/gateway/response_limits.rs
@@ -10,7 +10,7 @@
 use hawthornmill_platform::request::event_id;
 use proptest::prelude::*;
 
-use super::scripted_server::events;
+use super::streams::events;
 use crate::block_on;
 
 const LIMIT: usize = 100 << 10;
--- a/tests/testsuite/gateway/store.rs
+++ b/tests/testsuite/gateway/store.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use super::scripted_server::{read_request, write_response};
+use super::http_io::{read_request, write_response};
 
 /// How the store responds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
