Tests: streams that are taken up after every gateway lost its memory

Three gateways, four servers, 24 streams broken off by killing all gateways at once; each caller comes back up to four times, at different gateways.

The store's fixture gave the last change as an entry's creation; it keeps the creation now, as the platform does.

--- a/tests/testsuite/gateway/fleet.rs
+++ b/tests/testsuite/gateway/fleet.rs
@@ -278,9 +278,15 @@
 
     /// Starts and registers one more server.
     pub async fn add_server(&mut self, name: &str) -> Server {
+        let server = self.start_server(name).await;
+        self.register(&server, "ready");
+        server
+    }
+
+    /// Starts one more server, which is not registered yet.
+    pub async fn start_server(&mut self, name: &str) -> Server {
         let number = 100 + self.servers.len() as u8;
         let server = Server::start(name, SocketAddr::new(ip(self.net, number), 7_400)).await;
-        self.register(&server, "ready");
         self.servers.push(server.clone());
         server
     }
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -35,4 +35,5 @@
 mod shutdown;
 mod store;
 mod stream_versions;
+mod stream_versions_after_kill;
 mod streams;
--- a/tests/testsuite/gateway/store.rs
+++ b/tests/testsuite/gateway/store.rs
@@ -27,9 +27,17 @@
     Late(Duration),
 }
 
+/// A value with the revisions of its creation and of its last change.
+#[derive(Debug, Clone)]
+struct Item {
+    value: Vec<u8>,
+    created: u64,
+    revision: u64,
+}
+
 #[derive(Debug, Default)]
 struct State {
-    items: BTreeMap<String, (Vec<u8>, u64)>,
+    items: BTreeMap<String, Item>,
     history: Vec<Value>,
     history_start: u64,
     revision: u64,
@@ -92,8 +100,14 @@
         let mut state = self.lock();
         state.revision += 1;
         let revision = state.revision;
-        state.items.insert(key.into(), (value.to_vec(), revision));
-        state.history.push(entry(key, value, revision));
+        let created = state.items.get(key).map_or(revision, |i| i.created);
+        let item = Item {
+            value: value.to_vec(),
+            created,
+            revision,
+        };
+        state.history.push(entry(key, &item));
+        state.items.insert(key.into(), item);
         drop(state);
         self.changed.send_replace(revision);
         revision
@@ -214,7 +228,7 @@
             .items
             .iter()
             .filter(|(k, _)| k.starts_with(prefix) && k.as_str() > after);
-        let mut entries: Vec<Value> = all.map(|(k, (v, r))| entry(k, v, *r)).collect();
+        let mut entries: Vec<Value> = all.map(|(k, item)| entry(k, item)).collect();
         let more = entries.len() > 2;
         entries.truncate(2);
         json!({"entries": entries, "hasMore": more, "asOf": state.revision})
@@ -260,6 +274,7 @@
     }
 }
 
-fn entry(key: &str, value: &[u8], revision: u64) -> Value {
-    json!({"key": key, "value": STANDARD.encode(value), "revision": revision, "created": revision, "lease": 0})
+fn entry(key: &str, item: &Item) -> Value {
+    json!({"key": key, "value": STANDARD.encode(&item.value), "revision": item.revision, "created": item.created,
+        "lease": 0})
 }
--- /dev/null
+++ b/tests/testsuite/gateway/stream_versions_after_kill.rs
@@ -0,0 +1,366 @@
+//! Streams that are taken up after every gateway lost its memory.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use futures_util::future::join_all;
+use hawthornmill_gateway::http::head::RequestHead;
+use serde_json::json;
+
+use super::fleet::{Client, Fleet, config, request, send_request, wait_until};
+use super::scripted_server::{Behavior, Server};
+use crate::block_on;
+
+/// Streams per test.
+const STREAMS: usize = 24;
+/// Times that a stream's caller comes back for it.
+const TRIES: usize = 4;
+/// Pause between two of these.
+const TRY_PAUSE: Duration = Duration::from_millis(300);
+/// Time that a caller gives its stream in all.
+const CALLER_TIME: Duration = Duration::from_secs(10);
+/// Time between a registration and the streams after it.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+/// Streams of a test that may be refused though servers of their version are there.
+const MAX_REFUSED: usize = 2;
+
+/// Sends events for five seconds, or the last three of a stream that is taken up.
+fn stream_long(head: &RequestHead) -> Behavior {
+    if head.headers.get("last-event-id").is_some() {
+        Behavior::Stream(6)
+    } else {
+        Behavior::Stream(500)
+    }
+}
+
+/// What became of the streams of a test.
+#[derive(Debug, Default)]
+struct Outcome {
+    /// Went on to their end.
+    whole: usize,
+    /// Went on at another version than the one at which they began.
+    mixed: usize,
+    /// Began at a server of the first version.
+    began_at_first: usize,
+}
+
+/// Gateways and servers, with streams under way.
+struct Streams {
+    fleet: Fleet,
+    versions: [&'static str; 4],
+    /// The callers' connections, each with the instant of its first request.
+    callers: Vec<(Client, Instant)>,
+}
+
+/// Writes the first registration of a run of `server` that starts now.
+fn register_first(fleet: &Fleet, server: &Server, version: &str) {
+    let born = SystemTime::now().duration_since(UNIX_EPOCH);
+    let born = born.expect("the clock is set").as_millis() as u64;
+    let entry = json!({"version": version, "born": born, "sequence": 1, "slots": 32});
+    fleet.write_registration(server, &entry);
+}
+
+fn catalog(version: u64) -> Vec<u8> {
+    let mut catalog = config(version);
+    for route in catalog["routes"].as_array_mut().expect("routes") {
+        route["timeoutMs"] = json!(CALLER_TIME.as_millis() as u64);
+    }
+    catalog.to_string().into_bytes()
+}
+
+async fn wait_until_ready(fleet: &Fleet) {
+    for gateway in &fleet.gateways {
+        wait_until("the gateway is ready", || gateway.is_ready()).await;
+        wait_until("the gateway hears the others", || async {
+            gateway.metrics().await.contains("hawthornmill_mates 2")
+        })
+        .await;
+    }
+}
+
+/// Starts three gateways in front of servers of these versions.
+async fn start(versions: [&'static str; 4]) -> Fleet {
+    let mut fleet = Fleet::prepare(3, 0).await;
+    for (number, version) in versions.into_iter().enumerate() {
+        let server = fleet.start_server(&format!("i-{number}")).await;
+        server.set_default(stream_long);
+        register_first(&fleet, &server, version);
+    }
+    fleet.store.put("op/config", &catalog(1));
+    for gateway in &mut fleet.gateways {
+        gateway.start();
+    }
+    wait_until_ready(&fleet).await;
+    tokio::time::sleep(SETTLE_TIME).await;
+    fleet
+}
+
+/// Begins streams, some at each gateway, and waits until all have brought events.
+async fn begin(fleet: Fleet, versions: [&'static str; 4]) -> Streams {
+    let mut callers = Vec::new();
+    for number in 0..STREAMS {
+        let front = fleet.gateways[number % 3].front();
+        let asked_at = Instant::now();
+        let text = resuming(&format!("a-{number}"), "", CALLER_TIME);
+        let mut client = Client::connect(front).await;
+        client.send(text.as_bytes()).await;
+        callers.push((client, asked_at));
+    }
+    for (client, _) in &callers {
+        let mut head = [0; 12];
+        let read = client.stream.peek(&mut head).await;
+        assert!(
+            read.is_ok() && &head == b"HTTP/1.1 200",
+            "no stream begins: {head:?}"
+        );
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    Streams {
+        fleet,
+        versions,
+        callers,
+    }
+}
+
+/// Returns a request with the fields `more` and the time that is left to its caller.
+fn resuming(id: &str, more: &str, left: Duration) -> String {
+    let left = format!("Deadline-Ms: {}\r\n", left.as_millis());
+    request("GET", "/stream/x", id, more).replace("Deadline-Ms: 5000\r\n", &left)
+}
+
+impl Streams {
+    /// Removes the servers of `version` from the store.
+    fn remove_version(&self, version: &str) {
+        for (server, of) in self.fleet.servers.iter().zip(self.versions) {
+            if of == version {
+                self.fleet.store.remove(&format!("servers/{}", server.name));
+            }
+        }
+    }
+
+    /// Kills all gateways, does `meanwhile`, and starts them again.
+    async fn restart_all(&mut self, meanwhile: impl FnOnce(&Self)) {
+        for gateway in &mut self.fleet.gateways {
+            gateway.kill();
+        }
+        meanwhile(self);
+        for gateway in &mut self.fleet.gateways {
+            gateway.start();
+        }
+        wait_until_ready(&self.fleet).await;
+    }
+
+    /// Takes up each stream, at one gateway after another; `names_first` tells whether callers name their first attempt.
+    async fn take_up(&self, names_first: bool) -> Outcome {
+        let all = (0..self.callers.len()).map(|number| self.take_up_one(number, names_first));
+        let whole = join_all(all).await;
+        let by_attempt = |attempt: &str| {
+            let mut at: Vec<&str> = Vec::new();
+            for (server, version) in self.fleet.servers.iter().zip(self.versions) {
+                let received = server.received();
+                let is_its = |r: &RequestHead| {
+                    let id = r.headers.get_str("attempt-id").unwrap_or_default();
+                    id == attempt || id.starts_with(&format!("{attempt}-"))
+                };
+                at.extend(received.iter().filter(|r| is_its(&r.head)).map(|_| version));
+            }
+            at
+        };
+        let mut outcome = Outcome {
+            whole: whole.into_iter().filter(|whole| *whole).count(),
+            ..Outcome::default()
+        };
+        for number in 0..self.callers.len() {
+            let (began, on) = (
+                by_attempt(&format!("a-{number}")),
+                by_attempt(&format!("b-{number}")),
+            );
+            assert_eq!(began.len(), 1, "{number}");
+            outcome.mixed += usize::from(on.iter().any(|version| *version != began[0]));
+            outcome.began_at_first += usize::from(began[0] == self.versions[0]);
+        }
+        eprintln!("{outcome:?}");
+        outcome
+    }
+
+    async fn take_up_one(&self, number: usize, names_first: bool) -> bool {
+        let asked_at = self.callers[number].1;
+        for attempt in 0..TRIES {
+            let named = if names_first {
+                format!("Resumes: a-{number}\r\n")
+            } else {
+                String::new()
+            };
+            let left = CALLER_TIME.saturating_sub(asked_at.elapsed());
+            let text = resuming(
+                &format!("b-{number}-{attempt}"),
+                &format!("Last-Event-Id: 3\r\n{named}"),
+                left,
+            );
+            let gateway = &self.fleet.gateways[(number + attempt) % 3];
+            let response = send_request(gateway.front(), text.as_bytes()).await;
+            if response.is_some_and(|r| r.status() == 200 && r.whole) {
+                return true;
+            }
+            tokio::time::sleep(TRY_PAUSE).await;
+        }
+        false
+    }
+}
+
+/// Versions of the servers where two serve.
+const TWO: [&str; 4] = ["v1", "v2", "v1", "v2"];
+/// Versions of the servers where one serves.
+const ONE: [&str; 4] = ["v1"; 4];
+
+/// Failure: servers of two versions serve all along, and no stream goes on after all gateways were killed, or one at another version.
+#[test]
+fn streams_go_on_at_their_version_where_both_serve() {
+    block_on(async {
+        let mut streams = begin(start(TWO).await, TWO).await;
+        streams.restart_all(|_| {}).await;
+
+        let outcome = streams.take_up(true).await;
+
+        assert_eq!(outcome.mixed, 0, "{outcome:?}");
+        assert!(outcome.whole + MAX_REFUSED >= STREAMS, "{outcome:?}");
+    });
+}
+
+/// Failure: a version's servers leave just before all gateways are killed, and its streams go on at the version that stayed.
+#[test]
+fn streams_of_a_version_that_left_before_the_kill_stay_unmixed() {
+    block_on(async {
+        let mut streams = begin(start(TWO).await, TWO).await;
+        streams.remove_version("v2");
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        streams.restart_all(|_| {}).await;
+
+        let outcome = streams.take_up(true).await;
+
+        assert_eq!(outcome.mixed, 0, "{outcome:?}");
+        assert!(
+            outcome.whole + MAX_REFUSED >= outcome.began_at_first,
+            "{outcome:?}"
+        );
+    });
+}
+
+/// Failure: a version's servers leave while all gateways are down, and its streams go on at the version that stayed.
+#[test]
+fn streams_of_a_version_that_left_during_the_outage_stay_unmixed() {
+    block_on(async {
+        let mut streams = begin(start(TWO).await, TWO).await;
+        streams.restart_all(|s| s.remove_version("v2")).await;
+
+        let outcome = streams.take_up(true).await;
+
+        assert_eq!(outcome.mixed, 0, "{outcome:?}");
+        assert!(
+            outcome.whole + MAX_REFUSED >= outcome.began_at_first,
+            "{outcome:?}"
+        );
+    });
+}
+
+/// Failure: a version's servers leave while all gateways are down and the store's history is gone, and its streams go on at the
+/// version that stayed.
+#[test]
+fn streams_of_a_version_that_left_unseen_stay_unmixed() {
+    block_on(async {
+        let mut streams = begin(start(TWO).await, TWO).await;
+        let dropped = |s: &Streams| {
+            s.remove_version("v2");
+            s.fleet.store.drop_history(None);
+        };
+        streams.restart_all(dropped).await;
+
+        let outcome = streams.take_up(true).await;
+
+        assert_eq!(outcome.mixed, 0, "{outcome:?}");
+    });
+}
+
+/// Failure: the store's history is dropped before a version's servers leave unannounced, and its streams go on at the other version.
+#[test]
+fn streams_of_a_version_that_left_after_the_history_stay_unmixed() {
+    block_on(async {
+        let mut streams = begin(start(TWO).await, TWO).await;
+        let dropped = |s: &Streams| {
+            s.fleet.store.drop_history(None);
+            s.remove_version("v2");
+        };
+        streams.restart_all(dropped).await;
+
+        let outcome = streams.take_up(true).await;
+
+        assert_eq!(outcome.mixed, 0, "{outcome:?}");
+    });
+}
+
+/// Failure: the callers of a version that left don't name their first attempt, and their streams go on at the version that stayed.
+#[test]
+fn streams_without_a_name_stay_unmixed_after_a_version_left() {
+    block_on(async {
+        let mut streams = begin(start(TWO).await, TWO).await;
+        streams.restart_all(|s| s.remove_version("v2")).await;
+
+        let outcome = streams.take_up(false).await;
+
+        assert_eq!(outcome.mixed, 0, "{outcome:?}");
+    });
+}
+
+/// Failure: a version's servers leave just after the gateways are back, and its streams go on at the version that stayed.
+#[test]
+fn streams_of_a_version_that_leaves_after_the_start_stay_unmixed() {
+    block_on(async {
+        let mut streams = begin(start(TWO).await, TWO).await;
+        streams.restart_all(|_| {}).await;
+        streams.remove_version("v2");
+        tokio::time::sleep(TRY_PAUSE).await;
+
+        let outcome = streams.take_up(true).await;
+
+        assert_eq!(outcome.mixed, 0, "{outcome:?}");
+        assert!(
+            outcome.whole + MAX_REFUSED >= outcome.began_at_first,
+            "{outcome:?}"
+        );
+    });
+}
+
+/// Failure: a service has had one version all along, and its streams are refused after all gateways were killed.
+#[test]
+fn streams_go_on_where_one_version_served_all_along() {
+    block_on(async {
+        let mut streams = begin(start(ONE).await, ONE).await;
+        streams.restart_all(|_| {}).await;
+
+        for names_first in [true, false] {
+            let outcome = streams.take_up(names_first).await;
+
+            assert_eq!(outcome.whole, STREAMS, "{outcome:?}");
+        }
+    });
+}
+
+/// Failure: a crash that removes a server of the only version, or an operator's change, makes its streams be refused.
+#[test]
+fn streams_of_one_version_go_on_after_a_crash_and_an_operators_change() {
+    block_on(async {
+        let fleet = start(ONE).await;
+        fleet.store.drop_history(None);
+        fleet.store.put("op/config", &catalog(2));
+        let mut streams = begin(fleet, ONE).await;
+        let crashed = |s: &Streams| {
+            s.fleet.store.remove("servers/i-3");
+            s.fleet.store.put("op/config", &catalog(3));
+        };
+        streams.restart_all(crashed).await;
+
+        let outcome = streams.take_up(true).await;
+
+        assert_eq!(outcome.mixed, 0, "{outcome:?}");
+        assert_eq!(outcome.whole, STREAMS, "{outcome:?}");
+    });
+}
