Gateway: lines and counters tell where the version of a taken-up stream came from

Change, no decision changed: a line stream_taken_up for each take-up and stream_resumed for each send after the first event within one answer; born_ms and entry_age_ms also in sent of a request that is bound to a version; counters stream_take_ups{source} and stream_resumptions{outcome}. The code of take-ups has a file of its own. The registry keeps when an entry arrived and the names of versions that left. Not run: the whole suite.

--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -245,7 +245,7 @@
     }
 
     /// Returns the time since the process started, in milliseconds.
-    fn age_ms(&self) -> u64 {
+    pub fn age_ms(&self) -> u64 {
         self.start.elapsed().as_millis() as u64
     }
 
--- a/crates/hawthornmill-gateway/src/metrics.rs
+++ b/crates/hawthornmill-gateway/src/metrics.rs
@@ -72,6 +72,11 @@
     reason: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SourceLabels {
+    source: &'static str,
+}
+
 type CounterFamily<L> = Family<L, Counter<u64, AtomicU64>>;
 
 /// The counters of a process.
@@ -95,6 +100,8 @@
     cuts: CounterFamily<CutLabels>,
     memory_refusals: CounterFamily<CutLabels>,
     rejected: CounterFamily<OutcomeLabels>,
+    take_ups: CounterFamily<SourceLabels>,
+    resumptions: CounterFamily<OutcomeLabels>,
     response_starts: Family<ServiceLabels, Histogram, fn() -> Histogram>,
 }
 
@@ -120,6 +127,8 @@
             cuts: Family::default(),
             memory_refusals: Family::default(),
             rejected: Family::default(),
+            take_ups: Family::default(),
+            resumptions: Family::default(),
             response_starts: Family::new_with_constructor(response_starts),
         };
         let registry = &mut metrics.registry;
@@ -165,6 +174,10 @@
         registry.register("responses_cut", help, metrics.cuts.clone());
         let help = "Requests refused for lack of memory, by reason";
         registry.register("memory_refusals", help, metrics.memory_refusals.clone());
+        let help = "Streams of earlier attempts that were taken up, by source of their version";
+        registry.register("stream_take_ups", help, metrics.take_ups.clone());
+        let help = "Streams that were sent to another server after their first event, by outcome";
+        registry.register("stream_resumptions", help, metrics.resumptions.clone());
         let help = "Time to the answer's begin in milliseconds";
         registry.register("begin_milliseconds", help, metrics.response_starts.clone());
         metrics
@@ -291,6 +304,18 @@
             .inc();
     }
 
+    /// Counts a request that takes up a stream of an earlier attempt.
+    pub fn stream_taken_up(&self, source: &'static str) {
+        self.take_ups.get_or_create(&SourceLabels { source }).inc();
+    }
+
+    /// Counts a stream that was sent to another server after its first event.
+    pub fn stream_resumed(&self, outcome: &'static str) {
+        self.resumptions
+            .get_or_create(&OutcomeLabels { outcome })
+            .inc();
+    }
+
     /// Counts a client connection that was rejected.
     pub fn connection_rejected(&self, outcome: &'static str) {
         self.rejected
--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -6,6 +6,7 @@
 //! | [`request_body`], [`reservation`] | the rest of a request | its body, once its memory is reserved |
 //! | [`start_wait`] | a request of a process that has just started | the same, once it can be admitted |
 //! | [`admission`] | a request and the catalog | an [`admission::Admitted`], or an [`error_response::ErrorResponse`] |
+//! | [`take_up`] | a request that takes up a stream | the same, bound to the version of its servers |
 //! | queue | an admitted request | a server chosen by the scheduler |
 //! | [`connect`], [`mod@send`], [`request_writer`] | a request and its server | a [`send::SendOutcome`] |
 //! | [`hedge`] | a request that may be repeated, and its server | the same, of the first good answer of two servers |
@@ -33,6 +34,7 @@
 pub mod retry;
 pub mod send;
 pub mod start_wait;
+pub mod take_up;
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -49,7 +51,7 @@
 use hawthornmill::routing::placement::Placement;
 use hawthornmill::routing::registry::ServerRun;
 use hawthornmill::routing::request::{Cause, Refusal, Request};
-use hawthornmill::routing::stream_versions::{StreamKey, StreamVersion};
+use hawthornmill::routing::stream_versions::StreamVersion;
 use hedge::send_hedged;
 use progress::RequestProgress;
 use read::ClientRequest;
@@ -297,7 +299,7 @@
 ) -> RequestOutcome {
     let mut request = admitted.request.clone();
     if let Some(StreamOrigin::Resumed(key)) = admitted.stream {
-        request.version = match stream_version(context.gateway, admitted, key).await {
+        request.version = match take_up::stream_version(context, admitted, key).await {
             Some(version) => Some(version),
             None => return send_error(context, progress, &version_unknown(admitted), out).await,
         };
@@ -349,28 +351,6 @@
     }
 }
 
-/// Returns the version at which a stream began that the request takes up.
-///
-/// Where nobody knows the attempt, a service whose servers have had one version only leaves no doubt.
-async fn stream_version(
-    gateway: &Gateway,
-    admitted: &Admitted,
-    key: Option<StreamKey>,
-) -> Option<VersionId> {
-    let known = match key {
-        Some(key) => gateway.streams.find(gateway, key).await,
-        None => None,
-    };
-    let (service, now) = (admitted.request.service, gateway.now());
-    known.or_else(|| {
-        gateway
-            .scheduler
-            .borrow()
-            .registry
-            .only_version(service, now)
-    })
-}
-
 /// Rejects a request that takes up a stream of unknown version; another attempt may reach an instance that knows it.
 const fn version_unknown(admitted: &Admitted) -> ErrorResponse {
     ErrorResponse::with_retry_after(Code::VersionUnknown, admitted.request.objective)
@@ -387,10 +367,18 @@
     out: &mut OwnedWriteHalf,
 ) -> Result<RequestOutcome, RetryDecision> {
     let (gateway, admitted) = (context.gateway, slot.admitted);
-    progress.start_attempt(gateway, context.request, admitted, &slot.placement);
+    progress.start_attempt(
+        gateway,
+        context.request,
+        admitted,
+        &slot.placement,
+        request.version,
+    );
+    let mut resumption = take_up::Resumption::start(context, progress, slot.placement.server);
     let end = send_hedged(context, request, progress, slot).await;
     let (mut slot, error_response) = (end.slot, end.error_response);
     let ended = conclude(context, progress, end.outcome, &mut slot, fallback, out).await;
+    resumption.record_end(ended);
     match (ended, error_response) {
         (Err(RetryDecision::Fail), Some(response)) if !progress.response_started() => {
             Ok(write_buffered(context, progress, &response, out).await)
--- a/crates/hawthornmill-gateway/src/proxy/progress.rs
+++ b/crates/hawthornmill-gateway/src/proxy/progress.rs
@@ -15,7 +15,7 @@
 use super::events::CompleteEvents;
 use super::read::ClientRequest;
 use super::response_limits::CutReason;
-use super::{RequestContext, RequestOutcome};
+use super::{RequestContext, RequestOutcome, take_up};
 use crate::event_log;
 use crate::gateway::Gateway;
 use crate::http::head::Framing;
@@ -169,24 +169,30 @@
         event_log::request_step("admitted", &request.attempt_id, fields);
     }
 
-    /// Records and logs that the request is sent to a server.
+    /// Records and logs that the request is sent to a server, of version `bound` if it may go to no other one.
     pub fn start_attempt(
         &mut self,
         gateway: &Gateway,
         request: &ClientRequest,
         admitted: &Admitted,
         placement: &Placement,
+        bound: Option<VersionId>,
     ) {
         let share = gateway.scheduler.borrow().share_of(&admitted.request);
         let name = gateway.server_name(placement.server);
         let waited = gateway.now().duration_since(request.received);
         let version = gateway.server_version_name(placement.server);
-        let fields = json!({
+        let mut fields = json!({
             "account": admitted.account_name, "standing": share.status.to_string(), "lead": share.usage_ratio,
             "server": name, "version": version, "waited_ms": waited.as_millis() as u64, "send": self.sends + 1,
             "tokens_before_first": placement.queued_prefill, "tokens_again": placement.duplicate_prefill, "tokens_fetched": placement.fetch.map_or(0, |f| f.tokens), "stray": placement.spilled, "expected_ms": placement.expected_ttft.as_millis() as u64, "speed": speed_fields(placement),
             "catalog": gateway.catalog_version(), "lag_ms": lag_ms(gateway), "registrations": gateway.scheduler.borrow().registry.latest_revision(),
         });
+        if bound.or(self.version).is_some() {
+            let [born, entry_age] = take_up::run_fields(gateway, placement.server);
+            fields["born_ms"] = born;
+            fields["entry_age_ms"] = entry_age;
+        }
         event_log::request_step("sent", &request.attempt_id, fields);
         if self.servers.is_empty() {
             let tokens = admitted.request.shape.prompt_tokens;
--- /dev/null
+++ b/crates/hawthornmill-gateway/src/proxy/take_up.rs
@@ -0,0 +1,166 @@
+//! Streams that go on: those that a client takes up, and those sent to another server after their first event.
+
+use hawthornmill::ident::{ServerId, VersionId};
+use hawthornmill::routing::stream_versions::StreamKey;
+use serde_json::{Value, json};
+
+use super::admission::Admitted;
+use super::progress::RequestProgress;
+use super::retry::RetryDecision;
+use super::{RequestContext, RequestOutcome};
+use crate::event_log;
+use crate::gateway::Gateway;
+use crate::stream_versions::StreamLookup;
+
+/// Where the version of a stream that a client takes up is known from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum VersionSource {
+    /// A record of this instance.
+    Record,
+    /// Another instance, which was asked.
+    Peer,
+    /// The servers of the service have had one version only.
+    Only,
+}
+
+impl VersionSource {
+    /// Returns the name for logs and counters.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Record => "record",
+            Self::Peer => "peer",
+            Self::Only => "only",
+        }
+    }
+}
+
+/// Source of the version of a stream of which nobody knows it, for logs and counters.
+const NO_SOURCE: &str = "none";
+
+/// A version and where it is known from.
+type KnownVersion = (VersionId, VersionSource);
+
+/// Returns the version at which a stream began that the request takes up.
+///
+/// Where nobody knows the attempt, a service whose servers have had one version only leaves no doubt.
+pub async fn stream_version(
+    context: RequestContext<'_>,
+    admitted: &Admitted,
+    key: Option<StreamKey>,
+) -> Option<VersionId> {
+    let gateway = context.gateway;
+    let lookup = match key {
+        Some(key) => Some(gateway.streams.find(gateway, key).await),
+        None => None,
+    };
+    let known = known_version(lookup).or_else(|| only_version(gateway, admitted));
+    log_take_up(context, admitted, key, lookup, known);
+    known.map(|(version, _)| version)
+}
+
+fn known_version(lookup: Option<StreamLookup>) -> Option<KnownVersion> {
+    let lookup = lookup?;
+    let source = if lookup.asked == 0 {
+        VersionSource::Record
+    } else {
+        VersionSource::Peer
+    };
+    Some((lookup.version?, source))
+}
+
+fn only_version(gateway: &Gateway, admitted: &Admitted) -> Option<KnownVersion> {
+    let (service, now) = (admitted.request.service, gateway.now());
+    let scheduler = gateway.scheduler.borrow();
+    let version = scheduler.registry.only_version(service, now)?;
+    Some((version, VersionSource::Only))
+}
+
+fn log_take_up(
+    context: RequestContext<'_>,
+    admitted: &Admitted,
+    key: Option<StreamKey>,
+    lookup: Option<StreamLookup>,
+    known: Option<KnownVersion>,
+) {
+    let gateway = context.gateway;
+    let source = known.map_or(NO_SOURCE, |(_, source)| source.name());
+    gateway.metrics.stream_taken_up(source);
+    let (service, now) = (admitted.request.service, gateway.now());
+    let seen = gateway
+        .scheduler
+        .borrow()
+        .registry
+        .seen_versions(service, now);
+    let name = known.and_then(|(version, _)| seen.iter().find(|s| s.version == version));
+    let versions = seen
+        .iter()
+        .map(|s| json!({"version": s.name, "last_seen_ms": s.last_seen.as_millis() as u64}));
+    let fields = json!({
+        "stream": key.map(|key| format!("{:016x}", key.0)), "age_ms": gateway.age_ms(), "source": source,
+        "version": name.map(|s| &s.name), "asked": lookup.map_or(0, |l| l.asked),
+        "answered": lookup.map_or(0, |l| l.answered), "versions": versions.collect::<Value>(),
+    });
+    event_log::request_problem("stream_taken_up", &context.request.attempt_id, fields);
+}
+
+/// Returns when the current run of a server started, and the age of its registration here, for logs.
+pub fn run_fields(gateway: &Gateway, server: ServerId) -> [Value; 2] {
+    let scheduler = gateway.scheduler.borrow();
+    let Some(entry) = scheduler.registry.get(server) else {
+        return [Value::Null, Value::Null];
+    };
+    let age = gateway.now().duration_since(entry.arrival);
+    [
+        json!(entry.registration.start_ms),
+        json!(age.as_millis() as u64),
+    ]
+}
+
+/// A send of a stream after its first event; counted on drop, also when its time is over.
+#[derive(Debug)]
+pub struct Resumption<'a> {
+    /// `None` for a send before the first event.
+    gateway: Option<&'a Gateway>,
+    outcome: &'static str,
+}
+
+impl<'a> Resumption<'a> {
+    /// Logs the send, if the stream has begun.
+    pub fn start(
+        context: RequestContext<'a>,
+        progress: &RequestProgress,
+        server: ServerId,
+    ) -> Self {
+        let gateway: &Gateway = context.gateway;
+        let is_resumption = progress.version.is_some();
+        if is_resumption {
+            let [born, entry_age] = run_fields(gateway, server);
+            let fields = json!({
+                "last_event": progress.last_event_id, "version": gateway.server_version_name(server),
+                "server": gateway.server_name(server), "born_ms": born, "entry_age_ms": entry_age,
+            });
+            event_log::request_problem("stream_resumed", &context.request.attempt_id, fields);
+        }
+        Self {
+            gateway: is_resumption.then_some(gateway),
+            outcome: "late",
+        }
+    }
+
+    /// Records how the send ended.
+    pub const fn record_end(&mut self, end: Result<RequestOutcome, RetryDecision>) {
+        self.outcome = match end {
+            Ok(RequestOutcome::Complete) => "complete",
+            Ok(RequestOutcome::ClientClosed) => "caller_left",
+            Ok(RequestOutcome::Truncated) | Err(_) => "broken_off",
+        };
+    }
+}
+
+impl Drop for Resumption<'_> {
+    fn drop(&mut self) {
+        if let Some(gateway) = self.gateway {
+            gateway.metrics.stream_resumed(self.outcome);
+        }
+    }
+}
--- a/crates/hawthornmill-gateway/src/stream_versions.rs
+++ b/crates/hawthornmill-gateway/src/stream_versions.rs
@@ -40,6 +40,17 @@
     answered: Notify,
 }
 
+/// What this instance and others know of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StreamLookup {
+    /// The version at which the stream began; `None` if nobody knows it.
+    pub version: Option<VersionId>,
+    /// Instances that were asked.
+    pub asked: usize,
+    /// Instances of these that answered.
+    pub answered: usize,
+}
+
 /// A question to other instances; forgotten on drop, also when the caller leaves before the answer.
 struct Question<'a> {
     register: &'a StreamRegister,
@@ -59,26 +70,35 @@
         self.wakeup.notify_one();
     }
 
-    /// Returns the version at which a stream began, from others if this instance doesn't know it; `None` if none of them does.
-    pub async fn find(&self, gateway: &Gateway, key: StreamKey) -> Option<VersionId> {
+    /// Returns the version at which a stream began, from others if this instance doesn't know it.
+    pub async fn find(&self, gateway: &Gateway, key: StreamKey) -> StreamLookup {
+        let mut asked = 0;
         let _question = Question {
             register: self,
             key,
         };
         for _ in 0..MAX_QUESTIONS {
-            if let Some(version) = self.versions.borrow().get(key) {
-                return Some(version);
+            if self.versions.borrow().get(key).is_some() {
+                break;
             }
             let targets = targets(gateway, key, ASKED).len();
             if self.unknown_count(key) >= targets {
                 break;
             }
+            asked = targets;
             self.unsent.borrow_mut().push(key);
             self.wakeup.notify_one();
             let answer = self.wait_for_answer(key, targets);
             let _elapsed = tokio::time::timeout(REPEAT_INTERVAL, answer).await;
         }
-        self.versions.borrow().get(key)
+        let version = self.versions.borrow().get(key);
+        let unknown = self.unknown_count(key);
+        let told = usize::from(version.is_some());
+        StreamLookup {
+            version,
+            asked,
+            answered: (unknown + told).min(asked),
+        }
     }
 
     fn unknown_count(&self, key: StreamKey) -> usize {
--- a/crates/hawthornmill/src/routing/registry.rs
+++ b/crates/hawthornmill/src/routing/registry.rs
@@ -109,10 +109,31 @@
     pub registration: Registration,
     /// The store's revision of the registration.
     pub revision: u64,
+    /// When this instance got the registration.
+    pub arrival: Instant,
     /// End of the grace period; set while the entry is unconfirmed.
     pub expires_at: Option<Instant>,
 }
 
+/// A version that a server of a service had.
+#[derive(Debug, Clone)]
+struct LeftVersion {
+    name: Box<str>,
+    /// When the last server left it.
+    left_at: Instant,
+}
+
+/// A version that servers of a service have or had lately.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SeenVersion {
+    /// The version.
+    pub version: VersionId,
+    /// The same as its servers name it.
+    pub name: Box<str>,
+    /// Time since a server had it; zero while one has it.
+    pub last_seen: Duration,
+}
+
 /// A server that has turned cold.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TurnedCold {
@@ -135,8 +156,8 @@
     cold: BTreeMap<ServerId, Instant>,
     /// Servers that turned cold since the last [`Self::take_turned_cold`].
     turned_cold: Vec<TurnedCold>,
-    /// Versions of services that a server had, each with the instant at which it left.
-    left_versions: BTreeMap<(ServiceId, VersionId), Instant>,
+    /// Versions of services that a server had.
+    left_versions: BTreeMap<(ServiceId, VersionId), LeftVersion>,
     /// Servers that were removed or restarted since the last [`Self::take_lost_caches`].
     lost_caches: Vec<ServerId>,
 }
@@ -187,6 +208,7 @@
             let entry = RegistryEntry {
                 registration,
                 revision: change.revision,
+                arrival: now,
                 expires_at: None,
             };
             self.entries.insert(change.server, entry);
@@ -203,7 +225,11 @@
     fn record_left_version(&mut self, server: ServerId, now: Instant) {
         if let Some(entry) = self.entries.get(&server) {
             let of = (entry.registration.service, entry.registration.version);
-            self.left_versions.insert(of, now);
+            let left = LeftVersion {
+                name: entry.registration.version_name.clone(),
+                left_at: now,
+            };
+            self.left_versions.insert(of, left);
         }
     }
 
@@ -213,12 +239,34 @@
         let current = current.filter(|r| r.service == service).map(|r| r.version);
         let is_recent = |at: Instant| now.duration_since(at) < VERSION_TTL;
         let left = self.left_versions.iter();
-        let left = left.filter(|((s, _), at)| *s == service && is_recent(**at));
+        let left = left.filter(|((s, _), left)| *s == service && is_recent(left.left_at));
         let mut versions = current.chain(left.map(|((_, version), _)| *version));
         let first = versions.next()?;
         versions.all(|v| v == first).then_some(first)
     }
 
+    /// Returns the versions that servers of a service have, and had since this process started.
+    pub fn seen_versions(&self, service: ServiceId, now: Instant) -> Vec<SeenVersion> {
+        let left = self
+            .left_versions
+            .iter()
+            .filter(|((s, _), _)| *s == service);
+        let left = left.map(|((_, version), left)| SeenVersion {
+            version: *version,
+            name: left.name.clone(),
+            last_seen: now.duration_since(left.left_at),
+        });
+        let current = self.entries.values().map(|e| &e.registration);
+        let current = current.filter(|r| r.service == service);
+        let current = current.map(|r| SeenVersion {
+            version: r.version,
+            name: r.version_name.clone(),
+            last_seen: Duration::ZERO,
+        });
+        let all = left.chain(current).map(|seen| (seen.version, seen));
+        all.collect::<BTreeMap<_, _>>().into_values().collect()
+    }
+
     /// Marks a server that another instance knows to leave as draining; returns false when nothing changed.
     ///
     /// The entry stays otherwise unchanged until its own change arrives.
--- a/tests/testsuite/gateway/stream_versions.rs
+++ b/tests/testsuite/gateway/stream_versions.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use hawthornmill_gateway::http::head::RequestHead;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use super::fleet::{Client, Fleet, config, request, wait_until};
 use super::scripted_server::Behavior;
@@ -196,6 +196,94 @@
     });
 }
 
+/// Returns the lines of `event` at a gateway once it has written `count` of them.
+async fn lines_logged(fleet: &Fleet, gateway: usize, event: &str, count: usize) -> Vec<Value> {
+    let gateway = &fleet.gateways[gateway];
+    wait_until("the lines are written", || async {
+        gateway.logged(event).len() >= count
+    })
+    .await;
+    gateway.logged(event)
+}
+
+/// Failure: a stream is joined from two versions, and no line or counter tells where the version came from.
+#[test]
+fn line_and_counter_tell_where_a_version_came_from() {
+    block_on(async {
+        let mut fleet = start(2, break_off_first).await;
+        let begin = request("GET", "/stream/x", "a-1", "");
+        fleet.send_admitted_to(0, &begin).await;
+        fleet.gateways[1].kill();
+        fleet.gateways[1].start();
+        wait_until("the second gateway hears the first", || async {
+            let text = fleet.gateways[1].metrics().await;
+            text.contains("hawthornmill_mates 1")
+        })
+        .await;
+
+        for (gateway, id, first) in [(0, "b-1", "a-1"), (1, "b-2", "a-1"), (0, "b-3", "a-9")] {
+            let text = resuming(id, first);
+            fleet.send_admitted_to(gateway, &text).await;
+        }
+
+        let here = lines_logged(&fleet, 0, "stream_taken_up", 2).await;
+        let there = lines_logged(&fleet, 1, "stream_taken_up", 1).await;
+        let version = versions_by_attempt(&fleet)["a-1"][0];
+        let [held, unknown] = here.as_slice() else {
+            panic!("{here:?}");
+        };
+        assert_eq!(held["request"], "b-1");
+        assert_eq!(
+            (&held["source"], &held["version"]),
+            (&json!("record"), &json!(version))
+        );
+        assert_eq!((&held["asked"], &held["answered"]), (&json!(0), &json!(0)));
+        assert_eq!(held["stream"].as_str().map(str::len), Some(16));
+        assert_eq!(there[0]["source"], "peer", "{there:?}");
+        assert_eq!(
+            (&there[0]["asked"], &there[0]["answered"]),
+            (&json!(1), &json!(1))
+        );
+        assert_eq!(there[0]["version"], version);
+        assert_eq!(
+            (&unknown["source"], &unknown["version"]),
+            (&json!("none"), &Value::Null)
+        );
+        assert_eq!(
+            (&unknown["asked"], &unknown["answered"]),
+            (&json!(1), &json!(1))
+        );
+        let seen = unknown["versions"].as_array().cloned().unwrap_or_default();
+        let mut names: Vec<_> = seen.iter().filter_map(|v| v["version"].as_str()).collect();
+        names.sort_unstable();
+        assert_eq!(names, ["v1", "v2"], "{seen:?}");
+        assert!(unknown["age_ms"].as_u64().is_some_and(|age| age > 0));
+        let resumed = lines_logged(&fleet, 0, "stream_resumed", 1).await;
+        assert_eq!(
+            (&resumed[0]["request"], &resumed[0]["version"]),
+            (&json!("a-1"), &json!(version))
+        );
+        assert_eq!(
+            (&resumed[0]["last_event"], &resumed[0]["born_ms"]),
+            (&json!(3), &json!(1))
+        );
+        assert!(resumed[0]["entry_age_ms"].is_u64());
+        let sent = lines_logged(&fleet, 0, "sent", 3).await;
+        let bound: Vec<_> = sent.iter().filter(|l| l["born_ms"] == 1).collect();
+        assert_eq!(bound.len(), 2, "{sent:?}");
+        let counters = fleet.gateways[0].metrics().await;
+        for line in [
+            "hawthornmill_stream_take_ups_total{source=\"record\"} 1",
+            "hawthornmill_stream_take_ups_total{source=\"none\"} 1",
+            "hawthornmill_stream_resumptions_total{outcome=\"complete\"} 1",
+        ] {
+            assert!(counters.contains(line), "{line}: {counters}");
+        }
+        assert!(fleet.request_history("a-1").contains("stream_resumed"));
+        assert!(fleet.request_history("b-3").contains("stream_taken_up"));
+    });
+}
+
 /// Failure: callers of a service with one version are refused because nobody knows their first attempt.
 #[test]
 fn stream_goes_on_where_there_is_one_version() {
@@ -209,6 +297,8 @@
         let unnamed = request("GET", "/stream/x", "b-2", "Last-Event-Id: 3\r\n");
         let unnamed = fleet.send_admitted_to(0, &unnamed).await;
 
+        let lines = lines_logged(&fleet, 0, "stream_taken_up", 2).await;
+        assert!(lines.iter().all(|l| l["source"] == "only"), "{lines:?}");
         assert!(named.whole && named.status() == 200, "{named:?}");
         assert!(unnamed.whole && unnamed.status() == 200, "{unnamed:?}");
     });
