Routing: an evacuation that ended before the first list stays ended

What callers see: a failure domain whose evacuation was taken back gets no requests any more, at an instance that has just started, and then at all that hear of it there.

Cause: the end of an evacuation is known by a change or because a complete list lacks a domain that counted as evacuated. A process that starts after the end knows neither; a late peer's "evacuated at 50" then counts as news against a list of revision 100 that lacks the domain.

Change: the revision of the newest complete list is remembered. An older evacuation of a domain that isn't known counts as ended at that revision, which also tells the late peer.

Shown by: routing::evacuations::late_evacuation_is_void_after_a_start, failed before (assertion [true, true] for [false, true]; the same arrangement without `record_list` and `as_listed`, which did not exist), passes since.

--- a/crates/hawthornmill-gateway/src/gateway/updates.rs
+++ b/crates/hawthornmill-gateway/src/gateway/updates.rs
@@ -38,9 +38,12 @@
     /// Applies a change of an evacuation.
     pub fn apply_evacuation(&self, change: Evacuation, from: &str, source: Source) {
         let now = self.now();
-        let Some(changed) = self.scheduler.borrow_mut().apply_evacuation(change, now) else {
+        let mut scheduler = self.scheduler.borrow_mut();
+        let change = scheduler.evacuations.as_listed(change);
+        let Some(changed) = scheduler.apply_evacuation(change, now) else {
             return;
         };
+        drop(scheduler);
         self.announcements
             .borrow_mut()
             .record_evacuation(change, source, now);
@@ -68,6 +71,8 @@
         for change in changes {
             self.apply_evacuation(change, "store", Source::Own);
         }
+        let evacuations = &mut self.scheduler.borrow_mut().evacuations;
+        evacuations.record_list(revision);
     }
 
     /// Applies a change of one registration.
--- a/crates/hawthornmill/src/routing/evacuations.rs
+++ b/crates/hawthornmill/src/routing/evacuations.rs
@@ -25,6 +25,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Evacuations {
     known: BTreeMap<DomainId, Evacuation>,
+    /// The store's revision of the newest complete list; 0 before the first one.
+    listed_revision: u64,
 }
 
 impl Evacuations {
@@ -39,6 +41,28 @@
         Some(was_active != change.active)
     }
 
+    /// Returns `change`, or the end of the evacuation if one that is so old is missing from the newest complete list.
+    ///
+    /// An end that came before the first list is not known otherwise.
+    pub fn as_listed(&self, change: Evacuation) -> Evacuation {
+        let is_over = change.active
+            && change.revision <= self.listed_revision
+            && !self.known.contains_key(&change.domain);
+        if !is_over {
+            return change;
+        }
+        Evacuation {
+            revision: self.listed_revision,
+            active: false,
+            ..change
+        }
+    }
+
+    /// Records that a complete list at `revision` was applied.
+    pub fn record_list(&mut self, revision: u64) {
+        self.listed_revision = self.listed_revision.max(revision);
+    }
+
     /// Returns the changes that a complete list of evacuated domains at `revision` implies: those in the list, and those that
     /// are missing from it and so were taken back.
     pub fn changes_to(&self, listed: &[Evacuation], revision: u64) -> Vec<Evacuation> {
--- a/tests/testsuite/routing/evacuations.rs
+++ b/tests/testsuite/routing/evacuations.rs
@@ -163,3 +163,22 @@
     let is_evacuated = |name| known.is_evacuated(DomainId::of(name));
     assert_eq!(["a", "b", "c"].map(is_evacuated), [false, true, true]);
 }
+
+/// Failure: an instance starts after a domain was taken back, hears of the evacuation from a peer that is late, and the
+/// domain gets no requests any more.
+#[test]
+fn late_evacuation_is_void_after_a_start() {
+    let mut started = Evacuations::default();
+    let listed = started.changes_to(&[evacuated("b", 70)], 100);
+    for change in listed {
+        started.apply(change);
+    }
+    started.record_list(100);
+
+    let heard = started.as_listed(evacuated("a", 50));
+    started.apply(heard);
+
+    assert_eq!(heard, taken_back("a", 100));
+    let is_evacuated = |name| started.is_evacuated(DomainId::of(name));
+    assert_eq!(["a", "b"].map(is_evacuated), [false, true]);
+}
