Routing: an older list of a peer restores no removed server after a start

What callers see: an instance that has just started sends to a server that was removed, for as long as it runs, until it happens to read the whole list again (DRAIN, and refused connections).

Cause: a removal is remembered by a tombstone, and a process has none of the time before its first list. That list's newest entry may be older than what peers know (renewals write no revision, so after removals the newest entries are old), so the process asks a peer, whose list may be older than its own. Such a list removes nothing, but its entries were applied: revision 80 is newer than "never heard of". The watch has passed the removal and doesn't repeat it.

Change: of a list that is older than the registry, an entry at or before the registry's revision is applied only where the server is still registered. A complete list at a revision that lacks it is the proof of its removal.

Shown by: routing::registry::outdated_list_restores_no_server_after_a_start, failed before (two servers instead of one), passes since.

--- a/crates/hawthornmill/src/routing/registry.rs
+++ b/crates/hawthornmill/src/routing/registry.rs
@@ -276,7 +276,7 @@
 
     /// Applies a whole list; entries missing from it are removed, at once or after a grace period.
     ///
-    /// A list that is older than the registry removes nothing.
+    /// A list that is older than the registry removes nothing, and restores nothing that was removed since.
     pub fn replace_all(&mut self, list: RegistrationList, now: Instant) {
         let RegistrationList {
             entries,
@@ -293,6 +293,9 @@
         let outdated = revision < self.revision;
         let listed: Vec<ServerId> = entries.iter().map(|c| c.server).collect();
         for change in entries {
+            if outdated && self.is_missing_since(&change) {
+                continue;
+            }
             if unconfirmed.iter().all(|d| d.server != change.server) {
                 self.confirm(change.server);
             }
@@ -324,6 +327,13 @@
         self.advance(revision);
     }
 
+    /// Returns whether the server of a listed entry isn't registered any more as of this registry's revision.
+    ///
+    /// No removal is remembered that came before the first list.
+    fn is_missing_since(&self, listed: &Change) -> bool {
+        listed.revision <= self.revision && !self.entries.contains_key(&listed.server)
+    }
+
     /// Returns servers that were removed or restarted, and so have lost their caches, and clears the list.
     pub fn take_lost_caches(&mut self) -> Vec<ServerId> {
         std::mem::take(&mut self.lost_caches)
--- a/tests/testsuite/routing/registry.rs
+++ b/tests/testsuite/routing/registry.rs
@@ -205,3 +205,23 @@
         assert_eq!(registry.latest_revision(), 7);
     }
 }
+
+/// Failure: an instance starts after a server was removed, gets an older list from a peer that is late, and sends to the
+/// removed server until it reads the whole list again.
+#[test]
+fn outdated_list_restores_no_server_after_a_start() {
+    let now = Instant::now();
+    let mut started = Registry::default();
+    started.replace_all(
+        list(vec![change("t", 70, Some(entry("t", "a")))], 100, false),
+        now,
+    );
+    let late = vec![
+        change("s", 80, Some(entry("s", "a"))),
+        change("t", 70, Some(entry("t", "a"))),
+    ];
+
+    started.replace_all(list(late, 90, false), now);
+
+    assert_eq!(names(&started), [ServerId::of("t")]);
+}
