Gateway: an instance that starts around an outage of the store takes no list for complete

What callers see: the store is down for some seconds, registrations lapse, and an instance restarts meanwhile. When the store is back, that instance refuses everything for up to two seconds, and 0.6 s later so do the others, although all servers serve.

Cause: the watch counts the time without an answer from the start of its process, so one that starts in the last two seconds of an outage, or just after it, has seen none. It takes the list for complete, drops what a peer had told it, and passes the list on as one that was read without an outage; whoever takes it over drops its servers too, whatever it knows of the outage itself.

Change: a list within two seconds of the start counts as read after an outage: what is missing there is unconfirmed for the grace period (2.2 s) instead of removed at once. If it is the very first list, nothing is known to be missing; then the answer to peers says that it was read after an outage, and they keep what they know as unconfirmed. Removals that the watch shows count at once, as before. `SyncResponse` has one more field at its end.

--- a/crates/hawthornmill-gateway/src/state_sync.rs
+++ b/crates/hawthornmill-gateway/src/state_sync.rs
@@ -261,7 +261,7 @@
             entries,
             unconfirmed: response.unconfirmed,
             revision: response.revision,
-            after_outage: false,
+            after_outage: response.after_outage,
         };
         gateway.apply_registrations(list, &from);
         let registry = &mut gateway.scheduler.borrow_mut().registry;
@@ -355,12 +355,13 @@
     let newer = table.filter(|t| t.version() > request.catalog_version);
     let scheduler = gateway.scheduler.borrow();
     let latest = scheduler.registry.latest_revision();
+    let now = gateway.now();
     SyncResponse {
         catalog: newer.map(|t| t.catalog().clone()),
-        registrations: (latest > request.revision)
-            .then(|| scheduler.registry.snapshot(gateway.now())),
-        unconfirmed: scheduler.registry.unconfirmed(gateway.now()),
+        registrations: (latest > request.revision).then(|| scheduler.registry.snapshot(now)),
+        unconfirmed: scheduler.registry.unconfirmed(now),
         revision: latest,
         evacuations: scheduler.evacuations.snapshot(),
+        after_outage: scheduler.registry.is_incomplete(now),
     }
 }
--- a/crates/hawthornmill-gateway/src/store_watch.rs
+++ b/crates/hawthornmill-gateway/src/store_watch.rs
@@ -182,7 +182,7 @@
             revision,
             ..
         } = self.read_pages().await?;
-        let after_outage = self.is_in_grace();
+        let after_outage = self.is_in_grace() || self.has_just_started();
         match self.topic {
             Topic::Catalog => self.apply_operator_list(&entries, revision),
             Topic::Servers => {
@@ -373,6 +373,11 @@
             .is_some_and(|until| self.gateway.now() < until)
     }
 
+    /// Tells whether an outage of the store may have ended just before the process started.
+    fn has_just_started(&self) -> bool {
+        self.gateway.now().duration_since(self.started_at) <= OUTAGE_THRESHOLD
+    }
+
     async fn record_result(&mut self, result: Result<(), StoreError>) {
         let now = self.gateway.now();
         let topic = format!("{:?}", self.topic);
--- a/crates/hawthornmill/src/routing/gossip.rs
+++ b/crates/hawthornmill/src/routing/gossip.rs
@@ -148,6 +148,8 @@
     pub revision: u64,
     /// All evacuations that the responder knows of, whether active or taken back.
     pub evacuations: Vec<Evacuation>,
+    /// Live servers may be missing from the registrations, which were first read after an outage of the store.
+    pub after_outage: bool,
 }
 
 /// State of another instance, as last heard.
--- a/crates/hawthornmill/src/routing/registry.rs
+++ b/crates/hawthornmill/src/routing/registry.rs
@@ -139,6 +139,8 @@
     left_versions: BTreeMap<(ServiceId, VersionId), Instant>,
     /// Servers that were removed or restarted since the last [`Self::take_lost_caches`].
     lost_caches: Vec<ServerId>,
+    /// Until when live servers may be missing, because the first list was read after an outage of the store.
+    incomplete_until: Option<Instant>,
 }
 
 impl Registry {
@@ -289,6 +291,7 @@
             self.latest_revision = self
                 .latest_revision
                 .max(entries.iter().map(|c| c.revision).max().unwrap_or(0));
+            self.incomplete_until = after_outage.then(|| now + REREGISTRATION_GRACE);
         }
         let outdated = revision < self.revision;
         let listed: Vec<ServerId> = entries.iter().map(|c| c.server).collect();
@@ -339,6 +342,11 @@
         std::mem::take(&mut self.lost_caches)
     }
 
+    /// Returns whether live servers may be missing that were registered before this registry's first list.
+    pub fn is_incomplete(&self, now: Instant) -> bool {
+        self.incomplete_until.is_some_and(|until| now < until)
+    }
+
     /// Returns the unconfirmed entries and their remaining grace period at `now`.
     pub fn unconfirmed(&self, now: Instant) -> Vec<Unconfirmed> {
         let unconfirmed = |(server, entry): (&ServerId, &RegistryEntry)| {
--- a/tests/testsuite/gateway/missed_updates.rs
+++ b/tests/testsuite/gateway/missed_updates.rs
@@ -218,6 +218,37 @@
     });
 }
 
+/// Failure: an instance starts again in an outage of the store that has lasted, takes the list after it for complete, drops
+/// all live servers that have not registered again, and so do the others that take over its list.
+#[test]
+fn restart_in_a_store_outage_drops_no_live_server() {
+    block_on(async {
+        let mut fleet = Fleet::start(2, 3).await;
+        fleet.store.set_mode(Mode::Unresponsive);
+        wait_until("the outage is noticed", || async {
+            fleet.gateways[0].logged("store_lost").len() == 2
+        })
+        .await;
+        fleet.store.set_mode(Mode::Refusing);
+        fleet.gateways[1].kill();
+        fleet.gateways[1].start();
+        wait_until("the instance is ready", || fleet.gateways[1].is_ready()).await;
+
+        for server in ["servers/i-0", "servers/i-1", "servers/i-2"] {
+            fleet.store.remove(server);
+        }
+        fleet.store.set_mode(Mode::Healthy);
+        let mut statuses = Vec::new();
+        for n in 0..30 {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            let text = request("GET", "/get/", &format!("after-{n}"), "");
+            statuses.push(fleet.send_admitted_to(n % 2, &text).await.status());
+        }
+
+        assert_eq!(statuses, [200; 30]);
+    });
+}
+
 /// Failure: an instance no longer follows changes after the store was unresponsive or answered with errors.
 #[test]
 fn store_outage_stops_no_later_update() {
@@ -422,6 +453,7 @@
             unconfirmed: Vec::new(),
             revision: 0,
             evacuations: Vec::new(),
+            after_outage: false,
         };
         peer.announce(1_001, 2).await;
 
--- a/tests/testsuite/routing/registry.rs
+++ b/tests/testsuite/routing/registry.rs
@@ -13,7 +13,7 @@
         entries: registry.snapshot(now),
         unconfirmed: registry.unconfirmed(now),
         revision: registry.latest_revision(),
-        after_outage: false,
+        after_outage: registry.is_incomplete(now),
     }
 }
 
@@ -225,3 +225,28 @@
 
     assert_eq!(names(&started), [ServerId::of("t")]);
 }
+
+/// Failure: an instance that starts just after an outage of the store reads a list without live servers that have not
+/// registered again, and the others that take over its list drop these servers at once.
+#[test]
+fn first_list_after_an_outage_drops_no_server_of_others() {
+    let now = Instant::now();
+    let mut known = Registry::default();
+    let both = vec![
+        change("s", 1, Some(entry("s", "a"))),
+        change("t", 2, Some(entry("t", "a"))),
+    ];
+    known.replace_all(list(both, 2, false), now);
+    let mut started = Registry::default();
+    started.replace_all(
+        list(vec![change("t", 9, Some(entry("t", "a")))], 9, true),
+        now,
+    );
+
+    known.replace_all(sent(&started, now), now);
+    let kept = names(&known).len();
+    let gone = known.expire(now + REREGISTRATION_GRACE);
+
+    assert_eq!(kept, 2);
+    assert_eq!(gone, [ServerId::of("s")]);
+}
