Wire: repeated datagrams never clear the memory of what was received

What could happen: the network repeats or reorders some datagrams, and an old report, of an earlier address or state, counts as the newest one.

Cause: seven replayed datagrams of any senders over any time cleared the sequence numbers of all; fresh ones in between reset nothing. That was meant for a process that restarts after its clock was set back, whose run number is lower.

Change: only that is accepted: seven datagrams of one lower run number, in order, with none of the current run in between; and it concerns their sender alone. The rule is in the opener of frames, the gateway keeps no count.

Shown by: gateway::missed_updates::repeated_datagram_is_never_taken_for_a_new_one, failed before (the old port is listed again after 20 copies), passes since; frames::repeated_datagrams_are_rejected_however_many_there_are, frames::repeated_datagram_of_an_earlier_run_is_rejected and frames::run_after_a_clock_was_set_back_is_accepted guard the new rule (no such code before); gateway::missed_updates::clock_set_back_silences_no_instance passes before and since.

--- a/crates/hawthornmill-gateway/src/gossip.rs
+++ b/crates/hawthornmill-gateway/src/gossip.rs
@@ -34,12 +34,6 @@
 /// Most changes of peers in a round that are logged in a line each.
 const MAX_LOGGED_CHANGES: usize = 4;
 
-/// Replayed datagrams after which the recorded sequence numbers are cleared.
-///
-/// A process that restarts after its machine's clock was set back has a lower run number than before.
-/// Without this limit, all its datagrams would be dropped as replays.
-const MAX_REPLAYS: u32 = 6;
-
 /// Sends reports and announcements of work until the process ends.
 pub async fn send_reports(gateway: Rc<Gateway>, datagrams: Rc<DatagramSocket>) {
     let mut round = 0;
@@ -240,9 +234,8 @@
 
 /// Receives datagrams until the process ends.
 pub async fn receive(gateway: Rc<Gateway>, datagrams: Rc<DatagramSocket>) {
-    let mut opener = Opener::new(gateway.settings().key, datagrams::CHANNEL);
+    let mut opener = Opener::datagrams(gateway.settings().key, datagrams::CHANNEL);
     let mut buffer = vec![0; 65_536];
-    let mut replays = 0;
     loop {
         let Ok((length, from)) = datagrams.socket.recv_from(&mut buffer).await else {
             // An unreachable peer causes an error on the next receive; the socket stays usable.
@@ -255,13 +248,7 @@
                 relay::forward(&gateway, &datagrams, &frame, &buffer[..length], from);
                 handle_message(&gateway, &datagrams, from, frame);
             }
-            Err(FrameError::Replayed) => {
-                replays += 1;
-                if replays > MAX_REPLAYS {
-                    opener = Opener::new(gateway.settings().key, datagrams::CHANNEL);
-                    replays = 0;
-                }
-            }
+            Err(FrameError::Replayed) => {}
             Err(error) => log::warn!(target: "mates", "datagram dropped: {error}"),
         }
     }
--- a/crates/hawthornmill/src/wire/frame.rs
+++ b/crates/hawthornmill/src/wire/frame.rs
@@ -44,6 +44,11 @@
 pub const MAX_DATAGRAM_BYTES: usize = 1400;
 const MAC_BYTES: usize = 16;
 
+/// Datagrams of a run with a lower number, in a row and in order, after which that run counts as the current one.
+///
+/// A process that restarts after its clock was set back has a lower run number than before.
+const MIN_FRAMES_OF_LOWER_RUN: u32 = 7;
+
 /// Why a frame was dropped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
 pub enum FrameError {
@@ -189,12 +194,23 @@
     a.iter().zip(b).fold(0, |acc, (x, y)| acc | (x ^ y)) == 0
 }
 
+/// Frames of a run with a lower number than the current one, since the last frame of the current one.
+#[derive(Debug, Clone, Copy)]
+struct LowerRun {
+    incarnation: Incarnation,
+    /// Sequence number of the latest one.
+    seq: u64,
+    frames: u32,
+}
+
 /// Verifies and decodes incoming frames of one channel; rejects replayed ones.
 #[derive(Debug, Clone)]
 pub struct Opener {
     key: [u8; 32],
     channel: u64,
     last: BTreeMap<InstanceId, (Incarnation, u64)>,
+    lower: BTreeMap<InstanceId, LowerRun>,
+    accepts_lower_runs: bool,
     /// Sender of the stream, known after its first frame; `None` for datagrams.
     stream_sender: Option<InstanceId>,
     is_stream: bool,
@@ -207,6 +223,8 @@
             key,
             channel,
             last: BTreeMap::new(),
+            lower: BTreeMap::new(),
+            accepts_lower_runs: false,
             stream_sender: None,
             is_stream: false,
         }
@@ -220,6 +238,36 @@
         }
     }
 
+    /// An opener for datagrams of processes whose clocks may be set back between two runs.
+    pub fn datagrams(key: [u8; 32], channel: u64) -> Self {
+        Self {
+            accepts_lower_runs: true,
+            ..Self::new(key, channel)
+        }
+    }
+
+    /// Returns whether a frame is the first one of a run that counts as the current one from now on.
+    fn begins_lower_run(&mut self, sender: InstanceId, incarnation: Incarnation, seq: u64) -> bool {
+        let current = self.last.get(&sender).map(|(run, _)| *run);
+        if !self.accepts_lower_runs || current <= Some(incarnation) {
+            return false;
+        }
+        let none = LowerRun {
+            incarnation,
+            seq: 0,
+            frames: 0,
+        };
+        let lower = self.lower.entry(sender).or_insert(none);
+        if lower.incarnation != incarnation {
+            *lower = none;
+        }
+        if seq > lower.seq {
+            lower.seq = seq;
+            lower.frames += 1;
+        }
+        lower.frames >= MIN_FRAMES_OF_LOWER_RUN
+    }
+
     /// Restores the full frame of a short one; `None` if no full frame came before.
     fn expand(&self, short: &[u8]) -> Option<Vec<u8>> {
         let sender = self.stream_sender?;
@@ -266,11 +314,12 @@
         if read_u64(frame, 25) != self.channel {
             return Err(FrameError::Replayed);
         }
-        let last = self.last.entry(sender).or_default();
-        if (incarnation, seq) <= *last {
+        let last = self.last.get(&sender).copied().unwrap_or_default();
+        if (incarnation, seq) <= last && !self.begins_lower_run(sender, incarnation, seq) {
             return Err(FrameError::Replayed);
         }
-        *last = (incarnation, seq);
+        self.lower.remove(&sender);
+        self.last.insert(sender, (incarnation, seq));
         self.stream_sender = self.is_stream.then_some(sender);
         let message =
             postcard::from_bytes(&frame[HEADER_BYTES..]).map_err(|_error| FrameError::Malformed)?;
--- a/tests/testsuite/frames.rs
+++ b/tests/testsuite/frames.rs
@@ -21,6 +21,53 @@
     assert_eq!(opener.open(&frame), Err(FrameError::Replayed));
 }
 
+/// Failure: datagrams are repeated or arrive out of order, seven of them clear the memory of what was received, and an old
+/// one counts as new.
+#[test]
+fn repeated_datagrams_are_rejected_however_many_there_are() {
+    let mut sealer = sealer(9);
+    let [old, new] = [1, 2].map(|n| sealer.seal(&Message::Probe(n)).expect("it fits"));
+    let mut opener = Opener::datagrams(KEY, 9);
+    let first = [&old, &new].map(|frame| opener.open(frame).is_ok());
+
+    let repeated: Vec<bool> = (0..40).map(|_| opener.open(&old).is_ok()).collect();
+
+    assert_eq!(first, [true, true]);
+    assert_eq!(repeated, [false; 40]);
+}
+
+/// Failure: a datagram of an earlier run is repeated, and the instance counts as that run again.
+#[test]
+fn repeated_datagram_of_an_earlier_run_is_rejected() {
+    let run = |number| Sealer::new(KEY, InstanceId::of("r1"), Incarnation(number), 9);
+    let old = run(4).seal(&Message::Probe(1)).expect("it fits");
+    let new = run(5).seal(&Message::Probe(2)).expect("it fits");
+    let mut opener = Opener::datagrams(KEY, 9);
+    let first = [&old, &new].map(|frame| opener.open(frame).is_ok());
+
+    let repeated: Vec<bool> = (0..40).map(|_| opener.open(&old).is_ok()).collect();
+
+    assert_eq!(first, [true, true]);
+    assert_eq!(repeated, [false; 40]);
+}
+
+/// Failure: the clock is set back before a process restarts, and none of its datagrams is read.
+#[test]
+fn run_after_a_clock_was_set_back_is_accepted() {
+    let run = |number| Sealer::new(KEY, InstanceId::of("r1"), Incarnation(number), 9);
+    let (mut before, mut after) = (run(5), run(4));
+    let mut opener = Opener::datagrams(KEY, 9);
+    let frame = before.seal(&Message::Probe(1)).expect("it fits");
+    opener.open(&frame).expect("the frame is valid");
+
+    let frames: Vec<Vec<u8>> = (0..20)
+        .map(|n| after.seal(&Message::Probe(n)).expect("it fits"))
+        .collect();
+    let accepted = frames.iter().filter(|f| opener.open(f).is_ok()).count();
+
+    assert_eq!(accepted, 14);
+}
+
 #[test]
 fn frame_of_another_channel_is_rejected() {
     let frame = sealer(9).seal(&Message::Probe(3)).expect("it fits");
--- a/tests/testsuite/gateway/missed_updates.rs
+++ b/tests/testsuite/gateway/missed_updates.rs
@@ -54,14 +54,21 @@
     }
 
     async fn send(&self, message: &Message) {
+        self.send_frame(&self.seal(message)).await;
+    }
+
+    fn seal(&self, message: &Message) -> Vec<u8> {
         let frame = self.sealer.borrow_mut().seal(message);
-        let frame = frame.expect("the message can be encoded");
-        let sent = self.socket.send_to(&frame, self.to).await;
+        frame.expect("the message can be encoded")
+    }
+
+    async fn send_frame(&self, frame: &[u8]) {
+        let sent = self.socket.send_to(frame, self.to).await;
         sent.expect("the datagram can be sent");
     }
 
-    /// Announces `port` as the port for clients, and a catalog of `version`.
-    async fn announce(&self, port: u16, version: u64) {
+    /// Encodes a report that announces `port` as the port for clients, and a catalog of `version`.
+    fn seal_report(&self, port: u16, version: u64) -> Vec<u8> {
         let own = self.socket.local_addr().expect("the socket has an address");
         let info = PeerInfo {
             client_addr: std::net::SocketAddr::new(own.ip(), port),
@@ -76,9 +83,13 @@
             },
             ..instance_report(info)
         };
+        self.seal(&Message::InstanceReport(Box::new(report)))
+    }
+
+    /// Announces `port` as the port for clients, and a catalog of `version`.
+    async fn announce(&self, port: u16, version: u64) {
         for _ in 0..20 {
-            self.send(&Message::InstanceReport(Box::new(report.clone())))
-                .await;
+            self.send_frame(&self.seal_report(port, version)).await;
         }
     }
 
@@ -494,6 +505,40 @@
     });
 }
 
+/// Failure: the network repeats a datagram some times, and the old report in it counts as the newest.
+#[test]
+fn repeated_datagram_is_never_taken_for_a_new_one() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        let peer = Peer::bind(&fleet, 9).await;
+        let old = peer.seal_report(1_001, 0);
+        peer.send_frame(&old).await;
+        peer.announce(1_002, 0).await;
+        let ports = || async {
+            let listed = fleet.gateways[0].listed_addresses().await;
+            listed
+                .iter()
+                .map(std::net::SocketAddr::port)
+                .collect::<Vec<u16>>()
+        };
+        wait_until("the newer report is applied", || async {
+            ports().await.contains(&1_002)
+        })
+        .await;
+
+        for _ in 0..20 {
+            peer.send_frame(&old).await;
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+
+        let ports = ports().await;
+        assert!(
+            ports.contains(&1_002) && !ports.contains(&1_001),
+            "{ports:?}"
+        );
+    });
+}
+
 /// Failure: an instance gets more processor by a reload of its settings, and goes on to tell the others the old figure, by
 /// which they choose their relays, until it is restarted.
 #[test]
