Gateway: a signal reloads the settings once nobody writes them

What operators see: the settings file is being written when SIGHUP comes; what is missing has its default, with no fault logged, until the next look at the file a second or two later.

Cause: the file was read at the signal as it was; only changes without a signal waited until it rested.

Change: after a signal the file is read once it has stayed the same for 150 ms, after a second at the latest. Meanwhile the other signals are handled.

Shown by: gateway::missed_updates::partly_written_settings_are_not_reloaded, failed before (one `settings_in_force` with the part), passes since. The reload tests of gateway::shutdown pass.

--- a/crates/hawthornmill-gateway/src/daemon.rs
+++ b/crates/hawthornmill-gateway/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use hawthornmill::clock::Clock;
 use hawthornmill::ini::Diagnostic;
@@ -34,6 +34,10 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// Interval at which the requests in flight are checked during shutdown.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time for which the settings file must stay the same after a signal until it is read; it may be written in parts.
+const SETTINGS_REST: Duration = Duration::from_millis(150);
+/// Longest time after a signal until the settings file is read.
+const MAX_SETTINGS_DELAY: Duration = Duration::from_secs(1);
 /// Interval at which the settings file is checked for changes, which may come without a signal.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -171,7 +175,9 @@
         tokio::select! {
             _ = signals.term.recv() => break,
             _ = signals.int.recv() => break,
-            _ = signals.hup.recv() => reload_settings(gateway, config),
+            _ = signals.hup.recv() => {
+                spawn_local(reload_at_rest(Rc::clone(gateway), config.to_path_buf()));
+            }
         }
     }
     shut_down(gateway).await
@@ -225,6 +231,24 @@
     event_log::state_change("settings_in_force", json!({}));
 }
 
+/// Reloads the settings file once nobody writes it any more.
+async fn reload_at_rest(gateway: Rc<Gateway>, config: PathBuf) {
+    let end = tokio::time::Instant::now() + MAX_SETTINGS_DELAY;
+    let mut modified = modified_at(&config);
+    while tokio::time::Instant::now() < end {
+        tokio::time::sleep(SETTINGS_REST).await;
+        let before = std::mem::replace(&mut modified, modified_at(&config));
+        if before == modified {
+            break;
+        }
+    }
+    reload_settings(&gateway, &config);
+}
+
+fn modified_at(config: &Path) -> Option<SystemTime> {
+    std::fs::metadata(config).and_then(|m| m.modified()).ok()
+}
+
 /// Reloads the settings file when it has changed without a signal, and then stayed the same for one check interval.
 ///
 /// The file may be written in parts, and sections that are missing have defaults.
@@ -232,7 +256,7 @@
     let (mut checked, mut loaded) = (None, None);
     loop {
         tokio::time::sleep_until(gateway.next_tick(SETTINGS_CHECK_INTERVAL)).await;
-        let modified = std::fs::metadata(&config).and_then(|m| m.modified()).ok();
+        let modified = modified_at(&config);
         if modified == checked && modified != loaded {
             loaded = modified;
             reload_settings(&gateway, &config);
--- a/tests/testsuite/gateway/missed_updates.rs
+++ b/tests/testsuite/gateway/missed_updates.rs
@@ -539,6 +539,28 @@
     });
 }
 
+/// Failure: the settings file is being written when the signal to reload it comes, and its missing sections have defaults.
+#[test]
+fn partly_written_settings_are_not_reloaded() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        let config = &fleet.gateways[0].config;
+        let text = std::fs::read_to_string(config).expect("the settings can be read");
+        let (part, _rest) = text
+            .split_once("[promises]")
+            .expect("the settings have this section");
+
+        std::fs::write(config, part).expect("the settings can be written");
+        fleet.gateways[0].signal(Signal::SIGHUP);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        std::fs::write(config, &text).expect("the settings can be written");
+        tokio::time::sleep(Duration::from_millis(500)).await;
+
+        let applied = fleet.gateways[0].logged("settings_in_force");
+        assert!(applied.is_empty(), "{applied:?}");
+    });
+}
+
 /// Failure: an instance gets more processor by a reload of its settings, and goes on to tell the others the old figure, by
 /// which they choose their relays, until it is restarted.
 #[test]
