--- a/crates/hawthornmill/src/routing/registry.rs
+++ b/crates/hawthornmill/src/routing/registry.rs
@@ -160,6 +160,8 @@
     left_versions: BTreeMap<(ServiceId, VersionId), LeftVersion>,
     /// Servers that were removed or restarted since the last [`Self::take_lost_caches`].
     lost_caches: Vec<ServerId>,
+    /// Until when live servers may be missing, because the first list was read after an outage of the store.
+    incomplete_until: Option<Instant>,
 }
 
 impl Registry {
@@ -324,7 +326,7 @@
 
     /// Applies a whole list; entries missing from it are removed, at once or after a grace period.
     ///
-    /// A list that is older than the registry removes nothing.
+    /// A list that is older than the registry removes nothing, and restores nothing that was removed since.
     pub fn replace_all(&mut self, list: RegistrationList, now: Instant) {
         let RegistrationList {
             entries,
@@ -337,10 +339,14 @@
             self.latest_revision = self
                 .latest_revision
                 .max(entries.iter().map(|c| c.revision).max().unwrap_or(0));
+            self.incomplete_until = after_outage.then(|| now + REREGISTRATION_GRACE);
         }
         let outdated = revision < self.revision;
         let listed: Vec<ServerId> = entries.iter().map(|c| c.server).collect();
         for change in entries {
+            if outdated && self.is_missing_since(&change) {
+                continue;
+            }
             if unconfirmed.iter().all(|d| d.server != change.server) {
                 self.confirm(change.server);
             }
@@ -372,11 +378,23 @@
         self.advance(revision);
     }
 
+    /// Returns whether the server of a listed entry isn't registered any more as of this registry's revision.
+    ///
+    /// No removal is remembered that came before the first list.
+    fn is_missing_since(&self, listed: &Change) -> bool {
+        listed.revision <= self.revision && !self.entries.contains_key(&listed.server)
+    }
+
     /// Returns servers that were removed or restarted, and so have lost their caches, and clears the list.
     pub fn take_lost_caches(&mut self) -> Vec<ServerId> {
         std::mem::take(&mut self.lost_caches)
     }
 
+    /// Returns whether live servers may be missing that were registered before this registry's first list.
+    pub fn is_incomplete(&self, now: Instant) -> bool {
+        self.incomplete_until.is_some_and(|until| now < until)
+    }
+
     /// Returns the unconfirmed entries and their remaining grace period at `now`.
     pub fn unconfirmed(&self, now: Instant) -> Vec<Unconfirmed> {
         let unconfirmed = |(server, entry): (&ServerId, &RegistryEntry)| {
--- a/tests/testsuite/gateway/missed_updates.rs
+++ b/tests/testsuite/gateway/missed_updates.rs
@@ -54,14 +54,21 @@
     }
 
     async fn send(&self, message: &Message) {
+        self.send_frame(&self.seal(message)).await;
+    }
+
+    fn seal(&self, message: &Message) -> Vec<u8> {
         let frame = self.sealer.borrow_mut().seal(message);
-        let frame = frame.expect("the message can be encoded");
-        let sent = self.socket.send_to(&frame, self.to).await;
+        frame.expect("the message can be encoded")
+    }
+
+    async fn send_frame(&self, frame: &[u8]) {
+        let sent = self.socket.send_to(frame, self.to).await;
         sent.expect("the datagram can be sent");
     }
 
-    /// Announces `port` as the port for clients, and a catalog of `version`.
-    async fn announce(&self, port: u16, version: u64) {
+    /// Encodes a report that announces `port` as the port for clients, and a catalog of `version`.
+    fn seal_report(&self, port: u16, version: u64) -> Vec<u8> {
         let own = self.socket.local_addr().expect("the socket has an address");
         let info = PeerInfo {
             client_addr: std::net::SocketAddr::new(own.ip(), port),
@@ -76,9 +83,13 @@
             },
             ..instance_report(info)
         };
+        self.seal(&Message::InstanceReport(Box::new(report)))
+    }
+
+    /// Announces `port` as the port for clients, and a catalog of `version`.
+    async fn announce(&self, port: u16, version: u64) {
         for _ in 0..20 {
-            self.send(&Message::InstanceReport(Box::new(report.clone())))
-                .await;
+            self.send_frame(&self.seal_report(port, version)).await;
         }
     }
 
@@ -218,6 +229,37 @@
     });
 }
 
+/// Failure: an instance starts again in an outage of the store that has lasted, takes the list after it for complete, drops
+/// all live servers that have not registered again, and so do the others that take over its list.
+#[test]
+fn restart_in_a_store_outage_drops_no_live_server() {
+    block_on(async {
+        let mut fleet = Fleet::start(2, 3).await;
+        fleet.store.set_mode(Mode::Unresponsive);
+        wait_until("the outage is noticed", || async {
+            fleet.gateways[0].logged("store_lost").len() == 2
+        })
+        .await;
+        fleet.store.set_mode(Mode::Refusing);
+        fleet.gateways[1].kill();
+        fleet.gateways[1].start();
+        wait_until("the instance is ready", || fleet.gateways[1].is_ready()).await;
+
+        for server in ["servers/i-0", "servers/i-1", "servers/i-2"] {
+            fleet.store.remove(server);
+        }
+        fleet.store.set_mode(Mode::Healthy);
+        let mut statuses = Vec::new();
+        for n in 0..30 {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            let text = request("GET", "/get/", &format!("after-{n}"), "");
+            statuses.push(fleet.send_admitted_to(n % 2, &text).await.status());
+        }
+
+        assert_eq!(statuses, [200; 30]);
+    });
+}
+
 /// Failure: an instance no longer follows changes after the store was unresponsive or answered with errors.
 #[test]
 fn store_outage_stops_no_later_update() {
@@ -422,6 +464,7 @@
             unconfirmed: Vec::new(),
             revision: 0,
             evacuations: Vec::new(),
+            after_outage: false,
         };
         peer.announce(1_001, 2).await;
 
@@ -462,6 +505,62 @@
     });
 }
 
+/// Failure: the network repeats a datagram some times, and the old report in it counts as the newest.
+#[test]
+fn repeated_datagram_is_never_taken_for_a_new_one() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        let peer = Peer::bind(&fleet, 9).await;
+        let old = peer.seal_report(1_001, 0);
+        peer.send_frame(&old).await;
+        peer.announce(1_002, 0).await;
+        let ports = || async {
+            let listed = fleet.gateways[0].listed_addresses().await;
+            listed
+                .iter()
+                .map(std::net::SocketAddr::port)
+                .collect::<Vec<u16>>()
+        };
+        wait_until("the newer report is applied", || async {
+            ports().await.contains(&1_002)
+        })
+        .await;
+
+        for _ in 0..20 {
+            peer.send_frame(&old).await;
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+
+        let ports = ports().await;
+        assert!(
+            ports.contains(&1_002) && !ports.contains(&1_001),
+            "{ports:?}"
+        );
+    });
+}
+
+/// Failure: the settings file is being written when the signal to reload it comes, and its missing sections have defaults.
+#[test]
+fn partly_written_settings_are_not_reloaded() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        let config = &fleet.gateways[0].config;
+        let text = std::fs::read_to_string(config).expect("the settings can be read");
+        let (part, _rest) = text
+            .split_once("[promises]")
+            .expect("the settings have this section");
+
+        std::fs::write(config, part).expect("the settings can be written");
+        fleet.gateways[0].signal(Signal::SIGHUP);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        std::fs::write(config, &text).expect("the settings can be written");
+        tokio::time::sleep(Duration::from_millis(500)).await;
+
+        let applied = fleet.gateways[0].logged("settings_in_force");
+        assert!(applied.is_empty(), "{applied:?}");
+    });
+}
+
 /// Failure: an instance gets more processor by a reload of its settings, and goes on to tell the others the old figure, by
 /// which they choose their relays, until it is restarted.
 #[test]
