Streams: the version at which one began follows from the versions that served, also after every instance was killed

Cause: Registry::only_version took what is registered now, and what this process saw leave, for all that the service has had. A process that has just started saw nothing leave, so streams of a version that left went on at another one; and where two versions serve, nobody knew any stream, so all were refused.

Change: a new stream's version is chosen by a weighted rendezvous hash of its key over the slots of the service's ready servers (in the scheduler, at each placement before its first event, so that a queued one follows what changes). The registry keeps the states of each service over two minutes, and since when it knows them all. A stream that no record knows began after its caller first asked (the time callers of the route give, less what is left) less 0.5 s for views to agree; where every state since then gives its key the same version, it began there. States before the first list are read from the store's history, on demand, once after each gap, in 14 calls at most.

Kept for two minutes, in memory; the frames between instances are unchanged. What calls the store has moved out of store_watch.rs into store_call.rs.

Tests replaced: version_that_has_just_left_counts... asked only_version, which is gone; it asks the history the same and when it is complete besides. stream_of_unknown_version_is_refused_at_once took a stream of two steady versions for unknown, which the hash now tells; its callers now have asked before all that gateways and store know.

--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -68,6 +68,7 @@
             draining: false,
             start_ms: 0,
             cold_time: Duration::ZERO,
+            sequence: 0,
         };
         let change = Change {
             server: ServerId::of(&name),
@@ -103,6 +104,7 @@
         tried: SmallVec::new(),
         allowed_regions: AllowedRegions::Any,
         version: None,
+        new_stream: None,
     }
 }
 
--- a/crates/hawthornmill-gateway/src/adapter.rs
+++ b/crates/hawthornmill-gateway/src/adapter.rs
@@ -51,6 +51,8 @@
     pub key: Box<str>,
     /// Revision of its last change.
     pub revision: u64,
+    /// Revision of its creation; 0 where it is not given, as of a removal.
+    pub created: u64,
     /// The value, or `None` if the key was removed.
     pub value: Option<Vec<u8>>,
 }
--- a/crates/hawthornmill-gateway/src/gateway/updates.rs
+++ b/crates/hawthornmill-gateway/src/gateway/updates.rs
@@ -98,7 +98,12 @@
         }
         self.announce_cold("peer", Source::Peer);
         for leaving in &announced.departures {
-            if self.scheduler.borrow_mut().registry.mark_draining(*leaving) {
+            if self
+                .scheduler
+                .borrow_mut()
+                .registry
+                .mark_draining(*leaving, self.now())
+            {
                 let server = self.server_name(leaving.server);
                 let fields = json!({"server": server, "revision": leaving.revision});
                 event_log::state_change("registration_leaving", fields);
--- a/crates/hawthornmill-gateway/src/lib.rs
+++ b/crates/hawthornmill-gateway/src/lib.rs
@@ -11,7 +11,8 @@
 //! | [`proxy`] | one request: admission, queueing, forwarding, the response |
 //! | [`pool`] | connections to backend servers |
 //! | [`server_crashes`] | servers that crashed while they ran requests |
-//! | [`store_watch`] | watches the platform's store |
+//! | [`store_call`], [`store_watch`] | calls and watches of the platform's store |
+//! | [`stream_versions`], [`version_history`] | at which version of servers streams began |
 //! | [`datagrams`], [`gossip`] | messages between instances over UDP |
 //! | [`state_sync`], [`pending_state`] | pulls catalogs and registrations from other instances |
 //! | [`server_speeds`] | how long work takes at each server, as instances tell each other |
@@ -42,5 +43,7 @@
 pub mod server_speeds;
 pub mod settings;
 pub mod state_sync;
+pub mod store_call;
 pub mod store_watch;
 pub mod stream_versions;
+pub mod version_history;
--- a/crates/hawthornmill-gateway/src/proxy/admission.rs
+++ b/crates/hawthornmill-gateway/src/proxy/admission.rs
@@ -1,10 +1,10 @@
 //! Admission: checks a request against the catalog in force.
 
 use std::cell::OnceCell;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hawthornmill::codes::Code;
-use hawthornmill::ident::{AccountId, RouteId};
+use hawthornmill::ident::{AccountId, RouteId, ServiceId};
 use hawthornmill::quarantine::fingerprint::Fingerprints;
 use hawthornmill::routing::catalog::RetryPolicy;
 use hawthornmill::routing::request::Request;
@@ -42,6 +42,10 @@
     pub retry_policy: RetryPolicy,
     /// The stream that it begins or takes up; `None` on routes whose streams end with their server.
     pub stream: Option<StreamOrigin>,
+    /// Instant before which its caller can't have asked first; `None` where its stream is taken up by nobody.
+    pub first_asked: Option<Instant>,
+    /// Services to which its route may send it.
+    pub targets: SmallVec<[ServiceId; 1]>,
     /// Whether the response is a stream of events.
     pub streaming: bool,
     /// Maximum number of servers to which the request may be sent.
@@ -120,6 +124,13 @@
     let stream = (route.retry_policy == RetryPolicy::Resumable)
         .then(|| stream_origin(gateway, request, account.map(|a| a.id)))
         .transpose()?;
+    let first_asked = stream.and_then(|_| {
+        let time = gateway
+            .streams
+            .caller_time(RouteId::of(&route.name), route.timeout, remaining);
+        let spent = time.saturating_sub(remaining.unwrap_or_default());
+        request.received.checked_sub(spent)
+    });
     let pending = Request {
         account: account.map(|a| a.id),
         route: RouteId::of(&route.name),
@@ -136,11 +147,17 @@
             None => route.allowed_regions.clone(),
         },
         version: None,
+        new_stream: match stream {
+            Some(StreamOrigin::New(key)) => Some(key),
+            _ => None,
+        },
     };
     Ok(Admitted {
         request: pending,
         retry_policy: route.retry_policy,
         stream,
+        first_asked,
+        targets: route.targets.iter().map(|t| t.service).collect(),
         streaming: route.streaming,
         max_attempts: route.max_attempts.max(1),
         account_name: account.map(|a| a.name.clone()),
--- a/crates/hawthornmill-gateway/src/proxy/take_up.rs
+++ b/crates/hawthornmill-gateway/src/proxy/take_up.rs
@@ -1,7 +1,11 @@
 //! Streams that go on: those that a client takes up, and those sent to another server after their first event.
 
+use std::rc::Rc;
+
 use hawthornmill::ident::{ServerId, VersionId};
+use hawthornmill::routing::regions::AllowedRegions;
 use hawthornmill::routing::stream_versions::StreamKey;
+use hawthornmill::routing::version_history::{BeginVersion, VIEW_LAG};
 use serde_json::{Value, json};
 
 use super::admission::Admitted;
@@ -19,8 +23,8 @@
     Record,
     /// Another instance, which was asked.
     Peer,
-    /// The servers of the service have had one version only.
-    Only,
+    /// The versions that the service has had since the stream's caller first asked.
+    History,
 }
 
 impl VersionSource {
@@ -29,7 +33,7 @@
         match self {
             Self::Record => "record",
             Self::Peer => "peer",
-            Self::Only => "only",
+            Self::History => "history",
         }
     }
 }
@@ -42,7 +46,7 @@
 
 /// Returns the version at which a stream began that the request takes up.
 ///
-/// Where nobody knows the attempt, a service whose servers have had one version only leaves no doubt.
+/// Where nobody knows the attempt, the versions that served since its caller first asked may leave no doubt.
 pub async fn stream_version(
     context: RequestContext<'_>,
     admitted: &Admitted,
@@ -53,7 +57,10 @@
         Some(key) => Some(gateway.streams.find(gateway, key).await),
         None => None,
     };
-    let known = known_version(lookup).or_else(|| only_version(gateway, admitted));
+    let known = match known_version(lookup) {
+        Some(known) => Some(known),
+        None => begin_version(gateway, admitted, key).await,
+    };
     log_take_up(context, admitted, key, lookup, known);
     known.map(|(version, _)| version)
 }
@@ -68,11 +75,29 @@
     Some((lookup.version?, source))
 }
 
-fn only_version(gateway: &Gateway, admitted: &Admitted) -> Option<KnownVersion> {
-    let (service, now) = (admitted.request.service, gateway.now());
-    let scheduler = gateway.scheduler.borrow();
-    let version = scheduler.registry.only_version(service, now)?;
-    Some((version, VersionSource::Only))
+/// Returns the version that every state of the service since the caller first asked gives a stream.
+async fn begin_version(
+    gateway: &Rc<Gateway>,
+    admitted: &Admitted,
+    key: Option<StreamKey>,
+) -> Option<KnownVersion> {
+    let begun_after = admitted.first_asked?.checked_sub(VIEW_LAG)?;
+    // A stream that is bound to regions may have begun at another version than all servers together give it.
+    let key = key.filter(|_| admitted.request.allowed_regions == AllowedRegions::Any);
+    let find = || {
+        let scheduler = gateway.scheduler.borrow();
+        let versions = scheduler.registry.versions();
+        versions.begin_version(&admitted.targets, key, begun_after)
+    };
+    let mut found = find();
+    if found == BeginVersion::Unknown {
+        gateway.streams.history.read(gateway).await;
+        found = find();
+    }
+    match found {
+        BeginVersion::Certain(version) => Some((version, VersionSource::History)),
+        BeginVersion::Doubtful | BeginVersion::Unknown => None,
+    }
 }
 
 fn log_take_up(
--- a/crates/hawthornmill-gateway/src/settings.rs
+++ b/crates/hawthornmill-gateway/src/settings.rs
@@ -37,6 +37,9 @@
 /// Memory of an instance whose settings don't name it; the smallest instances have that much.
 const DEFAULT_MEMORY_MB: f64 = 120.0;
 
+/// Time for which a store keeps changes whose settings don't name it, in seconds.
+const DEFAULT_HISTORY_S: f64 = 20.0;
+
 /// Addresses on which this process listens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ListenAddresses {
@@ -96,6 +99,8 @@
     pub report_interval: Duration,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Time for which the store keeps changes.
+    pub store_history: Duration,
     /// Guarantees given for the deployment.
     pub guarantees: Guarantees,
     /// Servers fetch cached parts of prompts from others where they can.
@@ -169,6 +174,7 @@
             key: key(&mut reader, &peers),
             report_interval: reader.millis(&peers, "news_ms", 200.0),
             store: store(&mut reader, &one("store")),
+            store_history: seconds(&mut reader, &one("store"), "history_s", DEFAULT_HISTORY_S),
             guarantees: guarantees(&mut reader, &one("promises")),
             fetches_prefixes: fetches_prefixes(&mut reader, &one("policy")),
             hedging: hedging(&mut reader, &one("hedging")),
@@ -249,7 +255,7 @@
 }
 
 fn store(reader: &mut Reader<'_>, section: &Section) -> SocketAddr {
-    reader.reject_unknown_keys(section, &["address"]);
+    reader.reject_unknown_keys(section, &["address", "history_s"]);
     address(reader, section, "address")
 }
 
--- a/crates/hawthornmill-gateway/src/store_watch.rs
+++ b/crates/hawthornmill-gateway/src/store_watch.rs
@@ -5,11 +5,9 @@
 //! call costs the platform something, so watches are long, and gossip tells in between if this
 //! instance has missed a change.
 
-use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::BytesMut;
 use hawthornmill::ident::{DomainId, ServerId};
 use hawthornmill::routing::evacuations::Evacuation;
 use hawthornmill::routing::gossip::StoreRole;
@@ -17,17 +15,11 @@
 use hawthornmill::routing::registry::{Change, RegistrationList};
 use hawthornmill::routing::store_start::Start;
 use serde_json::json;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 
-use crate::adapter::{KvEntry, Page};
+use crate::adapter::KvEntry;
 use crate::event_log;
 use crate::gateway::Gateway;
-use crate::http::body::{BodyDecoder, Decoded};
-use crate::http::head::{self, Framing};
-use crate::http::write::MessageBuffer;
-use crate::pool::connect;
-use crate::proxy::response_limits::MAX_HEAD_BYTES;
+use crate::store_call::{CALL_TIMEOUT, StoreConnection, StoreError};
 
 /// Time after which the store answers a watch even without changes.
 ///
@@ -38,8 +30,6 @@
 const BATCH_DELAY: Duration = Duration::from_millis(100);
 /// Time after which a list that isn't complete begins anew; the store keeps changes for longer.
 const MAX_LIST_TIME: Duration = Duration::from_secs(10);
-/// Time allowed for a call, in addition to the timeout of a watch.
-const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Shortest and longest delay after a failed call.
 const RETRY_DELAY_RANGE: (Duration, Duration) =
     (Duration::from_millis(60), Duration::from_millis(500));
@@ -55,8 +45,6 @@
 const RETURN_GRACE: Duration = Duration::from_millis(2_500);
 /// Interval at which an instance checks whether it should read the store itself.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// Longest response: a megabyte of values in base64, and their keys.
-const MAX_RESPONSE_BYTES: usize = 4 << 20;
 /// Most bytes that are kept of a list, over all of its pages; the keys and values of 12,000 servers take about 4 MB.
 const MAX_LIST_BYTES: usize = 16 << 20;
 
@@ -69,19 +57,6 @@
     Servers,
 }
 
-/// How a call of the store failed; the log shows the variant.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum StoreError {
-    /// The store no longer keeps the requested changes.
-    HistoryLost,
-    /// The store answered with this error status.
-    Refused(u16),
-    /// The response is longer than the bound.
-    TooLong,
-    /// No response came, or one that could not be parsed.
-    Silent,
-}
-
 /// A list of which not all pages were read yet.
 ///
 /// Each page is parsed when it comes: another writer's values may be long, and are not kept.
@@ -103,7 +78,7 @@
 struct Watcher {
     gateway: Rc<Gateway>,
     topic: Topic,
-    stream: Option<TcpStream>,
+    store: StoreConnection,
     revision: Option<u64>,
     partial: Option<PartialList>,
     started_at: Instant,
@@ -120,7 +95,7 @@
     let mut watcher = Watcher {
         gateway,
         topic,
-        stream: None,
+        store: StoreConnection::default(),
         revision: None,
         partial: None,
         started_at: now,
@@ -211,7 +186,7 @@
         loop {
             let read = partial.as_ref().and_then(|p| p.last_key.as_deref());
             let path = (store.list_path)(self.prefix(), read);
-            let page = match self.call(&path, CALL_TIMEOUT).await {
+            let page = match self.store.call(&self.gateway, &path, CALL_TIMEOUT).await {
                 Ok(page) => page,
                 Err(error) => {
                     self.partial = partial;
@@ -269,7 +244,10 @@
     async fn watch_changes(&mut self, after: u64) -> Result<(), StoreError> {
         let store = self.gateway.adapter.store;
         let path = (store.watch_path)(self.prefix(), after, WATCH_TIMEOUT.as_millis() as u64);
-        let page = self.call(&path, WATCH_TIMEOUT + CALL_TIMEOUT).await?;
+        let page = self
+            .store
+            .call(&self.gateway, &path, WATCH_TIMEOUT + CALL_TIMEOUT)
+            .await?;
         for entry in &page.entries {
             self.apply_entry(entry);
         }
@@ -424,94 +402,8 @@
             }
         }
     }
-
-    async fn call(&mut self, path: &str, timeout: Duration) -> Result<Page, StoreError> {
-        let response = tokio::time::timeout(timeout, self.exchange(path)).await;
-        let (outcome, result) = match response {
-            Ok(Ok((200, body))) => match (self.gateway.adapter.store.parse_page)(&body) {
-                Ok(page) => ("ok", Ok(page)),
-                Err(why) => {
-                    event_log::state_change("store_unreadable", json!({"why": why}));
-                    ("unreadable", Err(StoreError::Silent))
-                }
-            },
-            Ok(Ok((410, _))) => ("history_lost", Err(StoreError::HistoryLost)),
-            Ok(Ok((status, _))) => ("refused", Err(StoreError::Refused(status))),
-            Ok(Err(error)) if error.kind() == ErrorKind::FileTooLarge => {
-                ("too_long", Err(StoreError::TooLong))
-            }
-            Ok(Err(_)) => ("broken", Err(StoreError::Silent)),
-            Err(_elapsed) => ("silent", Err(StoreError::Silent)),
-        };
-        self.gateway.metrics.store_called(outcome);
-        if matches!(result, Err(StoreError::Silent | StoreError::TooLong)) {
-            self.stream = None;
-        }
-        result
-    }
-
-    async fn exchange(&mut self, path: &str) -> std::io::Result<(u16, Vec<u8>)> {
-        let address = self.gateway.settings().store;
-        let mut stream = match self.stream.take() {
-            Some(stream) => stream,
-            None => connect(address).await?,
-        };
-        let mut request = MessageBuffer::request("GET", path);
-        request.header("Host", address.to_string());
-        request.end_head();
-        stream.write_all(&request.0).await?;
-        let (status, body, reusable) = read_response(&mut stream).await?;
-        // Kept only after the response: a call that is cancelled drops its connection.
-        self.stream = reusable.then_some(stream);
-        Ok((status, body))
-    }
 }
 
 fn entry_bytes(entry: &KvEntry) -> usize {
     entry.key.len() + entry.value.as_ref().map_or(0, Vec::len)
 }
-
-/// Reads one response; returns its status, its body, and whether the connection can be used again.
-///
-/// # Errors
-/// If the connection fails, or the response is malformed; [`ErrorKind::FileTooLarge`] if it is too long.
-pub async fn read_response(stream: &mut TcpStream) -> std::io::Result<(u16, Vec<u8>, bool)> {
-    let invalid = || std::io::Error::from(ErrorKind::InvalidData);
-    let too_long = || std::io::Error::from(ErrorKind::FileTooLarge);
-    let mut buffer = BytesMut::with_capacity(4096);
-    let (head, length) = loop {
-        if let Some(found) = head::parse_response(&buffer).map_err(|_head| invalid())? {
-            break found;
-        }
-        if stream.read_buf(&mut buffer).await? == 0 || buffer.len() > MAX_HEAD_BYTES {
-            return Err(invalid());
-        }
-    };
-    let _head = buffer.split_to(length);
-    let framing = head.framing("GET").map_err(|_framing| invalid())?;
-    let mut body = match framing {
-        Framing::Length(bytes) if bytes > MAX_RESPONSE_BYTES as u64 => return Err(too_long()),
-        Framing::Length(bytes) => Vec::with_capacity(bytes as usize),
-        _ => Vec::new(),
-    };
-    let mut decoder = BodyDecoder::new(framing);
-    loop {
-        match decoder.next(&mut buffer).map_err(|_body| invalid())? {
-            Decoded::Data(data) => body.extend_from_slice(&data),
-            Decoded::End => break,
-            Decoded::Incomplete => {
-                if stream.read_buf(&mut buffer).await? == 0 {
-                    if decoder.ends_at_close() {
-                        break;
-                    }
-                    return Err(invalid());
-                }
-            }
-        }
-        if body.len() > MAX_RESPONSE_BYTES {
-            return Err(too_long());
-        }
-    }
-    let reusable = !head.closes_connection() && !decoder.ends_at_close() && buffer.is_empty();
-    Ok((head.status, body, reusable))
-}
--- a/crates/hawthornmill-gateway/src/stream_versions.rs
+++ b/crates/hawthornmill-gateway/src/stream_versions.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hawthornmill::ident::{InstanceId, VersionId};
+use hawthornmill::ident::{InstanceId, RouteId, VersionId};
 use hawthornmill::routing::stream_versions::{
     ASKED, HOLDERS, StreamKey, StreamVersion, StreamVersions, holders,
 };
@@ -17,6 +17,7 @@
 
 use crate::datagrams::DatagramSocket;
 use crate::gateway::Gateway;
+use crate::version_history::HistoryReader;
 
 /// Time for which records are gathered into one message; those of the last one are lost if the process is killed.
 const GATHER_TIME: Duration = Duration::from_millis(5);
@@ -38,6 +39,10 @@
     wakeup: Notify,
     /// Wakes requests that wait for an answer.
     answered: Notify,
+    /// Longest time that a caller of each route gave its request.
+    caller_times: RefCell<BTreeMap<RouteId, Duration>>,
+    /// Reads which versions served before this instance had its first list.
+    pub history: HistoryReader,
 }
 
 /// What this instance and others know of a stream.
@@ -70,6 +75,21 @@
         self.wakeup.notify_one();
     }
 
+    /// Returns the longest time that callers of a route give their requests, of which one has `left`.
+    ///
+    /// A caller that comes back has what is left of its time, and the route's timeout is what it gave at first.
+    pub fn caller_time(
+        &self,
+        route: RouteId,
+        timeout: Duration,
+        left: Option<Duration>,
+    ) -> Duration {
+        let mut times = self.caller_times.borrow_mut();
+        let longest = times.entry(route).or_default();
+        *longest = (*longest).max(left.unwrap_or_default());
+        (*longest).max(timeout)
+    }
+
     /// Returns the version at which a stream began, from others if this instance doesn't know it.
     pub async fn find(&self, gateway: &Gateway, key: StreamKey) -> StreamLookup {
         let mut asked = 0;
--- /dev/null
+++ b/crates/hawthornmill-gateway/src/version_history.rs
@@ -0,0 +1,186 @@
+//! Reads in the store's history which versions served before this instance had its first list.
+//!
+//! It is read on demand, for the first stream that is taken up and of which no instance knows the version. All instances
+//! share the store's rate of calls, so the calls of one reading are bounded.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use hawthornmill::ident::ServerId;
+use hawthornmill::routing::store_history::{PastChange, ReadTime, StoreHistory};
+use serde_json::json;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+use crate::adapter::{KvEntry, Page};
+use crate::event_log;
+use crate::gateway::Gateway;
+use crate::store_call::{CALL_TIMEOUT, StoreConnection, StoreError};
+
+/// Time that a request waits for the store's history.
+const MAX_WAIT: Duration = Duration::from_millis(300);
+/// Time after which a reading is given up.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause after a reading that failed.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
+/// Calls of one reading.
+const MAX_CALLS: u32 = 14;
+/// Changes that the first step back spans; each further step spans `STEP_FACTOR` times as many.
+const FIRST_STEP: u64 = 16;
+const STEP_FACTOR: u64 = 4;
+/// Time in milliseconds for which the store may wait for a change.
+const WAIT_MS: u64 = 1;
+
+/// What this instance has read of the store's history.
+#[derive(Debug, Default)]
+pub struct HistoryReader {
+    /// Number of gaps in what this instance knows, when it last read the history.
+    read_at_gap: Cell<u32>,
+    is_reading: Cell<bool>,
+    retry_at: Cell<Option<Instant>>,
+    ended: Notify,
+}
+
+impl HistoryReader {
+    /// Reads the history if that wasn't done since the last gap, and waits a little for it.
+    pub async fn read(&self, gateway: &Rc<Gateway>) {
+        let gaps = gap_count(gateway);
+        if gaps == 0 || gaps == self.read_at_gap.get() {
+            return;
+        }
+        let ended = self.ended.notified();
+        if !self.is_reading.get() {
+            if self.retry_at.get().is_some_and(|at| gateway.now() < at) {
+                return;
+            }
+            self.is_reading.set(true);
+            spawn_local(read_history(Rc::clone(gateway)));
+        }
+        let _elapsed = tokio::time::timeout(MAX_WAIT, ended).await;
+    }
+}
+
+fn gap_count(gateway: &Gateway) -> u32 {
+    gateway.scheduler.borrow().registry.versions().gaps()
+}
+
+async fn read_history(gateway: Rc<Gateway>) {
+    let (gaps, began) = (gap_count(&gateway), gateway.now());
+    let mut calls = Calls {
+        gateway: &gateway,
+        store: StoreConnection::default(),
+        count: 0,
+    };
+    let read = tokio::time::timeout(READ_TIMEOUT, calls.oldest_history()).await;
+    let now = gateway.now();
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH);
+    let time = ReadTime {
+        at: now,
+        unix_ms: unix.map_or(0, |t| t.as_millis() as u64),
+        kept: gateway.settings().store_history,
+    };
+    let why = match &read {
+        Ok(Ok(history)) => {
+            let registry = &mut gateway.scheduler.borrow_mut().registry;
+            let fits = registry.learn_past(history, time);
+            (!fits).then(|| "it lacks changes that this instance knows".to_owned())
+        }
+        Ok(Err(error)) => Some(format!("{error:?}")),
+        Err(_elapsed) => Some("no answer".into()),
+    };
+    let found = read.ok().and_then(Result::ok);
+    let fields = json!({
+        "calls": calls.count, "why": why, "took_ms": now.duration_since(began).as_millis() as u64,
+        "floor": found.as_ref().map(|h| h.floor), "revision": found.as_ref().map(|h| h.revision),
+        "is_oldest": found.as_ref().map(|h| h.is_oldest), "changes": found.as_ref().map(|h| h.changes.len()),
+    });
+    event_log::state_change("version_history_read", fields);
+    let reader = &gateway.streams.history;
+    if why.is_none() {
+        reader.read_at_gap.set(gaps);
+    } else {
+        reader.retry_at.set(Some(now + RETRY_PAUSE));
+    }
+    reader.is_reading.set(false);
+    reader.ended.notify_waiters();
+}
+
+/// Calls of one reading.
+struct Calls<'a> {
+    gateway: &'a Gateway,
+    store: StoreConnection,
+    count: u32,
+}
+
+impl Calls<'_> {
+    /// Returns the changes after a revision; `None` where the store no longer keeps them.
+    async fn changes_after(&mut self, revision: u64) -> Result<Option<Page>, StoreError> {
+        self.count += 1;
+        let store = &self.gateway.adapter.store;
+        let path = (store.watch_path)(store.servers_prefix, revision, WAIT_MS);
+        match self.store.call(self.gateway, &path, CALL_TIMEOUT).await {
+            Ok(page) => Ok(Some(page)),
+            Err(StoreError::HistoryLost) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Returns the changes since the oldest revision that the store keeps, as far as a few calls find it.
+    async fn oldest_history(&mut self) -> Result<StoreHistory, StoreError> {
+        if let Some(page) = self.changes_after(0).await? {
+            return Ok(self.history(0, true, &page));
+        }
+        let newest = {
+            let registry = &self.gateway.scheduler.borrow().registry;
+            registry.latest_revision().max(registry.revision())
+        };
+        let Some(page) = self.changes_after(newest).await? else {
+            return Err(StoreError::HistoryLost);
+        };
+        let (mut refused, mut accepted) = (0, (newest, page));
+        let mut step = FIRST_STEP;
+        while let Some(floor) = newest.checked_sub(step).filter(|f| *f > 0) {
+            let Some(page) = self.changes_after(floor).await? else {
+                refused = floor;
+                break;
+            };
+            accepted = (floor, page);
+            step *= STEP_FACTOR;
+        }
+        while accepted.0 - refused > 1 && self.count < MAX_CALLS {
+            let floor = refused.midpoint(accepted.0);
+            match self.changes_after(floor).await? {
+                Some(page) => accepted = (floor, page),
+                None => refused = floor,
+            }
+        }
+        let (floor, page) = accepted;
+        Ok(self.history(floor, floor - refused <= 1, &page))
+    }
+
+    fn history(&self, floor: u64, is_oldest: bool, page: &Page) -> StoreHistory {
+        let mut changes: Vec<PastChange> =
+            page.entries.iter().map(|e| self.past_change(e)).collect();
+        changes.sort_by_key(|c| c.revision);
+        StoreHistory {
+            floor,
+            is_oldest,
+            revision: page.revision,
+            changes,
+        }
+    }
+
+    fn past_change(&self, entry: &KvEntry) -> PastChange {
+        let adapter = &self.gateway.adapter;
+        let name = entry.key.strip_prefix(adapter.store.servers_prefix);
+        let name = name.unwrap_or(&entry.key);
+        let value = entry.value.as_ref();
+        PastChange {
+            server: ServerId::of(name),
+            revision: entry.revision,
+            created: entry.created,
+            registration: value.and_then(|v| (adapter.parse_registration)(name, v).ok()),
+        }
+    }
+}
--- a/crates/hawthornmill/src/routing/mod.rs
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -6,6 +6,7 @@
 //! |---|---|
 //! | [`catalog`], [`route_table`] | routes, services and accounts as published, and their lookup |
 //! | [`registry`] | backend servers as they registered themselves |
+//! | [`version_history`], [`store_history`] | versions of each service's servers over the last minutes |
 //! | [`announcements`], [`recent`] | changes that are announced without waiting for the registrations |
 //! | [`cold_start`] | requests that a cold server may get |
 //! | [`evacuations`] | failure domains whose servers get no new requests |
@@ -59,8 +60,10 @@
 pub mod server_notices;
 pub mod server_speed;
 pub mod shape;
+pub mod store_history;
 pub mod store_start;
 pub mod stream_versions;
 pub mod ttft;
 pub mod unmet_demand;
 pub mod usage;
+pub mod version_history;
--- a/crates/hawthornmill/src/routing/registry.rs
+++ b/crates/hawthornmill/src/routing/registry.rs
@@ -5,13 +5,15 @@
 //! the store is kept for a short grace period: servers register again within about two seconds of the store's return, and
 //! dropping all of them meanwhile would refuse every request.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
 use super::announcements::Departure;
+use super::store_history::{ReadTime, StoreHistory, past_of};
+use super::version_history::{ReadyServer, VersionHistory};
 use crate::ident::{DomainId, ServerId, ServiceId, VersionId};
 
 /// Grace period of an entry that was lost during an outage of the store.
@@ -21,9 +23,6 @@
 /// Time for which the revision of a removed entry is kept, so that a late copy can't restore the entry.
 const TOMBSTONE_TTL: Duration = Duration::from_mins(2);
 
-/// Time for which a version counts among those of its service after its last server left; a stream may have begun there.
-const VERSION_TTL: Duration = Duration::from_mins(1);
-
 /// One run of a server, which may start again under the same name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ServerRun {
@@ -56,6 +55,9 @@
     pub start_ms: u64,
     /// Time for which it stays cold; zero when it is warm.
     pub cold_time: Duration,
+    /// Number of the run's report by which it was written, from 1; 0 when not known, as from a peer.
+    #[serde(skip)]
+    pub sequence: u64,
 }
 
 /// A change of one entry.
@@ -158,6 +160,7 @@
     turned_cold: Vec<TurnedCold>,
     /// Versions of services that a server had.
     left_versions: BTreeMap<(ServiceId, VersionId), LeftVersion>,
+    versions: VersionHistory,
     /// Servers that were removed or restarted since the last [`Self::take_lost_caches`].
     lost_caches: Vec<ServerId>,
     /// Until when live servers may be missing, because the first list was read after an outage of the store.
@@ -193,6 +196,8 @@
             return false;
         }
         self.latest_revision = self.latest_revision.max(change.revision);
+        let ready = change.registration.as_ref().and_then(ReadyServer::of);
+        self.versions.set(change.server, ready, now);
         self.record_left_version(change.server, now);
         let old_start = self
             .entries
@@ -235,16 +240,28 @@
         }
     }
 
-    /// Returns the version of a service whose servers have had no other one lately.
-    pub fn only_version(&self, service: ServiceId, now: Instant) -> Option<VersionId> {
-        let current = self.entries.values().map(|e| &e.registration);
-        let current = current.filter(|r| r.service == service).map(|r| r.version);
-        let is_recent = |at: Instant| now.duration_since(at) < VERSION_TTL;
-        let left = self.left_versions.iter();
-        let left = left.filter(|((s, _), left)| *s == service && is_recent(left.left_at));
-        let mut versions = current.chain(left.map(|((_, version), _)| *version));
-        let first = versions.next()?;
-        versions.all(|v| v == first).then_some(first)
+    /// Returns the versions of the servers over the last minutes.
+    pub const fn versions(&self) -> &VersionHistory {
+        &self.versions
+    }
+
+    /// Adds what the store's history tells of before; returns false when it doesn't fit what this instance knows.
+    pub fn learn_past(&mut self, history: &StoreHistory, read: ReadTime) -> bool {
+        let told: BTreeSet<ServerId> = history.changes.iter().map(|c| c.server).collect();
+        let entries = self.entries.iter().map(|(id, e)| (*id, e.revision));
+        let removed = self.tombstones.iter().map(|(id, (r, _))| (*id, *r));
+        let is_untold =
+            |(id, revision): (ServerId, u64)| revision > history.floor && !told.contains(&id);
+        if entries.chain(removed).any(is_untold) {
+            return false;
+        }
+        let entries = self.entries.iter();
+        let entries = entries.map(|(id, e)| (*id, e.revision, &e.registration));
+        for past in past_of(history, entries, read) {
+            let states = past.states.into_iter();
+            self.versions.add_past(past.service, states, past.since);
+        }
+        true
     }
 
     /// Returns the versions that servers of a service have, and had since this process started.
@@ -272,11 +289,12 @@
     /// Marks a server that another instance knows to leave as draining; returns false when nothing changed.
     ///
     /// The entry stays otherwise unchanged until its own change arrives.
-    pub fn mark_draining(&mut self, departure: Departure) -> bool {
+    pub fn mark_draining(&mut self, departure: Departure, now: Instant) -> bool {
         let entry = self.entries.get_mut(&departure.server);
         let Some(entry) = entry.filter(|e| e.revision < departure.revision) else {
             return false;
         };
+        self.versions.set(departure.server, None, now);
         !std::mem::replace(&mut entry.registration.draining, true)
     }
 
@@ -342,6 +360,7 @@
             self.incomplete_until = after_outage.then(|| now + REREGISTRATION_GRACE);
         }
         let outdated = revision < self.revision;
+        let (is_first, mut is_changed) = (self.versions.gaps() == 0, false);
         let listed: Vec<ServerId> = entries.iter().map(|c| c.server).collect();
         for change in entries {
             if outdated && self.is_missing_since(&change) {
@@ -350,11 +369,15 @@
             if unconfirmed.iter().all(|d| d.server != change.server) {
                 self.confirm(change.server);
             }
-            self.apply(change, now);
+            is_changed |= self.apply(change, now);
         }
         for item in unconfirmed {
             self.apply_unconfirmed(item, now);
         }
+        if is_first || (is_changed && !outdated) {
+            // Between the last change that was seen and the list, servers may have come and gone.
+            self.versions.begin(now);
+        }
         if outdated {
             return;
         }
@@ -368,6 +391,9 @@
             // No change of an entry announces these removals to others.
             self.latest_revision = self.latest_revision.max(revision);
         }
+        if !missing.is_empty() {
+            self.versions.begin(now);
+        }
         for server in missing {
             if after_outage {
                 self.mark_unconfirmed(server, revision, now);
@@ -427,6 +453,10 @@
         for id in &ids {
             self.remove(*id, self.revision, now);
         }
+        if !ids.is_empty() {
+            // Others stopped counting them earlier or later.
+            self.versions.begin(now);
+        }
         self.tombstones
             .retain(|_, (_, at)| now.duration_since(*at) < TOMBSTONE_TTL);
         ids
@@ -472,6 +502,7 @@
 
     fn remove(&mut self, id: ServerId, revision: u64, now: Instant) {
         self.cold.remove(&id);
+        self.versions.set(id, None, now);
         self.record_left_version(id, now);
         if let Some(entry) = self.entries.remove(&id) {
             self.tombstones
--- a/crates/hawthornmill/src/routing/request.rs
+++ b/crates/hawthornmill/src/routing/request.rs
@@ -10,6 +10,7 @@
 use super::placement::Placement;
 use super::regions::AllowedRegions;
 use super::shape::Shape;
+use super::stream_versions::StreamKey;
 use super::usage::{AccountUsage, FairShare, ShareLevels};
 use crate::codes::Code;
 use crate::ident::{AccountId, RouteId, ServerId, ServiceId, VersionId};
@@ -46,6 +47,8 @@
     pub allowed_regions: AllowedRegions,
     /// The only version of servers that may go on with its stream; `None` before its first event.
     pub version: Option<VersionId>,
+    /// The stream that it begins, where another request may take that up.
+    pub new_stream: Option<StreamKey>,
 }
 
 impl Request {
--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -32,8 +32,9 @@
 use super::ttft::{TtftEstimate, TtftModel};
 use super::unmet_demand::{UnmetDemandTracker, UnmetReason, preempts_others};
 use super::usage::{AccountUsage, FairShare, ShareLevels, ShareStatus, UsageTracker};
+use super::version_history::choose;
 use crate::codes::Code;
-use crate::ident::{AccountId, DomainId, RegionId, ServerId, ServiceId};
+use crate::ident::{AccountId, DomainId, RegionId, ServerId, ServiceId, VersionId};
 use crate::limits::queue_rate::QueueRate;
 
 mod exchange;
@@ -174,10 +175,10 @@
                 Err(PlacementError::Resting(until)) if until >= wait_deadline(request) => {
                     return Admission::Decided(Err(resting(request, until, now)));
                 }
-                Err(PlacementError::AllFull(soonest)) if request.is_bound() => {
+                Err(PlacementError::AllFull(soonest)) if self.is_bound(request) => {
                     awaited = Awaited::Homes(soonest.into_iter().collect());
                 }
-                Err(PlacementError::Resting(_)) if request.is_bound() => {
+                Err(PlacementError::Resting(_)) if self.is_bound(request) => {
                     awaited = Awaited::Homes(HomeServers::new());
                 }
                 Err(PlacementError::Resting(_)) => {}
@@ -283,12 +284,12 @@
                 Some(Err(resting(&request, until, now)))
             }
             Err(_full) if expired => Some(Err(self.refuse(&request, Cause::QueueTimeout, now))),
-            Err(PlacementError::AllFull(soonest)) if request.is_bound() => {
+            Err(PlacementError::AllFull(soonest)) if self.is_bound(&request) => {
                 reserved.servers.extend(soonest);
                 self.queue[ticket].awaited = Awaited::Homes(soonest.into_iter().collect());
                 None
             }
-            Err(PlacementError::Resting(_)) if request.is_bound() => {
+            Err(PlacementError::Resting(_)) if self.is_bound(&request) => {
                 self.queue[ticket].awaited = Awaited::Homes(HomeServers::new());
                 None
             }
@@ -399,6 +400,20 @@
         context
     }
 
+    /// Returns the version at which a new stream begins; `None` where the servers have one, or it begins none.
+    fn chosen_version(&self, request: &Request) -> Option<VersionId> {
+        let capacities = self.registry.versions().current(request.service);
+        if capacities.len() < 2 {
+            return None;
+        }
+        choose(request.new_stream?, capacities)
+    }
+
+    /// Returns whether only some servers of its service may serve a request, so that others can have capacity when it finds none.
+    fn is_bound(&self, request: &Request) -> bool {
+        request.is_bound() || self.chosen_version(request).is_some()
+    }
+
     fn try_place(
         &mut self,
         request: &Request,
@@ -438,7 +453,7 @@
             shape: &request.shape,
             excluded: &request.tried,
             allowed_regions: &request.allowed_regions,
-            version: request.version,
+            version: request.version.or_else(|| self.chosen_version(request)),
             reserved: &unavailable,
             ttft: self.ttft_estimate(request.service, now),
             time_left: (request.arrival + request.objective).saturating_duration_since(now),
@@ -449,7 +464,19 @@
             fetches_prefixes: self.fetches_prefixes,
             spare,
         };
-        let placement = choose_server(&view, &query, now)?;
+        let placement = match choose_server(&view, &query, now) {
+            // Work doesn't wait for servers of a version while others could take it; nobody can work this choice out again.
+            Err(PlacementError::NoServer | PlacementError::RegionBound)
+                if request.version.is_none() && query.version.is_some() && spare.is_none() =>
+            {
+                let any = PlacementRequest {
+                    version: None,
+                    ..query
+                };
+                choose_server(&view, &any, now)?
+            }
+            decided => decided?,
+        };
         if spare.is_some() && now + placement.expected_ttft >= request.deadline {
             return Err(PlacementError::TooLong);
         }
--- a/tests/testsuite/gateway/endless_elsewhere.rs
+++ b/tests/testsuite/gateway/endless_elsewhere.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
-use hawthornmill_gateway::store_watch::read_response;
+use hawthornmill_gateway::store_call::read_response;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -34,6 +34,7 @@
 mod ttft;
 mod unmet_demand;
 mod usage;
+mod version_history;
 
 use std::time::{Duration, Instant};
 
@@ -151,6 +152,7 @@
         draining: false,
         start_ms: 0,
         cold_time: Duration::ZERO,
+        sequence: 0,
     }
 }
 
@@ -230,6 +232,7 @@
         tried: SmallVec::new(),
         allowed_regions: AllowedRegions::Any,
         version: None,
+        new_stream: None,
     }
 }
 
--- /dev/null
+++ b/tests/testsuite/routing/version_history.rs
@@ -0,0 +1,347 @@
+//! Versions of a service's servers over time, and what follows from them for a stream.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use hawthornmill::ident::{ServerId, VersionId};
+use hawthornmill::routing::registry::{Change, Registration, Registry};
+use hawthornmill::routing::store_history::{PastChange, ReadTime, StoreHistory};
+use hawthornmill::routing::stream_versions::StreamKey;
+use hawthornmill::routing::version_history::{BeginVersion, VIEW_LAG, choose};
+use proptest::prelude::*;
+
+use super::{change, drafter, entry, list, millis};
+
+/// Unix time of the first instant of a test, in milliseconds.
+const EPOCH_MS: u64 = 1_000_000_000;
+/// Streams that each case begins.
+const STREAMS: u64 = 24;
+
+fn version(name: &str) -> VersionId {
+    VersionId::of(name)
+}
+
+fn of_version(name: &str, version_name: &str) -> Registration {
+    Registration {
+        version: version(version_name),
+        ..entry(name, "a")
+    }
+}
+
+/// The state of the store after each change, with the times of the changes.
+#[derive(Debug, Default)]
+struct Store {
+    /// Each change with its time in milliseconds.
+    changes: Vec<(u64, PastChange)>,
+    entries: BTreeMap<ServerId, (u64, Registration)>,
+}
+
+impl Store {
+    fn write(&mut self, at: u64, name: &str, registration: Option<Registration>) {
+        let server = ServerId::of(name);
+        let revision = self.changes.len() as u64 + 2;
+        let created = match (&registration, self.entries.get(&server)) {
+            (None, _) => 0,
+            (Some(_), Some((created, _))) => *created,
+            (Some(_), None) => revision,
+        };
+        match &registration {
+            Some(new) => self.entries.insert(server, (created, new.clone())),
+            None => self.entries.remove(&server),
+        };
+        let change = PastChange {
+            server,
+            revision,
+            created,
+            registration,
+        };
+        self.changes.push((at, change));
+    }
+
+    /// Registers a run of `name` that started a little before.
+    fn start(&mut self, at: u64, name: &str, version_name: &str, slots: u32) {
+        let registration = Registration {
+            slots,
+            start_ms: EPOCH_MS + at - at.min(at % 400),
+            sequence: 1,
+            ..of_version(name, version_name)
+        };
+        self.write(at, name, Some(registration));
+    }
+
+    fn drain(&mut self, at: u64, name: &str) {
+        let known = self.entries.get(&ServerId::of(name));
+        if let Some((_, ready)) = known.filter(|(_, r)| !r.draining).cloned() {
+            let leaving = Registration {
+                draining: true,
+                sequence: 5,
+                ..ready
+            };
+            self.write(at, name, Some(leaving));
+        }
+    }
+
+    fn remove(&mut self, at: u64, name: &str) {
+        if self.entries.contains_key(&ServerId::of(name)) {
+            self.write(at, name, None);
+        }
+    }
+
+    fn changes_until(&self, at: u64) -> impl Iterator<Item = &PastChange> {
+        let until = self.changes.iter().filter(move |(time, _)| *time <= at);
+        until.map(|(_, change)| change)
+    }
+
+    /// Returns the entries at `at`, as a list gives them.
+    fn listed(&self, at: u64) -> Vec<Change> {
+        let mut entries = BTreeMap::new();
+        for past in self.changes_until(at) {
+            let change = Change {
+                server: past.server,
+                revision: past.revision,
+                registration: past.registration.clone(),
+            };
+            entries.insert(past.server, change);
+        }
+        let all = entries.into_values();
+        all.filter(|c| c.registration.is_some()).collect()
+    }
+
+    fn revision_at(&self, at: u64) -> u64 {
+        self.changes_until(at).last().map_or(1, |c| c.revision)
+    }
+
+    /// Returns what the store keeps at `at` of the changes after `floor`.
+    fn history(&self, at: u64, floor: u64) -> StoreHistory {
+        let kept = self.changes_until(at).filter(|c| c.revision > floor);
+        StoreHistory {
+            floor,
+            is_oldest: true,
+            revision: self.revision_at(at),
+            changes: kept.cloned().collect(),
+        }
+    }
+
+    /// Returns an instance that has listed the store at `at`.
+    fn listing(&self, at: u64, epoch: Instant) -> Registry {
+        let mut registry = Registry::default();
+        let whole = list(self.listed(at), self.revision_at(at), false);
+        registry.replace_all(whole, epoch + millis(at));
+        registry
+    }
+
+    /// Returns the view at `at` of an instance that has run since the first list and hears of each change with a delay.
+    fn late_view(&self, at: u64, delays: &[u64], epoch: Instant) -> Registry {
+        let mut registry = self.listing(0, epoch);
+        let mut heard = 0;
+        for (number, (time, past)) in self.changes.iter().enumerate() {
+            heard = heard.max(time + delays[number % delays.len()]);
+            if heard <= at && *time > 0 {
+                let change = Change {
+                    server: past.server,
+                    revision: past.revision,
+                    registration: past.registration.clone(),
+                };
+                registry.apply(change, epoch + millis(heard));
+            }
+        }
+        registry
+    }
+}
+
+fn read_time(at: u64, epoch: Instant, kept: Duration) -> ReadTime {
+    ReadTime {
+        at: epoch + millis(at),
+        unix_ms: EPOCH_MS + at,
+        kept,
+    }
+}
+
+fn begin_version(registry: &Registry, key: Option<StreamKey>, after: Instant) -> BeginVersion {
+    registry.versions().begin_version(&[drafter()], key, after)
+}
+
+/// Failure: a version whose last server has just left doesn't count, and its streams go on at the one that is left.
+#[test]
+fn version_that_has_just_left_counts_among_those_of_its_service() {
+    let now = Instant::now();
+    let mut registry = Registry::default();
+    let both = vec![
+        change("a1", 1, Some(entry("a1", "a"))),
+        change("a2", 2, Some(entry("a2", "a"))),
+    ];
+    registry.replace_all(list(both, 2, false), now);
+
+    let one = begin_version(&registry, None, now);
+    let earlier = now.checked_sub(millis(1)).expect("time has passed");
+    let before_start = begin_version(&registry, None, earlier);
+    registry.apply(
+        change("a2", 10, Some(of_version("a2", "v2"))),
+        now + millis(10),
+    );
+    let two = begin_version(&registry, None, now);
+    registry.apply(change("a1", 11, None), now + millis(500));
+    let just_left = begin_version(&registry, None, now + millis(500));
+    let long_gone = begin_version(&registry, None, now + millis(501));
+
+    assert_eq!(one, BeginVersion::Certain(version("v1")));
+    assert_eq!(before_start, BeginVersion::Unknown);
+    assert_eq!(
+        (two, just_left),
+        (BeginVersion::Doubtful, BeginVersion::Doubtful)
+    );
+    assert_eq!(long_gone, BeginVersion::Certain(version("v2")));
+}
+
+/// Failure: as slots come, streams move between versions whose share has not changed, or a version gets more or less than its share.
+#[test]
+fn choice_follows_the_slots_and_moves_few_streams() {
+    let (old, new) = (version("v1"), version("v2"));
+    let mut before = [(old, 18), (new, 6)];
+    let mut after = [(old, 18), (new, 18)];
+    before.sort_unstable();
+    after.sort_unstable();
+    let keys = (0..4_000).map(StreamKey);
+
+    let pairs: Vec<_> = keys
+        .map(|k| [choose(k, &before), choose(k, &after)])
+        .collect();
+
+    let at_new = |of: usize| pairs.iter().filter(|p| p[of] == Some(new)).count();
+    assert!((900..1_100).contains(&at_new(0)));
+    assert!((1_900..2_100).contains(&at_new(1)));
+    assert!(pairs.iter().all(|p| p[0] == Some(old) || p[1] == Some(new)));
+}
+
+/// Failure: a history that was just dropped, of which nothing is left, is taken for a calm one.
+#[test]
+fn empty_history_proves_nothing_unless_its_floor_is_dated() {
+    let epoch = Instant::now() + Duration::from_mins(5);
+    let mut store = Store::default();
+    store.start(1_000, "a1", "v1", 4);
+    store.start(2_000, "a2", "v1", 4);
+    let (at, after) = (30_000, epoch + millis(20_000));
+    let learn = |store: &Store| {
+        let mut registry = store.listing(at, epoch);
+        let history = store.history(at, store.revision_at(at));
+        assert!(registry.learn_past(&history, read_time(at, epoch, Duration::from_secs(20))));
+        begin_version(&registry, None, after)
+    };
+
+    let dated = learn(&store);
+    store.remove(29_000, "a2");
+    let undated = learn(&store);
+
+    assert_eq!(dated, BeginVersion::Certain(version("v1")));
+    assert_eq!(undated, BeginVersion::Unknown);
+}
+
+/// Failure: servers that left unannounced are taken for servers of the version that is left, though they may have been all of another.
+#[test]
+fn unknown_departures_are_presumed_of_a_known_version_only_where_they_are_few() {
+    let epoch = Instant::now() + Duration::from_mins(5);
+    let (at, after) = (30_000, epoch + millis(20_000));
+    let learn = |gone: usize| {
+        let mut store = Store::default();
+        for number in 0..8 {
+            store.start(1_000, &format!("a{number}"), "v1", 4);
+        }
+        let floor = store.revision_at(at);
+        for number in 0..gone {
+            store.remove(25_000, &format!("a{number}"));
+        }
+        let mut registry = store.listing(at, epoch);
+        let history = store.history(at, floor);
+        assert!(registry.learn_past(&history, read_time(at, epoch, Duration::from_secs(20))));
+        begin_version(&registry, None, after)
+    };
+
+    assert_eq!(learn(2), BeginVersion::Certain(version("v1")));
+    assert_eq!(learn(4), BeginVersion::Unknown);
+}
+
+/// Failure: a list after changes that this instance didn't see counts as knowledge of what came and went meanwhile.
+#[test]
+fn list_after_a_gap_tells_nothing_of_before() {
+    let now = Instant::now();
+    let one = |revision| vec![change("a1", revision, Some(entry("a1", "a")))];
+    let mut registry = Registry::default();
+    registry.replace_all(list(one(1), 1, false), now);
+
+    registry.replace_all(list(one(1), 5, false), now + millis(100));
+    let same = begin_version(&registry, None, now);
+    registry.replace_all(list(one(9), 9, false), now + millis(200));
+    let changed = begin_version(&registry, None, now);
+
+    assert_eq!(same, BeginVersion::Certain(version("v1")));
+    assert_eq!(changed, BeginVersion::Unknown);
+    assert_eq!(registry.versions().gaps(), 2);
+}
+
+/// One change of a case: the pause before it, the server, what happens, and its slots.
+type Step = (u64, usize, u8, u32);
+
+/// Returns a store with the changes of a case; the first two servers stay where `anchored`.
+fn store_of(steps: &[Step], anchored: bool) -> (Store, u64) {
+    let mut store = Store::default();
+    for number in 0..6 {
+        store.start(0, &format!("s{number}"), ["v1", "v2"][number % 2], 4);
+    }
+    let mut at = 1_000;
+    for (pause, server, what, slots) in steps {
+        at += pause;
+        let server = if anchored { 2 + server % 4 } else { server % 6 };
+        let name = format!("s{server}");
+        match what {
+            0 => store.drain(at, &name),
+            1 => store.remove(at, &name),
+            2 => store.start(at, &name, "v1", *slots),
+            _ => store.start(at, &name, "v2", *slots),
+        }
+    }
+    (store, at)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+
+    /// Failure: an instance that hears of changes late, or one that has just started, gives a stream another version than the
+    /// one at which it began.
+    #[test]
+    fn stream_is_given_the_version_at_which_it_began_or_none(
+        steps in prop::collection::vec((0..900_u64, 0..6_usize, 0..4_u8, 1..5_u32), 1..24),
+        delays in prop::collection::vec(0..VIEW_LAG.as_millis() as u64, 1..8),
+        other_delays in prop::collection::vec(0..VIEW_LAG.as_millis() as u64, 1..8),
+        (begun, asked) in (0..100_u64, 0..3_000_u64),
+        (restart, reading) in (0..3_000_u64, 0..500_u64),
+        (anchored, kept) in (any::<bool>(), 500..5_000_u64),
+        seed in any::<u64>(),
+    ) {
+        let epoch = Instant::now() + Duration::from_mins(5);
+        let (store, end) = store_of(&steps, anchored);
+        let begun_at = 1_000 + (end - 1_000) * begun / 100;
+        let first_asked = epoch + millis(begun_at.saturating_sub(asked));
+        let after = first_asked.checked_sub(VIEW_LAG).expect("the epoch lies ahead");
+        let began = store.late_view(begun_at, &delays, epoch);
+
+        let old = store.late_view(begun_at + 500 + restart, &other_delays, epoch);
+        let (started_at, read_at) = (begun_at + restart, begun_at + restart + reading);
+        let mut young = store.listing(started_at, epoch);
+        let floor = if anchored { store.revision_at(read_at.saturating_sub(kept)) } else { 0 };
+        let _fits = young.learn_past(&store.history(read_at, floor), read_time(read_at, epoch, millis(kept)));
+
+        for number in 0..STREAMS {
+            let key = StreamKey(seed.wrapping_add(number));
+            let Some(version) = choose(key, began.versions().current(drafter())) else {
+                continue;
+            };
+            for (registry, name) in [(&old, "old"), (&young, "young")] {
+                for key in [Some(key), None] {
+                    if let BeginVersion::Certain(found) = begin_version(registry, key, after) {
+                        prop_assert_eq!(found, version, "{} {:?}", name, key);
+                    }
+                }
+            }
+        }
+    }
+}
