--- a/crates/hawthornmill/src/routing/registry.rs
+++ b/crates/hawthornmill/src/routing/registry.rs
@@ -250,6 +250,8 @@
         let told: BTreeSet<ServerId> = history.changes.iter().map(|c| c.server).collect();
         let entries = self.entries.iter().map(|(id, e)| (*id, e.revision));
         let removed = self.tombstones.iter().map(|(id, (r, _))| (*id, *r));
+        // A list that lacks an entry gives its own revision to the removal.
+        let removed = removed.filter(|(_, revision)| *revision > history.revision);
         let is_untold =
             |(id, revision): (ServerId, u64)| revision > history.floor && !told.contains(&id);
         if entries.chain(removed).any(is_untold) {
--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -21,7 +21,7 @@
 use super::long_prompts::LongPrompts;
 use super::placement::{
     HomeServers, Location, Placement, PlacementError, PlacementRequest, PlacementView,
-    choose_server, is_prefill_bound,
+    is_prefill_bound,
 };
 use super::prefix_index::PrefixIndex;
 use super::regions::Eligibility;
@@ -32,9 +32,8 @@
 use super::ttft::{TtftEstimate, TtftModel};
 use super::unmet_demand::{UnmetDemandTracker, UnmetReason, preempts_others};
 use super::usage::{AccountUsage, FairShare, ShareLevels, ShareStatus, UsageTracker};
-use super::version_history::choose;
 use crate::codes::Code;
-use crate::ident::{AccountId, DomainId, RegionId, ServerId, ServiceId, VersionId};
+use crate::ident::{AccountId, DomainId, RegionId, ServerId, ServiceId};
 use crate::limits::queue_rate::QueueRate;
 
 mod exchange;
@@ -42,9 +41,11 @@
 mod queue;
 mod servers;
 mod shares;
+mod versions;
 
 use exchange::SpilledPrefixes;
 use queue::{Awaited, MAX_WAIT_FRACTION, QueuedRequest, Reserved, Turn, wait_deadline};
+use versions::choose_version_server;
 
 /// Maximum number of queued requests of one instance; each holds its body in memory.
 const MAX_QUEUE_LEN: usize = 512;
@@ -400,20 +401,6 @@
         context
     }
 
-    /// Returns the version at which a new stream begins; `None` where the servers have one, or it begins none.
-    fn chosen_version(&self, request: &Request) -> Option<VersionId> {
-        let capacities = self.registry.versions().current(request.service);
-        if capacities.len() < 2 {
-            return None;
-        }
-        choose(request.new_stream?, capacities)
-    }
-
-    /// Returns whether only some servers of its service may serve a request, so that others can have capacity when it finds none.
-    fn is_bound(&self, request: &Request) -> bool {
-        request.is_bound() || self.chosen_version(request).is_some()
-    }
-
     fn try_place(
         &mut self,
         request: &Request,
@@ -464,19 +451,7 @@
             fetches_prefixes: self.fetches_prefixes,
             spare,
         };
-        let placement = match choose_server(&view, &query, now) {
-            // Work doesn't wait for servers of a version while others could take it; nobody can work this choice out again.
-            Err(PlacementError::NoServer | PlacementError::RegionBound)
-                if request.version.is_none() && query.version.is_some() && spare.is_none() =>
-            {
-                let any = PlacementRequest {
-                    version: None,
-                    ..query
-                };
-                choose_server(&view, &any, now)?
-            }
-            decided => decided?,
-        };
+        let placement = choose_version_server(&view, &query, request.version, now)?;
         if spare.is_some() && now + placement.expected_ttft >= request.deadline {
             return Err(PlacementError::TooLong);
         }
--- /dev/null
+++ b/crates/hawthornmill/src/routing/scheduler/versions.rs
@@ -0,0 +1,50 @@
+//! The version at which new streams begin.
+
+use std::time::Instant;
+
+use super::Scheduler;
+use crate::ident::VersionId;
+use crate::routing::placement::{
+    Placement, PlacementError, PlacementRequest, PlacementView, choose_server,
+};
+use crate::routing::request::Request;
+use crate::routing::version_history::choose;
+
+impl Scheduler {
+    /// Returns the version at which a new stream begins; `None` where the servers have one, or it begins none.
+    pub(super) fn chosen_version(&self, request: &Request) -> Option<VersionId> {
+        let capacities = self.registry.versions().current(request.service);
+        if capacities.len() < 2 {
+            return None;
+        }
+        choose(request.new_stream?, capacities)
+    }
+
+    /// Returns whether only some servers of its service may serve a request, so that others can have capacity when it finds none.
+    pub(super) fn is_bound(&self, request: &Request) -> bool {
+        request.is_bound() || self.chosen_version(request).is_some()
+    }
+}
+
+/// Chooses a server of the version in `query`; of any version if that has none and the request is not `bound` to it.
+///
+/// Work doesn't wait for servers of a version while others could take it. Nobody can work such a choice out again, so these
+/// streams rely on the records of instances alone. A hedge is left out then.
+pub(super) fn choose_version_server(
+    view: &PlacementView<'_>,
+    query: &PlacementRequest<'_>,
+    bound: Option<VersionId>,
+    now: Instant,
+) -> Result<Placement, PlacementError> {
+    let is_free = bound.is_none() && query.version.is_some() && query.spare.is_none();
+    match choose_server(view, query, now) {
+        Err(PlacementError::NoServer | PlacementError::RegionBound) if is_free => {
+            let any = PlacementRequest {
+                version: None,
+                ..*query
+            };
+            choose_server(view, &any, now)
+        }
+        decided => decided,
+    }
+}
--- a/crates/hawthornmill/src/routing/version_history.rs
+++ b/crates/hawthornmill/src/routing/version_history.rs
@@ -139,6 +139,7 @@
         self.gaps += 1;
         for history in self.services.values_mut() {
             history.complete_since = None;
+            history.past.clear();
         }
     }
 
