Tests: servers that start again under their id with another version, failing

What callers see: a stream that began at one software version goes on at another, in an answer of status 200 that runs to its end. A server may start again under the id and address that it had; until its new entry arrives, the entry of its earlier run counts for whatever listens there.

Real processes, entries unchanged for a while, 8 streams each.

The scripted server can start again under its name with a mark, tells of its start at /v1/report unless a test switches that off, and registers it.

--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod response_limits;
 mod response_reader;
 mod responses;
+mod restarted_servers;
 mod restarts;
 #[expect(dead_code, reason = "the soak uses the other part of the fixtures")]
 mod scripted_server;
--- a/tests/testsuite/gateway/scripted_server.rs
+++ b/tests/testsuite/gateway/scripted_server.rs
@@ -22,6 +22,9 @@
 /// Pause after which a connection is reset, so that the bytes sent before arrive.
 const RESET_PAUSE: Duration = Duration::from_millis(50);
 
+/// Path at which a server tells of its run.
+const REPORT_PATH: &str = "/v1/report";
+
 /// Time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -111,6 +114,10 @@
     client_disconnects: usize,
     /// Its connections are reset when it ends, and not closed in order.
     resets: bool,
+    /// It starts again under the name that it had.
+    keeps_name: bool,
+    /// It answers questions about its run with 404.
+    hides_reports: bool,
     /// The latest life.
     life: Life,
     /// Number of its starts.
@@ -201,10 +208,49 @@
         }
     }
 
+    /// Starts again under its name after it ended; the data of its events ends with `mark` from then on.
+    pub async fn run_again(&self, mark: &'static str) {
+        self.lock().keeps_name = true;
+        self.set_mark(mark);
+        self.run().await;
+    }
+
+    /// Returns the start that it reports and registers: the number of its life.
+    pub fn born(&self) -> usize {
+        let state = self.lock();
+        if state.keeps_name { state.starts } else { 1 }
+    }
+
+    /// Answers questions about its run with 404.
+    pub fn hide_reports(&self) {
+        self.lock().hides_reports = true;
+    }
+
+    /// Answers a question about its run; returns false if `head` asks something else.
+    async fn report(&self, stream: &mut TcpStream, head: &RequestHead) -> bool {
+        if head.path() != REPORT_PATH {
+            return false;
+        }
+        let hidden = self.lock().hides_reports;
+        let (status, body) = if hidden {
+            (404, String::new())
+        } else {
+            (
+                200,
+                format!("{{\"stage\":\"both\",\"born\":{}}}", self.born()),
+            )
+        };
+        // The gateway may have closed the connection by now.
+        let _written = write_response(stream, status, &[], body.as_bytes()).await;
+        true
+    }
+
     /// Returns the name under which it registers in its current life.
     pub fn current_name(&self) -> String {
-        match self.lock().starts {
+        let state = self.lock();
+        match state.starts {
             0 | 1 => self.name.clone(),
+            _ if state.keeps_name => self.name.clone(),
             starts => format!("{}-{starts}", self.name),
         }
     }
@@ -272,6 +318,9 @@
             let Some((head, body)) = read_request(stream, &mut buffer).await else {
                 return;
             };
+            if self.report(stream, &head).await {
+                continue;
+            }
             let behavior = self.next_behavior(&head);
             let executed = !matches!(
                 behavior,
