Gateway: a server's version is in doubt from a break until its run is known

What callers saw: streams joined from two versions, answered 200 and run to their end, without the kill of any gateway. Cause: the entry of a server was taken for a fact about the process that listens at its address now. A server that starts again under its id keeps its old entry until the new one arrives, and Expect-Instance names the id alone.

Change: a run is in doubt once a connection to it broke, it couldn't be reached, or a peer reports its crash (routing/run_doubt.rs). Meanwhile no request that is bound to a version goes there, and a stream that begins there has no version yet. The gateway asks /v1/report on a new connection (server_runs.rs): the registered start ends the doubt, another one keeps it until its entry comes, and streams that began at that run get its version then. Where servers have no report, five seconds without a later registration end it, counted only while this instance learns of registrations. A bound send goes only over a connection whose run the server has named, so an instance that saw no break is covered too. An answer whose stream has no version yet isn't continued elsewhere. Only services with resumable routes are concerned.

A report proves by the time of its question, not by the age of its connection: the process that answers ran then.

--- a/crates/hawthornmill-gateway/src/adapter.rs
+++ b/crates/hawthornmill-gateway/src/adapter.rs
@@ -85,6 +85,15 @@
     pub parse_page: fn(&[u8]) -> Result<Page, ParseError>,
 }
 
+/// How to ask a server about its run.
+#[derive(Debug, Clone, Copy)]
+pub struct RunApi {
+    /// Path of a server's report.
+    pub report_path: &'static str,
+    /// Parses the start of the server's run out of its report, in milliseconds of Unix time; `None` if it names none.
+    pub parse_start: fn(&[u8]) -> Option<u64>,
+}
+
 /// A client's query to the directory.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DirectoryQuery {
@@ -114,6 +123,8 @@
     pub store: StoreApi,
     /// Readiness checks and directory queries.
     pub discovery: DiscoveryApi,
+    /// Questions to servers about their runs.
+    pub runs: RunApi,
     /// Parses a catalog.
     pub parse_catalog: fn(&[u8]) -> Result<Catalog, ParseError>,
     /// Parses a registration; the name of the server comes from its key.
--- a/crates/hawthornmill-gateway/src/daemon.rs
+++ b/crates/hawthornmill-gateway/src/daemon.rs
@@ -21,8 +21,8 @@
 use crate::gateway::{Gateway, Phase, cleanup_loop, dispatch_loop, monitor_lateness};
 use crate::settings::Settings;
 use crate::{
-    endpoints, event_log, gossip, listener, relay, server_crashes, state_sync, store_watch,
-    stream_versions,
+    endpoints, event_log, gossip, listener, relay, server_crashes, server_runs, state_sync,
+    store_watch, stream_versions,
 };
 
 /// Multiple of the directory's time to live for which a stopping process still accepts requests.
@@ -135,6 +135,7 @@
         Rc::clone(&datagrams),
     ));
     spawn_local(server_crashes::examine_runs(Rc::clone(gateway)));
+    spawn_local(server_runs::examine_doubts(Rc::clone(gateway)));
     spawn_local(stream_versions::exchange(
         Rc::clone(gateway),
         Rc::clone(&datagrams),
--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -43,6 +43,7 @@
 use crate::proxy::reservation::{Reservations, shared_limit};
 use crate::proxy::response_limits;
 use crate::server_crashes::ServerCrashes;
+use crate::server_runs::ServerRuns;
 use crate::settings::Settings;
 use crate::stream_versions::StreamRegister;
 
@@ -111,6 +112,8 @@
     pub quarantine_wakeup: Notify,
     /// Servers that ended while they ran requests.
     pub server_crashes: ServerCrashes,
+    /// What servers report of their runs.
+    pub server_runs: ServerRuns,
     /// Versions of servers at which streams began.
     pub streams: StreamRegister,
     /// Connections to servers.
@@ -203,6 +206,7 @@
             quarantine: RefCell::new(quarantine),
             quarantine_wakeup: Notify::new(),
             server_crashes: ServerCrashes::default(),
+            server_runs: ServerRuns::default(),
             streams: StreamRegister::default(),
             pool: Pool::default(),
             metrics: Metrics::default(),
--- a/crates/hawthornmill-gateway/src/gateway/updates.rs
+++ b/crates/hawthornmill-gateway/src/gateway/updates.rs
@@ -1,5 +1,7 @@
 //! What a gateway learns of the platform and of the servers, from the store and from peers.
 
+use std::time::Duration;
+
 use hawthornmill::ident::ServerId;
 use hawthornmill::quarantine::report::QuarantineReport;
 use hawthornmill::quarantine::table::Change as QuarantineChange;
@@ -12,6 +14,7 @@
 
 use super::Gateway;
 use crate::event_log;
+use crate::server_runs;
 
 impl Gateway {
     /// Returns how far this instance knows the store.
@@ -80,6 +83,7 @@
         let (fields, leaving) = (describe_change(&change, from), change.departure());
         if self.scheduler.borrow_mut().apply_change(change, self.now()) {
             event_log::state_change("registration", fields);
+            server_runs::settle(self);
             self.queue_wakeup.notify_one();
             self.announce_cold(from, Source::Own);
             if let Some(leaving) = leaving {
@@ -147,8 +151,14 @@
 
     /// Applies what a peer tells of ended servers and quarantined requests.
     pub fn apply_quarantine_report(&self, news: &QuarantineReport) {
+        let now = self.now();
+        for crash in &news.crashes {
+            let age = Duration::from_millis(crash.age_ms.into());
+            let at = now.checked_sub(age).unwrap_or(now);
+            server_runs::record_break(self, crash.run, at, "peer");
+        }
         let mut quarantine = self.quarantine.borrow_mut();
-        if quarantine.apply(news, self.now()) {
+        if quarantine.apply(news, now) {
             drop(quarantine);
             self.announce_quarantine();
         }
@@ -193,6 +203,7 @@
         self.scheduler
             .borrow_mut()
             .replace_registrations(list, self.now());
+        server_runs::settle(self);
         // The own domain isn't told: its instances get the list too.
         self.announce_cold(from, Source::Peer);
         self.has_registrations.set(true);
--- a/crates/hawthornmill-gateway/src/lib.rs
+++ b/crates/hawthornmill-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`proxy`] | one request: admission, queueing, forwarding, the response |
 //! | [`pool`] | connections to backend servers |
 //! | [`server_crashes`] | servers that crashed while they ran requests |
+//! | [`server_runs`] | which run of a server listens at its address |
 //! | [`store_watch`] | watches the platform's store |
 //! | [`datagrams`], [`gossip`] | messages between instances over UDP |
 //! | [`state_sync`], [`pending_state`] | pulls catalogs and registrations from other instances |
@@ -39,6 +40,7 @@
 pub mod proxy;
 pub mod relay;
 pub mod server_crashes;
+pub mod server_runs;
 pub mod server_speeds;
 pub mod settings;
 pub mod state_sync;
--- a/crates/hawthornmill-gateway/src/metrics.rs
+++ b/crates/hawthornmill-gateway/src/metrics.rs
@@ -96,6 +96,8 @@
     store_calls: CounterFamily<OutcomeLabels>,
     connects: Counter<u64, AtomicU64>,
     server_crashes: Counter<u64, AtomicU64>,
+    runs_doubted: CounterFamily<CutLabels>,
+    runs_asked: Counter<u64, AtomicU64>,
     unreadable_figures: Counter<u64, AtomicU64>,
     cuts: CounterFamily<CutLabels>,
     memory_refusals: CounterFamily<CutLabels>,
@@ -123,6 +125,8 @@
             store_calls: Family::default(),
             connects: Counter::default(),
             server_crashes: Counter::default(),
+            runs_doubted: Family::default(),
+            runs_asked: Counter::default(),
             unreadable_figures: Counter::default(),
             cuts: Family::default(),
             memory_refusals: Family::default(),
@@ -162,6 +166,10 @@
         );
         let help = "Servers that crashed while they ran requests of this instance";
         registry.register("server_crashes", help, metrics.server_crashes.clone());
+        let help = "Runs of servers whose version came in doubt, by reason";
+        registry.register("runs_doubted", help, metrics.runs_doubted.clone());
+        let help = "Questions to servers for the start of their run";
+        registry.register("runs_asked", help, metrics.runs_asked.clone());
         let help = "Figures of servers' load reports that could not be read";
         registry.register(
             "unreadable_figures",
@@ -196,6 +204,16 @@
         self.server_crashes.inc();
     }
 
+    /// Counts a run of a server whose version came in doubt.
+    pub fn run_doubted(&self, reason: &'static str) {
+        self.runs_doubted.get_or_create(&CutLabels { reason }).inc();
+    }
+
+    /// Counts a question to a server for the start of its run.
+    pub fn run_asked(&self) {
+        self.runs_asked.inc();
+    }
+
     /// Counts figures of a server's load report that could not be read.
     pub fn figures_unreadable(&self, count: u8) {
         self.unreadable_figures.inc_by(count.into());
--- a/crates/hawthornmill-gateway/src/pool.rs
+++ b/crates/hawthornmill-gateway/src/pool.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::num::NonZeroU64;
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
@@ -50,6 +51,8 @@
     pub reused: bool,
     /// Bytes received for the current request.
     pub received: usize,
+    /// Start of the run that is at its other end, in milliseconds of Unix time, once the server has reported it.
+    pub run: Option<NonZeroU64>,
 }
 
 impl Upstream {
@@ -60,6 +63,7 @@
             buffer: BytesMut::with_capacity(BUFFER_BYTES),
             reused: false,
             received: 0,
+            run: None,
         }
     }
 
@@ -80,6 +84,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     stream: TcpStream,
+    run: Option<NonZeroU64>,
     since: Instant,
     timeout: Duration,
 }
@@ -112,14 +117,20 @@
 
     /// Returns an idle connection if there is one; `at_most_once` as in [`Self::acquire`].
     pub fn take(&self, server: ServerId, at_most_once: bool, now: Instant) -> Option<Upstream> {
-        let stream = self.take_idle(server, at_most_once, now)?;
+        let idle = self.take_idle(server, at_most_once, now)?;
         Some(Upstream {
             reused: true,
-            ..Upstream::new(stream)
+            run: idle.run,
+            ..Upstream::new(idle.stream)
         })
     }
 
-    fn take_idle(&self, server: ServerId, at_most_once: bool, now: Instant) -> Option<TcpStream> {
+    fn take_idle(
+        &self,
+        server: ServerId,
+        at_most_once: bool,
+        now: Instant,
+    ) -> Option<IdleConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&server)?;
         while let Some(newest) = connections.pop() {
@@ -130,7 +141,7 @@
                 newest.timeout
             };
             if age < timeout && is_idle(&newest.stream) {
-                return Some(newest.stream);
+                return Some(newest);
             }
             if age < newest.timeout && at_most_once && is_idle(&newest.stream) {
                 // Usable for idempotent requests only, and all others have been idle for longer.
@@ -165,6 +176,7 @@
         }
         connections.push(IdleConnection {
             stream: upstream.stream,
+            run: upstream.run,
             since: now,
             timeout,
         });
--- a/crates/hawthornmill-gateway/src/proxy/hedge.rs
+++ b/crates/hawthornmill-gateway/src/proxy/hedge.rs
@@ -32,7 +32,7 @@
 ) -> HedgedEnd<'a> {
     let admitted = slot.admitted;
     if !is_hedgeable(context, admitted) {
-        let outcome = send(context, admitted, progress, &slot.placement).await;
+        let outcome = send(context, request, admitted, progress, &slot.placement).await;
         retry::record_failed_send(context, progress, slot.placement.server, &outcome);
         return HedgedEnd::of(outcome, slot);
     }
@@ -52,7 +52,7 @@
     let earlier = (slot.sent_at, hedge_progress.sends);
     let mut hedge = None;
     let end = {
-        let mut first = pin!(send_copy(context, progress, &mut slot));
+        let mut first = pin!(send_copy(context, request, progress, &mut slot));
         match send_until_due(context, admitted, first.as_mut()).await {
             Some(outcome) => RaceEnd::without_hedge(outcome),
             None => match place_hedge(context, admitted, request, earlier, &state) {
@@ -60,7 +60,8 @@
                     let placed = hedge.insert(placed);
                     let second = async {
                         let outcome =
-                            send_copy(context, &mut hedge_progress, &mut placed.slot).await;
+                            send_copy(context, request, &mut hedge_progress, &mut placed.slot)
+                                .await;
                         let may_have_executed = hedge_progress.bytes_sent();
                         state.may_have_executed.set(may_have_executed);
                         outcome
@@ -117,11 +118,12 @@
 /// A copy that failed occupies no slot while the other one runs, and what its failure tells of the server is recorded now.
 async fn send_copy(
     context: RequestContext<'_>,
+    request: &Request,
     progress: &mut RequestProgress,
     slot: &mut SlotGuard<'_>,
 ) -> SendOutcome {
     let (admitted, placement) = (slot.admitted, slot.placement);
-    let mut outcome = send(context, admitted, progress, &placement).await;
+    let mut outcome = send(context, request, admitted, progress, &placement).await;
     retry::record_failed_send(context, progress, placement.server, &outcome);
     if let SendOutcome::Response(response) = &mut outcome {
         let (is_error, status) = (retry::is_server_error(response), response.head.status);
--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -63,6 +63,7 @@
 use crate::event_log;
 use crate::gateway::Gateway;
 use crate::server_crashes::BrokenRequest;
+use crate::server_runs;
 
 /// How a request ended, which determines whether its connection can be reused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -202,21 +203,37 @@
         self.gateway.release(&self.placement, self.responded);
     }
 
-    /// Binds a stream whose first event came from this server to the server's version.
+    /// Binds a stream whose first event came from this server to the server's version, or later if that is in doubt.
     pub fn bind_stream(&self, progress: &mut RequestProgress) {
-        progress.version = self.version;
-        if let (Some(StreamOrigin::New(key)), Some(version)) = (self.admitted.stream, self.version)
-        {
+        let gateway = self.gateway;
+        progress.version = self.known_version();
+        let Some(StreamOrigin::New(key)) = self.admitted.stream else {
+            return;
+        };
+        if let Some(version) = progress.version {
             let stream = StreamVersion { key, version };
-            self.gateway.streams.begin(self.gateway, stream);
+            gateway.streams.begin(gateway, stream);
+        } else {
+            let mut scheduler = gateway.scheduler.borrow_mut();
+            let server = self.placement.server;
+            scheduler.doubts.record_stream(server, key);
         }
     }
 
+    /// Returns the version of the run that answers; `None` if another run may have taken the request.
+    fn known_version(&self) -> Option<VersionId> {
+        let (run, version) = (self.run?, self.version?);
+        let scheduler = self.gateway.scheduler.borrow();
+        scheduler.has_version(run, version).then_some(version)
+    }
+
     /// Records that the connection ended on which the server ran the request; later calls have no effect.
     fn record_break(&self, request: &ClientRequest, progress: &RequestProgress) {
         let Some(run) = self.run.filter(|_| !self.break_recorded.replace(true)) else {
             return;
         };
+        let gateway = self.gateway;
+        server_runs::record_break(gateway, run, gateway.now(), "broken");
         let broken = BrokenRequest {
             attempt_id: request.attempt_id.clone(),
             sent_at: self.sent_at,
@@ -307,6 +324,13 @@
     let mut fallback: Option<ServerResponse> = None;
     loop {
         request.version = progress.version.or(request.version);
+        if progress.response_started() && request.version.is_none() {
+            request.version = version_learned(context.gateway, admitted);
+            if request.version.is_none() {
+                progress.set_code(Code::VersionUnknown);
+                return RequestOutcome::Truncated;
+            }
+        }
         if let Err(refusal) = quarantine::wait_until_clear(context, admitted).await {
             return refuse(
                 context, admitted, progress, &request, fallback, refusal, out,
@@ -351,6 +375,14 @@
     }
 }
 
+/// Returns the version of a stream that began here while that of its server was in doubt.
+fn version_learned(gateway: &Gateway, admitted: &Admitted) -> Option<VersionId> {
+    match admitted.stream? {
+        StreamOrigin::New(key) => gateway.streams.known(key),
+        StreamOrigin::Resumed(_) => None,
+    }
+}
+
 /// Rejects a request that takes up a stream of unknown version; another attempt may reach an instance that knows it.
 const fn version_unknown(admitted: &Admitted) -> ErrorResponse {
     ErrorResponse::with_retry_after(Code::VersionUnknown, admitted.request.objective)
--- a/crates/hawthornmill-gateway/src/proxy/retry.rs
+++ b/crates/hawthornmill-gateway/src/proxy/retry.rs
@@ -17,6 +17,7 @@
 use super::{RequestContext, quarantine};
 use crate::event_log;
 use crate::gateway::Gateway;
+use crate::server_runs;
 
 /// Maximum number of unreachable servers after which a request is retried; each can cost a connect timeout.
 const MAX_UNREACHABLE: u32 = 3;
@@ -131,6 +132,7 @@
     event_log::request_problem("server_unreached", attempt_id, fields);
     gateway.pool.discard_idle(server);
     record_outcome(gateway, server, ServerOutcome::Unreachable);
+    server_runs::record_unreachable(gateway, server);
 }
 
 /// Records that a server did not execute a request.
@@ -138,6 +140,7 @@
     if misdirected {
         gateway.pool.discard_idle(server);
         record_outcome(gateway, server, ServerOutcome::Unreachable);
+        server_runs::record_unreachable(gateway, server);
     } else {
         record_outcome(gateway, server, ServerOutcome::Full);
     }
--- a/crates/hawthornmill-gateway/src/proxy/send.rs
+++ b/crates/hawthornmill-gateway/src/proxy/send.rs
@@ -14,6 +14,7 @@
 use hawthornmill::routing::catalog::RetryPolicy;
 use hawthornmill::routing::placement::Placement;
 use hawthornmill::routing::registry::ServerRun;
+use hawthornmill::routing::request::Request;
 use serde_json::json;
 
 use super::admission::Admitted;
@@ -31,6 +32,7 @@
 use crate::http::body::{BodyDecoder, Decoded};
 use crate::http::head::{Framing, ResponseHead};
 use crate::pool::Upstream;
+use crate::server_runs::{self, RunProof};
 use crate::server_speeds;
 
 /// Status of a server that is not the expected one and did not execute the request.
@@ -126,6 +128,7 @@
 /// Sends `request` to the chosen server.
 pub async fn send(
     context: RequestContext<'_>,
+    pending: &Request,
     admitted: &Admitted,
     progress: &mut RequestProgress,
     placement: &Placement,
@@ -175,11 +178,21 @@
     if !upstream.reused {
         gateway.metrics.server_connected();
     }
+    if pending.version.is_some()
+        && server_runs::prove(gateway, run, address, &mut upstream).await != RunProof::Registered
+    {
+        return SendOutcome::Withheld;
+    }
     // While the connection was being opened, a response to another request may have said that the
     // server wants no more, or servers may have ended under this request.
     let now = gateway.now();
     let is_clear = quarantine::status(context, admitted) == QuarantineStatus::Clear;
-    if !is_clear || !gateway.scheduler.borrow().may_send(server, now) {
+    let may_send = {
+        let scheduler = gateway.scheduler.borrow();
+        let has_version = |version| scheduler.has_version(run, version);
+        scheduler.may_send(server, now) && pending.version.is_none_or(has_version)
+    };
+    if !is_clear || !may_send {
         let max_idle = gateway.max_idle(server);
         gateway.pool.put_back(server, upstream, None, max_idle, now);
         return SendOutcome::Withheld;
--- a/crates/hawthornmill-gateway/src/store_watch.rs
+++ b/crates/hawthornmill-gateway/src/store_watch.rs
@@ -476,6 +476,17 @@
 /// # Errors
 /// If the connection fails, or the response is malformed; [`ErrorKind::FileTooLarge`] if it is too long.
 pub async fn read_response(stream: &mut TcpStream) -> std::io::Result<(u16, Vec<u8>, bool)> {
+    read_response_within(stream, MAX_RESPONSE_BYTES).await
+}
+
+/// Does the same for a response whose body has at most `max_bytes`.
+///
+/// # Errors
+/// As [`read_response`].
+pub async fn read_response_within(
+    stream: &mut TcpStream,
+    max_bytes: usize,
+) -> std::io::Result<(u16, Vec<u8>, bool)> {
     let invalid = || std::io::Error::from(ErrorKind::InvalidData);
     let too_long = || std::io::Error::from(ErrorKind::FileTooLarge);
     let mut buffer = BytesMut::with_capacity(4096);
@@ -490,7 +501,7 @@
     let _head = buffer.split_to(length);
     let framing = head.framing("GET").map_err(|_framing| invalid())?;
     let mut body = match framing {
-        Framing::Length(bytes) if bytes > MAX_RESPONSE_BYTES as u64 => return Err(too_long()),
+        Framing::Length(bytes) if bytes > max_bytes as u64 => return Err(too_long()),
         Framing::Length(bytes) => Vec::with_capacity(bytes as usize),
         _ => Vec::new(),
     };
@@ -508,7 +519,7 @@
                 }
             }
         }
-        if body.len() > MAX_RESPONSE_BYTES {
+        if body.len() > max_bytes {
             return Err(too_long());
         }
     }
--- a/crates/hawthornmill-gateway/src/stream_versions.rs
+++ b/crates/hawthornmill-gateway/src/stream_versions.rs
@@ -70,6 +70,11 @@
         self.wakeup.notify_one();
     }
 
+    /// Returns the version at which a stream began, if this instance knows it.
+    pub fn known(&self, key: StreamKey) -> Option<VersionId> {
+        self.versions.borrow().get(key)
+    }
+
     /// Returns the version at which a stream began, from others if this instance doesn't know it.
     pub async fn find(&self, gateway: &Gateway, key: StreamKey) -> StreamLookup {
         let mut asked = 0;
--- a/crates/hawthornmill/src/routing/mod.rs
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -6,6 +6,7 @@
 //! |---|---|
 //! | [`catalog`], [`route_table`] | routes, services and accounts as published, and their lookup |
 //! | [`registry`] | backend servers as they registered themselves |
+//! | [`run_doubt`] | runs of servers that may have ended |
 //! | [`announcements`], [`recent`] | changes that are announced without waiting for the registrations |
 //! | [`cold_start`] | requests that a cold server may get |
 //! | [`evacuations`] | failure domains whose servers get no new requests |
@@ -55,6 +56,7 @@
 pub mod request;
 pub mod retry_budget;
 pub mod route_table;
+pub mod run_doubt;
 pub mod scheduler;
 pub mod server_notices;
 pub mod server_speed;
--- a/crates/hawthornmill/src/routing/placement.rs
+++ b/crates/hawthornmill/src/routing/placement.rs
@@ -20,6 +20,7 @@
 use super::prefix_index::{PrefixHits, PrefixIndex};
 use super::regions::{AllowedRegions, Eligibility};
 use super::registry::{Registry, RegistryEntry};
+use super::run_doubt::RunDoubts;
 use super::server_notices::{Availability, ServerNotices};
 use super::server_speed::SpeedTable;
 use super::shape::Shape;
@@ -90,6 +91,8 @@
     pub loads: &'a LoadTracker,
     /// What the servers said of themselves.
     pub notices: &'a ServerNotices,
+    /// Servers whose version is in doubt.
+    pub doubts: &'a RunDoubts,
     /// Prompt prefixes that the servers have cached.
     pub prefix_index: &'a PrefixIndex,
     /// Location of this instance.
@@ -284,7 +287,7 @@
     view.registry
         .entries()
         .filter(|(id, entry)| {
-            takes_requests(request, *id, entry)
+            takes_requests(view, request, *id, entry)
                 && view.notices.availability(*id, entry, now) == Availability::Available
         })
         .filter_map(|(server, entry)| {
@@ -312,13 +315,18 @@
 }
 
 /// Returns whether a server provides the service and takes the request, as far as its registration tells.
-fn takes_requests(request: &PlacementRequest<'_>, server: ServerId, entry: &RegistryEntry) -> bool {
+fn takes_requests(
+    view: &PlacementView<'_>,
+    request: &PlacementRequest<'_>,
+    server: ServerId,
+    entry: &RegistryEntry,
+) -> bool {
     entry.registration.service == request.service
         && !entry.registration.draining
         && !request.excluded.contains(&server)
         && request
             .version
-            .is_none_or(|v| v == entry.registration.version)
+            .is_none_or(|v| v == entry.registration.version && !view.doubts.is_doubted(server))
 }
 
 /// Returns when the first server that the request may use takes requests again.
@@ -328,7 +336,7 @@
     now: Instant,
 ) -> Option<Instant> {
     let usable = view.registry.entries().filter(|(id, entry)| {
-        takes_requests(request, *id, entry)
+        takes_requests(view, request, *id, entry)
             && !view.loads.is_down(*id, now)
             && place(view, request, entry.registration.domain).is_allowed
     });
--- a/crates/hawthornmill/src/routing/route_table.rs
+++ b/crates/hawthornmill/src/routing/route_table.rs
@@ -2,7 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::catalog::{Account, Catalog, Limits, Route, Service, TokenDigest, validate};
+use super::catalog::{
+    Account, Catalog, Limits, RetryPolicy, Route, Service, TokenDigest, validate,
+};
 use crate::codes::Code;
 use crate::ident::ServiceId;
 
@@ -96,6 +98,15 @@
         self.services.get(&id).map(|i| &self.catalog.services[*i])
     }
 
+    /// Returns whether a route of the service has streams that may go on at another server.
+    pub fn resumes_streams(&self, service: ServiceId) -> bool {
+        let mut routes = self.catalog.routes.iter();
+        routes.any(|r| {
+            r.retry_policy == RetryPolicy::Resumable
+                && r.targets.iter().any(|t| t.service == service)
+        })
+    }
+
     /// Returns the route with the longest prefix of `path` at `host`, which may include a port.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
--- a/crates/hawthornmill/src/routing/scheduler.rs
+++ b/crates/hawthornmill/src/routing/scheduler.rs
@@ -28,6 +28,7 @@
 use super::registry::Registry;
 use super::request::{Admission, Cause, Decision, DecisionContext, Refusal, Request, Ticket};
 use super::retry_budget::RetryBudget;
+use super::run_doubt::RunDoubts;
 use super::server_notices::{Availability, ServerNotices};
 use super::ttft::{TtftEstimate, TtftModel};
 use super::unmet_demand::{UnmetDemandTracker, UnmetReason, preempts_others};
@@ -93,6 +94,8 @@
     pub cold_limiter: ColdStartLimiter,
     /// What the servers said of themselves.
     pub notices: ServerNotices,
+    /// Servers whose version is in doubt.
+    pub doubts: RunDoubts,
     location: Location,
     ttft_models: BTreeMap<ServiceId, TtftModel>,
     queue_rates: BTreeMap<ServiceId, QueueRate>,
@@ -133,6 +136,7 @@
             cold_starts: BTreeMap::new(),
             cold_limiter,
             notices,
+            doubts: RunDoubts::default(),
             location,
             ttft_models: BTreeMap::new(),
             queue_rates: BTreeMap::new(),
@@ -428,6 +432,7 @@
             registry: &self.registry,
             loads: &self.loads,
             notices: &self.notices,
+            doubts: &self.doubts,
             prefix_index: &self.prefix_index,
             location: self.location,
             eligibility: self.eligibility(),
--- a/crates/hawthornmill/src/routing/scheduler/servers.rs
+++ b/crates/hawthornmill/src/routing/scheduler/servers.rs
@@ -3,13 +3,14 @@
 use std::time::{Duration, Instant};
 
 use super::Scheduler;
-use crate::ident::{DomainId, ServerId, ServiceId};
+use crate::ident::{DomainId, ServerId, ServiceId, VersionId};
 use crate::routing::announcements::ColdServer;
 use crate::routing::catalog::Catalog;
 use crate::routing::evacuations::Evacuation;
 use crate::routing::loads::ServerReport;
 use crate::routing::placement::{HomeServers, PlacedSpeed, Placement};
-use crate::routing::registry::{Change, RegistrationList};
+use crate::routing::registry::{Change, RegistrationList, ServerRun};
+use crate::routing::run_doubt::ReportedRun;
 use crate::routing::server_notices::Availability;
 
 impl Scheduler {
@@ -35,6 +36,7 @@
     pub fn apply_change(&mut self, change: Change, now: Instant) -> bool {
         let applied = self.registry.apply(change, now);
         self.drop_lost_caches();
+        self.doubts.follow(&self.registry, now);
         applied
     }
 
@@ -150,6 +152,7 @@
     pub fn replace_registrations(&mut self, list: RegistrationList, now: Instant) {
         self.registry.replace_all(list, now);
         self.drop_lost_caches();
+        self.doubts.follow(&self.registry, now);
     }
 
     /// Drops cached prefixes and speeds of servers that are gone or have restarted under the same name.
@@ -177,10 +180,40 @@
         !entry.registration.draining && !is_evacuated && !is_told_off
     }
 
+    /// Returns whether the version of `run` is known to be `version`.
+    pub fn has_version(&self, run: ServerRun, version: VersionId) -> bool {
+        let entry = self.registry.get(run.server);
+        let entry = entry.filter(|e| e.registration.start_ms == run.start_ms);
+        entry.is_some_and(|e| e.registration.version == version)
+            && !self.doubts.is_doubted(run.server)
+    }
+
+    /// Records that a connection to `run` broke at the instant `at`; returns whether its version is in doubt from now on and
+    /// wasn't before.
+    pub fn record_break(&mut self, run: ServerRun, at: Instant, now: Instant) -> bool {
+        let entry = self.registry.get(run.server);
+        entry.is_some_and(|e| e.registration.start_ms == run.start_ms)
+            && self.doubts.record_break(run, at, now)
+    }
+
+    /// Records the start that a server reported when it was asked at `asked`, while `run` is registered.
+    pub fn record_report(
+        &mut self,
+        run: ServerRun,
+        start_ms: u64,
+        asked: Instant,
+        now: Instant,
+    ) -> ReportedRun {
+        let registry = &self.registry;
+        self.doubts
+            .record_report(run, start_ms, asked, registry, now)
+    }
+
     /// Drops expired state and returns the servers whose registrations expired.
     pub fn sweep(&mut self, now: Instant) -> Vec<ServerId> {
         let expired = self.registry.expire(now);
         self.drop_lost_caches();
+        self.doubts.follow(&self.registry, now);
         let registry = &self.registry;
         self.loads.sweep(|id| registry.get(id).is_some(), now);
         self.notices.sweep(|id| registry.get(id).is_some(), now);
--- a/tests/testsuite/gateway/platform_names.rs
+++ b/tests/testsuite/gateway/platform_names.rs
@@ -37,6 +37,7 @@
     "kv-key",
     "op/config",
     "v1/resolve",
+    "v1/report",
     "ttlS",
     "enant",
 ];
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -25,6 +25,7 @@
 mod retry_budget;
 mod role_fitness;
 mod route_table;
+mod run_doubt;
 mod scheduler;
 mod server_notices;
 mod server_speed;
