Gateway: an instance that starts is told at its first report which requests crash servers

What could happen: an instance restarts, reads the catalog from the store within milliseconds, and until the next repetition, up to two seconds later, passes on a request that is quarantined everywhere else: one server more ends for each try.

Cause: only an instance that reports that it has no catalog was told what is quarantined. That says how much it knows of the store, not that its memory of crashes is gone; one that is first heard with a catalog counted as one that knows.

Change: the first report of a run is answered with what is quarantined, whatever it says of the catalog. The fake instance of the tests has a file of its own.

Shown by: gateway::restarts::newly_started_instance_is_told_of_quarantined_requests, failed before ("not told within a second"), passes since, with gateway::quarantine, missed_updates and restarts (24 tests). After a restart of all instances at once nobody remembers; that is as before.

--- a/crates/hawthornmill-gateway/src/gossip.rs
+++ b/crates/hawthornmill-gateway/src/gossip.rs
@@ -260,12 +260,15 @@
     let (sender, run) = (frame.sender, frame.incarnation);
     match frame.message {
         Message::InstanceReport(report) => {
-            handle_report(gateway, sender, run, &report);
-            if report.known.catalog_version == 0 && gateway.has_state() {
+            let has_started = handle_report(gateway, sender, run, &report);
+            let needs_state = report.known.catalog_version == 0 && gateway.has_state();
+            if needs_state {
                 report_to_newcomer(gateway, datagrams, from);
-                tell_quarantine(gateway, datagrams, from);
                 server_speeds::tell_newcomer(gateway, datagrams, from, now);
             }
+            if needs_state || has_started {
+                tell_quarantine(gateway, datagrams, from);
+            }
         }
         Message::Work(work) => gateway
             .scheduler
@@ -338,24 +341,33 @@
     }
 }
 
-fn handle_report(gateway: &Gateway, sender: InstanceId, run: Incarnation, report: &InstanceReport) {
+/// Applies a report; returns whether it is the first one of a run.
+fn handle_report(
+    gateway: &Gateway,
+    sender: InstanceId,
+    run: Incarnation,
+    report: &InstanceReport,
+) -> bool {
     let now = gateway.now();
     gateway.observe_known(report.known);
     let mut peers = gateway.peers.borrow_mut();
-    if let Some(change) = peers.apply_report(sender, run, report, now) {
+    let change = peers.apply_report(sender, run, report, now);
+    let has_started = change == Some(PeerChange::Started);
+    if let Some(change) = change {
         let peer = report.info.peer_addr;
         gateway.peer_changes.borrow_mut().push((change, peer));
     }
     let own = gateway.settings().domain;
     if report.in_parts || (peers.is_large_fleet() && report.info.domain != own) {
         // Parts or the totals of its domain include its work, which must not be counted twice.
-        return;
+        return has_started;
     }
     let mut scheduler = gateway.scheduler.borrow_mut();
     scheduler.apply_report(sender, report, now);
     if scheduler.queue_len() > 0 {
         gateway.queue_wakeup.notify_one();
     }
+    has_started
 }
 
 /// Logs the changes of peers since the last call; many at once, as when a fleet starts, in one line.
--- a/tests/testsuite/gateway/missed_updates.rs
+++ b/tests/testsuite/gateway/missed_updates.rs
@@ -1,18 +1,16 @@
 //! Outages and faults of the store, and the exchange of state between instances.
 
-use std::cell::RefCell;
 use std::time::Duration;
 
-use hawthornmill::ident::{DomainId, Incarnation, InstanceId, ServerId};
+use hawthornmill::ident::ServerId;
 use hawthornmill::routing::announcements::{Announcements, Departure};
-use hawthornmill::routing::fragments::split_fragments;
-use hawthornmill::routing::gossip::{InstanceReport, KnownState, PeerInfo, SyncResponse};
-use hawthornmill::wire::{Message, Opener, Sealer};
-use hawthornmill_test_support::gossip::instance_report;
+use hawthornmill::routing::gossip::SyncResponse;
+use hawthornmill::wire::Message;
 use nix::sys::signal::Signal;
 use serde_json::json;
 
-use super::fleet::{Fleet, PEER_PORT, config, frame_key, request, route, send_request, wait_until};
+use super::fleet::{Fleet, config, request, route, send_request, wait_until};
+use super::peer::Peer;
 use super::store::Mode;
 use crate::block_on;
 
@@ -34,105 +32,6 @@
     config.to_string()
 }
 
-/// A fake instance that only exchanges datagrams; connections to it fail.
-struct Peer {
-    socket: tokio::net::UdpSocket,
-    to: std::net::SocketAddr,
-    sealer: RefCell<Sealer>,
-}
-
-impl Peer {
-    /// Creates a peer of the first gateway, with run number `run`.
-    async fn bind(fleet: &Fleet, run: u64) -> Self {
-        let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await;
-        let sealer = Sealer::new(frame_key(), InstanceId::of("other"), Incarnation(run), 0);
-        Self {
-            socket: socket.expect("a port is free"),
-            to: std::net::SocketAddr::new(fleet.gateways[0].ip, PEER_PORT),
-            sealer: RefCell::new(sealer),
-        }
-    }
-
-    async fn send(&self, message: &Message) {
-        self.send_frame(&self.seal(message)).await;
-    }
-
-    fn seal(&self, message: &Message) -> Vec<u8> {
-        let frame = self.sealer.borrow_mut().seal(message);
-        frame.expect("the message can be encoded")
-    }
-
-    async fn send_frame(&self, frame: &[u8]) {
-        let sent = self.socket.send_to(frame, self.to).await;
-        sent.expect("the datagram can be sent");
-    }
-
-    /// Encodes a report that announces `port` as the port for clients, and a catalog of `version`.
-    fn seal_report(&self, port: u16, version: u64) -> Vec<u8> {
-        let own = self.socket.local_addr().expect("the socket has an address");
-        let info = PeerInfo {
-            client_addr: std::net::SocketAddr::new(own.ip(), port),
-            peer_addr: own,
-            domain: DomainId::of("a"),
-            cpu_percent: 12,
-        };
-        let report = InstanceReport {
-            known: KnownState {
-                catalog_version: version,
-                ..KnownState::default()
-            },
-            ..instance_report(info)
-        };
-        self.seal(&Message::InstanceReport(Box::new(report)))
-    }
-
-    /// Announces `port` as the port for clients, and a catalog of `version`.
-    async fn announce(&self, port: u16, version: u64) {
-        for _ in 0..20 {
-            self.send_frame(&self.seal_report(port, version)).await;
-        }
-    }
-
-    /// Waits for a report of an instance that may use `cpu_percent` of a core.
-    async fn wait_for_cpu(&self, cpu_percent: u16) {
-        let mut opener = Opener::new(frame_key(), 0);
-        let mut buffer = vec![0; 2_048];
-        loop {
-            let received = self.socket.recv_from(&mut buffer).await;
-            let (length, _) = received.expect("a datagram arrives");
-            let message = opener.open(&buffer[..length]).map(|f| f.message);
-            match message {
-                Ok(Message::InstanceReport(report)) if report.info.cpu_percent == cpu_percent => {
-                    return;
-                }
-                _ => {}
-            }
-        }
-    }
-
-    /// Answers each pull with `state`, but drops the first fragment each time.
-    async fn serve_fragments(&self, state: &SyncResponse) {
-        let whole = postcard::to_allocvec(state).expect("the state can be encoded");
-        let mut opener = Opener::new(frame_key(), 0);
-        let mut buffer = vec![0; 2_048];
-        loop {
-            let (length, _) = self
-                .socket
-                .recv_from(&mut buffer)
-                .await
-                .expect("a datagram arrives");
-            let frame = opener.open(&buffer[..length]);
-            if let Ok(Message::FragmentRequest(wanted)) = frame.map(|f| f.message) {
-                let fragments = split_fragments(&whole, &wanted);
-                let lost = usize::from(fragments.len() > 1);
-                for fragment in fragments.into_iter().skip(lost) {
-                    self.send(&Message::Fragment(fragment)).await;
-                }
-            }
-        }
-    }
-}
-
 async fn status(front: std::net::SocketAddr, path: &str) -> u16 {
     send_request(front, request("GET", path, "a", "").as_bytes())
         .await
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod memory;
 mod missed_updates;
 mod overload;
+mod peer;
 mod placement_bounds;
 mod platform_adapter;
 mod platform_names;
--- a/tests/testsuite/gateway/restarts.rs
+++ b/tests/testsuite/gateway/restarts.rs
@@ -2,9 +2,13 @@
 
 use std::time::Duration;
 
+use hawthornmill::quarantine::fingerprint::Fingerprint;
+use hawthornmill::quarantine::report::{EntryReport, QuarantineReport};
+use hawthornmill::wire::Message;
 use tokio::net::TcpStream;
 
 use super::fleet::{Fleet, Response, request, wait_until};
+use super::peer::Peer;
 use super::store::Mode;
 use crate::block_on;
 
@@ -72,3 +76,45 @@
         .await;
     });
 }
+
+/// Failure: an instance that starts and has read the catalog from the store before another one hears of it is not told which
+/// requests crash servers, and passes them on.
+#[test]
+fn newly_started_instance_is_told_of_quarantined_requests() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        let quarantined = EntryReport {
+            fingerprint: Fingerprint(7),
+            crashes: 3,
+            age_ms: 60_000,
+            idle_ms: 0,
+        };
+        let news = QuarantineReport {
+            entries: vec![quarantined],
+            ..QuarantineReport::default()
+        };
+        let is_told = |message: &Message| {
+            matches!(message, Message::QuarantineReport(told)
+                if told.entries.iter().any(|e| e.fingerprint == quarantined.fingerprint))
+        };
+        let older = Peer::bind(&fleet, 1).await;
+        older.announce(1_001, 1).await;
+        older.send(&Message::QuarantineReport(Box::new(news))).await;
+        let announced = async {
+            loop {
+                older.announce(1_001, 1).await;
+                tokio::time::sleep(Duration::from_millis(200)).await;
+            }
+        };
+        tokio::select! {
+            () = older.wait_for(is_told) => {}
+            () = announced => {}
+        }
+
+        let started = Peer::bind(&fleet, 2).await;
+        started.announce(1_002, 1).await;
+
+        let told = tokio::time::timeout(Duration::from_secs(1), started.wait_for(is_told)).await;
+        assert!(told.is_ok(), "not told within a second");
+    });
+}
