Routing: what registers between two pages of a list reaches instances that read no store

What callers see: in a large fleet a server that registers while the store is listed gets no requests from the instances that hear of registrations from others, until some other registration changes.

Cause: a list in pages is complete up to the revision of its first page, but later pages hold newer entries, and the newest was announced as what is known. The change between, which the first watch brings, is older than that and so looked known to everybody: one more way to take "nothing seen" for "nothing there". A server that leaves is announced by itself.

Change: after a list, no later revision is announced than that of the list.

Shown by: routing::registry::registration_between_two_pages_of_a_list_reaches_others, failed before at its first assertion, passes since. Not played with processes; lists of a thousand servers and more have pages.

--- a/crates/hawthornmill/src/routing/registry.rs
+++ b/crates/hawthornmill/src/routing/registry.rs
@@ -354,6 +354,8 @@
             revision,
             after_outage,
         } = list;
+        // Of a list in pages, entries may be newer than changes that it lacks.
+        let max_latest = self.latest_revision.max(revision);
         if self.revision == 0 {
             // Entries removed before the first list are missing from it.
             self.latest_revision = self
@@ -373,6 +375,7 @@
             }
             is_changed |= self.apply(change, now);
         }
+        self.latest_revision = self.latest_revision.min(max_latest);
         for item in unconfirmed {
             self.apply_unconfirmed(item, now);
         }
--- a/tests/testsuite/routing/registry.rs
+++ b/tests/testsuite/routing/registry.rs
@@ -250,3 +250,25 @@
     assert_eq!(kept, 2);
     assert_eq!(gone, [ServerId::of("s")]);
 }
+
+/// Failure: a server registers while a list of several pages is read, the instance tells others that it knows all up to the
+/// newest entry, and those that don't read the store never hear of the server.
+#[test]
+fn registration_between_two_pages_of_a_list_reaches_others() {
+    let now = Instant::now();
+    let mut reader = Registry::default();
+    let pages = vec![
+        change("a", 90, Some(entry("a", "a"))),
+        change("t", 105, Some(entry("t", "a"))),
+    ];
+    reader.replace_all(list(pages, 100, false), now);
+    let mut other = Registry::default();
+    other.replace_all(sent(&reader, now), now);
+    other.advance_latest(reader.latest_revision());
+
+    reader.apply(change("s", 103, Some(entry("s", "a"))), now);
+
+    assert!(reader.latest_revision() > other.latest_revision());
+    other.replace_all(sent(&reader, now), now);
+    assert_eq!(names(&other), names(&reader));
+}
