Gateway: errors to HEAD requests have no body

What callers saw: a HEAD request that fails, on a connection that is kept, is answered with a head and the body of the problem document; the client takes the body for the answer to its next request, which is malformed (or, for 404 of the endpoints, for bytes of the next answer). Cause: ErrorResponse::encode and the endpoints for readiness, directory and metrics wrote a body whatever the method. Answers of servers are not affected: their framing for HEAD has no body. Change: RequestHead::forbids_body; an error is encoded for the request that it answers (Answered), Content-Length stays. The same for requests that are refused while their body comes, and by the listener of a late process. Measured: the test on the code before: failed at its first request ("the response has a valid head: Malformed"); now passes, with gateway::responses and gateway::request_handling.

--- a/crates/hawthornmill-gateway/src/connection.rs
+++ b/crates/hawthornmill-gateway/src/connection.rs
@@ -11,6 +11,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
 use crate::gateway::{Gateway, Phase};
+use crate::proxy::error_response::Answered;
 use crate::proxy::progress::RequestProgress;
 use crate::proxy::read::{ReadOutcome, Rejection, read_request};
 use crate::proxy::{ConnectionClose, RequestContext, RequestOutcome, handle_request};
@@ -155,13 +156,12 @@
     reader: &mut RequestReader,
     out: &mut OwnedWriteHalf,
 ) {
-    let attempt_id = Some(&*rejection.attempt_id);
+    let answered = Answered {
+        attempt_id: &rejection.attempt_id,
+        forbids_body: rejection.forbids_body,
+    };
     let response = &rejection.response;
-    if response
-        .write(gateway, attempt_id, true, out)
-        .await
-        .is_err()
-    {
+    if response.write(gateway, answered, true, out).await.is_err() {
         return;
     }
     let drain = async {
--- a/crates/hawthornmill-gateway/src/endpoints.rs
+++ b/crates/hawthornmill-gateway/src/endpoints.rs
@@ -82,7 +82,9 @@
             bytes.header("Connection", "close");
         }
         bytes.end_head();
-        bytes.0.extend_from_slice(&body);
+        if !head.forbids_body() {
+            bytes.0.extend_from_slice(&body);
+        }
         stream.write_all(&bytes.0).await?;
         if close {
             return stream.shutdown().await;
--- a/crates/hawthornmill-gateway/src/http/head.rs
+++ b/crates/hawthornmill-gateway/src/http/head.rs
@@ -177,6 +177,11 @@
         }
     }
 
+    /// Returns whether a response to this has no body, whatever its headers say.
+    pub fn forbids_body(&self) -> bool {
+        &*self.method == "HEAD"
+    }
+
     /// Returns the path without the query.
     pub fn path(&self) -> &str {
         let end = self.target.find('?').unwrap_or(self.target.len());
--- a/crates/hawthornmill-gateway/src/listener.rs
+++ b/crates/hawthornmill-gateway/src/listener.rs
@@ -19,7 +19,7 @@
 use crate::connection;
 use crate::gateway::{Gateway, Phase};
 use crate::http::head::{self, Framing};
-use crate::proxy::error_response::ErrorResponse;
+use crate::proxy::error_response::{Answered, ErrorResponse};
 
 /// Most open client connections; the remaining file descriptors are for servers.
 const MAX_CONNECTIONS: usize = 2_600;
@@ -93,7 +93,7 @@
 
 /// Answers with a time to retry if the whole request has arrived; otherwise closes the connection unread.
 fn reject(gateway: &Gateway, stream: &TcpStream) {
-    let Some(attempt) = peek_attempt_id(gateway, stream) else {
+    let Some((attempt, forbids_body)) = peek_request(gateway, stream) else {
         gateway.rejected.borrow_mut().unread += 1;
         gateway.metrics.connection_rejected("unread");
         return;
@@ -103,21 +103,23 @@
     if recv(stream.as_raw_fd(), &mut request, MsgFlags::MSG_DONTWAIT).is_err() {
         return;
     }
-    let bytes = ErrorResponse::with_retry_after(Code::InstanceFull, RETRY_AFTER).encode(
-        gateway,
-        Some(&attempt),
-        true,
-    );
+    let answered = Answered {
+        attempt_id: &attempt,
+        forbids_body,
+    };
+    let response = ErrorResponse::with_retry_after(Code::InstanceFull, RETRY_AFTER);
+    let bytes = response.encode(gateway, answered, true);
     // A client that has disconnected needs no response, and a short one fits into the empty send buffer.
     let _sent = send(stream.as_raw_fd(), &bytes.0, MsgFlags::MSG_DONTWAIT);
     gateway.rejected.borrow_mut().answered.push(attempt);
     gateway.metrics.connection_rejected("told");
 }
 
-/// Returns the attempt id of the request on `stream` if exactly one whole request has arrived.
+/// Returns the attempt id of the request on `stream`, and whether its response has no body, if exactly one whole request
+/// has arrived.
 ///
 /// Leaves the bytes in the socket.
-fn peek_attempt_id(gateway: &Gateway, stream: &TcpStream) -> Option<Box<str>> {
+fn peek_request(gateway: &Gateway, stream: &TcpStream) -> Option<(Box<str>, bool)> {
     let mut buffer = [0; MAX_PEEK_BYTES];
     let flags = MsgFlags::MSG_DONTWAIT | MsgFlags::MSG_PEEK;
     let length = recv(stream.as_raw_fd(), &mut buffer, flags).ok()?;
@@ -130,5 +132,5 @@
     };
     let is_complete = end + body == length && length < MAX_PEEK_BYTES;
     let attempt = head.headers.get_str(gateway.adapter.headers.attempt_id)?;
-    is_complete.then(|| attempt.into())
+    is_complete.then(|| (attempt.into(), head.forbids_body()))
 }
--- a/crates/hawthornmill-gateway/src/proxy/error_response.rs
+++ b/crates/hawthornmill-gateway/src/proxy/error_response.rs
@@ -38,6 +38,15 @@
     }
 }
 
+/// The request that a response answers.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Answered<'a> {
+    /// Its attempt id, or nothing if that could not be read.
+    pub attempt_id: &'a str,
+    /// A body would be taken for the next response.
+    pub forbids_body: bool,
+}
+
 /// An error response of the gateway, with a problem document as its body.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ErrorResponse {
@@ -77,33 +86,27 @@
         }
     }
 
-    /// Writes the response; `attempt_id` is that of the request, if it could be read.
+    /// Writes the response to `request`.
     ///
     /// # Errors
     /// Fails if the client has closed its connection.
     pub async fn write(
         &self,
         gateway: &Gateway,
-        attempt_id: Option<&str>,
+        request: Answered<'_>,
         close: bool,
         out: &mut OwnedWriteHalf,
     ) -> std::io::Result<()> {
-        out.write_all(&self.encode(gateway, attempt_id, close).0)
-            .await
+        out.write_all(&self.encode(gateway, request, close).0).await
     }
 
-    /// Encodes the response; `attempt_id` is that of the request, if it could be read.
-    pub fn encode(
-        &self,
-        gateway: &Gateway,
-        attempt_id: Option<&str>,
-        close: bool,
-    ) -> MessageBuffer {
+    /// Encodes the response to `request`.
+    pub fn encode(&self, gateway: &Gateway, request: Answered<'_>, close: bool) -> MessageBuffer {
         let names = &gateway.adapter.headers;
         let body = json!({"code": self.code.number(), "title": self.code.title()}).to_string();
         let mut bytes = MessageBuffer::response(self.code.status(), self.code.title());
-        if let Some(attempt_id) = attempt_id.filter(|a| !a.is_empty()) {
-            bytes.header(names.attempt_id, attempt_id);
+        if !request.attempt_id.is_empty() {
+            bytes.header(names.attempt_id, request.attempt_id);
         }
         if let Some(retry_after) = self.retry_after {
             bytes.header(
@@ -117,7 +120,9 @@
             bytes.header("Connection", "close");
         }
         bytes.end_head();
-        bytes.0.extend_from_slice(body.as_bytes());
+        if !request.forbids_body {
+            bytes.0.extend_from_slice(body.as_bytes());
+        }
         bytes
     }
 }
--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -41,7 +41,7 @@
 use std::time::{Duration, Instant};
 
 use admission::{Admitted, StreamOrigin};
-use error_response::ErrorResponse;
+use error_response::{Answered, ErrorResponse};
 use events::CompleteEvents;
 use forward::{ForwardOutcome, forward_response, write_buffered};
 use hawthornmill::codes::Code;
@@ -536,15 +536,11 @@
 ) -> RequestOutcome {
     progress.record_error(response);
     let close = context.close.always || (context.close.on_rejection && progress.has_retry_after());
-    match response
-        .write(
-            context.gateway,
-            Some(&context.request.attempt_id),
-            close,
-            out,
-        )
-        .await
-    {
+    let answered = Answered {
+        attempt_id: &context.request.attempt_id,
+        forbids_body: context.request.head.forbids_body(),
+    };
+    match response.write(context.gateway, answered, close, out).await {
         Ok(()) => RequestOutcome::Complete,
         Err(_closed) => RequestOutcome::ClientClosed,
     }
--- a/crates/hawthornmill-gateway/src/proxy/read.rs
+++ b/crates/hawthornmill-gateway/src/proxy/read.rs
@@ -58,6 +58,8 @@
     pub response: ErrorResponse,
     /// Id of the attempt, if the head could be read.
     pub attempt_id: Box<str>,
+    /// The response has no body.
+    pub forbids_body: bool,
 }
 
 impl From<Code> for Rejection {
@@ -65,6 +67,7 @@
         Self {
             response: ErrorResponse::new(code),
             attempt_id: Box::default(),
+            forbids_body: false,
         }
     }
 }
@@ -134,6 +137,7 @@
             Some(response) => ReadOutcome::Reject(Rejection {
                 response,
                 attempt_id,
+                forbids_body: head.forbids_body(),
             }),
             None => ReadOutcome::Closed,
         },
@@ -193,6 +197,7 @@
             return Err(Rejection {
                 response: reservation::refuse(gateway, "", None, error),
                 attempt_id: Box::default(),
+                forbids_body: false,
             });
         }
     }
--- a/tests/testsuite/gateway/fleet.rs
+++ b/tests/testsuite/gateway/fleet.rs
@@ -67,6 +67,11 @@
         SocketAddr::new(self.ip, FRONT_PORT)
     }
 
+    /// Returns the address for readiness checks.
+    pub fn ready_address(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, READY_PORT)
+    }
+
     /// Starts the process.
     pub fn start(&mut self) {
         let log = std::fs::File::options()
@@ -505,18 +510,23 @@
             .expect("a response arrives in time")
     }
 
-    async fn read_response(&mut self) -> Option<Response> {
-        let head = loop {
+    /// Reads the head of a response, which has no body; returns `None` if the connection ends before it.
+    pub async fn read_head(&mut self) -> Option<ResponseHead> {
+        loop {
             if let Some((head, length)) =
                 head::parse_response(&self.buffer).expect("the response has a valid head")
             {
                 let _head = self.buffer.split_to(length);
-                break head;
+                return Some(head);
             }
             if !matches!(self.stream.read_buf(&mut self.buffer).await, Ok(n) if n > 0) {
                 return None;
             }
-        };
+        }
+    }
+
+    async fn read_response(&mut self) -> Option<Response> {
+        let head = self.read_head().await?;
         let framing = head
             .framing("GET")
             .expect("the response has a clear length");
--- a/tests/testsuite/gateway/responses.rs
+++ b/tests/testsuite/gateway/responses.rs
@@ -56,6 +56,47 @@
     });
 }
 
+/// Failure: an error answers a `HEAD` request with a body, which its client takes for the answer to the next request.
+#[test]
+fn error_response_to_head_request_has_no_body() {
+    block_on(async {
+        let fleet = Fleet::start(1, 1).await;
+        let gateway = &fleet.gateways[0];
+        let requests = [
+            (
+                gateway.front(),
+                request("HEAD", "/once/", "failed", ""),
+                502,
+            ),
+            (
+                gateway.front(),
+                request("HEAD", "/none/", "unknown", ""),
+                404,
+            ),
+            (
+                gateway.ready_address(),
+                "HEAD /none HTTP/1.1\r\nHost: h\r\n\r\n".into(),
+                404,
+            ),
+        ];
+        for (address, text, status) in requests {
+            if status == 502 {
+                fleet.servers[0].script(&[Behavior::Reset]);
+            }
+            let mut client = Client::connect(address).await;
+            client.send(text.as_bytes()).await;
+
+            let response = client.read_head().await.expect("it is answered");
+            client.send(text.replace("HEAD", "GET").as_bytes()).await;
+            let next = client.read().await.expect("the connection is kept");
+
+            let next_status = if status == 502 { 200 } else { status };
+            assert_eq!((response.status, next.status()), (status, next_status));
+            assert!(next.whole);
+        }
+    });
+}
+
 /// Failure: a long answer is cut after its caller has a part of it; the request is sent again, and the second answer is
 /// appended to that part.
 #[test]
