Tests: servers and a store that stop in the middle of an answer's head

Each test cuts answers byte by byte, closes or resets, with real processes; both products and the client of the store. raw_servers.rs sends the same row of answers to a request wherever it arrives, raw_client.rs judges all bytes of a connection by their framing.

Reset at every fifth byte, and one byte a packet.

--- a/tests/testsuite/gateway/http_io.rs
+++ b/tests/testsuite/gateway/http_io.rs
@@ -60,6 +60,13 @@
     headers: &[(&str, &str)],
     body: &[u8],
 ) -> std::io::Result<()> {
+    stream
+        .write_all(&encode_response(status, headers, body))
+        .await
+}
+
+/// Returns the bytes of one response with a length.
+pub fn encode_response(status: u16, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
     let mut text =
         format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n", body.len()).into_bytes();
     for (name, value) in headers {
@@ -67,5 +74,5 @@
     }
     text.extend_from_slice(b"\r\n");
     text.extend_from_slice(body);
-    stream.write_all(&text).await
+    text
 }
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -1,6 +1,8 @@
 //! Tests of gateway processes against fakes of the platform, and of parts that need none.
 
 mod at_most_once;
+mod broken_heads;
+mod broken_store;
 mod connection_pool;
 mod endless_elsewhere;
 mod endless_responses;
@@ -21,6 +23,8 @@
 mod platform_names;
 mod pouring_server;
 mod quarantine;
+pub mod raw_client;
+pub mod raw_servers;
 mod request_handling;
 mod request_memory;
 mod response_limits;
--- a/tests/testsuite/gateway/store.rs
+++ b/tests/testsuite/gateway/store.rs
@@ -9,10 +9,14 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::BytesMut;
 use serde_json::{Value, json};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use super::http_io::{read_request, write_response};
+use super::http_io::{encode_response, read_request};
+
+/// Path of lists.
+const LIST_PATH: &str = "/v1/kv-range";
 
 /// How the store responds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -25,6 +29,8 @@
     Unresponsive,
     /// As specified, this much later.
     Late(Duration),
+    /// As specified, but it closes the connection after this many bytes of the response to a list.
+    CutLists(usize),
 }
 
 /// A value with the revisions of its creation and of its last change.
@@ -190,11 +196,14 @@
             } else {
                 (status, body)
             };
-            let body = body.to_string();
-            if write_response(&mut stream, status, &[], body.as_bytes())
-                .await
-                .is_err()
-            {
+            let response = encode_response(status, &[], body.to_string().as_bytes());
+            let cut = match *mode.borrow() {
+                Mode::CutLists(bytes) if head.target.starts_with(LIST_PATH) => Some(bytes),
+                _ => None,
+            };
+            let length = cut.map_or(response.len(), |bytes| bytes.min(response.len()));
+            let sent = &response[..length];
+            if stream.write_all(sent).await.is_err() || cut.is_some() {
                 return;
             }
         }
@@ -211,7 +220,7 @@
         };
         let (prefix, after) = (find("pathPrefix"), find("afterRevision"));
         match path {
-            "/v1/kv-range" => (200, self.list_page(&prefix, &after)),
+            LIST_PATH => (200, self.list_page(&prefix, &after)),
             "/v1/kv-watch" => {
                 let wait = Duration::from_millis(find("waitMs").parse().unwrap_or(0));
                 self.wait_for_changes(&prefix, after.parse().unwrap_or(0), wait, at)
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -32,6 +32,7 @@
 mod retries;
 mod rolling_restart;
 mod router_bodies;
+mod router_broken_heads;
 mod router_upstream;
 mod routing;
 mod server_crashes;
