Gateway: uploads that stand still give way whatever came of them first

Cause: an upload could be evicted only by its mean rate since it began, so 1.5 MB in the first moment shielded it for 23 s. Change: the bytes of an upload are counted in buckets of 250 ms. One of which less than 64 KiB came in the last 1.5 s (to 1.75 s) can be evicted too, after its grace of a second; those with the fewest recent bytes first. A steady sender of 64 KiB/s may pause for half a second. What is announced stays reserved: counting only what is allocated would refuse bodies in their middle, and with all but a byte sent it would not help. Ruled out: the idle time limit as the bound (3 s in the tests' configuration hides the fault, 60 s in this test). Tests: request_memory::only_slow_uploads_are_evicted gave its sound upload 400 KiB at once and then nothing for 3 s, which is what stands still now; it comes steadily there at 64 KiB/s instead, which is stricter than its mean of 133 KiB/s. New: eviction whatever came first, no eviction of steady uploads (random parts, pauses up to 0.5 s), and processes. Not measured: the issue's own load at 110 MB.

--- a/crates/hawthornmill-gateway/src/proxy/reservation.rs
+++ b/crates/hawthornmill-gateway/src/proxy/reservation.rs
@@ -172,7 +172,7 @@
     pub fn record_received(&self, received: usize) {
         if let Some((key, _)) = &self.upload {
             let mut memory = self.gateway.reservations.memory.borrow_mut();
-            memory.record_received(*key, received);
+            memory.record_received(*key, received, self.gateway.now());
         }
     }
 
--- a/crates/hawthornmill/src/limits/request_memory.rs
+++ b/crates/hawthornmill/src/limits/request_memory.rs
@@ -17,6 +17,13 @@
 const UPLOAD_GRACE: Duration = Duration::from_secs(1);
 /// Bytes a second below which an upload can be evicted.
 const MIN_UPLOAD_RATE: f64 = (64 << 10) as f64;
+/// Time for which the bytes of an upload are counted together.
+const BUCKET: Duration = Duration::from_millis(250);
+/// Buckets in which fewer bytes than come in a second at [`MIN_UPLOAD_RATE`] mean that an upload stands still.
+///
+/// They last for 1.5 s at least, so that a steady sender may pause for half a second.
+const BUCKETS: usize = 7;
+const MIN_RECENT_BYTES: u64 = MIN_UPLOAD_RATE as u64;
 /// Least size of a body whose lifetime tells when there will be memory again.
 pub const MIN_TIMED_BYTES: usize = 64 << 10;
 /// Weight of the newest lifetime in the mean.
@@ -46,23 +53,67 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OutOfMemory;
 
+/// Bytes that came in the last buckets.
+#[derive(Debug, Clone, Copy, Default)]
+struct RecentBytes {
+    /// Number of the newest bucket.
+    newest: u64,
+    /// Bytes of each bucket, at the place of its number modulo their count.
+    buckets: [u64; BUCKETS],
+}
+
+impl RecentBytes {
+    /// Empties the buckets that have begun since the newest one.
+    fn advance(&mut self, bucket: u64) {
+        let begun = (self.newest + 1..=bucket).rev().take(BUCKETS);
+        for number in begun {
+            self.buckets[number as usize % BUCKETS] = 0;
+        }
+        self.newest = self.newest.max(bucket);
+    }
+
+    fn add(&mut self, bucket: u64, bytes: u64) {
+        self.advance(bucket);
+        self.buckets[self.newest as usize % BUCKETS] += bytes;
+    }
+
+    /// Returns the bytes of the last buckets up to `bucket`.
+    fn sum(mut self, bucket: u64) -> u64 {
+        self.advance(bucket);
+        self.buckets.iter().sum()
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Upload {
     /// Bytes reserved for it.
     reserved: usize,
     received: usize,
+    recent: RecentBytes,
     begun: Instant,
 }
 
 impl Upload {
+    /// Number of the bucket of `now`.
+    fn bucket(&self, now: Instant) -> u64 {
+        let elapsed = now.saturating_duration_since(self.begun);
+        (elapsed.as_millis() / BUCKET.as_millis()) as u64
+    }
+
+    fn recent_bytes(&self, now: Instant) -> u64 {
+        self.recent.sum(self.bucket(now))
+    }
+
     /// Bytes a second so far.
     fn rate(&self, now: Instant) -> f64 {
         let elapsed = now.saturating_duration_since(self.begun).as_secs_f64();
         self.received as f64 / elapsed.max(f64::MIN_POSITIVE)
     }
 
+    /// Returns whether it is slow, or stands still whatever came before.
     fn is_evictable(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.begun) > UPLOAD_GRACE && self.rate(now) < MIN_UPLOAD_RATE
+        let is_slow = self.rate(now) < MIN_UPLOAD_RATE || self.recent_bytes(now) < MIN_RECENT_BYTES;
+        is_slow && now.saturating_duration_since(self.begun) > UPLOAD_GRACE
     }
 }
 
@@ -127,7 +178,10 @@
         let uploads = self.uploads.iter();
         let slow = uploads.filter(|(key, u)| Some(*key) != own && u.is_evictable(now));
         let mut slow: Vec<(UploadKey, &Upload)> = slow.collect();
-        slow.sort_by(|(_, a), (_, b)| a.rate(now).total_cmp(&b.rate(now)));
+        slow.sort_by(|(_, a), (_, b)| {
+            let by_recent = a.recent_bytes(now).cmp(&b.recent_bytes(now));
+            by_recent.then(a.rate(now).total_cmp(&b.rate(now)))
+        });
         let (mut chosen, mut freed) = (Evicted::new(), 0);
         for (key, upload) in slow {
             chosen.push(key);
@@ -149,13 +203,16 @@
         self.uploads.insert(Upload {
             reserved,
             received: 0,
+            recent: RecentBytes::default(),
             begun: now,
         })
     }
 
-    /// Records how many bytes of a body were received.
-    pub fn record_received(&mut self, upload: UploadKey, received: usize) {
+    /// Records how many bytes of a body were received so far.
+    pub fn record_received(&mut self, upload: UploadKey, received: usize, now: Instant) {
         if let Some(upload) = self.uploads.get_mut(upload) {
+            let more = received.saturating_sub(upload.received);
+            upload.recent.add(upload.bucket(now), more as u64);
             upload.received = received;
         }
     }
--- a/tests/testsuite/gateway/memory.rs
+++ b/tests/testsuite/gateway/memory.rs
@@ -16,10 +16,11 @@
 use crate::block_on;
 
 /// Memory that the process may use, in MiB.
-const MEMORY_MB: u64 = 64;
-const BODY_BYTES: usize = 2_000_000;
+pub const MEMORY_MB: u64 = 64;
+/// Bytes of a body.
+pub const BODY_BYTES: usize = 2_000_000;
 /// Bytes that a client announces for which memory is reserved; what five of them leave is too little for another.
-const HELD_BYTES: usize = 4_000_000;
+pub const HELD_BYTES: usize = 4_000_000;
 const CLIENTS: usize = 12;
 /// Bytes that fill blocks of 4, 4, 8, 16 and 32 KiB.
 const WHOLE_BLOCKS_BYTES: usize = 64 << 10;
@@ -32,7 +33,8 @@
 const HELD_RESPONSE_BYTES: usize = 12 << 20;
 const HEAD_BATCH: usize = 20;
 const HEAD_PAUSE: Duration = Duration::from_millis(20);
-const ROUNDS: usize = 4;
+/// Bodies that each client sends.
+pub const ROUNDS: usize = 4;
 /// Time that a server works on a request.
 const WORK_MS: u64 = 150;
 /// Code of a request that is refused for lack of memory.
@@ -41,7 +43,7 @@
 const MAX_REFUSAL_TIME: Duration = Duration::from_millis(1_500);
 
 /// Starts a gateway with little memory in front of servers that take a while.
-async fn start(servers: usize) -> Fleet {
+pub async fn start(servers: usize) -> Fleet {
     let mut fleet = Fleet::prepare(1, servers).await;
     limit_memory(&fleet.gateways[0]);
     let mut config = config(1);
@@ -82,17 +84,20 @@
 }
 
 /// Returns a body whose bytes tell their place.
-fn body(bytes: usize, first: usize) -> Vec<u8> {
+pub fn body(bytes: usize, first: usize) -> Vec<u8> {
     (0..bytes).map(|at| ((at + first) % 251) as u8).collect()
 }
 
 /// How a body is sent.
 #[derive(Clone, Copy)]
-enum Coding {
+pub enum Coding {
+    /// With its length.
     Length,
+    /// In chunks of this many bytes.
     Chunked(usize),
 }
 
+/// Returns a request with a body.
 fn message(path: &str, id: &str, body: &[u8], coding: Coding) -> Vec<u8> {
     match coding {
         Coding::Length => {
@@ -123,13 +128,15 @@
 
 /// Counts of responses to all clients.
 #[derive(Debug, Default, Clone, Copy)]
-struct Counts {
-    served: usize,
-    refused: usize,
+pub struct Counts {
+    /// Whole answers.
+    pub served: usize,
+    /// Refusals.
+    pub refused: usize,
 }
 
 /// Lets many clients send bodies together, each several times; asserts that every answer is complete and true.
-async fn send_bodies(fleet: &Fleet, clients: usize, bytes: usize, coding: Coding) -> Counts {
+pub async fn send_bodies(fleet: &Fleet, clients: usize, bytes: usize, coding: Coding) -> Counts {
     let sends = (0..clients).map(|number| async move {
         let mut counts = Counts::default();
         for round in 0..ROUNDS {
@@ -314,7 +321,7 @@
 }
 
 /// Reserves all memory with clients that send heads only.
-async fn hold_memory(fleet: &Fleet, clients: usize) -> Vec<Client> {
+pub async fn hold_memory(fleet: &Fleet, clients: usize) -> Vec<Client> {
     let mut uploads = Vec::new();
     for number in 0..clients {
         let mut client = Client::connect(fleet.gateways[0].front()).await;
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -38,6 +38,7 @@
 mod server_notices;
 mod server_speed;
 mod shutdown;
+mod stalled_uploads;
 mod store;
 mod stream_versions;
 mod stream_versions_after_kill;
--- a/tests/testsuite/gateway/request_memory.rs
+++ b/tests/testsuite/gateway/request_memory.rs
@@ -11,6 +11,8 @@
 
 const LIMIT: usize = 100 << 10;
 const BODY: RequestPart = RequestPart::Body;
+/// Bytes that a steady upload sends ten times a second.
+const STEADY_PART: usize = (64 << 10) / 10 + 1;
 
 fn after(start: Instant, seconds: f64) -> Instant {
     start + Duration::from_secs_f64(seconds)
@@ -27,7 +29,10 @@
         memory.begin_upload(40 << 10, start),
         memory.begin_upload(50 << 10, start),
     );
-    memory.record_received(sound, 400 << 10);
+    for number in 0..=30 {
+        let now = after(start, f64::from(number) / 10.0);
+        memory.record_received(sound, (number as usize + 1) * STEADY_PART, now);
+    }
 
     let early = memory.reserve_evicting(BODY, 30 << 10, LIMIT, None, after(start, 0.9));
     let much = memory.reserve_evicting(BODY, 70 << 10, LIMIT, None, after(start, 3.0));
@@ -42,6 +47,25 @@
     );
 }
 
+/// Failure: an upload that stands still keeps its memory for as long as the mean since its begin is high.
+#[test]
+fn stalled_upload_is_evicted_whatever_came_before() {
+    for first in [0, 300 << 10, 1_500 << 10, (3 << 20) - 1] {
+        let (mut memory, start) = (RequestMemory::default(), Instant::now());
+        memory
+            .reserve(BODY, 90 << 10, LIMIT)
+            .expect("there is memory");
+        let upload = memory.begin_upload(90 << 10, start);
+        memory.record_received(upload, first, start);
+
+        let early = memory.reserve_evicting(BODY, 30 << 10, LIMIT, None, after(start, 0.9));
+        let late = memory.reserve_evicting(BODY, 30 << 10, LIMIT, None, after(start, 2.0));
+
+        assert_eq!(early, Err(OutOfMemory), "{first} bytes came");
+        assert_eq!(late.expect("it is evicted").as_slice(), [upload]);
+    }
+}
+
 /// Failure: several uploads are evicted where the slowest alone suffices.
 #[test]
 fn slowest_upload_is_evicted_first() {
@@ -51,7 +75,7 @@
         .expect("there is memory");
     let uploads = [30_000, 10, 20_000].map(|received| {
         let upload = memory.begin_upload(30 << 10, start);
-        memory.record_received(upload, received);
+        memory.record_received(upload, received, start);
         upload
     });
 
@@ -71,7 +95,7 @@
         memory.begin_upload(60 << 10, start),
         memory.begin_upload(30 << 10, start),
     );
-    memory.record_received(other, 10);
+    memory.record_received(other, 10, start);
 
     let much = memory.reserve_evicting(BODY, 50 << 10, LIMIT, Some(own), after(start, 2.0));
     let some = memory.reserve_evicting(BODY, 20 << 10, LIMIT, Some(own), after(start, 2.0));
@@ -172,6 +196,27 @@
 }
 
 proptest! {
+    /// Failure: a slow but steady upload is evicted, at some moment between two of its parts.
+    #[test]
+    fn steady_upload_is_never_evicted(
+        parts in prop::collection::vec(1_u64..=500, 1..200), burst in 0_usize..200_000, late_ms in 0_u64..=500,
+    ) {
+        let (mut memory, mut now) = (RequestMemory::default(), Instant::now());
+        memory.reserve(BODY, 90 << 10, LIMIT).expect("there is memory");
+        let upload = memory.begin_upload(90 << 10, now);
+        let mut received = burst;
+        for pause_ms in parts {
+            // At the begin of each pause come the bytes that are due by its end.
+            received += (pause_ms as usize * (64 << 10)).div_ceil(1_000);
+            memory.record_received(upload, received, now);
+            for at in [late_ms.min(pause_ms), pause_ms] {
+                let at = now + Duration::from_millis(at);
+                prop_assert!(memory.reserve_evicting(BODY, 30 << 10, LIMIT, None, at).is_err());
+            }
+            now += Duration::from_millis(pause_ms);
+        }
+    }
+
     /// Failure: more is allocated for a body than was reserved for it, or its bytes are changed.
     #[test]
     fn blocks_have_the_bytes_that_were_counted(length in 0_usize..200_000, is_known: bool, piece in 1_usize..70_000) {
