--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -1,6 +1,8 @@
 //! Tests of gateway processes against fakes of the platform, and of parts that need none.
 
 mod at_most_once;
+mod broken_heads;
+mod broken_store;
 mod connection_pool;
 mod endless_elsewhere;
 mod endless_responses;
@@ -22,6 +24,8 @@
 mod platform_names;
 mod pouring_server;
 mod quarantine;
+pub mod raw_client;
+pub mod raw_servers;
 mod request_handling;
 mod request_memory;
 mod response_limits;
@@ -35,6 +39,7 @@
 mod server_notices;
 mod server_speed;
 mod shutdown;
+mod stalled_uploads;
 mod store;
 mod stream_versions;
 mod stream_versions_after_kill;
