Gateway: a connection's run is known before the first stream over it

Cause: no connection, no break, so no doubt.

Change: each connection is asked for its run before the first stream over it, as before bound requests already; the answer stays with the connection. If another run answers, a new stream goes there all the same and gets its version with the entry of that run; without an answer it goes over a new connection.

--- a/crates/hawthornmill-gateway/src/proxy/send.rs
+++ b/crates/hawthornmill-gateway/src/proxy/send.rs
@@ -31,7 +31,7 @@
 use crate::gateway::Gateway;
 use crate::http::body::{BodyDecoder, Decoded};
 use crate::http::head::{Framing, ResponseHead};
-use crate::pool::Upstream;
+use crate::pool::{self, Upstream};
 use crate::server_runs::{self, RunProof};
 use crate::server_speeds;
 
@@ -178,10 +178,19 @@
     if !upstream.reused {
         gateway.metrics.server_connected();
     }
-    if pending.version.is_some()
-        && server_runs::prove(gateway, run, address, &mut upstream).await != RunProof::Registered
-    {
-        return SendOutcome::Withheld;
+    if admitted.stream.is_some() {
+        match server_runs::prove(gateway, run, address, &mut upstream).await {
+            RunProof::Registered => {}
+            // A stream that begins there gets its version later.
+            RunProof::Other if pending.version.is_none() => {}
+            RunProof::Unanswered if pending.version.is_none() => {
+                match pool::connect(address).await {
+                    Ok(stream) => upstream = Upstream::new(stream),
+                    Err(error) => return SendOutcome::Unreachable(error.to_string().into()),
+                }
+            }
+            RunProof::Other | RunProof::Unanswered => return SendOutcome::Withheld,
+        }
     }
     // While the connection was being opened, a response to another request may have said that the
     // server wants no more, or servers may have ended under this request.
--- a/crates/hawthornmill-gateway/src/server_runs.rs
+++ b/crates/hawthornmill-gateway/src/server_runs.rs
@@ -63,8 +63,10 @@
 pub enum RunProof {
     /// It is the registered one, as far as servers of its service tell.
     Registered,
-    /// It is another one, or the server didn't answer.
-    Unknown,
+    /// It is another one.
+    Other,
+    /// The server didn't answer, and the connection is to be closed.
+    Unanswered,
 }
 
 /// Records that a connection to `run` broke at the instant `at`, so that another run may listen at its address.
@@ -115,7 +117,7 @@
     run.start_ms != 0 && seen.is_none_or(|at| now.duration_since(at) >= NO_REPORT_TTL)
 }
 
-/// Learns which run is behind a connection before a request is sent there that only one version may serve.
+/// Learns which run is behind a connection before a request is sent there that begins or takes up a stream.
 pub async fn prove(
     gateway: &Gateway,
     run: ServerRun,
@@ -131,7 +133,7 @@
         // The server may have closed a connection that was idle.
         let Ok(stream) = pool::connect(address).await else {
             record_unreachable(gateway, run.server);
-            return RunProof::Unknown;
+            return RunProof::Unanswered;
         };
         *upstream = Upstream::new(stream);
         asked = gateway.now();
@@ -142,17 +144,16 @@
         Ok(Report::None) => return RunProof::Registered,
         Err(_broken) => {
             record_break(gateway, run, gateway.now(), "no_report");
-            return RunProof::Unknown;
+            return RunProof::Unanswered;
         }
     };
-    if start_ms == run.start_ms {
-        upstream.run = NonZeroU64::new(start_ms);
-    } else {
+    upstream.run = NonZeroU64::new(start_ms);
+    if start_ms != run.start_ms {
         record_break(gateway, run, asked, "other_run");
     }
     match record_report(gateway, run, start_ms, asked) {
         ReportedRun::Registered => RunProof::Registered,
-        ReportedRun::Other | ReportedRun::Outdated => RunProof::Unknown,
+        ReportedRun::Other | ReportedRun::Outdated => RunProof::Other,
     }
 }
 
--- a/tests/testsuite/gateway/fleet.rs
+++ b/tests/testsuite/gateway/fleet.rs
@@ -311,6 +311,9 @@
         if let (Some(entry), Some(more)) = (entry.as_object_mut(), more.as_object()) {
             entry.extend(more.clone());
         }
+        if let Some(born) = entry["born"].as_u64() {
+            server.set_born(born);
+        }
         self.store.put(
             &format!("servers/{}", server.current_name()),
             entry.to_string().as_bytes(),
--- a/tests/testsuite/gateway/restarted_servers.rs
+++ b/tests/testsuite/gateway/restarted_servers.rs
@@ -279,3 +279,25 @@
         });
     }
 }
+
+/// Failure: a server is asked for its run before each stream, also over a connection whose run is known.
+#[test]
+fn server_is_asked_once_for_a_connection() {
+    block_on(async {
+        let fleet = start(1, 1).await;
+        fleet.servers[0].set_default(|head| Behavior::Stream(last_event_id(head) + 3));
+
+        let mut whole = 0;
+        for number in 0..STREAMS {
+            whole += usize::from(fleet.send_admitted(&begin(number, "")).await.whole);
+            whole += usize::from(take_up(&fleet, 0, number).await.is_some_and(|r| r.whole));
+        }
+
+        let metrics = fleet.gateways[0].metrics().await;
+        assert_eq!(whole, 2 * STREAMS);
+        assert!(
+            metrics.contains("hawthornmill_runs_asked_total 1\n"),
+            "{metrics}"
+        );
+    });
+}
--- a/tests/testsuite/gateway/scripted_server.rs
+++ b/tests/testsuite/gateway/scripted_server.rs
@@ -118,6 +118,8 @@
     keeps_name: bool,
     /// It answers questions about its run with 404.
     hides_reports: bool,
+    /// The start of its life as it registered it, where that isn't the number of the life.
+    born: Option<u64>,
     /// The latest life.
     life: Life,
     /// Number of its starts.
@@ -210,15 +212,27 @@
 
     /// Starts again under its name after it ended; the data of its events ends with `mark` from then on.
     pub async fn run_again(&self, mark: &'static str) {
-        self.lock().keeps_name = true;
-        self.set_mark(mark);
+        self.begin_life(mark);
         self.run().await;
     }
 
-    /// Returns the start that it reports and registers: the number of its life.
-    pub fn born(&self) -> usize {
+    fn begin_life(&self, mark: &'static str) {
+        let mut state = self.lock();
+        state.keeps_name = true;
+        state.mark = mark;
+        state.born = None;
+    }
+
+    /// Returns the start of its life as it reports it.
+    pub fn born(&self) -> u64 {
         let state = self.lock();
-        if state.keeps_name { state.starts } else { 1 }
+        let life = if state.keeps_name { state.starts } else { 1 };
+        state.born.unwrap_or(life as u64)
+    }
+
+    /// Sets the start of its life.
+    pub fn set_born(&self, born: u64) {
+        self.lock().born = Some(born);
     }
 
     /// Answers questions about its run with 404.
