--- a/tests/testsuite/gateway/broken_store.rs
+++ b/tests/testsuite/gateway/broken_store.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hawthornmill_gateway::store_watch::read_response;
+use hawthornmill_gateway::store_call::read_response;
 use hawthornmill_platform::store::parse_page;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
--- a/tests/testsuite/gateway/scripted_server.rs
+++ b/tests/testsuite/gateway/scripted_server.rs
@@ -120,6 +120,8 @@
     checks_name: bool,
     /// Number of the start whose name it has.
     named: usize,
+    /// The start of its life as it registered it, where that isn't the number of the life.
+    born: Option<u64>,
     /// The latest life.
     life: Life,
     /// Number of its starts.
@@ -162,6 +164,7 @@
         let life: Life = Arc::new(watch::Sender::new(false));
         let mut state = self.lock();
         state.starts += 1;
+        state.born = None;
         if !keeps_name {
             state.named = state.starts;
         }
@@ -193,9 +196,15 @@
         self.lock().checks_name = true;
     }
 
-    /// Returns the start that it reports and registers: the number of its life.
-    pub fn born(&self) -> usize {
-        self.lock().starts
+    /// Returns the start of its life as it reports it.
+    pub fn born(&self) -> u64 {
+        let state = self.lock();
+        state.born.unwrap_or(state.starts as u64)
+    }
+
+    /// Sets the start of its life.
+    pub fn set_born(&self, born: u64) {
+        self.lock().born = Some(born);
     }
 
     /// Serves a connection, which is closed when the process ends.
