--- a/crates/hawthornmill/src/routing/registry.rs
+++ b/crates/hawthornmill/src/routing/registry.rs
@@ -381,7 +381,8 @@
         }
         if is_first || (is_changed && !outdated) {
             // Between the last change that was seen and the list, servers may have come and gone.
-            self.versions.begin(now);
+            self.versions
+                .begin(self.incomplete_until.unwrap_or(now).max(now));
         }
         if outdated {
             return;
@@ -395,8 +396,6 @@
         if !missing.is_empty() {
             // No change of an entry announces these removals to others.
             self.latest_revision = self.latest_revision.max(revision);
-        }
-        if !missing.is_empty() {
             self.versions.begin(now);
         }
         for server in missing {
