Gateway: a new stream doesn't wait for the report of a server in doubt

A server that takes connections and never answers for its report would hold each stream over a new connection up for half a second. While it is in doubt it is being asked anyway, and a stream that begins there gets its version when that is known.

gateway::restarted_servers, stream_versions, event_streams, endless_*: 72 of 72, twice.

--- a/crates/hawthornmill-gateway/src/proxy/send.rs
+++ b/crates/hawthornmill-gateway/src/proxy/send.rs
@@ -178,10 +178,11 @@
     if !upstream.reused {
         gateway.metrics.server_connected();
     }
-    if admitted.stream.is_some() {
+    // A server in doubt is being asked already, and a stream that begins there gets its version when that is known.
+    let is_doubted = gateway.scheduler.borrow().doubts.is_doubted(server);
+    if admitted.stream.is_some() && (pending.version.is_some() || !is_doubted) {
         match server_runs::prove(gateway, run, address, &mut upstream).await {
             RunProof::Registered => {}
-            // A stream that begins there gets its version later.
             RunProof::Other if pending.version.is_none() => {}
             RunProof::Unanswered if pending.version.is_none() => {
                 match pool::connect(address).await {
