Load tool: answers that were cut short or are another call's are not whole

What operators saw: an account's `whole` counted a 200 with an empty or short body, framed as whole, beside the run's `truncated`; the percentiles left it out. Cause: summary::add went by the outcome alone, not by Story::whole. Change: whole counts what Story::whole says; truncated and crossed stay sums of the run. The rest of the tool judged by Story::whole already.

--- a/crates/hawthornmill-lab/src/load/summary.rs
+++ b/crates/hawthornmill-lab/src/load/summary.rs
@@ -12,7 +12,7 @@
 pub struct AccountSummary {
     /// Calls made.
     pub calls: u64,
-    /// Whole answers.
+    /// Whole answers of the call's own.
     pub whole: u64,
     /// Refusals.
     pub refused: u64,
@@ -84,7 +84,7 @@
     summary.crossed += u64::from(story.crossed);
     summary.truncated += u64::from(story.truncated);
     match &*story.outcome {
-        "whole" => entry.whole += 1,
+        "whole" => entry.whole += u64::from(story.whole()),
         "none" | "broken" => {
             entry.lost += 1;
             summary.lost += 1;
--- a/tests/testsuite/router_broken_heads.rs
+++ b/tests/testsuite/router_broken_heads.rs
@@ -6,6 +6,8 @@
 
 use hawthornmill::config::accept::{Values, manifest};
 use hawthornmill_lab::demo::site::Site;
+use hawthornmill_lab::load::story::Story;
+use hawthornmill_lab::load::summary::summarize;
 use hawthornmill_test_support::procs::{send, small_site};
 
 use crate::gateway::raw_client::{Received, exchange};
@@ -191,3 +193,26 @@
         site.0.stop().await;
     });
 }
+
+/// Failure: the load tool counts an answer that ends as if it were whole, but is cut short or another call's, as a success.
+#[test]
+fn load_tool_counts_no_short_answer_as_whole() {
+    let story = |truncated, crossed| Story {
+        outcome: "whole".into(),
+        truncated,
+        crossed,
+        ..Story::default()
+    };
+    let stories = [story(false, false), story(true, false), story(false, true)];
+
+    let summary = summarize(&stories);
+
+    let whole: u64 = summary
+        .accounts
+        .values()
+        .flat_map(|a| a.values())
+        .map(|a| a.whole)
+        .sum();
+    assert_eq!((summary.calls, whole), (3, 1));
+    assert_eq!((summary.truncated, summary.crossed), (1, 1));
+}
