--- a/tests/testsuite/gateway/fleet.rs
+++ b/tests/testsuite/gateway/fleet.rs
@@ -312,7 +312,7 @@
     /// Writes the registration of a ready server; the keys of `more` replace the usual ones.
     pub fn write_registration(&self, server: &Server, more: &Value) -> u64 {
         let mut entry = json!({"service": "app", "address": server.address.to_string(), "zone": "a",
-            "version": "v1", "slots": 4, "state": "ready", "coldRemainingMs": 0, "sequence": 1, "born": server.born()});
+            "version": "v1", "slots": 4, "state": "ready", "coldRemainingMs": 0, "sequence": server.next_sequence(), "born": server.born()});
         if let (Some(entry), Some(more)) = (entry.as_object_mut(), more.as_object()) {
             entry.extend(more.clone());
         }
--- a/tests/testsuite/gateway/http_io.rs
+++ b/tests/testsuite/gateway/http_io.rs
@@ -76,3 +76,9 @@
     text.extend_from_slice(body);
     text
 }
+
+/// Returns the Unix time in milliseconds.
+pub fn unix_ms() -> u64 {
+    let time = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    time.map_or(0, |t| t.as_millis() as u64)
+}
--- a/tests/testsuite/gateway/scripted_server.rs
+++ b/tests/testsuite/gateway/scripted_server.rs
@@ -11,9 +11,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use super::http_io::{read_body, read_head, read_request, write_response};
+use super::http_io::{read_body, read_head, read_request, unix_ms, write_response};
 use super::streams::{
-    CHUNKED, PartialStream, last_event_id, marked_events, send_part, stream_head,
+    CHUNKED, PartialStream, fields_and_body, last_event_id, marked_events, send_part, stream_head,
 };
 
 /// Pause after which a server that responded early reads the rest of the request.
@@ -120,12 +120,12 @@
     checks_name: bool,
     /// Number of the start whose name it has.
     named: usize,
-    /// The start of its life as it registered it, where that isn't the number of the life.
-    born: Option<u64>,
     /// The latest life.
     life: Life,
     /// Number of its starts.
     starts: usize,
+    born: u64,
+    sequence: u64,
     /// When it crashed, once for each life that did.
     crashed: Vec<Instant>,
 }
@@ -164,7 +164,12 @@
         let life: Life = Arc::new(watch::Sender::new(false));
         let mut state = self.lock();
         state.starts += 1;
-        state.born = None;
+        state.sequence = 0;
+        state.born = if state.checks_name {
+            unix_ms()
+        } else {
+            state.starts as u64
+        };
         if !keeps_name {
             state.named = state.starts;
         }
@@ -191,20 +196,28 @@
         self.begin(true).await;
     }
 
-    /// Rejects requests that are meant for a server of another name, as one before at its address.
+    /// Rejects requests that are meant for a server of another name, as one before at its address; also tells the Unix times of
+    /// its starts instead of their numbers, and numbers its registrations.
     pub fn check_name(&self) {
         self.lock().checks_name = true;
+        self.set_born(unix_ms());
     }
 
-    /// Returns the start of its life as it reports it.
+    /// Returns the start that it reports and registers.
     pub fn born(&self) -> u64 {
-        let state = self.lock();
-        state.born.unwrap_or(state.starts as u64)
+        self.lock().born
     }
 
     /// Sets the start of its life.
     pub fn set_born(&self, born: u64) {
-        self.lock().born = Some(born);
+        self.lock().born = born;
+    }
+
+    /// Counts a registration of its latest life; returns the number.
+    pub fn next_sequence(&self) -> u64 {
+        let mut state = self.lock();
+        state.sequence += u64::from(state.checks_name || state.sequence == 0);
+        state.sequence
     }
 
     /// Serves a connection, which is closed when the process ends.
@@ -579,21 +592,3 @@
         stream.write_all(end).await.is_ok() && !truncated
     }
 }
-
-/// Returns the last header fields and the body after which a server closes its connection.
-fn fields_and_body(behavior: &Behavior) -> String {
-    match behavior {
-        Behavior::NoLength => "\r\nwhole without a length".into(),
-        Behavior::ResetWithoutLength => "\r\nhalf".into(),
-        Behavior::TruncatedBody => "Content-Length: 100\r\n\r\nhalf".into(),
-        Behavior::TruncatedAfter(bytes) => {
-            let body = "x".repeat(*bytes);
-            format!("Content-Length: {}\r\n\r\n{body}", bytes * 2)
-        }
-        Behavior::StreamWithoutIds(count) => {
-            let events = "data: piece\n\n".repeat(*count as usize);
-            format!("Content-Type: text/event-stream\r\n\r\n{events}data: ha")
-        }
-        _ => String::new(),
-    }
-}
--- a/tests/testsuite/gateway/streams.rs
+++ b/tests/testsuite/gateway/streams.rs
@@ -4,6 +4,8 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+use super::scripted_server::Behavior;
+
 /// Line of a head that tells that the body is sent in chunks.
 pub const CHUNKED: &str = "Transfer-Encoding: chunked\r\n";
 
@@ -100,3 +102,21 @@
         let _set = stream.set_zero_linger();
     }
 }
+
+/// Returns the last header fields and the body after which a server closes its connection.
+pub fn fields_and_body(behavior: &Behavior) -> String {
+    match behavior {
+        Behavior::NoLength => "\r\nwhole without a length".into(),
+        Behavior::ResetWithoutLength => "\r\nhalf".into(),
+        Behavior::TruncatedBody => "Content-Length: 100\r\n\r\nhalf".into(),
+        Behavior::TruncatedAfter(bytes) => {
+            let body = "x".repeat(*bytes);
+            format!("Content-Length: {}\r\n\r\n{body}", bytes * 2)
+        }
+        Behavior::StreamWithoutIds(count) => {
+            let events = "data: piece\n\n".repeat(*count as usize);
+            format!("Content-Type: text/event-stream\r\n\r\n{events}data: ha")
+        }
+        _ => String::new(),
+    }
+}
