--- a/crates/hawthornmill/src/routing/registry.rs
+++ b/crates/hawthornmill/src/routing/registry.rs
@@ -245,7 +245,7 @@
         &self.versions
     }
 
-    /// Adds what the store's history tells of before; returns false when it doesn't fit what this instance knows.
+    /// Adds what the store's history says about the time before; returns false when it doesn't fit what this instance knows.
     pub fn learn_past(&mut self, history: &StoreHistory, read: ReadTime) -> bool {
         let told: BTreeSet<ServerId> = history.changes.iter().map(|c| c.server).collect();
         let entries = self.entries.iter().map(|(id, e)| (*id, e.revision));
--- a/crates/hawthornmill/src/routing/store_history.rs
+++ b/crates/hawthornmill/src/routing/store_history.rs
@@ -1,4 +1,4 @@
-//! What the store's history tells of the versions that served before this instance had its first list.
+//! What the store's history says about the versions that served before this instance had its first list.
 //!
 //! The store keeps recent changes. The states of a service follow from walking them backwards from its present one. Most
 //! changes carry no time: the first registration of a run was written just after the run's start, and the others are only
@@ -67,7 +67,7 @@
     }
 }
 
-/// What the history tells of one service.
+/// What the history says about one service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServicePast {
     /// The service.
@@ -90,7 +90,7 @@
     Lapsed,
 }
 
-/// Returns what the history tells of each service that has servers.
+/// Returns what the history says about each service that has servers.
 ///
 /// `entries` are the present registrations with their revisions.
 pub fn past_of<'a>(
