Streams: one that began at a run of unknown version has a record that says so

What callers would see: no gateway is killed, a server starts again in place with another version, a stream begins there before the entry comes and breaks off; nobody has a record, so its key's version is taken for certain and it is joined from two versions. Cause: such streams were left without a record, and no record means "as the key says". Found by a review, by reading, with three more of the class. Change: the record says undecided, which refuses a take-up, until the version is known. Measured: routing::stream_versions::undecided_version_is_kept_until_it_is_known and begun_stream_goes_before_others_a_few_times_only (no such code before); 60 tests of streams, runs and the scheduler pass.

--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -51,7 +51,7 @@
 use hawthornmill::routing::placement::Placement;
 use hawthornmill::routing::registry::ServerRun;
 use hawthornmill::routing::request::{Cause, Refusal, Request};
-use hawthornmill::routing::stream_versions::StreamVersion;
+use hawthornmill::routing::stream_versions::{StreamVersion, UNDECIDED};
 use hedge::send_hedged;
 use progress::RequestProgress;
 use read::ClientRequest;
@@ -210,10 +210,11 @@
         let Some(StreamOrigin::New(key)) = self.admitted.stream else {
             return;
         };
-        if let Some(version) = progress.version {
-            let stream = StreamVersion { key, version };
-            gateway.streams.begin(gateway, stream);
-        } else {
+        let version = progress.version.unwrap_or(UNDECIDED);
+        gateway
+            .streams
+            .begin(gateway, StreamVersion { key, version });
+        if version == UNDECIDED {
             let mut scheduler = gateway.scheduler.borrow_mut();
             let server = self.placement.server;
             scheduler.doubts.record_stream(server, key);
--- a/crates/hawthornmill-gateway/src/proxy/take_up.rs
+++ b/crates/hawthornmill-gateway/src/proxy/take_up.rs
@@ -5,7 +5,7 @@
 
 use hawthornmill::ident::{ServerId, VersionId};
 use hawthornmill::routing::regions::AllowedRegions;
-use hawthornmill::routing::stream_versions::StreamKey;
+use hawthornmill::routing::stream_versions::{StreamKey, UNDECIDED};
 use hawthornmill::routing::version_history::{BeginVersion, VIEW_LAG, VIEW_LAG_LARGE};
 use serde_json::{Value, json};
 
@@ -49,7 +49,7 @@
 pub struct TakenUp {
     /// The version at which it began.
     pub version: VersionId,
-    /// It has begun, as far as can be known; a client may name an attempt that began none.
+    /// It has begun, as far as can be known, and hasn't gone on often; a client may name an attempt that began none.
     pub is_genuine: bool,
 }
 
@@ -73,10 +73,17 @@
         Some(known) => Some(known),
         None => begin_version(gateway, admitted, key).await,
     };
+    let known = known.filter(|(version, _)| *version != UNDECIDED);
     log_take_up(context, admitted, key, lookup, known);
-    known.map(|(version, source)| TakenUp {
+    let (version, source) = known?;
+    let is_genuine = match (source, key) {
+        (VersionSource::History, _) => has_lost_records(gateway, admitted),
+        (_, Some(key)) => gateway.streams.take_preference(key),
+        (_, None) => false,
+    };
+    Some(TakenUp {
         version,
-        is_genuine: source != VersionSource::History || has_lost_records(gateway, admitted),
+        is_genuine,
     })
 }
 
--- a/crates/hawthornmill-gateway/src/stream_versions.rs
+++ b/crates/hawthornmill-gateway/src/stream_versions.rs
@@ -90,6 +90,11 @@
         (*longest).max(timeout)
     }
 
+    /// Returns whether a stream may go on before requests of others once more.
+    pub fn take_preference(&self, key: StreamKey) -> bool {
+        self.versions.borrow_mut().take_preference(key)
+    }
+
     /// Returns the version at which a stream began, if this instance knows it.
     pub fn known(&self, key: StreamKey) -> Option<VersionId> {
         self.versions.borrow().get(key)
--- a/crates/hawthornmill-gateway/src/version_history.rs
+++ b/crates/hawthornmill-gateway/src/version_history.rs
@@ -81,6 +81,7 @@
         kept: gateway.settings().store_history,
     };
     let why = match &read {
+        Ok(Ok(_)) if gap_count(&gateway) != gaps => Some("a list came meanwhile".into()),
         Ok(Ok(history)) => {
             let registry = &mut gateway.scheduler.borrow_mut().registry;
             let fits = registry.learn_past(history, time);
--- a/crates/hawthornmill/src/routing/stream_versions.rs
+++ b/crates/hawthornmill/src/routing/stream_versions.rs
@@ -49,10 +49,25 @@
     pub version: VersionId,
 }
 
+/// Stands for the version of a stream that began at a run of a server whose version isn't known yet.
+///
+/// Such a stream has a record too: without one, it would be taken for one that began where its key says.
+pub const UNDECIDED: VersionId = VersionId(0);
+/// Times that one instance lets a begun stream go on before requests of others.
+const MAX_PREFERENCES: u8 = 4;
+
+/// What is recorded of a stream.
+#[derive(Debug, Clone, Copy)]
+struct Record {
+    version: VersionId,
+    /// Times that it went on before requests of others.
+    preferences: u8,
+}
+
 /// Versions at which recent streams began, as far as this instance carried them or was told.
 #[derive(Debug, Clone, Default)]
 pub struct StreamVersions {
-    records: BTreeMap<StreamKey, (VersionId, Instant)>,
+    records: BTreeMap<StreamKey, Record>,
     in_order: VecDeque<(StreamKey, Instant)>,
     unsent: Vec<StreamVersion>,
 }
@@ -64,15 +79,32 @@
         self.unsent.push(stream);
     }
 
-    /// Records a stream that began at any instance. The first version that is heard stays.
+    /// Records a stream that began at any instance. The first version that is heard stays, once it is decided.
     pub fn record(&mut self, stream: StreamVersion, now: Instant) {
         self.expire(now);
-        if self.get(stream.key).is_none() {
-            self.records.insert(stream.key, (stream.version, now));
-            self.in_order.push_back((stream.key, now));
+        match self.records.get_mut(&stream.key) {
+            Some(record) if record.version == UNDECIDED => record.version = stream.version,
+            Some(_) => {}
+            None => {
+                let record = Record {
+                    version: stream.version,
+                    preferences: 0,
+                };
+                self.records.insert(stream.key, record);
+                self.in_order.push_back((stream.key, now));
+            }
         }
     }
 
+    /// Returns whether a recorded stream may go on before requests of others once more; its client may ask again and again.
+    pub fn take_preference(&mut self, key: StreamKey) -> bool {
+        let Some(record) = self.records.get_mut(&key) else {
+            return false;
+        };
+        record.preferences = record.preferences.saturating_add(1);
+        record.preferences <= MAX_PREFERENCES
+    }
+
     fn expire(&mut self, now: Instant) {
         let is_over = |(_, at): &(StreamKey, Instant)| now.duration_since(*at) >= RECORD_TTL;
         while self.in_order.front().is_some_and(is_over) || self.in_order.len() >= MAX_RECORDS {
@@ -82,9 +114,9 @@
         }
     }
 
-    /// Returns the version at which the stream began.
+    /// Returns the version at which the stream began; [`UNDECIDED`] while that isn't known.
     pub fn get(&self, key: StreamKey) -> Option<VersionId> {
-        self.records.get(&key).map(|(version, _)| *version)
+        self.records.get(&key).map(|record| record.version)
     }
 
     /// Returns the streams that began here and were not told to others yet, and clears the list.
--- a/crates/hawthornmill/src/routing/version_history.rs
+++ b/crates/hawthornmill/src/routing/version_history.rs
@@ -120,16 +120,14 @@
         };
         let history = self.services.entry(service).or_default();
         let is_old = |s: &PastState| now.duration_since(s.until) > HISTORY_TIME;
-        while history.past.front().is_some_and(is_old) {
-            history.past.pop_front();
-        }
         history.past.push_back(PastState {
             until: now,
             capacities: history.current.clone(),
         });
-        if history.past.len() > MAX_STATES
-            && let Some(dropped) = history.past.pop_front()
-        {
+        while history.past.len() > MAX_STATES || history.past.front().is_some_and(is_old) {
+            let Some(dropped) = history.past.pop_front() else {
+                return;
+            };
             let since = history.complete_since.unwrap_or(complete_since);
             history.complete_since = Some(since.max(dropped.until));
         }
--- a/tests/testsuite/routing/stream_versions.rs
+++ b/tests/testsuite/routing/stream_versions.rs
@@ -5,7 +5,7 @@
 
 use hawthornmill::ident::{AccountId, DomainId, InstanceId, VersionId};
 use hawthornmill::routing::stream_versions::{
-    ASKED, HOLDERS, StreamKey, StreamVersion, StreamVersions, holders,
+    ASKED, HOLDERS, StreamKey, StreamVersion, StreamVersions, UNDECIDED, holders,
 };
 use proptest::prelude::*;
 
@@ -109,3 +109,39 @@
         prop_assert!(told.intersection(&asked).count() >= live.min(2), "{told:?} {asked:?}");
     }
 }
+
+/// Failure: a stream that began at a run of unknown version has no record, and is taken for one of the version of its key.
+#[test]
+fn undecided_version_is_kept_until_it_is_known() {
+    let now = Instant::now();
+    let mut versions = StreamVersions::default();
+    let decided = stream("a-1", "v2");
+    let undecided = StreamVersion {
+        version: UNDECIDED,
+        ..decided
+    };
+
+    versions.begin(undecided, now);
+    let before = versions.get(decided.key);
+    versions.record(decided, now);
+    versions.record(stream("a-1", "v3"), now);
+
+    assert_eq!(before, Some(UNDECIDED));
+    assert_eq!(versions.get(decided.key), Some(version("v2")));
+    assert_eq!(versions.take_unsent(), [undecided]);
+}
+
+/// Failure: an account names one begun stream again and again, and each request goes before those of others.
+#[test]
+fn begun_stream_goes_before_others_a_few_times_only() {
+    let now = Instant::now();
+    let mut versions = StreamVersions::default();
+    let begun = stream("a-1", "v1");
+    versions.begin(begun, now);
+
+    let preferred = (0..100).filter(|_| versions.take_preference(begun.key));
+    let count = preferred.count();
+
+    assert!((1..=4).contains(&count), "{count}");
+    assert!(!versions.take_preference(stream("a-2", "v1").key));
+}
