--- a/crates/hawthornmill-gateway/src/stream_versions.rs
+++ b/crates/hawthornmill-gateway/src/stream_versions.rs
@@ -146,7 +146,7 @@
         }
     }
 
-    /// Records what another instance tells of streams.
+    /// Records what another instance says about streams.
     pub fn record(&self, gateway: &Gateway, told: &[StreamVersion]) {
         let now = gateway.now();
         let mut versions = self.versions.borrow_mut();
