Runs: a second report of a later run no longer loses at which run streams began

Callers saw: a stream that began at a server which had started again with another version, before its entry, was refused for good when they took it up (3034, version unknown).

Cause: the product, not the test. A gateway that saw no break asks each new connection for its run. Several streams that come at once each ask before the first answer. The first answer that names another run begins a doubt; its stream begins and is recorded with that run. A later answer to a question asked meanwhile counted as one more break, "other_run", which forgets at which run recorded streams began, so the entry gave them no version. It needs an answer that comes after the first event of another stream of the same server (10 ms in the test), which a busy machine gives.

Change: a report of the run that listens is no break where a doubt is there already; questions asked before it are outdated from then on; and a stream keeps the run that its own connection reported, whatever other connections do, also when its entry comes before its first event. A doubt whose entry is that of a run between forgets streams of unknown run, and one that ends by time no longer gives streams of a proven other run the registered version.

--- a/crates/hawthornmill-gateway/src/proxy/forward.rs
+++ b/crates/hawthornmill-gateway/src/proxy/forward.rs
@@ -483,7 +483,7 @@
         };
         slot.record_first_token(response.head.status);
         if !progress.response_started() {
-            slot.bind_stream(progress);
+            slot.bind_stream(response.upstream.run, progress);
             if slot.admitted.retry_policy != RetryPolicy::Resumable {
                 release_body(context, slot.admitted);
             }
--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -37,6 +37,7 @@
 pub mod take_up;
 
 use std::cell::Cell;
+use std::num::NonZeroU64;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -204,9 +205,11 @@
     }
 
     /// Binds a stream whose first event came from this server to the server's version, or later if that is in doubt.
-    pub fn bind_stream(&self, progress: &mut RequestProgress) {
+    ///
+    /// `proven` is the start of the run that the server reported on the connection of the stream, if it did.
+    pub fn bind_stream(&self, proven: Option<NonZeroU64>, progress: &mut RequestProgress) {
         let gateway = self.gateway;
-        progress.version = self.known_version();
+        progress.version = self.known_version(proven);
         let Some(StreamOrigin::New(key)) = self.admitted.stream else {
             return;
         };
@@ -217,15 +220,23 @@
         if version == UNDECIDED {
             let mut scheduler = gateway.scheduler.borrow_mut();
             let server = self.placement.server;
-            scheduler.doubts.record_stream(server, key);
+            scheduler.doubts.record_stream(server, key, proven);
         }
     }
 
     /// Returns the version of the run that answers; `None` if another run may have taken the request.
-    fn known_version(&self) -> Option<VersionId> {
+    fn known_version(&self, proven: Option<NonZeroU64>) -> Option<VersionId> {
         let (run, version) = (self.run?, self.version?);
         let scheduler = self.gateway.scheduler.borrow();
-        scheduler.has_version(run, version).then_some(version)
+        let Some(start_ms) = proven.map(NonZeroU64::get) else {
+            return scheduler.has_version(run, version).then_some(version);
+        };
+        if start_ms == run.start_ms {
+            return Some(version);
+        }
+        // Its entry may have come since the request was sent.
+        let registered = &scheduler.registry.get(run.server)?.registration;
+        (registered.start_ms == start_ms).then_some(registered.version)
     }
 
     /// Records that the connection ended on which the server ran the request; later calls have no effect.
--- a/crates/hawthornmill-gateway/src/server_runs.rs
+++ b/crates/hawthornmill-gateway/src/server_runs.rs
@@ -148,7 +148,9 @@
         }
     };
     upstream.run = NonZeroU64::new(start_ms);
-    if start_ms != run.start_ms {
+    // Where a doubt is there, the report itself tells more than a break would.
+    let is_doubted = gateway.scheduler.borrow().doubts.is_doubted(run.server);
+    if start_ms != run.start_ms && !is_doubted {
         record_break(gateway, run, asked, "other_run");
     }
     match record_report(gateway, run, start_ms, asked) {
--- a/crates/hawthornmill/src/routing/run_doubt.rs
+++ b/crates/hawthornmill/src/routing/run_doubt.rs
@@ -6,6 +6,7 @@
 //! would have registered. Streams that begin meanwhile get their version then.
 
 use std::collections::BTreeMap;
+use std::num::NonZeroU64;
 use std::time::{Duration, Instant};
 
 use super::registry::{Registry, ServerRun};
@@ -72,6 +73,8 @@
     key: StreamKey,
     /// The run at which it began, if that is known.
     start_ms: Option<u64>,
+    /// The server reported that run on the stream's own connection, so that the breaks of others say nothing of it.
+    is_proven: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -87,6 +90,15 @@
     streams: Vec<PendingStream>,
 }
 
+impl Doubt {
+    /// Forgets at which run streams began, except where their own connection tells.
+    fn forget_unproven(&mut self) {
+        for stream in self.streams.iter_mut().filter(|s| !s.is_proven) {
+            stream.start_ms = None;
+        }
+    }
+}
+
 /// The runs in doubt.
 #[derive(Debug, Clone, Default)]
 pub struct RunDoubts {
@@ -119,9 +131,7 @@
             doubt.since = at;
             doubt.observed = Duration::ZERO;
             doubt.later = None;
-            for stream in &mut doubt.streams {
-                stream.start_ms = None;
-            }
+            doubt.forget_unproven();
         }
         begins
     }
@@ -164,17 +174,26 @@
             self.end(run.server, DoubtEnd::Reported, registry, now);
             return ReportedRun::Registered;
         }
-        doubt.later = Some(start_ms);
+        let earlier = doubt.later.replace(start_ms);
+        if earlier.is_some_and(|earlier| earlier != start_ms) {
+            doubt.forget_unproven();
+        }
+        // What was asked before may have been answered by the run before.
+        doubt.since = asked;
         ReportedRun::Other
     }
 
-    /// Records that a stream began at a server in doubt; it gets its version when that is known.
-    pub fn record_stream(&mut self, server: ServerId, key: StreamKey) {
+    /// Records that a stream began at a server in doubt; it gets its version when that is known. `proven` is the start that the
+    /// server reported on the stream's connection, if it did.
+    pub fn record_stream(&mut self, server: ServerId, key: StreamKey, proven: Option<NonZeroU64>) {
         if let Some(doubt) = self.doubts.get_mut(&server)
             && doubt.streams.len() < MAX_STREAMS
         {
-            let start_ms = doubt.later;
-            doubt.streams.push(PendingStream { key, start_ms });
+            doubt.streams.push(PendingStream {
+                key,
+                start_ms: proven.map(NonZeroU64::get).or(doubt.later),
+                is_proven: proven.is_some(),
+            });
         }
     }
 
@@ -193,6 +212,7 @@
             if doubt.later.is_some_and(|later| start_ms < later) {
                 // Of a run between the two.
                 doubt.start_ms = start_ms;
+                doubt.streams.retain(|s| s.start_ms.is_some());
             } else {
                 ended.push((*server, DoubtEnd::Replaced));
             }
@@ -230,9 +250,11 @@
         self.ended.push((run, end));
         if let Some(entry) = registry.get(server) {
             let (start_ms, version) = (entry.registration.start_ms, entry.registration.version);
-            // Without a later run, all streams began at the registered one.
-            let is_registered =
-                |s: &&PendingStream| end != DoubtEnd::Replaced || s.start_ms == Some(start_ms);
+            // Without a later run, streams of which nothing else is known began at the registered one.
+            let is_registered = |s: &&PendingStream| match s.start_ms {
+                Some(began_at) => began_at == start_ms,
+                None => end != DoubtEnd::Replaced,
+            };
             let streams = doubt.streams.iter().filter(is_registered);
             let resolved = streams.map(|s| StreamVersion {
                 key: s.key,
--- a/tests/testsuite/gateway/restarted_servers.rs
+++ b/tests/testsuite/gateway/restarted_servers.rs
@@ -22,6 +22,8 @@
 const DOWN_TIME: Duration = Duration::from_millis(300);
 /// Time in which streams get some events.
 const RUN_TIME: Duration = Duration::from_millis(150);
+/// Times after which servers say which run they are: all streams ask before the first answer, and some begin before the last.
+const REPORT_PAUSES: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(150)];
 
 /// Time after which a server that took no connection is chosen again.
 const REST_TIME: Duration = Duration::from_millis(1_500);
@@ -259,6 +261,21 @@
     });
 }
 
+/// Failure: a server is asked on several connections at once, and a stream that begins between its answers loses its version.
+#[test]
+fn stream_that_begins_between_two_reports_of_its_run_stays_at_its_version() {
+    block_on(async {
+        let fleet = start(1, 3).await;
+        for server in &fleet.servers {
+            server.delay_reports(&REPORT_PAUSES);
+        }
+
+        let taken = begin_before_entries(&fleet, false).await;
+
+        assert_eq!((later_count(&taken), taken.len()), (STREAMS, STREAMS));
+    });
+}
+
 /// Failure: connections break without an end of their server, and streams that began there are refused from then on.
 #[test]
 fn stream_goes_on_at_a_server_whose_connections_broke() {
--- a/tests/testsuite/gateway/scripted_server.rs
+++ b/tests/testsuite/gateway/scripted_server.rs
@@ -116,6 +116,8 @@
     resets: bool,
     /// It answers questions about its run with 404.
     hides_reports: bool,
+    /// Answers questions about its run after these times in turn.
+    report_pauses: VecDeque<Duration>,
     /// It rejects requests that are meant for a server of another name.
     checks_name: bool,
     /// Number of the start whose name it has.
@@ -260,11 +262,22 @@
         self.lock().hides_reports = true;
     }
 
+    /// Answers questions about its run after `pauses`, in turn and again from the first.
+    pub fn delay_reports(&self, pauses: &[Duration]) {
+        self.lock().report_pauses = pauses.iter().copied().collect();
+    }
+
     /// Answers a question about its run; returns false if `head` asks something else.
     async fn report(&self, stream: &mut TcpStream, head: &RequestHead) -> bool {
         if head.path() != REPORT_PATH {
             return false;
         }
+        let pause = {
+            let pauses = &mut self.lock().report_pauses;
+            pauses.rotate_left(usize::from(!pauses.is_empty()));
+            pauses.back().copied().unwrap_or_default()
+        };
+        tokio::time::sleep(pause).await;
         let hidden = self.lock().hides_reports;
         let (status, body) = if hidden {
             (404, String::new())
--- a/tests/testsuite/routing/run_doubt.rs
+++ b/tests/testsuite/routing/run_doubt.rs
@@ -1,5 +1,6 @@
 //! Runs of servers that may have ended, and streams that begin meanwhile.
 
+use std::num::NonZeroU64;
 use std::time::Instant;
 
 use hawthornmill::ident::{ServerId, VersionId};
@@ -48,8 +49,14 @@
 }
 
 fn begin_stream(scheduler: &mut Scheduler, attempt: &str) {
+    begin_proven(scheduler, attempt, None);
+}
+
+fn begin_proven(scheduler: &mut Scheduler, attempt: &str, proven: Option<u64>) {
     let key = StreamKey::of(None, attempt);
-    scheduler.doubts.record_stream(ServerId::of("s"), key);
+    scheduler
+        .doubts
+        .record_stream(ServerId::of("s"), key, proven.and_then(NonZeroU64::new));
 }
 
 /// Failure: a server whose connections broke gets streams of its version, or no requests at all.
@@ -132,6 +139,31 @@
     assert!(scheduler.has_version(run(200), VersionId::of("v2")));
 }
 
+/// Failure: a second report of the same later run, or the break of another connection, loses at which run streams began.
+#[test]
+fn streams_keep_the_run_that_was_reported_before_them() {
+    let now = Instant::now();
+    let at = |ms| now + millis(ms);
+    let (inferred, proven) = (stream("inferred", "v2"), stream("proven", "v2"));
+    for (breaks, expected) in [(false, vec![inferred, proven]), (true, vec![proven])] {
+        let mut scheduler = one_server(now);
+        scheduler.record_break(run(100), at(0), at(2));
+        scheduler.record_report(run(100), 200, at(0), at(2));
+        begin_stream(&mut scheduler, "inferred");
+        begin_proven(&mut scheduler, "proven", Some(200));
+
+        scheduler.record_report(run(100), 200, at(1), at(4));
+        let early = scheduler.record_report(run(100), 100, at(0), at(5));
+        if breaks {
+            scheduler.record_break(run(100), at(6), at(6));
+        }
+        scheduler.apply_change(change("s", 2, Some(registered(200, "v2"))), at(7));
+
+        assert_eq!(early, ReportedRun::Outdated);
+        assert_eq!(scheduler.doubts.take_resolved(), expected);
+    }
+}
+
 /// Failure: the entry of a run between the registered one and the one that listens counts for the latter.
 #[test]
 fn entry_of_a_run_that_has_ended_too_ends_no_doubt() {
