Runs: one answer without a report no longer counts as a service that reports nothing

Callers saw: a stream that began at a server which had started again with another version unseen by its gateway was joined with the version before, for a minute after any server of its service had failed once to say which run it is.

Cause: any answer but a report (404, 503, a body that can't be read) counted as "servers of this service report nothing" for a minute, and without reports a later run is taken for the registered one. Absence of one answer was read as absence of reports.

Change: a run counts as one without reports if it doesn't know the path (404, 405, 501) and no server of its service has ever reported here, or if its answers had no report for 3 s without a pause of 2 s or more, within which it may have started again. It counts for this run alone. Before that, an answer without a report is a break: the server is asked again at once, and bound requests wait for what it says.

Tests: later_run_is_noticed_though_one_report_failed (one 404, one 503 after a report) failed before with (0, 6) of (6, 6): all six joined. The test that streams go on where connections broke has a third case, a server that reported and then no longer does.

Once the address of a killed server was still bound after 300 ms: the stand-in now binds once it is free, within the usual time.

--- a/crates/hawthornmill-gateway/src/server_runs.rs
+++ b/crates/hawthornmill-gateway/src/server_runs.rs
@@ -4,7 +4,7 @@
 //! is known. A request that only one version may serve goes over a connection whose run the server has reported.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::num::NonZeroU64;
@@ -34,8 +34,14 @@
 const MAX_REPORT_BYTES: usize = 256 << 10;
 /// Shortest and longest pause between two questions to a server in doubt.
 const ASK_INTERVALS: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
-/// Time for which servers of a service aren't asked after one of them had no report.
+/// Time for which a run isn't asked that has no reports.
 const NO_REPORT_TTL: Duration = Duration::from_mins(1);
+/// Time over which a server answers without a report until it counts as one that has none; a doubt lasts longer.
+const FAILING_TIME: Duration = Duration::from_secs(3);
+/// Longest pause between two such answers; with a longer one, the server may have started again meanwhile.
+const MAX_FAILING_PAUSE: Duration = Duration::from_secs(2);
+/// Statuses of servers that don't know the path of a report; others may be of the moment.
+const UNKNOWN_PATH: [u16; 3] = [404, 405, 501];
 /// Status of a report.
 const OK: u16 = 200;
 
@@ -45,8 +51,45 @@
     /// Runs whose doubt has just begun.
     doubted: RefCell<Vec<ServerRun>>,
     wakeup: Notify,
-    /// Services whose servers report nothing, each with the instant at which this was seen.
-    unreported: RefCell<BTreeMap<ServiceId, Instant>>,
+    /// Services of which a server has reported.
+    reporting: RefCell<BTreeSet<ServiceId>>,
+    /// Runs that answer without a report, each with the first and the latest such answer.
+    failing: RefCell<BTreeMap<ServerRun, (Instant, Instant)>>,
+    /// Runs that have no reports, each with the instant at which this was seen.
+    unreported: RefCell<BTreeMap<ServerRun, Instant>>,
+}
+
+impl ServerRuns {
+    fn record_start(&self, service: ServiceId, run: ServerRun) {
+        self.reporting.borrow_mut().insert(service);
+        self.failing.borrow_mut().remove(&run);
+    }
+
+    /// Records an answer without a report; returns whether the run counts as one that has none.
+    ///
+    /// One failure says nothing of the next answer: only a path that no server of the service knows, or failures for a while, do.
+    fn record_failure(
+        &self,
+        service: ServiceId,
+        run: ServerRun,
+        status: u16,
+        now: Instant,
+    ) -> bool {
+        let is_absent =
+            UNKNOWN_PATH.contains(&status) && !self.reporting.borrow().contains(&service);
+        let mut failing = self.failing.borrow_mut();
+        failing.retain(|_, (_, latest)| now.duration_since(*latest) < MAX_FAILING_PAUSE);
+        let (first, latest) = failing.entry(run).or_insert((now, now));
+        *latest = now;
+        if !is_absent && now.duration_since(*first) < FAILING_TIME {
+            return false;
+        }
+        failing.remove(&run);
+        let mut unreported = self.unreported.borrow_mut();
+        unreported.retain(|_, at| now.duration_since(*at) < NO_REPORT_TTL);
+        unreported.insert(run, now);
+        true
+    }
 }
 
 /// What a server says of its run.
@@ -109,11 +152,10 @@
     Some(scheduler.registry.get(run.server)?.registration.address)
 }
 
-/// Returns whether servers of the service of `run` are worth asking.
+/// Returns whether the server of `run` is worth asking.
 fn may_report(gateway: &Gateway, run: ServerRun) -> bool {
     let now = gateway.now();
-    let unreported = gateway.server_runs.unreported.borrow();
-    let seen = service_of(gateway, run.server).and_then(|s| unreported.get(&s).copied());
+    let seen = gateway.server_runs.unreported.borrow().get(&run).copied();
     run.start_ms != 0 && seen.is_none_or(|at| now.duration_since(at) >= NO_REPORT_TTL)
 }
 
@@ -162,7 +204,7 @@
 /// Asks a server for its report on an idle connection.
 ///
 /// # Errors
-/// If no usable response comes in time; the connection is to be closed then.
+/// If no usable response comes in time, or one that leaves open whether there are reports; the connection is to be closed then.
 async fn ask(gateway: &Gateway, run: ServerRun, stream: &mut TcpStream) -> io::Result<Report> {
     gateway.metrics.run_asked();
     let runs = &gateway.adapter.runs;
@@ -180,14 +222,21 @@
     if !reusable {
         return Err(io::ErrorKind::ConnectionAborted.into());
     }
+    let Some(service) = service_of(gateway, run.server) else {
+        return start
+            .map(Report::Start)
+            .ok_or_else(|| io::ErrorKind::NotFound.into());
+    };
+    let known = &gateway.server_runs;
     if let Some(start_ms) = start {
+        known.record_start(service, run);
         return Ok(Report::Start(start_ms));
     }
-    if let Some(service) = service_of(gateway, run.server) {
-        let mut unreported = gateway.server_runs.unreported.borrow_mut();
-        unreported.insert(service, gateway.now());
+    if known.record_failure(service, run, status, gateway.now()) {
+        Ok(Report::None)
+    } else {
+        Err(io::ErrorKind::InvalidData.into())
     }
-    Ok(Report::None)
 }
 
 fn record_report(gateway: &Gateway, run: ServerRun, start_ms: u64, asked: Instant) -> ReportedRun {
--- a/tests/testsuite/gateway/restarted_servers.rs
+++ b/tests/testsuite/gateway/restarted_servers.rs
@@ -5,7 +5,7 @@
 use hawthornmill_gateway::http::head::RequestHead;
 use serde_json::json;
 
-use super::fleet::{Client, Fleet, Response, request, wait_until};
+use super::fleet::{Client, Fleet, MAX_TURNED_AWAY, Response, request, wait_until};
 use super::scripted_server::{Behavior, Server};
 use super::streams::last_event_id;
 use crate::block_on;
@@ -62,6 +62,31 @@
     request("GET", &path(number), &format!("a-{number}{suffix}"), "")
 }
 
+/// Waits until a stream has begun; sends it again while the gateway turns it away because its process is late.
+async fn wait_for_begin(fleet: &Fleet, client: &mut Client, text: &str) {
+    let gateway = &fleet.gateways[0];
+    for _ in 0..MAX_TURNED_AWAY {
+        let mut head = [0; 12];
+        let _read = client.stream.peek(&mut head).await;
+        if &head == b"HTTP/1.1 200" {
+            return;
+        }
+        match client.read().await {
+            Some(response) => assert!(response.is_turned_away(), "{}", response.text()),
+            None => {
+                wait_until("the gateway logs what it didn't read", || async {
+                    let lines = gateway.logged("turned_away");
+                    lines.iter().any(|l| l["unread"].as_u64() > Some(0))
+                })
+                .await;
+            }
+        }
+        *client = Client::connect(gateway.front()).await;
+        client.send(text.as_bytes()).await;
+    }
+    panic!("the gateway turns every connection away");
+}
+
 /// Begins streams at the first gateway, and waits until each has some events.
 async fn begin_streams(fleet: &Fleet, suffix: &str) -> Vec<Client> {
     let mut clients = Vec::new();
@@ -70,10 +95,8 @@
         client.send(begin(number, suffix).as_bytes()).await;
         clients.push(client);
     }
-    for client in &clients {
-        let mut head = [0; 12];
-        let _read = client.stream.peek(&mut head).await;
-        assert_eq!(&head, b"HTTP/1.1 200");
+    for (number, client) in clients.iter_mut().enumerate() {
+        wait_for_begin(fleet, client, &begin(number, suffix)).await;
     }
     tokio::time::sleep(RUN_TIME).await;
     clients
@@ -276,12 +299,41 @@
     });
 }
 
+/// Failure: a server fails to say once which run it is, and a restart of it that nobody saw goes unnoticed from then on.
+#[test]
+fn later_run_is_noticed_though_one_report_failed() {
+    for status in [404, 503] {
+        block_on(async {
+            let fleet = start(1, 3).await;
+            for server in &fleet.servers {
+                server.set_default(|_| Behavior::Stream(1));
+            }
+            let first = fleet.send_admitted(&begin(0, "-first")).await;
+            for server in &fleet.servers {
+                server.set_default(stream_long);
+                server.fail_report(status);
+            }
+
+            let taken = begin_before_entries(&fleet, false).await;
+
+            assert!(first.whole);
+            let expected = (STREAMS, STREAMS);
+            assert_eq!((later_count(&taken), taken.len()), expected, "{status}");
+        });
+    }
+}
+
 /// Failure: connections break without an end of their server, and streams that began there are refused from then on.
 #[test]
 fn stream_goes_on_at_a_server_whose_connections_broke() {
-    for (hidden, pause) in [(false, RUN_TIME), (true, Duration::from_secs(6))] {
+    let late = Duration::from_secs(6);
+    for (reports, hidden, pause) in [(0, false, RUN_TIME), (0, true, late), (1, true, late)] {
         block_on(async {
             let fleet = start(1, 1).await;
+            fleet.servers[0].script(&vec![Behavior::Stream(1); reports]);
+            for number in 1..=reports {
+                let _answer = fleet.send_admitted(&begin(number, "")).await;
+            }
             if hidden {
                 fleet.servers[0].hide_reports();
             }
@@ -292,7 +344,8 @@
             let taken = take_up(&fleet, 0, 0).await;
 
             assert!(!first.whole);
-            assert!(taken.is_some_and(|r| r.whole), "hidden: {hidden}");
+            let is_whole = taken.is_some_and(|r| r.whole);
+            assert!(is_whole, "hidden: {hidden} after {reports} reports");
         });
     }
 }
--- a/tests/testsuite/gateway/scripted_server.rs
+++ b/tests/testsuite/gateway/scripted_server.rs
@@ -11,6 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use super::fleet::WAIT_TIMEOUT;
 use super::http_io::{read_body, read_head, read_request, unix_ms, write_response};
 use super::streams::{
     CHUNKED, PartialStream, fields_and_body, last_event_id, marked_events, send_part, stream_head,
@@ -116,6 +117,8 @@
     resets: bool,
     /// It answers questions about its run with 404.
     hides_reports: bool,
+    /// Status of the answer to the next question about its run.
+    failed_report: Option<u16>,
     /// Answers questions about its run after these times in turn.
     report_pauses: VecDeque<Duration>,
     /// It rejects requests that are meant for a server of another name.
@@ -159,10 +162,20 @@
         self.begin(false).await;
     }
 
+    /// Listens at its address, once the process before has given it up.
+    async fn bind(&self) -> TcpListener {
+        let end = Instant::now() + WAIT_TIMEOUT;
+        loop {
+            match TcpListener::bind(self.address).await {
+                Ok(listener) => return listener,
+                Err(error) => assert!(Instant::now() < end, "the server's address: {error}"),
+            }
+            tokio::time::sleep(EVENT_INTERVAL).await;
+        }
+    }
+
     async fn begin(&self, keeps_name: bool) {
-        let listener = TcpListener::bind(self.address)
-            .await
-            .expect("the server's address is free");
+        let listener = self.bind().await;
         let life: Life = Arc::new(watch::Sender::new(false));
         let mut state = self.lock();
         state.starts += 1;
@@ -262,6 +275,11 @@
         self.lock().hides_reports = true;
     }
 
+    /// Answers the next question about its run with an error.
+    pub fn fail_report(&self, status: u16) {
+        self.lock().failed_report = Some(status);
+    }
+
     /// Answers questions about its run after `pauses`, in turn and again from the first.
     pub fn delay_reports(&self, pauses: &[Duration]) {
         self.lock().report_pauses = pauses.iter().copied().collect();
@@ -278,14 +296,14 @@
             pauses.back().copied().unwrap_or_default()
         };
         tokio::time::sleep(pause).await;
-        let hidden = self.lock().hides_reports;
-        let (status, body) = if hidden {
-            (404, String::new())
-        } else {
-            (
+        let hidden = self.lock().hides_reports.then_some(404);
+        let error = self.lock().failed_report.take().or(hidden);
+        let (status, body) = match error {
+            Some(status) => (status, String::new()),
+            None => (
                 200,
                 format!("{{\"stage\":\"both\",\"born\":{}}}", self.born()),
-            )
+            ),
         };
         // The gateway may have closed the connection by now.
         let _written = write_response(stream, status, &[], body.as_bytes()).await;
