Take-ups: the line and a counter say why a stream's version isn't known

What operators saw: 'source' 'none' for each refused take-up, whatever the reason; an undecided record, a history that doesn't reach back, a doubtful key and a long view lag could not be told apart. No decision changes.

--- a/crates/hawthornmill-gateway/src/metrics.rs
+++ b/crates/hawthornmill-gateway/src/metrics.rs
@@ -103,6 +103,7 @@
     memory_refusals: CounterFamily<CutLabels>,
     rejected: CounterFamily<OutcomeLabels>,
     take_ups: CounterFamily<SourceLabels>,
+    take_up_refusals: CounterFamily<CutLabels>,
     resumptions: CounterFamily<OutcomeLabels>,
     response_starts: Family<ServiceLabels, Histogram, fn() -> Histogram>,
 }
@@ -132,6 +133,7 @@
             memory_refusals: Family::default(),
             rejected: Family::default(),
             take_ups: Family::default(),
+            take_up_refusals: Family::default(),
             resumptions: Family::default(),
             response_starts: Family::new_with_constructor(response_starts),
         };
@@ -184,6 +186,9 @@
         registry.register("memory_refusals", help, metrics.memory_refusals.clone());
         let help = "Streams of earlier attempts that were taken up, by source of their version";
         registry.register("stream_take_ups", help, metrics.take_ups.clone());
+        let help = "Streams that were not taken up since their version is not known, by reason";
+        let refusals = metrics.take_up_refusals.clone();
+        registry.register("stream_take_up_refusals", help, refusals);
         let help = "Streams that were sent to another server after their first event, by outcome";
         registry.register("stream_resumptions", help, metrics.resumptions.clone());
         let help = "Time to the answer's begin in milliseconds";
@@ -327,6 +332,13 @@
         self.take_ups.get_or_create(&SourceLabels { source }).inc();
     }
 
+    /// Counts a stream that is not taken up since its version is not known.
+    pub fn take_up_refused(&self, reason: &'static str) {
+        self.take_up_refusals
+            .get_or_create(&CutLabels { reason })
+            .inc();
+    }
+
     /// Counts a stream that was sent to another server after its first event.
     pub fn stream_resumed(&self, outcome: &'static str) {
         self.resumptions
--- a/crates/hawthornmill-gateway/src/proxy/take_up.rs
+++ b/crates/hawthornmill-gateway/src/proxy/take_up.rs
@@ -39,6 +39,43 @@
     }
 }
 
+/// Why the version of a stream that a client takes up isn't known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum VersionUnknown {
+    /// The stream began while the version of its server was in doubt.
+    UndecidedRecord,
+    /// How long ago the stream may have begun is not known.
+    NoBegin,
+    /// Not all versions that served since its caller first asked are known.
+    UnknownHistory,
+    /// No server of the service is known since then.
+    NoServers,
+    /// Several versions served, and the client doesn't name the attempt that began the stream.
+    Unnamed,
+    /// Several versions served, and the stream is bound to some regions.
+    RegionBound,
+    /// Its key gives one version only since a time at which other instances may not have heard of an earlier change.
+    LongViewLag,
+    /// Its key gives another version in one state of the service than in another.
+    DoubtfulKey,
+}
+
+impl VersionUnknown {
+    /// Returns the name for logs and counters.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::UndecidedRecord => "undecided_record",
+            Self::NoBegin => "no_begin",
+            Self::UnknownHistory => "unknown_history",
+            Self::NoServers => "no_servers",
+            Self::Unnamed => "unnamed",
+            Self::RegionBound => "region_bound",
+            Self::LongViewLag => "long_view_lag",
+            Self::DoubtfulKey => "doubtful_key",
+        }
+    }
+}
+
 /// Time after the start in which a process hears of the other instances.
 const HEARING_TIME: Duration = Duration::from_secs(2);
 /// Source of the version of a stream of which nobody knows it, for logs and counters.
@@ -55,6 +92,8 @@
 
 /// A version and where it is known from.
 type KnownVersion = (VersionId, VersionSource);
+/// The same, or why it isn't known.
+type VersionResult = Result<KnownVersion, VersionUnknown>;
 
 /// Returns the stream that the request takes up; `None` if the version at which it began isn't known.
 ///
@@ -70,12 +109,12 @@
         None => None,
     };
     let known = match known_version(lookup) {
-        Some(known) => Some(known),
+        Some((UNDECIDED, _)) => Err(VersionUnknown::UndecidedRecord),
+        Some(known) => Ok(known),
         None => begin_version(gateway, admitted, key).await,
     };
-    let known = known.filter(|(version, _)| *version != UNDECIDED);
     log_take_up(context, admitted, key, lookup, known);
-    let (version, source) = known?;
+    let (version, source) = known.ok()?;
     let is_genuine = match (source, key) {
         (VersionSource::History, _) => has_lost_records(gateway, admitted),
         (_, Some(key)) => gateway.streams.take_preference(key),
@@ -113,26 +152,45 @@
     gateway: &Rc<Gateway>,
     admitted: &Admitted,
     key: Option<StreamKey>,
-) -> Option<KnownVersion> {
-    let begun_after = admitted.first_asked?.checked_sub(view_lag(gateway))?;
+) -> VersionResult {
+    let first_asked = admitted.first_asked.ok_or(VersionUnknown::NoBegin)?;
     // A stream that is bound to regions may have begun at another version than all servers together give it.
-    let key = key.filter(|_| admitted.request.allowed_regions == AllowedRegions::Any);
-    let find = || {
+    let is_bound = admitted.request.allowed_regions != AllowedRegions::Any;
+    let used_key = key.filter(|_| !is_bound);
+    let find = |lag: Duration| {
+        let begun_after = first_asked.checked_sub(lag)?;
         let scheduler = gateway.scheduler.borrow();
         let versions = scheduler.registry.versions();
-        versions.begin_version(&admitted.targets, key, begun_after)
+        Some(versions.begin_version(&admitted.targets, used_key, begun_after))
     };
-    let mut found = find();
+    let lag = view_lag(gateway);
+    let mut found = find(lag).ok_or(VersionUnknown::NoBegin)?;
     if found == BeginVersion::Unknown {
         gateway.streams.history.read(gateway).await;
-        found = find();
+        found = find(lag).ok_or(VersionUnknown::NoBegin)?;
     }
     match found {
-        BeginVersion::Certain(version) => Some((version, VersionSource::History)),
-        BeginVersion::Doubtful | BeginVersion::Unknown => None,
+        BeginVersion::Certain(version) => Ok((version, VersionSource::History)),
+        _ if matches!(find(VIEW_LAG), Some(BeginVersion::Certain(_))) => {
+            Err(VersionUnknown::LongViewLag)
+        }
+        BeginVersion::Unknown => Err(VersionUnknown::UnknownHistory),
+        BeginVersion::Doubtful if !has_seen_servers(gateway, admitted) => {
+            Err(VersionUnknown::NoServers)
+        }
+        BeginVersion::Doubtful if is_bound => Err(VersionUnknown::RegionBound),
+        BeginVersion::Doubtful if key.is_none() => Err(VersionUnknown::Unnamed),
+        BeginVersion::Doubtful => Err(VersionUnknown::DoubtfulKey),
     }
 }
 
+/// Returns whether a server of the route's services is or was registered since the process started.
+fn has_seen_servers(gateway: &Gateway, admitted: &Admitted) -> bool {
+    let (scheduler, now) = (gateway.scheduler.borrow(), gateway.now());
+    let seen = |service| !scheduler.registry.seen_versions(service, now).is_empty();
+    admitted.targets.iter().copied().any(seen)
+}
+
 /// Returns the time within which every instance hears of a change.
 ///
 /// A process that has just started hasn't heard of most instances yet.
@@ -150,24 +208,29 @@
     admitted: &Admitted,
     key: Option<StreamKey>,
     lookup: Option<StreamLookup>,
-    known: Option<KnownVersion>,
+    known: VersionResult,
 ) {
     let gateway = context.gateway;
     let source = known.map_or(NO_SOURCE, |(_, source)| source.name());
     gateway.metrics.stream_taken_up(source);
+    let why = known.err().map(VersionUnknown::name);
+    if let Some(reason) = why {
+        gateway.metrics.take_up_refused(reason);
+    }
     let (service, now) = (admitted.request.service, gateway.now());
     let seen = gateway
         .scheduler
         .borrow()
         .registry
         .seen_versions(service, now);
-    let name = known.and_then(|(version, _)| seen.iter().find(|s| s.version == version));
+    let version = known.ok().map(|(version, _)| version);
+    let name = seen.iter().find(|s| Some(s.version) == version);
     let versions = seen
         .iter()
         .map(|s| json!({"version": s.name, "last_seen_ms": s.last_seen.as_millis() as u64}));
     let fields = json!({
         "stream": key.map(|key| format!("{:016x}", key.0)), "age_ms": gateway.age_ms(), "source": source,
-        "version": name.map(|s| &s.name), "asked": lookup.map_or(0, |l| l.asked),
+        "why": why, "version": name.map(|s| &s.name), "asked": lookup.map_or(0, |l| l.asked),
         "answered": lookup.map_or(0, |l| l.answered), "versions": versions.collect::<Value>(),
     });
     event_log::request_problem("stream_taken_up", &context.request.attempt_id, fields);
--- a/tests/testsuite/gateway/stream_versions.rs
+++ b/tests/testsuite/gateway/stream_versions.rs
@@ -261,6 +261,10 @@
             (&unknown["source"], &unknown["version"]),
             (&json!("none"), &Value::Null)
         );
+        assert_eq!(
+            (&derived["why"], &unknown["why"]),
+            (&Value::Null, &json!("unnamed"))
+        );
         assert_eq!(
             (&unknown["stream"], &unknown["asked"]),
             (&Value::Null, &json!(0))
@@ -288,6 +292,7 @@
             "hawthornmill_stream_take_ups_total{source=\"record\"} 1",
             "hawthornmill_stream_take_ups_total{source=\"history\"} 1",
             "hawthornmill_stream_take_ups_total{source=\"none\"} 1",
+            "hawthornmill_stream_take_up_refusals_total{reason=\"unnamed\"} 1",
             "hawthornmill_stream_resumptions_total{outcome=\"complete\"} 1",
         ] {
             assert!(counters.contains(line), "{line}: {counters}");
--- a/tests/testsuite/gateway/stream_versions_after_kill.rs
+++ b/tests/testsuite/gateway/stream_versions_after_kill.rs
@@ -1,5 +1,6 @@
 //! Streams that are taken up after every gateway lost its memory.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use futures_util::future::join_all;
@@ -182,6 +183,14 @@
         outcome
     }
 
+    /// Returns why streams were not taken up, as logged.
+    fn reasons(&self) -> BTreeSet<String> {
+        let gateways = self.fleet.gateways.iter();
+        let lines = gateways.flat_map(|g| g.logged("stream_taken_up"));
+        let reasons = lines.filter_map(|line| line["why"].as_str().map(str::to_owned));
+        reasons.collect()
+    }
+
     async fn take_up_one(&self, number: usize, names_first: bool) -> bool {
         let asked_at = self.callers[number].1;
         for attempt in 0..TRIES {
@@ -277,6 +286,8 @@
         let outcome = streams.take_up(true).await;
 
         assert_eq!(outcome.mixed, 0, "{outcome:?}");
+        let reasons = streams.reasons();
+        assert!(reasons.contains("unknown_history"), "{reasons:?}");
     });
 }
 
