Store's history: past_of in short functions

Behaviour unchanged: what is unchanged since the floor, which servers are ready now and what is known of each service are found by functions of their own, and a walk is set up where it is defined.

--- a/crates/hawthornmill/src/routing/store_history.rs
+++ b/crates/hawthornmill/src/routing/store_history.rs
@@ -90,67 +90,35 @@
     Lapsed,
 }
 
+/// An entry that hasn't changed since the floor, with its revision.
+type Unchanged<'a> = (ServerId, u64, &'a Registration);
+
+/// What the registrations of a service say about its servers.
+#[derive(Debug, Default)]
+struct KnownServers {
+    versions: BTreeSet<VersionId>,
+    /// Most slots of a server.
+    slots: u32,
+}
+
 /// Returns what the history says about each service that has servers.
 ///
 /// `entries` are the present registrations with their revisions.
 pub fn past_of<'a>(
     history: &StoreHistory,
-    entries: impl Iterator<Item = (ServerId, u64, &'a Registration)>,
+    entries: impl Iterator<Item = Unchanged<'a>>,
     read: ReadTime,
 ) -> Vec<ServicePast> {
-    let unchanged: Vec<_> = {
-        let changed: BTreeSet<ServerId> = history.changes.iter().map(|c| c.server).collect();
-        entries.filter(|(id, ..)| !changed.contains(id)).collect()
-    };
+    let changed: BTreeSet<ServerId> = history.changes.iter().map(|c| c.server).collect();
+    let unchanged: Vec<Unchanged<'_>> = entries.filter(|(id, ..)| !changed.contains(id)).collect();
     let ends = latest_times(&history.changes, read);
     let floor_ms = floor_time(history, &unchanged, &ends, read);
     let befores = befores(&history.changes);
-
-    let mut present: BTreeMap<ServerId, ReadyServer> = BTreeMap::new();
-    let ready = |r: &Registration| ReadyServer::of(r);
-    present.extend(
-        unchanged
-            .iter()
-            .filter_map(|(id, _, r)| Some((*id, ready(r)?))),
-    );
-    for change in &history.changes {
-        match change.registration.as_ref().and_then(ready) {
-            Some(server) => present.insert(change.server, server),
-            None => present.remove(&change.server),
-        };
-    }
+    let present = present_servers(&unchanged, &history.changes);
     let at_floor = at_floor(&present, &history.changes, &befores);
-    let known = unchanged.iter().map(|(_, _, r)| *r);
-    let known = known.chain(
-        history
-            .changes
-            .iter()
-            .filter_map(|c| c.registration.as_ref()),
-    );
-    let mut services: BTreeMap<ServiceId, (BTreeSet<VersionId>, u32)> = BTreeMap::new();
-    for registration in known {
-        let (versions, slots) = services.entry(registration.service).or_default();
-        versions.insert(registration.version);
-        *slots = (*slots).max(registration.slots);
-    }
-    let walk = |(service, (versions, slots)): (ServiceId, (BTreeSet<VersionId>, u32))| {
-        let old = at_floor.iter().filter(|r| r.service == service);
-        let old_versions: BTreeSet<VersionId> = old.clone().map(|r| r.version).collect();
-        let announced = history.changes.iter().filter(|c| c.announces(service));
-        let mut walk = Walk {
-            service,
-            versions: if old_versions.is_empty() {
-                versions
-            } else {
-                old_versions
-            },
-            slots,
-            unknown: 0,
-            max_unknown: old.count() / 2 + SILENT_PER_ANNOUNCED * announced.count(),
-            capacities: Capacities::new(),
-            since_ms: floor_ms,
-            states: Vec::new(),
-        };
+
+    let walk = |(service, known): (ServiceId, KnownServers)| {
+        let mut walk = Walk::new(service, known, &at_floor, &history.changes, floor_ms);
         for server in present.values().filter(|r| r.service == service) {
             add_slots(&mut walk.capacities, server.version, server.slots);
         }
@@ -161,9 +129,43 @@
             states: walk.states.into_iter().rev().collect(),
         }
     };
+    let services = known_servers(&unchanged, &history.changes);
     services.into_iter().map(walk).collect()
 }
 
+/// Returns the servers that are ready after all changes.
+fn present_servers(
+    unchanged: &[Unchanged<'_>],
+    changes: &[PastChange],
+) -> BTreeMap<ServerId, ReadyServer> {
+    let ready = unchanged.iter();
+    let ready = ready.filter_map(|(id, _, r)| Some((*id, ReadyServer::of(r)?)));
+    let mut present: BTreeMap<ServerId, ReadyServer> = ready.collect();
+    for change in changes {
+        match change.registration.as_ref().and_then(ReadyServer::of) {
+            Some(server) => present.insert(change.server, server),
+            None => present.remove(&change.server),
+        };
+    }
+    present
+}
+
+/// Returns what all registrations that are known say about the servers of each service.
+fn known_servers(
+    unchanged: &[Unchanged<'_>],
+    changes: &[PastChange],
+) -> BTreeMap<ServiceId, KnownServers> {
+    let known = unchanged.iter().map(|(_, _, r)| *r);
+    let known = known.chain(changes.iter().filter_map(|c| c.registration.as_ref()));
+    let mut services: BTreeMap<ServiceId, KnownServers> = BTreeMap::new();
+    for registration in known {
+        let servers = services.entry(registration.service).or_default();
+        servers.versions.insert(registration.version);
+        servers.slots = servers.slots.max(registration.slots);
+    }
+    services
+}
+
 /// Walks the states of one service backwards.
 struct Walk {
     service: ServiceId,
@@ -182,6 +184,33 @@
 }
 
 impl Walk {
+    /// Returns a walk that begins at the present, without the servers that are ready now.
+    fn new(
+        service: ServiceId,
+        known: KnownServers,
+        at_floor: &[ReadyServer],
+        changes: &[PastChange],
+        since_ms: u64,
+    ) -> Self {
+        let old = at_floor.iter().filter(|r| r.service == service);
+        let old_versions: BTreeSet<VersionId> = old.clone().map(|r| r.version).collect();
+        let announced = changes.iter().filter(|c| c.announces(service));
+        Self {
+            service,
+            versions: if old_versions.is_empty() {
+                known.versions
+            } else {
+                old_versions
+            },
+            slots: known.slots,
+            unknown: 0,
+            max_unknown: old.count() / 2 + SILENT_PER_ANNOUNCED * announced.count(),
+            capacities: Capacities::new(),
+            since_ms,
+            states: Vec::new(),
+        }
+    }
+
     fn back(&mut self, changes: &[PastChange], befores: &[Before], ends: &[u64], read: ReadTime) {
         for ((change, before), end) in changes.iter().zip(befores).zip(ends).rev() {
             let own = |r: &ReadyServer| r.service == self.service;
@@ -276,7 +305,7 @@
 /// An empty history can't be told from one that was just dropped, unless an entry at its floor is dated.
 fn floor_time(
     history: &StoreHistory,
-    unchanged: &[(ServerId, u64, &Registration)],
+    unchanged: &[Unchanged<'_>],
     ends: &[u64],
     read: ReadTime,
 ) -> u64 {
