--- a/crates/hawthornmill-gateway/src/state_sync.rs
+++ b/crates/hawthornmill-gateway/src/state_sync.rs
@@ -14,6 +14,7 @@
 use hawthornmill::routing::recent::Source;
 use hawthornmill::routing::registry::RegistrationList;
 use hawthornmill::wire::frame::MAX_FRAME_BYTES;
+use hawthornmill::wire::previous::decode_state;
 use hawthornmill::wire::{Message, Opener, Sealer};
 use hawthornmill_process::frames;
 use serde_json::json;
@@ -116,7 +117,7 @@
 }
 
 fn decode_response(bytes: &[u8]) -> Result<SyncResponse, PullError> {
-    postcard::from_bytes(bytes).map_err(|error| {
+    decode_state(bytes).map_err(|error| {
         log::warn!(target: "mates", "can't decode the state of a peer: {error}");
         PullError::Unreadable
     })
@@ -257,11 +258,13 @@
         gateway.apply_catalog(catalog, &from);
     }
     if let Some(entries) = response.registrations {
+        // A peer that doesn't say it may have started in an outage; a first list drops no server, so it may count as incomplete.
+        let is_first = gateway.scheduler.borrow().registry.revision() == 0;
         let list = RegistrationList {
             entries,
             unconfirmed: response.unconfirmed,
             revision: response.revision,
-            after_outage: response.after_outage,
+            after_outage: response.after_outage.unwrap_or(is_first),
         };
         gateway.apply_registrations(list, &from);
         let registry = &mut gateway.scheduler.borrow_mut().registry;
@@ -362,6 +365,6 @@
         unconfirmed: scheduler.registry.unconfirmed(now),
         revision: latest,
         evacuations: scheduler.evacuations.snapshot(),
-        after_outage: scheduler.registry.is_incomplete(now),
+        after_outage: Some(scheduler.registry.is_incomplete(now)),
     }
 }
--- a/crates/hawthornmill-gateway/src/stream_versions.rs
+++ b/crates/hawthornmill-gateway/src/stream_versions.rs
@@ -10,7 +10,7 @@
 
 use hawthornmill::ident::{InstanceId, RouteId, VersionId};
 use hawthornmill::routing::stream_versions::{
-    ASKED, HOLDERS, StreamKey, StreamVersion, StreamVersions, holders,
+    ASKED, HOLDERS, StreamAnswers, StreamKey, StreamRecords, StreamVersion, StreamVersions, holders,
 };
 use hawthornmill::wire::Message;
 use tokio::sync::Notify;
@@ -147,40 +147,31 @@
     }
 
     /// Records what another instance says about streams.
-    pub fn record(&self, gateway: &Gateway, told: &[StreamVersion]) {
+    pub fn record(&self, gateway: &Gateway, told: &StreamRecords) {
         let now = gateway.now();
         let mut versions = self.versions.borrow_mut();
-        for stream in told {
-            versions.record(*stream, now);
+        for stream in told.streams() {
+            versions.record(stream, now);
         }
     }
 
     /// Returns the answer to another instance's question.
     pub fn answer(&self, keys: &[StreamKey]) -> Message {
-        let versions = self.versions.borrow();
-        let answers = keys.iter().take(MAX_IN_MESSAGE);
-        Message::StreamAnswer(answers.map(|key| (*key, versions.get(*key))).collect())
+        let keys = &keys[..keys.len().min(MAX_IN_MESSAGE)];
+        Message::StreamAnswer(StreamAnswers::of(keys, &self.versions.borrow()))
     }
 
     /// Records the answer of `from` to a question of this instance.
-    pub fn record_answer(
-        &self,
-        gateway: &Gateway,
-        from: InstanceId,
-        answers: &[(StreamKey, Option<VersionId>)],
-    ) {
-        for (key, version) in answers {
+    pub fn record_answer(&self, gateway: &Gateway, from: InstanceId, told: &StreamAnswers) {
+        for (key, version) in told.answers() {
             let mut asked = self.asked.borrow_mut();
-            let Some(unknown) = asked.get_mut(key) else {
+            let Some(unknown) = asked.get_mut(&key) else {
                 continue;
             };
             match version {
                 Some(version) => {
-                    let stream = StreamVersion {
-                        key: *key,
-                        version: *version,
-                    };
-                    self.record(gateway, &[stream]);
+                    let mut versions = self.versions.borrow_mut();
+                    versions.record(StreamVersion { key, version }, gateway.now());
                 }
                 None => {
                     unknown.insert(from);
@@ -211,7 +202,9 @@
         tokio::time::sleep(GATHER_TIME).await;
         let begun = register.versions.borrow_mut().take_unsent();
         let records = by_target(&gateway, begun, HOLDERS, |s| s.key);
-        send_in_parts(&datagrams, records, Message::StreamVersions);
+        send_in_parts(&datagrams, records, |part| {
+            Message::StreamVersions(StreamRecords::of(&part))
+        });
         let questions = register.unsent.take();
         let questions = by_target(&gateway, questions, ASKED, |key| *key);
         send_in_parts(&datagrams, questions, Message::StreamQuery);
--- a/crates/hawthornmill/src/routing/gossip.rs
+++ b/crates/hawthornmill/src/routing/gossip.rs
@@ -148,8 +148,9 @@
     pub revision: u64,
     /// All evacuations that the responder knows of, whether active or taken back.
     pub evacuations: Vec<Evacuation>,
-    /// Live servers may be missing from the registrations, which were first read after an outage of the store.
-    pub after_outage: bool,
+    /// Whether live servers may be missing, as the registrations were first read after an outage of the store; `None` from the
+    /// build before, which doesn't say.
+    pub after_outage: Option<bool>,
 }
 
 /// State of another instance, as last heard.
--- a/crates/hawthornmill/src/routing/stream_versions.rs
+++ b/crates/hawthornmill/src/routing/stream_versions.rs
@@ -56,6 +56,66 @@
 /// Times that one instance lets a begun stream go on before requests of others.
 const MAX_PREFERENCES: u8 = 4;
 
+/// Records of streams, as one instance tells them to another.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct StreamRecords {
+    /// Streams with their versions.
+    pub decided: Vec<StreamVersion>,
+    /// Streams of [`UNDECIDED`] version; the build before reads none of them.
+    pub undecided: Vec<StreamKey>,
+}
+
+impl StreamRecords {
+    /// Returns the records of `streams`.
+    pub fn of(streams: &[StreamVersion]) -> Self {
+        let undecided = streams.iter().filter(|s| s.version == UNDECIDED);
+        let decided = streams.iter().filter(|s| s.version != UNDECIDED);
+        Self {
+            undecided: undecided.map(|s| s.key).collect(),
+            decided: decided.copied().collect(),
+        }
+    }
+
+    /// Returns all streams, those of [`UNDECIDED`] version last.
+    pub fn streams(&self) -> impl Iterator<Item = StreamVersion> {
+        let undecided = self.undecided.iter().map(|key| StreamVersion {
+            key: *key,
+            version: UNDECIDED,
+        });
+        self.decided.iter().copied().chain(undecided)
+    }
+}
+
+/// Answers to a question for streams.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct StreamAnswers {
+    /// The streams with their versions; `None` where the sender knows no decided one.
+    pub decided: Vec<(StreamKey, Option<VersionId>)>,
+    /// Those of [`UNDECIDED`] version; the build before reads none of them.
+    pub undecided: Vec<StreamKey>,
+}
+
+impl StreamAnswers {
+    /// Returns the answers for `keys` out of `versions`.
+    pub fn of(keys: &[StreamKey], versions: &StreamVersions) -> Self {
+        let known = |key: &StreamKey| versions.get(*key);
+        let decided = |key: &StreamKey| known(key).filter(|version| *version != UNDECIDED);
+        let undecided = keys.iter().filter(|key| known(key) == Some(UNDECIDED));
+        Self {
+            decided: keys.iter().map(|key| (*key, decided(key))).collect(),
+            undecided: undecided.copied().collect(),
+        }
+    }
+
+    /// Returns each stream with its version, which may be [`UNDECIDED`]; `None` where the sender has no record.
+    pub fn answers(&self) -> impl Iterator<Item = (StreamKey, Option<VersionId>)> {
+        self.decided.iter().map(|(key, version)| {
+            let undecided = self.undecided.contains(key).then_some(UNDECIDED);
+            (*key, version.or(undecided))
+        })
+    }
+}
+
 /// What is recorded of a stream.
 #[derive(Debug, Clone, Copy)]
 struct Record {
--- a/crates/hawthornmill/src/wire/frame.rs
+++ b/crates/hawthornmill/src/wire/frame.rs
@@ -27,6 +27,7 @@
 use snafu::Snafu;
 
 use super::message::Message;
+use super::previous::decode_message;
 use crate::codes::Code;
 use crate::ident::{Incarnation, InstanceId};
 
@@ -322,7 +323,7 @@
         self.last.insert(sender, (incarnation, seq));
         self.stream_sender = self.is_stream.then_some(sender);
         let message =
-            postcard::from_bytes(&frame[HEADER_BYTES..]).map_err(|_error| FrameError::Malformed)?;
+            decode_message(&frame[HEADER_BYTES..]).map_err(|_error| FrameError::Malformed)?;
         Ok(Frame {
             sender,
             incarnation,
--- a/crates/hawthornmill/src/wire/message.rs
+++ b/crates/hawthornmill/src/wire/message.rs
@@ -5,7 +5,7 @@
 
 use crate::config::Manifest;
 use crate::fairness::CostKey;
-use crate::ident::{AccountId, Incarnation, InstanceId, PoolId, ServerId, VersionId};
+use crate::ident::{AccountId, Incarnation, InstanceId, PoolId, ServerId};
 use crate::quarantine::report::QuarantineReport;
 use crate::routing::announcements::Announcements;
 use crate::routing::domain_summary::DomainMembers;
@@ -14,7 +14,7 @@
 use crate::routing::load_parts::{DemandPart, WorkPart};
 use crate::routing::loads::Work;
 use crate::routing::server_speed::SpeedReport;
-use crate::routing::stream_versions::{StreamKey, StreamVersion};
+use crate::routing::stream_versions::{StreamAnswers, StreamKey, StreamRecords};
 
 /// Identifies a grant: the owner that issued it and its number there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -340,11 +340,11 @@
     /// Response with one part of it.
     Fragment(Fragment),
     /// Versions at which streams began at the sender, over UDP.
-    StreamVersions(Vec<StreamVersion>),
+    StreamVersions(StreamRecords),
     /// Requests the versions at which streams began, over UDP.
     StreamQuery(Vec<StreamKey>),
-    /// Response with these versions; `None` where the sender doesn't know it.
-    StreamAnswer(Vec<(StreamKey, Option<VersionId>)>),
+    /// Response with these versions.
+    StreamAnswer(StreamAnswers),
     /// Servers that ended and quarantined requests, over UDP.
     QuarantineReport(Box<QuarantineReport>),
     /// How long work takes at the servers, over UDP.
--- a/crates/hawthornmill/src/wire/mod.rs
+++ b/crates/hawthornmill/src/wire/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod frame;
 pub mod message;
+pub mod previous;
 
 pub use frame::{Frame, FrameError, Opener, Sealer};
 pub use message::{
--- /dev/null
+++ b/crates/hawthornmill/src/wire/previous.rs
@@ -0,0 +1,100 @@
+//! Messages of the build before, which lack fields at their ends.
+//!
+//! A build ignores what follows the fields that it knows, so it reads messages of the build after it as they are. Those of
+//! the build before are read by their forms here, which give each missing field its default.
+
+use serde::{Deserialize, de::DeserializeOwned};
+
+use super::message::Message;
+use crate::ident::VersionId;
+use crate::routing::catalog::Catalog;
+use crate::routing::evacuations::Evacuation;
+use crate::routing::gossip::SyncResponse;
+use crate::routing::registry::{Change, Unconfirmed};
+use crate::routing::stream_versions::{StreamAnswers, StreamKey, StreamRecords, StreamVersion};
+
+/// Numbers of the messages that have another form; a message begins with its number.
+const SYNC_RESPONSE: u8 = 21;
+const STREAM_VERSIONS: u8 = 25;
+const STREAM_ANSWER: u8 = 27;
+
+/// A [`SyncResponse`] that doesn't say whether servers may be missing.
+#[derive(Debug, Deserialize)]
+struct PreviousState {
+    catalog: Option<Catalog>,
+    registrations: Option<Vec<Change>>,
+    unconfirmed: Vec<Unconfirmed>,
+    revision: u64,
+    evacuations: Vec<Evacuation>,
+}
+
+impl From<PreviousState> for SyncResponse {
+    fn from(state: PreviousState) -> Self {
+        Self {
+            catalog: state.catalog,
+            registrations: state.registrations,
+            unconfirmed: state.unconfirmed,
+            revision: state.revision,
+            evacuations: state.evacuations,
+            after_outage: None,
+        }
+    }
+}
+
+/// Decodes a message of this build, the one before or the one after.
+///
+/// # Errors
+/// If it is none of them; no part of it may be used.
+pub fn decode_message(bytes: &[u8]) -> Result<Message, postcard::Error> {
+    match postcard::from_bytes(bytes) {
+        Err(postcard::Error::DeserializeUnexpectedEnd) => decode_previous(bytes),
+        decoded => decoded,
+    }
+}
+
+/// Decodes the state of a peer that came in fragments, from this build, the one before or the one after.
+///
+/// # Errors
+/// If it is none of them; no part of it may be used.
+pub fn decode_state(bytes: &[u8]) -> Result<SyncResponse, postcard::Error> {
+    match postcard::from_bytes(bytes) {
+        Err(postcard::Error::DeserializeUnexpectedEnd) => {
+            decode_whole::<PreviousState>(bytes).map(SyncResponse::from)
+        }
+        decoded => decoded,
+    }
+}
+
+fn decode_previous(bytes: &[u8]) -> Result<Message, postcard::Error> {
+    let end = postcard::Error::DeserializeUnexpectedEnd;
+    let (number, fields) = bytes.split_first().ok_or(end.clone())?;
+    match *number {
+        SYNC_RESPONSE => decode_whole::<PreviousState>(fields)
+            .map(|state| Message::SyncResponse(Box::new(state.into()))),
+        STREAM_VERSIONS => decode_whole::<Vec<StreamVersion>>(fields).map(|decided| {
+            Message::StreamVersions(StreamRecords {
+                decided,
+                undecided: Vec::new(),
+            })
+        }),
+        STREAM_ANSWER => {
+            decode_whole::<Vec<(StreamKey, Option<VersionId>)>>(fields).map(|decided| {
+                Message::StreamAnswer(StreamAnswers {
+                    decided,
+                    undecided: Vec::new(),
+                })
+            })
+        }
+        _ => Err(end),
+    }
+}
+
+/// Decodes bytes of which none is left over.
+fn decode_whole<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, postcard::Error> {
+    let (value, rest) = postcard::take_from_bytes(bytes)?;
+    if rest.is_empty() {
+        Ok(value)
+    } else {
+        Err(postcard::Error::DeserializeUnexpectedEnd)
+    }
+}
--- a/tests/testsuite/gateway/missed_updates.rs
+++ b/tests/testsuite/gateway/missed_updates.rs
@@ -363,7 +363,7 @@
             unconfirmed: Vec::new(),
             revision: 0,
             evacuations: Vec::new(),
-            after_outage: false,
+            after_outage: Some(false),
         };
         peer.announce(1_001, 2).await;
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -26,6 +26,7 @@
 mod metrics;
 mod overload;
 mod owner_stability;
+mod previous_build;
 mod quarantine;
 mod random_input;
 mod response_integrity;
