Gateway: an overloaded instance closes the connections of those who open most

It reads 530 to 1,080 requests a second of xaka200 and 6 to 21 of sese22, of which hardly any is refused; 4,700 to 6,600 connections a second are turned away, each with the same probability. So what an account gets of such an instance is its part of the connections, not its share.

Ruled out: the decisions behind it (15 refusals of sese22 in the 6 s, all of them "OthersOwed", against 3,334 of xaka200), the engines.

Change: limits/sender_shares.rs counts connections by account while some must be closed, from the head that has arrived, and shares those that are kept max-min: who opens few loses none. As many are kept in all. The lines on rejected connections move to the listener, out of gateway.rs.

Measured: the test flood_of_one_account_closes_no_connections_of_others (with the old rule its first assertion can't hold: all close 0.9).

--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -14,6 +14,7 @@
 use hawthornmill::limits::congestion::LinkMonitor;
 use hawthornmill::limits::load_shedding::LoadShedder;
 use hawthornmill::limits::role_fitness::RoleFitness;
+use hawthornmill::limits::sender_shares::SenderShares;
 use hawthornmill::quarantine::table::Quarantine;
 use hawthornmill::routing::announcements::RecentAnnouncements;
 use hawthornmill::routing::catalog::Catalog;
@@ -36,6 +37,7 @@
 use crate::adapter::Adapter;
 use crate::event_log;
 use crate::http::blocks::BlockPool;
+use crate::listener::{self, RejectedConnections};
 use crate::metrics::Metrics;
 use crate::pending_state::PendingState;
 use crate::pool::Pool;
@@ -65,15 +67,6 @@
     Draining,
 }
 
-/// Connections rejected because the process was overloaded.
-#[derive(Debug, Default)]
-pub struct RejectedConnections {
-    /// Attempt ids of the requests that were answered with a time to retry.
-    pub answered: Vec<Box<str>>,
-    /// Number of connections closed without reading from them.
-    pub unread: u64,
-}
-
 /// Shared state of the process.
 #[derive(Debug)]
 pub struct Gateway {
@@ -126,6 +119,8 @@
     pub link_monitor: RefCell<LinkMonitor>,
     /// How late the process runs its timers.
     pub load_shedder: Cell<LoadShedder>,
+    /// Whose connections are closed while it is late.
+    pub sender_shares: RefCell<SenderShares>,
     /// Connections rejected since they were last logged.
     pub rejected: RefCell<RejectedConnections>,
     /// Number of requests in flight.
@@ -213,6 +208,7 @@
             connections: Cell::new(0),
             link_monitor: RefCell::default(),
             load_shedder: Cell::default(),
+            sender_shares: RefCell::default(),
             rejected: RefCell::default(),
             in_flight: Cell::new(0),
             reservations: Reservations::default(),
@@ -549,24 +545,11 @@
         if let Some(fit) = fitness.observe(load_shedder.lag(now), now) {
             gateway.set_fitness(fit, load_shedder.lag(now));
         }
-        log_rejected(&gateway, load_shedder.lag(now));
+        listener::log_rejected(&gateway, load_shedder.lag(now));
         tokio::time::sleep_until(next).await;
     }
 }
 
-/// Logs all rejected connections since the last call in one line: a flood has thousands per second.
-fn log_rejected(gateway: &Gateway, late: Duration) {
-    let rejected = gateway.rejected.take();
-    if rejected.unread == 0 && rejected.answered.is_empty() {
-        return;
-    }
-    let fields = json!({
-        "code": Code::InstanceFull.number(), "late_ms": late.as_millis() as u64, "unread": rejected.unread,
-        "connections": gateway.connections.get(), "requests": rejected.answered,
-    });
-    event_log::state_change("turned_away", fields);
-}
-
 /// Logs servers that are cold no longer.
 fn log_warm(gateway: &Gateway, now: Instant) {
     let warm = gateway.scheduler.borrow_mut().take_warm(now);
--- a/crates/hawthornmill-gateway/src/proxy/admission.rs
+++ b/crates/hawthornmill-gateway/src/proxy/admission.rs
@@ -15,6 +15,7 @@
 use super::error_response::{ErrorResponse, NotReady};
 use super::read::ClientRequest;
 use crate::gateway::{Gateway, Phase};
+use crate::http::head::RequestHead;
 
 /// Retry delay sent while the process lacks the newest catalog; the store and peers answer in milliseconds.
 const CATALOG_RETRY_DELAY: Duration = Duration::from_millis(300);
@@ -102,9 +103,7 @@
     let route = table
         .route(host, path)
         .ok_or_else(|| not_in_catalog(gateway, Code::NotFound))?;
-    let token = headers
-        .get(names.token)
-        .and_then(|v| parse_token(v, names.auth_scheme));
+    let token = token_of(gateway, &request.head);
     let caller = table
         .authenticate(route, token)
         .ok_or_else(|| match token {
@@ -205,6 +204,13 @@
     }
 }
 
+/// Returns the token that a request gives.
+pub fn token_of<'a>(gateway: &Gateway, head: &'a RequestHead) -> Option<&'a [u8]> {
+    let names = &gateway.adapter.headers;
+    let value = head.headers.get(names.token)?;
+    parse_token(value, names.auth_scheme)
+}
+
 fn parse_token<'a>(value: &'a [u8], scheme: &str) -> Option<&'a [u8]> {
     let (prefix, rest) = value.split_at_checked(scheme.len())?;
     let token = rest.trim_ascii();
--- a/crates/hawthornmill/src/limits/mod.rs
+++ b/crates/hawthornmill/src/limits/mod.rs
@@ -9,6 +9,7 @@
 //! | [`request_memory`] | whether there is memory for a request, and which slow one gives way |
 //! | [`retry`] | whether a failed call is retried, and after which delay |
 //! | [`role_fitness`] | whether the process is fast enough to relay for others |
+//! | [`sender_shares`] | whose new connections an overloaded process closes |
 //! | [`timeout`] | how long to wait for a peer's response |
 
 pub mod backlog;
@@ -18,4 +19,5 @@
 pub mod request_memory;
 pub mod retry;
 pub mod role_fitness;
+pub mod sender_shares;
 pub mod timeout;
--- a/crates/hawthornmill/src/routing/route_table.rs
+++ b/crates/hawthornmill/src/routing/route_table.rs
@@ -120,14 +120,19 @@
         if self.catalog.accounts.is_empty() {
             return Some(Caller::Anonymous);
         }
-        let known = token.and_then(|t| self.accounts_by_token.get(&TokenDigest::of(t)));
-        match known {
-            Some(index) => Some(Caller::Account(&self.catalog.accounts[*index])),
+        match token.and_then(|t| self.account(t)) {
+            Some(account) => Some(Caller::Account(account)),
             None if route.public => Some(Caller::Anonymous),
             None => None,
         }
     }
 
+    /// Returns the account that `token` identifies.
+    pub fn account(&self, token: &[u8]) -> Option<&Account> {
+        let index = self.accounts_by_token.get(&TokenDigest::of(token))?;
+        Some(&self.catalog.accounts[*index])
+    }
+
     /// Returns whether an earlier catalog had `token`, and this one took it away.
     pub fn has_removed(&self, token: &[u8]) -> bool {
         !self.removed_tokens.is_empty() && self.removed_tokens.contains(&TokenDigest::of(token))
--- a/tests/testsuite/gateway/overload.rs
+++ b/tests/testsuite/gateway/overload.rs
@@ -3,7 +3,9 @@
 use std::io::ErrorKind;
 use std::time::{Duration, Instant};
 
+use hawthornmill::ident::AccountId;
 use hawthornmill::limits::load_shedding::LoadShedder;
+use hawthornmill::limits::sender_shares::{Sender, SenderShares};
 use nix::sys::signal::Signal;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -91,6 +93,38 @@
     assert!(overdue > 0.9, "{overdue}");
 }
 
+/// Returns the fraction of each sender's connections that is closed in a second; each opens so many a second, evenly.
+fn closed_fractions(rates: &[(Sender, u32)], shed_ratio: f64) -> Vec<f64> {
+    let (mut shares, start) = (SenderShares::default(), Instant::now());
+    let mut closed = vec![0.0; rates.len()];
+    for tick in 0..1_000 {
+        for (index, (sender, rate)) in rates.iter().enumerate() {
+            let due = |tick: u32| tick * rate / 1_000;
+            for _ in due(tick)..due(tick + 1) {
+                closed[index] += shares.record(*sender, shed_ratio, start + millis(tick.into()));
+            }
+        }
+    }
+    let rates = rates.iter().map(|(_, rate)| f64::from(*rate));
+    closed.iter().zip(rates).map(|(c, rate)| c / rate).collect()
+}
+
+/// Failure: an account that floods an instance shuts out the others that come in there.
+#[test]
+fn flood_of_one_account_closes_no_connections_of_others() {
+    let account = |id| Sender::Account(AccountId(id));
+    let rates = [(account(1), 5_000), (account(2), 100), (account(3), 3_000)];
+
+    let closed = closed_fractions(&rates, 0.9);
+    let alone = closed_fractions(&rates[..1], 0.9);
+
+    let kept = 5_000.0 * (1.0 - closed[0]) + 3_000.0 * (1.0 - closed[2]) + 100.0;
+    assert!(closed[1] < 0.05, "{closed:?}");
+    assert!((kept / 810.0 - 1.0).abs() < 0.1, "{kept} of 8,100 are kept");
+    assert!((5.0 * (1.0 - closed[0]) / (3.0 * (1.0 - closed[2])) - 1.0).abs() < 0.1);
+    assert!((alone[0] - 0.9).abs() < 0.01, "{alone:?}");
+}
+
 /// Sends requests made by `text` while the process is paused; returns the responses.
 async fn send_while_paused(
     fleet: &Fleet,
