Gateway: a caller's time is what its request and its account tell, not the longest of its route

What callers saw: one that gives more time than its route allows came back after all gateways were killed, and its stream went on at another software version. And one long Deadline-Ms of anyone made take-ups of all callers of the route be refused, for ever.

Cause: a stream was dated by the longest time that any caller of the route had left here, which in a process that has just started is that of the request itself: spent nothing.

Change: caller_times.rs. More left than the route's timeout, or no time named, dates nothing (110 s, after which no caller comes back). What exceeds the timeout counts for its account and route only, and is forgotten after two to four minutes.

Ruled out: the route's timeout as everybody's time (a window over a release would refuse most take-ups); refusing where no request of the account was seen since the start, since existing tests ask that one version all along goes on.

--- a/crates/hawthornmill-gateway/src/proxy/admission.rs
+++ b/crates/hawthornmill-gateway/src/proxy/admission.rs
@@ -6,6 +6,7 @@
 use hawthornmill::codes::Code;
 use hawthornmill::ident::{AccountId, RouteId, ServiceId};
 use hawthornmill::quarantine::fingerprint::Fingerprints;
+use hawthornmill::routing::caller_times::CallerTime;
 use hawthornmill::routing::catalog::RetryPolicy;
 use hawthornmill::routing::request::Request;
 use hawthornmill::routing::route_table::{Caller, pick_service};
@@ -124,13 +125,13 @@
     let stream = (route.retry_policy == RetryPolicy::Resumable)
         .then(|| stream_origin(gateway, request, account.map(|a| a.id)))
         .transpose()?;
-    let first_asked = stream.and_then(|_| {
-        let time = gateway
-            .streams
-            .caller_time(RouteId::of(&route.name), route.timeout, remaining);
-        let spent = time.saturating_sub(remaining.unwrap_or_default());
-        request.received.checked_sub(spent)
-    });
+    let caller = CallerTime {
+        account: account.map(|a| a.id),
+        route: RouteId::of(&route.name),
+        timeout: route.timeout,
+        left: remaining,
+    };
+    let first_asked = stream.and_then(|_| first_asked(gateway, caller, request.received));
     let pending = Request {
         account: account.map(|a| a.id),
         route: RouteId::of(&route.name),
@@ -169,6 +170,13 @@
     })
 }
 
+/// Returns the instant before which a caller can't have asked first.
+fn first_asked(gateway: &Gateway, caller: CallerTime, received: Instant) -> Option<Instant> {
+    let mut times = gateway.streams.caller_times.borrow_mut();
+    let spent = times.longest_spent(caller, received);
+    received.checked_sub(spent)
+}
+
 /// Tells whether a request begins a stream, or which one it takes up.
 fn stream_origin(
     gateway: &Gateway,
--- a/crates/hawthornmill-gateway/src/stream_versions.rs
+++ b/crates/hawthornmill-gateway/src/stream_versions.rs
@@ -8,7 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hawthornmill::ident::{InstanceId, RouteId, VersionId};
+use hawthornmill::ident::{InstanceId, VersionId};
+use hawthornmill::routing::caller_times::CallerTimes;
 use hawthornmill::routing::stream_versions::{
     ASKED, HOLDERS, StreamKey, StreamVersion, StreamVersions, holders,
 };
@@ -39,8 +40,8 @@
     wakeup: Notify,
     /// Wakes requests that wait for an answer.
     answered: Notify,
-    /// Longest time that a caller of each route gave its request.
-    caller_times: RefCell<BTreeMap<RouteId, Duration>>,
+    /// Times that callers gave their requests.
+    pub caller_times: RefCell<CallerTimes>,
     /// Reads which versions served before this instance had its first list.
     pub history: HistoryReader,
 }
@@ -75,21 +76,6 @@
         self.wakeup.notify_one();
     }
 
-    /// Returns the longest time that callers of a route give their requests, of which one has `left`.
-    ///
-    /// A caller that comes back has what is left of its time, and the route's timeout is what it gave at first.
-    pub fn caller_time(
-        &self,
-        route: RouteId,
-        timeout: Duration,
-        left: Option<Duration>,
-    ) -> Duration {
-        let mut times = self.caller_times.borrow_mut();
-        let longest = times.entry(route).or_default();
-        *longest = (*longest).max(left.unwrap_or_default());
-        (*longest).max(timeout)
-    }
-
     /// Returns whether a stream may go on before requests of others once more.
     pub fn take_preference(&self, key: StreamKey) -> bool {
         self.versions.borrow_mut().take_preference(key)
--- /dev/null
+++ b/crates/hawthornmill/src/routing/caller_times.rs
@@ -0,0 +1,89 @@
+//! How long callers may have asked for the streams that they take up.
+//!
+//! A caller that comes back says how much time it has left, not how much it gave at first. What it gave is at most its route's
+//! timeout, unless the request itself or earlier ones of its account say more.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::ident::{AccountId, RouteId};
+
+/// Time after which no caller comes back for its stream; states of services are kept for a little longer.
+pub const MAX_CALLER_TIME: Duration = Duration::from_secs(110);
+
+/// What a request tells of the time of its caller.
+#[derive(Debug, Clone, Copy)]
+pub struct CallerTime {
+    /// Its account; `None` on public routes.
+    pub account: Option<AccountId>,
+    /// Its route.
+    pub route: RouteId,
+    /// Longest time for which the operator wants callers of the route to wait.
+    pub timeout: Duration,
+    /// Time that the caller has left; `None` if it doesn't say so.
+    pub left: Option<Duration>,
+}
+
+/// Longest time that callers gave within one to two times [`MAX_CALLER_TIME`].
+#[derive(Debug, Clone, Copy)]
+struct Longest {
+    since: Instant,
+    /// Of the requests since then.
+    current: Duration,
+    /// Of those in the time before.
+    before: Duration,
+}
+
+/// Times that callers gave their requests, where these exceed the timeouts of their routes.
+#[derive(Debug, Clone, Default)]
+pub struct CallerTimes {
+    longer: BTreeMap<(Option<AccountId>, RouteId), Longest>,
+}
+
+impl CallerTimes {
+    /// Records what a request tells, and returns the longest time for which its caller may have asked.
+    ///
+    /// More time left than the timeout doesn't tell how much was given at first.
+    pub fn longest_spent(&mut self, caller: CallerTime, now: Instant) -> Duration {
+        let id = (caller.account, caller.route);
+        let Some(left) = caller.left else {
+            return MAX_CALLER_TIME;
+        };
+        if left > caller.timeout {
+            self.record(id, left, now);
+            return MAX_CALLER_TIME;
+        }
+        let given = self.longer.get(&id).map_or(caller.timeout, |longest| {
+            longest.at(now).max(caller.timeout)
+        });
+        given.saturating_sub(left).min(MAX_CALLER_TIME)
+    }
+
+    fn record(&mut self, id: (Option<AccountId>, RouteId), given: Duration, now: Instant) {
+        self.longer.retain(|_, longest| !longest.at(now).is_zero());
+        let longest = self.longer.entry(id).or_insert(Longest {
+            since: now,
+            current: Duration::ZERO,
+            before: Duration::ZERO,
+        });
+        if now.duration_since(longest.since) >= MAX_CALLER_TIME {
+            longest.before = longest.current;
+            (longest.since, longest.current) = (now, Duration::ZERO);
+        }
+        longest.current = longest.current.max(given);
+    }
+}
+
+impl Longest {
+    /// Returns the longest time that still counts.
+    fn at(&self, now: Instant) -> Duration {
+        let age = now.duration_since(self.since);
+        if age < MAX_CALLER_TIME {
+            self.current.max(self.before)
+        } else if age < 2 * MAX_CALLER_TIME {
+            self.current
+        } else {
+            Duration::ZERO
+        }
+    }
+}
--- a/crates/hawthornmill/src/routing/mod.rs
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -35,6 +35,7 @@
 
 pub mod allowance;
 pub mod announcements;
+pub mod caller_times;
 pub mod catalog;
 pub mod cold_start;
 pub mod credit;
--- a/tests/testsuite/gateway/stream_versions_after_kill.rs
+++ b/tests/testsuite/gateway/stream_versions_after_kill.rs
@@ -53,16 +53,24 @@
 
 /// Writes the first registration of a run of `server` that starts now.
 fn register_first(fleet: &Fleet, server: &Server, version: &str) {
-    let born = SystemTime::now().duration_since(UNIX_EPOCH);
-    let born = born.expect("the clock is set").as_millis() as u64;
-    let entry = json!({"version": version, "born": born, "sequence": 1, "slots": 32});
+    let entry = json!({"version": version, "born": unix_ms(), "sequence": 1, "slots": 32});
     fleet.write_registration(server, &entry);
 }
 
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.expect("the clock is set").as_millis() as u64
+}
+
 fn catalog(version: u64) -> Vec<u8> {
+    catalog_with(version, CALLER_TIME)
+}
+
+/// Returns a catalog whose routes want their callers to wait for `timeout` at most.
+fn catalog_with(version: u64, timeout: Duration) -> Vec<u8> {
     let mut catalog = config(version);
     for route in catalog["routes"].as_array_mut().expect("routes") {
-        route["timeoutMs"] = json!(CALLER_TIME.as_millis() as u64);
+        route["timeoutMs"] = json!(timeout.as_millis() as u64);
     }
     catalog.to_string().into_bytes()
 }
@@ -245,6 +253,30 @@
     });
 }
 
+/// Failure: callers that give more than their route's timeout come back after a kill, and their streams count as begun now.
+#[test]
+fn streams_of_callers_with_more_time_than_their_route_stay_unmixed() {
+    block_on(async {
+        let fleet = start(TWO).await;
+        fleet
+            .store
+            .put("op/config", &catalog_with(2, CALLER_TIME * 2 / 5));
+        tokio::time::sleep(SETTLE_TIME).await;
+        let mut streams = begin(fleet, TWO).await;
+        streams.remove_version("v2");
+        // A first registration dates the changes before it.
+        let other = streams.fleet.start_server("i-4").await;
+        let entry = json!({"service": "other", "born": unix_ms(), "sequence": 1});
+        streams.fleet.write_registration(&other, &entry);
+        tokio::time::sleep(SETTLE_TIME).await;
+        streams.restart_all(|_| {}).await;
+
+        let outcome = streams.take_up(true).await;
+
+        assert_eq!(outcome.mixed, 0, "{outcome:?}");
+    });
+}
+
 /// Failure: a version's servers leave while all gateways are down, and its streams go on at the version that stayed.
 #[test]
 fn streams_of_a_version_that_left_during_the_outage_stay_unmixed() {
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -2,6 +2,7 @@
 
 mod adaptive_timeout;
 mod announcements;
+mod callers;
 mod cold_start;
 mod congestion;
 mod contention;
