Gateway: nobody is believed not to know a stream before others were heard and the store answers

What callers saw: a stream of which this instance has no record could go on at another version: a process that had heard no peer yet asked nobody and took the store's history though a peer had the record; and an instance whose watch was silent (up to 4.4 s) took what the store said before for what serves now.

Cause: "I have heard nobody" and "I have heard nothing new" read as "there is none".

Change: a take-up waits until the first peer has been heard for three rounds of reports, or nobody within a second of the start (1 s at most). Before a version is derived, the store must have answered this instance's watch within the time for views; else it is asked (one call at a time, 0.3 s), and without an answer, or with changes that this instance lacks, the take-up is refused as of unknown version.

--- a/crates/hawthornmill-gateway/src/lib.rs
+++ b/crates/hawthornmill-gateway/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod settings;
 pub mod state_sync;
 pub mod store_call;
+pub mod store_view;
 pub mod store_watch;
 pub mod stream_versions;
 pub mod version_history;
--- a/crates/hawthornmill-gateway/src/proxy/take_up.rs
+++ b/crates/hawthornmill-gateway/src/proxy/take_up.rs
@@ -71,6 +71,8 @@
     };
     let known = match known_version(lookup) {
         Some(known) => Some(known),
+        // Those that know it may not have been heard yet.
+        None if lookup.is_some_and(|l| !l.has_met_others) => None,
         None => begin_version(gateway, admitted, key).await,
     };
     let known = known.filter(|(version, _)| *version != UNDECIDED);
@@ -114,7 +116,11 @@
     admitted: &Admitted,
     key: Option<StreamKey>,
 ) -> Option<KnownVersion> {
-    let begun_after = admitted.first_asked?.checked_sub(view_lag(gateway))?;
+    let lag = view_lag(gateway);
+    let begun_after = admitted.first_asked?.checked_sub(lag)?;
+    if !gateway.streams.store_view.is_newer_than(gateway, lag).await {
+        return None;
+    }
     // A stream that is bound to regions may have begun at another version than all servers together give it.
     let key = key.filter(|_| admitted.request.allowed_regions == AllowedRegions::Any);
     let find = || {
--- /dev/null
+++ b/crates/hawthornmill-gateway/src/store_view.rs
@@ -0,0 +1,84 @@
+//! Tells until when this instance has known all changes of registrations.
+//!
+//! A watch that isn't answered may have nothing to tell, or its connection may be dead. Before a decision that needs the present
+//! registrations, the store is asked whether it has newer ones.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+use crate::event_log;
+use crate::gateway::Gateway;
+use crate::store_call::{CALL_TIMEOUT, StoreConnection};
+
+/// Time that a request waits for the store's answer.
+const MAX_WAIT: Duration = Duration::from_millis(300);
+/// Pause after a question that the store didn't answer, or after which this instance lacked changes.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Time in milliseconds for which the store may wait for a change.
+const WAIT_MS: u64 = 1;
+
+/// Until when this instance has known the store's registrations.
+#[derive(Debug, Default)]
+pub struct StoreView {
+    known_until: Cell<Option<Instant>>,
+    is_asking: Cell<bool>,
+    retry_at: Cell<Option<Instant>>,
+    ended: Notify,
+}
+
+impl StoreView {
+    /// Records that this instance knows all changes until `at`.
+    pub fn record(&self, at: Instant) {
+        self.known_until.set(self.known_until.get().max(Some(at)));
+    }
+
+    /// Returns whether this instance knows all changes until `most` ago; asks the store if its watch doesn't tell.
+    pub async fn is_newer_than(&self, gateway: &Rc<Gateway>, most: Duration) -> bool {
+        let now = gateway.now();
+        let is_new = || {
+            let known = self.known_until.get();
+            known.is_some_and(|until| now.saturating_duration_since(until) <= most)
+        };
+        if is_new() {
+            return true;
+        }
+        let ended = self.ended.notified();
+        if !self.is_asking.get() {
+            if self.retry_at.get().is_some_and(|at| now < at) {
+                return false;
+            }
+            self.is_asking.set(true);
+            spawn_local(ask(Rc::clone(gateway)));
+        }
+        let _elapsed = tokio::time::timeout(MAX_WAIT, ended).await;
+        is_new()
+    }
+}
+
+async fn ask(gateway: Rc<Gateway>) {
+    let asked_at = gateway.now();
+    let revision = gateway.scheduler.borrow().registry.revision();
+    let store = &gateway.adapter.store;
+    let path = (store.watch_path)(store.servers_prefix, revision, WAIT_MS);
+    let mut connection = StoreConnection::default();
+    let why = match connection.call(&gateway, &path, CALL_TIMEOUT).await {
+        Ok(page) if page.entries.is_empty() => None,
+        Ok(page) => Some(format!("{} changes are missing here", page.entries.len())),
+        Err(error) => Some(format!("{error:?}")),
+    };
+    let view = &gateway.streams.store_view;
+    if let Some(why) = why {
+        let fields = json!({"revision": revision, "why": why});
+        event_log::state_change("store_view_unknown", fields);
+        view.retry_at.set(Some(gateway.now() + RETRY_PAUSE));
+    } else {
+        view.record(asked_at);
+    }
+    view.is_asking.set(false);
+    view.ended.notify_waiters();
+}
--- a/crates/hawthornmill-gateway/src/store_watch.rs
+++ b/crates/hawthornmill-gateway/src/store_watch.rs
@@ -155,6 +155,7 @@
             changes,
             entries,
             revision,
+            started_at,
             ..
         } = self.read_pages().await?;
         let after_outage = self.is_in_grace() || self.has_just_started();
@@ -168,6 +169,8 @@
                     after_outage,
                 };
                 self.gateway.apply_registrations(list, "store");
+                // What has changed between its pages comes by the watch.
+                self.gateway.streams.store_view.record(started_at);
             }
         }
         self.revision = Some(revision);
@@ -251,6 +254,10 @@
         for entry in &page.entries {
             self.apply_entry(entry);
         }
+        if self.topic == Topic::Servers {
+            let view = &self.gateway.streams.store_view;
+            view.record(self.gateway.now());
+        }
         if !page.entries.is_empty() {
             // Changes come in bursts, and returning each by itself would cost a call for each.
             tokio::time::sleep(BATCH_DELAY).await;
--- a/crates/hawthornmill-gateway/src/stream_versions.rs
+++ b/crates/hawthornmill-gateway/src/stream_versions.rs
@@ -18,6 +18,7 @@
 
 use crate::datagrams::DatagramSocket;
 use crate::gateway::Gateway;
+use crate::store_view::StoreView;
 use crate::version_history::HistoryReader;
 
 /// Time for which records are gathered into one message; those of the last one are lost if the process is killed.
@@ -28,6 +29,9 @@
 const REPEAT_INTERVAL: Duration = Duration::from_millis(100);
 /// Times that a question is sent.
 const MAX_QUESTIONS: usize = 3;
+/// Time that a request waits until the others are heard.
+const MAX_MEETING_WAIT: Duration = Duration::from_secs(1);
+const MEETING_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// What this instance knows of streams, and what it asks others.
 #[derive(Debug, Default)]
@@ -42,6 +46,8 @@
     answered: Notify,
     /// Times that callers gave their requests.
     pub caller_times: RefCell<CallerTimes>,
+    /// Until when this instance has known the store's registrations.
+    pub store_view: StoreView,
     /// Reads which versions served before this instance had its first list.
     pub history: HistoryReader,
 }
@@ -55,6 +61,8 @@
     pub asked: usize,
     /// Instances of these that answered.
     pub answered: usize,
+    /// Whether this instance has heard the others, so that it knew whom to ask.
+    pub has_met_others: bool,
 }
 
 /// A question to other instances; forgotten on drop, also when the caller leaves before the answer.
@@ -89,6 +97,7 @@
     /// Returns the version at which a stream began, from others if this instance doesn't know it.
     pub async fn find(&self, gateway: &Gateway, key: StreamKey) -> StreamLookup {
         let mut asked = 0;
+        let has_met_others = self.known(key).is_some() || meet_others(gateway).await;
         let _question = Question {
             register: self,
             key,
@@ -114,6 +123,7 @@
             version,
             asked,
             answered: (unknown + told).min(asked),
+            has_met_others,
         }
     }
 
@@ -177,6 +187,21 @@
     }
 }
 
+/// Waits until a process that has just started has heard the others or counts as alone; returns whether it does.
+async fn meet_others(gateway: &Gateway) -> bool {
+    let has_met = || {
+        let age = Duration::from_millis(gateway.age_ms());
+        let peers = gateway.peers.borrow();
+        peers.has_met_others(age, gateway.now())
+    };
+    let met = async {
+        while !has_met() {
+            tokio::time::sleep(MEETING_CHECK_INTERVAL).await;
+        }
+    };
+    tokio::time::timeout(MAX_MEETING_WAIT, met).await.is_ok()
+}
+
 /// Returns the addresses of the `most` other instances that are told of a stream or asked for it.
 fn targets(gateway: &Gateway, key: StreamKey, most: usize) -> Vec<SocketAddr> {
     let peers = gateway.peers.borrow();
--- a/crates/hawthornmill/src/routing/gossip.rs
+++ b/crates/hawthornmill/src/routing/gossip.rs
@@ -25,6 +25,10 @@
 const REMOTE_TIMEOUT: Duration = Duration::from_millis(2_600);
 /// Time for which a relay names a member of its domain as silent; it names each member several times in it.
 const SILENCE_REPORT_TTL: Duration = Duration::from_secs(4);
+/// Time from the first report that an instance hears until it has heard those that it names: three rounds of reports.
+const MEETING_TIME: Duration = Duration::from_millis(600);
+/// Time after its start from which an instance that hears nobody counts as alone; seeds of a large fleet get a report within it.
+const LONELY_TIME: Duration = Duration::from_secs(1);
 /// Silence after which a peer is forgotten.
 const FORGET_AFTER: Duration = Duration::from_mins(1);
 /// In a large fleet, one in this many rounds goes to seeds and to peers of other failure domains that report directly.
@@ -230,6 +234,7 @@
     pub(super) peers: BTreeMap<InstanceId, PeerState>,
     contacts: BTreeMap<SocketAddr, Contact>,
     max_seen: usize,
+    first_heard: Option<Instant>,
 }
 
 impl PeerTable {
@@ -242,6 +247,7 @@
             peers: BTreeMap::new(),
             contacts: BTreeMap::new(),
             max_seen: 0,
+            first_heard: None,
         }
     }
 
@@ -365,9 +371,18 @@
             Some(_) => None,
         };
         self.peers.insert(from, state);
+        self.first_heard.get_or_insert(now);
         change
     }
 
+    /// Returns whether this instance, which started `age` ago, has had the time to hear the others, or is alone.
+    pub fn has_met_others(&self, age: Duration, now: Instant) -> bool {
+        match self.first_heard {
+            Some(at) => now.duration_since(at) >= MEETING_TIME,
+            None => age >= LONELY_TIME,
+        }
+    }
+
     /// Returns whether the fleet is so large that failure domains exchange summaries.
     pub fn is_large_fleet(&self) -> bool {
         self.peers.len() >= LARGE_FLEET_PEERS
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod http_io;
 mod http_parsing;
 mod invalid_config;
+mod late_views;
 mod long_values;
 mod memory;
 mod missed_updates;
--- a/tests/testsuite/gateway/stream_versions.rs
+++ b/tests/testsuite/gateway/stream_versions.rs
@@ -73,7 +73,7 @@
 }
 
 /// Returns a request that takes up, after event 3, the stream that `first` began.
-fn resuming(id: &str, first: &str) -> String {
+pub fn resuming(id: &str, first: &str) -> String {
     request(
         "GET",
         "/stream/x",
