Gateway: an account gains no more than its part by naming streams that never began

What callers saw (read, not played): for its callers' time after a start, all requests of an account that named attempts of unknown streams counted as owed, before those of others.

Change: lost_streams.rs. Since the start, as many streams of an account count as owed without a record as twice its even part of the servers' slots at one instance, four times each; all others go by the account's share, as any request. Streams with a record are as before.

Ruled out: a part of the fleet's slots at each instance (eight instances would give eight parts); in flight at once (a client names new ones for as long as its route's time).

Measured: account_gets_no_more_than_its_part_by_naming_streams, 10 of 200 named, five of five of another account.

--- a/crates/hawthornmill-gateway/src/proxy/take_up.rs
+++ b/crates/hawthornmill-gateway/src/proxy/take_up.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hawthornmill::ident::{ServerId, VersionId};
+use hawthornmill::routing::lost_streams::Sharers;
 use hawthornmill::routing::regions::AllowedRegions;
 use hawthornmill::routing::stream_versions::{StreamKey, UNDECIDED};
 use hawthornmill::routing::version_history::{BeginVersion, VIEW_LAG, VIEW_LAG_LARGE};
@@ -79,7 +80,9 @@
     log_take_up(context, admitted, key, lookup, known);
     let (version, source) = known?;
     let is_genuine = match (source, key) {
-        (VersionSource::History, _) => has_lost_records(gateway, admitted),
+        (VersionSource::History, _) => {
+            has_lost_records(gateway, admitted) && take_lost(context, admitted, key)
+        }
         (_, Some(key)) => gateway.streams.take_preference(key),
         (_, None) => false,
     };
@@ -100,6 +103,30 @@
         .is_some_and(|(asked, start)| asked < start)
 }
 
+/// Returns whether one more stream of which nobody has a record may go on before requests of others.
+fn take_lost(context: RequestContext<'_>, admitted: &Admitted, key: Option<StreamKey>) -> bool {
+    let (gateway, account) = (context.gateway, admitted.request.account);
+    let Some(id) = account else {
+        return false;
+    };
+    let sharers = {
+        let scheduler = gateway.scheduler.borrow();
+        let versions = scheduler.registry.versions();
+        let servers = admitted.targets.iter().flat_map(|s| versions.current(*s));
+        Sharers {
+            slots: servers.map(|(_, slots)| *slots as usize).sum(),
+            accounts: scheduler.active_accounts(),
+            instances: 1 + gateway.peers.borrow().live(gateway.now()).count(),
+        }
+    };
+    let key = key.unwrap_or_else(|| StreamKey::of(account, &context.request.attempt_id));
+    gateway
+        .streams
+        .lost
+        .borrow_mut()
+        .take_preference(id, key, sharers)
+}
+
 fn known_version(lookup: Option<StreamLookup>) -> Option<KnownVersion> {
     let lookup = lookup?;
     let source = if lookup.asked == 0 {
--- a/crates/hawthornmill-gateway/src/stream_versions.rs
+++ b/crates/hawthornmill-gateway/src/stream_versions.rs
@@ -10,6 +10,7 @@
 
 use hawthornmill::ident::{InstanceId, VersionId};
 use hawthornmill::routing::caller_times::CallerTimes;
+use hawthornmill::routing::lost_streams::LostStreams;
 use hawthornmill::routing::stream_versions::{
     ASKED, HOLDERS, StreamKey, StreamVersion, StreamVersions, holders,
 };
@@ -46,6 +47,8 @@
     answered: Notify,
     /// Times that callers gave their requests.
     pub caller_times: RefCell<CallerTimes>,
+    /// Streams without a record that went on before requests of others.
+    pub lost: RefCell<LostStreams>,
     /// Until when this instance has known the store's registrations.
     pub store_view: StoreView,
     /// Reads which versions served before this instance had its first list.
--- a/crates/hawthornmill/src/routing/mod.rs
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -48,6 +48,7 @@
 pub mod load_parts;
 pub mod loads;
 pub mod long_prompts;
+pub mod lost_streams;
 pub mod placement;
 pub mod prefix_index;
 pub mod recent;
--- a/crates/hawthornmill/src/routing/scheduler/shares.rs
+++ b/crates/hawthornmill/src/routing/scheduler/shares.rs
@@ -41,6 +41,11 @@
         share
     }
 
+    /// Returns the number of accounts that have requested something of the fleet lately.
+    pub fn active_accounts(&self) -> usize {
+        self.fleet_usage.len()
+    }
+
     pub(super) fn usage_of(&self, request: &Request) -> AccountUsage {
         let entry = request.account.and_then(|a| self.fleet_usage.get(&a));
         entry.copied().unwrap_or_default()
--- a/crates/hawthornmill/src/routing/stream_versions.rs
+++ b/crates/hawthornmill/src/routing/stream_versions.rs
@@ -54,7 +54,7 @@
 /// Such a stream has a record too: without one, it would be taken for one that began where its key says.
 pub const UNDECIDED: VersionId = VersionId(0);
 /// Times that one instance lets a begun stream go on before requests of others.
-const MAX_PREFERENCES: u8 = 4;
+pub(super) const MAX_PREFERENCES: u8 = 4;
 
 /// What is recorded of a stream.
 #[derive(Debug, Clone, Copy)]
--- a/tests/testsuite/routing/callers.rs
+++ b/tests/testsuite/routing/callers.rs
@@ -4,6 +4,8 @@
 
 use hawthornmill::ident::{AccountId, RouteId};
 use hawthornmill::routing::caller_times::{CallerTime, CallerTimes, MAX_CALLER_TIME};
+use hawthornmill::routing::lost_streams::{LostStreams, Sharers};
+use hawthornmill::routing::stream_versions::StreamKey;
 
 use super::millis;
 
@@ -62,3 +64,22 @@
     assert_eq!(spent("lab", start + MAX_CALLER_TIME), MAX_CALLER_TIME);
     assert_eq!(spent("lab", start + 2 * MAX_CALLER_TIME), millis(6_000));
 }
+
+/// Failure: an account names streams that never began, and all its requests go on before those of others.
+#[test]
+fn account_gets_no_more_than_its_part_by_naming_streams() {
+    let mut lost = LostStreams::default();
+    let sharers = Sharers {
+        slots: 120,
+        accounts: 6,
+        instances: 4,
+    };
+    let mut take =
+        |name: &str, stream: u64| lost.take_preference(account(name), StreamKey(stream), sharers);
+
+    let named = (0..200).filter(|stream| take("greedy", *stream)).count();
+    let again = (0..200).filter(|_| take("greedy", 1)).count();
+    let begun = (1_000..1_005).filter(|stream| take("lab", *stream)).count();
+
+    assert_eq!((named, again, begun), (10, 3, 5));
+}
