--- a/crates/hawthornmill-gateway/src/proxy/take_up.rs
+++ b/crates/hawthornmill-gateway/src/proxy/take_up.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hawthornmill::ident::{ServerId, VersionId};
+use hawthornmill::routing::lost_streams::Sharers;
 use hawthornmill::routing::regions::AllowedRegions;
 use hawthornmill::routing::stream_versions::{StreamKey, UNDECIDED};
 use hawthornmill::routing::version_history::{BeginVersion, VIEW_LAG, VIEW_LAG_LARGE};
@@ -44,6 +45,10 @@
 pub enum VersionUnknown {
     /// The stream began while the version of its server was in doubt.
     UndecidedRecord,
+    /// This process has just started, and instances that know the stream may not have been heard yet.
+    UnheardPeers,
+    /// The store hasn't answered lately, so that changes may be unknown here.
+    SilentStore,
     /// How long ago the stream may have begun is not known.
     NoBegin,
     /// Not all versions that served since its caller first asked are known.
@@ -65,6 +70,8 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::UndecidedRecord => "undecided_record",
+            Self::UnheardPeers => "unheard_peers",
+            Self::SilentStore => "silent_store",
             Self::NoBegin => "no_begin",
             Self::UnknownHistory => "unknown_history",
             Self::NoServers => "no_servers",
@@ -111,12 +118,16 @@
     let known = match known_version(lookup) {
         Some((UNDECIDED, _)) => Err(VersionUnknown::UndecidedRecord),
         Some(known) => Ok(known),
+        // Those that know it may not have been heard yet.
+        None if lookup.is_some_and(|l| !l.has_met_others) => Err(VersionUnknown::UnheardPeers),
         None => begin_version(gateway, admitted, key).await,
     };
     log_take_up(context, admitted, key, lookup, known);
     let (version, source) = known.ok()?;
     let is_genuine = match (source, key) {
-        (VersionSource::History, _) => has_lost_records(gateway, admitted),
+        (VersionSource::History, _) => {
+            has_lost_records(gateway, admitted) && take_lost(context, admitted, key)
+        }
         (_, Some(key)) => gateway.streams.take_preference(key),
         (_, None) => false,
     };
@@ -137,6 +148,30 @@
         .is_some_and(|(asked, start)| asked < start)
 }
 
+/// Returns whether one more stream of which nobody has a record may go on before requests of others.
+fn take_lost(context: RequestContext<'_>, admitted: &Admitted, key: Option<StreamKey>) -> bool {
+    let (gateway, account) = (context.gateway, admitted.request.account);
+    let Some(id) = account else {
+        return false;
+    };
+    let sharers = {
+        let scheduler = gateway.scheduler.borrow();
+        let versions = scheduler.registry.versions();
+        let servers = admitted.targets.iter().flat_map(|s| versions.current(*s));
+        Sharers {
+            slots: servers.map(|(_, slots)| *slots as usize).sum(),
+            accounts: scheduler.active_accounts(),
+            instances: 1 + gateway.peers.borrow().live(gateway.now()).count(),
+        }
+    };
+    let key = key.unwrap_or_else(|| StreamKey::of(account, &context.request.attempt_id));
+    gateway
+        .streams
+        .lost
+        .borrow_mut()
+        .take_preference(id, key, sharers)
+}
+
 fn known_version(lookup: Option<StreamLookup>) -> Option<KnownVersion> {
     let lookup = lookup?;
     let source = if lookup.asked == 0 {
@@ -154,6 +189,10 @@
     key: Option<StreamKey>,
 ) -> VersionResult {
     let first_asked = admitted.first_asked.ok_or(VersionUnknown::NoBegin)?;
+    let lag = view_lag(gateway);
+    if !gateway.streams.store_view.is_newer_than(gateway, lag).await {
+        return Err(VersionUnknown::SilentStore);
+    }
     // A stream that is bound to regions may have begun at another version than all servers together give it.
     let is_bound = admitted.request.allowed_regions != AllowedRegions::Any;
     let used_key = key.filter(|_| !is_bound);
@@ -163,7 +202,6 @@
         let versions = scheduler.registry.versions();
         Some(versions.begin_version(&admitted.targets, used_key, begun_after))
     };
-    let lag = view_lag(gateway);
     let mut found = find(lag).ok_or(VersionUnknown::NoBegin)?;
     if found == BeginVersion::Unknown {
         gateway.streams.history.read(gateway).await;
--- a/crates/hawthornmill-gateway/src/stream_versions.rs
+++ b/crates/hawthornmill-gateway/src/stream_versions.rs
@@ -8,7 +8,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hawthornmill::ident::{InstanceId, RouteId, VersionId};
+use hawthornmill::ident::{InstanceId, VersionId};
+use hawthornmill::routing::caller_times::CallerTimes;
+use hawthornmill::routing::lost_streams::LostStreams;
 use hawthornmill::routing::stream_versions::{
     ASKED, HOLDERS, StreamAnswers, StreamKey, StreamRecords, StreamVersion, StreamVersions, holders,
 };
@@ -17,6 +19,7 @@
 
 use crate::datagrams::DatagramSocket;
 use crate::gateway::Gateway;
+use crate::store_view::StoreView;
 use crate::version_history::HistoryReader;
 
 /// Time for which records are gathered into one message; those of the last one are lost if the process is killed.
@@ -27,6 +30,9 @@
 const REPEAT_INTERVAL: Duration = Duration::from_millis(100);
 /// Times that a question is sent.
 const MAX_QUESTIONS: usize = 3;
+/// Time that a request waits until the others are heard.
+const MAX_MEETING_WAIT: Duration = Duration::from_secs(1);
+const MEETING_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// What this instance knows of streams, and what it asks others.
 #[derive(Debug, Default)]
@@ -39,8 +45,12 @@
     wakeup: Notify,
     /// Wakes requests that wait for an answer.
     answered: Notify,
-    /// Longest time that a caller of each route gave its request.
-    caller_times: RefCell<BTreeMap<RouteId, Duration>>,
+    /// Times that callers gave their requests.
+    pub caller_times: RefCell<CallerTimes>,
+    /// Streams without a record that went on before requests of others.
+    pub lost: RefCell<LostStreams>,
+    /// Until when this instance has known the store's registrations.
+    pub store_view: StoreView,
     /// Reads which versions served before this instance had its first list.
     pub history: HistoryReader,
 }
@@ -54,6 +64,8 @@
     pub asked: usize,
     /// Instances of these that answered.
     pub answered: usize,
+    /// Whether this instance has heard the others, so that it knew whom to ask.
+    pub has_met_others: bool,
 }
 
 /// A question to other instances; forgotten on drop, also when the caller leaves before the answer.
@@ -75,21 +87,6 @@
         self.wakeup.notify_one();
     }
 
-    /// Returns the longest time that callers of a route give their requests, of which one has `left`.
-    ///
-    /// A caller that comes back has what is left of its time, and the route's timeout is what it gave at first.
-    pub fn caller_time(
-        &self,
-        route: RouteId,
-        timeout: Duration,
-        left: Option<Duration>,
-    ) -> Duration {
-        let mut times = self.caller_times.borrow_mut();
-        let longest = times.entry(route).or_default();
-        *longest = (*longest).max(left.unwrap_or_default());
-        (*longest).max(timeout)
-    }
-
     /// Returns whether a stream may go on before requests of others once more.
     pub fn take_preference(&self, key: StreamKey) -> bool {
         self.versions.borrow_mut().take_preference(key)
@@ -103,6 +100,7 @@
     /// Returns the version at which a stream began, from others if this instance doesn't know it.
     pub async fn find(&self, gateway: &Gateway, key: StreamKey) -> StreamLookup {
         let mut asked = 0;
+        let has_met_others = self.known(key).is_some() || meet_others(gateway).await;
         let _question = Question {
             register: self,
             key,
@@ -128,6 +126,7 @@
             version,
             asked,
             answered: (unknown + told).min(asked),
+            has_met_others,
         }
     }
 
@@ -182,6 +181,21 @@
     }
 }
 
+/// Waits until a process that has just started has heard the others or counts as alone; returns whether it does.
+async fn meet_others(gateway: &Gateway) -> bool {
+    let has_met = || {
+        let age = Duration::from_millis(gateway.age_ms());
+        let peers = gateway.peers.borrow();
+        peers.has_met_others(age, gateway.now())
+    };
+    let met = async {
+        while !has_met() {
+            tokio::time::sleep(MEETING_CHECK_INTERVAL).await;
+        }
+    };
+    tokio::time::timeout(MAX_MEETING_WAIT, met).await.is_ok()
+}
+
 /// Returns the addresses of the `most` other instances that are told of a stream or asked for it.
 fn targets(gateway: &Gateway, key: StreamKey, most: usize) -> Vec<SocketAddr> {
     let peers = gateway.peers.borrow();
