Store: a watch is given up soon after its wait, and a new connection asks at once

Cause: a watch waited for 3.5 s and was given up 0.9 s later; the next one, begun in the silence, did the same, so an instance stayed on dead connections for up to 4.4 s, twice in a row. A watch without an answer was read as "nothing has changed". Ruled out: a second connection that watches all the time (each change would cost two calls); serializable reads (may be seconds old). Change: the wait is 1.6 s for an instance that reads the store alone and grows by 0.4 s with each other reader up to 2.8 s, a random fifth less, so that waits end at different times (routing/store_wait.rs, no I/O). The time allowed for the answer is three times the slowest measured one, 0.4 to 0.9 s, and 0.9 s where none is measured. After it, and while the store is lost, calls ask for changes without a wait and are given up after 0.9 s. In a large fleet the pause after such a call is up to 3.6 s, so that hundreds of instances make no storm. An answer after over 2 s of silence opens the grace for lapsed registrations before its changes are applied.

--- a/crates/hawthornmill-gateway/src/store_watch.rs
+++ b/crates/hawthornmill-gateway/src/store_watch.rs
@@ -1,9 +1,11 @@
 //! Watches what operators write, and the servers' registrations, in the platform's store.
 //!
 //! Each of them is listed once and then watched for changes, on a connection of its own. A watch that
-//! is not answered in time means that its connection is dead; the next call opens a new one. Each
-//! call costs the platform something, so watches are long, and gossip tells in between if this
-//! instance has missed a change.
+//! is not answered soon after its wait means that its connection is dead: a call on a new one asks at
+//! once for what was missed, without a wait, until the store answers. Each call costs the platform
+//! something, so watches are as long as a change may stay unknown (see
+//! [`store_wait`](hawthornmill::routing::store_wait)), and gossip tells in between if this instance
+//! has missed one.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -14,18 +16,16 @@
 use hawthornmill::routing::recent::Source;
 use hawthornmill::routing::registry::{Change, RegistrationList};
 use hawthornmill::routing::store_start::Start;
+use hawthornmill::routing::store_wait::{AnswerTime, watch_wait};
 use serde_json::json;
 
-use crate::adapter::KvEntry;
+use crate::adapter::{KvEntry, Page};
 use crate::event_log;
 use crate::gateway::Gateway;
 use crate::store_call::{CALL_TIMEOUT, StoreConnection, StoreError};
 
-/// Time after which the store answers a watch even without changes.
-///
-/// A dead connection shows when the watch times out. That must be well within the four seconds after
-/// which the platform counts an instance as undisturbed again, and the three more that it allows for changes.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(3_500);
+/// Wait of a call that asks a store for changes after a call was not answered; 0 might mean an endless one.
+const PROBE_WAIT: Duration = Duration::from_millis(1);
 /// Delay after a change, so that one watch returns several changes.
 const BATCH_DELAY: Duration = Duration::from_millis(100);
 /// Time after which a list that isn't complete begins anew; the store keeps changes for longer.
@@ -37,6 +37,8 @@
 ///
 /// All instances call the store while it is unavailable, and the first one that gets an answer tells the others.
 const MAX_RETRY_DELAY_LARGE: Duration = Duration::from_millis(1_800);
+/// The same while the store doesn't answer at all: each call is given up only after its time-out.
+const MAX_SILENT_DELAY_LARGE: Duration = Duration::from_millis(3_600);
 /// Time without an answer after which registrations may have expired because the store was unavailable.
 ///
 /// Servers renew their registrations every 1.2 s, and these expire after three missed renewals.
@@ -83,6 +85,9 @@
     partial: Option<PartialList>,
     started_at: Instant,
     answered_at: Instant,
+    /// Wait of the watch under way.
+    wait: Duration,
+    answer_time: AnswerTime,
     /// Until when missing registrations may come back.
     grace_until: Option<Instant>,
     unreachable: bool,
@@ -100,6 +105,8 @@
         partial: None,
         started_at: now,
         answered_at: now,
+        wait: Duration::ZERO,
+        answer_time: AnswerTime::default(),
         grace_until: None,
         unreachable: false,
         failures: 0,
@@ -157,6 +164,9 @@
             revision,
             ..
         } = self.read_pages().await?;
+        if self.unreachable {
+            self.note_silence();
+        }
         let after_outage = self.is_in_grace() || self.has_just_started();
         match self.topic {
             Topic::Catalog => self.apply_operator_list(&entries, revision),
@@ -186,6 +196,7 @@
         loop {
             let read = partial.as_ref().and_then(|p| p.last_key.as_deref());
             let path = (store.list_path)(self.prefix(), read);
+            let began = self.gateway.now();
             let page = match self.store.call(&self.gateway, &path, CALL_TIMEOUT).await {
                 Ok(page) => page,
                 Err(error) => {
@@ -194,6 +205,8 @@
                 }
             };
             self.failures = 0;
+            let time = self.gateway.now().duration_since(began);
+            self.answer_time.record(time);
             // Later pages have newer revisions; the first watch repeats the changes between them.
             let list = partial.get_or_insert_with(|| PartialList {
                 changes: Vec::new(),
@@ -241,13 +254,59 @@
         }
     }
 
-    async fn watch_changes(&mut self, after: u64) -> Result<(), StoreError> {
+    /// Waits for changes, and asks on a new connection if the answer is late.
+    async fn read_changes(&mut self, after: u64) -> Result<Page, StoreError> {
+        if self.unreachable {
+            return self.probe(after).await;
+        }
+        let gateway = &self.gateway;
+        let readers = gateway.peers.borrow().connected_readers(gateway.now());
+        self.wait = watch_wait(readers, rand::random());
+        let began = gateway.now();
+        let margin = self.answer_time.margin(CALL_TIMEOUT);
+        let result = self.call_watch(after, self.wait, margin).await;
+        let elapsed = self.gateway.now().duration_since(began);
+        let late = elapsed.checked_sub(self.wait);
+        match (&result, late) {
+            // An answer that brings changes doesn't tell when they came.
+            (Ok(page), Some(late)) if page.entries.is_empty() => self.answer_time.record(late),
+            (Err(StoreError::Silent), Some(_)) => {
+                let topic = format!("{:?}", self.topic);
+                let fields = json!({"topic": topic, "waited_ms": elapsed.as_millis() as u64});
+                event_log::state_change("store_answer_late", fields);
+                self.answer_time.forget();
+                return self.probe(after).await;
+            }
+            _ => {}
+        }
+        result
+    }
+
+    /// Asks for the changes that there are, without a wait.
+    async fn probe(&mut self, after: u64) -> Result<Page, StoreError> {
+        let began = self.gateway.now();
+        let result = self.call_watch(after, PROBE_WAIT, CALL_TIMEOUT).await;
+        if result.is_ok() {
+            let time = self.gateway.now().duration_since(began);
+            self.answer_time.record(time);
+            self.note_silence();
+        }
+        result
+    }
+
+    async fn call_watch(
+        &mut self,
+        after: u64,
+        wait: Duration,
+        margin: Duration,
+    ) -> Result<Page, StoreError> {
         let store = self.gateway.adapter.store;
-        let path = (store.watch_path)(self.prefix(), after, WATCH_TIMEOUT.as_millis() as u64);
-        let page = self
-            .store
-            .call(&self.gateway, &path, WATCH_TIMEOUT + CALL_TIMEOUT)
-            .await?;
+        let path = (store.watch_path)(self.prefix(), after, wait.as_millis() as u64);
+        self.store.call(&self.gateway, &path, wait + margin).await
+    }
+
+    async fn watch_changes(&mut self, after: u64) -> Result<(), StoreError> {
+        let page = self.read_changes(after).await?;
         for entry in &page.entries {
             self.apply_entry(entry);
         }
@@ -356,12 +415,20 @@
         self.gateway.now().duration_since(self.started_at) <= OUTAGE_THRESHOLD
     }
 
+    /// Opens the grace for registrations that may have lapsed, if the store had been silent for long before an answer.
+    fn note_silence(&mut self) {
+        let now = self.gateway.now();
+        if now.duration_since(self.answered_at) > OUTAGE_THRESHOLD {
+            self.grace_until = Some(now + RETURN_GRACE);
+        }
+    }
+
     async fn record_result(&mut self, result: Result<(), StoreError>) {
         let now = self.gateway.now();
         let topic = format!("{:?}", self.topic);
         match result {
             Ok(()) => {
-                if now.duration_since(self.answered_at) > WATCH_TIMEOUT + OUTAGE_THRESHOLD {
+                if now.duration_since(self.answered_at) > self.wait + OUTAGE_THRESHOLD {
                     self.grace_until = Some(now + RETURN_GRACE);
                 }
                 if std::mem::take(&mut self.unreachable) {
@@ -390,10 +457,10 @@
                     self.grace_until = Some(now + RETURN_GRACE);
                 }
                 let large = self.gateway.peers.borrow().is_large_fleet() && self.gateway.is_ready();
-                let max_delay = if large {
-                    MAX_RETRY_DELAY_LARGE
-                } else {
-                    RETRY_DELAY_RANGE.1
+                let max_delay = match failure {
+                    StoreError::Silent if large => MAX_SILENT_DELAY_LARGE,
+                    _ if large => MAX_RETRY_DELAY_LARGE,
+                    _ => RETRY_DELAY_RANGE.1,
                 };
                 let delay =
                     (RETRY_DELAY_RANGE.0 * 2_u32.saturating_pow(self.failures)).min(max_delay);
--- a/crates/hawthornmill/src/routing/mod.rs
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -64,6 +64,7 @@
 pub mod shape;
 pub mod store_history;
 pub mod store_start;
+pub mod store_wait;
 pub mod stream_versions;
 pub mod ttft;
 pub mod unmet_demand;
--- a/crates/hawthornmill/src/routing/relays.rs
+++ b/crates/hawthornmill/src/routing/relays.rs
@@ -168,6 +168,14 @@
         self.is_first_to_follow(me, now)
     }
 
+    /// Returns the number of other instances that hear from the store.
+    pub fn connected_readers(&self, now: Instant) -> usize {
+        let others = self.live(now).filter(|(_, p)| !p.leaving);
+        others
+            .filter(|(_, p)| p.store_role == StoreRole::Connected)
+            .count()
+    }
+
     /// Returns whether no other instance of the failure domain would follow the store before instance `me`.
     pub fn is_first_to_follow(&self, me: InstanceId, now: Instant) -> bool {
         let own = self.own_order(me);
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -41,6 +41,7 @@
 mod shutdown;
 mod stalled_uploads;
 mod store;
+mod store_silence;
 mod stream_versions;
 mod stream_versions_after_kill;
 mod streams;
--- a/tests/testsuite/gateway/store.rs
+++ b/tests/testsuite/gateway/store.rs
@@ -52,6 +52,8 @@
     calls: u64,
     /// One of this many calls is rejected; 0 for none.
     rejected_share: u64,
+    /// Times that the answers to all calls under way were lost.
+    losses: u64,
 }
 
 impl State {
@@ -152,6 +154,11 @@
         self.mode.send_replace(mode);
     }
 
+    /// Never answers the calls that are under way now; later ones are answered on connections of their own only.
+    pub fn lose_answers_under_way(&self) {
+        self.lock().losses += 1;
+    }
+
     /// Rejects all further calls at its address `at`.
     pub fn reject_calls_at(&self, at: SocketAddr) {
         self.lock().rejected.push(at);
@@ -173,7 +180,11 @@
         let mut mode = self.mode.subscribe();
         let mut buffer = BytesMut::new();
         while let Some((head, _body)) = read_request(&mut stream, &mut buffer).await {
-            self.lock().calls += 1;
+            let losses = {
+                let mut state = self.lock();
+                state.calls += 1;
+                state.losses
+            };
             if *mode.borrow_and_update() == Mode::Unresponsive {
                 std::future::pending::<()>().await;
             }
@@ -185,6 +196,9 @@
                 response = response => response,
                 () = unresponsive => std::future::pending().await,
             };
+            if self.lock().losses != losses {
+                std::future::pending::<()>().await;
+            }
             let rejected = *mode.borrow() == Mode::Refusing || self.lock().rejects_call_at(at);
             let delay = match *mode.borrow() {
                 Mode::Late(delay) => delay,
--- /dev/null
+++ b/tests/testsuite/gateway/store_silence.rs
@@ -0,0 +1,80 @@
+//! Calls of the store that are never answered.
+
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use super::fleet::{Fleet, config, request, route, wait_until};
+use super::store::Mode;
+use crate::block_on;
+
+/// Longest time until a change is known though the answers to all calls under way are lost.
+const MAX_TIME_TO_CHANGE: Duration = Duration::from_millis(2_600);
+/// Longest time until a change is known after a silent store answers new calls again.
+const MAX_TIME_AFTER_RETURN: Duration = Duration::from_secs(2);
+/// Silence of the store, over several time-outs.
+const SILENCE: Duration = Duration::from_secs(5);
+
+fn with_route(version: u64, name: &str) -> Vec<u8> {
+    let mut config = config(version);
+    let routes = config["routes"].as_array_mut().expect("routes");
+    routes.push(route(name, "idempotent", &json!({})));
+    config.to_string().into_bytes()
+}
+
+/// Waits until `path` is a route at the first gateway; returns how long that took.
+async fn time_until_served(fleet: &Fleet, path: &str) -> Duration {
+    let began = Instant::now();
+    let text = request("GET", path, "a", "");
+    wait_until("the route is served", || async {
+        let response = fleet.send_admitted_to(0, &text).await;
+        response.status() == 200
+    })
+    .await;
+    began.elapsed()
+}
+
+/// Starts a gateway that has just heard of a change, so that its watches have just begun.
+async fn start_after_a_change() -> Fleet {
+    let fleet = Fleet::start(1, 1).await;
+    fleet.store.put("op/config", &with_route(2, "first"));
+    time_until_served(&fleet, "/first/").await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    fleet
+}
+
+/// Failure: the answer to a watch is lost, the store answers new calls, and changes stay unknown while the watch is waited for.
+#[test]
+fn change_is_known_soon_after_the_answer_to_a_watch_is_lost() {
+    block_on(async {
+        let fleet = start_after_a_change().await;
+        fleet.store.lose_answers_under_way();
+        fleet.store.put("op/config", &with_route(3, "second"));
+
+        let time = time_until_served(&fleet, "/second/").await;
+
+        eprintln!("known after {time:?}");
+        assert!(time < MAX_TIME_TO_CHANGE, "{time:?}");
+    });
+}
+
+/// Failure: calls that began while the store was silent are waited for long after it answers again.
+#[test]
+fn change_is_known_soon_after_a_silent_store_returns() {
+    block_on(async {
+        let fleet = start_after_a_change().await;
+        fleet.store.set_mode(Mode::Unresponsive);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        fleet.store.put("op/config", &with_route(3, "second"));
+        let before = fleet.store.calls();
+        tokio::time::sleep(SILENCE).await;
+        let calls = fleet.store.calls() - before;
+        fleet.store.set_mode(Mode::Healthy);
+
+        let time = time_until_served(&fleet, "/second/").await;
+
+        eprintln!("known {time:?} after the return; {calls} calls in {SILENCE:?} of silence");
+        assert!(time < MAX_TIME_AFTER_RETURN, "{time:?}");
+        assert!(calls <= 12, "{calls} calls");
+    });
+}
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -31,6 +31,7 @@
 mod server_speed;
 mod server_speed_fleet;
 mod store_start;
+mod store_wait;
 mod stream_versions;
 mod ttft;
 mod unmet_demand;
