Store's history: its floor is no older than the runs that it has from then

Cause: the floor and the changes had latest possible times from one entry each, though the other entries say that they must be later. A change came after the start of each run that was registered by then; this holds for registrations that changed since and for those that didn't. It replaces the check among dated changes alone.

history_is_no_older_than_the_runs_at_its_floor and late_registration_is_no_older_than_runs_registered_before_it failed before: Certain(v2) for streams that may have begun at v1, in the second at the floor and after it.

--- a/crates/hawthornmill/src/routing/store_history.rs
+++ b/crates/hawthornmill/src/routing/store_history.rs
@@ -111,8 +111,9 @@
 ) -> Vec<ServicePast> {
     let changed: BTreeSet<ServerId> = history.changes.iter().map(|c| c.server).collect();
     let unchanged: Vec<Unchanged<'_>> = entries.filter(|(id, ..)| !changed.contains(id)).collect();
-    let ends = latest_times(&history.changes, read);
-    let floor_ms = floor_time(history, &unchanged, &ends, read);
+    let starts = LatestStarts::of(history, &unchanged, read);
+    let ends = latest_times(&history.changes, &starts, read);
+    let floor_ms = floor_time(history, &unchanged, &ends, &starts, read);
     let befores = befores(&history.changes);
     let present = present_servers(&unchanged, &history.changes);
     let at_floor = at_floor(&present, &history.changes, &befores);
@@ -276,7 +277,7 @@
 }
 
 /// Returns the latest possible Unix time of each change.
-fn latest_times(changes: &[PastChange], read: ReadTime) -> Vec<u64> {
+fn latest_times(changes: &[PastChange], starts: &LatestStarts, read: ReadTime) -> Vec<u64> {
     let written = |c: &PastChange| first_written(c.registration.as_ref()?, read);
     let mut end = read.unix_ms;
     let mut ends: Vec<u64> = changes
@@ -289,39 +290,80 @@
         .collect();
     ends.reverse();
     // A change that follows a registration came after that run's start, whatever a later server's clock says.
-    let mut earliest = 0;
     for (change, end) in changes.iter().zip(&mut ends) {
-        if written(change).is_some() {
-            let start = change.registration.as_ref().map_or(0, |r| r.start_ms);
-            earliest = earliest.max(start);
-        }
-        *end = (*end).max(earliest);
+        *end = (*end).max(starts.until(change.revision));
     }
     ends
 }
 
 /// Returns the Unix time since which all changes are known.
 ///
-/// An empty history can't be told from one that was just dropped, unless an entry at its floor is dated.
+/// An empty history can't be told from one that was just dropped, unless an entry at its floor is dated. A floor is at least as
+/// late as the latest start of a run that was registered by then, also where the store dropped its history sooner than it should.
 fn floor_time(
     history: &StoreHistory,
     unchanged: &[Unchanged<'_>],
     ends: &[u64],
+    starts: &LatestStarts,
     read: ReadTime,
 ) -> u64 {
     if history.floor <= 1 {
         return 0;
     }
     let at_floor = unchanged.iter().filter(|(_, r, _)| *r >= history.floor);
-    let dated = at_floor.filter_map(|(_, _, registration)| first_written(registration, read));
+    let dated = at_floor.filter_map(|(_, revision, registration)| {
+        Some(first_written(registration, read)?.max(starts.until(*revision)))
+    });
     let is_dated = |c: &PastChange| first_written(c.registration.as_ref()?, read);
     let later = history.changes.iter().zip(ends);
     let later = later.filter_map(|(change, end)| is_dated(change).map(|_| *end));
     let is_kept = history.is_oldest && history.revision > history.floor;
-    let kept = is_kept.then(|| read.unix_ms.saturating_sub(read.kept.as_millis() as u64));
+    let kept_since = read.unix_ms.saturating_sub(read.kept.as_millis() as u64);
+    let kept = is_kept.then(|| kept_since.max(starts.until(history.floor)));
     dated.chain(later).chain(kept).min().unwrap_or(read.unix_ms)
 }
 
+/// The latest start of the runs that were registered by each revision.
+struct LatestStarts(BTreeMap<u64, u64>);
+
+impl LatestStarts {
+    fn of(history: &StoreHistory, unchanged: &[Unchanged<'_>], read: ReadTime) -> Self {
+        let mut seen = BTreeSet::new();
+        let changed = history.changes.iter().filter_map(|change| {
+            let is_first = seen.insert(change.server);
+            let registration = change.registration.as_ref()?;
+            // A later report over an earlier entry, whose first one isn't among the changes.
+            let is_older = is_first && registration.sequence > 1 && !change.creates();
+            let revision = if is_older {
+                history.floor
+            } else {
+                change.revision
+            };
+            Some((revision, registration))
+        });
+        let unchanged = unchanged.iter().map(|(_, revision, r)| (*revision, *r));
+        let mut starts: BTreeMap<u64, u64> = BTreeMap::new();
+        for (revision, registration) in changed.chain(unchanged) {
+            if registration.start_ms <= read.unix_ms {
+                let latest = starts.entry(revision).or_default();
+                *latest = (*latest).max(registration.start_ms);
+            }
+        }
+        let mut latest = 0;
+        for start in starts.values_mut() {
+            latest = latest.max(*start);
+            *start = latest;
+        }
+        Self(starts)
+    }
+
+    /// Returns the latest start of the runs that were registered by `revision`; 0 without any.
+    fn until(&self, revision: u64) -> u64 {
+        let last = self.0.range(..=revision).next_back();
+        last.map_or(0, |(_, start)| *start)
+    }
+}
+
 /// Returns what each entry was before each change.
 fn befores(changes: &[PastChange]) -> Vec<Before> {
     let mut last: BTreeMap<ServerId, &PastChange> = BTreeMap::new();
--- a/tests/testsuite/routing/version_history.rs
+++ b/tests/testsuite/routing/version_history.rs
@@ -278,6 +278,60 @@
     assert_eq!(undated, BeginVersion::Unknown);
 }
 
+/// Returns the version of a stream that began before `at`, at an instance that learns all changes after revision `floor` then.
+fn learned(store: &Store, at: u64, floor: u64, asked: u64) -> BeginVersion {
+    let epoch = Instant::now() + Duration::from_mins(5);
+    let mut registry = store.listing(at, epoch);
+    let read = read_time(at, epoch, Duration::from_secs(20));
+    assert!(registry.learn_past(&store.history(at, floor), read));
+    begin_version(&registry, None, epoch + millis(asked))
+}
+
+/// Failure: a history that was dropped too soon, and holds a later change, counts as whole, and streams of a version that left before
+/// go on at the newer one.
+#[test]
+fn history_is_no_older_than_the_runs_at_its_floor() {
+    let mut store = Store::default();
+    store.start(1_000, "a1", "v1", 4);
+    for name in ["b1", "b2", "b3"] {
+        store.start(20_000, name, "v2", 4);
+    }
+    store.remove(21_000, "a1");
+    let floor = store.revision_at(21_000);
+    store.drain(22_000, "b1");
+
+    let began_before = learned(&store, 23_000, floor, 19_000);
+    let began_after = learned(&store, 23_000, floor, 21_500);
+
+    assert_eq!(began_before, BeginVersion::Unknown);
+    assert_eq!(began_after, BeginVersion::Certain(version("v2")));
+}
+
+/// Failure: a first registration that the store accepted late is taken for as old as its run, and streams of a version that left before
+/// it go on at the newer one.
+#[test]
+fn late_registration_is_no_older_than_runs_registered_before_it() {
+    let mut store = Store::default();
+    store.start(1_000, "a1", "v1", 4);
+    store.start(24_000, "b1", "v2", 4);
+    store.remove(25_000, "a1");
+    let late = Registration {
+        start_ms: EPOCH_MS + 15_000,
+        sequence: 1,
+        ..of_version("b2", "v2")
+    };
+    store.write(26_000, "b2", Some(late));
+    let floor = store.revision_at(26_000);
+
+    let at_floor = learned(&store, 27_000, floor, 20_000);
+    let after_floor = learned(&store, 27_000, floor - 1, 20_000);
+
+    assert_eq!(
+        (at_floor, after_floor),
+        (BeginVersion::Unknown, BeginVersion::Unknown)
+    );
+}
+
 /// Failure: servers that left unannounced are taken for servers of the version that is left, though they may have been all of another.
 #[test]
 fn unknown_departures_are_presumed_of_a_known_version_only_where_they_are_few() {
