Take-ups: wait for a store in another region, and say why a version isn't told

Now it waits 1.2 s at most, and no longer than its caller. streams_go_on_at_their_first_try_though_the_store_answers_late failed before: 0 of 24 at their first try with a store that answers after 0.6 s; 24 of 24 now.

The line stream_taken_up has `found` and `window_ms`: whether the versions that served leave a doubt or aren't all known, and how far back the stream's begin may lie.

--- a/crates/hawthornmill-gateway/src/proxy/take_up.rs
+++ b/crates/hawthornmill-gateway/src/proxy/take_up.rs
@@ -1,7 +1,7 @@
 //! Streams that go on: those that a client takes up, and those sent to another server after their first event.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hawthornmill::ident::{ServerId, VersionId};
 use hawthornmill::routing::regions::AllowedRegions;
@@ -56,6 +56,32 @@
 /// A version and where it is known from.
 type KnownVersion = (VersionId, VersionSource);
 
+/// What the versions that served tell of the one at which a stream began.
+#[derive(Debug, Clone, Copy)]
+struct Inference {
+    /// The stream began after it.
+    begun_after: Instant,
+    found: BeginVersion,
+}
+
+impl Inference {
+    const fn known(self) -> Option<KnownVersion> {
+        match self.found {
+            BeginVersion::Certain(version) => Some((version, VersionSource::History)),
+            BeginVersion::Doubtful | BeginVersion::Unknown => None,
+        }
+    }
+
+    /// Returns the name of what was found, for logs.
+    const fn name(self) -> &'static str {
+        match self.found {
+            BeginVersion::Certain(_) => "certain",
+            BeginVersion::Doubtful => "doubtful",
+            BeginVersion::Unknown => "unknown",
+        }
+    }
+}
+
 /// Returns the stream that the request takes up; `None` if the version at which it began isn't known.
 ///
 /// Where nobody knows the attempt, the versions that served since its caller first asked may leave no doubt.
@@ -69,12 +95,15 @@
         Some(key) => Some(gateway.streams.find(gateway, key).await),
         None => None,
     };
-    let known = match known_version(lookup) {
-        Some(known) => Some(known),
-        None => begin_version(gateway, admitted, key).await,
+    let recorded = known_version(lookup);
+    let inference = if recorded.is_none() {
+        begin_version(gateway, admitted, key).await
+    } else {
+        None
     };
+    let known = recorded.or_else(|| inference?.known());
     let known = known.filter(|(version, _)| *version != UNDECIDED);
-    log_take_up(context, admitted, key, lookup, known);
+    log_take_up(context, admitted, key, lookup, known, inference);
     let (version, source) = known?;
     let is_genuine = match (source, key) {
         (VersionSource::History, _) => has_lost_records(gateway, admitted),
@@ -108,12 +137,12 @@
     Some((lookup.version?, source))
 }
 
-/// Returns the version that every state of the service since the caller first asked gives a stream.
+/// Returns what all states of the service since the caller first asked tell of a stream's version.
 async fn begin_version(
     gateway: &Rc<Gateway>,
     admitted: &Admitted,
     key: Option<StreamKey>,
-) -> Option<KnownVersion> {
+) -> Option<Inference> {
     let begun_after = admitted.first_asked?.checked_sub(view_lag(gateway))?;
     // A stream that is bound to regions may have begun at another version than all servers together give it.
     let key = key.filter(|_| admitted.request.allowed_regions == AllowedRegions::Any);
@@ -124,13 +153,12 @@
     };
     let mut found = find();
     if found == BeginVersion::Unknown {
-        gateway.streams.history.read(gateway).await;
+        let left = admitted.request.deadline;
+        let left = left.saturating_duration_since(gateway.now());
+        gateway.streams.history.read(gateway, left).await;
         found = find();
     }
-    match found {
-        BeginVersion::Certain(version) => Some((version, VersionSource::History)),
-        BeginVersion::Doubtful | BeginVersion::Unknown => None,
-    }
+    Some(Inference { begun_after, found })
 }
 
 /// Returns the time within which every instance hears of a change.
@@ -151,6 +179,7 @@
     key: Option<StreamKey>,
     lookup: Option<StreamLookup>,
     known: Option<KnownVersion>,
+    inference: Option<Inference>,
 ) {
     let gateway = context.gateway;
     let source = known.map_or(NO_SOURCE, |(_, source)| source.name());
@@ -169,6 +198,8 @@
         "stream": key.map(|key| format!("{:016x}", key.0)), "age_ms": gateway.age_ms(), "source": source,
         "version": name.map(|s| &s.name), "asked": lookup.map_or(0, |l| l.asked),
         "answered": lookup.map_or(0, |l| l.answered), "versions": versions.collect::<Value>(),
+        "found": inference.map(Inference::name),
+        "window_ms": inference.map(|i| now.duration_since(i.begun_after).as_millis() as u64),
     });
     event_log::request_problem("stream_taken_up", &context.request.attempt_id, fields);
 }
--- a/crates/hawthornmill-gateway/src/version_history.rs
+++ b/crates/hawthornmill-gateway/src/version_history.rs
@@ -18,8 +18,8 @@
 use crate::gateway::Gateway;
 use crate::store_call::{CALL_TIMEOUT, StoreConnection, StoreError};
 
-/// Time that a request waits for the store's history.
-const MAX_WAIT: Duration = Duration::from_millis(300);
+/// Time that a request waits for the store's history; a store in another region answers all calls of a reading within it.
+const MAX_WAIT: Duration = Duration::from_millis(1_200);
 /// Time after which a reading is given up.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause after a reading that failed.
@@ -43,8 +43,8 @@
 }
 
 impl HistoryReader {
-    /// Reads the history if that wasn't done since the last gap, and waits a little for it.
-    pub async fn read(&self, gateway: &Rc<Gateway>) {
+    /// Reads the history if that wasn't done since the last gap, and waits a little for it, `left` at most.
+    pub async fn read(&self, gateway: &Rc<Gateway>, left: Duration) {
         let gaps = gap_count(gateway);
         if gaps == 0 || gaps == self.read_at_gap.get() {
             return;
@@ -57,7 +57,7 @@
             self.is_reading.set(true);
             spawn_local(read_history(Rc::clone(gateway)));
         }
-        let _elapsed = tokio::time::timeout(MAX_WAIT, ended).await;
+        let _elapsed = tokio::time::timeout(MAX_WAIT.min(left), ended).await;
     }
 }
 
--- a/tests/testsuite/gateway/stream_versions_after_kill.rs
+++ b/tests/testsuite/gateway/stream_versions_after_kill.rs
@@ -8,6 +8,7 @@
 
 use super::fleet::{Client, Fleet, config, request, send_request, wait_until};
 use super::scripted_server::{Behavior, Server};
+use super::store::Mode;
 use crate::block_on;
 
 /// Streams per test.
@@ -20,6 +21,8 @@
 const CALLER_TIME: Duration = Duration::from_secs(10);
 /// Time between a registration and the streams after it.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+/// Time that a store in another region takes for the calls of one reading.
+const LATE_ANSWER: Duration = Duration::from_millis(600);
 /// Streams of a test that may be refused though servers of their version are there.
 const MAX_REFUSED: usize = 2;
 
@@ -183,28 +186,31 @@
     }
 
     async fn take_up_one(&self, number: usize, names_first: bool) -> bool {
-        let asked_at = self.callers[number].1;
         for attempt in 0..TRIES {
-            let named = if names_first {
-                format!("Resumes: a-{number}\r\n")
-            } else {
-                String::new()
-            };
-            let left = CALLER_TIME.saturating_sub(asked_at.elapsed());
-            let text = resuming(
-                &format!("b-{number}-{attempt}"),
-                &format!("Last-Event-Id: 3\r\n{named}"),
-                left,
-            );
-            let gateway = &self.fleet.gateways[(number + attempt) % 3];
-            let response = send_request(gateway.front(), text.as_bytes()).await;
-            if response.is_some_and(|r| r.status() == 200 && r.whole) {
+            if self.try_once(number, attempt, names_first).await {
                 return true;
             }
             tokio::time::sleep(TRY_PAUSE).await;
         }
         false
     }
+
+    async fn try_once(&self, number: usize, attempt: usize, names_first: bool) -> bool {
+        let named = if names_first {
+            format!("Resumes: a-{number}\r\n")
+        } else {
+            String::new()
+        };
+        let left = CALLER_TIME.saturating_sub(self.callers[number].1.elapsed());
+        let text = resuming(
+            &format!("b-{number}-{attempt}"),
+            &format!("Last-Event-Id: 3\r\n{named}"),
+            left,
+        );
+        let gateway = &self.fleet.gateways[(number + attempt) % 3];
+        let response = send_request(gateway.front(), text.as_bytes()).await;
+        response.is_some_and(|r| r.status() == 200 && r.whole)
+    }
 }
 
 /// Versions of the servers where two serve.
@@ -344,6 +350,21 @@
     });
 }
 
+/// Failure: the store is in another region, and streams are refused while its history is still being read.
+#[test]
+fn streams_go_on_at_their_first_try_though_the_store_answers_late() {
+    block_on(async {
+        let mut streams = begin(start(ONE).await, ONE).await;
+        streams.restart_all(|_| {}).await;
+        streams.fleet.store.set_mode(Mode::Late(LATE_ANSWER));
+
+        let tries = (0..STREAMS).map(|number| streams.try_once(number, 0, true));
+        let whole = join_all(tries).await;
+
+        assert_eq!(whole, [true; STREAMS]);
+    });
+}
+
 /// Failure: a crash that removes a server of the only version, or an operator's change, makes its streams be refused.
 #[test]
 fn streams_of_one_version_go_on_after_a_crash_and_an_operators_change() {
