--- a/crates/hawthornmill-gateway/src/store_view.rs
+++ b/crates/hawthornmill-gateway/src/store_view.rs
@@ -15,8 +15,6 @@
 use crate::gateway::Gateway;
 use crate::store_call::{CALL_TIMEOUT, StoreConnection};
 
-/// Time that a request waits for the store's answer.
-const MAX_WAIT: Duration = Duration::from_millis(300);
 /// Pause after a question that the store didn't answer, or after which this instance lacked changes.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Time in milliseconds for which the store may wait for a change.
@@ -37,8 +35,14 @@
         self.known_until.set(self.known_until.get().max(Some(at)));
     }
 
-    /// Returns whether this instance knows all changes until `most` ago; asks the store if its watch doesn't tell.
-    pub async fn is_newer_than(&self, gateway: &Rc<Gateway>, most: Duration) -> bool {
+    /// Returns whether this instance knows all changes until `most` ago; asks the store if its watch doesn't tell, and waits for
+    /// its answer, for `left` at most.
+    pub async fn is_newer_than(
+        &self,
+        gateway: &Rc<Gateway>,
+        most: Duration,
+        left: Duration,
+    ) -> bool {
         let now = gateway.now();
         let is_new = || {
             let known = self.known_until.get();
@@ -55,7 +59,7 @@
             self.is_asking.set(true);
             spawn_local(ask(Rc::clone(gateway)));
         }
-        let _elapsed = tokio::time::timeout(MAX_WAIT, ended).await;
+        let _elapsed = tokio::time::timeout(CALL_TIMEOUT.min(left), ended).await;
         is_new()
     }
 }
