--- a/crates/hawthornmill/src/routing/mod.rs
+++ b/crates/hawthornmill/src/routing/mod.rs
@@ -35,6 +35,7 @@
 
 pub mod allowance;
 pub mod announcements;
+pub mod caller_times;
 pub mod catalog;
 pub mod cold_start;
 pub mod credit;
@@ -47,6 +48,7 @@
 pub mod load_parts;
 pub mod loads;
 pub mod long_prompts;
+pub mod lost_streams;
 pub mod placement;
 pub mod prefix_index;
 pub mod recent;
@@ -64,6 +66,7 @@
 pub mod shape;
 pub mod store_history;
 pub mod store_start;
+pub mod store_wait;
 pub mod stream_versions;
 pub mod ttft;
 pub mod unmet_demand;
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -2,6 +2,7 @@
 
 mod adaptive_timeout;
 mod announcements;
+mod callers;
 mod cold_start;
 mod congestion;
 mod contention;
@@ -31,6 +32,7 @@
 mod server_speed;
 mod server_speed_fleet;
 mod store_start;
+mod store_wait;
 mod stream_versions;
 mod ttft;
 mod unmet_demand;
