Versions after a start: a server that registers another version in place leaves streams of before in doubt

A stream that begins at a server which has started again with another version, before its entry, has a record "undecided". A kill of all instances takes it. Its take-up is then judged by the states of the service since its caller first asked: one version before the entry, two afterwards. Where its key gives the first in both, that version counted as certain, though the stream had begun at the other.

Change: where a server's entry gives way to one of another version under the same id, there is one more state until then, of the later version alone. Streams that may have begun before the entry are refused (3034); those of callers that asked after it are as before. In the registry's memory and in the store's history alike.

Ruled out: waiting, or refusing new streams, while only servers of unknown version are ready: capacity would be idle for as long as entries take, and two tests of restarted_servers begin streams there on purpose.

Test: server_that_changed_its_version_in_place_leaves_streams_of_before_in_doubt, for an instance that saw the change and for one that has just started and reads the store's history.

--- a/crates/hawthornmill/src/routing/store_history.rs
+++ b/crates/hawthornmill/src/routing/store_history.rs
@@ -241,7 +241,10 @@
                 self.since_ms = self.since_ms.max(*end);
                 return;
             }
-            self.push_state(read.instant(*end));
+            let until = read.instant(*end);
+            self.states
+                .extend(PastState::of_unregistered(earlier, after, until));
+            self.push_state(until);
         }
     }
 
--- a/crates/hawthornmill/src/routing/version_history.rs
+++ b/crates/hawthornmill/src/routing/version_history.rs
@@ -58,6 +58,23 @@
     pub capacities: Capacities,
 }
 
+impl PastState {
+    /// Returns the state in which a server had started again with another version and its entry had not come, until `until`;
+    /// `None` if `new` isn't that of a later version of `old`.
+    ///
+    /// Whatever their keys give, streams that begin there meanwhile begin at the later version.
+    pub fn of_unregistered(
+        old: Option<ReadyServer>,
+        new: Option<ReadyServer>,
+        until: Instant,
+    ) -> Option<Self> {
+        let (old, new) = (old?, new?);
+        let capacities = Capacities::from_slice(&[(new.version, new.slots)]);
+        let changes = old.service == new.service && old.version != new.version;
+        changes.then_some(Self { until, capacities })
+    }
+}
+
 /// What is known of a stream's version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BeginVersion {
@@ -100,6 +117,12 @@
                 self.end_state(*service, now);
             }
         }
+        if let Some(state) = PastState::of_unregistered(old, ready, now)
+            && self.complete_since.is_some()
+            && let Some(history) = old.and_then(|o| self.services.get_mut(&o.service))
+        {
+            history.past.push_back(state);
+        }
         if let Some(old) = old {
             let history = self.services.entry(old.service).or_default();
             remove_slots(&mut history.current, old);
--- a/tests/testsuite/routing/version_history.rs
+++ b/tests/testsuite/routing/version_history.rs
@@ -332,6 +332,33 @@
     );
 }
 
+/// Failure: a stream that began at a later run of a server before its entry, and of which no record is left, goes on at the version
+/// that its key gives.
+#[test]
+fn server_that_changed_its_version_in_place_leaves_streams_of_before_in_doubt() {
+    let epoch = Instant::now() + Duration::from_mins(5);
+    let mut store = Store::default();
+    store.start(1_000, "a1", "v1", 4);
+    store.start(1_000, "a2", "v1", 4);
+    store.start(20_000, "a2", "v2", 4);
+    let both = [(version("v1"), 4), (version("v2"), 4)];
+    let key = (0..)
+        .map(StreamKey)
+        .find(|k| choose(*k, &both) == Some(version("v1")));
+    let old = store.late_view(22_000, &[0], epoch);
+    let mut young = store.listing(22_000, epoch);
+    let read = read_time(22_000, epoch, Duration::from_secs(20));
+    assert!(young.learn_past(&store.history(22_000, 0), read));
+
+    for registry in [old, young] {
+        let [before, after] =
+            [19_000, 20_500].map(|ms| begin_version(&registry, key, epoch + millis(ms)));
+
+        assert_eq!(before, BeginVersion::Doubtful);
+        assert_eq!(after, BeginVersion::Certain(version("v1")));
+    }
+}
+
 /// Failure: servers that left unannounced are taken for servers of the version that is left, though they may have been all of another.
 #[test]
 fn unknown_departures_are_presumed_of_a_known_version_only_where_they_are_few() {
