--- a/crates/hawthornmill-gateway/src/proxy/take_up.rs
+++ b/crates/hawthornmill-gateway/src/proxy/take_up.rs
@@ -269,7 +269,9 @@
     let versions = seen
         .iter()
         .map(|s| json!({"version": s.name, "last_seen_ms": s.last_seen.as_millis() as u64}));
-    let window = admitted.first_asked.map(|at| now.duration_since(at) + view_lag(gateway));
+    let window = admitted
+        .first_asked
+        .map(|at| now.duration_since(at) + view_lag(gateway));
     let fields = json!({
         "stream": key.map(|key| format!("{:016x}", key.0)), "age_ms": gateway.age_ms(), "source": source,
         "why": why, "version": name.map(|s| &s.name), "asked": lookup.map_or(0, |l| l.asked),
