Tests: cut state between gateways, calls forwarded between routers, the platform's answers

Measured: no part counted as a whole one, no call was sent twice, and each cut answer of a home is of unknown outcome at its caller. Nothing to fix showed.

--- a/tests/testsuite/frames.rs
+++ b/tests/testsuite/frames.rs
@@ -2,7 +2,12 @@
 
 use hawthornmill::ident::{Incarnation, InstanceId};
 use hawthornmill::wire::{FrameError, Message, Opener, Sealer};
+use hawthornmill_process::frames;
 use proptest::prelude::*;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::block_on;
 
 const KEY: [u8; 32] = [7; 32];
 
@@ -195,3 +200,50 @@
         assert_eq!(read.ok().flatten().as_deref(), Some(&b"whole frame"[..]));
     });
 }
+
+/// Sends `bytes` over a connection that ends after them, and returns the message that is read from it.
+async fn read_message(bytes: &[u8], is_reset: bool, one_by_one: bool) -> Option<Message> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("it is bound");
+    let send = async {
+        let mut stream = TcpStream::connect(address).await.expect("it listens");
+        stream.set_nodelay(true).expect("it is open");
+        let length = if one_by_one { 1 } else { bytes.len().max(1) };
+        for part in bytes.chunks(length) {
+            stream.write_all(part).await.expect("it is open");
+            tokio::task::yield_now().await;
+        }
+        if is_reset {
+            tokio::time::sleep(std::time::Duration::from_millis(2)).await;
+            stream.set_zero_linger().expect("it is open");
+        }
+    };
+    let receive = async {
+        let (mut stream, _from) = listener.accept().await.expect("a connection");
+        let frame = frames::read(&mut stream)
+            .await
+            .expect("its length is fine")?;
+        Opener::new(KEY, 9).open(&frame).ok()
+    };
+    tokio::join!(receive, send).0.map(|frame| frame.message)
+}
+
+/// Failure: a frame of a peer that is cut on its connection counts as a message.
+#[test]
+fn cut_frame_is_no_message() {
+    block_on(async {
+        let frame = sealer(9).seal(&Message::Probe(3)).expect("it fits");
+        let mut bytes = Vec::new();
+        frames::append(&mut bytes, &frame);
+
+        for (is_reset, one_by_one) in [(false, false), (true, false), (false, true)] {
+            for length in 0..bytes.len() {
+                let read = read_message(&bytes[..length], is_reset, one_by_one).await;
+                assert_eq!(read, None, "cut after {length} bytes");
+            }
+            let whole = read_message(&bytes, false, one_by_one).await;
+            assert_eq!(whole, Some(Message::Probe(3)));
+        }
+        println!("{} cuts", 3 * bytes.len());
+    });
+}
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod at_most_once;
 mod broken_heads;
+mod broken_state;
 mod broken_store;
 mod connection_pool;
 mod endless_elsewhere;
@@ -44,4 +45,4 @@
 mod store;
 mod stream_versions;
 mod stream_versions_after_kill;
-mod streams;
+pub mod streams;
--- a/tests/testsuite/gateway/peer.rs
+++ b/tests/testsuite/gateway/peer.rs
@@ -10,7 +10,7 @@
 
 use super::fleet::{Fleet, PEER_PORT, frame_key};
 
-/// A fake instance that only exchanges datagrams; connections to it fail.
+/// A fake instance that exchanges datagrams; connections to it fail unless it listens.
 #[derive(Debug)]
 pub struct Peer {
     socket: tokio::net::UdpSocket,
@@ -30,6 +30,13 @@
         }
     }
 
+    /// Accepts connections at the address of its datagrams.
+    pub async fn listen(&self) -> tokio::net::TcpListener {
+        let address = self.socket.local_addr().expect("the socket has an address");
+        let listener = tokio::net::TcpListener::bind(address).await;
+        listener.expect("the port is free")
+    }
+
     pub async fn send(&self, message: &Message) {
         self.send_frame(&self.seal(message)).await;
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod check;
 mod configuration;
 mod conservation;
+mod cut_proxy;
 mod demo;
 mod end_to_end;
 mod errors;
--- a/tests/testsuite/router_broken_heads.rs
+++ b/tests/testsuite/router_broken_heads.rs
@@ -5,13 +5,18 @@
 use std::time::Duration;
 
 use hawthornmill::config::accept::{Values, manifest};
+use hawthornmill::ident::{Incarnation, InstanceId};
+use hawthornmill::keys::prefix::KeyPrefix;
 use hawthornmill_lab::demo::site::Site;
 use hawthornmill_lab::load::story::Story;
 use hawthornmill_lab::load::summary::summarize;
+use hawthornmill_lab::standin::platform::Listed;
 use hawthornmill_test_support::procs::{send, small_site};
 
+use crate::cut_proxy::{Cut, CutProxy};
 use crate::gateway::raw_client::{Received, exchange};
 use crate::gateway::raw_servers::{RawAnswer, RawServers, WHOLE_BODY};
+use crate::gateway::streams::StreamEnd;
 use crate::{ROUTER, block_on};
 
 /// Attempts of one call, including the first.
@@ -194,6 +199,151 @@
     });
 }
 
+/// Adds an instance to the platform's list that nobody hears, and returns the prefix of its keys; `http` is its address.
+async fn add_silent_home(site: &Site, http: SocketAddr) -> Box<str> {
+    let mut list: Vec<Listed> = site.routers.iter().map(|r| r.listed.clone()).collect();
+    list.push(Listed {
+        name: "silent".into(),
+        http: http.to_string().into(),
+        peer: "127.0.0.1:9".into(),
+        ..list[0].clone()
+    });
+    site.platform.set_instances(list);
+    for _ in 0..MAX_REFUSALS * 2 {
+        if site.statuses().await[0]["members"]
+            .to_string()
+            .contains("silent")
+        {
+            let prefix = KeyPrefix {
+                home: InstanceId::of("silent"),
+                incarnation: Incarnation(1),
+                issued_secs: 0,
+            };
+            return prefix.encode(blake3::hash(b"hawthornmill demo").as_bytes());
+        }
+        tokio::time::sleep(REFUSAL_PAUSE).await;
+    }
+    panic!("the list is not known");
+}
+
+/// Failure: the answer of a key's home breaks off on its way, and is a success at the caller, or the call is sent again.
+#[test]
+fn cut_answer_of_a_home_is_no_success() {
+    block_on(async {
+        let (site, servers) = start().await;
+        let prefix = add_silent_home(&site, servers.start().await).await;
+        let mut cuts = 0;
+        for text in [LENGTH, TRAILERS, INTERIM, BARE] {
+            let row = |bytes| {
+                let whole = RawAnswer::cut(text, bytes);
+                let reset = RawAnswer {
+                    end: StreamEnd::Reset,
+                    ..whole.clone()
+                };
+                let one_by_one = RawAnswer {
+                    byte_pause: Some(Duration::from_micros(200)),
+                    ..whole.clone()
+                };
+                match bytes % 4 {
+                    _ if bytes == text.len() => vec![whole],
+                    0 => vec![whole, one_by_one],
+                    1 => vec![whole, reset],
+                    _ => vec![whole],
+                }
+            };
+            for (bytes, answer) in
+                (0..=text.len()).flat_map(|n| row(n).into_iter().map(move |a| (n, a)))
+            {
+                let name = format!("{:07}", NAMES.fetch_add(1, Ordering::Relaxed));
+                servers.set(&name, &[answer]);
+                let request = format!(
+                    "POST /v1/call/once/{name} HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer token-big\r\n\
+                     hawthornmill-timeout-ms: 5000\r\nContent-Length: 7\r\nConnection: close\r\n\
+                     Idempotency-Key: {prefix}.{name}\r\n\r\n{name}"
+                );
+                let got = exchange(address(&site), "POST", request.as_bytes()).await;
+                let got = got.expect("the caller is told");
+                assert_eq!(
+                    got.is_success(),
+                    bytes == text.len(),
+                    "{text:?} cut at {bytes}: {got:?}"
+                );
+                assert_eq!(servers.arrivals(&name), 1);
+                if !got.is_success() {
+                    let body: serde_json::Value =
+                        serde_json::from_slice(&got.body).unwrap_or_default();
+                    assert_eq!(
+                        body["outcome"], "unknown",
+                        "{text:?} cut at {bytes}: {got:?}"
+                    );
+                }
+                cuts += 1;
+            }
+        }
+        println!("{cuts} answers");
+        site.stop().await;
+    });
+}
+
+/// Failure: an answer of the platform breaks off, and its part is taken for a configuration.
+#[test]
+fn cut_answer_of_the_platform_is_not_taken() {
+    block_on(async {
+        let mut site = small_site(ROUTER, 1).await;
+        let proxy = put_proxy(&mut site).await;
+        let mut revision = 1;
+        for path in ["/v1/manifest", "/v1/values/"] {
+            for (number, passed) in [0, 100, 400, 600, 800, 950, 999].into_iter().enumerate() {
+                let is_reset = number % 2 == 1;
+                proxy.set(Some(Cut {
+                    path,
+                    passed,
+                    is_reset,
+                }));
+                let added = format!("[service s{revision}]\nrepeat = allowed\ncost = time\n");
+                let text = format!("{}\n{added}", site.text);
+                site.platform
+                    .publish(Values::from([("fleet".into(), text.into())]));
+                wait_for(|| async { proxy.cuts() > 0 }).await;
+                tokio::time::sleep(REFUSAL_PAUSE).await;
+                let before = site.statuses().await[0]["revision"].clone();
+                assert_eq!(before, revision, "{path}: {passed} of 1,000 passed");
+                revision += 1;
+                proxy.set(None);
+                wait_for(|| async { site.statuses().await[0]["revision"] == revision }).await;
+            }
+        }
+        site.stop().await;
+    });
+}
+
+/// Puts a proxy between the first router and the platform, and starts the router again.
+async fn put_proxy(site: &mut Site) -> CutProxy {
+    let path = site.routers[0].config.clone();
+    let text = std::fs::read_to_string(&path).expect("the settings can be read");
+    let platform = text.split("[platform]\naddress = ").nth(1);
+    let platform = platform.and_then(|rest| rest.lines().next());
+    let platform = platform.expect("the settings name the platform");
+    let proxy = CutProxy::start(platform.parse().expect("it is an address")).await;
+    let text = text.replace(platform, &proxy.address.to_string());
+    std::fs::write(&path, text).expect("the settings can be written");
+    site.routers[0].kill();
+    site.launch(0).expect("the router starts");
+    let ready = site.wait_ready(Duration::from_secs(20)).await;
+    ready.expect("the router is ready");
+    proxy
+}
+
+async fn wait_for<F: Future<Output = bool>>(is_there: impl Fn() -> F) {
+    for _ in 0..10 * MAX_REFUSALS {
+        if is_there().await {
+            return;
+        }
+        tokio::time::sleep(REFUSAL_PAUSE).await;
+    }
+    panic!("what was waited for doesn't come");
+}
+
 /// Failure: the load tool counts an answer that ends as if it were whole, but is cut short or another call's, as a success.
 #[test]
 fn load_tool_counts_no_short_answer_as_whole() {
