--- a/crates/hawthornmill/src/routing/store_wait.rs
+++ b/crates/hawthornmill/src/routing/store_wait.rs
@@ -21,7 +21,7 @@
 /// Measured time of an answer that the time allowed for one covers, as a multiple.
 const MARGIN_FACTOR: u32 = 3;
 /// Part of the difference by which the measured time follows a faster answer.
-const DECREASE_RATE: f64 = 0.2;
+const DECREASE_RATE: f64 = 0.5;
 
 /// Returns how long a watch waits where `others` read the store besides this instance; `draw` is from 0 to below 1.
 pub fn watch_wait(others: usize, draw: f64) -> Duration {
