--- a/crates/hawthornmill-gateway/src/proxy/admission.rs
+++ b/crates/hawthornmill-gateway/src/proxy/admission.rs
@@ -6,6 +6,7 @@
 use hawthornmill::codes::Code;
 use hawthornmill::ident::{AccountId, RouteId, ServiceId};
 use hawthornmill::quarantine::fingerprint::Fingerprints;
+use hawthornmill::routing::caller_times::CallerTime;
 use hawthornmill::routing::catalog::RetryPolicy;
 use hawthornmill::routing::request::Request;
 use hawthornmill::routing::route_table::{Caller, pick_service};
@@ -15,6 +16,7 @@
 use super::error_response::{ErrorResponse, NotReady};
 use super::read::ClientRequest;
 use crate::gateway::{Gateway, Phase};
+use crate::http::head::RequestHead;
 
 /// Retry delay sent while the process lacks the newest catalog; the store and peers answer in milliseconds.
 const CATALOG_RETRY_DELAY: Duration = Duration::from_millis(300);
@@ -102,9 +104,7 @@
     let route = table
         .route(host, path)
         .ok_or_else(|| not_in_catalog(gateway, Code::NotFound))?;
-    let token = headers
-        .get(names.token)
-        .and_then(|v| parse_token(v, names.auth_scheme));
+    let token = token_of(gateway, &request.head);
     let caller = table
         .authenticate(route, token)
         .ok_or_else(|| match token {
@@ -124,13 +124,13 @@
     let stream = (route.retry_policy == RetryPolicy::Resumable)
         .then(|| stream_origin(gateway, request, account.map(|a| a.id)))
         .transpose()?;
-    let first_asked = stream.and_then(|_| {
-        let time = gateway
-            .streams
-            .caller_time(RouteId::of(&route.name), route.timeout, remaining);
-        let spent = time.saturating_sub(remaining.unwrap_or_default());
-        request.received.checked_sub(spent)
-    });
+    let caller = CallerTime {
+        account: account.map(|a| a.id),
+        route: RouteId::of(&route.name),
+        timeout: route.timeout,
+        left: remaining,
+    };
+    let first_asked = stream.and_then(|_| first_asked(gateway, caller, request.received));
     let pending = Request {
         account: account.map(|a| a.id),
         route: RouteId::of(&route.name),
@@ -169,6 +169,13 @@
     })
 }
 
+/// Returns the instant before which a caller can't have asked first.
+fn first_asked(gateway: &Gateway, caller: CallerTime, received: Instant) -> Option<Instant> {
+    let mut times = gateway.streams.caller_times.borrow_mut();
+    let spent = times.longest_spent(caller, received);
+    received.checked_sub(spent)
+}
+
 /// Tells whether a request begins a stream, or which one it takes up.
 fn stream_origin(
     gateway: &Gateway,
@@ -205,6 +212,13 @@
     }
 }
 
+/// Returns the token that a request gives.
+pub fn token_of<'a>(gateway: &Gateway, head: &'a RequestHead) -> Option<&'a [u8]> {
+    let names = &gateway.adapter.headers;
+    let value = head.headers.get(names.token)?;
+    parse_token(value, names.auth_scheme)
+}
+
 fn parse_token<'a>(value: &'a [u8], scheme: &str) -> Option<&'a [u8]> {
     let (prefix, rest) = value.split_at_checked(scheme.len())?;
     let token = rest.trim_ascii();
--- a/crates/hawthornmill-gateway/src/proxy/take_up.rs
+++ b/crates/hawthornmill-gateway/src/proxy/take_up.rs
@@ -1,9 +1,10 @@
 //! Streams that go on: those that a client takes up, and those sent to another server after their first event.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use hawthornmill::ident::{ServerId, VersionId};
+use hawthornmill::routing::lost_streams::Sharers;
 use hawthornmill::routing::regions::AllowedRegions;
 use hawthornmill::routing::stream_versions::{StreamKey, UNDECIDED};
 use hawthornmill::routing::version_history::{BeginVersion, VIEW_LAG, VIEW_LAG_LARGE};
@@ -39,6 +40,49 @@
     }
 }
 
+/// Why the version of a stream that a client takes up isn't known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum VersionUnknown {
+    /// The stream began while the version of its server was in doubt.
+    UndecidedRecord,
+    /// This process has just started, and instances that know the stream may not have been heard yet.
+    UnheardPeers,
+    /// The store hasn't answered lately, so that changes may be unknown here.
+    SilentStore,
+    /// How long ago the stream may have begun is not known.
+    NoBegin,
+    /// Not all versions that served since its caller first asked are known.
+    UnknownHistory,
+    /// No server of the service is known since then.
+    NoServers,
+    /// Several versions served, and the client doesn't name the attempt that began the stream.
+    Unnamed,
+    /// Several versions served, and the stream is bound to some regions.
+    RegionBound,
+    /// Its key gives one version only since a time at which other instances may not have heard of an earlier change.
+    LongViewLag,
+    /// Its key gives another version in one state of the service than in another.
+    DoubtfulKey,
+}
+
+impl VersionUnknown {
+    /// Returns the name for logs and counters.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::UndecidedRecord => "undecided_record",
+            Self::UnheardPeers => "unheard_peers",
+            Self::SilentStore => "silent_store",
+            Self::NoBegin => "no_begin",
+            Self::UnknownHistory => "unknown_history",
+            Self::NoServers => "no_servers",
+            Self::Unnamed => "unnamed",
+            Self::RegionBound => "region_bound",
+            Self::LongViewLag => "long_view_lag",
+            Self::DoubtfulKey => "doubtful_key",
+        }
+    }
+}
+
 /// Time after the start in which a process hears of the other instances.
 const HEARING_TIME: Duration = Duration::from_secs(2);
 /// Source of the version of a stream of which nobody knows it, for logs and counters.
@@ -55,32 +99,8 @@
 
 /// A version and where it is known from.
 type KnownVersion = (VersionId, VersionSource);
-
-/// What the versions that served tell of the one at which a stream began.
-#[derive(Debug, Clone, Copy)]
-struct Inference {
-    /// The stream began after it.
-    begun_after: Instant,
-    found: BeginVersion,
-}
-
-impl Inference {
-    const fn known(self) -> Option<KnownVersion> {
-        match self.found {
-            BeginVersion::Certain(version) => Some((version, VersionSource::History)),
-            BeginVersion::Doubtful | BeginVersion::Unknown => None,
-        }
-    }
-
-    /// Returns the name of what was found, for logs.
-    const fn name(self) -> &'static str {
-        match self.found {
-            BeginVersion::Certain(_) => "certain",
-            BeginVersion::Doubtful => "doubtful",
-            BeginVersion::Unknown => "unknown",
-        }
-    }
-}
+/// The same, or why it isn't known.
+type VersionResult = Result<KnownVersion, VersionUnknown>;
 
 /// Returns the stream that the request takes up; `None` if the version at which it began isn't known.
 ///
@@ -95,18 +115,19 @@
         Some(key) => Some(gateway.streams.find(gateway, key).await),
         None => None,
     };
-    let recorded = known_version(lookup);
-    let inference = if recorded.is_none() {
-        begin_version(gateway, admitted, key).await
-    } else {
-        None
+    let known = match known_version(lookup) {
+        Some((UNDECIDED, _)) => Err(VersionUnknown::UndecidedRecord),
+        Some(known) => Ok(known),
+        // Those that know it may not have been heard yet.
+        None if lookup.is_some_and(|l| !l.has_met_others) => Err(VersionUnknown::UnheardPeers),
+        None => begin_version(gateway, admitted, key).await,
     };
-    let known = recorded.or_else(|| inference?.known());
-    let known = known.filter(|(version, _)| *version != UNDECIDED);
-    log_take_up(context, admitted, key, lookup, known, inference);
-    let (version, source) = known?;
+    log_take_up(context, admitted, key, lookup, known);
+    let (version, source) = known.ok()?;
     let is_genuine = match (source, key) {
-        (VersionSource::History, _) => has_lost_records(gateway, admitted),
+        (VersionSource::History, _) => {
+            has_lost_records(gateway, admitted) && take_lost(context, admitted, key)
+        }
         (_, Some(key)) => gateway.streams.take_preference(key),
         (_, None) => false,
     };
@@ -127,6 +148,30 @@
         .is_some_and(|(asked, start)| asked < start)
 }
 
+/// Returns whether one more stream of which nobody has a record may go on before requests of others.
+fn take_lost(context: RequestContext<'_>, admitted: &Admitted, key: Option<StreamKey>) -> bool {
+    let (gateway, account) = (context.gateway, admitted.request.account);
+    let Some(id) = account else {
+        return false;
+    };
+    let sharers = {
+        let scheduler = gateway.scheduler.borrow();
+        let versions = scheduler.registry.versions();
+        let servers = admitted.targets.iter().flat_map(|s| versions.current(*s));
+        Sharers {
+            slots: servers.map(|(_, slots)| *slots as usize).sum(),
+            accounts: scheduler.active_accounts(),
+            instances: 1 + gateway.peers.borrow().live(gateway.now()).count(),
+        }
+    };
+    let key = key.unwrap_or_else(|| StreamKey::of(account, &context.request.attempt_id));
+    gateway
+        .streams
+        .lost
+        .borrow_mut()
+        .take_preference(id, key, sharers)
+}
+
 fn known_version(lookup: Option<StreamLookup>) -> Option<KnownVersion> {
     let lookup = lookup?;
     let source = if lookup.asked == 0 {
@@ -137,28 +182,53 @@
     Some((lookup.version?, source))
 }
 
-/// Returns what all states of the service since the caller first asked tell of a stream's version.
+/// Returns the version that every state of the service since the caller first asked gives a stream.
 async fn begin_version(
     gateway: &Rc<Gateway>,
     admitted: &Admitted,
     key: Option<StreamKey>,
-) -> Option<Inference> {
-    let begun_after = admitted.first_asked?.checked_sub(view_lag(gateway))?;
+) -> VersionResult {
+    let first_asked = admitted.first_asked.ok_or(VersionUnknown::NoBegin)?;
+    let lag = view_lag(gateway);
+    if !gateway.streams.store_view.is_newer_than(gateway, lag).await {
+        return Err(VersionUnknown::SilentStore);
+    }
     // A stream that is bound to regions may have begun at another version than all servers together give it.
-    let key = key.filter(|_| admitted.request.allowed_regions == AllowedRegions::Any);
-    let find = || {
+    let is_bound = admitted.request.allowed_regions != AllowedRegions::Any;
+    let used_key = key.filter(|_| !is_bound);
+    let find = |lag: Duration| {
+        let begun_after = first_asked.checked_sub(lag)?;
         let scheduler = gateway.scheduler.borrow();
         let versions = scheduler.registry.versions();
-        versions.begin_version(&admitted.targets, key, begun_after)
+        Some(versions.begin_version(&admitted.targets, used_key, begun_after))
     };
-    let mut found = find();
+    let mut found = find(lag).ok_or(VersionUnknown::NoBegin)?;
     if found == BeginVersion::Unknown {
         let left = admitted.request.deadline;
         let left = left.saturating_duration_since(gateway.now());
         gateway.streams.history.read(gateway, left).await;
-        found = find();
+        found = find(lag).ok_or(VersionUnknown::NoBegin)?;
+    }
+    match found {
+        BeginVersion::Certain(version) => Ok((version, VersionSource::History)),
+        _ if matches!(find(VIEW_LAG), Some(BeginVersion::Certain(_))) => {
+            Err(VersionUnknown::LongViewLag)
+        }
+        BeginVersion::Unknown => Err(VersionUnknown::UnknownHistory),
+        BeginVersion::Doubtful if !has_seen_servers(gateway, admitted) => {
+            Err(VersionUnknown::NoServers)
+        }
+        BeginVersion::Doubtful if is_bound => Err(VersionUnknown::RegionBound),
+        BeginVersion::Doubtful if key.is_none() => Err(VersionUnknown::Unnamed),
+        BeginVersion::Doubtful => Err(VersionUnknown::DoubtfulKey),
     }
-    Some(Inference { begun_after, found })
+}
+
+/// Returns whether a server of the route's services is or was registered since the process started.
+fn has_seen_servers(gateway: &Gateway, admitted: &Admitted) -> bool {
+    let (scheduler, now) = (gateway.scheduler.borrow(), gateway.now());
+    let seen = |service| !scheduler.registry.seen_versions(service, now).is_empty();
+    admitted.targets.iter().copied().any(seen)
 }
 
 /// Returns the time within which every instance hears of a change.
@@ -178,28 +248,30 @@
     admitted: &Admitted,
     key: Option<StreamKey>,
     lookup: Option<StreamLookup>,
-    known: Option<KnownVersion>,
-    inference: Option<Inference>,
+    known: VersionResult,
 ) {
     let gateway = context.gateway;
     let source = known.map_or(NO_SOURCE, |(_, source)| source.name());
     gateway.metrics.stream_taken_up(source);
+    let why = known.err().map(VersionUnknown::name);
+    if let Some(reason) = why {
+        gateway.metrics.take_up_refused(reason);
+    }
     let (service, now) = (admitted.request.service, gateway.now());
     let seen = gateway
         .scheduler
         .borrow()
         .registry
         .seen_versions(service, now);
-    let name = known.and_then(|(version, _)| seen.iter().find(|s| s.version == version));
+    let version = known.ok().map(|(version, _)| version);
+    let name = seen.iter().find(|s| Some(s.version) == version);
     let versions = seen
         .iter()
         .map(|s| json!({"version": s.name, "last_seen_ms": s.last_seen.as_millis() as u64}));
     let fields = json!({
         "stream": key.map(|key| format!("{:016x}", key.0)), "age_ms": gateway.age_ms(), "source": source,
-        "version": name.map(|s| &s.name), "asked": lookup.map_or(0, |l| l.asked),
+        "why": why, "version": name.map(|s| &s.name), "asked": lookup.map_or(0, |l| l.asked),
         "answered": lookup.map_or(0, |l| l.answered), "versions": versions.collect::<Value>(),
-        "found": inference.map(Inference::name),
-        "window_ms": inference.map(|i| now.duration_since(i.begun_after).as_millis() as u64),
     });
     event_log::request_problem("stream_taken_up", &context.request.attempt_id, fields);
 }
--- a/tests/testsuite/gateway/stream_versions.rs
+++ b/tests/testsuite/gateway/stream_versions.rs
@@ -73,7 +73,7 @@
 }
 
 /// Returns a request that takes up, after event 3, the stream that `first` began.
-fn resuming(id: &str, first: &str) -> String {
+pub fn resuming(id: &str, first: &str) -> String {
     request(
         "GET",
         "/stream/x",
@@ -261,6 +261,10 @@
             (&unknown["source"], &unknown["version"]),
             (&json!("none"), &Value::Null)
         );
+        assert_eq!(
+            (&derived["why"], &unknown["why"]),
+            (&Value::Null, &json!("unnamed"))
+        );
         assert_eq!(
             (&unknown["stream"], &unknown["asked"]),
             (&Value::Null, &json!(0))
@@ -288,6 +292,7 @@
             "hawthornmill_stream_take_ups_total{source=\"record\"} 1",
             "hawthornmill_stream_take_ups_total{source=\"history\"} 1",
             "hawthornmill_stream_take_ups_total{source=\"none\"} 1",
+            "hawthornmill_stream_take_up_refusals_total{reason=\"unnamed\"} 1",
             "hawthornmill_stream_resumptions_total{outcome=\"complete\"} 1",
         ] {
             assert!(counters.contains(line), "{line}: {counters}");
