--- a/crates/hawthornmill-gateway/src/proxy/take_up.rs
+++ b/crates/hawthornmill-gateway/src/proxy/take_up.rs
@@ -182,7 +182,7 @@
     Some((lookup.version?, source))
 }
 
-/// Returns the version that every state of the service since the caller first asked gives a stream.
+/// Returns what all states of the service since the caller first asked tell of a stream's version.
 async fn begin_version(
     gateway: &Rc<Gateway>,
     admitted: &Admitted,
@@ -190,7 +190,10 @@
 ) -> VersionResult {
     let first_asked = admitted.first_asked.ok_or(VersionUnknown::NoBegin)?;
     let lag = view_lag(gateway);
-    if !gateway.streams.store_view.is_newer_than(gateway, lag).await {
+    let deadline = admitted.request.deadline;
+    let left = || deadline.saturating_duration_since(gateway.now());
+    let view = &gateway.streams.store_view;
+    if !view.is_newer_than(gateway, lag, left()).await {
         return Err(VersionUnknown::SilentStore);
     }
     // A stream that is bound to regions may have begun at another version than all servers together give it.
@@ -204,9 +207,7 @@
     };
     let mut found = find(lag).ok_or(VersionUnknown::NoBegin)?;
     if found == BeginVersion::Unknown {
-        let left = admitted.request.deadline;
-        let left = left.saturating_duration_since(gateway.now());
-        gateway.streams.history.read(gateway, left).await;
+        gateway.streams.history.read(gateway, left()).await;
         found = find(lag).ok_or(VersionUnknown::NoBegin)?;
     }
     match found {
@@ -268,10 +269,14 @@
     let versions = seen
         .iter()
         .map(|s| json!({"version": s.name, "last_seen_ms": s.last_seen.as_millis() as u64}));
+    let window = admitted
+        .first_asked
+        .map(|at| now.duration_since(at) + view_lag(gateway));
     let fields = json!({
         "stream": key.map(|key| format!("{:016x}", key.0)), "age_ms": gateway.age_ms(), "source": source,
         "why": why, "version": name.map(|s| &s.name), "asked": lookup.map_or(0, |l| l.asked),
         "answered": lookup.map_or(0, |l| l.answered), "versions": versions.collect::<Value>(),
+        "window_ms": window.map(|w| w.as_millis() as u64),
     });
     event_log::request_problem("stream_taken_up", &context.request.attempt_id, fields);
 }
--- a/tests/testsuite/gateway/scripted_server.rs
+++ b/tests/testsuite/gateway/scripted_server.rs
@@ -11,6 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use super::fleet::WAIT_TIMEOUT;
 use super::http_io::{read_body, read_head, read_request, unix_ms, write_response};
 use super::streams::{
     CHUNKED, PartialStream, fields_and_body, last_event_id, marked_events, send_part, stream_head,
@@ -83,6 +84,25 @@
     CrashAfter(u64),
 }
 
+impl Behavior {
+    /// Returns whether the server begins to write the result of running the request.
+    const fn begins_answer(&self) -> bool {
+        !matches!(
+            self,
+            Self::NotExecuted
+                | Self::Rest(_)
+                | Self::Misdirected
+                | Self::Reset
+                | Self::ResetAfterMs(_)
+                | Self::ServerError
+                | Self::InvalidResponse
+                | Self::ClientErrorWithoutId
+                | Self::EarlyResponse
+                | Self::Hang
+        )
+    }
+}
+
 /// One request that the server received.
 #[derive(Debug, Clone)]
 pub struct ReceivedRequest {
@@ -108,6 +128,8 @@
 struct State {
     script: VecDeque<Behavior>,
     default: Option<DefaultBehavior>,
+    /// Tells under which requests it crashes as soon as it begins to answer, whatever the script says.
+    crashes_under: Option<fn(&RequestHead) -> bool>,
     /// What the data of its events ends with.
     mark: &'static str,
     received: Vec<ReceivedRequest>,
@@ -116,6 +138,8 @@
     resets: bool,
     /// It answers questions about its run with 404.
     hides_reports: bool,
+    /// Status of the answer to the next question about its run.
+    failed_report: Option<u16>,
     /// Answers questions about its run after these times in turn.
     report_pauses: VecDeque<Duration>,
     /// It rejects requests that are meant for a server of another name.
@@ -159,10 +183,20 @@
         self.begin(false).await;
     }
 
+    /// Listens at its address, once the process before has given it up.
+    async fn bind(&self) -> TcpListener {
+        let end = Instant::now() + WAIT_TIMEOUT;
+        loop {
+            match TcpListener::bind(self.address).await {
+                Ok(listener) => return listener,
+                Err(error) => assert!(Instant::now() < end, "the server's address: {error}"),
+            }
+            tokio::time::sleep(EVENT_INTERVAL).await;
+        }
+    }
+
     async fn begin(&self, keeps_name: bool) {
-        let listener = TcpListener::bind(self.address)
-            .await
-            .expect("the server's address is free");
+        let listener = self.bind().await;
         let life: Life = Arc::new(watch::Sender::new(false));
         let mut state = self.lock();
         state.starts += 1;
@@ -262,6 +296,11 @@
         self.lock().hides_reports = true;
     }
 
+    /// Answers the next question about its run with an error.
+    pub fn fail_report(&self, status: u16) {
+        self.lock().failed_report = Some(status);
+    }
+
     /// Answers questions about its run after `pauses`, in turn and again from the first.
     pub fn delay_reports(&self, pauses: &[Duration]) {
         self.lock().report_pauses = pauses.iter().copied().collect();
@@ -278,14 +317,14 @@
             pauses.back().copied().unwrap_or_default()
         };
         tokio::time::sleep(pause).await;
-        let hidden = self.lock().hides_reports;
-        let (status, body) = if hidden {
-            (404, String::new())
-        } else {
-            (
+        let hidden = self.lock().hides_reports.then_some(404);
+        let error = self.lock().failed_report.take().or(hidden);
+        let (status, body) = match error {
+            Some(status) => (status, String::new()),
+            None => (
                 200,
                 format!("{{\"stage\":\"both\",\"born\":{}}}", self.born()),
-            )
+            ),
         };
         // The gateway may have closed the connection by now.
         let _written = write_response(stream, status, &[], body.as_bytes()).await;
@@ -330,6 +369,11 @@
         self.lock().default = Some(default);
     }
 
+    /// Sets under which requests it crashes as soon as it begins to answer, whatever the script says.
+    pub fn set_crashes_under(&self, crashes_under: fn(&RequestHead) -> bool) {
+        self.lock().crashes_under = Some(crashes_under);
+    }
+
     /// Sets what the data of its events ends with.
     pub fn set_mark(&self, mark: &'static str) {
         self.lock().mark = mark;
@@ -396,11 +440,16 @@
         }
         let mut state = self.lock();
         let scripted = state.script.pop_front();
-        scripted.unwrap_or_else(|| {
+        let behavior = scripted.unwrap_or_else(|| {
             state
                 .default
                 .map_or(Behavior::Respond, |default| default(head))
-        })
+        });
+        if behavior.begins_answer() && state.crashes_under.is_some_and(|under| under(head)) {
+            Behavior::CrashAfter(0)
+        } else {
+            behavior
+        }
     }
 
     /// Responds after the head of a request, and reads its body later.
