--- a/tests/testsuite/routing/version_history.rs
+++ b/tests/testsuite/routing/version_history.rs
@@ -342,7 +342,7 @@
     store.start(1_000, "a2", "v1", 4);
     store.start(20_000, "a2", "v2", 4);
     let both = [(version("v1"), 4), (version("v2"), 4)];
-    let key = (0..)
+    let key = (0..STREAMS)
         .map(StreamKey)
         .find(|k| choose(*k, &both) == Some(version("v1")));
     let old = store.late_view(22_000, &[0], epoch);
