Store: a silent watch makes the other one ask at once, and waits end further apart

From its log: the entries of 8.3 s reached nobody until the first watch of registrations was found silent at 11.30 s, though two gateways had found their other watch silent at 9.42 and 9.68 s; the waits of six readers differed by a fifth of 2.8 s only. Change: a late watch wakes that of the other topic, which asks at once on a new connection; waits are drawn from 1.3 s to the longest one, which is 1.6 s alone and 3.2 s beside four readers and more. Test: gateway::store_silence::silence_of_one_watch_makes_the_other_one_ask.

--- a/crates/hawthornmill-gateway/src/daemon.rs
+++ b/crates/hawthornmill-gateway/src/daemon.rs
@@ -13,6 +13,7 @@
 use serde_json::json;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::Notify;
 use tokio::task::{LocalSet, spawn_local};
 
 use crate::adapter::Adapter;
@@ -20,6 +21,7 @@
 use crate::endpoints::Endpoint;
 use crate::gateway::{Gateway, Phase, cleanup_loop, dispatch_loop, monitor_lateness};
 use crate::settings::Settings;
+use crate::store_watch::Topic;
 use crate::{
     endpoints, event_log, gossip, listener, relay, server_crashes, server_runs, state_sync,
     store_watch, stream_versions,
@@ -117,14 +119,11 @@
     let key = gateway.settings().key;
     let sealer = Sealer::new(key, gateway.id, gateway.incarnation, datagrams::CHANNEL);
     let datagrams = Rc::new(DatagramSocket::new(sockets.datagrams, sealer));
-    spawn_local(store_watch::watch(
-        Rc::clone(gateway),
-        store_watch::Topic::Catalog,
-    ));
-    spawn_local(store_watch::watch(
-        Rc::clone(gateway),
-        store_watch::Topic::Servers,
-    ));
+    let silence = Rc::new(Notify::new());
+    for topic in [Topic::Catalog, Topic::Servers] {
+        let silence = Rc::clone(&silence);
+        spawn_local(store_watch::watch(Rc::clone(gateway), topic, silence));
+    }
     spawn_local(gossip::send_reports(
         Rc::clone(gateway),
         Rc::clone(&datagrams),
--- a/crates/hawthornmill-gateway/src/store_watch.rs
+++ b/crates/hawthornmill-gateway/src/store_watch.rs
@@ -18,6 +18,7 @@
 use hawthornmill::routing::store_start::Start;
 use hawthornmill::routing::store_wait::{AnswerTime, watch_wait};
 use serde_json::json;
+use tokio::sync::Notify;
 
 use crate::adapter::{KvEntry, Page};
 use crate::event_log;
@@ -80,6 +81,8 @@
 struct Watcher {
     gateway: Rc<Gateway>,
     topic: Topic,
+    /// Wakes the watches of all topics when one of them is late.
+    silence: Rc<Notify>,
     store: StoreConnection,
     revision: Option<u64>,
     partial: Option<PartialList>,
@@ -95,11 +98,14 @@
 }
 
 /// Watches `topic` until the process ends.
-pub async fn watch(gateway: Rc<Gateway>, topic: Topic) {
+///
+/// `silence` is shared with the watches of other topics: what silences one connection to the store may have silenced all.
+pub async fn watch(gateway: Rc<Gateway>, topic: Topic, silence: Rc<Notify>) {
     let now = gateway.now();
     let mut watcher = Watcher {
         gateway,
         topic,
+        silence,
         store: StoreConnection::default(),
         revision: None,
         partial: None,
@@ -264,22 +270,33 @@
         self.wait = watch_wait(readers, rand::random());
         let began = gateway.now();
         let margin = self.answer_time.margin(CALL_TIMEOUT);
-        let result = self.call_watch(after, self.wait, margin).await;
+        let silence = Rc::clone(&self.silence);
+        let result = tokio::select! {
+            result = self.call_watch(after, self.wait, margin) => Some(result),
+            () = silence.notified() => None,
+        };
         let elapsed = self.gateway.now().duration_since(began);
-        let late = elapsed.checked_sub(self.wait);
-        match (&result, late) {
-            // An answer that brings changes doesn't tell when they came.
-            (Ok(page), Some(late)) if page.entries.is_empty() => self.answer_time.record(late),
-            (Err(StoreError::Silent), Some(_)) => {
-                let topic = format!("{:?}", self.topic);
-                let fields = json!({"topic": topic, "waited_ms": elapsed.as_millis() as u64});
-                event_log::state_change("store_answer_late", fields);
+        match result {
+            Some(Err(StoreError::Silent)) if elapsed > self.wait => {
                 self.answer_time.forget();
-                return self.probe(after).await;
+                self.silence.notify_waiters();
             }
-            _ => {}
+            Some(result) => {
+                // An answer that brings changes doesn't tell when they came.
+                let late = elapsed.checked_sub(self.wait);
+                if let (Ok(page), Some(late)) = (&result, late)
+                    && page.entries.is_empty()
+                {
+                    self.answer_time.record(late);
+                }
+                return result;
+            }
+            None => {}
         }
-        result
+        let topic = format!("{:?}", self.topic);
+        let fields = json!({"topic": topic, "waited_ms": elapsed.as_millis() as u64});
+        event_log::state_change("store_answer_late", fields);
+        self.probe(after).await
     }
 
     /// Asks for the changes that there are, without a wait.
--- a/crates/hawthornmill/src/routing/store_wait.rs
+++ b/crates/hawthornmill/src/routing/store_wait.rs
@@ -11,11 +11,11 @@
 const SINGLE_WAIT: Duration = Duration::from_millis(1_600);
 /// Time by which the longest wait grows with each further instance that reads the store.
 const WAIT_STEP: Duration = Duration::from_millis(400);
-/// Longest wait in any fleet: with the time allowed for the answer, well within the four seconds after which the platform
-/// counts an instance as undisturbed again.
-const MAX_WAIT: Duration = Duration::from_millis(2_800);
-/// Shortest wait as a part of the longest one, so that the instances' waits end at different times.
-const MIN_WAIT_SHARE: f64 = 0.8;
+/// Longest wait in any fleet: with the time allowed for the answer of a fast store, within the four seconds after which the
+/// platform counts an instance as undisturbed again.
+const MAX_WAIT: Duration = Duration::from_millis(3_200);
+/// Shortest wait; between it and the longest one, the instances' waits end at different times.
+const MIN_WAIT: Duration = Duration::from_millis(1_300);
 /// Shortest time allowed for the answer after the wait: a lost packet and a busy process fit in.
 const MIN_MARGIN: Duration = Duration::from_millis(400);
 /// Measured time of an answer that the time allowed for one covers, as a multiple.
@@ -29,7 +29,7 @@
     let longest = SINGLE_WAIT
         .saturating_add(WAIT_STEP.saturating_mul(steps))
         .min(MAX_WAIT);
-    longest.mul_f64(MIN_WAIT_SHARE + (1.0 - MIN_WAIT_SHARE) * draw)
+    MIN_WAIT + longest.saturating_sub(MIN_WAIT).mul_f64(draw)
 }
 
 /// How fast the store answers calls that needn't wait.
--- a/tests/testsuite/gateway/store_silence.rs
+++ b/tests/testsuite/gateway/store_silence.rs
@@ -78,3 +78,23 @@
         assert!(calls <= 12, "{calls} calls");
     });
 }
+
+/// Failure: one connection to the store is found silent, and the other one, silent too, is waited for.
+#[test]
+fn silence_of_one_watch_makes_the_other_one_ask() {
+    block_on(async {
+        let fleet = start_after_a_change().await;
+        fleet.store.lose_answers_under_way();
+
+        let late = || fleet.gateways[0].logged("store_answer_late");
+        wait_until("both watches are late", || async { late().len() >= 2 }).await;
+
+        let lines = late();
+        let times = [&lines[0], &lines[1]].map(|line| line["time_ms"].as_u64());
+        let apart = times[0]
+            .zip(times[1])
+            .map(|(one, other)| one.abs_diff(other));
+        assert!(apart.is_some_and(|ms| ms < 100), "{lines:?}");
+        assert_ne!(lines[0]["topic"], lines[1]["topic"]);
+    });
+}
