--- a/tests/testsuite/gateway/broken_state.rs
+++ b/tests/testsuite/gateway/broken_state.rs
@@ -38,7 +38,7 @@
         unconfirmed: Vec::new(),
         revision: 0,
         evacuations: Vec::new(),
-        after_outage: false,
+        after_outage: Some(false),
     }
 }
 
