Versions after a start: an entry over an older one, late answers and undecided streams prove nothing

- A server that registered another version in place left streams of before in doubt only where the store's history still had its entry of before; where that is older than the history, the stream's key was believed.
Test: first_report_over_an_older_entry_leaves_streams_of_before_in_doubt.
- The time at which an answer of the store arrived counted as the time until which all changes are known, though the answer may be late.
Now an empty answer proves its wait, one with changes the time of its question.

--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -388,10 +388,10 @@
     }
 }
 
-/// Returns the version of a stream that began here while that of its server was in doubt.
+/// Returns the version of a stream that began here while that of its server was in doubt; `None` while it still is.
 fn version_learned(gateway: &Gateway, admitted: &Admitted) -> Option<VersionId> {
     match admitted.stream? {
-        StreamOrigin::New(key) => gateway.streams.known(key),
+        StreamOrigin::New(key) => gateway.streams.known(key).filter(|v| *v != UNDECIDED),
         StreamOrigin::Resumed(_) => None,
     }
 }
--- a/crates/hawthornmill-gateway/src/store_view.rs
+++ b/crates/hawthornmill-gateway/src/store_view.rs
@@ -30,7 +30,7 @@
 }
 
 impl StoreView {
-    /// Records that this instance knows all changes until `at`.
+    /// Records that this instance knows all changes until `at`, by an answer of the store to a question that it had by then.
     pub fn record(&self, at: Instant) {
         self.known_until.set(self.known_until.get().max(Some(at)));
     }
--- a/crates/hawthornmill-gateway/src/store_watch.rs
+++ b/crates/hawthornmill-gateway/src/store_watch.rs
@@ -322,7 +322,18 @@
     ) -> Result<Page, StoreError> {
         let store = self.gateway.adapter.store;
         let path = (store.watch_path)(self.prefix(), after, wait.as_millis() as u64);
-        self.store.call(&self.gateway, &path, wait + margin).await
+        let began = self.gateway.now();
+        let page = self.store.call(&self.gateway, &path, wait + margin).await?;
+        if self.topic == Topic::Servers {
+            // An answer may come late, so the time of its arrival proves nothing.
+            let known = if page.entries.is_empty() {
+                (began + wait).min(self.gateway.now())
+            } else {
+                began
+            };
+            self.gateway.streams.store_view.record(known);
+        }
+        Ok(page)
     }
 
     async fn watch_changes(&mut self, after: u64) -> Result<(), StoreError> {
@@ -330,10 +341,6 @@
         for entry in &page.entries {
             self.apply_entry(entry);
         }
-        if self.topic == Topic::Servers {
-            let view = &self.gateway.streams.store_view;
-            view.record(self.gateway.now());
-        }
         if !page.entries.is_empty() {
             // Changes come in bursts, and returning each by itself would cost a call for each.
             tokio::time::sleep(BATCH_DELAY).await;
--- a/crates/hawthornmill/src/routing/store_history.rs
+++ b/crates/hawthornmill/src/routing/store_history.rs
@@ -242,8 +242,11 @@
                 return;
             }
             let until = read.instant(*end);
-            self.states
-                .extend(PastState::of_unregistered(earlier, after, until));
+            let follows_run = earlier.is_some() || *before == Before::UnknownRun;
+            if let Some(later) = after.filter(|_| follows_run) {
+                self.states
+                    .extend(PastState::of_unregistered(earlier, later, until));
+            }
             self.push_state(until);
         }
     }
--- a/crates/hawthornmill/src/routing/version_history.rs
+++ b/crates/hawthornmill/src/routing/version_history.rs
@@ -59,19 +59,18 @@
 }
 
 impl PastState {
-    /// Returns the state in which a server had started again with another version and its entry had not come, until `until`;
-    /// `None` if `new` isn't that of a later version of `old`.
+    /// Returns the state in which the run of `new` listened and its entry had not come, until `until`; `None` if it has the version
+    /// of `old`, the registered run.
     ///
     /// Whatever their keys give, streams that begin there meanwhile begin at the later version.
     pub fn of_unregistered(
         old: Option<ReadyServer>,
-        new: Option<ReadyServer>,
+        new: ReadyServer,
         until: Instant,
     ) -> Option<Self> {
-        let (old, new) = (old?, new?);
+        let is_same = old.is_some_and(|o| o.service == new.service && o.version == new.version);
         let capacities = Capacities::from_slice(&[(new.version, new.slots)]);
-        let changes = old.service == new.service && old.version != new.version;
-        changes.then_some(Self { until, capacities })
+        (!is_same).then_some(Self { until, capacities })
     }
 }
 
@@ -117,9 +116,11 @@
                 self.end_state(*service, now);
             }
         }
-        if let Some(state) = PastState::of_unregistered(old, ready, now)
+        if let (Some(before), Some(new)) = (old, ready)
+            && before.service == new.service
             && self.complete_since.is_some()
-            && let Some(history) = old.and_then(|o| self.services.get_mut(&o.service))
+            && let Some(state) = PastState::of_unregistered(old, new, now)
+            && let Some(history) = self.services.get_mut(&new.service)
         {
             history.past.push_back(state);
         }
--- a/tests/testsuite/routing/version_history.rs
+++ b/tests/testsuite/routing/version_history.rs
@@ -359,6 +359,31 @@
     }
 }
 
+/// Failure: the same where the store no longer has the registration of the server's run before.
+#[test]
+fn first_report_over_an_older_entry_leaves_streams_of_before_in_doubt() {
+    let epoch = Instant::now() + Duration::from_mins(5);
+    let mut store = Store::default();
+    for name in ["a1", "a2", "a3"] {
+        store.start(1_000, name, "v1", 4);
+    }
+    let floor = store.revision_at(10_000);
+    store.start(20_000, "a2", "v2", 4);
+    let both = [(version("v1"), 8), (version("v2"), 4)];
+    let key = (0..1_000)
+        .map(StreamKey)
+        .find(|k| choose(*k, &both) == Some(version("v1")));
+    let mut registry = store.listing(22_000, epoch);
+    let read = read_time(22_000, epoch, Duration::from_secs(20));
+    assert!(registry.learn_past(&store.history(22_000, floor), read));
+
+    let [before, after] =
+        [19_000, 20_500].map(|ms| begin_version(&registry, key, epoch + millis(ms)));
+
+    assert_eq!(before, BeginVersion::Doubtful);
+    assert_eq!(after, BeginVersion::Certain(version("v1")));
+}
+
 /// Failure: servers that left unannounced are taken for servers of the version that is left, though they may have been all of another.
 #[test]
 fn unknown_departures_are_presumed_of_a_known_version_only_where_they_are_few() {
