--- a/tests/testsuite/gateway/broken_state.rs
+++ b/tests/testsuite/gateway/broken_state.rs
@@ -76,8 +76,7 @@
             let response = send_request(front, text.as_bytes()).await;
             response.map_or(0, |r| r.status())
         };
-        let peer = Peer::bind(&fleet, 1).await;
-        let listener = peer.listen().await;
+        let (peer, listener) = Peer::listen(&fleet, 1).await;
         let announce = async {
             loop {
                 peer.announce(1_001, 2).await;
--- a/tests/testsuite/gateway/peer.rs
+++ b/tests/testsuite/gateway/peer.rs
@@ -10,6 +10,9 @@
 
 use super::fleet::{Fleet, PEER_PORT, frame_key};
 
+/// Ports that are tried for connections and datagrams.
+const MAX_PORTS: usize = 20;
+
 /// A fake instance that exchanges datagrams; connections to it fail unless it listens.
 #[derive(Debug)]
 pub struct Peer {
@@ -22,21 +25,31 @@
     /// Creates a peer of the first gateway, with run number `run`.
     pub async fn bind(fleet: &Fleet, run: u64) -> Self {
         let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await;
+        Self::over(socket.expect("a port is free"), fleet, run)
+    }
+
+    /// Creates a peer that accepts connections at the address of its datagrams.
+    pub async fn listen(fleet: &Fleet, run: u64) -> (Self, tokio::net::TcpListener) {
+        for _ in 0..MAX_PORTS {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await;
+            let listener = listener.expect("a port is free");
+            let address = listener.local_addr().expect("the socket has an address");
+            if let Ok(socket) = tokio::net::UdpSocket::bind(address).await {
+                return (Self::over(socket, fleet, run), listener);
+            }
+        }
+        panic!("no port is free for connections and datagrams");
+    }
+
+    fn over(socket: tokio::net::UdpSocket, fleet: &Fleet, run: u64) -> Self {
         let sealer = Sealer::new(frame_key(), InstanceId::of("other"), Incarnation(run), 0);
         Self {
-            socket: socket.expect("a port is free"),
+            socket,
             to: std::net::SocketAddr::new(fleet.gateways[0].ip, PEER_PORT),
             sealer: RefCell::new(sealer),
         }
     }
 
-    /// Accepts connections at the address of its datagrams.
-    pub async fn listen(&self) -> tokio::net::TcpListener {
-        let address = self.socket.local_addr().expect("the socket has an address");
-        let listener = tokio::net::TcpListener::bind(address).await;
-        listener.expect("the port is free")
-    }
-
     pub async fn send(&self, message: &Message) {
         self.send_frame(&self.seal(message)).await;
     }
