Take-ups: a lone process that waited until it counts as alone takes the history

What callers saw: the first stream that came back within a second of a lone process's start was refused (unheard_peers, age 1,011 ms); gateway::stream_versions::stream_goes_on_where_there_is_one_version failed in one of 3 runs by name and once in a whole suite. Cause: the wait for others is as long as the time without any after which a process counts as alone, and could end before its last look. Now it looks once more.

--- a/crates/hawthornmill-gateway/src/stream_versions.rs
+++ b/crates/hawthornmill-gateway/src/stream_versions.rs
@@ -193,7 +193,8 @@
             tokio::time::sleep(MEETING_CHECK_INTERVAL).await;
         }
     };
-    tokio::time::timeout(MAX_MEETING_WAIT, met).await.is_ok()
+    // The wait may end together with the time after which a process counts as alone.
+    tokio::time::timeout(MAX_MEETING_WAIT, met).await.is_ok() || has_met()
 }
 
 /// Returns the addresses of the `most` other instances that are told of a stream or asked for it.
