--- a/crates/hawthornmill-gateway/src/version_history.rs
+++ b/crates/hawthornmill-gateway/src/history_reader.rs
@@ -16,7 +16,7 @@
 use crate::adapter::{KvEntry, Page};
 use crate::event_log;
 use crate::gateway::Gateway;
-use crate::store_call::{CALL_TIMEOUT, StoreConnection, StoreError};
+use crate::store_call::{CALL_TIMEOUT, SHORTEST_WAIT, StoreConnection, StoreError};
 
 /// Time that a request waits for the store's history; a store in another region answers all calls of a reading within it.
 const MAX_WAIT: Duration = Duration::from_millis(1_200);
@@ -29,8 +29,6 @@
 /// Changes that the first step back spans; each further step spans `STEP_FACTOR` times as many.
 const FIRST_STEP: u64 = 16;
 const STEP_FACTOR: u64 = 4;
-/// Time in milliseconds for which the store may wait for a change.
-const WAIT_MS: u64 = 1;
 
 /// What this instance has read of the store's history.
 #[derive(Debug, Default)]
@@ -119,7 +117,11 @@
     async fn changes_after(&mut self, revision: u64) -> Result<Option<Page>, StoreError> {
         self.count += 1;
         let store = &self.gateway.adapter.store;
-        let path = (store.watch_path)(store.servers_prefix, revision, WAIT_MS);
+        let path = (store.watch_path)(
+            store.servers_prefix,
+            revision,
+            SHORTEST_WAIT.as_millis() as u64,
+        );
         match self.store.call(self.gateway, &path, CALL_TIMEOUT).await {
             Ok(page) => Ok(Some(page)),
             Err(StoreError::HistoryLost) => Ok(None),
--- a/crates/hawthornmill-gateway/src/lib.rs
+++ b/crates/hawthornmill-gateway/src/lib.rs
@@ -13,7 +13,7 @@
 //! | [`server_crashes`] | servers that crashed while they ran requests |
 //! | [`server_runs`] | which run of a server listens at its address |
 //! | [`store_call`], [`store_watch`] | calls and watches of the platform's store |
-//! | [`stream_versions`], [`version_history`] | at which version of servers streams began |
+//! | [`stream_versions`], [`history_reader`] | at which version of servers streams began |
 //! | [`datagrams`], [`gossip`] | messages between instances over UDP |
 //! | [`state_sync`], [`pending_state`] | pulls catalogs and registrations from other instances |
 //! | [`server_speeds`] | how long work takes at each server, as instances tell each other |
@@ -33,6 +33,7 @@
 pub mod event_log;
 pub mod gateway;
 pub mod gossip;
+pub mod history_reader;
 pub mod http;
 pub mod listener;
 pub mod metrics;
@@ -49,4 +50,3 @@
 pub mod store_view;
 pub mod store_watch;
 pub mod stream_versions;
-pub mod version_history;
--- a/crates/hawthornmill-gateway/src/proxy/admission.rs
+++ b/crates/hawthornmill-gateway/src/proxy/admission.rs
@@ -44,7 +44,7 @@
     pub retry_policy: RetryPolicy,
     /// The stream that it begins or takes up; `None` on routes whose streams end with their server.
     pub stream: Option<StreamOrigin>,
-    /// Instant before which its caller can't have asked first; `None` where its stream is taken up by nobody.
+    /// Instant before which its caller can't have asked first; `None` on routes whose streams can't be taken up.
     pub first_asked: Option<Instant>,
     /// Services to which its route may send it.
     pub targets: SmallVec<[ServiceId; 1]>,
--- a/crates/hawthornmill-gateway/src/server_runs.rs
+++ b/crates/hawthornmill-gateway/src/server_runs.rs
@@ -98,7 +98,7 @@
     /// It started at this time, in milliseconds of Unix time.
     Start(u64),
     /// It has no report.
-    None,
+    Absent,
 }
 
 /// What is known of the run behind a connection.
@@ -183,7 +183,7 @@
     }
     let start_ms = match report {
         Ok(Report::Start(start_ms)) => start_ms,
-        Ok(Report::None) => return RunProof::Registered,
+        Ok(Report::Absent) => return RunProof::Registered,
         Err(_broken) => {
             record_break(gateway, run, gateway.now(), "no_report");
             return RunProof::Unanswered;
@@ -233,7 +233,7 @@
         return Ok(Report::Start(start_ms));
     }
     if known.record_failure(service, run, status, gateway.now()) {
-        Ok(Report::None)
+        Ok(Report::Absent)
     } else {
         Err(io::ErrorKind::InvalidData.into())
     }
--- a/crates/hawthornmill-gateway/src/store_call.rs
+++ b/crates/hawthornmill-gateway/src/store_call.rs
@@ -19,6 +19,8 @@
 
 /// Time allowed for a call, in addition to the timeout of a watch.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// Wait of a watch that asks only for the changes that there are; 0 might mean an endless one.
+pub const SHORTEST_WAIT: Duration = Duration::from_millis(1);
 /// Longest response: a megabyte of values in base64, and their keys.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
--- a/crates/hawthornmill-gateway/src/store_view.rs
+++ b/crates/hawthornmill-gateway/src/store_view.rs
@@ -13,12 +13,10 @@
 
 use crate::event_log;
 use crate::gateway::Gateway;
-use crate::store_call::{CALL_TIMEOUT, StoreConnection};
+use crate::store_call::{CALL_TIMEOUT, SHORTEST_WAIT, StoreConnection};
 
 /// Pause after a question that the store didn't answer, or after which this instance lacked changes.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
-/// Time in milliseconds for which the store may wait for a change.
-const WAIT_MS: u64 = 1;
 
 /// Until when this instance has known the store's registrations.
 #[derive(Debug, Default)]
@@ -68,7 +66,11 @@
     let asked_at = gateway.now();
     let revision = gateway.scheduler.borrow().registry.revision();
     let store = &gateway.adapter.store;
-    let path = (store.watch_path)(store.servers_prefix, revision, WAIT_MS);
+    let path = (store.watch_path)(
+        store.servers_prefix,
+        revision,
+        SHORTEST_WAIT.as_millis() as u64,
+    );
     let mut connection = StoreConnection::default();
     let why = match connection.call(&gateway, &path, CALL_TIMEOUT).await {
         Ok(page) if page.entries.is_empty() => None,
--- a/crates/hawthornmill-gateway/src/store_watch.rs
+++ b/crates/hawthornmill-gateway/src/store_watch.rs
@@ -23,10 +23,8 @@
 use crate::adapter::{KvEntry, Page};
 use crate::event_log;
 use crate::gateway::Gateway;
-use crate::store_call::{CALL_TIMEOUT, StoreConnection, StoreError};
+use crate::store_call::{CALL_TIMEOUT, SHORTEST_WAIT, StoreConnection, StoreError};
 
-/// Wait of a call that asks a store for changes after a call was not answered; 0 might mean an endless one.
-const PROBE_WAIT: Duration = Duration::from_millis(1);
 /// Delay after a change, so that one watch returns several changes.
 const BATCH_DELAY: Duration = Duration::from_millis(100);
 /// Time after which a list that isn't complete begins anew; the store keeps changes for longer.
@@ -305,7 +303,7 @@
     /// Asks for the changes that there are, without a wait.
     async fn probe(&mut self, after: u64) -> Result<Page, StoreError> {
         let began = self.gateway.now();
-        let result = self.call_watch(after, PROBE_WAIT, CALL_TIMEOUT).await;
+        let result = self.call_watch(after, SHORTEST_WAIT, CALL_TIMEOUT).await;
         if result.is_ok() {
             let time = self.gateway.now().duration_since(began);
             self.answer_time.record(time);
--- a/crates/hawthornmill-gateway/src/stream_versions.rs
+++ b/crates/hawthornmill-gateway/src/stream_versions.rs
@@ -19,8 +19,8 @@
 
 use crate::datagrams::DatagramSocket;
 use crate::gateway::Gateway;
+use crate::history_reader::HistoryReader;
 use crate::store_view::StoreView;
-use crate::version_history::HistoryReader;
 
 /// Time for which records are gathered into one message; those of the last one are lost if the process is killed.
 const GATHER_TIME: Duration = Duration::from_millis(5);
--- a/crates/hawthornmill/src/routing/store_history.rs
+++ b/crates/hawthornmill/src/routing/store_history.rs
@@ -18,7 +18,7 @@
 /// Servers that may leave without announcing it, for each that does; about half of them do.
 const SILENT_PER_ANNOUNCED: usize = 2;
 /// States of one service that are taken from the store's history.
-const MAX_STATES: usize = 256;
+const MAX_WALKED_STATES: usize = 256;
 
 /// A change of one entry, as the store's history tells it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -237,7 +237,7 @@
             if *end <= self.since_ms && self.since_ms == read.unix_ms {
                 continue;
             }
-            if self.states.len() >= MAX_STATES {
+            if self.states.len() >= MAX_WALKED_STATES {
                 self.since_ms = self.since_ms.max(*end);
                 return;
             }
@@ -373,18 +373,14 @@
 /// Returns what each entry was before each change.
 fn befores(changes: &[PastChange]) -> Vec<Before> {
     let mut last: BTreeMap<ServerId, &PastChange> = BTreeMap::new();
-    let of = |change| {
-        let earlier = last.insert(PastChange::server_of(change), change);
+    let befores = changes.iter().map(|change| {
+        let earlier = last.insert(change.server, change);
         before(change, earlier)
-    };
-    changes.iter().map(of).collect()
+    });
+    befores.collect()
 }
 
 impl PastChange {
-    const fn server_of(&self) -> ServerId {
-        self.server
-    }
-
     /// Returns whether a server of `service` announces that it leaves.
     fn announces(&self, service: ServiceId) -> bool {
         let registration = self.registration.as_ref();
