--- a/crates/hawthornmill/src/routing/run_doubt.rs
+++ b/crates/hawthornmill/src/routing/run_doubt.rs
@@ -15,7 +15,7 @@
 
 /// Time in which a later run registers, if this instance learns of registrations meanwhile.
 ///
-/// Servers register at their start and every 1.2 s; a change may be some 3.7 s late where a watch is silent.
+/// Servers register at their start and every 1.2 s; a change may be some 4.1 s late where a watch is silent.
 pub const REGISTRATION_TIME: Duration = Duration::from_secs(5);
 /// Time for which the end of a doubt is kept, for reports of the same break that come late.
 const SETTLED_TTL: Duration = Duration::from_mins(1);
