Router: an answer whose status HTTP doesn't define is no answer

What callers saw: an answer with a status from 600 to 999, or with 101, at the router product was the caller's answer; the first isn't one, and what follows the second belongs to another protocol. Statuses from 000 to 099 were refused before. Cause: the HTTP library takes any status from 100 to 999 as a final one but for interim ones, and the router passed on what it was given; the same as at the gateway.

Change: such an answer is a failed attempt (3016, outcome unknown), sent again where the service allows it; from the home of a key it is the same as a broken one (3014).

--- a/crates/hawthornmill-net/src/api/idempotency.rs
+++ b/crates/hawthornmill-net/src/api/idempotency.rs
@@ -29,7 +29,7 @@
 use crate::event_check::EventCheck;
 use crate::fleet::{Fleet, SlotGuard};
 use crate::quarantine::{self, Progress};
-use crate::upstream::{REQUEST_ID_HEADER, read_body};
+use crate::upstream::{REQUEST_ID_HEADER, forwarded_headers, is_final_status, read_body};
 
 /// Header with the caller's idempotency key.
 pub const KEY_HEADER: &str = "idempotency-key";
@@ -427,7 +427,10 @@
         }
     })?;
     let status = response.status();
-    let headers = crate::upstream::forwarded_headers(response.headers());
+    if !is_final_status(status) {
+        return Err(Problem::new(Code::HomeUnreachable, Outcome::Unknown, id));
+    }
+    let headers = forwarded_headers(response.headers());
     let request_id = response.headers().get(REQUEST_ID_HEADER).cloned();
     let body = read_body(&mut response, MAX_RESPONSE_BYTES)
         .await
--- a/crates/hawthornmill-net/src/upstream.rs
+++ b/crates/hawthornmill-net/src/upstream.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use hawthornmill::codes::Code;
-use poem::http::{HeaderMap, HeaderName, Method};
+use poem::http::{HeaderMap, HeaderName, Method, StatusCode};
 
 /// Header that carries the request id on every hop; servers repeat it in their responses.
 pub const REQUEST_ID_HEADER: &str = "hawthornmill-request-id";
@@ -129,6 +129,9 @@
                 SendError::Failed(Code::UpstreamFailed)
             }
         })?;
+        if !is_final_status(response.status()) {
+            return Err(SendError::Failed(Code::UpstreamFailed));
+        }
         let returned_id = response.headers().get(REQUEST_ID_HEADER);
         if returned_id.is_some_and(|id| id.as_bytes() != outbound.id.as_bytes()) {
             return Err(SendError::Failed(Code::ResponseMismatch));
@@ -157,6 +160,13 @@
     }
 }
 
+/// Returns whether an answer may have this status; the HTTP library takes 101 and up to 999 for one as well.
+///
+/// No call asks for another protocol, so what follows 101 is no answer.
+pub fn is_final_status(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 200..=599)
+}
+
 /// Why a body was not read to its end.
 #[derive(Debug)]
 pub enum BodyError {
--- a/tests/testsuite/router_broken_heads.rs
+++ b/tests/testsuite/router_broken_heads.rs
@@ -20,7 +20,7 @@
 use crate::{ROUTER, block_on};
 
 /// Attempts of one call, including the first.
-const MAX_ATTEMPTS: usize = 4;
+pub const MAX_ATTEMPTS: usize = 4;
 /// Times that a call is sent which reached no server, before its test fails.
 const MAX_REFUSALS: usize = 50;
 const REFUSAL_PAUSE: Duration = Duration::from_millis(50);
@@ -48,7 +48,7 @@
 /// Starts a router in front of servers of each of the services.
 ///
 /// A call that may not run twice is sent to no server that has just failed.
-async fn start() -> (Site, RawServers) {
+pub async fn start() -> (Site, RawServers) {
     let site = small_site(ROUTER, 1).await;
     let servers = RawServers::default();
     let mut text = format!("{}\n{SERVICES}", site.text);
@@ -83,7 +83,7 @@
 }
 
 /// Sends a call to servers with this row of answers, until it reaches one; returns also how often it arrived.
-async fn play(
+pub async fn play(
     (site, servers): &(Site, RawServers),
     method: &str,
     service: &str,
