Gateway: a close that a reset follows doesn't complete an answer without a length

What callers saw: a server answers a long upload at once, without a length, closes its direction after a part of the body and resets the connection while the upload is still being written; the client got the part as a complete answer, a 200 with its last chunk. A plain reset, and a close with bytes unread, were cut visibly before (502): these cases stay as tests.

Cause: after a close, a read reports the end of the stream for ever, whether or not a reset follows; it was taken for proof that the server had said all. Ruled out: the write consuming the error (it ends the attempt).

Change: where the end of the connection ends the body, the send queue is looked at. Empty: the server has received all that was sent to it, and closed in order (the usual case, no wait). The class: an end that promises nothing, taken as proof.

--- a/crates/hawthornmill-gateway/src/pool.rs
+++ b/crates/hawthornmill-gateway/src/pool.rs
@@ -37,6 +37,11 @@
 /// Idle connections kept per server, whatever the limit of its service.
 const MAX_IDLE_PER_SERVER: usize = 48;
 
+/// Interval at which it is checked whether a server takes the rest of what was sent to it.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// Time in which a server that ended its response takes the rest of a request; eight round trips between regions.
+const CLOSE_CHECK_TIMEOUT: Duration = CONNECT_TIMEOUT;
+
 /// Initial size of the buffer of received bytes.
 const BUFFER_BYTES: usize = 4096;
 
@@ -79,6 +84,24 @@
         self.received += read;
         Ok(read)
     }
+
+    /// Returns whether the server, which closed its direction, ended the connection in order.
+    ///
+    /// A server that ends while a request is being written to it resets the connection behind its close, and a read
+    /// never shows that. In order it closes only once it has received all that was sent, or receives it afterwards.
+    pub async fn is_closed_in_order(&self) -> bool {
+        let end = tokio::time::Instant::now() + CLOSE_CHECK_TIMEOUT;
+        while tokio::time::Instant::now() < end {
+            if !matches!(SockRef::from(&self.stream).take_error(), Ok(None)) {
+                return false;
+            }
+            if sockets::unacknowledged(&self.stream).is_ok_and(|bytes| bytes == 0) {
+                return true;
+            }
+            tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
+        }
+        false
+    }
 }
 
 #[derive(Debug)]
--- a/crates/hawthornmill-gateway/src/proxy/forward.rs
+++ b/crates/hawthornmill-gateway/src/proxy/forward.rs
@@ -69,7 +69,13 @@
         }
         match read_more(&mut response.upstream, held, None).await {
             // Only an orderly close completes a body without a length; a reset truncates it.
-            Ok(0) if decoder.ends_at_close() => return BodyPart::End(BodyEnd::Closed),
+            Ok(0) if decoder.ends_at_close() => {
+                return if response.upstream.is_closed_in_order().await {
+                    BodyPart::End(BodyEnd::Closed)
+                } else {
+                    BodyPart::Truncated(BodyEnd::Failed)
+                };
+            }
             Ok(0) => return BodyPart::Truncated(BodyEnd::Closed),
             Err(ReadError::Evicted) => return BodyPart::Evicted,
             Err(_failed) => return BodyPart::Truncated(BodyEnd::Failed),
--- a/crates/hawthornmill-process/src/sockets.rs
+++ b/crates/hawthornmill-process/src/sockets.rs
@@ -2,8 +2,9 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::AsRawFd;
 
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// Maximum number of connections that wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1024;
@@ -34,3 +35,25 @@
     socket.bind(address)?;
     socket.listen(LISTEN_BACKLOG)
 }
+
+mod ioctl {
+    nix::ioctl_read_bad! {
+        /// Gets the number of bytes in the send queue that the peer has not acknowledged.
+        send_queue, nix::libc::TIOCOUTQ, nix::libc::c_int
+    }
+}
+
+/// Returns the number of bytes sent on `stream` that the peer has not acknowledged; it keeps them after a reset.
+///
+/// # Errors
+/// If the system doesn't tell.
+#[expect(
+    unsafe_code,
+    reason = "no library has a safe call for the send queue of a socket"
+)]
+pub fn unacknowledged(stream: &TcpStream) -> io::Result<usize> {
+    let mut bytes = 0;
+    // SAFETY: the descriptor is open as long as `stream` is borrowed, and the call writes one integer.
+    unsafe { ioctl::send_queue(stream.as_raw_fd(), &raw mut bytes) }?;
+    usize::try_from(bytes).map_err(io::Error::other)
+}
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -8,6 +8,8 @@
 mod broken_store;
 mod changed_routes;
 mod connection_pool;
+pub mod early_answers;
+pub mod early_servers;
 mod endless_elsewhere;
 mod endless_responses;
 mod event_streams;
--- a/tests/testsuite/gateway/raw_servers.rs
+++ b/tests/testsuite/gateway/raw_servers.rs
@@ -144,7 +144,7 @@
 }
 
 /// Returns the id of a request of either product.
-fn request_id(head: &RequestHead) -> &str {
+pub fn request_id(head: &RequestHead) -> &str {
     let headers = &head.headers;
     let id = headers.get_str("attempt-id");
     let id = id.or_else(|| headers.get_str(REQUEST_ID_HEADER));
