--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -35,6 +35,7 @@
 mod rolling_restart;
 mod router_bodies;
 mod router_broken_heads;
+mod router_early_answers;
 mod router_odd_heads;
 mod router_platform;
 mod router_upstream;
--- a/tests/testsuite/router_broken_heads.rs
+++ b/tests/testsuite/router_broken_heads.rs
@@ -51,33 +51,36 @@
 pub async fn start() -> (Site, RawServers) {
     let site = small_site(ROUTER, 1).await;
     let servers = RawServers::default();
-    let mut text = format!("{}\n{SERVICES}", site.text);
+    let mut sections = String::new();
     for (service, count) in [("raw", 2), ("lines", 2), ("once", 30)] {
         for number in 0..count {
             let address = servers.start().await;
             let name = format!("{service}-{number}");
-            text.push_str(&server_section(&name, service, address));
+            sections.push_str(&server_section(&name, service, address));
         }
     }
+    publish(&site, &sections).await;
+    (site, servers)
+}
+
+/// Adds the services and these servers to the configuration, and waits until it is in force.
+pub async fn publish(site: &Site, servers: &str) {
+    let text = format!("{}\n{SERVICES}{servers}", site.text);
     let values = Values::from([("fleet".into(), text.into())]);
     site.platform.publish_raw(manifest(2, &values), values);
-    for _ in 0..MAX_REFUSALS {
-        if site.statuses().await[0]["revision"] == 2 {
-            return (site, servers);
-        }
-        tokio::time::sleep(REFUSAL_PAUSE).await;
-    }
-    panic!("the configuration is not in force");
+    wait_for(|| async { site.statuses().await[0]["revision"] == 2 }).await;
 }
 
-fn server_section(name: &str, service: &str, address: SocketAddr) -> String {
+/// Returns the section of a server in the configuration.
+pub fn server_section(name: &str, service: &str, address: SocketAddr) -> String {
     format!(
         "[server {name}]\nservice = {service}\ndomain = a\naddress = {address}\nslots = 4\n\
          labels = pool=std\n\n"
     )
 }
 
-fn address(site: &Site) -> SocketAddr {
+/// Returns the address for callers.
+pub fn address(site: &Site) -> SocketAddr {
     let address = site.routers[0].listed.http.parse();
     address.expect("it is an address")
 }
@@ -110,7 +113,8 @@
     panic!("the router sends it nowhere");
 }
 
-async fn key_prefix(site: &Site) -> String {
+/// Returns the prefix of the keys that the router issues.
+pub async fn key_prefix(site: &Site) -> String {
     let url = format!("http://{}/v1/addresses", address(site));
     let request = reqwest::Client::new().get(url).bearer_auth("token-big");
     let addresses = send(request).await.expect("the router responds").json();
