Gateway: a planned stop cuts no request without an answer

What callers saw: after SIGTERM a process goes on taking requests for three times the directory's time to live. What was not answered 0.4 s before the end of the grace was cut without an answer: bookings that had come late among them, of which nobody knows whether they ran (LOST). With a time to live over a third of the grace, requests were taken until the process was killed. Cause: the end of the grace was known from the signal on, and neither admission nor what passes requests on asked for it; at the end the process just ended.

Change: lifecycle.rs has the phases and the end of a stop. A request that may not be repeated and whose deadline is later than that is refused at once (503, 3009, not run, Retry-After 0.010): any other instance can take it. One that waited for a server since before is not passed on any more once new ones are refused. Requests are taken for half of the grace at most. At its end, those still in flight are answered: 502 with the new code 3038 where a server may have run them, else 503; a response that has begun is cut visibly. Ruled out: answering earlier than before (the time is the same, 0.4 s before the end), refusing what may be repeated (its client can send it again after the 502).

Evidence: gateway::planned_stop, four tests. The fourth guards what must stay: a booking that can be answered in time is taken.

--- a/crates/hawthornmill-gateway/src/connection.rs
+++ b/crates/hawthornmill-gateway/src/connection.rs
@@ -10,7 +10,8 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
-use crate::gateway::{Gateway, Phase};
+use crate::gateway::Gateway;
+use crate::lifecycle::Phase;
 use crate::proxy::error_response::Answered;
 use crate::proxy::progress::RequestProgress;
 use crate::proxy::read::{ReadOutcome, Rejection, read_request};
--- a/crates/hawthornmill-gateway/src/daemon.rs
+++ b/crates/hawthornmill-gateway/src/daemon.rs
@@ -19,7 +19,8 @@
 use crate::adapter::Adapter;
 use crate::datagrams::{self, DatagramSocket};
 use crate::endpoints::Endpoint;
-use crate::gateway::{Gateway, Phase, cleanup_loop, dispatch_loop, monitor_lateness};
+use crate::gateway::{Gateway, cleanup_loop, dispatch_loop, monitor_lateness};
+use crate::lifecycle::Phase;
 use crate::settings::Settings;
 use crate::store_watch::Topic;
 use crate::{
@@ -32,8 +33,12 @@
 /// Some clients cache a response of the directory for three times its time to live. A request that
 /// arrives much later could not complete within the shutdown grace.
 const DIRECTORY_TTL_FACTOR: u32 = 3;
-/// Time before the end of the shutdown grace at which the process exits.
+/// Longest part of the shutdown grace in which a stopping process still accepts requests.
+const MAX_LAME_DUCK_FRACTION: f64 = 0.5;
+/// Time before the end of the shutdown grace at which requests in flight are answered with an error.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Time in which these answers are written.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
 /// Interval at which the requests in flight are checked during shutdown.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for which the settings file must stay the same after a signal until it is read; it may be written in parts.
@@ -183,17 +188,28 @@
     shut_down(gateway).await
 }
 
+/// Lets the requests in flight end, and answers those that don't in time; returns their number.
 async fn shut_down(gateway: &Gateway) -> usize {
     let guarantees = gateway.settings().guarantees;
-    let end = tokio::time::Instant::now() + guarantees.shutdown_grace.saturating_sub(EXIT_MARGIN);
+    let time = guarantees.shutdown_grace.saturating_sub(EXIT_MARGIN);
+    let end = tokio::time::Instant::now() + time;
     event_log::state_change("leaving", json!({"under_way": gateway.in_flight.get()}));
-    gateway.set_phase(Phase::LameDuck);
-    tokio::time::sleep(guarantees.directory_ttl * DIRECTORY_TTL_FACTOR).await;
+    gateway.begin_stop(gateway.now() + time);
+    let aware = guarantees.directory_ttl * DIRECTORY_TTL_FACTOR;
+    tokio::time::sleep(aware.min(time.mul_f64(MAX_LAME_DUCK_FRACTION))).await;
     gateway.set_phase(Phase::Draining);
+    wait_for_requests(gateway, end).await;
+    let unfinished = gateway.in_flight.get();
+    gateway.set_phase(Phase::Ending);
+    wait_for_requests(gateway, end + ANSWER_TIME).await;
+    unfinished
+}
+
+/// Waits until no request is in flight, or until `end`.
+async fn wait_for_requests(gateway: &Gateway, end: tokio::time::Instant) {
     while gateway.in_flight.get() > 0 && tokio::time::Instant::now() < end {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
     }
-    gateway.in_flight.get()
 }
 
 /// Applies changed settings; keeps the current ones if the file has faults.
--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -32,11 +32,12 @@
 use hawthornmill::routing::server_notices::ServerNotices;
 use serde_json::json;
 use slotmap::SecondaryMap;
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{Notify, oneshot};
 
 use crate::adapter::Adapter;
 use crate::event_log;
 use crate::http::blocks::BlockPool;
+use crate::lifecycle::{Lifecycle, Phase};
 use crate::line_limit::LineLimit;
 use crate::listener::{self, RejectedConnections};
 use crate::metrics::Metrics;
@@ -59,17 +60,6 @@
 /// The rest covers the time that gossip about a new catalog takes to arrive.
 const OUTDATED_FACTOR: f64 = 0.75;
 
-/// Phase of the process in its lifecycle.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Phase {
-    /// Accepts requests.
-    Serving,
-    /// Was told to stop, and still accepts requests of clients that have not heard of it.
-    LameDuck,
-    /// Rejects new requests and waits for those in flight.
-    Draining,
-}
-
 /// Shared state of the process.
 #[derive(Debug)]
 pub struct Gateway {
@@ -154,7 +144,8 @@
     pub idle_reports: Cell<u32>,
     /// Wakes the gossip task: the work of this instance changed much since it was last announced.
     pub work_wakeup: Notify,
-    phase: watch::Sender<Phase>,
+    /// Phase of the process, and when a planned stop ends.
+    pub lifecycle: Lifecycle,
     waiters: RefCell<SecondaryMap<Ticket, oneshot::Sender<Result<Placement, Refusal>>>>,
 }
 
@@ -229,7 +220,7 @@
             state_wakeup: Notify::new(),
             idle_reports: Cell::new(0),
             work_wakeup: Notify::new(),
-            phase: watch::Sender::new(Phase::Serving),
+            lifecycle: Lifecycle::default(),
             waiters: RefCell::default(),
         });
         gateway.share_memory();
@@ -293,17 +284,18 @@
 
     /// Returns the current phase.
     pub fn phase(&self) -> Phase {
-        *self.phase.borrow()
-    }
-
-    /// Subscribes to changes of the phase.
-    pub fn subscribe_phase(&self) -> watch::Receiver<Phase> {
-        self.phase.subscribe()
+        self.lifecycle.phase()
     }
 
     /// Changes the phase and announces it to peers.
     pub fn set_phase(&self, phase: Phase) {
-        self.phase.send_replace(phase);
+        self.lifecycle.set_phase(phase);
+        self.report_wakeup.notify_one();
+    }
+
+    /// Begins a planned stop in which requests in flight have time until `ends_at`, and announces it to peers.
+    pub fn begin_stop(&self, ends_at: Instant) {
+        self.lifecycle.begin_stop(ends_at);
         self.report_wakeup.notify_one();
     }
 
--- a/crates/hawthornmill-gateway/src/gossip.rs
+++ b/crates/hawthornmill-gateway/src/gossip.rs
@@ -15,7 +15,8 @@
 use serde_json::json;
 
 use crate::datagrams::{self, DatagramSocket};
-use crate::gateway::{Gateway, Phase};
+use crate::gateway::Gateway;
+use crate::lifecycle::Phase;
 use crate::{event_log, relay, server_speeds, state_sync};
 
 /// Shortest time between two reports.
--- a/crates/hawthornmill-gateway/src/lib.rs
+++ b/crates/hawthornmill-gateway/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod gossip;
 pub mod history_reader;
 pub mod http;
+pub mod lifecycle;
 pub mod line_limit;
 pub mod listener;
 pub mod metrics;
--- a/crates/hawthornmill-gateway/src/listener.rs
+++ b/crates/hawthornmill-gateway/src/listener.rs
@@ -20,8 +20,9 @@
 
 use crate::connection;
 use crate::event_log;
-use crate::gateway::{Gateway, Phase};
+use crate::gateway::Gateway;
 use crate::http::head::{self, Framing, RequestHead};
+use crate::lifecycle::Phase;
 use crate::proxy::admission::token_of;
 use crate::proxy::error_response::{Answered, ErrorResponse};
 
--- a/crates/hawthornmill-gateway/src/proxy/admission.rs
+++ b/crates/hawthornmill-gateway/src/proxy/admission.rs
@@ -16,8 +16,9 @@
 
 use super::error_response::{ErrorResponse, NotReady};
 use super::read::ClientRequest;
-use crate::gateway::{Gateway, Phase};
+use crate::gateway::Gateway;
 use crate::http::head::{Headers, RequestHead};
+use crate::lifecycle::Phase;
 
 /// Retry delay sent while the process lacks the newest catalog; the store and peers answer in milliseconds.
 const CATALOG_RETRY_DELAY: Duration = Duration::from_millis(300);
@@ -74,11 +75,8 @@
 /// # Errors
 /// Returns the response that rejects the request, which has not been executed.
 pub fn admit(gateway: &Gateway, request: &ClientRequest) -> Result<Admitted, ErrorResponse> {
-    if gateway.phase() == Phase::Draining {
-        return Err(ErrorResponse::not_ready(
-            NotReady::Stopping,
-            SHUTDOWN_RETRY_DELAY,
-        ));
+    if gateway.phase() >= Phase::Draining {
+        return Err(stopping());
     }
     let Some(table) = gateway.table() else {
         return Err(ErrorResponse::not_ready(
@@ -173,6 +171,11 @@
     })
 }
 
+/// Returns the response to a request that this instance, which stops, doesn't send to a server.
+pub const fn stopping() -> ErrorResponse {
+    ErrorResponse::not_ready(NotReady::Stopping, SHUTDOWN_RETRY_DELAY)
+}
+
 /// Tells whether a request begins a stream, or which one it takes up.
 fn stream_origin(
     gateway: &Gateway,
--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -64,6 +64,7 @@
 
 use crate::event_log;
 use crate::gateway::Gateway;
+use crate::lifecycle::Phase;
 use crate::server_crashes::BrokenRequest;
 use crate::server_runs;
 
@@ -109,24 +110,35 @@
         Ok(admitted) => admitted,
         Err(response) => return send_error(context, progress, &response, out).await,
     };
+    if gateway_may_cut(context, &admitted) {
+        return send_error(context, progress, &admission::stopping(), out).await;
+    }
     progress.record_admitted(context.request, &admitted);
     let deadline = tokio::time::Instant::from_std(admitted.request.deadline);
-    let attempts = try_servers(context, &admitted, progress, out);
-    if let Ok(outcome) = tokio::time::timeout_at(deadline, attempts).await {
-        return outcome;
-    }
+    let late_code = tokio::select! {
+        biased;
+        outcome = try_servers(context, &admitted, progress, out) => return outcome,
+        () = tokio::time::sleep_until(deadline) => Code::DeadlineWhileRunning,
+        () = context.gateway.lifecycle.ending() => Code::InstanceStopped,
+    };
     if progress.response_started() {
-        progress.set_code(Code::DeadlineWhileRunning);
+        progress.set_code(late_code);
         return RequestOutcome::Truncated;
     }
-    let response = if progress.may_have_executed() {
-        ErrorResponse::new(Code::DeadlineWhileRunning)
-    } else {
-        ErrorResponse::with_retry_after(Code::QueueTooLong, admitted.request.objective)
+    let response = match late_code {
+        code if progress.may_have_executed() => ErrorResponse::new(code),
+        Code::InstanceStopped => admission::stopping(),
+        _ => ErrorResponse::with_retry_after(Code::QueueTooLong, admitted.request.objective),
     };
     send_error(context, progress, &response, out).await
 }
 
+/// Returns whether this instance may stop before it has the answer to a request that its client can't safely repeat.
+fn gateway_may_cut(context: RequestContext<'_>, admitted: &Admitted) -> bool {
+    let lifecycle = &context.gateway.lifecycle;
+    !admitted.retry_policy.allows_retry() && lifecycle.may_cut(admitted.request.deadline)
+}
+
 /// A slot of a server that one request occupies; dropping it releases the slot.
 #[derive(Debug)]
 pub struct SlotGuard<'a> {
@@ -388,6 +400,12 @@
         };
         request.tried.push(placement.server);
         let slot = SlotGuard::new(context.gateway, admitted, placement);
+        if context.gateway.phase() >= Phase::Draining
+            && gateway_may_cut(context, admitted)
+            && !progress.may_have_executed()
+        {
+            return send_error(context, progress, &admission::stopping(), out).await;
+        }
         let decision = match attempt(context, &request, progress, slot, &mut fallback, out).await {
             Ok(outcome) => return outcome,
             Err(decision) => decision,
--- a/crates/hawthornmill-gateway/src/proxy/read.rs
+++ b/crates/hawthornmill-gateway/src/proxy/read.rs
@@ -15,7 +15,7 @@
 use super::request_body::{RequestBody, Upload};
 use super::reservation::{self, Reservation};
 use crate::connection::RequestReader;
-use crate::gateway::{Gateway, Phase};
+use crate::gateway::Gateway;
 use crate::http::head::{self, Framing, RequestHead};
 
 /// Bytes up to which no memory is reserved for a head; nearly all are shorter.
@@ -153,11 +153,10 @@
 /// A process that shuts down closes its idle connections. A request sent at the same moment has not been
 /// read, so its client can safely send it elsewhere.
 async fn wait_for_data(gateway: &Gateway, reader: &mut RequestReader, idle: Duration) -> bool {
-    let mut phases = gateway.subscribe_phase();
     tokio::select! {
         biased;
         read = tokio::time::timeout(idle, reader.read_more()) => matches!(read, Ok(Ok(bytes)) if bytes > 0),
-        _ = phases.wait_for(|p| *p == Phase::Draining) => false,
+        () = gateway.lifecycle.draining() => false,
     }
 }
 
--- a/crates/hawthornmill-gateway/src/proxy/start_wait.rs
+++ b/crates/hawthornmill-gateway/src/proxy/start_wait.rs
@@ -9,7 +9,8 @@
 
 use super::admission::parse_deadline;
 use super::read::ClientRequest;
-use crate::gateway::{Gateway, Phase};
+use crate::gateway::Gateway;
+use crate::lifecycle::Phase;
 
 /// Longest time for which a request waits.
 const MAX_WAIT: Duration = Duration::from_millis(400);
--- a/crates/hawthornmill-gateway/src/relay.rs
+++ b/crates/hawthornmill-gateway/src/relay.rs
@@ -13,8 +13,9 @@
 use hawthornmill::wire::frame::Frame;
 
 use crate::datagrams::DatagramSocket;
-use crate::gateway::{Gateway, Phase};
+use crate::gateway::Gateway;
 use crate::gossip::own_info;
+use crate::lifecycle::Phase;
 use crate::server_speeds;
 
 /// Interval at which the relay of a large failure domain tells some of its members the work of the rest of the fleet.
--- a/crates/hawthornmill/src/codes.rs
+++ b/crates/hawthornmill/src/codes.rs
@@ -149,6 +149,8 @@
     ResponseOverLimit = 3036, 502, "backend server's answer exceeded a bound";
     /// A request that another instance sent here for a server, by an entry with the wrong address.
     Misdirected = 3037, 421, "request is for a server elsewhere";
+    /// The instance stopped before the answer of a server came; the request may have run.
+    InstanceStopped = 3038, 502, "instance stopped before the answer came";
     /// A peer's frame that can't be decoded.
     FrameMalformed = 4001, 0, "malformed peer frame";
     /// A peer's frame with a wrong message authentication code.
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -33,6 +33,7 @@
 mod overload;
 mod peer;
 mod placement_bounds;
+mod planned_stop;
 mod platform_adapter;
 mod platform_names;
 mod pouring_server;
