Router: a close that a reset follows doesn't complete an answer without a length

What callers saw, cause and class: as at the gateway; the HTTP library reports the close of the direction as the end of the body, and the reset behind it to nobody.

Change: server_connections.rs gives the library a connection whose end is an error unless the server has received all that was sent to it; the check is the gateway's, now in hawthornmill-process. Calls and load reports go through that client; the platform and other instances keep the one before. Packages: hyper, hyper-util, http-body-util and tower-service, all in the lock file before as parts of reqwest and poem.

--- a/crates/hawthornmill-gateway/src/pool.rs
+++ b/crates/hawthornmill-gateway/src/pool.rs
@@ -13,7 +13,7 @@
 
 use bytes::BytesMut;
 use hawthornmill::ident::ServerId;
-use hawthornmill_process::sockets;
+use hawthornmill_process::sockets::{self, CLOSE_CHECK_INTERVAL, CLOSE_CHECK_TIMEOUT, CloseState};
 use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
@@ -37,11 +37,6 @@
 /// Idle connections kept per server, whatever the limit of its service.
 const MAX_IDLE_PER_SERVER: usize = 48;
 
-/// Interval at which it is checked whether a server takes the rest of what was sent to it.
-const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
-/// Time in which a server that ended its response takes the rest of a request; eight round trips between regions.
-const CLOSE_CHECK_TIMEOUT: Duration = CONNECT_TIMEOUT;
-
 /// Initial size of the buffer of received bytes.
 const BUFFER_BYTES: usize = 4096;
 
@@ -85,22 +80,17 @@
         Ok(read)
     }
 
-    /// Returns whether the server, which closed its direction, ended the connection in order.
-    ///
-    /// A server that ends while a request is being written to it resets the connection behind its close, and a read
-    /// never shows that. In order it closes only once it has received all that was sent, or receives it afterwards.
+    /// Returns whether the server, which closed its direction, ended the connection in order; waits until it is known.
     pub async fn is_closed_in_order(&self) -> bool {
         let end = tokio::time::Instant::now() + CLOSE_CHECK_TIMEOUT;
-        while tokio::time::Instant::now() < end {
-            if !matches!(SockRef::from(&self.stream).take_error(), Ok(None)) {
-                return false;
-            }
-            if sockets::unacknowledged(&self.stream).is_ok_and(|bytes| bytes == 0) {
-                return true;
+        loop {
+            match sockets::close_state(&self.stream) {
+                CloseState::Orderly => return true,
+                CloseState::Reset => return false,
+                CloseState::Unknown if tokio::time::Instant::now() >= end => return false,
+                CloseState::Unknown => tokio::time::sleep(CLOSE_CHECK_INTERVAL).await,
             }
-            tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
         }
-        false
     }
 }
 
--- a/crates/hawthornmill-net/src/lib.rs
+++ b/crates/hawthornmill-net/src/lib.rs
@@ -7,7 +7,7 @@
 //! | module | communicates with |
 //! |---|---|
 //! | [`api`] | callers, over HTTP |
-//! | [`upstream`] | backend servers, over HTTP |
+//! | [`upstream`], [`server_connections`] | backend servers, over HTTP |
 //! | [`peers`] | other instances, over UDP and TCP |
 //! | [`platform`] | the platform's configuration service and instance list |
 //! | [`quarantine`] | servers and peers: calls under which servers end |
@@ -23,6 +23,7 @@
 pub mod peers;
 pub mod platform;
 pub mod quarantine;
+pub mod server_connections;
 pub mod settings;
 pub mod sockets;
 pub mod telemetry;
--- a/crates/hawthornmill-net/src/upstream.rs
+++ b/crates/hawthornmill-net/src/upstream.rs
@@ -4,14 +4,24 @@
 
 use bytes::Bytes;
 use hawthornmill::codes::Code;
-use poem::http::{HeaderMap, HeaderName, Method, StatusCode};
+use http_body_util::Full;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use poem::http::header::ACCEPT;
+use poem::http::{HeaderMap, HeaderName, Method, Request, StatusCode};
+
+use crate::server_connections::ServerConnector;
 
 /// Header that carries the request id on every hop; servers repeat it in their responses.
 pub const REQUEST_ID_HEADER: &str = "hawthornmill-request-id";
 /// Header in which a server may report the cost of a call.
 pub const COST_HEADER: &str = "hawthornmill-cost";
-/// Connect timeout; servers are on the same network.
+/// Connect timeout for the platform and other instances.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Idle connections kept to each server.
+const MAX_IDLE_PER_SERVER: usize = 64;
+/// Time for a load report.
+const LOAD_TIMEOUT: Duration = Duration::from_millis(500);
 /// Length of the end of a response that is searched for a reported cost.
 const TAIL_BYTES: usize = 512;
 /// Maximum size of a load report.
@@ -67,10 +77,14 @@
     pub leaving: bool,
 }
 
+/// Client for backend servers; it never retries.
+type ServerClient = Client<ServerConnector, Full<Bytes>>;
+
 /// HTTP clients for backend servers and other instances.
 #[derive(Debug, Clone)]
 pub struct Upstream {
-    pooled: reqwest::Client,
+    pooled: ServerClient,
+    single_use: ServerClient,
     unpooled: reqwest::Client,
 }
 
@@ -80,22 +94,21 @@
     /// # Panics
     /// If the HTTP library fails to initialize; the process can't run without it.
     pub fn new() -> Self {
-        let build = |idle: usize| {
-            reqwest::Client::builder()
-                .connect_timeout(CONNECT_TIMEOUT)
-                .pool_max_idle_per_host(idle)
-                .tcp_nodelay(true)
-                .redirect(reqwest::redirect::Policy::none())
-                .retry(reqwest::retry::never())
-                .no_proxy()
-                .build()
-                .expect("the HTTP client needs no files and no network to initialize")
-        };
+        let unpooled = reqwest::Client::builder()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .pool_max_idle_per_host(0)
+            .tcp_nodelay(true)
+            .redirect(reqwest::redirect::Policy::none())
+            .retry(reqwest::retry::never())
+            .no_proxy()
+            .build()
+            .expect("the HTTP client needs no files and no network to initialize");
         Self {
-            pooled: build(64),
+            pooled: server_client(MAX_IDLE_PER_SERVER),
             // Without reuse, the server can't close an idle connection just before a request, so a
             // request that must not be repeated never fails on a half-closed connection.
-            unpooled: build(0),
+            single_use: server_client(0),
+            unpooled,
         }
     }
 
@@ -112,23 +125,26 @@
         single_use: bool,
     ) -> Result<reqwest::Response, SendError> {
         let client = if single_use {
-            &self.unpooled
+            &self.single_use
         } else {
             &self.pooled
         };
-        let url = format!("http://{address}{}", outbound.path);
-        let request = client
-            .request(outbound.method.clone(), url)
-            .headers(outbound.headers.clone())
+        let mut request = Request::builder()
+            .method(outbound.method.clone())
+            .uri(format!("http://{address}{}", outbound.path))
+            .header(ACCEPT, "*/*")
             .header(REQUEST_ID_HEADER, &*outbound.id)
-            .body(outbound.body.clone());
-        let response = request.send().await.map_err(|error| {
-            if error.is_connect() || error.is_builder() {
+            .body(Full::new(outbound.body.clone()))
+            .map_err(|_invalid| SendError::Unreachable)?;
+        request.headers_mut().extend(outbound.headers.clone());
+        let response = client.request(request).await.map_err(|error| {
+            if error.is_connect() {
                 SendError::Unreachable
             } else {
                 SendError::Failed(Code::UpstreamFailed)
             }
         })?;
+        let response: reqwest::Response = response.map(reqwest::Body::wrap).into();
         if !is_final_status(response.status()) {
             return Err(SendError::Failed(Code::UpstreamFailed));
         }
@@ -141,10 +157,13 @@
 
     /// Fetches the load that a server reports; `None` if the request fails.
     pub async fn fetch_load(&self, address: &str) -> Option<ServerLoad> {
-        let url = format!("http://{address}/load");
-        let request = self.pooled.get(url).timeout(Duration::from_millis(500));
-        let mut response = request.send().await.ok()?;
-        let bytes = read_body(&mut response, MAX_LOAD_BYTES).await.ok()?;
+        let uri = format!("http://{address}/load").parse().ok()?;
+        let fetch = async {
+            let response = self.pooled.get(uri).await.ok()?;
+            let mut response: reqwest::Response = response.map(reqwest::Body::wrap).into();
+            read_body(&mut response, MAX_LOAD_BYTES).await.ok()
+        };
+        let bytes = tokio::time::timeout(LOAD_TIMEOUT, fetch).await.ok()??;
         serde_json::from_slice(&bytes).ok()
     }
 
@@ -154,6 +173,15 @@
     }
 }
 
+/// Returns a client that keeps this many idle connections to each server.
+fn server_client(max_idle: usize) -> ServerClient {
+    Client::builder(TokioExecutor::new())
+        .pool_max_idle_per_host(max_idle)
+        .pool_timer(TokioTimer::new())
+        .retry_canceled_requests(false)
+        .build(ServerConnector)
+}
+
 impl Default for Upstream {
     fn default() -> Self {
         Self::new()
--- a/crates/hawthornmill-process/src/sockets.rs
+++ b/crates/hawthornmill-process/src/sockets.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::AsRawFd;
+use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
@@ -36,6 +37,36 @@
     socket.listen(LISTEN_BACKLOG)
 }
 
+/// Interval at which it is checked whether a peer that closed its direction takes the rest of what was sent to it.
+pub const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// Time in which such a peer takes the rest; eight round trips between regions.
+pub const CLOSE_CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What is known of the end of a connection whose peer closed its direction.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CloseState {
+    /// The peer received all that was sent to it.
+    Orderly,
+    /// The peer reset the connection.
+    Reset,
+    /// The peer has not received all yet, so that a reset may follow.
+    Unknown,
+}
+
+/// Returns how a peer that closed its direction ended the connection.
+///
+/// A peer that ends while a request is being written to it resets the connection behind its close, and a read never
+/// shows that. In order it closes only once it has received all that was sent, or receives it afterwards.
+pub fn close_state(stream: &TcpStream) -> CloseState {
+    if !matches!(stream.take_error(), Ok(None)) {
+        return CloseState::Reset;
+    }
+    match unacknowledged(stream) {
+        Ok(0) => CloseState::Orderly,
+        _ => CloseState::Unknown,
+    }
+}
+
 mod ioctl {
     nix::ioctl_read_bad! {
         /// Gets the number of bytes in the send queue that the peer has not acknowledged.
@@ -51,7 +82,7 @@
     unsafe_code,
     reason = "no library has a safe call for the send queue of a socket"
 )]
-pub fn unacknowledged(stream: &TcpStream) -> io::Result<usize> {
+fn unacknowledged(stream: &TcpStream) -> io::Result<usize> {
     let mut bytes = 0;
     // SAFETY: the descriptor is open as long as `stream` is borrowed, and the call writes one integer.
     unsafe { ioctl::send_queue(stream.as_raw_fd(), &raw mut bytes) }?;
