--- a/tests/testsuite/gateway/planned_stop.rs
+++ b/tests/testsuite/gateway/planned_stop.rs
@@ -46,11 +46,10 @@
 /// Sets these lines in place of those of the same keys in the gateway's settings.
 fn set_promises(gateway: &super::fleet::Gateway, lines: &str) {
     let text = std::fs::read_to_string(&gateway.config).expect("the settings can be read");
-    let kept = text
-        .lines()
-        .filter(|l| !l.starts_with("grace_s") && !l.starts_with("ttl_s"));
-    let kept = kept.map(|l| format!("{l}\n")).collect::<String>();
-    let text = kept.replace("[promises]\n", &format!("[promises]\n{lines}"));
+    let is_other = |line: &&str| !line.starts_with("grace_s") && !line.starts_with("ttl_s");
+    let kept: Vec<&str> = text.lines().filter(is_other).collect();
+    let promises = format!("[promises]\n{lines}");
+    let text = (kept.join("\n") + "\n").replace("[promises]\n", &promises);
     assert!(text.contains(lines), "there is a section for them");
     std::fs::write(&gateway.config, text).expect("the settings can be written");
 }
