Router: a graceful shutdown cuts no call without an answer

What callers saw: a router that leaves takes calls until the time to live of the directory has passed; those that were not answered within drain_ms were cut without an answer, calls that may not be repeated among them, which had come after the signal.

Change: a call with a key whose deadline is later than the end of the drain is refused at its home before anything is sent (3009, not run, the key is not run later either). At the end of the drain calls in flight are answered 502 with 3038, outcome unknown; 0.2 s are for that. A stream that has begun is cut visibly, as before.

Evidence: router_planned_stop, two tests; both failed without the change (nothing came to the caller), both pass with it. With a single router the short call of the second test got 504: a router that leaves gives its pools up, whoever else is there; so the test has two routers. That is as before, and not part of this.

--- a/crates/hawthornmill-net/src/api/call.rs
+++ b/crates/hawthornmill-net/src/api/call.rs
@@ -62,10 +62,21 @@
     pub authorization: Box<str>,
 }
 
-/// Handles one call.
+/// Handles one call, until the end of a graceful shutdown at most.
 pub async fn handle(fleet: &Arc<Fleet>, request: &Request, body: Body) -> Response {
-    let in_flight = InFlightGuard::new(fleet);
     let id = fleet.request_id();
+    tokio::select! {
+        biased;
+        response = run(fleet, request, body, id.clone()) => response,
+        () = fleet.must_end() => {
+            let problem = Problem::new(Code::InstanceStopped, Outcome::Unknown, &id);
+            reject(fleet, &with_key_outcome(fleet, request, problem))
+        }
+    }
+}
+
+async fn run(fleet: &Arc<Fleet>, request: &Request, body: Body, id: Box<str>) -> Response {
+    let in_flight = InFlightGuard::new(fleet);
     let reject_early = |code, detail| {
         let problem = rejection(fleet, code, detail, &id);
         reject(fleet, &with_key_outcome(fleet, request, problem))
--- a/crates/hawthornmill-net/src/api/idempotency.rs
+++ b/crates/hawthornmill-net/src/api/idempotency.rs
@@ -292,6 +292,10 @@
 }
 
 async fn run_claimed(fleet: &Arc<Fleet>, call: &Call) -> Result<StoredResponse, Problem> {
+    if fleet.may_cut(call.admitted.deadline) {
+        // Nobody would know its outcome; another instance takes it under a new key.
+        return Err(Problem::not_run(Code::NotReady, &call.outbound.id));
+    }
     let mut slot = acquire_slot(fleet, call).await?;
     match attempt(fleet, call, &mut slot, true).await {
         Ok(response) => read_response(fleet, call, slot, response).await,
--- a/crates/hawthornmill-net/src/daemon.rs
+++ b/crates/hawthornmill-net/src/daemon.rs
@@ -28,6 +28,10 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// Time within which every instance learns that this one is leaving.
 const LEAVE_PROPAGATION: Duration = Duration::from_millis(500);
+/// Time in which the calls that are in flight at the end of a drain are answered.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
+/// Why a drain ended that left calls in flight, for the log.
+const DRAIN_EXPIRED: &str = "drain timeout expired";
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Runs a router until a signal stops it; returns the exit code of the process.
@@ -200,7 +204,7 @@
 }
 
 /// Waits for a signal, then drains calls in flight; returns only if a second signal or the timeout
-/// ends the drain.
+/// ends the drain. After the timeout, the calls that are still in flight are answered.
 ///
 /// Once no call is in flight it tells the HTTP server to close its connections, which ends the
 /// process.
@@ -215,7 +219,7 @@
         _ = term.recv() => {}
         _ = int.recv() => {}
     }
-    announce_leaving(&fleet);
+    announce_leaving(&fleet, timeout);
     let closing = async {
         drain(&fleet).await;
         stop.notify_one();
@@ -225,17 +229,23 @@
         () = closing => "",
         _ = term.recv() => "a second signal",
         _ = int.recv() => "a second signal",
-        () = tokio::time::sleep(timeout) => "drain timeout expired",
+        () = tokio::time::sleep(timeout) => DRAIN_EXPIRED,
     };
     let cut = fleet.in_flight.load(Ordering::SeqCst);
     log::warn!(target: "daemon", "{cut} calls cut: {why}");
+    if why == DRAIN_EXPIRED {
+        fleet.ending.send_replace(true);
+        tokio::time::sleep(ANSWER_TIME).await;
+    }
     u8::from(cut > 0)
 }
 
-fn announce_leaving(fleet: &Fleet) {
+fn announce_leaving(fleet: &Fleet, timeout: Duration) {
     log::info!(target: "daemon", "instance {} leaves", fleet.settings.contact.name);
-    let closes_at = fleet.clock.now() + fleet.settings.discovery.ttl + LEAVE_PROPAGATION;
+    let now = fleet.clock.now();
+    let closes_at = now + fleet.settings.discovery.ttl + LEAVE_PROPAGATION;
     let _first = fleet.closes_at.set(closes_at);
+    let _first = fleet.ends_at.set(now + timeout);
     fleet.apply(|board, _| {
         let me = board.me();
         board.members.set_leaving(me);
--- a/crates/hawthornmill-net/src/fleet.rs
+++ b/crates/hawthornmill-net/src/fleet.rs
@@ -15,7 +15,7 @@
 use hawthornmill::pools::{self, cross_region, entry, tick};
 use hawthornmill::wire::message::{GrantId, Message};
 use smallvec::SmallVec;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 
 use crate::api::body::BodyBudget;
 use crate::api::key_store::KeyStore;
@@ -74,6 +74,10 @@
     pub closed: AtomicBool,
     /// When new calls will be refused; set when the process starts to leave.
     pub closes_at: OnceLock<Instant>,
+    /// When calls in flight get no more time; set when the process starts to leave.
+    pub ends_at: OnceLock<Instant>,
+    /// Set once the calls that are still in flight must be answered.
+    pub ending: watch::Sender<bool>,
     /// Memory for the bodies that are being read.
     pub body_budget: BodyBudget,
     /// Number of calls in flight.
@@ -121,6 +125,8 @@
             ready: AtomicBool::new(false),
             closed: AtomicBool::new(false),
             closes_at: OnceLock::new(),
+            ends_at: OnceLock::new(),
+            ending: watch::Sender::new(false),
             body_budget: BodyBudget::default(),
             in_flight: AtomicUsize::new(0),
             heartbeat_now: Notify::new(),
@@ -129,6 +135,18 @@
         })
     }
 
+    /// Returns whether a call that may take until `deadline` may be cut by the end of a graceful shutdown.
+    pub fn may_cut(&self, deadline: Instant) -> bool {
+        self.ends_at.get().is_some_and(|end| deadline > *end)
+    }
+
+    /// Waits until the calls in flight must be answered.
+    pub async fn must_end(&self) {
+        // The sender lives as long as `self`, so the wait doesn't fail.
+        let mut ending = self.ending.subscribe();
+        let _set = ending.wait_for(|ending| *ending).await;
+    }
+
     fn lock(&self) -> MutexGuard<'_, SharedState> {
         // After a panic under the lock each field of the blackboard is still valid by itself, and
         // continuing to serve is better for callers than refusing every request.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -37,6 +37,7 @@
 mod router_broken_heads;
 mod router_early_answers;
 mod router_odd_heads;
+mod router_planned_stop;
 mod router_platform;
 mod router_upstream;
 mod routing;
