Router: answers of keyed calls share a bound while they are read

What callers would see: a faulty server sends a body without end; the router keeps the answer of a call with a key until it is whole, up to 16 MiB for each call and twice that while its buffer grows, and nothing bounded all calls together. With a few such servers the process runs out of memory, and the calls of all others end with it (LOST).

Change: answers that are being read take memory from one budget, half of kept_bytes (those that are kept have it all). Beyond it they are read one after the other, so those that come whole don't fail for those that don't end; whoever is not whole by its call's deadline then ends with 3036, as does an answer over 16 MiB. The HTTP library reads 64 KiB ahead at most, as long as the longest head at the gateway. Bodies of requests and answers grow by the same code.

--- a/crates/hawthornmill-net/src/api/body.rs
+++ b/crates/hawthornmill-net/src/api/body.rs
@@ -1,4 +1,4 @@
-//! Reads request bodies up to a size limit, and up to the memory that all of them may use together.
+//! Reads bodies up to a size limit, and up to the memory that all of them may use together.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -6,6 +6,7 @@
 use futures_util::StreamExt;
 use hawthornmill::codes::Code;
 use poem::Body;
+use tokio::sync::{Semaphore, SemaphorePermit};
 
 /// Bytes over the limit that are read and discarded before the request is rejected.
 ///
@@ -17,9 +18,20 @@
 const MIN_BUFFER_BYTES: usize = 16 << 10;
 
 /// Memory for all bodies that the process reads at the same time.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct BodyBudget {
     reserved: AtomicUsize,
+    /// Held by the one body that may grow without memory being left.
+    turn: Semaphore,
+}
+
+impl Default for BodyBudget {
+    fn default() -> Self {
+        Self {
+            reserved: AtomicUsize::new(0),
+            turn: Semaphore::new(1),
+        }
+    }
 }
 
 impl BodyBudget {
@@ -34,6 +46,7 @@
             budget: self,
             max_bytes,
             reserved: 0,
+            turn: None,
         }
     }
 }
@@ -44,9 +57,46 @@
     budget: &'a BodyBudget,
     max_bytes: usize,
     reserved: usize,
+    turn: Option<SemaphorePermit<'a>>,
 }
 
 impl BodyReservation<'_> {
+    /// Appends a part of the body to `buffer`, which holds the rest; returns false if there is no memory for it.
+    pub fn append(&mut self, buffer: &mut BytesMut, part: &[u8]) -> bool {
+        let length = buffer.len() + part.len();
+        if length > buffer.capacity() {
+            let capacity = (buffer.capacity() * 2).max(length).max(MIN_BUFFER_BYTES);
+            if !self.grow_to(buffer.capacity() + capacity) {
+                return false;
+            }
+            let mut larger = BytesMut::with_capacity(capacity);
+            larger.extend_from_slice(buffer);
+            *buffer = larger;
+        }
+        buffer.extend_from_slice(part);
+        true
+    }
+
+    /// Appends a part of the body, which has at most `max_bytes`; where there is no memory, waits until this is the only
+    /// body that grows.
+    ///
+    /// So those that come whole are read one after the other, instead of failing for those that don't end.
+    pub async fn append_in_turn(&mut self, buffer: &mut BytesMut, part: &[u8], max_bytes: usize) {
+        if self.append(buffer, part) {
+            return;
+        }
+        // The budget closes no semaphore.
+        self.turn = self.budget.turn.acquire().await.ok();
+        // Once and for all: what grows step by step leaves freed memory of each size to the allocator.
+        buffer.reserve(max_bytes - buffer.len());
+        buffer.extend_from_slice(part);
+    }
+
+    /// Returns whether this is the one body that may grow without memory being left.
+    pub const fn has_turn(&self) -> bool {
+        self.turn.is_some()
+    }
+
     /// Reserves more, so that it is `bytes` in all; returns false if there is no memory.
     fn grow_to(&mut self, bytes: usize) -> bool {
         let more = bytes.saturating_sub(self.reserved);
@@ -92,19 +142,11 @@
         if rejection.is_none() && length > limit {
             rejection = Some(Code::BodyTooLarge);
         }
-        if rejection.is_none() && length > buffer.capacity() {
-            let capacity = (buffer.capacity() * 2).max(length).max(MIN_BUFFER_BYTES);
-            if memory.grow_to(buffer.capacity() + capacity) {
-                let mut larger = BytesMut::with_capacity(capacity);
-                larger.extend_from_slice(&buffer);
-                buffer = larger;
-            } else {
-                rejection = Some(Code::InstanceFull);
-            }
-        }
         if rejection.is_none() {
-            buffer.extend_from_slice(&chunk);
-            continue;
+            if memory.append(&mut buffer, &chunk) {
+                continue;
+            }
+            rejection = Some(Code::InstanceFull);
         }
         excess += chunk.len();
         buffer = BytesMut::new();
--- a/crates/hawthornmill-net/src/api/idempotency.rs
+++ b/crates/hawthornmill-net/src/api/idempotency.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::{StreamExt, stream};
 use hawthornmill::codes::{Code, Outcome};
 use hawthornmill::ident::InstanceId;
@@ -19,6 +19,7 @@
 use poem::http::StatusCode;
 use poem::{Body, Request, Response};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use super::admission::TIMEOUT_HEADER;
 use super::call::{Call, InFlightGuard, acquire_slot, attempt, reject};
@@ -41,6 +42,8 @@
 const SOCKET_DRAIN_TIME: Duration = Duration::from_millis(250);
 /// Longest response of a call with a key, which is held in memory.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// One part in this many of the memory for kept responses is for those that are being read.
+const READ_DIVISOR: usize = 2;
 
 /// Handles one call of a service without retries.
 pub async fn handle(
@@ -318,12 +321,26 @@
 ) -> Result<StoredResponse, Problem> {
     let reported = call_result::reported_cost(&response);
     let rules = call.admitted.response;
-    let (mut body, mut pieces) = (Vec::new(), 0);
+    let max_bytes = fleet.settings.limits.kept_bytes / READ_DIVISOR;
+    let mut memory = fleet.answer_budget.begin(max_bytes);
+    let (mut body, mut pieces) = (BytesMut::new(), 0);
+    // Where memory lacks, only answers that come whole in time are waited for.
+    let deadline = Instant::from_std(call.admitted.deadline);
+    let mut failure = Code::UpstreamFailed;
     let ended = loop {
         // A server that stops sending must not hold its slot forever.
         match tokio::time::timeout(rules.idle_timeout, response.chunk()).await {
             Ok(Ok(Some(chunk))) => {
-                body.extend_from_slice(&chunk);
+                if body.len() + chunk.len() > MAX_RESPONSE_BYTES {
+                    failure = Code::ResponseOverLimit;
+                    break false;
+                }
+                let appended = memory.append_in_turn(&mut body, &chunk, MAX_RESPONSE_BYTES);
+                let is_late = tokio::time::timeout_at(deadline, appended).await.is_err();
+                if is_late || memory.has_turn() && Instant::now() > deadline {
+                    failure = Code::ResponseOverLimit;
+                    break false;
+                }
                 pieces += 1;
             }
             Ok(Ok(None)) => break true,
@@ -337,18 +354,11 @@
             }
             Err(_elapsed) => break false,
         }
-        if body.len() > MAX_RESPONSE_BYTES {
-            break false;
-        }
     };
     let complete = ended
         && (!response_stream::requires_last_line(call, response.status()) || has_last_line(&body))
         && has_whole_events(response_stream::event_check(call, &response), &body);
-    let code = if complete {
-        0
-    } else {
-        Code::UpstreamFailed.number()
-    };
+    let code = if complete { 0 } else { failure.number() };
     let outcome = if complete {
         Outcome::Ran
     } else {
@@ -356,17 +366,13 @@
     };
     call_result::finish(fleet, call, slot, reported, CallResult { code, outcome });
     if !complete {
-        return Err(Problem::new(
-            Code::UpstreamFailed,
-            Outcome::Unknown,
-            &call.outbound.id,
-        ));
+        return Err(Problem::new(failure, Outcome::Unknown, &call.outbound.id));
     }
     let kind = response.headers().get("content-type");
     Ok(StoredResponse {
         status: response.status().as_u16(),
         content_type: kind.and_then(|k| k.to_str().ok()).map(Into::into),
-        body: body.into(),
+        body: body.as_ref().into(),
         request_id: call.outbound.id.clone(),
     })
 }
--- a/crates/hawthornmill-net/src/fleet.rs
+++ b/crates/hawthornmill-net/src/fleet.rs
@@ -80,6 +80,8 @@
     pub ending: watch::Sender<bool>,
     /// Memory for the bodies that are being read.
     pub body_budget: BodyBudget,
+    /// Memory for the answers of calls with keys that are being read.
+    pub answer_budget: BodyBudget,
     /// Number of calls in flight.
     pub in_flight: AtomicUsize,
     /// Triggers a heartbeat at once, after a change that peers should know of.
@@ -128,6 +130,7 @@
             ends_at: OnceLock::new(),
             ending: watch::Sender::new(false),
             body_budget: BodyBudget::default(),
+            answer_budget: BodyBudget::default(),
             in_flight: AtomicUsize::new(0),
             heartbeat_now: Notify::new(),
             next_request: AtomicU64::new(0),
--- a/crates/hawthornmill-net/src/upstream.rs
+++ b/crates/hawthornmill-net/src/upstream.rs
@@ -20,6 +20,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 /// Idle connections kept to each server.
 const MAX_IDLE_PER_SERVER: usize = 64;
+/// Maximum size of a response head, and of the bytes of a body that are read ahead of the caller.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Time for a load report.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(500);
 /// Length of the end of a response that is searched for a reported cost.
@@ -176,6 +178,7 @@
 /// Returns a client that keeps this many idle connections to each server.
 fn server_client(max_idle: usize) -> ServerClient {
     Client::builder(TokioExecutor::new())
+        .http1_max_buf_size(MAX_HEAD_BYTES)
         .pool_max_idle_per_host(max_idle)
         .pool_timer(TokioTimer::new())
         .retry_canceled_requests(false)
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -36,6 +36,7 @@
 mod router_bodies;
 mod router_broken_heads;
 mod router_early_answers;
+mod router_endless_answers;
 mod router_odd_heads;
 mod router_planned_stop;
 mod router_platform;
--- a/tests/testsuite/router_upstream.rs
+++ b/tests/testsuite/router_upstream.rs
@@ -12,7 +12,7 @@
 use crate::block_on;
 
 /// Starts a server that sends `head` after each request and then `unit` until its peer closes the connection.
-async fn pour(head: &'static str, unit: &'static str) -> SocketAddr {
+pub async fn pour(head: &'static str, unit: &'static str) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0")
         .await
         .expect("a port is free");
