Store, reports: an interim answer is skipped, not taken for the answer

Found by looking for the same cause elsewhere: the gateway's calls of the store and of servers' reports took an interim answer (100, 103) for the final one.

--- a/crates/hawthornmill-gateway/src/http/head.rs
+++ b/crates/hawthornmill-gateway/src/http/head.rs
@@ -6,6 +6,10 @@
 const MAX_HEADERS: usize = 96;
 /// Status codes that HTTP defines; the parser takes any three digits for one.
 const STATUS_RANGE: RangeInclusive<u16> = 100..=599;
+/// Status codes of responses before the final one.
+const INTERIM_RANGE: RangeInclusive<u16> = 100..=199;
+/// Status of a server that speaks another protocol from then on, for which no request of this process asks.
+const SWITCHING_PROTOCOLS: u16 = 101;
 
 /// One header as received.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -140,7 +144,9 @@
     let mut parsed = httparse::Response::new(&mut headers);
     match parsed.parse(bytes) {
         Ok(httparse::Status::Complete(length)) => {
-            let status = parsed.code.filter(|code| STATUS_RANGE.contains(code));
+            let is_status =
+                |code: &u16| STATUS_RANGE.contains(code) && *code != SWITCHING_PROTOCOLS;
+            let status = parsed.code.filter(is_status);
             let head = ResponseHead {
                 status: status.ok_or(Malformed)?,
                 reason: parsed.reason.unwrap_or_default().into(),
@@ -200,12 +206,17 @@
 }
 
 impl ResponseHead {
+    /// Returns whether another response to the same request follows.
+    pub fn is_interim(&self) -> bool {
+        INTERIM_RANGE.contains(&self.status)
+    }
+
     /// Returns the framing of the body of a response to a `method` request.
     ///
     /// # Errors
     /// Returns [`Malformed`] if the framing is ambiguous or invalid.
     pub fn framing(&self, method: &str) -> Result<Framing, Malformed> {
-        let no_body = method == "HEAD" || matches!(self.status, 100..=199 | 204 | 304);
+        let no_body = method == "HEAD" || self.is_interim() || matches!(self.status, 204 | 304);
         if no_body {
             return Ok(Framing::Empty);
         }
--- a/crates/hawthornmill-gateway/src/proxy/response_reader.rs
+++ b/crates/hawthornmill-gateway/src/proxy/response_reader.rs
@@ -10,11 +10,6 @@
 use crate::http::body::{BodyDecoder, Decoded};
 use crate::http::head::{self, Framing, ResponseHead};
 
-/// Status codes of interim responses.
-const INTERIM: std::ops::Range<u16> = 100..200;
-/// Status of a server that speaks another protocol from then on, for which no forwarded request asks.
-const SWITCHING_PROTOCOLS: u16 = 101;
-
 /// The request whose answer is read.
 #[derive(Debug, Clone, Copy)]
 pub struct Expected<'a> {
@@ -95,10 +90,7 @@
                     let Some((head, length)) = take_head(buffer)? else {
                         return Ok(None);
                     };
-                    if head.status == SWITCHING_PROTOCOLS {
-                        return Err(CutReason::Malformed);
-                    }
-                    if INTERIM.contains(&head.status) {
+                    if head.is_interim() {
                         self.limits.record_interim(length)?;
                         self.end_skipped(now)?;
                     } else if let Some(answer) = self.check_head(head, length)? {
--- a/crates/hawthornmill-gateway/src/store_call.rs
+++ b/crates/hawthornmill-gateway/src/store_call.rs
@@ -183,15 +183,21 @@
     let invalid = || std::io::Error::from(ErrorKind::InvalidData);
     let too_long = || std::io::Error::from(ErrorKind::FileTooLarge);
     let mut buffer = BytesMut::with_capacity(4096);
-    let (head, length) = loop {
-        if let Some(found) = head::parse_response(&buffer).map_err(|_head| invalid())? {
-            break found;
+    let mut skipped = 0;
+    let head = loop {
+        if let Some((found, length)) = head::parse_response(&buffer).map_err(|_head| invalid())? {
+            let _head = buffer.split_to(length);
+            if !found.is_interim() {
+                break found;
+            }
+            skipped += length;
+            continue;
         }
-        if stream.read_buf(&mut buffer).await? == 0 || buffer.len() > MAX_HEAD_BYTES {
+        let is_too_long = skipped + buffer.len() > MAX_HEAD_BYTES;
+        if is_too_long || stream.read_buf(&mut buffer).await? == 0 {
             return Err(invalid());
         }
     };
-    let _head = buffer.split_to(length);
     let framing = head.framing("GET").map_err(|_framing| invalid())?;
     let mut body = match framing {
         Framing::Length(bytes) if bytes > max_bytes as u64 => return Err(too_long()),
--- a/tests/testsuite/gateway/broken_store.rs
+++ b/tests/testsuite/gateway/broken_store.rs
@@ -56,6 +56,35 @@
     });
 }
 
+/// Failure: an interim answer of the store is taken for its answer, and the answer for that to the next call.
+#[test]
+fn interim_answer_of_the_store_is_skipped() {
+    block_on(async {
+        let servers = RawServers::default();
+        let address = servers.start().await;
+        let interim = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+        let endless = interim.repeat(3_000);
+        for (text, expected) in [
+            (format!("{interim}{LIST}"), Some(200)),
+            (interim.repeat(20) + LIST, Some(200)),
+            (interim.into(), None),
+            (format!("{endless}{LIST}"), None),
+            (format!("HTTP/1.1 101 X\r\n\r\n{LIST}"), None),
+            (LIST.replace("200", "000"), None),
+        ] {
+            servers.set("list", &[RawAnswer::cut(&text, usize::MAX)]);
+            let mut stream = TcpStream::connect(address).await.expect("it listens");
+            let sent = stream.write_all(b"GET /list HTTP/1.1\r\nHost: h\r\n\r\n");
+            sent.await.expect("it is read");
+
+            let response = read_response(&mut stream).await;
+
+            let status = response.ok().map(|(status, ..)| status);
+            assert_eq!(status, expected, "{} bytes", text.len());
+        }
+    });
+}
+
 /// Failure: a process that starts beside a store whose lists are cut is ready without servers, or one that runs drops them.
 #[test]
 fn cut_lists_of_the_store_change_nothing() {
