Names: may_be_cut; the servers' client sends what was never written again, as the one before

Read-through: the client that took the place of the library's usual one had that switched off, so a connection that closed in the pool would have counted as a failure of its server. Tests of the router's answers, stops, keys and restarts pass.

--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -110,7 +110,7 @@
         Ok(admitted) => admitted,
         Err(response) => return send_error(context, progress, &response, out).await,
     };
-    if gateway_may_cut(context, &admitted) {
+    if may_be_cut(context, &admitted) {
         return send_error(context, progress, &admission::stopping(), out).await;
     }
     progress.record_admitted(context.request, &admitted);
@@ -134,7 +134,7 @@
 }
 
 /// Returns whether this instance may stop before it has the answer to a request that its client can't safely repeat.
-fn gateway_may_cut(context: RequestContext<'_>, admitted: &Admitted) -> bool {
+fn may_be_cut(context: RequestContext<'_>, admitted: &Admitted) -> bool {
     let lifecycle = &context.gateway.lifecycle;
     !admitted.retry_policy.allows_retry() && lifecycle.may_cut(admitted.request.deadline)
 }
@@ -401,7 +401,7 @@
         request.tried.push(placement.server);
         let slot = SlotGuard::new(context.gateway, admitted, placement);
         if context.gateway.phase() >= Phase::Draining
-            && gateway_may_cut(context, admitted)
+            && may_be_cut(context, admitted)
             && !progress.may_have_executed()
         {
             return send_error(context, progress, &admission::stopping(), out).await;
--- a/crates/hawthornmill-net/src/upstream.rs
+++ b/crates/hawthornmill-net/src/upstream.rs
@@ -79,7 +79,7 @@
     pub leaving: bool,
 }
 
-/// Client for backend servers; it never retries.
+/// Client for backend servers; it sends a request again only if its connection closed before any byte of it was written.
 type ServerClient = Client<ServerConnector, Full<Bytes>>;
 
 /// HTTP clients for backend servers and other instances.
@@ -91,7 +91,7 @@
 }
 
 impl Upstream {
-    /// Creates clients that never retry.
+    /// Creates clients that never retry a request that may have been sent.
     ///
     /// # Panics
     /// If the HTTP library fails to initialize; the process can't run without it.
@@ -181,7 +181,6 @@
         .http1_max_buf_size(MAX_HEAD_BYTES)
         .pool_max_idle_per_host(max_idle)
         .pool_timer(TokioTimer::new())
-        .retry_canceled_requests(false)
         .build(ServerConnector)
 }
 
