--- a/crates/hawthornmill-test-support/src/procs.rs
+++ b/crates/hawthornmill-test-support/src/procs.rs
@@ -99,3 +99,17 @@
         text,
     })
 }
+
+/// Returns the most memory that a process has used, in KiB.
+///
+/// # Panics
+/// If the process has ended.
+pub fn peak_memory_kib(pid: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status"));
+    let status = status.expect("the process status can be read");
+    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+    let number = line.and_then(|l| l.trim().strip_suffix(" kB"));
+    number
+        .and_then(|n| n.parse().ok())
+        .expect("the status has a number")
+}
--- a/tests/testsuite/gateway/fleet.rs
+++ b/tests/testsuite/gateway/fleet.rs
@@ -10,6 +10,7 @@
 use hawthornmill::codes::Code;
 use hawthornmill_gateway::http::body::{BodyDecoder, Decoded};
 use hawthornmill_gateway::http::head::{self, Framing, ResponseHead};
+use hawthornmill_test_support::procs::peak_memory_kib;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde_json::{Value, json};
@@ -124,13 +125,7 @@
     /// Returns the most memory that the process has used, in KiB.
     pub fn peak_memory_kib(&self) -> u64 {
         let child = self.child.as_ref().expect("the gateway runs");
-        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
-        let status = status.expect("the process status can be read");
-        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
-        let number = line.and_then(|l| l.trim().strip_suffix(" kB"));
-        number
-            .and_then(|n| n.parse().ok())
-            .expect("the status has the peak")
+        peak_memory_kib(child.id())
     }
 
     /// Returns the exit code, or `None` while the process runs.
--- a/tests/testsuite/router_endless_answers.rs
+++ b/tests/testsuite/router_endless_answers.rs
@@ -1,7 +1,7 @@
 //! Answers without end to many keyed calls at once, behind a real router.
 
 use hawthornmill_lab::demo::site::Site;
-use hawthornmill_test_support::procs::small_site;
+use hawthornmill_test_support::procs::{peak_memory_kib, small_site};
 use tokio::task::JoinHandle;
 
 use crate::gateway::raw_client::{Received, exchange};
@@ -18,14 +18,9 @@
 /// Most memory of the router: the kept answers of its settings (64 MiB), and as much for all else.
 const MAX_MEMORY_KIB: u64 = 128 << 10;
 
-/// Returns the most memory that a router has used, in KiB.
-fn peak_memory_kib(site: &Site) -> u64 {
+fn router_peak_kib(site: &Site) -> u64 {
     let pid = site.routers[0].pid().expect("the router runs");
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status"));
-    let status = status.expect("the process status can be read");
-    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
-    let number = line.and_then(|l| l.trim().strip_suffix(" kB"));
-    number.and_then(|n| n.parse().ok()).expect("it is a number")
+    peak_memory_kib(pid.as_raw().cast_unsigned())
 }
 
 /// Sends a call with a key of its own.
@@ -54,7 +49,7 @@
         publish(&site, &sections).await;
         let prefix = key_prefix(&site).await;
 
-        let before = peak_memory_kib(&site);
+        let before = router_peak_kib(&site);
         let calls: Vec<_> = (0..CALLS)
             .map(|number| call(&site, &prefix, &number.to_string()))
             .collect();
@@ -64,7 +59,7 @@
             statuses.push(got.expect("the caller is told").status);
         }
 
-        let peak = peak_memory_kib(&site);
+        let peak = router_peak_kib(&site);
         println!("peak {before} and then {peak} KiB, {statuses:?}");
         assert!(statuses.iter().all(|s| *s >= 400), "{statuses:?}");
         assert!(statuses.contains(&502), "{statuses:?}");
