--- a/review/common-2/kit.rs
+++ b/review/common-2/kit.rs
@@ -248,6 +248,15 @@
         message.whole = end.is_ok();
     }
 
+    /// Reads a chunk of a body; an empty one is the last. `None` if the connection ends before.
+    pub fn read_chunk(&mut self) -> Option<Vec<u8>> {
+        let line = self.take_line().ok()?;
+        let size = usize::from_str_radix(line.split(';').next()?.trim(), 16).ok()?;
+        let data = self.take(size).ok()?;
+        self.take_line().ok()?;
+        Some(data)
+    }
+
     /// Reads a response; `None` if the connection ends without one.
     pub fn read_response(&mut self, most: Duration) -> Option<Message> {
         self.stream.set_read_timeout(Some(most)).ok()?;
@@ -334,6 +343,13 @@
         self.write(key, Some(value.as_bytes().to_vec()))
     }
 
+    /// Returns the present value of a key.
+    pub fn value(&self, key: &str) -> Option<String> {
+        let items = self.items.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let value = items.current.get(key).and_then(|i| i.value.clone());
+        value.map(|v| String::from_utf8_lossy(&v).into_owned())
+    }
+
     pub fn delete(&self, key: &str) -> u64 {
         self.write(key, None)
     }
@@ -553,6 +569,12 @@
         self.child = Some(child);
     }
 
+    /// Fills the settings in as the platform does when it isn't the first start of the whole system.
+    pub fn set_restarted(&self) {
+        let text = std::fs::read_to_string(&self.config).unwrap_or_default();
+        let _written = std::fs::write(&self.config, text.replace("first_start = true", "first_start = false"));
+    }
+
     pub fn pid(&self) -> u32 {
         self.child.as_ref().map_or(0, |c| lock(c).id())
     }
