--- a/review/5/main.rs
+++ b/review/5/main.rs
@@ -1,111 +1,110 @@
-//! An operator raises the limit on bodies. Clients go on using channels that were idle meanwhile.
+//! A service gets a newer software version, its route a shorter time-out, and all gateway processes are killed. Clients take
+//! the streams up that broke off, as the pages tell them; no stream may be joined from two versions.
 
 #[path = "../common-2/kit.rs"]
 mod kit;
+#[path = "../common-2/streams.rs"]
+mod streams;
 
-use std::sync::{Arc, Mutex};
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
-use kit::{Conn, Folder, Gateway, Record, Store, answer, at, config, listen, registration, request, route};
+use kit::{Folder, Gateway, Record, Store, at};
+use streams::{LIMIT, Stream, address_of, born_of, catalog, entry_with, key_of, start_server, wait_for};
 
-/// Limits on bodies of the first and of the second configuration, in bytes.
-const LOW: u64 = 64 << 10;
-const HIGH: u64 = 1 << 20;
-/// Length of the bodies that only the second one allows.
-const LONG: usize = 200 << 10;
-/// `configApplyMs` of the small sites.
-const APPLY: Duration = Duration::from_millis(3_000);
-/// Kept channels at each gateway.
-const CHANNELS: usize = 6;
-/// Time for which they are idle: within four fifths of `idleTimeoutMs`, which is 15 s.
-const IDLE: Duration = Duration::from_secs(9);
-const DEADLINE_MS: u64 = 6_000;
+/// Streams, each of a client of its own; ORDER allows two that are joined.
+const STREAMS: usize = 24;
+const MOST_JOINED: usize = 2;
+/// Time-out of the route from version 2 on.
+const SHORTER_MS: u64 = 6_000;
+/// Servers of the service.
+const SERVERS: u8 = 18;
+/// Between the begin of the streams and the release, the change of the time-out and the kill of all.
+const RELEASE: Duration = Duration::from_millis(500);
+const CHANGE: Duration = Duration::from_millis(3_000);
+const KILL: Duration = Duration::from_millis(8_000);
+/// `herd_kill`: for_s 2.0.
+const DOWN: Duration = Duration::from_millis(2_000);
+/// `drainMs`.
+const DRAIN: Duration = Duration::from_millis(3_000);
+
+/// Returns what came of the attempts of a stream.
+fn what(stream: &Stream) -> Vec<&str> {
+    stream.tries.iter().map(|(_, what)| what.as_str()).collect()
+}
 
 fn main() {
     let record = Record::create("review/5/record.txt");
     let trouble = kit::has_trouble();
     let folder = Folder::create();
-    let store = Store::start(at(250, 8_781));
-    let routes = [route("issue", "non_idempotent", "app", ""), route("lookup", "idempotent", "app", "")];
-    let services = "[{\"name\":\"app\",\"maxConnections\":110,\"healthPath\":\"/health\"}]";
-    let runs: Arc<Mutex<Vec<String>>> = Arc::default();
-    for (number, zone) in [(1, "a"), (2, "b"), (3, "c")] {
-        let address = at(100 + number, 7_000);
-        let (runs, record) = (Arc::clone(&runs), record.clone());
-        listen(address, move |conn| serve(conn, &runs, &record));
-        store.put(&format!("servers/i-{number}"), &registration(address, zone, 6));
+    let store = Store::start(at(250, kit::STORE));
+    for number in 0..SERVERS {
+        start_server(&store, number, "v1", &record);
     }
-    let first = if trouble { LOW } else { HIGH };
-    store.put("op/config", &config(1, &routes, services, first));
-    record.line(&format!("the operator's version 1 is confirmed: maxBodyBytes {first}"));
-    let gateways: Vec<Gateway> =
+    let timeout_ms = LIMIT.as_millis() as u64;
+    store.put("op/config", &catalog(1, timeout_ms));
+    let mut gateways: Vec<Gateway> =
         [(1, "a"), (2, "b"), (3, "c")].map(|(n, z)| Gateway::start(&folder, n, z, store.address)).into();
     gateways.iter().for_each(Gateway::wait_ready);
+    thread::sleep(Duration::from_secs(3));
 
-    let mut kept: Vec<(String, Conn)> = Vec::new();
-    for gateway in &gateways {
-        for number in 0..CHANNELS {
-            let id = format!("{}-{number}-first", gateway.name);
-            let mut conn = Conn::open(gateway.front()).unwrap_or_else(|e| kit::give_up(&format!("connect: {e}")));
-            let status = exchange(&mut conn, &id, 500, &record);
-            if status != 200 {
-                kit::give_up(&format!("the first request of a channel got {status}"));
-            }
-            kept.push((gateway.name.clone(), conn));
-        }
+    let fronts: Arc<[SocketAddr]> = gateways.iter().map(Gateway::front).collect();
+    let begin = Instant::now();
+    let clients: Vec<_> = (0..STREAMS)
+        .map(|number| {
+            let (fronts, record) = (Arc::clone(&fronts), record.clone());
+            thread::spawn(move || Stream::new(number, fronts, Duration::ZERO, record).play())
+        })
+        .collect();
+
+    wait_for(begin, RELEASE);
+    for number in 0..SERVERS {
+        start_server(&store, SERVERS + number, "v2", &record);
     }
-    let idle_since = Instant::now();
-    thread::sleep(Duration::from_secs(1));
-    if trouble {
-        store.put("op/config", &config(2, &routes, services, HIGH));
-        record.line(&format!("the operator's version 2 is confirmed: maxBodyBytes {HIGH}"));
+    for number in 0..SERVERS {
+        let address = address_of(number);
+        let born = born_of(&store, number);
+        store.put(&key_of(number), &entry_with(address, "draining", "v1", born, 3));
+    }
+    let drained_at = Instant::now();
+    record.line(&format!("{SERVERS} servers of v2 have registered, and {SERVERS} of v1 say that they leave"));
+    wait_for(begin, CHANGE);
+    store.put("op/config", &catalog(2, SHORTER_MS));
+    record.line(&format!("the operator's version 2 is confirmed: timeoutMs {timeout_ms} becomes {SHORTER_MS}"));
+    wait_for(drained_at, DRAIN + Duration::from_millis(100));
+    for number in 0..SERVERS {
+        store.delete(&key_of(number));
     }
-    thread::sleep(APPLY + Duration::from_millis(500));
-    for gateway in &gateways {
-        let mut conn = Conn::open(gateway.front()).unwrap_or_else(|e| kit::give_up(&format!("connect: {e}")));
-        let status = exchange(&mut conn, &format!("{}-new-channel", gateway.name), LONG, &record);
-        if status != 200 {
-            kit::give_up(&format!("a new channel of {} got {status}", gateway.name));
+    record.line("the entries of v1 are removed; its servers go on with what they run");
+    wait_for(begin, KILL);
+    if trouble {
+        gateways.iter_mut().for_each(Gateway::kill);
+        record.line("all gateway processes are killed");
+        thread::sleep(DOWN);
+        for gateway in &mut gateways {
+            gateway.set_restarted();
+            gateway.run();
         }
+        record.line("all gateway processes are started again");
     }
-    thread::sleep(IDLE.saturating_sub(idle_since.elapsed()));
-    let (mut refused, sent) = (0, kept.len());
-    for (number, (name, conn)) in kept.iter_mut().enumerate() {
-        let status = exchange(conn, &format!("{name}-{number}-kept-channel"), LONG, &record);
-        refused += usize::from([413, 431].contains(&status));
+
+    let streams: Vec<Stream> = clients.into_iter().filter_map(|c| c.join().ok()).collect();
+    let joined = streams.iter().filter(|s| s.versions().len() > 1).count();
+    let whole = streams.iter().filter(|s| s.is_whole).count();
+    for stream in &streams {
+        record.line(&format!(
+            "stream {}: versions {:?}, last event {}, whole {}, tries {:?}",
+            stream.number, stream.versions(), stream.last, stream.is_whole, what(stream)
+        ));
     }
-    // CONFIG: a machine regresses if it handles one such request as only version 1 allows, as each machine was seen to have
-    // version 2 long before. DENIED: more than 5 + one in 500 of all requests.
-    let all = 2 * sent + gateways.len();
-    let is_denied = refused as f64 > 5.0 + all as f64 / 500.0;
-    record.line(&format!("{refused} of {sent} proper requests on kept channels were refused with 413; all requests: {all}"));
-    record.line(&format!("CONFIG broken: {}; DENIED broken: {is_denied}", refused > 0));
-    let code = if refused > 0 { kit::BROKEN } else { kit::HELD };
+    let begun = streams.iter().filter(|s| s.last > 0).count();
+    if begun < STREAMS {
+        kit::give_up(&format!("only {begun} streams began"));
+    }
+    record.line(&format!("{joined} of {STREAMS} streams hold events of two versions; {whole} came to their end"));
+    let code = if joined > MOST_JOINED { kit::BROKEN } else { kit::HELD };
     record.line(&format!("exit {code}"));
     kit::finish(code)
 }
-
-fn exchange(conn: &mut Conn, id: &str, bytes: usize, record: &Record) -> u16 {
-    let body = vec![b'x'; bytes];
-    record.line(&format!("client sends {id}: POST /issue/1, {bytes} bytes"));
-    let _sent = conn.send(&request("POST", "/issue/1", id, DEADLINE_MS, &body));
-    let response = conn.read_response(Duration::from_millis(DEADLINE_MS));
-    let status = response.as_ref().map_or(0, kit::Message::status);
-    let stamp = response.as_ref().and_then(|r| r.header("server-stamp")).unwrap_or("none");
-    record.line(&format!("client gets {id}: status {status}, Server-Stamp {stamp}"));
-    status
-}
-
-/// A plain server that runs each request at once.
-fn serve(mut conn: Conn, runs: &Mutex<Vec<String>>, record: &Record) {
-    while let Ok(Some(mut request)) = conn.read_head() {
-        conn.read_body(&mut request, false);
-        let id = request.header("attempt-id").unwrap_or("").to_owned();
-        record.line(&format!("server runs {id}: {} bytes", request.body.len()));
-        runs.lock().unwrap().push(id.clone());
-        if conn.send(&answer("200 OK", &id, b"issued")).is_err() {
-            return;
-        }
-    }
-}
--- a/review/common-2/kit.rs
+++ b/review/common-2/kit.rs
@@ -6,11 +6,11 @@
 use std::collections::BTreeMap;
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, OnceLock, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -99,8 +99,25 @@
     IpAddr::V4(Ipv4Addr::new(127, net.0 as u8, net.1 as u8, last))
 }
 
+/// Returns the address of a host of this run; all ports are moved alike to where they are free.
 pub fn at(last: u8, port: u16) -> SocketAddr {
-    SocketAddr::new(ip(last), port)
+    SocketAddr::new(ip(last), port + shift())
+}
+
+/// Ports that a run uses, apart from hosts.
+const PORTS: [u16; 8] = [FRONT, READY, DIRECTORY, PEER, METRICS, STORE, SERVER, 8_785];
+
+/// Returns by how much the ports are moved: another process may listen on one of them at all addresses.
+fn shift() -> u16 {
+    static SHIFT: OnceLock<u16> = OnceLock::new();
+    let is_free = |shift: &u16| {
+        let addresses = PORTS.map(|port| SocketAddr::new(ip(1), port + shift));
+        addresses.iter().all(|a| TcpListener::bind(a).is_ok() && UdpSocket::bind(a).is_ok())
+    };
+    *SHIFT.get_or_init(|| {
+        let mut shifts = (0..100).map(|n| n * 61);
+        shifts.find(is_free).unwrap_or_else(|| give_up("no free ports"))
+    })
 }
 
 /// Waits until `check` holds, for `most` at most; returns whether it does.
@@ -503,16 +520,20 @@
 // ------------------------------------------------------------------------------------------------------------ gateways
 
 const KEY: &str = "8f0c1a52b7e64d39a1c5f2087be94d63105ad7c8e2f93b46700de1b85c2f4a97";
-pub const FRONT: u16 = 8783;
-pub const READY: u16 = 8780;
-pub const DIRECTORY: u16 = 8789;
+const FRONT: u16 = 8783;
+const READY: u16 = 8780;
+const DIRECTORY: u16 = 8789;
+/// Port of the store.
+pub const STORE: u16 = 8_781;
+/// Port of each server.
+pub const SERVER: u16 = 7_000;
 const PEER: u16 = 7400;
 const METRICS: u16 = 7410;
 
 /// A gateway process with the settings of a small deployment, as deploy/gateway.ini fills them in.
 pub struct Gateway {
     pub name: String,
-    pub ip: IpAddr,
+    pub number: u8,
     pub config: PathBuf,
     pub log: PathBuf,
     child: Option<Arc<Mutex<Child>>>,
@@ -533,13 +554,14 @@
 impl Gateway {
     /// Starts the gateway of `number`, from 1, in zone `zone`, with the store at `store`.
     pub fn start(folder: &Folder, number: u8, zone: &str, store: SocketAddr) -> Self {
-        let own = ip(number);
+        let [front, ready, directory, peer, metrics] =
+            [FRONT, READY, DIRECTORY, PEER, METRICS].map(|port| at(number, port));
         let name = format!("front-{zone}-{number}");
-        let seeds: Vec<String> = (1..=3).map(|n| format!("{}:8785", ip(n))).collect();
+        let seeds: Vec<String> = (1..=3).map(|n| at(n, 8_785).to_string()).collect();
         let text = format!(
             "[instance]\nname = {name}\ndomain = {zone}\nregion = north\ncores = 1\ncpu_share = 0.25\nmemory_mb = 110\n\
-             first_start = true\n\n[listen]\nfront = {own}:{FRONT}\nready = {own}:{READY}\ndirectory = {own}:{DIRECTORY}\n\
-             peer = {own}:{PEER}\nmetrics = {own}:{METRICS}\n\n[peers]\nseeds = {}\nkey = {KEY}\n\n\
+             first_start = true\n\n[listen]\nfront = {front}\nready = {ready}\ndirectory = {directory}\n\
+             peer = {peer}\nmetrics = {metrics}\n\n[peers]\nseeds = {}\nkey = {KEY}\n\n\
              [domain a]\nregion = north\n\n[domain b]\nregion = north\n\n[domain c]\nregion = south\n\n\
              [store]\naddress = {store}\nhistory_s = 20\nheartbeat_ms = 1200\ndrain_ms = 3000\n\n\
              [promises]\napply_ms = 3000\ngrace_s = 8\nttl_s = 1\nresend_ratio = 0.2\nresend_extra = 56\n\
@@ -549,7 +571,7 @@
         let config = folder.0.join(format!("{name}.ini"));
         std::fs::write(&config, text).unwrap_or_else(|e| give_up(&format!("settings: {e}")));
         let log = folder.0.join(format!("{name}.log"));
-        let mut gateway = Self { name, ip: own, config, log, child: None };
+        let mut gateway = Self { name, number, config, log, child: None };
         gateway.run();
         gateway
     }
@@ -580,7 +602,11 @@
     }
 
     pub fn front(&self) -> SocketAddr {
-        SocketAddr::new(self.ip, FRONT)
+        at(self.number, FRONT)
+    }
+
+    pub fn ready(&self) -> SocketAddr {
+        at(self.number, READY)
     }
 
     /// Sends a signal by its name, as in `kill -NAME PID`.
@@ -603,7 +629,7 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        let Ok(mut conn) = Conn::open(SocketAddr::new(self.ip, READY)) else {
+        let Ok(mut conn) = Conn::open(self.ready()) else {
             return false;
         };
         let text = b"GET /v1/ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
--- a/review/common-2/streams.rs
+++ b/review/common-2/streams.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use super::kit::{Conn, Record, Store, at, entry, listen, unix_ms};
+use super::kit::{Conn, Record, SERVER, Store, at, entry, listen, unix_ms};
 
 /// Time limit of the clients and first time-out of the route: those of `fitting-letter` at bringameret.
 pub const LIMIT: Duration = Duration::from_millis(15_000);
@@ -31,7 +31,7 @@
 }
 
 pub fn address_of(number: u8) -> SocketAddr {
-    at(100 + number, 7_000)
+    at(100 + number, SERVER)
 }
 
 pub fn key_of(number: u8) -> String {
