--- a/review/5/main.rs
+++ b/review/5/main.rs
@@ -12,7 +12,9 @@
 use std::time::{Duration, Instant};
 
 use kit::{Folder, Gateway, Record, Store, at};
-use streams::{LIMIT, Stream, address_of, born_of, catalog, entry_with, key_of, start_server, wait_for};
+use streams::{
+    LIMIT, Stream, address_of, born_of, catalog, entry_with, key_of, start_server, wait_for,
+};
 
 /// Streams, each of a client of its own; ORDER allows two that are joined.
 const STREAMS: usize = 24;
@@ -45,8 +47,9 @@
     }
     let timeout_ms = LIMIT.as_millis() as u64;
     store.put("op/config", &catalog(1, timeout_ms));
-    let mut gateways: Vec<Gateway> =
-        [(1, "a"), (2, "b"), (3, "c")].map(|(n, z)| Gateway::start(&folder, n, z, store.address)).into();
+    let mut gateways: Vec<Gateway> = [(1, "a"), (2, "b"), (3, "c")]
+        .map(|(n, z)| Gateway::start(&folder, n, z, store.address))
+        .into();
     gateways.iter().for_each(Gateway::wait_ready);
     thread::sleep(Duration::from_secs(3));
 
@@ -66,13 +69,20 @@
     for number in 0..SERVERS {
         let address = address_of(number);
         let born = born_of(&store, number);
-        store.put(&key_of(number), &entry_with(address, "draining", "v1", born, 3));
+        store.put(
+            &key_of(number),
+            &entry_with(address, "draining", "v1", born, 3),
+        );
     }
     let drained_at = Instant::now();
-    record.line(&format!("{SERVERS} servers of v2 have registered, and {SERVERS} of v1 say that they leave"));
+    record.line(&format!(
+        "{SERVERS} servers of v2 have registered, and {SERVERS} of v1 say that they leave"
+    ));
     wait_for(begin, CHANGE);
     store.put("op/config", &catalog(2, SHORTER_MS));
-    record.line(&format!("the operator's version 2 is confirmed: timeoutMs {timeout_ms} becomes {SHORTER_MS}"));
+    record.line(&format!(
+        "the operator's version 2 is confirmed: timeoutMs {timeout_ms} becomes {SHORTER_MS}"
+    ));
     wait_for(drained_at, DRAIN + Duration::from_millis(100));
     for number in 0..SERVERS {
         store.delete(&key_of(number));
@@ -96,15 +106,25 @@
     for stream in &streams {
         record.line(&format!(
             "stream {}: versions {:?}, last event {}, whole {}, tries {:?}",
-            stream.number, stream.versions(), stream.last, stream.is_whole, what(stream)
+            stream.number,
+            stream.versions(),
+            stream.last,
+            stream.is_whole,
+            what(stream)
         ));
     }
     let begun = streams.iter().filter(|s| s.last > 0).count();
     if begun < STREAMS {
         kit::give_up(&format!("only {begun} streams began"));
     }
-    record.line(&format!("{joined} of {STREAMS} streams hold events of two versions; {whole} came to their end"));
-    let code = if joined > MOST_JOINED { kit::BROKEN } else { kit::HELD };
+    record.line(&format!(
+        "{joined} of {STREAMS} streams hold events of two versions; {whole} came to their end"
+    ));
+    let code = if joined > MOST_JOINED {
+        kit::BROKEN
+    } else {
+        kit::HELD
+    };
     record.line(&format!("exit {code}"));
     kit::finish(code)
 }
--- a/review/7/main.rs
+++ b/review/7/main.rs
@@ -12,7 +12,9 @@
 use std::time::{Duration, Instant};
 
 use kit::{Folder, Gateway, Record, Store, at};
-use streams::{LIMIT, Stream, address_of, born_of, catalog, entry_with, key_of, start_server, wait_for};
+use streams::{
+    LIMIT, Stream, address_of, born_of, catalog, entry_with, key_of, start_server, wait_for,
+};
 
 /// Streams that are taken up, and new ones beside them. LOST asks for 12 or more that are taken up.
 const STREAMS: usize = 24;
@@ -44,8 +46,9 @@
         start_server(&store, number, "v1", &record);
     }
     store.put("op/config", &catalog(1, LIMIT.as_millis() as u64));
-    let mut gateways: Vec<Gateway> =
-        [(1, "a"), (2, "b"), (3, "c")].map(|(n, z)| Gateway::start(&folder, n, z, store.address)).into();
+    let mut gateways: Vec<Gateway> = [(1, "a"), (2, "b"), (3, "c")]
+        .map(|(n, z)| Gateway::start(&folder, n, z, store.address))
+        .into();
     gateways.iter().for_each(Gateway::wait_ready);
     thread::sleep(Duration::from_secs(3));
 
@@ -81,7 +84,9 @@
     record.line("the machines are in touch; new streams begin beside those that are taken up");
     let new = play(STREAMS);
 
-    let done = |clients: Vec<thread::JoinHandle<Stream>>| -> Vec<Stream> { clients.into_iter().filter_map(|c| c.join().ok()).collect() };
+    let done = |clients: Vec<thread::JoinHandle<Stream>>| -> Vec<Stream> {
+        clients.into_iter().filter_map(|c| c.join().ok()).collect()
+    };
     let (broken_off, new) = (done(broken_off), done(new));
     for stream in broken_off.iter().chain(&new) {
         let tries: Vec<String> = stream
@@ -91,22 +96,47 @@
             .collect();
         record.line(&format!(
             "stream {}: versions {:?}, last event {}, whole {}, tries {tries:?}",
-            stream.number, stream.versions(), stream.last, stream.is_whole
+            stream.number,
+            stream.versions(),
+            stream.last,
+            stream.is_whole
         ));
     }
     // A stream is taken up at a machine in touch if an attempt after its first event was sent since then.
     let taken_up = |s: &&Stream| s.tries.iter().skip(1).any(|(sent, _)| *sent >= in_touch);
-    let goes_on = |s: &&Stream| s.tries.iter().skip(1).any(|(sent, what)| *sent >= in_touch && what.starts_with("200"));
+    let goes_on = |s: &&Stream| {
+        s.tries
+            .iter()
+            .skip(1)
+            .any(|(sent, what)| *sent >= in_touch && what.starts_with("200"))
+    };
     let up: Vec<&Stream> = broken_off.iter().filter(taken_up).collect();
     let on = up.iter().copied().filter(goes_on).count();
-    let begun = new.iter().filter(|s| s.tries.first().is_some_and(|(_, what)| what.starts_with("200"))).count();
+    let begun = new
+        .iter()
+        .filter(|s| {
+            s.tries
+                .first()
+                .is_some_and(|(_, what)| what.starts_with("200"))
+        })
+        .count();
     record.line(&format!(
         "{on} of {} streams that were taken up at machines in touch went on; {begun} of {} new ones began",
         up.len(), new.len()
     ));
-    let ever = broken_off.iter().filter(|s| s.tries.iter().skip(1).any(|(_, what)| what.starts_with("200"))).count();
+    let ever = broken_off
+        .iter()
+        .filter(|s| {
+            s.tries
+                .iter()
+                .skip(1)
+                .any(|(_, what)| what.starts_with("200"))
+        })
+        .count();
     let again = broken_off.iter().filter(|s| s.tries.len() > 1).count();
-    record.line(&format!("{ever} of {again} went on at all, also at machines that weren't in touch yet"));
+    record.line(&format!(
+        "{ever} of {again} went on at all, also at machines that weren't in touch yet"
+    ));
     if begun < LEAST {
         kit::give_up("too few new streams began");
     }
@@ -125,11 +155,19 @@
         wait_for(begin, at(number));
         start_server(store, SERVERS + number, "v2", record);
         let born = born_of(store, number);
-        store.put(&key_of(number), &entry_with(address_of(number), "draining", "v1", born, 3));
-        record.line(&format!("a server of v2 has registered, and i-{number} of v1 says that it leaves"));
+        store.put(
+            &key_of(number),
+            &entry_with(address_of(number), "draining", "v1", born, 3),
+        );
+        record.line(&format!(
+            "a server of v2 has registered, and i-{number} of v1 says that it leaves"
+        ));
     }
     for number in 0..ADDED {
-        wait_for(begin, at(REPLACED) + Duration::from_millis(100) * u32::from(number + 1));
+        wait_for(
+            begin,
+            at(REPLACED) + Duration::from_millis(100) * u32::from(number + 1),
+        );
         start_server(store, SERVERS + REPLACED + number, "v2", record);
     }
     record.line(&format!("{ADDED} more servers of v2 have registered"));
@@ -137,5 +175,8 @@
         wait_for(begin, at(number) + DRAIN);
         store.delete(&key_of(number));
     }
-    record.line(&format!("the entries of {REPLACED} servers of v1 are removed; {} of v1 serve on", SERVERS - REPLACED));
+    record.line(&format!(
+        "the entries of {REPLACED} servers of v1 are removed; {} of v1 serve on",
+        SERVERS - REPLACED
+    ));
 }
--- a/review/common-2/kit.rs
+++ b/review/common-2/kit.rs
@@ -66,14 +66,25 @@
             thread::sleep(MOST);
             give_up("it takes too long");
         });
-        let file = OpenOptions::new().create(true).write(true).truncate(true).open(path);
+        let file = OpenOptions::new()
+            .create(true)
+            .write(true)
+            .truncate(true)
+            .open(path);
         let file = file.unwrap_or_else(|e| give_up(&format!("can't write {path}: {e}")));
-        Self { start: Instant::now(), file: Arc::new(Mutex::new(file)) }
+        Self {
+            start: Instant::now(),
+            file: Arc::new(Mutex::new(file)),
+        }
     }
 
     pub fn line(&self, text: &str) {
         let line = format!("{:8.3} {text}\n", self.start.elapsed().as_secs_f64());
-        let _written = self.file.lock().unwrap_or_else(PoisonError::into_inner).write_all(line.as_bytes());
+        let _written = self
+            .file
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .write_all(line.as_bytes());
     }
 }
 
@@ -89,7 +100,9 @@
 }
 
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64)
 }
 
 /// Returns a loopback address of a network that this run uses.
@@ -112,11 +125,15 @@
     static SHIFT: OnceLock<u16> = OnceLock::new();
     let is_free = |shift: &u16| {
         let addresses = PORTS.map(|port| SocketAddr::new(ip(1), port + shift));
-        addresses.iter().all(|a| TcpListener::bind(a).is_ok() && UdpSocket::bind(a).is_ok())
+        addresses
+            .iter()
+            .all(|a| TcpListener::bind(a).is_ok() && UdpSocket::bind(a).is_ok())
     };
     *SHIFT.get_or_init(|| {
         let mut shifts = (0..100).map(|n| n * 61);
-        shifts.find(is_free).unwrap_or_else(|| give_up("no free ports"))
+        shifts
+            .find(is_free)
+            .unwrap_or_else(|| give_up("no free ports"))
     })
 }
 
@@ -146,12 +163,19 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map(|(_, v)| v.as_str())
     }
 
     pub fn status(&self) -> u16 {
-        self.first_line.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+        self.first_line
+            .split(' ')
+            .nth(1)
+            .and_then(|s| s.parse().ok())
+            .unwrap_or(0)
     }
 
     pub fn target(&self) -> &str {
@@ -172,7 +196,10 @@
 impl Conn {
     pub fn new(stream: TcpStream) -> Self {
         let _set = stream.set_nodelay(true);
-        Self { stream, rest: Vec::new() }
+        Self {
+            stream,
+            rest: Vec::new(),
+        }
     }
 
     pub fn open(to: SocketAddr) -> io::Result<Self> {
@@ -199,8 +226,14 @@
                 let mut lines = text.split("\r\n");
                 let first_line = lines.next().unwrap_or("").to_owned();
                 let headers = lines.filter_map(|l| l.split_once(':'));
-                let headers = headers.map(|(n, v)| (n.trim().to_owned(), v.trim().to_owned())).collect();
-                return Ok(Some(Message { first_line, headers, ..Message::default() }));
+                let headers = headers
+                    .map(|(n, v)| (n.trim().to_owned(), v.trim().to_owned()))
+                    .collect();
+                return Ok(Some(Message {
+                    first_line,
+                    headers,
+                    ..Message::default()
+                }));
             }
             if self.fill()? == 0 {
                 if self.rest.is_empty() {
@@ -236,12 +269,15 @@
     /// Reads the body of a request or of a response with a length or in chunks; what came is kept if it is cut.
     pub fn read_body(&mut self, message: &mut Message, until_close: bool) {
         let chunked = message.header("transfer-encoding").is_some();
-        let length = message.header("content-length").and_then(|l| l.parse().ok());
+        let length = message
+            .header("content-length")
+            .and_then(|l| l.parse().ok());
         let end: io::Result<()> = (|| {
             if chunked {
                 loop {
                     let line = self.take_line()?;
-                    let size = usize::from_str_radix(line.split(';').next().unwrap_or("").trim(), 16);
+                    let size =
+                        usize::from_str_radix(line.split(';').next().unwrap_or("").trim(), 16);
                     let size = size.map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
                     if size == 0 {
                         while !self.take_line()?.is_empty() {}
@@ -342,9 +378,16 @@
 
 impl Store {
     pub fn start(address: SocketAddr) -> Self {
-        let listener = TcpListener::bind(address).unwrap_or_else(|e| give_up(&format!("store: {e}")));
-        let items = Items { revision: 100, ..Items::default() };
-        let store = Self { address, items: Arc::new((Mutex::new(items), Condvar::new())) };
+        let listener =
+            TcpListener::bind(address).unwrap_or_else(|e| give_up(&format!("store: {e}")));
+        let items = Items {
+            revision: 100,
+            ..Items::default()
+        };
+        let store = Self {
+            address,
+            items: Arc::new((Mutex::new(items), Condvar::new())),
+        };
         let served = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -377,7 +420,12 @@
         items.revision += 1;
         let revision = items.revision;
         let created = items.current.get(key).map_or(revision, |i| i.created);
-        let item = Item { key: key.to_owned(), value, revision, created };
+        let item = Item {
+            key: key.to_owned(),
+            value,
+            revision,
+            created,
+        };
         if item.value.is_some() {
             items.current.insert(key.to_owned(), item.clone());
         } else {
@@ -404,8 +452,11 @@
 
     fn respond(&self, target: &str) -> Option<String> {
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
-        let query: BTreeMap<&str, String> =
-            query.split('&').filter_map(|p| p.split_once('=')).map(|(n, v)| (n, decode(v))).collect();
+        let query: BTreeMap<&str, String> = query
+            .split('&')
+            .filter_map(|p| p.split_once('='))
+            .map(|(n, v)| (n, decode(v)))
+            .collect();
         let text = |name: &str| query.get(name).cloned().unwrap_or_default();
         let (items, changed) = &*self.items;
         let mut items = items.lock().unwrap_or_else(PoisonError::into_inner);
@@ -415,12 +466,20 @@
             "/v1/kv-range" => {
                 let (prefix, after) = (text("pathPrefix"), text("afterRevision"));
                 let listed = items.current.values();
-                let listed = listed.filter(|i| i.key.starts_with(&prefix) && (after.is_empty() || i.key > after));
+                let listed = listed
+                    .filter(|i| i.key.starts_with(&prefix) && (after.is_empty() || i.key > after));
                 let listed: Vec<String> = listed.map(item_json).collect();
-                Some(format!("{{\"entries\":[{}],\"hasMore\":false,\"asOf\":{}}}", listed.join(","), items.revision))
+                Some(format!(
+                    "{{\"entries\":[{}],\"hasMore\":false,\"asOf\":{}}}",
+                    listed.join(","),
+                    items.revision
+                ))
             }
             "/v1/kv-watch" => {
-                let (prefix, after) = (text("pathPrefix"), text("afterRevision").parse().unwrap_or(0));
+                let (prefix, after) = (
+                    text("pathPrefix"),
+                    text("afterRevision").parse().unwrap_or(0),
+                );
                 let wait = Duration::from_millis(text("waitMs").parse().unwrap_or(0).min(30_000));
                 let is_new = |i: &&Item| i.revision > after && i.key.starts_with(&prefix);
                 let end = Instant::now() + wait;
@@ -428,8 +487,13 @@
                     let left = end.saturating_duration_since(Instant::now());
                     items = changed.wait_timeout(items, left).unwrap().0;
                 }
-                let events: Vec<String> = items.history.iter().filter(is_new).map(item_json).collect();
-                Some(format!("{{\"events\":[{}],\"asOf\":{}}}", events.join(","), items.revision))
+                let events: Vec<String> =
+                    items.history.iter().filter(is_new).map(item_json).collect();
+                Some(format!(
+                    "{{\"events\":[{}],\"asOf\":{}}}",
+                    events.join(","),
+                    items.revision
+                ))
             }
             _ => None,
         }
@@ -445,7 +509,10 @@
             item.revision,
             item.created
         ),
-        None => format!("{{\"key\":\"{}\",\"revision\":{},\"deleted\":true}}", item.key, item.revision),
+        None => format!(
+            "{{\"key\":\"{}\",\"revision\":{},\"deleted\":true}}",
+            item.key, item.revision
+        ),
     }
 }
 
@@ -453,7 +520,9 @@
     let bytes = text.as_bytes();
     let (mut out, mut at) = (Vec::new(), 0);
     while at < bytes.len() {
-        let code = (bytes[at] == b'%').then(|| text.get(at + 1..at + 3)).flatten();
+        let code = (bytes[at] == b'%')
+            .then(|| text.get(at + 1..at + 3))
+            .flatten();
         if let Some(byte) = code.and_then(|c| u8::from_str_radix(c, 16).ok()) {
             out.push(byte);
             at += 3;
@@ -545,7 +614,8 @@
 impl Folder {
     pub fn create() -> Self {
         let path = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
-        std::fs::create_dir_all(&path).unwrap_or_else(|e| give_up(&format!("temporary folder: {e}")));
+        std::fs::create_dir_all(&path)
+            .unwrap_or_else(|e| give_up(&format!("temporary folder: {e}")));
         *lock(&FOLDER) = Some(path.clone());
         Self(path)
     }
@@ -571,7 +641,13 @@
         let config = folder.0.join(format!("{name}.ini"));
         std::fs::write(&config, text).unwrap_or_else(|e| give_up(&format!("settings: {e}")));
         let log = folder.0.join(format!("{name}.log"));
-        let mut gateway = Self { name, number, config, log, child: None };
+        let mut gateway = Self {
+            name,
+            number,
+            config,
+            log,
+            child: None,
+        };
         gateway.run();
         gateway
     }
@@ -586,7 +662,9 @@
             .stdout(log)
             .stderr(Stdio::null())
             .spawn();
-        let child = Arc::new(Mutex::new(child.unwrap_or_else(|e| give_up(&format!("gateway: {e}")))));
+        let child = Arc::new(Mutex::new(
+            child.unwrap_or_else(|e| give_up(&format!("gateway: {e}"))),
+        ));
         lock(&CHILDREN).push(Arc::clone(&child));
         self.child = Some(child);
     }
@@ -594,7 +672,10 @@
     /// Fills the settings in as the platform does when it isn't the first start of the whole system.
     pub fn set_restarted(&self) {
         let text = std::fs::read_to_string(&self.config).unwrap_or_default();
-        let _written = std::fs::write(&self.config, text.replace("first_start = true", "first_start = false"));
+        let _written = std::fs::write(
+            &self.config,
+            text.replace("first_start = true", "first_start = false"),
+        );
     }
 
     pub fn pid(&self) -> u32 {
@@ -612,7 +693,9 @@
     /// Sends a signal by its name, as in `kill -NAME PID`.
     pub fn signal(&self, name: &str) {
         let pid = self.pid().to_string();
-        let _sent = Command::new("kill").args([&format!("-{name}"), &pid]).status();
+        let _sent = Command::new("kill")
+            .args([&format!("-{name}"), &pid])
+            .status();
     }
 
     pub fn kill(&mut self) {
@@ -625,7 +708,9 @@
 
     /// Returns the exit status if the process has ended.
     pub fn ended(&mut self) -> Option<std::process::ExitStatus> {
-        self.child.as_ref().and_then(|c| lock(c).try_wait().ok().flatten())
+        self.child
+            .as_ref()
+            .and_then(|c| lock(c).try_wait().ok().flatten())
     }
 
     pub fn is_ready(&self) -> bool {
@@ -633,7 +718,10 @@
             return false;
         };
         let text = b"GET /v1/ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
-        conn.send(text).is_ok() && conn.read_response(Duration::from_secs(1)).is_some_and(|r| r.status() == 200)
+        conn.send(text).is_ok()
+            && conn
+                .read_response(Duration::from_secs(1))
+                .is_some_and(|r| r.status() == 200)
     }
 
     pub fn wait_ready(&self) {
--- a/review/common-2/streams.rs
+++ b/review/common-2/streams.rs
@@ -38,14 +38,23 @@
     format!("servers/i-{number}")
 }
 
-pub fn entry_with(address: SocketAddr, state: &str, version: &str, born: u64, sequence: u64) -> String {
+pub fn entry_with(
+    address: SocketAddr,
+    state: &str,
+    version: &str,
+    born: u64,
+    sequence: u64,
+) -> String {
     let text = entry("writer", address, "a", 64, state, version, born);
     text.replace("\"sequence\":1", &format!("\"sequence\":{sequence}"))
 }
 
 pub fn born_of(store: &Store, number: u8) -> u64 {
     let value = store.value(&key_of(number)).unwrap_or_default();
-    let born = value.split("\"born\":").nth(1).and_then(|t| t.trim_end_matches('}').parse().ok());
+    let born = value
+        .split("\"born\":")
+        .nth(1)
+        .and_then(|t| t.trim_end_matches('}').parse().ok());
     born.unwrap_or_default()
 }
 
@@ -53,8 +62,13 @@
 pub fn start_server(store: &Store, number: u8, version: &'static str, record: &Record) {
     let (address, born) = (address_of(number), unix_ms());
     let (name, record) = (format!("i-{number}"), record.clone());
-    listen(address, move |conn| serve(conn, &name, version, born, &record));
-    store.put(&key_of(number), &entry_with(address, "ready", version, born, 1));
+    listen(address, move |conn| {
+        serve(conn, &name, version, born, &record)
+    });
+    store.put(
+        &key_of(number),
+        &entry_with(address, "ready", version, born, 1),
+    );
 }
 
 /// A model server: a report, and streams that go on after the event that the client has.
@@ -77,14 +91,20 @@
         }
         let id = request.header("attempt-id").unwrap_or("").to_owned();
         if request.header("expect-instance").is_some_and(|i| i != name) {
-            let text = "HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+            let text =
+                "HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
             if conn.send(text.as_bytes()).is_err() {
                 return;
             }
             continue;
         }
-        let after = request.header("last-event-id").and_then(|l| l.parse().ok()).unwrap_or(0);
-        record.line(&format!("server {name} of {version} runs {id} after event {after}"));
+        let after = request
+            .header("last-event-id")
+            .and_then(|l| l.parse().ok())
+            .unwrap_or(0);
+        record.line(&format!(
+            "server {name} of {version} runs {id} after event {after}"
+        ));
         let head = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: {name}-{id}\r\nContent-Type: text/event-stream\r\n\
              Transfer-Encoding: chunked\r\n\r\n"
@@ -94,7 +114,10 @@
         }
         for number in after + 1..=EVENTS {
             let event = format!("id: {number}\ndata: {version} piece {number}\n\n");
-            if conn.send(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).is_err() {
+            if conn
+                .send(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())
+                .is_err()
+            {
                 return;
             }
             thread::sleep(PAUSE);
@@ -182,21 +205,39 @@
             text += &format!("Last-Event-Id: {}\r\nResumes: {first}\r\n", self.last);
         }
         text += "\r\nletter";
-        self.record.line(&format!("client sends {id}: after event {}, Deadline-Ms {}", self.last, left.as_millis()));
-        let _set = conn.stream.set_read_timeout(Some(left.max(Duration::from_millis(1))));
-        let head = conn.send(text.as_bytes()).ok().and_then(|()| conn.read_head().ok().flatten());
+        self.record.line(&format!(
+            "client sends {id}: after event {}, Deadline-Ms {}",
+            self.last,
+            left.as_millis()
+        ));
+        let _set = conn
+            .stream
+            .set_read_timeout(Some(left.max(Duration::from_millis(1))));
+        let head = conn
+            .send(text.as_bytes())
+            .ok()
+            .and_then(|()| conn.read_head().ok().flatten());
         let Some(head) = head else {
             return ("no answer".to_owned(), Duration::from_millis(100));
         };
         if head.status() != 200 {
-            let after = head.header("retry-after").and_then(|r| r.parse::<f64>().ok()).unwrap_or(0.1);
-            self.record.line(&format!("client gets {id}: status {}, Retry-After {after}", head.status()));
+            let after = head
+                .header("retry-after")
+                .and_then(|r| r.parse::<f64>().ok())
+                .unwrap_or(0.1);
+            self.record.line(&format!(
+                "client gets {id}: status {}, Retry-After {after}",
+                head.status()
+            ));
             let wait = Duration::from_secs_f64(after).max(self.pause).min(left / 3);
             return (head.status().to_string(), wait);
         }
         let what = format!("200 after {}", self.last);
         self.read_events(&mut conn, id);
-        self.record.line(&format!("client {id}: stream ends at event {}, whole {}", self.last, self.is_whole));
+        self.record.line(&format!(
+            "client {id}: stream ends at event {}, whole {}",
+            self.last, self.is_whole
+        ));
         (what, Duration::from_millis(50))
     }
 
@@ -210,8 +251,14 @@
             text += &String::from_utf8_lossy(&chunk);
             while let Some(end) = text.find("\n\n") {
                 let event: String = text.drain(..end + 2).collect();
-                let number = event.split("id: ").nth(1).and_then(|t| t.lines().next()?.parse().ok());
-                let version = event.split("data: ").nth(1).and_then(|t| t.split(' ').next());
+                let number = event
+                    .split("id: ")
+                    .nth(1)
+                    .and_then(|t| t.lines().next()?.parse().ok());
+                let version = event
+                    .split("data: ")
+                    .nth(1)
+                    .and_then(|t| t.split(' ').next());
                 if let (Some(number), Some(version)) = (number, version) {
                     self.last = number;
                     self.first.get_or_insert_with(|| id.to_owned());
