Streams are dated by the catalogs that the store's history has

Cause: a stream without a record is dated by its route's timeout less what its caller has left, and a process that has just started knows the newest catalog only. The registrations' history was there and dated; with the timeout unchanged none was joined.

Change: the reading of the store's history covers the catalog's entry, and happens before the first stream without a record is dated. Each catalog is dated by the registrations' changes around it. Where the one before the oldest known catalog isn't told, all states of the store's usual history must give one version.

--- a/crates/hawthornmill-gateway/src/gateway.rs
+++ b/crates/hawthornmill-gateway/src/gateway.rs
@@ -345,14 +345,15 @@
                 let fields = json!({"version": version, "before": before, "from": from, "age_ms": self.age_ms()});
                 event_log::state_change("catalog_in_force", fields);
                 self.scheduler.borrow_mut().apply_catalog(table.catalog());
-                let table = match self.table() {
-                    Some(previous) => {
-                        let routes = &self.streams.past_routes;
-                        routes.borrow_mut().replace(&previous, &table, self.now());
-                        table.succeeding(&previous)
-                    }
-                    None => table,
+                let mut past = self.streams.past_routes.borrow_mut();
+                let table = if let Some(previous) = self.table() {
+                    past.replace(&previous, &table, self.now());
+                    table.succeeding(&previous)
+                } else {
+                    past.begin(self.now());
+                    table
                 };
+                drop(past);
                 *self.table.borrow_mut() = Some(Rc::new(table));
                 self.catalog_lag.borrow_mut().catch_up(version);
                 self.queue_wakeup.notify_one();
--- a/crates/hawthornmill-gateway/src/proxy/admission.rs
+++ b/crates/hawthornmill-gateway/src/proxy/admission.rs
@@ -6,9 +6,8 @@
 use hawthornmill::codes::Code;
 use hawthornmill::ident::{AccountId, RouteId, ServiceId};
 use hawthornmill::quarantine::fingerprint::Fingerprints;
-use hawthornmill::routing::caller_times::{CallerTime, SpentTime};
+use hawthornmill::routing::caller_times::CallerTime;
 use hawthornmill::routing::catalog::RetryPolicy;
-use hawthornmill::routing::past_routes::{PastTerms, longest_timeout};
 use hawthornmill::routing::request::Request;
 use hawthornmill::routing::route_table::{Caller, RouteTable, pick_service};
 use hawthornmill::routing::stream_versions::StreamKey;
@@ -46,14 +45,10 @@
     pub retry_policy: RetryPolicy,
     /// The stream that it begins or takes up; `None` on routes whose streams end with their server.
     pub stream: Option<StreamOrigin>,
-    /// Time for which its caller may have asked; `None` on routes whose streams can't be taken up.
-    pub spent: Option<SpentTime>,
-    /// Time that its caller has left; `None` if it doesn't say so.
-    pub left: Option<Duration>,
+    /// What it tells of the time of its caller.
+    pub caller: CallerTime,
     /// Services to which its route may send it.
     pub targets: SmallVec<[ServiceId; 1]>,
-    /// Terms of its route in earlier catalogs, where it takes up a stream.
-    pub past_terms: Vec<PastTerms>,
     /// Whether the response is a stream of events.
     pub streaming: bool,
     /// Maximum number of servers to which the request may be sent.
@@ -118,19 +113,17 @@
     let stream = (route.retry_policy == RetryPolicy::Resumable)
         .then(|| stream_origin(gateway, request, account.map(|a| a.id)))
         .transpose()?;
-    let past_terms = match stream {
-        Some(StreamOrigin::Resumed(_)) => past_terms(gateway, host, path),
-        _ => Vec::new(),
-    };
     let caller = CallerTime {
         account: account.map(|a| a.id),
         route: RouteId::of(&route.name),
         timeout: route.timeout,
-        past_timeout: longest_timeout(&past_terms, request.received),
+        past_timeout: Duration::ZERO,
         left: remaining,
     };
-    let mut times = gateway.streams.caller_times.borrow_mut();
-    let spent = stream.map(|_| times.spent(caller, request.received));
+    if stream.is_some() {
+        let mut times = gateway.streams.caller_times.borrow_mut();
+        times.record(caller, request.received);
+    }
     let pending = Request {
         account: account.map(|a| a.id),
         route: RouteId::of(&route.name),
@@ -157,10 +150,8 @@
         request: pending,
         retry_policy: route.retry_policy,
         stream,
-        spent,
-        left: remaining,
+        caller,
         targets: route.targets.iter().map(|t| t.service).collect(),
-        past_terms,
         streaming: route.streaming,
         max_attempts: route.max_attempts.max(1),
         account_name: account.map(|a| a.name.clone()),
@@ -202,7 +193,7 @@
 }
 
 /// Returns the host that a request names.
-fn host_of(request: &ClientRequest) -> Result<&str, ErrorResponse> {
+pub(super) fn host_of(request: &ClientRequest) -> Result<&str, ErrorResponse> {
     let mut hosts = request.head.headers.get_all("host");
     let (Some(host), None) = (hosts.next(), hosts.next()) else {
         return Err(ErrorResponse::new(Code::BadHeader));
@@ -210,13 +201,6 @@
     std::str::from_utf8(host).map_err(|_bytes| ErrorResponse::new(Code::BadHeader))
 }
 
-/// Returns the terms that earlier catalogs had for requests for `path` at `host`.
-fn past_terms(gateway: &Gateway, host: &str, path: &str) -> Vec<PastTerms> {
-    let apply_time = gateway.settings().guarantees.apply_time;
-    let routes = gateway.streams.past_routes.borrow();
-    routes.terms(host, path, apply_time)
-}
-
 /// Returns the response to a request whose caller isn't known.
 fn refuse_caller(
     gateway: &Gateway,
--- a/crates/hawthornmill-gateway/src/proxy/mod.rs
+++ b/crates/hawthornmill-gateway/src/proxy/mod.rs
@@ -19,6 +19,7 @@
 pub mod admission;
 pub mod begin;
 pub mod connect;
+pub mod earliest_ask;
 pub mod error_response;
 pub mod events;
 pub mod forward;
--- a/crates/hawthornmill-gateway/src/proxy/take_up.rs
+++ b/crates/hawthornmill-gateway/src/proxy/take_up.rs
@@ -1,18 +1,20 @@
 //! Streams that go on: those that a client takes up, and those sent to another server after their first event.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use hawthornmill::ident::{ServerId, VersionId};
+use hawthornmill::routing::caller_times::MAX_CALLER_TIME;
 use hawthornmill::routing::lost_streams::Sharers;
 use hawthornmill::routing::past_routes::services_since;
 use hawthornmill::routing::regions::AllowedRegions;
-use hawthornmill::routing::stream_tries::{CallerAge, StreamTry, Undated};
+use hawthornmill::routing::stream_tries::Undated;
 use hawthornmill::routing::stream_versions::{StreamKey, UNDECIDED};
 use hawthornmill::routing::version_history::{BeginVersion, VIEW_LAG, VIEW_LAG_LARGE};
 use serde_json::{Value, json};
 
 use super::admission::Admitted;
+use super::earliest_ask::{EarliestAsk, this_try};
 use super::progress::RequestProgress;
 use super::retry::RetryDecision;
 use super::{RequestContext, RequestOutcome};
@@ -85,55 +87,6 @@
     }
 }
 
-/// When the caller of a stream first asked, at the earliest.
-#[derive(Debug, Clone, Copy)]
-struct EarliestAsk {
-    /// `None` where the machine's clock hasn't run for as long.
-    at: Option<Instant>,
-    /// Why it isn't what its caller has left that tells it; `None` where it is.
-    undated: Option<Undated>,
-}
-
-impl EarliestAsk {
-    /// Returns it for a stream of which `lookup` tells what others know.
-    fn of(admitted: &Admitted, lookup: Option<StreamLookup>) -> Self {
-        let at = admitted.request.arrival;
-        let Some(spent) = admitted.spent else {
-            return Self {
-                at: None,
-                undated: Some(Undated::NoTime),
-            };
-        };
-        let age = this_try(admitted).map(|last| {
-            let first = lookup.and_then(|l| l.first_try);
-            CallerAge::of(spent, first, last, lookup.and_then(|l| l.holder_start))
-        });
-        let age = age.unwrap_or(CallerAge {
-            most: spent.most,
-            undated: Some(Undated::NoTime),
-        });
-        Self {
-            at: at.checked_sub(age.most),
-            undated: age.undated,
-        }
-    }
-
-    /// Returns what dates the stream, for logs and counters.
-    const fn dated_by(self) -> &'static str {
-        match self.undated {
-            None => "countdown",
-            Some(Undated::NoTime) => "longest",
-            Some(_) => "timeout",
-        }
-    }
-}
-
-/// Returns the request as one of those for its stream; `None` where it names no time.
-fn this_try(admitted: &Admitted) -> Option<StreamTry> {
-    let at = admitted.request.arrival;
-    admitted.left.map(|left| StreamTry { at, left })
-}
-
 /// Time after which a caller that counts down shows it by coming back.
 const SECOND_TRY_DELAY: Duration = Duration::from_millis(300);
 /// Time after the start in which a process hears of the other instances.
@@ -174,18 +127,22 @@
         }
         None => None,
     };
-    let asked = EarliestAsk::of(admitted, lookup);
+    let mut asked = EarliestAsk::of(context, admitted, lookup);
     let known = match known_version(lookup) {
         Some((UNDECIDED, _)) => Err(VersionUnknown::UndecidedRecord),
         Some(known) => Ok(known),
         // Those that know it may not have been heard yet.
         None if lookup.is_some_and(|l| !l.has_met_others) => Err(VersionUnknown::UnheardPeers),
-        None => begin_version(gateway, admitted, key, asked.at).await,
+        None => {
+            learn_past(gateway, admitted).await;
+            asked = EarliestAsk::of(context, admitted, lookup);
+            begin_version(gateway, admitted, key, &asked).await
+        }
     };
     let stream = known.map(|(version, source)| {
         let is_genuine = match (source, key) {
             (VersionSource::History, _) => {
-                has_lost_records(gateway, asked) && take_lost(context, admitted, key, asked)
+                has_lost_records(gateway, &asked) && take_lost(context, admitted, key, &asked)
             }
             (_, Some(key)) => gateway.streams.take_preference(key),
             (_, None) => false,
@@ -196,8 +153,8 @@
         }
     });
     let is_preferred = stream.is_ok_and(|s| s.is_genuine);
-    log_take_up(context, admitted, key, lookup, asked, known, is_preferred);
-    stream.map_err(|why| retry_delay(admitted, key, asked, why))
+    log_take_up(context, admitted, key, lookup, &asked, known, is_preferred);
+    stream.map_err(|why| retry_delay(admitted, key, &asked, why))
 }
 
 /// Returns when the caller of a stream of unknown version should come back.
@@ -206,7 +163,7 @@
 fn retry_delay(
     admitted: &Admitted,
     key: Option<StreamKey>,
-    asked: EarliestAsk,
+    asked: &EarliestAsk,
     why: VersionUnknown,
 ) -> Duration {
     use VersionUnknown::{DoubtfulKey, LongViewLag, RegionBound, UnknownHistory};
@@ -223,7 +180,7 @@
 }
 
 /// Returns whether a stream may have begun before this process started, which else would have a record of it.
-fn has_lost_records(gateway: &Gateway, asked: EarliestAsk) -> bool {
+fn has_lost_records(gateway: &Gateway, asked: &EarliestAsk) -> bool {
     let age = Duration::from_millis(gateway.age_ms());
     let start = gateway.now().checked_sub(age);
     asked
@@ -237,7 +194,7 @@
     context: RequestContext<'_>,
     admitted: &Admitted,
     key: Option<StreamKey>,
-    asked: EarliestAsk,
+    asked: &EarliestAsk,
 ) -> bool {
     let (gateway, account) = (context.gateway, admitted.request.account);
     let Some(id) = account else {
@@ -275,37 +232,51 @@
     Some((lookup.version?, source))
 }
 
+/// Reads the store's history, if callers may come back that asked before what this process knows.
+async fn learn_past(gateway: &Rc<Gateway>, admitted: &Admitted) {
+    let now = gateway.now();
+    let known_since = {
+        let scheduler = gateway.scheduler.borrow();
+        scheduler.registry.versions().known_since(&admitted.targets)
+    };
+    let is_recent = |since| now.duration_since(since) < MAX_CALLER_TIME;
+    if known_since.is_none_or(is_recent) {
+        let left = admitted.request.deadline.saturating_duration_since(now);
+        gateway.streams.history.read(gateway, left).await;
+    }
+}
+
 /// Returns what all states of the service since the caller first asked tell of a stream's version.
 async fn begin_version(
     gateway: &Rc<Gateway>,
     admitted: &Admitted,
     key: Option<StreamKey>,
-    first_asked: Option<Instant>,
+    asked: &EarliestAsk,
 ) -> VersionResult {
-    let first_asked = first_asked.ok_or(VersionUnknown::NoBegin)?;
+    let first_asked = asked.at.ok_or(VersionUnknown::NoBegin)?;
     let lag = view_lag(gateway);
-    let deadline = admitted.request.deadline;
-    let left = || deadline.saturating_duration_since(gateway.now());
+    let left = admitted.request.deadline;
+    let left = left.saturating_duration_since(gateway.now());
     let view = &gateway.streams.store_view;
-    if !view.is_newer_than(gateway, lag, left()).await {
+    if !view.is_newer_than(gateway, lag, left).await {
         return Err(VersionUnknown::SilentStore);
     }
     // A stream that is bound to regions may have begun at another version than all servers together give it.
     let is_bound = admitted.request.allowed_regions != AllowedRegions::Any;
     let used_key = key.filter(|_| !is_bound);
+    // Where its caller may have had any time, the store's usual history must tell the same all along.
+    let kept = gateway.settings().store_history;
+    let kept_since = admitted.request.arrival.checked_sub(kept);
+    let kept_since = kept_since.filter(|_| asked.has_unknown_terms);
     let find = |lag: Duration| {
         let begun_after = first_asked.checked_sub(lag)?;
+        let begun_after = kept_since.map_or(begun_after, |since| begun_after.min(since));
         let scheduler = gateway.scheduler.borrow();
         let versions = scheduler.registry.versions();
-        let services = services_since(&admitted.targets, &admitted.past_terms, begun_after);
+        let services = services_since(&admitted.targets, &asked.past_terms, begun_after);
         Some(versions.begin_version(&services, used_key, begun_after))
     };
-    let mut found = find(lag).ok_or(VersionUnknown::NoBegin)?;
-    if found == BeginVersion::Unknown {
-        gateway.streams.history.read(gateway, left()).await;
-        found = find(lag).ok_or(VersionUnknown::NoBegin)?;
-    }
-    match found {
+    match find(lag).ok_or(VersionUnknown::NoBegin)? {
         BeginVersion::Certain(version) => Ok((version, VersionSource::History)),
         _ if matches!(find(VIEW_LAG), Some(BeginVersion::Certain(_))) => {
             Err(VersionUnknown::LongViewLag)
@@ -344,7 +315,7 @@
     admitted: &Admitted,
     key: Option<StreamKey>,
     lookup: Option<StreamLookup>,
-    asked: EarliestAsk,
+    asked: &EarliestAsk,
     known: VersionResult,
     is_preferred: bool,
 ) {
--- a/crates/hawthornmill-gateway/src/store_watch.rs
+++ b/crates/hawthornmill-gateway/src/store_watch.rs
@@ -404,7 +404,7 @@
         if *entry.key != *self.gateway.adapter.store.catalog_key {
             return;
         }
-        self.gateway.streams.history.record_catalog(entry.created);
+        self.gateway.streams.history.record_catalog(entry);
         match (self.gateway.adapter.parse_catalog)(value) {
             Ok(catalog) => self.gateway.apply_catalog(catalog, "store"),
             Err(why) => {
--- a/crates/hawthornmill/src/routing/caller_times.rs
+++ b/crates/hawthornmill/src/routing/caller_times.rs
@@ -53,10 +53,17 @@
 }
 
 impl CallerTimes {
-    /// Records what a request tells, and returns the time for which its caller may have asked.
+    /// Records what a request tells.
+    pub fn record(&mut self, caller: CallerTime, now: Instant) {
+        if let Some(left) = caller.left.filter(|left| *left > caller.timeout) {
+            self.record_longer((caller.account, caller.route), left, now);
+        }
+    }
+
+    /// Returns the time for which a caller may have asked.
     ///
     /// More time left than the timeout doesn't tell how much was given at first.
-    pub fn spent(&mut self, caller: CallerTime, now: Instant) -> SpentTime {
+    pub fn spent(&self, caller: CallerTime, now: Instant) -> SpentTime {
         let id = (caller.account, caller.route);
         let unlimited = SpentTime {
             most: MAX_CALLER_TIME,
@@ -66,7 +73,6 @@
             return unlimited;
         };
         if left > caller.timeout {
-            self.record(id, left, now);
             return unlimited;
         }
         let longer = self.longer.get(&id).map(|longest| longest.at(now));
@@ -78,7 +84,7 @@
         }
     }
 
-    fn record(&mut self, id: (Option<AccountId>, RouteId), given: Duration, now: Instant) {
+    fn record_longer(&mut self, id: (Option<AccountId>, RouteId), given: Duration, now: Instant) {
         self.longer.retain(|_, longest| !longest.at(now).is_zero());
         let longest = self.longer.entry(id).or_insert(Longest {
             since: now,
--- a/crates/hawthornmill/src/routing/registry.rs
+++ b/crates/hawthornmill/src/routing/registry.rs
@@ -13,7 +13,7 @@
 
 use super::announcements::Departure;
 use super::change_times::{ListTime, ReadTime};
-use super::store_history::{StoreHistory, past_of};
+use super::store_history::{HistoryDates, StoreHistory, past_of};
 use super::version_history::{Capacities, HISTORY_TIME, ReadyServer, VersionHistory, add_slots};
 use crate::ident::{DomainId, ServerId, ServiceId, VersionId};
 
@@ -300,6 +300,13 @@
         true
     }
 
+    /// Returns by when the revisions of the store's history were written; `None` before the first list.
+    pub fn date_past(&self, history: &StoreHistory, read: ReadTime) -> Option<HistoryDates> {
+        let entries = self.entries.iter();
+        let entries = entries.map(|(id, e)| (*id, &e.registration));
+        Some(HistoryDates::of(history, entries, self.gap_list?, read))
+    }
+
     /// Returns the numbers of versions that left, and of services of which versions are remembered.
     pub fn remembered(&self) -> (usize, usize) {
         (self.left_versions.len(), self.versions.service_count())
--- a/crates/hawthornmill/src/routing/store_history.rs
+++ b/crates/hawthornmill/src/routing/store_history.rs
@@ -86,11 +86,8 @@
     list: ListTime,
     read: ReadTime,
 ) -> Vec<ServicePast> {
-    let changed: BTreeSet<ServerId> = history.changes.iter().map(|c| c.server).collect();
-    let unchanged: Vec<Unchanged<'_>> = entries.filter(|(id, _)| !changed.contains(id)).collect();
-    let ends = latest_times(&history.changes, list, read);
-    let is_old = !has_recent_start(history, &unchanged, read);
-    let floor = floor_time(history, &ends, list, read, is_old);
+    let unchanged = unchanged(history, entries);
+    let HistoryDates { ends, floor, .. } = dates(history, &unchanged, list, read);
     let befores = befores(&history.changes);
     let present = present_servers(&unchanged, &history.changes);
     let at_floor = at_floor(&present, &history.changes, &befores);
@@ -113,6 +110,75 @@
     services.into_iter().map(walk).collect()
 }
 
+fn unchanged<'a>(
+    history: &StoreHistory,
+    entries: impl Iterator<Item = Unchanged<'a>>,
+) -> Vec<Unchanged<'a>> {
+    let changed: BTreeSet<ServerId> = history.changes.iter().map(|c| c.server).collect();
+    entries.filter(|(id, _)| !changed.contains(id)).collect()
+}
+
+/// By when the revisions of the store's history were written.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HistoryDates {
+    /// By when each change of a server's entry was written.
+    ends: Vec<Instant>,
+    /// The revisions of these changes.
+    revisions: Vec<u64>,
+    /// Since when all changes are known; `None` if all are that matter.
+    floor: Option<Instant>,
+    list: ListTime,
+    read_at: Instant,
+}
+
+impl HistoryDates {
+    /// Returns the dates of the revisions of `history`.
+    ///
+    /// `entries` are the present registrations, `list` the first one of all of them.
+    pub fn of<'a>(
+        history: &StoreHistory,
+        entries: impl Iterator<Item = Unchanged<'a>>,
+        list: ListTime,
+        read: ReadTime,
+    ) -> Self {
+        dates(history, &unchanged(history, entries), list, read)
+    }
+
+    /// Returns by when a revision of any entry of the store was written.
+    pub fn written(&self, revision: u64) -> Instant {
+        let known = if revision <= self.list.revision {
+            self.list.at
+        } else {
+            self.read_at
+        };
+        let next = self.revisions.partition_point(|r| *r < revision);
+        self.ends.get(next).map_or(known, |end| known.min(*end))
+    }
+
+    /// Returns since when nothing that was written at or before the history's floor changed; `None` if that doesn't matter.
+    pub const fn floor(&self) -> Option<Instant> {
+        self.floor
+    }
+}
+
+fn dates(
+    history: &StoreHistory,
+    unchanged: &[Unchanged<'_>],
+    list: ListTime,
+    read: ReadTime,
+) -> HistoryDates {
+    let ends = latest_times(&history.changes, list, read);
+    let is_old = !has_recent_start(history, unchanged, read);
+    let floor = floor_time(history, &ends, list, read, is_old);
+    HistoryDates {
+        ends,
+        revisions: history.changes.iter().map(|c| c.revision).collect(),
+        floor,
+        list,
+        read_at: read.at,
+    }
+}
+
 /// Returns the servers that are ready after all changes.
 fn present_servers(
     unchanged: &[Unchanged<'_>],
--- a/crates/hawthornmill/src/routing/version_history.rs
+++ b/crates/hawthornmill/src/routing/version_history.rs
@@ -171,6 +171,18 @@
         self.gaps
     }
 
+    /// Returns since when all states of `services` are known; `None` before the first list.
+    pub fn known_since(&self, services: &[ServiceId]) -> Option<Instant> {
+        let since = |service| {
+            let history = self.services.get(service);
+            history
+                .and_then(|h| h.complete_since)
+                .or(self.complete_since)
+        };
+        let all: Option<Vec<Instant>> = services.iter().map(since).collect();
+        all?.into_iter().max()
+    }
+
     /// Forgets services without servers whose last state is so old that no caller comes back for a stream of it.
     pub fn forget(&mut self, now: Instant) {
         self.services.retain(|_, history| {
--- a/tests/testsuite/gateway/changed_routes.rs
+++ b/tests/testsuite/gateway/changed_routes.rs
@@ -8,8 +8,8 @@
 use super::fleet::{Fleet, config, wait_until};
 use super::scripted_server::Server;
 use super::stream_versions_after_kill::{
-    CALLER_TIME, Outcome, SETTLE_TIME, STREAMS, Streams, TWO, begin, register_first, start_with,
-    unix_ms,
+    CALLER_TIME, ONE, Outcome, SETTLE_TIME, STREAMS, Streams, TWO, begin, register_first,
+    start_with, unix_ms,
 };
 use crate::block_on;
 
@@ -29,6 +29,8 @@
     Isolated,
     /// All gateways were killed after the change.
     Killed,
+    /// The same, and the store dropped its history before the change.
+    Forgotten,
 }
 
 /// Names the longest time that the later catalog allows.
@@ -85,6 +87,9 @@
 /// Writes the later catalog, loses the records if that didn't happen before, and takes the streams up.
 async fn take_up(mut streams: Streams, lost: Lost, catalog: &Value) -> Outcome {
     let store = &streams.fleet.store;
+    if lost == Lost::Forgotten {
+        store.drop_history(None);
+    }
     store.put("op/config", catalog.to_string().as_bytes());
     for number in 0..ROW {
         let server = streams.fleet.start_server(&format!("row-{number}")).await;
@@ -92,7 +97,7 @@
         streams.fleet.write_registration(&server, &entry);
     }
     tokio::time::sleep(LATE).await;
-    if lost == Lost::Killed {
+    if lost != Lost::Isolated {
         streams.restart_all(|_| {}).await;
     }
     let all = (0..STREAMS).map(|number| streams.try_once(number, 2, true));
@@ -147,3 +152,29 @@
 
     assert_eq!((outcome.mixed, outcome.began_at_first), (0, STREAMS));
 }
+
+/// Failure: the same as with a shorter timeout, where the store no longer keeps the catalog from before.
+#[test]
+fn streams_from_before_a_shorter_timeout_that_nobody_knows_stay_unmixed() {
+    let outcome = block_on(take_up_with_less_time(Lost::Forgotten));
+
+    assert_eq!((outcome.mixed, outcome.began_at_first), (0, STREAMS));
+}
+
+/// Failure: a catalog from long ago is still in the store's history, and no stream goes on after a kill of all.
+#[test]
+fn streams_go_on_after_a_longer_timeout_and_a_kill() {
+    block_on(async {
+        let mut streams = begin(start_with(ONE, register_first).await, ONE).await;
+        let catalog = later_catalog(CALLER_TIME * 2, "app");
+        streams
+            .fleet
+            .store
+            .put("op/config", catalog.to_string().as_bytes());
+        streams.restart_all(|_| {}).await;
+
+        let outcome = streams.take_up(true).await;
+
+        assert_eq!(outcome.whole, STREAMS);
+    });
+}
--- a/tests/testsuite/routing/callers.rs
+++ b/tests/testsuite/routing/callers.rs
@@ -49,7 +49,7 @@
         let mut alone = CallerTimes::default();
         counted(&mut alone, caller("lab", left), now)
     });
-    times.spent(caller("lab", Some(millis(15_000))), now);
+    times.record(caller("lab", Some(millis(15_000))), now);
     let later = times.spent(caller("lab", Some(millis(4_000))), now + millis(11_000));
 
     assert_eq!(
@@ -66,7 +66,7 @@
     let start = Instant::now();
     let mut times = CallerTimes::default();
 
-    times.spent(caller("lab", Some(Duration::from_hours(1))), start);
+    times.record(caller("lab", Some(Duration::from_hours(1))), start);
     let mut spent = |name, at| counted(&mut times, caller(name, Some(millis(4_000))), at);
 
     assert_eq!(spent("kiosk", start), millis(6_000));
@@ -124,7 +124,7 @@
         at: epoch + millis(at),
         left: millis(left),
     });
-    let mut times = CallerTimes::default();
+    let times = CallerTimes::default();
     let spent = times.spent(caller("lab", Some(last.left)), last.at);
     let start = start.map(|start| epoch + millis(start));
     CallerAge::of(spent, Some(first), last, start)
--- a/tests/testsuite/routing/mod.rs
+++ b/tests/testsuite/routing/mod.rs
@@ -21,6 +21,7 @@
 mod loads;
 mod log_names;
 mod overtaking;
+mod past_routes;
 mod placement;
 mod regions;
 mod registry;
